--- /dev/null
+++ b/class/class.go
@@ -0,0 +1,73 @@
+// Package class describes classes of work. A class has a target that says how soon its work must
+// finish, and a share of its pool that it may claim when all is full.
+//
+// # Usage
+//
+//	c, err := class.New(class.Spec{Name: "counterQuote", Pool: "counterPricing", Target: "300ms", Share: 0.5})
+package class
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Spec is the document of a class.
+type Spec struct {
+	Name string `yaml:"name" json:"name"`
+	// Pool names the pool that does the work.
+	Pool string `yaml:"pool" json:"pool"`
+	// Target is how soon work must finish, such as "300ms".
+	Target string `yaml:"target" json:"target"`
+	// Share is the weight of the class among the classes of its pool when the pool is full. It is greater than 0.
+	Share float64 `yaml:"share" json:"share"`
+	// Open admits work without a key.
+	Open bool `yaml:"open,omitempty" json:"open,omitempty"`
+	// Urgent work is placed before other work; it may stop or throttle batch jobs.
+	Urgent bool `yaml:"urgent,omitempty" json:"urgent,omitempty"`
+}
+
+// Class is a checked class of work.
+type Class struct {
+	spec   Spec
+	target time.Duration
+}
+
+// New checks a document and returns its class.
+func New(spec Spec) (Class, error) {
+	if spec.Name == "" {
+		return Class{}, eris.New("class has no name")
+	}
+	if spec.Pool == "" {
+		return Class{}, eris.Errorf("class %q names no pool", spec.Name)
+	}
+	target, err := time.ParseDuration(spec.Target)
+	if err != nil || target <= 0 {
+		return Class{}, eris.Errorf("class %q: target %q is not a positive duration", spec.Name, spec.Target)
+	}
+	if !(spec.Share > 0) {
+		return Class{}, eris.Errorf("class %q: share %v is not greater than 0", spec.Name, spec.Share)
+	}
+	return Class{spec: spec, target: target}, nil
+}
+
+// Name returns the name of the class.
+func (c Class) Name() string { return c.spec.Name }
+
+// Pool returns the name of the pool that does the work.
+func (c Class) Pool() string { return c.spec.Pool }
+
+// Target returns how soon work must finish.
+func (c Class) Target() time.Duration { return c.target }
+
+// Share returns the weight of the class in its pool when the pool is full.
+func (c Class) Share() float64 { return c.spec.Share }
+
+// Open reports whether work is admitted without a key.
+func (c Class) Open() bool { return c.spec.Open }
+
+// Urgent reports whether work goes before that of other classes.
+func (c Class) Urgent() bool { return c.spec.Urgent }
+
+// Spec returns the document of the class.
+func (c Class) Spec() Spec { return c.spec }
