--- a/commands/root.go
+++ b/commands/root.go
@@ -61,6 +61,6 @@
 		SilenceUsage:  true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return newUsageError(err) })
-	root.AddCommand(newVersionCommand())
+	root.AddCommand(newSettingsCommand(), newVersionCommand())
 	return root
 }
