--- /dev/null
+++ b/burn/history.go
@@ -0,0 +1,81 @@
+package burn
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/platform"
+)
+
+// Objects is the part of the object store that the history needs.
+type Objects interface {
+	Put(ctx context.Context, name string, data []byte) error
+	Get(ctx context.Context, name string) ([]byte, error)
+	List(ctx context.Context, prefix string) ([]string, error)
+	Delete(ctx context.Context, name string) error
+}
+
+// Save stores parts.
+func Save(ctx context.Context, objects Objects, parts []Part) error {
+	for _, part := range parts {
+		data, err := part.Marshal()
+		if err != nil {
+			return err
+		}
+		if err := objects.Put(ctx, part.Name(), data); err != nil {
+			return eris.Wrapf(err, "store burn history %s", part.Name())
+		}
+	}
+	return nil
+}
+
+// Load reads the parts that the longest window needs.
+func Load(ctx context.Context, objects Objects, now time.Time) ([]Part, error) {
+	names, err := objects.List(ctx, ObjectPrefix)
+	if err != nil {
+		return nil, eris.Wrap(err, "list burn history")
+	}
+	since := now.Add(-longest())
+	var parts []Part
+	for _, name := range names {
+		if !NameIsSince(name, since) {
+			continue
+		}
+		data, err := objects.Get(ctx, name)
+		if errors.Is(err, platform.ErrNotFound) {
+			continue // deleted by Prune since it was listed
+		}
+		if err != nil {
+			return nil, eris.Wrapf(err, "read burn history %s", name)
+		}
+		part, err := ParsePart(data)
+		if err != nil {
+			return nil, eris.Wrapf(err, "object %s", name)
+		}
+		parts = append(parts, part)
+	}
+	return parts, nil
+}
+
+// Prune deletes up to limit parts that no window needs any more, and returns how many it deleted.
+func Prune(ctx context.Context, objects Objects, now time.Time, limit int) (int, error) {
+	names, err := objects.List(ctx, ObjectPrefix)
+	if err != nil {
+		return 0, eris.Wrap(err, "list burn history")
+	}
+	since := now.Add(-longest())
+	deleted := 0
+	for _, name := range names {
+		if deleted == limit || NameIsSince(name, since) {
+			break // names sort by time
+		}
+		if err := objects.Delete(ctx, name); err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return deleted, eris.Wrapf(err, "delete burn history %s", name)
+		}
+		deleted++
+	}
+	return deleted, nil
+}
--- /dev/null
+++ b/burn/recorder.go
@@ -0,0 +1,114 @@
+// Package burn records whether requests meet the targets of their classes and reports the burn rate
+// of the error budget over several windows.
+//
+// # Usage
+//
+//	recorder := burn.NewRecorder("one-1", incarnation, time.Now())
+//	recorder.Record("counterQuote", "workshops", burn.Met)
+//	...
+//	objects := recorder.Cut(time.Now()) // store each under its name
+//
+//	report := burn.NewReport(time.Now(), objectives, parts)
+package burn
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Outcome tells how a request ended with respect to its target.
+type Outcome int
+
+// Outcomes of a request.
+const (
+	// Met means that the whole response was given within the target.
+	Met Outcome = iota
+	// Late means that the whole response was given after the target.
+	Late
+	// Failed means that no whole response was given, or that its outcome is unknown.
+	Failed
+	// Refused means that the request was rejected as not run for want of capacity.
+	Refused
+	// Limited means that the team was at its upper limit. It does not count against the target.
+	Limited
+	outcomes
+)
+
+// resolution is the length of a bucket. The shortest window has five of them.
+const resolution = time.Minute
+
+// partLength is the time that one stored part covers. An entry instance writes its current part again each minute,
+// so that one part is one object and a report over three days reads 72 objects for each entry instance.
+const partLength = time.Hour
+
+// seriesKey names what is counted together.
+type seriesKey struct{ class, team string }
+
+type counters [outcomes]atomic.Uint64
+
+// Recorder counts the outcomes of requests. It is safe for concurrent use.
+type Recorder struct {
+	entry       string
+	incarnation uint64
+
+	series sync.Map // seriesKey to *counters
+
+	mu   sync.Mutex
+	part Part
+	last map[seriesKey][outcomes]uint64
+}
+
+// NewRecorder returns a recorder of an entry instance.
+func NewRecorder(entry string, incarnation uint64, now time.Time) *Recorder {
+	r := &Recorder{entry: entry, incarnation: incarnation, last: make(map[seriesKey][outcomes]uint64)}
+	r.part = r.newPart(now)
+	return r
+}
+
+// Record counts a request.
+func (r *Recorder) Record(class, team string, outcome Outcome) {
+	key := seriesKey{class: class, team: team}
+	value, ok := r.series.Load(key)
+	if !ok {
+		value, _ = r.series.LoadOrStore(key, new(counters))
+	}
+	value.(*counters)[outcome].Add(1)
+}
+
+// Cut closes the current bucket and returns the parts that have to be stored now:
+// the current one, and the one before it when a new hour has begun.
+func (r *Recorder) Cut(now time.Time) []Part {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	minute := Minute{Start: now.UTC().Truncate(resolution)}
+	r.series.Range(func(key, value any) bool {
+		k := key.(seriesKey)
+		counts := value.(*counters)
+		before := r.last[k]
+		total := before
+		var changed bool
+		s := Series{Class: k.class, Team: k.team}
+		for i := range counts {
+			total[i] = counts[i].Load()
+			s.Counts[i] = total[i] - before[i]
+			changed = changed || s.Counts[i] > 0
+		}
+		if changed {
+			r.last[k] = total
+			minute.Series = append(minute.Series, s)
+		}
+		return true
+	})
+	var parts []Part
+	if !r.part.Start.Equal(minute.Start.Truncate(partLength)) {
+		parts = append(parts, r.part.clone())
+		r.part = r.newPart(now)
+	}
+	r.part.add(minute)
+	return append(parts, r.part.clone())
+}
+
+func (r *Recorder) newPart(now time.Time) Part {
+	return Part{Entry: r.entry, Incarnation: r.incarnation, Start: now.UTC().Truncate(partLength)}
+}
--- a/class/class.go
+++ b/class/class.go
@@ -12,6 +12,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// DefaultObjective is the fraction of requests that must meet the target where a class names none.
+const DefaultObjective = 0.999
+
 // Spec is the document of a class.
 type Spec struct {
 	Name string `yaml:"name" json:"name"`
@@ -21,6 +24,8 @@
 	Target string `yaml:"target" json:"target"`
 	// Share is the weight of the class among the classes of its pool when the pool is full. It is greater than 0.
 	Share float64 `yaml:"share" json:"share"`
+	// Objective is the fraction of requests that must meet the target, between 0 and 1. It is optional; see DefaultObjective.
+	Objective float64 `yaml:"objective,omitempty" json:"objective,omitempty"`
 	// Open admits work without a key.
 	Open bool `yaml:"open,omitempty" json:"open,omitempty"`
 	// Urgent work is placed before other work; it may stop or throttle batch jobs.
@@ -48,6 +53,9 @@
 	if !(spec.Share > 0) {
 		return Class{}, eris.Errorf("class %q: share %v is not greater than 0", spec.Name, spec.Share)
 	}
+	if spec.Objective != 0 && !(spec.Objective > 0 && spec.Objective < 1) {
+		return Class{}, eris.Errorf("class %q: objective %v is not between 0 and 1", spec.Name, spec.Objective)
+	}
 	return Class{spec: spec, target: target}, nil
 }
 
@@ -63,6 +71,14 @@
 // Share returns the weight of the class in its pool when the pool is full.
 func (c Class) Share() float64 { return c.spec.Share }
 
+// Objective returns the fraction of requests that must meet the target.
+func (c Class) Objective() float64 {
+	if c.spec.Objective == 0 {
+		return DefaultObjective
+	}
+	return c.spec.Objective
+}
+
 // Open reports whether work is admitted without a key.
 func (c Class) Open() bool { return c.spec.Open }
 
