Add the queue, endpoint and retry decisions

Change: queue shares slot time by hierarchical start-time fair queueing and rejects by predicted finish; endpoint chooses by power of two choices with quarantine and splits slots over entry instances; retry has the budget and backoff.

--- /dev/null
+++ b/endpoint/set.go
@@ -0,0 +1,280 @@
+package endpoint
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// tombstoneAge is how long the incarnation of a leaving endpoint is remembered after it disappeared
+// from the list, which can repeat an old entry.
+const tombstoneAge = 10 * time.Minute
+
+var _ heap.Interface = (*pausedHeap)(nil)
+
+// place puts the node into the heap if it waits for a probe, and takes it out otherwise.
+func (h *pausedHeap) place(n *node) {
+	waits := n.listed() && n.paused && n.inFlight == 0 && n.endpoint.Quota > 0
+	switch {
+	case waits && n.waiting < 0:
+		heap.Push(h, n)
+	case waits:
+		heap.Fix(h, n.waiting)
+	case n.waiting >= 0:
+		heap.Remove(h, n.waiting)
+	}
+}
+
+// Set chooses among the endpoints of a pool for one entry instance.
+type Set struct {
+	options Options
+	random  *rand.Rand
+	nodes   map[string]*node
+	local   *zone
+	remote  []*zone
+	// overflow is the index in remote of the data centre that takes overflow until held.
+	overflow int
+	held     time.Time
+	capacity int
+	free     int
+}
+
+// NewSet returns a set without endpoints.
+func NewSet(o Options) *Set {
+	o = o.withDefaults()
+	seed := o.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return &Set{
+		options: o,
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		nodes:   make(map[string]*node),
+		local:   &zone{name: o.DataCentre},
+	}
+}
+
+// Update replaces the list of endpoints. Entries with an older incarnation than the known one are
+// ignored. A new incarnation clears quarantine and leaving.
+func (s *Set) Update(now time.Time, endpoints []Endpoint) {
+	for _, n := range s.nodes {
+		if n.missing.IsZero() {
+			n.missing = now
+		}
+	}
+	for _, e := range endpoints {
+		s.update(e)
+	}
+	s.capacity, s.free = 0, 0
+	for id, n := range s.nodes {
+		n.zone.place(n)
+		if !n.missing.IsZero() && n.inFlight == 0 &&
+			(!n.endpoint.Leaving || now.Sub(n.missing) > tombstoneAge) {
+			delete(s.nodes, id)
+			continue
+		}
+		s.count(n, 1)
+	}
+}
+
+func (s *Set) update(e Endpoint) {
+	e.Quota = max(e.Quota, 0)
+	n, ok := s.nodes[e.ID]
+	if !ok {
+		n = &node{endpoint: e, zone: s.zone(e.DataCentre), index: -1, waiting: -1}
+		s.nodes[e.ID] = n
+		return
+	}
+	n.missing = time.Time{}
+	switch {
+	case e.Incarnation < n.endpoint.Incarnation:
+		// The entry is out of date, but the quota is this entry instance's own.
+		n.endpoint.Quota = e.Quota
+		return
+	case e.Incarnation > n.endpoint.Incarnation:
+		n.stale = n.inFlight
+		n.outcomes, n.paused, n.refusing, n.interval = 0, false, false, 0
+	default:
+		e.Leaving = e.Leaving || n.endpoint.Leaving
+	}
+	if e.DataCentre != n.endpoint.DataCentre {
+		// The node leaves the lists of its old data centre.
+		n.endpoint.Leaving = true
+		n.zone.place(n)
+		n.zone = s.zone(e.DataCentre)
+	}
+	n.endpoint = e
+}
+
+func (s *Set) zone(dataCentre string) *zone {
+	if dataCentre == s.local.name {
+		return s.local
+	}
+	for _, z := range s.remote {
+		if z.name == dataCentre {
+			return z
+		}
+	}
+	z := &zone{name: dataCentre}
+	s.remote = append(s.remote, z)
+	return z
+}
+
+// count adds the node to the sums of slots, or takes it out if sign is -1.
+func (s *Set) count(n *node, sign int) {
+	if !n.listed() || n.paused {
+		return
+	}
+	s.capacity += sign * n.endpoint.Quota
+	s.free += sign * max(n.endpoint.Quota-n.inFlight, 0)
+}
+
+// Capacity returns the number of slots of usable endpoints, free or in use, plus one for each
+// quarantined endpoint that may be probed now.
+func (s *Set) Capacity(now time.Time) int { return s.capacity + s.probes(now) }
+
+// Free returns the number of free slots of usable endpoints, plus one for each quarantined endpoint
+// that may be probed now.
+func (s *Set) Free(now time.Time) int { return s.free + s.probes(now) }
+
+// probes returns how many data centres have an endpoint that may be probed now.
+func (s *Set) probes(now time.Time) int {
+	n := 0
+	if s.local.due(now) != nil {
+		n++
+	}
+	for _, z := range s.remote {
+		if z.due(now) != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// due returns the paused endpoint that may be probed now, or nil.
+func (z *zone) due(now time.Time) *node {
+	if len(z.paused) == 0 || z.paused[0].resume.After(now) {
+		return nil
+	}
+	return z.paused[0]
+}
+
+// Acquire takes a slot of an endpoint that is not excluded. It returns false if there is none.
+func (s *Set) Acquire(now time.Time, exclude ...string) (Endpoint, bool) {
+	n := s.choose(now, exclude)
+	if n == nil {
+		return Endpoint{}, false
+	}
+	s.count(n, -1)
+	n.inFlight++
+	s.count(n, 1)
+	n.zone.place(n)
+	return n.endpoint, true
+}
+
+func (s *Set) choose(now time.Time, exclude []string) *node {
+	if n := s.chooseIn(s.local, now, exclude); n != nil {
+		return n
+	}
+	if len(s.remote) == 0 {
+		return nil
+	}
+	if now.After(s.held) {
+		s.overflow = s.random.IntN(len(s.remote))
+	}
+	for step := range s.remote {
+		at := (s.overflow + step) % len(s.remote)
+		if n := s.chooseIn(s.remote[at], now, exclude); n != nil {
+			s.overflow, s.held = at, now.Add(s.options.OverflowHold)
+			return n
+		}
+	}
+	return nil
+}
+
+// chooseIn returns a due probe of the data centre, or the less loaded of two random open endpoints.
+func (s *Set) chooseIn(z *zone, now time.Time, exclude []string) *node {
+	if n := z.due(now); n != nil && !slices.Contains(exclude, n.endpoint.ID) {
+		return n
+	}
+	if len(z.free) == 0 {
+		return nil
+	}
+	first, second := s.pick(z, exclude), s.pick(z, exclude)
+	if first != nil && second != nil && second.load() < first.load() {
+		return second
+	}
+	return first
+}
+
+// pick returns a random open endpoint that is not excluded, or nil.
+func (s *Set) pick(z *zone, exclude []string) *node {
+	start := s.random.IntN(len(z.free))
+	if len(exclude) == 0 {
+		return z.free[start]
+	}
+	for step := range z.free {
+		n := z.free[(start+step)%len(z.free)]
+		if !slices.Contains(exclude, n.endpoint.ID) {
+			return n
+		}
+	}
+	return nil
+}
+
+// Release gives back the slot of an endpoint and records how the attempt ended.
+func (s *Set) Release(now time.Time, id string, outcome Outcome) {
+	n, ok := s.nodes[id]
+	if !ok || n.inFlight == 0 {
+		return
+	}
+	s.count(n, -1)
+	n.inFlight--
+	s.judge(now, n, outcome)
+	s.count(n, 1)
+	n.zone.place(n)
+	if n.inFlight == 0 && !n.missing.IsZero() && !n.endpoint.Leaving {
+		delete(s.nodes, id)
+	}
+}
+
+// judge changes the state of the endpoint after an attempt.
+func (s *Set) judge(now time.Time, n *node, outcome Outcome) {
+	if n.stale > 0 {
+		n.stale--
+		if outcome != OutcomeOK {
+			return // the attempt began under an earlier incarnation
+		}
+	}
+	switch outcome {
+	case OutcomeOK:
+		n.record(false)
+		if n.paused {
+			n.paused, n.refusing, n.outcomes, n.interval = false, false, 0, 0
+		}
+	case OutcomeFailed:
+		n.record(true)
+		if n.paused || n.unhealthy() {
+			s.pause(now, n)
+		}
+	case OutcomeNotRun:
+		n.refusing = true
+		s.pause(now, n)
+	case OutcomeRefused:
+		n.record(true)
+		s.pause(now, n)
+	}
+}
+
+// pause stops new work for the endpoint until its next probe. The interval doubles with each failed
+// probe, not with each of several requests that fail at the same time.
+func (s *Set) pause(now time.Time, n *node) {
+	if n.paused && now.Before(n.resume) {
+		return
+	}
+	n.interval = min(max(2*n.interval, s.options.ProbeInterval), s.options.MaxProbeInterval)
+	n.paused = true
+	// Jitter keeps entry instances from probing at the same time.
+	n.resume = now.Add(n.interval/2 + time.Duration(s.random.Int64N(int64(n.interval))))
+}
--- /dev/null
+++ b/queue/admission.go
@@ -0,0 +1,158 @@
+package queue
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+const (
+	// minRetryAfter keeps rejected callers from retrying at once.
+	minRetryAfter = 50 * time.Millisecond
+	// noCapacityRetryAfter is the time after which a pool without slots may have some again.
+	noCapacityRetryAfter = time.Second
+)
+
+// Offer queues a request, or fails with a *Rejection if it cannot finish before its deadline or a bound
+// is reached.
+func (s *Scheduler) Offer(now time.Time, r Request) error {
+	c, ok := s.classes[r.Class]
+	if !ok || !slices.Contains(s.order, c) {
+		return &Rejection{Reason: ReasonUnknownClass}
+	}
+	if _, ok := s.items[r.ID]; ok {
+		return &Rejection{Reason: ReasonDuplicate}
+	}
+	q := s.team(c, r.Team)
+	if s.overBound(q, r.Bytes) {
+		return &Rejection{Reason: ReasonQueueFull, RetryAfter: max(minRetryAfter, duration(c.service.mean))}
+	}
+	if s.slots == 0 {
+		return &Rejection{Reason: ReasonNoCapacity, RetryAfter: noCapacityRetryAfter}
+	}
+	i := s.newItem(q, r)
+	position := q.position(i)
+	if late := s.lateness(now, q, position, r.Deadline); late > 0 {
+		// While nothing of the team runs, an estimate that is too high would never be corrected.
+		i.probe = !q.busy() && s.occupied.running < s.slots && now.Before(r.Deadline)
+		if !i.probe {
+			reason := s.reason(now, q)
+			s.forget(i)
+			return &Rejection{Reason: reason, RetryAfter: max(minRetryAfter, late)}
+		}
+	}
+	s.items[r.ID] = i
+	s.enqueue(i, position)
+	return nil
+}
+
+func (s *Scheduler) newItem(q *teamQueue, r Request) *item {
+	s.sequence++
+	i := &item{}
+	if n := len(s.spare); n > 0 {
+		i, s.spare = s.spare[n-1], s.spare[:n-1]
+	}
+	*i = item{request: r, queue: q, sequence: s.sequence}
+	return i
+}
+
+func (s *Scheduler) enqueue(i *item, position int) {
+	q, c := i.queue, i.queue.class
+	if !c.busy() {
+		c.tag = max(c.tag, s.virtual)
+	}
+	if !q.busy() {
+		q.tag = max(q.tag, c.virtual)
+		c.busyTeams++
+		c.busyWeight += q.weight
+	}
+	q.insert(i, position)
+	s.queued++
+	c.queued++
+	s.bytes += i.request.Bytes
+	c.bytes += i.request.Bytes
+	if q.index < 0 {
+		heap.Push(&c.waiting, q)
+	}
+}
+
+func (s *Scheduler) team(c *classQueue, name string) *teamQueue {
+	q, ok := c.teams[name]
+	if !ok {
+		q = &teamQueue{class: c, name: name, weight: s.weightOf(name), index: -1}
+		c.teams[name] = q
+	}
+	return q
+}
+
+// overBound reports whether a request of the size goes over a bound. A class may hold as much as is
+// free in the scheduler, and a team as much as is free in its class. A surge therefore leaves room for
+// the other classes and teams.
+func (s *Scheduler) overBound(q *teamQueue, bytes int) bool {
+	c := q.class
+	over := func(limit, total, ofClass, ofTeam, size int) bool {
+		free := limit - total
+		return ofClass+size > free || ofTeam+size > max(free-ofClass, 0)
+	}
+	return over(s.options.MaxRequests, s.queued, c.queued, q.queued(), 1) ||
+		over(s.options.MaxBytes, s.bytes, c.bytes, q.bytes, bytes)
+}
+
+// lateness returns how long after the deadline a request at the position would finish.
+func (s *Scheduler) lateness(now time.Time, q *teamQueue, position int, deadline time.Time) time.Duration {
+	e := q.estimate()
+	wait := 0.0
+	if s.occupied.running >= s.slots || s.queued > 0 {
+		wait = float64(position)*e.mean/s.rate(now, q) + s.slotWait()
+	}
+	finish := now.Add(duration(wait + e.tail()))
+	return finish.Sub(deadline)
+}
+
+// slotWait returns the time in seconds until a slot becomes free when all are in use.
+func (s *Scheduler) slotWait() float64 {
+	var slotTime float64
+	for _, c := range s.order {
+		slotTime += float64(c.occupied.running) * c.service.mean
+	}
+	running := max(s.occupied.running, 1)
+	return slotTime / float64(running*running)
+}
+
+// rate returns how many slots the team can expect to use at a time: its share among the classes and
+// teams that compete, or what the others leave, whichever is more.
+func (s *Scheduler) rate(now time.Time, q *teamQueue) float64 {
+	c := q.class
+	total := 0.0
+	for _, other := range s.order {
+		if other.busy() || other == c {
+			total += other.weight
+		}
+	}
+	slots := float64(s.slots)
+	ofClass := max(slots*c.weight/total, slots-(s.occupied.at(now)-c.occupied.at(now)))
+	weight := c.busyWeight
+	if !q.busy() {
+		weight += q.weight
+	}
+	ofTeam := max(ofClass*q.weight/weight, ofClass-(c.occupied.at(now)-q.occupied.at(now)))
+	return max(ofTeam, 1e-6)
+}
+
+// reason returns ReasonOverShare if the team uses its share of a full pool, and ReasonDeadline otherwise.
+func (s *Scheduler) reason(now time.Time, q *teamQueue) Reason {
+	c := q.class
+	if s.occupied.running < s.slots || (c.busyTeams < 2 && s.occupied.running == c.occupied.running) {
+		return ReasonDeadline
+	}
+	total := 0.0
+	for _, other := range s.order {
+		if other.busy() {
+			total += other.weight
+		}
+	}
+	if q.busy() && q.occupied.at(now) >= 0.9*float64(s.slots)*c.weight/total*q.weight/c.busyWeight {
+		return ReasonOverShare
+	}
+	return ReasonDeadline
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,111 @@
+// Package queue holds the work of one pool that waits at one entry instance, and decides what is
+// admitted and what is dispatched next.
+//
+// Capacity is shared by weighted max-min fairness over slot time, first over classes and then over the
+// teams of a class. Slot time is the time that a request occupies a slot, so a team with slow requests
+// does not get more than its share. Unused share is lent and is reclaimed at the next free slot.
+// A request that cannot finish before its deadline is rejected when it is offered, or dropped from
+// the queue before it is dispatched. In both cases it has not run.
+//
+// # Usage
+//
+//	s := queue.NewScheduler(queue.Options{MaxRequests: 10_000, MaxBytes: 64 << 20})
+//	s.Configure(classes, teams)
+//	s.SetCapacity(now, endpoints.Capacity(now))
+//	if err := s.Offer(now, request); err != nil {
+//		var rejection *queue.Rejection
+//		if errors.As(err, &rejection) { ... } // not run; retry after rejection.RetryAfter
+//	}
+//	for {
+//		r, ok := s.Next(now, mayRun)
+//		if !ok {
+//			break
+//		}
+//		... // dispatch r; then s.Finished(now, r, service) or s.Aborted(now, r, service)
+//	}
+//	for _, r := range s.Expire(now) { ... } // rejected as not run
+//
+// A Scheduler is not safe for concurrent use. The task that owns it calls Next after each Offer,
+// Finished, Aborted and SetCapacity, and Expire every few milliseconds.
+package queue
+
+import (
+	"fmt"
+	"time"
+)
+
+// Options are the limits of a scheduler. A zero field takes its default.
+type Options struct {
+	// MaxRequests bounds the number of queued requests. The default is 10,000.
+	MaxRequests int
+	// MaxBytes bounds the bytes of queued requests. The default is 64 MiB.
+	MaxBytes int
+	// DefaultService is the service time assumed for a class until one has been measured. The default is 5 ms.
+	DefaultService time.Duration
+}
+
+const (
+	defaultMaxRequests = 10_000
+	defaultMaxBytes    = 64 << 20
+	defaultService     = 5 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	if o.MaxRequests <= 0 {
+		o.MaxRequests = defaultMaxRequests
+	}
+	if o.MaxBytes <= 0 {
+		o.MaxBytes = defaultMaxBytes
+	}
+	if o.DefaultService <= 0 {
+		o.DefaultService = defaultService
+	}
+	return o
+}
+
+// Request is a unit of work that waits for a slot.
+type Request struct {
+	// ID is unique among the queued and running requests of a scheduler.
+	ID string
+	// Team is empty for work without a key.
+	Class, Team       string
+	Arrival, Deadline time.Time
+	// Bytes is the memory that the request holds while it is queued.
+	Bytes int
+}
+
+// Reason says why a request was not admitted.
+type Reason string
+
+// Reasons of a rejection.
+const (
+	// ReasonUnknownClass means that the class is not configured in this pool.
+	ReasonUnknownClass Reason = "unknown class"
+	// ReasonDuplicate means that a request with the same ID is queued or running.
+	ReasonDuplicate Reason = "duplicate request ID"
+	// ReasonDeadline means that the request cannot finish before its deadline.
+	ReasonDeadline Reason = "cannot finish before its deadline"
+	// ReasonOverShare means that the pool is at full capacity and the team already uses its share.
+	ReasonOverShare Reason = "team is over its share"
+	// ReasonQueueFull means that the bound on queued requests or bytes is reached.
+	ReasonQueueFull Reason = "queue is full"
+	// ReasonNoCapacity means that the entry instance has no slots at the moment.
+	ReasonNoCapacity Reason = "no capacity"
+)
+
+// Rejection is the error of a request that was not admitted. The request has not run.
+type Rejection struct {
+	Reason Reason
+	// RetryAfter is the time after which a retry can succeed. It is 0 if a retry cannot succeed.
+	RetryAfter time.Duration
+}
+
+var _ error = (*Rejection)(nil)
+
+// Error returns the reason and the time to wait.
+func (r *Rejection) Error() string {
+	if r.RetryAfter == 0 {
+		return string(r.Reason)
+	}
+	return fmt.Sprintf("%s; retry after %v", r.Reason, r.RetryAfter)
+}
--- /dev/null
+++ b/queue/scheduler.go
@@ -0,0 +1,333 @@
+package queue
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"github.com/chivetiller/chivetiller/class"
+	"github.com/chivetiller/chivetiller/team"
+)
+
+// urgentLead is how far an urgent class may run ahead of its share, as time at full capacity. Work that
+// stays within its share is dispatched first; a surge gets no more than this in advance.
+const urgentLead = 250 * time.Millisecond
+
+// Scheduler queues the work of one pool at one entry instance.
+type Scheduler struct {
+	options Options
+	slots   int
+	classes map[string]*classQueue
+	order   []*classQueue
+	weights map[string]float64
+	items   map[string]*item
+	// spare holds items for reuse.
+	spare    []*item
+	dropped  []Request
+	blocked  []*teamQueue
+	sequence uint64
+	// virtual is the virtual time over the classes.
+	virtual  float64
+	queued   int
+	bytes    int
+	occupied occupancy
+}
+
+// NewScheduler returns a scheduler without classes and without capacity.
+func NewScheduler(o Options) *Scheduler {
+	return &Scheduler{
+		options: o.withDefaults(),
+		classes: make(map[string]*classQueue),
+		weights: make(map[string]float64),
+		items:   make(map[string]*item),
+	}
+}
+
+// Configure sets the classes of the pool and the shares of the teams. Requests of a class that is no
+// longer configured are returned by the next call of Expire.
+func (s *Scheduler) Configure(classes []class.Class, teams []team.Team) {
+	clear(s.weights)
+	for _, t := range teams {
+		s.weights[t.Name()] = t.Share()
+	}
+	configured := make(map[string]bool, len(classes))
+	s.order = s.order[:0]
+	for _, c := range classes {
+		configured[c.Name()] = true
+		q, ok := s.classes[c.Name()]
+		if !ok {
+			q = &classQueue{name: c.Name(), teams: make(map[string]*teamQueue), tag: s.virtual}
+			q.service.mean = seconds(s.options.DefaultService)
+			q.service.deviation = q.service.mean / 2
+			s.classes[c.Name()] = q
+		}
+		q.weight, q.urgent = c.Share(), c.Urgent()
+		s.order = append(s.order, q)
+	}
+	for name, q := range s.classes {
+		if !configured[name] {
+			s.removeClass(q)
+			continue
+		}
+		q.busyWeight = 0
+		for _, t := range q.teams {
+			t.weight = s.weightOf(t.name)
+			if t.busy() {
+				q.busyWeight += t.weight
+			}
+		}
+	}
+}
+
+// SetCapacity sets the number of slots that this entry instance may use now, including those in use.
+func (s *Scheduler) SetCapacity(_ time.Time, slots int) { s.slots = max(slots, 0) }
+
+// Queued returns the number and the bytes of queued requests.
+func (s *Scheduler) Queued() (requests, bytes int) { return s.queued, s.bytes }
+
+// Running returns the number of dispatched requests that have not finished.
+func (s *Scheduler) Running() int { return s.occupied.running }
+
+// Next removes the next request from the queue. It returns false if no request may run now: nothing is
+// queued, all slots are in use, or mayRun refuses every team with queued requests.
+func (s *Scheduler) Next(now time.Time, mayRun func(team string) bool) (Request, bool) {
+	for s.occupied.running < s.slots && s.queued > 0 {
+		q := s.choose(mayRun)
+		if q == nil {
+			return Request{}, false
+		}
+		i := q.first()
+		if s.hopeless(now, i) {
+			s.drop(now, i, 0)
+			continue
+		}
+		s.dispatch(now, i)
+		return i.request, true
+	}
+	return Request{}, false
+}
+
+// choose returns the queue to serve next, or nil if no team may run.
+func (s *Scheduler) choose(mayRun func(team string) bool) *teamQueue {
+	var total float64
+	for _, c := range s.order {
+		if c.busy() {
+			total += c.weight
+		}
+	}
+	lead := seconds(urgentLead) * float64(s.slots) / total
+	var best *classQueue
+	var bestTeam *teamQueue
+	var bestKey float64
+	least := math.Inf(1)
+	for _, c := range s.order {
+		if c.queued == 0 {
+			continue
+		}
+		key := c.tag
+		if c.urgent {
+			key -= lead
+		}
+		if best != nil && key >= bestKey {
+			least = min(least, c.tag)
+			continue
+		}
+		q := s.chooseTeam(c, mayRun)
+		if q == nil {
+			// A class whose teams may not run does not save up its share.
+			c.tag = max(c.tag, s.virtual)
+			continue
+		}
+		least = min(least, c.tag)
+		best, bestTeam, bestKey = c, q, key
+	}
+	if best != nil {
+		s.virtual = max(s.virtual, least)
+		best.virtual = max(best.virtual, bestTeam.tag)
+	}
+	return bestTeam
+}
+
+// chooseTeam returns the team of the class with the least tag that may run, or nil.
+func (s *Scheduler) chooseTeam(c *classQueue, mayRun func(team string) bool) *teamQueue {
+	s.blocked = s.blocked[:0]
+	var chosen *teamQueue
+	for len(c.waiting) > 0 {
+		q := c.waiting[0]
+		if mayRun == nil || mayRun(q.name) {
+			chosen = q
+			break
+		}
+		heap.Pop(&c.waiting)
+		s.blocked = append(s.blocked, q)
+	}
+	for _, q := range s.blocked {
+		// A team that may not run does not save up its share.
+		if chosen != nil {
+			q.tag = max(q.tag, chosen.tag)
+		}
+		heap.Push(&c.waiting, q)
+	}
+	return chosen
+}
+
+func (s *Scheduler) dispatch(now time.Time, i *item) {
+	q, c := i.queue, i.queue.class
+	q.removeAt(0)
+	s.queued--
+	c.queued--
+	s.bytes -= i.request.Bytes
+	c.bytes -= i.request.Bytes
+	i.running = true
+	i.charged = q.estimate().mean
+	s.occupied.change(now, 1)
+	c.occupied.change(now, 1)
+	q.occupied.change(now, 1)
+	s.charge(q, i.charged)
+	s.settle(q)
+}
+
+// charge adds slot time in seconds to the team and its class. It can be negative.
+func (s *Scheduler) charge(q *teamQueue, slotTime float64) {
+	q.class.tag += slotTime / q.class.weight
+	q.tag += slotTime / q.weight
+	if q.index >= 0 {
+		heap.Fix(&q.class.waiting, q.index)
+	}
+}
+
+// settle takes a team without queued requests out of the heap.
+func (s *Scheduler) settle(q *teamQueue) {
+	if q.queued() == 0 && q.index >= 0 {
+		heap.Remove(&q.class.waiting, q.index)
+	}
+}
+
+// Finished records that a dispatched request has ended after it occupied a slot for the service time.
+// If it occupied several slots (retries, hedged requests), service is their sum.
+func (s *Scheduler) Finished(now time.Time, r Request, service time.Duration) {
+	s.end(now, r, service, true)
+}
+
+// Aborted is like Finished for a request whose service time says nothing about others of its class,
+// such as one that failed at once. The slot time is charged, but not learned.
+func (s *Scheduler) Aborted(now time.Time, r Request, service time.Duration) {
+	s.end(now, r, service, false)
+}
+
+func (s *Scheduler) end(now time.Time, r Request, service time.Duration, learn bool) {
+	i, ok := s.items[r.ID]
+	if !ok || !i.running {
+		return
+	}
+	q, c := i.queue, i.queue.class
+	slotTime := seconds(max(service, 0))
+	s.occupied.change(now, -1)
+	c.occupied.change(now, -1)
+	q.occupied.change(now, -1)
+	s.charge(q, slotTime-i.charged)
+	if learn {
+		q.service.add(slotTime)
+		c.service.add(slotTime)
+	}
+	s.forget(i)
+	s.idle(q)
+}
+
+// Cancel removes a queued request. It returns false if the request is not queued, for example because
+// it has been dispatched.
+func (s *Scheduler) Cancel(id string) bool {
+	i, ok := s.items[id]
+	if !ok || i.running {
+		return false
+	}
+	s.remove(i, i.queue.position(i))
+	return true
+}
+
+// Expire removes and returns the queued requests that can no longer finish in time. They have not run.
+// The returned slice is valid until the next call.
+func (s *Scheduler) Expire(now time.Time) []Request {
+	expired := s.dropped
+	for _, c := range s.order {
+		for n := 0; n < len(c.waiting); {
+			q := c.waiting[n]
+			i := q.first()
+			if !s.hopeless(now, i) {
+				n++
+				continue
+			}
+			expired = append(expired, i.request)
+			s.remove(i, 0)
+		}
+	}
+	s.dropped = expired[:0]
+	return expired
+}
+
+// hopeless reports whether a request that is dispatched now cannot finish before its deadline.
+func (s *Scheduler) hopeless(now time.Time, i *item) bool {
+	left := seconds(i.request.Deadline.Sub(now))
+	if i.probe {
+		return left <= 0
+	}
+	return left < i.queue.estimate().mean
+}
+
+// drop removes a request that Expire reports later.
+func (s *Scheduler) drop(_ time.Time, i *item, position int) {
+	s.dropped = append(s.dropped, i.request)
+	s.remove(i, position)
+}
+
+// remove takes a queued item out of its queue.
+func (s *Scheduler) remove(i *item, position int) {
+	q := i.queue
+	q.removeAt(position)
+	s.queued--
+	q.class.queued--
+	s.bytes -= i.request.Bytes
+	q.class.bytes -= i.request.Bytes
+	s.settle(q)
+	s.forget(i)
+	s.idle(q)
+}
+
+func (s *Scheduler) forget(i *item) {
+	delete(s.items, i.request.ID)
+	*i = item{}
+	if len(s.spare) < cap(s.spare) || len(s.spare) < s.options.MaxRequests {
+		s.spare = append(s.spare, i)
+	}
+}
+
+// idle updates the sums of the class after the team may have stopped to compete for slots.
+func (s *Scheduler) idle(q *teamQueue) {
+	if q.busy() {
+		return
+	}
+	c := q.class
+	c.busyTeams--
+	c.busyWeight -= q.weight
+	if c.busyTeams == 0 {
+		c.busyWeight = 0 // removes rounding errors
+	}
+}
+
+func (s *Scheduler) removeClass(c *classQueue) {
+	for _, q := range c.teams {
+		for q.queued() > 0 {
+			s.drop(time.Time{}, q.first(), 0)
+		}
+	}
+	if c.occupied.running == 0 {
+		delete(s.classes, c.name)
+	}
+}
+
+func (s *Scheduler) weightOf(team string) float64 {
+	if w, ok := s.weights[team]; ok {
+		return w
+	}
+	return 1
+}
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,128 @@
+// Package retry decides whether a failed attempt is repeated, after which delay, and whether a slow
+// attempt is hedged by a second one.
+//
+// Retries and hedged requests of a class spend the same budget, a token bucket that first attempts
+// fill. The load of a class is therefore at most 1.1 times its first attempts plus the burst.
+//
+// # Usage
+//
+//	b := retry.NewBudget(retry.Options{}) // one for each class
+//	b.First(now)
+//	... // first attempt
+//	p := retry.NewPolicy()
+//	delay, ok := p.Retry(now, retry.Attempt{Idempotent: true, Retries: 0, Deadline: deadline}, b)
+//	if ok {
+//		... // next attempt after delay
+//	}
+//
+// A Budget and a Policy are not safe for concurrent use.
+package retry
+
+import (
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// MaxRetries is how often a request is repeated at most.
+const MaxRetries = 2
+
+const (
+	defaultRatio = 0.1
+	defaultBurst = 10
+)
+
+// Options are the settings of a budget. A zero field takes its default.
+type Options struct {
+	// Ratio is the number of retries for each first attempt. The default is 0.1.
+	Ratio float64
+	// Burst is the largest number of retries without first attempts. The default is 10.
+	Burst float64
+}
+
+// Budget is the token bucket of a class.
+type Budget struct {
+	options Options
+	tokens  float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget(o Options) *Budget {
+	if o.Ratio <= 0 {
+		o.Ratio = defaultRatio
+	}
+	if o.Burst <= 0 {
+		o.Burst = defaultBurst
+	}
+	return &Budget{options: o, tokens: o.Burst}
+}
+
+// First records a first attempt.
+func (b *Budget) First(time.Time) {
+	b.tokens = min(b.tokens+b.options.Ratio, b.options.Burst)
+}
+
+// Allow spends a token for a retry or a hedged request. It returns false if none is left.
+func (b *Budget) Allow(time.Time) bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Attempt describes a request after a failed attempt.
+type Attempt struct {
+	// Idempotent means that the request may run several times.
+	Idempotent bool
+	// NotRun means that no attempt so far can have had an effect.
+	NotRun bool
+	// Retries is the number of retries so far.
+	Retries  int
+	Deadline time.Time
+	// Service is the expected time of a further attempt.
+	Service time.Duration
+}
+
+const (
+	initialDelay = 10 * time.Millisecond
+	maxDelay     = 500 * time.Millisecond
+)
+
+// Policy computes delays between attempts.
+type Policy struct {
+	backoff *backoff.ExponentialBackOff
+}
+
+// NewPolicy returns a policy with exponential backoff and jitter.
+func NewPolicy() *Policy {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = initialDelay
+	b.MaxInterval = maxDelay
+	return &Policy{backoff: b}
+}
+
+// Retry returns the delay before the next attempt. It returns false if the request must not be repeated,
+// cannot finish before its deadline, or the budget is spent. A retry that is allowed has spent a token.
+func (p *Policy) Retry(now time.Time, a Attempt, b *Budget) (time.Duration, bool) {
+	if a.Retries >= MaxRetries || !a.Idempotent && !a.NotRun {
+		return 0, false
+	}
+	delay := p.delay(a.Retries)
+	if now.Add(delay + a.Service).After(a.Deadline) {
+		return 0, false
+	}
+	if !b.Allow(now) {
+		return 0, false
+	}
+	return delay, true
+}
+
+func (p *Policy) delay(retries int) time.Duration {
+	p.backoff.Reset()
+	delay := p.backoff.NextBackOff()
+	for range retries {
+		delay = p.backoff.NextBackOff()
+	}
+	return delay
+}
