--- /dev/null
+++ b/claim/row.go
@@ -0,0 +1,79 @@
+package claim
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/platform"
+)
+
+// state is the state of a claim row.
+type state string
+
+const (
+	// stateClaimed means that the request may have run.
+	stateClaimed state = "claimed"
+	// stateDone means that the request ran and its response was complete.
+	stateDone state = "done"
+	// stateReleased means that the request certainly did not run. The row is kept rather than deleted,
+	// because a delayed duplicate of the claim could otherwise create it again.
+	stateReleased state = "released"
+)
+
+// record is the value of a claim row.
+type record struct {
+	// ID tells apart several claims of one key.
+	ID       string `json:"id"`
+	Owner    string `json:"owner"`
+	Digest   []byte `json:"digest"`
+	State    state  `json:"state"`
+	Response []byte `json:"response,omitempty"`
+	// Stored reports whether Response holds the response, which may be empty.
+	Stored bool `json:"stored,omitempty"`
+	// Written is in milliseconds since 1970. It serves only to remove rows after their retention.
+	Written int64 `json:"written"`
+}
+
+// rowPrefix is the prefix of all claim rows.
+const rowPrefix = "claim/"
+
+// rowKey returns the row of a key of a team. Keys are hashed because callers choose their length and bytes.
+func rowKey(team, key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return rowPrefix + url.PathEscape(team) + "/" + hex.EncodeToString(sum[:])
+}
+
+func (r record) encode() []byte {
+	// A record has no field that fails to encode.
+	data, _ := json.Marshal(r)
+	return data
+}
+
+func decode(row platform.Row) (record, error) {
+	var r record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return record{}, eris.Wrapf(err, "decode row %q", row.Key)
+	}
+	return r, nil
+}
+
+// refusal returns why a new claim with the digest cannot replace the record, or nil if it can.
+func (r record) refusal(digest [32]byte) error {
+	switch {
+	case r.State == stateReleased:
+		return nil
+	case !bytes.Equal(r.Digest, digest[:]):
+		return ErrMismatch
+	}
+	return &Taken{Done: r.State == stateDone, Stored: r.Stored, Response: r.Response}
+}
+
+func (r record) writtenBefore(t time.Time) bool {
+	return time.UnixMilli(r.Written).Before(t)
+}
