--- /dev/null
+++ b/config/change.go
@@ -0,0 +1,231 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/platform"
+)
+
+// Request asks for a change of the configuration.
+type Request struct {
+	// OperationID names the change. A repeat with the same ID returns the result of the first.
+	OperationID string
+	// Base, if not 0, is the version that the author saw. Any change since then is a conflict.
+	// If it is 0, only changes of the same documents during the request are conflicts.
+	Base    uint64
+	Author  string
+	Reason  string
+	Puts    []Document
+	Deletes []Ref
+	// Replace deletes all documents that are not in Puts. Operator keys stay if Puts has none.
+	Replace bool
+	// DryRun checks the change and returns the difference without writing.
+	DryRun bool
+}
+
+// Result is the outcome of a change.
+type Result struct {
+	// Version is the version that the change made, or the current one if it changed nothing.
+	Version uint64 `json:"version"`
+	// Changed is false if the documents were already as requested, or in a dry run.
+	Changed    bool         `json:"changed"`
+	Difference []Difference `json:"difference,omitempty"`
+	// Accepted is an instant after the change took effect.
+	Accepted time.Time `json:"-"`
+}
+
+// Change checks the whole set with the change and writes it in one transaction.
+// It fails with *[Invalid] or *[Conflict], in which case nothing was written,
+// and with [platform.ErrUnknownOutcome] if the change may have taken effect.
+func (s *Store) Change(ctx context.Context, r Request) (Result, error) {
+	if r.OperationID == "" {
+		return Result{}, eris.New("change has no operation ID")
+	}
+	var (
+		base, now *Snapshot
+		unknown   bool
+	)
+	for range maxCommits {
+		h, err := s.head(ctx, r.OperationID)
+		if err != nil {
+			return Result{}, unknownOutcome(err, unknown)
+		}
+		if h.applied != 0 {
+			return Result{Version: h.applied, Changed: true, Accepted: time.Now()}, nil
+		}
+		now, err = s.advance(ctx, now, h.version)
+		if err != nil {
+			return Result{}, unknownOutcome(err, unknown)
+		}
+		if base == nil {
+			base = now
+		}
+		if err := s.checkConflict(ctx, r, base, now); err != nil {
+			return Result{}, err
+		}
+		change, difference, err := plan(r, now)
+		if err != nil {
+			return Result{}, err
+		}
+		if r.DryRun || len(difference) == 0 {
+			return Result{Version: now.version, Difference: difference, Accepted: time.Now()}, nil
+		}
+		if h.version != now.version {
+			continue // the version moved on while it was read
+		}
+		err = s.commit(ctx, change, h)
+		switch {
+		case err == nil:
+			return Result{Version: change.Version, Changed: true, Difference: difference, Accepted: time.Now()}, nil
+		case errors.Is(err, platform.ErrUnknownOutcome):
+			// The next attempt either finds its operation row, or its commit makes the delayed one fail.
+			unknown = true
+			if err := sleep(ctx, commitPause); err != nil {
+				return Result{}, unknownOutcome(err, true)
+			}
+		case !errors.Is(err, platform.ErrConflict):
+			return Result{}, unknownOutcome(err, unknown)
+		}
+	}
+	return Result{}, unknownOutcome(eris.Errorf("change was overtaken %d times", maxCommits), unknown)
+}
+
+// unknownOutcome marks err if an earlier attempt of the same change may have taken effect.
+func unknownOutcome(err error, unknown bool) error {
+	if !unknown || errors.Is(err, platform.ErrUnknownOutcome) {
+		return err
+	}
+	return errors.Join(platform.ErrUnknownOutcome, err)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// checkConflict compares the documents of the request with what its author saw.
+func (s *Store) checkConflict(ctx context.Context, r Request, base, now *Snapshot) error {
+	conflict := &Conflict{Base: base.version, Current: now.version}
+	for _, d := range r.Puts {
+		before, known := base.documents[d.Ref()]
+		after, exists := now.documents[d.Ref()]
+		overtaken := known != exists || before.Version != after.Version
+		if overtaken || d.Version != 0 && d.Version != after.Version {
+			conflict.Documents = append(conflict.Documents, d.Ref())
+			if d.Version != 0 {
+				conflict.Base = min(conflict.Base, d.Version)
+			}
+		}
+	}
+	for _, ref := range r.Deletes {
+		if base.documents[ref].Version != now.documents[ref].Version {
+			conflict.Documents = append(conflict.Documents, ref)
+		}
+	}
+	if r.Base != 0 && r.Base != now.version {
+		conflict.Base = r.Base
+	} else if len(conflict.Documents) == 0 && (!r.Replace || base.version == now.version) {
+		return nil
+	}
+	from := conflict.Base
+	if now.version > maxDelta {
+		from = max(from, now.version-maxDelta)
+	}
+	if from < now.version {
+		// Without the changes the conflict is still right, it only names less.
+		conflict.Changes, _ = s.changes(ctx, from, now.version)
+	}
+	return conflict
+}
+
+// plan returns the change that the request makes to the snapshot, after checking the whole result.
+func plan(r Request, now *Snapshot) (Change, []Difference, error) {
+	change := Change{
+		Version:     now.version + 1,
+		OperationID: r.OperationID,
+		Author:      r.Author,
+		Reason:      r.Reason,
+		Time:        time.Now().UTC(),
+	}
+	var problems []Problem
+	seen := make(map[Ref]bool, len(r.Puts))
+	operators := false
+	for _, d := range r.Puts {
+		ref := d.Ref()
+		operators = operators || d.Kind == KindOperatorKey
+		if seen[ref] {
+			problems = append(problems, Problem{Ref: ref, Detail: "document " + ref.String() + " is given twice"})
+		}
+		seen[ref] = true
+		if old, ok := now.documents[ref]; ok && sameSpec(old, d) {
+			continue
+		}
+		d.Version = change.Version
+		change.Puts = append(change.Puts, d)
+	}
+	for _, ref := range r.Deletes {
+		if _, ok := now.documents[ref]; !ok || seen[ref] {
+			problems = append(problems, Problem{Ref: ref, Detail: "document " + ref.String() + " cannot be deleted: it does not exist or is also written"})
+		}
+	}
+	change.Deletes = slices.Clone(r.Deletes)
+	if r.Replace {
+		for _, d := range now.Documents() {
+			if !seen[d.Ref()] && (d.Kind != KindOperatorKey || operators) {
+				change.Deletes = append(change.Deletes, d.Ref())
+			}
+		}
+	}
+	next := build(change.Version, patch(now.documents, change))
+	problems = append(problems, next.problems...)
+	if now.HasOperators() && !next.HasOperators() {
+		problems = append(problems, Problem{Detail: "the last operator key cannot be deleted, because nobody could make changes any more"})
+	}
+	if len(problems) > 0 {
+		return Change{}, nil, &Invalid{Problems: problems}
+	}
+	return change, differences(now, change), nil
+}
+
+func (s *Store) commit(ctx context.Context, c Change, h head) error {
+	txn := platform.Txn{
+		OperationID: c.OperationID,
+		Checks: []platform.Check{
+			{Key: currentKey, Version: h.rowVersion},
+			{Key: operationKey(c.OperationID)},
+		},
+	}
+	var failed error
+	put := func(key string, value any) {
+		data, err := json.Marshal(value)
+		if err != nil {
+			failed = eris.Wrapf(err, "row %q", key)
+		}
+		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: data})
+	}
+	put(currentKey, current{Version: c.Version})
+	put(changeKey(c.Version), c)
+	put(operationKey(c.OperationID), operation{Version: c.Version})
+	for _, d := range c.Puts {
+		put(documentKey(d.Ref()), d)
+	}
+	for _, ref := range c.Deletes {
+		txn.Writes = append(txn.Writes, platform.Write{Key: documentKey(ref), Delete: true})
+	}
+	if failed != nil {
+		return failed
+	}
+	return s.table.Commit(ctx, txn)
+}
