Run maintenance waves from the instance rows

A wave drains, reboots and returns the instances of its pools. All state of a stop is in the instance row, which changes by compare-and-swap under the fence of the duty, so that another entry instance can continue it. The tests run whole waves in virtual time, with takeovers while the earlier holder goes on.

--- /dev/null
+++ b/duty/fake_test.go
@@ -0,0 +1,181 @@
+package duty_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/pool"
+)
+
+// fakeLease is a lease that this holder believes to have while held is true. The fence row decides.
+type fakeLease struct {
+	mu    sync.Mutex
+	held  bool
+	check platform.Check
+}
+
+func (l *fakeLease) Holds(string) (platform.Check, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.check, l.held
+}
+
+// takeOver writes the fence row, which makes the transactions of earlier holders fail.
+func (l *fakeLease) takeOver(table platform.Table) {
+	ctx := context.Background()
+	rows, _ := table.Read(ctx, "fence/all")
+	check := platform.Check{Key: "fence/all"}
+	if len(rows) > 0 {
+		check.Version = rows[0].Version
+	}
+	if err := table.Commit(ctx, platform.Txn{Checks: []platform.Check{check}, Writes: []platform.Write{{Key: "fence/all"}}}); err != nil {
+		panic(err)
+	}
+	rows, _ = table.Read(ctx, "fence/all")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held, l.check = true, platform.Check{Key: "fence/all", Version: rows[0].Version}
+}
+
+// machine is an instance of the fake platform.
+type machine struct {
+	platform.Instance
+	draining bool
+	// busy is when the last request in flight ends after a drain.
+	busy time.Time
+	// up is when a reboot ends.
+	up      time.Time
+	reboots int
+}
+
+// fakeFleet is a platform whose list lags and whose instances drain and reboot in virtual time.
+type fakeFleet struct {
+	mu       sync.Mutex
+	machines map[string]*machine
+	lag      time.Duration
+	drain    func(id string) time.Duration
+	reboot   func(id string) time.Duration
+	shown    map[string]platform.Instance
+	shownAt  time.Time
+	cuts     []string
+	drains   int
+}
+
+func newFakeFleet(lag time.Duration) *fakeFleet {
+	return &fakeFleet{
+		machines: make(map[string]*machine), lag: lag, shown: make(map[string]platform.Instance),
+		drain:  func(string) time.Duration { return 5 * time.Second },
+		reboot: func(string) time.Duration { return time.Minute },
+	}
+}
+
+// add creates machines of a pool, four to a rack over three data centres, and their rows.
+func (f *fakeFleet) add(table platform.Table, name string, n int) {
+	store := pool.NewStore(table)
+	for i := range n {
+		in := platform.Instance{
+			ID: fmt.Sprintf("%s-%03d", name, i), DataCentre: fmt.Sprintf("dc%d", i%3), Rack: fmt.Sprintf("r%d", i/12),
+			Incarnation: 1, State: platform.InstanceLive, Slots: 8,
+		}
+		f.machines[in.ID] = &machine{Instance: in}
+		if _, err := store.Adopt(context.Background(), time.Now(), in, name); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func (f *fakeFleet) List(context.Context, string) (platform.InstanceList, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if f.shownAt.IsZero() || now.Sub(f.shownAt) >= f.lag {
+		f.shownAt = now
+		for id, m := range f.machines {
+			f.shown[id] = m.report(now)
+		}
+	}
+	return platform.InstanceList{Instances: slices.Collect(maps.Values(f.shown))}, nil
+}
+
+func (m *machine) report(now time.Time) platform.Instance {
+	in := m.Instance
+	in.Reported = now
+	switch {
+	case now.Before(m.up):
+		in.State = platform.InstanceGone
+	case m.draining:
+		in.State = platform.InstanceLeaving
+		if now.Before(m.busy) {
+			in.InFlight = 1
+		}
+	default:
+		in.State, in.InFlight = platform.InstanceLive, 1
+	}
+	return in
+}
+
+func (f *fakeFleet) Drain(_ context.Context, id string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.machines[id]; !m.draining {
+		m.draining, m.busy = true, time.Now().Add(f.drain(id))
+		f.drains++
+	}
+	return nil
+}
+
+func (f *fakeFleet) Undrain(_ context.Context, id string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.machines[id].draining = false
+	return nil
+}
+
+func (f *fakeFleet) Reboot(_ context.Context, id string, incarnation uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[id]
+	if m.Incarnation != incarnation {
+		return nil
+	}
+	if now := time.Now(); !m.draining || now.Before(m.busy) {
+		f.cuts = append(f.cuts, id)
+	}
+	m.Incarnation++
+	m.reboots++
+	m.draining = false
+	m.up = time.Now().Add(f.reboot(id))
+	return nil
+}
+
+// down returns how many machines of a pool are out of service according to its rows.
+func down(table *standin.Table, name string) (down, size int) {
+	rows, err := pool.NewStore(table).List(context.Background())
+	if err != nil {
+		panic(err)
+	}
+	for _, row := range rows {
+		if row.Pool != name {
+			continue
+		}
+		size++
+		if row.Down() {
+			down++
+		}
+	}
+	return down, size
+}
+
+func mustPool(spec pool.Spec) pool.Pool {
+	p, err := pool.New(spec)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
--- /dev/null
+++ b/duty/fleet_test.go
@@ -0,0 +1,75 @@
+package duty_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/duty"
+	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/wave"
+)
+
+// TestWave guards against a wave that misses or repeats an instance, cuts requests, exceeds the budget or does not end.
+func TestWave(t *testing.T) {
+	tests := map[string]struct {
+		sizes     map[string]int
+		budget    string
+		takeovers bool
+	}{
+		"two pools":          {sizes: map[string]int{"shiftDesk": 10, "flagOffice": 12}, budget: "20%"},
+		"one at a time":      {sizes: map[string]int{"postDesk": 5}, budget: "1"},
+		"takeovers midway":   {sizes: map[string]int{"shiftDesk": 10, "flagOffice": 9}, budget: "2", takeovers: true},
+		"budget of the pool": {sizes: map[string]int{"warningBoard": 9}, budget: "100%"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table, fleet := standin.NewTable(), newFakeFleet(time.Second)
+				pools := make([]pool.Pool, 0, len(tt.sizes))
+				for name, n := range tt.sizes {
+					pools = append(pools, mustPool(pool.Spec{Name: name, MaxUnavailable: tt.budget}))
+					fleet.add(table, name, n)
+				}
+				rows, err := pool.NewStore(table).List(t.Context())
+				qt.Assert(t, err, qt.IsNil)
+				waves := wave.NewStore(table)
+				w, err := waves.Create(t.Context(), wave.Spec{Name: "kernel"}, time.Now(), pools, rows)
+				qt.Assert(t, err, qt.IsNil)
+
+				options := duty.FleetOptions{Table: table, Instances: fleet, Pools: func() []pool.Pool { return pools }}
+				holder, lease := duty.NewFleet(options), &fakeLease{}
+				lease.takeOver(table)
+				for i := 0; ; i++ {
+					if tt.takeovers && i%7 == 6 {
+						old := lease
+						lease = &fakeLease{}
+						lease.takeOver(table)
+						// The earlier holder still believes that it has the lease, and runs one more pass.
+						qt.Assert(t, holder.Pass(t.Context(), old), qt.IsNil)
+						holder = duty.NewFleet(options)
+					}
+					qt.Assert(t, holder.Pass(t.Context(), lease), qt.IsNil)
+					for _, p := range pools {
+						n, size := down(table, p.Name())
+						qt.Assert(t, n <= p.MaxUnavailable(size), qt.IsTrue, qt.Commentf("%d of %d down", n, size))
+					}
+					stored, err := waves.Get(t.Context(), w.Name())
+					qt.Assert(t, err, qt.IsNil)
+					if stored.State() == wave.StateDone {
+						break
+					}
+					qt.Assert(t, i < 10_000, qt.IsTrue, qt.Commentf("the wave does not end"))
+					time.Sleep(500 * time.Millisecond)
+				}
+				qt.Assert(t, fleet.cuts, qt.HasLen, 0)
+				for id, m := range fleet.machines {
+					qt.Assert(t, m.reboots, qt.Equals, 1, qt.Commentf("%s", id))
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pool/store.go
@@ -0,0 +1,187 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/common/ident"
+	"github.com/chivetiller/chivetiller/platform"
+)
+
+// scanLimit is how many rows one scan returns. At 3,700 workers a pass takes four scans.
+const scanLimit = 1000
+
+// Stored is an instance row with the version under which it was read.
+type Stored struct {
+	Instance
+	Version uint64
+}
+
+// Check returns the check that the row is unchanged.
+func (s Stored) Check() platform.Check {
+	return platform.Check{Key: InstanceKey(s.ID), Version: s.Version}
+}
+
+// Store reads and changes instance rows. It is not safe for concurrent use.
+type Store struct {
+	table platform.Table
+	// cache holds decoded rows, because most rows are unchanged from one pass to the next.
+	cache map[string]Stored
+}
+
+// NewStore returns a store over the table.
+func NewStore(table platform.Table) *Store {
+	return &Store{table: table, cache: make(map[string]Stored)}
+}
+
+// List returns all instance rows in key order.
+func (s *Store) List(ctx context.Context) ([]Stored, error) {
+	var all []Stored
+	next := make(map[string]Stored, len(s.cache))
+	for after := ""; ; {
+		rows, err := s.table.Scan(ctx, instancePrefix, after, scanLimit)
+		if err != nil {
+			return nil, fmt.Errorf("list instances: %w", err)
+		}
+		for _, row := range rows {
+			stored, err := s.decode(row)
+			if err != nil {
+				return nil, err
+			}
+			next[row.Key] = stored
+			all = append(all, stored)
+			after = row.Key
+		}
+		if len(rows) < scanLimit {
+			s.cache = next
+			return all, nil
+		}
+	}
+}
+
+// Get returns the row of an instance. It fails with [platform.ErrNotFound] if there is none.
+func (s *Store) Get(ctx context.Context, id string) (Stored, error) {
+	rows, err := s.table.Read(ctx, InstanceKey(id))
+	if err != nil {
+		return Stored{}, fmt.Errorf("read instance %q: %w", id, err)
+	}
+	if len(rows) == 0 {
+		return Stored{}, fmt.Errorf("instance %q: %w", id, platform.ErrNotFound)
+	}
+	return s.decode(rows[0])
+}
+
+func (s *Store) decode(row platform.Row) (Stored, error) {
+	if cached, ok := s.cache[row.Key]; ok && cached.Version == row.Version {
+		return cached, nil
+	}
+	instance, err := decodeInstance(row.Key, row.Value)
+	if err != nil {
+		return Stored{}, err
+	}
+	return Stored{Instance: instance, Version: row.Version}, nil
+}
+
+// Planned returns the versions of the pools' rows of planned stops, to be read before the instances.
+func (s *Store) Planned(ctx context.Context, names ...string) (map[string]uint64, error) {
+	keys := make([]string, 0, len(names))
+	for _, name := range names {
+		keys = append(keys, PlannedKey(name))
+	}
+	rows, err := s.table.Read(ctx, keys...)
+	if err != nil {
+		return nil, fmt.Errorf("read planned stops: %w", err)
+	}
+	versions := make(map[string]uint64, len(names))
+	for _, row := range rows {
+		versions[row.Key] = row.Version
+	}
+	byName := make(map[string]uint64, len(names))
+	for _, name := range names {
+		byName[name] = versions[PlannedKey(name)]
+	}
+	return byName, nil
+}
+
+// Change replaces a row by its next generation, under further checks such as that of a lease.
+// It fails with [platform.ErrConflict] if the row was changed by another process.
+func (s *Store) Change(ctx context.Context, old Stored, next Instance, checks ...platform.Check) error {
+	data, err := next.encode()
+	if err != nil {
+		return err
+	}
+	return s.commit(ctx, "change instance "+old.ID, platform.Txn{
+		Checks: append([]platform.Check{old.Check()}, checks...),
+		Writes: []platform.Write{{Key: InstanceKey(old.ID), Value: data}},
+	})
+}
+
+// Begin starts planned stops in one pool: all of them or none. Version is that of the pool's row of
+// planned stops, read before the rows on which the choice rests.
+func (s *Store) Begin(ctx context.Context, name string, version uint64, olds []Stored, nexts []Instance, checks ...platform.Check) error {
+	txn := platform.Txn{
+		Checks: append([]platform.Check{{Key: PlannedKey(name), Version: version}}, checks...),
+		Writes: []platform.Write{{Key: PlannedKey(name), Value: []byte(`{}`)}},
+	}
+	for i, old := range olds {
+		data, err := nexts[i].encode()
+		if err != nil {
+			return err
+		}
+		txn.Checks = append(txn.Checks, old.Check())
+		txn.Writes = append(txn.Writes, platform.Write{Key: InstanceKey(old.ID), Value: data})
+	}
+	return s.commit(ctx, "begin stops in pool "+name, txn)
+}
+
+// Adopt creates the row of an instance that the platform lists and that has none. It reports false if
+// the row exists already: the instance stays in the pool that it is in.
+func (s *Store) Adopt(ctx context.Context, now time.Time, listed platform.Instance, name string, checks ...platform.Check) (bool, error) {
+	if listed.ID == "" || name == "" {
+		return false, eris.Errorf("adopt instance %q into pool %q: both need a name", listed.ID, name)
+	}
+	data, err := Instance{
+		ID: listed.ID, Pool: name, DataCentre: listed.DataCentre, Rack: listed.Rack, Generation: 1,
+		State: StateServing, Incarnation: listed.Incarnation, Since: now,
+	}.encode()
+	if err != nil {
+		return false, err
+	}
+	err = s.commit(ctx, "adopt instance "+listed.ID, platform.Txn{
+		Checks: append([]platform.Check{{Key: InstanceKey(listed.ID)}}, checks...),
+		Writes: []platform.Write{{Key: InstanceKey(listed.ID), Value: data}},
+	})
+	if errors.Is(err, platform.ErrConflict) {
+		if _, getErr := s.Get(ctx, listed.ID); getErr == nil {
+			return false, nil
+		}
+	}
+	return err == nil, err
+}
+
+// Remove deletes the row of an instance that no operation has stopped.
+func (s *Store) Remove(ctx context.Context, id string) error {
+	stored, err := s.Get(ctx, id)
+	if err != nil {
+		return err
+	}
+	if stored.Operation != "" && stored.State != StateFailed {
+		return eris.Errorf("instance %q is %s under %s: abort that first", id, stored.State, stored.Operation)
+	}
+	return s.commit(ctx, "remove instance "+id, platform.Txn{
+		Checks: []platform.Check{stored.Check(), {Key: InstanceKey(id), Version: stored.Version}},
+		Writes: []platform.Write{{Key: InstanceKey(id), Delete: true}},
+	})
+}
+
+func (s *Store) commit(ctx context.Context, what string, txn platform.Txn) error {
+	txn.OperationID = ident.New()
+	if err := s.table.Commit(ctx, txn); err != nil {
+		return fmt.Errorf("%s: %w", what, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/wave/plan.go
@@ -0,0 +1,136 @@
+package wave
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chivetiller/chivetiller/pool"
+)
+
+// Member is an instance of a pool as the planner sees it.
+type Member struct {
+	ID         string
+	Rack       string
+	DataCentre string
+	// Down means out of service for any reason, planned or not.
+	Down bool
+	// Pending means that the wave has yet to stop the instance.
+	Pending bool
+	// Failed means that the instance did not return from the wave's own stop.
+	Failed bool
+	// Ended means that the wave's own stop has ended.
+	Ended bool
+}
+
+// failedShare is the share of a wave's stops in a pool that may fail before the pool stops.
+// With a tenth of the instances failing by chance, a pool of ten still goes on; a broken image stops at once.
+const failedShare = 0.25
+
+// Plan returns the instances of a pool to stop now: as many as the availability budget allows on top of
+// what is down already. Instances of the rack or data centre with most work left per permitted stop come
+// first, since the one that is left over would determine the end of the wave.
+func Plan(p pool.Pool, members []Member) []string {
+	if Stuck(members) {
+		return nil
+	}
+	size := len(members)
+	free := p.MaxUnavailable(size)
+	racks := make(map[string]*domain)
+	centres := make(map[string]*domain)
+	rackLimit, centreLimit := p.MaxUnavailablePerRack(size), p.MaxUnavailablePerDataCentre(size)
+	for i := range members {
+		m := &members[i]
+		rack := domainOf(racks, m.DataCentre+"/"+m.Rack, rackLimit)
+		rack.centre = domainOf(centres, m.DataCentre, centreLimit)
+		if m.Down {
+			free--
+			rack.free--
+			rack.centre.free--
+			continue
+		}
+		if m.Pending {
+			rack.pending = append(rack.pending, m.ID)
+			rack.left++
+			rack.centre.left++
+		}
+	}
+	order := make([]*domain, 0, len(racks))
+	for _, rack := range racks {
+		if len(rack.pending) > 0 {
+			slices.Sort(rack.pending)
+			order = append(order, rack)
+		}
+	}
+	slices.SortFunc(order, func(a, b *domain) int { return cmp.Compare(a.name, b.name) })
+	var chosen []string
+	for ; free > 0; free-- {
+		rack := mostLeft(order)
+		if rack == nil {
+			break
+		}
+		chosen = append(chosen, rack.take())
+	}
+	return chosen
+}
+
+// Stuck reports whether so many of the wave's own stops failed that no new one may begin in the pool.
+func Stuck(members []Member) bool {
+	failed, ended := 0, 0
+	for _, m := range members {
+		switch {
+		case m.Failed:
+			failed++
+		case m.Ended:
+			ended++
+		}
+	}
+	return failed > 0 && float64(failed) > failedShare*float64(failed+ended)
+}
+
+// domain is a rack or a data centre: a failure domain.
+type domain struct {
+	name    string
+	limit   int
+	free    int
+	left    int
+	pending []string
+	centre  *domain
+}
+
+func domainOf(domains map[string]*domain, name string, limit int) *domain {
+	d, ok := domains[name]
+	if !ok {
+		d = &domain{name: name, limit: limit, free: limit}
+		domains[name] = d
+	}
+	return d
+}
+
+// mostLeft returns the rack with a permitted stop whose chain of stops is the longest.
+func mostLeft(racks []*domain) *domain {
+	var best *domain
+	for _, rack := range racks {
+		if len(rack.pending) == 0 || rack.free <= 0 || rack.centre.free <= 0 {
+			continue
+		}
+		if best == nil || rack.length() > best.length() {
+			best = rack
+		}
+	}
+	return best
+}
+
+// length is the number of rounds that the rack or its data centre still needs, whichever is larger.
+func (d *domain) length() float64 {
+	return max(float64(d.left)/float64(d.limit), float64(d.centre.left)/float64(d.centre.limit))
+}
+
+func (d *domain) take() string {
+	id := d.pending[0]
+	d.pending = d.pending[1:]
+	d.free--
+	d.left--
+	d.centre.free--
+	d.centre.left--
+	return id
+}
--- /dev/null
+++ b/wave/store.go
@@ -0,0 +1,203 @@
+package wave
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/common/ident"
+	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/pool"
+)
+
+const (
+	wavePrefix = "wave/"
+	scanLimit  = 1000
+)
+
+// Stored is a wave with the version of its row.
+type Stored struct {
+	Wave
+	Version uint64
+}
+
+// Check returns the check that the wave is unchanged, so that no stop begins after a pause or abort.
+func (s Stored) Check() platform.Check {
+	return platform.Check{Key: wavePrefix + s.Name(), Version: s.Version}
+}
+
+// document is the row of a wave.
+type document struct {
+	Spec  Spec      `json:"spec"`
+	State State     `json:"state"`
+	Begun time.Time `json:"begun"`
+}
+
+// Store holds the waves.
+type Store struct{ table platform.Table }
+
+// NewStore returns a store over the table.
+func NewStore(table platform.Table) *Store { return &Store{table: table} }
+
+// List returns all waves in order of their names.
+func (s *Store) List(ctx context.Context) ([]Stored, error) {
+	var all []Stored
+	for after := ""; ; {
+		rows, err := s.table.Scan(ctx, wavePrefix, after, scanLimit)
+		if err != nil {
+			return nil, fmt.Errorf("list waves: %w", err)
+		}
+		for _, row := range rows {
+			stored, err := decode(row)
+			if err != nil {
+				return nil, err
+			}
+			all = append(all, stored)
+			after = row.Key
+		}
+		if len(rows) < scanLimit {
+			return all, nil
+		}
+	}
+}
+
+// Get returns a wave. It fails with [platform.ErrNotFound] if there is none of the name.
+func (s *Store) Get(ctx context.Context, name string) (Stored, error) {
+	rows, err := s.table.Read(ctx, wavePrefix+name)
+	if err != nil {
+		return Stored{}, fmt.Errorf("read wave %q: %w", name, err)
+	}
+	if len(rows) == 0 {
+		return Stored{}, fmt.Errorf("wave %q: %w", name, platform.ErrNotFound)
+	}
+	return decode(rows[0])
+}
+
+// Create stores a new wave. It fails at once if the document is wrong, names an unknown pool or
+// instance, covers a pool that no stop can leave within its budget, or overlaps an active wave.
+func (s *Store) Create(ctx context.Context, spec Spec, now time.Time, pools []pool.Pool, rows []pool.Stored) (Wave, error) {
+	w, err := New(spec, now)
+	if err != nil {
+		return Wave{}, err
+	}
+	if err := w.feasible(pools, rows); err != nil {
+		return Wave{}, err
+	}
+	others, err := s.List(ctx)
+	if err != nil {
+		return Wave{}, err
+	}
+	for _, other := range others {
+		if other.Name() == w.Name() {
+			return Wave{}, eris.Errorf("wave %q exists already: it is %s", w.Name(), other.State())
+		}
+		if other.Active() && overlap(w, other.Wave) {
+			return Wave{}, eris.Errorf("wave %q covers a pool of wave %q, which is %s", w.Name(), other.Name(), other.State())
+		}
+	}
+	return w, s.write(ctx, w, 0)
+}
+
+// overlap is coarse: two waves over one pool conflict even if they name different instances.
+func overlap(a, b Wave) bool {
+	if len(a.spec.Pools) == 0 || len(b.spec.Pools) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(a.spec.Pools, b.coversPool)
+}
+
+// Set changes the state of a wave: pause, resume or abort. A wave that is aborted or done stays so.
+func (s *Store) Set(ctx context.Context, name string, to State) (Wave, error) {
+	stored, err := s.Get(ctx, name)
+	if err != nil {
+		return Wave{}, err
+	}
+	if stored.state == to {
+		return stored.Wave, nil
+	}
+	if !stored.Active() {
+		return Wave{}, eris.Errorf("wave %q is %s already", name, stored.state)
+	}
+	w := stored.Wave
+	w.state = to
+	return w, s.write(ctx, w, stored.Version)
+}
+
+// Finish marks a running wave as done, under further checks such as that of a lease.
+func (s *Store) Finish(ctx context.Context, stored Stored, checks ...platform.Check) error {
+	w := stored.Wave
+	w.state = StateDone
+	return s.write(ctx, w, stored.Version, checks...)
+}
+
+func (s *Store) write(ctx context.Context, w Wave, version uint64, checks ...platform.Check) error {
+	data, err := json.Marshal(document{Spec: w.spec, State: w.state, Begun: w.begun})
+	if err != nil {
+		return eris.Wrapf(err, "encode wave %q", w.Name())
+	}
+	err = s.table.Commit(ctx, platform.Txn{
+		OperationID: ident.New(),
+		Checks:      append([]platform.Check{{Key: wavePrefix + w.Name(), Version: version}}, checks...),
+		Writes:      []platform.Write{{Key: wavePrefix + w.Name(), Value: data}},
+	})
+	if errors.Is(err, platform.ErrConflict) {
+		return fmt.Errorf("wave %q was changed by another operator: %w", w.Name(), err)
+	}
+	if err != nil {
+		return fmt.Errorf("write wave %q: %w", w.Name(), err)
+	}
+	return nil
+}
+
+func decode(row platform.Row) (Stored, error) {
+	var d document
+	if err := json.Unmarshal(row.Value, &d); err != nil {
+		return Stored{}, eris.Wrapf(err, "row %q is not a wave", row.Key)
+	}
+	w, err := New(d.Spec, d.Begun)
+	if err != nil {
+		return Stored{}, eris.Wrapf(err, "row %q", row.Key)
+	}
+	w.state = d.State
+	return Stored{Wave: w, Version: row.Version}, nil
+}
+
+// feasible reports what makes the wave impossible whatever the load.
+func (w Wave) feasible(pools []pool.Pool, rows []pool.Stored) error {
+	byName := make(map[string]pool.Pool, len(pools))
+	for _, p := range pools {
+		byName[p.Name()] = p
+	}
+	for _, name := range w.spec.Pools {
+		if _, ok := byName[name]; !ok {
+			return eris.Errorf("wave %q: unknown pool %q", w.Name(), name)
+		}
+	}
+	sizes := make(map[string]int)
+	known := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		sizes[row.Pool]++
+		known[row.ID] = w.coversPool(row.Pool)
+	}
+	for _, id := range w.spec.Instances {
+		if !known[id] {
+			return eris.Errorf("wave %q: instance %q is not in the wave's pools", w.Name(), id)
+		}
+	}
+	for _, p := range pools {
+		size := sizes[p.Name()]
+		if size == 0 || !w.coversPool(p.Name()) {
+			continue
+		}
+		if p.MaxUnavailable(size) < 1 || p.MaxUnavailablePerRack(size) < 1 || p.MaxUnavailablePerDataCentre(size) < 1 {
+			return eris.Errorf("wave %q: the availability budget of pool %q allows no stop: %s of %d instances",
+				w.Name(), p.Name(), p.Spec().MaxUnavailable, size)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/wave/wave.go
@@ -0,0 +1,163 @@
+// Package wave plans maintenance waves and holds their state machine. A wave drains, reboots and
+// returns every instance of its pools within their availability budgets.
+//
+// # Usage
+//
+//	w, err := wave.New(wave.Spec{Name: "kernel-2026-12", Pools: []string{"shiftDesk"}}, pools, members)
+//	...
+//	for _, id := range wave.Plan(p, members) { ... }                   // stops to begin now
+//	d := wave.Step(time.Now(), row, report, known, w.Rules())          // next step of a stop
+package wave
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/pool"
+)
+
+// Defaults of a wave.
+const (
+	DefaultNotice      = 3 * time.Second
+	DefaultDrainLimit  = 10 * time.Minute
+	DefaultReturnLimit = 10 * time.Minute
+)
+
+// Spec is the document of a wave.
+type Spec struct {
+	Name string `yaml:"name" json:"name"`
+	// Pools are the pools to maintain; all if empty.
+	Pools []string `yaml:"pools,omitempty" json:"pools,omitempty"`
+	// Instances limits the wave to these; all instances of the pools if empty.
+	Instances []string `yaml:"instances,omitempty" json:"instances,omitempty"`
+	// Notice, DrainLimit and ReturnLimit are durations such as "3s".
+	Notice      string `yaml:"notice,omitempty" json:"notice,omitempty"`
+	DrainLimit  string `yaml:"drainLimit,omitempty" json:"drainLimit,omitempty"`
+	ReturnLimit string `yaml:"returnLimit,omitempty" json:"returnLimit,omitempty"`
+	// Policy is "wait" (default) or "skip".
+	Policy Policy `yaml:"policy,omitempty" json:"policy,omitempty"`
+}
+
+// State is the state of a wave.
+type State string
+
+// States of a wave.
+const (
+	StateRunning State = "running"
+	// StatePaused begins no new stop and finishes those begun.
+	StatePaused State = "paused"
+	// StateAborted begins no new stop and returns draining instances without a reboot.
+	StateAborted State = "aborted"
+	StateDone    State = "done"
+)
+
+// Wave is a checked wave.
+type Wave struct {
+	spec  Spec
+	state State
+	rules Rules
+	// begun is when the wave was created, on the clock of the entry instance that created it.
+	begun time.Time
+}
+
+// operationPrefix marks the operations of waves in instance rows.
+const operationPrefix = "wave/"
+
+// IsWave reports whether an operation of an instance row is a wave.
+func IsWave(operation string) bool { return strings.HasPrefix(operation, operationPrefix) }
+
+// New checks the document of a wave.
+func New(spec Spec, now time.Time) (Wave, error) {
+	if spec.Name == "" || strings.Contains(spec.Name, "/") {
+		return Wave{}, eris.Errorf("wave name %q is empty or contains a slash", spec.Name)
+	}
+	w := Wave{spec: spec, state: StateRunning, begun: now}
+	fields := []struct {
+		name     string
+		text     string
+		standard time.Duration
+		to       *time.Duration
+	}{
+		{"notice", spec.Notice, DefaultNotice, &w.rules.Notice},
+		{"drainLimit", spec.DrainLimit, DefaultDrainLimit, &w.rules.DrainLimit},
+		{"returnLimit", spec.ReturnLimit, DefaultReturnLimit, &w.rules.ReturnLimit},
+	}
+	for _, f := range fields {
+		*f.to = f.standard
+		if f.text == "" {
+			continue
+		}
+		d, err := time.ParseDuration(f.text)
+		if err != nil || d <= 0 {
+			return Wave{}, eris.Errorf("wave %q: %s %q is not a positive duration", spec.Name, f.name, f.text)
+		}
+		*f.to = d
+	}
+	w.rules.Policy = spec.Policy
+	switch spec.Policy {
+	case "":
+		w.rules.Policy = PolicyWait
+	case PolicyWait, PolicySkip:
+	default:
+		return Wave{}, eris.Errorf("wave %q: policy %q is neither %q nor %q", spec.Name, spec.Policy, PolicyWait, PolicySkip)
+	}
+	return w, nil
+}
+
+// Name returns the name of the wave.
+func (w Wave) Name() string { return w.spec.Name }
+
+// Spec returns the document of the wave.
+func (w Wave) Spec() Spec { return w.spec }
+
+// State returns the state of the wave.
+func (w Wave) State() State { return w.state }
+
+// Begun returns when the wave was created.
+func (w Wave) Begun() time.Time { return w.begun }
+
+// Operation returns the name of the wave in instance rows.
+func (w Wave) Operation() string { return operationPrefix + w.spec.Name }
+
+// Active reports whether the wave may still change instances.
+func (w Wave) Active() bool { return w.state == StateRunning || w.state == StatePaused }
+
+// Rules returns the limits of the wave's stops.
+func (w Wave) Rules() Rules {
+	rules := w.rules
+	rules.Abort = w.state == StateAborted
+	return rules
+}
+
+// Covers reports whether the wave maintains an instance.
+func (w Wave) Covers(in pool.Instance) bool {
+	return w.coversPool(in.Pool) && (len(w.spec.Instances) == 0 || slices.Contains(w.spec.Instances, in.ID))
+}
+
+func (w Wave) coversPool(name string) bool {
+	return len(w.spec.Pools) == 0 || slices.Contains(w.spec.Pools, name)
+}
+
+// Pending reports whether the wave has yet to stop an instance.
+func (w Wave) Pending(in pool.Instance) bool {
+	return w.Covers(in) && in.Done != w.Operation() && in.Operation != w.Operation()
+}
+
+// Members returns the instances of a pool as the planner sees them. Available says whether an instance
+// that no operation stops is in service according to the platform.
+func (w Wave) Members(rows []pool.Stored, available func(id string) bool) []Member {
+	members := make([]Member, 0, len(rows))
+	for _, row := range rows {
+		members = append(members, Member{
+			ID: row.ID, Rack: row.Rack, DataCentre: row.DataCentre,
+			Down:    row.Down() || !available(row.ID),
+			Pending: w.Pending(row.Instance),
+			Failed:  row.State == pool.StateFailed && row.Operation == w.Operation(),
+			Ended:   row.Done == w.Operation(),
+		})
+	}
+	return members
+}
