--- /dev/null
+++ b/dispatch/connection/connection.go
@@ -0,0 +1,249 @@
+// Package connection sends requests to endpoints over HTTP/1.1 keep-alive connections, one request at a time.
+// It reports whether any byte of a request was sent, which http.Transport does not, and repeats nothing by itself.
+//
+// # Usage
+//
+//	c, err := connection.Dial(ctx, "127.0.0.1:9000", connection.Limits{})
+//	response, err := c.Exchange(ctx, request)
+//	if !c.Reusable() {
+//		c.Close()
+//	}
+package connection
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/common/problem"
+)
+
+// Default limits of responses, in bytes.
+const (
+	DefaultMaxHeader = 64 << 10
+	DefaultMaxBody   = 1 << 20
+)
+
+const bufferSize = 4 << 10
+
+// Limits bound what is read from an endpoint, in bytes.
+type Limits struct {
+	MaxHeader int
+	MaxBody   int
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.MaxHeader == 0 {
+		l.MaxHeader = DefaultMaxHeader
+	}
+	if l.MaxBody == 0 {
+		l.MaxBody = DefaultMaxBody
+	}
+	return l
+}
+
+// Request is a request to an endpoint.
+type Request struct {
+	ID       string
+	Method   string
+	URL      *url.URL
+	Header   http.Header
+	Body     []byte
+	Deadline time.Time
+	// Check is called right before the first byte is sent. If it fails, nothing is sent. It may be nil.
+	Check func() error
+}
+
+// Response is a complete response of an endpoint.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// NotRun says that the endpoint did not act on the request.
+	NotRun bool
+}
+
+// Conn is a connection to an endpoint. One goroutine at a time uses it.
+type Conn struct {
+	conn   net.Conn
+	raw    syscall.RawConn
+	limits Limits
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// remaining is how many bytes the endpoint may still send in this exchange.
+	remaining int
+	check     func() error
+	started   bool
+	reusable  bool
+	quiet     bool
+	peek      func(fd uintptr) bool
+}
+
+// Dial connects to an endpoint.
+func Dial(ctx context.Context, address string, limits Limits) (*Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connect to endpoint at %s", address)
+	}
+	return newConn(conn, limits), nil
+}
+
+func newConn(conn net.Conn, limits Limits) *Conn {
+	c := &Conn{conn: conn, limits: limits.withDefaults(), reusable: true}
+	c.reader = bufio.NewReaderSize(limitedReader{c}, bufferSize)
+	c.writer = bufio.NewWriterSize(checkedWriter{c}, bufferSize)
+	if s, ok := conn.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
+	c.peek = c.peekOnce
+	return c
+}
+
+// Close closes the connection. It may be called at any time, also by another goroutine.
+func (c *Conn) Close() { _ = c.conn.Close() }
+
+// Reusable reports whether the connection can carry another request.
+func (c *Conn) Reusable() bool { return c.reusable }
+
+// Quiet reports whether an idle connection is open and has received nothing.
+// The end of the stream or a byte that no request asked for makes it unusable.
+func (c *Conn) Quiet() bool {
+	if !c.reusable || c.reader.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	// An elapsed deadline of the last exchange would hide the state of the socket.
+	if err := c.conn.SetDeadline(time.Time{}); err != nil {
+		return false
+	}
+	c.quiet = false
+	if err := c.raw.Read(c.peek); err != nil {
+		return false
+	}
+	return c.quiet
+}
+
+// peekOnce reads without waiting. Only "nothing to read" leaves the connection usable.
+func (c *Conn) peekOnce(fd uintptr) bool {
+	var b [1]byte
+	_, err := syscall.Read(int(fd), b[:])
+	c.quiet = errors.Is(err, syscall.EAGAIN)
+	return true
+}
+
+// Exchange sends the request and returns the complete response. Any error is a *Fault.
+// When the context ends, the connection is closed; a context without end costs nothing.
+func (c *Conn) Exchange(ctx context.Context, r *Request) (*Response, error) {
+	c.reusable = false
+	c.started = false
+	c.check = r.Check
+	c.remaining = c.limits.MaxHeader + c.limits.MaxBody
+	if ctx.Done() != nil {
+		stop := context.AfterFunc(ctx, c.Close)
+		defer stop()
+	}
+	if err := c.conn.SetDeadline(r.Deadline); err != nil {
+		return nil, c.fault(ctx, FaultConnection, err)
+	}
+	request := c.httpRequest(r)
+	if err := request.Write(c.writer); err != nil {
+		return nil, c.writeFault(ctx, err)
+	}
+	if err := c.writer.Flush(); err != nil {
+		return nil, c.writeFault(ctx, err)
+	}
+	return c.read(ctx, r, request)
+}
+
+// httpRequest builds the form in which the standard library writes a request.
+func (c *Conn) httpRequest(r *Request) *http.Request {
+	request := &http.Request{
+		Method:        r.Method,
+		URL:           r.URL,
+		Host:          c.conn.RemoteAddr().String(),
+		Header:        r.Header,
+		ContentLength: int64(len(r.Body)),
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}
+	if len(r.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(r.Body))
+	}
+	return request
+}
+
+// writeFault turns a failure to send into a fault. If nothing was sent, the connection can be used again.
+func (c *Conn) writeFault(ctx context.Context, err error) error {
+	var refused *checkError
+	if errors.As(err, &refused) {
+		c.writer.Reset(checkedWriter{c})
+		c.reusable = true
+		return &Fault{Kind: FaultCheck, Err: refused.err}
+	}
+	return c.fault(ctx, FaultConnection, err)
+}
+
+func (c *Conn) fault(ctx context.Context, kind FaultKind, err error) error {
+	var timeout net.Error
+	switch {
+	case ctx.Err() != nil:
+		kind = FaultCancelled
+	case errors.As(err, &timeout) && timeout.Timeout():
+		kind = FaultTimeout
+	}
+	return &Fault{Kind: kind, Sent: c.started, Err: err}
+}
+
+// checkedWriter calls the check before the first byte of a request.
+type checkedWriter struct{ *Conn }
+
+func (w checkedWriter) Write(p []byte) (int, error) {
+	if !w.started && w.check != nil {
+		if err := w.check(); err != nil {
+			return 0, &checkError{err}
+		}
+	}
+	n, err := w.conn.Write(p)
+	if n > 0 {
+		w.started = true
+	}
+	return n, err
+}
+
+type checkError struct{ err error }
+
+func (e *checkError) Error() string { return e.err.Error() }
+func (e *checkError) Unwrap() error { return e.err }
+
+// errTooLong means that an endpoint sent more than the limits allow.
+var errTooLong = errors.New("response is larger than the limit")
+
+// limitedReader bounds what an endpoint can make this process read for one request.
+type limitedReader struct{ *Conn }
+
+func (r limitedReader) Read(p []byte) (int, error) {
+	if r.remaining <= 0 {
+		return 0, errTooLong
+	}
+	n, err := r.conn.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
+// requestIDKey is the header key that names a request, in canonical form.
+var requestIDKey = http.CanonicalHeaderKey(problem.HeaderRequestID)
--- /dev/null
+++ b/standin/endpoint.go
@@ -0,0 +1,305 @@
+// Package standin is a development stand-in for endpoints. It records every run, so that tests
+// compare what callers were told with what happened.
+//
+// # Usage
+//
+//	e := standin.New(standin.Options{ID: "e1", Service: standin.Fixed(2 * time.Millisecond)})
+//	if err := e.Start(ctx); err != nil { ... }
+//	defer e.Stop(ctx)
+//	...
+//	for _, run := range e.Runs() { ... }
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/common/problem"
+)
+
+// Defaults of an endpoint: the sizes of the workers of both users.
+const (
+	DefaultSlots       = 8
+	DefaultConnections = 64
+)
+
+// Options of an endpoint.
+type Options struct {
+	ID string
+	// Address is where the endpoint listens. The default is a free port of 127.0.0.1.
+	Address string
+	// Slots and Connections are the limits of the endpoint.
+	Slots       int
+	Connections int
+	// Service draws service times. The default is no delay.
+	Service Distribution
+	// MaxRuns bounds the memory of the record: older runs are dropped. The default 0 keeps all.
+	MaxRuns int
+	Logger  hclog.Logger
+}
+
+// Endpoint is a stand-in endpoint.
+type Endpoint struct {
+	o      Options
+	logger hclog.Logger
+
+	mu          sync.Mutex
+	server      *http.Server
+	address     string
+	incarnation uint64
+	draining    bool
+	inFlight    int
+	connections int
+	faults      faults
+	record      record
+}
+
+// New returns an endpoint that is not started.
+func New(o Options) *Endpoint {
+	if o.Slots == 0 {
+		o.Slots = DefaultSlots
+	}
+	if o.Connections == 0 {
+		o.Connections = DefaultConnections
+	}
+	if o.Service == nil {
+		o.Service = Fixed(0)
+	}
+	if o.Address == "" {
+		o.Address = "127.0.0.1:0"
+	}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	return &Endpoint{o: o, logger: o.Logger.Named("endpoint"), record: record{limit: o.MaxRuns}}
+}
+
+// Start listens and serves. Each start begins a new incarnation.
+func (e *Endpoint) Start(_ context.Context) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	address := e.o.Address
+	if e.address != "" {
+		address = e.address // A reboot keeps the port.
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "endpoint %q cannot listen", e.o.ID)
+	}
+	e.address = listener.Addr().String()
+	e.incarnation++
+	e.draining = false
+	e.connections = 0
+	server := &http.Server{
+		Handler:           http.HandlerFunc(e.serve),
+		ReadHeaderTimeout: 10 * time.Second,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
+	e.server = server
+	limited := &limitedListener{Listener: listener, endpoint: e, incarnation: e.incarnation}
+	go func() {
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
+			e.logger.Error("Endpoint stopped serving.", "id", e.o.ID, "error", err)
+		}
+	}()
+	return nil
+}
+
+// Stop finishes the requests in flight and closes.
+func (e *Endpoint) Stop(ctx context.Context) error {
+	e.mu.Lock()
+	server := e.server
+	e.mu.Unlock()
+	if server == nil {
+		return nil
+	}
+	if err := server.Shutdown(ctx); err != nil {
+		return errors.Join(eris.Wrapf(err, "endpoint %q has requests in flight", e.o.ID), server.Close())
+	}
+	return nil
+}
+
+// Crash closes all connections at once, as a failure does.
+func (e *Endpoint) Crash() error {
+	e.mu.Lock()
+	server := e.server
+	e.mu.Unlock()
+	return server.Close()
+}
+
+// Reboot stops at once and starts as a new incarnation after the delay.
+func (e *Endpoint) Reboot(ctx context.Context, delay time.Duration) error {
+	if err := e.Crash(); err != nil {
+		return err
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return e.Start(ctx)
+}
+
+// Drain makes the endpoint refuse new requests as not run.
+func (e *Endpoint) Drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = true
+}
+
+// Undrain makes the endpoint accept requests again.
+func (e *Endpoint) Undrain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = false
+}
+
+// ID returns the name of the endpoint.
+func (e *Endpoint) ID() string { return e.o.ID }
+
+// Address returns the IP address and port.
+func (e *Endpoint) Address() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.address
+}
+
+// Incarnation returns the number of starts.
+func (e *Endpoint) Incarnation() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.incarnation
+}
+
+// InFlight returns the number of requests that run.
+func (e *Endpoint) InFlight() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.inFlight
+}
+
+// Connections returns the number of open connections.
+func (e *Endpoint) Connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.connections
+}
+
+// Draining reports whether the endpoint refuses new requests.
+func (e *Endpoint) Draining() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.draining
+}
+
+// admit takes a slot. The reason says why none is given.
+func (e *Endpoint) admit() (reason string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.draining:
+		e.record.refused++
+		return "draining"
+	case e.inFlight >= e.o.Slots:
+		e.record.refused++
+		return "all slots are in use"
+	}
+	e.inFlight++
+	e.record.peak = max(e.record.peak, e.inFlight)
+	return ""
+}
+
+func (e *Endpoint) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inFlight--
+}
+
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	fault := e.takeFault(r)
+	if fault.Kind == FaultCloseBeforeReading {
+		closeConnection(r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		// A request that arrives in part does not run.
+		closeConnection(r)
+		return
+	}
+	id := r.Header.Get(problem.HeaderRequestID)
+	w.Header().Set(problem.HeaderRequestID, id)
+	if reason := e.admit(); reason != "" {
+		w.Header().Set(problem.HeaderNotRun, "true")
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	defer e.leave()
+	digest := sha256.Sum256(body)
+	run := e.begin(Run{
+		RequestID:      id,
+		IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		Method:         r.Method,
+		Path:           r.URL.RequestURI(),
+		Digest:         hex.EncodeToString(digest[:]),
+		Start:          time.Now(),
+	})
+	e.sleep(r.Context(), fault)
+	sent := e.respond(w, r, fault, id, body)
+	e.end(run, sent, r.Context().Err() != nil)
+}
+
+// sleep waits for a service time, or until the connection closes.
+func (e *Endpoint) sleep(ctx context.Context, fault Fault) {
+	d := e.o.Service()
+	switch fault.Kind {
+	case FaultFailFast:
+		return
+	case FaultSlow:
+		d += fault.Delay
+	}
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// respond sends the normal response, an echo of the body, or what the fault asks for.
+// It reports whether a whole response was sent.
+func (e *Endpoint) respond(w http.ResponseWriter, r *http.Request, fault Fault, id string, body []byte) bool {
+	if fault.Kind != FaultNone && fault.Kind != FaultSlow {
+		return misbehave(w, r, fault, id, body)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set("Content-Digest", contentDigest(body))
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Endpoint", e.o.ID)
+	if r.Context().Err() != nil {
+		return false
+	}
+	if _, err := w.Write(body); err != nil {
+		return false
+	}
+	return http.NewResponseController(w).Flush() == nil
+}
