--- a/caller/rig_test.go
+++ b/caller/rig_test.go
@@ -248,3 +248,16 @@
 	}
 	return strings.Split(text, "\n")
 }
+
+// settled waits until all outcomes of claims are written.
+func (r *rig) settled() bool {
+	for range 1000 {
+		if r.claims.Pending() == 0 {
+			// The last batch may still be on its way.
+			time.Sleep(5 * time.Millisecond)
+			return true
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
