Test endpoint connections and fix two faults found

The HTTP library hides the error of a refused check inside a body in an error without Unwrap, so a request with a body beyond the buffer was reported as a broken connection. Statuses outside 200 to 599 were passed on; 0xx would have made the response writer panic. A response that comes before the whole request was sent is now read, since it can say that the request did not run.

--- a/caller/fault_integration_test.go
+++ b/caller/fault_integration_test.go
@@ -23,7 +23,6 @@
 	path         string
 	// want is the answer to a request that may not be repeated.
 	wantStatus int
-	wantKind   string
 	wantNotRun bool
 	wantRuns   int
 	wantFault  connection.FaultKind
--- a/caller/listener.go
+++ b/caller/listener.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -114,17 +113,13 @@
 	if end < len(statusPrefix)+3 {
 		return nil
 	}
-	status, err := strconv.Atoi(string(p[len(statusPrefix) : len(statusPrefix)+3]))
-	if err != nil {
-		return nil
-	}
 	kind := problem.Malformed
-	switch {
-	case status == http.StatusExpectationFailed && !bytes.Contains(p, []byte(problem.HeaderRequestID)):
+	switch status := string(p[len(statusPrefix) : len(statusPrefix)+3]); {
+	case status == "417" && !bytes.Contains(p, []byte(problem.HeaderRequestID)):
 		return problem.NotRun(kind, "value of Expect is not supported")
 	case !bytes.HasPrefix(p[end:], errorHeaders):
 		return nil
-	case status == http.StatusRequestHeaderFieldsTooLarge:
+	case status == "431":
 		return problem.NotRun(problem.HeaderTooLarge, "")
 	}
 	return problem.NotRun(kind, "request is not valid HTTP/1.1")
--- a/dispatch/connection/connection.go
+++ b/dispatch/connection/connection.go
@@ -82,10 +82,13 @@
 	// remaining is how many bytes the endpoint may still send in this exchange.
 	remaining int
 	check     func() error
-	started   bool
-	reusable  bool
-	quiet     bool
-	peek      func(fd uintptr) bool
+	// refused is the error of the check, and broken the error of writing to the connection.
+	// The HTTP library wraps errors so that they cannot be found by errors.As.
+	refused, broken error
+	started         bool
+	reusable        bool
+	quiet           bool
+	peek            func(fd uintptr) bool
 }
 
 // Dial connects to an endpoint.
@@ -149,7 +152,7 @@
 // When the context ends, the connection is closed; a context without end costs nothing.
 func (c *Conn) Exchange(ctx context.Context, r *Request) (*Response, error) {
 	c.reusable = false
-	c.started = false
+	c.started, c.refused, c.broken = false, nil, nil
 	c.check = r.Check
 	c.remaining = c.limits.MaxHeader + c.limits.MaxBody
 	if ctx.Done() != nil {
@@ -160,15 +163,28 @@
 		return nil, c.fault(ctx, FaultConnection, err)
 	}
 	request := c.httpRequest(r)
-	if err := request.Write(c.writer); err != nil {
-		return nil, c.writeFault(ctx, err)
+	err := request.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
 	}
-	if err := c.writer.Flush(); err != nil {
-		return nil, c.writeFault(ctx, err)
+	if err != nil {
+		return c.unsent(ctx, r, request, err)
 	}
 	return c.read(ctx, r, request)
 }
 
+// unsent handles a request that was not sent whole. The endpoint may have refused it before it read
+// everything, in which case its response tells more than the error.
+func (c *Conn) unsent(ctx context.Context, r *Request, request *http.Request, cause error) (*Response, error) {
+	if c.started {
+		if response, err := c.read(ctx, r, request); err == nil {
+			c.reusable = false
+			return response, nil
+		}
+	}
+	return nil, c.writeFault(ctx, cause)
+}
+
 // httpRequest builds the form in which the standard library writes a request.
 func (c *Conn) httpRequest(r *Request) *http.Request {
 	request := &http.Request{
@@ -189,11 +205,13 @@
 
 // writeFault turns a failure to send into a fault. If nothing was sent, the connection can be used again.
 func (c *Conn) writeFault(ctx context.Context, err error) error {
-	var refused *checkError
-	if errors.As(err, &refused) {
+	if c.refused != nil {
 		c.writer.Reset(checkedWriter{c})
 		c.reusable = true
-		return &Fault{Kind: FaultCheck, Err: refused.err}
+		return &Fault{Kind: FaultCheck, Err: c.refused}
+	}
+	if c.broken != nil {
+		err = c.broken
 	}
 	return c.fault(ctx, FaultConnection, err)
 }
@@ -215,21 +233,20 @@
 func (w checkedWriter) Write(p []byte) (int, error) {
 	if !w.started && w.check != nil {
 		if err := w.check(); err != nil {
-			return 0, &checkError{err}
+			w.refused = err
+			return 0, err
 		}
 	}
 	n, err := w.conn.Write(p)
 	if n > 0 {
 		w.started = true
 	}
+	if err != nil {
+		w.broken = err
+	}
 	return n, err
 }
 
-type checkError struct{ err error }
-
-func (e *checkError) Error() string { return e.err.Error() }
-func (e *checkError) Unwrap() error { return e.err }
-
 // errTooLong means that an endpoint sent more than the limits allow.
 var errTooLong = errors.New("response is larger than the limit")
 
--- a/dispatch/connection/response.go
+++ b/dispatch/connection/response.go
@@ -98,14 +98,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch status := response.StatusCode; {
+		case status < 100 || status > 599 || status == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("status %d is not valid here", status)
+		case status >= http.StatusOK:
 			return response, nil
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			break
-		}
 	}
-	return nil, errors.New("response is only informational")
+	return nil, errors.New("too many informational responses")
 }
 
 func headFault(err error) FaultKind {
