Hold upper limits of teams as allotments of entry instances

Each entry instance holds a part of a team's limit for a term and renews the parts of many teams in one transaction. Parts follow demand by max-min fairness. A part that is about to shrink counts as shrunk from before the transaction is sent, and a term counts from before the renewal is sent.

--- /dev/null
+++ b/allotment/plan.go
@@ -0,0 +1,78 @@
+package allotment
+
+import "time"
+
+// plan returns the record that this holder would write now, and whether that is worth a write.
+func (h *Holder) plan(a *account, now time.Time) (record, bool) {
+	r := a.record.clone()
+	reclaimed := h.reclaim(a, r, now)
+	changed := h.version > r.Version && a.limit != r.Limit
+	if h.version > r.Version {
+		r.Limit, r.Version = a.limit, h.version
+	}
+	own, listed := r.Holders[h.o.Holder]
+	if h.stopping || a.limit <= 0 {
+		return h.planReturn(a, r, listed, now)
+	}
+	published, publishedJobs := own.Want, own.JobsWant
+	own.Want, own.JobsWant, own.Hold = a.want(), a.jobsWant, (h.o.Term + h.o.MaxRun).Milliseconds()
+	r.Holders[h.o.Holder] = own
+	own.Amount = a.nextAmount(r, r.fair(h.o.Holder), r.Limit-r.sum(), h.o.Holder)
+	r.Holders[h.o.Holder] = own
+	// Wants below the amount are left to the next renewal. They only matter once a peer lacks something.
+	lacking := own.Want > own.Amount && (own.Want > published || published <= a.held)
+	renewal := !listed || own.JobsWant != publishedJobs || now.Sub(a.renewed) >= h.o.Term/renewalsPerTerm
+	return r, renewal || changed || reclaimed || lacking || own.Amount != a.held
+}
+
+// planReturn plans to give back all that is not in use.
+func (h *Holder) planReturn(a *account, r record, listed bool, now time.Time) (record, bool) {
+	if !listed {
+		return r, false
+	}
+	if a.inUse == 0 {
+		delete(r.Holders, h.o.Holder)
+		return r, true
+	}
+	own := r.Holders[h.o.Holder]
+	own.Want, own.Amount = 0, min(own.Amount, a.inUse)
+	r.Holders[h.o.Holder] = own
+	return r, own.Amount < a.held || now.Sub(a.renewed) >= h.o.Term/renewalsPerTerm
+}
+
+// reclaim removes the parts of holders whose renewal count has not changed for so long that nothing can run under them any more.
+func (h *Holder) reclaim(a *account, r record, now time.Time) bool {
+	reclaimed := false
+	for name, s := range a.seen {
+		if now.Sub(s.since) > r.Holders[name].hold()+h.o.Margin {
+			delete(r.Holders, name)
+			reclaimed = true
+		}
+	}
+	return reclaimed
+}
+
+// nextAmount returns the amount to hold next, given the fair one and what nobody holds.
+func (a *account) nextAmount(r record, fair, free int, holder string) int {
+	held := a.held
+	if fair > held && free > 0 {
+		return held + min(fair-held, free)
+	}
+	if fair < held && (free < 0 || lacks(r, holder)) {
+		return max(fair, a.inUse)
+	}
+	return held
+}
+
+// lacks reports whether jobs or other holders want more than they have, or a holder has nothing for its first request.
+func lacks(r record, holder string) bool {
+	if r.jobsWant() > 0 {
+		return true
+	}
+	for name, p := range r.Holders {
+		if name != holder && (p.Want > p.Amount || p.Amount == 0 && r.fair(name) > 0) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/allotment/sync.go
@@ -0,0 +1,243 @@
+package allotment
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/chivetiller/chivetiller/common/ident"
+	"github.com/chivetiller/chivetiller/platform"
+)
+
+const (
+	// renewalsPerTerm leaves time for two failed renewals before a part expires.
+	renewalsPerTerm = 3
+	// maxRounds bounds the repeats of a batch after conflicts within one round.
+	maxRounds = 4
+	// minPause is the least time between two rounds that denied requests cause.
+	minPause = 100 * time.Millisecond
+)
+
+// Start acquires parts of all teams and keeps them until Stop. It returns after the first round, also if that failed.
+func (h *Holder) Start(ctx context.Context) error {
+	if err := h.Sync(ctx); err != nil {
+		h.logger.Warn("Allotments are not held yet.", "error", err)
+	}
+	run, cancel := context.WithCancel(context.Background())
+	h.cancel, h.done = cancel, make(chan struct{})
+	go h.run(run)
+	return nil
+}
+
+func (h *Holder) run(ctx context.Context) {
+	defer close(h.done)
+	for {
+		// The jitter keeps the renewals of entry instances that started together apart.
+		timer := time.NewTimer(h.o.Interval*3/4 + rand.N(h.o.Interval/2))
+		select {
+		case <-timer.C:
+		case <-h.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+		if err := h.Sync(ctx); err != nil && ctx.Err() == nil {
+			h.logger.Debug("Allotments are not renewed.", "error", err)
+		}
+		select {
+		case <-time.After(minPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Stop returns all parts. Requests should have ended before: parts that are in use are kept until peers reclaim them.
+func (h *Holder) Stop(ctx context.Context) error {
+	h.mu.Lock()
+	h.stopping = true
+	h.mu.Unlock()
+	if h.cancel != nil {
+		h.cancel()
+		<-h.done
+	}
+	return h.Sync(ctx)
+}
+
+// Sync does one round: it reads the rows of all teams, renews parts that are due, and requests or returns
+// amounts. Start does this in the background; tests and tools may call it directly.
+func (h *Holder) Sync(ctx context.Context) error {
+	h.syncing.Lock()
+	defer h.syncing.Unlock()
+	h.mu.Lock()
+	teams := slices.Sorted(maps.Keys(h.teams))
+	h.mu.Unlock()
+	var errs []error
+	const maxRead = 256
+	for part := range slices.Chunk(teams, maxRead) {
+		if err := h.read(ctx, part); err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		for len(part) > 0 {
+			due := h.due(part)
+			if len(due) == 0 {
+				break
+			}
+			n := min(len(due), h.o.MaxBatch)
+			if err := h.commit(ctx, due[:n], 0); err != nil {
+				errs = append(errs, err)
+			}
+			// Teams in front of the last one of the batch have been considered.
+			next, _ := slices.BinarySearch(part, due[n-1])
+			part = part[next+1:]
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// read reads the rows of the teams.
+func (h *Holder) read(ctx context.Context, teams []string) error {
+	keys := make([]string, len(teams))
+	for i, team := range teams {
+		keys[i] = rowKey(team)
+	}
+	rows, err := h.o.Table.Read(ctx, keys...)
+	if err != nil {
+		return err
+	}
+	byKey := make(map[string]platform.Row, len(rows))
+	for _, row := range rows {
+		byKey[row.Key] = row
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	for i, team := range teams {
+		if err := h.absorb(h.teams[team], byKey[keys[i]], now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// absorb takes over what a row says. The zero row is an absent one.
+func (h *Holder) absorb(a *account, row platform.Row, now time.Time) error {
+	if row.Version == a.version {
+		return nil
+	}
+	r, err := decode(row)
+	if err != nil {
+		return err
+	}
+	a.version, a.record = row.Version, r
+	for name, p := range r.Holders {
+		if name != h.o.Holder && (a.seen[name].since.IsZero() || a.seen[name].count != p.Count) {
+			a.seen[name] = sighting{count: p.Count, since: now}
+		}
+	}
+	maps.DeleteFunc(a.seen, func(name string, _ sighting) bool { _, ok := r.Holders[name]; return !ok })
+	own, ok := r.Holders[h.o.Holder]
+	for _, t := range a.attempts {
+		if ok && t.count == own.Count {
+			h.confirm(a, t)
+		}
+	}
+	// Versions never repeat, so that attempts on another version can no longer take effect.
+	a.attempts = slices.DeleteFunc(a.attempts, func(t attempt) bool { return t.checked != row.Version })
+	if !ok && a.held > 0 {
+		h.logger.Warn("Allotment was reclaimed by a peer.", "team", a.team, "amount", a.held)
+		a.generation++
+	}
+	a.held = own.Amount
+	return nil
+}
+
+// confirm takes over the term of an attempt that took effect. It counts from before the transaction was sent.
+func (h *Holder) confirm(a *account, t attempt) {
+	if until := t.sent.Add(h.o.Term); until.After(a.until) {
+		a.until, a.renewed = until, t.sent
+	}
+	a.peak, a.denied = a.inUse, 0
+}
+
+// due returns the teams whose rows have to be written.
+func (h *Holder) due(teams []string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	var due []string
+	for _, team := range teams {
+		if _, ok := h.plan(h.teams[team], now); ok {
+			due = append(due, team)
+		}
+	}
+	return due
+}
+
+// commit writes the parts of the teams in one transaction. After a conflict it reads the rows again, and
+// after a second one halves the batch, so that a busy row does not hold up the others.
+func (h *Holder) commit(ctx context.Context, teams []string, round int) error {
+	txn, sent := h.prepare(teams)
+	if len(txn.Writes) == 0 {
+		return nil
+	}
+	err := h.o.Table.Commit(ctx, txn)
+	switch {
+	case err == nil:
+		return h.read(ctx, sent)
+	case errors.Is(err, platform.ErrConflict) && round < maxRounds:
+		h.forget(sent)
+		if err := h.read(ctx, sent); err != nil {
+			return err
+		}
+		if half := len(sent) / 2; round > 0 && half > 0 {
+			return errors.Join(h.commit(ctx, sent[:half], round+1), h.commit(ctx, sent[half:], round+1))
+		}
+		return h.commit(ctx, sent, round+1)
+	case !errors.Is(err, platform.ErrUnknownOutcome):
+		h.forget(sent)
+	}
+	return err
+}
+
+// prepare builds the transaction of the teams that are due and notes it as an attempt.
+func (h *Holder) prepare(teams []string) (platform.Txn, []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	txn := platform.Txn{OperationID: ident.New()}
+	var sent []string
+	for _, team := range teams {
+		a := h.teams[team]
+		r, ok := h.plan(a, now)
+		if !ok {
+			continue
+		}
+		a.count++
+		amount := 0
+		if own, ok := r.Holders[h.o.Holder]; ok {
+			own.Count, amount = a.count, own.Amount
+			r.Holders[h.o.Holder] = own
+		}
+		a.attempts = append(a.attempts, attempt{checked: a.version, count: a.count, amount: amount, sent: now})
+		txn.Checks = append(txn.Checks, platform.Check{Key: rowKey(team), Version: a.version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: rowKey(team), Value: r.encode()})
+		sent = append(sent, team)
+	}
+	return txn, sent
+}
+
+// forget removes the newest attempt of the teams, which certainly had no effect.
+func (h *Holder) forget(teams []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, team := range teams {
+		a := h.teams[team]
+		a.attempts = a.attempts[:len(a.attempts)-1]
+	}
+}
