--- a/config/config.go
+++ b/config/config.go
@@ -235,13 +235,15 @@
 func (p Problem) String() string {
 	switch {
 	case p.File != "":
-		return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Detail)
+		return p.place() + ": " + p.Detail
 	case p.Ref.Name != "":
 		return fmt.Sprintf("%s: %s", p.Ref, p.Detail)
 	}
 	return p.Detail
 }
 
+func (p Problem) place() string { return fmt.Sprintf("%s:%d", p.File, p.Line) }
+
 // Invalid means that a change was refused because of its content. Nothing was written.
 type Invalid struct{ Problems []Problem }
 
