Hedge idempotent requests

A second attempt starts at the estimated 95th percentile of attempt times if budget, permit and another endpoint are free at once. The first complete response counts. Attempts that a caller ended say nothing about the endpoint.

--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -20,6 +20,9 @@
 	mayHaveRun bool
 }
 
+// outcomeNone says nothing about an endpoint. The set records only the outcomes that it knows.
+const outcomeNone endpoint.Outcome = -1
+
 // result is the result of one attempt. Either response or problem is set.
 type result struct {
 	response *Response
@@ -29,6 +32,8 @@
 	retry bool
 	// notRun says that this attempt certainly had no effect.
 	notRun bool
+	// answered says that the time of the attempt tells how long such requests take.
+	answered bool
 }
 
 func (e *execution) run(ctx context.Context) (*Response, *problem.Problem) {
@@ -42,11 +47,16 @@
 			return e.refused(last, g.err)
 		}
 		var conn *connection.Conn
-		last, conn = e.attempt(ctx, g)
+		if g.hedgeAfter > 0 {
+			last, conn = e.hedged(ctx, g)
+		} else {
+			last, conn = e.attempt(ctx, g)
+		}
 		e.mayHaveRun = e.mayHaveRun || !last.notRun
 		retry := last.retry && ctx.Err() == nil
 		e.task.send(attempted{
-			ticket: e.ticket, target: g.target, conn: conn, outcome: last.outcome, retry: retry, notRun: !e.mayHaveRun,
+			ticket: e.ticket, target: g.target, conn: conn, outcome: last.outcome,
+			answered: last.answered, retry: retry, notRun: !e.mayHaveRun,
 		})
 		if !retry {
 			return e.end(last)
@@ -104,7 +114,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			e.task.logger.Error("Attempt recovered from a panic.", "pool", e.task.pool, "request", r.ID, "panic", p)
-			res = result{problem: problem.Unknown(problem.Internal, "attempt failed inside the entry instance"), outcome: endpoint.OutcomeOK}
+			res = result{problem: problem.Unknown(problem.Internal, "attempt failed inside the entry instance"), outcome: outcomeNone}
 			reusable = nil
 			if conn != nil {
 				conn.Close()
@@ -123,6 +133,9 @@
 	if conn == nil {
 		c, err := e.dial(ctx, g)
 		if err != nil {
+			if ctx.Err() != nil {
+				return result{problem: problem.NotRun(problem.Cancelled, ""), outcome: outcomeNone, notRun: true}, nil
+			}
 			return e.dialFailed(g, err), nil
 		}
 		conn = c
@@ -191,10 +204,10 @@
 		if !errors.As(fault.Err, &p) {
 			p = problem.NotRun(problem.Internal, fault.Err.Error())
 		}
-		return result{problem: p, outcome: endpoint.OutcomeOK, notRun: true}
+		return result{problem: p, outcome: outcomeNone, notRun: true}
 	}
 	if fault.Kind == connection.FaultCancelled {
-		return result{problem: truth(fault.Sent, problem.Cancelled, ""), outcome: endpoint.OutcomeOK, notRun: !fault.Sent}
+		return result{problem: truth(fault.Sent, problem.Cancelled, ""), outcome: outcomeNone, notRun: !fault.Sent}
 	}
 	e.report(g, fault.Kind, fault.Sent, fault.Err)
 	kind, detail := problem.EndpointFailed, "endpoint sent no complete response: "+string(fault.Kind)
@@ -230,7 +243,7 @@
 		}
 	}
 	if response.Status < http.StatusInternalServerError {
-		return result{response: response, outcome: endpoint.OutcomeOK}
+		return result{response: response, outcome: endpoint.OutcomeOK, answered: true}
 	}
 	return result{response: response, outcome: endpoint.OutcomeFailed, retry: e.ticket.request.Idempotent && mayHelp(response.Status)}
 }
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -52,7 +52,9 @@
 	// idle is a connection to use if it is still open, or nil.
 	idle   *connection.Conn
 	permit Permit
-	err    *problem.Problem
+	// hedgeAfter is the time after which a second attempt is asked for; 0 means never.
+	hedgeAfter time.Duration
+	err        *problem.Problem
 }
 
 // answer sends a grant. It never blocks the task, whatever the requester does.
@@ -82,6 +84,8 @@
 	// conn can carry another request; it is nil if there is no such connection.
 	conn    *connection.Conn
 	outcome endpoint.Outcome
+	// answered says that the attempt ended with a complete response, its own or that of a second attempt.
+	answered bool
 	// retry asks for another attempt.
 	retry bool
 	// notRun says that no attempt so far can have had an effect.
@@ -90,9 +94,13 @@
 
 func (m attempted) apply(t *task, now time.Time) {
 	t.giveBack(now, m.target, m.conn, m.outcome)
-	m.ticket.slotTime += now.Sub(m.ticket.granted)
+	elapsed := now.Sub(m.ticket.granted)
+	m.ticket.slotTime += elapsed
+	if m.answered {
+		t.learn(m.ticket.request.Class, elapsed)
+	}
 	if !m.retry {
-		t.finish(now, m.ticket, m.outcome == endpoint.OutcomeOK)
+		t.finish(now, m.ticket, m.answered)
 		return
 	}
 	if !t.retry(now, m.ticket, m.notRun) {
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -17,6 +17,8 @@
 	// tick is how often waiting requests are looked at when nothing else happens, to expire them
 	// and to find permits and endpoints that became free elsewhere.
 	tick = 5 * time.Millisecond
+	// sweepInterval is how long after its deadline a request may stay in the queue.
+	sweepInterval = time.Second
 	// mailboxSize bounds the messages that wait for a task. Senders block beyond it.
 	mailboxSize = 1024
 )
@@ -40,11 +42,13 @@
 	endpoints Endpoints
 	budgets   map[string]*retry.Budget
 	policy    *retry.Policy
-	idle      idleConns
-	waiting   map[string]*ticket
-	retries   []*ticket
-	inFlight  int
-	stopping  bool
+	// tails are the estimates of attempt times by class.
+	tails    map[string]*tail
+	idle     idleConns
+	waiting  map[string]*ticket
+	retries  []*ticket
+	inFlight int
+	stopping bool
 	// current is the request that is being handled.
 	current *ticket
 	// permits are acquired in the current round and not used yet.
@@ -64,6 +68,7 @@
 		endpoints: o.NewEndpoints(pool),
 		budgets:   make(map[string]*retry.Budget),
 		policy:    retry.NewPolicy(),
+		tails:     make(map[string]*tail),
 		idle:      make(idleConns),
 		waiting:   make(map[string]*ticket),
 		permits:   make(map[string]Permit),
@@ -253,7 +258,7 @@
 	k.last = target.ID
 	k.state = stateGranted
 	k.granted = now
-	k.answer(grant{target: target, idle: t.idle.take(target), permit: k.permit})
+	k.answer(grant{target: target, idle: t.idle.take(target), permit: k.permit, hedgeAfter: t.hedgeAfter(now, k)})
 }
 
 // retry queues another attempt, or reports false if none is allowed.
@@ -319,6 +324,19 @@
 			t.abandon(now, k, problem.NotRun(problem.Late, "no endpoint became free in time"))
 		}
 	}
+	if now.Sub(t.swept) > sweepInterval {
+		t.swept = now
+		t.sweep(now)
+	}
+}
+
+// sweep answers requests that the scheduler no longer knows, which only a panic inside it can cause.
+func (t *task) sweep(now time.Time) {
+	for _, k := range t.waiting {
+		if now.Sub(k.request.Deadline) > sweepInterval {
+			t.abandon(now, k, problem.NotRun(problem.Internal, "request was lost in the queue"))
+		}
+	}
 }
 
 // expired says why a request was not dispatched in time.
