--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -48,6 +48,8 @@
 	waiting  map[string]*ticket
 	retries  []*ticket
 	inFlight int
+	// swept is when waiting requests were last compared with their deadlines.
+	swept    time.Time
 	stopping bool
 	// current is the request that is being handled.
 	current *ticket
