Bound the target of a class to one minute

A lost entry instance strands its part of an upper limit until its longest request has ended. Without a bound on targets that time is unbounded, so work that takes longer than a minute is submitted as a job.

--- a/class/class.go
+++ b/class/class.go
@@ -15,6 +15,10 @@
 // DefaultObjective is the fraction of requests that must meet the target where a class names none.
 const DefaultObjective = 0.999
 
+// MaxTarget is the longest target of a class. The part of an upper limit that a lost entry instance held
+// is free again only after its longest request has ended, so longer work is submitted as a job.
+const MaxTarget = time.Minute
+
 // Spec is the document of a class.
 type Spec struct {
 	Name string `yaml:"name" json:"name"`
@@ -50,6 +54,9 @@
 	if err != nil || target <= 0 {
 		return Class{}, eris.Errorf("class %q: target %q is not a positive duration", spec.Name, spec.Target)
 	}
+	if target > MaxTarget {
+		return Class{}, eris.Errorf("class %q: target %s is longer than %s; submit longer work as a job", spec.Name, target, MaxTarget)
+	}
 	if !(spec.Share > 0) {
 		return Class{}, eris.Errorf("class %q: share %v is not greater than 0", spec.Name, spec.Share)
 	}
