--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -71,6 +71,7 @@
 	requests *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	faults   *prometheus.CounterVec
+	extra    *prometheus.CounterVec
 }
 
 // NewSet returns the metrics of an entry instance.
@@ -93,9 +94,14 @@
 			Name:      "endpoint_faults_total",
 			Help:      "Faulty responses of endpoints by kind.",
 		}, []string{"kind"}),
+		extra: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "extra_attempts_total",
+			Help:      "Attempts at endpoints beyond the first of a request, by class and kind: retry or hedge.",
+		}, []string{"class", "kind"}),
 	}
 	s.registry.MustRegister(
-		s.requests, s.duration, s.faults,
+		s.requests, s.duration, s.faults, s.extra,
 		newStateCollector(sources),
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
@@ -114,6 +120,11 @@
 	s.faults.WithLabelValues(kind).Inc()
 }
 
+// ExtraAttempt counts an attempt beyond the first of a request. The kind is "retry" or "hedge".
+func (s *Set) ExtraAttempt(class, kind string) {
+	s.extra.WithLabelValues(class, kind).Inc()
+}
+
 // Handler serves the metrics over HTTP.
 func (s *Set) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -42,6 +42,7 @@
 	set := metrics.NewSet(newSources(1, 1))
 	set.Request("quote", "answered", time.Millisecond)
 	set.Fault("truncated")
+	set.ExtraAttempt("quote", "retry")
 	problems, err := testutil.GatherAndLint(set.Registry())
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, problems, qt.HasLen, 0)
@@ -60,6 +61,7 @@
 	set := metrics.NewSet(newSources(1, 1))
 	set.Request("quote", "answered", time.Millisecond)
 	set.Fault("truncated")
+	set.ExtraAttempt("quote", "retry")
 	families, err := set.Registry().Gather()
 	qt.Assert(t, err, qt.IsNil)
 	var registered []string
--- a/settings/check.go
+++ b/settings/check.go
@@ -34,6 +34,7 @@
 	c.checkPeers(s)
 	c.checkCertificates(s)
 	c.checkLimits(s.Limits)
+	c.positive("membership.heartbeat", s.Membership.Heartbeat)
 	c.positive("keys.freshness", s.Keys.Freshness)
 	c.oneOf("keys.whenCutOff", s.Keys.WhenCutOff, WhenCutOffRefuse, WhenCutOffBounded)
 	c.positive("keys.term", s.Keys.Term)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,7 @@
 	Listen       ListenSpec       `yaml:"listen"`
 	Platform     PlatformSpec     `yaml:"platform"`
 	Peers        []PeerSpec       `yaml:"peers"`
+	Membership   MembershipSpec   `yaml:"membership"`
 	Certificates CertificatesSpec `yaml:"certificates"`
 	Limits       LimitsSpec       `yaml:"limits"`
 	Keys         KeysSpec         `yaml:"keys"`
@@ -64,6 +65,12 @@
 	Address string `yaml:"address"`
 }
 
+// MembershipSpec tells how entry instances watch each other.
+type MembershipSpec struct {
+	// Heartbeat is the time between heartbeats. All entry instances have the same.
+	Heartbeat time.Duration `yaml:"heartbeat"`
+}
+
 // CertificatesSpec holds paths of PEM files. They are read again when they change.
 type CertificatesSpec struct {
 	Authority   string `yaml:"authority"`
@@ -123,7 +130,8 @@
 // Default returns the settings that apply where the file says nothing.
 func Default() Spec {
 	return Spec{
-		Platform: PlatformSpec{Timeout: 2 * time.Second, WritesPerSecond: 40, ReadsPerSecond: 250},
+		Platform:   PlatformSpec{Timeout: 2 * time.Second, WritesPerSecond: 40, ReadsPerSecond: 250},
+		Membership: MembershipSpec{Heartbeat: time.Second},
 		Limits: LimitsSpec{
 			HeaderBytes:   16 << 10,
 			BodyBytes:     1 << 20,
@@ -158,6 +166,9 @@
 // Peers returns the other entry instances.
 func (s Settings) Peers() []PeerSpec { return s.spec.Peers }
 
+// Membership tells how entry instances watch each other.
+func (s Settings) Membership() MembershipSpec { return s.spec.Membership }
+
 // Certificates returns the paths of the certificates.
 func (s Settings) Certificates() CertificatesSpec { return s.spec.Certificates }
 
