Measure the roll-out time of a wave in virtual time

Cause: the target is 1.2 times the least time that the budgets allow, 1.4 with a tenth of the instances failing to return. Change: a simulated fleet with explicit time runs whole waves.

--- /dev/null
+++ b/wave/bench_test.go
@@ -0,0 +1,59 @@
+package wave_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/chivetiller/chivetiller/wave"
+)
+
+// BenchmarkRollout measures the time of a wave over the least time that the budget allows, in virtual
+// time, beside one at a time per pool and a fixed tenth per pool.
+// Bounds: rollout-ratio at most 1.2, at most 1.4 with a tenth failing, violations 0.
+func BenchmarkRollout(b *testing.B) {
+	fleets := map[string]struct{ pools, low, high int }{
+		"directorate": {5, 9, 12},
+		"nilbelt":     {5, 9, 12},
+		"pools=50":    {50, 11, 16},
+		"pools=273":   {273, 11, 16},
+	}
+	budgets := map[string]string{"directorate": "20%", "nilbelt": "30%", "pools=50": "20%", "pools=273": "20%"}
+	strategies := map[string]strategy{
+		"plan":  wave.Plan,
+		"one":   limited(func(int) int { return 1 }),
+		"tenth": limited(func(size int) int { return max(1, size/10) }),
+	}
+	for name, size := range fleets {
+		for _, failing := range []float64{0, 0.1} {
+			for kind, choose := range strategies {
+				b.Run(name+"/failing="+map[float64]string{0: "0", 0.1: "tenth"}[failing]+"/"+kind, func(b *testing.B) {
+					var ratio, worst float64
+					violations := 0
+					var slowest time.Duration
+					n := 0
+					for b.Loop() {
+						for seed := range uint64(max(1, 60/size.pools)) {
+							fleet := simFleet(rand.New(rand.NewPCG(seed, 1)), size.pools, size.low, size.high, budgets[name], failing)
+							var least time.Duration
+							for _, sp := range fleet {
+								least = max(least, sp.least())
+							}
+							out := run(fleet, choose)
+							each := out.took.Seconds() / least.Seconds()
+							ratio += each
+							worst = max(worst, each)
+							violations += out.violations
+							slowest = max(slowest, out.slowest)
+							n++
+						}
+					}
+					b.ReportMetric(ratio/float64(n), "rollout-ratio")
+					b.ReportMetric(worst, "rollout-ratio-worst")
+					b.ReportMetric(float64(violations), "violations")
+					b.ReportMetric(float64(slowest.Microseconds())/1000, "plan-ms")
+				})
+			}
+		}
+	}
+}
