Test the dispatch task under faults, and use allotments as permits

Retries stay within their budget, hedged requests count against the upper limit, leaving endpoints get no new work, quotas bound requests and connections, and a panic in a decision package does not end the task.

--- /dev/null
+++ b/dispatch/dispatch_integration_test.go
@@ -0,0 +1,429 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/allotment"
+	"github.com/chivetiller/chivetiller/class"
+	"github.com/chivetiller/chivetiller/common/ident"
+	"github.com/chivetiller/chivetiller/common/problem"
+	"github.com/chivetiller/chivetiller/dispatch"
+	"github.com/chivetiller/chivetiller/endpoint"
+	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/queue"
+	"github.com/chivetiller/chivetiller/standin"
+)
+
+const poolName = "shiftDesk"
+
+type rig struct {
+	*dispatch.Dispatcher
+	endpoints []*standin.Endpoint
+	quota     int
+}
+
+func newRig(t *testing.T, endpoints int, service standin.Distribution, o dispatch.Options) *rig {
+	c := qt.New(t)
+	r := &rig{Dispatcher: dispatch.New(o), quota: endpoint.SlotsPerEndpoint}
+	p, err := pool.New(pool.Spec{Name: poolName, MaxUnavailable: "1"})
+	c.Assert(err, qt.IsNil)
+	k, err := class.New(class.Spec{Name: "swap", Pool: poolName, Target: "1s", Share: 1})
+	c.Assert(err, qt.IsNil)
+	r.Configure([]pool.Pool{p}, []class.Class{k}, nil)
+	for i := range endpoints {
+		e := standin.New(standin.Options{ID: fmt.Sprintf("e%d", i), Service: service})
+		c.Assert(e.Start(t.Context()), qt.IsNil)
+		r.endpoints = append(r.endpoints, e)
+	}
+	r.announce(-1)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		c.Check(r.Stop(ctx), qt.IsNil)
+		for _, e := range r.endpoints {
+			_ = e.Crash()
+		}
+	})
+	return r
+}
+
+func (r *rig) announce(leaving int) {
+	list := make([]endpoint.Endpoint, 0, len(r.endpoints))
+	for i, e := range r.endpoints {
+		list = append(list, endpoint.Endpoint{
+			ID: e.ID(), Address: e.Address(), Incarnation: e.Incarnation(), Quota: r.quota, Leaving: i == leaving,
+		})
+	}
+	r.SetEndpoints(poolName, list)
+}
+
+func request(method string) *dispatch.Request {
+	id := ident.New()
+	return &dispatch.Request{
+		ID: id, Class: "swap", Team: "supervisors", Arrival: time.Now(), Deadline: time.Now().Add(time.Second),
+		Method: method, Idempotent: method != http.MethodPost, URL: &url.URL{Path: "/a"},
+		Header: http.Header{problem.HeaderRequestID: {id}}, Body: []byte(id),
+	}
+}
+
+// do sends a request and returns its response, or the problem.
+func (r *rig) do(ctx context.Context, q *dispatch.Request) (*dispatch.Response, *problem.Problem) {
+	response, err := r.Do(ctx, poolName, q)
+	var p *problem.Problem
+	if err != nil && !errors.As(err, &p) {
+		panic(err)
+	}
+	return response, p
+}
+
+func (r *rig) runs() int {
+	n := 0
+	for _, e := range r.endpoints {
+		n += len(e.Runs())
+	}
+	return n
+}
+
+// many runs count requests on workers goroutines and returns how often each problem kind came; "" is a response.
+func (r *rig) many(workers, count int, method string) map[string]int {
+	var mu sync.Mutex
+	kinds := make(map[string]int)
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for range count / workers {
+				_, p := r.do(context.Background(), request(method))
+				name := ""
+				if p != nil {
+					name = p.Kind().Name
+				}
+				mu.Lock()
+				kinds[name]++
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return kinds
+}
+
+// permits is a limit for one team.
+type permits struct {
+	mu         sync.Mutex
+	limit      int
+	used, peak int
+	lapsed     bool
+}
+
+func (p *permits) Acquire(string) (dispatch.Permit, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.used >= p.limit {
+		return nil, allotment.ErrLimit
+	}
+	p.used++
+	p.peak = max(p.peak, p.used)
+	return &permit{p}, nil
+}
+
+type permit struct{ of *permits }
+
+func (p *permit) Check() error {
+	if p.of.lapsed {
+		return allotment.ErrExpired
+	}
+	return nil
+}
+
+func (p *permit) Release() {
+	p.of.mu.Lock()
+	defer p.of.mu.Unlock()
+	p.of.used--
+}
+
+// TestRetryBudget guards against retries that multiply the load of endpoints that fail.
+func TestRetryBudget(t *testing.T) {
+	for name, fault := range map[string]standin.FaultKind{
+		"fails fast": standin.FaultFailFast, "closes": standin.FaultCloseAfterRunning,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t, 4, standin.Fixed(0), dispatch.Options{NoHedge: true})
+			for _, e := range r.endpoints {
+				e.SetFault(standin.Fault{Kind: fault})
+			}
+			const count = 400
+			r.many(4, count, http.MethodGet)
+			// The budget is a tenth of the first attempts plus a burst of 10.
+			c.Assert(r.runs() <= count+count/10+10, qt.IsTrue, qt.Commentf("%d runs", r.runs()))
+		})
+	}
+}
+
+// TestUpperLimit guards against a team with more running requests than its limit, retries and hedges included,
+// and against permits that are not given back.
+func TestUpperLimit(t *testing.T) {
+	c := qt.New(t)
+	p := &permits{limit: 3}
+	r := newRig(t, 4, standin.LogNormal(time.Millisecond, 1), dispatch.Options{Permits: p})
+	r.endpoints[0].SetFault(standin.Fault{Kind: standin.FaultSlow, Delay: 50 * time.Millisecond})
+	r.endpoints[1].SetFault(standin.Fault{Kind: standin.FaultCloseAfterRunning})
+	r.many(12, 600, http.MethodGet)
+	c.Assert(p.peak, qt.Equals, 3)
+	// The task receives the last reports after the responses.
+	for n := 0; n < 200 && r.Loads()[0].InFlight > 0; n++ {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(r.Loads()[0].InFlight, qt.Equals, 0)
+	c.Assert(p.used, qt.Equals, 0)
+}
+
+// TestDenied guards against a wrong reason or a wrong statement for a team that gets no permit in time, or whose
+// permit lapses between dispatch and the first byte.
+func TestDenied(t *testing.T) {
+	tests := map[string]struct {
+		permits *permits
+		want    problem.Kind
+	}{
+		"at limit": {permits: &permits{limit: 0}, want: problem.UpperLimit},
+		"lapsed":   {permits: &permits{limit: 1, lapsed: true}, want: problem.LimitsUnchecked},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t, 1, standin.Fixed(0), dispatch.Options{Permits: test.permits})
+			q := request(http.MethodPost)
+			q.Deadline = q.Arrival.Add(50 * time.Millisecond)
+			_, p := r.do(t.Context(), q)
+			c.Assert(p, qt.IsNotNil)
+			c.Assert(p.Kind(), qt.Equals, test.want)
+			c.Assert(p.NotRun(), qt.IsTrue)
+			c.Assert(r.runs(), qt.Equals, 0)
+		})
+	}
+}
+
+// TestLeaving guards against new work for a leaving endpoint, and against work in flight that its leaving interrupts.
+func TestLeaving(t *testing.T) {
+	tests := map[string]func(r *rig){
+		"announced": func(r *rig) { r.announce(0) },
+		"drained":   func(r *rig) { r.endpoints[0].Drain() },
+		"unlisted":  func(r *rig) { r.endpoints = r.endpoints[1:]; r.announce(-1) },
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t, 3, standin.Fixed(5*time.Millisecond), dispatch.Options{})
+			e := r.endpoints[0]
+			var left time.Time
+			time.AfterFunc(100*time.Millisecond, func() { leave(r); left = time.Now() })
+			kinds := r.many(8, 800, http.MethodPost)
+			c.Assert(kinds, qt.DeepEquals, map[string]int{"": 800})
+			before := 0
+			for _, run := range e.Runs() {
+				c.Assert(run.Sent, qt.IsTrue)
+				if run.Start.Before(left) {
+					before++
+				}
+				c.Assert(run.Start.Sub(left) < 20*time.Millisecond, qt.IsTrue)
+			}
+			c.Assert(before > 0, qt.IsTrue)
+		})
+	}
+}
+
+// TestQuota guards against more requests or connections to an endpoint than the quota, also while it shrinks.
+func TestQuota(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, 2, standin.Exponential(time.Millisecond), dispatch.Options{})
+	e := r.endpoints[0]
+	for _, quota := range []int{4, 2, 1} {
+		r.quota = quota
+		r.announce(-1)
+		// Requests that were in flight when the quota shrank end within this time.
+		time.Sleep(50 * time.Millisecond)
+		stop := make(chan struct{})
+		var watcher sync.WaitGroup
+		var most, connections int
+		watcher.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(200 * time.Microsecond):
+					most, connections = max(most, e.InFlight()), max(connections, e.Connections())
+				}
+			}
+		})
+		kinds := r.many(16, 480, http.MethodPost)
+		close(stop)
+		watcher.Wait()
+		c.Assert(kinds[""], qt.Equals, 480, qt.Commentf("%v", kinds))
+		c.Assert(most <= quota, qt.IsTrue, qt.Commentf("%d requests, quota %d", most, quota))
+		c.Assert(connections <= quota, qt.IsTrue, qt.Commentf("%d connections, quota %d", connections, quota))
+	}
+}
+
+// TestHedge guards against idempotent requests that wait for a slow endpoint, and against non-idempotent ones that are hedged.
+func TestHedge(t *testing.T) {
+	for method, wantFast := range map[string]bool{http.MethodGet: true, http.MethodPost: false} {
+		t.Run(method, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t, 3, standin.Fixed(time.Millisecond), dispatch.Options{})
+			r.many(4, 400, method)
+			r.endpoints[0].SetFault(standin.Fault{Kind: standin.FaultSlow, Delay: 300 * time.Millisecond})
+			slow := 0
+			for range 12 {
+				q := request(method)
+				_, p := r.do(t.Context(), q)
+				c.Assert(p == nil, qt.IsTrue)
+				if time.Since(q.Arrival) > 150*time.Millisecond {
+					slow++
+				}
+			}
+			c.Assert(slow == 0, qt.Equals, wantFast, qt.Commentf("%d slow", slow))
+			if !wantFast {
+				c.Assert(r.runs(), qt.Equals, 412)
+			}
+		})
+	}
+}
+
+// TestEarlierAttempt guards against "not run" for a request whose first attempt may have run.
+func TestEarlierAttempt(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, 1, standin.Fixed(0), dispatch.Options{})
+	e := r.endpoints[0]
+	e.SetFault(standin.Fault{Kind: standin.FaultCloseAfterRunning})
+	e.OnRequest(func(*http.Request) {
+		if e.InFlight() == 0 && len(e.Runs()) > 0 {
+			e.Drain()
+		}
+	})
+	_, p := r.do(t.Context(), request(http.MethodPut))
+	c.Assert(p, qt.IsNotNil)
+	c.Assert(r.runs(), qt.Equals, 1)
+	c.Assert(e.Refused() > 0, qt.IsTrue)
+	c.Assert(p.NotRun(), qt.IsFalse)
+}
+
+// TestCancel guards against work that runs although its caller went away while it waited, and against an
+// unfinished run of a request that may not be repeated.
+func TestCancel(t *testing.T) {
+	c := qt.New(t)
+	p := &permits{limit: 1}
+	r := newRig(t, 1, standin.Fixed(60*time.Millisecond), dispatch.Options{Permits: p})
+	running, cancelRunning := context.WithCancel(t.Context())
+	waiting, cancelWaiting := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		response, problem := r.do(running, request(http.MethodPost))
+		c.Check(problem == nil, qt.IsTrue)
+		c.Check(response, qt.IsNotNil)
+	})
+	for r.endpoints[0].InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	wg.Go(func() {
+		_, got := r.do(waiting, request(http.MethodPost))
+		c.Check(got.Kind(), qt.Equals, problem.Cancelled)
+		c.Check(got.NotRun(), qt.IsTrue)
+	})
+	for r.Loads()[0].Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancelRunning()
+	cancelWaiting()
+	wg.Wait()
+	c.Assert(r.runs(), qt.Equals, 1)
+	c.Assert(r.endpoints[0].Runs()[0].Sent, qt.IsTrue)
+}
+
+// TestStop guards against a stop that interrupts a request in flight, or leaves a waiting one without an answer.
+func TestStop(t *testing.T) {
+	c := qt.New(t)
+	p := &permits{limit: 2}
+	r := newRig(t, 1, standin.Fixed(50*time.Millisecond), dispatch.Options{Permits: p})
+	var answered, stopped atomic.Int64
+	var wg sync.WaitGroup
+	for range 5 {
+		wg.Go(func() {
+			switch _, p := r.do(context.Background(), request(http.MethodPost)); {
+			case p == nil:
+				answered.Add(1)
+			case p.Kind() == problem.Stopping && p.NotRun():
+				stopped.Add(1)
+			}
+		})
+	}
+	for l := r.Loads()[0]; l.Queued != 3 || l.InFlight != 2; l = r.Loads()[0] {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(r.Stop(t.Context()), qt.IsNil)
+	wg.Wait()
+	c.Assert(answered.Load(), qt.Equals, int64(2))
+	c.Assert(stopped.Load(), qt.Equals, int64(3))
+	_, late := r.do(t.Context(), request(http.MethodGet))
+	c.Assert(late.Kind(), qt.Equals, problem.Stopping)
+}
+
+// faultyScheduler panics in one method for one request.
+type faultyScheduler struct {
+	*queue.Scheduler
+	method string
+	armed  atomic.Bool
+}
+
+func (s *faultyScheduler) trip(method string) {
+	if method == s.method && s.armed.Swap(false) {
+		panic("test panic in " + method)
+	}
+}
+
+func (s *faultyScheduler) Offer(now time.Time, r queue.Request) error {
+	s.trip("Offer")
+	return s.Scheduler.Offer(now, r)
+}
+
+func (s *faultyScheduler) Next(now time.Time, mayRun func(string) bool) (queue.Request, bool) {
+	s.trip("Next")
+	return s.Scheduler.Next(now, mayRun)
+}
+
+func (s *faultyScheduler) Finished(now time.Time, r queue.Request, service time.Duration) {
+	s.trip("Finished")
+	s.Scheduler.Finished(now, r, service)
+}
+
+// TestPanic guards against a pool that stops serving because one request made its task panic.
+func TestPanic(t *testing.T) {
+	for _, method := range []string{"Offer", "Next", "Finished", "Check"} {
+		t.Run(method, func(t *testing.T) {
+			c := qt.New(t)
+			s := &faultyScheduler{Scheduler: queue.NewScheduler(queue.Options{}), method: method}
+			r := newRig(t, 1, standin.Fixed(0), dispatch.Options{NewScheduler: func(string) dispatch.Scheduler { return s }})
+			s.armed.Store(true)
+			q := request(http.MethodPost)
+			if method == "Check" {
+				q.Check = func() error { panic("test panic in Check") }
+			}
+			_, p := r.do(t.Context(), q)
+			if p != nil && p.NotRun() {
+				c.Assert(r.runs(), qt.Equals, 0)
+			}
+			kinds := r.many(4, 200, http.MethodPost)
+			c.Assert(kinds, qt.DeepEquals, map[string]int{"": 200})
+			c.Assert(r.Loads()[0].InFlight <= 1, qt.IsTrue)
+		})
+	}
+}
--- a/dispatch/parts.go
+++ b/dispatch/parts.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/chivetiller/chivetiller/allotment"
 	"github.com/chivetiller/chivetiller/class"
 	"github.com/chivetiller/chivetiller/common/problem"
 	"github.com/chivetiller/chivetiller/endpoint"
@@ -47,6 +48,20 @@
 	Release()
 }
 
+// HolderPermits returns the permits of a holder of allotments.
+func HolderPermits(h *allotment.Holder) Permits { return holderPermits{h} }
+
+type holderPermits struct{ holder *allotment.Holder }
+
+// Acquire implements Permits.
+func (h holderPermits) Acquire(team string) (Permit, error) {
+	p, err := h.holder.Acquire(team)
+	if err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
 // rejection turns an error of the scheduler into a problem.
 func rejection(err error) *problem.Problem {
 	var r *queue.Rejection
@@ -75,5 +90,8 @@
 
 // denial turns the error of a permit into a problem.
 func denial(err error) *problem.Problem {
+	if errors.Is(err, allotment.ErrExpired) {
+		return problem.NotRun(problem.LimitsUnchecked, err.Error()).RetryAfter(time.Second)
+	}
 	return problem.NotRun(problem.UpperLimit, err.Error()).RetryAfter(time.Second)
 }
