Keep the request to an endpoint with its connection

Each exchange allocated the HTTP request, its body reader and the text of the address. They are now kept with the connection and emptied after the exchange.

--- a/dispatch/connection/connection.go
+++ b/dispatch/connection/connection.go
@@ -15,7 +15,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -89,6 +88,10 @@
 	reusable        bool
 	quiet           bool
 	peek            func(fd uintptr) bool
+	// host, request and body are kept for the next exchange, so that each allocates less.
+	host    string
+	request http.Request
+	body    bodyReader
 }
 
 // Dial connects to an endpoint.
@@ -102,7 +105,7 @@
 }
 
 func newConn(conn net.Conn, limits Limits) *Conn {
-	c := &Conn{conn: conn, limits: limits.withDefaults(), reusable: true}
+	c := &Conn{conn: conn, limits: limits.withDefaults(), reusable: true, host: conn.RemoteAddr().String()}
 	c.reader = bufio.NewReaderSize(limitedReader{c}, bufferSize)
 	c.writer = bufio.NewWriterSize(checkedWriter{c}, bufferSize)
 	if s, ok := conn.(syscall.Conn); ok {
@@ -163,6 +166,8 @@
 		return nil, c.fault(ctx, FaultConnection, err)
 	}
 	request := c.httpRequest(r)
+	// An idle connection holds on to no body.
+	defer c.forget()
 	err := request.Write(c.writer)
 	if err == nil {
 		err = c.writer.Flush()
@@ -185,12 +190,12 @@
 	return nil, c.writeFault(ctx, cause)
 }
 
-// httpRequest builds the form in which the standard library writes a request.
+// httpRequest builds the form in which the standard library writes a request. It is used for one exchange.
 func (c *Conn) httpRequest(r *Request) *http.Request {
-	request := &http.Request{
+	c.request = http.Request{
 		Method:        r.Method,
 		URL:           r.URL,
-		Host:          c.conn.RemoteAddr().String(),
+		Host:          c.host,
 		Header:        r.Header,
 		ContentLength: int64(len(r.Body)),
 		Proto:         "HTTP/1.1",
@@ -198,11 +203,24 @@
 		ProtoMinor:    1,
 	}
 	if len(r.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(r.Body))
+		c.body.Reset(r.Body)
+		c.request.Body = &c.body
 	}
-	return request
+	return &c.request
 }
 
+func (c *Conn) forget() {
+	c.check = nil
+	c.request = http.Request{}
+	c.body.Reset(nil)
+}
+
+// bodyReader is the body of a request.
+type bodyReader struct{ bytes.Reader }
+
+// Close implements io.Closer.
+func (*bodyReader) Close() error { return nil }
+
 // writeFault turns a failure to send into a fault. If nothing was sent, the connection can be used again.
 func (c *Conn) writeFault(ctx context.Context, err error) error {
 	if c.refused != nil {
