Let teams and classes within their share go before those over it

Cause: requests of teams within their share waited behind saturated teams and were rejected (8 % of a slow team's), and requests were dispatched that finished late. Tags of classes that never went idle drifted apart without bound while the pool was not full. Change: a tag follows the virtual time whenever the queue was empty, less a bounded credit (500 ms at the share; for an urgent class up to 2 s of all slots and half the targets of the others). Requests are dropped when less than the tail of the service time is left. The prediction counts the credit of classes that go first. The model has a second bound that keeps shares.

--- a/queue/admission.go
+++ b/queue/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 )
@@ -11,6 +12,9 @@
 	minRetryAfter = 50 * time.Millisecond
 	// noCapacityRetryAfter is the time after which a pool without slots may have some again.
 	noCapacityRetryAfter = time.Second
+	// overShare is the part of its share from which a team counts as over its share, because the
+	// average of occupied slots fluctuates.
+	overShare = 0.9
 )
 
 // Offer queues a request, or fails with a *Rejection if it cannot finish before its deadline or a bound
@@ -58,11 +62,13 @@
 
 func (s *Scheduler) enqueue(i *item, position int) {
 	q, c := i.queue, i.queue.class
-	if !c.busy() {
-		c.tag = max(c.tag, s.virtual)
+	if c.queued == 0 {
+		c.tag = max(c.tag, s.virtual-s.credit(c))
+	}
+	if q.queued() == 0 {
+		q.tag = max(q.tag, c.virtual-s.teamCredit(q))
 	}
 	if !q.busy() {
-		q.tag = max(q.tag, c.virtual)
 		c.busyTeams++
 		c.busyWeight += q.weight
 	}
@@ -103,7 +109,7 @@
 	e := q.estimate()
 	wait := 0.0
 	if s.occupied.running >= s.slots || s.queued > 0 {
-		wait = float64(position)*e.mean/s.rate(now, q) + s.slotWait()
+		wait = s.wait(now, q, float64(position)*e.mean) + s.slotWait()
 	}
 	finish := now.Add(duration(wait + e.tail()))
 	return finish.Sub(deadline)
@@ -119,18 +125,38 @@
 	return slotTime / float64(running*running)
 }
 
+// wait returns the time in seconds until the team has received the slot time, which is queued ahead.
+func (s *Scheduler) wait(now time.Time, q *teamQueue, slotTime float64) float64 {
+	c, slots := q.class, float64(s.slots)
+	// Classes that spend their credit go first; this one may be such a class itself.
+	ahead, least := 0.0, math.Inf(1)
+	for _, other := range s.order {
+		if other == c || other.queued == 0 {
+			continue
+		}
+		least = min(least, other.tag)
+		if lag := c.tag - other.tag; lag > 0 {
+			ahead += min(lag*other.weight, float64(other.queued)*other.service.mean)
+		}
+	}
+	rate := s.rate(now, q)
+	if lag := least - c.tag; lag > 0 && len(s.order) > 1 {
+		credit := min(lag*c.weight/slots, float64(c.queued)*c.service.mean/slots)
+		part := slots * q.weight / max(c.busyWeight, q.weight)
+		if slotTime <= part*credit {
+			return ahead/slots + slotTime/part
+		}
+		return ahead/slots + credit + (slotTime-part*credit)/rate
+	}
+	return ahead/slots + slotTime/rate
+}
+
 // rate returns how many slots the team can expect to use at a time: its share among the classes and
 // teams that compete, or what the others leave, whichever is more.
 func (s *Scheduler) rate(now time.Time, q *teamQueue) float64 {
 	c := q.class
-	total := 0.0
-	for _, other := range s.order {
-		if other.busy() || other == c {
-			total += other.weight
-		}
-	}
 	slots := float64(s.slots)
-	ofClass := max(slots*c.weight/total, slots-(s.occupied.at(now)-c.occupied.at(now)))
+	ofClass := max(slots*c.weight/s.busyWeight(c), slots-(s.occupied.at(now)-c.occupied.at(now)))
 	weight := c.busyWeight
 	if !q.busy() {
 		weight += q.weight
@@ -145,13 +171,8 @@
 	if s.occupied.running < s.slots || (c.busyTeams < 2 && s.occupied.running == c.occupied.running) {
 		return ReasonDeadline
 	}
-	total := 0.0
-	for _, other := range s.order {
-		if other.busy() {
-			total += other.weight
-		}
-	}
-	if q.busy() && q.occupied.at(now) >= 0.9*float64(s.slots)*c.weight/total*q.weight/c.busyWeight {
+	share := float64(s.slots) * c.weight / s.busyWeight(c) * q.weight / max(c.busyWeight, q.weight)
+	if q.busy() && q.occupied.at(now) >= overShare*share {
 		return ReasonOverShare
 	}
 	return ReasonDeadline
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -102,6 +102,7 @@
 	name   string
 	weight float64
 	urgent bool
+	target time.Duration
 	tag    float64
 	teams  map[string]*teamQueue
 	// waiting holds the teams with queued requests.
--- a/queue/load_test.go
+++ b/queue/load_test.go
@@ -51,16 +51,16 @@
 	}
 }
 
-// ratio returns the goodput ratio of the seconds [from, to).
-func (r result) ratio(from, to int) float64 {
-	var good, bound float64
+// ratio returns the goodput of the seconds [from, to) over a bound: 0 is without shares, 1 with shares.
+func (r result) ratio(bound, from, to int) float64 {
+	var good, could float64
 	for second := from; second < to; second++ {
-		bound += r.bounds[second]
+		could += r.bounds[bound].served[second]
 		for _, s := range r.seconds {
 			good += s[second].good
 		}
 	}
-	return good / bound
+	return good / could
 }
 
 // busy returns the scenario with demand of twice the capacity. The largest team is slow by the factor
@@ -122,9 +122,14 @@
 			if src.class != c.Name {
 				continue
 			}
+			var work float64
 			for second := from; second < to; second++ {
 				demands[i] += r.seconds[i][second].demand
 				served[i] += r.seconds[i][second].served
+				work += r.seconds[i][second].work
+			}
+			if work > 0 {
+				demands[i] *= served[i] / work // a slot is also held during the delays
 			}
 			classDemands[k] += demands[i]
 			total += served[i]
@@ -182,10 +187,12 @@
 					for range b.N {
 						r, shares = run(sc), run(busy(sc))
 					}
-					b.ReportMetric(r.ratio(0, 40), "goodput-ratio")
-					b.ReportMetric(r.ratio(10, 18), "goodput-ratio-urgent-surge")
-					b.ReportMetric(r.ratio(25, 33), "goodput-ratio-other-surge")
-					b.ReportMetric(r.lateRatio(sc, 18, 40), "late-ratio")
+					for n, name := range []string{"", "-with-shares"} {
+						b.ReportMetric(r.ratio(n, 0, 39), "goodput-ratio"+name)
+						b.ReportMetric(r.ratio(n, 10, 18), "goodput-ratio-urgent-surge"+name)
+						b.ReportMetric(r.ratio(n, 25, 33), "goodput-ratio-other-surge"+name)
+					}
+					b.ReportMetric(r.lateRatio(sc, 18, 39), "late-ratio")
 					b.ReportMetric(shares.shareError(sc, 4, 14), "share-error")
 					b.ReportMetric(shares.shareError(sc, 28, 38), "share-error-after-change")
 					b.ReportMetric(shares.shareError(sc, 8, 9), "share-error-1s")
--- a/queue/model_test.go
+++ b/queue/model_test.go
@@ -69,14 +69,14 @@
 // counts holds the results of a class, a team, or one of their windows of a second.
 type counts struct {
 	offered, answered, late, rejected, expired, failed int
-	demand, good, served                               float64 // slot time in seconds
+	demand, good, served, work                         float64 // in seconds; served includes delays, work does not
 }
 
 type result struct {
 	classes map[string]*counts
 	sources []*counts
 	seconds [][]counts // by source
-	bounds  []float64  // by second, slot time that could have been answered in time
+	bounds  [2]bound   // without and with shares: slot time that could have been answered in time
 	total   counts
 	full    int // rejections by a full endpoint
 	crossed int // dispatches to another data centre
@@ -123,7 +123,7 @@
 	random  *rand.Rand
 	entries []*entry
 	running []int // by worker
-	fluid   map[string][]fluid
+	bounds  [2]bound
 	targets map[string]time.Duration
 	res     result
 }
@@ -139,7 +139,7 @@
 func run(sc scenario) result {
 	start := time.Date(2026, 1, 2, 6, 0, 0, 0, time.UTC)
 	m := &model{scenario: sc, now: start, start: start, random: rand.New(rand.NewPCG(sc.seed, 1)),
-		running: make([]int, sc.workers), targets: map[string]time.Duration{}, fluid: map[string][]fluid{}}
+		running: make([]int, sc.workers), targets: map[string]time.Duration{}}
 	m.res = result{classes: map[string]*counts{}, seconds: make([][]counts, len(sc.sources))}
 	members := make([]endpoint.Member, sc.entries)
 	for i := range members {
@@ -177,18 +177,27 @@
 		m.res.classes[c.Name] = &counts{}
 		m.targets[c.Name], _ = time.ParseDuration(c.Target)
 	}
-	m.res.bounds = make([]float64, int(sc.length/time.Second)+60)
+	for n := range m.bounds {
+		m.bounds[n] = bound{fair: n == 1, waiting: make([][]fluid, len(sc.classes)), served: make([]float64, int(sc.length/time.Second)+60)}
+	}
 	for i := range sc.sources {
 		m.res.sources = append(m.res.sources, &counts{})
 		m.res.seconds[i] = make([]counts, int(sc.length/time.Second)+60)
 		m.arrivals(i)
 	}
-	m.after(tick, m.drainFluid)
+	var drain func()
+	drain = func() {
+		m.bounds[0].drain(m)
+		m.bounds[1].drain(m)
+		m.after(tick, drain)
+	}
+	m.after(tick, drain)
 	for len(m.queue) > 0 && m.queue[0].at.Sub(start) < sc.length {
 		next := heap.Pop(&m.queue).(event)
 		m.now = next.at
 		next.run()
 	}
+	m.res.bounds = m.bounds
 	return m.res
 }
 
@@ -203,31 +212,50 @@
 	amount   float64
 }
 
-// drainFluid computes the bound: a server without delays that shares all slots, has no shares to keep,
-// serves the earliest deadline first and drops only what it has not begun at its deadline.
-func (m *model) drainFluid() {
+// bound is a server without delays that shares all slots and drops only what it has not begun at its
+// deadline. It serves the earliest deadline first, or gives classes their max-min shares if fair is set.
+type bound struct {
+	fair    bool
+	waiting [][]fluid // by class
+	served  []float64 // by second
+}
+
+func (b *bound) drain(m *model) {
+	weights, amounts := make([]float64, len(b.waiting)), make([]float64, len(b.waiting))
+	for k := range b.waiting {
+		for len(b.waiting[k]) > 0 && b.waiting[k][0].deadline.Before(m.now) {
+			b.waiting[k] = b.waiting[k][1:]
+		}
+		weights[k] = m.classes[k].Share
+		for _, f := range b.waiting[k] {
+			amounts[k] += f.amount
+		}
+	}
 	left := m.capacity() * tick.Seconds()
+	parts := []float64{left, left}
+	if b.fair {
+		parts = fill(left, weights, amounts)
+	}
 	for left > 1e-9 {
-		earliest := ""
-		for name, waiting := range m.fluid {
-			for len(waiting) > 0 && (waiting[0].amount < 1e-9 || waiting[0].deadline.Before(m.now)) {
-				waiting = waiting[1:]
-			}
-			m.fluid[name] = waiting
-			if len(waiting) > 0 && (earliest == "" || waiting[0].deadline.Before(m.fluid[earliest][0].deadline)) {
-				earliest = name
+		best := -1
+		for k, waiting := range b.waiting {
+			if len(waiting) > 0 && parts[k] > 1e-9 && (best < 0 || waiting[0].deadline.Before(b.waiting[best][0].deadline)) {
+				best = k
 			}
 		}
-		if earliest == "" {
-			break
+		if best < 0 {
+			return
+		}
+		first := &b.waiting[best][0]
+		amount := min(first.amount, left, parts[best])
+		first.amount -= amount
+		left -= amount
+		parts[best] -= amount
+		b.served[int(m.now.Sub(m.start)/time.Second)] += amount
+		if first.amount < 1e-9 {
+			b.waiting[best] = b.waiting[best][1:]
 		}
-		first := &m.fluid[earliest][0]
-		served := min(first.amount, left)
-		first.amount -= served
-		left -= served
-		m.res.bounds[int(m.now.Sub(m.start)/time.Second)] += served
 	}
-	m.after(tick, m.drainFluid)
 }
 
 // arrivals generates a Poisson process with a changing rate by thinning.
@@ -273,7 +301,13 @@
 		Deadline: m.now.Add(m.targets[src.class]), Bytes: 1000}
 	e.work[w.request.ID] = w
 	m.note(i, m.now, func(c *counts) { c.offered++; c.demand += mean })
-	m.fluid[src.class] = append(m.fluid[src.class], fluid{w.request.Deadline, mean})
+	for n := range m.bounds {
+		for k, c := range m.classes {
+			if c.Name == src.class {
+				m.bounds[n].waiting[k] = append(m.bounds[n].waiting[k], fluid{w.request.Deadline, mean})
+			}
+		}
+	}
 	e.budgets[src.class].First(m.now)
 	m.offer(e, w)
 }
@@ -350,7 +384,7 @@
 		return
 	}
 	e.scheduler.Finished(m.now, w.request, held)
-	m.note(w.source, m.now, func(c *counts) { c.served += held.Seconds() })
+	m.note(w.source, m.now, func(c *counts) { c.served += held.Seconds(); c.work += w.service.Seconds() })
 	m.note(w.source, w.arrival, func(c *counts) {
 		if m.now.After(w.request.Deadline) {
 			c.late++
--- a/queue/scheduler.go
+++ b/queue/scheduler.go
@@ -2,16 +2,19 @@
 
 import (
 	"container/heap"
-	"math"
 	"time"
 
 	"github.com/chivetiller/chivetiller/class"
 	"github.com/chivetiller/chivetiller/team"
 )
 
-// urgentLead is how far an urgent class may run ahead of its share, as time at full capacity. Work that
-// stays within its share is dispatched first; a surge gets no more than this in advance.
-const urgentLead = 250 * time.Millisecond
+const (
+	// urgentCredit bounds the credit of an urgent class, as time for which it may use all slots.
+	urgentCredit = 2 * time.Second
+	// shortCredit bounds the credit of other classes and of teams, as time at their share. It lets a
+	// short burst of a team that stays within its share go before teams that are over theirs.
+	shortCredit = 500 * time.Millisecond
+)
 
 // Scheduler queues the work of one pool at one entry instance.
 type Scheduler struct {
@@ -61,7 +64,7 @@
 			q.service.deviation = q.service.mean / 2
 			s.classes[c.Name()] = q
 		}
-		q.weight, q.urgent = c.Share(), c.Urgent()
+		q.weight, q.urgent, q.target = c.Share(), c.Urgent(), c.Target()
 		s.order = append(s.order, q)
 	}
 	for name, q := range s.classes {
@@ -107,29 +110,49 @@
 	return Request{}, false
 }
 
-// choose returns the queue to serve next, or nil if no team may run.
-func (s *Scheduler) choose(mayRun func(team string) bool) *teamQueue {
-	var total float64
-	for _, c := range s.order {
-		if c.busy() {
-			total += c.weight
+// credit returns how far the tag of a class may stay behind the virtual time while the class uses less
+// than its share. An urgent class keeps a larger credit, which it spends at the start of a surge. The
+// other classes then wait, but for no more than half of their targets.
+func (s *Scheduler) credit(c *classQueue) float64 {
+	if !c.urgent {
+		return seconds(shortCredit) * float64(s.slots) / s.busyWeight(c)
+	}
+	limit := urgentCredit
+	for _, other := range s.order {
+		if other != c {
+			limit = min(limit, other.target/2)
 		}
 	}
-	lead := seconds(urgentLead) * float64(s.slots) / total
+	return seconds(limit) * float64(s.slots) / c.weight
+}
+
+// teamCredit is like credit for a team.
+func (s *Scheduler) teamCredit(q *teamQueue) float64 {
+	c := q.class
+	slots := float64(s.slots) * c.weight / s.busyWeight(c)
+	return seconds(shortCredit) * slots / max(c.busyWeight, q.weight)
+}
+
+// busyWeight returns the sum of the weights of the class and of the others that compete for slots.
+func (s *Scheduler) busyWeight(c *classQueue) float64 {
+	total := c.weight
+	for _, other := range s.order {
+		if other != c && other.busy() {
+			total += other.weight
+		}
+	}
+	return total
+}
+
+// choose returns the queue to serve next, or nil if no team may run.
+func (s *Scheduler) choose(mayRun func(team string) bool) *teamQueue {
 	var best *classQueue
 	var bestTeam *teamQueue
-	var bestKey float64
-	least := math.Inf(1)
 	for _, c := range s.order {
 		if c.queued == 0 {
 			continue
 		}
-		key := c.tag
-		if c.urgent {
-			key -= lead
-		}
-		if best != nil && key >= bestKey {
-			least = min(least, c.tag)
+		if best != nil && c.tag >= best.tag {
 			continue
 		}
 		q := s.chooseTeam(c, mayRun)
@@ -138,11 +161,10 @@
 			c.tag = max(c.tag, s.virtual)
 			continue
 		}
-		least = min(least, c.tag)
-		best, bestTeam, bestKey = c, q, key
+		best, bestTeam = c, q
 	}
 	if best != nil {
-		s.virtual = max(s.virtual, least)
+		s.virtual = max(s.virtual, best.tag)
 		best.virtual = max(best.virtual, bestTeam.tag)
 	}
 	return bestTeam
@@ -271,7 +293,7 @@
 	if i.probe {
 		return left <= 0
 	}
-	return left < i.queue.estimate().mean
+	return left < i.queue.estimate().tail()
 }
 
 // drop removes a request that Expire reports later.
