Record concurrent runs and check them against the promises

Each promise is a porcupine model. Operations are ordered by a counter, since operations under testing/synctest often share one instant. Each model is tested against histories that it has to reject.

--- /dev/null
+++ b/history/history_test.go
@@ -0,0 +1,97 @@
+package history_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/history"
+)
+
+// op is an operation that follows the one before.
+func op(input, output any) func(*history.Recorder) {
+	return func(r *history.Recorder) { r.Add(0, input, output) }
+}
+
+// during is an operation that overlaps others.
+func during(input, output any, others ...func(*history.Recorder)) func(*history.Recorder) {
+	return func(r *history.Recorder) {
+		end := r.Begin(1, input)
+		for _, o := range others {
+			o(r)
+		}
+		end(output)
+	}
+}
+
+// TestModels guards against a model that accepts a broken history, so that faults would pass unseen, and
+// against one that rejects a correct history.
+func TestModels(t *testing.T) {
+	type steps = []func(*history.Recorder)
+	v := func(n uint64) any { return n }
+	begin := func(team, id string) func(*history.Recorder) { return op(history.RunBegin{Team: team, ID: id}, nil) }
+	end := func(team, id string) func(*history.Recorder) { return op(history.RunEnd{Team: team, ID: id}, nil) }
+	limits := history.UpperLimit(map[string]int{"a": 2, "b": 1})
+	withdrawal := history.KeyWithdrawal(2 * time.Second)
+	tests := map[string]struct {
+		model  history.Model
+		steps  steps
+		broken bool
+	}{
+		"limit kept":             {model: limits, steps: steps{begin("a", "1"), begin("a", "2"), begin("b", "3"), end("a", "1"), begin("a", "4")}},
+		"limit exceeded":         {model: limits, steps: steps{begin("a", "1"), begin("a", "2"), begin("a", "3")}, broken: true},
+		"limit of another team":  {model: limits, steps: steps{begin("b", "1"), end("a", "1"), begin("b", "2")}, broken: true},
+		"end without begin":      {model: limits, steps: steps{end("a", "1")}, broken: true},
+		"runs once":              {model: history.AtMostOnce(), steps: steps{op(history.Run{ID: "1"}, nil), op(history.Run{ID: "2"}, nil)}},
+		"runs twice":             {model: history.AtMostOnce(), steps: steps{op(history.Run{ID: "1"}, nil), op(history.Run{ID: "2"}, nil), op(history.Run{ID: "1"}, nil)}, broken: true},
+		"runs twice at a time":   {model: history.AtMostOnce(), steps: steps{during(history.Run{ID: "1"}, nil, op(history.Run{ID: "1"}, nil))}, broken: true},
+		"rejected":               {model: history.NotRunTruth(), steps: steps{op(history.NotRun{ID: "1"}, nil), op(history.Run{ID: "2"}, nil)}},
+		"rejected, then runs":    {model: history.NotRunTruth(), steps: steps{op(history.NotRun{ID: "1"}, nil), op(history.Run{ID: "1"}, nil)}, broken: true},
+		"runs, then rejected":    {model: history.NotRunTruth(), steps: steps{op(history.Run{ID: "1"}, nil), op(history.NotRun{ID: "1"}, nil)}, broken: true},
+		"own answer":             {model: history.OwnAnswer(), steps: steps{during(history.Exchange{ID: "1"}, "x", op(history.Response{ID: "1", Body: "x"}, nil))}},
+		"second response":        {model: history.OwnAnswer(), steps: steps{during(history.Exchange{ID: "1"}, "y", op(history.Response{ID: "1", Body: "x"}, nil), op(history.Response{ID: "1", Body: "y"}, nil))}},
+		"empty answer":           {model: history.OwnAnswer(), steps: steps{during(history.Exchange{ID: "1"}, "", op(history.Response{ID: "1"}, nil))}},
+		"answer of another":      {model: history.OwnAnswer(), steps: steps{op(history.Response{ID: "2", Body: "y"}, nil), during(history.Exchange{ID: "1"}, "y", op(history.Response{ID: "1", Body: "x"}, nil))}, broken: true},
+		"truncated answer":       {model: history.OwnAnswer(), steps: steps{during(history.Exchange{ID: "1"}, "x", op(history.Response{ID: "1", Body: "xy"}, nil))}, broken: true},
+		"answer before response": {model: history.OwnAnswer(), steps: steps{op(history.Exchange{ID: "1"}, "x"), op(history.Response{ID: "1", Body: "x"}, nil)}, broken: true},
+		"versions grow":          {model: history.ConfigForward(), steps: steps{op(history.Accept{}, v(1)), op(history.Observe{Process: "a"}, v(1)), op(history.Accept{}, v(2)), op(history.Observe{Process: "b"}, v(2)), op(history.Observe{Process: "a"}, v(1))}},
+		"seen while accepted":    {model: history.ConfigForward(), steps: steps{during(history.Accept{}, v(1), op(history.Observe{Process: "a"}, v(1)))}},
+		"process goes back":      {model: history.ConfigForward(), steps: steps{op(history.Accept{}, v(1)), op(history.Accept{}, v(2)), op(history.Observe{Process: "a"}, v(2)), op(history.Observe{Process: "a"}, v(1))}, broken: true},
+		"never accepted":         {model: history.ConfigForward(), steps: steps{op(history.Accept{}, v(1)), op(history.Observe{Process: "a"}, v(2))}, broken: true},
+		"version accepted twice": {model: history.ConfigForward(), steps: steps{op(history.Accept{}, v(1)), op(history.Accept{}, v(1))}, broken: true},
+		"within bound":           {model: withdrawal, steps: steps{op(history.Admit{Key: "k"}, time.Minute), op(history.Revoke{Key: "k"}, time.Minute), op(history.Admit{Key: "k"}, time.Minute+2*time.Second), op(history.Admit{Key: "l"}, time.Hour)}},
+		"after bound":            {model: withdrawal, steps: steps{op(history.Revoke{Key: "k"}, time.Minute), op(history.Admit{Key: "k"}, time.Minute+2*time.Second+1)}, broken: true},
+		"revoked again":          {model: withdrawal, steps: steps{op(history.Revoke{Key: "k"}, time.Minute), op(history.Revoke{Key: "k"}, time.Hour), op(history.Admit{Key: "k"}, time.Hour)}, broken: true},
+		"tokens":                 {model: history.Fencing(), steps: steps{op(history.TakeOver{Duty: "d"}, v(1)), op(history.FencedWrite{Duty: "d"}, v(1)), op(history.TakeOver{Duty: "d"}, v(2)), op(history.FencedWrite{Duty: "d"}, v(1)), op(history.FencedWrite{Duty: "d"}, v(2))}},
+		"write after higher":     {model: history.Fencing(), steps: steps{op(history.TakeOver{Duty: "d"}, v(1)), op(history.TakeOver{Duty: "d"}, v(2)), op(history.FencedWrite{Duty: "d"}, v(2)), op(history.FencedWrite{Duty: "d"}, v(1))}, broken: true},
+		"token used again":       {model: history.Fencing(), steps: steps{op(history.TakeOver{Duty: "d"}, v(1)), op(history.TakeOver{Duty: "d"}, v(1))}, broken: true},
+		"token never taken":      {model: history.Fencing(), steps: steps{op(history.TakeOver{Duty: "d"}, v(1)), op(history.FencedWrite{Duty: "d"}, v(2))}, broken: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var r history.Recorder
+			r.Add(0, "operation of no model", nil)
+			for _, step := range tt.steps {
+				step(&r)
+			}
+			err := history.Check(tt.model, r.Operations())
+			if tt.broken {
+				qt.Check(t, err, qt.ErrorMatches, `(?s)`+tt.model.Name+` is broken: .*`)
+			} else {
+				qt.Check(t, err, qt.IsNil)
+			}
+		})
+	}
+}
+
+// TestOrder guards against a recorder that orders operations by their ends or by a clock.
+func TestOrder(t *testing.T) {
+	var r history.Recorder
+	during("outer", 1, op("inner", 2))(&r)
+	qt.Check(t, r.Operations(), qt.DeepEquals, []porcupine.Operation{
+		{ClientId: 0, Input: "inner", Call: 2, Output: 2, Return: 3},
+		{ClientId: 1, Input: "outer", Call: 1, Output: 1, Return: 4},
+	})
+}
--- /dev/null
+++ b/history/models.go
@@ -0,0 +1,232 @@
+package history
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// RunBegin is the begin of a run of a team, as an endpoint records it. Output: nil.
+type RunBegin struct{ Team, ID string }
+
+// RunEnd is the end of a run of a team. Output: nil.
+type RunEnd struct{ Team, ID string }
+
+// UpperLimit is the promise upperLimit: no team has more runs than its limit at a time. It covers RunBegin and RunEnd.
+func UpperLimit(limits map[string]int) Model {
+	team := func(input any) string {
+		switch in := input.(type) {
+		case RunBegin:
+			return in.Team
+		case RunEnd:
+			return in.Team
+		}
+		return ""
+	}
+	return Model{
+		Name:   "upperLimit",
+		Covers: kinds(RunBegin{}, RunEnd{}),
+		Model: porcupine.Model{
+			Partition: by(team),
+			Init:      func() any { return 0 },
+			Step: func(state, input, _ any) (bool, any) {
+				count := state.(int)
+				if _, ok := input.(RunEnd); ok {
+					return count > 0, count - 1
+				}
+				return count < limits[team(input)], count + 1
+			},
+		},
+	}
+}
+
+// Run is a run of a request at an endpoint. Output: nil.
+type Run struct{ ID string }
+
+// AtMostOnce is the promise atMostOnce: each request runs at most once. It covers Run.
+func AtMostOnce() Model {
+	return Model{
+		Name:   "atMostOnce",
+		Covers: kinds(Run{}),
+		Model: porcupine.Model{
+			Partition: by(func(input any) string { return input.(Run).ID }),
+			Init:      func() any { return false },
+			Step:      func(state, _, _ any) (bool, any) { return !state.(bool), true },
+		},
+	}
+}
+
+// NotRun is a rejection of a request that says that it had no effect. Output: nil.
+type NotRun struct{ ID string }
+
+// NotRunTruth is the promise notRun: a request that was rejected as not run never runs, before or after
+// the rejection. It covers Run and NotRun.
+func NotRunTruth() Model {
+	type state struct{ ran, rejected bool }
+	return Model{
+		Name:   "notRun",
+		Covers: kinds(Run{}, NotRun{}),
+		Model: porcupine.Model{
+			Partition: by(func(input any) string {
+				if in, ok := input.(Run); ok {
+					return in.ID
+				}
+				return input.(NotRun).ID
+			}),
+			Init: func() any { return state{} },
+			Step: func(old, input, _ any) (bool, any) {
+				s := old.(state)
+				if _, ok := input.(Run); ok {
+					return !s.rejected, state{ran: true, rejected: s.rejected}
+				}
+				return !s.ran, state{ran: s.ran, rejected: true}
+			},
+		},
+	}
+}
+
+// Response is the response that an endpoint made for a request. Output: nil.
+type Response struct{ ID, Body string }
+
+// Exchange is a request as its caller sees it. Output: the body that the caller received.
+type Exchange struct{ ID string }
+
+// OwnAnswer is the promise ownAnswer: a caller receives a complete response that an endpoint made for this
+// request. It covers Response and Exchange.
+func OwnAnswer() Model {
+	return Model{
+		Name:   "ownAnswer",
+		Covers: kinds(Response{}, Exchange{}),
+		Model: porcupine.Model{
+			Partition: by(func(input any) string {
+				if in, ok := input.(Response); ok {
+					return in.ID
+				}
+				return input.(Exchange).ID
+			}),
+			// The state is the list of responses made, each between zero bytes.
+			Init: func() any { return "\x00" },
+			Step: func(old, input, output any) (bool, any) {
+				made := old.(string)
+				if in, ok := input.(Response); ok {
+					return true, made + in.Body + "\x00"
+				}
+				return strings.Contains(made, "\x00"+output.(string)+"\x00"), made
+			},
+		},
+	}
+}
+
+// Accept is an accepted change of the configuration. Output: its version, a uint64.
+type Accept struct{}
+
+// Observe is a look of a process at its configuration. Output: the version, a uint64.
+type Observe struct{ Process string }
+
+// ConfigForward is the part of the promise configForward that needs no clock: versions of accepted changes
+// grow, and no process goes back to an older one or to one that was not accepted. It covers Accept and Observe.
+func ConfigForward() Model {
+	type state struct{ accepted, observed uint64 }
+	return Model{
+		Name:   "configForward",
+		Covers: kinds(Accept{}, Observe{}),
+		Model: porcupine.Model{
+			// Each process has its own register, which follows the accepted changes.
+			Partition: func(operations []porcupine.Operation) [][]porcupine.Operation {
+				var accepted []porcupine.Operation
+				processes := by(func(input any) string { return input.(Observe).Process })
+				var observed []porcupine.Operation
+				for _, o := range operations {
+					if _, ok := o.Input.(Accept); ok {
+						accepted = append(accepted, o)
+					} else {
+						observed = append(observed, o)
+					}
+				}
+				parts := processes(observed)
+				for i, p := range parts {
+					parts[i] = append(slices.Clip(p), accepted...)
+				}
+				return append(parts, accepted)
+			},
+			Init: func() any { return state{} },
+			Step: func(old, input, output any) (bool, any) {
+				s, version := old.(state), output.(uint64)
+				if _, ok := input.(Accept); ok {
+					return version > s.accepted, state{accepted: version, observed: s.observed}
+				}
+				return version >= s.observed && version <= s.accepted, state{accepted: s.accepted, observed: version}
+			},
+		},
+	}
+}
+
+// Revoke is the revocation of a key. Output: the instant of the response, a [time.Duration] since any fixed
+// instant of the run.
+type Revoke struct{ Key string }
+
+// Admit is work admitted under a key. Output: the instant of admission.
+type Admit struct{ Key string }
+
+// KeyWithdrawal is the promise keyWithdrawal: work is admitted at most bound after the revocation of its
+// key was answered. It covers Revoke and Admit.
+func KeyWithdrawal(bound time.Duration) Model {
+	const never = time.Duration(-1)
+	return Model{
+		Name:   "keyWithdrawal",
+		Covers: kinds(Revoke{}, Admit{}),
+		Model: porcupine.Model{
+			Partition: by(func(input any) string {
+				if in, ok := input.(Revoke); ok {
+					return in.Key
+				}
+				return input.(Admit).Key
+			}),
+			Init: func() any { return never },
+			Step: func(old, input, output any) (bool, any) {
+				revoked, at := old.(time.Duration), output.(time.Duration)
+				if _, ok := input.(Revoke); ok {
+					if revoked == never {
+						revoked = at
+					}
+					return true, revoked
+				}
+				return revoked == never || at <= revoked+bound, revoked
+			},
+		},
+	}
+}
+
+// TakeOver is a process that becomes the holder of a duty. Output: its fencing token, a uint64.
+type TakeOver struct{ Duty string }
+
+// FencedWrite is a write for a duty that took effect. Output: the fencing token of its holder.
+type FencedWrite struct{ Duty string }
+
+// Fencing is the rule of fencing tokens: they grow with each holder, and no write takes effect under a
+// token after one under a higher token, or under a token that nobody took. It covers TakeOver and FencedWrite.
+func Fencing() Model {
+	type state struct{ taken, written uint64 }
+	return Model{
+		Name:   "fencing",
+		Covers: kinds(TakeOver{}, FencedWrite{}),
+		Model: porcupine.Model{
+			Partition: by(func(input any) string {
+				if in, ok := input.(TakeOver); ok {
+					return in.Duty
+				}
+				return input.(FencedWrite).Duty
+			}),
+			Init: func() any { return state{} },
+			Step: func(old, input, output any) (bool, any) {
+				s, token := old.(state), output.(uint64)
+				if _, ok := input.(TakeOver); ok {
+					return token > s.taken, state{taken: token, written: s.written}
+				}
+				return token >= s.written && token <= s.taken, state{taken: s.taken, written: token}
+			},
+		},
+	}
+}
