--- a/allotment/sync.go
+++ b/allotment/sync.go
@@ -224,7 +224,7 @@
 			own.Count, amount = a.count, own.Amount
 			r.Holders[h.o.Holder] = own
 		}
-		a.attempts = append(a.attempts, attempt{checked: a.version, count: a.count, amount: amount, sent: now})
+		a.attempts = appendAttempt(a.attempts, attempt{checked: a.version, count: a.count, amount: amount, sent: now})
 		txn.Checks = append(txn.Checks, platform.Check{Key: rowKey(team), Version: a.version})
 		txn.Writes = append(txn.Writes, platform.Write{Key: rowKey(team), Value: r.encode()})
 		sent = append(sent, team)
@@ -232,6 +232,17 @@
 	return txn, sent
 }
 
+// appendAttempt adds an attempt. Of too many, the oldest one gives its amount to the next and is dropped:
+// it can still take effect, but its term would be over.
+func appendAttempt(attempts []attempt, t attempt) []attempt {
+	const maxAttempts = 8
+	if len(attempts) >= maxAttempts {
+		attempts[1].amount = min(attempts[0].amount, attempts[1].amount)
+		attempts = slices.Delete(attempts, 0, 1)
+	}
+	return append(attempts, t)
+}
+
 // forget removes the newest attempt of the teams, which certainly had no effect.
 func (h *Holder) forget(teams []string) {
 	h.mu.Lock()
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,220 @@
+package lease_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/history"
+	"github.com/chivetiller/chivetiller/lease"
+	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/platform/standin"
+)
+
+// witness is a table that records what takes effect.
+type witness struct {
+	platform.Table
+	mu       sync.Mutex
+	recorder history.Recorder
+	commits  int
+}
+
+func (w *witness) Commit(ctx context.Context, txn platform.Txn) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.Table.Commit(ctx, txn); err != nil {
+		return err
+	}
+	w.commits++
+	for _, write := range txn.Writes {
+		var value struct {
+			Token uint64 `json:"token"`
+		}
+		if duty, ok := strings.CutPrefix(write.Key, "fence/"); ok && json.Unmarshal(write.Value, &value) == nil {
+			w.recorder.Add(0, history.TakeOver{Duty: duty}, value.Token)
+		}
+		if duty, ok := strings.CutPrefix(write.Key, "work/"); ok && json.Unmarshal(write.Value, &value) == nil {
+			w.recorder.Add(0, history.FencedWrite{Duty: duty}, value.Token)
+		}
+	}
+	return nil
+}
+
+func duties(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("pools/%d", i)
+	}
+	return names
+}
+
+// TestTakeover guards against a duty that two processes hold, and one that stays without a holder.
+func TestTakeover(t *testing.T) {
+	const term, margin = 10 * time.Second, time.Second
+	tests := map[string]struct {
+		leave    func(*testing.T, *lease.Manager, *standin.Pauser)
+		min, max time.Duration
+	}{
+		"crash": {
+			leave: func(_ *testing.T, _ *lease.Manager, p *standin.Pauser) { p.Pause() },
+			min:   term - 4*time.Second, max: term + margin + 4*time.Second,
+		},
+		"graceful": {
+			leave: func(t *testing.T, m *lease.Manager, _ *standin.Pauser) { qt.Assert(t, m.Stop(t.Context()), qt.IsNil) },
+			max:   4 * time.Second,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := standin.NewTable()
+				var pauser standin.Pauser
+				first := lease.NewManager(lease.Options{Table: pauser.Table(table), Holder: "a", Duties: duties(3), Term: term, Margin: margin})
+				second := lease.NewManager(lease.Options{Table: table, Holder: "b", Duties: duties(3), Term: term, Margin: margin})
+				qt.Assert(t, first.Start(t.Context()), qt.IsNil)
+				qt.Assert(t, second.Start(t.Context()), qt.IsNil)
+				time.Sleep(time.Minute)
+				old, ok := first.Held("pools/0")
+				qt.Assert(t, ok, qt.IsTrue)
+				qt.Check(t, len(second.Duties()), qt.Equals, 0)
+				begin := time.Now()
+				tt.leave(t, first, &pauser)
+				for len(second.Duties()) < 3 && time.Since(begin) < time.Minute {
+					qt.Check(t, len(first.Duties()) == 0 || len(second.Duties()) == 0, qt.IsTrue)
+					time.Sleep(100 * time.Millisecond)
+				}
+				elapsed := time.Since(begin)
+				qt.Check(t, elapsed >= tt.min && elapsed <= tt.max, qt.IsTrue, qt.Commentf("taken over after %v", elapsed))
+				taken, ok := second.Held("pools/0")
+				qt.Assert(t, ok, qt.IsTrue)
+				qt.Check(t, taken.Token() > old.Token(), qt.IsTrue)
+				txn := platform.Txn{Writes: []platform.Write{{Key: "work"}}}
+				qt.Check(t, table.Commit(t.Context(), old.Guard(txn)), qt.ErrorIs, platform.ErrConflict)
+				qt.Check(t, table.Commit(t.Context(), taken.Guard(txn)), qt.IsNil)
+				pauser.Resume()
+				time.Sleep(time.Minute)
+				qt.Check(t, len(first.Duties()), qt.Equals, 0)
+				if name == "crash" {
+					qt.Check(t, first.Stop(t.Context()), qt.IsNil)
+				}
+				qt.Check(t, second.Stop(t.Context()), qt.IsNil)
+			})
+		})
+	}
+}
+
+// TestLimitAndCost guards against a process that takes all duties, duties that nobody takes, and renewals that take more
+// than one transaction a round.
+func TestLimitAndCost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &witness{Table: standin.NewTable()}
+		const processes, count = 7, 43
+		var managers []*lease.Manager
+		for i := range processes {
+			m := lease.NewManager(lease.Options{Table: table, Holder: fmt.Sprint(i), Duties: duties(count)})
+			m.SetLimit((count + processes - 1) / processes)
+			qt.Assert(t, m.Start(t.Context()), qt.IsNil)
+			managers = append(managers, m)
+		}
+		time.Sleep(time.Minute)
+		total := 0
+		for _, m := range managers {
+			held := len(m.Duties())
+			qt.Check(t, held <= 7, qt.IsTrue, qt.Commentf("%d duties", held))
+			total += held
+		}
+		qt.Check(t, total, qt.Equals, count)
+		table.mu.Lock()
+		before := table.commits
+		table.mu.Unlock()
+		time.Sleep(100 * time.Second)
+		table.mu.Lock()
+		perSecond := float64(table.commits-before) / 100 / processes
+		table.mu.Unlock()
+		qt.Check(t, perSecond <= 0.45, qt.IsTrue, qt.Commentf("%.2f transactions a second and process", perSecond))
+		// One process above its limit gives up the excess.
+		managers[0].SetLimit(2)
+		time.Sleep(time.Minute)
+		qt.Check(t, len(managers[0].Duties()) <= 3, qt.IsTrue)
+		for _, m := range managers {
+			qt.Check(t, m.Stop(t.Context()), qt.IsNil)
+		}
+	})
+}
+
+// TestFencing guards against a write for a duty under the token of an earlier holder, whatever fails.
+func TestFencing(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { fencing(t, seed) })
+		})
+	}
+}
+
+func fencing(t *testing.T, seed uint64) {
+	p := standin.New(standin.Options{Seed: seed})
+	table := &witness{Table: p.Table()}
+	p.Intercept(table)
+	names := duties(4)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	defer cancel()
+	storm := standin.StormOptions{Seed: seed, Fault: 12 * time.Second}
+	var wg sync.WaitGroup
+	managers := make([]*lease.Manager, 3)
+	for i := range managers {
+		identity := standin.Identity{Client: fmt.Sprint(i)}
+		pauser := &standin.Pauser{}
+		storm.Clients = append(storm.Clients, identity)
+		storm.Pausers = append(storm.Pausers, pauser)
+		client := platform.NewClient(platform.ClientOptions{Table: pauser.Table(p.Client(identity).Table()), Writes: 1000, Reads: 1000})
+		m := lease.NewManager(lease.Options{Table: client.For(platform.UserLeases), Holder: identity.Client, Duties: names})
+		m.SetLimit(2)
+		_ = m.Start(ctx)
+		managers[i] = m
+		wg.Go(func() { work(ctx, m, client.For(platform.UserWaves), pauser) })
+	}
+	p.Storm(ctx, storm)
+	wg.Wait()
+	time.Sleep(time.Minute)
+	held := 0
+	for _, m := range managers {
+		held += len(m.Duties())
+	}
+	qt.Check(t, held, qt.Equals, len(names), qt.Commentf("duties are without a holder after all faults ended"))
+	for _, m := range managers {
+		qt.Check(t, m.Stop(t.Context()), qt.IsNil)
+	}
+	operations := table.recorder.Operations()
+	qt.Check(t, len(operations) > 200, qt.IsTrue, qt.Commentf("%d operations", len(operations)))
+	qt.Check(t, history.Check(history.Fencing(), operations), qt.IsNil)
+}
+
+// work writes for the duties that the manager holds until ctx ends.
+func work(ctx context.Context, m *lease.Manager, table platform.Table, pauser *standin.Pauser) {
+	for ctx.Err() == nil {
+		for _, l := range m.Duties() {
+			key := "work/" + l.Duty()
+			rows, err := table.Read(ctx, key)
+			if err != nil {
+				continue
+			}
+			var version uint64
+			if len(rows) > 0 {
+				version = rows[0].Version
+			}
+			pauser.Wait()
+			_ = table.Commit(ctx, l.Guard(platform.Txn{
+				Checks: []platform.Check{{Key: key, Version: version}},
+				Writes: []platform.Write{{Key: key, Value: fmt.Appendf(nil, `{"token":%d}`, l.Token())}},
+			}))
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
