--- a/duty/fleet.go
+++ b/duty/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/move"
 	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
 	"github.com/chivetiller/chivetiller/wave"
@@ -27,7 +28,11 @@
 	// and when they serve again. Their State says which. It is also called for those that an earlier holder
 	// of the duty had stopped. It may be nil.
 	Announce func(changed []pool.Instance)
-	Logger   hclog.Logger
+	// Loads returns the present load of each pool over all entry instances. Without it there are no moves.
+	Loads func() []move.Load
+	// Moves are the parameters of moves.
+	Moves  move.Options
+	Logger hclog.Logger
 }
 
 // Fleet runs the waves and moves of the pools whose duties are held, and adopts new instances.
@@ -36,6 +41,7 @@
 	rows      *pool.Store
 	waves     *wave.Store
 	reports   *pool.Reports
+	planner   *move.Planner
 	acked     map[string]ack
 	announced map[string]time.Time
 }
@@ -60,7 +66,7 @@
 	}
 	return &Fleet{
 		options: o, rows: pool.NewStore(o.Table), waves: wave.NewStore(o.Table), reports: pool.NewReports(o.Instances),
-		acked: make(map[string]ack), announced: make(map[string]time.Time),
+		planner: move.NewPlanner(o.Moves), acked: make(map[string]ack), announced: make(map[string]time.Time),
 	}
 }
 
@@ -82,7 +88,8 @@
 		return err
 	}
 	var errs []error
-	errs = append(errs, f.adopt(ctx, p))
+	// Moves come before new stops of waves, because a pool that lacks capacity needs them sooner.
+	errs = append(errs, f.adopt(ctx, p), f.move(ctx, p))
 	for _, each := range p.pools {
 		if _, ok := leases.Holds(ShardOf(each.Name())); !ok {
 			continue
@@ -99,12 +106,14 @@
 	p := &pass{leases: leases, now: time.Now(), pools: f.options.Pools(), byPool: make(map[string][]pool.Stored)}
 	_, held := leases.Holds(Housekeeping)
 	names := make([]string, 0, len(p.pools))
+	mine := 0
 	for _, each := range p.pools {
+		names = append(names, each.Name())
 		if _, ok := leases.Holds(ShardOf(each.Name())); ok {
-			names = append(names, each.Name())
+			mine++
 		}
 	}
-	if len(names) == 0 && !held {
+	if mine == 0 && !held {
 		return nil, nil
 	}
 	if err := f.reports.Refresh(ctx); err != nil {
@@ -215,7 +224,12 @@
 				nexts = append(nexts, wave.Begin(p.now, row.Instance, report, pool.StateDraining, w.Operation()))
 			}
 		}
-		if err := f.rows.Begin(ctx, in.Name(), p.planned[in.Name()], olds, nexts, fence, w.Check()); err != nil {
+		version, ok := p.planned[in.Name()]
+		if !ok {
+			// A move has begun in the pool in this pass; the new version is read in the next.
+			return nil
+		}
+		if err := f.rows.Begin(ctx, in.Name(), version, olds, nexts, fence, w.Check()); err != nil {
 			return quiet(err)
 		}
 		f.options.Logger.Info("Stops begun.", "pool", in.Name(), "wave", w.Name(), "instances", chosen)
--- a/pool/instance.go
+++ b/pool/instance.go
@@ -26,8 +26,10 @@
 // Instance is the row of an instance. It holds everything that another entry instance needs to
 // continue a stop that has begun.
 type Instance struct {
-	ID         string `json:"id"`
-	Pool       string `json:"pool"`
+	ID   string `json:"id"`
+	Pool string `json:"pool"`
+	// Home is the pool that the instance belongs to. Another Pool means that it is lent.
+	Home       string `json:"home"`
 	DataCentre string `json:"dataCentre"`
 	Rack       string `json:"rack"`
 	// Generation grows by one with each change of the row.
--- a/pool/store.go
+++ b/pool/store.go
@@ -145,7 +145,7 @@
 		return false, eris.Errorf("adopt instance %q into pool %q: both need a name", listed.ID, name)
 	}
 	data, err := Instance{
-		ID: listed.ID, Pool: name, DataCentre: listed.DataCentre, Rack: listed.Rack, Generation: 1,
+		ID: listed.ID, Pool: name, Home: name, DataCentre: listed.DataCentre, Rack: listed.Rack, Generation: 1,
 		State: StateServing, Incarnation: listed.Incarnation, Since: now,
 	}.encode()
 	if err != nil {
@@ -163,7 +163,8 @@
 	return err == nil, err
 }
 
-// Remove deletes the row of an instance that no operation has stopped.
+// Remove deletes the row of an instance that no operation has stopped, or that did not return. The
+// caller has checked that the platform does not list it as live.
 func (s *Store) Remove(ctx context.Context, id string) error {
 	stored, err := s.Get(ctx, id)
 	if err != nil {
@@ -173,7 +174,7 @@
 		return eris.Errorf("instance %q is %s under %s: abort that first", id, stored.State, stored.Operation)
 	}
 	return s.commit(ctx, "remove instance "+id, platform.Txn{
-		Checks: []platform.Check{stored.Check(), {Key: InstanceKey(id), Version: stored.Version}},
+		Checks: []platform.Check{stored.Check()},
 		Writes: []platform.Write{{Key: InstanceKey(id), Delete: true}},
 	})
 }
