Be ready only with a part of the slots

A new entry instance was ready as soon as it had read the endpoints, but may use their slots only after its peers have given up theirs.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -76,9 +76,9 @@
 	quit    chan struct{}
 	done    chan struct{}
 
-	// first is closed after the first complete read.
-	first     chan struct{}
-	firstOnce sync.Once
+	// ready is closed once the endpoints were read and this entry instance has its part of their slots.
+	ready     chan struct{}
+	readyOnce sync.Once
 
 	mu     sync.Mutex
 	counts map[string]int
@@ -109,7 +109,7 @@
 		read:    make(chan readResult),
 		quit:    make(chan struct{}),
 		done:    make(chan struct{}),
-		first:   make(chan struct{}),
+		ready:   make(chan struct{}),
 	}
 }
 
@@ -135,20 +135,21 @@
 	return nil
 }
 
-// WaitReady returns once the endpoints were read for the first time.
+// WaitReady returns once the endpoints were read and this entry instance may use its part of their slots.
+// Before that it would reject all work.
 func (d *Directory) WaitReady(ctx context.Context) error {
 	select {
-	case <-d.first:
+	case <-d.ready:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-// Ready reports whether the endpoints were read.
+// Ready reports whether [Directory.WaitReady] returns at once.
 func (d *Directory) Ready() bool {
 	select {
-	case <-d.first:
+	case <-d.ready:
 		return true
 	default:
 		return false
@@ -238,6 +239,9 @@
 			return
 		}
 		v.publish(time.Now())
+		if v.complete() {
+			d.readyOnce.Do(func() { close(d.ready) })
+		}
 	}
 }
 
@@ -254,5 +258,4 @@
 	d.mu.Lock()
 	d.counts = v.counts()
 	d.mu.Unlock()
-	d.firstOnce.Do(func() { close(d.first) })
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -103,8 +103,10 @@
 			},
 		})
 		qt.Assert(t, d.Start(t.Context()), qt.IsNil)
+		start := time.Now()
 		qt.Assert(t, d.WaitReady(t.Context()), qt.IsNil)
-		time.Sleep(stable + time.Second)
+		// Before its peers have given up slots for it, the entry instance must not be ready.
+		qt.Assert(t, time.Since(start) >= stable, qt.IsTrue)
 		qt.Assert(t, f.usable("desk"), qt.DeepEquals, []string{"a", "b"})
 		test(f, d)
 		qt.Assert(t, d.Stop(t.Context()), qt.IsNil)
--- a/directory/view.go
+++ b/directory/view.go
@@ -26,6 +26,9 @@
 	parts       map[string]int
 	lastMembers []endpoint.Member
 	stable      bool
+	// read says that the rows were read, and joined that this entry instance got its part of the slots.
+	read   bool
+	joined bool
 	// published is what the dispatcher was told last.
 	published map[string][]endpoint.Endpoint
 }
@@ -53,8 +56,12 @@
 	}
 	v.rows = next
 	v.reports = reports
+	v.read = true
 }
 
+// complete reports whether work can be dispatched.
+func (v *view) complete() bool { return v.read && v.joined }
+
 // announce takes changed rows. An announcement can arrive late, after a later generation was read.
 func (v *view) announce(changed []pool.Instance) {
 	for _, instance := range changed {
@@ -107,6 +114,7 @@
 		return
 	}
 	v.stable = stable
+	v.joined = v.joined || stable
 	v.lastMembers = members
 	clear(v.parts)
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -42,6 +42,7 @@
 	c.positive("waves.notice", s.Waves.Notice)
 	c.positive("waves.drainLimit", s.Waves.DrainLimit)
 	c.positive("waves.lease", s.Waves.Lease)
+	c.positive("waves.interval", s.Waves.Interval)
 	if s.Stop.BalancerWait < 0 {
 		c.addf("stop.balancerWait", "%s is negative", s.Stop.BalancerWait)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -110,6 +110,8 @@
 	DrainLimit time.Duration `yaml:"drainLimit"`
 	// Lease is the term of a duty lease.
 	Lease time.Duration `yaml:"lease"`
+	// Interval is the time between two looks at the stopped instances.
+	Interval time.Duration `yaml:"interval"`
 }
 
 // StopSpec tells how the process ends.
@@ -142,7 +144,7 @@
 		},
 		Keys:       KeysSpec{Freshness: 2 * time.Second, WhenCutOff: WhenCutOffRefuse, Term: 30 * time.Second},
 		Allotments: AllotmentsSpec{Term: 30 * time.Second},
-		Waves:      WavesSpec{Notice: 3 * time.Second, DrainLimit: 10 * time.Minute, Lease: 10 * time.Second},
+		Waves:      WavesSpec{Notice: 3 * time.Second, DrainLimit: 10 * time.Minute, Lease: 10 * time.Second, Interval: time.Second},
 		Stop:       StopSpec{BalancerWait: 5 * time.Second, Timeout: time.Minute},
 		Log:        LogSpec{Level: "info", Format: "text"},
 	}
