--- a/duty/fleet.go
+++ b/duty/fleet.go
@@ -267,15 +267,13 @@
 	if row.Operation == w.Operation() {
 		return true
 	}
-	report, known := f.reports.Get(row.ID)
-	gone := known && report.State == platform.InstanceGone
-	return w.Pending(row.Instance) && !gone
+	return w.Pending(row.Instance) && !f.reports.Missing(row.ID)
 }
 
 // available reports whether the platform says that an instance is in service.
 func (f *Fleet) available(id string) bool {
 	report, known := f.reports.Get(id)
-	return known && report.State == platform.InstanceLive
+	return known && report.State == platform.InstanceLive && !f.reports.Missing(id)
 }
 
 // rules returns the limits of an operation. A wave whose row is missing counts as aborted.
--- /dev/null
+++ b/job/limits.go
@@ -0,0 +1,71 @@
+package job
+
+import (
+	"context"
+
+	"github.com/chivetiller/chivetiller/allotment"
+	"github.com/chivetiller/chivetiller/platform"
+)
+
+// Limits counts running jobs against the upper limits of their teams, in the transactions that start and end them.
+type Limits interface {
+	// Jobs returns the check and the write that change the number of running jobs of a team. It fails
+	// with [allotment.ErrLimit] if the limit leaves no room.
+	Jobs(ctx context.Context, team string, delta int) (platform.Check, platform.Write, error)
+	// Want says how many more jobs of a team would start, so that entry instances return unused parts.
+	Want(team string, count int)
+}
+
+// TeamLimits are the limits of configured teams.
+type TeamLimits struct {
+	Table platform.Table
+	// Limit returns the upper limit of a team; 0 if there is no such team.
+	Limit func(team string) int
+	// Holder is that of this entry instance.
+	Holder *allotment.Holder
+}
+
+var _ Limits = TeamLimits{}
+
+// Jobs implements [Limits].
+func (l TeamLimits) Jobs(ctx context.Context, team string, delta int) (platform.Check, platform.Write, error) {
+	return allotment.Jobs(ctx, l.Table, team, l.Limit(team), delta)
+}
+
+// Want implements [Limits].
+func (l TeamLimits) Want(team string, count int) { l.Holder.WantJobs(team, count) }
+
+// runningDelta returns the change in the number of running jobs. A job counts until its task is stopped.
+func (c Change) runningDelta() int {
+	delta := 0
+	if c.Next.Worker != "" {
+		delta++
+	}
+	if c.Old.Worker != "" {
+		delta--
+	}
+	return delta
+}
+
+// limited adds the checks and writes of the teams' limits to a transaction.
+func (s *Store) limited(ctx context.Context, txn *platform.Txn, changes []Change) error {
+	if s.limits == nil {
+		return nil
+	}
+	deltas := make(map[string]int)
+	for _, c := range changes {
+		deltas[c.Next.Spec.Team] += c.runningDelta()
+	}
+	for team, delta := range deltas {
+		if delta == 0 {
+			continue
+		}
+		check, write, err := s.limits.Jobs(ctx, team, delta)
+		if err != nil {
+			return err
+		}
+		txn.Checks = append(txn.Checks, check)
+		txn.Writes = append(txn.Writes, write)
+	}
+	return nil
+}
--- /dev/null
+++ b/job/store.go
@@ -0,0 +1,252 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/allotment"
+	"github.com/chivetiller/chivetiller/common/ident"
+	"github.com/chivetiller/chivetiller/platform"
+)
+
+const (
+	jobPrefix = "job/"
+	scanLimit = 1000
+	// batch is the number of rows changed in one transaction.
+	batch = 50
+)
+
+// Stored is a job with the version of its row.
+type Stored struct {
+	Job
+	Version uint64
+}
+
+// Change is the change of one row.
+type Change struct {
+	Old  Stored
+	Next Job
+}
+
+// Store holds the jobs. Their keys begin with the data centre, so that each duty reads its own only.
+// It is not safe for concurrent use.
+type Store struct {
+	table  platform.Table
+	limits Limits
+	cache  map[string]Stored
+}
+
+// NewStore returns a store over the table. Limits may be nil, which means that teams have none.
+func NewStore(table platform.Table, limits Limits) *Store {
+	return &Store{table: table, limits: limits, cache: make(map[string]Stored)}
+}
+
+// List returns the jobs of a data centre, or all jobs if it is empty, in order of submission.
+func (s *Store) List(ctx context.Context, dataCentre string) ([]Stored, error) {
+	prefix := jobPrefix
+	if dataCentre != "" {
+		prefix += dataCentre + "."
+	}
+	var all []Stored
+	next := make(map[string]Stored, len(s.cache))
+	for after := ""; ; {
+		rows, err := s.table.Scan(ctx, prefix, after, scanLimit)
+		if err != nil {
+			return nil, fmt.Errorf("list jobs: %w", err)
+		}
+		for _, row := range rows {
+			stored, ok := s.cache[row.Key]
+			if !ok || stored.Version != row.Version {
+				if stored, err = decode(row); err != nil {
+					return nil, err
+				}
+			}
+			next[row.Key] = stored
+			all = append(all, stored)
+			after = row.Key
+		}
+		if len(rows) < scanLimit {
+			s.cache = next
+			return all, nil
+		}
+	}
+}
+
+// Get returns a job. It fails with [platform.ErrNotFound] if there is none.
+func (s *Store) Get(ctx context.Context, id string) (Stored, error) {
+	rows, err := s.table.Read(ctx, jobPrefix+id)
+	if err != nil {
+		return Stored{}, fmt.Errorf("read job %q: %w", id, err)
+	}
+	if len(rows) == 0 {
+		return Stored{}, fmt.Errorf("job %q: %w", id, platform.ErrNotFound)
+	}
+	return decode(rows[0])
+}
+
+// Submit stores a new job.
+func (s *Store) Submit(ctx context.Context, j Job) error {
+	return s.commit(ctx, []Change{{Old: Stored{Job: Job{ID: j.ID}}, Next: j}})
+}
+
+// Cancel cancels a job. A queued one is cancelled at once; the task of a running one is stopped by the
+// holder of the duty. It is repeated if the job changes meanwhile, and does nothing if the job has ended.
+func (s *Store) Cancel(ctx context.Context, id string, now time.Time) (Job, error) {
+	for {
+		stored, err := s.Get(ctx, id)
+		if err != nil || stored.State.Ended() || stored.State == StateCancelling {
+			return stored.Job, err
+		}
+		next := stored.Job
+		if stored.State == StateQueued {
+			next = stored.End(now, StateCancelled, "cancelled while queued")
+		} else {
+			next.State, next.Reason = StateCancelling, "cancelled while running"
+		}
+		err = s.commit(ctx, []Change{{Old: stored, Next: next}})
+		if !errors.Is(err, platform.ErrConflict) {
+			return next, err
+		}
+	}
+}
+
+// Apply makes changes in few transactions and returns those that took effect for certain. If a row of a
+// transaction was changed by another process, or a team is at its limit, the changes are written one by
+// one, so that one cancellation does not undo the placement of other jobs. Limited returns the teams that
+// are at their limits.
+func (s *Store) Apply(ctx context.Context, changes []Change, checks ...platform.Check) (applied []Change, limited map[string]bool, err error) {
+	limited = make(map[string]bool)
+	for len(changes) > 0 {
+		part := changes[:min(batch, len(changes))]
+		changes = changes[len(part):]
+		err := s.commit(ctx, part, checks...)
+		if err == nil {
+			applied = append(applied, part...)
+			continue
+		}
+		if !single(err) {
+			return applied, limited, err
+		}
+		done, err := s.applyEach(ctx, part, limited, checks)
+		applied = append(applied, done...)
+		if err != nil {
+			return applied, limited, err
+		}
+	}
+	return applied, limited, nil
+}
+
+// single reports whether an error is that of one change and the others may succeed.
+func single(err error) bool {
+	return errors.Is(err, platform.ErrConflict) || errors.Is(err, allotment.ErrLimit)
+}
+
+func (s *Store) applyEach(ctx context.Context, part []Change, limited map[string]bool, checks []platform.Check) ([]Change, error) {
+	var applied []Change
+	var conflict error
+	for _, c := range part {
+		if limited[c.Next.Spec.Team] && c.runningDelta() > 0 {
+			continue
+		}
+		err := s.commit(ctx, []Change{c}, checks...)
+		switch {
+		case err == nil:
+			applied = append(applied, c)
+		case errors.Is(err, allotment.ErrLimit):
+			limited[c.Next.Spec.Team] = true
+		case errors.Is(err, platform.ErrConflict):
+			conflict = err
+		default:
+			return applied, err
+		}
+	}
+	if len(applied) == 0 && len(part) > 1 {
+		// Most likely the lease is lost, and every further write would fail as well.
+		return nil, conflict
+	}
+	return applied, nil
+}
+
+// kindsKey is the key of what is learned of all kinds in a data centre.
+func kindsKey(dataCentre string) string { return "jobkinds/" + dataCentre }
+
+// Kinds returns what is learned of the kinds of jobs in a data centre.
+func (s *Store) Kinds(ctx context.Context, dataCentre string) (map[string]Kind, error) {
+	rows, err := s.table.Read(ctx, kindsKey(dataCentre))
+	if err != nil || len(rows) == 0 {
+		return nil, err
+	}
+	var kinds map[string]Kind
+	if err := json.Unmarshal(rows[0].Value, &kinds); err != nil {
+		return nil, eris.Wrapf(err, "row %q does not hold kinds of jobs", rows[0].Key)
+	}
+	return kinds, nil
+}
+
+// SaveKinds stores what is learned. The fence among the checks makes the holder the only writer.
+func (s *Store) SaveKinds(ctx context.Context, dataCentre string, kinds map[string]Kind, checks ...platform.Check) error {
+	data, err := json.Marshal(kinds)
+	if err != nil {
+		return eris.Wrap(err, "encode kinds of jobs")
+	}
+	rows, err := s.table.Read(ctx, kindsKey(dataCentre))
+	if err != nil {
+		return err
+	}
+	check := platform.Check{Key: kindsKey(dataCentre)}
+	if len(rows) > 0 {
+		check.Version = rows[0].Version
+	}
+	return s.table.Commit(ctx, platform.Txn{
+		OperationID: ident.New(), Checks: append([]platform.Check{check}, checks...),
+		Writes: []platform.Write{{Key: check.Key, Value: data}},
+	})
+}
+
+// Remove deletes the rows of ended jobs.
+func (s *Store) Remove(ctx context.Context, ended []Stored, checks ...platform.Check) error {
+	txn := platform.Txn{OperationID: ident.New(), Checks: checks}
+	for _, j := range ended[:min(batch, len(ended))] {
+		txn.Checks = append(txn.Checks, platform.Check{Key: jobPrefix + j.ID, Version: j.Version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: jobPrefix + j.ID, Delete: true})
+	}
+	if len(txn.Writes) == 0 {
+		return nil
+	}
+	if err := s.table.Commit(ctx, txn); err != nil {
+		return fmt.Errorf("remove ended jobs: %w", err)
+	}
+	return nil
+}
+
+func (s *Store) commit(ctx context.Context, changes []Change, checks ...platform.Check) error {
+	txn := platform.Txn{OperationID: ident.New(), Checks: append([]platform.Check(nil), checks...)}
+	for _, c := range changes {
+		data, err := json.Marshal(c.Next)
+		if err != nil {
+			return eris.Wrapf(err, "encode job %q", c.Next.ID)
+		}
+		txn.Checks = append(txn.Checks, platform.Check{Key: jobPrefix + c.Next.ID, Version: c.Old.Version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: jobPrefix + c.Next.ID, Value: data})
+	}
+	if err := s.limited(ctx, &txn, changes); err != nil {
+		return fmt.Errorf("count jobs against the limits: %w", err)
+	}
+	if err := s.table.Commit(ctx, txn); err != nil {
+		return fmt.Errorf("write jobs: %w", err)
+	}
+	return nil
+}
+
+func decode(row platform.Row) (Stored, error) {
+	var j Job
+	if err := json.Unmarshal(row.Value, &j); err != nil {
+		return Stored{}, eris.Wrapf(err, "row %q is not a job", row.Key)
+	}
+	return Stored{Job: j, Version: row.Version}, nil
+}
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -149,7 +149,7 @@
 // by a twentieth of the mean. The pools surge in turn.
 func surge(pools int) func(int, time.Duration) float64 {
 	return func(pool int, at time.Duration) float64 {
-		switch second := int(at.Seconds()) - pool*int(600/max(1, pools)); {
+		switch second := int(at.Seconds()) - pool*(600/max(1, pools)); {
 		case pool > 0 && second%600 >= 0 && second%600 < 8:
 			return 2.5
 		case pool > 0 && second%600 >= 8 && second%600 < 16:
--- a/pool/reports.go
+++ b/pool/reports.go
@@ -8,7 +8,7 @@
 )
 
 // fullListEvery is after how many partial lists the whole list is read, since a partial one can drop entries.
-const fullListEvery = 10
+const fullListEvery = 30
 
 // Reports holds the newest report of each instance. The platform's list lags, repeats entries and drops
 // some; a report never replaces a newer one. It is not safe for concurrent use.
@@ -16,12 +16,19 @@
 	source platform.Instances
 	cursor string
 	since  int
+	whole  int
 	newest map[string]platform.Instance
+	// missed counts the whole lists since the last one with the instance.
+	missed map[string]int
 }
 
+// missingAfter is the number of whole lists without an instance after which it counts as missing. One list
+// may have dropped it, and the entry that says that it is gone may have been dropped as well.
+const missingAfter = 3
+
 // NewReports returns reports read from the platform's list.
 func NewReports(source platform.Instances) *Reports {
-	return &Reports{source: source, newest: make(map[string]platform.Instance)}
+	return &Reports{source: source, newest: make(map[string]platform.Instance), missed: make(map[string]int)}
 }
 
 // Refresh reads the changes of the list.
@@ -33,6 +40,12 @@
 	if err != nil {
 		return fmt.Errorf("list instances of the platform: %w", err)
 	}
+	if r.cursor == "" {
+		r.whole++
+		for id := range r.newest {
+			r.missed[id]++
+		}
+	}
 	r.cursor = list.Cursor
 	r.since++
 	for _, entry := range list.Instances {
@@ -49,6 +62,7 @@
 		return
 	}
 	r.newest[entry.ID] = entry
+	delete(r.missed, entry.ID)
 }
 
 // Get returns the newest report of an instance.
@@ -57,5 +71,14 @@
 	return entry, ok
 }
 
+// Missing reports whether the platform no longer lists an instance, or lists it as gone.
+func (r *Reports) Missing(id string) bool {
+	entry, ok := r.newest[id]
+	if !ok {
+		return r.whole >= missingAfter
+	}
+	return entry.State == platform.InstanceGone || r.missed[id] >= missingAfter
+}
+
 // All returns the newest report of every instance.
 func (r *Reports) All() map[string]platform.Instance { return r.newest }
--- a/wave/progress.go
+++ b/wave/progress.go
@@ -74,14 +74,14 @@
 func (p *PoolProgress) count(w Wave, in pool.Instance) {
 	p.Size++
 	switch {
-	case in.Done == w.Operation() && in.Result == pool.ResultSkipped:
-		p.Skipped++
-	case in.Done == w.Operation():
-		p.Rebooted++
 	case in.Operation == w.Operation() && in.State == pool.StateFailed:
 		p.Failed++
 	case in.Operation == w.Operation():
 		p.Stopping++
+	case in.Done == w.Operation() && in.Result == pool.ResultSkipped:
+		p.Skipped++
+	case in.Done == w.Operation():
+		p.Rebooted++
 	default:
 		p.Pending++
 	}
--- a/wave/step.go
+++ b/wave/step.go
@@ -77,7 +77,12 @@
 		if current && (report.Incarnation > in.Incarnation || report.Reported.After(in.Seen)) && report.State == platform.InstanceLive {
 			return change(finish(now, in, report))
 		}
-		return waitReturn(now, in, CallUndrain, rules)
+		call := CallUndrain
+		if in.State == pool.StateFailed && (!current || report.State == platform.InstanceGone) {
+			// The reboot has begun and did not end. The instance serves nobody, so it may be rebooted again.
+			call = CallReboot
+		}
+		return waitReturn(now, in, call, rules)
 	}
 	return Decision{Next: in}
 }
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -156,7 +156,7 @@
 			Down:    row.Down() || !available(row.ID),
 			Pending: w.Pending(row.Instance),
 			Failed:  row.State == pool.StateFailed && row.Operation == w.Operation(),
-			Ended:   row.Done == w.Operation(),
+			Ended:   row.Done == w.Operation() && row.Operation != w.Operation(),
 		})
 	}
 	return members
