--- a/duty/duty.go
+++ b/duty/duty.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/lease"
 	"github.com/chivetiller/chivetiller/platform"
 )
 
@@ -139,3 +140,18 @@
 		errors.Is(err, platform.ErrUnknownOutcome) || errors.Is(err, platform.ErrOverBudget) ||
 		errors.Is(err, platform.ErrNotFound)
 }
+
+// managed are leases of a manager.
+type managed struct{ manager *lease.Manager }
+
+// FromManager returns the leases of a manager.
+func FromManager(m *lease.Manager) Leases { return managed{manager: m} }
+
+// Holds implements [Leases].
+func (m managed) Holds(duty string) (platform.Check, bool) {
+	held, ok := m.manager.Held(duty)
+	if !ok {
+		return platform.Check{}, false
+	}
+	return held.Guard(platform.Txn{}).Checks[0], true
+}
--- a/duty/fake_test.go
+++ b/duty/fake_test.go
@@ -81,7 +81,7 @@
 	for i := range n {
 		in := platform.Instance{
 			ID: fmt.Sprintf("%s-%03d", name, i), DataCentre: fmt.Sprintf("dc%d", i%3), Rack: fmt.Sprintf("r%d", i/12),
-			Incarnation: 1, State: platform.InstanceLive, Slots: 8,
+			Incarnation: 1, State: platform.InstanceLive, Slots: 8, Cores: 64, Memory: 256 << 30,
 		}
 		f.machines[in.ID] = &machine{Instance: in}
 		if _, err := store.Adopt(context.Background(), time.Now(), in, name); err != nil {
--- a/job/place.go
+++ b/job/place.go
@@ -89,6 +89,8 @@
 		plan.Placements = append(plan.Placements, Placement{Job: j, Worker: at.ID})
 		plan.Victims = append(plan.Victims, victims...)
 	}
+	// A job that was to be throttled first and has to stop after all only stops.
+	plan.Victims = slices.DeleteFunc(plan.Victims, func(v Victim) bool { return v.Throttle > 0 && p.gone[v.Job.ID] })
 	plan.Restored = p.restore(running)
 	return plan
 }
