Hold shares over all entry instances when teams use only some

Cause: each entry instance sees only its own part of the work. A team whose connections end at one entry instance got a share of that one only. Change: Usage and ObservePeer exchange used slot time; weights in force move towards what makes usage over all entry instances match the shares. Also adds Requeue, removal of classes and idle teams, and counts slots in use at endpoints without new work in Capacity. The endpoint set starts probes at an interval that does not depend on when earlier probes end.

--- a/endpoint/node.go
+++ b/endpoint/node.go
@@ -26,12 +26,13 @@
 	peers int
 	// outcomes holds a 1 for each failure among the last outcomes, the latest in the lowest bit.
 	outcomes uint16
-	// paused means that the endpoint gets at most one request at a time, and none before resume.
+	// paused means that the endpoint gets one request, a probe, at resume and none before.
 	paused bool
-	// refusing means that the pause is because the endpoint said that it did not act.
-	refusing bool
-	resume   time.Time
+	resume time.Time
+	// interval is the time until the next probe; it doubles with each probe.
 	interval time.Duration
+	// probing means that a probe has begun since the pause.
+	probing bool
 	// waiting is the position in zone.paused, or -1.
 	waiting int
 	// missing is when the endpoint disappeared from the list. It is zero while it is listed.
@@ -61,6 +62,19 @@
 	return n.outcomes&inRow == inRow || bits.OnesCount16(n.outcomes) >= windowFailures
 }
 
+// reset forgets what was learned of the endpoint.
+func (n *node) reset() {
+	n.outcomes, n.paused, n.probing, n.interval = 0, false, false, 0
+}
+
+// freeSlots returns the number of slots that can be taken without a probe.
+func (n *node) freeSlots() int {
+	if !n.open() {
+		return 0
+	}
+	return n.endpoint.Quota - n.inFlight
+}
+
 // zone holds the endpoints of a data centre.
 type zone struct {
 	name string
--- a/endpoint/set.go
+++ b/endpoint/set.go
@@ -7,15 +7,15 @@
 	"time"
 )
 
-// tombstoneAge is how long the incarnation of a leaving endpoint is remembered after it disappeared
-// from the list, which can repeat an old entry.
+// tombstoneAge is how long a leaving or quarantined endpoint is remembered after it disappeared from
+// the list, which can drop and repeat entries.
 const tombstoneAge = 10 * time.Minute
 
 var _ heap.Interface = (*pausedHeap)(nil)
 
 // place puts the node into the heap if it waits for a probe, and takes it out otherwise.
 func (h *pausedHeap) place(n *node) {
-	waits := n.listed() && n.paused && n.inFlight == 0 && n.endpoint.Quota > 0
+	waits := n.listed() && n.paused && n.inFlight < n.endpoint.Quota
 	switch {
 	case waits && n.waiting < 0:
 		heap.Push(h, n)
@@ -36,8 +36,9 @@
 	// overflow is the index in remote of the data centre that takes overflow until held.
 	overflow int
 	held     time.Time
-	capacity int
+	// free and inFlight are sums over the nodes.
 	free     int
+	inFlight int
 }
 
 // NewSet returns a set without endpoints.
@@ -64,37 +65,37 @@
 		}
 	}
 	for _, e := range endpoints {
-		s.update(e)
+		n := s.update(e)
+		n.zone.place(n)
 	}
-	s.capacity, s.free = 0, 0
+	s.free, s.inFlight = 0, 0
 	for id, n := range s.nodes {
-		n.zone.place(n)
-		if !n.missing.IsZero() && n.inFlight == 0 &&
-			(!n.endpoint.Leaving || now.Sub(n.missing) > tombstoneAge) {
-			delete(s.nodes, id)
-			continue
+		if !n.missing.IsZero() {
+			n.zone.place(n)
+			s.forget(now, id, n)
 		}
-		s.count(n, 1)
+		s.free += n.freeSlots()
+		s.inFlight += n.inFlight
 	}
 }
 
-func (s *Set) update(e Endpoint) {
+func (s *Set) update(e Endpoint) *node {
 	e.Quota = max(e.Quota, 0)
 	n, ok := s.nodes[e.ID]
 	if !ok {
 		n = &node{endpoint: e, zone: s.zone(e.DataCentre), index: -1, waiting: -1}
 		s.nodes[e.ID] = n
-		return
+		return n
 	}
 	n.missing = time.Time{}
 	switch {
 	case e.Incarnation < n.endpoint.Incarnation:
 		// The entry is out of date, but the quota is this entry instance's own.
 		n.endpoint.Quota = e.Quota
-		return
+		return n
 	case e.Incarnation > n.endpoint.Incarnation:
 		n.stale = n.inFlight
-		n.outcomes, n.paused, n.refusing, n.interval = 0, false, false, 0
+		n.reset()
 	default:
 		e.Leaving = e.Leaving || n.endpoint.Leaving
 	}
@@ -105,6 +106,24 @@
 		n.zone = s.zone(e.DataCentre)
 	}
 	n.endpoint = e
+	return n
+}
+
+// forget removes a node that is no longer listed, once nothing has to be remembered of it.
+func (s *Set) forget(now time.Time, id string, n *node) {
+	if n.missing.IsZero() || n.inFlight > 0 {
+		return
+	}
+	if !n.endpoint.Leaving && !n.paused || now.Sub(n.missing) > tombstoneAge {
+		delete(s.nodes, id)
+	}
+}
+
+// SetPeerLoad sets how many requests other entry instances run at the endpoint, from their summaries.
+func (s *Set) SetPeerLoad(id string, inFlight int) {
+	if n, ok := s.nodes[id]; ok {
+		n.peers = max(inFlight, 0)
+	}
 }
 
 func (s *Set) zone(dataCentre string) *zone {
@@ -121,21 +140,12 @@
 	return z
 }
 
-// count adds the node to the sums of slots, or takes it out if sign is -1.
-func (s *Set) count(n *node, sign int) {
-	if !n.listed() || n.paused {
-		return
-	}
-	s.capacity += sign * n.endpoint.Quota
-	s.free += sign * max(n.endpoint.Quota-n.inFlight, 0)
-}
+// Capacity returns the number of slots that this entry instance may use now: those in use, also at
+// endpoints that get no new work, and the free ones.
+func (s *Set) Capacity(now time.Time) int { return s.inFlight + s.Free(now) }
 
-// Capacity returns the number of slots of usable endpoints, free or in use, plus one for each
-// quarantined endpoint that may be probed now.
-func (s *Set) Capacity(now time.Time) int { return s.capacity + s.probes(now) }
-
-// Free returns the number of free slots of usable endpoints, plus one for each quarantined endpoint
-// that may be probed now.
+// Free returns the number of free slots of usable endpoints, plus one for each data centre with a
+// quarantined endpoint that may be probed now. Acquire without exclusions succeeds while Free is not 0.
 func (s *Set) Free(now time.Time) int { return s.free + s.probes(now) }
 
 // probes returns how many data centres have an endpoint that may be probed now.
@@ -166,10 +176,12 @@
 	if n == nil {
 		return Endpoint{}, false
 	}
-	s.count(n, -1)
-	n.inFlight++
-	s.count(n, 1)
-	n.zone.place(n)
+	s.change(n, 1, func() {
+		if n.paused {
+			n.probing = true
+			s.schedule(now, n)
+		}
+	})
 	return n.endpoint, true
 }
 
@@ -229,14 +241,18 @@
 	if !ok || n.inFlight == 0 {
 		return
 	}
-	s.count(n, -1)
-	n.inFlight--
-	s.judge(now, n, outcome)
-	s.count(n, 1)
+	s.change(n, -1, func() { s.judge(now, n, outcome) })
+	s.forget(now, id, n)
+}
+
+// change takes or gives back slots of the node, changes its state and updates the sums and lists.
+func (s *Set) change(n *node, slots int, state func()) {
+	s.free -= n.freeSlots()
+	s.inFlight += slots
+	n.inFlight += slots
+	state()
+	s.free += n.freeSlots()
 	n.zone.place(n)
-	if n.inFlight == 0 && !n.missing.IsZero() && !n.endpoint.Leaving {
-		delete(s.nodes, id)
-	}
 }
 
 // judge changes the state of the endpoint after an attempt.
@@ -250,31 +266,32 @@
 	switch outcome {
 	case OutcomeOK:
 		n.record(false)
-		if n.paused {
-			n.paused, n.refusing, n.outcomes, n.interval = false, false, 0, 0
+		// A success of an attempt that began before the pause does not end it.
+		if n.probing {
+			n.reset()
 		}
 	case OutcomeFailed:
 		n.record(true)
-		if n.paused || n.unhealthy() {
+		if n.unhealthy() {
 			s.pause(now, n)
 		}
-	case OutcomeNotRun:
-		n.refusing = true
-		s.pause(now, n)
-	case OutcomeRefused:
-		n.record(true)
+	case OutcomeNotRun, OutcomeRefused:
 		s.pause(now, n)
 	}
 }
 
-// pause stops new work for the endpoint until its next probe. The interval doubles with each failed
-// probe, not with each of several requests that fail at the same time.
+// pause stops new work for the endpoint until its next probe.
 func (s *Set) pause(now time.Time, n *node) {
-	if n.paused && now.Before(n.resume) {
-		return
+	if !n.paused {
+		n.paused, n.probing, n.interval = true, false, 0
+		s.schedule(now, n)
 	}
+}
+
+// schedule sets the time of the next probe. It counts from the start of a probe, so that a probe
+// without a response does not delay the next one. Jitter keeps entry instances from probing at the
+// same time.
+func (s *Set) schedule(now time.Time, n *node) {
 	n.interval = min(max(2*n.interval, s.options.ProbeInterval), s.options.MaxProbeInterval)
-	n.paused = true
-	// Jitter keeps entry instances from probing at the same time.
 	n.resume = now.Add(n.interval/2 + time.Duration(s.random.Int64N(int64(n.interval))))
 }
--- a/queue/admission.go
+++ b/queue/admission.go
@@ -1,9 +1,7 @@
 package queue
 
 import (
-	"container/heap"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -21,7 +19,7 @@
 // is reached.
 func (s *Scheduler) Offer(now time.Time, r Request) error {
 	c, ok := s.classes[r.Class]
-	if !ok || !slices.Contains(s.order, c) {
+	if !ok || c.removed {
 		return &Rejection{Reason: ReasonUnknownClass}
 	}
 	if _, ok := s.items[r.ID]; ok {
@@ -72,20 +70,14 @@
 		c.busyTeams++
 		c.busyWeight += q.weight
 	}
-	q.insert(i, position)
-	s.queued++
-	c.queued++
-	s.bytes += i.request.Bytes
-	c.bytes += i.request.Bytes
-	if q.index < 0 {
-		heap.Push(&c.waiting, q)
-	}
+	s.push(i, position)
 }
 
 func (s *Scheduler) team(c *classQueue, name string) *teamQueue {
 	q, ok := c.teams[name]
 	if !ok {
-		q = &teamQueue{class: c, name: name, weight: s.weightOf(name), index: -1}
+		w := s.weightOf(name)
+		q = &teamQueue{flow: flow{share: w, weight: w}, class: c, name: name, index: -1}
 		c.teams[name] = q
 	}
 	return q
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -29,9 +29,9 @@
 
 // teamQueue holds the requests of a team in a class, in the order of their deadlines.
 type teamQueue struct {
-	class  *classQueue
-	name   string
-	weight float64
+	flow
+	class *classQueue
+	name  string
 	// tag is the virtual time at which the next request starts: slot time over weight.
 	tag float64
 	// index is the position in the heap of the class, or -1 if nothing is queued.
@@ -42,6 +42,8 @@
 	bytes    int
 	service  estimate
 	occupied occupancy
+	// used is the slot time in seconds that was charged in all.
+	used float64
 }
 
 func (q *teamQueue) queued() int { return len(q.items) - q.head }
@@ -99,12 +101,14 @@
 
 // classQueue holds the queues of the teams of a class.
 type classQueue struct {
+	flow
 	name   string
-	weight float64
 	urgent bool
 	target time.Duration
-	tag    float64
-	teams  map[string]*teamQueue
+	// removed means that the class is no longer configured.
+	removed bool
+	tag     float64
+	teams   map[string]*teamQueue
 	// waiting holds the teams with queued requests.
 	waiting teamHeap
 	// virtual is the virtual time over the teams of the class.
--- a/queue/load_test.go
+++ b/queue/load_test.go
@@ -85,6 +85,40 @@
 	return sc
 }
 
+// skewed returns the scenario in which the two large teams use all entry instances and each of the
+// four small ones only one.
+func skewed(sc scenario) scenario {
+	sc = busy(sc)
+	for i := range sc.sources {
+		src := &sc.sources[i]
+		if src.team == "t1" || src.team == "t2" {
+			src.load *= 2
+		} else {
+			src.entry = int(src.team[1] - '2')
+		}
+	}
+	return sc
+}
+
+// BenchmarkSkew reports the share error with and without an exchange of usage.
+func BenchmarkSkew(b *testing.B) {
+	for user, sc := range users() {
+		for _, exchange := range []time.Duration{0, 250 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+			b.Run(fmt.Sprintf("%s/exchange=%v", user, exchange), func(b *testing.B) {
+				sc := skewed(ours(sc))
+				sc.exchange = exchange
+				var r result
+				for range b.N {
+					r = run(sc)
+				}
+				b.ReportMetric(r.shareError(sc, 4, 14), "share-error")
+				b.ReportMetric(r.shareError(sc, 28, 38), "share-error-after-change")
+				b.ReportMetric(r.shareError(sc, 8, 9), "share-error-1s")
+			})
+		}
+	}
+}
+
 // fill divides the amount by weighted max-min fairness over the demands.
 func fill(amount float64, weights, demands []float64) []float64 {
 	parts := make([]float64, len(weights))
--- a/queue/model_test.go
+++ b/queue/model_test.go
@@ -55,6 +55,7 @@
 	dataCentres, broken int
 	delay               time.Duration // one way between data centres
 	length              time.Duration
+	exchange            time.Duration // interval of usage summaries, 0 for none
 	seed                uint64
 	newScheduler        func(sc *scenario) scheduler
 	newChooser          func(dataCentre string) chooser
@@ -173,6 +174,9 @@
 		}
 		m.after(time.Duration(i)*tick/time.Duration(sc.entries), loop)
 	}
+	if sc.exchange > 0 {
+		m.after(sc.exchange, m.exchangeUsage)
+	}
 	for _, c := range sc.classes {
 		m.res.classes[c.Name] = &counts{}
 		m.targets[c.Name], _ = time.ParseDuration(c.Target)
@@ -201,6 +205,19 @@
 	return m.res
 }
 
+// exchangeUsage sends the usage of each entry instance to the others, which receive it one interval late.
+func (m *model) exchangeUsage() {
+	for i, from := range m.entries {
+		usage := from.scheduler.(*queue.Scheduler).Usage(nil)
+		for j, to := range m.entries {
+			if i != j {
+				m.after(m.exchange, func() { to.scheduler.(*queue.Scheduler).ObservePeer(fmt.Sprint(i), usage) })
+			}
+		}
+	}
+	m.after(m.exchange, m.exchangeUsage)
+}
+
 // capacity is the number of slots of working workers.
 func (m *model) capacity() float64 {
 	return float64((m.workers - m.broken) * endpoint.SlotsPerEndpoint)
--- a/queue/scheduler.go
+++ b/queue/scheduler.go
@@ -14,6 +14,10 @@
 	// shortCredit bounds the credit of other classes and of teams, as time at their share. It lets a
 	// short burst of a team that stays within its share go before teams that are over theirs.
 	shortCredit = 500 * time.Millisecond
+	// sweepInterval is how long the state of an idle team is kept at least.
+	sweepInterval = 10 * time.Minute
+	// maxSpare bounds the items that are kept for reuse.
+	maxSpare = 256
 )
 
 // Scheduler queues the work of one pool at one entry instance.
@@ -24,6 +28,8 @@
 	order   []*classQueue
 	weights map[string]float64
 	items   map[string]*item
+	// peers holds the last usage that each peer reported.
+	peers map[string]map[usageKey]time.Duration
 	// spare holds items for reuse.
 	spare    []*item
 	dropped  []Request
@@ -34,6 +40,8 @@
 	queued   int
 	bytes    int
 	occupied occupancy
+	swept    time.Time
+	adjusted time.Time
 }
 
 // NewScheduler returns a scheduler without classes and without capacity.
@@ -43,6 +51,7 @@
 		classes: make(map[string]*classQueue),
 		weights: make(map[string]float64),
 		items:   make(map[string]*item),
+		peers:   make(map[string]map[usageKey]time.Duration),
 	}
 }
 
@@ -64,7 +73,7 @@
 			q.service.deviation = q.service.mean / 2
 			s.classes[c.Name()] = q
 		}
-		q.weight, q.urgent, q.target = c.Share(), c.Urgent(), c.Target()
+		q.share, q.weight, q.urgent, q.target, q.removed = c.Share(), c.Share(), c.Urgent(), c.Target(), false
 		s.order = append(s.order, q)
 	}
 	for name, q := range s.classes {
@@ -74,7 +83,8 @@
 		}
 		q.busyWeight = 0
 		for _, t := range q.teams {
-			t.weight = s.weightOf(t.name)
+			t.share = s.weightOf(t.name)
+			t.weight = t.share
 			if t.busy() {
 				q.busyWeight += t.weight
 			}
@@ -101,7 +111,7 @@
 		}
 		i := q.first()
 		if s.hopeless(now, i) {
-			s.drop(now, i, 0)
+			s.drop(i, 0)
 			continue
 		}
 		s.dispatch(now, i)
@@ -194,23 +204,26 @@
 }
 
 func (s *Scheduler) dispatch(now time.Time, i *item) {
-	q, c := i.queue, i.queue.class
-	q.removeAt(0)
-	s.queued--
-	c.queued--
-	s.bytes -= i.request.Bytes
-	c.bytes -= i.request.Bytes
+	q := i.queue
+	s.pull(i, 0)
 	i.running = true
 	i.charged = q.estimate().mean
-	s.occupied.change(now, 1)
-	c.occupied.change(now, 1)
-	q.occupied.change(now, 1)
+	s.occupy(now, q, 1)
 	s.charge(q, i.charged)
-	s.settle(q)
+}
+
+// occupy changes the number of occupied slots of the team and its class.
+func (s *Scheduler) occupy(now time.Time, q *teamQueue, by int) {
+	s.occupied.change(now, by)
+	q.class.occupied.change(now, by)
+	q.occupied.change(now, by)
 }
 
 // charge adds slot time in seconds to the team and its class. It can be negative.
 func (s *Scheduler) charge(q *teamQueue, slotTime float64) {
+	q.used += slotTime
+	q.recent += slotTime
+	q.class.recent += slotTime
 	q.class.tag += slotTime / q.class.weight
 	q.tag += slotTime / q.weight
 	if q.index >= 0 {
@@ -218,13 +231,6 @@
 	}
 }
 
-// settle takes a team without queued requests out of the heap.
-func (s *Scheduler) settle(q *teamQueue) {
-	if q.queued() == 0 && q.index >= 0 {
-		heap.Remove(&q.class.waiting, q.index)
-	}
-}
-
 // Finished records that a dispatched request has ended after it occupied a slot for the service time.
 // If it occupied several slots (retries, hedged requests), service is their sum.
 func (s *Scheduler) Finished(now time.Time, r Request, service time.Duration) {
@@ -244,9 +250,7 @@
 	}
 	q, c := i.queue, i.queue.class
 	slotTime := seconds(max(service, 0))
-	s.occupied.change(now, -1)
-	c.occupied.change(now, -1)
-	q.occupied.change(now, -1)
+	s.occupy(now, q, -1)
 	s.charge(q, slotTime-i.charged)
 	if learn {
 		q.service.add(slotTime)
@@ -256,6 +260,20 @@
 	s.idle(q)
 }
 
+// Requeue puts a dispatched request that no endpoint has received back into its queue, without a new
+// admission. It returns false if the request is not running.
+func (s *Scheduler) Requeue(now time.Time, r Request) bool {
+	i, ok := s.items[r.ID]
+	if !ok || !i.running {
+		return false
+	}
+	s.occupy(now, i.queue, -1)
+	s.charge(i.queue, -i.charged)
+	i.running, i.charged = false, 0
+	s.push(i, i.queue.position(i))
+	return true
+}
+
 // Cancel removes a queued request. It returns false if the request is not queued, for example because
 // it has been dispatched.
 func (s *Scheduler) Cancel(id string) bool {
@@ -270,6 +288,8 @@
 // Expire removes and returns the queued requests that can no longer finish in time. They have not run.
 // The returned slice is valid until the next call.
 func (s *Scheduler) Expire(now time.Time) []Request {
+	s.sweep(now)
+	s.adjustWeights(now)
 	expired := s.dropped
 	for _, c := range s.order {
 		for n := 0; n < len(c.waiting); {
@@ -287,6 +307,21 @@
 	return expired
 }
 
+// sweep removes the state of teams that have sent nothing for long.
+func (s *Scheduler) sweep(now time.Time) {
+	if now.Sub(s.swept) < sweepInterval {
+		return
+	}
+	s.swept = now
+	for _, c := range s.order {
+		for name, q := range c.teams {
+			if !q.busy() && now.Sub(q.occupied.updated) >= sweepInterval {
+				delete(c.teams, name)
+			}
+		}
+	}
+}
+
 // hopeless reports whether a request that is dispatched now cannot finish before its deadline.
 func (s *Scheduler) hopeless(now time.Time, i *item) bool {
 	left := seconds(i.request.Deadline.Sub(now))
@@ -297,20 +332,41 @@
 }
 
 // drop removes a request that Expire reports later.
-func (s *Scheduler) drop(_ time.Time, i *item, position int) {
+func (s *Scheduler) drop(i *item, position int) {
 	s.dropped = append(s.dropped, i.request)
 	s.remove(i, position)
 }
 
-// remove takes a queued item out of its queue.
-func (s *Scheduler) remove(i *item, position int) {
-	q := i.queue
+// push puts an item into the queue of its team.
+func (s *Scheduler) push(i *item, position int) {
+	q, c := i.queue, i.queue.class
+	q.insert(i, position)
+	s.queued++
+	c.queued++
+	s.bytes += i.request.Bytes
+	c.bytes += i.request.Bytes
+	if q.index < 0 {
+		heap.Push(&c.waiting, q)
+	}
+}
+
+// pull takes an item out of the queue of its team.
+func (s *Scheduler) pull(i *item, position int) {
+	q, c := i.queue, i.queue.class
 	q.removeAt(position)
 	s.queued--
-	q.class.queued--
+	c.queued--
 	s.bytes -= i.request.Bytes
-	q.class.bytes -= i.request.Bytes
-	s.settle(q)
+	c.bytes -= i.request.Bytes
+	if q.queued() == 0 {
+		heap.Remove(&c.waiting, q.index)
+	}
+}
+
+// remove takes a queued item out of the scheduler.
+func (s *Scheduler) remove(i *item, position int) {
+	q := i.queue
+	s.pull(i, position)
 	s.forget(i)
 	s.idle(q)
 }
@@ -318,7 +374,7 @@
 func (s *Scheduler) forget(i *item) {
 	delete(s.items, i.request.ID)
 	*i = item{}
-	if len(s.spare) < cap(s.spare) || len(s.spare) < s.options.MaxRequests {
+	if len(s.spare) < maxSpare {
 		s.spare = append(s.spare, i)
 	}
 }
@@ -333,18 +389,24 @@
 	c.busyWeight -= q.weight
 	if c.busyTeams == 0 {
 		c.busyWeight = 0 // removes rounding errors
+		if c.removed {
+			delete(s.classes, c.name)
+		}
 	}
 }
 
+// removeClass drops the queued requests of a class. Its running requests still end in the usual way.
 func (s *Scheduler) removeClass(c *classQueue) {
+	c.removed = true
+	if !c.busy() {
+		delete(s.classes, c.name)
+		return
+	}
 	for _, q := range c.teams {
 		for q.queued() > 0 {
-			s.drop(time.Time{}, q.first(), 0)
+			s.drop(q.first(), 0)
 		}
 	}
-	if c.occupied.running == 0 {
-		delete(s.classes, c.name)
-	}
 }
 
 func (s *Scheduler) weightOf(team string) float64 {
