Add the operations and commands for instances, waves and jobs

A document that can never succeed is refused at once: an unknown pool or team, a job larger than every worker of its data centre, a budget that allows no stop, a wave over the pools of another one.

--- /dev/null
+++ b/commands/fleetapi.go
@@ -0,0 +1,133 @@
+package commands
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/chivetiller/chivetiller/common/problem"
+)
+
+// fleetTimeout bounds one request to the operator API.
+const fleetTimeout = 30 * time.Second
+
+// fleetFlags are the flags of commands that are clients of the operator API.
+type fleetFlags struct {
+	operator string
+	keyFile  string
+	output   string
+}
+
+// add defines the flags for a command and those below it.
+func (f *fleetFlags) add(cmd *cobra.Command) {
+	flags := cmd.PersistentFlags()
+	flags.StringVar(&f.operator, "operator", "http://127.0.0.1:8081", "URL of the operator API of any entry instance")
+	flags.StringVar(&f.keyFile, "key-file", "", "file with the operator key")
+	flags.StringVar(&f.output, "output", "table", "output format: table or json")
+}
+
+// call sends a request with in as JSON and decodes the response into out. In and out may be nil.
+func (f *fleetFlags) call(cmd *cobra.Command, method, path string, in, out any) error {
+	if f.output != "table" && f.output != "json" {
+		return newUsageError(eris.Errorf("output %q is neither table nor json", f.output))
+	}
+	base, err := url.Parse(f.operator)
+	if err != nil || base.Host == "" {
+		return newUsageError(eris.Errorf("operator %q is not a URL", f.operator))
+	}
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(cmd.Context(), method, strings.TrimSuffix(f.operator, "/")+path, body)
+	if err != nil {
+		return newUsageError(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if f.keyFile != "" {
+		key, err := os.ReadFile(f.keyFile)
+		if err != nil {
+			return newUsageError(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(key)))
+	}
+	resp, err := (&http.Client{Timeout: fleetTimeout}).Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return responseError(resp.StatusCode, data)
+	}
+	if out == nil || len(data) == 0 {
+		return nil
+	}
+	return json.Unmarshal(data, out)
+}
+
+// responseError returns the error of a problem document. A wrong document or argument ends the program with code 2.
+func responseError(status int, data []byte) error {
+	var document problem.Document
+	err := fmt.Errorf("operator API responded with status %d", status)
+	if json.Unmarshal(data, &document) == nil && document.Detail != "" {
+		err = fmt.Errorf("%s: %s", document.Title, document.Detail)
+	}
+	if status == http.StatusBadRequest || status == http.StatusUnprocessableEntity {
+		return newUsageError(err)
+	}
+	return err
+}
+
+// print writes value as JSON, or the rows as a table.
+func (f *fleetFlags) print(cmd *cobra.Command, value any, header []string, rows [][]string) error {
+	if f.output == "json" {
+		encoder := json.NewEncoder(cmd.OutOrStdout())
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join(header, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
+
+// readDocument decodes a YAML file strictly.
+func readDocument(path string, to any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return newUsageError(err)
+	}
+	if err := yaml.UnmarshalWithOptions(data, to, yaml.Strict()); err != nil {
+		return newUsageError(eris.Wrapf(err, "%s", path))
+	}
+	return nil
+}
+
+// showTime formats a time for a table; "-" if it is zero.
+func showTime(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.Format(time.RFC3339)
+}
--- /dev/null
+++ b/duty/operations.go
@@ -0,0 +1,330 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/job"
+	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/wave"
+)
+
+// ErrInvalid marks a request of an operator that can never succeed as it is. Other errors are those of
+// the platform: [platform.ErrNotFound], [platform.ErrConflict] and the temporary ones.
+var ErrInvalid = errors.New("invalid request")
+
+// OperationsOptions are the options of operations.
+type OperationsOptions struct {
+	Table     platform.Table
+	Instances platform.Instances
+	// Pools returns the configured pools.
+	Pools func() []pool.Pool
+	// HasTeam reports whether a team is configured.
+	HasTeam func(name string) bool
+}
+
+// Operations are what operators can do with instances, waves and jobs, at any entry instance. They only
+// write rows; the holders of the duties act on them.
+type Operations struct {
+	options OperationsOptions
+	waves   *wave.Store
+
+	// mu guards reports.
+	mu      sync.Mutex
+	reports *pool.Reports
+}
+
+// NewOperations returns operations.
+func NewOperations(o OperationsOptions) *Operations {
+	return &Operations{options: o, waves: wave.NewStore(o.Table), reports: pool.NewReports(o.Instances)}
+}
+
+// InstanceView is an instance row with the platform's report.
+type InstanceView struct {
+	pool.Instance
+	// Platform is the state in the platform's list; empty if it is not listed.
+	Platform platform.InstanceState `json:"platform"`
+	Address  string                 `json:"address,omitempty"`
+	InFlight int                    `json:"inFlight"`
+	Reported time.Time              `json:"reported,omitzero"`
+}
+
+// Wave actions of [Operations.ChangeWave].
+const (
+	ActionPause  = "pause"
+	ActionResume = "resume"
+	ActionAbort  = "abort"
+)
+
+// ListInstances returns the instances of a pool, or of all pools if the name is empty.
+func (o *Operations) ListInstances(ctx context.Context, name string) ([]InstanceView, error) {
+	if name != "" {
+		if _, err := o.pool(name); err != nil {
+			return nil, err
+		}
+	}
+	rows, reports, err := o.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	views := make([]InstanceView, 0, len(rows))
+	for _, row := range rows {
+		if name != "" && row.Pool != name {
+			continue
+		}
+		report := reports[row.ID]
+		views = append(views, InstanceView{
+			Instance: row.Instance, Platform: report.State, Address: report.Address, InFlight: report.InFlight, Reported: report.Reported,
+		})
+	}
+	return views, nil
+}
+
+// AssignInstance puts an instance into a pool for good: at once if it has none, by a move otherwise. A move
+// that would exceed the availability budget of the present pool is refused.
+func (o *Operations) AssignInstance(ctx context.Context, id, name string) (pool.Instance, error) {
+	if _, err := o.pool(name); err != nil {
+		return pool.Instance{}, err
+	}
+	store := pool.NewStore(o.options.Table)
+	_, reports, err := o.read(ctx)
+	if err != nil {
+		return pool.Instance{}, err
+	}
+	report, listed := reports[id]
+	row, err := store.Get(ctx, id)
+	if errors.Is(err, platform.ErrNotFound) {
+		if !listed {
+			return pool.Instance{}, invalid(eris.Errorf("the platform lists no instance %q", id))
+		}
+		if _, err := store.Adopt(ctx, time.Now(), report, name); err != nil {
+			return pool.Instance{}, err
+		}
+		row, err = store.Get(ctx, id)
+	}
+	if err != nil {
+		return pool.Instance{}, err
+	}
+	if row.Pool == name && row.Home == name || row.Target == name {
+		return row.Instance, nil
+	}
+	return o.beginAssign(ctx, store, row, report, name)
+}
+
+func (o *Operations) beginAssign(ctx context.Context, store *pool.Store, row pool.Stored, report platform.Instance, name string) (pool.Instance, error) {
+	if row.Down() {
+		return pool.Instance{}, invalid(eris.Errorf("instance %q is %s under %s", row.ID, row.State, row.Operation))
+	}
+	if row.Pool == name {
+		// It was lent to the pool and now belongs to it.
+		next := row.Next(time.Now(), row.State)
+		next.Home = name
+		return next, store.Change(ctx, row, next)
+	}
+	from, err := o.pool(row.Pool)
+	if err != nil {
+		return pool.Instance{}, err
+	}
+	planned, err := store.Planned(ctx, row.Pool)
+	if err != nil {
+		return pool.Instance{}, err
+	}
+	rows, reports, err := o.read(ctx)
+	if err != nil {
+		return pool.Instance{}, err
+	}
+	down, size := 0, 0
+	for _, each := range rows {
+		if each.Pool != row.Pool {
+			continue
+		}
+		size++
+		if each.Down() || reports[each.ID].State != platform.InstanceLive {
+			down++
+		}
+	}
+	if allowed := from.MaxUnavailable(size); down >= allowed {
+		return pool.Instance{}, invalid(eris.Errorf("pool %q has %d of %d instances out of service, and its budget allows %d: try again later", row.Pool, down, size, allowed))
+	}
+	next := wave.Begin(time.Now(), row.Instance, report, pool.StateMoving, movePrefix+name)
+	next.Target, next.Home = name, name
+	return next, store.Begin(ctx, row.Pool, planned[row.Pool], []pool.Stored{row}, []pool.Instance{next})
+}
+
+// RemoveInstance forgets an instance that the platform no longer has.
+func (o *Operations) RemoveInstance(ctx context.Context, id string) error {
+	_, reports, err := o.read(ctx)
+	if err != nil {
+		return err
+	}
+	if report, ok := reports[id]; ok && report.State != platform.InstanceGone {
+		return invalid(eris.Errorf("instance %q is %s according to the platform", id, report.State))
+	}
+	return pool.NewStore(o.options.Table).Remove(ctx, id)
+}
+
+// CreateWave begins a wave.
+func (o *Operations) CreateWave(ctx context.Context, spec wave.Spec) (wave.Progress, error) {
+	rows, _, err := o.read(ctx)
+	if err != nil {
+		return wave.Progress{}, err
+	}
+	w, err := o.waves.Create(ctx, spec, time.Now(), o.options.Pools(), rows)
+	if err != nil {
+		return wave.Progress{}, invalid(err)
+	}
+	return w.Progress(time.Now(), rows), nil
+}
+
+// ListWaves returns the progress of all waves.
+func (o *Operations) ListWaves(ctx context.Context) ([]wave.Progress, error) {
+	waves, err := o.waves.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	rows, err := pool.NewStore(o.options.Table).List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	all := make([]wave.Progress, 0, len(waves))
+	for _, w := range waves {
+		all = append(all, w.Progress(time.Now(), rows))
+	}
+	return all, nil
+}
+
+// GetWave returns the progress of a wave.
+func (o *Operations) GetWave(ctx context.Context, name string) (wave.Progress, error) {
+	w, err := o.waves.Get(ctx, name)
+	if err != nil {
+		return wave.Progress{}, err
+	}
+	return o.progress(ctx, w.Wave)
+}
+
+// ChangeWave pauses, resumes or aborts a wave.
+func (o *Operations) ChangeWave(ctx context.Context, name, action string) (wave.Progress, error) {
+	states := map[string]wave.State{ActionPause: wave.StatePaused, ActionResume: wave.StateRunning, ActionAbort: wave.StateAborted}
+	to, ok := states[action]
+	if !ok {
+		return wave.Progress{}, invalid(eris.Errorf("action %q is none of %s, %s and %s", action, ActionPause, ActionResume, ActionAbort))
+	}
+	w, err := o.waves.Set(ctx, name, to)
+	if err != nil {
+		return wave.Progress{}, invalid(err)
+	}
+	return o.progress(ctx, w)
+}
+
+func (o *Operations) progress(ctx context.Context, w wave.Wave) (wave.Progress, error) {
+	rows, err := pool.NewStore(o.options.Table).List(ctx)
+	if err != nil {
+		return wave.Progress{}, err
+	}
+	return w.Progress(time.Now(), rows), nil
+}
+
+// SubmitJob queues a job. Without a data centre in the document, it goes to the one where the largest
+// number of workers is large enough.
+func (o *Operations) SubmitJob(ctx context.Context, spec job.Spec) (job.Job, error) {
+	rows, reports, err := o.read(ctx)
+	if err != nil {
+		return job.Job{}, err
+	}
+	dataCentre := spec.DataCentre
+	able := make(map[string]int)
+	for _, row := range rows {
+		able[row.DataCentre] += 0
+		r := reports[row.ID]
+		if spec.Cores <= r.Cores && spec.Memory <= r.Memory && spec.Accelerators <= r.Accelerators {
+			able[row.DataCentre]++
+		}
+	}
+	if dataCentre == "" {
+		for name, count := range able {
+			if dataCentre == "" || count > able[dataCentre] || count == able[dataCentre] && name < dataCentre {
+				dataCentre = name
+			}
+		}
+	}
+	j, err := job.New(spec, dataCentre, time.Now())
+	if err != nil {
+		return job.Job{}, invalid(err)
+	}
+	switch count, known := able[dataCentre]; {
+	case !known:
+		return job.Job{}, invalid(eris.Errorf("data centre %q has no workers", dataCentre))
+	case count == 0:
+		return job.Job{}, invalid(eris.Errorf("job of kind %q is larger than every worker in data centre %q: %v cores, %d bytes, %d accelerators",
+			spec.Kind, dataCentre, spec.Cores, spec.Memory, spec.Accelerators))
+	case !o.options.HasTeam(spec.Team):
+		return job.Job{}, invalid(eris.Errorf("unknown team %q", spec.Team))
+	}
+	return j, job.NewStore(o.options.Table, nil).Submit(ctx, j)
+}
+
+// ListJobs returns the jobs of a data centre, or all if the name is empty.
+func (o *Operations) ListJobs(ctx context.Context, dataCentre string) ([]job.Job, error) {
+	stored, err := job.NewStore(o.options.Table, nil).List(ctx, dataCentre)
+	if err != nil {
+		return nil, err
+	}
+	jobs := make([]job.Job, 0, len(stored))
+	for _, j := range stored {
+		jobs = append(jobs, j.Job)
+	}
+	return jobs, nil
+}
+
+// GetJob returns a job.
+func (o *Operations) GetJob(ctx context.Context, id string) (job.Job, error) {
+	stored, err := job.NewStore(o.options.Table, nil).Get(ctx, id)
+	return stored.Job, err
+}
+
+// CancelJob cancels a job.
+func (o *Operations) CancelJob(ctx context.Context, id string) (job.Job, error) {
+	return job.NewStore(o.options.Table, nil).Cancel(ctx, id, time.Now())
+}
+
+func (o *Operations) pool(name string) (pool.Pool, error) {
+	pools := o.options.Pools()
+	i := slices.IndexFunc(pools, func(p pool.Pool) bool { return p.Name() == name })
+	if i < 0 {
+		return pool.Pool{}, invalid(eris.Errorf("unknown pool %q", name))
+	}
+	return pools[i], nil
+}
+
+// read returns the rows and the newest reports.
+func (o *Operations) read(ctx context.Context) ([]pool.Stored, map[string]platform.Instance, error) {
+	rows, err := pool.NewStore(o.options.Table).List(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.reports.Refresh(ctx); err != nil {
+		return nil, nil, err
+	}
+	reports := make(map[string]platform.Instance, len(rows))
+	for id, report := range o.reports.All() {
+		reports[id] = report
+	}
+	return rows, reports, nil
+}
+
+// invalid marks an error as one of the request, unless it comes from the platform.
+func invalid(err error) error {
+	if passing(err) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrInvalid, err)
+}
