--- a/burn/history.go
+++ b/burn/history.go
@@ -34,11 +34,16 @@
 
 // Load reads the parts that the longest window needs.
 func Load(ctx context.Context, objects Objects, now time.Time) ([]Part, error) {
+	return LoadWindow(ctx, objects, now, Windows[len(Windows)-1])
+}
+
+// LoadWindow reads the parts that one window needs.
+func LoadWindow(ctx context.Context, objects Objects, now time.Time, window Window) ([]Part, error) {
 	names, err := objects.List(ctx, ObjectPrefix)
 	if err != nil {
 		return nil, eris.Wrap(err, "list burn history")
 	}
-	since := now.Add(-longest())
+	since := now.Add(-time.Duration(window))
 	var parts []Part
 	for _, name := range names {
 		if !NameIsSince(name, since) {
--- a/burn/report.go
+++ b/burn/report.go
@@ -109,6 +109,26 @@
 	return report
 }
 
+// ClassWindow is the attainment of a class over one window.
+type ClassWindow struct {
+	Class string
+	WindowReport
+}
+
+// ClassWindows reports on each class as a whole over one window. It costs less than a whole report.
+func ClassWindows(now time.Time, window Window, objectives map[string]float64, parts []Part) []ClassWindow {
+	now = now.UTC()
+	buckets := mergeParts(parts, now.Add(-time.Duration(window)), now)
+	reports := make([]ClassWindow, 0, len(objectives))
+	for class, objective := range objectives {
+		reports = append(reports, ClassWindow{
+			Class:        class,
+			WindowReport: newWindowReport(now, window, seriesKey{class: class}, objective, buckets),
+		})
+	}
+	return reports
+}
+
 // mergeParts adds up the buckets of all parts, each team also in its class as a whole.
 func mergeParts(parts []Part, from, to time.Time) map[time.Time]bucket {
 	buckets := make(map[time.Time]bucket)
