--- a/retry/retry.go
+++ b/retry/retry.go
@@ -15,7 +15,15 @@
 //		... // next attempt after delay
 //	}
 //
-// A Budget and a Policy are not safe for concurrent use.
+// A slow attempt of an idempotent request is hedged:
+//
+//	h := retry.NewHedger() // one for each class
+//	h.Observe(now, service)
+//	if delay, ok := h.Delay(); ok {
+//		... // after delay without a response: if h.Hedge(now, started, attempt, b) { ... }
+//	}
+//
+// A Budget, a Policy and a Hedger are not safe for concurrent use.
 package retry
 
 import (
@@ -77,7 +85,7 @@
 	Idempotent bool
 	// NotRun means that no attempt so far can have had an effect.
 	NotRun bool
-	// Retries is the number of retries so far.
+	// Retries is the number of retries and hedged attempts so far.
 	Retries  int
 	Deadline time.Time
 	// Service is the expected time of a further attempt.
