--- /dev/null
+++ b/endpoint/set_test.go
@@ -0,0 +1,158 @@
+package endpoint_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/endpoint"
+)
+
+// serve makes n attempts, one at a time, and returns how many each endpoint got. The outcome of an
+// endpoint is that in outcomes or success.
+func serve(s *endpoint.Set, now time.Time, n int, outcomes map[string]endpoint.Outcome) map[string]int {
+	got := map[string]int{}
+	for range n {
+		e, ok := s.Acquire(now)
+		if !ok {
+			break
+		}
+		got[e.ID]++
+		s.Release(now, e.ID, outcomes[e.ID])
+	}
+	return got
+}
+
+// TestUnhealthyEndpoint guards against work that goes on to an endpoint that fails, refuses or leaves.
+// Fast failures free their slots at once and would attract most of the work.
+func TestUnhealthyEndpoint(t *testing.T) {
+	const bad = "worker-0000"
+	tests := map[string]struct {
+		outcome endpoint.Outcome
+		most    int // attempts of 1000 at the bad endpoint without time for a probe
+		probes  int // further ones over a minute, with a probe interval from 0.1 s to 5 s
+	}{
+		"fails":        {endpoint.OutcomeFailed, 6, 25},
+		"not run":      {endpoint.OutcomeNotRun, 1, 25},
+		"refused":      {endpoint.OutcomeRefused, 1, 25},
+		"works (base)": {endpoint.OutcomeOK, 1000, 60000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := endpoint.NewSet(endpoint.Options{DataCentre: "dc0", Seed: 1})
+			all := list(4, 1, 8)
+			s.Update(start, all)
+			outcomes := map[string]endpoint.Outcome{bad: tt.outcome}
+			qt.Assert(t, serve(s, start, 1000, outcomes)[bad] <= tt.most, qt.IsTrue)
+			now, probes := start, 0
+			for range 60000 {
+				now = now.Add(time.Millisecond)
+				probes += serve(s, now, 1, outcomes)[bad]
+			}
+			qt.Assert(t, probes <= tt.probes, qt.IsTrue, qt.Commentf("%d probes", probes))
+			qt.Assert(t, probes >= 10, qt.IsTrue, qt.Commentf("%d probes", probes))
+			// The next probe succeeds and ends the quarantine.
+			now = now.Add(10 * time.Second)
+			qt.Assert(t, serve(s, now, 1000, nil)[bad] > 150, qt.IsTrue)
+		})
+	}
+}
+
+// TestIncarnation guards against new work for a leaving endpoint that an old entry of the list shows as
+// live, and against a restarted endpoint that stays without work.
+func TestIncarnation(t *testing.T) {
+	live := func(incarnation uint64) []endpoint.Endpoint {
+		return []endpoint.Endpoint{{ID: "a", DataCentre: "dc0", Incarnation: incarnation, Quota: 8}}
+	}
+	leaving := live(2)
+	leaving[0].Leaving = true
+	tests := map[string]struct {
+		updates [][]endpoint.Endpoint
+		want    bool
+	}{
+		"leaving":                       {[][]endpoint.Endpoint{live(2), leaving}, false},
+		"repeated entry":                {[][]endpoint.Endpoint{live(2), leaving, live(2)}, false},
+		"older entry":                   {[][]endpoint.Endpoint{live(2), leaving, live(1)}, false},
+		"dropped and repeated entry":    {[][]endpoint.Endpoint{live(2), leaving, nil, live(2)}, false},
+		"new incarnation":               {[][]endpoint.Endpoint{live(2), leaving, live(3)}, true},
+		"dropped, then new incarnation": {[][]endpoint.Endpoint{live(2), leaving, nil, live(3)}, true},
+		"dropped":                       {[][]endpoint.Endpoint{live(2), nil}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := endpoint.NewSet(endpoint.Options{DataCentre: "dc0", Seed: 1})
+			for _, u := range tt.updates {
+				s.Update(start, u)
+			}
+			qt.Assert(t, s.Free(start) > 0, qt.Equals, tt.want)
+			_, ok := s.Acquire(start)
+			qt.Assert(t, ok, qt.Equals, tt.want)
+		})
+	}
+}
+
+// TestRestartInFlight guards against failures of attempts that a restart cut off, which say nothing of
+// the new incarnation, and against slots that are lost with them.
+func TestRestartInFlight(t *testing.T) {
+	s := endpoint.NewSet(endpoint.Options{DataCentre: "dc0", Seed: 1})
+	e := endpoint.Endpoint{ID: "a", DataCentre: "dc0", Incarnation: 1, Quota: 8}
+	s.Update(start, []endpoint.Endpoint{e})
+	for range 8 {
+		s.Acquire(start)
+	}
+	e.Incarnation = 2
+	s.Update(start, []endpoint.Endpoint{e})
+	qt.Assert(t, s.Free(start), qt.Equals, 0)
+	for range 8 {
+		s.Release(start, "a", endpoint.OutcomeFailed)
+	}
+	qt.Assert(t, s.Free(start), qt.Equals, 8)
+	qt.Assert(t, s.Capacity(start), qt.Equals, 8)
+}
+
+// TestOverflow guards against work in another data centre while a local slot is free, and against
+// overflow that jumps between other data centres.
+func TestOverflow(t *testing.T) {
+	s := endpoint.NewSet(endpoint.Options{DataCentre: "dc0", Seed: 1})
+	all := list(9, 3, 4)
+	s.Update(start, all)
+	now, switches, last := start, 0, ""
+	held := make([]string, 0, 12)
+	for range 12 {
+		e, _ := s.Acquire(now)
+		qt.Assert(t, e.DataCentre, qt.Equals, "dc0")
+		held = append(held, e.ID)
+	}
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		e, _ := s.Acquire(now)
+		qt.Assert(t, e.DataCentre, qt.Not(qt.Equals), "dc0")
+		if last != "" && e.DataCentre != last {
+			switches++
+		}
+		last = e.DataCentre
+		s.Release(now, e.ID, endpoint.OutcomeOK)
+	}
+	qt.Assert(t, switches, qt.Equals, 0)
+	s.Release(now, held[0], endpoint.OutcomeOK)
+	e, _ := s.Acquire(now)
+	qt.Assert(t, e.DataCentre, qt.Equals, "dc0")
+}
+
+// TestBalance guards against a choice that piles work on few endpoints, and against excluded ones.
+func TestBalance(t *testing.T) {
+	s := endpoint.NewSet(endpoint.Options{DataCentre: "dc0", Seed: 1})
+	s.Update(start, list(20, 1, 8))
+	got := map[string]int{}
+	for range 80 {
+		e, ok := s.Acquire(start, "worker-0003", "worker-0004")
+		qt.Assert(t, ok, qt.IsTrue)
+		got[e.ID]++
+	}
+	qt.Assert(t, got["worker-0003"]+got["worker-0004"], qt.Equals, 0)
+	for id, n := range got {
+		// Uniform random choice reaches the quota of 8 here; two choices stay near the mean of 4.4.
+		qt.Assert(t, n <= 7, qt.IsTrue, qt.Commentf("%s has %d", id, n))
+	}
+}
