Check upper limits under random faults and fix two violations

A holder that had read no row reported a lowered limit to be in force. Change: usage says whether the row is known, and a part never grows while it shrinks to what is in use. Both have a named test that fails without the fix. What nobody wants now goes to those that have least.

--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -235,8 +235,12 @@
 	Held, InUse int
 	// Until is the end of the term.
 	Until time.Time
+	// Limit is the limit in the configuration of this entry instance.
+	Limit int
+	// Known reports whether this entry instance has read the row of the team. InForce and Jobs mean nothing without.
+	Known bool
 	// InForce is the limit that holds over the whole fleet. It is above Limit while holders shrink to a lowered limit.
-	InForce, Limit int
+	InForce int
 	// Jobs is the number of running jobs over the whole fleet.
 	Jobs int
 }
@@ -249,12 +253,10 @@
 	if !ok {
 		return Usage{}
 	}
-	inForce := a.record.inForce()
-	if a.record.Version < h.version {
-		// The row may still allow more than the new limit.
-		inForce = max(inForce, a.limit)
+	return Usage{
+		Held: a.held, InUse: a.inUse, Until: a.until, Limit: a.limit, Jobs: a.record.Jobs,
+		Known: a.version != 0, InForce: a.record.inForce(),
 	}
-	return Usage{Held: a.held, InUse: a.inUse, Until: a.until, InForce: inForce, Limit: a.limit, Jobs: a.record.Jobs}
 }
 
 // Nudge makes the holder look at the rows at once, for instance because a peer asked for a part.
--- a/allotment/plan.go
+++ b/allotment/plan.go
@@ -59,7 +59,8 @@
 		return held + min(fair-held, free)
 	}
 	if fair < held && (free < 0 || lacks(r, holder)) {
-		return max(fair, a.inUse)
+		// Permits of a part that was lost can be more than what is held now.
+		return min(held, max(fair, a.inUse))
 	}
 	return held
 }
--- a/allotment/record.go
+++ b/allotment/record.go
@@ -1,10 +1,12 @@
 package allotment
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"net/url"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -84,42 +86,65 @@
 	return total
 }
 
+// given is an amount for a holder.
+type given struct {
+	name   string
+	amount int
+}
+
 // fair returns the amount of the holder by max-min fairness: each holder and the jobs receive what they
-// want, or an equal part of what the smaller ones leave. What nobody wants is divided equally over the holders.
+// want, or an equal part of what the smaller ones leave. What nobody wants goes to those that have least.
 func (r record) fair(holder string) int {
 	const jobs = "" // sorts first and is no holder
-	names := make([]string, 1, 1+len(r.Holders))
-	names[0] = jobs
-	wants := map[string]int{jobs: r.Jobs + r.jobsWant()}
+	all := make([]given, 1, 1+len(r.Holders))
+	all[0] = given{name: jobs, amount: r.Jobs + r.jobsWant()}
 	for name, p := range r.Holders {
-		names = append(names, name)
-		wants[name] = p.Want
+		all = append(all, given{name: name, amount: p.Want})
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		if wants[a] != wants[b] {
-			return wants[a] - wants[b]
-		}
-		if a < b {
-			return -1
+	sortGiven(all)
+	left := max(r.Limit, 0)
+	for i := range all {
+		// Rounded up, so that a limit below the number of holders is not lost to rounding.
+		count := len(all) - i
+		all[i].amount = min(all[i].amount, (left+count-1)/count)
+		left -= all[i].amount
+	}
+	holders := slices.DeleteFunc(all, func(g given) bool { return g.name == jobs })
+	sortGiven(holders)
+	raise(holders, left)
+	for _, g := range holders {
+		if g.name == holder {
+			return g.amount
 		}
-		return 1
+	}
+	return 0
+}
+
+func sortGiven(all []given) {
+	slices.SortFunc(all, func(a, b given) int {
+		return cmp.Or(cmp.Compare(a.amount, b.amount), strings.Compare(a.name, b.name))
 	})
-	left, result := max(r.Limit, 0), 0
-	for i, name := range names {
-		// Rounded up, so that the smallest limits are not lost to rounding. What is left never gets negative.
-		count := len(names) - i
-		given := min(wants[name], (left+count-1)/count)
-		left -= given
-		if name == holder {
-			result = given
+}
+
+// raise divides what is left over the holders with the smallest amounts, up to a common level. They are sorted by amount.
+func raise(holders []given, left int) {
+	for i := range holders {
+		count, level := i+1, holders[i].amount
+		if count < len(holders) {
+			if need := (holders[i+1].amount - level) * count; need <= left {
+				left -= need
+				for j := range count {
+					holders[j].amount = holders[i+1].amount
+				}
+				continue
+			}
 		}
-	}
-	holders := len(r.Holders)
-	if left > 0 && holders > 0 {
-		result += left / holders
-		if slices.Index(slices.Sorted(maps.Keys(r.Holders)), holder) < left%holders {
-			result++
+		for j := range count {
+			holders[j].amount += left / count
+			if j < left%count {
+				holders[j].amount++
+			}
 		}
+		return
 	}
-	return result
 }
--- /dev/null
+++ b/allotment/storm_test.go
@@ -0,0 +1,253 @@
+package allotment_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/allotment"
+	"github.com/chivetiller/chivetiller/common/ident"
+	"github.com/chivetiller/chivetiller/history"
+	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/platform/standin"
+)
+
+// seeds is how many seeds the tests with random faults use.
+var seeds = flag.Uint64("seeds", 12, "number of seeds")
+
+const (
+	stormTerm   = 5 * time.Second
+	stormMaxRun = 4 * time.Second
+	stormMargin = time.Second
+)
+
+// TestUpperLimit guards against a team that exceeds its upper limit, also a lowered one, when entry
+// instances crash and pause, responses are lost or late, and the store is down, slow or cut off.
+func TestUpperLimit(t *testing.T) {
+	for seed := range *seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { upperLimit(t, seed) })
+		})
+	}
+}
+
+// storm is one run under random faults.
+type storm struct {
+	platform *standin.Platform
+	recorder history.Recorder
+	callers  sync.WaitGroup
+
+	mu      sync.Mutex
+	limits  map[string]int
+	version uint64
+	holders []*allotment.Holder
+}
+
+func upperLimit(t *testing.T, seed uint64) {
+	initial := map[string]int{"small": 3, "large": 12}
+	s := &storm{platform: standin.New(standin.Options{Seed: seed}), limits: initial, version: 1, holders: make([]*allotment.Holder, 3)}
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Minute)
+	defer cancel()
+	o := standin.StormOptions{Seed: seed, Fault: 8 * time.Second}
+	for i := range s.holders {
+		identity, pauser := standin.Identity{Client: fmt.Sprint(i)}, &standin.Pauser{}
+		o.Clients = append(o.Clients, identity)
+		o.Pausers = append(o.Pausers, pauser)
+		random := rand.New(rand.NewPCG(seed, uint64(10+i)))
+		s.callers.Go(func() { s.process(ctx, i, identity, pauser, random) })
+	}
+	s.callers.Go(func() { s.lower(ctx) })
+	s.platform.Storm(ctx, o)
+	s.callers.Wait()
+	operations := s.recorder.Operations()
+	qt.Check(t, len(operations) > 2000, qt.IsTrue, qt.Commentf("%d operations", len(operations)))
+	lowered := slices.ContainsFunc(operations, func(o porcupine.Operation) bool { return o.Input == any(history.LimitInForce{Team: "large"}) })
+	qt.Check(t, lowered, qt.IsTrue, qt.Commentf("lowered limit never came into force"))
+	qt.Check(t, history.Check(history.UpperLimit(initial), operations), qt.IsNil)
+
+	// All parts come back once the faults have ended.
+	time.Sleep(time.Minute)
+	for team, limit := range s.limits {
+		sum := 0
+		for _, h := range s.holders {
+			sum += h.Usage(team).Held
+		}
+		qt.Check(t, sum, qt.Equals, limit, qt.Commentf("%s", team))
+	}
+	for _, h := range s.holders {
+		qt.Check(t, h.Stop(t.Context()), qt.IsNil)
+	}
+}
+
+// process is an entry instance that crashes every two minutes and comes back with a new incarnation.
+func (s *storm) process(ctx context.Context, index int, identity standin.Identity, pauser *standin.Pauser, random *rand.Rand) {
+	for ctx.Err() == nil {
+		crash := &standin.Pauser{}
+		client := platform.NewClient(platform.ClientOptions{Table: crash.Table(pauser.Table(s.platform.Client(identity).Table())), Writes: 1000, Reads: 1000})
+		h := allotment.NewHolder(allotment.Options{
+			Table: client.For(platform.UserAllotments), Holder: ident.New(), Term: stormTerm, MaxRun: stormMaxRun, Margin: stormMargin,
+		})
+		s.mu.Lock()
+		h.SetLimits(s.version, s.limits)
+		s.holders[index] = h
+		s.mu.Unlock()
+		_ = h.Start(ctx)
+		life, end := context.WithTimeout(ctx, time.Minute+rand.N(2*time.Minute))
+		var callers sync.WaitGroup
+		for range 8 {
+			for _, team := range []string{"small", "large"} {
+				seed := random.Uint64()
+				callers.Go(func() { s.call(life, h, team, pauser, rand.New(rand.NewPCG(seed, 0))) })
+			}
+		}
+		callers.Wait()
+		end()
+		if ctx.Err() == nil {
+			// The crashed process does nothing more. Its goroutines end after the run.
+			crash.Pause()
+			s.callers.Go(func() {
+				<-ctx.Done()
+				crash.Resume()
+				_ = h.Stop(context.Background())
+			})
+		}
+	}
+}
+
+// call sends requests of a team until ctx ends. What runs at an endpoint then still ends by itself.
+func (s *storm) call(ctx context.Context, h *allotment.Holder, team string, pauser *standin.Pauser, random *rand.Rand) {
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+		permit, err := h.Acquire(team)
+		if err != nil {
+			continue
+		}
+		if random.IntN(4) == 0 {
+			time.Sleep(time.Duration(random.Int64N(int64(3 * time.Second))))
+		}
+		pauser.Wait()
+		if permit.Check() != nil {
+			permit.Release()
+			continue
+		}
+		id := ident.New()
+		s.recorder.Add(0, history.RunBegin{Team: team, ID: id}, nil)
+		time.Sleep(time.Duration(random.Int64N(int64(stormMaxRun))))
+		s.recorder.Add(0, history.RunEnd{Team: team, ID: id}, nil)
+		pauser.Wait()
+		permit.Release()
+	}
+}
+
+// lower lowers the limit of a team half-way and records when it is reported to be in force.
+func (s *storm) lower(ctx context.Context) {
+	time.Sleep(3 * time.Minute)
+	s.mu.Lock()
+	s.version++
+	s.limits = map[string]int{"small": 3, "large": 5}
+	s.mu.Unlock()
+	for i := 0; ctx.Err() == nil; i++ {
+		s.mu.Lock()
+		h, version, limits := s.holders[i%len(s.holders)], s.version, s.limits
+		s.mu.Unlock()
+		// Instances learn of the change one after the other, seconds apart.
+		h.SetLimits(version, limits)
+		time.Sleep(2 * time.Second)
+		if u := h.Usage("large"); u.Known && u.InForce == limits["large"] {
+			s.recorder.Add(0, history.LimitInForce{Team: "large"}, limits["large"])
+			return
+		}
+	}
+}
+
+// TestPermitAfterReclaim guards against a permit that is used after its part was reclaimed and another
+// part acquired, which would let more requests run than the new part allows.
+func TestPermitAfterReclaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.NewTable()
+		var pauser standin.Pauser
+		limits := map[string]int{"team": 2}
+		first := allotment.NewHolder(allotment.Options{Table: pauser.Table(table), Holder: "a", Term: stormTerm, MaxRun: stormMaxRun, Margin: stormMargin})
+		first.SetLimits(1, limits)
+		qt.Assert(t, first.Start(t.Context()), qt.IsNil)
+		permit, err := first.Acquire("team")
+		qt.Assert(t, err, qt.IsNil)
+		second := allotment.NewHolder(allotment.Options{Table: table, Holder: "b", Term: stormTerm, MaxRun: stormMaxRun, Margin: stormMargin})
+		second.SetLimits(1, limits)
+		qt.Assert(t, second.Start(t.Context()), qt.IsNil)
+		pauser.Pause()
+		time.Sleep(20 * time.Second)
+		qt.Check(t, permit.Check(), qt.ErrorIs, allotment.ErrExpired)
+		qt.Check(t, second.Usage("team").Held, qt.Equals, 2)
+		pauser.Resume()
+		time.Sleep(20 * time.Second)
+		qt.Check(t, first.Usage("team").Held, qt.Equals, 1)
+		qt.Check(t, permit.Check(), qt.ErrorIs, allotment.ErrExpired)
+		permit.Release()
+		permit.Release()
+		qt.Check(t, first.Usage("team").InUse, qt.Equals, 0)
+		qt.Check(t, first.Stop(t.Context()), qt.IsNil)
+		qt.Check(t, second.Stop(t.Context()), qt.IsNil)
+	})
+}
+
+// TestLimitReportedByNewHolder guards against a lowered limit that an entry instance reports to be in
+// force before it has read what the others hold. TestUpperLimit found it.
+func TestLimitReportedByNewHolder(t *testing.T) {
+	p := standin.New(standin.Options{})
+	p.SetFaults(standin.Faults{Down: true})
+	h := allotment.NewHolder(allotment.Options{Table: p.Client(standin.Identity{}).Table(), Holder: "a"})
+	h.SetLimits(2, map[string]int{"team": 5})
+	qt.Check(t, h.Sync(t.Context()), qt.ErrorIs, platform.ErrUnavailable)
+	qt.Check(t, h.Usage("team").Known, qt.IsFalse)
+}
+
+// TestLostPermitsDoNotGrowPart guards against a holder that counts permits of a part which it lost as
+// a reason to hold more than it has.
+func TestLostPermitsDoNotGrowPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.NewTable()
+		var pauser standin.Pauser
+		limits := map[string]int{"team": 10}
+		o := allotment.Options{Table: pauser.Table(table), Holder: "a", Term: stormTerm, MaxRun: stormMaxRun, Margin: stormMargin}
+		first := allotment.NewHolder(o)
+		first.SetLimits(1, limits)
+		qt.Assert(t, first.Start(t.Context()), qt.IsNil)
+		for range 8 {
+			_, err := first.Acquire("team")
+			qt.Assert(t, err, qt.IsNil)
+		}
+		pauser.Pause()
+		o.Table, o.Holder = table, "b"
+		second := allotment.NewHolder(o)
+		second.SetLimits(1, limits)
+		qt.Assert(t, second.Start(t.Context()), qt.IsNil)
+		time.Sleep(20 * time.Second)
+		pauser.Resume()
+		for range 5 {
+			_, err := second.Acquire("team")
+			qt.Assert(t, err, qt.IsNil)
+		}
+		time.Sleep(20 * time.Second)
+		qt.Assert(t, first.Usage("team").Held, qt.Equals, 5)
+		for _, h := range []*allotment.Holder{first, second} {
+			h.SetLimits(2, map[string]int{"team": 6})
+		}
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			sum := first.Usage("team").Held + second.Usage("team").Held
+			qt.Assert(t, sum <= 10, qt.IsTrue, qt.Commentf("holders have %d", sum))
+		}
+		qt.Check(t, first.Stop(t.Context()), qt.IsNil)
+		qt.Check(t, second.Stop(t.Context()), qt.IsNil)
+	})
+}
--- a/history/models.go
+++ b/history/models.go
@@ -14,7 +14,11 @@
 // RunEnd is the end of a run of a team. Output: nil.
 type RunEnd struct{ Team, ID string }
 
-// UpperLimit is the promise upperLimit: no team has more runs than its limit at a time. It covers RunBegin and RunEnd.
+// LimitInForce is a report that another upper limit of a team is in force everywhere. Output: the limit, an int.
+type LimitInForce struct{ Team string }
+
+// UpperLimit is the promise upperLimit: no team has more runs than its limit at a time. A lowered limit
+// counts from the report that it is in force. It covers RunBegin, RunEnd and LimitInForce.
 func UpperLimit(limits map[string]int) Model {
 	team := func(input any) string {
 		switch in := input.(type) {
@@ -23,20 +27,35 @@
 		case RunEnd:
 			return in.Team
 		}
-		return ""
+		return input.(LimitInForce).Team
+	}
+	// limit counts only once it has changed, because the initial state does not know the team.
+	type state struct {
+		count   int
+		changed bool
+		limit   int
 	}
 	return Model{
 		Name:   "upperLimit",
-		Covers: kinds(RunBegin{}, RunEnd{}),
+		Covers: kinds(RunBegin{}, RunEnd{}, LimitInForce{}),
 		Model: porcupine.Model{
 			Partition: by(team),
-			Init:      func() any { return 0 },
-			Step: func(state, input, _ any) (bool, any) {
-				count := state.(int)
-				if _, ok := input.(RunEnd); ok {
-					return count > 0, count - 1
+			Init:      func() any { return state{} },
+			Step: func(old, input, output any) (bool, any) {
+				s := old.(state)
+				switch input.(type) {
+				case RunEnd:
+					s.count--
+					return s.count >= 0, s
+				case LimitInForce:
+					s.changed, s.limit = true, output.(int)
+					return s.count <= s.limit, s
+				}
+				if !s.changed {
+					s.limit = limits[team(input)]
 				}
-				return count < limits[team(input)], count + 1
+				s.count++
+				return s.count <= s.limit, s
 			},
 		},
 	}
