--- a/config/source.go
+++ b/config/source.go
@@ -136,6 +136,13 @@
 	return time.Since(s.confirmed), true
 }
 
+// Report returns the version in force with the time since it was certainly current.
+func (s *Source) Report() (version uint64, age time.Duration, known bool) {
+	st := s.state.Load()
+	age, known = st.age()
+	return st.snapshot.version, age, known
+}
+
 // Changed returns a channel that is closed when a later version than the present one is in force.
 func (s *Source) Changed() <-chan struct{} { return s.state.Load().changed }
 
