Add the entry instance, the demo and the development commands

The whole path runs on real sockets: callers, three entry instances with peers over QUIC, endpoints, a maintenance wave and the replacement of an entry instance.

--- /dev/null
+++ b/commands/entry.go
@@ -0,0 +1,121 @@
+package commands
+
+import (
+	"context"
+	"net/url"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kratos/kratos/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/chivetiller/chivetiller/common/logging"
+	"github.com/chivetiller/chivetiller/entry"
+	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/settings"
+)
+
+func newEntryCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "entry",
+		Short: "Run an entry instance",
+		Long: `Run an entry instance. It accepts requests of callers and operators, sends work to endpoints,
+and runs the control duties that it holds. Entry instances are equal and keep nothing on disk.
+
+On SIGTERM or SIGINT it stops being ready, waits for the load balancer, finishes the requests in flight,
+returns what it holds and exits with code 0. A second signal ends the wait and reports what was left.`,
+		Example: "  chivetiller entry --settings entry.yaml",
+		Args:    exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.Load(file)
+			if err != nil {
+				return newUsageError(err)
+			}
+			logger, err := logging.New(cmd.ErrOrStderr(), s.Log().Level, s.Log().Format)
+			if err != nil {
+				return newUsageError(err)
+			}
+			return runEntry(s, logger)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file in YAML (required)")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+func runEntry(s settings.Settings, logger hclog.Logger) error {
+	address, err := url.Parse(s.Platform().URL)
+	if err != nil {
+		return newUsageError(err)
+	}
+	remote := standin.NewRemote(standin.RemoteOptions{
+		Address:  address.Host,
+		Identity: standin.Identity{Client: s.Name(), DataCentre: s.DataCentre()},
+		Timeout:  s.Platform().Timeout,
+	})
+	defer remote.Close()
+	e, err := entry.New(entry.Options{
+		Settings: s,
+		Platform: entry.Services{Table: remote.Table(), Objects: remote.Objects(), Instances: remote.Instances(), Tasks: remote.Tasks()},
+		Logger:   logger,
+	})
+	if err != nil {
+		return err
+	}
+	return runUntilSignal(s, e, logger)
+}
+
+// stopper is what a signal stops.
+type stopper interface {
+	Start(ctx context.Context) error
+	Stop(ctx context.Context) error
+}
+
+// runUntilSignal runs an entry instance as a kratos application, which stops it on the first signal.
+func runUntilSignal(s settings.Settings, service stopper, logger hclog.Logger) error {
+	server := &signalServer{service: service, logger: logger}
+	app := kratos.New(
+		kratos.ID(s.Name()),
+		kratos.Name("chivetiller"),
+		kratos.Server(server),
+		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
+		kratos.StopTimeout(s.Stop().BalancerWait+s.Stop().Timeout),
+	)
+	if err := app.Run(); err != nil {
+		return eris.Wrap(err, "run the entry instance")
+	}
+	return server.stopErr
+}
+
+// signalServer lets kratos run a service, and lets a second signal end a stop that takes long.
+type signalServer struct {
+	service stopper
+	logger  hclog.Logger
+	stopErr error
+}
+
+// Start implements the server interface of kratos.
+func (s *signalServer) Start(ctx context.Context) error { return s.service.Start(ctx) }
+
+// Stop implements the server interface of kratos.
+func (s *signalServer) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	second := make(chan os.Signal, 1)
+	signal.Notify(second, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(second)
+	go func() {
+		select {
+		case <-second:
+			s.logger.Warn("Second signal received; the stop does not wait any longer.")
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	s.stopErr = s.service.Stop(ctx)
+	return nil
+}
--- a/commands/root.go
+++ b/commands/root.go
@@ -6,6 +6,7 @@
 package commands
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -40,7 +41,7 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.Execute()
+	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return exitOK
 	}
@@ -61,6 +62,18 @@
 		SilenceUsage:  true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return newUsageError(err) })
-	root.AddCommand(newSettingsCommand(), newVersionCommand())
+	root.AddCommand(
+		newCertificatesCommand(),
+		newDemoCommand(),
+		newEndpointCommand(),
+		newEntryCommand(),
+		newInstanceCommand(),
+		newJobCommand(),
+		newPlatformCommand(),
+		newReferenceCommand(),
+		newSettingsCommand(),
+		newVersionCommand(),
+		newWaveCommand(),
+	)
 	return root
 }
--- /dev/null
+++ b/entry/parts.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/allotment"
+	"github.com/chivetiller/chivetiller/burn"
+	"github.com/chivetiller/chivetiller/caller"
+	"github.com/chivetiller/chivetiller/common/problem"
+	"github.com/chivetiller/chivetiller/dispatch"
+	"github.com/chivetiller/chivetiller/dispatch/connection"
+	"github.com/chivetiller/chivetiller/duty"
+	"github.com/chivetiller/chivetiller/endpoint"
+	"github.com/chivetiller/chivetiller/lease"
+	"github.com/chivetiller/chivetiller/metrics"
+	"github.com/chivetiller/chivetiller/peer"
+	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/pool"
+)
+
+// announcement is the message with which peers tell each other of stopped instances.
+const announcement = "instancesChanged"
+
+// announceTimeout bounds the delivery of an announcement. Peers that it does not reach read the rows.
+const announceTimeout = time.Second
+
+// permits lets the dispatcher use allotments through its own interface.
+type permits struct{ holder *allotment.Holder }
+
+var _ dispatch.Permits = permits{}
+
+// Acquire implements [dispatch.Permits].
+func (p permits) Acquire(team string) (dispatch.Permit, error) {
+	permit, err := p.holder.Acquire(team)
+	if err != nil {
+		return nil, err
+	}
+	return permit, nil
+}
+
+// leases lets the duties use the lease manager through their own interface.
+type leases struct{ manager *lease.Manager }
+
+var _ duty.Leases = leases{}
+
+// Holds implements [duty.Leases].
+func (l leases) Holds(name string) (platform.Check, bool) {
+	held, ok := l.manager.Held(name)
+	if !ok {
+		return platform.Check{}, false
+	}
+	return held.Guard(platform.Txn{}).Checks[0], true
+}
+
+// observer feeds metrics and the burn report.
+type observer struct {
+	recorder *burn.Recorder
+	metrics  *metrics.Set
+}
+
+var (
+	_ caller.Observer   = (*observer)(nil)
+	_ dispatch.Observer = (*observer)(nil)
+)
+
+// RequestEnded implements [caller.Observer].
+func (o *observer) RequestEnded(event caller.Event) {
+	class := event.Class
+	if class == "" {
+		// Names that callers invent must not become labels.
+		class = "unknown"
+	}
+	o.metrics.Request(class, event.Outcome, event.Duration)
+	if outcome, ok := burnOutcome(event); ok && event.Class != "" {
+		o.recorder.Record(event.Class, event.Team, outcome)
+	}
+}
+
+// burnOutcome returns how a request counts against its target. What the caller got wrong does not count.
+func burnOutcome(event caller.Event) (burn.Outcome, bool) {
+	switch event.Outcome {
+	case caller.OutcomeAnswered, caller.OutcomeStored:
+		if event.Duration > event.Target {
+			return burn.Late, true
+		}
+		return burn.Met, true
+	case problem.UpperLimit.Name:
+		return burn.Limited, true
+	case problem.EndpointFailed.Name, problem.EndpointTimeout.Name, problem.Internal.Name:
+		return burn.Failed, true
+	case problem.OverShare.Name, problem.Late.Name, problem.NoEndpoint.Name, problem.QueueFull.Name, problem.Stopping.Name,
+		problem.KeysUnchecked.Name, problem.ClaimsUnchecked.Name, problem.LimitsUnchecked.Name:
+		return burn.Refused, true
+	}
+	return 0, false
+}
+
+// EndpointFault implements [dispatch.Observer].
+func (o *observer) EndpointFault(_, _ string, kind connection.FaultKind) {
+	o.metrics.Fault(string(kind))
+}
+
+// EndpointNotRun implements [dispatch.Observer].
+func (o *observer) EndpointNotRun(_, _ string) { o.metrics.Fault("notRun") }
+
+// Retry implements [dispatch.Observer].
+func (o *observer) Retry(_, class string) { o.metrics.ExtraAttempt(class, "retry") }
+
+// Hedge implements [dispatch.Observer].
+func (o *observer) Hedge(_, class string) { o.metrics.ExtraAttempt(class, "hedge") }
+
+// members returns the live entry instances with this one. Those that are suspect or leaving still use their slots.
+func (e *Entry) members() []endpoint.Member {
+	members := []endpoint.Member{{ID: e.settings.Name(), DataCentre: e.settings.DataCentre()}}
+	if e.node == nil {
+		return members
+	}
+	for _, m := range e.node.Members() {
+		if m.State != peer.Dead {
+			members = append(members, endpoint.Member{ID: m.ID, DataCentre: m.DataCentre})
+		}
+	}
+	return members
+}
+
+// announce tells this and the other entry instances at once of instances that leave or serve again.
+func (e *Entry) announce(changed []pool.Instance) {
+	e.directory.Announce(changed)
+	if e.node == nil {
+		return
+	}
+	body, err := json.Marshal(changed)
+	if err != nil {
+		e.logger.Error("Announcement cannot be encoded.", "error", err)
+		return
+	}
+	for _, m := range e.node.Members() {
+		if m.State == peer.Dead {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+			defer cancel()
+			if _, err := e.node.Request(ctx, m.ID, announcement, body); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+				e.logger.Debug("Announcement was not delivered.", "peer", m.ID, "error", err)
+			}
+		}()
+	}
+}
+
+func (e *Entry) handleAnnouncement(_ context.Context, from peer.Member, body []byte) ([]byte, error) {
+	var changed []pool.Instance
+	if err := json.Unmarshal(body, &changed); err != nil {
+		return nil, eris.Wrapf(err, "announcement of %s", from.ID)
+	}
+	e.directory.Announce(changed)
+	return nil, nil
+}
+
+// sources tells the metrics where to read.
+func (e *Entry) sources() metrics.Sources {
+	return metrics.Sources{
+		Pools: func() []metrics.PoolStats {
+			loads := e.dispatcher.Loads()
+			stats := make([]metrics.PoolStats, 0, len(loads))
+			for _, l := range loads {
+				stats = append(stats, metrics.PoolStats{Pool: l.Pool, Queued: l.Queued, Running: l.InFlight, FreeSlots: l.Free})
+			}
+			return stats
+		},
+		Teams: func() []metrics.TeamStats {
+			teams := e.source.Snapshot().Teams()
+			stats := make([]metrics.TeamStats, 0, len(teams))
+			for _, t := range teams {
+				usage := e.allotments.Usage(t.Name())
+				stats = append(stats, metrics.TeamStats{Team: t.Name(), Held: usage.Held, Running: usage.InUse})
+			}
+			return stats
+		},
+		Config: func() metrics.ConfigStats {
+			age, known := e.source.Age()
+			return metrics.ConfigStats{Version: e.source.Snapshot().Version(), Age: age, Known: known}
+		},
+		Platform: func() string { return e.client.State().String() },
+		Peers: func() map[string]int {
+			states := make(map[string]int)
+			if e.node == nil {
+				return states
+			}
+			for _, m := range e.node.Members() {
+				states[string(m.State)]++
+			}
+			return states
+		},
+		Duties:    func() int { return len(e.leases.Duties()) },
+		Instances: func() map[string]int { return e.directory.Counts() },
+	}
+}
