--- /dev/null
+++ b/claim/storm_test.go
@@ -0,0 +1,129 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/claim"
+	"github.com/chivetiller/chivetiller/common/ident"
+	"github.com/chivetiller/chivetiller/history"
+	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/platform/standin"
+)
+
+// seeds is how many seeds the tests with random faults use.
+var seeds = flag.Uint64("seeds", 12, "number of seeds")
+
+// TestAtMostOnce guards against a request that runs twice or receives the response of another, and against
+// a key that stays claimed although its request did not run, when callers repeat requests through several
+// entry instances that are paused and cut off, and the store is down, slow, or loses and repeats messages.
+func TestAtMostOnce(t *testing.T) {
+	for seed := range *seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { atMostOnce(t, seed) })
+		})
+	}
+}
+
+// storm is one run under random faults.
+type storm struct {
+	recorder history.Recorder
+	stores   []*claim.Store
+	pausers  []*standin.Pauser
+
+	mu  sync.Mutex
+	ran map[string]bool
+}
+
+func atMostOnce(t *testing.T, seed uint64) {
+	p := standin.New(standin.Options{Seed: seed})
+	s := &storm{ran: make(map[string]bool)}
+	o := standin.StormOptions{Seed: seed, Fault: 6 * time.Second}
+	for i := range 3 {
+		identity, pauser := standin.Identity{Client: fmt.Sprint(i)}, &standin.Pauser{}
+		o.Clients = append(o.Clients, identity)
+		o.Pausers = append(o.Pausers, pauser)
+		client := platform.NewClient(platform.ClientOptions{Table: pauser.Table(p.Client(identity).Table()), Writes: 1000, Reads: 1000})
+		s.stores = append(s.stores, claim.NewStore(claim.Options{Table: client.For(platform.UserClaims), Owner: identity.Client}))
+		s.pausers = append(s.pausers, pauser)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	var callers sync.WaitGroup
+	const keys = 150
+	for key := range keys {
+		random := rand.New(rand.NewPCG(seed, uint64(100+key)))
+		for range 2 {
+			begin := time.Duration(random.Int64N(int64(2 * time.Minute)))
+			random := rand.New(rand.NewPCG(seed, random.Uint64()))
+			callers.Go(func() {
+				time.Sleep(begin)
+				s.call(ctx, fmt.Sprintf("key %d", key), random)
+			})
+		}
+	}
+	p.Storm(ctx, o)
+	callers.Wait()
+	time.Sleep(time.Minute)
+	operations := s.recorder.Operations()
+	qt.Check(t, len(s.ran) > keys/2, qt.IsTrue, qt.Commentf("%d of %d requests ran", len(s.ran), keys))
+	qt.Check(t, history.Check(history.AtMostOnce(), operations), qt.IsNil)
+	qt.Check(t, history.Check(history.OwnAnswer(), operations), qt.IsNil)
+	for key := range keys {
+		name := fmt.Sprintf("key %d", key)
+		c, err := s.stores[0].Claim(t.Context(), "team", name, [32]byte{})
+		var taken *claim.Taken
+		switch {
+		case err == nil:
+			qt.Check(t, s.ran[name], qt.IsFalse, qt.Commentf("%s ran and can be claimed", name))
+			c.Release()
+		case errors.As(err, &taken):
+			qt.Check(t, s.ran[name] && taken.Stored, qt.IsTrue, qt.Commentf("%s ran: %v, but: %+v", name, s.ran[name], taken))
+		default:
+			t.Error(err)
+		}
+	}
+	for _, store := range s.stores {
+		qt.Check(t, store.Stop(t.Context()), qt.IsNil)
+	}
+}
+
+// call sends a request up to six times through any of the entry instances.
+func (s *storm) call(ctx context.Context, key string, random *rand.Rand) {
+	for range 6 {
+		i := random.IntN(len(s.stores))
+		wait, cancel := context.WithTimeout(ctx, time.Duration(random.Int64N(int64(3*time.Second))))
+		c, err := s.stores[i].Claim(wait, "team", key, [32]byte{})
+		cancel()
+		s.pausers[i].Wait()
+		var taken *claim.Taken
+		switch {
+		case err == nil && random.IntN(4) == 0:
+			c.Release()
+		case err == nil:
+			body := key + " " + ident.New()
+			s.recorder.Add(0, history.Run{ID: key}, nil)
+			s.recorder.Add(0, history.Response{ID: key, Body: body}, nil)
+			s.mu.Lock()
+			s.ran[key] = true
+			s.mu.Unlock()
+			time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+			s.pausers[i].Wait()
+			c.Done([]byte(body))
+			return
+		case errors.As(err, &taken) && taken.Stored:
+			s.recorder.Add(0, history.Exchange{ID: key}, string(taken.Response))
+			return
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(5 * time.Second))))
+	}
+}
