Guard the handlers of peer requests, and give replaced instances peers in the test

A replaced instance that is cut off from the table found no peer, because its peers were only in the table; settings name peers too, and the test now does. Handlers may be set while requests arrive.

--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -120,14 +120,19 @@
 	return Certificates(files)
 }
 
-// start runs a new process of the entry instance. Peers find each other through the table.
+// start runs a new process of the entry instance. Peers find each other through the table and the instances in the cluster.
 func (c *cluster) start(name string) *instance {
 	table := &cutTable{Table: c.table}
 	source := config.NewSource(config.NewStore(table, config.StoreOptions{}), config.SourceOptions{Interval: c.poll, Policy: c.policy})
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	qt.Assert(c.tb, err, qt.IsNil)
+	peers := make([]string, 0, len(c.instances))
+	for _, i := range c.instances {
+		peers = append(peers, i.node.Address())
+	}
 	node, err := New(Options{
-		ID: name, DataCentre: "dc1", Conn: &testConn{conn, c.network}, Certificates: c.certificates(name),
+		Peers: peers,
+		ID:    name, DataCentre: "dc1", Conn: &testConn{conn, c.network}, Certificates: c.certificates(name),
 		Configuration: source, Table: table, Interval: c.interval, Renewal: 4 * c.interval,
 	})
 	qt.Assert(c.tb, err, qt.IsNil)
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -30,10 +30,10 @@
 	// id is the peer that answered there last.
 	id string
 	// fixed addresses come from the settings. Others are dropped when their registration is gone.
-	fixed   bool
-	dialing bool
-	next    time.Time
-	backoff *backoff.ExponentialBackOff
+	fixed    bool
+	dialling bool
+	next     time.Time
+	backoff  *backoff.ExponentialBackOff
 }
 
 func (n *Node) addTarget(address string, fixed bool) {
@@ -60,7 +60,7 @@
 		kept[l.peer.Address] = true
 	}
 	for address, t := range n.targets {
-		if !t.fixed && !t.dialing && !kept[address] {
+		if !t.fixed && !t.dialling && !kept[address] {
 			delete(n.targets, address)
 		}
 	}
@@ -77,7 +77,7 @@
 				if err != nil && ctx.Err() == nil {
 					n.logger.Debug("Peer cannot be reached.", "address", address, "error", err)
 				}
-				n.dialed(address, err)
+				n.dialled(address, err)
 			})
 		}
 		select {
@@ -98,23 +98,23 @@
 	}
 	var addresses []string
 	for address, t := range n.targets {
-		if t.dialing || connected[address] || n.links[t.id] != nil || now.Before(t.next) {
+		if t.dialling || connected[address] || n.links[t.id] != nil || now.Before(t.next) {
 			continue
 		}
-		t.dialing = true
+		t.dialling = true
 		addresses = append(addresses, address)
 	}
 	return addresses
 }
 
-func (n *Node) dialed(address string, err error) {
+func (n *Node) dialled(address string, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	t := n.targets[address]
 	if t == nil {
 		return
 	}
-	t.dialing = false
+	t.dialling = false
 	if err == nil {
 		t.backoff.Reset()
 	}
@@ -252,6 +252,6 @@
 	if l.peer.Incarnation != old.peer.Incarnation {
 		return l.peer.Incarnation > old.peer.Incarnation
 	}
-	lowerDialed := func(l *link) bool { return l.local == (n.self.ID < l.peer.ID) }
-	return lowerDialed(l) || !lowerDialed(old)
+	lowerDialled := func(l *link) bool { return l.local == (n.self.ID < l.peer.ID) }
+	return lowerDialled(l) || !lowerDialled(old)
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -27,7 +27,6 @@
 	summary  *summarySender
 	received uint32
 	heardAt  time.Time
-	fetching bool
 }
 
 func newLink(node *Node, conn *quic.Conn, peer hello, local bool) *link {
--- a/peer/membership_test.go
+++ b/peer/membership_test.go
@@ -51,9 +51,9 @@
 	random := rand.New(rand.NewPCG(7, 7))
 	sender := newSummarySender()
 	loads, seen := make(map[string]Load), make(map[string]Load)
-	var pools []string
-	for i := range 40 {
-		pools = append(pools, fmt.Sprintf("pool%02d", i))
+	pools := make([]string, 40)
+	for i := range pools {
+		pools[i] = fmt.Sprintf("pool%02d", i)
 		loads[pools[i]] = Load{Queued: uint32(i + 1), Slots: 8}
 	}
 	sequence := uint32(0)
--- a/peer/node.go
+++ b/peer/node.go
@@ -85,8 +85,12 @@
 	return n, nil
 }
 
-// Handle sets the handler of a kind of request. Handlers are set before Start.
-func (n *Node) Handle(kind string, h Handler) { n.handlers[kind] = h }
+// Handle sets the handler of a kind of request.
+func (n *Node) Handle(kind string, h Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[kind] = h
+}
 
 // Start opens the socket, registers this node and begins to connect. It does not wait for peers or for the platform.
 func (n *Node) Start(ctx context.Context) error {
@@ -241,7 +245,9 @@
 }
 
 func (n *Node) answer(ctx context.Context, from hello, r request) ([]byte, error) {
+	n.mu.Lock()
 	h, ok := n.handlers[r.Kind]
+	n.mu.Unlock()
 	if !ok {
 		return nil, eris.Errorf("unknown kind of request %q", r.Kind)
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -121,7 +121,9 @@
 	cluster.startAll(3)
 	seen := make(map[string]uint64)
 	check := func(i *instance) {
-		c.Assert(i.source.WaitReady(t.Context()), qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		c.Assert(i.source.WaitReady(ctx), qt.IsNil)
 		version := i.source.Snapshot().Version()
 		c.Assert(version >= seen[i.name], qt.IsTrue, qt.Commentf("%s went from version %d back to %d", i.name, seen[i.name], version))
 		seen[i.name] = version
