--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,7 @@
 	Listen       ListenSpec       `yaml:"listen"`
 	Platform     PlatformSpec     `yaml:"platform"`
 	Peers        []PeerSpec       `yaml:"peers"`
+	Membership   MembershipSpec   `yaml:"membership"`
 	Certificates CertificatesSpec `yaml:"certificates"`
 	Limits       LimitsSpec       `yaml:"limits"`
 	Keys         KeysSpec         `yaml:"keys"`
@@ -64,6 +65,12 @@
 	Address string `yaml:"address"`
 }
 
+// MembershipSpec tells how entry instances watch each other.
+type MembershipSpec struct {
+	// Heartbeat is the time between heartbeats. All entry instances have the same.
+	Heartbeat time.Duration `yaml:"heartbeat"`
+}
+
 // CertificatesSpec holds paths of PEM files. They are read again when they change.
 type CertificatesSpec struct {
 	Authority   string `yaml:"authority"`
@@ -103,6 +110,8 @@
 	DrainLimit time.Duration `yaml:"drainLimit"`
 	// Lease is the term of a duty lease.
 	Lease time.Duration `yaml:"lease"`
+	// Interval is the time between two looks at the stopped instances.
+	Interval time.Duration `yaml:"interval"`
 }
 
 // StopSpec tells how the process ends.
@@ -123,7 +132,8 @@
 // Default returns the settings that apply where the file says nothing.
 func Default() Spec {
 	return Spec{
-		Platform: PlatformSpec{Timeout: 2 * time.Second, WritesPerSecond: 40, ReadsPerSecond: 250},
+		Platform:   PlatformSpec{Timeout: 2 * time.Second, WritesPerSecond: 40, ReadsPerSecond: 250},
+		Membership: MembershipSpec{Heartbeat: time.Second},
 		Limits: LimitsSpec{
 			HeaderBytes:   16 << 10,
 			BodyBytes:     1 << 20,
@@ -134,7 +144,7 @@
 		},
 		Keys:       KeysSpec{Freshness: 2 * time.Second, WhenCutOff: WhenCutOffRefuse, Term: 30 * time.Second},
 		Allotments: AllotmentsSpec{Term: 30 * time.Second},
-		Waves:      WavesSpec{Notice: 3 * time.Second, DrainLimit: 10 * time.Minute, Lease: 10 * time.Second},
+		Waves:      WavesSpec{Notice: 3 * time.Second, DrainLimit: 10 * time.Minute, Lease: 10 * time.Second, Interval: time.Second},
 		Stop:       StopSpec{BalancerWait: 5 * time.Second, Timeout: time.Minute},
 		Log:        LogSpec{Level: "info", Format: "text"},
 	}
@@ -158,6 +168,9 @@
 // Peers returns the other entry instances.
 func (s Settings) Peers() []PeerSpec { return s.spec.Peers }
 
+// Membership tells how entry instances watch each other.
+func (s Settings) Membership() MembershipSpec { return s.spec.Membership }
+
 // Certificates returns the paths of the certificates.
 func (s Settings) Certificates() CertificatesSpec { return s.spec.Certificates }
 
