Add the operator API and its client

Operators change the configuration through any entry instance. A withdrawal is reported in force when all known instances confirm it or the freshness bound has passed, and pending with the latest time otherwise. The client makes keys, so that a lost response loses none.

--- /dev/null
+++ b/operator/api.go
@@ -0,0 +1,112 @@
+// Package operator is the API for operators, served by every entry instance, and its client.
+// Requests carry an operator key. Responses are JSON, errors are problem documents (RFC 9457).
+//
+// # Usage
+//
+//	server, err := operator.NewServer(operator.Options{Listen: "10.0.0.1:8081", Store: store, Source: source, Fleet: node})
+//	server.Handle("GET /operator/waves", wavesHandler) // routes of other parts; the operator key is checked before
+//	err = server.Start(ctx)
+//
+//	client, err := operator.NewClient("http://10.0.0.1:8081", key)
+//	key, change, err := client.CreateKey(ctx, "supervisors")
+//	change, err = client.WithdrawKey(ctx, "supervisors", "supervisors-1f9a03bc")
+package operator
+
+import (
+	"time"
+
+	"github.com/chivetiller/chivetiller/common/problem"
+	"github.com/chivetiller/chivetiller/config"
+	"github.com/chivetiller/chivetiller/team"
+)
+
+// Paths of the API.
+const (
+	pathConfig       = "/operator/config"
+	pathApply        = "/operator/config/apply"
+	pathHistory      = "/operator/config/history"
+	pathStatus       = "/operator/config/status"
+	pathTeamKeys     = "/operator/teams/{team}/keys"
+	pathTeamKey      = "/operator/teams/{team}/keys/{id}"
+	pathOperatorKeys = "/operator/operator-keys"
+)
+
+// ApplyRequest asks for a change of the configuration.
+type ApplyRequest struct {
+	// OperationID names the change, so that a repeat after a lost response has no second effect.
+	OperationID string `json:"operationId"`
+	// Base, if not 0, is the version that the operator saw. A change since then is a conflict.
+	Base    uint64        `json:"base,omitempty"`
+	Reason  string        `json:"reason,omitempty"`
+	Files   []config.File `json:"files,omitempty"`
+	Deletes []config.Ref  `json:"deletes,omitempty"`
+	// Import replaces the whole set, with the keys of teams, by that of an export.
+	Import bool `json:"import,omitempty"`
+	DryRun bool `json:"dryRun,omitempty"`
+}
+
+// Change is the outcome of a change.
+type Change struct {
+	config.Result
+	// InForce says that no entry instance acts on an earlier version any more. For a change of keys that is also
+	// true once the freshness bound has passed, because an instance that was not reached refuses keyed work by then.
+	InForce bool `json:"inForce"`
+	// Pending is set if InForce is false and the change was not a dry run.
+	Pending *Pending `json:"pending,omitempty"`
+}
+
+// Pending tells which entry instances have not confirmed a change.
+type Pending struct {
+	Waiting []string `json:"waiting"`
+	// Latest is when a change of keys is in force everywhere even if these instances stay cut off.
+	Latest time.Time `json:"latest"`
+}
+
+// CreateKeyRequest adds a key. The client makes the key and sends only its stored form, so that a
+// lost response loses no key and the server never holds one.
+type CreateKeyRequest struct {
+	OperationID string       `json:"operationId"`
+	Key         team.KeySpec `json:"key"`
+}
+
+// Status tells which version each entry instance has.
+type Status struct {
+	Version uint64 `json:"version"`
+	// Age is the time since the version was confirmed, in seconds. It is negative if it never was.
+	Age float64 `json:"age"`
+	// Bound is the age in seconds up to which keyed work is admitted.
+	Bound      float64           `json:"bound"`
+	WhenCutOff config.WhenCutOff `json:"whenCutOff"`
+	Members    []MemberStatus    `json:"members"`
+}
+
+// MemberStatus is what the answering instance knows of another one.
+type MemberStatus struct {
+	ID         string  `json:"id"`
+	DataCentre string  `json:"dataCentre"`
+	State      string  `json:"state"`
+	Version    uint64  `json:"version"`
+	Heard      float64 `json:"heard"`
+}
+
+// documentList is the response to a read of the configuration.
+type documentList struct {
+	Version   uint64            `json:"version"`
+	Documents []config.Document `json:"documents"`
+}
+
+// Kinds of problems.
+var (
+	invalidConfiguration = problem.Kind{Name: "invalidConfiguration", Status: 422, Title: "Configuration is invalid"}
+	conflict             = problem.Kind{Name: "configurationConflict", Status: 409, Title: "Configuration has changed"}
+	unknownName          = problem.Kind{Name: "unknownName", Status: 404, Title: "Document or key does not exist"}
+	platformUnavailable  = problem.Kind{Name: "platformUnavailable", Status: 503, Title: "Platform is unavailable"}
+	unknownOutcome       = problem.Kind{Name: "unknownOutcome", Status: 504, Title: "Outcome is unknown"}
+)
+
+// problemDocument is a problem document with the faults of a configuration or the changes of a conflict.
+type problemDocument struct {
+	problem.Document
+	Problems []config.Problem `json:"problems,omitempty"`
+	Changes  []config.Change  `json:"changes,omitempty"`
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,220 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/common/problem"
+	"github.com/chivetiller/chivetiller/config"
+	"github.com/chivetiller/chivetiller/peer"
+	"github.com/chivetiller/chivetiller/platform"
+)
+
+const (
+	// maxBody bounds a request. A whole set of the large size takes about 0.5 MB.
+	maxBody = 16 << 20
+	// DefaultWait is how long a change waits for all entry instances, the target for configuration changes.
+	DefaultWait = 4 * time.Second
+	// readTimeout bounds the time in which an operator's request has to arrive.
+	readTimeout = 30 * time.Second
+)
+
+// Fleet is what the API has to know of the other entry instances. [peer.Node] implements it.
+type Fleet interface {
+	Members() []peer.Member
+	// Registered returns the IDs of all entry instances that are registered with the platform, this one included.
+	Registered() []string
+	ID() string
+}
+
+// Options are the settings of a Server.
+type Options struct {
+	// Listen is the TCP address. Listener, if set, is used in its place.
+	Listen   string
+	Listener net.Listener
+	// TLS, if set, is used for the connections of operators.
+	TLS    *tls.Config
+	Store  *config.Store
+	Source *config.Source
+	// Fleet may be nil if there is one entry instance only.
+	Fleet Fleet
+	// BootstrapKey is accepted as long as the configuration holds no operator key. It may be empty.
+	BootstrapKey string
+	// Wait bounds how long a change waits until it is in force everywhere.
+	Wait   time.Duration
+	Logger hclog.Logger
+}
+
+// Server serves the API.
+type Server struct {
+	options  Options
+	logger   hclog.Logger
+	mux      *http.ServeMux
+	listener net.Listener
+	http     *kratoshttp.Server
+	served   chan error
+}
+
+// NewServer returns a server with the routes of the configuration.
+func NewServer(o Options) (*Server, error) {
+	if o.Store == nil || o.Source == nil {
+		return nil, eris.New("operator API needs a store and a source of the configuration")
+	}
+	if o.Wait <= 0 {
+		o.Wait = DefaultWait
+	}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	s := &Server{options: o, logger: o.Logger.Named("operator"), mux: http.NewServeMux(), served: make(chan error, 1)}
+	s.route("GET "+pathConfig, s.get)
+	s.route("POST "+pathApply, s.apply)
+	s.route("GET "+pathHistory, s.history)
+	s.route("GET "+pathStatus, s.status)
+	s.route("POST "+pathTeamKeys, s.createKey)
+	s.route("DELETE "+pathTeamKey, s.withdrawKey)
+	s.route("POST "+pathOperatorKeys, s.createOperatorKey)
+	return s, nil
+}
+
+// Handle adds a route of another part before Start. The pattern is that of [http.ServeMux], such as "GET /operator/waves".
+// The handler runs only if the request carries an operator key; see [Author].
+func (s *Server) Handle(pattern string, h http.Handler) { s.mux.Handle(pattern, h) }
+
+// route adds a handler that returns its response, which is sent as JSON, or an error.
+func (s *Server) route(pattern string, h func(r *http.Request) (any, error)) {
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		value, err := h(r)
+		if err != nil {
+			s.fail(w, err)
+			return
+		}
+		if raw, ok := value.(yamlText); ok {
+			w.Header().Set("Content-Type", "application/yaml")
+			_, _ = w.Write(raw)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(value); err != nil {
+			s.logger.Debug("Response was not sent.", "error", err)
+		}
+	})
+}
+
+type yamlText []byte
+
+// Start listens and serves until Stop.
+func (s *Server) Start(context.Context) error {
+	s.listener = s.options.Listener
+	if s.listener == nil {
+		listener, err := net.Listen("tcp", s.options.Listen)
+		if err != nil {
+			return eris.Wrap(err, "listen for operators")
+		}
+		s.listener = listener
+	}
+	options := []kratoshttp.ServerOption{kratoshttp.Listener(s.listener), kratoshttp.Address(s.listener.Addr().String()), kratoshttp.Timeout(0), kratoshttp.StrictSlash(false)}
+	if s.options.TLS != nil {
+		options = append(options, kratoshttp.TLSConfig(s.options.TLS))
+	}
+	s.http = kratoshttp.NewServer(options...)
+	s.http.ReadTimeout = readTimeout
+	s.http.HandlePrefix("/", s.authenticated(s.mux))
+	go func() { s.served <- s.http.Start(context.Background()) }()
+	return nil
+}
+
+// Address returns the address on which the server listens. It is known after Start.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Stop lets the requests in progress finish.
+func (s *Server) Stop(ctx context.Context) error {
+	if s.http == nil {
+		return nil
+	}
+	if err := s.http.Stop(ctx); err != nil {
+		return errors.Join(err, s.http.Close())
+	}
+	return <-s.served
+}
+
+type authorKey struct{}
+
+// Author returns the name of the operator key of a request.
+func Author(ctx context.Context) string {
+	name, _ := ctx.Value(authorKey{}).(string)
+	return name
+}
+
+// authenticated serves only requests with an operator key.
+func (s *Server) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		author, err := s.author(key)
+		if err != nil {
+			s.fail(w, err)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), authorKey{}, author)))
+	})
+}
+
+func (s *Server) author(key string) (string, error) {
+	name, err := s.options.Source.AuthenticateOperator(key)
+	bootstrap := s.options.BootstrapKey
+	if errors.Is(err, config.ErrUnknownKey) && bootstrap != "" && !s.options.Source.Snapshot().HasOperators() &&
+		subtle.ConstantTimeCompare([]byte(key), []byte(bootstrap)) == 1 {
+		return "bootstrap", nil
+	}
+	return name, err
+}
+
+// fail sends the problem document of an error.
+func (s *Server) fail(w http.ResponseWriter, err error) {
+	var (
+		invalid  *config.Invalid
+		overrun  *config.Conflict
+		known    *problem.Problem
+		tooLarge *http.MaxBytesError
+		d        problemDocument
+	)
+	detail := err.Error()
+	switch {
+	case errors.As(err, &known):
+		d.Document = known.Document("")
+	case errors.As(err, &invalid):
+		d = problemDocument{Document: problem.NotRun(invalidConfiguration, detail).Document(""), Problems: invalid.Problems}
+	case errors.As(err, &overrun):
+		d = problemDocument{Document: problem.NotRun(conflict, detail).Document(""), Changes: overrun.Changes}
+	case errors.As(err, &tooLarge):
+		d.Document = problem.NotRun(problem.BodyTooLarge, detail).Document("")
+	case errors.Is(err, config.ErrUnknownKey):
+		d.Document = problem.NotRun(problem.InvalidKey, "operator key is missing, invalid or withdrawn").Document("")
+	case errors.Is(err, config.ErrKeysStale):
+		d.Document = problem.NotRun(problem.KeysUnchecked, detail).Document("")
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		d.Document = problem.Unknown(unknownOutcome, detail).Document("")
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrOverBudget):
+		d.Document = problem.NotRun(platformUnavailable, detail).Document("")
+	default:
+		s.logger.Error("Request of an operator failed.", "error", err)
+		d.Document = problem.Unknown(problem.Internal, detail).Document("")
+	}
+	w.Header().Set("Content-Type", problem.ContentType)
+	w.WriteHeader(d.Status)
+	if err := json.NewEncoder(w).Encode(d); err != nil {
+		s.logger.Debug("Problem document was not sent.", "error", err)
+	}
+}
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -50,12 +50,15 @@
 // keepTargets adds the registered addresses and drops those that are neither registered, connected nor in the settings.
 func (n *Node) keepTargets(registered []registration) {
 	kept := make(map[string]bool, len(registered))
+	ids := make([]string, 0, len(registered))
 	for _, reg := range registered {
+		ids = append(ids, reg.ID)
 		kept[reg.Address] = true
 		n.addTarget(reg.Address, false)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.registered = ids
 	for _, l := range n.links {
 		kept[l.peer.Address] = true
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -54,6 +54,8 @@
 	handlers map[string]Handler
 	loads    map[string]Load
 	registry *registry
+	// registered are the IDs of all entry instances in the table at the last renewal.
+	registered []string
 	// fetched is when the last fetch of a delta began.
 	fetched time.Time
 }
@@ -192,6 +194,13 @@
 	return n.members.list(time.Now())
 }
 
+// Registered returns the IDs of all entry instances that were registered at the last renewal.
+func (n *Node) Registered() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.registered)
+}
+
 // Stable returns the time since a member was last added or changed its state.
 func (n *Node) Stable() time.Duration {
 	n.mu.Lock()
--- a/peer/registry.go
+++ b/peer/registry.go
@@ -16,7 +16,8 @@
 	// maxEntries bounds a scan of the registrations.
 	maxEntries = 1000
 	// forgetRow is how long a registration stays unchanged, on the clock of this process, before it is deleted.
-	forgetRow = time.Hour
+	// An instance that was only cut off writes it again.
+	forgetRow = 5 * time.Minute
 )
 
 // registration is the row of an entry instance.
