--- a/commands/root.go
+++ b/commands/root.go
@@ -62,5 +62,6 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return newUsageError(err) })
 	root.AddCommand(newSettingsCommand(), newVersionCommand())
+	root.AddCommand(newApplyCommand(), newConfigCommand(), newKeyCommand(), newTeamCommand(), newClassCommand(), newPoolCommand())
 	return root
 }
