Check the version of every row that a change of the configuration writes

A delayed duplicate of a transaction could otherwise overwrite newer rows, and the client of the platform refuses writes without a check. Each attempt has an operation ID of its own, so that the client's own search for an earlier effect cannot answer for another attempt.

--- a/config/change.go
+++ b/config/change.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/platform"
 )
 
@@ -199,33 +200,57 @@
 	return change, differences(now, change), nil
 }
 
+// commit writes the change in one transaction. Every write carries a check of its row, so that a delayed
+// duplicate of the transaction fails. The row versions are read here; if the documents change after the
+// read, so does the row of the current version, whose check then fails.
 func (s *Store) commit(ctx context.Context, c Change, h head) error {
-	txn := platform.Txn{
-		OperationID: c.OperationID,
-		Checks: []platform.Check{
-			{Key: currentKey, Version: h.rowVersion},
-			{Key: operationKey(c.OperationID)},
-		},
+	refs := c.Refs()
+	keys := make([]string, len(refs))
+	for i, ref := range refs {
+		keys[i] = documentKey(ref)
 	}
+	versions, err := s.rowVersions(ctx, keys)
+	if err != nil {
+		return err
+	}
+	// Each attempt is an operation of its own for the platform; the row of the operation tells whether one took effect.
+	txn := platform.Txn{OperationID: ident.New()}
 	var failed error
-	put := func(key string, value any) {
+	put := func(key string, rowVersion uint64, value any) {
 		data, err := json.Marshal(value)
 		if err != nil {
 			failed = eris.Wrapf(err, "row %q", key)
 		}
+		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: rowVersion})
 		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: data})
 	}
-	put(currentKey, current{Version: c.Version})
-	put(changeKey(c.Version), c)
-	put(operationKey(c.OperationID), operation{Version: c.Version})
+	put(currentKey, h.rowVersion, current{Version: c.Version})
+	put(changeKey(c.Version), 0, c)
+	put(operationKey(c.OperationID), 0, operation{Version: c.Version})
 	for _, d := range c.Puts {
-		put(documentKey(d.Ref()), d)
+		key := documentKey(d.Ref())
+		put(key, versions[key], d)
 	}
 	for _, ref := range c.Deletes {
-		txn.Writes = append(txn.Writes, platform.Write{Key: documentKey(ref), Delete: true})
+		key := documentKey(ref)
+		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: versions[key]})
+		txn.Writes = append(txn.Writes, platform.Write{Key: key, Delete: true})
 	}
 	if failed != nil {
 		return failed
 	}
 	return s.table.Commit(ctx, txn)
 }
+
+// rowVersions returns the versions of those rows that exist.
+func (s *Store) rowVersions(ctx context.Context, keys []string) (map[string]uint64, error) {
+	rows, err := s.table.Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	versions := make(map[string]uint64, len(rows))
+	for _, row := range rows {
+		versions[row.Key] = row.Version
+	}
+	return versions, nil
+}
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -59,10 +61,16 @@
 	return t.Table.Scan(ctx, prefix, after, limit)
 }
 
+// Commit refuses writes without a check of their row, which the client of the platform does too.
 func (t *faultyTable) Commit(ctx context.Context, txn platform.Txn) error {
 	if err := t.wait(ctx); err != nil {
 		return err
 	}
+	for _, w := range txn.Writes {
+		if !slices.ContainsFunc(txn.Checks, func(c platform.Check) bool { return c.Key == w.Key }) {
+			return fmt.Errorf("write of row %q without a check", w.Key)
+		}
+	}
 	t.mu.Lock()
 	before := t.before
 	t.before = nil
--- a/config/history.go
+++ b/config/history.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/platform"
 )
 
@@ -80,12 +81,18 @@
 	if err := s.options.Objects.Put(ctx, name, data); err != nil {
 		return err
 	}
-	txn := platform.Txn{OperationID: name}
+	operations := make([]string, len(changes))
 	for i, c := range changes {
-		txn.Checks = append(txn.Checks, platform.Check{Key: rows[i].Key, Version: rows[i].Version})
-		txn.Writes = append(txn.Writes,
-			platform.Write{Key: rows[i].Key, Delete: true},
-			platform.Write{Key: operationKey(c.OperationID), Delete: true})
+		operations[i] = operationKey(c.OperationID)
+	}
+	operationRows, err := s.table.Read(ctx, operations...)
+	if err != nil {
+		return err
+	}
+	txn := platform.Txn{OperationID: ident.New()}
+	for _, row := range slices.Concat(rows, operationRows) {
+		txn.Checks = append(txn.Checks, platform.Check{Key: row.Key, Version: row.Version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
 	}
 	return s.table.Commit(ctx, txn)
 }
