--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -94,6 +94,8 @@
 	poll      time.Duration
 	policy    config.Policy
 	instances []*instance
+	// remote, if set, returns the table as an entry instance reaches it.
+	remote func() platform.Table
 }
 
 type instance struct {
@@ -123,6 +125,9 @@
 // start runs a new process of the entry instance. Peers find each other through the table and the instances in the cluster.
 func (c *cluster) start(name string) *instance {
 	table := &cutTable{Table: c.table}
+	if c.remote != nil {
+		table.Table = c.remote()
+	}
 	source := config.NewSource(config.NewStore(table, config.StoreOptions{}), config.SourceOptions{Interval: c.poll, Policy: c.policy})
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	qt.Assert(c.tb, err, qt.IsNil)
