--- a/commands/root.go
+++ b/commands/root.go
@@ -63,15 +63,21 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return newUsageError(err) })
 	root.AddCommand(
+		newApplyCommand(),
 		newCertificatesCommand(),
+		newClassCommand(),
+		newConfigCommand(),
 		newDemoCommand(),
 		newEndpointCommand(),
 		newEntryCommand(),
 		newInstanceCommand(),
 		newJobCommand(),
+		newKeyCommand(),
 		newPlatformCommand(),
+		newPoolCommand(),
 		newReferenceCommand(),
 		newSettingsCommand(),
+		newTeamCommand(),
 		newVersionCommand(),
 		newWaveCommand(),
 	)
