--- a/duty/fake_test.go
+++ b/duty/fake_test.go
@@ -71,8 +71,11 @@
 	reboot   func(id string) time.Duration
 	shown    map[string]platform.Instance
 	shownAt  time.Time
-	cuts     []string
-	drains   int
+	// distort says of an entry whether the list drops it, and whether it repeats the one before.
+	distort func(id string) (drop, repeat bool)
+	old     map[string]platform.Instance
+	cuts    []string
+	drains  int
 }
 
 func newFakeFleet(lag time.Duration) *fakeFleet {
@@ -104,12 +107,23 @@
 	now := time.Now()
 	if f.shownAt.IsZero() || now.Sub(f.shownAt) >= f.lag {
 		f.shownAt = now
+		f.old, f.shown = f.shown, make(map[string]platform.Instance, len(f.machines))
 		for id, m := range f.machines {
 			f.shown[id] = m.report(now)
 		}
 	}
 	list := platform.InstanceList{}
 	for _, id := range slices.Sorted(maps.Keys(f.shown)) {
+		if f.distort != nil {
+			drop, repeat := f.distort(id)
+			if drop {
+				continue
+			}
+			if old, ok := f.old[id]; ok && repeat {
+				list.Instances = append(list.Instances, old)
+				continue
+			}
+		}
 		list.Instances = append(list.Instances, f.shown[id])
 	}
 	return list, nil
--- a/duty/model_test.go
+++ b/duty/model_test.go
@@ -171,6 +171,13 @@
 		if left--; left != 0 {
 			return
 		}
+		if rapid.Bool().Draw(m.rt, "operators") {
+			// Operators move instances between what the pass has read and what it writes.
+			for range 3 {
+				_, _ = m.ops.AssignInstance(context.Background(), m.anyMachine().ID, m.poolName())
+			}
+			return
+		}
 		m.takeOver()
 		for range rapid.IntRange(1, 40).Draw(m.rt, "passes in the pause") {
 			m.pass()
@@ -241,6 +248,13 @@
 		m.demand[m.poolName()] = float64(rapid.IntRange(0, 150).Draw(m.rt, "demand"))
 	case 9:
 		m.faults = !m.faults
+		m.fleet.distort = nil
+		if m.faults {
+			m.fleet.distort = func(id string) (bool, bool) {
+				n := rapid.IntRange(0, 9).Draw(m.rt, "list")
+				return n == 0, n == 1
+			}
+		}
 	case 10:
 		for _, txn := range m.table.late {
 			_ = m.table.Table.Commit(ctx, txn)
@@ -272,7 +286,7 @@
 
 // settle ends all faults and checks that every wave ends and every instance serves.
 func (m *fleetModel) settle() {
-	m.faults = false
+	m.faults, m.fleet.distort = false, nil
 	clear(m.demand)
 	for _, name := range m.waves {
 		_, _ = m.ops.ChangeWave(context.Background(), name, duty.ActionResume)
