--- a/duty/model_test.go
+++ b/duty/model_test.go
@@ -31,6 +31,7 @@
 	between func()
 	// rebooting counts the generations in which a row permits a reboot.
 	rebooting map[string]int
+	fatal     func(format string, args ...any)
 	// late are the transactions that arrive a second time.
 	late []platform.Txn
 }
@@ -52,6 +53,15 @@
 	if fault != nil {
 		f.late = append(f.late, txn)
 	}
+	if err := f.commit(ctx, txn); err != nil {
+		return err
+	}
+	return fault
+}
+
+// commit commits and records what becomes of each instance.
+func (f *faultyTable) commit(ctx context.Context, txn platform.Txn) error {
+	before, _ := pool.NewStore(f.Table).List(ctx)
 	if err := f.Table.Commit(ctx, txn); err != nil {
 		return err
 	}
@@ -60,13 +70,19 @@
 		if !strings.HasPrefix(w.Key, "instance/") || json.Unmarshal(w.Value, &row) != nil {
 			continue
 		}
-		f.fleet.machines[row.ID].setRow(row.State)
-		f.fleet.machines[row.ID].note("%s", w.Value)
+		m := f.fleet.machines[row.ID]
+		m.note("%s", w.Value)
+		m.setRow(row.State)
 		if row.State == pool.StateRebooting || row.State == pool.StateFailed {
 			f.rebooting[row.ID]++
 		}
+		for _, old := range before {
+			if old.ID == row.ID && row.Generation != old.Generation+1 {
+				f.fatal("onePool: generation %d of %s was overwritten by %d", old.Generation, row.ID, row.Generation)
+			}
+		}
 	}
-	return fault
+	return nil
 }
 
 // operatorTable is the table as operators use it, without faults.
@@ -101,7 +117,7 @@
 
 func newFleetModel(rt *rapid.T) *fleetModel {
 	m := &fleetModel{rt: rt, fleet: newFakeFleet(time.Second), demand: make(map[string]float64)}
-	m.table = &faultyTable{Table: standin.NewTable(), fleet: m.fleet, rebooting: make(map[string]int), fault: m.fault, between: func() {}}
+	m.table = &faultyTable{Table: standin.NewTable(), fleet: m.fleet, rebooting: make(map[string]int), fault: m.fault, fatal: rt.Fatalf, between: func() {}}
 	budgets := []string{"1", "20%", "34%", "3"}
 	m.pools = append(m.pools, mustPool(pool.Spec{Name: "spare", MaxUnavailable: "50%", Spare: true}))
 	m.fleet.add(m.table.Table, "spare", 6)
@@ -257,7 +273,7 @@
 		}
 	case 10:
 		for _, txn := range m.table.late {
-			_ = m.table.Table.Commit(ctx, txn)
+			_ = m.table.commit(ctx, txn)
 		}
 		m.table.late = nil
 	}
