--- a/wave/plan.go
+++ b/wave/plan.go
@@ -128,7 +128,8 @@
 		if len(rack.pending) == 0 || rack.free <= 0 || rack.centre.free <= 0 {
 			continue
 		}
-		if best == nil || rack.length() > best.length() {
+		// Of racks that are equal otherwise, one with less down loses less if it fails.
+		if best == nil || cmp.Or(cmp.Compare(rack.length(), best.length()), cmp.Compare(rack.free, best.free)) > 0 {
 			best = rack
 		}
 	}
