--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -83,10 +83,15 @@
 	// generation grows each time the part is lost, which ends all permits that were not dispatched.
 	generation uint64
 	inUse      int
-	// peak is the largest inUse since the last renewal, and denied tells that it was not enough.
+	// peak is the largest inUse in the present window of a few rounds. short
+	// reports whether a request was denied in it, and denied counts those since the last write.
 	peak     int
+	short    bool
 	denied   int
+	window   time.Time
 	jobsWant int
+	// demand is the last want that denied requests were the reason of.
+	demand int
 
 	version  uint64
 	record   record
@@ -122,14 +127,33 @@
 
 // want returns how much the part could use now.
 func (a *account) want() int {
-	n := max(a.peak, a.inUse)
+	n := max(a.peak, a.inUse, a.demand)
 	if a.denied > 0 {
 		// Demand beyond the part is known only as a lower bound, so that it is doubled until nothing is denied.
-		n = max(n+a.denied, 2*a.held)
+		n = max(n+a.denied, 2*max(a.held, a.demand))
 	}
 	return min(n, max(a.limit, 0))
 }
 
+// asked notes that the want is written.
+func (a *account) asked(want int) {
+	if a.denied > 0 {
+		a.demand, a.denied, a.short = want, 0, true
+	}
+}
+
+// roll begins a new window if the present one is over. The demand is kept for one window without a denied
+// request: wants that follow each moment would make the parts of all holders change all the time.
+func (a *account) roll(now time.Time, window time.Duration) {
+	if now.Sub(a.window) < window {
+		return
+	}
+	if !a.short && a.denied == 0 {
+		a.demand = 0
+	}
+	a.window, a.peak, a.short = now, a.inUse, false
+}
+
 // NewHolder returns a holder without teams.
 func NewHolder(o Options) *Holder {
 	if o.Term <= 0 {
@@ -235,8 +259,12 @@
 	Held, InUse int
 	// Until is the end of the term.
 	Until time.Time
+	// Limit is the limit in the configuration of this entry instance.
+	Limit int
+	// Known reports whether this entry instance has read the row of the team. InForce and Jobs mean nothing without.
+	Known bool
 	// InForce is the limit that holds over the whole fleet. It is above Limit while holders shrink to a lowered limit.
-	InForce, Limit int
+	InForce int
 	// Jobs is the number of running jobs over the whole fleet.
 	Jobs int
 }
@@ -249,12 +277,10 @@
 	if !ok {
 		return Usage{}
 	}
-	inForce := a.record.inForce()
-	if a.record.Version < h.version {
-		// The row may still allow more than the new limit.
-		inForce = max(inForce, a.limit)
+	return Usage{
+		Held: a.held, InUse: a.inUse, Until: a.until, Limit: a.limit, Jobs: a.record.Jobs,
+		Known: a.version != 0, InForce: a.record.inForce(),
 	}
-	return Usage{Held: a.held, InUse: a.inUse, Until: a.until, InForce: inForce, Limit: a.limit, Jobs: a.record.Jobs}
 }
 
 // Nudge makes the holder look at the rows at once, for instance because a peer asked for a part.
--- a/duty/fleet.go
+++ b/duty/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/move"
 	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
 	"github.com/chivetiller/chivetiller/wave"
@@ -27,7 +28,11 @@
 	// and when they serve again. Their State says which. It is also called for those that an earlier holder
 	// of the duty had stopped. It may be nil.
 	Announce func(changed []pool.Instance)
-	Logger   hclog.Logger
+	// Loads returns the present load of each pool over all entry instances. Without it there are no moves.
+	Loads func() []move.Load
+	// Moves are the parameters of moves.
+	Moves  move.Options
+	Logger hclog.Logger
 }
 
 // Fleet runs the waves and moves of the pools whose duties are held, and adopts new instances.
@@ -36,6 +41,7 @@
 	rows      *pool.Store
 	waves     *wave.Store
 	reports   *pool.Reports
+	planner   *move.Planner
 	acked     map[string]ack
 	announced map[string]time.Time
 }
@@ -60,7 +66,7 @@
 	}
 	return &Fleet{
 		options: o, rows: pool.NewStore(o.Table), waves: wave.NewStore(o.Table), reports: pool.NewReports(o.Instances),
-		acked: make(map[string]ack), announced: make(map[string]time.Time),
+		planner: move.NewPlanner(o.Moves), acked: make(map[string]ack), announced: make(map[string]time.Time),
 	}
 }
 
@@ -73,6 +79,8 @@
 	waves   []wave.Stored
 	byPool  map[string][]pool.Stored
 	rows    []pool.Stored
+	// begun holds the instances whose stop this pass has tried to begin, also if the outcome is unknown.
+	begun map[string]bool
 }
 
 // Pass implements [Duties].
@@ -82,7 +90,8 @@
 		return err
 	}
 	var errs []error
-	errs = append(errs, f.adopt(ctx, p))
+	// Moves come before new stops of waves, because a pool that lacks capacity needs them sooner.
+	errs = append(errs, f.adopt(ctx, p), f.move(ctx, p))
 	for _, each := range p.pools {
 		if _, ok := leases.Holds(ShardOf(each.Name())); !ok {
 			continue
@@ -96,15 +105,17 @@
 // read returns nil if no duty is held. The rows of planned stops are read before the instances: a stop
 // that begins in between changes them and makes the transaction of this pass fail.
 func (f *Fleet) read(ctx context.Context, leases Leases) (*pass, error) {
-	p := &pass{leases: leases, now: time.Now(), pools: f.options.Pools(), byPool: make(map[string][]pool.Stored)}
+	p := &pass{leases: leases, now: time.Now(), pools: f.options.Pools(), byPool: make(map[string][]pool.Stored), begun: make(map[string]bool)}
 	_, held := leases.Holds(Housekeeping)
 	names := make([]string, 0, len(p.pools))
+	mine := 0
 	for _, each := range p.pools {
+		names = append(names, each.Name())
 		if _, ok := leases.Holds(ShardOf(each.Name())); ok {
-			names = append(names, each.Name())
+			mine++
 		}
 	}
-	if len(names) == 0 && !held {
+	if mine == 0 && !held {
 		return nil, nil
 	}
 	if err := f.reports.Refresh(ctx); err != nil {
@@ -156,7 +167,14 @@
 func (f *Fleet) step(ctx context.Context, p *pass, in pool.Pool) error {
 	rows := p.byPool[in.Name()]
 	for i, row := range rows {
+		if p.begun[row.ID] {
+			// The row may not have been written: calls are made only for rows as they were read.
+			continue
+		}
 		if !row.Down() {
+			if report, _ := f.reports.Get(row.ID); wave.Stray(p.now, row.Instance, report) {
+				f.call(ctx, p, row.Instance, wave.CallUndrain)
+			}
 			continue
 		}
 		f.announce(row.Instance)
@@ -167,7 +185,7 @@
 			return nil
 		}
 		if !d.Changed {
-			f.call(ctx, p.now, row.Instance, d.Call)
+			f.call(ctx, p, row.Instance, d.Call)
 			continue
 		}
 		if err := f.rows.Change(ctx, row, d.Next, fence); err != nil {
@@ -185,7 +203,7 @@
 		}
 		f.announce(d.Next)
 		if next := wave.Step(p.now, d.Next, report, known, p.rules(row.Operation)); !next.Changed {
-			f.call(ctx, p.now, d.Next, next.Call)
+			f.call(ctx, p, d.Next, next.Call)
 		}
 	}
 	return nil
@@ -215,13 +233,18 @@
 				nexts = append(nexts, wave.Begin(p.now, row.Instance, report, pool.StateDraining, w.Operation()))
 			}
 		}
-		if err := f.rows.Begin(ctx, in.Name(), p.planned[in.Name()], olds, nexts, fence, w.Check()); err != nil {
+		version, ok := p.planned[in.Name()]
+		if !ok {
+			// A move has begun in the pool in this pass; the new version is read in the next.
+			return nil
+		}
+		if err := f.rows.Begin(ctx, in.Name(), version, olds, nexts, fence, w.Check()); err != nil {
 			return quiet(err)
 		}
 		f.options.Logger.Info("Stops begun.", "pool", in.Name(), "wave", w.Name(), "instances", chosen)
 		f.announce(nexts...)
 		for _, next := range nexts {
-			f.call(ctx, p.now, next, wave.CallDrain)
+			f.call(ctx, p, next, wave.CallDrain)
 		}
 		// A second wave would need the new version of the pool's row: it waits for the next pass.
 		return nil
@@ -253,15 +276,13 @@
 	if row.Operation == w.Operation() {
 		return true
 	}
-	report, known := f.reports.Get(row.ID)
-	gone := known && report.State == platform.InstanceGone
-	return w.Pending(row.Instance) && !gone
+	return w.Pending(row.Instance) && !f.reports.Missing(row.ID)
 }
 
 // available reports whether the platform says that an instance is in service.
 func (f *Fleet) available(id string) bool {
 	report, known := f.reports.Get(id)
-	return known && report.State == platform.InstanceLive
+	return known && report.State == platform.InstanceLive && !f.reports.Missing(id)
 }
 
 // rules returns the limits of an operation. A wave whose row is missing counts as aborted.
@@ -277,6 +298,19 @@
 	}
 }
 
+// duty returns the duty under which the pass acts on an instance: that of its pool, or that of the spare
+// pool for a move that the holder of the spare pool has just begun.
+func (p *pass) duty(in pool.Instance) string {
+	own := ShardOf(in.Pool)
+	if _, held := p.leases.Holds(own); held {
+		return own
+	}
+	if spare := slices.IndexFunc(p.pools, pool.Pool.Spare); spare >= 0 && in.State == pool.StateMoving {
+		return ShardOf(p.pools[spare].Name())
+	}
+	return own
+}
+
 // announce tells the entry instance about instances that it was not told about in this stop.
 func (f *Fleet) announce(changed ...pool.Instance) {
 	var fresh []pool.Instance
@@ -297,12 +331,16 @@
 
 // call sends an order to the platform, unless the same one was acknowledged a short while ago. Its
 // failure needs no handling: the effect is seen in a report, and until then the call is repeated.
-func (f *Fleet) call(ctx context.Context, now time.Time, in pool.Instance, call wave.Call) {
+func (f *Fleet) call(ctx context.Context, p *pass, in pool.Instance, call wave.Call) {
 	if call == wave.CallNone {
 		return
 	}
 	last := f.acked[in.ID]
-	if last.generation == in.Generation && last.call == call && now.Sub(last.at) < callRepeat {
+	if last.generation == in.Generation && last.call == call && p.now.Sub(last.at) < callRepeat {
+		return
+	}
+	// The calls carry no fencing token. A holder that was paused must find out before it makes one.
+	if _, held := p.leases.Holds(p.duty(in)); !held {
 		return
 	}
 	var err error
@@ -318,7 +356,7 @@
 		f.options.Logger.Warn("Call to the platform failed, will be repeated.", "call", call, "instance", in.ID, "error", err)
 		return
 	}
-	f.acked[in.ID] = ack{generation: in.Generation, call: call, at: now}
+	f.acked[in.ID] = ack{generation: in.Generation, call: call, at: p.now}
 }
 
 // quiet hides errors after which the next pass reads everything again.
