--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -190,7 +190,7 @@
 	if t == nil {
 		return nil, problem.NotRun(problem.NoEndpoint, "pool does not exist").RetryAfter(time.Second)
 	}
-	e := execution{task: t, ticket: &ticket{request: r, reply: make(chan grant, 1)}}
+	e := execution{task: t, ticket: ticket{request: r, reply: make(chan grant, 1)}}
 	response, err := e.run(ctx)
 	if err != nil {
 		return nil, err
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -15,7 +15,9 @@
 // execution makes the attempts of one request on the goroutine of its requester.
 type execution struct {
 	task   *task
-	ticket *ticket
+	ticket ticket
+	// report is sent by reference. It is not written again before the task has answered it.
+	report attempted
 	// mayHaveRun says that an earlier attempt may have had an effect.
 	mayHaveRun bool
 }
@@ -37,7 +39,7 @@
 }
 
 func (e *execution) run(ctx context.Context) (*Response, *problem.Problem) {
-	if !e.task.send(submit{e.ticket}) {
+	if !e.task.send(submit{&e.ticket}) {
 		return nil, errStopping
 	}
 	var last result
@@ -54,10 +56,11 @@
 		}
 		e.mayHaveRun = e.mayHaveRun || !last.notRun
 		retry := last.retry && ctx.Err() == nil
-		e.task.send(attempted{
-			ticket: e.ticket, target: g.target, conn: conn, outcome: last.outcome,
+		e.report = attempted{
+			ticket: &e.ticket, target: g.target, conn: conn, outcome: last.outcome,
 			answered: last.answered, retry: retry, notRun: !e.mayHaveRun,
-		})
+		}
+		e.task.send(&e.report)
 		if !retry {
 			return e.end(last)
 		}
@@ -85,7 +88,7 @@
 
 // await waits for a grant, and takes the request back if the context ends first.
 func (e *execution) await(ctx context.Context) grant {
-	k := e.ticket
+	k := &e.ticket
 	select {
 	case g := <-k.reply:
 		return g
@@ -184,7 +187,7 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		outcome = endpoint.OutcomeRefused
 	}
-	e.report(g, connection.FaultConnection, false, err)
+	e.logFault(g, connection.FaultConnection, false, err)
 	return result{
 		problem: problem.NotRun(problem.NoEndpoint, "endpoint does not accept connections").RetryAfter(time.Second),
 		outcome: outcome,
@@ -209,7 +212,7 @@
 	if fault.Kind == connection.FaultCancelled {
 		return result{problem: truth(fault.Sent, problem.Cancelled, ""), outcome: outcomeNone, notRun: !fault.Sent}
 	}
-	e.report(g, fault.Kind, fault.Sent, fault.Err)
+	e.logFault(g, fault.Kind, fault.Sent, fault.Err)
 	kind, detail := problem.EndpointFailed, "endpoint sent no complete response: "+string(fault.Kind)
 	if fault.Kind == connection.FaultTimeout {
 		kind, detail = problem.EndpointTimeout, "endpoint sent no complete response before the deadline"
@@ -257,7 +260,7 @@
 	return false
 }
 
-func (e *execution) report(g grant, kind connection.FaultKind, sent bool, err error) {
+func (e *execution) logFault(g grant, kind connection.FaultKind, sent bool, err error) {
 	e.task.logger.Warn("Endpoint fault.", "pool", e.task.pool, "endpoint", g.target.ID, "request", e.ticket.request.ID,
 		"fault", kind, "sent", sent, "error", err)
 	if o := e.task.o.Observer; o != nil {
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -154,7 +154,7 @@
 // second makes the second attempt if one is granted.
 func (e *execution) second(ctx context.Context) result {
 	none := result{notRun: true}
-	m := hedgeRequest{ticket: e.ticket, reply: make(chan grant, 1)}
+	m := hedgeRequest{ticket: &e.ticket, reply: make(chan grant, 1)}
 	if !e.task.send(m) {
 		return none
 	}
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -92,7 +92,7 @@
 	notRun bool
 }
 
-func (m attempted) apply(t *task, now time.Time) {
+func (m *attempted) apply(t *task, now time.Time) {
 	t.giveBack(now, m.target, m.conn, m.outcome)
 	elapsed := now.Sub(m.ticket.granted)
 	m.ticket.slotTime += elapsed
