--- a/caller/path_benchmark_test.go
+++ b/caller/path_benchmark_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -46,6 +47,8 @@
 		b.ReportMetric(directHalf.quantile(99), "direct-half-p99-us")
 		b.ReportMetric(throughHalf.quantile(99), "entry-half-p99-us")
 		b.ReportMetric(1.5*directHalf.quantile(99)+500, "half-p99-bound-us")
+		b.ReportMetric(directHalf.busy, "direct-half-busy")
+		b.ReportMetric(throughHalf.busy, "entry-half-busy")
 		b.ReportMetric(full.quantile(99), "direct-full-p99-us")
 		b.ReportMetric(through.quantile(99), "entry-full-p99-us")
 		b.ReportMetric(through.bytes-full.bytes, "entry-B/req")
@@ -56,7 +59,9 @@
 // measured is the result of a phase of load.
 type measured struct {
 	rate, bytes, allocs float64
-	latency             *hdrhistogram.Histogram
+	// busy is the fraction of the processors of the Go scheduler that was in use.
+	busy    float64
+	latency *hdrhistogram.Histogram
 }
 
 // quantile returns a percentile of the latency in microseconds.
@@ -80,6 +85,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
+	used := processorTime()
 	start := time.Now()
 	for worker := range benchmarkWorkers {
 		wg.Go(func() {
@@ -113,11 +119,13 @@
 	wg.Wait()
 	elapsed := time.Since(start)
 	runtime.ReadMemStats(&after)
+	busy := (processorTime() - used).Seconds() / elapsed.Seconds() / float64(runtime.GOMAXPROCS(0))
 	count := float64(total.TotalCount())
 	return measured{
 		rate:    count / elapsed.Seconds(),
 		bytes:   float64(after.TotalAlloc-before.TotalAlloc) / count,
 		allocs:  float64(after.Mallocs-before.Mallocs) / count,
+		busy:    busy,
 		latency: total,
 	}
 }
@@ -144,3 +152,12 @@
 	}
 	return nil
 }
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
