--- a/caller/path_benchmark_test.go
+++ b/caller/path_benchmark_test.go
@@ -39,6 +39,7 @@
 		half := through.rate / 2
 		directHalf := r.load(b, direct, half, benchmarkTime)
 		throughHalf := r.load(b, entry, half, benchmarkTime)
+		directOwn := r.load(b, direct, full.rate/2, benchmarkTime)
 		b.ReportMetric(full.rate, "direct-req/s")
 		b.ReportMetric(through.rate, "entry-req/s")
 		b.ReportMetric(through.rate/full.rate, "rate-ratio(bound>=0.4)")
@@ -47,6 +48,7 @@
 		b.ReportMetric(directHalf.quantile(99), "direct-half-p99-us")
 		b.ReportMetric(throughHalf.quantile(99), "entry-half-p99-us")
 		b.ReportMetric(1.5*directHalf.quantile(99)+500, "half-p99-bound-us")
+		b.ReportMetric(directOwn.quantile(99), "direct-own-half-p99-us")
 		b.ReportMetric(directHalf.busy, "direct-half-busy")
 		b.ReportMetric(throughHalf.busy, "entry-half-busy")
 		b.ReportMetric(full.quantile(99), "direct-full-p99-us")
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -56,6 +56,7 @@
 
 	mu          sync.Mutex
 	server      *http.Server
+	listener    net.Listener
 	address     string
 	incarnation uint64
 	draining    bool
@@ -112,6 +113,7 @@
 		},
 	}
 	e.server = server
+	e.listener = listener
 	limited := &limitedListener{Listener: listener, endpoint: e, incarnation: e.incarnation}
 	go func() {
 		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
@@ -124,11 +126,12 @@
 // Stop finishes the requests in flight and closes.
 func (e *Endpoint) Stop(ctx context.Context) error {
 	e.mu.Lock()
-	server := e.server
+	server, listener := e.server, e.listener
 	e.mu.Unlock()
 	if server == nil {
 		return nil
 	}
+	defer listener.Close()
 	if err := server.Shutdown(ctx); err != nil {
 		return errors.Join(eris.Wrapf(err, "endpoint %q has requests in flight", e.o.ID), server.Close())
 	}
@@ -138,9 +141,12 @@
 // Crash closes all connections at once, as a failure does.
 func (e *Endpoint) Crash() error {
 	e.mu.Lock()
-	server := e.server
+	server, listener := e.server, e.listener
 	e.mu.Unlock()
-	return server.Close()
+	err := server.Close()
+	// The server does not know the listener yet if it has just been started.
+	listener.Close()
+	return err
 }
 
 // Reboot stops at once and starts as a new incarnation after the delay.
