Serve operators: waves, instances, jobs, status and burn report

The operator API of an entry instance has the routes that the commands use. Moves get the demand of each pool over all entry instances, and jobs run under the duty of their data centre.

--- a/burn/report.go
+++ b/burn/report.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Windows are the windows of a report, shortest first. The last one is the window of the error budget.
@@ -28,6 +30,17 @@
 // MarshalText implements [encoding.TextMarshaler].
 func (w Window) MarshalText() ([]byte, error) { return []byte(w.String()), nil }
 
+// UnmarshalText implements [encoding.TextUnmarshaler].
+func (w *Window) UnmarshalText(text []byte) error {
+	for _, known := range Windows {
+		if known.String() == string(text) {
+			*w = known
+			return nil
+		}
+	}
+	return eris.Errorf("window %q is not one of %v", text, Windows)
+}
+
 // longest is the window of the error budget.
 func longest() time.Duration { return time.Duration(Windows[len(Windows)-1]) }
 
--- a/commands/root.go
+++ b/commands/root.go
@@ -76,8 +76,11 @@
 		newPlatformCommand(),
 		newPoolCommand(),
 		newReferenceCommand(),
+		newReportCommand(),
 		newSettingsCommand(),
+		newStatusCommand(),
 		newTeamCommand(),
+		newTopCommand(),
 		newVersionCommand(),
 		newWaveCommand(),
 	)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -82,6 +82,7 @@
 
 	mu     sync.Mutex
 	counts map[string]int
+	rows   []pool.Stored
 }
 
 // readResult is what one read of the platform brought.
@@ -183,6 +184,13 @@
 	return counts
 }
 
+// Rows returns the instance rows as they were last read. They must not be changed.
+func (d *Directory) Rows() []pool.Stored {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rows
+}
+
 // poll reads rows and reports. It runs beside the task, so that a slow platform does not delay announcements.
 func (d *Directory) poll(ctx context.Context) {
 	ticker := time.NewTicker(d.o.Interval)
@@ -257,5 +265,6 @@
 	v.replace(result.rows, result.reports)
 	d.mu.Lock()
 	d.counts = v.counts()
+	d.rows = result.rows
 	d.mu.Unlock()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,9 +28,11 @@
 	"github.com/chivetiller/chivetiller/dispatch/connection"
 	"github.com/chivetiller/chivetiller/duty"
 	"github.com/chivetiller/chivetiller/endpoint"
+	"github.com/chivetiller/chivetiller/job"
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/lease"
 	"github.com/chivetiller/chivetiller/metrics"
+	"github.com/chivetiller/chivetiller/operator"
 	"github.com/chivetiller/chivetiller/peer"
 	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
@@ -99,6 +101,7 @@
 	directory  *directory.Directory
 	caller     *caller.Server
 	runner     *duty.Runner
+	operator   *operator.Server
 	recorder   *burn.Recorder
 	metrics    *metrics.Set
 }
@@ -183,7 +186,7 @@
 		Logger:      o.Logger,
 	})
 	e.buildDuties(o)
-	return nil
+	return e.buildOperator(o)
 }
 
 func (e *Entry) buildNode(o Options) error {
@@ -218,15 +221,54 @@
 	return nil
 }
 
+func (e *Entry) buildOperator(o Options) error {
+	options := operator.Options{
+		Listen:       o.Settings.Listen().Operators,
+		Store:        e.store,
+		Source:       e.source,
+		BootstrapKey: o.Settings.Operators().BootstrapKey,
+		Logger:       o.Logger,
+	}
+	if e.node != nil {
+		options.Fleet = e.node
+	}
+	server, err := operator.NewServer(options)
+	if err != nil {
+		return err
+	}
+	newOperations(e).addTo(server)
+	e.operator = server
+	return nil
+}
+
 func (e *Entry) buildDuties(o Options) {
 	fleet := duty.NewFleet(duty.FleetOptions{
 		Table:     e.client.For(platform.UserWaves),
 		Instances: o.Platform.Instances,
 		Pools:     func() []pool.Pool { return e.source.Snapshot().Pools() },
+		Loads:     e.moveLoads,
 		Announce:  e.announce,
 		Logger:    o.Logger,
 	})
-	e.runner = duty.NewRunner(duty.Options{Leases: leases{e.leases}, Interval: e.settings.Waves().Interval, Logger: o.Logger}, fleet)
+	jobs := duty.NewJobs(duty.JobsOptions{
+		Table:       e.client.For(platform.UserJobs),
+		Instances:   o.Platform.Instances,
+		Tasks:       o.Platform.Tasks,
+		DataCentres: func() []string { return []string{e.settings.DataCentre()} },
+		Limits: job.TeamLimits{
+			Table: e.client.For(platform.UserJobs),
+			Limit: func(name string) int {
+				t, ok := e.source.Snapshot().Team(name)
+				if !ok {
+					return 0
+				}
+				return t.UpperLimit()
+			},
+			Holder: e.allotments,
+		},
+		Logger: o.Logger,
+	})
+	e.runner = duty.NewRunner(duty.Options{Leases: leases{e.leases}, Interval: e.settings.Waves().Interval, Logger: o.Logger}, fleet, jobs)
 }
 
 // register tells the kernel which service needs which. The caller comes last and stops first,
@@ -242,6 +284,7 @@
 		newApplier(e).service(),
 		newBurnWriter(e).service(),
 		{Name: serviceDuties, Value: e.runner, Start: e.runner.Start, Stop: e.runner.Stop, Needs: []string{serviceLeases, serviceDirectory, serviceApply}},
+		{Name: serviceOperator, Value: e.operator, Start: e.operator.Start, Stop: e.operator.Stop, Needs: []string{serviceApply, serviceDirectory}},
 		{Name: serviceCaller, Value: e.caller, Start: e.caller.Start, Stop: e.caller.Stop, Needs: []string{serviceApply, serviceDirectory, serviceClaims, serviceDispatch, serviceDuties, serviceBurn}},
 	}
 	if e.node != nil {
@@ -300,6 +343,9 @@
 // CallerAddress returns the address where callers connect, after Start.
 func (e *Entry) CallerAddress() string { return e.caller.Address() }
 
+// OperatorAddress returns the address of the operator API, after Start.
+func (e *Entry) OperatorAddress() string { return e.operator.Address() }
+
 // Source returns the configuration in force.
 func (e *Entry) Source() *config.Source { return e.source }
 
--- /dev/null
+++ b/entry/operations.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/chivetiller/chivetiller/burn"
+	"github.com/chivetiller/chivetiller/common/problem"
+	"github.com/chivetiller/chivetiller/duty"
+	"github.com/chivetiller/chivetiller/job"
+	"github.com/chivetiller/chivetiller/operator"
+	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/status"
+	"github.com/chivetiller/chivetiller/wave"
+)
+
+// maxOperatorBody bounds the documents of operators in bytes.
+const maxOperatorBody = 1 << 20
+
+// Kinds of problems of the operator routes.
+var (
+	kindInvalid     = problem.Kind{Name: "invalidRequest", Status: http.StatusUnprocessableEntity, Title: "Request is invalid"}
+	kindMissing     = problem.Kind{Name: "unknownName", Status: http.StatusNotFound, Title: "Name does not exist"}
+	kindConflict    = problem.Kind{Name: "conflict", Status: http.StatusConflict, Title: "State has changed"}
+	kindUnavailable = problem.Kind{Name: "platformUnavailable", Status: http.StatusServiceUnavailable, Title: "Platform is unavailable"}
+	kindUnknown     = problem.Kind{Name: "unknownOutcome", Status: http.StatusGatewayTimeout, Title: "Outcome is unknown"}
+)
+
+// operations are the routes for operators beside those of the configuration.
+type operations struct {
+	entry *Entry
+	fleet *duty.Operations
+}
+
+func newOperations(e *Entry) *operations {
+	return &operations{entry: e, fleet: duty.NewOperations(duty.OperationsOptions{
+		Table:     e.client.For(platform.UserWaves),
+		Instances: e.services.Instances,
+		Pools:     func() []pool.Pool { return e.source.Snapshot().Pools() },
+		HasTeam: func(name string) bool {
+			_, ok := e.source.Snapshot().Team(name)
+			return ok
+		},
+	})}
+}
+
+// addTo registers the routes.
+func (o *operations) addTo(s *operator.Server) {
+	routes := map[string]func(r *http.Request) (any, error){
+		"GET /operator/instances": func(r *http.Request) (any, error) {
+			return o.fleet.ListInstances(r.Context(), r.URL.Query().Get("pool"))
+		},
+		"PUT /operator/instances/{id}/pool": o.assignInstance,
+		"DELETE /operator/instances/{id}": func(r *http.Request) (any, error) {
+			return nil, o.fleet.RemoveInstance(r.Context(), r.PathValue("id"))
+		},
+		"GET /operator/waves":  func(r *http.Request) (any, error) { return o.fleet.ListWaves(r.Context()) },
+		"POST /operator/waves": o.createWave,
+		"GET /operator/waves/{name}": func(r *http.Request) (any, error) {
+			return o.fleet.GetWave(r.Context(), r.PathValue("name"))
+		},
+		"POST /operator/waves/{name}/{action}": func(r *http.Request) (any, error) {
+			return o.fleet.ChangeWave(r.Context(), r.PathValue("name"), r.PathValue("action"))
+		},
+		"POST /operator/jobs": o.submitJob,
+		"GET /operator/jobs": func(r *http.Request) (any, error) {
+			return o.fleet.ListJobs(r.Context(), r.URL.Query().Get("dataCentre"))
+		},
+		"GET /operator/jobs/{id}":    func(r *http.Request) (any, error) { return o.fleet.GetJob(r.Context(), r.PathValue("id")) },
+		"DELETE /operator/jobs/{id}": func(r *http.Request) (any, error) { return o.fleet.CancelJob(r.Context(), r.PathValue("id")) },
+		"GET /operator/status":       func(r *http.Request) (any, error) { return o.status(r.Context()) },
+		"GET /operator/burn":         func(r *http.Request) (any, error) { return o.burn(r.Context()) },
+	}
+	for pattern, route := range routes {
+		s.Handle(pattern, handler(route))
+	}
+}
+
+// handler sends what the route returns as JSON, or its error as a problem document.
+func handler(route func(r *http.Request) (any, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxOperatorBody)
+		value, err := route(r)
+		if err != nil {
+			// The connection is gone if this fails.
+			_ = operatorProblem(err).Write(w, "")
+			return
+		}
+		if value == nil {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(value)
+	})
+}
+
+func operatorProblem(err error) *problem.Problem {
+	switch {
+	case errors.Is(err, duty.ErrInvalid):
+		return problem.NotRun(kindInvalid, err.Error())
+	case errors.Is(err, platform.ErrNotFound):
+		return problem.NotRun(kindMissing, err.Error())
+	case errors.Is(err, platform.ErrConflict):
+		return problem.NotRun(kindConflict, err.Error())
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		return problem.Unknown(kindUnknown, err.Error())
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrOverBudget):
+		return problem.NotRun(kindUnavailable, err.Error()).RetryAfter(time.Second)
+	}
+	var p *problem.Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	return problem.Unknown(problem.Internal, err.Error())
+}
+
+// decodeDocument reads a JSON document. Unknown fields are errors, so that a misspelt one is noticed.
+func decodeDocument(r *http.Request, to any) error {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(to); err != nil {
+		return problem.NotRun(problem.Malformed, err.Error())
+	}
+	return nil
+}
+
+func (o *operations) assignInstance(r *http.Request) (any, error) {
+	var body struct {
+		Pool string `json:"pool"`
+	}
+	if err := decodeDocument(r, &body); err != nil {
+		return nil, err
+	}
+	return o.fleet.AssignInstance(r.Context(), r.PathValue("id"), body.Pool)
+}
+
+func (o *operations) createWave(r *http.Request) (any, error) {
+	var spec wave.Spec
+	if err := decodeDocument(r, &spec); err != nil {
+		return nil, err
+	}
+	return o.fleet.CreateWave(r.Context(), spec)
+}
+
+func (o *operations) submitJob(r *http.Request) (any, error) {
+	var spec job.Spec
+	if err := decodeDocument(r, &spec); err != nil {
+		return nil, err
+	}
+	return o.fleet.SubmitJob(r.Context(), spec)
+}
+
+// burn makes the burn report from the stored history of all entry instances.
+func (o *operations) burn(ctx context.Context) (burn.Report, error) {
+	now := time.Now()
+	parts, err := burn.Load(ctx, o.entry.services.Objects, now)
+	if err != nil {
+		return burn.Report{}, err
+	}
+	objectives := make(map[string]float64)
+	for _, c := range o.entry.source.Snapshot().Classes() {
+		objectives[c.Name()] = c.Objective()
+	}
+	return burn.NewReport(now, objectives, parts), nil
+}
+
+// status makes the status report. What the platform does not give at present is left out.
+func (o *operations) status(ctx context.Context) (status.Report, error) {
+	e := o.entry
+	snapshot := e.source.Snapshot()
+	age, known := e.source.Age()
+	in := status.Inputs{
+		Now:           time.Now(),
+		Entry:         e.settings.Name(),
+		Platform:      e.client.State().String(),
+		ConfigVersion: snapshot.Version(),
+		ConfigAge:     age,
+		ConfigKnown:   known,
+		KeysAdmitted:  e.source.Policy().Admit(age, known) == nil,
+		Entries:       e.entries(),
+		Classes:       snapshot.Classes(),
+		Pools:         snapshot.Pools(),
+		Rows:          e.directory.Rows(),
+		Loads:         e.fleetLoads(),
+	}
+	if waves, err := o.fleet.ListWaves(ctx); err == nil {
+		in.Waves = waves
+	}
+	if parts, err := burn.LoadWindow(ctx, e.services.Objects, in.Now, status.Window); err == nil {
+		in.Parts = parts
+	}
+	return status.NewReport(in), nil
+}
+
+// entries returns this and the other entry instances.
+func (e *Entry) entries() []status.Entry {
+	entries := []status.Entry{{
+		Name: e.settings.Name(), DataCentre: e.settings.DataCentre(), State: "alive", Version: e.source.Snapshot().Version(),
+	}}
+	if e.node == nil {
+		return entries
+	}
+	for _, m := range e.node.Members() {
+		entries = append(entries, status.Entry{
+			Name: m.ID, DataCentre: m.DataCentre, State: string(m.State), Version: m.Version, Heard: m.Heard.Seconds(),
+		})
+	}
+	return entries
+}
+
+// fleetLoads adds the load of this entry instance to that which the others have reported.
+func (e *Entry) fleetLoads() map[string]status.Load {
+	loads := make(map[string]status.Load)
+	add := func(pool string, queued, running, slots int) {
+		l := loads[pool]
+		l.Queued += queued
+		l.Running += running
+		l.Slots += slots
+		loads[pool] = l
+	}
+	for _, l := range e.dispatcher.Loads() {
+		add(l.Pool, l.Queued, l.InFlight, l.InFlight+l.Free)
+	}
+	if e.node == nil {
+		return loads
+	}
+	for _, m := range e.node.Members() {
+		for name, l := range m.Loads {
+			add(name, int(l.Queued), int(l.Running), int(l.Slots))
+		}
+	}
+	return loads
+}
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -18,6 +18,7 @@
 	"github.com/chivetiller/chivetiller/endpoint"
 	"github.com/chivetiller/chivetiller/lease"
 	"github.com/chivetiller/chivetiller/metrics"
+	"github.com/chivetiller/chivetiller/move"
 	"github.com/chivetiller/chivetiller/peer"
 	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
@@ -162,6 +163,23 @@
 	return nil, nil
 }
 
+// moveLoads tells the planner of moves how much work each pool has over all entry instances.
+// By Little's law the requests that wait or run are the arrival rate times the time in the system.
+func (e *Entry) moveLoads() []move.Load {
+	targets := make(map[string]time.Duration)
+	for _, c := range e.source.Snapshot().Classes() {
+		if target, ok := targets[c.Pool()]; !ok || c.Target() < target {
+			targets[c.Pool()] = c.Target()
+		}
+	}
+	fleet := e.fleetLoads()
+	loads := make([]move.Load, 0, len(fleet))
+	for name, l := range fleet {
+		loads = append(loads, move.Load{Pool: name, Demand: float64(l.Queued + l.Running), Target: targets[name]})
+	}
+	return loads
+}
+
 // sources tells the metrics where to read.
 func (e *Entry) sources() metrics.Sources {
 	return metrics.Sources{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -31,6 +31,7 @@
 	Platform     PlatformSpec     `yaml:"platform"`
 	Peers        []PeerSpec       `yaml:"peers"`
 	Membership   MembershipSpec   `yaml:"membership"`
+	Operators    OperatorsSpec    `yaml:"operators"`
 	Certificates CertificatesSpec `yaml:"certificates"`
 	Limits       LimitsSpec       `yaml:"limits"`
 	Keys         KeysSpec         `yaml:"keys"`
@@ -65,6 +66,12 @@
 	Address string `yaml:"address"`
 }
 
+// OperatorsSpec tells how operators are admitted.
+type OperatorsSpec struct {
+	// BootstrapKey is accepted as long as the configuration holds no operator key. It is optional.
+	BootstrapKey string `yaml:"bootstrapKey"`
+}
+
 // MembershipSpec tells how entry instances watch each other.
 type MembershipSpec struct {
 	// Heartbeat is the time between heartbeats. All entry instances have the same.
@@ -168,6 +175,9 @@
 // Peers returns the other entry instances.
 func (s Settings) Peers() []PeerSpec { return s.spec.Peers }
 
+// Operators tells how operators are admitted.
+func (s Settings) Operators() OperatorsSpec { return s.spec.Operators }
+
 // Membership tells how entry instances watch each other.
 func (s Settings) Membership() MembershipSpec { return s.spec.Membership }
 
