--- a/commands/client.go
+++ b/commands/client.go
@@ -16,6 +16,7 @@
 
 // client returns a client of the operator API for the flags.
 func (f *fleetFlags) client() (*operator.Client, error) {
+	f.complete()
 	if f.output != "table" && f.output != "json" {
 		return nil, newUsageError(eris.Errorf("output %q is neither table nor json", f.output))
 	}
--- a/commands/fleetapi.go
+++ b/commands/fleetapi.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -22,6 +23,13 @@
 // fleetTimeout bounds one request to the operator API.
 const fleetTimeout = 30 * time.Second
 
+// Environment variables that stand in for flags.
+const (
+	operatorVariable = "CHIVETILLER_OPERATOR"
+	keyFileVariable  = "CHIVETILLER_KEY_FILE"
+	defaultOperator  = "http://127.0.0.1:8081"
+)
+
 // fleetFlags are the flags of commands that are clients of the operator API.
 type fleetFlags struct {
 	operator string
@@ -32,13 +40,20 @@
 // add defines the flags for a command and those below it.
 func (f *fleetFlags) add(cmd *cobra.Command) {
 	flags := cmd.PersistentFlags()
-	flags.StringVar(&f.operator, "operator", "http://127.0.0.1:8081", "URL of the operator API of any entry instance")
-	flags.StringVar(&f.keyFile, "key-file", "", "file with the operator key")
+	flags.StringVar(&f.operator, "operator", "", "URL of the operator API of any entry instance (default $"+operatorVariable+" or "+defaultOperator+")")
+	flags.StringVar(&f.keyFile, "key-file", "", "file with the operator key (default $"+keyFileVariable+")")
 	flags.StringVar(&f.output, "output", "table", "output format: table or json")
 }
 
+// complete takes what the flags do not say from the environment.
+func (f *fleetFlags) complete() {
+	f.operator = cmp.Or(f.operator, os.Getenv(operatorVariable), defaultOperator)
+	f.keyFile = cmp.Or(f.keyFile, os.Getenv(keyFileVariable))
+}
+
 // call sends a request with in as JSON and decodes the response into out. In and out may be nil.
 func (f *fleetFlags) call(cmd *cobra.Command, method, path string, in, out any) error {
+	f.complete()
 	if f.output != "table" && f.output != "json" {
 		return newUsageError(eris.Errorf("output %q is neither table nor json", f.output))
 	}
