--- a/config/source.go
+++ b/config/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -176,7 +177,11 @@
 	return name, nil
 }
 
+// run polls at once, then at the interval. The phase is random, so that instances that were started together
+// do not poll together: the first to see a version tells the others.
 func (s *Source) run(ctx context.Context) {
+	phase := time.NewTimer(time.Duration(rand.Int64N(int64(s.interval))))
+	defer phase.Stop()
 	ticker := time.NewTicker(s.interval)
 	defer ticker.Stop()
 	for {
@@ -195,6 +200,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-phase.C:
+			ticker.Reset(s.interval)
 		case <-ticker.C:
 		}
 	}
