--- a/duty/model_test.go
+++ b/duty/model_test.go
@@ -61,12 +61,16 @@
 
 // commit commits and records what becomes of each instance.
 func (f *faultyTable) commit(ctx context.Context, txn platform.Txn) error {
-	before, _ := pool.NewStore(f.Table).List(ctx)
+	keys := make([]string, 0, len(txn.Writes))
+	for _, w := range txn.Writes {
+		keys = append(keys, w.Key)
+	}
+	before, _ := f.Read(ctx, keys...)
 	if err := f.Table.Commit(ctx, txn); err != nil {
 		return err
 	}
 	for _, w := range txn.Writes {
-		var row pool.Instance
+		var row, old pool.Instance
 		if !strings.HasPrefix(w.Key, "instance/") || json.Unmarshal(w.Value, &row) != nil {
 			continue
 		}
@@ -76,10 +80,9 @@
 		if row.State == pool.StateRebooting || row.State == pool.StateFailed {
 			f.rebooting[row.ID]++
 		}
-		for _, old := range before {
-			if old.ID == row.ID && row.Generation != old.Generation+1 {
-				f.fatal("onePool: generation %d of %s was overwritten by %d", old.Generation, row.ID, row.Generation)
-			}
+		i := slices.IndexFunc(before, func(r platform.Row) bool { return r.Key == w.Key })
+		if err := json.Unmarshal(before[i].Value, &old); err != nil || row.Generation != old.Generation+1 {
+			f.fatal("onePool: generation %d of %s was overwritten by %d: %v", old.Generation, row.ID, row.Generation, err)
 		}
 	}
 	return nil
@@ -285,9 +288,16 @@
 	if err != nil || len(rows) != m.size {
 		m.rt.Fatalf("%d rows instead of %d: %v", len(rows), m.size, err)
 	}
+	downs, sizes := make(map[string]int), make(map[string]int)
+	for _, row := range rows {
+		sizes[row.Pool]++
+		if row.Down() {
+			downs[row.Pool]++
+		}
+	}
 	for _, p := range m.pools {
-		if n, size := down(m.table.Table, p.Name()); n > p.MaxUnavailable(size) {
-			m.rt.Fatalf("onePool, availabilityBudget: pool %s has %d of %d stopped, allowed %d", p.Name(), n, size, p.MaxUnavailable(size))
+		if n, size := downs[p.Name()], sizes[p.Name()]; n > p.MaxUnavailable(size) {
+			m.rt.Fatalf("availabilityBudget: pool %s has %d of %d stopped, allowed %d", p.Name(), n, size, p.MaxUnavailable(size))
 		}
 	}
 	if len(m.fleet.cuts) > 0 {
