--- a/wave/store.go
+++ b/wave/store.go
@@ -17,6 +17,8 @@
 
 const (
 	wavePrefix = "wave/"
+	// createdKey is the row that each creation of a wave checks and rewrites.
+	createdKey = "waves"
 	scanLimit  = 1000
 )
 
@@ -88,6 +90,16 @@
 	if err := w.feasible(pools, rows); err != nil {
 		return Wave{}, err
 	}
+	// Read before the waves and rewritten with the new one, so that of two operators who create
+	// overlapping waves at the same time one gets a conflict.
+	created, err := s.table.Read(ctx, createdKey)
+	if err != nil {
+		return Wave{}, fmt.Errorf("read %q: %w", createdKey, err)
+	}
+	check := platform.Check{Key: createdKey}
+	if len(created) > 0 {
+		check.Version = created[0].Version
+	}
 	others, err := s.List(ctx)
 	if err != nil {
 		return Wave{}, err
@@ -100,7 +112,7 @@
 			return Wave{}, eris.Errorf("wave %q covers a pool of wave %q, which is %s", w.Name(), other.Name(), other.State())
 		}
 	}
-	return w, s.write(ctx, w, 0)
+	return w, s.write(ctx, w, 0, []platform.Write{{Key: createdKey, Value: []byte(`{}`)}}, check)
 }
 
 // overlap is coarse: two waves over one pool conflict even if they name different instances.
@@ -125,17 +137,17 @@
 	}
 	w := stored.Wave
 	w.state = to
-	return w, s.write(ctx, w, stored.Version)
+	return w, s.write(ctx, w, stored.Version, nil)
 }
 
 // Finish marks a running wave as done, under further checks such as that of a lease.
 func (s *Store) Finish(ctx context.Context, stored Stored, checks ...platform.Check) error {
 	w := stored.Wave
 	w.state = StateDone
-	return s.write(ctx, w, stored.Version, checks...)
+	return s.write(ctx, w, stored.Version, nil, checks...)
 }
 
-func (s *Store) write(ctx context.Context, w Wave, version uint64, checks ...platform.Check) error {
+func (s *Store) write(ctx context.Context, w Wave, version uint64, writes []platform.Write, checks ...platform.Check) error {
 	data, err := json.Marshal(document{Spec: w.spec, State: w.state, Begun: w.begun})
 	if err != nil {
 		return eris.Wrapf(err, "encode wave %q", w.Name())
@@ -143,7 +155,7 @@
 	err = s.table.Commit(ctx, platform.Txn{
 		OperationID: ident.New(),
 		Checks:      append([]platform.Check{{Key: wavePrefix + w.Name(), Version: version}}, checks...),
-		Writes:      []platform.Write{{Key: wavePrefix + w.Name(), Value: data}},
+		Writes:      append([]platform.Write{{Key: wavePrefix + w.Name(), Value: data}}, writes...),
 	})
 	if errors.Is(err, platform.ErrConflict) {
 		return fmt.Errorf("wave %q was changed by another operator: %w", w.Name(), err)
