--- a/wave/sim_test.go
+++ b/wave/sim_test.go
@@ -195,7 +195,8 @@
 	switch {
 	case d.Call == wave.CallDrain && !in.draining:
 		in.draining, in.quietAt = true, now.Add(in.drain)
-	case d.Call == wave.CallReboot && in.incarnation == in.row.Incarnation:
+	case d.Call == wave.CallReboot && in.incarnation == in.row.Incarnation && !now.Before(in.upAt):
+		// A repeated reboot of an instance under repair does not make the repair longer.
 		in.incarnation++
 		in.draining = false
 		in.upAt = now.Add(in.reboot)
