--- /dev/null
+++ b/duty/bench_test.go
@@ -0,0 +1,86 @@
+package duty_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chivetiller/chivetiller/duty"
+	"github.com/chivetiller/chivetiller/job"
+	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/wave"
+)
+
+// BenchmarkFleetPass measures one pass over all pools by one process that holds every duty, while a wave
+// runs over all pools. The table is in memory. Bound: a tenth of the interval of 1 s.
+func BenchmarkFleetPass(b *testing.B) {
+	for _, count := range []int{5, 50, 273} {
+		b.Run(fmt.Sprintf("pools=%d", count), func(b *testing.B) {
+			table, fleet := standin.NewTable(), newFakeFleet(0)
+			var pools []pool.Pool
+			for i := range count {
+				pools = append(pools, mustPool(pool.Spec{Name: fmt.Sprintf("p%03d", i), MaxUnavailable: "20%"}))
+				fleet.add(table, pools[i].Name(), 13+i%2)
+			}
+			rows, err := pool.NewStore(table).List(b.Context())
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := wave.NewStore(table).Create(b.Context(), wave.Spec{Name: "w"}, time.Now(), pools, rows); err != nil {
+				b.Fatal(err)
+			}
+			holder, lease := duty.NewFleet(duty.FleetOptions{Table: table, Instances: fleet, Pools: func() []pool.Pool { return pools }}), &fakeLease{}
+			lease.takeOver(table)
+			for b.Loop() {
+				if err := holder.Pass(b.Context(), lease); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/1000/float64(b.N), "pass-ms")
+			b.ReportMetric(float64(len(rows)), "workers")
+		})
+	}
+}
+
+// BenchmarkJobsPass measures one pass over the jobs of a data centre in which most workers are full, and
+// the real time from the submission of an urgent job to its start in one pass. The table is in memory.
+// Bound: half of the interval of 1 s, so that urgent jobs start within 2.1 s.
+func BenchmarkJobsPass(b *testing.B) {
+	for _, workers := range []int{17, 100, 370} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			p := standin.New(standin.Options{})
+			fleet := newFakeFleet(0)
+			fleet.add(p.Table(), "support", 3*workers)
+			store := job.NewStore(p.Table(), nil)
+			submit := func(urgent bool) {
+				j, err := job.New(job.Spec{Kind: "k", Team: "t", Cores: 6, Memory: gib, Urgent: urgent}, "dc0", time.Now())
+				if err == nil {
+					err = store.Submit(b.Context(), j)
+				}
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+			for range 12 * workers {
+				submit(false)
+			}
+			holder, lease := duty.NewJobs(duty.JobsOptions{
+				Table: p.Table(), Instances: fleet, Tasks: p.Tasks(), DataCentres: func() []string { return []string{"dc0"} },
+			}), &fakeLease{}
+			lease.takeOver(p.Table())
+			pass := func() {
+				if err := holder.Pass(b.Context(), lease); err != nil {
+					b.Fatal(err)
+				}
+			}
+			pass()
+			for b.Loop() {
+				submit(true)
+				pass()
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/1000/float64(b.N), "pass-ms")
+			b.ReportMetric(float64(12*workers), "jobs")
+		})
+	}
+}
