Remove waves a week after their end

Every pass lists the waves, so their number must not grow for ever. The operation in the instance rows now holds the time of creation, so that a new wave of an old name does not take its instances as done.

--- a/duty/fleet.go
+++ b/duty/fleet.go
@@ -18,6 +18,9 @@
 // sooner could restart an instance that is still starting.
 const callRepeat = 30 * time.Second
 
+// waveRetention is how long waves are listed after their end.
+const waveRetention = 7 * 24 * time.Hour
+
 // FleetOptions are the options of the fleet duties.
 type FleetOptions struct {
 	Table     platform.Table
@@ -252,13 +255,19 @@
 	return nil
 }
 
-// finish ends the running waves that have nothing left to do.
+// finish ends the running waves that have nothing left to do, and removes those that ended long ago.
 func (f *Fleet) finish(ctx context.Context, p *pass) error {
 	fence, held := p.leases.Holds(Housekeeping)
 	if !held {
 		return nil
 	}
 	for _, w := range p.waves {
+		if !w.Active() && p.now.Sub(w.Ended()) > waveRetention && !slices.ContainsFunc(p.rows, func(row pool.Stored) bool { return row.Operation == w.Operation() }) {
+			if err := f.waves.Remove(ctx, w, fence); err != nil {
+				return quiet(err)
+			}
+			continue
+		}
 		if w.State() != wave.StateRunning || slices.ContainsFunc(p.rows, func(row pool.Stored) bool { return f.holdsUp(w, row) }) {
 			continue
 		}
--- a/duty/fleet_test.go
+++ b/duty/fleet_test.go
@@ -73,6 +73,17 @@
 				for id, m := range fleet.machines {
 					qt.Assert(t, m.reboots, qt.Equals, 1, qt.Commentf("%s", id))
 				}
+
+				// The wave is removed later, and another one of its name covers every instance again.
+				time.Sleep(8 * 24 * time.Hour)
+				qt.Assert(t, holder.Pass(t.Context(), lease), qt.IsNil)
+				w, err = waves.Create(t.Context(), w.Spec(), time.Now(), pools, rows)
+				qt.Assert(t, err, qt.IsNil)
+				rows, err = pool.NewStore(table).List(t.Context())
+				qt.Assert(t, err, qt.IsNil)
+				for _, row := range rows {
+					qt.Assert(t, w.Pending(row.Instance), qt.IsTrue)
+				}
 			})
 		})
 	}
--- a/wave/store.go
+++ b/wave/store.go
@@ -38,6 +38,7 @@
 	Spec  Spec      `json:"spec"`
 	State State     `json:"state"`
 	Begun time.Time `json:"begun"`
+	Ended time.Time `json:"ended,omitzero"`
 }
 
 // Store holds the waves.
@@ -137,18 +138,30 @@
 	}
 	w := stored.Wave
 	w.state = to
+	if to == StateAborted {
+		w.ended = time.Now()
+	}
 	return w, s.write(ctx, w, stored.Version, nil)
 }
 
 // Finish marks a running wave as done, under further checks such as that of a lease.
 func (s *Store) Finish(ctx context.Context, stored Stored, checks ...platform.Check) error {
 	w := stored.Wave
-	w.state = StateDone
+	w.state, w.ended = StateDone, time.Now()
 	return s.write(ctx, w, stored.Version, nil, checks...)
 }
 
+// Remove deletes a wave that has ended.
+func (s *Store) Remove(ctx context.Context, stored Stored, checks ...platform.Check) error {
+	return s.table.Commit(ctx, platform.Txn{
+		OperationID: ident.New(),
+		Checks:      append([]platform.Check{stored.Check()}, checks...),
+		Writes:      []platform.Write{{Key: wavePrefix + stored.Name(), Delete: true}},
+	})
+}
+
 func (s *Store) write(ctx context.Context, w Wave, version uint64, writes []platform.Write, checks ...platform.Check) error {
-	data, err := json.Marshal(document{Spec: w.spec, State: w.state, Begun: w.begun})
+	data, err := json.Marshal(document{Spec: w.spec, State: w.state, Begun: w.begun, Ended: w.ended})
 	if err != nil {
 		return eris.Wrapf(err, "encode wave %q", w.Name())
 	}
@@ -175,7 +188,7 @@
 	if err != nil {
 		return Stored{}, eris.Wrapf(err, "row %q", row.Key)
 	}
-	w.state = d.State
+	w.state, w.ended = d.State, d.Ended
 	return Stored{Wave: w, Version: row.Version}, nil
 }
 
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -11,6 +11,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -61,6 +62,8 @@
 	rules Rules
 	// begun is when the wave was created, on the clock of the entry instance that created it.
 	begun time.Time
+	// ended is when the wave was aborted or done.
+	ended time.Time
 }
 
 // operationPrefix marks the operations of waves in instance rows.
@@ -119,8 +122,14 @@
 // Begun returns when the wave was created.
 func (w Wave) Begun() time.Time { return w.begun }
 
-// Operation returns the name of the wave in instance rows.
-func (w Wave) Operation() string { return operationPrefix + w.spec.Name }
+// Ended returns when the wave was aborted or done; zero if it is active.
+func (w Wave) Ended() time.Time { return w.ended }
+
+// Operation returns the name of the wave in instance rows. It holds the time of creation, because a name
+// can be used again after the wave was removed, and instances remember the last wave that they had.
+func (w Wave) Operation() string {
+	return operationPrefix + w.spec.Name + "/" + strconv.FormatInt(w.begun.UnixMilli(), 10)
+}
 
 // Active reports whether the wave may still change instances.
 func (w Wave) Active() bool { return w.state == StateRunning || w.state == StatePaused }
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -159,3 +159,43 @@
 	_, err = store.Set(t.Context(), "first", wave.StateRunning)
 	qt.Assert(t, err, qt.ErrorMatches, `wave "first" is aborted already`)
 }
+
+// TestProgress guards against counts that lose an instance, and against an expected end while none is known.
+func TestProgress(t *testing.T) {
+	begun := time.Unix(0, 0)
+	w, err := wave.New(wave.Spec{Name: "w", Pools: []string{"desk"}}, begun)
+	qt.Assert(t, err, qt.IsNil)
+	rows := func(states ...pool.State) []pool.Stored {
+		all := []pool.Stored{{Instance: pool.Instance{ID: "other", Pool: "office", State: pool.StateServing}}}
+		for i, state := range states {
+			in := pool.Instance{ID: fmt.Sprintf("i%d", i), Pool: "desk", State: state, Operation: w.Operation()}
+			if state == "" {
+				in.State, in.Operation, in.Done, in.Result = pool.StateServing, "", w.Operation(), pool.ResultRebooted
+			}
+			if state == pool.StateServing {
+				in.Operation = ""
+			}
+			all = append(all, pool.Stored{Instance: in})
+		}
+		return all
+	}
+	const done = pool.State("")
+	tests := map[string]struct {
+		rows []pool.Stored
+		want wave.PoolProgress
+		end  time.Time
+	}{
+		"not begun":    {rows: rows(pool.StateServing, pool.StateServing), want: wave.PoolProgress{Pool: "desk", Size: 2, Pending: 2}},
+		"half":         {rows: rows(done, done, pool.StateServing, pool.StateServing), want: wave.PoolProgress{Pool: "desk", Size: 4, Rebooted: 2, Pending: 2}, end: begun.Add(2 * time.Minute)},
+		"one stopping": {rows: rows(pool.StateRebooting, pool.StateServing), want: wave.PoolProgress{Pool: "desk", Size: 2, Stopping: 1, Pending: 1}, end: begun.Add(4 * time.Minute)},
+		"stuck":        {rows: rows(done, pool.StateFailed, pool.StateFailed), want: wave.PoolProgress{Pool: "desk", Size: 3, Rebooted: 1, Failed: 2, Stuck: true}},
+		"all":          {rows: rows(done, done), want: wave.PoolProgress{Pool: "desk", Size: 2, Rebooted: 2}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := w.Progress(begun.Add(time.Minute), tt.rows)
+			qt.Assert(t, p.Pools, qt.DeepEquals, []wave.PoolProgress{tt.want})
+			qt.Assert(t, p.ExpectedEnd.Equal(tt.end), qt.IsTrue, qt.Commentf("%v", p.ExpectedEnd))
+		})
+	}
+}
