--- a/caller/rig_test.go
+++ b/caller/rig_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,6 +24,7 @@
 	"github.com/chivetiller/chivetiller/dispatch"
 	"github.com/chivetiller/chivetiller/dispatch/connection"
 	"github.com/chivetiller/chivetiller/endpoint"
+	"github.com/chivetiller/chivetiller/platform"
 	platformstandin "github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
 	"github.com/chivetiller/chivetiller/standin"
@@ -36,7 +38,7 @@
 	endpoints  []*standin.Endpoint
 	source     *source
 	claims     *claim.Store
-	table      *platformstandin.Table
+	table      *faultyTable
 	events     *events
 	log        *lines
 	key        string
@@ -69,7 +71,7 @@
 		config.NewDocument(team.Spec{Name: "supervisors", Share: 1, UpperLimit: 100, Keys: []team.KeySpec{keySpec}}),
 	})
 	c.Assert(err, qt.IsNil)
-	r := &rig{key: key, source: &source{snapshot: snapshot}, events: &events{}, log: &lines{}, table: platformstandin.NewTable()}
+	r := &rig{key: key, source: &source{snapshot: snapshot}, events: &events{}, log: &lines{}, table: &faultyTable{Table: platformstandin.NewTable()}}
 	logger := hclog.New(&hclog.LoggerOptions{Output: r.log, Level: hclog.Info})
 	r.claims = claim.NewStore(claim.Options{Table: r.table, Owner: "entry-1/1", Window: time.Millisecond})
 	do := dispatch.Options{Logger: logger, Permits: o.permits, Observer: r.events, NoHedge: !o.hedge}
@@ -161,6 +163,40 @@
 	return runs
 }
 
+// faultyTable is a table whose commits fail as tests say.
+type faultyTable struct {
+	*platformstandin.Table
+	mu sync.Mutex
+	// fault is returned by commits after the given number of good ones. ErrUnknownOutcome takes effect first.
+	fault error
+	good  int
+}
+
+func (t *faultyTable) set(fault error, good int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fault, t.good = fault, good
+}
+
+// Commit implements platform.Table.
+func (t *faultyTable) Commit(ctx context.Context, txn platform.Txn) error {
+	t.mu.Lock()
+	fault := t.fault
+	if t.good > 0 {
+		t.good--
+		fault = nil
+	}
+	t.mu.Unlock()
+	if errors.Is(fault, platform.ErrUnknownOutcome) {
+		// An earlier attempt of the client may have taken effect already.
+		_ = t.Table.Commit(ctx, txn)
+	}
+	if fault != nil {
+		return fault
+	}
+	return t.Table.Commit(ctx, txn)
+}
+
 // source is a configuration whose freshness and keys tests control.
 type source struct {
 	mu       sync.Mutex
