--- a/dispatch/dispatch_integration_test.go
+++ b/dispatch/dispatch_integration_test.go
@@ -436,3 +436,31 @@
 		})
 	}
 }
+
+// TestHanging guards against an endpoint that never answers and still gets its part of the work, whether its attempts
+// end at the deadline or by a second attempt.
+func TestHanging(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t, 3, standin.Fixed(time.Millisecond), dispatch.Options{})
+			r.many(4, 200, method)
+			e := r.endpoints[0]
+			e.SetFault(standin.Fault{Kind: standin.FaultNoResponse})
+			before := len(e.Runs())
+			var wg sync.WaitGroup
+			for range 8 {
+				wg.Go(func() {
+					for range 40 {
+						q := request(method)
+						q.Deadline = q.Arrival.Add(100 * time.Millisecond)
+						_, _ = r.do(context.Background(), q)
+					}
+				})
+			}
+			wg.Wait()
+			// A third of 320 requests would be 106. Quarantine allows a few failures and one probe at a time.
+			c.Assert(len(e.Runs())-before <= 30, qt.IsTrue, qt.Commentf("%d runs", len(e.Runs())-before))
+		})
+	}
+}
