--- a/allotment/storm_test.go
+++ b/allotment/storm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -66,6 +67,7 @@
 		s.callers.Go(func() { s.process(ctx, i, identity, pauser, random) })
 	}
 	s.callers.Go(func() { s.lower(ctx) })
+	s.callers.Go(func() { s.jobs(ctx, "large", rand.New(rand.NewPCG(seed, 1))) })
 	s.platform.Storm(ctx, o)
 	s.callers.Wait()
 	operations := s.recorder.Operations()
@@ -148,6 +150,57 @@
 	}
 }
 
+// jobs runs jobs of a team one after the other, in transactions of their own, until ctx ends.
+func (s *storm) jobs(ctx context.Context, team string, random *rand.Rand) {
+	client := platform.NewClient(platform.ClientOptions{Table: s.platform.Client(standin.Identity{Client: "jobs"}).Table()})
+	table := client.For(platform.UserConfig)
+	// change counts a job in or out and reports whether that took effect.
+	change := func(ctx context.Context, id string, delta int) bool {
+		s.mu.Lock()
+		limit := s.limits[team]
+		s.mu.Unlock()
+		check, write, err := allotment.Jobs(ctx, table, team, limit, delta)
+		if err != nil {
+			return false
+		}
+		key := "job/" + id + fmt.Sprint(delta)
+		err = table.Commit(ctx, platform.Txn{
+			Checks: []platform.Check{check, {Key: key}},
+			Writes: []platform.Write{write, {Key: key}},
+		})
+		if !errors.Is(err, platform.ErrUnknownOutcome) {
+			return err == nil
+		}
+		// The transaction can take effect until the latest messages have arrived.
+		time.Sleep(time.Minute)
+		rows, err := s.platform.Table().Read(context.Background(), key)
+		return err == nil && len(rows) > 0
+	}
+	for ctx.Err() == nil {
+		id := ident.New()
+		if change(ctx, id, 1) {
+			s.recorder.Add(0, history.RunBegin{Team: team, ID: id}, nil)
+			time.Sleep(time.Duration(random.Int64N(int64(40 * time.Second))))
+			s.recorder.Add(0, history.RunEnd{Team: team, ID: id}, nil)
+			for !change(context.Background(), id, -1) {
+				time.Sleep(time.Second)
+			}
+		}
+		s.mu.Lock()
+		h := s.holders[random.IntN(len(s.holders))]
+		s.mu.Unlock()
+		if h != nil {
+			h.WantJobs(team, random.IntN(2))
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(4 * time.Second))))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.holders {
+		h.WantJobs(team, 0)
+	}
+}
+
 // lower lowers the limit of a team half-way and records when it is reported to be in force.
 func (s *storm) lower(ctx context.Context) {
 	time.Sleep(3 * time.Minute)
