--- a/caller/rig_test.go
+++ b/caller/rig_test.go
@@ -49,6 +49,8 @@
 	caller    caller.Options
 	permits   dispatch.Permits
 	hedge     bool
+	// quiet leaves out the hooks, which would keep all events.
+	quiet bool
 }
 
 const testPool = "shiftDesk"
@@ -70,7 +72,11 @@
 	r := &rig{key: key, source: &source{snapshot: snapshot}, events: &events{}, log: &lines{}, table: platformstandin.NewTable()}
 	logger := hclog.New(&hclog.LoggerOptions{Output: r.log, Level: hclog.Info})
 	r.claims = claim.NewStore(claim.Options{Table: r.table, Owner: "entry-1/1", Window: time.Millisecond})
-	r.dispatcher = dispatch.New(dispatch.Options{Logger: logger, Permits: o.permits, Observer: r.events, NoHedge: !o.hedge})
+	do := dispatch.Options{Logger: logger, Permits: o.permits, Observer: r.events, NoHedge: !o.hedge}
+	if o.quiet {
+		do.Observer = nil
+	}
+	r.dispatcher = dispatch.New(do)
 	r.dispatcher.Configure(snapshot.Pools(), snapshot.Classes(), snapshot.Teams())
 	for i := range max(o.endpoints, 1) {
 		eo := o.endpoint
@@ -82,6 +88,9 @@
 	r.announce()
 	co := o.caller
 	co.Source, co.Work, co.Claims, co.Observer, co.Logger = r.source, r.dispatcher, r.claims, r.events, logger
+	if o.quiet {
+		co.Observer = nil
+	}
 	r.server = caller.New(co)
 	c.Assert(r.server.Start(t.Context()), qt.IsNil)
 	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: 10 * time.Second}
@@ -152,25 +161,35 @@
 	return runs
 }
 
-// source is a configuration whose freshness tests control.
+// source is a configuration whose freshness and keys tests control.
 type source struct {
 	mu       sync.Mutex
 	snapshot *config.Snapshot
 	stale    bool
-	// staleAfter lets this many more authentications succeed.
-	staleAfter int
+	// after is what happens once the key was checked that many times; it may be nil.
+	after  func()
+	checks int
+}
+
+func (s *source) Snapshot() *config.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
 }
 
-func (s *source) Snapshot() *config.Snapshot { return s.snapshot }
+func (s *source) Policy() config.Policy { return config.Policy{KeyFreshness: time.Second} }
+
+func (s *source) Age() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.checked()
+	return 0, !s.stale
+}
 
 func (s *source) Authenticate(key string) (team.Team, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.staleAfter > 0 {
-		if s.staleAfter--; s.staleAfter == 0 {
-			defer func() { s.stale = true }()
-		}
-	}
+	defer s.checked()
 	if s.stale {
 		return team.Team{}, config.ErrKeysStale
 	}
@@ -181,10 +200,21 @@
 	return t, nil
 }
 
-func (s *source) setStale(after int) {
+func (s *source) checked() {
+	if s.checks--; s.checks == 0 && s.after != nil {
+		s.after()
+	}
+}
+
+// change lets f change the source after the given number of checks, or now if it is 0.
+func (s *source) change(checks int, f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stale, s.staleAfter = after == 0, after
+	if checks == 0 {
+		f()
+		return
+	}
+	s.checks, s.after = checks, f
 }
 
 // events records what the hooks are told.
--- a/peer/node.go
+++ b/peer/node.go
@@ -54,6 +54,8 @@
 	handlers map[string]Handler
 	loads    map[string]Load
 	registry *registry
+	// registered are the IDs of all entry instances in the table at the last renewal.
+	registered []string
 	// fetched is when the last fetch of a delta began.
 	fetched time.Time
 }
@@ -85,8 +87,12 @@
 	return n, nil
 }
 
-// Handle sets the handler of a kind of request. Handlers are set before Start.
-func (n *Node) Handle(kind string, h Handler) { n.handlers[kind] = h }
+// Handle sets the handler of a kind of request.
+func (n *Node) Handle(kind string, h Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[kind] = h
+}
 
 // Start opens the socket, registers this node and begins to connect. It does not wait for peers or for the platform.
 func (n *Node) Start(ctx context.Context) error {
@@ -188,6 +194,13 @@
 	return n.members.list(time.Now())
 }
 
+// Registered returns the IDs of all entry instances that were registered at the last renewal.
+func (n *Node) Registered() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.registered)
+}
+
 // Stable returns the time since a member was last added or changed its state.
 func (n *Node) Stable() time.Duration {
 	n.mu.Lock()
@@ -241,7 +254,9 @@
 }
 
 func (n *Node) answer(ctx context.Context, from hello, r request) ([]byte, error) {
+	n.mu.Lock()
 	h, ok := n.handlers[r.Kind]
+	n.mu.Unlock()
 	if !ok {
 		return nil, eris.Errorf("unknown kind of request %q", r.Kind)
 	}
