Fetch the configuration from peers without a fixed pause

A peer that had fetched a delta within 250 ms skipped the next version until the next heartbeat or poll.

--- a/peer/link.go
+++ b/peer/link.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
 )
 
 // sentTimes is how many heartbeats a link remembers. An echo of an older one confirms nothing.
@@ -126,13 +127,16 @@
 	if l.node.configuration.Observe(version, confirmed) {
 		return
 	}
-	if !l.node.mayFetch(time.Now()) {
+	if !l.node.beginFetch(l, version, time.Now()) {
 		return
 	}
 	l.node.tasks.Go(func() {
-		if err := l.fetch(); err != nil {
-			l.node.logger.Debug("Configuration was not fetched from a peer.", "peer", l.peer.ID, "error", err)
-			return
+		for from := l; from != nil; from = l.node.endFetch(false) {
+			if err := from.fetch(); err != nil {
+				l.node.logger.Debug("Configuration was not fetched from a peer.", "peer", from.peer.ID, "error", err)
+				l.node.endFetch(true) // the next heartbeat begins again
+				return
+			}
 		}
 		l.node.configuration.Observe(version, confirmed)
 	})
@@ -148,7 +152,13 @@
 	if err != nil {
 		return err
 	}
-	return l.node.configuration.Accept(delta)
+	if err := l.node.configuration.Accept(delta); err != nil {
+		return err
+	}
+	if version, _, _ := l.node.configuration.Report(); version <= after {
+		return eris.New("delta of peer leads to no later version")
+	}
+	return nil
 }
 
 // serve answers one request.
--- a/peer/node.go
+++ b/peer/node.go
@@ -26,7 +26,7 @@
 	codeExpired
 )
 
-// fetchGap is how long a fetch of a delta has before another peer is asked too. A version reaches
+// fetchGap is how long a fetch of a delta has before another peer is asked at the same time. A version reaches
 // a node from all its peers at nearly the same time, and one answer is enough.
 const fetchGap = 250 * time.Millisecond
 
@@ -56,8 +56,12 @@
 	registry *registry
 	// registered are the IDs of all entry instances in the table at the last renewal.
 	registered []string
-	// fetched is when the last fetch of a delta began.
+	// fetches is the number of fetches of deltas under way, and fetched when the last one began.
+	fetches int
 	fetched time.Time
+	// latest is the latest version that any peer reported, and latestFrom that peer.
+	latest     uint64
+	latestFrom *link
 }
 
 // New checks the options and reads the certificates.
@@ -336,17 +340,33 @@
 	}
 }
 
-// mayFetch reports whether a delta may be fetched now, and records that it is.
-func (n *Node) mayFetch(now time.Time) bool {
+// beginFetch records that a peer has a version, and reports whether a fetch may begin now. A fetch that
+// is under way looks for later versions itself before it ends.
+func (n *Node) beginFetch(from *link, version uint64, now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if now.Sub(n.fetched) < fetchGap {
+	if version > n.latest {
+		n.latest, n.latestFrom = version, from
+	}
+	if n.fetches > 0 && now.Sub(n.fetched) < fetchGap {
 		return false
 	}
+	n.fetches++
 	n.fetched = now
 	return true
 }
 
+// endFetch ends a fetch, unless it may go on and a peer has a later version than this node by now. That peer is returned.
+func (n *Node) endFetch(failed bool) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if version, _, _ := n.configuration.Report(); !failed && n.latest > version {
+		return n.latestFrom
+	}
+	n.fetches--
+	return nil
+}
+
 func (n *Node) currentLinks() []*link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
