--- a/duty/jobs.go
+++ b/duty/jobs.go
@@ -33,6 +33,8 @@
 	Table     platform.Table
 	Instances platform.Instances
 	Tasks     platform.Tasks
+	// Objects receive the jobs that ended an hour ago. Without it they are only removed.
+	Objects platform.Objects
 	// DataCentres returns the data centres of the fleet.
 	DataCentres func() []string
 	// Limits may be nil, which means that teams have no limits.
--- a/duty/jobs_test.go
+++ b/duty/jobs_test.go
@@ -215,6 +215,20 @@
 				qt.Assert(t, r.job(id).State, qt.Equals, job.StateRunning)
 			}
 		},
+		"ended jobs are archived": func(t *testing.T, r *jobsRun) {
+			r.options.Objects = r.platform.Objects()
+			r.takeOver()
+			r.platform.Tasks().SetKind("short", standin.Behaviour{RunTime: time.Second})
+			id := r.submit(job.Spec{Kind: "short", Cores: 1})
+			r.run(10 * time.Second)
+			time.Sleep(2 * time.Hour)
+			r.run(time.Second)
+			_, err := r.store.Get(t.Context(), id)
+			qt.Assert(t, err, qt.ErrorIs, platform.ErrNotFound)
+			data, err := r.platform.Objects().Get(t.Context(), "jobs/dc0/"+id+".json")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, string(data), qt.Contains, `"state":"done"`)
+		},
 		"limit of the team": func(t *testing.T, r *jobsRun) {
 			holder := allotment.NewHolder(allotment.Options{Table: r.platform.Table(), Holder: "a"})
 			holder.SetLimits(1, map[string]int{"planning": 3})
--- a/duty/jobspass.go
+++ b/duty/jobspass.go
@@ -365,7 +365,7 @@
 	return err
 }
 
-// cleanUp saves what was learned and removes the rows of jobs that ended long ago.
+// cleanUp saves what was learned and moves the jobs that ended long ago to the object store.
 func (p *jobsPass) cleanUp(ctx context.Context) error {
 	var old []job.Stored
 	for _, j := range p.jobs {
@@ -383,7 +383,7 @@
 		}
 		p.learned, p.saved = 0, p.now
 	}
-	return p.store.Remove(ctx, old, fence)
+	return p.store.Archive(ctx, p.options.Objects, p.name, old, fence)
 }
 
 // replace takes changed rows into the pass. Their version is unknown until the next pass; a change of
--- a/job/store.go
+++ b/job/store.go
@@ -19,6 +19,8 @@
 	scanLimit = 1000
 	// batch is the number of rows changed in one transaction.
 	batch = 50
+	// archivePrefix begins the names of objects with ended jobs.
+	archivePrefix = "jobs/"
 )
 
 // Stored is a job with the version of its row.
@@ -208,16 +210,35 @@
 	})
 }
 
-// Remove deletes the rows of ended jobs.
-func (s *Store) Remove(ctx context.Context, ended []Stored, checks ...platform.Check) error {
+// Archive moves up to 50 ended jobs of a data centre from the table to an object. The object is written
+// first, under the name of its first job: a repeat after a failure writes the same object again.
+func (s *Store) Archive(ctx context.Context, objects platform.Objects, dataCentre string, ended []Stored, checks ...platform.Check) error {
+	ended = ended[:min(batch, len(ended))]
+	if len(ended) == 0 {
+		return nil
+	}
+	if objects != nil {
+		jobs := make([]Job, 0, len(ended))
+		for _, j := range ended {
+			jobs = append(jobs, j.Job)
+		}
+		data, err := json.Marshal(jobs)
+		if err != nil {
+			return eris.Wrap(err, "encode ended jobs")
+		}
+		if err := objects.Put(ctx, archivePrefix+dataCentre+"/"+ended[0].ID+".json", data); err != nil {
+			return fmt.Errorf("archive ended jobs: %w", err)
+		}
+	}
+	return s.remove(ctx, ended, checks...)
+}
+
+func (s *Store) remove(ctx context.Context, ended []Stored, checks ...platform.Check) error {
 	txn := platform.Txn{OperationID: ident.New(), Checks: checks}
-	for _, j := range ended[:min(batch, len(ended))] {
+	for _, j := range ended {
 		txn.Checks = append(txn.Checks, platform.Check{Key: jobPrefix + j.ID, Version: j.Version})
 		txn.Writes = append(txn.Writes, platform.Write{Key: jobPrefix + j.ID, Delete: true})
 	}
-	if len(txn.Writes) == 0 {
-		return nil
-	}
 	if err := s.table.Commit(ctx, txn); err != nil {
 		return fmt.Errorf("remove ended jobs: %w", err)
 	}
