--- a/duty/fleet.go
+++ b/duty/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -95,11 +96,16 @@
 	var errs []error
 	// Moves come before new stops of waves, because a pool that lacks capacity needs them sooner.
 	errs = append(errs, f.adopt(ctx, p), f.move(ctx, p))
+	// Instances can be left in a pool that was deleted. Their stops are finished as well.
+	for _, name := range slices.Sorted(maps.Keys(p.byPool)) {
+		if _, ok := leases.Holds(ShardOf(name)); ok {
+			errs = append(errs, f.step(ctx, p, name))
+		}
+	}
 	for _, each := range p.pools {
-		if _, ok := leases.Holds(ShardOf(each.Name())); !ok {
-			continue
+		if _, ok := leases.Holds(ShardOf(each.Name())); ok {
+			errs = append(errs, f.begin(ctx, p, each))
 		}
-		errs = append(errs, f.step(ctx, p, each), f.begin(ctx, p, each))
 	}
 	errs = append(errs, f.finish(ctx, p))
 	return errors.Join(errs...)
@@ -110,17 +116,18 @@
 func (f *Fleet) read(ctx context.Context, leases Leases) (*pass, error) {
 	p := &pass{leases: leases, now: time.Now(), pools: f.options.Pools(), byPool: make(map[string][]pool.Stored), begun: make(map[string]bool)}
 	_, held := leases.Holds(Housekeeping)
-	names := make([]string, 0, len(p.pools))
-	mine := 0
-	for _, each := range p.pools {
-		names = append(names, each.Name())
-		if _, ok := leases.Holds(ShardOf(each.Name())); ok {
-			mine++
+	for i := range Shards {
+		if _, ok := leases.Holds(Shard(i)); ok {
+			held = true
 		}
 	}
-	if mine == 0 && !held {
+	if !held {
 		return nil, nil
 	}
+	names := make([]string, 0, len(p.pools))
+	for _, each := range p.pools {
+		names = append(names, each.Name())
+	}
 	if err := f.reports.Refresh(ctx); err != nil {
 		return nil, err
 	}
@@ -167,8 +174,8 @@
 }
 
 // step moves every stopped instance of a pool one step on.
-func (f *Fleet) step(ctx context.Context, p *pass, in pool.Pool) error {
-	rows := p.byPool[in.Name()]
+func (f *Fleet) step(ctx context.Context, p *pass, name string) error {
+	rows := p.byPool[name]
 	for i, row := range rows {
 		if p.begun[row.ID] {
 			// The row may not have been written: calls are made only for rows as they were read.
@@ -183,7 +190,7 @@
 		f.announce(row.Instance)
 		report, known := f.reports.Get(row.ID)
 		d := wave.Step(p.now, row.Instance, report, known, p.rules(row.Operation))
-		fence, held := p.leases.Holds(ShardOf(in.Name()))
+		fence, held := p.leases.Holds(ShardOf(name))
 		if !held {
 			return nil
 		}
@@ -201,7 +208,7 @@
 		// The version of the new row is unknown here; the next pass reads it. A row that moved away
 		// stays in this list as down, so that it does not add to the size that the budget is taken of.
 		rows[i].Instance = d.Next
-		if d.Next.Pool != in.Name() {
+		if d.Next.Pool != name {
 			rows[i].State = pool.StateMoving
 		}
 		f.announce(d.Next)
--- a/duty/operations.go
+++ b/duty/operations.go
@@ -128,40 +128,51 @@
 		next.Home = name
 		return next, store.Change(ctx, row, next)
 	}
-	from, err := o.pool(row.Pool)
-	if err != nil {
-		return pool.Instance{}, err
-	}
 	planned, err := store.Planned(ctx, row.Pool)
 	if err != nil {
 		return pool.Instance{}, err
 	}
+	// A pool that was deleted has no budget left to keep.
+	if from, err := o.pool(row.Pool); err == nil {
+		if err := o.mayLeave(ctx, from, row.ID); err != nil {
+			return pool.Instance{}, err
+		}
+	}
+	next := wave.Begin(time.Now(), row.Instance, report, pool.StateMoving, movePrefix+name)
+	next.Target, next.Home = name, name
+	return next, store.Begin(ctx, row.Pool, planned[row.Pool], []pool.Stored{row}, []pool.Instance{next})
+}
+
+// mayLeave reports why an instance may not leave its pool now.
+func (o *Operations) mayLeave(ctx context.Context, from pool.Pool, id string) error {
 	rows, reports, err := o.read(ctx)
 	if err != nil {
-		return pool.Instance{}, err
+		return err
 	}
-	down, size, out := 0, 0, 0
+	var members []wave.Member
+	down, out := 0, 0
 	for _, each := range rows {
-		if each.Pool != row.Pool {
+		if each.Pool != from.Name() {
 			continue
 		}
-		size++
+		m := wave.Member{ID: each.ID, Rack: each.Rack, DataCentre: each.DataCentre, Pending: each.ID == id}
+		if m.Down = each.Down() || reports[each.ID].State != platform.InstanceLive; m.Down {
+			down++
+		}
 		if each.Target != "" {
 			out++
 		}
-		if each.Down() || reports[each.ID].State != platform.InstanceLive {
-			down++
-		}
+		members = append(members, m)
 	}
-	if allowed := from.MaxUnavailable(size); down >= allowed {
-		return pool.Instance{}, invalid(eris.Errorf("pool %q has %d of %d instances out of service, and its budget allows %d: try again later", row.Pool, down, size, allowed))
+	size := len(members)
+	if len(wave.Plan(from, members)) == 0 {
+		return invalid(eris.Errorf("pool %q has %d of %d instances out of service, and its budget allows no more in the pool, rack or data centre of %q: try again later",
+			from.Name(), down, size, id))
 	}
 	if from.CanGive(size) <= out {
-		return pool.Instance{}, invalid(eris.Errorf("pool %q would become so small that its budget of %s allows no stop", row.Pool, from.Spec().MaxUnavailable))
+		return invalid(eris.Errorf("pool %q would become so small that its budget of %s allows no stop", from.Name(), from.Spec().MaxUnavailable))
 	}
-	next := wave.Begin(time.Now(), row.Instance, report, pool.StateMoving, movePrefix+name)
-	next.Target, next.Home = name, name
-	return next, store.Begin(ctx, row.Pool, planned[row.Pool], []pool.Stored{row}, []pool.Instance{next})
+	return nil
 }
 
 // RemoveInstance forgets an instance that the platform no longer has.
--- a/duty/operations_test.go
+++ b/duty/operations_test.go
@@ -72,8 +72,11 @@
 	again, err := ops.AssignInstance(ctx, "desk-000", "office")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, again.Generation, qt.Equals, moved.Generation)
+	fleet.add(table, "deleted", 1)
+	_, err = ops.AssignInstance(ctx, "deleted-000", "office")
+	qt.Assert(t, err, qt.IsNil)
 	_, err = ops.AssignInstance(ctx, "desk-001", "office")
-	qt.Assert(t, err, qt.ErrorMatches, `.*pool "desk" has 1 of 3 instances out of service, and its budget allows 1: try again later`)
+	qt.Assert(t, err, qt.ErrorMatches, `.*pool "desk" has 1 of 3 instances out of service, and its budget allows no more in the pool, rack or data centre of "desk-001": try again later`)
 }
 
 // TestRunnersTakeOver guards against a wave that stops, or is done twice, when the entry instance that runs
