Keep the permit of a request until its endpoint has ended it

Cause: at the deadline of a request, or when a hedged attempt is cancelled, the connection was closed and the permit released, while the endpoint still ran the request. Teams had 11 running with a limit of 10. Ruled out: the allotments themselves; in the same runs their sum stayed within the limit. A retry acquires a permit of its own. The stand-in endpoint also noted the end of a run only after its response was sent, when the next request could already have begun; it now notes the end of the work.

--- a/dispatch/connection/connection.go
+++ b/dispatch/connection/connection.go
@@ -152,19 +152,22 @@
 }
 
 // Exchange sends the request and returns the complete response. Any error is a *Fault.
-// When the context ends, the connection is closed; a context without end costs nothing.
+// When the context ends, the exchange ends; a context without end costs nothing.
 func (c *Conn) Exchange(ctx context.Context, r *Request) (*Response, error) {
 	c.reusable = false
 	c.started, c.refused, c.broken = false, nil, nil
 	c.check = r.Check
 	c.remaining = c.limits.MaxHeader + c.limits.MaxBody
 	if ctx.Done() != nil {
-		stop := context.AfterFunc(ctx, c.Close)
+		stop := context.AfterFunc(ctx, c.interrupt)
 		defer stop()
 	}
 	if err := c.conn.SetDeadline(r.Deadline); err != nil {
 		return nil, c.fault(ctx, FaultConnection, err)
 	}
+	if ctx.Err() != nil {
+		c.interrupt() // the deadline above may have replaced that of an earlier interrupt
+	}
 	request := c.httpRequest(r)
 	// An idle connection holds on to no body.
 	defer c.forget()
@@ -234,6 +237,35 @@
 	return c.fault(ctx, FaultConnection, err)
 }
 
+// interrupt ends the exchange and leaves the connection open, so that [Conn.Linger] can follow.
+func (c *Conn) interrupt() { _ = c.conn.SetDeadline(time.Unix(1, 0)) }
+
+// lingerQuiet is how long a late response may pause before it counts as complete.
+const lingerQuiet = 200 * time.Millisecond
+
+// Linger waits until the endpoint has sent its late response to an exchange that was given up, has closed the
+// connection, or the time has come. It discards what it receives and closes the connection.
+// Until then the endpoint may still run the request.
+func (c *Conn) Linger(until time.Time) {
+	defer c.Close()
+	if err := c.conn.SetDeadline(until); err != nil {
+		return
+	}
+	buffer := make([]byte, bufferSize)
+	for {
+		if _, err := c.conn.Read(buffer); err != nil {
+			return
+		}
+		quiet := time.Now().Add(lingerQuiet)
+		if quiet.After(until) {
+			quiet = until
+		}
+		if err := c.conn.SetDeadline(quiet); err != nil {
+			return
+		}
+	}
+}
+
 func (c *Conn) fault(ctx context.Context, kind FaultKind, err error) error {
 	var timeout net.Error
 	switch {
--- a/dispatch/dispatch_integration_test.go
+++ b/dispatch/dispatch_integration_test.go
@@ -136,6 +136,12 @@
 	return &permit{p}, nil
 }
 
+func (p *permits) inUse() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used
+}
+
 type permit struct{ of *permits }
 
 func (p *permit) Check() error {
@@ -180,12 +186,33 @@
 	r.endpoints[1].SetFault(standin.Fault{Kind: standin.FaultCloseAfterRunning})
 	r.many(12, 600, http.MethodGet)
 	c.Assert(p.peak, qt.Equals, 3)
-	// The task receives the last reports after the responses.
-	for n := 0; n < 200 && r.Loads()[0].InFlight > 0; n++ {
+	// The task receives the last reports after the responses, and an attempt that was given up keeps its
+	// permit until the endpoint has ended it.
+	for n := 0; n < 1000 && (r.Loads()[0].InFlight > 0 || p.inUse() > 0); n++ {
 		time.Sleep(time.Millisecond)
 	}
 	c.Assert(r.Loads()[0].InFlight, qt.Equals, 0)
-	c.Assert(p.used, qt.Equals, 0)
+	c.Assert(p.inUse(), qt.Equals, 0)
+}
+
+// TestLingeringRun guards against a permit that is free again at the deadline of a request that the endpoint still runs.
+func TestLingeringRun(t *testing.T) {
+	c := qt.New(t)
+	p := &permits{limit: 3}
+	r := newRig(t, 1, standin.Fixed(600*time.Millisecond), dispatch.Options{Permits: p})
+	q := request(http.MethodPost)
+	q.Deadline = time.Now().Add(100 * time.Millisecond)
+	_, problem := r.do(t.Context(), q)
+	c.Assert(problem, qt.ErrorMatches, "Endpoint did not respond in time.*")
+	c.Assert(p.inUse(), qt.Equals, 1)
+	for n := 0; n < 2000 && p.inUse() > 0; n++ {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(p.inUse(), qt.Equals, 0)
+	runs := r.endpoints[0].Runs()
+	c.Assert(runs, qt.HasLen, 1)
+	c.Assert(runs[0].End.IsZero(), qt.IsFalse)
+	c.Assert(runs[0].End.Sub(runs[0].Start) >= 600*time.Millisecond, qt.IsTrue)
 }
 
 // TestDenied guards against a wrong reason or a wrong statement for a team that gets no permit in time, or whose
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -43,6 +43,9 @@
 	Hedge(pool, class string)
 }
 
+// DefaultMaxRun is the longest target of a class.
+const DefaultMaxRun = class.MaxTarget
+
 // DefaultDialTimeout is how long an endpoint has to accept a connection.
 const DefaultDialTimeout = time.Second
 
@@ -55,8 +58,11 @@
 	NewScheduler func(pool string) Scheduler
 	NewEndpoints func(pool string) Endpoints
 	// Permits may be nil, in which case teams have no upper limits.
-	Permits     Permits
-	Limits      connection.Limits
+	Permits Permits
+	Limits  connection.Limits
+	// MaxRun is how long an endpoint is expected to go on with a request whose deadline has passed.
+	// Until it has ended, or for MaxRun, the request counts against the upper limit of its team.
+	MaxRun      time.Duration
 	DialTimeout time.Duration
 	// NoHedge switches hedged requests off.
 	NoHedge bool
@@ -85,6 +91,9 @@
 	if o.DialTimeout == 0 {
 		o.DialTimeout = DefaultDialTimeout
 	}
+	if o.MaxRun == 0 {
+		o.MaxRun = DefaultMaxRun
+	}
 	if o.NewScheduler == nil {
 		o.NewScheduler = func(string) Scheduler { return queue.NewScheduler(o.Queue) }
 	}
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -34,6 +34,8 @@
 	retry bool
 	// notRun says that this attempt certainly had no effect.
 	notRun bool
+	// lingers says that the endpoint may still run the request, and that its permit is released when that ends.
+	lingers bool
 	// answered says that the time of the attempt tells how long such requests take.
 	answered bool
 }
@@ -58,7 +60,7 @@
 		retry := last.retry && ctx.Err() == nil
 		e.report = attempted{
 			ticket: &e.ticket, target: g.target, conn: conn, outcome: last.outcome,
-			answered: last.answered, retry: retry, notRun: !e.mayHaveRun,
+			answered: last.answered, lingers: last.lingers, retry: retry, notRun: !e.mayHaveRun,
 		}
 		e.task.send(&e.report)
 		if !retry {
@@ -147,6 +149,12 @@
 		ID: r.ID, Method: r.Method, URL: r.URL, Header: r.Header, Body: r.Body, Deadline: r.Deadline,
 		Check: e.check(g),
 	})
+	if err != nil && g.permit != nil && mayStillRun(err) {
+		go e.linger(g.permit, conn)
+		res := e.faulted(g, err)
+		res.lingers = true
+		return res, nil
+	}
 	if conn.Reusable() {
 		reusable = conn
 	} else {
@@ -158,6 +166,20 @@
 	return e.responded(g, response), reusable
 }
 
+// mayStillRun reports whether the endpoint may go on with a request whose exchange has failed.
+func mayStillRun(err error) bool {
+	var fault *connection.Fault
+	return errors.As(err, &fault) && fault.Sent &&
+		(fault.Kind == connection.FaultTimeout || fault.Kind == connection.FaultCancelled)
+}
+
+// linger keeps the permit of a request that was given up until the endpoint has ended it. Without that the
+// team could have more running than its upper limit.
+func (e *execution) linger(permit Permit, conn *connection.Conn) {
+	conn.Linger(time.Now().Add(e.task.o.MaxRun))
+	permit.Release()
+}
+
 // check returns what is checked right before the first byte.
 func (e *execution) check(g grant) func() error {
 	check := e.ticket.request.Check
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -108,12 +108,14 @@
 	grant   grant
 	conn    *connection.Conn
 	outcome endpoint.Outcome
+	// lingers says that the permit is released elsewhere.
+	lingers bool
 }
 
 func (m hedgeEnded) apply(t *task, now time.Time) {
 	t.giveBack(now, m.grant.target, m.conn, m.outcome)
 	t.inFlight--
-	if m.grant.permit != nil {
+	if m.grant.permit != nil && !m.lingers {
 		m.grant.permit.Release()
 	}
 }
@@ -168,7 +170,7 @@
 		return none
 	}
 	res, conn := e.attempt(ctx, g)
-	e.task.send(hedgeEnded{grant: g, conn: conn, outcome: res.outcome})
+	e.task.send(hedgeEnded{grant: g, conn: conn, outcome: res.outcome, lingers: res.lingers})
 	return res
 }
 
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -86,6 +86,8 @@
 	outcome endpoint.Outcome
 	// answered says that the attempt ended with a complete response, its own or that of a second attempt.
 	answered bool
+	// lingers says that the permit of the attempt is released elsewhere.
+	lingers bool
 	// retry asks for another attempt.
 	retry bool
 	// notRun says that no attempt so far can have had an effect.
@@ -99,6 +101,9 @@
 	if m.answered {
 		t.learn(m.ticket.request.Class, elapsed)
 	}
+	if m.lingers {
+		m.ticket.permit = nil
+	}
 	if !m.retry {
 		t.finish(now, m.ticket, m.answered)
 		return
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -244,6 +244,9 @@
 		if k.notBefore.After(now) {
 			return false
 		}
+		if !t.holdPermit(k) {
+			return false
+		}
 		target, ok := t.endpoints.Acquire(now, k.last)
 		if !ok {
 			target, ok = t.endpoints.Acquire(now)
@@ -255,6 +258,19 @@
 	})
 }
 
+// holdPermit acquires a permit for a retry if that of the first attempt stays with it.
+func (t *task) holdPermit(k *ticket) bool {
+	if k.permit != nil || k.request.Team == "" || t.o.Permits == nil {
+		return true
+	}
+	permit, err := t.o.Permits.Acquire(k.request.Team)
+	if err != nil {
+		return false
+	}
+	k.permit = permit
+	return true
+}
+
 func (t *task) grant(now time.Time, k *ticket, target endpoint.Endpoint) {
 	k.attempts++
 	k.last = target.ID
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -290,9 +290,10 @@
 	})
 	e.sleep(r.Context(), fault)
 	// A caller that has the response may send the next request at once, so the slot is free before.
+	ended := time.Now()
 	e.releaseSlot()
 	sent := e.respond(w, r, fault, id, body)
-	e.end(run, sent, r.Context().Err() != nil)
+	e.end(run, ended, sent, r.Context().Err() != nil)
 }
 
 // sleep waits for a service time, or until the connection closes.
--- a/standin/record.go
+++ b/standin/record.go
@@ -15,7 +15,7 @@
 	// Digest is the SHA-256 digest of the body in hex.
 	Digest string    `json:"digest"`
 	Start  time.Time `json:"start"`
-	// End is zero while the request runs.
+	// End is when the work ended, before the response was sent. It is zero until the response was sent.
 	End time.Time `json:"end"`
 	// Sent says that a whole response was sent.
 	Sent bool `json:"sent"`
@@ -65,7 +65,7 @@
 	return r.dropped + len(r.runs) - 1
 }
 
-func (e *Endpoint) end(number int, sent, interrupted bool) {
+func (e *Endpoint) end(number int, at time.Time, sent, interrupted bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	i := number - e.record.dropped
@@ -73,7 +73,7 @@
 		return
 	}
 	run := &e.record.runs[i]
-	run.End = time.Now()
+	run.End = at
 	run.Sent = sent
 	run.Interrupted = interrupted && !sent
 }
