--- a/queue/load_test.go
+++ b/queue/load_test.go
@@ -217,6 +217,28 @@
 	}
 }
 
+// BenchmarkLarge reports a pool of the large size: 14 workers and 20 entry instances in 10 data centres,
+// 36 teams, and urgent work with a target of 2.1 s.
+func BenchmarkLarge(b *testing.B) {
+	sc := users()["directorate"]
+	sc.workers, sc.entries, sc.dataCentres, sc.classes[0].Target = 14, 20, 10, "2100ms"
+	sc.teams, sc.sources = nil, nil
+	for i := range 36 {
+		sc.teams = append(sc.teams, team.Spec{Name: fmt.Sprint("t", i), Share: 1})
+		for k, load := range []float64{0.3, 0.25} {
+			sc.sources = append(sc.sources, source{class: k, team: sc.teams[i].Name, load: load / 36, peak: 5,
+				factor: surge(time.Duration(4+10*k) * time.Second)})
+		}
+	}
+	var r result
+	for range b.N {
+		r = run(sc, ours)
+	}
+	b.ReportMetric(r.late(12, 23), "late-ratio")
+	b.ReportMetric(r.goodput(1, 4, 12), "goodput-ratio-urgent-surge-with-shares")
+	b.ReportMetric(r.goodput(1, 14, 22), "goodput-ratio-other-surge-with-shares")
+}
+
 // BenchmarkSkew reports the share error with and without an exchange of usage.
 func BenchmarkSkew(b *testing.B) {
 	for user, sc := range users() {
