--- a/allotment/storm_test.go
+++ b/allotment/storm_test.go
@@ -222,6 +222,43 @@
 	}
 }
 
+// TestOutage guards against requests that run after the term during an outage of the store, and against
+// parts that are not usable soon after it, also the second time.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.New(standin.Options{})
+		client := platform.NewClient(platform.ClientOptions{Table: p.Client(standin.Identity{}).Table()})
+		h := allotment.NewHolder(allotment.Options{Table: client.For(platform.UserAllotments), Holder: "a"})
+		h.SetLimits(1, map[string]int{"team": 2})
+		qt.Assert(t, h.Start(t.Context()), qt.IsNil)
+		acquire := func(want error, comment string) {
+			t.Helper()
+			permit, err := h.Acquire("team")
+			qt.Check(t, err, qt.ErrorIs, want, qt.Commentf(comment))
+			if err == nil {
+				qt.Check(t, permit.Check(), qt.IsNil)
+				permit.Release()
+			}
+		}
+		for range 2 {
+			time.Sleep(time.Minute)
+			acquire(nil, "before the outage")
+			p.SetFaults(standin.Faults{Down: true})
+			// The last renewal is at most a third of the term old.
+			time.Sleep(18 * time.Second)
+			acquire(nil, "within the term")
+			time.Sleep(12 * time.Second)
+			acquire(allotment.ErrExpired, "after the term")
+			time.Sleep(time.Hour)
+			acquire(allotment.ErrExpired, "after an hour")
+			p.SetFaults(standin.Faults{})
+			time.Sleep(4 * time.Second)
+			acquire(nil, "after the outage")
+		}
+		qt.Check(t, h.Stop(t.Context()), qt.IsNil)
+	})
+}
+
 // TestPermitAfterReclaim guards against a permit that is used after its part was reclaimed and another
 // part acquired, which would let more requests run than the new part allows.
 func TestPermitAfterReclaim(t *testing.T) {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -78,6 +78,40 @@
 	})
 }
 
+// TestOutage guards against a claim that waits for a store that is down, an outcome that is lost in an
+// outage, and a Stop that reports success although outcomes are left.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.New(standin.Options{})
+		store := claim.NewStore(claim.Options{Table: p.Client(standin.Identity{}).Table(), Owner: "a"})
+		for i := range 2 {
+			c, err := store.Claim(t.Context(), "team", fmt.Sprint(i), [32]byte{})
+			qt.Assert(t, err, qt.IsNil)
+			p.SetFaults(standin.Faults{Down: true})
+			begin := time.Now()
+			_, err = store.Claim(t.Context(), "team", "other", [32]byte{})
+			qt.Check(t, err, qt.ErrorIs, claim.ErrNotClaimed)
+			qt.Check(t, time.Since(begin) < 2*time.Second, qt.IsTrue)
+			c.Done([]byte("ok"))
+			time.Sleep(time.Hour)
+			qt.Check(t, store.Pending(), qt.Equals, 1)
+			p.SetFaults(standin.Faults{})
+			time.Sleep(2 * time.Second)
+			_, err = store.Claim(t.Context(), "team", fmt.Sprint(i), [32]byte{})
+			var taken *claim.Taken
+			qt.Assert(t, errors.As(err, &taken), qt.IsTrue)
+			qt.Check(t, string(taken.Response), qt.Equals, "ok")
+		}
+		c, err := store.Claim(t.Context(), "team", "last", [32]byte{})
+		qt.Assert(t, err, qt.IsNil)
+		p.SetFaults(standin.Faults{Down: true})
+		c.Done(nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		qt.Check(t, store.Stop(ctx), qt.ErrorMatches, "1 outcomes of claims are not recorded: .*")
+	})
+}
+
 // TestClean guards against a claim that is removed before its retention has passed, and one that is kept for ever.
 func TestClean(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -82,10 +82,15 @@
 // Until returns the end of the lease on the own clock. It moves with each renewal.
 func (l Lease) Until() time.Time { return l.until }
 
+// Check returns the check that no other process has taken over the duty.
+func (l Lease) Check() platform.Check {
+	return platform.Check{Key: fencePrefix + l.duty, Version: l.version}
+}
+
 // Guard returns the transaction with a check that no other process has taken over the duty.
 func (l Lease) Guard(txn platform.Txn) platform.Txn {
 	// Clip makes append copy, so that the checks of the caller's transaction stay as they are.
-	txn.Checks = append(slices.Clip(txn.Checks), platform.Check{Key: fencePrefix + l.duty, Version: l.version})
+	txn.Checks = append(slices.Clip(txn.Checks), l.Check())
 	return txn
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -116,6 +116,33 @@
 	}
 }
 
+// TestOutage guards against a process that counts as holder after its term during an outage of the store,
+// and against a duty that is not held again soon after it, also the second time.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.New(standin.Options{})
+		client := platform.NewClient(platform.ClientOptions{Table: p.Client(standin.Identity{}).Table()})
+		m := lease.NewManager(lease.Options{Table: client.For(platform.UserLeases), Holder: "a", Duties: duties(3)})
+		qt.Assert(t, m.Start(t.Context()), qt.IsNil)
+		for range 2 {
+			time.Sleep(time.Minute)
+			qt.Check(t, len(m.Duties()), qt.Equals, 3)
+			p.SetFaults(standin.Faults{Down: true})
+			time.Sleep(6 * time.Second)
+			qt.Check(t, len(m.Duties()), qt.Equals, 3, qt.Commentf("within the term"))
+			time.Sleep(4 * time.Second)
+			qt.Check(t, len(m.Duties()), qt.Equals, 0, qt.Commentf("after the term"))
+			time.Sleep(time.Hour)
+			p.SetFaults(standin.Faults{})
+			time.Sleep(6 * time.Second)
+			qt.Check(t, len(m.Duties()), qt.Equals, 3, qt.Commentf("after the outage"))
+		}
+		held, _ := m.Held("pools/0")
+		qt.Check(t, held.Token(), qt.Equals, uint64(1), qt.Commentf("nobody else has taken the duty"))
+		qt.Check(t, m.Stop(t.Context()), qt.IsNil)
+	})
+}
+
 // TestLimitAndCost guards against a process that takes all duties, duties that nobody takes, and renewals that take more
 // than one transaction a round.
 func TestLimitAndCost(t *testing.T) {
