--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -118,13 +118,13 @@
 // platform's HTTP connections, and processor time and memory of the process over all its nodes. The process also runs
 // the stand-in platform, so that the last two are upper bounds. All loads change by more than an eighth each second.
 func BenchmarkControlCost(b *testing.B) {
-	type size struct{ nodes, pools, teams, changes int } // changes in the whole window
+	type size struct{ nodes, pools, teams, changes, cut int } // changes in the whole window; nodes cut off from the others
 	tests := map[string]size{
-		"peers=3": {3, 91, 120, 0}, "peers=7": {7, 91, 120, 0}, "peers=14": {14, 91, 120, 0},
-		"pools=10": {7, 10, 120, 0}, "pools=273": {7, 273, 120, 0},
-		"teams=12": {7, 91, 12, 0}, "teams=360": {7, 91, 360, 0},
-		"changes=5": {7, 91, 120, 5}, "changes=20": {7, 91, 120, 20}, "changes=80": {7, 91, 120, 80},
-		"large": {7, 273, 360, 1},
+		"peers=3": {3, 91, 120, 0, 0}, "peers=7": {7, 91, 120, 0, 0}, "peers=14": {14, 91, 120, 0, 0},
+		"pools=10": {7, 10, 120, 0, 0}, "pools=273": {7, 273, 120, 0, 0},
+		"teams=12": {7, 91, 12, 0, 0}, "teams=360": {7, 91, 360, 0, 0},
+		"changes=5": {7, 91, 120, 5, 0}, "changes=20": {7, 91, 120, 20, 0}, "changes=80": {7, 91, 120, 80, 0},
+		"large": {7, 273, 360, 1, 0}, "cutOff=3": {7, 91, 120, 0, 3},
 	}
 	const window = 10 * time.Second
 	for name, test := range tests {
@@ -141,7 +141,13 @@
 				}
 				return sent, received
 			}
+			for _, i := range c.instances[:test.cut] {
+				c.network.assign(i.node.Address(), 1)
+			}
 			time.Sleep(2 * time.Second) // handshakes and first summaries
+			if test.cut > 0 {
+				time.Sleep(15 * time.Second) // the connections time out and are dialled again and again
+			}
 			for b.Loop() {
 				sent, received := total()
 				bytes, cpu, start := platformBytes.Load(), processorTime(), time.Now()
--- a/peer/node.go
+++ b/peer/node.go
@@ -233,7 +233,9 @@
 func (n *Node) RemoveLoad(pool string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.loads, pool)
+	if _, ok := n.loads[pool]; ok {
+		n.loads[pool] = Load{} // peers drop a pool without any load or slot
+	}
 }
 
 // loadsFor returns the pools by name, their loads and the bytes that one heartbeat may spend on them.
@@ -296,6 +298,9 @@
 	known.Version = max(known.Version, h.Version)
 	for _, l := range h.Loads {
 		known.Loads[l.Pool] = l.Load
+		if l.Load == (Load{}) {
+			delete(known.Loads, l.Pool)
+		}
 	}
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -276,6 +276,8 @@
 	eventually(t, 5*time.Second, "the load arrives", func() bool {
 		return first.node.Members()[0].Loads["pricing"] == Load{Queued: 3, Running: 8, Slots: 8, Wait: 40}
 	})
+	second.node.RemoveLoad("pricing")
+	eventually(t, 5*time.Second, "the load of a removed pool is dropped", func() bool { return len(first.node.Members()[0].Loads) == 0 })
 	c.Assert(first.node.Stats().SentBytes > 0 && first.node.Stats().ReceivedBytes > 0, qt.IsTrue)
 }
 
