--- a/caller/rig_test.go
+++ b/caller/rig_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,6 +24,7 @@
 	"github.com/chivetiller/chivetiller/dispatch"
 	"github.com/chivetiller/chivetiller/dispatch/connection"
 	"github.com/chivetiller/chivetiller/endpoint"
+	"github.com/chivetiller/chivetiller/platform"
 	platformstandin "github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
 	"github.com/chivetiller/chivetiller/standin"
@@ -36,7 +38,7 @@
 	endpoints  []*standin.Endpoint
 	source     *source
 	claims     *claim.Store
-	table      *platformstandin.Table
+	table      *faultyTable
 	events     *events
 	log        *lines
 	key        string
@@ -49,6 +51,8 @@
 	caller    caller.Options
 	permits   dispatch.Permits
 	hedge     bool
+	// quiet leaves out the hooks, which would keep all events.
+	quiet bool
 }
 
 const testPool = "shiftDesk"
@@ -67,10 +71,14 @@
 		config.NewDocument(team.Spec{Name: "supervisors", Share: 1, UpperLimit: 100, Keys: []team.KeySpec{keySpec}}),
 	})
 	c.Assert(err, qt.IsNil)
-	r := &rig{key: key, source: &source{snapshot: snapshot}, events: &events{}, log: &lines{}, table: platformstandin.NewTable()}
+	r := &rig{key: key, source: &source{snapshot: snapshot}, events: &events{}, log: &lines{}, table: &faultyTable{Table: platformstandin.NewTable()}}
 	logger := hclog.New(&hclog.LoggerOptions{Output: r.log, Level: hclog.Info})
 	r.claims = claim.NewStore(claim.Options{Table: r.table, Owner: "entry-1/1", Window: time.Millisecond})
-	r.dispatcher = dispatch.New(dispatch.Options{Logger: logger, Permits: o.permits, Observer: r.events, NoHedge: !o.hedge})
+	do := dispatch.Options{Logger: logger, Permits: o.permits, Observer: r.events, NoHedge: !o.hedge}
+	if o.quiet {
+		do.Observer = nil
+	}
+	r.dispatcher = dispatch.New(do)
 	r.dispatcher.Configure(snapshot.Pools(), snapshot.Classes(), snapshot.Teams())
 	for i := range max(o.endpoints, 1) {
 		eo := o.endpoint
@@ -82,6 +90,9 @@
 	r.announce()
 	co := o.caller
 	co.Source, co.Work, co.Claims, co.Observer, co.Logger = r.source, r.dispatcher, r.claims, r.events, logger
+	if o.quiet {
+		co.Observer = nil
+	}
 	r.server = caller.New(co)
 	c.Assert(r.server.Start(t.Context()), qt.IsNil)
 	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: 10 * time.Second}
@@ -152,25 +163,69 @@
 	return runs
 }
 
-// source is a configuration whose freshness tests control.
+// faultyTable is a table whose commits fail as tests say.
+type faultyTable struct {
+	*platformstandin.Table
+	mu sync.Mutex
+	// fault is returned by commits after the given number of good ones. ErrUnknownOutcome takes effect first.
+	fault error
+	good  int
+}
+
+func (t *faultyTable) set(fault error, good int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fault, t.good = fault, good
+}
+
+// Commit implements platform.Table.
+func (t *faultyTable) Commit(ctx context.Context, txn platform.Txn) error {
+	t.mu.Lock()
+	fault := t.fault
+	if t.good > 0 {
+		t.good--
+		fault = nil
+	}
+	t.mu.Unlock()
+	if errors.Is(fault, platform.ErrUnknownOutcome) {
+		// An earlier attempt of the client may have taken effect already.
+		_ = t.Table.Commit(ctx, txn)
+	}
+	if fault != nil {
+		return fault
+	}
+	return t.Table.Commit(ctx, txn)
+}
+
+// source is a configuration whose freshness and keys tests control.
 type source struct {
 	mu       sync.Mutex
 	snapshot *config.Snapshot
 	stale    bool
-	// staleAfter lets this many more authentications succeed.
-	staleAfter int
+	// after is what happens once the key was checked that many times; it may be nil.
+	after  func()
+	checks int
 }
 
-func (s *source) Snapshot() *config.Snapshot { return s.snapshot }
+func (s *source) Snapshot() *config.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+func (s *source) Policy() config.Policy { return config.Policy{KeyFreshness: time.Second} }
+
+func (s *source) Age() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.checked()
+	return 0, !s.stale
+}
 
 func (s *source) Authenticate(key string) (team.Team, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.staleAfter > 0 {
-		if s.staleAfter--; s.staleAfter == 0 {
-			defer func() { s.stale = true }()
-		}
-	}
+	defer s.checked()
 	if s.stale {
 		return team.Team{}, config.ErrKeysStale
 	}
@@ -181,10 +236,21 @@
 	return t, nil
 }
 
-func (s *source) setStale(after int) {
+func (s *source) checked() {
+	if s.checks--; s.checks == 0 && s.after != nil {
+		s.after()
+	}
+}
+
+// change lets f change the source after the given number of checks, or now if it is 0.
+func (s *source) change(checks int, f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stale, s.staleAfter = after == 0, after
+	if checks == 0 {
+		f()
+		return
+	}
+	s.checks, s.after = checks, f
 }
 
 // events records what the hooks are told.
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -56,9 +56,12 @@
 
 	mu          sync.Mutex
 	server      *http.Server
+	listener    net.Listener
 	address     string
 	incarnation uint64
 	draining    bool
+	// running requests occupy slots; those in flight also include the ones whose response is being sent.
+	running     int
 	inFlight    int
 	connections int
 	faults      faults
@@ -110,6 +113,7 @@
 		},
 	}
 	e.server = server
+	e.listener = listener
 	limited := &limitedListener{Listener: listener, endpoint: e, incarnation: e.incarnation}
 	go func() {
 		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
@@ -122,11 +126,12 @@
 // Stop finishes the requests in flight and closes.
 func (e *Endpoint) Stop(ctx context.Context) error {
 	e.mu.Lock()
-	server := e.server
+	server, listener := e.server, e.listener
 	e.mu.Unlock()
 	if server == nil {
 		return nil
 	}
+	defer listener.Close()
 	if err := server.Shutdown(ctx); err != nil {
 		return errors.Join(eris.Wrapf(err, "endpoint %q has requests in flight", e.o.ID), server.Close())
 	}
@@ -136,9 +141,12 @@
 // Crash closes all connections at once, as a failure does.
 func (e *Endpoint) Crash() error {
 	e.mu.Lock()
-	server := e.server
+	server, listener := e.server, e.listener
 	e.mu.Unlock()
-	return server.Close()
+	err := server.Close()
+	// The server does not know the listener yet if it has just been started.
+	listener.Close()
+	return err
 }
 
 // Reboot stops at once and starts as a new incarnation after the delay.
@@ -194,7 +202,7 @@
 	return e.incarnation
 }
 
-// InFlight returns the number of requests that run.
+// InFlight returns the number of requests that run or whose response is being sent.
 func (e *Endpoint) InFlight() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -223,15 +231,22 @@
 	case e.draining:
 		e.record.refused++
 		return "draining"
-	case e.inFlight >= e.o.Slots:
+	case e.running >= e.o.Slots:
 		e.record.refused++
 		return "all slots are in use"
 	}
+	e.running++
 	e.inFlight++
-	e.record.peak = max(e.record.peak, e.inFlight)
+	e.record.peak = max(e.record.peak, e.running)
 	return ""
 }
 
+func (e *Endpoint) releaseSlot() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
 func (e *Endpoint) leave() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -274,6 +289,8 @@
 		Start:          time.Now(),
 	})
 	e.sleep(r.Context(), fault)
+	// A caller that has the response may send the next request at once, so the slot is free before.
+	e.releaseSlot()
 	sent := e.respond(w, r, fault, id, body)
 	e.end(run, sent, r.Context().Err() != nil)
 }
