Run the models with rapid.SyncTest

The own bubble passed failures on by one panic, so that rapid took an overrun of the recorded draws for the same failure and shrank to garbage.

--- a/duty/jobsmodel_test.go
+++ b/duty/jobsmodel_test.go
@@ -273,7 +273,7 @@
 // under random submissions, cancellations, pauses, takeovers, bad workers and store faults.
 func TestJobsModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		inBubble(t, func() {
+		rapid.SyncTest(rt, func(rt *rapid.T) {
 			m := newJobsModel(rt)
 			for range rapid.IntRange(5, 60).Draw(rt, "steps") {
 				m.act()
--- a/duty/model_test.go
+++ b/duty/model_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -360,7 +359,7 @@
 // reboots under random interleavings of operators, waves, moves, failures, pauses, takeovers and store faults.
 func TestFleetModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		inBubble(t, func() {
+		rapid.SyncTest(rt, func(rt *rapid.T) {
 			m := newFleetModel(rt)
 			for range rapid.IntRange(5, 60).Draw(rt, "steps") {
 				m.act()
@@ -371,16 +370,3 @@
 		})
 	})
 }
-
-// inBubble runs f in a synctest bubble of its own. Rapid itself stays outside, since it ends a check by its
-// own time, which would pass at the speed of the bubble. A failure of f is a panic, which is passed on.
-func inBubble(t *testing.T, f func()) {
-	var failure any
-	synctest.Test(t, func(*testing.T) {
-		defer func() { failure = recover() }()
-		f()
-	})
-	if failure != nil {
-		panic(failure)
-	}
-}
