--- a/directory/bench_test.go
+++ b/directory/bench_test.go
@@ -1,12 +1,16 @@
 package directory
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/chivetiller/chivetiller/endpoint"
 	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
 )
 
@@ -68,3 +72,57 @@
 		})
 	}
 }
+
+// countingTable counts the bytes of keys and values that are read.
+type countingTable struct {
+	platform.Table
+	bytes int
+}
+
+func (t *countingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	rows, err := t.Table.Scan(ctx, prefix, after, limit)
+	for _, row := range rows {
+		t.bytes += len(row.Key) + len(row.Value)
+	}
+	return rows, err
+}
+
+// BenchmarkRead measures one read of rows and list over HTTP on loopback, with the stand-in in the same process,
+// and the bytes of the rows. There are two reads a second.
+func BenchmarkRead(b *testing.B) {
+	for _, workers := range []int{50, 740, 1850, 3700} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			p := standin.New(standin.Options{})
+			rows := pool.NewStore(p.Table())
+			for i := range workers {
+				listed := platform.Instance{
+					ID: fmt.Sprintf("worker-%05d", i), DataCentre: fmt.Sprintf("dc%d", i%10), Rack: fmt.Sprintf("dc%d-%03d", i%10, i/40),
+					Address: "10.20.30.40:8080", Slots: 8, Incarnation: 1,
+				}
+				if err := p.Instances().Add(listed, nil); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := rows.Adopt(b.Context(), time.Now(), listed, fmt.Sprintf("pool%03d", i%273)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			server, err := standin.Serve(p, "127.0.0.1:0", hclog.NewNullLogger())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer server.Stop(context.Background())
+			remote := standin.NewRemote(standin.RemoteOptions{Address: server.Address()})
+			defer remote.Close()
+			table := &countingTable{Table: remote.Table()}
+			d := New(Options{Rows: pool.NewStore(table), Reports: pool.NewReports(remote.Instances())})
+			d.readOnce(b.Context())
+			table.bytes = 0
+			for b.Loop() {
+				if result := d.readOnce(b.Context()); result.err != nil {
+					b.Fatal(result.err)
+				}
+			}
+			b.ReportMetric(float64(table.bytes)/float64(b.N), "bytes/read")
+		})
+	}
+}
