Compare the failures of an endpoint with those of the others

Cause: requests that fail at every endpoint, such as those of one team, put all endpoints into quarantine: with half of the requests failing, 5.9 of 48 slots were usable on average. Change: a row of failures quarantines only if it is unlikely at the failure rate of the others, and at the latest after 40; 12 of 16 failures count only while the others mostly work. Older outcomes survive the end of a pause.

--- a/endpoint/node.go
+++ b/endpoint/node.go
@@ -1,16 +1,27 @@
 package endpoint
 
 import (
+	"math"
 	"math/bits"
 	"time"
 )
 
 const (
-	// failuresInRow is the number of successive failures after which an endpoint is quarantined.
+	// windowOutcomes is the number of outcomes that are remembered of an endpoint.
+	windowOutcomes = 64
+	// failuresInRow is the least number of successive failures after which an endpoint is quarantined.
 	failuresInRow = 6
-	// windowFailures of the last windowOutcomes outcomes quarantine an endpoint also if some succeed.
-	windowFailures = 12
-	windowOutcomes = 16
+	// maxFailuresInRow quarantines an endpoint also if all others fail.
+	maxFailuresInRow = 40
+	// chanceOfRow is the probability of a row of failures from which on the endpoint is blamed, and not
+	// the requests. Requests of a team that fail everywhere must not close the pool to others.
+	chanceOfRow = 0.001
+	// recentFailures of the last recentOutcomes quarantine an endpoint also if some succeed, as long as
+	// the others have less than othersFailing of failures.
+	recentFailures = 12
+	recentOutcomes = 16
+	othersFailing  = 0.25
+	recentMask     = 1<<recentOutcomes - 1
 )
 
 // node is the state of an endpoint.
@@ -25,7 +36,7 @@
 	// peers is the number of requests that other entry instances run at the endpoint.
 	peers int
 	// outcomes holds a 1 for each failure among the last outcomes, the latest in the lowest bit.
-	outcomes uint16
+	outcomes uint64
 	// paused means that the endpoint gets one request, a probe, at resume and none before.
 	paused bool
 	resume time.Time
@@ -56,15 +67,30 @@
 	}
 }
 
-// unhealthy reports whether the outcomes call for quarantine.
-func (n *node) unhealthy() bool {
-	const inRow = 1<<failuresInRow - 1
-	return n.outcomes&inRow == inRow || bits.OnesCount16(n.outcomes) >= windowFailures
+// unhealthy reports whether the outcomes call for quarantine, given the failure rate of the others.
+func (n *node) unhealthy(others float64) bool {
+	row := bits.TrailingZeros64(^n.outcomes)
+	if row >= maxFailuresInRow || row >= failuresInRow && math.Pow(others, float64(row)) < chanceOfRow {
+		return true
+	}
+	return others < othersFailing && bits.OnesCount64(n.outcomes&recentMask) >= recentFailures
+}
+
+// serving reports whether the endpoint gets new work.
+func (n *node) serving() bool { return n.listed() && !n.paused }
+
+// failures returns the number of failures among the remembered outcomes of an endpoint that serves.
+func (n *node) failures() int {
+	if !n.serving() {
+		return 0
+	}
+	return bits.OnesCount64(n.outcomes)
 }
 
-// reset forgets what was learned of the endpoint.
-func (n *node) reset() {
-	n.outcomes, n.paused, n.probing, n.interval = 0, false, false, 0
+// end ends the pause. Older outcomes are kept, because they tell whether requests fail everywhere.
+func (n *node) end() {
+	n.outcomes &^= recentMask
+	n.paused, n.probing, n.interval = false, false, 0
 }
 
 // freeSlots returns the number of slots that can be taken without a probe.
--- a/endpoint/set.go
+++ b/endpoint/set.go
@@ -36,9 +36,11 @@
 	// overflow is the index in remote of the data centre that takes overflow until held.
 	overflow int
 	held     time.Time
-	// free and inFlight are sums over the nodes.
+	// free, inFlight and failures are sums over the nodes. Serving is the number of those that serve.
 	free     int
 	inFlight int
+	failures int
+	serving  int
 }
 
 // NewSet returns a set without endpoints.
@@ -68,14 +70,14 @@
 		n := s.update(e)
 		n.zone.place(n)
 	}
-	s.free, s.inFlight = 0, 0
+	s.free, s.inFlight, s.failures, s.serving = 0, 0, 0, 0
 	for id, n := range s.nodes {
 		if !n.missing.IsZero() {
 			n.zone.place(n)
 			s.forget(now, id, n)
 		}
-		s.free += n.freeSlots()
 		s.inFlight += n.inFlight
+		s.count(n, 1)
 	}
 }
 
@@ -95,7 +97,8 @@
 		return n
 	case e.Incarnation > n.endpoint.Incarnation:
 		n.stale = n.inFlight
-		n.reset()
+		n.end()
+		n.outcomes = 0
 	default:
 		e.Leaving = e.Leaving || n.endpoint.Leaving
 	}
@@ -247,14 +250,32 @@
 
 // change takes or gives back slots of the node, changes its state and updates the sums and lists.
 func (s *Set) change(n *node, slots int, state func()) {
-	s.free -= n.freeSlots()
+	s.count(n, -1)
 	s.inFlight += slots
 	n.inFlight += slots
 	state()
-	s.free += n.freeSlots()
+	s.count(n, 1)
 	n.zone.place(n)
 }
 
+// count adds the node to the sums, or takes it out if sign is -1.
+func (s *Set) count(n *node, sign int) {
+	s.free += sign * n.freeSlots()
+	s.failures += sign * n.failures()
+	if n.serving() {
+		s.serving += sign
+	}
+}
+
+// failureRate returns the failure rate of the endpoints in the sums, which do not contain the one that
+// is judged.
+func (s *Set) failureRate() float64 {
+	if s.serving == 0 {
+		return 0
+	}
+	return float64(s.failures) / float64(windowOutcomes*s.serving)
+}
+
 // judge changes the state of the endpoint after an attempt.
 func (s *Set) judge(now time.Time, n *node, outcome Outcome) {
 	if n.stale > 0 {
@@ -268,11 +289,11 @@
 		n.record(false)
 		// A success of an attempt that began before the pause does not end it.
 		if n.probing {
-			n.reset()
+			n.end()
 		}
 	case OutcomeFailed:
 		n.record(true)
-		if n.unhealthy() {
+		if n.unhealthy(s.failureRate()) {
 			s.pause(now, n)
 		}
 	case OutcomeNotRun, OutcomeRefused:
--- a/endpoint/set_test.go
+++ b/endpoint/set_test.go
@@ -1,6 +1,7 @@
 package endpoint_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -59,6 +60,41 @@
 	}
 }
 
+// TestManyBroken guards against broken endpoints that stay in use because others are broken too.
+func TestManyBroken(t *testing.T) {
+	for broken := 1; broken <= 4; broken++ {
+		s := endpoint.NewSet(endpoint.Options{DataCentre: "dc0", Seed: 1})
+		all := list(4, 1, 8)
+		s.Update(start, all)
+		outcomes := map[string]endpoint.Outcome{}
+		for _, e := range all[:broken] {
+			outcomes[e.ID] = endpoint.OutcomeFailed
+		}
+		got := serve(s, start, 1000, outcomes)
+		for id := range outcomes {
+			qt.Assert(t, got[id] <= 40, qt.IsTrue, qt.Commentf("%d broken: %s got %d", broken, id, got[id]))
+		}
+	}
+}
+
+// TestFailingRequests guards against requests of one team that fail everywhere and close the pool to
+// others by quarantine.
+func TestFailingRequests(t *testing.T) {
+	s := endpoint.NewSet(endpoint.Options{DataCentre: "dc0", Seed: 1})
+	s.Update(start, list(6, 1, 8))
+	random := rand.New(rand.NewPCG(1, 1))
+	now, free, rounds := start, 0, 20000
+	for range rounds {
+		now = now.Add(time.Millisecond)
+		free += s.Free(now)
+		if e, ok := s.Acquire(now); ok {
+			s.Release(now, e.ID, []endpoint.Outcome{endpoint.OutcomeOK, endpoint.OutcomeFailed}[random.IntN(2)])
+		}
+	}
+	mean := float64(free) / float64(rounds)
+	qt.Assert(t, mean >= 0.95*48, qt.IsTrue, qt.Commentf("%.1f of 48 slots usable", mean))
+}
+
 // TestIncarnation guards against new work for a leaving endpoint that an old entry of the list shows as
 // live, and against a restarted endpoint that stays without work.
 func TestIncarnation(t *testing.T) {
