Share the usage of teams between entry instances

Each entry instance sees only its own part of the work. The scheduler could take such reports, but nothing sent them.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -189,6 +189,40 @@
 	return loads
 }
 
+// Usage returns the slot time that teams have used at this entry instance in the pools where work waits.
+// Elsewhere shares have no effect.
+func (d *Dispatcher) Usage() map[string][]queue.Usage {
+	all := make(map[string][]queue.Usage)
+	for name, t := range *d.tasks.Load() {
+		reply := make(chan []queue.Usage, 1)
+		t.send(usage{reply: reply})
+		select {
+		case list := <-reply:
+			if len(list) > 0 {
+				all[name] = list
+			}
+		case <-t.done:
+		}
+	}
+	return all
+}
+
+// ObservePeer takes the usage of a peer, so that shares hold over all entry instances.
+func (d *Dispatcher) ObservePeer(peer string, all map[string][]queue.Usage) {
+	for name, list := range all {
+		if t := d.task(name); t != nil {
+			t.send(peerUsage{peer: peer, list: list})
+		}
+	}
+}
+
+// ForgetPeer removes what was observed of a peer that has gone.
+func (d *Dispatcher) ForgetPeer(peer string) {
+	for _, t := range *d.tasks.Load() {
+		t.send(forgetPeer{peer: peer})
+	}
+}
+
 func (d *Dispatcher) task(pool string) *task { return (*d.tasks.Load())[pool] }
 
 // Do sends the request to an endpoint of the pool and returns its complete response.
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -132,6 +132,30 @@
 
 func (stop) apply(t *task, now time.Time) { t.stop(now) }
 
+// usage asks for the slot time that teams have used; the reply is empty if no work waits.
+type usage struct{ reply chan []queue.Usage }
+
+func (m usage) apply(t *task, _ time.Time) {
+	if requests, _ := t.scheduler.Queued(); requests == 0 {
+		m.reply <- nil
+		return
+	}
+	m.reply <- t.scheduler.Usage(nil)
+}
+
+// peerUsage tells what teams have used at a peer.
+type peerUsage struct {
+	peer string
+	list []queue.Usage
+}
+
+func (m peerUsage) apply(t *task, _ time.Time) { t.scheduler.ObservePeer(m.peer, m.list) }
+
+// forgetPeer removes what was observed of a peer.
+type forgetPeer struct{ peer string }
+
+func (m forgetPeer) apply(t *task, _ time.Time) { t.scheduler.ForgetPeer(m.peer) }
+
 // load asks for the load of the pool.
 type load struct{ reply chan Load }
 
--- a/dispatch/parts.go
+++ b/dispatch/parts.go
@@ -22,6 +22,10 @@
 	Aborted(now time.Time, r queue.Request, service time.Duration)
 	Cancel(id string) bool
 	Expire(now time.Time) []queue.Request
+	Queued() (requests, bytes int)
+	Usage(list []queue.Usage) []queue.Usage
+	ObservePeer(peer string, usage []queue.Usage)
+	ForgetPeer(peer string)
 }
 
 var _ Scheduler = (*queue.Scheduler)(nil)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,6 +62,7 @@
 	serviceOperator  = "operator"
 	serviceBurn      = "burn"
 	serviceMetrics   = "metrics"
+	serviceUsage     = "usage"
 )
 
 // Services are the platform's services.
@@ -217,6 +218,7 @@
 		return eris.Wrap(err, "peers")
 	}
 	node.Handle(announcement, e.handleAnnouncement)
+	node.Handle(usageReport, e.handleUsage)
 	e.node = node
 	return nil
 }
@@ -288,6 +290,7 @@
 		{Name: serviceCaller, Value: e.caller, Start: e.caller.Start, Stop: e.caller.Stop, Needs: []string{serviceApply, serviceDirectory, serviceClaims, serviceDispatch, serviceDuties, serviceBurn}},
 	}
 	if e.node != nil {
+		services = append(services, newUsageSharer(e).service())
 		services = append(services, kernel.Service{Name: servicePeers, Value: e.node, Start: e.node.Start, Stop: e.node.Stop, Needs: []string{serviceConfig}})
 		for i := range services {
 			if services[i].Name == serviceDirectory {
