Keep the check of shares after a team stops, which fails

The share error 3 s after a team stops is above 0.05 at Nilbelt. The figure was only in a benchmark; it is now a test with the stated bound.

--- a/queue/load_test.go
+++ b/queue/load_test.go
@@ -191,6 +191,20 @@
 	}
 }
 
+// TestShareErrorAfterStop guards against shares that are not back within 3 s of the moment when a team stops.
+// It fails at present; see KNOWN-RED.txt.
+func TestShareErrorAfterStop(t *testing.T) {
+	for user, sc := range users() {
+		for _, sc.broken = range []int{0, 1} {
+			t.Run(fmt.Sprintf("%s/broken=%d", user, sc.broken), func(t *testing.T) {
+				stops := run(busy(sc, true), ours)
+				figure := stops.shareError(17, 27)
+				qt.Check(t, figure <= 0.05, qt.IsTrue, qt.Commentf("share error 3 s after a team stops %.4f, bound 0.05", figure))
+			})
+		}
+	}
+}
+
 // BenchmarkSurge reports the figures of a pool of each user beside those of the baselines.
 func BenchmarkSurge(b *testing.B) {
 	for user, sc := range users() {
