Forget teams that the configuration no longer has

Renewal counts now come from one counter of the holder, so that a team which is removed and added again never shows a count that a peer has seen before.

--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -71,6 +71,9 @@
 	teams    map[string]*account
 	version  uint64
 	stopping bool
+	// count is the last renewal count. No count is used twice, also not for another team, so that peers
+	// see each renewal as a change.
+	count uint64
 }
 
 // account is the part of one team.
@@ -96,7 +99,6 @@
 	version  uint64
 	record   record
 	seen     map[string]sighting
-	count    uint64
 	renewed  time.Time
 	attempts []attempt
 }
@@ -125,6 +127,12 @@
 	return n
 }
 
+// ended reports whether nothing is left of a team that the configuration no longer has.
+func (a *account) ended(holder string) bool {
+	_, listed := a.record.Holders[holder]
+	return a.limit <= 0 && a.version != 0 && !listed && a.inUse == 0 && len(a.attempts) == 0
+}
+
 // want returns how much the part could use now.
 func (a *account) want() int {
 	n := max(a.peak, a.inUse, a.demand)
--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -90,3 +90,29 @@
 		qt.Assert(t, h.Stop(t.Context()), qt.IsNil)
 	})
 }
+
+// TestRemovedTeam guards against parts of a team that stay when the team is removed, and a team that cannot
+// be used when it is added again.
+func TestRemovedTeam(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.NewTable()
+		h := allotment.NewHolder(allotment.Options{Table: table, Holder: "a"})
+		qt.Assert(t, h.Start(t.Context()), qt.IsNil)
+		for version := range uint64(3) {
+			h.SetLimits(3*version+1, map[string]int{"team": 4})
+			time.Sleep(2 * time.Second)
+			permit, err := h.Acquire("team")
+			qt.Assert(t, err, qt.IsNil)
+			h.SetLimits(3*version+2, nil)
+			time.Sleep(2 * time.Second)
+			qt.Check(t, h.Usage("team").Held, qt.Equals, 1, qt.Commentf("a request still runs"))
+			permit.Release()
+			time.Sleep(15 * time.Second)
+			qt.Check(t, h.Usage("team"), qt.Equals, allotment.Usage{})
+			rows, err := table.Read(t.Context(), "allotment/team")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, string(rows[0].Value), qt.Matches, `\{"limit":0,"version":\d+\}`)
+		}
+		qt.Check(t, h.Stop(t.Context()), qt.IsNil)
+	})
+}
--- a/allotment/sync.go
+++ b/allotment/sync.go
@@ -84,6 +84,7 @@
 	h.syncing.Lock()
 	defer h.syncing.Unlock()
 	h.mu.Lock()
+	maps.DeleteFunc(h.teams, func(_ string, a *account) bool { return a.ended(h.o.Holder) })
 	teams := slices.Sorted(maps.Keys(h.teams))
 	h.mu.Unlock()
 	var errs []error
@@ -230,14 +231,14 @@
 		if !ok {
 			continue
 		}
-		a.count++
+		h.count++
 		amount := 0
 		if own, ok := r.Holders[h.o.Holder]; ok {
-			own.Count, amount = a.count, own.Amount
+			own.Count, amount = h.count, own.Amount
 			a.asked(own.Want)
 			r.Holders[h.o.Holder] = own
 		}
-		a.attempts = appendAttempt(a.attempts, attempt{checked: a.version, count: a.count, amount: amount, sent: now})
+		a.attempts = appendAttempt(a.attempts, attempt{checked: a.version, count: h.count, amount: amount, sent: now})
 		txn.Checks = append(txn.Checks, platform.Check{Key: rowKey(team), Version: a.version})
 		txn.Writes = append(txn.Writes, platform.Write{Key: rowKey(team), Value: r.encode()})
 		sent = append(sent, team)
