--- a/operator/server.go
+++ b/operator/server.go
@@ -131,10 +131,19 @@
 	s.http = kratoshttp.NewServer(options...)
 	s.http.ReadTimeout = readTimeout
 	s.http.HandlePrefix("/", s.authenticated(s.mux))
-	go func() { s.served <- s.http.Start(context.Background()) }()
+	go func() { s.served <- s.serve() }()
 	return nil
 }
 
+// serve runs the HTTP server itself. Start and Stop of the transport log through a global logger, which
+// servers of the same process set at their own start, and that is a data race.
+func (s *Server) serve() error {
+	if s.options.TLS != nil {
+		return s.http.ServeTLS(s.listener, "", "")
+	}
+	return s.http.Serve(s.listener)
+}
+
 // Address returns the address on which the server listens. It is known after Start.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
@@ -143,10 +152,13 @@
 	if s.http == nil {
 		return nil
 	}
-	if err := s.http.Stop(ctx); err != nil {
+	if err := s.http.Shutdown(ctx); err != nil {
 		return errors.Join(err, s.http.Close())
 	}
-	return <-s.served
+	if err := <-s.served; !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
 }
 
 type authorKey struct{}
