--- a/standin/record.go
+++ b/standin/record.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -15,7 +16,7 @@
 	// Digest is the SHA-256 digest of the body in hex.
 	Digest string    `json:"digest"`
 	Start  time.Time `json:"start"`
-	// End is zero while the request runs.
+	// End is when the work ended, before the response was sent. It is zero until the response was sent.
 	End time.Time `json:"end"`
 	// Sent says that a whole response was sent.
 	Sent bool `json:"sent"`
@@ -38,6 +39,21 @@
 	return append([]Run(nil), e.record.runs...)
 }
 
+// WaitIdle returns once no request is in flight, so that the record is complete. A response reaches its caller a
+// little before the record says so.
+func (e *Endpoint) WaitIdle(ctx context.Context) error {
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for e.InFlight() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // Refused returns how many requests were refused as not run.
 func (e *Endpoint) Refused() int {
 	e.mu.Lock()
@@ -65,7 +81,7 @@
 	return r.dropped + len(r.runs) - 1
 }
 
-func (e *Endpoint) end(number int, sent, interrupted bool) {
+func (e *Endpoint) end(number int, at time.Time, sent, interrupted bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	i := number - e.record.dropped
@@ -73,7 +89,7 @@
 		return
 	}
 	run := &e.record.runs[i]
-	run.End = time.Now()
+	run.End = at
 	run.Sent = sent
 	run.Interrupted = interrupted && !sent
 }
