--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -42,14 +42,18 @@
 	next []platform.InstanceList
 }
 
-func (l *lists) List(context.Context, string) (platform.InstanceList, error) {
+func (l *lists) List(_ context.Context, cursor string) (platform.InstanceList, error) {
+	if cursor == "lost" {
+		return platform.InstanceList{}, platform.ErrNotFound
+	}
 	list := l.next[0]
 	l.next = l.next[1:]
 	return list, nil
 }
 
 // TestReports guards against old entries of the list that replace newer ones, and against instances that
-// count as live for ever because the entry that said otherwise was dropped.
+// count as live for ever because the entry that said otherwise was dropped, and
+// against a cursor that is sent for ever although the platform does not know it.
 func TestReports(t *testing.T) {
 	at := func(second int64, incarnation uint64) platform.Instance {
 		return platform.Instance{ID: "a", Incarnation: incarnation, Reported: time.Unix(second, 0), State: platform.InstanceLive}
@@ -72,4 +76,10 @@
 	qt.Assert(t, reports.Missing("a"), qt.IsTrue)
 	refresh(at(30, 2))
 	qt.Assert(t, reports.Missing("a"), qt.IsFalse)
+
+	// A platform that was replaced does not know the cursor of the one before.
+	source.next = append(source.next, platform.InstanceList{Cursor: "lost"})
+	qt.Assert(t, reports.Refresh(t.Context()), qt.IsNil)
+	qt.Assert(t, reports.Refresh(t.Context()), qt.ErrorIs, platform.ErrNotFound)
+	refresh(at(40, 2))
 }
--- a/pool/reports.go
+++ b/pool/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/chivetiller/chivetiller/platform"
@@ -37,6 +38,10 @@
 		r.cursor, r.since = "", 0
 	}
 	list, err := r.source.List(ctx, r.cursor)
+	if errors.Is(err, platform.ErrNotFound) {
+		// The platform no longer knows the cursor. The next call reads the whole list.
+		r.cursor = ""
+	}
 	if err != nil {
 		return fmt.Errorf("list instances of the platform: %w", err)
 	}
