Do not reuse a connection whose exchange was cancelled with its last byte

The cancellation runs on its own goroutine. If it came with the end of the response, it ended the exchange of the next request on the connection, whose outcome was then unknown.

--- a/dispatch/connection/connection.go
+++ b/dispatch/connection/connection.go
@@ -160,7 +160,12 @@
 	c.remaining = c.limits.MaxHeader + c.limits.MaxBody
 	if ctx.Done() != nil {
 		stop := context.AfterFunc(ctx, c.interrupt)
-		defer stop()
+		defer func() {
+			if !stop() {
+				// The interrupt may still run and would hit the next exchange.
+				c.reusable = false
+			}
+		}()
 	}
 	if err := c.conn.SetDeadline(r.Deadline); err != nil {
 		return nil, c.fault(ctx, FaultConnection, err)
--- a/dispatch/connection/connection_test.go
+++ b/dispatch/connection/connection_test.go
@@ -232,3 +232,36 @@
 	c.Assert(response.NotRun, qt.IsTrue)
 	c.Assert(conn.Reusable(), qt.IsFalse)
 }
+
+// TestLateCancel guards against a cancellation that comes with the last byte of a response, and then ends the exchange
+// of another request on the same connection.
+func TestLateCancel(t *testing.T) {
+	c := qt.New(t)
+	address := server(t, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, q.Body)
+			_, _ = io.WriteString(conn, head+"Content-Length: 2\r\n\r\nok")
+		}
+	})
+	reused := 0
+	for n := range 2000 {
+		conn, err := connection.Dial(t.Context(), address, connection.Limits{})
+		c.Assert(err, qt.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Duration(n%100)*2*time.Microsecond, cancel)
+		_, err = conn.Exchange(ctx, request("GET"))
+		if err == nil && conn.Reusable() {
+			reused++
+			_, err = conn.Exchange(context.Background(), request("GET"))
+			c.Assert(err, qt.IsNil)
+		}
+		cancel()
+		conn.Close()
+	}
+	c.Assert(reused > 0, qt.IsTrue)
+}
