Tell endpoints that nobody waits for an idempotent request

Since attempts linger to keep their permit, a caller that went away no longer ended the run of its idempotent request with a key: TestCallerGone with permits failed. The entry instance now ends its side of the connection and goes on to wait for the endpoint. Runs that may not be repeated go on. TestFailures of commands still passes.

--- a/caller/rig_test.go
+++ b/caller/rig_test.go
@@ -327,3 +327,10 @@
 	}
 	return false
 }
+
+// unlimited gives a permit to everyone.
+type unlimited struct{}
+
+func (unlimited) Acquire(string) (dispatch.Permit, error) { return unlimited{}, nil }
+func (unlimited) Check() error                            { return nil }
+func (unlimited) Release()                                {}
--- a/caller/stop_integration_test.go
+++ b/caller/stop_integration_test.go
@@ -99,7 +99,8 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			r := newRig(t, rigOptions{endpoint: standin.Options{Service: standin.Fixed(100 * time.Millisecond)}})
+			// With permits, a cancelled attempt lingers until the endpoint has ended the run.
+			r := newRig(t, rigOptions{endpoint: standin.Options{Service: standin.Fixed(100 * time.Millisecond)}, permits: unlimited{}})
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			time.AfterFunc(50*time.Millisecond, cancel)
--- a/dispatch/connection/connection.go
+++ b/dispatch/connection/connection.go
@@ -245,6 +245,14 @@
 // interrupt ends the exchange and leaves the connection open, so that [Conn.Linger] can follow.
 func (c *Conn) interrupt() { _ = c.conn.SetDeadline(time.Unix(1, 0)) }
 
+// CloseWrite tells the endpoint that nobody waits for the response. An endpoint that notices can end the run.
+func (c *Conn) CloseWrite() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		// The connection is broken if this fails, which Linger notices.
+		_ = tcp.CloseWrite()
+	}
+}
+
 // lingerQuiet is how long a late response may pause before it counts as complete.
 const lingerQuiet = 200 * time.Millisecond
 
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -176,6 +176,10 @@
 // linger keeps the permit of a request that was given up until the endpoint has ended it. Without that the
 // team could have more running than its upper limit.
 func (e *execution) linger(permit Permit, conn *connection.Conn) {
+	if e.ticket.request.Idempotent {
+		// Only a run that may be repeated is cut short.
+		conn.CloseWrite()
+	}
 	conn.Linger(time.Now().Add(e.task.o.MaxRun))
 	permit.Release()
 }
