--- a/dispatch/connection/connection.go
+++ b/dispatch/connection/connection.go
@@ -160,7 +160,12 @@
 	c.remaining = c.limits.MaxHeader + c.limits.MaxBody
 	if ctx.Done() != nil {
 		stop := context.AfterFunc(ctx, c.interrupt)
-		defer stop()
+		defer func() {
+			if !stop() {
+				// The interrupt may still run and would hit the next exchange.
+				c.reusable = false
+			}
+		}()
 	}
 	if err := c.conn.SetDeadline(r.Deadline); err != nil {
 		return nil, c.fault(ctx, FaultConnection, err)
@@ -240,6 +245,14 @@
 // interrupt ends the exchange and leaves the connection open, so that [Conn.Linger] can follow.
 func (c *Conn) interrupt() { _ = c.conn.SetDeadline(time.Unix(1, 0)) }
 
+// CloseWrite tells the endpoint that nobody waits for the response. An endpoint that notices can end the run.
+func (c *Conn) CloseWrite() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		// The connection is broken if this fails, which Linger notices.
+		_ = tcp.CloseWrite()
+	}
+}
+
 // lingerQuiet is how long a late response may pause before it counts as complete.
 const lingerQuiet = 200 * time.Millisecond
 
