Check graceful stops and the logs of entry instances as processes

TestFailures now ends each living entry instance by SIGTERM and demands exit code 0, and no key or body in a log at level debug. All seven cases pass.

--- a/commands/failure_integration_test.go
+++ b/commands/failure_integration_test.go
@@ -42,6 +42,7 @@
 	faultAt      = 2 * time.Second
 	faultTime    = 3 * time.Second
 	withdrawAt   = 5 * time.Second
+	bodyPrefix   = "body of "
 )
 
 // rig is a fleet whose entry instances are processes, with platform and endpoints in the test.
@@ -49,6 +50,8 @@
 	platform  *platformstandin.Platform
 	endpoints []*standin.Endpoint
 	entries   []*exec.Cmd
+	logs      []*bytes.Buffer
+	killed    map[int]bool
 	callers   []string
 	keys      map[string]string
 	withdrawn time.Time
@@ -82,7 +85,7 @@
 	}{
 		"no fault": {openWorks: true},
 		"entry instance killed": {
-			begin: func(r *rig) { _ = r.entries[0].Process.Kill() },
+			begin: func(r *rig) { r.kill(0) },
 		},
 		"entry instance frozen": {
 			begin: func(r *rig) { _ = r.entries[0].Process.Signal(syscall.SIGSTOP) },
@@ -108,7 +111,7 @@
 		"killed while the platform is down": {
 			begin: func(r *rig) {
 				r.platform.SetFaults(platformstandin.Faults{Down: true})
-				_ = r.entries[1].Process.Kill()
+				r.kill(1)
 			},
 			end: func(r *rig) { r.platform.SetFaults(platformstandin.Faults{}) },
 		},
@@ -134,6 +137,7 @@
 			time.Sleep(time.Until(start.Add(withdrawAt)))
 			r.withdraw(t)
 			load.Wait()
+			r.stop(t)
 			r.check(t)
 			if tt.openWorks {
 				r.checkOpen(t, fault, fault.Add(faultTime))
@@ -143,7 +147,7 @@
 }
 
 func newRig(t *testing.T) *rig {
-	r := &rig{keys: make(map[string]string)}
+	r := &rig{keys: make(map[string]string), killed: make(map[int]bool)}
 	r.platform = platformstandin.New(platformstandin.Options{ListLag: 200 * time.Millisecond, ReportInterval: 100 * time.Millisecond})
 	server, err := platformstandin.Serve(r.platform, "127.0.0.1:0", hclog.NewNullLogger())
 	qt.Assert(t, err, qt.IsNil)
@@ -202,22 +206,22 @@
 keys: {freshness: %[7]s}
 allotments: {term: 2s}
 stop: {balancerWait: 100ms}
-log: {level: warn}
+log: {level: debug}
 `, dataCentre, callers, platformAddress, files.Authority, files.Certificate, files.Key, keyFreshness)
 		path := filepath.Join(dir, dataCentre+".yaml")
 		qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
 		cmd := exec.Command("chivetiller", "entry", "--settings", path)
-		var output bytes.Buffer
-		cmd.Stderr = &output
+		output := new(bytes.Buffer)
+		cmd.Stderr = output
 		qt.Assert(t, cmd.Start(), qt.IsNil)
 		t.Cleanup(func() {
-			_ = cmd.Process.Kill()
-			_ = cmd.Wait()
-			if t.Failed() {
-				t.Logf("%s:\n%s", dataCentre, output.String())
+			if cmd.ProcessState == nil {
+				_ = cmd.Process.Kill()
+				_ = cmd.Wait()
 			}
 		})
 		r.entries = append(r.entries, cmd)
+		r.logs = append(r.logs, output)
 		r.callers = append(r.callers, callers)
 	}
 	for _, address := range r.callers {
@@ -268,7 +272,7 @@
 	if c.team == "open" {
 		name, method = "flags", http.MethodPut
 	}
-	sent := []byte("body of " + c.id)
+	sent := []byte(bodyPrefix + c.id)
 	// The path carries team and caller's ID into the record of the endpoint.
 	url := fmt.Sprintf("http://%s/work/%s/%s/%s", address, name, c.team, c.id)
 	request, err := http.NewRequest(method, url, bytes.NewReader(sent))
@@ -296,6 +300,35 @@
 	r.results = append(r.results, c)
 }
 
+// kill ends an entry instance without a chance to stop.
+func (r *rig) kill(i int) {
+	r.killed[i] = true
+	_ = r.entries[i].Process.Kill()
+}
+
+// stop ends the entry instances that live by SIGTERM, and demands that they end with code 0 and have logged neither keys nor bodies.
+func (r *rig) stop(t *testing.T) {
+	for i, cmd := range r.entries {
+		if !r.killed[i] {
+			qt.Check(t, cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+		}
+	}
+	for i, cmd := range r.entries {
+		if err := cmd.Wait(); !r.killed[i] {
+			qt.Check(t, err, qt.IsNil, qt.Commentf("entry instance %d:\n%s", i, lastLines(r.logs[i].String())))
+		}
+		log := r.logs[i].String()
+		for name, key := range r.keys {
+			_, secret, _ := strings.Cut(key, ".")
+			qt.Check(t, strings.Contains(log, secret), qt.IsFalse, qt.Commentf("key of %s is in the log", name))
+		}
+		qt.Check(t, strings.Contains(log, bodyPrefix), qt.IsFalse, qt.Commentf("a body is in the log"))
+	}
+}
+
+// lastLines returns the end of a log.
+func lastLines(log string) string { return log[max(0, len(log)-2000):] }
+
 // withdraw removes the key of the office, and notes when that was accepted.
 func (r *rig) withdraw(t *testing.T) {
 	store := config.NewStore(r.platform.Table(), config.StoreOptions{})
