Remove old claims, changes and burn history under the housekeeping duty

Nothing called the bounded clean-ups of the parts, so the table and the object store grew without end. Claims are looked at in every pass, 500 at a time; changes and objects each hour.

--- /dev/null
+++ b/duty/cleanup_test.go
@@ -0,0 +1,76 @@
+package duty_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/duty"
+	"github.com/chivetiller/chivetiller/platform"
+)
+
+// cleanupCalls counts what the clean-up calls, and fails the first calls of Compact.
+type cleanupCalls struct {
+	claims, changes, objects int
+	failures                 int
+	checks                   []platform.Check
+}
+
+func (c *cleanupCalls) Clean(_ context.Context, _ time.Time, _ int, guard func(platform.Txn) platform.Txn) (int, bool, error) {
+	c.claims++
+	c.checks = guard(platform.Txn{}).Checks
+	return 0, true, nil
+}
+
+func (c *cleanupCalls) Compact(context.Context) (int, error) {
+	c.changes++
+	if c.changes <= c.failures {
+		return 0, platform.ErrUnavailable
+	}
+	return 1, nil
+}
+
+type holds bool
+
+func (h holds) Holds(string) (platform.Check, bool) {
+	return platform.Check{Key: "fence/housekeeping", Version: 7}, bool(h)
+}
+
+// TestCleanup guards against a clean-up without the lease, without the fence, in every pass, or never again after a failure.
+func TestCleanup(t *testing.T) {
+	tests := map[string]struct {
+		leases   holds
+		failures int
+		want     string
+	}{
+		"held":                 {leases: true, want: "claims 120, changes 2, objects 2"},
+		"store fails at first": {leases: true, failures: 3, want: "claims 120, changes 5, objects 5"},
+		"not held":             {want: "claims 0, changes 0, objects 0"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls := &cleanupCalls{failures: tt.failures}
+				c := duty.NewCleanup(duty.CleanupOptions{
+					Claims: calls, Changes: calls,
+					Prune: func(context.Context, time.Time, int) (int, error) {
+						calls.objects++
+						return 0, nil
+					},
+				})
+				for range 120 {
+					qt.Assert(t, c.Pass(t.Context(), tt.leases), qt.IsNil)
+					time.Sleep(time.Minute)
+				}
+				qt.Assert(t, fmt.Sprintf("claims %d, changes %d, objects %d", calls.claims, calls.changes, calls.objects), qt.Equals, tt.want)
+				if tt.leases {
+					qt.Assert(t, calls.checks, qt.DeepEquals, []platform.Check{{Key: "fence/housekeeping", Version: 7}})
+				}
+			})
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -270,7 +270,15 @@
 		},
 		Logger: o.Logger,
 	})
-	e.runner = duty.NewRunner(duty.Options{Leases: leases{e.leases}, Interval: e.settings.Waves().Interval, Logger: o.Logger}, fleet, jobs)
+	cleanup := duty.NewCleanup(duty.CleanupOptions{
+		Claims:  claim.NewCleaner(e.client.For(platform.UserHousekeeping)),
+		Changes: config.NewStore(e.client.For(platform.UserHousekeeping), config.StoreOptions{Objects: o.Platform.Objects}),
+		Prune: func(ctx context.Context, now time.Time, limit int) (int, error) {
+			return burn.Prune(ctx, o.Platform.Objects, now, limit)
+		},
+		Logger: o.Logger,
+	})
+	e.runner = duty.NewRunner(duty.Options{Leases: leases{e.leases}, Interval: e.settings.Waves().Interval, Logger: o.Logger}, fleet, jobs, cleanup)
 }
 
 // register tells the kernel which service needs which. The caller comes last and stops first,
