--- a/duty/cleanup.go
+++ b/duty/cleanup.go
@@ -12,17 +12,17 @@
 )
 
 const (
-	// claimsPerPass bounds the claims that one pass looks at, with one read and one write of the store.
+	// rowsPerPass bounds the rows of a kind that one pass looks at, with one read and one write of the store.
 	// At one pass a second that keeps up with 500 claims a second.
-	claimsPerPass = 500
+	rowsPerPass = 500
 	// cleanupInterval is the time between two rounds of what grows slowly.
 	cleanupInterval = time.Hour
 	// objectsPerRound bounds the objects that one round deletes.
 	objectsPerRound = 500
 )
 
-// Claims removes claims that are older than their retention.
-type Claims interface {
+// RowCleaner removes old rows of one kind, with a bounded number of calls.
+type RowCleaner interface {
 	Clean(ctx context.Context, now time.Time, limit int, guard func(platform.Txn) platform.Txn) (removed int, last bool, err error)
 }
 
@@ -33,7 +33,8 @@
 
 // CleanupOptions are the options of the clean-up.
 type CleanupOptions struct {
-	Claims  Claims
+	// Rows are cleaned in every pass.
+	Rows    []RowCleaner
 	Changes Changes
 	// Prune deletes up to limit objects of the burn history that no report needs.
 	Prune  func(ctx context.Context, now time.Time, limit int) (int, error)
@@ -69,8 +70,10 @@
 		txn.Checks = append(txn.Checks, fence)
 		return txn
 	}
-	if _, _, err := c.options.Claims.Clean(ctx, now, claimsPerPass, guard); err != nil {
-		return quiet(err)
+	for _, rows := range c.options.Rows {
+		if _, _, err := rows.Clean(ctx, now, rowsPerPass, guard); err != nil {
+			return quiet(err)
+		}
 	}
 	if now.Before(c.next) {
 		return nil
--- a/duty/cleanup_test.go
+++ b/duty/cleanup_test.go
@@ -56,7 +56,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				calls := &cleanupCalls{failures: tt.failures}
 				c := duty.NewCleanup(duty.CleanupOptions{
-					Claims: calls, Changes: calls,
+					Rows: []duty.RowCleaner{calls}, Changes: calls,
 					Prune: func(context.Context, time.Time, int) (int, error) {
 						calls.objects++
 						return 0, nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -256,6 +256,7 @@
 		Table:       e.client.For(platform.UserJobs),
 		Instances:   o.Platform.Instances,
 		Tasks:       o.Platform.Tasks,
+		Objects:     o.Platform.Objects,
 		DataCentres: func() []string { return []string{e.settings.DataCentre()} },
 		Limits: job.TeamLimits{
 			Table: e.client.For(platform.UserJobs),
@@ -271,14 +272,17 @@
 		Logger: o.Logger,
 	})
 	cleanup := duty.NewCleanup(duty.CleanupOptions{
-		Claims:  claim.NewCleaner(e.client.For(platform.UserHousekeeping)),
+		Rows: []duty.RowCleaner{
+			claim.NewCleaner(e.client.For(platform.UserHousekeeping)),
+			platform.NewOperationCleaner(e.client.For(platform.UserHousekeeping)),
+		},
 		Changes: config.NewStore(e.client.For(platform.UserHousekeeping), config.StoreOptions{Objects: o.Platform.Objects}),
 		Prune: func(ctx context.Context, now time.Time, limit int) (int, error) {
 			return burn.Prune(ctx, o.Platform.Objects, now, limit)
 		},
 		Logger: o.Logger,
 	})
-	e.runner = duty.NewRunner(duty.Options{Leases: leases{e.leases}, Interval: e.settings.Waves().Interval, Logger: o.Logger}, fleet, jobs, cleanup)
+	e.runner = duty.NewRunner(duty.Options{Leases: duty.FromManager(e.leases), Interval: e.settings.Waves().Interval, Logger: o.Logger}, fleet, jobs, cleanup)
 }
 
 // register tells the kernel which service needs which. The caller comes last and stops first,
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -14,13 +14,10 @@
 	"github.com/chivetiller/chivetiller/common/problem"
 	"github.com/chivetiller/chivetiller/dispatch"
 	"github.com/chivetiller/chivetiller/dispatch/connection"
-	"github.com/chivetiller/chivetiller/duty"
 	"github.com/chivetiller/chivetiller/endpoint"
-	"github.com/chivetiller/chivetiller/lease"
 	"github.com/chivetiller/chivetiller/metrics"
 	"github.com/chivetiller/chivetiller/move"
 	"github.com/chivetiller/chivetiller/peer"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
 )
 
@@ -44,20 +41,6 @@
 	return permit, nil
 }
 
-// leases lets the duties use the lease manager through their own interface.
-type leases struct{ manager *lease.Manager }
-
-var _ duty.Leases = leases{}
-
-// Holds implements [duty.Leases].
-func (l leases) Holds(name string) (platform.Check, bool) {
-	held, ok := l.manager.Held(name)
-	if !ok {
-		return platform.Check{}, false
-	}
-	return held.Guard(platform.Txn{}).Checks[0], true
-}
-
 // observer feeds metrics and the burn report.
 type observer struct {
 	recorder *burn.Recorder
