--- a/entry/operations.go
+++ b/entry/operations.go
@@ -72,7 +72,7 @@
 		},
 		"GET /operator/jobs/{id}":    func(r *http.Request) (any, error) { return o.fleet.GetJob(r.Context(), r.PathValue("id")) },
 		"DELETE /operator/jobs/{id}": func(r *http.Request) (any, error) { return o.fleet.CancelJob(r.Context(), r.PathValue("id")) },
-		"GET /operator/status":       func(r *http.Request) (any, error) { return o.status(r.Context()) },
+		"GET /operator/status":       func(r *http.Request) (any, error) { return o.status(r.Context()), nil },
 		"GET /operator/burn":         func(r *http.Request) (any, error) { return o.burn(r.Context()) },
 	}
 	for pattern, route := range routes {
@@ -170,7 +170,7 @@
 }
 
 // status makes the status report. What the platform does not give at present is left out.
-func (o *operations) status(ctx context.Context) (status.Report, error) {
+func (o *operations) status(ctx context.Context) status.Report {
 	e := o.entry
 	snapshot := e.source.Snapshot()
 	age, known := e.source.Age()
@@ -194,7 +194,7 @@
 	if parts, err := burn.LoadWindow(ctx, e.services.Objects, in.Now, status.Window); err == nil {
 		in.Parts = parts
 	}
-	return status.NewReport(in), nil
+	return status.NewReport(in)
 }
 
 // entries returns this and the other entry instances.
