--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,6 +89,8 @@
 	services Services
 	// duties are all duties of the fleet that this entry instance may hold.
 	duties []string
+	// history is the object store of the burn history.
+	history platform.Objects
 	// client sends all calls to the table within the budget of the process.
 	client *platform.Client
 
@@ -133,7 +135,10 @@
 	e.client = platform.NewClient(platform.ClientOptions{
 		Table: o.Platform.Table, Writes: s.Platform().WritesPerSecond, Reads: s.Platform().ReadsPerSecond, Logger: o.Logger,
 	})
-	e.store = config.NewStore(e.client.For(platform.UserConfig), config.StoreOptions{Objects: o.Platform.Objects})
+	e.history = e.client.ObjectsFor(platform.UserHistory, o.Platform.Objects)
+	e.store = config.NewStore(e.client.For(platform.UserConfig), config.StoreOptions{
+		Objects: e.client.ObjectsFor(platform.UserConfig, o.Platform.Objects),
+	})
 	e.source = config.NewSource(e.store, config.SourceOptions{
 		Policy: config.Policy{
 			KeyFreshness: s.Keys().Freshness,
@@ -154,7 +159,7 @@
 	})
 	e.claims = claim.NewStore(claim.Options{Table: e.client.For(platform.UserClaims), Owner: e.holder, Logger: o.Logger})
 	e.recorder = burn.NewRecorder(s.Name(), uint64(time.Now().UnixNano()), time.Now())
-	e.metrics = metrics.NewSet(e.sources())
+	e.metrics = metrics.NewSet(e.sources(), e.client.Collectors()...)
 	observer := &observer{recorder: e.recorder, metrics: e.metrics}
 	e.dispatcher = dispatch.New(dispatch.Options{
 		Queue:    queue.Options{MaxRequests: s.Limits().QueueRequests, MaxBytes: int(s.Limits().QueueBytes)},
@@ -256,7 +261,7 @@
 		Table:       e.client.For(platform.UserJobs),
 		Instances:   o.Platform.Instances,
 		Tasks:       o.Platform.Tasks,
-		Objects:     o.Platform.Objects,
+		Objects:     e.client.ObjectsFor(platform.UserJobs, o.Platform.Objects),
 		DataCentres: func() []string { return []string{e.settings.DataCentre()} },
 		Limits: job.TeamLimits{
 			Table: e.client.For(platform.UserJobs),
@@ -276,9 +281,11 @@
 			claim.NewCleaner(e.client.For(platform.UserHousekeeping)),
 			platform.NewOperationCleaner(e.client.For(platform.UserHousekeeping)),
 		},
-		Changes: config.NewStore(e.client.For(platform.UserHousekeeping), config.StoreOptions{Objects: o.Platform.Objects}),
+		Changes: config.NewStore(e.client.For(platform.UserHousekeeping), config.StoreOptions{
+			Objects: e.client.ObjectsFor(platform.UserHousekeeping, o.Platform.Objects),
+		}),
 		Prune: func(ctx context.Context, now time.Time, limit int) (int, error) {
-			return burn.Prune(ctx, o.Platform.Objects, now, limit)
+			return burn.Prune(ctx, e.history, now, limit)
 		},
 		Logger: o.Logger,
 	})
--- a/entry/operations.go
+++ b/entry/operations.go
@@ -158,7 +158,7 @@
 // burn makes the burn report from the stored history of all entry instances.
 func (o *operations) burn(ctx context.Context) (burn.Report, error) {
 	now := time.Now()
-	parts, err := burn.Load(ctx, o.entry.services.Objects, now)
+	parts, err := burn.Load(ctx, o.entry.history, now)
 	if err != nil {
 		return burn.Report{}, err
 	}
@@ -191,7 +191,7 @@
 	if waves, err := o.fleet.ListWaves(ctx); err == nil {
 		in.Waves = waves
 	}
-	if parts, err := burn.LoadWindow(ctx, e.services.Objects, in.Now, status.Window); err == nil {
+	if parts, err := burn.LoadWindow(ctx, e.history, in.Now, status.Window); err == nil {
 		in.Parts = parts
 	}
 	return status.NewReport(in)
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -187,7 +187,6 @@
 			age, known := e.source.Age()
 			return metrics.ConfigStats{Version: e.source.Snapshot().Version(), Age: age, Known: known}
 		},
-		Platform: func() string { return e.client.State().String() },
 		Peers: func() map[string]int {
 			states := make(map[string]int)
 			if e.node == nil {
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -158,7 +158,7 @@
 	defer cancel()
 	var errs []error
 	for name, part := range b.pending {
-		if err := burn.Save(ctx, b.entry.services.Objects, []burn.Part{part}); err != nil {
+		if err := burn.Save(ctx, b.entry.history, []burn.Part{part}); err != nil {
 			errs = append(errs, err)
 			continue
 		}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -55,8 +55,6 @@
 	Pools  func() []PoolStats
 	Teams  func() []TeamStats
 	Config func() ConfigStats
-	// Platform returns the state of the platform: "up", "slow" or "down".
-	Platform func() string
 	// Peers counts peers by state.
 	Peers func() map[string]int
 	// Duties counts the duties that this entry instance holds.
@@ -74,8 +72,8 @@
 	extra    *prometheus.CounterVec
 }
 
-// NewSet returns the metrics of an entry instance.
-func NewSet(sources Sources) *Set {
+// NewSet returns the metrics of an entry instance, with the collectors of other parts.
+func NewSet(sources Sources, others ...prometheus.Collector) *Set {
 	s := &Set{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -106,6 +104,7 @@
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
+	s.registry.MustRegister(others...)
 	return s
 }
 
--- a/metrics/state.go
+++ b/metrics/state.go
@@ -26,19 +26,16 @@
 	usedDesc      = newDesc("allotment_running", "Requests that run under the allotment, by team.", "team")
 	versionDesc   = newDesc("config_version", "Version of the configuration in force.")
 	ageDesc       = newDesc("config_age_seconds", "Time since the configuration was certainly current. Absent if that is not known.")
-	platformDesc  = newDesc("platform_state", "1 for the state that the platform is in: up, slow or down.", "state")
 	peersDesc     = newDesc("peers", "Other entry instances by state: alive, suspect, dead or leaving.", "state")
 	dutiesDesc    = newDesc("duties_held", "Control duties that this entry instance holds.")
 	instancesDesc = newDesc("instances", "Instances of all pools by state.", "state")
-
-	platformStates = []string{"up", "slow", "down"}
 )
 
 // Describe implements [prometheus.Collector].
 func (c *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, desc := range []*prometheus.Desc{
 		queuedDesc, runningDesc, freeDesc, endpointsDesc, heldDesc, usedDesc,
-		versionDesc, ageDesc, platformDesc, peersDesc, dutiesDesc, instancesDesc,
+		versionDesc, ageDesc, peersDesc, dutiesDesc, instancesDesc,
 	} {
 		ch <- desc
 	}
@@ -72,16 +69,6 @@
 			gauge(ageDesc, stats.Age.Seconds())
 		}
 	}
-	if c.sources.Platform != nil {
-		current := c.sources.Platform()
-		for _, state := range platformStates {
-			value := 0.0
-			if state == current {
-				value = 1
-			}
-			gauge(platformDesc, value, state)
-		}
-	}
 	if c.sources.Peers != nil {
 		for state, n := range c.sources.Peers() {
 			gauge(peersDesc, float64(n), state)
