Run background work through one loop

Leases, allotments and three tasks of the entry instance each had a start, a stop and a timer of their own.

--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -14,13 +14,13 @@
 package allotment
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/common/loop"
 	"github.com/chivetiller/chivetiller/platform"
 )
 
@@ -59,11 +59,10 @@
 
 // Holder holds the parts of one entry instance.
 type Holder struct {
-	o      Options
-	logger hclog.Logger
-	wake   chan struct{}
-	cancel context.CancelFunc
-	done   chan struct{}
+	o       Options
+	logger  hclog.Logger
+	wake    chan struct{}
+	renewal *loop.Loop
 	// syncing is held by the one round that runs at a time.
 	syncing sync.Mutex
 
@@ -182,7 +181,9 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
-	return &Holder{o: o, logger: o.Logger.Named("allotment"), wake: make(chan struct{}, 1), teams: make(map[string]*account)}
+	h := &Holder{o: o, logger: o.Logger.Named("allotment"), wake: make(chan struct{}, 1), teams: make(map[string]*account)}
+	h.renewal = loop.New(loop.Jittered(o.Interval, h.wake, h.round))
+	return h
 }
 
 // SetLimits sets the upper limits of all teams as of a version of the configuration. An older version than the last is ignored.
--- a/allotment/sync.go
+++ b/allotment/sync.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,33 +32,18 @@
 	if err := h.Sync(ctx); err != nil {
 		h.logger.Warn("Allotments are not held yet.", "error", err)
 	}
-	run, cancel := context.WithCancel(context.Background())
-	h.cancel, h.done = cancel, make(chan struct{})
-	go h.run(run)
+	h.renewal.Start()
 	return nil
 }
 
-func (h *Holder) run(ctx context.Context) {
-	defer close(h.done)
-	for {
-		// The jitter keeps the renewals of entry instances that started together apart.
-		timer := time.NewTimer(h.o.Interval*3/4 + rand.N(h.o.Interval/2))
-		select {
-		case <-timer.C:
-		case <-h.wake:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		if ctx.Err() != nil {
-			return
-		}
-		if err := h.Sync(ctx); err != nil && ctx.Err() == nil {
-			h.logger.Debug("Allotments are not renewed.", "error", err)
-		}
-		select {
-		case <-time.After(minPause):
-		case <-ctx.Done():
-		}
+// round does one round, and waits a little so that denied requests do not cause one round after the other.
+func (h *Holder) round(ctx context.Context) {
+	if err := h.Sync(ctx); err != nil && ctx.Err() == nil {
+		h.logger.Debug("Allotments are not renewed.", "error", err)
+	}
+	select {
+	case <-time.After(minPause):
+	case <-ctx.Done():
 	}
 }
 
@@ -68,10 +52,7 @@
 	h.mu.Lock()
 	h.stopping = true
 	h.mu.Unlock()
-	if h.cancel != nil {
-		h.cancel()
-		<-h.done
-	}
+	h.renewal.Stop()
 	// Peers that take what is returned can conflict with the return of the rest.
 	_, err := backoff.Retry(ctx, func() (struct{}, error) { return struct{}{}, h.Sync(ctx) },
 		backoff.WithBackOff(backoff.NewExponentialBackOff()), backoff.WithMaxTries(stopTries))
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -5,13 +5,13 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/burn"
+	"github.com/chivetiller/chivetiller/common/loop"
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/metrics"
@@ -27,36 +27,22 @@
 	a.entry.leases.SetLimit((len(a.entry.duties) + members - 1) / members)
 }
 
-// applier puts each version of the configuration in force in the other services, and reports load to peers.
-type applier struct {
-	entry  *Entry
-	cancel context.CancelFunc
-	done   sync.WaitGroup
-}
-
-func newApplier(e *Entry) *applier { return &applier{entry: e} }
-
-func (a *applier) service() kernel.Service {
+// loopService returns a service that runs a loop between its start and its stop.
+func loopService(name string, value any, l *loop.Loop, needs ...string) kernel.Service {
 	return kernel.Service{
-		Name:  serviceApply,
-		Value: a,
-		Needs: []string{serviceConfig, serviceAllotment, serviceDispatch, serviceDirectory},
-		Start: a.start,
-		Stop:  a.stop,
+		Name: name, Value: value, Needs: needs,
+		Start: func(context.Context) error { l.Start(); return nil },
+		Stop:  func(context.Context) error { l.Stop(); return nil },
 	}
 }
 
-func (a *applier) start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	a.cancel = cancel
-	a.done.Go(func() { a.run(ctx) })
-	return nil
-}
+// applier puts each version of the configuration in force in the other services, and reports load to peers.
+type applier struct{ entry *Entry }
 
-func (a *applier) stop(context.Context) error {
-	a.cancel()
-	a.done.Wait()
-	return nil
+func newApplier(e *Entry) *applier { return &applier{entry: e} }
+
+func (a *applier) service() kernel.Service {
+	return loopService(serviceApply, a, loop.New(a.run), serviceConfig, serviceAllotment, serviceDispatch, serviceDirectory)
 }
 
 func (a *applier) run(ctx context.Context) {
@@ -105,45 +91,31 @@
 
 // burnWriter stores the burn history each minute and at the end.
 type burnWriter struct {
-	entry  *Entry
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	entry *Entry
+	loop  *loop.Loop
 	// pending holds parts that could not be stored, by name, so that a later write brings them.
 	pending map[string]burn.Part
 }
 
 func newBurnWriter(e *Entry) *burnWriter {
-	return &burnWriter{entry: e, pending: make(map[string]burn.Part)}
+	b := &burnWriter{entry: e, pending: make(map[string]burn.Part)}
+	b.loop = loop.New(loop.Every(burnInterval, func(ctx context.Context) {
+		if err := b.write(ctx); err != nil {
+			e.logger.Warn("Burn history is not stored; it is stored later.", "error", err)
+		}
+	}))
+	return b
 }
 
 func (b *burnWriter) service() kernel.Service {
-	return kernel.Service{Name: serviceBurn, Value: b, Start: b.start, Stop: b.stop}
-}
-
-func (b *burnWriter) start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	b.cancel = cancel
-	b.done.Go(func() {
-		ticker := time.NewTicker(burnInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-				if err := b.write(ctx); err != nil {
-					b.entry.logger.Warn("Burn history is not stored; it is stored later.", "error", err)
-				}
-			case <-ctx.Done():
-				return
-			}
-		}
-	})
-	return nil
+	s := loopService(serviceBurn, b, b.loop)
+	s.Stop = b.stop
+	return s
 }
 
 // stop stores the last part. Its loss is logged and does not make the stop fail.
 func (b *burnWriter) stop(ctx context.Context) error {
-	b.cancel()
-	b.done.Wait()
+	b.loop.Stop()
 	if err := b.write(ctx); err != nil {
 		b.entry.logger.Warn("The last part of the burn history is lost.", "error", err)
 	}
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
+	"github.com/chivetiller/chivetiller/common/loop"
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/peer"
 	"github.com/chivetiller/chivetiller/queue"
@@ -44,8 +44,6 @@
 type usageSharer struct {
 	entry   *Entry
 	limiter *rate.Limiter
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
 	// known holds the peers that were alive in the last round.
 	known map[string]bool
 }
@@ -55,31 +53,7 @@
 }
 
 func (u *usageSharer) service() kernel.Service {
-	return kernel.Service{Name: serviceUsage, Value: u, Start: u.start, Stop: u.stop, Needs: []string{servicePeers, serviceDispatch}}
-}
-
-func (u *usageSharer) start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	u.cancel = cancel
-	u.done.Go(func() {
-		ticker := time.NewTicker(usageInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-				u.share(ctx)
-			case <-ctx.Done():
-				return
-			}
-		}
-	})
-	return nil
-}
-
-func (u *usageSharer) stop(context.Context) error {
-	u.cancel()
-	u.done.Wait()
-	return nil
+	return loopService(serviceUsage, u, loop.New(loop.Every(usageInterval, u.share)), servicePeers, serviceDispatch)
 }
 
 // share sends one round to all peers that are alive.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -12,7 +12,6 @@
 package lease
 
 import (
-	"context"
 	"encoding/json"
 	"slices"
 	"sync"
@@ -21,6 +20,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"github.com/chivetiller/chivetiller/common/loop"
 	"github.com/chivetiller/chivetiller/platform"
 )
 
@@ -96,10 +96,9 @@
 
 // Manager acquires and renews the leases of one process.
 type Manager struct {
-	o      Options
-	logger hclog.Logger
-	cancel context.CancelFunc
-	done   chan struct{}
+	o       Options
+	logger  hclog.Logger
+	renewal *loop.Loop
 	// syncing is held by the one round that runs at a time.
 	syncing sync.Mutex
 
@@ -141,6 +140,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	m := &Manager{o: o, logger: o.Logger.Named("lease"), limit: len(o.Duties), duties: make(map[string]*duty)}
+	m.renewal = loop.New(loop.Jittered(o.Interval, nil, m.round))
 	for _, name := range o.Duties {
 		m.duties[name] = &duty{name: name, sent: make(map[uint64]time.Time)}
 	}
--- a/lease/sync.go
+++ b/lease/sync.go
@@ -17,26 +17,13 @@
 	if err := m.Sync(ctx); err != nil {
 		m.logger.Warn("Leases are not read yet.", "error", err)
 	}
-	run, cancel := context.WithCancel(context.Background())
-	m.cancel, m.done = cancel, make(chan struct{})
-	go m.run(run)
+	m.renewal.Start()
 	return nil
 }
 
-func (m *Manager) run(ctx context.Context) {
-	defer close(m.done)
-	for {
-		// The jitter keeps contenders that started together apart.
-		timer := time.NewTimer(m.o.Interval*3/4 + rand.N(m.o.Interval/2))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		}
-		if err := m.Sync(ctx); err != nil && ctx.Err() == nil {
-			m.logger.Debug("Leases are not renewed.", "error", err)
-		}
+func (m *Manager) round(ctx context.Context) {
+	if err := m.Sync(ctx); err != nil && ctx.Err() == nil {
+		m.logger.Debug("Leases are not renewed.", "error", err)
 	}
 }
 
@@ -45,10 +32,7 @@
 	m.mu.Lock()
 	m.stopping = true
 	m.mu.Unlock()
-	if m.cancel != nil {
-		m.cancel()
-		<-m.done
-	}
+	m.renewal.Stop()
 	return m.Sync(ctx)
 }
 
