--- a/commands/apply.go
+++ b/commands/apply.go
@@ -13,7 +13,7 @@
 
 func newApplyCommand() *cobra.Command {
 	var (
-		flags   fleetFlags
+		flags   operatorFlags
 		request operator.ApplyRequest
 		deletes []string
 	)
@@ -50,7 +50,7 @@
 }
 
 // runApply checks the documents here, so that faults are found without an entry instance, and sends them.
-func runApply(cmd *cobra.Command, flags *fleetFlags, request operator.ApplyRequest) error {
+func runApply(cmd *cobra.Command, flags *operatorFlags, request operator.ApplyRequest) error {
 	if _, _, err := config.Decode(request.Files...); err != nil {
 		return newUsageError(err)
 	}
--- a/commands/class.go
+++ b/commands/class.go
@@ -10,7 +10,7 @@
 )
 
 func newClassCommand() *cobra.Command {
-	var flags fleetFlags
+	var flags operatorFlags
 	cmd := &cobra.Command{
 		Use:   "class",
 		Short: "Show classes of work",
--- a/commands/client.go
+++ b/commands/client.go
@@ -15,7 +15,7 @@
 )
 
 // client returns a client of the operator API for the flags.
-func (f *fleetFlags) client() (*operator.Client, error) {
+func (f *operatorFlags) client() (*operator.Client, error) {
 	f.complete()
 	if f.output != "table" && f.output != "json" {
 		return nil, newUsageError(eris.Errorf("output %q is neither table nor json", f.output))
@@ -42,7 +42,7 @@
 }
 
 // printChange writes the outcome of a change.
-func printChange(cmd *cobra.Command, flags *fleetFlags, change operator.Change, dryRun bool) error {
+func printChange(cmd *cobra.Command, flags *operatorFlags, change operator.Change, dryRun bool) error {
 	if flags.output == "json" {
 		return flags.print(cmd, change, nil, nil)
 	}
@@ -66,7 +66,7 @@
 }
 
 // newListCommand returns a command that lists the documents of a kind.
-func newListCommand(flags *fleetFlags, kind config.Kind, header []string, row func(spec any) []string) *cobra.Command {
+func newListCommand(flags *operatorFlags, kind config.Kind, header []string, row func(spec any) []string) *cobra.Command {
 	return &cobra.Command{
 		Use:     "list",
 		Short:   "List the documents of the kind",
@@ -79,7 +79,7 @@
 }
 
 // newShowCommand returns a command that writes one document as YAML, in the form that apply reads.
-func newShowCommand(flags *fleetFlags, kind config.Kind) *cobra.Command {
+func newShowCommand(flags *operatorFlags, kind config.Kind) *cobra.Command {
 	return &cobra.Command{
 		Use:     "show NAME",
 		Short:   "Print one document as YAML, in the form that apply reads",
@@ -108,7 +108,7 @@
 }
 
 // newDeleteCommand returns a command that deletes one document.
-func newDeleteCommand(flags *fleetFlags, kind config.Kind) *cobra.Command {
+func newDeleteCommand(flags *operatorFlags, kind config.Kind) *cobra.Command {
 	var dryRun bool
 	cmd := &cobra.Command{
 		Use:     "delete NAME",
@@ -133,7 +133,7 @@
 	return cmd
 }
 
-func printDocuments(cmd *cobra.Command, flags *fleetFlags, kind config.Kind, name string, header []string, row func(spec any) []string) error {
+func printDocuments(cmd *cobra.Command, flags *operatorFlags, kind config.Kind, name string, header []string, row func(spec any) []string) error {
 	client, err := flags.client()
 	if err != nil {
 		return err
--- a/commands/config.go
+++ b/commands/config.go
@@ -12,7 +12,7 @@
 )
 
 func newConfigCommand() *cobra.Command {
-	var flags fleetFlags
+	var flags operatorFlags
 	cmd := &cobra.Command{
 		Use:   "config",
 		Short: "Export, import and follow the configuration",
@@ -22,7 +22,7 @@
 	return cmd
 }
 
-func newConfigExportCommand(flags *fleetFlags) *cobra.Command {
+func newConfigExportCommand(flags *operatorFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:     "export",
 		Short:   "Print the whole configuration as YAML, with the hashes of keys",
@@ -43,7 +43,7 @@
 	}
 }
 
-func newConfigImportCommand(flags *fleetFlags) *cobra.Command {
+func newConfigImportCommand(flags *operatorFlags) *cobra.Command {
 	var request operator.ApplyRequest
 	cmd := &cobra.Command{
 		Use:   "import FILE",
@@ -66,7 +66,7 @@
 	return cmd
 }
 
-func newConfigHistoryCommand(flags *fleetFlags) *cobra.Command {
+func newConfigHistoryCommand(flags *operatorFlags) *cobra.Command {
 	var (
 		before uint64
 		limit  int
@@ -104,7 +104,7 @@
 	return cmd
 }
 
-func newConfigStatusCommand(flags *fleetFlags) *cobra.Command {
+func newConfigStatusCommand(flags *operatorFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:     "status",
 		Short:   "Show which version each entry instance has",
--- a/commands/instance.go
+++ b/commands/instance.go
@@ -14,14 +14,14 @@
 const instancesPath = "/operator/instances"
 
 func newInstanceCommand() *cobra.Command {
-	var flags fleetFlags
+	var flags operatorFlags
 	cmd := &cobra.Command{Use: "instance", Short: "Show instances and change their pools"}
 	flags.add(cmd)
 	cmd.AddCommand(newInstanceListCommand(&flags), newInstanceAssignCommand(&flags), newInstanceRemoveCommand(&flags))
 	return cmd
 }
 
-func newInstanceListCommand(flags *fleetFlags) *cobra.Command {
+func newInstanceListCommand(flags *operatorFlags) *cobra.Command {
 	var name string
 	cmd := &cobra.Command{
 		Use:     "list",
@@ -47,7 +47,7 @@
 	return cmd
 }
 
-func newInstanceAssignCommand(flags *fleetFlags) *cobra.Command {
+func newInstanceAssignCommand(flags *operatorFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:     "assign ID POOL",
 		Short:   "Put an instance into a pool for good",
@@ -66,7 +66,7 @@
 	}
 }
 
-func newInstanceRemoveCommand(flags *fleetFlags) *cobra.Command {
+func newInstanceRemoveCommand(flags *operatorFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:     "remove ID",
 		Short:   "Forget an instance that the platform no longer has",
--- a/commands/job.go
+++ b/commands/job.go
@@ -13,7 +13,7 @@
 const jobsPath = "/operator/jobs"
 
 func newJobCommand() *cobra.Command {
-	var flags fleetFlags
+	var flags operatorFlags
 	cmd := &cobra.Command{Use: "job", Short: "Submit, show and cancel jobs"}
 	flags.add(cmd)
 	cmd.AddCommand(newJobSubmitCommand(&flags), newJobListCommand(&flags))
@@ -38,7 +38,7 @@
 	return cmd
 }
 
-func newJobSubmitCommand(flags *fleetFlags) *cobra.Command {
+func newJobSubmitCommand(flags *operatorFlags) *cobra.Command {
 	var spec job.Spec
 	var file string
 	cmd := &cobra.Command{
@@ -71,7 +71,7 @@
 	return cmd
 }
 
-func newJobListCommand(flags *fleetFlags) *cobra.Command {
+func newJobListCommand(flags *operatorFlags) *cobra.Command {
 	var dataCentre string
 	cmd := &cobra.Command{
 		Use:     "list",
@@ -90,7 +90,7 @@
 	return cmd
 }
 
-func printJobs(cmd *cobra.Command, flags *fleetFlags, value any, jobs ...job.Job) error {
+func printJobs(cmd *cobra.Command, flags *operatorFlags, value any, jobs ...job.Job) error {
 	rows := make([][]string, 0, len(jobs))
 	for _, j := range jobs {
 		rows = append(rows, []string{j.ID, j.Spec.Kind, j.Spec.Team, string(j.State), strconv.Itoa(j.Attempt), orDash(j.Worker), orDash(j.Reason)})
--- a/commands/key.go
+++ b/commands/key.go
@@ -11,7 +11,7 @@
 )
 
 func newKeyCommand() *cobra.Command {
-	var flags fleetFlags
+	var flags operatorFlags
 	cmd := &cobra.Command{
 		Use:   "key",
 		Short: "Issue and withdraw operator keys",
@@ -32,7 +32,7 @@
 
 // newKeyCreateCommand returns a command that issues a key. The key is printed on the standard output, alone on its
 // line, and all else on the standard error, so that it can be redirected into a file.
-func newKeyCreateCommand(flags *fleetFlags, argument, short, example string,
+func newKeyCreateCommand(flags *operatorFlags, argument, short, example string,
 	create func(c *operator.Client, ctx context.Context, name string) (string, operator.Change, error)) *cobra.Command {
 	return &cobra.Command{
 		Use:     "create " + argument,
--- a/commands/fleetapi.go
+++ b/commands/operatorflags.go
@@ -20,8 +20,8 @@
 	"github.com/chivetiller/chivetiller/common/problem"
 )
 
-// fleetTimeout bounds one request to the operator API.
-const fleetTimeout = 30 * time.Second
+// operatorTimeout bounds one request to the operator API.
+const operatorTimeout = 30 * time.Second
 
 // Environment variables that stand in for flags.
 const (
@@ -30,15 +30,15 @@
 	defaultOperator  = "http://127.0.0.1:8081"
 )
 
-// fleetFlags are the flags of commands that are clients of the operator API.
-type fleetFlags struct {
+// operatorFlags are the flags of commands that are clients of the operator API.
+type operatorFlags struct {
 	operator string
 	keyFile  string
 	output   string
 }
 
 // add defines the flags for a command and those below it.
-func (f *fleetFlags) add(cmd *cobra.Command) {
+func (f *operatorFlags) add(cmd *cobra.Command) {
 	flags := cmd.PersistentFlags()
 	flags.StringVar(&f.operator, "operator", "", "URL of the operator API of any entry instance (default $"+operatorVariable+" or "+defaultOperator+")")
 	flags.StringVar(&f.keyFile, "key-file", "", "file with the operator key (default $"+keyFileVariable+")")
@@ -46,13 +46,13 @@
 }
 
 // complete takes what the flags do not say from the environment.
-func (f *fleetFlags) complete() {
+func (f *operatorFlags) complete() {
 	f.operator = cmp.Or(f.operator, os.Getenv(operatorVariable), defaultOperator)
 	f.keyFile = cmp.Or(f.keyFile, os.Getenv(keyFileVariable))
 }
 
 // call sends a request with in as JSON and decodes the response into out. In and out may be nil.
-func (f *fleetFlags) call(cmd *cobra.Command, method, path string, in, out any) error {
+func (f *operatorFlags) call(cmd *cobra.Command, method, path string, in, out any) error {
 	f.complete()
 	if f.output != "table" && f.output != "json" {
 		return newUsageError(eris.Errorf("output %q is neither table nor json", f.output))
@@ -81,7 +81,7 @@
 		}
 		req.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(key)))
 	}
-	resp, err := (&http.Client{Timeout: fleetTimeout}).Do(req)
+	resp, err := (&http.Client{Timeout: operatorTimeout}).Do(req)
 	if err != nil {
 		return err
 	}
@@ -113,7 +113,7 @@
 }
 
 // print writes value as JSON, or the rows as a table.
-func (f *fleetFlags) print(cmd *cobra.Command, value any, header []string, rows [][]string) error {
+func (f *operatorFlags) print(cmd *cobra.Command, value any, header []string, rows [][]string) error {
 	if f.output == "json" {
 		encoder := json.NewEncoder(cmd.OutOrStdout())
 		encoder.SetIndent("", "  ")
--- a/commands/pool.go
+++ b/commands/pool.go
@@ -10,7 +10,7 @@
 )
 
 func newPoolCommand() *cobra.Command {
-	var flags fleetFlags
+	var flags operatorFlags
 	cmd := &cobra.Command{
 		Use:   "pool",
 		Short: "Show pools of instances",
--- a/commands/report.go
+++ b/commands/report.go
@@ -22,7 +22,7 @@
 }
 
 func newReportBurnCommand() *cobra.Command {
-	var flags fleetFlags
+	var flags operatorFlags
 	var format string
 	cmd := &cobra.Command{
 		Use:   "burn",
--- a/commands/status.go
+++ b/commands/status.go
@@ -17,7 +17,7 @@
 )
 
 func newStatusCommand() *cobra.Command {
-	var flags fleetFlags
+	var flags operatorFlags
 	var all bool
 	cmd := &cobra.Command{
 		Use:   "status",
@@ -34,7 +34,7 @@
 }
 
 func newTopCommand() *cobra.Command {
-	var flags fleetFlags
+	var flags operatorFlags
 	var interval time.Duration
 	var count int
 	cmd := &cobra.Command{
@@ -68,7 +68,7 @@
 	return cmd
 }
 
-func printStatus(cmd *cobra.Command, flags *fleetFlags, all bool) error {
+func printStatus(cmd *cobra.Command, flags *operatorFlags, all bool) error {
 	var report status.Report
 	if err := flags.call(cmd, http.MethodGet, statusPath, nil, &report); err != nil {
 		return err
--- a/commands/team.go
+++ b/commands/team.go
@@ -11,7 +11,7 @@
 )
 
 func newTeamCommand() *cobra.Command {
-	var flags fleetFlags
+	var flags operatorFlags
 	cmd := &cobra.Command{
 		Use:   "team",
 		Short: "Show teams, and issue and withdraw their keys",
@@ -25,7 +25,7 @@
 	return cmd
 }
 
-func newTeamKeyCommand(flags *fleetFlags) *cobra.Command {
+func newTeamKeyCommand(flags *operatorFlags) *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "key",
 		Short: "Issue and withdraw keys of a team",
--- a/commands/wave.go
+++ b/commands/wave.go
@@ -14,7 +14,7 @@
 const wavesPath = "/operator/waves"
 
 func newWaveCommand() *cobra.Command {
-	var flags fleetFlags
+	var flags operatorFlags
 	cmd := &cobra.Command{
 		Use:   "wave",
 		Short: "Run maintenance waves",
@@ -44,7 +44,7 @@
 	return cmd
 }
 
-func newWaveStartCommand(flags *fleetFlags) *cobra.Command {
+func newWaveStartCommand(flags *operatorFlags) *cobra.Command {
 	var spec wave.Spec
 	var file string
 	cmd := &cobra.Command{
@@ -76,7 +76,7 @@
 	return cmd
 }
 
-func newWaveListCommand(flags *fleetFlags) *cobra.Command {
+func newWaveListCommand(flags *operatorFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:     "list",
 		Short:   "List waves",
@@ -92,7 +92,7 @@
 	}
 }
 
-func newWaveShowCommand(flags *fleetFlags) *cobra.Command {
+func newWaveShowCommand(flags *operatorFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:     "show NAME",
 		Short:   "Show the progress of a wave in each pool",
@@ -120,7 +120,7 @@
 }
 
 // printWaves prints value as JSON, or one line for each wave with the sums over its pools.
-func printWaves(cmd *cobra.Command, flags *fleetFlags, value any, waves ...wave.Progress) error {
+func printWaves(cmd *cobra.Command, flags *operatorFlags, value any, waves ...wave.Progress) error {
 	rows := make([][]string, 0, len(waves))
 	for _, w := range waves {
 		var sum wave.PoolProgress
