Measure the latency at half load by windows

One pause of the machine spoils the 99th percentile of a whole phase, for the direct client too. The median over windows of 100 ms leaves pauses out.

--- a/caller/path_benchmark_test.go
+++ b/caller/path_benchmark_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,6 +21,7 @@
 	benchmarkEndpoints = 8
 	benchmarkWorkers   = 64
 	benchmarkTime      = 2 * time.Second
+	benchmarkWindow    = 100 * time.Millisecond
 )
 
 // BenchmarkPath measures requests a second and latencies through one entry instance beside the same client that
@@ -48,6 +50,9 @@
 		b.ReportMetric(directHalf.quantile(99), "direct-half-p99-us")
 		b.ReportMetric(throughHalf.quantile(99), "entry-half-p99-us")
 		b.ReportMetric(1.5*directHalf.quantile(99)+500, "half-p99-bound-us")
+		b.ReportMetric(directHalf.medianQuantile(99), "direct-half-p99-median-us")
+		b.ReportMetric(throughHalf.medianQuantile(99), "entry-half-p99-median-us")
+		b.ReportMetric(1.5*directHalf.medianQuantile(99)+500, "half-p99-median-bound-us")
 		b.ReportMetric(directOwn.quantile(99), "direct-own-half-p99-us")
 		b.ReportMetric(directHalf.busy, "direct-half-busy")
 		b.ReportMetric(throughHalf.busy, "entry-half-busy")
@@ -64,6 +69,19 @@
 	// busy is the fraction of the processors of the Go scheduler that was in use.
 	busy    float64
 	latency *hdrhistogram.Histogram
+	// windows are the latencies of requests by the time when they were due.
+	windows []*hdrhistogram.Histogram
+}
+
+// medianQuantile returns the median over windows of a percentile in microseconds. A pause of the machine spoils
+// the windows that it hits and leaves the median as it is, for the direct client as for the path.
+func (m measured) medianQuantile(percent float64) float64 {
+	values := make([]float64, 0, len(m.windows))
+	for _, w := range m.windows {
+		values = append(values, float64(w.ValueAtQuantile(percent))/1e3)
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
 }
 
 // quantile returns a percentile of the latency in microseconds.
@@ -78,9 +96,18 @@
 	b.Helper()
 	const most = int64(10 * time.Second)
 	total := hdrhistogram.New(1, most, 2)
-	own := make([]*hdrhistogram.Histogram, benchmarkWorkers)
+	count := int(duration/benchmarkWindow) + 1
+	newWindows := func() []*hdrhistogram.Histogram {
+		windows := make([]*hdrhistogram.Histogram, count)
+		for i := range windows {
+			windows[i] = hdrhistogram.New(1, most, 2)
+		}
+		return windows
+	}
+	windows := newWindows()
+	own := make([][]*hdrhistogram.Histogram, benchmarkWorkers)
 	for worker := range own {
-		own[worker] = hdrhistogram.New(1, most, 2)
+		own[worker] = newWindows()
 	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -110,25 +137,30 @@
 					b.Error(err)
 					return
 				}
-				_ = own[worker].RecordValue(int64(time.Since(sent)))
+				_ = own[worker][int(sent.Sub(start)/benchmarkWindow)].RecordValue(int64(time.Since(sent)))
 				due = due.Add(interval)
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			total.Merge(own[worker])
+			for i, w := range own[worker] {
+				windows[i].Merge(w)
+				total.Merge(w)
+			}
 		})
 	}
 	wg.Wait()
 	elapsed := time.Since(start)
 	runtime.ReadMemStats(&after)
 	busy := (processorTime() - used).Seconds() / elapsed.Seconds() / float64(runtime.GOMAXPROCS(0))
-	count := float64(total.TotalCount())
+	requests := float64(total.TotalCount())
 	return measured{
-		rate:    count / elapsed.Seconds(),
-		bytes:   float64(after.TotalAlloc-before.TotalAlloc) / count,
-		allocs:  float64(after.Mallocs-before.Mallocs) / count,
+		rate:    requests / elapsed.Seconds(),
+		bytes:   float64(after.TotalAlloc-before.TotalAlloc) / requests,
+		allocs:  float64(after.Mallocs-before.Mallocs) / requests,
 		busy:    busy,
 		latency: total,
+		// The last window has few requests.
+		windows: windows[:count-1],
 	}
 }
 
