--- a/allotment/sync.go
+++ b/allotment/sync.go
@@ -9,6 +9,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/platform"
 )
@@ -144,7 +146,12 @@
 	// Versions never repeat, so that attempts on another version can no longer take effect.
 	a.attempts = slices.DeleteFunc(a.attempts, func(t attempt) bool { return t.checked != row.Version })
 	if !ok && a.held > 0 {
-		h.logger.Warn("Allotment was reclaimed by a peer.", "team", a.team, "amount", a.held)
+		// A holder that stops has returned the part itself.
+		level := hclog.Warn
+		if h.stopping {
+			level = hclog.Debug
+		}
+		h.logger.Log(level, "Allotment is no longer held.", "team", a.team, "amount", a.held)
 		a.generation++
 	}
 	a.held = own.Amount
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -22,9 +22,6 @@
 	mayHaveRun bool
 }
 
-// outcomeNone says nothing about an endpoint. The set records only the outcomes that it knows.
-const outcomeNone endpoint.Outcome = -1
-
 // result is the result of one attempt. Either response or problem is set.
 type result struct {
 	response *Response
@@ -119,7 +116,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			e.task.logger.Error("Attempt recovered from a panic.", "pool", e.task.pool, "request", r.ID, "panic", p)
-			res = result{problem: problem.Unknown(problem.Internal, "attempt failed inside the entry instance"), outcome: outcomeNone}
+			res = result{problem: problem.Unknown(problem.Internal, "attempt failed inside the entry instance"), outcome: endpoint.OutcomeNone}
 			reusable = nil
 			if conn != nil {
 				conn.Close()
@@ -139,7 +136,7 @@
 		c, err := e.dial(ctx, g)
 		if err != nil {
 			if ctx.Err() != nil {
-				return result{problem: problem.NotRun(problem.Cancelled, ""), outcome: outcomeNone, notRun: true}, nil
+				return result{problem: problem.NotRun(problem.Cancelled, ""), outcome: endpoint.OutcomeNone, notRun: true}, nil
 			}
 			return e.dialFailed(g, err), nil
 		}
@@ -233,10 +230,10 @@
 		if !errors.As(fault.Err, &p) {
 			p = problem.NotRun(problem.Internal, fault.Err.Error())
 		}
-		return result{problem: p, outcome: outcomeNone, notRun: true}
+		return result{problem: p, outcome: endpoint.OutcomeNone, notRun: true}
 	}
 	if fault.Kind == connection.FaultCancelled {
-		return result{problem: truth(fault.Sent, problem.Cancelled, ""), outcome: outcomeNone, notRun: !fault.Sent}
+		return result{problem: truth(fault.Sent, problem.Cancelled, ""), outcome: endpoint.OutcomeNone, notRun: !fault.Sent}
 	}
 	e.logFault(g, fault.Kind, fault.Sent, fault.Err)
 	kind, detail := problem.EndpointFailed, "endpoint sent no complete response: "+string(fault.Kind)
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -61,6 +61,8 @@
 	OutcomeNotRun
 	// OutcomeRefused means that the endpoint did not accept the connection.
 	OutcomeRefused
+	// OutcomeNone says nothing about the endpoint: the attempt was given up or never began.
+	OutcomeNone
 )
 
 // Options are the settings of a set. A zero field takes its default.
