--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -91,6 +91,22 @@
 	qt.Assert(t, len(objects), qt.Equals, 1)
 }
 
+// TestOpen guards against requests of the present minute that a status leaves out or counts twice.
+func TestOpen(t *testing.T) {
+	r := burn.NewRecorder("one-1", 1, noon)
+	r.Record("quote", "workshops", burn.Met)
+	stored := r.Cut(noon)
+	r.Record("quote", "workshops", burn.Late)
+	for range 2 {
+		parts := append(stored[:len(stored):len(stored)], r.Open(noon.Add(time.Second)))
+		w := burn.NewReport(noon.Add(2*time.Second), map[string]float64{"quote": 0.9}, parts).Rows[0].Windows[0]
+		qt.Assert(t, []uint64{w.Met, w.Late}, qt.DeepEquals, []uint64{1, 1})
+	}
+	r.Record("quote", "workshops", burn.Late)
+	w := burn.NewReport(noon.Add(2*time.Second), map[string]float64{"quote": 0.9}, r.Cut(noon.Add(time.Second))).Rows[0].Windows[0]
+	qt.Assert(t, []uint64{w.Met, w.Late}, qt.DeepEquals, []uint64{1, 2})
+}
+
 // TestLoadBrokenObject guards against a report that leaves out a part it could not read without saying so.
 func TestLoadBrokenObject(t *testing.T) {
 	objects := newObjects()
--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -81,6 +81,27 @@
 func (r *Recorder) Cut(now time.Time) []Part {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	minute := r.open(now, func(key seriesKey, total [outcomes]uint64) { r.last[key] = total })
+	var parts []Part
+	if !r.part.Start.Equal(minute.Start.Truncate(partLength)) {
+		parts = append(parts, r.part.clone())
+		r.part = r.newPart(now)
+	}
+	r.part.add(minute)
+	return append(parts, r.part.clone())
+}
+
+// Open returns what was counted since the last Cut, as a part that is not to be stored.
+func (r *Recorder) Open(now time.Time) Part {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	part := r.newPart(now)
+	part.add(r.open(now, func(seriesKey, [outcomes]uint64) {}))
+	return part
+}
+
+// open returns the bucket of what was counted since the last Cut, and tells the new totals of what it holds.
+func (r *Recorder) open(now time.Time, counted func(key seriesKey, total [outcomes]uint64)) Minute {
 	minute := Minute{Start: now.UTC().Truncate(resolution)}
 	r.series.Range(func(key, value any) bool {
 		k := key.(seriesKey)
@@ -95,18 +116,12 @@
 			changed = changed || s.Counts[i] > 0
 		}
 		if changed {
-			r.last[k] = total
+			counted(k, total)
 			minute.Series = append(minute.Series, s)
 		}
 		return true
 	})
-	var parts []Part
-	if !r.part.Start.Equal(minute.Start.Truncate(partLength)) {
-		parts = append(parts, r.part.clone())
-		r.part = r.newPart(now)
-	}
-	r.part.add(minute)
-	return append(parts, r.part.clone())
+	return minute
 }
 
 func (r *Recorder) newPart(now time.Time) Part {
--- a/entry/operations.go
+++ b/entry/operations.go
@@ -194,6 +194,7 @@
 	if parts, err := burn.LoadWindow(ctx, e.history, in.Now, status.Window); err == nil {
 		in.Parts = parts
 	}
+	in.Parts = append(in.Parts, e.recorder.Open(in.Now))
 	return status.NewReport(in)
 }
 
