--- a/commands/failure_integration_test.go
+++ b/commands/failure_integration_test.go
@@ -135,11 +135,11 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			term := "2s"
+			o := rigOptions{term: 2 * time.Second, balancerWait: 100 * time.Millisecond}
 			if tt.withdrawnDuring {
-				term = "30s" // so that only the freshness of the configuration can stop keyed work
+				o.term = 30 * time.Second // so that only the freshness of the configuration can stop keyed work
 			}
-			r := newRig(t, term)
+			r := newRig(t, o)
 			loading, stopLoading := context.WithTimeout(t.Context(), loadTime)
 			defer stopLoading()
 			var load sync.WaitGroup
@@ -171,7 +171,39 @@
 	}
 }
 
-func newRig(t *testing.T, term string) *rig {
+// TestSecondSignal guards against a stop that cannot be cut short, or that hides that something was left.
+func TestSecondSignal(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	t.Parallel()
+	r := newRig(t, rigOptions{term: 2 * time.Second, balancerWait: time.Minute})
+	first := r.entries[0]
+	qt.Assert(t, first.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	// The instance is not ready any more, but still serves while the load balancer may send requests.
+	for n := 0; n < 200 && isReady(r.callers[0]); n++ {
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Assert(t, isReady(r.callers[0]), qt.IsFalse)
+	r.call(&http.Client{Timeout: 5 * time.Second}, r.callers[0], callResult{id: ident.New(), team: openTeam})
+	qt.Assert(t, r.results[0].status, qt.Equals, http.StatusOK)
+
+	begin := time.Now()
+	qt.Assert(t, first.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	err := first.Wait()
+	qt.Assert(t, time.Since(begin) < 20*time.Second, qt.IsTrue)
+	qt.Assert(t, err, qt.ErrorMatches, "exit status 1")
+	qt.Assert(t, strings.Contains(r.logs[0].String(), "Second signal received"), qt.IsTrue)
+}
+
+// rigOptions are settings of the entry instances.
+type rigOptions struct {
+	// term is that of allotments.
+	term         time.Duration
+	balancerWait time.Duration
+}
+
+func newRig(t *testing.T, o rigOptions) *rig {
 	r := &rig{keys: make(map[string]string), killed: make(map[int]bool)}
 	r.platform = platformstandin.New(platformstandin.Options{ListLag: 200 * time.Millisecond, ReportInterval: 100 * time.Millisecond})
 	server, err := platformstandin.Serve(r.platform, "127.0.0.1:0", hclog.NewNullLogger())
@@ -179,7 +211,7 @@
 	t.Cleanup(func() { _ = server.Stop(context.Background()) })
 	r.configure(t)
 	r.startEndpoints(t)
-	r.startEntries(t, server.Address(), term)
+	r.startEntries(t, server.Address(), o)
 	return r
 }
 
@@ -214,7 +246,7 @@
 	}
 }
 
-func (r *rig) startEntries(t *testing.T, platformAddress, term string) {
+func (r *rig) startEntries(t *testing.T, platformAddress string, o rigOptions) {
 	dir := t.TempDir()
 	authority, err := devcert.NewAuthority()
 	qt.Assert(t, err, qt.IsNil)
@@ -230,9 +262,9 @@
 membership: {heartbeat: 200ms}
 keys: {freshness: %[7]s}
 allotments: {term: %[8]s}
-stop: {balancerWait: 100ms}
+stop: {balancerWait: %[9]s}
 log: {level: debug}
-`, dataCentre, callers, platformAddress, files.Authority, files.Certificate, files.Key, keyFreshness, term)
+`, dataCentre, callers, platformAddress, files.Authority, files.Certificate, files.Key, keyFreshness, o.term, o.balancerWait)
 		path := filepath.Join(dir, dataCentre+".yaml")
 		qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
 		cmd := exec.Command("chivetiller", "entry", "--settings", path)
@@ -264,18 +296,23 @@
 func waitReady(t *testing.T, address string) {
 	deadline := time.Now().Add(20 * time.Second)
 	for time.Now().Before(deadline) {
-		response, err := http.Get("http://" + address + "/ready")
-		if err == nil {
-			response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return
-			}
+		if isReady(address) {
+			return
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	t.Fatalf("entry instance at %s did not become ready", address)
 }
 
+func isReady(address string) bool {
+	response, err := http.Get("http://" + address + "/ready")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // load sends requests of both teams beyond their limits, and open ones, to all entry instances in turn.
 func (r *rig) load(ctx context.Context) {
 	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
