Add models of the four promises about the fleet

availabilityBudget, onePool, leaving and gracefulStop had no model that a history could break. Each has one now, with broken histories that it has to reject.

--- a/history/history_test.go
+++ b/history/history_test.go
@@ -35,6 +35,20 @@
 	end := func(team, id string) func(*history.Recorder) { return op(history.RunEnd{Team: team, ID: id}, nil) }
 	limits := history.UpperLimit(map[string]int{"a": 2, "b": 1})
 	withdrawal := history.KeyWithdrawal(2 * time.Second)
+	budget, leaving := history.AvailabilityBudget(map[string]int{"p": 2, "q": 1}), history.Leaving(3*time.Second)
+	stop := func(pool, id string) func(*history.Recorder) {
+		return op(history.PlannedStop{Pool: pool, Instance: id}, nil)
+	}
+	fail := op(history.Failure{Pool: "p", Instance: "x"}, nil)
+	back := op(history.Return{Pool: "p", Instance: "a"}, nil)
+	join := func(pool string) func(*history.Recorder) {
+		return op(history.Join{Instance: "i", Pool: pool}, nil)
+	}
+	part := func(pool string) func(*history.Recorder) {
+		return op(history.Part{Instance: "i", Pool: pool}, nil)
+	}
+	work, done := op(history.WorkBegin{Endpoint: "e", ID: "1"}, nil), op(history.WorkEnd{Endpoint: "e", ID: "1"}, nil)
+	shutdown := op(history.Shutdown{Endpoint: "e"}, nil)
 	tests := map[string]struct {
 		model  history.Model
 		steps  steps
@@ -72,6 +86,28 @@
 		"token used again":       {model: history.Fencing(), steps: steps{op(history.TakeOver{Duty: "d"}, v(1)), op(history.TakeOver{Duty: "d"}, v(1))}, broken: true},
 		"token never taken":      {model: history.Fencing(), steps: steps{op(history.TakeOver{Duty: "d"}, v(1)), op(history.FencedWrite{Duty: "d"}, v(2))}, broken: true},
 	}
+	for name, tt := range map[string]struct {
+		model  history.Model
+		steps  steps
+		broken bool
+	}{
+		"budget kept":               {model: budget, steps: steps{stop("p", "a"), stop("p", "b"), stop("q", "c"), back, stop("p", "d")}},
+		"budget exceeded":           {model: budget, steps: steps{stop("p", "a"), stop("p", "b"), stop("p", "c")}, broken: true},
+		"budget spent by a failure": {model: budget, steps: steps{fail, stop("p", "a"), stop("p", "b")}, broken: true},
+		"failures may exceed":       {model: budget, steps: steps{stop("p", "a"), stop("p", "b"), fail}},
+		"same stop twice":           {model: budget, steps: steps{stop("p", "a"), stop("p", "a"), stop("p", "b")}},
+		"moves":                     {model: history.OnePool(), steps: steps{join("p"), part("p"), join("q")}},
+		"in two pools":              {model: history.OnePool(), steps: steps{join("p"), join("q")}, broken: true},
+		"parts from another":        {model: history.OnePool(), steps: steps{join("p"), part("q")}, broken: true},
+		"work within bound":         {model: leaving, steps: steps{op(history.Leave{Endpoint: "e"}, time.Second), op(history.Dispatch{Endpoint: "e"}, 4*time.Second), op(history.Arrive{Endpoint: "e"}, nil), op(history.Dispatch{Endpoint: "e"}, time.Hour)}},
+		"work after bound":          {model: leaving, steps: steps{op(history.Leave{Endpoint: "e"}, time.Second), op(history.Dispatch{Endpoint: "e"}, 4*time.Second+1)}, broken: true},
+		"announced again":           {model: leaving, steps: steps{op(history.Leave{Endpoint: "e"}, time.Second), op(history.Leave{Endpoint: "e"}, time.Hour), op(history.Dispatch{Endpoint: "e"}, time.Hour)}, broken: true},
+		"stop after the work":       {model: history.GracefulStop(), steps: steps{work, done, shutdown, work}},
+		"stop during the work":      {model: history.GracefulStop(), steps: steps{work, shutdown, done}, broken: true},
+		"end without a begin":       {model: history.GracefulStop(), steps: steps{done}, broken: true},
+	} {
+		tests[name] = tt
+	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			var r history.Recorder
