Run a maintenance wave in TestFailures and check its histories

A wave reboots all six endpoints while its holder is killed, or while the platform loses and repeats responses. The platform's drains and reboots and the runs of the endpoints are checked against the models of availabilityBudget, leaving and gracefulStop. The entry instances now choose their ports and the test reads them from the log.

--- a/commands/failure_integration_test.go
+++ b/commands/failure_integration_test.go
@@ -9,11 +9,11 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -54,11 +54,12 @@
 	platform  *platformstandin.Platform
 	endpoints []*standin.Endpoint
 	entries   []*exec.Cmd
-	logs      []*bytes.Buffer
+	logs      []*logBuffer
 	killed    map[int]bool
 	callers   []string
 	keys      map[string]string
 	withdrawn time.Time
+	machines  []*machine
 
 	mu      sync.Mutex
 	results []callResult
@@ -92,6 +93,8 @@
 		openWorks bool
 		// withdrawnDuring withdraws the key at the begin of the fault, so that entry instances cannot hear of it.
 		withdrawnDuring bool
+		// wave runs a maintenance wave from the start of the load on.
+		wave bool
 	}{
 		"no fault": {openWorks: true},
 		"entry instance killed": {
@@ -112,6 +115,17 @@
 			openWorks:       true,
 			withdrawnDuring: true,
 		},
+		"maintenance wave whose holder is killed": {
+			begin: func(r *rig) { r.kill(r.waveHolder()) },
+			wave:  true,
+		},
+		"maintenance wave while the platform loses and repeats": {
+			begin: func(r *rig) {
+				r.platform.SetFaults(platformstandin.Faults{LoseResponse: 0.2, Late: 0.1, Duplicate: 0.2, LateBy: 300 * time.Millisecond})
+			},
+			end:  func(r *rig) { r.platform.SetFaults(platformstandin.Faults{}) },
+			wave: true,
+		},
 		"platform loses and repeats": {
 			begin: func(r *rig) {
 				r.platform.SetFaults(platformstandin.Faults{LoseResponse: 0.2, Late: 0.1, Duplicate: 0.2, LateBy: 300 * time.Millisecond})
@@ -145,6 +159,9 @@
 			var load sync.WaitGroup
 			load.Go(func() { r.load(loading) })
 			start := time.Now()
+			if tt.wave {
+				r.startWave(t)
+			}
 			time.Sleep(faultAt)
 			if tt.begin != nil {
 				tt.begin(r)
@@ -164,6 +181,9 @@
 			load.Wait()
 			r.stop(t)
 			r.check(t)
+			if tt.wave {
+				r.checkWave(t)
+			}
 			if tt.openWorks {
 				r.checkOpen(t, fault, fault.Add(faultTime))
 			}
@@ -239,7 +259,9 @@
 		qt.Assert(t, e.Start(t.Context()), qt.IsNil)
 		t.Cleanup(func() { _ = e.Crash() })
 		listed.Address = e.Address()
-		qt.Assert(t, r.platform.Instances().Add(listed, standin.NewMachine(e, 100*time.Millisecond)), qt.IsNil)
+		m := &machine{Machine: standin.NewMachine(e, 100*time.Millisecond), id: listed.ID, endpoint: e}
+		r.machines = append(r.machines, m)
+		qt.Assert(t, r.platform.Instances().Add(listed, m), qt.IsNil)
 		_, err := rows.Adopt(t.Context(), time.Now(), listed, "desk")
 		qt.Assert(t, err, qt.IsNil)
 		r.endpoints = append(r.endpoints, e)
@@ -253,22 +275,22 @@
 	for _, dataCentre := range []string{"north", "south", "harbour"} {
 		files, err := authority.Write(dir, dataCentre, time.Hour)
 		qt.Assert(t, err, qt.IsNil)
-		callers := freeAddress(t)
 		text := fmt.Sprintf(`name: %[1]s
 dataCentre: %[1]s
-listen: {callers: '%[2]s', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}
-platform: {url: 'http://%[3]s', timeout: 1s, writesPerSecond: 100, readsPerSecond: 600}
-certificates: {authority: %[4]q, certificate: %[5]q, key: %[6]q}
+listen: {callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}
+platform: {url: 'http://%[2]s', timeout: 1s, writesPerSecond: 100, readsPerSecond: 600}
+certificates: {authority: %[3]q, certificate: %[4]q, key: %[5]q}
 membership: {heartbeat: 200ms}
-keys: {freshness: %[7]s}
-allotments: {term: %[8]s}
-stop: {balancerWait: %[9]s}
+keys: {freshness: %[6]s}
+allotments: {term: %[7]s}
+waves: {lease: 2s, interval: 100ms}
+stop: {balancerWait: %[8]s}
 log: {level: debug}
-`, dataCentre, callers, platformAddress, files.Authority, files.Certificate, files.Key, keyFreshness, o.term, o.balancerWait)
+`, dataCentre, platformAddress, files.Authority, files.Certificate, files.Key, keyFreshness, o.term, o.balancerWait)
 		path := filepath.Join(dir, dataCentre+".yaml")
 		qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
 		cmd := exec.Command("chivetiller", "entry", "--settings", path)
-		output := new(bytes.Buffer)
+		output := new(logBuffer)
 		cmd.Stderr = output
 		qt.Assert(t, cmd.Start(), qt.IsNil)
 		t.Cleanup(func() {
@@ -279,18 +301,48 @@
 		})
 		r.entries = append(r.entries, cmd)
 		r.logs = append(r.logs, output)
-		r.callers = append(r.callers, callers)
+	}
+	for _, log := range r.logs {
+		r.callers = append(r.callers, log.callers(t))
 	}
 	for _, address := range r.callers {
 		waitReady(t, address)
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
+// logBuffer holds the log of a process while it runs.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements [io.Writer].
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns the log so far.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+var callersPattern = regexp.MustCompile(`Entry instance started.*callers=([0-9.:]+)`)
+
+// callers waits for the address that the process has chosen. A port that the test chooses could be taken by another process.
+func (b *logBuffer) callers(t *testing.T) string {
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		if match := callersPattern.FindStringSubmatch(b.String()); match != nil {
+			return match[1]
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("entry instance did not start:\n%s", lastLines(b.String()))
+	return ""
 }
 
 func waitReady(t *testing.T, address string) {
--- /dev/null
+++ b/commands/failure_wave_test.go
@@ -0,0 +1,133 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/duty"
+	"github.com/chivetiller/chivetiller/history"
+	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/standin"
+	"github.com/chivetiller/chivetiller/wave"
+)
+
+const (
+	// leavingBound is how long after its drain an endpoint may get new work.
+	leavingBound = 3 * time.Second
+	// deskBudget is half of the six instances.
+	deskBudget = 3
+)
+
+// machine records what the platform does with an endpoint.
+type machine struct {
+	*standin.Machine
+	id       string
+	endpoint *standin.Endpoint
+
+	mu     sync.Mutex
+	events []machineEvent
+}
+
+// machineEvent is a drain, or a reboot from its begin to its end.
+type machineEvent struct {
+	drain     bool
+	at, ended time.Time
+}
+
+// Drain records a drain.
+func (m *machine) Drain() {
+	m.add(machineEvent{drain: true, at: time.Now()})
+	m.Machine.Drain()
+}
+
+// Reboot records a reboot.
+func (m *machine) Reboot(incarnation uint64) error {
+	at := time.Now()
+	err := m.Machine.Reboot(incarnation)
+	m.add(machineEvent{at: at, ended: time.Now()})
+	return err
+}
+
+func (m *machine) add(e machineEvent) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.events = append(m.events, e)
+}
+
+func (r *rig) startWave(t *testing.T) {
+	table := r.platform.Table()
+	rows, err := pool.NewStore(table).List(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	p, err := pool.New(pool.Spec{Name: "desk", MaxUnavailable: "50%"})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = wave.NewStore(table).Create(t.Context(), wave.Spec{Name: "kernel", Notice: "500ms"}, time.Now(), []pool.Pool{p}, rows)
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// waveHolder returns the entry instance that holds the duty of the pool.
+func (r *rig) waveHolder() int {
+	names := []string{"north", "south", "harbour"}
+	for i, name := range names {
+		if holder := leaseHolder(r.platform.Table(), duty.ShardOf("desk")); len(holder) > len(name) && holder[:len(name)] == name {
+			return i
+		}
+	}
+	return 0
+}
+
+// leaseHolder returns the process that holds a duty, or nothing.
+func leaseHolder(table platform.Table, name string) string {
+	rows, err := table.Read(context.Background(), "lease/"+name)
+	if err != nil || len(rows) == 0 {
+		return ""
+	}
+	var row struct {
+		Holder string `json:"holder"`
+	}
+	if json.Unmarshal(rows[0].Value, &row) != nil {
+		return ""
+	}
+	return row.Holder
+}
+
+// checkWave checks what the platform did with the endpoints as histories of the promises about planned stops.
+func (r *rig) checkWave(t *testing.T) {
+	o := &operations{start: r.results[0].at.Add(-time.Minute)}
+	reboots := 0
+	for _, m := range r.machines {
+		m.mu.Lock()
+		events := m.events
+		m.mu.Unlock()
+		for _, e := range events {
+			if e.drain {
+				o.add(history.PlannedStop{Pool: "desk", Instance: m.id}, nil, e.at, e.at)
+				o.add(history.Leave{Endpoint: m.id}, e.at.Sub(o.start), e.at, e.at)
+				continue
+			}
+			reboots++
+			o.add(history.Shutdown{Endpoint: m.id}, nil, e.at, e.at)
+			o.add(history.Arrive{Endpoint: m.id}, nil, e.ended, e.ended)
+			o.add(history.Return{Pool: "desk", Instance: m.id}, nil, e.ended, e.ended)
+		}
+		for _, run := range m.endpoint.Runs() {
+			o.add(history.WorkBegin{Endpoint: m.id, ID: run.RequestID}, nil, run.Start, run.Start)
+			o.add(history.Dispatch{Endpoint: m.id}, run.Start.Sub(o.start), run.Start, run.Start)
+			if !run.End.IsZero() {
+				o.add(history.WorkEnd{Endpoint: m.id, ID: run.RequestID}, nil, run.End, run.End)
+			}
+		}
+	}
+	t.Logf("%d reboots, %d operations", reboots, len(o.list))
+	qt.Check(t, reboots >= deskBudget, qt.IsTrue, qt.Commentf("only %d instances were rebooted", reboots))
+	for _, model := range []history.Model{
+		history.AvailabilityBudget(map[string]int{"desk": deskBudget}), history.Leaving(leavingBound), history.GracefulStop(),
+	} {
+		qt.Check(t, history.Check(model, o.list), qt.IsNil)
+	}
+}
