Let the wave of TestFailures notice less than requests take

With a notice of 500 ms all requests had ended before the check of the in-flight count, and a planner without that check passed.

--- a/commands/failure_wave_test.go
+++ b/commands/failure_wave_test.go
@@ -66,7 +66,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	p, err := pool.New(pool.Spec{Name: "desk", MaxUnavailable: "50%"})
 	qt.Assert(t, err, qt.IsNil)
-	_, err = wave.NewStore(table).Create(t.Context(), wave.Spec{Name: "kernel", Notice: "500ms"}, time.Now(), []pool.Pool{p}, rows)
+	_, err = wave.NewStore(table).Create(t.Context(), wave.Spec{Name: "kernel", Notice: "100ms"}, time.Now(), []pool.Pool{p}, rows)
 	qt.Assert(t, err, qt.IsNil)
 }
 
