--- a/entry/operations.go
+++ b/entry/operations.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -144,6 +145,9 @@
 	if err := decodeDocument(r, &spec); err != nil {
 		return nil, err
 	}
+	waves := o.entry.settings.Waves()
+	spec.Notice = cmp.Or(spec.Notice, waves.Notice.String())
+	spec.DrainLimit = cmp.Or(spec.DrainLimit, waves.DrainLimit.String())
 	return o.fleet.CreateWave(r.Context(), spec)
 }
 
