--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -98,7 +98,7 @@
 	stored := r.Cut(noon)
 	r.Record("quote", "workshops", burn.Late)
 	for range 2 {
-		parts := append(stored[:len(stored):len(stored)], r.Open(noon.Add(time.Second)))
+		parts := slices.Concat(stored, []burn.Part{r.Open(noon.Add(time.Second))})
 		w := burn.NewReport(noon.Add(2*time.Second), map[string]float64{"quote": 0.9}, parts).Rows[0].Windows[0]
 		qt.Assert(t, []uint64{w.Met, w.Late}, qt.DeepEquals, []uint64{1, 1})
 	}
