Demand allotments that last as long as keyed work does while cut off

With keys.whenCutOff bounded and a term of minutes, keyed work ended after 30 s all the same, when the parts of upper limits expired. The settings are now checked for it.

--- a/settings/check.go
+++ b/settings/check.go
@@ -39,6 +39,9 @@
 	c.oneOf("keys.whenCutOff", s.Keys.WhenCutOff, WhenCutOffRefuse, WhenCutOffBounded)
 	c.positive("keys.term", s.Keys.Term)
 	c.positive("allotments.term", s.Allotments.Term)
+	if s.Keys.WhenCutOff == WhenCutOffBounded && s.Allotments.Term < s.Keys.Term {
+		c.addf("allotments.term", "%s is shorter than keys.term %s, so that keyed work would end before", s.Allotments.Term, s.Keys.Term)
+	}
 	c.positive("waves.notice", s.Waves.Notice)
 	c.positive("waves.drainLimit", s.Waves.DrainLimit)
 	c.positive("waves.lease", s.Waves.Lease)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -38,19 +38,20 @@
 		text string
 		want string
 	}{
-		"unknown key":     {text: valid + "colour: red\n", want: `entry\.yaml:11: colour: unknown field "colour"`},
-		"wrong type":      {text: valid + "limits:\n  bodyBytes: many\n", want: `entry\.yaml:12: many: cannot unmarshal.*`},
-		"wrong duration":  {text: valid + "stop:\n  timeout: soon\n", want: `entry\.yaml:12: time: invalid duration "soon"`},
-		"duplicate key":   {text: valid + "name: two\n", want: `entry\.yaml:11: name: .*`},
-		"not a mapping":   {text: "- 1\n", want: `entry\.yaml:1: .*`},
-		"broken syntax":   {text: "name: [\n", want: `entry\.yaml:1: .*`},
-		"host name":       {text: valid + "peers:\n- {name: b, address: 'localhost:1'}\ncertificates: {authority: a, certificate: b, key: c}\n", want: `entry\.yaml:12: peers\[0\]\.address: "localhost:1" is not an IP address with a port`},
-		"duplicate peer":  {text: valid + "peers:\n- {name: b, address: '127.0.0.1:1'}\n- {name: b, address: '127.0.0.1:2'}\ncertificates: {authority: a, certificate: b, key: c}\n", want: `entry\.yaml:13: peers\[1\]\.name: "b" is already the name of peers\[0\]`},
-		"no certificates": {text: valid + "peers:\n- {name: b, address: '127.0.0.1:1'}\n", want: `(?s)entry\.yaml: certificates\.authority: is missing.*`},
-		"negative":        {text: valid + "allotments:\n  term: -1s\n", want: `entry\.yaml:12: allotments\.term: -1s is not greater than 0`},
-		"two faults":      {text: valid + "log:\n  level: loud\n  format: xml\n", want: "entry.yaml:12: log.level: \"loud\" is not one of .*\nentry.yaml:13: log.format: \"xml\" is not one of .*"},
-		"empty":           {text: "", want: `(?s)entry\.yaml: name: is missing.*platform\.url: is missing`},
-		"shared address":  {text: "name: a\ndataCentre: b\nlisten: {callers: '127.0.0.1:1', operators: '127.0.0.1:1', peers: '127.0.0.1:1'}\nplatform: {url: 'http://127.0.0.1:9'}\n", want: `entry\.yaml:3: listen\.operators: 127\.0\.0\.1:1 is also the address of listen\.callers`},
+		"unknown key":      {text: valid + "colour: red\n", want: `entry\.yaml:11: colour: unknown field "colour"`},
+		"wrong type":       {text: valid + "limits:\n  bodyBytes: many\n", want: `entry\.yaml:12: many: cannot unmarshal.*`},
+		"wrong duration":   {text: valid + "stop:\n  timeout: soon\n", want: `entry\.yaml:12: time: invalid duration "soon"`},
+		"duplicate key":    {text: valid + "name: two\n", want: `entry\.yaml:11: name: .*`},
+		"not a mapping":    {text: "- 1\n", want: `entry\.yaml:1: .*`},
+		"broken syntax":    {text: "name: [\n", want: `entry\.yaml:1: .*`},
+		"host name":        {text: valid + "peers:\n- {name: b, address: 'localhost:1'}\ncertificates: {authority: a, certificate: b, key: c}\n", want: `entry\.yaml:12: peers\[0\]\.address: "localhost:1" is not an IP address with a port`},
+		"duplicate peer":   {text: valid + "peers:\n- {name: b, address: '127.0.0.1:1'}\n- {name: b, address: '127.0.0.1:2'}\ncertificates: {authority: a, certificate: b, key: c}\n", want: `entry\.yaml:13: peers\[1\]\.name: "b" is already the name of peers\[0\]`},
+		"no certificates":  {text: valid + "peers:\n- {name: b, address: '127.0.0.1:1'}\n", want: `(?s)entry\.yaml: certificates\.authority: is missing.*`},
+		"negative":         {text: valid + "allotments:\n  term: -1s\n", want: `entry\.yaml:12: allotments\.term: -1s is not greater than 0`},
+		"short allotments": {text: valid + "  whenCutOff: bounded\n  term: 5m\n", want: `entry\.yaml: allotments\.term: 30s is shorter than keys\.term 5m0s, so that keyed work would end before`},
+		"two faults":       {text: valid + "log:\n  level: loud\n  format: xml\n", want: "entry.yaml:12: log.level: \"loud\" is not one of .*\nentry.yaml:13: log.format: \"xml\" is not one of .*"},
+		"empty":            {text: "", want: `(?s)entry\.yaml: name: is missing.*platform\.url: is missing`},
+		"shared address":   {text: "name: a\ndataCentre: b\nlisten: {callers: '127.0.0.1:1', operators: '127.0.0.1:1', peers: '127.0.0.1:1'}\nplatform: {url: 'http://127.0.0.1:9'}\n", want: `entry\.yaml:3: listen\.operators: 127\.0\.0\.1:1 is also the address of listen\.callers`},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
