Read the burn history for operators within the budget

Operators have a user of their own that is not shed; a read without budget waits, and the status keeps what it has read for 10 s.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -115,6 +116,37 @@
 	qt.Assert(t, err, qt.ErrorMatches, `object burn/2030-05-01T12/one-1-1: decode burn history: .*`)
 }
 
+// busyObjects has no budget for the first calls of Get.
+type busyObjects struct {
+	fakeObjects
+	left int
+}
+
+func (o *busyObjects) Get(ctx context.Context, name string) ([]byte, error) {
+	if o.left > 0 {
+		o.left--
+		return nil, platform.ErrOverBudget
+	}
+	return o.fakeObjects.Get(ctx, name)
+}
+
+// TestLoadOverBudget guards against a report that fails, or leaves out parts, because it needs more reads than the budget has.
+func TestLoadOverBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		objects := &busyObjects{fakeObjects: newObjects(), left: 30}
+		qt.Assert(t, burn.Save(t.Context(), objects, burn.NewRecorder("one-1", 1, noon).Cut(noon)), qt.IsNil)
+		parts, err := burn.Load(t.Context(), objects, noon)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, parts, qt.HasLen, 1)
+
+		objects.left = 1000
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = burn.Load(ctx, objects, noon)
+		qt.Assert(t, err, qt.ErrorIs, platform.ErrOverBudget)
+	})
+}
+
 type fakeObjects map[string][]byte
 
 func newObjects() fakeObjects { return make(fakeObjects) }
--- a/burn/history.go
+++ b/burn/history.go
@@ -49,7 +49,7 @@
 		if !NameIsSince(name, since) {
 			continue
 		}
-		data, err := objects.Get(ctx, name)
+		data, err := get(ctx, objects, name)
 		if errors.Is(err, platform.ErrNotFound) {
 			continue // deleted by Prune since it was listed
 		}
@@ -65,6 +65,25 @@
 	return parts, nil
 }
 
+// budgetPause is the time until a read is tried again for which the process had no budget. A report over three
+// days reads 72 objects for each entry instance, more than the budget of a second.
+const budgetPause = 50 * time.Millisecond
+
+// get reads an object, and waits for the budget of the process until the context ends.
+func get(ctx context.Context, objects Objects, name string) ([]byte, error) {
+	for {
+		data, err := objects.Get(ctx, name)
+		if !errors.Is(err, platform.ErrOverBudget) {
+			return data, err
+		}
+		select {
+		case <-time.After(budgetPause):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
 // Prune deletes up to limit parts that no window needs any more, and returns how many it deleted.
 func Prune(ctx context.Context, objects Objects, now time.Time, limit int) (int, error) {
 	names, err := objects.List(ctx, ObjectPrefix)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,9 @@
 // userDirectory reads the instance rows. It is never refused, since work must not go to instances that leave.
 const userDirectory platform.User = "directory"
 
+// userOperators reads for operators. It is never refused, since they need it most while the store is slow.
+const userOperators platform.User = "operators"
+
 // Names of the services.
 const (
 	serviceConfig    = "config"
--- a/entry/operations.go
+++ b/entry/operations.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/chivetiller/chivetiller/burn"
@@ -35,10 +37,35 @@
 type operations struct {
 	entry *Entry
 	fleet *duty.Operations
+	// history is the burn history as operators read it.
+	history platform.Objects
+
+	// mu guards the parts of the status window and when they were read.
+	mu    sync.Mutex
+	parts []burn.Part
+	read  time.Time
+}
+
+// partsAge is how long the stored parts of the status window are used again. They change once a minute.
+const partsAge = 10 * time.Second
+
+// windowParts returns the stored parts of the status window. What cannot be read is left out.
+func (o *operations) windowParts(ctx context.Context, now time.Time) []burn.Part {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if now.Sub(o.read) < partsAge {
+		return o.parts
+	}
+	parts, err := burn.LoadWindow(ctx, o.history, now, status.Window)
+	if err != nil {
+		return nil
+	}
+	o.parts, o.read = parts, now
+	return parts
 }
 
 func newOperations(e *Entry) *operations {
-	return &operations{entry: e, fleet: duty.NewOperations(duty.OperationsOptions{
+	return &operations{entry: e, history: e.client.ObjectsFor(userOperators, e.services.Objects), fleet: duty.NewOperations(duty.OperationsOptions{
 		Table:     e.client.For(platform.UserWaves),
 		Instances: e.services.Instances,
 		Pools:     func() []pool.Pool { return e.source.Snapshot().Pools() },
@@ -162,7 +189,7 @@
 // burn makes the burn report from the stored history of all entry instances.
 func (o *operations) burn(ctx context.Context) (burn.Report, error) {
 	now := time.Now()
-	parts, err := burn.Load(ctx, o.entry.history, now)
+	parts, err := burn.Load(ctx, o.history, now)
 	if err != nil {
 		return burn.Report{}, err
 	}
@@ -195,10 +222,7 @@
 	if waves, err := o.fleet.ListWaves(ctx); err == nil {
 		in.Waves = waves
 	}
-	if parts, err := burn.LoadWindow(ctx, e.history, in.Now, status.Window); err == nil {
-		in.Parts = parts
-	}
-	in.Parts = append(in.Parts, e.recorder.Open(in.Now))
+	in.Parts = append(slices.Clone(o.windowParts(ctx, in.Now)), e.recorder.Open(in.Now))
 	return status.NewReport(in)
 }
 
