--- /dev/null
+++ b/caller/claims.go
@@ -0,0 +1,83 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chivetiller/chivetiller/claim"
+	"github.com/chivetiller/chivetiller/common/problem"
+	"github.com/chivetiller/chivetiller/dispatch"
+)
+
+// openScope is the claim scope of open classes, which have no team. No team can be named like this,
+// because names of documents contain no slash.
+const openScope = "/open/"
+
+// storedResponse is the form in which a response is kept with its claim.
+type storedResponse struct {
+	Status int         `cbor:"1,keyasint"`
+	Header http.Header `cbor:"2,keyasint"`
+	Body   []byte      `cbor:"3,keyasint"`
+}
+
+// doClaimed claims the request, passes it on, and stores its response.
+func (e *exchange) doClaimed(request *dispatch.Request) (response *dispatch.Response, stored bool, p *problem.Problem) {
+	scope := e.team
+	if e.class.Open() {
+		scope = openScope + e.class.Name()
+	}
+	sum := digest(e.r.Method, e.r.URL.RequestURI(), request.Body)
+	ctx, cancel := context.WithDeadline(e.r.Context(), request.Deadline)
+	defer cancel()
+	c, err := e.server.o.Claims.Claim(ctx, scope, e.work.idempotencyKey, sum)
+	if err != nil {
+		return e.unclaimed(err)
+	}
+	response, p = e.dispatch(context.WithoutCancel(e.r.Context()), request)
+	switch {
+	case p == nil:
+		c.Done(encodeResponse(response))
+	case p.NotRun():
+		c.Release()
+	}
+	// With an unknown outcome the claim stays, so that no retry runs the request a second time.
+	return response, false, p
+}
+
+// unclaimed answers a request whose key is taken or cannot be claimed.
+func (e *exchange) unclaimed(err error) (*dispatch.Response, bool, *problem.Problem) {
+	var taken *claim.Taken
+	switch {
+	case errors.As(err, &taken) && taken.Stored:
+		response, err := decodeResponse(taken.Response)
+		if err != nil {
+			return nil, false, problem.Unknown(problem.Claimed, "the stored response cannot be read")
+		}
+		return response, true, nil
+	case errors.As(err, &taken) && taken.Done:
+		return nil, false, problem.Unknown(problem.Claimed, "an earlier request with this key ran; its response was too large to store")
+	case errors.As(err, &taken):
+		return nil, false, problem.Unknown(problem.Claimed, "an earlier request with this key runs, or its outcome is unknown")
+	case errors.Is(err, claim.ErrMismatch):
+		return nil, false, problem.NotRun(problem.KeyReused, "method, path or body differ from those of the earlier request")
+	}
+	return nil, false, problem.NotRun(problem.ClaimsUnchecked, "claim could not be written in time").RetryAfter(time.Second)
+}
+
+func encodeResponse(r *dispatch.Response) []byte {
+	// The type holds only strings, numbers and bytes, so encoding cannot fail.
+	data, _ := cbor.Marshal(storedResponse{Status: r.Status, Header: r.Header, Body: r.Body})
+	return data
+}
+
+func decodeResponse(data []byte) (*dispatch.Response, error) {
+	var s storedResponse
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return nil, err
+	}
+	return &dispatch.Response{Status: s.Status, Header: s.Header, Body: s.Body}, nil
+}
--- /dev/null
+++ b/caller/rig_test.go
@@ -0,0 +1,250 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/chivetiller/chivetiller/caller"
+	"github.com/chivetiller/chivetiller/claim"
+	"github.com/chivetiller/chivetiller/class"
+	"github.com/chivetiller/chivetiller/common/problem"
+	"github.com/chivetiller/chivetiller/config"
+	"github.com/chivetiller/chivetiller/dispatch"
+	"github.com/chivetiller/chivetiller/dispatch/connection"
+	"github.com/chivetiller/chivetiller/endpoint"
+	platformstandin "github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/standin"
+	"github.com/chivetiller/chivetiller/team"
+)
+
+// rig is one entry instance on loopback with stand-in endpoints and an in-memory platform.
+type rig struct {
+	server     *caller.Server
+	dispatcher *dispatch.Dispatcher
+	endpoints  []*standin.Endpoint
+	source     *source
+	claims     *claim.Store
+	table      *platformstandin.Table
+	events     *events
+	log        *lines
+	key        string
+	client     *http.Client
+}
+
+type rigOptions struct {
+	endpoints int
+	endpoint  standin.Options
+	caller    caller.Options
+	permits   dispatch.Permits
+	hedge     bool
+}
+
+const testPool = "shiftDesk"
+
+// newRig starts a rig with the keyed class "swap" (target 2s), the open class "board" (2s) and the keyed class "brief" (150ms).
+func newRig(t testing.TB, o rigOptions) *rig {
+	t.Helper()
+	c := qt.New(t)
+	key, keySpec, err := team.NewKey("k1")
+	c.Assert(err, qt.IsNil)
+	snapshot, err := config.NewSnapshot(1, []config.Document{
+		config.NewDocument(pool.Spec{Name: testPool, MaxUnavailable: "20%"}),
+		config.NewDocument(class.Spec{Name: "swap", Pool: testPool, Target: "2s", Share: 1}),
+		config.NewDocument(class.Spec{Name: "brief", Pool: testPool, Target: "150ms", Share: 1}),
+		config.NewDocument(class.Spec{Name: "board", Pool: testPool, Target: "2s", Share: 1, Open: true}),
+		config.NewDocument(team.Spec{Name: "supervisors", Share: 1, UpperLimit: 100, Keys: []team.KeySpec{keySpec}}),
+	})
+	c.Assert(err, qt.IsNil)
+	r := &rig{key: key, source: &source{snapshot: snapshot}, events: &events{}, log: &lines{}, table: platformstandin.NewTable()}
+	logger := hclog.New(&hclog.LoggerOptions{Output: r.log, Level: hclog.Info})
+	r.claims = claim.NewStore(claim.Options{Table: r.table, Owner: "entry-1/1", Window: time.Millisecond})
+	r.dispatcher = dispatch.New(dispatch.Options{Logger: logger, Permits: o.permits, Observer: r.events, NoHedge: !o.hedge})
+	r.dispatcher.Configure(snapshot.Pools(), snapshot.Classes(), snapshot.Teams())
+	for i := range max(o.endpoints, 1) {
+		eo := o.endpoint
+		eo.ID = fmt.Sprintf("e%d", i)
+		e := standin.New(eo)
+		c.Assert(e.Start(t.Context()), qt.IsNil)
+		r.endpoints = append(r.endpoints, e)
+	}
+	r.announce()
+	co := o.caller
+	co.Source, co.Work, co.Claims, co.Observer, co.Logger = r.source, r.dispatcher, r.claims, r.events, logger
+	r.server = caller.New(co)
+	c.Assert(r.server.Start(t.Context()), qt.IsNil)
+	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: 10 * time.Second}
+	t.Cleanup(func() {
+		r.client.CloseIdleConnections()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = r.server.Stop(ctx)
+		_ = r.dispatcher.Stop(ctx)
+		_ = r.claims.Stop(ctx)
+		for _, e := range r.endpoints {
+			_ = e.Crash()
+		}
+	})
+	return r
+}
+
+// announce tells the dispatcher about the endpoints.
+func (r *rig) announce() {
+	var list []endpoint.Endpoint
+	for _, e := range r.endpoints {
+		list = append(list, endpoint.Endpoint{ID: e.ID(), Address: e.Address(), Incarnation: e.Incarnation(), Quota: endpoint.SlotsPerEndpoint})
+	}
+	r.dispatcher.SetEndpoints(testPool, list)
+}
+
+func (r *rig) url(path string) string { return "http://" + r.server.Address() + path }
+
+// answer is what a caller receives.
+type answer struct {
+	status   int
+	header   http.Header
+	body     string
+	document problem.Document
+	err      error
+}
+
+// send does a keyed request. Headers are given as "Name: value".
+func (r *rig) send(ctx context.Context, method, path, body string, headers ...string) answer {
+	request, err := http.NewRequestWithContext(ctx, method, r.url(path), strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+r.key)
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		request.Header.Set(name, value)
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	a := answer{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+	if response.Header.Get("Content-Type") == problem.ContentType {
+		a.err = json.Unmarshal(data, &a.document)
+	}
+	return a
+}
+
+// runs returns the runs at all endpoints.
+func (r *rig) runs() []standin.Run {
+	var runs []standin.Run
+	for _, e := range r.endpoints {
+		runs = append(runs, e.Runs()...)
+	}
+	return runs
+}
+
+// source is a configuration whose freshness tests control.
+type source struct {
+	mu       sync.Mutex
+	snapshot *config.Snapshot
+	stale    bool
+	// staleAfter lets this many more authentications succeed.
+	staleAfter int
+}
+
+func (s *source) Snapshot() *config.Snapshot { return s.snapshot }
+
+func (s *source) Authenticate(key string) (team.Team, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.staleAfter > 0 {
+		if s.staleAfter--; s.staleAfter == 0 {
+			defer func() { s.stale = true }()
+		}
+	}
+	if s.stale {
+		return team.Team{}, config.ErrKeysStale
+	}
+	t, ok := s.snapshot.TeamByKey(key)
+	if !ok {
+		return team.Team{}, config.ErrUnknownKey
+	}
+	return t, nil
+}
+
+func (s *source) setStale(after int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale, s.staleAfter = after == 0, after
+}
+
+// events records what the hooks are told.
+type events struct {
+	mu      sync.Mutex
+	ended   []caller.Event
+	faults  []connection.FaultKind
+	notRun  int
+	retries int
+	hedges  int
+}
+
+func (e *events) RequestEnded(event caller.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = append(e.ended, event)
+}
+
+func (e *events) EndpointFault(_, _ string, kind connection.FaultKind) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = append(e.faults, kind)
+}
+
+func (e *events) EndpointNotRun(_, _ string) { e.mu.Lock(); e.notRun++; e.mu.Unlock() }
+func (e *events) Retry(_, _ string)          { e.mu.Lock(); e.retries++; e.mu.Unlock() }
+func (e *events) Hedge(_, _ string)          { e.mu.Lock(); e.hedges++; e.mu.Unlock() }
+
+// last waits for the event of the last request, which ends after its response.
+func (e *events) last(n int) caller.Event {
+	for range 500 {
+		e.mu.Lock()
+		if len(e.ended) >= n {
+			defer e.mu.Unlock()
+			return e.ended[n-1]
+		}
+		e.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+	return caller.Event{}
+}
+
+// lines collects log lines.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *lines) all() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	text := strings.TrimSpace(l.buf.String())
+	if text == "" {
+		return nil
+	}
+	return strings.Split(text, "\n")
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,222 @@
+// Package caller is the HTTP service for callers. It checks requests and keys, claims requests that must run
+// at most once, passes work on, and tells callers the truth about whether rejected requests ran.
+//
+// # Usage
+//
+//	s := caller.New(caller.Options{Address: "127.0.0.1:8080", Work: dispatcher, Claims: store, ...})
+//	if err := s.Start(ctx); err != nil { ... }
+//	defer s.Stop(ctx)
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/claim"
+	"github.com/chivetiller/chivetiller/common/problem"
+	"github.com/chivetiller/chivetiller/config"
+	"github.com/chivetiller/chivetiller/dispatch"
+	"github.com/chivetiller/chivetiller/team"
+)
+
+// Defaults of the options.
+const (
+	DefaultMaxHeader    = 16 << 10
+	DefaultMaxBody      = 1 << 20
+	DefaultReadTimeout  = 5 * time.Second
+	DefaultWriteTimeout = 10 * time.Second
+	DefaultIdleTimeout  = 2 * time.Minute
+)
+
+// Source gives the configuration in force.
+type Source interface {
+	Snapshot() *config.Snapshot
+	// Authenticate fails with config.ErrKeysStale or config.ErrUnknownKey.
+	Authenticate(key string) (team.Team, error)
+}
+
+var _ Source = (*config.Source)(nil)
+
+// Work does requests. Its errors are problems.
+type Work interface {
+	Do(ctx context.Context, pool string, r *dispatch.Request) (*dispatch.Response, error)
+}
+
+// Claims claims requests that must run at most once.
+type Claims interface {
+	Claim(ctx context.Context, team, key string, digest [32]byte) (*claim.Claim, error)
+}
+
+// Options of a server. Zero limits and times take their defaults.
+type Options struct {
+	Address string
+	// MaxHeader and MaxBody are in bytes.
+	MaxHeader int
+	MaxBody   int
+	// ReadTimeout bounds the time to receive a head, and again a body.
+	ReadTimeout time.Duration
+	// WriteTimeout bounds the time in which a caller takes a response.
+	WriteTimeout time.Duration
+	IdleTimeout  time.Duration
+	// StopDelay is how long the server still accepts requests after it stopped being ready,
+	// so that the load balancer notices.
+	StopDelay time.Duration
+	// Ready adds a condition to readiness. It may be nil.
+	Ready    func() error
+	Source   Source
+	Work     Work
+	Claims   Claims
+	Observer Observer
+	Logger   hclog.Logger
+}
+
+// Server is the HTTP service for callers.
+type Server struct {
+	o        Options
+	logger   hclog.Logger
+	log      *rejectionLog
+	http     *kratoshttp.Server
+	listener net.Listener
+	// served receives the result of serving.
+	served   chan error
+	stopping atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns a server that does not listen yet.
+func New(o Options) *Server {
+	setDefault(&o.MaxHeader, DefaultMaxHeader)
+	setDefault(&o.MaxBody, DefaultMaxBody)
+	setDefault(&o.ReadTimeout, DefaultReadTimeout)
+	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	if o.Address == "" {
+		o.Address = "127.0.0.1:0"
+	}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	logger := o.Logger.Named("caller")
+	return &Server{o: o, logger: logger, log: newRejectionLog(logger), served: make(chan error, 1)}
+}
+
+func setDefault[T comparable](value *T, standard T) {
+	var zero T
+	if *value == zero {
+		*value = standard
+	}
+}
+
+// Start listens and serves.
+func (s *Server) Start(context.Context) error {
+	listener, err := net.Listen("tcp", s.o.Address)
+	if err != nil {
+		return eris.Wrapf(err, "listen for callers at %s", s.o.Address)
+	}
+	s.listener = listener
+	kratoslog.SetLogger(kratosLogger{s.logger})
+	s.http = kratoshttp.NewServer(
+		kratoshttp.Address(listener.Addr().String()),
+		kratoshttp.Listener(problemListener{listener}),
+		kratoshttp.Timeout(0),
+		// Work goes around the router, which would redirect paths such as /work/a//b.
+		kratoshttp.Filter(s.filter),
+		kratoshttp.NotFoundHandler(http.HandlerFunc(s.serveUnknown)),
+		kratoshttp.MethodNotAllowedHandler(http.HandlerFunc(s.serveUnknown)),
+	)
+	s.http.HandleFunc("/ready", s.serveReady)
+	s.http.HandleFunc("/health", s.serveHealth)
+	s.http.ReadHeaderTimeout = s.o.ReadTimeout
+	s.http.IdleTimeout = s.o.IdleTimeout
+	// The handler measures the header itself and answers with a document. This bound only protects memory.
+	s.http.MaxHeaderBytes = 2 * s.o.MaxHeader
+	s.http.ErrorLog = s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+	go func() { s.served <- s.http.Start(context.Background()) }()
+	return nil
+}
+
+// Address returns the address on which the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// InFlight returns the number of requests for work that have not ended.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// Stop stops being ready, waits for the load balancer, finishes the requests in flight and closes.
+// If the context ends first, it reports how many requests are left.
+func (s *Server) Stop(ctx context.Context) error {
+	if s.http == nil {
+		return nil
+	}
+	s.stopping.Store(true)
+	timer := time.NewTimer(s.o.StopDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if err := s.http.Stop(ctx); err != nil {
+		return eris.Wrapf(err, "%d requests were left", s.InFlight())
+	}
+	return <-s.served
+}
+
+func (s *Server) filter(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if len(r.URL.Path) >= len(workPrefix) && r.URL.Path[:len(workPrefix)] == workPrefix {
+			s.serveWork(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) serveUnknown(w http.ResponseWriter, r *http.Request) {
+	e := exchange{server: s, w: w, r: r, start: time.Now(), id: newID()}
+	e.reject(problem.NotRun(problem.UnknownRoute, "work is accepted at /work/{class}/{path}"))
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) { writeText(w, "healthy\n") }
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	var reason error
+	switch {
+	case s.stopping.Load():
+		reason = eris.New("entry instance is stopping")
+	case s.o.Ready != nil:
+		reason = s.o.Ready()
+	}
+	if reason != nil {
+		_ = problem.NotRun(problem.NotReady, reason.Error()).Write(w, "")
+		return
+	}
+	writeText(w, "ready\n")
+}
+
+func writeText(w http.ResponseWriter, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	// The caller has gone if this fails.
+	_, _ = w.Write([]byte(text))
+}
+
+// kratosLogger passes the log lines of kratos on for debugging.
+type kratosLogger struct{ logger hclog.Logger }
+
+var _ kratoslog.Logger = kratosLogger{}
+
+// Log implements kratoslog.Logger.
+func (l kratosLogger) Log(level kratoslog.Level, pairs ...any) error {
+	if level >= kratoslog.LevelError {
+		l.logger.Error("HTTP transport reports an error.", pairs...)
+		return nil
+	}
+	l.logger.Debug("HTTP transport reports.", pairs...)
+	return nil
+}
--- a/common/problem/problem.go
+++ b/common/problem/problem.go
@@ -62,6 +62,9 @@
 	EndpointFailed  = Kind{"endpointFailed", http.StatusBadGateway, "Endpoint failed"}
 	EndpointTimeout = Kind{"endpointTimeout", http.StatusGatewayTimeout, "Endpoint did not respond in time"}
 	Cancelled       = Kind{"cancelled", statusClientClosed, "Caller went away"}
+	NotReady        = Kind{"notReady", http.StatusServiceUnavailable, "Entry instance is not ready"}
+	LimitsUnchecked = Kind{"limitsUnchecked", http.StatusServiceUnavailable, "Upper limit cannot be checked"}
+	QueueFull       = Kind{"queueFull", http.StatusServiceUnavailable, "Queue is full"}
 	Internal        = Kind{"internal", http.StatusInternalServerError, "Internal error"}
 )
 
--- /dev/null
+++ b/dispatch/request.go
@@ -0,0 +1,31 @@
+package dispatch
+
+import (
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/chivetiller/chivetiller/dispatch/connection"
+)
+
+// Request is a request of a caller, read whole.
+type Request struct {
+	ID    string
+	Class string
+	// Team is empty for work of open classes, which counts against no upper limit.
+	Team     string
+	Arrival  time.Time
+	Deadline time.Time
+	// Idempotent requests may be sent more than once, and are hedged.
+	Idempotent bool
+	Method     string
+	// URL has the path and query for the endpoint.
+	URL    *url.URL
+	Header http.Header
+	Body   []byte
+	// Check is called right before the first byte is sent to an endpoint, for each attempt. It may be nil.
+	Check func() error
+}
+
+// Response is the complete response of an endpoint.
+type Response = connection.Response
