--- a/caller/server.go
+++ b/caller/server.go
@@ -125,7 +125,7 @@
 	kratoslog.SetLogger(kratosLogger{s.logger})
 	s.http = kratoshttp.NewServer(
 		kratoshttp.Address(listener.Addr().String()),
-		kratoshttp.Listener(problemListener{listener}),
+		kratoshttp.Listener(problemListener{listener, s}),
 		kratoshttp.Timeout(0),
 		// Work goes around the router, which would redirect paths such as /work/a//b.
 		kratoshttp.Filter(s.filter),
@@ -138,6 +138,7 @@
 	s.http.IdleTimeout = s.o.IdleTimeout
 	// The handler measures the header itself and answers with a document. This bound only protects memory.
 	s.http.MaxHeaderBytes = 2 * s.o.MaxHeader
+	s.http.ConnContext = connContext
 	s.http.ErrorLog = s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	go func() { s.served <- s.http.Start(context.Background()) }()
 	return nil
@@ -170,6 +171,7 @@
 
 func (s *Server) filter(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handled(r)
 		if len(r.URL.Path) >= len(workPrefix) && r.URL.Path[:len(workPrefix)] == workPrefix {
 			s.serveWork(w, r)
 			return
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -63,6 +63,7 @@
 	connections int
 	faults      faults
 	record      record
+	onRequest   func(r *http.Request)
 }
 
 // New returns an endpoint that is not started.
@@ -169,6 +170,13 @@
 	e.draining = false
 }
 
+// OnRequest sets a function that sees each request before it is admitted. It must not keep the request.
+func (e *Endpoint) OnRequest(f func(r *http.Request)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.onRequest = f
+}
+
 // ID returns the name of the endpoint.
 func (e *Endpoint) ID() string { return e.o.ID }
 
@@ -231,6 +239,12 @@
 }
 
 func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	onRequest := e.onRequest
+	e.mu.Unlock()
+	if onRequest != nil {
+		onRequest(r)
+	}
 	fault := e.takeFault(r)
 	if fault.Kind == FaultCloseBeforeReading {
 		closeConnection(r)
