--- a/caller/server.go
+++ b/caller/server.go
@@ -85,8 +85,9 @@
 	log      *rejectionLog
 	http     *kratoshttp.Server
 	listener net.Listener
-	// served receives the result of serving.
-	served   chan error
+	// served is closed when serving has ended, with its result in serveErr.
+	served   chan struct{}
+	serveErr error
 	stopping atomic.Bool
 	inFlight atomic.Int64
 }
@@ -105,7 +106,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	logger := o.Logger.Named("caller")
-	return &Server{o: o, logger: logger, log: newRejectionLog(logger), served: make(chan error, 1)}
+	return &Server{o: o, logger: logger, log: newRejectionLog(logger), served: make(chan struct{})}
 }
 
 func setDefault[T comparable](value *T, standard T) {
@@ -140,7 +141,10 @@
 	s.http.MaxHeaderBytes = 2 * s.o.MaxHeader
 	s.http.ConnContext = connContext
 	s.http.ErrorLog = s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
-	go func() { s.served <- s.http.Start(context.Background()) }()
+	go func() {
+		defer close(s.served)
+		s.serveErr = s.http.Start(context.Background())
+	}()
 	return nil
 }
 
@@ -151,13 +155,16 @@
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
 // Stop stops being ready, waits for the load balancer, finishes the requests in flight and closes.
-// If the context ends first, it reports how many requests are left.
+// If the context ends first, it reports how many requests are left. It may be called again.
 func (s *Server) Stop(ctx context.Context) error {
 	if s.http == nil {
 		return nil
 	}
-	s.stopping.Store(true)
-	timer := time.NewTimer(s.o.StopDelay)
+	delay := s.o.StopDelay
+	if s.stopping.Swap(true) {
+		delay = 0
+	}
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -166,7 +173,8 @@
 	if err := s.http.Stop(ctx); err != nil {
 		return eris.Wrapf(err, "%d requests were left", s.InFlight())
 	}
-	return <-s.served
+	<-s.served
+	return s.serveErr
 }
 
 func (s *Server) filter(next http.Handler) http.Handler {
--- /dev/null
+++ b/caller/stop_integration_test.go
@@ -0,0 +1,146 @@
+package caller_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/caller"
+	"github.com/chivetiller/chivetiller/standin"
+)
+
+// TestGracefulStop guards against a planned stop that loses requests of callers who go on until the load
+// balancer has noticed, or that ends before requests in flight are answered.
+func TestGracefulStop(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, rigOptions{
+		endpoints: 2,
+		endpoint:  standin.Options{Service: standin.Fixed(30 * time.Millisecond)},
+		caller:    caller.Options{StopDelay: 150 * time.Millisecond},
+	})
+	c.Assert(r.send(t.Context(), "GET", "/ready", "").status, qt.Equals, 200)
+	var sent, answered, notReady atomic.Int64
+	balanced := make(chan struct{})
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for {
+				select {
+				case <-balanced:
+					return
+				default:
+				}
+				sent.Add(1)
+				if a := r.send(context.Background(), "POST", "/work/swap/a", "x"); a.status == 200 {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	// The load balancer polls readiness and stops sending at the first refusal.
+	callers.Go(func() {
+		for r.send(context.Background(), "GET", "/ready", "").status == 200 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		notReady.Add(1)
+		c.Check(r.send(context.Background(), "GET", "/health", "").status, qt.Equals, 200)
+		close(balanced)
+	})
+	time.Sleep(100 * time.Millisecond)
+	c.Assert(r.server.Stop(t.Context()), qt.IsNil)
+	callers.Wait()
+	c.Assert(notReady.Load(), qt.Equals, int64(1))
+	c.Assert(sent.Load() > 8, qt.IsTrue)
+	c.Assert(answered.Load(), qt.Equals, sent.Load())
+	c.Assert(r.server.InFlight(), qt.Equals, 0)
+	for _, run := range r.runs() {
+		c.Assert(run.Sent, qt.IsTrue)
+	}
+}
+
+// TestStopTimeout guards against a stop that hangs on a request, or reports success with requests left.
+func TestStopTimeout(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, rigOptions{endpoint: standin.Options{Service: standin.Fixed(500 * time.Millisecond)}})
+	var wg sync.WaitGroup
+	wg.Go(func() { r.send(context.Background(), "POST", "/work/swap/a", "x") })
+	for r.server.InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	err := r.server.Stop(ctx)
+	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
+	c.Assert(err, qt.ErrorMatches, `1 requests were left.*`)
+	wg.Wait()
+}
+
+// TestCallerGone guards against idempotent work that goes on without its caller, and against claimed work that stops
+// with it, so that the caller's retry gets no response.
+func TestCallerGone(t *testing.T) {
+	tests := map[string]struct {
+		method          string
+		headers         []string
+		wantInterrupted bool
+	}{
+		"idempotent": {method: "GET", wantInterrupted: true},
+		"unclaimed":  {method: "POST"},
+		"claimed":    {method: "POST", headers: []string{"Idempotency-Key: k"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t, rigOptions{endpoint: standin.Options{Service: standin.Fixed(100 * time.Millisecond)}})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			time.AfterFunc(50*time.Millisecond, cancel)
+			a := r.send(ctx, test.method, "/work/swap/a", "x", test.headers...)
+			c.Assert(a.err, qt.ErrorIs, context.Canceled)
+			event := r.events.last(1)
+			run := r.runs()[0]
+			c.Assert(run.Interrupted, qt.Equals, test.wantInterrupted)
+			c.Assert(run.Sent, qt.Equals, !test.wantInterrupted)
+			if test.wantInterrupted {
+				c.Assert(event.Outcome, qt.Equals, "cancelled")
+				return
+			}
+			c.Assert(event.Outcome, qt.Equals, caller.OutcomeUndelivered)
+			if test.headers != nil {
+				c.Assert(r.settled(), qt.IsTrue)
+				again := r.send(t.Context(), test.method, "/work/swap/a", "x", test.headers...)
+				c.Assert(again.status, qt.Equals, 200)
+				c.Assert(again.body, qt.Equals, "x")
+				c.Assert(again.header.Get(caller.HeaderStored), qt.Equals, "true")
+			}
+			c.Assert(r.runs(), qt.HasLen, 1)
+		})
+	}
+}
+
+// TestClaimRace guards against more than one run when a caller sends the same claimed request many times at once,
+// and while the platform is down.
+func TestClaimRace(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, rigOptions{endpoints: 3, endpoint: standin.Options{Service: standin.Fixed(20 * time.Millisecond)}})
+	var wg sync.WaitGroup
+	var ok, conflict atomic.Int64
+	for range 20 {
+		wg.Go(func() {
+			switch a := r.send(context.Background(), "POST", "/work/swap/a", "red", "Idempotency-Key: one"); a.status {
+			case http.StatusOK:
+				ok.Add(1)
+			case http.StatusConflict:
+				conflict.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	c.Assert(r.runs(), qt.HasLen, 1)
+	c.Assert(ok.Load() >= 1, qt.IsTrue)
+	c.Assert(ok.Load()+conflict.Load(), qt.Equals, int64(20))
+}
