--- /dev/null
+++ b/caller/path_benchmark_test.go
@@ -0,0 +1,140 @@
+package caller_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/chivetiller/chivetiller/standin"
+)
+
+const (
+	benchmarkEndpoints = 8
+	benchmarkWorkers   = 64
+	benchmarkTime      = 2 * time.Second
+)
+
+// BenchmarkPath measures requests a second and latencies through one entry instance beside the same client that
+// calls the endpoints directly, in one process and one run. Run it with -benchtime 1x.
+func BenchmarkPath(b *testing.B) {
+	r := newRig(b, rigOptions{endpoints: benchmarkEndpoints, endpoint: standin.Options{MaxRuns: 1000}, hedge: true})
+	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchmarkWorkers, DisableCompression: true}}
+	entry := func(int) string { return r.url("/work/swap/towers") }
+	direct := func(worker int) string {
+		return "http://" + r.endpoints[worker%benchmarkEndpoints].Address() + "/towers"
+	}
+	for range b.N {
+		r.load(b, entry, 0, benchmarkTime/4)
+		r.load(b, direct, 0, benchmarkTime/4)
+		full := r.load(b, direct, 0, benchmarkTime)
+		through := r.load(b, entry, 0, benchmarkTime)
+		half := through.rate / 2
+		directHalf := r.load(b, direct, half, benchmarkTime)
+		throughHalf := r.load(b, entry, half, benchmarkTime)
+		b.ReportMetric(full.rate, "direct-req/s")
+		b.ReportMetric(through.rate, "entry-req/s")
+		b.ReportMetric(through.rate/full.rate, "rate-ratio(bound>=0.4)")
+		b.ReportMetric(directHalf.quantile(50), "direct-half-p50-us")
+		b.ReportMetric(throughHalf.quantile(50), "entry-half-p50-us")
+		b.ReportMetric(directHalf.quantile(99), "direct-half-p99-us")
+		b.ReportMetric(throughHalf.quantile(99), "entry-half-p99-us")
+		b.ReportMetric(1.5*directHalf.quantile(99)+500, "half-p99-bound-us")
+		b.ReportMetric(full.quantile(99), "direct-full-p99-us")
+		b.ReportMetric(through.quantile(99), "entry-full-p99-us")
+		b.ReportMetric(through.bytes-full.bytes, "entry-B/req")
+		b.ReportMetric(through.allocs-full.allocs, "entry-allocs/req")
+	}
+}
+
+// measured is the result of a phase of load.
+type measured struct {
+	rate, bytes, allocs float64
+	latency             *hdrhistogram.Histogram
+}
+
+// quantile returns a percentile of the latency in microseconds.
+func (m measured) quantile(percent float64) float64 {
+	return float64(m.latency.ValueAtQuantile(percent)) / 1e3
+}
+
+// load sends requests from all workers, as fast as they are answered if the rate is 0. At a given rate, the latency
+// counts from when a request was due, so that a delay is not hidden by sending later.
+func (r *rig) load(b *testing.B, url func(worker int) string, rate float64, duration time.Duration) measured {
+	b.Helper()
+	const most = int64(10 * time.Second)
+	total := hdrhistogram.New(1, most, 3)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	start := time.Now()
+	for worker := range benchmarkWorkers {
+		wg.Go(func() {
+			own := hdrhistogram.New(1, most, 3)
+			target := url(worker)
+			var interval time.Duration
+			due := start
+			if rate > 0 {
+				interval = time.Duration(float64(benchmarkWorkers) / rate * float64(time.Second))
+				due = start.Add(interval * time.Duration(worker) / benchmarkWorkers)
+			}
+			for time.Since(start) < duration {
+				if rate > 0 {
+					time.Sleep(time.Until(due))
+				} else {
+					due = time.Now()
+				}
+				if err := r.benchmarkRequest(target, worker); err != nil {
+					b.Error(err)
+					return
+				}
+				_ = own.RecordValue(int64(time.Since(due)))
+				due = due.Add(interval)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			total.Merge(own)
+		})
+	}
+	wg.Wait()
+	elapsed := time.Since(start)
+	runtime.ReadMemStats(&after)
+	count := float64(total.TotalCount())
+	return measured{
+		rate:    count / elapsed.Seconds(),
+		bytes:   float64(after.TotalAlloc-before.TotalAlloc) / count,
+		allocs:  float64(after.Mallocs-before.Mallocs) / count,
+		latency: total,
+	}
+}
+
+var benchmarkBody = strings.Repeat("b", 256)
+
+func (r *rig) benchmarkRequest(target string, worker int) error {
+	request, err := http.NewRequest(http.MethodPost, target, strings.NewReader(benchmarkBody))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+r.key)
+	request.Header.Set("Chivetiller-Request-Id", "direct")
+	response, err := r.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("worker %d: status %d", worker, response.StatusCode)
+	}
+	return nil
+}
