--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -59,6 +59,8 @@
 	address     string
 	incarnation uint64
 	draining    bool
+	// running requests occupy slots; those in flight also include the ones whose response is being sent.
+	running     int
 	inFlight    int
 	connections int
 	faults      faults
@@ -194,7 +196,7 @@
 	return e.incarnation
 }
 
-// InFlight returns the number of requests that run.
+// InFlight returns the number of requests that run or whose response is being sent.
 func (e *Endpoint) InFlight() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -223,15 +225,22 @@
 	case e.draining:
 		e.record.refused++
 		return "draining"
-	case e.inFlight >= e.o.Slots:
+	case e.running >= e.o.Slots:
 		e.record.refused++
 		return "all slots are in use"
 	}
+	e.running++
 	e.inFlight++
-	e.record.peak = max(e.record.peak, e.inFlight)
+	e.record.peak = max(e.record.peak, e.running)
 	return ""
 }
 
+func (e *Endpoint) releaseSlot() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
 func (e *Endpoint) leave() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -274,6 +283,8 @@
 		Start:          time.Now(),
 	})
 	e.sleep(r.Context(), fault)
+	// A caller that has the response may send the next request at once, so the slot is free before.
+	e.releaseSlot()
 	sent := e.respond(w, r, fault, id, body)
 	e.end(run, sent, r.Context().Err() != nil)
 }
