--- a/endpoint/quota.go
+++ b/endpoint/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -21,41 +22,72 @@
 // Split divides limit slots or connections of an endpoint over the members and returns the parts in the
 // order of members. The sum of the parts is limit, or 0 without members. Members in the data centre of
 // the endpoint come first. All members compute the same split from the same list, in any order, and a
-// further member never raises the part of another.
+// further member never raises the part of another. Members have different IDs.
 func Split(limit int, endpointID, dataCentre string, members []Member) []int {
 	parts := make([]int, len(members))
-	if len(members) == 0 {
-		return parts
+	for i := range members {
+		parts[i] = part(limit, endpointID, dataCentre, members, i)
 	}
-	weight := func(m Member) float64 {
-		if m.DataCentre == dataCentre {
-			return localWeight
+	return parts
+}
+
+// part returns the part of the member at self.
+func part(limit int, endpointID, dataCentre string, members []Member, self int) int {
+	// Members take turns within their group, in an order that differs between endpoints.
+	var local, remote, turn int
+	selfLocal := members[self].DataCentre == dataCentre
+	selfRank := rank(endpointID, members[self].ID)
+	for i, m := range members {
+		isLocal := m.DataCentre == dataCentre
+		if isLocal {
+			local++
+		} else {
+			remote++
+		}
+		if i == self || isLocal != selfLocal {
+			continue
+		}
+		if r := rank(endpointID, m.ID); r < selfRank || r == selfRank && m.ID < members[self].ID {
+			turn++
 		}
-		return 1
 	}
-	order := make([]int, len(members))
-	ranks := make([]uint64, len(members))
-	for i, m := range members {
-		order[i] = i
-		ranks[i] = xxhash.Sum64String(endpointID + "\x00" + m.ID)
+	forLocal, forRemote := apportion(limit, local, remote)
+	total, size := forRemote, remote
+	if selfLocal {
+		total, size = forLocal, local
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Or(
-			cmp.Compare(weight(members[b]), weight(members[a])),
-			cmp.Compare(ranks[a], ranks[b]),
-			cmp.Compare(members[a].ID, members[b].ID))
-	})
-	// The method of D'Hondt: the next slot goes to the member with the highest weight per slot.
+	mine := total / size
+	if turn < total%size {
+		mine++
+	}
+	return mine
+}
+
+// apportion divides limit between local and remote members by the method of D'Hondt: the next one goes
+// to the group whose next member has the highest weight for each slot that it then has.
+func apportion(limit, local, remote int) (forLocal, forRemote int) {
 	for range limit {
-		best, bestQuotient := 0, 0.0
-		for _, i := range order {
-			if quotient := weight(members[i]) / float64(parts[i]+1); quotient > bestQuotient {
-				best, bestQuotient = i, quotient
+		quotient := func(weight float64, given, size int) float64 {
+			if size == 0 {
+				return 0
 			}
+			return weight / float64(given/size+1)
+		}
+		if quotient(localWeight, forLocal, local) >= quotient(1, forRemote, remote) {
+			forLocal++
+		} else {
+			forRemote++
 		}
-		parts[best]++
 	}
-	return parts
+	return forLocal, forRemote
+}
+
+// rank orders the members of an endpoint.
+func rank(endpointID, memberID string) uint64 {
+	var hashes [16]byte
+	binary.LittleEndian.PutUint64(hashes[:], xxhash.Sum64String(endpointID))
+	binary.LittleEndian.PutUint64(hashes[8:], xxhash.Sum64String(memberID))
+	return xxhash.Sum64(hashes[:])
 }
 
 // Quotas computes the parts of one entry instance while the membership changes. A part shrinks as soon
@@ -125,5 +157,5 @@
 	if self < 0 {
 		return 0
 	}
-	return Split(limit, endpointID, dataCentre, q.counted)[self]
+	return part(limit, endpointID, dataCentre, q.counted, self)
 }
--- a/queue/admission.go
+++ b/queue/admission.go
@@ -45,14 +45,17 @@
 	}
 	s.items[r.ID] = i
 	s.enqueue(i, position)
+	s.nextExpiry = earlier(s.nextExpiry, latestStart(i))
 	return nil
 }
 
 func (s *Scheduler) newItem(q *teamQueue, r Request) *item {
 	s.sequence++
-	i := &item{}
+	var i *item
 	if n := len(s.spare); n > 0 {
 		i, s.spare = s.spare[n-1], s.spare[:n-1]
+	} else {
+		i = new(item)
 	}
 	*i = item{request: r, queue: q, sequence: s.sequence}
 	return i
--- a/queue/scheduler.go
+++ b/queue/scheduler.go
@@ -14,6 +14,9 @@
 	// shortCredit bounds the credit of other classes and of teams, as time at their share. It lets a
 	// short burst of a team that stays within its share go before teams that are over theirs.
 	shortCredit = 500 * time.Millisecond
+	// expiryInterval is how often all queues are searched for expired requests at least, because
+	// learned service times change.
+	expiryInterval = 50 * time.Millisecond
 	// sweepInterval is how long the state of an idle team is kept at least.
 	sweepInterval = 10 * time.Minute
 	// maxSpare bounds the items that are kept for reuse.
@@ -41,7 +44,9 @@
 	bytes    int
 	occupied occupancy
 	swept    time.Time
-	adjusted time.Time
+	// nextExpiry is the time before which no queued request has to be dropped.
+	nextExpiry time.Time
+	adjusted   time.Time
 }
 
 // NewScheduler returns a scheduler without classes and without capacity.
@@ -110,7 +115,7 @@
 			return Request{}, false
 		}
 		i := q.first()
-		if s.hopeless(now, i) {
+		if now.After(latestStart(i)) {
 			s.drop(i, 0)
 			continue
 		}
@@ -286,16 +291,21 @@
 }
 
 // Expire removes and returns the queued requests that can no longer finish in time. They have not run.
-// The returned slice is valid until the next call.
 func (s *Scheduler) Expire(now time.Time) []Request {
 	s.sweep(now)
 	s.adjustWeights(now)
 	expired := s.dropped
+	s.dropped = nil
+	if now.Before(s.nextExpiry) {
+		return expired
+	}
+	s.nextExpiry = now.Add(expiryInterval)
 	for _, c := range s.order {
 		for n := 0; n < len(c.waiting); {
 			q := c.waiting[n]
 			i := q.first()
-			if !s.hopeless(now, i) {
+			if start := latestStart(i); !now.After(start) {
+				s.nextExpiry = earlier(s.nextExpiry, start)
 				n++
 				continue
 			}
@@ -303,7 +313,6 @@
 			s.remove(i, 0)
 		}
 	}
-	s.dropped = expired[:0]
 	return expired
 }
 
@@ -322,13 +331,19 @@
 	}
 }
 
-// hopeless reports whether a request that is dispatched now cannot finish before its deadline.
-func (s *Scheduler) hopeless(now time.Time, i *item) bool {
-	left := seconds(i.request.Deadline.Sub(now))
+// latestStart returns the time until which the request can be dispatched and finish in time.
+func latestStart(i *item) time.Time {
 	if i.probe {
-		return left <= 0
+		return i.request.Deadline
+	}
+	return i.request.Deadline.Add(-duration(i.queue.estimate().tail()))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return left < i.queue.estimate().tail()
+	return b
 }
 
 // drop removes a request that Expire reports later.
