--- a/endpoint/example_test.go
+++ b/endpoint/example_test.go
@@ -31,7 +31,7 @@
 func ExampleSplit() {
 	members := []endpoint.Member{{ID: "a", DataCentre: "north"}, {ID: "b", DataCentre: "south"}, {ID: "c", DataCentre: "west"}}
 	fmt.Println(endpoint.Split(endpoint.SlotsPerEndpoint, "n1", "north", members))
-	// Output: [4 2 2]
+	// Output: [6 1 1]
 }
 
 func ExampleQuotas() {
--- a/endpoint/quota.go
+++ b/endpoint/quota.go
@@ -15,9 +15,10 @@
 	DataCentre string
 }
 
-// localWeight is the weight of an entry instance in the data centre of the endpoint; others have weight
-// 1. With a weight below 2 every entry instance gets a slot before a local one gets its second.
-const localWeight = 1.9
+// remotePart is the part of an endpoint's slots, as a divisor, that entry instances in other data centres
+// get. They hold a slot also during the round trip, so more of it costs capacity (5 % at half of the
+// slots, 20 ms of service and 1.4 ms one way). Less would leave no room for overflow.
+const remotePart = 4
 
 // Split divides limit slots or connections of an endpoint over the members and returns the parts in the
 // order of members. The sum of the parts is limit, or 0 without members. Members in the data centre of
@@ -63,23 +64,16 @@
 	return mine
 }
 
-// apportion divides limit between local and remote members by the method of D'Hondt: the next one goes
-// to the group whose next member has the highest weight for each slot that it then has.
+// apportion divides limit between local and remote members. No remote member gets more than a local one.
 func apportion(limit, local, remote int) (forLocal, forRemote int) {
-	for range limit {
-		quotient := func(weight float64, given, size int) float64 {
-			if size == 0 {
-				return 0
-			}
-			return weight / float64(given/size+1)
-		}
-		if quotient(localWeight, forLocal, local) >= quotient(1, forRemote, remote) {
-			forLocal++
-		} else {
-			forRemote++
-		}
+	if local == 0 {
+		return 0, limit
+	}
+	forRemote = limit / remotePart
+	for forRemote > remote*((limit-forRemote)/local) {
+		forRemote--
 	}
-	return forLocal, forRemote
+	return limit - forRemote, forRemote
 }
 
 // rank orders the members of an endpoint.
--- a/endpoint/quota_test.go
+++ b/endpoint/quota_test.go
@@ -26,6 +26,9 @@
 func TestSplit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all := members(rapid.IntRange(1, 25).Draw(t, "members"))
+		for i := range all {
+			all[i].DataCentre = rapid.SampledFrom([]string{"dc0", "dc1"}).Draw(t, "dataCentre")
+		}
 		limit := rapid.SampledFrom([]int{endpoint.SlotsPerEndpoint, endpoint.ConnectionsPerEndpoint}).Draw(t, "limit")
 		parts := endpoint.Split(limit, "worker", "dc0", all)
 		sum, leastLocal, mostRemote := 0, limit, 0
