--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -29,6 +29,8 @@
 	work   *work
 	class  class.Class
 	team   string
+	// snapshot is the configuration at admission, before the key was checked.
+	snapshot *config.Snapshot
 	// dispatched says that the request may have been sent to an endpoint.
 	dispatched bool
 	written    bool
@@ -81,7 +83,8 @@
 
 // prepare checks class and key, and reads the body.
 func (e *exchange) prepare() (*dispatch.Request, *problem.Problem) {
-	c, ok := e.server.o.Source.Snapshot().Class(e.work.class)
+	e.snapshot = e.server.o.Source.Snapshot()
+	c, ok := e.snapshot.Class(e.work.class)
 	if !ok {
 		return nil, problem.NotRun(problem.UnknownClass, "class "+strconv.Quote(e.work.class)+" does not exist")
 	}
@@ -127,12 +130,22 @@
 	case errors.Is(err, config.ErrUnknownKey):
 		return "", problem.NotRun(problem.InvalidKey, "")
 	}
-	return "", problem.NotRun(problem.KeysUnchecked, "configuration is not known to be current").RetryAfter(time.Second)
+	return "", errKeysUnchecked
 }
 
+var errKeysUnchecked = problem.NotRun(problem.KeysUnchecked, "configuration is not known to be current").RetryAfter(time.Second)
+
 // checkKey repeats the check of the key right before the request is sent: the request may have waited,
 // or the process may have been paused.
 func (e *exchange) checkKey() error {
+	source := e.server.o.Source
+	if source.Snapshot() == e.snapshot {
+		// The key was valid in this version; only its age can have changed.
+		if err := source.Policy().Admit(source.Age()); err != nil {
+			return errKeysUnchecked
+		}
+		return nil
+	}
 	name, p := e.authenticate()
 	if p != nil {
 		return p
--- a/caller/server.go
+++ b/caller/server.go
@@ -41,6 +41,9 @@
 	Snapshot() *config.Snapshot
 	// Authenticate fails with config.ErrKeysStale or config.ErrUnknownKey.
 	Authenticate(key string) (team.Team, error)
+	// Age returns the time since the configuration was certainly current, and Policy what age is admitted.
+	Age() (age time.Duration, known bool)
+	Policy() config.Policy
 }
 
 var _ Source = (*config.Source)(nil)
--- a/dispatch/parts.go
+++ b/dispatch/parts.go
@@ -48,20 +48,6 @@
 	Release()
 }
 
-// HolderPermits returns the permits of a holder of allotments.
-func HolderPermits(h *allotment.Holder) Permits { return holderPermits{h} }
-
-type holderPermits struct{ holder *allotment.Holder }
-
-// Acquire implements Permits.
-func (h holderPermits) Acquire(team string) (Permit, error) {
-	p, err := h.holder.Acquire(team)
-	if err != nil {
-		return nil, err
-	}
-	return p, nil
-}
-
 // rejection turns an error of the scheduler into a problem.
 func rejection(err error) *problem.Problem {
 	var r *queue.Rejection
