--- a/caller/stop_integration_test.go
+++ b/caller/stop_integration_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/caller"
+	"github.com/chivetiller/chivetiller/endpoint"
 	"github.com/chivetiller/chivetiller/standin"
 )
 
@@ -122,6 +123,26 @@
 	}
 }
 
+// TestClaimedCallerGone guards against claimed work that is dropped from the queue because its caller has gone.
+func TestClaimedCallerGone(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, rigOptions{endpoint: standin.Options{Service: standin.Fixed(150 * time.Millisecond)}})
+	var wg sync.WaitGroup
+	for range endpoint.SlotsPerEndpoint {
+		wg.Go(func() { r.send(context.Background(), "POST", "/work/swap/a", "x") })
+	}
+	for r.endpoints[0].InFlight() < endpoint.SlotsPerEndpoint {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	a := r.send(ctx, "POST", "/work/swap/a", "x", "Idempotency-Key: k")
+	c.Assert(a.err, qt.ErrorIs, context.Canceled)
+	wg.Wait()
+	c.Assert(r.events.last(endpoint.SlotsPerEndpoint+1).Outcome, qt.Equals, caller.OutcomeUndelivered)
+	c.Assert(r.runs(), qt.HasLen, endpoint.SlotsPerEndpoint+1)
+}
+
 // TestClaimRace guards against more than one run when a caller sends the same claimed request many times at once,
 // and while the platform is down.
 func TestClaimRace(t *testing.T) {
