--- a/caller/input_integration_test.go
+++ b/caller/input_integration_test.go
@@ -65,6 +65,8 @@
 		"wrong scheme":           {send: get("Authorization: Basic KEY\r\n"), want: problem.InvalidKey},
 		"unknown class":          {send: post("/work/tide/a", "", ""), want: problem.UnknownClass},
 		"no class":               {send: post("/work/", "", ""), want: problem.UnknownClass},
+		"doubled slash":          {send: post("//work/swap/a", "", ""), want: problem.UnknownRoute},
+		"dots":                   {send: post("/work/../ready", "", ""), want: problem.UnknownClass},
 		"unknown route":          {send: post("/other", "", ""), want: problem.UnknownRoute},
 	}
 	for name, test := range tests {
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,12 @@
 	DefaultIdleTimeout  = 2 * time.Minute
 )
 
+// Paths for load balancers.
+const (
+	readyPath  = "/ready"
+	healthPath = "/health"
+)
+
 // Source gives the configuration in force.
 type Source interface {
 	Snapshot() *config.Snapshot
@@ -131,13 +138,11 @@
 		kratoshttp.Address(listener.Addr().String()),
 		kratoshttp.Listener(problemListener{listener, s}),
 		kratoshttp.Timeout(0),
-		// Work goes around the router, which would redirect paths such as /work/a//b.
+		// Only the two paths that it knows reach the router, which answers others such as //work/a by a redirect.
 		kratoshttp.Filter(s.filter),
-		kratoshttp.NotFoundHandler(http.HandlerFunc(s.serveUnknown)),
-		kratoshttp.MethodNotAllowedHandler(http.HandlerFunc(s.serveUnknown)),
 	)
-	s.http.HandleFunc("/ready", s.serveReady)
-	s.http.HandleFunc("/health", s.serveHealth)
+	s.http.HandleFunc(readyPath, s.serveReady)
+	s.http.HandleFunc(healthPath, s.serveHealth)
 	s.http.ReadHeaderTimeout = s.o.ReadTimeout
 	s.http.IdleTimeout = s.o.IdleTimeout
 	// The handler measures the header itself and answers with a document. This bound only protects memory.
@@ -183,11 +188,14 @@
 func (s *Server) filter(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		handled(r)
-		if len(r.URL.Path) >= len(workPrefix) && r.URL.Path[:len(workPrefix)] == workPrefix {
+		switch {
+		case strings.HasPrefix(r.URL.Path, workPrefix):
 			s.serveWork(w, r)
-			return
+		case r.URL.Path == readyPath || r.URL.Path == healthPath:
+			next.ServeHTTP(w, r)
+		default:
+			s.serveUnknown(w, r)
 		}
-		next.ServeHTTP(w, r)
 	})
 }
 
