--- a/dispatch/dispatch_integration_test.go
+++ b/dispatch/dispatch_integration_test.go
@@ -230,6 +230,7 @@
 			kinds := r.many(8, 800, http.MethodPost)
 			c.Assert(kinds, qt.DeepEquals, map[string]int{"": 800})
 			before := 0
+			c.Assert(e.WaitIdle(t.Context()), qt.IsNil)
 			for _, run := range e.Runs() {
 				c.Assert(run.Sent, qt.IsTrue)
 				if run.Start.Before(left) {
@@ -354,6 +355,7 @@
 	cancelRunning()
 	cancelWaiting()
 	wg.Wait()
+	c.Assert(r.endpoints[0].WaitIdle(t.Context()), qt.IsNil)
 	c.Assert(r.runs(), qt.Equals, 1)
 	c.Assert(r.endpoints[0].Runs()[0].Sent, qt.IsTrue)
 }
--- a/standin/record.go
+++ b/standin/record.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -38,6 +39,21 @@
 	return append([]Run(nil), e.record.runs...)
 }
 
+// WaitIdle returns once no request is in flight, so that the record is complete. A response reaches its caller a
+// little before the record says so.
+func (e *Endpoint) WaitIdle(ctx context.Context) error {
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for e.InFlight() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // Refused returns how many requests were refused as not run.
 func (e *Endpoint) Refused() int {
 	e.mu.Lock()
