--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -21,7 +21,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/common/loop"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 var (
@@ -33,7 +33,7 @@
 
 // Options configure a holder. Fields that are 0 have the defaults stated.
 type Options struct {
-	Table platform.Table
+	Table provider.Table
 	// Holder names the process and its incarnation. It never repeats.
 	Holder string
 	Logger hclog.Logger
--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -8,8 +8,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/allotment"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // TestLimitOverHolders guards against holders that together admit more than the limit, and against parts
@@ -81,7 +81,7 @@
 		time.Sleep(5 * time.Second)
 		check, write, err := allotment.Jobs(t.Context(), table, "team", 4, 3)
 		qt.Assert(t, err, qt.IsNil)
-		txn := platform.Txn{OperationID: "1", Checks: []platform.Check{check}, Writes: []platform.Write{write}}
+		txn := provider.Txn{OperationID: "1", Checks: []provider.Check{check}, Writes: []provider.Write{write}}
 		qt.Assert(t, table.Commit(t.Context(), txn), qt.IsNil)
 		h.WantJobs("team", 0)
 		time.Sleep(5 * time.Second)
--- a/allotment/cost_test.go
+++ b/allotment/cost_test.go
@@ -14,23 +14,23 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/allotment"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // counter counts the calls of a table, which take 4 ms each.
 type counter struct {
-	platform.Table
+	provider.Table
 	reads, commits, conflicts atomic.Int64
 }
 
-func (c *counter) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (c *counter) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	c.reads.Add(1)
 	time.Sleep(4 * time.Millisecond)
 	return c.Table.Read(ctx, keys...)
 }
 
-func (c *counter) Commit(ctx context.Context, txn platform.Txn) error {
+func (c *counter) Commit(ctx context.Context, txn provider.Txn) error {
 	c.commits.Add(1)
 	time.Sleep(4 * time.Millisecond)
 	err := c.Table.Commit(ctx, txn)
--- a/allotment/record.go
+++ b/allotment/record.go
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 const rowPrefix = "allotment/"
@@ -43,7 +43,7 @@
 
 func (p part) hold() time.Duration { return time.Duration(p.Hold) * time.Millisecond }
 
-func decode(row platform.Row) (record, error) {
+func decode(row provider.Row) (record, error) {
 	var r record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return record{}, eris.Wrapf(err, "decode row %q", row.Key)
--- a/allotment/storm_test.go
+++ b/allotment/storm_test.go
@@ -18,8 +18,8 @@
 	"github.com/chivetiller/chivetiller/allotment"
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/history"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // seeds is how many seeds the tests with random faults use.
@@ -101,9 +101,9 @@
 func (s *storm) process(ctx context.Context, index int, identity standin.Identity, pauser *standin.Pauser, random *rand.Rand) {
 	for ctx.Err() == nil {
 		crash := &standin.Pauser{}
-		client := platform.NewClient(platform.ClientOptions{Table: crash.Table(pauser.Table(s.platform.Client(identity).Table())), Writes: 1000, Reads: 1000})
+		client := provider.NewClient(provider.ClientOptions{Table: crash.Table(pauser.Table(s.platform.Client(identity).Table())), Writes: 1000, Reads: 1000})
 		h := allotment.NewHolder(allotment.Options{
-			Table: client.For(platform.UserAllotments), Holder: ident.New(), Term: stormTerm, MaxRun: stormMaxRun, Margin: stormMargin,
+			Table: client.For(provider.UserAllotments), Holder: ident.New(), Term: stormTerm, MaxRun: stormMaxRun, Margin: stormMargin,
 		})
 		s.mu.Lock()
 		h.SetLimits(s.version, s.limits)
@@ -159,8 +159,8 @@
 
 // jobs runs jobs of a team one after the other, in transactions of their own, until ctx ends.
 func (s *storm) jobs(ctx context.Context, team string, random *rand.Rand) {
-	client := platform.NewClient(platform.ClientOptions{Table: s.platform.Client(standin.Identity{Client: "jobs"}).Table()})
-	table := client.For(platform.UserConfig)
+	client := provider.NewClient(provider.ClientOptions{Table: s.platform.Client(standin.Identity{Client: "jobs"}).Table()})
+	table := client.For(provider.UserConfig)
 	// change counts a job in or out and reports whether that took effect.
 	change := func(ctx context.Context, id string, delta int) bool {
 		s.mu.Lock()
@@ -171,11 +171,11 @@
 			return false
 		}
 		key := "job/" + id + fmt.Sprint(delta)
-		err = table.Commit(ctx, platform.Txn{
-			Checks: []platform.Check{check, {Key: key}},
-			Writes: []platform.Write{write, {Key: key}},
+		err = table.Commit(ctx, provider.Txn{
+			Checks: []provider.Check{check, {Key: key}},
+			Writes: []provider.Write{write, {Key: key}},
 		})
-		if !errors.Is(err, platform.ErrUnknownOutcome) {
+		if !errors.Is(err, provider.ErrUnknownOutcome) {
 			return err == nil
 		}
 		// The transaction can take effect until the latest messages have arrived.
@@ -234,8 +234,8 @@
 func TestOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := standin.New(standin.Options{})
-		client := platform.NewClient(platform.ClientOptions{Table: p.Client(standin.Identity{}).Table()})
-		h := allotment.NewHolder(allotment.Options{Table: client.For(platform.UserAllotments), Holder: "a"})
+		client := provider.NewClient(provider.ClientOptions{Table: p.Client(standin.Identity{}).Table()})
+		h := allotment.NewHolder(allotment.Options{Table: client.For(provider.UserAllotments), Holder: "a"})
 		h.SetLimits(1, map[string]int{"team": 2})
 		qt.Assert(t, h.Start(t.Context()), qt.IsNil)
 		acquire := func(want error, comment string) {
@@ -304,7 +304,7 @@
 	p.SetFaults(standin.Faults{Down: true})
 	h := allotment.NewHolder(allotment.Options{Table: p.Client(standin.Identity{}).Table(), Holder: "a"})
 	h.SetLimits(2, map[string]int{"team": 5})
-	qt.Check(t, h.Sync(t.Context()), qt.ErrorIs, platform.ErrUnavailable)
+	qt.Check(t, h.Sync(t.Context()), qt.ErrorIs, provider.ErrUnavailable)
 	qt.Check(t, h.Usage("team").Known, qt.IsFalse)
 }
 
--- a/allotment/sync.go
+++ b/allotment/sync.go
@@ -12,7 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 const (
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	byKey := make(map[string]platform.Row, len(rows))
+	byKey := make(map[string]provider.Row, len(rows))
 	for _, row := range rows {
 		byKey[row.Key] = row
 	}
@@ -123,7 +123,7 @@
 }
 
 // absorb takes over what a row says. The zero row is an absent one.
-func (h *Holder) absorb(a *account, row platform.Row, now time.Time) error {
+func (h *Holder) absorb(a *account, row provider.Row, now time.Time) error {
 	if row.Version == a.version {
 		return nil
 	}
@@ -192,7 +192,7 @@
 	switch {
 	case err == nil:
 		return h.read(ctx, sent)
-	case errors.Is(err, platform.ErrConflict) && round < maxRounds:
+	case errors.Is(err, provider.ErrConflict) && round < maxRounds:
 		h.forget(sent)
 		if err := h.read(ctx, sent); err != nil {
 			return err
@@ -201,18 +201,18 @@
 			return errors.Join(h.commit(ctx, sent[:half], round+1), h.commit(ctx, sent[half:], round+1))
 		}
 		return h.commit(ctx, sent, round+1)
-	case !errors.Is(err, platform.ErrUnknownOutcome):
+	case !errors.Is(err, provider.ErrUnknownOutcome):
 		h.forget(sent)
 	}
 	return err
 }
 
 // prepare builds the transaction of the teams that are due and notes it as an attempt.
-func (h *Holder) prepare(teams []string) (platform.Txn, []string) {
+func (h *Holder) prepare(teams []string) (provider.Txn, []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	txn := platform.Txn{OperationID: ident.New()}
+	txn := provider.Txn{OperationID: ident.New()}
 	var sent []string
 	for _, team := range teams {
 		a := h.teams[team]
@@ -228,8 +228,8 @@
 			r.Holders[h.o.Holder] = own
 		}
 		a.attempts = appendAttempt(a.attempts, attempt{checked: a.version, count: h.count, amount: amount, sent: now})
-		txn.Checks = append(txn.Checks, platform.Check{Key: rowKey(team), Version: a.version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: rowKey(team), Value: r.encode()})
+		txn.Checks = append(txn.Checks, provider.Check{Key: rowKey(team), Version: a.version})
+		txn.Writes = append(txn.Writes, provider.Write{Key: rowKey(team), Value: r.encode()})
 		sent = append(sent, team)
 	}
 	return txn, sent
--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/burn"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 var noon = time.Date(2030, 5, 1, 12, 0, 0, 0, time.UTC)
@@ -125,7 +125,7 @@
 func (o *busyObjects) Get(ctx context.Context, name string) ([]byte, error) {
 	if o.left > 0 {
 		o.left--
-		return nil, platform.ErrOverBudget
+		return nil, provider.ErrOverBudget
 	}
 	return o.fakeObjects.Get(ctx, name)
 }
@@ -143,7 +143,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err = burn.Load(ctx, objects, noon)
-		qt.Assert(t, err, qt.ErrorIs, platform.ErrOverBudget)
+		qt.Assert(t, err, qt.ErrorIs, provider.ErrOverBudget)
 	})
 }
 
@@ -159,7 +159,7 @@
 func (o fakeObjects) Get(_ context.Context, name string) ([]byte, error) {
 	data, ok := o[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, provider.ErrNotFound
 	}
 	return data, nil
 }
--- a/burn/history.go
+++ b/burn/history.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Objects is the part of the object store that the history needs.
@@ -50,7 +50,7 @@
 			continue
 		}
 		data, err := get(ctx, objects, name)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, provider.ErrNotFound) {
 			continue // deleted by Prune since it was listed
 		}
 		if err != nil {
@@ -73,7 +73,7 @@
 func get(ctx context.Context, objects Objects, name string) ([]byte, error) {
 	for {
 		data, err := objects.Get(ctx, name)
-		if !errors.Is(err, platform.ErrOverBudget) {
+		if !errors.Is(err, provider.ErrOverBudget) {
 			return data, err
 		}
 		select {
@@ -96,7 +96,7 @@
 		if deleted == limit || NameIsSince(name, since) {
 			break // names sort by time
 		}
-		if err := objects.Delete(ctx, name); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err := objects.Delete(ctx, name); err != nil && !errors.Is(err, provider.ErrNotFound) {
 			return deleted, eris.Wrapf(err, "delete burn history %s", name)
 		}
 		deleted++
--- a/caller/claims_integration_test.go
+++ b/caller/claims_integration_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 	"github.com/chivetiller/chivetiller/standin"
 )
 
@@ -22,12 +22,12 @@
 		good       int
 		wantStatus int
 	}{
-		"down":                  {fault: platform.ErrUnavailable, wantStatus: 503},
-		"response lost":         {fault: platform.ErrUnknownOutcome, wantStatus: 503},
-		"down after the claim":  {fault: platform.ErrUnavailable, good: 1, wantStatus: 200},
-		"lost after the claim":  {fault: platform.ErrUnknownOutcome, good: 1, wantStatus: 200},
-		"over budget":           {fault: platform.ErrOverBudget, wantStatus: 503},
-		"conflict without rows": {fault: platform.ErrConflict, wantStatus: 503},
+		"down":                  {fault: provider.ErrUnavailable, wantStatus: 503},
+		"response lost":         {fault: provider.ErrUnknownOutcome, wantStatus: 503},
+		"down after the claim":  {fault: provider.ErrUnavailable, good: 1, wantStatus: 200},
+		"lost after the claim":  {fault: provider.ErrUnknownOutcome, good: 1, wantStatus: 200},
+		"over budget":           {fault: provider.ErrOverBudget, wantStatus: 503},
+		"conflict without rows": {fault: provider.ErrConflict, wantStatus: 503},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -67,7 +67,7 @@
 		standin.FaultNone, standin.FaultGarbage, standin.FaultHalfResponse, standin.FaultTwoResponses, standin.FaultWrongRequestID,
 		standin.FaultCloseBeforeReading, standin.FaultCloseAfterRunning, standin.FaultFailFast, standin.FaultSlow,
 	}
-	tableFaults := []error{nil, nil, nil, platform.ErrUnavailable, platform.ErrUnknownOutcome}
+	tableFaults := []error{nil, nil, nil, provider.ErrUnavailable, provider.ErrUnknownOutcome}
 	done := make(chan struct{})
 	var chaos sync.WaitGroup
 	chaos.Go(func() {
--- a/caller/rig_test.go
+++ b/caller/rig_test.go
@@ -24,9 +24,9 @@
 	"github.com/chivetiller/chivetiller/dispatch"
 	"github.com/chivetiller/chivetiller/dispatch/connection"
 	"github.com/chivetiller/chivetiller/endpoint"
-	"github.com/chivetiller/chivetiller/platform"
-	platformstandin "github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	platformstandin "github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/standin"
 	"github.com/chivetiller/chivetiller/team"
 )
@@ -178,8 +178,8 @@
 	t.fault, t.good = fault, good
 }
 
-// Commit implements platform.Table.
-func (t *faultyTable) Commit(ctx context.Context, txn platform.Txn) error {
+// Commit implements provider.Table.
+func (t *faultyTable) Commit(ctx context.Context, txn provider.Txn) error {
 	t.mu.Lock()
 	fault := t.fault
 	if t.good > 0 {
@@ -187,7 +187,7 @@
 		fault = nil
 	}
 	t.mu.Unlock()
-	if errors.Is(fault, platform.ErrUnknownOutcome) {
+	if errors.Is(fault, provider.ErrUnknownOutcome) {
 		// An earlier attempt of the client may have taken effect already.
 		_ = t.Table.Commit(ctx, txn)
 	}
--- a/claim/batch.go
+++ b/claim/batch.go
@@ -10,7 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // maxRounds bounds how often a batch is repeated after conflicts. Each round settles at least the rows
@@ -136,13 +136,13 @@
 	claims   []*request
 	outcomes []*outcome
 	// rows holds the rows as they were read. A claim whose row was not read is taken to be absent.
-	rows map[string]platform.Row
+	rows map[string]provider.Row
 }
 
 // write claims and settles in one transaction, which is repeated without the rows that changed. It
 // returns the outcomes that have to be written again.
 func (s *Store) write(claims []*request, outcomes []*outcome) []*outcome {
-	b := &batch{owner: s.o.Owner, claims: claims, outcomes: outcomes, rows: make(map[string]platform.Row)}
+	b := &batch{owner: s.o.Owner, claims: claims, outcomes: outcomes, rows: make(map[string]provider.Row)}
 	ctx, cancel := context.WithTimeout(s.ctx, s.o.Timeout)
 	defer cancel()
 	err := s.refresh(ctx, b, len(outcomes) > 0, false)
@@ -157,7 +157,7 @@
 			}
 			return nil
 		}
-		if errors.Is(err, platform.ErrConflict) && round < maxRounds {
+		if errors.Is(err, provider.ErrConflict) && round < maxRounds {
 			err = s.refresh(ctx, b, true, true)
 		}
 	}
@@ -235,13 +235,13 @@
 }
 
 // txn returns the transaction of the batch.
-func (b *batch) txn() platform.Txn {
-	txn := platform.Txn{OperationID: ident.New()}
+func (b *batch) txn() provider.Txn {
+	txn := provider.Txn{OperationID: ident.New()}
 	now := time.Now().UnixMilli()
 	add := func(key string, r record) {
 		r.Written = now
-		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: b.rows[key].Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: r.encode()})
+		txn.Checks = append(txn.Checks, provider.Check{Key: key, Version: b.rows[key].Version})
+		txn.Writes = append(txn.Writes, provider.Write{Key: key, Value: r.encode()})
 	}
 	for _, r := range b.claims {
 		add(r.key, record{ID: r.id, Owner: b.owner, Digest: r.digest[:], State: stateClaimed})
@@ -256,7 +256,7 @@
 func (s *Store) fail(b *batch, err error) {
 	for _, r := range b.claims {
 		r.result <- fmt.Errorf("%w: %w", ErrNotClaimed, err)
-		if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOverBudget) || errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, provider.ErrUnavailable) || errors.Is(err, provider.ErrOverBudget) || errors.Is(err, provider.ErrConflict) {
 			continue
 		}
 		s.settle(&outcome{
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -21,7 +21,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 var (
@@ -53,7 +53,7 @@
 
 // Options configure a store. Fields that are 0 have the defaults stated.
 type Options struct {
-	Table platform.Table
+	Table provider.Table
 	// Owner names the process and its incarnation.
 	Owner  string
 	Logger hclog.Logger
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/claim"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // TestSecondClaim guards against a second run of a request whose key is claimed, and against an answer
--- a/claim/cost_test.go
+++ b/claim/cost_test.go
@@ -12,22 +12,22 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/claim"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // counter counts the commits of a table, whose calls take 4 ms each.
 type counter struct {
-	platform.Table
+	provider.Table
 	commits atomic.Int64
 }
 
-func (c *counter) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (c *counter) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	time.Sleep(4 * time.Millisecond)
 	return c.Table.Read(ctx, keys...)
 }
 
-func (c *counter) Commit(ctx context.Context, txn platform.Txn) error {
+func (c *counter) Commit(ctx context.Context, txn provider.Txn) error {
 	c.commits.Add(1)
 	time.Sleep(4 * time.Millisecond)
 	return c.Table.Commit(ctx, txn)
@@ -45,8 +45,8 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				stores := make([]*claim.Store, instances)
 				for i := range stores {
-					client := platform.NewClient(platform.ClientOptions{Table: table})
-					store := claim.NewStore(claim.Options{Table: client.For(platform.UserClaims), Owner: fmt.Sprint(i)})
+					client := provider.NewClient(provider.ClientOptions{Table: table})
+					store := claim.NewStore(claim.Options{Table: client.For(provider.UserClaims), Owner: fmt.Sprint(i)})
 					stores[i] = store
 					for j := range callers {
 						go func() {
--- a/claim/row.go
+++ b/claim/row.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // state is the state of a claim row.
@@ -55,7 +55,7 @@
 	return data
 }
 
-func decode(row platform.Row) (record, error) {
+func decode(row provider.Row) (record, error) {
 	var r record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return record{}, eris.Wrapf(err, "decode row %q", row.Key)
--- a/claim/storm_test.go
+++ b/claim/storm_test.go
@@ -17,8 +17,8 @@
 	"github.com/chivetiller/chivetiller/claim"
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/history"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // seeds is how many seeds the tests with random faults use.
@@ -59,8 +59,8 @@
 	start := func(i int) (*claim.Store, *standin.Pauser) {
 		pauser := &standin.Pauser{}
 		table := pauser.Table(p.Client(standin.Identity{Client: fmt.Sprint(i)}).Table())
-		client := platform.NewClient(platform.ClientOptions{Table: table, Writes: 1000, Reads: 1000})
-		return claim.NewStore(claim.Options{Table: client.For(platform.UserClaims), Owner: ident.New()}), pauser
+		client := provider.NewClient(provider.ClientOptions{Table: table, Writes: 1000, Reads: 1000})
+		return claim.NewStore(claim.Options{Table: client.For(provider.UserClaims), Owner: ident.New()}), pauser
 	}
 	for i := range 3 {
 		store, pauser := start(i)
--- a/commands/config_test.go
+++ b/commands/config_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/operator"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // Guards against operator commands that fail, end with the wrong code, show a key twice or hide a fault,
--- a/commands/endpoint.go
+++ b/commands/endpoint.go
@@ -11,8 +11,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/chivetiller/chivetiller/common/logging"
-	"github.com/chivetiller/chivetiller/platform"
-	platformstandin "github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	platformstandin "github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/standin"
 )
 
@@ -86,7 +86,7 @@
 		Identity: platformstandin.Identity{Client: o.id, DataCentre: o.dataCentre},
 	})
 	defer remote.Close()
-	return eris.Wrap(remote.Register(ctx, platform.Instance{
+	return eris.Wrap(remote.Register(ctx, provider.Instance{
 		ID: o.id, DataCentre: o.dataCentre, Rack: o.rack, Address: e.Address(),
 		Slots: standin.DefaultSlots, Cores: o.cores, Memory: o.memory,
 	}, control), "add the endpoint to the list of the platform")
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -14,7 +14,7 @@
 
 	"github.com/chivetiller/chivetiller/common/logging"
 	"github.com/chivetiller/chivetiller/entry"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/settings"
 )
 
--- a/commands/failure_integration_test.go
+++ b/commands/failure_integration_test.go
@@ -27,9 +27,9 @@
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/peer/devcert"
-	"github.com/chivetiller/chivetiller/platform"
-	platformstandin "github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	platformstandin "github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/standin"
 	"github.com/chivetiller/chivetiller/team"
 )
@@ -254,7 +254,7 @@
 func (r *rig) startEndpoints(t *testing.T) {
 	rows := pool.NewStore(r.platform.Table())
 	for i := range 6 {
-		listed := platform.Instance{ID: fmt.Sprintf("i%d", i), DataCentre: []string{"north", "south", "harbour"}[i%3], Rack: fmt.Sprint(i), Slots: standin.DefaultSlots, Incarnation: 1}
+		listed := provider.Instance{ID: fmt.Sprintf("i%d", i), DataCentre: []string{"north", "south", "harbour"}[i%3], Rack: fmt.Sprint(i), Slots: standin.DefaultSlots, Incarnation: 1}
 		e := standin.New(standin.Options{ID: listed.ID, Service: standin.LogNormal(150*time.Millisecond, 0.5)})
 		qt.Assert(t, e.Start(t.Context()), qt.IsNil)
 		t.Cleanup(func() { _ = e.Crash() })
--- a/commands/failure_wave_test.go
+++ b/commands/failure_wave_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/chivetiller/chivetiller/duty"
 	"github.com/chivetiller/chivetiller/history"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 	"github.com/chivetiller/chivetiller/standin"
 	"github.com/chivetiller/chivetiller/wave"
 )
@@ -82,7 +82,7 @@
 }
 
 // leaseHolder returns the process that holds a duty, or nothing.
-func leaseHolder(table platform.Table, name string) string {
+func leaseHolder(table provider.Table, name string) string {
 	rows, err := table.Read(context.Background(), "lease/"+name)
 	if err != nil || len(rows) == 0 {
 		return ""
--- a/commands/platform.go
+++ b/commands/platform.go
@@ -10,7 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/chivetiller/chivetiller/common/logging"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // standInStop bounds the stop of a stand-in.
--- a/config/change.go
+++ b/config/change.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Request asks for a change of the configuration.
@@ -43,7 +43,7 @@
 
 // Change checks the whole set with the change and writes it in one transaction.
 // It fails with *[Invalid] or *[Conflict], in which case nothing was written,
-// and with [platform.ErrUnknownOutcome] if the change may have taken effect.
+// and with [provider.ErrUnknownOutcome] if the change may have taken effect.
 func (s *Store) Change(ctx context.Context, r Request) (Result, error) {
 	if r.OperationID == "" {
 		return Result{}, eris.New("change has no operation ID")
@@ -84,13 +84,13 @@
 		switch {
 		case err == nil:
 			return Result{Version: change.Version, Changed: true, Difference: difference, Accepted: time.Now()}, nil
-		case errors.Is(err, platform.ErrUnknownOutcome):
+		case errors.Is(err, provider.ErrUnknownOutcome):
 			// The next attempt either finds its operation row, or its commit makes the delayed one fail.
 			unknown = true
 			if err := sleep(ctx, commitPause); err != nil {
 				return Result{}, unknownOutcome(err, true)
 			}
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, provider.ErrConflict):
 			return Result{}, unknownOutcome(err, unknown)
 		}
 	}
@@ -99,10 +99,10 @@
 
 // unknownOutcome marks err if an earlier attempt of the same change may have taken effect.
 func unknownOutcome(err error, unknown bool) error {
-	if !unknown || errors.Is(err, platform.ErrUnknownOutcome) {
+	if !unknown || errors.Is(err, provider.ErrUnknownOutcome) {
 		return err
 	}
-	return errors.Join(platform.ErrUnknownOutcome, err)
+	return errors.Join(provider.ErrUnknownOutcome, err)
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
@@ -214,15 +214,15 @@
 		return err
 	}
 	// Each attempt is an operation of its own for the platform; the row of the operation tells whether one took effect.
-	txn := platform.Txn{OperationID: ident.New()}
+	txn := provider.Txn{OperationID: ident.New()}
 	var failed error
 	put := func(key string, rowVersion uint64, value any) {
 		data, err := json.Marshal(value)
 		if err != nil {
 			failed = eris.Wrapf(err, "row %q", key)
 		}
-		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: rowVersion})
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: data})
+		txn.Checks = append(txn.Checks, provider.Check{Key: key, Version: rowVersion})
+		txn.Writes = append(txn.Writes, provider.Write{Key: key, Value: data})
 	}
 	put(currentKey, h.rowVersion, current{Version: c.Version})
 	put(changeKey(c.Version), 0, c)
@@ -233,8 +233,8 @@
 	}
 	for _, ref := range c.Deletes {
 		key := documentKey(ref)
-		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: versions[key]})
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Delete: true})
+		txn.Checks = append(txn.Checks, provider.Check{Key: key, Version: versions[key]})
+		txn.Writes = append(txn.Writes, provider.Write{Key: key, Delete: true})
 	}
 	if failed != nil {
 		return failed
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -12,15 +12,15 @@
 
 	"github.com/chivetiller/chivetiller/class"
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/team"
 )
 
 // faultyTable is a table that can be down or slow, or lose the response of a commit that took effect.
 type faultyTable struct {
-	platform.Table
+	provider.Table
 
 	mu     sync.Mutex
 	down   bool
@@ -42,19 +42,19 @@
 	down, delay := t.down, t.delay
 	t.mu.Unlock()
 	if down {
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	}
 	return sleep(ctx, delay)
 }
 
-func (t *faultyTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t *faultyTable) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	if err := t.wait(ctx); err != nil {
 		return nil, err
 	}
 	return t.Table.Read(ctx, keys...)
 }
 
-func (t *faultyTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *faultyTable) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	if err := t.wait(ctx); err != nil {
 		return nil, err
 	}
@@ -62,12 +62,12 @@
 }
 
 // Commit refuses writes without a check of their row, which the client of the platform does too.
-func (t *faultyTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (t *faultyTable) Commit(ctx context.Context, txn provider.Txn) error {
 	if err := t.wait(ctx); err != nil {
 		return err
 	}
 	for _, w := range txn.Writes {
-		if !slices.ContainsFunc(txn.Checks, func(c platform.Check) bool { return c.Key == w.Key }) {
+		if !slices.ContainsFunc(txn.Checks, func(c provider.Check) bool { return c.Key == w.Key }) {
 			return fmt.Errorf("write of row %q without a check", w.Key)
 		}
 	}
@@ -83,7 +83,7 @@
 	defer t.mu.Unlock()
 	if t.lose > 0 {
 		t.lose--
-		return platform.ErrUnknownOutcome
+		return provider.ErrUnknownOutcome
 	}
 	return err
 }
--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/team"
 )
 
--- a/config/history.go
+++ b/config/history.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Prefixes of the objects of the configuration. An object of changes is named after its first and last version.
@@ -57,7 +57,7 @@
 }
 
 // decodeChanges returns those changes, with their rows, that are older than the latest keep.
-func decodeChanges(rows []platform.Row, version, keep uint64) ([]Change, []platform.Row, error) {
+func decodeChanges(rows []provider.Row, version, keep uint64) ([]Change, []provider.Row, error) {
 	changes := make([]Change, 0, len(rows))
 	for i, row := range rows {
 		var c Change
@@ -72,7 +72,7 @@
 	return changes, rows, nil
 }
 
-func (s *Store) archive(ctx context.Context, changes []Change, rows []platform.Row) error {
+func (s *Store) archive(ctx context.Context, changes []Change, rows []provider.Row) error {
 	data, err := json.Marshal(changes)
 	if err != nil {
 		return eris.Wrap(err, "archive changes")
@@ -89,10 +89,10 @@
 	if err != nil {
 		return err
 	}
-	txn := platform.Txn{OperationID: ident.New()}
+	txn := provider.Txn{OperationID: ident.New()}
 	for _, row := range slices.Concat(rows, operationRows) {
-		txn.Checks = append(txn.Checks, platform.Check{Key: row.Key, Version: row.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+		txn.Checks = append(txn.Checks, provider.Check{Key: row.Key, Version: row.Version})
+		txn.Writes = append(txn.Writes, provider.Write{Key: row.Key, Delete: true})
 	}
 	return s.table.Commit(ctx, txn)
 }
@@ -169,7 +169,7 @@
 			continue
 		}
 		data, err := s.options.Objects.Get(ctx, name)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, provider.ErrNotFound) {
 			continue
 		}
 		if err != nil {
--- a/config/history_test.go
+++ b/config/history_test.go
@@ -9,7 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // memoryObjects is an object store in memory.
@@ -30,7 +30,7 @@
 	defer o.mu.Unlock()
 	data, ok := o.data[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, provider.ErrNotFound
 	}
 	return data, nil
 }
@@ -71,7 +71,7 @@
 	}
 	table.set(func(t *faultyTable) { t.lose = 1 })
 	_, err := store.Compact(ctx)
-	c.Assert(err, qt.ErrorIs, platform.ErrUnknownOutcome)
+	c.Assert(err, qt.ErrorIs, provider.ErrUnknownOutcome)
 	_, err = store.Compact(ctx)
 	c.Assert(err, qt.IsNil)
 
--- a/config/source_test.go
+++ b/config/source_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 	"github.com/chivetiller/chivetiller/team"
 )
 
@@ -122,9 +122,9 @@
 		// The platform is restored from an old copy: the version stays and confirmations end.
 		rows, err := table.Read(t.Context(), currentKey)
 		c.Assert(err, qt.IsNil)
-		c.Assert(table.Table.Commit(t.Context(), platform.Txn{
-			Checks: []platform.Check{{Key: currentKey, Version: rows[0].Version}},
-			Writes: []platform.Write{{Key: currentKey, Value: []byte(`{"version":2}`)}},
+		c.Assert(table.Table.Commit(t.Context(), provider.Txn{
+			Checks: []provider.Check{{Key: currentKey, Version: rows[0].Version}},
+			Writes: []provider.Write{{Key: currentKey, Value: []byte(`{"version":2}`)}},
 		}), qt.IsNil)
 		time.Sleep(time.Minute)
 		c.Assert(source.Snapshot().Version(), qt.Equals, uint64(4))
--- a/config/store.go
+++ b/config/store.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Row keys of the configuration.
@@ -37,19 +37,19 @@
 // StoreOptions are the optional parts of a Store.
 type StoreOptions struct {
 	// Objects keeps old changes and snapshots. It may be nil if neither Compact, History nor Backup is used.
-	Objects platform.Objects
+	Objects provider.Objects
 	// KeepChanges is how many change rows Compact leaves in the table. The default is 256.
 	KeepChanges int
 }
 
 // Store reads and changes the configuration in the platform's table. It is safe for concurrent use.
 type Store struct {
-	table   platform.Table
+	table   provider.Table
 	options StoreOptions
 }
 
 // NewStore returns a store on the table.
-func NewStore(table platform.Table, o StoreOptions) *Store {
+func NewStore(table provider.Table, o StoreOptions) *Store {
 	if o.KeepChanges <= 0 {
 		o.KeepChanges = 256
 	}
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -15,9 +15,9 @@
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/entry"
 	"github.com/chivetiller/chivetiller/peer/devcert"
-	"github.com/chivetiller/chivetiller/platform"
-	platformstandin "github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	platformstandin "github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/settings"
 	"github.com/chivetiller/chivetiller/standin"
 	"github.com/chivetiller/chivetiller/team"
@@ -139,7 +139,7 @@
 			}
 			for range count {
 				n++
-				listed := platform.Instance{
+				listed := provider.Instance{
 					ID:         fmt.Sprintf("i%02d", n),
 					DataCentre: dataCentre,
 					Rack:       fmt.Sprintf("%s-%d", dataCentre, n/perRack),
--- a/directory/bench_test.go
+++ b/directory/bench_test.go
@@ -9,9 +9,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/endpoint"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 type discard struct{}
@@ -27,11 +27,11 @@
 			members[i] = endpoint.Member{ID: fmt.Sprintf("entry%d", i), DataCentre: fmt.Sprintf("dc%d", i%3)}
 		}
 		rows := make([]pool.Stored, size.workers)
-		reports := make(map[string]platform.Instance, size.workers)
+		reports := make(map[string]provider.Instance, size.workers)
 		for i := range rows {
 			id := fmt.Sprintf("i%05d", i)
 			rows[i] = pool.Stored{Instance: pool.Instance{ID: id, Pool: fmt.Sprintf("pool%d", i%size.pools), State: pool.StateServing, Generation: 1}}
-			reports[id] = platform.Instance{ID: id, DataCentre: fmt.Sprintf("dc%d", i%10), Address: "10.0.0.1:80", Incarnation: 1, Slots: 8}
+			reports[id] = provider.Instance{ID: id, DataCentre: fmt.Sprintf("dc%d", i%10), Address: "10.0.0.1:80", Incarnation: 1, Slots: 8}
 		}
 		live := members
 		newLoaded := func() *view {
@@ -75,11 +75,11 @@
 
 // countingTable counts the bytes of keys and values that are read.
 type countingTable struct {
-	platform.Table
+	provider.Table
 	bytes int
 }
 
-func (t *countingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *countingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	rows, err := t.Table.Scan(ctx, prefix, after, limit)
 	for _, row := range rows {
 		t.bytes += len(row.Key) + len(row.Value)
@@ -95,7 +95,7 @@
 			p := standin.New(standin.Options{})
 			rows := pool.NewStore(p.Table())
 			for i := range workers {
-				listed := platform.Instance{
+				listed := provider.Instance{
 					ID: fmt.Sprintf("worker-%05d", i), DataCentre: fmt.Sprintf("dc%d", i%10), Rack: fmt.Sprintf("dc%d-%03d", i%10, i/40),
 					Address: "10.20.30.40:8080", Slots: 8, Incarnation: 1,
 				}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -18,8 +18,8 @@
 
 	"github.com/chivetiller/chivetiller/common/logging"
 	"github.com/chivetiller/chivetiller/endpoint"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // DefaultInterval is the time between two reads of the rows and the list.
@@ -39,7 +39,7 @@
 // Reports reads the platform's list.
 type Reports interface {
 	Refresh(ctx context.Context) error
-	Get(id string) (platform.Instance, bool)
+	Get(id string) (provider.Instance, bool)
 }
 
 // Dispatcher receives the endpoints of a pool.
@@ -89,7 +89,7 @@
 type readResult struct {
 	rows []pool.Stored
 	// reports holds the report of each row.
-	reports map[string]platform.Instance
+	reports map[string]provider.Instance
 	err     error
 }
 
@@ -219,7 +219,7 @@
 	}
 	// Without a new list the last reports still give addresses.
 	err = d.o.Reports.Refresh(ctx)
-	reports := make(map[string]platform.Instance, len(rows))
+	reports := make(map[string]provider.Instance, len(rows))
 	for _, row := range rows {
 		if report, ok := d.o.Reports.Get(row.ID); ok {
 			reports[row.ID] = report
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -13,15 +13,15 @@
 
 	"github.com/chivetiller/chivetiller/directory"
 	"github.com/chivetiller/chivetiller/endpoint"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // fake is a platform and a dispatcher.
 type fake struct {
 	mu      sync.Mutex
 	rows    []pool.Stored
-	reports map[string]platform.Instance
+	reports map[string]provider.Instance
 	members []endpoint.Member
 	down    bool
 	got     map[string][]endpoint.Endpoint
@@ -31,7 +31,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
 	return slices.Clone(f.rows), nil
 }
@@ -45,7 +45,7 @@
 	return nil
 }
 
-func (f *fake) Get(id string) (platform.Instance, bool) {
+func (f *fake) Get(id string) (provider.Instance, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	report, ok := f.reports[id]
@@ -87,9 +87,9 @@
 				{Instance: pool.Instance{ID: "a", Pool: "desk", State: pool.StateServing, Generation: 1, Incarnation: 1}},
 				{Instance: pool.Instance{ID: "b", Pool: "desk", State: pool.StateServing, Generation: 1, Incarnation: 1}},
 			},
-			reports: map[string]platform.Instance{
-				"a": {ID: "a", Address: "127.0.0.1:1", Incarnation: 1, State: platform.InstanceLive, Reported: time.Now()},
-				"b": {ID: "b", Address: "127.0.0.1:2", Incarnation: 1, State: platform.InstanceLive, Reported: time.Now()},
+			reports: map[string]provider.Instance{
+				"a": {ID: "a", Address: "127.0.0.1:1", Incarnation: 1, State: provider.InstanceLive, Reported: time.Now()},
+				"b": {ID: "b", Address: "127.0.0.1:2", Incarnation: 1, State: provider.InstanceLive, Reported: time.Now()},
 			},
 			members: []endpoint.Member{{ID: "one-1"}},
 			got:     make(map[string][]endpoint.Endpoint),
@@ -149,7 +149,7 @@
 		"list says leaving before the row does": {
 			change: func(f *fake, _ *directory.Directory) {
 				f.change(func() {
-					f.reports["b"] = platform.Instance{ID: "b", Address: "127.0.0.1:2", Incarnation: 1, State: platform.InstanceLeaving, Reported: time.Now()}
+					f.reports["b"] = provider.Instance{ID: "b", Address: "127.0.0.1:2", Incarnation: 1, State: provider.InstanceLeaving, Reported: time.Now()}
 				})
 				time.Sleep(time.Second)
 			},
@@ -158,7 +158,7 @@
 		"list still says leaving after the return": {
 			change: func(f *fake, _ *directory.Directory) {
 				f.change(func() {
-					f.reports["b"] = platform.Instance{ID: "b", Address: "127.0.0.1:2", Incarnation: 1, State: platform.InstanceLeaving, Reported: time.Now()}
+					f.reports["b"] = provider.Instance{ID: "b", Address: "127.0.0.1:2", Incarnation: 1, State: provider.InstanceLeaving, Reported: time.Now()}
 					f.rows[1].Generation, f.rows[1].Seen = 3, time.Now()
 				})
 				time.Sleep(time.Second)
@@ -167,7 +167,7 @@
 		},
 		"instance gone": {
 			change: func(f *fake, _ *directory.Directory) {
-				f.change(func() { f.reports["a"] = platform.Instance{ID: "a", State: platform.InstanceGone, Incarnation: 1} })
+				f.change(func() { f.reports["a"] = provider.Instance{ID: "a", State: provider.InstanceGone, Incarnation: 1} })
 				time.Sleep(time.Second)
 			},
 			want: []string{"b"},
--- a/directory/view.go
+++ b/directory/view.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/endpoint"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // generationBits is the room for the row's generation in the incarnation that the dispatcher sees.
@@ -20,7 +20,7 @@
 	quotas     *endpoint.Quotas
 
 	rows    map[string]pool.Instance
-	reports map[string]platform.Instance
+	reports map[string]provider.Instance
 	// parts caches the slots of each endpoint. Splitting them for 3,700 endpoints at each
 	// publication would cost more than all the rest of the directory.
 	parts       map[string]int
@@ -39,14 +39,14 @@
 		members:    o.Members,
 		quotas:     endpoint.NewQuotas(o.Self, o.Stable),
 		rows:       make(map[string]pool.Instance),
-		reports:    make(map[string]platform.Instance),
+		reports:    make(map[string]provider.Instance),
 		parts:      make(map[string]int),
 		published:  make(map[string][]endpoint.Endpoint),
 	}
 }
 
 // replace takes all rows. A row that was announced with a later generation stays.
-func (v *view) replace(rows []pool.Stored, reports map[string]platform.Instance) {
+func (v *view) replace(rows []pool.Stored, reports map[string]provider.Instance) {
 	next := make(map[string]pool.Instance, len(rows))
 	for _, row := range rows {
 		next[row.ID] = row.Instance
@@ -92,7 +92,7 @@
 	for _, id := range slices.Sorted(maps.Keys(v.rows)) {
 		row := v.rows[id]
 		report, ok := v.reports[id]
-		if !ok || report.Address == "" || report.State == platform.InstanceGone {
+		if !ok || report.Address == "" || report.State == provider.InstanceGone {
 			continue
 		}
 		next[row.Pool] = append(next[row.Pool], v.endpointOf(now, row, report))
@@ -119,7 +119,7 @@
 	clear(v.parts)
 }
 
-func (v *view) endpointOf(now time.Time, row pool.Instance, report platform.Instance) endpoint.Endpoint {
+func (v *view) endpointOf(now time.Time, row pool.Instance, report provider.Instance) endpoint.Endpoint {
 	part, ok := v.parts[row.ID]
 	if !ok {
 		part = v.quotas.Part(now, slotsOf(report), row.ID, report.DataCentre)
@@ -139,12 +139,12 @@
 
 // isLeaving reports whether the list says that the instance leaves. The list lags: an entry from before
 // the last return to service says nothing about the present.
-func isLeaving(row pool.Instance, report platform.Instance) bool {
-	return report.State == platform.InstanceLeaving &&
+func isLeaving(row pool.Instance, report provider.Instance) bool {
+	return report.State == provider.InstanceLeaving &&
 		report.Incarnation >= row.Incarnation && report.Reported.After(row.Seen)
 }
 
-func slotsOf(report platform.Instance) int {
+func slotsOf(report provider.Instance) int {
 	if report.Slots > 0 {
 		return report.Slots
 	}
--- a/duty/bench_test.go
+++ b/duty/bench_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/chivetiller/chivetiller/duty"
 	"github.com/chivetiller/chivetiller/job"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/wave"
 )
 
--- a/duty/cleanup.go
+++ b/duty/cleanup.go
@@ -8,7 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 const (
@@ -23,7 +23,7 @@
 
 // RowCleaner removes old rows of one kind, with a bounded number of calls.
 type RowCleaner interface {
-	Clean(ctx context.Context, now time.Time, limit int, guard func(platform.Txn) platform.Txn) (removed int, last bool, err error)
+	Clean(ctx context.Context, now time.Time, limit int, guard func(provider.Txn) provider.Txn) (removed int, last bool, err error)
 }
 
 // Changes moves old changes of the configuration to the object store.
@@ -66,7 +66,7 @@
 		return nil
 	}
 	now := time.Now()
-	guard := func(txn platform.Txn) platform.Txn {
+	guard := func(txn provider.Txn) provider.Txn {
 		txn.Checks = append(txn.Checks, fence)
 		return txn
 	}
--- a/duty/cleanup_test.go
+++ b/duty/cleanup_test.go
@@ -10,34 +10,34 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/duty"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // cleanupCalls counts what the clean-up calls, and fails the first calls of Compact.
 type cleanupCalls struct {
 	claims, changes, objects int
 	failures                 int
-	checks                   []platform.Check
+	checks                   []provider.Check
 }
 
-func (c *cleanupCalls) Clean(_ context.Context, _ time.Time, _ int, guard func(platform.Txn) platform.Txn) (int, bool, error) {
+func (c *cleanupCalls) Clean(_ context.Context, _ time.Time, _ int, guard func(provider.Txn) provider.Txn) (int, bool, error) {
 	c.claims++
-	c.checks = guard(platform.Txn{}).Checks
+	c.checks = guard(provider.Txn{}).Checks
 	return 0, true, nil
 }
 
 func (c *cleanupCalls) Compact(context.Context) (int, error) {
 	c.changes++
 	if c.changes <= c.failures {
-		return 0, platform.ErrUnavailable
+		return 0, provider.ErrUnavailable
 	}
 	return 1, nil
 }
 
 type holds bool
 
-func (h holds) Holds(string) (platform.Check, bool) {
-	return platform.Check{Key: "fence/housekeeping", Version: 7}, bool(h)
+func (h holds) Holds(string) (provider.Check, bool) {
+	return provider.Check{Key: "fence/housekeeping", Version: 7}, bool(h)
 }
 
 // TestCleanup guards against a clean-up without the lease, without the fence, in every pass, or never again after a failure.
@@ -68,7 +68,7 @@
 				}
 				qt.Assert(t, fmt.Sprintf("claims %d, changes %d, objects %d", calls.claims, calls.changes, calls.objects), qt.Equals, tt.want)
 				if tt.leases {
-					qt.Assert(t, calls.checks, qt.DeepEquals, []platform.Check{{Key: "fence/housekeeping", Version: 7}})
+					qt.Assert(t, calls.checks, qt.DeepEquals, []provider.Check{{Key: "fence/housekeeping", Version: 7}})
 				}
 			})
 		})
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -20,7 +20,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/lease"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Shards is the number of duties over which the pools are spread.
@@ -54,7 +54,7 @@
 type Leases interface {
 	// Holds returns the check to add to every transaction of the duty. It reports false if the
 	// lease is not held, or may have run out while the process was paused.
-	Holds(duty string) (platform.Check, bool)
+	Holds(duty string) (provider.Check, bool)
 }
 
 // Duties do one pass over those of their duties that are held.
@@ -136,9 +136,9 @@
 // passing reports whether an error ends only the current step: another process was first, or the
 // platform did not answer. The next pass reads everything again.
 func passing(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) ||
-		errors.Is(err, platform.ErrUnknownOutcome) || errors.Is(err, platform.ErrOverBudget) ||
-		errors.Is(err, platform.ErrNotFound)
+	return errors.Is(err, provider.ErrConflict) || errors.Is(err, provider.ErrUnavailable) ||
+		errors.Is(err, provider.ErrUnknownOutcome) || errors.Is(err, provider.ErrOverBudget) ||
+		errors.Is(err, provider.ErrNotFound)
 }
 
 // managed are leases of a manager.
@@ -148,10 +148,10 @@
 func FromManager(m *lease.Manager) Leases { return managed{manager: m} }
 
 // Holds implements [Leases].
-func (m managed) Holds(duty string) (platform.Check, bool) {
+func (m managed) Holds(duty string) (provider.Check, bool) {
 	held, ok := m.manager.Held(duty)
 	if !ok {
-		return platform.Check{}, false
+		return provider.Check{}, false
 	}
-	return held.Guard(platform.Txn{}).Checks[0], true
+	return held.Guard(provider.Txn{}).Checks[0], true
 }
--- a/duty/fake_test.go
+++ b/duty/fake_test.go
@@ -8,44 +8,44 @@
 	"sync"
 	"time"
 
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // fakeLease is a lease that this holder believes to have while held is true. The fence row decides.
 type fakeLease struct {
 	mu    sync.Mutex
 	held  bool
-	check platform.Check
+	check provider.Check
 }
 
-func (l *fakeLease) Holds(string) (platform.Check, bool) {
+func (l *fakeLease) Holds(string) (provider.Check, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.check, l.held
 }
 
 // takeOver writes the fence row, which makes the transactions of earlier holders fail.
-func (l *fakeLease) takeOver(table platform.Table) {
+func (l *fakeLease) takeOver(table provider.Table) {
 	ctx := context.Background()
 	rows, _ := table.Read(ctx, "fence/all")
-	check := platform.Check{Key: "fence/all"}
+	check := provider.Check{Key: "fence/all"}
 	if len(rows) > 0 {
 		check.Version = rows[0].Version
 	}
-	if err := table.Commit(ctx, platform.Txn{Checks: []platform.Check{check}, Writes: []platform.Write{{Key: "fence/all"}}}); err != nil {
+	if err := table.Commit(ctx, provider.Txn{Checks: []provider.Check{check}, Writes: []provider.Write{{Key: "fence/all"}}}); err != nil {
 		panic(err)
 	}
 	rows, _ = table.Read(ctx, "fence/all")
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.held, l.check = true, platform.Check{Key: "fence/all", Version: rows[0].Version}
+	l.held, l.check = true, provider.Check{Key: "fence/all", Version: rows[0].Version}
 }
 
 // machine is an instance of the fake platform.
 type machine struct {
-	platform.Instance
+	provider.Instance
 	draining bool
 	// busy is when the last request in flight ends after a drain.
 	busy time.Time
@@ -69,30 +69,30 @@
 	lag      time.Duration
 	drain    func(id string) time.Duration
 	reboot   func(id string) time.Duration
-	shown    map[string]platform.Instance
+	shown    map[string]provider.Instance
 	shownAt  time.Time
 	// distort says of an entry whether the list drops it, and whether it repeats the one before.
 	distort func() (drop, repeat bool)
-	old     map[string]platform.Instance
+	old     map[string]provider.Instance
 	cuts    []string
 	drains  int
 }
 
 func newFakeFleet(lag time.Duration) *fakeFleet {
 	return &fakeFleet{
-		machines: make(map[string]*machine), lag: lag, shown: make(map[string]platform.Instance),
+		machines: make(map[string]*machine), lag: lag, shown: make(map[string]provider.Instance),
 		drain:  func(string) time.Duration { return 5 * time.Second },
 		reboot: func(string) time.Duration { return time.Minute },
 	}
 }
 
 // add creates machines of a pool, four to a rack over three data centres, and their rows.
-func (f *fakeFleet) add(table platform.Table, name string, n int) {
+func (f *fakeFleet) add(table provider.Table, name string, n int) {
 	store := pool.NewStore(table)
 	for i := range n {
-		in := platform.Instance{
+		in := provider.Instance{
 			ID: fmt.Sprintf("%s-%03d", name, i), DataCentre: fmt.Sprintf("dc%d", i%3), Rack: fmt.Sprintf("r%d", i/12),
-			Incarnation: 1, State: platform.InstanceLive, Slots: 8, Cores: 64, Memory: 256 << 30,
+			Incarnation: 1, State: provider.InstanceLive, Slots: 8, Cores: 64, Memory: 256 << 30,
 		}
 		f.machines[in.ID] = &machine{Instance: in, serving: true}
 		if _, err := store.Adopt(context.Background(), time.Now(), in, name); err != nil {
@@ -101,18 +101,18 @@
 	}
 }
 
-func (f *fakeFleet) List(context.Context, string) (platform.InstanceList, error) {
+func (f *fakeFleet) List(context.Context, string) (provider.InstanceList, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	if f.shownAt.IsZero() || now.Sub(f.shownAt) >= f.lag {
 		f.shownAt = now
-		f.old, f.shown = f.shown, make(map[string]platform.Instance, len(f.machines))
+		f.old, f.shown = f.shown, make(map[string]provider.Instance, len(f.machines))
 		for id, m := range f.machines {
 			f.shown[id] = m.report(now)
 		}
 	}
-	list := platform.InstanceList{}
+	list := provider.InstanceList{}
 	for _, id := range slices.Sorted(maps.Keys(f.shown)) {
 		if f.distort != nil {
 			drop, repeat := f.distort()
@@ -129,19 +129,19 @@
 	return list, nil
 }
 
-func (m *machine) report(now time.Time) platform.Instance {
+func (m *machine) report(now time.Time) provider.Instance {
 	in := m.Instance
 	in.Reported = now
 	switch {
 	case now.Before(m.up):
-		in.State = platform.InstanceGone
+		in.State = provider.InstanceGone
 	case m.draining:
-		in.State = platform.InstanceLeaving
+		in.State = provider.InstanceLeaving
 		if now.Before(m.busy) {
 			in.InFlight = 1
 		}
 	default:
-		in.State = platform.InstanceLive
+		in.State = provider.InstanceLive
 		if m.hasServed() {
 			in.InFlight = 1
 		}
--- a/duty/fleet.go
+++ b/duty/fleet.go
@@ -10,8 +10,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/move"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 	"github.com/chivetiller/chivetiller/wave"
 )
 
@@ -24,8 +24,8 @@
 
 // FleetOptions are the options of the fleet duties.
 type FleetOptions struct {
-	Table     platform.Table
-	Instances platform.Instances
+	Table     provider.Table
+	Instances provider.Instances
 	// Pools returns the configured pools.
 	Pools func() []pool.Pool
 	// Announce is called as soon as instances begin to leave, before the platform is told to drain them,
@@ -159,7 +159,7 @@
 		known[row.ID] = true
 	}
 	for id, report := range f.reports.All() {
-		if known[id] || report.State != platform.InstanceLive {
+		if known[id] || report.State != provider.InstanceLive {
 			continue
 		}
 		adopted, err := f.rows.Adopt(ctx, p.now, report, p.pools[spare].Name(), fence)
@@ -298,7 +298,7 @@
 // available reports whether the platform says that an instance is in service.
 func (f *Fleet) available(id string) bool {
 	report, known := f.reports.Get(id)
-	return known && report.State == platform.InstanceLive && !f.reports.Missing(id)
+	return known && report.State == provider.InstanceLive && !f.reports.Missing(id)
 }
 
 // rules returns the limits of an operation. A wave whose row is missing counts as aborted.
--- a/duty/fleet_test.go
+++ b/duty/fleet_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/chivetiller/chivetiller/duty"
 	"github.com/chivetiller/chivetiller/move"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/wave"
 )
 
@@ -92,10 +92,10 @@
 // refusingTable refuses transactions that begin stops.
 type refusingTable struct{ *standin.Table }
 
-func (r *refusingTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (r *refusingTable) Commit(ctx context.Context, txn provider.Txn) error {
 	for _, w := range txn.Writes {
 		if strings.HasPrefix(w.Key, "planned/") {
-			return platform.ErrUnavailable
+			return provider.ErrUnavailable
 		}
 	}
 	return r.Table.Commit(ctx, txn)
--- a/duty/jobs.go
+++ b/duty/jobs.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chivetiller/chivetiller/job"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 const (
@@ -30,11 +30,11 @@
 
 // JobsOptions are the options of the job duties.
 type JobsOptions struct {
-	Table     platform.Table
-	Instances platform.Instances
-	Tasks     platform.Tasks
+	Table     provider.Table
+	Instances provider.Instances
+	Tasks     provider.Tasks
 	// Objects receive the jobs that ended an hour ago. Without it they are only removed.
-	Objects platform.Objects
+	Objects provider.Objects
 	// DataCentres returns the data centres of the fleet.
 	DataCentres func() []string
 	// Limits may be nil, which means that teams have no limits.
@@ -156,7 +156,7 @@
 		workers[row.ID] = worker{
 			Worker: job.Worker{
 				ID: row.ID, Rack: row.Rack, Size: job.Size{Cores: report.Cores, Memory: report.Memory, Accelerators: report.Accelerators},
-				Closed: row.Down() || !known || report.State != platform.InstanceLive || missing || c.health.Quarantined(now, row.ID),
+				Closed: row.Down() || !known || report.State != provider.InstanceLive || missing || c.health.Quarantined(now, row.ID),
 			},
 			vacate:  phase == pool.StateDraining || phase == pool.StateMoving,
 			missing: missing,
@@ -167,7 +167,7 @@
 
 // hold notes a new term of the duty. Runs that an earlier holder started are started again: that has no
 // effect on those that began, and makes the platform refuse the calls of the earlier holder.
-func (c *centre) hold(fence platform.Check) {
+func (c *centre) hold(fence provider.Check) {
 	if c.token != fence.Version {
 		c.token = fence.Version
 		c.renewed = time.Time{}
--- a/duty/jobs_test.go
+++ b/duty/jobs_test.go
@@ -12,9 +12,9 @@
 	"github.com/chivetiller/chivetiller/allotment"
 	"github.com/chivetiller/chivetiller/duty"
 	"github.com/chivetiller/chivetiller/job"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 const gib = 1 << 30
@@ -224,7 +224,7 @@
 			time.Sleep(2 * time.Hour)
 			r.run(time.Second)
 			_, err := r.store.Get(t.Context(), id)
-			qt.Assert(t, err, qt.ErrorIs, platform.ErrNotFound)
+			qt.Assert(t, err, qt.ErrorIs, provider.ErrNotFound)
 			data, err := r.platform.Objects().Get(t.Context(), "jobs/dc0/"+id+".json")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, string(data), qt.Contains, `"state":"done"`)
@@ -280,13 +280,13 @@
 
 // silentTasks hides the reports of one worker.
 type silentTasks struct {
-	platform.Tasks
+	provider.Tasks
 	worker string
 }
 
-func (s *silentTasks) Status(ctx context.Context, workers ...string) ([]platform.TaskStatus, error) {
+func (s *silentTasks) Status(ctx context.Context, workers ...string) ([]provider.TaskStatus, error) {
 	all, err := s.Tasks.Status(ctx, workers...)
-	var shown []platform.TaskStatus
+	var shown []provider.TaskStatus
 	for _, status := range all {
 		if status.Worker != s.worker {
 			shown = append(shown, status)
--- a/duty/jobsmodel_test.go
+++ b/duty/jobsmodel_test.go
@@ -16,9 +16,9 @@
 	"github.com/chivetiller/chivetiller/allotment"
 	"github.com/chivetiller/chivetiller/duty"
 	"github.com/chivetiller/chivetiller/job"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // jobTable fails operations as drawn, and records what becomes of each job.
@@ -28,15 +28,15 @@
 	jobs  map[string]job.Job
 }
 
-func (t *jobTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *jobTable) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	t.model.between()
 	if _, err := t.model.fault(); err != nil {
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
 	return t.Table.Scan(ctx, prefix, after, limit)
 }
 
-func (t *jobTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (t *jobTable) Commit(ctx context.Context, txn provider.Txn) error {
 	t.model.between()
 	effect, fault := t.model.fault()
 	if fault != nil && !effect {
@@ -80,7 +80,7 @@
 	model *jobsModel
 }
 
-func (t *modelTasks) Start(ctx context.Context, spec platform.TaskSpec) error {
+func (t *modelTasks) Start(ctx context.Context, spec provider.TaskSpec) error {
 	effect, fault := t.model.callFault("start", spec.ID)
 	if fault != nil && !effect {
 		return fault
@@ -96,10 +96,10 @@
 	return errors.Join(fault, t.Tasks.Stop(ctx, token, id))
 }
 
-func (t *modelTasks) Status(ctx context.Context, workers ...string) ([]platform.TaskStatus, error) {
+func (t *modelTasks) Status(ctx context.Context, workers ...string) ([]provider.TaskStatus, error) {
 	all, err := t.Tasks.Status(ctx, workers...)
 	for _, s := range all {
-		if s.State == platform.TaskDone {
+		if s.State == provider.TaskDone {
 			t.model.finished[s.ID] = true
 		}
 	}
@@ -160,11 +160,11 @@
 func faultOf(n int) (effect bool, err error) {
 	switch n {
 	case 0:
-		return false, platform.ErrUnavailable
+		return false, provider.ErrUnavailable
 	case 1:
-		return false, platform.ErrUnknownOutcome
+		return false, provider.ErrUnknownOutcome
 	case 2:
-		return true, platform.ErrUnknownOutcome
+		return true, provider.ErrUnknownOutcome
 	}
 	return false, nil
 }
--- a/duty/jobspass.go
+++ b/duty/jobspass.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/job"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // limitPause is how long no job of a team is tried that was found at its limit.
@@ -23,7 +23,7 @@
 	now     time.Time
 	workers map[string]worker
 	jobs    []job.Stored
-	status  map[string]platform.TaskStatus
+	status  map[string]provider.TaskStatus
 }
 
 func (p *jobsPass) read(ctx context.Context) error {
@@ -44,7 +44,7 @@
 			busy[j.Worker] = true
 		}
 	}
-	p.status = make(map[string]platform.TaskStatus)
+	p.status = make(map[string]provider.TaskStatus)
 	if len(busy) == 0 {
 		return nil
 	}
@@ -70,7 +70,7 @@
 	}
 	fence, held := p.leases.Holds(JobsDuty(p.name))
 	if !held || fence.Version != p.token {
-		return nil, platform.ErrConflict
+		return nil, provider.ErrConflict
 	}
 	applied, limited, err := p.store.Apply(ctx, changes, fence)
 	for team := range limited {
@@ -114,7 +114,7 @@
 		}
 		s, ok := p.status[j.Run()]
 		switch {
-		case ok && s.State == platform.TaskRunning:
+		case ok && s.State == provider.TaskRunning:
 			p.learner.Observe(j.Run(), job.Size{Cores: s.Cores, Memory: s.Memory})
 			p.started[j.Run()] = true
 		case ok:
@@ -141,14 +141,14 @@
 }
 
 // judge learns from the end of a run and reports whether its worker is quarantined.
-func (p *jobsPass) judge(j job.Stored, s platform.TaskStatus) bool {
+func (p *jobsPass) judge(j job.Stored, s provider.TaskStatus) bool {
 	p.learner.Observe(j.Run(), job.Size{Cores: s.Cores, Memory: s.Memory})
-	p.learner.Finish(j.Run(), j.Spec.Kind, s.Reported.Sub(j.Started), s.State == platform.TaskDone && !j.Throttled)
+	p.learner.Finish(j.Run(), j.Spec.Kind, s.Reported.Sub(j.Started), s.State == provider.TaskDone && !j.Throttled)
 	p.learned++
 	switch s.State {
-	case platform.TaskDone:
+	case provider.TaskDone:
 		p.health.Succeeded(j.Worker)
-	case platform.TaskFailed:
+	case provider.TaskFailed:
 		if len(j.FailedOn) > 0 {
 			// The job has failed elsewhere. Such failures say more about the job: two bad jobs kept the
 			// last worker quarantined for hours, and were not given up meanwhile.
@@ -173,7 +173,7 @@
 // stop ends a task. One that the platform does not know has ended as well.
 func (p *jobsPass) stop(ctx context.Context, j job.Stored) error {
 	err := p.options.Tasks.Stop(ctx, p.token, j.Run())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, provider.ErrNotFound) {
 		return nil
 	}
 	return err
@@ -326,7 +326,7 @@
 
 func (p *jobsPass) start(ctx context.Context, jobs []job.Stored) {
 	started := each(ctx, jobs, func(ctx context.Context, j job.Stored) error {
-		return p.options.Tasks.Start(ctx, platform.TaskSpec{
+		return p.options.Tasks.Start(ctx, provider.TaskSpec{
 			ID: j.Run(), Job: j.ID, Token: p.token, Worker: j.Worker, Kind: j.Spec.Kind, Cores: j.Spec.Cores, Memory: j.Spec.Memory,
 			Accelerators: j.Spec.Accelerators, Checkpoint: j.Checkpoint, Term: p.options.Term,
 		})
--- a/duty/model_test.go
+++ b/duty/model_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/chivetiller/chivetiller/duty"
 	"github.com/chivetiller/chivetiller/move"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/wave"
 )
 
@@ -32,18 +32,18 @@
 	rebooting map[string]int
 	fatal     func(format string, args ...any)
 	// late are the transactions that arrive a second time.
-	late []platform.Txn
+	late []provider.Txn
 }
 
-func (f *faultyTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (f *faultyTable) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	f.between()
 	if _, err := f.fault(); err != nil {
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
 	return f.Table.Scan(ctx, prefix, after, limit)
 }
 
-func (f *faultyTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (f *faultyTable) Commit(ctx context.Context, txn provider.Txn) error {
 	f.between()
 	effect, fault := f.fault()
 	if fault != nil && !effect {
@@ -59,7 +59,7 @@
 }
 
 // commit commits and records what becomes of each instance.
-func (f *faultyTable) commit(ctx context.Context, txn platform.Txn) error {
+func (f *faultyTable) commit(ctx context.Context, txn provider.Txn) error {
 	keys := make([]string, 0, len(txn.Writes))
 	for _, w := range txn.Writes {
 		keys = append(keys, w.Key)
@@ -79,7 +79,7 @@
 		if row.State == pool.StateRebooting || row.State == pool.StateFailed {
 			f.rebooting[row.ID]++
 		}
-		i := slices.IndexFunc(before, func(r platform.Row) bool { return r.Key == w.Key })
+		i := slices.IndexFunc(before, func(r provider.Row) bool { return r.Key == w.Key })
 		if err := json.Unmarshal(before[i].Value, &old); err != nil || row.Generation != old.Generation+1 {
 			f.fatal("onePool: generation %d of %s was overwritten by %d: %v", old.Generation, row.ID, row.Generation, err)
 		}
@@ -90,14 +90,14 @@
 // operatorTable is the table as operators use it, without faults.
 type operatorTable struct{ *faultyTable }
 
-func (o *operatorTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (o *operatorTable) Commit(ctx context.Context, txn provider.Txn) error {
 	fault, between := o.fault, o.between
 	o.fault, o.between = func() (bool, error) { return false, nil }, func() {}
 	defer func() { o.fault, o.between = fault, between }()
 	return o.faultyTable.Commit(ctx, txn)
 }
 
-func (o *operatorTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (o *operatorTable) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	return o.Table.Scan(ctx, prefix, after, limit)
 }
 
@@ -151,11 +151,11 @@
 	}
 	switch rapid.IntRange(0, 19).Draw(m.rt, "fault") {
 	case 0:
-		return false, platform.ErrUnavailable
+		return false, provider.ErrUnavailable
 	case 1:
-		return false, platform.ErrUnknownOutcome
+		return false, provider.ErrUnknownOutcome
 	case 2:
-		return true, platform.ErrUnknownOutcome
+		return true, provider.ErrUnknownOutcome
 	}
 	return false, nil
 }
@@ -176,7 +176,7 @@
 }
 
 func (m *fleetModel) run(holder *duty.Fleet, lease *fakeLease) {
-	if err := holder.Pass(context.Background(), lease); err != nil && !errors.Is(err, platform.ErrUnavailable) {
+	if err := holder.Pass(context.Background(), lease); err != nil && !errors.Is(err, provider.ErrUnavailable) {
 		m.rt.Fatalf("pass: %v", err)
 	}
 	m.check()
@@ -348,7 +348,7 @@
 	now := time.Now()
 	rows, _ := pool.NewStore(m.table.Table).List(context.Background())
 	for _, row := range rows {
-		if row.Down() || m.fleet.machines[row.ID].report(now).State != platform.InstanceLive {
+		if row.Down() || m.fleet.machines[row.ID].report(now).State != provider.InstanceLive {
 			return false
 		}
 	}
--- a/duty/moves.go
+++ b/duty/moves.go
@@ -5,8 +5,8 @@
 	"slices"
 
 	"github.com/chivetiller/chivetiller/move"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 	"github.com/chivetiller/chivetiller/wave"
 )
 
@@ -92,7 +92,7 @@
 	return count
 }
 
-func (f *Fleet) beginMove(ctx context.Context, p *pass, from pool.Pool, order move.Order, fence platform.Check) error {
+func (f *Fleet) beginMove(ctx context.Context, p *pass, from pool.Pool, order move.Order, fence provider.Check) error {
 	members := make([]wave.Member, 0, len(p.byPool[from.Name()]))
 	for _, row := range p.byPool[from.Name()] {
 		members = append(members, wave.Member{
--- a/duty/operations.go
+++ b/duty/operations.go
@@ -11,19 +11,19 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/job"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 	"github.com/chivetiller/chivetiller/wave"
 )
 
 // ErrInvalid marks a request of an operator that can never succeed as it is. Other errors are those of
-// the platform: [platform.ErrNotFound], [platform.ErrConflict] and the temporary ones.
+// the platform: [provider.ErrNotFound], [provider.ErrConflict] and the temporary ones.
 var ErrInvalid = errors.New("invalid request")
 
 // OperationsOptions are the options of operations.
 type OperationsOptions struct {
-	Table     platform.Table
-	Instances platform.Instances
+	Table     provider.Table
+	Instances provider.Instances
 	// Pools returns the configured pools.
 	Pools func() []pool.Pool
 	// HasTeam reports whether a team is configured.
@@ -50,7 +50,7 @@
 type InstanceView struct {
 	pool.Instance
 	// Platform is the state in the platform's list; empty if it is not listed.
-	Platform platform.InstanceState `json:"platform"`
+	Platform provider.InstanceState `json:"platform"`
 	Address  string                 `json:"address,omitempty"`
 	InFlight int                    `json:"inFlight"`
 	Reported time.Time              `json:"reported,omitzero"`
@@ -100,7 +100,7 @@
 	}
 	report, listed := reports[id]
 	row, err := store.Get(ctx, id)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, provider.ErrNotFound) {
 		if !listed {
 			return pool.Instance{}, invalid(eris.Errorf("the platform lists no instance %q", id))
 		}
@@ -118,7 +118,7 @@
 	return o.beginAssign(ctx, store, row, report, name)
 }
 
-func (o *Operations) beginAssign(ctx context.Context, store *pool.Store, row pool.Stored, report platform.Instance, name string) (pool.Instance, error) {
+func (o *Operations) beginAssign(ctx context.Context, store *pool.Store, row pool.Stored, report provider.Instance, name string) (pool.Instance, error) {
 	if row.Down() {
 		return pool.Instance{}, invalid(eris.Errorf("instance %q is %s under %s", row.ID, row.State, row.Operation))
 	}
@@ -156,7 +156,7 @@
 			continue
 		}
 		m := wave.Member{ID: each.ID, Rack: each.Rack, DataCentre: each.DataCentre, Pending: each.ID == id}
-		if m.Down = each.Down() || reports[each.ID].State != platform.InstanceLive; m.Down {
+		if m.Down = each.Down() || reports[each.ID].State != provider.InstanceLive; m.Down {
 			down++
 		}
 		if each.Target != "" {
@@ -181,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	if report, ok := reports[id]; ok && report.State != platform.InstanceGone {
+	if report, ok := reports[id]; ok && report.State != provider.InstanceGone {
 		return invalid(eris.Errorf("instance %q is %s according to the platform", id, report.State))
 	}
 	return pool.NewStore(o.options.Table).Remove(ctx, id)
@@ -321,7 +321,7 @@
 }
 
 // read returns the rows and the newest reports.
-func (o *Operations) read(ctx context.Context) ([]pool.Stored, map[string]platform.Instance, error) {
+func (o *Operations) read(ctx context.Context) ([]pool.Stored, map[string]provider.Instance, error) {
 	rows, err := pool.NewStore(o.options.Table).List(ctx)
 	if err != nil {
 		return nil, nil, err
@@ -331,7 +331,7 @@
 	if err := o.reports.Refresh(ctx); err != nil {
 		return nil, nil, err
 	}
-	reports := make(map[string]platform.Instance, len(rows))
+	reports := make(map[string]provider.Instance, len(rows))
 	for id, report := range o.reports.All() {
 		reports[id] = report
 	}
--- a/duty/operations_test.go
+++ b/duty/operations_test.go
@@ -12,9 +12,9 @@
 	"github.com/chivetiller/chivetiller/duty"
 	"github.com/chivetiller/chivetiller/job"
 	"github.com/chivetiller/chivetiller/lease"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/wave"
 )
 
@@ -62,7 +62,7 @@
 		t.Run(name, func(t *testing.T) {
 			err := tt.call()
 			qt.Assert(t, err, qt.ErrorMatches, tt.want)
-			qt.Assert(t, errors.Is(err, platform.ErrNotFound), qt.Equals, tt.notFound)
+			qt.Assert(t, errors.Is(err, provider.ErrNotFound), qt.Equals, tt.notFound)
 			qt.Assert(t, errors.Is(err, duty.ErrInvalid), qt.Equals, !tt.notFound)
 		})
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,8 +34,8 @@
 	"github.com/chivetiller/chivetiller/metrics"
 	"github.com/chivetiller/chivetiller/operator"
 	"github.com/chivetiller/chivetiller/peer"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 	"github.com/chivetiller/chivetiller/queue"
 	"github.com/chivetiller/chivetiller/settings"
 )
@@ -45,10 +45,10 @@
 const stableHeartbeats = 10
 
 // userDirectory reads the instance rows. It is never refused, since work must not go to instances that leave.
-const userDirectory platform.User = "directory"
+const userDirectory provider.User = "directory"
 
 // userOperators reads for operators. It is never refused, since they need it most while the store is slow.
-const userOperators platform.User = "operators"
+const userOperators provider.User = "operators"
 
 // Names of the services.
 const (
@@ -70,10 +70,10 @@
 
 // Services are the platform's services.
 type Services struct {
-	Table     platform.Table
-	Objects   platform.Objects
-	Instances platform.Instances
-	Tasks     platform.Tasks
+	Table     provider.Table
+	Objects   provider.Objects
+	Instances provider.Instances
+	Tasks     provider.Tasks
 }
 
 // Options of an entry instance.
@@ -93,9 +93,9 @@
 	// duties are all duties of the fleet that this entry instance may hold.
 	duties []string
 	// history is the object store of the burn history.
-	history platform.Objects
+	history provider.Objects
 	// client sends all calls to the table within the budget of the process.
-	client *platform.Client
+	client *provider.Client
 
 	store      *config.Store
 	source     *config.Source
@@ -135,12 +135,12 @@
 // build makes the parts, those that others need first.
 func (e *Entry) build(o Options) error {
 	s := o.Settings
-	e.client = platform.NewClient(platform.ClientOptions{
+	e.client = provider.NewClient(provider.ClientOptions{
 		Table: o.Platform.Table, Writes: s.Platform().WritesPerSecond, Reads: s.Platform().ReadsPerSecond, Logger: o.Logger,
 	})
-	e.history = e.client.ObjectsFor(platform.UserHistory, o.Platform.Objects)
-	e.store = config.NewStore(e.client.For(platform.UserConfig), config.StoreOptions{
-		Objects: e.client.ObjectsFor(platform.UserConfig, o.Platform.Objects),
+	e.history = e.client.ObjectsFor(provider.UserHistory, o.Platform.Objects)
+	e.store = config.NewStore(e.client.For(provider.UserConfig), config.StoreOptions{
+		Objects: e.client.ObjectsFor(provider.UserConfig, o.Platform.Objects),
 	})
 	e.source = config.NewSource(e.store, config.SourceOptions{
 		Policy: config.Policy{
@@ -154,13 +154,13 @@
 		return err
 	}
 	e.leases = lease.NewManager(lease.Options{
-		Table: e.client.For(platform.UserLeases), Holder: e.holder, Duties: e.duties,
+		Table: e.client.For(provider.UserLeases), Holder: e.holder, Duties: e.duties,
 		Term: s.Waves().Lease, Logger: o.Logger,
 	})
 	e.allotments = allotment.NewHolder(allotment.Options{
-		Table: e.client.For(platform.UserAllotments), Holder: e.holder, Term: s.Allotments().Term, MaxRun: class.MaxTarget, Logger: o.Logger,
+		Table: e.client.For(provider.UserAllotments), Holder: e.holder, Term: s.Allotments().Term, MaxRun: class.MaxTarget, Logger: o.Logger,
 	})
-	e.claims = claim.NewStore(claim.Options{Table: e.client.For(platform.UserClaims), Owner: e.holder, Logger: o.Logger})
+	e.claims = claim.NewStore(claim.Options{Table: e.client.For(provider.UserClaims), Owner: e.holder, Logger: o.Logger})
 	e.recorder = burn.NewRecorder(s.Name(), uint64(time.Now().UnixNano()), time.Now())
 	e.metrics = metrics.NewSet(e.sources(), e.client.Collectors()...)
 	observer := &observer{recorder: e.recorder, metrics: e.metrics}
@@ -218,7 +218,7 @@
 			Key:         s.Certificates().Key,
 		},
 		Configuration: e.source,
-		Table:         e.client.For(platform.UserConfig),
+		Table:         e.client.For(provider.UserConfig),
 		Interval:      s.Membership().Heartbeat,
 		Logger:        o.Logger,
 	})
@@ -253,7 +253,7 @@
 
 func (e *Entry) buildDuties(o Options) {
 	fleet := duty.NewFleet(duty.FleetOptions{
-		Table:     e.client.For(platform.UserWaves),
+		Table:     e.client.For(provider.UserWaves),
 		Instances: o.Platform.Instances,
 		Pools:     func() []pool.Pool { return e.source.Snapshot().Pools() },
 		Loads:     e.moveLoads,
@@ -261,13 +261,13 @@
 		Logger:    o.Logger,
 	})
 	jobs := duty.NewJobs(duty.JobsOptions{
-		Table:       e.client.For(platform.UserJobs),
+		Table:       e.client.For(provider.UserJobs),
 		Instances:   o.Platform.Instances,
 		Tasks:       o.Platform.Tasks,
-		Objects:     e.client.ObjectsFor(platform.UserJobs, o.Platform.Objects),
+		Objects:     e.client.ObjectsFor(provider.UserJobs, o.Platform.Objects),
 		DataCentres: func() []string { return []string{e.settings.DataCentre()} },
 		Limits: job.TeamLimits{
-			Table: e.client.For(platform.UserJobs),
+			Table: e.client.For(provider.UserJobs),
 			Limit: func(name string) int {
 				t, ok := e.source.Snapshot().Team(name)
 				if !ok {
@@ -281,11 +281,11 @@
 	})
 	cleanup := duty.NewCleanup(duty.CleanupOptions{
 		Rows: []duty.RowCleaner{
-			claim.NewCleaner(e.client.For(platform.UserHousekeeping)),
-			platform.NewOperationCleaner(e.client.For(platform.UserHousekeeping)),
+			claim.NewCleaner(e.client.For(provider.UserHousekeeping)),
+			provider.NewOperationCleaner(e.client.For(provider.UserHousekeeping)),
 		},
-		Changes: config.NewStore(e.client.For(platform.UserHousekeeping), config.StoreOptions{
-			Objects: e.client.ObjectsFor(platform.UserHousekeeping, o.Platform.Objects),
+		Changes: config.NewStore(e.client.For(provider.UserHousekeeping), config.StoreOptions{
+			Objects: e.client.ObjectsFor(provider.UserHousekeeping, o.Platform.Objects),
 		}),
 		Prune: func(ctx context.Context, now time.Time, limit int) (int, error) {
 			return burn.Prune(ctx, e.history, now, limit)
--- a/entry/operations.go
+++ b/entry/operations.go
@@ -15,8 +15,8 @@
 	"github.com/chivetiller/chivetiller/duty"
 	"github.com/chivetiller/chivetiller/job"
 	"github.com/chivetiller/chivetiller/operator"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 	"github.com/chivetiller/chivetiller/status"
 	"github.com/chivetiller/chivetiller/wave"
 )
@@ -38,7 +38,7 @@
 	entry *Entry
 	fleet *duty.Operations
 	// history is the burn history as operators read it.
-	history platform.Objects
+	history provider.Objects
 
 	// mu guards the parts of the status window and when they were read.
 	mu    sync.Mutex
@@ -66,7 +66,7 @@
 
 func newOperations(e *Entry) *operations {
 	return &operations{entry: e, history: e.client.ObjectsFor(userOperators, e.services.Objects), fleet: duty.NewOperations(duty.OperationsOptions{
-		Table:     e.client.For(platform.UserWaves),
+		Table:     e.client.For(provider.UserWaves),
 		Instances: e.services.Instances,
 		Pools:     func() []pool.Pool { return e.source.Snapshot().Pools() },
 		HasTeam: func(name string) bool {
@@ -131,13 +131,13 @@
 	switch {
 	case errors.Is(err, duty.ErrInvalid):
 		return problem.NotRun(kindInvalid, err.Error())
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, provider.ErrNotFound):
 		return problem.NotRun(kindMissing, err.Error())
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, provider.ErrConflict):
 		return problem.NotRun(kindConflict, err.Error())
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, provider.ErrUnknownOutcome):
 		return problem.Unknown(kindUnknown, err.Error())
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrOverBudget):
+	case errors.Is(err, provider.ErrUnavailable), errors.Is(err, provider.ErrOverBudget):
 		return problem.NotRun(kindUnavailable, err.Error()).RetryAfter(time.Second)
 	}
 	var p *problem.Problem
--- a/entry/status_bench_test.go
+++ b/entry/status_bench_test.go
@@ -15,9 +15,9 @@
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/entry"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/settings"
 	"github.com/chivetiller/chivetiller/team"
 )
@@ -47,7 +47,7 @@
 	qt.Assert(b, err, qt.IsNil)
 	rows := pool.NewStore(p.Table())
 	for i := range workers {
-		listed := platform.Instance{ID: fmt.Sprintf("i%d", i), DataCentre: "north", Rack: fmt.Sprint(i / 4), Address: "127.0.0.1:9", Slots: 8, Incarnation: 1}
+		listed := provider.Instance{ID: fmt.Sprintf("i%d", i), DataCentre: "north", Rack: fmt.Sprint(i / 4), Address: "127.0.0.1:9", Slots: 8, Incarnation: 1}
 		qt.Assert(b, p.Instances().Add(listed, nil), qt.IsNil)
 		_, err := rows.Adopt(b.Context(), time.Now(), listed, fmt.Sprintf("pool%d", i%pools))
 		qt.Assert(b, err, qt.IsNil)
--- a/job/limits.go
+++ b/job/limits.go
@@ -4,21 +4,21 @@
 	"context"
 
 	"github.com/chivetiller/chivetiller/allotment"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Limits counts running jobs against the upper limits of their teams, in the transactions that start and end them.
 type Limits interface {
 	// Jobs returns the check and the write that change the number of running jobs of a team. It fails
 	// with [allotment.ErrLimit] if the limit leaves no room.
-	Jobs(ctx context.Context, team string, delta int) (platform.Check, platform.Write, error)
+	Jobs(ctx context.Context, team string, delta int) (provider.Check, provider.Write, error)
 	// Want says how many more jobs of a team would start, so that entry instances return unused parts.
 	Want(team string, count int)
 }
 
 // TeamLimits are the limits of configured teams.
 type TeamLimits struct {
-	Table platform.Table
+	Table provider.Table
 	// Limit returns the upper limit of a team; 0 if there is no such team.
 	Limit func(team string) int
 	// Holder is that of this entry instance.
@@ -28,7 +28,7 @@
 var _ Limits = TeamLimits{}
 
 // Jobs implements [Limits].
-func (l TeamLimits) Jobs(ctx context.Context, team string, delta int) (platform.Check, platform.Write, error) {
+func (l TeamLimits) Jobs(ctx context.Context, team string, delta int) (provider.Check, provider.Write, error) {
 	return allotment.Jobs(ctx, l.Table, team, l.Limit(team), delta)
 }
 
@@ -48,7 +48,7 @@
 }
 
 // limited adds the checks and writes of the teams' limits to a transaction.
-func (s *Store) limited(ctx context.Context, txn *platform.Txn, changes []Change) error {
+func (s *Store) limited(ctx context.Context, txn *provider.Txn, changes []Change) error {
 	if s.limits == nil {
 		return nil
 	}
--- a/job/step.go
+++ b/job/step.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // maxAttempts bounds the runs of a job that fails on ever new workers, some of them quarantined.
@@ -44,8 +44,8 @@
 
 // Finish returns the row after a report of the job's present run, and whether it changed. Quarantined says
 // that the worker fails many kinds, in which case the failure is not the job's.
-func (j Job) Finish(now time.Time, status platform.TaskStatus, quarantined bool) (Job, bool) {
-	if status.ID != j.Run() || status.State == platform.TaskRunning {
+func (j Job) Finish(now time.Time, status provider.TaskStatus, quarantined bool) (Job, bool) {
+	if status.ID != j.Run() || status.State == provider.TaskRunning {
 		return j, false
 	}
 	if j.State == StateCancelling {
@@ -55,9 +55,9 @@
 		return j, false
 	}
 	switch status.State {
-	case platform.TaskDone:
+	case provider.TaskDone:
 		return j.End(now, StateDone, ""), true
-	case platform.TaskFailed:
+	case provider.TaskFailed:
 		next := j.Requeue(status.Checkpoint, fmt.Sprintf("failed on %s: %s", status.Worker, status.Detail))
 		if !quarantined {
 			next.FailedOn = append(append([]string(nil), j.FailedOn...), status.Worker)
--- a/job/store.go
+++ b/job/store.go
@@ -11,7 +11,7 @@
 
 	"github.com/chivetiller/chivetiller/allotment"
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 const (
@@ -38,13 +38,13 @@
 // Store holds the jobs. Their keys begin with the data centre, so that each duty reads its own only.
 // It is not safe for concurrent use.
 type Store struct {
-	table  platform.Table
+	table  provider.Table
 	limits Limits
 	cache  map[string]Stored
 }
 
 // NewStore returns a store over the table. Limits may be nil, which means that teams have none.
-func NewStore(table platform.Table, limits Limits) *Store {
+func NewStore(table provider.Table, limits Limits) *Store {
 	return &Store{table: table, limits: limits, cache: make(map[string]Stored)}
 }
 
@@ -79,14 +79,14 @@
 	}
 }
 
-// Get returns a job. It fails with [platform.ErrNotFound] if there is none.
+// Get returns a job. It fails with [provider.ErrNotFound] if there is none.
 func (s *Store) Get(ctx context.Context, id string) (Stored, error) {
 	rows, err := s.table.Read(ctx, jobPrefix+id)
 	if err != nil {
 		return Stored{}, fmt.Errorf("read job %q: %w", id, err)
 	}
 	if len(rows) == 0 {
-		return Stored{}, fmt.Errorf("job %q: %w", id, platform.ErrNotFound)
+		return Stored{}, fmt.Errorf("job %q: %w", id, provider.ErrNotFound)
 	}
 	return decode(rows[0])
 }
@@ -111,7 +111,7 @@
 			next.State, next.Reason = StateCancelling, "cancelled while running"
 		}
 		err = s.commit(ctx, []Change{{Old: stored, Next: next}})
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, provider.ErrConflict) {
 			return next, err
 		}
 	}
@@ -121,7 +121,7 @@
 // transaction was changed by another process, or a team is at its limit, the changes are written one by
 // one, so that one cancellation does not undo the placement of other jobs. Limited returns the teams that
 // are at their limits.
-func (s *Store) Apply(ctx context.Context, changes []Change, checks ...platform.Check) (applied []Change, limited map[string]bool, err error) {
+func (s *Store) Apply(ctx context.Context, changes []Change, checks ...provider.Check) (applied []Change, limited map[string]bool, err error) {
 	limited = make(map[string]bool)
 	for len(changes) > 0 {
 		part := changes[:min(batch, len(changes))]
@@ -145,10 +145,10 @@
 
 // single reports whether an error is that of one change and the others may succeed.
 func single(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, allotment.ErrLimit)
+	return errors.Is(err, provider.ErrConflict) || errors.Is(err, allotment.ErrLimit)
 }
 
-func (s *Store) applyEach(ctx context.Context, part []Change, limited map[string]bool, checks []platform.Check) ([]Change, error) {
+func (s *Store) applyEach(ctx context.Context, part []Change, limited map[string]bool, checks []provider.Check) ([]Change, error) {
 	var applied []Change
 	var conflict error
 	for _, c := range part {
@@ -161,7 +161,7 @@
 			applied = append(applied, c)
 		case errors.Is(err, allotment.ErrLimit):
 			limited[c.Next.Spec.Team] = true
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, provider.ErrConflict):
 			conflict = err
 		default:
 			return applied, err
@@ -191,7 +191,7 @@
 }
 
 // SaveKinds stores what is learned. The fence among the checks makes the holder the only writer.
-func (s *Store) SaveKinds(ctx context.Context, dataCentre string, kinds map[string]Kind, checks ...platform.Check) error {
+func (s *Store) SaveKinds(ctx context.Context, dataCentre string, kinds map[string]Kind, checks ...provider.Check) error {
 	data, err := json.Marshal(kinds)
 	if err != nil {
 		return eris.Wrap(err, "encode kinds of jobs")
@@ -200,19 +200,19 @@
 	if err != nil {
 		return err
 	}
-	check := platform.Check{Key: kindsKey(dataCentre)}
+	check := provider.Check{Key: kindsKey(dataCentre)}
 	if len(rows) > 0 {
 		check.Version = rows[0].Version
 	}
-	return s.table.Commit(ctx, platform.Txn{
-		OperationID: ident.New(), Checks: append([]platform.Check{check}, checks...),
-		Writes: []platform.Write{{Key: check.Key, Value: data}},
+	return s.table.Commit(ctx, provider.Txn{
+		OperationID: ident.New(), Checks: append([]provider.Check{check}, checks...),
+		Writes: []provider.Write{{Key: check.Key, Value: data}},
 	})
 }
 
 // Archive moves up to 50 ended jobs of a data centre from the table to an object. The object is written
 // first, under the name of its first job: a repeat after a failure writes the same object again.
-func (s *Store) Archive(ctx context.Context, objects platform.Objects, dataCentre string, ended []Stored, checks ...platform.Check) error {
+func (s *Store) Archive(ctx context.Context, objects provider.Objects, dataCentre string, ended []Stored, checks ...provider.Check) error {
 	ended = ended[:min(batch, len(ended))]
 	if len(ended) == 0 {
 		return nil
@@ -233,11 +233,11 @@
 	return s.remove(ctx, ended, checks...)
 }
 
-func (s *Store) remove(ctx context.Context, ended []Stored, checks ...platform.Check) error {
-	txn := platform.Txn{OperationID: ident.New(), Checks: checks}
+func (s *Store) remove(ctx context.Context, ended []Stored, checks ...provider.Check) error {
+	txn := provider.Txn{OperationID: ident.New(), Checks: checks}
 	for _, j := range ended {
-		txn.Checks = append(txn.Checks, platform.Check{Key: jobPrefix + j.ID, Version: j.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: jobPrefix + j.ID, Delete: true})
+		txn.Checks = append(txn.Checks, provider.Check{Key: jobPrefix + j.ID, Version: j.Version})
+		txn.Writes = append(txn.Writes, provider.Write{Key: jobPrefix + j.ID, Delete: true})
 	}
 	if err := s.table.Commit(ctx, txn); err != nil {
 		return fmt.Errorf("remove ended jobs: %w", err)
@@ -245,15 +245,15 @@
 	return nil
 }
 
-func (s *Store) commit(ctx context.Context, changes []Change, checks ...platform.Check) error {
-	txn := platform.Txn{OperationID: ident.New(), Checks: append([]platform.Check(nil), checks...)}
+func (s *Store) commit(ctx context.Context, changes []Change, checks ...provider.Check) error {
+	txn := provider.Txn{OperationID: ident.New(), Checks: append([]provider.Check(nil), checks...)}
 	for _, c := range changes {
 		data, err := json.Marshal(c.Next)
 		if err != nil {
 			return eris.Wrapf(err, "encode job %q", c.Next.ID)
 		}
-		txn.Checks = append(txn.Checks, platform.Check{Key: jobPrefix + c.Next.ID, Version: c.Old.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: jobPrefix + c.Next.ID, Value: data})
+		txn.Checks = append(txn.Checks, provider.Check{Key: jobPrefix + c.Next.ID, Version: c.Old.Version})
+		txn.Writes = append(txn.Writes, provider.Write{Key: jobPrefix + c.Next.ID, Value: data})
 	}
 	if err := s.limited(ctx, &txn, changes); err != nil {
 		return fmt.Errorf("count jobs against the limits: %w", err)
@@ -264,7 +264,7 @@
 	return nil
 }
 
-func decode(row platform.Row) (Stored, error) {
+func decode(row provider.Row) (Stored, error) {
 	var j Job
 	if err := json.Unmarshal(row.Value, &j); err != nil {
 		return Stored{}, eris.Wrapf(err, "row %q is not a job", row.Key)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -21,7 +21,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/common/loop"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 const (
@@ -31,7 +31,7 @@
 
 // Options configure a manager. Fields that are 0 have the defaults stated.
 type Options struct {
-	Table platform.Table
+	Table provider.Table
 	// Holder names the process and its incarnation. It never repeats.
 	Holder string
 	// Duties are all duties that this process may hold.
@@ -83,12 +83,12 @@
 func (l Lease) Until() time.Time { return l.until }
 
 // Check returns the check that no other process has taken over the duty.
-func (l Lease) Check() platform.Check {
-	return platform.Check{Key: fencePrefix + l.duty, Version: l.version}
+func (l Lease) Check() provider.Check {
+	return provider.Check{Key: fencePrefix + l.duty, Version: l.version}
 }
 
 // Guard returns the transaction with a check that no other process has taken over the duty.
-func (l Lease) Guard(txn platform.Txn) platform.Txn {
+func (l Lease) Guard(txn provider.Txn) provider.Txn {
 	// Clip makes append copy, so that the checks of the caller's transaction stay as they are.
 	txn.Checks = append(slices.Clip(txn.Checks), l.Check())
 	return txn
@@ -196,7 +196,7 @@
 	return d.lease.Holder == holder && d.fence.Holder == holder
 }
 
-func decode[T any](row platform.Row, to *T) error {
+func decode[T any](row provider.Row, to *T) error {
 	return eris.Wrapf(json.Unmarshal(row.Value, to), "decode row %q", row.Key)
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -16,8 +16,8 @@
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/history"
 	"github.com/chivetiller/chivetiller/lease"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // seeds is how many seeds the tests with random faults use.
@@ -25,13 +25,13 @@
 
 // witness is a table that records what takes effect.
 type witness struct {
-	platform.Table
+	provider.Table
 	mu       sync.Mutex
 	recorder history.Recorder
 	commits  int
 }
 
-func (w *witness) Commit(ctx context.Context, txn platform.Txn) error {
+func (w *witness) Commit(ctx context.Context, txn provider.Txn) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.Table.Commit(ctx, txn); err != nil {
@@ -101,8 +101,8 @@
 				taken, ok := second.Held("pools/0")
 				qt.Assert(t, ok, qt.IsTrue)
 				qt.Check(t, taken.Token() > old.Token(), qt.IsTrue)
-				txn := platform.Txn{Writes: []platform.Write{{Key: "work"}}}
-				qt.Check(t, table.Commit(t.Context(), old.Guard(txn)), qt.ErrorIs, platform.ErrConflict)
+				txn := provider.Txn{Writes: []provider.Write{{Key: "work"}}}
+				qt.Check(t, table.Commit(t.Context(), old.Guard(txn)), qt.ErrorIs, provider.ErrConflict)
 				qt.Check(t, table.Commit(t.Context(), taken.Guard(txn)), qt.IsNil)
 				pauser.Resume()
 				time.Sleep(time.Minute)
@@ -121,8 +121,8 @@
 func TestOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := standin.New(standin.Options{})
-		client := platform.NewClient(platform.ClientOptions{Table: p.Client(standin.Identity{}).Table()})
-		m := lease.NewManager(lease.Options{Table: client.For(platform.UserLeases), Holder: "a", Duties: duties(3)})
+		client := provider.NewClient(provider.ClientOptions{Table: p.Client(standin.Identity{}).Table()})
+		m := lease.NewManager(lease.Options{Table: client.For(provider.UserLeases), Holder: "a", Duties: duties(3)})
 		qt.Assert(t, m.Start(t.Context()), qt.IsNil)
 		for range 2 {
 			time.Sleep(time.Minute)
@@ -206,12 +206,12 @@
 		pauser := &standin.Pauser{}
 		storm.Clients = append(storm.Clients, identity)
 		storm.Pausers = append(storm.Pausers, pauser)
-		client := platform.NewClient(platform.ClientOptions{Table: pauser.Table(p.Client(identity).Table()), Writes: 1000, Reads: 1000})
-		m := lease.NewManager(lease.Options{Table: client.For(platform.UserLeases), Holder: identity.Client, Duties: names})
+		client := provider.NewClient(provider.ClientOptions{Table: pauser.Table(p.Client(identity).Table()), Writes: 1000, Reads: 1000})
+		m := lease.NewManager(lease.Options{Table: client.For(provider.UserLeases), Holder: identity.Client, Duties: names})
 		m.SetLimit(2)
 		_ = m.Start(ctx)
 		managers[i] = m
-		wg.Go(func() { work(ctx, m, client.For(platform.UserWaves), pauser) })
+		wg.Go(func() { work(ctx, m, client.For(provider.UserWaves), pauser) })
 	}
 	p.Storm(ctx, storm)
 	wg.Wait()
@@ -230,15 +230,15 @@
 }
 
 // work writes for the duties that the manager holds until ctx ends.
-func work(ctx context.Context, m *lease.Manager, table platform.Table, pauser *standin.Pauser) {
+func work(ctx context.Context, m *lease.Manager, table provider.Table, pauser *standin.Pauser) {
 	for ctx.Err() == nil {
 		for _, l := range m.Duties() {
 			// Each write has a new row, so that only the fence can refuse it.
 			key := "work/" + l.Duty() + "#" + ident.New()
 			pauser.Wait()
-			_ = table.Commit(ctx, l.Guard(platform.Txn{
-				Checks: []platform.Check{{Key: key}},
-				Writes: []platform.Write{{Key: key, Value: fmt.Appendf(nil, `{"token":%d}`, l.Token())}},
+			_ = table.Commit(ctx, l.Guard(provider.Txn{
+				Checks: []provider.Check{{Key: key}},
+				Writes: []provider.Write{{Key: key, Value: fmt.Appendf(nil, `{"token":%d}`, l.Token())}},
 			}))
 		}
 		time.Sleep(500 * time.Millisecond)
--- a/lease/sync.go
+++ b/lease/sync.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Start acquires leases and renews them until Stop. It returns after the first round, also if that failed.
@@ -55,7 +55,7 @@
 			// The versions that guards need are known only from the rows.
 			return m.read(ctx, m.o.Duties)
 		}
-		if !errors.Is(err, platform.ErrConflict) || repeat == maxRoundRepeats {
+		if !errors.Is(err, provider.ErrConflict) || repeat == maxRoundRepeats {
 			return err
 		}
 	}
@@ -71,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	byKey := make(map[string]platform.Row, len(rows))
+	byKey := make(map[string]provider.Row, len(rows))
 	for _, row := range rows {
 		byKey[row.Key] = row
 	}
@@ -87,7 +87,7 @@
 }
 
 // absorb takes over what the rows of a duty say. The zero row is an absent one.
-func (m *Manager) absorb(d *duty, leaseOf, fence platform.Row, now time.Time) error {
+func (m *Manager) absorb(d *duty, leaseOf, fence provider.Row, now time.Time) error {
 	if d.since.IsZero() {
 		d.since = now
 	}
@@ -119,11 +119,11 @@
 }
 
 // prepare builds the transaction of a round, with or without takeovers.
-func (m *Manager) prepare(contend bool) platform.Txn {
+func (m *Manager) prepare(contend bool) provider.Txn {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	txn := platform.Txn{OperationID: ident.New()}
+	txn := provider.Txn{OperationID: ident.New()}
 	var own, free, unclaimed []*duty
 	for _, name := range m.o.Duties {
 		d := m.duties[name]
@@ -166,25 +166,25 @@
 	return txn
 }
 
-func (m *Manager) renew(txn *platform.Txn, d *duty, now time.Time) {
+func (m *Manager) renew(txn *provider.Txn, d *duty, now time.Time) {
 	m.writeLease(txn, d, m.o.Holder, now)
 }
 
 // release makes the lease free at once, for others and for this process.
-func (m *Manager) release(txn *platform.Txn, d *duty) {
+func (m *Manager) release(txn *provider.Txn, d *duty) {
 	m.writeLease(txn, d, "", time.Time{})
 	d.until = time.Time{}
 }
 
-func (m *Manager) takeOver(txn *platform.Txn, d *duty, now time.Time) {
+func (m *Manager) takeOver(txn *provider.Txn, d *duty, now time.Time) {
 	m.writeLease(txn, d, m.o.Holder, now)
 	next := fenceRow{Token: d.fence.Token + 1, Holder: m.o.Holder}
-	txn.Checks = append(txn.Checks, platform.Check{Key: fencePrefix + d.name, Version: d.fenceVersion})
-	txn.Writes = append(txn.Writes, platform.Write{Key: fencePrefix + d.name, Value: encode(next)})
+	txn.Checks = append(txn.Checks, provider.Check{Key: fencePrefix + d.name, Version: d.fenceVersion})
+	txn.Writes = append(txn.Writes, provider.Write{Key: fencePrefix + d.name, Value: encode(next)})
 }
 
 // writeLease adds the write of a lease row. The term counts from now, before the transaction is sent.
-func (m *Manager) writeLease(txn *platform.Txn, d *duty, holder string, now time.Time) {
+func (m *Manager) writeLease(txn *provider.Txn, d *duty, holder string, now time.Time) {
 	// Counts are not used again, so that the count in the row tells which of several renewals took effect.
 	d.count = max(d.count, d.lease.Count) + 1
 	if holder != "" {
@@ -192,6 +192,6 @@
 		maps.DeleteFunc(d.sent, func(_ uint64, at time.Time) bool { return now.Sub(at) >= m.o.Term })
 		d.sent[d.count] = now
 	}
-	txn.Checks = append(txn.Checks, platform.Check{Key: leasePrefix + d.name, Version: d.leaseVersion})
-	txn.Writes = append(txn.Writes, platform.Write{Key: leasePrefix + d.name, Value: encode(leaseRow{Holder: holder, Count: d.count})})
+	txn.Checks = append(txn.Checks, provider.Check{Key: leasePrefix + d.name, Version: d.leaseVersion})
+	txn.Writes = append(txn.Writes, provider.Write{Key: leasePrefix + d.name, Value: encode(leaseRow{Holder: holder, Count: d.count})})
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -14,8 +14,8 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/chivetiller/chivetiller/metrics"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // newSources returns sources with the given number of pools and teams.
@@ -59,8 +59,8 @@
 	}
 	slices.Sort(documented)
 
-	client := platform.NewClient(platform.ClientOptions{Table: standin.NewTable()})
-	_, err = client.For(platform.UserConfig).Read(t.Context(), "config/current")
+	client := provider.NewClient(provider.ClientOptions{Table: standin.NewTable()})
+	_, err = client.For(provider.UserConfig).Read(t.Context(), "config/current")
 	qt.Assert(t, err, qt.IsNil)
 	set := metrics.NewSet(newSources(1, 1), client.Collectors()...)
 	set.Request("quote", "answered", time.Millisecond)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -15,8 +15,8 @@
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/peer"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 const bootstrapKey = "first.key"
@@ -47,14 +47,14 @@
 
 // lossyTable loses the responses of commits that took effect.
 type lossyTable struct {
-	platform.Table
+	provider.Table
 	lose atomic.Int32
 }
 
-func (t *lossyTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (t *lossyTable) Commit(ctx context.Context, txn provider.Txn) error {
 	err := t.Table.Commit(ctx, txn)
 	if t.lose.Add(-1) >= 0 {
-		return platform.ErrUnknownOutcome
+		return provider.ErrUnknownOutcome
 	}
 	return err
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -18,7 +18,7 @@
 	"github.com/chivetiller/chivetiller/common/problem"
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/peer"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 const (
@@ -216,9 +216,9 @@
 		d.Document = problem.NotRun(problem.InvalidKey, "operator key is missing, invalid or withdrawn").Document("")
 	case errors.Is(err, config.ErrKeysStale):
 		d.Document = problem.NotRun(problem.KeysUnchecked, detail).Document("")
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, provider.ErrUnknownOutcome):
 		d.Document = problem.Unknown(unknownOutcome, detail).Document("")
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrOverBudget):
+	case errors.Is(err, provider.ErrUnavailable), errors.Is(err, provider.ErrOverBudget):
 		d.Document = problem.NotRun(platformUnavailable, detail).Document("")
 	default:
 		s.logger.Error("Request of an operator failed.", "error", err)
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -16,9 +16,9 @@
 	"github.com/chivetiller/chivetiller/class"
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/config"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/team"
 )
 
@@ -63,9 +63,9 @@
 	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(countingListener{listener, bytes}) }()
 	b.Cleanup(func() { _ = server.Close() })
-	c.remote = func() platform.Table {
+	c.remote = func() provider.Table {
 		remote := standin.NewRemote(standin.RemoteOptions{Address: listener.Addr().String()})
-		return platform.NewClient(platform.ClientOptions{Table: remote.Table()}).For(platform.UserConfig)
+		return provider.NewClient(provider.ClientOptions{Table: remote.Table()}).For(provider.UserConfig)
 	}
 	var documents []config.Document
 	for i := range pools {
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -14,8 +14,8 @@
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/peer/devcert"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/team"
 )
 
@@ -57,27 +57,27 @@
 
 // cutTable is a table that one entry instance can be cut off from.
 type cutTable struct {
-	platform.Table
+	provider.Table
 	cut atomic.Bool
 }
 
-func (t *cutTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t *cutTable) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	if t.cut.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
 	return t.Table.Read(ctx, keys...)
 }
 
-func (t *cutTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *cutTable) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	if t.cut.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
 	return t.Table.Scan(ctx, prefix, after, limit)
 }
 
-func (t *cutTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (t *cutTable) Commit(ctx context.Context, txn provider.Txn) error {
 	if t.cut.Load() {
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	}
 	return t.Table.Commit(ctx, txn)
 }
@@ -95,7 +95,7 @@
 	policy    config.Policy
 	instances []*instance
 	// remote, if set, returns the table as an entry instance reaches it.
-	remote func() platform.Table
+	remote func() provider.Table
 }
 
 type instance struct {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -22,7 +22,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Configuration is the part of the configuration that peers exchange. [config.Source] implements it.
@@ -68,7 +68,7 @@
 	// Configuration is required.
 	Configuration Configuration
 	// Table, if set, is where entry instances register and find each other.
-	Table platform.Table
+	Table provider.Table
 	// Incarnation is greater than that of every earlier process with the ID. By default it is taken from the clock,
 	// and from the table if that has a greater one.
 	Incarnation uint64
--- a/peer/registry.go
+++ b/peer/registry.go
@@ -8,7 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 const (
@@ -32,7 +32,7 @@
 
 // registry reads and writes the registrations of entry instances in the table. One task uses it at a time.
 type registry struct {
-	table  platform.Table
+	table  provider.Table
 	logger hclog.Logger
 	seen   map[string]seenRow
 }
@@ -42,7 +42,7 @@
 	since   time.Time
 }
 
-func newRegistry(table platform.Table, logger hclog.Logger) *registry {
+func newRegistry(table provider.Table, logger hclog.Logger) *registry {
 	return &registry{table: table, logger: logger, seen: make(map[string]seenRow)}
 }
 
@@ -98,15 +98,15 @@
 		return nil, err
 	}
 	key := entryPrefix + self.ID
-	return all, r.table.Commit(ctx, platform.Txn{
+	return all, r.table.Commit(ctx, provider.Txn{
 		OperationID: ident.New(),
-		Checks:      []platform.Check{{Key: key, Version: version}},
-		Writes:      []platform.Write{{Key: key, Value: value}},
+		Checks:      []provider.Check{{Key: key, Version: version}},
+		Writes:      []provider.Write{{Key: key, Value: value}},
 	})
 }
 
 // forget deletes the registration of a process that has not renewed it for long.
-func (r *registry) forget(ctx context.Context, row platform.Row) {
+func (r *registry) forget(ctx context.Context, row provider.Row) {
 	now := time.Now()
 	if seen, ok := r.seen[row.Key]; !ok || seen.version != row.Version {
 		r.seen[row.Key] = seenRow{version: row.Version, since: now}
@@ -134,11 +134,11 @@
 	}
 }
 
-func (r *registry) delete(ctx context.Context, row platform.Row) {
-	err := r.table.Commit(ctx, platform.Txn{
+func (r *registry) delete(ctx context.Context, row provider.Row) {
+	err := r.table.Commit(ctx, provider.Txn{
 		OperationID: ident.New(),
-		Checks:      []platform.Check{{Key: row.Key, Version: row.Version}},
-		Writes:      []platform.Write{{Key: row.Key, Delete: true}},
+		Checks:      []provider.Check{{Key: row.Key, Version: row.Version}},
+		Writes:      []provider.Write{{Key: row.Key, Delete: true}},
 	})
 	if err != nil {
 		r.logger.Debug("Registration was not deleted.", "row", row.Key, "error", err)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // TestCanGive guards against pools that moves make so small that no stop fits their budget, so that a wave
@@ -38,13 +38,13 @@
 
 // lists answers each call with the next list.
 type lists struct {
-	platform.Instances
-	next []platform.InstanceList
+	provider.Instances
+	next []provider.InstanceList
 }
 
-func (l *lists) List(_ context.Context, cursor string) (platform.InstanceList, error) {
+func (l *lists) List(_ context.Context, cursor string) (provider.InstanceList, error) {
 	if cursor == "lost" {
-		return platform.InstanceList{}, platform.ErrNotFound
+		return provider.InstanceList{}, provider.ErrNotFound
 	}
 	list := l.next[0]
 	l.next = l.next[1:]
@@ -55,13 +55,13 @@
 // count as live for ever because the entry that said otherwise was dropped, and
 // against a cursor that is sent for ever although the platform does not know it.
 func TestReports(t *testing.T) {
-	at := func(second int64, incarnation uint64) platform.Instance {
-		return platform.Instance{ID: "a", Incarnation: incarnation, Reported: time.Unix(second, 0), State: platform.InstanceLive}
+	at := func(second int64, incarnation uint64) provider.Instance {
+		return provider.Instance{ID: "a", Incarnation: incarnation, Reported: time.Unix(second, 0), State: provider.InstanceLive}
 	}
 	source := &lists{}
 	reports := pool.NewReports(source)
-	refresh := func(entries ...platform.Instance) {
-		source.next = append(source.next, platform.InstanceList{Instances: entries})
+	refresh := func(entries ...provider.Instance) {
+		source.next = append(source.next, provider.InstanceList{Instances: entries})
 		qt.Assert(t, reports.Refresh(t.Context()), qt.IsNil)
 	}
 	refresh(at(10, 2))
@@ -78,8 +78,8 @@
 	qt.Assert(t, reports.Missing("a"), qt.IsFalse)
 
 	// A platform that was replaced does not know the cursor of the one before.
-	source.next = append(source.next, platform.InstanceList{Cursor: "lost"})
+	source.next = append(source.next, provider.InstanceList{Cursor: "lost"})
 	qt.Assert(t, reports.Refresh(t.Context()), qt.IsNil)
-	qt.Assert(t, reports.Refresh(t.Context()), qt.ErrorIs, platform.ErrNotFound)
+	qt.Assert(t, reports.Refresh(t.Context()), qt.ErrorIs, provider.ErrNotFound)
 	refresh(at(40, 2))
 }
--- a/pool/reports.go
+++ b/pool/reports.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // fullListEvery is after how many partial lists the whole list is read, since a partial one can drop entries.
@@ -14,11 +14,11 @@
 // Reports holds the newest report of each instance. The platform's list lags, repeats entries and drops
 // some; a report never replaces a newer one. It is not safe for concurrent use.
 type Reports struct {
-	source platform.Instances
+	source provider.Instances
 	cursor string
 	since  int
 	whole  int
-	newest map[string]platform.Instance
+	newest map[string]provider.Instance
 	// missed counts the whole lists since the last one with the instance.
 	missed map[string]int
 }
@@ -28,8 +28,8 @@
 const missingAfter = 3
 
 // NewReports returns reports read from the platform's list.
-func NewReports(source platform.Instances) *Reports {
-	return &Reports{source: source, newest: make(map[string]platform.Instance), missed: make(map[string]int)}
+func NewReports(source provider.Instances) *Reports {
+	return &Reports{source: source, newest: make(map[string]provider.Instance), missed: make(map[string]int)}
 }
 
 // Refresh reads the changes of the list.
@@ -38,7 +38,7 @@
 		r.cursor, r.since = "", 0
 	}
 	list, err := r.source.List(ctx, r.cursor)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, provider.ErrNotFound) {
 		// The platform no longer knows the cursor. The next call reads the whole list.
 		r.cursor = ""
 	}
@@ -60,7 +60,7 @@
 }
 
 // Add takes a report unless a newer one is known.
-func (r *Reports) Add(entry platform.Instance) {
+func (r *Reports) Add(entry provider.Instance) {
 	known, ok := r.newest[entry.ID]
 	if ok && (entry.Incarnation < known.Incarnation ||
 		entry.Incarnation == known.Incarnation && entry.Reported.Before(known.Reported)) {
@@ -71,7 +71,7 @@
 }
 
 // Get returns the newest report of an instance.
-func (r *Reports) Get(id string) (platform.Instance, bool) {
+func (r *Reports) Get(id string) (provider.Instance, bool) {
 	entry, ok := r.newest[id]
 	return entry, ok
 }
@@ -82,8 +82,8 @@
 	if !ok {
 		return r.whole >= missingAfter
 	}
-	return entry.State == platform.InstanceGone || r.missed[id] >= missingAfter
+	return entry.State == provider.InstanceGone || r.missed[id] >= missingAfter
 }
 
 // All returns the newest report of every instance.
-func (r *Reports) All() map[string]platform.Instance { return r.newest }
+func (r *Reports) All() map[string]provider.Instance { return r.newest }
--- a/pool/store.go
+++ b/pool/store.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // scanLimit is how many rows one scan returns. At 3,700 workers a pass takes four scans.
@@ -22,19 +22,19 @@
 }
 
 // Check returns the check that the row is unchanged.
-func (s Stored) Check() platform.Check {
-	return platform.Check{Key: InstanceKey(s.ID), Version: s.Version}
+func (s Stored) Check() provider.Check {
+	return provider.Check{Key: InstanceKey(s.ID), Version: s.Version}
 }
 
 // Store reads and changes instance rows. It is not safe for concurrent use.
 type Store struct {
-	table platform.Table
+	table provider.Table
 	// cache holds decoded rows, because most rows are unchanged from one pass to the next.
 	cache map[string]Stored
 }
 
 // NewStore returns a store over the table.
-func NewStore(table platform.Table) *Store {
+func NewStore(table provider.Table) *Store {
 	return &Store{table: table, cache: make(map[string]Stored)}
 }
 
@@ -63,19 +63,19 @@
 	}
 }
 
-// Get returns the row of an instance. It fails with [platform.ErrNotFound] if there is none.
+// Get returns the row of an instance. It fails with [provider.ErrNotFound] if there is none.
 func (s *Store) Get(ctx context.Context, id string) (Stored, error) {
 	rows, err := s.table.Read(ctx, InstanceKey(id))
 	if err != nil {
 		return Stored{}, fmt.Errorf("read instance %q: %w", id, err)
 	}
 	if len(rows) == 0 {
-		return Stored{}, fmt.Errorf("instance %q: %w", id, platform.ErrNotFound)
+		return Stored{}, fmt.Errorf("instance %q: %w", id, provider.ErrNotFound)
 	}
 	return s.decode(rows[0])
 }
 
-func (s *Store) decode(row platform.Row) (Stored, error) {
+func (s *Store) decode(row provider.Row) (Stored, error) {
 	if cached, ok := s.cache[row.Key]; ok && cached.Version == row.Version {
 		return cached, nil
 	}
@@ -108,24 +108,24 @@
 }
 
 // Change replaces a row by its next generation, under further checks such as that of a lease.
-// It fails with [platform.ErrConflict] if the row was changed by another process.
-func (s *Store) Change(ctx context.Context, old Stored, next Instance, checks ...platform.Check) error {
+// It fails with [provider.ErrConflict] if the row was changed by another process.
+func (s *Store) Change(ctx context.Context, old Stored, next Instance, checks ...provider.Check) error {
 	data, err := next.encode()
 	if err != nil {
 		return err
 	}
-	return s.commit(ctx, "change instance "+old.ID, platform.Txn{
-		Checks: append([]platform.Check{old.Check()}, checks...),
-		Writes: []platform.Write{{Key: InstanceKey(old.ID), Value: data}},
+	return s.commit(ctx, "change instance "+old.ID, provider.Txn{
+		Checks: append([]provider.Check{old.Check()}, checks...),
+		Writes: []provider.Write{{Key: InstanceKey(old.ID), Value: data}},
 	})
 }
 
 // Begin starts planned stops in one pool: all of them or none. Version is that of the pool's row of
 // planned stops, read before the rows on which the choice rests.
-func (s *Store) Begin(ctx context.Context, name string, version uint64, olds []Stored, nexts []Instance, checks ...platform.Check) error {
-	txn := platform.Txn{
-		Checks: append([]platform.Check{{Key: PlannedKey(name), Version: version}}, checks...),
-		Writes: []platform.Write{{Key: PlannedKey(name), Value: []byte(`{}`)}},
+func (s *Store) Begin(ctx context.Context, name string, version uint64, olds []Stored, nexts []Instance, checks ...provider.Check) error {
+	txn := provider.Txn{
+		Checks: append([]provider.Check{{Key: PlannedKey(name), Version: version}}, checks...),
+		Writes: []provider.Write{{Key: PlannedKey(name), Value: []byte(`{}`)}},
 	}
 	for i, old := range olds {
 		data, err := nexts[i].encode()
@@ -133,14 +133,14 @@
 			return err
 		}
 		txn.Checks = append(txn.Checks, old.Check())
-		txn.Writes = append(txn.Writes, platform.Write{Key: InstanceKey(old.ID), Value: data})
+		txn.Writes = append(txn.Writes, provider.Write{Key: InstanceKey(old.ID), Value: data})
 	}
 	return s.commit(ctx, "begin stops in pool "+name, txn)
 }
 
 // Adopt creates the row of an instance that the platform lists and that has none. It reports false if
 // the row exists already: the instance stays in the pool that it is in.
-func (s *Store) Adopt(ctx context.Context, now time.Time, listed platform.Instance, name string, checks ...platform.Check) (bool, error) {
+func (s *Store) Adopt(ctx context.Context, now time.Time, listed provider.Instance, name string, checks ...provider.Check) (bool, error) {
 	if listed.ID == "" || name == "" {
 		return false, eris.Errorf("adopt instance %q into pool %q: both need a name", listed.ID, name)
 	}
@@ -151,11 +151,11 @@
 	if err != nil {
 		return false, err
 	}
-	err = s.commit(ctx, "adopt instance "+listed.ID, platform.Txn{
-		Checks: append([]platform.Check{{Key: InstanceKey(listed.ID)}}, checks...),
-		Writes: []platform.Write{{Key: InstanceKey(listed.ID), Value: data}},
+	err = s.commit(ctx, "adopt instance "+listed.ID, provider.Txn{
+		Checks: append([]provider.Check{{Key: InstanceKey(listed.ID)}}, checks...),
+		Writes: []provider.Write{{Key: InstanceKey(listed.ID), Value: data}},
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, provider.ErrConflict) {
 		if _, getErr := s.Get(ctx, listed.ID); getErr == nil {
 			return false, nil
 		}
@@ -173,13 +173,13 @@
 	if stored.Operation != "" && stored.State != StateFailed {
 		return eris.Errorf("instance %q is %s under %s: abort that first", id, stored.State, stored.Operation)
 	}
-	return s.commit(ctx, "remove instance "+id, platform.Txn{
-		Checks: []platform.Check{stored.Check()},
-		Writes: []platform.Write{{Key: InstanceKey(id), Delete: true}},
+	return s.commit(ctx, "remove instance "+id, provider.Txn{
+		Checks: []provider.Check{stored.Check()},
+		Writes: []provider.Write{{Key: InstanceKey(id), Delete: true}},
 	})
 }
 
-func (s *Store) commit(ctx context.Context, what string, txn platform.Txn) error {
+func (s *Store) commit(ctx context.Context, what string, txn provider.Txn) error {
 	txn.OperationID = ident.New()
 	if err := s.table.Commit(ctx, txn); err != nil {
 		return fmt.Errorf("%s: %w", what, err)
--- a/platform/client_test.go
+++ b/provider/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package provider_test
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // TestCommitOnce guards against a transaction that takes effect twice, or whose reported outcome is false,
@@ -47,8 +47,8 @@
 		wg       sync.WaitGroup
 	)
 	for i := range 4 {
-		client := platform.NewClient(platform.ClientOptions{Table: p.Client(standin.Identity{Client: fmt.Sprint(i)}).Table(), Writes: 1000, Reads: 1000})
-		table := client.For(platform.UserConfig)
+		client := provider.NewClient(provider.ClientOptions{Table: p.Client(standin.Identity{Client: fmt.Sprint(i)}).Table(), Writes: 1000, Reads: 1000})
+		table := client.For(provider.UserConfig)
 		wg.Go(func() {
 			for range 25 {
 				rows, err := table.Read(context.Background(), "counter")
@@ -60,10 +60,10 @@
 					count, version = binary.BigEndian.Uint64(rows[0].Value), rows[0].Version
 				}
 				id := ident.New()
-				err = table.Commit(context.Background(), platform.Txn{
+				err = table.Commit(context.Background(), provider.Txn{
 					OperationID: id,
-					Checks:      []platform.Check{{Key: "counter", Version: version}, {Key: "log/" + id}},
-					Writes: []platform.Write{
+					Checks:      []provider.Check{{Key: "counter", Version: version}, {Key: "log/" + id}},
+					Writes: []provider.Write{
 						{Key: "counter", Value: binary.BigEndian.AppendUint64(nil, count+1)},
 						{Key: "log/" + id},
 					},
@@ -81,18 +81,18 @@
 	succeeded := 0
 	for id, err := range outcomes {
 		matches := 0
-		for _, kind := range []error{platform.ErrConflict, platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrOverBudget} {
+		for _, kind := range []error{provider.ErrConflict, provider.ErrUnavailable, provider.ErrUnknownOutcome, provider.ErrOverBudget} {
 			if errors.Is(err, kind) {
 				matches++
 			}
 		}
 		qt.Check(t, matches <= 1, qt.IsTrue, qt.Commentf("error is ambiguous: %v", err))
-		found := slices.ContainsFunc(rows, func(r platform.Row) bool { return r.Key == "log/"+id })
+		found := slices.ContainsFunc(rows, func(r provider.Row) bool { return r.Key == "log/"+id })
 		switch {
 		case err == nil:
 			succeeded++
 			qt.Check(t, found, qt.IsTrue, qt.Commentf("committed transaction has no effect"))
-		case !errors.Is(err, platform.ErrUnknownOutcome):
+		case !errors.Is(err, provider.ErrUnknownOutcome):
 			qt.Check(t, found, qt.IsFalse, qt.Commentf("failed transaction took effect: %v", err))
 		}
 	}
@@ -106,7 +106,7 @@
 func TestOperationRows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := standin.New(standin.Options{})
-		client := platform.NewClient(platform.ClientOptions{Table: p.Client(standin.Identity{}).Table()})
+		client := provider.NewClient(provider.ClientOptions{Table: p.Client(standin.Identity{}).Table()})
 		count := func() int {
 			rows, err := p.Table().Scan(t.Context(), "op/", "", 1000)
 			qt.Assert(t, err, qt.IsNil)
@@ -114,20 +114,20 @@
 		}
 		for i := range 600 {
 			key := fmt.Sprint("row ", i)
-			qt.Assert(t, client.For(platform.UserClaims).Commit(t.Context(), platform.Txn{
-				Checks: []platform.Check{{Key: key}}, Writes: []platform.Write{{Key: key}},
+			qt.Assert(t, client.For(provider.UserClaims).Commit(t.Context(), provider.Txn{
+				Checks: []provider.Check{{Key: key}}, Writes: []provider.Write{{Key: key}},
 			}), qt.IsNil)
 			time.Sleep(time.Second)
 			qt.Assert(t, count() <= 31, qt.IsTrue, qt.Commentf("%d rows after %d transactions", count(), i+1))
 		}
 		left := count()
-		cleaner := platform.NewOperationCleaner(client.For(platform.UserHousekeeping))
+		cleaner := provider.NewOperationCleaner(client.For(provider.UserHousekeeping))
 		for _, want := range []int{0, left - 5, 5} {
 			removed, _, err := cleaner.Clean(t.Context(), time.Now(), left-5, nil)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, removed, qt.Equals, want)
 			if want == 0 {
-				time.Sleep(platform.OperationRetention)
+				time.Sleep(provider.OperationRetention)
 			}
 		}
 	})
@@ -135,39 +135,39 @@
 
 // TestUncheckedWrite guards against a transaction whose late duplicate could overwrite a newer row.
 func TestUncheckedWrite(t *testing.T) {
-	client := platform.NewClient(platform.ClientOptions{Table: standin.NewTable()})
-	err := client.For(platform.UserJobs).Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "k"}}})
+	client := provider.NewClient(provider.ClientOptions{Table: standin.NewTable()})
+	err := client.For(provider.UserJobs).Commit(t.Context(), provider.Txn{Writes: []provider.Write{{Key: "k"}}})
 	qt.Check(t, err, qt.ErrorMatches, `transaction writes row "k" without a check of its version`)
 }
 
 // TestShedding guards against users that are refused in the wrong order, and calls of configuration,
 // leases, claims or allotments that are refused at all while the store is slow or down.
 func TestShedding(t *testing.T) {
-	users := []platform.User{
-		platform.UserHistory, platform.UserHousekeeping, platform.UserJobs, platform.UserMoves, platform.UserWaves,
-		platform.UserConfig, platform.UserLeases, platform.UserClaims, platform.UserAllotments,
+	users := []provider.User{
+		provider.UserHistory, provider.UserHousekeeping, provider.UserJobs, provider.UserMoves, provider.UserWaves,
+		provider.UserConfig, provider.UserLeases, provider.UserClaims, provider.UserAllotments,
 	}
 	tests := map[string]struct {
 		faults standin.Faults
-		state  platform.State
+		state  provider.State
 		shed   int
 	}{
-		"up":               {state: platform.StateUp},
-		"slow":             {faults: standin.Faults{Delay: 150 * time.Millisecond}, state: platform.StateSlow, shed: 2},
-		"slower":           {faults: standin.Faults{Delay: 250 * time.Millisecond}, state: platform.StateSlow, shed: 3},
-		"nearly useless":   {faults: standin.Faults{Delay: 450 * time.Millisecond}, state: platform.StateSlow, shed: 5},
-		"down":             {faults: standin.Faults{Down: true}, state: platform.StateDown, shed: 5},
-		"never in time":    {faults: standin.Faults{Delay: time.Minute}, state: platform.StateDown, shed: 5},
-		"half of it fails": {faults: standin.Faults{LoseResponse: 0.5}, state: platform.StateUp},
+		"up":               {state: provider.StateUp},
+		"slow":             {faults: standin.Faults{Delay: 150 * time.Millisecond}, state: provider.StateSlow, shed: 2},
+		"slower":           {faults: standin.Faults{Delay: 250 * time.Millisecond}, state: provider.StateSlow, shed: 3},
+		"nearly useless":   {faults: standin.Faults{Delay: 450 * time.Millisecond}, state: provider.StateSlow, shed: 5},
+		"down":             {faults: standin.Faults{Down: true}, state: provider.StateDown, shed: 5},
+		"never in time":    {faults: standin.Faults{Delay: time.Minute}, state: provider.StateDown, shed: 5},
+		"half of it fails": {faults: standin.Faults{LoseResponse: 0.5}, state: provider.StateUp},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := standin.New(standin.Options{Seed: 1})
-				client := platform.NewClient(platform.ClientOptions{Table: p.Client(standin.Identity{}).Table()})
+				client := provider.NewClient(provider.ClientOptions{Table: p.Client(standin.Identity{}).Table()})
 				p.SetFaults(tt.faults)
 				for range 40 {
-					client.For(platform.UserLeases).Read(t.Context(), "k")
+					client.For(provider.UserLeases).Read(t.Context(), "k")
 				}
 				qt.Check(t, client.State(), qt.Equals, tt.state)
 				for i, user := range users {
@@ -175,10 +175,10 @@
 				}
 				p.SetFaults(standin.Faults{})
 				for range 40 {
-					client.For(platform.UserHistory).Read(t.Context(), "k")
+					client.For(provider.UserHistory).Read(t.Context(), "k")
 					time.Sleep(1100 * time.Millisecond)
 				}
-				qt.Check(t, client.State(), qt.Equals, platform.StateUp, qt.Commentf("no way back without other calls"))
+				qt.Check(t, client.State(), qt.Equals, provider.StateUp, qt.Commentf("no way back without other calls"))
 			})
 		})
 	}
@@ -188,10 +188,10 @@
 func TestBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := standin.NewTable()
-		client := platform.NewClient(platform.ClientOptions{Table: table, Writes: 50, Reads: 100})
-		send := func(user platform.User, d time.Duration) (sent, refused int) {
+		client := provider.NewClient(provider.ClientOptions{Table: table, Writes: 50, Reads: 100})
+		send := func(user provider.User, d time.Duration) (sent, refused int) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Millisecond) {
-				if _, err := client.For(user).Read(t.Context(), "k"); errors.Is(err, platform.ErrOverBudget) {
+				if _, err := client.For(user).Read(t.Context(), "k"); errors.Is(err, provider.ErrOverBudget) {
 					refused++
 				} else {
 					sent++
@@ -201,7 +201,7 @@
 		}
 		var wg sync.WaitGroup
 		var sent [3]int
-		for i, user := range []platform.User{platform.UserHistory, platform.UserJobs, platform.UserClaims} {
+		for i, user := range []provider.User{provider.UserHistory, provider.UserJobs, provider.UserClaims} {
 			wg.Go(func() { sent[i], _ = send(user, 10*time.Second) })
 		}
 		wg.Wait()
@@ -219,14 +219,14 @@
 	defer server.Stop(context.Background())
 	remote := standin.NewRemote(standin.RemoteOptions{Address: server.Address()})
 	defer remote.Close()
-	for name, table := range map[string]platform.Table{"direct": p.Table(), "HTTP": remote.Table()} {
+	for name, table := range map[string]provider.Table{"direct": p.Table(), "HTTP": remote.Table()} {
 		b.Run(name, func(b *testing.B) {
-			client := platform.NewClient(platform.ClientOptions{Table: table, Writes: 1e9, Reads: 1e9})
+			client := provider.NewClient(provider.ClientOptions{Table: table, Writes: 1e9, Reads: 1e9})
 			b.ReportAllocs()
 			for b.Loop() {
 				key := ident.New()
-				txn := platform.Txn{Checks: []platform.Check{{Key: key}}, Writes: []platform.Write{{Key: key}}}
-				if err := client.For(platform.UserClaims).Commit(b.Context(), txn); err != nil {
+				txn := provider.Txn{Checks: []provider.Check{{Key: key}}, Writes: []provider.Write{{Key: key}}}
+				if err := client.For(provider.UserClaims).Commit(b.Context(), txn); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/platform/health.go
+++ b/provider/health.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import (
 	"slices"
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,15 +1,15 @@
-// Package platform describes the services that the platform gives: a transactional table,
+// Package provider describes the services that the platform gives: a transactional table,
 // an object store, a list of instances, and tasks on workers.
 //
 // # Usage
 //
 //	rows, err := table.Read(ctx, "config/current")
-//	err = table.Commit(ctx, platform.Txn{
+//	err = table.Commit(ctx, provider.Txn{
 //		OperationID: ident.New(),
-//		Checks:      []platform.Check{{Key: "config/current", Version: rows[0].Version}},
-//		Writes:      []platform.Write{{Key: "config/current", Value: next}},
+//		Checks:      []provider.Check{{Key: "config/current", Version: rows[0].Version}},
+//		Writes:      []provider.Write{{Key: "config/current", Value: next}},
 //	})
-package platform
+package provider
 
 import (
 	"context"
--- a/platform/standin/client.go
+++ b/provider/standin/client.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Client is the platform as one caller in the same process meets it, with the injected faults.
@@ -18,16 +18,16 @@
 }
 
 // Table returns the table with the injected faults.
-func (c *Client) Table() platform.Table { return faultyTable{c} }
+func (c *Client) Table() provider.Table { return faultyTable{c} }
 
 // Objects returns the object store with the injected faults.
-func (c *Client) Objects() platform.Objects { return faultyObjects{c} }
+func (c *Client) Objects() provider.Objects { return faultyObjects{c} }
 
 // Instances returns the list of instances with the injected faults.
-func (c *Client) Instances() platform.Instances { return faultyInstances{c} }
+func (c *Client) Instances() provider.Instances { return faultyInstances{c} }
 
 // Tasks returns the tasks with the injected faults.
-func (c *Client) Tasks() platform.Tasks { return faultyTasks{c} }
+func (c *Client) Tasks() provider.Tasks { return faultyTasks{c} }
 
 // effect runs an operation that changes something.
 func (c *Client) effect(ctx context.Context, operation func(context.Context) error) error {
@@ -51,17 +51,17 @@
 
 type faultyTable struct{ c *Client }
 
-func (t faultyTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	return query(ctx, t.c, func(ctx context.Context) ([]platform.Row, error) { return t.c.platform.store.Read(ctx, keys...) })
+func (t faultyTable) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
+	return query(ctx, t.c, func(ctx context.Context) ([]provider.Row, error) { return t.c.platform.store.Read(ctx, keys...) })
 }
 
-func (t faultyTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	return query(ctx, t.c, func(ctx context.Context) ([]platform.Row, error) {
+func (t faultyTable) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
+	return query(ctx, t.c, func(ctx context.Context) ([]provider.Row, error) {
 		return t.c.platform.store.Scan(ctx, prefix, after, limit)
 	})
 }
 
-func (t faultyTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (t faultyTable) Commit(ctx context.Context, txn provider.Txn) error {
 	return t.c.effect(ctx, func(ctx context.Context) error { return t.c.platform.store.Commit(ctx, txn) })
 }
 
@@ -85,8 +85,8 @@
 
 type faultyInstances struct{ c *Client }
 
-func (i faultyInstances) List(ctx context.Context, cursor string) (platform.InstanceList, error) {
-	return query(ctx, i.c, func(ctx context.Context) (platform.InstanceList, error) {
+func (i faultyInstances) List(ctx context.Context, cursor string) (provider.InstanceList, error) {
+	return query(ctx, i.c, func(ctx context.Context) (provider.InstanceList, error) {
 		return i.c.platform.instances.List(ctx, cursor)
 	})
 }
@@ -105,7 +105,7 @@
 
 type faultyTasks struct{ c *Client }
 
-func (t faultyTasks) Start(ctx context.Context, spec platform.TaskSpec) error {
+func (t faultyTasks) Start(ctx context.Context, spec provider.TaskSpec) error {
 	return t.c.effect(ctx, func(ctx context.Context) error { return t.c.platform.tasks.Start(ctx, spec) })
 }
 
@@ -134,8 +134,8 @@
 	return reference, nil
 }
 
-func (t faultyTasks) Status(ctx context.Context, workers ...string) ([]platform.TaskStatus, error) {
-	return query(ctx, t.c, func(ctx context.Context) ([]platform.TaskStatus, error) {
+func (t faultyTasks) Status(ctx context.Context, workers ...string) ([]provider.TaskStatus, error) {
+	return query(ctx, t.c, func(ctx context.Context) ([]provider.TaskStatus, error) {
 		return t.c.platform.tasks.Status(ctx, workers...)
 	})
 }
--- a/platform/standin/faults.go
+++ b/provider/standin/faults.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Faults are the faults of the platform towards all clients. Rates are between 0 and 1. The zero value is a platform without faults.
@@ -102,11 +102,11 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.faults.Down {
-		return fmt.Errorf("%w: it is down", platform.ErrUnavailable)
+		return fmt.Errorf("%w: it is down", provider.ErrUnavailable)
 	}
 	for cut := range j.partitions {
 		if cut.matches(caller) {
-			return fmt.Errorf("%w: partition", platform.ErrUnavailable)
+			return fmt.Errorf("%w: partition", provider.ErrUnavailable)
 		}
 	}
 	return nil
@@ -116,9 +116,9 @@
 func (j *injector) call(ctx context.Context, caller Identity, effect bool, operation func(context.Context) error) error {
 	lost := func(reason string) error {
 		if effect {
-			return fmt.Errorf("%w: %s", platform.ErrUnknownOutcome, reason)
+			return fmt.Errorf("%w: %s", provider.ErrUnknownOutcome, reason)
 		}
-		return fmt.Errorf("%w: %s", platform.ErrUnavailable, reason)
+		return fmt.Errorf("%w: %s", provider.ErrUnavailable, reason)
 	}
 	if err := j.reachable(caller); err != nil {
 		return err
--- a/platform/standin/instances.go
+++ b/provider/standin/instances.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Machine is an instance as the stand-in drives it. Stand-in endpoints implement it. Its methods, except
@@ -54,7 +54,7 @@
 }
 
 type member struct {
-	instance platform.Instance
+	instance provider.Instance
 	machine  Machine
 	// last is the index of the newest change of this instance in the log.
 	last int
@@ -62,10 +62,10 @@
 
 type change struct {
 	at       time.Time
-	instance platform.Instance
+	instance provider.Instance
 }
 
-var _ platform.Instances = (*Instances)(nil)
+var _ provider.Instances = (*Instances)(nil)
 
 func newInstances(o Options) *Instances {
 	return &Instances{
@@ -78,9 +78,9 @@
 }
 
 // Add starts a machine and adds it to the list. The machine may be nil. The incarnation is set to 1 if it is 0.
-func (l *Instances) Add(instance platform.Instance, machine Machine) error {
+func (l *Instances) Add(instance provider.Instance, machine Machine) error {
 	instance.Incarnation = max(instance.Incarnation, 1)
-	instance.State = platform.InstanceLive
+	instance.State = provider.InstanceLive
 	if machine != nil {
 		if err := machine.Start(instance.Incarnation); err != nil {
 			return fmt.Errorf("start instance %q: %w", instance.ID, err)
@@ -99,7 +99,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if m, ok := l.members[id]; ok {
-		m.instance.State = platform.InstanceGone
+		m.instance.State = provider.InstanceGone
 		l.append(m, time.Now())
 	}
 }
@@ -118,10 +118,10 @@
 	l.faults = f
 }
 
-// List implements [platform.Instances].
-func (l *Instances) List(ctx context.Context, cursor string) (platform.InstanceList, error) {
+// List implements [provider.Instances].
+func (l *Instances) List(ctx context.Context, cursor string) (provider.InstanceList, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.InstanceList{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return provider.InstanceList{}, fmt.Errorf("%w: %w", provider.ErrUnavailable, err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -131,33 +131,33 @@
 	if cursor != "" {
 		n, err := strconv.Atoi(cursor)
 		if err != nil || n < 0 || n > len(l.log) {
-			return platform.InstanceList{}, fmt.Errorf("cursor %q: %w", cursor, platform.ErrNotFound)
+			return provider.InstanceList{}, fmt.Errorf("cursor %q: %w", cursor, provider.ErrNotFound)
 		}
 		from = n
 	}
 	visible := from
-	newest := make(map[string]platform.Instance)
+	newest := make(map[string]provider.Instance)
 	for visible < len(l.log) && !l.log[visible].at.Add(l.lag+l.faults.Lag).After(now) {
 		instance := l.log[visible].instance
 		newest[instance.ID] = instance
 		visible++
 	}
-	list := platform.InstanceList{Cursor: strconv.Itoa(visible)}
+	list := provider.InstanceList{Cursor: strconv.Itoa(visible)}
 	for _, instance := range newest {
-		if cursor == "" && instance.State == platform.InstanceGone {
+		if cursor == "" && instance.State == provider.InstanceGone {
 			continue
 		}
 		list.Instances = append(list.Instances, instance)
 	}
-	slices.SortFunc(list.Instances, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(list.Instances, func(a, b provider.Instance) int { return strings.Compare(a.ID, b.ID) })
 	l.distort(&list, visible)
 	return list, nil
 }
 
 // distort drops and repeats entries at the rates of the faults.
-func (l *Instances) distort(list *platform.InstanceList, visible int) {
+func (l *Instances) distort(list *provider.InstanceList, visible int) {
 	if l.faults.Drop > 0 {
-		list.Instances = slices.DeleteFunc(list.Instances, func(platform.Instance) bool { return l.random.Float64() < l.faults.Drop })
+		list.Instances = slices.DeleteFunc(list.Instances, func(provider.Instance) bool { return l.random.Float64() < l.faults.Drop })
 	}
 	if l.faults.Repeat > 0 && visible > 0 && l.random.Float64() < l.faults.Repeat {
 		list.Instances = append(list.Instances, l.log[l.random.IntN(visible)].instance)
@@ -172,11 +172,11 @@
 	}
 	l.reported = now
 	for _, m := range l.members {
-		if m.machine == nil || m.instance.State == platform.InstanceGone {
+		if m.machine == nil || m.instance.State == provider.InstanceGone {
 			continue
 		}
 		count := m.machine.InFlight()
-		if count != m.instance.InFlight || m.instance.State == platform.InstanceLeaving {
+		if count != m.instance.InFlight || m.instance.State == provider.InstanceLeaving {
 			m.instance.InFlight = count
 			l.append(m, now)
 		}
@@ -190,25 +190,25 @@
 	l.log = append(l.log, change{at: now, instance: m.instance})
 }
 
-// Drain implements [platform.Instances].
+// Drain implements [provider.Instances].
 func (l *Instances) Drain(ctx context.Context, id string) error {
-	return l.setState(ctx, id, platform.InstanceLive, platform.InstanceLeaving, Machine.Drain)
+	return l.setState(ctx, id, provider.InstanceLive, provider.InstanceLeaving, Machine.Drain)
 }
 
-// Undrain implements [platform.Instances].
+// Undrain implements [provider.Instances].
 func (l *Instances) Undrain(ctx context.Context, id string) error {
-	return l.setState(ctx, id, platform.InstanceLeaving, platform.InstanceLive, Machine.Undrain)
+	return l.setState(ctx, id, provider.InstanceLeaving, provider.InstanceLive, Machine.Undrain)
 }
 
-func (l *Instances) setState(ctx context.Context, id string, from, to platform.InstanceState, act func(Machine)) error {
+func (l *Instances) setState(ctx context.Context, id string, from, to provider.InstanceState, act func(Machine)) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", provider.ErrUnavailable, err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m, ok := l.members[id]
 	if !ok {
-		return fmt.Errorf("instance %q: %w", id, platform.ErrNotFound)
+		return fmt.Errorf("instance %q: %w", id, provider.ErrNotFound)
 	}
 	if m.instance.State != from {
 		return nil
@@ -222,29 +222,29 @@
 	return nil
 }
 
-// Reboot implements [platform.Instances]. It returns when the reboot has begun.
+// Reboot implements [provider.Instances]. It returns when the reboot has begun.
 func (l *Instances) Reboot(ctx context.Context, id string, incarnation uint64) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", provider.ErrUnavailable, err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m, ok := l.members[id]
 	if !ok {
-		return fmt.Errorf("instance %q: %w", id, platform.ErrNotFound)
+		return fmt.Errorf("instance %q: %w", id, provider.ErrNotFound)
 	}
 	if m.instance.Incarnation != incarnation {
 		return nil
 	}
 	m.instance.Incarnation++
-	m.instance.State = platform.InstanceGone
+	m.instance.State = provider.InstanceGone
 	m.instance.InFlight = 0
 	l.append(m, time.Now())
 	if l.stuck[id] {
 		return nil
 	}
 	if m.machine == nil {
-		m.instance.State = platform.InstanceLive
+		m.instance.State = provider.InstanceLive
 		l.append(m, time.Now())
 		return nil
 	}
@@ -259,7 +259,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if m.instance.Incarnation == incarnation {
-		m.instance.State = platform.InstanceLive
+		m.instance.State = provider.InstanceLive
 		l.append(m, time.Now())
 	}
 }
--- a/platform/standin/objects.go
+++ b/provider/standin/objects.go
@@ -7,7 +7,7 @@
 	"strings"
 	"sync"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Objects is an in-memory object store.
@@ -16,14 +16,14 @@
 	objects map[string][]byte
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ provider.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty object store.
 func NewObjects() *Objects {
 	return &Objects{objects: make(map[string][]byte)}
 }
 
-// Put implements [platform.Objects].
+// Put implements [provider.Objects].
 func (o *Objects) Put(_ context.Context, name string, data []byte) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -31,18 +31,18 @@
 	return nil
 }
 
-// Get implements [platform.Objects].
+// Get implements [provider.Objects].
 func (o *Objects) Get(_ context.Context, name string) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	data, ok := o.objects[name]
 	if !ok {
-		return nil, fmt.Errorf("object %q: %w", name, platform.ErrNotFound)
+		return nil, fmt.Errorf("object %q: %w", name, provider.ErrNotFound)
 	}
 	return slices.Clone(data), nil
 }
 
-// List implements [platform.Objects].
+// List implements [provider.Objects].
 func (o *Objects) List(_ context.Context, prefix string) ([]string, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -56,7 +56,7 @@
 	return names, nil
 }
 
-// Delete implements [platform.Objects].
+// Delete implements [provider.Objects].
 func (o *Objects) Delete(_ context.Context, name string) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/platform/standin/pause.go
+++ b/provider/standin/pause.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Pauser stops one process in a test as the operating system would: the process does not notice, except
@@ -47,26 +47,26 @@
 }
 
 // Table returns a table whose calls are not sent, and whose responses are not received, during a pause.
-func (p *Pauser) Table(table platform.Table) platform.Table { return pausedTable{p, table} }
+func (p *Pauser) Table(table provider.Table) provider.Table { return pausedTable{p, table} }
 
 type pausedTable struct {
 	pauser *Pauser
-	table  platform.Table
+	table  provider.Table
 }
 
-func (t pausedTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t pausedTable) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	t.pauser.Wait()
 	defer t.pauser.Wait()
 	return t.table.Read(ctx, keys...)
 }
 
-func (t pausedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t pausedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	t.pauser.Wait()
 	defer t.pauser.Wait()
 	return t.table.Scan(ctx, prefix, after, limit)
 }
 
-func (t pausedTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (t pausedTable) Commit(ctx context.Context, txn provider.Txn) error {
 	t.pauser.Wait()
 	defer t.pauser.Wait()
 	return t.table.Commit(ctx, txn)
--- a/platform/standin/platform.go
+++ b/provider/standin/platform.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Options configure a stand-in platform. The zero value is a platform without lag.
@@ -28,7 +28,7 @@
 	tasks     *Tasks
 	injector  *injector
 	// store is what clients call: the table, or what Intercept puts before it.
-	store platform.Table
+	store provider.Table
 }
 
 // New returns a platform without rows, objects, instances or tasks.
@@ -52,7 +52,7 @@
 
 // Intercept makes clients call the given table, which a test puts before the one of the platform to
 // observe what takes effect. It must be called before any client is used.
-func (p *Platform) Intercept(table platform.Table) { p.store = table }
+func (p *Platform) Intercept(table provider.Table) { p.store = table }
 
 // Objects returns the object store, without injected faults.
 func (p *Platform) Objects() *Objects { return p.objects }
--- a/platform/standin/remote.go
+++ b/provider/standin/remote.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"time"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // RemoteOptions configure a client of a stand-in server.
@@ -30,7 +30,7 @@
 	defaultRemoteConnections = 16
 )
 
-// Remote is a client of a stand-in server. It sends each call once; see [platform.Client] for repeats.
+// Remote is a client of a stand-in server. It sends each call once; see [provider.Client] for repeats.
 type Remote struct {
 	o         RemoteOptions
 	http      *http.Client
@@ -57,19 +57,19 @@
 func (r *Remote) Close() { r.transport.CloseIdleConnections() }
 
 // Table returns the table.
-func (r *Remote) Table() platform.Table { return remoteTable{r} }
+func (r *Remote) Table() provider.Table { return remoteTable{r} }
 
 // Objects returns the object store.
-func (r *Remote) Objects() platform.Objects { return remoteObjects{r} }
+func (r *Remote) Objects() provider.Objects { return remoteObjects{r} }
 
 // Instances returns the list of instances.
-func (r *Remote) Instances() platform.Instances { return remoteInstances{r} }
+func (r *Remote) Instances() provider.Instances { return remoteInstances{r} }
 
 // Tasks returns the tasks.
-func (r *Remote) Tasks() platform.Tasks { return remoteTasks{r} }
+func (r *Remote) Tasks() provider.Tasks { return remoteTasks{r} }
 
 // Register adds an instance to the list. Control is the address of a server with the handler of [MachineHandler]; it may be empty.
-func (r *Remote) Register(ctx context.Context, instance platform.Instance, control string) error {
+func (r *Remote) Register(ctx context.Context, instance provider.Instance, control string) error {
 	return r.effect(ctx, pathRegister, registerCall{Instance: instance, Control: control})
 }
 
@@ -88,13 +88,13 @@
 
 // effect sends a call that changes something and returns nothing.
 func (r *Remote) effect(ctx context.Context, path string, in any) error {
-	_, err := send[empty](ctx, r, path, in, platform.ErrUnknownOutcome)
+	_, err := send[empty](ctx, r, path, in, provider.ErrUnknownOutcome)
 	return err
 }
 
 // fetch sends a call that changes nothing.
 func fetch[Out any](ctx context.Context, r *Remote, path string, in any) (Out, error) {
-	return send[Out](ctx, r, path, in, platform.ErrUnavailable)
+	return send[Out](ctx, r, path, in, provider.ErrUnavailable)
 }
 
 // send sends a call. A call that may have reached the server and has no complete response fails with lost.
@@ -112,7 +112,7 @@
 		defer cancel()
 	}
 	if err := ctx.Err(); err != nil {
-		return out, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return out, fmt.Errorf("%w: %w", provider.ErrUnavailable, err)
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.o.Address+path, bytes.NewReader(body))
 	if err != nil {
@@ -125,7 +125,7 @@
 	response, err := r.http.Do(request)
 	if err != nil {
 		if dial := new(net.OpError); errors.As(err, &dial) && dial.Op == "dial" {
-			lost = platform.ErrUnavailable
+			lost = provider.ErrUnavailable
 		}
 		return out, fmt.Errorf("%w: %w", lost, err)
 	}
@@ -154,15 +154,15 @@
 
 type remoteTable struct{ r *Remote }
 
-func (t remoteTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	return fetch[[]platform.Row](ctx, t.r, pathRead, readCall{Keys: keys})
+func (t remoteTable) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
+	return fetch[[]provider.Row](ctx, t.r, pathRead, readCall{Keys: keys})
 }
 
-func (t remoteTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	return fetch[[]platform.Row](ctx, t.r, pathScan, scanCall{Prefix: prefix, After: after, Limit: limit})
+func (t remoteTable) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
+	return fetch[[]provider.Row](ctx, t.r, pathScan, scanCall{Prefix: prefix, After: after, Limit: limit})
 }
 
-func (t remoteTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (t remoteTable) Commit(ctx context.Context, txn provider.Txn) error {
 	return t.r.effect(ctx, pathCommit, txn)
 }
 
@@ -186,8 +186,8 @@
 
 type remoteInstances struct{ r *Remote }
 
-func (i remoteInstances) List(ctx context.Context, cursor string) (platform.InstanceList, error) {
-	return fetch[platform.InstanceList](ctx, i.r, pathList, listCall{Cursor: cursor})
+func (i remoteInstances) List(ctx context.Context, cursor string) (provider.InstanceList, error) {
+	return fetch[provider.InstanceList](ctx, i.r, pathList, listCall{Cursor: cursor})
 }
 
 func (i remoteInstances) Drain(ctx context.Context, id string) error {
@@ -204,7 +204,7 @@
 
 type remoteTasks struct{ r *Remote }
 
-func (t remoteTasks) Start(ctx context.Context, spec platform.TaskSpec) error {
+func (t remoteTasks) Start(ctx context.Context, spec provider.TaskSpec) error {
 	return t.r.effect(ctx, pathStart, spec)
 }
 
@@ -221,9 +221,9 @@
 }
 
 func (t remoteTasks) Checkpoint(ctx context.Context, token uint64, id string) (string, error) {
-	return send[string](ctx, t.r, pathCheckpoint, taskCall{Token: token, IDs: []string{id}}, platform.ErrUnknownOutcome)
+	return send[string](ctx, t.r, pathCheckpoint, taskCall{Token: token, IDs: []string{id}}, provider.ErrUnknownOutcome)
 }
 
-func (t remoteTasks) Status(ctx context.Context, workers ...string) ([]platform.TaskStatus, error) {
-	return fetch[[]platform.TaskStatus](ctx, t.r, pathStatus, statusCall{Workers: workers})
+func (t remoteTasks) Status(ctx context.Context, workers ...string) ([]provider.TaskStatus, error) {
+	return fetch[[]provider.TaskStatus](ctx, t.r, pathStatus, statusCall{Workers: workers})
 }
--- a/platform/standin/server.go
+++ b/provider/standin/server.go
@@ -10,7 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // maxBody is the largest request body, in bytes.
@@ -28,13 +28,13 @@
 }
 
 func (p *Platform) handleTable(mux *http.ServeMux) {
-	handle(p, mux, pathRead, func(ctx context.Context, c *Client, in readCall) ([]platform.Row, error) {
+	handle(p, mux, pathRead, func(ctx context.Context, c *Client, in readCall) ([]provider.Row, error) {
 		return c.Table().Read(ctx, in.Keys...)
 	})
-	handle(p, mux, pathScan, func(ctx context.Context, c *Client, in scanCall) ([]platform.Row, error) {
+	handle(p, mux, pathScan, func(ctx context.Context, c *Client, in scanCall) ([]provider.Row, error) {
 		return c.Table().Scan(ctx, in.Prefix, in.After, in.Limit)
 	})
-	handle(p, mux, pathCommit, func(ctx context.Context, c *Client, in platform.Txn) (empty, error) {
+	handle(p, mux, pathCommit, func(ctx context.Context, c *Client, in provider.Txn) (empty, error) {
 		return empty{}, c.Table().Commit(ctx, in)
 	})
 }
@@ -55,7 +55,7 @@
 }
 
 func (p *Platform) handleInstances(mux *http.ServeMux) {
-	handle(p, mux, pathList, func(ctx context.Context, c *Client, in listCall) (platform.InstanceList, error) {
+	handle(p, mux, pathList, func(ctx context.Context, c *Client, in listCall) (provider.InstanceList, error) {
 		return c.Instances().List(ctx, in.Cursor)
 	})
 	handle(p, mux, pathDrain, func(ctx context.Context, c *Client, in instanceCall) (empty, error) {
@@ -77,7 +77,7 @@
 }
 
 func (p *Platform) handleTasks(mux *http.ServeMux) {
-	handle(p, mux, pathStart, func(ctx context.Context, c *Client, in platform.TaskSpec) (empty, error) {
+	handle(p, mux, pathStart, func(ctx context.Context, c *Client, in provider.TaskSpec) (empty, error) {
 		return empty{}, c.Tasks().Start(ctx, in)
 	})
 	handle(p, mux, pathRenew, func(ctx context.Context, c *Client, in taskCall) (empty, error) {
@@ -92,7 +92,7 @@
 	handle(p, mux, pathCheckpoint, func(ctx context.Context, c *Client, in taskCall) (string, error) {
 		return c.Tasks().Checkpoint(ctx, in.Token, in.id())
 	})
-	handle(p, mux, pathStatus, func(ctx context.Context, c *Client, in statusCall) ([]platform.TaskStatus, error) {
+	handle(p, mux, pathStatus, func(ctx context.Context, c *Client, in statusCall) ([]provider.TaskStatus, error) {
 		return c.Tasks().Status(ctx, in.Workers...)
 	})
 }
@@ -128,7 +128,7 @@
 		}
 		client := p.Client(Identity{Client: r.Header.Get(headerClient), DataCentre: r.Header.Get(headerDataCentre)})
 		out, err := call(ctx, client, in)
-		if errors.Is(err, platform.ErrUnknownOutcome) {
+		if errors.Is(err, provider.ErrUnknownOutcome) {
 			// A lost response is a connection that ends without one.
 			panic(http.ErrAbortHandler)
 		}
--- a/platform/standin/standin_test.go
+++ b/provider/standin/standin_test.go
@@ -12,17 +12,17 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 var caller = standin.Identity{Client: "entry-1", DataCentre: "east"}
 
-func insert(key string) platform.Txn {
-	return platform.Txn{
+func insert(key string) provider.Txn {
+	return provider.Txn{
 		OperationID: key,
-		Checks:      []platform.Check{{Key: key}},
-		Writes:      []platform.Write{{Key: key, Value: []byte("v")}},
+		Checks:      []provider.Check{{Key: key}},
+		Writes:      []provider.Write{{Key: key, Value: []byte("v")}},
 	}
 }
 
@@ -37,17 +37,17 @@
 		elapsed time.Duration
 	}{
 		"none":                 {effect: true, later: true},
-		"down":                 {faults: standin.Faults{Down: true}, want: platform.ErrUnavailable},
+		"down":                 {faults: standin.Faults{Down: true}, want: provider.ErrUnavailable},
 		"slow":                 {faults: standin.Faults{Delay: 100 * time.Millisecond}, effect: true, later: true, elapsed: 50 * time.Millisecond},
-		"slower than deadline": {faults: standin.Faults{Delay: 10 * time.Second}, want: platform.ErrUnknownOutcome, elapsed: 300 * time.Millisecond},
-		"lost response":        {faults: standin.Faults{LoseResponse: 1}, want: platform.ErrUnknownOutcome, effect: true, later: true},
-		"late":                 {faults: standin.Faults{Late: 1, LateBy: 200 * time.Millisecond}, want: platform.ErrUnknownOutcome, later: true},
-		"client cut off":       {cut: &standin.Identity{Client: "entry-1"}, want: platform.ErrUnavailable},
+		"slower than deadline": {faults: standin.Faults{Delay: 10 * time.Second}, want: provider.ErrUnknownOutcome, elapsed: 300 * time.Millisecond},
+		"lost response":        {faults: standin.Faults{LoseResponse: 1}, want: provider.ErrUnknownOutcome, effect: true, later: true},
+		"late":                 {faults: standin.Faults{Late: 1, LateBy: 200 * time.Millisecond}, want: provider.ErrUnknownOutcome, later: true},
+		"client cut off":       {cut: &standin.Identity{Client: "entry-1"}, want: provider.ErrUnavailable},
 		"other client cut off": {cut: &standin.Identity{Client: "entry-2"}, effect: true, later: true},
-		"data centre cut off":  {cut: &standin.Identity{DataCentre: "east"}, want: platform.ErrUnavailable},
+		"data centre cut off":  {cut: &standin.Identity{DataCentre: "east"}, want: provider.ErrUnavailable},
 	}
 	for name, tt := range tests {
-		run := func(t *testing.T, p *standin.Platform, table platform.Table) {
+		run := func(t *testing.T, p *standin.Platform, table provider.Table) {
 			p.SetFaults(tt.faults)
 			if tt.cut != nil {
 				p.Partition(*tt.cut)
@@ -66,7 +66,7 @@
 				time.Sleep(time.Second)
 			}
 			_, err = table.Read(t.Context(), "k")
-			qt.Check(t, errors.Is(err, platform.ErrUnknownOutcome), qt.IsFalse)
+			qt.Check(t, errors.Is(err, provider.ErrUnknownOutcome), qt.IsFalse)
 		}
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -94,7 +94,7 @@
 		p.SetFaults(standin.Faults{Duplicate: 1, LateBy: time.Second})
 		table := p.Client(caller).Table()
 		qt.Assert(t, table.Commit(t.Context(), insert("k")), qt.IsNil)
-		qt.Assert(t, p.Table().Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "k", Delete: true}}}), qt.IsNil)
+		qt.Assert(t, p.Table().Commit(t.Context(), provider.Txn{Writes: []provider.Write{{Key: "k", Delete: true}}}), qt.IsNil)
 		time.Sleep(2 * time.Second)
 		rows, err := p.Table().Read(t.Context(), "k")
 		qt.Assert(t, err, qt.IsNil)
@@ -128,7 +128,7 @@
 		m := &machine{}
 		m.inFlight.Store(2)
 		cursor := ""
-		expect := func(state platform.InstanceState, incarnation uint64, inFlight int) {
+		expect := func(state provider.InstanceState, incarnation uint64, inFlight int) {
 			t.Helper()
 			// The first call takes a report, the second one sees it after the lag.
 			time.Sleep(100 * time.Millisecond)
@@ -142,22 +142,22 @@
 			in := got.Instances[0]
 			qt.Check(t, fmt.Sprint(in.State, in.Incarnation, in.InFlight), qt.Equals, fmt.Sprint(state, incarnation, inFlight))
 		}
-		qt.Assert(t, p.Instances().Add(platform.Instance{ID: "w"}, m), qt.IsNil)
+		qt.Assert(t, p.Instances().Add(provider.Instance{ID: "w"}, m), qt.IsNil)
 		before, err := list.List(ctx, "")
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, before.Instances, qt.HasLen, 0, qt.Commentf("entry appeared before its lag"))
-		expect(platform.InstanceLive, 1, 2)
+		expect(provider.InstanceLive, 1, 2)
 		qt.Assert(t, list.Drain(ctx, "w"), qt.IsNil)
 		qt.Check(t, m.draining.Load(), qt.IsTrue)
 		m.inFlight.Store(0)
-		expect(platform.InstanceLeaving, 1, 0)
+		expect(provider.InstanceLeaving, 1, 0)
 		qt.Assert(t, list.Reboot(ctx, "w", 1), qt.IsNil)
 		qt.Assert(t, list.Reboot(ctx, "w", 1), qt.IsNil, qt.Commentf("a repeated reboot has no effect"))
-		expect(platform.InstanceGone, 2, 0)
+		expect(provider.InstanceGone, 2, 0)
 		time.Sleep(5 * time.Second)
-		expect(platform.InstanceLive, 2, 0)
+		expect(provider.InstanceLive, 2, 0)
 		qt.Check(t, m.incarnation.Load(), qt.Equals, uint64(2))
-		qt.Check(t, list.Drain(ctx, "x"), qt.ErrorIs, platform.ErrNotFound)
+		qt.Check(t, list.Drain(ctx, "x"), qt.ErrorIs, provider.ErrNotFound)
 	})
 }
 
@@ -176,7 +176,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := standin.New(standin.Options{Seed: 1})
 			for i := range 100 {
-				qt.Assert(t, p.Instances().Add(platform.Instance{ID: fmt.Sprint(i)}, nil), qt.IsNil)
+				qt.Assert(t, p.Instances().Add(provider.Instance{ID: fmt.Sprint(i)}, nil), qt.IsNil)
 			}
 			p.SetFaults(standin.Faults{List: tt.faults})
 			list, err := p.Client(caller).Instances().List(t.Context(), "")
@@ -196,9 +196,9 @@
 		p.Tasks().SetBroken("bad", true)
 		tasks := p.Client(caller).Tasks()
 		start := func(id, worker, checkpoint string, token uint64) error {
-			return tasks.Start(ctx, platform.TaskSpec{ID: id, Job: "job", Token: token, Worker: worker, Kind: "dyeRun", Cores: 1, Term: 10 * time.Second, Checkpoint: checkpoint})
+			return tasks.Start(ctx, provider.TaskSpec{ID: id, Job: "job", Token: token, Worker: worker, Kind: "dyeRun", Cores: 1, Term: 10 * time.Second, Checkpoint: checkpoint})
 		}
-		state := func(id string) platform.TaskState {
+		state := func(id string) provider.TaskState {
 			t.Helper()
 			all, err := tasks.Status(ctx)
 			qt.Assert(t, err, qt.IsNil)
@@ -210,26 +210,26 @@
 			return "unknown"
 		}
 		qt.Assert(t, start("a", "w", "", 2), qt.IsNil)
-		qt.Check(t, state("a"), qt.Equals, platform.TaskState("unknown"), qt.Commentf("status has no lag"))
+		qt.Check(t, state("a"), qt.Equals, provider.TaskState("unknown"), qt.Commentf("status has no lag"))
 		time.Sleep(9 * time.Second)
 		qt.Assert(t, tasks.Renew(ctx, 2, "a"), qt.IsNil)
 		time.Sleep(9 * time.Second)
-		qt.Check(t, state("a"), qt.Equals, platform.TaskRunning)
+		qt.Check(t, state("a"), qt.Equals, provider.TaskRunning)
 		reference, err := tasks.Checkpoint(ctx, 2, "a")
 		qt.Assert(t, err, qt.IsNil)
 		time.Sleep(3 * time.Second)
-		qt.Check(t, state("a"), qt.Equals, platform.TaskStopped, qt.Commentf("lease expired"))
-		qt.Check(t, start("b", "w", "", 1), qt.ErrorIs, platform.ErrConflict)
+		qt.Check(t, state("a"), qt.Equals, provider.TaskStopped, qt.Commentf("lease expired"))
+		qt.Check(t, start("b", "w", "", 1), qt.ErrorIs, provider.ErrConflict)
 		qt.Assert(t, start("c", "w", reference, 3), qt.IsNil)
-		qt.Check(t, tasks.Stop(ctx, 2, "c"), qt.ErrorIs, platform.ErrConflict)
+		qt.Check(t, tasks.Stop(ctx, 2, "c"), qt.ErrorIs, provider.ErrConflict)
 		qt.Assert(t, tasks.Renew(ctx, 3, "c"), qt.IsNil)
 		time.Sleep(9 * time.Second)
 		qt.Assert(t, tasks.Renew(ctx, 3, "c"), qt.IsNil)
 		time.Sleep(5 * time.Second)
-		qt.Check(t, state("c"), qt.Equals, platform.TaskDone, qt.Commentf("18 s of 30 s were in the checkpoint"))
+		qt.Check(t, state("c"), qt.Equals, provider.TaskDone, qt.Commentf("18 s of 30 s were in the checkpoint"))
 		qt.Assert(t, start("d", "bad", "", 3), qt.IsNil)
 		time.Sleep(2 * time.Second)
-		qt.Check(t, state("d"), qt.Equals, platform.TaskFailed)
+		qt.Check(t, state("d"), qt.Equals, provider.TaskFailed)
 	})
 }
 
@@ -243,10 +243,10 @@
 	r := standin.NewRemote(standin.RemoteOptions{Address: server.Address(), Identity: caller})
 	defer r.Close()
 	qt.Assert(t, r.Table().Commit(ctx, insert("k")), qt.IsNil)
-	qt.Check(t, r.Table().Commit(ctx, insert("k")), qt.ErrorIs, platform.ErrConflict)
+	qt.Check(t, r.Table().Commit(ctx, insert("k")), qt.ErrorIs, provider.ErrConflict)
 	rows, err := r.Table().Scan(ctx, "k", "", 10)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, rows, qt.DeepEquals, []platform.Row{{Key: "k", Value: []byte("v"), Version: 1}})
+	qt.Check(t, rows, qt.DeepEquals, []provider.Row{{Key: "k", Value: []byte("v"), Version: 1}})
 	qt.Assert(t, r.Objects().Put(ctx, "o", []byte("data")), qt.IsNil)
 	data, err := r.Objects().Get(ctx, "o")
 	qt.Check(t, string(data), qt.Equals, "data", qt.Commentf("%v", err))
@@ -254,15 +254,15 @@
 	qt.Check(t, names, qt.DeepEquals, []string{"o"}, qt.Commentf("%v", err))
 	qt.Assert(t, r.Objects().Delete(ctx, "o"), qt.IsNil)
 	_, err = r.Objects().Get(ctx, "o")
-	qt.Check(t, err, qt.ErrorIs, platform.ErrNotFound)
-	qt.Assert(t, r.Register(ctx, platform.Instance{ID: "w"}, ""), qt.IsNil)
+	qt.Check(t, err, qt.ErrorIs, provider.ErrNotFound)
+	qt.Assert(t, r.Register(ctx, provider.Instance{ID: "w"}, ""), qt.IsNil)
 	qt.Assert(t, r.Instances().Drain(ctx, "w"), qt.IsNil)
 	qt.Assert(t, r.Instances().Undrain(ctx, "w"), qt.IsNil)
 	qt.Assert(t, r.Instances().Reboot(ctx, "w", 1), qt.IsNil)
 	list, err := r.Instances().List(ctx, "")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, list.Instances[0].Incarnation, qt.Equals, uint64(2))
-	qt.Assert(t, r.Tasks().Start(ctx, platform.TaskSpec{ID: "t", Job: "j", Worker: "w", Token: 1}), qt.IsNil)
+	qt.Assert(t, r.Tasks().Start(ctx, provider.TaskSpec{ID: "t", Job: "j", Worker: "w", Token: 1}), qt.IsNil)
 	qt.Assert(t, r.Tasks().Renew(ctx, 1, "t"), qt.IsNil)
 	qt.Assert(t, r.Tasks().Throttle(ctx, 1, "t", 0.5), qt.IsNil)
 	reference, err := r.Tasks().Checkpoint(ctx, 1, "t")
@@ -271,10 +271,10 @@
 	status, err := r.Tasks().Status(ctx, "w")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, status[0].Checkpoint, qt.Equals, reference)
-	qt.Check(t, status[0].State, qt.Equals, platform.TaskStopped)
+	qt.Check(t, status[0].State, qt.Equals, provider.TaskStopped)
 	qt.Assert(t, r.SetFaults(ctx, standin.Faults{Down: true}), qt.IsNil)
 	_, err = r.Table().Read(ctx, "k")
-	qt.Check(t, err, qt.ErrorIs, platform.ErrUnavailable)
+	qt.Check(t, err, qt.ErrorIs, provider.ErrUnavailable)
 	closed := standin.NewRemote(standin.RemoteOptions{Address: "127.0.0.1:1"})
-	qt.Check(t, closed.Table().Commit(ctx, insert("x")), qt.ErrorIs, platform.ErrUnavailable)
+	qt.Check(t, closed.Table().Commit(ctx, insert("x")), qt.ErrorIs, provider.ErrUnavailable)
 }
--- a/platform/standin/table.go
+++ b/provider/standin/table.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	table := standin.NewTable()
-//	err := table.Commit(ctx, platform.Txn{OperationID: "1", Writes: []platform.Write{{Key: "k", Value: v}}})
+//	err := table.Commit(ctx, provider.Txn{OperationID: "1", Writes: []provider.Write{{Key: "k", Value: v}}})
 package standin
 
 import (
@@ -13,33 +13,33 @@
 	"strings"
 	"sync"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Table is an in-memory table.
 type Table struct {
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]provider.Row
 	// keys are the keys of the rows in order.
 	keys    []string
 	version uint64
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ provider.Table = (*Table)(nil)
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: make(map[string]platform.Row)}
+	return &Table{rows: make(map[string]provider.Row)}
 }
 
-// Read implements [platform.Table].
-func (t *Table) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Read implements [provider.Table].
+func (t *Table) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rows := make([]platform.Row, 0, len(keys))
+	rows := make([]provider.Row, 0, len(keys))
 	for _, key := range keys {
 		if row, ok := t.rows[key]; ok {
 			rows = append(rows, row)
@@ -48,15 +48,15 @@
 	return rows, nil
 }
 
-// Scan implements [platform.Table].
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements [provider.Table].
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	begin, _ := slices.BinarySearch(t.keys, max(prefix, after))
-	var rows []platform.Row
+	var rows []provider.Row
 	for _, key := range t.keys[begin:] {
 		if len(rows) >= limit || !strings.HasPrefix(key, prefix) {
 			break
@@ -68,16 +68,16 @@
 	return rows, nil
 }
 
-// Commit implements [platform.Table].
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) error {
+// Commit implements [provider.Table].
+func (t *Table) Commit(ctx context.Context, txn provider.Txn) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", provider.ErrUnavailable, err)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, check := range txn.Checks {
 		if t.rows[check.Key].Version != check.Version {
-			return fmt.Errorf("%w: row %q has version %d, not %d", platform.ErrConflict, check.Key, t.rows[check.Key].Version, check.Version)
+			return fmt.Errorf("%w: row %q has version %d, not %d", provider.ErrConflict, check.Key, t.rows[check.Key].Version, check.Version)
 		}
 	}
 	t.version++
@@ -93,7 +93,7 @@
 		if !found {
 			t.keys = slices.Insert(t.keys, i, write.Key)
 		}
-		t.rows[write.Key] = platform.Row{Key: write.Key, Value: slices.Clone(write.Value), Version: t.version}
+		t.rows[write.Key] = provider.Row{Key: write.Key, Value: slices.Clone(write.Value), Version: t.version}
 	}
 	return nil
 }
--- a/platform/standin/table_test.go
+++ b/provider/standin/table_test.go
@@ -8,8 +8,8 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 )
 
 // TestTable guards against a scan that leaves out, repeats or misorders rows, and a transaction that takes
@@ -22,16 +22,16 @@
 			return rapid.SampledFrom([]string{"a/", "a", "b/", ""}).Draw(t, "prefix") + fmt.Sprint(rapid.IntRange(0, 12).Draw(t, "number"))
 		})
 		for i := range rapid.IntRange(1, 30).Draw(t, "transactions") {
-			txn := platform.Txn{Writes: []platform.Write{}}
+			txn := provider.Txn{Writes: []provider.Write{}}
 			holds := true
 			for range rapid.IntRange(1, 4).Draw(t, "writes") {
 				k := key.Draw(t, "key")
 				if rapid.Bool().Draw(t, "absent") {
 					_, exists := model[k]
 					holds = holds && !exists
-					txn.Checks = append(txn.Checks, platform.Check{Key: k})
+					txn.Checks = append(txn.Checks, provider.Check{Key: k})
 				}
-				txn.Writes = append(txn.Writes, platform.Write{Key: k, Value: fmt.Append(nil, i), Delete: rapid.Bool().Draw(t, "delete")})
+				txn.Writes = append(txn.Writes, provider.Write{Key: k, Value: fmt.Append(nil, i), Delete: rapid.Bool().Draw(t, "delete")})
 			}
 			err := table.Commit(t.Context(), txn)
 			if (err == nil) != holds {
--- a/platform/standin/tasks.go
+++ b/provider/standin/tasks.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Behaviour is how tasks of a kind really run, whatever their jobs declare.
@@ -37,10 +37,10 @@
 }
 
 type task struct {
-	spec      platform.TaskSpec
+	spec      provider.TaskSpec
 	behaviour Behaviour
 	token     uint64
-	state     platform.TaskState
+	state     provider.TaskState
 	detail    string
 	// progress is the work done until at, as run time at full speed.
 	progress time.Duration
@@ -48,10 +48,10 @@
 	speed    float64
 	expires  time.Time
 	// past holds earlier statuses until the lag has passed.
-	past []platform.TaskStatus
+	past []provider.TaskStatus
 }
 
-var _ platform.Tasks = (*Tasks)(nil)
+var _ provider.Tasks = (*Tasks)(nil)
 
 func newTasks(o Options) *Tasks {
 	return &Tasks{
@@ -81,16 +81,16 @@
 // fence refuses a token that is lower than an earlier one of the job.
 func (s *Tasks) fence(job string, token uint64) error {
 	if highest := s.tokens[job]; token < highest {
-		return fmt.Errorf("%w: token %d of job %q is lower than %d", platform.ErrConflict, token, job, highest)
+		return fmt.Errorf("%w: token %d of job %q is lower than %d", provider.ErrConflict, token, job, highest)
 	}
 	s.tokens[job] = token
 	return nil
 }
 
-// Start implements [platform.Tasks].
-func (s *Tasks) Start(ctx context.Context, spec platform.TaskSpec) error {
+// Start implements [provider.Tasks].
+func (s *Tasks) Start(ctx context.Context, spec provider.TaskSpec) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", provider.ErrUnavailable, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,20 +101,20 @@
 		return nil
 	}
 	now := time.Now()
-	t := &task{spec: spec, behaviour: s.kinds[spec.Kind], token: spec.Token, state: platform.TaskRunning, at: now, speed: 1, expires: now.Add(spec.Term)}
+	t := &task{spec: spec, behaviour: s.kinds[spec.Kind], token: spec.Token, state: provider.TaskRunning, at: now, speed: 1, expires: now.Add(spec.Term)}
 	t.progress = s.saved[spec.Checkpoint]
 	s.tasks[spec.ID] = t
 	if s.broken[spec.Worker] {
-		t.end(now, platform.TaskFailed, "worker fails all tasks")
+		t.end(now, provider.TaskFailed, "worker fails all tasks")
 	}
 	t.report(now, s.lag)
 	return nil
 }
 
-// Renew implements [platform.Tasks].
+// Renew implements [provider.Tasks].
 func (s *Tasks) Renew(ctx context.Context, token uint64, ids ...string) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", provider.ErrUnavailable, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -124,24 +124,24 @@
 		if err != nil {
 			return err
 		}
-		if t.state == platform.TaskRunning {
+		if t.state == provider.TaskRunning {
 			t.expires = now.Add(t.spec.Term)
 		}
 	}
 	return nil
 }
 
-// Stop implements [platform.Tasks].
+// Stop implements [provider.Tasks].
 func (s *Tasks) Stop(ctx context.Context, token uint64, id string) error {
-	return s.change(ctx, token, id, func(now time.Time, t *task) { t.end(now, platform.TaskStopped, "stopped") })
+	return s.change(ctx, token, id, func(now time.Time, t *task) { t.end(now, provider.TaskStopped, "stopped") })
 }
 
-// Throttle implements [platform.Tasks].
+// Throttle implements [provider.Tasks].
 func (s *Tasks) Throttle(ctx context.Context, token uint64, id string, fraction float64) error {
 	return s.change(ctx, token, id, func(_ time.Time, t *task) { t.speed = min(max(fraction, 0), 1) })
 }
 
-// Checkpoint implements [platform.Tasks].
+// Checkpoint implements [provider.Tasks].
 func (s *Tasks) Checkpoint(ctx context.Context, token uint64, id string) (string, error) {
 	var reference string
 	err := s.change(ctx, token, id, func(_ time.Time, t *task) {
@@ -155,13 +155,13 @@
 
 func (s *Tasks) change(ctx context.Context, token uint64, id string, act func(time.Time, *task)) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", provider.ErrUnavailable, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	t, err := s.advance(now, token, id)
-	if err != nil || t.state != platform.TaskRunning {
+	if err != nil || t.state != provider.TaskRunning {
 		return err
 	}
 	act(now, t)
@@ -173,7 +173,7 @@
 func (s *Tasks) advance(now time.Time, token uint64, id string) (*task, error) {
 	t, ok := s.tasks[id]
 	if !ok {
-		return nil, fmt.Errorf("task %q: %w", id, platform.ErrNotFound)
+		return nil, fmt.Errorf("task %q: %w", id, provider.ErrNotFound)
 	}
 	if err := s.fence(t.spec.Job, token); err != nil {
 		return nil, err
@@ -183,15 +183,15 @@
 	return t, nil
 }
 
-// Status implements [platform.Tasks].
-func (s *Tasks) Status(ctx context.Context, workers ...string) ([]platform.TaskStatus, error) {
+// Status implements [provider.Tasks].
+func (s *Tasks) Status(ctx context.Context, workers ...string) ([]provider.TaskStatus, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", provider.ErrUnavailable, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	var all []platform.TaskStatus
+	var all []provider.TaskStatus
 	for _, t := range s.tasks {
 		if len(workers) > 0 && !slices.Contains(workers, t.spec.Worker) {
 			continue
@@ -202,13 +202,13 @@
 			all = append(all, status)
 		}
 	}
-	slices.SortFunc(all, func(a, b platform.TaskStatus) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b provider.TaskStatus) int { return strings.Compare(a.ID, b.ID) })
 	return all, nil
 }
 
 // run lets time pass for the task: it ends when its lease expires or its work is done.
 func (t *task) run(now time.Time, lag time.Duration) {
-	if t.state != platform.TaskRunning {
+	if t.state != provider.TaskRunning {
 		return
 	}
 	until, expired := now, false
@@ -220,31 +220,31 @@
 		end := t.at.Add(time.Duration(float64(length-t.progress) / max(t.speed, 1e-9)))
 		t.progress = length
 		if t.behaviour.Fails {
-			t.end(end, platform.TaskFailed, "failed")
+			t.end(end, provider.TaskFailed, "failed")
 		} else {
-			t.end(end, platform.TaskDone, "")
+			t.end(end, provider.TaskDone, "")
 		}
 		t.report(end, lag)
 		return
 	}
 	t.progress, t.at = done, until
 	if expired {
-		t.end(until, platform.TaskStopped, "lease expired")
+		t.end(until, provider.TaskStopped, "lease expired")
 		t.report(until, lag)
 	}
 }
 
-func (t *task) end(now time.Time, state platform.TaskState, detail string) {
+func (t *task) end(now time.Time, state provider.TaskState, detail string) {
 	t.state, t.detail, t.at = state, detail, now
 }
 
 // report adds a status as of now and drops those that the lag no longer hides.
 func (t *task) report(now time.Time, lag time.Duration) {
-	status := platform.TaskStatus{
+	status := provider.TaskStatus{
 		ID: t.spec.ID, Job: t.spec.Job, Worker: t.spec.Worker, State: t.state, Token: t.token,
 		Checkpoint: t.spec.Checkpoint, Reported: now, Detail: t.detail,
 	}
-	if t.state == platform.TaskRunning {
+	if t.state == provider.TaskRunning {
 		status.Cores, status.Memory = t.spec.Cores, t.spec.Memory
 		if t.behaviour.Cores > 0 {
 			status.Cores = t.behaviour.Cores
@@ -265,11 +265,11 @@
 }
 
 // seen returns the newest status that is not newer than at.
-func (t *task) seen(at time.Time) (platform.TaskStatus, bool) {
+func (t *task) seen(at time.Time) (provider.TaskStatus, bool) {
 	for i := len(t.past) - 1; i >= 0; i-- {
 		if !t.past[i].Reported.After(at) {
 			return t.past[i], true
 		}
 	}
-	return platform.TaskStatus{}, false
+	return provider.TaskStatus{}, false
 }
--- a/platform/standin/wire.go
+++ b/provider/standin/wire.go
@@ -4,7 +4,7 @@
 	"errors"
 	"net/http"
 
-	"github.com/chivetiller/chivetiller/platform"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Headers of a request to the stand-in server.
@@ -65,7 +65,7 @@
 }
 
 type registerCall struct {
-	Instance platform.Instance `json:"instance"`
+	Instance provider.Instance `json:"instance"`
 	// Control is the address of the control handler of the machine. Without it, the machine is not driven.
 	Control string `json:"control,omitempty"`
 }
@@ -102,9 +102,9 @@
 	status int
 	err    error
 }{
-	{"conflict", http.StatusConflict, platform.ErrConflict},
-	{"notFound", http.StatusNotFound, platform.ErrNotFound},
-	{"unavailable", http.StatusServiceUnavailable, platform.ErrUnavailable},
+	{"conflict", http.StatusConflict, provider.ErrConflict},
+	{"notFound", http.StatusNotFound, provider.ErrNotFound},
+	{"unavailable", http.StatusServiceUnavailable, provider.ErrUnavailable},
 }
 
 func encodeError(err error) (int, failure) {
--- a/wave/sim_test.go
+++ b/wave/sim_test.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 	"github.com/chivetiller/chivetiller/wave"
 )
 
@@ -29,7 +29,7 @@
 	quietAt, upAt time.Time
 	incarnation   uint64
 	// made and shown are the reports on their way and arrived.
-	made, shown platform.Instance
+	made, shown provider.Instance
 }
 
 // simPool is a pool under one wave.
@@ -169,13 +169,13 @@
 	return out
 }
 
-func (in *simInstance) report(now time.Time) platform.Instance {
-	out := platform.Instance{ID: in.row.ID, Incarnation: in.incarnation, State: platform.InstanceLive, Reported: now}
+func (in *simInstance) report(now time.Time) provider.Instance {
+	out := provider.Instance{ID: in.row.ID, Incarnation: in.incarnation, State: provider.InstanceLive, Reported: now}
 	switch {
 	case now.Before(in.upAt):
-		out.State = platform.InstanceGone
+		out.State = provider.InstanceGone
 	case in.draining:
-		out.State = platform.InstanceLeaving
+		out.State = provider.InstanceLeaving
 		if now.Before(in.quietAt) {
 			out.InFlight = 1
 		}
--- a/wave/step.go
+++ b/wave/step.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // Call is an order to the platform.
@@ -52,7 +52,7 @@
 }
 
 // Begin returns the row of an instance whose stop begins. State is draining for a wave or moving for a move.
-func Begin(now time.Time, in pool.Instance, report platform.Instance, state pool.State, operation string) pool.Instance {
+func Begin(now time.Time, in pool.Instance, report provider.Instance, state pool.State, operation string) pool.Instance {
 	next := in.Next(now, state)
 	next.Operation = operation
 	next.Incarnation = report.Incarnation
@@ -63,7 +63,7 @@
 
 // Step decides the next step of a stopped instance from its row and its newest report. It keeps no
 // state, so any entry instance can continue a stop that another one began.
-func Step(now time.Time, in pool.Instance, report platform.Instance, known bool, rules Rules) Decision {
+func Step(now time.Time, in pool.Instance, report provider.Instance, known bool, rules Rules) Decision {
 	current := known && report.Incarnation >= in.Incarnation
 	switch in.Phase() {
 	case pool.StateDraining, pool.StateMoving:
@@ -72,17 +72,17 @@
 		if current && report.Incarnation > in.Incarnation {
 			return returned(now, in, report)
 		}
-		if current && report.State == platform.InstanceLive && report.Reported.After(in.Noticed) {
+		if current && report.State == provider.InstanceLive && report.Reported.After(in.Noticed) {
 			// A late call of an earlier holder has undone the drain, and the instance accepts requests.
 			return change(drainAgain(now, in, report))
 		}
 		return waitReturn(now, in, CallReboot, rules)
 	case pool.StateReturning:
-		if current && (report.Incarnation > in.Incarnation || report.Reported.After(in.Seen)) && report.State == platform.InstanceLive {
+		if current && (report.Incarnation > in.Incarnation || report.Reported.After(in.Seen)) && report.State == provider.InstanceLive {
 			return change(finish(now, in, report))
 		}
 		call := CallUndrain
-		if in.State == pool.StateFailed && (!current || report.State == platform.InstanceGone) {
+		if in.State == pool.StateFailed && (!current || report.State == provider.InstanceGone) {
 			// The reboot has begun and did not end. The instance serves nobody, so it may be rebooted again.
 			call = CallReboot
 		}
@@ -91,7 +91,7 @@
 	return Decision{Next: in}
 }
 
-func stepDrain(now time.Time, in pool.Instance, report platform.Instance, current bool, rules Rules) Decision {
+func stepDrain(now time.Time, in pool.Instance, report provider.Instance, current bool, rules Rules) Decision {
 	if current && report.Incarnation > in.Incarnation {
 		// The instance restarted by itself, which does what the reboot would have done.
 		return returned(now, in, report)
@@ -99,7 +99,7 @@
 	if rules.Abort {
 		return change(undrain(now, in, report))
 	}
-	refuses := current && report.State != platform.InstanceLive && report.Reported.After(in.Seen)
+	refuses := current && report.State != provider.InstanceLive && report.Reported.After(in.Seen)
 	if refuses {
 		switch {
 		case in.Noticed.IsZero():
@@ -127,7 +127,7 @@
 }
 
 // drainAgain returns the row of an instance whose drain begins again.
-func drainAgain(now time.Time, in pool.Instance, report platform.Instance) pool.Instance {
+func drainAgain(now time.Time, in pool.Instance, report provider.Instance) pool.Instance {
 	state := pool.StateDraining
 	if in.Target != "" {
 		state = pool.StateMoving
@@ -140,16 +140,16 @@
 // Stray reports whether an instance that should serve refuses requests because of a late drain call of an
 // earlier holder. That is assumed for some minutes after the end of a stop only: at other times the
 // platform itself may have reason to make the instance leave.
-func Stray(now time.Time, in pool.Instance, report platform.Instance) bool {
+func Stray(now time.Time, in pool.Instance, report provider.Instance) bool {
 	return in.State == pool.StateServing && in.Generation > 1 && now.Sub(in.Since) < strayWindow &&
-		report.State == platform.InstanceLeaving && report.Incarnation == in.Incarnation && report.Reported.After(in.Seen)
+		report.State == provider.InstanceLeaving && report.Incarnation == in.Incarnation && report.Reported.After(in.Seen)
 }
 
 // strayWindow is longer than a pause of a holder that is not replaced by then.
 const strayWindow = 10 * time.Minute
 
 // undrain returns the row of an instance that goes back to service without a reboot.
-func undrain(now time.Time, in pool.Instance, report platform.Instance) pool.Instance {
+func undrain(now time.Time, in pool.Instance, report provider.Instance) pool.Instance {
 	next := in.Next(now, pool.StateReturning)
 	next.Target = ""
 	if report.Reported.After(next.Seen) {
@@ -159,12 +159,12 @@
 }
 
 // returned handles a new incarnation: it serves if it is live, and is undrained otherwise.
-func returned(now time.Time, in pool.Instance, report platform.Instance) Decision {
+func returned(now time.Time, in pool.Instance, report provider.Instance) Decision {
 	next := in
 	if IsWave(in.Operation) {
 		next.Done, next.Result = in.Operation, pool.ResultRebooted
 	}
-	if report.State == platform.InstanceLive {
+	if report.State == provider.InstanceLive {
 		return change(finish(now, next, report))
 	}
 	next = next.Next(now, pool.StateReturning)
@@ -175,7 +175,7 @@
 
 // finish ends a stop. An instance that moves changes its pool in the same transaction, so that it is
 // counted as down by the pool that gave it and never by the one that receives it.
-func finish(now time.Time, in pool.Instance, report platform.Instance) pool.Instance {
+func finish(now time.Time, in pool.Instance, report provider.Instance) pool.Instance {
 	next := in.Next(now, pool.StateServing)
 	if in.Target != "" {
 		next.Pool, next.Target = in.Target, ""
--- a/wave/store.go
+++ b/wave/store.go
@@ -11,8 +11,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/common/ident"
-	"github.com/chivetiller/chivetiller/platform"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 const (
@@ -29,8 +29,8 @@
 }
 
 // Check returns the check that the wave is unchanged, so that no stop begins after a pause or abort.
-func (s Stored) Check() platform.Check {
-	return platform.Check{Key: wavePrefix + s.Name(), Version: s.Version}
+func (s Stored) Check() provider.Check {
+	return provider.Check{Key: wavePrefix + s.Name(), Version: s.Version}
 }
 
 // document is the row of a wave.
@@ -42,10 +42,10 @@
 }
 
 // Store holds the waves.
-type Store struct{ table platform.Table }
+type Store struct{ table provider.Table }
 
 // NewStore returns a store over the table.
-func NewStore(table platform.Table) *Store { return &Store{table: table} }
+func NewStore(table provider.Table) *Store { return &Store{table: table} }
 
 // List returns all waves in order of their names.
 func (s *Store) List(ctx context.Context) ([]Stored, error) {
@@ -69,14 +69,14 @@
 	}
 }
 
-// Get returns a wave. It fails with [platform.ErrNotFound] if there is none of the name.
+// Get returns a wave. It fails with [provider.ErrNotFound] if there is none of the name.
 func (s *Store) Get(ctx context.Context, name string) (Stored, error) {
 	rows, err := s.table.Read(ctx, wavePrefix+name)
 	if err != nil {
 		return Stored{}, fmt.Errorf("read wave %q: %w", name, err)
 	}
 	if len(rows) == 0 {
-		return Stored{}, fmt.Errorf("wave %q: %w", name, platform.ErrNotFound)
+		return Stored{}, fmt.Errorf("wave %q: %w", name, provider.ErrNotFound)
 	}
 	return decode(rows[0])
 }
@@ -97,7 +97,7 @@
 	if err != nil {
 		return Wave{}, fmt.Errorf("read %q: %w", createdKey, err)
 	}
-	check := platform.Check{Key: createdKey}
+	check := provider.Check{Key: createdKey}
 	if len(created) > 0 {
 		check.Version = created[0].Version
 	}
@@ -113,7 +113,7 @@
 			return Wave{}, eris.Errorf("wave %q covers a pool of wave %q, which is %s", w.Name(), other.Name(), other.State())
 		}
 	}
-	return w, s.write(ctx, w, 0, []platform.Write{{Key: createdKey, Value: []byte(`{}`)}}, check)
+	return w, s.write(ctx, w, 0, []provider.Write{{Key: createdKey, Value: []byte(`{}`)}}, check)
 }
 
 // overlap is coarse: two waves over one pool conflict even if they name different instances.
@@ -145,32 +145,32 @@
 }
 
 // Finish marks a running wave as done, under further checks such as that of a lease.
-func (s *Store) Finish(ctx context.Context, stored Stored, checks ...platform.Check) error {
+func (s *Store) Finish(ctx context.Context, stored Stored, checks ...provider.Check) error {
 	w := stored.Wave
 	w.state, w.ended = StateDone, time.Now()
 	return s.write(ctx, w, stored.Version, nil, checks...)
 }
 
 // Remove deletes a wave that has ended.
-func (s *Store) Remove(ctx context.Context, stored Stored, checks ...platform.Check) error {
-	return s.table.Commit(ctx, platform.Txn{
+func (s *Store) Remove(ctx context.Context, stored Stored, checks ...provider.Check) error {
+	return s.table.Commit(ctx, provider.Txn{
 		OperationID: ident.New(),
-		Checks:      append([]platform.Check{stored.Check()}, checks...),
-		Writes:      []platform.Write{{Key: wavePrefix + stored.Name(), Delete: true}},
+		Checks:      append([]provider.Check{stored.Check()}, checks...),
+		Writes:      []provider.Write{{Key: wavePrefix + stored.Name(), Delete: true}},
 	})
 }
 
-func (s *Store) write(ctx context.Context, w Wave, version uint64, writes []platform.Write, checks ...platform.Check) error {
+func (s *Store) write(ctx context.Context, w Wave, version uint64, writes []provider.Write, checks ...provider.Check) error {
 	data, err := json.Marshal(document{Spec: w.spec, State: w.state, Begun: w.begun, Ended: w.ended})
 	if err != nil {
 		return eris.Wrapf(err, "encode wave %q", w.Name())
 	}
-	err = s.table.Commit(ctx, platform.Txn{
+	err = s.table.Commit(ctx, provider.Txn{
 		OperationID: ident.New(),
-		Checks:      append([]platform.Check{{Key: wavePrefix + w.Name(), Version: version}}, checks...),
-		Writes:      append([]platform.Write{{Key: wavePrefix + w.Name(), Value: data}}, writes...),
+		Checks:      append([]provider.Check{{Key: wavePrefix + w.Name(), Version: version}}, checks...),
+		Writes:      append([]provider.Write{{Key: wavePrefix + w.Name(), Value: data}}, writes...),
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, provider.ErrConflict) {
 		return fmt.Errorf("wave %q was changed by another operator: %w", w.Name(), err)
 	}
 	if err != nil {
@@ -179,7 +179,7 @@
 	return nil
 }
 
-func decode(row platform.Row) (Stored, error) {
+func decode(row provider.Row) (Stored, error) {
 	var d document
 	if err := json.Unmarshal(row.Value, &d); err != nil {
 		return Stored{}, eris.Wrapf(err, "row %q is not a wave", row.Key)
