--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -7,9 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/chivetiller/chivetiller/platform"
-	"github.com/chivetiller/chivetiller/platform/standin"
 	"github.com/chivetiller/chivetiller/pool"
+	"github.com/chivetiller/chivetiller/provider"
+	"github.com/chivetiller/chivetiller/provider/standin"
 	"github.com/chivetiller/chivetiller/wave"
 )
 
@@ -79,12 +79,12 @@
 	rebooting := noticed.Next(at(20), pool.StateRebooting)
 	returning := rebooting.Next(at(30), pool.StateReturning)
 	returning.Seen = at(30)
-	report := func(state platform.InstanceState, incarnation uint64, second, inFlight int) platform.Instance {
-		return platform.Instance{State: state, Incarnation: incarnation, Reported: at(second), InFlight: inFlight}
+	report := func(state provider.InstanceState, incarnation uint64, second, inFlight int) provider.Instance {
+		return provider.Instance{State: state, Incarnation: incarnation, Reported: at(second), InFlight: inFlight}
 	}
 	tests := map[string]struct {
 		in     pool.Instance
-		report platform.Instance
+		report provider.Instance
 		now    int
 		rules  wave.Rules
 		state  pool.State
