--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,121 @@
+// Package catalog holds the configuration that the operator gives: queues, pools of workers, tenants and their keys.
+//
+// # Usage
+//
+//	queue, ok := c.Match(host, path)
+//	tenant, ok := c.TenantOf(key)
+package catalog
+
+import (
+	"strings"
+	"time"
+
+	"github.com/chivetiller/chivetiller/work"
+)
+
+// Queue takes the jobs under a host and a path prefix.
+type Queue struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Pool names the workers that run the jobs.
+	Pool string
+	// Priority orders the queues. 0 comes first.
+	Priority int
+	// Attempts is how often a task may fail.
+	Attempts int
+	// Stretch and Goal give the latency objective: Stretch times the longest chain of work, and Goal more.
+	Stretch float64
+	Goal    time.Duration
+	// Public means that no key is asked for.
+	Public bool
+	// Policy is set if only some workers may run a step.
+	Policy *Policy
+}
+
+// Policy gives the times of the service that knows which workers may run a step.
+type Policy struct {
+	Decide time.Duration
+	Each   time.Duration
+	Valid  time.Duration
+}
+
+// Pool is a pool of workers.
+type Pool struct {
+	Name string
+	// Guarded means that the workers refuse what does not fit.
+	Guarded bool
+	// Spare means that the machines of the pool are switched off.
+	Spare bool
+}
+
+// Tenant is a team of submitters.
+type Tenant struct {
+	Name string
+	Keys []string
+	// Weight is the share of the tenant when all is full.
+	Weight float64
+	// Limit is what the tenant may have running over all workers. 0 means no limit.
+	Limit work.Resources
+}
+
+// Catalog is one version of the configuration. It does not change.
+type Catalog struct {
+	Version  uint64
+	MaxBody  int64
+	Queues   []Queue
+	Pools    map[string]Pool
+	Tenants  map[string]Tenant
+	queues   map[string]*Queue
+	byHost   map[string][]*Queue
+	tenantOf map[string]string
+}
+
+// New returns a catalogue with its indexes.
+func New(version uint64, maxBody int64, queues []Queue, pools []Pool, tenants []Tenant) *Catalog {
+	c := &Catalog{
+		Version: version, MaxBody: maxBody, Queues: queues, Pools: make(map[string]Pool), Tenants: make(map[string]Tenant),
+		queues: make(map[string]*Queue), byHost: make(map[string][]*Queue), tenantOf: make(map[string]string),
+	}
+	for i := range queues {
+		q := &queues[i]
+		c.queues[q.Name] = q
+		c.byHost[q.Host] = append(c.byHost[q.Host], q)
+	}
+	for _, p := range pools {
+		c.Pools[p.Name] = p
+	}
+	for _, t := range tenants {
+		c.Tenants[t.Name] = t
+		for _, k := range t.Keys {
+			c.tenantOf[k] = t.Name
+		}
+	}
+	return c
+}
+
+// Match returns the queue with the longest prefix of the path.
+func (c *Catalog) Match(host, path string) (*Queue, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	var best *Queue
+	for _, q := range c.byHost[host] {
+		if strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	return best, best != nil
+}
+
+// Queue returns a queue by its name.
+func (c *Catalog) Queue(name string) (*Queue, bool) {
+	q, ok := c.queues[name]
+	return q, ok
+}
+
+// TenantOf returns the tenant that owns a key.
+func (c *Catalog) TenantOf(key string) (string, bool) {
+	name, ok := c.tenantOf[key]
+	return name, ok
+}
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-kratos/kratos/v2"
 	"github.com/hashicorp/go-hclog"
@@ -66,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	return runUntilSignal(s, e, logger)
+	return runUntilSignal(s.Name(), s.Stop().BalancerWait+s.Stop().Timeout, e, logger)
 }
 
 // stopper is what a signal stops.
@@ -75,18 +76,18 @@
 	Stop(ctx context.Context) error
 }
 
-// runUntilSignal runs an entry instance as a kratos application, which stops it on the first signal.
-func runUntilSignal(s settings.Settings, service stopper, logger hclog.Logger) error {
+// runUntilSignal runs a process as a kratos application, which stops it on the first signal.
+func runUntilSignal(name string, stopTimeout time.Duration, service stopper, logger hclog.Logger) error {
 	server := &signalServer{service: service, logger: logger}
 	app := kratos.New(
-		kratos.ID(s.Name()),
+		kratos.ID(name),
 		kratos.Name("chivetiller"),
 		kratos.Server(server),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
-		kratos.StopTimeout(s.Stop().BalancerWait+s.Stop().Timeout),
+		kratos.StopTimeout(stopTimeout),
 	)
 	if err := app.Run(); err != nil {
-		return eris.Wrap(err, "run the entry instance")
+		return eris.Wrap(err, "run the process")
 	}
 	return server.stopErr
 }
--- a/commands/root.go
+++ b/commands/root.go
@@ -77,6 +77,7 @@
 		newPoolCommand(),
 		newReferenceCommand(),
 		newReportCommand(),
+		newServeCommand(),
 		newSettingsCommand(),
 		newStatusCommand(),
 		newTeamCommand(),
--- /dev/null
+++ b/commands/serve.go
@@ -0,0 +1,76 @@
+package commands
+
+import (
+	"net/http"
+	"os"
+	"runtime/debug"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/chivetiller/chivetiller/common/logging"
+	"github.com/chivetiller/chivetiller/intake"
+	"github.com/chivetiller/chivetiller/node"
+	"github.com/chivetiller/chivetiller/platform"
+)
+
+const (
+	// logLines is how many log lines may wait for a slow reader. Longer bursts are dropped and counted.
+	logLines = 8192
+	// memoryShare is the part of the memory limit at which the runtime collects garbage harder.
+	memoryShare = 0.7
+)
+
+func newServeCommand() *cobra.Command {
+	var file, level string
+	cmd := &cobra.Command{
+		Use:   "serve",
+		Short: "Run a process on the users' platform",
+		Long: `Run a process on the users' platform. It takes the jobs of clients, keeps them in the store of the platform,
+and decides where their tasks run while it holds the duty. All processes are equal and keep nothing on disk.
+
+On SIGTERM it hands the duty over, stops being ready, waits for the load balancer and finishes the calls in flight.`,
+		Example: "  chivetiller serve --settings /etc/chivetiller/node.toml",
+		Args:    exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if file == "" {
+				file = os.Getenv(platform.SettingsVariable)
+			}
+			if file == "" {
+				return newUsageError(eris.Errorf("neither --settings nor %s names a settings file", platform.SettingsVariable))
+			}
+			return runServe(cmd, file, level)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file of the platform (default: the file that "+platform.SettingsVariable+" names)")
+	cmd.Flags().StringVar(&level, "log-level", "info", "least level of log lines: debug, info, warn or error")
+	return cmd
+}
+
+func runServe(cmd *cobra.Command, file, level string) error {
+	s, err := platform.LoadSettings(file)
+	if err != nil {
+		return newUsageError(err)
+	}
+	out := logging.NewBuffered(cmd.OutOrStdout(), logLines)
+	defer out.Close()
+	logger, err := logging.New(out, level, "text")
+	if err != nil {
+		return newUsageError(err)
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
+	}
+	client := platform.NewClient()
+	d := node.Dependencies{
+		Store: platform.NewStore(client, s.Store), Orders: platform.NewWorkers(client), Machines: platform.NewMachines(client, s.Machines),
+		Advisor: platform.NewAdvisor(client, s.Advice), Registry: platform.Registry{}, Decoder: platform.Operator{},
+		Jobs:   func(i *intake.Intake) http.Handler { return platform.NewJobs(i) },
+		Logger: logger,
+	}
+	n, err := node.New(s, d)
+	if err != nil {
+		return err
+	}
+	return runUntilSignal(s.Name, s.Bounds.Grace, n, logger)
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,451 @@
+// Package member keeps the list of live processes and the duty of the one that decides, both as rows of the store.
+//
+// # Usage
+//
+//	m := member.New(member.Options{Store: s, Self: member.Node{Name: "front-1", Address: "10.0.0.1:7000"}})
+//	m.Start()
+//	if tenure, ok := m.Tenure(); ok && tenure.Valid(clock.Now()) { ... }
+package member
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/common/loop"
+	"github.com/chivetiller/chivetiller/scheduler"
+	"github.com/chivetiller/chivetiller/store"
+)
+
+// Tables and rows of the package.
+const (
+	tableNodes = "node"
+	tableDuty  = "duty"
+	rowHolder  = "holder"
+)
+
+const (
+	// beatInterval is the time between two beats. Each costs two calls of the store.
+	beatInterval = 600 * time.Millisecond
+	// deadAfter is after which silence a node counts as dead: three beats and a slow answer. The leases of the
+	// tasks have 4.5 s left at that time.
+	deadAfter = 2200 * time.Millisecond
+	// rankDelay is how much later each next candidate takes the duty.
+	rankDelay = 400 * time.Millisecond
+	// callTimeout bounds one call of the store. A slow store takes up to 0.3 s.
+	callTimeout = 900 * time.Millisecond
+	// watchGap is after which time without a look at the rows silence is counted anew.
+	watchGap = 1500 * time.Millisecond
+	// keepRows is how long the row of a dead node stays.
+	keepRows = time.Minute
+)
+
+// Node is a live process.
+type Node struct {
+	Name string `cbor:"1,keyasint"`
+	// Address is where peers connect.
+	Address string `cbor:"2,keyasint"`
+	Zone    string `cbor:"3,keyasint"`
+	// Incarnation tells the starts of a process apart.
+	Incarnation string `cbor:"4,keyasint"`
+	// Fence is the fencing token of the duty that the node holds, and 0 if it holds none.
+	Fence uint64 `cbor:"5,keyasint,omitempty"`
+	// Leaving means that the node is about to stop and takes no duty.
+	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// Count grows with each beat.
+	Count uint64 `cbor:"7,keyasint"`
+}
+
+// holderRow is the row of the duty. Its version is the fencing token.
+type holderRow struct {
+	Holder      string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	Tenure      int    `cbor:"3,keyasint"`
+	// Released means that the holder gave the duty back and sends no more orders.
+	Released bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Tenure is a term of the duty.
+type Tenure struct {
+	Number int
+	Fence  uint64
+	// Began is when the duty was taken, on the own clock.
+	Began time.Duration
+	// Handed means that the holder before gave the duty back.
+	Handed bool
+}
+
+// Options are the options of a member.
+type Options struct {
+	Store  store.Store
+	Clock  *store.Clock
+	Self   Node
+	Logger hclog.Logger
+}
+
+// Member is the part of a process in the list. It is safe for concurrent use.
+type Member struct {
+	o      Options
+	logger hclog.Logger
+	loop   *loop.Loop
+
+	mu     sync.Mutex
+	count  uint64
+	seen   map[string]*sighting
+	looked time.Duration
+	// steady is since when the rows have been read without a gap.
+	steady  time.Duration
+	tenure  *Tenure
+	valid   time.Duration
+	leaving bool
+}
+
+// sighting is what is known of a node.
+type sighting struct {
+	node    Node
+	version uint64
+	// changed is when the row was seen to change.
+	changed time.Duration
+}
+
+// New returns a member that is not started.
+func New(o Options) *Member {
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	m := &Member{o: o, logger: o.Logger.Named("member"), seen: make(map[string]*sighting)}
+	m.loop = loop.New(m.run)
+	return m
+}
+
+// Start begins to beat.
+func (m *Member) Start() { m.loop.Start() }
+
+// Stop gives the duty back and ends.
+func (m *Member) Stop() {
+	m.loop.Stop()
+	m.mu.Lock()
+	m.leaving = true
+	held := m.tenure
+	m.tenure = nil
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if held != nil {
+		m.release(ctx, *held)
+	}
+	if err := m.beat(ctx); err != nil {
+		m.logger.Warn("Last beat was not stored.", "error", err)
+	}
+}
+
+func (m *Member) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.round(ctx)
+		select {
+		case <-time.After(beatInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (m *Member) round(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := m.beat(limited); err != nil && ctx.Err() == nil {
+		m.logger.Warn("Beat was not stored.", "error", err)
+	}
+	reading, cancelRead := context.WithTimeout(ctx, callTimeout)
+	defer cancelRead()
+	if err := m.look(reading); err != nil {
+		if ctx.Err() == nil {
+			m.logger.Warn("Nodes cannot be read.", "error", err)
+		}
+		return
+	}
+	if m.shouldTake() {
+		m.take(ctx)
+	}
+}
+
+// beat writes the own row. While the duty is held the write confirms that it still is.
+func (m *Member) beat(ctx context.Context) error {
+	m.mu.Lock()
+	m.count++
+	row := m.o.Self
+	row.Count, row.Leaving = m.count, m.leaving
+	held := m.tenure
+	m.mu.Unlock()
+	tx := store.Tx{}
+	if held != nil {
+		row.Fence = held.Fence
+		tx.Expected = []store.Expect{{Key: dutyKey(rowHolder), Version: held.Fence}}
+	}
+	value, err := cbor.Marshal(row)
+	if err != nil {
+		return eris.Wrap(err, "encode the beat")
+	}
+	tx.Puts = []store.Put{{Key: store.Key{Table: tableNodes, Name: row.Name}, Value: value}}
+	sent := clock.Now()
+	result, err := m.o.Store.Commit(ctx, tx)
+	m.o.Clock.Note(result.Now)
+	if errors.Is(err, store.ErrConflict) && held != nil {
+		m.Depose(held.Fence, "the duty has another holder")
+		return nil
+	}
+	if err == nil && held != nil {
+		m.Confirm(held.Fence, sent)
+	}
+	return err
+}
+
+func dutyKey(name string) store.Key { return store.Key{Table: tableDuty, Name: name} }
+
+// Confirm notes that the duty was still held at an own time.
+func (m *Member) Confirm(fence uint64, at time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.tenure != nil && m.tenure.Fence == fence {
+		m.valid = max(m.valid, at+scheduler.Tenure)
+	}
+}
+
+// Depose notes that the duty is no longer held.
+func (m *Member) Depose(fence uint64, reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.tenure != nil && m.tenure.Fence == fence {
+		m.logger.Warn("Duty is lost.", "fence", fence, "reason", reason)
+		m.tenure = nil
+	}
+}
+
+// Tenure returns the term of the duty that this process holds.
+func (m *Member) Tenure() (Tenure, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.tenure == nil {
+		return Tenure{}, false
+	}
+	if clock.Now() >= m.valid {
+		m.logger.Warn("Duty has not been confirmed in time.", "fence", m.tenure.Fence)
+		m.tenure = nil
+		return Tenure{}, false
+	}
+	return *m.tenure, true
+}
+
+// Holds reports whether the term is still valid.
+func (m *Member) Holds(fence uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tenure != nil && m.tenure.Fence == fence && clock.Now() < m.valid
+}
+
+// look reads the rows of all nodes.
+func (m *Member) look(ctx context.Context) error {
+	rows, err := m.o.Store.Scan(ctx, tableNodes, "", "", "")
+	if err != nil {
+		return err
+	}
+	m.o.Clock.Note(rows.Now)
+	now := clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now-m.looked > watchGap {
+		m.steady = now
+	}
+	m.looked = now
+	listed := make(map[string]bool, len(rows.Rows))
+	for _, row := range rows.Rows {
+		var n Node
+		if err := cbor.Unmarshal(row.Value, &n); err != nil {
+			m.logger.Warn("Row of a node cannot be read.", "row", row.Name, "error", err)
+			continue
+		}
+		listed[n.Name] = true
+		s, ok := m.seen[n.Name]
+		if !ok {
+			m.logger.Info("Node is known.", "node", n.Name, "address", n.Address, "zone", n.Zone)
+			m.seen[n.Name] = &sighting{node: n, version: row.Version, changed: now}
+			continue
+		}
+		if s.version != row.Version {
+			s.node, s.version, s.changed = n, row.Version, now
+		}
+	}
+	for name := range m.seen {
+		if !listed[name] {
+			delete(m.seen, name)
+		}
+	}
+	return nil
+}
+
+// live reports whether a node counts as live. While the rows could not be read nobody is declared dead.
+func (m *Member) live(s *sighting, now time.Duration) bool {
+	return now-max(s.changed, m.steady) < deadAfter || now-m.looked > watchGap
+}
+
+// Live returns the live nodes in the order of their names.
+func (m *Member) Live() []Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.liveNodes(clock.Now())
+}
+
+func (m *Member) liveNodes(now time.Duration) []Node {
+	var live []Node
+	for _, s := range m.seen {
+		if m.live(s, now) && !s.node.Leaving {
+			live = append(live, s.node)
+		}
+	}
+	slices.SortFunc(live, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
+	return live
+}
+
+// Holder returns the live node that holds the duty.
+func (m *Member) Holder() (Node, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.holder(clock.Now())
+}
+
+func (m *Member) holder(now time.Duration) (Node, bool) {
+	if m.tenure != nil {
+		self := m.o.Self
+		self.Fence = m.tenure.Fence
+		return self, true
+	}
+	var best Node
+	for _, n := range m.liveNodes(now) {
+		if n.Fence > best.Fence && n.Name != m.o.Self.Name {
+			best = n
+		}
+	}
+	return best, best.Fence > 0
+}
+
+// shouldTake reports whether this node is the next to take the duty.
+func (m *Member) shouldTake() bool {
+	now := clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.tenure != nil || m.leaving {
+		return false
+	}
+	if _, held := m.holder(now); held {
+		return false
+	}
+	rank := 0
+	for _, n := range m.liveNodes(now) {
+		if n.Name == m.o.Self.Name {
+			break
+		}
+		rank++
+	}
+	vacant := m.vacantSince(now)
+	return now-vacant >= time.Duration(rank)*rankDelay
+}
+
+// vacantSince returns since when no live node has held the duty, as far as this node knows.
+func (m *Member) vacantSince(now time.Duration) time.Duration {
+	vacant := m.steady
+	for _, s := range m.seen {
+		if s.node.Fence > 0 && s.node.Name != m.o.Self.Name {
+			vacant = max(vacant, s.changed+deadAfter)
+		}
+	}
+	return min(vacant, now)
+}
+
+// take writes the row of the duty.
+func (m *Member) take(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, err := m.o.Store.Scan(limited, tableDuty, "", rowHolder, rowHolder+"\x00")
+	if err != nil {
+		m.logger.Warn("Duty cannot be read.", "error", err)
+		return
+	}
+	var before holderRow
+	var version uint64
+	if len(rows.Rows) > 0 {
+		version = rows.Rows[0].Version
+		if err := cbor.Unmarshal(rows.Rows[0].Value, &before); err != nil {
+			m.logger.Error("Row of the duty cannot be read.", "error", err)
+			return
+		}
+	}
+	next := holderRow{Holder: m.o.Self.Name, Incarnation: m.o.Self.Incarnation, Tenure: before.Tenure + 1}
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		m.logger.Error("Row of the duty cannot be encoded.", "error", err)
+		return
+	}
+	sent := clock.Now()
+	result, err := m.o.Store.Commit(limited, store.Tx{
+		Expected: []store.Expect{{Key: dutyKey(rowHolder), Version: version}},
+		Puts:     []store.Put{{Key: dutyKey(rowHolder), Value: value}},
+	})
+	fence := result.Version
+	if errors.Is(err, store.ErrUnknown) {
+		fence, err = m.confirmTake(ctx, next)
+	}
+	if err != nil {
+		m.logger.Info("Duty was not taken.", "before", before.Holder, "error", err)
+		return
+	}
+	m.logger.Info("Duty is taken.", "fence", fence, "tenure", next.Tenure, "before", before.Holder, "released", before.Released)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tenure = &Tenure{Number: next.Tenure, Fence: fence, Began: clock.Now(), Handed: before.Released}
+	m.valid = sent + scheduler.Tenure
+}
+
+// confirmTake finds out whether a write without an answer has made this process the holder.
+func (m *Member) confirmTake(ctx context.Context, want holderRow) (uint64, error) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, err := m.o.Store.Scan(limited, tableDuty, "", rowHolder, rowHolder+"\x00")
+	if err != nil {
+		return 0, err
+	}
+	if len(rows.Rows) == 0 {
+		return 0, store.ErrUnknown
+	}
+	var row holderRow
+	if err := cbor.Unmarshal(rows.Rows[0].Value, &row); err != nil {
+		return 0, err
+	}
+	if row != want {
+		return 0, store.ErrConflict
+	}
+	return rows.Rows[0].Version, nil
+}
+
+func (m *Member) release(ctx context.Context, held Tenure) {
+	value, err := cbor.Marshal(holderRow{Holder: m.o.Self.Name, Incarnation: m.o.Self.Incarnation, Tenure: held.Number, Released: true})
+	if err != nil {
+		m.logger.Error("Row of the duty cannot be encoded.", "error", err)
+		return
+	}
+	_, err = m.o.Store.Commit(ctx, store.Tx{
+		Expected: []store.Expect{{Key: dutyKey(rowHolder), Version: held.Fence}},
+		Puts:     []store.Put{{Key: dutyKey(rowHolder), Value: value}},
+	})
+	if err != nil {
+		m.logger.Warn("Duty was not given back.", "error", err)
+		return
+	}
+	m.logger.Info("Duty is given back.", "fence", held.Fence)
+}
--- /dev/null
+++ b/node/listener.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/kernel"
+)
+
+const (
+	// headerTimeout bounds the reading of the head of a call.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long a connection without calls stays open. Clients keep theirs for some seconds.
+	idleTimeout = time.Minute
+)
+
+// httpService serves a handler on an address. A stop lets calls end for a while.
+func (n *Node) httpService(name, address string, handler http.Handler, drain time.Duration, needs []string) kernel.Service {
+	var server *kratoshttp.Server
+	return kernel.Service{
+		Name: name, Needs: needs,
+		Start: func(context.Context) error {
+			listener, err := net.Listen("tcp", address)
+			if err != nil {
+				return eris.Wrapf(err, "listen for %s", name)
+			}
+			server = kratoshttp.NewServer(kratoshttp.Listener(listener), kratoshttp.Address(address), kratoshttp.Timeout(0))
+			// The handler replaces the router of the library, which is not needed and costs time for each call.
+			server.Handler = handler
+			server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
+			go func() {
+				if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+					n.logger.Error("Listener ended.", "listener", name, "error", err)
+				}
+			}()
+			n.logger.Info("Listener started.", "listener", name, "address", address)
+			return nil
+		},
+		Stop: func(ctx context.Context) error {
+			limited, cancel := context.WithTimeout(ctx, drain)
+			defer cancel()
+			if err := server.Server.Shutdown(limited); err != nil {
+				n.logger.Warn("Calls were cut off.", "listener", name, "error", err)
+				return server.Close()
+			}
+			return nil
+		},
+	}
+}
+
+// metricsHandler serves the metrics of the process.
+func (n *Node) metricsHandler() http.Handler {
+	registry := prometheus.NewRegistry()
+	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,302 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/member"
+	"github.com/chivetiller/chivetiller/scheduler"
+	"github.com/chivetiller/chivetiller/store"
+	"github.com/chivetiller/chivetiller/work"
+)
+
+// Paths of the calls between nodes. Bodies are CBOR.
+const (
+	pathSubmitted = "/submitted"
+	pathCancelled = "/cancelled"
+	pathState     = "/state"
+	pathWaiting   = "/waiting"
+	pathLatest    = "/latest"
+	pathCommit    = "/commit"
+)
+
+const (
+	// peerTimeout bounds a call to a node.
+	peerTimeout = 400 * time.Millisecond
+	// peerDial bounds connecting to a node. One without power does not answer.
+	peerDial = 250 * time.Millisecond
+	// peerConnections is how many connections to a node stay open.
+	peerConnections = 4
+	// maxPeerBody bounds a call. The largest holds a transaction.
+	maxPeerBody = 2 << 20
+	// relayTargets is how many nodes are asked to store rows or for the configuration.
+	relayTargets = 3
+)
+
+// peers talks to the other nodes, and answers them.
+type peers struct {
+	n    *Node
+	http *http.Client
+}
+
+func newPeers(n *Node) *peers {
+	dialer := &net.Dialer{Timeout: peerDial, KeepAlive: -1}
+	return &peers{n: n, http: &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerConnections, DisableCompression: true, IdleConnTimeout: time.Minute,
+	}}}
+}
+
+// Messages between nodes.
+type (
+	jobID struct {
+		ID string `cbor:"1,keyasint"`
+	}
+	queueName struct {
+		Name string `cbor:"1,keyasint"`
+	}
+	rowVersion struct {
+		Version uint64 `cbor:"1,keyasint"`
+	}
+	jobState struct {
+		State work.State `cbor:"1,keyasint"`
+		Known bool       `cbor:"2,keyasint"`
+	}
+	waitingCount struct {
+		Count int `cbor:"1,keyasint"`
+	}
+	commitResult struct {
+		Result store.Result `cbor:"1,keyasint"`
+		// Outcome is 0 for a transaction that took effect, and else one of the codes below.
+		Outcome int `cbor:"2,keyasint,omitempty"`
+	}
+	nothing struct{}
+)
+
+// Codes of the errors of a store.
+var commitErrors = []error{nil, store.ErrConflict, store.ErrNotDone, store.ErrUnknown}
+
+// call makes a call to a node.
+func (p *peers) call(ctx context.Context, to member.Node, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		return eris.Wrap(err, "encode the call")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Address+path, bytes.NewReader(data))
+	if err != nil {
+		return eris.Wrap(err, "make the call")
+	}
+	response, err := p.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("node %s: %w", to.Name, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("node %s: status %d", to.Name, response.StatusCode)
+	}
+	data, err = io.ReadAll(io.LimitReader(response.Body, maxPeerBody))
+	if err != nil {
+		return fmt.Errorf("node %s: %w", to.Name, err)
+	}
+	return eris.Wrapf(cbor.Unmarshal(data, answer), "answer of node %s", to.Name)
+}
+
+// errNoHolder means that no live node holds the duty, as far as this node knows.
+var errNoHolder = errors.New("no node holds the duty")
+
+// toHolder runs local if this node holds the duty, and calls the holder otherwise.
+func (p *peers) toHolder(ctx context.Context, local func(*scheduler.Engine) error, path string, body, answer any) error {
+	if engine, ok := p.n.duty.Engine(); ok {
+		return local(engine)
+	}
+	holder, ok := p.n.members.Holder()
+	if !ok || holder.Name == p.n.s.Name {
+		return errNoHolder
+	}
+	return p.call(ctx, holder, path, body, answer)
+}
+
+// Submitted implements [intake.Holder].
+func (p *peers) Submitted(ctx context.Context, job work.Job) {
+	err := p.toHolder(ctx, func(e *scheduler.Engine) error { e.Submitted(job); return nil }, pathSubmitted, job, &nothing{})
+	if err != nil {
+		p.n.logger.Warn("Holder was not told of a job; it reads it from the store.", "job", job.ID, "error", err)
+	}
+}
+
+// Cancelled implements [intake.Holder].
+func (p *peers) Cancelled(ctx context.Context, id string) {
+	err := p.toHolder(ctx, func(e *scheduler.Engine) error { e.Cancelled(id); return nil }, pathCancelled, jobID{id}, &nothing{})
+	if err != nil {
+		p.n.logger.Warn("Holder was not told of a cancellation; it reads it from the store.", "job", id, "error", err)
+	}
+}
+
+// State implements [intake.Holder].
+func (p *peers) State(ctx context.Context, id string) (work.State, bool, error) {
+	var answer jobState
+	err := p.toHolder(ctx, func(e *scheduler.Engine) (err error) {
+		answer.State, answer.Known, err = e.State(ctx, id)
+		return err
+	}, pathState, jobID{id}, &answer)
+	return answer.State, answer.Known, err
+}
+
+// Waiting implements [intake.Holder].
+func (p *peers) Waiting(ctx context.Context, queue string) (int, error) {
+	var answer waitingCount
+	err := p.toHolder(ctx, func(e *scheduler.Engine) (err error) {
+		answer.Count, err = e.Waiting(ctx, queue)
+		return err
+	}, pathWaiting, queueName{queue}, &answer)
+	return answer.Count, err
+}
+
+// others returns some live nodes besides this one, those of the own zone first.
+func (p *peers) others() []member.Node {
+	var near, far []member.Node
+	for _, n := range p.n.members.Live() {
+		switch {
+		case n.Name == p.n.s.Name:
+		case n.Zone == p.n.s.Zone:
+			near = append(near, n)
+		default:
+			far = append(far, n)
+		}
+	}
+	all := append(near, far...)
+	return all[:min(len(all), relayTargets)]
+}
+
+// Latest implements [catalog.Peers].
+func (p *peers) Latest(ctx context.Context, version uint64) (catalog.Snapshot, bool) {
+	var best catalog.Snapshot
+	found := false
+	for _, n := range p.others() {
+		var s catalog.Snapshot
+		if err := p.call(ctx, n, pathLatest, rowVersion{version}, &s); err != nil {
+			continue
+		}
+		if !found || s.Version > best.Version || (s.Version == best.Version && s.Age < best.Age) {
+			best, found = s, true
+		}
+	}
+	return best, found
+}
+
+// Commit implements [intake.Relay]. It lets another node carry out a transaction.
+func (p *peers) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
+	var last error = store.ErrNotDone
+	for _, n := range p.others() {
+		var answer commitResult
+		if err := p.call(ctx, n, pathCommit, tx, &answer); err != nil {
+			var op *net.OpError
+			if !errors.As(err, &op) || op.Op != "dial" {
+				last = fmt.Errorf("%w: %w", store.ErrUnknown, err)
+			}
+			continue
+		}
+		if answer.Outcome < 0 || answer.Outcome >= len(commitErrors) {
+			return store.Result{}, store.ErrUnknown
+		}
+		err := commitErrors[answer.Outcome]
+		if err == nil || errors.Is(err, store.ErrConflict) {
+			return answer.Result, err
+		}
+		if errors.Is(err, store.ErrUnknown) {
+			last = err
+		}
+	}
+	return store.Result{}, last
+}
+
+// handler answers the calls of other nodes.
+func (p *peers) handler() http.Handler {
+	mux := http.NewServeMux()
+	handle(mux, pathSubmitted, func(_ context.Context, job work.Job) (nothing, error) {
+		return nothing{}, p.onHolder(func(e *scheduler.Engine) error { e.Submitted(job); return nil })
+	})
+	handle(mux, pathCancelled, func(_ context.Context, id jobID) (nothing, error) {
+		return nothing{}, p.onHolder(func(e *scheduler.Engine) error { e.Cancelled(id.ID); return nil })
+	})
+	handle(mux, pathState, func(ctx context.Context, id jobID) (answer jobState, err error) {
+		err = p.onHolder(func(e *scheduler.Engine) (err error) {
+			answer.State, answer.Known, err = e.State(ctx, id.ID)
+			return err
+		})
+		return answer, err
+	})
+	handle(mux, pathWaiting, func(ctx context.Context, queue queueName) (answer waitingCount, err error) {
+		err = p.onHolder(func(e *scheduler.Engine) (err error) {
+			answer.Count, err = e.Waiting(ctx, queue.Name)
+			return err
+		})
+		return answer, err
+	})
+	handle(mux, pathLatest, func(_ context.Context, known rowVersion) (catalog.Snapshot, error) {
+		s := p.n.source.Latest()
+		if s.Version == known.Version {
+			s.Value = nil
+		}
+		return s, nil
+	})
+	handle(mux, pathCommit, func(ctx context.Context, tx store.Tx) (commitResult, error) {
+		result, err := p.n.d.Store.Commit(ctx, tx)
+		answer := commitResult{Result: result}
+		for code, known := range commitErrors {
+			if known != nil && errors.Is(err, known) {
+				answer.Outcome = code
+			}
+		}
+		return answer, nil
+	})
+	return mux
+}
+
+// onHolder runs f if this node holds the duty.
+func (p *peers) onHolder(f func(*scheduler.Engine) error) error {
+	engine, ok := p.n.duty.Engine()
+	if !ok {
+		return errNoHolder
+	}
+	return f(engine)
+}
+
+// handle answers a call whose body and answer are CBOR.
+func handle[Q, A any](mux *http.ServeMux, path string, f func(context.Context, Q) (A, error)) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		var body Q
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPeerBody))
+		if err == nil {
+			err = cbor.Unmarshal(data, &body)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), peerTimeout)
+		defer cancel()
+		answer, err := f(ctx, body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		if data, err = cbor.Marshal(answer); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		// The other node has given up if the answer cannot be written.
+		_, _ = w.Write(data)
+	})
+}
--- /dev/null
+++ b/scheduler/bounds.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import "time"
+
+// Bounds are the times that the deployment sets. They come from the settings.
+type Bounds struct {
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// StopTimeout is how long a worker takes to stop a task.
+	StopTimeout time.Duration
+	// GangTimeout is how long a member of a gang waits for the others.
+	GangTimeout time.Duration
+	// Notice is after which time a service task that is not at work counts as away.
+	Notice time.Duration
+	// OrderTurn is the least time between orders of two holders for one machine.
+	OrderTurn time.Duration
+	// Drain is how long after its notice a leaving worker may still get tasks.
+	Drain time.Duration
+	// Retention is how long the state of an ended job can be asked for.
+	Retention time.Duration
+	// Config is how soon a configuration is in force, and ConfigStretch how much later while the store has trouble.
+	Config        time.Duration
+	ConfigStretch time.Duration
+	// Grace is the time between the order to stop a process and its kill.
+	Grace time.Duration
+	// Harm is how long a filler may keep a service over its target.
+	Harm time.Duration
+	// Early is how long before its due time an occurrence may start.
+	Early time.Duration
+	// Move and Upkeep are how long a machine is away for a move and for maintenance.
+	Move   time.Duration
+	Upkeep time.Duration
+}
+
+const (
+	// leaseTerm is the lease that each renewal asks for. Renewals follow each other within renewWait, so that at
+	// least 4.5 s are left when a holder dies, and a successor has renewed it after 3 s.
+	leaseTerm = 6 * time.Second
+	// renewWait is how long a worker holds its answer back until something ends. It bounds the age of loads, which
+	// have to be acted on within 4 s.
+	renewWait = 800 * time.Millisecond
+	// Tenure is how long a holder goes on without having seen in the store that it still holds the duty. It spans
+	// the outages of the store in the deployments, which last 4 to 9 s.
+	Tenure = 8 * time.Second
+	// slowClock is how much slower the clock of a worker may run, from the platform's pages.
+	slowClock = 0.02
+	// lapseMargin covers the rounding of clocks and the way of the last order.
+	lapseMargin = 300 * time.Millisecond
+	// contactTimeout is after which silence a worker gets no new tasks. Two renewals fit.
+	contactTimeout = 2 * time.Second
+	// leaseReserve is the least lease that is left when a task is started.
+	leaseReserve = 1500 * time.Millisecond
+	// unknownGrace is how long ends and runs of a job that is not known yet are kept. The job rows are read once a second.
+	unknownGrace = 3 * time.Second
+	// runsPerTenure separates the run numbers of successive holders, which do not know all runs of the one before.
+	runsPerTenure = 1000
+	// noRoomPause is how long a worker that refused a task for want of room gets none. It reports its runs meanwhile.
+	noRoomPause = 400 * time.Millisecond
+	// unhealthyPause is how long a worker that refuses all orders gets none.
+	unhealthyPause = time.Second
+	// invalidPause is how long a task waits that a worker called malformed.
+	invalidPause = 2 * time.Second
+	// stopRepeat is after which time beyond the stop timeout a stop is sent again.
+	stopRepeat = 1500 * time.Millisecond
+)
--- /dev/null
+++ b/scheduler/fleet.go
@@ -0,0 +1,355 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chivetiller/chivetiller/machine"
+)
+
+const (
+	// orderMargin is added to the time after which the orders of an earlier holder have surely ended.
+	orderMargin = time.Second
+	// machineRetry is the pause after an order for a machine that was not accepted.
+	machineRetry = time.Second
+	// drainPatience is how long tasks may go on running on a machine that is due for maintenance.
+	drainPatience = 4 * time.Second
+	// listPatience is how old the list of machines may be when an order is given.
+	listPatience = 3 * time.Second
+)
+
+// fleet is what the holder knows of machines and their maintenance.
+type fleet struct {
+	machines map[string]machine.Machine
+	listed   time.Duration
+	waves    map[int]*wave
+	orders   []MachineOrder
+	// busy holds the machines with an order on its way, and until when others are not ordered again.
+	busy  map[string]bool
+	pause map[string]time.Duration
+}
+
+// wave is a request for maintenance and how far it is.
+type wave struct {
+	doc machine.Wave
+	// since is when the wave became known.
+	since time.Duration
+	// begun holds the machines whose maintenance has begun, with the worker that ran before.
+	begun    map[string]string
+	dropped  map[string]bool
+	draining map[string]time.Duration
+	finished bool
+	changed  bool
+}
+
+// WaveProgress is what is stored of a wave.
+type WaveProgress struct {
+	Number int `cbor:"1,keyasint"`
+	// Begun holds the machines whose maintenance has begun, with the worker that ran on them before.
+	Begun    map[string]string `cbor:"2,keyasint,omitempty"`
+	Finished bool              `cbor:"3,keyasint,omitempty"`
+}
+
+// MachineOrder is an order for a machine. Its outcome goes back to the core with [Core.MachineReplied].
+type MachineOrder struct {
+	Machine string
+	// Wave is the wave of a maintenance, and 0 for a move.
+	Wave int
+	// Pool is where a move goes to.
+	Pool   string
+	worker string
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		machines: make(map[string]machine.Machine), waves: make(map[int]*wave), busy: make(map[string]bool), pause: make(map[string]time.Duration),
+	}
+}
+
+// AddWave takes a request for maintenance with its stored progress, which may be nil.
+func (c *Core) AddWave(doc machine.Wave, progress *WaveProgress) {
+	if _, ok := c.fleet.waves[doc.Number]; ok {
+		return
+	}
+	w := &wave{doc: doc, since: c.now, begun: make(map[string]string), dropped: make(map[string]bool), draining: make(map[string]time.Duration), changed: progress == nil}
+	if progress != nil {
+		for id, worker := range progress.Begun {
+			w.begun[id] = worker
+		}
+		w.finished = progress.Finished
+	}
+	c.fleet.waves[doc.Number] = w
+	c.logger.Info("Wave is known.", "wave", doc.Number, "machines", len(doc.Machines), "maxDown", doc.MaxDown, "finishBy", doc.FinishBy, "begun", len(w.begun), "finished", w.finished)
+}
+
+// SetMachines takes the list of machines as of a time.
+func (c *Core) SetMachines(machines []machine.Machine, at time.Duration) {
+	c.fleet.listed = at
+	clear(c.fleet.machines)
+	for _, m := range machines {
+		c.fleet.machines[m.ID] = m
+	}
+}
+
+// NeedsMachines reports whether the list of machines is of use.
+func (c *Core) NeedsMachines() bool {
+	for _, w := range c.fleet.waves {
+		if !w.finished {
+			return true
+		}
+	}
+	return false
+}
+
+// mayOrder reports whether the orders of an earlier holder have surely ended.
+func (c *Core) mayOrder() bool {
+	wait := c.o.Bounds.OrderTurn
+	if c.o.Tenure > 1 && !c.o.Handed {
+		wait = max(wait, Tenure)
+	}
+	return c.o.Tenure == 1 || c.now > c.o.Began+wait+orderMargin
+}
+
+// MachineOrders plans the maintenance and returns the orders that are due.
+func (c *Core) MachineOrders() []MachineOrder {
+	f := c.fleet
+	for _, h := range c.hosts {
+		if h.report.Draining {
+			c.evacuate(h, true)
+		}
+	}
+	if c.deposed || c.now-f.listed > listPatience || len(f.machines) == 0 {
+		return nil
+	}
+	if c.mayOrder() {
+		numbers := make([]int, 0, len(f.waves))
+		for n := range f.waves {
+			numbers = append(numbers, n)
+		}
+		slices.Sort(numbers)
+		for _, n := range numbers {
+			if w := f.waves[n]; !w.finished {
+				c.planWave(w)
+			}
+		}
+	}
+	orders := f.orders
+	f.orders = nil
+	return orders
+}
+
+// planWave drains machines of a wave and orders their maintenance, at most MaxDown at a time.
+func (c *Core) planWave(w *wave) {
+	f := c.fleet
+	down := 0
+	for id, before := range w.begun {
+		m, ok := f.machines[id]
+		if ok && (m.State != machine.Up || m.Worker == before) {
+			down++
+		}
+	}
+	waiting := make([]string, 0, len(w.doc.Machines))
+	for _, id := range w.doc.Machines {
+		if _, begun := w.begun[id]; begun || w.dropped[id] {
+			continue
+		}
+		if _, ok := f.machines[id]; !ok {
+			c.logger.Warn("Machine of a wave is not listed.", "wave", w.doc.Number, "machine", id)
+			w.dropped[id] = true
+			continue
+		}
+		waiting = append(waiting, id)
+	}
+	if len(waiting) == 0 {
+		if !w.finished {
+			w.finished, w.changed = true, true
+			c.logger.Info("Wave is finished.", "wave", w.doc.Number, "took", c.now-w.since, "machines", len(w.begun), "dropped", len(w.dropped))
+		}
+		return
+	}
+	c.drainNext(w, waiting, down)
+	for _, id := range waiting {
+		if down >= w.doc.MaxDown {
+			return
+		}
+		if c.maintain(w, id) {
+			down++
+		}
+	}
+}
+
+// drainNext reserves machines so that those of the next maintenance become empty in time.
+func (c *Core) drainNext(w *wave, waiting []string, down int) {
+	draining := 0
+	for _, id := range waiting {
+		if _, ok := w.draining[id]; ok {
+			draining++
+		}
+	}
+	for draining < w.doc.MaxDown+1 && down+draining < w.doc.MaxDown+1 {
+		id := c.emptiest(w, waiting)
+		if id == "" {
+			return
+		}
+		w.draining[id] = c.now
+		draining++
+		if h, ok := c.hosts[c.fleet.machines[id].Worker]; ok {
+			h.reserved = true
+			c.logger.Info("Machine is drained for maintenance.", "wave", w.doc.Number, "machine", id, "worker", h.report.ID, "runs", len(h.runs))
+		}
+	}
+}
+
+// emptiest returns the machine that is not drained yet and has the least to lose.
+func (c *Core) emptiest(w *wave, waiting []string) string {
+	best, bestRuns := "", 0
+	for _, id := range waiting {
+		if _, ok := w.draining[id]; ok {
+			continue
+		}
+		runs := 0
+		if h, ok := c.hosts[c.fleet.machines[id].Worker]; ok {
+			services, _ := h.company()
+			runs = len(h.runs) + servicePenalty*services
+		}
+		if best == "" || runs < bestRuns {
+			best, bestRuns = id, runs
+		}
+	}
+	return best
+}
+
+// servicePenalty is how many batch tasks a service task counts for when machines are drained.
+const servicePenalty = 10
+
+// maintain orders the maintenance of a machine that is empty. It reports whether an order is on its way.
+func (c *Core) maintain(w *wave, id string) bool {
+	f := c.fleet
+	since, draining := w.draining[id]
+	if !draining || c.now < f.pause[id] {
+		return false
+	}
+	if f.busy[id] {
+		return true
+	}
+	m := f.machines[id]
+	if m.State != machine.Up {
+		return false
+	}
+	if h, ok := c.hosts[m.Worker]; ok {
+		h.reserved = true
+		if len(h.runs) > 0 {
+			c.evacuate(h, c.now-since > drainPatience)
+			return false
+		}
+	}
+	f.busy[id] = true
+	f.orders = append(f.orders, MachineOrder{Machine: id, Wave: w.doc.Number, worker: m.Worker})
+	c.logger.Info("Maintenance is ordered.", "wave", w.doc.Number, "machine", id, "worker", m.Worker, "fence", c.o.Fence, "listAge", c.now-f.listed)
+	return true
+}
+
+// evacuate stops service tasks on a worker that is about to end, within their disruption budgets. Batch tasks
+// are left to end unless hurry is set and they can go on from a checkpoint.
+func (c *Core) evacuate(h *host, hurry bool) {
+	for _, r := range hostRuns(h) {
+		if r.phase != running {
+			continue
+		}
+		s := r.step
+		switch {
+		case s.doc.Service:
+			if c.mayDisrupt(r) && c.choose(s, r.index, c.freeHosts(c.pool(s.job.doc.Pool))) != nil {
+				c.stop(r, "the worker is about to end")
+			}
+		case hurry && s.doc.Checkpoints && !h.report.Draining:
+			c.stop(r, "the machine is due for maintenance")
+		}
+	}
+}
+
+// mayDisrupt reports whether stopping a service task keeps the disruption budget of its step. Each other
+// task that is not at work counts as away, whatever the cause.
+func (c *Core) mayDisrupt(r *run) bool {
+	s := r.step
+	if s.doc.Disruptions == 0 || r.on.report.Draining {
+		return true
+	}
+	away := 0
+	for i := range s.tasks {
+		if i == r.index {
+			continue
+		}
+		if !s.tasks[i].serving() {
+			away++
+		}
+	}
+	return away < s.doc.Disruptions
+}
+
+// serving reports whether a run of the task is at work.
+func (t *task) serving() bool {
+	for _, r := range t.runs {
+		if r.phase == running && r.percent >= fullPace {
+			return true
+		}
+	}
+	return false
+}
+
+// MachineReplied takes the outcome of an order for a machine.
+func (c *Core) MachineReplied(o MachineOrder, outcome machine.Outcome, err error) {
+	f := c.fleet
+	delete(f.busy, o.Machine)
+	w := f.waves[o.Wave]
+	c.logger.Info("Order for a machine was answered.", "machine", o.Machine, "wave", o.Wave, "pool", o.Pool, "outcome", outcome.String(), "error", err)
+	switch outcome {
+	case machine.Accepted:
+		if w != nil {
+			w.begun[o.Machine] = o.worker
+			w.changed = true
+		}
+		if h, ok := c.hosts[o.worker]; ok {
+			c.loseHost(h, "the machine is in maintenance or moves")
+		}
+	case machine.Fenced:
+		c.deposed = true
+	case machine.NotInWave, machine.Invalid:
+		if w != nil {
+			w.dropped[o.Machine] = true
+		}
+		if h, ok := c.hosts[o.worker]; ok {
+			h.reserved = false
+		}
+	default:
+		f.pause[o.Machine] = c.now + machineRetry
+	}
+}
+
+// takeWaves returns the waves whose progress is not stored.
+func (f *fleet) takeWaves() map[int]WaveProgress {
+	var changed map[int]WaveProgress
+	for n, w := range f.waves {
+		if !w.changed {
+			continue
+		}
+		if changed == nil {
+			changed = make(map[int]WaveProgress)
+		}
+		begun := make(map[string]string, len(w.begun))
+		for id, worker := range w.begun {
+			begun[id] = worker
+		}
+		changed[n] = WaveProgress{Number: n, Begun: begun, Finished: w.finished}
+		w.changed = false
+	}
+	return changed
+}
+
+func (f *fleet) returnWaves(waves map[int]WaveProgress) {
+	for n := range waves {
+		if w, ok := f.waves[n]; ok {
+			w.changed = true
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/rows.go
@@ -0,0 +1,189 @@
+package scheduler
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/store"
+	"github.com/chivetiller/chivetiller/work"
+)
+
+// Tables and rows of jobs.
+const (
+	// TableJobs holds accepted jobs and cancellations. Every process writes it.
+	TableJobs = "job"
+	// tableProgress holds the progress of jobs and waves. The holder of the duty writes it.
+	tableProgress = "progress"
+	tableDuty     = "duty"
+	// rowChain is rewritten by each batch. A batch that is carried out late does not meet its version any more.
+	rowChain  = "chain"
+	rowRoster = "roster"
+	rowClock  = "clock"
+	// cancelSuffix marks the row of a cancellation. It sorts after the job.
+	cancelSuffix = ".cancel"
+	wavePrefix   = "wave."
+)
+
+// JobKey returns the row of a job.
+func JobKey(id string) store.Key { return store.Key{Table: TableJobs, Name: id} }
+
+// CancelKey returns the row of the cancellation of a job.
+func CancelKey(id string) store.Key { return store.Key{Table: TableJobs, Name: id + cancelSuffix} }
+
+func progressKey(name string) store.Key { return store.Key{Table: tableProgress, Name: name} }
+
+func dutyKey(name string) store.Key { return store.Key{Table: tableDuty, Name: name} }
+
+// EncodeJob returns the row of an accepted job.
+func EncodeJob(j work.Job) ([]byte, error) {
+	data, err := cbor.Marshal(j)
+	return data, eris.Wrapf(err, "encode job %s", j.ID)
+}
+
+// DecodeJob reads the row of a job.
+func DecodeJob(row store.Row) (work.Job, error) {
+	var j work.Job
+	if err := cbor.Unmarshal(row.Value, &j); err != nil {
+		return work.Job{}, eris.Wrapf(err, "row of job %q", row.Name)
+	}
+	return j, nil
+}
+
+// chainRow is the content of the chain row.
+type chainRow struct {
+	Fence uint64 `cbor:"1,keyasint"`
+	Batch uint64 `cbor:"2,keyasint"`
+}
+
+// clockRow ties the clock of the store to the time of day, so that all holders agree on when an occurrence is due.
+type clockRow struct {
+	Store time.Duration `cbor:"1,keyasint"`
+	Unix  time.Duration `cbor:"2,keyasint"`
+}
+
+// ReadState returns the state of a job from its rows. It is used while the holder does not answer.
+func ReadState(ctx context.Context, s store.Store, id string) (state work.State, found bool, err error) {
+	rows, err := s.Scan(ctx, TableJobs, "", id, id+"\xff")
+	if err != nil {
+		return 0, false, err
+	}
+	cancelled := false
+	for _, row := range rows.Rows {
+		found = found || row.Name == id
+		cancelled = cancelled || row.Name == id+cancelSuffix
+	}
+	if !found {
+		return 0, false, nil
+	}
+	progress, err := s.Scan(ctx, tableProgress, "", id, id+"\x00")
+	if err != nil {
+		return 0, true, err
+	}
+	if len(progress.Rows) == 1 {
+		var p work.Progress
+		if err := cbor.Unmarshal(progress.Rows[0].Value, &p); err != nil {
+			return 0, true, eris.Wrapf(err, "progress of job %q", id)
+		}
+		if p.State.Ended() {
+			return p.State, true, nil
+		}
+		state = work.Running
+	}
+	if cancelled {
+		state = work.Cancelled
+	}
+	return state, true, nil
+}
+
+// loaded is what the store holds of the duty.
+type loaded struct {
+	jobs      map[string]work.Job
+	cancelled []string
+	progress  map[string]*work.Progress
+	waves     map[int]*WaveProgress
+	roster    []RosterEntry
+	// version is from where on changes of jobs are read.
+	version uint64
+	now     time.Duration
+	chain   uint64
+	clock   clockRow
+}
+
+// load reads all rows of the duty. It tells rows that cannot be read to bad.
+func load(ctx context.Context, s store.Store, bad func(row store.Row, err error)) (*loaded, error) {
+	l := &loaded{jobs: make(map[string]work.Job), progress: make(map[string]*work.Progress), waves: make(map[int]*WaveProgress)}
+	jobs, err := s.Scan(ctx, TableJobs, "", "", "")
+	if err != nil {
+		return nil, err
+	}
+	l.version, l.now = jobs.Version, jobs.Now
+	for _, row := range jobs.Rows {
+		if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
+			l.cancelled = append(l.cancelled, id)
+			continue
+		}
+		j, err := DecodeJob(row)
+		if err != nil {
+			bad(row, err)
+			continue
+		}
+		l.jobs[j.ID] = j
+	}
+	progress, err := s.Scan(ctx, tableProgress, "", "", "")
+	if err != nil {
+		return nil, err
+	}
+	for _, row := range progress.Rows {
+		if err := l.takeProgress(row); err != nil {
+			bad(row, err)
+		}
+	}
+	duty, err := s.Scan(ctx, tableDuty, "", "", "")
+	if err != nil {
+		return nil, err
+	}
+	for _, row := range duty.Rows {
+		if err := l.takeDuty(row); err != nil {
+			bad(row, err)
+		}
+	}
+	return l, nil
+}
+
+func (l *loaded) takeProgress(row store.Row) error {
+	if number, ok := strings.CutPrefix(row.Name, wavePrefix); ok {
+		n, err := strconv.Atoi(number)
+		if err != nil {
+			return err
+		}
+		var w WaveProgress
+		if err := cbor.Unmarshal(row.Value, &w); err != nil {
+			return err
+		}
+		l.waves[n] = &w
+		return nil
+	}
+	var p work.Progress
+	if err := cbor.Unmarshal(row.Value, &p); err != nil {
+		return err
+	}
+	l.progress[row.Name] = &p
+	return nil
+}
+
+func (l *loaded) takeDuty(row store.Row) error {
+	switch row.Name {
+	case rowChain:
+		l.chain = row.Version
+	case rowRoster:
+		return cbor.Unmarshal(row.Value, &l.roster)
+	case rowClock:
+		return cbor.Unmarshal(row.Value, &l.clock)
+	}
+	return nil
+}
--- /dev/null
+++ b/scheduler/services.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/chivetiller/chivetiller/advice"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+const (
+	// fullPace lets a filler use all that is left over.
+	fullPace = 100
+	// unknownPace means that the pace at the worker is not known.
+	unknownPace = -1
+	// paceRestore is the part of the target below which fillers are sped up again.
+	paceRestore = 0.6
+	// paceStep is by how many percent.
+	paceStep = 25
+	// paceInterval is the least time between two steps, so that the load of the last one is known.
+	paceInterval = 1500 * time.Millisecond
+)
+
+// watchServices slows the fillers of a worker down while a service task beside them is over its target.
+func (c *Core) watchServices(h *host) {
+	over, near := false, false
+	fillers := 0
+	for _, r := range h.runs {
+		switch {
+		case r.step.doc.Filler:
+			fillers++
+		case r.step.doc.TailTarget > 0:
+			tail := time.Duration(r.load) * time.Millisecond
+			over = over || tail > r.step.doc.TailTarget
+			near = near || float64(tail) > paceRestore*float64(r.step.doc.TailTarget)
+		}
+	}
+	if fillers == 0 {
+		return
+	}
+	for _, r := range h.runs {
+		if !r.step.doc.Filler || r.phase != running {
+			continue
+		}
+		switch {
+		case over:
+			c.setPace(r, 0)
+		case r.pace == unknownPace:
+			c.setPace(r, 0)
+		case !near && r.pace < fullPace && c.now-h.paced > paceInterval:
+			c.setPace(r, min(fullPace, r.pace+paceStep))
+		}
+	}
+}
+
+func (c *Core) setPace(r *run, percent int) {
+	if r.pace == percent {
+		return
+	}
+	r.pace = percent
+	r.on.paced = c.now
+	c.logger.Info("Filler is paced.", "job", r.step.job.doc.ID, "task", r.name(), "worker", r.on.report.ID, "percent", percent)
+	c.orders = append(c.orders, Order{
+		Kind: OrderPace, Target: target(r.on), run: r, host: r.on,
+		Run: worker.RunOrder{Task: r.task(), Run: r.number, Fence: c.o.Fence, Percent: percent},
+	})
+}
+
+// Question asks the policy service which workers may run a step.
+type Question struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Workers    []string
+	step       *step
+}
+
+// granted reports whether the tickets of a step can be used, and asks for them if not.
+func (c *Core) granted(s *step) bool {
+	if s.tickets != nil && (s.tickets.asking || c.now < s.tickets.until) {
+		return !s.tickets.asking
+	}
+	p := c.pool(s.job.doc.Pool)
+	var ids []string
+	for _, h := range p.hosts {
+		if c.usable(h) && h.report.HasLabel(s.doc.Label) && len(ids) < advice.MaxWorkers {
+			ids = append(ids, h.report.ID)
+		}
+	}
+	if len(ids) == 0 {
+		return false
+	}
+	s.tickets = &tickets{asking: true}
+	c.questions = append(c.questions, Question{Job: s.job.doc.ID, Occurrence: s.occurrence.number, Step: s.number, Workers: ids, step: s})
+	return false
+}
+
+// Questions returns the questions to the policy service that are due.
+func (c *Core) Questions() []Question {
+	q := c.questions
+	c.questions = nil
+	return q
+}
+
+// ticketReserve is the least validity that is left when a ticket is used.
+const ticketReserve = 300 * time.Millisecond
+
+// Answered takes the answer of the policy service to a question that was sent at sent.
+func (c *Core) Answered(q Question, grant advice.Grant, sent time.Duration, err error) {
+	if err != nil {
+		c.logger.Warn("Policy service did not answer.", "job", q.Job, "step", q.Step, "took", c.now-sent, "error", err)
+		q.step.tickets = nil
+		return
+	}
+	q.step.tickets = &tickets{byWorker: grant.Tickets, until: sent + grant.Valid - ticketReserve}
+	c.logger.Info("Policy service answered.", "job", q.Job, "step", q.Step, "asked", len(q.Workers), "granted", len(grant.Tickets), "valid", grant.Valid)
+}
--- /dev/null
+++ b/scheduler/state.go
@@ -0,0 +1,228 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// job is a job with what runs of it.
+type job struct {
+	doc      work.Job
+	progress *work.Progress
+	// stored is the state that the store holds. Clients are shown no other.
+	stored work.State
+	// open holds the occurrences that have begun and are not complete.
+	open map[int]*occurrence
+	// next is the first occurrence that has not begun.
+	next int
+	// adopted means that an earlier holder may have started tasks of the job.
+	adopted bool
+	// begun means that a task has started.
+	begun bool
+	// accepted is when the job was accepted, on the own clock.
+	accepted time.Duration
+	// ended is when the job ended, on the own clock.
+	ended time.Duration
+	// estimates caches the remaining work.
+	service bool
+}
+
+// occurrence is one run of the steps of a job.
+type occurrence struct {
+	number   int
+	steps    []*step
+	progress *work.OccurrenceProgress
+	// due is when it was due, on the own clock.
+	due time.Duration
+}
+
+// step is a step of an occurrence.
+type step struct {
+	job        *job
+	occurrence *occurrence
+	number     int
+	doc        *work.Step
+	progress   *work.StepProgress
+	tasks      []task
+	// left counts the tasks that are not done.
+	left int
+	// idle counts the tasks that are neither done nor running.
+	idle int
+	// tickets holds the workers that may run the step, if the queue has a policy.
+	tickets *tickets
+	// gangRun is the number of the latest run of a gang.
+	gangRun int
+	// failedRun is the last run of a gang that failed.
+	failedRun int
+	// notBefore delays the next start of a gang.
+	notBefore time.Duration
+}
+
+// tickets is what the policy service granted for a step.
+type tickets struct {
+	byWorker map[string]string
+	until    time.Duration
+	asking   bool
+}
+
+// task is a task of a step.
+type task struct {
+	runs []*run
+	// lastRun is the highest run number used.
+	lastRun int
+	// notBefore delays the next start.
+	notBefore time.Duration
+	done      bool
+	// lastWorker is where the latest run ended without being done.
+	lastWorker string
+}
+
+type phase int
+
+const (
+	starting phase = iota
+	running
+	stopping
+)
+
+// run is one run of a task on a worker. It takes up room until its end is known.
+type run struct {
+	step   *step
+	index  int
+	number int
+	on     *host
+	phase  phase
+	// since is when the run was ordered, and confirmed when the worker first named it.
+	since     time.Duration
+	confirmed time.Duration
+	// missing counts the reports in a row that should name the run and do not.
+	missing int
+	// tries counts the orders that got no answer.
+	tries int
+	// stopped is when the stop was ordered last.
+	stopped    time.Duration
+	checkpoint string
+	percent    int
+	load       int64
+	// moved is when the percentage last changed.
+	moved time.Duration
+	// pace is the share of its speed that a filler may use.
+	pace int
+}
+
+func (r *run) task() work.Task {
+	return work.Task{Job: r.step.job.doc.ID, Occurrence: r.step.occurrence.number, Step: r.step.number, Index: r.index}
+}
+
+// host is a worker with its lease.
+type host struct {
+	report worker.Report
+	// listed means that the registry names the worker.
+	listed bool
+	// enrolled means that the stored roster names the worker, so that a successor looks for its runs.
+	enrolled bool
+	// touched means that the worker has answered under the own fence.
+	touched bool
+	// lapsed means that the lease has run out since the worker last answered.
+	lapsed bool
+	runs   map[work.Task]*run
+	used   work.Resources
+	// clock is the clock of the worker in an answer that was sent for at sent and received at received.
+	clock    time.Duration
+	sent     time.Duration
+	received time.Duration
+	// until is the latest end of a lease that was asked for, on the clock of the worker.
+	until time.Duration
+	// seen is the highest end that was processed, and stored the highest one whose effect is stored.
+	seen   uint64
+	stored uint64
+	// contact is when the worker last answered.
+	contact time.Duration
+	// closed is until when the worker gets no tasks.
+	closed time.Duration
+	// draining is since when the worker is known to leave.
+	draining time.Duration
+	// reserved means that the machine is about to be moved or maintained.
+	reserved bool
+	// unlisted is since when the registry does not name the worker.
+	unlisted time.Duration
+	// late holds the starts that got no answer.
+	late   []lateOrder
+	health health
+	// paced is when the fillers were paced last.
+	paced time.Duration
+}
+
+// clockAt returns bounds of the clock of the worker at an own time.
+func (h *host) clockAt(now time.Duration) (low, high time.Duration) {
+	low = h.clock + time.Duration(float64(now-h.received)*(1-slowClock))
+	return low, h.clock + now - h.sent
+}
+
+// lapseAt returns when all that runs on the worker has surely ended, if the lease is not renewed.
+func (h *host) lapseAt() time.Duration {
+	if h.until <= h.clock {
+		return h.received
+	}
+	return h.received + time.Duration(float64(h.until-h.clock)/(1-slowClock)) + lapseMargin
+}
+
+// room returns what is free on the worker.
+func (h *host) room() work.Resources { return h.report.Capacity.Minus(h.used) }
+
+// pool is a pool of workers with its jobs.
+type pool struct {
+	name  string
+	jobs  []*job
+	hosts []*host
+}
+
+// remaining returns the estimated chain and work that are left of the open and coming occurrences.
+func (j *job) remaining(estimate func(*step) time.Duration) (chain time.Duration, coreSeconds float64) {
+	for _, o := range j.open {
+		c, w := o.remaining(estimate)
+		chain = max(chain, c)
+		coreSeconds += w
+	}
+	return chain, coreSeconds
+}
+
+func (o *occurrence) remaining(estimate func(*step) time.Duration) (chain time.Duration, coreSeconds float64) {
+	var buffer [work.MaxSteps]time.Duration
+	for i, s := range o.steps {
+		var start time.Duration
+		for _, after := range s.doc.After {
+			start = max(start, buffer[after])
+		}
+		if s.left > 0 {
+			e := estimate(s)
+			start += e
+			coreSeconds += float64(s.left) * float64(s.doc.Request.CPU) / 1000 * e.Seconds()
+		}
+		buffer[i] = start
+		chain = max(chain, start)
+	}
+	return chain, coreSeconds
+}
+
+// objective returns when the occurrence has to be done to count as in time.
+func (o *occurrence) objective(q *catalog.Queue, j *job) time.Duration {
+	start := j.accepted
+	if j.doc.Times > 0 {
+		start = o.due
+	}
+	return start + time.Duration(q.Stretch*float64(j.doc.Chain())) + q.Goal
+}
+
+// ready reports whether the steps before are done.
+func (s *step) ready() bool {
+	for _, after := range s.doc.After {
+		if s.occurrence.steps[after].left > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/store/clock.go
@@ -0,0 +1,39 @@
+package store
+
+import (
+	"sync"
+	"time"
+
+	"github.com/chivetiller/chivetiller/common/clock"
+)
+
+// Clock follows the steady clock of the store, which all processes share. It is safe for concurrent use.
+type Clock struct {
+	mu     sync.Mutex
+	offset time.Duration
+	known  bool
+}
+
+// Note takes the clock in an answer of the store that came just now.
+func (c *Clock) Note(now time.Duration) {
+	if now == 0 {
+		return
+	}
+	offset := now - clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// An answer that was long on its way shows less than the store's clock.
+	if !c.known || offset > c.offset {
+		c.offset, c.known = offset, true
+	}
+}
+
+// Now returns the time on the clock of the store, and false before the first answer.
+func (c *Clock) Now() (time.Duration, bool) { return c.At(clock.Now()) }
+
+// At returns the time on the clock of the store at an own time.
+func (c *Clock) At(own time.Duration) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return own + c.offset, c.known
+}
--- /dev/null
+++ b/work/progress.go
@@ -0,0 +1,102 @@
+package work
+
+// State is the state of a job.
+type State int
+
+// States of a job.
+const (
+	Pending State = iota
+	Running
+	Finished
+	Failed
+	Cancelled
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	return [...]string{"pending", "running", "finished", "failed", "cancelled"}[s]
+}
+
+// Ended reports whether the state is final.
+func (s State) Ended() bool { return s >= Finished }
+
+// StepProgress is what has to outlast a process about the tasks of a step.
+type StepProgress struct {
+	// Done is a bitmap of the tasks that are done.
+	Done []byte `cbor:"1,keyasint,omitempty"`
+	// Failures counts the failed runs of a task, or of the gang under index 0.
+	Failures map[int]int `cbor:"2,keyasint,omitempty"`
+	// Checkpoints holds the latest checkpoint of a task, or of the gang under index 0.
+	Checkpoints map[int]string `cbor:"3,keyasint,omitempty"`
+}
+
+// IsDone reports whether a task is done.
+func (p *StepProgress) IsDone(index int) bool {
+	return index/8 < len(p.Done) && p.Done[index/8]&(1<<(index%8)) != 0
+}
+
+// SetDone marks a task as done.
+func (p *StepProgress) SetDone(index int) {
+	for index/8 >= len(p.Done) {
+		p.Done = append(p.Done, 0)
+	}
+	p.Done[index/8] |= 1 << (index % 8)
+}
+
+// AddFailure counts a failed run and returns the number of failed runs.
+func (p *StepProgress) AddFailure(index int) int {
+	if p.Failures == nil {
+		p.Failures = make(map[int]int)
+	}
+	p.Failures[index]++
+	return p.Failures[index]
+}
+
+// SetCheckpoint keeps the latest checkpoint of a task.
+func (p *StepProgress) SetCheckpoint(index int, value string) {
+	if p.Checkpoints == nil {
+		p.Checkpoints = make(map[int]string)
+	}
+	p.Checkpoints[index] = value
+}
+
+// OccurrenceProgress is the progress of one occurrence.
+type OccurrenceProgress struct {
+	Steps []StepProgress `cbor:"1,keyasint"`
+}
+
+// Progress is the stored progress of a job.
+type Progress struct {
+	State State `cbor:"1,keyasint"`
+	// Occurrences holds the occurrences that have begun and are not complete.
+	Occurrences map[int]*OccurrenceProgress `cbor:"2,keyasint,omitempty"`
+	// Complete holds the occurrences of which all tasks are done.
+	Complete map[int]bool `cbor:"3,keyasint,omitempty"`
+	// Reason says why the job has ended.
+	Reason string `cbor:"4,keyasint,omitempty"`
+}
+
+// NewProgress returns the progress of a job that has not begun.
+func NewProgress() *Progress {
+	return &Progress{Occurrences: make(map[int]*OccurrenceProgress), Complete: make(map[int]bool)}
+}
+
+// Normalize replaces nil maps of a decoded progress.
+func (p *Progress) Normalize() {
+	if p.Occurrences == nil {
+		p.Occurrences = make(map[int]*OccurrenceProgress)
+	}
+	if p.Complete == nil {
+		p.Complete = make(map[int]bool)
+	}
+}
+
+// Occurrence returns the progress of an occurrence of the job and creates it if needed.
+func (p *Progress) Occurrence(j *Job, k int) *OccurrenceProgress {
+	o, ok := p.Occurrences[k]
+	if !ok || len(o.Steps) != len(j.Steps) {
+		o = &OccurrenceProgress{Steps: make([]StepProgress, len(j.Steps))}
+		p.Occurrences[k] = o
+	}
+	return o
+}
