Record starts before they are ordered

A successor could not tell which tasks ran on workers that it cannot reach, and started none of the accepted jobs until the leases had run out. The row of a job now names the worker and run of each task before the start; while the store is away tasks start only on workers that the row names.

--- a/member/member.go
+++ b/member/member.go
@@ -44,8 +44,6 @@
 	callTimeout = 900 * time.Millisecond
 	// watchGap is after which time without a look at the rows silence is counted anew.
 	watchGap = 1500 * time.Millisecond
-	// keepRows is how long the row of a dead node stays.
-	keepRows = time.Minute
 )
 
 // Node is a live process.
@@ -102,10 +100,13 @@
 	seen   map[string]*sighting
 	looked time.Duration
 	// steady is since when the rows have been read without a gap.
-	steady  time.Duration
-	tenure  *Tenure
-	valid   time.Duration
-	leaving bool
+	steady time.Duration
+	// duty is the version of the row of the duty, and dutySeen since when it is known.
+	duty     uint64
+	dutySeen time.Duration
+	tenure   *Tenure
+	valid    time.Duration
+	leaving  bool
 }
 
 // sighting is what is known of a node.
@@ -171,8 +172,16 @@
 		}
 		return
 	}
-	if m.shouldTake() {
-		m.take(ctx)
+	if !m.shouldTake() {
+		return
+	}
+	m.take(ctx)
+	if _, held := m.Tenure(); held {
+		announcing, cancelBeat := context.WithTimeout(ctx, callTimeout)
+		defer cancelBeat()
+		if err := m.beat(announcing); err != nil && ctx.Err() == nil {
+			m.logger.Warn("New duty was not announced.", "error", err)
+		}
 	}
 }
 
@@ -386,6 +395,9 @@
 			return
 		}
 	}
+	if m.justTaken(before, version) {
+		return
+	}
 	next := holderRow{Holder: m.o.Self.Name, Incarnation: m.o.Self.Incarnation, Tenure: before.Tenure + 1}
 	value, err := cbor.Marshal(next)
 	if err != nil {
@@ -412,6 +424,18 @@
 	m.valid = sent + scheduler.Tenure
 }
 
+// justTaken reports whether a live node has taken the duty and had no time yet to say so in its own row.
+func (m *Member) justTaken(row holderRow, version uint64) bool {
+	now := clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.duty != version {
+		m.duty, m.dutySeen = version, now
+	}
+	s, ok := m.seen[row.Holder]
+	return ok && !row.Released && row.Holder != m.o.Self.Name && s.node.Incarnation == row.Incarnation && m.live(s, now) && now-m.dutySeen < deadAfter
+}
+
 // confirmTake finds out whether a write without an answer has made this process the holder.
 func (m *Member) confirmTake(ctx context.Context, want holderRow) (uint64, error) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -68,6 +68,8 @@
 	hosts   map[string]*host
 	tenants map[string]work.Resources
 	orders  []Order
+	// plans holds the runs that are ordered once their record is stored.
+	plans []*run
 	// changed holds the jobs whose progress is not stored.
 	changed map[*job]bool
 	removed []string
@@ -77,8 +79,11 @@
 	unknown map[string]time.Duration
 	// rosterChanged means that the stored roster does not name all workers.
 	rosterChanged bool
-	// former holds the workers of the stored roster that have not answered under the own fence.
-	former    map[string]RosterEntry
+	// former holds the workers on which an earlier holder started tasks and that have not answered under the own
+	// fence, with what the tenants may have running there.
+	former map[string]map[string]work.Resources
+	// stored is when a batch was stored last.
+	stored    time.Duration
 	deposed   bool
 	learned   *estimator
 	fleet     *fleet
@@ -100,7 +105,7 @@
 		o: o, logger: o.Logger.Named("scheduler"), now: o.Began, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), hosts: make(map[string]*host), tenants: make(map[string]work.Resources),
 		changed: make(map[*job]bool), early: make(map[string]time.Duration), unknown: make(map[string]time.Duration),
-		former: make(map[string]RosterEntry), learned: newEstimator(), fleet: newFleet(),
+		former: make(map[string]map[string]work.Resources), stored: o.Began, learned: newEstimator(), fleet: newFleet(),
 	}
 }
 
@@ -132,9 +137,9 @@
 	return p
 }
 
-// AddJob takes a job from its row. Progress is nil for a job without stored progress. Adopted means that an
-// earlier holder may have started tasks. It does nothing for a job that is known.
-func (c *Core) AddJob(doc work.Job, progress *work.Progress, storeNow time.Duration, adopted bool) {
+// AddJob takes a job from its row. Progress is nil for a job without stored progress. It does nothing for a job
+// that is known.
+func (c *Core) AddJob(doc work.Job, progress *work.Progress, storeNow time.Duration) {
 	if _, ok := c.jobs[doc.ID]; ok {
 		return
 	}
@@ -143,10 +148,9 @@
 	}
 	progress.Normalize()
 	j := &job{
-		doc: doc, progress: progress, stored: progress.State, open: make(map[int]*occurrence), adopted: adopted,
+		doc: doc, progress: progress, stored: progress.State, open: make(map[int]*occurrence),
 		accepted: c.now - max(0, storeNow-doc.Accepted), begun: len(progress.Occurrences)+len(progress.Complete) > 0,
 	}
-	j.adopted = j.adopted || (c.o.Tenure > 1 && j.accepted < c.o.Began+handover)
 	for i := range doc.Steps {
 		j.service = j.service || doc.Steps[i].Service
 	}
@@ -159,16 +163,14 @@
 	p := c.pool(doc.Pool)
 	p.jobs = append(p.jobs, j)
 	c.openDue(j)
-	c.logger.Debug("Job is known.", "job", doc.ID, "queue", doc.Queue, "tenant", doc.Tenant, "pool", doc.Pool, "adopted", adopted)
+	c.noteFormer(j)
+	c.logger.Debug("Job is known.", "job", doc.ID, "queue", doc.Queue, "tenant", doc.Tenant, "pool", doc.Pool, "begun", j.begun)
 	if _, ok := c.early[doc.ID]; ok {
 		delete(c.early, doc.ID)
 		c.Cancel(doc.ID)
 	}
 }
 
-// handover is how long after its successor began a holder may still hear of new jobs. It finds out with its next beat.
-const handover = 2 * time.Second
-
 // Cancel cancels a job. A cancellation that comes before its job is kept.
 func (c *Core) Cancel(id string) {
 	j, ok := c.jobs[id]
@@ -232,6 +234,7 @@
 
 func newOccurrence(j *job, k int, due time.Duration) *occurrence {
 	o := &occurrence{number: k, due: due, progress: j.progress.Occurrence(&j.doc, k)}
+	o.recorded = slices.Clone(o.progress.Workers)
 	for i := range j.doc.Steps {
 		doc := &j.doc.Steps[i]
 		s := &step{job: j, occurrence: o, number: i, doc: doc, progress: &o.progress.Steps[i], tasks: make([]task, doc.Count)}
@@ -240,6 +243,10 @@
 				s.tasks[t].done = true
 				continue
 			}
+			if _, number, ok := o.progress.Run(i, t); ok {
+				s.tasks[t].lastRun = number
+				s.gangRun = max(s.gangRun, number)
+			}
 			s.left++
 			s.idle++
 		}
@@ -333,12 +340,13 @@
 	Waves  map[int]WaveProgress
 	jobs   []*job
 	states []work.State
+	starts []*run
 	acks   map[*host]uint64
 }
 
 // Empty reports whether there is nothing to store.
 func (b *Batch) Empty() bool {
-	return len(b.Progress) == 0 && len(b.Removed) == 0 && b.Roster == nil && len(b.Waves) == 0
+	return len(b.Progress) == 0 && len(b.starts) == 0 && len(b.Removed) == 0 && b.Roster == nil && len(b.Waves) == 0
 }
 
 // Take returns what has changed since the last batch, at most limit rows. If that is all, the batch
@@ -368,6 +376,8 @@
 		limit -= rowsPerJob
 	}
 	if len(c.changed) == 0 {
+		b.starts = c.plans
+		c.plans = nil
 		for _, h := range c.hosts {
 			if h.seen > h.stored {
 				b.acks[h] = h.seen
@@ -391,11 +401,14 @@
 			c.logger.Info("End of the job is stored.", "job", j.doc.ID, "state", j.stored.String(), "after", c.now-j.accepted, "reason", j.progress.Reason)
 		}
 	}
-	for _, e := range b.Roster {
-		if h, ok := c.hosts[e.ID]; ok && h.report.Born == e.Born {
-			h.enrolled = true
+	for _, r := range b.starts {
+		o := r.step.occurrence
+		if !slices.Contains(o.recorded, r.on.report.ID) {
+			o.recorded = append(o.recorded, r.on.report.ID)
 		}
+		c.order(r)
 	}
+	c.stored = c.now
 }
 
 // Returned takes back a batch that was not stored.
@@ -403,6 +416,7 @@
 	for _, j := range b.jobs {
 		c.changed[j] = true
 	}
+	c.plans = append(b.starts, c.plans...)
 	c.removed = append(c.removed, b.Removed...)
 	c.rosterChanged = c.rosterChanged || b.Roster != nil
 	c.fleet.returnWaves(b.Waves)
@@ -410,6 +424,11 @@
 
 // sweep does what is due without an event: due occurrences, lapsed leases, old jobs.
 func (c *Core) sweep() {
+	if len(c.former) > 0 && c.now > c.blindUntil() {
+		c.logger.Info("Leases of the holder before have run out.", "workers", len(c.former))
+		clear(c.former)
+	}
+	c.orderAway()
 	for _, p := range c.pools {
 		for _, j := range p.jobs {
 			if j.next < j.doc.Occurrences() {
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -148,9 +148,9 @@
 	c.SetTime(now)
 	c.SetCatalog(e.o.Catalog())
 	c.SetUnix(now, l.clock.Unix+l.now-l.clock.Store)
-	c.SetFormer(l.roster)
+	c.SetRoster(l.roster)
 	for id, j := range l.jobs {
-		c.AddJob(j, l.progress[id], l.now, e.o.Core.Tenure > 1)
+		c.AddJob(j, l.progress[id], l.now)
 	}
 	for _, id := range l.cancelled {
 		c.Cancel(id)
@@ -230,7 +230,7 @@
 // Submitted tells the engine of a job that was stored.
 func (e *Engine) Submitted(j work.Job) {
 	now, _ := e.o.Clock.Now()
-	e.post(func(c *Core) { c.AddJob(j, nil, now, false) })
+	e.post(func(c *Core) { c.AddJob(j, nil, now) })
 }
 
 // Cancelled tells the engine of a cancellation that was stored.
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -8,8 +8,8 @@
 	"github.com/chivetiller/chivetiller/worker"
 )
 
-// RosterEntry names a worker that may have been given tasks. The roster is stored before a worker gets its
-// first one, so that a successor knows all workers on which tasks may run, also those that the registry has dropped.
+// RosterEntry names a worker of the stored roster. A successor renews the leases of these workers at once, also of
+// those that the registry has dropped.
 type RosterEntry struct {
 	ID       string         `cbor:"1,keyasint"`
 	Pool     string         `cbor:"2,keyasint"`
@@ -18,54 +18,64 @@
 	Capacity work.Resources `cbor:"5,keyasint"`
 }
 
-// SetFormer gives the roster of the holder before. Until a worker of it has answered, or its lease has
-// surely run out, its tasks are not started elsewhere.
-func (c *Core) SetFormer(roster []RosterEntry) {
+// SetRoster takes the roster of the holder before.
+func (c *Core) SetRoster(roster []RosterEntry) {
 	for _, e := range roster {
-		c.former[e.ID] = e
+		h := c.addHost(worker.Report{ID: e.ID, Pool: e.Pool, Address: e.Address, Born: e.Born, Capacity: e.Capacity})
+		h.unlisted = c.now
+	}
+}
+
+func (c *Core) roster() []RosterEntry {
+	roster := make([]RosterEntry, 0, len(c.hosts))
+	for _, h := range c.hosts {
+		roster = append(roster, RosterEntry{
+			ID: h.report.ID, Pool: h.report.Pool, Address: h.report.Address, Born: h.report.Born, Capacity: h.report.Capacity,
+		})
+	}
+	return roster
+}
+
+// noteFormer notes on which workers an earlier holder may have tasks of a job running.
+func (c *Core) noteFormer(j *job) {
+	for _, o := range j.open {
+		for _, id := range o.recorded {
+			if c.former[id] == nil {
+				c.former[id] = make(map[string]work.Resources)
+			}
+		}
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				if id, _, ok := o.progress.Run(s.number, i); ok && !s.tasks[i].done {
+					c.former[id][j.doc.Tenant] = c.former[id][j.doc.Tenant].Plus(s.doc.Request)
+				}
+			}
+		}
 	}
-	c.rosterChanged = true
 }
 
 // blindUntil returns when the leases of all workers that have not answered have surely run out.
 func (c *Core) blindUntil() time.Duration {
-	term := leaseTerm + time.Duration(slowClock*2*float64(leaseTerm))
+	term := leaseTerm + time.Duration(2*slowClock*float64(leaseTerm)) + lapseMargin
 	if c.o.Handed {
-		return c.o.Began + term + lapseMargin
+		return c.o.Began + term
 	}
-	return c.o.Began + Tenure + term + lapseMargin
+	return c.o.Began + Tenure + term
 }
 
-// blind reports whether an earlier holder may have tasks running on a worker of the pool that has not answered.
-func (c *Core) blind(pool string) bool {
-	if len(c.former) == 0 || c.now > c.blindUntil() {
+// blocked reports whether tasks of an occurrence may run on a worker that has not answered.
+func (c *Core) blocked(o *occurrence) bool {
+	if len(c.former) == 0 {
 		return false
 	}
-	for _, e := range c.former {
-		if e.Pool == pool {
+	for _, id := range o.recorded {
+		if _, ok := c.former[id]; ok {
 			return true
 		}
 	}
 	return false
 }
 
-func (c *Core) roster() []RosterEntry {
-	roster := make([]RosterEntry, 0, len(c.hosts)+len(c.former))
-	for _, h := range c.hosts {
-		roster = append(roster, RosterEntry{
-			ID: h.report.ID, Pool: h.report.Pool, Address: h.report.Address, Born: h.report.Born, Capacity: h.report.Capacity,
-		})
-	}
-	if c.now <= c.blindUntil() {
-		for id, e := range c.former {
-			if _, ok := c.hosts[id]; !ok {
-				roster = append(roster, e)
-			}
-		}
-	}
-	return roster
-}
-
 // SetWorkers takes the registry. Workers that it no longer names get no new tasks, and are kept as long as they answer.
 func (c *Core) SetWorkers(reports []worker.Report) {
 	listed := make(map[string]bool, len(reports))
@@ -110,10 +120,6 @@
 	p.hosts = sortedHosts(append(p.hosts, h))
 	c.rosterChanged = true
 	c.logger.Info("Worker is known.", "worker", r.ID, "pool", r.Pool, "address", r.Address, "cpu", r.Capacity.CPU, "born", r.Born)
-	if e, ok := c.former[r.ID]; ok && e.Born != 0 && r.Born != 0 && e.Born != r.Born {
-		// The life that the holder before knew has ended, and its tasks with it.
-		delete(c.former, r.ID)
-	}
 	return h
 }
 
@@ -248,7 +254,7 @@
 	}
 	h.late = nil
 	h.report.Born = born
-	h.seen, h.stored, h.until, h.clock, h.lapsed, h.enrolled = 0, 0, 0, 0, false, false
+	h.seen, h.stored, h.until, h.clock, h.lapsed = 0, 0, 0, 0, false
 	h.sent, h.received = 0, c.now
 	c.rosterChanged = true
 }
@@ -450,7 +456,7 @@
 
 // usable reports whether a worker may get tasks.
 func (c *Core) usable(h *host) bool {
-	if !h.listed || !h.touched || h.lapsed || !h.enrolled || h.reserved || h.report.Draining || c.now < h.closed || c.now-h.contact > contactTimeout {
+	if !h.listed || !h.touched || h.lapsed || h.reserved || h.report.Draining || c.now < h.closed || c.now-h.contact > contactTimeout {
 		return false
 	}
 	if h.health.quarantined(c.now) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -81,11 +81,7 @@
 // candidates returns the occurrences with tasks to start in the order in which they are tried.
 func (c *Core) candidates(p *pool) []candidate {
 	var all []candidate
-	blind := c.blind(p.name)
 	for _, j := range p.jobs {
-		if j.adopted && blind {
-			continue
-		}
 		q, ok := c.catalog.Queue(j.doc.Queue)
 		if !ok {
 			// The queue was removed. Its jobs were accepted and are done all the same.
@@ -107,6 +103,9 @@
 const removedPriority = 100
 
 func (c *Core) candidate(j *job, o *occurrence, q *catalog.Queue) (candidate, bool) {
+	if c.blocked(o) {
+		return candidate{}, false
+	}
 	idle := false
 	for _, s := range o.steps {
 		if s.idle > 0 && s.ready() {
@@ -177,8 +176,8 @@
 	return max(t.lastRun, (c.o.Tenure-1)*runsPerTenure) + 1
 }
 
-// withinLimit reports whether the tenant may have n more tasks of the step running. Workers of an earlier
-// holder that have not answered count as if they were full of tasks of the tenant.
+// withinLimit reports whether the tenant may have n more tasks of the step running. What an
+// earlier holder started on workers that have not answered counts as running.
 func (c *Core) withinLimit(s *step, n int64) bool {
 	tenant := s.job.doc.Tenant
 	limit := c.catalog.Tenants[tenant].Limit
@@ -186,10 +185,8 @@
 		return true
 	}
 	used := c.tenants[tenant].Plus(s.doc.Request.Times(n))
-	if c.now <= c.blindUntil() {
-		for _, e := range c.former {
-			used = used.Plus(e.Capacity)
-		}
+	for _, running := range c.former {
+		used = used.Plus(running[tenant])
 	}
 	return (limit.CPU == 0 || used.CPU <= limit.CPU) && (limit.Memory == 0 || used.Memory <= limit.Memory) && (limit.GPU == 0 || used.GPU <= limit.GPU)
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chivetiller/chivetiller/work"
@@ -10,15 +11,53 @@
 // begin places a run on a worker and orders its start.
 func (c *Core) begin(s *step, index, number int, h *host) *run {
 	t := &s.tasks[index]
-	r := &run{step: s, index: index, number: number, on: h, phase: starting, since: c.now, percent: 0, moved: c.now, pace: fullPace}
+	r := &run{step: s, index: index, number: number, on: h, phase: planned, since: c.now, moved: c.now, pace: fullPace}
 	c.attach(r)
 	t.lastRun = max(t.lastRun, number)
-	s.job.begun = true
+	// A successor has to know where the task may run before it is started there.
+	s.occurrence.progress.SetRun(s.number, index, h.report.ID, number)
+	c.changed[s.job] = true
+	c.plans = append(c.plans, r)
+	return r
+}
+
+// order starts a planned run.
+func (c *Core) order(r *run) {
+	if r.phase != planned || !r.attached() {
+		return
+	}
+	if c.hosts[r.on.report.ID] != r.on || r.on.lapsed {
+		c.detach(r)
+		c.breakGang(r)
+		return
+	}
+	r.phase, r.since = starting, c.now
+	j := r.step.job
+	j.begun = true
 	c.counts.Started++
-	c.logger.Info("Task is started.", "job", s.job.doc.ID, "task", r.name(), "run", number, "worker", h.report.ID,
-		"fence", c.o.Fence, "waited", c.now-s.occurrence.due, "contactAge", c.now-h.contact, "config", c.catalog.Version)
+	c.logger.Info("Task is started.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.on.report.ID,
+		"fence", c.o.Fence, "waited", c.now-r.step.occurrence.due, "contactAge", c.now-r.on.contact, "config", c.catalog.Version)
 	c.orderStart(r)
-	return r
+}
+
+// outage is after which time without a stored batch the store counts as away.
+const outage = 500 * time.Millisecond
+
+// orderAway starts planned runs while the store is away, on workers that are recorded for their occurrence. A
+// successor starts nothing of an occurrence before all its recorded workers have answered or their leases have run out.
+func (c *Core) orderAway() {
+	if len(c.plans) == 0 || c.now-c.stored < outage {
+		return
+	}
+	left := c.plans[:0]
+	for _, r := range c.plans {
+		if c.now-r.since > outage && slices.Contains(r.step.occurrence.recorded, r.on.report.ID) {
+			c.order(r)
+			continue
+		}
+		left = append(left, r)
+	}
+	c.plans = left
 }
 
 // attach books a run on its worker and tenant.
@@ -100,6 +139,10 @@
 	if r.phase == stopping {
 		return
 	}
+	if r.phase == planned {
+		c.detach(r)
+		return
+	}
 	r.phase = stopping
 	c.counts.Stopped++
 	c.logger.Info("Task is stopped.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.on.report.ID, "reason", reason)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -18,15 +18,13 @@
 	open map[int]*occurrence
 	// next is the first occurrence that has not begun.
 	next int
-	// adopted means that an earlier holder may have started tasks of the job.
-	adopted bool
 	// begun means that a task has started.
 	begun bool
 	// accepted is when the job was accepted, on the own clock.
 	accepted time.Duration
 	// ended is when the job ended, on the own clock.
 	ended time.Duration
-	// estimates caches the remaining work.
+	// service means that a step runs until the job is cancelled.
 	service bool
 }
 
@@ -35,6 +33,8 @@
 	number   int
 	steps    []*step
 	progress *work.OccurrenceProgress
+	// recorded lists the workers that the store names for the occurrence.
+	recorded []string
 	// due is when it was due, on the own clock.
 	due time.Duration
 }
@@ -83,7 +83,9 @@
 type phase int
 
 const (
-	starting phase = iota
+	// planned runs are recorded in the store before they are ordered.
+	planned phase = iota
+	starting
 	running
 	stopping
 )
@@ -122,8 +124,6 @@
 	report worker.Report
 	// listed means that the registry names the worker.
 	listed bool
-	// enrolled means that the stored roster names the worker, so that a successor looks for its runs.
-	enrolled bool
 	// touched means that the worker has answered under the own fence.
 	touched bool
 	// lapsed means that the lease has run out since the worker last answered.
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -146,7 +146,7 @@
 	}
 	e.post(func(c *Core) {
 		for _, j := range jobs {
-			c.AddJob(j, nil, rows.Now, false)
+			c.AddJob(j, nil, rows.Now)
 		}
 		for _, id := range cancelled {
 			c.Cancel(id)
--- a/work/progress.go
+++ b/work/progress.go
@@ -1,5 +1,7 @@
 package work
 
+import "slices"
+
 // State is the state of a job.
 type State int
 
@@ -28,6 +30,16 @@
 	Failures map[int]int `cbor:"2,keyasint,omitempty"`
 	// Checkpoints holds the latest checkpoint of a task, or of the gang under index 0.
 	Checkpoints map[int]string `cbor:"3,keyasint,omitempty"`
+	// Runs holds the latest run of each task that was started. It is stored before the start.
+	Runs map[int]RunRecord `cbor:"4,keyasint,omitempty"`
+}
+
+// RunRecord names a run and where it was started.
+type RunRecord struct {
+	_ struct{} `cbor:",toarray"`
+	// Worker is an index into the workers of the occurrence.
+	Worker int
+	Number int
 }
 
 // IsDone reports whether a task is done.
@@ -63,6 +75,31 @@
 // OccurrenceProgress is the progress of one occurrence.
 type OccurrenceProgress struct {
 	Steps []StepProgress `cbor:"1,keyasint"`
+	// Workers lists the workers on which tasks were started. While the store is away, tasks start on no others.
+	Workers []string `cbor:"2,keyasint,omitempty"`
+}
+
+// SetRun records the start of a task.
+func (o *OccurrenceProgress) SetRun(step, index int, worker string, number int) {
+	at := slices.Index(o.Workers, worker)
+	if at < 0 {
+		at = len(o.Workers)
+		o.Workers = append(o.Workers, worker)
+	}
+	s := &o.Steps[step]
+	if s.Runs == nil {
+		s.Runs = make(map[int]RunRecord)
+	}
+	s.Runs[index] = RunRecord{Worker: at, Number: number}
+}
+
+// Run returns the latest recorded run of a task and its worker.
+func (o *OccurrenceProgress) Run(step, index int) (worker string, number int, ok bool) {
+	r, ok := o.Steps[step].Runs[index]
+	if !ok || r.Worker < 0 || r.Worker >= len(o.Workers) {
+		return "", 0, false
+	}
+	return o.Workers[r.Worker], r.Number, true
 }
 
 // Progress is the stored progress of a job.
