--- a/common/logging/buffered.go
+++ b/common/logging/buffered.go
@@ -1,10 +1,12 @@
 package logging
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Buffered writes lines in the background, so that a reader that is slow or gone never holds up the program.
@@ -68,10 +70,29 @@
 			buffer = fmt.Appendf(buffer, "logging: %d lines were dropped\n", dropped-reported)
 			reported = dropped
 		}
-		// A log that cannot be written has nowhere to be reported.
-		_, _ = w.Write(buffer)
+		b.writeAll(w, buffer)
 	}
 }
 
+const (
+	// writeAttempts is how often a reader that takes nothing is tried before the lines are dropped.
+	writeAttempts = 50
+	// writePause is the time between two attempts.
+	writePause = 20 * time.Millisecond
+)
+
+// writeAll writes the buffer as the reader takes it.
+func (b *Buffered) writeAll(w io.Writer, buffer []byte) {
+	for range writeAttempts {
+		n, err := w.Write(buffer)
+		buffer = buffer[n:]
+		if err == nil || len(buffer) == 0 {
+			return
+		}
+		time.Sleep(writePause)
+	}
+	b.dropped.Add(uint64(bytes.Count(buffer, []byte{'\n'})))
+}
+
 // maxTogether is how many lines are written by one call.
 const maxTogether = 64
