Let leases of silent workers run out, count a failed run once, stop adopted runs of ended jobs

The lease is now extended for 1.2 s after the last answer. - A successor counted a failed run again that the holder before had stored (LOST, shown as failed). Failures are now kept by run number. - A run adopted after its job was cancelled went on (UNASKED). - A service task on a silent worker counted as at work (AVAIL).

--- a/member/member.go
+++ b/member/member.go
@@ -34,10 +34,10 @@
 
 const (
 	// beatInterval is the time between two beats. Each costs two calls of the store.
-	beatInterval = 600 * time.Millisecond
+	beatInterval = 500 * time.Millisecond
 	// deadAfter is after which silence a node counts as dead: three beats and a slow answer. The leases of the
-	// tasks have 4.5 s left at that time.
-	deadAfter = 2200 * time.Millisecond
+	// tasks have 2 s left at that time.
+	deadAfter = 1900 * time.Millisecond
 	// rankDelay is how much later each next candidate takes the duty.
 	rankDelay = 400 * time.Millisecond
 	// callTimeout bounds one call of the store. A slow store takes up to 0.3 s.
--- a/scheduler/bounds.go
+++ b/scheduler/bounds.go
@@ -34,8 +34,12 @@
 
 const (
 	// leaseTerm is the lease that each renewal asks for. Renewals follow each other within renewWait, so that at
-	// least 4.5 s are left when a holder dies, and a successor has renewed it after 3 s.
-	leaseTerm = 6 * time.Second
+	// least 4 s are left when a holder dies, and a successor has renewed it after 3 s.
+	leaseTerm = 5 * time.Second
+	// renewWithin is how long after its last answer the lease of a worker is extended.
+	renewWithin = 1200 * time.Millisecond
+	// servingAge is how old the report on a service task may be that counts as at work.
+	servingAge = 1500 * time.Millisecond
 	// renewWait is how long a worker holds its answer back until something ends. It bounds the age of loads, which
 	// have to be acted on within 4 s.
 	renewWait = 800 * time.Millisecond
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -280,17 +280,17 @@
 		if i == r.index {
 			continue
 		}
-		if !s.tasks[i].serving() {
+		if !s.tasks[i].serving(c.now) {
 			away++
 		}
 	}
 	return away < s.doc.Disruptions
 }
 
-// serving reports whether a run of the task is at work.
-func (t *task) serving() bool {
+// serving reports whether a run of the task is at work according to a recent report.
+func (t *task) serving(now time.Duration) bool {
 	for _, r := range t.runs {
-		if r.phase == running && r.percent >= fullPace {
+		if r.phase == running && r.percent >= fullPace && now-r.on.contact < servingAge {
 			return true
 		}
 	}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -68,7 +68,7 @@
 	}
 }
 
-func (s *step) failures(index int) int { return s.progress.Failures[s.unit(index)] }
+func (s *step) failures(index int) int { return len(s.progress.Failures[s.unit(index)]) }
 
 // estimator learns how far off the estimates of a queue are.
 type estimator struct{ ratio map[string]float64 }
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -175,7 +175,9 @@
 		r.Order.Wait = 0
 	}
 	if h.clock > 0 {
-		_, high := h.clockAt(c.now)
+		// A renewal without an answer may have been carried out. The lease of a silent worker is not extended any
+		// further, so that it runs out.
+		_, high := h.clockAt(min(c.now, h.contact+renewWithin))
 		h.until = max(h.until, high+min(leaseTerm, c.o.Bounds.MaxLease))
 		r.Order.Until = h.until
 	}
@@ -317,7 +319,7 @@
 		c.changed[s.job] = true
 	}
 	s.job.begun = true
-	c.noteEnd(s, e.Task.Index, nil, e.How)
+	c.noteEnd(s, e.Task.Index, e.Number, nil, e.How)
 }
 
 func (c *Core) takeRuns(h *host, status worker.Status, sent time.Duration) {
@@ -398,8 +400,8 @@
 	s.job.begun = true
 	c.refresh(r, row)
 	c.logger.Info("Run is adopted.", "job", row.Task.Job, "task", r.name(), "run", row.Number, "worker", h.report.ID, "percent", row.Percent)
-	if t.done || (other && !s.doc.Speculative) {
-		c.stop(r, "the task is done or runs elsewhere")
+	if t.done || (other && !s.doc.Speculative) || s.job.progress.State.Ended() {
+		c.stop(r, "the job has ended, or the task is done or runs elsewhere")
 	}
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -243,6 +243,8 @@
 	costFailed = 5
 	// costCompany is the cost of a filler beside a service, or the other way round.
 	costCompany = 3
+	// costTogether is the cost of each task of the same service on a worker, whose end would take all of them.
+	costTogether = 1
 	// costService keeps batch tasks and services apart a little, so that machines without services can be moved.
 	costService = 0.2
 )
@@ -263,7 +265,7 @@
 	case s.doc.Filler:
 		cost += costCompany*float64(services) + float64(fillers)
 	case s.doc.Service:
-		cost += costCompany * float64(fillers)
+		cost += costCompany*float64(fillers) + costTogether*float64(c.countOn(s, h))
 		if services == 0 {
 			cost += costService
 		}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -288,11 +288,11 @@
 		s.progress.SetCheckpoint(s.unit(r.index), checkpoint)
 		c.changed[j] = true
 	}
-	c.noteEnd(s, r.index, r, how)
+	c.noteEnd(s, r.index, r.number, r, how)
 }
 
 // noteEnd takes the effect of an end on a step. The run is nil if it is not known.
-func (c *Core) noteEnd(s *step, index int, r *run, how worker.EndKind) {
+func (c *Core) noteEnd(s *step, index, number int, r *run, how worker.EndKind) {
 	j := s.job
 	switch how {
 	case worker.EndDone:
@@ -318,14 +318,7 @@
 		if s.doc.Service || j.progress.State.Ended() {
 			return
 		}
-		if s.doc.Gang && r != nil {
-			// Several members of one run may fail. The gang failed once.
-			if s.failedRun == r.number {
-				return
-			}
-			s.failedRun = r.number
-		}
-		failures := s.progress.AddFailure(s.unit(index))
+		failures := s.progress.AddFailure(s.unit(index), number)
 		c.changed[j] = true
 		q, ok := c.catalog.Queue(j.doc.Queue)
 		if ok && failures >= q.Attempts {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -55,8 +55,6 @@
 	tickets *tickets
 	// gangRun is the number of the latest run of a gang.
 	gangRun int
-	// failedRun is the last run of a gang that failed.
-	failedRun int
 	// notBefore delays the next start of a gang.
 	notBefore time.Duration
 }
--- a/work/progress.go
+++ b/work/progress.go
@@ -26,8 +26,9 @@
 type StepProgress struct {
 	// Done is a bitmap of the tasks that are done.
 	Done []byte `cbor:"1,keyasint,omitempty"`
-	// Failures counts the failed runs of a task, or of the gang under index 0.
-	Failures map[int]int `cbor:"2,keyasint,omitempty"`
+	// Failures lists the numbers of the failed runs of a task, or of the gang under index 0. A worker may tell of an
+	// end again that an earlier holder has stored.
+	Failures map[int][]int `cbor:"2,keyasint,omitempty"`
 	// Checkpoints holds the latest checkpoint of a task, or of the gang under index 0.
 	Checkpoints map[int]string `cbor:"3,keyasint,omitempty"`
 	// Runs holds the latest run of each task that was started. It is stored before the start.
@@ -55,13 +56,15 @@
 	p.Done[index/8] |= 1 << (index % 8)
 }
 
-// AddFailure counts a failed run and returns the number of failed runs.
-func (p *StepProgress) AddFailure(index int) int {
+// AddFailure notes a failed run and returns the number of different failed runs.
+func (p *StepProgress) AddFailure(index, run int) int {
 	if p.Failures == nil {
-		p.Failures = make(map[int]int)
+		p.Failures = make(map[int][]int)
 	}
-	p.Failures[index]++
-	return p.Failures[index]
+	if !slices.Contains(p.Failures[index], run) {
+		p.Failures[index] = append(p.Failures[index], run)
+	}
+	return len(p.Failures[index])
 }
 
 // SetCheckpoint keeps the latest checkpoint of a task.
