Pause the duty without confirmation and shorten leases

The holder now gives orders for 3 s without confirmation and goes on where it was if nobody took the duty; leases last 4 s. A restarted process proves that the old one has ended.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -3,8 +3,11 @@
 import (
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
@@ -72,5 +75,28 @@
 	if err != nil {
 		return err
 	}
+	stopReloads := reloadOnSignal(file, s, logger)
+	defer stopReloads()
 	return runUntilSignal(s.Name, s.Bounds.Grace, n, logger)
 }
+
+// reloadOnSignal reads the settings again on SIGHUP and reports what has changed. A process takes new addresses and
+// bounds when it is started again, so that a file that is half written or wrong never harms one that runs.
+func reloadOnSignal(file string, current node.Settings, logger hclog.Logger) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			next, err := platform.LoadSettings(file)
+			if err != nil {
+				logger.Error("Settings cannot be reloaded; the old ones stay in force.", "file", file, "error", err)
+				continue
+			}
+			logger.Info("Settings are read again.", "file", file, "changed", next != current)
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(hangups)
+	}
+}
--- a/member/member.go
+++ b/member/member.go
@@ -34,16 +34,16 @@
 
 const (
 	// beatInterval is the time between two beats. Each costs two calls of the store.
-	beatInterval = 500 * time.Millisecond
-	// deadAfter is after which silence a node counts as dead: three beats and a slow answer. The leases of the
-	// tasks have 2 s left at that time.
-	deadAfter = 1900 * time.Millisecond
+	beatInterval = 400 * time.Millisecond
+	// deadAfter is after which silence a node counts as dead: three beats, and one of a slow store. The leases
+	// of the tasks have 1.5 s left at that time.
+	deadAfter = 1500 * time.Millisecond
 	// rankDelay is how much later each next candidate takes the duty.
-	rankDelay = 400 * time.Millisecond
+	rankDelay = 300 * time.Millisecond
 	// callTimeout bounds one call of the store. A slow store takes up to 0.3 s.
 	callTimeout = 900 * time.Millisecond
 	// watchGap is after which time without a look at the rows silence is counted anew.
-	watchGap = 1500 * time.Millisecond
+	watchGap = 1300 * time.Millisecond
 )
 
 // Node is a live process.
@@ -77,8 +77,10 @@
 	Fence  uint64
 	// Began is when the duty was taken, on the own clock.
 	Began time.Duration
-	// Handed means that the holder before gave the duty back.
+	// Handed means that the holder before gave the duty back or has ended.
 	Handed bool
+	// before is the holder before.
+	before holderRow
 }
 
 // Options are the options of a member.
@@ -237,22 +239,18 @@
 	}
 }
 
-// Tenure returns the term of the duty that this process holds.
+// Tenure returns the term of the duty that this process holds, as far as it knows.
 func (m *Member) Tenure() (Tenure, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.tenure == nil {
 		return Tenure{}, false
 	}
-	if clock.Now() >= m.valid {
-		m.logger.Warn("Duty has not been confirmed in time.", "fence", m.tenure.Fence)
-		m.tenure = nil
-		return Tenure{}, false
-	}
 	return *m.tenure, true
 }
 
-// Holds reports whether the term is still valid.
+// Holds reports whether the term was confirmed recently. Without that another process may have taken the duty. A term
+// that is confirmed again goes on.
 func (m *Member) Holds(fence uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -420,10 +418,23 @@
 	m.logger.Info("Duty is taken.", "fence", fence, "tenure", next.Tenure, "before", before.Holder, "released", before.Released)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.tenure = &Tenure{Number: next.Tenure, Fence: fence, Began: clock.Now(), Handed: before.Released}
+	m.tenure = &Tenure{Number: next.Tenure, Fence: fence, Began: clock.Now(), Handed: before.Released || m.ended(before), before: before}
 	m.valid = sent + scheduler.Tenure
 }
 
+// ended reports whether the process of a holder has been replaced by another one on its machine.
+func (m *Member) ended(row holderRow) bool {
+	s, ok := m.seen[row.Holder]
+	return ok && s.node.Incarnation != row.Incarnation
+}
+
+// FormerEnded reports whether the holder before the present one has surely ended.
+func (m *Member) FormerEnded() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tenure != nil && m.ended(m.tenure.before)
+}
+
 // justTaken reports whether a live node has taken the duty and had no time yet to say so in its own row.
 func (m *Member) justTaken(row holderRow, version uint64) bool {
 	now := clock.Now()
--- a/scheduler/bounds.go
+++ b/scheduler/bounds.go
@@ -34,8 +34,8 @@
 
 const (
 	// leaseTerm is the lease that each renewal asks for. Renewals follow each other within renewWait, so that at
-	// least 4 s are left when a holder dies, and a successor has renewed it after 3 s.
-	leaseTerm = 5 * time.Second
+	// least 3 s are left when a holder dies, and a successor has renewed it after 2.5 s.
+	leaseTerm = 4 * time.Second
 	// renewWithin is how long after its last answer the lease of a worker is extended.
 	renewWithin = 1200 * time.Millisecond
 	// servingAge is how old the report on a service task may be that counts as at work.
@@ -43,9 +43,9 @@
 	// renewWait is how long a worker holds its answer back until something ends. It bounds the age of loads, which
 	// have to be acted on within 4 s.
 	renewWait = 800 * time.Millisecond
-	// Tenure is how long a holder goes on without having seen in the store that it still holds the duty. It spans
-	// the outages of the store in the deployments, which last 4 to 9 s.
-	Tenure = 8 * time.Second
+	// Tenure is how long a holder gives orders without having seen in the store that it still holds the duty. The leases
+	// last for another leaseTerm, so that tasks outlive an outage of 7 s.
+	Tenure = 3 * time.Second
 	// slowClock is how much slower the clock of a worker may run, from the platform's pages.
 	slowClock = 0.02
 	// lapseMargin covers the rounding of clocks and the way of the last order.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -82,6 +82,8 @@
 	// former holds the workers on which an earlier holder started tasks and that have not answered under the own
 	// fence, with what the tenants may have running there.
 	former map[string]map[string]work.Resources
+	// formerEnded is when the holder before is known to have ended.
+	formerEnded time.Duration
 	// stored is when a batch was stored last.
 	stored    time.Duration
 	deposed   bool
@@ -105,7 +107,7 @@
 		o: o, logger: o.Logger.Named("scheduler"), now: o.Began, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), hosts: make(map[string]*host), tenants: make(map[string]work.Resources),
 		changed: make(map[*job]bool), early: make(map[string]time.Duration), unknown: make(map[string]time.Duration),
-		former: make(map[string]map[string]work.Resources), stored: o.Began, learned: newEstimator(), fleet: newFleet(),
+		former: make(map[string]map[string]work.Resources), stored: o.Began, formerEnded: o.Began + Tenure, learned: newEstimator(), fleet: newFleet(),
 	}
 }
 
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -77,6 +77,8 @@
 	Holds(fence uint64) bool
 	Confirm(fence uint64, at time.Duration)
 	Depose(fence uint64, reason string)
+	// FormerEnded reports whether the holder before has surely ended.
+	FormerEnded() bool
 }
 
 // EngineOptions are the options of an engine.
@@ -298,8 +300,13 @@
 	e.lastPass = now
 	c := e.core
 	if !e.o.Duty.Holds(e.o.Core.Fence) {
+		// The state stays valid as long as no other process takes the duty. A batch that is stored confirms that.
+		e.commit(now)
 		return
 	}
+	if e.o.Duty.FormerEnded() {
+		c.FormerEnded()
+	}
 	c.SetCatalog(e.o.Catalog())
 	for _, order := range c.Schedule(now) {
 		e.run(func() { e.send(order) })
@@ -330,6 +337,8 @@
 	}
 	// The duty is checked right before the order, since the process may have been suspended.
 	if !e.holds() {
+		e.sleep(orderPause)
+		e.post(func(c *Core) { c.Replied(o, worker.Reply{Outcome: worker.Unknown}, clock.Now(), ErrNotHolder) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
@@ -350,6 +359,7 @@
 
 func (e *Engine) sendMachine(o MachineOrder) {
 	if !e.holds() {
+		e.post(func(c *Core) { c.MachineReplied(o, machine.Refused, ErrNotHolder) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, machineTimeout)
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -60,9 +60,12 @@
 	if c.o.Handed {
 		return c.o.Began + term
 	}
-	return c.o.Began + Tenure + term
+	return min(c.o.Began+Tenure, c.formerEnded) + term
 }
 
+// FormerEnded notes that the holder before has ended and renews no leases any more.
+func (c *Core) FormerEnded() { c.formerEnded = min(c.formerEnded, c.now) }
+
 // blocked reports whether tasks of an occurrence may run on a worker that has not answered.
 func (c *Core) blocked(o *occurrence) bool {
 	if len(c.former) == 0 {
