Move machines between pools by demand, and pace waves by their end

Each queue in turn asks for more than its pool holds while the others idle. Pools now get machines by the processors that finish their jobs by the objective, from pools with an excess and from those switched off. A wave drains as many machines at a time as its end asks for.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -27,6 +28,14 @@
 	// busy holds the machines with an order on its way, and until when others are not ordered again.
 	busy  map[string]bool
 	pause map[string]time.Duration
+	// byWorker holds the machine of each worker.
+	byWorker map[string]string
+	// moves holds the moves that are not accepted yet, and moved those that are, until a newer list.
+	moves map[string]*movement
+	moved map[string]move
+	// excess holds since when a pool has had too many machines.
+	excess  map[string]time.Duration
+	planned time.Duration
 }
 
 // wave is a request for maintenance and how far it is.
@@ -35,7 +44,9 @@
 	// since is when the wave became known.
 	since time.Duration
 	// begun holds the machines whose maintenance has begun, with the worker that ran before.
-	begun    map[string]string
+	begun map[string]string
+	// accepted is when the maintenance of a machine was accepted. Older lists do not show it.
+	accepted map[string]time.Duration
 	dropped  map[string]bool
 	draining map[string]time.Duration
 	finished bool
@@ -63,6 +74,7 @@
 func newFleet() *fleet {
 	return &fleet{
 		machines: make(map[string]machine.Machine), waves: make(map[int]*wave), busy: make(map[string]bool), pause: make(map[string]time.Duration),
+		byWorker: make(map[string]string), moves: make(map[string]*movement), moved: make(map[string]move), excess: make(map[string]time.Duration),
 	}
 }
 
@@ -71,7 +83,7 @@
 	if _, ok := c.fleet.waves[doc.Number]; ok {
 		return
 	}
-	w := &wave{doc: doc, since: c.now, begun: make(map[string]string), dropped: make(map[string]bool), draining: make(map[string]time.Duration), changed: progress == nil}
+	w := &wave{doc: doc, since: c.now, begun: make(map[string]string), accepted: make(map[string]time.Duration), dropped: make(map[string]bool), draining: make(map[string]time.Duration), changed: progress == nil}
 	if progress != nil {
 		for id, worker := range progress.Begun {
 			w.begun[id] = worker
@@ -86,8 +98,19 @@
 func (c *Core) SetMachines(machines []machine.Machine, at time.Duration) {
 	c.fleet.listed = at
 	clear(c.fleet.machines)
+	clear(c.fleet.byWorker)
 	for _, m := range machines {
+		if mv, ok := c.fleet.moved[m.ID]; ok {
+			if mv.at >= at {
+				m.Pool, m.State, m.Worker = mv.pool, machine.Moving, ""
+			} else {
+				delete(c.fleet.moved, m.ID)
+			}
+		}
 		c.fleet.machines[m.ID] = m
+		if m.Worker != "" {
+			c.fleet.byWorker[m.Worker] = m.ID
+		}
 	}
 }
 
@@ -98,7 +121,7 @@
 			return true
 		}
 	}
-	return false
+	return c.sparePool() != ""
 }
 
 // mayOrder reports whether the orders of an earlier holder have surely ended.
@@ -132,6 +155,7 @@
 				c.planWave(w)
 			}
 		}
+		c.planMoves()
 	}
 	orders := f.orders
 	f.orders = nil
@@ -142,9 +166,9 @@
 func (c *Core) planWave(w *wave) {
 	f := c.fleet
 	down := 0
-	for id, before := range w.begun {
+	for id := range w.begun {
 		m, ok := f.machines[id]
-		if ok && (m.State != machine.Up || m.Worker == before) {
+		if ok && (m.State != machine.Up || f.listed <= w.accepted[id]) {
 			down++
 		}
 	}
@@ -167,7 +191,7 @@
 		}
 		return
 	}
-	c.drainNext(w, waiting, down)
+	c.drainNext(w, waiting, min(w.doc.MaxDown, c.wavePace(w, len(waiting)))-down)
 	for _, id := range waiting {
 		if down >= w.doc.MaxDown {
 			return
@@ -178,17 +202,35 @@
 	}
 }
 
-// drainNext reserves machines so that those of the next maintenance become empty in time.
-func (c *Core) drainNext(w *wave, waiting []string, down int) {
+// wavePace returns how many machines of a wave are drained or in maintenance at a time, so that it ends in time and takes
+// no more capacity than it has to.
+func (c *Core) wavePace(w *wave, waiting int) int {
+	left := w.since + w.doc.FinishBy - waveReserve - c.now
+	each := c.o.Bounds.Upkeep + drainTime
+	if left < each {
+		return w.doc.MaxDown
+	}
+	return int(math.Ceil(float64(waiting) * float64(each) / float64(left)))
+}
+
+const (
+	// waveReserve is left at the end of a wave for machines that take long to become empty.
+	waveReserve = 5 * time.Second
+	// drainTime is how long a machine takes to become empty. Tasks take about a second.
+	drainTime = 2 * time.Second
+)
+
+// drainNext reserves machines so that they become empty, up to a number of machines. Those that are switched off cost nothing.
+func (c *Core) drainNext(w *wave, waiting []string, limit int) {
 	draining := 0
 	for _, id := range waiting {
 		if _, ok := w.draining[id]; ok {
 			draining++
 		}
 	}
-	for draining < w.doc.MaxDown+1 && down+draining < w.doc.MaxDown+1 {
+	for {
 		id := c.emptiest(w, waiting)
-		if id == "" {
+		if id == "" || (draining >= limit && c.fleet.machines[id].Worker != "") {
 			return
 		}
 		w.draining[id] = c.now
@@ -207,6 +249,9 @@
 		if _, ok := w.draining[id]; ok {
 			continue
 		}
+		if _, moving := c.fleet.moves[id]; moving || c.fleet.machines[id].State != machine.Up {
+			continue
+		}
 		runs := 0
 		if h, ok := c.hosts[c.fleet.machines[id].Worker]; ok {
 			services, _ := h.company()
@@ -303,15 +348,22 @@
 	delete(f.busy, o.Machine)
 	w := f.waves[o.Wave]
 	c.logger.Info("Order for a machine was answered.", "machine", o.Machine, "wave", o.Wave, "pool", o.Pool, "outcome", outcome.String(), "error", err)
+	if outcome == machine.Accepted {
+		if h, ok := c.hosts[o.worker]; ok {
+			c.loseHost(h, "the machine is in maintenance or moves")
+		}
+	}
+	if o.Wave == 0 && outcome != machine.Fenced {
+		c.moveReplied(o, outcome)
+		return
+	}
 	switch outcome {
 	case machine.Accepted:
 		if w != nil {
 			w.begun[o.Machine] = o.worker
+			w.accepted[o.Machine] = c.now
 			w.changed = true
 		}
-		if h, ok := c.hosts[o.worker]; ok {
-			c.loseHost(h, "the machine is in maintenance or moves")
-		}
 	case machine.Fenced:
 		c.deposed = true
 	case machine.NotInWave, machine.Invalid:
--- /dev/null
+++ b/scheduler/moves.go
@@ -0,0 +1,337 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/chivetiller/chivetiller/machine"
+)
+
+const (
+	// planInterval is the time between two plans of moves.
+	planInterval = 150 * time.Millisecond
+	// minTimeLeft bounds from below the time in which the work of a job is asked for.
+	minTimeLeft = 400 * time.Millisecond
+	// headroom is how much more than the demand a pool gets, since tasks do not fill machines to the brim.
+	headroom = 1.15
+	// minMachines is the least size of a pool, so that the loss of a rack leaves some.
+	minMachines = 3
+	// releaseAfter is how long a machine has to be in excess before it is switched off. Two moves cost as much as a
+	// machine of a pool in 2.3 s.
+	releaseAfter = 1800 * time.Millisecond
+	// moveDrain is how long tasks may go on running on a machine that is to move.
+	moveDrain = 1500 * time.Millisecond
+	// movesAtOnce bounds the moves that are under way.
+	movesAtOnce = 24
+)
+
+// movement is a move of a machine that has not been accepted yet.
+type movement struct {
+	pool  string
+	since time.Duration
+}
+
+// demand is what a pool needs and has.
+type demand struct {
+	pool string
+	// need and have are in machines.
+	need int
+	have int
+}
+
+// cores returns the processors that a pool needs: those of its services, and for each job as many as finish its work by
+// its objective.
+func (c *Core) cores(p *pool) float64 {
+	var total float64
+	for _, j := range p.jobs {
+		q, ok := c.catalog.Queue(j.doc.Queue)
+		if !ok {
+			continue
+		}
+		for _, o := range j.open {
+			if j.service {
+				for _, s := range o.steps {
+					if s.doc.Service && !s.doc.Filler {
+						total += float64(s.left) * float64(s.doc.Request.CPU) / 1000
+					}
+				}
+				continue
+			}
+			chain, left := o.remaining(c.learned.estimate)
+			slack := o.objective(q, j) - c.now
+			if slack < chain/2 {
+				// The job is late whatever is done. It takes what is left over.
+				continue
+			}
+			total += left / max(slack, minTimeLeft).Seconds()
+		}
+	}
+	return total
+}
+
+// width returns how many workers the widest service of the pool needs. One more lets its tasks be moved one by one.
+func (p *pool) width() int {
+	widest := 0
+	for _, j := range p.jobs {
+		for i := range j.doc.Steps {
+			if s := &j.doc.Steps[i]; s.Service && s.MaxPerWorker > 0 {
+				widest = max(widest, (s.Count+s.MaxPerWorker-1)/s.MaxPerWorker)
+			}
+		}
+	}
+	return widest
+}
+
+// planMoves moves machines from pools that have too many to pools that have too few, and switches off what nobody needs.
+func (c *Core) planMoves() {
+	f := c.fleet
+	if c.now < f.planned+planInterval {
+		return
+	}
+	f.planned = c.now
+	spare := c.sparePool()
+	demands, perMachine := c.demands(spare)
+	if perMachine == 0 {
+		return
+	}
+	c.advanceMoves()
+	slices.SortFunc(demands, func(a, b demand) int {
+		return cmp.Or(cmp.Compare(b.need-b.have, a.need-a.have), cmp.Compare(a.pool, b.pool))
+	})
+	excess := make(map[string]int)
+	for _, d := range demands {
+		if d.have > d.need {
+			excess[d.pool] = d.have - d.need
+		} else {
+			delete(f.excess, d.pool)
+		}
+	}
+	for _, d := range demands {
+		for n := d.need - d.have; n > 0 && len(f.moves) < movesAtOnce; n-- {
+			id := c.donor(spare, excess, demands)
+			if id == "" {
+				return
+			}
+			c.startMove(id, d.pool)
+		}
+	}
+	c.release(spare, excess, demands)
+}
+
+// sparePool returns the pool whose machines are switched off.
+func (c *Core) sparePool() string {
+	for name, p := range c.catalog.Pools {
+		if p.Spare {
+			return name
+		}
+	}
+	return ""
+}
+
+// demands returns the demand of each pool that a queue uses, and the mean number of cores of a machine.
+func (c *Core) demands(spare string) ([]demand, float64) {
+	used := make(map[string]bool)
+	for i := range c.catalog.Queues {
+		used[c.catalog.Queues[i].Pool] = true
+	}
+	have := make(map[string]int)
+	var cores float64
+	for id, m := range c.fleet.machines {
+		cores += float64(m.Capacity.CPU) / 1000
+		pool := m.Pool
+		if mv, ok := c.fleet.moves[id]; ok {
+			pool = mv.pool
+		}
+		// A machine in maintenance is replaced meanwhile.
+		if m.State == machine.Moving || (m.State == machine.Up && !c.fleet.draining(id)) {
+			have[pool]++
+		}
+	}
+	if len(c.fleet.machines) == 0 {
+		return nil, 0
+	}
+	perMachine := cores / float64(len(c.fleet.machines))
+	var demands []demand
+	for name := range c.catalog.Pools {
+		if name == spare || !used[name] {
+			continue
+		}
+		p := c.pool(name)
+		need := max(minMachines, p.width()+1, int(math.Ceil(c.cores(p)*headroom/perMachine)))
+		demands = append(demands, demand{pool: name, need: need, have: have[name]})
+	}
+	return demands, perMachine
+}
+
+// donor returns the machine that is missed least: an empty one of a pool with an excess, one that is switched off, or
+// one that becomes empty soon.
+func (c *Core) donor(spare string, excess map[string]int, demands []demand) string {
+	id, runs := c.leastBusy(excess, demands)
+	if id != "" && runs == 0 {
+		excess[c.fleet.machines[id].Pool]--
+		return id
+	}
+	if off := c.switchedOff(spare); off != "" {
+		return off
+	}
+	if id != "" {
+		excess[c.fleet.machines[id].Pool]--
+	}
+	return id
+}
+
+// switchedOff returns a machine of the spare pool.
+func (c *Core) switchedOff(spare string) string {
+	best := ""
+	for id, m := range c.fleet.machines {
+		if m.Pool == spare && c.movable(id, m) && (best == "" || id < best) {
+			best = id
+		}
+	}
+	return best
+}
+
+// movable reports whether a machine can be ordered to move.
+func (c *Core) movable(id string, m machine.Machine) bool {
+	f := c.fleet
+	_, moving := f.moves[id]
+	return m.State == machine.Up && !moving && !f.busy[id] && c.now >= f.pause[id] && !f.draining(id)
+}
+
+// draining reports whether a wave drains the machine.
+func (f *fleet) draining(id string) bool {
+	for _, w := range f.waves {
+		if _, ok := w.draining[id]; ok {
+			if _, begun := w.begun[id]; !begun {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// leastBusy returns the machine without services that has the fewest tasks, in a pool with an excess.
+func (c *Core) leastBusy(excess map[string]int, demands []demand) (id string, runs int) {
+	for _, d := range demands {
+		if excess[d.pool] <= 0 {
+			continue
+		}
+		for _, h := range c.pool(d.pool).hosts {
+			m, ok := c.fleet.byWorker[h.report.ID]
+			if !ok || !c.movable(m, c.fleet.machines[m]) || h.reserved || h.report.Draining || !h.touched {
+				continue
+			}
+			if services, fillers := h.company(); services+fillers > 0 {
+				continue
+			}
+			if id == "" || len(h.runs) < runs {
+				id, runs = m, len(h.runs)
+			}
+		}
+	}
+	return id, runs
+}
+
+// release switches machines off that have been in excess for a while.
+func (c *Core) release(spare string, excess map[string]int, demands []demand) {
+	f := c.fleet
+	if spare == "" {
+		return
+	}
+	for _, d := range demands {
+		if excess[d.pool] <= 0 {
+			continue
+		}
+		since, ok := f.excess[d.pool]
+		if !ok {
+			f.excess[d.pool] = c.now
+			continue
+		}
+		if c.now-since < releaseAfter {
+			continue
+		}
+		for excess[d.pool] > 0 && len(f.moves) < movesAtOnce {
+			id, runs := c.leastBusy(map[string]int{d.pool: excess[d.pool]}, demands)
+			if id == "" || runs > 0 {
+				break
+			}
+			excess[d.pool]--
+			c.startMove(id, spare)
+		}
+	}
+}
+
+func (c *Core) startMove(id, pool string) {
+	m := c.fleet.machines[id]
+	c.fleet.moves[id] = &movement{pool: pool, since: c.now}
+	h, ok := c.hosts[m.Worker]
+	if ok {
+		h.reserved = true
+	}
+	c.logger.Info("Machine is to move.", "machine", id, "from", m.Pool, "to", pool, "worker", m.Worker, "listAge", c.now-c.fleet.listed)
+	c.orderMove(id)
+}
+
+// orderMove orders the move of a machine that is empty.
+func (c *Core) orderMove(id string) {
+	f := c.fleet
+	m, mv := f.machines[id], f.moves[id]
+	if f.busy[id] || c.now < f.pause[id] {
+		return
+	}
+	if h, ok := c.hosts[m.Worker]; ok && len(h.runs) > 0 {
+		return
+	}
+	f.busy[id] = true
+	f.orders = append(f.orders, MachineOrder{Machine: id, Pool: mv.pool, worker: m.Worker})
+}
+
+// advanceMoves orders the moves of machines that have become empty and gives up those that do not.
+func (c *Core) advanceMoves() {
+	f := c.fleet
+	for id, mv := range f.moves {
+		m, ok := f.machines[id]
+		if f.busy[id] {
+			continue
+		}
+		if !ok || m.State != machine.Up || c.now-mv.since > moveDrain {
+			c.dropMove(id)
+			continue
+		}
+		c.orderMove(id)
+	}
+}
+
+// dropMove gives a move up. The machine goes on working where it is.
+func (c *Core) dropMove(id string) {
+	f := c.fleet
+	delete(f.moves, id)
+	if h, ok := c.hosts[f.machines[id].Worker]; ok && !f.draining(id) {
+		h.reserved = false
+	}
+}
+
+// moveReplied takes the outcome of a move.
+func (c *Core) moveReplied(o MachineOrder, outcome machine.Outcome) {
+	f := c.fleet
+	switch outcome {
+	case machine.Accepted:
+		m := f.machines[o.Machine]
+		m.Pool, m.State, m.Worker = o.Pool, machine.Moving, ""
+		f.machines[o.Machine] = m
+		f.moved[o.Machine] = move{pool: o.Pool, at: c.now}
+		delete(f.moves, o.Machine)
+	case machine.Unknown:
+		// The order is repeated: the platform accepts a move that is done already.
+	default:
+		c.dropMove(o.Machine)
+	}
+}
+
+// move is a move that was accepted. Lists that are older do not show it.
+type move struct {
+	pool string
+	at   time.Duration
+}
