--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -10,7 +10,7 @@
 
 const (
 	// orderMargin is added to the time after which the orders of an earlier holder have surely ended.
-	orderMargin = time.Second
+	orderMargin = 500 * time.Millisecond
 	// machineRetry is the pause after an order for a machine that was not accepted.
 	machineRetry = time.Second
 	// drainPatience is how long tasks may go on running on a machine that is due for maintenance.
@@ -128,7 +128,7 @@
 func (c *Core) mayOrder() bool {
 	wait := c.o.Bounds.OrderTurn
 	if c.o.Tenure > 1 && !c.o.Handed {
-		wait = max(wait, Tenure)
+		wait = max(wait, Tenure+machineTimeout)
 	}
 	return c.o.Tenure == 1 || c.now > c.o.Began+wait+orderMargin
 }
