Take the demand of a pool from its arrivals, too

The backlog of a surge shows only after the pool is full, and a move takes 1.5 s. The work that came in during the last 0.6 s tells the demand before that.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -166,6 +166,9 @@
 	p.jobs = append(p.jobs, j)
 	c.openDue(j)
 	c.noteFormer(j)
+	if !j.service && c.now-j.accepted < rateWindow {
+		p.arrive(j.accepted, j.doc.Work())
+	}
 	c.logger.Debug("Job is known.", "job", doc.ID, "queue", doc.Queue, "tenant", doc.Tenant, "pool", doc.Pool, "begun", j.begun)
 	if _, ok := c.early[doc.ID]; ok {
 		delete(c.early, doc.ID)
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -41,10 +41,10 @@
 	have int
 }
 
-// cores returns the processors that a pool needs: those of its services, and for each job as many as finish its work by
-// its objective.
+// cores returns the processors that a pool needs: those of its services, and for its jobs as many as finish their work by
+// their objectives, or as many as keep up with what comes in.
 func (c *Core) cores(p *pool) float64 {
-	var total float64
+	var total, jobs float64
 	for _, j := range p.jobs {
 		q, ok := c.catalog.Queue(j.doc.Queue)
 		if !ok {
@@ -65,10 +65,10 @@
 				// The job is late whatever is done. It takes what is left over.
 				continue
 			}
-			total += left / max(slack, minTimeLeft).Seconds()
+			jobs += left / max(slack, minTimeLeft).Seconds()
 		}
 	}
-	return total
+	return total + max(jobs, p.rate(c.now))
 }
 
 // width returns how many workers the widest service of the pool needs. One more lets its tasks be moved one by one.
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -176,6 +176,44 @@
 	name  string
 	jobs  []*job
 	hosts []*host
+	// arrivals holds the jobs that came lately.
+	arrivals []arrival
+}
+
+// arrival is a job that came, with its work in core-seconds.
+type arrival struct {
+	at   time.Duration
+	work float64
+}
+
+const (
+	// rateWindow is over how much time the rate of arrivals is taken. Demand rises fivefold at once and stays for
+	// some seconds, and a move takes 1.5 s.
+	rateWindow = 600 * time.Millisecond
+	// rateJobs is how many jobs have to come in the window. Fewer say little about a rate.
+	rateJobs = 4
+)
+
+// arrive notes a job that has come.
+func (p *pool) arrive(now time.Duration, work float64) {
+	p.arrivals = append(p.arrivals, arrival{at: now, work: work})
+}
+
+// rate returns the work that comes in, in core-seconds a second.
+func (p *pool) rate(now time.Duration) float64 {
+	first := 0
+	for first < len(p.arrivals) && p.arrivals[first].at < now-rateWindow {
+		first++
+	}
+	p.arrivals = p.arrivals[first:]
+	if len(p.arrivals) < rateJobs {
+		return 0
+	}
+	var total float64
+	for _, a := range p.arrivals {
+		total += a.work
+	}
+	return total / rateWindow.Seconds()
 }
 
 // remaining returns the estimated chain and work that are left of the open and coming occurrences.
