Record orders for machines, and order only machines known to be empty

A successor waited 5 s before its first order for any machine. Orders are now recorded before they are given, so that it waits only for machines that the holder before may still order. A machine whose worker has not answered counted as empty, so that its maintenance ended service tasks (AVAIL).

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -343,15 +343,18 @@
 	// Roster is nil if the stored one is right.
 	Roster []RosterEntry
 	Waves  map[int]WaveProgress
-	jobs   []*job
-	states []work.State
-	starts []*run
-	acks   map[*host]uint64
+	// Machines holds when machines were ordered last, on the own clock. It is nil if nothing has to be recorded.
+	Machines map[string]time.Duration
+	jobs     []*job
+	states   []work.State
+	starts   []*run
+	orders   []MachineOrder
+	acks     map[*host]uint64
 }
 
 // Empty reports whether there is nothing to store.
 func (b *Batch) Empty() bool {
-	return len(b.Progress) == 0 && len(b.starts) == 0 && len(b.Removed) == 0 && b.Roster == nil && len(b.Waves) == 0
+	return len(b.Progress) == 0 && len(b.starts) == 0 && len(b.Removed) == 0 && b.Roster == nil && len(b.Waves) == 0 && b.Machines == nil
 }
 
 // Take returns what has changed since the last batch, at most limit rows. If that is all, the batch
@@ -364,6 +367,10 @@
 		limit--
 	}
 	b.Waves = c.fleet.takeWaves()
+	if len(c.fleet.plans) > 0 {
+		b.orders, c.fleet.plans = c.fleet.plans, nil
+		b.Machines = c.fleet.takeRecorded(c.now)
+	}
 	limit -= len(b.Waves)
 	for j := range c.changed {
 		if limit <= 0 {
@@ -413,6 +420,7 @@
 		}
 		c.order(r)
 	}
+	c.fleet.orders = append(c.fleet.orders, b.orders...)
 	c.stored = c.now
 }
 
@@ -425,6 +433,7 @@
 	c.removed = append(c.removed, b.Removed...)
 	c.rosterChanged = c.rosterChanged || b.Roster != nil
 	c.fleet.returnWaves(b.Waves)
+	c.fleet.plans = append(b.orders, c.fleet.plans...)
 }
 
 // sweep does what is due without an event: due occurrences, lapsed leases, old jobs.
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -42,12 +42,12 @@
 	renewPause = 150 * time.Millisecond
 	// ackWait is the longest wait for the ends of a worker to be stored before its lease is renewed all the same.
 	ackWait = 200 * time.Millisecond
-	// registryInterval is the time between two looks at the registry of workers.
-	registryInterval = 400 * time.Millisecond
+	// registryInterval is the time between two looks at the registry of workers, which show the machines that join a pool.
+	registryInterval = 200 * time.Millisecond
 	// feedInterval is the time between two looks at new jobs, for those whose notice got lost.
 	feedInterval = 700 * time.Millisecond
 	// machinesInterval is the time between two looks at the machines.
-	machinesInterval = 500 * time.Millisecond
+	machinesInterval = 300 * time.Millisecond
 	// readTimeout bounds a read of the store or of the machines.
 	readTimeout = time.Second
 	// machineTimeout bounds an order for a machine.
@@ -151,6 +151,10 @@
 	c.SetCatalog(e.o.Catalog())
 	c.SetUnix(now, l.clock.Unix+l.now-l.clock.Store)
 	c.SetRoster(l.roster)
+	for id, at := range l.machines {
+		l.machines[id] = now - (l.now - at)
+	}
+	c.SetFormerOrders(l.machines)
 	for id, j := range l.jobs {
 		c.AddJob(j, l.progress[id], l.now)
 	}
@@ -485,6 +489,17 @@
 			return tx, err
 		}
 	}
+	if b.Machines != nil {
+		machines := make(map[string]time.Duration, len(b.Machines))
+		for id, at := range b.Machines {
+			if machines[id], _ = e.o.Clock.At(at); machines[id] <= 0 {
+				machines[id] = 1
+			}
+		}
+		if err := addPut(&tx, dutyKey(rowMachines), machines); err != nil {
+			return tx, err
+		}
+	}
 	for _, id := range b.Removed {
 		tx.Removes = append(tx.Removes, JobKey(id), progressKey(id), CancelKey(id))
 	}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -24,7 +24,12 @@
 	machines map[string]machine.Machine
 	listed   time.Duration
 	waves    map[int]*wave
-	orders   []MachineOrder
+	// plans holds the orders that are given once they are recorded.
+	plans  []MachineOrder
+	orders []MachineOrder
+	// recorded holds when each machine was ordered last, and formerOrders the orders of earlier holders.
+	recorded     map[string]time.Duration
+	formerOrders map[string]time.Duration
 	// busy holds the machines with an order on its way, and until when others are not ordered again.
 	busy  map[string]bool
 	pause map[string]time.Duration
@@ -74,6 +79,7 @@
 func newFleet() *fleet {
 	return &fleet{
 		machines: make(map[string]machine.Machine), waves: make(map[int]*wave), busy: make(map[string]bool), pause: make(map[string]time.Duration),
+		recorded: make(map[string]time.Duration), formerOrders: make(map[string]time.Duration),
 		byWorker: make(map[string]string), moves: make(map[string]*movement), moved: make(map[string]move), excess: make(map[string]time.Duration),
 	}
 }
@@ -124,15 +130,43 @@
 	return c.sparePool() != ""
 }
 
-// mayOrder reports whether the orders of an earlier holder have surely ended.
-func (c *Core) mayOrder() bool {
-	wait := c.o.Bounds.OrderTurn
-	if c.o.Tenure > 1 && !c.o.Handed {
-		wait = max(wait, Tenure+machineTimeout)
+// mayOrder reports whether no earlier holder can still order the machine. Orders are recorded before they are given.
+func (c *Core) mayOrder(id string) bool {
+	at, ok := c.fleet.formerOrders[id]
+	return !ok || c.now > at+max(c.o.Bounds.OrderTurn, Tenure+machineTimeout)+orderMargin
+}
+
+// SetFormerOrders takes when an earlier holder recorded its latest orders for machines, on the own clock.
+func (c *Core) SetFormerOrders(recorded map[string]time.Duration) {
+	for id, at := range recorded {
+		c.fleet.formerOrders[id] = at
+		c.fleet.recorded[id] = at
+	}
+}
+
+// order gives an order for a machine once it is recorded.
+func (f *fleet) order(now time.Duration, o MachineOrder) {
+	f.busy[o.Machine] = true
+	f.recorded[o.Machine] = now
+	f.plans = append(f.plans, o)
+}
+
+// takeRecorded returns the latest orders for machines, without those that are of no more use.
+func (f *fleet) takeRecorded(now time.Duration) map[string]time.Duration {
+	recorded := make(map[string]time.Duration, len(f.recorded))
+	for id, at := range f.recorded {
+		if now-at > recordedFor {
+			delete(f.recorded, id)
+			continue
+		}
+		recorded[id] = at
 	}
-	return c.o.Tenure == 1 || c.now > c.o.Began+wait+orderMargin
+	return recorded
 }
 
+// recordedFor is how long an order for a machine stays recorded.
+const recordedFor = 20 * time.Second
+
 // MachineOrders plans the maintenance and returns the orders that are due.
 func (c *Core) MachineOrders() []MachineOrder {
 	f := c.fleet
@@ -144,19 +178,17 @@
 	if c.deposed || c.now-f.listed > listPatience || len(f.machines) == 0 {
 		return nil
 	}
-	if c.mayOrder() {
-		numbers := make([]int, 0, len(f.waves))
-		for n := range f.waves {
-			numbers = append(numbers, n)
-		}
-		slices.Sort(numbers)
-		for _, n := range numbers {
-			if w := f.waves[n]; !w.finished {
-				c.planWave(w)
-			}
+	numbers := make([]int, 0, len(f.waves))
+	for n := range f.waves {
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	for _, n := range numbers {
+		if w := f.waves[n]; !w.finished {
+			c.planWave(w)
 		}
-		c.planMoves()
 	}
+	c.planMoves()
 	orders := f.orders
 	f.orders = nil
 	return orders
@@ -271,7 +303,7 @@
 func (c *Core) maintain(w *wave, id string) bool {
 	f := c.fleet
 	since, draining := w.draining[id]
-	if !draining || c.now < f.pause[id] {
+	if !draining || c.now < f.pause[id] || !c.mayOrder(id) {
 		return false
 	}
 	if f.busy[id] {
@@ -281,19 +313,34 @@
 	if m.State != machine.Up {
 		return false
 	}
-	if h, ok := c.hosts[m.Worker]; ok {
-		h.reserved = true
-		if len(h.runs) > 0 {
+	if !c.empty(m) {
+		if h, ok := c.hosts[m.Worker]; ok {
+			h.reserved = true
 			c.evacuate(h, c.now-since > drainPatience)
-			return false
 		}
+		return false
 	}
-	f.busy[id] = true
-	f.orders = append(f.orders, MachineOrder{Machine: id, Wave: w.doc.Number, worker: m.Worker})
+	f.order(c.now, MachineOrder{Machine: id, Wave: w.doc.Number, worker: m.Worker})
 	c.logger.Info("Maintenance is ordered.", "wave", w.doc.Number, "machine", id, "worker", m.Worker, "fence", c.o.Fence, "listAge", c.now-f.listed)
 	return true
 }
 
+// empty reports whether nothing runs on a machine: it has no worker, or the worker has said so lately, or its lease has
+// run out. A worker that is not known or not heard of may run anything.
+func (c *Core) empty(m machine.Machine) bool {
+	if m.Worker == "" {
+		return true
+	}
+	h, ok := c.hosts[m.Worker]
+	if !ok || !h.touched {
+		return false
+	}
+	if h.lapsed {
+		return true
+	}
+	return len(h.runs) == 0 && h.foreign == 0 && c.now-h.contact < servingAge
+}
+
 // evacuate stops service tasks on a worker that is about to end, within their disruption budgets. Batch tasks
 // are left to end unless hurry is set and they can go on from a checkpoint.
 func (c *Core) evacuate(h *host, hurry bool) {
@@ -347,6 +394,7 @@
 	f := c.fleet
 	delete(f.busy, o.Machine)
 	w := f.waves[o.Wave]
+	f.recorded[o.Machine] = c.now
 	c.logger.Info("Order for a machine was answered.", "machine", o.Machine, "wave", o.Wave, "pool", o.Pool, "outcome", outcome.String(), "error", err)
 	if outcome == machine.Accepted {
 		if h, ok := c.hosts[o.worker]; ok {
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -327,6 +327,7 @@
 
 func (c *Core) takeRuns(h *host, status worker.Status, sent time.Duration) {
 	named := make(map[work.Task]int, len(status.Running))
+	h.foreign = 0
 	for _, row := range status.Running {
 		named[row.Task] = row.Number
 		r, ok := h.runs[row.Task]
@@ -335,6 +336,9 @@
 			continue
 		}
 		c.adopt(h, row)
+		if _, booked := h.runs[row.Task]; !booked {
+			h.foreign++
+		}
 	}
 	if len(status.Ended) >= endsPerAnswer {
 		return
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -197,7 +197,7 @@
 func (c *Core) movable(id string, m machine.Machine) bool {
 	f := c.fleet
 	_, moving := f.moves[id]
-	return m.State == machine.Up && !moving && !f.busy[id] && c.now >= f.pause[id] && !f.draining(id)
+	return m.State == machine.Up && !moving && !f.busy[id] && c.now >= f.pause[id] && !f.draining(id) && c.mayOrder(id)
 }
 
 // draining reports whether a wave drains the machine.
@@ -281,11 +281,10 @@
 	if f.busy[id] || c.now < f.pause[id] {
 		return
 	}
-	if h, ok := c.hosts[m.Worker]; ok && len(h.runs) > 0 {
+	if !c.empty(m) {
 		return
 	}
-	f.busy[id] = true
-	f.orders = append(f.orders, MachineOrder{Machine: id, Pool: mv.pool, worker: m.Worker})
+	f.order(c.now, MachineOrder{Machine: id, Pool: mv.pool, worker: m.Worker})
 }
 
 // advanceMoves orders the moves of machines that have become empty and gives up those that do not.
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -27,6 +27,8 @@
 	// cancelSuffix marks the row of a cancellation. It sorts after the job.
 	cancelSuffix = ".cancel"
 	wavePrefix   = "wave."
+	// rowMachines holds when machines were ordered last, on the clock of the store.
+	rowMachines = "machines"
 )
 
 // JobKey returns the row of a job.
@@ -112,6 +114,8 @@
 	now     time.Duration
 	chain   uint64
 	clock   clockRow
+	// machines holds when machines were ordered last, on the clock of the store.
+	machines map[string]time.Duration
 }
 
 // load reads all rows of the duty. It tells rows that cannot be read to bad.
@@ -184,6 +188,8 @@
 		return cbor.Unmarshal(row.Value, &l.roster)
 	case rowClock:
 		return cbor.Unmarshal(row.Value, &l.clock)
+	case rowMachines:
+		return cbor.Unmarshal(row.Value, &l.machines)
 	}
 	return nil
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -128,6 +128,8 @@
 	lapsed bool
 	runs   map[work.Task]*run
 	used   work.Resources
+	// foreign counts the runs in the last report that are not booked.
+	foreign int
 	// clock is the clock of the worker in an answer that was sent for at sent and received at received.
 	clock    time.Duration
 	sent     time.Duration
