--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,218 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/scheduler"
+	"github.com/chivetiller/chivetiller/store"
+	"github.com/chivetiller/chivetiller/store/memory"
+	"github.com/chivetiller/chivetiller/work"
+)
+
+type fakeHolder struct {
+	submitted []string
+	cancelled []string
+	states    map[string]work.State
+	err       error
+}
+
+func (f *fakeHolder) Submitted(_ context.Context, j work.Job) {
+	f.submitted = append(f.submitted, j.ID)
+}
+func (f *fakeHolder) Cancelled(_ context.Context, id string) { f.cancelled = append(f.cancelled, id) }
+
+func (f *fakeHolder) State(_ context.Context, id string) (work.State, bool, error) {
+	s, ok := f.states[id]
+	return s, ok, f.err
+}
+
+func (f *fakeHolder) Waiting(context.Context, string) (int, error) { return 3, f.err }
+
+type fakeConfiguration struct {
+	catalog *catalog.Catalog
+	age     time.Duration
+}
+
+func (f fakeConfiguration) Current() *catalog.Catalog { return f.catalog }
+func (f fakeConfiguration) Age() time.Duration        { return f.age }
+
+// rig is an intake over two stores: its own one and that of the node which relays.
+type rig struct {
+	store, relay *memory.Store
+	holder       *fakeHolder
+	intake       *Intake
+}
+
+func sampleCatalog() *catalog.Catalog {
+	return catalog.New(4, 0, []catalog.Queue{
+		{Name: "q", Host: "h", Prefix: "/q/", Pool: "p"},
+		{Name: "long", Host: "h", Prefix: "/q/long/", Pool: "p", Public: true},
+	}, []catalog.Pool{{Name: "p"}}, []catalog.Tenant{{Name: "t", Keys: []string{"key"}}})
+}
+
+func newRig(t *testing.T, age time.Duration) *rig {
+	r := &rig{store: memory.New(), relay: memory.New(), holder: &fakeHolder{states: make(map[string]work.State)}}
+	clock := &store.Clock{}
+	clock.Note(time.Hour)
+	r.intake = New(Options{
+		Store: r.store, Clock: clock, Holder: r.holder, Relay: r.relay,
+		Configuration: fakeConfiguration{sampleCatalog(), age}, Bounds: scheduler.Bounds{Config: 2 * time.Second, ConfigStretch: 5 * time.Second},
+	})
+	t.Cleanup(func() { r.store.Fail(nil) })
+	return r
+}
+
+func sampleJob(id string) work.Job { return work.Job{ID: id, Steps: []work.Step{{Count: 1}}} }
+
+// TestAdmit guards against calls that pass without a key, with a queue that a longer prefix hides, or under a
+// configuration that may have been replaced.
+func TestAdmit(t *testing.T) {
+	tests := map[string]struct {
+		host, path, key string
+		age             time.Duration
+		queue           string
+		want            Outcome
+	}{
+		"with key":       {"h:80", "/q/a", "key", 0, "q", OK},
+		"longer prefix":  {"h", "/q/long/a", "", 0, "long", OK},
+		"unknown key":    {"h", "/q/a", "other", 0, "", BadKey},
+		"no key":         {"h", "/q/a", "", 0, "", BadKey},
+		"no queue":       {"h", "/x/a", "key", 0, "", NoQueue},
+		"other host":     {"g", "/q/a", "key", 0, "", NoQueue},
+		"unconfirmed":    {"h", "/q/a", "key", 6500 * time.Millisecond, "q", OK},
+		"outdated":       {"h", "/q/a", "key", 7 * time.Second, "", NoConfig},
+		"outdated, open": {"h", "/q/long/a", "", 7 * time.Second, "", NoConfig},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, outcome := newRig(t, test.age).intake.Admit(test.host, test.path, test.key)
+			qt.Assert(t, outcome, qt.Equals, test.want)
+			if test.want == OK {
+				qt.Assert(t, a.Queue.Name, qt.Equals, test.queue)
+				qt.Assert(t, a.Rest, qt.Equals, "a")
+			}
+		})
+	}
+}
+
+// TestSubmit guards against a refusal of a job that may run, and against an acceptance of one that is not stored.
+func TestSubmit(t *testing.T) {
+	always := func(f memory.Fault) func(*store.Tx) memory.Fault { return func(*store.Tx) memory.Fault { return f } }
+	once := func(f memory.Fault) func(*store.Tx) memory.Fault {
+		first := true
+		return func(*store.Tx) memory.Fault {
+			if first {
+				first = false
+				return f
+			}
+			return memory.None
+		}
+	}
+	tests := map[string]struct {
+		own, relay func(*store.Tx) memory.Fault
+		want       Outcome
+		relayed    bool
+	}{
+		"stored":                {nil, nil, OK, false},
+		"turned away, relayed":  {always(memory.Refuse), nil, OK, true},
+		"refused by both":       {always(memory.Refuse), always(memory.Refuse), Refused, false},
+		"answer lost":           {once(memory.LoseAnswer), always(memory.Refuse), OK, false},
+		"call lost, then given": {once(memory.LoseCall), always(memory.Refuse), OK, false},
+		"never an answer":       {always(memory.LoseAnswer), always(memory.Refuse), Unknown, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 0)
+				r.store.Fail(test.own)
+				r.relay.Fail(test.relay)
+				a, _ := r.intake.Admit("h", "/q/a", "key")
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				qt.Assert(t, r.intake.Submit(ctx, a, sampleJob("a")), qt.Equals, test.want)
+				r.store.Fail(nil)
+				r.relay.Fail(nil)
+				in := r.store
+				if test.relayed {
+					in = r.relay
+				}
+				_, found, err := scheduler.ReadState(t.Context(), in, "a")
+				qt.Assert(t, err, qt.IsNil)
+				switch test.want {
+				case OK:
+					qt.Assert(t, found, qt.IsTrue)
+				case Refused:
+					qt.Assert(t, found, qt.IsFalse)
+				}
+			})
+		})
+	}
+}
+
+// TestSubmitTwice guards against two jobs where a client repeats itself.
+func TestSubmitTwice(t *testing.T) {
+	r := newRig(t, 0)
+	a, _ := r.intake.Admit("h", "/q/a", "key")
+	qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
+	qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
+	qt.Assert(t, r.holder.submitted, qt.DeepEquals, []string{"a"})
+}
+
+// TestState guards against "gone" for a job that was accepted but is not known to the holder.
+func TestState(t *testing.T) {
+	tests := map[string]struct {
+		holder    map[string]work.State
+		holderErr error
+		storeDown bool
+		stored    bool
+		want      Outcome
+		state     work.State
+	}{
+		"holder knows":            {map[string]work.State{"a": work.Finished}, nil, false, true, OK, work.Finished},
+		"holder does not know":    {nil, nil, false, true, OK, work.Pending},
+		"holder is away":          {nil, errors.New("away"), false, true, OK, work.Pending},
+		"no such job":             {nil, nil, false, false, Gone, 0},
+		"holder and store away":   {nil, errors.New("away"), true, true, NoAnswer, 0},
+		"unknown and store away":  {nil, nil, true, true, NoAnswer, 0},
+		"known while store is up": {map[string]work.State{"a": work.Running}, nil, true, true, OK, work.Running},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 0)
+			a, _ := r.intake.Admit("h", "/q/a", "key")
+			if test.stored {
+				qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
+			}
+			r.holder.states, r.holder.err = test.holder, test.holderErr
+			if test.storeDown {
+				r.store.Fail(func(*store.Tx) memory.Fault { return memory.Refuse })
+			}
+			state, outcome := r.intake.State(t.Context(), a, "a")
+			qt.Assert(t, outcome, qt.Equals, test.want)
+			if outcome == OK {
+				qt.Assert(t, state, qt.Equals, test.state)
+			}
+		})
+	}
+}
+
+// TestCancel guards against a cancellation that is acknowledged and not stored.
+func TestCancel(t *testing.T) {
+	r := newRig(t, 0)
+	a, _ := r.intake.Admit("h", "/q/a", "key")
+	qt.Assert(t, r.intake.Cancel(t.Context(), a, "a"), qt.Equals, Gone)
+	qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
+	qt.Assert(t, r.intake.Cancel(t.Context(), a, "a"), qt.Equals, OK)
+	qt.Assert(t, r.intake.Cancel(t.Context(), a, "a"), qt.Equals, OK)
+	qt.Assert(t, r.holder.cancelled, qt.DeepEquals, []string{"a", "a"})
+	state, _, err := scheduler.ReadState(t.Context(), r.store, "a")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, state, qt.Equals, work.Cancelled)
+}
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,153 @@
+package member
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/scheduler"
+	"github.com/chivetiller/chivetiller/store"
+	"github.com/chivetiller/chivetiller/store/memory"
+)
+
+// members starts processes over one store.
+func members(t *testing.T, s store.Store, names ...string) map[string]*Member {
+	all := make(map[string]*Member)
+	for _, name := range names {
+		m := New(Options{Store: s, Clock: &store.Clock{}, Self: Node{Name: name, Address: name + ":1", Incarnation: name + "-1"}})
+		m.Start()
+		t.Cleanup(m.loop.Stop)
+		all[name] = m
+	}
+	return all
+}
+
+// holders returns the processes that hold the duty and may give orders.
+func holders(all map[string]*Member) (names []string) {
+	for name, m := range all {
+		if tenure, ok := m.Tenure(); ok && m.Holds(tenure.Fence) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// cutStore is the store as a process sees it that can be cut off.
+type cutStore struct {
+	store.Store
+	cut bool
+}
+
+func (c *cutStore) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
+	if c.cut {
+		return store.Result{}, store.ErrUnknown
+	}
+	return c.Store.Commit(ctx, tx)
+}
+
+func (c *cutStore) Scan(ctx context.Context, table, part, from, to string) (store.Rows, error) {
+	if c.cut {
+		return store.Rows{}, store.ErrNotDone
+	}
+	return c.Store.Scan(ctx, table, part, from, to)
+}
+
+// The tests below run on the real clock: it counts the time of a suspended machine, which the fake clock does not have.
+
+// TestOneHolder guards against two holders at the start, and against a duty that a starting process takes from one that has
+// just taken it.
+func TestOneHolder(t *testing.T) {
+	t.Parallel()
+	all := members(t, memory.New(), "a", "b", "c")
+	time.Sleep(2 * deadAfter)
+	qt.Assert(t, holders(all), qt.HasLen, 1)
+	for _, m := range all {
+		if tenure, ok := m.Tenure(); ok {
+			qt.Assert(t, tenure.Number, qt.Equals, 1)
+		}
+	}
+}
+
+// TestHandOver guards against a stop after which nobody decides until the silence is noticed.
+func TestHandOver(t *testing.T) {
+	t.Parallel()
+	all := members(t, memory.New(), "a", "b")
+	time.Sleep(time.Second)
+	first := holders(all)
+	qt.Assert(t, first, qt.HasLen, 1)
+	all[first[0]].Stop()
+	delete(all, first[0])
+	time.Sleep(deadAfter - 200*time.Millisecond)
+	qt.Assert(t, holders(all), qt.HasLen, 1)
+	for _, m := range all {
+		tenure, _ := m.Tenure()
+		qt.Assert(t, tenure.Handed, qt.IsTrue)
+		qt.Assert(t, tenure.Number, qt.Equals, 2)
+	}
+}
+
+// TestCutOff guards against a holder that goes on without confirmation, and against nobody taking over.
+func TestCutOff(t *testing.T) {
+	t.Parallel()
+	s := memory.New()
+	own := &cutStore{Store: s}
+	first := members(t, own, "a")
+	time.Sleep(time.Second)
+	qt.Assert(t, holders(first), qt.DeepEquals, []string{"a"})
+	second := members(t, s, "b")
+	own.cut = true
+	time.Sleep(scheduler.Tenure + time.Second)
+	qt.Assert(t, holders(first), qt.HasLen, 0)
+	qt.Assert(t, holders(second), qt.DeepEquals, []string{"b"})
+	own.cut = false
+	time.Sleep(time.Second)
+	_, held := first["a"].Tenure()
+	qt.Assert(t, held, qt.IsFalse)
+}
+
+// TestPause guards against a duty that changes hands for an outage of the whole store.
+func TestPause(t *testing.T) {
+	t.Parallel()
+	s := memory.New()
+	all := members(t, s, "a", "b")
+	time.Sleep(time.Second)
+	before := holders(all)
+	qt.Assert(t, before, qt.HasLen, 1)
+	s.Fail(func(*store.Tx) memory.Fault { return memory.Refuse })
+	time.Sleep(scheduler.Tenure + 500*time.Millisecond)
+	qt.Assert(t, holders(all), qt.HasLen, 0)
+	s.Fail(nil)
+	time.Sleep(time.Second)
+	qt.Assert(t, holders(all), qt.DeepEquals, before)
+	tenure, _ := all[before[0]].Tenure()
+	qt.Assert(t, tenure.Number, qt.Equals, 1)
+}
+
+// TestLostTake guards against a duty that is taken without the process knowing it.
+func TestLostTake(t *testing.T) {
+	t.Parallel()
+	s := memory.New()
+	s.Fail(func(tx *store.Tx) memory.Fault {
+		if tx != nil && len(tx.Puts) == 1 && tx.Puts[0].Table == tableDuty {
+			return memory.LoseAnswer
+		}
+		return memory.None
+	})
+	all := members(t, s, "a")
+	time.Sleep(time.Second)
+	qt.Assert(t, holders(all), qt.DeepEquals, []string{"a"})
+}
+
+// TestReincarnation guards against a wait for a holder whose process has been replaced.
+func TestReincarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(Options{Store: memory.New(), Clock: &store.Clock{}, Self: Node{Name: "a"}})
+		m.seen["b"] = &sighting{node: Node{Name: "b", Incarnation: "new"}}
+		qt.Assert(t, m.ended(holderRow{Holder: "b", Incarnation: "old"}), qt.IsTrue)
+		qt.Assert(t, m.ended(holderRow{Holder: "b", Incarnation: "new"}), qt.IsFalse)
+		qt.Assert(t, m.ended(holderRow{Holder: "c", Incarnation: "old"}), qt.IsFalse)
+	})
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -84,6 +84,8 @@
 	former map[string]map[string]work.Resources
 	// formerEnded is when the holder before is known to have ended.
 	formerEnded time.Duration
+	// repeated is when stops without effect were looked for last.
+	repeated time.Duration
 	// stored is when a batch was stored last.
 	stored    time.Duration
 	deposed   bool
@@ -443,6 +445,7 @@
 		clear(c.former)
 	}
 	c.orderAway()
+	c.repeatStops()
 	for _, p := range c.pools {
 		for _, j := range p.jobs {
 			if j.next < j.doc.Occurrences() {
--- /dev/null
+++ b/scheduler/core_test.go
@@ -0,0 +1,346 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/machine"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// TestRecordBeforeStart guards against a start that a successor does not know of.
+func TestRecordBeforeStart(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.add("a", 1)
+	qt.Assert(t, r.core.Schedule(r.now), qt.HasLen, 0)
+	b := r.core.Take(100)
+	worker, number, ok := b.Progress["a"].Occurrences[0].Run(0, 0)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, worker, qt.Equals, "w1")
+	qt.Assert(t, number, qt.Equals, 1)
+	r.core.Returned(b)
+	qt.Assert(t, r.core.Schedule(r.now), qt.HasLen, 0)
+	r.store()
+	qt.Assert(t, starts(r.core.Schedule(r.now)), qt.DeepEquals, []string{"a 0.0.0 1 w1"})
+}
+
+// TestStepOrder guards against a step that starts before those it depends on are done.
+func TestStepOrder(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.add("a", 2, 1)
+	orders := r.pass()
+	qt.Assert(t, starts(orders), qt.DeepEquals, []string{"a 0.0.0 1 w1", "a 0.0.1 1 w1"})
+	r.accept(orders)
+	second := r.runs["w1"][1]
+	r.runs["w1"] = r.runs["w1"][:1]
+	r.finish("w1", worker.EndDone)
+	r.runs["w1"] = []worker.Run{second}
+	r.wait(100 * time.Millisecond)
+	r.answer("w1")
+	qt.Assert(t, starts(r.pass()), qt.HasLen, 0)
+	r.finish("w1", worker.EndDone)
+	r.wait(100 * time.Millisecond)
+	r.answer("w1")
+	qt.Assert(t, starts(r.pass()), qt.DeepEquals, []string{"a 0.1.0 1 w1"})
+}
+
+// TestShownWhenStored guards against a job that is shown as finished while a successor would run it again.
+func TestShownWhenStored(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.add("a", 1)
+	r.accept(r.pass())
+	r.finish("w1", worker.EndDone)
+	r.answer("w1")
+	state, _ := r.core.State("a")
+	qt.Assert(t, state, qt.Equals, work.Running)
+	renewal, _ := r.core.Renewal("w1")
+	qt.Assert(t, renewal.Order.Acknowledged, qt.Equals, uint64(0))
+	qt.Assert(t, renewal.Pending, qt.IsTrue)
+	r.store()
+	state, _ = r.core.State("a")
+	qt.Assert(t, state, qt.Equals, work.Finished)
+	renewal, _ = r.core.Renewal("w1")
+	qt.Assert(t, renewal.Order.Acknowledged, qt.Equals, uint64(1))
+}
+
+// TestSilentWorker guards against a lease that each unanswered renewal moves on, so that the tasks never start elsewhere,
+// and against a start elsewhere before the lease has run out.
+func TestSilentWorker(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	r.add("a", 1)
+	orders := r.pass()
+	r.accept(orders)
+	first := orders[0].Target.ID
+	other := map[string]string{"w1": "w2", "w2": "w1"}[first]
+	silent := r.now
+	var again []string
+	for len(again) == 0 && r.now-silent < 10*time.Second {
+		r.wait(200 * time.Millisecond)
+		r.answer(other)
+		_, ok := r.core.Renewal(first)
+		qt.Assert(t, ok, qt.IsTrue)
+		again = starts(r.pass())
+	}
+	qt.Assert(t, again, qt.DeepEquals, []string{"a 0.0.0 2 " + other})
+	qt.Assert(t, r.now-silent >= leaseTerm, qt.IsTrue)
+	qt.Assert(t, r.now-silent <= leaseTerm+renewWithin+time.Second, qt.IsTrue)
+}
+
+// TestFailureCountedOnce guards against an end that a successor counts again after the holder before has stored it.
+func TestFailureCountedOnce(t *testing.T) {
+	r := newRig(t, 2, "w1")
+	progress := work.NewProgress()
+	doc := work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 1000}}}}
+	o := progress.Occurrence(&doc, 0)
+	o.SetRun(0, 0, "w1", 1)
+	o.Steps[0].AddFailure(0, 1)
+	r.core.AddJob(doc, progress, 0)
+	r.ends["w1"] = []worker.End{{Seq: 1, Task: work.Task{Job: "a"}, Number: 1, How: worker.EndFailed}}
+	r.answer("w1")
+	r.store()
+	state, _ := r.core.State("a")
+	qt.Assert(t, state, qt.Equals, work.Running)
+}
+
+// TestAttempts guards against a task that starts after it has failed as often as it may.
+func TestAttempts(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.add("a", 1)
+	for range 2 {
+		r.wait(time.Second)
+		r.answer("w1")
+		orders := r.pass()
+		qt.Assert(t, starts(orders), qt.HasLen, 1)
+		r.accept(orders)
+		r.finish("w1", worker.EndFailed)
+		r.answer("w1")
+	}
+	qt.Assert(t, starts(r.pass()), qt.HasLen, 0)
+	state, _ := r.core.State("a")
+	qt.Assert(t, state, qt.Equals, work.Failed)
+}
+
+// TestAdoptedRunOfCancelledJob guards against a run that goes on after its job was cancelled and the holder has changed.
+func TestAdoptedRunOfCancelledJob(t *testing.T) {
+	r := newRig(t, 2, "w1")
+	r.add("a", 1)
+	r.core.Cancel("a")
+	r.runs["w1"] = []worker.Run{{Task: work.Task{Job: "a"}, Number: 1}}
+	r.answer("w1")
+	qt.Assert(t, stops(r.core.Schedule(r.now)), qt.Equals, 1)
+}
+
+// TestSuccessorWaits guards against a second run of a task while the first one may go on where it cannot be seen.
+func TestSuccessorWaits(t *testing.T) {
+	r := newRig(t, 2, "w1")
+	progress := work.NewProgress()
+	doc := work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 1000}}}}
+	progress.Occurrence(&doc, 0).SetRun(0, 0, "w9", 7)
+	r.core.AddJob(doc, progress, 0)
+	r.add("b", 1)
+	qt.Assert(t, starts(r.pass()), qt.DeepEquals, []string{"b 0.0.0 1001 w1"})
+	for r.now < time.Minute+Tenure+leaseTerm {
+		r.wait(500 * time.Millisecond)
+		r.answer("w1")
+		qt.Assert(t, starts(r.pass()), qt.HasLen, 0)
+	}
+	r.wait(time.Second)
+	r.answer("w1")
+	qt.Assert(t, starts(r.pass()), qt.DeepEquals, []string{"a 0.0.0 1001 w1"})
+}
+
+// TestFormerEnded guards against a wait for the orders of a holder that has ended.
+func TestFormerEnded(t *testing.T) {
+	r := newRig(t, 2, "w1")
+	before := r.core.blindUntil()
+	r.core.FormerEnded()
+	qt.Assert(t, before-r.core.blindUntil(), qt.Equals, Tenure)
+}
+
+// TestOutage guards against a start while the store is away on a worker where a successor does not look.
+func TestOutage(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	r.add("a", 3, 3)
+	orders := r.pass()
+	r.accept(orders)
+	used := orders[0].Target.ID
+	for _, o := range orders {
+		qt.Assert(t, o.Target.ID, qt.Equals, used)
+	}
+	r.finish(used, worker.EndDone)
+	r.wait(time.Second)
+	r.answer("w1")
+	r.answer("w2")
+	r.core.Schedule(r.now)
+	r.wait(outage + 100*time.Millisecond)
+	r.answer("w1")
+	r.answer("w2")
+	for _, s := range starts(r.core.Schedule(r.now)) {
+		qt.Assert(t, s[len(s)-2:], qt.Equals, used)
+	}
+	r.add("b", 1)
+	r.core.Schedule(r.now)
+	r.wait(outage + 100*time.Millisecond)
+	for _, s := range starts(r.core.Schedule(r.now)) {
+		qt.Assert(t, s[:1], qt.Equals, "a")
+	}
+}
+
+// TestStopIsRepeated guards against a run that stays booked for good after a stop without an answer, so that its task never
+// starts again.
+func TestStopIsRepeated(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.add("a", 1)
+	orders := r.pass()
+	qt.Assert(t, starts(orders), qt.HasLen, 1)
+	r.core.Replied(orders[0], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+	again := r.core.Schedule(r.now)
+	qt.Assert(t, starts(again), qt.HasLen, 1)
+	r.core.Replied(again[0], worker.Reply{Outcome: worker.Unhealthy, Clock: r.now}, r.now, nil)
+	stop := r.core.Schedule(r.now)
+	qt.Assert(t, stops(stop), qt.Equals, 1)
+	r.core.Replied(stop[0], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+	r.wait(500 * time.Millisecond)
+	repeated := r.core.Schedule(r.now)
+	qt.Assert(t, stops(repeated), qt.Equals, 1)
+	r.core.Replied(repeated[0], worker.Reply{Clock: r.now}, r.now, nil)
+	var orderedAgain []string
+	for range 10 {
+		r.wait(300 * time.Millisecond)
+		r.answer("w1")
+		orderedAgain = append(orderedAgain, starts(r.pass())...)
+	}
+	qt.Assert(t, orderedAgain, qt.DeepEquals, []string{"a 0.0.0 2 w1"})
+}
+
+// TestRebirth guards against a start without an answer that reaches the next life of a worker under the same ID.
+func TestRebirth(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.add("a", 1)
+	orders := r.pass()
+	r.core.Replied(orders[0], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+	r.core.Schedule(r.now)
+	r.core.Observe("w1", worker.Status{Reply: worker.Reply{Clock: time.Second, Born: rigBorn + 1}}, r.now, nil)
+	after := r.core.Schedule(r.now)
+	qt.Assert(t, stops(after) > 0, qt.IsTrue)
+	qt.Assert(t, starts(after), qt.HasLen, 0)
+}
+
+// TestLimit guards against a tenant with more running than its limit, also through runs on workers that have not answered.
+func TestLimit(t *testing.T) {
+	tests := map[string]struct {
+		former bool
+		want   int
+	}{
+		"all known":         {false, 2},
+		"one run is unseen": {true, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, "w1")
+			doc := work.Job{ID: "a", Queue: "q", Pool: "p", Tenant: "limited", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 1000}}}}
+			if test.former {
+				progress := work.NewProgress()
+				progress.Occurrence(&doc, 0).SetRun(0, 0, "w9", 7)
+				r.core.AddJob(doc, progress, 0)
+			}
+			doc.ID, doc.Steps = "b", []work.Step{{Count: 4, Request: work.Resources{CPU: 1000}}}
+			r.addJob(doc)
+			qt.Assert(t, starts(r.pass()), qt.HasLen, test.want)
+		})
+	}
+}
+
+// TestGang guards against a gang of which only a part starts, and against members with different run numbers.
+func TestGang(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	step := work.Step{Count: 6, Request: work.Resources{CPU: 1000}, Gang: true}
+	r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{step}})
+	r.addJob(work.Job{ID: "b", Queue: "q", Pool: "p", Steps: []work.Step{step}})
+	orders := r.pass()
+	qt.Assert(t, starts(orders), qt.HasLen, 6)
+	for _, o := range orders {
+		qt.Assert(t, o.Start.Task.Job, qt.Equals, orders[0].Start.Task.Job)
+		qt.Assert(t, o.Start.Run, qt.Equals, 1)
+	}
+	r.accept(orders)
+	// One end stands for all members.
+	first := r.runs["w1"][0]
+	r.ends["w1"] = []worker.End{{Seq: 1, Task: first.Task, Number: first.Number, How: worker.EndDone}}
+	r.answer("w1")
+	r.store()
+	state, _ := r.core.State(first.Task.Job)
+	qt.Assert(t, state, qt.Equals, work.Finished)
+}
+
+// TestMaxPerWorker guards against more tasks of a step on a worker than it allows.
+func TestMaxPerWorker(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 3, Request: work.Resources{CPU: 100}, MaxPerWorker: 1}}})
+	on := make(map[string]int)
+	for _, o := range r.pass() {
+		on[o.Target.ID]++
+	}
+	qt.Assert(t, on, qt.DeepEquals, map[string]int{"w1": 1, "w2": 1})
+}
+
+// TestDisruptions guards against a planned stop of a service task while another of its step may be away, such as one on a
+// worker that has not been heard of.
+func TestDisruptions(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{
+		Count: 2, Request: work.Resources{CPU: 100}, MaxPerWorker: 1, Service: true, Disruptions: 1,
+	}}})
+	r.accept(r.pass())
+	r.answer("w1")
+	r.answer("w2")
+	first := j.open[0].steps[0].tasks[0].runs[0]
+	qt.Assert(t, r.core.mayDisrupt(first), qt.IsTrue)
+	r.wait(servingAge + time.Millisecond)
+	r.answer(first.on.report.ID)
+	qt.Assert(t, r.core.mayDisrupt(first), qt.IsFalse)
+}
+
+// TestEmptyMachine guards against an order for a machine whose worker runs tasks that are not known.
+func TestEmptyMachine(t *testing.T) {
+	r := newRig(t, 2, "w1")
+	r.list("w1", "w2")
+	tests := map[string]struct {
+		worker string
+		want   bool
+	}{
+		"switched off":     {"", true},
+		"answered":         {"w1", true},
+		"has not answered": {"w2", false},
+		"is not known":     {"w3", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, r.core.empty(machine.Machine{ID: "m", Worker: test.worker}), qt.Equals, test.want)
+		})
+	}
+}
+
+// TestFormerOrders guards against orders of two holders for one machine.
+func TestFormerOrders(t *testing.T) {
+	r := newRig(t, 2, "w1")
+	r.core.SetFormerOrders(map[string]time.Duration{"m1": r.now})
+	qt.Assert(t, r.core.mayOrder("m1"), qt.IsFalse)
+	qt.Assert(t, r.core.mayOrder("m2"), qt.IsTrue)
+	r.wait(Tenure + machineTimeout)
+	qt.Assert(t, r.core.mayOrder("m1"), qt.IsFalse)
+	r.wait(time.Second)
+	qt.Assert(t, r.core.mayOrder("m1"), qt.IsTrue)
+}
+
+// TestDeposed guards against orders of a holder after a worker has seen a higher fencing token.
+func TestDeposed(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.core.Observe("w1", worker.Status{Reply: worker.Reply{Outcome: worker.Fenced}}, r.now, nil)
+	r.add("a", 1)
+	qt.Assert(t, r.pass(), qt.HasLen, 0)
+	qt.Assert(t, r.core.Deposed(), qt.IsTrue)
+}
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -376,8 +376,20 @@
 		r.percent, r.moved = row.Percent, c.now
 	}
 	r.load = row.Load
-	if r.phase == stopping && c.now-r.stopped > c.o.Bounds.StopTimeout+stopRepeat {
-		c.orderStop(r)
+}
+
+// repeatStops orders the stops again that had no effect for long. The run may not be there at all.
+func (c *Core) repeatStops() {
+	if c.now-c.repeated < stopRepeat/10 {
+		return
+	}
+	c.repeated = c.now
+	for _, h := range c.hosts {
+		for _, r := range h.runs {
+			if r.phase == stopping && c.now-r.stopped > c.o.Bounds.StopTimeout+stopRepeat {
+				c.orderStop(r)
+			}
+		}
 	}
 }
 
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -270,8 +270,8 @@
 	c.logger.Warn("Stop was not confirmed.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.on.report.ID,
 		"outcome", reply.Outcome.String(), "error", err)
 	if reply.Outcome == worker.Unknown || reply.Outcome == worker.Unhealthy {
-		// The sweep repeats the stop.
-		r.stopped = c.now - stopRepeat
+		// The stop is repeated soon.
+		r.stopped = c.now - c.o.Bounds.StopTimeout - stopRepeat + orderPause
 	}
 }
 
--- /dev/null
+++ b/store/memory/memory.go
@@ -0,0 +1,149 @@
+// Package memory is a stand-in for the transactional store that keeps its rows in memory, with faults for tests.
+//
+// # Usage
+//
+//	s := memory.New()
+//	s.Fail(func(tx store.Tx) memory.Fault { return memory.LoseAnswer })
+package memory
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/store"
+)
+
+// Fault is what goes wrong with a call.
+type Fault int
+
+// Faults of a call.
+const (
+	None Fault = iota
+	// Refuse means that the call is not carried out and says so.
+	Refuse
+	// LoseCall means that the call is not carried out and gets no answer.
+	LoseCall
+	// LoseAnswer means that the call is carried out and gets no answer.
+	LoseAnswer
+)
+
+// Store keeps rows in memory. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[store.Key]store.Row
+	version uint64
+	// kept is the version from which on changes are known.
+	kept  uint64
+	fault func(tx *store.Tx) Fault
+	calls int
+}
+
+var _ store.Store = (*Store)(nil)
+
+// New returns an empty store.
+func New() *Store { return &Store{rows: make(map[store.Key]store.Row)} }
+
+// Fail lets f choose the fault of each call. Its argument is nil for a read.
+func (s *Store) Fail(f func(tx *store.Tx) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = s.version
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) choose(tx *store.Tx) Fault {
+	s.calls++
+	if s.fault == nil {
+		return None
+	}
+	return s.fault(tx)
+}
+
+// Commit implements [store.Store].
+func (s *Store) Commit(_ context.Context, tx store.Tx) (store.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fault := s.choose(&tx)
+	switch fault {
+	case Refuse:
+		return store.Result{}, store.ErrNotDone
+	case LoseCall:
+		return store.Result{}, store.ErrUnknown
+	}
+	result := store.Result{Version: s.version, Now: clock.Now()}
+	for _, e := range tx.Expected {
+		if s.rows[e.Key].Version != e.Version || s.rows[e.Key].Deleted {
+			result.Current = append(result.Current, s.rows[e.Key])
+		}
+	}
+	if len(result.Current) > 0 {
+		if fault == LoseAnswer {
+			return store.Result{}, store.ErrUnknown
+		}
+		return result, store.ErrConflict
+	}
+	s.version++
+	for _, p := range tx.Puts {
+		s.rows[p.Key] = store.Row{Key: p.Key, Value: slices.Clone(p.Value), Version: s.version}
+	}
+	for _, k := range tx.Removes {
+		s.rows[k] = store.Row{Key: k, Version: s.version, Deleted: true}
+	}
+	if fault == LoseAnswer {
+		return store.Result{}, store.ErrUnknown
+	}
+	result.Version = s.version
+	return result, nil
+}
+
+// Scan implements [store.Store].
+func (s *Store) Scan(_ context.Context, table, part, from, to string) (store.Rows, error) {
+	return s.read(func(r store.Row) bool {
+		return r.Table == table && r.Part == part && !r.Deleted && r.Name >= from && (to == "" || r.Name < to)
+	}, func(a, b store.Row) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Changes implements [store.Store]. It does not wait.
+func (s *Store) Changes(_ context.Context, table string, after uint64, _ time.Duration) (store.Rows, error) {
+	s.mu.Lock()
+	gone := after < s.kept
+	s.mu.Unlock()
+	if gone {
+		return store.Rows{}, store.ErrHistoryGone
+	}
+	return s.read(func(r store.Row) bool { return r.Table == table && r.Version > after },
+		func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
+}
+
+func (s *Store) read(match func(store.Row) bool, order func(a, b store.Row) int) (store.Rows, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.choose(nil) != None {
+		return store.Rows{}, store.ErrNotDone
+	}
+	rows := store.Rows{Version: s.version, Now: clock.Now()}
+	for _, r := range s.rows {
+		if match(r) {
+			rows.Rows = append(rows.Rows, r)
+		}
+	}
+	slices.SortFunc(rows.Rows, order)
+	return rows, nil
+}
