--- a/commands/serve.go
+++ b/commands/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/chivetiller/chivetiller/common/logging"
 	"github.com/chivetiller/chivetiller/intake"
+	"github.com/chivetiller/chivetiller/metrics"
 	"github.com/chivetiller/chivetiller/node"
 	"github.com/chivetiller/chivetiller/platform"
 )
@@ -22,10 +23,14 @@
 	logLines = 8192
 	// memoryShare is the part of the memory limit at which the runtime collects garbage harder.
 	memoryShare = 0.7
+	// defaultMetricsPort is outside of the ports that the deployments use for calls.
+	defaultMetricsPort = 9464
+	maxPort            = 65535
 )
 
 func newServeCommand() *cobra.Command {
 	var file, level string
+	var metricsPort int
 	cmd := &cobra.Command{
 		Use:   "serve",
 		Short: "Run a process on the users' platform",
@@ -42,19 +47,24 @@
 			if file == "" {
 				return newUsageError(eris.Errorf("neither --settings nor %s names a settings file", platform.SettingsVariable))
 			}
-			return runServe(cmd, file, level)
+			return runServe(cmd, file, level, metricsPort)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file of the platform (default: the file that "+platform.SettingsVariable+" names)")
 	cmd.Flags().StringVar(&level, "log-level", "info", "least level of log lines: debug, info, warn or error")
+	cmd.Flags().IntVar(&metricsPort, "metrics-port", defaultMetricsPort, "port of the metrics, on the address of the settings")
 	return cmd
 }
 
-func runServe(cmd *cobra.Command, file, level string) error {
+func runServe(cmd *cobra.Command, file, level string, metricsPort int) error {
 	s, err := platform.LoadSettings(file)
 	if err != nil {
 		return newUsageError(err)
 	}
+	if metricsPort < 1 || metricsPort > maxPort {
+		return newUsageError(eris.Errorf("metrics port %d is not between 1 and %d", metricsPort, maxPort))
+	}
+	s.MetricsPort = metricsPort
 	out := logging.NewBuffered(cmd.OutOrStdout(), logLines)
 	defer out.Close()
 	logger, err := logging.New(out, level, "text")
@@ -68,8 +78,9 @@
 	d := node.Dependencies{
 		Store: platform.NewStore(client, s.Store), Orders: platform.NewWorkers(client), Machines: platform.NewMachines(client, s.Machines),
 		Advisor: platform.NewAdvisor(client, s.Advice), Registry: platform.Registry{}, Decoder: platform.Operator{},
-		Jobs:   func(i *intake.Intake) http.Handler { return platform.NewJobs(i) },
-		Logger: logger,
+		Jobs:         func(i *intake.Intake, m *metrics.Jobs) http.Handler { return platform.NewJobs(i, m) },
+		DroppedLines: out.Dropped,
+		Logger:       logger,
 	}
 	n, err := node.New(s, d)
 	if err != nil {
--- a/node/listener.go
+++ b/node/listener.go
@@ -8,8 +8,6 @@
 	"time"
 
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/kernel"
@@ -55,9 +53,3 @@
 		},
 	}
 }
-
-// metricsHandler serves the metrics of the process.
-func (n *Node) metricsHandler() http.Handler {
-	registry := prometheus.NewRegistry()
-	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
-}
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/machine"
 	"github.com/chivetiller/chivetiller/member"
+	"github.com/chivetiller/chivetiller/metrics"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/worker"
@@ -59,8 +60,10 @@
 	Registry scheduler.Registry
 	Decoder  catalog.Decoder
 	// Jobs returns the interface for clients over an intake.
-	Jobs   func(*intake.Intake) http.Handler
-	Logger hclog.Logger
+	Jobs func(*intake.Intake, *metrics.Jobs) http.Handler
+	// DroppedLines returns how many log lines were dropped.
+	DroppedLines func() uint64
+	Logger       hclog.Logger
 }
 
 // Node is one process.
@@ -75,6 +78,7 @@
 	peers    *peers
 	duty     *duty
 	intake   *intake.Intake
+	metrics  *metrics.Jobs
 	stopping chan struct{}
 }
 
@@ -84,6 +88,9 @@
 		d.Logger = hclog.NewNullLogger()
 	}
 	n := &Node{s: s, d: d, logger: d.Logger, kernel: kernel.New(d.Logger), clock: &store.Clock{}, stopping: make(chan struct{})}
+	n.metrics = metrics.NewJobs(n.stats)
+	n.d.Store = n.metrics.Store(d.Store)
+	d.Store = n.d.Store
 	n.members = member.New(member.Options{Store: d.Store, Clock: n.clock, Logger: d.Logger, Self: member.Node{
 		Name: s.Name, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Zone: s.Zone, Incarnation: ident.New(),
 	}})
@@ -102,11 +109,11 @@
 	metricsAddress := net.JoinHostPort(n.s.IP, strconv.Itoa(n.s.MetricsPort))
 	services := []kernel.Service{
 		n.httpService("peers", peerAddress, n.peers.handler(), peerDrain, nil),
-		n.httpService("metrics", metricsAddress, n.metricsHandler(), 0, nil),
+		n.httpService("metrics", metricsAddress, n.metrics.Handler(), 0, nil),
 		{Name: "catalog", Value: n.source, Start: start(n.source.Start), Stop: stop(n.source.Stop)},
 		{Name: "members", Value: n.members, Start: start(n.members.Start), Stop: stop(n.members.Stop)},
 		{Name: "duty", Needs: []string{"members", "catalog"}, Value: n.duty, Start: start(n.duty.Start), Stop: stop(n.duty.Stop)},
-		n.httpService("front", n.s.Front, n.d.Jobs(n.intake), n.frontDrain(), []string{"duty", "peers"}),
+		n.httpService("front", n.s.Front, n.d.Jobs(n.intake, n.metrics), n.frontDrain(), []string{"duty", "peers"}),
 		n.httpService("ready", n.s.Ready, http.HandlerFunc(n.ready), 0, []string{"front"}),
 	}
 	for _, s := range services {
@@ -191,3 +198,36 @@
 	}
 	return nil
 }
+
+// stats reads the state of the process for its metrics.
+func (n *Node) stats(ctx context.Context) metrics.JobStats {
+	s := metrics.JobStats{
+		ConfigVersion: float64(n.source.Current().Version), ConfigAge: n.source.Age(), Nodes: float64(len(n.members.Live())),
+		Jobs: make(map[string]float64), Workers: make(map[string]float64), Runs: make(map[string]float64),
+	}
+	if n.d.DroppedLines != nil {
+		s.DroppedLines = float64(n.d.DroppedLines())
+	}
+	engine, ok := n.duty.Engine()
+	if !ok {
+		return s
+	}
+	s.Holds, s.Tenure = 1, float64(engine.Tenure())
+	counts, err := engine.Counts(ctx)
+	if err != nil {
+		n.logger.Warn("State of the scheduler cannot be read for a scrape.", "error", err)
+		return s
+	}
+	for state, count := range counts.Jobs {
+		s.Jobs[state] = float64(count)
+	}
+	for state, count := range counts.Workers {
+		s.Workers[state] = float64(count)
+	}
+	for event, count := range map[string]uint64{
+		"started": counts.Started, "done": counts.Done, "failed": counts.Failed, "stopped": counts.Stopped, "lost": counts.Lost, "refused": counts.Refused,
+	} {
+		s.Runs[event] = float64(count)
+	}
+	return s
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -32,9 +32,23 @@
 	Began time.Duration
 	// Handed means that the holder before gave the duty back and sends no more orders.
 	Handed bool
-	Logger hclog.Logger
+	// Observer is told of the stages of jobs. It may be nil.
+	Observer Observer
+	Logger   hclog.Logger
 }
 
+// Observer is told of the stages of jobs.
+type Observer interface {
+	// Stage notes that a job of a queue has reached a stage, so long after it was accepted.
+	Stage(queue, stage string, after time.Duration)
+}
+
+// Stages of a job.
+const (
+	StageStarted = "started"
+	StageEnded   = "ended"
+)
+
 // OrderKind is the kind of an order to a worker.
 type OrderKind int
 
@@ -95,9 +109,12 @@
 	questions []Question
 }
 
-// Counts are totals for metrics.
+// Counts are totals of the term for metrics.
 type Counts struct {
 	Started, Done, Failed, Stopped, Lost, Refused uint64
+	// Jobs counts jobs by state, and Workers workers.
+	Jobs    map[string]int
+	Workers map[string]int
 }
 
 // NewCore returns a core without jobs and workers.
@@ -129,8 +146,45 @@
 // Deposed reports whether a worker has seen a higher fencing token.
 func (c *Core) Deposed() bool { return c.deposed }
 
-// Counts returns the totals.
-func (c *Core) Counts() Counts { return c.counts }
+// Counts returns the totals and the present state.
+func (c *Core) Counts() Counts {
+	counts := c.counts
+	counts.Jobs, counts.Workers = make(map[string]int), make(map[string]int)
+	for id := range c.jobs {
+		if state, ok := c.State(id); ok {
+			counts.Jobs[state.String()]++
+		}
+	}
+	for _, h := range c.hosts {
+		counts.Workers[c.describe(h)]++
+	}
+	return counts
+}
+
+// describe names the state of a worker.
+func (c *Core) describe(h *host) string {
+	switch {
+	case !h.touched:
+		return "notReached"
+	case h.lapsed:
+		return "lapsed"
+	case h.report.Draining:
+		return "leaving"
+	case h.reserved:
+		return "drained"
+	case h.health.quarantined(c.now):
+		return "quarantined"
+	case !h.listed:
+		return "notListed"
+	}
+	return "inUse"
+}
+
+func (c *Core) observe(j *job, stage string) {
+	if c.o.Observer != nil {
+		c.o.Observer.Stage(j.doc.Queue, stage, c.now-j.accepted)
+	}
+}
 
 func (c *Core) pool(name string) *pool {
 	p, ok := c.pools[name]
@@ -412,6 +466,7 @@
 	for i, j := range b.jobs {
 		j.stored = b.states[i]
 		if j.stored.Ended() {
+			c.observe(j, StageEnded)
 			c.logger.Info("End of the job is stored.", "job", j.doc.ID, "state", j.stored.String(), "after", c.now-j.accepted, "reason", j.progress.Reason)
 		}
 	}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -199,6 +199,9 @@
 // Fence returns the fencing token of the term.
 func (e *Engine) Fence() uint64 { return e.o.Core.Fence }
 
+// Tenure returns the number of the term.
+func (e *Engine) Tenure() int { return e.o.Core.Tenure }
+
 // holds reports whether orders may be given.
 func (e *Engine) holds() bool { return e.ctx.Err() == nil && e.o.Duty.Holds(e.o.Core.Fence) }
 
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -33,6 +33,9 @@
 	}
 	r.phase, r.since = starting, c.now
 	j := r.step.job
+	if !j.begun {
+		c.observe(j, StageStarted)
+	}
 	j.begun = true
 	c.counts.Started++
 	c.logger.Info("Task is started.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.on.report.ID,
