Register the metrics without reading the process, and test the whole path over three processes

A process panicked at its start, since registering the collector read parts that were not made yet. The test runs three processes over one store and stops the one that decides.

--- a/metrics/jobs.go
+++ b/metrics/jobs.go
@@ -146,7 +146,11 @@
 )
 
 // Describe implements [prometheus.Collector].
-func (c *jobCollector) Describe(out chan<- *prometheus.Desc) { prometheus.DescribeByCollect(c, out) }
+func (c *jobCollector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{descHolds, descTenure, descVersion, descAge, descNodes, descDropped, descJobs, descWorkers, descRuns} {
+		out <- d
+	}
+}
 
 // Collect implements [prometheus.Collector].
 func (c *jobCollector) Collect(out chan<- prometheus.Metric) {
--- /dev/null
+++ b/node/node_integration_test.go
@@ -0,0 +1,233 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/advice"
+	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/intake"
+	"github.com/chivetiller/chivetiller/machine"
+	"github.com/chivetiller/chivetiller/metrics"
+	"github.com/chivetiller/chivetiller/scheduler"
+	"github.com/chivetiller/chivetiller/store"
+	"github.com/chivetiller/chivetiller/store/memory"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// fakeWorkers run each task for a moment and keep the starts of all time.
+type fakeWorkers struct {
+	mu      sync.Mutex
+	fence   uint64
+	running map[work.Task]worker.Run
+	ended   []worker.End
+	starts  map[work.Task]int
+}
+
+const fakeRunTime = 30 * time.Millisecond
+
+func (f *fakeWorkers) reply() worker.Reply { return worker.Reply{Clock: clock.Now(), Born: 1} }
+
+func (f *fakeWorkers) Start(_ context.Context, _ worker.Target, o worker.StartOrder) (worker.Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o.Fence < f.fence {
+		return worker.Reply{Outcome: worker.Fenced, Clock: clock.Now()}, nil
+	}
+	if _, ok := f.running[o.Task]; ok {
+		return f.reply(), nil
+	}
+	f.starts[o.Task]++
+	f.running[o.Task] = worker.Run{Task: o.Task, Number: o.Run}
+	time.AfterFunc(fakeRunTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.running, o.Task)
+		f.ended = append(f.ended, worker.End{Seq: uint64(len(f.ended) + 1), Task: o.Task, Number: o.Run, How: worker.EndDone})
+	})
+	return f.reply(), nil
+}
+
+func (f *fakeWorkers) Stop(context.Context, worker.Target, worker.RunOrder) (worker.Reply, error) {
+	return f.reply(), nil
+}
+
+func (f *fakeWorkers) Pace(context.Context, worker.Target, worker.RunOrder) (worker.Reply, error) {
+	return f.reply(), nil
+}
+
+func (f *fakeWorkers) Renew(ctx context.Context, _ worker.Target, o worker.RenewOrder) (worker.Status, error) {
+	limit := time.Now().Add(min(o.Wait, 20*time.Millisecond))
+	for {
+		f.mu.Lock()
+		f.fence = max(f.fence, o.Fence)
+		s := worker.Status{Reply: f.reply()}
+		for _, r := range f.running {
+			s.Running = append(s.Running, r)
+		}
+		for _, e := range f.ended {
+			if e.Seq > o.Acknowledged {
+				s.Ended = append(s.Ended, e)
+			}
+		}
+		f.mu.Unlock()
+		if len(s.Ended) > 0 || time.Now().After(limit) || ctx.Err() != nil {
+			return s, ctx.Err()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+type fakeRegistry struct{}
+
+func (fakeRegistry) Table() (table, part string) { return "workers", "" }
+
+func (fakeRegistry) Decode(row store.Row) (worker.Report, error) {
+	return worker.Report{ID: row.Name, Pool: "p", Address: row.Name, Capacity: work.Resources{CPU: 8000, Memory: 8000}, Born: 1}, nil
+}
+
+type fakeDecoder struct{}
+
+func (fakeDecoder) Table() string             { return "op" }
+func (fakeDecoder) ConfigRow() store.Key      { return store.Key{Table: "op", Name: "config"} }
+func (fakeDecoder) IsWave(row store.Row) bool { return strings.HasPrefix(row.Name, "wave") }
+
+func (fakeDecoder) DecodeConfig([]byte) (*catalog.Catalog, error) {
+	return catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 2, Goal: time.Second, Public: true}},
+		[]catalog.Pool{{Name: "p"}}, nil), nil
+}
+
+func (fakeDecoder) DecodeWave(store.Row) (machine.Wave, error) { return machine.Wave{}, nil }
+
+func (fakeDecoder) WaveStatus(row store.Key, _ bool) store.Put {
+	return store.Put{Key: store.Key{Table: "status", Name: row.Name}, Value: []byte("{}")}
+}
+
+type noMachines struct{}
+
+func (noMachines) List(context.Context) ([]machine.Machine, error) { return nil, nil }
+func (noMachines) Move(context.Context, machine.Claim, string, string) (machine.Outcome, error) {
+	return machine.Refused, nil
+}
+func (noMachines) Maintain(context.Context, machine.Claim, string, int) (machine.Outcome, error) {
+	return machine.Refused, nil
+}
+
+type noAdvice struct{}
+
+func (noAdvice) Advise(context.Context, string, int, int, []string) (advice.Grant, error) {
+	return advice.Grant{}, nil
+}
+
+// cluster is some processes over one store and one set of workers.
+type cluster struct {
+	store   *memory.Store
+	workers *fakeWorkers
+	nodes   []*Node
+}
+
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{store: memory.New(), workers: &fakeWorkers{running: make(map[work.Task]worker.Run), starts: make(map[work.Task]int)}}
+	_, err := c.store.Commit(t.Context(), store.Tx{Puts: []store.Put{
+		{Key: fakeDecoder{}.ConfigRow(), Value: []byte("x")}, {Key: store.Key{Table: "workers", Name: "w1"}, Value: []byte("x")},
+	}})
+	qt.Assert(t, err, qt.IsNil)
+	for i := range size {
+		address := func() string { return fmt.Sprintf("127.0.0.1:%d", freePort(t)) }
+		s := Settings{
+			Name: fmt.Sprintf("n%d", i), IP: "127.0.0.1", Zone: "z", Front: address(), Ready: address(), PeerPort: freePort(t), MetricsPort: freePort(t),
+			Bounds: scheduler.Bounds{MaxLease: 10 * time.Second, Config: 2 * time.Second, ConfigStretch: 5 * time.Second, Retention: time.Minute, Grace: 4 * time.Second},
+		}
+		n, err := New(s, Dependencies{
+			Store: c.store, Orders: c.workers, Machines: noMachines{}, Advisor: noAdvice{}, Registry: fakeRegistry{}, Decoder: fakeDecoder{},
+			Jobs: func(*intake.Intake, *metrics.Jobs) http.Handler { return http.NotFoundHandler() },
+		})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, n.Start(t.Context()), qt.IsNil)
+		c.nodes = append(c.nodes, n)
+	}
+	return c
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, limit time.Duration, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("condition does not hold after %s", limit)
+		}
+	}
+}
+
+func (c *cluster) submit(t *testing.T, n *Node, id string) {
+	a, outcome := n.intake.Admit("h", "/q/"+id, "")
+	qt.Assert(t, outcome, qt.Equals, intake.OK)
+	job := work.Job{ID: id, Steps: []work.Step{
+		{Count: 3, Request: work.Resources{CPU: 1000}, Estimate: fakeRunTime}, {Count: 2, Request: work.Resources{CPU: 1000}, Estimate: fakeRunTime, After: []int{0}},
+	}}
+	qt.Assert(t, n.intake.Submit(t.Context(), a, job), qt.Equals, intake.OK)
+}
+
+func finished(t *testing.T, n *Node, id string) bool {
+	state, outcome := n.intake.State(t.Context(), intake.Admission{}, id)
+	return outcome == intake.OK && state == work.Finished
+}
+
+// TestServe guards against a whole path that does not hold together: jobs accepted by any process run once and are shown
+// as finished by all, also after the process that decides has been stopped.
+func TestServe(t *testing.T) {
+	c := newCluster(t, 3)
+	for _, n := range c.nodes {
+		eventually(t, 5*time.Second, func() bool { return n.Ready() == nil })
+	}
+	eventually(t, 5*time.Second, func() bool { _, ok := c.nodes[0].members.Holder(); return ok })
+	for i, n := range c.nodes {
+		c.submit(t, n, fmt.Sprintf("job%d", i))
+	}
+	for i := range c.nodes {
+		for _, n := range c.nodes {
+			eventually(t, 5*time.Second, func() bool { return finished(t, n, fmt.Sprintf("job%d", i)) })
+		}
+	}
+	response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", c.nodes[0].s.MetricsPort))
+	qt.Assert(t, err, qt.IsNil)
+	body, err := io.ReadAll(response.Body)
+	response.Body.Close()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(body), qt.Contains, "chivetiller_store_call_seconds_bucket")
+
+	holder := slices.IndexFunc(c.nodes, func(n *Node) bool { _, holds := n.duty.Engine(); return holds })
+	qt.Assert(t, holder >= 0, qt.IsTrue)
+	qt.Assert(t, c.nodes[holder].Stop(context.Background()), qt.IsNil)
+	left := slices.Delete(c.nodes, holder, holder+1)
+	c.submit(t, left[0], "after")
+	for _, n := range left {
+		eventually(t, 8*time.Second, func() bool { return finished(t, n, "after") && finished(t, n, "job0") })
+		defer func() { qt.Assert(t, n.Stop(context.Background()), qt.IsNil) }()
+	}
+	c.workers.mu.Lock()
+	defer c.workers.mu.Unlock()
+	qt.Assert(t, len(c.workers.starts), qt.Equals, 20)
+	for task, n := range c.workers.starts {
+		qt.Assert(t, n, qt.Equals, 1, qt.Commentf("starts of %v", task))
+	}
+}
