Bound the passes of the scheduler, drop dead workers from the roster, give the duty to the strongest node

Passes now take at most a quarter of the time, pools without a change are not planned, the remaining work is cached, and workers that never answer are forgotten after 5 s.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -71,8 +71,8 @@
 	if err != nil {
 		return newUsageError(err)
 	}
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	}
 	client := platform.NewClient()
 	d := node.Dependencies{
--- a/member/member.go
+++ b/member/member.go
@@ -60,6 +60,8 @@
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// Count grows with each beat.
 	Count uint64 `cbor:"7,keyasint"`
+	// Cores is the processor share of the node. The strongest node takes the duty.
+	Cores float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // holderRow is the row of the duty. Its version is the fencing token.
@@ -302,7 +304,7 @@
 	return now-max(s.changed, m.steady) < deadAfter || now-m.looked > watchGap
 }
 
-// Live returns the live nodes in the order of their names.
+// Live returns the live nodes, the strongest first.
 func (m *Member) Live() []Node {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -316,7 +318,7 @@
 			live = append(live, s.node)
 		}
 	}
-	slices.SortFunc(live, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(live, func(a, b Node) int { return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name)) })
 	return live
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -46,8 +46,10 @@
 	Store    string
 	Machines string
 	Advice   string
-	// MemoryMB is the memory above which the process is killed.
-	MemoryMB int64
+	// Memory is the memory in bytes above which the process is killed, and 0 if there is no bound.
+	Memory int64
+	// Cores is the processor share of the process.
+	Cores float64
 	Bounds   scheduler.Bounds
 }
 
@@ -92,7 +94,7 @@
 	n.d.Store = n.metrics.Store(d.Store)
 	d.Store = n.d.Store
 	n.members = member.New(member.Options{Store: d.Store, Clock: n.clock, Logger: d.Logger, Self: member.Node{
-		Name: s.Name, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Zone: s.Zone, Incarnation: ident.New(),
+		Name: s.Name, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Zone: s.Zone, Incarnation: ident.New(), Cores: s.Cores,
 	}})
 	n.peers = newPeers(n)
 	n.source = catalog.NewSource(catalog.SourceOptions{Store: d.Store, Clock: n.clock, Decoder: d.Decoder, Peers: n.peers, Logger: d.Logger})
@@ -147,7 +149,7 @@
 
 // Start starts all services.
 func (n *Node) Start(ctx context.Context) error {
-	n.logger.Info("Process starts.", "node", n.s.Name, "zone", n.s.Zone, "front", n.s.Front, "store", n.s.Store, "memory", n.s.MemoryMB)
+	n.logger.Info("Process starts.", "node", n.s.Name, "zone", n.s.Zone, "front", n.s.Front, "store", n.s.Store, "memory", n.s.Memory, "cores", n.s.Cores)
 	if err := n.kernel.Start(ctx); err != nil {
 		return eris.Wrap(err, "start the process")
 	}
--- /dev/null
+++ b/scheduler/bench_test.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// benchCore returns a core with workers in pools of at most 85, and a backlog of jobs in each.
+func benchCore(workers, backlog int) (*Core, time.Duration) {
+	const perPool = 85
+	now := time.Minute
+	c := NewCore(Options{Bounds: rigBounds(), Fence: 1, Tenure: 1, Began: now})
+	pools := (workers + perPool - 1) / perPool
+	var queues []catalog.Queue
+	for p := range pools {
+		queues = append(queues, catalog.Queue{Name: fmt.Sprint("q", p), Pool: fmt.Sprint("p", p), Attempts: 2, Stretch: 1.6, Goal: 600 * time.Millisecond})
+	}
+	c.SetCatalog(catalog.New(1, 0, queues, nil, nil))
+	reports := make([]worker.Report, workers)
+	for i := range reports {
+		reports[i] = worker.Report{
+			ID: fmt.Sprint("w", i), Pool: fmt.Sprint("p", i%pools), Address: "a", Born: 1,
+			Capacity: work.Resources{CPU: 64000, Memory: 262144},
+		}
+	}
+	c.SetWorkers(reports)
+	for _, r := range reports {
+		for range 2 {
+			c.Renewal(r.ID)
+			c.Observe(r.ID, worker.Status{Reply: worker.Reply{Clock: now, Born: 1}}, now, nil)
+		}
+	}
+	for i := range backlog {
+		c.AddJob(benchJob(i, pools), nil, 0)
+	}
+	return c, now
+}
+
+func benchJob(i, pools int) work.Job {
+	step := work.Step{Count: 8, Request: work.Resources{CPU: 3500, Memory: 13000}, Estimate: 800 * time.Millisecond}
+	next := step
+	next.After = []int{0}
+	return work.Job{ID: fmt.Sprintf("%016x", i), Queue: fmt.Sprint("q", i%pools), Pool: fmt.Sprint("p", i%pools), Steps: []work.Step{step, next}}
+}
+
+// BenchmarkPass measures one pass over full pools with a backlog of jobs, in which nothing can be started.
+func BenchmarkPass(b *testing.B) {
+	for _, workers := range []int{41, 370, 3700} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			c, now := benchCore(workers, workers*8)
+			c.Schedule(now)
+			c.Committed(c.Take(1 << 20))
+			c.Schedule(now)
+			b.ReportAllocs()
+			for b.Loop() {
+				for _, p := range c.pools {
+					p.dirty = true
+				}
+				c.Schedule(now)
+			}
+		})
+	}
+}
+
+// BenchmarkPlace measures placing the tasks of a job that comes to pools with room.
+func BenchmarkPlace(b *testing.B) {
+	for _, workers := range []int{41, 370, 3700} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			c, now := benchCore(workers, 0)
+			pools := len(c.pools)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				c.AddJob(benchJob(i, pools), nil, 0)
+				c.Schedule(now)
+				b.StopTimer()
+				c.Cancel(fmt.Sprintf("%016x", i))
+				c.plans = nil
+				i++
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(8*i), "µs/task")
+		})
+	}
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -207,7 +207,7 @@
 	progress.Normalize()
 	j := &job{
 		doc: doc, progress: progress, stored: progress.State, open: make(map[int]*occurrence),
-		accepted: c.now - max(0, storeNow-doc.Accepted), begun: len(progress.Occurrences)+len(progress.Complete) > 0,
+		chain: doc.Chain(), accepted: c.now - max(0, storeNow-doc.Accepted), begun: len(progress.Occurrences)+len(progress.Complete) > 0,
 	}
 	for i := range doc.Steps {
 		j.service = j.service || doc.Steps[i].Service
@@ -220,6 +220,7 @@
 	}
 	p := c.pool(doc.Pool)
 	p.jobs = append(p.jobs, j)
+	p.dirty = true
 	c.openDue(j)
 	c.noteFormer(j)
 	if !j.service && c.now-j.accepted < rateWindow {
@@ -290,6 +291,7 @@
 			continue
 		}
 		j.open[k] = newOccurrence(j, k, due)
+		c.pool(j.doc.Pool).dirty = true
 	}
 }
 
@@ -365,6 +367,8 @@
 	}
 	t.done = true
 	s.left--
+	s.occurrence.known = false
+	c.pool(s.job.doc.Pool).dirty = true
 	if len(t.runs) == 0 {
 		s.idle--
 	}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -22,8 +22,9 @@
 const (
 	// idleTick is the time between two passes without an event.
 	idleTick = 20 * time.Millisecond
-	// passInterval is the least time between two passes. A pass over 41 workers takes well below a millisecond.
+	// passInterval is the least time between two passes, and passShare the part of the time that passes may take.
 	passInterval = 3 * time.Millisecond
+	passShare    = 0.25
 	// commitInterval is the least time between two batches, which bounds the priced calls to 50 a second.
 	commitInterval = 20 * time.Millisecond
 	// commitTimeout bounds one batch. A slow store takes up to 0.5 s.
@@ -40,6 +41,8 @@
 	renewTimeout = 500 * time.Millisecond
 	// renewPause is the time after a renewal that failed.
 	renewPause = 150 * time.Millisecond
+	// silentPause is the same for a worker that has not answered for a while.
+	silentPause = 600 * time.Millisecond
 	// ackWait is the longest wait for the ends of a worker to be stored before its lease is renewed all the same.
 	ackWait = 200 * time.Millisecond
 	// registryInterval is the time between two looks at the registry of workers, which show the machines that join a pool.
@@ -113,6 +116,7 @@
 	committing bool
 	committed  time.Duration
 	lastPass   time.Duration
+	passTook   time.Duration
 	batch      uint64
 	chain      uint64
 	stored     chan struct{}
@@ -278,16 +282,17 @@
 		select {
 		case f := <-e.inbox:
 			e.handle(f)
-			wait = passInterval - (clock.Now() - e.lastPass)
+			wait = max(passInterval, time.Duration(float64(e.passTook)/passShare)) - (clock.Now() - e.lastPass)
 		case <-timer.C:
 		case <-e.ctx.Done():
 			return
 		}
-		if wait > 0 && wait < idleTick {
+		if wait > 0 && wait != idleTick {
 			timer.Reset(wait)
 			continue
 		}
 		e.pass()
+		e.passTook = clock.Now() - e.lastPass
 		timer.Reset(idleTick)
 	}
 }
@@ -403,7 +408,10 @@
 		status, err := e.o.Orders.Renew(ctx, r.Target, r.Order)
 		cancel()
 		e.post(func(c *Core) { c.Observe(id, status, sent, err) })
-		if err != nil {
+		switch {
+		case err != nil && r.Silent:
+			e.sleep(silentPause)
+		case err != nil:
 			e.sleep(renewPause)
 		}
 	}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -15,6 +15,8 @@
 	machineRetry = time.Second
 	// drainPatience is how long tasks may go on running on a machine that is due for maintenance.
 	drainPatience = 4 * time.Second
+	// listLag is how long after an order was recorded a list may not show its effect.
+	listLag = 1500 * time.Millisecond
 	// listPatience is how old the list of machines may be when an order is given.
 	listPatience = 3 * time.Second
 )
@@ -200,7 +202,8 @@
 	down := 0
 	for id := range w.begun {
 		m, ok := f.machines[id]
-		if ok && (m.State != machine.Up || f.listed <= w.accepted[id]) {
+		// A list may be older than the last order, also one of an earlier holder.
+		if ok && (m.State != machine.Up || f.listed <= w.accepted[id] || f.listed <= f.recorded[id]+listLag) {
 			down++
 		}
 	}
@@ -209,12 +212,16 @@
 		if _, begun := w.begun[id]; begun || w.dropped[id] {
 			continue
 		}
-		if _, ok := f.machines[id]; !ok {
+		m, ok := f.machines[id]
+		if !ok {
 			c.logger.Warn("Machine of a wave is not listed.", "wave", w.doc.Number, "machine", id)
 			w.dropped[id] = true
 			continue
 		}
 		waiting = append(waiting, id)
+		if f.busy[id] || (m.State == machine.InMaintenance) {
+			down++
+		}
 	}
 	if len(waiting) == 0 {
 		if !w.finished {
@@ -286,8 +293,7 @@
 		}
 		runs := 0
 		if h, ok := c.hosts[c.fleet.machines[id].Worker]; ok {
-			services, _ := h.company()
-			runs = len(h.runs) + servicePenalty*services
+			runs = len(h.runs) + servicePenalty*h.services
 		}
 		if best == "" || runs < bestRuns {
 			best, bestRuns = id, runs
@@ -307,7 +313,8 @@
 		return false
 	}
 	if f.busy[id] {
-		return true
+		// It is counted already.
+		return false
 	}
 	m := f.machines[id]
 	if m.State != machine.Up {
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -29,6 +29,9 @@
 func (c *Core) roster() []RosterEntry {
 	roster := make([]RosterEntry, 0, len(c.hosts))
 	for _, h := range c.hosts {
+		if h.lapsed || (!h.touched && !h.listed) {
+			continue
+		}
 		roster = append(roster, RosterEntry{
 			ID: h.report.ID, Pool: h.report.Pool, Address: h.report.Address, Born: h.report.Born, Capacity: h.report.Capacity,
 		})
@@ -151,6 +154,8 @@
 
 // Renewal is a lease renewal to send to a worker.
 type Renewal struct {
+	// Silent means that the worker has not answered for a while, so that it is tried less often.
+	Silent bool
 	Target worker.Target
 	Order  worker.RenewOrder
 	// Pending means that ends are not stored yet, so that the worker would answer at once.
@@ -172,7 +177,7 @@
 	if !ok {
 		return Renewal{}, false
 	}
-	r := Renewal{Target: target(h), Pending: h.seen > h.stored}
+	r := Renewal{Target: target(h), Pending: h.seen > h.stored, Silent: c.now-h.contact > contactTimeout}
 	r.Order = worker.RenewOrder{Fence: c.o.Fence, Acknowledged: h.stored, Wait: renewWait}
 	if !h.touched || r.Pending {
 		r.Order.Wait = 0
@@ -212,7 +217,8 @@
 		c.loseHost(h, "another instance answers")
 		return
 	default:
-		if c.now-h.contact > contactTimeout && h.touched {
+		if c.now-h.contact > contactTimeout && h.touched && !h.silent {
+			h.silent = true
 			c.logger.Warn("Worker does not answer.", "worker", id, "contactAge", c.now-h.contact, "outcome", status.Outcome.String(), "error", err)
 		}
 		return
@@ -225,6 +231,7 @@
 		c.rosterChanged = true
 	}
 	silent := c.now - h.contact
+	h.silent = false
 	c.noteClock(h, status.Reply, sent)
 	if !h.touched || silent > contactTimeout {
 		c.logger.Info("Worker answers.", "worker", id, "pool", h.report.Pool, "runs", len(status.Running), "ends", len(status.Ended), "lapsed", h.lapsed)
@@ -235,6 +242,9 @@
 	}
 	c.takeEnds(h, status.Ended)
 	c.takeRuns(h, status, sent)
+	if !h.touched || h.lapsed || silent > contactTimeout {
+		c.pool(h.report.Pool).dirty = true
+	}
 	h.lapsed = false
 	h.touched = true
 	delete(c.former, id)
@@ -473,7 +483,7 @@
 }
 
 // forgetAfter is how long a worker that was never reached is tried after the registry has dropped it.
-const forgetAfter = 20 * time.Second
+const forgetAfter = 5 * time.Second
 
 // usable reports whether a worker may get tasks.
 func (c *Core) usable(h *host) bool {
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -223,7 +223,7 @@
 			if !ok || !c.movable(m, c.fleet.machines[m]) || h.reserved || h.report.Draining || !h.touched {
 				continue
 			}
-			if services, fillers := h.company(); services+fillers > 0 {
+			if h.services+h.fillers > 0 {
 				continue
 			}
 			if id == "" || len(h.runs) < runs {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -52,10 +52,14 @@
 	return orders
 }
 
+// retryPlacing is after which time a pool is planned again without a change, for pauses that have passed meanwhile.
+const retryPlacing = 50 * time.Millisecond
+
 func (c *Core) placePool(p *pool) {
-	if len(p.jobs) == 0 {
+	if len(p.jobs) == 0 || (!p.dirty && c.now-p.tried < retryPlacing) {
 		return
 	}
+	p.dirty, p.tried = false, c.now
 	free := c.freeHosts(p)
 	if len(free) == 0 {
 		return
@@ -260,34 +264,20 @@
 	if s.tasks[index].lastWorker == h.report.ID && s.failures(index) > 0 {
 		cost += costFailed
 	}
-	services, fillers := h.company()
 	switch {
 	case s.doc.Filler:
-		cost += costCompany*float64(services) + float64(fillers)
+		cost += costCompany*float64(h.services) + float64(h.fillers)
 	case s.doc.Service:
-		cost += costCompany*float64(fillers) + costTogether*float64(c.countOn(s, h))
-		if services == 0 {
+		cost += costCompany*float64(h.fillers) + costTogether*float64(c.countOn(s, h))
+		if h.services == 0 {
 			cost += costService
 		}
-	case services > 0:
+	case h.services > 0:
 		cost += costService
 	}
 	return cost
 }
 
-// company counts the service tasks and fillers on a worker.
-func (h *host) company() (services, fillers int) {
-	for _, r := range h.runs {
-		switch {
-		case r.step.doc.Filler:
-			fillers++
-		case r.step.doc.Service:
-			services++
-		}
-	}
-	return services, fillers
-}
-
 // placeGang starts all tasks of a gang, or none.
 func (c *Core) placeGang(s *step, free []*host) bool {
 	if s.idle < s.left || c.now < s.notBefore || !c.withinLimit(s, int64(s.left)) {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -72,6 +72,7 @@
 	t.runs = append(t.runs, r)
 	r.on.runs[r.task()] = r
 	r.on.used = r.on.used.Plus(r.step.doc.Charge())
+	r.on.count(r.step.doc, 1)
 	tenant := r.step.job.doc.Tenant
 	c.tenants[tenant] = c.tenants[tenant].Plus(r.step.doc.Request)
 }
@@ -91,6 +92,8 @@
 			delete(r.on.runs, r.task())
 		}
 		r.on.used = r.on.used.Minus(r.step.doc.Charge())
+		r.on.count(r.step.doc, -1)
+		c.pool(r.on.report.Pool).dirty = true
 		tenant := r.step.job.doc.Tenant
 		c.tenants[tenant] = c.tenants[tenant].Minus(r.step.doc.Request)
 		t.lastWorker = r.on.report.ID
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -24,6 +24,8 @@
 	accepted time.Duration
 	// ended is when the job ended, on the own clock.
 	ended time.Duration
+	// chain is the longest chain of estimated work.
+	chain time.Duration
 	// service means that a step runs until the job is cancelled.
 	service bool
 }
@@ -37,6 +39,10 @@
 	recorded []string
 	// due is when it was due, on the own clock.
 	due time.Duration
+	// chain and left cache the estimated chain and work that are left. They hold while known is set.
+	chain time.Duration
+	left  float64
+	known bool
 }
 
 // step is a step of an occurrence.
@@ -124,10 +130,15 @@
 	listed bool
 	// touched means that the worker has answered under the own fence.
 	touched bool
+	// silent means that the log says that the worker does not answer.
+	silent bool
 	// lapsed means that the lease has run out since the worker last answered.
 	lapsed bool
 	runs   map[work.Task]*run
 	used   work.Resources
+	// services and fillers count the runs of such steps.
+	services int
+	fillers  int
 	// foreign counts the runs in the last report that are not booked.
 	foreign int
 	// clock is the clock of the worker in an answer that was sent for at sent and received at received.
@@ -170,6 +181,16 @@
 	return h.received + time.Duration(float64(h.until-h.clock)/(1-slowClock)) + lapseMargin
 }
 
+// count adds n runs of a step to the counts of the worker.
+func (h *host) count(s *work.Step, n int) {
+	switch {
+	case s.Filler:
+		h.fillers += n
+	case s.Service:
+		h.services += n
+	}
+}
+
 // room returns what is free on the worker.
 func (h *host) room() work.Resources { return h.report.Capacity.Minus(h.used) }
 
@@ -178,6 +199,10 @@
 	name  string
 	jobs  []*job
 	hosts []*host
+	// dirty means that something has changed since the last pass that may let a task start.
+	dirty bool
+	// tried is when the pool was planned last.
+	tried time.Duration
 	// arrivals holds the jobs that came lately.
 	arrivals []arrival
 }
@@ -218,17 +243,11 @@
 	return total / rateWindow.Seconds()
 }
 
-// remaining returns the estimated chain and work that are left of the open and coming occurrences.
-func (j *job) remaining(estimate func(*step) time.Duration) (chain time.Duration, coreSeconds float64) {
-	for _, o := range j.open {
-		c, w := o.remaining(estimate)
-		chain = max(chain, c)
-		coreSeconds += w
-	}
-	return chain, coreSeconds
-}
-
+// remaining returns the estimated chain and work that are left, in core-seconds.
 func (o *occurrence) remaining(estimate func(*step) time.Duration) (chain time.Duration, coreSeconds float64) {
+	if o.known {
+		return o.chain, o.left
+	}
 	var buffer [work.MaxSteps]time.Duration
 	for i, s := range o.steps {
 		var start time.Duration
@@ -243,6 +262,7 @@
 		buffer[i] = start
 		chain = max(chain, start)
 	}
+	o.chain, o.left, o.known = chain, coreSeconds, true
 	return chain, coreSeconds
 }
 
@@ -252,7 +272,7 @@
 	if j.doc.Times > 0 {
 		start = o.due
 	}
-	return start + time.Duration(q.Stretch*float64(j.doc.Chain())) + q.Goal
+	return start + time.Duration(q.Stretch*float64(j.chain)) + q.Goal
 }
 
 // ready reports whether the steps before are done.
