Spread beats and jobs over parts of the store, and follow the registry by its changes

The store carries out the transactions of a part one after the other. Each node now has a part for its beats, and jobs are spread over 16. The duty is confirmed by a read. The registry of 350 workers filled a link of 10 Mbit/s when it was read whole.

--- a/member/member.go
+++ b/member/member.go
@@ -103,6 +103,8 @@
 	count  uint64
 	seen   map[string]*sighting
 	looked time.Duration
+	// after is the version from which on changes are read, and 0 before the first look.
+	after uint64
 	// steady is since when the rows have been read without a gap.
 	steady time.Duration
 	// duty is the version of the row of the duty, and dutySeen since when it is known.
@@ -176,6 +178,10 @@
 		}
 		return
 	}
+	if held, ok := m.Tenure(); ok {
+		m.check(ctx, held)
+		return
+	}
 	if !m.shouldTake() {
 		return
 	}
@@ -189,39 +195,48 @@
 	}
 }
 
-// beat writes the own row. While the duty is held the write confirms that it still is.
+// beat writes the own row. Each node has a part of its own: the store carries out the transactions of a part one after the
+// other, so that the beats of many nodes would hold each other up while it is slow.
 func (m *Member) beat(ctx context.Context) error {
 	m.mu.Lock()
 	m.count++
 	row := m.o.Self
 	row.Count, row.Leaving = m.count, m.leaving
-	held := m.tenure
-	m.mu.Unlock()
-	tx := store.Tx{}
-	if held != nil {
-		row.Fence = held.Fence
-		tx.Expected = []store.Expect{{Key: dutyKey(rowHolder), Version: held.Fence}}
+	if m.tenure != nil {
+		row.Fence = m.tenure.Fence
 	}
+	m.mu.Unlock()
 	value, err := cbor.Marshal(row)
 	if err != nil {
 		return eris.Wrap(err, "encode the beat")
 	}
-	tx.Puts = []store.Put{{Key: store.Key{Table: tableNodes, Name: row.Name}, Value: value}}
-	sent := clock.Now()
-	result, err := m.o.Store.Commit(ctx, tx)
+	result, err := m.o.Store.Commit(ctx, store.Tx{
+		Puts: []store.Put{{Key: store.Key{Table: tableNodes, Part: row.Name, Name: row.Name}, Value: value}},
+	})
 	m.o.Clock.Note(result.Now)
-	if errors.Is(err, store.ErrConflict) && held != nil {
-		m.Depose(held.Fence, "the duty has another holder")
-		return nil
-	}
-	if err == nil && held != nil {
-		m.Confirm(held.Fence, sent)
-	}
 	return err
 }
 
 func dutyKey(name string) store.Key { return store.Key{Table: tableDuty, Name: name} }
 
+// check reads whether the duty is still held.
+func (m *Member) check(ctx context.Context, held Tenure) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := clock.Now()
+	rows, err := m.o.Store.Scan(limited, tableDuty, "", rowHolder, rowHolder+"\x00")
+	switch {
+	case err != nil:
+		if ctx.Err() == nil {
+			m.logger.Warn("Duty cannot be confirmed.", "fence", held.Fence, "error", err)
+		}
+	case len(rows.Rows) == 1 && rows.Rows[0].Version == held.Fence:
+		m.Confirm(held.Fence, sent)
+	default:
+		m.Depose(held.Fence, "the row of the duty has another version")
+	}
+}
+
 // Confirm notes that the duty was still held at an own time.
 func (m *Member) Confirm(fence uint64, at time.Duration) {
 	m.mu.Lock()
@@ -261,7 +276,7 @@
 
 // look reads the rows of all nodes.
 func (m *Member) look(ctx context.Context) error {
-	rows, err := m.o.Store.Scan(ctx, tableNodes, "", "", "")
+	rows, complete, err := m.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -292,13 +307,30 @@
 		}
 	}
 	for name := range m.seen {
-		if !listed[name] {
+		if complete && !listed[name] {
 			delete(m.seen, name)
 		}
 	}
+	m.after = rows.Version
 	return nil
 }
 
+// read returns the rows that have changed since the last time, or all of them.
+func (m *Member) read(ctx context.Context) (rows store.Rows, complete bool, err error) {
+	m.mu.Lock()
+	after := m.after
+	m.mu.Unlock()
+	if after > 0 {
+		rows, err = m.o.Store.Changes(ctx, tableNodes, after, 0)
+		if !errors.Is(err, store.ErrHistoryGone) {
+			return rows, false, err
+		}
+		m.logger.Warn("History of the nodes is gone; all rows are read.", "after", after)
+	}
+	rows, err = store.ScanAll(ctx, m.o.Store, tableNodes)
+	return rows, true, err
+}
+
 // live reports whether a node counts as live. While the rows could not be read nobody is declared dead.
 func (m *Member) live(s *sighting, now time.Duration) bool {
 	return now-max(s.changed, m.steady) < deadAfter || now-m.looked > watchGap
--- a/metrics/jobs.go
+++ b/metrics/jobs.go
@@ -117,6 +117,14 @@
 	return rows, err
 }
 
+// Parts implements [store.Store].
+func (m *meteredStore) Parts(ctx context.Context, table string) ([]string, error) {
+	since := clock.Now()
+	parts, err := m.store.Parts(ctx, table)
+	m.note("parts", since, err)
+	return parts, err
+}
+
 // Changes implements [store.Store].
 func (m *meteredStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (store.Rows, error) {
 	since := clock.Now()
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -86,6 +87,8 @@
 	plans []*run
 	// changed holds the jobs whose progress is not stored.
 	changed map[*job]bool
+	// forget holds the ended jobs whose rows are to be removed, and removed those of which only the progress is left.
+	forget  []string
 	removed []string
 	// early holds the cancellations of jobs that are not known yet.
 	early map[string]time.Duration
@@ -445,7 +448,7 @@
 	for len(c.removed) > 0 && limit > 0 {
 		b.Removed = append(b.Removed, c.removed[0])
 		c.removed = c.removed[1:]
-		limit -= rowsPerJob
+		limit--
 	}
 	if len(c.changed) == 0 {
 		b.starts = c.plans
@@ -459,8 +462,19 @@
 	return b
 }
 
-// rowsPerJob is how many rows a job has at most: the job, its progress and its cancellation.
-const rowsPerJob = 3
+// forgetAtOnce is how many jobs are forgotten at a time. Each has two rows besides its progress.
+const forgetAtOnce = store.MaxEntries / 2
+
+// Forget returns the jobs whose rows are to be removed.
+func (c *Core) Forget() []string {
+	n := min(len(c.forget), forgetAtOnce)
+	ids := c.forget[:n:n]
+	c.forget = c.forget[n:]
+	return ids
+}
+
+// Forgotten notes that the rows of jobs are removed, except for their progress.
+func (c *Core) Forgotten(ids []string) { c.removed = append(c.removed, ids...) }
 
 // Committed notes that a batch is stored.
 func (c *Core) Committed(b Batch) {
@@ -518,7 +532,7 @@
 	for id, j := range c.jobs {
 		if j.progress.State.Ended() && j.stored.Ended() && !c.changed[j] && c.now-j.ended > c.o.Bounds.Retention+retentionMargin {
 			delete(c.jobs, id)
-			c.removed = append(c.removed, id)
+			c.forget = append(c.forget, id)
 		}
 	}
 	for id, since := range c.early {
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -49,8 +49,12 @@
 	registryInterval = 200 * time.Millisecond
 	// feedInterval is the time between two looks at new jobs, for those whose notice got lost.
 	feedInterval = 700 * time.Millisecond
-	// machinesInterval is the time between two looks at the machines.
+	// machinesInterval is the least time between two looks at the machines, and machineInterval the time for each of
+	// them, which bounds the bytes: an entry has about 250.
 	machinesInterval = 300 * time.Millisecond
+	machineInterval  = 2 * time.Millisecond
+	// registryRefresh is the time between two complete looks at the registry.
+	registryRefresh = 10 * time.Second
 	// readTimeout bounds a read of the store or of the machines.
 	readTimeout = time.Second
 	// machineTimeout bounds an order for a machine.
@@ -329,6 +333,9 @@
 	for _, q := range c.Questions() {
 		e.run(func() { e.sendQuestion(q) })
 	}
+	if ids := c.Forget(); len(ids) > 0 {
+		e.run(func() { e.forget(ids) })
+	}
 	if c.Deposed() {
 		e.o.Duty.Depose(e.o.Core.Fence, "a worker has seen a higher fencing token")
 		return
@@ -369,6 +376,31 @@
 	e.post(func(c *Core) { c.Replied(o, reply, sent, err) })
 }
 
+// forget removes the rows of jobs that ended long ago. Their progress goes last: a job without progress would run again.
+func (e *Engine) forget(ids []string) {
+	parts := make(map[string][]store.Key)
+	for _, id := range ids {
+		key := JobKey(id)
+		parts[key.Part] = append(parts[key.Part], key, CancelKey(id))
+	}
+	for part, keys := range parts {
+		ctx, cancel := context.WithTimeout(e.ctx, commitTimeout)
+		_, err := e.o.Store.Commit(ctx, store.Tx{Removes: keys})
+		cancel()
+		if err != nil {
+			e.logger.Warn("Rows of ended jobs were not removed.", "part", part, "rows", len(keys), "error", err)
+			continue
+		}
+		var done []string
+		for _, id := range ids {
+			if jobPart(id) == part {
+				done = append(done, id)
+			}
+		}
+		e.post(func(c *Core) { c.Forgotten(done) })
+	}
+}
+
 func (e *Engine) sendMachine(o MachineOrder) {
 	if !e.holds() {
 		e.post(func(c *Core) { c.MachineReplied(o, machine.Refused, ErrNotHolder) })
@@ -512,7 +544,7 @@
 		}
 	}
 	for _, id := range b.Removed {
-		tx.Removes = append(tx.Removes, JobKey(id), progressKey(id), CancelKey(id))
+		tx.Removes = append(tx.Removes, progressKey(id))
 	}
 	for n, w := range b.Waves {
 		if err := addPut(&tx, progressKey(waveName(n)), w); err != nil {
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -31,11 +31,17 @@
 	rowMachines = "machines"
 )
 
-// JobKey returns the row of a job.
-func JobKey(id string) store.Key { return store.Key{Table: TableJobs, Name: id} }
+// JobKey returns the row of a job. Jobs are spread over parts, each of which the store carries out transactions one after
+// the other for.
+func JobKey(id string) store.Key { return store.Key{Table: TableJobs, Part: jobPart(id), Name: id} }
 
 // CancelKey returns the row of the cancellation of a job.
-func CancelKey(id string) store.Key { return store.Key{Table: TableJobs, Name: id + cancelSuffix} }
+func CancelKey(id string) store.Key {
+	return store.Key{Table: TableJobs, Part: jobPart(id), Name: id + cancelSuffix}
+}
+
+// jobPart returns the part of a job: one of sixteen, by the first digit of its ID.
+func jobPart(id string) string { return id[:min(1, len(id))] }
 
 func progressKey(name string) store.Key { return store.Key{Table: tableProgress, Name: name} }
 
@@ -70,7 +76,7 @@
 
 // ReadState returns the state of a job from its rows. It is used while the holder does not answer.
 func ReadState(ctx context.Context, s store.Store, id string) (state work.State, found bool, err error) {
-	rows, err := s.Scan(ctx, TableJobs, "", id, id+"\xff")
+	rows, err := s.Scan(ctx, TableJobs, jobPart(id), id, id+"\xff")
 	if err != nil {
 		return 0, false, err
 	}
@@ -121,7 +127,7 @@
 // load reads all rows of the duty. It tells rows that cannot be read to bad.
 func load(ctx context.Context, s store.Store, bad func(row store.Row, err error)) (*loaded, error) {
 	l := &loaded{jobs: make(map[string]work.Job), progress: make(map[string]*work.Progress), waves: make(map[int]*WaveProgress)}
-	jobs, err := s.Scan(ctx, TableJobs, "", "", "")
+	jobs, err := store.ScanAll(ctx, s, TableJobs)
 	if err != nil {
 		return nil, err
 	}
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -53,56 +53,91 @@
 	registrySettle = 2500 * time.Millisecond
 )
 
+// registryEntry is what a row of the registry says.
+type registryEntry struct {
+	report worker.Report
+	err    error
+}
+
+// registryView follows the registry of workers.
+type registryView struct {
+	e       *Engine
+	entries map[string]registryEntry
+	// after is the version from which on changes are read.
+	after uint64
+	// complete, looked and settled are when all rows were read, when any were, and until when gaps are not believed.
+	complete time.Duration
+	looked   time.Duration
+	settled  time.Duration
+}
+
 // watchRegistry reads the registry of workers.
 func (e *Engine) watchRegistry() {
-	type entry struct {
-		version uint64
-		report  worker.Report
-		err     error
+	v := &registryView{e: e, entries: make(map[string]registryEntry)}
+	e.every(registryInterval, v.round)
+}
+
+func (v *registryView) round(ctx context.Context) {
+	rows, all, err := v.read(ctx)
+	if err != nil {
+		v.e.logger.Warn("Registry cannot be read.", "error", err)
+		return
 	}
-	cache := make(map[string]entry)
-	var looked, settled time.Duration
-	table, part := e.o.Registry.Table()
-	e.every(registryInterval, func(ctx context.Context) {
-		rows, err := e.o.Store.Scan(ctx, table, part, "", "")
-		if err != nil {
-			e.logger.Warn("Registry cannot be read.", "error", err)
-			return
+	now := clock.Now()
+	v.e.o.Clock.Note(rows.Now)
+	if v.looked > 0 && now-v.looked > registryGap {
+		v.settled = now + registrySettle
+	}
+	v.looked, v.after = now, rows.Version
+	named := make(map[string]bool, len(rows.Rows))
+	for _, row := range rows.Rows {
+		named[row.Name] = true
+		v.take(row, now)
+	}
+	if all {
+		v.complete = now
+		for id := range v.entries {
+			if !named[id] && now >= v.settled {
+				delete(v.entries, id)
+			}
 		}
-		now := clock.Now()
-		e.o.Clock.Note(rows.Now)
-		if looked > 0 && now-looked > registryGap {
-			settled = now + registrySettle
+	}
+	reports := make([]worker.Report, 0, len(v.entries))
+	for _, entry := range v.entries {
+		if entry.err == nil {
+			reports = append(reports, entry.report)
 		}
-		looked = now
-		next := make(map[string]entry, len(rows.Rows))
-		reports := make([]worker.Report, 0, len(rows.Rows))
-		for _, row := range rows.Rows {
-			known, ok := cache[row.Name]
-			if !ok || known.version != row.Version {
-				broken := known.err != nil
-				known = entry{version: row.Version}
-				known.report, known.err = e.o.Registry.Decode(row)
-				if known.err != nil && !broken {
-					e.logger.Warn("Entry of a worker cannot be used.", "worker", row.Name, "error", known.err)
-				}
-			}
-			next[row.Name] = known
-			if known.err == nil {
-				reports = append(reports, known.report)
-			}
+	}
+	v.e.post(func(c *Core) { c.SetWorkers(reports) })
+}
+
+// read returns the rows that have changed, or all rows from time to time and after an outage.
+func (v *registryView) read(ctx context.Context) (rows store.Rows, all bool, err error) {
+	table, part := v.e.o.Registry.Table()
+	now := clock.Now()
+	if v.after > 0 && now-v.complete < registryRefresh && now-v.looked < registryGap && now >= v.settled {
+		rows, err = v.e.o.Store.Changes(ctx, table, v.after, 0)
+		if !errors.Is(err, store.ErrHistoryGone) {
+			return rows, false, err
 		}
-		if now < settled {
-			for id, known := range cache {
-				if _, ok := next[id]; !ok && known.err == nil {
-					next[id] = known
-					reports = append(reports, known.report)
-				}
-			}
+	}
+	rows, err = v.e.o.Store.Scan(ctx, table, part, "", "")
+	return rows, true, err
+}
+
+func (v *registryView) take(row store.Row, now time.Duration) {
+	if row.Deleted {
+		if now >= v.settled {
+			delete(v.entries, row.Name)
 		}
-		cache = next
-		e.post(func(c *Core) { c.SetWorkers(reports) })
-	})
+		return
+	}
+	before := v.entries[row.Name]
+	report, err := v.e.o.Registry.Decode(row)
+	if err != nil && before.err == nil {
+		v.e.logger.Warn("Entry of a worker cannot be used.", "worker", row.Name, "error", err)
+	}
+	v.entries[row.Name] = registryEntry{report: report, err: err}
 }
 
 // watchJobs reads jobs and cancellations whose notices got lost.
@@ -111,7 +146,7 @@
 		rows, err := e.o.Store.Changes(ctx, TableJobs, after, 0)
 		if errors.Is(err, store.ErrHistoryGone) {
 			e.logger.Warn("History of jobs is gone; all rows are read.", "after", after)
-			rows, err = e.o.Store.Scan(ctx, TableJobs, "", "", "")
+			rows, err = store.ScanAll(ctx, e.o.Store, TableJobs)
 		}
 		if err != nil {
 			e.logger.Warn("New jobs cannot be read.", "after", after, "error", err)
@@ -156,7 +191,9 @@
 
 // watchWaves takes new requests for maintenance and the list of machines while one is open.
 func (e *Engine) watchWaves(stored map[int]*WaveProgress) {
+	var wait time.Duration
 	e.every(machinesInterval, func(ctx context.Context) {
+		e.sleep(wait)
 		waves := e.o.Waves.Waves()
 		needed := false
 		err := e.ask(ctx, func(c *Core) {
@@ -174,6 +211,7 @@
 			e.logger.Warn("Machines cannot be listed.", "error", err)
 			return
 		}
+		wait = time.Duration(len(machines))*machineInterval - machinesInterval
 		e.post(func(c *Core) { c.SetMachines(machines, at) })
 	})
 }
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -120,6 +120,23 @@
 	}, func(a, b store.Row) int { return cmp.Compare(a.Name, b.Name) })
 }
 
+// Parts implements [store.Store].
+func (s *Store) Parts(_ context.Context, table string) ([]string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.choose(nil) != None {
+		return nil, store.ErrNotDone
+	}
+	var parts []string
+	for k, r := range s.rows {
+		if k.Table == table && !r.Deleted && !slices.Contains(parts, k.Part) {
+			parts = append(parts, k.Part)
+		}
+	}
+	slices.Sort(parts)
+	return parts, nil
+}
+
 // Changes implements [store.Store]. It does not wait.
 func (s *Store) Changes(_ context.Context, table string, after uint64, _ time.Duration) (store.Rows, error) {
 	s.mu.Lock()
--- a/store/store.go
+++ b/store/store.go
@@ -13,6 +13,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // Errors of the store.
@@ -90,6 +92,37 @@
 	Commit(ctx context.Context, tx Tx) (Result, error)
 	// Scan returns the rows of a part of a table with from <= name < to. An empty to means no bound.
 	Scan(ctx context.Context, table, part, from, to string) (Rows, error)
-	// Changes returns the rows of a table that changed after a version, in order, and waits for the first one.
+	// Parts returns the parts of a table.
+	Parts(ctx context.Context, table string) ([]string, error)
+	// Changes returns the rows of all parts of a table that changed after a version, in order, and waits for the first one.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Rows, error)
 }
+
+// ScanAll returns the rows of all parts of a table. Its version is the oldest of the parts, so that changes read from there
+// on leave nothing out.
+func ScanAll(ctx context.Context, s Store, table string) (Rows, error) {
+	parts, err := s.Parts(ctx, table)
+	if err != nil {
+		return Rows{}, err
+	}
+	pages := make([]Rows, len(parts))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, part := range parts {
+		group.Go(func() (err error) {
+			pages[i], err = s.Scan(ctx, table, part, "", "")
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return Rows{}, err
+	}
+	var all Rows
+	for _, page := range pages {
+		if all.Version == 0 || page.Version < all.Version {
+			all.Version = page.Version
+		}
+		all.Now = max(all.Now, page.Now)
+		all.Rows = append(all.Rows, page.Rows...)
+	}
+	return all, nil
+}
