Read both clocks at once, and ask for fresh reports before a service task is stopped

Trials on a scratch site with scheduled jobs started occurrences 0.4 s early after a change of the holder (ORDER): the time of day was read after the rows, and the clock of the store before. The reports on the others are now at most 0.25 s old.

--- a/scheduler/bounds.go
+++ b/scheduler/bounds.go
@@ -38,6 +38,10 @@
 	leaseTerm = 4 * time.Second
 	// renewWithin is how long after its last answer the lease of a worker is extended.
 	renewWithin = 1200 * time.Millisecond
+	// lookAge is how old the reports on the other tasks of a service may be when one of them is stopped, and lookPause the
+	// time between two requests for a report.
+	lookAge   = 250 * time.Millisecond
+	lookPause = 150 * time.Millisecond
 	// servingAge is how old the report on a service task may be that counts as at work.
 	servingAge = 1500 * time.Millisecond
 	// renewWait is how long a worker holds its answer back until something ends. It bounds the age of loads, which
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -58,6 +58,8 @@
 	OrderStart OrderKind = iota
 	OrderStop
 	OrderPace
+	// OrderLook asks for a report at once.
+	OrderLook
 )
 
 // Order is an order to a worker. Its reply goes back to the core with [Core.Replied].
@@ -66,6 +68,7 @@
 	Target worker.Target
 	Start  worker.StartOrder
 	Run    worker.RunOrder
+	Renew  worker.RenewOrder
 	run    *run
 	host   *host
 }
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -299,6 +299,14 @@
 	r.answer("w2")
 	first := j.open[0].steps[0].tasks[0].runs[0]
 	qt.Assert(t, r.core.mayDisrupt(first), qt.IsTrue)
+	r.wait(lookAge + time.Millisecond)
+	qt.Assert(t, r.core.mayDisrupt(first), qt.IsFalse)
+	looks := r.core.Schedule(r.now)
+	qt.Assert(t, looks, qt.HasLen, 1)
+	qt.Assert(t, looks[0].Kind, qt.Equals, OrderLook)
+	qt.Assert(t, looks[0].Target.ID, qt.Not(qt.Equals), first.on.report.ID)
+	r.answer(looks[0].Target.ID)
+	qt.Assert(t, r.core.mayDisrupt(first), qt.IsTrue)
 	r.wait(servingAge + time.Millisecond)
 	r.answer(first.on.report.ID)
 	qt.Assert(t, r.core.mayDisrupt(first), qt.IsFalse)
@@ -344,3 +352,21 @@
 	qt.Assert(t, r.pass(), qt.HasLen, 0)
 	qt.Assert(t, r.core.Deposed(), qt.IsTrue)
 }
+
+// TestSchedule guards against an occurrence that starts before its time.
+func TestSchedule(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.core.SetUnix(r.now, 1000*time.Second)
+	r.addJob(work.Job{
+		ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 100}}},
+		First: 1001 * time.Second, Interval: time.Second, Times: 2,
+	})
+	var got []string
+	for range 5 {
+		got = append(got, starts(r.pass())...)
+		r.wait(500 * time.Millisecond)
+		r.answer("w1")
+	}
+	qt.Assert(t, got, qt.DeepEquals, []string{"a 0.0.0 1 w1", "a 1.0.0 1 w1"})
+	qt.Assert(t, r.core.jobs["a"].open[0].due, qt.Equals, time.Minute+time.Second)
+}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -157,14 +157,15 @@
 	c := e.core
 	c.SetTime(now)
 	c.SetCatalog(e.o.Catalog())
-	c.SetUnix(now, l.clock.Unix+l.now-l.clock.Store)
+	storeNow, _ := e.o.Clock.At(now)
+	c.SetUnix(now, l.clock.Unix+storeNow-l.clock.Store)
 	c.SetRoster(l.roster)
 	for id, at := range l.machines {
-		l.machines[id] = now - (l.now - at)
+		l.machines[id] = now - (storeNow - at)
 	}
 	c.SetFormerOrders(l.machines)
 	for id, j := range l.jobs {
-		c.AddJob(j, l.progress[id], l.now)
+		c.AddJob(j, l.progress[id], storeNow)
 	}
 	for _, id := range l.cancelled {
 		c.Cancel(id)
@@ -184,7 +185,12 @@
 	if l.clock != (clockRow{}) {
 		return nil
 	}
-	l.clock = clockRow{Store: l.now, Unix: time.Duration(time.Now().UnixNano())}
+	// Reading the rows has taken a while, so that both clocks are read now.
+	at, known := e.o.Clock.Now()
+	if !known {
+		return eris.New("the clock of the store is not known")
+	}
+	l.clock = clockRow{Store: at, Unix: time.Duration(time.Now().UnixNano())}
 	value, err := encode(l.clock)
 	if err != nil {
 		return err
@@ -366,6 +372,10 @@
 	var reply worker.Reply
 	var err error
 	switch o.Kind {
+	case OrderLook:
+		status, err := e.o.Orders.Renew(ctx, o.Target, o.Renew)
+		e.post(func(c *Core) { c.Observe(o.Target.ID, status, sent, err) })
+		return
 	case OrderStart:
 		reply, err = e.o.Orders.Start(ctx, o.Target, o.Start)
 	case OrderStop:
--- /dev/null
+++ b/scheduler/engine_test.go
@@ -0,0 +1,123 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/machine"
+	"github.com/chivetiller/chivetiller/store"
+	"github.com/chivetiller/chivetiller/store/memory"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// testDuty is a duty that is held until a test ends it.
+type testDuty struct{ lost bool }
+
+func (d *testDuty) Holds(uint64) bool             { return !d.lost }
+func (d *testDuty) Confirm(uint64, time.Duration) {}
+func (d *testDuty) Depose(uint64, string)         { d.lost = true }
+func (d *testDuty) FormerEnded() bool             { return false }
+
+type noRegistry struct{}
+
+func (noRegistry) Table() (table, part string) { return "workers", "" }
+func (noRegistry) Decode(store.Row) (worker.Report, error) {
+	return worker.Report{}, nil
+}
+
+type noWaves struct{}
+
+func (noWaves) Waves() map[string]machine.Wave { return nil }
+func (noWaves) WaveStatus(name string, _ bool) store.Put {
+	return store.Put{Key: store.Key{Name: name}}
+}
+
+// newTestEngine returns an engine over a store in which the row of the duty has the version of its fence.
+func newTestEngine(t *testing.T, s *memory.Store, tenure int) (*Engine, *testDuty) {
+	result, err := s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: dutyKey("holder"), Value: []byte{1}}}})
+	qt.Assert(t, err, qt.IsNil)
+	duty := &testDuty{}
+	c := &store.Clock{}
+	c.Note(result.Now)
+	return NewEngine(EngineOptions{
+		Core: Options{Bounds: rigBounds(), Fence: result.Version, Tenure: tenure, Began: clock.Now()}, Name: "n", Store: s, Clock: c,
+		Registry: noRegistry{}, Waves: noWaves{}, Duty: duty, Catalog: func() *catalog.Catalog { return catalog.New(1, 0, nil, nil, nil) },
+	}), duty
+}
+
+// TestTimeOfDay guards against occurrences that start early or late after a change of the holder, because reading the rows
+// has taken a while.
+func TestTimeOfDay(t *testing.T) {
+	s := memory.New()
+	const slow = 60 * time.Millisecond
+	for tenure := 1; tenure <= 2; tenure++ {
+		e, _ := newTestEngine(t, s, tenure)
+		s.Fail(func(tx *store.Tx) memory.Fault {
+			if tx == nil {
+				time.Sleep(slow)
+			}
+			return memory.None
+		})
+		qt.Assert(t, e.Start(context.Background()), qt.IsNil)
+		s.Fail(nil)
+		var unix time.Duration
+		qt.Assert(t, e.ask(t.Context(), func(c *Core) { unix = c.unix }), qt.IsNil)
+		off := unix + clock.Now() - time.Duration(time.Now().UnixNano())
+		qt.Assert(t, off.Abs() < slow/2, qt.IsTrue, qt.Commentf("tenure %d is off by %s", tenure, off))
+		e.Stop()
+	}
+}
+
+// TestBatchWithoutAnswer guards against progress that is lost, or overwritten by a batch that is carried out late.
+func TestBatchWithoutAnswer(t *testing.T) {
+	tests := map[string]struct {
+		fault memory.Fault
+		err   error
+	}{
+		"carried out":     {memory.LoseAnswer, nil},
+		"not carried out": {memory.LoseCall, errBatchNotDone},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := memory.New()
+			e, duty := newTestEngine(t, s, 1)
+			e.batch = 1
+			tx, err := e.transaction(Batch{Progress: map[string]*work.Progress{"a": work.NewProgress()}})
+			qt.Assert(t, err, qt.IsNil)
+			s.Fail(func(*store.Tx) memory.Fault { return test.fault })
+			_, err = s.Commit(t.Context(), tx)
+			qt.Assert(t, err, qt.ErrorIs, store.ErrUnknown)
+			s.Fail(nil)
+			chain, err := e.findOut(1, 0, err)
+			qt.Assert(t, err, qt.ErrorIs, test.err)
+			qt.Assert(t, duty.lost, qt.IsFalse)
+			if test.err == nil {
+				// The same batch does not meet its condition a second time.
+				_, err = s.Commit(t.Context(), tx)
+				qt.Assert(t, err, qt.ErrorIs, store.ErrConflict)
+				qt.Assert(t, chain > 0, qt.IsTrue)
+			}
+		})
+	}
+}
+
+// TestBatchOfFormerHolder guards against progress that a holder stores after another one has taken over.
+func TestBatchOfFormerHolder(t *testing.T) {
+	s := memory.New()
+	e, duty := newTestEngine(t, s, 1)
+	_, _ = newTestEngine(t, s, 2)
+	e.batch = 1
+	tx, err := e.transaction(Batch{})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = s.Commit(t.Context(), tx)
+	qt.Assert(t, err, qt.ErrorIs, store.ErrConflict)
+	_, err = e.findOut(1, 0, err)
+	qt.Assert(t, err, qt.ErrorIs, ErrNotHolder)
+	qt.Assert(t, duty.lost, qt.IsTrue)
+}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/machine"
+	"github.com/chivetiller/chivetiller/worker"
 )
 
 const (
@@ -358,7 +359,7 @@
 		s := r.step
 		switch {
 		case s.doc.Service:
-			if c.mayDisrupt(r) && c.choose(s, r.index, c.freeHosts(c.pool(s.job.doc.Pool))) != nil {
+			if c.choose(s, r.index, c.freeHosts(c.pool(s.job.doc.Pool))) != nil && c.mayDisrupt(r) {
 				c.stop(r, "the worker is about to end")
 			}
 		case hurry && s.doc.Checkpoints && !h.report.Draining:
@@ -367,33 +368,50 @@
 	}
 }
 
-// mayDisrupt reports whether stopping a service task keeps the disruption budget of its step. Each other
-// task that is not at work counts as away, whatever the cause.
+// mayDisrupt reports whether stopping a service task keeps the disruption budget of its step. Each other task that is not
+// at work counts as away, whatever the cause. Reports that are older than lookAge are asked for anew first.
 func (c *Core) mayDisrupt(r *run) bool {
 	s := r.step
 	if s.doc.Disruptions == 0 || r.on.report.Draining {
 		return true
 	}
-	away := 0
+	away, stale := 0, false
 	for i := range s.tasks {
 		if i == r.index {
 			continue
 		}
-		if !s.tasks[i].serving(c.now) {
+		other := s.tasks[i].serving()
+		if other == nil || c.now-other.on.contact > servingAge {
 			away++
+			continue
+		}
+		if c.now-other.on.contact > lookAge {
+			stale = true
+			c.look(other.on)
 		}
 	}
-	return away < s.doc.Disruptions
+	return away < s.doc.Disruptions && !stale
 }
 
-// serving reports whether a run of the task is at work according to a recent report.
-func (t *task) serving(now time.Duration) bool {
+// serving returns the run of a task that is at work according to the last report.
+func (t *task) serving() *run {
 	for _, r := range t.runs {
-		if r.phase == running && r.percent >= fullPace && now-r.on.contact < servingAge {
-			return true
+		if r.phase == running && r.percent >= fullPace {
+			return r
 		}
 	}
-	return false
+	return nil
+}
+
+// look asks a worker for a report at once.
+func (c *Core) look(h *host) {
+	if c.now < h.looked+lookPause {
+		return
+	}
+	h.looked = c.now
+	c.orders = append(c.orders, Order{Kind: OrderLook, Target: target(h), host: h, run: unwanted, Renew: worker.RenewOrder{
+		Until: h.until, Fence: c.o.Fence, Acknowledged: h.stored,
+	}})
 }
 
 // MachineReplied takes the outcome of an order for a machine.
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -130,6 +130,8 @@
 	listed bool
 	// touched means that the worker has answered under the own fence.
 	touched bool
+	// looked is when a report was asked for at once.
+	looked time.Duration
 	// silent means that the log says that the worker does not answer.
 	silent bool
 	// lapsed means that the lease has run out since the worker last answered.
