--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,9 +1,9 @@
-// Package catalog holds the configuration that the operator gives: queues, pools of workers, tenants and their keys.
+// Package catalog holds the configuration that the operator gives: queues, pools of workers, teams and their keys.
 //
 // # Usage
 //
 //	queue, ok := c.Match(host, path)
-//	tenant, ok := c.TenantOf(key)
+//	team, ok := c.TeamOf(key)
 package catalog
 
 import (
@@ -45,37 +45,37 @@
 	Name string
 	// Guarded means that the workers refuse what does not fit.
 	Guarded bool
-	// Spare means that the machines of the pool are switched off.
+	// Spare means that the instances of the pool are switched off.
 	Spare bool
 }
 
-// Tenant is a team of submitters.
-type Tenant struct {
+// Team is a team of submitters.
+type Team struct {
 	Name string
 	Keys []string
-	// Weight is the share of the tenant when all is full.
+	// Weight is the share of the team when all is full.
 	Weight float64
-	// Limit is what the tenant may have running over all workers. 0 means no limit.
+	// Limit is what the team may have running over all workers. 0 means no limit.
 	Limit work.Resources
 }
 
 // Catalog is one version of the configuration. It does not change.
 type Catalog struct {
-	Version  uint64
-	MaxBody  int64
-	Queues   []Queue
-	Pools    map[string]Pool
-	Tenants  map[string]Tenant
-	queues   map[string]*Queue
-	byHost   map[string][]*Queue
-	tenantOf map[string]string
+	Version uint64
+	MaxBody int64
+	Queues  []Queue
+	Pools   map[string]Pool
+	Teams   map[string]Team
+	queues  map[string]*Queue
+	byHost  map[string][]*Queue
+	teamOf  map[string]string
 }
 
 // New returns a catalogue with its indexes.
-func New(version uint64, maxBody int64, queues []Queue, pools []Pool, tenants []Tenant) *Catalog {
+func New(version uint64, maxBody int64, queues []Queue, pools []Pool, teams []Team) *Catalog {
 	c := &Catalog{
-		Version: version, MaxBody: maxBody, Queues: queues, Pools: make(map[string]Pool), Tenants: make(map[string]Tenant),
-		queues: make(map[string]*Queue), byHost: make(map[string][]*Queue), tenantOf: make(map[string]string),
+		Version: version, MaxBody: maxBody, Queues: queues, Pools: make(map[string]Pool), Teams: make(map[string]Team),
+		queues: make(map[string]*Queue), byHost: make(map[string][]*Queue), teamOf: make(map[string]string),
 	}
 	for i := range queues {
 		q := &queues[i]
@@ -85,10 +85,10 @@
 	for _, p := range pools {
 		c.Pools[p.Name] = p
 	}
-	for _, t := range tenants {
-		c.Tenants[t.Name] = t
+	for _, t := range teams {
+		c.Teams[t.Name] = t
 		for _, k := range t.Keys {
-			c.tenantOf[k] = t.Name
+			c.teamOf[k] = t.Name
 		}
 	}
 	return c
@@ -114,8 +114,8 @@
 	return q, ok
 }
 
-// TenantOf returns the tenant that owns a key.
-func (c *Catalog) TenantOf(key string) (string, bool) {
-	name, ok := c.tenantOf[key]
+// TeamOf returns the team that owns a key.
+func (c *Catalog) TeamOf(key string) (string, bool) {
+	name, ok := c.teamOf[key]
 	return name, ok
 }
--- a/catalog/source.go
+++ b/catalog/source.go
@@ -10,7 +10,7 @@
 
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/common/loop"
-	"github.com/chivetiller/chivetiller/machine"
+	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/store"
 )
 
@@ -32,7 +32,7 @@
 	ConfigRow() store.Key
 	IsWave(row store.Row) bool
 	DecodeConfig(value []byte) (*Catalog, error)
-	DecodeWave(row store.Row) (machine.Wave, error)
+	DecodeWave(row store.Row) (instance.Wave, error)
 	WaveStatus(row store.Key, finished bool) store.Put
 }
 
@@ -73,7 +73,7 @@
 	confirmed time.Duration
 	// direct is when the store itself confirmed it last.
 	direct time.Duration
-	waves  map[string]machine.Wave
+	waves  map[string]instance.Wave
 	// after is the version from which on changes are read. 0 means that all rows have to be read.
 	after uint64
 }
@@ -83,7 +83,7 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
-	s := &Source{o: o, logger: o.Logger.Named("catalog"), waves: make(map[string]machine.Wave), current: New(0, 0, nil, nil, nil)}
+	s := &Source{o: o, logger: o.Logger.Named("catalog"), waves: make(map[string]instance.Wave), current: New(0, 0, nil, nil, nil)}
 	s.loops = []*loop.Loop{loop.New(s.follow), loop.New(loop.Every(feedPause, s.askPeers))}
 	return s
 }
@@ -124,10 +124,10 @@
 }
 
 // Waves returns the requests for maintenance by the name of their row.
-func (s *Source) Waves() map[string]machine.Wave {
+func (s *Source) Waves() map[string]instance.Wave {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	waves := make(map[string]machine.Wave, len(s.waves))
+	waves := make(map[string]instance.Wave, len(s.waves))
 	for name, w := range s.waves {
 		waves[name] = w
 	}
@@ -227,7 +227,7 @@
 		return
 	}
 	s.current, s.value, s.row = c, value, row
-	s.logger.Info("Configuration is in force.", "version", c.Version, "queues", len(c.Queues), "pools", len(c.Pools), "tenants", len(c.Tenants), "from", from)
+	s.logger.Info("Configuration is in force.", "version", c.Version, "queues", len(c.Queues), "pools", len(c.Pools), "teams", len(c.Teams), "from", from)
 }
 
 // askPeers asks peers for the configuration while the store does not answer this process.
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -71,12 +71,13 @@
 	if err != nil {
 		return newUsageError(err)
 	}
+	logger = logger.With("node", s.Name)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	}
 	client := platform.NewClient()
 	d := node.Dependencies{
-		Store: platform.NewStore(client, s.Store), Orders: platform.NewWorkers(client), Machines: platform.NewMachines(client, s.Machines),
+		Store: platform.NewStore(client, s.Store), Orders: platform.NewWorkers(client), Instances: platform.NewInstances(client, s.Instances),
 		Advisor: platform.NewAdvisor(client, s.Advice), Registry: platform.Registry{}, Decoder: platform.Operator{},
 		Jobs:         func(i *intake.Intake, m *metrics.Jobs) http.Handler { return platform.NewJobs(i, m) },
 		DroppedLines: out.Dropped,
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -106,18 +106,18 @@
 		return Admission{}, NoQueue
 	}
 	a := Admission{Queue: q, Rest: path[len(q.Prefix):], Version: c.Version}
-	tenant, known := c.TenantOf(key)
+	team, known := c.TeamOf(key)
 	if !known && !q.Public {
 		i.logger.Info("Call has no valid key.", "queue", q.Name, "job", a.Rest, "config", c.Version, "age", age)
 		return Admission{}, BadKey
 	}
-	a.Tenant = tenant
+	a.Team = team
 	return a, OK
 }
 
 // Submit stores a job.
 func (i *Intake) Submit(ctx context.Context, a Admission, job work.Job) Outcome {
-	job.Queue, job.Pool, job.Tenant = a.Queue.Name, a.Queue.Pool, a.Tenant
+	job.Queue, job.Pool, job.Team = a.Queue.Name, a.Queue.Pool, a.Team
 	now, known := i.o.Clock.Now()
 	if !known {
 		i.logger.Warn("Job is refused before the store has answered once.", "job", job.ID)
@@ -137,7 +137,7 @@
 	now, _ = i.o.Clock.Now()
 	switch {
 	case err == nil:
-		i.logger.Info("Job is accepted.", "job", job.ID, "queue", job.Queue, "tenant", job.Tenant, "steps", len(job.Steps), "config", a.Version, "took", now-job.Accepted)
+		i.logger.Info("Job is accepted.", "job", job.ID, "queue", job.Queue, "team", job.Team, "steps", len(job.Steps), "config", a.Version, "took", now-job.Accepted)
 		i.o.Holder.Submitted(ctx, job)
 		return OK
 	case errors.Is(err, store.ErrConflict):
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -54,7 +54,7 @@
 	return catalog.New(4, 0, []catalog.Queue{
 		{Name: "q", Host: "h", Prefix: "/q/", Pool: "p"},
 		{Name: "long", Host: "h", Prefix: "/q/long/", Pool: "p", Public: true},
-	}, []catalog.Pool{{Name: "p"}}, []catalog.Tenant{{Name: "t", Keys: []string{"key"}}})
+	}, []catalog.Pool{{Name: "p"}}, []catalog.Team{{Name: "t", Keys: []string{"key"}}})
 }
 
 func newRig(t *testing.T, age time.Duration) *rig {
--- a/intake/outcome.go
+++ b/intake/outcome.go
@@ -30,8 +30,8 @@
 // Admission is a call whose queue and key are checked.
 type Admission struct {
 	Queue *catalog.Queue
-	// Tenant owns the key. It is empty for a public queue.
-	Tenant string
+	// Team owns the key. It is empty for a public queue.
+	Team string
 	// Rest is the path after the prefix of the queue.
 	Rest string
 	// Version is the configuration that decided.
--- a/member/member.go
+++ b/member/member.go
@@ -50,8 +50,8 @@
 type Node struct {
 	Name string `cbor:"1,keyasint"`
 	// Address is where peers connect.
-	Address string `cbor:"2,keyasint"`
-	Zone    string `cbor:"3,keyasint"`
+	Address    string `cbor:"2,keyasint"`
+	DataCentre string `cbor:"3,keyasint"`
 	// Incarnation tells the starts of a process apart.
 	Incarnation string `cbor:"4,keyasint"`
 	// Fence is the fencing token of the duty that the node holds, and 0 if it holds none.
@@ -298,7 +298,7 @@
 		listed[n.Name] = true
 		s, ok := m.seen[n.Name]
 		if !ok {
-			m.logger.Info("Node is known.", "node", n.Name, "address", n.Address, "zone", n.Zone)
+			m.logger.Info("Node is known.", "node", n.Name, "address", n.Address, "zone", n.DataCentre)
 			m.seen[n.Name] = &sighting{node: n, version: row.Version, changed: now}
 			continue
 		}
@@ -456,7 +456,7 @@
 	m.valid = sent + scheduler.Tenure
 }
 
-// ended reports whether the process of a holder has been replaced by another one on its machine.
+// ended reports whether the process of a holder has been replaced by another one on its instance.
 func (m *Member) ended(row holderRow) bool {
 	s, ok := m.seen[row.Holder]
 	return ok && s.node.Incarnation != row.Incarnation
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -55,7 +55,7 @@
 	return c.Store.Scan(ctx, table, part, from, to)
 }
 
-// The tests below run on the real clock: it counts the time of a suspended machine, which the fake clock does not have.
+// The tests below run on the real clock: it counts the time of a suspended instance, which the fake clock does not have.
 
 // TestOneHolder guards against two holders at the start, and against a duty that a starting process takes from one that has
 // just taken it.
--- a/node/duty.go
+++ b/node/duty.go
@@ -70,7 +70,7 @@
 	next := scheduler.NewEngine(scheduler.EngineOptions{
 		Core: scheduler.Options{Bounds: d.n.s.Bounds, Fence: tenure.Fence, Tenure: tenure.Number, Began: tenure.Began, Handed: tenure.Handed, Observer: d.n.metrics},
 		Name: d.n.s.Name, Store: d.n.d.Store, Clock: d.n.clock, Registry: d.n.d.Registry, Waves: d.n.source, Orders: d.n.d.Orders,
-		Machines: d.n.d.Machines, Advisor: d.n.d.Advisor, Catalog: d.n.source.Current, Duty: d.n.members, Logger: d.n.d.Logger,
+		Instances: d.n.d.Instances, Advisor: d.n.d.Advisor, Catalog: d.n.source.Current, Duty: d.n.members, Logger: d.n.d.Logger,
 	})
 	limited, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
--- a/node/node.go
+++ b/node/node.go
@@ -21,9 +21,9 @@
 	"github.com/chivetiller/chivetiller/advice"
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/ident"
+	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/intake"
 	"github.com/chivetiller/chivetiller/kernel"
-	"github.com/chivetiller/chivetiller/machine"
 	"github.com/chivetiller/chivetiller/member"
 	"github.com/chivetiller/chivetiller/metrics"
 	"github.com/chivetiller/chivetiller/scheduler"
@@ -33,34 +33,34 @@
 
 // Settings are the settings of a process.
 type Settings struct {
-	Name string
-	IP   string
-	Zone string
+	Name       string
+	IP         string
+	DataCentre string
 	// Front and Ready are the addresses for clients and for the question whether the process is ready.
 	Front string
 	Ready string
 	// PeerPort and MetricsPort are on the address IP.
 	PeerPort    int
 	MetricsPort int
-	// Store, Machines and Advice are addresses of the platform. Machines and Advice may be empty.
-	Store    string
-	Machines string
-	Advice   string
+	// Store, Instances and Advice are addresses of the platform. Instances and Advice may be empty.
+	Store     string
+	Instances string
+	Advice    string
 	// Memory is the memory in bytes above which the process is killed, and 0 if there is no bound.
 	Memory int64
 	// Cores is the processor share of the process.
-	Cores float64
-	Bounds   scheduler.Bounds
+	Cores  float64
+	Bounds scheduler.Bounds
 }
 
 // Dependencies are what a process talks to.
 type Dependencies struct {
-	Store    store.Store
-	Orders   worker.Orders
-	Machines machine.Fleet
-	Advisor  advice.Advisor
-	Registry scheduler.Registry
-	Decoder  catalog.Decoder
+	Store     store.Store
+	Orders    worker.Orders
+	Instances instance.Fleet
+	Advisor   advice.Advisor
+	Registry  scheduler.Registry
+	Decoder   catalog.Decoder
 	// Jobs returns the interface for clients over an intake.
 	Jobs func(*intake.Intake, *metrics.Jobs) http.Handler
 	// DroppedLines returns how many log lines were dropped.
@@ -94,7 +94,7 @@
 	n.d.Store = n.metrics.Store(d.Store)
 	d.Store = n.d.Store
 	n.members = member.New(member.Options{Store: d.Store, Clock: n.clock, Logger: d.Logger, Self: member.Node{
-		Name: s.Name, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Zone: s.Zone, Incarnation: ident.New(), Cores: s.Cores,
+		Name: s.Name, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), DataCentre: s.DataCentre, Incarnation: ident.New(), Cores: s.Cores,
 	}})
 	n.peers = newPeers(n)
 	n.source = catalog.NewSource(catalog.SourceOptions{Store: d.Store, Clock: n.clock, Decoder: d.Decoder, Peers: n.peers, Logger: d.Logger})
@@ -149,7 +149,7 @@
 
 // Start starts all services.
 func (n *Node) Start(ctx context.Context) error {
-	n.logger.Info("Process starts.", "node", n.s.Name, "zone", n.s.Zone, "front", n.s.Front, "store", n.s.Store, "memory", n.s.Memory, "cores", n.s.Cores)
+	n.logger.Info("Process starts.", "node", n.s.Name, "zone", n.s.DataCentre, "front", n.s.Front, "store", n.s.Store, "memory", n.s.Memory, "cores", n.s.Cores)
 	if err := n.kernel.Start(ctx); err != nil {
 		return eris.Wrap(err, "start the process")
 	}
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -17,8 +17,8 @@
 	"github.com/chivetiller/chivetiller/advice"
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/intake"
-	"github.com/chivetiller/chivetiller/machine"
 	"github.com/chivetiller/chivetiller/metrics"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
@@ -109,20 +109,20 @@
 		[]catalog.Pool{{Name: "p"}}, nil), nil
 }
 
-func (fakeDecoder) DecodeWave(store.Row) (machine.Wave, error) { return machine.Wave{}, nil }
+func (fakeDecoder) DecodeWave(store.Row) (instance.Wave, error) { return instance.Wave{}, nil }
 
 func (fakeDecoder) WaveStatus(row store.Key, _ bool) store.Put {
 	return store.Put{Key: store.Key{Table: "status", Name: row.Name}, Value: []byte("{}")}
 }
 
-type noMachines struct{}
+type noInstances struct{}
 
-func (noMachines) List(context.Context) ([]machine.Machine, error) { return nil, nil }
-func (noMachines) Move(context.Context, machine.Claim, string, string) (machine.Outcome, error) {
-	return machine.Refused, nil
+func (noInstances) List(context.Context) ([]instance.Instance, error) { return nil, nil }
+func (noInstances) Move(context.Context, instance.Claim, string, string) (instance.Outcome, error) {
+	return instance.Refused, nil
 }
-func (noMachines) Maintain(context.Context, machine.Claim, string, int) (machine.Outcome, error) {
-	return machine.Refused, nil
+func (noInstances) Maintain(context.Context, instance.Claim, string, int) (instance.Outcome, error) {
+	return instance.Refused, nil
 }
 
 type noAdvice struct{}
@@ -154,11 +154,11 @@
 	for i := range size {
 		address := func() string { return fmt.Sprintf("127.0.0.1:%d", freePort(t)) }
 		s := Settings{
-			Name: fmt.Sprintf("n%d", i), IP: "127.0.0.1", Zone: "z", Front: address(), Ready: address(), PeerPort: freePort(t), MetricsPort: freePort(t),
+			Name: fmt.Sprintf("n%d", i), IP: "127.0.0.1", DataCentre: "z", Front: address(), Ready: address(), PeerPort: freePort(t), MetricsPort: freePort(t),
 			Bounds: scheduler.Bounds{MaxLease: 10 * time.Second, Config: 2 * time.Second, ConfigStretch: 5 * time.Second, Retention: time.Minute, Grace: 4 * time.Second},
 		}
 		n, err := New(s, Dependencies{
-			Store: c.store, Orders: c.workers, Machines: noMachines{}, Advisor: noAdvice{}, Registry: fakeRegistry{}, Decoder: fakeDecoder{},
+			Store: c.store, Orders: c.workers, Instances: noInstances{}, Advisor: noAdvice{}, Registry: fakeRegistry{}, Decoder: fakeDecoder{},
 			Jobs: func(*intake.Intake, *metrics.Jobs) http.Handler { return http.NotFoundHandler() },
 		})
 		qt.Assert(t, err, qt.IsNil)
--- a/node/peers.go
+++ b/node/peers.go
@@ -169,7 +169,7 @@
 	for _, n := range p.n.members.Live() {
 		switch {
 		case n.Name == p.n.s.Name:
-		case n.Zone == p.n.s.Zone:
+		case n.DataCentre == p.n.s.DataCentre:
 			near = append(near, n)
 		default:
 			far = append(far, n)
--- a/scheduler/bounds.go
+++ b/scheduler/bounds.go
@@ -12,7 +12,7 @@
 	GangTimeout time.Duration
 	// Notice is after which time a service task that is not at work counts as away.
 	Notice time.Duration
-	// OrderTurn is the least time between orders of two holders for one machine.
+	// OrderTurn is the least time between orders of two holders for one instance.
 	OrderTurn time.Duration
 	// Drain is how long after its notice a leaving worker may still get tasks.
 	Drain time.Duration
@@ -27,7 +27,7 @@
 	Harm time.Duration
 	// Early is how long before its due time an occurrence may start.
 	Early time.Duration
-	// Move and Upkeep are how long a machine is away for a move and for maintenance.
+	// Move and Upkeep are how long an instance is away for a move and for maintenance.
 	Move   time.Duration
 	Upkeep time.Duration
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -1,6 +1,6 @@
 // Package scheduler decides which task runs where and when, for all pools of one duty. One process holds
 // the duty at a time. Its core takes events and gives orders and has no sockets; the engine around it
-// talks to workers, machines and the store.
+// talks to workers, instances and the store.
 //
 // # Usage
 //
@@ -80,12 +80,12 @@
 	catalog *catalog.Catalog
 	now     time.Duration
 	// unix is the time since 1970 at own time 0.
-	unix    time.Duration
-	jobs    map[string]*job
-	pools   map[string]*pool
-	hosts   map[string]*host
-	tenants map[string]work.Resources
-	orders  []Order
+	unix   time.Duration
+	jobs   map[string]*job
+	pools  map[string]*pool
+	hosts  map[string]*host
+	teams  map[string]work.Resources
+	orders []Order
 	// plans holds the runs that are ordered once their record is stored.
 	plans []*run
 	// changed holds the jobs whose progress is not stored.
@@ -100,7 +100,7 @@
 	// rosterChanged means that the stored roster does not name all workers.
 	rosterChanged bool
 	// former holds the workers on which an earlier holder started tasks and that have not answered under the own
-	// fence, with what the tenants may have running there.
+	// fence, with what the teams may have running there.
 	former map[string]map[string]work.Resources
 	// formerEnded is when the holder before is known to have ended.
 	formerEnded time.Duration
@@ -130,7 +130,7 @@
 	}
 	return &Core{
 		o: o, logger: o.Logger.Named("scheduler"), now: o.Began, catalog: catalog.New(0, 0, nil, nil, nil),
-		jobs: make(map[string]*job), pools: make(map[string]*pool), hosts: make(map[string]*host), tenants: make(map[string]work.Resources),
+		jobs: make(map[string]*job), pools: make(map[string]*pool), hosts: make(map[string]*host), teams: make(map[string]work.Resources),
 		changed: make(map[*job]bool), early: make(map[string]time.Duration), unknown: make(map[string]time.Duration),
 		former: make(map[string]map[string]work.Resources), stored: o.Began, formerEnded: o.Began + Tenure, learned: newEstimator(), fleet: newFleet(),
 	}
@@ -232,7 +232,7 @@
 	if !j.service && c.now-j.accepted < rateWindow {
 		p.arrive(j.accepted, j.doc.Work())
 	}
-	c.logger.Debug("Job is known.", "job", doc.ID, "queue", doc.Queue, "tenant", doc.Tenant, "pool", doc.Pool, "begun", j.begun)
+	c.logger.Debug("Job is known.", "job", doc.ID, "queue", doc.Queue, "team", doc.Team, "pool", doc.Pool, "begun", j.begun)
 	if _, ok := c.early[doc.ID]; ok {
 		delete(c.early, doc.ID)
 		c.Cancel(doc.ID)
@@ -409,18 +409,18 @@
 	// Roster is nil if the stored one is right.
 	Roster []RosterEntry
 	Waves  map[int]WaveProgress
-	// Machines holds when machines were ordered last, on the own clock. It is nil if nothing has to be recorded.
-	Machines map[string]time.Duration
-	jobs     []*job
-	states   []work.State
-	starts   []*run
-	orders   []MachineOrder
-	acks     map[*host]uint64
+	// Instances holds when instances were ordered last, on the own clock. It is nil if nothing has to be recorded.
+	Instances map[string]time.Duration
+	jobs      []*job
+	states    []work.State
+	starts    []*run
+	orders    []InstanceOrder
+	acks      map[*host]uint64
 }
 
 // Empty reports whether there is nothing to store.
 func (b *Batch) Empty() bool {
-	return len(b.Progress) == 0 && len(b.starts) == 0 && len(b.Removed) == 0 && b.Roster == nil && len(b.Waves) == 0 && b.Machines == nil
+	return len(b.Progress) == 0 && len(b.starts) == 0 && len(b.Removed) == 0 && b.Roster == nil && len(b.Waves) == 0 && b.Instances == nil
 }
 
 // Take returns what has changed since the last batch, at most limit rows. If that is all, the batch
@@ -435,7 +435,7 @@
 	b.Waves = c.fleet.takeWaves()
 	if len(c.fleet.plans) > 0 {
 		b.orders, c.fleet.plans = c.fleet.plans, nil
-		b.Machines = c.fleet.takeRecorded(c.now)
+		b.Instances = c.fleet.takeRecorded(c.now)
 	}
 	limit -= len(b.Waves)
 	for j := range c.changed {
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/chivetiller/chivetiller/machine"
+	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -229,7 +229,7 @@
 	qt.Assert(t, starts(after), qt.HasLen, 0)
 }
 
-// TestLimit guards against a tenant with more running than its limit, also through runs on workers that have not answered.
+// TestLimit guards against a team with more running than its limit, also through runs on workers that have not answered.
 func TestLimit(t *testing.T) {
 	tests := map[string]struct {
 		former bool
@@ -241,7 +241,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 2, "w1")
-			doc := work.Job{ID: "a", Queue: "q", Pool: "p", Tenant: "limited", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 1000}}}}
+			doc := work.Job{ID: "a", Queue: "q", Pool: "p", Team: "limited", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 1000}}}}
 			if test.former {
 				progress := work.NewProgress()
 				progress.Occurrence(&doc, 0).SetRun(0, 0, "w9", 7)
@@ -312,8 +312,8 @@
 	qt.Assert(t, r.core.mayDisrupt(first), qt.IsFalse)
 }
 
-// TestEmptyMachine guards against an order for a machine whose worker runs tasks that are not known.
-func TestEmptyMachine(t *testing.T) {
+// TestEmptyInstance guards against an order for an instance whose worker runs tasks that are not known.
+func TestEmptyInstance(t *testing.T) {
 	r := newRig(t, 2, "w1")
 	r.list("w1", "w2")
 	tests := map[string]struct {
@@ -327,18 +327,18 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			qt.Assert(t, r.core.empty(machine.Machine{ID: "m", Worker: test.worker}), qt.Equals, test.want)
+			qt.Assert(t, r.core.empty(instance.Instance{ID: "m", Worker: test.worker}), qt.Equals, test.want)
 		})
 	}
 }
 
-// TestFormerOrders guards against orders of two holders for one machine.
+// TestFormerOrders guards against orders of two holders for one instance.
 func TestFormerOrders(t *testing.T) {
 	r := newRig(t, 2, "w1")
 	r.core.SetFormerOrders(map[string]time.Duration{"m1": r.now})
 	qt.Assert(t, r.core.mayOrder("m1"), qt.IsFalse)
 	qt.Assert(t, r.core.mayOrder("m2"), qt.IsTrue)
-	r.wait(Tenure + machineTimeout)
+	r.wait(Tenure + instanceTimeout)
 	qt.Assert(t, r.core.mayOrder("m1"), qt.IsFalse)
 	r.wait(time.Second)
 	qt.Assert(t, r.core.mayOrder("m1"), qt.IsTrue)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -13,7 +13,7 @@
 	"github.com/chivetiller/chivetiller/advice"
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
-	"github.com/chivetiller/chivetiller/machine"
+	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -45,20 +45,20 @@
 	silentPause = 600 * time.Millisecond
 	// ackWait is the longest wait for the ends of a worker to be stored before its lease is renewed all the same.
 	ackWait = 200 * time.Millisecond
-	// registryInterval is the time between two looks at the registry of workers, which show the machines that join a pool.
+	// registryInterval is the time between two looks at the registry of workers, which show the instances that join a pool.
 	registryInterval = 200 * time.Millisecond
 	// feedInterval is the time between two looks at new jobs, for those whose notice got lost.
 	feedInterval = 700 * time.Millisecond
-	// machinesInterval is the least time between two looks at the machines, and machineInterval the time for each of
+	// instancesInterval is the least time between two looks at the instances, and instanceInterval the time for each of
 	// them, which bounds the bytes: an entry has about 250.
-	machinesInterval = 300 * time.Millisecond
-	machineInterval  = 2 * time.Millisecond
+	instancesInterval = 300 * time.Millisecond
+	instanceInterval  = 2 * time.Millisecond
 	// registryRefresh is the time between two complete looks at the registry.
 	registryRefresh = 10 * time.Second
-	// readTimeout bounds a read of the store or of the machines.
+	// readTimeout bounds a read of the store or of the instances.
 	readTimeout = time.Second
-	// machineTimeout bounds an order for a machine.
-	machineTimeout = 1500 * time.Millisecond
+	// instanceTimeout bounds an order for an instance.
+	instanceTimeout = 1500 * time.Millisecond
 	// adviceTimeout bounds a question to the policy service, which answers one after the other.
 	adviceTimeout = 3 * time.Second
 	// inboxSize is how many events may wait.
@@ -74,7 +74,7 @@
 // Waves are the requests for maintenance.
 type Waves interface {
 	// Waves returns the requests by the name of their row.
-	Waves() map[string]machine.Wave
+	Waves() map[string]instance.Wave
 	// WaveStatus returns the row that tells how far a wave is.
 	WaveStatus(name string, finished bool) store.Put
 }
@@ -90,18 +90,18 @@
 
 // EngineOptions are the options of an engine.
 type EngineOptions struct {
-	Core     Options
-	Name     string
-	Store    store.Store
-	Clock    *store.Clock
-	Registry Registry
-	Waves    Waves
-	Orders   worker.Orders
-	Machines machine.Fleet
-	Advisor  advice.Advisor
-	Catalog  func() *catalog.Catalog
-	Duty     Duty
-	Logger   hclog.Logger
+	Core      Options
+	Name      string
+	Store     store.Store
+	Clock     *store.Clock
+	Registry  Registry
+	Waves     Waves
+	Orders    worker.Orders
+	Instances instance.Fleet
+	Advisor   advice.Advisor
+	Catalog   func() *catalog.Catalog
+	Duty      Duty
+	Logger    hclog.Logger
 }
 
 // Engine holds the duty for one term. Its loop owns the core; all others send it messages.
@@ -160,10 +160,10 @@
 	storeNow, _ := e.o.Clock.At(now)
 	c.SetUnix(now, l.clock.Unix+storeNow-l.clock.Store)
 	c.SetRoster(l.roster)
-	for id, at := range l.machines {
-		l.machines[id] = now - (storeNow - at)
+	for id, at := range l.instances {
+		l.instances[id] = now - (storeNow - at)
 	}
-	c.SetFormerOrders(l.machines)
+	c.SetFormerOrders(l.instances)
 	for id, j := range l.jobs {
 		c.AddJob(j, l.progress[id], storeNow)
 	}
@@ -333,8 +333,8 @@
 	for _, order := range c.Schedule(now) {
 		e.run(func() { e.send(order) })
 	}
-	for _, order := range c.MachineOrders() {
-		e.run(func() { e.sendMachine(order) })
+	for _, order := range c.InstanceOrders() {
+		e.run(func() { e.sendInstance(order) })
 	}
 	for _, q := range c.Questions() {
 		e.run(func() { e.sendQuestion(q) })
@@ -411,22 +411,22 @@
 	}
 }
 
-func (e *Engine) sendMachine(o MachineOrder) {
+func (e *Engine) sendInstance(o InstanceOrder) {
 	if !e.holds() {
-		e.post(func(c *Core) { c.MachineReplied(o, machine.Refused, ErrNotHolder) })
+		e.post(func(c *Core) { c.InstanceReplied(o, instance.Refused, ErrNotHolder) })
 		return
 	}
-	ctx, cancel := context.WithTimeout(e.ctx, machineTimeout)
+	ctx, cancel := context.WithTimeout(e.ctx, instanceTimeout)
 	defer cancel()
-	claim := machine.Claim{Holder: e.o.Name, Fence: e.o.Core.Fence}
-	var outcome machine.Outcome
+	claim := instance.Claim{Holder: e.o.Name, Fence: e.o.Core.Fence}
+	var outcome instance.Outcome
 	var err error
 	if o.Wave > 0 {
-		outcome, err = e.o.Machines.Maintain(ctx, claim, o.Machine, o.Wave)
+		outcome, err = e.o.Instances.Maintain(ctx, claim, o.Instance, o.Wave)
 	} else {
-		outcome, err = e.o.Machines.Move(ctx, claim, o.Machine, o.Pool)
+		outcome, err = e.o.Instances.Move(ctx, claim, o.Instance, o.Pool)
 	}
-	e.post(func(c *Core) { c.MachineReplied(o, outcome, err) })
+	e.post(func(c *Core) { c.InstanceReplied(o, outcome, err) })
 }
 
 func (e *Engine) sendQuestion(q Question) {
@@ -542,14 +542,14 @@
 			return tx, err
 		}
 	}
-	if b.Machines != nil {
-		machines := make(map[string]time.Duration, len(b.Machines))
-		for id, at := range b.Machines {
-			if machines[id], _ = e.o.Clock.At(at); machines[id] <= 0 {
-				machines[id] = 1
+	if b.Instances != nil {
+		instances := make(map[string]time.Duration, len(b.Instances))
+		for id, at := range b.Instances {
+			if instances[id], _ = e.o.Clock.At(at); instances[id] <= 0 {
+				instances[id] = 1
 			}
 		}
-		if err := addPut(&tx, dutyKey(rowMachines), machines); err != nil {
+		if err := addPut(&tx, dutyKey(rowInstances), instances); err != nil {
 			return tx, err
 		}
 	}
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
-	"github.com/chivetiller/chivetiller/machine"
+	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -33,7 +33,7 @@
 
 type noWaves struct{}
 
-func (noWaves) Waves() map[string]machine.Wave { return nil }
+func (noWaves) Waves() map[string]instance.Wave { return nil }
 func (noWaves) WaveStatus(name string, _ bool) store.Put {
 	return store.Put{Key: store.Key{Name: name}}
 }
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -5,55 +5,55 @@
 	"slices"
 	"time"
 
-	"github.com/chivetiller/chivetiller/machine"
+	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
 const (
 	// orderMargin is added to the time after which the orders of an earlier holder have surely ended.
 	orderMargin = 500 * time.Millisecond
-	// machineRetry is the pause after an order for a machine that was not accepted.
-	machineRetry = time.Second
-	// drainPatience is how long tasks may go on running on a machine that is due for maintenance.
+	// instanceRetry is the pause after an order for an instance that was not accepted.
+	instanceRetry = time.Second
+	// drainPatience is how long tasks may go on running on an instance that is due for maintenance.
 	drainPatience = 4 * time.Second
 	// listLag is how long after an order was recorded a list may not show its effect.
 	listLag = 1500 * time.Millisecond
-	// listPatience is how old the list of machines may be when an order is given.
+	// listPatience is how old the list of instances may be when an order is given.
 	listPatience = 3 * time.Second
 )
 
-// fleet is what the holder knows of machines and their maintenance.
+// fleet is what the holder knows of instances and their maintenance.
 type fleet struct {
-	machines map[string]machine.Machine
-	listed   time.Duration
-	waves    map[int]*wave
+	instances map[string]instance.Instance
+	listed    time.Duration
+	waves     map[int]*wave
 	// plans holds the orders that are given once they are recorded.
-	plans  []MachineOrder
-	orders []MachineOrder
-	// recorded holds when each machine was ordered last, and formerOrders the orders of earlier holders.
+	plans  []InstanceOrder
+	orders []InstanceOrder
+	// recorded holds when each instance was ordered last, and formerOrders the orders of earlier holders.
 	recorded     map[string]time.Duration
 	formerOrders map[string]time.Duration
-	// busy holds the machines with an order on its way, and until when others are not ordered again.
+	// busy holds the instances with an order on its way, and until when others are not ordered again.
 	busy  map[string]bool
 	pause map[string]time.Duration
-	// byWorker holds the machine of each worker.
+	// byWorker holds the instance of each worker.
 	byWorker map[string]string
 	// moves holds the moves that are not accepted yet, and moved those that are, until a newer list.
 	moves map[string]*movement
 	moved map[string]move
-	// excess holds since when a pool has had too many machines.
+	// excess holds since when a pool has had too many instances.
 	excess  map[string]time.Duration
 	planned time.Duration
 }
 
 // wave is a request for maintenance and how far it is.
 type wave struct {
-	doc machine.Wave
+	doc instance.Wave
 	// since is when the wave became known.
 	since time.Duration
-	// begun holds the machines whose maintenance has begun, with the worker that ran before.
+	// begun holds the instances whose maintenance has begun, with the worker that ran before.
 	begun map[string]string
-	// accepted is when the maintenance of a machine was accepted. Older lists do not show it.
+	// accepted is when the maintenance of an instance was accepted. Older lists do not show it.
 	accepted map[string]time.Duration
 	dropped  map[string]bool
 	draining map[string]time.Duration
@@ -64,14 +64,14 @@
 // WaveProgress is what is stored of a wave.
 type WaveProgress struct {
 	Number int `cbor:"1,keyasint"`
-	// Begun holds the machines whose maintenance has begun, with the worker that ran on them before.
+	// Begun holds the instances whose maintenance has begun, with the worker that ran on them before.
 	Begun    map[string]string `cbor:"2,keyasint,omitempty"`
 	Finished bool              `cbor:"3,keyasint,omitempty"`
 }
 
-// MachineOrder is an order for a machine. Its outcome goes back to the core with [Core.MachineReplied].
-type MachineOrder struct {
-	Machine string
+// InstanceOrder is an order for an instance. Its outcome goes back to the core with [Core.InstanceReplied].
+type InstanceOrder struct {
+	Instance string
 	// Wave is the wave of a maintenance, and 0 for a move.
 	Wave int
 	// Pool is where a move goes to.
@@ -81,14 +81,14 @@
 
 func newFleet() *fleet {
 	return &fleet{
-		machines: make(map[string]machine.Machine), waves: make(map[int]*wave), busy: make(map[string]bool), pause: make(map[string]time.Duration),
+		instances: make(map[string]instance.Instance), waves: make(map[int]*wave), busy: make(map[string]bool), pause: make(map[string]time.Duration),
 		recorded: make(map[string]time.Duration), formerOrders: make(map[string]time.Duration),
 		byWorker: make(map[string]string), moves: make(map[string]*movement), moved: make(map[string]move), excess: make(map[string]time.Duration),
 	}
 }
 
 // AddWave takes a request for maintenance with its stored progress, which may be nil.
-func (c *Core) AddWave(doc machine.Wave, progress *WaveProgress) {
+func (c *Core) AddWave(doc instance.Wave, progress *WaveProgress) {
 	if _, ok := c.fleet.waves[doc.Number]; ok {
 		return
 	}
@@ -100,31 +100,31 @@
 		w.finished = progress.Finished
 	}
 	c.fleet.waves[doc.Number] = w
-	c.logger.Info("Wave is known.", "wave", doc.Number, "machines", len(doc.Machines), "maxDown", doc.MaxDown, "finishBy", doc.FinishBy, "begun", len(w.begun), "finished", w.finished)
+	c.logger.Info("Wave is known.", "wave", doc.Number, "instances", len(doc.Instances), "maxDown", doc.MaxDown, "finishBy", doc.FinishBy, "begun", len(w.begun), "finished", w.finished)
 }
 
-// SetMachines takes the list of machines as of a time.
-func (c *Core) SetMachines(machines []machine.Machine, at time.Duration) {
+// SetInstances takes the list of instances as of a time.
+func (c *Core) SetInstances(instances []instance.Instance, at time.Duration) {
 	c.fleet.listed = at
-	clear(c.fleet.machines)
+	clear(c.fleet.instances)
 	clear(c.fleet.byWorker)
-	for _, m := range machines {
+	for _, m := range instances {
 		if mv, ok := c.fleet.moved[m.ID]; ok {
 			if mv.at >= at {
-				m.Pool, m.State, m.Worker = mv.pool, machine.Moving, ""
+				m.Pool, m.State, m.Worker = mv.pool, instance.Moving, ""
 			} else {
 				delete(c.fleet.moved, m.ID)
 			}
 		}
-		c.fleet.machines[m.ID] = m
+		c.fleet.instances[m.ID] = m
 		if m.Worker != "" {
 			c.fleet.byWorker[m.Worker] = m.ID
 		}
 	}
 }
 
-// NeedsMachines reports whether the list of machines is of use.
-func (c *Core) NeedsMachines() bool {
+// NeedsInstances reports whether the list of instances is of use.
+func (c *Core) NeedsInstances() bool {
 	for _, w := range c.fleet.waves {
 		if !w.finished {
 			return true
@@ -133,13 +133,13 @@
 	return c.sparePool() != ""
 }
 
-// mayOrder reports whether no earlier holder can still order the machine. Orders are recorded before they are given.
+// mayOrder reports whether no earlier holder can still order the instance. Orders are recorded before they are given.
 func (c *Core) mayOrder(id string) bool {
 	at, ok := c.fleet.formerOrders[id]
-	return !ok || c.now > at+max(c.o.Bounds.OrderTurn, Tenure+machineTimeout)+orderMargin
+	return !ok || c.now > at+max(c.o.Bounds.OrderTurn, Tenure+instanceTimeout)+orderMargin
 }
 
-// SetFormerOrders takes when an earlier holder recorded its latest orders for machines, on the own clock.
+// SetFormerOrders takes when an earlier holder recorded its latest orders for instances, on the own clock.
 func (c *Core) SetFormerOrders(recorded map[string]time.Duration) {
 	for id, at := range recorded {
 		c.fleet.formerOrders[id] = at
@@ -147,14 +147,14 @@
 	}
 }
 
-// order gives an order for a machine once it is recorded.
-func (f *fleet) order(now time.Duration, o MachineOrder) {
-	f.busy[o.Machine] = true
-	f.recorded[o.Machine] = now
+// order gives an order for an instance once it is recorded.
+func (f *fleet) order(now time.Duration, o InstanceOrder) {
+	f.busy[o.Instance] = true
+	f.recorded[o.Instance] = now
 	f.plans = append(f.plans, o)
 }
 
-// takeRecorded returns the latest orders for machines, without those that are of no more use.
+// takeRecorded returns the latest orders for instances, without those that are of no more use.
 func (f *fleet) takeRecorded(now time.Duration) map[string]time.Duration {
 	recorded := make(map[string]time.Duration, len(f.recorded))
 	for id, at := range f.recorded {
@@ -167,18 +167,18 @@
 	return recorded
 }
 
-// recordedFor is how long an order for a machine stays recorded.
+// recordedFor is how long an order for an instance stays recorded.
 const recordedFor = 20 * time.Second
 
-// MachineOrders plans the maintenance and returns the orders that are due.
-func (c *Core) MachineOrders() []MachineOrder {
+// InstanceOrders plans the maintenance and returns the orders that are due.
+func (c *Core) InstanceOrders() []InstanceOrder {
 	f := c.fleet
 	for _, h := range c.hosts {
 		if h.report.Draining {
 			c.evacuate(h, true)
 		}
 	}
-	if c.deposed || c.now-f.listed > listPatience || len(f.machines) == 0 {
+	if c.deposed || c.now-f.listed > listPatience || len(f.instances) == 0 {
 		return nil
 	}
 	numbers := make([]int, 0, len(f.waves))
@@ -197,37 +197,37 @@
 	return orders
 }
 
-// planWave drains machines of a wave and orders their maintenance, at most MaxDown at a time.
+// planWave drains instances of a wave and orders their maintenance, at most MaxDown at a time.
 func (c *Core) planWave(w *wave) {
 	f := c.fleet
 	down := 0
 	for id := range w.begun {
-		m, ok := f.machines[id]
+		m, ok := f.instances[id]
 		// A list may be older than the last order, also one of an earlier holder.
-		if ok && (m.State != machine.Up || f.listed <= w.accepted[id] || f.listed <= f.recorded[id]+listLag) {
+		if ok && (m.State != instance.Up || f.listed <= w.accepted[id] || f.listed <= f.recorded[id]+listLag) {
 			down++
 		}
 	}
-	waiting := make([]string, 0, len(w.doc.Machines))
-	for _, id := range w.doc.Machines {
+	waiting := make([]string, 0, len(w.doc.Instances))
+	for _, id := range w.doc.Instances {
 		if _, begun := w.begun[id]; begun || w.dropped[id] {
 			continue
 		}
-		m, ok := f.machines[id]
+		m, ok := f.instances[id]
 		if !ok {
-			c.logger.Warn("Machine of a wave is not listed.", "wave", w.doc.Number, "machine", id)
+			c.logger.Warn("Instance of a wave is not listed.", "wave", w.doc.Number, "instance", id)
 			w.dropped[id] = true
 			continue
 		}
 		waiting = append(waiting, id)
-		if f.busy[id] || (m.State == machine.InMaintenance) {
+		if f.busy[id] || (m.State == instance.InMaintenance) {
 			down++
 		}
 	}
 	if len(waiting) == 0 {
 		if !w.finished {
 			w.finished, w.changed = true, true
-			c.logger.Info("Wave is finished.", "wave", w.doc.Number, "took", c.now-w.since, "machines", len(w.begun), "dropped", len(w.dropped))
+			c.logger.Info("Wave is finished.", "wave", w.doc.Number, "took", c.now-w.since, "instances", len(w.begun), "dropped", len(w.dropped))
 		}
 		return
 	}
@@ -242,7 +242,7 @@
 	}
 }
 
-// wavePace returns how many machines of a wave are drained or in maintenance at a time, so that it ends in time and takes
+// wavePace returns how many instances of a wave are drained or in maintenance at a time, so that it ends in time and takes
 // no more capacity than it has to.
 func (c *Core) wavePace(w *wave, waiting int) int {
 	left := w.since + w.doc.FinishBy - waveReserve - c.now
@@ -254,13 +254,13 @@
 }
 
 const (
-	// waveReserve is left at the end of a wave for machines that take long to become empty.
+	// waveReserve is left at the end of a wave for instances that take long to become empty.
 	waveReserve = 5 * time.Second
-	// drainTime is how long a machine takes to become empty. Tasks take about a second.
+	// drainTime is how long an instance takes to become empty. Tasks take about a second.
 	drainTime = 2 * time.Second
 )
 
-// drainNext reserves machines so that they become empty, up to a number of machines. Those that are switched off cost nothing.
+// drainNext reserves instances so that they become empty, up to a number of instances. Those that are switched off cost nothing.
 func (c *Core) drainNext(w *wave, waiting []string, limit int) {
 	draining := 0
 	for _, id := range waiting {
@@ -270,30 +270,30 @@
 	}
 	for {
 		id := c.emptiest(w, waiting)
-		if id == "" || (draining >= limit && c.fleet.machines[id].Worker != "") {
+		if id == "" || (draining >= limit && c.fleet.instances[id].Worker != "") {
 			return
 		}
 		w.draining[id] = c.now
 		draining++
-		if h, ok := c.hosts[c.fleet.machines[id].Worker]; ok {
+		if h, ok := c.hosts[c.fleet.instances[id].Worker]; ok {
 			h.reserved = true
-			c.logger.Info("Machine is drained for maintenance.", "wave", w.doc.Number, "machine", id, "worker", h.report.ID, "runs", len(h.runs))
+			c.logger.Info("Instance is drained for maintenance.", "wave", w.doc.Number, "instance", id, "worker", h.report.ID, "runs", len(h.runs))
 		}
 	}
 }
 
-// emptiest returns the machine that is not drained yet and has the least to lose.
+// emptiest returns the instance that is not drained yet and has the least to lose.
 func (c *Core) emptiest(w *wave, waiting []string) string {
 	best, bestRuns := "", 0
 	for _, id := range waiting {
 		if _, ok := w.draining[id]; ok {
 			continue
 		}
-		if _, moving := c.fleet.moves[id]; moving || c.fleet.machines[id].State != machine.Up {
+		if _, moving := c.fleet.moves[id]; moving || c.fleet.instances[id].State != instance.Up {
 			continue
 		}
 		runs := 0
-		if h, ok := c.hosts[c.fleet.machines[id].Worker]; ok {
+		if h, ok := c.hosts[c.fleet.instances[id].Worker]; ok {
 			runs = len(h.runs) + servicePenalty*h.services
 		}
 		if best == "" || runs < bestRuns {
@@ -303,10 +303,10 @@
 	return best
 }
 
-// servicePenalty is how many batch tasks a service task counts for when machines are drained.
+// servicePenalty is how many batch tasks a service task counts for when instances are drained.
 const servicePenalty = 10
 
-// maintain orders the maintenance of a machine that is empty. It reports whether an order is on its way.
+// maintain orders the maintenance of an instance that is empty. It reports whether an order is on its way.
 func (c *Core) maintain(w *wave, id string) bool {
 	f := c.fleet
 	since, draining := w.draining[id]
@@ -317,8 +317,8 @@
 		// It is counted already.
 		return false
 	}
-	m := f.machines[id]
-	if m.State != machine.Up {
+	m := f.instances[id]
+	if m.State != instance.Up {
 		return false
 	}
 	if !c.empty(m) {
@@ -328,14 +328,14 @@
 		}
 		return false
 	}
-	f.order(c.now, MachineOrder{Machine: id, Wave: w.doc.Number, worker: m.Worker})
-	c.logger.Info("Maintenance is ordered.", "wave", w.doc.Number, "machine", id, "worker", m.Worker, "fence", c.o.Fence, "listAge", c.now-f.listed)
+	f.order(c.now, InstanceOrder{Instance: id, Wave: w.doc.Number, worker: m.Worker})
+	c.logger.Info("Maintenance is ordered.", "wave", w.doc.Number, "instance", id, "worker", m.Worker, "fence", c.o.Fence, "listAge", c.now-f.listed)
 	return true
 }
 
-// empty reports whether nothing runs on a machine: it has no worker, or the worker has said so lately, or its lease has
+// empty reports whether nothing runs on an instance: it has no worker, or the worker has said so lately, or its lease has
 // run out. A worker that is not known or not heard of may run anything.
-func (c *Core) empty(m machine.Machine) bool {
+func (c *Core) empty(m instance.Instance) bool {
 	if m.Worker == "" {
 		return true
 	}
@@ -363,7 +363,7 @@
 				c.stop(r, "the worker is about to end")
 			}
 		case hurry && s.doc.Checkpoints && !h.report.Draining:
-			c.stop(r, "the machine is due for maintenance")
+			c.stop(r, "the instance is due for maintenance")
 		}
 	}
 }
@@ -414,40 +414,40 @@
 	}})
 }
 
-// MachineReplied takes the outcome of an order for a machine.
-func (c *Core) MachineReplied(o MachineOrder, outcome machine.Outcome, err error) {
+// InstanceReplied takes the outcome of an order for an instance.
+func (c *Core) InstanceReplied(o InstanceOrder, outcome instance.Outcome, err error) {
 	f := c.fleet
-	delete(f.busy, o.Machine)
+	delete(f.busy, o.Instance)
 	w := f.waves[o.Wave]
-	f.recorded[o.Machine] = c.now
-	c.logger.Info("Order for a machine was answered.", "machine", o.Machine, "wave", o.Wave, "pool", o.Pool, "outcome", outcome.String(), "error", err)
-	if outcome == machine.Accepted {
+	f.recorded[o.Instance] = c.now
+	c.logger.Info("Order for an instance was answered.", "instance", o.Instance, "wave", o.Wave, "pool", o.Pool, "outcome", outcome.String(), "error", err)
+	if outcome == instance.Accepted {
 		if h, ok := c.hosts[o.worker]; ok {
-			c.loseHost(h, "the machine is in maintenance or moves")
+			c.loseHost(h, "the instance is in maintenance or moves")
 		}
 	}
-	if o.Wave == 0 && outcome != machine.Fenced {
+	if o.Wave == 0 && outcome != instance.Fenced {
 		c.moveReplied(o, outcome)
 		return
 	}
 	switch outcome {
-	case machine.Accepted:
+	case instance.Accepted:
 		if w != nil {
-			w.begun[o.Machine] = o.worker
-			w.accepted[o.Machine] = c.now
+			w.begun[o.Instance] = o.worker
+			w.accepted[o.Instance] = c.now
 			w.changed = true
 		}
-	case machine.Fenced:
+	case instance.Fenced:
 		c.deposed = true
-	case machine.NotInWave, machine.Invalid:
+	case instance.NotInWave, instance.Invalid:
 		if w != nil {
-			w.dropped[o.Machine] = true
+			w.dropped[o.Instance] = true
 		}
 		if h, ok := c.hosts[o.worker]; ok {
 			h.reserved = false
 		}
 	default:
-		f.pause[o.Machine] = c.now + machineRetry
+		f.pause[o.Instance] = c.now + instanceRetry
 	}
 }
 
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -50,7 +50,7 @@
 		for _, s := range o.steps {
 			for i := range s.tasks {
 				if id, _, ok := o.progress.Run(s.number, i); ok && !s.tasks[i].done {
-					c.former[id][j.doc.Tenant] = c.former[id][j.doc.Tenant].Plus(s.doc.Request)
+					c.former[id][j.doc.Team] = c.former[id][j.doc.Team].Plus(s.doc.Request)
 				}
 			}
 		}
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/chivetiller/chivetiller/machine"
+	"github.com/chivetiller/chivetiller/instance"
 )
 
 const (
@@ -14,20 +14,20 @@
 	planInterval = 150 * time.Millisecond
 	// minTimeLeft bounds from below the time in which the work of a job is asked for.
 	minTimeLeft = 400 * time.Millisecond
-	// headroom is how much more than the demand a pool gets, since tasks do not fill machines to the brim.
+	// headroom is how much more than the demand a pool gets, since tasks do not fill instances to the brim.
 	headroom = 1.15
-	// minMachines is the least size of a pool, so that the loss of a rack leaves some.
-	minMachines = 3
-	// releaseAfter is how long a machine has to be in excess before it is switched off. Two moves cost as much as a
-	// machine of a pool in 2.3 s.
+	// minInstances is the least size of a pool, so that the loss of a rack leaves some.
+	minInstances = 3
+	// releaseAfter is how long an instance has to be in excess before it is switched off. Two moves cost as much as a
+	// instance of a pool in 2.3 s.
 	releaseAfter = 1800 * time.Millisecond
-	// moveDrain is how long tasks may go on running on a machine that is to move.
+	// moveDrain is how long tasks may go on running on an instance that is to move.
 	moveDrain = 1500 * time.Millisecond
 	// movesAtOnce bounds the moves that are under way.
 	movesAtOnce = 24
 )
 
-// movement is a move of a machine that has not been accepted yet.
+// movement is a move of an instance that has not been accepted yet.
 type movement struct {
 	pool  string
 	since time.Duration
@@ -36,7 +36,7 @@
 // demand is what a pool needs and has.
 type demand struct {
 	pool string
-	// need and have are in machines.
+	// need and have are in instances.
 	need int
 	have int
 }
@@ -84,7 +84,7 @@
 	return widest
 }
 
-// planMoves moves machines from pools that have too many to pools that have too few, and switches off what nobody needs.
+// planMoves moves instances from pools that have too many to pools that have too few, and switches off what nobody needs.
 func (c *Core) planMoves() {
 	f := c.fleet
 	if c.now < f.planned+planInterval {
@@ -92,8 +92,8 @@
 	}
 	f.planned = c.now
 	spare := c.sparePool()
-	demands, perMachine := c.demands(spare)
-	if perMachine == 0 {
+	demands, perInstance := c.demands(spare)
+	if perInstance == 0 {
 		return
 	}
 	c.advanceMoves()
@@ -120,7 +120,7 @@
 	c.release(spare, excess, demands)
 }
 
-// sparePool returns the pool whose machines are switched off.
+// sparePool returns the pool whose instances are switched off.
 func (c *Core) sparePool() string {
 	for name, p := range c.catalog.Pools {
 		if p.Spare {
@@ -130,7 +130,7 @@
 	return ""
 }
 
-// demands returns the demand of each pool that a queue uses, and the mean number of cores of a machine.
+// demands returns the demand of each pool that a queue uses, and the mean number of cores of an instance.
 func (c *Core) demands(spare string) ([]demand, float64) {
 	used := make(map[string]bool)
 	for i := range c.catalog.Queues {
@@ -138,54 +138,54 @@
 	}
 	have := make(map[string]int)
 	var cores float64
-	for id, m := range c.fleet.machines {
+	for id, m := range c.fleet.instances {
 		cores += float64(m.Capacity.CPU) / 1000
 		pool := m.Pool
 		if mv, ok := c.fleet.moves[id]; ok {
 			pool = mv.pool
 		}
-		// A machine in maintenance is replaced meanwhile.
-		if m.State == machine.Moving || (m.State == machine.Up && !c.fleet.draining(id)) {
+		// An instance in maintenance is replaced meanwhile.
+		if m.State == instance.Moving || (m.State == instance.Up && !c.fleet.draining(id)) {
 			have[pool]++
 		}
 	}
-	if len(c.fleet.machines) == 0 {
+	if len(c.fleet.instances) == 0 {
 		return nil, 0
 	}
-	perMachine := cores / float64(len(c.fleet.machines))
+	perInstance := cores / float64(len(c.fleet.instances))
 	var demands []demand
 	for name := range c.catalog.Pools {
 		if name == spare || !used[name] {
 			continue
 		}
 		p := c.pool(name)
-		need := max(minMachines, p.width()+1, int(math.Ceil(c.cores(p)*headroom/perMachine)))
+		need := max(minInstances, p.width()+1, int(math.Ceil(c.cores(p)*headroom/perInstance)))
 		demands = append(demands, demand{pool: name, need: need, have: have[name]})
 	}
-	return demands, perMachine
+	return demands, perInstance
 }
 
-// donor returns the machine that is missed least: an empty one of a pool with an excess, one that is switched off, or
+// donor returns the instance that is missed least: an empty one of a pool with an excess, one that is switched off, or
 // one that becomes empty soon.
 func (c *Core) donor(spare string, excess map[string]int, demands []demand) string {
 	id, runs := c.leastBusy(excess, demands)
 	if id != "" && runs == 0 {
-		excess[c.fleet.machines[id].Pool]--
+		excess[c.fleet.instances[id].Pool]--
 		return id
 	}
 	if off := c.switchedOff(spare); off != "" {
 		return off
 	}
 	if id != "" {
-		excess[c.fleet.machines[id].Pool]--
+		excess[c.fleet.instances[id].Pool]--
 	}
 	return id
 }
 
-// switchedOff returns a machine of the spare pool.
+// switchedOff returns an instance of the spare pool.
 func (c *Core) switchedOff(spare string) string {
 	best := ""
-	for id, m := range c.fleet.machines {
+	for id, m := range c.fleet.instances {
 		if m.Pool == spare && c.movable(id, m) && (best == "" || id < best) {
 			best = id
 		}
@@ -193,14 +193,14 @@
 	return best
 }
 
-// movable reports whether a machine can be ordered to move.
-func (c *Core) movable(id string, m machine.Machine) bool {
+// movable reports whether an instance can be ordered to move.
+func (c *Core) movable(id string, m instance.Instance) bool {
 	f := c.fleet
 	_, moving := f.moves[id]
-	return m.State == machine.Up && !moving && !f.busy[id] && c.now >= f.pause[id] && !f.draining(id) && c.mayOrder(id)
+	return m.State == instance.Up && !moving && !f.busy[id] && c.now >= f.pause[id] && !f.draining(id) && c.mayOrder(id)
 }
 
-// draining reports whether a wave drains the machine.
+// draining reports whether a wave drains the instance.
 func (f *fleet) draining(id string) bool {
 	for _, w := range f.waves {
 		if _, ok := w.draining[id]; ok {
@@ -212,7 +212,7 @@
 	return false
 }
 
-// leastBusy returns the machine without services that has the fewest tasks, in a pool with an excess.
+// leastBusy returns the instance without services that has the fewest tasks, in a pool with an excess.
 func (c *Core) leastBusy(excess map[string]int, demands []demand) (id string, runs int) {
 	for _, d := range demands {
 		if excess[d.pool] <= 0 {
@@ -220,7 +220,7 @@
 		}
 		for _, h := range c.pool(d.pool).hosts {
 			m, ok := c.fleet.byWorker[h.report.ID]
-			if !ok || !c.movable(m, c.fleet.machines[m]) || h.reserved || h.report.Draining || !h.touched {
+			if !ok || !c.movable(m, c.fleet.instances[m]) || h.reserved || h.report.Draining || !h.touched {
 				continue
 			}
 			if h.services+h.fillers > 0 {
@@ -234,7 +234,7 @@
 	return id, runs
 }
 
-// release switches machines off that have been in excess for a while.
+// release switches instances off that have been in excess for a while.
 func (c *Core) release(spare string, excess map[string]int, demands []demand) {
 	f := c.fleet
 	if spare == "" {
@@ -264,38 +264,38 @@
 }
 
 func (c *Core) startMove(id, pool string) {
-	m := c.fleet.machines[id]
+	m := c.fleet.instances[id]
 	c.fleet.moves[id] = &movement{pool: pool, since: c.now}
 	h, ok := c.hosts[m.Worker]
 	if ok {
 		h.reserved = true
 	}
-	c.logger.Info("Machine is to move.", "machine", id, "from", m.Pool, "to", pool, "worker", m.Worker, "listAge", c.now-c.fleet.listed)
+	c.logger.Info("Instance is to move.", "instance", id, "from", m.Pool, "to", pool, "worker", m.Worker, "listAge", c.now-c.fleet.listed)
 	c.orderMove(id)
 }
 
-// orderMove orders the move of a machine that is empty.
+// orderMove orders the move of an instance that is empty.
 func (c *Core) orderMove(id string) {
 	f := c.fleet
-	m, mv := f.machines[id], f.moves[id]
+	m, mv := f.instances[id], f.moves[id]
 	if f.busy[id] || c.now < f.pause[id] {
 		return
 	}
 	if !c.empty(m) {
 		return
 	}
-	f.order(c.now, MachineOrder{Machine: id, Pool: mv.pool, worker: m.Worker})
+	f.order(c.now, InstanceOrder{Instance: id, Pool: mv.pool, worker: m.Worker})
 }
 
-// advanceMoves orders the moves of machines that have become empty and gives up those that do not.
+// advanceMoves orders the moves of instances that have become empty and gives up those that do not.
 func (c *Core) advanceMoves() {
 	f := c.fleet
 	for id, mv := range f.moves {
-		m, ok := f.machines[id]
+		m, ok := f.instances[id]
 		if f.busy[id] {
 			continue
 		}
-		if !ok || m.State != machine.Up || c.now-mv.since > moveDrain {
+		if !ok || m.State != instance.Up || c.now-mv.since > moveDrain {
 			c.dropMove(id)
 			continue
 		}
@@ -303,29 +303,29 @@
 	}
 }
 
-// dropMove gives a move up. The machine goes on working where it is.
+// dropMove gives a move up. The instance goes on working where it is.
 func (c *Core) dropMove(id string) {
 	f := c.fleet
 	delete(f.moves, id)
-	if h, ok := c.hosts[f.machines[id].Worker]; ok && !f.draining(id) {
+	if h, ok := c.hosts[f.instances[id].Worker]; ok && !f.draining(id) {
 		h.reserved = false
 	}
 }
 
 // moveReplied takes the outcome of a move.
-func (c *Core) moveReplied(o MachineOrder, outcome machine.Outcome) {
+func (c *Core) moveReplied(o InstanceOrder, outcome instance.Outcome) {
 	f := c.fleet
 	switch outcome {
-	case machine.Accepted:
-		m := f.machines[o.Machine]
-		m.Pool, m.State, m.Worker = o.Pool, machine.Moving, ""
-		f.machines[o.Machine] = m
-		f.moved[o.Machine] = move{pool: o.Pool, at: c.now}
-		delete(f.moves, o.Machine)
-	case machine.Unknown:
+	case instance.Accepted:
+		m := f.instances[o.Instance]
+		m.Pool, m.State, m.Worker = o.Pool, instance.Moving, ""
+		f.instances[o.Instance] = m
+		f.moved[o.Instance] = move{pool: o.Pool, at: c.now}
+		delete(f.moves, o.Instance)
+	case instance.Unknown:
 		// The order is repeated: the platform accepts a move that is done already.
 	default:
-		c.dropMove(o.Machine)
+		c.dropMove(o.Instance)
 	}
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -180,17 +180,17 @@
 	return max(t.lastRun, (c.o.Tenure-1)*runsPerTenure) + 1
 }
 
-// withinLimit reports whether the tenant may have n more tasks of the step running. What an
+// withinLimit reports whether the team may have n more tasks of the step running. What an
 // earlier holder started on workers that have not answered counts as running.
 func (c *Core) withinLimit(s *step, n int64) bool {
-	tenant := s.job.doc.Tenant
-	limit := c.catalog.Tenants[tenant].Limit
+	team := s.job.doc.Team
+	limit := c.catalog.Teams[team].Limit
 	if limit == (work.Resources{}) {
 		return true
 	}
-	used := c.tenants[tenant].Plus(s.doc.Request.Times(n))
+	used := c.teams[team].Plus(s.doc.Request.Times(n))
 	for _, running := range c.former {
-		used = used.Plus(running[tenant])
+		used = used.Plus(running[team])
 	}
 	return (limit.CPU == 0 || used.CPU <= limit.CPU) && (limit.Memory == 0 || used.Memory <= limit.Memory) && (limit.GPU == 0 || used.GPU <= limit.GPU)
 }
@@ -249,7 +249,7 @@
 	costCompany = 3
 	// costTogether is the cost of each task of the same service on a worker, whose end would take all of them.
 	costTogether = 1
-	// costService keeps batch tasks and services apart a little, so that machines without services can be moved.
+	// costService keeps batch tasks and services apart a little, so that instances without services can be moved.
 	costService = 0.2
 )
 
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -35,7 +35,7 @@
 	r.core = NewCore(Options{Bounds: rigBounds(), Fence: uint64(10 * tenure), Tenure: tenure, Began: r.now})
 	r.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{
 		Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6, Goal: 600 * time.Millisecond,
-	}}, []catalog.Pool{{Name: "p"}}, []catalog.Tenant{{Name: "limited", Limit: work.Resources{CPU: 2000}}}))
+	}}, []catalog.Pool{{Name: "p"}}, []catalog.Team{{Name: "limited", Limit: work.Resources{CPU: 2000}}}))
 	r.list(workers...)
 	for _, id := range workers {
 		r.answer(id)
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -27,8 +27,8 @@
 	// cancelSuffix marks the row of a cancellation. It sorts after the job.
 	cancelSuffix = ".cancel"
 	wavePrefix   = "wave."
-	// rowMachines holds when machines were ordered last, on the clock of the store.
-	rowMachines = "machines"
+	// rowInstances holds when instances were ordered last, on the clock of the store.
+	rowInstances = "instances"
 )
 
 // JobKey returns the row of a job. Jobs are spread over parts, each of which the store carries out transactions one after
@@ -120,8 +120,8 @@
 	now     time.Duration
 	chain   uint64
 	clock   clockRow
-	// machines holds when machines were ordered last, on the clock of the store.
-	machines map[string]time.Duration
+	// instances holds when instances were ordered last, on the clock of the store.
+	instances map[string]time.Duration
 }
 
 // load reads all rows of the duty. It tells rows that cannot be read to bad.
@@ -194,8 +194,8 @@
 		return cbor.Unmarshal(row.Value, &l.roster)
 	case rowClock:
 		return cbor.Unmarshal(row.Value, &l.clock)
-	case rowMachines:
-		return cbor.Unmarshal(row.Value, &l.machines)
+	case rowInstances:
+		return cbor.Unmarshal(row.Value, &l.instances)
 	}
 	return nil
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -63,7 +63,7 @@
 	c.plans = left
 }
 
-// attach books a run on its worker and tenant.
+// attach books a run on its worker and team.
 func (c *Core) attach(r *run) {
 	t := &r.step.tasks[r.index]
 	if len(t.runs) == 0 && !t.done {
@@ -73,11 +73,11 @@
 	r.on.runs[r.task()] = r
 	r.on.used = r.on.used.Plus(r.step.doc.Charge())
 	r.on.count(r.step.doc, 1)
-	tenant := r.step.job.doc.Tenant
-	c.tenants[tenant] = c.tenants[tenant].Plus(r.step.doc.Request)
+	team := r.step.job.doc.Team
+	c.teams[team] = c.teams[team].Plus(r.step.doc.Request)
 }
 
-// detach takes a run off its worker and tenant. It reports whether the run was attached.
+// detach takes a run off its worker and team. It reports whether the run was attached.
 func (c *Core) detach(r *run) bool {
 	t := &r.step.tasks[r.index]
 	for i, other := range t.runs {
@@ -94,8 +94,8 @@
 		r.on.used = r.on.used.Minus(r.step.doc.Charge())
 		r.on.count(r.step.doc, -1)
 		c.pool(r.on.report.Pool).dirty = true
-		tenant := r.step.job.doc.Tenant
-		c.tenants[tenant] = c.tenants[tenant].Minus(r.step.doc.Request)
+		team := r.step.job.doc.Team
+		c.teams[team] = c.teams[team].Minus(r.step.doc.Request)
 		t.lastWorker = r.on.report.ID
 		return true
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -158,7 +158,7 @@
 	closed time.Duration
 	// draining is since when the worker is known to leave.
 	draining time.Duration
-	// reserved means that the machine is about to be moved or maintained.
+	// reserved means that the instance is about to be moved or maintained.
 	reserved bool
 	// unlisted is since when the registry does not name the worker.
 	unlisted time.Duration
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -189,10 +189,10 @@
 	})
 }
 
-// watchWaves takes new requests for maintenance and the list of machines while one is open.
+// watchWaves takes new requests for maintenance and the list of instances while one is open.
 func (e *Engine) watchWaves(stored map[int]*WaveProgress) {
 	var wait time.Duration
-	e.every(machinesInterval, func(ctx context.Context) {
+	e.every(instancesInterval, func(ctx context.Context) {
 		e.sleep(wait)
 		waves := e.o.Waves.Waves()
 		needed := false
@@ -200,18 +200,18 @@
 			for _, w := range waves {
 				c.AddWave(w, stored[w.Number])
 			}
-			needed = c.NeedsMachines()
+			needed = c.NeedsInstances()
 		})
 		if err != nil || !needed {
 			return
 		}
 		at := clock.Now()
-		machines, err := e.o.Machines.List(ctx)
+		instances, err := e.o.Instances.List(ctx)
 		if err != nil {
-			e.logger.Warn("Machines cannot be listed.", "error", err)
+			e.logger.Warn("Instances cannot be listed.", "error", err)
 			return
 		}
-		wait = time.Duration(len(machines))*machineInterval - machinesInterval
-		e.post(func(c *Core) { c.SetMachines(machines, at) })
+		wait = time.Duration(len(instances))*instanceInterval - instancesInterval
+		e.post(func(c *Core) { c.SetInstances(instances, at) })
 	})
 }
--- a/work/work.go
+++ b/work/work.go
@@ -101,7 +101,7 @@
 	ID     string `cbor:"1,keyasint"`
 	Queue  string `cbor:"2,keyasint"`
 	Pool   string `cbor:"3,keyasint"`
-	Tenant string `cbor:"4,keyasint,omitempty"`
+	Team string `cbor:"4,keyasint,omitempty"`
 	Spec   string `cbor:"5,keyasint,omitempty"`
 	Steps  []Step `cbor:"6,keyasint"`
 	// Accepted is when the job was accepted, on the clock of the store.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -17,11 +17,11 @@
 
 // Report is what a worker says of itself in the registry.
 type Report struct {
-	// ID names one life of a machine.
+	// ID names one life of an instance.
 	ID      string
 	Pool    string
 	Address string
-	Zone    string
+	DataCentre    string
 	// Draining means that the worker leaves soon.
 	Draining bool
 	// Remaining is the least time that a draining worker still serves.
