Give the duty to the strongest live node, also later

The vacancy now counts from when a holder was last seen, and a node gives the duty back when a node 1.5 times as strong has been live for 3 s.

--- a/member/member.go
+++ b/member/member.go
@@ -103,6 +103,8 @@
 	count  uint64
 	seen   map[string]*sighting
 	looked time.Duration
+	// held is when a live node was last seen to hold the duty.
+	held time.Duration
 	// after is the version from which on changes are read, and 0 before the first look.
 	after uint64
 	// steady is since when the rows have been read without a gap.
@@ -119,8 +121,9 @@
 type sighting struct {
 	node    Node
 	version uint64
-	// changed is when the row was seen to change.
+	// changed is when the row was seen to change, and since since when the process is known.
 	changed time.Duration
+	since   time.Duration
 }
 
 // New returns a member that is not started.
@@ -180,6 +183,9 @@
 	}
 	if held, ok := m.Tenure(); ok {
 		m.check(ctx, held)
+		if m.weak(held) {
+			m.giveBack(ctx)
+		}
 		return
 	}
 	if !m.shouldTake() {
@@ -299,9 +305,12 @@
 		s, ok := m.seen[n.Name]
 		if !ok {
 			m.logger.Info("Node is known.", "node", n.Name, "address", n.Address, "zone", n.DataCentre)
-			m.seen[n.Name] = &sighting{node: n, version: row.Version, changed: now}
+			m.seen[n.Name] = &sighting{node: n, version: row.Version, changed: now, since: now}
 			continue
 		}
+		if s.node.Incarnation != n.Incarnation {
+			s.since = now
+		}
 		if s.version != row.Version {
 			s.node, s.version, s.changed = n, row.Version, now
 		}
@@ -312,6 +321,9 @@
 		}
 	}
 	m.after = rows.Version
+	if _, held := m.holder(now); held {
+		m.held = now
+	}
 	return nil
 }
 
@@ -394,19 +406,7 @@
 		}
 		rank++
 	}
-	vacant := m.vacantSince(now)
-	return now-vacant >= time.Duration(rank)*rankDelay
-}
-
-// vacantSince returns since when no live node has held the duty, as far as this node knows.
-func (m *Member) vacantSince(now time.Duration) time.Duration {
-	vacant := m.steady
-	for _, s := range m.seen {
-		if s.node.Fence > 0 && s.node.Name != m.o.Self.Name {
-			vacant = max(vacant, s.changed+deadAfter)
-		}
-	}
-	return min(vacant, now)
+	return now-max(m.held, m.steady) >= time.Duration(rank)*rankDelay
 }
 
 // take writes the row of the duty.
@@ -469,6 +469,47 @@
 	return m.tenure != nil && m.ended(m.tenure.before)
 }
 
+const (
+	// weakFactor is how many times stronger another node has to be for the duty to be given back.
+	weakFactor = 1.5
+	// weakAfter is how long a node keeps the duty before that, since each change costs a fraction of a second.
+	weakAfter = 3 * time.Second
+)
+
+// weak reports whether a much stronger node could hold the duty, such as after an outage in which only this one was live.
+func (m *Member) weak(held Tenure) bool {
+	now := clock.Now()
+	if now-held.Began < weakAfter {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.seen {
+		if s.node.Cores > weakFactor*m.o.Self.Cores && !s.node.Leaving && m.live(s, now) && now-s.since > weakAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// giveBack gives the duty back, so that another node takes it. This node waits for one that is stronger.
+func (m *Member) giveBack(ctx context.Context) {
+	m.mu.Lock()
+	held := m.tenure
+	m.tenure = nil
+	m.held = clock.Now()
+	m.mu.Unlock()
+	if held == nil {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	m.release(limited, *held)
+	if err := m.beat(limited); err != nil && ctx.Err() == nil {
+		m.logger.Warn("Return of the duty was not announced.", "error", err)
+	}
+}
+
 // justTaken reports whether a live node has taken the duty and had no time yet to say so in its own row.
 func (m *Member) justTaken(row holderRow, version uint64) bool {
 	now := clock.Now()
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -151,3 +151,24 @@
 		qt.Assert(t, m.ended(holderRow{Holder: "c", Incarnation: "old"}), qt.IsFalse)
 	})
 }
+
+// TestStrongestNode guards against a duty that a weak node takes, or keeps, while strong ones are live.
+func TestStrongestNode(t *testing.T) {
+	t.Parallel()
+	s := memory.New()
+	weak := New(Options{Store: s, Clock: &store.Clock{}, Self: Node{Name: "a", Incarnation: "1", Cores: 0.2}})
+	weak.Start()
+	t.Cleanup(weak.loop.Stop)
+	time.Sleep(time.Second)
+	_, held := weak.Tenure()
+	qt.Assert(t, held, qt.IsTrue)
+	strong := New(Options{Store: s, Clock: &store.Clock{}, Self: Node{Name: "b", Incarnation: "1", Cores: 0.8}})
+	strong.Start()
+	t.Cleanup(strong.loop.Stop)
+	time.Sleep(weakAfter + 2*time.Second)
+	_, held = weak.Tenure()
+	qt.Assert(t, held, qt.IsFalse)
+	tenure, held := strong.Tenure()
+	qt.Assert(t, held, qt.IsTrue)
+	qt.Assert(t, tenure.Handed, qt.IsTrue)
+}
--- a/node/duty.go
+++ b/node/duty.go
@@ -12,6 +12,8 @@
 const (
 	// dutyInterval is the time between two looks at whether the duty is held.
 	dutyInterval = 20 * time.Millisecond
+	// beginPause is the time after a term that could not begin.
+	beginPause = 250 * time.Millisecond
 	// loadTimeout bounds the reading of all rows at the begin of a term.
 	loadTimeout = 3 * time.Second
 )
@@ -77,6 +79,10 @@
 	if err := next.Start(limited); err != nil {
 		d.n.logger.Warn("Duty cannot begin.", "fence", tenure.Fence, "error", err)
 		next.Stop()
+		select {
+		case <-time.After(beginPause):
+		case <-ctx.Done():
+		}
 		return
 	}
 	d.mu.Lock()
