--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -312,6 +312,25 @@
 	qt.Assert(t, r.core.mayDisrupt(first), qt.IsFalse)
 }
 
+// TestStopOfFormerHolder guards against a planned stop while a task of the same service ends because of a stop that the
+// holder before has ordered. The worker still reports it as at work.
+func TestStopOfFormerHolder(t *testing.T) {
+	r := newRig(t, 2, "w1", "w2")
+	j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{
+		Count: 2, Request: work.Resources{CPU: 100}, MaxPerWorker: 1, Service: true, Disruptions: 1,
+	}}})
+	r.runs["w1"] = []worker.Run{{Task: work.Task{Job: "a"}, Number: 1, Percent: 100}}
+	r.runs["w2"] = []worker.Run{{Task: work.Task{Job: "a", Index: 1}, Number: 1, Percent: 100}}
+	r.answer("w1")
+	r.answer("w2")
+	first := j.open[0].steps[0].tasks[0].runs[0]
+	qt.Assert(t, r.core.mayDisrupt(first), qt.IsFalse)
+	r.wait(rigBounds().StopTimeout + stopMargin)
+	r.answer("w1")
+	r.answer("w2")
+	qt.Assert(t, r.core.mayDisrupt(first), qt.IsTrue)
+}
+
 // TestEmptyInstance guards against an order for an instance whose worker runs tasks that are not known.
 func TestEmptyInstance(t *testing.T) {
 	r := newRig(t, 2, "w1")
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -16,6 +16,8 @@
 	instanceRetry = time.Second
 	// drainPatience is how long tasks may go on running on an instance that is due for maintenance.
 	drainPatience = 4 * time.Second
+	// stopMargin is added to the time that a worker takes to stop a task.
+	stopMargin = 400 * time.Millisecond
 	// listLag is how long after an order was recorded a list may not show its effect.
 	listLag = 1500 * time.Millisecond
 	// listPatience is how old the list of instances may be when an order is given.
@@ -385,6 +387,10 @@
 			away++
 			continue
 		}
+		// The holder before may have stopped the task, which goes on until the worker has carried that out.
+		if c.o.Tenure > 1 && c.now < other.on.reached+c.o.Bounds.StopTimeout+stopMargin {
+			return false
+		}
 		if c.now-other.on.contact > lookAge {
 			stale = true
 			c.look(other.on)
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -245,6 +245,9 @@
 	if !h.touched || h.lapsed || silent > contactTimeout {
 		c.pool(h.report.Pool).dirty = true
 	}
+	if !h.touched {
+		h.reached = c.now
+	}
 	h.lapsed = false
 	h.touched = true
 	delete(c.former, id)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -130,6 +130,8 @@
 	listed bool
 	// touched means that the worker has answered under the own fence.
 	touched bool
+	// reached is when the worker answered under the own fence for the first time.
+	reached time.Duration
 	// looked is when a report was asked for at once.
 	looked time.Duration
 	// silent means that the log says that the worker does not answer.
