--- a/intake/intake.go
+++ b/intake/intake.go
@@ -12,12 +12,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
@@ -124,6 +126,7 @@
 		return Refused
 	}
 	job.Accepted = now
+	since := clock.Now()
 	value, err := scheduler.EncodeJob(job)
 	if err != nil {
 		i.logger.Error("Job cannot be encoded.", "job", job.ID, "error", err)
@@ -134,10 +137,10 @@
 		Puts:     []store.Put{{Key: scheduler.JobKey(job.ID), Value: value}},
 	}
 	err = i.commit(ctx, tx)
-	now, _ = i.o.Clock.Now()
+	took := clock.Now() - since
 	switch {
 	case err == nil:
-		i.logger.Info("Job is accepted.", "job", job.ID, "queue", job.Queue, "team", job.Team, "steps", len(job.Steps), "config", a.Version, "took", now-job.Accepted)
+		i.logger.Info("Job is accepted.", "job", job.ID, "queue", job.Queue, "team", job.Team, "steps", len(job.Steps), "config", a.Version, "took", took)
 		i.o.Holder.Submitted(ctx, job)
 		return OK
 	case errors.Is(err, store.ErrConflict):
@@ -145,17 +148,17 @@
 		i.logger.Info("Job is known already.", "job", job.ID, "queue", job.Queue)
 		return OK
 	case errors.Is(err, store.ErrNotDone):
-		i.logger.Warn("Job is refused: it cannot be stored.", "job", job.ID, "queue", job.Queue, "took", now-job.Accepted, "error", err)
+		i.logger.Warn("Job is refused: it cannot be stored.", "job", job.ID, "queue", job.Queue, "took", took, "error", err)
 		return Refused
 	}
-	i.logger.Warn("Job may have been stored.", "job", job.ID, "queue", job.Queue, "took", now-job.Accepted, "error", err)
+	i.logger.Warn("Job may have been stored.", "job", job.ID, "queue", job.Queue, "took", took, "error", err)
 	return Unknown
 }
 
 // commit carries out a transaction that may be repeated without harm, here or through another node. The error
 // is ErrNotDone only if no attempt can have an effect.
 func (i *Intake) commit(ctx context.Context, tx store.Tx) error {
-	var unknown error
+	var unknown, direct error
 	for attempt := 0; ; attempt++ {
 		commit := i.o.Store.Commit
 		if attempt%2 == 1 {
@@ -173,8 +176,11 @@
 		if errors.Is(err, store.ErrUnknown) {
 			unknown = err
 		}
+		if attempt == 0 {
+			direct = err
+		}
 		if unknown == nil && attempt > 0 {
-			return err
+			return errors.Join(direct, fmt.Errorf("through another node: %w", err))
 		}
 		if ctx.Err() != nil {
 			if unknown != nil {
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -123,6 +123,23 @@
 	qt.Assert(t, state, qt.Equals, work.Failed)
 }
 
+// TestRetryElsewhere guards against a task that uses up its attempts on one broken worker.
+func TestRetryElsewhere(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	r.add("a", 1)
+	orders := r.pass()
+	r.accept(orders)
+	first := orders[0].Target.ID
+	other := map[string]string{"w1": "w2", "w2": "w1"}[first]
+	r.finish(first, worker.EndFailed)
+	r.answer(first)
+	r.list(first)
+	qt.Assert(t, starts(r.pass()), qt.HasLen, 0)
+	r.list("w1", "w2")
+	r.wait(100 * time.Millisecond)
+	qt.Assert(t, starts(r.pass()), qt.DeepEquals, []string{"a 0.0.0 2 " + other})
+}
+
 // TestAdoptedRunOfCancelledJob guards against a run that goes on after its job was cancelled and the holder has changed.
 func TestAdoptedRunOfCancelledJob(t *testing.T) {
 	r := newRig(t, 2, "w1")
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -201,7 +201,7 @@
 	var bestCost float64
 	charge := s.doc.Charge()
 	for _, h := range free {
-		if !charge.Fits(h.room()) || !c.eligible(s, h) {
+		if !charge.Fits(h.room()) || !c.eligible(s, h) || c.failedOn(s, index, h) {
 			continue
 		}
 		cost := c.cost(s, index, h, charge)
@@ -212,6 +212,15 @@
 	return best
 }
 
+// elsewhere is how long a task that failed waits for a worker other than the one on which it did.
+const elsewhere = 500 * time.Millisecond
+
+// failedOn reports whether the task has just failed on the worker, whose fault that may be.
+func (c *Core) failedOn(s *step, index int, h *host) bool {
+	t := &s.tasks[index]
+	return t.failed > 0 && t.lastWorker == h.report.ID && c.now < t.failed+elsewhere
+}
+
 // eligible reports whether the step may run on the worker.
 func (c *Core) eligible(s *step, h *host) bool {
 	if !h.report.HasLabel(s.doc.Label) {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -324,6 +324,7 @@
 		if s.doc.Service || j.progress.State.Ended() {
 			return
 		}
+		s.tasks[index].failed = c.now
 		failures := s.progress.AddFailure(s.unit(index), number)
 		c.changed[j] = true
 		q, ok := c.catalog.Queue(j.doc.Queue)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -80,8 +80,9 @@
 	// notBefore delays the next start.
 	notBefore time.Duration
 	done      bool
-	// lastWorker is where the latest run ended without being done.
+	// lastWorker is where the latest run ended without being done, and failed when it failed there.
 	lastWorker string
+	failed     time.Duration
 }
 
 type phase int
