--- a/common/logging/logging_test.go
+++ b/common/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,3 +47,29 @@
 	_, err = logging.New(&out, "info", "xml")
 	qt.Assert(t, err, qt.ErrorMatches, `log format "xml" is neither text nor json`)
 }
+
+// stuckReader takes nothing until it is freed.
+type stuckReader struct {
+	free chan struct{}
+	bytes.Buffer
+}
+
+func (s *stuckReader) Write(p []byte) (int, error) {
+	<-s.free
+	return s.Buffer.Write(p)
+}
+
+// TestBuffered guards against a process that waits for the reader of its log, and against a loss of lines that nobody is told of.
+func TestBuffered(t *testing.T) {
+	reader := &stuckReader{free: make(chan struct{})}
+	b := logging.NewBuffered(reader, 2)
+	for i := range 100 {
+		_, err := fmt.Fprintf(b, "line %d\n", i)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, b.Dropped() >= 90, qt.IsTrue)
+	close(reader.free)
+	qt.Assert(t, b.Close(), qt.IsNil)
+	qt.Assert(t, reader.String(), qt.Contains, "line 0\n")
+	qt.Assert(t, reader.String(), qt.Contains, "lines were dropped")
+}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -1,8 +1,10 @@
 package intake
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/common/logging"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
@@ -216,3 +219,28 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, state, qt.Equals, work.Cancelled)
 }
+
+// TestLogHoldsNoSecrets guards against keys and specifications in the log.
+func TestLogHoldsNoSecrets(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := logging.New(&out, "debug", "text")
+	qt.Assert(t, err, qt.IsNil)
+	r := newRig(t, 0)
+	r.intake = New(Options{
+		Store: r.store, Clock: r.intake.o.Clock, Holder: r.holder, Relay: r.relay, Configuration: r.intake.o.Configuration, Bounds: r.intake.o.Bounds, Logger: logger,
+	})
+	for _, key := range []string{"key", "wrong-key"} {
+		a, outcome := r.intake.Admit("h", "/q/a", key)
+		if outcome != OK {
+			continue
+		}
+		job := sampleJob("a")
+		job.Spec = "hidden-spec"
+		r.intake.Submit(t.Context(), a, job)
+		r.intake.Cancel(t.Context(), a, "a")
+	}
+	qt.Assert(t, out.String(), qt.Contains, "Job is accepted.")
+	for _, secret := range []string{"wrong-key", "=key", "hidden-spec"} {
+		qt.Assert(t, strings.Contains(out.String(), secret), qt.IsFalse)
+	}
+}
--- /dev/null
+++ b/scheduler/fleet_test.go
@@ -0,0 +1,181 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// fleetRig is a rig whose workers run on instances, with a spare pool.
+type fleetRig struct {
+	*rig
+	instances map[string]instance.Instance
+}
+
+// newFleetRig has instances "m-w1" and so on for the workers of pool p, and spare ones that are switched off.
+func newFleetRig(t *testing.T, workers, spare int) *fleetRig {
+	var ids []string
+	for i := range workers {
+		ids = append(ids, fmt.Sprint("w", i+1))
+	}
+	f := &fleetRig{rig: newRig(t, 1, ids...), instances: make(map[string]instance.Instance)}
+	f.core.SetCatalog(catalog.New(2, 0, []catalog.Queue{
+		{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6, Goal: 600 * time.Millisecond},
+	}, []catalog.Pool{{Name: "p"}, {Name: "off", Spare: true}}, nil))
+	capacity := work.Resources{CPU: 4000, Memory: 4000}
+	for _, id := range ids {
+		f.instances["m-"+id] = instance.Instance{ID: "m-" + id, Pool: "p", Worker: id, Capacity: capacity}
+	}
+	for i := range spare {
+		id := fmt.Sprint("s", i+1)
+		f.instances[id] = instance.Instance{ID: id, Pool: "off", Capacity: capacity}
+	}
+	f.show()
+	return f
+}
+
+// show gives the core a list of all instances as of now.
+func (f *fleetRig) show() {
+	list := make([]instance.Instance, 0, len(f.instances))
+	for _, in := range f.instances {
+		list = append(list, in)
+	}
+	f.core.SetInstances(list, f.now)
+}
+
+// orders plans, records and returns the orders for instances.
+func (f *fleetRig) orders() []InstanceOrder {
+	f.core.InstanceOrders()
+	f.store()
+	f.core.fleet.planned = f.now
+	return f.core.InstanceOrders()
+}
+
+// accept carries out orders for instances.
+func (f *fleetRig) acceptInstances(orders []InstanceOrder) {
+	for _, o := range orders {
+		f.core.InstanceReplied(o, instance.Accepted, nil)
+	}
+}
+
+// TestMoveOnArrivals guards against a pool that grows only after its backlog has become late.
+func TestMoveOnArrivals(t *testing.T) {
+	f := newFleetRig(t, 3, 5)
+	qt.Assert(t, f.orders(), qt.HasLen, 0)
+	f.wait(planInterval)
+	for i := range 8 {
+		f.core.AddJob(work.Job{ID: fmt.Sprint("j", i), Queue: "q", Pool: "p", Steps: []work.Step{
+			{Count: 4, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second},
+		}}, nil, 0)
+	}
+	f.show()
+	moved := f.orders()
+	qt.Assert(t, moved, qt.HasLen, 5)
+	for _, o := range moved {
+		qt.Assert(t, o.Pool, qt.Equals, "p")
+		qt.Assert(t, o.Wave, qt.Equals, 0)
+	}
+}
+
+// TestSwitchOff guards against idle instances that are paid for, and against a pool that becomes too small.
+func TestSwitchOff(t *testing.T) {
+	f := newFleetRig(t, 5, 0)
+	var moved []InstanceOrder
+	for range 30 {
+		f.wait(planInterval)
+		for i := range 5 {
+			f.answer(fmt.Sprint("w", i+1))
+		}
+		f.show()
+		moved = append(moved, f.orders()...)
+	}
+	qt.Assert(t, moved, qt.HasLen, 5-minInstances)
+	for _, o := range moved {
+		qt.Assert(t, o.Pool, qt.Equals, "off")
+	}
+}
+
+// TestWaveLimit guards against more instances of a wave in maintenance than it allows, against one that runs tasks, and
+// against a wave that is said to be finished too early.
+func TestWaveLimit(t *testing.T) {
+	f := newFleetRig(t, 4, 0)
+	f.add("a", 4)
+	f.rig.accept(f.pass())
+	busy := f.core.jobs["a"].open[0].steps[0].tasks[0].runs[0].on.report.ID
+	f.core.AddWave(instance.Wave{Number: 1, Instances: []string{"m-w1", "m-w2", "m-w3", "m-w4"}, FinishBy: time.Second, MaxDown: 1}, nil)
+	var begun []string
+	for range 40 {
+		f.wait(200 * time.Millisecond)
+		for i := range 4 {
+			id := fmt.Sprint("w", i+1)
+			if _, ok := f.core.hosts[id]; ok {
+				f.answer(id)
+			}
+		}
+		f.show()
+		for _, o := range f.orders() {
+			if o.Wave == 0 {
+				continue
+			}
+			qt.Assert(t, o.Instance, qt.Not(qt.Equals), "m-"+busy)
+			down := 0
+			for _, in := range f.instances {
+				if in.State == instance.InMaintenance {
+					down++
+				}
+			}
+			qt.Assert(t, down, qt.Equals, 0)
+			begun = append(begun, o.Instance)
+			f.acceptInstances([]InstanceOrder{o})
+			in := f.instances[o.Instance]
+			in.State, in.Worker = instance.InMaintenance, ""
+			f.instances[o.Instance] = in
+			f.list()
+		}
+		// The instance in maintenance is back after a second.
+		if len(begun) > 0 && f.now-f.core.fleet.waves[1].accepted[begun[len(begun)-1]] > 2*time.Second {
+			in := f.instances[begun[len(begun)-1]]
+			in.State = instance.Up
+			f.instances[in.ID] = in
+		}
+	}
+	qt.Assert(t, len(begun), qt.Equals, 3)
+	qt.Assert(t, f.core.fleet.waves[1].finished, qt.IsFalse)
+}
+
+// TestPace guards against a filler that goes on disturbing a service that is over its target.
+func TestPace(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{
+		{Count: 1, Request: work.Resources{CPU: 100}, Service: true, TailTarget: 100 * time.Millisecond},
+		{Count: 1, Request: work.Resources{CPU: 100}, Service: true, Filler: true},
+	}})
+	r.accept(r.pass())
+	report := func(tail int64) (paces []int) {
+		r.wait(paceInterval + time.Millisecond)
+		for i := range r.runs["w1"] {
+			if r.runs["w1"][i].Task.Step == 0 {
+				r.runs["w1"][i].Load = tail
+			}
+		}
+		r.answer("w1")
+		for _, o := range r.core.Schedule(r.now) {
+			if o.Kind == OrderPace {
+				paces = append(paces, o.Run.Percent)
+				r.core.Replied(o, worker.Reply{Clock: r.now}, r.now, nil)
+			}
+		}
+		return paces
+	}
+	qt.Assert(t, report(50), qt.HasLen, 0)
+	qt.Assert(t, report(150), qt.DeepEquals, []int{0})
+	qt.Assert(t, report(80), qt.HasLen, 0)
+	qt.Assert(t, report(20), qt.DeepEquals, []int{paceStep})
+}
