--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -104,6 +104,8 @@
 	former map[string]map[string]work.Resources
 	// formerEnded is when the holder before is known to have ended.
 	formerEnded time.Duration
+	// seenJobs means that a job other than a service has come.
+	seenJobs bool
 	// repeated is when stops without effect were looked for last.
 	repeated time.Duration
 	// stored is when a batch was stored last.
@@ -229,6 +231,7 @@
 	p.dirty = true
 	c.openDue(j)
 	c.noteFormer(j)
+	c.seenJobs = c.seenJobs || !j.service
 	if !j.service && c.now-j.accepted < rateWindow {
 		p.arrive(j.accepted, j.doc.Work())
 	}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -84,11 +84,17 @@
 	}
 }
 
-// TestSwitchOff guards against idle instances that are paid for, and against a pool that becomes too small.
+// TestSwitchOff guards against idle instances that are paid for, against a pool that becomes too small, and against one
+// that is emptied before anything is known of its demand.
 func TestSwitchOff(t *testing.T) {
 	f := newFleetRig(t, 5, 0)
 	var moved []InstanceOrder
-	for range 30 {
+	for i := range 60 {
+		if i == 30 {
+			qt.Assert(t, moved, qt.HasLen, 0)
+			f.add("a", 1)
+			f.core.Cancel("a")
+		}
 		f.wait(planInterval)
 		for i := range 5 {
 			f.answer(fmt.Sprint("w", i+1))
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -237,7 +237,8 @@
 // release switches instances off that have been in excess for a while.
 func (c *Core) release(spare string, excess map[string]int, demands []demand) {
 	f := c.fleet
-	if spare == "" {
+	// Before the first job nothing is known of the demand.
+	if spare == "" || !c.seenJobs {
 		return
 	}
 	for _, d := range demands {
