Ask other nodes for the holder while the store turns this one away

A node that the store turned away kept its old view of the members, and answered 504 to questions about jobs after the duty had gone to another node (incident inc-ffaf of Nilbelt, 18 to 23 s).

--- a/member/member.go
+++ b/member/member.go
@@ -366,6 +366,13 @@
 	return live
 }
 
+// Fresh reports whether the rows of the nodes were read lately. A process that the store turns away knows no new holder.
+func (m *Member) Fresh() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return clock.Now()-m.looked < watchGap
+}
+
 // Holder returns the live node that holds the duty.
 func (m *Member) Holder() (Node, bool) {
 	m.mu.Lock()
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -9,10 +9,12 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/advice"
 	"github.com/chivetiller/chivetiller/catalog"
@@ -131,11 +133,39 @@
 	return advice.Grant{}, nil
 }
 
+// turnedAway is the store as a process sees it that the store may turn away.
+type turnedAway struct {
+	store.Store
+	away atomic.Bool
+}
+
+func (s *turnedAway) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
+	if s.away.Load() {
+		return store.Result{}, store.ErrNotDone
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+func (s *turnedAway) Scan(ctx context.Context, table, part, from, to string) (store.Rows, error) {
+	if s.away.Load() {
+		return store.Rows{}, store.ErrNotDone
+	}
+	return s.Store.Scan(ctx, table, part, from, to)
+}
+
+func (s *turnedAway) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (store.Rows, error) {
+	if s.away.Load() {
+		return store.Rows{}, store.ErrNotDone
+	}
+	return s.Store.Changes(ctx, table, after, wait)
+}
+
 // cluster is some processes over one store and one set of workers.
 type cluster struct {
 	store   *memory.Store
 	workers *fakeWorkers
 	nodes   []*Node
+	stores  []*turnedAway
 }
 
 func freePort(t *testing.T) int {
@@ -157,9 +187,12 @@
 			Name: fmt.Sprintf("n%d", i), IP: "127.0.0.1", DataCentre: "z", Front: address(), Ready: address(), PeerPort: freePort(t), MetricsPort: freePort(t),
 			Bounds: scheduler.Bounds{MaxLease: 10 * time.Second, Config: 2 * time.Second, ConfigStretch: 5 * time.Second, Retention: time.Minute, Grace: 4 * time.Second},
 		}
+		own := &turnedAway{Store: c.store}
+		c.stores = append(c.stores, own)
 		n, err := New(s, Dependencies{
-			Store: c.store, Orders: c.workers, Instances: noInstances{}, Advisor: noAdvice{}, Registry: fakeRegistry{}, Decoder: fakeDecoder{},
-			Jobs: func(*intake.Intake, *metrics.Jobs) http.Handler { return http.NotFoundHandler() },
+			Store: own, Orders: c.workers, Instances: noInstances{}, Advisor: noAdvice{}, Registry: fakeRegistry{}, Decoder: fakeDecoder{},
+			Jobs:   func(*intake.Intake, *metrics.Jobs) http.Handler { return http.NotFoundHandler() },
+			Logger: testLogger(t),
 		})
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, n.Start(t.Context()), qt.IsNil)
@@ -231,3 +264,31 @@
 		qt.Assert(t, n, qt.Equals, 1, qt.Commentf("starts of %v", task))
 	}
 }
+
+// TestTurnedAway guards against a process that takes no jobs and knows no states while the store turns it away, also after
+// the duty has gone to another process meanwhile.
+func TestTurnedAway(t *testing.T) {
+	c := newCluster(t, 3)
+	for _, n := range c.nodes {
+		eventually(t, 5*time.Second, func() bool { return n.Ready() == nil })
+		defer func() { _ = n.Stop(context.Background()) }()
+	}
+	for _, n := range c.nodes {
+		eventually(t, 5*time.Second, func() bool { return len(n.members.Live()) == len(c.nodes) })
+	}
+	eventually(t, 5*time.Second, func() bool { _, ok := c.nodes[0].members.Holder(); return ok })
+	holder := slices.IndexFunc(c.nodes, func(n *Node) bool { _, ok := n.members.Tenure(); return ok })
+	qt.Assert(t, holder >= 0, qt.IsTrue)
+	c.stores[holder].away.Store(true)
+	away := c.nodes[holder]
+	eventually(t, 8*time.Second, func() bool {
+		return slices.ContainsFunc(c.nodes, func(n *Node) bool { _, ok := n.duty.Engine(); return ok && n != away })
+	})
+	c.submit(t, away, "job")
+	eventually(t, 5*time.Second, func() bool { return finished(t, away, "job") })
+}
+
+// testLogger writes the log of the processes into that of the test.
+func testLogger(t *testing.T) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Output: t.Output(), Level: hclog.Info})
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -8,12 +8,14 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/member"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
@@ -28,6 +30,7 @@
 	pathWaiting   = "/waiting"
 	pathLatest    = "/latest"
 	pathCommit    = "/commit"
+	pathHolder    = "/holder"
 )
 
 const (
@@ -47,8 +50,16 @@
 type peers struct {
 	n    *Node
 	http *http.Client
+
+	mu sync.Mutex
+	// told is the holder that another node has named, and asked when.
+	told  member.Node
+	asked time.Duration
 }
 
+// askInterval is the time between two questions about the holder.
+const askInterval = 300 * time.Millisecond
+
 func newPeers(n *Node) *peers {
 	dialer := &net.Dialer{Timeout: peerDial, KeepAlive: -1}
 	return &peers{n: n, http: &http.Client{Transport: &http.Transport{
@@ -121,12 +132,42 @@
 		return local(engine)
 	}
 	holder, ok := p.n.members.Holder()
+	if !p.n.members.Fresh() {
+		holder, ok = p.askHolder(ctx)
+	}
 	if !ok || holder.Name == p.n.s.Name {
 		return errNoHolder
 	}
 	return p.call(ctx, holder, path, body, answer)
 }
 
+// askHolder asks other nodes which one holds the duty, and takes the one with the highest fence.
+func (p *peers) askHolder(ctx context.Context) (member.Node, bool) {
+	p.mu.Lock()
+	due := clock.Now()-p.asked > askInterval
+	if due {
+		p.asked = clock.Now()
+	}
+	best := p.told
+	p.mu.Unlock()
+	if !due {
+		return best, best.Fence > 0
+	}
+	for _, n := range p.others() {
+		var named member.Node
+		if err := p.call(ctx, n, pathHolder, nothing{}, &named); err == nil && named.Fence > best.Fence {
+			best = named
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if best.Name != p.told.Name {
+		p.n.logger.Info("Another node names the holder.", "holder", best.Name, "fence", best.Fence)
+	}
+	p.told = best
+	return best, best.Fence > 0
+}
+
 // Submitted implements [intake.Holder].
 func (p *peers) Submitted(ctx context.Context, job work.Job) {
 	err := p.toHolder(ctx, func(e *scheduler.Engine) error { e.Submitted(job); return nil }, pathSubmitted, job, &nothing{})
@@ -251,6 +292,13 @@
 		}
 		return s, nil
 	})
+	handle(mux, pathHolder, func(context.Context, nothing) (member.Node, error) {
+		holder, ok := p.n.members.Holder()
+		if !ok || !p.n.members.Fresh() {
+			return member.Node{}, errNoHolder
+		}
+		return holder, nil
+	})
 	handle(mux, pathCommit, func(ctx context.Context, tx store.Tx) (commitResult, error) {
 		result, err := p.n.d.Store.Commit(ctx, tx)
 		answer := commitResult{Result: result}
