Ask other nodes for the holder while the store turns this one away

A node that the store turned away kept its old view of the members, and answered 504 to questions about jobs after the duty had gone to another node (incident inc-ffaf of Nilbelt, 18 to 23 s). That includes the node that held the duty and is paused.

--- a/node/peers.go
+++ b/node/peers.go
@@ -128,11 +128,11 @@
 
 // toHolder runs local if this node holds the duty, and calls the holder otherwise.
 func (p *peers) toHolder(ctx context.Context, local func(*scheduler.Engine) error, path string, body, answer any) error {
-	if engine, ok := p.n.duty.Engine(); ok {
+	if engine, ok := p.n.duty.Engine(); ok && engine.Holds() {
 		return local(engine)
 	}
 	holder, ok := p.n.members.Holder()
-	if !p.n.members.Fresh() {
+	if !p.n.members.Fresh() || holder.Name == p.n.s.Name {
 		holder, ok = p.askHolder(ctx)
 	}
 	if !ok || holder.Name == p.n.s.Name {
@@ -294,7 +294,7 @@
 	})
 	handle(mux, pathHolder, func(context.Context, nothing) (member.Node, error) {
 		holder, ok := p.n.members.Holder()
-		if !ok || !p.n.members.Fresh() {
+		if !ok || !p.n.members.Fresh() || (holder.Name == p.n.s.Name && !p.n.members.Holds(holder.Fence)) {
 			return member.Node{}, errNoHolder
 		}
 		return holder, nil
@@ -315,7 +315,7 @@
 // onHolder runs f if this node holds the duty.
 func (p *peers) onHolder(f func(*scheduler.Engine) error) error {
 	engine, ok := p.n.duty.Engine()
-	if !ok {
+	if !ok || !engine.Holds() {
 		return errNoHolder
 	}
 	return f(engine)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -216,8 +216,8 @@
 // Tenure returns the number of the term.
 func (e *Engine) Tenure() int { return e.o.Core.Tenure }
 
-// holds reports whether orders may be given.
-func (e *Engine) holds() bool { return e.ctx.Err() == nil && e.o.Duty.Holds(e.o.Core.Fence) }
+// Holds reports whether the duty was confirmed lately, so that orders may be given.
+func (e *Engine) Holds() bool { return e.ctx.Err() == nil && e.o.Duty.Holds(e.o.Core.Fence) }
 
 // post sends a message to the loop.
 func (e *Engine) post(f func(*Core)) {
@@ -261,7 +261,7 @@
 
 // State returns the state of a job, and false if the engine does not know it.
 func (e *Engine) State(ctx context.Context, id string) (state work.State, known bool, err error) {
-	if !e.holds() {
+	if !e.Holds() {
 		return 0, false, ErrNotHolder
 	}
 	err = e.ask(ctx, func(c *Core) { state, known = c.State(id) })
@@ -270,7 +270,7 @@
 
 // Waiting returns how many jobs of a queue have not begun.
 func (e *Engine) Waiting(ctx context.Context, queue string) (count int, err error) {
-	if !e.holds() {
+	if !e.Holds() {
 		return 0, ErrNotHolder
 	}
 	err = e.ask(ctx, func(c *Core) { count = c.Waiting(queue) })
@@ -361,7 +361,7 @@
 		time.Sleep(orderPause)
 	}
 	// The duty is checked right before the order, since the process may have been suspended.
-	if !e.holds() {
+	if !e.Holds() {
 		e.sleep(orderPause)
 		e.post(func(c *Core) { c.Replied(o, worker.Reply{Outcome: worker.Unknown}, clock.Now(), ErrNotHolder) })
 		return
@@ -412,7 +412,7 @@
 }
 
 func (e *Engine) sendInstance(o InstanceOrder) {
-	if !e.holds() {
+	if !e.Holds() {
 		e.post(func(c *Core) { c.InstanceReplied(o, instance.Refused, ErrNotHolder) })
 		return
 	}
@@ -440,9 +440,9 @@
 // renew renews the lease of a worker until the worker is dropped.
 func (e *Engine) renew(id string) {
 	defer e.post(func(*Core) { delete(e.renewing, id) })
-	for e.holds() {
+	for e.Holds() {
 		r, known := e.nextRenewal(id)
-		if !known || !e.holds() {
+		if !known || !e.Holds() {
 			return
 		}
 		ctx, cancel := context.WithTimeout(e.ctx, r.Order.Wait+renewTimeout)
