--- a/commands/explain.go
+++ b/commands/explain.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"errors"
 	"os"
 
 	"github.com/rotisserie/eris"
@@ -44,6 +45,5 @@
 	if err != nil {
 		return eris.Wrap(err, "open the log")
 	}
-	defer f.Close()
-	return t.Read(f)
+	return errors.Join(t.Read(f), f.Close())
 }
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"errors"
 	"net/http"
 	"os"
 	"os/signal"
@@ -66,7 +67,6 @@
 	}
 	s.MetricsPort = metricsPort
 	out := logging.NewBuffered(cmd.OutOrStdout(), logLines)
-	defer out.Close()
 	logger, err := logging.New(out, level, "text")
 	if err != nil {
 		return newUsageError(err)
@@ -89,7 +89,7 @@
 	}
 	stopReloads := reloadOnSignal(file, s, logger)
 	defer stopReloads()
-	return runUntilSignal(s.Name, s.Bounds.Grace, n, logger)
+	return errors.Join(runUntilSignal(s.Name, s.Bounds.Grace, n, logger), out.Close())
 }
 
 // reloadOnSignal reads the settings again on SIGHUP and reports what has changed. A process takes new addresses and
--- a/node/listener.go
+++ b/node/listener.go
@@ -45,7 +45,7 @@
 		Stop: func(ctx context.Context) error {
 			limited, cancel := context.WithTimeout(ctx, drain)
 			defer cancel()
-			if err := server.Server.Shutdown(limited); err != nil {
+			if err := server.Shutdown(limited); err != nil {
 				n.logger.Warn("Calls were cut off.", "listener", name, "error", err)
 				return server.Close()
 			}
--- a/node/peers.go
+++ b/node/peers.go
@@ -216,8 +216,8 @@
 			far = append(far, n)
 		}
 	}
-	all := append(near, far...)
-	return all[:min(len(all), relayTargets)]
+	near = append(near, far...)
+	return near[:min(len(near), relayTargets)]
 }
 
 // Latest implements [catalog.Peers].
@@ -238,7 +238,7 @@
 
 // Commit implements [intake.Relay]. It lets another node carry out a transaction.
 func (p *peers) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
-	var last error = store.ErrNotDone
+	last := store.ErrNotDone
 	for _, n := range p.others() {
 		var answer commitResult
 		if err := p.call(ctx, n, pathCommit, tx, &answer); err != nil {
--- /dev/null
+++ b/scheduler/commit.go
@@ -0,0 +1,158 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/store"
+)
+
+// commit stores what has changed. One batch is on its way at a time.
+func (e *Engine) commit(now time.Duration) {
+	if e.committing || now < e.committed+commitInterval {
+		return
+	}
+	b := e.core.Take(batchRows)
+	if b.Empty() {
+		if len(b.acks) > 0 {
+			e.core.Committed(b)
+			e.notifyStored()
+		}
+		return
+	}
+	e.committing = true
+	e.batch++
+	tx, err := e.transaction(b)
+	if err != nil {
+		e.logger.Error("Batch cannot be encoded.", "error", err)
+		e.committing = false
+		return
+	}
+	number, chain := e.batch, e.chain
+	e.run(func() { e.store(b, tx, number, chain) })
+}
+
+// notifyStored wakes the renewals that wait for a batch.
+func (e *Engine) notifyStored() {
+	close(e.stored)
+	e.stored = make(chan struct{})
+}
+
+func (e *Engine) transaction(b Batch) (store.Tx, error) {
+	chain, err := encode(chainRow{Fence: e.o.Core.Fence, Batch: e.batch})
+	if err != nil {
+		return store.Tx{}, err
+	}
+	tx := store.Tx{
+		// The holder row keeps its version for the whole term, and the chain shuts out batches that are carried out late.
+		Expected: []store.Expect{{Key: dutyKey("holder"), Version: e.o.Core.Fence}, {Key: dutyKey(rowChain), Version: e.chain}},
+		Puts:     []store.Put{{Key: dutyKey(rowChain), Value: chain}},
+	}
+	for id, p := range b.Progress {
+		if err := addPut(&tx, progressKey(id), p); err != nil {
+			return tx, err
+		}
+	}
+	if b.Roster != nil {
+		if err := addPut(&tx, dutyKey(rowRoster), b.Roster); err != nil {
+			return tx, err
+		}
+	}
+	if b.Instances != nil {
+		instances := make(map[string]time.Duration, len(b.Instances))
+		for id, at := range b.Instances {
+			if instances[id], _ = e.o.Clock.At(at); instances[id] <= 0 {
+				instances[id] = 1
+			}
+		}
+		if err := addPut(&tx, dutyKey(rowInstances), instances); err != nil {
+			return tx, err
+		}
+	}
+	for _, id := range b.Removed {
+		tx.Removes = append(tx.Removes, progressKey(id))
+	}
+	for n, w := range b.Waves {
+		if err := addPut(&tx, progressKey(waveName(n)), w); err != nil {
+			return tx, err
+		}
+		for name, doc := range e.o.Waves.Waves() {
+			if doc.Number == n {
+				tx.Puts = append(tx.Puts, e.o.Waves.WaveStatus(name, w.Finished))
+			}
+		}
+	}
+	return tx, nil
+}
+
+// store commits a batch and finds out what became of it if no answer comes.
+func (e *Engine) store(b Batch, tx store.Tx, number, chain uint64) {
+	ctx, cancel := context.WithTimeout(e.ctx, commitTimeout)
+	defer cancel()
+	sent := clock.Now()
+	result, err := e.o.Store.Commit(ctx, tx)
+	e.o.Clock.Note(result.Now)
+	next := result.Version
+	if errors.Is(err, store.ErrUnknown) || errors.Is(err, store.ErrConflict) {
+		next, err = e.findOut(number, chain, err)
+	}
+	if err == nil {
+		e.o.Duty.Confirm(e.o.Core.Fence, sent)
+	} else {
+		e.sleep(commitPause)
+	}
+	e.post(func(c *Core) {
+		e.committing = false
+		e.committed = clock.Now()
+		if err != nil {
+			if next != 0 {
+				e.chain = next
+			}
+			c.Returned(b)
+			return
+		}
+		e.chain = next
+		c.Committed(b)
+		e.notifyStored()
+	})
+}
+
+// errBatchNotDone means that a batch without an answer was not carried out so far.
+var errBatchNotDone = errors.New("batch was not carried out")
+
+// findOut reads the chain after a batch without an answer. It returns the version of the chain.
+func (e *Engine) findOut(number, chain uint64, cause error) (uint64, error) {
+	ctx, cancel := context.WithTimeout(e.ctx, readTimeout)
+	defer cancel()
+	rows, err := e.o.Store.Scan(ctx, tableDuty, "", "", "")
+	if err != nil {
+		e.logger.Warn("Outcome of a batch is unknown.", "batch", number, "cause", cause, "error", err)
+		// The next batch has the same condition: it finds out, too.
+		return chain, err
+	}
+	var current chainRow
+	var version, holder uint64
+	for _, row := range rows.Rows {
+		switch row.Name {
+		case rowChain:
+			version = row.Version
+			if err := decode(row.Value, &current); err != nil {
+				return chain, err
+			}
+		case "holder":
+			holder = row.Version
+		}
+	}
+	switch {
+	case holder != e.o.Core.Fence:
+		e.o.Duty.Depose(e.o.Core.Fence, "the row of the duty has another version")
+		return chain, ErrNotHolder
+	case current.Fence == e.o.Core.Fence && current.Batch == number:
+		e.logger.Info("Batch without an answer was carried out.", "batch", number, "cause", cause)
+		return version, nil
+	}
+	e.logger.Warn("Batch was not carried out.", "batch", number, "cause", cause, "chain", version)
+	return version, errBatchNotDone
+}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -48,29 +47,6 @@
 	planned time.Duration
 }
 
-// wave is a request for maintenance and how far it is.
-type wave struct {
-	doc instance.Wave
-	// since is when the wave became known.
-	since time.Duration
-	// begun holds the instances whose maintenance has begun, with the worker that ran before.
-	begun map[string]string
-	// accepted is when the maintenance of an instance was accepted. Older lists do not show it.
-	accepted map[string]time.Duration
-	dropped  map[string]bool
-	draining map[string]time.Duration
-	finished bool
-	changed  bool
-}
-
-// WaveProgress is what is stored of a wave.
-type WaveProgress struct {
-	Number int `cbor:"1,keyasint"`
-	// Begun holds the instances whose maintenance has begun, with the worker that ran on them before.
-	Begun    map[string]string `cbor:"2,keyasint,omitempty"`
-	Finished bool              `cbor:"3,keyasint,omitempty"`
-}
-
 // InstanceOrder is an order for an instance. Its outcome goes back to the core with [Core.InstanceReplied].
 type InstanceOrder struct {
 	Instance string
@@ -89,22 +65,6 @@
 	}
 }
 
-// AddWave takes a request for maintenance with its stored progress, which may be nil.
-func (c *Core) AddWave(doc instance.Wave, progress *WaveProgress) {
-	if _, ok := c.fleet.waves[doc.Number]; ok {
-		return
-	}
-	w := &wave{doc: doc, since: c.now, begun: make(map[string]string), accepted: make(map[string]time.Duration), dropped: make(map[string]bool), draining: make(map[string]time.Duration), changed: progress == nil}
-	if progress != nil {
-		for id, worker := range progress.Begun {
-			w.begun[id] = worker
-		}
-		w.finished = progress.Finished
-	}
-	c.fleet.waves[doc.Number] = w
-	c.logger.Info("Wave is known.", "wave", doc.Number, "instances", len(doc.Instances), "maxDown", doc.MaxDown, "finishBy", doc.FinishBy, "begun", len(w.begun), "finished", w.finished)
-}
-
 // SetInstances takes the list of instances as of a time.
 func (c *Core) SetInstances(instances []instance.Instance, at time.Duration) {
 	c.fleet.listed = at
@@ -199,142 +159,6 @@
 	return orders
 }
 
-// planWave drains instances of a wave and orders their maintenance, at most MaxDown at a time.
-func (c *Core) planWave(w *wave) {
-	f := c.fleet
-	down := 0
-	for id := range w.begun {
-		m, ok := f.instances[id]
-		// A list may be older than the last order, also one of an earlier holder.
-		if ok && (m.State != instance.Up || f.listed <= w.accepted[id] || f.listed <= f.recorded[id]+listLag) {
-			down++
-		}
-	}
-	waiting := make([]string, 0, len(w.doc.Instances))
-	for _, id := range w.doc.Instances {
-		if _, begun := w.begun[id]; begun || w.dropped[id] {
-			continue
-		}
-		m, ok := f.instances[id]
-		if !ok {
-			c.logger.Warn("Instance of a wave is not listed.", "wave", w.doc.Number, "instance", id)
-			w.dropped[id] = true
-			continue
-		}
-		waiting = append(waiting, id)
-		if f.busy[id] || (m.State == instance.InMaintenance) {
-			down++
-		}
-	}
-	if len(waiting) == 0 {
-		if !w.finished {
-			w.finished, w.changed = true, true
-			c.logger.Info("Wave is finished.", "wave", w.doc.Number, "took", c.now-w.since, "instances", len(w.begun), "dropped", len(w.dropped))
-		}
-		return
-	}
-	c.drainNext(w, waiting, min(w.doc.MaxDown, c.wavePace(w, len(waiting)))-down)
-	for _, id := range waiting {
-		if down >= w.doc.MaxDown {
-			return
-		}
-		if c.maintain(w, id) {
-			down++
-		}
-	}
-}
-
-// wavePace returns how many instances of a wave are drained or in maintenance at a time, so that it ends in time and takes
-// no more capacity than it has to.
-func (c *Core) wavePace(w *wave, waiting int) int {
-	left := w.since + w.doc.FinishBy - waveReserve - c.now
-	each := c.o.Bounds.Upkeep + drainTime
-	if left < each {
-		return w.doc.MaxDown
-	}
-	return int(math.Ceil(float64(waiting) * float64(each) / float64(left)))
-}
-
-const (
-	// waveReserve is left at the end of a wave for instances that take long to become empty.
-	waveReserve = 5 * time.Second
-	// drainTime is how long an instance takes to become empty. Tasks take about a second.
-	drainTime = 2 * time.Second
-)
-
-// drainNext reserves instances so that they become empty, up to a number of instances. Those that are switched off cost nothing.
-func (c *Core) drainNext(w *wave, waiting []string, limit int) {
-	draining := 0
-	for _, id := range waiting {
-		if _, ok := w.draining[id]; ok {
-			draining++
-		}
-	}
-	for {
-		id := c.emptiest(w, waiting)
-		if id == "" || (draining >= limit && c.fleet.instances[id].Worker != "") {
-			return
-		}
-		w.draining[id] = c.now
-		draining++
-		if h, ok := c.hosts[c.fleet.instances[id].Worker]; ok {
-			h.reserved = true
-			c.logger.Info("Instance is drained for maintenance.", "wave", w.doc.Number, "instance", id, "worker", h.report.ID, "runs", len(h.runs))
-		}
-	}
-}
-
-// emptiest returns the instance that is not drained yet and has the least to lose.
-func (c *Core) emptiest(w *wave, waiting []string) string {
-	best, bestRuns := "", 0
-	for _, id := range waiting {
-		if _, ok := w.draining[id]; ok {
-			continue
-		}
-		if _, moving := c.fleet.moves[id]; moving || c.fleet.instances[id].State != instance.Up {
-			continue
-		}
-		runs := 0
-		if h, ok := c.hosts[c.fleet.instances[id].Worker]; ok {
-			runs = len(h.runs) + servicePenalty*h.services
-		}
-		if best == "" || runs < bestRuns {
-			best, bestRuns = id, runs
-		}
-	}
-	return best
-}
-
-// servicePenalty is how many batch tasks a service task counts for when instances are drained.
-const servicePenalty = 10
-
-// maintain orders the maintenance of an instance that is empty. It reports whether an order is on its way.
-func (c *Core) maintain(w *wave, id string) bool {
-	f := c.fleet
-	since, draining := w.draining[id]
-	if !draining || c.now < f.pause[id] || !c.mayOrder(id) {
-		return false
-	}
-	if f.busy[id] {
-		// It is counted already.
-		return false
-	}
-	m := f.instances[id]
-	if m.State != instance.Up {
-		return false
-	}
-	if !c.empty(m) {
-		if h, ok := c.hosts[m.Worker]; ok {
-			h.reserved = true
-			c.evacuate(h, c.now-since > drainPatience)
-		}
-		return false
-	}
-	f.order(c.now, InstanceOrder{Instance: id, Wave: w.doc.Number, worker: m.Worker})
-	c.logger.Info("Maintenance is ordered.", "wave", w.doc.Number, "instance", id, "worker", m.Worker, "fence", c.o.Fence, "listAge", c.now-f.listed)
-	return true
-}
-
 // empty reports whether nothing runs on an instance: it has no worker, or the worker has said so lately, or its lease has
 // run out. A worker that is not known or not heard of may run anything.
 func (c *Core) empty(m instance.Instance) bool {
@@ -456,31 +280,3 @@
 		f.pause[o.Instance] = c.now + instanceRetry
 	}
 }
-
-// takeWaves returns the waves whose progress is not stored.
-func (f *fleet) takeWaves() map[int]WaveProgress {
-	var changed map[int]WaveProgress
-	for n, w := range f.waves {
-		if !w.changed {
-			continue
-		}
-		if changed == nil {
-			changed = make(map[int]WaveProgress)
-		}
-		begun := make(map[string]string, len(w.begun))
-		for id, worker := range w.begun {
-			begun[id] = worker
-		}
-		changed[n] = WaveProgress{Number: n, Begun: begun, Finished: w.finished}
-		w.changed = false
-	}
-	return changed
-}
-
-func (f *fleet) returnWaves(waves map[int]WaveProgress) {
-	for n := range waves {
-		if w, ok := f.waves[n]; ok {
-			w.changed = true
-		}
-	}
-}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -113,7 +113,7 @@
 func TestWaveLimit(t *testing.T) {
 	f := newFleetRig(t, 4, 0)
 	f.add("a", 4)
-	f.rig.accept(f.pass())
+	f.accept(f.pass())
 	busy := f.core.jobs["a"].open[0].steps[0].tasks[0].runs[0].on.report.ID
 	f.core.AddWave(instance.Wave{Number: 1, Instances: []string{"m-w1", "m-w2", "m-w3", "m-w4"}, FinishBy: time.Second, MaxDown: 1}, nil)
 	var begun []string
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -8,80 +8,6 @@
 	"github.com/chivetiller/chivetiller/worker"
 )
 
-// RosterEntry names a worker of the stored roster. A successor renews the leases of these workers at once, also of
-// those that the registry has dropped.
-type RosterEntry struct {
-	ID       string         `cbor:"1,keyasint"`
-	Pool     string         `cbor:"2,keyasint"`
-	Address  string         `cbor:"3,keyasint"`
-	Born     int64          `cbor:"4,keyasint,omitempty"`
-	Capacity work.Resources `cbor:"5,keyasint"`
-}
-
-// SetRoster takes the roster of the holder before.
-func (c *Core) SetRoster(roster []RosterEntry) {
-	for _, e := range roster {
-		h := c.addHost(worker.Report{ID: e.ID, Pool: e.Pool, Address: e.Address, Born: e.Born, Capacity: e.Capacity})
-		h.unlisted = c.now
-	}
-}
-
-func (c *Core) roster() []RosterEntry {
-	roster := make([]RosterEntry, 0, len(c.hosts))
-	for _, h := range c.hosts {
-		if h.lapsed || (!h.touched && !h.listed) {
-			continue
-		}
-		roster = append(roster, RosterEntry{
-			ID: h.report.ID, Pool: h.report.Pool, Address: h.report.Address, Born: h.report.Born, Capacity: h.report.Capacity,
-		})
-	}
-	return roster
-}
-
-// noteFormer notes on which workers an earlier holder may have tasks of a job running.
-func (c *Core) noteFormer(j *job) {
-	for _, o := range j.open {
-		for _, id := range o.recorded {
-			if c.former[id] == nil {
-				c.former[id] = make(map[string]work.Resources)
-			}
-		}
-		for _, s := range o.steps {
-			for i := range s.tasks {
-				if id, _, ok := o.progress.Run(s.number, i); ok && !s.tasks[i].done {
-					c.former[id][j.doc.Team] = c.former[id][j.doc.Team].Plus(s.doc.Request)
-				}
-			}
-		}
-	}
-}
-
-// blindUntil returns when the leases of all workers that have not answered have surely run out.
-func (c *Core) blindUntil() time.Duration {
-	term := leaseTerm + time.Duration(2*slowClock*float64(leaseTerm)) + lapseMargin
-	if c.o.Handed {
-		return c.o.Began + term
-	}
-	return min(c.o.Began+Tenure, c.formerEnded) + term
-}
-
-// FormerEnded notes that the holder before has ended and renews no leases any more.
-func (c *Core) FormerEnded() { c.formerEnded = min(c.formerEnded, c.now) }
-
-// blocked reports whether tasks of an occurrence may run on a worker that has not answered.
-func (c *Core) blocked(o *occurrence) bool {
-	if len(c.former) == 0 {
-		return false
-	}
-	for _, id := range o.recorded {
-		if _, ok := c.former[id]; ok {
-			return true
-		}
-	}
-	return false
-}
-
 // SetWorkers takes the registry. Workers that it no longer names get no new tasks, and are kept as long as they answer.
 func (c *Core) SetWorkers(reports []worker.Report) {
 	listed := make(map[string]bool, len(reports))
@@ -185,7 +111,7 @@
 	if h.clock > 0 {
 		// A renewal without an answer may have been carried out. The lease of a silent worker is not extended any
 		// further, so that it runs out.
-		_, high := h.clockAt(min(c.now, h.contact+renewWithin))
+		high := h.clockAt(min(c.now, h.contact+renewWithin))
 		h.until = max(h.until, high+min(leaseTerm, c.o.Bounds.MaxLease))
 		r.Order.Until = h.until
 	}
@@ -496,6 +422,6 @@
 	if h.health.quarantined(c.now) {
 		return false
 	}
-	_, high := h.clockAt(c.now)
+	high := h.clockAt(c.now)
 	return h.until-high > leaseReserve
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -9,7 +9,7 @@
 )
 
 // begin places a run on a worker and orders its start.
-func (c *Core) begin(s *step, index, number int, h *host) *run {
+func (c *Core) begin(s *step, index, number int, h *host) {
 	t := &s.tasks[index]
 	r := &run{step: s, index: index, number: number, on: h, phase: planned, since: c.now, moved: c.now, pace: fullPace}
 	c.attach(r)
@@ -18,7 +18,6 @@
 	s.occurrence.progress.SetRun(s.number, index, h.report.ID, number)
 	c.changed[s.job] = true
 	c.plans = append(c.plans, r)
-	return r
 }
 
 // order starts a planned run.
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -172,11 +172,8 @@
 	paced time.Duration
 }
 
-// clockAt returns bounds of the clock of the worker at an own time.
-func (h *host) clockAt(now time.Duration) (low, high time.Duration) {
-	low = h.clock + time.Duration(float64(now-h.received)*(1-slowClock))
-	return low, h.clock + now - h.sent
-}
+// clockAt returns the latest that the clock of the worker can show at an own time.
+func (h *host) clockAt(now time.Duration) time.Duration { return h.clock + now - h.sent }
 
 // lapseAt returns when all that runs on the worker has surely ended, if the lease is not renewed.
 func (h *host) lapseAt() time.Duration {
--- a/work/progress.go
+++ b/work/progress.go
@@ -121,8 +121,8 @@
 	return &Progress{Occurrences: make(map[int]*OccurrenceProgress), Complete: make(map[int]bool)}
 }
 
-// Normalize replaces nil maps of a decoded progress.
-func (p *Progress) Normalize() {
+// Init replaces nil maps of a decoded progress.
+func (p *Progress) Init() {
 	if p.Occurrences == nil {
 		p.Occurrences = make(map[int]*OccurrenceProgress)
 	}
--- a/work/work.go
+++ b/work/work.go
@@ -98,12 +98,12 @@
 
 // Job is an accepted submission.
 type Job struct {
-	ID     string `cbor:"1,keyasint"`
-	Queue  string `cbor:"2,keyasint"`
-	Pool   string `cbor:"3,keyasint"`
-	Team string `cbor:"4,keyasint,omitempty"`
-	Spec   string `cbor:"5,keyasint,omitempty"`
-	Steps  []Step `cbor:"6,keyasint"`
+	ID    string `cbor:"1,keyasint"`
+	Queue string `cbor:"2,keyasint"`
+	Pool  string `cbor:"3,keyasint"`
+	Team  string `cbor:"4,keyasint,omitempty"`
+	Spec  string `cbor:"5,keyasint,omitempty"`
+	Steps []Step `cbor:"6,keyasint"`
 	// Accepted is when the job was accepted, on the clock of the store.
 	Accepted time.Duration `cbor:"7,keyasint"`
 	// First and Interval give the due times of a scheduled job, First since 1970.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -18,10 +18,10 @@
 // Report is what a worker says of itself in the registry.
 type Report struct {
 	// ID names one life of an instance.
-	ID      string
-	Pool    string
-	Address string
-	DataCentre    string
+	ID         string
+	Pool       string
+	Address    string
+	DataCentre string
 	// Draining means that the worker leaves soon.
 	Draining bool
 	// Remaining is the least time that a draining worker still serves.
