Order the reports of a worker by its clock

Two requests for a report can be under way since reports are asked for before a planned stop. Freshness is now that of the report, not of any answer.

--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -293,6 +293,25 @@
 	qt.Assert(t, state, qt.Equals, work.Finished)
 }
 
+// TestOlderReport guards against a run that an older report brings back after its end, so that it counts as at work.
+func TestOlderReport(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 100}, Service: true}}})
+	r.accept(r.pass())
+	r.answer("w1")
+	older := worker.Status{Reply: worker.Reply{Clock: r.now, Born: rigBorn}, Running: r.runs["w1"]}
+	sent := r.now
+	r.wait(100 * time.Millisecond)
+	r.finish("w1", worker.EndStopped)
+	r.answer("w1")
+	r.core.Observe("w1", older, sent, nil)
+	qt.Assert(t, j.open[0].steps[0].tasks[0].runs, qt.HasLen, 0)
+	// The same holds for a list that is newer than the last one and still names the run.
+	older.Clock = r.now + time.Millisecond
+	r.core.Observe("w1", older, sent, nil)
+	qt.Assert(t, j.open[0].steps[0].tasks[0].runs, qt.HasLen, 0)
+}
+
 // TestMaxPerWorker guards against more tasks of a step on a worker than it allows.
 func TestMaxPerWorker(t *testing.T) {
 	r := newRig(t, 1, "w1", "w2")
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -172,7 +172,7 @@
 	if h.lapsed {
 		return true
 	}
-	return len(h.runs) == 0 && h.foreign == 0 && c.now-h.contact < servingAge
+	return len(h.runs) == 0 && h.foreign == 0 && c.now-h.reported < servingAge
 }
 
 // evacuate stops service tasks on a worker that is about to end, within their disruption budgets. Batch tasks
@@ -207,7 +207,7 @@
 			continue
 		}
 		other := s.tasks[i].serving()
-		if other == nil || c.now-other.on.contact > servingAge {
+		if other == nil || c.now-other.on.reported > servingAge {
 			away++
 			continue
 		}
@@ -215,7 +215,7 @@
 		if c.o.Tenure > 1 && c.now < other.on.reached+c.o.Bounds.StopTimeout+stopMargin {
 			return false
 		}
-		if c.now-other.on.contact > lookAge {
+		if c.now-other.on.reported > lookAge {
 			stale = true
 			c.look(other.on)
 		}
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -167,7 +167,11 @@
 		h.until = status.Clock + leaseTerm
 	}
 	c.takeEnds(h, status.Ended)
-	c.takeRuns(h, status, sent)
+	// Answers on different connections may overtake each other. An older list must not bring back what has ended.
+	if status.Clock >= h.reportClock {
+		h.reported, h.reportClock = c.now, status.Clock
+		c.takeRuns(h, status, sent)
+	}
 	if !h.touched || h.lapsed || silent > contactTimeout {
 		c.pool(h.report.Pool).dirty = true
 	}
@@ -198,6 +202,7 @@
 	}
 	h.late = nil
 	h.report.Born = born
+	h.reportClock = 0
 	h.seen, h.stored, h.until, h.clock, h.lapsed = 0, 0, 0, 0, false
 	h.sent, h.received = 0, c.now
 	c.rosterChanged = true
@@ -221,6 +226,10 @@
 			return
 		}
 		h.seen = e.Seq
+		if s, ok := c.step(e.Task); ok {
+			t := &s.tasks[e.Task.Index]
+			t.endedRun = max(t.endedRun, e.Number)
+		}
 		if r, ok := h.runs[e.Task]; ok && r.number == e.Number {
 			c.ended(r, e.How, e.Checkpoint)
 			continue
@@ -344,6 +353,9 @@
 		return
 	}
 	t := &s.tasks[row.Task.Index]
+	if row.Number <= t.endedRun {
+		return
+	}
 	if _, booked := h.runs[row.Task]; booked {
 		// The booked run was never there or has ended; the list of ends tells.
 		return
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -77,6 +77,8 @@
 	runs []*run
 	// lastRun is the highest run number used.
 	lastRun int
+	// endedRun is the highest run number that a worker has listed as ended.
+	endedRun int
 	// notBefore delays the next start.
 	notBefore time.Duration
 	done      bool
@@ -133,6 +135,9 @@
 	touched bool
 	// reached is when the worker answered under the own fence for the first time.
 	reached time.Duration
+	// reported is when the last report was taken, and reportClock the clock of the worker in it.
+	reported    time.Duration
+	reportClock time.Duration
 	// looked is when a report was asked for at once.
 	looked time.Duration
 	// silent means that the log says that the worker does not answer.
