--- a/catalog/source_test.go
+++ b/catalog/source_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,12 +36,14 @@
 func (numbers) WaveStatus(row store.Key, _ bool) store.Put { return store.Put{Key: row} }
 
 // peers answers with a configuration of another process.
-type peers struct {
-	snapshot catalog.Snapshot
-	known    bool
-}
+type peers struct{ snapshot atomic.Pointer[catalog.Snapshot] }
 
-func (p *peers) Latest(context.Context, uint64) (catalog.Snapshot, bool) { return p.snapshot, p.known }
+func (p *peers) Latest(context.Context, uint64) (catalog.Snapshot, bool) {
+	if s := p.snapshot.Load(); s != nil {
+		return *s, true
+	}
+	return catalog.Snapshot{}, false
+}
 
 func put(t *testing.T, s *memory.Store, value string) uint64 {
 	result, err := s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: numbers{}.ConfigRow(), Value: []byte(value)}}})
@@ -96,7 +99,7 @@
 	time.Sleep(2 * time.Second)
 	qt.Assert(t, source.Age() > time.Second, qt.IsTrue)
 	qt.Assert(t, source.Latest().Version, qt.Equals, first)
-	p.snapshot, p.known = catalog.Snapshot{Value: []byte("4"), Version: first + 1, Age: 50 * time.Millisecond}, true
+	p.snapshot.Store(&catalog.Snapshot{Value: []byte("4"), Version: first + 1, Age: 50 * time.Millisecond})
 	eventually(t, 2*time.Second, func() bool { return source.Current().Version == 4 })
 	eventually(t, 2*time.Second, func() bool { return source.Age() < time.Second })
 }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,18 +39,18 @@
 // cutStore is the store as a process sees it that can be cut off.
 type cutStore struct {
 	store.Store
-	cut bool
+	cut atomic.Bool
 }
 
 func (c *cutStore) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
-	if c.cut {
+	if c.cut.Load() {
 		return store.Result{}, store.ErrUnknown
 	}
 	return c.Store.Commit(ctx, tx)
 }
 
 func (c *cutStore) Scan(ctx context.Context, table, part, from, to string) (store.Rows, error) {
-	if c.cut {
+	if c.cut.Load() {
 		return store.Rows{}, store.ErrNotDone
 	}
 	return c.Store.Scan(ctx, table, part, from, to)
@@ -98,11 +99,11 @@
 	time.Sleep(time.Second)
 	qt.Assert(t, holders(first), qt.DeepEquals, []string{"a"})
 	second := members(t, s, "b")
-	own.cut = true
+	own.cut.Store(true)
 	time.Sleep(scheduler.Tenure + time.Second)
 	qt.Assert(t, holders(first), qt.HasLen, 0)
 	qt.Assert(t, holders(second), qt.DeepEquals, []string{"b"})
-	own.cut = false
+	own.cut.Store(false)
 	time.Sleep(time.Second)
 	_, held := first["a"].Tenure()
 	qt.Assert(t, held, qt.IsFalse)
