--- a/catalog/source_test.go
+++ b/catalog/source_test.go
@@ -36,7 +36,9 @@
 func (numbers) WaveStatus(row store.Key, _ bool) store.Put { return store.Put{Key: row} }
 
 // peers answers with a configuration of another process.
-type peers struct{ snapshot atomic.Pointer[catalog.Snapshot] }
+type peers struct {
+	snapshot atomic.Pointer[catalog.Snapshot]
+}
 
 func (p *peers) Latest(context.Context, uint64) (catalog.Snapshot, bool) {
 	if s := p.snapshot.Load(); s != nil {
