--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	core := scheduler.NewCore(scheduler.Options{Bounds: bounds, Fence: fence, Tenure: tenure})
-//	core.AddJob(now, job, progress)
+//	core.AddJob(job, progress, storeNow)
 //	for _, order := range core.Schedule(now) { ... }
 package scheduler
 
