--- a/member/member_test.go
+++ b/member/member_test.go
@@ -1,8 +1,6 @@
 package member
 
 import (
-	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,26 +34,6 @@
 	return names
 }
 
-// cutStore is the store as a process sees it that can be cut off.
-type cutStore struct {
-	store.Store
-	cut atomic.Bool
-}
-
-func (c *cutStore) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
-	if c.cut.Load() {
-		return store.Result{}, store.ErrUnknown
-	}
-	return c.Store.Commit(ctx, tx)
-}
-
-func (c *cutStore) Scan(ctx context.Context, table, part, from, to string) (store.Rows, error) {
-	if c.cut.Load() {
-		return store.Rows{}, store.ErrNotDone
-	}
-	return c.Store.Scan(ctx, table, part, from, to)
-}
-
 // The tests below run on the real clock: it counts the time of a suspended instance, which the fake clock does not have.
 
 // TestOneHolder guards against two holders at the start, and against a duty that a starting process takes from one that has
@@ -94,16 +72,16 @@
 func TestCutOff(t *testing.T) {
 	t.Parallel()
 	s := memory.New()
-	own := &cutStore{Store: s}
+	own := memory.NewView(s)
 	first := members(t, own, "a")
 	time.Sleep(time.Second)
 	qt.Assert(t, holders(first), qt.DeepEquals, []string{"a"})
 	second := members(t, s, "b")
-	own.cut.Store(true)
+	own.Cut(store.ErrUnknown)
 	time.Sleep(scheduler.Tenure + time.Second)
 	qt.Assert(t, holders(first), qt.HasLen, 0)
 	qt.Assert(t, holders(second), qt.DeepEquals, []string{"b"})
-	own.cut.Store(false)
+	own.Heal()
 	time.Sleep(time.Second)
 	_, held := first["a"].Tenure()
 	qt.Assert(t, held, qt.IsFalse)
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,39 +132,12 @@
 	return advice.Grant{}, nil
 }
 
-// turnedAway is the store as a process sees it that the store may turn away.
-type turnedAway struct {
-	store.Store
-	away atomic.Bool
-}
-
-func (s *turnedAway) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
-	if s.away.Load() {
-		return store.Result{}, store.ErrNotDone
-	}
-	return s.Store.Commit(ctx, tx)
-}
-
-func (s *turnedAway) Scan(ctx context.Context, table, part, from, to string) (store.Rows, error) {
-	if s.away.Load() {
-		return store.Rows{}, store.ErrNotDone
-	}
-	return s.Store.Scan(ctx, table, part, from, to)
-}
-
-func (s *turnedAway) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (store.Rows, error) {
-	if s.away.Load() {
-		return store.Rows{}, store.ErrNotDone
-	}
-	return s.Store.Changes(ctx, table, after, wait)
-}
-
 // cluster is some processes over one store and one set of workers.
 type cluster struct {
 	store   *memory.Store
 	workers *fakeWorkers
 	nodes   []*Node
-	stores  []*turnedAway
+	stores  []*memory.View
 }
 
 func freePort(t *testing.T) int {
@@ -187,7 +159,7 @@
 			Name: fmt.Sprintf("n%d", i), IP: "127.0.0.1", DataCentre: "z", Front: address(), Ready: address(), PeerPort: freePort(t), MetricsPort: freePort(t),
 			Bounds: scheduler.Bounds{MaxLease: 10 * time.Second, Config: 2 * time.Second, ConfigStretch: 5 * time.Second, Retention: time.Minute, Grace: 4 * time.Second},
 		}
-		own := &turnedAway{Store: c.store}
+		own := memory.NewView(c.store)
 		c.stores = append(c.stores, own)
 		n, err := New(s, Dependencies{
 			Store: own, Orders: c.workers, Instances: noInstances{}, Advisor: noAdvice{}, Registry: fakeRegistry{}, Decoder: fakeDecoder{},
@@ -279,7 +251,7 @@
 	eventually(t, 5*time.Second, func() bool { _, ok := c.nodes[0].members.Holder(); return ok })
 	holder := slices.IndexFunc(c.nodes, func(n *Node) bool { _, ok := n.members.Tenure(); return ok })
 	qt.Assert(t, holder >= 0, qt.IsTrue)
-	c.stores[holder].away.Store(true)
+	c.stores[holder].Cut(store.ErrNotDone)
 	away := c.nodes[holder]
 	eventually(t, 8*time.Second, func() bool {
 		return slices.ContainsFunc(c.nodes, func(n *Node) bool { _, ok := n.duty.Engine(); return ok && n != away })
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -11,6 +11,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chivetiller/chivetiller/common/clock"
@@ -42,7 +43,10 @@
 	calls int
 }
 
-var _ store.Store = (*Store)(nil)
+var (
+	_ store.Store = (*Store)(nil)
+	_ store.Store = (*View)(nil)
+)
 
 // New returns an empty store.
 func New() *Store { return &Store{rows: make(map[store.Key]store.Row)} }
@@ -164,3 +168,51 @@
 	slices.SortFunc(rows.Rows, order)
 	return rows, nil
 }
+
+// View is a store as one process sees it, which can be cut off from it.
+type View struct {
+	store.Store
+	// lost is the error of a transaction while the process is cut off, and nil while it is not.
+	lost atomic.Pointer[error]
+}
+
+// NewView returns a view that is not cut off.
+func NewView(s store.Store) *View { return &View{Store: s} }
+
+// Cut cuts the process off. Its transactions fail with the error, and its reads with ErrNotDone.
+func (v *View) Cut(err error) { v.lost.Store(&err) }
+
+// Heal ends the cut.
+func (v *View) Heal() { v.lost.Store(nil) }
+
+// Commit implements [store.Store].
+func (v *View) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
+	if err := v.lost.Load(); err != nil {
+		return store.Result{}, *err
+	}
+	return v.Store.Commit(ctx, tx)
+}
+
+// Scan implements [store.Store].
+func (v *View) Scan(ctx context.Context, table, part, from, to string) (store.Rows, error) {
+	if v.lost.Load() != nil {
+		return store.Rows{}, store.ErrNotDone
+	}
+	return v.Store.Scan(ctx, table, part, from, to)
+}
+
+// Parts implements [store.Store].
+func (v *View) Parts(ctx context.Context, table string) ([]string, error) {
+	if v.lost.Load() != nil {
+		return nil, store.ErrNotDone
+	}
+	return v.Store.Parts(ctx, table)
+}
+
+// Changes implements [store.Store].
+func (v *View) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (store.Rows, error) {
+	if v.lost.Load() != nil {
+		return store.Rows{}, store.ErrNotDone
+	}
+	return v.Store.Changes(ctx, table, after, wait)
+}
