member: read only recent heartbeats in the first scan of the nodes

Cause: each node has a partition of its own for its heartbeats, and a first scan (also after the store dropped its history) listed the partitions and read each one: 148 calls for each of 147 nodes, again every 0.4 s. Ruled out: a loop of the catalog or of the instance list (their calls pause after an error).

A first scan now reads the leader row and the heartbeats of the latest 2,000 transactions: two or three calls. Nodes that are silent for a minute are forgotten, since no scan lists all rows any more. Each process logged each other one when it appeared, which grows with the square of their number: now at debug level.

--- a/member/member.go
+++ b/member/member.go
@@ -64,6 +64,12 @@
 	candidateTimeout = 900 * time.Millisecond
 	// callTimeout limits one call of the store. A slow store takes up to 0.3 s.
 	callTimeout = 900 * time.Millisecond
+	// forgetAfter is the time without a heartbeat after which a node is forgotten. The last heartbeat of a node that has been
+	// replaced under another name stays in the store.
+	forgetAfter = time.Minute
+	// recentVersions is how many of the latest transactions a first scan reads heartbeats from. With the number of
+	// transactions that the store allows, they go back at least half a second, which contains a heartbeat of each node.
+	recentVersions = 2000
 	// maxScanGap is the time between two scans after which the time without a heartbeat is counted anew for all nodes, since
 	// heartbeats during the gap were not read.
 	maxScanGap = 1300 * time.Millisecond
@@ -246,7 +252,7 @@
 
 // scanNodes reads the rows of the nodes and of the leader, and updates what is known of them.
 func (m *Member) scanNodes(ctx context.Context) error {
-	rows, complete, err := m.readNodes(ctx)
+	rows, err := m.readNodes(ctx)
 	if err != nil {
 		return err
 	}
@@ -258,9 +264,11 @@
 		m.scanningSince = now
 	}
 	m.lastScan = now
-	listed := make(map[string]bool, len(rows.Rows))
 	for _, row := range rows.Rows {
-		if row.Key == keyLeaderCopy {
+		if row.Deleted {
+			continue
+		}
+		if row.Key == keyLeaderCopy || row.Key == keyLeader {
 			m.decodeLeaderRow(row, now)
 			continue
 		}
@@ -269,10 +277,9 @@
 			m.logger.Warn("Row of a node cannot be decoded.", "row", row.Name, "error", err)
 			continue
 		}
-		listed[n.Name] = true
 		s, ok := m.nodes[n.Name]
 		if !ok {
-			m.logger.Info("Node was added.", "node", n.Name, "address", n.Address, "zone", n.DataCentre)
+			m.logger.Debug("Node was added.", "node", n.Name, "address", n.Address, "zone", n.DataCentre)
 			m.nodes[n.Name] = &nodeState{node: n, version: row.Version, lastChange: now, firstSeen: now}
 			continue
 		}
@@ -286,8 +293,9 @@
 			}
 		}
 	}
-	for name := range m.nodes {
-		if complete && !listed[name] {
+	for name, s := range m.nodes {
+		if now-max(s.lastChange, m.scanningSince) > forgetAfter {
+			m.logger.Debug("Node was forgotten.", "node", name, "silentFor", now-s.lastChange)
 			delete(m.nodes, name)
 		}
 	}
@@ -298,21 +306,30 @@
 	return nil
 }
 
-// readNodes returns the rows that have changed since the last scan. It returns all of them, with complete set, in the first scan
-// and when the store no longer has the changes.
-func (m *Member) readNodes(ctx context.Context) (rows store.Rows, complete bool, err error) {
+// readNodes returns the rows that have changed since the last scan. The first scan, and one for which the store no longer has the
+// changes, returns the leader row and the recent heartbeats instead. It does not read the rows of all nodes: each has a partition
+// of its own, so that many nodes that start at the same time would make more calls than the store allows.
+func (m *Member) readNodes(ctx context.Context) (store.Rows, error) {
 	m.mu.Lock()
 	after := m.scannedVersion
 	m.mu.Unlock()
 	if after > 0 {
-		rows, err = m.options.Store.Changes(ctx, tableNodes, after, 0)
+		rows, err := m.options.Store.Changes(ctx, tableNodes, after, 0)
 		if !errors.Is(err, store.ErrHistoryGone) {
-			return rows, false, err
+			return rows, err
 		}
-		m.logger.Warn("Changes of the nodes are no longer in the history; all rows are read.", "after", after)
+		m.logger.Warn("Changes of the nodes are no longer in the history; the next heartbeats are awaited.", "after", after)
+	}
+	leader, err := m.options.Store.Scan(ctx, tableLeader, "", rowLeader, rowLeader+"\x00")
+	if err != nil {
+		return store.Rows{}, err
+	}
+	recent, err := m.options.Store.Changes(ctx, tableNodes, leader.Version-min(leader.Version, recentVersions), 0)
+	if errors.Is(err, store.ErrHistoryGone) {
+		return leader, nil
 	}
-	rows, err = store.ScanAll(ctx, m.options.Store, tableNodes)
-	return rows, true, err
+	recent.Rows = append(recent.Rows, leader.Rows...)
+	return recent, err
 }
 
 // isLive reports whether a node counts as live. While the nodes cannot be scanned, none is declared dead.
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -281,3 +282,33 @@
 	}
 	t.Fatal("no heartbeat was stored in the alternate partition")
 }
+
+// TestScanCalls guards against calls of the store that grow with the square of the number of nodes. When all nodes start, or the
+// store has dropped its history, each reads the list of nodes at the same time; with a call for each node the store refuses most
+// of them and no leader is found for many seconds.
+func TestScanCalls(t *testing.T) {
+	const nodes, maxCalls = 150, 4
+	s, ctx := memory.New(), t.Context()
+	all := make([]*Member, nodes)
+	for i := range all {
+		name := fmt.Sprint("n", i)
+		all[i] = New(Options{Store: s, Clock: &store.Clock{}, Self: Node{Name: name, Incarnation: "1"}})
+		qt.Assert(t, all[i].writeHeartbeat(ctx, name), qt.IsNil)
+	}
+	all[0].acquire(ctx)
+	tests := map[string]func(){"start": func() {}, "history dropped": s.DropHistory}
+	for _, name := range []string{"start", "history dropped"} {
+		t.Run(name, func(t *testing.T) {
+			tests[name]()
+			for _, m := range all {
+				before := s.Calls()
+				qt.Assert(t, m.scanNodes(ctx), qt.IsNil)
+				qt.Assert(t, s.Calls()-before <= maxCalls, qt.IsTrue, qt.Commentf("%d calls", s.Calls()-before))
+				leader, ok := m.Leader()
+				qt.Assert(t, ok, qt.IsTrue)
+				qt.Assert(t, leader.Name, qt.Equals, "n0")
+				qt.Assert(t, m.Live(), qt.HasLen, nodes)
+			}
+		})
+	}
+}
