scheduler: a row for each worker, instance command and begun maintenance

Cause: the roster of 1,100 workers is a row of about 100 kB, above the 64 KiB that the store takes. No line told of it, since only unknown outcomes were logged.

The roster, the times of instance commands and the begun maintenance of a wave are now a row each, in the new table fleet and beside the row of the wave, written when they change. A batch keeps a share of its rows for each. The rows of the earlier version are read, and removed by the first batch. Batches that the store refuses are logged with its reason, and the progress of one job that is too long no longer holds up the others. The time of a command is now when it was recorded, not when it was planned: after a slow batch the next leader could otherwise command the instance too early. The tables are read at the same time.

Ruled out: the rate of the instance service (64 to 590 calls a second were not used), the drain of instances.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -12,38 +12,47 @@
 type Batch struct {
 	Progress   map[string]*work.Progress
 	PrunedJobs []string
-	// Roster is nil if the stored one is up to date.
-	Roster []RosterEntry
+	// Roster holds the changed entries of the roster by worker ID. An entry that is to be removed is nil.
+	Roster map[string]*RosterEntry
 	Waves  map[int]WaveProgress
-	// InstanceCommandTimes holds the monotonic time of the latest command for each instance. It is nil if nothing has to be stored.
+	// InstanceCommandTimes holds the monotonic time at which the commands of the batch were recorded, by instance.
 	InstanceCommandTimes map[string]time.Duration
-	jobs                 []*job
-	states               []work.State
-	plannedRuns          []*run
-	instanceCommands     []InstanceCommand
-	exitAcks             map[*workerState]uint64
+	// ExpiredCommands lists the instances whose command times are no longer needed.
+	ExpiredCommands []string
+	begun           []begunMaintenance
+	// removesOldRows means that the rows of an earlier version, which are split into several rows now, are removed.
+	removesOldRows   bool
+	jobs             []*job
+	states           []work.State
+	plannedRuns      []*run
+	instanceCommands []InstanceCommand
+	exitAcks         map[*workerState]uint64
 }
 
 // Empty reports whether there is nothing to store.
 func (b *Batch) Empty() bool {
-	return len(b.Progress) == 0 && len(b.plannedRuns) == 0 && len(b.PrunedJobs) == 0 && b.Roster == nil && len(b.Waves) == 0 && b.InstanceCommandTimes == nil
+	return len(b.Progress) == 0 && len(b.plannedRuns) == 0 && len(b.PrunedJobs) == 0 && len(b.Roster) == 0 && len(b.Waves) == 0 &&
+		len(b.begun) == 0 && len(b.InstanceCommandTimes) == 0 && !b.removesOldRows
 }
 
+const (
+	// fleetRowsShare is the share of the rows of a batch for commands of instances and the progress of waves, and rosterRowsShare
+	// that for the roster, while jobs have changed too.
+	fleetRowsShare  = 0.3
+	rosterRowsShare = 0.2
+)
+
 // TakeBatch returns what has changed since the last batch, in at most limit rows. If that is everything, the batch
 // also acknowledges the exits that were processed.
 func (c *Core) TakeBatch(limit int) Batch {
 	b := Batch{Progress: make(map[string]*work.Progress), exitAcks: make(map[*workerState]uint64)}
-	if c.rosterChanged {
-		b.Roster = c.roster()
-		c.rosterChanged = false
-		limit--
-	}
-	b.Waves = c.fleet.takeChangedWaves()
-	if len(c.fleet.plannedCommands) > 0 {
-		b.instanceCommands, c.fleet.plannedCommands = c.fleet.plannedCommands, nil
-		b.InstanceCommandTimes = c.fleet.recentCommandTimes(c.now)
-	}
-	limit -= len(b.Waves)
+	fleetLimit := int(fleetRowsShare * float64(limit))
+	b.Waves, b.begun = c.fleet.takeChangedWaves(fleetLimit)
+	b.instanceCommands, b.InstanceCommandTimes = c.fleet.takePlannedCommands(c.now, fleetLimit-len(b.begun))
+	limit -= 2*len(b.Waves) + len(b.begun) + len(b.instanceCommands)
+	b.Roster = c.takeRosterChanges(max(int(rosterRowsShare*float64(limit)), limit-len(c.changedJobs)))
+	limit -= len(b.Roster)
+	b.removesOldRows, c.hasOldRows = c.hasOldRows, false
 	for j := range c.changedJobs {
 		if limit <= 0 {
 			break
@@ -68,6 +77,9 @@
 			}
 		}
 	}
+	if !b.Empty() {
+		b.ExpiredCommands = c.fleet.takeExpiredCommands(c.now, limit)
+	}
 	return b
 }
 
@@ -115,7 +127,10 @@
 	}
 	c.plannedRuns = append(b.plannedRuns, c.plannedRuns...)
 	c.prunedJobs = append(c.prunedJobs, b.PrunedJobs...)
-	c.rosterChanged = c.rosterChanged || b.Roster != nil
-	c.fleet.markWavesChanged(b.Waves)
+	for id := range b.Roster {
+		c.rosterChanges[id] = true
+	}
+	c.hasOldRows = c.hasOldRows || b.removesOldRows
+	c.fleet.restoreWaves(b.Waves, b.begun)
 	c.fleet.plannedCommands = append(b.instanceCommands, c.fleet.plannedCommands...)
 }
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -52,26 +52,43 @@
 		Puts:     []store.Put{{Key: leadershipKey(rowChain), Value: chain}},
 	}
 	for id, p := range b.Progress {
-		if err := addPut(&tx, progressKey(id), p); err != nil {
+		value, err := encode(p)
+		if err != nil {
 			return tx, err
 		}
+		if len(value) > store.MaxRowBytes {
+			// The store would refuse the whole batch, and with it the progress of all jobs.
+			e.logger.Error("Progress of a job cannot be stored: its row is too long.", "job", id, "bytes", len(value), "limit", store.MaxRowBytes)
+			continue
+		}
+		tx.Puts = append(tx.Puts, store.Put{Key: progressKey(id), Value: value})
 	}
-	if b.Roster != nil {
-		if err := addPut(&tx, leadershipKey(rowRoster), b.Roster); err != nil {
+	for id, entry := range b.Roster {
+		if entry == nil {
+			tx.Removes = append(tx.Removes, fleetKey(rosterPrefix+id))
+			continue
+		}
+		if err := addPut(&tx, fleetKey(rosterPrefix+id), entry); err != nil {
 			return tx, err
 		}
 	}
-	if b.InstanceCommandTimes != nil {
-		instances := make(map[string]time.Duration, len(b.InstanceCommandTimes))
-		for id, at := range b.InstanceCommandTimes {
-			if instances[id], _ = e.options.Clock.At(at); instances[id] <= 0 {
-				instances[id] = 1
-			}
+	for id, at := range b.InstanceCommandTimes {
+		recorded, _ := e.options.Clock.At(at)
+		if err := addPut(&tx, fleetKey(commandPrefix+id), max(recorded, 1)); err != nil {
+			return tx, err
 		}
-		if err := addPut(&tx, leadershipKey(rowInstances), instances); err != nil {
+	}
+	for _, id := range b.ExpiredCommands {
+		tx.Removes = append(tx.Removes, fleetKey(commandPrefix+id))
+	}
+	for _, m := range b.begun {
+		if err := addPut(&tx, progressKey(waveName(m.wave)+waveInstanceSeparator+m.instance), m.worker); err != nil {
 			return tx, err
 		}
 	}
+	if b.removesOldRows {
+		tx.Removes = append(tx.Removes, leadershipKey(rowRoster), leadershipKey(rowInstances))
+	}
 	for _, id := range b.PrunedJobs {
 		tx.Removes = append(tx.Removes, progressKey(id))
 	}
@@ -103,6 +120,9 @@
 	if err == nil {
 		e.options.Leadership.Confirm(e.options.Core.Fence, sent)
 	} else {
+		if errors.Is(err, store.ErrNotDone) {
+			e.logger.Warn("Batch was refused by the store.", "batch", number, "rows", len(tx.Puts)+len(tx.Removes), "took", clock.Now()-sent, "error", err)
+		}
 		e.sleep(commitPause)
 	}
 	e.post(func(c *Core) {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -97,8 +97,10 @@
 	// unknownJobs holds the jobs that are not known but that a worker has reported a run or an exit of, with the time of the
 	// first such report.
 	unknownJobs map[string]time.Duration
-	// rosterChanged means that the stored roster is out of date.
-	rosterChanged bool
+	// rosterChanges holds the IDs of the workers whose stored roster entry is out of date.
+	rosterChanges map[string]bool
+	// hasOldRows means that the store has rows of an earlier version that other rows have replaced.
+	hasOldRows bool
 	// previousUsage holds, for each worker on which previous leaders started tasks and that has not answered in this
 	// term, what the teams may have running there.
 	previousUsage map[string]map[string]work.Resources
@@ -133,7 +135,7 @@
 	return &Core{
 		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
-		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
+		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration), rosterChanges: make(map[string]bool),
 		previousUsage: make(map[string]map[string]work.Resources), lastStored: o.AcquiredAt, previousLeaderActiveUntil: o.AcquiredAt + LeadershipTimeout, estimator: newEstimator(), fleet: newFleet(),
 	}
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -168,6 +168,7 @@
 	storeNow, _ := e.options.Clock.At(now)
 	c.SetWallClock(now, l.clock.WallClock+storeNow-l.clock.Store)
 	c.SetRoster(l.roster)
+	c.MigrateRows(l.oldRoster, l.hasOldRows)
 	for id, at := range l.instances {
 		l.instances[id] = now - (storeNow - at)
 	}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -124,18 +124,33 @@
 	f.plannedCommands = append(f.plannedCommands, cmd)
 }
 
-// recentCommandTimes returns a copy of the times of the latest command for each instance, and removes those older than
-// commandRetention.
-func (f *fleet) recentCommandTimes(now time.Duration) map[string]time.Duration {
-	recorded := make(map[string]time.Duration, len(f.commandedAt))
+// takePlannedCommands returns planned commands, at most limit, with the time at which each is recorded. That is the present time
+// and not the time of the plan, because the previous batch may have waited for a slow store.
+func (f *fleet) takePlannedCommands(now time.Duration, limit int) (commands []InstanceCommand, times map[string]time.Duration) {
+	n := max(0, min(limit, len(f.plannedCommands)))
+	commands, f.plannedCommands = f.plannedCommands[:n:n], f.plannedCommands[n:]
+	times = make(map[string]time.Duration, n)
+	for _, cmd := range commands {
+		f.commandedAt[cmd.Instance] = now
+		times[cmd.Instance] = now
+	}
+	return commands, times
+}
+
+// takeExpiredCommands removes the times of commands that are older than commandRetention, at most limit, and returns their
+// instances.
+func (f *fleet) takeExpiredCommands(now time.Duration, limit int) []string {
+	var expired []string
 	for id, at := range f.commandedAt {
-		if now-at > commandRetention {
+		if len(expired) >= limit {
+			break
+		}
+		if now-at > commandRetention && !f.commandInFlight[id] {
 			delete(f.commandedAt, id)
-			continue
+			expired = append(expired, id)
 		}
-		recorded[id] = at
 	}
-	return recorded
+	return expired
 }
 
 // commandRetention is how long the time of an instance command is kept.
@@ -276,7 +291,7 @@
 		if w != nil {
 			w.begun[cmd.Instance] = cmd.worker
 			w.acceptedAt[cmd.Instance] = c.now
-			w.changed = true
+			w.unstored = append(w.unstored, cmd.Instance)
 		}
 	case instance.Fenced:
 		c.deposed = true
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -22,20 +22,45 @@
 	for _, e := range roster {
 		ws := c.addWorker(worker.Report{ID: e.ID, Pool: e.Pool, Address: e.Address, Incarnation: e.Incarnation, Capacity: e.Capacity})
 		ws.unlistedSince = c.now
+		delete(c.rosterChanges, e.ID)
 	}
 }
 
-func (c *Core) roster() []RosterEntry {
-	roster := make([]RosterEntry, 0, len(c.workers))
-	for _, ws := range c.workers {
-		if ws.leaseExpired || (!ws.answered && !ws.listed) {
-			continue
+// MigrateRows adds the workers in the roster of an earlier version, unless they are known. It makes the next batches store them in
+// the present rows, and remove the old rows if the store has some.
+func (c *Core) MigrateRows(roster []RosterEntry, hasOldRows bool) {
+	c.hasOldRows = hasOldRows
+	for _, e := range roster {
+		if _, ok := c.workers[e.ID]; !ok {
+			c.SetRoster([]RosterEntry{e})
+			c.rosterChanges[e.ID] = true
+		}
+	}
+}
+
+// takeRosterChanges returns the roster entries that are out of date in the store, at most limit. An entry that is to be removed
+// is nil.
+func (c *Core) takeRosterChanges(limit int) map[string]*RosterEntry {
+	changes := make(map[string]*RosterEntry)
+	for id := range c.rosterChanges {
+		if len(changes) >= limit {
+			break
 		}
-		roster = append(roster, RosterEntry{
-			ID: ws.report.ID, Pool: ws.report.Pool, Address: ws.report.Address, Incarnation: ws.report.Incarnation, Capacity: ws.report.Capacity,
-		})
+		delete(c.rosterChanges, id)
+		changes[id] = c.rosterEntry(id)
+	}
+	return changes
+}
+
+// rosterEntry returns the roster entry of a worker, and nil if no lease of the worker has to be renewed by the next leader.
+func (c *Core) rosterEntry(id string) *RosterEntry {
+	ws, ok := c.workers[id]
+	if !ok || ws.leaseExpired {
+		return nil
+	}
+	return &RosterEntry{
+		ID: ws.report.ID, Pool: ws.report.Pool, Address: ws.report.Address, Incarnation: ws.report.Incarnation, Capacity: ws.report.Capacity,
 	}
-	return roster
 }
 
 // recordPreviousUsage records the workers on which previous leaders may have tasks of a job running.
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
@@ -21,13 +22,21 @@
 	tableProgress   = "progress"
 	tableLeadership = "duty"
 	// rowChain is rewritten by each batch, which expects its version. So a batch that is carried out late fails.
-	rowChain  = "chain"
-	rowRoster = "roster"
-	rowClock  = "clock"
+	rowChain = "chain"
+	rowClock = "clock"
 	// cancelSuffix marks the row of a cancellation. It sorts after the row of the job.
 	cancelSuffix = ".cancel"
 	wavePrefix   = "wave."
-	// rowInstances holds the time of the latest command for each instance, on the store's clock.
+	// waveInstanceSeparator separates the name of a wave from an instance whose maintenance has begun. The row of the instance
+	// holds the worker that ran on it before.
+	waveInstanceSeparator = "/"
+	// tableFleet holds a row for each worker in the roster, and for each recent command for an instance its time on the store's
+	// clock. They are not in one row, because the size of a row is limited and each change would rewrite all of it.
+	tableFleet    = "fleet"
+	rosterPrefix  = "worker/"
+	commandPrefix = "command/"
+	// rowRoster and rowInstances are where earlier versions kept the rows of tableFleet.
+	rowRoster    = "roster"
 	rowInstances = "instances"
 )
 
@@ -47,6 +56,8 @@
 
 func progressKey(name string) store.Key { return store.Key{Table: tableProgress, Name: name} }
 
+func fleetKey(name string) store.Key { return store.Key{Table: tableFleet, Name: name} }
+
 func leadershipKey(name string) store.Key { return store.Key{Table: tableLeadership, Name: name} }
 
 // EncodeJob returns the row of an accepted job.
@@ -117,6 +128,8 @@
 	progress  map[string]*work.Progress
 	waves     map[int]*WaveProgress
 	roster    []RosterEntry
+	// oldRoster is the roster of an earlier version.
+	oldRoster []RosterEntry
 	// version is the version from which on changes of jobs are to be read.
 	version uint64
 	now     time.Duration
@@ -124,6 +137,14 @@
 	clock   clockRow
 	// instances holds the time of the latest command for each instance, on the store's clock.
 	instances map[string]time.Duration
+	// hasOldRows means that the roster or the command times are in the rows of an earlier version.
+	hasOldRows bool
+}
+
+func newLoadedRows() *loadedRows {
+	return &loadedRows{
+		jobs: make(map[string]work.Job), progress: make(map[string]*work.Progress), waves: make(map[int]*WaveProgress), instances: make(map[string]time.Duration),
+	}
 }
 
 // loadReadTimeout is the timeout of one read at the start of a term. A slow store takes up to 0.3 s, and decoding 500 rows
@@ -143,68 +164,112 @@
 	}
 }
 
-// load reads all rows of the scheduler. It calls bad for each row that cannot be decoded.
+// load reads all rows of the scheduler, the tables at the same time. It calls bad for each row that cannot be decoded. The rows
+// of different tables may be of different moments: no other leader stores progress any more, since the batches of a leader expect
+// its version of the leader row.
 func load(ctx context.Context, s store.Store, bad func(row store.Row, err error)) (*loadedRows, error) {
-	l := &loadedRows{jobs: make(map[string]work.Job), progress: make(map[string]*work.Progress), waves: make(map[int]*WaveProgress)}
-	scan := func(table string) (store.Rows, error) {
-		return readWithRetry(ctx, func(ctx context.Context) (store.Rows, error) { return s.Scan(ctx, table, "", "", "") })
+	l := newLoadedRows()
+	var jobs store.Rows
+	decoders := map[string]func(store.Row) error{tableProgress: l.decodeProgress, tableLeadership: l.decodeLeadershipRow, tableFleet: l.decodeFleetRow}
+	tables := make(map[string]*store.Rows, len(decoders))
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() (err error) {
+		jobs, err = readWithRetry(groupCtx, func(ctx context.Context) (store.Rows, error) { return store.ScanAll(ctx, s, TableJobs) })
+		return err
+	})
+	for table := range decoders {
+		rows := &store.Rows{}
+		tables[table] = rows
+		group.Go(func() (err error) {
+			*rows, err = readWithRetry(groupCtx, func(ctx context.Context) (store.Rows, error) { return s.Scan(ctx, table, "", "", "") })
+			return err
+		})
 	}
-	jobs, err := readWithRetry(ctx, func(ctx context.Context) (store.Rows, error) { return store.ScanAll(ctx, s, TableJobs) })
-	if err != nil {
+	if err := group.Wait(); err != nil {
 		return nil, err
 	}
 	l.version, l.now = jobs.Version, jobs.Now
 	for _, row := range jobs.Rows {
-		if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
-			l.cancelled = append(l.cancelled, id)
-			continue
-		}
-		j, err := DecodeJob(row)
-		if err != nil {
+		if err := l.decodeJobRow(row); err != nil {
 			bad(row, err)
-			continue
 		}
-		l.jobs[j.ID] = j
 	}
-	progress, err := scan(tableProgress)
+	for table, decode := range decoders {
+		for _, row := range tables[table].Rows {
+			if err := decode(row); err != nil {
+				bad(row, err)
+			}
+		}
+	}
+	return l, nil
+}
+
+func (l *loadedRows) decodeJobRow(row store.Row) error {
+	if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
+		l.cancelled = append(l.cancelled, id)
+		return nil
+	}
+	j, err := DecodeJob(row)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	for _, row := range progress.Rows {
-		if err := l.decodeProgress(row); err != nil {
-			bad(row, err)
-		}
+	l.jobs[j.ID] = j
+	return nil
+}
+
+func (l *loadedRows) decodeProgress(row store.Row) error {
+	if name, ok := strings.CutPrefix(row.Name, wavePrefix); ok {
+		return l.decodeWaveRow(name, row.Value)
+	}
+	var p work.Progress
+	if err := cbor.Unmarshal(row.Value, &p); err != nil {
+		return err
 	}
-	leadership, err := scan(tableLeadership)
+	l.progress[row.Name] = &p
+	return nil
+}
+
+// decodeWaveRow decodes the row of a wave, or of an instance whose maintenance has begun.
+func (l *loadedRows) decodeWaveRow(name string, value []byte) error {
+	number, instance, isInstance := strings.Cut(name, waveInstanceSeparator)
+	n, err := strconv.Atoi(number)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	for _, row := range leadership.Rows {
-		if err := l.decodeLeadershipRow(row); err != nil {
-			bad(row, err)
-		}
+	w, ok := l.waves[n]
+	if !ok {
+		w = &WaveProgress{}
+		l.waves[n] = w
 	}
-	return l, nil
+	if w.Begun == nil {
+		w.Begun = make(map[string]string)
+	}
+	if !isInstance {
+		// Unmarshalling adds the entries of Begun to those of the rows read so far.
+		return cbor.Unmarshal(value, w)
+	}
+	var worker string
+	if err := cbor.Unmarshal(value, &worker); err != nil {
+		return err
+	}
+	w.Begun[instance] = worker
+	return nil
 }
 
-func (l *loadedRows) decodeProgress(row store.Row) error {
-	if number, ok := strings.CutPrefix(row.Name, wavePrefix); ok {
-		n, err := strconv.Atoi(number)
-		if err != nil {
-			return err
-		}
-		var w WaveProgress
-		if err := cbor.Unmarshal(row.Value, &w); err != nil {
+func (l *loadedRows) decodeFleetRow(row store.Row) error {
+	if id, ok := strings.CutPrefix(row.Name, commandPrefix); ok {
+		var at time.Duration
+		if err := cbor.Unmarshal(row.Value, &at); err != nil {
 			return err
 		}
-		l.waves[n] = &w
+		l.instances[id] = max(l.instances[id], at)
 		return nil
 	}
-	var p work.Progress
-	if err := cbor.Unmarshal(row.Value, &p); err != nil {
+	var entry RosterEntry
+	if err := cbor.Unmarshal(row.Value, &entry); err != nil {
 		return err
 	}
-	l.progress[row.Name] = &p
+	l.roster = append(l.roster, entry)
 	return nil
 }
 
@@ -213,11 +278,19 @@
 	case rowChain:
 		l.chain = row.Version
 	case rowRoster:
-		return cbor.Unmarshal(row.Value, &l.roster)
+		l.hasOldRows = true
+		return cbor.Unmarshal(row.Value, &l.oldRoster)
 	case rowClock:
 		return cbor.Unmarshal(row.Value, &l.clock)
 	case rowInstances:
-		return cbor.Unmarshal(row.Value, &l.instances)
+		l.hasOldRows = true
+		var times map[string]time.Duration
+		if err := cbor.Unmarshal(row.Value, &times); err != nil {
+			return err
+		}
+		for id, at := range times {
+			l.instances[id] = max(l.instances[id], at)
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/scheduler/rows_test.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/store"
+	"github.com/chivetiller/chivetiller/store/memory"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// TestRowSizes guards against rows that grow with the fleet. The store refuses a row above its limit and with it every batch, so
+// that no task or instance command starts any more; and each change of a long row is paid for by all of its bytes.
+func TestRowSizes(t *testing.T) {
+	const fleet, maxRow = 3700, 1000
+	s := memory.New()
+	e, _ := newTestEngine(t, s, 1)
+	c := e.core
+	var reports []worker.Report
+	wave := instance.Wave{Number: 1, MaxDuration: time.Minute, MaxUnavailable: fleet}
+	for i := range fleet {
+		id := fmt.Sprintf("i-%010d", i)
+		reports = append(reports, worker.Report{ID: id, Pool: "p", Address: "10.0.0.1:8000", Incarnation: 1e12, Capacity: work.Resources{CPU: 64000, Memory: 1 << 17}})
+		wave.Instances = append(wave.Instances, "m-"+id)
+	}
+	c.SetWorkers(reports)
+	c.AddWave(wave, nil)
+	for _, id := range wave.Instances {
+		cmd := InstanceCommand{Instance: id, Wave: 1}
+		c.fleet.planCommand(c.now, cmd)
+		c.HandleInstanceReply(cmd, instance.Accepted, nil)
+	}
+	written := make(map[store.Key]int)
+	for range fleet {
+		b := c.TakeBatch(batchRows)
+		if b.Empty() {
+			break
+		}
+		tx, err := e.transaction(b)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, len(tx.Expected)+len(tx.Puts)+len(tx.Removes) <= store.MaxEntries, qt.IsTrue)
+		for _, p := range tx.Puts {
+			qt.Assert(t, len(p.Value) <= maxRow, qt.IsTrue, qt.Commentf("row %s has %d bytes", p.Name, len(p.Value)))
+			written[p.Key]++
+		}
+		c.BatchStored(b)
+	}
+	delete(written, leadershipKey(rowChain))
+	for key, n := range written {
+		qt.Assert(t, n, qt.Equals, 1, qt.Commentf("row %s", key.Name))
+	}
+	// A roster entry, a command and a begun maintenance for each instance, and two rows of the wave.
+	qt.Assert(t, len(written) >= 3*fleet, qt.IsTrue)
+}
+
+// TestOldRows guards against an upgrade that forgets the workers, commands and maintenance in the rows of an earlier version, and
+// against old rows that stay and bring back workers that have left.
+func TestOldRows(t *testing.T) {
+	s := memory.New()
+	e, _ := newTestEngine(t, s, 2)
+	put := func(key store.Key, v any) store.Put {
+		data, err := cbor.Marshal(v)
+		qt.Assert(t, err, qt.IsNil)
+		return store.Put{Key: key, Value: data}
+	}
+	_, err := s.Commit(t.Context(), store.Tx{Puts: []store.Put{
+		put(leadershipKey(rowRoster), []RosterEntry{{ID: "w1", Pool: "p"}, {ID: "w2", Pool: "p"}}),
+		put(leadershipKey(rowInstances), map[string]time.Duration{"m1": time.Second}),
+		put(progressKey(waveName(7)), WaveProgress{Number: 7, Begun: map[string]string{"m1": "w0"}}),
+		put(progressKey(waveName(7)+"/m2"), "w9"),
+		put(fleetKey(rosterPrefix+"w2"), RosterEntry{ID: "w2", Pool: "p"}),
+	}})
+	qt.Assert(t, err, qt.IsNil)
+	l, err := load(t.Context(), s, func(row store.Row, err error) { t.Errorf("row %s: %s", row.Name, err) })
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, l.waves[7].Begun, qt.DeepEquals, map[string]string{"m1": "w0", "m2": "w9"})
+	qt.Assert(t, l.instances, qt.DeepEquals, map[string]time.Duration{"m1": time.Second})
+	e.core.SetRoster(l.roster)
+	e.core.MigrateRows(l.oldRoster, l.hasOldRows)
+	qt.Assert(t, e.core.workers, qt.HasLen, 2)
+	b := e.core.TakeBatch(batchRows)
+	tx, err := e.transaction(b)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, tx.Removes, qt.DeepEquals, []store.Key{leadershipKey(rowRoster), leadershipKey(rowInstances)})
+	qt.Assert(t, b.Roster, qt.HasLen, 1)
+	qt.Assert(t, b.Roster["w1"], qt.IsNotNil)
+}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -21,13 +21,16 @@
 	dropped       map[string]bool
 	drainingSince map[string]time.Duration
 	finished      bool
-	changed       bool
+	// changed means that finished or since is not stored, and unstored lists the instances whose begun maintenance is not.
+	changed  bool
+	unstored []string
 }
 
 // WaveProgress is the stored progress of a wave.
 type WaveProgress struct {
 	Number int `cbor:"1,keyasint"`
-	// Begun holds the instances whose maintenance has begun, with the worker that ran on them before.
+	// Begun holds the instances whose maintenance has begun, with the worker that ran on them before. Each has a row of its own,
+	// since the row of a large wave would be rewritten with each of them. Earlier versions stored them here.
 	Begun    map[string]string `cbor:"2,keyasint,omitempty"`
 	Finished bool              `cbor:"3,keyasint,omitempty"`
 	// Since is the time at which the wave became known to the first leader that read it. In the stored row it is a time of the
@@ -211,30 +214,40 @@
 	return true
 }
 
-// takeChangedWaves returns the waves whose progress is not stored.
-func (f *fleet) takeChangedWaves() map[int]WaveProgress {
-	var changed map[int]WaveProgress
+// begunMaintenance records that the maintenance of an instance of a wave has begun, with the worker that ran on it before.
+type begunMaintenance struct {
+	wave             int
+	instance, worker string
+}
+
+// takeChangedWaves returns the waves whose progress is not stored, and the maintenance that has begun since the last call, at most
+// limit.
+func (f *fleet) takeChangedWaves(limit int) (waves map[int]WaveProgress, begun []begunMaintenance) {
+	waves = make(map[int]WaveProgress)
 	for n, w := range f.waves {
-		if !w.changed {
-			continue
+		if w.changed {
+			waves[n] = WaveProgress{Number: n, Finished: w.finished, Since: w.since}
+			w.changed = false
 		}
-		if changed == nil {
-			changed = make(map[int]WaveProgress)
+		for len(w.unstored) > 0 && len(begun) < limit {
+			id := w.unstored[0]
+			w.unstored = w.unstored[1:]
+			begun = append(begun, begunMaintenance{wave: n, instance: id, worker: w.begun[id]})
 		}
-		begun := make(map[string]string, len(w.begun))
-		for id, worker := range w.begun {
-			begun[id] = worker
-		}
-		changed[n] = WaveProgress{Number: n, Begun: begun, Finished: w.finished, Since: w.since}
-		w.changed = false
 	}
-	return changed
+	return waves, begun
 }
 
-func (f *fleet) markWavesChanged(waves map[int]WaveProgress) {
+// restoreWaves marks the progress of waves as not stored again.
+func (f *fleet) restoreWaves(waves map[int]WaveProgress, begun []begunMaintenance) {
 	for n := range waves {
 		if w, ok := f.waves[n]; ok {
 			w.changed = true
 		}
 	}
+	for _, b := range begun {
+		if w, ok := f.waves[b.wave]; ok {
+			w.unstored = append(w.unstored, b.instance)
+		}
+	}
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -51,7 +51,7 @@
 	c.workers[r.ID] = ws
 	p := c.pool(r.Pool)
 	p.workers = sortWorkers(append(p.workers, ws))
-	c.rosterChanged = true
+	c.rosterChanges[r.ID] = true
 	c.logger.Info("Worker was added.", "worker", r.ID, "pool", r.Pool, "address", r.Address, "cpu", r.Capacity.CPU, "born", r.Incarnation)
 	return ws
 }
@@ -67,7 +67,7 @@
 	if i := slices.Index(p.workers, ws); i >= 0 {
 		p.workers = slices.Delete(p.workers, i, i+1)
 	}
-	c.rosterChanged = true
+	c.rosterChanges[ws.report.ID] = true
 	c.logger.Warn("Worker was removed.", "worker", ws.report.ID, "pool", ws.report.Pool, "reason", reason)
 }
 
@@ -156,7 +156,7 @@
 	}
 	if ws.report.Incarnation == 0 && status.Incarnation != 0 {
 		ws.report.Incarnation = status.Incarnation
-		c.rosterChanged = true
+		c.rosterChanges[id] = true
 	}
 	silence := c.now - ws.lastContact
 	ws.unresponsive = false
@@ -180,6 +180,9 @@
 	if !ws.answered {
 		ws.firstReply = c.now
 	}
+	if ws.leaseExpired {
+		c.rosterChanges[id] = true
+	}
 	ws.leaseExpired = false
 	ws.answered = true
 	delete(c.previousUsage, id)
@@ -207,7 +210,7 @@
 	ws.reportClock = 0
 	ws.exitsProcessed, ws.exitsStored, ws.requestedExpiry, ws.clock, ws.leaseExpired = 0, 0, 0, 0, false
 	ws.clockSent, ws.clockReceived = 0, c.now
-	c.rosterChanged = true
+	c.rosterChanges[ws.report.ID] = true
 }
 
 // markDeposed records that a worker has seen a higher fencing token, so another process is the leader.
@@ -422,6 +425,7 @@
 		return
 	}
 	ws.leaseExpired = true
+	c.rosterChanges[ws.report.ID] = true
 	c.logger.Warn("Lease of the worker has expired.", "worker", ws.report.ID, "pool", ws.report.Pool, "contactAge", c.now-ws.lastContact, "runs", len(ws.runs))
 	for _, r := range runsOn(ws) {
 		c.markRunLost(r, "the lease has expired")
--- a/store/store.go
+++ b/store/store.go
@@ -29,10 +29,12 @@
 	ErrHistoryGone = errors.New("history is no longer kept")
 )
 
-// Limits of one transaction, as documented by the platform: the number of its conditions, puts and removals, and its size in bytes.
+// Limits of one transaction, as documented by the platform: the number of its conditions, puts and removals, its size in bytes, and
+// the size of the value of a row.
 const (
-	MaxEntries = 100
-	MaxBytes   = 1 << 20
+	MaxEntries  = 100
+	MaxBytes    = 1 << 20
+	MaxRowBytes = 64 << 10
 )
 
 // Key identifies a row. All rows of one transaction are in the same partition. Nodes send keys to each other with the names of the
