scheduler: list the instances of large fleets more than once

Cause: the pause between two lists (2 ms for each instance) was spent inside the timeout of the next list (1 s).

The pause now follows the list, is at most half the age at which commands stop, and a failed query is logged. TestListInstances: 1 list in 6 s at 1,100 and 3,700 instances before, 4 or more after.

--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -50,10 +50,10 @@
 	registryInterval = 200 * time.Millisecond
 	// jobsInterval is the time between two reads of new jobs. It finds the jobs whose notification was lost.
 	jobsInterval = 700 * time.Millisecond
-	// instancesInterval is the minimum time between two scans of the instances. perInstanceInterval adds to it for each
-	// instance, which bounds the traffic: an entry has about 250 bytes.
+	// instancesInterval is the minimum time between two lists of the instances, and perInstanceInterval the one for each of
+	// them. An entry has about 250 bytes, so lists take up to 4 Mbit/s.
 	instancesInterval   = 300 * time.Millisecond
-	perInstanceInterval = 2 * time.Millisecond
+	perInstanceInterval = 500 * time.Microsecond
 	// registryRefresh is the time between two complete scans of the registry.
 	registryRefresh = 10 * time.Second
 	// readTimeout is the timeout of a read from the store or of the instances.
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -146,3 +146,37 @@
 	_, err := load(ctx, s, func(store.Row, error) {})
 	qt.Assert(t, err, qt.IsNil)
 }
+
+// listedFleet is an instance service that counts its lists.
+type listedFleet struct {
+	instance.Fleet
+	instances []instance.Instance
+	lists     atomic.Int32
+}
+
+func (f *listedFleet) List(ctx context.Context) ([]instance.Instance, error) {
+	f.lists.Add(1)
+	return f.instances, ctx.Err()
+}
+
+// TestListInstances guards against a list of instances that is read only once, because the pause after the list of a large fleet
+// counted towards the timeout of the next one. Without a current list no instance moves and no wave goes on.
+func TestListInstances(t *testing.T) {
+	t.Parallel()
+	for name, n := range map[string]int{"350": 350, "1100": 1100, "3700": 3700} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e, _ := newTestEngine(t, memory.New(), 1)
+			fleet := &listedFleet{instances: make([]instance.Instance, n)}
+			e.options.Instances = fleet
+			e.options.Catalog = func() *catalog.Catalog { return catalog.New(1, 0, nil, []catalog.Pool{{Name: "off", Spare: true}}, nil) }
+			qt.Assert(t, e.Start(context.Background()), qt.IsNil)
+			defer e.Stop()
+			time.Sleep(2 * maxListAge)
+			qt.Assert(t, int(fleet.lists.Load()) >= 4, qt.IsTrue, qt.Commentf("%d lists", fleet.lists.Load()))
+			var age time.Duration
+			qt.Assert(t, e.query(t.Context(), func(c *Core) { age = c.now - c.fleet.listedAt }), qt.IsNil)
+			qt.Assert(t, age < maxListAge, qt.IsTrue)
+		})
+	}
+}
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -193,9 +193,7 @@
 
 // watchWaves reads requests for maintenance, and the list of instances while it is needed.
 func (e *Engine) watchWaves(stored map[int]*WaveProgress) {
-	var wait time.Duration
 	e.repeat(instancesInterval, func(ctx context.Context) {
-		e.sleep(wait)
 		waves := e.options.Waves.Waves()
 		needed := false
 		err := e.query(ctx, func(c *Core) {
@@ -204,7 +202,11 @@
 			}
 			needed = c.NeedsInstances()
 		})
-		if err != nil || !needed {
+		if err != nil {
+			e.logger.Warn("Scheduler did not take the waves in time.", "error", err)
+			return
+		}
+		if !needed {
 			return
 		}
 		at := clock.Now()
@@ -213,7 +215,13 @@
 			e.logger.Warn("Instances could not be listed.", "error", err)
 			return
 		}
-		wait = time.Duration(len(instances))*perInstanceInterval - instancesInterval
 		e.post(func(c *Core) { c.SetInstances(instances, at) })
+		e.sleep(listInterval(len(instances)) - instancesInterval)
 	})
 }
+
+// listInterval returns the time between two lists of that many instances. It leaves time for a list that fails before the last one
+// is too old to base commands on.
+func listInterval(instances int) time.Duration {
+	return min(max(instancesInterval, time.Duration(instances)*perInstanceInterval), maxListAge/2)
+}
