Let other nodes carry the leader's commands to workers

Cause: with the list of instances mended, pools grow with their surges, and the leader has to start up to 3,000 tasks a second and to wait for as many exits.

Package internal/workers/delegate: the leader sends commands in batches over one connection to each live node with half of its processor share or more, in the data centre of the worker; the delegate calls the worker and returns the reply. It decides nothing. Fencing tokens and lease expiries on the worker's clock are in each command, so a suspended delegate can do no more than a delayed packet, and it drops commands after their deadline on the store's clock. A lost or silent connection makes outcomes unknown and sends the commands of its workers from the leader itself. Fleets below 100 workers are commanded directly as before.

Ruled out: a leader for each pool, since at any moment most of the load is in one pool (each has its turn of five times its mean).

--- a/member/member.go
+++ b/member/member.go
@@ -91,6 +91,9 @@
 	Count uint64 `cbor:"7,keyasint"`
 	// Cores is the processor share of the node. The node with the largest share acquires leadership first.
 	Cores float64 `cbor:"8,keyasint,omitempty"`
+	// CommandAddress is where the node accepts commands for workers, which it carries for the leader. It is empty for nodes of
+	// earlier versions.
+	CommandAddress string `cbor:"9,keyasint,omitempty"`
 }
 
 // Options are the options of a member.
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/intake"
+	"github.com/chivetiller/chivetiller/internal/workers/delegate"
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/member"
 	"github.com/chivetiller/chivetiller/metrics"
@@ -39,7 +40,8 @@
 	// ClientAddress is the listen address for clients, and ReadyAddress the one for readiness checks.
 	ClientAddress string
 	ReadyAddress  string
-	// PeerPort and MetricsPort are the listen ports for other nodes and for metrics, at the address IP.
+	// PeerPort and MetricsPort are the listen ports for other nodes and for metrics, at the address IP. The port after PeerPort
+	// is the one for commands to workers, which the node carries for the leader.
 	PeerPort    int
 	MetricsPort int
 	// StoreAddress, InstancesAddress and AdviceAddress are addresses of the platform. The latter two may be empty.
@@ -80,6 +82,9 @@
 	peers      *peers
 	leadership *leadership
 	intake     *intake.Intake
+	// sender sends commands to workers while this node is the leader, and delegate carries those of other leaders.
+	sender   *delegate.Sender
+	delegate *delegate.Server
 	metrics    *metrics.Jobs
 	stopping   chan struct{}
 }
@@ -95,7 +100,10 @@
 	d.Store = n.deps.Store
 	n.members = member.New(member.Options{Store: d.Store, Clock: n.clock, Logger: d.Logger, Self: member.Node{
 		Name: s.Name, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), DataCentre: s.DataCentre, Incarnation: ident.New(), Cores: s.Cores,
+		CommandAddress: s.commandAddress(),
 	}})
+	n.delegate = delegate.NewServer(delegate.ServerOptions{Commander: d.Commander, Clock: n.clock, Logger: d.Logger})
+	n.sender = delegate.NewSender(delegate.SenderOptions{Direct: d.Commander, Nodes: n.delegates, Cores: s.Cores, Clock: n.clock, Logger: d.Logger})
 	n.peers = newPeers(n)
 	n.source = catalog.NewSource(catalog.SourceOptions{Store: d.Store, Clock: n.clock, Decoder: d.Decoder, Peers: n.peers, Logger: d.Logger})
 	n.leadership = newLeadership(n)
@@ -112,9 +120,10 @@
 	services := []kernel.Service{
 		n.httpService("peers", peerAddress, n.peers.handler(), peerDrainTimeout, nil),
 		n.httpService("metrics", metricsAddress, n.metrics.Handler(), 0, nil),
+		n.commandService(),
 		{Name: "catalog", Value: n.source, Start: startFunc(n.source.Start), Stop: stopFunc(n.source.Stop)},
 		{Name: "members", Value: n.members, Start: startFunc(n.members.Start), Stop: stopFunc(n.members.Stop)},
-		{Name: "duty", Needs: []string{"members", "catalog"}, Value: n.leadership, Start: startFunc(n.leadership.Start), Stop: stopFunc(n.leadership.Stop)},
+		{Name: "duty", Needs: []string{"members", "catalog", "commands"}, Value: n.leadership, Start: startFunc(n.leadership.Start), Stop: stopFunc(n.leadership.Stop)},
 		n.httpService("front", n.settings.ClientAddress, n.deps.JobsHandler(n.intake, n.metrics), n.clientDrainTimeout(), []string{"duty", "peers"}),
 		n.httpService("ready", n.settings.ReadyAddress, http.HandlerFunc(n.serveReady), 0, []string{"front"}),
 	}
@@ -126,6 +135,48 @@
 	return nil
 }
 
+// commandAddress returns the listen address for commands of leaders.
+func (s *Settings) commandAddress() string {
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort+1))
+}
+
+// commandService returns the service that carries the commands of leaders to workers.
+func (n *Node) commandService() kernel.Service {
+	var listener net.Listener
+	return kernel.Service{
+		Name: "commands",
+		Start: func(context.Context) (err error) {
+			if listener, err = net.Listen("tcp", n.settings.commandAddress()); err != nil {
+				return eris.Wrap(err, "listen for commands")
+			}
+			go func() {
+				if err := n.delegate.Serve(listener); err != nil {
+					n.logger.Error("Listener has failed.", "listener", "commands", "error", err)
+				}
+			}()
+			n.logger.Info("Listener started.", "listener", "commands", "address", n.settings.commandAddress())
+			return nil
+		},
+		Stop: func(context.Context) error {
+			err := listener.Close()
+			n.sender.Close()
+			n.delegate.Close()
+			return err
+		},
+	}
+}
+
+// delegates returns the other live nodes that carry commands.
+func (n *Node) delegates() []delegate.Node {
+	var nodes []delegate.Node
+	for _, m := range n.members.Live() {
+		if m.Name != n.settings.Name && m.CommandAddress != "" {
+			nodes = append(nodes, delegate.Node{Name: m.Name, Address: m.CommandAddress, DataCentre: m.DataCentre, Cores: m.Cores})
+		}
+	}
+	return nodes
+}
+
 func startFunc(f func()) func(context.Context) error {
 	return func(context.Context) error { f(); return nil }
 }
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -147,6 +147,20 @@
 	return l.Addr().(*net.TCPAddr).Port
 }
 
+// freePeerPort returns a port that is free together with the next one, which a node uses for commands.
+func freePeerPort(t *testing.T) int {
+	for range 20 {
+		port := freePort(t)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
+		if err == nil {
+			qt.Assert(t, l.Close(), qt.IsNil)
+			return port
+		}
+	}
+	t.Fatal("no two adjacent ports are free")
+	return 0
+}
+
 func newCluster(t *testing.T, size int) *cluster {
 	c := &cluster{store: memory.New(), workers: &fakeWorkers{running: make(map[work.Task]worker.Run), starts: make(map[work.Task]int)}}
 	_, err := c.store.Commit(t.Context(), store.Tx{Puts: []store.Put{
@@ -156,7 +170,7 @@
 	for i := range size {
 		address := func() string { return fmt.Sprintf("127.0.0.1:%d", freePort(t)) }
 		s := Settings{
-			Name: fmt.Sprintf("n%d", i), IP: "127.0.0.1", DataCentre: fmt.Sprint("z", i%2), ClientAddress: address(), ReadyAddress: address(), PeerPort: freePort(t), MetricsPort: freePort(t),
+			Name: fmt.Sprintf("n%d", i), IP: "127.0.0.1", DataCentre: fmt.Sprint("z", i%2), ClientAddress: address(), ReadyAddress: address(), PeerPort: freePeerPort(t), MetricsPort: freePort(t),
 			Bounds: scheduler.Bounds{MaxLease: 10 * time.Second, ConfigDelay: 2 * time.Second, ConfigOutageDelay: 5 * time.Second, Retention: time.Minute, ShutdownGrace: 4 * time.Second},
 		}
 		own := memory.NewView(c.store)
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -15,12 +15,13 @@
 	Address     string         `cbor:"3,keyasint"`
 	Incarnation int64          `cbor:"4,keyasint,omitempty"`
 	Capacity    work.Resources `cbor:"5,keyasint"`
+	DataCentre  string         `cbor:"6,keyasint,omitempty"`
 }
 
 // SetRoster adds the workers in the roster of the previous leader.
 func (c *Core) SetRoster(roster []RosterEntry) {
 	for _, e := range roster {
-		ws := c.addWorker(worker.Report{ID: e.ID, Pool: e.Pool, Address: e.Address, Incarnation: e.Incarnation, Capacity: e.Capacity})
+		ws := c.addWorker(worker.Report{ID: e.ID, Pool: e.Pool, Address: e.Address, Incarnation: e.Incarnation, Capacity: e.Capacity, DataCentre: e.DataCentre})
 		ws.unlistedSince = c.now
 		delete(c.rosterChanges, e.ID)
 	}
@@ -60,6 +61,7 @@
 	}
 	return &RosterEntry{
 		ID: ws.report.ID, Pool: ws.report.Pool, Address: ws.report.Address, Incarnation: ws.report.Incarnation, Capacity: ws.report.Capacity,
+		DataCentre: ws.report.DataCentre,
 	}
 }
 
--- a/work/work.go
+++ b/work/work.go
@@ -115,10 +115,10 @@
 
 // Task identifies a task of a job.
 type Task struct {
-	Job        string
-	Occurrence int
-	Step       int
-	Index      int
+	Job        string `cbor:"1,keyasint,omitempty"`
+	Occurrence int    `cbor:"2,keyasint,omitempty"`
+	Step       int    `cbor:"3,keyasint,omitempty"`
+	Index      int    `cbor:"4,keyasint,omitempty"`
 }
 
 // Occurrences returns the number of occurrences, which is 1 for a job without a schedule.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -50,13 +50,13 @@
 
 // Run is one start of a task that is running on a worker.
 type Run struct {
-	Task       work.Task
-	Number     int
-	Checkpoint string
+	Task       work.Task `cbor:"1,keyasint,omitempty"`
+	Number     int       `cbor:"2,keyasint,omitempty"`
+	Checkpoint string    `cbor:"3,keyasint,omitempty"`
 	// SpeedPercent is the current speed of the task in percent of its full speed. A service task that is ready to serve has 100.
-	SpeedPercent int
+	SpeedPercent int `cbor:"4,keyasint,omitempty"`
 	// Load is the tail latency in milliseconds for a service task, and the processor usage for any other task.
-	Load int64
+	Load int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ExitReason says why a run ended.
@@ -83,18 +83,18 @@
 // Exit is a run that has ended on a worker.
 type Exit struct {
 	// Seq numbers the exits within one incarnation of the worker, starting at 1.
-	Seq        uint64
-	Task       work.Task
-	Number     int
-	Reason     ExitReason
-	Checkpoint string
+	Seq        uint64     `cbor:"1,keyasint,omitempty"`
+	Task       work.Task  `cbor:"2,keyasint,omitempty"`
+	Number     int        `cbor:"3,keyasint,omitempty"`
+	Reason     ExitReason `cbor:"4,keyasint,omitempty"`
+	Checkpoint string     `cbor:"5,keyasint,omitempty"`
 }
 
 // Status is the reply of a worker to a lease renewal: its runs, and the exits that are not acknowledged yet.
 type Status struct {
 	Reply
-	Running []Run
-	Exited  []Exit
+	Running []Run  `cbor:"4,keyasint,omitempty"`
+	Exited  []Exit `cbor:"5,keyasint,omitempty"`
 }
 
 // Outcome is the result of a command.
@@ -129,43 +129,43 @@
 
 // Reply is the reply to a command.
 type Reply struct {
-	Outcome Outcome
+	Outcome Outcome `cbor:"1,keyasint,omitempty"`
 	// Clock is the monotonic time of the worker, and 0 if the reply has none.
-	Clock time.Duration
+	Clock time.Duration `cbor:"2,keyasint,omitempty"`
 	// Incarnation is the incarnation of the worker that replied, and 0 if the reply has none.
-	Incarnation int64
+	Incarnation int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // StartCommand starts a task.
 type StartCommand struct {
-	Task work.Task
-	Run  int
-	Spec string
+	Task work.Task `cbor:"1,keyasint,omitempty"`
+	Run  int       `cbor:"2,keyasint,omitempty"`
+	Spec string    `cbor:"3,keyasint,omitempty"`
 	// LeaseExpiry is the time at which the lease expires, in monotonic time of the worker.
-	LeaseExpiry time.Duration
-	Fence       uint64
-	Checkpoint  string
-	Ticket      string
+	LeaseExpiry time.Duration `cbor:"4,keyasint,omitempty"`
+	Fence       uint64        `cbor:"5,keyasint,omitempty"`
+	Checkpoint  string        `cbor:"6,keyasint,omitempty"`
+	Ticket      string        `cbor:"7,keyasint,omitempty"`
 }
 
 // RunCommand stops or throttles a run.
 type RunCommand struct {
-	Task  work.Task
-	Run   int
-	Fence uint64
+	Task  work.Task `cbor:"1,keyasint,omitempty"`
+	Run   int       `cbor:"2,keyasint,omitempty"`
+	Fence uint64    `cbor:"3,keyasint,omitempty"`
 	// SpeedPercent is the speed to which a throttled task is limited, in percent of its full speed.
-	SpeedPercent int
+	SpeedPercent int `cbor:"4,keyasint,omitempty"`
 }
 
 // RenewCommand renews the lease on all runs of a worker and acknowledges exits.
 type RenewCommand struct {
 	// LeaseExpiry is the time at which the lease expires, in monotonic time of the worker. 0 leaves the lease as it is.
-	LeaseExpiry time.Duration
-	Fence       uint64
+	LeaseExpiry time.Duration `cbor:"1,keyasint,omitempty"`
+	Fence       uint64        `cbor:"2,keyasint,omitempty"`
 	// AcknowledgedSeq is the sequence number up to which all exits are stored by the leader.
-	AcknowledgedSeq uint64
+	AcknowledgedSeq uint64 `cbor:"3,keyasint,omitempty"`
 	// MaxWait is how long the worker may delay its reply while there is no new exit (long polling).
-	MaxWait time.Duration
+	MaxWait time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Commander sends commands to workers. The error explains an outcome that is not Accepted.
@@ -178,6 +178,8 @@
 
 // Target is the worker that a command is addressed to. Another instance at the same address rejects the command.
 type Target struct {
-	ID      string
-	Address string
+	ID      string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	// DataCentre is the one of the worker, and empty if it is not known.
+	DataCentre string `cbor:"3,keyasint,omitempty"`
 }
