scheduler: start tasks once the row of their own job is stored

Cause: a batch holds 60 rows, and planned runs and acknowledgements of exits waited until no job had changed any more.

A batch now takes the jobs with planned runs first, in the order of the plan, then those that have ended; it starts the runs and acknowledges the exits of all jobs that it leaves without a change.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -35,6 +35,9 @@
 		len(b.begun) == 0 && len(b.InstanceCommandTimes) == 0 && !b.removesOldRows
 }
 
+// Backlog returns the number of jobs whose progress is not stored.
+func (c *Core) Backlog() int { return len(c.changedJobs) }
+
 const (
 	// fleetRowsShare is the share of the rows of a batch for commands of instances and the progress of waves, and rosterRowsShare
 	// that for the roster, while jobs have changed too.
@@ -42,8 +45,9 @@
 	rosterRowsShare = 0.2
 )
 
-// TakeBatch returns what has changed since the last batch, in at most limit rows. If that is everything, the batch
-// also acknowledges the exits that were processed.
+// TakeBatch returns what has changed since the last batch, in at most limit rows. Jobs with planned runs come first, in the order of
+// the plan, and those that have ended next. The batch starts the planned runs and acknowledges the exits of all jobs that it leaves
+// without a change.
 func (c *Core) TakeBatch(limit int) Batch {
 	b := Batch{Progress: make(map[string]*work.Progress), exitAcks: make(map[*workerState]uint64)}
 	fleetLimit := int(fleetRowsShare * float64(limit))
@@ -53,28 +57,25 @@
 	b.Roster = c.takeRosterChanges(max(int(rosterRowsShare*float64(limit)), limit-len(c.changedJobs)))
 	limit -= len(b.Roster)
 	b.removesOldRows, c.hasOldRows = c.hasOldRows, false
-	for j := range c.changedJobs {
-		if limit <= 0 {
-			break
-		}
-		b.Progress[j.doc.ID] = j.progress
-		b.jobs = append(b.jobs, j)
-		b.states = append(b.states, j.progress.State)
-		delete(c.changedJobs, j)
-		limit--
-	}
+	c.addJobs(&b, limit)
+	limit -= len(b.jobs)
 	for len(c.prunedJobs) > 0 && limit > 0 {
 		b.PrunedJobs = append(b.PrunedJobs, c.prunedJobs[0])
 		c.prunedJobs = c.prunedJobs[1:]
 		limit--
 	}
-	if len(c.changedJobs) == 0 {
-		b.plannedRuns = c.plannedRuns
-		c.plannedRuns = nil
-		for _, ws := range c.workers {
-			if ws.exitsProcessed > ws.exitsStored {
-				b.exitAcks[ws] = ws.exitsProcessed
-			}
+	var waiting []*run
+	for _, r := range c.plannedRuns {
+		if c.changedJobs[r.step.job] {
+			waiting = append(waiting, r)
+		} else {
+			b.plannedRuns = append(b.plannedRuns, r)
+		}
+	}
+	c.plannedRuns = waiting
+	for _, ws := range c.workers {
+		if seq := c.storedExits(ws); seq > ws.exitsStored {
+			b.exitAcks[ws] = seq
 		}
 	}
 	if !b.Empty() {
@@ -83,6 +84,61 @@
 	return b
 }
 
+// addJobs adds changed jobs to a batch, at most limit.
+func (c *Core) addJobs(b *Batch, limit int) {
+	add := func(j *job) {
+		if len(b.jobs) >= limit || !c.changedJobs[j] {
+			return
+		}
+		b.Progress[j.doc.ID] = j.progress
+		b.jobs = append(b.jobs, j)
+		b.states = append(b.states, j.progress.State)
+		delete(c.changedJobs, j)
+	}
+	for _, r := range c.plannedRuns {
+		add(r.step.job)
+	}
+	for _, ended := range []bool{true, false} {
+		for j := range c.changedJobs {
+			if len(b.jobs) >= limit {
+				return
+			}
+			if j.progress.State.Ended() == ended {
+				add(j)
+			}
+		}
+	}
+}
+
+// unstoredExit is an exit that was processed and whose effect on its job may not be stored yet.
+type unstoredExit struct {
+	seq uint64
+	job *job
+}
+
+// storedExits returns the number of the last exit of a worker up to which the effects of all are in this batch or stored already.
+func (c *Core) storedExits(ws *workerState) uint64 {
+	n := 0
+	for n < len(ws.unstoredExits) && !c.changedJobs[ws.unstoredExits[n].job] {
+		n++
+	}
+	if n == 0 {
+		return ws.exitsStored
+	}
+	// The entries stay until the batch is stored.
+	return ws.unstoredExits[n-1].seq
+}
+
+// recordStoredExits records that the effects of the exits up to a number are stored.
+func (ws *workerState) recordStoredExits(seq uint64) {
+	ws.exitsStored = max(ws.exitsStored, seq)
+	n := 0
+	for n < len(ws.unstoredExits) && ws.unstoredExits[n].seq <= ws.exitsStored {
+		n++
+	}
+	ws.unstoredExits = ws.unstoredExits[n:]
+}
+
 // maxPrunedJobs is the maximum number of jobs that are pruned at a time. Each has two rows besides its progress.
 const maxPrunedJobs = store.MaxEntries / 2
 
@@ -100,7 +156,7 @@
 // BatchStored records that a batch was stored. The runs and commands that waited for it can start.
 func (c *Core) BatchStored(b Batch) {
 	for ws, number := range b.exitAcks {
-		ws.exitsStored = max(ws.exitsStored, number)
+		ws.recordStoredExits(number)
 	}
 	for i, j := range b.jobs {
 		j.storedState = b.states[i]
--- /dev/null
+++ b/scheduler/batch_test.go
@@ -0,0 +1,74 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// TestBatchBacklog guards against starts and acknowledgements that wait until the progress of all jobs is stored. At some thousand
+// exits a second more jobs change all the time than a batch holds, so that no task started for seconds while workers were idle.
+func TestBatchBacklog(t *testing.T) {
+	const jobs, limit = 200, 20
+	var ids []string
+	for i := range jobs {
+		ids = append(ids, fmt.Sprintf("w%03d", i))
+	}
+	r := newRig(t, 1, ids...)
+	step := work.Step{Count: 2, Request: work.Resources{CPU: 2000}, Estimate: 1e9, MaxPerWorker: 1}
+	for i := range jobs {
+		r.addJob(work.Job{ID: fmt.Sprintf("j%03d", i), Queue: "q", Pool: "p", Steps: []work.Step{step}})
+	}
+	var commands []Command
+	for len(commands) < 2*jobs {
+		before := len(commands)
+		commands = append(commands, r.pass()...)
+		qt.Assert(t, len(commands) > before, qt.IsTrue)
+	}
+	r.accept(commands)
+	for _, id := range ids {
+		r.finish(id, worker.ExitStopped)
+		r.reply(id)
+	}
+	clear(r.core.rosterChanges)
+	// All jobs have changed. An exit of each worker is followed by the plan of a new run.
+	r.core.Schedule(r.now)
+	planned := len(r.core.plannedRuns)
+	qt.Assert(t, planned, qt.Equals, 2*jobs)
+	first := r.core.plannedRuns[0].step.job.doc.ID
+	b := r.core.TakeBatch(limit)
+	qt.Assert(t, b.Progress, qt.HasLen, limit)
+	qt.Assert(t, b.Progress[first], qt.IsNotNil)
+	qt.Assert(t, len(b.plannedRuns) >= limit, qt.IsTrue)
+	for _, run := range b.plannedRuns {
+		qt.Assert(t, b.Progress[run.step.job.doc.ID], qt.IsNotNil)
+	}
+	for ws, seq := range b.exitAcks {
+		for _, e := range ws.unstoredExits {
+			if e.seq <= seq {
+				qt.Assert(t, b.Progress[e.job.doc.ID], qt.IsNotNil)
+			}
+		}
+	}
+	r.core.BatchStored(b)
+	qt.Assert(t, startsOf(r.core.Schedule(r.now)), qt.HasLen, len(b.plannedRuns))
+	// A batch that failed starts nothing and acknowledges nothing.
+	b = r.core.TakeBatch(limit)
+	r.core.BatchFailed(b)
+	qt.Assert(t, startsOf(r.core.Schedule(r.now)), qt.HasLen, 0)
+	stored := 0
+	for range jobs {
+		b = r.core.TakeBatch(limit)
+		r.core.BatchStored(b)
+		stored += len(b.plannedRuns)
+	}
+	qt.Assert(t, r.core.plannedRuns, qt.HasLen, 0)
+	for _, ws := range r.core.workers {
+		qt.Assert(t, ws.exitsStored, qt.Equals, ws.exitsProcessed)
+		qt.Assert(t, ws.unstoredExits, qt.HasLen, 0)
+	}
+}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -11,7 +11,11 @@
 
 // commit stores what has changed. Only one batch is in flight at a time.
 func (e *Engine) commit(now time.Duration) {
-	if e.committing || now < e.lastAttemptEnd+commitInterval {
+	interval := commitInterval
+	if e.core.Backlog() > batchRows {
+		interval = backlogInterval
+	}
+	if e.committing || now < e.lastAttemptEnd+interval {
 		return
 	}
 	b := e.core.TakeBatch(batchRows)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -31,8 +31,11 @@
 	commitTimeout = time.Second
 	// commitPause is the pause after a batch that failed.
 	commitPause = 100 * time.Millisecond
-	// batchRows is the maximum number of job rows in a batch. The chain, roster and wave rows come on top.
-	batchRows = 60
+	// backlogInterval replaces commitInterval while more has changed than one batch holds. Tasks wait for their batch.
+	backlogInterval = 5 * time.Millisecond
+	// batchRows is the maximum number of rows in a batch. Two conditions, the row of the chain and the rows of an earlier version
+	// that are removed come on top.
+	batchRows = store.MaxEntries - 8
 	// commandTimeout is the timeout of a command to a worker. The longest link has a latency of 20 ms one way.
 	commandTimeout = 400 * time.Millisecond
 	// commandPause is the pause before a command is repeated.
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -169,7 +169,9 @@
 			e, _ := newTestEngine(t, memory.New(), 1)
 			fleet := &listedFleet{instances: make([]instance.Instance, n)}
 			e.options.Instances = fleet
-			e.options.Catalog = func() *catalog.Catalog { return catalog.New(1, 0, nil, []catalog.Pool{{Name: "off", Spare: true}}, nil) }
+			e.options.Catalog = func() *catalog.Catalog {
+				return catalog.New(1, 0, nil, []catalog.Pool{{Name: "off", Spare: true}}, nil)
+			}
 			qt.Assert(t, e.Start(context.Background()), qt.IsNil)
 			defer e.Stop()
 			time.Sleep(2 * maxListAge)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -161,6 +161,8 @@
 	// exitsProcessed is the number of the last exit that was processed, and exitsStored that of the last whose effect is stored.
 	exitsProcessed uint64
 	exitsStored    uint64
+	// unstoredExits holds the exits after exitsStored that were processed.
+	unstoredExits []unstoredExit
 	// lastContact is the time of the last reply.
 	lastContact time.Duration
 	// noTasksBefore is the time before which the worker gets no tasks.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -209,6 +209,7 @@
 	ws.report.Incarnation = incarnation
 	ws.reportClock = 0
 	ws.exitsProcessed, ws.exitsStored, ws.requestedExpiry, ws.clock, ws.leaseExpired = 0, 0, 0, 0, false
+	ws.unstoredExits = nil
 	ws.clockSent, ws.clockReceived = 0, c.now
 	c.rosterChanges[ws.report.ID] = true
 }
@@ -232,6 +233,7 @@
 			return
 		}
 		ws.exitsProcessed = e.Seq
+		ws.unstoredExits = append(ws.unstoredExits, unstoredExit{seq: e.Seq, job: c.jobs[e.Task.Job]})
 		if s, ok := c.findStep(e.Task); ok {
 			t := &s.tasks[e.Task.Index]
 			t.exitedRun = max(t.exitedRun, e.Number)
