scheduler: end leases as early as the next leader assumes

Cause: a renewal asked for a lease until 4 s after the latest time that the worker's clock could show. The renewal now counts from the earliest time that the clock can show, so that the lease ends at most 4 s later on the worker's clock, whenever it arrives.

Ruled out: a renewal that travels for long. It names the end of the lease on the worker's clock, so it grants no more time.

The age of a contact that never was is logged as the age of the term (it was the uptime of the machine: 9h49m).

--- /dev/null
+++ b/scheduler/handover_test.go
@@ -0,0 +1,48 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// TestLeaseAtHandover guards against a task that runs twice after a hand-over: the next leader takes the lease of a worker that it
+// never reached as expired while it has not. The worker's clock was taken to be ahead by as long as its last reply had waited for an
+// exit, so that the last renewal of the previous leader extended the lease by that much more. How long that renewal travels makes no
+// difference, since it names the end of the lease on the worker's clock.
+func TestLeaseAtHandover(t *testing.T) {
+	tests := map[string]struct {
+		// wait is the time between the request and the reply of the worker, and back the time that the reply travels.
+		wait, back time.Duration
+		// pause is the time between the reply and the last renewal.
+		pause time.Duration
+	}{
+		"immediate reply": {0, time.Millisecond, 0},
+		"long poll":       {renewWait, time.Millisecond, 0},
+		"slow link":       {renewWait, renewTimeout / 2, 0},
+		"silent worker":   {renewWait, time.Millisecond, 3 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w")
+			sent := r.now
+			clock := r.now + test.wait
+			r.advance(test.wait + test.back)
+			r.core.HandleStatus("w", worker.Status{Reply: worker.Reply{Clock: clock, Incarnation: rigIncarnation}}, sent, nil)
+			r.advance(test.pause)
+			renewal, _ := r.core.Renewal("w")
+			// The clock of the worker is slow from now on.
+			clock += test.back + test.pause
+			leaseEnd := r.now + time.Duration(float64(renewal.Command.LeaseExpiry-clock)/(1-maxClockSlowdown))
+			next := NewCore(Options{Bounds: rigBounds(), Fence: 20, Term: 2, AcquiredAt: r.now, PreviousLeaderEnded: true})
+			qt.Assert(t, leaseEnd <= next.previousLeasesExpireAt(), qt.IsTrue, qt.Commentf("%s too early", leaseEnd-next.previousLeasesExpireAt()))
+			// The worker must keep its tasks while it is in touch.
+			if test.pause == 0 {
+				qt.Assert(t, leaseEnd-r.now > leaseDuration-renewTimeout, qt.IsTrue)
+			}
+		})
+	}
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -38,7 +38,7 @@
 	j.started = true
 	c.counts.Started++
 	c.logger.Info("Task is started.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
-		"fence", c.options.Fence, "waited", c.now-r.step.occurrence.dueAt, "contactAge", c.now-r.worker.lastContact, "config", c.catalog.Version)
+		"fence", c.options.Fence, "waited", c.now-r.step.occurrence.dueAt, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
 	c.commandStart(r)
 }
 
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -185,6 +185,11 @@
 	return ws.clock + now - ws.clockSent
 }
 
+// minClockAt returns the earliest time that the clock of the worker can show at a local time after the last reply.
+func (ws *workerState) minClockAt(now time.Duration) time.Duration {
+	return ws.clock + time.Duration(float64(now-ws.clockReceived)*(1-maxClockSlowdown))
+}
+
 // certainExpiry returns the local time at which all runs on the worker are certain to have ended, if the lease is not renewed.
 func (ws *workerState) certainExpiry() time.Duration {
 	if ws.requestedExpiry <= ws.clock {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -41,7 +41,7 @@
 		}
 		if ws.listed {
 			ws.listed, ws.unlistedSince = false, c.now
-			c.logger.Warn("Worker is no longer in the registry.", "worker", id, "pool", ws.report.Pool, "contactAge", c.now-ws.lastContact, "runs", len(ws.runs))
+			c.logger.Warn("Worker is no longer in the registry.", "worker", id, "pool", ws.report.Pool, "contactAge", c.contactAge(ws), "runs", len(ws.runs))
 		}
 	}
 }
@@ -110,15 +110,22 @@
 		r.Command.MaxWait = 0
 	}
 	if ws.clock > 0 {
-		// A renewal without an answer may have been carried out. The lease of an unresponsive worker is not extended any
-		// further, so that it expires.
-		maxClock := ws.maxClockAt(min(c.now, ws.lastContact+maxLeaseExtension))
-		ws.requestedExpiry = max(ws.requestedExpiry, maxClock+min(leaseDuration, c.options.Bounds.MaxLease))
+		// The earliest time is used: the next leader counts on a lease that ends leaseDuration after the last renewal, and the
+		// last reply may have waited for an exit. A renewal without an answer may have been carried out. The lease of an
+		// unresponsive worker is not extended any further, so that it expires.
+		minClock := ws.minClockAt(max(ws.clockReceived, min(c.now, ws.lastContact+maxLeaseExtension)))
+		ws.requestedExpiry = max(ws.requestedExpiry, minClock+min(leaseDuration, c.options.Bounds.MaxLease))
 		r.Command.LeaseExpiry = ws.requestedExpiry
 	}
 	return r, true
 }
 
+// contactAge returns the time since the last reply of a worker, for logs. For a worker that has not answered in this term, that is the
+// time since the start of the term.
+func (c *Core) contactAge(ws *workerState) time.Duration {
+	return c.now - max(ws.lastContact, c.options.AcquiredAt)
+}
+
 // leaseEnd returns the lease expiry to put into a command. It is not later than that of the last renewal.
 func (c *Core) leaseEnd(ws *workerState) time.Duration { return ws.requestedExpiry }
 
@@ -147,7 +154,7 @@
 	default:
 		if c.now-ws.lastContact > contactTimeout && ws.answered && !ws.unresponsive {
 			ws.unresponsive = true
-			c.logger.Warn("Worker is unresponsive.", "worker", id, "contactAge", c.now-ws.lastContact, "outcome", status.Outcome.String(), "error", err)
+			c.logger.Warn("Worker is unresponsive.", "worker", id, "contactAge", c.contactAge(ws), "outcome", status.Outcome.String(), "error", err)
 		}
 		return
 	}
@@ -428,7 +435,7 @@
 	}
 	ws.leaseExpired = true
 	c.rosterChanges[ws.report.ID] = true
-	c.logger.Warn("Lease of the worker has expired.", "worker", ws.report.ID, "pool", ws.report.Pool, "contactAge", c.now-ws.lastContact, "runs", len(ws.runs))
+	c.logger.Warn("Lease of the worker has expired.", "worker", ws.report.ID, "pool", ws.report.Pool, "contactAge", c.contactAge(ws), "runs", len(ws.runs))
 	for _, r := range runsOn(ws) {
 		c.markRunLost(r, "the lease has expired")
 	}
