member: only 24 candidates send heartbeats

A node is a candidate if fewer than 24 live nodes precede it in the order of the election, else, after 3 s, a follower: it writes no row, reads those of the candidates every 0.7 s, and becomes a candidate as soon as some are lost. Smaller fleets are as before. Nodes of equal size are in the order of a hash of their names, so that candidates are spread over data centres.

Ruled out: longer intervals for all (a dead leader would be noticed later), a row for each data centre (its writer can be lost too).

--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -26,6 +26,9 @@
 		case <-ctx.Done():
 			return
 		}
+		if m.Following() {
+			continue
+		}
 		select {
 		case pending <- struct{}{}:
 			partition := m.options.Self.Name
--- a/member/leadership.go
+++ b/member/leadership.go
@@ -130,7 +130,7 @@
 	now := clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.term != nil || m.leaving {
+	if m.term != nil || m.leaving || m.following {
 		return false
 	}
 	if _, exists := m.liveLeader(now); exists {
--- a/member/member.go
+++ b/member/member.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 
@@ -64,6 +65,15 @@
 	candidateTimeout = 900 * time.Millisecond
 	// callTimeout limits one call of the store. A slow store takes up to 0.3 s.
 	callTimeout = 900 * time.Millisecond
+	// maxCandidates is the number of nodes that send heartbeats. Only they can become the leader, answer for peers and carry its
+	// commands. All others follow them without a row of their own, so that the rows that a node reads do not grow with the fleet.
+	maxCandidates = 24
+	// followerInterval is the time between two scans of the nodes by a follower. With two of them lost, the list still counts as
+	// fresh only after additional scans.
+	followerInterval = 700 * time.Millisecond
+	// followAfter is the time for which enough stronger nodes have to be live before a candidate becomes a follower. After a start,
+	// all nodes are candidates.
+	followAfter = 3 * time.Second
 	// forgetAfter is the time without a heartbeat after which a node is forgotten. The last heartbeat of a node that has been
 	// replaced under another name stays in the store.
 	forgetAfter = time.Minute
@@ -133,6 +143,10 @@
 	term       *Term
 	validUntil time.Duration
 	leaving    bool
+	// following means that this node is not a candidate, and outrankedSince is since when enough others precede it. It is 0 while
+	// they do not.
+	following      bool
+	outrankedSince time.Duration
 }
 
 // nodeState is the last known state of a node.
@@ -170,6 +184,9 @@
 	if term != nil {
 		m.writeResignation(ctx, *term)
 	}
+	if m.Following() {
+		return
+	}
 	if err := m.writeHeartbeat(ctx, m.options.Self.Name); err != nil {
 		m.logger.Warn("Last heartbeat was not stored.", "error", err)
 	}
@@ -188,7 +205,7 @@
 
 // waitForScan returns when the next regular scan is due. While the leader is suspected to be dead, it makes additional scans.
 func (m *Member) waitForScan(ctx context.Context) {
-	regular := time.NewTimer(heartbeatInterval)
+	regular := time.NewTimer(m.scanInterval())
 	defer regular.Stop()
 	for {
 		var additional <-chan time.Time
@@ -240,6 +257,7 @@
 		}
 		return
 	}
+	m.updateCandidacy()
 	if term, ok := m.Term(); ok {
 		m.checkTerm(ctx, term)
 		if m.largerNodeLive(term) {
@@ -340,7 +358,8 @@
 	return now-max(s.lastChange, m.scanningSince) < deadTimeout || now-m.lastScan > maxScanGap
 }
 
-// Live returns the live nodes that are not about to stop, those with the most cores first.
+// Live returns the live nodes that send heartbeats and are not about to stop, in the order in which they acquire leadership: those
+// with the most cores first.
 func (m *Member) Live() []Node {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -354,10 +373,60 @@
 			live = append(live, s.node)
 		}
 	}
-	slices.SortFunc(live, func(a, b Node) int { return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name)) })
+	slices.SortFunc(live, compareNodes)
 	return live
 }
 
+// compareNodes orders nodes for the election. Nodes of the same size are in the order of a hash, since names often begin with the
+// data centre, and candidates should not all be in one.
+func compareNodes(a, b Node) int {
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+}
+
+// updateCandidacy makes this node a candidate if fewer than maxCandidates live nodes precede it, and a follower if that has not been
+// so for followAfter.
+func (m *Member) updateCandidacy() {
+	now := clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	preceding := 0
+	for _, n := range m.liveNodes(now) {
+		if n.Name != m.options.Self.Name && compareNodes(n, m.options.Self) < 0 {
+			preceding++
+		}
+	}
+	if preceding < maxCandidates || m.term != nil {
+		m.outrankedSince = 0
+		if m.following {
+			m.following = false
+			m.logger.Info("Node is a candidate for leadership.", "preceding", preceding)
+		}
+		return
+	}
+	if m.outrankedSince == 0 {
+		m.outrankedSince = now
+	}
+	if !m.following && now-m.outrankedSince > followAfter {
+		m.following = true
+		m.logger.Info("Node is a follower: it sends no heartbeats.", "preceding", preceding)
+	}
+}
+
+// Following reports whether this node is a follower.
+func (m *Member) Following() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.following
+}
+
+// scanInterval returns the time between two regular scans of the nodes.
+func (m *Member) scanInterval() time.Duration {
+	if m.Following() {
+		return followerInterval
+	}
+	return heartbeatInterval
+}
+
 // NodesFresh reports whether the nodes were scanned recently. A process that cannot read from the store does not learn of a new
 // leader.
 func (m *Member) NodesFresh() bool {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -312,3 +312,50 @@
 		})
 	}
 }
+
+// TestCandidates guards against heartbeats, and reads of them, that grow with the square of the number of nodes, and against followers
+// that do not take the place of candidates that are lost, the leader among them.
+func TestCandidates(t *testing.T) {
+	t.Parallel()
+	const nodes = maxCandidates + 20
+	s := memory.New()
+	var names []string
+	for i := range nodes {
+		names = append(names, fmt.Sprint("n", i))
+	}
+	all := startMembers(t, s, names...)
+	candidates := func() (list []string) {
+		for name, m := range all {
+			if !m.Following() {
+				list = append(list, name)
+			}
+		}
+		return list
+	}
+	settle := func() {
+		t.Helper()
+		for deadline := time.Now().Add(deadTimeout + followAfter + 5*time.Second); ; time.Sleep(50 * time.Millisecond) {
+			if len(candidates()) == maxCandidates && len(leaders(all)) == 1 {
+				return
+			}
+			qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%d candidates, leaders %v", len(candidates()), leaders(all)))
+		}
+	}
+	settle()
+	leader := leaders(all)[0]
+	for _, m := range all {
+		named, ok := m.Leader()
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, named.Name, qt.Equals, leader)
+	}
+	time.Sleep(deadTimeout + heartbeatInterval)
+	qt.Assert(t, all[candidates()[0]].Live(), qt.HasLen, maxCandidates)
+	// The leader and some other candidates lose power.
+	lost := append(candidates()[:5], leader)
+	for _, name := range lost {
+		all[name].loop.Stop()
+		delete(all, name)
+	}
+	settle()
+	qt.Assert(t, leaders(all)[0], qt.Not(qt.Equals), leader)
+}
