Survive malformed rows and messages, and a panic of the scheduler

Asked by the users: one malformed message or unexpected error took a whole process down. It could happen here: a job row or a notification of another node that decodes but names a step that does not exist, or a progress row with an empty occurrence, panicked the scheduler, and with it the process and that of every next leader. A panic in the scheduler gives up leadership and leaves the process serving clients.

--- a/node/node.go
+++ b/node/node.go
@@ -85,8 +85,8 @@
 	// sender sends commands to workers while this node is the leader, and delegate carries those of other leaders.
 	sender   *delegate.Sender
 	delegate *delegate.Server
-	metrics    *metrics.Jobs
-	stopping   chan struct{}
+	metrics  *metrics.Jobs
+	stopping chan struct{}
 }
 
 // New returns a process that is not started.
--- a/node/peers.go
+++ b/node/peers.go
@@ -349,6 +349,9 @@
 func (p *peers) handler() http.Handler {
 	mux := http.NewServeMux()
 	handle(mux, pathSubmitted, func(_ context.Context, job work.Job) (empty, error) {
+		if err := job.Validate(); err != nil {
+			return empty{}, eris.Wrapf(err, "job %q of another node", job.ID)
+		}
 		return empty{}, p.runAsLeader(func(e *scheduler.Engine) error { e.JobSubmitted(job); return nil })
 	})
 	handle(mux, pathCancelled, func(_ context.Context, id jobID) (empty, error) {
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -218,7 +219,19 @@
 	return eris.Wrap(err, "store the wall clock time of the store's clock")
 }
 
-func (e *Engine) spawn(f func()) { e.tasks.Go(f) }
+// spawn runs f in the background. A panic ends the term and not the process, which also serves clients.
+func (e *Engine) spawn(f func()) {
+	e.tasks.Go(func() {
+		defer func() {
+			if p := recover(); p != nil {
+				e.logger.Error("Scheduler has panicked; leadership is given up.", "fence", e.options.Core.Fence, "panic", p, "stack", string(debug.Stack()))
+				e.options.Leadership.Depose(e.options.Core.Fence, "the scheduler has panicked")
+				e.cancel()
+			}
+		}()
+		f()
+	})
+}
 
 // Stop ends the term. It does not wait for the replies to commands that were sent.
 func (e *Engine) Stop() {
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -182,3 +182,14 @@
 		})
 	}
 }
+
+// TestPanic guards against an unexpected error in the scheduler that ends the whole process, and against a leader that goes on with a
+// state that may be inconsistent.
+func TestPanic(t *testing.T) {
+	e, leadership := newTestEngine(t, memory.New(), 1)
+	qt.Assert(t, e.Start(context.Background()), qt.IsNil)
+	err := e.query(t.Context(), func(*Core) { panic("unexpected") })
+	qt.Assert(t, err, qt.ErrorIs, ErrNotLeader)
+	e.Stop()
+	qt.Assert(t, leadership.lost, qt.IsTrue)
+}
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -72,7 +72,7 @@
 	if err := cbor.Unmarshal(row.Value, &j); err != nil {
 		return work.Job{}, eris.Wrapf(err, "decode the row of job %q", row.Name)
 	}
-	return j, nil
+	return j, eris.Wrapf(j.Validate(), "row of job %q", row.Name)
 }
 
 // chainRow is the content of the chain row.
--- a/scheduler/rows_test.go
+++ b/scheduler/rows_test.go
@@ -91,3 +91,59 @@
 	qt.Assert(t, b.Roster, qt.HasLen, 1)
 	qt.Assert(t, b.Roster["w1"], qt.IsNotNil)
 }
+
+// malformedJobs are rows of jobs that decode but cannot be scheduled.
+func malformedJobs() map[string]work.Job {
+	step := work.Step{Count: 1, Request: work.Resources{CPU: 1}}
+	later, missing, negative := step, step, step
+	later.DependsOn, missing.DependsOn, negative.Count = []int{1}, []int{-1}, -1
+	return map[string]work.Job{
+		"no steps":         {ID: "a", Pool: "p", Queue: "q"},
+		"depends on later": {ID: "a", Pool: "p", Queue: "q", Steps: []work.Step{later, step}},
+		"depends on none":  {ID: "a", Pool: "p", Queue: "q", Steps: []work.Step{missing}},
+		"negative count":   {ID: "a", Pool: "p", Queue: "q", Steps: []work.Step{negative}},
+	}
+}
+
+// scheduleRows loads a job row and a progress row and schedules them.
+func scheduleRows(t *testing.T, job, progress []byte) {
+	r := newRig(t, 2, "w1")
+	l := newLoadedRows()
+	_ = l.decodeJobRow(store.Row{Key: store.Key{Name: "a"}, Value: job})
+	_ = l.decodeProgress(store.Row{Key: store.Key{Name: "a"}, Value: progress})
+	_ = l.decodeProgress(store.Row{Key: store.Key{Name: wavePrefix + "1"}, Value: progress})
+	_ = l.decodeFleetRow(store.Row{Key: store.Key{Name: rosterPrefix + "w"}, Value: progress})
+	for id, j := range l.jobs {
+		r.core.AddJob(j, l.progress[id], 0)
+		r.accept(r.pass())
+	}
+}
+
+// TestMalformedRows guards against a row that takes down every process that becomes the leader.
+func TestMalformedRows(t *testing.T) {
+	for name, job := range malformedJobs() {
+		t.Run(name, func(t *testing.T) {
+			data, err := cbor.Marshal(job)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = DecodeJob(store.Row{Value: data})
+			qt.Assert(t, err, qt.IsNotNil)
+		})
+	}
+	job, err := EncodeJob(work.Job{ID: "a", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+	qt.Assert(t, err, qt.IsNil)
+	progress, err := cbor.Marshal(work.Progress{Occurrences: map[int]*work.OccurrenceProgress{0: nil}})
+	qt.Assert(t, err, qt.IsNil)
+	scheduleRows(t, job, progress)
+}
+
+// FuzzRows guards against rows that panic a new leader.
+func FuzzRows(f *testing.F) {
+	job, err := EncodeJob(work.Job{ID: "a", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 2, Gang: true}, {Count: 1, DependsOn: []int{0}}}})
+	qt.Assert(f, err, qt.IsNil)
+	progress, err := cbor.Marshal(work.Progress{State: work.Running, Occurrences: map[int]*work.OccurrenceProgress{0: {
+		Workers: []string{"w1"}, Steps: []work.StepProgress{{Done: []byte{1}, Failures: map[int][]int{0: {1}}, Runs: map[int]work.RunRecord{1: {Number: 3}}}, {}},
+	}}})
+	qt.Assert(f, err, qt.IsNil)
+	f.Add(job, progress)
+	f.Fuzz(func(t *testing.T, job, progress []byte) { scheduleRows(t, job, progress) })
+}
--- a/work/progress.go
+++ b/work/progress.go
@@ -134,7 +134,7 @@
 // Occurrence returns the progress of an occurrence of the job and creates it if needed.
 func (p *Progress) Occurrence(j *Job, k int) *OccurrenceProgress {
 	o, ok := p.Occurrences[k]
-	if !ok || len(o.Steps) != len(j.Steps) {
+	if !ok || o == nil || len(o.Steps) != len(j.Steps) {
 		o = &OccurrenceProgress{Steps: make([]StepProgress, len(j.Steps))}
 		p.Occurrences[k] = o
 	}
