scheduler: shorten the rows of jobs that have ended

Cause: the next leader reads the rows of all jobs of the last 150 s before it starts anything.

Once the final state is stored, the leader replaces the row by one of about 50 bytes that still recognises a repeated submission. One transaction a second and partition.

TestShortenedJobs: 4 kB to under 100 bytes.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -150,6 +150,13 @@
 	return ids
 }
 
+// TakeJobsToShorten returns what is to be kept of the rows of ended jobs, and removes it from the queue.
+func (c *Core) TakeJobsToShorten() []work.Job {
+	jobs := c.jobsToShorten
+	c.jobsToShorten = nil
+	return jobs
+}
+
 // JobsPruned records that the rows of jobs are removed, except for their progress.
 func (c *Core) JobsPruned(ids []string) { c.prunedJobs = append(c.prunedJobs, ids...) }
 
@@ -162,6 +169,7 @@
 		j.storedState = b.states[i]
 		if j.storedState.Ended() {
 			c.observeStage(j, StageEnded)
+			c.jobsToShorten = append(c.jobsToShorten, j.doc.Shortened(j.storedState))
 			c.logger.Info("Final state of the job was stored.", "job", j.doc.ID, "state", j.storedState.String(), "after", c.now-j.acceptedAt, "reason", j.progress.Reason)
 		}
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -92,6 +92,8 @@
 	// jobsToPrune holds the ended jobs whose rows are to be removed, and prunedJobs those of which only the progress row is left.
 	jobsToPrune []string
 	prunedJobs  []string
+	// jobsToShorten holds the ended jobs whose rows are to be shortened.
+	jobsToShorten []work.Job
 	// earlyCancels holds the cancellations of jobs that are not known yet, with the time at which each came in.
 	earlyCancels map[string]time.Duration
 	// unknownJobs holds the jobs that are not known but that a worker has reported a run or an exit of, with the time of the
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -60,6 +60,9 @@
 	perInstanceInterval = 500 * time.Microsecond
 	// registryRefresh is the time between two complete scans of the registry.
 	registryRefresh = 10 * time.Second
+	// shortenInterval is the time between two rounds in which rows of ended jobs are shortened. Each takes a transaction for each
+	// partition of jobs.
+	shortenInterval = time.Second
 	// readTimeout is the timeout of a read from the store or of the instances.
 	readTimeout = time.Second
 	// instanceTimeout is the timeout of a command for an instance.
@@ -194,6 +197,7 @@
 	e.spawn(e.watchRegistry)
 	e.spawn(func() { e.watchJobs(l.version) })
 	e.spawn(func() { e.watchWaves(l.waves) })
+	e.spawn(func() { e.repeat(shortenInterval, e.shortenJobs) })
 	e.ready.Store(true)
 	return nil
 }
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -17,6 +17,9 @@
 		progress = work.NewProgress()
 	}
 	progress.Init()
+	if doc.EndState.Ended() {
+		progress.State = doc.EndState
+	}
 	j := &job{
 		doc: doc, progress: progress, storedState: progress.State, open: make(map[int]*occurrence),
 		criticalPath: doc.CriticalPath(), acceptedAt: c.now - max(0, storeNow-doc.AcceptedAt), started: len(progress.Occurrences)+len(progress.Complete) > 0,
--- a/scheduler/rows_test.go
+++ b/scheduler/rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -147,3 +148,38 @@
 	f.Add(job, progress)
 	f.Fuzz(func(t *testing.T, job, progress []byte) { scheduleRows(t, job, progress) })
 }
+
+// TestShortenedJobs guards against a take-over that reads the specifications of thousands of ended jobs before it starts anything,
+// and against an ended job that runs again or is forgotten once its row was shortened.
+func TestShortenedJobs(t *testing.T) {
+	s := memory.New()
+	e, _ := newTestEngine(t, s, 1)
+	c := e.core
+	doc := work.Job{ID: "a1", Pool: "p", Queue: "q", Spec: strings.Repeat("x", work.MaxSpec), Steps: []work.Step{{Count: 1}}}
+	value, err := EncodeJob(doc)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: JobKey("a1"), Value: value}}})
+	qt.Assert(t, err, qt.IsNil)
+	c.AddJob(doc, nil, 0)
+	qt.Assert(t, c.TakeJobsToShorten(), qt.HasLen, 0)
+	c.endJob(c.jobs["a1"], work.Failed, "test")
+	b := c.TakeBatch(batchRows)
+	qt.Assert(t, c.TakeJobsToShorten(), qt.HasLen, 0)
+	c.BatchStored(b)
+	go e.runLoop()
+	defer e.cancel()
+	e.shortenJobs(t.Context())
+	rows, err := s.Scan(t.Context(), TableJobs, jobPartition("a1"), "", "")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, rows.Rows, qt.HasLen, 1)
+	qt.Assert(t, len(rows.Rows[0].Value) < 100, qt.IsTrue)
+	l, err := load(t.Context(), s, func(row store.Row, err error) { t.Errorf("row %s: %s", row.Name, err) })
+	qt.Assert(t, err, qt.IsNil)
+	// The progress row of the job is missing here, which must not make it run again.
+	next := NewCore(Options{Bounds: rigBounds(), Fence: 2, Term: 2})
+	next.AddJob(l.jobs["a1"], nil, 0)
+	state, known := next.JobState("a1")
+	qt.Assert(t, known, qt.IsTrue)
+	qt.Assert(t, state, qt.Equals, work.Failed)
+	qt.Assert(t, next.pools, qt.HasLen, 0)
+}
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/store"
+	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
@@ -67,6 +69,35 @@
 	}
 }
 
+// shortenJobs shortens the rows of jobs that have ended. The next leader reads the rows of all jobs before it starts anything, and most
+// of them have ended. A row that is not shortened is only longer than necessary.
+func (e *Engine) shortenJobs(ctx context.Context) {
+	var jobs []work.Job
+	if err := e.query(ctx, func(c *Core) { jobs = c.TakeJobsToShorten() }); err != nil {
+		return
+	}
+	byPartition := make(map[string][]store.Put)
+	for _, j := range jobs {
+		value, err := EncodeJob(j)
+		if err != nil {
+			e.logger.Error("Row of an ended job cannot be encoded.", "job", j.ID, "error", err)
+			continue
+		}
+		key := JobKey(j.ID)
+		byPartition[key.Partition] = append(byPartition[key.Partition], store.Put{Key: key, Value: value})
+	}
+	for partition, puts := range byPartition {
+		for puts := range slices.Chunk(puts, store.MaxEntries) {
+			if !e.IsLeader() {
+				return
+			}
+			if _, err := e.options.Store.Commit(ctx, store.Tx{Puts: puts}); err != nil {
+				e.logger.Warn("Rows of ended jobs were not shortened.", "part", partition, "rows", len(puts), "error", err)
+			}
+		}
+	}
+}
+
 func (e *Engine) sendInstanceCommand(cmd InstanceCommand) {
 	if !e.IsLeader() {
 		e.post(func(c *Core) { c.HandleInstanceReply(cmd, instance.Refused, ErrNotLeader) })
--- a/work/work.go
+++ b/work/work.go
@@ -111,6 +111,14 @@
 	Interval time.Duration `cbor:"9,keyasint,omitempty"`
 	// ScheduledOccurrences is the number of occurrences of a scheduled job, and 0 for other jobs.
 	ScheduledOccurrences int `cbor:"10,keyasint,omitempty"`
+	// EndState is the final state of a job that has ended and whose row was shortened, and Pending otherwise. Such a row has no
+	// specification and no steps.
+	EndState State `cbor:"11,keyasint,omitempty"`
+}
+
+// Shortened returns what is kept of an ended job, so that a repeated submission is recognised.
+func (j *Job) Shortened(state State) Job {
+	return Job{ID: j.ID, Queue: j.Queue, Pool: j.Pool, AcceptedAt: j.AcceptedAt, EndState: state}
 }
 
 // Task identifies a task of a job.
@@ -135,6 +143,8 @@
 // Validate returns an error for the first invalid value of the job.
 func (j *Job) Validate() error {
 	switch {
+	case j.EndState.Ended() && len(j.Steps) == 0:
+		return nil
 	case len(j.Spec) > MaxSpec:
 		return eris.Errorf("spec has %d bytes, more than %d", len(j.Spec), MaxSpec)
 	case len(j.Steps) == 0:
