--- a/catalog/source_test.go
+++ b/catalog/source_test.go
@@ -105,3 +105,23 @@
 	eventually(t, 2*time.Second, func() bool { return source.Current().Version == 4 })
 	eventually(t, 2*time.Second, func() bool { return source.Age() < time.Second })
 }
+
+// TestStalePeer guards against a key that is in use again after it was withdrawn: a process that restarts while the store rejects it
+// takes an old configuration from a peer that has no connection to the store either, and counts it as confirmed.
+func TestStalePeer(t *testing.T) {
+	t.Parallel()
+	const age = time.Minute
+	s := memory.New()
+	s.InjectFaults(func(*store.Tx) memory.Fault { return memory.Refuse })
+	p := &fakePeers{}
+	p.snapshot.Store(&catalog.Snapshot{Value: []byte("3"), Version: 1, Age: age})
+	source := startSource(t, s, p)
+	eventually(t, 2*time.Second, func() bool { return source.Current().Version == 3 })
+	qt.Assert(t, source.Age() >= age, qt.IsTrue)
+	// A newer peer is believed, an older one afterwards is not.
+	p.snapshot.Store(&catalog.Snapshot{Value: []byte("4"), Version: 2, Age: time.Millisecond})
+	eventually(t, 2*time.Second, func() bool { return source.Current().Version == 4 })
+	p.snapshot.Store(&catalog.Snapshot{Value: []byte("3"), Version: 1, Age: 0})
+	time.Sleep(500 * time.Millisecond)
+	qt.Assert(t, source.Current().Version, qt.Equals, uint64(4))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -51,8 +51,10 @@
 	// Memory is the memory limit in bytes, above which the process is killed, and 0 if there is no limit.
 	Memory int64
 	// Cores is the processor share of the process.
-	Cores  float64
-	Bounds scheduler.Bounds
+	Cores float64
+	// InstanceCommandRate is the number of commands for instances a second that the platform accepts, and 0 if it is not known.
+	InstanceCommandRate float64
+	Bounds              scheduler.Bounds
 }
 
 // Dependencies connect a process to the platform.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -32,6 +32,8 @@
 	AcquiredAt time.Duration
 	// PreviousLeaderEnded means that the previous leader has resigned, or its process has ended, so it sends no more commands.
 	PreviousLeaderEnded bool
+	// InstanceCommandRate is the number of commands for instances a second that the platform accepts, and 0 if it is not known.
+	InstanceCommandRate float64
 	// Observer is notified of the stages of jobs. It may be nil.
 	Observer Observer
 	Logger   hclog.Logger
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -193,3 +193,32 @@
 	e.Stop()
 	qt.Assert(t, leadership.lost, qt.IsTrue)
 }
+
+// countingCommander counts the commands to workers.
+type countingCommander struct {
+	worker.Commander
+	commands atomic.Int32
+}
+
+func (c *countingCommander) Start(context.Context, worker.Target, worker.StartCommand) (worker.Reply, error) {
+	c.commands.Add(1)
+	return worker.Reply{}, nil
+}
+
+// TestPausedLeader guards against a leader that was suspended between a decision and its command, and sends the command although
+// its leadership has run out meanwhile.
+func TestPausedLeader(t *testing.T) {
+	e, leadership := newTestEngine(t, memory.New(), 1)
+	workers := &countingCommander{}
+	e.options.Workers = workers
+	r := newRig(t, 1, "w1")
+	r.addSteps("a", 1)
+	commands := r.pass()
+	qt.Assert(t, commands, qt.HasLen, 1)
+	leadership.lost = true
+	e.sendCommand(commands[0])
+	qt.Assert(t, workers.commands.Load(), qt.Equals, int32(0))
+	leadership.lost = false
+	e.sendCommand(commands[0])
+	qt.Assert(t, workers.commands.Load(), qt.Equals, int32(1))
+}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -84,6 +84,38 @@
 	}
 }
 
+// TestMoveRate guards against a surge of a large pool whose instances arrive only after it has passed, because the number of moves in
+// progress does not grow with the fleet, and against more commands than the platform accepts.
+func TestMoveRate(t *testing.T) {
+	const spare, rate = 400, 600
+	f := newFleetRig(t, 3, spare)
+	f.core.options.InstanceCommandRate = rate
+	for i := range 800 {
+		f.core.AddJob(work.Job{ID: fmt.Sprint("j", i), Queue: "q", Pool: "p", Steps: []work.Step{
+			{Count: 8, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second},
+		}}, nil, 0)
+	}
+	moved := 0
+	for range int(time.Second / planInterval) {
+		f.advance(planInterval)
+		f.listInstances()
+		var commands []InstanceCommand
+		// Several batches are stored between two plans.
+		for range 4 {
+			commands = append(commands, f.instanceCommands()...)
+		}
+		for _, cmd := range commands {
+			inst := f.instances[cmd.Instance]
+			inst.Pool, inst.State = cmd.Pool, instance.Moving
+			f.instances[cmd.Instance] = inst
+		}
+		f.acceptInstances(commands)
+		moved += len(commands)
+	}
+	qt.Assert(t, moved >= rate/2, qt.IsTrue, qt.Commentf("%d moves in a second", moved))
+	qt.Assert(t, moved <= rate, qt.IsTrue, qt.Commentf("%d moves in a second", moved))
+}
+
 // TestSwitchOff guards against idle instances that stay on and cost money, against a pool that becomes too small, and
 // against one that shrinks before anything is known about its demand.
 func TestSwitchOff(t *testing.T) {
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -1,11 +1,13 @@
 package scheduler
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
@@ -46,3 +48,45 @@
 		})
 	}
 }
+
+// TestSilentForAWhile guards against a task that is started again or given up because its worker did not answer for some seconds.
+func TestSilentForAWhile(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	j := r.addSteps("a", 2)
+	r.accept(r.pass())
+	for range 15 {
+		r.advance(200 * time.Millisecond)
+		r.reply("w2")
+		for id := range r.core.workers {
+			r.core.Renewal(id)
+		}
+		qt.Assert(t, r.pass(), qt.HasLen, 0)
+	}
+	r.reply("w1")
+	qt.Assert(t, r.pass(), qt.HasLen, 0)
+	for id := range r.runs {
+		r.finish(id, worker.ExitDone)
+		r.reply(id)
+	}
+	r.store()
+	state, _ := r.core.JobState("a")
+	qt.Assert(t, state, qt.Equals, work.Finished)
+	qt.Assert(t, j.progress.State, qt.Equals, work.Finished)
+}
+
+// TestDepartedWorker guards against a worker that has left and is used again after a change of the leader, because the roster of the
+// previous one still has it.
+func TestDepartedWorker(t *testing.T) {
+	r := newRig(t, 2)
+	r.core.SetRoster([]RosterEntry{
+		{ID: "w1", Pool: "p", Address: "w1:1", Incarnation: rigIncarnation, Capacity: work.Resources{CPU: 4000, Memory: 4000}},
+		{ID: "w9", Pool: "p", Address: "w9:1", Incarnation: rigIncarnation, Capacity: work.Resources{CPU: 4000, Memory: 4000}},
+	})
+	r.register("w1")
+	r.reply("w1")
+	r.reply("w9")
+	r.addSteps("a", 4)
+	for _, start := range startsOf(r.pass()) {
+		qt.Assert(t, strings.HasSuffix(start, "w1"), qt.IsTrue, qt.Commentf("start %s", start))
+	}
+}
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -24,10 +24,19 @@
 	releaseDelay = 1800 * time.Millisecond
 	// moveDrain is how long tasks may keep running on an instance that is to move.
 	moveDrain = 1500 * time.Millisecond
-	// maxMoves is the maximum number of moves in progress.
-	maxMoves = 24
+	// minMaxMoves is the lower limit for the maximum number of moves in progress.
+	minMaxMoves = 24
+	// moveRateShare is the share of the commands that the platform accepts which is used for moves. The rest is for maintenance and
+	// for commands that are repeated.
+	moveRateShare = 0.8
 )
 
+// maxMoves returns the maximum number of moves in progress: as many as the platform accepts between two plans. A surge of a large
+// pool needs hundreds of instances within a second.
+func (c *Core) maxMoves() int {
+	return max(minMaxMoves, int(moveRateShare*c.options.InstanceCommandRate*planInterval.Seconds()))
+}
+
 // pendingMove is a move that has not been accepted yet.
 type pendingMove struct {
 	pool  string
@@ -59,6 +68,7 @@
 			delete(f.excessSince, d.pool)
 		}
 	}
+	maxMoves := c.maxMoves()
 	for _, d := range demands {
 		for n := d.need - d.have; n > 0 && len(f.pendingMoves) < maxMoves; n-- {
 			id := c.chooseDonor(spare, excess, demands)
@@ -169,7 +179,7 @@
 		if c.now-since < releaseDelay || c.pool(d.pool).isRising(c.now) {
 			continue
 		}
-		for excess[d.pool] > 0 && len(f.pendingMoves) < maxMoves {
+		for excess[d.pool] > 0 && len(f.pendingMoves) < c.maxMoves() {
 			id, runs := c.leastBusy(map[string]int{d.pool: excess[d.pool]}, demands)
 			if id == "" || runs > 0 {
 				break
