--- a/member/member_test.go
+++ b/member/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -351,8 +352,7 @@
 	time.Sleep(deadTimeout + heartbeatInterval)
 	qt.Assert(t, all[candidates()[0]].Live(), qt.HasLen, maxCandidates)
 	// The leader and some other candidates lose power.
-	lost := append(candidates()[:5], leader)
-	for _, name := range lost {
+	for _, name := range slices.Concat(candidates()[:5], []string{leader}) {
 		all[name].loop.Stop()
 		delete(all, name)
 	}
