member: elect in the order of names again

The election followed the hash that spreads candidates over data centres, so that another node led the fleets of equal nodes. Only candidacy follows the hash now.

--- a/member/member.go
+++ b/member/member.go
@@ -377,9 +377,14 @@
 	return live
 }
 
-// compareNodes orders nodes for the election. Nodes of the same size are in the order of a hash, since names often begin with the
-// data centre, and candidates should not all be in one.
+// compareNodes orders nodes for the election.
 func compareNodes(a, b Node) int {
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name))
+}
+
+// compareCandidates orders nodes for candidacy. Nodes of the same size are in the order of a hash, since names often begin with the
+// data centre, and candidates should not all be in one.
+func compareCandidates(a, b Node) int {
 	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
 }
 
@@ -391,7 +396,7 @@
 	defer m.mu.Unlock()
 	preceding := 0
 	for _, n := range m.liveNodes(now) {
-		if n.Name != m.options.Self.Name && compareNodes(n, m.options.Self) < 0 {
+		if n.Name != m.options.Self.Name && compareCandidates(n, m.options.Self) < 0 {
 			preceding++
 		}
 	}
