Fewer system calls for commands between nodes and for logs

Commands and responses of 5 ms, and log lines of 10 ms, leave with one write when the last write was shorter ago.

--- a/common/logging/buffered.go
+++ b/common/logging/buffered.go
@@ -61,7 +61,10 @@
 func (b *Buffered) run(w io.Writer) {
 	var reported uint64
 	var buffer []byte
+	var written time.Time
 	for line := range b.lines {
+		// Under load, the lines of one interval are written with one system call.
+		time.Sleep(time.Until(written.Add(writeInterval)))
 		buffer = append(buffer[:0], line...)
 		// Write waiting lines in one batch to save system calls.
 		for range min(len(b.lines), maxBatchLines) {
@@ -72,6 +75,7 @@
 			reported = dropped
 		}
 		b.writeAll(w, buffer)
+		written = time.Now()
 	}
 }
 
@@ -96,4 +100,7 @@
 }
 
 // maxBatchLines is the number of further lines that one write may include after the first.
-const maxBatchLines = 64
+const maxBatchLines = 512
+
+// writeInterval is the minimum time between two writes.
+const writeInterval = 10 * time.Millisecond
--- a/internal/workers/delegate/delegate.go
+++ b/internal/workers/delegate/delegate.go
@@ -58,6 +58,10 @@
 // to half a second.
 const clockTolerance = 500 * time.Millisecond
 
+// flushInterval is the minimum time between two writes to a connection. Under load, the commands or responses of that time leave
+// with one system call.
+const flushInterval = 5 * time.Millisecond
+
 // bufferSize is the size of the buffer of a connection in each direction, in bytes. It holds the commands for about 30 tasks, which
 // then leave with one system call.
 const bufferSize = 64 << 10
--- a/internal/workers/delegate/server.go
+++ b/internal/workers/delegate/server.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -131,18 +132,24 @@
 	writer.Wait()
 }
 
-// writeAll encodes values to a connection until the channel is closed. Values that are queued together are written together.
+// writeAll encodes values to a connection until the channel is closed. Values that are queued within flushInterval after a write are
+// written together.
 func writeAll[T any](conn net.Conn, values <-chan T, logger hclog.Logger) {
 	buffer := bufio.NewWriterSize(conn, bufferSize)
 	encoder := cbor.NewEncoder(buffer)
 	failed := false
+	var flushed time.Duration
 	for v := range values {
 		if failed {
 			continue
 		}
 		err := encoder.Encode(v)
+		if err == nil && len(values) == 0 {
+			time.Sleep(flushed + flushInterval - clock.Now())
+		}
 		if err == nil && len(values) == 0 {
 			err = buffer.Flush()
+			flushed = clock.Now()
 		}
 		if err != nil {
 			failed = true
