delegate: call a worker directly only if its delegate cannot reach it

Cause: any call that timed out made the leader call its worker itself for 5 s. A leader that is overloaded reads responses late, so that its calls time out, and each direct call costs several times as much processor time as one through a delegate: the more it is overloaded, the more it calls itself. Now only a delegate that reports that the worker did not answer leads to direct calls; a silent or lost connection is dropped as before, which moves its workers to other delegates of the data centre.

TestSlowLeader failed before (the second command went directly).

--- a/internal/workers/delegate/delegate_test.go
+++ b/internal/workers/delegate/delegate_test.go
@@ -208,6 +208,32 @@
 	}
 }
 
+// TestSlowLeader guards against a leader that is overloaded, reads responses too late, and then calls workers itself, which loads it
+// more, and against a worker that is called through a delegate that does not reach it.
+func TestSlowLeader(t *testing.T) {
+	r := newRig(t)
+	r.connect(t)
+	r.other.start = func() (worker.Reply, error) { time.Sleep(50 * time.Millisecond); return worker.Reply{}, nil }
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	target := worker.Target{ID: "w1", DataCentre: "d"}
+	reply, err := r.sender.Start(ctx, target, worker.StartCommand{})
+	qt.Assert(t, reply.Outcome, qt.Equals, worker.Unknown)
+	qt.Assert(t, err, qt.ErrorIs, context.DeadlineExceeded)
+	before := r.direct.total()
+	_, err = r.startOn(t, "w1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.direct.total(), qt.Equals, before)
+	r.other.start = func() (worker.Reply, error) {
+		return worker.Reply{Outcome: worker.Unknown}, fmt.Errorf("no route")
+	}
+	_, err = r.startOn(t, "w1")
+	qt.Assert(t, err, qt.ErrorIs, errWorkerSilent)
+	_, err = r.startOn(t, "w1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.direct.total(), qt.Equals, before+1)
+}
+
 // TestDeadline guards against a delegate that was suspended and carries out commands of the time before.
 func TestDeadline(t *testing.T) {
 	c := newCommander()
--- a/internal/workers/delegate/link.go
+++ b/internal/workers/delegate/link.go
@@ -33,6 +33,9 @@
 	errNoLink = errors.New("no connection to the delegate")
 	// errLinkLost means that the connection ended before the response, so the command may have been sent.
 	errLinkLost = errors.New("connection to the delegate was lost")
+	// errWorkerSilent means that the delegate got no answer from the worker. A call that times out at the leader first says nothing
+	// about the worker: an overloaded leader reads responses late, and calling workers itself would load it more.
+	errWorkerSilent = errors.New("worker did not answer the delegate")
 )
 
 // link is a connection to a delegate. It is safe for concurrent use.
@@ -165,6 +168,9 @@
 		if !ok {
 			return unknown, errLinkLost
 		}
+		if reply.Status.Outcome == worker.Unknown {
+			return reply.Status, fmt.Errorf("%w %s: %s", errWorkerSilent, l.name, reply.Error)
+		}
 		if reply.Error != "" {
 			return reply.Status, fmt.Errorf("through node %s: %s", l.name, reply.Error)
 		}
--- a/internal/workers/delegate/sender.go
+++ b/internal/workers/delegate/sender.go
@@ -24,8 +24,8 @@
 	minShare = 0.5
 	// nodesInterval is the time between two reads of the live nodes.
 	nodesInterval = 200 * time.Millisecond
-	// directAfterFailure is how long the leader calls a worker itself after a call through a delegate got no answer. The delegate
-	// may be unable to reach the worker.
+	// directAfterFailure is how long the leader calls a worker itself after its delegate got no answer. The delegate may be unable
+	// to reach the worker.
 	directAfterFailure = 5 * time.Second
 	// forgetWorker is the time without a command after which a worker is forgotten.
 	forgetWorker = 10 * time.Second
@@ -144,7 +144,7 @@
 	if errors.Is(err, errNoLink) {
 		return direct()
 	}
-	if status.Outcome == worker.Unknown {
+	if errors.Is(err, errWorkerSilent) {
 		s.useDirect(r.Target.ID)
 	}
 	return status, err
