delegate: wait for the first connection, and drop a silent one only on a second sign

The new leader had called all 900 workers itself while its connections were being made, was so busy that it read no response for 0.35 s, took this for silence, and called workers itself again; it did not recover (about 900 exits a second instead of 3,000).

Requests now wait for the first connection to a delegate (0.25 s at most), and a connection that is silent becomes suspect at a call that times out, and is dropped at one that times out 0.2 s later or more if nothing was read meanwhile.

--- a/internal/workers/delegate/link.go
+++ b/internal/workers/delegate/link.go
@@ -19,9 +19,12 @@
 const (
 	// dialTimeout limits connecting to a delegate. A node that is switched off does not reject the connection.
 	dialTimeout = 250 * time.Millisecond
-	// silenceTimeout is the time without a response after which a call that times out ends the connection. Connections may
+	// silenceTimeout is the time without a response after which a call that times out makes the connection suspect. Connections may
 	// become silent without a reset. A delegate carries renewals, so it responds many times a second.
 	silenceTimeout = 350 * time.Millisecond
+	// suspectTimeout is the time after which a connection that is still silent is dropped. The leader may have been too busy to read
+	// the responses, which it does meanwhile.
+	suspectTimeout = 200 * time.Millisecond
 	// retryAfter is the time after a failed connection in which the delegate is not used.
 	retryAfter = 2 * time.Second
 	// maxQueued limits the requests that wait to be written. If the connection is that slow, the leader calls workers itself.
@@ -46,30 +49,35 @@
 	mu   sync.Mutex
 	conn net.Conn
 	out  chan request
-	// connecting means that a connection is being made. Until retryAt no new one is tried.
-	connecting bool
+	// connecting is closed when the attempt to connect has ended, and nil while there is none. Until retryAt no new one is made.
+	connecting chan struct{}
 	retryAt    time.Duration
-	seq        uint64
-	pending    map[uint64]chan response
-	lastReply  time.Duration
+	// failed means that the last connection or attempt has failed. suspectSince is the time since which the connection is suspect,
+	// and 0 if it is not.
+	failed       bool
+	suspectSince time.Duration
+	seq          uint64
+	pending      map[uint64]chan response
+	lastReply    time.Duration
 }
 
 func newLink(name, address string, logger hclog.Logger) *link {
 	return &link{name: name, address: address, logger: logger, pending: make(map[uint64]chan response)}
 }
 
-// usable reports whether requests can be sent. If there is no connection, it starts to make one.
+// usable reports whether requests can be sent. If there is no connection, it starts to make one. Requests wait for the first one: a
+// new leader renews all leases at once, and could not make all these calls itself.
 func (l *link) usable() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != nil {
 		return len(l.out) < maxQueued
 	}
-	if !l.connecting && clock.Now() >= l.retryAt {
-		l.connecting = true
+	if l.connecting == nil && clock.Now() >= l.retryAt {
+		l.connecting = make(chan struct{})
 		go l.connect()
 	}
-	return false
+	return l.connecting != nil && !l.failed
 }
 
 func (l *link) connect() {
@@ -77,7 +85,8 @@
 	conn, err := dialer.Dial("tcp", l.address)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.connecting = false
+	close(l.connecting)
+	l.connecting, l.failed = nil, err != nil
 	if err != nil {
 		l.retryAt = clock.Now() + retryAfter
 		l.logger.Warn("Delegate cannot be reached.", "delegate", l.name, "error", err)
@@ -91,7 +100,7 @@
 	}
 	l.logger.Info("Delegate is in use.", "delegate", l.name, "address", l.address)
 	// A request is queued only while fewer than maxQueued are, or by callers that checked this at the same time.
-	l.conn, l.out, l.lastReply = conn, make(chan request, 2*maxQueued), clock.Now()
+	l.conn, l.out, l.lastReply, l.suspectSince = conn, make(chan request, 2*maxQueued), clock.Now(), 0
 	go writeAll(conn, l.out, l.logger)
 	go l.read(conn)
 }
@@ -106,7 +115,7 @@
 			return
 		}
 		l.mu.Lock()
-		l.lastReply = clock.Now()
+		l.lastReply, l.suspectSince = clock.Now(), 0
 		waiting, ok := l.pending[r.Seq]
 		delete(l.pending, r.Seq)
 		l.mu.Unlock()
@@ -126,7 +135,7 @@
 	}
 	l.logger.Warn("Delegate is not used for a while: the connection was lost.", "delegate", l.name, "pending", len(l.pending), "error", cause)
 	close(l.out)
-	l.conn, l.out, l.retryAt = nil, nil, clock.Now()+retryAfter
+	l.conn, l.out, l.retryAt, l.failed = nil, nil, clock.Now()+retryAfter, true
 	for seq, waiting := range l.pending {
 		delete(l.pending, seq)
 		close(waiting)
@@ -148,6 +157,15 @@
 	unknown := worker.Status{Reply: worker.Reply{Outcome: worker.Unknown}}
 	waiting := make(chan response, 1)
 	l.mu.Lock()
+	if connecting := l.connecting; l.conn == nil && connecting != nil {
+		l.mu.Unlock()
+		select {
+		case <-connecting:
+		case <-ctx.Done():
+			return unknown, errNoLink
+		}
+		l.mu.Lock()
+	}
 	conn := l.conn
 	if conn == nil {
 		l.mu.Unlock()
@@ -179,10 +197,23 @@
 	}
 	l.mu.Lock()
 	delete(l.pending, r.Seq)
-	silent := clock.Now() - l.lastReply
+	silent := l.silentFor(clock.Now())
 	l.mu.Unlock()
-	if silent > silenceTimeout {
+	if silent > 0 {
 		l.drop(conn, fmt.Errorf("no response for %s", silent))
 	}
 	return unknown, fmt.Errorf("through node %s: %w", l.name, ctx.Err())
 }
+
+// silentFor records that a call has timed out, and returns for how long the connection has been silent if it is to be dropped.
+func (l *link) silentFor(now time.Duration) time.Duration {
+	silent := now - l.lastReply
+	switch {
+	case silent < silenceTimeout:
+	case l.suspectSince == 0:
+		l.suspectSince = now
+	case now-l.suspectSince > suspectTimeout:
+		return silent
+	}
+	return 0
+}
