delegate: stop without waiting for commands in progress

Found while reading the diff: the stop of a delegate waited for the commands that it carried, up to 1.3 s for a renewal that waits for an exit, after the balancer's 2.3 s and the clients' drain: more than the grace period of 6 s in the worst case. Close now gives them up; their leader counts them as unknown. A connection that was being made when its delegate left the list was kept open.

--- a/internal/workers/delegate/delegate_test.go
+++ b/internal/workers/delegate/delegate_test.go
@@ -249,6 +249,30 @@
 	qt.Assert(t, r.direct.total(), qt.Equals, before+1)
 }
 
+// TestClose guards against a stop that waits for the renewals of a leader, and so exceeds the grace period of the process.
+func TestClose(t *testing.T) {
+	r := newRig(t)
+	r.connect(t)
+	started := make(chan struct{})
+	r.other.start = func() (worker.Reply, error) {
+		close(started)
+		<-r.server.ctx.Done()
+		return worker.Reply{Outcome: worker.Unknown}, context.Canceled
+	}
+	go func() { _, _ = r.startOn(t, "w1") }()
+	<-started
+	closed := make(chan struct{})
+	go func() {
+		r.server.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the server does not stop")
+	}
+}
+
 // TestDeadline guards against a delegate that was suspended and carries out commands of the time before.
 func TestDeadline(t *testing.T) {
 	c := newCommander()
--- a/internal/workers/delegate/link.go
+++ b/internal/workers/delegate/link.go
@@ -56,9 +56,11 @@
 	// and 0 if it is not.
 	failed       bool
 	suspectSince time.Duration
-	seq          uint64
-	pending      map[uint64]chan response
-	lastReply    time.Duration
+	// closed means that no connection is to be made any more.
+	closed    bool
+	seq       uint64
+	pending   map[uint64]chan response
+	lastReply time.Duration
 }
 
 func newLink(name, address string, logger hclog.Logger) *link {
@@ -73,7 +75,7 @@
 	if l.conn != nil {
 		return len(l.out) < maxQueued
 	}
-	if l.connecting == nil && clock.Now() >= l.retryAt {
+	if l.connecting == nil && !l.closed && clock.Now() >= l.retryAt {
 		l.connecting = make(chan struct{})
 		go l.connect()
 	}
@@ -85,6 +87,10 @@
 	conn, err := dialer.Dial("tcp", l.address)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if err == nil && l.closed {
+		closeConn(conn, l.logger)
+		err = errNoLink
+	}
 	close(l.connecting)
 	l.connecting, l.failed = nil, err != nil
 	if err != nil {
@@ -146,6 +152,7 @@
 func (l *link) close() {
 	l.mu.Lock()
 	conn := l.conn
+	l.closed = true
 	l.mu.Unlock()
 	if conn != nil {
 		l.drop(conn, errors.New("the delegate is no longer needed"))
--- a/internal/workers/delegate/server.go
+++ b/internal/workers/delegate/server.go
@@ -36,6 +36,9 @@
 type Server struct {
 	options ServerOptions
 	logger  hclog.Logger
+	// ctx ends with Close.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
@@ -48,7 +51,8 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
-	return &Server{options: o, logger: o.Logger.Named("delegate"), conns: make(map[net.Conn]bool)}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{options: o, logger: o.Logger.Named("delegate"), ctx: ctx, cancel: cancel, conns: make(map[net.Conn]bool)}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -80,8 +84,10 @@
 	return true
 }
 
-// Close closes all connections. Commands that were received are still carried out.
+// Close closes all connections. Commands in progress are given up: their leader counts them as unknown, and a stop must not wait for
+// a renewal that waits for an exit.
 func (s *Server) Close() {
+	s.cancel()
 	s.mu.Lock()
 	s.closed = true
 	for conn := range s.conns {
@@ -173,7 +179,7 @@
 		result.Error = "the deadline has passed"
 		return result
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), min(r.Timeout, maxTimeout))
+	ctx, cancel := context.WithTimeout(s.ctx, min(r.Timeout, maxTimeout))
 	defer cancel()
 	var err error
 	switch {
