scheduler: send commands and store batches between passes

Cause: under overload a pass takes 10 ms and more, and passes take at most a fifth of the time, so that they are 0.1 s and more apart.

Commands are now sent and changes stored after each message; a batch follows the one before at once while more has changed than it holds. Schedule places tasks only, and TakeCommands returns the commands. TestStartsBetweenPasses.

--- a/scheduler/batch_test.go
+++ b/scheduler/batch_test.go
@@ -36,7 +36,7 @@
 	}
 	clear(r.core.rosterChanges)
 	// All jobs have changed. An exit of each worker is followed by the plan of a new run.
-	r.core.Schedule(r.now)
+	r.schedule()
 	planned := len(r.core.plannedRuns)
 	qt.Assert(t, planned, qt.Equals, 2*jobs)
 	first := r.core.plannedRuns[0].step.job.doc.ID
@@ -55,11 +55,11 @@
 		}
 	}
 	r.core.BatchStored(b)
-	qt.Assert(t, startsOf(r.core.Schedule(r.now)), qt.HasLen, len(b.plannedRuns))
+	qt.Assert(t, startsOf(r.schedule()), qt.HasLen, len(b.plannedRuns))
 	// A batch that failed starts nothing and acknowledges nothing.
 	b = r.core.TakeBatch(limit)
 	r.core.BatchFailed(b)
-	qt.Assert(t, startsOf(r.core.Schedule(r.now)), qt.HasLen, 0)
+	qt.Assert(t, startsOf(r.schedule()), qt.HasLen, 0)
 	stored := 0
 	for range jobs {
 		b = r.core.TakeBatch(limit)
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -11,11 +11,7 @@
 
 // commit stores what has changed. Only one batch is in flight at a time.
 func (e *Engine) commit(now time.Duration) {
-	interval := commitInterval
-	if e.core.Backlog() > batchRows {
-		interval = backlogInterval
-	}
-	if e.committing || now < e.lastAttemptEnd+interval {
+	if e.committing || (now < e.lastAttemptEnd+commitInterval && e.core.Backlog() <= batchRows) {
 		return
 	}
 	b := e.core.TakeBatch(batchRows)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -6,7 +6,8 @@
 //
 //	core := scheduler.NewCore(scheduler.Options{Bounds: bounds, Fence: fence, Term: term, AcquiredAt: now})
 //	core.AddJob(job, progress, storeNow)
-//	for _, command := range core.Schedule(now) { ... }
+//	core.Schedule(now)
+//	for _, command := range core.TakeCommands() { ... }
 package scheduler
 
 import (
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -16,16 +16,16 @@
 func TestRecordBeforeStart(t *testing.T) {
 	r := newRig(t, 1, "w1")
 	r.addSteps("a", 1)
-	qt.Assert(t, r.core.Schedule(r.now), qt.HasLen, 0)
+	qt.Assert(t, r.schedule(), qt.HasLen, 0)
 	b := r.core.TakeBatch(100)
 	worker, number, ok := b.Progress["a"].Occurrences[0].Run(0, 0)
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, worker, qt.Equals, "w1")
 	qt.Assert(t, number, qt.Equals, 1)
 	r.core.BatchFailed(b)
-	qt.Assert(t, r.core.Schedule(r.now), qt.HasLen, 0)
+	qt.Assert(t, r.schedule(), qt.HasLen, 0)
 	r.store()
-	qt.Assert(t, startsOf(r.core.Schedule(r.now)), qt.DeepEquals, []string{"a 0.0.0 1 w1"})
+	qt.Assert(t, startsOf(r.schedule()), qt.DeepEquals, []string{"a 0.0.0 1 w1"})
 }
 
 // TestStepOrder guards against a step that starts before the steps it depends on are done.
@@ -148,7 +148,7 @@
 	r.core.Cancel("a")
 	r.runs["w1"] = []worker.Run{{Task: work.Task{Job: "a"}, Number: 1}}
 	r.reply("w1")
-	qt.Assert(t, countStops(r.core.Schedule(r.now)), qt.Equals, 1)
+	qt.Assert(t, countStops(r.schedule()), qt.Equals, 1)
 }
 
 // TestNextLeaderWaits guards against a second run of a task while the first may still run on a worker that has not
@@ -193,17 +193,17 @@
 	r.advance(time.Second)
 	r.reply("w1")
 	r.reply("w2")
-	r.core.Schedule(r.now)
+	r.schedule()
 	r.advance(outageAfter + 100*time.Millisecond)
 	r.reply("w1")
 	r.reply("w2")
-	for _, s := range startsOf(r.core.Schedule(r.now)) {
+	for _, s := range startsOf(r.schedule()) {
 		qt.Assert(t, s[len(s)-2:], qt.Equals, used)
 	}
 	r.addSteps("b", 1)
-	r.core.Schedule(r.now)
+	r.schedule()
 	r.advance(outageAfter + 100*time.Millisecond)
-	for _, s := range startsOf(r.core.Schedule(r.now)) {
+	for _, s := range startsOf(r.schedule()) {
 		qt.Assert(t, s[:1], qt.Equals, "a")
 	}
 }
@@ -215,14 +215,14 @@
 	commands := r.pass()
 	qt.Assert(t, startsOf(commands), qt.HasLen, 1)
 	r.core.HandleReply(commands[0], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
-	again := r.core.Schedule(r.now)
+	again := r.schedule()
 	qt.Assert(t, startsOf(again), qt.HasLen, 1)
 	r.core.HandleReply(again[0], worker.Reply{Outcome: worker.Unhealthy, Clock: r.now}, r.now, nil)
-	stop := r.core.Schedule(r.now)
+	stop := r.schedule()
 	qt.Assert(t, countStops(stop), qt.Equals, 1)
 	r.core.HandleReply(stop[0], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
 	r.advance(500 * time.Millisecond)
-	repeated := r.core.Schedule(r.now)
+	repeated := r.schedule()
 	qt.Assert(t, countStops(repeated), qt.Equals, 1)
 	r.core.HandleReply(repeated[0], worker.Reply{Clock: r.now}, r.now, nil)
 	var orderedAgain []string
@@ -240,9 +240,9 @@
 	r.addSteps("a", 1)
 	commands := r.pass()
 	r.core.HandleReply(commands[0], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
-	r.core.Schedule(r.now)
+	r.schedule()
 	r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Clock: time.Second, Incarnation: rigIncarnation + 1}}, r.now, nil)
-	after := r.core.Schedule(r.now)
+	after := r.schedule()
 	qt.Assert(t, countStops(after) > 0, qt.IsTrue)
 	qt.Assert(t, startsOf(after), qt.HasLen, 0)
 }
@@ -338,7 +338,7 @@
 	qt.Assert(t, r.core.mayDisrupt(first), qt.IsTrue)
 	r.advance(maxPollAge + time.Millisecond)
 	qt.Assert(t, r.core.mayDisrupt(first), qt.IsFalse)
-	polls := r.core.Schedule(r.now)
+	polls := r.schedule()
 	qt.Assert(t, polls, qt.HasLen, 1)
 	qt.Assert(t, polls[0].Kind, qt.Equals, CommandPoll)
 	qt.Assert(t, polls[0].Target.ID, qt.Not(qt.Equals), first.worker.report.ID)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -27,14 +27,13 @@
 	// placed waits for its batch, so that a shorter interval would not start it sooner.
 	passInterval = 8 * time.Millisecond
 	passShare    = 0.2
-	// commitInterval is the minimum time between two batches. It bounds the calls to the store, which are paid for, to 50 a second.
+	// commitInterval is the minimum time between two batches, unless more has changed than one holds. It bounds the calls to the
+	// store, which are paid for, to 50 a second.
 	commitInterval = 20 * time.Millisecond
 	// commitTimeout is the timeout of one batch. A slow store takes up to 0.5 s.
 	commitTimeout = time.Second
 	// commitPause is the pause after a batch that failed.
 	commitPause = 100 * time.Millisecond
-	// backlogInterval replaces commitInterval while more has changed than one batch holds. Tasks wait for their batch.
-	backlogInterval = 5 * time.Millisecond
 	// batchRows is the maximum number of rows in a batch. Two conditions, the row of the chain and the rows of an earlier version
 	// that are removed come on top.
 	batchRows = store.MaxEntries - 8
@@ -329,6 +328,7 @@
 		select {
 		case f := <-e.inbox:
 			e.handleMessages(f)
+			e.dispatch(clock.Now())
 			wait = max(passInterval, time.Duration(float64(e.passDuration)/passShare)) - (clock.Now() - e.lastPass)
 		case <-timer.C:
 		case <-e.ctx.Done():
@@ -367,9 +367,7 @@
 		c.PreviousLeaderEnded()
 	}
 	c.SetCatalog(e.options.Catalog())
-	for _, cmd := range c.Schedule(now) {
-		e.spawn(func() { e.sendCommand(cmd) })
-	}
+	c.Schedule(now)
 	for _, cmd := range c.TakeInstanceCommands() {
 		e.spawn(func() { e.sendInstanceCommand(cmd) })
 	}
@@ -389,5 +387,19 @@
 			e.spawn(func() { e.renewLease(id) })
 		}
 	}
+	e.dispatch(now)
 	e.commit(now)
 }
+
+// dispatch sends the commands that are due and stores what has changed. It follows every message and does not wait for a pass: the
+// passes of an overloaded leader are far apart, and each batch starts only a limited number of tasks.
+func (e *Engine) dispatch(now time.Duration) {
+	if e.options.Leadership.IsLeader(e.options.Core.Fence) {
+		for _, cmd := range e.core.TakeCommands() {
+			e.spawn(func() { e.sendCommand(cmd) })
+		}
+	}
+	if e.core.Backlog() > 0 {
+		e.commit(now)
+	}
+}
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -222,3 +222,24 @@
 	e.sendCommand(commands[0])
 	qt.Assert(t, workers.commands.Load(), qt.Equals, int32(1))
 }
+
+// TestStartsBetweenPasses guards against starts that wait for the next pass. The passes of an overloaded leader are a tenth of a second
+// and more apart, and only the tasks of one batch started after each: workers stood empty while jobs waited.
+func TestStartsBetweenPasses(t *testing.T) {
+	e, _ := newTestEngine(t, memory.New(), 1)
+	workers := &countingCommander{}
+	e.options.Workers = workers
+	r := newRig(t, 1, "w1")
+	e.core = r.core
+	e.core.options.Fence = e.options.Core.Fence
+	r.addSteps("a", 3)
+	e.core.Schedule(r.now)
+	e.dispatch(clock.Now())
+	qt.Assert(t, workers.commands.Load(), qt.Equals, int32(0))
+	// The message that the batch is stored arrives, and no pass follows.
+	e.handleMessages(<-e.inbox)
+	e.dispatch(clock.Now())
+	for deadline := time.Now().Add(5 * time.Second); workers.commands.Load() < 3; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
+	}
+}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -304,7 +304,7 @@
 			}
 		}
 		r.reply("w1")
-		for _, cmd := range r.core.Schedule(r.now) {
+		for _, cmd := range r.schedule() {
 			if cmd.Kind == CommandThrottle {
 				percents = append(percents, cmd.Run.SpeedPercent)
 				r.core.HandleReply(cmd, worker.Reply{Clock: r.now}, r.now, nil)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -35,15 +35,21 @@
 	rank float64
 }
 
-// Schedule advances the time to now, places tasks and returns the commands that are due.
-func (c *Core) Schedule(now time.Duration) []Command {
+// Schedule advances the time to now and places tasks. [Core.TakeCommands] returns the commands that follow from it.
+func (c *Core) Schedule(now time.Duration) {
 	c.SetTime(now)
 	c.handleTimeouts()
-	if !c.deposed {
-		for _, p := range c.pools {
-			c.placePool(p)
-		}
+	if c.deposed {
+		return
 	}
+	for _, p := range c.pools {
+		c.placePool(p)
+	}
+}
+
+// TakeCommands returns the commands to workers that are due, and removes them from the queue. It returns none after another process
+// has acquired leadership.
+func (c *Core) TakeCommands() []Command {
 	commands := c.commands
 	c.commands = nil
 	if c.deposed {
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -77,11 +77,17 @@
 	r.core.SetTime(r.now)
 }
 
+// schedule runs a pass and returns the commands.
+func (r *rig) schedule() []Command {
+	r.core.Schedule(r.now)
+	return r.core.TakeCommands()
+}
+
 // pass schedules, stores what has changed, and returns the commands.
 func (r *rig) pass() []Command {
-	commands := r.core.Schedule(r.now)
+	commands := r.schedule()
 	r.store()
-	return append(commands, r.core.Schedule(r.now)...)
+	return append(commands, r.schedule()...)
 }
 
 func (r *rig) store() {
