--- a/metrics/jobs.go
+++ b/metrics/jobs.go
@@ -39,7 +39,7 @@
 	// to be the newest.
 	ConfigVersion float64
 	ConfigAge     time.Duration
-	// Nodes counts the live processes.
+	// Nodes counts the live processes that send heartbeats.
 	Nodes float64
 	// DroppedLines counts log lines that were dropped because the reader of the log was too slow.
 	DroppedLines float64
@@ -149,7 +149,7 @@
 	descTerm    = prometheus.NewDesc(namespace+"_duty_tenure", "Number of the current leader term, counted over all processes.", nil, nil)
 	descVersion = prometheus.NewDesc(namespace+"_config_version", "Version of the configuration in force.", nil, nil)
 	descAge     = prometheus.NewDesc(namespace+"_config_age_seconds", "Time since the configuration was last confirmed to be the newest.", nil, nil)
-	descNodes   = prometheus.NewDesc(namespace+"_nodes_live", "Live processes.", nil, nil)
+	descNodes   = prometheus.NewDesc(namespace+"_nodes_live", "Live processes that send heartbeats: all of a small fleet, the candidates for leadership of a large one.", nil, nil)
 	descDropped = prometheus.NewDesc(namespace+"_log_lines_dropped_total", "Log lines that were dropped because the reader of the log was too slow.", nil, nil)
 	descJobs    = prometheus.NewDesc(namespace+"_jobs", "Jobs that the leader knows, by state.", []string{"state"}, nil)
 	descWorkers = prometheus.NewDesc(namespace+"_workers", "Workers that the leader knows, by state.", []string{"state"}, nil)
