scheduler: log and count the runs under which a worker has crashed

The log could not tell apart why a task crashes worker after worker: "Task was lost" names a run, and neither whether its worker crashed nor how often that has happened to the task. Each run that may be the cause now has a line with how long it had run when the worker last answered, how many runs share the blame, and the workers that have crashed under its task in this term. A lease that expires first is not a crash by itself; its runs are kept until the worker answers or is found to be gone. chivetiller_runs_total has the event "crashed". Nothing is decided from the count.

Another instance that answers a command does not count as a contact with the worker any more.

--- a/node/node.go
+++ b/node/node.go
@@ -283,6 +283,7 @@
 	}
 	for event, count := range map[string]uint64{
 		"started": counts.Started, "done": counts.Done, "failed": counts.Failed, "stopped": counts.Stopped, "lost": counts.Lost, "refused": counts.Refused,
+		"crashed": counts.Crashed,
 	} {
 		s.Runs[event] = float64(count)
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -129,6 +129,8 @@
 // Counts are totals of the term, for metrics.
 type Counts struct {
 	Started, Done, Failed, Stopped, Lost, Refused uint64
+	// Crashed counts the runs under which a worker has crashed.
+	Crashed uint64
 	// Jobs counts the jobs and Workers the workers by state.
 	Jobs    map[string]int
 	Workers map[string]int
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -68,6 +68,37 @@
 	}
 }
 
+// crashBlamePeriod is how long a run may have been going on when its worker crashed to count as a possible cause.
+const crashBlamePeriod = 5 * time.Second
+
+// runsAtCrash returns the runs that may have made a worker crash that has not answered since its last contact.
+func (c *Core) runsAtCrash(ws *workerState) []*run {
+	runs := ws.expiredRuns
+	for _, r := range runsOn(ws) {
+		age := ws.lastContact - r.startedAt
+		// A worker that was alive at the start would have answered a renewal since.
+		reached := age > -renewWait-renewTimeout
+		if r.phase != planned && reached && age < crashBlamePeriod {
+			runs = append(runs, r)
+		}
+	}
+	return runs
+}
+
+// recordCrash records that a worker has crashed under runs, unless it was about to leave.
+func (c *Core) recordCrash(ws *workerState, runs []*run) {
+	if ws.report.Draining {
+		return
+	}
+	for _, r := range runs {
+		c.counts.Crashed++
+		t := &r.step.tasks[r.index]
+		t.crashes++
+		c.logger.Warn("Worker has crashed under a task.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
+			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(runs), "crashes", t.crashes)
+	}
+}
+
 func (s *step) failures(index int) int { return len(s.progress.Failures[s.unitIndex(index)]) }
 
 // estimator learns the ratio between the actual and the estimated run times of a queue.
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -170,7 +170,7 @@
 	if c.workers[ws.report.ID] != ws {
 		return
 	}
-	if reply.Clock > 0 {
+	if reply.Clock > 0 && reply.Outcome != worker.OtherInstance {
 		c.recordClock(ws, reply, sent)
 	}
 	switch reply.Outcome {
@@ -179,7 +179,7 @@
 		return
 	case worker.OtherInstance:
 		c.logger.Warn("Another instance answers at the address of the worker.", "worker", ws.report.ID, "error", err)
-		c.dropWorker(ws, "another instance answers at the address")
+		c.dropCrashedWorker(ws, "another instance answers at the address")
 		return
 	}
 	switch cmd.Kind {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -85,6 +85,8 @@
 	// lastWorker is the worker on which the latest run ended without being done. failedAt is the time of the latest failure.
 	lastWorker string
 	failedAt   time.Duration
+	// crashes counts the workers that crashed under the task in this term.
+	crashes int
 }
 
 type phase int
@@ -145,8 +147,10 @@
 	unresponsive bool
 	// leaseExpired means that the lease has expired since the worker last answered.
 	leaseExpired bool
-	runs         map[work.Task]*run
-	used         work.Resources
+	// expiredRuns holds the runs that were on the worker when its lease expired. It may have crashed.
+	expiredRuns []*run
+	runs        map[work.Task]*run
+	used        work.Resources
 	// services and bestEffort count the runs of such steps.
 	services   int
 	bestEffort int
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -16,11 +16,11 @@
 		listed[r.ID] = true
 		ws, ok := c.workers[r.ID]
 		if ok && ws.report.Incarnation != 0 && r.Incarnation != 0 && r.Incarnation != ws.report.Incarnation {
-			c.dropWorker(ws, "the worker has restarted")
+			c.dropCrashedWorker(ws, "the worker has restarted")
 			ok = false
 		}
 		if ok && ws.report.Address != r.Address {
-			c.dropWorker(ws, "the address of the worker has changed")
+			c.dropCrashedWorker(ws, "the address of the worker has changed")
 			ok = false
 		}
 		if !ok {
@@ -71,6 +71,13 @@
 	c.logger.Warn("Worker was removed.", "worker", ws.report.ID, "pool", ws.report.Pool, "reason", reason)
 }
 
+// dropCrashedWorker removes a worker that has ended without notice.
+func (c *Core) dropCrashedWorker(ws *workerState, reason string) {
+	runs := c.runsAtCrash(ws)
+	c.dropWorker(ws, reason)
+	c.recordCrash(ws, runs)
+}
+
 func runsOn(ws *workerState) []*run {
 	runs := make([]*run, 0, len(ws.runs))
 	for _, r := range ws.runs {
@@ -149,7 +156,7 @@
 		c.markDeposed(ws, err)
 		return
 	case worker.OtherInstance:
-		c.dropWorker(ws, "another instance answers at the address")
+		c.dropCrashedWorker(ws, "another instance answers at the address")
 		return
 	default:
 		if c.now-ws.lastContact > contactTimeout && ws.answered && !ws.unresponsive {
@@ -190,7 +197,7 @@
 	if ws.leaseExpired {
 		c.rosterChanges[id] = true
 	}
-	ws.leaseExpired = false
+	ws.leaseExpired, ws.expiredRuns = false, nil
 	ws.answered = true
 	delete(c.previousUsage, id)
 	c.adjustBestEffort(ws)
@@ -199,6 +206,7 @@
 // handleRestart records that the worker process has restarted under the same ID.
 func (c *Core) handleRestart(ws *workerState, incarnation int64) {
 	c.logger.Warn("Worker has restarted.", "worker", ws.report.ID, "born", incarnation)
+	runs := c.runsAtCrash(ws)
 	for _, r := range runsOn(ws) {
 		if r.confirmedAt == 0 {
 			ws.unansweredStarts = append(ws.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
@@ -216,9 +224,10 @@
 	ws.report.Incarnation = incarnation
 	ws.reportClock = 0
 	ws.exitsProcessed, ws.exitsStored, ws.requestedExpiry, ws.clock, ws.leaseExpired = 0, 0, 0, 0, false
-	ws.unstoredExits = nil
+	ws.unstoredExits, ws.expiredRuns = nil, nil
 	ws.clockSent, ws.clockReceived = 0, c.now
 	c.rosterChanges[ws.report.ID] = true
+	c.recordCrash(ws, runs)
 }
 
 // markDeposed records that a worker has seen a higher fencing token, so another process is the leader.
@@ -426,7 +435,7 @@
 	}
 	if ws.leaseExpired {
 		if !ws.listed {
-			c.dropWorker(ws, "not in the registry and unresponsive")
+			c.dropCrashedWorker(ws, "not in the registry and unresponsive")
 		}
 		return
 	}
@@ -436,6 +445,7 @@
 	ws.leaseExpired = true
 	c.rosterChanges[ws.report.ID] = true
 	c.logger.Warn("Lease of the worker has expired.", "worker", ws.report.ID, "pool", ws.report.Pool, "contactAge", c.contactAge(ws), "runs", len(ws.runs))
+	ws.expiredRuns = c.runsAtCrash(ws)
 	for _, r := range runsOn(ws) {
 		c.markRunLost(r, "the lease has expired")
 	}
