scheduler: give up a task after three workers have crashed under it

Callers saw the jobs beside a deadly task delayed again and again: one task crashed worker after worker for as long as its job was there, and took all other tasks on them along.

Cause: the tries of a task were bounded by its runs that a worker reports as failed. A worker that crashes reports nothing, so that the loss of the worker counted as no try, with one leader as over a change of the leader.

A crashed worker does not say which task was the cause. The starts that it had just confirmed, or left without an answer, are suspects; tasks that ran before are not. Crashes are stored by run number with the progress of the job, and a task is started again only once that is stored, so that the next leader knows them. A suspect is not started on a worker while that tests another suspect (200 ms), so that the next crash tells them apart, and goes to workers with few tasks. After the third crash its job fails. Runs that a previous leader started on a worker that crashed meanwhile count only for tasks that were suspects before, because it is not known when they began.

The users' rule allows two more starts after the third crash. They cover a crash that nobody saw during a change of the leader.

Tried before and dropped: counting each crash against all tasks of the worker, which then run alone on an emptied worker after two crashes.

--- /dev/null
+++ b/internal/jobs/crashloop/crashloop.go
@@ -0,0 +1,67 @@
+// Package crashloop finds the tasks that crash the workers that start them. A worker that crashes does not say why, so that the tasks
+// that it had just started are suspects. A suspect is started again, but not on a worker together with another one, so that the next
+// crash tells them apart.
+//
+// # Usage
+//
+//	for _, i := range crashloop.Suspects(starts, lastContact) {
+//		crashes[i]++
+//		if crashloop.GiveUp(crashes[i]) {
+//			// Mark the job as failed.
+//		}
+//	}
+package crashloop
+
+import "time"
+
+const (
+	// maxCrashes is the number of workers that may crash under a task. The first crash leaves many suspects and the second one very
+	// few. The third one excludes a coincidence.
+	maxCrashes = 3
+	// provenAfter is how long a worker has to live after a start for the start not to be the cause of a crash.
+	provenAfter = 200 * time.Millisecond
+	// lateCrash is how long a task may have run if no start can be the cause of a crash.
+	lateCrash = 5 * time.Second
+	// sameBatch is the time within which starts are sent together.
+	sameBatch = 20 * time.Millisecond
+)
+
+// Start is a start of a task on a worker.
+type Start struct {
+	// At is the monotonic time of the start command.
+	At time.Duration
+	// Confirmed means that the worker has confirmed the start.
+	Confirmed bool
+}
+
+// Proven reports whether a worker that last answered at a time has survived a start.
+func (s Start) Proven(lastContact time.Duration) bool {
+	return s.Confirmed && lastContact-s.At >= provenAfter
+}
+
+// Suspects returns the indexes of the starts that may have made a worker crash, in order. The worker last answered at lastContact.
+func Suspects(starts []Start, lastContact time.Duration) []int {
+	// A worker that crashed under its first start without an answer did not get those that were sent later.
+	unanswered := time.Duration(-1)
+	for _, s := range starts {
+		if !s.Confirmed && (unanswered < 0 || s.At < unanswered) {
+			unanswered = s.At
+		}
+	}
+	var suspects, late []int
+	for i, s := range starts {
+		switch {
+		case s.Confirmed && !s.Proven(lastContact), !s.Confirmed && s.At-unanswered <= sameBatch:
+			suspects = append(suspects, i)
+		case s.Confirmed && lastContact-s.At < lateCrash:
+			late = append(late, i)
+		}
+	}
+	if len(suspects) == 0 {
+		return late
+	}
+	return suspects
+}
+
+// GiveUp reports whether a task under which that many workers have crashed is not started again.
+func GiveUp(crashes int) bool { return crashes >= maxCrashes }
--- /dev/null
+++ b/internal/jobs/crashloop/crashloop_test.go
@@ -0,0 +1,38 @@
+package crashloop
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestSuspects guards against a crash that is blamed on tasks that ran long before, or were sent to a worker that was down already.
+func TestSuspects(t *testing.T) {
+	const contact = time.Minute
+	started := func(age time.Duration) Start { return Start{At: contact - age, Confirmed: true} }
+	sent := func(after time.Duration) Start { return Start{At: contact + after} }
+	tests := map[string]struct {
+		starts []Start
+		want   []int
+	}{
+		"nothing ran":                        {nil, nil},
+		"one start just before":              {[]Start{started(time.Second), started(5 * time.Millisecond)}, []int{1}},
+		"several starts just before":         {[]Start{started(provenAfter - 1), started(provenAfter), started(0)}, []int{0, 2}},
+		"no start just before":               {[]Start{started(lateCrash - 1), started(lateCrash)}, []int{0}},
+		"start without an answer":            {[]Start{started(time.Second), sent(3 * time.Millisecond)}, []int{1}},
+		"starts after one without an answer": {[]Start{sent(300 * time.Millisecond), sent(3 * time.Millisecond), sent(5 * time.Millisecond)}, []int{1, 2}},
+		"confirmed and unanswered starts":    {[]Start{started(5 * time.Millisecond), sent(time.Millisecond), sent(time.Second)}, []int{0, 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, Suspects(test.starts, contact), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestGiveUp guards against a bound above the five starts that the users allow, and against a job that fails for two coincidences.
+func TestGiveUp(t *testing.T) {
+	qt.Assert(t, GiveUp(2), qt.IsFalse)
+	qt.Assert(t, GiveUp(3), qt.IsTrue)
+}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
+	"github.com/chivetiller/chivetiller/work"
+)
 
 // health rates a worker by the exits of its runs.
 type health struct {
@@ -68,35 +73,81 @@
 	}
 }
 
-// crashBlamePeriod is how long a run may have been going on when its worker crashed to count as a possible cause.
-const crashBlamePeriod = 5 * time.Second
-
 // runsAtCrash returns the runs that may have made a worker crash that has not answered since its last contact.
 func (c *Core) runsAtCrash(ws *workerState) []*run {
-	runs := ws.expiredRuns
-	for _, r := range runsOn(ws) {
-		age := ws.lastContact - r.startedAt
-		// A worker that was alive at the start would have answered a renewal since.
-		reached := age > -renewWait-renewTimeout
-		if r.phase != planned && reached && age < crashBlamePeriod {
+	suspects := ws.expiredRuns
+	var runs []*run
+	var starts []crashloop.Start
+	for _, r := range ws.runs {
+		if r.phase != planned {
 			runs = append(runs, r)
+			starts = append(starts, r.start())
+		}
+	}
+	for _, i := range crashloop.Suspects(starts, ws.lastContact) {
+		suspects = append(suspects, runs[i])
+	}
+	// It is not known when previous leaders started these, so that only those are suspects that were before.
+	for _, r := range c.previousRuns[ws.report.ID] {
+		if r.step.crashCount(r.index) > 0 {
+			suspects = append(suspects, &run{step: r.step, index: r.index, number: r.number, worker: ws, startedAt: ws.lastContact})
 		}
 	}
-	return runs
+	return suspects
 }
 
-// recordCrash records that a worker has crashed under runs, unless it was about to leave.
-func (c *Core) recordCrash(ws *workerState, runs []*run) {
+// recordCrash records that a worker has crashed, unless it was about to leave. A task that keeps crashing workers is given up.
+func (c *Core) recordCrash(ws *workerState, suspects []*run) {
 	if ws.report.Draining {
 		return
 	}
-	for _, r := range runs {
+	for _, r := range suspects {
+		s, j := r.step, r.step.job
+		if s.tasks[r.index].done || j.progress.State.Ended() {
+			continue
+		}
 		c.counts.Crashed++
-		t := &r.step.tasks[r.index]
-		t.crashes++
-		c.logger.Warn("Worker has crashed under a task.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
-			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(runs), "crashes", t.crashes)
+		crashes := s.progress.AddCrash(s.unitIndex(r.index), r.number)
+		c.changedJobs[j] = true
+		c.logger.Warn("Worker has crashed under a task.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
+			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "crashes", crashes)
+		if crashloop.GiveUp(crashes) {
+			c.logger.Warn("Job has failed.", "job", j.doc.ID, "task", r.name(), "crashes", crashes)
+			c.endJob(j, work.Failed, "workers crashed under a task")
+		}
+	}
+}
+
+func (r *run) start() crashloop.Start {
+	return crashloop.Start{At: r.startedAt, Confirmed: r.confirmedAt > 0}
+}
+
+// crashCount returns under how many runs of a task a worker has crashed.
+func (s *step) crashCount(index int) int { return len(s.progress.Crashes[s.unitIndex(index)]) }
+
+// testsSuspect reports whether a worker has just started a task of another unit under which a worker has crashed before.
+func (ws *workerState) testsSuspect(s *step, index int) bool {
+	for _, r := range ws.runs {
+		sameUnit := r.step == s && s.unitIndex(r.index) == s.unitIndex(index)
+		if !sameUnit && r.step.crashCount(r.index) > 0 && !r.start().Proven(ws.lastContact) {
+			return true
+		}
+	}
+	return false
+}
+
+// withoutSuspects returns the workers on which a crash could be blamed on a task of a step, and all of them if the task is no suspect.
+func (c *Core) withoutSuspects(s *step, index int, workers []*workerState) []*workerState {
+	if s.crashCount(index) == 0 {
+		return workers
+	}
+	var free []*workerState
+	for _, ws := range workers {
+		if !ws.testsSuspect(s, index) {
+			free = append(free, ws)
+		}
 	}
+	return free
 }
 
 func (s *step) failures(index int) int { return len(s.progress.Failures[s.unitIndex(index)]) }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -167,7 +167,11 @@
 			if t.done || len(t.runs) > 0 || c.now < t.notBefore {
 				continue
 			}
-			ws := c.chooseWorker(s, i, usable)
+			ws := c.chooseWorker(s, i, c.withoutSuspects(s, i, usable))
+			if ws == nil && s.crashCount(i) > 0 {
+				all = false
+				continue
+			}
 			if ws == nil || !c.withinTeamLimit(s, 1) {
 				all = false
 				break
@@ -261,6 +265,8 @@
 	costInterference = 3
 	// costSameService is the cost of each task of the same service on a worker, since the loss of the worker takes them all down.
 	costSameService = 1
+	// costSuspect is the cost of each task that is lost if a task under which a worker has crashed before crashes this one, too.
+	costSuspect = 1
 	// costMixedUse separates batch tasks and services a little, so that instances without services can be moved.
 	costMixedUse = 0.2
 )
@@ -276,6 +282,9 @@
 	if s.tasks[index].lastWorker == ws.report.ID && s.failures(index) > 0 {
 		cost += costFailedBefore
 	}
+	if s.crashCount(index) > 0 {
+		cost += costSuspect * float64(len(ws.runs))
+	}
 	switch {
 	case s.doc.BestEffort:
 		cost += costInterference*float64(ws.services) + float64(ws.bestEffort)
@@ -295,7 +304,7 @@
 	if s.idleTasks < s.tasksLeft || c.now < s.notBefore || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
 		return false
 	}
-	workers := c.chooseGang(s, usable)
+	workers := c.chooseGang(s, c.withoutSuspects(s, 0, usable))
 	if workers == nil {
 		return false
 	}
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// recordedRun is the latest run of a task that a previous leader started.
+type recordedRun struct {
+	step   *step
+	index  int
+	number int
+}
+
 // recordPreviousUsage records the workers on which previous leaders may have tasks of a job running.
 func (c *Core) recordPreviousUsage(j *job) {
 	for _, o := range j.open {
@@ -75,8 +82,9 @@
 		}
 		for _, s := range o.steps {
 			for i := range s.tasks {
-				if id, _, ok := o.progress.Run(s.number, i); ok && !s.tasks[i].done {
+				if id, number, ok := o.progress.Run(s.number, i); ok && !s.tasks[i].done {
 					c.previousUsage[id][j.doc.Team] = c.previousUsage[id][j.doc.Team].Plus(s.doc.Request)
+					c.previousRuns[id] = append(c.previousRuns[id], recordedRun{step: s, index: i, number: number})
 				}
 			}
 		}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -85,8 +85,6 @@
 	// lastWorker is the worker on which the latest run ended without being done. failedAt is the time of the latest failure.
 	lastWorker string
 	failedAt   time.Duration
-	// crashes counts the workers that crashed under the task in this term.
-	crashes int
 }
 
 type phase int
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -63,6 +63,7 @@
 	}
 	delete(c.workers, ws.report.ID)
 	delete(c.previousUsage, ws.report.ID)
+	delete(c.previousRuns, ws.report.ID)
 	p := c.pool(ws.report.Pool)
 	if i := slices.Index(p.workers, ws); i >= 0 {
 		p.workers = slices.Delete(p.workers, i, i+1)
@@ -200,6 +201,7 @@
 	ws.leaseExpired, ws.expiredRuns = false, nil
 	ws.answered = true
 	delete(c.previousUsage, id)
+	delete(c.previousRuns, id)
 	c.adjustBestEffort(ws)
 }
 
@@ -429,7 +431,7 @@
 func (c *Core) checkLease(ws *workerState) {
 	if !ws.answered {
 		if !ws.listed && c.now-ws.unlistedSince > unreachedTimeout {
-			c.dropWorker(ws, "not in the registry and never reached")
+			c.dropCrashedWorker(ws, "not in the registry and never reached")
 		}
 		return
 	}
--- a/work/progress.go
+++ b/work/progress.go
@@ -33,6 +33,8 @@
 	Checkpoints map[int]string `cbor:"3,keyasint,omitempty"`
 	// Runs holds the latest run of each task that was started. A run is stored before its start command is sent.
 	Runs map[int]RunRecord `cbor:"4,keyasint,omitempty"`
+	// Crashes lists the numbers of the runs of each task, or of the gang under index 0, under which a worker crashed.
+	Crashes map[int][]int `cbor:"5,keyasint,omitempty"`
 }
 
 // RunRecord is a run and the worker on which it was started.
@@ -57,14 +59,20 @@
 }
 
 // AddFailure records a failed run of a task and returns how many different runs of it have failed.
-func (p *StepProgress) AddFailure(index, run int) int {
-	if p.Failures == nil {
-		p.Failures = make(map[int][]int)
+func (p *StepProgress) AddFailure(index, run int) int { return addRun(&p.Failures, index, run) }
+
+// AddCrash records a run under which a worker crashed, and returns under how many different runs of the task one has.
+func (p *StepProgress) AddCrash(index, run int) int { return addRun(&p.Crashes, index, run) }
+
+// addRun adds a run to those of a task, unless it is among them, and returns their number.
+func addRun(runs *map[int][]int, index, run int) int {
+	if *runs == nil {
+		*runs = make(map[int][]int)
 	}
-	if !slices.Contains(p.Failures[index], run) {
-		p.Failures[index] = append(p.Failures[index], run)
+	if !slices.Contains((*runs)[index], run) {
+		(*runs)[index] = append((*runs)[index], run)
 	}
-	return len(p.Failures[index])
+	return len((*runs)[index])
 }
 
 // SetCheckpoint records the latest checkpoint of a task.
