scheduler: clear suspects of a crash sooner, and start likely causes last

Suspects that have made two workers crash, mostly the causes, were tried before other jobs and took worker after worker away from them.

The leader requests a report once it would clear a suspect, a worker has survived a start after 100 ms in place of 200 ms, which also leaves fewer suspects, and tasks with two crashes come after all others.

--- a/internal/jobs/crashloop/crashloop.go
+++ b/internal/jobs/crashloop/crashloop.go
@@ -1,6 +1,6 @@
 // Package crashloop finds the tasks that crash the workers that start them. A worker that crashes does not say why, so that the tasks
-// that it had just started are suspects. A suspect is started again, but not on a worker together with another one, so that the next
-// crash tells them apart.
+// that it had just started are suspects. A suspect is started again, but not on a worker that has just started another one, so that the
+// next crash tells them apart.
 //
 // # Usage
 //
@@ -18,8 +18,10 @@
 	// maxCrashes is the number of workers that may crash under a task. The first crash leaves many suspects and the second one very
 	// few. The third one excludes a coincidence.
 	maxCrashes = 3
+	// likelyCrashes is the number of crashes after which few of the suspects are left.
+	likelyCrashes = 2
 	// provenAfter is how long a worker has to live after a start for the start not to be the cause of a crash.
-	provenAfter = 200 * time.Millisecond
+	provenAfter = 100 * time.Millisecond
 	// lateCrash is how long a task may have run if no start can be the cause of a crash.
 	lateCrash = 5 * time.Second
 	// sameBatch is the time within which starts are sent together.
@@ -63,5 +65,8 @@
 	return suspects
 }
 
+// Likely reports whether a task under which that many workers have crashed is more likely the cause than a coincidence.
+func Likely(crashes int) bool { return crashes >= likelyCrashes }
+
 // GiveUp reports whether a task under which that many workers have crashed is not started again.
 func GiveUp(crashes int) bool { return crashes >= maxCrashes }
--- a/internal/jobs/crashloop/crashloop_test.go
+++ b/internal/jobs/crashloop/crashloop_test.go
@@ -33,6 +33,8 @@
 
 // TestGiveUp guards against a bound above the five starts that the users allow, and against a job that fails for two coincidences.
 func TestGiveUp(t *testing.T) {
+	qt.Assert(t, Likely(1), qt.IsFalse)
+	qt.Assert(t, Likely(2), qt.IsTrue)
 	qt.Assert(t, GiveUp(2), qt.IsFalse)
 	qt.Assert(t, GiveUp(3), qt.IsTrue)
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -125,29 +125,49 @@
 // crashCount returns under how many runs of a task a worker has crashed.
 func (s *step) crashCount(index int) int { return len(s.progress.Crashes[s.unitIndex(index)]) }
 
-// testsSuspect reports whether a worker has just started a task of another unit under which a worker has crashed before.
-func (ws *workerState) testsSuspect(s *step, index int) bool {
+// testsSuspect reports whether a worker has just started a task of another unit under which a worker has crashed before. It requests
+// a report from the worker if that would clear the task.
+func (c *Core) testsSuspect(ws *workerState, s *step, index int) bool {
 	for _, r := range ws.runs {
 		sameUnit := r.step == s && s.unitIndex(r.index) == s.unitIndex(index)
-		if !sameUnit && r.step.crashCount(r.index) > 0 && !r.start().Proven(ws.lastContact) {
-			return true
+		if sameUnit || r.step.crashCount(r.index) == 0 || r.start().Proven(ws.lastContact) {
+			continue
+		}
+		if r.start().Proven(c.now) {
+			c.pollWorker(ws)
+		}
+		return true
+	}
+	return false
+}
+
+// likelyCause reports whether an idle task of an occurrence has probably made workers crash.
+func (o *occurrence) likelyCause() bool {
+	for _, s := range o.steps {
+		if len(s.progress.Crashes) == 0 || !s.ready() {
+			continue
+		}
+		for i := range s.tasks {
+			if t := &s.tasks[i]; !t.done && len(t.runs) == 0 && crashloop.Likely(s.crashCount(i)) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
-// withoutSuspects returns the workers on which a crash could be blamed on a task of a step, and all of them if the task is no suspect.
-func (c *Core) withoutSuspects(s *step, index int, workers []*workerState) []*workerState {
+// testWorkers returns the workers on which a task may be started if it is a suspect, and all of them if it is none.
+func (c *Core) testWorkers(s *step, index int, workers []*workerState) []*workerState {
 	if s.crashCount(index) == 0 {
 		return workers
 	}
-	var free []*workerState
+	var allowed []*workerState
 	for _, ws := range workers {
-		if !ws.testsSuspect(s, index) {
-			free = append(free, ws)
+		if !c.testsSuspect(ws, s, index) {
+			allowed = append(allowed, ws)
 		}
 	}
-	return free
+	return allowed
 }
 
 func (s *step) failures(index int) int { return len(s.progress.Failures[s.unitIndex(index)]) }
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -280,3 +281,49 @@
 		})
 	}
 }
+
+// addSuspects adds a job with tasks under which workers have crashed before.
+func (r *rig) addSuspects(id string, tasks, crashes int) {
+	doc := work.Job{ID: id, Queue: "q", Pool: "p", Steps: []work.Step{{Count: tasks, Request: work.Resources{CPU: 1000}, Estimate: time.Second}}}
+	progress := work.NewProgress()
+	for i := range tasks {
+		for run := range crashes {
+			progress.Occurrence(&doc, 0).Steps[0].AddCrash(i, run+1)
+		}
+	}
+	r.core.AddJob(doc, progress, 0)
+}
+
+// TestSuspectWaitsForReport guards against suspects that wait for the next report of an idle worker, which takes up to a second each.
+func TestSuspectWaitsForReport(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSuspects("a", 3, 2)
+	started := 0
+	for range 20 {
+		commands := r.pass()
+		for _, cmd := range commands {
+			switch cmd.Kind {
+			case CommandStart:
+				started++
+				r.accept([]Command{cmd})
+			case CommandPoll:
+				r.reply("w1")
+			}
+		}
+		qt.Assert(t, len(startsOf(commands)) <= 1, qt.IsTrue, qt.Commentf("suspects are started together"))
+		r.advance(50 * time.Millisecond)
+	}
+	qt.Assert(t, started, qt.Equals, 3)
+}
+
+// TestLikelyCauseGoesLast guards against tasks that probably crash workers and keep them from all other jobs.
+func TestLikelyCauseGoesLast(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSuspects("a", 1, 2)
+	r.addSteps("b", 4)
+	starts := startsOf(r.pass())
+	qt.Assert(t, starts, qt.HasLen, 4)
+	for _, start := range starts {
+		qt.Assert(t, strings.HasPrefix(start, "b "), qt.IsTrue, qt.Commentf("start %s", start))
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -16,6 +16,8 @@
 	tierInTime
 	tierLate
 	tierExpired
+	// tierLikelyCause is for tasks that have probably made workers crash. Each of their starts may take a worker away from the others.
+	tierLikelyCause
 )
 
 // lateFactor is the multiple of its latency target up to which a late job still has some value.
@@ -127,6 +129,11 @@
 		return candidate{}, false
 	}
 	cand := candidate{job: j, occurrence: o, queue: q, priority: q.Priority}
+	if o.likelyCause() {
+		cand.tier = tierLikelyCause
+		cand.rank = float64(j.acceptedAt)
+		return cand, true
+	}
 	if j.service {
 		cand.tier = tierService
 		cand.rank = float64(j.acceptedAt)
@@ -167,7 +174,7 @@
 			if t.done || len(t.runs) > 0 || c.now < t.notBefore {
 				continue
 			}
-			ws := c.chooseWorker(s, i, c.withoutSuspects(s, i, usable))
+			ws := c.chooseWorker(s, i, c.testWorkers(s, i, usable))
 			if ws == nil && s.crashCount(i) > 0 {
 				all = false
 				continue
@@ -304,7 +311,7 @@
 	if s.idleTasks < s.tasksLeft || c.now < s.notBefore || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
 		return false
 	}
-	workers := c.chooseGang(s, c.withoutSuspects(s, 0, usable))
+	workers := c.chooseGang(s, c.testWorkers(s, 0, usable))
 	if workers == nil {
 		return false
 	}
