scheduler: start nothing on a worker that has left a start unanswered

A worker that leaves a start without an answer gets no other until it answers anything.

The test failed before: a second task was started on the silent worker.

--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -327,3 +327,16 @@
 		qt.Assert(t, strings.HasPrefix(start, "b "), qt.IsTrue, qt.Commentf("start %s", start))
 	}
 }
+
+// TestSilentWorkerGetsNoStarts guards against tasks that are sent to a worker that has crashed, and wait there until that is known.
+func TestSilentWorkerGetsNoStarts(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSteps("a", 1)
+	commands := r.pass()
+	r.core.HandleReply(commands[0], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+	r.addSteps("b", 1)
+	starts := startsOf(r.pass())
+	qt.Assert(t, starts, qt.DeepEquals, []string{"a 0.0.0 1 w1"}, qt.Commentf("only the start without an answer is sent again"))
+	r.reply("w1")
+	qt.Assert(t, startsOf(r.pass()), qt.DeepEquals, []string{"b 0.0.0 1 w1"})
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -224,6 +224,7 @@
 	case worker.Unknown:
 		// The same run is commanded again. A worker that has it already confirms it.
 		r.unanswered++
+		r.worker.startUnanswered = true
 		r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
 		if r.phase == starting {
 			c.commandStart(r)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -175,6 +175,8 @@
 	cordoned bool
 	// unlistedSince is the time since which the registry does not list the worker.
 	unlistedSince time.Duration
+	// startUnanswered means that a start got no answer, and that the worker has not answered anything since.
+	startUnanswered bool
 	// unansweredStarts holds the starts that got no answer.
 	unansweredStarts []unansweredStart
 	health           health
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -140,6 +140,10 @@
 // recordClock records the worker's clock in a reply, unless the reply to a later request is known already.
 func (c *Core) recordClock(ws *workerState, reply worker.Reply, sent time.Duration) {
 	ws.lastContact = c.now
+	if ws.startUnanswered {
+		ws.startUnanswered = false
+		c.pool(ws.report.Pool).needsPlanning = true
+	}
 	if sent >= ws.clockSent {
 		ws.clock, ws.clockSent, ws.clockReceived = reply.Clock, sent, c.now
 	}
@@ -458,7 +462,7 @@
 
 // acceptsTasks reports whether tasks may be started on a worker.
 func (c *Core) acceptsTasks(ws *workerState) bool {
-	if !ws.listed || !ws.answered || ws.leaseExpired || ws.cordoned || ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout {
+	if !ws.listed || !ws.answered || ws.leaseExpired || ws.startUnanswered || ws.cordoned || ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout {
 		return false
 	}
 	if ws.health.quarantined(c.now) {
