scheduler: start no planned run for which its worker has lost the room

What callers would see: on workers that do not enforce their capacity, a task that starts although the capacity of the worker has shrunk below what runs there, so that all tasks beside it slow down; on others, a start that is rejected.

Cause: room is reserved when a run is planned, and the start command follows once the row of its job is stored. That takes one batch (about 25 ms), but as long as the outage while the store is down, and nothing looked at the capacity again.

Change: startRun withdraws a run whose worker is overcommitted, and a gang if that holds for the worker of any planned member, before its first member starts. The tasks are placed again in the next pass.

Ruled out: reserving by the lowest capacity seen lately, which keeps workers idle that have grown again.

--- /dev/null
+++ b/scheduler/capacity.go
@@ -0,0 +1,19 @@
+package scheduler
+
+// overcommitted reports whether more is reserved on a worker than its capacity, which may shrink at any time.
+func (ws *workerState) overcommitted() bool { return !ws.used.Fits(ws.report.Capacity) }
+
+// stillFits reports whether a planned run still has room on its worker, and a gang on all of its workers.
+func (r *run) stillFits() bool {
+	if !r.step.doc.Gang {
+		return !r.worker.overcommitted()
+	}
+	for i := range r.step.tasks {
+		for _, member := range r.step.tasks[i].runs {
+			if member.number == r.number && member.phase == planned && member.worker.overcommitted() {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/scheduler/capacity_test.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// coresOnly returns the capacity of a worker with the memory of the rig's workers.
+func coresOnly(n int64) work.Resources { return work.Resources{CPU: 1000 * n, Memory: 4000} }
+
+// TestStartOnShrunkWorker guards against a start that brings a worker over its capacity, which has shrunk since the run was planned.
+func TestStartOnShrunkWorker(t *testing.T) {
+	tests := map[string]struct {
+		before, after work.Resources
+		step          work.Step
+		want          int
+	}{
+		"same capacity":     {coresOnly(4), coresOnly(4), work.Step{Count: 2, Request: work.Resources{CPU: 1000}}, 2},
+		"room for one":      {coresOnly(4), coresOnly(1), work.Step{Count: 2, Request: work.Resources{CPU: 1000}}, 1},
+		"no room":           {coresOnly(4), work.Resources{}, work.Step{Count: 2, Request: work.Resources{CPU: 1000}}, 0},
+		"memory":            {coresOnly(4), work.Resources{CPU: 4000, Memory: 100}, work.Step{Count: 2, Request: work.Resources{CPU: 1000, Memory: 100}}, 1},
+		"best effort":       {coresOnly(4), work.Resources{CPU: 4000, Memory: 100}, work.Step{Count: 2, Request: work.Resources{CPU: 1000, Memory: 100}, BestEffort: true}, 1},
+		"no part of a gang": {coresOnly(4), coresOnly(1), work.Step{Count: 2, Request: work.Resources{CPU: 1000}, Gang: true}, 0},
+		"grown":             {coresOnly(4), coresOnly(8), work.Step{Count: 2, Request: work.Resources{CPU: 1000}}, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			r.setCapacity(test.before, "w1")
+			r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{test.step}})
+			r.schedule()
+			r.setCapacity(test.after, "w1")
+			r.store()
+			commands := r.core.TakeCommands()
+			qt.Assert(t, startsOf(commands), qt.HasLen, test.want)
+			qt.Assert(t, countStops(commands), qt.Equals, 0)
+		})
+	}
+}
+
+// TestGangOnShrunkWorker guards against members of a gang that start although another one has lost its room.
+func TestGangOnShrunkWorker(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 6, Request: work.Resources{CPU: 1000}, Gang: true}}})
+	r.schedule()
+	r.core.SetWorkers([]worker.Report{rigReport("w1", coresOnly(4)), rigReport("w2", coresOnly(1))})
+	r.store()
+	qt.Assert(t, r.core.TakeCommands(), qt.HasLen, 0)
+	r.register("w1", "w2")
+	r.advance(gangPause)
+	r.reply("w1")
+	r.reply("w2")
+	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 6)
+}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -45,16 +45,22 @@
 
 // register sets the workers in the registry. Each has four cores.
 func (r *rig) register(ids ...string) {
+	r.setCapacity(work.Resources{CPU: 4000, Memory: 4000}, ids...)
+}
+
+// setCapacity sets the workers in the registry, with the same capacity.
+func (r *rig) setCapacity(capacity work.Resources, ids ...string) {
 	reports := make([]worker.Report, 0, len(ids))
 	for _, id := range ids {
-		reports = append(reports, worker.Report{
-			ID: id, Pool: "p", Address: id + ":1", Incarnation: rigIncarnation, Labels: []string{"a", "r1-1"},
-			Capacity: work.Resources{CPU: 4000, Memory: 4000},
-		})
+		reports = append(reports, rigReport(id, capacity))
 	}
 	r.core.SetWorkers(reports)
 }
 
+func rigReport(id string, capacity work.Resources) worker.Report {
+	return worker.Report{ID: id, Pool: "p", Address: id + ":1", Incarnation: rigIncarnation, Labels: []string{"a", "r1-1"}, Capacity: capacity}
+}
+
 // reply makes a worker answer a renewal with the runs and exits that the test has set. It answers twice, since the core
 // does not know the worker's clock at the first renewal.
 func (r *rig) reply(id string) {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -30,6 +30,12 @@
 		c.stopGang(r)
 		return
 	}
+	if !r.stillFits() {
+		c.logger.Info("Task is not started: there is no room for it any more.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID)
+		c.detachRun(r)
+		c.stopGang(r)
+		return
+	}
 	r.phase, r.startedAt = starting, c.now
 	j := r.step.job
 	if !j.started {
