scheduler: do not repeat a start on a worker that has no room any more

What callers would see: on workers that do not enforce their capacity, a task that starts seconds after the capacity has shrunk below what runs there.

Cause: a start without an answer is sent again every 50 ms until it is answered or the lease of the worker ends, which takes seconds while a worker carries out commands late, and the capacity was looked at only for the first one.

Change: such a run is stopped when its worker is overcommitted; the stop makes the worker reject the start that may still arrive. Where workers enforce their capacity the start is repeated as before, since the worker rejects it if it does not fit and the answer tells whether the run has begun.

Ruled out: waiting for the next report and not stopping. The start that may still arrive would then begin without room.

--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -17,3 +17,8 @@
 	}
 	return true
 }
+
+// mayRepeatStart reports whether an unanswered start may be sent again: it fits, or the worker rejects it if it does not.
+func (c *Core) mayRepeatStart(r *run) bool {
+	return c.catalog.Pools[r.worker.report.Pool].EnforcesCapacity || !r.worker.overcommitted()
+}
--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -5,6 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -56,3 +57,32 @@
 	r.reply("w2")
 	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 6)
 }
+
+// TestRepeatedStartOnShrunkWorker guards against an unanswered start that is repeated although the worker has lost its room meanwhile.
+func TestRepeatedStartOnShrunkWorker(t *testing.T) {
+	tests := map[string]struct {
+		enforces bool
+		after    work.Resources
+		starts   int
+		stops    int
+	}{
+		"same capacity":         {false, coresOnly(4), 1, 0},
+		"no room":               {false, coresOnly(1), 0, 1},
+		"the worker rejects it": {true, coresOnly(1), 1, 0},
+		"no capacity":           {false, work.Resources{}, 0, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			r.core.SetCatalog(catalog.New(2, 0, []catalog.Queue{{Name: "q", Pool: "p", Attempts: 2}}, []catalog.Pool{{Name: "p", EnforcesCapacity: test.enforces}}, nil))
+			r.addSteps("a", 2)
+			commands := r.pass()
+			r.accept(commands[:1])
+			r.setCapacity(test.after, "w1")
+			r.core.HandleReply(commands[1], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+			again := r.schedule()
+			qt.Assert(t, startsOf(again), qt.HasLen, test.starts)
+			qt.Assert(t, countStops(again), qt.Equals, test.stops)
+		})
+	}
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -231,8 +231,13 @@
 		// The same run is commanded again. A worker that has it already confirms it.
 		r.unanswered++
 		r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
-		if r.phase == starting {
+		switch {
+		case r.phase != starting:
+		case c.mayRepeatStart(r):
 			c.commandStart(r)
+		default:
+			// The stop makes the worker reject the start that may still arrive.
+			c.stopRun(r, "there is no room for it any more")
 		}
 		return
 	case worker.Superseded:
