scheduler: use a restarted worker only once the registry shows its new life

What callers would see: a task runs twice at the same time, or starts on a worker without the required label or the room.

Cause: a reply of the new life made the scheduler take over its incarnation, but labels and capacity stayed those of the earlier life, which may be of a different kind, and tasks were started by them. The next list of the registry with the old entry then looked like another restart: the worker was dropped, its runs were taken as lost and started elsewhere while they ran, and the next reply began this again, until the worker had written its entry.

Change: the scheduler remembers the incarnation of the latest registry entry. An entry of an earlier life is skipped, and the worker gets no tasks until its present one is listed.

Ruled out: comparing incarnations by size. They are wall clock times of the worker, which may be set back.

Evidence: TestRestartBeforeRegistry and TestRunAfterRestart failed before (a start with the old capacity; a second run on the other worker after the first old entry).

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -191,7 +191,7 @@
 		return "drained"
 	case ws.health.quarantined(c.now):
 		return "quarantined"
-	case !ws.listed:
+	case !ws.listed || !ws.registered():
 		return "notListed"
 	}
 	return "inUse"
--- /dev/null
+++ b/scheduler/restart_test.go
@@ -0,0 +1,59 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+const rigNextIncarnation = rigIncarnation + 1
+
+// restart makes a worker answer a renewal after it has restarted.
+func (r *rig) restart(id string) {
+	for range 2 {
+		r.core.HandleStatus(id, worker.Status{Reply: worker.Reply{Clock: r.now, Incarnation: rigNextIncarnation}, Running: r.runs[id]}, r.now, nil)
+		r.core.Renewal(id)
+	}
+}
+
+// restartedReport is the registry entry of a worker that has restarted with one core.
+func restartedReport(id string) worker.Report {
+	report := rigReport(id, coresOnly(1))
+	report.Incarnation = rigNextIncarnation
+	return report
+}
+
+// TestRestartBeforeRegistry guards against tasks that start on a worker by the labels and the capacity of its earlier life, because it
+// answers before the registry shows that it has restarted.
+func TestRestartBeforeRegistry(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.restart("w1")
+	r.addSteps("a", 2)
+	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 0)
+	r.register("w1")
+	r.restart("w1")
+	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 0)
+	r.core.SetWorkers([]worker.Report{restartedReport("w1")})
+	r.advance(replanInterval)
+	qt.Assert(t, startsOf(r.pass()), qt.DeepEquals, []string{"a 0.0.0 1 w1"})
+}
+
+// TestRunAfterRestart guards against a second run of a task: the first one, on a worker that has restarted, was taken as lost with each
+// old registry entry of that worker.
+func TestRunAfterRestart(t *testing.T) {
+	r := newRig(t, 2, "w1", "w2")
+	r.addSteps("a", 1)
+	r.runs["w1"] = []worker.Run{{Task: work.Task{Job: "a"}, Number: 1}}
+	r.restart("w1")
+	for range 3 {
+		r.advance(200 * time.Millisecond)
+		r.register("w1", "w2")
+		r.reply("w2")
+		qt.Assert(t, startsOf(r.pass()), qt.HasLen, 0)
+		r.restart("w1")
+	}
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -132,6 +132,8 @@
 	report worker.Report
 	// listed means that the registry lists the worker.
 	listed bool
+	// registeredIncarnation is the incarnation in the latest registry entry. A worker that has restarted may answer before that shows it.
+	registeredIncarnation int64
 	// answered means that the worker has answered in this term.
 	answered bool
 	// firstReply is the time at which the worker first answered in this term.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -15,6 +15,9 @@
 	for _, r := range reports {
 		listed[r.ID] = true
 		ws, ok := c.workers[r.ID]
+		if ok && r.Incarnation == ws.registeredIncarnation && !ws.registered() {
+			continue
+		}
 		if ok && ws.report.Incarnation != 0 && r.Incarnation != 0 && r.Incarnation != ws.report.Incarnation {
 			c.dropWorker(ws, "the worker has restarted")
 			ok = false
@@ -33,7 +36,7 @@
 		if !ws.listed && ok {
 			c.logger.Info("Worker is in the registry again.", "worker", r.ID, "after", c.now-ws.unlistedSince)
 		}
-		ws.report, ws.listed = r, true
+		ws.report, ws.listed, ws.registeredIncarnation = r, true, r.Incarnation
 	}
 	for id, ws := range c.workers {
 		if listed[id] {
@@ -47,7 +50,7 @@
 }
 
 func (c *Core) addWorker(r worker.Report) *workerState {
-	ws := &workerState{report: r, runs: make(map[work.Task]*run), clockReceived: c.now, clockSent: c.now}
+	ws := &workerState{report: r, registeredIncarnation: r.Incarnation, runs: make(map[work.Task]*run), clockReceived: c.now, clockSent: c.now}
 	c.workers[r.ID] = ws
 	p := c.pool(r.Pool)
 	p.workers = sortWorkers(append(p.workers, ws))
@@ -444,9 +447,14 @@
 // unreachedTimeout is how long a worker that has never answered is kept after the registry has dropped it.
 const unreachedTimeout = 5 * time.Second
 
+// registered reports whether the latest registry entry is of the present incarnation of the worker.
+func (ws *workerState) registered() bool {
+	return ws.registeredIncarnation == 0 || ws.registeredIncarnation == ws.report.Incarnation
+}
+
 // acceptsTasks reports whether tasks may be started on a worker.
 func (c *Core) acceptsTasks(ws *workerState) bool {
-	if !ws.listed || !ws.answered || ws.leaseExpired || ws.cordoned || ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout {
+	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || ws.cordoned || ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout {
 		return false
 	}
 	if ws.health.quarantined(c.now) {
