scheduler: handle a restart that the registry shows first like any other

What callers would see: a task that runs twice at the same time.

Cause: when the registry showed a new life of a worker before the worker answered, the worker was dropped and added anew, and its runs were started elsewhere at once. A start that got no answer, or that the new life had accepted already under the same ID, then ran there as well: the stops against late starts are sent only by the path for a restart that a reply shows.

Change: the registry entry only takes the worker out of use. Its next reply shows the new life with what runs there, in one step: runs are taken as lost or adopted and late starts are stopped. If it never answers, the runs are lost with the lease, as for any silent worker. Until then nothing planned is started there, and unanswered starts are not repeated.

Cost: the tasks of such a worker start elsewhere once its new life has answered, up to one renewal (0.6 s) later than before.

Evidence: both cases of TestRegistryBeforeReply failed before.

--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -57,3 +57,36 @@
 		r.restart("w1")
 	}
 }
+
+// TestRegistryBeforeReply guards against a second run of a task whose start reaches the next life of a worker, if the registry shows that
+// life before the worker answers.
+func TestRegistryBeforeReply(t *testing.T) {
+	outcomes := map[string]worker.Outcome{"start was not answered": worker.Unknown, "new life has the run": worker.Accepted}
+	for name, outcome := range outcomes {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1", "w2")
+			r.addSteps("a", 1)
+			commands := r.pass()
+			qt.Assert(t, startsOf(commands), qt.DeepEquals, []string{"a 0.0.0 1 w1"})
+			r.core.HandleReply(commands[0], worker.Reply{Outcome: outcome}, r.now, nil)
+			r.schedule()
+			r.core.SetWorkers([]worker.Report{restartedReport("w1"), rigReport("w2", coresOnly(4))})
+			qt.Assert(t, startsOf(r.pass()), qt.HasLen, 0)
+			if outcome == worker.Accepted {
+				r.runs["w1"] = []worker.Run{{Task: work.Task{Job: "a"}, Number: 1}}
+			}
+			r.restart("w1")
+			after := r.pass()
+			qt.Assert(t, startsOf(after), qt.HasLen, 0)
+			r.advance(restartPause)
+			r.reply("w2")
+			again := startsOf(r.pass())
+			if outcome == worker.Accepted {
+				qt.Assert(t, again, qt.HasLen, 0)
+				return
+			}
+			qt.Assert(t, countStops(after) > 0, qt.IsTrue)
+			qt.Assert(t, again, qt.DeepEquals, []string{"a 0.0.0 2 w1"})
+		})
+	}
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -18,10 +18,6 @@
 		if ok && r.Incarnation == ws.registeredIncarnation && !ws.registered() {
 			continue
 		}
-		if ok && ws.report.Incarnation != 0 && r.Incarnation != 0 && r.Incarnation != ws.report.Incarnation {
-			c.dropWorker(ws, "the worker has restarted")
-			ok = false
-		}
 		if ok && ws.report.Address != r.Address {
 			c.dropWorker(ws, "the address of the worker has changed")
 			ok = false
@@ -36,7 +32,12 @@
 		if !ws.listed && ok {
 			c.logger.Info("Worker is in the registry again.", "worker", r.ID, "after", c.now-ws.unlistedSince)
 		}
-		ws.report, ws.listed, ws.registeredIncarnation = r, true, r.Incarnation
+		ws.registeredIncarnation = r.Incarnation
+		if ws.report.Incarnation != 0 {
+			// The first reply of a new life tells what runs there, so the runs are taken as lost only then.
+			r.Incarnation = ws.report.Incarnation
+		}
+		ws.report, ws.listed = r, true
 	}
 	for id, ws := range c.workers {
 		if listed[id] {
