scheduler: wait for room that runs of ended or unknown jobs take up

What callers would see: after a change of the leader, on workers that do not enforce their capacity, tasks that start beside runs of cancelled or completed jobs that are still being stopped, so that more runs than fits.

Cause: a run is charged to its worker by the request of its step. The row of an ended job is shortened and has no steps, and the row of a new job may not have been read yet, so such a run was counted but took up no room.

Change: a worker that does not guard its capacity gets no tasks while its last report lists runs that are not recorded. That ends with their stop (at most the stop timeout and one report), or once their job is known. Workers that guard their capacity are used as before.

Evidence: TestRunOfEndedJobTakesRoom, a start beside such a run before, none after.

--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -21,7 +21,12 @@
 	return true
 }
 
+// guardsCapacity reports whether a worker rejects what does not fit.
+func (c *Core) guardsCapacity(ws *workerState) bool {
+	return c.catalog.Pools[ws.report.Pool].EnforcesCapacity
+}
+
 // mayRepeatStart reports whether an unanswered start may be sent again: it fits, or the worker rejects it if it does not.
 func (c *Core) mayRepeatStart(r *run) bool {
-	return r.worker.hasRoom() || r.worker.registered() && c.catalog.Pools[r.worker.report.Pool].EnforcesCapacity
+	return r.worker.hasRoom() || r.worker.registered() && c.guardsCapacity(r.worker)
 }
--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -86,3 +86,29 @@
 		})
 	}
 }
+
+// TestRunOfEndedJobTakesRoom guards against a start beside a run of an ended job that is being stopped and still takes up room.
+func TestRunOfEndedJobTakesRoom(t *testing.T) {
+	tests := map[string]struct {
+		enforces bool
+		want     int
+	}{
+		"the worker does not guard its capacity": {false, 0},
+		"the worker guards its capacity":         {true, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, "w1")
+			r.core.SetCatalog(catalog.New(2, 0, []catalog.Queue{{Name: "q", Pool: "p", Attempts: 2}}, []catalog.Pool{{Name: "p", EnforcesCapacity: test.enforces}}, nil))
+			r.core.AddJob(work.Job{ID: "ended", Queue: "q", Pool: "p", EndState: work.Cancelled}, nil, 0)
+			r.runs["w1"] = []worker.Run{{Task: work.Task{Job: "ended"}, Number: 1}}
+			r.reply("w1")
+			r.addSteps("a", 1)
+			qt.Assert(t, startsOf(r.pass()), qt.HasLen, test.want)
+			r.finish("w1", worker.ExitStopped)
+			r.advance(replanInterval)
+			r.reply("w1")
+			qt.Assert(t, startsOf(r.pass()), qt.HasLen, 1-test.want)
+		})
+	}
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -458,7 +458,7 @@
 	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || ws.cordoned || ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout {
 		return false
 	}
-	if ws.health.quarantined(c.now) {
+	if ws.health.quarantined(c.now) || (ws.unknownRuns > 0 && !c.guardsCapacity(ws)) {
 		return false
 	}
 	maxClock := ws.maxClockAt(c.now)
