scheduler: a pool whose workers have shrunk gets further instances

What callers would see: jobs that wait in a pool whose workers have lost capacity while instances are switched off or idle elsewhere.

Cause: the need of a pool was its demand divided by the mean size of an instance, and what it has was the number of its instances, whatever their workers offered at present.

Change: the cores that workers in use do not offer, against the most that their registry entries of this life have shown, are added to the demand of their pool. Without a worker that has shrunk nothing changes.

Evidence: 3 of the 5 cases of TestMoveOnShrunkCapacity failed before (no move for a demand of 8 cores with 3 to 9 cores offered); a pool that has enough left, or none that has shrunk, moves nothing before and after.

--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -73,9 +73,11 @@
 		used[c.catalog.Queues[i].Pool] = true
 	}
 	have := make(map[string]int)
+	missing := make(map[string]float64)
 	var cores float64
 	for id, inst := range c.fleet.instances {
-		cores += float64(inst.Capacity.CPU) / 1000
+		total, unavailable := c.instanceCores(inst)
+		cores += total
 		pool := inst.Pool
 		if mv, ok := c.fleet.pendingMoves[id]; ok {
 			pool = mv.pool
@@ -83,6 +85,7 @@
 		// An instance that is in maintenance or unreachable is replaced in the meantime.
 		if c.serves(inst) {
 			have[pool]++
+			missing[pool] += unavailable
 		}
 	}
 	if len(c.fleet.instances) == 0 {
@@ -95,12 +98,23 @@
 			continue
 		}
 		p := c.pool(name)
-		need := max(minInstances, p.minWidth()+1, int(math.Ceil(c.neededCores(p)*headroom/perInstance)))
+		need := max(minInstances, p.minWidth()+1, int(math.Ceil((c.neededCores(p)*headroom+missing[name])/perInstance)))
 		demands = append(demands, demand{pool: name, need: need, have: have[name]})
 	}
 	return demands, perInstance
 }
 
+// instanceCores returns the number of cores of an instance, and how many of them its worker does not offer at present.
+func (c *Core) instanceCores(inst instance.Instance) (cores, missing float64) {
+	cores = float64(inst.Capacity.CPU) / 1000
+	ws, ok := c.workers[inst.Worker]
+	if !ok || !ws.listed || !ws.registered() {
+		return cores, 0
+	}
+	full := float64(ws.maxCPU) / 1000
+	return max(cores, full), full - float64(ws.report.Capacity.CPU)/1000
+}
+
 // arrival is a job that was accepted, with its work in core-seconds.
 type arrival struct {
 	at          time.Duration
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -317,3 +318,51 @@
 	qt.Assert(t, report(80), qt.HasLen, 0)
 	qt.Assert(t, report(20), qt.DeepEquals, []int{speedUpStep})
 }
+
+// TestMoveOnShrunkCapacity guards against a pool that does not grow although the capacity of its workers has shrunk below its demand.
+func TestMoveOnShrunkCapacity(t *testing.T) {
+	tests := map[string]struct {
+		tasks  int
+		shrunk []string
+		// listed means that the list of instances shows the present capacity, too.
+		listed bool
+		want   int
+	}{
+		"full capacity":                 {8, nil, false, 0},
+		"one worker has shrunk":         {8, []string{"w1"}, false, 1},
+		"all workers have shrunk":       {8, []string{"w1", "w2", "w3"}, false, 2},
+		"list shows it":                 {8, []string{"w1", "w2", "w3"}, true, 2},
+		"shrunk, but enough for demand": {2, []string{"w1", "w2", "w3"}, false, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleetRig(t, 3, 5)
+			f.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: test.tasks, Request: work.Resources{CPU: 1000}, Service: true}}})
+			f.advance(planInterval)
+			f.listInstances()
+			qt.Assert(t, f.instanceCommands(), qt.HasLen, 0)
+			f.accept(f.pass())
+			var reports []worker.Report
+			for _, id := range []string{"w1", "w2", "w3"} {
+				capacity := coresOnly(4)
+				if slices.Contains(test.shrunk, id) {
+					capacity = coresOnly(1)
+				}
+				reports = append(reports, rigReport(id, capacity))
+				if test.listed {
+					inst := f.instances["m-"+id]
+					inst.Capacity = capacity
+					f.instances["m-"+id] = inst
+				}
+			}
+			f.core.SetWorkers(reports)
+			f.advance(planInterval)
+			f.listInstances()
+			moved := f.instanceCommands()
+			qt.Assert(t, moved, qt.HasLen, test.want)
+			f.acceptInstances(moved)
+			f.advance(planInterval)
+			qt.Assert(t, f.instanceCommands(), qt.HasLen, 0)
+		})
+	}
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -134,6 +134,8 @@
 	listed bool
 	// registeredIncarnation is the incarnation in the latest registry entry. A worker that has restarted may answer before that shows it.
 	registeredIncarnation int64
+	// maxCPU is the largest processor capacity in the registry entries of this incarnation.
+	maxCPU int64
 	// answered means that the worker has answered in this term.
 	answered bool
 	// firstReply is the time at which the worker first answered in this term.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -32,7 +32,10 @@
 		if !ws.listed && ok {
 			c.logger.Info("Worker is in the registry again.", "worker", r.ID, "after", c.now-ws.unlistedSince)
 		}
-		ws.registeredIncarnation = r.Incarnation
+		if r.Incarnation != ws.registeredIncarnation {
+			ws.registeredIncarnation, ws.maxCPU = r.Incarnation, 0
+		}
+		ws.maxCPU = max(ws.maxCPU, r.Capacity.CPU)
 		if ws.report.Incarnation != 0 {
 			// The first reply of a new life tells what runs there, so the runs are taken as lost only then.
 			r.Incarnation = ws.report.Incarnation
@@ -51,7 +54,7 @@
 }
 
 func (c *Core) addWorker(r worker.Report) *workerState {
-	ws := &workerState{report: r, registeredIncarnation: r.Incarnation, runs: make(map[work.Task]*run), clockReceived: c.now, clockSent: c.now}
+	ws := &workerState{report: r, registeredIncarnation: r.Incarnation, maxCPU: r.Capacity.CPU, runs: make(map[work.Task]*run), clockReceived: c.now, clockSent: c.now}
 	c.workers[r.ID] = ws
 	p := c.pool(r.Pool)
 	p.workers = sortWorkers(append(p.workers, ws))
