scheduler: tell operators that the capacity of a worker has changed

What operators would see before: nothing. A pool whose workers had shrunk got less done, and neither the log nor the metrics showed why.

Change: a log line with the capacity before and after and what is reserved, and the worker state "overcommitted" in the metrics. TestCapacityChangeIsLogged failed before.

--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"bytes"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/work"
@@ -112,3 +114,106 @@
 		})
 	}
 }
+
+// TestCapacityChanges guards against a start on a worker whose capacity has shrunk below what runs there or is being stopped, against a
+// stop of what runs there, and against room that is not used when the capacity has grown again.
+func TestCapacityChanges(t *testing.T) {
+	type change struct {
+		cores         int64
+		finished      int
+		starts, stops int
+	}
+	tests := map[string][]change{
+		"shrunk and grown again":    {{4, 0, 4, 0}, {2, 0, 0, 0}, {4, 0, 0, 0}, {6, 0, 2, 0}},
+		"runs end after the shrink": {{4, 0, 4, 0}, {2, 1, 0, 0}, {2, 1, 0, 0}, {2, 1, 1, 0}, {2, 1, 1, 0}},
+		"nothing left":              {{4, 0, 4, 0}, {0, 0, 0, 0}, {0, 4, 0, 0}, {1, 0, 1, 0}},
+	}
+	for name, changes := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			r.addSteps("a", 20)
+			for i, c := range changes {
+				r.setCapacity(coresOnly(c.cores), "w1")
+				left := r.runs["w1"][c.finished:]
+				r.runs["w1"] = r.runs["w1"][:c.finished]
+				r.finish("w1", worker.ExitDone)
+				r.runs["w1"] = left
+				r.advance(replanInterval)
+				r.reply("w1")
+				commands := r.pass()
+				qt.Assert(t, startsOf(commands), qt.HasLen, c.starts, qt.Commentf("change %d", i))
+				qt.Assert(t, countStops(commands), qt.Equals, c.stops)
+				r.accept(commands)
+				r.reply("w1")
+			}
+		})
+	}
+}
+
+// TestStoppingRunOnShrunkWorker guards against a start in the room of a run that is being stopped.
+func TestStoppingRunOnShrunkWorker(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSteps("a", 4)
+	r.accept(r.pass())
+	r.addSteps("b", 4)
+	r.setCapacity(coresOnly(2), "w1")
+	r.core.Cancel("a")
+	r.advance(replanInterval)
+	r.reply("w1")
+	commands := r.pass()
+	qt.Assert(t, countStops(commands), qt.Equals, 4)
+	qt.Assert(t, startsOf(commands), qt.HasLen, 0)
+	r.finish("w1", worker.ExitStopped)
+	r.advance(replanInterval)
+	r.reply("w1")
+	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 2)
+}
+
+// TestCapacityAfterTakeover guards against a new leader that starts tasks by the capacity that the previous one has stored.
+func TestCapacityAfterTakeover(t *testing.T) {
+	r := newRig(t, 2)
+	r.core.SetRoster([]RosterEntry{{ID: "w1", Pool: "p", Address: "w1:1", Incarnation: rigIncarnation, Capacity: coresOnly(4)}})
+	r.addSteps("a", 4)
+	r.runs["w1"] = []worker.Run{{Task: work.Task{Job: "a"}, Number: 1}, {Task: work.Task{Job: "a", Index: 1}, Number: 1}}
+	r.reply("w1")
+	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 0)
+	r.setCapacity(coresOnly(1), "w1")
+	r.advance(replanInterval)
+	r.reply("w1")
+	commands := r.pass()
+	qt.Assert(t, startsOf(commands), qt.HasLen, 0)
+	qt.Assert(t, countStops(commands), qt.Equals, 0)
+	r.setCapacity(coresOnly(3), "w1")
+	r.advance(replanInterval)
+	r.reply("w1")
+	qt.Assert(t, startsOf(r.pass()), qt.DeepEquals, []string{"a 0.0.2 1001 w1"})
+}
+
+// TestBestEffortOnShrunkWorker guards against a best-effort task on a worker that leaves no capacity over.
+func TestBestEffortOnShrunkWorker(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	r.addSteps("a", 6)
+	r.accept(r.pass())
+	qt.Assert(t, r.runs["w1"], qt.HasLen, 4)
+	r.core.SetWorkers([]worker.Report{rigReport("w1", coresOnly(2)), rigReport("w2", coresOnly(4))})
+	r.addJob(work.Job{ID: "b", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 2, Request: work.Resources{CPU: 1000, Memory: 100}, BestEffort: true, Service: true}}})
+	r.advance(replanInterval)
+	qt.Assert(t, startsOf(r.pass()), qt.DeepEquals, []string{"b 0.0.0 1 w2", "b 0.0.1 1 w2"})
+}
+
+// TestCapacityChangeIsLogged guards against a pool that gets less done for no reason that its operators can see.
+func TestCapacityChangeIsLogged(t *testing.T) {
+	var log bytes.Buffer
+	r := newRig(t, 1, "w1")
+	r.core.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+	r.addSteps("a", 4)
+	r.accept(r.pass())
+	log.Reset()
+	r.register("w1")
+	qt.Assert(t, log.String(), qt.Equals, "")
+	qt.Assert(t, r.core.Counts().Workers, qt.DeepEquals, map[string]int{"inUse": 1})
+	r.setCapacity(coresOnly(2), "w1")
+	qt.Assert(t, log.String(), qt.Contains, "Capacity of the worker has changed.")
+	qt.Assert(t, log.String(), qt.Contains, "reserved=4000")
+	qt.Assert(t, r.core.Counts().Workers, qt.DeepEquals, map[string]int{"overcommitted": 1})
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -193,6 +193,8 @@
 		return "quarantined"
 	case !ws.listed || !ws.registered():
 		return "notListed"
+	case ws.overcommitted():
+		return "overcommitted"
 	}
 	return "inUse"
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -32,6 +32,10 @@
 		if !ws.listed && ok {
 			c.logger.Info("Worker is in the registry again.", "worker", r.ID, "after", c.now-ws.unlistedSince)
 		}
+		if before := ws.report.Capacity; r.Capacity != before {
+			c.logger.Info("Capacity of the worker has changed.", "worker", r.ID, "pool", r.Pool, "cpu", r.Capacity.CPU, "memory", r.Capacity.Memory, "gpu", r.Capacity.GPU,
+				"cpuBefore", before.CPU, "memoryBefore", before.Memory, "gpuBefore", before.GPU, "reserved", ws.used.CPU, "runs", len(ws.runs))
+		}
 		if r.Incarnation != ws.registeredIncarnation {
 			ws.registeredIncarnation, ws.maxCPU = r.Incarnation, 0
 		}
