duty: a panic in a pass ends the pass and not the process

What callers would see: entry instances that end one after the other.

Cause: the passes of duties ran without recovery, so that a panic ended the process with all its requests. The duty then passed to the next entry instance, which read the same rows.

Change: the pass is given up with a log line and its stack, and repeated after the interval like one that failed. The duty stays where it is, since the next holder would read the same rows.

What remains: a row that panics every pass still stops the duty, visible in the log; requests of callers are served.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -14,11 +14,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/lease"
 	"github.com/chivetiller/chivetiller/provider"
@@ -121,10 +123,7 @@
 	ticker := time.NewTicker(r.options.Interval)
 	defer ticker.Stop()
 	for {
-		passCtx, cancel := context.WithTimeout(ctx, r.options.Timeout)
-		err := c.Pass(passCtx, r.options.Leases)
-		cancel()
-		if err != nil && ctx.Err() == nil {
+		if err := r.pass(ctx, c); err != nil && ctx.Err() == nil {
 			r.options.Logger.Warn("Pass failed and will be repeated.", "error", err)
 		}
 		select {
@@ -135,6 +134,20 @@
 	}
 }
 
+// pass runs one pass. A panic ends the pass and not the process, which also serves callers: the next holder of the duty would read the
+// same rows.
+func (r *Runner) pass(ctx context.Context, c Controller) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.Timeout)
+	defer cancel()
+	defer func() {
+		if p := recover(); p != nil {
+			r.options.Logger.Error("Pass has panicked.", "panic", p, "stack", string(debug.Stack()))
+			err = eris.Errorf("panic: %v", p)
+		}
+	}()
+	return c.Pass(ctx, r.options.Leases)
+}
+
 // isTransient reports whether an error affects only the current step: another process changed the row
 // first, or the platform did not answer. The next pass reads everything again.
 func isTransient(err error) bool {
