scheduler: a panic at the start of a term ends the term and not the process

What callers would see: processes that end one after the other, each when it becomes the leader.

Cause: only what the engine runs in the background recovered from a panic. The rows of jobs, workers and waves are taken over by Start, which ran in the loop that follows the terms, without recovery. A row that panics there would have ended the process of each new leader.

Change: Start recovers like the background tasks: the panic is logged with its stack and leadership is given up.

Ruled out: skipping the row that panicked. Known malformed rows are skipped by their decoders (TestMalformedRows, FuzzRows); after an unknown panic the state of the core may be inconsistent.

What remains: such a row would still keep every process from leading, with "Scheduler has panicked" in the log of each.

Evidence: TestPanicAtStart ended the test process before.

--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -155,8 +155,18 @@
 	}
 }
 
-// Start reads all rows of the scheduler and starts scheduling.
-func (e *Engine) Start(ctx context.Context) error {
+// Start reads all rows of the scheduler and starts scheduling. A panic ends the term and not the process, as in [Engine.spawn].
+func (e *Engine) Start(ctx context.Context) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			e.handlePanic(p)
+			err = eris.Errorf("panic: %v", p)
+		}
+	}()
+	return e.start(ctx)
+}
+
+func (e *Engine) start(ctx context.Context) error {
 	l, err := load(ctx, e.options.Store, func(row store.Row, err error) {
 		e.logger.Error("Row cannot be read.", "table", row.Table, "row", row.Name, "error", err)
 	})
@@ -228,15 +238,20 @@
 	e.tasks.Go(func() {
 		defer func() {
 			if p := recover(); p != nil {
-				e.logger.Error("Scheduler has panicked; leadership is given up.", "fence", e.options.Core.Fence, "panic", p, "stack", string(debug.Stack()))
-				e.options.Leadership.Depose(e.options.Core.Fence, "the scheduler has panicked")
-				e.cancel()
+				e.handlePanic(p)
 			}
 		}()
 		f()
 	})
 }
 
+// handlePanic ends the term after a panic. It is called while the stack still shows the cause.
+func (e *Engine) handlePanic(p any) {
+	e.logger.Error("Scheduler has panicked; leadership is given up.", "fence", e.options.Core.Fence, "panic", p, "stack", string(debug.Stack()))
+	e.options.Leadership.Depose(e.options.Core.Fence, "the scheduler has panicked")
+	e.cancel()
+}
+
 // Stop ends the term. It does not wait for the replies to commands that were sent.
 func (e *Engine) Stop() {
 	e.cancel()
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -243,3 +243,13 @@
 		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
 	}
 }
+
+// TestPanicAtStart guards against a row that ends every process which becomes the leader, one after the other, because it panics while
+// the rows are taken over.
+func TestPanicAtStart(t *testing.T) {
+	e, leadership := newTestEngine(t, memory.New(), 1)
+	e.options.Catalog = func() *catalog.Catalog { panic("unexpected row") }
+	qt.Assert(t, e.Start(context.Background()), qt.ErrorMatches, ".*unexpected row.*")
+	e.Stop()
+	qt.Assert(t, leadership.lost, qt.IsTrue)
+}
