--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -195,8 +195,10 @@
 		return "drained"
 	case ws.health.quarantined(c.now):
 		return "quarantined"
-	case !ws.listed:
+	case !ws.listed || !ws.registered():
 		return "notListed"
+	case ws.overcommitted():
+		return "overcommitted"
 	}
 	return "inUse"
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -30,6 +30,12 @@
 		c.stopGang(r)
 		return
 	}
+	if !r.stillFits() {
+		c.logger.Info("Task is not started: there is no room for it any more.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID)
+		c.detachRun(r)
+		c.stopGang(r)
+		return
+	}
 	r.phase, r.startedAt = starting, c.now
 	j := r.step.job
 	if !j.started {
@@ -226,8 +232,13 @@
 		r.unanswered++
 		r.worker.startUnanswered = true
 		r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
-		if r.phase == starting {
+		switch {
+		case r.phase != starting:
+		case c.mayRepeatStart(r):
 			c.commandStart(r)
+		default:
+			// The stop makes the worker reject the start that may still arrive.
+			c.stopRun(r, "there is no room for it any more")
 		}
 		return
 	case worker.Superseded:
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -15,9 +15,8 @@
 	for _, r := range reports {
 		listed[r.ID] = true
 		ws, ok := c.workers[r.ID]
-		if ok && ws.report.Incarnation != 0 && r.Incarnation != 0 && r.Incarnation != ws.report.Incarnation {
-			c.dropCrashedWorker(ws, "the worker has restarted")
-			ok = false
+		if ok && r.Incarnation == ws.registeredIncarnation && !ws.registered() {
+			continue
 		}
 		if ok && ws.report.Address != r.Address {
 			c.dropCrashedWorker(ws, "the address of the worker has changed")
@@ -33,6 +32,18 @@
 		if !ws.listed && ok {
 			c.logger.Info("Worker is in the registry again.", "worker", r.ID, "after", c.now-ws.unlistedSince)
 		}
+		if before := ws.report.Capacity; r.Capacity != before {
+			c.logger.Info("Capacity of the worker has changed.", "worker", r.ID, "pool", r.Pool, "cpu", r.Capacity.CPU, "memory", r.Capacity.Memory, "gpu", r.Capacity.GPU,
+				"cpuBefore", before.CPU, "memoryBefore", before.Memory, "gpuBefore", before.GPU, "reserved", ws.used.CPU, "runs", len(ws.runs))
+		}
+		if r.Incarnation != ws.registeredIncarnation {
+			ws.registeredIncarnation, ws.maxCPU = r.Incarnation, 0
+		}
+		ws.maxCPU = max(ws.maxCPU, r.Capacity.CPU)
+		if ws.report.Incarnation != 0 {
+			// The first reply of a new life tells what runs there, so the runs are taken as lost only then.
+			r.Incarnation = ws.report.Incarnation
+		}
 		ws.report, ws.listed = r, true
 	}
 	for id, ws := range c.workers {
@@ -47,7 +58,7 @@
 }
 
 func (c *Core) addWorker(r worker.Report) *workerState {
-	ws := &workerState{report: r, runs: make(map[work.Task]*run), clockReceived: c.now, clockSent: c.now}
+	ws := &workerState{report: r, registeredIncarnation: r.Incarnation, maxCPU: r.Capacity.CPU, runs: make(map[work.Task]*run), clockReceived: c.now, clockSent: c.now}
 	c.workers[r.ID] = ws
 	p := c.pool(r.Pool)
 	p.workers = sortWorkers(append(p.workers, ws))
@@ -460,12 +471,20 @@
 // unreachedTimeout is how long a worker that has never answered is kept after the registry has dropped it.
 const unreachedTimeout = 5 * time.Second
 
+// registered reports whether the latest registry entry is of the present incarnation of the worker.
+func (ws *workerState) registered() bool {
+	return ws.registeredIncarnation == 0 || ws.registeredIncarnation == ws.report.Incarnation
+}
+
 // acceptsTasks reports whether tasks may be started on a worker.
 func (c *Core) acceptsTasks(ws *workerState) bool {
-	if !ws.listed || !ws.answered || ws.leaseExpired || ws.startUnanswered || ws.cordoned || ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout {
+	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || ws.startUnanswered {
+		return false
+	}
+	if ws.cordoned || ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout {
 		return false
 	}
-	if ws.health.quarantined(c.now) {
+	if ws.health.quarantined(c.now) || (ws.unknownRuns > 0 && !c.guardsCapacity(ws)) {
 		return false
 	}
 	maxClock := ws.maxClockAt(c.now)
