scheduler: open only as many overdue occurrences of a job as fit into memory

What callers would see: one accepted job ends the leader for want of memory, and each process that leads after it.

Cause: all occurrences of a scheduled job that were due were opened at once, each with a record for every task. A job may have 100,000 occurrences of 2,000 tasks and a first time in the past, which is valid and stored before a leader sees it. Its row is read by every next leader.

Change: the open occurrences of a job have at most 10,000 tasks, or there is one; further ones that are due wait until earlier ones are complete. Occurrences that a previous leader has begun are always opened, so that no running task is unknown.

Ruled out: refusing such jobs. They are within the documented limits.

What remains: the row of progress of a job with many thousand complete occurrences grows beyond the limit of a row (see "Progress of a job cannot be stored").

Evidence: TestOverdueOccurrences opened 1000 occurrences of 100 tasks before, 100 at a time after, and all of them end. TestOpenOccurrencesAfterTakeover: all 1000 before, the 300 begun ones after.

--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -26,6 +26,7 @@
 	}
 	for i := range doc.Steps {
 		j.service = j.service || doc.Steps[i].Service
+		j.tasks += doc.Steps[i].Count
 	}
 	c.jobs[doc.ID] = j
 	delete(c.unknownJobs, doc.ID)
@@ -88,6 +89,13 @@
 	}
 }
 
+// maxOpenTasks is the maximum number of tasks of the open occurrences of a job, about 1 MB. Further occurrences that are due wait until
+// earlier ones are complete.
+const maxOpenTasks = 5 * work.MaxTasks
+
+// openTasks returns the number of tasks of the open occurrences.
+func (j *job) openTasks() int { return len(j.open) * j.tasks }
+
 // openDueOccurrences opens the occurrences that are due.
 func (c *Core) openDueOccurrences(j *job) {
 	if j.progress.State.Ended() {
@@ -102,6 +110,9 @@
 				return
 			}
 		}
+		if _, begun := j.progress.Occurrences[k]; !begun && !j.progress.Complete[k] && len(j.open) > 0 && j.openTasks()+j.tasks > maxOpenTasks {
+			return
+		}
 		j.nextOccurrence++
 		if j.progress.Complete[k] {
 			continue
--- a/scheduler/rows_test.go
+++ b/scheduler/rows_test.go
@@ -183,3 +183,40 @@
 	qt.Assert(t, state, qt.Equals, work.Failed)
 	qt.Assert(t, next.pools, qt.HasLen, 0)
 }
+
+// TestOverdueOccurrences guards against a job that ends every process which becomes the leader, because all of its overdue occurrences
+// are opened at once and do not fit into its memory.
+func TestOverdueOccurrences(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.core.SetWallClock(r.now, 1000*time.Second)
+	j := r.addJob(work.Job{
+		ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 100, Request: work.Resources{CPU: 1}}}, ScheduledOccurrences: 1000, Interval: time.Millisecond,
+	})
+	qt.Assert(t, j.openTasks() <= maxOpenTasks, qt.IsTrue, qt.Commentf("%d open occurrences", len(j.open)))
+	for k := 0; len(j.progress.Complete) < 1000; k++ {
+		qt.Assert(t, len(j.open) > 0, qt.IsTrue)
+		for _, o := range j.open {
+			for i := range o.steps[0].tasks {
+				r.core.markTaskDone(o.steps[0], i)
+			}
+		}
+		r.advance(replanInterval)
+		r.core.handleTimeouts()
+	}
+	qt.Assert(t, j.progress.State, qt.Equals, work.Finished)
+}
+
+// TestOpenOccurrencesAfterTakeover guards against an occurrence whose tasks run and that the next leader does not know.
+func TestOpenOccurrencesAfterTakeover(t *testing.T) {
+	doc := work.Job{
+		ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 100, Request: work.Resources{CPU: 1}}}, ScheduledOccurrences: 1000, Interval: time.Millisecond,
+	}
+	progress := work.NewProgress()
+	for k := range 300 {
+		progress.Occurrence(&doc, k).SetRun(0, 0, "w1", 1)
+	}
+	r := newRig(t, 2, "w1")
+	r.core.SetWallClock(r.now, 1000*time.Second)
+	r.core.AddJob(doc, progress, 0)
+	qt.Assert(t, len(r.core.jobs["a"].open), qt.Equals, 300)
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -26,6 +26,8 @@
 	endedAt time.Duration
 	// criticalPath is the longest path of estimated work through the steps.
 	criticalPath time.Duration
+	// tasks is the number of tasks of an occurrence.
+	tasks int
 	// service means that a step runs until the job is cancelled.
 	service bool
 }
