job: give up a job under which three workers were lost

What callers would see: a job that takes down one worker after the other, with all that runs beside it, without end.

Cause: only reports count as failures of a job. A run whose worker is gone or no longer reports it was queued again, and neither the limit of failures nor that of runs was applied to it.

Change: the row lists the workers that were lost within 10 min of the start of the job on them. After three different ones the job ends as failed with a reason, after 20 losses also on fewer. The next holder of the duty reads the list. Such a worker gets the job again only if no other one fits. A worker that goes down for planned maintenance does not count, and a run that lasted longer clears the list.

Ruled out: counting a loss as a failure on that worker. maxFailures may be 1, and a single loss is usually not the job's fault.

Not covered: a run that the platform reports as stopped because its lease has expired is queued again without being counted, since a holder that could not renew the lease causes that, too.

Evidence: the case "given up after three workers were lost under it" of TestJobs failed before: still running after 20 min, with a takeover each minute.

--- a/duty/jobs_test.go
+++ b/duty/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -266,6 +267,22 @@
 			qt.Assert(t, r.job(id).State, qt.Equals, job.StateRunning)
 			qt.Assert(t, r.job(id).Attempt > 1, qt.IsTrue)
 		},
+		"given up after three workers were lost under it": func(t *testing.T, r *jobsHarness) {
+			deadly := r.submit(job.Spec{Kind: "deadly", Cores: 4})
+			other := r.submit(job.Spec{Kind: "batch", Cores: 64})
+			lost := make(map[string]bool)
+			r.options.Tasks = &deadlyTasks{Tasks: r.platform.Tasks(), job: deadly, lost: lost}
+			r.takeOver()
+			for range 20 {
+				r.runPasses(time.Minute)
+				// The next holder of the duty knows the earlier losses from the row.
+				r.takeOver()
+			}
+			qt.Assert(t, r.job(deadly).State, qt.Equals, job.StateFailed)
+			qt.Assert(t, r.job(deadly).Reason, qt.Matches, `given up after 3 runs on workers that were lost soon after, .*`)
+			qt.Assert(t, lost, qt.HasLen, 3)
+			qt.Assert(t, r.job(other).State, qt.Equals, job.StateRunning)
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -295,3 +312,22 @@
 	}
 	return shown, err
 }
+
+// deadlyTasks hides the reports of each worker on which a job was started, as if the job had taken it down for good.
+type deadlyTasks struct {
+	provider.Tasks
+	job  string
+	lost map[string]bool
+}
+
+func (d *deadlyTasks) Start(ctx context.Context, spec provider.TaskSpec) error {
+	if spec.Job == d.job {
+		d.lost[spec.Worker] = true
+	}
+	return d.Tasks.Start(ctx, spec)
+}
+
+func (d *deadlyTasks) Status(ctx context.Context, workers ...string) ([]provider.TaskStatus, error) {
+	all, err := d.Tasks.Status(ctx, workers...)
+	return slices.DeleteFunc(all, func(s provider.TaskStatus) bool { return s.Job == d.job && d.lost[s.Worker] }), err
+}
--- a/duty/jobspass.go
+++ b/duty/jobspass.go
@@ -136,7 +136,7 @@
 	p.startTasks(ctx, unstarted)
 	// Stopping a run makes the platform refuse renewals of it by a previous holder.
 	for _, j := range forEachJob(ctx, silent, p.stopTask) {
-		changes = append(changes, job.Change{Old: j, Next: p.jobAfterStop(j, "", "worker is gone or does not report the run")})
+		changes = append(changes, job.Change{Old: j, Next: p.jobAfterLoss(j)})
 	}
 	applied, err := p.applyChanges(ctx, changes)
 	if err == nil {
@@ -178,6 +178,18 @@
 	return j.Requeue(checkpoint, reason)
 }
 
+// jobAfterLoss returns the row of a job whose worker is gone or does not report the run. A planned stop of the worker does not count
+// against the job.
+func (p *jobsPass) jobAfterLoss(j job.Stored) job.Job {
+	const reason = "worker is gone or does not report the run"
+	if j.State == job.StateCancelling || p.workers[j.Worker].vacate {
+		return p.jobAfterStop(j, "", reason)
+	}
+	next := j.LoseWorker(p.now, reason)
+	p.options.Logger.Warn("Worker of a job was lost.", "job", j.ID, "worker", j.Worker, "attempt", j.Attempt, "lostOn", next.LostOn, "state", string(next.State))
+	return next
+}
+
 // stopTask stops a task. A task that the platform does not know has ended already.
 func (p *jobsPass) stopTask(ctx context.Context, j job.Stored) error {
 	err := p.options.Tasks.Stop(ctx, p.token, j.RunID())
--- a/job/job.go
+++ b/job/job.go
@@ -69,7 +69,9 @@
 	// Checkpoint refers to the checkpoint from which the next run continues.
 	Checkpoint string `json:"checkpoint,omitempty"`
 	// FailedOn lists the workers on which the job failed.
-	FailedOn  []string  `json:"failedOn,omitempty"`
+	FailedOn []string `json:"failedOn,omitempty"`
+	// LostOn lists the workers that were lost soon after the job had started on them, one entry for each run.
+	LostOn    []string  `json:"lostOn,omitempty"`
 	Submitted time.Time `json:"submitted"`
 	// Started is the time when the present run was placed, on the clock of the entry instance that placed it.
 	Started time.Time `json:"started,omitzero"`
--- a/job/place.go
+++ b/job/place.go
@@ -231,6 +231,9 @@
 	return best
 }
 
+// lostPenalty is added to the score of a worker that was lost under the job, so that any other one comes first.
+const lostPenalty = 10
+
 // bestFit returns the worker that has the least free resources after the placement. Workers on which the job has failed
 // are excluded.
 func (p *placer) bestFit(j Job, size Size) *workerState {
@@ -246,6 +249,9 @@
 			// Accelerators are scarce, so jobs that need none use other workers first.
 			score += 2
 		}
+		if slices.Contains(j.LostOn, s.ID) {
+			score += lostPenalty
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
--- a/job/step.go
+++ b/job/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,6 +13,14 @@
 // because some of the workers on which it failed are quarantined.
 const maxAttempts = 20
 
+const (
+	// maxLostWorkers is the number of different workers that may be lost soon after a job has started on them. Three in a row are hardly
+	// chance, so the job is given up before it takes down more.
+	maxLostWorkers = 3
+	// lossWindow is the time after its start in which the loss of the worker counts against a job. A long job meets some losses by chance.
+	lossWindow = 10 * time.Minute
+)
+
 func runID(id string, attempt int) string { return id + "/" + strconv.Itoa(attempt) }
 
 // Start returns the row of a job that starts a new run on the worker.
@@ -37,6 +46,21 @@
 	return next
 }
 
+// LoseWorker returns the row of a job whose worker was lost. The job may be the cause, so it is not started again without end.
+func (j Job) LoseWorker(now time.Time, reason string) Job {
+	next := j.Requeue("", reason)
+	if now.Sub(j.Started) > lossWindow {
+		next.LostOn = nil
+		return next
+	}
+	next.LostOn = append(slices.Clone(j.LostOn), j.Worker)
+	different := slices.Compact(slices.Sorted(slices.Values(next.LostOn)))
+	if len(different) >= maxLostWorkers || len(next.LostOn) >= maxAttempts {
+		return next.End(now, StateFailed, fmt.Sprintf("given up after %d runs on workers that were lost soon after, %v: %s", len(next.LostOn), different, reason))
+	}
+	return next
+}
+
 // End returns the row of a job that ends in a final state.
 func (j Job) End(now time.Time, state State, reason string) Job {
 	next := j
