scheduler: open only as many overdue occurrences of a job as fit into its row

What callers would see: tasks of a scheduled job that run twice after a change of the leader.

Cause: a row of progress above 64 KiB is left out of the batch, with a log line, and the batch then counts as stored, so that the planned runs of the job start unrecorded. The limit of 10,000 open tasks, introduced for memory, still allowed rows of up to 101,731 bytes (1000 occurrences of 10 tasks, all started).

Change: the open occurrences of a job take at most three quarters of a row, by upper limits for an occurrence and a task. That also bounds their memory, to about 4,900 tasks.

TestOverdueOccurrences now checks the row, which is stricter than the number of tasks that it checked before: its 3 cases had rows of 65,727 to 101,731 bytes with the former limit.

What remains: a single occurrence of 2,000 tasks with checkpoints of 16 bytes and one failure each takes 69,340 bytes, and the list of complete occurrences passes the limit after about 16,000.

--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -89,12 +90,19 @@
 	}
 }
 
-// maxOpenTasks is the maximum number of tasks of the open occurrences of a job, about 1 MB. Further occurrences that are due wait until
-// earlier ones are complete.
-const maxOpenTasks = 5 * work.MaxTasks
+const (
+	// maxOpenBytes is the maximum size of the open occurrences of a job in its row. The rest is for failures, checkpoints and the list of
+	// complete occurrences.
+	maxOpenBytes = store.MaxRowBytes * 3 / 4
+	// occurrenceBytes and taskBytes are the upper limits for an occurrence without its tasks and for a task with a run.
+	occurrenceBytes = 32
+	taskBytes       = 10
+)
 
-// openTasks returns the number of tasks of the open occurrences.
-func (j *job) openTasks() int { return len(j.open) * j.tasks }
+// mayOpenAnother reports whether another occurrence fits beside the open ones. Otherwise it waits until one of them is complete.
+func (j *job) mayOpenAnother() bool {
+	return len(j.open) == 0 || (len(j.open)+1)*(occurrenceBytes+taskBytes*j.tasks) <= maxOpenBytes
+}
 
 // openDueOccurrences opens the occurrences that are due.
 func (c *Core) openDueOccurrences(j *job) {
@@ -110,7 +118,7 @@
 				return
 			}
 		}
-		if _, begun := j.progress.Occurrences[k]; !begun && !j.progress.Complete[k] && len(j.open) > 0 && j.openTasks()+j.tasks > maxOpenTasks {
+		if _, begun := j.progress.Occurrences[k]; !begun && !j.progress.Complete[k] && !j.mayOpenAnother() {
 			return
 		}
 		j.nextOccurrence++
--- a/scheduler/rows_test.go
+++ b/scheduler/rows_test.go
@@ -185,25 +185,38 @@
 }
 
 // TestOverdueOccurrences guards against a job that ends every process which becomes the leader, because all of its overdue occurrences
-// are opened at once and do not fit into its memory.
+// are opened at once: they do not fit into its memory, nor their progress into a row, so that their runs would start unrecorded.
 func TestOverdueOccurrences(t *testing.T) {
-	r := newRig(t, 1, "w1")
-	r.core.SetWallClock(r.now, 1000*time.Second)
-	j := r.addJob(work.Job{
-		ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 100, Request: work.Resources{CPU: 1}}}, ScheduledOccurrences: 1000, Interval: time.Millisecond,
-	})
-	qt.Assert(t, j.openTasks() <= maxOpenTasks, qt.IsTrue, qt.Commentf("%d open occurrences", len(j.open)))
-	for k := 0; len(j.progress.Complete) < 1000; k++ {
-		qt.Assert(t, len(j.open) > 0, qt.IsTrue)
-		for _, o := range j.open {
-			for i := range o.steps[0].tasks {
-				r.core.markTaskDone(o.steps[0], i)
+	const occurrences = 3000
+	for name, tasks := range map[string]int{"one task": 1, "ten tasks": 10, "hundred tasks": 100} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 100, "w1")
+			r.core.SetWallClock(r.now, 1000*time.Second)
+			j := r.addJob(work.Job{
+				ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: tasks, Request: work.Resources{CPU: 1}}}, ScheduledOccurrences: occurrences, Interval: time.Millisecond,
+			})
+			longest := 0
+			for len(j.progress.Complete) < occurrences {
+				qt.Assert(t, len(j.open) > 0, qt.IsTrue)
+				for _, o := range j.open {
+					for i := range o.steps[0].tasks {
+						o.progress.SetRun(0, i, "w1", r.core.nextRunNumber(&o.steps[0].tasks[i]))
+					}
+				}
+				row, err := encode(j.progress)
+				qt.Assert(t, err, qt.IsNil)
+				longest = max(longest, len(row))
+				for _, o := range j.open {
+					for i := range o.steps[0].tasks {
+						r.core.markTaskDone(o.steps[0], i)
+					}
+				}
+				r.core.handleTimeouts()
 			}
-		}
-		r.advance(replanInterval)
-		r.core.handleTimeouts()
+			qt.Assert(t, longest <= store.MaxRowBytes, qt.IsTrue, qt.Commentf("%d bytes", longest))
+			qt.Assert(t, j.progress.State, qt.Equals, work.Finished)
+		})
 	}
-	qt.Assert(t, j.progress.State, qt.Equals, work.Finished)
 }
 
 // TestOpenOccurrencesAfterTakeover guards against an occurrence whose tasks run and that the next leader does not know.
