--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -26,6 +27,7 @@
 	}
 	for i := range doc.Steps {
 		j.service = j.service || doc.Steps[i].Service
+		j.tasks += doc.Steps[i].Count
 	}
 	c.jobs[doc.ID] = j
 	delete(c.unknownJobs, doc.ID)
@@ -88,6 +90,20 @@
 	}
 }
 
+const (
+	// maxOpenBytes is the maximum size of the open occurrences of a job in its row. The rest is for failures, checkpoints and the list of
+	// complete occurrences.
+	maxOpenBytes = store.MaxRowBytes * 3 / 4
+	// occurrenceBytes and taskBytes are the upper limits for an occurrence without its tasks and for a task with a run.
+	occurrenceBytes = 32
+	taskBytes       = 10
+)
+
+// mayOpenAnother reports whether another occurrence fits beside the open ones. Otherwise it waits until one of them is complete.
+func (j *job) mayOpenAnother() bool {
+	return len(j.open) == 0 || (len(j.open)+1)*(occurrenceBytes+taskBytes*j.tasks) <= maxOpenBytes
+}
+
 // openDueOccurrences opens the occurrences that are due.
 func (c *Core) openDueOccurrences(j *job) {
 	if j.progress.State.Ended() {
@@ -102,6 +118,9 @@
 				return
 			}
 		}
+		if _, begun := j.progress.Occurrences[k]; !begun && !j.progress.Complete[k] && !j.mayOpenAnother() {
+			return
+		}
 		j.nextOccurrence++
 		if j.progress.Complete[k] {
 			continue
--- a/scheduler/rows_test.go
+++ b/scheduler/rows_test.go
@@ -183,3 +183,53 @@
 	qt.Assert(t, state, qt.Equals, work.Failed)
 	qt.Assert(t, next.pools, qt.HasLen, 0)
 }
+
+// TestOverdueOccurrences guards against a job that ends every process which becomes the leader, because all of its overdue occurrences
+// are opened at once: they do not fit into its memory, nor their progress into a row, so that their runs would start unrecorded.
+func TestOverdueOccurrences(t *testing.T) {
+	const occurrences = 3000
+	for name, tasks := range map[string]int{"one task": 1, "ten tasks": 10, "hundred tasks": 100} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 100, "w1")
+			r.core.SetWallClock(r.now, 1000*time.Second)
+			j := r.addJob(work.Job{
+				ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: tasks, Request: work.Resources{CPU: 1}}}, ScheduledOccurrences: occurrences, Interval: time.Millisecond,
+			})
+			longest := 0
+			for len(j.progress.Complete) < occurrences {
+				qt.Assert(t, len(j.open) > 0, qt.IsTrue)
+				for _, o := range j.open {
+					for i := range o.steps[0].tasks {
+						o.progress.SetRun(0, i, "w1", r.core.nextRunNumber(&o.steps[0].tasks[i]))
+					}
+				}
+				row, err := encode(j.progress)
+				qt.Assert(t, err, qt.IsNil)
+				longest = max(longest, len(row))
+				for _, o := range j.open {
+					for i := range o.steps[0].tasks {
+						r.core.markTaskDone(o.steps[0], i)
+					}
+				}
+				r.core.handleTimeouts()
+			}
+			qt.Assert(t, longest <= store.MaxRowBytes, qt.IsTrue, qt.Commentf("%d bytes", longest))
+			qt.Assert(t, j.progress.State, qt.Equals, work.Finished)
+		})
+	}
+}
+
+// TestOpenOccurrencesAfterTakeover guards against an occurrence whose tasks run and that the next leader does not know.
+func TestOpenOccurrencesAfterTakeover(t *testing.T) {
+	doc := work.Job{
+		ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 100, Request: work.Resources{CPU: 1}}}, ScheduledOccurrences: 1000, Interval: time.Millisecond,
+	}
+	progress := work.NewProgress()
+	for k := range 300 {
+		progress.Occurrence(&doc, k).SetRun(0, 0, "w1", 1)
+	}
+	r := newRig(t, 2, "w1")
+	r.core.SetWallClock(r.now, 1000*time.Second)
+	r.core.AddJob(doc, progress, 0)
+	qt.Assert(t, len(r.core.jobs["a"].open), qt.Equals, 300)
+}
