scheduler: start likely causes of crashes alone, on a quarter of the workers

A task under which two workers have crashed now comes first and gets a worker that runs nothing, if one is free within 2 s. Until its worker has survived the start, nothing else starts there, and at most a quarter of the workers of a pool test such tasks. The tests are listed by pool, so that a pass no longer walks all runs for each suspect.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -125,22 +125,6 @@
 // crashCount returns under how many runs of a task a worker has crashed.
 func (s *step) crashCount(index int) int { return len(s.progress.Crashes[s.unitIndex(index)]) }
 
-// testsSuspect reports whether a worker has just started a task of another unit under which a worker has crashed before. It requests
-// a report from the worker if that would clear the task.
-func (c *Core) testsSuspect(ws *workerState, s *step, index int) bool {
-	for _, r := range ws.runs {
-		sameUnit := r.step == s && s.unitIndex(r.index) == s.unitIndex(index)
-		if sameUnit || r.step.crashCount(r.index) == 0 || r.start().Proven(ws.lastContact) {
-			continue
-		}
-		if r.start().Proven(c.now) {
-			c.pollWorker(ws)
-		}
-		return true
-	}
-	return false
-}
-
 // likelyCause reports whether an idle task of an occurrence has probably made workers crash.
 func (o *occurrence) likelyCause() bool {
 	for _, s := range o.steps {
@@ -156,20 +140,85 @@
 	return false
 }
 
-// testWorkers returns the workers on which a task may be started if it is a suspect, and all of them if it is none.
+// likely reports whether the task of a run has probably made workers crash.
+func (r *run) likely() bool { return crashloop.Likely(r.step.crashCount(r.index)) }
+
+// addTest records a planned run of a task under which a worker has crashed before.
+func (c *Core) addTest(r *run) {
+	r.worker.test = r
+	p := c.pool(r.worker.report.Pool)
+	p.tests = append(p.tests, r)
+}
+
+// endTests ends the tests of suspects whose worker has survived their start, and of runs that have ended. It requests a report from a
+// worker if that would end a test.
+func (c *Core) endTests(p *pool) {
+	tests := p.tests[:0]
+	for _, r := range p.tests {
+		ws := r.worker
+		if r.attached() && !r.start().Proven(ws.lastContact) {
+			tests = append(tests, r)
+			if r.start().Proven(c.now) {
+				c.pollWorker(ws)
+			}
+			continue
+		}
+		if ws.test == r {
+			ws.test = nil
+		}
+	}
+	clear(p.tests[len(tests):])
+	p.tests = tests
+}
+
+// testWorkers returns the workers on which a task may be started: all of them, unless a worker has crashed under the task before.
+// Then it returns those that do not test another task, so that the next crash tells them apart. A task that is likely the cause gets a
+// worker that runs nothing, if there is one in time, and only a share of the workers tests such tasks.
 func (c *Core) testWorkers(s *step, index int, workers []*workerState) []*workerState {
-	if s.crashCount(index) == 0 {
+	crashes := s.crashCount(index)
+	if crashes == 0 {
 		return workers
 	}
-	var allowed []*workerState
+	var free, empty []*workerState
 	for _, ws := range workers {
-		if !c.testsSuspect(ws, s, index) {
-			allowed = append(allowed, ws)
+		if r := ws.test; r != nil && (r.step != s || s.unitIndex(r.index) != s.unitIndex(index)) {
+			continue
+		}
+		free = append(free, ws)
+		if len(ws.runs) == 0 {
+			empty = append(empty, ws)
+		}
+	}
+	if !crashloop.Likely(crashes) {
+		return free
+	}
+	p := c.pool(s.job.doc.Pool)
+	likely := 0
+	for _, r := range p.tests {
+		if r.likely() {
+			likely++
 		}
 	}
-	return allowed
+	t := &s.tasks[index]
+	if t.emptyWorkerSince == 0 {
+		t.emptyWorkerSince = c.now
+	}
+	switch {
+	case likely >= max(1, int(likelyShare*float64(len(p.workers)))):
+		return nil
+	case c.now-t.emptyWorkerSince < emptyWorkerWait:
+		return empty
+	}
+	return free
 }
 
+const (
+	// likelyShare is the share of the workers of a pool that may be down because of tasks that are likely to crash them.
+	likelyShare = 0.25
+	// emptyWorkerWait is how long a task that is likely to crash its worker waits for one that runs nothing.
+	emptyWorkerWait = 2 * time.Second
+)
+
 func (s *step) failures(index int) int { return len(s.progress.Failures[s.unitIndex(index)]) }
 
 // estimator learns the ratio between the actual and the estimated run times of a queue.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -12,12 +12,12 @@
 // Tiers order the jobs of a pool. Within a tier the job with the least remaining work comes first. That order gives
 // the most value for each core-second, since each job has a fixed value in addition to the value of its work.
 const (
-	tierService = iota
+	// tierLikelyCause is for tasks that have probably made workers crash, and are the only ones to wait for workers that run nothing.
+	tierLikelyCause = iota
+	tierService
 	tierInTime
 	tierLate
 	tierExpired
-	// tierLikelyCause is for tasks that have probably made workers crash. Each of their starts may take a worker away from the others.
-	tierLikelyCause
 )
 
 // lateFactor is the multiple of its latency target up to which a late job still has some value.
@@ -68,6 +68,7 @@
 		return
 	}
 	p.needsPlanning, p.plannedAt = false, c.now
+	c.endTests(p)
 	usable := c.usableWorkers(p)
 	if len(usable) == 0 {
 		return
@@ -237,7 +238,7 @@
 
 // eligible reports whether the step may run on the worker, apart from free capacity.
 func (c *Core) eligible(s *step, ws *workerState) bool {
-	if !ws.report.HasLabel(s.doc.RequiredLabel) {
+	if !ws.report.HasLabel(s.doc.RequiredLabel) || (ws.test != nil && ws.test.likely()) {
 		return false
 	}
 	if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws) >= s.doc.MaxPerWorker {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -13,7 +13,10 @@
 	t := &s.tasks[index]
 	r := &run{step: s, index: index, number: number, worker: ws, phase: planned, startedAt: c.now, percentChangedAt: c.now, speedLimit: fullSpeed}
 	c.attachRun(r)
-	t.lastRun = max(t.lastRun, number)
+	if s.crashCount(index) > 0 {
+		c.addTest(r)
+	}
+	t.lastRun, t.emptyWorkerSince = max(t.lastRun, number), 0
 	// The next leader has to know where the task may be running, so this is stored before the start.
 	s.occurrence.progress.SetRun(s.number, index, ws.report.ID, number)
 	c.changedJobs[s.job] = true
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -87,6 +87,8 @@
 	// lastWorker is the worker on which the latest run ended without being done. failedAt is the time of the latest failure.
 	lastWorker string
 	failedAt   time.Duration
+	// emptyWorkerSince is the time since which the task waits for a worker that runs nothing.
+	emptyWorkerSince time.Duration
 }
 
 type phase int
@@ -181,6 +183,8 @@
 	cordoned bool
 	// unlistedSince is the time since which the registry does not list the worker.
 	unlistedSince time.Duration
+	// test is a run of a suspect that the worker has not survived yet.
+	test *run
 	// startUnanswered means that a start got no answer, and that the worker has not answered anything since.
 	startUnanswered bool
 	// unansweredStarts holds the starts that got no answer.
@@ -232,6 +236,8 @@
 	plannedAt time.Duration
 	// arrivals holds the recent jobs.
 	arrivals []arrival
+	// tests holds the runs of suspects whose workers may still crash under them.
+	tests []*run
 }
 
 // remainingWork returns the critical path and the work (in core-seconds) that are left, as estimated.
