dispatch: test that a request takes down a bounded number of endpoints

A retry avoids only the endpoint of the last attempt, so it may choose one that has crashed before; that lowers the number.

--- a/dispatch/dispatch_integration_test.go
+++ b/dispatch/dispatch_integration_test.go
@@ -21,6 +21,7 @@
 	"github.com/chivetiller/chivetiller/endpoint"
 	"github.com/chivetiller/chivetiller/pool"
 	"github.com/chivetiller/chivetiller/queue"
+	"github.com/chivetiller/chivetiller/retry"
 	"github.com/chivetiller/chivetiller/standin"
 )
 
@@ -179,6 +180,29 @@
 	}
 }
 
+// TestCrashingRequest guards against a request that takes down one endpoint after the other.
+func TestCrashingRequest(t *testing.T) {
+	for method, most := range map[string]int32{http.MethodGet: 1 + retry.MaxRetries, http.MethodPost: 1} {
+		t.Run(method, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t, 6, standin.Fixed(20*time.Millisecond), dispatch.Options{})
+			var crashed atomic.Int32
+			for _, e := range r.endpoints {
+				e.OnRequest(func(*http.Request) {
+					if crashed.Add(1); e.Crash() != nil {
+						t.Errorf("endpoint %s did not crash", e.ID())
+					}
+				})
+			}
+			_, p := r.do(t.Context(), request(method))
+			c.Assert(p, qt.IsNotNil)
+			c.Assert(p.NotRun(), qt.IsFalse)
+			// A retry may also choose an endpoint that has crashed already.
+			c.Assert(crashed.Load() >= 1 && crashed.Load() <= most, qt.IsTrue, qt.Commentf("%d endpoints crashed", crashed.Load()))
+		})
+	}
+}
+
 // TestUpperLimit guards against a team with more running requests than its limit, retries and hedges included,
 // and against permits that are never released.
 func TestUpperLimit(t *testing.T) {
