commands: log outcomes and times of the requests in TestFailures

When TestFailures fails beside a high load, its log only has the number of answered requests. It does not tell whether the callers sent fewer requests, the entry instances refused them, or the platform and the endpoints in the test process answered late.

No check and no bound changes.

--- a/commands/failure_history_test.go
+++ b/commands/failure_history_test.go
@@ -76,6 +76,7 @@
 	}
 	all.add(history.RevokeKey{Key: revokedTeam}, fleet.keyRevokedAt.Sub(all.start), fleet.keyRevokedAt, fleet.keyRevokedAt)
 	t.Logf("%d requests, answered %v, %d operations", len(fleet.results), answered, len(all.list))
+	fleet.logOutcomes(t)
 
 	limits := map[string]int{"supervisors": teamLimit, revokedTeam: teamLimit}
 	checks := map[string]struct {
--- a/commands/failure_integration_test.go
+++ b/commands/failure_integration_test.go
@@ -25,6 +25,7 @@
 
 	"github.com/chivetiller/chivetiller/class"
 	"github.com/chivetiller/chivetiller/common/ident"
+	"github.com/chivetiller/chivetiller/common/problem"
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/peer/devcert"
 	"github.com/chivetiller/chivetiller/pool"
@@ -41,6 +42,7 @@
 	dispatchSlack = 500 * time.Millisecond
 	teamLimit     = 10
 	loadDuration  = 8 * time.Second
+	loadInterval  = 4 * time.Millisecond
 	faultDelay    = 2 * time.Second
 	faultDuration = 3 * time.Second
 	revokeAt      = 5 * time.Second
@@ -77,6 +79,8 @@
 	// status is the HTTP status, or 0 if there was no response.
 	status int
 	notRun bool
+	// problem is the kind of the problem and its detail if the request was rejected.
+	problem string
 	// digest is the SHA-256 digest in hex of the response body, if it was received completely.
 	digest string
 }
@@ -373,7 +377,7 @@
 func (fleet *testFleet) runLoad(ctx context.Context) {
 	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	var calls sync.WaitGroup
-	ticker := time.NewTicker(4 * time.Millisecond)
+	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for i := 0; ctx.Err() == nil; i++ {
 		<-ticker.C
@@ -413,11 +417,13 @@
 			sum := sha256.Sum256(body)
 			c.digest = hex.EncodeToString(sum[:])
 		}
-		var document struct {
-			NotRun bool `json:"notRun"`
-		}
+		var document problem.Document
 		if response.StatusCode != http.StatusOK && json.Unmarshal(body, &document) == nil {
 			c.notRun = document.NotRun
+			c.problem = document.Type[strings.LastIndex(document.Type, ":")+1:]
+			if document.Detail != "" {
+				c.problem += ": " + document.Detail
+			}
 		}
 	}
 	c.endedAt = time.Now()
