commands: check keyWithdrawal by the arrival of a request at its endpoint

Beside a high load, TestFailures broke the model keyWithdrawal: requests of the withdrawn key began on endpoints later than its bound of 1.5 s plus 0.5 s.

Cause: the check took the start of the run, which a handler of the endpoint records. The endpoints share a process with callers and platform, so a request that had reached the endpoint long before began when that process got a core.

Ruled out, by the arrivals and by reading: a confirmation that polls or peers make younger than it is (both count from before the request was sent), and requests that leave an entry instance late (they would arrive late).

The endpoints now record when the kernel received the last bytes of each request, which does not depend on when their process runs, and the check uses that time. The bound stays. The check is as strict on the system under test: any delay in an entry instance, the way between the check of the key and the write included, counts in full. Only the delay inside the endpoint does not; nobody can take a request back there. Where the kernel gives no time, the start of the run counts as before.

The case "key revoked while the endpoints are paused" makes the delay without load.

--- a/commands/failure_diagnosis_test.go
+++ b/commands/failure_diagnosis_test.go
@@ -24,7 +24,7 @@
 		outcomes[c.team][c.outcome()]++
 		results[c.id] = c
 	}
-	var untilRun, run, untilAnswer, sinceRevocation []time.Duration
+	var untilRun, run, untilAnswer, arrivals, starts, inEndpoint []time.Duration
 	for _, e := range fleet.endpoints {
 		for _, r := range e.Runs() {
 			c, ok := results[idOfRun(r)]
@@ -37,7 +37,9 @@
 		}
 	}
 	for _, r := range fleet.runsOf(revokedTeam) {
-		sinceRevocation = append(sinceRevocation, r.Start.Sub(fleet.keyRevokedAt))
+		arrivals = append(arrivals, admittedAt(r).Sub(fleet.keyRevokedAt))
+		starts = append(starts, r.Start.Sub(fleet.keyRevokedAt))
+		inEndpoint = append(inEndpoint, r.Start.Sub(admittedAt(r)))
 	}
 	for _, team := range slices.Sorted(maps.Keys(outcomes)) {
 		t.Logf("requests of %s by outcome: %v", team, outcomes[team])
@@ -48,15 +50,16 @@
 		t.Logf("entry instance %d used %s of processor time", i, (cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()).Round(time.Millisecond))
 	}
 	t.Logf("answered requests: until run %s, run %s, until answer %s", quantiles(untilRun), quantiles(run), quantiles(untilAnswer))
-	t.Logf("start of the runs of %s after the revocation: %s", revokedTeam, quantiles(sinceRevocation))
+	t.Logf("requests of %s: arrival after the revocation %s, start after the revocation %s, from arrival to start %s",
+		revokedTeam, quantiles(arrivals), quantiles(starts), quantiles(inEndpoint))
 }
 
 // outcome returns "answered", the problem of a rejected request, or "no response".
 func (c callResult) outcome() string {
-	switch {
-	case c.status == 0:
+	switch c.status {
+	case 0:
 		return "no response"
-	case c.status == http.StatusOK:
+	case http.StatusOK:
 		return "answered"
 	}
 	return c.problem
--- a/commands/failure_history_test.go
+++ b/commands/failure_history_test.go
@@ -36,6 +36,15 @@
 	return parts[len(parts)-fromEnd]
 }
 
+// admittedAt returns when the request of a run reached its endpoint. The run may begin later if the endpoint is slow, when
+// nobody can take the request back.
+func admittedAt(run standin.Run) time.Time {
+	if run.Arrival.IsZero() {
+		return run.Start
+	}
+	return run.Arrival
+}
+
 // checkHistories builds histories of the callers' results and of the runs that the endpoints recorded, and checks them
 // against the models of the guarantees.
 func (fleet *testFleet) checkHistories(t *testing.T) {
@@ -71,7 +80,8 @@
 			}
 			all.add(history.RunBegin{Team: team, ID: run.RequestID}, nil, run.Start, run.Start)
 			all.add(history.RunEnd{Team: team, ID: run.RequestID}, nil, end, end)
-			all.add(history.AdmitWork{Key: team}, run.Start.Sub(all.start), run.Start, run.Start)
+			admitted := admittedAt(run)
+			all.add(history.AdmitWork{Key: team}, admitted.Sub(all.start), admitted, admitted)
 		}
 	}
 	all.add(history.RevokeKey{Key: revokedTeam}, fleet.keyRevokedAt.Sub(all.start), fleet.keyRevokedAt, fleet.keyRevokedAt)
--- a/commands/failure_integration_test.go
+++ b/commands/failure_integration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -37,7 +38,7 @@
 
 const (
 	// keyFreshness is the delay after which a revoked key must no longer work. dispatchSlack is added to it for the time
-	// from the check of the key to the start of the run at the endpoint.
+	// from the check of the key to the arrival of the request at the endpoint.
 	keyFreshness  = 1500 * time.Millisecond
 	dispatchSlack = 500 * time.Millisecond
 	teamLimit     = 10
@@ -63,6 +64,8 @@
 	keys         map[string]string
 	keyRevokedAt time.Time
 	drivers      []*recordingDriver
+	// resumeEndpoints ends the pause of the endpoints.
+	resumeEndpoints func()
 
 	mu      sync.Mutex
 	results []callResult
@@ -97,6 +100,8 @@
 		endFault   func(fleet *testFleet)
 		// openServed requires that open work is answered during the fault, at all entry instances together.
 		openServed bool
+		// faultDelay is the time before the fault. The default is the constant of that name.
+		faultDelay time.Duration
 		// revokeDuring revokes the key at the start of the fault, so that entry instances cannot receive the change.
 		revokeDuring bool
 		// runWave starts a maintenance wave together with the load.
@@ -121,6 +126,12 @@
 			openServed:   true,
 			revokeDuring: true,
 		},
+		"key revoked while the endpoints are paused": {
+			startFault:   func(fleet *testFleet) { fleet.pauseEndpoints() },
+			endFault:     func(fleet *testFleet) { fleet.resumeEndpoints() },
+			faultDelay:   loadDuration - faultDuration, // so that the revoked team is answered before it
+			revokeDuring: true,
+		},
 		"maintenance wave whose holder is killed": {
 			startFault: func(fleet *testFleet) { fleet.kill(fleet.waveHolder()) },
 			runWave:    true,
@@ -168,7 +179,7 @@
 			if tt.runWave {
 				fleet.startWave(t)
 			}
-			time.Sleep(faultDelay)
+			time.Sleep(cmp.Or(tt.faultDelay, faultDelay))
 			if tt.startFault != nil {
 				tt.startFault(fleet)
 			}
@@ -262,7 +273,7 @@
 	rows := pool.NewStore(fleet.platform.Table())
 	for i := range 6 {
 		listed := provider.Instance{ID: fmt.Sprintf("i%d", i), DataCentre: []string{"north", "south", "harbour"}[i%3], Rack: fmt.Sprint(i), Slots: standin.DefaultSlots, Incarnation: 1}
-		e := standin.New(standin.Options{ID: listed.ID, ServiceTime: standin.LogNormal(150*time.Millisecond, 0.5)})
+		e := standin.New(standin.Options{ID: listed.ID, ServiceTime: standin.LogNormal(150*time.Millisecond, 0.5), RecordArrivals: true})
 		qt.Assert(t, e.Start(t.Context()), qt.IsNil)
 		t.Cleanup(func() { _ = e.Crash() })
 		listed.Address = e.Address()
@@ -432,6 +443,15 @@
 	fleet.results = append(fleet.results, c)
 }
 
+// pauseEndpoints lets the endpoints receive requests without running them, until resumeEndpoints is called.
+func (fleet *testFleet) pauseEndpoints() {
+	resumed := make(chan struct{})
+	fleet.resumeEndpoints = sync.OnceFunc(func() { close(resumed) })
+	for _, e := range fleet.endpoints {
+		e.OnRequest(func(*http.Request) { <-resumed })
+	}
+}
+
 // kill sends SIGKILL to an entry instance.
 func (fleet *testFleet) kill(i int) {
 	fleet.killed[i] = true
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -47,7 +47,9 @@
 	ServiceTime Distribution
 	// MaxRuns is how many runs are kept at least; older ones are dropped. The default 0 keeps all.
 	MaxRuns int
-	Logger  hclog.Logger
+	// RecordArrivals records when the kernel received each request. It is available on Linux only.
+	RecordArrivals bool
+	Logger         hclog.Logger
 }
 
 // Endpoint is a stand-in endpoint.
@@ -102,6 +104,11 @@
 	if err != nil {
 		return eris.Wrapf(err, "endpoint %q cannot listen", e.o.ID)
 	}
+	if e.o.RecordArrivals {
+		if err := enableArrivals(listener); err != nil {
+			e.logger.Warn("Arrivals are not recorded.", "id", e.o.ID, "error", err)
+		}
+	}
 	e.address = listener.Addr().String()
 	e.incarnation++
 	e.draining = false
@@ -272,6 +279,7 @@
 		closeConnection(r)
 		return
 	}
+	arrivedAt := arrival(r)
 	id := r.Header.Get(problem.HeaderRequestID)
 	w.Header().Set(problem.HeaderRequestID, id)
 	if reason := e.admit(); reason != "" {
@@ -287,6 +295,7 @@
 		Method:         r.Method,
 		Path:           r.URL.RequestURI(),
 		Digest:         hex.EncodeToString(digest[:]),
+		Arrival:        arrivedAt,
 		Start:          time.Now(),
 	})
 	e.simulateWork(r.Context(), fault)
--- a/standin/record.go
+++ b/standin/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -14,8 +15,11 @@
 	Method         string `json:"method"`
 	Path           string `json:"path"`
 	// Digest is the SHA-256 digest of the body in hex.
-	Digest string    `json:"digest"`
-	Start  time.Time `json:"start"`
+	Digest string `json:"digest"`
+	// Arrival is the time at which the kernel received the last bytes of the request. It is zero if it is unknown, see
+	// [Options.RecordArrivals].
+	Arrival time.Time `json:"arrival,omitzero"`
+	Start   time.Time `json:"start"`
 	// End is the time at which the work ended, before the response was sent. It is zero until the response has been sent
 	// or has failed.
 	End time.Time `json:"end"`
@@ -113,7 +117,7 @@
 		}
 		if l.endpoint.addConnection() {
 			tcp, _ := c.(*net.TCPConn)
-			return &countedConn{TCPConn: tcp, endpoint: l.endpoint, incarnation: l.incarnation}, nil
+			return &countedConn{TCPConn: tcp, endpoint: l.endpoint, incarnation: l.incarnation, arrivals: l.endpoint.arrivals(tcp)}, nil
 		}
 		c.Close()
 	}
@@ -142,7 +146,39 @@
 	*net.TCPConn
 	endpoint    *Endpoint
 	incarnation uint64
-	once        sync.Once
+	// arrivals is nil if arrivals are not recorded.
+	arrivals *arrivalReader
+	once     sync.Once
+}
+
+// arrivals returns a reader of the connection that records arrivals, or nil if there are none to record.
+func (e *Endpoint) arrivals(conn *net.TCPConn) *arrivalReader {
+	if !e.o.RecordArrivals {
+		return nil
+	}
+	reader, err := newArrivalReader(conn)
+	if err != nil {
+		e.logger.Warn("Arrivals are not recorded.", "id", e.o.ID, "error", err)
+		return nil
+	}
+	return reader
+}
+
+// arrival returns when the last bytes that were read from the connection of a request arrived, or zero if unknown.
+func arrival(r *http.Request) time.Time {
+	c, ok := r.Context().Value(connKey{}).(*countedConn)
+	if !ok || c.arrivals == nil {
+		return time.Time{}
+	}
+	return c.arrivals.time()
+}
+
+// Read implements [io.Reader].
+func (c *countedConn) Read(p []byte) (int, error) {
+	if c.arrivals != nil {
+		return c.arrivals.Read(p)
+	}
+	return c.TCPConn.Read(p)
 }
 
 func (c *countedConn) Close() error {
