commands: run as many fleets of TestFailures at a time as there are cores for

Beside a high load TestFailures answered fewer than 50 requests of a team in most cases. The log of the outcomes shows where the time goes. Eight fleets ran at a time, and each needs 1.5 cores (190 s of processor time for ten cases of 13 s), so that the test asked for twelve of eight cores by itself. Callers, platform and endpoints share the test process, which got 1.2 cores (profile of a run).

- Callers: of 2,000 planned requests they sent 190 to 790 while eight fleets ran.
- From a caller to the run, answered requests took 0.1 to 4 s at the median of a case; the run itself 0.15 to 0.2 s.
- Of the requests that entry instances refused, most were refused because claims, keys or limits could not be checked in time, as with a platform that answers late.
Few were refused at the upper limit.
The model notRun held.

Beside the same other work on the machine (load 14 to 22) all eight cases failed that ran at the same time, the lowest with 1 answer.

The number of fleets at a time now follows the cores: one for each four. Cases, checks and bounds are unchanged. The log also has the outcomes of the revoked team by second.

--- a/commands/failure_diagnosis_test.go
+++ b/commands/failure_diagnosis_test.go
@@ -17,12 +17,19 @@
 func (fleet *testFleet) logOutcomes(t *testing.T) {
 	outcomes := make(map[string]map[string]int)
 	results := make(map[string]callResult)
+	bySecond := make([]map[string]int, int(loadDuration/time.Second)+1)
 	for _, c := range fleet.results {
 		if outcomes[c.team] == nil {
 			outcomes[c.team] = make(map[string]int)
 		}
 		outcomes[c.team][c.outcome()]++
 		results[c.id] = c
+		if second := int(c.sentAt.Sub(fleet.loadStartedAt) / time.Second); c.team == revokedTeam && second < len(bySecond) {
+			if bySecond[second] == nil {
+				bySecond[second] = make(map[string]int)
+			}
+			bySecond[second][c.outcome()]++
+		}
 	}
 	var untilRun, run, untilAnswer, arrivals, starts, inEndpoint []time.Duration
 	for _, e := range fleet.endpoints {
@@ -44,6 +51,9 @@
 	for _, team := range slices.Sorted(maps.Keys(outcomes)) {
 		t.Logf("requests of %s by outcome: %v", team, outcomes[team])
 	}
+	for second, counts := range bySecond {
+		t.Logf("requests of %s sent in second %d: %v", revokedTeam, second, counts)
+	}
 	planned := int(loadDuration / loadInterval)
 	t.Logf("%d of %d planned requests were sent", len(results), planned)
 	for i, cmd := range fleet.entries {
--- a/commands/failure_integration_test.go
+++ b/commands/failure_integration_test.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -53,6 +54,10 @@
 	revokedTeam = "office"
 )
 
+// fleetSlots limits how many fleets run at a time. A fleet, its callers and its endpoints use 1.5 cores under the race
+// detector. Callers and endpoints that wait for a core delay requests beyond their deadlines.
+var fleetSlots = make(chan struct{}, max(1, runtime.GOMAXPROCS(0)/4))
+
 // testFleet is a fleet whose entry instances are separate processes. The platform and the endpoints run in the test.
 type testFleet struct {
 	platform     *platformstandin.Platform
@@ -63,7 +68,9 @@
 	callers      []string
 	keys         map[string]string
 	keyRevokedAt time.Time
-	drivers      []*recordingDriver
+	// loadStartedAt is when the load started.
+	loadStartedAt time.Time
+	drivers       []*recordingDriver
 	// resumeEndpoints ends the pause of the endpoints.
 	resumeEndpoints func()
 
@@ -166,6 +173,8 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			fleetSlots <- struct{}{}
+			defer func() { <-fleetSlots }()
 			o := fleetOptions{allotmentDuration: 2 * time.Second, balancerWait: 100 * time.Millisecond}
 			if tt.revokeDuring {
 				o.allotmentDuration = 30 * time.Second // so that only the freshness of the configuration can stop work with a key
@@ -215,6 +224,8 @@
 		t.Skip("starts processes")
 	}
 	t.Parallel()
+	fleetSlots <- struct{}{}
+	defer func() { <-fleetSlots }()
 	fleet := newTestFleet(t, fleetOptions{allotmentDuration: 2 * time.Second, balancerWait: time.Minute})
 	first := fleet.entries[0]
 	qt.Assert(t, first.Process.Signal(syscall.SIGTERM), qt.IsNil)
@@ -388,6 +399,7 @@
 func (fleet *testFleet) runLoad(ctx context.Context) {
 	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	var calls sync.WaitGroup
+	fleet.loadStartedAt = time.Now()
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for i := 0; ctx.Err() == nil; i++ {
