commands: count the phases of TestFailures in requests that callers have sent

Cause: the phases were measured in seconds, and callers that get no core drop requests. During and after the fault a withdrawn key or a platform that is down lets nothing through, so the case had little to answer: the check measured the speed of the callers.

The load now ends, and the fault and the withdrawal come, when callers have sent the requests that they send in that time on a machine that keeps up. The bound of 50 and all other checks and bounds stay. It is as strict: entry instances get all 2,000 requests, and as many before and during the fault as on an idle machine; faults last no shorter than before, and open work is checked over the whole of them. Callers that cannot send the requests in a minute fail the case.

--- a/commands/failure_diagnosis_test.go
+++ b/commands/failure_diagnosis_test.go
@@ -17,19 +17,25 @@
 func (fleet *testFleet) logOutcomes(t *testing.T) {
 	outcomes := make(map[string]map[string]int)
 	results := make(map[string]callResult)
-	bySecond := make([]map[string]int, int(loadDuration/time.Second)+1)
+	var bySecond []map[string]int
+	var lastSentAt time.Time
 	for _, c := range fleet.results {
 		if outcomes[c.team] == nil {
 			outcomes[c.team] = make(map[string]int)
 		}
 		outcomes[c.team][c.outcome()]++
 		results[c.id] = c
-		if second := int(c.sentAt.Sub(fleet.loadStartedAt) / time.Second); c.team == revokedTeam && second < len(bySecond) {
-			if bySecond[second] == nil {
-				bySecond[second] = make(map[string]int)
-			}
-			bySecond[second][c.outcome()]++
+		if c.sentAt.After(lastSentAt) {
+			lastSentAt = c.sentAt
+		}
+		if c.team != revokedTeam {
+			continue
+		}
+		second := int(c.sentAt.Sub(fleet.loadStartedAt) / time.Second)
+		for len(bySecond) <= second {
+			bySecond = append(bySecond, make(map[string]int))
 		}
+		bySecond[second][c.outcome()]++
 	}
 	var untilRun, run, untilAnswer, arrivals, starts, inEndpoint []time.Duration
 	for _, e := range fleet.endpoints {
@@ -54,8 +60,7 @@
 	for second, counts := range bySecond {
 		t.Logf("requests of %s sent in second %d: %v", revokedTeam, second, counts)
 	}
-	planned := int(loadDuration / loadInterval)
-	t.Logf("%d of %d planned requests were sent", len(results), planned)
+	t.Logf("%d requests were sent in %s", len(results), lastSentAt.Sub(fleet.loadStartedAt).Round(time.Millisecond))
 	for i, cmd := range fleet.entries {
 		t.Logf("entry instance %d used %s of processor time", i, (cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()).Round(time.Millisecond))
 	}
--- a/commands/failure_integration_test.go
+++ b/commands/failure_integration_test.go
@@ -18,6 +18,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -48,7 +49,9 @@
 	faultDelay    = 2 * time.Second
 	faultDuration = 3 * time.Second
 	revokeAt      = 5 * time.Second
-	bodyPrefix    = "body of "
+	// maxLoadDuration is the time in which callers on a busy machine have to send the requests of loadDuration.
+	maxLoadDuration = time.Minute
+	bodyPrefix      = "body of "
 	// openTeam stands for open work, which needs no key. The key of revokedTeam is revoked during the test.
 	openTeam    = "open"
 	revokedTeam = "office"
@@ -68,8 +71,9 @@
 	callers      []string
 	keys         map[string]string
 	keyRevokedAt time.Time
-	// loadStartedAt is when the load started.
+	// loadStartedAt is when the load started, and sent the number of requests that callers have sent since.
 	loadStartedAt time.Time
+	sent          atomic.Int64
 	drivers       []*recordingDriver
 	// resumeEndpoints ends the pause of the endpoints.
 	resumeEndpoints func()
@@ -180,15 +184,14 @@
 				o.allotmentDuration = 30 * time.Second // so that only the freshness of the configuration can stop work with a key
 			}
 			fleet := newTestFleet(t, o)
-			loading, stopLoading := context.WithTimeout(t.Context(), loadDuration)
-			defer stopLoading()
 			var load sync.WaitGroup
-			load.Go(func() { fleet.runLoad(loading) })
-			start := time.Now()
+			fleet.loadStartedAt = time.Now()
+			load.Go(func() { fleet.runLoad(t.Context()) })
 			if tt.runWave {
 				fleet.startWave(t)
 			}
-			time.Sleep(cmp.Or(tt.faultDelay, faultDelay))
+			faultAt := cmp.Or(tt.faultDelay, faultDelay)
+			fleet.waitForLoad(t, faultAt)
 			if tt.startFault != nil {
 				tt.startFault(fleet)
 			}
@@ -197,11 +200,13 @@
 				fleet.revokeKey(t)
 			}
 			time.Sleep(faultDuration)
+			fleet.waitForLoad(t, faultAt+faultDuration)
+			faultEnd := time.Now()
 			if tt.endFault != nil {
 				tt.endFault(fleet)
 			}
 			if !tt.revokeDuring {
-				time.Sleep(time.Until(start.Add(revokeAt)))
+				fleet.waitForLoad(t, revokeAt)
 				fleet.revokeKey(t)
 			}
 			load.Wait()
@@ -211,7 +216,7 @@
 				fleet.checkWave(t)
 			}
 			if tt.openServed {
-				fleet.checkOpenWork(t, fault, fault.Add(faultDuration))
+				fleet.checkOpenWork(t, fault, faultEnd)
 			}
 		})
 	}
@@ -395,14 +400,14 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// runLoad sends requests of both teams beyond their upper limits, and open requests, to random entry instances.
+// runLoad sends requests of both teams beyond their upper limits, and open requests, to random entry instances. It ends
+// when the requests of loadDuration have been sent, so that a slow caller sends as many as a fast one.
 func (fleet *testFleet) runLoad(ctx context.Context) {
 	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	var calls sync.WaitGroup
-	fleet.loadStartedAt = time.Now()
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
-	for i := 0; ctx.Err() == nil; i++ {
+	for i := 0; i < requestsOf(loadDuration) && ctx.Err() == nil; i++ {
 		<-ticker.C
 		c := callResult{id: ident.New(), team: []string{"supervisors", revokedTeam, openTeam}[i%3], sentAt: time.Now()}
 		c.atMostOnce = c.team != openTeam && rand.IntN(2) == 0
@@ -412,10 +417,25 @@
 		if c.duplicate {
 			calls.Go(func() { fleet.sendCall(client, fleet.callers[(first+1)%len(fleet.callers)], c) })
 		}
+		fleet.sent.Add(1)
 	}
 	calls.Wait()
 }
 
+// requestsOf returns how many requests callers send in a part of the load.
+func requestsOf(part time.Duration) int { return int(part / loadInterval) }
+
+// waitForLoad waits until callers have sent the requests of the first part of the load.
+func (fleet *testFleet) waitForLoad(t *testing.T, part time.Duration) {
+	deadline := fleet.loadStartedAt.Add(maxLoadDuration)
+	for int(fleet.sent.Load()) < requestsOf(part) {
+		if time.Now().After(deadline) {
+			t.Fatalf("callers have sent %d of %d requests in %s", fleet.sent.Load(), requestsOf(part), maxLoadDuration)
+		}
+		time.Sleep(loadInterval)
+	}
+}
+
 func (fleet *testFleet) sendCall(client *http.Client, address string, c callResult) {
 	name, method := "swap", http.MethodPost
 	if c.team == openTeam {
