--- a/commands/failure_integration_test.go
+++ b/commands/failure_integration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -14,8 +15,10 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +28,7 @@
 
 	"github.com/chivetiller/chivetiller/class"
 	"github.com/chivetiller/chivetiller/common/ident"
+	"github.com/chivetiller/chivetiller/common/problem"
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/peer/devcert"
 	"github.com/chivetiller/chivetiller/pool"
@@ -36,20 +40,27 @@
 
 const (
 	// keyFreshness is the delay after which a revoked key must no longer work. dispatchSlack is added to it for the time
-	// from the check of the key to the start of the run at the endpoint.
+	// from the check of the key to the arrival of the request at the endpoint.
 	keyFreshness  = 1500 * time.Millisecond
 	dispatchSlack = 500 * time.Millisecond
 	teamLimit     = 10
 	loadDuration  = 8 * time.Second
+	loadInterval  = 4 * time.Millisecond
 	faultDelay    = 2 * time.Second
 	faultDuration = 3 * time.Second
 	revokeAt      = 5 * time.Second
-	bodyPrefix    = "body of "
+	// maxLoadDuration is the time in which callers on a busy machine have to send the requests of loadDuration.
+	maxLoadDuration = time.Minute
+	bodyPrefix      = "body of "
 	// openTeam stands for open work, which needs no key. The key of revokedTeam is revoked during the test.
 	openTeam    = "open"
 	revokedTeam = "office"
 )
 
+// fleetSlots limits how many fleets run at a time. A fleet, its callers and its endpoints use 1.5 cores under the race
+// detector. Callers and endpoints that wait for a core delay requests beyond their deadlines.
+var fleetSlots = make(chan struct{}, max(1, runtime.GOMAXPROCS(0)/4))
+
 // testFleet is a fleet whose entry instances are separate processes. The platform and the endpoints run in the test.
 type testFleet struct {
 	platform     *platformstandin.Platform
@@ -60,7 +71,12 @@
 	callers      []string
 	keys         map[string]string
 	keyRevokedAt time.Time
-	drivers      []*recordingDriver
+	// loadStartedAt is when the load started, and sent the number of requests that callers have sent since.
+	loadStartedAt time.Time
+	sent          atomic.Int64
+	drivers       []*recordingDriver
+	// resumeEndpoints ends the pause of the endpoints.
+	resumeEndpoints func()
 
 	mu      sync.Mutex
 	results []callResult
@@ -77,6 +93,8 @@
 	// status is the HTTP status, or 0 if there was no response.
 	status int
 	notRun bool
+	// problem is the kind of the problem and its detail if the request was rejected.
+	problem string
 	// digest is the SHA-256 digest in hex of the response body, if it was received completely.
 	digest string
 }
@@ -93,6 +111,8 @@
 		endFault   func(fleet *testFleet)
 		// openServed requires that open work is answered during the fault, at all entry instances together.
 		openServed bool
+		// faultDelay is the time before the fault. The default is the constant of that name.
+		faultDelay time.Duration
 		// revokeDuring revokes the key at the start of the fault, so that entry instances cannot receive the change.
 		revokeDuring bool
 		// runWave starts a maintenance wave together with the load.
@@ -117,6 +137,12 @@
 			openServed:   true,
 			revokeDuring: true,
 		},
+		"key revoked while the endpoints are paused": {
+			startFault:   func(fleet *testFleet) { fleet.pauseEndpoints() },
+			endFault:     func(fleet *testFleet) { fleet.resumeEndpoints() },
+			faultDelay:   loadDuration - faultDuration, // so that the revoked team is answered before it
+			revokeDuring: true,
+		},
 		"maintenance wave whose holder is killed": {
 			startFault: func(fleet *testFleet) { fleet.kill(fleet.waveHolder()) },
 			runWave:    true,
@@ -151,20 +177,21 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			fleetSlots <- struct{}{}
+			defer func() { <-fleetSlots }()
 			o := fleetOptions{allotmentDuration: 2 * time.Second, balancerWait: 100 * time.Millisecond}
 			if tt.revokeDuring {
 				o.allotmentDuration = 30 * time.Second // so that only the freshness of the configuration can stop work with a key
 			}
 			fleet := newTestFleet(t, o)
-			loading, stopLoading := context.WithTimeout(t.Context(), loadDuration)
-			defer stopLoading()
 			var load sync.WaitGroup
-			load.Go(func() { fleet.runLoad(loading) })
-			start := time.Now()
+			fleet.loadStartedAt = time.Now()
+			load.Go(func() { fleet.runLoad(t.Context()) })
 			if tt.runWave {
 				fleet.startWave(t)
 			}
-			time.Sleep(faultDelay)
+			faultAt := cmp.Or(tt.faultDelay, faultDelay)
+			fleet.waitForLoad(t, faultAt)
 			if tt.startFault != nil {
 				tt.startFault(fleet)
 			}
@@ -173,11 +200,13 @@
 				fleet.revokeKey(t)
 			}
 			time.Sleep(faultDuration)
+			fleet.waitForLoad(t, faultAt+faultDuration)
+			faultEnd := time.Now()
 			if tt.endFault != nil {
 				tt.endFault(fleet)
 			}
 			if !tt.revokeDuring {
-				time.Sleep(time.Until(start.Add(revokeAt)))
+				fleet.waitForLoad(t, revokeAt)
 				fleet.revokeKey(t)
 			}
 			load.Wait()
@@ -187,7 +216,7 @@
 				fleet.checkWave(t)
 			}
 			if tt.openServed {
-				fleet.checkOpenWork(t, fault, fault.Add(faultDuration))
+				fleet.checkOpenWork(t, fault, faultEnd)
 			}
 		})
 	}
@@ -200,6 +229,8 @@
 		t.Skip("starts processes")
 	}
 	t.Parallel()
+	fleetSlots <- struct{}{}
+	defer func() { <-fleetSlots }()
 	fleet := newTestFleet(t, fleetOptions{allotmentDuration: 2 * time.Second, balancerWait: time.Minute})
 	first := fleet.entries[0]
 	qt.Assert(t, first.Process.Signal(syscall.SIGTERM), qt.IsNil)
@@ -258,7 +289,7 @@
 	rows := pool.NewStore(fleet.platform.Table())
 	for i := range 6 {
 		listed := provider.Instance{ID: fmt.Sprintf("i%d", i), DataCentre: []string{"north", "south", "harbour"}[i%3], Rack: fmt.Sprint(i), Slots: standin.DefaultSlots, Incarnation: 1}
-		e := standin.New(standin.Options{ID: listed.ID, ServiceTime: standin.LogNormal(150*time.Millisecond, 0.5)})
+		e := standin.New(standin.Options{ID: listed.ID, ServiceTime: standin.LogNormal(150*time.Millisecond, 0.5), RecordArrivals: true})
 		qt.Assert(t, e.Start(t.Context()), qt.IsNil)
 		t.Cleanup(func() { _ = e.Crash() })
 		listed.Address = e.Address()
@@ -369,13 +400,14 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// runLoad sends requests of both teams beyond their upper limits, and open requests, to random entry instances.
+// runLoad sends requests of both teams beyond their upper limits, and open requests, to random entry instances. It ends
+// when the requests of loadDuration have been sent, so that a slow caller sends as many as a fast one.
 func (fleet *testFleet) runLoad(ctx context.Context) {
 	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	var calls sync.WaitGroup
-	ticker := time.NewTicker(4 * time.Millisecond)
+	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
-	for i := 0; ctx.Err() == nil; i++ {
+	for i := 0; i < requestsOf(loadDuration) && ctx.Err() == nil; i++ {
 		<-ticker.C
 		c := callResult{id: ident.New(), team: []string{"supervisors", revokedTeam, openTeam}[i%3], sentAt: time.Now()}
 		c.atMostOnce = c.team != openTeam && rand.IntN(2) == 0
@@ -385,10 +417,25 @@
 		if c.duplicate {
 			calls.Go(func() { fleet.sendCall(client, fleet.callers[(first+1)%len(fleet.callers)], c) })
 		}
+		fleet.sent.Add(1)
 	}
 	calls.Wait()
 }
 
+// requestsOf returns how many requests callers send in a part of the load.
+func requestsOf(part time.Duration) int { return int(part / loadInterval) }
+
+// waitForLoad waits until callers have sent the requests of the first part of the load.
+func (fleet *testFleet) waitForLoad(t *testing.T, part time.Duration) {
+	deadline := fleet.loadStartedAt.Add(maxLoadDuration)
+	for int(fleet.sent.Load()) < requestsOf(part) {
+		if time.Now().After(deadline) {
+			t.Fatalf("callers have sent %d of %d requests in %s", fleet.sent.Load(), requestsOf(part), maxLoadDuration)
+		}
+		time.Sleep(loadInterval)
+	}
+}
+
 func (fleet *testFleet) sendCall(client *http.Client, address string, c callResult) {
 	name, method := "swap", http.MethodPost
 	if c.team == openTeam {
@@ -413,11 +460,13 @@
 			sum := sha256.Sum256(body)
 			c.digest = hex.EncodeToString(sum[:])
 		}
-		var document struct {
-			NotRun bool `json:"notRun"`
-		}
+		var document problem.Document
 		if response.StatusCode != http.StatusOK && json.Unmarshal(body, &document) == nil {
 			c.notRun = document.NotRun
+			c.problem = document.Type[strings.LastIndex(document.Type, ":")+1:]
+			if document.Detail != "" {
+				c.problem += ": " + document.Detail
+			}
 		}
 	}
 	c.endedAt = time.Now()
@@ -426,6 +475,15 @@
 	fleet.results = append(fleet.results, c)
 }
 
+// pauseEndpoints lets the endpoints receive requests without running them, until resumeEndpoints is called.
+func (fleet *testFleet) pauseEndpoints() {
+	resumed := make(chan struct{})
+	fleet.resumeEndpoints = sync.OnceFunc(func() { close(resumed) })
+	for _, e := range fleet.endpoints {
+		e.OnRequest(func(*http.Request) { <-resumed })
+	}
+}
+
 // kill sends SIGKILL to an entry instance.
 func (fleet *testFleet) kill(i int) {
 	fleet.killed[i] = true
