scheduler: log how long and how much a new leader reads

The logs could not tell a leader that reads for long from one that waits: a read at the start of a term that is not complete within 0.8 s starts again from its first row without a line, and the start of a term named the jobs and not the time or size of the read.

--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -157,7 +157,8 @@
 
 // Start reads all rows of the scheduler and starts scheduling.
 func (e *Engine) Start(ctx context.Context) error {
-	l, err := load(ctx, e.options.Store, func(row store.Row, err error) {
+	since := clock.Now()
+	l, err := load(ctx, e.options.Store, e.logger, func(row store.Row, err error) {
 		e.logger.Error("Row cannot be read.", "table", row.Table, "row", row.Name, "error", err)
 	})
 	if err != nil {
@@ -192,7 +193,7 @@
 		c.Cancel(id)
 	}
 	e.logger.Info("Leadership begins.", "fence", e.options.Core.Fence, "tenure", e.options.Core.Term, "jobs", len(l.jobs), "cancelled", len(l.cancelled),
-		"roster", len(l.roster), "version", l.version)
+		"roster", len(l.roster), "version", l.version, "rows", l.rows, "bytes", l.bytes, "took", clock.Now()-since)
 	e.spawn(e.runLoop)
 	e.spawn(e.watchRegistry)
 	e.spawn(func() { e.watchJobs(l.version) })
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
@@ -143,7 +144,7 @@
 	s.unanswered.Store(1)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*loadReadTimeout)
 	defer cancel()
-	_, err := load(ctx, s, func(store.Row, error) {})
+	_, err := load(ctx, s, hclog.NewNullLogger(), func(store.Row, error) {})
 	qt.Assert(t, err, qt.IsNil)
 }
 
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
@@ -139,6 +140,9 @@
 	instances map[string]time.Duration
 	// hasOldRows means that the roster or the command times are in the rows of an earlier version.
 	hasOldRows bool
+	// rows and bytes are the number of the rows that were read and the size of their values.
+	rows  int
+	bytes int
 }
 
 func newLoadedRows() *loadedRows {
@@ -152,7 +156,7 @@
 const loadReadTimeout = 800 * time.Millisecond
 
 // readWithRetry repeats a read that gets no answer, until the context ends.
-func readWithRetry(ctx context.Context, read func(ctx context.Context) (store.Rows, error)) (store.Rows, error) {
+func readWithRetry(ctx context.Context, logger hclog.Logger, table string, read func(ctx context.Context) (store.Rows, error)) (store.Rows, error) {
 	for {
 		limited, cancel := context.WithTimeout(ctx, loadReadTimeout)
 		rows, err := read(limited)
@@ -161,27 +165,28 @@
 		if err == nil || !unanswered || ctx.Err() != nil {
 			return rows, err
 		}
+		logger.Warn("Table was not read in time; reading it again.", "table", table, "timeout", loadReadTimeout, "error", err)
 	}
 }
 
 // load reads all rows of the scheduler, the tables at the same time. It calls bad for each row that cannot be decoded. The rows
 // of different tables may be of different moments: no other leader stores progress any more, since the batches of a leader expect
 // its version of the leader row.
-func load(ctx context.Context, s store.Store, bad func(row store.Row, err error)) (*loadedRows, error) {
+func load(ctx context.Context, s store.Store, logger hclog.Logger, bad func(row store.Row, err error)) (*loadedRows, error) {
 	l := newLoadedRows()
 	var jobs store.Rows
 	decoders := map[string]func(store.Row) error{tableProgress: l.decodeProgress, tableLeadership: l.decodeLeadershipRow, tableFleet: l.decodeFleetRow}
 	tables := make(map[string]*store.Rows, len(decoders))
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
-		jobs, err = readWithRetry(groupCtx, func(ctx context.Context) (store.Rows, error) { return store.ScanAll(ctx, s, TableJobs) })
+		jobs, err = readWithRetry(groupCtx, logger, TableJobs, func(ctx context.Context) (store.Rows, error) { return store.ScanAll(ctx, s, TableJobs) })
 		return err
 	})
 	for table := range decoders {
 		rows := &store.Rows{}
 		tables[table] = rows
 		group.Go(func() (err error) {
-			*rows, err = readWithRetry(groupCtx, func(ctx context.Context) (store.Rows, error) { return s.Scan(ctx, table, "", "", "") })
+			*rows, err = readWithRetry(groupCtx, logger, table, func(ctx context.Context) (store.Rows, error) { return s.Scan(ctx, table, "", "", "") })
 			return err
 		})
 	}
@@ -194,7 +199,9 @@
 			bad(row, err)
 		}
 	}
+	l.count(jobs)
 	for table, decode := range decoders {
+		l.count(*tables[table])
 		for _, row := range tables[table].Rows {
 			if err := decode(row); err != nil {
 				bad(row, err)
@@ -204,6 +211,13 @@
 	return l, nil
 }
 
+func (l *loadedRows) count(read store.Rows) {
+	l.rows += len(read.Rows)
+	for _, row := range read.Rows {
+		l.bytes += len(row.Value)
+	}
+}
+
 func (l *loadedRows) decodeJobRow(row store.Row) error {
 	if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
 		l.cancelled = append(l.cancelled, id)
--- a/scheduler/rows_test.go
+++ b/scheduler/rows_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/store"
@@ -78,7 +79,7 @@
 		put(fleetKey(rosterPrefix+"w2"), RosterEntry{ID: "w2", Pool: "p"}),
 	}})
 	qt.Assert(t, err, qt.IsNil)
-	l, err := load(t.Context(), s, func(row store.Row, err error) { t.Errorf("row %s: %s", row.Name, err) })
+	l, err := load(t.Context(), s, hclog.NewNullLogger(), func(row store.Row, err error) { t.Errorf("row %s: %s", row.Name, err) })
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, l.waves[7].Begun, qt.DeepEquals, map[string]string{"m1": "w0", "m2": "w9"})
 	qt.Assert(t, l.instances, qt.DeepEquals, map[string]time.Duration{"m1": time.Second})
@@ -173,7 +174,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, rows.Rows, qt.HasLen, 1)
 	qt.Assert(t, len(rows.Rows[0].Value) < 100, qt.IsTrue)
-	l, err := load(t.Context(), s, func(row store.Row, err error) { t.Errorf("row %s: %s", row.Name, err) })
+	l, err := load(t.Context(), s, hclog.NewNullLogger(), func(row store.Row, err error) { t.Errorf("row %s: %s", row.Name, err) })
 	qt.Assert(t, err, qt.IsNil)
 	// The progress row of the job is missing here, which must not make it run again.
 	next := NewCore(Options{Bounds: rigBounds(), Fence: 2, Term: 2})
