scheduler: read the rows at the start of a term for as long as they arrive

Callers: after a change of the leader, accepted jobs had nothing running, and were unknown or without an answer, for as long as the new leader could not read all rows.

Cause: each table had to be read as a whole, all its pages, within 0.8 s, and all tables within 3 s. A read that took longer was cut off and started again from its first row, again and again, while the process kept its leadership with its heartbeats. The limit was meant for a store that does not reply on one connection.

A read now fails only once no part of its reply has arrived for 0.8 s (store.ErrSilent), and is then repeated. The load goes on until it is complete or the term ends. The commit of the clock row has the timeout of a batch, since the limit of the load no longer covers it.

Tests: before, TestLoad (long) failed with 'context deadline exceeded' after 10 s, and TestLongLoad (a load of 3.5 s) had no scheduler after 7 s, since the limit of 3 s cut it off.

--- a/node/leadership.go
+++ b/node/leadership.go
@@ -14,8 +14,6 @@
 	checkInterval = 20 * time.Millisecond
 	// startRetryPause is the time before the start of the scheduler is tried again.
 	startRetryPause = 250 * time.Millisecond
-	// loadTimeout limits reading all rows at the start of a term.
-	loadTimeout = 3 * time.Second
 )
 
 // leadership runs the scheduler while this process is the leader.
@@ -75,7 +73,7 @@
 		Name: l.n.settings.Name, Store: l.n.deps.Store, Clock: l.n.clock, Registry: l.n.deps.Registry, Waves: l.n.source, Workers: l.n.sender,
 		Instances: l.n.deps.Instances, Advisor: l.n.deps.Advisor, Catalog: l.n.source.Current, Leadership: l.n.members, Logger: l.n.deps.Logger,
 	})
-	limited, cancel := context.WithTimeout(ctx, loadTimeout)
+	limited, cancel := l.untilTermEnds(ctx, term.Fence)
 	defer cancel()
 	if err := next.Start(limited); err != nil {
 		l.n.logger.Warn("Leadership cannot begin: the scheduler did not start.", "fence", term.Fence, "error", err)
@@ -90,3 +88,15 @@
 	l.engine = next
 	l.mu.Unlock()
 }
+
+// untilTermEnds returns a context that ends with the term.
+func (l *leadership) untilTermEnds(ctx context.Context, fence uint64) (context.Context, context.CancelFunc) {
+	limited, cancel := context.WithCancel(ctx)
+	watch := loop.Every(checkInterval, func(context.Context) {
+		if term, leading := l.n.members.Term(); !leading || term.Fence != fence {
+			cancel()
+		}
+	})
+	go watch(limited)
+	return limited, cancel
+}
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -162,6 +162,11 @@
 }
 
 func newCluster(t *testing.T, size int) *cluster {
+	return newClusterOn(t, size, func(s store.Store) store.Store { return s })
+}
+
+// newClusterOn starts nodes on what wrap makes of their stores.
+func newClusterOn(t *testing.T, size int, wrap func(s store.Store) store.Store) *cluster {
 	c := &cluster{store: memory.New(), workers: &fakeWorkers{running: make(map[work.Task]worker.Run), starts: make(map[work.Task]int)}}
 	_, err := c.store.Commit(t.Context(), store.Tx{Puts: []store.Put{
 		{Key: fakeDecoder{}.ConfigRow(), Value: []byte("x")}, {Key: store.Key{Table: "workers", Name: "w1"}, Value: []byte("x")},
@@ -176,7 +181,7 @@
 		own := memory.NewView(c.store)
 		c.stores = append(c.stores, own)
 		n, err := New(s, Dependencies{
-			Store: own, Commander: c.workers, Instances: noInstances{}, Advisor: noAdvice{}, Registry: fakeRegistry{}, Decoder: fakeDecoder{},
+			Store: wrap(own), Commander: c.workers, Instances: noInstances{}, Advisor: noAdvice{}, Registry: fakeRegistry{}, Decoder: fakeDecoder{},
 			JobsHandler: func(*intake.Intake, *metrics.Jobs) http.Handler { return http.NotFoundHandler() },
 			Logger:      testLogger(t),
 		})
@@ -274,6 +279,55 @@
 	eventually(t, 5*time.Second, func() bool { return finished(t, away, "job") })
 }
 
+// longStore takes a time for each scan of the progress of jobs.
+type longStore struct {
+	store.Store
+	scan time.Duration
+}
+
+func (s longStore) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
+	if table == "progress" && to == "" {
+		select {
+		case <-time.After(s.scan):
+		case <-ctx.Done():
+			return store.Rows{}, ctx.Err()
+		}
+	}
+	return s.Store.Scan(ctx, table, partition, from, to)
+}
+
+// TestLongLoad guards against a leader that never begins because reading all rows takes longer than the start of a term may, and
+// against one that goes on reading after its term has ended.
+func TestLongLoad(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		scan   time.Duration
+		depose bool
+	}{
+		"long read":  {3500 * time.Millisecond, false},
+		"term ended": {time.Minute, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newClusterOn(t, 1, func(s store.Store) store.Store { return longStore{s, test.scan} })
+			n := c.nodes[0]
+			defer func() { _ = n.Stop(context.Background()) }()
+			eventually(t, 5*time.Second, func() bool { _, leading := n.members.Term(); return leading })
+			if !test.depose {
+				eventually(t, 2*test.scan, func() bool { _, running := n.leadership.Engine(); return running })
+				return
+			}
+			term, _ := n.members.Term()
+			limited, cancel := n.leadership.untilTermEnds(t.Context(), term.Fence)
+			defer cancel()
+			qt.Assert(t, limited.Err(), qt.IsNil)
+			n.members.Depose(term.Fence, "test")
+			eventually(t, time.Second, func() bool { return limited.Err() != nil })
+		})
+	}
+}
+
 // TestPartitioned guards against a node that counts as partitioned while only the store is unreachable, and against one that does not
 // although it reaches no other data centre either.
 func TestPartitioned(t *testing.T) {
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -218,6 +218,8 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
 	_, err = e.options.Store.Commit(ctx, store.Tx{
 		Expected: []store.Expect{{Key: leadershipKey(rowClock)}}, Puts: []store.Put{{Key: leadershipKey(rowClock), Value: value}},
 	})
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -124,28 +125,51 @@
 	qt.Assert(t, leadership.lost, qt.IsTrue)
 }
 
-// unresponsiveStore does not answer the first reads of a table.
-type unresponsiveStore struct {
+// slowStore takes a time for each scan, and is silent for the first scans of a table.
+type slowStore struct {
 	*memory.Store
-	unanswered atomic.Int32
+	scan   time.Duration
+	silent atomic.Int32
+	scans  atomic.Int32
 }
 
-func (s *unresponsiveStore) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
-	if table == tableProgress && s.unanswered.Add(-1) >= 0 {
-		<-ctx.Done()
-		return store.Rows{}, store.ErrUnknown
+func (s *slowStore) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
+	s.scans.Add(1)
+	select {
+	case <-time.After(s.scan):
+	case <-ctx.Done():
+		return store.Rows{}, ctx.Err()
+	}
+	if table == tableProgress && s.silent.Add(-1) >= 0 {
+		return store.Rows{}, store.ErrSilent
 	}
 	return s.Store.Scan(ctx, table, partition, from, to)
 }
 
-// TestUnansweredRead guards against a term that cannot start because one of its first reads gets no answer.
-func TestUnansweredRead(t *testing.T) {
-	s := &unresponsiveStore{Store: memory.New()}
-	s.unanswered.Store(1)
-	ctx, cancel := context.WithTimeout(t.Context(), 2*loadReadTimeout)
-	defer cancel()
-	_, err := load(ctx, s, hclog.NewNullLogger(), func(store.Row, error) {})
-	qt.Assert(t, err, qt.IsNil)
+// TestLoad guards against a term that cannot begin because one of its first reads gets no reply, or because reading thousands of rows
+// takes longer than a read without a reply is given.
+func TestLoad(t *testing.T) {
+	tests := map[string]struct {
+		scan   time.Duration
+		silent int32
+		scans  int32
+	}{
+		"silent once": {800 * time.Millisecond, 1, 4},
+		"long":        {5 * time.Second, 0, 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &slowStore{Store: memory.New(), scan: test.scan}
+				s.silent.Store(test.silent)
+				ctx, cancel := context.WithTimeout(t.Context(), 2*test.scan)
+				defer cancel()
+				_, err := load(ctx, s, hclog.NewNullLogger(), func(store.Row, error) {})
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, s.scans.Load(), qt.Equals, test.scans)
+			})
+		})
+	}
 }
 
 // listedFleet is an instance service that counts its lists.
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -151,21 +152,15 @@
 	}
 }
 
-// loadReadTimeout is the timeout of one read at the start of a term. A slow store takes up to 0.3 s, and decoding 500 rows
-// takes about 0.1 s on a fifth of a core. A store that does not answer on one connection answers on another one.
-const loadReadTimeout = 800 * time.Millisecond
-
-// readWithRetry repeats a read that gets no answer, until the context ends.
+// readWithRetry repeats a read while the store is silent, until the context ends. The time of a read is not limited otherwise, since
+// a read that is cut off and repeated would never end once there are too many rows.
 func readWithRetry(ctx context.Context, logger hclog.Logger, table string, read func(ctx context.Context) (store.Rows, error)) (store.Rows, error) {
 	for {
-		limited, cancel := context.WithTimeout(ctx, loadReadTimeout)
-		rows, err := read(limited)
-		unanswered := limited.Err() != nil
-		cancel()
-		if err == nil || !unanswered || ctx.Err() != nil {
+		rows, err := read(ctx)
+		if err == nil || !errors.Is(err, store.ErrSilent) || ctx.Err() != nil {
 			return rows, err
 		}
-		logger.Warn("Table was not read in time; reading it again.", "table", table, "timeout", loadReadTimeout, "error", err)
+		logger.Warn("Table was not read; reading it again.", "table", table, "error", err)
 	}
 }
 
--- a/store/store.go
+++ b/store/store.go
@@ -25,6 +25,8 @@
 	ErrNotDone = errors.New("store did not carry out the call")
 	// ErrUnknown means that the call may have been executed, or may still be.
 	ErrUnknown = errors.New("outcome of the call is unknown")
+	// ErrSilent means that no part of the reply to a read has arrived for a while.
+	ErrSilent = errors.New("store is silent")
 	// ErrHistoryGone means that the requested changes are no longer in the history.
 	ErrHistoryGone = errors.New("history is no longer kept")
 )
@@ -93,7 +95,8 @@
 type Store interface {
 	// Commit fails with ErrConflict, ErrNotDone or ErrUnknown.
 	Commit(ctx context.Context, tx Tx) (Result, error)
-	// Scan returns the rows of a partition of a table with from <= name < to. An empty to means no upper bound.
+	// Scan returns the rows of a partition of a table with from <= name < to. An empty to means no upper bound. Like all reads, it
+	// takes as long as parts of the reply arrive, and fails with ErrSilent if none do.
 	Scan(ctx context.Context, table, partition, from, to string) (Rows, error)
 	// Partitions returns the names of the partitions of a table.
 	Partitions(ctx context.Context, table string) ([]string, error)
