scheduler: leave out every row that the store would refuse

Callers: if one worker, instance or maintenance has a name of nearly 200 bytes, nothing is stored any more: starts only by the rule for outages, and accepted jobs stay without a task.

Cause: the rows that split have names with a prefix ('worker/' and an ID), which exceed the 200 bytes of a key if the ID is just below; such an ID is a valid key of the registry, to which others write too. The store refuses the transaction as a whole, and the next batch contains the row again. Only the size of the progress of a job was checked.

All rows and removals of a batch are now checked against the limits of the store, and one above them is left out with a log line.

--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -52,37 +52,30 @@
 		Puts:     []store.Put{{Key: leadershipKey(rowChain), Value: chain}},
 	}
 	for id, p := range b.Progress {
-		value, err := encode(p)
-		if err != nil {
+		if err := e.addPut(&tx, progressKey(id), p); err != nil {
 			return tx, err
 		}
-		if len(value) > store.MaxRowBytes {
-			// The store would refuse the whole batch, and with it the progress of all jobs.
-			e.logger.Error("Progress of a job cannot be stored: its row is too long.", "job", id, "bytes", len(value), "limit", store.MaxRowBytes)
-			continue
-		}
-		tx.Puts = append(tx.Puts, store.Put{Key: progressKey(id), Value: value})
 	}
 	for id, entry := range b.Roster {
 		if entry == nil {
-			tx.Removes = append(tx.Removes, fleetKey(rosterPrefix+id))
+			e.addRemove(&tx, fleetKey(rosterPrefix+id))
 			continue
 		}
-		if err := addPut(&tx, fleetKey(rosterPrefix+id), entry); err != nil {
+		if err := e.addPut(&tx, fleetKey(rosterPrefix+id), entry); err != nil {
 			return tx, err
 		}
 	}
 	for id, at := range b.InstanceCommandTimes {
 		recorded, _ := e.options.Clock.At(at)
-		if err := addPut(&tx, fleetKey(commandPrefix+id), max(recorded, 1)); err != nil {
+		if err := e.addPut(&tx, fleetKey(commandPrefix+id), max(recorded, 1)); err != nil {
 			return tx, err
 		}
 	}
 	for _, id := range b.ExpiredCommands {
-		tx.Removes = append(tx.Removes, fleetKey(commandPrefix+id))
+		e.addRemove(&tx, fleetKey(commandPrefix+id))
 	}
 	for _, m := range b.begun {
-		if err := addPut(&tx, progressKey(waveName(m.wave)+waveInstanceSeparator+m.instance), m.worker); err != nil {
+		if err := e.addPut(&tx, progressKey(waveName(m.wave)+waveInstanceSeparator+m.instance), m.worker); err != nil {
 			return tx, err
 		}
 	}
@@ -94,7 +87,7 @@
 	}
 	for n, w := range b.Waves {
 		w.Since, _ = e.options.Clock.At(w.Since)
-		if err := addPut(&tx, progressKey(waveName(n)), w); err != nil {
+		if err := e.addPut(&tx, progressKey(waveName(n)), w); err != nil {
 			return tx, err
 		}
 		for name, doc := range e.options.Waves.Waves() {
@@ -106,6 +99,31 @@
 	return tx, nil
 }
 
+// addPut adds a row to a transaction. A row that the store would refuse is left out, since it would refuse the whole batch, and with
+// it the progress of all jobs.
+func (e *Engine) addPut(tx *store.Tx, key store.Key, v any) error {
+	value, err := encode(v)
+	if err != nil {
+		return err
+	}
+	put := store.Put{Key: key, Value: value}
+	if err := put.Validate(); err != nil {
+		e.logger.Error("Row cannot be stored; it is left out of the batch.", "table", key.Table, "row", key.Name, "error", err)
+		return nil
+	}
+	tx.Puts = append(tx.Puts, put)
+	return nil
+}
+
+// addRemove adds the removal of a row to a transaction, unless the store cannot have the row.
+func (e *Engine) addRemove(tx *store.Tx, key store.Key) {
+	if err := key.Validate(); err != nil {
+		e.logger.Warn("Row cannot be in the store; its removal is left out of the batch.", "table", key.Table, "row", key.Name, "error", err)
+		return
+	}
+	tx.Removes = append(tx.Removes, key)
+}
+
 // commitBatch commits a batch. If the outcome is not known, it reads it back.
 func (e *Engine) commitBatch(b Batch, tx store.Tx, number, chain uint64) {
 	ctx, cancel := context.WithTimeout(e.ctx, commitTimeout)
--- a/scheduler/rows_test.go
+++ b/scheduler/rows_test.go
@@ -61,6 +61,49 @@
 	qt.Assert(t, len(written) >= 3*fleet, qt.IsTrue)
 }
 
+// TestUnstorableRows guards against one row above a limit of the store that makes it refuse every batch, and with it the progress of
+// all jobs.
+func TestUnstorableRows(t *testing.T) {
+	long := strings.Repeat("x", store.MaxKeyBytes)
+	tests := map[string]func(c *Core){
+		"worker added": func(c *Core) { c.SetWorkers([]worker.Report{{ID: long, Pool: "p"}}) },
+		"worker removed": func(c *Core) {
+			c.SetWorkers([]worker.Report{{ID: long, Pool: "p"}})
+			c.dropWorker(c.workers[long], "test")
+		},
+		"instance command": func(c *Core) { c.fleet.planCommand(c.now, InstanceCommand{Instance: long, Pool: "p"}) },
+		"maintenance": func(c *Core) {
+			c.AddWave(instance.Wave{Number: 1, MaxDuration: time.Minute, Instances: []string{long}, MaxUnavailable: 1}, nil)
+			cmd := InstanceCommand{Instance: long, Wave: 1}
+			c.fleet.planCommand(c.now, cmd)
+			c.HandleInstanceReply(cmd, instance.Accepted, nil)
+		},
+		"progress of a job": func(c *Core) {
+			c.AddJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}}, nil, 0)
+			c.endJob(c.jobs["a1"], work.Failed, strings.Repeat("x", store.MaxRowBytes))
+		},
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			e, _ := newTestEngine(t, memory.New(), 1)
+			e.core.AddJob(work.Job{ID: "b1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}}, nil, 0)
+			e.core.endJob(e.core.jobs["b1"], work.Failed, "test")
+			prepare(e.core)
+			tx, err := e.transaction(e.core.TakeBatch(batchRows))
+			qt.Assert(t, err, qt.IsNil)
+			stored := false
+			for _, p := range tx.Puts {
+				qt.Assert(t, p.Validate(), qt.IsNil)
+				stored = stored || p.Key == progressKey("b1")
+			}
+			for _, k := range tx.Removes {
+				qt.Assert(t, k.Validate(), qt.IsNil)
+			}
+			qt.Assert(t, stored, qt.IsTrue)
+		})
+	}
+}
+
 // TestOldRows guards against an upgrade that forgets the workers, commands and maintenance in the rows of an earlier version, and
 // against old rows that stay and bring back workers that have left.
 func TestOldRows(t *testing.T) {
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -25,15 +25,6 @@
 	return eris.Wrap(cbor.Unmarshal(data, to), "decode a row")
 }
 
-func addPut(tx *store.Tx, key store.Key, v any) error {
-	data, err := encode(v)
-	if err != nil {
-		return err
-	}
-	tx.Puts = append(tx.Puts, store.Put{Key: key, Value: data})
-	return nil
-}
-
 func waveName(number int) string { return wavePrefix + strconv.Itoa(number) }
 
 // repeat calls f, with a pause of interval after each call, until the term ends.
--- a/store/store.go
+++ b/store/store.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -32,11 +33,12 @@
 )
 
 // Limits of one transaction, as documented by the platform: the number of its conditions, puts and removals, its size in bytes, and
-// the size of the value of a row.
+// the size of the value of a row and of each part of its key.
 const (
 	MaxEntries  = 100
 	MaxBytes    = 1 << 20
 	MaxRowBytes = 64 << 10
+	MaxKeyBytes = 200
 )
 
 // Key identifies a row. All rows of one transaction are in the same partition. Nodes send keys to each other with the names of the
@@ -68,6 +70,22 @@
 	Value []byte
 }
 
+// Validate reports a key that the store refuses, and with it the whole transaction.
+func (k Key) Validate() error {
+	if n := max(len(k.Table), len(k.Partition), len(k.Name)); n > MaxKeyBytes {
+		return fmt.Errorf("key has %d bytes, the limit is %d", n, MaxKeyBytes)
+	}
+	return nil
+}
+
+// Validate reports a row that the store refuses, and with it the whole transaction.
+func (p Put) Validate() error {
+	if len(p.Value) > MaxRowBytes {
+		return fmt.Errorf("value has %d bytes, the limit is %d", len(p.Value), MaxRowBytes)
+	}
+	return p.Key.Validate()
+}
+
 // Tx is a transaction. It takes effect as a whole or not at all.
 type Tx struct {
 	Expected []Expect
