scheduler: keep a batch within the size of a transaction

Callers: while many jobs with hundreds of tasks change at the same time, nothing is stored any more, as with a row above the limit.

Cause: a batch was limited in the number of its rows only. With rows of 12 kB and more, 92 of them exceed the 1 MB that the store takes, it refuses them, and the next batch has as many.

A batch that is too large is taken again with half of the rows, down to a number that always fits.

--- a/scheduler/batch_test.go
+++ b/scheduler/batch_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/store"
+	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -72,3 +75,34 @@
 		qt.Assert(t, ws.unstoredExits, qt.HasLen, 0)
 	}
 }
+
+// TestLargeRows guards against a batch that is larger than the store takes, which it would refuse again and again.
+func TestLargeRows(t *testing.T) {
+	tests := map[string]struct{ jobs, row int }{
+		"small rows":   {2 * batchRows, 100},
+		"large rows":   {2 * batchRows, store.MaxBytes / batchRows},
+		"longest rows": {2 * batchRows, store.MaxRowBytes - 100},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e, _ := newTestEngine(t, memory.New(), 1)
+			for i := range test.jobs {
+				id := fmt.Sprintf("%x", i)
+				e.core.AddJob(work.Job{ID: id, Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}}, nil, 0)
+				e.core.endJob(e.core.jobs[id], work.Failed, strings.Repeat("x", test.row))
+			}
+			stored := 0
+			for range test.jobs {
+				b, tx, err := e.nextBatch()
+				qt.Assert(t, err, qt.IsNil)
+				if b.Empty() {
+					break
+				}
+				qt.Assert(t, tx.Size() <= store.MaxBytes, qt.IsTrue, qt.Commentf("%d bytes", tx.Size()))
+				stored += len(b.Progress)
+				e.core.BatchStored(b)
+			}
+			qt.Assert(t, stored, qt.Equals, test.jobs)
+		})
+	}
+}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -14,7 +14,11 @@
 	if e.committing || (now < e.lastAttemptEnd+commitInterval && e.core.Backlog() <= batchRows) {
 		return
 	}
-	b := e.core.TakeBatch(batchRows)
+	b, tx, err := e.nextBatch()
+	if err != nil {
+		e.logger.Error("Batch could not be encoded.", "error", err)
+		return
+	}
 	if b.Empty() {
 		if len(b.exitAcks) > 0 {
 			e.core.BatchStored(b)
@@ -23,17 +27,26 @@
 		return
 	}
 	e.committing = true
-	e.batchNumber++
-	tx, err := e.transaction(b)
-	if err != nil {
-		e.logger.Error("Batch could not be encoded.", "error", err)
-		e.committing = false
-		return
-	}
 	number, chain := e.batchNumber, e.chainVersion
 	e.spawn(func() { e.commitBatch(b, tx, number, chain) })
 }
 
+// nextBatch returns the next batch and its transaction, with fewer rows the larger they are.
+func (e *Engine) nextBatch() (Batch, store.Tx, error) {
+	for limit := batchRows; ; limit /= 2 {
+		b := e.core.TakeBatch(limit)
+		if b.Empty() {
+			return b, store.Tx{}, nil
+		}
+		e.batchNumber++
+		tx, err := e.transaction(b)
+		if err != nil || tx.Size() <= store.MaxBytes || limit <= minBatchRows {
+			return b, tx, err
+		}
+		e.core.BatchFailed(b)
+	}
+}
+
 // notifyStored wakes the renewals that wait for a batch.
 func (e *Engine) notifyStored() {
 	close(e.batchStored)
--- a/store/store.go
+++ b/store/store.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"time"
@@ -93,6 +94,27 @@
 	Removes  []Key
 }
 
+// entryOverhead is more than the encoding of an entry takes besides its key and value.
+const entryOverhead = 64
+
+// Size returns an upper limit for the size of the transaction as it is sent, with the values in base64.
+func (tx *Tx) Size() int {
+	size := 0
+	add := func(k Key, value int) {
+		size += entryOverhead + len(k.Table) + len(k.Partition) + len(k.Name) + base64.StdEncoding.EncodedLen(value)
+	}
+	for _, e := range tx.Expected {
+		add(e.Key, 0)
+	}
+	for _, p := range tx.Puts {
+		add(p.Key, len(p.Value))
+	}
+	for _, k := range tx.Removes {
+		add(k, 0)
+	}
+	return size
+}
+
 // Result is the reply to a transaction.
 type Result struct {
 	Version uint64
