--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -34,6 +34,13 @@
 	return worker.Report{}, nil
 }
 
+// listedWorkers decodes each row as a worker.
+type listedWorkers struct{ noRegistry }
+
+func (listedWorkers) Decode(row store.Row) (worker.Report, error) {
+	return worker.Report{ID: row.Name, Pool: "p"}, nil
+}
+
 type noWaves struct{}
 
 func (noWaves) Waves() map[string]instance.Wave { return nil }
@@ -172,6 +179,38 @@
 	}
 }
 
+// silentCommander gets no reply to renewals.
+type silentCommander struct{ worker.Commander }
+
+func (silentCommander) Renew(ctx context.Context, _ worker.Target, _ worker.RenewCommand) (worker.Status, error) {
+	<-ctx.Done()
+	return worker.Status{}, ctx.Err()
+}
+
+// TestLongRescan guards against jobs and workers that the leader never learns of after the store has dropped its history, because
+// reading all rows takes longer than reading changes may.
+func TestLongRescan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowStore{Store: memory.New(), scan: 3 * readTimeout}
+		e, _ := newTestEngine(t, s.Store, 1)
+		e.options.Store, e.options.Registry, e.options.Workers = s, listedWorkers{}, silentCommander{}
+		qt.Assert(t, e.Start(t.Context()), qt.IsNil)
+		defer e.Stop()
+		value, err := EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+		qt.Assert(t, err, qt.IsNil)
+		for _, put := range []store.Put{{Key: JobKey("a1"), Value: value}, {Key: store.Key{Table: "workers", Name: "w1"}, Value: []byte{1}}} {
+			_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{put}})
+			qt.Assert(t, err, qt.IsNil)
+		}
+		s.DropHistory()
+		time.Sleep(5 * s.scan)
+		var job, worker bool
+		qt.Assert(t, e.query(t.Context(), func(c *Core) { _, job = c.JobState("a1"); _, worker = c.workers["w1"] }), qt.IsNil)
+		qt.Assert(t, job, qt.IsTrue)
+		qt.Assert(t, worker, qt.IsTrue)
+	})
+}
+
 // listedFleet is an instance service that counts its lists.
 type listedFleet struct {
 	instance.Fleet
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -114,7 +114,7 @@
 			return rows, false, err
 		}
 	}
-	rows, err = v.e.options.Store.Scan(ctx, table, partition, "", "")
+	rows, err = v.e.options.Store.Scan(v.e.ctx, table, partition, "", "")
 	return rows, true, err
 }
 
@@ -139,7 +139,8 @@
 		rows, err := e.options.Store.Changes(ctx, TableJobs, after, 0)
 		if errors.Is(err, store.ErrHistoryGone) {
 			e.logger.Warn("Changes of jobs are no longer available, reading all rows.", "after", after)
-			rows, err = store.ScanAll(ctx, e.options.Store, TableJobs)
+			// The timeout of ctx is for changes. With enough rows, the scan would never end within it.
+			rows, err = store.ScanAll(e.ctx, e.options.Store, TableJobs)
 		}
 		if err != nil {
 			e.logger.Warn("New jobs could not be read.", "after", after, "error", err)
