--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -37,6 +37,8 @@
 	// batchRows is the maximum number of rows in a batch. Two conditions, the row of the chain and the rows of an earlier version
 	// that are removed come on top.
 	batchRows = store.MaxEntries - 8
+	// minBatchRows is how few rows always fit into a transaction.
+	minBatchRows = store.MaxBytes / (2 * store.MaxRowBytes)
 	// commandTimeout is the timeout of a command to a worker. The longest link has a latency of 20 ms one way.
 	commandTimeout = 400 * time.Millisecond
 	// commandPause is the pause before a command is repeated.
@@ -157,7 +159,8 @@
 
 // Start reads all rows of the scheduler and starts scheduling.
 func (e *Engine) Start(ctx context.Context) error {
-	l, err := load(ctx, e.options.Store, func(row store.Row, err error) {
+	since := clock.Now()
+	l, err := load(ctx, e.options.Store, e.logger, func(row store.Row, err error) {
 		e.logger.Error("Row cannot be read.", "table", row.Table, "row", row.Name, "error", err)
 	})
 	if err != nil {
@@ -192,7 +195,7 @@
 		c.Cancel(id)
 	}
 	e.logger.Info("Leadership begins.", "fence", e.options.Core.Fence, "tenure", e.options.Core.Term, "jobs", len(l.jobs), "cancelled", len(l.cancelled),
-		"roster", len(l.roster), "version", l.version)
+		"roster", len(l.roster), "version", l.version, "rows", l.rows, "bytes", l.bytes, "took", clock.Now()-since)
 	e.spawn(e.runLoop)
 	e.spawn(e.watchRegistry)
 	e.spawn(func() { e.watchJobs(l.version) })
@@ -217,6 +220,8 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
 	_, err = e.options.Store.Commit(ctx, store.Tx{
 		Expected: []store.Expect{{Key: leadershipKey(rowClock)}}, Puts: []store.Put{{Key: leadershipKey(rowClock), Value: value}},
 	})
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
@@ -139,6 +141,9 @@
 	instances map[string]time.Duration
 	// hasOldRows means that the roster or the command times are in the rows of an earlier version.
 	hasOldRows bool
+	// rows and bytes are the number of the rows that were read and the size of their values.
+	rows  int
+	bytes int
 }
 
 func newLoadedRows() *loadedRows {
@@ -147,41 +152,36 @@
 	}
 }
 
-// loadReadTimeout is the timeout of one read at the start of a term. A slow store takes up to 0.3 s, and decoding 500 rows
-// takes about 0.1 s on a fifth of a core. A store that does not answer on one connection answers on another one.
-const loadReadTimeout = 800 * time.Millisecond
-
-// readWithRetry repeats a read that gets no answer, until the context ends.
-func readWithRetry(ctx context.Context, read func(ctx context.Context) (store.Rows, error)) (store.Rows, error) {
+// readWithRetry repeats a read while the store is silent, until the context ends. The time of a read is not limited otherwise, since
+// a read that is cut off and repeated would never end once there are too many rows.
+func readWithRetry(ctx context.Context, logger hclog.Logger, table string, read func(ctx context.Context) (store.Rows, error)) (store.Rows, error) {
 	for {
-		limited, cancel := context.WithTimeout(ctx, loadReadTimeout)
-		rows, err := read(limited)
-		unanswered := limited.Err() != nil
-		cancel()
-		if err == nil || !unanswered || ctx.Err() != nil {
+		rows, err := read(ctx)
+		if err == nil || !errors.Is(err, store.ErrSilent) || ctx.Err() != nil {
 			return rows, err
 		}
+		logger.Warn("Table was not read; reading it again.", "table", table, "error", err)
 	}
 }
 
 // load reads all rows of the scheduler, the tables at the same time. It calls bad for each row that cannot be decoded. The rows
 // of different tables may be of different moments: no other leader stores progress any more, since the batches of a leader expect
 // its version of the leader row.
-func load(ctx context.Context, s store.Store, bad func(row store.Row, err error)) (*loadedRows, error) {
+func load(ctx context.Context, s store.Store, logger hclog.Logger, bad func(row store.Row, err error)) (*loadedRows, error) {
 	l := newLoadedRows()
 	var jobs store.Rows
 	decoders := map[string]func(store.Row) error{tableProgress: l.decodeProgress, tableLeadership: l.decodeLeadershipRow, tableFleet: l.decodeFleetRow}
 	tables := make(map[string]*store.Rows, len(decoders))
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
-		jobs, err = readWithRetry(groupCtx, func(ctx context.Context) (store.Rows, error) { return store.ScanAll(ctx, s, TableJobs) })
+		jobs, err = readWithRetry(groupCtx, logger, TableJobs, func(ctx context.Context) (store.Rows, error) { return store.ScanAll(ctx, s, TableJobs) })
 		return err
 	})
 	for table := range decoders {
 		rows := &store.Rows{}
 		tables[table] = rows
 		group.Go(func() (err error) {
-			*rows, err = readWithRetry(groupCtx, func(ctx context.Context) (store.Rows, error) { return s.Scan(ctx, table, "", "", "") })
+			*rows, err = readWithRetry(groupCtx, logger, table, func(ctx context.Context) (store.Rows, error) { return s.Scan(ctx, table, "", "", "") })
 			return err
 		})
 	}
@@ -194,7 +194,9 @@
 			bad(row, err)
 		}
 	}
+	l.count(jobs)
 	for table, decode := range decoders {
+		l.count(*tables[table])
 		for _, row := range tables[table].Rows {
 			if err := decode(row); err != nil {
 				bad(row, err)
@@ -204,6 +206,13 @@
 	return l, nil
 }
 
+func (l *loadedRows) count(read store.Rows) {
+	l.rows += len(read.Rows)
+	for _, row := range read.Rows {
+		l.bytes += len(row.Value)
+	}
+}
+
 func (l *loadedRows) decodeJobRow(row store.Row) error {
 	if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
 		l.cancelled = append(l.cancelled, id)
