--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -30,6 +30,7 @@
 		c.stopGang(r)
 		return
 	}
+	sincePlan := c.now - r.startedAt
 	r.phase, r.startedAt = starting, c.now
 	j := r.step.job
 	if !j.started {
@@ -38,7 +39,7 @@
 	j.started = true
 	c.counts.Started++
 	c.logger.Info("Task is started.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
-		"fence", c.options.Fence, "waited", c.now-r.step.occurrence.dueAt, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
+		"fence", c.options.Fence, "waited", c.now-r.step.occurrence.dueAt, "sincePlan", sincePlan, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
 	c.commandStart(r)
 }
 
