--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
@@ -32,6 +34,13 @@
 	return worker.Report{}, nil
 }
 
+// listedWorkers decodes each row as a worker.
+type listedWorkers struct{ noRegistry }
+
+func (listedWorkers) Decode(row store.Row) (worker.Report, error) {
+	return worker.Report{ID: row.Name, Pool: "p"}, nil
+}
+
 type noWaves struct{}
 
 func (noWaves) Waves() map[string]instance.Wave { return nil }
@@ -123,28 +132,83 @@
 	qt.Assert(t, leadership.lost, qt.IsTrue)
 }
 
-// unresponsiveStore does not answer the first reads of a table.
-type unresponsiveStore struct {
+// slowStore takes a time for each scan, and is silent for the first scans of a table.
+type slowStore struct {
 	*memory.Store
-	unanswered atomic.Int32
+	scan   time.Duration
+	silent atomic.Int32
+	scans  atomic.Int32
 }
 
-func (s *unresponsiveStore) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
-	if table == tableProgress && s.unanswered.Add(-1) >= 0 {
-		<-ctx.Done()
-		return store.Rows{}, store.ErrUnknown
+func (s *slowStore) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
+	s.scans.Add(1)
+	select {
+	case <-time.After(s.scan):
+	case <-ctx.Done():
+		return store.Rows{}, ctx.Err()
+	}
+	if table == tableProgress && s.silent.Add(-1) >= 0 {
+		return store.Rows{}, store.ErrSilent
 	}
 	return s.Store.Scan(ctx, table, partition, from, to)
 }
 
-// TestUnansweredRead guards against a term that cannot start because one of its first reads gets no answer.
-func TestUnansweredRead(t *testing.T) {
-	s := &unresponsiveStore{Store: memory.New()}
-	s.unanswered.Store(1)
-	ctx, cancel := context.WithTimeout(t.Context(), 2*loadReadTimeout)
-	defer cancel()
-	_, err := load(ctx, s, func(store.Row, error) {})
-	qt.Assert(t, err, qt.IsNil)
+// TestLoad guards against a term that cannot begin because one of its first reads gets no reply, or because reading thousands of rows
+// takes longer than a read without a reply is given.
+func TestLoad(t *testing.T) {
+	tests := map[string]struct {
+		scan   time.Duration
+		silent int32
+		scans  int32
+	}{
+		"silent once": {800 * time.Millisecond, 1, 4},
+		"long":        {5 * time.Second, 0, 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &slowStore{Store: memory.New(), scan: test.scan}
+				s.silent.Store(test.silent)
+				ctx, cancel := context.WithTimeout(t.Context(), 2*test.scan)
+				defer cancel()
+				_, err := load(ctx, s, hclog.NewNullLogger(), func(store.Row, error) {})
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, s.scans.Load(), qt.Equals, test.scans)
+			})
+		})
+	}
+}
+
+// silentCommander gets no reply to renewals.
+type silentCommander struct{ worker.Commander }
+
+func (silentCommander) Renew(ctx context.Context, _ worker.Target, _ worker.RenewCommand) (worker.Status, error) {
+	<-ctx.Done()
+	return worker.Status{}, ctx.Err()
+}
+
+// TestLongRescan guards against jobs and workers that the leader never learns of after the store has dropped its history, because
+// reading all rows takes longer than reading changes may.
+func TestLongRescan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowStore{Store: memory.New(), scan: 3 * readTimeout}
+		e, _ := newTestEngine(t, s.Store, 1)
+		e.options.Store, e.options.Registry, e.options.Workers = s, listedWorkers{}, silentCommander{}
+		qt.Assert(t, e.Start(t.Context()), qt.IsNil)
+		defer e.Stop()
+		value, err := EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+		qt.Assert(t, err, qt.IsNil)
+		for _, put := range []store.Put{{Key: JobKey("a1"), Value: value}, {Key: store.Key{Table: "workers", Name: "w1"}, Value: []byte{1}}} {
+			_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{put}})
+			qt.Assert(t, err, qt.IsNil)
+		}
+		s.DropHistory()
+		time.Sleep(5 * s.scan)
+		var job, worker bool
+		qt.Assert(t, e.query(t.Context(), func(c *Core) { _, job = c.JobState("a1"); _, worker = c.workers["w1"] }), qt.IsNil)
+		qt.Assert(t, job, qt.IsTrue)
+		qt.Assert(t, worker, qt.IsTrue)
+	})
 }
 
 // listedFleet is an instance service that counts its lists.
--- a/store/store.go
+++ b/store/store.go
@@ -11,7 +11,9 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
+	"fmt"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -25,16 +27,19 @@
 	ErrNotDone = errors.New("store did not carry out the call")
 	// ErrUnknown means that the call may have been executed, or may still be.
 	ErrUnknown = errors.New("outcome of the call is unknown")
+	// ErrSilent means that no part of the reply to a read has arrived for a while.
+	ErrSilent = errors.New("store is silent")
 	// ErrHistoryGone means that the requested changes are no longer in the history.
 	ErrHistoryGone = errors.New("history is no longer kept")
 )
 
 // Limits of one transaction, as documented by the platform: the number of its conditions, puts and removals, its size in bytes, and
-// the size of the value of a row.
+// the size of the value of a row and of each part of its key.
 const (
 	MaxEntries  = 100
 	MaxBytes    = 1 << 20
 	MaxRowBytes = 64 << 10
+	MaxKeyBytes = 200
 )
 
 // Key identifies a row. All rows of one transaction are in the same partition. Nodes send keys to each other with the names of the
@@ -66,6 +71,22 @@
 	Value []byte
 }
 
+// Validate reports a key that the store refuses, and with it the whole transaction.
+func (k Key) Validate() error {
+	if n := max(len(k.Table), len(k.Partition), len(k.Name)); n > MaxKeyBytes {
+		return fmt.Errorf("key has %d bytes, the limit is %d", n, MaxKeyBytes)
+	}
+	return nil
+}
+
+// Validate reports a row that the store refuses, and with it the whole transaction.
+func (p Put) Validate() error {
+	if len(p.Value) > MaxRowBytes {
+		return fmt.Errorf("value has %d bytes, the limit is %d", len(p.Value), MaxRowBytes)
+	}
+	return p.Key.Validate()
+}
+
 // Tx is a transaction. It takes effect as a whole or not at all.
 type Tx struct {
 	Expected []Expect
@@ -73,6 +94,27 @@
 	Removes  []Key
 }
 
+// entryOverhead is more than the encoding of an entry takes besides its key and value.
+const entryOverhead = 64
+
+// Size returns an upper limit for the size of the transaction as it is sent, with the values in base64.
+func (tx *Tx) Size() int {
+	size := 0
+	add := func(k Key, value int) {
+		size += entryOverhead + len(k.Table) + len(k.Partition) + len(k.Name) + base64.StdEncoding.EncodedLen(value)
+	}
+	for _, e := range tx.Expected {
+		add(e.Key, 0)
+	}
+	for _, p := range tx.Puts {
+		add(p.Key, len(p.Value))
+	}
+	for _, k := range tx.Removes {
+		add(k, 0)
+	}
+	return size
+}
+
 // Result is the reply to a transaction.
 type Result struct {
 	Version uint64
@@ -93,7 +135,8 @@
 type Store interface {
 	// Commit fails with ErrConflict, ErrNotDone or ErrUnknown.
 	Commit(ctx context.Context, tx Tx) (Result, error)
-	// Scan returns the rows of a partition of a table with from <= name < to. An empty to means no upper bound.
+	// Scan returns the rows of a partition of a table with from <= name < to. An empty to means no upper bound. Like all reads, it
+	// takes as long as parts of the reply arrive, and fails with ErrSilent if none do.
 	Scan(ctx context.Context, table, partition, from, to string) (Rows, error)
 	// Partitions returns the names of the partitions of a table.
 	Partitions(ctx context.Context, table string) ([]string, error)
