scheduler: judge by the clock of the worker whether it has survived a start

What callers would see: a task that crashes its workers is not counted, and other tasks that were started beside it are, up to the failure of their jobs.

Cause: a start counted as survived if the leader processed a reply 100 ms after it had sent the command. The confirmation itself is such a reply: one that took 100 ms cleared its own start. So did a report that the worker had sent right after the start and that waited in the inbox of a busy leader, and the answer of a worker that had restarted under its ID to a command that was sent again before a renewal showed the restart.

Change: the latest clock in the replies of a worker is kept, and a start is survived once that is 100 ms past its value at the confirmation. The clock of a new incarnation begins anew and does not raise it.

Ruled out: the local time of the confirmation in place of that of the command. It mends only the first of the three cases.

Evidence: all three cases of TestConfirmationProvesNothing failed before: the cause had no crash on record, and the task beside it had one.

--- a/internal/jobs/crashloop/crashloop.go
+++ b/internal/jobs/crashloop/crashloop.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	for _, i := range crashloop.Suspects(starts, lastContact) {
+//	for _, i := range crashloop.Suspects(starts) {
 //		crashes[i]++
 //		if crashloop.GiveUp(crashes[i]) {
 //			// Mark the job as failed.
@@ -20,9 +20,9 @@
 	maxCrashes = 3
 	// likelyCrashes is the number of crashes after which few of the suspects are left.
 	likelyCrashes = 2
-	// provenAfter is how long a worker has to live after a start for the start not to be the cause of a crash.
+	// provenAfter is how long a worker has to live after it has confirmed a start for the start not to be the cause of a crash.
 	provenAfter = 100 * time.Millisecond
-	// lateCrash is how long a task may have run if no start can be the cause of a crash.
+	// lateCrash is how long a worker may have lived after a start if no start can be the cause of a crash.
 	lateCrash = 5 * time.Second
 	// sameBatch is the time within which starts are sent together.
 	sameBatch = 20 * time.Millisecond
@@ -30,32 +30,32 @@
 
 // Start is a start of a task on a worker.
 type Start struct {
-	// At is the monotonic time of the start command.
-	At time.Duration
+	// Sent is the monotonic time of the start command.
+	Sent time.Duration
 	// Confirmed means that the worker has confirmed the start.
 	Confirmed bool
+	// Survived is how long the worker is known to have lived after it confirmed the start, on its own clock.
+	Survived time.Duration
 }
 
-// Proven reports whether a worker that last answered at a time has survived a start.
-func (s Start) Proven(lastContact time.Duration) bool {
-	return s.Confirmed && lastContact-s.At >= provenAfter
-}
+// Proven reports whether the worker has survived a start.
+func (s Start) Proven() bool { return s.Confirmed && s.Survived >= provenAfter }
 
-// Suspects returns the indexes of the starts that may have made a worker crash, in order. The worker last answered at lastContact.
-func Suspects(starts []Start, lastContact time.Duration) []int {
+// Suspects returns the indexes of the starts that may have made a worker crash, in order.
+func Suspects(starts []Start) []int {
 	// A worker that crashed under its first start without an answer did not get those that were sent later.
 	unanswered := time.Duration(-1)
 	for _, s := range starts {
-		if !s.Confirmed && (unanswered < 0 || s.At < unanswered) {
-			unanswered = s.At
+		if !s.Confirmed && (unanswered < 0 || s.Sent < unanswered) {
+			unanswered = s.Sent
 		}
 	}
 	var suspects, late []int
 	for i, s := range starts {
 		switch {
-		case s.Confirmed && !s.Proven(lastContact), !s.Confirmed && s.At-unanswered <= sameBatch:
+		case s.Confirmed && !s.Proven(), !s.Confirmed && s.Sent-unanswered <= sameBatch:
 			suspects = append(suspects, i)
-		case s.Confirmed && lastContact-s.At < lateCrash:
+		case s.Confirmed && s.Survived < lateCrash:
 			late = append(late, i)
 		}
 	}
@@ -65,6 +65,9 @@
 	return suspects
 }
 
+// MayProve reports whether a report that is requested that long after a confirmation proves the start.
+func MayProve(sinceConfirmed time.Duration) bool { return sinceConfirmed >= provenAfter }
+
 // Likely reports whether a task under which that many workers have crashed is more likely the cause than a coincidence.
 func Likely(crashes int) bool { return crashes >= likelyCrashes }
 
--- a/internal/jobs/crashloop/crashloop_test.go
+++ b/internal/jobs/crashloop/crashloop_test.go
@@ -9,9 +9,8 @@
 
 // TestSuspects guards against a crash that is blamed on tasks that ran long before, or were sent to a worker that was down already.
 func TestSuspects(t *testing.T) {
-	const contact = time.Minute
-	started := func(age time.Duration) Start { return Start{At: contact - age, Confirmed: true} }
-	sent := func(after time.Duration) Start { return Start{At: contact + after} }
+	started := func(survived time.Duration) Start { return Start{Confirmed: true, Survived: survived} }
+	sent := func(at time.Duration) Start { return Start{Sent: time.Minute + at} }
 	tests := map[string]struct {
 		starts []Start
 		want   []int
@@ -26,7 +25,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			qt.Assert(t, Suspects(test.starts, contact), qt.DeepEquals, test.want)
+			qt.Assert(t, Suspects(test.starts), qt.DeepEquals, test.want)
 		})
 	}
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -84,7 +84,7 @@
 			starts = append(starts, r.start())
 		}
 	}
-	for _, i := range crashloop.Suspects(starts, ws.lastContact) {
+	for _, i := range crashloop.Suspects(starts) {
 		suspects = append(suspects, runs[i])
 	}
 	// It is not known when previous leaders started these, so that only those are suspects that were before.
@@ -119,7 +119,7 @@
 }
 
 func (r *run) start() crashloop.Start {
-	return crashloop.Start{At: r.startedAt, Confirmed: r.confirmedAt > 0}
+	return crashloop.Start{Sent: r.startedAt, Confirmed: r.confirmedAt > 0, Survived: r.worker.latestClock - r.confirmedClock}
 }
 
 // crashCount returns under how many runs of a task a worker has crashed.
@@ -130,10 +130,10 @@
 func (c *Core) testsSuspect(ws *workerState, s *step, index int) bool {
 	for _, r := range ws.runs {
 		sameUnit := r.step == s && s.unitIndex(r.index) == s.unitIndex(index)
-		if sameUnit || r.step.crashCount(r.index) == 0 || r.start().Proven(ws.lastContact) {
+		if sameUnit || r.step.crashCount(r.index) == 0 || r.start().Proven() {
 			continue
 		}
-		if r.start().Proven(c.now) {
+		if r.confirmedAt > 0 && crashloop.MayProve(c.now-r.confirmedAt) {
 			c.pollWorker(ws)
 		}
 		return true
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -340,3 +340,41 @@
 	r.reply("w1")
 	qt.Assert(t, startsOf(r.pass()), qt.DeepEquals, []string{"b 0.0.0 1 w1"})
 }
+
+// TestConfirmationProvesNothing guards against a crash that is blamed on other tasks because a confirmation, or the reply of a new
+// incarnation, is taken as proof that the worker has survived the start of its cause.
+func TestConfirmationProvesNothing(t *testing.T) {
+	tests := map[string]func(r *rig, cause Command){
+		"confirmation takes long": func(r *rig, cause Command) {
+			clock := r.now
+			r.advance(200 * time.Millisecond)
+			r.core.HandleReply(cause, worker.Reply{Clock: clock}, clock, nil)
+		},
+		"reply is processed late": func(r *rig, cause Command) {
+			r.accept([]Command{cause})
+			status := worker.Status{Reply: worker.Reply{Clock: r.now + time.Millisecond, Incarnation: rigIncarnation}, Running: r.runs["w1"]}
+			sent := r.now
+			r.advance(200 * time.Millisecond)
+			r.core.HandleStatus("w1", status, sent, nil)
+		},
+		"new incarnation accepts a start": func(r *rig, cause Command) {
+			r.accept([]Command{cause})
+			r.addSteps("repeated", 1)
+			start := r.pass()[0]
+			r.core.HandleReply(start, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+			r.advance(time.Second)
+			r.core.HandleReply(start, worker.Reply{Clock: 100 * time.Millisecond}, r.now, nil)
+		},
+	}
+	for name, crash := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			cause := r.addSteps("cause", 1)
+			crash(r, r.pass()[0])
+			r.addSteps("other", 1)
+			qt.Assert(t, startsOf(r.pass()), qt.Contains, "other 0.0.0 1 w1")
+			r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Clock: 200 * time.Millisecond, Incarnation: rigNextIncarnation}}, r.now, nil)
+			qt.Assert(t, cause.open[0].steps[0].crashCount(0), qt.Equals, 1)
+		})
+	}
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -211,6 +211,14 @@
 	return false
 }
 
+// confirm records that the worker has confirmed a run.
+func (c *Core) confirm(r *run) {
+	if r.confirmedAt == 0 {
+		r.confirmedClock = r.worker.latestClock
+	}
+	r.confirmedAt = c.now
+}
+
 func (c *Core) handleStartReply(r *run, reply worker.Reply, sent time.Duration, err error) {
 	if !r.attached() {
 		return
@@ -220,7 +228,7 @@
 			r.phase = running
 		}
 		if r.confirmedAt == 0 {
-			r.confirmedAt = c.now
+			c.confirm(r)
 		}
 		return
 	}
@@ -245,7 +253,7 @@
 		if r.unanswered > 0 {
 			// An earlier command was carried out and the run has exited. The worker reports the exit.
 			r.phase = max(r.phase, running)
-			r.confirmedAt = c.now
+			c.confirm(r)
 			return
 		}
 		r.step.tasks[r.index].lastRun += runsPerTerm
@@ -284,7 +292,7 @@
 		return
 	}
 	if reply.Outcome == worker.Accepted {
-		r.confirmedAt = c.now
+		c.confirm(r)
 		return
 	}
 	c.logger.Warn("Stop command was not confirmed.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -108,6 +108,8 @@
 	// at which the worker first confirmed the run.
 	startedAt   time.Duration
 	confirmedAt time.Duration
+	// confirmedClock is the latest time that the worker's clock was known to have shown when the worker first confirmed the run.
+	confirmedClock time.Duration
 	// missingReports counts the reports in a row that should list the run and do not.
 	missingReports int
 	// unanswered counts the start commands that got no answer.
@@ -162,6 +164,9 @@
 	clock         time.Duration
 	clockSent     time.Duration
 	clockReceived time.Duration
+	// latestClock is the latest clock in a reply. It does not go back with replies that overtake each other, or with those of a
+	// new incarnation that is not recognised yet.
+	latestClock time.Duration
 	// requestedExpiry is the latest lease expiry that was requested, on the worker's clock.
 	requestedExpiry time.Duration
 	// exitsProcessed is the number of the last exit that was processed, and exitsStored that of the last whose effect is stored.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -151,6 +151,7 @@
 // recordClock records the worker's clock in a reply, unless the reply to a later request is known already.
 func (c *Core) recordClock(ws *workerState, reply worker.Reply, sent time.Duration) {
 	ws.lastContact = c.now
+	ws.latestClock = max(ws.latestClock, reply.Clock)
 	if ws.startUnanswered {
 		ws.startUnanswered = false
 		c.pool(ws.report.Pool).needsPlanning = true
@@ -240,7 +241,7 @@
 	ws.unansweredStarts = nil
 	ws.report.Incarnation = incarnation
 	ws.reportClock = 0
-	ws.exitsProcessed, ws.exitsStored, ws.requestedExpiry, ws.clock, ws.leaseExpired = 0, 0, 0, 0, false
+	ws.exitsProcessed, ws.exitsStored, ws.requestedExpiry, ws.clock, ws.latestClock, ws.leaseExpired = 0, 0, 0, 0, 0, false
 	ws.unstoredExits, ws.expiredRuns = nil, nil
 	ws.clockSent, ws.clockReceived = 0, c.now
 	c.rosterChanges[ws.report.ID] = true
@@ -358,7 +359,7 @@
 		r.phase = running
 	}
 	if r.confirmedAt == 0 {
-		r.confirmedAt = c.now
+		c.confirm(r)
 	}
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
@@ -403,7 +404,8 @@
 		// The recorded run never started or has exited. The list of exits tells which.
 		return
 	}
-	r := &run{step: s, index: row.Task.Index, number: row.Number, worker: ws, phase: running, startedAt: c.now, confirmedAt: c.now, percentChangedAt: c.now, speedLimit: unknownSpeed}
+	r := &run{step: s, index: row.Task.Index, number: row.Number, worker: ws, phase: running, startedAt: c.now, percentChangedAt: c.now, speedLimit: unknownSpeed}
+	c.confirm(r)
 	other := len(t.runs) > 0
 	c.attachRun(r)
 	t.lastRun = max(t.lastRun, row.Number)
