scheduler: start suspects away from the workers that crashed under them

What callers would see: a job fails although only a worker is at fault, which crashes by itself again and again while others have room.

Cause: suspects go to workers with few tasks, and a worker that is back after a crash has none. Members of a gang take the first worker with room, which is the same one each time, too. Three crashes of one worker gave up the job.

Change: a step keeps the addresses of the workers that crashed under each of its tasks in this term. A suspect goes there only if no other worker has room, so that the next crash tells whether the task or the worker is the cause.

Ruled out: not counting a second crash of one worker. A task that crashes its workers would have no bound where only one has room for it.

What remains: the next leader does not know the addresses. A job whose task fits nowhere else still fails.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -109,6 +109,7 @@
 		}
 		c.counts.Crashed++
 		crashes := s.progress.AddCrash(s.unitIndex(r.index), r.number)
+		s.addCrashAddress(r.index, ws.report.Address)
 		c.changedJobs[j] = true
 		c.logger.Warn("Worker has crashed under a task.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
 			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "crashes", crashes)
@@ -126,6 +127,21 @@
 // crashCount returns under how many runs of a task a worker has crashed.
 func (s *step) crashCount(index int) int { return len(s.progress.Crashes[s.unitIndex(index)]) }
 
+func (s *step) addCrashAddress(index int, address string) {
+	if s.crashAddresses == nil {
+		s.crashAddresses = make(map[int][]string)
+	}
+	unit := s.unitIndex(index)
+	if !slices.Contains(s.crashAddresses[unit], address) {
+		s.crashAddresses[unit] = append(s.crashAddresses[unit], address)
+	}
+}
+
+// crashedOn reports whether a worker has crashed under a task at the address of this one, which may be the cause.
+func (s *step) crashedOn(index int, ws *workerState) bool {
+	return slices.Contains(s.crashAddresses[s.unitIndex(index)], ws.report.Address)
+}
+
 // testsSuspect reports whether a worker has just started a task under which a worker has crashed before. It requests a report from the
 // worker if that would clear the task.
 func (c *Core) testsSuspect(ws *workerState) bool {
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -397,3 +397,29 @@
 	few := allocations(2)
 	qt.Assert(t, allocations(500) <= few, qt.IsTrue)
 }
+
+// TestCrashingWorker guards against a job that fails because its task goes to the same worker again, which keeps crashing by itself.
+func TestCrashingWorker(t *testing.T) {
+	for name, gang := range map[string]bool{"task": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w")
+			r.addSteps("beside", 4)
+			r.accept(r.pass())
+			j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Gang: gang, Request: coresOnly(1), Estimate: time.Second}}})
+			for life := range 4 {
+				crashing := rigReport(fmt.Sprintf("life%d", life), coresOnly(4))
+				crashing.Address = "crashing:1"
+				r.core.SetWorkers([]worker.Report{rigReport("w", coresOnly(4)), crashing})
+				r.reply(crashing.ID)
+				r.reply("w")
+				r.accept(r.pass())
+				r.advance(gangPause)
+				r.core.HandleStatus(crashing.ID, worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+				r.advance(gangPause)
+				r.finish("w", worker.ExitDone)
+				r.reply("w")
+			}
+			qt.Assert(t, j.progress.State, qt.Equals, work.Finished)
+		})
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -276,6 +276,9 @@
 	costSameService = 1
 	// costSuspect is the cost of each task that is lost if a task under which a worker has crashed before crashes this one, too.
 	costSuspect = 1
+	// costCrashedBefore is the cost of a worker that crashed under the task before. It outweighs the others, since the next crash of
+	// that worker would not tell whether the task is the cause.
+	costCrashedBefore = 1000
 	// costMixedUse separates batch tasks and services a little, so that instances without services can be moved.
 	costMixedUse = 0.2
 )
@@ -293,6 +296,9 @@
 	}
 	if s.crashCount(index) > 0 {
 		cost += costSuspect * float64(len(ws.runs))
+		if s.crashedOn(index, ws) {
+			cost += costCrashedBefore
+		}
 	}
 	switch {
 	case s.doc.BestEffort:
@@ -313,7 +319,7 @@
 	if s.idleTasks < s.tasksLeft || c.now < s.notBefore || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
 		return false
 	}
-	chosen := c.chooseGang(s, c.workersFor(workers, s, 0))
+	chosen := c.chooseGang(s, s.crashedLast(c.workersFor(workers, s, 0)))
 	if chosen == nil {
 		return false
 	}
@@ -330,6 +336,23 @@
 	return true
 }
 
+// crashedLast returns workers with those last that crashed under the gang before.
+func (s *step) crashedLast(workers []*workerState) []*workerState {
+	if len(s.crashAddresses) == 0 {
+		return workers
+	}
+	var last []*workerState
+	ordered := make([]*workerState, 0, len(workers))
+	for _, ws := range workers {
+		if s.crashedOn(0, ws) {
+			last = append(last, ws)
+		} else {
+			ordered = append(ordered, ws)
+		}
+	}
+	return append(ordered, last...)
+}
+
 // chooseGang returns a worker for each task of a gang, and nil if they do not fit. Gangs that are slower across racks are
 // placed in one rack if it has room.
 func (c *Core) chooseGang(s *step, usable []*workerState) []*workerState {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -61,6 +61,8 @@
 	tickets *tickets
 	// gangRun is the number of the latest run of the gang.
 	gangRun int
+	// crashAddresses holds the addresses of the workers that crashed under each task in this term, or under the gang at index 0.
+	crashAddresses map[int][]string
 	// notBefore delays the next start of the gang.
 	notBefore time.Duration
 }
