scheduler: send no unanswered start again to a worker that is silent

What callers would see: a task that crashes its workers is started on after three workers have crashed under it, where workers return under their IDs and crash before they answer.

Cause: a start without an answer is sent again every 50 ms until the lease of the worker ends, 5 s after its last answer. A worker that is back after 3 s under its ID gets it before a renewal or the registry shows that it has restarted, and crashes again under the same run, which counts once.

Change: after 2 s without an answer of the worker (the time after which it gets no other tasks) the start waits for its next report. One that shows a restart ends the run; any other one repeats the start, or shows that it runs. A lost answer and a delegate that fails are repeated at once as before.

What remains: a worker that is back under its ID within 2 s of its last answer can crash twice under one run.

Evidence: TestCrashLoop sends repeated starts before renewals now, and has cases without an answer.

--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -40,6 +40,8 @@
 	later   map[work.Task]int
 	// keepsID means that a worker returns under its ID.
 	keepsID bool
+	// unanswered means that a worker crashes before it answers.
+	unanswered bool
 }
 
 type crashingWorker struct {
@@ -122,15 +124,19 @@
 
 func (f *crashFleet) step() {
 	f.core.SetTime(f.now)
-	var reports []worker.Report
 	for _, w := range f.workers {
-		if f.now < w.downUntil {
-			continue
-		}
-		if w.downUntil > 0 {
+		if w.downUntil > 0 && f.now >= w.downUntil {
 			w.downUntil = 0
 			f.boot(w)
 		}
+	}
+	// Commands that are sent again reach a worker that is back before its registry entry and its renewal show that.
+	f.carryOutCommands()
+	var reports []worker.Report
+	for _, w := range f.workers {
+		if w.downUntil > 0 {
+			continue
+		}
 		reports = append(reports, worker.Report{
 			ID: w.id, Pool: "p", Address: w.address, Incarnation: w.incarnation, Labels: []string{"a", "r1-1"}, Capacity: work.Resources{CPU: 8000, Memory: 8000},
 		})
@@ -153,6 +159,10 @@
 		}
 	}
 	f.core.BatchStored(b)
+	f.carryOutCommands()
+}
+
+func (f *crashFleet) carryOutCommands() {
 	for _, cmd := range f.core.TakeCommands() {
 		f.carryOut(cmd)
 	}
@@ -222,7 +232,11 @@
 	if f.crashes[task] >= 3 {
 		f.later[task]++
 	}
-	f.core.HandleReply(cmd, worker.Reply{Clock: f.now, Incarnation: w.incarnation}, f.now, nil)
+	reply := worker.Reply{Clock: f.now, Incarnation: w.incarnation}
+	if f.unanswered && f.deadly[task] {
+		reply = worker.Reply{Outcome: worker.Unknown}
+	}
+	f.core.HandleReply(cmd, reply, f.now, nil)
 	w.runs[task] = cmd.Start.Run
 	if s, ok := f.core.findStep(task); ok && !s.doc.Service {
 		w.endsAt[task] = f.now + crashFleetWork
@@ -241,14 +255,17 @@
 // TestCrashLoop guards against a task that is started without end although each worker that starts it crashes.
 func TestCrashLoop(t *testing.T) {
 	tests := map[string]struct {
-		keepsID bool
-		step    work.Step
-		deadly  []int
+		keepsID    bool
+		unanswered bool
+		step       work.Step
+		deadly     []int
 		// leaderChanges are the times at which another process acquires leadership.
 		leaderChanges []time.Duration
 	}{
 		"a worker returns as another":            {step: work.Step{Count: 3}, deadly: []int{1}},
 		"a worker returns under its ID":          {keepsID: true, step: work.Step{Count: 3}, deadly: []int{1}},
+		"no answer":                              {unanswered: true, step: work.Step{Count: 3}, deadly: []int{1}},
+		"no answer, a worker keeps its ID":       {keepsID: true, unanswered: true, step: work.Step{Count: 3}, deadly: []int{1}},
 		"several tasks of a job":                 {step: work.Step{Count: 6}, deadly: []int{0, 2, 5}},
 		"a service":                              {step: work.Step{Count: 3, Service: true}, deadly: []int{1}},
 		"a gang":                                 {step: work.Step{Count: 3, Gang: true}, deadly: []int{1}},
@@ -260,6 +277,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newCrashFleet(t, 8, test.keepsID)
+			f.unanswered = test.unanswered
 			f.run(time.Second)
 			f.addJob("bad", test.step, test.deadly...)
 			for i := range 6 {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -211,6 +211,16 @@
 	return false
 }
 
+// repeatStart sends an unanswered start again if it may be, and stops the run if not.
+func (c *Core) repeatStart(r *run) {
+	if c.mayRepeatStart(r) {
+		c.commandStart(r)
+		return
+	}
+	// The stop makes the worker reject the start that may still arrive.
+	c.stopRun(r, "there is no room for it any more")
+}
+
 // confirm records that the worker has confirmed a run.
 func (c *Core) confirm(r *run) {
 	if r.confirmedAt == 0 {
@@ -242,11 +252,11 @@
 		r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
 		switch {
 		case r.phase != starting:
-		case c.mayRepeatStart(r):
-			c.commandStart(r)
+		case c.now-r.worker.lastContact > contactTimeout:
+			// The worker may be down. If it restarts under its ID, the start must not reach its next incarnation.
+			r.repeatAfterReport = true
 		default:
-			// The stop makes the worker reject the start that may still arrive.
-			c.stopRun(r, "there is no room for it any more")
+			c.repeatStart(r)
 		}
 		return
 	case worker.Superseded:
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -116,6 +116,8 @@
 	missingReports int
 	// unanswered counts the start commands that got no answer.
 	unanswered int
+	// repeatAfterReport means that the start is sent again once the worker has reported.
+	repeatAfterReport bool
 	// stopSentAt is the time of the latest stop command.
 	stopSentAt   time.Duration
 	checkpoint   string
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -339,6 +339,10 @@
 		if number, ok := reported[t]; ok && number == r.number {
 			continue
 		}
+		if r.repeatAfterReport && r.phase == starting {
+			r.repeatAfterReport = false
+			c.repeatStart(r)
+		}
 		// A report that was requested before the worker confirmed the run may lack it.
 		if r.confirmedAt == 0 || r.confirmedAt > sent {
 			continue
