scheduler: forget starts without an answer that cannot arrive any more

What operators would see: memory of the leader that grows with every start that is sent again, and a burst of stops for the same run when a worker restarts.

Cause: each start without an answer was added to a list of its worker, which was emptied only by a restart of the worker under its ID.

Change: the list holds the latest start of each run, of the last 13 s.

Evidence: TestUnansweredStartsAreForgotten found 100 entries for one run before.

--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -90,3 +90,18 @@
 		})
 	}
 }
+
+// TestUnansweredStartsAreForgotten guards against memory that grows with each start that is sent again.
+func TestUnansweredStartsAreForgotten(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSteps("a", 1)
+	commands := r.pass()
+	for range 100 {
+		qt.Assert(t, startsOf(commands), qt.HasLen, 1)
+		r.core.HandleReply(commands[0], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+		r.advance(time.Second)
+		r.reply("w1")
+		commands = r.schedule()
+	}
+	qt.Assert(t, r.core.workers["w1"].unansweredStarts, qt.HasLen, 1)
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -249,7 +249,7 @@
 		// The same run is commanded again. A worker that has it already confirms it.
 		r.unanswered++
 		r.worker.startUnanswered = true
-		r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
+		c.recordUnansweredStart(r)
 		switch {
 		case r.phase != starting:
 		case c.now-r.worker.lastContact > contactTimeout:
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -227,14 +227,14 @@
 	runs := c.runsAtCrash(ws)
 	for _, r := range runsOn(ws) {
 		if r.confirmedAt == 0 {
-			ws.unansweredStarts = append(ws.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
+			c.recordUnansweredStart(r)
 			r.step.tasks[r.index].notBefore = c.now + restartPause
 		}
 		c.markRunLost(r, "the worker has restarted")
 	}
 	// Starts that got no answer may still reach the new incarnation, which knows no runs. A stop makes the worker reject them.
 	for _, start := range ws.unansweredStarts {
-		if c.now-start.since < maxCommandDelay {
+		if start.mayArrive(c.now) {
 			c.stopUnknownRun(ws, start.task, start.run)
 		}
 	}
@@ -438,6 +438,18 @@
 	since time.Duration
 }
 
+// mayArrive reports whether the command may still be carried out.
+func (s unansweredStart) mayArrive(now time.Duration) bool { return now-s.since < maxCommandDelay }
+
+// recordUnansweredStart records the latest start of a run that got no answer, and forgets those that cannot arrive any more.
+func (c *Core) recordUnansweredStart(r *run) {
+	ws := r.worker
+	ws.unansweredStarts = slices.DeleteFunc(ws.unansweredStarts, func(s unansweredStart) bool {
+		return s.task == r.task() && s.run == r.number || !s.mayArrive(c.now)
+	})
+	ws.unansweredStarts = append(ws.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
+}
+
 const (
 	// maxCommandDelay is how long a command without an answer may still be carried out. The platform delays commands by up to 12 s.
 	maxCommandDelay = 13 * time.Second
