scheduler: blame no start that a silent worker has survived

What callers would see: a job fails although no worker has crashed, after the worker of its task was partitioned three times within 5 s of a start, as a service in a data centre whose connections come and go.

Cause: a worker that is silent and that the registry has dropped is taken as crashed. Where no start came just before, all starts of the last 5 s are suspects.

Change: on silence alone only starts are suspects that the worker is not known to have survived. A worker that returns as another instance or incarnation has crashed for certain, and is handled as before.

What remains: starts just before a partition count. So do tasks with a crash on record whose worker the next leader never reaches. A task that crashes workers more than 100 ms after its start is not counted if they stay away until the registry and their lease have ended.

Evidence: TestPartitionIsNoCrash failed before for a start that was survived, and passes before and after for one that was not.

--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -441,3 +441,33 @@
 		})
 	}
 }
+
+// TestPartitionIsNoCrash guards against a job that fails because the worker of its task has lost its connections several times.
+func TestPartitionIsNoCrash(t *testing.T) {
+	tests := map[string]struct {
+		// reported means that the worker has reported after the start.
+		reported bool
+		want     int
+	}{
+		"worker has survived the start":    {reported: true, want: 0},
+		"worker is silent since the start": {want: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			j := r.addSteps("a", 1)
+			r.accept(r.pass())
+			if test.reported {
+				r.advance(time.Second)
+				r.reply("w1")
+			}
+			r.core.SetWorkers(nil)
+			for range 10 {
+				r.advance(time.Second)
+				r.schedule()
+			}
+			qt.Assert(t, r.core.Workers(), qt.HasLen, 0)
+			qt.Assert(t, j.open[0].steps[0].crashCount(0), qt.Equals, test.want)
+		})
+	}
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -90,6 +90,13 @@
 	c.recordCrash(ws, runs)
 }
 
+// dropSilentWorker removes a worker that has crashed or lost its connections. Starts that it has survived are not suspects then.
+func (c *Core) dropSilentWorker(ws *workerState, reason string) {
+	runs := slices.DeleteFunc(c.runsAtCrash(ws), func(r *run) bool { return r.start().Proven() })
+	c.dropWorker(ws, reason)
+	c.recordCrash(ws, runs)
+}
+
 func runsOn(ws *workerState) []*run {
 	runs := make([]*run, 0, len(ws.runs))
 	for _, r := range ws.runs {
@@ -464,13 +471,13 @@
 func (c *Core) checkLease(ws *workerState) {
 	if !ws.answered {
 		if !ws.listed && c.now-ws.unlistedSince > unreachedTimeout {
-			c.dropCrashedWorker(ws, "not in the registry and never reached")
+			c.dropSilentWorker(ws, "not in the registry and never reached")
 		}
 		return
 	}
 	if ws.leaseExpired {
 		if !ws.listed {
-			c.dropCrashedWorker(ws, "not in the registry and unresponsive")
+			c.dropSilentWorker(ws, "not in the registry and unresponsive")
 		}
 		return
 	}
