--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
@@ -84,7 +85,7 @@
 			starts = append(starts, r.start())
 		}
 	}
-	for _, i := range crashloop.Suspects(starts, ws.lastContact) {
+	for _, i := range crashloop.Suspects(starts) {
 		suspects = append(suspects, runs[i])
 	}
 	// It is not known when previous leaders started these, so that only those are suspects that were before.
@@ -108,6 +109,7 @@
 		}
 		c.counts.Crashed++
 		crashes := s.progress.AddCrash(s.unitIndex(r.index), r.number)
+		s.addCrashAddress(r.index, ws.report.Address)
 		c.changedJobs[j] = true
 		c.logger.Warn("Worker has crashed under a task.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
 			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "crashes", crashes)
@@ -119,12 +121,27 @@
 }
 
 func (r *run) start() crashloop.Start {
-	return crashloop.Start{At: r.startedAt, Confirmed: r.confirmedAt > 0}
+	return crashloop.Start{Sent: r.startedAt, Confirmed: r.confirmedAt > 0, Survived: r.worker.latestClock - r.confirmedClock}
 }
 
 // crashCount returns under how many runs of a task a worker has crashed.
 func (s *step) crashCount(index int) int { return len(s.progress.Crashes[s.unitIndex(index)]) }
 
+func (s *step) addCrashAddress(index int, address string) {
+	if s.crashAddresses == nil {
+		s.crashAddresses = make(map[int][]string)
+	}
+	unit := s.unitIndex(index)
+	if !slices.Contains(s.crashAddresses[unit], address) {
+		s.crashAddresses[unit] = append(s.crashAddresses[unit], address)
+	}
+}
+
+// crashedOn reports whether a worker has crashed under a task at the address of this one, which may be the cause.
+func (s *step) crashedOn(index int, ws *workerState) bool {
+	return slices.Contains(s.crashAddresses[s.unitIndex(index)], ws.report.Address)
+}
+
 // likelyCause reports whether an idle task of an occurrence has probably made workers crash.
 func (o *occurrence) likelyCause() bool {
 	for _, s := range o.steps {
@@ -156,9 +173,9 @@
 	tests := p.tests[:0]
 	for _, r := range p.tests {
 		ws := r.worker
-		if r.attached() && !r.start().Proven(ws.lastContact) {
+		if r.attached() && !r.start().Proven() {
 			tests = append(tests, r)
-			if r.start().Proven(c.now) {
+			if r.confirmedAt > 0 && crashloop.MayProve(c.now-r.confirmedAt) {
 				c.pollWorker(ws)
 			}
 			continue
@@ -171,53 +188,83 @@
 	p.tests = tests
 }
 
-// testWorkers returns the workers on which a task may be started: all of them, unless a worker has crashed under the task before.
-// Then it returns those that do not test another task, so that the next crash tells them apart. A task that is likely the cause gets a
-// worker that runs nothing, if there is one in time, and only a share of the workers tests such tasks.
-func (c *Core) testWorkers(s *step, index int, workers []*workerState) []*workerState {
+const (
+	// likelyShare is the share of the workers of a pool that may be down because of tasks that are likely to crash them.
+	likelyShare = 0.25
+	// emptyWorkerWait is how long a task that is likely to crash its worker waits for one that runs nothing.
+	emptyWorkerWait = 2 * time.Second
+)
+
+// placement holds the workers on which a pass may start tasks of a pool.
+type placement struct {
+	workers []*workerState
+	// forSuspects holds the workers that test no suspect, and likelyLeft is how many tasks may start that are likely to crash their
+	// workers. Both are set for the first suspect of the pass.
+	forSuspects []*workerState
+	likelyLeft  int
+	filtered    bool
+}
+
+// workersFor returns the workers on which a task may be started. A task under which a worker has crashed before gets one that tests no
+// other, so that the next crash tells them apart. One that is likely the cause gets a worker that runs nothing, if there is one in time.
+func (c *Core) workersFor(p *placement, s *step, index int) []*workerState {
 	crashes := s.crashCount(index)
 	if crashes == 0 {
-		return workers
+		return p.workers
 	}
-	var free, empty []*workerState
-	for _, ws := range workers {
-		if r := ws.test; r != nil && (r.step != s || s.unitIndex(r.index) != s.unitIndex(index)) {
-			continue
-		}
-		free = append(free, ws)
-		if len(ws.runs) == 0 {
-			empty = append(empty, ws)
-		}
+	if !p.filtered {
+		c.filterForSuspects(p, c.pool(s.job.doc.Pool))
 	}
 	if !crashloop.Likely(crashes) {
-		return free
-	}
-	p := c.pool(s.job.doc.Pool)
-	likely := 0
-	for _, r := range p.tests {
-		if r.likely() {
-			likely++
-		}
+		return p.forSuspects
 	}
 	t := &s.tasks[index]
 	if t.emptyWorkerSince == 0 {
 		t.emptyWorkerSince = c.now
 	}
 	switch {
-	case likely >= max(1, int(likelyShare*float64(len(p.workers)))):
+	case p.likelyLeft <= 0:
 		return nil
-	case c.now-t.emptyWorkerSince < emptyWorkerWait:
-		return empty
+	case c.now-t.emptyWorkerSince >= emptyWorkerWait:
+		return p.forSuspects
 	}
-	return free
+	var empty []*workerState
+	for _, ws := range p.forSuspects {
+		if len(ws.runs) == 0 {
+			empty = append(empty, ws)
+		}
+	}
+	return empty
 }
 
-const (
-	// likelyShare is the share of the workers of a pool that may be down because of tasks that are likely to crash them.
-	likelyShare = 0.25
-	// emptyWorkerWait is how long a task that is likely to crash its worker waits for one that runs nothing.
-	emptyWorkerWait = 2 * time.Second
-)
+func (c *Core) filterForSuspects(p *placement, in *pool) {
+	p.filtered = true
+	for _, ws := range p.workers {
+		if ws.test == nil {
+			p.forSuspects = append(p.forSuspects, ws)
+		}
+	}
+	p.likelyLeft = max(1, int(likelyShare*float64(len(in.workers))))
+	for _, r := range in.tests {
+		if r.likely() {
+			p.likelyLeft--
+		}
+	}
+}
+
+// recordStart records that a task was placed on a worker in this pass.
+func (p *placement) recordStart(s *step, index int, ws *workerState) {
+	crashes := s.crashCount(index)
+	if crashes == 0 {
+		return
+	}
+	if crashloop.Likely(crashes) {
+		p.likelyLeft--
+	}
+	if i := slices.Index(p.forSuspects, ws); i >= 0 {
+		p.forSuspects = slices.Delete(p.forSuspects, i, i+1)
+	}
+}
 
 func (s *step) failures(index int) int { return len(s.progress.Failures[s.unitIndex(index)]) }
 
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -39,6 +39,8 @@
 	later   map[work.Task]int
 	// keepsID means that a worker returns under its ID.
 	keepsID bool
+	// unanswered means that a worker crashes before it answers.
+	unanswered bool
 }
 
 type crashingWorker struct {
@@ -121,15 +123,19 @@
 
 func (f *crashFleet) step() {
 	f.core.SetTime(f.now)
-	var reports []worker.Report
 	for _, w := range f.workers {
-		if f.now < w.downUntil {
-			continue
-		}
-		if w.downUntil > 0 {
+		if w.downUntil > 0 && f.now >= w.downUntil {
 			w.downUntil = 0
 			f.boot(w)
 		}
+	}
+	// Commands that are sent again reach a worker that is back before its registry entry and its renewal show that.
+	f.carryOutCommands()
+	var reports []worker.Report
+	for _, w := range f.workers {
+		if w.downUntil > 0 {
+			continue
+		}
 		reports = append(reports, worker.Report{
 			ID: w.id, Pool: "p", Address: w.address, Incarnation: w.incarnation, Labels: []string{"a", "r1-1"}, Capacity: work.Resources{CPU: 8000, Memory: 8000},
 		})
@@ -152,6 +158,10 @@
 		}
 	}
 	f.core.BatchStored(b)
+	f.carryOutCommands()
+}
+
+func (f *crashFleet) carryOutCommands() {
 	for _, cmd := range f.core.TakeCommands() {
 		f.carryOut(cmd)
 	}
@@ -221,7 +231,11 @@
 	if f.crashes[task] >= 3 {
 		f.later[task]++
 	}
-	f.core.HandleReply(cmd, worker.Reply{Clock: f.now, Incarnation: w.incarnation}, f.now, nil)
+	reply := worker.Reply{Clock: f.now, Incarnation: w.incarnation}
+	if f.unanswered && f.deadly[task] {
+		reply = worker.Reply{Outcome: worker.Unknown}
+	}
+	f.core.HandleReply(cmd, reply, f.now, nil)
 	w.runs[task] = cmd.Start.Run
 	if s, ok := f.core.findStep(task); ok && !s.doc.Service {
 		w.endsAt[task] = f.now + crashFleetWork
@@ -240,14 +254,17 @@
 // TestCrashLoop guards against a task that is started without end although each worker that starts it crashes.
 func TestCrashLoop(t *testing.T) {
 	tests := map[string]struct {
-		keepsID bool
-		step    work.Step
-		deadly  []int
+		keepsID    bool
+		unanswered bool
+		step       work.Step
+		deadly     []int
 		// leaderChanges are the times at which another process acquires leadership.
 		leaderChanges []time.Duration
 	}{
 		"a worker returns as another":            {step: work.Step{Count: 3}, deadly: []int{1}},
 		"a worker returns under its ID":          {keepsID: true, step: work.Step{Count: 3}, deadly: []int{1}},
+		"no answer":                              {unanswered: true, step: work.Step{Count: 3}, deadly: []int{1}},
+		"no answer, a worker keeps its ID":       {keepsID: true, unanswered: true, step: work.Step{Count: 3}, deadly: []int{1}},
 		"several tasks of a job":                 {step: work.Step{Count: 6}, deadly: []int{0, 2, 5}},
 		"a service":                              {step: work.Step{Count: 3, Service: true}, deadly: []int{1}},
 		"a gang":                                 {step: work.Step{Count: 3, Gang: true}, deadly: []int{1}},
@@ -259,6 +276,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newCrashFleet(t, 8, test.keepsID)
+			f.unanswered = test.unanswered
 			f.run(time.Second)
 			f.addJob("bad", test.step, test.deadly...)
 			for i := range 6 {
@@ -367,3 +385,116 @@
 	r.reply("w1")
 	qt.Assert(t, startsOf(r.pass()), qt.DeepEquals, []string{"b 0.0.0 1 w1"})
 }
+
+// TestConfirmationProvesNothing guards against a crash that is blamed on other tasks because a confirmation, or the reply of a new
+// incarnation, is taken as proof that the worker has survived the start of its cause.
+func TestConfirmationProvesNothing(t *testing.T) {
+	tests := map[string]func(r *rig, cause Command){
+		"confirmation takes long": func(r *rig, cause Command) {
+			clock := r.now
+			r.advance(200 * time.Millisecond)
+			r.core.HandleReply(cause, worker.Reply{Clock: clock}, clock, nil)
+		},
+		"reply is processed late": func(r *rig, cause Command) {
+			r.accept([]Command{cause})
+			status := worker.Status{Reply: worker.Reply{Clock: r.now + time.Millisecond, Incarnation: rigIncarnation}, Running: r.runs["w1"]}
+			sent := r.now
+			r.advance(200 * time.Millisecond)
+			r.core.HandleStatus("w1", status, sent, nil)
+		},
+		"new incarnation accepts a start": func(r *rig, cause Command) {
+			r.accept([]Command{cause})
+			r.addSteps("repeated", 1)
+			start := r.pass()[0]
+			r.core.HandleReply(start, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+			r.advance(time.Second)
+			r.core.HandleReply(start, worker.Reply{Clock: 100 * time.Millisecond}, r.now, nil)
+		},
+	}
+	for name, crash := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			cause := r.addSteps("cause", 1)
+			crash(r, r.pass()[0])
+			r.addSteps("other", 1)
+			qt.Assert(t, startsOf(r.pass()), qt.Contains, "other 0.0.0 1 w1")
+			r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Clock: 200 * time.Millisecond, Incarnation: rigNextIncarnation}}, r.now, nil)
+			qt.Assert(t, cause.open[0].steps[0].crashCount(0), qt.Equals, 1)
+		})
+	}
+}
+
+// TestManySuspects guards against passes that look for workers that test no suspect again for each suspect.
+func TestManySuspects(t *testing.T) {
+	allocations := func(suspects int) float64 {
+		r := newRig(t, 1, "w1", "w2")
+		r.addSteps("running", 8)
+		r.accept(r.pass())
+		r.advance(time.Second)
+		r.reply("w1")
+		r.reply("w2")
+		r.addSuspects("waiting", suspects, 1)
+		return testing.AllocsPerRun(10, func() {
+			r.core.pool("p").needsPlanning = true
+			qt.Assert(t, startsOf(r.schedule()), qt.HasLen, 0)
+		})
+	}
+	few := allocations(2)
+	qt.Assert(t, allocations(500) <= few, qt.IsTrue)
+}
+
+// TestCrashingWorker guards against a job that fails because its task goes to the same worker again, which keeps crashing by itself.
+func TestCrashingWorker(t *testing.T) {
+	for name, gang := range map[string]bool{"task": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w")
+			r.addSteps("beside", 4)
+			r.accept(r.pass())
+			j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Gang: gang, Request: coresOnly(1), Estimate: time.Second}}})
+			for life := range 4 {
+				crashing := rigReport(fmt.Sprintf("life%d", life), coresOnly(4))
+				crashing.Address = "crashing:1"
+				r.core.SetWorkers([]worker.Report{rigReport("w", coresOnly(4)), crashing})
+				r.reply(crashing.ID)
+				r.reply("w")
+				r.accept(r.pass())
+				r.advance(gangPause)
+				r.core.HandleStatus(crashing.ID, worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+				r.advance(gangPause)
+				r.finish("w", worker.ExitDone)
+				r.reply("w")
+			}
+			qt.Assert(t, j.progress.State, qt.Equals, work.Finished)
+		})
+	}
+}
+
+// TestPartitionIsNoCrash guards against a job that fails because the worker of its task has lost its connections several times.
+func TestPartitionIsNoCrash(t *testing.T) {
+	tests := map[string]struct {
+		// reported means that the worker has reported after the start.
+		reported bool
+		want     int
+	}{
+		"worker has survived the start":    {reported: true, want: 0},
+		"worker is silent since the start": {want: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			j := r.addSteps("a", 1)
+			r.accept(r.pass())
+			if test.reported {
+				r.advance(time.Second)
+				r.reply("w1")
+			}
+			r.core.SetWorkers(nil)
+			for range 10 {
+				r.advance(time.Second)
+				r.schedule()
+			}
+			qt.Assert(t, r.core.Workers(), qt.HasLen, 0)
+			qt.Assert(t, j.open[0].steps[0].crashCount(0), qt.Equals, test.want)
+		})
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -73,8 +73,9 @@
 	if len(usable) == 0 {
 		return
 	}
+	workers := &placement{workers: usable}
 	for _, cand := range c.candidates(p) {
-		if !c.placeOccurrence(cand, usable) {
+		if !c.placeOccurrence(cand, workers) {
 			continue
 		}
 	}
@@ -156,7 +157,7 @@
 }
 
 // placeOccurrence starts as many tasks of an occurrence as possible. It reports whether it started all of them.
-func (c *Core) placeOccurrence(cand candidate, usable []*workerState) bool {
+func (c *Core) placeOccurrence(cand candidate, workers *placement) bool {
 	all := true
 	for _, s := range cand.occurrence.steps {
 		if s.idleTasks == 0 || !s.ready() {
@@ -167,7 +168,7 @@
 			continue
 		}
 		if s.doc.Gang {
-			all = c.placeGang(s, usable) && all
+			all = c.placeGang(s, workers) && all
 			continue
 		}
 		for i := range s.tasks {
@@ -175,7 +176,7 @@
 			if t.done || len(t.runs) > 0 || c.now < t.notBefore {
 				continue
 			}
-			ws := c.chooseWorker(s, i, c.testWorkers(s, i, usable))
+			ws := c.chooseWorker(s, i, c.workersFor(workers, s, i))
 			if ws == nil && s.crashCount(i) > 0 {
 				all = false
 				continue
@@ -185,6 +186,7 @@
 				break
 			}
 			c.planRun(s, i, c.nextRunNumber(t), ws)
+			workers.recordStart(s, i, ws)
 		}
 	}
 	return all
@@ -275,6 +277,9 @@
 	costSameService = 1
 	// costSuspect is the cost of each task that is lost if a task under which a worker has crashed before crashes this one, too.
 	costSuspect = 1
+	// costCrashedBefore is the cost of a worker that crashed under the task before. It outweighs the others, since the next crash of
+	// that worker would not tell whether the task is the cause.
+	costCrashedBefore = 1000
 	// costMixedUse separates batch tasks and services a little, so that instances without services can be moved.
 	costMixedUse = 0.2
 )
@@ -292,6 +297,9 @@
 	}
 	if s.crashCount(index) > 0 {
 		cost += costSuspect * float64(len(ws.runs))
+		if s.crashedOn(index, ws) {
+			cost += costCrashedBefore
+		}
 	}
 	switch {
 	case s.doc.BestEffort:
@@ -308,12 +316,12 @@
 }
 
 // placeGang starts all tasks of a gang, or none.
-func (c *Core) placeGang(s *step, usable []*workerState) bool {
+func (c *Core) placeGang(s *step, workers *placement) bool {
 	if s.idleTasks < s.tasksLeft || c.now < s.notBefore || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
 		return false
 	}
-	workers := c.chooseGang(s, c.testWorkers(s, 0, usable))
-	if workers == nil {
+	chosen := c.chooseGang(s, s.crashedLast(c.workersFor(workers, s, 0)))
+	if chosen == nil {
 		return false
 	}
 	number := s.gangRun
@@ -323,11 +331,29 @@
 	number = max(number, (c.options.Term-1)*runsPerTerm) + 1
 	s.gangRun = number
 	for i := range s.tasks {
-		c.planRun(s, i, number, workers[i])
+		c.planRun(s, i, number, chosen[i])
+		workers.recordStart(s, i, chosen[i])
 	}
 	return true
 }
 
+// crashedLast returns workers with those last that crashed under the gang before.
+func (s *step) crashedLast(workers []*workerState) []*workerState {
+	if len(s.crashAddresses) == 0 {
+		return workers
+	}
+	var last []*workerState
+	ordered := make([]*workerState, 0, len(workers))
+	for _, ws := range workers {
+		if s.crashedOn(0, ws) {
+			last = append(last, ws)
+		} else {
+			ordered = append(ordered, ws)
+		}
+	}
+	return append(ordered, last...)
+}
+
 // chooseGang returns a worker for each task of a gang, and nil if they do not fit. Gangs that are slower across racks are
 // placed in one rack if it has room.
 func (c *Core) chooseGang(s *step, usable []*workerState) []*workerState {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -215,6 +215,24 @@
 	return false
 }
 
+// repeatStart sends an unanswered start again if it may be, and stops the run if not.
+func (c *Core) repeatStart(r *run) {
+	if c.mayRepeatStart(r) {
+		c.commandStart(r)
+		return
+	}
+	// The stop makes the worker reject the start that may still arrive.
+	c.stopRun(r, "there is no room for it any more")
+}
+
+// confirm records that the worker has confirmed a run.
+func (c *Core) confirm(r *run) {
+	if r.confirmedAt == 0 {
+		r.confirmedClock = r.worker.latestClock
+	}
+	r.confirmedAt = c.now
+}
+
 func (c *Core) handleStartReply(r *run, reply worker.Reply, sent time.Duration, err error) {
 	if !r.attached() {
 		return
@@ -224,7 +242,7 @@
 			r.phase = running
 		}
 		if r.confirmedAt == 0 {
-			r.confirmedAt = c.now
+			c.confirm(r)
 		}
 		return
 	}
@@ -235,21 +253,21 @@
 		// The same run is commanded again. A worker that has it already confirms it.
 		r.unanswered++
 		r.worker.startUnanswered = true
-		r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
+		c.recordUnansweredStart(r)
 		switch {
 		case r.phase != starting:
-		case c.mayRepeatStart(r):
-			c.commandStart(r)
+		case c.now-r.worker.lastContact > contactTimeout:
+			// The worker may be down. If it restarts under its ID, the start must not reach its next incarnation.
+			r.repeatAfterReport = true
 		default:
-			// The stop makes the worker reject the start that may still arrive.
-			c.stopRun(r, "there is no room for it any more")
+			c.repeatStart(r)
 		}
 		return
 	case worker.Superseded:
 		if r.unanswered > 0 {
 			// An earlier command was carried out and the run has exited. The worker reports the exit.
 			r.phase = max(r.phase, running)
-			r.confirmedAt = c.now
+			c.confirm(r)
 			return
 		}
 		r.step.tasks[r.index].lastRun += runsPerTerm
@@ -288,7 +306,7 @@
 		return
 	}
 	if reply.Outcome == worker.Accepted {
-		r.confirmedAt = c.now
+		c.confirm(r)
 		return
 	}
 	c.logger.Warn("Stop command was not confirmed.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -63,6 +63,8 @@
 	tickets *tickets
 	// gangRun is the number of the latest run of the gang.
 	gangRun int
+	// crashAddresses holds the addresses of the workers that crashed under each task in this term, or under the gang at index 0.
+	crashAddresses map[int][]string
 	// notBefore delays the next start of the gang.
 	notBefore time.Duration
 }
@@ -112,10 +114,14 @@
 	// at which the worker first confirmed the run.
 	startedAt   time.Duration
 	confirmedAt time.Duration
+	// confirmedClock is the latest time that the worker's clock was known to have shown when the worker first confirmed the run.
+	confirmedClock time.Duration
 	// missingReports counts the reports in a row that should list the run and do not.
 	missingReports int
 	// unanswered counts the start commands that got no answer.
 	unanswered int
+	// repeatAfterReport means that the start is sent again once the worker has reported.
+	repeatAfterReport bool
 	// stopSentAt is the time of the latest stop command.
 	stopSentAt   time.Duration
 	checkpoint   string
@@ -166,6 +172,9 @@
 	clock         time.Duration
 	clockSent     time.Duration
 	clockReceived time.Duration
+	// latestClock is the latest clock in a reply. It does not go back with replies that overtake each other, or with those of a
+	// new incarnation that is not recognised yet.
+	latestClock time.Duration
 	// requestedExpiry is the latest lease expiry that was requested, on the worker's clock.
 	requestedExpiry time.Duration
 	// exitsProcessed is the number of the last exit that was processed, and exitsStored that of the last whose effect is stored.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -90,6 +90,13 @@
 	c.recordCrash(ws, runs)
 }
 
+// dropSilentWorker removes a worker that has crashed or lost its connections. Starts that it has survived are not suspects then.
+func (c *Core) dropSilentWorker(ws *workerState, reason string) {
+	runs := slices.DeleteFunc(c.runsAtCrash(ws), func(r *run) bool { return r.start().Proven() })
+	c.dropWorker(ws, reason)
+	c.recordCrash(ws, runs)
+}
+
 func runsOn(ws *workerState) []*run {
 	runs := make([]*run, 0, len(ws.runs))
 	for _, r := range ws.runs {
@@ -151,6 +158,7 @@
 // recordClock records the worker's clock in a reply, unless the reply to a later request is known already.
 func (c *Core) recordClock(ws *workerState, reply worker.Reply, sent time.Duration) {
 	ws.lastContact = c.now
+	ws.latestClock = max(ws.latestClock, reply.Clock)
 	if ws.startUnanswered {
 		ws.startUnanswered = false
 		c.pool(ws.report.Pool).needsPlanning = true
@@ -226,21 +234,21 @@
 	runs := c.runsAtCrash(ws)
 	for _, r := range runsOn(ws) {
 		if r.confirmedAt == 0 {
-			ws.unansweredStarts = append(ws.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
+			c.recordUnansweredStart(r)
 			r.step.tasks[r.index].notBefore = c.now + restartPause
 		}
 		c.markRunLost(r, "the worker has restarted")
 	}
 	// Starts that got no answer may still reach the new incarnation, which knows no runs. A stop makes the worker reject them.
 	for _, start := range ws.unansweredStarts {
-		if c.now-start.since < maxCommandDelay {
+		if start.mayArrive(c.now) {
 			c.stopUnknownRun(ws, start.task, start.run)
 		}
 	}
 	ws.unansweredStarts = nil
 	ws.report.Incarnation = incarnation
 	ws.reportClock = 0
-	ws.exitsProcessed, ws.exitsStored, ws.requestedExpiry, ws.clock, ws.leaseExpired = 0, 0, 0, 0, false
+	ws.exitsProcessed, ws.exitsStored, ws.requestedExpiry, ws.clock, ws.latestClock, ws.leaseExpired = 0, 0, 0, 0, 0, false
 	ws.unstoredExits, ws.expiredRuns = nil, nil
 	ws.clockSent, ws.clockReceived = 0, c.now
 	c.rosterChanges[ws.report.ID] = true
@@ -338,6 +346,10 @@
 		if number, ok := reported[t]; ok && number == r.number {
 			continue
 		}
+		if r.repeatAfterReport && r.phase == starting {
+			r.repeatAfterReport = false
+			c.repeatStart(r)
+		}
 		// A report that was requested before the worker confirmed the run may lack it.
 		if r.confirmedAt == 0 || r.confirmedAt > sent {
 			continue
@@ -358,7 +370,7 @@
 		r.phase = running
 	}
 	if r.confirmedAt == 0 {
-		r.confirmedAt = c.now
+		c.confirm(r)
 	}
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
@@ -403,7 +415,8 @@
 		// The recorded run never started or has exited. The list of exits tells which.
 		return
 	}
-	r := &run{step: s, index: row.Task.Index, number: row.Number, worker: ws, phase: running, startedAt: c.now, confirmedAt: c.now, percentChangedAt: c.now, speedLimit: unknownSpeed}
+	r := &run{step: s, index: row.Task.Index, number: row.Number, worker: ws, phase: running, startedAt: c.now, percentChangedAt: c.now, speedLimit: unknownSpeed}
+	c.confirm(r)
 	other := len(t.runs) > 0
 	c.attachRun(r)
 	t.lastRun = max(t.lastRun, row.Number)
@@ -432,6 +445,18 @@
 	since time.Duration
 }
 
+// mayArrive reports whether the command may still be carried out.
+func (s unansweredStart) mayArrive(now time.Duration) bool { return now-s.since < maxCommandDelay }
+
+// recordUnansweredStart records the latest start of a run that got no answer, and forgets those that cannot arrive any more.
+func (c *Core) recordUnansweredStart(r *run) {
+	ws := r.worker
+	ws.unansweredStarts = slices.DeleteFunc(ws.unansweredStarts, func(s unansweredStart) bool {
+		return s.task == r.task() && s.run == r.number || !s.mayArrive(c.now)
+	})
+	ws.unansweredStarts = append(ws.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
+}
+
 const (
 	// maxCommandDelay is how long a command without an answer may still be carried out. The platform delays commands by up to 12 s.
 	maxCommandDelay = 13 * time.Second
@@ -446,13 +471,13 @@
 func (c *Core) checkLease(ws *workerState) {
 	if !ws.answered {
 		if !ws.listed && c.now-ws.unlistedSince > unreachedTimeout {
-			c.dropCrashedWorker(ws, "not in the registry and never reached")
+			c.dropSilentWorker(ws, "not in the registry and never reached")
 		}
 		return
 	}
 	if ws.leaseExpired {
 		if !ws.listed {
-			c.dropCrashedWorker(ws, "not in the registry and unresponsive")
+			c.dropSilentWorker(ws, "not in the registry and unresponsive")
 		}
 		return
 	}
