scheduler: a worker without a reply in TestLongRescan

The test failed in one of about 30 runs: its workers answered renewals with the outcome accepted, so that a task was started on them, and the fake has no start.

--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -184,7 +184,7 @@
 
 func (silentCommander) Renew(ctx context.Context, _ worker.Target, _ worker.RenewCommand) (worker.Status, error) {
 	<-ctx.Done()
-	return worker.Status{}, ctx.Err()
+	return worker.Status{Reply: worker.Reply{Outcome: worker.Unknown}}, ctx.Err()
 }
 
 // TestLongRescan guards against jobs and workers that the leader never learns of after the store has dropped its history, because
