--- a/internal/jobs/crashloop/crashloop.go
+++ b/internal/jobs/crashloop/crashloop.go
@@ -24,6 +24,11 @@
 	provenAfter = 100 * time.Millisecond
 	// lateCrash is how long a worker may have lived after a start if no start can be the cause of a crash.
 	lateCrash = 5 * time.Second
+	// testsBeforeGroups is the number of suspects for each worker from which on they are started in groups. A worker tests about six
+	// suspects a second one by one.
+	testsBeforeGroups = 3
+	// maxGroup is the maximum size of a group.
+	maxGroup = 4
 	// sameBatch is the time within which starts are sent together.
 	sameBatch = 20 * time.Millisecond
 )
@@ -68,6 +73,12 @@
 // MayProve reports whether a report that is requested that long after a confirmation proves the start.
 func MayProve(sinceConfirmed time.Duration) bool { return sinceConfirmed >= provenAfter }
 
+// GroupSize returns how many suspects a worker may start at a time. Many suspects are started in groups, because most of them would
+// wait too long for a worker that tests no other.
+func GroupSize(suspects, workers int) int {
+	return max(1, min(suspects/max(1, workers*testsBeforeGroups), maxGroup))
+}
+
 // Likely reports whether a task under which that many workers have crashed is more likely the cause than a coincidence.
 func Likely(crashes int) bool { return crashes >= likelyCrashes }
 
--- a/internal/jobs/crashloop/crashloop_test.go
+++ b/internal/jobs/crashloop/crashloop_test.go
@@ -30,6 +30,22 @@
 	}
 }
 
+// TestGroupSize guards against many suspects that wait for each other, and against groups where there is time to tell all apart.
+func TestGroupSize(t *testing.T) {
+	tests := map[string]struct{ suspects, workers, want int }{
+		"none":             {0, 10, 1},
+		"few":              {59, 10, 1},
+		"many":             {60, 10, 2},
+		"very many":        {10000, 10, maxGroup},
+		"no worker in use": {60, 0, maxGroup},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, GroupSize(test.suspects, test.workers), qt.Equals, test.want)
+		})
+	}
+}
+
 // TestGiveUp guards against a bound above the five starts that the users allow, and against a job that fails for two coincidences.
 func TestGiveUp(t *testing.T) {
 	qt.Assert(t, Likely(1), qt.IsFalse)
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -162,7 +162,8 @@
 
 // addTest records a planned run of a task under which a worker has crashed before.
 func (c *Core) addTest(r *run) {
-	r.worker.test = r
+	r.worker.tests++
+	r.worker.testsLikely = r.worker.testsLikely || r.likely()
 	p := c.pool(r.worker.report.Pool)
 	p.tests = append(p.tests, r)
 }
@@ -170,22 +171,21 @@
 // endTests ends the tests of suspects whose worker has survived their start, and of runs that have ended. It requests a report from a
 // worker if that would end a test.
 func (c *Core) endTests(p *pool) {
-	tests := p.tests[:0]
-	for _, r := range p.tests {
-		ws := r.worker
-		if r.attached() && !r.start().Proven() {
-			tests = append(tests, r)
-			if r.confirmedAt > 0 && crashloop.MayProve(c.now-r.confirmedAt) {
-				c.pollWorker(ws)
-			}
+	tests := p.tests
+	p.tests = p.tests[:0]
+	for _, r := range tests {
+		r.worker.tests, r.worker.testsLikely = 0, false
+	}
+	for _, r := range tests {
+		if !r.attached() || r.start().Proven() {
 			continue
 		}
-		if ws.test == r {
-			ws.test = nil
+		c.addTest(r)
+		if r.confirmedAt > 0 && crashloop.MayProve(c.now-r.confirmedAt) {
+			c.pollWorker(r.worker)
 		}
 	}
-	clear(p.tests[len(tests):])
-	p.tests = tests
+	clear(tests[len(p.tests):])
 }
 
 const (
@@ -198,15 +198,17 @@
 // placement holds the workers on which a pass may start tasks of a pool.
 type placement struct {
 	workers []*workerState
-	// forSuspects holds the workers that test no suspect, and likelyLeft is how many tasks may start that are likely to crash their
-	// workers. Both are set for the first suspect of the pass.
+	// forSuspects holds the workers that test fewer suspects than groupSize, and likelyLeft is how many tasks may start that are likely
+	// to crash their workers. They are set for the first suspect of the pass.
 	forSuspects []*workerState
+	groupSize   int
 	likelyLeft  int
 	filtered    bool
 }
 
-// workersFor returns the workers on which a task may be started. A task under which a worker has crashed before gets one that tests no
-// other, so that the next crash tells them apart. One that is likely the cause gets a worker that runs nothing, if there is one in time.
+// workersFor returns the workers on which a task may be started. A task under which a worker has crashed before gets one that tests few
+// others, so that the next crash tells them apart. One that is likely the cause gets a worker that tests no other, and that runs nothing
+// if there is such a worker in time.
 func (c *Core) workersFor(p *placement, s *step, index int) []*workerState {
 	crashes := s.crashCount(index)
 	if crashes == 0 {
@@ -222,25 +224,24 @@
 	if t.emptyWorkerSince == 0 {
 		t.emptyWorkerSince = c.now
 	}
-	switch {
-	case p.likelyLeft <= 0:
+	if p.likelyLeft <= 0 {
 		return nil
-	case c.now-t.emptyWorkerSince >= emptyWorkerWait:
-		return p.forSuspects
 	}
-	var empty []*workerState
+	waited := c.now-t.emptyWorkerSince >= emptyWorkerWait
+	var alone []*workerState
 	for _, ws := range p.forSuspects {
-		if len(ws.runs) == 0 {
-			empty = append(empty, ws)
+		if ws.tests == 0 && (waited || len(ws.runs) == 0) {
+			alone = append(alone, ws)
 		}
 	}
-	return empty
+	return alone
 }
 
 func (c *Core) filterForSuspects(p *placement, in *pool) {
 	p.filtered = true
+	p.groupSize = crashloop.GroupSize(in.waitingSuspects(), len(p.workers))
 	for _, ws := range p.workers {
-		if ws.test == nil {
+		if ws.tests < p.groupSize && !ws.testsLikely {
 			p.forSuspects = append(p.forSuspects, ws)
 		}
 	}
@@ -252,6 +253,21 @@
 	}
 }
 
+// waitingSuspects returns the number of tasks that wait and under which a worker has crashed before.
+func (p *pool) waitingSuspects() int {
+	n := 0
+	for _, j := range p.jobs {
+		for _, o := range j.open {
+			for _, s := range o.steps {
+				if len(s.progress.Crashes) > 0 && s.idleTasks > 0 {
+					n += min(s.idleTasks, len(s.progress.Crashes))
+				}
+			}
+		}
+	}
+	return n
+}
+
 // recordStart records that a task was placed on a worker in this pass.
 func (p *placement) recordStart(s *step, index int, ws *workerState) {
 	crashes := s.crashCount(index)
@@ -261,6 +277,9 @@
 	if crashloop.Likely(crashes) {
 		p.likelyLeft--
 	}
+	if ws.tests < p.groupSize && !ws.testsLikely {
+		return
+	}
 	if i := slices.Index(p.forSuspects, ws); i >= 0 {
 		p.forSuspects = slices.Delete(p.forSuspects, i, i+1)
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -192,8 +192,9 @@
 	cordoned bool
 	// unlistedSince is the time since which the registry does not list the worker.
 	unlistedSince time.Duration
-	// test is a run of a suspect that the worker has not survived yet.
-	test *run
+	// tests counts the runs of suspects that the worker has not survived yet, and testsLikely means that one is likely to crash it.
+	tests       int
+	testsLikely bool
 	// startUnanswered means that a start got no answer, and that the worker has not answered anything since.
 	startUnanswered bool
 	// unansweredStarts holds the starts that got no answer.
