scheduler: give no task up for a crash before a change of the leader

Trace: run 1 of the task was on a worker that another task crashed; run 2 was sent to a worker that was down already and counted all the same; run 3 ran 0.3 s, long enough to be cleared, when its worker was lost. The next leader does not know when run 3 had begun, and counted it as the third crash.

Runs of previous leaders still make a suspect the likely cause, and do not give a task up any more. The two starts that the users allow after the third crash cover what is not counted; the cases of TestCrashLoop with changes of the leader pass. TestCrashBeforeTakeover failed before with three crashes on record.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -88,9 +88,9 @@
 	for _, i := range crashloop.Suspects(starts) {
 		suspects = append(suspects, runs[i])
 	}
-	// It is not known when previous leaders started these, so that only those are suspects that were before.
+	// It is not known when previous leaders started these, so that only those are suspects that were before, and none is given up.
 	for _, r := range c.previousRuns[ws.report.ID] {
-		if r.step.crashCount(r.index) > 0 {
+		if n := r.step.crashCount(r.index); n > 0 && !crashloop.GiveUp(n+1) {
 			suspects = append(suspects, &run{step: r.step, index: r.index, number: r.number, worker: ws, startedAt: ws.lastContact})
 		}
 	}
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -498,3 +498,29 @@
 		})
 	}
 }
+
+// TestCrashBeforeTakeover guards against a job that fails for a crash of which the new leader does not know when the run had begun.
+func TestCrashBeforeTakeover(t *testing.T) {
+	tests := map[string]struct{ before, after int }{
+		"no suspect":   {0, 0},
+		"suspect":      {1, 2},
+		"likely cause": {2, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2)
+			r.core.SetRoster([]RosterEntry{{ID: "w9", Pool: "p", Address: "w9:1", Incarnation: rigIncarnation, Capacity: coresOnly(4)}})
+			doc := work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: coresOnly(1)}}}
+			progress := work.NewProgress()
+			o := progress.Occurrence(&doc, 0)
+			for run := range test.before {
+				o.Steps[0].AddCrash(0, run+1)
+			}
+			o.SetRun(0, 0, "w9", 7)
+			r.core.AddJob(doc, progress, 0)
+			r.core.HandleStatus("w9", worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+			qt.Assert(t, r.core.jobs["a"].open[0].steps[0].crashCount(0), qt.Equals, test.after)
+			qt.Assert(t, r.core.jobs["a"].progress.State.Ended(), qt.IsFalse)
+		})
+	}
+}
