scheduler: run no query after its caller has given up

Cause: Engine.query returned with the end of the context or of the term and left its message in the inbox. The loop ran it afterwards, and it wrote to variables of the caller: nextRenewal (the race that was seen), JobState, Counts. For TakeJobsToShorten it also took jobs from the core whose rows nobody shortened.

A query is claimed either by the loop or by the caller that gives up. If the loop has begun, the caller waits for its end.

TestQueryAfterReturn fails without the change ("context ended while running" returned before the function had).

--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -286,11 +286,24 @@
 // ErrNotLeader means that this process is not the leader.
 var ErrNotLeader = errors.New("this node is not the leader")
 
-// query runs a function in the loop and waits until it returns.
+// query runs a function in the loop and waits until it returns. Once query has returned, the function does not run any more, also after
+// an error, so that it may write to variables of the caller.
 func (e *Engine) query(ctx context.Context, f func(*Core)) error {
+	var (
+		claimed  atomic.Bool
+		returned bool
+	)
 	done := make(chan struct{})
+	message := func(c *Core) {
+		if claimed.Swap(true) {
+			return
+		}
+		defer close(done)
+		f(c)
+		returned = true
+	}
 	select {
-	case e.inbox <- func(c *Core) { f(c); close(done) }:
+	case e.inbox <- message:
 	case <-e.ctx.Done():
 		return ErrNotLeader
 	case <-ctx.Done():
@@ -298,12 +311,20 @@
 	}
 	select {
 	case <-done:
-		return nil
 	case <-e.ctx.Done():
-		return ErrNotLeader
+		if !claimed.Swap(true) {
+			return ErrNotLeader
+		}
 	case <-ctx.Done():
-		return ctx.Err()
+		if !claimed.Swap(true) {
+			return ctx.Err()
+		}
 	}
+	<-done
+	if !returned {
+		return ErrNotLeader
+	}
+	return nil
 }
 
 // JobSubmitted notifies the engine of a job that was stored.
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -258,6 +258,62 @@
 	qt.Assert(t, leadership.lost, qt.IsTrue)
 }
 
+// TestQueryAfterReturn guards against a query that runs in the loop after its caller has given up: it wrote to variables that the caller
+// was reading, and took rows from the core that nobody stored.
+func TestQueryAfterReturn(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		// end makes the caller stop waiting.
+		end     func(e *Engine, cancel context.CancelFunc)
+		running bool
+		err     error
+	}{
+		"context ended while queued":  {func(_ *Engine, cancel context.CancelFunc) { cancel() }, false, context.Canceled},
+		"term ended while queued":     {func(e *Engine, _ context.CancelFunc) { e.cancel() }, false, ErrNotLeader},
+		"context ended while running": {func(_ *Engine, cancel context.CancelFunc) { cancel() }, true, nil},
+		"term ended while running":    {func(e *Engine, _ context.CancelFunc) { e.cancel() }, true, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				e, _ := newTestEngine(t, memory.New(), 1)
+				defer e.cancel()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				started, release := make(chan struct{}), make(chan struct{})
+				var ran, returned bool
+				var err error
+				go func() {
+					err = e.query(ctx, func(*Core) {
+						close(started)
+						<-release
+						ran = true
+					})
+					returned = true
+				}()
+				message := <-e.inbox
+				synctest.Wait()
+				if test.running {
+					go e.handleMessages(message)
+					<-started
+				}
+				test.end(e, cancel)
+				synctest.Wait()
+				qt.Assert(t, returned, qt.Equals, !test.running)
+				close(release)
+				if !test.running {
+					e.handleMessages(message)
+				}
+				synctest.Wait()
+				qt.Assert(t, ran, qt.Equals, test.running)
+				qt.Assert(t, returned, qt.IsTrue)
+				qt.Assert(t, err, qt.ErrorIs, test.err)
+			})
+		})
+	}
+}
+
 // countingCommander counts the commands to workers.
 type countingCommander struct {
 	worker.Commander
