scheduler: release a task at once whose start was never sent

Cause: a call without a connection had the outcome Unknown, as one whose answer was lost. An unknown start is repeated on the same worker, and is a suspect.

worker.NotSent says that no part of a command has left. A start that was not sent releases its task, as a refusal does, unless an earlier attempt of the same run may still be carried out. The worker gets no start until it has answered something, as before. Stops that were not sent are repeated.

Ruled out as ways to run a task twice: - reused connections: a POST is sent again on a new connection only if no byte was written to the old one, so that a dial error is the whole story.

TestUnsentStartIsNoSuspect, TestUnsentStartHoldsUpWorker, TestUnsentStopIsRepeated, TestStartRefusedConnection ("down" and "down after an answer"), TestUnsentCommand and TestUnsentCommandMixedBuilds fail with the outcome alone added.

--- a/internal/workers/delegate/delegate.go
+++ b/internal/workers/delegate/delegate.go
@@ -52,6 +52,8 @@
 	Seq    uint64        `cbor:"1,keyasint"`
 	Status worker.Status `cbor:"2,keyasint"`
 	Error  string        `cbor:"3,keyasint,omitempty"`
+	// NotSent stands for the outcome worker.NotSent. Status says worker.Unknown then, which leaders of all builds can read.
+	NotSent bool `cbor:"4,keyasint,omitempty"`
 }
 
 // clockTolerance is added to deadlines on the clock of the store. Nodes estimate it from replies, which a slow store delays by up
--- a/internal/workers/delegate/delegate_test.go
+++ b/internal/workers/delegate/delegate_test.go
@@ -340,3 +340,37 @@
 		}
 	})
 }
+
+// TestUnsentCommand guards against a command that counts as possibly carried out although its delegate did not reach the worker.
+func TestUnsentCommand(t *testing.T) {
+	r := newRig(t)
+	r.connect(t)
+	r.other.start = func() (worker.Reply, error) {
+		return worker.Reply{Outcome: worker.NotSent}, fmt.Errorf("connection refused")
+	}
+	reply, err := r.startOn(t, "w1")
+	qt.Assert(t, reply.Outcome, qt.Equals, worker.NotSent)
+	qt.Assert(t, err, qt.ErrorMatches, ".*connection refused")
+	before := r.direct.total()
+	_, err = r.startOn(t, "w1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.direct.total(), qt.Equals, before+1, qt.Commentf("the leader may reach the worker"))
+}
+
+// TestUnsentCommandMixedBuilds guards against an outcome that a leader of a build without [worker.NotSent] cannot read.
+func TestUnsentCommandMixedBuilds(t *testing.T) {
+	c := newCommander()
+	c.start = func() (worker.Reply, error) {
+		return worker.Reply{Outcome: worker.NotSent}, fmt.Errorf("connection refused")
+	}
+	s := NewServer(ServerOptions{Commander: c, Clock: &store.Clock{}})
+	data, err := cbor.Marshal(s.carry(request{Kind: kindStart, Timeout: time.Second, Start: &worker.StartCommand{}}))
+	qt.Assert(t, err, qt.IsNil)
+	var got struct {
+		Status worker.Status `cbor:"2,keyasint"`
+		Error  string        `cbor:"3,keyasint,omitempty"`
+	}
+	qt.Assert(t, cbor.Unmarshal(data, &got), qt.IsNil)
+	qt.Assert(t, got.Status.Outcome, qt.Equals, worker.Unknown)
+	qt.Assert(t, got.Error, qt.Equals, "connection refused")
+}
--- a/internal/workers/delegate/link.go
+++ b/internal/workers/delegate/link.go
@@ -194,6 +194,9 @@
 			return unknown, errLinkLost
 		}
 		if reply.Status.Outcome == worker.Unknown {
+			if reply.NotSent {
+				reply.Status.Outcome = worker.NotSent
+			}
 			return reply.Status, fmt.Errorf("%w %s: %s", errWorkerSilent, l.name, reply.Error)
 		}
 		if reply.Error != "" {
--- a/internal/workers/delegate/server.go
+++ b/internal/workers/delegate/server.go
@@ -197,5 +197,8 @@
 	if err != nil {
 		result.Error = err.Error()
 	}
+	if result.Status.Outcome == worker.NotSent {
+		result.Status.Outcome, result.NotSent = worker.Unknown, true
+	}
 	return result
 }
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -524,3 +524,61 @@
 		})
 	}
 }
+
+// TestUnsentStartIsNoSuspect guards against a task that waits for a worker that was down before its start, and is blamed for that crash.
+func TestUnsentStartIsNoSuspect(t *testing.T) {
+	tests := map[string]struct {
+		outcomes []worker.Outcome
+		gang     bool
+		want     []string
+		crashes  int
+	}{
+		"never sent":                       {outcomes: []worker.Outcome{worker.NotSent}, want: []string{"a 0.0.0 2 w2"}},
+		"never sent, gang":                 {outcomes: []worker.Outcome{worker.NotSent}, gang: true, want: []string{"a 0.0.0 2 w2"}},
+		"no answer":                        {outcomes: []worker.Outcome{worker.Unknown}, want: []string{"a 0.0.0 1 w1"}, crashes: 1},
+		"never sent after no answer":       {outcomes: []worker.Outcome{worker.Unknown, worker.NotSent}, want: []string{"a 0.0.0 1 w1"}, crashes: 1},
+		"never sent twice after no answer": {outcomes: []worker.Outcome{worker.Unknown, worker.NotSent, worker.NotSent}, want: []string{"a 0.0.0 1 w1"}, crashes: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Gang: test.gang, Request: coresOnly(1)}}})
+			commands := r.pass()
+			qt.Assert(t, startsOf(commands), qt.DeepEquals, []string{"a 0.0.0 1 w1"})
+			r.register("w1", "w2")
+			r.reply("w2")
+			for _, outcome := range test.outcomes {
+				r.core.HandleReply(commands[0], worker.Reply{Outcome: outcome}, r.now, nil)
+				r.advance(gangPause)
+				commands = r.pass()
+				qt.Assert(t, startsOf(commands), qt.DeepEquals, test.want)
+			}
+			r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+			qt.Assert(t, j.open[0].steps[0].crashCount(0), qt.Equals, test.crashes)
+		})
+	}
+}
+
+// TestUnsentStartHoldsUpWorker guards against tasks that are sent to a worker one after another although it cannot be reached.
+func TestUnsentStartHoldsUpWorker(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSteps("a", 1)
+	r.core.HandleReply(r.pass()[0], worker.Reply{Outcome: worker.NotSent}, r.now, nil)
+	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 0)
+	r.reply("w1")
+	qt.Assert(t, startsOf(r.pass()), qt.DeepEquals, []string{"a 0.0.0 2 w1"})
+}
+
+// TestUnsentStopIsRepeated guards against a run that goes on because its stop was never sent.
+func TestUnsentStopIsRepeated(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSteps("a", 1)
+	r.accept(r.pass())
+	r.core.Cancel("a")
+	stops := r.pass()
+	qt.Assert(t, countStops(stops), qt.Equals, 1)
+	r.core.HandleReply(stops[0], worker.Reply{Outcome: worker.NotSent}, r.now, nil)
+	r.advance(2 * commandPause)
+	r.advance(stopRepeatDelay / 10)
+	qt.Assert(t, countStops(r.pass()), qt.Equals, 1)
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -248,7 +248,14 @@
 	}
 	c.logger.Warn("Start command was not confirmed.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
 		"outcome", reply.Outcome.String(), "took", c.now-sent, "tries", r.unanswered, "error", err)
-	switch reply.Outcome {
+	outcome := reply.Outcome
+	if outcome == worker.NotSent && r.unanswered > 0 {
+		// An earlier command may still be carried out.
+		outcome = worker.Unknown
+	}
+	switch outcome {
+	case worker.NotSent:
+		r.worker.startUnanswered = true
 	case worker.Unknown:
 		// The same run is commanded again. A worker that has it already confirms it.
 		r.unanswered++
@@ -297,7 +304,7 @@
 func (c *Core) handleStopReply(cmd Command, reply worker.Reply, err error) {
 	r := cmd.run
 	if r == unknownRun {
-		if reply.Outcome == worker.Unknown {
+		if reply.Outcome == worker.Unknown || reply.Outcome == worker.NotSent {
 			c.commands = append(c.commands, cmd)
 		}
 		return
@@ -311,7 +318,8 @@
 	}
 	c.logger.Warn("Stop command was not confirmed.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
 		"outcome", reply.Outcome.String(), "error", err)
-	if reply.Outcome == worker.Unknown || reply.Outcome == worker.Unhealthy {
+	switch reply.Outcome {
+	case worker.Unknown, worker.NotSent, worker.Unhealthy:
 		// The stop is repeated soon.
 		r.stopSentAt = c.now - c.options.Bounds.StopTimeout - stopRepeatDelay + commandPause
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -195,7 +195,7 @@
 	// tests counts the runs of suspects that the worker has not survived yet, and testsLikely means that one is likely to crash it.
 	tests       int
 	testsLikely bool
-	// startUnanswered means that a start got no answer, and that the worker has not answered anything since.
+	// startUnanswered means that a start got no answer or could not be sent, and that the worker has not answered anything since.
 	startUnanswered bool
 	// unansweredStarts holds the starts that got no answer.
 	unansweredStarts []unansweredStart
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -120,11 +120,13 @@
 	Unhealthy
 	// OtherInstance means that another instance replied at the address.
 	OtherInstance
+	// NotSent means that no part of the command has left, because there was no connection to the worker.
+	NotSent
 )
 
 // String returns the name of the outcome as it appears in logs.
 func (o Outcome) String() string {
-	return [...]string{"accepted", "unknown", "fenced", "superseded", "expired", "noRoom", "noTicket", "invalid", "unhealthy", "otherInstance"}[o]
+	return [...]string{"accepted", "unknown", "fenced", "superseded", "expired", "noRoom", "noTicket", "invalid", "unhealthy", "otherInstance", "notSent"}[o]
 }
 
 // Reply is the reply to a command.
