worker, work: name values of a newer version instead of panicking

Callers see: while versions are mixed, a reply, an exit or the state of a row with a value that this version does not have panics the scheduler of the leader, and then that of its successor, which gets the same message.

Cause: String of worker.Outcome, worker.ExitReason and work.State indexes an array with a value that was decoded from another process.

Ruled out: instance.Outcome, intake.Outcome, provider.State and the kind of a provider call are never decoded, but set from the constants of this version; the code of a transaction in node is checked against its list.

--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -455,3 +455,16 @@
 		})
 	}
 }
+
+// TestReplyOfNewerVersion guards against a reply or exit of a newer version that panics the scheduler of each leader in turn.
+func TestReplyOfNewerVersion(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSteps("a", 2)
+	commands := r.pass()
+	qt.Assert(t, startsOf(commands), qt.HasLen, 2)
+	r.core.HandleReply(commands[0], worker.Reply{Outcome: 1000, Clock: r.now}, r.now, nil)
+	r.accept(commands[1:])
+	r.finish("w1", 1000)
+	r.reply("w1")
+	qt.Assert(t, r.core.workers["w1"].runs, qt.HasLen, 0)
+}
--- a/work/progress.go
+++ b/work/progress.go
@@ -1,6 +1,9 @@
 package work
 
-import "slices"
+import (
+	"slices"
+	"strconv"
+)
 
 // State is the state of a job.
 type State int
@@ -14,9 +17,14 @@
 	Cancelled
 )
 
-// String returns the name of the state.
+var stateNames = [...]string{"pending", "running", "finished", "failed", "cancelled"}
+
+// String returns the name of the state. Rows and messages of a newer version may contain states without a name here.
 func (s State) String() string {
-	return [...]string{"pending", "running", "finished", "failed", "cancelled"}[s]
+	if s < 0 || int(s) >= len(stateNames) {
+		return "State(" + strconv.Itoa(int(s)) + ")"
+	}
+	return stateNames[s]
 }
 
 // Ended reports whether the job has ended: the state is final.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -75,9 +76,15 @@
 	ExitGangIncomplete
 )
 
-// String returns the name of the reason as it appears in logs.
+// exitReasonNames holds the names of the reasons as they appear in logs.
+var exitReasonNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}
+
+// String returns the name of the reason as it appears in logs. Nodes of a newer version may send reasons without a name here.
 func (k ExitReason) String() string {
-	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}[k]
+	if k < 0 || int(k) >= len(exitReasonNames) {
+		return "ExitReason(" + strconv.Itoa(int(k)) + ")"
+	}
+	return exitReasonNames[k]
 }
 
 // Exit is a run that has ended on a worker.
@@ -122,9 +129,15 @@
 	OtherInstance
 )
 
-// String returns the name of the outcome as it appears in logs.
+// outcomeNames holds the names of the outcomes as they appear in logs.
+var outcomeNames = [...]string{"accepted", "unknown", "fenced", "superseded", "expired", "noRoom", "noTicket", "invalid", "unhealthy", "otherInstance"}
+
+// String returns the name of the outcome as it appears in logs. Nodes of a newer version may send outcomes without a name here.
 func (o Outcome) String() string {
-	return [...]string{"accepted", "unknown", "fenced", "superseded", "expired", "noRoom", "noTicket", "invalid", "unhealthy", "otherInstance"}[o]
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return "Outcome(" + strconv.Itoa(int(o)) + ")"
+	}
+	return outcomeNames[o]
 }
 
 // Reply is the reply to a command.
