scheduler: move fewer instances into a pool in which they die on arrival

Callers see: instances that die on arrival in a pool are replaced every 2.5 s until the spare pool is empty, and no other pool can grow then.

Cause: an instance that does not answer is left out of what its pool has, so that the next plan moves another one. Nothing counts the losses.

The planner of the duties (package move) was looked at as well: an instance that does not return from its move counts as arriving, and is not replaced.

Fix: rounds of moves into a pool of which no instance has survived for 5 s are counted. After two of them, each further round is half as large, down to one instance, and waits twice as long, from 2 s up to 2 min. One survivor ends this, so that failures of some instances delay nothing. The count is that of a leader; its successor begins again.

--- a/scheduler/bounds.go
+++ b/scheduler/bounds.go
@@ -71,3 +71,13 @@
 	// stopRepeatDelay is the time after the stop timeout at which a stop is sent again.
 	stopRepeatDelay = 1500 * time.Millisecond
 )
+
+// growingPause returns the pause after a number of failures in a row: first after one, and twice as long after each further one up to
+// limit.
+func growingPause(failures int, first, limit time.Duration) time.Duration {
+	pause := first
+	for ; failures > 1 && pause < limit; failures-- {
+		pause *= 2
+	}
+	return min(pause, limit)
+}
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -56,6 +56,7 @@
 		return
 	}
 	c.advanceMoves()
+	c.judgeArrivals()
 	f.unreachable = c.unreachableDataCentres()
 	slices.SortFunc(demands, func(a, b demand) int {
 		return cmp.Or(cmp.Compare(b.need-b.have, a.need-a.have), cmp.Compare(a.pool, b.pool))
@@ -71,7 +72,7 @@
 	maxMoves := c.maxMoves()
 	available := donors{inUse: c.instancesInUse(excess, demands), spare: c.spareInstances(spare)}
 	for _, d := range demands {
-		for n := d.need - d.have; n > 0 && len(f.pendingMoves) < maxMoves; n-- {
+		for n := c.maxArrivals(d); n > 0 && len(f.pendingMoves) < maxMoves; n-- {
 			id := available.choose(excess)
 			if id == "" {
 				return
@@ -271,6 +272,9 @@
 		inst.Pool, inst.State, inst.Worker = cmd.Pool, instance.Moving, ""
 		f.instances[cmd.Instance] = inst
 		f.acceptedMoves[cmd.Instance] = acceptedMove{pool: cmd.Pool, at: c.now}
+		if mv, ok := f.pendingMoves[cmd.Instance]; ok && cmd.Pool != c.sparePool() {
+			f.arrivals[cmd.Instance] = movedInstance{pool: cmd.Pool, plannedAt: mv.since}
+		}
 		delete(f.pendingMoves, cmd.Instance)
 	case instance.Unknown:
 		// The command is repeated. The platform accepts a move that is already done.
