scheduler: give no job up for starts that its workers may not have got

Cause: all three crashes counted alike. Runs 1 and 2 of the task got no answer (EOF): their workers had crashed under other tasks, beside 18 more starts. Only run 3 ran.

A task is given up after three crashes of which two had confirmed starts, or after five, so that the users' bound (three starts after the third crash) holds also if no start is ever confirmed. Confirmed crashes are stored beside the list of crashes.

--- a/internal/jobs/crashloop/crashloop.go
+++ b/internal/jobs/crashloop/crashloop.go
@@ -5,8 +5,11 @@
 // # Usage
 //
 //	for _, i := range crashloop.Suspects(starts) {
-//		crashes[i]++
-//		if crashloop.GiveUp(crashes[i]) {
+//		counts[i].All++
+//		if starts[i].Confirmed {
+//			counts[i].Confirmed++
+//		}
+//		if counts[i].GiveUp() {
 //			// Mark the job as failed.
 //		}
 //	}
@@ -18,6 +21,11 @@
 	// maxCrashes is the number of workers that may crash under a task. The first crash leaves many suspects and the second one very
 	// few. The third one excludes a coincidence.
 	maxCrashes = 3
+	// minConfirmed is the number of crashes with a confirmed start without which a task is not given up. A start without an answer may
+	// never have reached its worker.
+	minConfirmed = 2
+	// maxUnconfirmed is the number of crashes after which a task is given up although the worker may not have got its starts.
+	maxUnconfirmed = 5
 	// likelyCrashes is the number of crashes after which few of the suspects are left.
 	likelyCrashes = 2
 	// provenAfter is how long a worker has to live after it has confirmed a start for the start not to be the cause of a crash.
@@ -79,8 +87,17 @@
 	return max(1, min(suspects/max(1, workers*testsBeforeGroups), maxGroup))
 }
 
-// Likely reports whether a task under which that many workers have crashed is more likely the cause than a coincidence.
-func Likely(crashes int) bool { return crashes >= likelyCrashes }
+// Count is the number of workers that have crashed under a task.
+type Count struct {
+	All int
+	// Confirmed is the number of those that had confirmed the start of the task.
+	Confirmed int
+}
+
+// Likely reports whether the task is more likely the cause of the crashes than a coincidence.
+func (c Count) Likely() bool { return c.All >= likelyCrashes }
 
-// GiveUp reports whether a task under which that many workers have crashed is not started again.
-func GiveUp(crashes int) bool { return crashes >= maxCrashes }
+// GiveUp reports whether the task is not started again.
+func (c Count) GiveUp() bool {
+	return c.All >= maxCrashes && c.Confirmed >= minConfirmed || c.All >= maxUnconfirmed
+}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -90,7 +90,7 @@
 	}
 	// It is not known when previous leaders started these, so that only those are suspects that were before, and none is given up.
 	for _, r := range c.previousRuns[ws.report.ID] {
-		if n := r.step.crashCount(r.index); n > 0 && !crashloop.GiveUp(n+1) {
+		if n := r.step.crashCount(r.index); n.All > 0 && !(crashloop.Count{All: n.All + 1, Confirmed: n.Confirmed}).GiveUp() {
 			suspects = append(suspects, &run{step: r.step, index: r.index, number: r.number, worker: ws, startedAt: ws.lastContact})
 		}
 	}
@@ -108,13 +108,14 @@
 			continue
 		}
 		c.counts.Crashed++
-		crashes := s.progress.AddCrash(s.unitIndex(r.index), r.number)
+		s.progress.AddCrash(s.unitIndex(r.index), r.number, r.confirmedAt > 0)
+		crashes := s.crashCount(r.index)
 		s.addCrashAddress(r.index, ws.report.Address)
 		c.changedJobs[j] = true
 		c.logger.Warn("Worker has crashed under a task.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
-			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "crashes", crashes)
-		if crashloop.GiveUp(crashes) {
-			c.logger.Warn("Job has failed.", "job", j.doc.ID, "task", r.name(), "crashes", crashes)
+			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "crashes", crashes.All, "confirmed", crashes.Confirmed)
+		if crashes.GiveUp() {
+			c.logger.Warn("Job has failed.", "job", j.doc.ID, "task", r.name(), "crashes", crashes.All, "confirmed", crashes.Confirmed)
 			c.endJob(j, work.Failed, "workers crashed under a task")
 		}
 	}
@@ -125,7 +126,10 @@
 }
 
 // crashCount returns under how many runs of a task a worker has crashed.
-func (s *step) crashCount(index int) int { return len(s.progress.Crashes[s.unitIndex(index)]) }
+func (s *step) crashCount(index int) crashloop.Count {
+	unit := s.unitIndex(index)
+	return crashloop.Count{All: len(s.progress.Crashes[unit]), Confirmed: len(s.progress.ConfirmedCrashes[unit])}
+}
 
 func (s *step) addCrashAddress(index int, address string) {
 	if s.crashAddresses == nil {
@@ -149,7 +153,7 @@
 			continue
 		}
 		for i := range s.tasks {
-			if t := &s.tasks[i]; !t.done && len(t.runs) == 0 && crashloop.Likely(s.crashCount(i)) {
+			if t := &s.tasks[i]; !t.done && len(t.runs) == 0 && s.crashCount(i).Likely() {
 				return true
 			}
 		}
@@ -158,7 +162,7 @@
 }
 
 // likely reports whether the task of a run has probably made workers crash.
-func (r *run) likely() bool { return crashloop.Likely(r.step.crashCount(r.index)) }
+func (r *run) likely() bool { return r.step.crashCount(r.index).Likely() }
 
 // addTest records a planned run of a task under which a worker has crashed before.
 func (c *Core) addTest(r *run) {
@@ -211,13 +215,13 @@
 // if there is such a worker in time.
 func (c *Core) workersFor(p *placement, s *step, index int) []*workerState {
 	crashes := s.crashCount(index)
-	if crashes == 0 {
+	if crashes.All == 0 {
 		return p.workers
 	}
 	if !p.filtered {
 		c.filterForSuspects(p, c.pool(s.job.doc.Pool))
 	}
-	if !crashloop.Likely(crashes) {
+	if !crashes.Likely() {
 		return p.forSuspects
 	}
 	t := &s.tasks[index]
@@ -271,10 +275,10 @@
 // recordStart records that a task was placed on a worker in this pass.
 func (p *placement) recordStart(s *step, index int, ws *workerState) {
 	crashes := s.crashCount(index)
-	if crashes == 0 {
+	if crashes.All == 0 {
 		return
 	}
-	if crashloop.Likely(crashes) {
+	if crashes.Likely() {
 		p.likelyLeft--
 	}
 	if ws.tests < p.groupSize && !ws.testsLikely {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -177,7 +177,7 @@
 				continue
 			}
 			ws := c.chooseWorker(s, i, c.workersFor(workers, s, i))
-			if ws == nil && s.crashCount(i) > 0 {
+			if ws == nil && s.crashCount(i).All > 0 {
 				all = false
 				continue
 			}
@@ -295,7 +295,7 @@
 	if s.tasks[index].lastWorker == ws.report.ID && s.failures(index) > 0 {
 		cost += costFailedBefore
 	}
-	if s.crashCount(index) > 0 {
+	if s.crashCount(index).All > 0 {
 		cost += costSuspect * float64(len(ws.runs))
 		if s.crashedOn(index, ws) {
 			cost += costCrashedBefore
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -13,7 +13,7 @@
 	t := &s.tasks[index]
 	r := &run{step: s, index: index, number: number, worker: ws, phase: planned, startedAt: c.now, percentChangedAt: c.now, speedLimit: fullSpeed}
 	c.attachRun(r)
-	if s.crashCount(index) > 0 {
+	if s.crashCount(index).All > 0 {
 		c.addTest(r)
 	}
 	t.lastRun, t.emptyWorkerSince = max(t.lastRun, number), 0
--- a/work/progress.go
+++ b/work/progress.go
@@ -43,6 +43,8 @@
 	Runs map[int]RunRecord `cbor:"4,keyasint,omitempty"`
 	// Crashes lists the numbers of the runs of each task, or of the gang under index 0, under which a worker crashed.
 	Crashes map[int][]int `cbor:"5,keyasint,omitempty"`
+	// ConfirmedCrashes lists those of Crashes whose start the worker had confirmed.
+	ConfirmedCrashes map[int][]int `cbor:"6,keyasint,omitempty"`
 }
 
 // RunRecord is a run and the worker on which it was started.
@@ -69,8 +71,13 @@
 // AddFailure records a failed run of a task and returns how many different runs of it have failed.
 func (p *StepProgress) AddFailure(index, run int) int { return addRun(&p.Failures, index, run) }
 
-// AddCrash records a run under which a worker crashed, and returns under how many different runs of the task one has.
-func (p *StepProgress) AddCrash(index, run int) int { return addRun(&p.Crashes, index, run) }
+// AddCrash records a run under which a worker crashed, and whether the worker had confirmed its start.
+func (p *StepProgress) AddCrash(index, run int, confirmed bool) {
+	addRun(&p.Crashes, index, run)
+	if confirmed {
+		addRun(&p.ConfirmedCrashes, index, run)
+	}
+}
 
 // addRun adds a run to those of a task, unless it is among them, and returns their number.
 func addRun(runs *map[int][]int, index, run int) int {
