scheduler: tell crashes at the start of a task from later ones

Cause: where a worker had started nothing just before its crash, all its tasks of the last 5 s were blamed, and that counted as much as a crash at a start. The count of a task was never taken back, so that a service reaches three at some time.

Crashes of workers that had survived the start are listed apart. Six of them give up a task that ends, none a service. Earlier crashes are forgotten once a run has lived for 5 s. A task that crashes each worker at its start never gets there.

TestRandomCrashes ("a task later", "a service later") and TestCrashesAreForgotten fail without the change.

--- a/internal/jobs/crashloop/crashloop.go
+++ b/internal/jobs/crashloop/crashloop.go
@@ -26,6 +26,9 @@
 	minConfirmed = 2
 	// maxUnconfirmed is the number of crashes after which a task is given up although the worker may not have got its starts.
 	maxUnconfirmed = 5
+	// maxLate is the number of crashes after which a task is given up whose starts the workers had survived. Such a crash is rarely the
+	// fault of a task, and many tasks share its blame.
+	maxLate = 6
 	// likelyCrashes is the number of crashes after which few of the suspects are left.
 	likelyCrashes = 2
 	// provenAfter is how long a worker has to live after it has confirmed a start for the start not to be the cause of a crash.
@@ -54,6 +57,9 @@
 // Proven reports whether the worker has survived a start.
 func (s Start) Proven() bool { return s.Confirmed && s.Survived >= provenAfter }
 
+// Exonerated reports whether a worker has run a task for so long that earlier crashes were not its fault.
+func (s Start) Exonerated() bool { return s.Confirmed && s.Survived >= lateCrash }
+
 // Suspects returns the indexes of the starts that may have made a worker crash, in order.
 func Suspects(starts []Start) []int {
 	// A worker that crashed under its first start without an answer did not get those that were sent later.
@@ -89,9 +95,11 @@
 
 // Count is the number of workers that have crashed under a task.
 type Count struct {
-	All int
-	// Confirmed is the number of those that had confirmed the start of the task.
-	Confirmed int
+	// All is the number of workers that were not known to have survived the start of the task, and Confirmed that of those among them
+	// that had confirmed it.
+	All, Confirmed int
+	// Late is the number of workers that had survived the start.
+	Late int
 }
 
 // Likely reports whether the task is more likely the cause of the crashes than a coincidence.
@@ -99,5 +107,5 @@
 
 // GiveUp reports whether the task is not started again.
 func (c Count) GiveUp() bool {
-	return c.All >= maxCrashes && c.Confirmed >= minConfirmed || c.All >= maxUnconfirmed
+	return c.All >= maxCrashes && c.Confirmed >= minConfirmed || c.All >= maxUnconfirmed || c.Late >= maxLate
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -108,14 +108,20 @@
 			continue
 		}
 		c.counts.Crashed++
-		s.progress.AddCrash(s.unitIndex(r.index), r.number, r.confirmedAt > 0)
+		late := r.start().Proven()
+		switch {
+		case !late:
+			s.progress.AddCrash(s.unitIndex(r.index), r.number, r.confirmedAt > 0)
+			s.addCrashAddress(r.index, ws.report.Address)
+		case !s.doc.Service:
+			s.progress.AddLateCrash(s.unitIndex(r.index), r.number)
+		}
 		crashes := s.crashCount(r.index)
-		s.addCrashAddress(r.index, ws.report.Address)
 		c.changedJobs[j] = true
 		c.logger.Warn("Worker has crashed under a task.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
-			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "crashes", crashes.All, "confirmed", crashes.Confirmed)
+			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "crashes", crashes.All, "confirmed", crashes.Confirmed, "late", late, "lateCrashes", crashes.Late)
 		if crashes.GiveUp() {
-			c.logger.Warn("Job has failed.", "job", j.doc.ID, "task", r.name(), "crashes", crashes.All, "confirmed", crashes.Confirmed)
+			c.logger.Warn("Job has failed.", "job", j.doc.ID, "task", r.name(), "crashes", crashes.All, "confirmed", crashes.Confirmed, "lateCrashes", crashes.Late)
 			c.endJob(j, work.Failed, "workers crashed under a task")
 		}
 	}
@@ -128,7 +134,16 @@
 // crashCount returns under how many runs of a task a worker has crashed.
 func (s *step) crashCount(index int) crashloop.Count {
 	unit := s.unitIndex(index)
-	return crashloop.Count{All: len(s.progress.Crashes[unit]), Confirmed: len(s.progress.ConfirmedCrashes[unit])}
+	return crashloop.Count{All: len(s.progress.Crashes[unit]), Confirmed: len(s.progress.ConfirmedCrashes[unit]), Late: len(s.progress.LateCrashes[unit])}
+}
+
+// forgetCrashes forgets the crashes under a task that has run long enough. A service meets many by chance.
+func (c *Core) forgetCrashes(r *run) {
+	unit := r.step.unitIndex(r.index)
+	if r.start().Exonerated() && r.step.progress.ForgetCrashes(unit) {
+		delete(r.step.crashAddresses, unit)
+		c.changedJobs[r.step.job] = true
+	}
 }
 
 func (s *step) addCrashAddress(index int, address string) {
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -564,6 +564,61 @@
 	}
 }
 
+// TestRandomCrashes guards against a job that fails, and whose runs are all stopped, because workers crash by chance under its tasks.
+func TestRandomCrashes(t *testing.T) {
+	tests := map[string]struct {
+		service bool
+		// ran is how long each run has worked when its worker crashes.
+		ran    time.Duration
+		failed int
+	}{
+		"a task at its start":    {ran: 50 * time.Millisecond, failed: 3},
+		"a task later":           {ran: time.Second, failed: 6},
+		"a service at its start": {service: true, ran: 50 * time.Millisecond, failed: 3},
+		"a service later":        {service: true, ran: time.Second},
+		"a task much later":      {ran: 6 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const crashes = 10
+			r := newRig(t, 1, "w0")
+			j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Service: test.service, Request: coresOnly(1), Estimate: time.Minute}}})
+			failed := 0
+			for i := 1; i <= crashes && failed == 0; i++ {
+				r.accept(r.pass())
+				r.advance(test.ran)
+				r.reply(fmt.Sprint("w", i-1))
+				r.register(fmt.Sprint("w", i))
+				r.reply(fmt.Sprint("w", i))
+				r.core.HandleStatus(fmt.Sprint("w", i-1), worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+				r.advance(100 * time.Millisecond)
+				if j.progress.State == work.Failed {
+					failed = i
+				}
+			}
+			qt.Assert(t, failed, qt.Equals, test.failed)
+		})
+	}
+}
+
+// TestCrashesAreForgotten guards against a service that is given up for crashes between which it has worked for long.
+func TestCrashesAreForgotten(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Service: true, Request: coresOnly(1)}}})
+	s := j.open[0].steps[0]
+	s.progress.AddCrash(0, 1, true)
+	s.progress.AddCrash(0, 2, true)
+	s.tasks[0].lastRun = 2
+	r.accept(r.pass())
+	r.advance(time.Second)
+	r.reply("w1")
+	qt.Assert(t, s.crashCount(0).All, qt.Equals, 2)
+	r.advance(5 * time.Second)
+	r.reply("w1")
+	qt.Assert(t, s.crashCount(0).All, qt.Equals, 0)
+	qt.Assert(t, r.core.changedJobs[j], qt.IsTrue)
+}
+
 // TestUnsentStartIsNoSuspect guards against a task that waits for a worker that was down before its start, and is blamed for that crash.
 func TestUnsentStartIsNoSuspect(t *testing.T) {
 	tests := map[string]struct {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -372,6 +372,7 @@
 	if r.confirmedAt == 0 {
 		c.confirm(r)
 	}
+	c.forgetCrashes(r)
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
 	}
--- a/work/progress.go
+++ b/work/progress.go
@@ -45,6 +45,8 @@
 	Crashes map[int][]int `cbor:"5,keyasint,omitempty"`
 	// ConfirmedCrashes lists those of Crashes whose start the worker had confirmed.
 	ConfirmedCrashes map[int][]int `cbor:"6,keyasint,omitempty"`
+	// LateCrashes lists the runs under which a worker crashed that had survived their start. They are not in Crashes.
+	LateCrashes map[int][]int `cbor:"7,keyasint,omitempty"`
 }
 
 // RunRecord is a run and the worker on which it was started.
@@ -79,6 +81,18 @@
 	}
 }
 
+// AddLateCrash records a run whose start the worker had survived before it crashed.
+func (p *StepProgress) AddLateCrash(index, run int) { addRun(&p.LateCrashes, index, run) }
+
+// ForgetCrashes removes the crashes under a task, and reports whether there were any.
+func (p *StepProgress) ForgetCrashes(index int) bool {
+	n := len(p.Crashes[index]) + len(p.LateCrashes[index])
+	delete(p.Crashes, index)
+	delete(p.ConfirmedCrashes, index)
+	delete(p.LateCrashes, index)
+	return n > 0
+}
+
 // addRun adds a run to those of a task, unless it is among them, and returns their number.
 func addRun(runs *map[int][]int, index, run int) int {
 	if *runs == nil {
