scheduler: count crashes that a previous leader did not see

Cause: a crash is known only 3 s later, when another instance answers at the address, so that each change of the leader loses the crashes of the 3 s before. A new leader counted the latest stored run of a task under a crashed worker only if the task was a suspect before.

Ruled out: the start commands (each run crashed one worker); the stored count of suspects, which the successors had.

The latest run of a previous leader counts as a crash without a confirmed start if its worker is known to have ended. That makes the task a suspect and never gives it up by itself. On silence alone it counts for suspects only, as before.

TestCrashLoop, "leader changes after three crashes" and "after four crashes", fail without the change (3 and 4 starts). TestCrashBeforeTakeover expects one crash in place of none for a task that was no suspect; that the job does not fail is checked as before.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -74,8 +74,9 @@
 	}
 }
 
-// runsAtCrash returns the runs that may have made a worker crash that has not answered since its last contact.
-func (c *Core) runsAtCrash(ws *workerState) []*run {
+// runsAtCrash returns the runs that may have made a worker crash that has not answered since its last contact. With newLife it is known
+// to have ended.
+func (c *Core) runsAtCrash(ws *workerState, newLife bool) []*run {
 	suspects := ws.expiredRuns
 	var runs []*run
 	var starts []crashloop.Start
@@ -88,9 +89,10 @@
 	for _, i := range crashloop.Suspects(starts) {
 		suspects = append(suspects, runs[i])
 	}
-	// It is not known when previous leaders started these, so that only those are suspects that were before, and none is given up.
+	// It is not known when previous leaders started these, so that none is given up.
 	for _, r := range c.previousRuns[ws.report.ID] {
-		if n := r.step.crashCount(r.index); n.All > 0 && !(crashloop.Count{All: n.All + 1, Confirmed: n.Confirmed}).GiveUp() {
+		n := r.step.crashCount(r.index)
+		if giveUp := (crashloop.Count{All: n.All + 1, Confirmed: n.Confirmed}).GiveUp(); !giveUp && (newLife || n.All > 0) {
 			suspects = append(suspects, &run{step: r.step, index: r.index, number: r.number, worker: ws, startedAt: ws.lastContact})
 		}
 	}
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -41,6 +41,9 @@
 	keepsID bool
 	// unanswered means that a worker crashes before it answers.
 	unanswered bool
+	// changesAfterCrash is after how many more crashes the leader changes before it knows of the crash.
+	changesAfterCrash int
+	changeAt          time.Duration
 }
 
 type crashingWorker struct {
@@ -122,6 +125,10 @@
 }
 
 func (f *crashFleet) step() {
+	if f.changeAt > 0 && f.now >= f.changeAt {
+		f.changeAt = 0
+		f.changeLeader()
+	}
 	f.core.SetTime(f.now)
 	for _, w := range f.workers {
 		if w.downUntil > 0 && f.now >= w.downUntil {
@@ -244,6 +251,10 @@
 		return
 	}
 	w.downUntil = f.now + crashFleetRestart
+	if f.changesAfterCrash > 0 {
+		f.changesAfterCrash--
+		f.changeAt = f.now + crashFleetRestart/2
+	}
 	for other := range w.runs {
 		if f.deadly[other] {
 			f.crashes[other]++
@@ -260,6 +271,8 @@
 		deadly     []int
 		// leaderChanges are the times at which another process acquires leadership.
 		leaderChanges []time.Duration
+		// changesAfterCrash is after how many crashes it does so before the crash is known.
+		changesAfterCrash int
 	}{
 		"a worker returns as another":            {step: work.Step{Count: 3}, deadly: []int{1}},
 		"a worker returns under its ID":          {keepsID: true, step: work.Step{Count: 3}, deadly: []int{1}},
@@ -270,13 +283,15 @@
 		"a gang":                                 {step: work.Step{Count: 3, Gang: true}, deadly: []int{1}},
 		"leader changes while a worker is down":  {step: work.Step{Count: 3}, deadly: []int{1}, leaderChanges: []time.Duration{time.Second}},
 		"leader changes often":                   {step: work.Step{Count: 3}, deadly: []int{1}, leaderChanges: []time.Duration{time.Second, 8 * time.Second, 15 * time.Second}},
+		"leader changes after three crashes":     {step: work.Step{Count: 3}, deadly: []int{1}, changesAfterCrash: 3},
+		"leader changes after four crashes":      {step: work.Step{Count: 3}, deadly: []int{1}, changesAfterCrash: 4},
 		"leader changes, a worker keeps its ID":  {keepsID: true, step: work.Step{Count: 3}, deadly: []int{1}, leaderChanges: []time.Duration{time.Second, 8 * time.Second}},
 		"leader changes under a crashed service": {step: work.Step{Count: 3, Service: true}, deadly: []int{1}, leaderChanges: []time.Duration{time.Second}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newCrashFleet(t, 8, test.keepsID)
-			f.unanswered = test.unanswered
+			f.unanswered, f.changesAfterCrash = test.unanswered, test.changesAfterCrash
 			f.run(time.Second)
 			f.addJob("bad", test.step, test.deadly...)
 			for i := range 6 {
@@ -502,7 +517,7 @@
 // TestCrashBeforeTakeover guards against a job that fails for a crash of which the new leader does not know when the run had begun.
 func TestCrashBeforeTakeover(t *testing.T) {
 	tests := map[string]struct{ before, after int }{
-		"no suspect":   {0, 0},
+		"no suspect":   {0, 1},
 		"suspect":      {1, 2},
 		"likely cause": {2, 2},
 	}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -85,14 +85,14 @@
 
 // dropCrashedWorker removes a worker that has ended without notice.
 func (c *Core) dropCrashedWorker(ws *workerState, reason string) {
-	runs := c.runsAtCrash(ws)
+	runs := c.runsAtCrash(ws, true)
 	c.dropWorker(ws, reason)
 	c.recordCrash(ws, runs)
 }
 
 // dropSilentWorker removes a worker that has crashed or lost its connections. Starts that it has survived are not suspects then.
 func (c *Core) dropSilentWorker(ws *workerState, reason string) {
-	runs := slices.DeleteFunc(c.runsAtCrash(ws), func(r *run) bool { return r.start().Proven() })
+	runs := slices.DeleteFunc(c.runsAtCrash(ws, false), func(r *run) bool { return r.start().Proven() })
 	c.dropWorker(ws, reason)
 	c.recordCrash(ws, runs)
 }
@@ -231,7 +231,7 @@
 // handleRestart records that the worker process has restarted under the same ID.
 func (c *Core) handleRestart(ws *workerState, incarnation int64) {
 	c.logger.Warn("Worker has restarted.", "worker", ws.report.ID, "born", incarnation)
-	runs := c.runsAtCrash(ws)
+	runs := c.runsAtCrash(ws, true)
 	for _, r := range runsOn(ws) {
 		if r.confirmedAt == 0 {
 			c.recordUnansweredStart(r)
@@ -488,7 +488,7 @@
 	ws.leaseExpired = true
 	c.rosterChanges[ws.report.ID] = true
 	c.logger.Warn("Lease of the worker has expired.", "worker", ws.report.ID, "pool", ws.report.Pool, "contactAge", c.contactAge(ws), "runs", len(ws.runs))
-	ws.expiredRuns = c.runsAtCrash(ws)
+	ws.expiredRuns = c.runsAtCrash(ws, false)
 	for _, r := range runsOn(ws) {
 		c.markRunLost(r, "the lease has expired")
 	}
