scheduler: go on with a read that the store has not carried out

Callers would see jobs that stand still after a change of the leader (LOST) while the store refuses some reads, or loses their answers.

Cause: reading at the start of a term fails as a whole with the first read that the store refuses (429, 503), and begins again with all tables; a silent page begins its table again. With n pages (one for 500 rows, and each of the sixteen partitions) and a share p of refused reads, one attempt succeeds with a probability of (1-p)^n. The rescan of the jobs after lost history has the same fault.

A failed scan returns the rows it has read.

--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -179,6 +180,64 @@
 	}
 }
 
+// interruptedStore answers every other read with an error. A scan returns one row before that.
+type interruptedStore struct {
+	*memory.Store
+	err   error
+	reads atomic.Int32
+}
+
+func (s *interruptedStore) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
+	time.Sleep(time.Millisecond)
+	if s.reads.Add(1)%2 == 0 {
+		return store.Rows{}, s.err
+	}
+	rows, err := s.Store.Scan(ctx, table, partition, from, to)
+	if err == nil && len(rows.Rows) > 1 {
+		rows.Rows, err = rows.Rows[:1], s.err
+	}
+	return rows, err
+}
+
+func (s *interruptedStore) Partitions(ctx context.Context, table string) ([]string, error) {
+	time.Sleep(time.Millisecond)
+	if s.reads.Add(1)%2 == 0 {
+		return nil, s.err
+	}
+	return s.Store.Partitions(ctx, table)
+}
+
+// TestInterruptedLoad guards against a term that cannot begin because reading starts again from the first row of all tables whenever
+// the store does not carry out one of many reads.
+func TestInterruptedLoad(t *testing.T) {
+	for name, err := range map[string]error{"refused": store.ErrNotDone, "silent": store.ErrSilent} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const jobs = 20
+				s := &interruptedStore{Store: memory.New(), err: err}
+				for i := range jobs {
+					j := work.Job{ID: fmt.Sprintf("a%02d", i), Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}}
+					value, err := EncodeJob(j)
+					qt.Assert(t, err, qt.IsNil)
+					progress, err := encode(work.NewProgress())
+					qt.Assert(t, err, qt.IsNil)
+					for _, put := range []store.Put{{Key: JobKey(j.ID), Value: value}, {Key: progressKey(j.ID), Value: progress}} {
+						_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{put}})
+						qt.Assert(t, err, qt.IsNil)
+					}
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				l, err := load(ctx, s, hclog.NewNullLogger(), func(store.Row, error) {})
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, l.jobs, qt.HasLen, jobs)
+				qt.Assert(t, l.progress, qt.HasLen, jobs)
+				qt.Assert(t, l.rows, qt.Equals, 2*jobs)
+			})
+		})
+	}
+}
+
 // silentCommander gets no reply to renewals.
 type silentCommander struct{ worker.Commander }
 
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -140,7 +140,7 @@
 		if errors.Is(err, store.ErrHistoryGone) {
 			e.logger.Warn("Changes of jobs are no longer available, reading all rows.", "after", after)
 			// The timeout of ctx is for changes. With enough rows, the scan would never end within it.
-			rows, err = store.ScanAll(e.ctx, e.options.Store, TableJobs)
+			rows, err = store.ScanAll(e.ctx, retryingReads{e.options.Store, e.logger}, TableJobs)
 		}
 		if err != nil {
 			e.logger.Warn("New jobs could not be read.", "after", after, "error", err)
--- a/store/store.go
+++ b/store/store.go
@@ -136,7 +136,8 @@
 	// Commit fails with ErrConflict, ErrNotDone or ErrUnknown.
 	Commit(ctx context.Context, tx Tx) (Result, error)
 	// Scan returns the rows of a partition of a table with from <= name < to. An empty to means no upper bound. Like all reads, it
-	// takes as long as parts of the reply arrive, and fails with ErrSilent if none do.
+	// takes as long as parts of the reply arrive, and fails with ErrSilent if none do. A scan that fails returns the rows that it has
+	// read, so that another one may go on after them.
 	Scan(ctx context.Context, table, partition, from, to string) (Rows, error)
 	// Partitions returns the names of the partitions of a table.
 	Partitions(ctx context.Context, table string) ([]string, error)
