--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -41,6 +41,8 @@
 	keepsID bool
 	// unanswered means that a worker crashes before it answers.
 	unanswered bool
+	// storeDown means that no batch is stored.
+	storeDown bool
 }
 
 type crashingWorker struct {
@@ -145,6 +147,13 @@
 		f.renew(id)
 	}
 	f.core.Schedule(f.now)
+	if !f.storeDown {
+		f.store()
+	}
+	f.carryOutCommands()
+}
+
+func (f *crashFleet) store() {
 	b := f.core.TakeBatch(1000)
 	for id, p := range b.Progress {
 		value, err := cbor.Marshal(p)
@@ -158,7 +167,6 @@
 		}
 	}
 	f.core.BatchStored(b)
-	f.carryOutCommands()
 }
 
 func (f *crashFleet) carryOutCommands() {
@@ -299,6 +307,24 @@
 	}
 }
 
+// TestCrashesDuringOutage guards against a task that crashes workers during an outage of the store, and as many again under the next
+// leader, which does not know of the crashes.
+func TestCrashesDuringOutage(t *testing.T) {
+	f := newCrashFleet(t, 8, true)
+	f.run(time.Second)
+	f.addJob("bad", work.Step{Count: 24}, 1)
+	f.run(2 * crashFleetStep)
+	f.storeDown = true
+	f.run(20 * time.Second)
+	f.changeLeader()
+	f.storeDown = false
+	f.run(time.Minute)
+	for task, n := range f.later {
+		qt.Check(t, n < 3, qt.IsTrue, qt.Commentf("%v was started %d times after three workers had crashed under it", task, n))
+	}
+	qt.Assert(t, f.state("bad"), qt.Equals, work.Failed)
+}
+
 // addSuspects adds a job with tasks under which workers have crashed before.
 func (r *rig) addSuspects(id string, tasks, crashes int) {
 	doc := work.Job{ID: id, Queue: "q", Pool: "p", Steps: []work.Step{{Count: tasks, Request: work.Resources{CPU: 1000}, Estimate: time.Second}}}
