scheduler: read changes of jobs for as long as they arrive

A job whose notification was lost would never start (LOST) once its leader needs more than a second to read the changes since the last read.

Cause: reading changes was cut off after 1 s as a whole and repeated from the same version, with more changes each time. A new leader reads from the version of the start of its load, so that a long load leaves many.

The client of the store ends a read that is silent for 0.8 s, so the read has no other timeout than the term. The registry does not need this: after 1.5 s without changes it is read as a whole.

TestLongChanges failed before (the job was not known after 9 s).

--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -133,12 +133,22 @@
 	qt.Assert(t, leadership.lost, qt.IsTrue)
 }
 
-// slowStore takes a time for each scan, and is silent for the first scans of a table.
+// slowStore takes a time for each scan and for each read of changes, and is silent for the first scans of a table.
 type slowStore struct {
 	*memory.Store
-	scan   time.Duration
-	silent atomic.Int32
-	scans  atomic.Int32
+	scan    time.Duration
+	changes time.Duration
+	silent  atomic.Int32
+	scans   atomic.Int32
+}
+
+func (s *slowStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (store.Rows, error) {
+	select {
+	case <-time.After(s.changes):
+	case <-ctx.Done():
+		return store.Rows{}, ctx.Err()
+	}
+	return s.Store.Changes(ctx, table, after, wait)
 }
 
 func (s *slowStore) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
@@ -270,6 +280,26 @@
 	})
 }
 
+// TestLongChanges guards against jobs that the leader never learns of, because reading the changes of some seconds takes longer than
+// a read without a reply is given, and more changes are added before it is repeated.
+func TestLongChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowStore{Store: memory.New(), changes: 3 * readTimeout}
+		e, _ := newTestEngine(t, s.Store, 1)
+		e.options.Store = s
+		qt.Assert(t, e.Start(t.Context()), qt.IsNil)
+		defer e.Stop()
+		value, err := EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: JobKey("a1"), Value: value}}})
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(3 * s.changes)
+		var known bool
+		qt.Assert(t, e.query(t.Context(), func(c *Core) { _, known = c.JobState("a1") }), qt.IsNil)
+		qt.Assert(t, known, qt.IsTrue)
+	})
+}
+
 // listedFleet is an instance service that counts its lists.
 type listedFleet struct {
 	instance.Fleet
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -135,11 +135,11 @@
 
 // watchJobs reads jobs and cancellations whose notifications were lost.
 func (e *Engine) watchJobs(after uint64) {
-	e.repeat(jobsInterval, func(ctx context.Context) {
-		rows, err := e.options.Store.Changes(ctx, TableJobs, after, 0)
+	e.repeat(jobsInterval, func(context.Context) {
+		// With enough rows, a read would never end within a timeout as a whole.
+		rows, err := e.options.Store.Changes(e.ctx, TableJobs, after, 0)
 		if errors.Is(err, store.ErrHistoryGone) {
 			e.logger.Warn("Changes of jobs are no longer available, reading all rows.", "after", after)
-			// The timeout of ctx is for changes. With enough rows, the scan would never end within it.
 			rows, err = store.ScanAll(e.ctx, retryingReads{e.options.Store, e.logger}, TableJobs)
 		}
 		if err != nil {
