--- a/work/progress.go
+++ b/work/progress.go
@@ -1,6 +1,9 @@
 package work
 
-import "slices"
+import (
+	"slices"
+	"strconv"
+)
 
 // State is the state of a job.
 type State int
@@ -14,9 +17,14 @@
 	Cancelled
 )
 
-// String returns the name of the state.
+var stateNames = [...]string{"pending", "running", "finished", "failed", "cancelled"}
+
+// String returns the name of the state. Rows and messages of a newer version may contain states without a name here.
 func (s State) String() string {
-	return [...]string{"pending", "running", "finished", "failed", "cancelled"}[s]
+	if s < 0 || int(s) >= len(stateNames) {
+		return "State(" + strconv.Itoa(int(s)) + ")"
+	}
+	return stateNames[s]
 }
 
 // Ended reports whether the job has ended: the state is final.
@@ -35,6 +43,10 @@
 	Runs map[int]RunRecord `cbor:"4,keyasint,omitempty"`
 	// Crashes lists the numbers of the runs of each task, or of the gang under index 0, under which a worker crashed.
 	Crashes map[int][]int `cbor:"5,keyasint,omitempty"`
+	// ConfirmedCrashes lists those of Crashes whose start the worker had confirmed.
+	ConfirmedCrashes map[int][]int `cbor:"6,keyasint,omitempty"`
+	// LateCrashes lists the runs under which a worker crashed that had survived their start. They are not in Crashes.
+	LateCrashes map[int][]int `cbor:"7,keyasint,omitempty"`
 }
 
 // RunRecord is a run and the worker on which it was started.
@@ -61,8 +73,25 @@
 // AddFailure records a failed run of a task and returns how many different runs of it have failed.
 func (p *StepProgress) AddFailure(index, run int) int { return addRun(&p.Failures, index, run) }
 
-// AddCrash records a run under which a worker crashed, and returns under how many different runs of the task one has.
-func (p *StepProgress) AddCrash(index, run int) int { return addRun(&p.Crashes, index, run) }
+// AddCrash records a run under which a worker crashed, and whether the worker had confirmed its start.
+func (p *StepProgress) AddCrash(index, run int, confirmed bool) {
+	addRun(&p.Crashes, index, run)
+	if confirmed {
+		addRun(&p.ConfirmedCrashes, index, run)
+	}
+}
+
+// AddLateCrash records a run whose start the worker had survived before it crashed.
+func (p *StepProgress) AddLateCrash(index, run int) { addRun(&p.LateCrashes, index, run) }
+
+// ForgetCrashes removes the crashes under a task, and reports whether there were any.
+func (p *StepProgress) ForgetCrashes(index int) bool {
+	n := len(p.Crashes[index]) + len(p.LateCrashes[index])
+	delete(p.Crashes, index)
+	delete(p.ConfirmedCrashes, index)
+	delete(p.LateCrashes, index)
+	return n > 0
+}
 
 // addRun adds a run to those of a task, unless it is among them, and returns their number.
 func addRun(runs *map[int][]int, index, run int) int {
