--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -132,12 +133,22 @@
 	qt.Assert(t, leadership.lost, qt.IsTrue)
 }
 
-// slowStore takes a time for each scan, and is silent for the first scans of a table.
+// slowStore takes a time for each scan and for each read of changes, and is silent for the first scans of a table.
 type slowStore struct {
 	*memory.Store
-	scan   time.Duration
-	silent atomic.Int32
-	scans  atomic.Int32
+	scan    time.Duration
+	changes time.Duration
+	silent  atomic.Int32
+	scans   atomic.Int32
+}
+
+func (s *slowStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (store.Rows, error) {
+	select {
+	case <-time.After(s.changes):
+	case <-ctx.Done():
+		return store.Rows{}, ctx.Err()
+	}
+	return s.Store.Changes(ctx, table, after, wait)
 }
 
 func (s *slowStore) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
@@ -179,6 +190,64 @@
 	}
 }
 
+// interruptedStore answers every other read with an error. A scan returns one row before that.
+type interruptedStore struct {
+	*memory.Store
+	err   error
+	reads atomic.Int32
+}
+
+func (s *interruptedStore) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
+	time.Sleep(time.Millisecond)
+	if s.reads.Add(1)%2 == 0 {
+		return store.Rows{}, s.err
+	}
+	rows, err := s.Store.Scan(ctx, table, partition, from, to)
+	if err == nil && len(rows.Rows) > 1 {
+		rows.Rows, err = rows.Rows[:1], s.err
+	}
+	return rows, err
+}
+
+func (s *interruptedStore) Partitions(ctx context.Context, table string) ([]string, error) {
+	time.Sleep(time.Millisecond)
+	if s.reads.Add(1)%2 == 0 {
+		return nil, s.err
+	}
+	return s.Store.Partitions(ctx, table)
+}
+
+// TestInterruptedLoad guards against a term that cannot begin because reading starts again from the first row of all tables whenever
+// the store does not carry out one of many reads.
+func TestInterruptedLoad(t *testing.T) {
+	for name, err := range map[string]error{"refused": store.ErrNotDone, "silent": store.ErrSilent} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const jobs = 20
+				s := &interruptedStore{Store: memory.New(), err: err}
+				for i := range jobs {
+					j := work.Job{ID: fmt.Sprintf("a%02d", i), Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}}
+					value, err := EncodeJob(j)
+					qt.Assert(t, err, qt.IsNil)
+					progress, err := encode(work.NewProgress())
+					qt.Assert(t, err, qt.IsNil)
+					for _, put := range []store.Put{{Key: JobKey(j.ID), Value: value}, {Key: progressKey(j.ID), Value: progress}} {
+						_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{put}})
+						qt.Assert(t, err, qt.IsNil)
+					}
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				l, err := load(ctx, s, hclog.NewNullLogger(), func(store.Row, error) {})
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, l.jobs, qt.HasLen, jobs)
+				qt.Assert(t, l.progress, qt.HasLen, jobs)
+				qt.Assert(t, l.rows, qt.Equals, 2*jobs)
+			})
+		})
+	}
+}
+
 // silentCommander gets no reply to renewals.
 type silentCommander struct{ worker.Commander }
 
@@ -211,6 +280,26 @@
 	})
 }
 
+// TestLongChanges guards against jobs that the leader never learns of, because reading the changes of some seconds takes longer than
+// a read without a reply is given, and more changes are added before it is repeated.
+func TestLongChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowStore{Store: memory.New(), changes: 3 * readTimeout}
+		e, _ := newTestEngine(t, s.Store, 1)
+		e.options.Store = s
+		qt.Assert(t, e.Start(t.Context()), qt.IsNil)
+		defer e.Stop()
+		value, err := EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: JobKey("a1"), Value: value}}})
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(3 * s.changes)
+		var known bool
+		qt.Assert(t, e.query(t.Context(), func(c *Core) { _, known = c.JobState("a1") }), qt.IsNil)
+		qt.Assert(t, known, qt.IsTrue)
+	})
+}
+
 // listedFleet is an instance service that counts its lists.
 type listedFleet struct {
 	instance.Fleet
