scheduler: split a progress that is longer than a row

A job of some thousand tasks, or of thousands of occurrences, ran without being stored: its progress was longer than a row may be (64 KiB), so that it was left out of each batch with a log line, while its runs started and its exits were acknowledged.

A job may have 2,000 tasks, 64 steps and 100,000 occurrences; the platform sets no limits, and submissions above these are rejected at once. The encoding of 2,000 tasks with one failure and a checkpoint of 16 bytes each, on 1,100 workers with IDs of 16 bytes, has 99 kB; that of 64 steps with two failures and crashes each 124 kB; that of 100,000 occurrences, of which every other one of the first 25,000 is open, 455 kB.

- A progress above 64 KiB is split into up to ten rows, all in one transaction.
Shorter ones are stored as before.
Complete occurrences become ranges.
- A leader of the build before reads the first row, which has the tasks that are done first, so that it takes nothing for complete that is not.
- Of a job that has ended only state and reason are stored.
With them the further rows are removed, so that pruning and shortening are unchanged.
- Whether a job fits is decided while the batch is taken.
A job that is not in it keeps its runs and acknowledgements back.
If its progress cannot be stored at all, none of its tasks starts, and other jobs go on.
- Checkpoints come last and are left out if they do not fit.
Without them an occurrence of 2,000 tasks fits even with worker IDs of 200 bytes, nine failures and three crashes each (563 kB).

Ruled out: a compact encoding in one row. Checkpoints and worker IDs alone exceed it, and both are chosen by others. Rejecting large jobs at submission: the protocol allows them, and they fit now.

TestUnansweredBatch takes its batch from the core now, since rows are encoded there, and checks in addition that the batch has the row.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -4,14 +4,19 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
 
 // Batch is a set of changes to store in one transaction.
 type Batch struct {
-	Progress   map[string]*work.Progress
-	PrunedJobs []string
+	Progress map[string]*work.Progress
+	// progressRows writes the rows of Progress. parts holds the number of further rows of each of the jobs.
+	progressRows store.Tx
+	parts        []int
+	PrunedJobs   []string
 	// Roster holds the changed entries of the roster by worker ID. An entry that is to be removed is nil.
 	Roster map[string]*RosterEntry
 	Waves  map[int]WaveProgress
@@ -66,9 +71,12 @@
 	}
 	var waiting []*run
 	for _, r := range c.plannedRuns {
-		if c.changedJobs[r.step.job] {
+		switch j := r.step.job; {
+		case c.now < j.notStoredBefore:
+			c.detachRun(r)
+		case c.changedJobs[j]:
 			waiting = append(waiting, r)
-		} else {
+		default:
 			b.plannedRuns = append(b.plannedRuns, r)
 		}
 	}
@@ -84,15 +92,44 @@
 	return b
 }
 
-// addJobs adds changed jobs to a batch, at most limit.
+const (
+	// maxProgressRows limits the rows of a job. All of them, and the removal of as many, fit into a batch beside the largest share of other rows.
+	maxProgressRows = 10
+	// maxProgressBytes limits the rows of all jobs of a batch. The rest is for the other rows, which are short.
+	maxProgressBytes = store.MaxBytes - 128<<10
+	// unstorablePause is the time between two attempts to store a progress that is too large.
+	unstorablePause = 5 * time.Second
+)
+
+// addJobs adds changed jobs to a batch, at most limit rows.
 func (c *Core) addJobs(b *Batch, limit int) {
+	rows, size, full := 0, 0, limit <= 0
 	add := func(j *job) {
-		if len(b.jobs) >= limit || !c.changedJobs[j] {
+		if full || !c.changedJobs[j] || c.now < j.notStoredBefore {
+			return
+		}
+		tx, parts, err := c.progressRows(j)
+		if err != nil {
+			j.notStoredBefore = c.now + unstorablePause
+			c.logger.Error("Progress of a job cannot be stored; no task of the job is started.", "job", j.doc.ID, "error", err)
 			return
 		}
+		n := len(tx.Puts) + len(tx.Removes)
+		if rows+n > limit || size+tx.Size() > maxProgressBytes {
+			full = true
+			return
+		}
+		rows += n
+		size += tx.Size()
+		full = rows >= limit
 		b.Progress[j.doc.ID] = j.progress
+		b.progressRows.Puts = append(b.progressRows.Puts, tx.Puts...)
+		b.progressRows.Removes = append(b.progressRows.Removes, tx.Removes...)
+		b.parts = append(b.parts, parts)
 		b.jobs = append(b.jobs, j)
 		b.states = append(b.states, j.progress.State)
+		// The outcome of the batch may stay unknown.
+		j.storedParts = max(j.storedParts, parts)
 		delete(c.changedJobs, j)
 	}
 	for _, r := range c.plannedRuns {
@@ -100,7 +137,7 @@
 	}
 	for _, ended := range []bool{true, false} {
 		for j := range c.changedJobs {
-			if len(b.jobs) >= limit {
+			if full {
 				return
 			}
 			if j.progress.State.Ended() == ended {
@@ -110,6 +147,56 @@
 	}
 }
 
+// progressRows returns the rows of the progress of a job, and how many there are besides the first one. Of a job that has ended only
+// the state is kept.
+func (c *Core) progressRows(j *job) (tx store.Tx, parts int, err error) {
+	progress := j.progress
+	if progress.State.Ended() {
+		progress = &work.Progress{State: progress.State, Reason: progress.Reason}
+	}
+	value, err := encode(progress)
+	if err != nil {
+		return tx, 0, err
+	}
+	values := [][]byte{value}
+	if len(value) > store.MaxRowBytes {
+		if values, err = c.splitProgress(j, progress); err != nil {
+			return tx, 0, err
+		}
+	}
+	for part, value := range values {
+		put := store.Put{Key: progressKey(partName(j.doc.ID, part)), Value: value}
+		if err := put.Validate(); err != nil {
+			return tx, 0, err
+		}
+		tx.Puts = append(tx.Puts, put)
+	}
+	for part := len(values); part <= j.storedParts; part++ {
+		tx.Removes = append(tx.Removes, progressKey(partName(j.doc.ID, part)))
+	}
+	return tx, len(values) - 1, nil
+}
+
+// splitProgress encodes a progress in parts that fit into rows.
+func (c *Core) splitProgress(j *job, progress *work.Progress) ([][]byte, error) {
+	parts, omitted := progress.Split(store.MaxRowBytes, maxProgressRows)
+	if len(parts) > maxProgressRows {
+		return nil, eris.Errorf("progress needs %d rows, the limit is %d", len(parts), maxProgressRows)
+	}
+	if omitted > 0 {
+		c.logger.Warn("Checkpoints of a job are not stored, since they do not fit into its rows.", "job", j.doc.ID, "checkpoints", omitted)
+	}
+	values := make([][]byte, 0, len(parts))
+	for _, part := range parts {
+		value, err := encode(part)
+		if err != nil {
+			return nil, err
+		}
+		values = append(values, value)
+	}
+	return values, nil
+}
+
 // unstoredExit is an exit that was processed and whose effect on its job may not be stored yet.
 type unstoredExit struct {
 	seq uint64
@@ -166,7 +253,7 @@
 		ws.recordStoredExits(number)
 	}
 	for i, j := range b.jobs {
-		j.storedState = b.states[i]
+		j.storedState, j.storedParts = b.states[i], b.parts[i]
 		if j.storedState.Ended() {
 			c.observeStage(j, StageEnded)
 			c.jobsToShorten = append(c.jobsToShorten, j.doc.Shortened(j.storedState))
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -64,11 +64,8 @@
 		Expected: []store.Expect{{Key: leadershipKey("holder"), Version: e.options.Core.Fence}, {Key: leadershipKey(rowChain), Version: e.chainVersion}},
 		Puts:     []store.Put{{Key: leadershipKey(rowChain), Value: chain}},
 	}
-	for id, p := range b.Progress {
-		if err := e.addPut(&tx, progressKey(id), p); err != nil {
-			return tx, err
-		}
-	}
+	tx.Puts = append(tx.Puts, b.progressRows.Puts...)
+	tx.Removes = append(tx.Removes, b.progressRows.Removes...)
 	for id, entry := range b.Roster {
 		if entry == nil {
 			e.addRemove(&tx, fleetKey(rosterPrefix+id))
@@ -112,8 +109,8 @@
 	return tx, nil
 }
 
-// addPut adds a row to a transaction. A row that the store would refuse is left out, since it would refuse the whole batch, and with
-// it the progress of all jobs.
+// addPut adds a row other than of a job to a transaction. A row that the store would refuse is left out, since it would refuse the whole
+// batch, and with it the progress of all jobs.
 func (e *Engine) addPut(tx *store.Tx, key store.Key, v any) error {
 	value, err := encode(v)
 	if err != nil {
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -201,6 +201,7 @@
 	for id, j := range l.jobs {
 		c.AddJob(j, l.progress[id], storeNow)
 	}
+	c.JobsPruned(l.staleParts)
 	for _, id := range l.cancelled {
 		c.Cancel(id)
 	}
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -98,8 +98,11 @@
 			s := memory.New()
 			e, leadership := newTestEngine(t, s, 1)
 			e.batchNumber = 1
-			tx, err := e.transaction(Batch{Progress: map[string]*work.Progress{"a": work.NewProgress()}})
+			e.core.AddJob(work.Job{ID: "a", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}}, nil, 0)
+			e.core.endJob(e.core.jobs["a"], work.Failed, "test")
+			tx, err := e.transaction(e.core.TakeBatch(batchRows))
 			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, tx.Puts, qt.HasLen, 2)
 			s.InjectFaults(func(*store.Tx) memory.Fault { return test.fault })
 			_, err = s.Commit(t.Context(), tx)
 			qt.Assert(t, err, qt.ErrorIs, store.ErrUnknown)
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -18,11 +18,13 @@
 		progress = work.NewProgress()
 	}
 	progress.Init()
+	storedParts := progress.Parts
+	progress.Parts = 0
 	if doc.EndState.Ended() {
 		progress.State = doc.EndState
 	}
 	j := &job{
-		doc: doc, progress: progress, storedState: progress.State, open: make(map[int]*occurrence),
+		doc: doc, progress: progress, storedParts: storedParts, storedState: progress.State, open: make(map[int]*occurrence),
 		criticalPath: doc.CriticalPath(), acceptedAt: c.now - max(0, storeNow-doc.AcceptedAt), started: len(progress.Occurrences)+len(progress.Complete) > 0,
 	}
 	for i := range doc.Steps {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -117,7 +117,7 @@
 const removedPriority = 100
 
 func (c *Core) candidate(j *job, o *occurrence, q *catalog.Queue) (candidate, bool) {
-	if c.blocked(o) {
+	if c.blocked(o) || c.now < j.notStoredBefore {
 		return candidate{}, false
 	}
 	idle := false
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -28,7 +30,9 @@
 	rowClock = "clock"
 	// cancelSuffix marks the row of a cancellation. It sorts after the row of the job.
 	cancelSuffix = ".cancel"
-	wavePrefix   = "wave."
+	// partSeparator separates the ID of a job from the number of a further row of its progress.
+	partSeparator = "/"
+	wavePrefix    = "wave."
 	// waveInstanceSeparator separates the name of a wave from an instance whose maintenance has begun. The row of the instance
 	// holds the worker that ran on it before.
 	waveInstanceSeparator = "/"
@@ -58,6 +62,14 @@
 
 func progressKey(name string) store.Key { return store.Key{Table: tableProgress, Name: name} }
 
+// partName returns the name of a row of the progress of a job. The first one has the number 0.
+func partName(id string, part int) string {
+	if part == 0 {
+		return id
+	}
+	return id + partSeparator + strconv.Itoa(part)
+}
+
 func fleetKey(name string) store.Key { return store.Key{Table: tableFleet, Name: name} }
 
 func leadershipKey(name string) store.Key { return store.Key{Table: tableLeadership, Name: name} }
@@ -128,8 +140,11 @@
 	jobs      map[string]work.Job
 	cancelled []string
 	progress  map[string]*work.Progress
-	waves     map[int]*WaveProgress
-	roster    []RosterEntry
+	// parts holds the further rows of the progress of jobs by name, and staleParts those that belong to no progress any more.
+	parts      map[string]*work.Progress
+	staleParts []string
+	waves      map[int]*WaveProgress
+	roster     []RosterEntry
 	// oldRoster is the roster of an earlier version.
 	oldRoster []RosterEntry
 	// version is the version from which on changes of jobs are to be read.
@@ -148,7 +163,7 @@
 
 func newLoadedRows() *loadedRows {
 	return &loadedRows{
-		jobs: make(map[string]work.Job), progress: make(map[string]*work.Progress), waves: make(map[int]*WaveProgress), instances: make(map[string]time.Duration),
+		jobs: make(map[string]work.Job), progress: make(map[string]*work.Progress), parts: make(map[string]*work.Progress), waves: make(map[int]*WaveProgress), instances: make(map[string]time.Duration),
 	}
 }
 
@@ -203,9 +218,30 @@
 			}
 		}
 	}
+	l.joinParts(bad)
 	return l, nil
 }
 
+// joinParts adds the further rows of the progress of jobs. A progress that an earlier build has stored since has none.
+func (l *loadedRows) joinParts(bad func(row store.Row, err error)) {
+	for id, p := range l.progress {
+		for part := 1; part <= p.Parts; part++ {
+			name := partName(id, part)
+			further, ok := l.parts[name]
+			if !ok {
+				bad(store.Row{Key: progressKey(name)}, errPartMissing)
+				break
+			}
+			p.Join(further)
+			delete(l.parts, name)
+		}
+	}
+	l.staleParts = slices.Sorted(maps.Keys(l.parts))
+}
+
+// errPartMissing means that a further row of the progress of a job is missing or cannot be read.
+var errPartMissing = errors.New("part of the progress is missing")
+
 func (l *loadedRows) count(read store.Rows) {
 	l.rows += len(read.Rows)
 	for _, row := range read.Rows {
@@ -234,6 +270,10 @@
 	if err := cbor.Unmarshal(row.Value, &p); err != nil {
 		return err
 	}
+	if strings.Contains(row.Name, partSeparator) {
+		l.parts[row.Name] = &p
+		return nil
+	}
 	l.progress[row.Name] = &p
 	return nil
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -14,6 +14,10 @@
 	progress *work.Progress
 	// storedState is the state in the store, the only one that clients are shown.
 	storedState work.State
+	// storedParts is the number of further rows of the progress that the store may have.
+	storedParts int
+	// notStoredBefore is the time before which the progress is not stored, and no run starts, since it was found to be too large.
+	notStoredBefore time.Duration
 	// open holds the occurrences that have begun and are not complete.
 	open map[int]*occurrence
 	// nextOccurrence is the first occurrence that has not begun.
--- a/work/progress.go
+++ b/work/progress.go
@@ -122,6 +122,17 @@
 	Complete map[int]bool `cbor:"3,keyasint,omitempty"`
 	// Reason says why the job has ended.
 	Reason string `cbor:"4,keyasint,omitempty"`
+	// Parts is the number of further parts of a progress that was split, in its first part.
+	Parts int `cbor:"5,keyasint,omitempty"`
+	// CompleteRanges holds complete occurrences of a progress that was split, besides those in Complete.
+	CompleteRanges []Range `cbor:"6,keyasint,omitempty"`
+}
+
+// Range is the range of the numbers from Start to before End.
+type Range struct {
+	_     struct{} `cbor:",toarray"`
+	Start int
+	End   int
 }
 
 // NewProgress returns the progress of a job that has not started.
@@ -129,7 +140,7 @@
 	return &Progress{Occurrences: make(map[int]*OccurrenceProgress), Complete: make(map[int]bool)}
 }
 
-// Init replaces nil maps after decoding.
+// Init replaces nil maps and ranges of complete occurrences after decoding.
 func (p *Progress) Init() {
 	if p.Occurrences == nil {
 		p.Occurrences = make(map[int]*OccurrenceProgress)
@@ -137,6 +148,12 @@
 	if p.Complete == nil {
 		p.Complete = make(map[int]bool)
 	}
+	for _, r := range p.CompleteRanges {
+		for k := max(0, r.Start); k < min(r.End, MaxOccurrences); k++ {
+			p.Complete[k] = true
+		}
+	}
+	p.CompleteRanges = nil
 }
 
 // Occurrence returns the progress of an occurrence of the job and creates it if needed.
