scheduler: keep the changes of a batch that cannot be encoded

A batch that could not be encoded was dropped: its log line was the only trace of the progress, planned runs, commands and removals in it. Final states were not stored until the job changed again, which an ended job does not, and planned runs held their room and never started.

Cause: commit returned without BatchFailed, and one row that cannot be encoded failed the whole batch, as one that the store refuses did before rows above a limit were left out.

Any other row that cannot be encoded is left out, with the log line of rows that the store would refuse. A batch that fails as a whole gives its changes back and is repeated after the pause of a batch that was refused.

No value that the scheduler stores is known to fail in the encoder, so that the test replaces it. TestUnencodableBatch failed in both cases with the commit of before and that replacement: the final state of the job was never stored after a failure of the chain row, nor beside a roster entry that fails.

--- a/scheduler/batch_test.go
+++ b/scheduler/batch_test.go
@@ -1,12 +1,15 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -106,3 +109,49 @@
 		})
 	}
 }
+
+// TestUnencodableBatch guards against changes that are lost with a batch that cannot be encoded, and against one row that keeps all
+// others from being stored.
+func TestUnencodableBatch(t *testing.T) {
+	tests := map[string]struct {
+		fails   func(v any) bool
+		stored  bool
+		workers int
+	}{
+		"chain row":  {func(v any) bool { _, ok := v.(chainRow); return ok }, false, 2},
+		"one worker": {func(v any) bool { entry, ok := v.(*RosterEntry); return ok && entry.ID == "w1" }, true, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := memory.New()
+			e, _ := newTestEngine(t, s, 1)
+			c := e.core
+			c.SetWorkers([]worker.Report{{ID: "w1", Pool: "p"}, {ID: "w2", Pool: "p"}})
+			c.AddJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}}, nil, 0)
+			c.endJob(c.jobs["a1"], work.Failed, "test")
+			stored := func() bool { return len(progressRowsOf(t, s)) == 1 }
+			commit := func(now time.Duration) {
+				e.commit(now)
+				e.tasks.Wait()
+				for range len(e.inbox) {
+					(<-e.inbox)(c)
+				}
+			}
+			e.encode = func(v any) ([]byte, error) {
+				if test.fails(v) {
+					return nil, errors.New("test")
+				}
+				return encode(v)
+			}
+			now := clock.Now() + time.Second
+			commit(now)
+			qt.Assert(t, stored(), qt.Equals, test.stored)
+			e.encode = encode
+			commit(now + commitPause + time.Second)
+			qt.Assert(t, stored(), qt.IsTrue)
+			rows, err := s.Scan(t.Context(), tableFleet, "", "", "")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, rows.Rows, qt.HasLen, test.workers)
+		})
+	}
+}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -11,12 +11,14 @@
 
 // commit stores what has changed. Only one batch is in flight at a time.
 func (e *Engine) commit(now time.Duration) {
-	if e.committing || (now < e.lastAttemptEnd+commitInterval && e.core.Backlog() <= batchRows) {
+	if e.committing || now < e.retryAfter || (now < e.lastAttemptEnd+commitInterval && e.core.Backlog() <= batchRows) {
 		return
 	}
 	b, tx, err := e.nextBatch()
 	if err != nil {
-		e.logger.Error("Batch could not be encoded.", "error", err)
+		e.logger.Error("Batch could not be encoded.", "batch", e.batchNumber, "error", err)
+		e.core.BatchFailed(b)
+		e.retryAfter = now + commitPause
 		return
 	}
 	if b.Empty() {
@@ -54,7 +56,7 @@
 }
 
 func (e *Engine) transaction(b Batch) (store.Tx, error) {
-	chain, err := encode(chainRow{Fence: e.options.Core.Fence, Batch: e.batchNumber})
+	chain, err := e.encode(chainRow{Fence: e.options.Core.Fence, Batch: e.batchNumber})
 	if err != nil {
 		return store.Tx{}, err
 	}
@@ -71,23 +73,17 @@
 			e.addRemove(&tx, fleetKey(rosterPrefix+id))
 			continue
 		}
-		if err := e.addPut(&tx, fleetKey(rosterPrefix+id), entry); err != nil {
-			return tx, err
-		}
+		e.addPut(&tx, fleetKey(rosterPrefix+id), entry)
 	}
 	for id, at := range b.InstanceCommandTimes {
 		recorded, _ := e.options.Clock.At(at)
-		if err := e.addPut(&tx, fleetKey(commandPrefix+id), max(recorded, 1)); err != nil {
-			return tx, err
-		}
+		e.addPut(&tx, fleetKey(commandPrefix+id), max(recorded, 1))
 	}
 	for _, id := range b.ExpiredCommands {
 		e.addRemove(&tx, fleetKey(commandPrefix+id))
 	}
 	for _, m := range b.begun {
-		if err := e.addPut(&tx, progressKey(waveName(m.wave)+waveInstanceSeparator+m.instance), m.worker); err != nil {
-			return tx, err
-		}
+		e.addPut(&tx, progressKey(waveName(m.wave)+waveInstanceSeparator+m.instance), m.worker)
 	}
 	if b.removesOldRows {
 		tx.Removes = append(tx.Removes, leadershipKey(rowRoster), leadershipKey(rowInstances))
@@ -97,9 +93,7 @@
 	}
 	for n, w := range b.Waves {
 		w.Since, _ = e.options.Clock.At(w.Since)
-		if err := e.addPut(&tx, progressKey(waveName(n)), w); err != nil {
-			return tx, err
-		}
+		e.addPut(&tx, progressKey(waveName(n)), w)
 		for name, doc := range e.options.Waves.Waves() {
 			if doc.Number == n {
 				tx.Puts = append(tx.Puts, e.options.Waves.WaveStatus(name, w.Finished))
@@ -109,20 +103,19 @@
 	return tx, nil
 }
 
-// addPut adds a row other than of a job to a transaction. A row that the store would refuse is left out, since it would refuse the whole
-// batch, and with it the progress of all jobs.
-func (e *Engine) addPut(tx *store.Tx, key store.Key, v any) error {
-	value, err := encode(v)
-	if err != nil {
-		return err
-	}
+// addPut adds a row other than of a job to a transaction. A row that cannot be encoded or that the store would refuse is left out, since
+// the whole batch would fail with it, and with it the progress of all jobs.
+func (e *Engine) addPut(tx *store.Tx, key store.Key, v any) {
+	value, err := e.encode(v)
 	put := store.Put{Key: key, Value: value}
-	if err := put.Validate(); err != nil {
+	if err == nil {
+		err = put.Validate()
+	}
+	if err != nil {
 		e.logger.Error("Row cannot be stored; it is left out of the batch.", "table", key.Table, "row", key.Name, "error", err)
-		return nil
+		return
 	}
 	tx.Puts = append(tx.Puts, put)
-	return nil
 }
 
 // addRemove adds the removal of a row to a transaction, unless the store cannot have the row.
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -130,18 +130,22 @@
 	ctx     context.Context
 	tasks   sync.WaitGroup
 	ready   atomic.Bool
+	// encode encodes rows. Tests replace it.
+	encode func(v any) ([]byte, error)
 
 	// The fields below are used by the loop only.
 	renewing   map[string]bool
 	committing bool
 	// lastAttemptEnd is the time at which the last attempt to store a batch ended, also a failed one.
 	lastAttemptEnd time.Duration
-	lastPass       time.Duration
-	passDuration   time.Duration
-	batchNumber    uint64
-	chainVersion   uint64
-	batchStored    chan struct{}
-	asked          map[string]bool
+	// retryAfter is the time before which no batch is taken, after one that could not be encoded.
+	retryAfter   time.Duration
+	lastPass     time.Duration
+	passDuration time.Duration
+	batchNumber  uint64
+	chainVersion uint64
+	batchStored  chan struct{}
+	asked        map[string]bool
 }
 
 // NewEngine returns an engine that is not started.
@@ -153,7 +157,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Engine{
 		options: o, logger: o.Logger.Named("engine"), core: NewCore(o.Core), inbox: make(chan func(*Core), inboxSize), ctx: ctx, cancel: cancel,
-		renewing: make(map[string]bool), batchStored: make(chan struct{}), asked: make(map[string]bool),
+		encode: encode, renewing: make(map[string]bool), batchStored: make(chan struct{}), asked: make(map[string]bool),
 	}
 }
 
