duty: leave out a row that cannot be read

One row of an instance, job or wave that could not be read failed each pass of the duties, in all pools or in the whole data centre, for as long as the row was there: no wave or move went on, the leases of running tasks were not renewed, and no job started. Operators could list nothing, and the endpoints of all pools stayed as they were.

Cause: List of the three stores returned the error of the first such row. List still does, where all rows are needed (the creation of a wave, the budget check of an assignment). ListReadable leaves the row out and reports its ID, and the callers log it, at most once in ten seconds for each row.

What is not known is not taken for harmless:

- An instance whose row cannot be read counts as down against the budget of each pool, is not adopted again, gets no jobs and keeps those it has.
No wave ends or is removed meanwhile.
- The tasks that workers report of a job whose row cannot be read keep their leases, and their workers get no other jobs.
- The directory keeps what it knew of the instance, so that a row format that it does not know does not take away all endpoints.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -34,7 +34,8 @@
 
 // Rows reads the instance rows.
 type Rows interface {
-	List(ctx context.Context) ([]pool.Stored, error)
+	// ListReadable returns the rows that can be read. It calls unreadable with the ID of each other instance.
+	ListReadable(ctx context.Context, unreadable func(id string, err error)) ([]pool.Stored, error)
 }
 
 // Reports reads the platform's list of instances.
@@ -215,10 +216,21 @@
 func (d *Directory) readPlatform(ctx context.Context) readResult {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	rows, err := d.options.Rows.List(ctx)
+	unreadable := make(map[string]bool)
+	rows, err := d.options.Rows.ListReadable(ctx, func(id string, err error) {
+		unreadable[id] = true
+		if dropped, ok := d.limiter.Allow("unreadable " + id); ok {
+			d.logger.Error("Row cannot be read; what was known of it stays in use.", "kind", "instance", "id", id, "error", err, "dropped", dropped)
+		}
+	})
 	if err != nil {
 		return readResult{err: err}
 	}
+	for _, row := range d.Rows() {
+		if unreadable[row.ID] {
+			rows = append(rows, row)
+		}
+	}
 	// If the list cannot be refreshed, the last reports still have the addresses.
 	err = d.options.Reports.Refresh(ctx)
 	reports := make(map[string]provider.Instance, len(rows))
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -21,19 +21,28 @@
 type fakePlatform struct {
 	mu          sync.Mutex
 	rows        []pool.Stored
+	unreadable  map[string]bool
 	reports     map[string]provider.Instance
 	members     []endpoint.Member
 	unavailable bool
 	published   map[string][]endpoint.Endpoint
 }
 
-func (f *fakePlatform) List(context.Context) ([]pool.Stored, error) {
+func (f *fakePlatform) ListReadable(_ context.Context, unreadable func(id string, err error)) ([]pool.Stored, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unavailable {
 		return nil, provider.ErrUnavailable
 	}
-	return slices.Clone(f.rows), nil
+	var rows []pool.Stored
+	for _, row := range f.rows {
+		if f.unreadable[row.ID] {
+			unreadable(row.ID, errors.New("test"))
+			continue
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
 }
 
 func (f *fakePlatform) Refresh(context.Context) error {
@@ -186,6 +195,16 @@
 			},
 			want: []string{"a", "b"},
 		},
+		"row that cannot be read": {
+			change: func(f *fakePlatform, _ *directory.Directory) {
+				f.update(func() {
+					f.unreadable = map[string]bool{"a": true}
+					f.rows[1].State, f.rows[1].Generation = pool.StateDraining, 2
+				})
+				time.Sleep(time.Minute)
+			},
+			want: []string{"a"},
+		},
 		"dispatcher has lost the pool": {
 			change: func(f *fakePlatform, d *directory.Directory) {
 				f.update(func() { clear(f.published) })
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -22,6 +22,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"github.com/chivetiller/chivetiller/common/logging"
 	"github.com/chivetiller/chivetiller/lease"
 	"github.com/chivetiller/chivetiller/provider"
 )
@@ -148,6 +149,29 @@
 	return c.Pass(ctx, r.options.Leases)
 }
 
+// unreadableLogInterval is the time between two log lines about the same row.
+const unreadableLogInterval = 10 * time.Second
+
+// unreadableRows notes the rows that cannot be read. A duty leaves them out, since it would not do anything for the other rows otherwise.
+type unreadableRows struct {
+	logger  hclog.Logger
+	limiter *logging.Limiter
+}
+
+func newUnreadableRows(logger hclog.Logger) *unreadableRows {
+	return &unreadableRows{logger: logger, limiter: logging.NewLimiter(unreadableLogInterval)}
+}
+
+// note returns a function that logs a row of a kind and adds its ID to a list.
+func (u *unreadableRows) note(kind string, ids *[]string) func(id string, err error) {
+	return func(id string, err error) {
+		*ids = append(*ids, id)
+		if dropped, ok := u.limiter.Allow(kind + " " + id); ok {
+			u.logger.Error("Row cannot be read; it is left out.", "kind", kind, "id", id, "error", err, "dropped", dropped)
+		}
+	}
+}
+
 // isTransient reports whether an error affects only the current step: another process changed the row
 // first, or the platform did not answer. The next pass reads everything again.
 func isTransient(err error) bool {
--- a/duty/fleet.go
+++ b/duty/fleet.go
@@ -49,6 +49,7 @@
 	planner *move.Planner
 	// acknowledgedCalls holds the last acknowledged call for each instance.
 	acknowledgedCalls map[string]acknowledgedCall
+	unreadable        *unreadableRows
 	// announced holds the start of the state that was last announced for each instance.
 	announced map[string]time.Time
 }
@@ -73,7 +74,7 @@
 	}
 	return &Fleet{
 		options: o, rows: pool.NewStore(o.Table), waves: wave.NewStore(o.Table), reports: pool.NewReports(o.Instances),
-		planner: move.NewPlanner(o.Moves), acknowledgedCalls: make(map[string]acknowledgedCall), announced: make(map[string]time.Time),
+		planner: move.NewPlanner(o.Moves), unreadable: newUnreadableRows(o.Logger), acknowledgedCalls: make(map[string]acknowledgedCall), announced: make(map[string]time.Time),
 	}
 }
 
@@ -87,6 +88,8 @@
 	waves           []wave.Stored
 	byPool          map[string][]pool.Stored
 	rows            []pool.Stored
+	// unreadableInstances holds the instances whose rows cannot be read. Each of them may be down and in any pool and wave.
+	unreadableInstances []string
 	// attemptedStops holds the instances whose stop this pass has tried to begin, also if the outcome is unknown.
 	attemptedStops map[string]bool
 }
@@ -136,13 +139,14 @@
 		return nil, err
 	}
 	var err error
-	if p.waves, err = f.waves.List(ctx); err != nil {
+	var unreadableWaves []string
+	if p.waves, err = f.waves.ListReadable(ctx, f.unreadable.note("wave", &unreadableWaves)); err != nil {
 		return nil, err
 	}
 	if p.plannedVersions, err = f.rows.PlannedStopVersions(ctx, names...); err != nil {
 		return nil, err
 	}
-	if p.rows, err = f.rows.List(ctx); err != nil {
+	if p.rows, err = f.rows.ListReadable(ctx, f.unreadable.note("instance", &p.unreadableInstances)); err != nil {
 		return nil, err
 	}
 	for _, row := range p.rows {
@@ -162,6 +166,9 @@
 	for _, row := range p.rows {
 		known[row.ID] = true
 	}
+	for _, id := range p.unreadableInstances {
+		known[id] = true
+	}
 	for id, report := range f.reports.All() {
 		if known[id] || report.State != provider.InstanceLive {
 			continue
@@ -232,7 +239,7 @@
 		if w.State() != wave.StateRunning {
 			continue
 		}
-		chosen := wave.Plan(in, w.Members(rows, f.available))
+		chosen := wave.Plan(in, append(w.Members(rows, f.available), f.unreadableMembers(p)...))
 		if len(chosen) == 0 {
 			continue
 		}
@@ -268,11 +275,21 @@
 	return nil
 }
 
+// unreadableMembers returns the instances whose rows cannot be read, as down. They count against the budget of every pool.
+func (f *Fleet) unreadableMembers(p *fleetPass) []wave.Member {
+	members := make([]wave.Member, 0, len(p.unreadableInstances))
+	for _, id := range p.unreadableInstances {
+		report, _ := f.reports.Get(id)
+		members = append(members, wave.Member{ID: id, Rack: report.Rack, DataCentre: report.DataCentre, Down: true})
+	}
+	return members
+}
+
 // finishWaves ends the running waves that have no work left, and removes those that ended more than waveRetention
-// ago.
+// ago. It ends none while there is an instance of which it is not known whether a wave has work left there.
 func (f *Fleet) finishWaves(ctx context.Context, p *fleetPass) error {
 	fence, held := p.leases.Holds(Housekeeping)
-	if !held {
+	if !held || len(p.unreadableInstances) > 0 {
 		return nil
 	}
 	for _, w := range p.waves {
--- a/duty/jobs.go
+++ b/duty/jobs.go
@@ -51,6 +51,8 @@
 	options JobsOptions
 	rows    *pool.Store
 	reports *pool.Reports
+	// unreadable notes the rows of instances and jobs that cannot be read.
+	unreadable *unreadableRows
 
 	// mu guards dataCentres.
 	mu          sync.Mutex
@@ -65,8 +67,10 @@
 	options JobsOptions
 	name    string
 	store   *job.Store
-	learner *job.Learner
-	health  *job.Health
+	// unreadable notes the rows of jobs that cannot be read.
+	unreadable *unreadableRows
+	learner    *job.Learner
+	health     *job.Health
 	// token is the fencing token: the version of its row in the table, which grows with each takeover.
 	token       uint64
 	lastRenewal time.Time
@@ -91,7 +95,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("jobs")
-	return &Jobs{options: o, rows: pool.NewStore(o.Table), reports: pool.NewReports(o.Instances), dataCentres: make(map[string]*jobsDuty)}
+	return &Jobs{options: o, rows: pool.NewStore(o.Table), reports: pool.NewReports(o.Instances), unreadable: newUnreadableRows(o.Logger), dataCentres: make(map[string]*jobsDuty)}
 }
 
 // Pass implements [Controller].
@@ -111,13 +115,14 @@
 	if err := d.reports.Refresh(ctx); err != nil {
 		return ignoreTransient(err)
 	}
-	rows, err := d.rows.List(ctx)
+	var unreadable []string
+	rows, err := d.rows.ListReadable(ctx, d.unreadable.note("instance", &unreadable))
 	if err != nil {
 		return ignoreTransient(err)
 	}
 	var errs []error
 	for _, c := range held {
-		errs = append(errs, ignoreTransient(c.pass(ctx, leases, d.workersOf(now, c, rows))))
+		errs = append(errs, ignoreTransient(c.pass(ctx, leases, d.workersOf(now, c, rows, unreadable))))
 	}
 	return errors.Join(errs...)
 }
@@ -134,7 +139,7 @@
 	c, ok := d.dataCentres[name]
 	if !ok {
 		c = &jobsDuty{
-			options: d.options, name: name, store: job.NewStore(d.options.Table, d.options.Limits),
+			options: d.options, name: name, store: job.NewStore(d.options.Table, d.options.Limits), unreadable: d.unreadable,
 			health: job.NewHealth(), startedRuns: make(map[string]bool), limitedUntil: make(map[string]time.Time), waitingTeams: make(map[string]bool),
 		}
 		d.dataCentres[name] = c
@@ -151,8 +156,14 @@
 	missing bool
 }
 
-func (d *Jobs) workersOf(now time.Time, c *jobsDuty, rows []pool.Stored) map[string]worker {
+// workersOf returns the workers of a data centre. Those whose rows cannot be read get no jobs and keep those that they have.
+func (d *Jobs) workersOf(now time.Time, c *jobsDuty, rows []pool.Stored, unreadable []string) map[string]worker {
 	workers := make(map[string]worker)
+	for _, id := range unreadable {
+		if report, known := d.reports.Get(id); known && report.DataCentre == c.name {
+			workers[id] = worker{Worker: job.Worker{ID: id, Rack: report.Rack, Unschedulable: true}, missing: d.reports.Missing(id)}
+		}
+	}
 	for _, row := range rows {
 		if row.DataCentre != c.name {
 			continue
--- a/duty/jobspass.go
+++ b/duty/jobspass.go
@@ -24,6 +24,9 @@
 	now     time.Time
 	workers map[string]worker
 	jobs    []job.Stored
+	// unreadableJobs holds the jobs whose rows cannot be read, and unreadableRuns their tasks that workers report as running.
+	unreadableJobs []string
+	unreadableRuns []string
 	// statusByRun holds the newest report of each run by its ID.
 	statusByRun map[string]provider.TaskStatus
 }
@@ -32,7 +35,7 @@
 // jobs.
 func (p *jobsPass) readState(ctx context.Context) error {
 	var err error
-	if p.jobs, err = p.store.List(ctx, p.name); err != nil {
+	if p.jobs, err = p.store.ListReadable(ctx, p.name, p.unreadable.note("job", &p.unreadableJobs)); err != nil {
 		return err
 	}
 	if p.learner == nil {
@@ -48,6 +51,12 @@
 			busy[j.Worker] = true
 		}
 	}
+	if len(p.unreadableJobs) > 0 {
+		// Their tasks may run on any worker.
+		for id := range p.workers {
+			busy[id] = true
+		}
+	}
 	p.statusByRun = make(map[string]provider.TaskStatus)
 	if len(busy) == 0 {
 		return nil
@@ -62,6 +71,14 @@
 	}
 	for _, s := range reported {
 		p.statusByRun[s.ID] = s
+		if s.State == provider.TaskRunning && slices.Contains(p.unreadableJobs, s.Job) {
+			p.unreadableRuns = append(p.unreadableRuns, s.ID)
+			// The size that the task may take is not known.
+			if w, ok := p.workers[s.Worker]; ok {
+				w.Unschedulable = true
+				p.workers[s.Worker] = w
+			}
+		}
 	}
 	return nil
 }
@@ -105,6 +122,11 @@
 	if len(ids) > 0 && p.options.Tasks.Renew(ctx, p.token, ids...) != nil {
 		forEachJob(ctx, running, func(ctx context.Context, j job.Stored) error { return p.options.Tasks.Renew(ctx, p.token, j.RunID()) })
 	}
+	for _, id := range p.unreadableRuns {
+		if err := p.options.Tasks.Renew(ctx, p.token, id); err != nil {
+			p.options.Logger.Warn("Task of a job whose row cannot be read was not renewed.", "task", id, "error", err)
+		}
+	}
 	p.lastRenewal = p.now
 }
 
--- a/duty/moves.go
+++ b/duty/moves.go
@@ -102,7 +102,7 @@
 			Pending: !transfer.Return || row.HomePool != row.Pool,
 		})
 	}
-	chosen := wave.Plan(from, members)
+	chosen := wave.Plan(from, append(members, f.unreadableMembers(p)...))
 	chosen = chosen[:min(len(chosen), transfer.Count, max(0, from.MaxMovable(len(members))-countLeaving(p.byPool[from.Name()])))]
 	if len(chosen) == 0 {
 		return nil
--- a/duty/operations.go
+++ b/duty/operations.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/job"
@@ -29,13 +30,15 @@
 	Pools func() []pool.Pool
 	// HasTeam reports whether a team is configured.
 	HasTeam func(name string) bool
+	Logger  hclog.Logger
 }
 
 // Operations are the calls that operators make on instances, waves and jobs, at any entry instance. They only
 // write rows; the holders of the duties act on them.
 type Operations struct {
-	options OperationsOptions
-	waves   *wave.Store
+	options    OperationsOptions
+	waves      *wave.Store
+	unreadable *unreadableRows
 
 	// mu guards reports.
 	mu      sync.Mutex
@@ -44,7 +47,10 @@
 
 // NewOperations returns the operations of an entry instance.
 func NewOperations(o OperationsOptions) *Operations {
-	return &Operations{options: o, waves: wave.NewStore(o.Table), reports: pool.NewReports(o.Instances)}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	return &Operations{options: o, waves: wave.NewStore(o.Table), unreadable: newUnreadableRows(o.Logger.Named("operations")), reports: pool.NewReports(o.Instances)}
 }
 
 // InstanceView is an instance row together with the platform's report on the instance.
@@ -148,7 +154,11 @@
 
 // checkMayLeave returns an error that says why an instance may not leave its pool now, or nil.
 func (o *Operations) checkMayLeave(ctx context.Context, from pool.Pool, id string) error {
-	rows, reports, err := o.readInstances(ctx)
+	rows, err := pool.NewStore(o.options.Table).List(ctx)
+	if err != nil {
+		return err
+	}
+	_, reports, err := o.readInstances(ctx)
 	if err != nil {
 		return err
 	}
@@ -206,11 +216,12 @@
 
 // ListWaves returns the progress of all waves.
 func (o *Operations) ListWaves(ctx context.Context) ([]wave.Progress, error) {
-	waves, err := o.waves.List(ctx)
+	var unreadable []string
+	waves, err := o.waves.ListReadable(ctx, o.unreadable.note("wave", &unreadable))
 	if err != nil {
 		return nil, err
 	}
-	rows, err := pool.NewStore(o.options.Table).List(ctx)
+	rows, err := o.readRows(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -245,7 +256,7 @@
 }
 
 func (o *Operations) waveProgress(ctx context.Context, w wave.Wave) (wave.Progress, error) {
-	rows, err := pool.NewStore(o.options.Table).List(ctx)
+	rows, err := o.readRows(ctx)
 	if err != nil {
 		return wave.Progress{}, err
 	}
@@ -294,7 +305,8 @@
 
 // ListJobs returns the jobs of a data centre, or all if the name is empty.
 func (o *Operations) ListJobs(ctx context.Context, dataCentre string) ([]job.Job, error) {
-	stored, err := job.NewStore(o.options.Table, nil).List(ctx, dataCentre)
+	var unreadable []string
+	stored, err := job.NewStore(o.options.Table, nil).ListReadable(ctx, dataCentre, o.unreadable.note("job", &unreadable))
 	if err != nil {
 		return nil, err
 	}
@@ -325,9 +337,15 @@
 	return pools[i], nil
 }
 
+// readRows returns the instance rows that can be read.
+func (o *Operations) readRows(ctx context.Context) ([]pool.Stored, error) {
+	var unreadable []string
+	return pool.NewStore(o.options.Table).ListReadable(ctx, o.unreadable.note("instance", &unreadable))
+}
+
 // readInstances returns the instance rows, and the newest reports by instance ID.
 func (o *Operations) readInstances(ctx context.Context) ([]pool.Stored, map[string]provider.Instance, error) {
-	rows, err := pool.NewStore(o.options.Table).List(ctx)
+	rows, err := o.readRows(ctx)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/entry/operations.go
+++ b/entry/operations.go
@@ -68,6 +68,7 @@
 	return &operations{entry: e, burnHistory: e.client.ObjectsFor(userOperators, e.services.Objects), fleet: duty.NewOperations(duty.OperationsOptions{
 		Table:     e.client.For(provider.UserWaves),
 		Instances: e.services.Instances,
+		Logger:    e.logger,
 		Pools:     func() []pool.Pool { return e.source.Snapshot().Pools() },
 		HasTeam: func(name string) bool {
 			_, ok := e.source.Snapshot().Team(name)
--- a/job/store.go
+++ b/job/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,8 +49,19 @@
 	return &Store{table: table, limits: limits, cache: make(map[string]Stored)}
 }
 
-// List returns the jobs of a data centre in order of submission, or all jobs if dataCentre is empty.
+// List returns the jobs of a data centre in order of submission, or all jobs if dataCentre is empty. It fails if one of them cannot be
+// read.
 func (s *Store) List(ctx context.Context, dataCentre string) ([]Stored, error) {
+	var unreadable error
+	all, err := s.ListReadable(ctx, dataCentre, func(_ string, err error) { unreadable = errors.Join(unreadable, err) })
+	if err = errors.Join(err, unreadable); err != nil {
+		return nil, err
+	}
+	return all, nil
+}
+
+// ListReadable returns the jobs whose rows can be read, in order of submission. It calls unreadable with the ID of each other job.
+func (s *Store) ListReadable(ctx context.Context, dataCentre string, unreadable func(id string, err error)) ([]Stored, error) {
 	prefix := jobPrefix
 	if dataCentre != "" {
 		prefix += dataCentre + "."
@@ -62,15 +74,16 @@
 			return nil, fmt.Errorf("list jobs: %w", err)
 		}
 		for _, row := range rows {
+			after = row.Key
 			stored, ok := s.cache[row.Key]
 			if !ok || stored.Version != row.Version {
 				if stored, err = decode(row); err != nil {
-					return nil, err
+					unreadable(strings.TrimPrefix(row.Key, jobPrefix), err)
+					continue
 				}
 			}
 			next[row.Key] = stored
 			all = append(all, stored)
-			after = row.Key
 		}
 		if len(rows) < scanLimit {
 			s.cache = next
--- a/pool/store.go
+++ b/pool/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,8 +39,18 @@
 	return &Store{table: table, cache: make(map[string]Stored)}
 }
 
-// List returns all instance rows in key order.
+// List returns all instance rows in key order. It fails if one of them cannot be read.
 func (s *Store) List(ctx context.Context) ([]Stored, error) {
+	var unreadable error
+	all, err := s.ListReadable(ctx, func(_ string, err error) { unreadable = errors.Join(unreadable, err) })
+	if err = errors.Join(err, unreadable); err != nil {
+		return nil, err
+	}
+	return all, nil
+}
+
+// ListReadable returns the instance rows that can be read, in key order. It calls unreadable with the ID of each other instance.
+func (s *Store) ListReadable(ctx context.Context, unreadable func(id string, err error)) ([]Stored, error) {
 	var all []Stored
 	next := make(map[string]Stored, len(s.cache))
 	for after := ""; ; {
@@ -48,13 +59,14 @@
 			return nil, fmt.Errorf("list instances: %w", err)
 		}
 		for _, row := range rows {
+			after = row.Key
 			stored, err := s.decode(row)
 			if err != nil {
-				return nil, err
+				unreadable(strings.TrimPrefix(row.Key, instancePrefix), err)
+				continue
 			}
 			next[row.Key] = stored
 			all = append(all, stored)
-			after = row.Key
 		}
 		if len(rows) < scanLimit {
 			s.cache = next
--- a/wave/store.go
+++ b/wave/store.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,8 +49,18 @@
 // NewStore returns a store over the table.
 func NewStore(table provider.Table) *Store { return &Store{table: table} }
 
-// List returns all waves in order of their names.
+// List returns all waves in order of their names. It fails if one of them cannot be read.
 func (s *Store) List(ctx context.Context) ([]Stored, error) {
+	var unreadable error
+	all, err := s.ListReadable(ctx, func(_ string, err error) { unreadable = errors.Join(unreadable, err) })
+	if err = errors.Join(err, unreadable); err != nil {
+		return nil, err
+	}
+	return all, nil
+}
+
+// ListReadable returns the waves whose rows can be read, in order of their names. It calls unreadable with the name of each other wave.
+func (s *Store) ListReadable(ctx context.Context, unreadable func(name string, err error)) ([]Stored, error) {
 	var all []Stored
 	for after := ""; ; {
 		rows, err := s.table.Scan(ctx, wavePrefix, after, scanLimit)
@@ -57,12 +68,13 @@
 			return nil, fmt.Errorf("list waves: %w", err)
 		}
 		for _, row := range rows {
+			after = row.Key
 			stored, err := decode(row)
 			if err != nil {
-				return nil, err
+				unreadable(strings.TrimPrefix(row.Key, wavePrefix), err)
+				continue
 			}
 			all = append(all, stored)
-			after = row.Key
 		}
 		if len(rows) < scanLimit {
 			return all, nil
