duty: repeat calls for an instance after growing pauses

Callers see: an instance that does not return from its reboot is rebooted every 30 s for ever, and a call that the platform refuses is repeated in every pass.

Cause: acknowledged calls without an effect were repeated after a fixed delay, and failed ones were not remembered at all. The bound of the wave (returnLimit, after which the instance is shown as failed) does not bound the calls.

Ruled out: more reboots than one of an incarnation. The platform ignores a reboot of an incarnation that has ended.

Fix: the pause doubles with each repetition, up to 10 min for calls without an effect and 30 s for failed ones. A failed instance is logged.

--- a/duty/fleet.go
+++ b/duty/fleet.go
@@ -15,9 +15,14 @@
 	"github.com/chivetiller/chivetiller/wave"
 )
 
-// callRepeatDelay is the time after which an acknowledged call without a visible effect is repeated. Repeating a
-// reboot sooner could restart an instance that is still starting.
-const callRepeatDelay = 30 * time.Second
+const (
+	// callRepeatDelay is the time after which an acknowledged call without a visible effect is repeated. Repeating a reboot sooner
+	// could restart an instance that is still starting. It doubles with each repetition up to maxCallRepeatDelay.
+	callRepeatDelay    = 30 * time.Second
+	maxCallRepeatDelay = 10 * time.Minute
+	// failedCallDelay is the time after which a call that failed is repeated. It doubles with each failure up to callRepeatDelay.
+	failedCallDelay = 500 * time.Millisecond
+)
 
 // waveRetention is how long waves are listed after their end.
 const waveRetention = 7 * 24 * time.Hour
@@ -47,19 +52,38 @@
 	waves   *wave.Store
 	reports *pool.Reports
 	planner *move.Planner
-	// acknowledgedCalls holds the last acknowledged call for each instance.
-	acknowledgedCalls map[string]acknowledgedCall
+	// calls holds the last call for each instance.
+	calls map[string]platformCall
 	// announced holds the start of the state that was last announced for each instance.
 	announced map[string]time.Time
 }
 
 var _ Controller = (*Fleet)(nil)
 
-// acknowledgedCall is an acknowledged call to the platform for an instance.
-type acknowledgedCall struct {
+// platformCall is a call to the platform for an instance, which is repeated while it has no visible effect.
+type platformCall struct {
 	generation uint64
 	call       wave.Call
 	at         time.Time
+	// acknowledged counts the calls that succeeded, and failed those that failed since.
+	acknowledged, failed int
+}
+
+// repeatAt returns the time from which the call may be repeated.
+func (c platformCall) repeatAt() time.Time {
+	if c.failed > 0 {
+		return c.at.Add(doubledDelay(failedCallDelay, c.failed, callRepeatDelay))
+	}
+	return c.at.Add(doubledDelay(callRepeatDelay, c.acknowledged, maxCallRepeatDelay))
+}
+
+// doubledDelay returns the delay after a number of calls: first after one, and twice as long after each further one up to limit.
+func doubledDelay(first time.Duration, calls int, limit time.Duration) time.Duration {
+	delay := first
+	for ; calls > 1 && delay < limit; calls-- {
+		delay *= 2
+	}
+	return min(delay, limit)
 }
 
 // NewFleet returns the fleet controller.
@@ -73,7 +97,7 @@
 	}
 	return &Fleet{
 		options: o, rows: pool.NewStore(o.Table), waves: wave.NewStore(o.Table), reports: pool.NewReports(o.Instances),
-		planner: move.NewPlanner(o.Moves), acknowledgedCalls: make(map[string]acknowledgedCall), announced: make(map[string]time.Time),
+		planner: move.NewPlanner(o.Moves), calls: make(map[string]platformCall), announced: make(map[string]time.Time),
 	}
 }
 
@@ -209,6 +233,9 @@
 			}
 			continue
 		}
+		if d.Next.State == pool.StateFailed {
+			f.options.Logger.Warn("Instance has not returned in time.", "instance", row.ID, "pool", name, "operation", row.Operation)
+		}
 		f.options.Logger.Debug("Instance changed state.", "instance", row.ID, "from", row.State, "to", d.Next.State, "operation", row.Operation)
 		// The version of the new row is unknown here; the next pass reads it. An instance that has moved to
 		// another pool stays in this list, but as down, so that counting it in the pool size does not enlarge
@@ -352,14 +379,16 @@
 	}
 }
 
-// callPlatform makes a call for an instance, unless the same call was acknowledged less than callRepeatDelay ago.
-// A failed call needs no handling, because the call is repeated until a report shows its effect.
+// callPlatform makes a call for an instance, unless the same call was made a short time ago. A failed call needs no handling, because
+// the call is repeated until a report shows its effect.
 func (f *Fleet) callPlatform(ctx context.Context, p *fleetPass, in pool.Instance, call wave.Call) {
 	if call == wave.CallNone {
 		return
 	}
-	last := f.acknowledgedCalls[in.ID]
-	if last.generation == in.Generation && last.call == call && p.now.Sub(last.at) < callRepeatDelay {
+	last := f.calls[in.ID]
+	if last.generation != in.Generation || last.call != call {
+		last = platformCall{generation: in.Generation, call: call}
+	} else if p.now.Before(last.repeatAt()) {
 		return
 	}
 	// The calls carry no fencing token, so a holder that was paused has to check its lease before each call.
@@ -375,11 +404,19 @@
 	case wave.CallReboot:
 		err = f.options.Instances.Reboot(ctx, in.ID, in.Incarnation)
 	}
+	last.at = p.now
 	if err != nil {
-		f.options.Logger.Warn("Call to the platform failed and will be repeated.", "call", call, "instance", in.ID, "error", err)
+		last.failed++
+		f.calls[in.ID] = last
+		f.options.Logger.Warn("Call to the platform failed and will be repeated.", "call", call, "instance", in.ID, "failures", last.failed, "error", err)
 		return
 	}
-	f.acknowledgedCalls[in.ID] = acknowledgedCall{generation: in.Generation, call: call, at: p.now}
+	last.acknowledged++
+	last.failed = 0
+	f.calls[in.ID] = last
+	if last.acknowledged > 1 {
+		f.options.Logger.Warn("Call to the platform was repeated because it had no effect.", "call", call, "instance", in.ID, "state", in.State, "calls", last.acknowledged)
+	}
 }
 
 // ignoreTransient returns nil for errors after which the next pass reads everything again.
--- a/duty/fleet_test.go
+++ b/duty/fleet_test.go
@@ -122,3 +122,49 @@
 		qt.Assert(t, fleet.drains, qt.Equals, 0)
 	})
 }
+
+// deadFleet is a platform on which reboots have no effect.
+type deadFleet struct {
+	*fakeFleet
+	err   error
+	calls int
+}
+
+func (f *deadFleet) Reboot(context.Context, string, uint64) error {
+	f.calls++
+	return f.err
+}
+
+// TestRebootWithoutEffect guards against an instance that a wave reboots again and again although it does not return.
+func TestRebootWithoutEffect(t *testing.T) {
+	tests := map[string]struct {
+		err      error
+		maxCalls int
+	}{
+		"acknowledged": {nil, 20},
+		"refused":      {provider.ErrUnavailable, 150},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table, fleet := standin.NewTable(), &deadFleet{fakeFleet: newFakeFleet(time.Second), err: tt.err}
+				pools := []pool.Pool{mustPool(pool.Spec{Name: "desk", MaxUnavailable: "1"})}
+				fleet.addPool(table, "desk", 1)
+				rows, err := pool.NewStore(table).List(t.Context())
+				qt.Assert(t, err, qt.IsNil)
+				w, err := wave.NewStore(table).Create(t.Context(), wave.Spec{Name: "kernel"}, time.Now(), pools, rows)
+				qt.Assert(t, err, qt.IsNil)
+				holder, lease := duty.NewFleet(duty.FleetOptions{Table: table, Instances: fleet, Pools: func() []pool.Pool { return pools }}), &fakeLease{}
+				lease.acquire(table)
+				for range 3600 {
+					qt.Assert(t, holder.Pass(t.Context(), lease), qt.IsNil)
+					time.Sleep(time.Second)
+				}
+				rows, err = pool.NewStore(table).List(t.Context())
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, w.Progress(time.Now(), rows).Pools[0].Failed, qt.Equals, 1)
+				qt.Assert(t, fleet.calls >= 5 && fleet.calls <= tt.maxCalls, qt.IsTrue, qt.Commentf("%d reboots", fleet.calls))
+			})
+		})
+	}
+}
