scheduler: let an instance that accepts no maintenance not hold up its wave

Callers see: an instance that refuses its maintenance, or does not answer the command, is commanded every 1.5 s. With one instance at a time the others of its wave never have their turn, and the wave does not finish.

Cause: the pause after a refused command (1 s) is shorter than the time for which the command counts as one instance down (1.5 s and the age of the list), and the instance keeps its place among those that drain.

Fix: the pause doubles with each command up to 8 s. After three the instance counts as failed and this is logged; once a list shows that it is still up, it returns to service and is drained again after the others. The platform refusing all commands says nothing about an instance and is not counted.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -11,8 +11,12 @@
 const (
 	// commandMargin is added to the time after which the commands of previous leaders are certain to have ended.
 	commandMargin = 500 * time.Millisecond
-	// instanceRetryPause is the pause after an instance command that was not accepted.
-	instanceRetryPause = time.Second
+	// instanceRetryPause is the pause after an instance command that was not accepted. It doubles with each further one of a wave up to
+	// maxInstanceRetryPause.
+	instanceRetryPause    = time.Second
+	maxInstanceRetryPause = 8 * time.Second
+	// maxRefusals is the number of commands in a row after which an instance that accepts none counts as failed.
+	maxRefusals = 3
 	// drainTimeout is how long tasks may keep running on an instance that is due for maintenance.
 	drainTimeout = 4 * time.Second
 	// stopMargin is added to the time that a worker takes to stop a task.
@@ -307,6 +311,8 @@
 		if ws, ok := c.workers[cmd.worker]; ok {
 			ws.cordoned = false
 		}
+	case instance.Busy, instance.Unknown:
+		f.pausedUntil[cmd.Instance] = c.now + c.recordRefusal(w, cmd.Instance)
 	default:
 		f.pausedUntil[cmd.Instance] = c.now + instanceRetryPause
 	}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -366,3 +366,37 @@
 		})
 	}
 }
+
+// TestWaveWithFailedInstance guards against an instance that never accepts its maintenance and keeps the other instances of its wave
+// waiting, and against a wave that is finished without it.
+func TestWaveWithFailedInstance(t *testing.T) {
+	const failed = "m-w1"
+	for _, outcome := range []instance.Outcome{instance.Busy, instance.Unknown} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			f := newFleetRig(t, 4, 0)
+			f.core.AddWave(instance.Wave{Number: 1, Instances: []string{failed, "m-w2", "m-w3", "m-w4"}, MaxDuration: time.Second, MaxUnavailable: 1}, nil)
+			commands := make(map[string]int)
+			for end := f.now + time.Minute; f.now < end; {
+				f.advance(200 * time.Millisecond)
+				for id := range f.core.workers {
+					f.reply(id)
+				}
+				f.listInstances()
+				for _, cmd := range f.instanceCommands() {
+					commands[cmd.Instance]++
+					if cmd.Instance == failed {
+						f.core.HandleInstanceReply(cmd, outcome, nil)
+						continue
+					}
+					f.acceptInstances([]InstanceCommand{cmd})
+					inst := f.instances[cmd.Instance]
+					inst.Worker = ""
+					f.instances[inst.ID] = inst
+				}
+			}
+			qt.Assert(t, len(commands), qt.Equals, 4, qt.Commentf("%v", commands))
+			qt.Assert(t, commands[failed] <= 10, qt.IsTrue, qt.Commentf("%v", commands))
+			qt.Assert(t, f.core.fleet.waves[1].finished, qt.IsFalse)
+		})
+	}
+}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -16,8 +17,10 @@
 	begun map[string]string
 	// acceptedAt holds the time at which the maintenance of an instance was accepted. Older lists do not show it.
 	acceptedAt map[string]time.Duration
-	// commandedAt holds the time of the latest maintenance command for an instance.
+	// commandedAt holds the time of the latest maintenance command for an instance, and refusals the number of commands in a row that
+	// the instance has not accepted.
 	commandedAt   map[string]time.Duration
+	refusals      map[string]int
 	dropped       map[string]bool
 	drainingSince map[string]time.Duration
 	finished      bool
@@ -43,7 +46,7 @@
 	if _, ok := c.fleet.waves[doc.Number]; ok {
 		return
 	}
-	w := &wave{doc: doc, since: c.now, begun: make(map[string]string), acceptedAt: make(map[string]time.Duration), commandedAt: make(map[string]time.Duration), dropped: make(map[string]bool), drainingSince: make(map[string]time.Duration), changed: progress == nil}
+	w := &wave{doc: doc, since: c.now, begun: make(map[string]string), acceptedAt: make(map[string]time.Duration), commandedAt: make(map[string]time.Duration), refusals: make(map[string]int), dropped: make(map[string]bool), drainingSince: make(map[string]time.Duration), changed: progress == nil}
 	if progress != nil {
 		for id, worker := range progress.Begun {
 			w.begun[id] = worker
@@ -81,6 +84,8 @@
 		at, commanded := w.commandedAt[id]
 		if f.commandInFlight[id] || inst.State == instance.InMaintenance || (commanded && f.listedAt <= at+listLag) {
 			down++
+		} else if w.refusals[id] >= maxRefusals {
+			c.postponeMaintenance(w, id)
 		}
 	}
 	if len(waiting) == 0 {
@@ -162,21 +167,22 @@
 	}
 }
 
-// emptiest returns the instance that is not draining yet and has the fewest tasks, with a penalty for services.
+// emptiest returns the instance that is not draining yet and has the fewest tasks, with a penalty for services. Instances that have
+// not accepted their maintenance come last.
 func (c *Core) emptiest(w *wave, waiting []string) string {
 	best, bestRuns := "", 0
 	for _, id := range waiting {
 		if _, ok := w.drainingSince[id]; ok {
 			continue
 		}
-		if _, moving := c.fleet.pendingMoves[id]; moving || c.fleet.instances[id].State != instance.Up {
+		if _, moving := c.fleet.pendingMoves[id]; moving || c.fleet.instances[id].State != instance.Up || c.now < c.fleet.pausedUntil[id] {
 			continue
 		}
 		runs := 0
 		if ws, ok := c.workers[c.fleet.instances[id].Worker]; ok {
 			runs = len(ws.runs) + servicePenalty*ws.services
 		}
-		if best == "" || runs < bestRuns {
+		if best == "" || cmp.Or(cmp.Compare(w.refusals[id], w.refusals[best]), cmp.Compare(runs, bestRuns)) < 0 {
 			best, bestRuns = id, runs
 		}
 	}
@@ -214,6 +220,30 @@
 	return true
 }
 
+// recordRefusal records that an instance has not accepted its maintenance, and returns the pause before the next command.
+func (c *Core) recordRefusal(w *wave, id string) time.Duration {
+	if w == nil {
+		return instanceRetryPause
+	}
+	w.refusals[id]++
+	if w.refusals[id] == maxRefusals {
+		c.logger.Warn("Instance of a wave has failed: it does not accept its maintenance.", "wave", w.doc.Number, "instance", id, "commands", w.refusals[id])
+	}
+	return growingPause(w.refusals[id], instanceRetryPause, maxInstanceRetryPause)
+}
+
+// postponeMaintenance returns a failed instance to service, so that the other instances of its wave have their turn first. It still
+// has to be maintained before the wave is finished.
+func (c *Core) postponeMaintenance(w *wave, id string) {
+	if _, draining := w.drainingSince[id]; !draining || c.now >= c.fleet.pausedUntil[id] {
+		return
+	}
+	delete(w.drainingSince, id)
+	if ws, ok := c.workers[c.fleet.instances[id].Worker]; ok && !c.fleet.draining(id) {
+		ws.cordoned = false
+	}
+}
+
 // begunMaintenance records that the maintenance of an instance of a wave has begun, with the worker that ran on it before.
 type begunMaintenance struct {
 	wave             int
