scheduler: pause before a failed query to the policy service is repeated

Callers see: while the policy service refuses queries, each step that waits for tickets queries it in every pass, up to 50 times a second, and the service, which answers queries one at a time, does not recover.

Cause: a failed query left the step as if it had never asked. Tickets that were expired when they came, or that a worker rejected, did so, too, and rejected starts of an old grant discarded the query in progress.

Ruled out: adviceTimeout as a pause. It bounds only queries without an answer; a refused connection fails at once.

Fix: the pause after failures of a step doubles from 50 ms up to 2 s. A start that a worker accepts ends it. Failures are counted for each step, not for the service.

--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -241,6 +241,7 @@
 		if r.phase == starting {
 			r.phase = running
 		}
+		r.step.policyFailures = 0
 		if r.confirmedAt == 0 {
 			c.confirm(r)
 		}
@@ -276,7 +277,10 @@
 	case worker.Expired:
 		r.worker.noTasksBefore = c.now + noRoomPause
 	case worker.NoTicket:
-		r.step.tickets = nil
+		// The other starts with tickets of the same grant are rejected as well.
+		if t := r.step.tickets; t != nil && !t.pending {
+			c.dropTickets(r.step)
+		}
 	case worker.Unhealthy:
 		r.worker.noTasksBefore = c.now + unhealthyPause
 		c.recordFailure(r)
--- a/scheduler/services.go
+++ b/scheduler/services.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"time"
 
 	"github.com/chivetiller/chivetiller/advice"
@@ -81,6 +82,9 @@
 	if s.tickets != nil && (s.tickets.pending || c.now < s.tickets.validUntil) {
 		return !s.tickets.pending
 	}
+	if c.now < s.nextPolicyQuery {
+		return false
+	}
 	p := c.pool(s.job.doc.Pool)
 	var ids []string
 	for _, ws := range p.workers {
@@ -103,16 +107,35 @@
 	return q
 }
 
-// ticketReserve is the minimum validity that has to be left when a ticket is used.
-const ticketReserve = 300 * time.Millisecond
+const (
+	// ticketReserve is the minimum validity that has to be left when a ticket is used.
+	ticketReserve = 300 * time.Millisecond
+	// policyPause is the pause after a failed query to the policy service or rejected tickets. It doubles with each further failure of
+	// the step up to maxPolicyPause.
+	policyPause    = 50 * time.Millisecond
+	maxPolicyPause = 2 * time.Second
+)
 
 // HandlePolicyReply processes the reply of the policy service to a query. sent is the time at which the query was sent.
 func (c *Core) HandlePolicyReply(q PolicyQuery, grant advice.Grant, sent time.Duration, err error) {
+	validUntil := sent + grant.Valid - ticketReserve
+	if err == nil && validUntil <= c.now {
+		err = errExpiredTickets
+	}
 	if err != nil {
-		c.logger.Warn("Query to the policy service failed.", "job", q.Job, "step", q.Step, "took", c.now-sent, "error", err)
-		q.step.tickets = nil
+		c.logger.Warn("Query to the policy service failed.", "job", q.Job, "step", q.Step, "took", c.now-sent, "failures", q.step.policyFailures+1, "error", err)
+		c.dropTickets(q.step)
 		return
 	}
-	q.step.tickets = &tickets{byWorker: grant.Tickets, validUntil: sent + grant.Valid - ticketReserve}
+	q.step.tickets = &tickets{byWorker: grant.Tickets, validUntil: validUntil}
 	c.logger.Info("Policy service has granted tickets.", "job", q.Job, "step", q.Step, "asked", len(q.Workers), "granted", len(grant.Tickets), "valid", grant.Valid)
 }
+
+var errExpiredTickets = errors.New("the tickets expire too soon to be used")
+
+// dropTickets discards the tickets of a step, or its query, after a failure. The next query follows after a pause.
+func (c *Core) dropTickets(s *step) {
+	s.tickets = nil
+	s.policyFailures++
+	s.nextPolicyQuery = c.now + growingPause(s.policyFailures, policyPause, maxPolicyPause)
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -61,6 +61,9 @@
 	idleTasks int
 	// tickets holds the workers that may run the step, if the queue has a policy.
 	tickets *tickets
+	// policyFailures counts the failed queries and rejected tickets since the last start. There is no query before nextPolicyQuery.
+	policyFailures  int
+	nextPolicyQuery time.Duration
 	// gangRun is the number of the latest run of the gang.
 	gangRun int
 	// crashAddresses holds the addresses of the workers that crashed under each task in this term, or under the gang at index 0.
