job: give up a job whose runs are stopped soon after each start

Callers see: a job whose lease expires in each run, as when it stalls its worker, is started again without end and shown as queued or running.

Cause: a report that a run was stopped queues the job again without a count. Only failures (maxFailures) and lost workers were counted.

Evidence: TestStoppedRuns was still queued after 100 runs before.

Ruled out: counting such runs as lost workers, of which three suffice. Leases also expire when the process that renews them fails, and then those of all jobs do. Orderly stops, for urgent work or maintenance, are no such reports: the row has changed before the report is read.

Fix: runs that are stopped within ten minutes of their start are counted in the row of the job. After twenty in a row the job fails. A longer run begins the count again.

--- a/job/job.go
+++ b/job/job.go
@@ -71,7 +71,9 @@
 	// FailedOn lists the workers on which the job failed.
 	FailedOn []string `json:"failedOn,omitempty"`
 	// LostOn lists the workers that were lost soon after the job had started on them, one entry for each run.
-	LostOn    []string  `json:"lostOn,omitempty"`
+	LostOn []string `json:"lostOn,omitempty"`
+	// Stops counts the runs in a row that were stopped by nobody's order, as when a lease expires, soon after they had started.
+	Stops     int       `json:"stops,omitempty"`
 	Submitted time.Time `json:"submitted"`
 	// Started is the time when the present run was placed, on the clock of the entry instance that placed it.
 	Started time.Time `json:"started,omitzero"`
--- a/job/loss_test.go
+++ b/job/loss_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/job"
+	"github.com/chivetiller/chivetiller/provider"
 )
 
 // TestLostWorkers guards against a job that takes down one worker after the other and is started again without end, and against a job
@@ -46,3 +47,40 @@
 		})
 	}
 }
+
+// TestStoppedRuns guards against a job that is started again without end because the lease of each of its runs expires, and against a
+// long job that is given up because of stops that it meets by chance.
+func TestStoppedRuns(t *testing.T) {
+	tests := map[string]struct {
+		// length is how long a run lasts until it is stopped.
+		length   func(run int) time.Duration
+		want     job.State
+		wantRuns int
+	}{
+		"short runs": {func(int) time.Duration { return 30 * time.Second }, job.StateFailed, 20},
+		"long runs":  {func(int) time.Duration { return time.Hour }, job.StateQueued, 100},
+		"a long run from time to time": {func(run int) time.Duration {
+			if run%15 == 0 {
+				return time.Hour
+			}
+			return 30 * time.Second
+		}, job.StateQueued, 100},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			j, err := job.New(job.Spec{Kind: "dye", Team: "t", Cores: 1, Memory: 1}, "dc0", now)
+			qt.Assert(t, err, qt.IsNil)
+			for run := 1; run <= 100 && j.State == job.StateQueued; run++ {
+				j = j.Start(now, "w1")
+				now = now.Add(test.length(run))
+				next, changed := j.ApplyStatus(now, provider.TaskStatus{ID: j.RunID(), Worker: "w1", State: provider.TaskStopped, Detail: "lease expired"}, false)
+				qt.Assert(t, changed, qt.IsTrue)
+				j = next
+			}
+			qt.Assert(t, j.State, qt.Equals, test.want)
+			qt.Assert(t, j.Attempt, qt.Equals, test.wantRuns)
+			qt.Assert(t, j.Worker, qt.Equals, "")
+		})
+	}
+}
--- a/job/step.go
+++ b/job/step.go
@@ -10,14 +10,15 @@
 )
 
 // maxAttempts is the number of runs after which a job that fails is not tried again, even if MaxFailures is not reached
-// because some of the workers on which it failed are quarantined.
+// because some of the workers on which it failed are quarantined. It is also the number of runs that may be stopped without an order.
 const maxAttempts = 20
 
 const (
 	// maxLostWorkers is the number of different workers that may be lost soon after a job has started on them. Three in a row are hardly
 	// chance, so the job is given up before it takes down more.
 	maxLostWorkers = 3
-	// lossWindow is the time after its start in which the loss of the worker counts against a job. A long job meets some losses by chance.
+	// lossWindow is the time after its start in which the loss of the worker or a stop counts against a job. A long job meets some by
+	// chance.
 	lossWindow = 10 * time.Minute
 )
 
@@ -93,5 +94,20 @@
 		}
 		return next, true
 	}
-	return j.Requeue(status.Checkpoint, "run stopped: "+status.Detail), true
+	return j.requeueStopped(now, status), true
+}
+
+// requeueStopped returns the row of a job whose run was stopped without an order. Leases also expire when the process that renews them
+// fails, so the job is given up only after many such runs.
+func (j Job) requeueStopped(now time.Time, status provider.TaskStatus) Job {
+	next := j.Requeue(status.Checkpoint, "run stopped: "+status.Detail)
+	if now.Sub(j.Started) > lossWindow {
+		next.Stops = 0
+		return next
+	}
+	next.Stops++
+	if next.Stops >= maxAttempts {
+		return next.End(now, StateFailed, fmt.Sprintf("given up after %d runs that were stopped soon after their start: %s", next.Stops, status.Detail))
+	}
+	return next
 }
