claim: bound the retries of an outcome that the table rejects

Callers see: when the table rejects the outcome of one claim, all requests that need a claim are refused, until the process restarts.

Cause: an outcome that was not written is queued again without a bound and shares its next transaction with new claims, which then fail with it.

Evidence: TestRejectedOutcome failed before at the first claim beside such an outcome. It allows 40 rejected transactions, no failed claim and no missing outcome of the 300 others. TestOutcomesAfterOutage passed before and keeps the bound from dropping outcomes in an outage.

Ruled out: a bound by the kind of the error. The client of the platform reports a rejection as an unknown outcome, as it does an outage.

Fix: outcomes that failed once are retried without claims, in transactions that shrink by half with each failure and grow again. One that fails alone twenty times, each time after another transaction has succeeded, is dropped with a log line; its key stays claimed.

--- a/claim/batch.go
+++ b/claim/batch.go
@@ -21,14 +21,16 @@
 // full batch of the largest responses would take 1.4 MB in the encoding of the platform.
 const maxBatchBytes = 256 << 10
 
+// maxRejections is how often an outcome may fail alone, while other transactions succeed, until it is dropped. A table that loses half of
+// all transactions does not reach it.
+const maxRejections = 20
+
 // writeBatches writes batches of claims and outcomes until the store stops. Outcomes that could not be written are
 // retried after an exponential delay.
 func (s *Store) writeBatches() {
 	defer close(s.done)
 	defer s.rejectQueued()
-	retryDelay := backoff.NewExponentialBackOff()
-	retryDelay.InitialInterval = 20 * time.Millisecond
-	retryDelay.MaxInterval = time.Second
+	r := newRetries(s.o.MaxBatch)
 	for {
 		select {
 		case <-s.wake:
@@ -37,27 +39,75 @@
 		}
 		s.sleep(s.o.BatchDelay)
 		for {
-			claims, outcomes, stopping := s.takeBatch()
+			claims, outcomes, stopping := s.takeBatch(r)
 			if len(claims) == 0 && len(outcomes) == 0 {
+				if s.PendingOutcomes() > 0 {
+					s.sleepUntilClaims(time.Until(r.next))
+					if s.ctx.Err() != nil {
+						return
+					}
+					continue
+				}
 				if stopping {
 					return
 				}
 				break
 			}
+			retried := len(outcomes) > 0 && outcomes[0].attempts > 0
 			unwritten := s.writeBatch(claims, outcomes)
-			s.requeueOutcomes(unwritten)
 			if len(unwritten) == 0 {
-				retryDelay.Reset()
+				r.recordSuccess(retried)
 				continue
 			}
+			r.recordFailure(unwritten, len(claims) == 0)
+			s.requeueOutcomes(unwritten)
 			if s.ctx.Err() != nil {
 				return
 			}
-			s.sleepUntilClaims(retryDelay.NextBackOff())
 		}
 	}
 }
 
+// retries decides when outcomes that could not be written are tried again, and how many in one transaction. The transactions become
+// smaller with each failure, so that an outcome that the table rejects keeps no other one from being written.
+type retries struct {
+	delay    *backoff.ExponentialBackOff
+	next     time.Time
+	maxBatch int
+	limit    int
+	// written counts the transactions that succeeded.
+	written int
+}
+
+func newRetries(maxBatch int) *retries {
+	r := &retries{delay: backoff.NewExponentialBackOff(), maxBatch: maxBatch, limit: maxBatch}
+	r.delay.InitialInterval = 20 * time.Millisecond
+	r.delay.MaxInterval = time.Second
+	return r
+}
+
+func (r *retries) recordSuccess(retried bool) {
+	r.written++
+	if retried {
+		r.delay.Reset()
+		r.next = time.Time{}
+		r.limit = min(2*r.limit, r.maxBatch)
+	}
+}
+
+// recordFailure records that outcomes were not written. withoutClaims means that their transaction had no claims.
+func (r *retries) recordFailure(outcomes []*outcome, withoutClaims bool) {
+	r.next = time.Now().Add(r.delay.NextBackOff())
+	r.limit = max(1, min(r.limit, len(outcomes))/2)
+	for _, o := range outcomes {
+		if len(outcomes) == 1 && withoutClaims && r.written > o.writtenBefore {
+			o.rejections++
+		}
+		o.attempts++
+		o.writtenBefore = r.written
+	}
+}
+
 // rejectQueued rejects the claims that have not been sent when the store stops.
 func (s *Store) rejectQueued() {
 	s.mu.Lock()
@@ -90,14 +140,26 @@
 	}
 }
 
-// takeBatch removes a batch from the queues. It contains no row twice. Claims have priority, but leave up to half of the
-// batch to outcomes, which would accumulate otherwise. The last result reports whether the store is stopping.
-func (s *Store) takeBatch() ([]*pendingClaim, []*outcome, bool) {
+// takeBatch removes a batch from the queues. It contains no row twice. Outcomes that failed before are in batches of their own, so that
+// they fail neither claims nor other outcomes. Otherwise claims have priority, but leave up to half of the batch to outcomes, which
+// would accumulate otherwise. The last result reports whether the store is stopping.
+func (s *Store) takeBatch(r *retries) ([]*pendingClaim, []*outcome, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !time.Now().Before(r.next) {
+		if failed := s.takeOutcomes(true, r.limit, make(map[string]bool)); len(failed) > 0 {
+			return nil, failed, s.stopping
+		}
+	}
+	fresh := 0
+	for _, o := range s.outcomes {
+		if o.attempts == 0 {
+			fresh++
+		}
+	}
 	used := make(map[string]bool)
 	var claims []*pendingClaim
-	maxClaims := s.o.MaxBatch - min(len(s.outcomes), s.o.MaxBatch/2)
+	maxClaims := s.o.MaxBatch - min(fresh, s.o.MaxBatch/2)
 	s.claims = slices.DeleteFunc(s.claims, func(r *pendingClaim) bool {
 		if len(claims) >= maxClaims || used[r.key] {
 			return false
@@ -106,10 +168,15 @@
 		claims = append(claims, r)
 		return true
 	})
+	return claims, s.takeOutcomes(false, s.o.MaxBatch-len(claims), used), s.stopping
+}
+
+// takeOutcomes removes outcomes from the queue: those that failed before, or the others. It leaves out the keys that are used.
+func (s *Store) takeOutcomes(failed bool, limit int, used map[string]bool) []*outcome {
 	var outcomes []*outcome
 	bytes := 0
 	s.outcomes = slices.DeleteFunc(s.outcomes, func(o *outcome) bool {
-		if len(claims)+len(outcomes) >= s.o.MaxBatch || bytes >= maxBatchBytes || used[o.key] {
+		if (o.attempts > 0) != failed || len(outcomes) >= limit || bytes >= maxBatchBytes || used[o.key] {
 			return false
 		}
 		used[o.key] = true
@@ -117,15 +184,19 @@
 		outcomes = append(outcomes, o)
 		return true
 	})
-	return claims, outcomes, s.stopping
+	return outcomes
 }
 
-// requeueOutcomes queues outcomes again that could not be written, as far as the queue has room.
+// requeueOutcomes queues outcomes again that could not be written, as far as the queue has room. Those that the table has rejected too
+// often are dropped.
 func (s *Store) requeueOutcomes(outcomes []*outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range outcomes {
-		if o.attempts++; len(s.outcomes) < s.o.MaxPending {
+		switch {
+		case o.rejections >= maxRejections:
+			s.logger.Error("Dropped the outcome of a claim because the table rejects it.", "row", o.key, "state", o.record.State, "attempts", o.attempts)
+		case len(s.outcomes) < s.o.MaxPending:
 			s.outcomes = append(s.outcomes, o)
 		}
 	}
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -106,6 +106,10 @@
 	key      string
 	record   record
 	attempts int
+	// rejections counts the attempts that failed although other transactions had succeeded since the previous attempt. writtenBefore is
+	// the number of transactions that had succeeded by then.
+	rejections    int
+	writtenBefore int
 	// unconfirmed means that it is not known whether the claim itself was written.
 	unconfirmed bool
 }
