--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -116,7 +116,7 @@
 			s.progress.AddCrash(s.unitIndex(r.index), r.number, r.confirmedAt > 0)
 			s.addCrashAddress(r.index, ws.report.Address)
 		case !s.doc.Service:
-			s.progress.AddLateCrash(s.unitIndex(r.index), r.number)
+			s.progress.AddLateCrash(s.unitIndex(r.index))
 		}
 		crashes := s.crashCount(r.index)
 		c.changedJobs[j] = true
@@ -136,7 +136,7 @@
 // crashCount returns under how many runs of a task a worker has crashed.
 func (s *step) crashCount(index int) crashloop.Count {
 	unit := s.unitIndex(index)
-	return crashloop.Count{All: len(s.progress.Crashes[unit]), Confirmed: len(s.progress.ConfirmedCrashes[unit]), Late: len(s.progress.LateCrashes[unit])}
+	return crashloop.Count{All: len(s.progress.Crashes[unit]), Confirmed: s.progress.ConfirmedCrashes[unit], Late: s.progress.LateCrashes[unit]}
 }
 
 // forgetCrashes forgets the crashes under a task that has run long enough. A service meets many by chance.
