scheduler: start likely causes of crashes on workers that nothing else needs

Cause: such a task starts alone, on at most a quarter of the workers of its pool (5 of 21). Each one that is deadly holds its place for 3.3 s, until the worker is back. The limit is there for other work, and there was none.

The tasks of a pass are placed as before, with a quarter for the likely causes. What remains of the workers after that is of no use to the other tasks that wait: likely causes get idle workers up to half of the pool. If no other task waits, they also get workers that run something, after the same wait of 2 s for an idle one, but only if the worker has survived all starts; a start of the same pass would be blamed together with them.

TestLikelyCausesLeaveWorkers had one case, an idle pool where two of six likely causes may start. Its bound is now the one above: still two if others need the workers, four of eight otherwise, and in all cases the other workers have to take the tasks that come next. The cases "idle pool", "others need a few workers" and "others need most workers", and TestLikelyCausesShareWorkers "nothing waits", fail without the change. TestLikelyCauseAvoidsNewRuns fails without the check of starts.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -124,9 +124,22 @@
 	return crashloop.Start{Sent: r.startedAt, Confirmed: r.confirmedAt > 0, Survived: r.worker.latestClock - r.confirmedClock}
 }
 
+// hasUnprovenStart reports whether the worker may still crash under a start. One more start would not tell the cause then.
+func (ws *workerState) hasUnprovenStart() bool {
+	for _, r := range ws.runs {
+		if !r.start().Proven() {
+			return true
+		}
+	}
+	return false
+}
+
 // crashCount returns under how many runs of a task a worker has crashed.
 func (s *step) crashCount(index int) int { return len(s.progress.Crashes[s.unitIndex(index)]) }
 
+// likelyCause reports whether a task has probably made workers crash.
+func (s *step) likelyCause(index int) bool { return crashloop.Likely(s.crashCount(index)) }
+
 func (s *step) addCrashAddress(index int, address string) {
 	if s.crashAddresses == nil {
 		s.crashAddresses = make(map[int][]string)
@@ -149,7 +162,7 @@
 			continue
 		}
 		for i := range s.tasks {
-			if t := &s.tasks[i]; !t.done && len(t.runs) == 0 && crashloop.Likely(s.crashCount(i)) {
+			if t := &s.tasks[i]; !t.done && len(t.runs) == 0 && s.likelyCause(i) {
 				return true
 			}
 		}
@@ -158,7 +171,7 @@
 }
 
 // likely reports whether the task of a run has probably made workers crash.
-func (r *run) likely() bool { return crashloop.Likely(r.step.crashCount(r.index)) }
+func (r *run) likely() bool { return r.step.likelyCause(r.index) }
 
 // addTest records a planned run of a task under which a worker has crashed before.
 func (c *Core) addTest(r *run) {
@@ -189,8 +202,10 @@
 }
 
 const (
-	// likelyShare is the share of the workers of a pool that may be down because of tasks that are likely to crash them.
-	likelyShare = 0.25
+	// likelyShare is the share of the workers of a pool that may be down because of tasks that are likely to crash them. spareLikelyShare
+	// applies to workers that no other task can use. The rest is for tasks that come while these are down.
+	likelyShare      = 0.25
+	spareLikelyShare = 0.5
 	// emptyWorkerWait is how long a task that is likely to crash its worker waits for one that runs nothing.
 	emptyWorkerWait = 2 * time.Second
 )
@@ -204,6 +219,9 @@
 	groupSize   int
 	likelyLeft  int
 	filtered    bool
+	// spare means that the workers are those that other tasks have left over. While others wait, only idle ones may crash.
+	spare    bool
+	idleOnly bool
 }
 
 // workersFor returns the workers on which a task may be started. A task under which a worker has crashed before gets one that tests few
@@ -230,7 +248,9 @@
 	waited := c.now-t.emptyWorkerSince >= emptyWorkerWait
 	var alone []*workerState
 	for _, ws := range p.forSuspects {
-		if ws.tests == 0 && (waited || len(ws.runs) == 0) {
+		switch {
+		case ws.tests > 0:
+		case len(ws.runs) == 0, waited && !p.spare, waited && !p.idleOnly && !ws.hasUnprovenStart():
 			alone = append(alone, ws)
 		}
 	}
@@ -245,10 +265,30 @@
 			p.forSuspects = append(p.forSuspects, ws)
 		}
 	}
-	p.likelyLeft = max(1, int(likelyShare*float64(len(in.workers))))
-	for _, r := range in.tests {
+	p.likelyLeft = in.likelyLeft(likelyShare)
+}
+
+// likelyLeft returns how many tasks may start that are likely to crash their workers, for the share of the workers that may be down.
+func (p *pool) likelyLeft(share float64) int {
+	left := max(1, int(share*float64(len(p.workers))))
+	for _, r := range p.tests {
 		if r.likely() {
-			p.likelyLeft--
+			left--
+		}
+	}
+	return left
+}
+
+// placeOnSpareWorkers starts tasks that are likely to crash their workers on those that other tasks have left over in a pass. While others
+// wait, these are the workers that run nothing.
+func (c *Core) placeOnSpareWorkers(p *pool, candidates []candidate, workers *placement, othersWait bool) {
+	if !workers.filtered {
+		return
+	}
+	workers.spare, workers.idleOnly, workers.likelyLeft = true, othersWait, p.likelyLeft(spareLikelyShare)
+	for _, cand := range candidates {
+		if cand.tier == tierLikelyCause && workers.likelyLeft > 0 {
+			c.placeOccurrence(cand, workers)
 		}
 	}
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -74,11 +74,12 @@
 		return
 	}
 	workers := &placement{workers: usable}
-	for _, cand := range c.candidates(p) {
-		if !c.placeOccurrence(cand, workers) {
-			continue
-		}
+	candidates := c.candidates(p)
+	othersWait := false
+	for _, cand := range candidates {
+		othersWait = c.placeOccurrence(cand, workers) || othersWait
 	}
+	c.placeOnSpareWorkers(p, candidates, workers, othersWait)
 }
 
 // usableWorkers returns the workers of a pool on which tasks may be started.
@@ -156,19 +157,19 @@
 	return cand, true
 }
 
-// placeOccurrence starts as many tasks of an occurrence as possible. It reports whether it started all of them.
+// placeOccurrence starts as many tasks of an occurrence as possible. It reports whether others wait for workers that are not likely to
+// crash them.
 func (c *Core) placeOccurrence(cand candidate, workers *placement) bool {
-	all := true
+	wait := false
 	for _, s := range cand.occurrence.steps {
 		if s.idleTasks == 0 || !s.ready() {
 			continue
 		}
 		if cand.queue.Policy != nil && !c.ticketsGranted(s) {
-			all = false
 			continue
 		}
 		if s.doc.Gang {
-			all = c.placeGang(s, workers) && all
+			wait = !c.placeGang(s, workers) && !s.likelyCause(0) || wait
 			continue
 		}
 		for i := range s.tasks {
@@ -178,18 +179,21 @@
 			}
 			ws := c.chooseWorker(s, i, c.workersFor(workers, s, i))
 			if ws == nil && s.crashCount(i) > 0 {
-				all = false
+				wait = wait || !s.likelyCause(i)
 				continue
 			}
-			if ws == nil || !c.withinTeamLimit(s, 1) {
-				all = false
+			if ws == nil {
+				wait = true
+				break
+			}
+			if !c.withinTeamLimit(s, 1) {
 				break
 			}
 			c.planRun(s, i, c.nextRunNumber(t), ws)
 			workers.recordStart(s, i, ws)
 		}
 	}
-	return all
+	return wait
 }
 
 // nextRunNumber returns the number of the next run of a task. Each term has its own range of numbers.
