scheduler: bound the crashes that only new leaders find out about

Cause: a crash that a new leader found out about was dropped if it would have given the job up, so that a task with two crashes got a free start with each change of the leader.

Ruled out: crashes of which no leader learnt (each worker was found gone by the next leader).

Such a crash is counted. It gives the job up as the fourth one, or as the fifth without two confirmed starts, and not as the third one: the new leader does not know for how long the task had run.

TestCrashLoop, "leader changes after each crash", fails without the change (8 starts after the third crash), and so do "likely cause" and "a crash too many" of TestCrashBeforeTakeover. The case "likely cause" expects three counted crashes in place of two; that its job does not fail is checked as before.

--- a/internal/jobs/crashloop/crashloop.go
+++ b/internal/jobs/crashloop/crashloop.go
@@ -109,3 +109,8 @@
 func (c Count) GiveUp() bool {
 	return c.All >= maxCrashes && c.Confirmed >= minConfirmed || c.All >= maxUnconfirmed || c.Late >= maxLate
 }
+
+// GiveUpUnseen is GiveUp for a last crash that a new leader has found out about, which does not know for how long the task had run.
+func (c Count) GiveUpUnseen() bool {
+	return c.All > maxCrashes && c.Confirmed >= minConfirmed || c.All >= maxUnconfirmed
+}
--- a/internal/jobs/crashloop/crashloop_test.go
+++ b/internal/jobs/crashloop/crashloop_test.go
@@ -50,8 +50,8 @@
 // starts that may not have reached their workers.
 func TestGiveUp(t *testing.T) {
 	tests := map[string]struct {
-		count          Count
-		likely, giveUp bool
+		count                  Count
+		likely, giveUp, unseen bool
 	}{
 		"one":                {count: Count{1, 1, 0}},
 		"two":                {count: Count{2, 2, 0}, likely: true},
@@ -60,7 +60,8 @@
 		"two unconfirmed":    {count: Count{3, 1, 0}, likely: true},
 		"third unconfirmed":  {count: Count{4, 1, 0}, likely: true},
 		"none confirmed":     {count: Count{4, 0, 0}, likely: true},
-		"bound":              {count: Count{5, 0, 0}, likely: true, giveUp: true},
+		"four":               {count: Count{4, 2, 0}, likely: true, giveUp: true, unseen: true},
+		"bound":              {count: Count{5, 0, 0}, likely: true, giveUp: true, unseen: true},
 		"late ones":          {count: Count{1, 1, 5}},
 		"bound of late ones": {count: Count{0, 0, 6}, giveUp: true},
 	}
@@ -68,6 +69,7 @@
 		t.Run(name, func(t *testing.T) {
 			qt.Assert(t, test.count.Likely(), qt.Equals, test.likely)
 			qt.Assert(t, test.count.GiveUp(), qt.Equals, test.giveUp)
+			qt.Assert(t, test.count.GiveUpUnseen(), qt.Equals, test.unseen)
 		})
 	}
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -89,11 +89,9 @@
 	for _, i := range crashloop.Suspects(starts) {
 		suspects = append(suspects, runs[i])
 	}
-	// It is not known when previous leaders started these, so that none is given up.
 	for _, r := range c.previousRuns[ws.report.ID] {
-		n := r.step.crashCount(r.index)
-		if giveUp := (crashloop.Count{All: n.All + 1, Confirmed: n.Confirmed}).GiveUp(); !giveUp && (newLife || n.All > 0) {
-			suspects = append(suspects, &run{step: r.step, index: r.index, number: r.number, worker: ws, startedAt: ws.lastContact})
+		if newLife || r.step.crashCount(r.index).All > 0 {
+			suspects = append(suspects, &run{step: r.step, index: r.index, number: r.number, worker: ws, startedAt: ws.lastContact, previousLeader: true})
 		}
 	}
 	return suspects
@@ -122,7 +120,7 @@
 		c.changedJobs[j] = true
 		c.logger.Warn("Worker has crashed under a task.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
 			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "crashes", crashes.All, "confirmed", crashes.Confirmed, "late", late, "lateCrashes", crashes.Late)
-		if crashes.GiveUp() {
+		if (r.previousLeader && crashes.GiveUpUnseen()) || (!r.previousLeader && crashes.GiveUp()) {
 			c.logger.Warn("Job has failed.", "job", j.doc.ID, "task", r.name(), "crashes", crashes.All, "confirmed", crashes.Confirmed, "lateCrashes", crashes.Late)
 			c.endJob(j, work.Failed, "workers crashed under a task")
 		}
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -294,6 +294,7 @@
 		"leader changes often":                   {step: work.Step{Count: 3}, deadly: []int{1}, leaderChanges: []time.Duration{time.Second, 8 * time.Second, 15 * time.Second}},
 		"leader changes after three crashes":     {step: work.Step{Count: 3}, deadly: []int{1}, changesAfterCrash: 3},
 		"leader changes after four crashes":      {step: work.Step{Count: 3}, deadly: []int{1}, changesAfterCrash: 4},
+		"leader changes after each crash":        {step: work.Step{Count: 3}, deadly: []int{1}, changesAfterCrash: 10},
 		"leader changes, a worker keeps its ID":  {keepsID: true, step: work.Step{Count: 3}, deadly: []int{1}, leaderChanges: []time.Duration{time.Second, 8 * time.Second}},
 		"leader changes under a crashed service": {step: work.Step{Count: 3, Service: true}, deadly: []int{1}, leaderChanges: []time.Duration{time.Second}},
 	}
@@ -645,10 +646,14 @@
 
 // TestCrashBeforeTakeover guards against a job that fails for a crash of which the new leader does not know when the run had begun.
 func TestCrashBeforeTakeover(t *testing.T) {
-	tests := map[string]struct{ before, after int }{
-		"no suspect":   {0, 1},
-		"suspect":      {1, 2},
-		"likely cause": {2, 2},
+	tests := map[string]struct {
+		before, after int
+		failed        bool
+	}{
+		"no suspect":       {before: 0, after: 1},
+		"suspect":          {before: 1, after: 2},
+		"likely cause":     {before: 2, after: 3},
+		"a crash too many": {before: 3, after: 4, failed: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -663,8 +668,8 @@
 			o.SetRun(0, 0, "w9", 7)
 			r.core.AddJob(doc, progress, 0)
 			r.core.HandleStatus("w9", worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
-			qt.Assert(t, r.core.jobs["a"].open[0].steps[0].crashCount(0).All, qt.Equals, test.after)
-			qt.Assert(t, r.core.jobs["a"].progress.State.Ended(), qt.IsFalse)
+			qt.Assert(t, progress.Occurrence(&doc, 0).Steps[0].Crashes[0], qt.HasLen, test.after)
+			qt.Assert(t, r.core.jobs["a"].progress.State == work.Failed, qt.Equals, test.failed)
 		})
 	}
 }
