--- a/scheduler/split_test.go
+++ b/scheduler/split_test.go
@@ -61,7 +61,8 @@
 					p.AddFailure(i, 99_000+f)
 				}
 				for f := range l.crashes {
-					p.AddCrash(i, 99_500+f)
+					p.AddCrash(i, 99_500+f, f%2 == 0)
+					p.AddLateCrash(i, 99_600+f)
 				}
 				if l.checkpointBytes > 0 {
 					p.SetCheckpoint(i, fmt.Sprintf("%0*x", l.checkpointBytes, n))
@@ -83,6 +84,8 @@
 			maps.DeleteFunc(step.Runs, func(i int, _ work.RunRecord) bool { return done(i) })
 			maps.DeleteFunc(step.Failures, func(i int, _ []int) bool { return done(i) })
 			maps.DeleteFunc(step.Crashes, func(i int, _ []int) bool { return done(i) })
+			maps.DeleteFunc(step.ConfirmedCrashes, func(i int, _ []int) bool { return done(i) })
+			maps.DeleteFunc(step.LateCrashes, func(i int, _ []int) bool { return done(i) })
 			maps.DeleteFunc(step.Checkpoints, func(i int, _ string) bool { return done(i) })
 		}
 	}
--- a/work/split.go
+++ b/work/split.go
@@ -78,6 +78,8 @@
 	for _, k := range open {
 		o := p.Occurrences[k]
 		addEntries(s, k, o, func(s *StepProgress) *map[int][]int { return &s.Crashes }, runsBytes)
+		addEntries(s, k, o, func(s *StepProgress) *map[int][]int { return &s.ConfirmedCrashes }, runsBytes)
+		addEntries(s, k, o, func(s *StepProgress) *map[int][]int { return &s.LateCrashes }, runsBytes)
 		addEntries(s, k, o, func(s *StepProgress) *map[int][]int { return &s.Failures }, runsBytes)
 	}
 	s.maxParts = maxParts
@@ -232,6 +234,8 @@
 	join(&p.Checkpoints, from.Checkpoints)
 	join(&p.Runs, from.Runs)
 	join(&p.Crashes, from.Crashes)
+	join(&p.ConfirmedCrashes, from.ConfirmedCrashes)
+	join(&p.LateCrashes, from.LateCrashes)
 }
 
 func join[V any](to *map[int]V, from map[int]V) {
