scheduler: count all rows of a progress before pruned rows are added to a batch

No task would start and no end be stored any more (LOST), once some jobs of thousands of tasks end while rows of old jobs are removed: the store refuses a batch of more than 100 entries, and the next one is the same.

Cause: the room left for the rows of pruned jobs was counted in jobs. Since a progress may take several rows, a job that ends has up to ten: one put and nine removals.

TestBatchOfLargeEndedJobs failed before (167 entries).

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -63,7 +63,7 @@
 	limit -= len(b.Roster)
 	b.removesOldRows, c.hasOldRows = c.hasOldRows, false
 	c.addJobs(&b, limit)
-	limit -= len(b.jobs)
+	limit -= len(b.progressRows.Puts) + len(b.progressRows.Removes)
 	for len(c.prunedJobs) > 0 && limit > 0 {
 		b.PrunedJobs = append(b.PrunedJobs, c.prunedJobs[0])
 		c.prunedJobs = c.prunedJobs[1:]
--- a/scheduler/split_test.go
+++ b/scheduler/split_test.go
@@ -276,3 +276,29 @@
 	}
 	t.Fatalf("%d rows", len(progressRowsOf(t, s)))
 }
+
+// TestBatchOfLargeEndedJobs guards against a batch with more rows than a transaction may have, which the store refuses again and again:
+// jobs that end remove several rows each, and rows of pruned jobs are removed beside them.
+func TestBatchOfLargeEndedJobs(t *testing.T) {
+	s := memory.New()
+	e, _ := newTestEngine(t, s, 1)
+	c := e.core
+	for i := range 8 {
+		doc := work.Job{ID: fmt.Sprintf("a%015x", i), Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 1}}}}
+		c.AddJob(doc, nil, 0)
+		j := c.jobs[doc.ID]
+		j.storedParts = maxProgressRows - 1
+		c.endJob(j, work.Failed, "test")
+	}
+	for i := range 2 * store.MaxEntries {
+		c.JobsPruned([]string{fmt.Sprintf("b%015x", i)})
+	}
+	for len(c.changedJobs)+len(c.prunedJobs) > 0 {
+		b, tx, err := e.nextBatch()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, b.Empty(), qt.IsFalse)
+		entries := len(tx.Expected) + len(tx.Puts) + len(tx.Removes)
+		qt.Assert(t, entries <= store.MaxEntries, qt.IsTrue, qt.Commentf("%d entries", entries))
+		c.BatchStored(b)
+	}
+}
