--- a/work/progress.go
+++ b/work/progress.go
@@ -43,10 +43,10 @@
 	Runs map[int]RunRecord `cbor:"4,keyasint,omitempty"`
 	// Crashes lists the numbers of the runs of each task, or of the gang under index 0, under which a worker crashed.
 	Crashes map[int][]int `cbor:"5,keyasint,omitempty"`
-	// ConfirmedCrashes lists those of Crashes whose start the worker had confirmed.
-	ConfirmedCrashes map[int][]int `cbor:"6,keyasint,omitempty"`
-	// LateCrashes lists the runs under which a worker crashed that had survived their start. They are not in Crashes.
-	LateCrashes map[int][]int `cbor:"7,keyasint,omitempty"`
+	// ConfirmedCrashes counts those of Crashes whose start the worker had confirmed.
+	ConfirmedCrashes map[int]int `cbor:"6,keyasint,omitempty"`
+	// LateCrashes counts the runs under which a worker crashed that had survived their start. They are not in Crashes.
+	LateCrashes map[int]int `cbor:"7,keyasint,omitempty"`
 }
 
 // RunRecord is a run and the worker on which it was started.
@@ -75,24 +75,31 @@
 
 // AddCrash records a run under which a worker crashed, and whether the worker had confirmed its start.
 func (p *StepProgress) AddCrash(index, run int, confirmed bool) {
-	addRun(&p.Crashes, index, run)
-	if confirmed {
-		addRun(&p.ConfirmedCrashes, index, run)
+	before := len(p.Crashes[index])
+	if addRun(&p.Crashes, index, run) > before && confirmed {
+		addOne(&p.ConfirmedCrashes, index)
 	}
 }
 
-// AddLateCrash records a run whose start the worker had survived before it crashed.
-func (p *StepProgress) AddLateCrash(index, run int) { addRun(&p.LateCrashes, index, run) }
+// AddLateCrash records that a worker crashed that had survived the start of its run.
+func (p *StepProgress) AddLateCrash(index int) { addOne(&p.LateCrashes, index) }
 
 // ForgetCrashes removes the crashes under a task, and reports whether there were any.
 func (p *StepProgress) ForgetCrashes(index int) bool {
-	n := len(p.Crashes[index]) + len(p.LateCrashes[index])
+	n := len(p.Crashes[index]) + p.LateCrashes[index]
 	delete(p.Crashes, index)
 	delete(p.ConfirmedCrashes, index)
 	delete(p.LateCrashes, index)
 	return n > 0
 }
 
+func addOne(counts *map[int]int, index int) {
+	if *counts == nil {
+		*counts = make(map[int]int)
+	}
+	(*counts)[index]++
+}
+
 // addRun adds a run to those of a task, unless it is among them, and returns their number.
 func addRun(runs *map[int][]int, index, run int) int {
 	if *runs == nil {
--- a/work/split.go
+++ b/work/split.go
@@ -78,8 +78,8 @@
 	for _, k := range open {
 		o := p.Occurrences[k]
 		addEntries(s, k, o, func(s *StepProgress) *map[int][]int { return &s.Crashes }, runsBytes)
-		addEntries(s, k, o, func(s *StepProgress) *map[int][]int { return &s.ConfirmedCrashes }, runsBytes)
-		addEntries(s, k, o, func(s *StepProgress) *map[int][]int { return &s.LateCrashes }, runsBytes)
+		addEntries(s, k, o, func(s *StepProgress) *map[int]int { return &s.ConfirmedCrashes }, intBytes)
+		addEntries(s, k, o, func(s *StepProgress) *map[int]int { return &s.LateCrashes }, intBytes)
 		addEntries(s, k, o, func(s *StepProgress) *map[int][]int { return &s.Failures }, runsBytes)
 	}
 	s.maxParts = maxParts
