scheduler: count a late crash of a gang once for each of its runs

A job with a gang was shown as failed (LOST: without cause) after one crash of a worker on which six of its members worked, or after six of its workers had gone down together.

Cause: late crashes are counted since their run numbers are not listed any more, once for each member. Six give up a job. The members of a run of a gang share its number, so that the list had held it once.

A step keeps the number of the run that was counted last. The next leader may count the same run once more.

TestGangCrashesOnce failed before in both cases (6 late crashes, 1 expected).

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -116,7 +116,7 @@
 			s.progress.AddCrash(s.unitIndex(r.index), r.number, r.confirmedAt > 0)
 			s.addCrashAddress(r.index, ws.report.Address)
 		case !s.doc.Service:
-			s.progress.AddLateCrash(s.unitIndex(r.index))
+			s.addLateCrash(r)
 		}
 		crashes := s.crashCount(r.index)
 		c.changedJobs[j] = true
@@ -148,6 +148,18 @@
 	}
 }
 
+// addLateCrash records a crash of a worker that had survived the start of a run. A run of a gang counts once, however many of its members
+// were on the worker, and however many of its workers crash together.
+func (s *step) addLateCrash(r *run) {
+	if s.doc.Gang {
+		if r.number == s.lateGangRun {
+			return
+		}
+		s.lateGangRun = r.number
+	}
+	s.progress.AddLateCrash(s.unitIndex(r.index))
+}
+
 func (s *step) addCrashAddress(index int, address string) {
 	if s.crashAddresses == nil {
 		s.crashAddresses = make(map[int][]string)
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -605,6 +605,30 @@
 	}
 }
 
+// TestGangCrashesOnce guards against a gang whose job fails for one crash, which counts for each member on the worker, or for workers
+// that crash together, each of which counts.
+func TestGangCrashesOnce(t *testing.T) {
+	for name, workers := range map[string][]string{"on one worker": {"w1"}, "on several workers": {"w1", "w2", "w3", "w4", "w5", "w6", "w7"}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, workers...)
+			r.setCapacity(coresOnly(int64(7/len(workers))), workers...)
+			j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 7, Gang: true, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second}}})
+			commands := r.pass()
+			qt.Assert(t, startsOf(commands), qt.HasLen, 7)
+			r.accept(commands)
+			r.advance(time.Second)
+			for _, id := range workers {
+				r.reply(id)
+			}
+			for _, id := range workers {
+				r.core.HandleStatus(id, worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+			}
+			qt.Assert(t, j.open[0].steps[0].crashCount(0).Late, qt.Equals, 1)
+			qt.Assert(t, j.progress.State.Ended(), qt.IsFalse)
+		})
+	}
+}
+
 // TestRandomCrashes guards against a job that fails, and whose runs are all stopped, because workers crash by chance under its tasks.
 func TestRandomCrashes(t *testing.T) {
 	tests := map[string]struct {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -68,8 +68,9 @@
 	// policyFailures counts the failed queries and rejected tickets since the last start. There is no query before nextPolicyQuery.
 	policyFailures  int
 	nextPolicyQuery time.Duration
-	// gangRun is the number of the latest run of the gang.
-	gangRun int
+	// gangRun is the number of the latest run of the gang, and lateGangRun that of the latest one under which a worker crashed late.
+	gangRun     int
+	lateGangRun int
 	// crashAddresses holds the addresses of the workers that crashed under each task in this term, or under the gang at index 0.
 	crashAddresses map[int][]string
 	// notBefore delays the next start of the gang.
