scheduler: forget the crashes of a gang only once all its members must be there

A gang that crashes one worker with each run would be started without end (BUDGET).

Cause: crashes are forgotten once a run has lived for 5 s. The other members of a gang may outlive the crash by as much while they wait for the one that is gone: for the timeout of gangs (up to 5 s), or until the crash is noticed.

For a gang the timeout comes on top; after it a run without all its members has ended.

TestGangKeepsItsCrashes failed before (0 crashes left, 1 expected).

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -141,8 +141,12 @@
 
 // forgetCrashes forgets the crashes under a task that has run long enough. A service meets many by chance.
 func (c *Core) forgetCrashes(r *run) {
-	unit := r.step.unitIndex(r.index)
-	if r.start().Exonerated() && r.step.progress.ForgetCrashes(unit) {
+	unit, start := r.step.unitIndex(r.index), r.start()
+	if r.step.doc.Gang {
+		// Until then it may only have waited for a member that has crashed its worker.
+		start.Survived -= c.options.Bounds.GangTimeout
+	}
+	if start.Exonerated() && r.step.progress.ForgetCrashes(unit) {
 		delete(r.step.crashAddresses, unit)
 		c.changedJobs[r.step.job] = true
 	}
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -629,6 +629,28 @@
 	}
 }
 
+// TestGangKeepsItsCrashes guards against a gang that crashes workers without end, because its other members outlive the crash while they
+// wait for the one that is gone.
+func TestGangKeepsItsCrashes(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	r.setCapacity(work.Resources{CPU: 1000, Memory: 1000}, "w1", "w2")
+	j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 2, Gang: true, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second}}})
+	s := j.open[0].steps[0]
+	s.progress.AddCrash(0, 1, true)
+	s.gangRun = 1
+	r.accept(r.pass())
+	live := func(d time.Duration) {
+		for range d / time.Second {
+			r.advance(time.Second)
+			r.reply("w2")
+		}
+	}
+	live(6 * time.Second)
+	qt.Assert(t, s.crashCount(0).All, qt.Equals, 1)
+	live(rigBounds().GangTimeout)
+	qt.Assert(t, s.crashCount(0).All, qt.Equals, 0)
+}
+
 // TestRandomCrashes guards against a job that fails, and whose runs are all stopped, because workers crash by chance under its tasks.
 func TestRandomCrashes(t *testing.T) {
 	tests := map[string]struct {
