--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -114,7 +114,7 @@
 			s.progress.AddCrash(s.unitIndex(r.index), r.number, r.confirmedAt > 0)
 			s.addCrashAddress(r.index, ws.report.Address)
 		case !s.doc.Service:
-			s.progress.AddLateCrash(s.unitIndex(r.index))
+			s.addLateCrash(r)
 		}
 		crashes := s.crashCount(r.index)
 		c.changedJobs[j] = true
@@ -149,13 +149,29 @@
 
 // forgetCrashes forgets the crashes under a task that has run long enough. A service meets many by chance.
 func (c *Core) forgetCrashes(r *run) {
-	unit := r.step.unitIndex(r.index)
-	if r.start().Exonerated() && r.step.progress.ForgetCrashes(unit) {
+	unit, start := r.step.unitIndex(r.index), r.start()
+	if r.step.doc.Gang {
+		// Until then it may only have waited for a member that has crashed its worker.
+		start.Survived -= c.options.Bounds.GangTimeout
+	}
+	if start.Exonerated() && r.step.progress.ForgetCrashes(unit) {
 		delete(r.step.crashAddresses, unit)
 		c.changedJobs[r.step.job] = true
 	}
 }
 
+// addLateCrash records a crash of a worker that had survived the start of a run. A run of a gang counts once, however many of its members
+// were on the worker, and however many of its workers crash together.
+func (s *step) addLateCrash(r *run) {
+	if s.doc.Gang {
+		if r.number == s.lateGangRun {
+			return
+		}
+		s.lateGangRun = r.number
+	}
+	s.progress.AddLateCrash(s.unitIndex(r.index))
+}
+
 // likelyCause reports whether a task has probably made workers crash.
 func (s *step) likelyCause(index int) bool { return s.crashCount(index).Likely() }
 
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -713,6 +713,52 @@
 	}
 }
 
+// TestGangCrashesOnce guards against a gang whose job fails for one crash, which counts for each member on the worker, or for workers
+// that crash together, each of which counts.
+func TestGangCrashesOnce(t *testing.T) {
+	for name, workers := range map[string][]string{"on one worker": {"w1"}, "on several workers": {"w1", "w2", "w3", "w4", "w5", "w6", "w7"}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, workers...)
+			r.setCapacity(coresOnly(int64(7/len(workers))), workers...)
+			j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 7, Gang: true, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second}}})
+			commands := r.pass()
+			qt.Assert(t, startsOf(commands), qt.HasLen, 7)
+			r.accept(commands)
+			r.advance(time.Second)
+			for _, id := range workers {
+				r.reply(id)
+			}
+			for _, id := range workers {
+				r.core.HandleStatus(id, worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+			}
+			qt.Assert(t, j.open[0].steps[0].crashCount(0).Late, qt.Equals, 1)
+			qt.Assert(t, j.progress.State.Ended(), qt.IsFalse)
+		})
+	}
+}
+
+// TestGangKeepsItsCrashes guards against a gang that crashes workers without end, because its other members outlive the crash while they
+// wait for the one that is gone.
+func TestGangKeepsItsCrashes(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	r.setCapacity(work.Resources{CPU: 1000, Memory: 1000}, "w1", "w2")
+	j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 2, Gang: true, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second}}})
+	s := j.open[0].steps[0]
+	s.progress.AddCrash(0, 1, true)
+	s.gangRun = 1
+	r.accept(r.pass())
+	live := func(d time.Duration) {
+		for range d / time.Second {
+			r.advance(time.Second)
+			r.reply("w2")
+		}
+	}
+	live(6 * time.Second)
+	qt.Assert(t, s.crashCount(0).All, qt.Equals, 1)
+	live(rigBounds().GangTimeout)
+	qt.Assert(t, s.crashCount(0).All, qt.Equals, 0)
+}
+
 // TestRandomCrashes guards against a job that fails, and whose runs are all stopped, because workers crash by chance under its tasks.
 func TestRandomCrashes(t *testing.T) {
 	tests := map[string]struct {
