scheduler: forget the workers that a service no longer runs on

The progress of an occurrence named each worker on which one of its tasks had ever started. A service is started again as often as its workers are lost, with a new ID each time, so that its row grew for as long as the job lived: above 64 KiB it was left out of each batch, and since rows are split it would start nothing any more after some ten thousand workers with IDs of 60 bytes.

Workers that have left this leader's view, whose leases of a previous leader have expired, and that have no latest run of a task are removed once there are more than two for each task and 64 spare ones. No task of the occurrence can be running there, by the same judgement by which lost tasks are started again. They are taken out of the list of recorded workers at the same time, so that nothing starts on one of them while the store is down.

TestStartsOfUnstorableJob filled the progress with workers that are forgotten now; they have not answered in this term in the test since, which keeps them.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -262,7 +262,8 @@
 	}
 	for _, r := range b.plannedRuns {
 		o := r.step.occurrence
-		if !slices.Contains(o.recordedWorkers, r.worker.report.ID) {
+		// A worker that has been forgotten meanwhile is not in the next batch.
+		if !slices.Contains(o.recordedWorkers, r.worker.report.ID) && slices.Contains(o.progress.Workers, r.worker.report.ID) {
 			o.recordedWorkers = append(o.recordedWorkers, r.worker.report.ID)
 		}
 		c.startRun(r)
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -19,10 +19,27 @@
 	t.lastRun, t.emptyWorkerSince = max(t.lastRun, number), 0
 	// The next leader has to know where the task may be running, so this is stored before the start.
 	s.occurrence.progress.SetRun(s.number, index, ws.report.ID, number)
+	if len(s.occurrence.progress.Workers) > 2*s.job.tasks+spareRecordedWorkers {
+		c.forgetWorkers(s.occurrence)
+	}
 	c.changedJobs[s.job] = true
 	c.plannedRuns = append(c.plannedRuns, r)
 }
 
+// spareRecordedWorkers is how many workers an occurrence may have recorded, besides two for each task, before those that are gone are
+// searched.
+const spareRecordedWorkers = 64
+
+// forgetWorkers removes the workers on which no task of an occurrence can be running from its record. A service is started again as
+// often as its workers are lost, so that the record would grow without limit.
+func (c *Core) forgetWorkers(o *occurrence) {
+	o.progress.ForgetWorkers(func(id string) bool {
+		_, unknown := c.previousUsage[id]
+		return c.workers[id] == nil && !unknown
+	})
+	o.recordedWorkers = slices.DeleteFunc(o.recordedWorkers, func(id string) bool { return !slices.Contains(o.progress.Workers, id) })
+}
+
 // startRun starts a planned run.
 func (c *Core) startRun(r *run) {
 	if r.phase != planned || !r.attached() {
--- a/scheduler/split_test.go
+++ b/scheduler/split_test.go
@@ -191,7 +191,10 @@
 	r.addSteps("b", 4)
 	o := j.open[0].progress
 	for i := range 2 * store.MaxBytes / store.MaxKeyBytes {
-		o.Workers = append(o.Workers, fmt.Sprintf("%0*d", store.MaxKeyBytes, i))
+		id := fmt.Sprintf("%0*d", store.MaxKeyBytes, i)
+		o.Workers = append(o.Workers, id)
+		// A worker that has not answered in this term is not forgotten.
+		r.core.previousUsage[id] = make(map[string]work.Resources)
 	}
 	starts := append(startsOf(r.pass()), startsOf(r.pass())...)
 	qt.Assert(t, starts, qt.HasLen, 4)
@@ -273,3 +276,36 @@
 	}
 	t.Fatalf("%d rows", len(progressRowsOf(t, s)))
 }
+
+// TestServiceOnManyWorkers guards against a service that does not start any more, because its progress names all workers that it ever
+// ran on and has become too long for the store.
+func TestServiceOnManyWorkers(t *testing.T) {
+	const lives = 2000
+	r := newRig(t, 1)
+	j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 2, Request: work.Resources{CPU: 3000}, Service: true}}})
+	id := func(life int) string { return fmt.Sprintf("w%0*d", store.MaxKeyBytes/2, life) }
+	o := j.open[0]
+	for life := range lives {
+		r.register(id(life), "w")
+		r.reply(id(life))
+		r.reply("w")
+		r.accept(r.pass())
+		qt.Assert(t, j.open[0].steps[0].idleTasks, qt.Equals, 0)
+		for _, recorded := range o.recordedWorkers {
+			qt.Assert(t, slices.Contains(o.progress.Workers, recorded), qt.IsTrue)
+		}
+		for i := range 2 {
+			on, number, ok := o.progress.Run(0, i)
+			qt.Assert(t, ok, qt.IsTrue)
+			current := o.steps[0].tasks[i].runs[0]
+			qt.Assert(t, on, qt.Equals, current.worker.report.ID)
+			qt.Assert(t, number, qt.Equals, current.number)
+		}
+		r.core.dropWorker(r.core.workers[id(life)], "test")
+		delete(r.runs, id(life))
+		r.advance(time.Second)
+	}
+	row, err := encode(j.progress)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(row) <= store.MaxRowBytes/4, qt.IsTrue, qt.Commentf("%d bytes", len(row)))
+}
--- a/work/progress.go
+++ b/work/progress.go
@@ -104,6 +104,36 @@
 	s.Runs[index] = RunRecord{Worker: at, Number: number}
 }
 
+// ForgetWorkers removes the workers that are gone, unless they have the latest run of a task that is not done.
+func (o *OccurrenceProgress) ForgetWorkers(gone func(id string) bool) {
+	used := make([]bool, len(o.Workers))
+	for i := range o.Steps {
+		s := &o.Steps[i]
+		for index, r := range s.Runs {
+			if s.IsDone(index) || r.Worker < 0 || r.Worker >= len(used) {
+				delete(s.Runs, index)
+				continue
+			}
+			used[r.Worker] = true
+		}
+	}
+	kept := make([]string, 0, len(o.Workers))
+	moved := make([]int, len(o.Workers))
+	for at, id := range o.Workers {
+		if used[at] || !gone(id) {
+			moved[at] = len(kept)
+			kept = append(kept, id)
+		}
+	}
+	for i := range o.Steps {
+		for index, r := range o.Steps[i].Runs {
+			r.Worker = moved[r.Worker]
+			o.Steps[i].Runs[index] = r
+		}
+	}
+	o.Workers = kept
+}
+
 // Run returns the latest recorded run of a task and its worker.
 func (o *OccurrenceProgress) Run(step, index int) (worker string, number int, ok bool) {
 	r, ok := o.Steps[step].Runs[index]
