scheduler: count an instance that answers late as one that survived

Callers see: in a surge in which workers take longer than a second to answer, a pool is taken for one in which instances die on arrival, and grows slowly for up to minutes although its instances live.

Cause: an instance was judged once, a second after a list had shown its worker, and an answer after that did not end the count of lost rounds.

Evidence: the case "all answer late" of TestArrivalsLost kept the count before.

Fix: an instance that was lost is watched on.

--- a/scheduler/arrivals.go
+++ b/scheduler/arrivals.go
@@ -18,10 +18,14 @@
 	maxArrivalPause   = 2 * time.Minute
 )
 
-// movedInstance is an instance that has moved to a pool and has neither survived its arrival nor been lost.
+// movedInstance is an instance that has moved to a pool and has not survived its arrival yet.
 type movedInstance struct {
 	pool      string
 	plannedAt time.Duration
+	// reachableSince is the time since which its worker has been reachable, and 0 if it is not.
+	reachableSince time.Duration
+	// lost means that it does not count as capacity any more. It may still answer, late.
+	lost bool
 }
 
 // arrivalLosses counts the rounds of moves into a pool, one after the other, in which instances were lost on arrival and none survived.
@@ -38,17 +42,22 @@
 	lost := make(map[string]int)
 	for id, moved := range f.arrivals {
 		inst, listed := f.instances[id]
-		since := f.firstListed[id].at
-		switch {
-		case listed && (inst.Pool != moved.pool || inst.State == instance.InMaintenance || f.draining(id)):
+		if listed && (inst.Pool != moved.pool || inst.State == instance.InMaintenance || f.draining(id)) {
 			delete(f.arrivals, id)
-		case listed && c.serves(inst):
-			if inst.Worker != "" && c.reachable(inst) && c.now-since >= survivalTime {
-				delete(f.arrivals, id)
-				delete(f.arrivalLosses, moved.pool)
-			}
-		default:
+			continue
+		}
+		switch {
+		case !listed || inst.State != instance.Up || !c.reachable(inst):
+			moved.reachableSince = 0
+		case moved.reachableSince == 0:
+			moved.reachableSince = c.now
+		case c.now-moved.reachableSince >= survivalTime:
 			delete(f.arrivals, id)
+			delete(f.arrivalLosses, moved.pool)
+			continue
+		}
+		if !moved.lost && (!listed || !c.serves(inst)) {
+			moved.lost = true
 			if losses, ok := f.arrivalLosses[moved.pool]; !ok || moved.plannedAt >= losses.countedAt {
 				lost[moved.pool]++
 			}
@@ -85,7 +94,7 @@
 	}
 	arriving := 0
 	for _, moved := range f.arrivals {
-		if moved.pool == d.pool {
+		if moved.pool == d.pool && !moved.lost {
 			arriving++
 		}
 	}
--- a/scheduler/arrivals_test.go
+++ b/scheduler/arrivals_test.go
@@ -22,17 +22,22 @@
 	tests := map[string]struct {
 		// lifetime is how long the worker of the instance that arrives as the nth answers.
 		lifetime func(n int) time.Duration
+		// delay is how long workers take to answer at first.
+		delay    time.Duration
 		duration time.Duration
 		minMoves int
 		maxMoves int
+		// lost means that no instance has survived.
+		lost bool
 	}{
-		"all live":                {func(int) time.Duration { return time.Hour }, 5 * time.Second, 5, 5},
-		"none answers":            {func(int) time.Duration { return 0 }, 2 * time.Minute, 10, 25},
-		"all die after a second":  {func(int) time.Duration { return time.Second }, 2 * time.Minute, 10, 25},
-		"every second one dies":   {func(n int) time.Duration { return time.Duration(n%2) * time.Hour }, 30 * time.Second, 9, 20},
-		"the first twenty die":    {func(n int) time.Duration { return time.Duration(n/20) * time.Hour }, 2 * time.Minute, 24, 25},
-		"the first fourteen die":  {func(n int) time.Duration { return time.Duration(n/14) * time.Hour }, 30 * time.Second, 18, 20},
-		"one of a group survives": {func(n int) time.Duration { return time.Duration(n%5/4) * time.Hour }, time.Minute, 15, 40},
+		"all live":                {func(int) time.Duration { return time.Hour }, 0, 5 * time.Second, 5, 5, false},
+		"none answers":            {func(int) time.Duration { return 0 }, 0, 2 * time.Minute, 10, 25, true},
+		"all die after a second":  {func(int) time.Duration { return time.Second }, 0, 2 * time.Minute, 10, 25, true},
+		"every second one dies":   {func(n int) time.Duration { return time.Duration(n%2) * time.Hour }, 0, 30 * time.Second, 9, 20, false},
+		"the first twenty die":    {func(n int) time.Duration { return time.Duration(n/20) * time.Hour }, 0, 2 * time.Minute, 24, 25, false},
+		"the first fourteen die":  {func(n int) time.Duration { return time.Duration(n/14) * time.Hour }, 0, 30 * time.Second, 18, 20, false},
+		"all answer late":         {func(int) time.Duration { return time.Hour }, 3 * time.Second, 30 * time.Second, 10, 40, false},
+		"one of a group survives": {func(n int) time.Duration { return time.Duration(n%5/4) * time.Hour }, 0, time.Minute, 15, 40, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -40,7 +45,10 @@
 			f.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 25, Request: work.Resources{CPU: 1000}, Service: true}}})
 			var moved []string
 			arrivedAt := make(map[string]time.Duration)
-			alive := func(i int) bool { return f.now < arrivedAt[moved[i]]+test.lifetime(i) }
+			alive := func(i int) bool {
+				age := f.now - arrivedAt[moved[i]]
+				return age >= test.delay && age < test.lifetime(i)
+			}
 			for end := f.now + test.duration; f.now < end; {
 				f.advance(planInterval)
 				var reports []worker.Report
@@ -75,6 +83,7 @@
 				}
 			}
 			qt.Assert(t, len(moved) >= test.minMoves && len(moved) <= test.maxMoves, qt.IsTrue, qt.Commentf("%d moves", len(moved)))
+			qt.Assert(t, len(f.core.fleet.arrivalLosses) > 0, qt.Equals, test.lost)
 		})
 	}
 }
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -273,7 +273,7 @@
 		f.instances[cmd.Instance] = inst
 		f.acceptedMoves[cmd.Instance] = acceptedMove{pool: cmd.Pool, at: c.now}
 		if mv, ok := f.pendingMoves[cmd.Instance]; ok && cmd.Pool != c.sparePool() {
-			f.arrivals[cmd.Instance] = movedInstance{pool: cmd.Pool, plannedAt: mv.since}
+			f.arrivals[cmd.Instance] = &movedInstance{pool: cmd.Pool, plannedAt: mv.since}
 		}
 		delete(f.pendingMoves, cmd.Instance)
 	case instance.Unknown:
