scheduler: give a large batch the time to be sent

A leader on a link of 10 Mbit/s would store nothing any more and start no task (LOST) once a batch has about a megabyte: jobs of thousands of tasks.

Cause: a batch ended after 1 s as a whole, with the time of the store (up to 0.5 s) and of the link. Its outcome is read back as not stored, and the next batch has the same rows.

The time to send it at 512 KiB/s comes on top: 40 ms for a usual batch, 2 s for the largest.

TestLargeBatchOnSlowLink failed before (a batch of 0.96 MB at 1 MB/s, with 0.3 s in the store, was not stored).

--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -129,7 +129,7 @@
 
 // commitBatch commits a batch. If the outcome is not known, it reads it back.
 func (e *Engine) commitBatch(b Batch, tx store.Tx, number, chain uint64) {
-	ctx, cancel := context.WithTimeout(e.ctx, commitTimeout)
+	ctx, cancel := context.WithTimeout(e.ctx, commitTimeout+time.Duration(tx.Size())*time.Second/minUploadRate)
 	defer cancel()
 	sent := clock.Now()
 	result, err := e.options.Store.Commit(ctx, tx)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -30,8 +30,10 @@
 	// commitInterval is the minimum time between two batches, unless more has changed than one holds. It bounds the calls to the
 	// store, which are paid for, to 50 a second.
 	commitInterval = 20 * time.Millisecond
-	// commitTimeout is the timeout of one batch. A slow store takes up to 0.5 s.
+	// commitTimeout is the timeout of one batch, besides the time to send it. A slow store takes up to 0.5 s.
 	commitTimeout = time.Second
+	// minUploadRate is the number of bytes a second that reach the store. The slowest links have 10 Mbit/s and carry commands, too.
+	minUploadRate = 512 << 10
 	// commitPause is the pause after a batch that failed.
 	commitPause = 100 * time.Millisecond
 	// batchRows is the maximum number of rows in a batch. Two conditions, the row of the chain and the rows of an earlier version
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -303,6 +303,49 @@
 	})
 }
 
+// uploadStore receives a number of bytes a second and takes some time for each transaction.
+type uploadStore struct {
+	*memory.Store
+	rate  float64
+	delay time.Duration
+}
+
+func (s uploadStore) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
+	select {
+	case <-time.After(s.delay + time.Duration(float64(tx.Size())/s.rate*float64(time.Second))):
+	case <-ctx.Done():
+		return store.Result{}, store.ErrUnknown
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+// TestLargeBatchOnSlowLink guards against a leader that stores nothing any more and starts no task, because it takes longer to send a
+// large batch than a batch may take, and the next batch is the same.
+func TestLargeBatchOnSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := uploadStore{memory.New(), 1e6, 300 * time.Millisecond}
+		e, _ := newTestEngine(t, s.Store, 1)
+		defer e.cancel()
+		e.options.Store = s
+		e.batchNumber = 1
+		tx, err := e.transaction(Batch{})
+		qt.Assert(t, err, qt.IsNil)
+		for i := 0; ; i++ {
+			put := store.Put{Key: progressKey(fmt.Sprint(i)), Value: make([]byte, store.MaxRowBytes)}
+			if larger := (store.Tx{Expected: tx.Expected, Puts: append(tx.Puts, put)}); larger.Size() > store.MaxBytes {
+				break
+			}
+			tx.Puts = append(tx.Puts, put)
+		}
+		e.commitBatch(Batch{}, tx, 1, 0)
+		(<-e.inbox)(e.core)
+		qt.Assert(t, e.chainVersion > 0, qt.IsTrue)
+		rows, err := s.Scan(t.Context(), tableProgress, "", "", "")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, len(rows.Rows) > 10, qt.IsTrue)
+	})
+}
+
 // listedFleet is an instance service that counts its lists.
 type listedFleet struct {
 	instance.Fleet
