crashloop: give a task up after five crashes of any kind

A task that crashes its worker 100 ms or more after it has confirmed the start would be started three times after three workers have crashed under it (BUDGET), and one with crashes of both kinds more often: late crashes were counted apart, up to six.

The users' bound is five starts in all, so all crashes of a task that ends count towards five. TestRandomCrashes "a task later" and TestGiveUp "bound of late ones" expected six and expect five now, which is the stricter bound; "bound of both" is new.

--- a/internal/jobs/crashloop/crashloop.go
+++ b/internal/jobs/crashloop/crashloop.go
@@ -24,11 +24,9 @@
 	// minConfirmed is the number of crashes with a confirmed start without which a task is not given up. A start without an answer may
 	// never have reached its worker.
 	minConfirmed = 2
-	// maxUnconfirmed is the number of crashes after which a task is given up although the worker may not have got its starts.
-	maxUnconfirmed = 5
-	// maxLate is the number of crashes after which a task is given up whose starts the workers had survived. Such a crash is rarely the
-	// fault of a task, and many tasks share its blame.
-	maxLate = 6
+	// maxAny is the number of crashes after which a task is given up whatever is known of its starts. A worker may not have got an
+	// unconfirmed start, and a crash long after a start is rarely the fault of a task.
+	maxAny = 5
 	// likelyCrashes is the number of crashes after which few of the suspects are left.
 	likelyCrashes = 2
 	// provenAfter is how long a worker has to live after it has confirmed a start for the start not to be the cause of a crash.
@@ -107,10 +105,10 @@
 
 // GiveUp reports whether the task is not started again.
 func (c Count) GiveUp() bool {
-	return c.All >= maxCrashes && c.Confirmed >= minConfirmed || c.All >= maxUnconfirmed || c.Late >= maxLate
+	return c.All >= maxCrashes && c.Confirmed >= minConfirmed || c.All+c.Late >= maxAny
 }
 
 // GiveUpUnseen is GiveUp for a last crash that a new leader has found out about, which does not know for how long the task had run.
 func (c Count) GiveUpUnseen() bool {
-	return c.All > maxCrashes && c.Confirmed >= minConfirmed || c.All >= maxUnconfirmed
+	return c.All > maxCrashes && c.Confirmed >= minConfirmed || c.All+c.Late >= maxAny
 }
--- a/internal/jobs/crashloop/crashloop_test.go
+++ b/internal/jobs/crashloop/crashloop_test.go
@@ -62,8 +62,9 @@
 		"none confirmed":     {count: Count{4, 0, 0}, likely: true},
 		"four":               {count: Count{4, 2, 0}, likely: true, giveUp: true, unseen: true},
 		"bound":              {count: Count{5, 0, 0}, likely: true, giveUp: true, unseen: true},
-		"late ones":          {count: Count{1, 1, 5}},
-		"bound of late ones": {count: Count{0, 0, 6}, giveUp: true},
+		"late ones":          {count: Count{1, 1, 3}},
+		"bound of late ones": {count: Count{0, 0, 5}, giveUp: true, unseen: true},
+		"bound of both":      {count: Count{2, 2, 3}, likely: true, giveUp: true, unseen: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -768,7 +768,7 @@
 		failed int
 	}{
 		"a task at its start":    {ran: 50 * time.Millisecond, failed: 3},
-		"a task later":           {ran: time.Second, failed: 6},
+		"a task later":           {ran: time.Second, failed: 5},
 		"a service at its start": {service: true, ran: 50 * time.Millisecond, failed: 3},
 		"a service later":        {service: true, ran: time.Second},
 		"a task much later":      {ran: 6 * time.Second},
