--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -143,6 +143,9 @@
 
 // crashCount returns under how many runs of a task a worker has crashed.
 func (s *step) crashCount(index int) crashloop.Count {
+	if len(s.progress.Crashes) == 0 && len(s.progress.LateCrashes) == 0 {
+		return crashloop.Count{}
+	}
 	unit := s.unitIndex(index)
 	return crashloop.Count{All: len(s.progress.Crashes[unit]), Confirmed: s.progress.ConfirmedCrashes[unit], Late: s.progress.LateCrashes[unit]}
 }
