scheduler: split the file of health by subject

Crashes (crashes.go), the placement of their suspects (suspects.go) and the health of workers have files of their own, and so have the tests and their fleet of crashing workers.

--- /dev/null
+++ b/scheduler/crashfleet_test.go
@@ -0,0 +1,271 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+const (
+	// crashFleetStep is the time between two passes, and crashFleetRestart how long a worker is down after a crash.
+	crashFleetStep    = 50 * time.Millisecond
+	crashFleetRestart = 3 * time.Second
+	// crashFleetWork is the duration of a task.
+	crashFleetWork = 800 * time.Millisecond
+)
+
+// crashFleet plays workers that crash under some tasks, over several terms of leadership.
+type crashFleet struct {
+	t       *testing.T
+	core    *Core
+	term    int
+	now     time.Duration
+	workers []*crashingWorker
+	docs    []work.Job
+	// stored holds the progress of jobs as the store has it, and roster the workers.
+	stored map[string][]byte
+	roster map[string]RosterEntry
+	// deadly holds the tasks that crash their worker, crashes the workers that crashed under each of them, and later its starts after
+	// the third crash.
+	deadly  map[work.Task]bool
+	crashes map[work.Task]int
+	later   map[work.Task]int
+	// keepsID means that a worker returns under its ID.
+	keepsID bool
+	// unanswered means that a worker crashes before it answers.
+	unanswered bool
+	// changesAfterCrash is after how many more crashes the leader changes before it knows of the crash.
+	changesAfterCrash int
+	changeAt          time.Duration
+	// storeDown means that no batch is stored.
+	storeDown bool
+}
+
+type crashingWorker struct {
+	address     string
+	incarnation int64
+	downUntil   time.Duration
+	runs        map[work.Task]int
+	endsAt      map[work.Task]time.Duration
+	exits       []worker.Exit
+	exited      uint64
+	id          string
+}
+
+func newCrashFleet(t *testing.T, workers int, keepsID bool) *crashFleet {
+	f := &crashFleet{
+		t: t, now: time.Minute, keepsID: keepsID, stored: make(map[string][]byte), roster: make(map[string]RosterEntry),
+		deadly: make(map[work.Task]bool), crashes: make(map[work.Task]int), later: make(map[work.Task]int),
+	}
+	for i := range workers {
+		w := &crashingWorker{address: fmt.Sprintf("a%d:1", i)}
+		f.boot(w)
+		f.workers = append(f.workers, w)
+	}
+	f.changeLeader()
+	return f
+}
+
+func (f *crashFleet) boot(w *crashingWorker) {
+	w.incarnation++
+	if w.id == "" || !f.keepsID {
+		w.id = fmt.Sprintf("%s/%d", w.address, w.incarnation)
+	}
+	w.runs, w.endsAt, w.exits, w.exited = make(map[work.Task]int), make(map[work.Task]time.Duration), nil, 0
+}
+
+// changeLeader lets another process acquire leadership, with what is stored.
+func (f *crashFleet) changeLeader() {
+	f.term++
+	f.core = NewCore(Options{Bounds: rigBounds(), Fence: uint64(10 * f.term), Term: f.term, AcquiredAt: f.now, PreviousLeaderEnded: true})
+	f.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{
+		Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6, BaseTarget: 600 * time.Millisecond,
+	}}, []catalog.Pool{{Name: "p"}}, nil))
+	for _, e := range f.roster {
+		f.core.SetRoster([]RosterEntry{e})
+	}
+	for _, doc := range f.docs {
+		var p *work.Progress
+		if value, ok := f.stored[doc.ID]; ok {
+			p = new(work.Progress)
+			qt.Assert(f.t, cbor.Unmarshal(value, p), qt.IsNil)
+		}
+		f.core.AddJob(doc, p, 0)
+	}
+}
+
+// addJob adds a job with a step of tasks of one core. The tasks with the given numbers crash their worker.
+func (f *crashFleet) addJob(id string, step work.Step, deadly ...int) {
+	step.Request = work.Resources{CPU: 1000, Memory: 100}
+	step.Estimate = crashFleetWork
+	doc := work.Job{ID: id, Queue: "q", Pool: "p", Steps: []work.Step{step}}
+	qt.Assert(f.t, doc.Validate(), qt.IsNil)
+	for _, index := range deadly {
+		f.deadly[work.Task{Job: id, Index: index}] = true
+	}
+	f.docs = append(f.docs, doc)
+	f.core.AddJob(doc, nil, 0)
+}
+
+func (f *crashFleet) state(id string) work.State {
+	state, ok := f.core.JobState(id)
+	qt.Assert(f.t, ok, qt.IsTrue)
+	return state
+}
+
+func (f *crashFleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += crashFleetStep {
+		f.step()
+	}
+}
+
+func (f *crashFleet) step() {
+	if f.changeAt > 0 && f.now >= f.changeAt {
+		f.changeAt = 0
+		f.changeLeader()
+	}
+	f.core.SetTime(f.now)
+	for _, w := range f.workers {
+		if w.downUntil > 0 && f.now >= w.downUntil {
+			w.downUntil = 0
+			f.boot(w)
+		}
+	}
+	// Commands that are sent again reach a worker that is back before its registry entry and its renewal show that.
+	f.carryOutCommands()
+	var reports []worker.Report
+	for _, w := range f.workers {
+		if w.downUntil > 0 {
+			continue
+		}
+		reports = append(reports, worker.Report{
+			ID: w.id, Pool: "p", Address: w.address, Incarnation: w.incarnation, Labels: []string{"a", "r1-1"}, Capacity: work.Resources{CPU: 8000, Memory: 8000},
+		})
+	}
+	f.core.SetWorkers(reports)
+	for _, id := range f.core.Workers() {
+		f.renew(id)
+	}
+	f.core.Schedule(f.now)
+	if !f.storeDown {
+		f.store()
+	}
+	f.carryOutCommands()
+}
+
+func (f *crashFleet) store() {
+	b := f.core.TakeBatch(1000)
+	for id, p := range b.Progress {
+		value, err := cbor.Marshal(p)
+		qt.Assert(f.t, err, qt.IsNil)
+		f.stored[id] = value
+	}
+	for id, e := range b.Roster {
+		delete(f.roster, id)
+		if e != nil {
+			f.roster[id] = *e
+		}
+	}
+	f.core.BatchStored(b)
+}
+
+func (f *crashFleet) carryOutCommands() {
+	for _, cmd := range f.core.TakeCommands() {
+		f.carryOut(cmd)
+	}
+}
+
+func (f *crashFleet) at(address string) *crashingWorker {
+	for _, w := range f.workers {
+		if w.address == address {
+			return w
+		}
+	}
+	return nil
+}
+
+// renew renews the lease of a worker as the leader knows it.
+func (f *crashFleet) renew(id string) {
+	r, ok := f.core.Renewal(id)
+	if !ok {
+		return
+	}
+	w := f.at(r.Target.Address)
+	switch {
+	case w == nil || w.downUntil > 0:
+		f.core.HandleStatus(id, worker.Status{Reply: worker.Reply{Outcome: worker.Unknown}}, f.now, nil)
+		return
+	case w.id != id:
+		f.core.HandleStatus(id, worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, f.now, nil)
+		return
+	}
+	status := worker.Status{Reply: worker.Reply{Clock: f.now, Incarnation: w.incarnation}}
+	for task, number := range w.runs {
+		if end := w.endsAt[task]; end > 0 && f.now >= end {
+			delete(w.runs, task)
+			w.exited++
+			w.exits = append(w.exits, worker.Exit{Seq: w.exited, Task: task, Number: number, Reason: worker.ExitDone})
+			continue
+		}
+		status.Running = append(status.Running, worker.Run{Task: task, Number: number, SpeedPercent: 100})
+	}
+	for _, e := range w.exits {
+		if e.Seq > r.Command.AcknowledgedSeq {
+			status.Exited = append(status.Exited, e)
+		}
+	}
+	f.core.HandleStatus(id, status, f.now, nil)
+}
+
+func (f *crashFleet) carryOut(cmd Command) {
+	w := f.at(cmd.Target.Address)
+	switch {
+	case w.downUntil > 0:
+		f.core.HandleReply(cmd, worker.Reply{Outcome: worker.Unknown}, f.now, nil)
+	case w.id != cmd.Target.ID:
+		f.core.HandleReply(cmd, worker.Reply{Outcome: worker.OtherInstance}, f.now, nil)
+	case cmd.Kind == CommandStop:
+		delete(w.runs, cmd.Run.Task)
+		w.exited++
+		w.exits = append(w.exits, worker.Exit{Seq: w.exited, Task: cmd.Run.Task, Number: cmd.Run.Run, Reason: worker.ExitStopped})
+		f.core.HandleReply(cmd, worker.Reply{Clock: f.now, Incarnation: w.incarnation}, f.now, nil)
+	case cmd.Kind == CommandStart:
+		f.start(w, cmd)
+	}
+}
+
+func (f *crashFleet) start(w *crashingWorker, cmd Command) {
+	task := cmd.Start.Task
+	if f.crashes[task] >= 3 {
+		f.later[task]++
+	}
+	reply := worker.Reply{Clock: f.now, Incarnation: w.incarnation}
+	if f.unanswered && f.deadly[task] {
+		reply = worker.Reply{Outcome: worker.Unknown}
+	}
+	f.core.HandleReply(cmd, reply, f.now, nil)
+	w.runs[task] = cmd.Start.Run
+	if s, ok := f.core.findStep(task); ok && !s.doc.Service {
+		w.endsAt[task] = f.now + crashFleetWork
+	}
+	if !f.deadly[task] {
+		return
+	}
+	w.downUntil = f.now + crashFleetRestart
+	if f.changesAfterCrash > 0 {
+		f.changesAfterCrash--
+		f.changeAt = f.now + crashFleetRestart/2
+	}
+	for other := range w.runs {
+		if f.deadly[other] {
+			f.crashes[other]++
+		}
+	}
+}
