demo: compare with the records of endpoints once they are complete

Likely cause: an endpoint records that it has sent a response after its caller may have received it, and the demo compared as soon as the last caller had its answer. Not shown again; the window is a few instructions, and longer when the goroutine of the endpoint loses the processor there. A wrong answer of the system is ruled out as far as the caller's check of the body goes, which had passed.

The demo waits until no endpoint handles a request, at most 5 s, and compares as before.

--- a/demo/check.go
+++ b/demo/check.go
@@ -1,8 +1,13 @@
 package demo
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/standin"
 )
@@ -45,6 +50,26 @@
 	}
 }
 
+const (
+	// recordTimeout is how long the endpoints may take to record their last responses.
+	recordTimeout = 5 * time.Second
+	// recordPollInterval is the time between two checks whether they have.
+	recordPollInterval = 5 * time.Millisecond
+)
+
+// waitForRecords waits until no endpoint handles a request. An endpoint records a response when it has been sent, so that its caller may
+// have received it before.
+func waitForRecords(ctx context.Context, endpoints []*standin.Endpoint) error {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	for slices.ContainsFunc(endpoints, func(e *standin.Endpoint) bool { return e.InFlight() > 0 }) {
+		if err := sleep(ctx, recordPollInterval); err != nil {
+			return eris.Wrap(err, "wait for the endpoints to record their responses")
+		}
+	}
+	return nil
+}
+
 // recordedRuns counts the runs of one request that the endpoints recorded.
 type recordedRuns struct {
 	total       int
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -110,6 +110,9 @@
 	if err != nil {
 		return Report{}, err
 	}
+	if err := waitForRecords(ctx, r.cluster.endpoints); err != nil {
+		return Report{}, err
+	}
 	report := compareWithRecords(r.load.finished, r.cluster.endpoints)
 	report.WaveSeconds = waveTime.Seconds()
 	return report, nil
