--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -139,13 +139,12 @@
 // checkKey checks the key again right before the request is sent to an endpoint. The key may have been revoked since
 // admission, while the request waited in the queue or the process was paused.
 func (e *exchange) checkKey() error {
-	source := e.server.options.Source
-	if source.Snapshot() == e.snapshot {
-		// The key was valid in this snapshot. Only the age of the configuration can have changed.
-		if err := source.Policy().CheckAge(source.Age()); err != nil {
-			return errKeysUnchecked
-		}
-		return nil
+	snapshot, err := e.server.options.Source.SnapshotForKeys()
+	if err != nil {
+		return errKeysUnchecked
+	}
+	if snapshot == e.snapshot {
+		return nil // the key was valid in this snapshot at admission
 	}
 	name, p := e.authenticate()
 	if p != nil {
--- a/caller/input_integration_test.go
+++ b/caller/input_integration_test.go
@@ -124,6 +124,11 @@
 	qt.Assert(t, err, qt.IsNil)
 	stale := func(s *fakeSource) { s.stale = true }
 	revoked := func(s *fakeSource) { s.snapshot = withoutKeys }
+	// The process is paused after it has read the snapshot, until a newer configuration has been confirmed.
+	revokedDuringCheck := func(s *fakeSource) {
+		s.stale = true
+		s.afterSnapshot = func() { s.snapshot, s.stale = withoutKeys, false }
+	}
 	tests := map[string]struct {
 		change     func(s *fakeSource)
 		checks     int
@@ -135,6 +140,7 @@
 		"stale and open":              {change: stale, path: "/work/board/a", wantStatus: 200},
 		"revoked at admission":        {change: revoked, path: "/work/swap/a", wantStatus: 401},
 		"revoked before first byte":   {change: revoked, checks: 1, path: "/work/swap/a", wantStatus: 401},
+		"revoked during the check":    {change: revokedDuringCheck, checks: 1, path: "/work/swap/a", wantStatus: 503},
 		"revoked after the last byte": {change: revoked, checks: 3, path: "/work/swap/a", wantStatus: 200},
 		"revoked and open":            {change: revoked, path: "/work/board/a", wantStatus: 200},
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -49,10 +49,9 @@
 	Snapshot() *config.Snapshot
 	// Authenticate fails with config.ErrKeysStale or config.ErrUnknownKey.
 	Authenticate(key string) (team.Team, error)
-	// Age returns the time since the configuration was last known to be current. Policy decides up to which age keys
-	// are accepted.
-	Age() (age time.Duration, known bool)
-	Policy() config.Policy
+	// SnapshotForKeys returns the configuration in force. It fails with config.ErrKeysStale if that configuration was
+	// last known to be current too long ago to check keys.
+	SnapshotForKeys() (*config.Snapshot, error)
 }
 
 var _ ConfigSource = (*config.Source)(nil)
--- a/config/source.go
+++ b/config/source.go
@@ -138,6 +138,16 @@
 	return time.Since(s.confirmedAt), true
 }
 
+// SnapshotForKeys returns the configuration in force. It fails with [ErrKeysStale] if the last confirmation of that
+// configuration is too old to check keys. A pause during the call makes the confirmation look older, never newer.
+func (s *Source) SnapshotForKeys() (*Snapshot, error) {
+	st := s.state.Load()
+	if err := s.policy.CheckAge(st.age()); err != nil {
+		return nil, err
+	}
+	return st.snapshot, nil
+}
+
 // Report returns the version in force and the time since it was last confirmed to be current.
 func (s *Source) Report() (version uint64, age time.Duration, known bool) {
 	st := s.state.Load()
