--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -75,6 +75,7 @@
 
 // cases lists the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
+	"ack": caseAck, "lasting": caseLasting, "parts": caseParts, "reack": caseReack, "flap": caseFlap, "starve": caseStarve,
 	"lost": caseLost, "twice": caseTwice, "waves": caseWaves, "budget": caseBudget,
 }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sort"
@@ -50,11 +52,14 @@
 	version uint64
 	changed chan struct{}
 	slow    float64
+	// lost is the share of the writes that are done and not answered.
+	lost    float64
+	random  *rand.Rand
 	refused int
 }
 
 func newStore(rec *recorder) *store {
-	return &store{rec: rec, start: time.Now(), rows: make(map[rowKey]storedRow), changed: make(chan struct{}), slow: 1}
+	return &store{rec: rec, start: time.Now(), rows: make(map[rowKey]storedRow), changed: make(chan struct{}), slow: 1, random: rand.New(rand.NewPCG(1, 1))}
 }
 
 // setSlow makes answers take a multiple of their usual time.
@@ -64,6 +69,20 @@
 	s.slow = factor
 }
 
+// setLost makes a share of the writes get no answer, although they are done.
+func (s *store) setLost(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = share
+}
+
+// loses reports whether the answer of a write is lost.
+func (s *store) loses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < s.lost
+}
+
 // put writes a row of a worker or the operator.
 func (s *store) put(key rowKey, value any) {
 	data, err := json.Marshal(value)
@@ -124,34 +143,23 @@
 	writeJSON(w, status, body)
 }
 
-func (s *store) transact(w http.ResponseWriter, r *http.Request) {
-	var tx struct {
-		Expected []struct {
-			rowKey
-			Version uint64 `json:"ver"`
-		} `json:"expected"`
-		Upserts []struct {
-			rowKey
-			Value []byte `json:"value"`
-		} `json:"upserts"`
-		Remove []rowKey `json:"remove"`
-		Across bool     `json:"across"`
-	}
-	size, err := readJSON(r, &tx)
-	if err != nil {
-		s.answer(w, r, http.StatusBadRequest, map[string]any{"error": err.Error()})
-		return
-	}
+type wireTx struct {
+	Expected []struct {
+		rowKey
+		Version uint64 `json:"ver"`
+	} `json:"expected"`
+	Upserts []struct {
+		rowKey
+		Value []byte `json:"value"`
+	} `json:"upserts"`
+	Remove []rowKey `json:"remove"`
+	Across bool     `json:"across"`
+}
+
+// check returns why the store refuses a transaction, and 0 if it does not.
+func (tx *wireTx) check(size int) (status int, reason string) {
 	if n := len(tx.Expected) + len(tx.Upserts) + len(tx.Remove); n > maxEntries || size > maxTxBytes {
-		s.mu.Lock()
-		s.refused++
-		first := s.refused == 1
-		s.mu.Unlock()
-		if first {
-			s.rec.add("store refuses a transaction: %d entries, %d bytes", n, size)
-		}
-		s.answer(w, r, http.StatusBadRequest, map[string]any{"error": "over 100 entries or 1 MB"})
-		return
+		return http.StatusBadRequest, fmt.Sprintf("%d entries, %d bytes", n, size)
 	}
 	parts := make(map[string]bool)
 	for _, e := range tx.Expected {
@@ -160,51 +168,77 @@
 	for _, u := range tx.Upserts {
 		parts[u.Part] = true
 		if u.Table == "op" || u.Table == "servers" {
-			s.answer(w, r, http.StatusForbidden, map[string]any{})
-			return
+			return http.StatusForbidden, "table"
 		}
 		if len(u.Value) == 0 || len(u.Value) > maxRowBytes {
-			s.answer(w, r, http.StatusBadRequest, map[string]any{"error": "size of a row"})
-			return
+			return http.StatusBadRequest, "size of a row"
 		}
 	}
 	for _, k := range tx.Remove {
 		parts[k.Part] = true
 	}
 	if len(parts) > 1 && !tx.Across {
-		s.answer(w, r, http.StatusBadRequest, map[string]any{"error": "more than one part"})
-		return
+		return http.StatusBadRequest, "more than one part"
 	}
+	return 0, ""
+}
+
+// apply carries out a transaction. It returns the current rows if a condition does not hold.
+func (s *store) apply(tx *wireTx) (version uint64, current []wireRow, conflict bool) {
 	s.mu.Lock()
-	conflict := false
+	defer s.mu.Unlock()
 	for _, e := range tx.Expected {
-		if row := s.rows[e.rowKey]; row.deleted && e.Version != 0 || !row.deleted && row.version != e.Version {
+		row, ok := s.rows[e.rowKey]
+		if row.deleted && e.Version != 0 || !row.deleted && row.version != e.Version {
 			conflict = true
 		}
+		if ok && !row.deleted {
+			current = append(current, wireRow{rowKey: e.rowKey, Value: row.value, Version: row.version})
+		}
 	}
 	if conflict {
-		var current []wireRow
-		for _, e := range tx.Expected {
-			if row, ok := s.rows[e.rowKey]; ok && !row.deleted {
-				current = append(current, wireRow{rowKey: e.rowKey, Value: row.value, Version: row.version})
-			}
-		}
-		version := s.version
-		s.mu.Unlock()
-		s.answer(w, r, http.StatusPreconditionFailed, map[string]any{"rows": current, "ver": version})
-		return
+		return s.version, current, true
 	}
 	s.version++
-	version := s.version
 	for _, u := range tx.Upserts {
-		s.write(u.rowKey, storedRow{value: u.Value, version: version})
+		s.write(u.rowKey, storedRow{value: u.Value, version: s.version})
 	}
 	for _, k := range tx.Remove {
 		if row, ok := s.rows[k]; ok && !row.deleted {
-			s.write(k, storedRow{version: version, deleted: true})
+			s.write(k, storedRow{version: s.version, deleted: true})
 		}
 	}
-	s.mu.Unlock()
+	return s.version, nil, false
+}
+
+func (s *store) transact(w http.ResponseWriter, r *http.Request) {
+	var tx wireTx
+	size, err := readJSON(r, &tx)
+	if err != nil {
+		s.answer(w, r, http.StatusBadRequest, map[string]any{"error": err.Error()})
+		return
+	}
+	if status, reason := tx.check(size); status != 0 {
+		s.mu.Lock()
+		s.refused++
+		first := s.refused == 1
+		s.mu.Unlock()
+		if first {
+			s.rec.add("store refuses a transaction: %s", reason)
+		}
+		s.answer(w, r, status, map[string]any{"error": reason})
+		return
+	}
+	version, current, conflict := s.apply(&tx)
+	if s.loses() {
+		// The connection delivers nothing further.
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if conflict {
+		s.answer(w, r, http.StatusPreconditionFailed, map[string]any{"rows": current, "ver": version})
+		return
+	}
 	s.answer(w, r, http.StatusOK, map[string]any{"ver": version})
 }
 
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -45,22 +45,25 @@
 type workerServer struct {
 	w                       *world
 	id, service, zone, rack string
-	machine, address        string
-	listener                net.Listener
-	mu                      sync.Mutex
-	life                    int
-	born                    time.Time
-	beat                    int
-	fence                   uint64
-	until                   time.Duration
-	running                 map[string]*taskRun
-	last                    map[string]int
-	ended                   []endedRun
-	endSeq                  int
-	changed                 chan struct{}
-	down, cut, off          bool
-	conns                   map[net.Conn]bool
-	lastBeat                time.Time
+	nextID                  string
+	// lapsed is the last time at which the worker was seen without a lease.
+	lapsed           time.Time
+	machine, address string
+	listener         net.Listener
+	mu               sync.Mutex
+	life             int
+	born             time.Time
+	beat             int
+	fence            uint64
+	until            time.Duration
+	running          map[string]*taskRun
+	last             map[string]int
+	ended            []endedRun
+	endSeq           int
+	changed          chan struct{}
+	down, cut, off   bool
+	conns            map[net.Conn]bool
+	lastBeat         time.Time
 }
 
 func (w *world) addWorker(id, service, zone, rack, machine string) (*workerServer, error) {
@@ -84,6 +87,10 @@
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	ws.life++
+	if ws.nextID != "" {
+		ws.w.store.remove(rowKey{Table: "servers", Key: ws.id})
+		ws.id, ws.nextID = ws.nextID, ""
+	}
 	ws.born, ws.beat, ws.fence, ws.until, ws.endSeq = time.Now(), 0, 0, 0, 0
 	ws.running, ws.last, ws.ended = make(map[string]*taskRun), make(map[string]int), nil
 	ws.down = false
@@ -116,6 +123,9 @@
 		if silent > missedHeartbeats*heartbeatInterval {
 			ws.w.store.remove(rowKey{Table: "servers", Key: ws.id})
 		}
+		if !ws.down && ws.until > 0 && ws.clock() > ws.until {
+			ws.lapsed = time.Now()
+		}
 		if !ws.down && len(ws.running) > 0 && ws.clock() > ws.until {
 			for _, r := range ws.running {
 				ws.end(r, "lapsed")
@@ -161,6 +171,36 @@
 	go ws.serve(listener)
 }
 
+// crashDark ends the worker without notice, like a loss of power: it falls silent. It starts again under its ID after a time.
+func (ws *workerServer) crashDark(after time.Duration) {
+	ws.mu.Lock()
+	if ws.down || ws.cut {
+		ws.mu.Unlock()
+		return
+	}
+	ws.down, ws.cut = true, true
+	ws.w.rec.add("worker %s loses power", ws.id)
+	for _, r := range ws.running {
+		ws.w.observeEnd(ws, r, "crashed")
+	}
+	ws.running = make(map[string]*taskRun)
+	ws.mu.Unlock()
+	time.Sleep(after)
+	ws.mu.Lock()
+	ws.cut = false
+	for c := range ws.conns {
+		_ = c.Close()
+	}
+	ws.mu.Unlock()
+	ws.begin()
+}
+
+// crashAs is crash, but the worker starts again under another ID.
+func (ws *workerServer) crashAs(id string, after time.Duration) {
+	ws.nextID = id
+	ws.crash(after)
+}
+
 // setCut cuts the worker off from everything, or ends the cut. Bytes that were held up are lost.
 func (ws *workerServer) setCut(cut bool) {
 	ws.mu.Lock()
@@ -264,6 +304,9 @@
 func (ws *workerServer) startRun(c runCommand) (status int, reason string) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
+	if ws.down {
+		return http.StatusServiceUnavailable, ""
+	}
 	if c.Fence < ws.fence {
 		return http.StatusConflict, "fence"
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -69,6 +69,10 @@
 	for _, n := range w.nodes {
 		n.kill()
 	}
+	if os.Getenv("REVIEW_KEEP") != "" {
+		w.rec.add("files are kept in %s", w.dir)
+		return
+	}
 	_ = os.RemoveAll(w.dir)
 }
 
@@ -105,7 +109,8 @@
 	w.mu.Lock()
 	for _, o := range w.runs {
 		if o.task == e.task && o.number == e.number && o.worker == ws.id && o.life == ws.life {
-			o.acked = true
+			// An end counts as taken note of unless the lease lapsed between the two.
+			o.acked = ws.lapsed.Before(o.ended)
 		}
 	}
 	w.mu.Unlock()
@@ -306,6 +311,10 @@
 			return nil
 		}
 	}
+	for _, n := range w.nodes {
+		log, err := os.ReadFile(n.file + ".log")
+		w.rec.add("process %s is ready: %t; its log ends: %s %v", n.name, n.isReady(), log[max(0, len(log)-400):], err)
+	}
 	return errors.New("the processes are not ready")
 }
 
