--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -69,6 +69,7 @@
 	for _, n := range w.nodes {
 		n.kill()
 	}
+	// The logs of the processes are kept on request.
 	if os.Getenv("REVIEW_KEEP") != "" {
 		w.rec.add("files are kept in %s", w.dir)
 		return
