scheduler: say why a task of a service does not run

Callers saw a service without one of its tasks, and nothing told why: a batch that is not stored, leases of a previous leader, no room, a pause and the limit of the team all looked the same in logs and metrics.

A refused batch is logged with its entries, which is what the store limits, and with what its rows are of. Metrics: service_tasks_waiting{reason}, batches_refused_total, batch_age_seconds.

--- a/metrics/jobs.go
+++ b/metrics/jobs.go
@@ -47,6 +47,12 @@
 	Jobs    map[string]float64
 	Workers map[string]float64
 	Runs    map[string]float64
+	// WaitingTasks counts the tasks of services that do not run, by reason.
+	WaitingTasks map[string]float64
+	// RefusedBatches counts the batches that the store refused in the current term. SinceStored is the time since a batch was stored,
+	// and 0 if none waits.
+	RefusedBatches float64
+	SinceStored    time.Duration
 }
 
 // NewJobs returns the metrics of a process. It calls source at each scrape.
@@ -153,12 +159,15 @@
 	descDropped = prometheus.NewDesc(namespace+"_log_lines_dropped_total", "Log lines that were dropped because the reader of the log was too slow.", nil, nil)
 	descJobs    = prometheus.NewDesc(namespace+"_jobs", "Jobs that the leader knows, by state.", []string{"state"}, nil)
 	descWorkers = prometheus.NewDesc(namespace+"_workers", "Workers that the leader knows, by state.", []string{"state"}, nil)
+	descWaiting = prometheus.NewDesc(namespace+"_service_tasks_waiting", "Tasks of services that do not run, by reason.", []string{"reason"}, nil)
+	descRefused = prometheus.NewDesc(namespace+"_batches_refused_total", "Batches of the leader that the store refused, in the current term.", nil, nil)
+	descStored  = prometheus.NewDesc(namespace+"_batch_age_seconds", "Time since the leader has stored a batch, while another one waits.", nil, nil)
 	descRuns    = prometheus.NewDesc(namespace+"_runs_total", "Starts and exits of tasks in the current term.", []string{"event"}, nil)
 )
 
 // Describe implements [prometheus.Collector].
 func (c *jobCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descLeader, descTerm, descVersion, descAge, descNodes, descDropped, descJobs, descWorkers, descRuns} {
+	for _, d := range []*prometheus.Desc{descLeader, descTerm, descVersion, descAge, descNodes, descDropped, descJobs, descWorkers, descRuns, descWaiting, descRefused, descStored} {
 		out <- d
 	}
 }
@@ -177,6 +186,11 @@
 	gauge(descAge, s.ConfigAge.Seconds())
 	gauge(descNodes, s.Nodes)
 	out <- prometheus.MustNewConstMetric(descDropped, prometheus.CounterValue, s.DroppedLines)
+	gauge(descStored, s.SinceStored.Seconds())
+	out <- prometheus.MustNewConstMetric(descRefused, prometheus.CounterValue, s.RefusedBatches)
+	for reason, n := range s.WaitingTasks {
+		gauge(descWaiting, n, reason)
+	}
 	for state, n := range s.Jobs {
 		gauge(descJobs, n, state)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -260,7 +260,7 @@
 func (n *Node) stats(ctx context.Context) metrics.JobStats {
 	s := metrics.JobStats{
 		ConfigVersion: float64(n.source.Current().Version), ConfigAge: n.source.Age(), Nodes: float64(len(n.members.Live())),
-		Jobs: make(map[string]float64), Workers: make(map[string]float64), Runs: make(map[string]float64),
+		Jobs: make(map[string]float64), Workers: make(map[string]float64), Runs: make(map[string]float64), WaitingTasks: make(map[string]float64),
 	}
 	if n.deps.DroppedLines != nil {
 		s.DroppedLines = float64(n.deps.DroppedLines())
@@ -278,6 +278,10 @@
 	for state, count := range counts.Jobs {
 		s.Jobs[state] = float64(count)
 	}
+	s.RefusedBatches, s.SinceStored = float64(counts.RefusedBatches), counts.SinceStored
+	for reason, count := range counts.WaitingTasks {
+		s.WaitingTasks[string(reason)] = float64(count)
+	}
 	for state, count := range counts.Workers {
 		s.Workers[state] = float64(count)
 	}
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -40,6 +41,12 @@
 		len(b.begun) == 0 && len(b.InstanceCommandTimes) == 0 && !b.removesOldRows
 }
 
+// rowCounts describes the rows of the batch for logs.
+func (b *Batch) rowCounts() string {
+	return fmt.Sprintf("jobs %d, pruned %d, roster %d, waves %d, begun %d, commands %d, expired %d", len(b.progressRows.Puts)+len(b.progressRows.Removes),
+		len(b.PrunedJobs), len(b.Roster), len(b.Waves), len(b.begun), len(b.InstanceCommandTimes), len(b.ExpiredCommands))
+}
+
 // Backlog returns the number of jobs whose progress is not stored.
 func (c *Core) Backlog() int { return len(c.changedJobs) }
 
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -142,7 +142,7 @@
 		e.options.Leadership.Confirm(e.options.Core.Fence, sent)
 	} else {
 		if errors.Is(err, store.ErrNotDone) {
-			e.logger.Warn("Batch was refused by the store.", "batch", number, "rows", len(tx.Puts)+len(tx.Removes), "took", clock.Now()-sent, "error", err)
+			e.logger.Warn("Batch was refused by the store.", "batch", number, "rows", len(tx.Puts)+len(tx.Removes), "entries", tx.Entries(), "content", b.rowCounts(), "took", clock.Now()-sent, "error", err)
 		}
 		e.sleep(commitPause)
 	}
@@ -150,6 +150,9 @@
 		e.committing = false
 		e.lastAttemptEnd = clock.Now()
 		if err != nil {
+			if errors.Is(err, store.ErrNotDone) {
+				c.counts.RefusedBatches++
+			}
 			if next != 0 {
 				e.chainVersion = next
 			}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -126,6 +127,9 @@
 	fleet         *fleet
 	counts        Counts
 	policyQueries []PolicyQuery
+	// waitingTasks counts the tasks of services that did not run at waitingCheckedAt.
+	waitingTasks     map[WaitReason]int
+	waitingCheckedAt time.Duration
 }
 
 // Counts are totals of the term, for metrics.
@@ -136,6 +140,11 @@
 	// Jobs counts the jobs and Workers the workers by state.
 	Jobs    map[string]int
 	Workers map[string]int
+	// WaitingTasks counts the tasks of services that do not run.
+	WaitingTasks map[WaitReason]int
+	// RefusedBatches counts the batches that the store refused. SinceStored is the time since a batch was stored, while another one waits.
+	RefusedBatches uint64
+	SinceStored    time.Duration
 }
 
 // NewCore returns a core without jobs and workers.
@@ -148,6 +157,7 @@
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
 		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration), rosterChanges: make(map[string]bool),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), lastStored: o.AcquiredAt, previousLeaderActiveUntil: o.AcquiredAt + LeadershipTimeout, estimator: newEstimator(), fleet: newFleet(),
+		waitingTasks: make(map[WaitReason]int),
 	}
 }
 
@@ -176,6 +186,10 @@
 			counts.Jobs[state.String()]++
 		}
 	}
+	counts.WaitingTasks = maps.Clone(c.waitingTasks)
+	if len(c.changedJobs) > 0 || len(c.plannedRuns) > 0 {
+		counts.SinceStored = c.now - c.lastStored
+	}
 	for _, ws := range c.workers {
 		counts.Workers[c.workerStateName(ws)]++
 	}
@@ -227,6 +241,7 @@
 	}
 	c.startDuringOutage()
 	c.repeatStops()
+	c.checkWaitingTasks()
 	for _, p := range c.pools {
 		for _, j := range p.jobs {
 			if j.nextOccurrence < j.doc.Occurrences() {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -99,6 +99,10 @@
 	failedAt   time.Duration
 	// emptyWorkerSince is the time since which the task waits for a worker that runs nothing.
 	emptyWorkerSince time.Duration
+	// waitingSince is the time since which a task of a service was seen not to run, and 0 while it runs. waitLoggedAt is the time of the
+	// latest log line about it, or waitingSince.
+	waitingSince time.Duration
+	waitLoggedAt time.Duration
 }
 
 type phase int
--- /dev/null
+++ b/scheduler/waiting_test.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/chivetiller/chivetiller/work"
+)
+
+// TestWaitingTasks guards against tasks of services that do not run and of which no log line tells why.
+func TestWaitingTasks(t *testing.T) {
+	service := func(change func(*work.Job)) work.Job {
+		doc := work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 3000}, Service: true}}}
+		if change != nil {
+			change(&doc)
+		}
+		return doc
+	}
+	tests := map[string]struct {
+		doc    work.Job
+		before func(r *rig)
+		reason WaitReason
+	}{
+		"batch not stored": {service(nil), func(*rig) {}, WaitForBatch},
+		"no worker":        {service(nil), func(r *rig) { r.register() }, WaitForWorker},
+		"no room":          {service(func(j *work.Job) { j.Steps[0].Request.CPU = 5000 }), func(*rig) {}, WaitForRoom},
+		"no such worker":   {service(func(j *work.Job) { j.Steps[0].RequiredLabel = "b" }), func(*rig) {}, WaitForEligibleWorker},
+		"team limit":       {service(func(j *work.Job) { j.Team = "limited" }), func(*rig) {}, WaitForTeamLimit},
+		"pause":            {service(nil), func(r *rig) { r.core.jobs["s"].open[0].steps[0].tasks[0].notBefore = r.now + time.Hour }, WaitAfterRun},
+		"unstorable":       {service(nil), func(r *rig) { r.core.jobs["s"].notStoredBefore = r.now + time.Hour }, WaitForStorableJob},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var log bytes.Buffer
+			r := newRig(t, 1, "w1")
+			r.core.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+			r.addJob(test.doc)
+			test.before(r)
+			for range 50 {
+				r.advance(100 * time.Millisecond)
+				if _, ok := r.core.workers["w1"]; ok {
+					r.reply("w1")
+				}
+				r.schedule()
+			}
+			qt.Assert(t, r.core.Counts().WaitingTasks, qt.DeepEquals, map[WaitReason]int{test.reason: 1})
+			qt.Assert(t, log.String(), qt.Contains, "Task of a service does not run.")
+			qt.Assert(t, log.String(), qt.Contains, string(test.reason))
+		})
+	}
+}
+
+// TestRunningTaskIsNotWaiting guards against a service that counts as waiting while it runs.
+func TestRunningTaskIsNotWaiting(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addJob(work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 3000}, Service: true}}})
+	r.accept(r.pass())
+	for range 50 {
+		r.advance(100 * time.Millisecond)
+		r.reply("w1")
+		r.schedule()
+	}
+	qt.Assert(t, r.core.Counts().WaitingTasks, qt.HasLen, 0)
+}
--- a/store/store.go
+++ b/store/store.go
@@ -94,6 +94,9 @@
 	Removes  []Key
 }
 
+// Entries returns the number of entries of the transaction, which the store limits to MaxEntries.
+func (tx *Tx) Entries() int { return len(tx.Expected) + len(tx.Puts) + len(tx.Removes) }
+
 // entryOverhead is more than the encoding of an entry takes besides its key and value.
 const entryOverhead = 64
 
