scheduler: count waves among the rows of a batch

Callers saw accepted work that never started, in all pools: the leader sent a batch with more than 100 entries, the store refused it, and the same rows went into the next one.

TakeBatch took all waves that had changed, two rows each, whatever the limit was; the share of instances was only subtracted afterwards. 36 to 48 new waves went over the limit together with instance commands, 49 or more alone. A batch was taken again with fewer rows only if it had too many bytes.

Waves now take their rows from the share of instances, after the maintenance that has begun, and nextBatch halves a batch with too many entries as it does one with too many bytes.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -64,8 +64,9 @@
 	b := Batch{Progress: make(map[string]*work.Progress), exitAcks: make(map[*workerState]uint64)}
 	fleetLimit := int(fleetRowsShare * float64(limit))
 	b.Waves, b.begun = c.fleet.takeChangedWaves(fleetLimit)
-	b.instanceCommands, b.InstanceCommandTimes = c.fleet.takePlannedCommands(c.now, fleetLimit-len(b.begun))
-	limit -= 2*len(b.Waves) + len(b.begun) + len(b.instanceCommands)
+	fleetRows := rowsPerWave*len(b.Waves) + len(b.begun)
+	b.instanceCommands, b.InstanceCommandTimes = c.fleet.takePlannedCommands(c.now, fleetLimit-fleetRows)
+	limit -= fleetRows + len(b.instanceCommands)
 	b.Roster = c.takeRosterChanges(max(int(rosterRowsShare*float64(limit)), limit-len(c.changedJobs)))
 	limit -= len(b.Roster)
 	b.removesOldRows, c.hasOldRows = c.hasOldRows, false
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -33,7 +33,7 @@
 	e.spawn(func() { e.commitBatch(b, tx, number, chain) })
 }
 
-// nextBatch returns the next batch and its transaction, with fewer rows the larger they are.
+// nextBatch returns the next batch and its transaction, with fewer rows if the store would refuse it.
 func (e *Engine) nextBatch() (Batch, store.Tx, error) {
 	for limit := batchRows; ; limit /= 2 {
 		b := e.core.TakeBatch(limit)
@@ -42,7 +42,7 @@
 		}
 		e.batchNumber++
 		tx, err := e.transaction(b)
-		if err != nil || tx.Size() <= store.MaxBytes || limit <= minBatchRows {
+		if err != nil || (tx.Size() <= store.MaxBytes && tx.Entries() <= store.MaxEntries) || limit <= minBatchRows {
 			return b, tx, err
 		}
 		e.core.BatchFailed(b)
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -250,19 +250,24 @@
 	instance, worker string
 }
 
-// takeChangedWaves returns the waves whose progress is not stored, and the maintenance that has begun since the last call, at most
-// limit.
+// rowsPerWave is the number of rows of a wave: its progress, and the status that the operator reads.
+const rowsPerWave = 2
+
+// takeChangedWaves returns the maintenance that has begun since the last call, and waves whose progress is not stored, in at most limit
+// rows. A wave follows all its maintenance, since its progress may say that it is finished.
 func (f *fleet) takeChangedWaves(limit int) (waves map[int]WaveProgress, begun []begunMaintenance) {
 	waves = make(map[int]WaveProgress)
 	for n, w := range f.waves {
-		if w.changed {
-			waves[n] = WaveProgress{Number: n, Finished: w.finished, Since: w.since}
-			w.changed = false
-		}
-		for len(w.unstored) > 0 && len(begun) < limit {
+		for len(w.unstored) > 0 && limit > 0 {
 			id := w.unstored[0]
 			w.unstored = w.unstored[1:]
 			begun = append(begun, begunMaintenance{wave: n, instance: id, worker: w.begun[id]})
+			limit--
+		}
+		if w.changed && len(w.unstored) == 0 && limit >= rowsPerWave {
+			waves[n] = WaveProgress{Number: n, Finished: w.finished, Since: w.since}
+			w.changed = false
+			limit -= rowsPerWave
 		}
 	}
 	return waves, begun
