store: know the limits of a transaction in one place

The leader learned from a refusal only that a batch was not stored, and sent it again. The limits of a transaction were known to those who built one, each for itself.

Tx.Validate has all limits (entries, bytes, rows, keys). The client of the store refuses a transaction that breaks one before it is sent, and so does the fake of the tests; the error is ErrRefused, as for a reply of 400 or 403: the call fails however often it is sent. Rows that do not depend on each other are split by store.Split. A read that the store refuses is not repeated without end.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -234,7 +234,7 @@
 	ws.unstoredExits = ws.unstoredExits[n:]
 }
 
-// maxPrunedJobs is the maximum number of jobs that are pruned at a time. Each has two rows besides its progress.
+// maxPrunedJobs is the maximum number of jobs that are pruned at a time, in a transaction for each partition.
 const maxPrunedJobs = store.MaxEntries / 2
 
 // TakeJobsToPrune returns jobs whose rows are to be removed, at most maxPrunedJobs, and removes them from the queue.
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -42,7 +42,7 @@
 		}
 		e.batchNumber++
 		tx, err := e.transaction(b)
-		if err != nil || (tx.Size() <= store.MaxBytes && tx.Entries() <= store.MaxEntries) || limit <= minBatchRows {
+		if err != nil || tx.Fits() || limit <= minBatchRows {
 			return b, tx, err
 		}
 		e.core.BatchFailed(b)
@@ -112,7 +112,7 @@
 		err = put.Validate()
 	}
 	if err != nil {
-		e.logger.Error("Row cannot be stored; it is left out of the batch.", "table", key.Table, "row", key.Name, "error", err)
+		e.logRefusedRow(key, err)
 		return
 	}
 	tx.Puts = append(tx.Puts, put)
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -209,7 +209,7 @@
 // mayRetry reports whether a failed read is to be repeated, after a pause if the store has refused it.
 func (r retryingReads) mayRetry(ctx context.Context, table string, err error) bool {
 	silent := errors.Is(err, store.ErrSilent)
-	if !silent && !errors.Is(err, store.ErrNotDone) {
+	if errors.Is(err, store.ErrRefused) || !silent && !errors.Is(err, store.ErrNotDone) {
 		return false
 	}
 	if !silent {
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/chivetiller/chivetiller/common/clock"
@@ -52,10 +51,7 @@
 		byPartition[key.Partition] = append(byPartition[key.Partition], key, CancelKey(id))
 	}
 	for partition, keys := range byPartition {
-		ctx, cancel := context.WithTimeout(e.ctx, commitTimeout)
-		_, err := e.options.Store.Commit(ctx, store.Tx{Removes: keys})
-		cancel()
-		if err != nil {
+		if err := e.removeRows(keys); err != nil {
 			e.logger.Warn("Rows of ended jobs could not be removed.", "part", partition, "rows", len(keys), "error", err)
 			continue
 		}
@@ -69,6 +65,24 @@
 	}
 }
 
+// removeRows removes rows that do not depend on each other.
+func (e *Engine) removeRows(keys []store.Key) error {
+	for _, tx := range store.Split(nil, keys, e.logRefusedRow) {
+		ctx, cancel := context.WithTimeout(e.ctx, commitTimeout)
+		_, err := e.options.Store.Commit(ctx, tx)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// logRefusedRow logs a row that the store refuses.
+func (e *Engine) logRefusedRow(key store.Key, err error) {
+	e.logger.Error("Row cannot be stored; it is left out of the batch.", "table", key.Table, "row", key.Name, "error", err)
+}
+
 // shortenJobs shortens the rows of jobs that have ended. The next leader reads the rows of all jobs before it starts anything, and most
 // of them have ended. A row that is not shortened is only longer than necessary.
 func (e *Engine) shortenJobs(ctx context.Context) {
@@ -87,12 +101,12 @@
 		byPartition[key.Partition] = append(byPartition[key.Partition], store.Put{Key: key, Value: value})
 	}
 	for partition, puts := range byPartition {
-		for puts := range slices.Chunk(puts, store.MaxEntries) {
+		for _, tx := range store.Split(puts, nil, e.logRefusedRow) {
 			if !e.IsLeader() {
 				return
 			}
-			if _, err := e.options.Store.Commit(ctx, store.Tx{Puts: puts}); err != nil {
-				e.logger.Warn("Rows of ended jobs were not shortened.", "part", partition, "rows", len(puts), "error", err)
+			if _, err := e.options.Store.Commit(ctx, tx); err != nil {
+				e.logger.Warn("Rows of ended jobs were not shortened.", "part", partition, "rows", len(tx.Puts), "error", err)
 			}
 		}
 	}
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -83,6 +83,9 @@
 
 // Commit implements [store.Store].
 func (s *Store) Commit(_ context.Context, tx store.Tx) (store.Result, error) {
+	if err := tx.Validate(); err != nil {
+		return store.Result{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fault := s.nextFault(&tx)
--- a/store/store.go
+++ b/store/store.go
@@ -11,9 +11,7 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"errors"
-	"fmt"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -25,6 +23,8 @@
 	ErrConflict = errors.New("row has another version")
 	// ErrNotDone means that the store did not execute the call.
 	ErrNotDone = errors.New("store did not carry out the call")
+	// ErrRefused means that the store does not accept the call, however often it is sent. Such an error is ErrNotDone, too.
+	ErrRefused = errors.New("store refuses the call")
 	// ErrUnknown means that the call may have been executed, or may still be.
 	ErrUnknown = errors.New("outcome of the call is unknown")
 	// ErrSilent means that no part of the reply to a read has arrived for a while.
@@ -33,15 +33,6 @@
 	ErrHistoryGone = errors.New("history is no longer kept")
 )
 
-// Limits of one transaction, as documented by the platform: the number of its conditions, puts and removals, its size in bytes, and
-// the size of the value of a row and of each part of its key.
-const (
-	MaxEntries  = 100
-	MaxBytes    = 1 << 20
-	MaxRowBytes = 64 << 10
-	MaxKeyBytes = 200
-)
-
 // Key identifies a row. All rows of one transaction are in the same partition. Nodes send keys to each other with the names of the
 // fields.
 type Key struct {
@@ -71,22 +62,6 @@
 	Value []byte
 }
 
-// Validate reports a key that the store refuses, and with it the whole transaction.
-func (k Key) Validate() error {
-	if n := max(len(k.Table), len(k.Partition), len(k.Name)); n > MaxKeyBytes {
-		return fmt.Errorf("key has %d bytes, the limit is %d", n, MaxKeyBytes)
-	}
-	return nil
-}
-
-// Validate reports a row that the store refuses, and with it the whole transaction.
-func (p Put) Validate() error {
-	if len(p.Value) > MaxRowBytes {
-		return fmt.Errorf("value has %d bytes, the limit is %d", len(p.Value), MaxRowBytes)
-	}
-	return p.Key.Validate()
-}
-
 // Tx is a transaction. It takes effect as a whole or not at all.
 type Tx struct {
 	Expected []Expect
@@ -94,30 +69,6 @@
 	Removes  []Key
 }
 
-// Entries returns the number of entries of the transaction, which the store limits to MaxEntries.
-func (tx *Tx) Entries() int { return len(tx.Expected) + len(tx.Puts) + len(tx.Removes) }
-
-// entryOverhead is more than the encoding of an entry takes besides its key and value.
-const entryOverhead = 64
-
-// Size returns an upper limit for the size of the transaction as it is sent, with the values in base64.
-func (tx *Tx) Size() int {
-	size := 0
-	add := func(k Key, value int) {
-		size += entryOverhead + len(k.Table) + len(k.Partition) + len(k.Name) + base64.StdEncoding.EncodedLen(value)
-	}
-	for _, e := range tx.Expected {
-		add(e.Key, 0)
-	}
-	for _, p := range tx.Puts {
-		add(p.Key, len(p.Value))
-	}
-	for _, k := range tx.Removes {
-		add(k, 0)
-	}
-	return size
-}
-
 // Result is the reply to a transaction.
 type Result struct {
 	Version uint64
@@ -136,7 +87,7 @@
 
 // Store is the transactional store. It is linearizable.
 type Store interface {
-	// Commit fails with ErrConflict, ErrNotDone or ErrUnknown.
+	// Commit fails with ErrConflict, ErrNotDone or ErrUnknown. A transaction that is not valid fails with ErrRefused before it is sent.
 	Commit(ctx context.Context, tx Tx) (Result, error)
 	// Scan returns the rows of a partition of a table with from <= name < to. An empty to means no upper bound. Like all reads, it
 	// takes as long as parts of the reply arrive, and fails with ErrSilent if none do. A scan that fails returns the rows that it has
