scheduler: set aside a row because of which the store refuses batches

Callers would see no task start any more, in any pool, if the store refused one row for a reason that the limits known here do not cover: the same rows went into each next batch.

A batch that is refused for good (ErrRefused) is taken apart: its rows are tried again in halves, by turns with all other rows, until a single row is refused. That is logged with its name, kept out of the batches for 5 s, then 10 s and so on, and tried again alone. Of a job that is set aside nothing starts; all others go on.

--- /dev/null
+++ b/internal/store/quarantine/quarantine.go
@@ -0,0 +1,128 @@
+// Package quarantine finds the rows because of which a store refuses batches, and keeps them out of the others. The rows of a refused
+// batch are tried again in halves, by turns with all other rows, until a batch of a single row is refused. That row is set aside for a
+// while.
+//
+// # Usage
+//
+//	list.Next(now)
+//	// Build a batch of rows that list.Admits.
+//	if len(batch) == 0 && list.Skip() { ... try again }
+//	// After a refusal:
+//	if row, pause, ok := list.Refused(batch, now); ok { ... row is set aside }
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chivetiller/chivetiller/store"
+)
+
+const (
+	// firstPause is how long a row is set aside. The pause doubles with each further refusal up to maxPause.
+	firstPause = 5 * time.Second
+	maxPause   = time.Minute
+)
+
+// List holds the rows of refused batches. The zero value is an empty list.
+type List struct {
+	// groups holds rows that were refused together. The last group is tried next.
+	groups [][]store.Key
+	// suspects holds the rows of all groups.
+	suspects map[store.Key]bool
+	aside    map[store.Key]*asideRow
+	// trying means that the next batch is of the last group.
+	trying bool
+}
+
+// asideRow is a row that was refused alone.
+type asideRow struct {
+	until time.Duration
+	pause time.Duration
+}
+
+// Next chooses the rows of the next batch: by turns those of a refused one and all others.
+func (l *List) Next(now time.Duration) {
+	for key, row := range l.aside {
+		if now >= row.until && !l.suspects[key] {
+			l.push([]store.Key{key})
+		}
+	}
+	l.trying = !l.trying && len(l.groups) > 0
+}
+
+// Admits reports whether a row may be in the next batch.
+func (l *List) Admits(key store.Key) bool {
+	if l.trying {
+		return slices.Contains(l.groups[len(l.groups)-1], key)
+	}
+	return !l.suspects[key] && l.aside[key] == nil
+}
+
+// Skip is called if there is nothing to store of the rows that are admitted. It reports whether another choice may find some.
+func (l *List) Skip() bool {
+	if l.trying {
+		// The rows need not be stored any more.
+		for _, key := range l.pop() {
+			delete(l.aside, key)
+		}
+	}
+	return len(l.groups) > 0
+}
+
+// Stored records that a batch with these rows was stored.
+func (l *List) Stored(keys []store.Key) {
+	if l.trying {
+		l.pop()
+	}
+	for _, key := range keys {
+		delete(l.aside, key)
+	}
+}
+
+// Refused records that a batch with these rows was refused. If it had a single row, that is set aside for the pause that Refused returns.
+func (l *List) Refused(keys []store.Key, now time.Duration) (key store.Key, pause time.Duration, ok bool) {
+	if l.trying {
+		l.pop()
+	}
+	switch len(keys) {
+	case 0:
+		return store.Key{}, 0, false
+	case 1:
+		row := l.aside[keys[0]]
+		if row == nil {
+			row = &asideRow{pause: firstPause / 2}
+			if l.aside == nil {
+				l.aside = make(map[store.Key]*asideRow)
+			}
+			l.aside[keys[0]] = row
+		}
+		row.pause = min(2*row.pause, maxPause)
+		row.until = now + row.pause
+		return keys[0], row.pause, true
+	}
+	half := len(keys) / 2
+	l.push(keys[half:])
+	l.push(keys[:half])
+	return store.Key{}, 0, false
+}
+
+func (l *List) push(keys []store.Key) {
+	if l.suspects == nil {
+		l.suspects = make(map[store.Key]bool)
+	}
+	l.groups = append(l.groups, slices.Clone(keys))
+	for _, key := range keys {
+		l.suspects[key] = true
+	}
+}
+
+func (l *List) pop() []store.Key {
+	last := len(l.groups) - 1
+	keys := l.groups[last]
+	l.groups, l.trying = l.groups[:last], false
+	for _, key := range keys {
+		delete(l.suspects, key)
+	}
+	return keys
+}
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -61,22 +61,39 @@
 // the plan, and those that have ended next. The batch starts the planned runs and acknowledges the exits of all jobs that it leaves
 // without a change.
 func (c *Core) TakeBatch(limit int) Batch {
+	for {
+		c.refusedRows.Next(c.now)
+		b := c.takeBatch(limit)
+		if !b.Empty() || !c.refusedRows.Skip() {
+			return b
+		}
+	}
+}
+
+// takeBatch returns a batch of the rows that are admitted.
+func (c *Core) takeBatch(limit int) Batch {
+	admits := c.refusedRows.Admits
 	b := Batch{Progress: make(map[string]*work.Progress), exitAcks: make(map[*workerState]uint64)}
 	fleetLimit := int(fleetRowsShare * float64(limit))
-	b.Waves, b.begun = c.fleet.takeChangedWaves(fleetLimit)
+	b.Waves, b.begun = c.fleet.takeChangedWaves(fleetLimit, admits)
 	fleetRows := rowsPerWave*len(b.Waves) + len(b.begun)
-	b.instanceCommands, b.InstanceCommandTimes = c.fleet.takePlannedCommands(c.now, fleetLimit-fleetRows)
+	b.instanceCommands, b.InstanceCommandTimes = c.fleet.takePlannedCommands(c.now, fleetLimit-fleetRows, admits)
 	limit -= fleetRows + len(b.instanceCommands)
 	b.Roster = c.takeRosterChanges(max(int(rosterRowsShare*float64(limit)), limit-len(c.changedJobs)))
 	limit -= len(b.Roster)
-	b.removesOldRows, c.hasOldRows = c.hasOldRows, false
+	if c.hasOldRows && admits(oldRowsKey) {
+		b.removesOldRows, c.hasOldRows = true, false
+	}
 	c.addJobs(&b, limit)
 	limit -= len(b.progressRows.Puts) + len(b.progressRows.Removes)
-	for len(c.prunedJobs) > 0 && limit > 0 {
-		b.PrunedJobs = append(b.PrunedJobs, c.prunedJobs[0])
-		c.prunedJobs = c.prunedJobs[1:]
+	c.prunedJobs = slices.DeleteFunc(c.prunedJobs, func(id string) bool {
+		if limit <= 0 || !admits(progressKey(id)) {
+			return false
+		}
+		b.PrunedJobs = append(b.PrunedJobs, id)
 		limit--
-	}
+		return true
+	})
 	var waiting []*run
 	for _, r := range c.plannedRuns {
 		switch j := r.step.job; {
@@ -95,7 +112,7 @@
 		}
 	}
 	if !b.Empty() {
-		b.ExpiredCommands = c.fleet.takeExpiredCommands(c.now, limit)
+		b.ExpiredCommands = c.fleet.takeExpiredCommands(c.now, limit, admits)
 	}
 	return b
 }
@@ -113,7 +130,7 @@
 func (c *Core) addJobs(b *Batch, limit int) {
 	rows, size, full := 0, 0, limit <= 0
 	add := func(j *job) {
-		if full || !c.changedJobs[j] || c.now < j.notStoredBefore {
+		if full || !c.changedJobs[j] || c.now < j.notStoredBefore || !c.refusedRows.Admits(progressKey(j.doc.ID)) {
 			return
 		}
 		tx, parts, err := c.progressRows(j)
@@ -255,8 +272,57 @@
 // JobsPruned records that the rows of jobs are removed, except for their progress.
 func (c *Core) JobsPruned(ids []string) { c.prunedJobs = append(c.prunedJobs, ids...) }
 
+// oldRowsKey stands for the rows of an earlier version that are removed.
+var oldRowsKey = leadershipKey(rowRoster)
+
+// rowKeys returns the keys of the rows of the batch, one for each change that can be stored alone.
+func (b *Batch) rowKeys() []store.Key {
+	var keys []store.Key
+	for _, j := range b.jobs {
+		keys = append(keys, progressKey(j.doc.ID))
+	}
+	for _, id := range b.PrunedJobs {
+		keys = append(keys, progressKey(id))
+	}
+	for id := range b.Roster {
+		keys = append(keys, rosterKey(id))
+	}
+	for n := range b.Waves {
+		keys = append(keys, progressKey(waveName(n)))
+	}
+	for _, m := range b.begun {
+		keys = append(keys, m.key())
+	}
+	for id := range b.InstanceCommandTimes {
+		keys = append(keys, commandKey(id))
+	}
+	for _, id := range b.ExpiredCommands {
+		keys = append(keys, commandKey(id))
+	}
+	if b.removesOldRows {
+		keys = append(keys, oldRowsKey)
+	}
+	return keys
+}
+
+// BatchRefused records that the store refuses a batch however often it is sent. The row at fault is found and set aside, so that it does
+// not keep the others from being stored.
+func (c *Core) BatchRefused(b Batch, cause error) {
+	c.BatchFailed(b)
+	key, pause, ok := c.refusedRows.Refused(b.rowKeys(), c.now)
+	if !ok {
+		return
+	}
+	c.logger.Error("Row is refused by the store; it is set aside.", "table", key.Table, "row", key.Name, "pause", pause, "error", cause)
+	for _, j := range b.jobs {
+		// Nothing of the job starts meanwhile.
+		j.notStoredBefore = c.now + pause
+	}
+}
+
 // BatchStored records that a batch was stored. The runs and commands that waited for it can start.
 func (c *Core) BatchStored(b Batch) {
+	c.refusedRows.Stored(b.rowKeys())
 	for ws, number := range b.exitAcks {
 		ws.recordStoredExits(number)
 	}
--- a/scheduler/batchlimits_test.go
+++ b/scheduler/batchlimits_test.go
@@ -1,11 +1,18 @@
 package scheduler
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
@@ -71,3 +78,101 @@
 		})
 	}
 }
+
+// refusingStore refuses each transaction with one row, however often it is sent.
+type refusingStore struct {
+	*memory.Store
+	row     store.Key
+	refuses bool
+}
+
+func (s *refusingStore) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
+	written := func(p store.Put) bool { return p.Key == s.row }
+	if s.refuses && (slices.ContainsFunc(tx.Puts, written) || slices.Contains(tx.Removes, s.row)) {
+		return store.Result{}, fmt.Errorf("%w: %w", store.ErrNotDone, store.ErrRefused)
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+// TestRefusedRow guards against one row that the store refuses and that keeps all others from being stored, and all tasks from starting.
+func TestRefusedRow(t *testing.T) {
+	const jobs, workers, waves = 150, 50, 50
+	tests := map[string]store.Key{
+		"job":      progressKey("j7"),
+		"worker":   rosterKey("w7"),
+		"wave":     progressKey(waveName(7)),
+		"command":  commandKey("i7"),
+		"old rows": oldRowsKey,
+	}
+	for name, row := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &refusingStore{Store: memory.New(), row: row, refuses: true}
+				e, _ := newTestEngine(t, s.Store, 1)
+				e.options.Store, e.options.Waves = s, manyWaves(waves)
+				var log bytes.Buffer
+				c := e.core
+				c.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+				c.hasOldRows = true
+				for _, doc := range e.options.Waves.Waves() {
+					c.AddWave(doc, nil)
+				}
+				var reports []worker.Report
+				for i := range workers {
+					reports = append(reports, worker.Report{ID: fmt.Sprint("w", i), Pool: "p", Capacity: work.Resources{CPU: 4000}})
+				}
+				c.SetWorkers(reports)
+				for i := range jobs {
+					id := fmt.Sprint("j", i)
+					c.AddJob(work.Job{ID: id, Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1, Service: true}}}, nil, 0)
+					c.planRun(c.jobs[id].open[0].steps[0], 0, 1, c.workers["w1"])
+					c.fleet.planCommand(c.now, InstanceCommand{Instance: fmt.Sprint("i", i), Pool: "p"})
+				}
+				rows := func() int {
+					n := 0
+					for _, table := range []string{tableProgress, tableFleet} {
+						all, err := s.Scan(t.Context(), table, "", "", "")
+						qt.Assert(t, err, qt.IsNil)
+						n += len(all.Rows)
+					}
+					return n
+				}
+				now := clock.Now() + time.Minute
+				run := func(d time.Duration) {
+					for end := now + d; now < end; now += commitPause {
+						c.SetTime(now)
+						e.commit(now)
+						e.tasks.Wait()
+						for range len(e.inbox) {
+							(<-e.inbox)(c)
+						}
+					}
+				}
+				const all = 2*jobs + workers + waves
+				missing := 1
+				if row == oldRowsKey {
+					missing = 0
+				}
+				run(4 * time.Second)
+				qt.Assert(t, rows(), qt.Equals, all-missing)
+				qt.Assert(t, log.String(), qt.Contains, "Row is refused by the store; it is set aside.")
+				qt.Assert(t, log.String(), qt.Contains, row.Name)
+				started := 0
+				for _, j := range c.jobs {
+					if j.started {
+						started++
+					}
+				}
+				if row == progressKey("j7") {
+					qt.Assert(t, started, qt.Equals, jobs-1)
+				} else {
+					qt.Assert(t, started, qt.Equals, jobs)
+				}
+				s.refuses = false
+				run(6 * time.Second)
+				qt.Assert(t, rows(), qt.Equals, all)
+				qt.Assert(t, c.hasOldRows, qt.IsFalse)
+			})
+		})
+	}
+}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -70,20 +70,20 @@
 	tx.Removes = append(tx.Removes, b.progressRows.Removes...)
 	for id, entry := range b.Roster {
 		if entry == nil {
-			e.addRemove(&tx, fleetKey(rosterPrefix+id))
+			e.addRemove(&tx, rosterKey(id))
 			continue
 		}
-		e.addPut(&tx, fleetKey(rosterPrefix+id), entry)
+		e.addPut(&tx, rosterKey(id), entry)
 	}
 	for id, at := range b.InstanceCommandTimes {
 		recorded, _ := e.options.Clock.At(at)
-		e.addPut(&tx, fleetKey(commandPrefix+id), max(recorded, 1))
+		e.addPut(&tx, commandKey(id), max(recorded, 1))
 	}
 	for _, id := range b.ExpiredCommands {
-		e.addRemove(&tx, fleetKey(commandPrefix+id))
+		e.addRemove(&tx, commandKey(id))
 	}
 	for _, m := range b.begun {
-		e.addPut(&tx, progressKey(waveName(m.wave)+waveInstanceSeparator+m.instance), m.worker)
+		e.addPut(&tx, m.key(), m.worker)
 	}
 	if b.removesOldRows {
 		tx.Removes = append(tx.Removes, leadershipKey(rowRoster), leadershipKey(rowInstances))
@@ -156,6 +156,10 @@
 			if next != 0 {
 				e.chainVersion = next
 			}
+			if errors.Is(err, store.ErrRefused) {
+				c.BatchRefused(b, err)
+				return
+			}
 			c.BatchFailed(b)
 			return
 		}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/store/quarantine"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -120,6 +121,8 @@
 	prunedAt time.Duration
 	// stopsRepeatedAt is the time of the last check for stops without effect.
 	stopsRepeatedAt time.Duration
+	// refusedRows holds the rows because of which the store has refused batches.
+	refusedRows quarantine.List
 	// lastStored is the time at which a batch was last stored.
 	lastStored    time.Duration
 	deposed       bool
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
@@ -133,12 +134,17 @@
 	f.plannedCommands = append(f.plannedCommands, cmd)
 }
 
-// takePlannedCommands returns planned commands, at most limit, with the time at which each is recorded. That is the present time
-// and not the time of the plan, because the previous batch may have waited for a slow store.
-func (f *fleet) takePlannedCommands(now time.Duration, limit int) (commands []InstanceCommand, times map[string]time.Duration) {
-	n := max(0, min(limit, len(f.plannedCommands)))
-	commands, f.plannedCommands = f.plannedCommands[:n:n], f.plannedCommands[n:]
-	times = make(map[string]time.Duration, n)
+// takePlannedCommands returns planned commands that are admitted, at most limit, with the time at which each is recorded. That is the
+// present time and not the time of the plan, because the previous batch may have waited for a slow store.
+func (f *fleet) takePlannedCommands(now time.Duration, limit int, admits func(store.Key) bool) (commands []InstanceCommand, times map[string]time.Duration) {
+	f.plannedCommands = slices.DeleteFunc(f.plannedCommands, func(cmd InstanceCommand) bool {
+		if len(commands) >= limit || !admits(commandKey(cmd.Instance)) {
+			return false
+		}
+		commands = append(commands, cmd)
+		return true
+	})
+	times = make(map[string]time.Duration, len(commands))
 	for _, cmd := range commands {
 		f.commandedAt[cmd.Instance] = now
 		times[cmd.Instance] = now
@@ -146,15 +152,18 @@
 	return commands, times
 }
 
-// takeExpiredCommands removes the times of commands that are older than commandRetention, at most limit, and returns their
-// instances.
-func (f *fleet) takeExpiredCommands(now time.Duration, limit int) []string {
+// commandKey returns the key of the row that records the time of the latest command for an instance.
+func commandKey(id string) store.Key { return fleetKey(commandPrefix + id) }
+
+// takeExpiredCommands removes the times of commands that are older than commandRetention, at most limit, of those whose rows are
+// admitted, and returns their instances.
+func (f *fleet) takeExpiredCommands(now time.Duration, limit int, admits func(store.Key) bool) []string {
 	var expired []string
 	for id, at := range f.commandedAt {
 		if len(expired) >= limit {
 			break
 		}
-		if now-at > commandRetention && !f.commandInFlight[id] {
+		if now-at > commandRetention && !f.commandInFlight[id] && admits(commandKey(id)) {
 			delete(f.commandedAt, id)
 			expired = append(expired, id)
 		}
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -39,14 +40,20 @@
 	}
 }
 
-// takeRosterChanges returns the roster entries that are out of date in the store, at most limit. An entry that is to be removed
-// is nil.
+// rosterKey returns the key of the row of a worker in the roster.
+func rosterKey(id string) store.Key { return fleetKey(rosterPrefix + id) }
+
+// takeRosterChanges returns the roster entries that are out of date in the store and whose rows are admitted, at most limit. An entry
+// that is to be removed is nil.
 func (c *Core) takeRosterChanges(limit int) map[string]*RosterEntry {
 	changes := make(map[string]*RosterEntry)
 	for id := range c.rosterChanges {
 		if len(changes) >= limit {
 			break
 		}
+		if !c.refusedRows.Admits(rosterKey(id)) {
+			continue
+		}
 		delete(c.rosterChanges, id)
 		changes[id] = c.rosterEntry(id)
 	}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/store"
 )
 
 // wave is a request for maintenance and its progress.
@@ -250,21 +252,29 @@
 	instance, worker string
 }
 
+// key returns the key of the row that records it.
+func (b begunMaintenance) key() store.Key {
+	return progressKey(waveName(b.wave) + waveInstanceSeparator + b.instance)
+}
+
 // rowsPerWave is the number of rows of a wave: its progress, and the status that the operator reads.
 const rowsPerWave = 2
 
 // takeChangedWaves returns the maintenance that has begun since the last call, and waves whose progress is not stored, in at most limit
-// rows. A wave follows all its maintenance, since its progress may say that it is finished.
-func (f *fleet) takeChangedWaves(limit int) (waves map[int]WaveProgress, begun []begunMaintenance) {
+// rows, of those that are admitted. A wave follows all its maintenance, since its progress may say that it is finished.
+func (f *fleet) takeChangedWaves(limit int, admits func(store.Key) bool) (waves map[int]WaveProgress, begun []begunMaintenance) {
 	waves = make(map[int]WaveProgress)
 	for n, w := range f.waves {
-		for len(w.unstored) > 0 && limit > 0 {
-			id := w.unstored[0]
-			w.unstored = w.unstored[1:]
-			begun = append(begun, begunMaintenance{wave: n, instance: id, worker: w.begun[id]})
+		w.unstored = slices.DeleteFunc(w.unstored, func(id string) bool {
+			b := begunMaintenance{wave: n, instance: id, worker: w.begun[id]}
+			if limit <= 0 || !admits(b.key()) {
+				return false
+			}
+			begun = append(begun, b)
 			limit--
-		}
-		if w.changed && len(w.unstored) == 0 && limit >= rowsPerWave {
+			return true
+		})
+		if w.changed && len(w.unstored) == 0 && limit >= rowsPerWave && admits(progressKey(waveName(n))) {
 			waves[n] = WaveProgress{Number: n, Finished: w.finished, Since: w.since}
 			w.changed = false
 			limit -= rowsPerWave
--- a/store/limits.go
+++ b/store/limits.go
@@ -40,7 +40,7 @@
 func (tx *Tx) Size() int {
 	size := 0
 	for _, e := range tx.Expected {
-		size += e.Key.size()
+		size += e.size()
 	}
 	for _, p := range tx.Puts {
 		size += p.size()
@@ -70,7 +70,7 @@
 		return fmt.Errorf("%w: %w: row %.40q of table %.40q: %w", ErrNotDone, ErrRefused, k.Name, k.Table, err)
 	}
 	for _, e := range tx.Expected {
-		if err := check(e.Key, e.Key.Validate()); err != nil {
+		if err := check(e.Key, e.Validate()); err != nil {
 			return err
 		}
 	}
