--- a/scheduler/batchlimits_test.go
+++ b/scheduler/batchlimits_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -176,3 +177,46 @@
 		})
 	}
 }
+
+// TestBatchesOfLargeFleet guards against batches beyond the limits of a transaction, at ten times the size of the grown fleet.
+func TestBatchesOfLargeFleet(t *testing.T) {
+	const workers, waves, instances, jobs = 3700, 400, 3700, 1000
+	long := strings.Repeat("x", store.MaxKeyBytes/2)
+	e, _ := newTestEngine(t, memory.New(), 1)
+	e.options.Waves = manyWaves(waves)
+	c := e.core
+	c.hasOldRows = true
+	reports := make([]worker.Report, 0, workers)
+	for i := range workers {
+		reports = append(reports, worker.Report{ID: fmt.Sprint(long, i), Pool: long, Address: long, Capacity: work.Resources{CPU: 64000}})
+	}
+	c.SetWorkers(reports)
+	for _, doc := range e.options.Waves.Waves() {
+		c.AddWave(doc, nil)
+	}
+	for i := range instances {
+		id := fmt.Sprint(long, i)
+		w := c.fleet.waves[1+i%waves]
+		w.begun[id] = long
+		w.unstored = append(w.unstored, id)
+		c.fleet.planCommand(c.now, InstanceCommand{Instance: id, Pool: long})
+	}
+	for i := range jobs {
+		id := fmt.Sprintf("%016x", i)
+		c.AddJob(work.Job{ID: id, Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}}, nil, 0)
+		c.endJob(c.jobs[id], work.Failed, strings.Repeat("x", i%store.MaxRowBytes/2))
+		c.prunedJobs = append(c.prunedJobs, fmt.Sprint(long, i))
+	}
+	var rows int
+	for !t.Failed() {
+		b, tx, err := e.nextBatch()
+		qt.Assert(t, err, qt.IsNil)
+		if b.Empty() {
+			break
+		}
+		qt.Assert(t, tx.Validate(), qt.IsNil)
+		rows += len(b.rowKeys())
+		c.BatchStored(b)
+	}
+	qt.Assert(t, rows, qt.Equals, workers+waves+2*instances+2*jobs+1)
+}
