Instances: a malformed entry does not hide the others

Seen: one entry with a state or ID that is a number, a label list that is a text, null or a number too large made the whole list of instances fail, so that no instance moves and no wave goes on. One with a negative or huge capacity was used, and went into the mean size of an instance by which pools are sized. One without an ID was an instance too.

Cause: the list was decoded as a whole, and numbers were checked for their type only.

A malformed one is an instance that is down, for which nothing is commanded, so that a wave waits for it instead of taking it for one that does not exist. It is logged once until its entry is good again (TestMalformedInstance).

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -34,6 +34,9 @@
 	Capacity   work.Resources
 	// Worker is the ID of the worker that runs on the instance.
 	Worker string
+	// Err says why the entry of the instance is malformed, and is nil for any other. The state is Down then, and the ID is empty if
+	// the entry has none.
+	Err error
 }
 
 // Wave is a request for the maintenance of instances.
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -42,6 +42,8 @@
 	// Instances get no command before pausedUntil.
 	commandInFlight map[string]bool
 	pausedUntil     map[string]time.Duration
+	// malformed holds the instances whose entries were malformed in the last list.
+	malformed map[string]bool
 	// byWorker holds the instance of each worker.
 	byWorker map[string]string
 	// firstListed holds the time since which an instance is listed with its present worker.
@@ -82,9 +84,23 @@
 // SetInstances sets the list of instances as of a time.
 func (c *Core) SetInstances(instances []instance.Instance, at time.Duration) {
 	c.fleet.listedAt = at
+	malformed := make(map[string]bool)
+	for _, inst := range instances {
+		if inst.Err == nil {
+			continue
+		}
+		malformed[inst.ID] = true
+		if !c.fleet.malformed[inst.ID] {
+			c.logger.Warn("Entry of an instance is invalid.", "instance", inst.ID, "error", inst.Err)
+		}
+	}
+	c.fleet.malformed = malformed
 	clear(c.fleet.instances)
 	clear(c.fleet.byWorker)
 	for _, inst := range instances {
+		if inst.ID == "" {
+			continue
+		}
 		if mv, ok := c.fleet.acceptedMoves[inst.ID]; ok {
 			if mv.at >= at {
 				inst.Pool, inst.State, inst.Worker = mv.pool, instance.Moving, ""
