--- a/advice/advice.go
+++ b/advice/advice.go
@@ -19,6 +19,8 @@
 	Tickets map[string]string
 	// Valid is how long the tickets are valid.
 	Valid time.Duration
+	// Malformed counts the rows of the reply that cannot be read. Their workers count as not granted.
+	Malformed int
 }
 
 // Advisor queries the policy service.
--- a/scheduler/services.go
+++ b/scheduler/services.go
@@ -128,7 +128,7 @@
 		return
 	}
 	q.step.tickets = &tickets{byWorker: grant.Tickets, validUntil: validUntil}
-	c.logger.Info("Policy service has granted tickets.", "job", q.Job, "step", q.Step, "asked", len(q.Workers), "granted", len(grant.Tickets), "valid", grant.Valid)
+	c.logger.Info("Policy service has granted tickets.", "job", q.Job, "step", q.Step, "asked", len(q.Workers), "granted", len(grant.Tickets), "malformed", grant.Malformed, "valid", grant.Valid)
 }
 
 var errExpiredTickets = errors.New("the tickets expire too soon to be used")
