Scheduler: an entry that leads to another worker is not added with each read

Seen: an entry with the address of another worker was added, answered 421 and removed with each read of the registry, five times a second: two log lines and two changes of the roster to store each time, for as long as it was listed. An odd entry can do that, and so can one of a worker that has crashed and whose address is used again, until its entry expires.

Cause: after the removal nothing was known of the answer, and the next read added the worker again.

Such an entry is used again after 0.4 s, 0.8 s and so on up to 30 s, and at once when its address or incarnation changes or it was gone in between.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -104,6 +104,8 @@
 	unknownJobs map[string]time.Duration
 	// rosterChanges holds the IDs of the workers whose stored roster entry is out of date.
 	rosterChanges map[string]bool
+	// misdirected holds the workers at whose addresses another instance has answered.
+	misdirected map[string]*misdirection
 	// hasOldRows means that the store has rows of an earlier version that other rows have replaced.
 	hasOldRows bool
 	// previousUsage holds, for each worker on which previous leaders started tasks and that has not answered in this
@@ -146,7 +148,7 @@
 	return &Core{
 		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
-		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration), rosterChanges: make(map[string]bool),
+		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration), rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), lastStored: o.AcquiredAt, previousLeaderActiveUntil: o.AcquiredAt + LeadershipTimeout, estimator: newEstimator(), fleet: newFleet(),
 	}
 }
--- /dev/null
+++ b/scheduler/misdirected.go
@@ -0,0 +1,49 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+const (
+	// misdirectedPause is the time after which a worker is used again at whose address another instance has answered, if its entry in
+	// the registry has not changed. It doubles with each further time up to maxMisdirectedPause.
+	misdirectedPause    = 400 * time.Millisecond
+	maxMisdirectedPause = 30 * time.Second
+)
+
+// misdirection is an entry of the registry whose address leads to another instance.
+type misdirection struct {
+	address     string
+	incarnation int64
+	count       int
+	until       time.Duration
+}
+
+// dropMisdirected removes a worker at whose address another instance answers.
+func (c *Core) dropMisdirected(ws *workerState) {
+	m := c.misdirected[ws.report.ID]
+	if m == nil || m.address != ws.report.Address || m.incarnation != ws.registeredIncarnation {
+		m = &misdirection{address: ws.report.Address, incarnation: ws.registeredIncarnation}
+		c.misdirected[ws.report.ID] = m
+	}
+	m.count++
+	m.until = c.now + growingPause(m.count, misdirectedPause, maxMisdirectedPause)
+	c.dropCrashedWorker(ws, "another instance answers at the address")
+}
+
+// misdirects reports whether the entry of a worker still leads to another instance.
+func (c *Core) misdirects(r worker.Report) bool {
+	m := c.misdirected[r.ID]
+	return m != nil && c.now < m.until && m.address == r.Address && m.incarnation == r.Incarnation
+}
+
+// forgetMisdirected forgets the entries that the registry does not list any more.
+func (c *Core) forgetMisdirected(listed map[string]bool) {
+	for id := range c.misdirected {
+		if !listed[id] {
+			delete(c.misdirected, id)
+		}
+	}
+}
--- a/scheduler/oddentries_test.go
+++ b/scheduler/oddentries_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/worker"
 )
 
 // TestMalformedInstance guards against a log line for each list in which the same entry is malformed, and against a command for that
@@ -31,3 +33,48 @@
 	}
 	qt.Assert(t, strings.Count(log.String(), "Entry of an instance is invalid."), qt.Equals, 3, qt.Commentf("%s", log.String()))
 }
+
+// TestMisdirectedEntry guards against an entry with the address of another worker that is added and removed again with each read of the
+// registry, with two log lines and a row of the roster to store each time.
+func TestMisdirectedEntry(t *testing.T) {
+	tests := map[string]struct {
+		change func(*worker.Report)
+		// used is the time after which the worker is used once it answers itself.
+		used time.Duration
+	}{
+		"same entry":      {func(*worker.Report) {}, maxMisdirectedPause + time.Second},
+		"new address":     {func(report *worker.Report) { report.Address = "w2:2" }, 200 * time.Millisecond},
+		"new incarnation": {func(report *worker.Report) { report.Incarnation++ }, 200 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			var log bytes.Buffer
+			r.core.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+			good, odd := rigReport("w1", coresOnly(4)), rigReport("w2", coresOnly(4))
+			odd.Address = good.Address
+			read := func(outcome worker.Outcome) {
+				r.advance(200 * time.Millisecond)
+				r.core.SetWorkers([]worker.Report{good, odd})
+				r.reply("w1")
+				if _, ok := r.core.Renewal("w2"); ok {
+					r.core.HandleStatus("w2", worker.Status{Reply: worker.Reply{Outcome: outcome, Clock: r.now, Incarnation: odd.Incarnation}}, r.now, nil)
+				}
+				r.pass()
+			}
+			for range 300 {
+				read(worker.OtherInstance)
+			}
+			qt.Assert(t, r.core.workers["w1"].listed, qt.IsTrue)
+			added := strings.Count(log.String(), "Worker was added.")
+			qt.Assert(t, added >= 2 && added <= 9, qt.IsTrue, qt.Commentf("added %d times", added))
+			test.change(&odd)
+			for end := r.now + test.used; r.now < end; {
+				read(worker.Accepted)
+			}
+			qt.Assert(t, r.core.workers["w2"] != nil && r.core.workers["w2"].answered, qt.IsTrue)
+			r.core.SetWorkers([]worker.Report{good})
+			qt.Assert(t, r.core.misdirected, qt.HasLen, 0)
+		})
+	}
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -206,7 +206,7 @@
 		return
 	case worker.OtherInstance:
 		c.logger.Warn("Another instance answers at the address of the worker.", "worker", ws.report.ID, "error", err)
-		c.dropCrashedWorker(ws, "another instance answers at the address")
+		c.dropMisdirected(ws)
 		return
 	}
 	switch cmd.Kind {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -23,6 +23,9 @@
 			ok = false
 		}
 		if !ok {
+			if c.misdirects(r) {
+				continue
+			}
 			ws = c.addWorker(r)
 		}
 		if r.Draining && !ws.report.Draining {
@@ -46,6 +49,7 @@
 		}
 		ws.report, ws.listed = r, true
 	}
+	c.forgetMisdirected(listed)
 	for id, ws := range c.workers {
 		if listed[id] {
 			continue
@@ -180,7 +184,7 @@
 		c.markDeposed(ws, err)
 		return
 	case worker.OtherInstance:
-		c.dropCrashedWorker(ws, "another instance answers at the address")
+		c.dropMisdirected(ws)
 		return
 	default:
 		if c.now-ws.lastContact > contactTimeout && ws.answered && !ws.unresponsive {
