Scheduler: an entry with another address does not end the runs of a worker

Seen: an entry under the ID of a worker in use, with its incarnation and another address, made the leader take all runs of the worker as lost and start their tasks again, while the worker went on with them: two runs of a task at the same time. The same happened when the entry was read by a new leader before the worker had answered it.

Cause: another address always counted as a worker that had started again. One that starts again has another incarnation; within one incarnation the address does not change.

Such an entry names no worker: the worker counts as not listed, so that it gets no new tasks, and its lease is renewed at the address that is known. After its lease has expired, or once the leases of the previous leaders have, the entry counts as before. An entry with another incarnation, or of a worker without incarnations, does so at once, as before.

--- a/scheduler/misdirected.go
+++ b/scheduler/misdirected.go
@@ -47,3 +47,16 @@
 		}
 	}
 }
+
+// contradicts reports whether an entry gives an incarnation of a worker an address that it does not have. A worker keeps its address, so
+// that the entry is of another writer. It is not contradicted any more once no run can be left at the known address.
+func (c *Core) contradicts(r worker.Report, ws *workerState) bool {
+	if r.Address == ws.report.Address || r.Incarnation == 0 || r.Incarnation != ws.report.Incarnation {
+		return false
+	}
+	if ws.answered {
+		return !ws.leaseExpired
+	}
+	_, used := c.previousUsage[r.ID]
+	return used
+}
--- a/scheduler/oddentries_test.go
+++ b/scheduler/oddentries_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
@@ -78,3 +79,83 @@
 		})
 	}
 }
+
+// TestEntryWithOtherAddress guards against a second run of a task: an entry of another writer under the ID of a worker counted as a change
+// of its address, and the runs of the worker, which went on, as lost.
+func TestEntryWithOtherAddress(t *testing.T) {
+	tests := map[string]struct {
+		known, entry int64
+		// silence is the time for which the worker has not answered before the entry is read.
+		silence time.Duration
+		moved   bool
+	}{
+		"same incarnation":              {known: rigIncarnation, entry: rigIncarnation},
+		"same incarnation, lease ended": {known: rigIncarnation, entry: rigIncarnation, silence: 20 * time.Second, moved: true},
+		"next incarnation":              {known: rigIncarnation, entry: rigNextIncarnation, moved: true},
+		"unknown incarnation":           {moved: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1)
+			var log bytes.Buffer
+			r.core.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+			good := rigReport("w1", coresOnly(4))
+			good.Incarnation = test.known
+			answer := func() {
+				r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Clock: r.now, Incarnation: test.known}, Running: r.runs["w1"]}, r.now, nil)
+				r.core.Renewal("w1")
+			}
+			r.core.SetWorkers([]worker.Report{good})
+			answer()
+			answer()
+			r.addSteps("a", 1)
+			r.accept(r.pass())
+			qt.Assert(t, r.runs["w1"], qt.HasLen, 1)
+			odd := good
+			odd.Address, odd.Incarnation = "w9:1", test.entry
+			for end := r.now + test.silence; r.now < end; {
+				r.advance(500 * time.Millisecond)
+				r.pass()
+			}
+			for range 10 {
+				r.core.SetWorkers([]worker.Report{odd})
+			}
+			target, _ := r.core.Renewal("w1")
+			if test.moved {
+				qt.Assert(t, target.Target.Address, qt.Equals, odd.Address)
+				qt.Assert(t, r.core.workers["w1"].runs, qt.HasLen, 0)
+				return
+			}
+			qt.Assert(t, target.Target.Address, qt.Equals, good.Address)
+			answer()
+			r.addSteps("b", 1)
+			r.advance(replanInterval)
+			qt.Assert(t, startsOf(r.pass()), qt.HasLen, 0)
+			qt.Assert(t, r.core.workers["w1"].runs, qt.HasLen, 1)
+			qt.Assert(t, strings.Count(log.String(), "has another address"), qt.Equals, 1)
+			r.core.SetWorkers([]worker.Report{good})
+			answer()
+			r.advance(replanInterval)
+			qt.Assert(t, startsOf(r.pass()), qt.DeepEquals, []string{"b 0.0.0 1 w1"})
+		})
+	}
+}
+
+// TestEntryWithOtherAddressAfterFailover guards against the same second run if the entry is read before the worker has answered the next
+// leader.
+func TestEntryWithOtherAddressAfterFailover(t *testing.T) {
+	r := newRig(t, 2)
+	j := work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: coresOnly(1), Estimate: time.Second}}}
+	progress := work.NewProgress()
+	r.core.SetRoster([]RosterEntry{{ID: "w1", Pool: "p", Address: "w1:1", Incarnation: rigIncarnation, Capacity: coresOnly(4)}})
+	progress.Occurrences[0] = &work.OccurrenceProgress{Workers: []string{"w1"}, Steps: make([]work.StepProgress, 1)}
+	r.core.AddJob(j, progress, 0)
+	odd := rigReport("w1", coresOnly(4))
+	odd.Address = "w9:1"
+	other := rigReport("w2", coresOnly(4))
+	r.core.SetWorkers([]worker.Report{odd, other})
+	r.reply("w2")
+	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 0)
+	target, _ := r.core.Renewal("w1")
+	qt.Assert(t, target.Target.Address, qt.Equals, "w1:1")
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -152,6 +152,8 @@
 	report worker.Report
 	// listed means that the registry lists the worker.
 	listed bool
+	// contradicted means that the latest registry entry has another address for the present incarnation.
+	contradicted bool
 	// registeredIncarnation is the incarnation in the latest registry entry. A worker that has restarted may answer before that shows it.
 	registeredIncarnation int64
 	// maxCPU is the largest processor capacity in the registry entries of this incarnation.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -18,6 +18,15 @@
 		if ok && r.Incarnation == ws.registeredIncarnation && !ws.registered() {
 			continue
 		}
+		if ok && c.contradicts(r, ws) {
+			// The worker counts as not listed until its entry is right again.
+			delete(listed, r.ID)
+			if !ws.contradicted {
+				c.logger.Warn("Registry entry of a worker has another address.", "worker", r.ID, "address", ws.report.Address, "listed", r.Address)
+			}
+			ws.contradicted = true
+			continue
+		}
 		if ok && ws.report.Address != r.Address {
 			c.dropCrashedWorker(ws, "the address of the worker has changed")
 			ok = false
@@ -47,7 +56,7 @@
 			// The first reply of a new life tells what runs there, so the runs are taken as lost only then.
 			r.Incarnation = ws.report.Incarnation
 		}
-		ws.report, ws.listed = r, true
+		ws.report, ws.listed, ws.contradicted = r, true, false
 	}
 	c.forgetMisdirected(listed)
 	for id, ws := range c.workers {
