Scheduler: an entry with another pool does not leave a worker in two pools

Seen: an entry under the ID of a worker in use with another pool changed the pool in its record, while the worker stayed in the list of the earlier pool, whose tasks went on to be placed on it. After the worker was removed, it stayed in that list.

Cause: the record was replaced by the entry, and the lists of the pools were not.

The pool is treated like the address: within an incarnation such an entry names no worker, and with another incarnation the worker is a new one. The log line about an address that has changed names both now.

--- a/scheduler/misdirected.go
+++ b/scheduler/entries.go
@@ -48,10 +48,10 @@
 	}
 }
 
-// contradicts reports whether an entry gives an incarnation of a worker an address that it does not have. A worker keeps its address, so
-// that the entry is of another writer. It is not contradicted any more once no run can be left at the known address.
+// contradicts reports whether an entry gives an incarnation of a worker an address or a pool that it does not have. A worker keeps both,
+// so that the entry is of another writer. The worker is not taken for another one before no run can be left on it.
 func (c *Core) contradicts(r worker.Report, ws *workerState) bool {
-	if r.Address == ws.report.Address || r.Incarnation == 0 || r.Incarnation != ws.report.Incarnation {
+	if !changesPlace(r, ws) || r.Incarnation == 0 || r.Incarnation != ws.report.Incarnation {
 		return false
 	}
 	if ws.answered {
@@ -60,3 +60,8 @@
 	_, used := c.previousUsage[r.ID]
 	return used
 }
+
+// changesPlace reports whether an entry names another address or pool than that of the worker that is known.
+func changesPlace(r worker.Report, ws *workerState) bool {
+	return r.Address != ws.report.Address || r.Pool != ws.report.Pool
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -22,13 +22,14 @@
 			// The worker counts as not listed until its entry is right again.
 			delete(listed, r.ID)
 			if !ws.contradicted {
-				c.logger.Warn("Registry entry of a worker has another address.", "worker", r.ID, "address", ws.report.Address, "listed", r.Address)
+				c.logger.Warn("Registry entry of a worker has another address or pool.", "worker", r.ID, "address", ws.report.Address, "pool", ws.report.Pool,
+					"listedAddress", r.Address, "listedPool", r.Pool)
 			}
 			ws.contradicted = true
 			continue
 		}
-		if ok && ws.report.Address != r.Address {
-			c.dropCrashedWorker(ws, "the address of the worker has changed")
+		if ok && changesPlace(r, ws) {
+			c.dropCrashedWorker(ws, "the address or pool of the worker has changed")
 			ok = false
 		}
 		if !ok {
