Scheduler: an entry with an unknown pool is not used

Seen: a worker whose pool the configuration does not name was added and got lease renewals for as long as it was listed.

Cause: pools were created by name as entries named them.

Evidence: TestEntryWithUnknownPool failed before; the worker was among those whose leases are renewed.

A worker that is not known yet is added only if the configuration names its pool, and is logged once otherwise. It is looked at again with each read of the registry, so that it is used once the pool is there. TestEntryWithOtherPool sets a configuration that names its second pool.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -106,6 +106,8 @@
 	rosterChanges map[string]bool
 	// misdirected holds the workers at whose addresses another instance has answered.
 	misdirected map[string]*misdirection
+	// unknownPools holds, by worker ID, the pool of an entry that the configuration does not name.
+	unknownPools map[string]string
 	// hasOldRows means that the store has rows of an earlier version that other rows have replaced.
 	hasOldRows bool
 	// previousUsage holds, for each worker on which previous leaders started tasks and that has not answered in this
@@ -148,7 +150,7 @@
 	return &Core{
 		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
-		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration), rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection),
+		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration), rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), lastStored: o.AcquiredAt, previousLeaderActiveUntil: o.AcquiredAt + LeadershipTimeout, estimator: newEstimator(), fleet: newFleet(),
 	}
 }
--- a/scheduler/entries.go
+++ b/scheduler/entries.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/chivetiller/chivetiller/worker"
@@ -39,13 +40,26 @@
 	return m != nil && c.now < m.until && m.address == r.Address && m.incarnation == r.Incarnation
 }
 
-// forgetMisdirected forgets the entries that the registry does not list any more.
-func (c *Core) forgetMisdirected(listed map[string]bool) {
-	for id := range c.misdirected {
-		if !listed[id] {
-			delete(c.misdirected, id)
-		}
+// usable reports whether a worker that is not known may be added by its entry.
+func (c *Core) usable(r worker.Report) bool {
+	if c.misdirects(r) {
+		return false
+	}
+	// Without a configuration, no pool is known.
+	if _, known := c.catalog.Pools[r.Pool]; known || len(c.catalog.Pools) == 0 {
+		return true
+	}
+	if c.unknownPools[r.ID] != r.Pool {
+		c.unknownPools[r.ID] = r.Pool
+		c.logger.Warn("Registry entry of a worker has an unknown pool.", "worker", r.ID, "pool", r.Pool, "config", c.catalog.Version)
 	}
+	return false
+}
+
+// forgetEntries forgets what is known of the entries that the registry does not list any more.
+func (c *Core) forgetEntries(listed map[string]bool) {
+	maps.DeleteFunc(c.misdirected, func(id string, _ *misdirection) bool { return !listed[id] })
+	maps.DeleteFunc(c.unknownPools, func(id, _ string) bool { return !listed[id] })
 }
 
 // contradicts reports whether an entry gives an incarnation of a worker an address or a pool that it does not have. A worker keeps both,
--- a/scheduler/oddentries_test.go
+++ b/scheduler/oddentries_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -175,6 +176,7 @@
 			r := newRig(t, 1, "w1")
 			r.addSteps("a", 1)
 			r.accept(r.pass())
+			r.core.SetCatalog(catalog.New(2, 0, nil, []catalog.Pool{{Name: "p"}, {Name: "other"}}, nil))
 			odd := rigReport("w1", coresOnly(4))
 			odd.Pool, odd.Incarnation = "other", test.entry
 			r.core.SetWorkers([]worker.Report{odd})
@@ -191,3 +193,27 @@
 		})
 	}
 }
+
+// TestEntryWithUnknownPool guards against commands to the address of an entry whose pool the configuration does not name.
+func TestEntryWithUnknownPool(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	var log bytes.Buffer
+	r.core.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+	good, odd := rigReport("w1", coresOnly(4)), rigReport("w2", coresOnly(4))
+	odd.Pool = "unknown"
+	for range 10 {
+		r.core.SetWorkers([]worker.Report{good, odd})
+	}
+	qt.Assert(t, r.core.Workers(), qt.DeepEquals, []string{"w1"})
+	qt.Assert(t, strings.Count(log.String(), "\n"), qt.Equals, 1, qt.Commentf("%s", log.String()))
+	r.core.SetWorkers([]worker.Report{good})
+	qt.Assert(t, r.core.unknownPools, qt.HasLen, 0)
+	r.core.SetCatalog(catalog.New(2, 0, nil, []catalog.Pool{{Name: "p"}, {Name: "unknown"}}, nil))
+	r.core.SetWorkers([]worker.Report{good, odd})
+	qt.Assert(t, r.core.Workers(), qt.HasLen, 2)
+	// The runs of a pool that is removed go on.
+	r.core.SetCatalog(catalog.New(3, 0, nil, []catalog.Pool{{Name: "p"}}, nil))
+	r.core.SetWorkers([]worker.Report{good, odd})
+	qt.Assert(t, r.core.Workers(), qt.HasLen, 2)
+	qt.Assert(t, r.core.workers["w2"].listed, qt.IsTrue)
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -33,7 +33,7 @@
 			ok = false
 		}
 		if !ok {
-			if c.misdirects(r) {
+			if !c.usable(r) {
 				continue
 			}
 			ws = c.addWorker(r)
@@ -59,7 +59,7 @@
 		}
 		ws.report, ws.listed, ws.contradicted = r, true, false
 	}
-	c.forgetMisdirected(listed)
+	c.forgetEntries(listed)
 	for id, ws := range c.workers {
 		if listed[id] {
 			continue
