member: a malformed row of a node is logged once and names no node

Seen: a row of another writer in the table of nodes with the name of another node took that node's place in the list, with its address; one with an infinite processor share preceded all others in the election, so that the leader would resign for it; one with an empty name was a node. A row that cannot be decoded was logged with each heartbeat, up to five times a second in each process.

Cause: rows were listed by the name in their value, which nothing compared with their key; the processor share was not checked; and nothing was known of the last log line.

Rows that cannot be decoded never ended a scan: CBOR stops at 32 levels and checks lengths.

The name has to be that of the key, and the processor share between 0 and a million cores. A row is logged again once it has been good in between.

--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -74,3 +75,21 @@
 	m.options.Clock.Update(result.Now)
 	return err
 }
+
+// maxCores is more than the processor share of any node. A node with more would precede all others in the election.
+const maxCores = 1_000_000
+
+// decodeNode decodes the row of a node. It fails if the row is malformed, names another node, or has a processor share out of range.
+func decodeNode(row store.Row) (Node, error) {
+	var n Node
+	if err := cbor.Unmarshal(row.Value, &n); err != nil {
+		return Node{}, eris.Wrap(err, "decode a node")
+	}
+	switch {
+	case n.Name != row.Name || n.Name == "":
+		return Node{}, eris.New("the row names another node")
+	case math.IsNaN(n.Cores) || n.Cores < 0 || n.Cores > maxCores:
+		return Node{}, eris.Errorf("processor share of %g cores is out of range", n.Cores)
+	}
+	return n, nil
+}
--- a/member/member.go
+++ b/member/member.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/common/clock"
@@ -123,7 +122,9 @@
 	mu         sync.Mutex
 	heartbeats uint64
 	nodes      map[string]*nodeState
-	lastScan   time.Duration
+	// malformed holds the names of the rows that could not be decoded when they last changed.
+	malformed map[string]bool
+	lastScan  time.Duration
 	// leaderLiveAt is the time of the last scan in which a live node was the leader, or at which this node resigned.
 	leaderLiveAt time.Duration
 	// scannedVersion is the version up to which changes have been read, and 0 before the first scan.
@@ -163,7 +164,7 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
-	m := &Member{options: o, logger: o.Logger.Named("member"), nodes: make(map[string]*nodeState), wake: make(chan struct{}, 1)}
+	m := &Member{options: o, logger: o.Logger.Named("member"), nodes: make(map[string]*nodeState), malformed: make(map[string]bool), wake: make(chan struct{}, 1)}
 	m.loop = loop.New(m.run)
 	return m
 }
@@ -293,11 +294,15 @@
 			m.decodeLeaderRow(row, now)
 			continue
 		}
-		var n Node
-		if err := cbor.Unmarshal(row.Value, &n); err != nil {
-			m.logger.Warn("Row of a node cannot be decoded.", "row", row.Name, "error", err)
+		n, err := decodeNode(row)
+		if err != nil {
+			if !m.malformed[row.Name] {
+				m.logger.Warn("Row of a node cannot be decoded.", "row", row.Name, "error", err)
+			}
+			m.malformed[row.Name] = true
 			continue
 		}
+		delete(m.malformed, row.Name)
 		s, ok := m.nodes[n.Name]
 		if !ok {
 			m.logger.Debug("Node was added.", "node", n.Name, "address", n.Address, "zone", n.DataCentre)
