--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -18,11 +18,24 @@
 		if ok && r.Incarnation == ws.registeredIncarnation && !ws.registered() {
 			continue
 		}
-		if ok && ws.report.Address != r.Address {
-			c.dropCrashedWorker(ws, "the address of the worker has changed")
+		if ok && c.contradicts(r, ws) {
+			// The worker counts as not listed until its entry is right again.
+			delete(listed, r.ID)
+			if !ws.contradicted {
+				c.logger.Warn("Registry entry of a worker has another address or pool.", "worker", r.ID, "address", ws.report.Address, "pool", ws.report.Pool,
+					"listedAddress", r.Address, "listedPool", r.Pool)
+			}
+			ws.contradicted = true
+			continue
+		}
+		if ok && changesPlace(r, ws) {
+			c.dropCrashedWorker(ws, "the address or pool of the worker has changed")
 			ok = false
 		}
 		if !ok {
+			if !c.usable(r) {
+				continue
+			}
 			ws = c.addWorker(r)
 		}
 		if r.Draining && !ws.report.Draining {
@@ -44,8 +57,9 @@
 			// The first reply of a new life tells what runs there, so the runs are taken as lost only then.
 			r.Incarnation = ws.report.Incarnation
 		}
-		ws.report, ws.listed = r, true
+		ws.report, ws.listed, ws.contradicted = r, true, false
 	}
+	c.forgetEntries(listed)
 	for id, ws := range c.workers {
 		if listed[id] {
 			continue
@@ -180,7 +194,7 @@
 		c.markDeposed(ws, err)
 		return
 	case worker.OtherInstance:
-		c.dropCrashedWorker(ws, "another instance answers at the address")
+		c.dropMisdirected(ws)
 		return
 	default:
 		if c.now-ws.lastContact > contactTimeout && ws.answered && !ws.unresponsive {
