Store: read changes from the version of the list of partitions

What callers saw: a job was accepted, and no worker ever got it.

Cause: ScanAll lists the partitions of a table and then scans each. It returned the oldest version of the scans, and the caller reads changes from there on. A partition that got its first row between the list and the scans was in neither. Jobs lie in 16 partitions, so that this happened while a deployment had few jobs and a leader started. A table without a partition had no version at all: a leader that started on one read all of the history, or found it gone.

Fix: the list of partitions has a version, as all replies of the platform about rows do, and the changes are read after it. Each partition of the list is scanned later than that, so that a row is in a scan or changed after the list. If a reply has no version, changes are read from the beginning, which misses nothing either.

--- a/metrics/jobs.go
+++ b/metrics/jobs.go
@@ -121,7 +121,7 @@
 }
 
 // Partitions implements [store.Store].
-func (m *meteredStore) Partitions(ctx context.Context, table string) ([]string, error) {
+func (m *meteredStore) Partitions(ctx context.Context, table string) (store.Partitions, error) {
 	start := clock.Now()
 	partitions, err := m.store.Partitions(ctx, table)
 	m.observeCall("parts", start, err)
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -212,10 +212,10 @@
 	return rows, err
 }
 
-func (s *interruptedStore) Partitions(ctx context.Context, table string) ([]string, error) {
+func (s *interruptedStore) Partitions(ctx context.Context, table string) (store.Partitions, error) {
 	time.Sleep(time.Millisecond)
 	if s.reads.Add(1)%2 == 0 {
-		return nil, s.err
+		return store.Partitions{}, s.err
 	}
 	return s.Store.Partitions(ctx, table)
 }
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -197,7 +197,7 @@
 }
 
 // Partitions implements [store.Store].
-func (r retryingReads) Partitions(ctx context.Context, table string) ([]string, error) {
+func (r retryingReads) Partitions(ctx context.Context, table string) (store.Partitions, error) {
 	for {
 		partitions, err := r.Store.Partitions(ctx, table)
 		if err == nil || !r.mayRetry(ctx, table, err) {
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -40,6 +40,7 @@
 	// historyStart is the version after which changes are available.
 	historyStart uint64
 	fault        func(tx *store.Tx) Fault
+	beforeRead   func()
 	calls        int
 }
 
@@ -58,6 +59,23 @@
 	s.fault = f
 }
 
+// BeforeReads makes f run before each read. f may call the store's other methods. A nil f ends this.
+func (s *Store) BeforeReads(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beforeRead = f
+}
+
+// startRead runs the function that is to run before each read.
+func (s *Store) startRead() {
+	s.mu.Lock()
+	f := s.beforeRead
+	s.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
 // DropHistory makes all changes so far unavailable.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
@@ -120,30 +138,33 @@
 
 // Scan implements [store.Store].
 func (s *Store) Scan(_ context.Context, table, partition, from, to string) (store.Rows, error) {
+	s.startRead()
 	return s.selectRows(func(r store.Row) bool {
 		return r.Table == table && r.Partition == partition && !r.Deleted && r.Name >= from && (to == "" || r.Name < to)
 	}, func(a, b store.Row) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 // Partitions implements [store.Store].
-func (s *Store) Partitions(_ context.Context, table string) ([]string, error) {
+func (s *Store) Partitions(_ context.Context, table string) (store.Partitions, error) {
+	s.startRead()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.nextFault(nil) != None {
-		return nil, store.ErrNotDone
+		return store.Partitions{}, store.ErrNotDone
 	}
-	var partitions []string
+	partitions := store.Partitions{Version: s.version, Now: clock.Now()}
 	for k, r := range s.rows {
-		if k.Table == table && !r.Deleted && !slices.Contains(partitions, k.Partition) {
-			partitions = append(partitions, k.Partition)
+		if k.Table == table && !r.Deleted && !slices.Contains(partitions.Names, k.Partition) {
+			partitions.Names = append(partitions.Names, k.Partition)
 		}
 	}
-	slices.Sort(partitions)
+	slices.Sort(partitions.Names)
 	return partitions, nil
 }
 
 // Changes implements [store.Store]. It does not wait.
 func (s *Store) Changes(_ context.Context, table string, after uint64, _ time.Duration) (store.Rows, error) {
+	s.startRead()
 	s.mu.Lock()
 	gone := after < s.historyStart
 	s.mu.Unlock()
@@ -204,9 +225,9 @@
 }
 
 // Partitions implements [store.Store].
-func (v *View) Partitions(ctx context.Context, table string) ([]string, error) {
+func (v *View) Partitions(ctx context.Context, table string) (store.Partitions, error) {
 	if v.disconnected.Load() != nil {
-		return nil, store.ErrNotDone
+		return store.Partitions{}, store.ErrNotDone
 	}
 	return v.Store.Partitions(ctx, table)
 }
--- a/store/store.go
+++ b/store/store.go
@@ -131,6 +131,13 @@
 	Now     time.Duration
 }
 
+// Partitions is a list of the partitions of a table as of one version. A partition that gets its first row later is not in it.
+type Partitions struct {
+	Names   []string
+	Version uint64
+	Now     time.Duration
+}
+
 // Store is the transactional store. It is linearizable.
 type Store interface {
 	// Commit fails with ErrConflict, ErrNotDone or ErrUnknown.
@@ -139,23 +146,23 @@
 	// takes as long as parts of the reply arrive, and fails with ErrSilent if none do. A scan that fails returns the rows that it has
 	// read, so that another one may go on after them.
 	Scan(ctx context.Context, table, partition, from, to string) (Rows, error)
-	// Partitions returns the names of the partitions of a table.
-	Partitions(ctx context.Context, table string) ([]string, error)
+	// Partitions lists the partitions of a table that have rows.
+	Partitions(ctx context.Context, table string) (Partitions, error)
 	// Changes returns the rows of all partitions of a table that changed after a version, in the order of their versions. It waits
 	// up to wait for the first change.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Rows, error)
 }
 
-// ScanAll returns the rows of all partitions of a table. The version of the result is the oldest of the partitions, so that reading
-// the changes after this version misses none.
+// ScanAll returns the rows of all partitions of a table. The version of the result is that of the list of the partitions, so that reading
+// the changes after this version misses none: a partition may get its first row after the list was read.
 func ScanAll(ctx context.Context, s Store, table string) (Rows, error) {
 	partitions, err := s.Partitions(ctx, table)
 	if err != nil {
 		return Rows{}, err
 	}
-	pages := make([]Rows, len(partitions))
+	pages := make([]Rows, len(partitions.Names))
 	group, ctx := errgroup.WithContext(ctx)
-	for i, partition := range partitions {
+	for i, partition := range partitions.Names {
 		group.Go(func() (err error) {
 			pages[i], err = s.Scan(ctx, table, partition, "", "")
 			return err
@@ -164,11 +171,8 @@
 	if err := group.Wait(); err != nil {
 		return Rows{}, err
 	}
-	var all Rows
+	all := Rows{Version: partitions.Version, Now: partitions.Now}
 	for _, page := range pages {
-		if all.Version == 0 || page.Version < all.Version {
-			all.Version = page.Version
-		}
 		all.Now = max(all.Now, page.Now)
 		all.Rows = append(all.Rows, page.Rows...)
 	}
