Scheduler: drop workers that have left during an outage of the store

A worker that left while the store could not be read counted as registered for 10 s more after the settling time of 2.5 s.

Cause: after an outage, missing entries are not trusted for registrySettleTime, in which complete scans keep entries that are gone. The first read after that time followed the changes since the last of these scans, and their removal is no change any more. Only the next regular scan, after registryRefresh, dropped them.

Fix: changes are followed again only once a complete scan has ended after the settling time, and has dropped what is gone.

The clock of the registry is a field of its view, since the monotonic clock is not that of testing/synctest; the loop of watchJobs became a view as that of the registry is.

--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -53,7 +53,9 @@
 
 // registryView follows the worker registry.
 type registryView struct {
-	e       *Engine
+	e *Engine
+	// now returns the present monotonic time.
+	now     func() time.Duration
 	entries map[string]registryEntry
 	// version is the version from which on changes are read.
 	version uint64
@@ -66,7 +68,7 @@
 
 // watchRegistry follows the worker registry until the term ends.
 func (e *Engine) watchRegistry() {
-	v := &registryView{e: e, entries: make(map[string]registryEntry)}
+	v := &registryView{e: e, now: clock.Now, entries: make(map[string]registryEntry)}
 	e.repeat(registryInterval, v.refresh)
 }
 
@@ -76,7 +78,7 @@
 		v.e.logger.Warn("Registry could not be read.", "error", err)
 		return
 	}
-	now := clock.Now()
+	now := v.now()
 	v.e.options.Clock.Update(rows.Now)
 	if v.readAt > 0 && now-v.readAt > maxRegistryGap {
 		v.settledAt = now + registrySettleTime
@@ -104,11 +106,12 @@
 	v.e.post(func(c *Core) { c.SetWorkers(reports) })
 }
 
-// read returns the rows that have changed. It returns all rows from time to time and after an outage.
+// read returns the rows that have changed. It returns all rows from time to time, and after an outage until missing entries are trusted:
+// only then does a complete scan drop those that are gone.
 func (v *registryView) read(ctx context.Context) (rows store.Rows, all bool, err error) {
 	table, partition := v.e.options.Registry.Table()
-	now := clock.Now()
-	if v.version > 0 && now-v.completeAt < registryRefresh && now-v.readAt < maxRegistryGap && now >= v.settledAt {
+	now := v.now()
+	if v.version > 0 && now-v.completeAt < registryRefresh && now-v.readAt < maxRegistryGap && v.completeAt >= v.settledAt {
 		rows, err = v.e.options.Store.Changes(ctx, table, v.version, 0)
 		if !errors.Is(err, store.ErrHistoryGone) {
 			return rows, false, err
@@ -133,23 +136,34 @@
 	v.entries[row.Name] = registryEntry{report: report, err: err}
 }
 
-// watchJobs reads jobs and cancellations whose notifications were lost.
+// jobsView follows the table of jobs.
+type jobsView struct {
+	e *Engine
+	// version is the version from which on changes are read.
+	version uint64
+}
+
+// watchJobs reads jobs and cancellations whose notifications were lost, until the term ends.
 func (e *Engine) watchJobs(after uint64) {
-	e.repeat(jobsInterval, func(context.Context) {
-		// With enough rows, a read would never end within a timeout as a whole.
-		rows, err := e.options.Store.Changes(e.ctx, TableJobs, after, 0)
-		if errors.Is(err, store.ErrHistoryGone) {
-			e.logger.Warn("Changes of jobs are no longer available, reading all rows.", "after", after)
-			rows, err = store.ScanAll(e.ctx, retryingReads{e.options.Store, e.logger}, TableJobs)
-		}
-		if err != nil {
-			e.logger.Warn("New jobs could not be read.", "after", after, "error", err)
-			return
-		}
-		e.options.Clock.Update(rows.Now)
-		after = rows.Version
-		e.applyJobRows(rows)
-	})
+	v := &jobsView{e: e, version: after}
+	// With enough rows, a read would never end within a timeout as a whole.
+	e.repeat(jobsInterval, func(context.Context) { v.refresh(e.ctx) })
+}
+
+func (v *jobsView) refresh(ctx context.Context) {
+	e := v.e
+	rows, err := e.options.Store.Changes(ctx, TableJobs, v.version, 0)
+	if errors.Is(err, store.ErrHistoryGone) {
+		e.logger.Warn("Changes of jobs are no longer available, reading all rows.", "after", v.version)
+		rows, err = store.ScanAll(ctx, retryingReads{e.options.Store, e.logger}, TableJobs)
+	}
+	if err != nil {
+		e.logger.Warn("New jobs could not be read.", "after", v.version, "error", err)
+		return
+	}
+	e.options.Clock.Update(rows.Now)
+	v.version = rows.Version
+	e.applyJobRows(rows)
 }
 
 func (e *Engine) applyJobRows(rows store.Rows) {
