Scheduler: read the progress of jobs with a rescan

What was seen: no report; found by reading the callers of ScanAll. A job that ended long ago may run again from its first task (TWICE, UNASKED).

Cause: when the store has dropped its history, the leader reads all rows of jobs in place of the changes, and adds the jobs that it does not know as new ones. It has also forgotten jobs that ended, whose rows are removed 30 s after their retention. The removal is not repeated if the store refuses it, nor is the shortening of the row after the end, which would show that the job has ended.

Fix: a rescan reads the progress as well, as the start of a leader does, and before the rows of the jobs. The progress of a job is removed after its row, so that a job in the result never lacks progress that it had.

Evidence: TestRescanOfEndedJob failed before: the state of the job was pending in place of finished.

--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -176,9 +176,7 @@
 
 func (e *Engine) start(ctx context.Context) error {
 	since := clock.Now()
-	l, err := load(ctx, e.options.Store, e.logger, func(row store.Row, err error) {
-		e.logger.Error("Row cannot be read.", "table", row.Table, "row", row.Name, "error", err)
-	})
+	l, err := load(ctx, e.options.Store, e.logger, e.logRow)
 	if err != nil {
 		return eris.Wrap(err, "read the rows of the scheduler")
 	}
@@ -222,6 +220,11 @@
 	return nil
 }
 
+// logRow logs a row that cannot be decoded.
+func (e *Engine) logRow(row store.Row, err error) {
+	e.logger.Error("Row cannot be read.", "table", row.Table, "row", row.Name, "error", err)
+}
+
 // storeClockRow makes sure that the store has the row that relates its clock to wall clock time.
 func (e *Engine) storeClockRow(ctx context.Context, l *loadedRows) error {
 	if l.clock != (clockRow{}) {
--- a/scheduler/follow_test.go
+++ b/scheduler/follow_test.go
@@ -172,3 +172,28 @@
 	}
 	return wrong
 }
+
+// TestRescanOfEndedJob guards against a job that ended long ago and runs again, because the store has dropped its history and the rows of
+// the job could neither be shortened nor removed.
+func TestRescanOfEndedJob(t *testing.T) {
+	s := memory.New()
+	e, _ := newTestEngine(t, s, 1)
+	put := func(key store.Key, value []byte, err error) {
+		qt.Assert(t, err, qt.IsNil)
+		_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: key, Value: value}}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	row, err := EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+	put(JobKey("a1"), row, err)
+	progress := work.NewProgress()
+	progress.State = work.Finished
+	row, err = encode(progress)
+	put(progressKey("a1"), row, err)
+	s.DropHistory()
+	(&jobsView{e: e, version: 1}).refresh(t.Context())
+	qt.Assert(t, e.inbox, qt.HasLen, 1)
+	(<-e.inbox)(e.core)
+	state, known := e.core.JobState("a1")
+	qt.Assert(t, known, qt.IsTrue)
+	qt.Assert(t, state, qt.Equals, work.Finished)
+}
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -153,9 +153,10 @@
 func (v *jobsView) refresh(ctx context.Context) {
 	e := v.e
 	rows, err := e.options.Store.Changes(ctx, TableJobs, v.version, 0)
+	var progress map[string]*work.Progress
 	if errors.Is(err, store.ErrHistoryGone) {
 		e.logger.Warn("Changes of jobs are no longer available, reading all rows.", "after", v.version)
-		rows, err = store.ScanAll(ctx, retryingReads{e.options.Store, e.logger}, TableJobs)
+		rows, progress, err = e.readAllJobs(ctx)
 	}
 	if err != nil {
 		e.logger.Warn("New jobs could not be read.", "after", v.version, "error", err)
@@ -163,10 +164,30 @@
 	}
 	e.options.Clock.Update(rows.Now)
 	v.version = rows.Version
-	e.applyJobRows(rows)
+	e.applyJobRows(rows, progress)
 }
 
-func (e *Engine) applyJobRows(rows store.Rows) {
+// readAllJobs returns the rows of all jobs and their progress. Among them may be jobs that ended long ago and that the core has forgotten.
+// The progress is read first: it is removed after the rows of its job, and a job without progress would run again.
+func (e *Engine) readAllJobs(ctx context.Context) (store.Rows, map[string]*work.Progress, error) {
+	s := retryingReads{e.options.Store, e.logger}
+	stored, err := s.Scan(ctx, tableProgress, "", "", "")
+	if err != nil {
+		return store.Rows{}, nil, err
+	}
+	l := newLoadedRows()
+	for _, row := range stored.Rows {
+		if err := l.decodeProgress(row); err != nil {
+			e.logRow(row, err)
+		}
+	}
+	l.joinParts(e.logRow)
+	rows, err := store.ScanAll(ctx, s, TableJobs)
+	return rows, l.progress, err
+}
+
+// applyJobRows adds jobs and cancellations, the jobs with the progress that is given for them.
+func (e *Engine) applyJobRows(rows store.Rows, progress map[string]*work.Progress) {
 	var jobs []work.Job
 	var cancelled []string
 	for _, row := range rows.Rows {
@@ -189,7 +210,7 @@
 	}
 	e.post(func(c *Core) {
 		for _, j := range jobs {
-			c.AddJob(j, nil, rows.Now)
+			c.AddJob(j, progress[j.ID], rows.Now)
 		}
 		for _, id := range cancelled {
 			c.Cancel(id)
