Scheduler: limit the attempts of tasks whose queue was removed

GET answered "running".

Cause: the failures of a task were compared with the attempts of its queue only if the configuration has the queue. The stand-in for a removed queue in candidates allowed one attempt, but nothing reads the attempts there.

Fix: intake stores the attempts of the queue with the job. The job then ends failed, which is true. While the configuration has the queue, its attempts apply as before.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -122,7 +122,7 @@
 
 // Submit stores a job.
 func (i *Intake) Submit(ctx context.Context, a Admission, job work.Job) Outcome {
-	job.Queue, job.Pool, job.Team = a.Queue.Name, a.Queue.Pool, a.Team
+	job.Queue, job.Pool, job.Team, job.Attempts = a.Queue.Name, a.Queue.Pool, a.Team, a.Queue.Attempts
 	now, known := i.options.Clock.Now()
 	if !known {
 		i.logger.Warn("Job is refused because the store has not replied since the start.", "job", job.ID)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -66,7 +66,7 @@
 
 func sampleCatalog() *catalog.Catalog {
 	return catalog.New(4, 0, []catalog.Queue{
-		{Name: "q", Host: "h", Prefix: "/q/", Pool: "p"},
+		{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 3},
 		{Name: "long", Host: "h", Prefix: "/q/long/", Pool: "p", Public: true},
 	}, []catalog.Pool{{Name: "p"}}, []catalog.Team{{Name: "t", Keys: []string{"key"}}})
 }
@@ -179,6 +179,20 @@
 	qt.Assert(t, r.leader.submitted, qt.DeepEquals, []string{"a"})
 }
 
+// TestSubmittedAttempts guards against a job whose attempts are no longer known when its queue has been removed from the configuration.
+func TestSubmittedAttempts(t *testing.T) {
+	r := newFixture(t, 0)
+	a, _ := r.intake.Admit("h", "/q/a", "key")
+	qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
+	key := scheduler.JobKey("a")
+	rows, err := r.store.Scan(t.Context(), key.Table, key.Partition, key.Name, "")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, rows.Rows, qt.HasLen, 1)
+	job, err := scheduler.DecodeJob(rows.Rows[0])
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, job.Attempts, qt.Equals, 3)
+}
+
 // TestState guards against reporting an accepted job as missing because the leader does not know it.
 func TestState(t *testing.T) {
 	tests := map[string]struct {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -100,7 +100,7 @@
 		q, ok := c.catalog.Queue(j.doc.Queue)
 		if !ok {
 			// The queue was removed. Its jobs were accepted, so they are still executed.
-			q = &catalog.Queue{Name: j.doc.Queue, Pool: j.doc.Pool, Attempts: 1, Stretch: 1, Priority: removedPriority}
+			q = &catalog.Queue{Name: j.doc.Queue, Pool: j.doc.Pool, Stretch: 1, Priority: removedPriority}
 		}
 		for _, o := range j.open {
 			if cand, ok := c.candidate(j, o, q); ok {
--- a/work/work.go
+++ b/work/work.go
@@ -114,6 +114,9 @@
 	// EndState is the final state of a job that has ended and whose row was shortened, and Pending otherwise. Such a row has no
 	// specification and no steps.
 	EndState State `cbor:"11,keyasint,omitempty"`
+	// Attempts is the number of attempts that the queue allowed each task when the job was accepted. It is 0 in rows of earlier
+	// versions.
+	Attempts int `cbor:"12,keyasint,omitempty"`
 }
 
 // Shortened returns what is kept of an ended job, so that a repeated submission is recognised.
