Member: read the heartbeat of the leader after dropped history

A live leader is replaced while the store drops its history again and again; a single drop beside a slow store comes close to it.

Cause: after dropped history a node awaited the next heartbeats. If those were dropped, too, before it read them, all nodes counted as dead after 1.5 s. The second request, for the changes of the last 2,000 versions, usually reaches back further than the one that had just failed, and fails as well.

Fix: a scan whose changes are gone reads the last heartbeat of the leader from its partition and the alternate one, two calls. It fails if neither can be read, and no node is declared dead then. Changes that reach back further than the missing ones are not requested any more. Other nodes still count as dead when their heartbeats are missed for 1.5 s; that delays no candidate and replaces no leader.

--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -74,3 +75,32 @@
 	m.options.Clock.Update(result.Now)
 	return err
 }
+
+// readLeaderHeartbeat adds the last heartbeat of the leader to its row. It fails if neither of the two partitions with heartbeats can be
+// read, since a live leader would count as dead without one.
+func (m *Member) readLeaderHeartbeat(ctx context.Context, leader store.Rows) (store.Rows, error) {
+	if len(leader.Rows) == 0 {
+		return leader, nil
+	}
+	var row leaderRow
+	if err := cbor.Unmarshal(leader.Rows[0].Value, &row); err != nil {
+		return store.Rows{}, eris.Wrap(err, "decode the leader row")
+	}
+	partitions := [...]string{row.Leader, row.Leader + alternateSuffix}
+	var read [len(partitions)]store.Rows
+	var errs [len(partitions)]error
+	var reads sync.WaitGroup
+	for i, partition := range partitions {
+		reads.Go(func() {
+			read[i], errs[i] = m.options.Store.Scan(ctx, tableNodes, partition, row.Leader, row.Leader+"\x00")
+		})
+	}
+	reads.Wait()
+	if errs[0] != nil && errs[1] != nil {
+		return store.Rows{}, errors.Join(errs[:]...)
+	}
+	for i := range read {
+		leader.Rows = append(leader.Rows, read[i].Rows...)
+	}
+	return leader, nil
+}
--- a/member/member.go
+++ b/member/member.go
@@ -328,8 +328,9 @@
 }
 
 // readNodes returns the rows that have changed since the last scan. The first scan, and one for which the store no longer has the
-// changes, returns the leader row and the recent heartbeats instead. It does not read the rows of all nodes: each has a partition
-// of its own, so that many nodes that start at the same time would make more calls than the store allows.
+// changes, returns the leader row and the recent heartbeats instead, or the last heartbeat of the leader if the store no longer has those
+// either. It does not read the rows of all nodes: each has a partition of its own, so that many nodes that start at the same time would
+// make more calls than the store allows.
 func (m *Member) readNodes(ctx context.Context) (store.Rows, error) {
 	m.mu.Lock()
 	after := m.scannedVersion
@@ -345,12 +346,14 @@
 	if err != nil {
 		return store.Rows{}, err
 	}
-	recent, err := m.options.Store.Changes(ctx, tableNodes, leader.Version-min(leader.Version, recentVersions), 0)
-	if errors.Is(err, store.ErrHistoryGone) {
-		return leader, nil
+	if since := leader.Version - min(leader.Version, recentVersions); after == 0 || since > after {
+		recent, err := m.options.Store.Changes(ctx, tableNodes, since, 0)
+		if !errors.Is(err, store.ErrHistoryGone) {
+			recent.Rows = append(recent.Rows, leader.Rows...)
+			return recent, err
+		}
 	}
-	recent.Rows = append(recent.Rows, leader.Rows...)
-	return recent, err
+	return m.readLeaderHeartbeat(ctx, leader)
 }
 
 // isLive reports whether a node counts as live. While the nodes cannot be scanned, none is declared dead.
