Scheduler: count the demand of jobs whose queue was removed

What was seen: no report; found by looking for other readers of the queue of a job. Jobs that were accepted before their queue was removed get no instances: the pool keeps what it has, or nothing if no other queue uses it, and its instances may go to other pools.

Cause: candidates replaces a removed queue by a stand-in, and neededCores left its jobs out. A pool that no queue uses had no demand at all.

Fix: all readers get the queue of a job from queueOf, which has the stand-in, with the attempts stored with the job. A pool has a demand while it has jobs.

--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -20,10 +20,7 @@
 func (c *Core) neededCores(p *pool) float64 {
 	var total, jobs float64
 	for _, j := range p.jobs {
-		q, ok := c.catalog.Queue(j.doc.Queue)
-		if !ok {
-			continue
-		}
+		q := c.queueOf(j)
 		for _, o := range j.open {
 			if j.service {
 				for _, s := range o.steps {
@@ -66,7 +63,7 @@
 	return widest
 }
 
-// demands returns the demand of each pool that a queue uses, and the mean number of cores of an instance.
+// demands returns the demand of each pool that a queue uses or that has jobs left, and the mean number of cores of an instance.
 func (c *Core) demands(spare string) ([]demand, float64) {
 	used := make(map[string]bool)
 	for i := range c.catalog.Queues {
@@ -94,10 +91,13 @@
 	perInstance := cores / float64(len(c.fleet.instances))
 	var demands []demand
 	for name := range c.catalog.Pools {
-		if name == spare || !used[name] {
+		if name == spare {
 			continue
 		}
 		p := c.pool(name)
+		if !used[name] && len(p.jobs) == 0 {
+			continue
+		}
 		need := max(minInstances, p.minWidth()+1, int(math.Ceil((c.neededCores(p)*headroom+missing[name])/perInstance)))
 		demands = append(demands, demand{pool: name, need: need, have: have[name]})
 	}
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -92,15 +92,6 @@
 	}
 }
 
-// maxAttempts returns the number of failed runs of a task after which the job fails. A queue that was removed from the configuration
-// does not tell it any more, so the number at the acceptance of the job applies.
-func (c *Core) maxAttempts(j *job) int {
-	if q, ok := c.catalog.Queue(j.doc.Queue); ok {
-		return q.Attempts
-	}
-	return max(1, j.doc.Attempts)
-}
-
 const (
 	// maxOpenBytes is the maximum size of the open occurrences of a job in its row. The rest is for failures, checkpoints and the list of
 	// complete occurrences.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -97,11 +97,7 @@
 func (c *Core) candidates(p *pool) []candidate {
 	var all []candidate
 	for _, j := range p.jobs {
-		q, ok := c.catalog.Queue(j.doc.Queue)
-		if !ok {
-			// The queue was removed. Its jobs were accepted, so they are still executed.
-			q = &catalog.Queue{Name: j.doc.Queue, Pool: j.doc.Pool, Stretch: 1, Priority: removedPriority}
-		}
+		q := c.queueOf(j)
 		for _, o := range j.open {
 			if cand, ok := c.candidate(j, o, q); ok {
 				all = append(all, cand)
@@ -114,6 +110,15 @@
 	return all
 }
 
+// queueOf returns the queue of a job. One that was removed from the configuration still executes the jobs that were accepted, with the
+// attempts that it allowed then.
+func (c *Core) queueOf(j *job) *catalog.Queue {
+	if q, ok := c.catalog.Queue(j.doc.Queue); ok {
+		return q
+	}
+	return &catalog.Queue{Name: j.doc.Queue, Pool: j.doc.Pool, Attempts: max(1, j.doc.Attempts), Stretch: 1, Priority: removedPriority}
+}
+
 // removedPriority is the priority of jobs whose queue was removed from the configuration.
 const removedPriority = 100
 
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -392,7 +392,7 @@
 		s.tasks[index].failedAt = c.now
 		failures := s.progress.AddFailure(s.unitIndex(index), number)
 		c.changedJobs[j] = true
-		if failures >= c.maxAttempts(j) {
+		if failures >= c.queueOf(j).Attempts {
 			c.logger.Info("Job has failed.", "job", j.doc.ID, "step", s.number, "index", index, "failures", failures)
 			c.endJob(j, work.Failed, "a task failed as often as it may")
 			return
