--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -53,7 +53,9 @@
 
 // registryView follows the worker registry.
 type registryView struct {
-	e       *Engine
+	e *Engine
+	// now returns the present monotonic time.
+	now     func() time.Duration
 	entries map[string]registryEntry
 	// version is the version from which on changes are read.
 	version uint64
@@ -66,7 +68,7 @@
 
 // watchRegistry follows the worker registry until the term ends.
 func (e *Engine) watchRegistry() {
-	v := &registryView{e: e, entries: make(map[string]registryEntry)}
+	v := &registryView{e: e, now: clock.Now, entries: make(map[string]registryEntry)}
 	e.repeat(registryInterval, v.refresh)
 }
 
@@ -76,7 +78,7 @@
 		v.e.logger.Warn("Registry could not be read.", "error", err)
 		return
 	}
-	now := clock.Now()
+	now := v.now()
 	v.e.options.Clock.Update(rows.Now)
 	if v.readAt > 0 && now-v.readAt > maxRegistryGap {
 		v.settledAt = now + registrySettleTime
@@ -104,11 +106,12 @@
 	v.e.post(func(c *Core) { c.SetWorkers(reports) })
 }
 
-// read returns the rows that have changed. It returns all rows from time to time and after an outage.
+// read returns the rows that have changed. It returns all rows from time to time, and after an outage until missing entries are trusted:
+// only then does a complete scan drop those that are gone.
 func (v *registryView) read(ctx context.Context) (rows store.Rows, all bool, err error) {
 	table, partition := v.e.options.Registry.Table()
-	now := clock.Now()
-	if v.version > 0 && now-v.completeAt < registryRefresh && now-v.readAt < maxRegistryGap && now >= v.settledAt {
+	now := v.now()
+	if v.version > 0 && now-v.completeAt < registryRefresh && now-v.readAt < maxRegistryGap && v.completeAt >= v.settledAt {
 		rows, err = v.e.options.Store.Changes(ctx, table, v.version, 0)
 		if !errors.Is(err, store.ErrHistoryGone) {
 			return rows, false, err
@@ -133,26 +136,58 @@
 	v.entries[row.Name] = registryEntry{report: report, err: err}
 }
 
-// watchJobs reads jobs and cancellations whose notifications were lost.
+// jobsView follows the table of jobs.
+type jobsView struct {
+	e *Engine
+	// version is the version from which on changes are read.
+	version uint64
+}
+
+// watchJobs reads jobs and cancellations whose notifications were lost, until the term ends.
 func (e *Engine) watchJobs(after uint64) {
-	e.repeat(jobsInterval, func(context.Context) {
-		// With enough rows, a read would never end within a timeout as a whole.
-		rows, err := e.options.Store.Changes(e.ctx, TableJobs, after, 0)
-		if errors.Is(err, store.ErrHistoryGone) {
-			e.logger.Warn("Changes of jobs are no longer available, reading all rows.", "after", after)
-			rows, err = store.ScanAll(e.ctx, retryingReads{e.options.Store, e.logger}, TableJobs)
-		}
-		if err != nil {
-			e.logger.Warn("New jobs could not be read.", "after", after, "error", err)
-			return
+	v := &jobsView{e: e, version: after}
+	// With enough rows, a read would never end within a timeout as a whole.
+	e.repeat(jobsInterval, func(context.Context) { v.refresh(e.ctx) })
+}
+
+func (v *jobsView) refresh(ctx context.Context) {
+	e := v.e
+	rows, err := e.options.Store.Changes(ctx, TableJobs, v.version, 0)
+	var progress map[string]*work.Progress
+	if errors.Is(err, store.ErrHistoryGone) {
+		e.logger.Warn("Changes of jobs are no longer available, reading all rows.", "after", v.version)
+		rows, progress, err = e.readAllJobs(ctx)
+	}
+	if err != nil {
+		e.logger.Warn("New jobs could not be read.", "after", v.version, "error", err)
+		return
+	}
+	e.options.Clock.Update(rows.Now)
+	v.version = rows.Version
+	e.applyJobRows(rows, progress)
+}
+
+// readAllJobs returns the rows of all jobs and their progress. Among them may be jobs that ended long ago and that the core has forgotten.
+// The progress is read first: it is removed after the rows of its job, and a job without progress would run again.
+func (e *Engine) readAllJobs(ctx context.Context) (store.Rows, map[string]*work.Progress, error) {
+	s := retryingReads{e.options.Store, e.logger}
+	stored, err := s.Scan(ctx, tableProgress, "", "", "")
+	if err != nil {
+		return store.Rows{}, nil, err
+	}
+	l := newLoadedRows()
+	for _, row := range stored.Rows {
+		if err := l.decodeProgress(row); err != nil {
+			e.logRow(row, err)
 		}
-		e.options.Clock.Update(rows.Now)
-		after = rows.Version
-		e.applyJobRows(rows)
-	})
+	}
+	l.joinParts(e.logRow)
+	rows, err := store.ScanAll(ctx, s, TableJobs)
+	return rows, l.progress, err
 }
 
-func (e *Engine) applyJobRows(rows store.Rows) {
+// applyJobRows adds jobs and cancellations, the jobs with the progress that is given for them.
+func (e *Engine) applyJobRows(rows store.Rows, progress map[string]*work.Progress) {
 	var jobs []work.Job
 	var cancelled []string
 	for _, row := range rows.Rows {
@@ -175,7 +210,7 @@
 	}
 	e.post(func(c *Core) {
 		for _, j := range jobs {
-			c.AddJob(j, nil, rows.Now)
+			c.AddJob(j, progress[j.ID], rows.Now)
 		}
 		for _, id := range cancelled {
 			c.Cancel(id)
