member, scheduler: a leader two terms back may still renew leases

Callers saw tasks that ran twice: a leader was cut off, the next one acquired leadership and resigned (or its process was replaced) half a second later, and the third one took the leases of workers that it had not reached as expired 4.46 s after its start. The first leader had renewed them for 4 s each until 3 s after it was deposed.

The cause is that "the leader before this one has ended" was read as "all leaders before have ended". A third leader cannot tell from the latest row who else may act.

All leaders before the one in the row were deposed when that row was written at the latest, so none of them sends a command later than LeadershipTimeout after the row was first read. A leader that resigns knows more and leaves in its row, on the store's clock, until when earlier leaders may act. The earlier of the two times counts. A row of an earlier version has no such time and leaves the first bound; earlier versions ignore the new key.

internal/jobs/horizon computes both, and from them the time at which leases of unreached workers have ended. A hand-over between leaders that have all ended takes as long as before.

--- /dev/null
+++ b/internal/jobs/horizon/horizon_test.go
@@ -0,0 +1,71 @@
+package horizon
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var limits = Limits{
+	Confirmation: 3 * time.Second, Lease: 4 * time.Second, MaxLease: 10 * time.Second, ClockSlowdown: 0.02,
+	Margin: 300 * time.Millisecond,
+}
+
+// TestActiveUntil guards against a leader that still sends commands and is taken to have ended, because a later one has, and against
+// waiting for leaders that have all ended.
+func TestActiveUntil(t *testing.T) {
+	const acquired = time.Minute
+	tests := map[string]struct {
+		leaders Leaders
+		want    time.Duration
+	}{
+		"previous leader not known to have ended": {Leaders{EarlierUntil: acquired - time.Second}, acquired + 3*time.Second},
+		"earlier leaders unknown":                 {Leaders{PreviousEndedAt: acquired}, acquired + 3*time.Second},
+		"earlier leader may act":                  {Leaders{PreviousEndedAt: acquired, EarlierUntil: acquired + 2500*time.Millisecond}, acquired + 2500*time.Millisecond},
+		"all have ended":                          {Leaders{PreviousEndedAt: acquired, EarlierUntil: acquired - time.Second}, acquired},
+		"previous leader ended later":             {Leaders{PreviousEndedAt: acquired + time.Second, EarlierUntil: acquired - time.Second}, acquired + time.Second},
+		"ended after it could act":                {Leaders{PreviousEndedAt: acquired + time.Hour, EarlierUntil: acquired}, acquired + 3*time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			test.leaders.AcquiredAt = acquired
+			qt.Assert(t, test.leaders.ActiveUntil(limits.Confirmation), qt.Equals, test.want)
+		})
+	}
+}
+
+// TestEarlierUntil guards against a stored time that extends the wait, and against a row without one that is read as "none".
+func TestEarlierUntil(t *testing.T) {
+	tests := map[string]struct{ seen, stored, want time.Duration }{
+		"row of an earlier version": {time.Minute, 0, time.Minute + 3*time.Second},
+		"stored time is earlier":    {time.Minute, time.Minute - time.Second, time.Minute - time.Second},
+		"row was seen long ago":     {time.Minute, time.Hour, time.Minute + 3*time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, EarlierUntil(limits.Confirmation, test.seen, test.stored), qt.Equals, test.want)
+		})
+	}
+}
+
+// TestLeasesUntil guards against a lease that is taken as expired while a command of an earlier leader may extend it.
+func TestLeasesUntil(t *testing.T) {
+	ended := Leaders{AcquiredAt: time.Minute, PreviousEndedAt: time.Minute, EarlierUntil: time.Minute}
+	tests := map[string]struct {
+		leaders  Leaders
+		maxLease time.Duration
+		want     time.Duration
+	}{
+		"all have ended":       {ended, 10 * time.Second, 4460 * time.Millisecond},
+		"previous leader acts": {Leaders{AcquiredAt: time.Minute, EarlierUntil: time.Minute}, 10 * time.Second, 7460 * time.Millisecond},
+		"short leases":         {ended, 2 * time.Second, 2380 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := limits
+			l.MaxLease = test.maxLease
+			qt.Assert(t, test.leaders.LeasesUntil(l)-time.Minute, qt.Equals, test.want)
+		})
+	}
+}
--- a/member/leadership.go
+++ b/member/leadership.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
 )
@@ -19,6 +20,9 @@
 	Term        int    `cbor:"3,keyasint"`
 	// Resigned means that the leader has resigned and sends no more commands.
 	Resigned bool `cbor:"4,keyasint,omitempty"`
+	// EarlierUntil is the time on the store's clock until which the leaders before this one may send commands. Only a leader that
+	// has resigned knows it. It is 0 in rows of earlier versions.
+	EarlierUntil time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Term is one uninterrupted period of leadership of this process.
@@ -30,6 +34,8 @@
 	AcquiredAt time.Duration
 	// PreviousLeaderEnded means that the previous leader has resigned, or its process has ended.
 	PreviousLeaderEnded bool
+	// EarlierLeadersUntil is the time until which the leaders before the previous one may send commands, in local monotonic time.
+	EarlierLeadersUntil time.Duration
 	// previous is the row of the previous leader.
 	previous leaderRow
 }
@@ -58,6 +64,9 @@
 		return
 	}
 	m.logger.Info("Leader row has changed.", "holder", row.Leader, "tenure", row.Term, "fence", version, "released", row.Resigned)
+	if row.Term != m.leaderRow.Term || m.leaderVersion == 0 {
+		m.leaderTermSince = now
+	}
 	m.leaderRow, m.leaderVersion, m.leaderRowSince = row, version, now
 }
 
@@ -188,13 +197,43 @@
 		m.logger.Info("Leadership was not acquired.", "before", previous.Leader, "error", err)
 		return
 	}
-	m.logger.Info("Leadership is acquired.", "fence", fence, "tenure", next.Term, "before", previous.Leader, "released", previous.Resigned)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.term = &Term{
-		Number: next.Term, Fence: fence, AcquiredAt: clock.Now(), PreviousLeaderEnded: previous.Resigned || m.processReplaced(previous), previous: previous,
+	now := clock.Now()
+	term := &Term{Number: next.Term, Fence: fence, AcquiredAt: now, previous: previous}
+	if version == 0 {
+		term.PreviousLeaderEnded, term.EarlierLeadersUntil = true, now
+	} else {
+		term.PreviousLeaderEnded = previous.Resigned || m.processReplaced(previous)
+		term.EarlierLeadersUntil = horizon.EarlierUntil(scheduler.LeadershipTimeout, m.leaderTermSince, m.fromStoreTime(previous.EarlierUntil, now))
+	}
+	m.term, m.validUntil = term, sent+scheduler.LeadershipTimeout
+	m.logger.Info("Leadership is acquired.", "fence", fence, "tenure", next.Term, "before", previous.Leader, "released", previous.Resigned,
+		"beforeEnded", term.PreviousLeaderEnded, "earlierLeadersFor", term.EarlierLeadersUntil-now)
+}
+
+// storeClockError is how much the estimate of the store's clock may be behind it: the timeout of a call, since a reply may have
+// travelled that long.
+const storeClockError = time.Second
+
+// fromStoreTime converts a time on the store's clock into local monotonic time, never into an earlier one. It returns 0 for 0, and
+// while the store's clock is not known.
+func (m *Member) fromStoreTime(at, now time.Duration) time.Duration {
+	storeNow, known := m.options.Clock.At(now)
+	if at == 0 || !known {
+		return 0
+	}
+	return now + at - storeNow
+}
+
+// toStoreTime converts a local monotonic time into one on the store's clock, never into an earlier one. It returns 0 while that is not
+// known.
+func (m *Member) toStoreTime(local time.Duration) time.Duration {
+	at, known := m.options.Clock.At(local)
+	if !known {
+		return 0
 	}
-	m.validUntil = sent + scheduler.LeadershipTimeout
+	return at + storeClockError
 }
 
 // recordLeaderRow records the leader row, which may be newer than the last scan, and reports whether a live node is the leader.
@@ -286,9 +325,26 @@
 	return rows.Rows[0].Version, nil
 }
 
+// earlierActiveUntil returns the local monotonic time until which the leaders before a term of this process may send commands.
+func (m *Member) earlierActiveUntil(term Term) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	leaders := horizon.Leaders{AcquiredAt: term.AcquiredAt, EarlierUntil: term.EarlierLeadersUntil}
+	switch {
+	case term.PreviousLeaderEnded:
+		leaders.PreviousEndedAt = term.AcquiredAt
+	case m.processReplaced(term.previous):
+		leaders.PreviousEndedAt = clock.Now()
+	}
+	return leaders.ActiveUntil(scheduler.LeadershipTimeout)
+}
+
 // writeResignation marks the leader row as resigned, so that other nodes need not wait for the leader to time out.
 func (m *Member) writeResignation(ctx context.Context, term Term) {
-	value, err := cbor.Marshal(leaderRow{Leader: m.options.Self.Name, Incarnation: m.options.Self.Incarnation, Term: term.Number, Resigned: true})
+	value, err := cbor.Marshal(leaderRow{
+		Leader: m.options.Self.Name, Incarnation: m.options.Self.Incarnation, Term: term.Number, Resigned: true,
+		EarlierUntil: m.toStoreTime(m.earlierActiveUntil(term)),
+	})
 	if err != nil {
 		m.logger.Error("Leader row cannot be encoded.", "error", err)
 		return
--- a/member/member.go
+++ b/member/member.go
@@ -134,6 +134,8 @@
 	leaderRow      leaderRow
 	leaderVersion  uint64
 	leaderRowSince time.Duration
+	// leaderTermSince is when a row of the term in leaderRow was first read.
+	leaderTermSince time.Duration
 	// suspectedFence is the fencing token of a leader that calls did not reach. suspicionClearedAt is when a suspected leader
 	// last sent a new heartbeat. wake ends the wait between two scans.
 	suspectedFence     uint64
--- a/scheduler/bounds.go
+++ b/scheduler/bounds.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
+)
 
 // Bounds are the time limits of a deployment. They come from the settings.
 type Bounds struct {
@@ -72,6 +76,14 @@
 	stopRepeatDelay = 1500 * time.Millisecond
 )
 
+// permissionLimits returns the limits to the commands and leases of a leader.
+func (b Bounds) permissionLimits() horizon.Limits {
+	return horizon.Limits{
+		Confirmation: LeadershipTimeout, Lease: leaseDuration, MaxLease: b.MaxLease, ClockSlowdown: maxClockSlowdown,
+		Margin: expiryMargin,
+	}
+}
+
 // growingPause returns the pause after a number of failures in a row: first after one, and twice as long after each further one up to
 // limit.
 func growingPause(failures int, first, limit time.Duration) time.Duration {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -33,6 +34,9 @@
 	AcquiredAt time.Duration
 	// PreviousLeaderEnded means that the previous leader has resigned, or its process has ended, so it sends no more commands.
 	PreviousLeaderEnded bool
+	// EarlierLeadersUntil is the monotonic time until which the leaders before the previous one may send commands. It is 0 if that
+	// is not known.
+	EarlierLeadersUntil time.Duration
 	// InstanceCommandRate is the number of commands for instances a second that the platform accepts, and 0 if it is not known.
 	InstanceCommandRate float64
 	// Observer is notified of the stages of jobs. It may be nil.
@@ -111,8 +115,9 @@
 	previousUsage map[string]map[string]work.Resources
 	// previousRuns holds, for each worker that has not answered in this term, the latest runs that previous leaders started there.
 	previousRuns map[string][]recordedRun
-	// previousLeaderActiveUntil is the latest time at which the previous leader can have renewed a lease.
-	previousLeaderActiveUntil time.Duration
+	// leaders is what is known of the earlier leaders, and limits are the limits to what they permitted.
+	leaders horizon.Leaders
+	limits  horizon.Limits
 	// batchJobSeen means that a job other than a service has come in during this term.
 	batchJobSeen bool
 	// prunedAt is the time of the last search for jobs that ended long ago.
@@ -147,7 +152,7 @@
 		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
 		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration), rosterChanges: make(map[string]bool),
-		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), lastStored: o.AcquiredAt, previousLeaderActiveUntil: o.AcquiredAt + LeadershipTimeout, estimator: newEstimator(), fleet: newFleet(),
+		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(), estimator: newEstimator(), fleet: newFleet(),
 	}
 }
 
@@ -221,10 +226,7 @@
 // handleTimeouts does what is due without an event: it starts planned runs during a store outage, repeats
 // stops without effect, opens due occurrences, expires leases and prunes old jobs.
 func (c *Core) handleTimeouts() {
-	if len(c.previousUsage) > 0 && c.now > c.previousLeasesExpireAt() {
-		c.logger.Info("Leases granted by the previous leader have expired.", "workers", len(c.previousUsage))
-		clear(c.previousUsage)
-	}
+	c.forgetPreviousUsage()
 	c.startDuringOutage()
 	c.repeatStops()
 	for _, p := range c.pools {
--- a/scheduler/crashfleet_test.go
+++ b/scheduler/crashfleet_test.go
@@ -84,7 +84,7 @@
 // changeLeader lets another process acquire leadership, with what is stored.
 func (f *crashFleet) changeLeader() {
 	f.term++
-	f.core = NewCore(Options{Bounds: rigBounds(), Fence: uint64(10 * f.term), Term: f.term, AcquiredAt: f.now, PreviousLeaderEnded: true})
+	f.core = NewCore(Options{Bounds: rigBounds(), Fence: uint64(10 * f.term), Term: f.term, AcquiredAt: f.now, PreviousLeaderEnded: true, EarlierLeadersUntil: f.now})
 	f.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{
 		Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6, BaseTarget: 600 * time.Millisecond,
 	}}, []catalog.Pool{{Name: "p"}}, nil))
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -39,7 +39,7 @@
 			// The clock of the worker is slow from now on.
 			clock += test.back + test.pause
 			leaseEnd := r.now + time.Duration(float64(renewal.Command.LeaseExpiry-clock)/(1-maxClockSlowdown))
-			next := NewCore(Options{Bounds: rigBounds(), Fence: 20, Term: 2, AcquiredAt: r.now, PreviousLeaderEnded: true})
+			next := NewCore(Options{Bounds: rigBounds(), Fence: 20, Term: 2, AcquiredAt: r.now, PreviousLeaderEnded: true, EarlierLeadersUntil: r.now})
 			qt.Assert(t, leaseEnd <= next.previousLeasesExpireAt(), qt.IsTrue, qt.Commentf("%s too early", leaseEnd-next.previousLeasesExpireAt()))
 			// The worker must keep its tasks while it is in touch.
 			if test.pause == 0 {
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -91,18 +92,31 @@
 	}
 }
 
+// leaders returns what is known at the start of the term of the earlier leaders.
+func (o Options) leaders() horizon.Leaders {
+	l := horizon.Leaders{AcquiredAt: o.AcquiredAt, EarlierUntil: o.EarlierLeadersUntil}
+	if o.PreviousLeaderEnded {
+		l.PreviousEndedAt = o.AcquiredAt
+	}
+	return l
+}
+
 // previousLeasesExpireAt returns the time at which the leases of all workers that have not answered are certain to have expired.
-func (c *Core) previousLeasesExpireAt() time.Duration {
-	duration := leaseDuration + time.Duration(2*maxClockSlowdown*float64(leaseDuration)) + expiryMargin
-	if c.options.PreviousLeaderEnded {
-		return c.options.AcquiredAt + duration
+func (c *Core) previousLeasesExpireAt() time.Duration { return c.leaders.LeasesUntil(c.limits) }
+
+// forgetPreviousUsage removes what previous leaders may have running on workers whose leases have expired.
+func (c *Core) forgetPreviousUsage() {
+	if len(c.previousUsage) > 0 && c.now > c.previousLeasesExpireAt() {
+		c.logger.Info("Leases granted by the previous leader have expired.", "workers", len(c.previousUsage))
+		clear(c.previousUsage)
 	}
-	return min(c.options.AcquiredAt+LeadershipTimeout, c.previousLeaderActiveUntil) + duration
 }
 
 // PreviousLeaderEnded records that the previous leader has ended and renews no more leases.
 func (c *Core) PreviousLeaderEnded() {
-	c.previousLeaderActiveUntil = min(c.previousLeaderActiveUntil, c.now)
+	if c.leaders.PreviousEndedAt == 0 {
+		c.leaders.PreviousEndedAt = c.now
+	}
 }
 
 // blocked reports whether tasks of an occurrence may be running on a worker that has not answered yet.
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -32,7 +32,7 @@
 
 func newRig(t *testing.T, term int, workers ...string) *rig {
 	r := &rig{t: t, now: time.Minute, exits: make(map[string][]worker.Exit), runs: make(map[string][]worker.Run)}
-	r.core = NewCore(Options{Bounds: rigBounds(), Fence: uint64(10 * term), Term: term, AcquiredAt: r.now})
+	r.core = NewCore(Options{Bounds: rigBounds(), Fence: uint64(10 * term), Term: term, AcquiredAt: r.now, EarlierLeadersUntil: r.now})
 	r.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{
 		Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6, BaseTarget: 600 * time.Millisecond,
 	}}, []catalog.Pool{{Name: "p"}}, []catalog.Team{{Name: "limited", Limit: work.Resources{CPU: 2000}}}))
