scheduler: keep unreached workers until their leases have ended

Callers saw tasks that ran twice after a hand-over: entries of workers had expired in an outage of the store, the zone of the leader was cut off, and the next leader started the tasks of the workers in that zone elsewhere 5 s after its start. The leader before still renewed their leases there.

A worker that a new leader has not reached and that the registry does not list was dropped after unreachedTimeout, and with it what was known to run there. 5 s are less than the 7.46 s for which its lease can last (LeadershipTimeout, leaseDuration on a slow clock, margin). An entry that is missing says nothing about a lease.

Such a worker is kept now until the time from which on no earlier leader can have left a lease, which is the same as for a worker that is listed.

TestUnlistedUnreachedWorker failed before: the task started 5.1 s after the start of the term.

--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -471,7 +471,7 @@
 // checkLease marks the runs of a worker as lost once its lease is certain to have expired.
 func (c *Core) checkLease(ws *workerState) {
 	if !ws.answered {
-		if !ws.listed && c.now-ws.unlistedSince > unreachedTimeout {
+		if !ws.listed && c.now-ws.unlistedSince > unreachedTimeout && c.now > c.previousLeasesExpireAt() {
 			c.dropSilentWorker(ws, "not in the registry and never reached")
 		}
 		return
@@ -494,7 +494,7 @@
 	}
 }
 
-// unreachedTimeout is how long a worker that has never answered is kept after the registry has dropped it.
+// unreachedTimeout is how long a worker that has never answered is kept at least after the registry has dropped it.
 const unreachedTimeout = 5 * time.Second
 
 // registered reports whether the latest registry entry is of the present incarnation of the worker.
