member: a stale heartbeat does not end the previous leader

A leader was taken to have ended because the latest heartbeat of its node was of another process, although that was the process before it: the first heartbeat of the leader had not been stored when it acquired leadership, or the store carried out a heartbeat without an answer seconds later. The next leader then takes leases as expired 3 s too early, and callers see tasks that run twice.

An incarnation ends the previous leader only if it was first read in a row that is newer than the leader row, and is the newest one of its node to appear.

TestReincarnation passes the versions, with the same checks.

--- a/member/leadership.go
+++ b/member/leadership.go
@@ -36,8 +36,9 @@
 	PreviousLeaderEnded bool
 	// EarlierLeadersUntil is the time until which the leaders before the previous one may send commands, in local monotonic time.
 	EarlierLeadersUntil time.Duration
-	// previous is the row of the previous leader.
-	previous leaderRow
+	// previous is the row of the previous leader, and previousVersion its version.
+	previous        leaderRow
+	previousVersion uint64
 }
 
 var (
@@ -200,11 +201,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Now()
-	term := &Term{Number: next.Term, Fence: fence, AcquiredAt: now, previous: previous}
+	term := &Term{Number: next.Term, Fence: fence, AcquiredAt: now, previous: previous, previousVersion: version}
 	if version == 0 {
 		term.PreviousLeaderEnded, term.EarlierLeadersUntil = true, now
 	} else {
-		term.PreviousLeaderEnded = previous.Resigned || m.processReplaced(previous)
+		term.PreviousLeaderEnded = previous.Resigned || m.processReplaced(previous, version)
 		term.EarlierLeadersUntil = horizon.EarlierUntil(scheduler.LeadershipTimeout, m.leaderTermSince, m.fromStoreTime(previous.EarlierUntil, now))
 	}
 	m.term, m.validUntil = term, sent+scheduler.LeadershipTimeout
@@ -248,17 +249,17 @@
 	return live
 }
 
-// processReplaced reports whether another process has replaced the one that wrote the leader row, on the same instance.
-func (m *Member) processReplaced(row leaderRow) bool {
+// processReplaced reports whether another process has replaced the one that wrote a version of the leader row, on the same instance.
+func (m *Member) processReplaced(row leaderRow, version uint64) bool {
 	s, ok := m.nodes[row.Leader]
-	return ok && s.node.Incarnation != row.Incarnation
+	return ok && s.replacedSince(row.Incarnation, version)
 }
 
 // PreviousLeaderEnded reports whether this process is the leader and the process of the previous leader has certainly ended.
 func (m *Member) PreviousLeaderEnded() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.term != nil && m.processReplaced(m.term.previous)
+	return m.term != nil && m.processReplaced(m.term.previous, m.term.previousVersion)
 }
 
 const (
@@ -333,7 +334,7 @@
 	switch {
 	case term.PreviousLeaderEnded:
 		leaders.PreviousEndedAt = term.AcquiredAt
-	case m.processReplaced(term.previous):
+	case m.processReplaced(term.previous, term.previousVersion):
 		leaders.PreviousEndedAt = clock.Now()
 	}
 	return leaders.ActiveUntil(scheduler.LeadershipTimeout)
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -225,10 +225,10 @@
 func TestReincarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := New(Options{Store: memory.New(), Clock: &store.Clock{}, Self: Node{Name: "a"}})
-		m.nodes["b"] = &nodeState{node: Node{Name: "b", Incarnation: "new"}}
-		qt.Assert(t, m.processReplaced(leaderRow{Leader: "b", Incarnation: "old"}), qt.IsTrue)
-		qt.Assert(t, m.processReplaced(leaderRow{Leader: "b", Incarnation: "new"}), qt.IsFalse)
-		qt.Assert(t, m.processReplaced(leaderRow{Leader: "c", Incarnation: "old"}), qt.IsFalse)
+		m.nodes["b"] = &nodeState{node: Node{Name: "b", Incarnation: "new"}, incarnations: []string{"old", "new"}, newestVersion: 3}
+		qt.Assert(t, m.processReplaced(leaderRow{Leader: "b", Incarnation: "old"}, 2), qt.IsTrue)
+		qt.Assert(t, m.processReplaced(leaderRow{Leader: "b", Incarnation: "new"}, 2), qt.IsFalse)
+		qt.Assert(t, m.processReplaced(leaderRow{Leader: "c", Incarnation: "old"}, 2), qt.IsFalse)
 	})
 }
 
