scheduler: wait for late starts on a worker that has started again

A worker that starts again under its ID begins its clock anew. A start for its earlier life that arrives late names an end that is far ahead, which the worker cuts to the longest lease that it grants, 10 s from the arrival. A new leader that had not reached the worker took its lease as expired after 7.46 s, and callers could see a task run twice.

If the registry shows another life than the roster, what is recorded on the worker is kept until no command can arrive any more and the longest lease has ended. A worker that answers, or that has not started again, is not affected.

--- a/internal/jobs/horizon/horizon.go
+++ b/internal/jobs/horizon/horizon.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	leaders := horizon.Leaders{AcquiredAt: now, PreviousEndedAt: now, EarlierUntil: horizon.EarlierUntil(limits.Confirmation, previousSeenAt, stored)}
-//	if now > leaders.LeasesUntil(limits) {
+//	if now > leaders.LeasesUntil(limits, false) {
 //		// No task that an earlier leader started runs on a worker that has not answered.
 //	}
 package horizon
@@ -19,6 +19,8 @@
 	Lease time.Duration
 	// MaxLease is the longest lease that a worker grants, whatever end a command names.
 	MaxLease time.Duration
+	// CommandDelay is how long a command without an answer may still be carried out.
+	CommandDelay time.Duration
 	// ClockSlowdown is the share by which the clock of a worker may be slow.
 	ClockSlowdown float64
 	// Margin covers the rounding of clocks and the latency of the last command.
@@ -62,7 +64,12 @@
 	return min(until, max(s.PreviousEndedAt, s.EarlierUntil))
 }
 
-// LeasesUntil returns the time at which the lease of a worker that has not answered this leader has certainly ended.
-func (s Leaders) LeasesUntil(l Limits) time.Duration {
+// LeasesUntil returns the time at which the lease of a worker that has not answered this leader has certainly ended. restarted means
+// that the worker has started again under its ID since an earlier leader knew it. An end on the clock of its earlier life is later than
+// any that its clock shows now, so that a command which arrives late extends the lease by the longest that the worker grants.
+func (s Leaders) LeasesUntil(l Limits, restarted bool) time.Duration {
+	if restarted {
+		return s.ActiveUntil(l.Confirmation) + l.CommandDelay + l.onWorker(l.MaxLease) + l.Margin
+	}
 	return s.ActiveUntil(l.Confirmation) + l.onWorker(min(l.Lease, l.MaxLease)) + l.Margin
 }
--- a/internal/jobs/horizon/horizon_test.go
+++ b/internal/jobs/horizon/horizon_test.go
@@ -8,7 +8,7 @@
 )
 
 var limits = Limits{
-	Confirmation: 3 * time.Second, Lease: 4 * time.Second, MaxLease: 10 * time.Second, ClockSlowdown: 0.02,
+	Confirmation: 3 * time.Second, Lease: 4 * time.Second, MaxLease: 10 * time.Second, CommandDelay: 13 * time.Second, ClockSlowdown: 0.02,
 	Margin: 300 * time.Millisecond,
 }
 
@@ -53,19 +53,21 @@
 func TestLeasesUntil(t *testing.T) {
 	ended := Leaders{AcquiredAt: time.Minute, PreviousEndedAt: time.Minute, EarlierUntil: time.Minute}
 	tests := map[string]struct {
-		leaders  Leaders
-		maxLease time.Duration
-		want     time.Duration
+		leaders   Leaders
+		maxLease  time.Duration
+		restarted bool
+		want      time.Duration
 	}{
-		"all have ended":       {ended, 10 * time.Second, 4460 * time.Millisecond},
-		"previous leader acts": {Leaders{AcquiredAt: time.Minute, EarlierUntil: time.Minute}, 10 * time.Second, 7460 * time.Millisecond},
-		"short leases":         {ended, 2 * time.Second, 2380 * time.Millisecond},
+		"all have ended":       {ended, 10 * time.Second, false, 4460 * time.Millisecond},
+		"previous leader acts": {Leaders{AcquiredAt: time.Minute, EarlierUntil: time.Minute}, 10 * time.Second, false, 7460 * time.Millisecond},
+		"short leases":         {ended, 2 * time.Second, false, 2380 * time.Millisecond},
+		"worker has restarted": {ended, 10 * time.Second, true, 23700 * time.Millisecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			l := limits
 			l.MaxLease = test.maxLease
-			qt.Assert(t, test.leaders.LeasesUntil(l)-time.Minute, qt.Equals, test.want)
+			qt.Assert(t, test.leaders.LeasesUntil(l, test.restarted)-time.Minute, qt.Equals, test.want)
 		})
 	}
 }
--- a/scheduler/bounds.go
+++ b/scheduler/bounds.go
@@ -79,7 +79,7 @@
 // permissionLimits returns the limits to the commands and leases of a leader.
 func (b Bounds) permissionLimits() horizon.Limits {
 	return horizon.Limits{
-		Confirmation: LeadershipTimeout, Lease: leaseDuration, MaxLease: b.MaxLease, ClockSlowdown: maxClockSlowdown,
+		Confirmation: LeadershipTimeout, Lease: leaseDuration, MaxLease: b.MaxLease, CommandDelay: maxCommandDelay, ClockSlowdown: maxClockSlowdown,
 		Margin: expiryMargin,
 	}
 }
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
@@ -101,14 +102,25 @@
 	return l
 }
 
-// previousLeasesExpireAt returns the time at which the leases of all workers that have not answered are certain to have expired.
-func (c *Core) previousLeasesExpireAt() time.Duration { return c.leaders.LeasesUntil(c.limits) }
+// previousLeasesExpireAt returns the time at which the leases of all workers that have neither answered nor restarted are certain to
+// have expired.
+func (c *Core) previousLeasesExpireAt() time.Duration { return c.leaders.LeasesUntil(c.limits, false) }
+
+// previousLeaseExpired reports whether the lease of a worker that has not answered is certain to have expired.
+func (c *Core) previousLeaseExpired(id string) bool {
+	ws, ok := c.workers[id]
+	return c.now > c.leaders.LeasesUntil(c.limits, ok && !ws.registered())
+}
 
 // forgetPreviousUsage removes what previous leaders may have running on workers whose leases have expired.
 func (c *Core) forgetPreviousUsage() {
-	if len(c.previousUsage) > 0 && c.now > c.previousLeasesExpireAt() {
-		c.logger.Info("Leases granted by the previous leader have expired.", "workers", len(c.previousUsage))
-		clear(c.previousUsage)
+	if len(c.previousUsage) == 0 || c.now <= c.previousLeasesExpireAt() {
+		return
+	}
+	before := len(c.previousUsage)
+	maps.DeleteFunc(c.previousUsage, func(id string, _ map[string]work.Resources) bool { return c.previousLeaseExpired(id) })
+	if expired := before - len(c.previousUsage); expired > 0 {
+		c.logger.Info("Leases granted by the previous leader have expired.", "workers", expired, "left", len(c.previousUsage))
 	}
 }
 
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -471,7 +471,7 @@
 // checkLease marks the runs of a worker as lost once its lease is certain to have expired.
 func (c *Core) checkLease(ws *workerState) {
 	if !ws.answered {
-		if !ws.listed && c.now-ws.unlistedSince > unreachedTimeout && c.now > c.previousLeasesExpireAt() {
+		if !ws.listed && c.now-ws.unlistedSince > unreachedTimeout && c.previousLeaseExpired(ws.report.ID) {
 			c.dropSilentWorker(ws, "not in the registry and never reached")
 		}
 		return
