scheduler: a model of leaders that follow each other

LeadersModel plays four nodes and four workers in a zone each, over one store, with zones that are cut off, nodes that restart or resign, commands that are carried out up to 12 s late, and registry entries that expire. The leaders run the real scheduler. A task must never run on two workers.

--- /dev/null
+++ b/scheduler/leadersmodel_test.go
@@ -0,0 +1,419 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+const (
+	modelStep   = 200 * time.Millisecond
+	modelLength = 26 * time.Second
+	modelZones  = 4
+)
+
+// modelEvent is a disruption of the leaders model.
+type modelEvent struct {
+	kind string
+	at   time.Duration
+	// until is the end of the disruption, if it lasts.
+	until time.Duration
+	zone  int
+	delay time.Duration
+}
+
+// modelRow is the leader row.
+type modelRow struct {
+	leader, incarnation, term int
+	version                   uint64
+	resigned                  bool
+	earlierUntil              time.Duration
+}
+
+// modelNode is a process that may lead. Each zone has one, and one worker.
+type modelNode struct {
+	zone, incarnation int
+	upAt              time.Duration
+	seenTerm          int
+	seenAt            time.Duration
+	// The fields below are those of the term.
+	core       *Core
+	fence      uint64
+	leaders    horizon.Leaders
+	previous   modelRow
+	validUntil time.Duration
+}
+
+type modelWorker struct {
+	id       string
+	zone     int
+	rate     float64
+	fence    uint64
+	leaseEnd time.Duration
+	runs     map[work.Task]int
+	highest  map[work.Task]int
+}
+
+func (w *modelWorker) clock(now time.Duration) time.Duration {
+	return time.Second + time.Duration(float64(now)*w.rate)
+}
+
+// leadersModel plays leaders that follow each other over one store, with cuts of zones, restarts, commands that arrive late, and
+// entries of workers that expire. Each task may run on one worker at a time.
+type leadersModel struct {
+	rt      *rapid.T
+	now     time.Duration
+	events  []modelEvent
+	nodes   []*modelNode
+	workers []*modelWorker
+	row     modelRow
+	// heartbeats holds the incarnation and time of the latest heartbeat of each node.
+	heartbeats []struct {
+		incarnation int
+		at          time.Duration
+	}
+	dead     time.Duration
+	doc      work.Job
+	progress []byte
+	roster   map[string]RosterEntry
+	late     []lateCommand
+	terms    int
+}
+
+type lateCommand struct {
+	at      time.Duration
+	deliver func()
+}
+
+// active reports whether a disruption of a kind acts on a zone, and returns it.
+func (m *leadersModel) active(kind string, zone int) (modelEvent, bool) {
+	for _, e := range m.events {
+		if e.kind == kind && e.zone == zone && e.at <= m.now && m.now < e.until {
+			return e, true
+		}
+	}
+	return modelEvent{}, false
+}
+
+// reachable reports whether a message between two zones arrives. The store is in zone -1.
+func (m *leadersModel) reachable(a, b int) bool {
+	_, cutA := m.active("cut", a)
+	_, cutB := m.active("cut", b)
+	return a == b || (!cutA && !cutB)
+}
+
+func drawEvents(rt *rapid.T) []modelEvent {
+	drawTime := func(name string, from, to time.Duration) time.Duration {
+		return time.Duration(rapid.IntRange(int(from/modelStep), int(to/modelStep)).Draw(rt, name)) * modelStep
+	}
+	events := make([]modelEvent, rapid.IntRange(2, 9).Draw(rt, "events"))
+	for i := range events {
+		e := modelEvent{
+			kind: rapid.SampledFrom([]string{"cut", "lapse", "resign", "restart", "late", "slow store"}).Draw(rt, "kind"),
+			zone: rapid.IntRange(0, modelZones-1).Draw(rt, "zone"), at: drawTime("at", 2*time.Second, 12*time.Second),
+		}
+		switch e.kind {
+		case "cut", "lapse":
+			e.until = e.at + drawTime("for", time.Second, 12*time.Second)
+		case "late":
+			e.until = e.at + drawTime("for", modelStep, 4*time.Second)
+			e.delay = drawTime("delay", modelStep, 12*time.Second)
+		}
+		events[i] = e
+	}
+	return events
+}
+
+func newLeadersModel(rt *rapid.T) *leadersModel {
+	m := &leadersModel{
+		rt: rt, now: time.Minute, roster: make(map[string]RosterEntry), dead: time.Duration(rapid.IntRange(3, 8).Draw(rt, "dead")) * modelStep,
+		doc: work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: modelZones, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Hour}}},
+	}
+	m.events = drawEvents(rt)
+	for i := range m.events {
+		m.events[i].at += m.now
+		m.events[i].until += m.now
+	}
+	for zone := range modelZones {
+		m.nodes = append(m.nodes, &modelNode{zone: zone, incarnation: 1})
+		m.workers = append(m.workers, &modelWorker{
+			id: fmt.Sprint("w", zone), zone: zone, rate: 1 - maxClockSlowdown*float64(zone%2), runs: make(map[work.Task]int), highest: make(map[work.Task]int),
+		})
+	}
+	m.heartbeats = make([]struct {
+		incarnation int
+		at          time.Duration
+	}, modelZones)
+	return m
+}
+
+func (m *leadersModel) play() {
+	for end := m.now + modelLength; m.now < end; m.now += modelStep {
+		m.deliverLate()
+		for _, w := range m.workers {
+			if w.clock(m.now) >= w.leaseEnd {
+				clear(w.runs)
+			}
+		}
+		m.disrupt()
+		for _, n := range m.nodes {
+			if m.now >= n.upAt {
+				m.follow(n)
+			}
+		}
+		for _, n := range m.nodes {
+			if n.core != nil && m.now < n.validUntil {
+				m.lead(n)
+			}
+		}
+		m.check()
+	}
+}
+
+func (m *leadersModel) check() {
+	on := make(map[work.Task]string)
+	for _, w := range m.workers {
+		for t := range w.runs {
+			if other, ok := on[t]; ok {
+				m.rt.Fatalf("%s: task %d runs on %s and %s, in term %d", m.now-time.Minute, t.Index, other, w.id, m.row.term)
+			}
+			on[t] = w.id
+		}
+	}
+}
+
+func (m *leadersModel) deliverLate() {
+	due := m.late
+	m.late = nil
+	for _, l := range due {
+		if l.at <= m.now {
+			l.deliver()
+		} else {
+			m.late = append(m.late, l)
+		}
+	}
+}
+
+// disrupt restarts nodes, and makes the leader resign.
+func (m *leadersModel) disrupt() {
+	for _, e := range m.events {
+		if e.at != m.now {
+			continue
+		}
+		n := m.nodes[m.row.leader]
+		switch e.kind {
+		case "restart":
+			n.core, n.incarnation, n.upAt, n.seenTerm = nil, n.incarnation+1, m.now+modelStep*time.Duration(1+e.zone), 0
+		case "resign":
+			if n.core != nil && m.reachable(n.zone, -1) && m.row.version == n.fence {
+				n.core = nil
+				m.row.resigned, m.row.earlierUntil = true, n.leaders.ActiveUntil(LeadershipTimeout)
+				m.row.version++
+			}
+		}
+	}
+}
+
+// follow sends the heartbeat of a node and reads the leader row. The node confirms its term, ends it, or acquires leadership.
+func (m *leadersModel) follow(n *modelNode) {
+	if !m.reachable(n.zone, -1) {
+		return
+	}
+	m.heartbeats[n.zone].incarnation, m.heartbeats[n.zone].at = n.incarnation, m.now
+	if n.seenTerm != m.row.term {
+		n.seenTerm, n.seenAt = m.row.term, m.now
+	}
+	if n.core != nil {
+		if m.row.version == n.fence {
+			n.validUntil = m.now + LeadershipTimeout
+			return
+		}
+		n.core = nil
+	}
+	leader := m.heartbeats[m.row.leader]
+	replaced := leader.incarnation != m.row.incarnation
+	if m.row.version > 0 && !m.row.resigned && !replaced && m.now-leader.at < m.dead {
+		return
+	}
+	if m.row.resigned && m.row.leader == n.zone {
+		return
+	}
+	m.acquire(n, replaced)
+}
+
+func (m *leadersModel) acquire(n *modelNode, replaced bool) {
+	n.previous = m.row
+	n.leaders = horizon.Leaders{AcquiredAt: m.now, EarlierUntil: horizon.EarlierUntil(LeadershipTimeout, n.seenAt, m.row.earlierUntil)}
+	if m.row.resigned || replaced {
+		n.leaders.PreviousEndedAt = m.now
+	}
+	m.row = modelRow{leader: n.zone, incarnation: n.incarnation, term: m.row.term + 1, version: m.row.version + 1}
+	m.terms++
+	n.fence, n.validUntil = m.row.version, m.now+LeadershipTimeout
+	n.core = NewCore(Options{
+		Bounds: rigBounds(), Fence: n.fence, Term: m.row.term, AcquiredAt: m.now, PreviousLeaderEnded: n.leaders.PreviousEndedAt != 0,
+		EarlierLeadersUntil: n.leaders.EarlierUntil,
+	})
+	n.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6}}, []catalog.Pool{{Name: "p"}}, nil))
+	for _, e := range m.roster {
+		n.core.SetRoster([]RosterEntry{e})
+	}
+	var p *work.Progress
+	if m.progress != nil {
+		p = new(work.Progress)
+		if err := cbor.Unmarshal(m.progress, p); err != nil {
+			m.rt.Fatal(err)
+		}
+	}
+	n.core.AddJob(m.doc, p, 0)
+}
+
+// lead runs one pass of a leader, which may be cut off from the store.
+func (m *leadersModel) lead(n *modelNode) {
+	c := n.core
+	c.SetTime(m.now)
+	store := m.reachable(n.zone, -1)
+	if store && n.leaders.PreviousEndedAt == 0 && m.heartbeats[n.previous.leader].incarnation != n.previous.incarnation {
+		n.leaders.PreviousEndedAt = m.now
+		c.PreviousLeaderEnded()
+	}
+	if store {
+		var reports []worker.Report
+		for _, w := range m.workers {
+			if _, lapsed := m.active("lapse", w.zone); !lapsed && m.reachable(w.zone, -1) {
+				reports = append(reports, rigReport(w.id, work.Resources{CPU: 4000, Memory: 4000}))
+			}
+		}
+		c.SetWorkers(reports)
+	}
+	for _, w := range m.workers {
+		if r, ok := c.Renewal(w.id); ok {
+			status := worker.Status{}
+			if !m.send(n, w, func() { status = m.renew(w, r.Command) }) {
+				status.Outcome = worker.Unknown
+			}
+			c.HandleStatus(w.id, status, m.now, nil)
+		}
+	}
+	c.Schedule(m.now)
+	m.carryOut(n)
+	if store {
+		m.store(c)
+		c.Schedule(m.now)
+		m.carryOut(n)
+	}
+}
+
+func (m *leadersModel) store(c *Core) {
+	b := c.TakeBatch(1000)
+	for _, p := range b.Progress {
+		value, err := cbor.Marshal(p)
+		if err != nil {
+			m.rt.Fatal(err)
+		}
+		m.progress = value
+	}
+	for id, e := range b.Roster {
+		delete(m.roster, id)
+		if e != nil {
+			m.roster[id] = *e
+		}
+	}
+	c.BatchStored(b)
+}
+
+// send delivers a command to a worker, and reports whether the leader gets the reply.
+func (m *leadersModel) send(n *modelNode, w *modelWorker, deliver func()) bool {
+	if !m.reachable(n.zone, w.zone) {
+		return false
+	}
+	if late, ok := m.active("late", w.zone); ok {
+		m.late = append(m.late, lateCommand{m.now + late.delay, deliver})
+		return false
+	}
+	deliver()
+	return true
+}
+
+func (m *leadersModel) carryOut(n *modelNode) {
+	for _, cmd := range n.core.TakeCommands() {
+		var w *modelWorker
+		for _, w = range m.workers {
+			if w.id == cmd.Target.ID {
+				break
+			}
+		}
+		reply := worker.Reply{}
+		if !m.send(n, w, func() { reply = m.execute(w, cmd) }) {
+			reply = worker.Reply{Outcome: worker.Unknown}
+		}
+		n.core.HandleReply(cmd, reply, m.now, nil)
+	}
+}
+
+// extend extends the lease of a worker and reports whether the command is of the latest leader that the worker knows.
+func (m *leadersModel) extend(w *modelWorker, fence uint64, until time.Duration) (worker.Reply, bool) {
+	reply := worker.Reply{Clock: w.clock(m.now), Incarnation: rigIncarnation}
+	if fence < w.fence {
+		reply.Outcome = worker.Fenced
+		return reply, false
+	}
+	w.fence = fence
+	if until > 0 {
+		w.leaseEnd = max(w.leaseEnd, min(until, reply.Clock+rigBounds().MaxLease))
+	}
+	return reply, true
+}
+
+func (m *leadersModel) renew(w *modelWorker, cmd worker.RenewCommand) worker.Status {
+	status := worker.Status{}
+	status.Reply, _ = m.extend(w, cmd.Fence, cmd.LeaseExpiry)
+	for t, number := range w.runs {
+		status.Running = append(status.Running, worker.Run{Task: t, Number: number, SpeedPercent: 100})
+	}
+	return status
+}
+
+func (m *leadersModel) execute(w *modelWorker, cmd Command) worker.Reply {
+	switch cmd.Kind {
+	case CommandStart:
+		reply, ok := m.extend(w, cmd.Start.Fence, cmd.Start.LeaseExpiry)
+		switch s := cmd.Start; {
+		case !ok:
+		case s.LeaseExpiry <= reply.Clock:
+			reply.Outcome = worker.Expired
+		case s.Run < w.highest[s.Task] || (s.Run == w.highest[s.Task] && w.runs[s.Task] != s.Run):
+			reply.Outcome = worker.Superseded
+		default:
+			w.runs[s.Task], w.highest[s.Task] = s.Run, s.Run
+		}
+		return reply
+	case CommandStop:
+		reply, ok := m.extend(w, cmd.Run.Fence, 0)
+		if ok {
+			w.highest[cmd.Run.Task] = max(w.highest[cmd.Run.Task], cmd.Run.Run)
+			if w.runs[cmd.Run.Task] <= cmd.Run.Run {
+				delete(w.runs, cmd.Run.Task)
+			}
+		}
+		return reply
+	case CommandPoll:
+		return m.renew(w, cmd.Renew).Reply
+	}
+	return worker.Reply{Clock: w.clock(m.now), Incarnation: rigIncarnation}
+}
+
+// TestLeadersModel guards against a task that runs on two workers because a leader takes a permission of an earlier one to have ended:
+// of a leader two terms back that is cut off, on a worker that it has not reached and that the registry does not list, or of a command
+// that arrives late.
+func TestLeadersModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { newLeadersModel(rt).play() })
+}
