member: heartbeats of the leader tell until when earlier ones may act

A node that restarts and takes over from its own process before has only just read the leader row, and so took leaders before that process to act for 3 s more, although all had ended. Its own process before is also known to have ended without a heartbeat of the new one.

The heartbeats of a leader now have the same time as its resignation. They name the fencing token, so that the time counts only for the row that the leader knows it has stored. Earlier versions ignore the keys.

TestRestartedNode failed before, with a wait of 3 s instead of none.

--- a/member/earlier_test.go
+++ b/member/earlier_test.go
@@ -134,3 +134,38 @@
 	qt.Assert(t, term.PreviousLeaderEnded, qt.IsTrue)
 	qt.Assert(t, activeUntil(term) >= before+scheduler.LeadershipTimeout, qt.IsTrue)
 }
+
+// TestRestartedNode guards against a node that restarts and takes over from its own process before, and waits 3 s longer than others
+// although the heartbeats of that process tell that all earlier leaders have ended.
+func TestRestartedNode(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		heartbeat bool
+		// wait is how long the new leader takes earlier ones to act.
+		wait time.Duration
+	}{
+		"heartbeat of the leader is known": {true, 0},
+		"no heartbeat":                     {false, scheduler.LeadershipTimeout},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := memory.New()
+			first, second := newCandidate(t, s, "a"), newCandidate(t, s, "b")
+			acquireFrom(t, first)
+			first.resign(t.Context())
+			acquireFrom(t, second)
+			if test.heartbeat {
+				qt.Assert(t, second.writeHeartbeat(t.Context(), "b"), qt.IsNil)
+			}
+			// The error counts for each of the two terms.
+			time.Sleep(2 * storeClockError)
+			restarted := New(Options{Store: s, Clock: &store.Clock{}, Self: Node{Name: "b", Incarnation: "2"}})
+			qt.Assert(t, restarted.scanNodes(t.Context()), qt.IsNil)
+			term := acquireFrom(t, restarted)
+			qt.Assert(t, term.PreviousLeaderEnded, qt.IsTrue)
+			wait := activeUntil(term) - term.AcquiredAt
+			qt.Assert(t, wait <= test.wait && wait > test.wait-200*time.Millisecond, qt.IsTrue, qt.Commentf("%s", wait))
+		})
+	}
+}
--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -63,6 +63,9 @@
 	m.heartbeats++
 	row := m.options.Self
 	row.Count, row.Leaving = m.heartbeats, m.leaving
+	if m.term != nil {
+		row.LeaderFence, row.EarlierUntil = m.term.Fence, m.toStoreTime(m.earlierActiveUntil(*m.term))
+	}
 	m.mu.Unlock()
 	value, err := cbor.Marshal(row)
 	if err != nil {
--- a/member/leadership.go
+++ b/member/leadership.go
@@ -20,8 +20,9 @@
 	Term        int    `cbor:"3,keyasint"`
 	// Resigned means that the leader has resigned and sends no more commands.
 	Resigned bool `cbor:"4,keyasint,omitempty"`
-	// EarlierUntil is the time on the store's clock until which the leaders before this one may send commands. Only a leader that
-	// has resigned knows it. It is 0 in rows of earlier versions.
+	// EarlierUntil is the time on the store's clock until which the leaders before this one may send commands. It is known once the
+	// row has been stored, so that only a leader that resigns writes it; heartbeats have it before. It is 0 in rows of earlier
+	// versions.
 	EarlierUntil time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
@@ -205,8 +206,12 @@
 	if version == 0 {
 		term.PreviousLeaderEnded, term.EarlierLeadersUntil = true, now
 	} else {
+		stored := previous.EarlierUntil
+		if stored == 0 && version == m.earlierFence {
+			stored = m.earlierUntil
+		}
 		term.PreviousLeaderEnded = previous.Resigned || m.processReplaced(previous, version)
-		term.EarlierLeadersUntil = horizon.EarlierUntil(scheduler.LeadershipTimeout, m.leaderTermSince, m.fromStoreTime(previous.EarlierUntil, now))
+		term.EarlierLeadersUntil = horizon.EarlierUntil(scheduler.LeadershipTimeout, m.leaderTermSince, m.fromStoreTime(stored, now))
 	}
 	m.term, m.validUntil = term, sent+scheduler.LeadershipTimeout
 	m.logger.Info("Leadership is acquired.", "fence", fence, "tenure", next.Term, "before", previous.Leader, "released", previous.Resigned,
@@ -251,6 +256,9 @@
 
 // processReplaced reports whether another process has replaced the one that wrote a version of the leader row, on the same instance.
 func (m *Member) processReplaced(row leaderRow, version uint64) bool {
+	if row.Leader == m.options.Self.Name {
+		return row.Incarnation != m.options.Self.Incarnation
+	}
 	s, ok := m.nodes[row.Leader]
 	return ok && s.replacedSince(row.Incarnation, version)
 }
@@ -326,10 +334,9 @@
 	return rows.Rows[0].Version, nil
 }
 
-// earlierActiveUntil returns the local monotonic time until which the leaders before a term of this process may send commands.
+// earlierActiveUntil returns the local monotonic time until which the leaders before a term of this process may send commands. The
+// caller holds the lock.
 func (m *Member) earlierActiveUntil(term Term) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	leaders := horizon.Leaders{AcquiredAt: term.AcquiredAt, EarlierUntil: term.EarlierLeadersUntil}
 	switch {
 	case term.PreviousLeaderEnded:
@@ -342,9 +349,12 @@
 
 // writeResignation marks the leader row as resigned, so that other nodes need not wait for the leader to time out.
 func (m *Member) writeResignation(ctx context.Context, term Term) {
+	m.mu.Lock()
+	earlierUntil := m.toStoreTime(m.earlierActiveUntil(term))
+	m.mu.Unlock()
 	value, err := cbor.Marshal(leaderRow{
 		Leader: m.options.Self.Name, Incarnation: m.options.Self.Incarnation, Term: term.Number, Resigned: true,
-		EarlierUntil: m.toStoreTime(m.earlierActiveUntil(term)),
+		EarlierUntil: earlierUntil,
 	})
 	if err != nil {
 		m.logger.Error("Leader row cannot be encoded.", "error", err)
--- a/member/member.go
+++ b/member/member.go
@@ -104,6 +104,10 @@
 	// CommandAddress is where the node accepts commands for workers, which it carries for the leader. It is empty for nodes of
 	// earlier versions.
 	CommandAddress string `cbor:"9,keyasint,omitempty"`
+	// LeaderFence is the fencing token of the leader in its own heartbeats, and EarlierUntil the time on the store's clock until which
+	// the leaders before it may send commands. Both are 0 in those of other nodes and of earlier versions.
+	LeaderFence  uint64        `cbor:"10,keyasint,omitempty"`
+	EarlierUntil time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Options are the options of a member.
@@ -136,6 +140,10 @@
 	leaderRowSince time.Duration
 	// leaderTermSince is when a row of the term in leaderRow was first read.
 	leaderTermSince time.Duration
+	// earlierUntil is the time on the store's clock until which the leaders before the one with the token earlierFence may send
+	// commands, as its heartbeats tell. It is 0 if none has been read.
+	earlierFence uint64
+	earlierUntil time.Duration
 	// suspectedFence is the fencing token of a leader that calls did not reach. suspicionClearedAt is when a suspected leader
 	// last sent a new heartbeat. wake ends the wait between two scans.
 	suspectedFence     uint64
@@ -316,6 +324,9 @@
 			m.logger.Warn("Row of a node cannot be decoded.", "row", row.Name, "error", err)
 			continue
 		}
+		if n.EarlierUntil != 0 && n.LeaderFence >= m.earlierFence {
+			m.earlierFence, m.earlierUntil = n.LeaderFence, n.EarlierUntil
+		}
 		s, ok := m.nodes[n.Name]
 		if !ok {
 			m.logger.Debug("Node was added.", "node", n.Name, "address", n.Address, "zone", n.DataCentre)
--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -80,6 +80,8 @@
 		incarnation int
 		at          time.Duration
 	}
+	// earlier holds what the heartbeats of the leaders tell of the leaders before, by fencing token.
+	earlier  map[uint64]time.Duration
 	dead     time.Duration
 	doc      work.Job
 	progress []byte
@@ -134,7 +136,7 @@
 
 func newLeadersModel(rt *rapid.T) *leadersModel {
 	m := &leadersModel{
-		rt: rt, now: time.Minute, roster: make(map[string]RosterEntry), dead: time.Duration(rapid.IntRange(3, 8).Draw(rt, "dead")) * modelStep,
+		rt: rt, now: time.Minute, roster: make(map[string]RosterEntry), earlier: make(map[uint64]time.Duration), dead: time.Duration(rapid.IntRange(3, 8).Draw(rt, "dead")) * modelStep,
 		doc: work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: modelZones, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Hour}}},
 	}
 	m.events = drawEvents(rt)
@@ -232,6 +234,7 @@
 		n.seenTerm, n.seenAt = m.row.term, m.now
 	}
 	if n.core != nil {
+		m.earlier[n.fence] = n.leaders.ActiveUntil(LeadershipTimeout)
 		if m.row.version == n.fence {
 			n.validUntil = m.now + LeadershipTimeout
 			return
@@ -251,7 +254,11 @@
 
 func (m *leadersModel) acquire(n *modelNode, replaced bool) {
 	n.previous = m.row
-	n.leaders = horizon.Leaders{AcquiredAt: m.now, EarlierUntil: horizon.EarlierUntil(LeadershipTimeout, n.seenAt, m.row.earlierUntil)}
+	stored := m.row.earlierUntil
+	if stored == 0 {
+		stored = m.earlier[m.row.version]
+	}
+	n.leaders = horizon.Leaders{AcquiredAt: m.now, EarlierUntil: horizon.EarlierUntil(LeadershipTimeout, n.seenAt, stored)}
 	if m.row.resigned || replaced {
 		n.leaders.PreviousEndedAt = m.now
 	}
