--- a/member/member.go
+++ b/member/member.go
@@ -103,6 +103,10 @@
 	// CommandAddress is where the node accepts commands for workers, which it carries for the leader. It is empty for nodes of
 	// earlier versions.
 	CommandAddress string `cbor:"9,keyasint,omitempty"`
+	// LeaderFence is the fencing token of the leader in its own heartbeats, and EarlierUntil the time on the store's clock until which
+	// the leaders before it may send commands. Both are 0 in those of other nodes and of earlier versions.
+	LeaderFence  uint64        `cbor:"10,keyasint,omitempty"`
+	EarlierUntil time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Options are the options of a member.
@@ -135,6 +139,12 @@
 	leaderRow      leaderRow
 	leaderVersion  uint64
 	leaderRowSince time.Duration
+	// leaderTermSince is when a row of the term in leaderRow was first read.
+	leaderTermSince time.Duration
+	// earlierUntil is the time on the store's clock until which the leaders before the one with the token earlierFence may send
+	// commands, as its heartbeats tell. It is 0 if none has been read.
+	earlierFence uint64
+	earlierUntil time.Duration
 	// suspectedFence is the fencing token of a leader that calls did not reach. suspicionClearedAt is when a suspected leader
 	// last sent a new heartbeat. wake ends the wait between two scans.
 	suspectedFence     uint64
@@ -157,6 +167,22 @@
 	// lastChange is when a scan last found a new version of the row, and firstSeen when one first found the incarnation.
 	lastChange time.Duration
 	firstSeen  time.Duration
+	// incarnations holds the incarnations in the order in which they were first read, and newestVersion is the version of the first
+	// row of the last one. A heartbeat that the store carried out late may be of a process before.
+	incarnations  []string
+	newestVersion uint64
+}
+
+// addIncarnation records the incarnation in a row.
+func (s *nodeState) addIncarnation(incarnation string, version uint64) {
+	if !slices.Contains(s.incarnations, incarnation) {
+		s.incarnations, s.newestVersion = append(s.incarnations, incarnation), version
+	}
+}
+
+// replacedSince reports whether a new process has replaced the one with an incarnation after a version of the store.
+func (s *nodeState) replacedSince(incarnation string, version uint64) bool {
+	return s.newestVersion > version && s.incarnations[len(s.incarnations)-1] != incarnation
 }
 
 // New returns a member that is not started.
@@ -303,12 +329,18 @@
 			continue
 		}
 		delete(m.malformed, row.Name)
+		if n.EarlierUntil != 0 && n.LeaderFence >= m.earlierFence {
+			m.earlierFence, m.earlierUntil = n.LeaderFence, n.EarlierUntil
+		}
 		s, ok := m.nodes[n.Name]
 		if !ok {
 			m.logger.Debug("Node was added.", "node", n.Name, "address", n.Address, "zone", n.DataCentre)
-			m.nodes[n.Name] = &nodeState{node: n, version: row.Version, lastChange: now, firstSeen: now}
+			s = &nodeState{node: n, version: row.Version, lastChange: now, firstSeen: now}
+			s.addIncarnation(n.Incarnation, row.Version)
+			m.nodes[n.Name] = s
 			continue
 		}
+		s.addIncarnation(n.Incarnation, row.Version)
 		if row.Version > s.version && s.node.Incarnation != n.Incarnation {
 			s.firstSeen = now
 		}
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -98,18 +100,42 @@
 	}
 }
 
-// previousLeasesExpireAt returns the time at which the leases of all workers that have not answered are certain to have expired.
-func (c *Core) previousLeasesExpireAt() time.Duration {
-	duration := leaseDuration + time.Duration(2*maxClockSlowdown*float64(leaseDuration)) + expiryMargin
-	if c.options.PreviousLeaderEnded {
-		return c.options.AcquiredAt + duration
+// leaders returns what is known at the start of the term of the earlier leaders.
+func (o Options) leaders() horizon.Leaders {
+	l := horizon.Leaders{AcquiredAt: o.AcquiredAt, EarlierUntil: o.EarlierLeadersUntil}
+	if o.PreviousLeaderEnded {
+		l.PreviousEndedAt = o.AcquiredAt
+	}
+	return l
+}
+
+// previousLeasesExpireAt returns the time at which the leases of all workers that have neither answered nor restarted are certain to
+// have expired.
+func (c *Core) previousLeasesExpireAt() time.Duration { return c.leaders.LeasesUntil(c.limits, false) }
+
+// previousLeaseExpired reports whether the lease of a worker that has not answered is certain to have expired.
+func (c *Core) previousLeaseExpired(id string) bool {
+	ws, ok := c.workers[id]
+	return c.now > c.leaders.LeasesUntil(c.limits, ok && !ws.registered())
+}
+
+// forgetPreviousUsage removes what previous leaders may have running on workers whose leases have expired.
+func (c *Core) forgetPreviousUsage() {
+	if len(c.previousUsage) == 0 || c.now <= c.previousLeasesExpireAt() {
+		return
+	}
+	before := len(c.previousUsage)
+	maps.DeleteFunc(c.previousUsage, func(id string, _ map[string]work.Resources) bool { return c.previousLeaseExpired(id) })
+	if expired := before - len(c.previousUsage); expired > 0 {
+		c.logger.Info("Leases granted by the previous leader have expired.", "workers", expired, "left", len(c.previousUsage))
 	}
-	return min(c.options.AcquiredAt+LeadershipTimeout, c.previousLeaderActiveUntil) + duration
 }
 
 // PreviousLeaderEnded records that the previous leader has ended and renews no more leases.
 func (c *Core) PreviousLeaderEnded() {
-	c.previousLeaderActiveUntil = min(c.previousLeaderActiveUntil, c.now)
+	if c.leaders.PreviousEndedAt == 0 {
+		c.leaders.PreviousEndedAt = c.now
+	}
 }
 
 // blocked reports whether tasks of an occurrence may be running on a worker that has not answered yet.
