Judge a crash by the clock of the life that crashed

Callers saw a job whose tasks last shown as failed after three restarts of a worker under its ID, although the tasks had run for seconds and no run had ended failed.

handleRestart chose the suspects, set latestClock to 0, and then called recordCrash, which asks again how long the worker survived each start. From the clock 0 that is less than nothing, so each run counted as one that the worker did not survive, and three of them are enough to give a task up.

The crash is recorded before the clock is reset. The new test failed before: one crash of all and confirmed was counted under a task that had run for 2.5 s; none is counted now.

--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -105,3 +106,15 @@
 	}
 	qt.Assert(t, r.core.workers["w1"].unansweredStarts, qt.HasLen, 1)
 }
+
+// TestRestartUnderLastingTask guards against a job that is given up because restarts of its workers count as crashes just after its starts.
+func TestRestartUnderLastingTask(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	j := r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: coresOnly(1), Service: true}}})
+	r.accept(r.pass())
+	r.advance(2500 * time.Millisecond)
+	r.reply("w1")
+	r.runs["w1"] = nil
+	r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Clock: 10 * time.Millisecond, Incarnation: rigNextIncarnation}}, r.now, nil)
+	qt.Assert(t, j.open[0].steps[0].crashCount(0), qt.Equals, crashloop.Count{})
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -239,6 +239,8 @@
 		}
 		c.markRunLost(r, "the worker has restarted")
 	}
+	// How long the worker survived its starts is on the clock of the life that has ended.
+	c.recordCrash(ws, runs)
 	// Starts that got no answer may still reach the new incarnation, which knows no runs. A stop makes the worker reject them.
 	for _, start := range ws.unansweredStarts {
 		if start.mayArrive(c.now) {
@@ -252,7 +254,6 @@
 	ws.unstoredExits, ws.expiredRuns = nil, nil
 	ws.clockSent, ws.clockReceived = 0, c.now
 	c.rosterChanges[ws.report.ID] = true
-	c.recordCrash(ws, runs)
 }
 
 // markDeposed records that a worker has seen a higher fencing token, so another process is the leader.
