Keep what a worker says in a type for one of its lives

Callers saw tasks that had ended done start again, dozens of times, when workers restarted under their IDs while answers of the store were lost.

A batch held the exits that it covers by worker. A batch in flight across the restart set the acknowledged number of the next life to that of the earlier one, and the worker forgot the exits of its next life before the scheduler had seen them.

What a worker says and is told in one life is now a workerLife, which is replaced as a whole on a restart: its clock, lease, exits, reports, and starts without an answer. A batch holds lives, so that a late one changes a life that nobody uses any more. worker.Life (ID and incarnation) names a life; the target of a command carries it.

The registry entry of a worker is kept as it is, so that the incarnation in it no longer has a second copy.

--- a/internal/workers/delegate/delegate_test.go
+++ b/internal/workers/delegate/delegate_test.go
@@ -118,7 +118,7 @@
 func (r *rig) startOn(t *testing.T, id string) (worker.Reply, error) {
 	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
 	defer cancel()
-	return r.sender.Start(ctx, worker.Target{ID: id, DataCentre: "d"}, worker.StartCommand{Task: work.Task{Job: "j"}, Run: 5, LeaseExpiry: time.Second})
+	return r.sender.Start(ctx, worker.Target{Life: worker.Life{ID: id}, DataCentre: "d"}, worker.StartCommand{Task: work.Task{Job: "j"}, Run: 5, LeaseExpiry: time.Second})
 }
 
 // TestCommands guards against commands or replies that lose a part on the way through a delegate.
@@ -129,7 +129,7 @@
 	reply, err := r.startOn(t, "w1")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, reply, qt.Equals, worker.Reply{Clock: time.Second, Incarnation: 5})
-	target := worker.Target{ID: "w1", DataCentre: "d"}
+	target := worker.Target{Life: worker.Life{ID: "w1"}, DataCentre: "d"}
 	reply, err = r.sender.Stop(t.Context(), target, worker.RunCommand{})
 	qt.Assert(t, reply.Outcome, qt.Equals, worker.Fenced)
 	qt.Assert(t, err, qt.ErrorMatches, "through node n: a higher token")
@@ -156,7 +156,7 @@
 	}
 	r.connect(t)
 	before := r.other.total()
-	_, err := r.sender.Start(t.Context(), worker.Target{ID: "w1", DataCentre: "far"}, worker.StartCommand{})
+	_, err := r.sender.Start(t.Context(), worker.Target{Life: worker.Life{ID: "w1"}, DataCentre: "far"}, worker.StartCommand{})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, r.other.total(), qt.Equals, before)
 }
@@ -231,7 +231,7 @@
 	r.other.start = func() (worker.Reply, error) { time.Sleep(50 * time.Millisecond); return worker.Reply{}, nil }
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 	defer cancel()
-	target := worker.Target{ID: "w1", DataCentre: "d"}
+	target := worker.Target{Life: worker.Life{ID: "w1"}, DataCentre: "d"}
 	reply, err := r.sender.Start(ctx, target, worker.StartCommand{})
 	qt.Assert(t, reply.Outcome, qt.Equals, worker.Unknown)
 	qt.Assert(t, err, qt.ErrorIs, context.DeadlineExceeded)
@@ -291,7 +291,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			before := c.total()
-			r := s.carry(request{Kind: kindStart, Target: worker.Target{ID: "w"}, Timeout: time.Second, Deadline: test.deadline, Start: &worker.StartCommand{}})
+			r := s.carry(request{Kind: kindStart, Target: worker.Target{Life: worker.Life{ID: "w"}}, Timeout: time.Second, Deadline: test.deadline, Start: &worker.StartCommand{}})
 			qt.Assert(t, c.total()-before, qt.Equals, test.carried)
 			qt.Assert(t, r.Status.Outcome == worker.Accepted, qt.Equals, test.carried == 1)
 		})
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -31,7 +31,7 @@
 	states           []work.State
 	plannedRuns      []*run
 	instanceCommands []InstanceCommand
-	exitAcks         map[*workerState]uint64
+	exitAcks         map[*workerLife]uint64
 }
 
 // Empty reports whether there is nothing to store.
@@ -54,7 +54,7 @@
 // the plan, and those that have ended next. The batch starts the planned runs and acknowledges the exits of all jobs that it leaves
 // without a change.
 func (c *Core) TakeBatch(limit int) Batch {
-	b := Batch{Progress: make(map[string]*work.Progress), exitAcks: make(map[*workerState]uint64)}
+	b := Batch{Progress: make(map[string]*work.Progress), exitAcks: make(map[*workerLife]uint64)}
 	fleetLimit := int(fleetRowsShare * float64(limit))
 	b.Waves, b.begun = c.fleet.takeChangedWaves(fleetLimit)
 	b.instanceCommands, b.InstanceCommandTimes = c.fleet.takePlannedCommands(c.now, fleetLimit-len(b.begun))
@@ -83,7 +83,7 @@
 	c.plannedRuns = waiting
 	for _, ws := range c.workers {
 		if seq := c.storedExits(ws); seq > ws.exitsStored {
-			b.exitAcks[ws] = seq
+			b.exitAcks[ws.workerLife] = seq
 		}
 	}
 	if !b.Empty() {
@@ -217,13 +217,13 @@
 }
 
 // recordStoredExits records that the effects of the exits up to a number are stored.
-func (ws *workerState) recordStoredExits(seq uint64) {
-	ws.exitsStored = max(ws.exitsStored, seq)
+func (l *workerLife) recordStoredExits(seq uint64) {
+	l.exitsStored = max(l.exitsStored, seq)
 	n := 0
-	for n < len(ws.unstoredExits) && ws.unstoredExits[n].seq <= ws.exitsStored {
+	for n < len(l.unstoredExits) && l.unstoredExits[n].seq <= l.exitsStored {
 		n++
 	}
-	ws.unstoredExits = ws.unstoredExits[n:]
+	l.unstoredExits = l.unstoredExits[n:]
 }
 
 // maxPrunedJobs is the maximum number of jobs that are pruned at a time. Each has two rows besides its progress.
@@ -249,8 +249,8 @@
 
 // BatchStored records that a batch was stored. The runs and commands that waited for it can start.
 func (c *Core) BatchStored(b Batch) {
-	for ws, number := range b.exitAcks {
-		ws.recordStoredExits(number)
+	for life, number := range b.exitAcks {
+		life.recordStoredExits(number)
 	}
 	for i, j := range b.jobs {
 		j.storedState, j.storedParts = b.states[i], b.parts[i]
--- /dev/null
+++ b/scheduler/lives.go
@@ -0,0 +1,102 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// workerLife is what a worker has said, and was told, in one of its lives. It is replaced as a whole when the worker starts again under
+// its ID. Calls and batches hold the life that they are about, so that one that ends late changes nothing in the next life.
+type workerLife struct {
+	worker   *workerState
+	identity worker.Life
+	// answered means that the worker has answered in this life and term.
+	answered bool
+	// firstReply is the time at which the worker first answered.
+	firstReply time.Duration
+	// reportedAt is the time of the last report, and reportClock the worker's clock in it.
+	reportedAt  time.Duration
+	reportClock time.Duration
+	// polledAt is the time of the latest poll.
+	polledAt time.Duration
+	// unresponsive means that it was logged that the worker does not answer.
+	unresponsive bool
+	// leaseExpired means that the lease has expired since the worker last answered.
+	leaseExpired bool
+	// expiredRuns holds the runs that were on the worker when its lease expired. It may have crashed.
+	expiredRuns []*run
+	// unknownRuns counts the runs in the last report that are not recorded here.
+	unknownRuns int
+	// clock is the worker's clock in a reply. The request was sent at clockSent and the reply received at clockReceived.
+	clock         time.Duration
+	clockSent     time.Duration
+	clockReceived time.Duration
+	// latestClock is the latest clock in a reply. It does not go back with replies that overtake each other, or with those of a
+	// new incarnation that is not recognised yet.
+	latestClock time.Duration
+	// requestedExpiry is the latest lease expiry that was requested, on the worker's clock.
+	requestedExpiry time.Duration
+	// exitsProcessed is the number of the last exit that was processed, and exitsStored that of the last whose effect is stored.
+	exitsProcessed uint64
+	exitsStored    uint64
+	// unstoredExits holds the exits after exitsStored that were processed.
+	unstoredExits []unstoredExit
+	// lastContact is the time of the last reply.
+	lastContact time.Duration
+	// noTasksBefore is the time before which the worker gets no tasks.
+	noTasksBefore time.Duration
+	// startUnanswered means that a start got no answer or could not be sent, and that the worker has not answered anything since.
+	startUnanswered bool
+	// unansweredStarts holds the starts that got no answer.
+	unansweredStarts []unansweredStart
+	// throttledAt is the time of the latest throttle command.
+	throttledAt time.Duration
+}
+
+// beginLife replaces what is known of a worker by a life of which nothing is known yet.
+func (c *Core) beginLife(ws *workerState, identity worker.Life) {
+	ws.workerLife = &workerLife{worker: ws, identity: identity, clockReceived: c.now}
+}
+
+// handleRestart records that the worker process has restarted under the same ID.
+func (c *Core) handleRestart(ws *workerState, incarnation int64) {
+	c.logger.Warn("Worker has restarted.", "worker", ws.report.ID, "born", incarnation)
+	ended := ws.workerLife
+	runs := c.runsAtCrash(ws, true)
+	for _, r := range runsOn(ws) {
+		if r.confirmedAt == 0 {
+			c.recordUnansweredStart(r)
+			r.step.tasks[r.index].notBefore = c.now + restartPause
+		}
+		c.markRunLost(r, "the worker has restarted")
+	}
+	// How long the worker survived its starts is on the clock of the life that has ended.
+	c.recordCrash(ws, runs)
+	c.beginLife(ws, worker.Life{ID: ended.identity.ID, Incarnation: incarnation})
+	// Starts that got no answer may still reach the new life, which knows no runs. A stop makes the worker reject them.
+	for _, start := range ended.unansweredStarts {
+		if start.mayArrive(c.now) {
+			c.stopUnknownRun(ws, start.task, start.run)
+		}
+	}
+	c.rosterChanges[ws.report.ID] = true
+}
+
+// maxClockAt returns the latest time that the clock of the worker can show at a local time.
+func (l *workerLife) maxClockAt(now time.Duration) time.Duration {
+	return l.clock + now - l.clockSent
+}
+
+// minClockAt returns the earliest time that the clock of the worker can show at a local time after the last reply.
+func (l *workerLife) minClockAt(now time.Duration) time.Duration {
+	return l.clock + time.Duration(float64(now-l.clockReceived)*(1-maxClockSlowdown))
+}
+
+// certainExpiry returns the local time at which all runs on the worker are certain to have ended, if the lease is not renewed.
+func (l *workerLife) certainExpiry() time.Duration {
+	if l.requestedExpiry <= l.clock {
+		return l.clockReceived
+	}
+	return l.clockReceived + time.Duration(float64(l.requestedExpiry-l.clock)/(1-maxClockSlowdown)) + expiryMargin
+}
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -60,7 +60,7 @@
 		return nil
 	}
 	return &RosterEntry{
-		ID: ws.report.ID, Pool: ws.report.Pool, Address: ws.report.Address, Incarnation: ws.report.Incarnation, Capacity: ws.report.Capacity,
+		ID: ws.report.ID, Pool: ws.report.Pool, Address: ws.report.Address, Incarnation: ws.identity.Incarnation, Capacity: ws.report.Capacity,
 		DataCentre: ws.report.DataCentre,
 	}
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -166,7 +166,7 @@
 }
 
 func workerTarget(ws *workerState) worker.Target {
-	return worker.Target{ID: ws.report.ID, Address: ws.report.Address, DataCentre: ws.report.DataCentre}
+	return worker.Target{Life: ws.identity, Address: ws.report.Address, DataCentre: ws.report.DataCentre}
 }
 
 // stopRun sends a stop for a run. Its room is free once the worker reports the exit.
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -147,55 +147,21 @@
 	return work.Task{Job: r.step.job.doc.ID, Occurrence: r.step.occurrence.number, Step: r.step.number, Index: r.index}
 }
 
-// workerState is a worker with its lease and its runs.
+// workerState is a worker with its runs.
 type workerState struct {
+	// workerLife is the present life.
+	*workerLife
+	// report is the latest registry entry, which may be of another life than the present one.
 	report worker.Report
 	// listed means that the registry lists the worker.
 	listed bool
-	// registeredIncarnation is the incarnation in the latest registry entry. A worker that has restarted may answer before that shows it.
-	registeredIncarnation int64
 	// maxCPU is the largest processor capacity in the registry entries of this incarnation.
 	maxCPU int64
-	// answered means that the worker has answered in this term.
-	answered bool
-	// firstReply is the time at which the worker first answered in this term.
-	firstReply time.Duration
-	// reportedAt is the time of the last report, and reportClock the worker's clock in it.
-	reportedAt  time.Duration
-	reportClock time.Duration
-	// polledAt is the time of the latest poll.
-	polledAt time.Duration
-	// unresponsive means that it was logged that the worker does not answer.
-	unresponsive bool
-	// leaseExpired means that the lease has expired since the worker last answered.
-	leaseExpired bool
-	// expiredRuns holds the runs that were on the worker when its lease expired. It may have crashed.
-	expiredRuns []*run
-	runs        map[work.Task]*run
-	used        work.Resources
+	runs   map[work.Task]*run
+	used   work.Resources
 	// services and bestEffort count the runs of such steps.
 	services   int
 	bestEffort int
-	// unknownRuns counts the runs in the last report that are not recorded here.
-	unknownRuns int
-	// clock is the worker's clock in a reply. The request was sent at clockSent and the reply received at clockReceived.
-	clock         time.Duration
-	clockSent     time.Duration
-	clockReceived time.Duration
-	// latestClock is the latest clock in a reply. It does not go back with replies that overtake each other, or with those of a
-	// new incarnation that is not recognised yet.
-	latestClock time.Duration
-	// requestedExpiry is the latest lease expiry that was requested, on the worker's clock.
-	requestedExpiry time.Duration
-	// exitsProcessed is the number of the last exit that was processed, and exitsStored that of the last whose effect is stored.
-	exitsProcessed uint64
-	exitsStored    uint64
-	// unstoredExits holds the exits after exitsStored that were processed.
-	unstoredExits []unstoredExit
-	// lastContact is the time of the last reply.
-	lastContact time.Duration
-	// noTasksBefore is the time before which the worker gets no tasks.
-	noTasksBefore time.Duration
 	// drainingSince is the time since which the worker is known to be draining.
 	drainingSince time.Duration
 	// cordoned means that the instance is about to be moved or maintained, so the worker gets no tasks.
@@ -205,31 +171,7 @@
 	// tests counts the runs of suspects that the worker has not survived yet, and testsLikely means that one is likely to crash it.
 	tests       int
 	testsLikely bool
-	// startUnanswered means that a start got no answer or could not be sent, and that the worker has not answered anything since.
-	startUnanswered bool
-	// unansweredStarts holds the starts that got no answer.
-	unansweredStarts []unansweredStart
-	health           health
-	// throttledAt is the time of the latest throttle command.
-	throttledAt time.Duration
-}
-
-// maxClockAt returns the latest time that the clock of the worker can show at a local time.
-func (ws *workerState) maxClockAt(now time.Duration) time.Duration {
-	return ws.clock + now - ws.clockSent
-}
-
-// minClockAt returns the earliest time that the clock of the worker can show at a local time after the last reply.
-func (ws *workerState) minClockAt(now time.Duration) time.Duration {
-	return ws.clock + time.Duration(float64(now-ws.clockReceived)*(1-maxClockSlowdown))
-}
-
-// certainExpiry returns the local time at which all runs on the worker are certain to have ended, if the lease is not renewed.
-func (ws *workerState) certainExpiry() time.Duration {
-	if ws.requestedExpiry <= ws.clock {
-		return ws.clockReceived
-	}
-	return ws.clockReceived + time.Duration(float64(ws.requestedExpiry-ws.clock)/(1-maxClockSlowdown)) + expiryMargin
+	health      health
 }
 
 // countRun adds n to the number of service or best-effort runs.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -15,7 +15,7 @@
 	for _, r := range reports {
 		listed[r.ID] = true
 		ws, ok := c.workers[r.ID]
-		if ok && r.Incarnation == ws.registeredIncarnation && !ws.registered() {
+		if ok && r.Incarnation == ws.report.Incarnation && !ws.registered() {
 			continue
 		}
 		if ok && ws.report.Address != r.Address {
@@ -36,13 +36,13 @@
 			c.logger.Info("Capacity of the worker has changed.", "worker", r.ID, "pool", r.Pool, "cpu", r.Capacity.CPU, "memory", r.Capacity.Memory, "gpu", r.Capacity.GPU,
 				"cpuBefore", before.CPU, "memoryBefore", before.Memory, "gpuBefore", before.GPU, "reserved", ws.used.CPU, "runs", len(ws.runs))
 		}
-		if r.Incarnation != ws.registeredIncarnation {
-			ws.registeredIncarnation, ws.maxCPU = r.Incarnation, 0
+		if r.Incarnation != ws.report.Incarnation {
+			ws.maxCPU = 0
 		}
 		ws.maxCPU = max(ws.maxCPU, r.Capacity.CPU)
-		if ws.report.Incarnation != 0 {
-			// The first reply of a new life tells what runs there, so the runs are taken as lost only then.
-			r.Incarnation = ws.report.Incarnation
+		if ws.identity.Incarnation == 0 {
+			// The first reply of a new life tells what runs there, so the runs of one that is known are taken as lost only then.
+			ws.identity.Incarnation = r.Incarnation
 		}
 		ws.report, ws.listed = r, true
 	}
@@ -58,7 +58,8 @@
 }
 
 func (c *Core) addWorker(r worker.Report) *workerState {
-	ws := &workerState{report: r, registeredIncarnation: r.Incarnation, maxCPU: r.Capacity.CPU, runs: make(map[work.Task]*run), clockReceived: c.now, clockSent: c.now}
+	ws := &workerState{report: r, maxCPU: r.Capacity.CPU, runs: make(map[work.Task]*run)}
+	c.beginLife(ws, worker.Life{ID: r.ID, Incarnation: r.Incarnation})
 	c.workers[r.ID] = ws
 	p := c.pool(r.Pool)
 	p.workers = sortWorkers(append(p.workers, ws))
@@ -189,14 +190,14 @@
 		}
 		return
 	}
-	if status.Incarnation != 0 && ws.report.Incarnation != 0 && status.Incarnation != ws.report.Incarnation {
+	silence := c.now - ws.lastContact
+	if status.Incarnation != 0 && ws.identity.Incarnation != 0 && status.Incarnation != ws.identity.Incarnation {
 		c.handleRestart(ws, status.Incarnation)
 	}
-	if ws.report.Incarnation == 0 && status.Incarnation != 0 {
-		ws.report.Incarnation = status.Incarnation
+	if ws.identity.Incarnation == 0 && status.Incarnation != 0 {
+		ws.identity.Incarnation = status.Incarnation
 		c.rosterChanges[id] = true
 	}
-	silence := c.now - ws.lastContact
 	ws.unresponsive = false
 	c.recordClock(ws, status.Reply, sent)
 	if !ws.answered || silence > contactTimeout {
@@ -228,34 +229,6 @@
 	c.adjustBestEffort(ws)
 }
 
-// handleRestart records that the worker process has restarted under the same ID.
-func (c *Core) handleRestart(ws *workerState, incarnation int64) {
-	c.logger.Warn("Worker has restarted.", "worker", ws.report.ID, "born", incarnation)
-	runs := c.runsAtCrash(ws, true)
-	for _, r := range runsOn(ws) {
-		if r.confirmedAt == 0 {
-			c.recordUnansweredStart(r)
-			r.step.tasks[r.index].notBefore = c.now + restartPause
-		}
-		c.markRunLost(r, "the worker has restarted")
-	}
-	// How long the worker survived its starts is on the clock of the life that has ended.
-	c.recordCrash(ws, runs)
-	// Starts that got no answer may still reach the new incarnation, which knows no runs. A stop makes the worker reject them.
-	for _, start := range ws.unansweredStarts {
-		if start.mayArrive(c.now) {
-			c.stopUnknownRun(ws, start.task, start.run)
-		}
-	}
-	ws.unansweredStarts = nil
-	ws.report.Incarnation = incarnation
-	ws.reportClock = 0
-	ws.exitsProcessed, ws.exitsStored, ws.requestedExpiry, ws.clock, ws.latestClock, ws.leaseExpired = 0, 0, 0, 0, 0, false
-	ws.unstoredExits, ws.expiredRuns = nil, nil
-	ws.clockSent, ws.clockReceived = 0, c.now
-	c.rosterChanges[ws.report.ID] = true
-}
-
 // markDeposed records that a worker has seen a higher fencing token, so another process is the leader.
 func (c *Core) markDeposed(ws *workerState, err error) {
 	if !c.deposed {
@@ -498,9 +471,9 @@
 // unreachedTimeout is how long a worker that has never answered is kept after the registry has dropped it.
 const unreachedTimeout = 5 * time.Second
 
-// registered reports whether the latest registry entry is of the present incarnation of the worker.
+// registered reports whether the latest registry entry is of the present life of the worker.
 func (ws *workerState) registered() bool {
-	return ws.registeredIncarnation == 0 || ws.registeredIncarnation == ws.report.Incarnation
+	return ws.report.Incarnation == 0 || ws.report.Incarnation == ws.identity.Incarnation
 }
 
 // acceptsTasks reports whether tasks may be started on a worker.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -191,9 +191,10 @@
 	Renew(ctx context.Context, to Target, command RenewCommand) (Status, error)
 }
 
-// Target is the worker that a command is addressed to. Another instance at the same address rejects the command.
+// Target is the worker that a command is addressed to. Another instance at the same address rejects the command, but a later life of the
+// worker does not.
 type Target struct {
-	ID      string `cbor:"1,keyasint"`
+	Life
 	Address string `cbor:"2,keyasint"`
 	// DataCentre is the one of the worker, and empty if it is not known.
 	DataCentre string `cbor:"3,keyasint,omitempty"`
