Drop answers of other lives of a worker

An answer was used for whatever life of the worker was known when it came in. A report of the earlier life that arrived after one of the next life counted as another restart, and all runs were taken as lost. A reply to a command for the earlier life set the clock back to that of the earlier life, so that the next renewal asked for a lease of minutes.

Commands and renewals now hold the call that their answer is compared with. A reply for a life that has ended, and a report by one, are dropped with a log line. A reply whose clock lies before the earliest that the clock of the present life can show is of another life: the command counts as unanswered, a report is requested, and until it comes the worker gets no start, no lease and no acknowledgement. Commands for a life that has ended are not sent any more. Reports are not taken by ID any more, so the compiler finds those that name no life.

TestConfirmationProvesNothing started another task on a worker that had answered a start by a clock that went back. That is what is recognised now, so the case demands that the task is not started; the count of crashes, which the test is about, is demanded as before.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -31,8 +31,8 @@
 	c.SetWorkers(reports)
 	for _, r := range reports {
 		for range 2 {
-			c.Renewal(r.ID)
-			c.HandleStatus(r.ID, worker.Status{Reply: worker.Reply{Clock: now, Incarnation: 1}}, now, nil)
+			renewal, _ := c.Renewal(r.ID)
+			c.HandleStatus(renewal.call, worker.Status{Reply: worker.Reply{Clock: now, Incarnation: 1}}, now, nil)
 		}
 	}
 	for i := range backlog {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -72,7 +72,7 @@
 	Run    worker.RunCommand
 	Renew  worker.RenewCommand
 	run    *run
-	worker *workerState
+	call   call
 }
 
 // Core is the state of the scheduler. It is not safe for concurrent use. All times are monotonic times of this process.
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -241,7 +241,7 @@
 	commands := r.pass()
 	r.core.HandleReply(commands[0], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
 	r.schedule()
-	r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Clock: time.Second, Incarnation: rigIncarnation + 1}}, r.now, nil)
+	r.core.HandleStatus(r.callTo("w1"), worker.Status{Reply: worker.Reply{Clock: time.Second, Incarnation: rigIncarnation + 1}}, r.now, nil)
 	after := r.schedule()
 	qt.Assert(t, countStops(after) > 0, qt.IsTrue)
 	qt.Assert(t, startsOf(after), qt.HasLen, 0)
@@ -305,11 +305,11 @@
 	r.advance(100 * time.Millisecond)
 	r.finish("w1", worker.ExitStopped)
 	r.reply("w1")
-	r.core.HandleStatus("w1", older, sent, nil)
+	r.core.HandleStatus(r.callTo("w1"), older, sent, nil)
 	qt.Assert(t, j.open[0].steps[0].tasks[0].runs, qt.HasLen, 0)
 	// A report that is newer than the last one but still lists the run must not bring it back either.
 	older.Clock = r.now + time.Millisecond
-	r.core.HandleStatus("w1", older, sent, nil)
+	r.core.HandleStatus(r.callTo("w1"), older, sent, nil)
 	qt.Assert(t, j.open[0].steps[0].tasks[0].runs, qt.HasLen, 0)
 }
 
@@ -403,7 +403,7 @@
 // TestDeposed guards against commands of a leader after a worker has seen a higher fencing token.
 func TestDeposed(t *testing.T) {
 	r := newRig(t, 1, "w1")
-	r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Outcome: worker.Fenced}}, r.now, nil)
+	r.core.HandleStatus(r.callTo("w1"), worker.Status{Reply: worker.Reply{Outcome: worker.Fenced}}, r.now, nil)
 	r.addSteps("a", 1)
 	qt.Assert(t, r.pass(), qt.HasLen, 0)
 	qt.Assert(t, r.core.Deposed(), qt.IsTrue)
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -85,36 +86,40 @@
 // TestConfirmationProvesNothing guards against a crash that is blamed on other tasks because a confirmation, or the reply of a new
 // incarnation, is taken as proof that the worker has survived the start of its cause.
 func TestConfirmationProvesNothing(t *testing.T) {
-	tests := map[string]func(r *rig, cause Command){
-		"confirmation takes long": func(r *rig, cause Command) {
+	tests := map[string]struct {
+		crash func(r *rig, cause Command)
+		// recognised means that the restart is known before the report of the new incarnation, so that no other task is started there.
+		recognised bool
+	}{
+		"confirmation takes long": {crash: func(r *rig, cause Command) {
 			clock := r.now
 			r.advance(200 * time.Millisecond)
 			r.core.HandleReply(cause, worker.Reply{Clock: clock}, clock, nil)
-		},
-		"reply is processed late": func(r *rig, cause Command) {
+		}},
+		"reply is processed late": {crash: func(r *rig, cause Command) {
 			r.accept([]Command{cause})
 			status := worker.Status{Reply: worker.Reply{Clock: r.now + time.Millisecond, Incarnation: rigIncarnation}, Running: r.runs["w1"]}
 			sent := r.now
 			r.advance(200 * time.Millisecond)
-			r.core.HandleStatus("w1", status, sent, nil)
-		},
-		"new incarnation accepts a start": func(r *rig, cause Command) {
+			r.core.HandleStatus(r.callTo("w1"), status, sent, nil)
+		}},
+		"new incarnation accepts a start": {crash: func(r *rig, cause Command) {
 			r.accept([]Command{cause})
 			r.addSteps("repeated", 1)
 			start := r.pass()[0]
 			r.core.HandleReply(start, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
 			r.advance(time.Second)
 			r.core.HandleReply(start, worker.Reply{Clock: 100 * time.Millisecond}, r.now, nil)
-		},
+		}, recognised: true},
 	}
-	for name, crash := range tests {
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 1, "w1")
 			cause := r.addSteps("cause", 1)
-			crash(r, r.pass()[0])
+			test.crash(r, r.pass()[0])
 			r.addSteps("other", 1)
-			qt.Assert(t, startsOf(r.pass()), qt.Contains, "other 0.0.0 1 w1")
-			r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Clock: 200 * time.Millisecond, Incarnation: rigNextIncarnation}}, r.now, nil)
+			qt.Assert(t, slices.Contains(startsOf(r.pass()), "other 0.0.0 1 w1"), qt.Equals, !test.recognised)
+			r.core.HandleStatus(r.callTo("w1"), worker.Status{Reply: worker.Reply{Clock: 200 * time.Millisecond, Incarnation: rigNextIncarnation}}, r.now, nil)
 			qt.Assert(t, cause.open[0].steps[0].crashCount(0).All, qt.Equals, 1)
 		})
 	}
@@ -136,7 +141,7 @@
 				r.reply("w")
 				r.accept(r.pass())
 				r.advance(gangPause)
-				r.core.HandleStatus(crashing.ID, worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+				r.core.HandleStatus(r.callTo(crashing.ID), worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
 				r.advance(gangPause)
 				r.finish("w", worker.ExitDone)
 				r.reply("w")
@@ -199,7 +204,7 @@
 			}
 			o.SetRun(0, 0, "w9", 7)
 			r.core.AddJob(doc, progress, 0)
-			r.core.HandleStatus("w9", worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+			r.core.HandleStatus(r.callTo("w9"), worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
 			qt.Assert(t, progress.Occurrence(&doc, 0).Steps[0].Crashes[0], qt.HasLen, test.after)
 			qt.Assert(t, r.core.jobs["a"].progress.State == work.Failed, qt.Equals, test.failed)
 		})
@@ -237,7 +242,7 @@
 				}
 				r.register(fmt.Sprint("w", i+1))
 				r.reply(fmt.Sprint("w", i+1))
-				r.core.HandleStatus(id, worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+				r.core.HandleStatus(r.callTo(id), worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
 				r.advance(100 * time.Millisecond)
 			}
 			qt.Assert(t, j.progress.State == work.Failed, qt.Equals, test.failed)
@@ -261,7 +266,7 @@
 				r.reply(id)
 			}
 			for _, id := range workers {
-				r.core.HandleStatus(id, worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+				r.core.HandleStatus(r.callTo(id), worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
 			}
 			qt.Assert(t, j.open[0].steps[0].crashCount(0).Late, qt.Equals, 1)
 			qt.Assert(t, j.progress.State.Ended(), qt.IsFalse)
@@ -317,7 +322,7 @@
 				r.reply(fmt.Sprint("w", i-1))
 				r.register(fmt.Sprint("w", i))
 				r.reply(fmt.Sprint("w", i))
-				r.core.HandleStatus(fmt.Sprint("w", i-1), worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+				r.core.HandleStatus(r.callTo(fmt.Sprint("w", i-1)), worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
 				r.advance(100 * time.Millisecond)
 				if j.progress.State == work.Failed {
 					failed = i
@@ -374,7 +379,7 @@
 				commands = r.pass()
 				qt.Assert(t, startsOf(commands), qt.DeepEquals, test.want)
 			}
-			r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
+			r.core.HandleStatus(r.callTo("w1"), worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, r.now, nil)
 			qt.Assert(t, j.open[0].steps[0].crashCount(0).All, qt.Equals, test.crashes)
 		})
 	}
--- a/scheduler/crashfleet_test.go
+++ b/scheduler/crashfleet_test.go
@@ -200,10 +200,10 @@
 	w := f.at(r.Target.Address)
 	switch {
 	case w == nil || w.downUntil > 0:
-		f.core.HandleStatus(id, worker.Status{Reply: worker.Reply{Outcome: worker.Unknown}}, f.now, nil)
+		f.core.HandleStatus(r.call, worker.Status{Reply: worker.Reply{Outcome: worker.Unknown}}, f.now, nil)
 		return
 	case w.id != id:
-		f.core.HandleStatus(id, worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, f.now, nil)
+		f.core.HandleStatus(r.call, worker.Status{Reply: worker.Reply{Outcome: worker.OtherInstance}}, f.now, nil)
 		return
 	}
 	status := worker.Status{Reply: worker.Reply{Clock: f.now, Incarnation: w.incarnation}}
@@ -221,7 +221,7 @@
 			status.Exited = append(status.Exited, e)
 		}
 	}
-	f.core.HandleStatus(id, status, f.now, nil)
+	f.core.HandleStatus(r.call, status, f.now, nil)
 }
 
 func (f *crashFleet) carryOut(cmd Command) {
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -274,7 +274,7 @@
 		return
 	}
 	ws.polledAt = c.now
-	c.commands = append(c.commands, Command{Kind: CommandPoll, Target: workerTarget(ws), worker: ws, run: unknownRun, Renew: worker.RenewCommand{
+	c.commands = append(c.commands, Command{Kind: CommandPoll, Target: workerTarget(ws), call: c.newCall(ws), run: unknownRun, Renew: worker.RenewCommand{
 		LeaseExpiry: ws.requestedExpiry, Fence: c.options.Fence, AcknowledgedSeq: ws.exitsStored,
 	}})
 }
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -33,7 +33,7 @@
 			sent := r.now
 			clock := r.now + test.wait
 			r.advance(test.wait + test.back)
-			r.core.HandleStatus("w", worker.Status{Reply: worker.Reply{Clock: clock, Incarnation: rigIncarnation}}, sent, nil)
+			r.core.HandleStatus(r.callTo("w"), worker.Status{Reply: worker.Reply{Clock: clock, Incarnation: rigIncarnation}}, sent, nil)
 			r.advance(test.pause)
 			renewal, _ := r.core.Renewal("w")
 			// The clock of the worker is slow from now on.
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -1,8 +1,11 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/chivetiller/chivetiller/worker"
 )
 
@@ -52,6 +55,62 @@
 	unansweredStarts []unansweredStart
 	// throttledAt is the time of the latest throttle command.
 	throttledAt time.Duration
+	// replaced means that the clock in a reply was that of another life, whose report is awaited.
+	replaced bool
+}
+
+// call is a call to a worker. Its answer is compared with it.
+type call struct{ life *workerLife }
+
+// newCall returns a call to the present life of a worker.
+func (c *Core) newCall(ws *workerState) call { return call{life: ws.workerLife} }
+
+// current reports whether the life that a call is meant for is the present one of a worker that is in use.
+func (c *Core) current(to call) bool {
+	ws := to.life.worker
+	return c.workers[ws.report.ID] == ws && ws.workerLife == to.life
+}
+
+// admit reports whether a report is about the present life of a worker or a new one. A call may be answered by a later life than the one
+// that it is meant for, and an answer of an earlier life may arrive late.
+func (c *Core) admit(to call, status worker.Status) bool {
+	if status.Incarnation == 0 {
+		return c.current(to)
+	}
+	return !slices.Contains(to.life.worker.endedLives, status.Incarnation)
+}
+
+// isOther reports whether a reply to a call to this life shows that another one has answered. The replies to most commands do not name the
+// life that has answered, but its clock starts anew.
+func (l *workerLife) isOther(reply worker.Reply, sent time.Duration) bool {
+	if reply.Incarnation != 0 && l.identity.Incarnation != 0 {
+		return reply.Incarnation != l.identity.Incarnation
+	}
+	return reply.Clock > 0 && l.clock > 0 && sent >= l.clockReceived && reply.Clock+expiryMargin < l.minClockAt(sent)
+}
+
+// errOtherLife means that a command was answered by another life than the one that it was meant for.
+var errOtherLife = eris.New("another life of the worker has answered")
+
+// logDropped logs an answer that is not used.
+func (c *Core) logDropped(to call, reply worker.Reply, sent time.Duration) {
+	if reply.Outcome == worker.Unknown || reply.Outcome == worker.NotSent {
+		return
+	}
+	c.logger.Info("Answer for another life of the worker is dropped.", "worker", to.life.identity.ID, "born", to.life.identity.Incarnation, "answeredBy", reply.Incarnation,
+		"present", to.life.worker.identity.Incarnation, "outcome", reply.Outcome.String(), "clock", reply.Clock, "took", c.now-sent)
+}
+
+// identify records which life of a worker has sent a report.
+func (c *Core) identify(ws *workerState, incarnation int64) {
+	switch {
+	case incarnation == 0 || incarnation == ws.identity.Incarnation:
+	case ws.identity.Incarnation == 0:
+		ws.identity.Incarnation = incarnation
+		c.rosterChanges[ws.report.ID] = true
+	default:
+		c.handleRestart(ws, incarnation)
+	}
 }
 
 // beginLife replaces what is known of a worker by a life of which nothing is known yet.
@@ -59,6 +118,9 @@
 	ws.workerLife = &workerLife{worker: ws, identity: identity, clockReceived: c.now}
 }
 
+// maxEndedLives is how many ended lives of a worker are remembered. An answer of an earlier one cannot take that many restarts.
+const maxEndedLives = 8
+
 // handleRestart records that the worker process has restarted under the same ID.
 func (c *Core) handleRestart(ws *workerState, incarnation int64) {
 	c.logger.Warn("Worker has restarted.", "worker", ws.report.ID, "born", incarnation)
@@ -73,6 +135,8 @@
 	}
 	// How long the worker survived its starts is on the clock of the life that has ended.
 	c.recordCrash(ws, runs)
+	ws.endedLives = append(ws.endedLives[max(0, len(ws.endedLives)-maxEndedLives+1):], ended.identity.Incarnation)
+	c.commands = slices.DeleteFunc(c.commands, func(cmd Command) bool { return cmd.call.life == ended })
 	c.beginLife(ws, worker.Life{ID: ended.identity.ID, Incarnation: incarnation})
 	// Starts that got no answer may still reach the new life, which knows no runs. A stop makes the worker reject them.
 	for _, start := range ended.unansweredStarts {
--- a/scheduler/lives_test.go
+++ b/scheduler/lives_test.go
@@ -18,8 +18,61 @@
 	r.reply("w1")
 	b := r.core.TakeBatch(100)
 	qt.Assert(t, b.exitAcks, qt.HasLen, 1)
-	r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Clock: time.Millisecond, Incarnation: rigNextIncarnation}}, r.now, nil)
+	r.core.HandleStatus(r.callTo("w1"), worker.Status{Reply: worker.Reply{Clock: time.Millisecond, Incarnation: rigNextIncarnation}}, r.now, nil)
 	r.core.BatchStored(b)
 	renewal, _ := r.core.Renewal("w1")
 	qt.Assert(t, renewal.Command.AcknowledgedSeq, qt.Equals, uint64(0))
 }
+
+// renew sends a renewal to a worker and returns a function that delivers the answer of a life.
+func (r *rig) renew(id string) (answer func(clock time.Duration, incarnation int64)) {
+	renewal, ok := r.core.Renewal(id)
+	qt.Assert(r.t, ok, qt.IsTrue)
+	sent := r.now
+	return func(clock time.Duration, incarnation int64) {
+		r.core.HandleStatus(renewal.call, worker.Status{Reply: worker.Reply{Clock: clock, Incarnation: incarnation}, Running: r.runs[id]}, sent, nil)
+	}
+}
+
+// TestAnswerOfEarlierLife guards against a worker that counts as started again, so that its tasks are started elsewhere, since an answer of
+// its earlier life arrives last.
+func TestAnswerOfEarlierLife(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	earlier := r.renew("w1")
+	r.advance(500 * time.Millisecond)
+	r.renew("w1")(10*time.Millisecond, rigNextIncarnation)
+	before := *r.core.workers["w1"].workerLife
+	earlier(time.Minute, rigIncarnation)
+	qt.Assert(t, r.core.workers["w1"].identity.Incarnation, qt.Equals, int64(rigNextIncarnation))
+	qt.Assert(t, r.core.workers["w1"].clock, qt.Equals, before.clock)
+}
+
+// TestReplyForEarlierLife guards against a lease that is requested by the clock of an earlier life, since a reply to a command for it
+// arrives last.
+func TestReplyForEarlierLife(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSteps("a", 1)
+	start := r.pass()[0]
+	r.renew("w1")(10*time.Millisecond, rigNextIncarnation)
+	r.core.HandleReply(start, worker.Reply{Clock: r.now}, r.now, nil)
+	renewal, _ := r.core.Renewal("w1")
+	qt.Assert(t, renewal.Command.LeaseExpiry, qt.Equals, 10*time.Millisecond+leaseDuration)
+}
+
+// TestStartAnsweredByNextLife guards against a run that counts as confirmed by a life that has ended, and against more commands for it.
+// Only the clock in the reply tells that the worker has started again.
+func TestStartAnsweredByNextLife(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSteps("a", 1)
+	start := r.pass()[0]
+	r.advance(time.Second)
+	r.core.HandleReply(start, worker.Reply{Clock: 30 * time.Millisecond}, r.now, nil)
+	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 0)
+	renewal, _ := r.core.Renewal("w1")
+	qt.Assert(t, renewal.Command.LeaseExpiry, qt.Equals, time.Duration(0))
+	qt.Assert(t, renewal.Command.AcknowledgedSeq, qt.Equals, uint64(0))
+	r.addSteps("b", 1)
+	r.runs["w1"] = []worker.Run{{Task: start.Start.Task, Number: start.Start.Run}}
+	r.renew("w1")(50*time.Millisecond, rigNextIncarnation)
+	qt.Assert(t, r.core.workers["w1"].runs[start.Start.Task].number, qt.Equals, start.Start.Run)
+}
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -16,7 +16,7 @@
 // restart makes a worker answer a renewal after it has restarted.
 func (r *rig) restart(id string) {
 	for range 2 {
-		r.core.HandleStatus(id, worker.Status{Reply: worker.Reply{Clock: r.now, Incarnation: rigNextIncarnation}, Running: r.runs[id]}, r.now, nil)
+		r.core.HandleStatus(r.callTo(id), worker.Status{Reply: worker.Reply{Clock: r.now, Incarnation: rigNextIncarnation}, Running: r.runs[id]}, r.now, nil)
 		r.core.Renewal(id)
 	}
 }
@@ -115,6 +115,6 @@
 	r.advance(2500 * time.Millisecond)
 	r.reply("w1")
 	r.runs["w1"] = nil
-	r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Clock: 10 * time.Millisecond, Incarnation: rigNextIncarnation}}, r.now, nil)
+	r.core.HandleStatus(r.callTo("w1"), worker.Status{Reply: worker.Reply{Clock: 10 * time.Millisecond, Incarnation: rigNextIncarnation}}, r.now, nil)
 	qt.Assert(t, j.open[0].steps[0].crashCount(0), qt.Equals, crashloop.Count{})
 }
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -73,7 +73,7 @@
 				status.Exited = append(status.Exited, e)
 			}
 		}
-		r.core.HandleStatus(id, status, r.now, nil)
+		r.core.HandleStatus(renewal.call, status, r.now, nil)
 	}
 }
 
@@ -158,3 +158,6 @@
 	}
 	return n
 }
+
+// callTo returns a call to the present life of a worker.
+func (r *rig) callTo(id string) call { return r.core.newCall(r.core.workers[id]) }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -140,7 +140,7 @@
 	if s.tickets != nil {
 		start.Ticket = s.tickets.byWorker[r.worker.report.ID]
 	}
-	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, worker: r.worker})
+	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, call: c.newCall(r.worker)})
 }
 
 // unitIndex returns the index under which failures and checkpoints of a task are kept. All tasks of a gang share one.
@@ -187,16 +187,23 @@
 func (c *Core) commandStop(r *run) {
 	r.stopSentAt = c.now
 	c.commands = append(c.commands, Command{
-		Kind: CommandStop, Target: workerTarget(r.worker), Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: c.options.Fence}, run: r, worker: r.worker,
+		Kind: CommandStop, Target: workerTarget(r.worker), Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: c.options.Fence}, run: r, call: c.newCall(r.worker),
 	})
 }
 
 // HandleReply processes the reply to a command. sent is the time at which the command was sent.
 func (c *Core) HandleReply(cmd Command, reply worker.Reply, sent time.Duration, err error) {
-	ws := cmd.worker
-	if c.workers[ws.report.ID] != ws {
+	ws := cmd.call.life.worker
+	if !c.current(cmd.call) {
+		c.logDropped(cmd.call, reply, sent)
 		return
 	}
+	if reply.Outcome != worker.OtherInstance && reply.Outcome != worker.Fenced && ws.isOther(reply, sent) {
+		c.logDropped(cmd.call, reply, sent)
+		ws.replaced = true
+		reply, err = worker.Reply{Outcome: worker.Unknown}, errOtherLife
+		c.pollWorker(ws)
+	}
 	if reply.Clock > 0 && reply.Outcome != worker.OtherInstance {
 		c.recordClock(ws, reply, sent)
 	}
@@ -281,7 +288,7 @@
 		c.recordUnansweredStart(r)
 		switch {
 		case r.phase != starting:
-		case c.now-r.worker.lastContact > contactTimeout:
+		case c.now-r.worker.lastContact > contactTimeout || r.worker.replaced:
 			// The worker may be down. If it restarts under its ID, the start must not reach its next incarnation.
 			r.repeatAfterReport = true
 		default:
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -31,7 +31,7 @@
 	switch cmd.Kind {
 	case CommandPoll:
 		status, err := e.options.Workers.Renew(ctx, cmd.Target, cmd.Renew)
-		e.post(func(c *Core) { c.HandleStatus(cmd.Target.ID, status, sent, err) })
+		e.post(func(c *Core) { c.HandleStatus(cmd.call, status, sent, err) })
 		return
 	case CommandStart:
 		reply, err = e.options.Workers.Start(ctx, cmd.Target, cmd.Start)
@@ -136,7 +136,7 @@
 		sent := clock.Now()
 		status, err := e.options.Workers.Renew(ctx, r.Target, r.Command)
 		cancel()
-		e.post(func(c *Core) { c.HandleStatus(id, status, sent, err) })
+		e.post(func(c *Core) { c.HandleStatus(r.call, status, sent, err) })
 		switch {
 		case err != nil && r.Unresponsive:
 			e.sleep(unresponsivePause)
--- a/scheduler/services.go
+++ b/scheduler/services.go
@@ -63,7 +63,7 @@
 	r.worker.throttledAt = c.now
 	c.logger.Info("Speed limit of a best-effort task was changed.", "job", r.step.job.doc.ID, "task", r.name(), "worker", r.worker.report.ID, "percent", percent)
 	c.commands = append(c.commands, Command{
-		Kind: CommandThrottle, Target: workerTarget(r.worker), run: r, worker: r.worker,
+		Kind: CommandThrottle, Target: workerTarget(r.worker), run: r, call: c.newCall(r.worker),
 		Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: c.options.Fence, SpeedPercent: percent},
 	})
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -153,6 +153,8 @@
 	*workerLife
 	// report is the latest registry entry, which may be of another life than the present one.
 	report worker.Report
+	// endedLives holds the incarnations that have ended, the latest ones only.
+	endedLives []int64
 	// listed means that the registry lists the worker.
 	listed bool
 	// maxCPU is the largest processor capacity in the registry entries of this incarnation.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -114,6 +114,7 @@
 	Command      worker.RenewCommand
 	// Pending means that some exits are not stored yet. The worker lists them again, so it would answer at once.
 	Pending bool
+	call    call
 }
 
 // Workers returns the IDs of the workers whose leases are to be renewed.
@@ -131,11 +132,16 @@
 	if !ok {
 		return Renewal{}, false
 	}
-	r := Renewal{Target: workerTarget(ws), Pending: ws.exitsProcessed > ws.exitsStored, Unresponsive: c.now-ws.lastContact > contactTimeout}
+	r := Renewal{Target: workerTarget(ws), call: c.newCall(ws), Pending: ws.exitsProcessed > ws.exitsStored, Unresponsive: c.now-ws.lastContact > contactTimeout}
 	r.Command = worker.RenewCommand{Fence: c.options.Fence, AcknowledgedSeq: ws.exitsStored, MaxWait: renewWait}
 	if !ws.answered || r.Pending {
 		r.Command.MaxWait = 0
 	}
+	if ws.replaced {
+		// Neither the lease nor the numbers of exits are those of the life that gets this.
+		r.Command.MaxWait, r.Command.AcknowledgedSeq = 0, 0
+		return r, true
+	}
 	if ws.clock > 0 {
 		// The earliest time is used: the next leader counts on a lease that ends leaseDuration after the last renewal, and the
 		// last reply may have waited for an exit. A renewal without an answer may have been carried out. The lease of an
@@ -170,9 +176,11 @@
 }
 
 // HandleStatus processes the reply of a worker to a renewal or poll. sent is the time at which that was sent.
-func (c *Core) HandleStatus(id string, status worker.Status, sent time.Duration, err error) {
-	ws, ok := c.workers[id]
-	if !ok {
+func (c *Core) HandleStatus(to call, status worker.Status, sent time.Duration, err error) {
+	ws := to.life.worker
+	id := ws.report.ID
+	if c.workers[id] != ws || (status.Outcome != worker.Accepted && !c.current(to)) || (status.Outcome == worker.Accepted && !c.admit(to, status)) {
+		c.logDropped(to, status.Reply, sent)
 		return
 	}
 	switch status.Outcome {
@@ -191,14 +199,8 @@
 		return
 	}
 	silence := c.now - ws.lastContact
-	if status.Incarnation != 0 && ws.identity.Incarnation != 0 && status.Incarnation != ws.identity.Incarnation {
-		c.handleRestart(ws, status.Incarnation)
-	}
-	if ws.identity.Incarnation == 0 && status.Incarnation != 0 {
-		ws.identity.Incarnation = status.Incarnation
-		c.rosterChanges[id] = true
-	}
-	ws.unresponsive = false
+	c.identify(ws, status.Incarnation)
+	ws.unresponsive, ws.replaced = false, false
 	c.recordClock(ws, status.Reply, sent)
 	if !ws.answered || silence > contactTimeout {
 		c.logger.Info("Worker has answered.", "worker", id, "pool", ws.report.Pool, "runs", len(status.Running), "ends", len(status.Exited), "lapsed", ws.leaseExpired)
@@ -409,7 +411,7 @@
 // stopUnknownRun stops a run that is not recorded. If it has not started yet, the worker rejects its late start.
 func (c *Core) stopUnknownRun(ws *workerState, t work.Task, number int) {
 	c.commands = append(c.commands, Command{
-		Kind: CommandStop, Target: workerTarget(ws), Run: worker.RunCommand{Task: t, Run: number, Fence: c.options.Fence}, worker: ws, run: unknownRun,
+		Kind: CommandStop, Target: workerTarget(ws), Run: worker.RunCommand{Task: t, Run: number, Fence: c.options.Fence}, call: c.newCall(ws), run: unknownRun,
 	})
 }
 
@@ -478,7 +480,7 @@
 
 // acceptsTasks reports whether tasks may be started on a worker.
 func (c *Core) acceptsTasks(ws *workerState) bool {
-	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || ws.startUnanswered {
+	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || ws.startUnanswered || ws.replaced {
 		return false
 	}
 	if ws.cordoned || ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout {
