Acknowledge exits only to a worker that has answered since

Callers saw about ten tasks start again at each restart of a worker under its ID, a second after their runs had ended done and been acknowledged.

The first renewals that reach the next life carried the number up to which the exits of the earlier life were stored. By then the next life had run starts that were sent again, and listed their exits from 1 on; it forgot them, nobody had seen them, and the tasks were planned again.

The header of a call names the ID of the worker only, and a reply is the only thing that names its start time, so no call can be limited to one life. An acknowledgement is therefore sent only while each call since the last answer got one: a call without an answer, or one that could not be sent, is the first sign of a restart. Then one renewal without a number and without a wait asks first; its answer names the life. Requests for an immediate report carry neither a lease nor a number any more, since they need none.

The new test failed before in all three cases: exits up to 3 were acknowledged after a call without an answer.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -274,9 +274,7 @@
 		return
 	}
 	ws.polledAt = c.now
-	c.commands = append(c.commands, Command{Kind: CommandPoll, Target: workerTarget(ws), call: c.newCall(ws), run: unknownRun, Renew: worker.RenewCommand{
-		LeaseExpiry: ws.requestedExpiry, Fence: c.options.Fence, AcknowledgedSeq: ws.exitsStored,
-	}})
+	c.commands = append(c.commands, Command{Kind: CommandPoll, Target: workerTarget(ws), call: c.newCall(ws), run: unknownRun, Renew: worker.RenewCommand{Fence: c.options.Fence}})
 }
 
 // HandleInstanceReply processes the outcome of an instance command.
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -57,6 +57,8 @@
 	throttledAt time.Duration
 	// replaced means that the clock in a reply was that of another life, whose report is awaited.
 	replaced bool
+	// doubtedAt is the time at which a call got no answer, and 0 if the worker has answered a later one. It may have started again.
+	doubtedAt time.Duration
 }
 
 // call is a call to a worker. Its answer is compared with it.
--- a/scheduler/lives_test.go
+++ b/scheduler/lives_test.go
@@ -76,3 +76,43 @@
 	r.renew("w1")(50*time.Millisecond, rigNextIncarnation)
 	qt.Assert(t, r.core.workers["w1"].runs[start.Start.Task].number, qt.Equals, start.Start.Run)
 }
+
+// TestAcknowledgementAfterUnansweredCall guards against exits of the next life that are acknowledged unseen, by the numbers of this one.
+// A call without an answer is the first sign that the worker may have started again.
+func TestAcknowledgementAfterUnansweredCall(t *testing.T) {
+	unknown := worker.Status{Reply: worker.Reply{Outcome: worker.Unknown}}
+	calls := map[string]func(r *rig){
+		"renewal": func(r *rig) { r.core.HandleStatus(r.callTo("w1"), unknown, r.now, nil) },
+		"renewal that was not sent": func(r *rig) {
+			r.core.HandleStatus(r.callTo("w1"), worker.Status{Reply: worker.Reply{Outcome: worker.NotSent}}, r.now, nil)
+		},
+		"start": func(r *rig) {
+			r.addSteps("b", 1)
+			r.core.HandleReply(r.pass()[0], unknown.Reply, r.now, nil)
+		},
+	}
+	for name, unanswered := range calls {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			acknowledged := func() uint64 {
+				renewal, _ := r.core.Renewal("w1")
+				return renewal.Command.AcknowledgedSeq
+			}
+			r.addSteps("a", 3)
+			r.accept(r.pass())
+			r.finish("w1", worker.ExitDone)
+			r.reply("w1")
+			r.store()
+			qt.Assert(t, acknowledged(), qt.Equals, uint64(3))
+			sentBefore := r.renew("w1")
+			r.advance(500 * time.Millisecond)
+			unanswered(r)
+			qt.Assert(t, acknowledged(), qt.Equals, uint64(0))
+			r.advance(10 * time.Millisecond)
+			sentBefore(r.now, rigIncarnation)
+			qt.Assert(t, acknowledged(), qt.Equals, uint64(0))
+			r.renew("w1")(r.now, rigIncarnation)
+			qt.Assert(t, acknowledged(), qt.Equals, uint64(3))
+		})
+	}
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -204,6 +204,9 @@
 		reply, err = worker.Reply{Outcome: worker.Unknown}, errOtherLife
 		c.pollWorker(ws)
 	}
+	if reply.Outcome == worker.Unknown || reply.Outcome == worker.NotSent {
+		ws.doubtedAt = c.now
+	}
 	if reply.Clock > 0 && reply.Outcome != worker.OtherInstance {
 		c.recordClock(ws, reply, sent)
 	}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -137,9 +137,11 @@
 	if !ws.answered || r.Pending {
 		r.Command.MaxWait = 0
 	}
-	if ws.replaced {
-		// Neither the lease nor the numbers of exits are those of the life that gets this.
+	if ws.doubtedAt > 0 || ws.replaced {
+		// A next life would forget exits that nobody has seen.
 		r.Command.MaxWait, r.Command.AcknowledgedSeq = 0, 0
+	}
+	if ws.replaced {
 		return r, true
 	}
 	if ws.clock > 0 {
@@ -192,6 +194,7 @@
 		c.dropCrashedWorker(ws, "another instance answers at the address")
 		return
 	default:
+		ws.doubtedAt = c.now
 		if c.now-ws.lastContact > contactTimeout && ws.answered && !ws.unresponsive {
 			ws.unresponsive = true
 			c.logger.Warn("Worker is unresponsive.", "worker", id, "contactAge", c.contactAge(ws), "outcome", status.Outcome.String(), "error", err)
@@ -201,6 +204,9 @@
 	silence := c.now - ws.lastContact
 	c.identify(ws, status.Incarnation)
 	ws.unresponsive, ws.replaced = false, false
+	if sent >= ws.doubtedAt {
+		ws.doubtedAt = 0
+	}
 	c.recordClock(ws, status.Reply, sent)
 	if !ws.answered || silence > contactTimeout {
 		c.logger.Info("Worker has answered.", "worker", id, "pool", ws.report.Pool, "runs", len(status.Running), "ends", len(status.Exited), "lapsed", ws.leaseExpired)
