Rule out late calls to earlier lives of a worker

A call without an answer may be carried out seconds later. Callers saw tasks that were done start again when the late call was a start for the earlier life of a worker and the next life carried it out. Starts without an answer were stopped on the next life when its first report came in, but they were forgotten with a worker that was removed and came back under its ID, and a late renewal for the earlier life acknowledged exits of the next one at any time.

The header of a call names the ID only, so it cannot tell lives apart. The fencing token can: a worker does nothing for a token below the highest that it has seen. Calls to a next life now carry the version of a batch that this term has stored. It is higher than the token of the calls to the lives before, and lower than that of the next leader, which is the version of a later transaction. A life gets no tasks before it has answered a call with the higher token; from then on it refuses all calls to the lives before. The calls to a worker that was removed are remembered for as long as they may be carried out. A call that a worker refuses since a later one of the same term overtook it is no sign of another leader.

What cannot be prevented: a late start that the next life carries out before any call with the higher token has reached it.

--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -157,6 +157,7 @@
 			return
 		}
 		e.chainVersion = next
+		c.SetStoredVersion(next)
 		c.BatchStored(b)
 		e.notifyStored()
 	})
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -111,6 +111,10 @@
 	previousUsage map[string]map[string]work.Resources
 	// previousRuns holds, for each worker that has not answered in this term, the latest runs that previous leaders started there.
 	previousRuns map[string][]recordedRun
+	// earlierCalls holds the calls to workers that were removed, by worker ID.
+	earlierCalls map[string]earlierCalls
+	// storedVersion is the version of the last batch that was stored.
+	storedVersion uint64
 	// previousLeaderActiveUntil is the latest time at which the previous leader can have renewed a lease.
 	previousLeaderActiveUntil time.Duration
 	// batchJobSeen means that a job other than a service has come in during this term.
@@ -147,7 +151,7 @@
 		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
 		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration), rosterChanges: make(map[string]bool),
-		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), lastStored: o.AcquiredAt, previousLeaderActiveUntil: o.AcquiredAt + LeadershipTimeout, estimator: newEstimator(), fleet: newFleet(),
+		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), lastStored: o.AcquiredAt, previousLeaderActiveUntil: o.AcquiredAt + LeadershipTimeout, estimator: newEstimator(), fleet: newFleet(),
 	}
 }
 
--- a/scheduler/crashfleet_test.go
+++ b/scheduler/crashfleet_test.go
@@ -46,6 +46,8 @@
 	changeAt          time.Duration
 	// storeDown means that no batch is stored.
 	storeDown bool
+	// version is the version of the last transaction of the store.
+	version uint64
 }
 
 type crashingWorker struct {
@@ -84,7 +86,8 @@
 // changeLeader lets another process acquire leadership, with what is stored.
 func (f *crashFleet) changeLeader() {
 	f.term++
-	f.core = NewCore(Options{Bounds: rigBounds(), Fence: uint64(10 * f.term), Term: f.term, AcquiredAt: f.now, PreviousLeaderEnded: true})
+	f.version++
+	f.core = NewCore(Options{Bounds: rigBounds(), Fence: f.version, Term: f.term, AcquiredAt: f.now, PreviousLeaderEnded: true})
 	f.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{
 		Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6, BaseTarget: 600 * time.Millisecond,
 	}}, []catalog.Pool{{Name: "p"}}, nil))
@@ -173,6 +176,8 @@
 			f.roster[id] = *e
 		}
 	}
+	f.version++
+	f.core.SetStoredVersion(f.version)
 	f.core.BatchStored(b)
 }
 
--- /dev/null
+++ b/scheduler/fences.go
@@ -0,0 +1,69 @@
+package scheduler
+
+import "time"
+
+// earlierCalls are the calls to the earlier lives of a worker in this term. The header of a call names the ID of the worker only, so a call
+// that is carried out late may reach the next life. It may start a task there that is done, or acknowledge exits by the numbers of the earlier
+// life. Therefore calls to the next life carry a higher fencing token: once a worker has
+// taken one of them, it refuses the earlier calls.
+type earlierCalls struct {
+	// fence is the highest fencing token of the calls, and 0 if there are none.
+	fence uint64
+	// until is the time until which they may be carried out.
+	until time.Duration
+}
+
+// calls returns the calls to this life and those before it.
+func (l *workerLife) calls() earlierCalls {
+	if l.calledAt == 0 {
+		return l.earlier
+	}
+	return earlierCalls{fence: l.fence, until: max(l.calledAt+maxCommandDelay, l.earlier.until)}
+}
+
+// ruledOut reports whether no call to an earlier life can be carried out any more.
+func (l *workerLife) ruledOut(now time.Duration) bool {
+	return l.earlier.fence == 0 || l.ruledOutAt > 0 || now >= l.earlier.until
+}
+
+// needsFence reports whether calls to this life wait for a higher fencing token than that of the calls to earlier ones.
+func (l *workerLife) needsFence(now time.Duration) bool {
+	return !l.ruledOut(now) && l.fence <= l.earlier.fence
+}
+
+// SetStoredVersion records the version of a batch that this term has stored. It is below the fencing token of the next leader, which is the
+// version of a later transaction, so it may serve as a fencing token of this term.
+func (c *Core) SetStoredVersion(version uint64) { c.storedVersion = max(c.storedVersion, version) }
+
+// newCall returns a call to the present life of a worker.
+func (c *Core) newCall(ws *workerState) call {
+	if ws.needsFence(c.now) && c.storedVersion > ws.earlier.fence {
+		ws.fence = c.storedVersion
+	}
+	ws.calledAt = c.now
+	return call{life: ws.workerLife, fence: ws.fence}
+}
+
+// recordAnswer records that the present life of a worker has taken a call.
+func (c *Core) recordAnswer(to call) {
+	l := to.life
+	if l.ruledOut(c.now) || to.fence <= l.earlier.fence || !c.current(to) {
+		return
+	}
+	l.ruledOutAt = c.now
+	c.pool(l.worker.report.Pool).needsPlanning = true
+	c.logger.Info("Calls to earlier lives of the worker are ruled out.", "worker", l.identity.ID, "born", l.identity.Incarnation, "fence", to.fence, "earlierFence", l.earlier.fence)
+}
+
+// overtaken reports whether a call was refused because a later one of this term carried a higher fencing token.
+func (to call) overtaken() bool { return to.fence < to.life.fence }
+
+// keepCalls records the calls to a worker that is removed, since it may return under its ID.
+func (c *Core) keepCalls(ws *workerState) {
+	for id, calls := range c.earlierCalls {
+		if c.now >= calls.until {
+			delete(c.earlierCalls, id)
+		}
+	}
+	c.earlierCalls[ws.report.ID] = ws.calls()
+}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -274,7 +274,8 @@
 		return
 	}
 	ws.polledAt = c.now
-	c.commands = append(c.commands, Command{Kind: CommandPoll, Target: workerTarget(ws), call: c.newCall(ws), run: unknownRun, Renew: worker.RenewCommand{Fence: c.options.Fence}})
+	to := c.newCall(ws)
+	c.commands = append(c.commands, Command{Kind: CommandPoll, Target: workerTarget(ws), call: to, run: unknownRun, Renew: worker.RenewCommand{Fence: to.fence}})
 }
 
 // HandleInstanceReply processes the outcome of an instance command.
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -59,13 +59,19 @@
 	replaced bool
 	// doubtedAt is the time at which a call got no answer, and 0 if the worker has answered a later one. It may have started again.
 	doubtedAt time.Duration
+	// fence is the fencing token of calls to this life, and calledAt the time of the latest one.
+	fence    uint64
+	calledAt time.Duration
+	// earlier holds the calls to earlier lives. The worker refuses them from ruledOutAt on, which is 0 before.
+	earlier    earlierCalls
+	ruledOutAt time.Duration
 }
 
 // call is a call to a worker. Its answer is compared with it.
-type call struct{ life *workerLife }
-
-// newCall returns a call to the present life of a worker.
-func (c *Core) newCall(ws *workerState) call { return call{life: ws.workerLife} }
+type call struct {
+	life  *workerLife
+	fence uint64
+}
 
 // current reports whether the life that a call is meant for is the present one of a worker that is in use.
 func (c *Core) current(to call) bool {
@@ -116,8 +122,8 @@
 }
 
 // beginLife replaces what is known of a worker by a life of which nothing is known yet.
-func (c *Core) beginLife(ws *workerState, identity worker.Life) {
-	ws.workerLife = &workerLife{worker: ws, identity: identity, clockReceived: c.now}
+func (c *Core) beginLife(ws *workerState, identity worker.Life, earlier earlierCalls) {
+	ws.workerLife = &workerLife{worker: ws, identity: identity, clockReceived: c.now, fence: max(c.options.Fence, earlier.fence), earlier: earlier}
 }
 
 // maxEndedLives is how many ended lives of a worker are remembered. An answer of an earlier one cannot take that many restarts.
@@ -139,7 +145,7 @@
 	c.recordCrash(ws, runs)
 	ws.endedLives = append(ws.endedLives[max(0, len(ws.endedLives)-maxEndedLives+1):], ended.identity.Incarnation)
 	c.commands = slices.DeleteFunc(c.commands, func(cmd Command) bool { return cmd.call.life == ended })
-	c.beginLife(ws, worker.Life{ID: ended.identity.ID, Incarnation: incarnation})
+	c.beginLife(ws, worker.Life{ID: ended.identity.ID, Incarnation: incarnation}, ended.calls())
 	// Starts that got no answer may still reach the new life, which knows no runs. A stop makes the worker reject them.
 	for _, start := range ended.unansweredStarts {
 		if start.mayArrive(c.now) {
--- a/scheduler/lives_test.go
+++ b/scheduler/lives_test.go
@@ -116,3 +116,63 @@
 		})
 	}
 }
+
+// moveOn makes a worker start again under its ID and report.
+func (r *rig) moveOn(id string) {
+	r.renew(id)(10*time.Millisecond, rigNextIncarnation)
+	r.advance(time.Millisecond)
+}
+
+// TestEarlierCallsAreRuledOut guards against calls for an earlier life that the next one carries out late. They start tasks that are done,
+// and acknowledge exits that nobody has seen.
+func TestEarlierCallsAreRuledOut(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	earlier, _ := r.core.Renewal("w1")
+	r.moveOn("w1")
+	r.core.SetWorkers([]worker.Report{restartedReport("w1")})
+	probe, _ := r.core.Renewal("w1")
+	qt.Assert(t, probe.Command.Fence, qt.Equals, earlier.Command.Fence)
+	qt.Assert(t, probe.Pending, qt.IsTrue)
+	r.store()
+	raised, _ := r.core.Renewal("w1")
+	qt.Assert(t, raised.Command.Fence > earlier.Command.Fence, qt.IsTrue)
+	qt.Assert(t, raised.Pending, qt.IsFalse)
+	qt.Assert(t, raised.Command.MaxWait, qt.Equals, time.Duration(0))
+
+	r.addSteps("a", 1)
+	r.core.HandleStatus(probe.call, worker.Status{Reply: worker.Reply{Clock: 11 * time.Millisecond, Incarnation: rigNextIncarnation}}, r.now, nil)
+	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 0)
+	r.core.HandleStatus(raised.call, worker.Status{Reply: worker.Reply{Clock: 12 * time.Millisecond, Incarnation: rigNextIncarnation}}, r.now, nil)
+	r.renew("w1")(12*time.Millisecond, rigNextIncarnation)
+	starts := r.pass()
+	qt.Assert(t, startsOf(starts), qt.DeepEquals, []string{"a 0.0.0 1 w1"})
+	qt.Assert(t, starts[0].Start.Fence, qt.Equals, raised.Command.Fence)
+}
+
+// TestFencedByOwnCall guards against a leader that resigns because a worker refuses a call that a later one of the same leader overtook.
+func TestFencedByOwnCall(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.moveOn("w1")
+	late, _ := r.core.Renewal("w1")
+	r.store()
+	r.renew("w1")(12*time.Millisecond, rigNextIncarnation)
+	r.core.HandleStatus(late.call, worker.Status{Reply: worker.Reply{Outcome: worker.Fenced}}, r.now, nil)
+	qt.Assert(t, r.core.Deposed(), qt.IsFalse)
+	r.core.HandleStatus(r.callTo("w1"), worker.Status{Reply: worker.Reply{Outcome: worker.Fenced}}, r.now, nil)
+	qt.Assert(t, r.core.Deposed(), qt.IsTrue)
+}
+
+// TestWorkerBackUnderItsID guards against starts without an answer that are forgotten with a worker, and carried out when it is back.
+func TestWorkerBackUnderItsID(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	before, _ := r.core.Renewal("w1")
+	r.core.dropSilentWorker(r.core.workers["w1"], "not in the registry and unresponsive")
+	r.register("w1")
+	r.reply("w1")
+	r.addSteps("a", 1)
+	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 0)
+	r.reply("w1")
+	starts := r.pass()
+	qt.Assert(t, startsOf(starts), qt.DeepEquals, []string{"a 0.0.0 1 w1"})
+	qt.Assert(t, starts[0].Start.Fence > before.Command.Fence, qt.IsTrue)
+}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -19,6 +19,8 @@
 	now   time.Duration
 	exits map[string][]worker.Exit
 	runs  map[string][]worker.Run
+	// stored counts the batches that were stored.
+	stored uint64
 }
 
 const rigIncarnation = 1
@@ -98,6 +100,8 @@
 
 func (r *rig) store() {
 	b := r.core.TakeBatch(100)
+	r.stored++
+	r.core.SetStoredVersion(r.core.options.Fence + r.stored)
 	r.core.BatchStored(b)
 }
 
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -65,7 +65,7 @@
 	j.started = true
 	c.counts.Started++
 	c.logger.Info("Task is started.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
-		"fence", c.options.Fence, "waited", c.now-r.step.occurrence.dueAt, "sincePlan", sincePlan, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
+		"fence", r.worker.fence, "waited", c.now-r.step.occurrence.dueAt, "sincePlan", sincePlan, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
 	c.commandStart(r)
 }
 
@@ -130,9 +130,9 @@
 }
 
 func (c *Core) commandStart(r *run) {
-	s := r.step
+	s, to := r.step, c.newCall(r.worker)
 	start := worker.StartCommand{
-		Task: r.task(), Run: r.number, Spec: s.job.doc.Spec, LeaseExpiry: c.leaseEnd(r.worker), Fence: c.options.Fence,
+		Task: r.task(), Run: r.number, Spec: s.job.doc.Spec, LeaseExpiry: c.leaseEnd(r.worker), Fence: to.fence,
 	}
 	if s.doc.Checkpoints || s.doc.Gang {
 		start.Checkpoint = s.progress.Checkpoints[s.unitIndex(r.index)]
@@ -140,7 +140,7 @@
 	if s.tickets != nil {
 		start.Ticket = s.tickets.byWorker[r.worker.report.ID]
 	}
-	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, call: c.newCall(r.worker)})
+	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, call: to})
 }
 
 // unitIndex returns the index under which failures and checkpoints of a task are kept. All tasks of a gang share one.
@@ -186,8 +186,9 @@
 
 func (c *Core) commandStop(r *run) {
 	r.stopSentAt = c.now
+	to := c.newCall(r.worker)
 	c.commands = append(c.commands, Command{
-		Kind: CommandStop, Target: workerTarget(r.worker), Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: c.options.Fence}, run: r, call: c.newCall(r.worker),
+		Kind: CommandStop, Target: workerTarget(r.worker), Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: to.fence}, run: r, call: to,
 	})
 }
 
@@ -210,6 +211,10 @@
 	if reply.Clock > 0 && reply.Outcome != worker.OtherInstance {
 		c.recordClock(ws, reply, sent)
 	}
+	if reply.Outcome == worker.Fenced && cmd.call.overtaken() {
+		// The worker has done nothing.
+		reply.Outcome = worker.NotSent
+	}
 	switch reply.Outcome {
 	case worker.Fenced:
 		c.markDeposed(ws, err)
@@ -336,7 +341,7 @@
 	r := cmd.run
 	if r == unknownRun {
 		if reply.Outcome == worker.Unknown || reply.Outcome == worker.NotSent {
-			c.commands = append(c.commands, cmd)
+			c.stopUnknownRun(cmd.call.life.worker, cmd.Run.Task, cmd.Run.Run)
 		}
 		return
 	}
--- a/scheduler/services.go
+++ b/scheduler/services.go
@@ -62,9 +62,10 @@
 	r.speedLimit = percent
 	r.worker.throttledAt = c.now
 	c.logger.Info("Speed limit of a best-effort task was changed.", "job", r.step.job.doc.ID, "task", r.name(), "worker", r.worker.report.ID, "percent", percent)
+	to := c.newCall(r.worker)
 	c.commands = append(c.commands, Command{
-		Kind: CommandThrottle, Target: workerTarget(r.worker), run: r, call: c.newCall(r.worker),
-		Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: c.options.Fence, SpeedPercent: percent},
+		Kind: CommandThrottle, Target: workerTarget(r.worker), run: r, call: to,
+		Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: to.fence, SpeedPercent: percent},
 	})
 }
 
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -59,7 +59,7 @@
 
 func (c *Core) addWorker(r worker.Report) *workerState {
 	ws := &workerState{report: r, maxCPU: r.Capacity.CPU, runs: make(map[work.Task]*run)}
-	c.beginLife(ws, worker.Life{ID: r.ID, Incarnation: r.Incarnation})
+	c.beginLife(ws, worker.Life{ID: r.ID, Incarnation: r.Incarnation}, c.earlierCalls[r.ID])
 	c.workers[r.ID] = ws
 	p := c.pool(r.Pool)
 	p.workers = sortWorkers(append(p.workers, ws))
@@ -73,6 +73,7 @@
 	for _, r := range runsOn(ws) {
 		c.markRunLost(r, reason)
 	}
+	c.keepCalls(ws)
 	delete(c.workers, ws.report.ID)
 	delete(c.previousUsage, ws.report.ID)
 	delete(c.previousRuns, ws.report.ID)
@@ -112,7 +113,8 @@
 	Unresponsive bool
 	Target       worker.Target
 	Command      worker.RenewCommand
-	// Pending means that some exits are not stored yet. The worker lists them again, so it would answer at once.
+	// Pending means that a batch is awaited: some exits are not stored yet, which the worker lists again, so that it would answer at once,
+	// or the worker has restarted and gets a higher fencing token.
 	Pending bool
 	call    call
 }
@@ -132,9 +134,10 @@
 	if !ok {
 		return Renewal{}, false
 	}
-	r := Renewal{Target: workerTarget(ws), call: c.newCall(ws), Pending: ws.exitsProcessed > ws.exitsStored, Unresponsive: c.now-ws.lastContact > contactTimeout}
-	r.Command = worker.RenewCommand{Fence: c.options.Fence, AcknowledgedSeq: ws.exitsStored, MaxWait: renewWait}
-	if !ws.answered || r.Pending {
+	to := c.newCall(ws)
+	r := Renewal{Target: workerTarget(ws), call: to, Pending: ws.exitsProcessed > ws.exitsStored || ws.needsFence(c.now), Unresponsive: c.now-ws.lastContact > contactTimeout}
+	r.Command = worker.RenewCommand{Fence: to.fence, AcknowledgedSeq: ws.exitsStored, MaxWait: renewWait}
+	if !ws.answered || r.Pending || !ws.ruledOut(c.now) {
 		r.Command.MaxWait = 0
 	}
 	if ws.doubtedAt > 0 || ws.replaced {
@@ -188,6 +191,10 @@
 	switch status.Outcome {
 	case worker.Accepted:
 	case worker.Fenced:
+		if to.overtaken() {
+			c.logDropped(to, status.Reply, sent)
+			return
+		}
 		c.markDeposed(ws, err)
 		return
 	case worker.OtherInstance:
@@ -203,6 +210,7 @@
 	}
 	silence := c.now - ws.lastContact
 	c.identify(ws, status.Incarnation)
+	c.recordAnswer(to)
 	ws.unresponsive, ws.replaced = false, false
 	if sent >= ws.doubtedAt {
 		ws.doubtedAt = 0
@@ -240,7 +248,7 @@
 // markDeposed records that a worker has seen a higher fencing token, so another process is the leader.
 func (c *Core) markDeposed(ws *workerState, err error) {
 	if !c.deposed {
-		c.logger.Warn("Worker has seen a higher fencing token.", "worker", ws.report.ID, "fence", c.options.Fence, "error", err)
+		c.logger.Warn("Worker has seen a higher fencing token.", "worker", ws.report.ID, "fence", ws.fence, "error", err)
 	}
 	c.deposed = true
 }
@@ -416,8 +424,9 @@
 
 // stopUnknownRun stops a run that is not recorded. If it has not started yet, the worker rejects its late start.
 func (c *Core) stopUnknownRun(ws *workerState, t work.Task, number int) {
+	to := c.newCall(ws)
 	c.commands = append(c.commands, Command{
-		Kind: CommandStop, Target: workerTarget(ws), Run: worker.RunCommand{Task: t, Run: number, Fence: c.options.Fence}, call: c.newCall(ws), run: unknownRun,
+		Kind: CommandStop, Target: workerTarget(ws), Run: worker.RunCommand{Task: t, Run: number, Fence: to.fence}, call: to, run: unknownRun,
 	})
 }
 
@@ -486,7 +495,7 @@
 
 // acceptsTasks reports whether tasks may be started on a worker.
 func (c *Core) acceptsTasks(ws *workerState) bool {
-	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || ws.startUnanswered || ws.replaced {
+	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || ws.startUnanswered || ws.replaced || !ws.ruledOut(c.now) {
 		return false
 	}
 	if ws.cordoned || ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout {
