Count on the longest lease after a restart under the same ID

Callers saw two runs of a task for 0.8 s: a worker started again under its ID, was given a task, and was cut off; the scheduler took the lease as expired after 5.6 s and started the task elsewhere while the worker still ran it.

The expiry of a lease is a time on the clock of the worker, which starts anew. By the clock of the next life, the expiry in a renewal or start for the earlier one is far ahead, and the worker shortens it to the longest lease that it grants, 10 s, where the leader had asked for 4 s.

After a restart the leader now counts on that longest lease: until the worker refuses calls to the lives before, from the time until which they may still be carried out, and then from the answer that shows the refusal. It cannot last longer, since a lease is limited from the moment of the call. A worker that was removed and is back in the same life keeps its clock, and its leases are short.

The new test failed before: the second run started 5.6 s after the last answer; it starts after 10 s to 11 s now. A worker that restarts under its ID and then crashes for good within some seconds holds its tasks up to 5 s longer.

--- a/scheduler/fences.go
+++ b/scheduler/fences.go
@@ -3,14 +3,18 @@
 import "time"
 
 // earlierCalls are the calls to the earlier lives of a worker in this term. The header of a call names the ID of the worker only, so a call
-// that is carried out late may reach the next life. It may start a task there that is done, or acknowledge exits by the numbers of the earlier
-// life. Therefore calls to the next life carry a higher fencing token: once a worker has
+// that is carried out late may reach the next life. It may start a task there that is done, acknowledge exits by the numbers of the earlier
+// life, and give a lease by its clock, which is far ahead. Therefore calls to the next life carry a higher fencing token: once a worker has
 // taken one of them, it refuses the earlier calls.
 type earlierCalls struct {
 	// fence is the highest fencing token of the calls, and 0 if there are none.
 	fence uint64
 	// until is the time until which they may be carried out.
 	until time.Duration
+	// incarnation is the life that the latest were meant for. The leases that calls to the lives before may have given to it have expired at
+	// leasesUntil.
+	incarnation int64
+	leasesUntil time.Duration
 }
 
 // calls returns the calls to this life and those before it.
@@ -18,7 +22,9 @@
 	if l.calledAt == 0 {
 		return l.earlier
 	}
-	return earlierCalls{fence: l.fence, until: max(l.calledAt+maxCommandDelay, l.earlier.until)}
+	return earlierCalls{
+		fence: l.fence, until: max(l.calledAt+maxCommandDelay, l.earlier.until), incarnation: l.identity.Incarnation, leasesUntil: l.earlierExpiry(),
+	}
 }
 
 // ruledOut reports whether no call to an earlier life can be carried out any more.
@@ -31,6 +37,23 @@
 	return !l.ruledOut(now) && l.fence <= l.earlier.fence
 }
 
+// earlierExpiry returns the local time at which leases that calls to earlier lives may have given to this one have expired. Their expiry is on
+// the clock of an earlier life, so the worker shortens them to the longest lease that it grants.
+func (l *workerLife) earlierExpiry() time.Duration {
+	if l.earlier.fence == 0 {
+		return 0
+	}
+	if l.earlier.incarnation != 0 && l.earlier.incarnation == l.identity.Incarnation {
+		// The worker was removed and is back in the same life, by whose clock the leases were requested.
+		return l.earlier.leasesUntil
+	}
+	until := l.earlier.until
+	if l.ruledOutAt > 0 {
+		until = min(until, l.ruledOutAt)
+	}
+	return until + time.Duration(float64(l.maxLease)/(1-maxClockSlowdown)) + expiryMargin
+}
+
 // SetStoredVersion records the version of a batch that this term has stored. It is below the fencing token of the next leader, which is the
 // version of a later transaction, so it may serve as a fencing token of this term.
 func (c *Core) SetStoredVersion(version uint64) { c.storedVersion = max(c.storedVersion, version) }
@@ -61,7 +84,7 @@
 // keepCalls records the calls to a worker that is removed, since it may return under its ID.
 func (c *Core) keepCalls(ws *workerState) {
 	for id, calls := range c.earlierCalls {
-		if c.now >= calls.until {
+		if c.now >= calls.until+2*ws.maxLease {
 			delete(c.earlierCalls, id)
 		}
 	}
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -65,6 +65,8 @@
 	// earlier holds the calls to earlier lives. The worker refuses them from ruledOutAt on, which is 0 before.
 	earlier    earlierCalls
 	ruledOutAt time.Duration
+	// maxLease is the longest lease that the worker grants.
+	maxLease time.Duration
 }
 
 // call is a call to a worker. Its answer is compared with it.
@@ -123,7 +125,7 @@
 
 // beginLife replaces what is known of a worker by a life of which nothing is known yet.
 func (c *Core) beginLife(ws *workerState, identity worker.Life, earlier earlierCalls) {
-	ws.workerLife = &workerLife{worker: ws, identity: identity, clockReceived: c.now, fence: max(c.options.Fence, earlier.fence), earlier: earlier}
+	ws.workerLife = &workerLife{worker: ws, identity: identity, clockReceived: c.now, fence: max(c.options.Fence, earlier.fence), earlier: earlier, maxLease: c.options.Bounds.MaxLease}
 }
 
 // maxEndedLives is how many ended lives of a worker are remembered. An answer of an earlier one cannot take that many restarts.
@@ -168,7 +170,7 @@
 // certainExpiry returns the local time at which all runs on the worker are certain to have ended, if the lease is not renewed.
 func (l *workerLife) certainExpiry() time.Duration {
 	if l.requestedExpiry <= l.clock {
-		return l.clockReceived
+		return max(l.clockReceived, l.earlierExpiry())
 	}
-	return l.clockReceived + time.Duration(float64(l.requestedExpiry-l.clock)/(1-maxClockSlowdown)) + expiryMargin
+	return max(l.earlierExpiry(), l.clockReceived+time.Duration(float64(l.requestedExpiry-l.clock)/(1-maxClockSlowdown))+expiryMargin)
 }
--- a/scheduler/lives_test.go
+++ b/scheduler/lives_test.go
@@ -175,4 +175,34 @@
 	starts := r.pass()
 	qt.Assert(t, startsOf(starts), qt.DeepEquals, []string{"a 0.0.0 1 w1"})
 	qt.Assert(t, starts[0].Start.Fence > before.Command.Fence, qt.IsTrue)
+	// The worker is still in the same life, so that its leases are by the clock that they were requested by.
+	qt.Assert(t, r.core.workers["w1"].earlierExpiry(), qt.Equals, time.Duration(0))
+}
+
+// TestLeaseFromEarlierCall guards against a second run of a task, while the first one is under a lease that a call for the earlier life of
+// its worker gave. By the clock of the next life that lease is as long as a lease may be.
+func TestLeaseFromEarlierCall(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.moveOn("w1")
+	r.core.SetWorkers([]worker.Report{restartedReport("w1")})
+	r.store()
+	for range 2 {
+		r.renew("w1")(12*time.Millisecond, rigNextIncarnation)
+	}
+	r.addSteps("a", 1)
+	starts := r.pass()
+	qt.Assert(t, startsOf(starts), qt.DeepEquals, []string{"a 0.0.0 1 w1"})
+	r.core.HandleReply(starts[0], worker.Reply{Clock: 13 * time.Millisecond}, r.now, nil)
+	silence := r.now
+	r.core.SetWorkers([]worker.Report{restartedReport("w1"), rigReport("w2", coresOnly(4))})
+	var again []string
+	for len(again) == 0 && r.now-silence < 30*time.Second {
+		r.advance(200 * time.Millisecond)
+		r.reply("w2")
+		r.core.Renewal("w1")
+		again = startsOf(r.pass())
+	}
+	qt.Assert(t, again, qt.DeepEquals, []string{"a 0.0.0 2 w2"})
+	qt.Assert(t, r.now-silence >= rigBounds().MaxLease, qt.IsTrue, qt.Commentf("after %s", r.now-silence))
+	qt.Assert(t, r.now-silence <= rigBounds().MaxLease+time.Second, qt.IsTrue, qt.Commentf("after %s", r.now-silence))
 }
