--- a/scheduler/fences.go
+++ b/scheduler/fences.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// earlierCalls are the calls to the earlier lives of a worker in this term. The header of a call names the ID of the worker only, so a call
-// that is carried out late may reach the next life. It may start a task there that is done, acknowledge exits by the numbers of the earlier
-// life, and give a lease by its clock, which is far ahead. Therefore calls to the next life carry a higher fencing token: once a worker has
-// taken one of them, it refuses the earlier calls.
+// earlierCalls are the calls to the earlier lives of a worker in this term. A call names the ID of the worker only, so one that is carried out
+// late may reach the next life. It may start a task there that is done, acknowledge exits by the numbers of the earlier life, and give a lease
+// by its clock, which is far ahead. Therefore calls to the next life carry a higher fencing token: once a worker has taken one of them, it
+// refuses the earlier calls.
 type earlierCalls struct {
 	// fence is the highest fencing token of the calls, and 0 if there are none.
 	fence uint64
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -81,13 +81,14 @@
 	return c.workers[ws.report.ID] == ws && ws.workerLife == to.life
 }
 
-// admit reports whether a report is about the present life of a worker or a new one. A call may be answered by a later life than the one
-// that it is meant for, and an answer of an earlier life may arrive late.
-func (c *Core) admit(to call, status worker.Status) bool {
-	if status.Incarnation == 0 {
+// admits reports whether the answer to a renewal is used: it is of the present life, or of a new one that has taken the call. The report of a
+// life that has ended may arrive after that of the next one.
+func (c *Core) admits(to call, status worker.Status) bool {
+	ws := to.life.worker
+	if status.Outcome != worker.Accepted || status.Incarnation == 0 {
 		return c.current(to)
 	}
-	return !slices.Contains(to.life.worker.endedLives, status.Incarnation)
+	return c.workers[ws.report.ID] == ws && !slices.Contains(ws.endedLives, status.Incarnation)
 }
 
 // isOther reports whether a reply to a call to this life shows that another one has answered. The replies to most commands do not name the
