Keep the first life of a worker beside it

Each pass reads the lease of every worker. The first life of a worker is allocated together with it, the fields that passes read come first, and a lease that no earlier call can have lengthened needs no further calculation.

A test checks that the version of a batch reaches the core as a fencing token, and that the next leader's is above it.

--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -12,10 +12,37 @@
 // workerLife is what a worker has said, and was told, in one of its lives. It is replaced as a whole when the worker starts again under
 // its ID. Calls and batches hold the life that they are about, so that one that ends late changes nothing in the next life.
 type workerLife struct {
-	worker   *workerState
-	identity worker.Life
+	// The fields up to earlier are read for each worker in each pass.
+	worker *workerState
 	// answered means that the worker has answered in this life and term.
 	answered bool
+	// leaseExpired means that the lease has expired since the worker last answered.
+	leaseExpired bool
+	// startUnanswered means that a start got no answer or could not be sent, and that the worker has not answered anything since.
+	startUnanswered bool
+	// replaced means that the clock in a reply was that of another life, whose report is awaited.
+	replaced bool
+	// unresponsive means that it was logged that the worker does not answer.
+	unresponsive bool
+	// requestedExpiry is the latest lease expiry that was requested, on the worker's clock.
+	requestedExpiry time.Duration
+	// clock is the worker's clock in a reply. The request was sent at clockSent and the reply received at clockReceived.
+	clock         time.Duration
+	clockReceived time.Duration
+	clockSent     time.Duration
+	// earlier holds the calls to earlier lives. The worker refuses them from ruledOutAt on, which is 0 before.
+	earlier    earlierCalls
+	ruledOutAt time.Duration
+	// lastContact is the time of the last reply.
+	lastContact time.Duration
+	// noTasksBefore is the time before which the worker gets no tasks.
+	noTasksBefore time.Duration
+	// unknownRuns counts the runs in the last report that are not recorded here.
+	unknownRuns int
+	identity    worker.Life
+	// latestClock is the latest clock in a reply. It does not go back with replies that overtake each other, or with those of a
+	// new incarnation that is not recognised yet.
+	latestClock time.Duration
 	// firstReply is the time at which the worker first answered.
 	firstReply time.Duration
 	// reportedAt is the time of the last report, and reportClock the worker's clock in it.
@@ -23,50 +50,24 @@
 	reportClock time.Duration
 	// polledAt is the time of the latest poll.
 	polledAt time.Duration
-	// unresponsive means that it was logged that the worker does not answer.
-	unresponsive bool
-	// leaseExpired means that the lease has expired since the worker last answered.
-	leaseExpired bool
+	// doubtedAt is the time at which a call got no answer, and 0 if the worker has answered a later one. It may have started again.
+	doubtedAt time.Duration
+	// fence is the fencing token of calls to this life, and calledAt the time of the latest one.
+	fence    uint64
+	calledAt time.Duration
+	// maxLease is the longest lease that the worker grants.
+	maxLease time.Duration
 	// expiredRuns holds the runs that were on the worker when its lease expired. It may have crashed.
 	expiredRuns []*run
-	// unknownRuns counts the runs in the last report that are not recorded here.
-	unknownRuns int
-	// clock is the worker's clock in a reply. The request was sent at clockSent and the reply received at clockReceived.
-	clock         time.Duration
-	clockSent     time.Duration
-	clockReceived time.Duration
-	// latestClock is the latest clock in a reply. It does not go back with replies that overtake each other, or with those of a
-	// new incarnation that is not recognised yet.
-	latestClock time.Duration
-	// requestedExpiry is the latest lease expiry that was requested, on the worker's clock.
-	requestedExpiry time.Duration
 	// exitsProcessed is the number of the last exit that was processed, and exitsStored that of the last whose effect is stored.
 	exitsProcessed uint64
 	exitsStored    uint64
 	// unstoredExits holds the exits after exitsStored that were processed.
 	unstoredExits []unstoredExit
-	// lastContact is the time of the last reply.
-	lastContact time.Duration
-	// noTasksBefore is the time before which the worker gets no tasks.
-	noTasksBefore time.Duration
-	// startUnanswered means that a start got no answer or could not be sent, and that the worker has not answered anything since.
-	startUnanswered bool
 	// unansweredStarts holds the starts that got no answer.
 	unansweredStarts []unansweredStart
 	// throttledAt is the time of the latest throttle command.
 	throttledAt time.Duration
-	// replaced means that the clock in a reply was that of another life, whose report is awaited.
-	replaced bool
-	// doubtedAt is the time at which a call got no answer, and 0 if the worker has answered a later one. It may have started again.
-	doubtedAt time.Duration
-	// fence is the fencing token of calls to this life, and calledAt the time of the latest one.
-	fence    uint64
-	calledAt time.Duration
-	// earlier holds the calls to earlier lives. The worker refuses them from ruledOutAt on, which is 0 before.
-	earlier    earlierCalls
-	ruledOutAt time.Duration
-	// maxLease is the longest lease that the worker grants.
-	maxLease time.Duration
 }
 
 // call is a call to a worker. Its answer is compared with it.
@@ -124,9 +125,11 @@
 	}
 }
 
-// beginLife replaces what is known of a worker by a life of which nothing is known yet.
-func (c *Core) beginLife(ws *workerState, identity worker.Life, earlier earlierCalls) {
-	ws.workerLife = &workerLife{worker: ws, identity: identity, clockReceived: c.now, fence: max(c.options.Fence, earlier.fence), earlier: earlier, maxLease: c.options.Bounds.MaxLease}
+// newLife returns a life of a worker of which nothing is known yet.
+func (c *Core) newLife(ws *workerState, identity worker.Life, earlier earlierCalls) workerLife {
+	return workerLife{
+		worker: ws, identity: identity, clockReceived: c.now, fence: max(c.options.Fence, earlier.fence), earlier: earlier, maxLease: c.options.Bounds.MaxLease,
+	}
 }
 
 // maxEndedLives is how many ended lives of a worker are remembered. An answer of an earlier one cannot take that many restarts.
@@ -148,7 +151,8 @@
 	c.recordCrash(ws, runs)
 	ws.endedLives = append(ws.endedLives[max(0, len(ws.endedLives)-maxEndedLives+1):], ended.identity.Incarnation)
 	c.commands = slices.DeleteFunc(c.commands, func(cmd Command) bool { return cmd.call.life == ended })
-	c.beginLife(ws, worker.Life{ID: ended.identity.ID, Incarnation: incarnation}, ended.calls())
+	next := c.newLife(ws, worker.Life{ID: ended.identity.ID, Incarnation: incarnation}, ended.calls())
+	ws.workerLife = &next
 	// Starts that got no answer may still reach the new life, which knows no runs. A stop makes the worker reject them.
 	for _, start := range ended.unansweredStarts {
 		if start.mayArrive(c.now) {
@@ -170,8 +174,12 @@
 
 // certainExpiry returns the local time at which all runs on the worker are certain to have ended, if the lease is not renewed.
 func (l *workerLife) certainExpiry() time.Duration {
-	if l.requestedExpiry <= l.clock {
-		return max(l.clockReceived, l.earlierExpiry())
+	expiry := l.clockReceived
+	if l.requestedExpiry > l.clock {
+		expiry += time.Duration(float64(l.requestedExpiry-l.clock)/(1-maxClockSlowdown)) + expiryMargin
+	}
+	if l.earlier.fence == 0 {
+		return expiry
 	}
-	return max(l.earlierExpiry(), l.clockReceived+time.Duration(float64(l.requestedExpiry-l.clock)/(1-maxClockSlowdown))+expiryMargin)
+	return max(expiry, l.earlierExpiry())
 }
--- a/scheduler/lives_test.go
+++ b/scheduler/lives_test.go
@@ -6,6 +6,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/store/memory"
+	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
@@ -206,3 +209,16 @@
 	qt.Assert(t, r.now-silence >= rigBounds().MaxLease, qt.IsTrue, qt.Commentf("after %s", r.now-silence))
 	qt.Assert(t, r.now-silence <= rigBounds().MaxLease+time.Second, qt.IsTrue, qt.Commentf("after %s", r.now-silence))
 }
+
+// TestTokenOfBatch guards against a worker that gets no tasks any more after a restart, and against one that refuses the next leader.
+func TestTokenOfBatch(t *testing.T) {
+	s := memory.New()
+	e, _ := newTestEngine(t, s, 1)
+	e.core.AddJob(work.Job{ID: "a", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}}, nil, 0)
+	e.core.endJob(e.core.jobs["a"], work.Failed, "test")
+	e.dispatch(clock.Now())
+	e.handleMessages(<-e.inbox)
+	qt.Assert(t, e.core.storedVersion > e.options.Core.Fence, qt.IsTrue)
+	next, _ := newTestEngine(t, s, 2)
+	qt.Assert(t, e.core.storedVersion < next.options.Core.Fence, qt.IsTrue)
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -149,8 +149,6 @@
 
 // workerState is a worker with its runs.
 type workerState struct {
-	// workerLife is the present life.
-	*workerLife
 	// report is the latest registry entry, which may be of another life than the present one.
 	report worker.Report
 	// endedLives holds the incarnations that have ended, the latest ones only.
@@ -174,6 +172,8 @@
 	tests       int
 	testsLikely bool
 	health      health
+	// workerLife is the present life.
+	*workerLife
 }
 
 // countRun adds n to the number of service or best-effort runs.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -58,8 +58,14 @@
 }
 
 func (c *Core) addWorker(r worker.Report) *workerState {
-	ws := &workerState{report: r, maxCPU: r.Capacity.CPU, runs: make(map[work.Task]*run)}
-	c.beginLife(ws, worker.Life{ID: r.ID, Incarnation: r.Incarnation}, c.earlierCalls[r.ID])
+	// Most workers have one life in a term. It is kept beside the worker, since each pass reads both of all workers.
+	var added struct {
+		worker workerState
+		life   workerLife
+	}
+	ws := &added.worker
+	*ws = workerState{workerLife: &added.life, report: r, maxCPU: r.Capacity.CPU, runs: make(map[work.Task]*run)}
+	added.life = c.newLife(ws, worker.Life{ID: r.ID, Incarnation: r.Incarnation}, c.earlierCalls[r.ID])
 	c.workers[r.ID] = ws
 	p := c.pool(r.Pool)
 	p.workers = sortWorkers(append(p.workers, ws))
