--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -32,7 +32,7 @@
 	states           []work.State
 	plannedRuns      []*run
 	instanceCommands []InstanceCommand
-	exitAcks         map[*workerState]uint64
+	exitAcks         map[*workerLife]uint64
 }
 
 // Empty reports whether there is nothing to store.
@@ -73,7 +73,7 @@
 // takeBatch returns a batch of the rows that are admitted.
 func (c *Core) takeBatch(limit int) Batch {
 	admits := c.refusedRows.Admits
-	b := Batch{Progress: make(map[string]*work.Progress), exitAcks: make(map[*workerState]uint64)}
+	b := Batch{Progress: make(map[string]*work.Progress), exitAcks: make(map[*workerLife]uint64)}
 	fleetLimit := int(fleetRowsShare * float64(limit))
 	b.Waves, b.begun = c.fleet.takeChangedWaves(fleetLimit, admits)
 	fleetRows := rowsPerWave*len(b.Waves) + len(b.begun)
@@ -108,7 +108,7 @@
 	c.plannedRuns = waiting
 	for _, ws := range c.workers {
 		if seq := c.storedExits(ws); seq > ws.exitsStored {
-			b.exitAcks[ws] = seq
+			b.exitAcks[ws.workerLife] = seq
 		}
 	}
 	if !b.Empty() {
@@ -242,13 +242,13 @@
 }
 
 // recordStoredExits records that the effects of the exits up to a number are stored.
-func (ws *workerState) recordStoredExits(seq uint64) {
-	ws.exitsStored = max(ws.exitsStored, seq)
+func (l *workerLife) recordStoredExits(seq uint64) {
+	l.exitsStored = max(l.exitsStored, seq)
 	n := 0
-	for n < len(ws.unstoredExits) && ws.unstoredExits[n].seq <= ws.exitsStored {
+	for n < len(l.unstoredExits) && l.unstoredExits[n].seq <= l.exitsStored {
 		n++
 	}
-	ws.unstoredExits = ws.unstoredExits[n:]
+	l.unstoredExits = l.unstoredExits[n:]
 }
 
 // maxPrunedJobs is the maximum number of jobs that are pruned at a time, in a transaction for each partition.
@@ -323,8 +323,8 @@
 // BatchStored records that a batch was stored. The runs and commands that waited for it can start.
 func (c *Core) BatchStored(b Batch) {
 	c.refusedRows.Stored(b.rowKeys())
-	for ws, number := range b.exitAcks {
-		ws.recordStoredExits(number)
+	for life, number := range b.exitAcks {
+		life.recordStoredExits(number)
 	}
 	for i, j := range b.jobs {
 		j.storedState, j.storedParts = b.states[i], b.parts[i]
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -78,7 +78,7 @@
 	Run    worker.RunCommand
 	Renew  worker.RenewCommand
 	run    *run
-	worker *workerState
+	call   call
 }
 
 // Core is the state of the scheduler. It is not safe for concurrent use. All times are monotonic times of this process.
@@ -121,6 +121,10 @@
 	previousUsage map[string]map[string]work.Resources
 	// previousRuns holds, for each worker that has not answered in this term, the latest runs that previous leaders started there.
 	previousRuns map[string][]recordedRun
+	// earlierCalls holds the calls to workers that were removed, by worker ID.
+	earlierCalls map[string]earlierCalls
+	// storedVersion is the version of the last batch that was stored.
+	storedVersion uint64
 	// leaders is what is known of the earlier leaders, and limits are the limits to what they permitted.
 	leaders horizon.Leaders
 	limits  horizon.Limits
@@ -169,8 +173,9 @@
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
 		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
-		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), waitingTasks: make(map[WaitReason]int),
-		lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(), estimator: newEstimator(), fleet: newFleet(),
+		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls),
+		waitingTasks: make(map[WaitReason]int), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
+		estimator: newEstimator(), fleet: newFleet(),
 	}
 }
 
--- a/scheduler/entries.go
+++ b/scheduler/entries.go
@@ -25,8 +25,8 @@
 // dropMisdirected removes a worker at whose address another instance answers.
 func (c *Core) dropMisdirected(ws *workerState) {
 	m := c.misdirected[ws.report.ID]
-	if m == nil || m.address != ws.report.Address || m.incarnation != ws.registeredIncarnation {
-		m = &misdirection{address: ws.report.Address, incarnation: ws.registeredIncarnation}
+	if m == nil || m.address != ws.report.Address || m.incarnation != ws.report.Incarnation {
+		m = &misdirection{address: ws.report.Address, incarnation: ws.report.Incarnation}
 		c.misdirected[ws.report.ID] = m
 	}
 	m.count++
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -299,9 +299,8 @@
 		return
 	}
 	ws.polledAt = c.now
-	c.commands = append(c.commands, Command{Kind: CommandPoll, Target: workerTarget(ws), worker: ws, run: unknownRun, Renew: worker.RenewCommand{
-		LeaseExpiry: ws.requestedExpiry, Fence: c.options.Fence, AcknowledgedSeq: ws.exitsStored,
-	}})
+	to := c.newCall(ws)
+	c.commands = append(c.commands, Command{Kind: CommandPoll, Target: workerTarget(ws), call: to, run: unknownRun, Renew: worker.RenewCommand{Fence: to.fence}})
 }
 
 // HandleInstanceReply processes the outcome of an instance command.
--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -307,7 +307,7 @@
 			if !m.send(n, w, func() { status = m.renew(w, r.Command) }) {
 				status.Outcome = worker.Unknown
 			}
-			c.HandleStatus(w.id, status, m.now, nil)
+			c.HandleStatus(r.call, status, m.now, nil)
 		}
 	}
 	c.Schedule(m.now)
--- a/scheduler/oddentries_test.go
+++ b/scheduler/oddentries_test.go
@@ -59,8 +59,8 @@
 				r.advance(200 * time.Millisecond)
 				r.core.SetWorkers([]worker.Report{good, odd})
 				r.reply("w1")
-				if _, ok := r.core.Renewal("w2"); ok {
-					r.core.HandleStatus("w2", worker.Status{Reply: worker.Reply{Outcome: outcome, Clock: r.now, Incarnation: odd.Incarnation}}, r.now, nil)
+				if renewal, ok := r.core.Renewal("w2"); ok {
+					r.core.HandleStatus(renewal.call, worker.Status{Reply: worker.Reply{Outcome: outcome, Clock: r.now, Incarnation: odd.Incarnation}}, r.now, nil)
 				}
 				r.pass()
 			}
@@ -103,7 +103,7 @@
 			good := rigReport("w1", coresOnly(4))
 			good.Incarnation = test.known
 			answer := func() {
-				r.core.HandleStatus("w1", worker.Status{Reply: worker.Reply{Clock: r.now, Incarnation: test.known}, Running: r.runs["w1"]}, r.now, nil)
+				r.core.HandleStatus(r.callTo("w1"), worker.Status{Reply: worker.Reply{Clock: r.now, Incarnation: test.known}, Running: r.runs["w1"]}, r.now, nil)
 				r.core.Renewal("w1")
 			}
 			r.core.SetWorkers([]worker.Report{good})
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -19,6 +19,8 @@
 	now   time.Duration
 	exits map[string][]worker.Exit
 	runs  map[string][]worker.Run
+	// stored counts the batches that were stored.
+	stored uint64
 }
 
 const rigIncarnation = 1
@@ -73,7 +75,7 @@
 				status.Exited = append(status.Exited, e)
 			}
 		}
-		r.core.HandleStatus(id, status, r.now, nil)
+		r.core.HandleStatus(renewal.call, status, r.now, nil)
 	}
 }
 
@@ -98,6 +100,8 @@
 
 func (r *rig) store() {
 	b := r.core.TakeBatch(100)
+	r.stored++
+	r.core.SetStoredVersion(r.core.options.Fence + r.stored)
 	r.core.BatchStored(b)
 }
 
@@ -158,3 +162,6 @@
 	}
 	return n
 }
+
+// callTo returns a call to the present life of a worker.
+func (r *rig) callTo(id string) call { return r.core.newCall(r.core.workers[id]) }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -65,7 +65,7 @@
 	j.started = true
 	c.counts.Started++
 	c.logger.Info("Task is started.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
-		"fence", c.options.Fence, "waited", c.now-r.step.occurrence.dueAt, "sincePlan", sincePlan, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
+		"fence", r.worker.fence, "waited", c.now-r.step.occurrence.dueAt, "sincePlan", sincePlan, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
 	c.commandStart(r)
 }
 
@@ -130,9 +130,9 @@
 }
 
 func (c *Core) commandStart(r *run) {
-	s := r.step
+	s, to := r.step, c.newCall(r.worker)
 	start := worker.StartCommand{
-		Task: r.task(), Run: r.number, Spec: s.job.doc.Spec, LeaseExpiry: c.leaseEnd(r.worker), Fence: c.options.Fence,
+		Task: r.task(), Run: r.number, Spec: s.job.doc.Spec, LeaseExpiry: c.leaseEnd(r.worker), Fence: to.fence,
 	}
 	if s.doc.Checkpoints || s.doc.Gang {
 		start.Checkpoint = s.progress.Checkpoints[s.unitIndex(r.index)]
@@ -140,7 +140,7 @@
 	if s.tickets != nil {
 		start.Ticket = s.tickets.byWorker[r.worker.report.ID]
 	}
-	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, worker: r.worker})
+	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, call: to})
 }
 
 // unitIndex returns the index under which failures and checkpoints of a task are kept. All tasks of a gang share one.
@@ -166,7 +166,7 @@
 }
 
 func workerTarget(ws *workerState) worker.Target {
-	return worker.Target{ID: ws.report.ID, Address: ws.report.Address, DataCentre: ws.report.DataCentre}
+	return worker.Target{Life: ws.identity, Address: ws.report.Address, DataCentre: ws.report.DataCentre}
 }
 
 // stopRun sends a stop for a run. Its room is free once the worker reports the exit.
@@ -186,20 +186,35 @@
 
 func (c *Core) commandStop(r *run) {
 	r.stopSentAt = c.now
+	to := c.newCall(r.worker)
 	c.commands = append(c.commands, Command{
-		Kind: CommandStop, Target: workerTarget(r.worker), Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: c.options.Fence}, run: r, worker: r.worker,
+		Kind: CommandStop, Target: workerTarget(r.worker), Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: to.fence}, run: r, call: to,
 	})
 }
 
 // HandleReply processes the reply to a command. sent is the time at which the command was sent.
 func (c *Core) HandleReply(cmd Command, reply worker.Reply, sent time.Duration, err error) {
-	ws := cmd.worker
-	if c.workers[ws.report.ID] != ws {
+	ws := cmd.call.life.worker
+	if !c.current(cmd.call) {
+		c.logDropped(cmd.call, reply, sent)
 		return
 	}
+	if reply.Outcome != worker.OtherInstance && reply.Outcome != worker.Fenced && ws.isOther(reply, sent) {
+		c.logDropped(cmd.call, reply, sent)
+		ws.replaced = true
+		reply, err = worker.Reply{Outcome: worker.Unknown}, errOtherLife
+		c.pollWorker(ws)
+	}
+	if reply.Outcome == worker.Unknown || reply.Outcome == worker.NotSent {
+		ws.doubtedAt = c.now
+	}
 	if reply.Clock > 0 && reply.Outcome != worker.OtherInstance {
 		c.recordClock(ws, reply, sent)
 	}
+	if reply.Outcome == worker.Fenced && cmd.call.overtaken() {
+		// The worker has done nothing.
+		reply.Outcome = worker.NotSent
+	}
 	switch reply.Outcome {
 	case worker.Fenced:
 		c.markDeposed(ws, err)
@@ -281,7 +296,7 @@
 		c.recordUnansweredStart(r)
 		switch {
 		case r.phase != starting:
-		case c.now-r.worker.lastContact > contactTimeout:
+		case c.now-r.worker.lastContact > contactTimeout || r.worker.replaced:
 			// The worker may be down. If it restarts under its ID, the start must not reach its next incarnation.
 			r.repeatAfterReport = true
 		default:
@@ -326,7 +341,7 @@
 	r := cmd.run
 	if r == unknownRun {
 		if reply.Outcome == worker.Unknown || reply.Outcome == worker.NotSent {
-			c.commands = append(c.commands, cmd)
+			c.stopUnknownRun(cmd.call.life.worker, cmd.Run.Task, cmd.Run.Run)
 		}
 		return
 	}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -15,7 +15,7 @@
 	for _, r := range reports {
 		listed[r.ID] = true
 		ws, ok := c.workers[r.ID]
-		if ok && r.Incarnation == ws.registeredIncarnation && !ws.registered() {
+		if ok && r.Incarnation == ws.report.Incarnation && !ws.registered() {
 			continue
 		}
 		if ok && c.contradicts(r, ws) {
@@ -49,13 +49,13 @@
 			c.logger.Info("Capacity of the worker has changed.", "worker", r.ID, "pool", r.Pool, "cpu", r.Capacity.CPU, "memory", r.Capacity.Memory, "gpu", r.Capacity.GPU,
 				"cpuBefore", before.CPU, "memoryBefore", before.Memory, "gpuBefore", before.GPU, "reserved", ws.used.CPU, "runs", len(ws.runs))
 		}
-		if r.Incarnation != ws.registeredIncarnation {
-			ws.registeredIncarnation, ws.maxCPU = r.Incarnation, 0
+		if r.Incarnation != ws.report.Incarnation {
+			ws.maxCPU = 0
 		}
 		ws.maxCPU = max(ws.maxCPU, r.Capacity.CPU)
-		if ws.report.Incarnation != 0 {
-			// The first reply of a new life tells what runs there, so the runs are taken as lost only then.
-			r.Incarnation = ws.report.Incarnation
+		if ws.identity.Incarnation == 0 {
+			// The first reply of a new life tells what runs there, so the runs of one that is known are taken as lost only then.
+			ws.identity.Incarnation = r.Incarnation
 		}
 		ws.report, ws.listed, ws.contradicted = r, true, false
 	}
@@ -72,7 +72,14 @@
 }
 
 func (c *Core) addWorker(r worker.Report) *workerState {
-	ws := &workerState{report: r, registeredIncarnation: r.Incarnation, maxCPU: r.Capacity.CPU, runs: make(map[work.Task]*run), clockReceived: c.now, clockSent: c.now}
+	// Most workers have one life in a term. It is kept beside the worker, since each pass reads both of all workers.
+	var added struct {
+		worker workerState
+		life   workerLife
+	}
+	ws := &added.worker
+	*ws = workerState{workerLife: &added.life, report: r, maxCPU: r.Capacity.CPU, runs: make(map[work.Task]*run)}
+	added.life = c.newLife(ws, worker.Life{ID: r.ID, Incarnation: r.Incarnation}, c.earlierCalls[r.ID])
 	c.workers[r.ID] = ws
 	p := c.pool(r.Pool)
 	p.workers = sortWorkers(append(p.workers, ws))
@@ -86,6 +93,7 @@
 	for _, r := range runsOn(ws) {
 		c.markRunLost(r, reason)
 	}
+	c.keepCalls(ws)
 	delete(c.workers, ws.report.ID)
 	delete(c.previousUsage, ws.report.ID)
 	delete(c.previousRuns, ws.report.ID)
@@ -125,8 +133,10 @@
 	Unresponsive bool
 	Target       worker.Target
 	Command      worker.RenewCommand
-	// Pending means that some exits are not stored yet. The worker lists them again, so it would answer at once.
+	// Pending means that a batch is awaited: some exits are not stored yet, which the worker lists again, so that it would answer at once,
+	// or the worker has restarted and gets a higher fencing token.
 	Pending bool
+	call    call
 }
 
 // Workers returns the IDs of the workers whose leases are to be renewed.
@@ -144,11 +154,19 @@
 	if !ok {
 		return Renewal{}, false
 	}
-	r := Renewal{Target: workerTarget(ws), Pending: ws.exitsProcessed > ws.exitsStored, Unresponsive: c.now-ws.lastContact > contactTimeout}
-	r.Command = worker.RenewCommand{Fence: c.options.Fence, AcknowledgedSeq: ws.exitsStored, MaxWait: renewWait}
-	if !ws.answered || r.Pending {
+	to := c.newCall(ws)
+	r := Renewal{Target: workerTarget(ws), call: to, Pending: ws.exitsProcessed > ws.exitsStored || ws.needsFence(c.now), Unresponsive: c.now-ws.lastContact > contactTimeout}
+	r.Command = worker.RenewCommand{Fence: to.fence, AcknowledgedSeq: ws.exitsStored, MaxWait: renewWait}
+	if !ws.answered || r.Pending || !ws.ruledOut(c.now) {
 		r.Command.MaxWait = 0
 	}
+	if ws.doubtedAt > 0 || ws.replaced {
+		// A next life would forget exits that nobody has seen.
+		r.Command.MaxWait, r.Command.AcknowledgedSeq = 0, 0
+	}
+	if ws.replaced {
+		return r, true
+	}
 	if ws.clock > 0 {
 		// The earliest time is used: the next leader counts on a lease that ends leaseDuration after the last renewal, and the
 		// last reply may have waited for an exit. A renewal without an answer may have been carried out. The lease of an
@@ -183,35 +201,40 @@
 }
 
 // HandleStatus processes the reply of a worker to a renewal or poll. sent is the time at which that was sent.
-func (c *Core) HandleStatus(id string, status worker.Status, sent time.Duration, err error) {
-	ws, ok := c.workers[id]
-	if !ok {
+func (c *Core) HandleStatus(to call, status worker.Status, sent time.Duration, err error) {
+	ws := to.life.worker
+	id := ws.report.ID
+	if !c.admits(to, status) {
+		c.logDropped(to, status.Reply, sent)
 		return
 	}
 	switch status.Outcome {
 	case worker.Accepted:
 	case worker.Fenced:
+		if to.overtaken() {
+			c.logDropped(to, status.Reply, sent)
+			return
+		}
 		c.markDeposed(ws, err)
 		return
 	case worker.OtherInstance:
 		c.dropMisdirected(ws)
 		return
 	default:
+		ws.doubtedAt = c.now
 		if c.now-ws.lastContact > contactTimeout && ws.answered && !ws.unresponsive {
 			ws.unresponsive = true
 			c.logger.Warn("Worker is unresponsive.", "worker", id, "contactAge", c.contactAge(ws), "outcome", status.Outcome.String(), "error", err)
 		}
 		return
 	}
-	if status.Incarnation != 0 && ws.report.Incarnation != 0 && status.Incarnation != ws.report.Incarnation {
-		c.handleRestart(ws, status.Incarnation)
-	}
-	if ws.report.Incarnation == 0 && status.Incarnation != 0 {
-		ws.report.Incarnation = status.Incarnation
-		c.rosterChanges[id] = true
-	}
 	silence := c.now - ws.lastContact
-	ws.unresponsive = false
+	c.identify(ws, status.Incarnation)
+	c.recordAnswer(to)
+	ws.unresponsive, ws.replaced = false, false
+	if sent >= ws.doubtedAt {
+		ws.doubtedAt = 0
+	}
 	c.recordClock(ws, status.Reply, sent)
 	if !ws.answered || silence > contactTimeout {
 		c.logger.Info("Worker has answered.", "worker", id, "pool", ws.report.Pool, "runs", len(status.Running), "ends", len(status.Exited), "lapsed", ws.leaseExpired)
@@ -242,37 +265,10 @@
 	c.adjustBestEffort(ws)
 }
 
-// handleRestart records that the worker process has restarted under the same ID.
-func (c *Core) handleRestart(ws *workerState, incarnation int64) {
-	c.logger.Warn("Worker has restarted.", "worker", ws.report.ID, "born", incarnation)
-	runs := c.runsAtCrash(ws, true)
-	for _, r := range runsOn(ws) {
-		if r.confirmedAt == 0 {
-			c.recordUnansweredStart(r)
-			r.step.tasks[r.index].notBefore = c.now + restartPause
-		}
-		c.markRunLost(r, "the worker has restarted")
-	}
-	// Starts that got no answer may still reach the new incarnation, which knows no runs. A stop makes the worker reject them.
-	for _, start := range ws.unansweredStarts {
-		if start.mayArrive(c.now) {
-			c.stopUnknownRun(ws, start.task, start.run)
-		}
-	}
-	ws.unansweredStarts = nil
-	ws.report.Incarnation = incarnation
-	ws.reportClock = 0
-	ws.exitsProcessed, ws.exitsStored, ws.requestedExpiry, ws.clock, ws.latestClock, ws.leaseExpired = 0, 0, 0, 0, 0, false
-	ws.unstoredExits, ws.expiredRuns = nil, nil
-	ws.clockSent, ws.clockReceived = 0, c.now
-	c.rosterChanges[ws.report.ID] = true
-	c.recordCrash(ws, runs)
-}
-
 // markDeposed records that a worker has seen a higher fencing token, so another process is the leader.
 func (c *Core) markDeposed(ws *workerState, err error) {
 	if !c.deposed {
-		c.logger.Warn("Worker has seen a higher fencing token.", "worker", ws.report.ID, "fence", c.options.Fence, "error", err)
+		c.logger.Warn("Worker has seen a higher fencing token.", "worker", ws.report.ID, "fence", ws.fence, "error", err)
 	}
 	c.deposed = true
 }
@@ -446,42 +442,6 @@
 	}
 }
 
-// stopUnknownRun stops a run that is not recorded. If it has not started yet, the worker rejects its late start.
-func (c *Core) stopUnknownRun(ws *workerState, t work.Task, number int) {
-	c.commands = append(c.commands, Command{
-		Kind: CommandStop, Target: workerTarget(ws), Run: worker.RunCommand{Task: t, Run: number, Fence: c.options.Fence}, worker: ws, run: unknownRun,
-	})
-}
-
-// unansweredStart is a start command that got no answer and may be carried out later.
-type unansweredStart struct {
-	task  work.Task
-	run   int
-	since time.Duration
-}
-
-// mayArrive reports whether the command may still be carried out.
-func (s unansweredStart) mayArrive(now time.Duration) bool { return now-s.since < maxCommandDelay }
-
-// recordUnansweredStart records the latest start of a run that got no answer, and forgets those that cannot arrive any more.
-func (c *Core) recordUnansweredStart(r *run) {
-	ws := r.worker
-	ws.unansweredStarts = slices.DeleteFunc(ws.unansweredStarts, func(s unansweredStart) bool {
-		return s.task == r.task() && s.run == r.number || !s.mayArrive(c.now)
-	})
-	ws.unansweredStarts = append(ws.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
-}
-
-const (
-	// maxCommandDelay is how long a command without an answer may still be carried out. The platform delays commands by up to 12 s.
-	maxCommandDelay = 13 * time.Second
-	// restartPause delays the next start of a task until the stops against late starts have been sent.
-	restartPause = 600 * time.Millisecond
-)
-
-// unknownRun stands for runs that belong to no known task.
-var unknownRun = &run{step: &step{tasks: make([]task, 1), job: &job{}, occurrence: &occurrence{}, doc: &work.Step{}}}
-
 // checkLease marks the runs of a worker as lost once its lease is certain to have expired.
 func (c *Core) checkLease(ws *workerState) {
 	if !ws.answered {
@@ -511,14 +471,14 @@
 // unreachedTimeout is how long a worker that has never answered is kept at least after the registry has dropped it.
 const unreachedTimeout = 5 * time.Second
 
-// registered reports whether the latest registry entry is of the present incarnation of the worker.
+// registered reports whether the latest registry entry is of the present life of the worker.
 func (ws *workerState) registered() bool {
-	return ws.registeredIncarnation == 0 || ws.registeredIncarnation == ws.report.Incarnation
+	return ws.report.Incarnation == 0 || ws.report.Incarnation == ws.identity.Incarnation
 }
 
 // acceptsTasks reports whether tasks may be started on a worker.
 func (c *Core) acceptsTasks(ws *workerState) bool {
-	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || ws.startUnanswered {
+	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || ws.startUnanswered || ws.replaced || !ws.ruledOut(c.now) {
 		return false
 	}
 	if ws.cordoned || ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout {
