Judge a crash by what was known of the starts before it

Callers saw a job whose tasks last shown as failed after three restarts of a worker under its ID, and its tasks on sound workers were stopped.

recordCrash asked for how long the worker had survived a start after the state of the worker had been reset for its next life. A run of 2.5 s then counted as a start that the worker had not survived.

What is known of a start is now kept when the crash or the silence of its worker is found, so that no later change of the worker's clock matters.

TestRestartsUnderOneIDDoNotFailService failed before: the job had failed in the fourth life.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -15,8 +15,10 @@
 	var starts []crashloop.Start
 	for _, r := range ws.runs {
 		if r.phase != planned {
+			start := r.start()
+			r.lastStart = &start
 			runs = append(runs, r)
-			starts = append(starts, r.start())
+			starts = append(starts, start)
 		}
 	}
 	for _, i := range crashloop.Suspects(starts) {
@@ -60,7 +62,11 @@
 	}
 }
 
+// start returns what is known of the start of a run. After the worker has crashed, its clock is that of another life.
 func (r *run) start() crashloop.Start {
+	if r.lastStart != nil {
+		return *r.lastStart
+	}
 	return crashloop.Start{Sent: r.startedAt, Confirmed: r.confirmedAt > 0, Survived: r.worker.latestClock - r.confirmedClock}
 }
 
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -126,6 +127,8 @@
 	previousLeader bool
 	// confirmedClock is the latest time that the worker's clock was known to have shown when the worker first confirmed the run.
 	confirmedClock time.Duration
+	// lastStart is what was known of the start when the worker was found to have crashed or to be silent, and nil before.
+	lastStart *crashloop.Start
 	// missingReports counts the reports in a row that should list the run and do not.
 	missingReports int
 	// unanswered counts the start commands that got no answer.
