Judge crashes under a task by the crashes around them

Callers saw a job whose tasks last shown as failed, and its tasks on sound workers stopped, while workers of its service crashed by themselves; and a job shown as failed because the only worker with its label went down and up by turns. No run of either had ended failed.

The number of crashes alone decided. It says nothing where workers crash whatever runs there: with a report each 0.8 s a crash often falls before the report that shows that the worker has survived a start, and a worker that goes down by turns adds a crash at each turn.

A service is now given up for crashes in calm surroundings only: no worker of the pool has crashed for 10 s without this task or a likely cause among its suspects. Where a worker at the same address has crashed under the task before, a crash tells something only if the worker had lived for 2 s before the start; that holds for late crashes under tasks that end, too. After crashes that tell nothing a service waits, up to 30 s while other workers crash and up to 4 s otherwise, and after two of them tasks wait at these addresses until the worker has lived for a while. Then a worker that goes down by turns crashes without the task, and a deadly task is found. A crash under a run of a previous leader makes a service a likely cause at most. The bounds of tasks that end are as before, but for late crashes at one address.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/work"
@@ -32,11 +33,15 @@
 	return suspects
 }
 
-// recordCrash records that a worker has crashed, unless it was about to leave. A task that keeps crashing workers is given up.
+// recordCrash records that a worker has crashed, unless it was about to leave. A task that keeps crashing workers is given up. A service
+// is given up only for crashes that the worker and those beside it do not explain.
 func (c *Core) recordCrash(ws *workerState, suspects []*run) {
 	if ws.report.Draining {
 		return
 	}
+	lived := ws.livedSince()
+	ws.crashedAt = c.now
+	c.recordInHistory(ws, suspects)
 	for _, r := range suspects {
 		s, j := r.step, r.step.job
 		if s.tasks[r.index].done || j.progress.State.Ended() {
@@ -44,17 +49,16 @@
 		}
 		c.counts.Crashed++
 		late := r.start().Proven()
-		switch {
-		case !late:
-			s.progress.AddCrash(s.unitIndex(r.index), r.number, r.confirmedAt > 0)
-			s.addCrashAddress(r.index, ws.report.Address)
-		case !s.doc.Service:
-			s.addLateCrash(r)
-		}
+		around := c.surroundings(r, lived, late)
+		told := c.countCrash(r, around, late)
 		crashes := s.crashCount(r.index)
 		c.changedJobs[j] = true
 		c.logger.Warn("Worker has crashed under a task.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
-			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "crashes", crashes.All, "confirmed", crashes.Confirmed, "late", late, "lateCrashes", crashes.Late)
+			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "crashes", crashes.All, "confirmed", crashes.Confirmed, "late", late, "lateCrashes", crashes.Late,
+			"counted", told, "sinceOther", around.SinceOther, "repeated", around.Repeated, "lived", around.Lived)
+		if !told {
+			continue
+		}
 		if (r.previousLeader && crashes.GiveUpUnseen()) || (!r.previousLeader && crashes.GiveUp()) {
 			c.logger.Warn("Job has failed.", "job", j.doc.ID, "task", r.name(), "crashes", crashes.All, "confirmed", crashes.Confirmed, "lateCrashes", crashes.Late)
 			c.endJob(j, work.Failed, "workers crashed under a task")
@@ -62,6 +66,76 @@
 	}
 }
 
+// countCrash counts a crash under a run, and reports whether it tells something of the task.
+func (c *Core) countCrash(r *run, around crashloop.Surroundings, late bool) bool {
+	s := r.step
+	if late && s.doc.Service {
+		return false
+	}
+	site := s.crashSite(r.index)
+	site.add(r.worker.report.Address, late)
+	switch {
+	case late && (s.doc.Gang || around.Telling()):
+		s.addLateCrash(r)
+	case !late && (!s.doc.Service || blames(r, around)):
+		s.progress.AddCrash(s.unitIndex(r.index), r.number, r.confirmedAt > 0)
+	default:
+		site.untelling++
+		site.latest = c.now
+		return false
+	}
+	return true
+}
+
+// blames reports whether a crash under a run of a service is blamed on it. A previous leader's view of the other crashes is not known, so
+// that such a crash makes a likely cause at most.
+func blames(r *run, around crashloop.Surroundings) bool {
+	if r.previousLeader && r.step.likelyCause(r.index) {
+		return false
+	}
+	return around.Calm() && around.Telling()
+}
+
+// crashedUnit names a task, or a gang, in the history of crashes.
+type crashedUnit struct {
+	step *step
+	unit int
+}
+
+func (r *run) crashedUnit() crashedUnit {
+	return crashedUnit{step: r.step, unit: r.step.unitIndex(r.index)}
+}
+
+// recordInHistory records a crash for the judgement of others.
+func (c *Core) recordInHistory(ws *workerState, suspects []*run) {
+	var units []crashedUnit
+	likely := false
+	for _, r := range suspects {
+		if r.start().Proven() {
+			continue
+		}
+		units = append(units, r.crashedUnit())
+		// This crash is not counted yet.
+		crashes := crashloop.Count{All: r.step.crashCount(r.index).All + r.step.untelling(r.index) + 1}
+		likely = likely || crashes.Likely()
+	}
+	c.pool(ws.report.Pool).crashes.Add(c.now, units, likely)
+}
+
+// surroundings returns what is known of a crash under a run, beside the run. lived is the time since which the worker had lived.
+func (c *Core) surroundings(r *run, livedSince time.Duration, late bool) crashloop.Surroundings {
+	around := crashloop.Surroundings{
+		SinceOther: c.pool(r.worker.report.Pool).crashes.SinceOther(c.now, r.crashedUnit()), Lived: r.startedAt - livedSince,
+	}
+	if site := r.step.crashSites[r.step.unitIndex(r.index)]; site != nil {
+		around.Repeated = slices.Contains(site.addresses, r.worker.report.Address) || late && slices.Contains(site.lateAddresses, r.worker.report.Address)
+	}
+	return around
+}
+
+// livedSince returns the time since which the present life of a worker is known to have lasted.
+func (ws *workerState) livedSince() time.Duration { return max(ws.firstReply, ws.crashedAt) }
+
 // start returns what is known of the start of a run. After the worker has crashed, its clock is that of another life.
 func (r *run) start() crashloop.Start {
 	if r.lastStart != nil {
@@ -96,8 +170,11 @@
 		// Until then it may only have waited for a member that has crashed its worker.
 		start.Survived -= c.options.Bounds.GangTimeout
 	}
-	if start.Exonerated() && r.step.progress.ForgetCrashes(unit) {
-		delete(r.step.crashAddresses, unit)
+	if !start.Exonerated() {
+		return
+	}
+	delete(r.step.crashSites, unit)
+	if r.step.progress.ForgetCrashes(unit) {
 		c.changedJobs[r.step.job] = true
 	}
 }
@@ -117,19 +194,70 @@
 // likelyCause reports whether a task has probably made workers crash.
 func (s *step) likelyCause(index int) bool { return s.crashCount(index).Likely() }
 
-func (s *step) addCrashAddress(index int, address string) {
-	if s.crashAddresses == nil {
-		s.crashAddresses = make(map[int][]string)
+// crashSites holds where workers crashed under a task in this term.
+type crashSites struct {
+	// addresses are those of workers that were not known to have survived the start, and lateAddresses those of the others.
+	addresses, lateAddresses []string
+	// untelling counts the crashes that tell nothing of the task, and latest is the time of the last one.
+	untelling int
+	latest    time.Duration
+}
+
+func (s *step) crashSite(index int) *crashSites {
+	if s.crashSites == nil {
+		s.crashSites = make(map[int]*crashSites)
 	}
 	unit := s.unitIndex(index)
-	if !slices.Contains(s.crashAddresses[unit], address) {
-		s.crashAddresses[unit] = append(s.crashAddresses[unit], address)
+	if s.crashSites[unit] == nil {
+		s.crashSites[unit] = new(crashSites)
+	}
+	return s.crashSites[unit]
+}
+
+func (cs *crashSites) add(address string, late bool) {
+	list := &cs.addresses
+	if late {
+		list = &cs.lateAddresses
+	}
+	if !slices.Contains(*list, address) {
+		*list = append(*list, address)
 	}
 }
 
+// untelling returns the number of crashes under a task that tell nothing of it.
+func (s *step) untelling(index int) int {
+	if site := s.crashSites[s.unitIndex(index)]; site != nil {
+		return site.untelling
+	}
+	return 0
+}
+
 // crashedOn reports whether a worker has crashed under a task at the address of this one, which may be the cause.
 func (s *step) crashedOn(index int, ws *workerState) bool {
-	return slices.Contains(s.crashAddresses[s.unitIndex(index)], ws.report.Address)
+	site := s.crashSites[s.unitIndex(index)]
+	return site != nil && slices.Contains(site.addresses, ws.report.Address)
+}
+
+// pausedAfterCrash reports whether a service waits after crashes that tell nothing of it.
+func (c *Core) pausedAfterCrash(s *step, index int) bool {
+	if len(s.crashSites) == 0 || !s.doc.Service {
+		return false
+	}
+	site := s.crashSites[s.unitIndex(index)]
+	return site != nil && c.now-site.latest < crashloop.Pause(site.untelling, c.pool(s.job.doc.Pool).crashes.SinceUnexplained(c.now))
+}
+
+// mayCrashByItself reports whether a task waits until the worker has lived for a while, since workers at its address crashed again and
+// again.
+func (c *Core) mayCrashByItself(s *step, index int, ws *workerState) bool {
+	if len(s.crashSites) == 0 {
+		return false
+	}
+	site := s.crashSites[s.unitIndex(index)]
+	if site == nil || !slices.Contains(site.addresses, ws.report.Address) && !slices.Contains(site.lateAddresses, ws.report.Address) {
+		return false
+	}
+	return c.now-ws.livedSince() < crashloop.RequiredLife(site.untelling)
 }
 
 // likelyCause reports whether an idle task of an occurrence has probably made workers crash.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -174,11 +174,11 @@
 		}
 		for i := range s.tasks {
 			t := &s.tasks[i]
-			if t.done || len(t.runs) > 0 || c.now < t.notBefore {
+			if t.done || len(t.runs) > 0 || c.now < t.notBefore || c.pausedAfterCrash(s, i) {
 				continue
 			}
 			ws := c.chooseWorker(s, i, c.workersFor(workers, s, i))
-			if ws == nil && s.crashCount(i).All > 0 {
+			if ws == nil && (s.crashCount(i).All > 0 || s.untelling(i) > 0) {
 				wait = wait || !s.likelyCause(i)
 				continue
 			}
@@ -222,7 +222,7 @@
 	var bestCost float64
 	charge := s.doc.ReservedResources()
 	for _, ws := range usable {
-		if !charge.Fits(ws.freeCapacity()) || !c.eligible(s, ws) || c.justFailedOn(s, index, ws) {
+		if !charge.Fits(ws.freeCapacity()) || !c.eligible(s, ws) || c.justFailedOn(s, index, ws) || c.mayCrashByItself(s, index, ws) {
 			continue
 		}
 		cost := c.placementCost(s, index, ws, charge)
@@ -321,7 +321,7 @@
 
 // placeGang starts all tasks of a gang, or none.
 func (c *Core) placeGang(s *step, workers *placement) bool {
-	if s.idleTasks < s.tasksLeft || c.now < s.notBefore || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
+	if s.idleTasks < s.tasksLeft || c.now < s.notBefore || c.pausedAfterCrash(s, 0) || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
 		return false
 	}
 	chosen := c.chooseGang(s, s.crashedLast(c.workersFor(workers, s, 0)))
@@ -343,7 +343,7 @@
 
 // crashedLast returns workers with those last that crashed under the gang before.
 func (s *step) crashedLast(workers []*workerState) []*workerState {
-	if len(s.crashAddresses) == 0 {
+	if len(s.crashSites) == 0 {
 		return workers
 	}
 	var last []*workerState
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -72,8 +72,8 @@
 	// gangRun is the number of the latest run of the gang, and lateGangRun that of the latest one under which a worker crashed late.
 	gangRun     int
 	lateGangRun int
-	// crashAddresses holds the addresses of the workers that crashed under each task in this term, or under the gang at index 0.
-	crashAddresses map[int][]string
+	// crashSites holds the crashes under each task in this term, or under the gang at index 0.
+	crashSites map[int]*crashSites
 	// notBefore delays the next start of the gang.
 	notBefore time.Duration
 }
@@ -197,6 +197,8 @@
 	unstoredExits []unstoredExit
 	// lastContact is the time of the last reply.
 	lastContact time.Duration
+	// crashedAt is the time at which a crash of the worker became known, if it has started again under its ID.
+	crashedAt time.Duration
 	// noTasksBefore is the time before which the worker gets no tasks.
 	noTasksBefore time.Duration
 	// drainingSince is the time since which the worker is known to be draining.
@@ -261,6 +263,8 @@
 	arrivals []arrival
 	// tests holds the runs of suspects whose workers may still crash under them.
 	tests []*run
+	// crashes holds the latest crashes of its workers.
+	crashes crashloop.History[crashedUnit]
 }
 
 // remainingWork returns the critical path and the work (in core-seconds) that are left, as estimated.
