Keep room for services that wait

Callers saw a task that lasts and needs half of a worker not started for 15 s and more, while short jobs kept all workers of its service full.

Services come first in each pass, but short tasks end one by one and each is replaced at once, so that no worker ever had room for a larger task.

Once a step of a service has waited for 1 s, workers are kept free for as many of its tasks as wait: each time the one that is expected to have room soonest, by the estimates of what runs there, among those with the label, within the tasks per worker and the limit of the team. Nothing is stopped. At most a quarter of the workers of a pool are emptied at a time; the short tasks keep the others. A reservation ends when a task of the step starts, when none waits any more, or after 5 s, when another worker is chosen. Gangs have none.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -250,9 +250,6 @@
 // mayCrashByItself reports whether a task waits until the worker has lived for a while, since workers at its address crashed again and
 // again.
 func (c *Core) mayCrashByItself(s *step, index int, ws *workerState) bool {
-	if len(s.crashSites) == 0 {
-		return false
-	}
 	site := s.crashSites[s.unitIndex(index)]
 	if site == nil || !slices.Contains(site.addresses, ws.report.Address) && !slices.Contains(site.lateAddresses, ws.report.Address) {
 		return false
--- a/scheduler/crashfleet_test.go
+++ b/scheduler/crashfleet_test.go
@@ -40,6 +40,8 @@
 	// starts counts the starts of each task, and work is the duration of a task.
 	starts map[work.Task]int
 	work   time.Duration
+	// overloads counts the jobs of short tasks that overload has added.
+	overloads int
 	// renewEvery is the time between two renewals of a lease.
 	renewEvery time.Duration
 	// keepsID means that a worker returns under its ID.
@@ -107,9 +109,11 @@
 	}
 }
 
-// addJob adds a job with a step of tasks of one core. The tasks with the given numbers crash their worker.
+// addJob adds a job with a step of tasks, of one core if it says nothing else. The tasks with the given numbers crash their worker.
 func (f *crashFleet) addJob(id string, step work.Step, deadly ...int) {
-	step.Request = work.Resources{CPU: 1000, Memory: 100}
+	if step.Request == (work.Resources{}) {
+		step.Request = work.Resources{CPU: 1000, Memory: 100}
+	}
 	step.Estimate = crashFleetWork
 	doc := work.Job{ID: id, Queue: "q", Pool: "p", Steps: []work.Step{step}}
 	qt.Assert(f.t, doc.Validate(), qt.IsNil)
@@ -160,12 +164,12 @@
 	// Commands that are sent again reach a worker that is back before its registry entry and its renewal show that.
 	f.carryOutCommands()
 	var reports []worker.Report
-	for _, w := range f.workers {
+	for i, w := range f.workers {
 		if w.downUntil > 0 {
 			continue
 		}
 		reports = append(reports, worker.Report{
-			ID: w.id, Pool: "p", Address: w.address, Incarnation: w.incarnation, Labels: []string{"a", "r1-1"}, Capacity: work.Resources{CPU: 8000, Memory: 8000},
+			ID: w.id, Pool: "p", Address: w.address, Incarnation: w.incarnation, Labels: []string{"a", "r1-1", fmt.Sprint("m", i)}, Capacity: work.Resources{CPU: 8000, Memory: 8000},
 		})
 	}
 	f.core.SetWorkers(reports)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -69,6 +69,7 @@
 	}
 	p.needsPlanning, p.plannedAt = false, c.now
 	c.endTests(p)
+	c.dropReservations(p)
 	usable := c.usableWorkers(p)
 	if len(usable) == 0 {
 		return
@@ -178,6 +179,9 @@
 				continue
 			}
 			ws := c.chooseWorker(s, i, c.workersFor(workers, s, i))
+			if ws == nil && s.doc.Service {
+				c.reserveRoom(s, workers)
+			}
 			if ws == nil && (s.crashCount(i).All > 0 || s.untelling(i) > 0) {
 				wait = wait || !s.likelyCause(i)
 				continue
@@ -221,8 +225,9 @@
 	var best *workerState
 	var bestCost float64
 	charge := s.doc.ReservedResources()
+	crashed := len(s.crashSites) > 0
 	for _, ws := range usable {
-		if !charge.Fits(ws.freeCapacity()) || !c.eligible(s, ws) || c.justFailedOn(s, index, ws) || c.mayCrashByItself(s, index, ws) {
+		if !charge.Fits(ws.freeCapacity()) || !ws.leavesReserved(s, 1) || !c.eligible(s, ws) || c.justFailedOn(s, index, ws) || crashed && c.mayCrashByItself(s, index, ws) {
 			continue
 		}
 		cost := c.placementCost(s, index, ws, charge)
@@ -396,7 +401,7 @@
 	for i := range s.tasks {
 		for _, ws := range usable {
 			n := assigned[ws]
-			if !charge.Times(n+1).Fits(ws.freeCapacity()) || !c.eligible(s, ws) {
+			if !charge.Times(n+1).Fits(ws.freeCapacity()) || !ws.leavesReserved(s, n+1) || !c.eligible(s, ws) {
 				continue
 			}
 			if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws)+int(n) >= s.doc.MaxPerWorker {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -13,6 +13,10 @@
 	t := &s.tasks[index]
 	r := &run{step: s, index: index, number: number, worker: ws, phase: planned, startedAt: c.now, percentChangedAt: c.now, speedLimit: fullSpeed}
 	c.attachRun(r)
+	ws.useReservation(s)
+	if s.idleTasks == 0 {
+		s.waitsSince = 0
+	}
 	if s.crashCount(index).All > 0 {
 		c.addTest(r)
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -74,6 +74,9 @@
 	lateGangRun int
 	// crashSites holds the crashes under each task in this term, or under the gang at index 0.
 	crashSites map[int]*crashSites
+	// waitsSince is the time since which tasks of a service wait for room. No worker is kept free for them before reserveNotBefore.
+	waitsSince       time.Duration
+	reserveNotBefore time.Duration
 	// notBefore delays the next start of the gang.
 	notBefore time.Duration
 }
@@ -176,6 +179,8 @@
 	expiredRuns []*run
 	runs        map[work.Task]*run
 	used        work.Resources
+	// reservations holds the room that is kept for services.
+	reservations []reservation
 	// services and bestEffort count the runs of such steps.
 	services   int
 	bestEffort int
@@ -263,6 +268,8 @@
 	arrivals []arrival
 	// tests holds the runs of suspects whose workers may still crash under them.
 	tests []*run
+	// reserved holds the workers with reservations.
+	reserved []*workerState
 	// crashes holds the latest crashes of its workers.
 	crashes crashloop.History[crashedUnit]
 }
