Keep a worker free for a service as long as its tasks end

Where short tasks took longer than estimated, a service that needs a whole worker could wait for over a minute: after 5 s the next worker was chosen, and what the first one had become free was given away, because its longest tasks were left and looked as if they went on for longest.

A reservation now lasts as long as a run on the worker ends within each 5 s, and ends when the worker has shrunk below what is needed.

TestRoomBesideLongTasks failed before.

--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -11,7 +11,8 @@
 const (
 	// reserveAfter is how long a task of a service waits for room before a worker is kept free for it. Short tasks may have ended by then.
 	reserveAfter = time.Second
-	// reservationLimit is how long a worker is kept free until another one is chosen, since its tasks may take longer than estimated.
+	// reservationLimit is how long a worker is kept free without the end of a run there until another one is chosen, since its tasks may
+	// take longer than estimated.
 	reservationLimit = 5 * time.Second
 	// reservedShare is the share of the workers of a pool that are kept free at a time, so that other tasks go on.
 	reservedShare = 0.25
@@ -23,8 +24,10 @@
 
 // reservation keeps room on a worker for a task of a service that waits. Any task of the step may use it.
 type reservation struct {
-	step  *step
+	step *step
+	// since is the time of the reservation or of the latest check, and used is what was in use on the worker then.
 	since time.Duration
+	used  work.Resources
 }
 
 // leavesReserved reports whether n more tasks of a step on a worker leave the room that is kept for other steps.
@@ -54,12 +57,20 @@
 		}
 		ws.reservations = slices.DeleteFunc(ws.reservations, func(r reservation) bool {
 			s := r.step
-			if s.job.progress.State.Ended() || kept[s] >= s.idleTasks || c.now-r.since >= reservationLimit {
+			if s.job.progress.State.Ended() || kept[s] >= s.idleTasks || !s.doc.ReservedResources().Fits(ws.report.Capacity) {
+				return true
+			}
+			if c.now-r.since >= reservationLimit && r.used.Fits(ws.used) {
 				return true
 			}
 			kept[s]++
 			return false
 		})
+		for i := range ws.reservations {
+			if r := &ws.reservations[i]; c.now-r.since >= reservationLimit {
+				r.since, r.used = c.now, ws.used
+			}
+		}
 		return len(ws.reservations) == 0
 	})
 }
@@ -87,7 +98,7 @@
 		if len(ws.reservations) == 0 {
 			p.reserved = append(p.reserved, ws)
 		}
-		ws.reservations = append(ws.reservations, reservation{step: s, since: c.now})
+		ws.reservations = append(ws.reservations, reservation{step: s, since: c.now, used: ws.used})
 		c.logger.Info("Worker is kept free for a service.", "job", s.job.doc.ID, "step", s.number, "worker", ws.report.ID, "waited", c.now-s.waitsSince,
 			"runs", len(ws.runs), "reservations", len(ws.reservations))
 	}
--- a/scheduler/reservations_test.go
+++ b/scheduler/reservations_test.go
@@ -79,7 +79,7 @@
 			qt.Assert(r.t, startsOf(commands), qt.DeepEquals, []string{"lasting 0.0.0 1 w2"})
 			r.accept(commands)
 		},
-		"room does not come in time": func(r *rig) { r.setCapacity(coresOnly(3), "w1") },
+		"worker has shrunk": func(r *rig) { r.setCapacity(coresOnly(3), "w1") },
 	}
 	for name, end := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -109,6 +109,25 @@
 	}
 }
 
+// TestRoomBesideLongTasks guards against a service that waits without end because another worker is chosen before the first one is empty,
+// since the short tasks take longer than estimated.
+func TestRoomBesideLongTasks(t *testing.T) {
+	f := newCrashFleet(t, 4, true)
+	f.run(time.Second)
+	random := rand.New(rand.NewPCG(1, 2))
+	long := func(d time.Duration) {
+		for end := f.now + d; f.now < end; f.run(crashFleetStep) {
+			f.work = 6*time.Second + time.Duration(random.Int64N(int64(12*time.Second)))
+			f.overloads++
+			f.addJob(fmt.Sprint("long", f.overloads), work.Step{Count: 1})
+		}
+	}
+	long(20 * time.Second)
+	f.addJob("lasting", work.Step{Count: 1, Service: true, Request: work.Resources{CPU: 8000, Memory: 100}})
+	long(18 * time.Second)
+	qt.Assert(t, f.running("lasting"), qt.Equals, 1)
+}
+
 // TestReservationsAreBounded guards against a service for which all workers are emptied at once.
 func TestReservationsAreBounded(t *testing.T) {
 	ids := []string{"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"}
