Take counted crashes back when workers turn out to crash by themselves

In pools whose workers crash by themselves a service could still fail if the leader changed every few seconds: each new leader counted a crash or two before it saw another one, and the crashes of all terms were added up.

A crash that neither a likely cause nor the task explains now takes back what was counted against the services of the pool.

--- a/internal/jobs/crashloop/surroundings.go
+++ b/internal/jobs/crashloop/surroundings.go
@@ -38,6 +38,9 @@
 // Calm reports whether no other worker has crashed by itself lately.
 func (s Surroundings) Calm() bool { return s.SinceOther < 0 || s.SinceOther >= calmAfter }
 
+// Known reports whether a leader has watched the workers of a pool for long enough to know whether they crash by themselves.
+func Known(watched time.Duration) bool { return watched >= calmAfter }
+
 // Telling reports whether the worker is not known to crash whatever is started there.
 func (s Surroundings) Telling() bool { return !s.Repeated || s.Lived >= steadyLife }
 
--- a/internal/jobs/crashloop/surroundings_test.go
+++ b/internal/jobs/crashloop/surroundings_test.go
@@ -90,3 +90,9 @@
 	}
 	qt.Assert(t, h.crashes, qt.HasLen, maxRecent)
 }
+
+// TestKnown guards against a leader that judges before it can know whether the workers crash by themselves.
+func TestKnown(t *testing.T) {
+	qt.Assert(t, Known(calmAfter-1), qt.IsFalse)
+	qt.Assert(t, Known(calmAfter), qt.IsTrue)
+}
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -77,7 +77,7 @@
 	switch {
 	case late && (s.doc.Gang || around.Telling()):
 		s.addLateCrash(r)
-	case !late && (!s.doc.Service || blames(r, around)):
+	case !late && (!s.doc.Service || c.blames(r, around)):
 		s.progress.AddCrash(s.unitIndex(r.index), r.number, r.confirmedAt > 0)
 	default:
 		site.untelling++
@@ -87,10 +87,11 @@
 	return true
 }
 
-// blames reports whether a crash under a run of a service is blamed on it. A previous leader's view of the other crashes is not known, so
-// that such a crash makes a likely cause at most.
-func blames(r *run, around crashloop.Surroundings) bool {
-	if r.previousLeader && r.step.likelyCause(r.index) {
+// blames reports whether a crash under a run of a service is blamed on it. A new leader does not know which other workers have crashed
+// under the previous one, so that such a crash makes a likely cause at most.
+func (c *Core) blames(r *run, around crashloop.Surroundings) bool {
+	watched := c.options.Term == 1 || crashloop.Known(c.now-c.options.AcquiredAt)
+	if (r.previousLeader || !watched) && r.step.likelyCause(r.index) {
 		return false
 	}
 	return around.Calm() && around.Telling()
@@ -117,9 +118,42 @@
 		units = append(units, r.crashedUnit())
 		// This crash is not counted yet.
 		crashes := crashloop.Count{All: r.step.crashCount(r.index).All + r.step.untelling(r.index) + 1}
-		likely = likely || crashes.Likely()
+		likely = likely || !r.previousLeader && crashes.Likely()
+	}
+	p := c.pool(ws.report.Pool)
+	p.crashes.Add(c.now, units, likely)
+	if !likely {
+		c.excuseServices(p, units)
+	}
+}
+
+// excuseServices takes back the crashes that were counted against the services of a pool, after one that only the given units can explain.
+// Those before may have had the same cause. A new leader does not know of the crashes that the previous one saw.
+func (c *Core) excuseServices(p *pool, units []crashedUnit) {
+	for _, j := range p.jobs {
+		if !j.service {
+			continue
+		}
+		for _, o := range j.open {
+			for _, s := range o.steps {
+				c.excuseStep(s, units)
+			}
+		}
+	}
+}
+
+func (c *Core) excuseStep(s *step, units []crashedUnit) {
+	if !s.doc.Service {
+		return
+	}
+	for unit, runs := range s.progress.Crashes {
+		if slices.Contains(units, crashedUnit{step: s, unit: unit}) {
+			continue
+		}
+		s.crashSite(unit).untelling += len(runs)
+		s.progress.ForgetCrashes(unit)
+		c.changedJobs[s.job] = true
 	}
-	c.pool(ws.report.Pool).crashes.Add(c.now, units, likely)
 }
 
 // surroundings returns what is known of a crash under a run, beside the run. lived is the time since which the worker had lived.
--- a/scheduler/lasting_test.go
+++ b/scheduler/lasting_test.go
@@ -151,3 +151,25 @@
 		})
 	}
 }
+
+// TestCrashingWorkersAndLeaders guards against a service that fails because each new leader counts a crash or two before it learns that
+// the workers crash by themselves.
+func TestCrashingWorkersAndLeaders(t *testing.T) {
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 9))
+		workers := 1 + random.IntN(10)
+		s := storm{workers: workers, count: 1 + random.IntN(workers), gap: time.Duration(100+random.IntN(2500)) * time.Millisecond, down: time.Duration(50+random.IntN(1500)) * time.Millisecond}
+		if random.IntN(3) == 0 {
+			s.term = time.Duration(1+random.IntN(8)) * time.Second
+		}
+		f := newCrashFleet(t, workers, random.IntN(2) == 0)
+		f.renewEvery = time.Duration(random.IntN(17)) * crashFleetStep
+		f.run(time.Second)
+		tasks := 1 + random.IntN(3*workers)
+		f.addJob("lasting", work.Step{Count: tasks, Service: true})
+		f.crashAtRandom(s, seed, time.Duration(10+random.IntN(50))*time.Second)
+		qt.Check(t, f.state("lasting").Ended(), qt.IsFalse, qt.Commentf("seed %d: %+v", seed, s))
+		f.run(9 * time.Second)
+		qt.Check(t, f.running("lasting"), qt.Equals, tasks, qt.Commentf("seed %d: %+v", seed, s))
+	}
+}
