--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -173,16 +173,17 @@
 			wait = !c.placeGang(s, workers) && !s.likelyCause(0) || wait
 			continue
 		}
+		crashed := len(s.crashSites) > 0
 		for i := range s.tasks {
 			t := &s.tasks[i]
-			if t.done || len(t.runs) > 0 || c.now < t.notBefore || c.pausedAfterCrash(s, i) {
+			if t.done || len(t.runs) > 0 || c.now < t.notBefore || crashed && c.pausedAfterCrash(s, i) {
 				continue
 			}
 			ws := c.chooseWorker(s, i, c.workersFor(workers, s, i))
 			if ws == nil && s.doc.Service {
 				c.reserveRoom(s, workers)
 			}
-			if ws == nil && (s.crashCount(i).All > 0 || s.untelling(i) > 0) {
+			if ws == nil && (s.crashCount(i).All > 0 || crashed && s.untelling(i) > 0) {
 				wait = wait || !s.likelyCause(i)
 				continue
 			}
