Move no instance that is kept free for a service

An instance that is emptied for a service looked like one with little to do, and could be moved to another pool before the service started there. TestReservedInstanceStays failed before.

--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -158,7 +158,7 @@
 }
 
 // instancesInUse returns the instances that can move in pools with an excess, those with the fewest tasks first. None of them runs a
-// service or a best-effort task.
+// service or a best-effort task, or is kept free for a service.
 func (c *Core) instancesInUse(excess map[string]int, demands []demand) []donor {
 	var list []donor
 	for _, d := range demands {
@@ -166,7 +166,7 @@
 			continue
 		}
 		for _, ws := range c.pool(d.pool).workers {
-			if ws.services+ws.bestEffort > 0 || ws.cordoned || ws.report.Draining {
+			if ws.services+ws.bestEffort+len(ws.reservations) > 0 || ws.cordoned || ws.report.Draining {
 				continue
 			}
 			id, ok := c.fleet.byWorker[ws.report.ID]
--- a/scheduler/reservations_test.go
+++ b/scheduler/reservations_test.go
@@ -150,3 +150,18 @@
 	}
 	qt.Assert(t, startsOf(r.pass()), qt.HasLen, 6)
 }
+
+// TestReservedInstanceStays guards against an instance that is moved to another pool because it was emptied for a service.
+func TestReservedInstanceStays(t *testing.T) {
+	f := newFleetRig(t, 1, 0)
+	f.addSteps("running", 4)
+	f.accept(f.pass())
+	donors := func() int { return len(f.core.instancesInUse(map[string]int{"p": 1}, []demand{{pool: "p"}})) }
+	qt.Assert(t, donors(), qt.Equals, 1)
+	f.addJob(work.Job{ID: "lasting", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Service: true, Request: coresOnly(4)}}})
+	f.pass()
+	f.advance(reserveAfter)
+	f.reply("w1")
+	f.pass()
+	qt.Assert(t, donors(), qt.Equals, 0)
+}
