--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"math"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
--- a/scheduler/crashfleet_test.go
+++ b/scheduler/crashfleet_test.go
@@ -37,6 +37,13 @@
 	deadly  map[work.Task]bool
 	crashes map[work.Task]int
 	later   map[work.Task]int
+	// starts counts the starts of each task, and work is the duration of a task.
+	starts map[work.Task]int
+	work   time.Duration
+	// overloads counts the jobs of short tasks that overload has added.
+	overloads int
+	// renewEvery is the time between two renewals of a lease.
+	renewEvery time.Duration
 	// keepsID means that a worker returns under its ID.
 	keepsID bool
 	// unanswered means that a worker crashes before it answers.
@@ -65,6 +72,7 @@
 	f := &crashFleet{
 		t: t, now: time.Minute, keepsID: keepsID, stored: make(map[string][]byte), roster: make(map[string]RosterEntry),
 		deadly: make(map[work.Task]bool), crashes: make(map[work.Task]int), later: make(map[work.Task]int),
+		starts: make(map[work.Task]int), work: crashFleetWork,
 	}
 	for i := range workers {
 		w := &crashingWorker{address: fmt.Sprintf("a%d:1", i)}
@@ -104,9 +112,11 @@
 	}
 }
 
-// addJob adds a job with a step of tasks of one core. The tasks with the given numbers crash their worker.
+// addJob adds a job with a step of tasks, of one core if it says nothing else. The tasks with the given numbers crash their worker.
 func (f *crashFleet) addJob(id string, step work.Step, deadly ...int) {
-	step.Request = work.Resources{CPU: 1000, Memory: 100}
+	if step.Request == (work.Resources{}) {
+		step.Request = work.Resources{CPU: 1000, Memory: 100}
+	}
 	step.Estimate = crashFleetWork
 	doc := work.Job{ID: id, Queue: "q", Pool: "p", Steps: []work.Step{step}}
 	qt.Assert(f.t, doc.Validate(), qt.IsNil)
@@ -123,6 +133,19 @@
 	return state
 }
 
+// running returns the number of tasks of a job that run on workers that are up.
+func (f *crashFleet) running(id string) int {
+	n := 0
+	for _, w := range f.workers {
+		for task := range w.runs {
+			if w.downUntil == 0 && task.Job == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (f *crashFleet) run(d time.Duration) {
 	for end := f.now + d; f.now < end; f.now += crashFleetStep {
 		f.step()
@@ -144,17 +167,19 @@
 	// Commands that are sent again reach a worker that is back before its registry entry and its renewal show that.
 	f.carryOutCommands()
 	var reports []worker.Report
-	for _, w := range f.workers {
+	for i, w := range f.workers {
 		if w.downUntil > 0 {
 			continue
 		}
 		reports = append(reports, worker.Report{
-			ID: w.id, Pool: "p", Address: w.address, Incarnation: w.incarnation, Labels: []string{"a", "r1-1"}, Capacity: work.Resources{CPU: 8000, Memory: 8000},
+			ID: w.id, Pool: "p", Address: w.address, Incarnation: w.incarnation, Labels: []string{"a", "r1-1", fmt.Sprint("m", i)}, Capacity: work.Resources{CPU: 8000, Memory: 8000},
 		})
 	}
 	f.core.SetWorkers(reports)
-	for _, id := range f.core.Workers() {
-		f.renew(id)
+	if f.renewEvery == 0 || f.now%f.renewEvery < crashFleetStep {
+		for _, id := range f.core.Workers() {
+			f.renew(id)
+		}
 	}
 	f.core.Schedule(f.now)
 	if !f.storeDown {
@@ -241,6 +266,8 @@
 		w.exited++
 		w.exits = append(w.exits, worker.Exit{Seq: w.exited, Task: cmd.Run.Task, Number: cmd.Run.Run, Reason: worker.ExitStopped})
 		f.core.HandleReply(cmd, worker.Reply{Clock: f.now, Incarnation: w.incarnation}, f.now, nil)
+	case cmd.Kind == CommandPoll:
+		f.renew(cmd.Target.ID)
 	case cmd.Kind == CommandStart:
 		f.start(w, cmd)
 	}
@@ -248,6 +275,7 @@
 
 func (f *crashFleet) start(w *crashingWorker, cmd Command) {
 	task := cmd.Start.Task
+	f.starts[task]++
 	if f.crashes[task] >= 3 {
 		f.later[task]++
 	}
@@ -258,7 +286,7 @@
 	f.core.HandleReply(cmd, reply, f.now, nil)
 	w.runs[task] = cmd.Start.Run
 	if s, ok := f.core.findStep(task); ok && !s.doc.Service {
-		w.endsAt[task] = f.now + crashFleetWork
+		w.endsAt[task] = f.now + f.work
 	}
 	if !f.deadly[task] {
 		return
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -69,6 +69,7 @@
 	}
 	p.needsPlanning, p.plannedAt = false, c.now
 	c.endTests(p)
+	c.dropReservations(p)
 	usable := c.usableWorkers(p)
 	if len(usable) == 0 {
 		return
@@ -177,13 +178,17 @@
 			wait = !c.placeGang(s, workers) && !s.likelyCause(0) || wait
 			continue
 		}
+		crashed := len(s.crashSites) > 0
 		for i := range s.tasks {
 			t := &s.tasks[i]
-			if t.done || len(t.runs) > 0 || c.now < t.notBefore {
+			if t.done || len(t.runs) > 0 || c.now < t.notBefore || crashed && c.pausedAfterCrash(s, i) {
 				continue
 			}
 			ws := c.chooseWorker(s, i, c.workersFor(workers, s, i))
-			if ws == nil && s.crashCount(i).All > 0 {
+			if ws == nil && s.doc.Service {
+				c.reserveRoom(s, workers)
+			}
+			if ws == nil && (s.crashCount(i).All > 0 || crashed && s.untelling(i) > 0) {
 				wait = wait || !s.likelyCause(i)
 				continue
 			}
@@ -226,8 +231,9 @@
 	var best *workerState
 	var bestCost float64
 	charge := s.doc.ReservedResources()
+	crashed := len(s.crashSites) > 0
 	for _, ws := range usable {
-		if !charge.Fits(ws.freeCapacity()) || !c.eligible(s, ws) || c.justFailedOn(s, index, ws) {
+		if !charge.Fits(ws.freeCapacity()) || !ws.leavesReserved(s, 1) || !c.eligible(s, ws) || c.justFailedOn(s, index, ws) || crashed && c.mayCrashByItself(s, index, ws) {
 			continue
 		}
 		cost := c.placementCost(s, index, ws, charge)
@@ -326,7 +332,7 @@
 
 // placeGang starts all tasks of a gang, or none.
 func (c *Core) placeGang(s *step, workers *placement) bool {
-	if s.idleTasks < s.tasksLeft || c.now < s.notBefore || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
+	if s.idleTasks < s.tasksLeft || c.now < s.notBefore || c.pausedAfterCrash(s, 0) || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
 		return false
 	}
 	chosen := c.chooseGang(s, s.crashedLast(c.workersFor(workers, s, 0)))
@@ -348,7 +354,7 @@
 
 // crashedLast returns workers with those last that crashed under the gang before.
 func (s *step) crashedLast(workers []*workerState) []*workerState {
-	if len(s.crashAddresses) == 0 {
+	if len(s.crashSites) == 0 {
 		return workers
 	}
 	var last []*workerState
@@ -401,7 +407,7 @@
 	for i := range s.tasks {
 		for _, ws := range usable {
 			n := assigned[ws]
-			if !charge.Times(n+1).Fits(ws.freeCapacity()) || !c.eligible(s, ws) {
+			if !charge.Times(n+1).Fits(ws.freeCapacity()) || !ws.leavesReserved(s, n+1) || !c.eligible(s, ws) {
 				continue
 			}
 			if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws)+int(n) >= s.doc.MaxPerWorker {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -71,8 +72,11 @@
 	// gangRun is the number of the latest run of the gang, and lateGangRun that of the latest one under which a worker crashed late.
 	gangRun     int
 	lateGangRun int
-	// crashAddresses holds the addresses of the workers that crashed under each task in this term, or under the gang at index 0.
-	crashAddresses map[int][]string
+	// crashSites holds the crashes under each task in this term, or under the gang at index 0.
+	crashSites map[int]*crashSites
+	// waitsSince is the time since which tasks of a service wait for room. No worker is kept free for them before reserveNotBefore.
+	waitsSince       time.Duration
+	reserveNotBefore time.Duration
 	// notBefore delays the next start of the gang.
 	notBefore time.Duration
 }
@@ -130,6 +134,8 @@
 	previousLeader bool
 	// confirmedClock is the latest time that the worker's clock was known to have shown when the worker first confirmed the run.
 	confirmedClock time.Duration
+	// lastStart is what was known of the start when the worker was found to have crashed or to be silent, and nil before.
+	lastStart *crashloop.Start
 	// missingReports counts the reports in a row that should list the run and do not.
 	missingReports int
 	// unanswered counts the start commands that got no answer.
@@ -163,8 +169,12 @@
 	contradicted bool
 	// maxCPU is the largest processor capacity in the registry entries of this incarnation.
 	maxCPU int64
-	runs   map[work.Task]*run
-	used   work.Resources
+	// crashedAt is the time at which a crash of the worker became known, if it has started again under its ID.
+	crashedAt time.Duration
+	runs      map[work.Task]*run
+	used      work.Resources
+	// reservations holds the room that is kept for services.
+	reservations []reservation
 	// services and bestEffort count the runs of such steps.
 	services   int
 	bestEffort int
@@ -208,6 +218,10 @@
 	arrivals []arrival
 	// tests holds the runs of suspects whose workers may still crash under them.
 	tests []*run
+	// reserved holds the workers with reservations.
+	reserved []*workerState
+	// crashes holds the latest crashes of its workers.
+	crashes crashloop.History[crashedUnit]
 }
 
 // remainingWork returns the critical path and the work (in core-seconds) that are left, as estimated.
