--- a/review/standin/cases.go
+++ b/internal/soak/cases/cases.go
@@ -1,10 +1,9 @@
-package main
+package cases
 
 import (
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"time"
 )
@@ -89,14 +88,14 @@
 }
 
 // caseLost restarts the leader while the store is slow and the first jobs of the day come in.
-func caseLost(w *world, trouble bool) (bool, error) {
+func caseLost(w *world, fault bool) (bool, error) {
 	q := newQueue("swap", 3)
 	if err := w.begin(8, q); err != nil {
 		return false, err
 	}
 	var restart sync.WaitGroup
 	var restartErr error
-	if trouble {
+	if fault {
 		w.rec.add("store: answers take 60 times as long, for 4.5 s")
 		w.store.setSlow(60)
 		time.AfterFunc(4500*time.Millisecond, func() { w.store.setSlow(1) })
@@ -112,13 +111,13 @@
 }
 
 // caseWaves requests the maintenance of 60 machines with a wave for each.
-func caseWaves(w *world, trouble bool) (bool, error) {
+func caseWaves(w *world, fault bool) (bool, error) {
 	const machines = 60
 	q := newQueue("swap", 3)
 	if err := w.begin(machines, q); err != nil {
 		return false, err
 	}
-	if trouble {
+	if fault {
 		for i := range machines {
 			w.store.put(rowKey{Table: "op", Key: fmt.Sprintf("wave/%d", i+1)}, map[string]any{
 				"wave": i + 1, "machines": []string{fmt.Sprintf("mi-%03d", i+1)}, "finish_by_s": 60, "cap": 1,
@@ -139,14 +138,14 @@
 }
 
 // caseTwice lets a worker crash and start again under its ID, and cuts it off shortly after.
-func caseTwice(w *world, trouble bool) (bool, error) {
+func caseTwice(w *world, fault bool) (bool, error) {
 	q := newQueue("swap", 3)
 	if err := w.begin(8, q); err != nil {
 		return false, err
 	}
 	time.Sleep(settleTime)
 	first := w.workers[0]
-	if trouble && os.Getenv("CRASH") != "0" {
+	if fault {
 		first.crash(time.Second)
 		time.Sleep(1200 * time.Millisecond)
 	}
@@ -168,7 +167,7 @@
 	if !started {
 		return false, errors.New("the task was not started")
 	}
-	if trouble {
+	if fault {
 		time.Sleep(300 * time.Millisecond)
 		first.setCut(true)
 		time.Sleep(5500 * time.Millisecond)
@@ -190,7 +189,7 @@
 }
 
 // caseBudget removes a queue from the configuration while a job that cannot be done is at work.
-func caseBudget(w *world, trouble bool) (bool, error) {
+func caseBudget(w *world, fault bool) (bool, error) {
 	const attempts = 2
 	q, other := newQueue("swap", attempts), newQueue("audit", attempts)
 	if err := w.begin(8, q, other); err != nil {
@@ -201,11 +200,11 @@
 		return false, errors.New("the job was not accepted")
 	}
 	time.Sleep(500 * time.Millisecond)
-	if trouble {
+	if fault {
 		w.configure([]string{service}, other)
 	}
 	time.Sleep(25 * time.Second)
-	if !trouble {
+	if !fault {
 		w.state(q.Prefix + id)
 	}
 	failed, broken := 0, false
--- a/review/standin/cloud.go
+++ b/internal/soak/cases/cloud.go
@@ -1,4 +1,4 @@
-package main
+package cases
 
 import (
 	"fmt"
--- a/review/standin/parts.go
+++ b/internal/soak/cases/parts.go
@@ -1,4 +1,4 @@
-package main
+package cases
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 )
 
 // caseParts kills the leader of a young deployment while the store is slow. The IDs of the jobs have different first digits.
-func caseParts(w *world, trouble bool) (broken bool, err error) {
+func caseParts(w *world, fault bool) (broken bool, err error) {
 	if err := w.addService(8); err != nil {
 		return false, err
 	}
@@ -27,7 +27,7 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	alive := w.nodes
-	if trouble {
+	if fault {
 		w.rec.add("store: answers take 60 times as long")
 		w.store.setSlow(60)
 		dead := w.leader()
--- a/review/standin/restart.go
+++ b/internal/soak/cases/restart.go
@@ -1,4 +1,4 @@
-package main
+package cases
 
 import (
 	"fmt"
@@ -64,7 +64,7 @@
 }
 
 // caseReack restarts workers under their IDs while answers of the store are lost.
-func caseReack(w *world, trouble bool) (broken bool, err error) {
+func caseReack(w *world, fault bool) (broken bool, err error) {
 	if err := w.addService(8); err != nil {
 		return false, err
 	}
@@ -74,7 +74,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	var steps []step
-	if trouble {
+	if fault {
 		for _, from := range []time.Duration{3 * time.Second, 11 * time.Second} {
 			steps = append(steps, step{from, func() {
 				w.rec.add("store: 35 of 100 writes are done and not answered")
@@ -133,7 +133,7 @@
 }
 
 // caseFlap lets the only worker with a label go down and up by turns while a job runs there.
-func caseFlap(w *world, trouble bool) (broken bool, err error) {
+func caseFlap(w *world, fault bool) (broken bool, err error) {
 	if err := w.addService(9); err != nil {
 		return false, err
 	}
@@ -151,7 +151,7 @@
 		return false, fmt.Errorf("the job was not accepted")
 	}
 	time.Sleep(500 * time.Millisecond)
-	if trouble {
+	if fault {
 		w.rec.add("worker w10 goes down and up by turns")
 		life := 2
 		for begin := time.Now(); time.Since(begin) < 6500*time.Millisecond; {
@@ -177,7 +177,7 @@
 }
 
 // caseAck lets workers lose power and start again under their IDs while short tasks run.
-func caseAck(w *world, trouble bool) (broken bool, err error) {
+func caseAck(w *world, fault bool) (broken bool, err error) {
 	if err := w.addService(8); err != nil {
 		return false, err
 	}
@@ -187,7 +187,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	var steps []step
-	if trouble {
+	if fault {
 		for i := range 3 {
 			steps = append(steps, step{3*time.Second + time.Duration(i)*4*time.Second, func() {
 				if ws := w.busiest(); ws != nil {
@@ -202,7 +202,7 @@
 }
 
 // caseLasting restarts, three times, the worker on which a task that lasts runs.
-func caseLasting(w *world, trouble bool) (broken bool, err error) {
+func caseLasting(w *world, fault bool) (broken bool, err error) {
 	if err := w.addService(8); err != nil {
 		return false, err
 	}
@@ -217,7 +217,7 @@
 		return false, fmt.Errorf("the job was not accepted")
 	}
 	const task = id + ".0.0.0"
-	for crashes := 0; trouble && crashes < 3; crashes++ {
+	for crashes := 0; fault && crashes < 3; crashes++ {
 		ws, err := w.waitRunning(task, 10*time.Second)
 		if err != nil {
 			return false, err
--- a/review/standin/starve.go
+++ b/internal/soak/cases/starve.go
@@ -1,4 +1,4 @@
-package main
+package cases
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 )
 
 // caseStarve lets small jobs come faster than the workers can run them, while a job with tasks that last waits.
-func caseStarve(w *world, trouble bool) (broken bool, err error) {
+func caseStarve(w *world, fault bool) (broken bool, err error) {
 	if err := w.addService(4); err != nil {
 		return false, err
 	}
@@ -18,7 +18,7 @@
 	time.Sleep(2 * time.Second)
 	random := rand.New(rand.NewPCG(1, 2))
 	gap := 400 * time.Millisecond
-	if trouble {
+	if fault {
 		gap = 40 * time.Millisecond
 	}
 	ticker := time.NewTicker(gap)
--- a/review/standin/world.go
+++ b/internal/soak/cases/world.go
@@ -1,4 +1,4 @@
-package main
+package cases
 
 import (
 	"bytes"
@@ -25,6 +25,7 @@
 // world is everything that a case starts.
 type world struct {
 	rec     *recorder
+	options Options
 	store   *store
 	cloud   *cloud
 	dir     string
@@ -47,12 +48,12 @@
 	acked        bool
 }
 
-func newWorld(rec *recorder) (*world, error) {
-	dir, err := os.MkdirTemp("", "chivetiller-review-")
+func newWorld(rec *recorder, o Options) (*world, error) {
+	dir, err := os.MkdirTemp("", "chivetiller-soak-")
 	if err != nil {
 		return nil, err
 	}
-	w := &world{rec: rec, dir: dir, store: newStore(rec), network: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250+1)}
+	w := &world{rec: rec, options: o, dir: dir, store: newStore(rec), network: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250+1)}
 	w.cloud = &cloud{w: w, machines: make(map[string]*machine)}
 	return w, nil
 }
@@ -70,7 +71,7 @@
 		n.kill()
 	}
 	// The logs of the processes are kept on request.
-	if os.Getenv("REVIEW_KEEP") != "" {
+	if w.options.Keep {
 		w.rec.add("files are kept in %s", w.dir)
 		return
 	}
@@ -253,7 +254,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command("target/chivetiller", "serve")
+	cmd := exec.Command(n.w.options.Program, "serve")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CHIVETILLER_BOOT=" + n.file}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
