quarantine: other rows take turns with the search for a refused row

The search for the rows because of which the store refuses a batch held up all other rows until its end, although it was to take turns: after each try the next batch was of the search again.

If the store refuses everything, no row is at fault. That a row which was set aside is stored gets a log line.

--- a/internal/store/quarantine/quarantine.go
+++ b/internal/store/quarantine/quarantine.go
@@ -12,6 +12,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -31,8 +32,10 @@
 	// suspects holds the rows of all groups.
 	suspects map[store.Key]bool
 	aside    map[store.Key]*asideRow
-	// trying means that the next batch is of the last group.
-	trying bool
+	// trying means that the next batch is of the last group, and turn that it may be. The batches take turns, since a search takes long.
+	trying, turn bool
+	// inARow counts the refusals since a batch was stored.
+	inARow int
 }
 
 // asideRow is a row that was refused alone.
@@ -48,7 +51,8 @@
 			l.push([]store.Key{key})
 		}
 	}
-	l.trying = !l.trying && len(l.groups) > 0
+	l.turn = !l.turn
+	l.trying = l.turn && len(l.groups) > 0
 }
 
 // Admits reports whether a row may be in the next batch.
@@ -70,14 +74,21 @@
 	return len(l.groups) > 0
 }
 
-// Stored records that a batch with these rows was stored.
-func (l *List) Stored(keys []store.Key) {
+// Stored records that a batch with these rows was stored, and returns those that had been set aside.
+func (l *List) Stored(keys []store.Key) (released []store.Key) {
 	if l.trying {
 		l.pop()
 	}
+	if len(keys) > 0 {
+		l.inARow = 0
+	}
 	for _, key := range keys {
-		delete(l.aside, key)
+		if l.aside[key] != nil {
+			released = append(released, key)
+			delete(l.aside, key)
+		}
 	}
+	return released
 }
 
 // Refused records that a batch with these rows was refused. If it had a single row, that is set aside for the pause that Refused returns.
@@ -85,6 +96,10 @@
 	if l.trying {
 		l.pop()
 	}
+	l.inARow++
+	// A row that is both written and removed stands in the batch twice.
+	slices.SortFunc(keys, compareKeys)
+	keys = slices.Compact(keys)
 	switch len(keys) {
 	case 0:
 		return store.Key{}, 0, false
@@ -107,6 +122,19 @@
 	return store.Key{}, 0, false
 }
 
+// maxInARow is the number of refusals in a row from which on no row is at fault. The search for a row takes fewer.
+const maxInARow = 40
+
+// RefusesAll reports whether so many batches were refused in a row that no row of them can be at fault.
+func (l *List) RefusesAll() bool { return l.inARow >= maxInARow }
+
+// Reset forgets all rows.
+func (l *List) Reset() { *l = List{} }
+
+func compareKeys(a, b store.Key) int {
+	return cmp.Or(cmp.Compare(a.Table, b.Table), cmp.Compare(a.Partition, b.Partition), cmp.Compare(a.Name, b.Name))
+}
+
 func (l *List) push(keys []store.Key) {
 	if l.suspects == nil {
 		l.suspects = make(map[store.Key]bool)
--- a/internal/store/quarantine/quarantine_test.go
+++ b/internal/store/quarantine/quarantine_test.go
@@ -88,3 +88,35 @@
 	list.Next(now)
 	qt.Assert(t, list.Admits(key), qt.IsTrue)
 }
+// TestTurns guards against rows that wait until all rows of a refused batch have been tried.
+func TestTurns(t *testing.T) {
+	var list quarantine.List
+	refused := make([]store.Key, 0, 92)
+	for i := range 92 {
+		refused = append(refused, rowKey(i))
+	}
+	list.Next(0)
+	list.Refused(refused, 0)
+	other, waited, most, set := rowKey(1000), 0, 0, 0
+	for range 400 {
+		list.Next(0)
+		if list.Admits(other) {
+			waited = 0
+			list.Stored([]store.Key{other})
+			continue
+		}
+		waited++
+		most = max(most, waited)
+		var batch []store.Key
+		for _, key := range refused {
+			if list.Admits(key) {
+				batch = append(batch, key)
+			}
+		}
+		if _, _, ok := list.Refused(batch, 0); ok {
+			set++
+		}
+	}
+	t.Logf("most batches in a row without the other row: %d, set aside %d", most, set)
+	qt.Assert(t, most <= 1, qt.IsTrue, qt.Commentf("%d batches", most))
+}
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -322,7 +322,9 @@
 
 // BatchStored records that a batch was stored. The runs and commands that waited for it can start.
 func (c *Core) BatchStored(b Batch) {
-	c.refusedRows.Stored(b.rowKeys())
+	for _, key := range c.refusedRows.Stored(b.rowKeys()) {
+		c.logger.Info("Row that was set aside is stored.", "table", key.Table, "row", key.Name)
+	}
 	for life, number := range b.exitAcks {
 		life.recordStoredExits(number)
 	}
@@ -331,6 +333,14 @@
 		if j.storedState.Ended() {
 			c.observeStage(j, StageEnded)
 			c.jobsToShorten = append(c.jobsToShorten, j.doc.Shortened(j.storedState))
+	if c.refusedRows.RefusesAll() {
+		c.logger.Error("Store refuses all batches, whatever rows they have.", "error", cause)
+		c.refusedRows.Reset()
+		for j := range c.changedJobs {
+			j.notStoredBefore = 0
+		}
+		return
+	}
 			c.logger.Info("Final state of the job was stored.", "job", j.doc.ID, "state", j.storedState.String(), "after", c.now-j.acceptedAt, "reason", j.progress.Reason)
 		}
 	}
--- /dev/null
+++ b/scheduler/refusals_test.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/store"
+	"github.com/chivetiller/chivetiller/store/memory"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// judgingStore fails each transaction for which judge returns an error.
+type judgingStore struct {
+	*memory.Store
+	judge func(tx store.Tx) error
+	calls int
+}
+
+func (s *judgingStore) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
+	s.calls++
+	if err := s.judge(tx); err != nil {
+		return store.Result{}, err
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+func refusal() error { return fmt.Errorf("%w: %w", store.ErrNotDone, store.ErrRefused) }
+
+func writes(tx store.Tx, bad map[store.Key]bool) bool {
+	for _, p := range tx.Puts {
+		if bad[p.Key] {
+			return true
+		}
+	}
+	for _, k := range tx.Removes {
+		if bad[k] {
+			return true
+		}
+	}
+	return false
+}
+
+func refusalEngine(t *testing.T, s *judgingStore, jobs int) *Engine {
+	e, _ := newTestEngine(t, s.Store, 1)
+	e.options.Store, e.options.Waves = s, manyWaves(0)
+	c := e.core
+	c.SetWorkers([]worker.Report{{ID: "w1", Pool: "p", Capacity: work.Resources{CPU: 4000}}})
+	for i := range jobs {
+		id := fmt.Sprint("j", i)
+		c.AddJob(work.Job{ID: id, Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1, Service: true}}}, nil, 0)
+		c.planRun(c.jobs[id].open[0].steps[0], 0, 1, c.workers["w1"])
+	}
+	return e
+}
+
+// play commits until done, for at most d.
+func play(e *Engine, now *time.Duration, d time.Duration, done func() bool) time.Duration {
+	start := *now
+	for *now < start+d && !done() {
+		e.core.SetTime(*now)
+		before := time.Now()
+		e.commit(*now)
+		e.tasks.Wait()
+		for range len(e.inbox) {
+			(<-e.inbox)(e.core)
+		}
+		*now += max(commitInterval, time.Since(before))
+	}
+	return *now - start
+}
+
+// TestOtherRowsDuringSearch guards against jobs that wait for the end of the search for refused rows.
+func TestOtherRowsDuringSearch(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 5, 20, 80} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bad := make(map[store.Key]bool)
+				for i := range n {
+					bad[progressKey(fmt.Sprint("j", i))] = true
+				}
+				s := &judgingStore{Store: memory.New()}
+				s.judge = func(tx store.Tx) error {
+					if writes(tx, bad) {
+						return refusal()
+					}
+					return nil
+				}
+				e := refusalEngine(t, s, 80)
+				now := clock.Now() + time.Minute
+				play(e, &now, 5*commitInterval, func() bool { return s.calls > 0 })
+				// The search has begun.
+				e.core.AddJob(work.Job{ID: "new", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1, Service: true}}}, nil, 0)
+				j := e.core.jobs["new"]
+				e.core.planRun(j.open[0].steps[0], 0, 1, e.core.workers["w1"])
+				took := play(e, &now, time.Minute, func() bool { return j.started })
+				t.Logf("%d refused rows: the new task starts after %s", n, took)
+				qt.Assert(t, took < time.Second, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// TestRefusalOfAllBatches guards against rows that wait long after the store refuses no batch any more.
+func TestRefusalOfAllBatches(t *testing.T) {
+	for _, outage := range []time.Duration{time.Second, 10 * time.Second, 60 * time.Second} {
+		for name, cause := range map[string]error{"refused": refusal(), "not done": store.ErrNotDone} {
+			t.Run(fmt.Sprint(outage, " ", name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					down := true
+					s := &judgingStore{Store: memory.New()}
+					s.judge = func(store.Tx) error {
+						if down {
+							return cause
+						}
+						return nil
+					}
+					e := refusalEngine(t, s, 2000)
+					now := clock.Now() + time.Minute
+					play(e, &now, outage, func() bool { return false })
+					down = false
+					calls := s.calls
+					took := play(e, &now, 5*time.Minute, func() bool { return len(e.core.changedJobs) == 0 })
+					t.Logf("%s %s: %d calls while down; all stored %s after the end, with %d calls", outage, name, calls, took, s.calls-calls)
+					qt.Assert(t, took < 3*time.Second, qt.IsTrue)
+				})
+			})
+		}
+	}
+}
+
