scheduler: do not remove a row that the same batch writes

A job that was handed in again while its old rows were being removed lost the record of its run: the removal followed the write in the same transaction, and the task started without a record, so that the next leader could have started it again (TestPrunedProgressIsLost).

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -86,7 +86,18 @@
 	}
 	c.addJobs(&b, limit)
 	limit -= len(b.progressRows.Puts) + len(b.progressRows.Removes)
+	written := make(map[string]bool)
+	for _, p := range b.progressRows.Puts {
+		written[p.Name] = true
+	}
+	for _, k := range b.progressRows.Removes {
+		written[k.Name] = true
+	}
 	c.prunedJobs = slices.DeleteFunc(c.prunedJobs, func(id string) bool {
+		if written[progressKey(id).Name] {
+			// The job is known again and has new rows of these names.
+			return true
+		}
 		if limit <= 0 || !admits(progressKey(id)) {
 			return false
 		}
--- a/scheduler/refusals_test.go
+++ b/scheduler/refusals_test.go
@@ -135,3 +135,56 @@
 	}
 }
 
+// TestPrunedJobAgain guards against the removal of the progress of a job that was handed in again with the ID of a pruned one.
+func TestPrunedJobAgain(t *testing.T) {
+	s := &judgingStore{Store: memory.New(), judge: func(store.Tx) error { return nil }}
+	e := refusalEngine(t, s, 1)
+	e.core.JobsPruned([]string{"j0"})
+	b, tx, err := e.nextBatch()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(b.plannedRuns), qt.Equals, 1)
+	for _, p := range tx.Puts {
+		for _, k := range tx.Removes {
+			qt.Assert(t, p.Key, qt.Not(qt.Equals), k)
+		}
+	}
+}
+
+// TestSameKeyPutAndRemoved guards against a search that never ends, because a batch writes a row and removes it.
+func TestSameKeyPutAndRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &judgingStore{Store: memory.New()}
+		s.judge = func(tx store.Tx) error {
+			for _, p := range tx.Puts {
+				for _, k := range tx.Removes {
+					if p.Key == k {
+						return refusal()
+					}
+				}
+			}
+			return nil
+		}
+		e := refusalEngine(t, s, 80)
+		e.core.JobsPruned([]string{"j7"})
+		now := clock.Now() + time.Minute
+		took := play(e, &now, time.Minute, func() bool { return len(e.core.changedJobs) <= 1 })
+		t.Logf("took %s with %d calls", took, s.calls)
+		qt.Assert(t, len(e.core.changedJobs) <= 1, qt.IsTrue, qt.Commentf("%d jobs not stored after a minute", len(e.core.changedJobs)))
+	})
+}
+
+// TestPrunedProgressIsLost guards against a run that starts although the row that records it was removed.
+func TestPrunedProgressIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &judgingStore{Store: memory.New(), judge: func(store.Tx) error { return nil }}
+		e := refusalEngine(t, s, 1)
+		e.core.JobsPruned([]string{"j0"})
+		now := clock.Now() + time.Minute
+		play(e, &now, time.Second, func() bool { return e.core.jobs["j0"].started })
+		rows, err := s.Scan(t.Context(), tableProgress, "", "", "")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, e.core.jobs["j0"].started, qt.IsTrue)
+		qt.Assert(t, rows.Rows, qt.HasLen, 1)
+	})
+}
+
