store: more refusals are final

A status such as 404, 413 or 422 counted as an unknown outcome, so that the batch was read back, found missing and sent again without end: one such row kept 80 of 80 jobs from being stored for a minute and 600 calls (TestRefusalAsUnknown).

--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -156,7 +156,11 @@
 			if next != 0 {
 				e.chainVersion = next
 			}
-			if errors.Is(err, store.ErrRefused) {
+			e.notCommitted++
+			if !errors.Is(err, errBatchNotCommitted) {
+				e.notCommitted = 0
+			}
+			if errors.Is(err, store.ErrRefused) || e.notCommitted >= maxNotCommitted {
 				c.BatchRefused(b, err)
 				return
 			}
@@ -171,6 +175,7 @@
 }
 
 // errBatchNotCommitted means that a batch without an answer has not been carried out.
+		e.notCommitted = 0
 var errBatchNotCommitted = errors.New("batch was not carried out")
 
 // resolveOutcome reads the chain row after a batch whose outcome is not known. It returns the version of the chain row.
@@ -178,6 +183,9 @@
 	ctx, cancel := context.WithTimeout(e.ctx, readTimeout)
 	defer cancel()
 	rows, err := e.options.Store.Scan(ctx, tableLeadership, "", "", "")
+// maxNotCommitted is the number of batches in a row without an answer, of which none was carried out, from which on they count as refused.
+const maxNotCommitted = 5
+
 	if err != nil {
 		e.logger.Warn("Outcome of a batch is unknown.", "batch", number, "cause", cause, "error", err)
 		// The next batch expects the same version, so it finds out what became of this one.
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -145,6 +145,8 @@
 	lastPass     time.Duration
 	passDuration time.Duration
 	batchNumber  uint64
+	// notCommitted counts the batches in a row that got no answer and were not carried out.
+	notCommitted int
 	chainVersion uint64
 	batchStored  chan struct{}
 	asked        map[string]bool
--- a/scheduler/refusals_test.go
+++ b/scheduler/refusals_test.go
@@ -76,6 +76,24 @@
 	return *now - start
 }
 
+// TestRefusalAsUnknown guards against a batch that is repeated unchanged since the store refuses it with a status that is not listed, such as 413.
+func TestRefusalAsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bad := map[store.Key]bool{progressKey("j7"): true}
+		s := &judgingStore{Store: memory.New()}
+		s.judge = func(tx store.Tx) error {
+			if writes(tx, bad) {
+				return store.ErrUnknown
+			}
+			return nil
+		}
+		e := refusalEngine(t, s, 80)
+		now := clock.Now() + time.Minute
+		play(e, &now, time.Minute, func() bool { return len(e.core.changedJobs) <= 1 })
+		qt.Assert(t, len(e.core.changedJobs) <= 1, qt.IsTrue, qt.Commentf("%d jobs not stored after a minute and %d calls", len(e.core.changedJobs), s.calls))
+	})
+}
+
 // TestOtherRowsDuringSearch guards against jobs that wait for the end of the search for refused rows.
 func TestOtherRowsDuringSearch(t *testing.T) {
 	for _, n := range []int{1, 2, 3, 5, 20, 80} {
