scheduler: withdraw a command whose record the store refuses

An instance command that could not be recorded stayed planned and counted as in flight, so that a wave with one instance at a time began no other (TestWaveBesideRefusedCommand, failed before), and it could have been sent up to a minute later without another look at the instance. It is withdrawn, the instance waits, and the others of the wave have their turn. TestRefusedRow checks that the command does not wait, and plans it again itself.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -349,6 +349,9 @@
 		c.refusedRows.Reset()
 		for j := range c.changedJobs {
 			j.notStoredBefore = 0
+	for _, cmd := range b.instanceCommands {
+		c.withdrawCommand(cmd, c.now+pause)
+	}
 		}
 		return
 	}
--- a/scheduler/batchlimits_test.go
+++ b/scheduler/batchlimits_test.go
@@ -170,6 +170,12 @@
 					qt.Assert(t, started, qt.Equals, jobs)
 				}
 				s.refuses = false
+				if row == commandKey("i7") {
+					// The command does not wait, since the instance may be in use by then.
+					qt.Assert(t, c.fleet.commandInFlight["i7"], qt.IsFalse)
+					qt.Assert(t, c.fleet.pausedUntil["i7"] > now, qt.IsTrue)
+					c.fleet.planCommand(now, InstanceCommand{Instance: "i7", Pool: "p"})
+				}
 				run(6 * time.Second)
 				qt.Assert(t, rows(), qt.Equals, all)
 				qt.Assert(t, c.hasOldRows, qt.IsFalse)
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -150,6 +150,23 @@
 	f.plannedCommands = append(f.plannedCommands, cmd)
 }
 
+// withdrawCommand removes a command that is planned, so that it does not take the place of another one. The instance gets none before a
+// time.
+func (c *Core) withdrawCommand(cmd InstanceCommand, until time.Duration) {
+	f := c.fleet
+	f.plannedCommands = slices.DeleteFunc(f.plannedCommands, func(planned InstanceCommand) bool { return planned.Instance == cmd.Instance })
+	delete(f.commandInFlight, cmd.Instance)
+	f.pausedUntil[cmd.Instance] = until
+	w := f.waves[cmd.Wave]
+	if w == nil {
+		c.dropMove(cmd.Instance)
+		return
+	}
+	delete(w.commandedAt, cmd.Instance)
+	w.refusals[cmd.Instance] = maxRefusals
+	c.postponeMaintenance(w, cmd.Instance)
+}
+
 // takePlannedCommands returns planned commands that are admitted, at most limit, with the time at which each is recorded. That is the
 // present time and not the time of the plan, because the previous batch may have waited for a slow store.
 func (f *fleet) takePlannedCommands(now time.Duration, limit int, admits func(store.Key) bool) (commands []InstanceCommand, times map[string]time.Duration) {
--- a/scheduler/refusals_test.go
+++ b/scheduler/refusals_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -206,3 +207,40 @@
 	})
 }
 
+// TestWaveBesideRefusedCommand guards against a wave that stops because the record of one of its commands is refused.
+func TestWaveBesideRefusedCommand(t *testing.T) {
+	r := newRig(t, 1)
+	c := r.core
+	ids := []string{"i1", "i2", "i3"}
+	var list []instance.Instance
+	for _, id := range ids {
+		list = append(list, instance.Instance{ID: id, Pool: "p", State: instance.Up})
+	}
+	c.AddWave(instance.Wave{Number: 1, Instances: ids, MaxUnavailable: 1, MaxDuration: 30 * time.Second}, nil)
+	bad := ""
+	begun := make(map[string]bool)
+	for range 400 {
+		r.advance(50 * time.Millisecond)
+		c.SetInstances(list, r.now)
+		for _, cmd := range c.TakeInstanceCommands() {
+			begun[cmd.Instance] = true
+			c.HandleInstanceReply(cmd, instance.Accepted, nil)
+		}
+		r.schedule()
+		b := c.TakeBatch(batchRows)
+		refused := false
+		for id := range b.InstanceCommandTimes {
+			if bad == "" {
+				bad = id
+			}
+			refused = refused || id == bad
+		}
+		if refused {
+			c.BatchRefused(b, store.ErrRefused)
+			continue
+		}
+		c.BatchStored(b)
+	}
+	t.Logf("begun within 20 s: %v; refused command of %s", begun, bad)
+	qt.Assert(t, len(begun), qt.Equals, len(ids)-1)
+}
