scheduler: no tasks on a worker that cannot list more exits

A worker lists 500 exits that are not acknowledged. The exit of a job that cannot be stored keeps all later ones of its worker from being acknowledged, so that from the 501st on their tasks counted as running for good and were never started again. Such a worker gets no more tasks from 400 on; TestTasksAfterUnacknowledgedExits placed four of six services there before. The exits are not acknowledged past the job, since the next leader would start what is done again.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -255,7 +255,7 @@
 
 // eligible reports whether the step may run on the worker, apart from free capacity.
 func (c *Core) eligible(s *step, ws *workerState) bool {
-	if !ws.report.HasLabel(s.doc.RequiredLabel) || ws.testsLikely {
+	if !ws.report.HasLabel(s.doc.RequiredLabel) || ws.testsLikely || len(ws.unstoredExits)+len(ws.runs) >= maxOpenExits {
 		return false
 	}
 	if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws) >= s.doc.MaxPerWorker {
--- a/scheduler/refusals_test.go
+++ b/scheduler/refusals_test.go
@@ -154,6 +154,24 @@
 	}
 }
 
+// TestTasksAfterUnacknowledgedExits guards against tasks that never run again, because their worker lists no more exits beside those of a job that cannot be stored.
+func TestTasksAfterUnacknowledgedExits(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	j := r.addSteps("unstorable", 1)
+	j.notStoredBefore = r.now + time.Hour
+	ws := r.core.workers["w1"]
+	for seq := range uint64(maxOpenExits - 1) {
+		ws.unstoredExits = append(ws.unstoredExits, unstoredExit{seq: seq + 1, job: j})
+	}
+	ws.exitsProcessed = maxOpenExits - 1
+	for i := range 6 {
+		r.addJob(work.Job{ID: fmt.Sprint("s", i), Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 1000}, Service: true}}})
+	}
+	r.accept(r.pass())
+	qt.Assert(t, r.runs["w1"], qt.HasLen, 1)
+	qt.Assert(t, r.runs["w2"], qt.HasLen, 4)
+}
+
 // TestPrunedJobAgain guards against the removal of the progress of a job that was handed in again with the ID of a pruned one.
 func TestPrunedJobAgain(t *testing.T) {
 	s := &judgingStore{Store: memory.New(), judge: func(store.Tx) error { return nil }}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -371,8 +371,13 @@
 	}
 }
 
-// exitsPerReply is the maximum number of exits in one reply, as the platform documents it.
-const exitsPerReply = 500
+const (
+	// exitsPerReply is the maximum number of exits in one reply, as the platform documents it.
+	exitsPerReply = 500
+	// maxOpenExits is the number of runs and of exits that are not stored, from which on a worker gets no tasks: it could not list all
+	// their exits. The rest is for the members of a gang.
+	maxOpenExits = exitsPerReply - 100
+)
 
 func (c *Core) updateRun(r *run, row worker.Run) {
 	r.missingReports = 0
