scheduler: small faults of batches

Found by the review, each with a test that failed before: a batch that failed forgot the removal of expired command times (TestExpiredCommandsOfFailedBatch); a job with two rows waited for 41 batches behind 3,700 changes of the roster (TestLargeJobBesideRoster); a wave that many rows request did not fit into any batch (TestWaveWithManyNames); batch_age_seconds counted the time in which there was nothing to store (TestBatchAgeAfterIdleTime).

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -79,7 +79,7 @@
 	fleetRows := rowsPerWave*len(b.Waves) + len(b.begun)
 	b.instanceCommands, b.InstanceCommandTimes = c.fleet.takePlannedCommands(c.now, fleetLimit-fleetRows, admits)
 	limit -= fleetRows + len(b.instanceCommands)
-	b.Roster = c.takeRosterChanges(max(int(rosterRowsShare*float64(limit)), limit-len(c.changedJobs)))
+	b.Roster = c.takeRosterChanges(max(int(rosterRowsShare*float64(limit)), limit-c.changedRows()))
 	limit -= len(b.Roster)
 	if c.hasOldRows && admits(oldRowsKey) {
 		b.removesOldRows, c.hasOldRows = true, false
@@ -128,6 +128,18 @@
 	return b
 }
 
+// changedRows returns how many rows the changed jobs may need in a batch.
+func (c *Core) changedRows() int {
+	if len(c.changedJobs) == 0 {
+		return 0
+	}
+	n := 0
+	for j := range c.changedJobs {
+		n += 1 + j.storedParts
+	}
+	return max(n, 2*maxProgressRows)
+}
+
 const (
 	// maxProgressRows limits the rows of a job. All of them, and the removal of as many, fit into a batch beside the largest share of other rows.
 	maxProgressRows = 10
@@ -321,6 +333,14 @@
 func (c *Core) BatchRefused(b Batch, cause error) {
 	c.BatchFailed(b)
 	key, pause, ok := c.refusedRows.Refused(b.rowKeys(), c.now)
+	if c.refusedRows.RefusesAll() {
+		c.logger.Error("Store refuses all batches, whatever rows they have.", "error", cause)
+		c.refusedRows.Reset()
+		for j := range c.changedJobs {
+			j.notStoredBefore = 0
+		}
+		return
+	}
 	if !ok {
 		return
 	}
@@ -329,6 +349,9 @@
 		// Nothing of the job starts meanwhile.
 		j.notStoredBefore = c.now + pause
 	}
+	for _, cmd := range b.instanceCommands {
+		c.withdrawCommand(cmd, c.now+pause)
+	}
 }
 
 // BatchStored records that a batch was stored. The runs and commands that waited for it can start.
@@ -344,17 +367,6 @@
 		if j.storedState.Ended() {
 			c.observeStage(j, StageEnded)
 			c.jobsToShorten = append(c.jobsToShorten, j.doc.Shortened(j.storedState))
-	if c.refusedRows.RefusesAll() {
-		c.logger.Error("Store refuses all batches, whatever rows they have.", "error", cause)
-		c.refusedRows.Reset()
-		for j := range c.changedJobs {
-			j.notStoredBefore = 0
-	for _, cmd := range b.instanceCommands {
-		c.withdrawCommand(cmd, c.now+pause)
-	}
-		}
-		return
-	}
 			c.logger.Info("Final state of the job was stored.", "job", j.doc.ID, "state", j.storedState.String(), "after", c.now-j.acceptedAt, "reason", j.progress.Reason)
 		}
 	}
@@ -383,4 +395,9 @@
 	c.hasOldRows = c.hasOldRows || b.removesOldRows
 	c.fleet.restoreWaves(b.Waves, b.begun)
 	c.fleet.plannedCommands = append(b.instanceCommands, c.fleet.plannedCommands...)
+	for _, id := range b.ExpiredCommands {
+		if _, commanded := c.fleet.commandedAt[id]; !commanded {
+			c.fleet.commandedAt[id] = c.now - commandRetention - 1
+		}
+	}
 }
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -94,15 +94,23 @@
 	for n, w := range b.Waves {
 		w.Since, _ = e.options.Clock.At(w.Since)
 		e.addPut(&tx, progressKey(waveName(n)), w)
-		for name, doc := range e.options.Waves.Waves() {
-			if doc.Number == n {
-				tx.Puts = append(tx.Puts, e.options.Waves.WaveStatus(name, w.Finished))
-			}
+		if name, ok := e.waveRow(n); ok {
+			tx.Puts = append(tx.Puts, e.options.Waves.WaveStatus(name, w.Finished))
 		}
 	}
 	return tx, nil
 }
 
+// waveRow returns the name of the row that requests a wave, the first one if there are several.
+func (e *Engine) waveRow(number int) (first string, ok bool) {
+	for name, doc := range e.options.Waves.Waves() {
+		if doc.Number == number && (!ok || name < first) {
+			first, ok = name, true
+		}
+	}
+	return first, ok
+}
+
 // addPut adds a row other than of a job to a transaction. A row that cannot be encoded or that the store would refuse is left out, since
 // the whole batch would fail with it, and with it the progress of all jobs.
 func (e *Engine) addPut(tx *store.Tx, key store.Key, v any) {
@@ -167,6 +175,7 @@
 			c.BatchFailed(b)
 			return
 		}
+		e.notCommitted = 0
 		e.chainVersion = next
 		c.SetStoredVersion(next)
 		c.BatchStored(b)
@@ -174,8 +183,10 @@
 	})
 }
 
+// maxNotCommitted is the number of batches in a row without an answer, of which none was carried out, from which on they count as refused.
+const maxNotCommitted = 5
+
 // errBatchNotCommitted means that a batch without an answer has not been carried out.
-		e.notCommitted = 0
 var errBatchNotCommitted = errors.New("batch was not carried out")
 
 // resolveOutcome reads the chain row after a batch whose outcome is not known. It returns the version of the chain row.
@@ -183,9 +194,6 @@
 	ctx, cancel := context.WithTimeout(e.ctx, readTimeout)
 	defer cancel()
 	rows, err := e.options.Store.Scan(ctx, tableLeadership, "", "", "")
-// maxNotCommitted is the number of batches in a row without an answer, of which none was carried out, from which on they count as refused.
-const maxNotCommitted = 5
-
 	if err != nil {
 		e.logger.Warn("Outcome of a batch is unknown.", "batch", number, "cause", cause, "error", err)
 		// The next batch expects the same version, so it finds out what became of this one.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -137,7 +137,9 @@
 	// refusedRows holds the rows because of which the store has refused batches.
 	refusedRows quarantine.List
 	// lastStored is the time at which a batch was last stored.
-	lastStored    time.Duration
+	lastStored time.Duration
+	// unstoredSince is the time since which something waits to be stored, and 0 if nothing does.
+	unstoredSince time.Duration
 	deposed       bool
 	estimator     *estimator
 	fleet         *fleet
@@ -205,8 +207,8 @@
 		}
 	}
 	counts.WaitingTasks = maps.Clone(c.waitingTasks)
-	if len(c.changedJobs) > 0 || len(c.plannedRuns) > 0 {
-		counts.SinceStored = c.now - c.lastStored
+	if c.unstoredSince > 0 {
+		counts.SinceStored = c.now - max(c.lastStored, c.unstoredSince)
 	}
 	for _, ws := range c.workers {
 		counts.Workers[c.workerStateName(ws)]++
@@ -257,6 +259,7 @@
 	c.startDuringOutage()
 	c.repeatStops()
 	c.checkWaitingTasks()
+	c.checkUnstored()
 	for _, p := range c.pools {
 		for _, j := range p.jobs {
 			if j.nextOccurrence < j.doc.Occurrences() {
--- a/scheduler/refusals_test.go
+++ b/scheduler/refusals_test.go
@@ -187,6 +187,79 @@
 	}
 }
 
+// TestBatchAgeAfterIdleTime guards against a batch age that counts the time in which there was nothing to store.
+func TestBatchAgeAfterIdleTime(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.store()
+	r.advance(10 * time.Minute)
+	r.reply("w1")
+	r.addSteps("a", 1)
+	r.schedule()
+	qt.Assert(t, r.core.Counts().SinceStored < time.Second, qt.IsTrue, qt.Commentf("%s", r.core.Counts().SinceStored))
+}
+
+// TestLargeJobBesideRoster guards against a job of several rows that waits for all changes of the roster.
+func TestLargeJobBesideRoster(t *testing.T) {
+	s := &judgingStore{Store: memory.New(), judge: func(store.Tx) error { return nil }}
+	e := refusalEngine(t, s, 1)
+	var reports []worker.Report
+	for i := range 3700 {
+		reports = append(reports, worker.Report{ID: fmt.Sprint("w", i), Pool: "p", Capacity: work.Resources{CPU: 4000}})
+	}
+	e.core.SetWorkers(reports)
+	// The progress had a second row, which is removed.
+	e.core.jobs["j0"].storedParts = 1
+	batches := 0
+	for started := false; !started; batches++ {
+		b, _, err := e.nextBatch()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, b.Empty(), qt.IsFalse)
+		started = len(b.plannedRuns) > 0
+		e.core.BatchStored(b)
+	}
+	t.Logf("batches until the run is recorded: %d", batches)
+	qt.Assert(t, batches <= 2, qt.IsTrue)
+}
+
+// aliasedWave is one wave that many rows of the operator request.
+type aliasedWave int
+
+func (n aliasedWave) Waves() map[string]instance.Wave {
+	waves := make(map[string]instance.Wave, n)
+	for i := range int(n) {
+		waves[fmt.Sprint("wave/", i)] = instance.Wave{Number: 1, Instances: []string{"i1"}, MaxUnavailable: 1}
+	}
+	return waves
+}
+
+func (aliasedWave) WaveStatus(name string, _ bool) store.Put {
+	return store.Put{Key: store.Key{Table: "status", Name: name}, Value: []byte(`{"state":"running"}`)}
+}
+
+// TestWaveWithManyNames guards against batches that are too small for a wave, because many rows request it.
+func TestWaveWithManyNames(t *testing.T) {
+	s := &judgingStore{Store: memory.New(), judge: func(store.Tx) error { return nil }}
+	e := refusalEngine(t, s, 500)
+	e.options.Waves = aliasedWave(100)
+	for _, doc := range e.options.Waves.Waves() {
+		e.core.AddWave(doc, nil)
+	}
+	batches, stored := 0, false
+	for ; batches < 1000; batches++ {
+		b, tx, err := e.nextBatch()
+		qt.Assert(t, err, qt.IsNil)
+		if b.Empty() {
+			break
+		}
+		qt.Assert(t, tx.Validate(), qt.IsNil)
+		stored = stored || len(b.Waves) > 0
+		e.core.BatchStored(b)
+	}
+	t.Logf("%d batches; wave stored: %v", batches, stored)
+	qt.Assert(t, stored, qt.IsTrue)
+	qt.Assert(t, batches < 20, qt.IsTrue)
+}
+
 // TestSameKeyPutAndRemoved guards against a search that never ends, because a batch writes a row and removes it.
 func TestSameKeyPutAndRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -225,6 +298,21 @@
 	})
 }
 
+// TestExpiredCommandsOfFailedBatch guards against command times that are never removed, because the batch with their removal failed.
+func TestExpiredCommandsOfFailedBatch(t *testing.T) {
+	s := &judgingStore{Store: memory.New(), judge: func(store.Tx) error { return nil }}
+	e := refusalEngine(t, s, 1)
+	e.core.fleet.commandedAt["i1"] = e.core.now
+	e.core.SetTime(e.core.now + commandRetention + time.Second)
+	b, _, err := e.nextBatch()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, b.ExpiredCommands, qt.HasLen, 1)
+	e.core.BatchFailed(b)
+	b, _, err = e.nextBatch()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, b.ExpiredCommands, qt.HasLen, 1)
+}
+
 // TestWaveBesideRefusedCommand guards against a wave that stops because the record of one of its commands is refused.
 func TestWaveBesideRefusedCommand(t *testing.T) {
 	r := newRig(t, 1)
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// checkUnstored records since when something waits to be stored.
+func (c *Core) checkUnstored() {
+	switch {
+	case len(c.changedJobs) == 0 && len(c.plannedRuns) == 0:
+		c.unstoredSince = 0
+	case c.unstoredSince == 0:
+		c.unstoredSince = c.now
+	}
+}
+
 // checkWaitingTask counts a task if it does not run, and reports whether that is to be logged.
 func (c *Core) checkWaitingTask(s *step, index int) bool {
 	t := &s.tasks[index]
