scheduler: ask the policy service about all workers in turn

A query that grants nothing is followed by one about the next workers, and those with room come first.

--- a/scheduler/services.go
+++ b/scheduler/services.go
@@ -76,6 +76,8 @@
 	Step       int
 	Workers    []string
 	step       *step
+	// more means that there are more workers than a query may name.
+	more bool
 }
 
 // ticketsGranted reports whether the tickets of a step can be used. If not, it queries the policy service for new ones.
@@ -86,21 +88,40 @@
 	if c.now < s.nextPolicyQuery {
 		return false
 	}
-	p := c.pool(s.job.doc.Pool)
-	var ids []string
-	for _, ws := range p.workers {
-		if c.acceptsTasks(ws) && ws.report.HasLabel(s.doc.RequiredLabel) && len(ids) < advice.MaxWorkers {
-			ids = append(ids, ws.report.ID)
-		}
-	}
+	ids, more := c.nextPolicyWorkers(s)
 	if len(ids) == 0 {
 		return false
 	}
 	s.tickets = &tickets{pending: true}
-	c.policyQueries = append(c.policyQueries, PolicyQuery{Job: s.job.doc.ID, Occurrence: s.occurrence.number, Step: s.number, Workers: ids, step: s})
+	c.policyQueries = append(c.policyQueries, PolicyQuery{Job: s.job.doc.ID, Occurrence: s.occurrence.number, Step: s.number, Workers: ids, step: s, more: more})
 	return false
 }
 
+// nextPolicyWorkers returns the workers of the next query about a step, those with room first, and whether there are more of them. Queries
+// that grant nothing are followed by one about the next workers.
+func (c *Core) nextPolicyWorkers(s *step) (ids []string, more bool) {
+	var full []string
+	charge := s.doc.ReservedResources()
+	for _, ws := range c.pool(s.job.doc.Pool).workers {
+		switch {
+		case !c.acceptsTasks(ws) || !ws.report.HasLabel(s.doc.RequiredLabel):
+		case charge.Fits(ws.freeCapacity()):
+			ids = append(ids, ws.report.ID)
+		default:
+			full = append(full, ws.report.ID)
+		}
+	}
+	ids = append(ids, full...)
+	if s.policyOffset >= len(ids) {
+		s.policyOffset = 0
+	}
+	ids = ids[s.policyOffset:]
+	if len(ids) > advice.MaxWorkers {
+		return ids[:advice.MaxWorkers], true
+	}
+	return ids, false
+}
+
 // TakePolicyQueries returns the queries to the policy service that are due, and removes them from the queue.
 func (c *Core) TakePolicyQueries() []PolicyQuery {
 	q := c.policyQueries
@@ -128,6 +149,13 @@
 		c.dropTickets(q.step)
 		return
 	}
+	if len(grant.Tickets) == 0 && q.more {
+		q.step.tickets, q.step.policyOffset, q.step.nextPolicyQuery = nil, q.step.policyOffset+len(q.Workers), c.now+policyPause
+		return
+	}
+	if len(grant.Tickets) == 0 {
+		q.step.policyOffset = 0
+	}
 	q.step.tickets = &tickets{byWorker: grant.Tickets, validUntil: validUntil}
 	c.logger.Info("Policy service has granted tickets.", "job", q.Job, "step", q.Step, "asked", len(q.Workers), "granted", len(grant.Tickets), "malformed", grant.Malformed, "valid", grant.Valid)
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -69,6 +69,8 @@
 	// policyFailures counts the failed queries and rejected tickets since the last start. There is no query before nextPolicyQuery.
 	policyFailures  int
 	nextPolicyQuery time.Duration
+	// policyOffset is the number of workers that queries have been about since the last one that granted tickets.
+	policyOffset int
 	// gangRun is the number of the latest run of the gang, and lateGangRun that of the latest one under which a worker crashed late.
 	gangRun     int
 	lateGangRun int
