scheduler: give up a start that gets no answer while its worker reports

A start without a usable answer was sent to the same worker again and again as long as that reported: 600 times in 30 s, with an idle worker beside it (TestStartWithoutAnswer). After three starts and 1.2 s it is stopped, which makes the worker reject one that is carried out late, and the task starts elsewhere.

--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -300,6 +300,11 @@
 		c.recordUnansweredStart(r)
 		switch {
 		case r.phase != starting:
+		case c.startFails(r):
+			// Its worker rejects a start that is carried out after the stop, so that the task may start elsewhere.
+			r.worker.noTasksBefore = c.now + startFailedPause
+			r.phase = running
+			c.stopRun(r, "its start gets no answer while the worker reports")
 		case c.now-r.worker.lastContact > contactTimeout || r.worker.replaced:
 			// The worker may be down. If it restarts under its ID, the start must not reach its next incarnation.
 			r.repeatAfterReport = true
@@ -341,6 +346,20 @@
 	c.stopGang(r)
 }
 
+const (
+	// minUnansweredStarts and startAnswerTimeout are how often a start is sent, and for how long, until it is given up if its worker
+	// reports all the while.
+	minUnansweredStarts = 3
+	startAnswerTimeout  = 1200 * time.Millisecond
+	// startFailedPause is how long the worker of such a start gets no tasks.
+	startFailedPause = 2 * time.Second
+)
+
+// startFails reports whether the start of a run gets no answer although its worker reports, and does not list the run.
+func (c *Core) startFails(r *run) bool {
+	return r.unanswered >= minUnansweredStarts && c.now-r.startedAt > startAnswerTimeout && r.worker.lastContact > r.startedAt
+}
+
 func (c *Core) handleStopReply(cmd Command, reply worker.Reply, err error) {
 	r := cmd.run
 	if r == unknownRun {
