--- a/scheduler/entries.go
+++ b/scheduler/entries.go
@@ -65,7 +65,7 @@
 // contradicts reports whether an entry gives an incarnation of a worker an address or a pool that it does not have. A worker keeps both,
 // so that the entry is of another writer. The worker is not taken for another one before no run can be left on it.
 func (c *Core) contradicts(r worker.Report, ws *workerState) bool {
-	if !changesPlace(r, ws) || r.Incarnation == 0 || r.Incarnation != ws.report.Incarnation {
+	if !changesPlace(r, ws) || r.Incarnation == 0 || r.Incarnation != ws.identity.Incarnation {
 		return false
 	}
 	if ws.answered {
