scheduler: count a job as waiting until a worker has begun it

A new leader counted each job with a recorded run as started; a run is recorded before its start is sent, so that the start may never have been carried out, and nothing of the job starts again until the leases of earlier leaders have expired, which is longer than the rule allows. The same held for a start without an answer.

A job waits until a worker has accepted a start of it or reported a run or an exit, or until its stored progress has such a trace. TestRecordedJobWaits failed in three of four cases before.

--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -90,3 +90,32 @@
 		qt.Assert(t, strings.HasSuffix(start, "w1"), qt.IsTrue, qt.Commentf("start %s", start))
 	}
 }
+
+// TestRecordedJobWaits guards against a job that a new leader does not count as waiting, although its start was recorded and never carried out.
+func TestRecordedJobWaits(t *testing.T) {
+	tests := map[string]struct {
+		answer func(r *rig, cmd Command)
+		want   int
+	}{
+		"never sent":   {func(*rig, Command) {}, 1},
+		"no answer":    {func(r *rig, cmd Command) { r.core.HandleReply(cmd, worker.Reply{Outcome: worker.Unknown}, r.now, nil) }, 1},
+		"carried out":  {func(r *rig, cmd Command) { r.accept([]Command{cmd}) }, 0},
+		"cut off then": {func(r *rig, cmd Command) { r.accept([]Command{cmd}); delete(r.runs, "w1") }, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			j := r.addSteps("a", 1)
+			for _, cmd := range r.pass() {
+				test.answer(r, cmd)
+			}
+			next := newRig(t, 2, "w1")
+			next.runs = r.runs
+			next.core.AddJob(j.doc, j.progress, 0)
+			if next.runs["w1"] != nil {
+				next.reply("w1")
+			}
+			qt.Assert(t, next.core.WaitingJobs("q"), qt.Equals, test.want)
+		})
+	}
+}
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -25,7 +25,7 @@
 	}
 	j := &job{
 		doc: doc, progress: progress, storedParts: storedParts, storedState: progress.State, open: make(map[int]*occurrence),
-		criticalPath: doc.CriticalPath(), acceptedAt: c.now - max(0, storeNow-doc.AcceptedAt), started: len(progress.Occurrences)+len(progress.Complete) > 0,
+		criticalPath: doc.CriticalPath(), acceptedAt: c.now - max(0, storeNow-doc.AcceptedAt), started: len(progress.Occurrences)+len(progress.Complete) > 0, begun: progress.Begun(),
 	}
 	for i := range doc.Steps {
 		j.service = j.service || doc.Steps[i].Service
@@ -170,12 +170,12 @@
 	return work.Pending, true
 }
 
-// WaitingJobs returns the number of accepted jobs of a queue that have not started.
+// WaitingJobs returns the number of accepted jobs of a queue of which no worker is known to have begun a task.
 func (c *Core) WaitingJobs(queue string) int {
 	n := 0
 	for _, p := range c.pools {
 		for _, j := range p.jobs {
-			if j.doc.Queue == queue && !j.started {
+			if j.doc.Queue == queue && !j.begun {
 				n++
 			}
 		}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -277,7 +277,7 @@
 		if r.phase == starting {
 			r.phase = running
 		}
-		r.step.policyFailures = 0
+		r.step.policyFailures, r.step.job.begun = 0, true
 		if r.confirmedAt == 0 {
 			c.confirm(r)
 		}
@@ -391,6 +391,7 @@
 	}
 	s := r.step
 	j := s.job
+	j.begun = true
 	c.logger.Info("Task has exited.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "how", reason.String(),
 		"ran", c.now-r.startedAt, "checkpoint", checkpoint != "")
 	if checkpoint != "" && (s.doc.Checkpoints || s.doc.Gang) {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -23,8 +23,9 @@
 	open map[int]*occurrence
 	// nextOccurrence is the first occurrence that has not begun.
 	nextOccurrence int
-	// started means that a task of the job has started.
+	// started means that a start command of the job was sent or recorded, and begun that a worker is known to have carried one out.
 	started bool
+	begun   bool
 	// acceptedAt is the time at which the job was accepted.
 	acceptedAt time.Duration
 	// endedAt is the time at which the job ended.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -328,7 +328,7 @@
 		s.progress.SetCheckpoint(s.unitIndex(e.Task.Index), e.Checkpoint)
 		c.changedJobs[s.job] = true
 	}
-	s.job.started = true
+	s.job.started, s.job.begun = true, true
 	c.applyExit(s, e.Task.Index, e.Number, nil, e.Reason)
 }
 
@@ -380,7 +380,7 @@
 )
 
 func (c *Core) updateRun(r *run, row worker.Run) {
-	r.missingReports = 0
+	r.missingReports, r.step.job.begun = 0, true
 	if r.phase == starting {
 		r.phase = running
 	}
--- a/work/progress.go
+++ b/work/progress.go
@@ -231,3 +231,22 @@
 	}
 	return o
 }
+
+// Begun reports whether a worker is known to have begun a task of the job. A run is recorded before it is started, so that its record does
+// not tell.
+func (p *Progress) Begun() bool {
+	if len(p.Complete)+len(p.CompleteRanges) > 0 {
+		return true
+	}
+	for _, o := range p.Occurrences {
+		if o == nil {
+			continue
+		}
+		for _, s := range o.Steps {
+			if len(s.Done)+len(s.Failures)+len(s.Checkpoints)+len(s.ConfirmedCrashes)+len(s.LateCrashes) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
