--- a/internal/store/quarantine/quarantine_test.go
+++ b/internal/store/quarantine/quarantine_test.go
@@ -88,6 +88,7 @@
 	list.Next(now)
 	qt.Assert(t, list.Admits(key), qt.IsTrue)
 }
+
 // TestTurns guards against rows that wait until all rows of a refused batch have been tried.
 func TestTurns(t *testing.T) {
 	var list quarantine.List
