--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -39,7 +39,7 @@
 	// batchRows is the maximum number of rows in a batch. Two conditions, the row of the chain and the rows of an earlier version
 	// that are removed come on top.
 	batchRows = store.MaxEntries - 8
-	// minBatchRows is how few rows always fit into a transaction.
+	// minBatchRows is how few rows fit into a transaction, however large they are.
 	minBatchRows = store.MaxBytes / (2 * store.MaxRowBytes)
 	// commandTimeout is the timeout of a command to a worker. The longest link has a latency of 20 ms one way.
 	commandTimeout = 400 * time.Millisecond
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -17,7 +17,7 @@
 	storedState work.State
 	// storedParts is the number of further rows of the progress that the store may have.
 	storedParts int
-	// notStoredBefore is the time before which the progress is not stored, and no run starts, since it was found to be too large.
+	// notStoredBefore is the time before which the progress is not stored, and no run starts, since it is too large or the store has refused it.
 	notStoredBefore time.Duration
 	// open holds the occurrences that have begun and are not complete.
 	open map[int]*occurrence
