scheduler: find a refused removal of an expired command time

Such removals go along with other rows only, so that the search never tried one alone: the row was not found, and batches with it were refused again and again. TestRefusedRow has cases for removals, for begun maintenance and for pruned jobs now and failed for the first before (2 rows left where 1 is refused).

--- a/internal/store/quarantine/quarantine.go
+++ b/internal/store/quarantine/quarantine.go
@@ -63,6 +63,9 @@
 	return !l.suspects[key] && l.aside[key] == nil
 }
 
+// Searching reports whether the next batch is of rows that were refused before.
+func (l *List) Searching() bool { return l.trying }
+
 // Skip is called if there is nothing to store of the rows that are admitted. It reports whether another choice may find some.
 func (l *List) Skip() bool {
 	if l.trying {
--- a/internal/store/quarantine/quarantine_test.go
+++ b/internal/store/quarantine/quarantine_test.go
@@ -73,7 +73,9 @@
 		qt.Assert(t, list.Admits(key), qt.IsTrue)
 		_, pause, ok := list.Refused([]store.Key{key}, now)
 		qt.Assert(t, ok, qt.IsTrue)
-		qt.Assert(t, pause >= last, qt.IsTrue)
+		if last > 0 {
+			qt.Assert(t, pause, qt.Equals, min(2*last, time.Minute))
+		}
 		for _, at := range []time.Duration{now, now + pause - 1} {
 			for range 2 {
 				list.Next(at)
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -38,7 +38,7 @@
 // Empty reports whether there is nothing to store.
 func (b *Batch) Empty() bool {
 	return len(b.Progress) == 0 && len(b.plannedRuns) == 0 && len(b.PrunedJobs) == 0 && len(b.Roster) == 0 && len(b.Waves) == 0 &&
-		len(b.begun) == 0 && len(b.InstanceCommandTimes) == 0 && !b.removesOldRows
+		len(b.begun) == 0 && len(b.InstanceCommandTimes) == 0 && len(b.ExpiredCommands) == 0 && !b.removesOldRows
 }
 
 // rowCounts describes the rows of the batch for logs.
@@ -122,7 +122,7 @@
 			b.exitAcks[ws.workerLife] = seq
 		}
 	}
-	if !b.Empty() {
+	if !b.Empty() || c.refusedRows.Searching() {
 		b.ExpiredCommands = c.fleet.takeExpiredCommands(c.now, limit, admits)
 	}
 	return b
--- a/scheduler/batchlimits_test.go
+++ b/scheduler/batchlimits_test.go
@@ -104,6 +104,9 @@
 		"wave":     progressKey(waveName(7)),
 		"command":  commandKey("i7"),
 		"old rows": oldRowsKey,
+		"begun":    begunMaintenance{wave: 9, instance: "i9"}.key(),
+		"pruned":   progressKey("gone7"),
+		"expired":  commandKey("old7"),
 	}
 	for name, row := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -149,13 +152,25 @@
 						}
 					}
 				}
-				const all = 2*jobs + workers + waves
-				missing := 1
-				if row == oldRowsKey {
-					missing = 0
+				for _, n := range []int{8, 9} {
+					id := fmt.Sprint("i", n)
+					c.fleet.waves[n].begun[id] = "w1"
+					c.fleet.waves[n].unstored = []string{id}
+				}
+				for i := range 20 {
+					c.prunedJobs = append(c.prunedJobs, fmt.Sprint("gone", i))
+					c.fleet.commandedAt[fmt.Sprint("old", i)] = 1
+				}
+				const all = 2*jobs + workers + waves + 2
+				missing := map[string]int{"old rows": 0, "pruned": 0, "expired": 0, "begun": 2}
+				if _, ok := missing[name]; !ok {
+					missing[name] = 1
 				}
 				run(4 * time.Second)
-				qt.Assert(t, rows(), qt.Equals, all-missing)
+				qt.Assert(t, rows(), qt.Equals, all-missing[name])
+				left := map[string][2]int{"pruned": {1, 0}, "expired": {0, 1}}[name]
+				qt.Assert(t, c.prunedJobs, qt.HasLen, left[0])
+				qt.Assert(t, oldCommands(c), qt.Equals, left[1])
 				qt.Assert(t, log.String(), qt.Contains, "Row is refused by the store; it is set aside.")
 				qt.Assert(t, log.String(), qt.Contains, row.Name)
 				started := 0
@@ -179,11 +194,41 @@
 				run(6 * time.Second)
 				qt.Assert(t, rows(), qt.Equals, all)
 				qt.Assert(t, c.hasOldRows, qt.IsFalse)
+				qt.Assert(t, c.prunedJobs, qt.HasLen, 0)
+				qt.Assert(t, oldCommands(c), qt.Equals, 0)
 			})
 		})
 	}
 }
 
+// oldCommands counts the expired command times whose rows are not removed.
+func oldCommands(c *Core) int {
+	n := 0
+	for id := range c.fleet.commandedAt {
+		if strings.HasPrefix(id, "old") {
+			n++
+		}
+	}
+	return n
+}
+
+// TestWaveAfterItsMaintenance guards against a wave that is stored as finished before the maintenance that it consists of.
+func TestWaveAfterItsMaintenance(t *testing.T) {
+	f := newFleet()
+	f.waves[1] = &wave{begun: map[string]string{"i1": "w1", "i2": "w2", "i3": "w3"}, unstored: []string{"i1", "i2", "i3"}, finished: true, changed: true}
+	all := func(store.Key) bool { return true }
+	stored := 0
+	for _, limit := range []int{2, 2, 2} {
+		waves, begun := f.takeChangedWaves(limit, all)
+		stored += len(begun)
+		qt.Assert(t, rowsPerWave*len(waves)+len(begun) <= limit, qt.IsTrue)
+		if len(waves) > 0 {
+			qt.Assert(t, stored, qt.Equals, 3)
+		}
+	}
+	qt.Assert(t, f.waves[1].changed, qt.IsFalse)
+}
+
 // TestBatchesOfLargeFleet guards against batches beyond the limits of a transaction, at ten times the size of the grown fleet.
 func TestBatchesOfLargeFleet(t *testing.T) {
 	const workers, waves, instances, jobs = 3700, 400, 3700, 1000
