--- /dev/null
+++ b/review/standin/store.go
@@ -0,0 +1,325 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Limits of the store, as the platform documents them.
+const (
+	maxEntries  = 100
+	maxTxBytes  = 1 << 20
+	maxRowBytes = 64 << 10
+	pageRows    = 500
+	answerTime  = 4 * time.Millisecond
+)
+
+type rowKey struct {
+	Table string `json:"table"`
+	Part  string `json:"part"`
+	Key   string `json:"key"`
+}
+
+type storedRow struct {
+	value   []byte
+	version uint64
+	deleted bool
+}
+
+type wireRow struct {
+	rowKey
+	Value     []byte `json:"value"`
+	Version   uint64 `json:"ver"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+// store is a stand-in for the store of the platform. It keeps rows in memory and executes each call when it arrives. While it is slow,
+// only its answers take longer.
+type store struct {
+	rec   *recorder
+	start time.Time
+
+	mu      sync.Mutex
+	rows    map[rowKey]storedRow
+	version uint64
+	changed chan struct{}
+	slow    float64
+	// lost is the share of the writes that are done and not answered.
+	lost    float64
+	random  *rand.Rand
+	refused int
+}
+
+func newStore(rec *recorder) *store {
+	return &store{rec: rec, start: time.Now(), rows: make(map[rowKey]storedRow), changed: make(chan struct{}), slow: 1, random: rand.New(rand.NewPCG(1, 1))}
+}
+
+// setSlow makes answers take a multiple of their usual time.
+func (s *store) setSlow(factor float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = factor
+}
+
+// setLost makes a share of the writes get no answer, although they are done.
+func (s *store) setLost(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = share
+}
+
+// loses reports whether the answer of a write is lost.
+func (s *store) loses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < s.lost
+}
+
+// put writes a row of a worker or the operator.
+func (s *store) put(key rowKey, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.write(key, storedRow{value: data, version: s.version})
+}
+
+// remove removes a row of a worker.
+func (s *store) remove(key rowKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.rows[key]; ok && !r.deleted {
+		s.version++
+		s.write(key, storedRow{version: s.version, deleted: true})
+	}
+}
+
+// get returns the value of a row.
+func (s *store) get(key rowKey) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key].value
+}
+
+func (s *store) write(key rowKey, row storedRow) {
+	s.rows[key] = row
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) answerDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.slow * float64(answerTime))
+}
+
+func (s *store) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /rows-tx", s.transact)
+	mux.HandleFunc("GET /rows-get", s.scan)
+	mux.HandleFunc("GET /rows-parts", s.parts)
+	mux.HandleFunc("GET /rows-feed", s.feed)
+	return mux
+}
+
+func (s *store) answer(w http.ResponseWriter, r *http.Request, status int, body map[string]any) {
+	select {
+	case <-time.After(s.answerDelay()):
+	case <-r.Context().Done():
+		return
+	}
+	body["now_ms"] = time.Since(s.start).Milliseconds()
+	writeJSON(w, status, body)
+}
+
+type wireTx struct {
+	Expected []struct {
+		rowKey
+		Version uint64 `json:"ver"`
+	} `json:"expected"`
+	Upserts []struct {
+		rowKey
+		Value []byte `json:"value"`
+	} `json:"upserts"`
+	Remove []rowKey `json:"remove"`
+	Across bool     `json:"across"`
+}
+
+// check returns why the store refuses a transaction, and 0 if it does not.
+func (tx *wireTx) check(size int) (status int, reason string) {
+	if n := len(tx.Expected) + len(tx.Upserts) + len(tx.Remove); n > maxEntries || size > maxTxBytes {
+		return http.StatusBadRequest, fmt.Sprintf("%d entries, %d bytes", n, size)
+	}
+	parts := make(map[string]bool)
+	for _, e := range tx.Expected {
+		parts[e.Part] = true
+	}
+	for _, u := range tx.Upserts {
+		parts[u.Part] = true
+		if u.Table == "op" || u.Table == "servers" {
+			return http.StatusForbidden, "table"
+		}
+		if len(u.Value) == 0 || len(u.Value) > maxRowBytes {
+			return http.StatusBadRequest, "size of a row"
+		}
+	}
+	for _, k := range tx.Remove {
+		parts[k.Part] = true
+	}
+	if len(parts) > 1 && !tx.Across {
+		return http.StatusBadRequest, "more than one part"
+	}
+	return 0, ""
+}
+
+// apply carries out a transaction. It returns the current rows if a condition does not hold.
+func (s *store) apply(tx *wireTx) (version uint64, current []wireRow, conflict bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range tx.Expected {
+		row, ok := s.rows[e.rowKey]
+		if row.deleted && e.Version != 0 || !row.deleted && row.version != e.Version {
+			conflict = true
+		}
+		if ok && !row.deleted {
+			current = append(current, wireRow{rowKey: e.rowKey, Value: row.value, Version: row.version})
+		}
+	}
+	if conflict {
+		return s.version, current, true
+	}
+	s.version++
+	for _, u := range tx.Upserts {
+		s.write(u.rowKey, storedRow{value: u.Value, version: s.version})
+	}
+	for _, k := range tx.Remove {
+		if row, ok := s.rows[k]; ok && !row.deleted {
+			s.write(k, storedRow{version: s.version, deleted: true})
+		}
+	}
+	return s.version, nil, false
+}
+
+func (s *store) transact(w http.ResponseWriter, r *http.Request) {
+	var tx wireTx
+	size, err := readJSON(r, &tx)
+	if err != nil {
+		s.answer(w, r, http.StatusBadRequest, map[string]any{"error": err.Error()})
+		return
+	}
+	if status, reason := tx.check(size); status != 0 {
+		s.mu.Lock()
+		s.refused++
+		first := s.refused == 1
+		s.mu.Unlock()
+		if first {
+			s.rec.add("store refuses a transaction: %s", reason)
+		}
+		s.answer(w, r, status, map[string]any{"error": reason})
+		return
+	}
+	version, current, conflict := s.apply(&tx)
+	if s.loses() {
+		// The connection delivers nothing further.
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if conflict {
+		s.answer(w, r, http.StatusPreconditionFailed, map[string]any{"rows": current, "ver": version})
+		return
+	}
+	s.answer(w, r, http.StatusOK, map[string]any{"ver": version})
+}
+
+func (s *store) scan(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	rows := []wireRow{}
+	for k, row := range s.rows {
+		if row.deleted || k.Table != q.Get("table") || k.Part != q.Get("part") || k.Key < q.Get("from") {
+			continue
+		}
+		if to := q.Get("target"); to != "" && k.Key >= to {
+			continue
+		}
+		rows = append(rows, wireRow{rowKey: k, Value: row.value, Version: row.version})
+	}
+	version := s.version
+	s.mu.Unlock()
+	slices.SortFunc(rows, func(a, b wireRow) int { return strings.Compare(a.Key, b.Key) })
+	more := len(rows) > pageRows
+	s.answer(w, r, http.StatusOK, map[string]any{"rows": rows[:min(len(rows), pageRows)], "has_more": more, "ver": version})
+}
+
+func (s *store) parts(w http.ResponseWriter, r *http.Request) {
+	table, after := r.URL.Query().Get("table"), r.URL.Query().Get("after")
+	s.mu.Lock()
+	seen := make(map[string]bool)
+	for k, row := range s.rows {
+		if !row.deleted && k.Table == table && (after == "" || k.Part > after) {
+			seen[k.Part] = true
+		}
+	}
+	version := s.version
+	s.mu.Unlock()
+	parts := make([]string, 0, len(seen))
+	for p := range seen {
+		parts = append(parts, p)
+	}
+	sort.Strings(parts)
+	s.rec.add("store lists the parts of table %s: %s", table, strings.Join(parts, " "))
+	s.answer(w, r, http.StatusOK, map[string]any{"parts": parts, "ver": version})
+}
+
+func (s *store) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil {
+		s.answer(w, r, http.StatusBadRequest, map[string]any{"error": err.Error()})
+		return
+	}
+	wait, err := strconv.Atoi(q.Get("wait_ms"))
+	if err != nil {
+		wait = 0
+	}
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		rows := []wireRow{}
+		for k, row := range s.rows {
+			if k.Table == q.Get("table") && row.version > after {
+				rows = append(rows, wireRow{rowKey: k, Value: row.value, Version: row.version, Tombstone: row.deleted})
+			}
+		}
+		version, changed := s.version, s.changed
+		s.mu.Unlock()
+		if len(rows) > 0 || wait == 0 {
+			slices.SortFunc(rows, func(a, b wireRow) int {
+				if a.Version != b.Version {
+					return int(a.Version) - int(b.Version)
+				}
+				return strings.Compare(a.Part+"/"+a.Key, b.Part+"/"+b.Key)
+			})
+			s.answer(w, r, http.StatusOK, map[string]any{"rows": rows, "ver": version})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
