scheduler: a service does not fail for crashes of workers

What callers saw: a job whose tasks last is shown as failed, and its tasks at work are stopped, though nobody cancelled it (LOST).

Cause: services were given up for crashes in calm surroundings. A crash at the wrong moment cannot be told from a cause, and a failed job does not come back.

Change: a service is started again after a pause, from 0.5 s after the second crash up to 4 s, or up to 30 s while other workers of the pool crash by themselves. As before, after two crashes each start goes to a worker of its own, on at most a quarter of the pool.

Tests: CutWorkersDoNotFailJob, "service, workers are replaced", failed before after 6 starts. All bounds for tasks that end are as they were.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -55,8 +55,8 @@
 	return !r.step.tasks[r.index].done && !r.step.job.progress.State.Ended()
 }
 
-// judgeCrash counts a crash under a run, which with runs may have caused. A task that keeps crashing workers is given up. A
-// service is given up only for crashes that the worker and those beside it do not explain.
+// judgeCrash counts a crash under a run, which with runs may have caused. A task that keeps crashing workers is given up, but a service
+// runs until its job is cancelled: it is started again after a pause.
 func (c *Core) judgeCrash(r *run, around crashloop.Surroundings, late bool, with int) {
 	s, j := r.step, r.step.job
 	c.counts.Crashed++
@@ -66,7 +66,7 @@
 	c.logger.Warn("Worker has crashed under a task.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
 		"pool", r.worker.report.Pool, "ranBeforeContact", r.worker.lastContact-r.startedAt, "with", with, "crashes", crashes.All, "confirmed", crashes.Confirmed, "late", late, "lateCrashes", crashes.Late,
 		"silent", crashes.Silent, "counted", told, "sinceOther", around.SinceOther, "repeated", around.Repeated, "lived", around.Lived)
-	if !told {
+	if !told || s.doc.Service {
 		return
 	}
 	if (r.previousLeader && crashes.GiveUpUnseen()) || (!r.previousLeader && crashes.GiveUp()) {
@@ -88,6 +88,7 @@
 		s.addLateCrash(r)
 	case !late && (!s.doc.Service || c.blames(r, around)):
 		s.progress.AddCrash(s.unitIndex(r.index), r.number, r.confirmedAt > 0)
+		site.latest = c.now
 	default:
 		site.untelling++
 		site.latest = c.now
@@ -300,7 +301,7 @@
 	return site != nil && slices.Contains(site.addresses, ws.report.Address)
 }
 
-// pausedAfterCrash reports whether a service waits after crashes that tell nothing of it, or another task for news of silent workers.
+// pausedAfterCrash reports whether a service waits after crashes, for which it does not fail, or another task for news of silent workers.
 func (c *Core) pausedAfterCrash(s *step, index int) bool {
 	if len(s.crashSites) == 0 {
 		return false
@@ -314,7 +315,7 @@
 		return c.now-site.latest < count.SilencePause()
 	}
 	// One may be a coincidence.
-	crashes := max(0, count.Silent-1) + site.untelling
+	crashes := max(0, count.All+count.Silent-1) + site.untelling
 	return c.now-site.latest < crashloop.Pause(crashes, c.pool(s.job.doc.Pool).crashes.SinceUnexplained(c.now))
 }
 
--- a/scheduler/silence_test.go
+++ b/scheduler/silence_test.go
@@ -25,6 +25,7 @@
 		"service, unanswered start":       {workers: 9, service: true, cut: cut{lasts: 7 * time.Second}},
 		"service, two workers":            {workers: 2, service: true, cut: cut{after: crashFleetStep, lasts: 7 * time.Second}},
 		"service, long cuts":              {workers: 9, service: true, cut: cut{after: crashFleetStep, lasts: 20 * time.Second}},
+		"service, workers are replaced":   {workers: 9, service: true, cut: cut{lasts: 7 * time.Second, asOther: true}},
 		"service, leader changes":         {workers: 9, service: true, cut: cut{after: crashFleetStep, lasts: 7 * time.Second}, term: 5 * time.Second},
 		"task, confirmed start":           {workers: 9, cut: cut{after: crashFleetStep, lasts: 7 * time.Second}},
 		"task, unanswered start":          {workers: 9, cut: cut{lasts: 7 * time.Second}},
