scheduler: test that the third of three leaders waits for the first

With the fix taken out of a scratch copy, so that the end of the previous leader counts as that of all before it, the task starts after 4.5 s instead of 6.8 s or more and the test fails.

--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -49,6 +50,46 @@
 	}
 }
 
+// TestFirstOfThreeLeadersRenews guards against a task that runs twice because the leader before this one has ended, while the one before
+// that still renews leases behind a cut (review/1).
+func TestFirstOfThreeLeadersRenews(t *testing.T) {
+	const acts = 2500 * time.Millisecond
+	tests := map[string]struct {
+		earlierActs time.Duration
+		ended       bool
+	}{
+		"all have ended":                    {ended: true},
+		"first leader renews":               {earlierActs: acts, ended: true},
+		"first leader renews, second lives": {earlierActs: acts},
+		"second leader lives":               {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 3, "w1")
+			began := r.now
+			r.core = NewCore(Options{Bounds: rigBounds(), Fence: 30, Term: 3, AcquiredAt: r.now, PreviousLeaderEnded: test.ended, EarlierLeadersUntil: r.now + test.earlierActs})
+			r.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6}}, []catalog.Pool{{Name: "p"}}, nil))
+			r.register("w1")
+			r.reply("w1")
+			r.core.SetRoster([]RosterEntry{{ID: "w9", Pool: "p", Address: "w9:1", Incarnation: rigIncarnation, Capacity: coresOnly(4)}})
+			doc := work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Service: true, Request: coresOnly(1)}}}
+			progress := work.NewProgress()
+			progress.Occurrence(&doc, 0).SetRun(0, 0, "w9", 1)
+			r.core.AddJob(doc, progress, 0)
+			acting := test.earlierActs
+			if !test.ended {
+				acting = LeadershipTimeout
+			}
+			for len(startsOf(r.pass())) == 0 {
+				r.advance(100 * time.Millisecond)
+				r.reply("w1")
+				qt.Assert(t, r.now-began < acting+leaseDuration+time.Second, qt.IsTrue, qt.Commentf("the task does not start"))
+			}
+			qt.Assert(t, r.now-began >= acting+leaseDuration, qt.IsTrue, qt.Commentf("the task starts after %s", r.now-began))
+		})
+	}
+}
+
 // TestSilentForAWhile guards against a task that is started again or given up because its worker did not answer for some seconds.
 func TestSilentForAWhile(t *testing.T) {
 	r := newRig(t, 1, "w1", "w2")
