soak: three leaders in a row behind a cut, with processes of the program

Each process sees the store through a view that holds its calls during the cut, and the addresses of the others there are relays that lose what arrives; workers hold the calls of leaders in another zone, whose term they know by the fencing token.

--- a/internal/soak/cases/case.go
+++ b/internal/soak/cases/case.go
@@ -110,6 +110,7 @@
 	"service-in-overload":    caseStarve,
 	"service-restarts":       caseLasting,
 	"task-cut-off":           caseCutTask,
+	"three-leaders":          caseThreeLeaders,
 	"service-cut-off":        caseCutService,
 }
 
--- a/internal/soak/cases/store.go
+++ b/internal/soak/cases/store.go
@@ -56,8 +56,13 @@
 	lost    float64
 	random  *rand.Rand
 	refused int
+	// leaders holds the rows that named a leader, in order.
+	leaders []storedRow
 }
 
+// keyLeader is the key of the row of the leader.
+var keyLeader = rowKey{Table: "duty", Key: "holder"}
+
 func newStore(rec *recorder) *store {
 	return &store{rec: rec, start: time.Now(), rows: make(map[rowKey]storedRow), changed: make(chan struct{}), slow: 1, random: rand.New(rand.NewPCG(1, 1))}
 }
@@ -114,6 +119,9 @@
 
 func (s *store) write(key rowKey, row storedRow) {
 	s.rows[key] = row
+	if key == keyLeader {
+		s.leaders = append(s.leaders, row)
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -139,6 +147,12 @@
 	case <-r.Context().Done():
 		return
 	}
+	if v, ok := r.Context().Value(viewKey{}).(*view); ok {
+		v.hold(r)
+		if rows, ok := body["rows"].([]wireRow); ok {
+			body["rows"] = v.rows(rows)
+		}
+	}
 	body["now_ms"] = time.Since(s.start).Milliseconds()
 	writeJSON(w, status, body)
 }
