soak: leaders that stand still or are short of processor

Tells two hypotheses about the records of real processes apart: a leader that stops renewing leases because it is paused, or because it gets no processor. Five leaders in a row are paused for 0.7 to 5 s, or the leader runs for a tenth of the time for 18 s, while 400 short jobs and 12 tasks that last run.

--- a/internal/soak/cases/case.go
+++ b/internal/soak/cases/case.go
@@ -101,7 +101,9 @@
 var cases = map[string]func(w *world, fault bool) (broken bool, err error){
 	"flapping-worker":        caseFlap,
 	"leader-killed":          caseParts,
+	"leader-paused":          casePaused,
 	"leader-restarted":       caseLost,
+	"leader-short-of-cpu":    caseSlowLeader,
 	"many-waves":             caseWaves,
 	"removed-queue":          caseBudget,
 	"restart-and-cut":        caseTwice,
