scheduler: a silent worker whose address another one has taken has crashed

If another worker has answered at the address already, the crash is known at once.

PartitionIsNoCrash, "worker was replaced early", fails without the change.

--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -172,8 +172,10 @@
 		// reported means that the worker has reported after the start.
 		reported bool
 		// returns is the life that answers at the address of the worker afterwards, if any.
-		returns          string
-		returnsAs        int64
+		returns   string
+		returnsAs int64
+		// early means that it answers before the silent worker is removed.
+		early            bool
 		crashes, silents int
 	}{
 		"worker has survived the start":        {reported: true},
@@ -182,6 +184,7 @@
 		"worker was cut off after a report":    {reported: true, returns: "w1", returnsAs: rigIncarnation},
 		"worker has started again":             {returns: "w1", returnsAs: rigNextIncarnation, crashes: 1},
 		"worker was replaced":                  {returns: "w2", returnsAs: rigNextIncarnation, crashes: 1},
+		"worker was replaced early":            {returns: "w2", returnsAs: rigNextIncarnation, early: true, crashes: 1},
 		"worker was replaced, report at first": {reported: true, returns: "w2", returnsAs: rigNextIncarnation},
 	}
 	for name, test := range tests {
@@ -193,17 +196,23 @@
 				r.advance(time.Second)
 				r.reply("w1")
 			}
+			answer := func() {
+				report := rigReport(test.returns, coresOnly(4))
+				report.Address, report.Incarnation = "w1:1", test.returnsAs
+				r.core.SetWorkers([]worker.Report{report})
+				r.core.HandleStatus(r.callTo(test.returns), worker.Status{Reply: worker.Reply{Clock: r.now, Incarnation: test.returnsAs}}, r.now, nil)
+			}
 			r.core.SetWorkers(nil)
+			if test.early {
+				answer()
+			}
 			for range 10 {
 				r.advance(time.Second)
 				r.schedule()
 			}
-			qt.Assert(t, r.core.Workers(), qt.HasLen, 0)
-			if test.returns != "" {
-				report := rigReport(test.returns, coresOnly(4))
-				report.Address, report.Incarnation = "w1:1", test.returnsAs
-				r.core.SetWorkers([]worker.Report{report})
-				r.core.HandleStatus(r.callTo(test.returns), worker.Status{Reply: worker.Reply{Clock: r.now, Incarnation: test.returnsAs}}, r.now, nil)
+			qt.Assert(t, slices.Contains(r.core.Workers(), "w1"), qt.IsFalse)
+			if test.returns != "" && !test.early {
+				answer()
 			}
 			count := j.open[0].steps[0].crashCount(0)
 			qt.Assert(t, count.All, qt.Equals, test.crashes)
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -24,6 +24,16 @@
 // only started apart from each other.
 const silenceRetention = 5 * time.Minute
 
+// hasSuccessor reports whether another worker has answered at the address of a worker, which has crashed or ended then.
+func (c *Core) hasSuccessor(ws *workerState) bool {
+	for _, other := range c.workers {
+		if other != ws && other.answered && other.report.Address == ws.report.Address {
+			return true
+		}
+	}
+	return false
+}
+
 // recordSilence records that a worker was removed because it was silent, unless it was about to leave.
 func (c *Core) recordSilence(ws *workerState, suspects []*run) {
 	if ws.report.Draining {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -116,6 +116,10 @@
 func (c *Core) dropSilentWorker(ws *workerState, reason string) {
 	runs := slices.DeleteFunc(c.runsAtCrash(ws, false), func(r *run) bool { return r.start().Proven() })
 	c.dropWorker(ws, reason)
+	if c.hasSuccessor(ws) {
+		c.recordCrash(ws, runs)
+		return
+	}
 	c.recordSilence(ws, runs)
 }
 
