scheduler: a later life at the address of a silent worker tells that it has crashed

The worker that has taken the address was known from the registry, and had not answered yet or not again.

An entry of a life that began later at the same address shows as much as its answer. The same life still has to answer.

Tests: PartitionIsNoCrash, four more cases, two of which fail without the change.

--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -174,8 +174,8 @@
 		// returns is the life that answers at the address of the worker afterwards, if any.
 		returns   string
 		returnsAs int64
-		// early means that it answers before the silent worker is removed.
-		early            bool
+		// early means that it appears before the silent worker is removed, and listed that the registry lists it and it does not answer.
+		early, listed    bool
 		crashes, silents int
 	}{
 		"worker has survived the start":        {reported: true},
@@ -185,6 +185,10 @@
 		"worker has started again":             {returns: "w1", returnsAs: rigNextIncarnation, crashes: 1},
 		"worker was replaced":                  {returns: "w2", returnsAs: rigNextIncarnation, crashes: 1},
 		"worker was replaced early":            {returns: "w2", returnsAs: rigNextIncarnation, early: true, crashes: 1},
+		"worker was replaced, no answer":       {returns: "w2", returnsAs: rigNextIncarnation, listed: true, crashes: 1},
+		"replaced early, no answer":            {returns: "w2", returnsAs: rigNextIncarnation, early: true, listed: true, crashes: 1},
+		"worker is listed again":               {returns: "w1", returnsAs: rigIncarnation, listed: true, silents: 1},
+		"entry of an earlier life":             {returns: "w0", returnsAs: rigIncarnation - 1, listed: true, silents: 1},
 		"worker was replaced, report at first": {reported: true, returns: "w2", returnsAs: rigNextIncarnation},
 	}
 	for name, test := range tests {
@@ -200,6 +204,9 @@
 				report := rigReport(test.returns, coresOnly(4))
 				report.Address, report.Incarnation = "w1:1", test.returnsAs
 				r.core.SetWorkers([]worker.Report{report})
+				if test.listed {
+					return
+				}
 				r.core.HandleStatus(r.callTo(test.returns), worker.Status{Reply: worker.Reply{Clock: r.now, Incarnation: test.returnsAs}}, r.now, nil)
 			}
 			r.core.SetWorkers(nil)
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -10,7 +10,7 @@
 )
 
 // silence is a life of a worker that fell silent before it was known to have survived the start of a run, and whose lease has expired. It
-// has crashed or is cut off. The next life that answers at its address tells which.
+// has crashed or is cut off. The next life at its address tells which.
 type silence struct {
 	life worker.Life
 	run  *run
@@ -24,10 +24,15 @@
 // only started apart from each other.
 const silenceRetention = 5 * time.Minute
 
-// hasSuccessor reports whether another worker has answered at the address of a worker, which has crashed or ended then.
+// succeeds reports whether a life at the same address began after an earlier one, which has ended then.
+func succeeds(life, earlier worker.Life) bool {
+	return life != earlier && earlier.Incarnation > 0 && life.Incarnation > earlier.Incarnation
+}
+
+// hasSuccessor reports whether a life that began later is known at the address of a worker.
 func (c *Core) hasSuccessor(ws *workerState) bool {
 	for _, other := range c.workers {
-		if other != ws && other.answered && other.report.Address == ws.report.Address {
+		if other.report.Address == ws.report.Address && succeeds(other.identity, ws.identity) {
 			return true
 		}
 	}
@@ -58,25 +63,39 @@
 	}
 }
 
-// resolveSilences judges the silences at the address of a worker whose life has answered for the first time. The life that fell silent was
-// only cut off. Another one means that it has crashed.
-func (c *Core) resolveSilences(ws *workerState) {
+// resolveSilences judges the silences at the address of a worker of which something has become known: the registry lists it, or it has
+// answered for the first time. The life that fell silent was only cut off if it answers. A later life means that it has crashed, and any
+// other life if that answers.
+func (c *Core) resolveSilences(ws *workerState, answered bool) {
 	silences := c.silences[ws.report.Address]
-	delete(c.silences, ws.report.Address)
+	if len(silences) == 0 {
+		return
+	}
+	var left []silence
 	for _, s := range silences {
-		site := s.run.step.crashSites[s.run.step.unitIndex(s.run.index)]
-		if site == nil || !s.run.isOpen() {
-			continue
-		}
-		site.silentRuns = slices.DeleteFunc(site.silentRuns, func(number int) bool { return number == s.run.number })
-		c.pool(ws.report.Pool).needsPlanning = true
-		if s.life == ws.identity {
-			c.logger.Info("Worker was only silent under a task.", "job", s.run.step.job.doc.ID, "task", s.run.name(), "run", s.run.number, "worker", ws.report.ID,
-				"after", c.now-s.since)
+		if !answered && !succeeds(ws.identity, s.life) {
+			left = append(left, s)
 			continue
 		}
-		c.judgeCrash(s.run, s.around, false, s.with)
+		c.resolveSilence(s, ws)
+	}
+	c.silences[ws.report.Address] = left
+}
+
+// resolveSilence judges the start of a silent worker, of which the life that is at its address now tells.
+func (c *Core) resolveSilence(s silence, ws *workerState) {
+	site := s.run.step.crashSites[s.run.step.unitIndex(s.run.index)]
+	if site == nil || !s.run.isOpen() {
+		return
+	}
+	site.silentRuns = slices.DeleteFunc(site.silentRuns, func(number int) bool { return number == s.run.number })
+	c.pool(ws.report.Pool).needsPlanning = true
+	if s.life == ws.identity {
+		c.logger.Info("Worker was only silent under a task.", "job", s.run.step.job.doc.ID, "task", s.run.name(), "run", s.run.number, "worker", ws.report.ID,
+			"after", c.now-s.since)
+		return
 	}
+	c.judgeCrash(s.run, s.around, false, s.with)
 }
 
 // pruneSilences forgets the silences that are old, or that are about tasks that are done.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -85,6 +85,7 @@
 	p.workers = sortWorkers(append(p.workers, ws))
 	c.rosterChanges[r.ID] = true
 	c.logger.Info("Worker was added.", "worker", r.ID, "pool", r.Pool, "address", r.Address, "cpu", r.Capacity.CPU, "born", r.Incarnation)
+	c.resolveSilences(ws, false)
 	return ws
 }
 
@@ -258,7 +259,7 @@
 	}
 	if !ws.answered {
 		ws.firstReply = c.now
-		c.resolveSilences(ws)
+		c.resolveSilences(ws, true)
 	}
 	if ws.leaseExpired {
 		c.rosterChanges[id] = true
