job: a worker that only stops reporting a run is not lost

Only a worker that the platform lists no more counts as lost. A run without reports counts as a stop, of which a job may have 20, and the job prefers other workers afterwards, as it does after a loss.

Tests: duty Jobs, "not given up for workers that are cut off", failed before: the job ended as failed and was archived. "given up after three workers were lost under it" takes the workers off the platform's list now, which it did not, and asks for the same. job LostWorkers has two more cases.

--- a/duty/fake_test.go
+++ b/duty/fake_test.go
@@ -104,6 +104,13 @@
 	}
 }
 
+// remove removes an instance that has ended for good.
+func (f *fakeFleet) remove(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.instances, id)
+}
+
 func (f *fakeFleet) List(context.Context, string) (provider.InstanceList, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/duty/jobspass.go
+++ b/duty/jobspass.go
@@ -203,11 +203,16 @@
 // jobAfterLoss returns the row of a job whose worker is gone or does not report the run. A planned stop of the worker does not count
 // against the job.
 func (p *jobsPass) jobAfterLoss(j job.Stored) job.Job {
-	const reason = "worker is gone or does not report the run"
-	if j.State == job.StateCancelling || p.workers[j.Worker].vacate {
-		return p.jobAfterStop(j, "", reason)
+	w := p.workers[j.Worker]
+	if j.State == job.StateCancelling || w.vacate {
+		return p.jobAfterStop(j, "", "worker is gone or does not report the run")
 	}
-	next := j.LoseWorker(p.now, reason)
+	if w.ID != "" && !w.missing {
+		next := j.LoseContact(p.now, "worker does not report the run")
+		p.options.Logger.Warn("Worker of a job does not report its run.", "job", j.ID, "worker", j.Worker, "attempt", j.Attempt, "stops", next.Stops, "state", string(next.State))
+		return next
+	}
+	next := j.LoseWorker(p.now, "worker is gone")
 	p.options.Logger.Warn("Worker of a job was lost.", "job", j.ID, "worker", j.Worker, "attempt", j.Attempt, "lostOn", next.LostOn, "state", string(next.State))
 	return next
 }
--- a/job/job.go
+++ b/job/job.go
@@ -72,6 +72,8 @@
 	FailedOn []string `json:"failedOn,omitempty"`
 	// LostOn lists the workers that were lost soon after the job had started on them, one entry for each run.
 	LostOn []string `json:"lostOn,omitempty"`
+	// SilentOn lists the workers that stopped reporting the job soon after it had started on them, though the platform listed them.
+	SilentOn []string `json:"silentOn,omitempty"`
 	// Stops counts the runs in a row that were stopped by nobody's order, as when a lease expires, soon after they had started.
 	Stops     int       `json:"stops,omitempty"`
 	Submitted time.Time `json:"submitted"`
--- a/job/place.go
+++ b/job/place.go
@@ -249,7 +249,7 @@
 			// Accelerators are scarce, so jobs that need none use other workers first.
 			score += 2
 		}
-		if slices.Contains(j.LostOn, s.ID) {
+		if slices.Contains(j.LostOn, s.ID) || slices.Contains(j.SilentOn, s.ID) {
 			score += lostPenalty
 		}
 		if best == nil || score < bestScore {
--- a/job/step.go
+++ b/job/step.go
@@ -14,8 +14,8 @@
 const maxAttempts = 20
 
 const (
-	// maxLostWorkers is the number of different workers that may be lost soon after a job has started on them. Three in a row are hardly
-	// chance, so the job is given up before it takes down more.
+	// maxLostWorkers is the number of different workers that the platform may have lost soon after a job has started on them. Three in a row
+	// are hardly chance, so the job is given up before it takes down more.
 	maxLostWorkers = 3
 	// lossWindow is the time after its start in which the loss of the worker or a stop counts against a job. A long job meets some by
 	// chance.
@@ -47,7 +47,18 @@
 	return next
 }
 
-// LoseWorker returns the row of a job whose worker was lost. The job may be the cause, so it is not started again without end.
+// LoseContact returns the row of a job whose worker does not report the run any more, though the platform lists it. The worker may be cut
+// off, which says nothing of the job, so that this counts as a stop.
+func (j Job) LoseContact(now time.Time, reason string) Job {
+	next := j.requeueStopped(now, "", reason)
+	next.SilentOn = nil
+	if now.Sub(j.Started) <= lossWindow {
+		next.SilentOn = append(slices.Clone(j.SilentOn), j.Worker)
+	}
+	return next
+}
+
+// LoseWorker returns the row of a job whose worker is gone. The job may be the cause, so it is not started again without end.
 func (j Job) LoseWorker(now time.Time, reason string) Job {
 	next := j.Requeue("", reason)
 	if now.Sub(j.Started) > lossWindow {
@@ -94,20 +105,20 @@
 		}
 		return next, true
 	}
-	return j.requeueStopped(now, status), true
+	return j.requeueStopped(now, status.Checkpoint, "run stopped: "+status.Detail), true
 }
 
 // requeueStopped returns the row of a job whose run was stopped without an order. Leases also expire when the process that renews them
 // fails, so the job is given up only after many such runs.
-func (j Job) requeueStopped(now time.Time, status provider.TaskStatus) Job {
-	next := j.Requeue(status.Checkpoint, "run stopped: "+status.Detail)
+func (j Job) requeueStopped(now time.Time, checkpoint, reason string) Job {
+	next := j.Requeue(checkpoint, reason)
 	if now.Sub(j.Started) > lossWindow {
 		next.Stops = 0
 		return next
 	}
 	next.Stops++
 	if next.Stops >= maxAttempts {
-		return next.End(now, StateFailed, fmt.Sprintf("given up after %d runs that were stopped soon after their start: %s", next.Stops, status.Detail))
+		return next.End(now, StateFailed, fmt.Sprintf("given up after %d runs that were stopped soon after their start: %s", next.Stops, reason))
 	}
 	return next
 }
