--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -55,8 +55,8 @@
 	return !r.step.tasks[r.index].done && !r.step.job.progress.State.Ended()
 }
 
-// judgeCrash counts a crash under a run, which with runs may have caused. A task that keeps crashing workers is given up, but a service
-// runs until its job is cancelled: it is started again after a pause.
+// judgeCrash counts a crash under a run. with is the number of runs that may have caused it. A task that keeps crashing workers is given
+// up, but a service runs until its job is cancelled: it is started again after a pause.
 func (c *Core) judgeCrash(r *run, around crashloop.Surroundings, late bool, with int) {
 	s, j := r.step, r.step.job
 	c.counts.Crashed++
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -14,14 +14,14 @@
 type silence struct {
 	life worker.Life
 	run  *run
-	// around is what was known beside the run, and with the number of runs that would be suspects of a crash.
+	// around is what was known beside the run when the worker was removed.
 	around crashloop.Surroundings
-	with   int
-	since  time.Duration
+	// with is the number of runs that would be suspects of a crash.
+	with  int
+	since time.Duration
 }
 
-// silenceRetention is how long a silence is remembered. Workers that were cut off return within minutes, and until then the suspects are
-// only started apart from each other.
+// silenceRetention is how long a silence is remembered. Regions lose each other for minutes.
 const silenceRetention = 5 * time.Minute
 
 // succeeds reports whether a life at the same address began after an earlier one, which has ended then.
@@ -82,7 +82,7 @@
 	c.silences[ws.report.Address] = left
 }
 
-// resolveSilence judges the start of a silent worker, of which the life that is at its address now tells.
+// resolveSilence judges the start of a silent worker by the worker that is at its address now.
 func (c *Core) resolveSilence(s silence, ws *workerState) {
 	site := s.run.step.crashSites[s.run.step.unitIndex(s.run.index)]
 	if site == nil || !s.run.isOpen() {
