--- a/internal/soak/cases/pauses.go
+++ b/internal/soak/cases/pauses.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// fullDuration and restDuration are how long a process that is short of processor stands still and runs by turns.
-	fullDuration = 45 * time.Millisecond
-	restDuration = 5 * time.Millisecond
+	// stillTime and runTime are how long a process that is short of processor stands still and runs by turns.
+	stillTime = 45 * time.Millisecond
+	runTime   = 5 * time.Millisecond
 )
 
 // signal sends a signal to the process.
@@ -49,8 +49,8 @@
 	return w.playPauses(fault, func() error {
 		n := w.leader()
 		w.rec.add("process %s runs for a tenth of the time", n.name)
-		for end := time.Now().Add(18 * time.Second); time.Now().Before(end); time.Sleep(restDuration) {
-			if err := n.pause(fullDuration); err != nil {
+		for end := time.Now().Add(18 * time.Second); time.Now().Before(end); time.Sleep(runTime) {
+			if err := n.pause(stillTime); err != nil {
 				return err
 			}
 		}
