Scheduler: log why suspects of a crash do not run

Suspects that have not run for 3 s are logged now, at most five of them a second, and the others with their number and reasons. service_tasks_waiting counts services only, as before.

--- a/scheduler/suspects_test.go
+++ b/scheduler/suspects_test.go
@@ -1,11 +1,13 @@
 package scheduler
 
 import (
+	"bytes"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -200,6 +202,55 @@
 	qt.Assert(t, startsOf(r.pass()), qt.DeepEquals, []string{"b 0.0.0 1 w1"})
 }
 
+// TestWaitingSuspects guards against suspects of a crash that do not run and of which no log line tells why.
+func TestWaitingSuspects(t *testing.T) {
+	tests := map[string]struct {
+		crashes int
+		before  func(r *rig, s *step)
+		reason  WaitReason
+	}{
+		"no worker":          {1, func(r *rig, _ *step) { r.register() }, WaitForWorker},
+		"no room":            {1, func(r *rig, _ *step) { r.addSteps("b", 4) }, WaitForRoom},
+		"other tests":        {1, func(r *rig, _ *step) { r.addSuspects("b", 1, 1) }, WaitForTestsToEnd},
+		"worker runs others": {2, func(r *rig, _ *step) { r.addSteps("b", 1) }, WaitForIdleWorker},
+		"as many as may run": {2, func(r *rig, _ *step) {
+			r.addSuspects("b", 1, 2)
+			r.register("w1", "w2")
+			r.reply("w2")
+		}, WaitForLikelyCauses},
+		"pause": {2, func(r *rig, s *step) {
+			site := s.crashSite(0)
+			site.silentRuns, site.latest = []int{3}, r.now
+		}, WaitAfterCrash},
+		"worker has just started": {1, func(_ *rig, s *step) {
+			site := s.crashSite(0)
+			site.addresses, site.untelling = []string{"w1:1"}, 20
+		}, WaitForSteadyWorkers},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var log bytes.Buffer
+			r := newRig(t, 1, "w1")
+			r.core.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+			r.addSuspects("a", 1, test.crashes)
+			s := r.core.jobs["a"].open[0].steps[0]
+			s.tasks[0].notBefore = r.now + 1
+			test.before(r, s)
+			r.accept(r.pass())
+			r.now++
+			r.schedule()
+			qt.Assert(t, r.core.waitReason(s, 0), qt.Equals, test.reason)
+			s.tasks[0].notBefore = r.now + time.Hour
+			for range 5 {
+				r.advance(time.Second)
+				r.schedule()
+			}
+			qt.Assert(t, log.String(), qt.Contains, "Suspect of a crash does not run.")
+			qt.Assert(t, r.core.Counts().WaitingTasks, qt.HasLen, 0)
+		})
+	}
+}
+
 // TestManySuspects guards against passes that look for workers that test no suspect again for each suspect.
 func TestManySuspects(t *testing.T) {
 	allocations := func(suspects int) float64 {
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// waitLogAfter is how long a task of a service has not run when that is logged, and again after as long.
@@ -11,7 +14,7 @@
 	maxWaitLines = 5
 )
 
-// WaitReason tells why a task of a service does not run.
+// WaitReason tells why a task of a service, or a suspect of a crash, does not run.
 type WaitReason string
 
 // Reasons, in the order in which they are checked.
@@ -28,41 +31,68 @@
 	WaitForPlacement      WaitReason = "not placed yet"
 )
 
-// checkWaitingTasks counts the tasks of services that do not run, by reason, and logs those that have not for long.
+// Reasons for which only suspects of a crash wait.
+const (
+	WaitAfterCrash       WaitReason = "pause after a crash"
+	WaitForLikelyCauses  WaitReason = "as many likely causes run as may"
+	WaitForIdleWorker    WaitReason = "no worker that runs nothing"
+	WaitForTestsToEnd    WaitReason = "workers test other suspects"
+	WaitForSteadyWorkers WaitReason = "workers at the addresses of crashes have just started"
+)
+
+// checkWaitingTasks counts the tasks of services that do not run, by reason, and logs those and the suspects of a crash that have not for
+// long.
 func (c *Core) checkWaitingTasks() {
 	if c.now-c.waitingCheckedAt < waitCheckInterval {
 		return
 	}
 	c.waitingCheckedAt = c.now
 	clear(c.waitingTasks)
-	lines, omitted := 0, 0
+	services, suspects := waitLog{reasons: c.waitingTasks}, waitLog{reasons: make(map[WaitReason]int)}
 	for _, p := range c.pools {
 		for _, j := range p.jobs {
-			if !j.service || j.progress.State.Ended() {
+			if j.progress.State.Ended() {
 				continue
 			}
 			for _, o := range j.open {
 				for _, s := range o.steps {
-					if !s.doc.Service || !s.ready() {
-						continue
-					}
-					for i := range s.tasks {
-						if !c.checkWaitingTask(s, i) {
-							continue
-						}
-						if lines < maxWaitLines {
-							c.logWaitingTask(p, s, i)
-							lines++
-							continue
-						}
-						omitted++
+					switch {
+					case !s.ready():
+					case s.doc.Service:
+						c.checkWaitingStep(p, s, &services)
+					case s.idleTasks > 0 && s.suspects() > 0:
+						c.checkWaitingStep(p, s, &suspects)
 					}
 				}
 			}
 		}
 	}
-	if omitted > 0 {
-		c.logger.Warn("More tasks of services do not run.", "tasks", omitted, "reasons", c.waitingTasks)
+	if services.omitted > 0 {
+		c.logger.Warn("More tasks of services do not run.", "tasks", services.omitted, "reasons", services.reasons)
+	}
+	if suspects.omitted > 0 {
+		c.logger.Info("More suspects of crashes do not run.", "tasks", suspects.omitted, "reasons", suspects.reasons)
+	}
+}
+
+// waitLog counts the tasks of a check that do not run, by reason, and the log lines about them.
+type waitLog struct {
+	reasons        map[WaitReason]int
+	lines, omitted int
+}
+
+// checkWaitingStep checks the tasks of a service, or the suspects of another step.
+func (c *Core) checkWaitingStep(p *pool, s *step, log *waitLog) {
+	for i := range s.tasks {
+		if !s.doc.Service && (s.tasks[i].done || !s.crashCount(i).Suspect()) || !c.checkWaitingTask(s, i, log) {
+			continue
+		}
+		if log.lines == maxWaitLines {
+			log.omitted++
+			continue
+		}
+		log.lines++
+		c.logWaitingTask(p, s, i)
 	}
 }
 
@@ -77,7 +107,7 @@
 }
 
 // checkWaitingTask counts a task if it does not run, and reports whether that is to be logged.
-func (c *Core) checkWaitingTask(s *step, index int) bool {
+func (c *Core) checkWaitingTask(s *step, index int, log *waitLog) bool {
 	t := &s.tasks[index]
 	for _, r := range t.runs {
 		if r.phase != planned {
@@ -88,7 +118,7 @@
 	if t.waitingSince == 0 {
 		t.waitingSince, t.waitLoggedAt = c.now, c.now
 	}
-	c.waitingTasks[c.waitReason(s, index)]++
+	log.reasons[c.waitReason(s, index)]++
 	if c.now-t.waitLoggedAt < waitLogAfter {
 		return false
 	}
@@ -104,6 +134,13 @@
 	}
 	t := &s.tasks[index]
 	name := (&run{step: s, index: index}).name()
+	if !s.doc.Service {
+		crashes := s.crashCount(index)
+		c.logger.Info("Suspect of a crash does not run.", "job", s.job.doc.ID, "task", name, "pool", p.name, "for", c.now-t.waitingSince,
+			"reason", string(c.waitReason(s, index)), "crashes", crashes.All, "confirmed", crashes.Confirmed, "lateCrashes", crashes.Late, "silent", crashes.Silent,
+			"cpu", s.doc.ReservedResources().CPU, "largestRoom", largest, "usable", len(usable), "workers", len(p.workers), "tests", len(p.tests))
+		return
+	}
 	c.logger.Warn("Task of a service does not run.", "job", s.job.doc.ID, "task", name, "pool", p.name, "for", c.now-t.waitingSince,
 		"reason", string(c.waitReason(s, index)), "cpu", s.doc.ReservedResources().CPU, "largestRoom", largest, "usable", len(usable), "workers", len(p.workers),
 		"lastStored", c.now-c.lastStored)
@@ -132,15 +169,45 @@
 	if len(usable) == 0 {
 		return WaitForWorker
 	}
+	if !s.doc.Service && c.pausedAfterCrash(s, index) {
+		return WaitAfterCrash
+	}
 	reason := WaitForEligibleWorker
+	var fitting []*workerState
 	for _, ws := range usable {
 		switch {
 		case !c.eligible(s, ws):
 		case s.doc.ReservedResources().Fits(ws.freeCapacity()):
-			return WaitForPlacement
+			fitting = append(fitting, ws)
 		default:
 			reason = WaitForRoom
 		}
 	}
-	return reason
+	switch {
+	case len(fitting) == 0:
+		return reason
+	case s.doc.Service:
+		return WaitForPlacement
+	}
+	return c.suspectWaitReason(s, index, fitting)
+}
+
+// suspectWaitReason returns why a suspect of a crash does not run on workers that have room for it.
+func (c *Core) suspectWaitReason(s *step, index int, fitting []*workerState) WaitReason {
+	fitting = slices.DeleteFunc(fitting, func(ws *workerState) bool { return c.mayCrashByItself(s, index, ws) })
+	if len(fitting) == 0 {
+		return WaitForSteadyWorkers
+	}
+	likely := s.likelyCause(index)
+	if likely && c.pool(s.job.doc.Pool).likelyLeft(likelyShare) <= 0 {
+		return WaitForLikelyCauses
+	}
+	fitting = slices.DeleteFunc(fitting, func(ws *workerState) bool { return ws.tests > 0 })
+	if len(fitting) == 0 {
+		return WaitForTestsToEnd
+	}
+	if likely && !slices.ContainsFunc(fitting, func(ws *workerState) bool { return len(ws.runs) == 0 }) {
+		return WaitForIdleWorker
+	}
+	return WaitForPlacement
 }
