Scheduler: likely causes of crashes do not wait behind a backlog

Tasks that have probably made workers crash may take a quarter of the workers of a pool, and half of it where no other task can use them. Each crash occupies its worker for the 3.3 s until it is back, so that 4 to 8 of 17 workers judge 1.2 to 2.4 deadly tasks a second, whatever comes.

Once a likely cause has waited for 5 s, such tasks may take three quarters of the workers that no other task can use. A quarter remains for tasks that come, and while others wait for the workers nothing changes.

--- a/scheduler/suspects.go
+++ b/scheduler/suspects.go
@@ -37,9 +37,13 @@
 
 const (
 	// likelyShare is the share of the workers of a pool that may be down because of tasks that are likely to crash them. spareLikelyShare
-	// applies to workers that no other task can use. The rest is for tasks that come while these are down.
-	likelyShare      = 0.25
-	spareLikelyShare = 0.5
+	// applies to workers that no other task can use, and overdueLikelyShare to these if a task has waited for overdueLikelyWait. The rest
+	// is for tasks that come while these are down.
+	likelyShare        = 0.25
+	spareLikelyShare   = 0.5
+	overdueLikelyShare = 0.75
+	// overdueLikelyWait is longer than a worker is down after a crash. Tasks that wait for longer do so behind others.
+	overdueLikelyWait = 5 * time.Second
 	// emptyWorkerWait is how long a task that is likely to crash its worker waits for one that runs nothing.
 	emptyWorkerWait = 2 * time.Second
 )
@@ -53,6 +57,8 @@
 	groupSize   int
 	likelyLeft  int
 	filtered    bool
+	// overdue means that a task which is likely to crash its worker has waited for long.
+	overdue bool
 	// spare means that the workers are those that other tasks have left over. While others wait, only idle ones may crash.
 	spare    bool
 	idleOnly bool
@@ -76,10 +82,12 @@
 	if t.emptyWorkerSince == 0 {
 		t.emptyWorkerSince = c.now
 	}
+	waitedFor := c.now - t.emptyWorkerSince
+	p.overdue = p.overdue || waitedFor >= overdueLikelyWait
 	if p.likelyLeft <= 0 {
 		return nil
 	}
-	waited := c.now-t.emptyWorkerSince >= emptyWorkerWait
+	waited := waitedFor >= emptyWorkerWait
 	var alone []*workerState
 	for _, ws := range p.forSuspects {
 		switch {
@@ -119,7 +127,11 @@
 	if !workers.filtered {
 		return
 	}
-	workers.spare, workers.idleOnly, workers.likelyLeft = true, othersWait, p.likelyLeft(spareLikelyShare)
+	share := spareLikelyShare
+	if workers.overdue {
+		share = overdueLikelyShare
+	}
+	workers.spare, workers.idleOnly, workers.likelyLeft = true, othersWait, p.likelyLeft(share)
 	for _, cand := range candidates {
 		if cand.tier == tierLikelyCause && workers.likelyLeft > 0 {
 			c.placeOccurrence(cand, workers)
--- a/scheduler/suspects_test.go
+++ b/scheduler/suspects_test.go
@@ -117,6 +117,46 @@
 	}
 }
 
+// TestOverdueLikelyCauses guards against tasks that probably crash workers and wait for long behind others, and against ones that leave no
+// worker to tasks that come.
+func TestOverdueLikelyCauses(t *testing.T) {
+	tests := map[string]struct {
+		waits time.Duration
+		// waiting is the number of other tasks that wait, each for a whole worker.
+		waiting int
+		want    int
+	}{
+		"backlog has just begun":        {waits: overdueLikelyWait - time.Millisecond, want: 4},
+		"overdue":                       {waits: overdueLikelyWait, want: 6},
+		"overdue, others need workers":  {waits: overdueLikelyWait, waiting: 3, want: 5},
+		"overdue, others need them all": {waits: overdueLikelyWait, waiting: 20, want: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ids := []string{"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"}
+			r := newRig(t, 1, ids...)
+			r.addSuspects("a", 8, 2)
+			for i := range r.core.jobs["a"].open[0].steps[0].tasks {
+				r.core.jobs["a"].open[0].steps[0].tasks[i].emptyWorkerSince = r.now
+			}
+			r.advance(test.waits)
+			for _, id := range ids {
+				r.reply(id)
+			}
+			if test.waiting > 0 {
+				r.addJob(work.Job{ID: "b", Queue: "q", Pool: "p", Steps: []work.Step{{Count: test.waiting, Request: coresOnly(4)}}})
+			}
+			likely := 0
+			for _, start := range startsOf(r.pass()) {
+				if strings.HasPrefix(start, "a ") {
+					likely++
+				}
+			}
+			qt.Assert(t, likely, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestLikelyCausesShareWorkers guards against tasks that probably crash workers and wait for workers that run nothing, although no worker
 // becomes idle and nothing else needs them.
 func TestLikelyCausesShareWorkers(t *testing.T) {
