Scheduler: a counted crash does not count as a silent worker, too

The progress of a task names its last run also when that run has ended. A new leader finds the worker of that run in the roster, does not reach it, and removes it as silent; the run was then counted among the silent ones although its crash had been counted, with the same number, by an earlier leader. A task with one crash became a likely cause and waited for one of the few workers for these, and one with two crashes waited 10 s for news of a worker that was known to be gone.

Runs whose crash is counted are left out. CountedCrashIsNoSilence failed in the two cases with a counted crash, with one silent run too many.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -55,6 +55,12 @@
 	return !r.step.tasks[r.index].done && !r.step.job.progress.State.Ended()
 }
 
+// crashCounted reports whether the crash of the worker of a run is counted already. The progress of a task names its last run also when
+// that has ended, so that a new leader finds it again.
+func (r *run) crashCounted() bool {
+	return slices.Contains(r.step.progress.Crashes[r.step.unitIndex(r.index)], r.number)
+}
+
 // judgeCrash counts a crash under a run. with is the number of runs that may have caused it. A task that keeps crashing workers is given
 // up, but a service runs until its job is cancelled: it is started again after a pause.
 func (c *Core) judgeCrash(r *run, around crashloop.Surroundings, late bool, with int) {
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -47,7 +47,7 @@
 	lived := ws.livedSince()
 	c.recordInHistory(ws, suspects)
 	for _, r := range suspects {
-		if !r.isOpen() {
+		if !r.isOpen() || r.crashCounted() {
 			continue
 		}
 		site := r.step.crashSite(r.index)
--- a/scheduler/silence_test.go
+++ b/scheduler/silence_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -99,3 +100,45 @@
 		}
 	}
 }
+
+// TestCountedCrashIsNoSilence guards against a task that a new leader takes for the cause of more crashes than there were, and that waits
+// for that, because the worker of its last run is gone and the crash of that run was counted before.
+func TestCountedCrashIsNoSilence(t *testing.T) {
+	tests := map[string]struct {
+		// counted tells whether the last run is among those under which a worker has crashed.
+		counted bool
+		before  int
+		want    crashloop.Count
+		pause   bool
+	}{
+		"one crash, counted":       {counted: true, before: 1, want: crashloop.Count{All: 1, Confirmed: 1}},
+		"two crashes, one counted": {counted: true, before: 2, want: crashloop.Count{All: 2, Confirmed: 2}},
+		"two crashes, not counted": {before: 2, want: crashloop.Count{All: 2, Confirmed: 2, Silent: 1}, pause: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, "w1")
+			r.core.SetRoster([]RosterEntry{{ID: "w9", Pool: "p", Address: "w9:1", Incarnation: rigIncarnation, Capacity: coresOnly(4)}})
+			doc := work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: coresOnly(1)}}}
+			progress := work.NewProgress()
+			o := progress.Occurrence(&doc, 0)
+			for run := range test.before {
+				o.Steps[0].AddCrash(0, run+1, true)
+			}
+			run := test.before + 1
+			if test.counted {
+				run = test.before
+			}
+			o.SetRun(0, 0, "w9", run)
+			r.core.AddJob(doc, progress, 0)
+			for r.core.workers["w9"] != nil {
+				r.advance(crashFleetStep)
+				r.reply("w1")
+				r.schedule()
+			}
+			s := r.core.jobs["a"].open[0].steps[0]
+			qt.Assert(t, s.crashCount(0), qt.Equals, test.want)
+			qt.Assert(t, r.core.pausedAfterCrash(s, 0), qt.Equals, test.pause)
+		})
+	}
+}
