common/backoff: one function for pauses that double

growingPause of scheduler, doubledDelay of duty and doubled of crashloop were the same function three times. Results are the same for all callers.

--- a/duty/fleet.go
+++ b/duty/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/common/backoff"
 	"github.com/chivetiller/chivetiller/move"
 	"github.com/chivetiller/chivetiller/pool"
 	"github.com/chivetiller/chivetiller/provider"
@@ -73,18 +74,9 @@
 // repeatAt returns the time from which the call may be repeated.
 func (c platformCall) repeatAt() time.Time {
 	if c.failed > 0 {
-		return c.at.Add(doubledDelay(failedCallDelay, c.failed, callRepeatDelay))
+		return c.at.Add(backoff.Doubled(c.failed, failedCallDelay, callRepeatDelay))
 	}
-	return c.at.Add(doubledDelay(callRepeatDelay, c.acknowledged, maxCallRepeatDelay))
-}
-
-// doubledDelay returns the delay after a number of calls: first after one, and twice as long after each further one up to limit.
-func doubledDelay(first time.Duration, calls int, limit time.Duration) time.Duration {
-	delay := first
-	for ; calls > 1 && delay < limit; calls-- {
-		delay *= 2
-	}
-	return min(delay, limit)
+	return c.at.Add(backoff.Doubled(c.acknowledged, callRepeatDelay, maxCallRepeatDelay))
 }
 
 // NewFleet returns the fleet controller.
--- a/internal/jobs/crashloop/surroundings.go
+++ b/internal/jobs/crashloop/surroundings.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/chivetiller/chivetiller/common/backoff"
 )
 
 const (
@@ -50,7 +52,7 @@
 	if untelling < freeRepeats {
 		return 0
 	}
-	return doubled(untelling-freeRepeats, firstSteadyLife, steadyLife)
+	return backoff.Doubled(untelling-freeRepeats+1, firstSteadyLife, steadyLife)
 }
 
 // Pause returns the pause of a service after the latest of a number of crashes. calm is the time since a worker of
@@ -59,21 +61,13 @@
 	if crashes == 0 {
 		return 0
 	}
-	pause := doubled(crashes-1, firstPause, maxPause)
+	pause := backoff.Doubled(crashes, firstPause, maxPause)
 	if calm < 0 || calm >= calmPauseAfter {
 		pause = min(pause, calmPause)
 	}
 	return pause
 }
 
-func doubled(times int, first, limit time.Duration) time.Duration {
-	d := first
-	for ; times > 0 && d < limit; times-- {
-		d *= 2
-	}
-	return min(d, limit)
-}
-
 // History holds the latest crashes of the workers of a pool. T names a task.
 type History[T comparable] struct {
 	crashes []crash[T]
--- a/scheduler/arrivals.go
+++ b/scheduler/arrivals.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chivetiller/chivetiller/common/backoff"
 	"github.com/chivetiller/chivetiller/instance"
 )
 
@@ -73,7 +74,7 @@
 		losses.countedAt = c.now
 		var pause time.Duration
 		if losses.rounds > freeLostRounds {
-			pause = growingPause(losses.rounds-freeLostRounds, firstArrivalPause, maxArrivalPause)
+			pause = backoff.Doubled(losses.rounds-freeLostRounds, firstArrivalPause, maxArrivalPause)
 		}
 		losses.pausedUntil = c.now + pause
 		c.logger.Warn("Instances were lost on arrival in a pool.", "pool", pool, "instances", instances, "roundsInARow", losses.rounds, "pause", pause)
--- a/scheduler/bounds.go
+++ b/scheduler/bounds.go
@@ -83,13 +83,3 @@
 		Margin: expiryMargin,
 	}
 }
-
-// growingPause returns the pause after a number of failures in a row: first after one, and twice as long after each further one up to
-// limit.
-func growingPause(failures int, first, limit time.Duration) time.Duration {
-	pause := first
-	for ; failures > 1 && pause < limit; failures-- {
-		pause *= 2
-	}
-	return min(pause, limit)
-}
--- a/scheduler/entries.go
+++ b/scheduler/entries.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/chivetiller/chivetiller/common/backoff"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
@@ -30,7 +31,7 @@
 		c.misdirected[ws.report.ID] = m
 	}
 	m.count++
-	m.until = c.now + growingPause(m.count, misdirectedPause, maxMisdirectedPause)
+	m.until = c.now + backoff.Doubled(m.count, misdirectedPause, maxMisdirectedPause)
 	c.dropCrashedWorker(ws, "another instance answers at the address")
 }
 
--- a/scheduler/services.go
+++ b/scheduler/services.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/advice"
+	"github.com/chivetiller/chivetiller/common/backoff"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
@@ -166,5 +167,5 @@
 func (c *Core) dropTickets(s *step) {
 	s.tickets = nil
 	s.policyFailures++
-	s.nextPolicyQuery = c.now + growingPause(s.policyFailures, policyPause, maxPolicyPause)
+	s.nextPolicyQuery = c.now + backoff.Doubled(s.policyFailures, policyPause, maxPolicyPause)
 }
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/common/backoff"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/store"
 )
@@ -231,7 +232,7 @@
 	if w.refusals[id] == maxRefusals {
 		c.logger.Warn("Instance of a wave has failed: it does not accept its maintenance.", "wave", w.doc.Number, "instance", id, "commands", w.refusals[id])
 	}
-	return growingPause(w.refusals[id], instanceRetryPause, maxInstanceRetryPause)
+	return backoff.Doubled(w.refusals[id], instanceRetryPause, maxInstanceRetryPause)
 }
 
 // postponeMaintenance returns a failed instance to service, so that the other instances of its wave have their turn first. It still
