scheduler: a worker that goes on failing stays in quarantine

The duration of a quarantine was shifted by the number of quarantines in a row. From the 34th on it was out of range: 13 of the next 21 ended before they began, and from the 55th on all had no duration. A worker that failed everything, with 8 s of quarantine each time, got tasks again without a pause after some 4 minutes. TestLastingQuarantine failed at the 34th before: -351909h in place of 8 s.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/chivetiller/chivetiller/common/backoff"
 )
 
 // health rates a worker by the exits of its runs.
@@ -47,8 +49,8 @@
 	if h.failureRate < failureLimit || (h.failedJobs < failureJobs && h.quarantines == 0) || h.quarantined(now) {
 		return false
 	}
-	h.quarantinedUntil = now + min(quarantineDuration<<h.quarantines, maxQuarantine)
 	h.quarantines++
+	h.quarantinedUntil = now + backoff.Doubled(h.quarantines, quarantineDuration, maxQuarantine)
 	return true
 }
 
