--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -299,9 +299,6 @@
 	}
 }
 
-// RequestSync makes the holder read the rows at once, for instance because a peer requests a larger allotment.
-func (h *Holder) RequestSync() { h.wakeLoop() }
-
 func (h *Holder) wakeLoop() {
 	select {
 	case h.wake <- struct{}{}:
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -131,7 +131,6 @@
 	cancel  context.CancelFunc
 	ctx     context.Context
 	tasks   sync.WaitGroup
-	ready   atomic.Bool
 	// encode encodes rows. Tests replace it.
 	encode func(v any) ([]byte, error)
 
@@ -149,7 +148,6 @@
 	notCommitted int
 	chainVersion uint64
 	batchStored  chan struct{}
-	asked        map[string]bool
 }
 
 // NewEngine returns an engine that is not started.
@@ -161,7 +159,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Engine{
 		options: o, logger: o.Logger.Named("engine"), core: NewCore(o.Core), inbox: make(chan func(*Core), inboxSize), ctx: ctx, cancel: cancel,
-		encode: encode, renewing: make(map[string]bool), batchStored: make(chan struct{}), asked: make(map[string]bool),
+		encode: encode, renewing: make(map[string]bool), batchStored: make(chan struct{}),
 	}
 }
 
@@ -218,7 +216,6 @@
 	e.spawn(func() { e.watchJobs(l.version) })
 	e.spawn(func() { e.watchWaves(l.waves) })
 	e.spawn(func() { e.repeat(shortenInterval, e.shortenJobs) })
-	e.ready.Store(true)
 	return nil
 }
 
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -11,7 +11,7 @@
 // planRun reserves room for a run on a worker. The run is started once its record is stored.
 func (c *Core) planRun(s *step, index, number int, ws *workerState) {
 	t := &s.tasks[index]
-	r := &run{step: s, index: index, number: number, worker: ws, phase: planned, startedAt: c.now, percentChangedAt: c.now, speedLimit: fullSpeed}
+	r := &run{step: s, index: index, number: number, worker: ws, phase: planned, startedAt: c.now, speedLimit: fullSpeed}
 	c.attachRun(r)
 	ws.useReservation(s)
 	if s.idleTasks == 0 {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -150,8 +150,6 @@
 	checkpoint   string
 	speedPercent int
 	load         int64
-	// percentChangedAt is the time at which speedPercent last changed.
-	percentChangedAt time.Duration
 	// speedLimit is the speed, in percent, to which a best-effort task is throttled.
 	speedLimit int
 }
@@ -181,8 +179,6 @@
 	// services and bestEffort count the runs of such steps.
 	services   int
 	bestEffort int
-	// drainingSince is the time since which the worker is known to be draining.
-	drainingSince time.Duration
 	// cordoned means that the instance is about to be moved or maintained, so the worker gets no tasks.
 	cordoned bool
 	// unlistedSince is the time since which the registry does not list the worker.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -39,7 +39,6 @@
 			ws = c.addWorker(r)
 		}
 		if r.Draining && !ws.report.Draining {
-			ws.drainingSince = c.now
 			c.logger.Info("Worker is draining and will leave.", "worker", r.ID, "pool", r.Pool, "remaining", r.Remaining, "runs", len(ws.runs))
 		}
 		if !ws.listed && ok {
@@ -397,10 +396,7 @@
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
 	}
-	if row.SpeedPercent != r.speedPercent {
-		r.speedPercent, r.percentChangedAt = row.SpeedPercent, c.now
-	}
-	r.load = row.Load
+	r.speedPercent, r.load = row.SpeedPercent, row.Load
 }
 
 // repeatStops sends stops again that had no effect for long, for instance because the run does not exist.
@@ -437,7 +433,7 @@
 		// The recorded run never started or has exited. The list of exits tells which.
 		return
 	}
-	r := &run{step: s, index: row.Task.Index, number: row.Number, worker: ws, phase: running, startedAt: c.now, percentChangedAt: c.now, speedLimit: unknownSpeed}
+	r := &run{step: s, index: row.Task.Index, number: row.Number, worker: ws, phase: running, startedAt: c.now, speedLimit: unknownSpeed}
 	c.confirm(r)
 	other := len(t.runs) > 0
 	c.attachRun(r)
