duty: the state of a data centre's jobs is named for what it is

jobsDuty was neither the duty, which is Jobs, nor its name, which is JobsDuty. It is dataCentreJobs now. No row, log field or metric changes.

--- a/duty/jobs.go
+++ b/duty/jobs.go
@@ -56,14 +56,14 @@
 
 	// mu guards dataCentres.
 	mu          sync.Mutex
-	dataCentres map[string]*jobsDuty
+	dataCentres map[string]*dataCentreJobs
 }
 
 var _ Controller = (*Jobs)(nil)
 
-// jobsDuty is the state of the job duty of one data centre. It need not survive a restart, because rows and
+// dataCentreJobs is the state of the job duty of one data centre. It need not survive a restart, because rows and
 // reports restore it.
-type jobsDuty struct {
+type dataCentreJobs struct {
 	options JobsOptions
 	name    string
 	store   *job.Store
@@ -95,13 +95,13 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("jobs")
-	return &Jobs{options: o, rows: pool.NewStore(o.Table), reports: pool.NewReports(o.Instances), unreadable: newUnreadableRows(o.Logger), dataCentres: make(map[string]*jobsDuty)}
+	return &Jobs{options: o, rows: pool.NewStore(o.Table), reports: pool.NewReports(o.Instances), unreadable: newUnreadableRows(o.Logger), dataCentres: make(map[string]*dataCentreJobs)}
 }
 
 // Pass implements [Controller].
 func (d *Jobs) Pass(ctx context.Context, leases Leases) error {
 	now := time.Now()
-	var held []*jobsDuty
+	var held []*dataCentreJobs
 	for _, name := range d.options.DataCentres() {
 		if fence, ok := leases.Holds(JobsDuty(name)); ok {
 			c := d.dataCentre(name)
@@ -133,12 +133,12 @@
 	return d.dataCentre(name).health.List(time.Now())
 }
 
-func (d *Jobs) dataCentre(name string) *jobsDuty {
+func (d *Jobs) dataCentre(name string) *dataCentreJobs {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c, ok := d.dataCentres[name]
 	if !ok {
-		c = &jobsDuty{
+		c = &dataCentreJobs{
 			options: d.options, name: name, store: job.NewStore(d.options.Table, d.options.Limits), unreadable: d.unreadable,
 			health: job.NewHealth(), startedRuns: make(map[string]bool), limitedUntil: make(map[string]time.Time), waitingTeams: make(map[string]bool),
 		}
@@ -157,7 +157,7 @@
 }
 
 // workersOf returns the workers of a data centre. Those whose rows cannot be read get no jobs and keep those that they have.
-func (d *Jobs) workersOf(now time.Time, c *jobsDuty, rows []pool.Stored, unreadable []string) map[string]worker {
+func (d *Jobs) workersOf(now time.Time, c *dataCentreJobs, rows []pool.Stored, unreadable []string) map[string]worker {
 	workers := make(map[string]worker)
 	for _, id := range unreadable {
 		if report, known := d.reports.Get(id); known && report.DataCentre == c.name {
@@ -186,7 +186,7 @@
 // resetOnNewToken resets the state when the duty was acquired with a new fencing token. Clearing startedRuns makes
 // the pass start all runs again: this has no effect on running tasks, and makes the platform refuse the calls of
 // the previous holder.
-func (c *jobsDuty) resetOnNewToken(fence provider.Check) {
+func (c *dataCentreJobs) resetOnNewToken(fence provider.Check) {
 	if c.token != fence.Version {
 		c.token = fence.Version
 		c.lastRenewal = time.Time{}
@@ -198,8 +198,8 @@
 
 // pass runs one pass for the data centre. Renewals come first, because a lease that expires ends a task;
 // cancellations come after placements, so that many of them do not delay a placement.
-func (c *jobsDuty) pass(ctx context.Context, leases Leases, workers map[string]worker) error {
-	p := &jobsPass{jobsDuty: c, leases: leases, now: time.Now(), workers: workers}
+func (c *dataCentreJobs) pass(ctx context.Context, leases Leases, workers map[string]worker) error {
+	p := &jobsPass{dataCentreJobs: c, leases: leases, now: time.Now(), workers: workers}
 	if err := p.readState(ctx); err != nil {
 		return err
 	}
--- a/duty/jobspass.go
+++ b/duty/jobspass.go
@@ -19,7 +19,7 @@
 
 // jobsPass is one pass over the jobs of a data centre.
 type jobsPass struct {
-	*jobsDuty
+	*dataCentreJobs
 	leases  Leases
 	now     time.Time
 	workers map[string]worker
