scheduler: log for which crashes a service waits

Operators saw "not placed yet" or "no room on a worker" for a task of a service that paused after crashes of its workers, or that waited as their likely cause, so that these could not be told from a placement that fails. Services give the reasons of suspects now. TestServiceWaitsAfterCrashes failed before in its four cases with a crash.

--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -31,7 +31,7 @@
 	WaitForPlacement      WaitReason = "not placed yet"
 )
 
-// Reasons for which only suspects of a crash wait.
+// Reasons after crashes of workers under the task.
 const (
 	WaitAfterCrash       WaitReason = "pause after a crash"
 	WaitForLikelyCauses  WaitReason = "as many likely causes run as may"
@@ -169,7 +169,7 @@
 	if len(usable) == 0 {
 		return WaitForWorker
 	}
-	if !s.doc.Service && c.pausedAfterCrash(s, index) {
+	if c.pausedAfterCrash(s, index) {
 		return WaitAfterCrash
 	}
 	reason := WaitForEligibleWorker
@@ -183,16 +183,13 @@
 			reason = WaitForRoom
 		}
 	}
-	switch {
-	case len(fitting) == 0:
+	if len(fitting) == 0 {
 		return reason
-	case s.doc.Service:
-		return WaitForPlacement
 	}
 	return c.suspectWaitReason(s, index, fitting)
 }
 
-// suspectWaitReason returns why a suspect of a crash does not run on workers that have room for it.
+// suspectWaitReason returns why a task does not run on workers that have room for it. Only a suspect of a crash waits for long.
 func (c *Core) suspectWaitReason(s *step, index int, fitting []*workerState) WaitReason {
 	fitting = slices.DeleteFunc(fitting, func(ws *workerState) bool { return c.mayCrashByItself(s, index, ws) })
 	if len(fitting) == 0 {
@@ -202,6 +199,9 @@
 	if likely && c.pool(s.job.doc.Pool).likelyLeft(likelyShare) <= 0 {
 		return WaitForLikelyCauses
 	}
+	if !s.crashCount(index).Suspect() {
+		return WaitForPlacement
+	}
 	fitting = slices.DeleteFunc(fitting, func(ws *workerState) bool { return ws.tests > 0 })
 	if len(fitting) == 0 {
 		return WaitForTestsToEnd
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -66,3 +66,41 @@
 	}
 	qt.Assert(t, r.core.Counts().WaitingTasks, qt.HasLen, 0)
 }
+
+// TestServiceWaitsAfterCrashes guards against a service that waits after crashes of its workers and is said to wait for room or a placement.
+func TestServiceWaitsAfterCrashes(t *testing.T) {
+	tests := map[string]struct {
+		before func(s *step, w *workerState)
+		want   WaitReason
+	}{
+		"no crash":     {func(*step, *workerState) {}, WaitForPlacement},
+		"pause":        {func(s *step, _ *workerState) { s.crashSite(0).untelling = 1 }, WaitAfterCrash},
+		"likely cause": {func(s *step, w *workerState) { s.addCrashes(2); w.runs[work.Task{Job: "b"}] = unknownRun }, WaitForIdleWorker},
+		"worker tests": {func(s *step, w *workerState) { s.addCrashes(1); w.tests = 1 }, WaitForTestsToEnd},
+		"worker returns": {func(s *step, w *workerState) {
+			s.crashSite(0).add(w.report.Address, false)
+			s.crashSite(0).untelling = 9
+		}, WaitForSteadyWorkers},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			j := r.addJob(work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: coresOnly(1), Service: true}}})
+			s := j.open[0].steps[0]
+			s.crashSite(0).latest = r.now
+			test.before(s, r.core.workers["w1"])
+			if test.want != WaitAfterCrash {
+				// The pause has ended.
+				s.crashSite(0).latest = r.now - time.Hour
+			}
+			qt.Assert(t, r.core.waitReason(s, 0), qt.Equals, test.want)
+		})
+	}
+}
+
+// addCrashes counts crashes of workers under the first task of a step.
+func (s *step) addCrashes(n int) {
+	for run := range n {
+		s.progress.AddCrash(0, run+1, true)
+	}
+}
