scheduler: placing and passes read less memory

Cause: eligible has to count the runs and the exits that are not stored of each worker with room, which are a map and a field of the present life, so two more reads of memory for each. A pass reads each job that waits; tasks and steps had grown by 16 and 24 bytes for the waits of services.

Change: chooseWorker computes the cost first, and checks the other conditions, which have no effects, only for a worker that would be the best. The waits of a service are kept apart from its tasks. A job remembers its queue in the configuration in force. The fields that each pass reads come first, the steps of an occurrence lie beside each other, the IDs of jobs are compared only if all else is equal, and candidates are collected into a slice of the size of the pass before. Which worker is chosen, and the order, stay the same. TestChangedQueue is new: it fails if a job keeps to the queue of an earlier configuration.

--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -135,9 +135,13 @@
 func newOccurrence(j *job, k int, due time.Duration) *occurrence {
 	o := &occurrence{number: k, dueAt: due, progress: j.progress.Occurrence(&j.doc, k)}
 	o.recordedWorkers = slices.Clone(o.progress.Workers)
+	// Each pass reads the steps of all jobs that wait, so they are kept beside each other.
+	steps := make([]step, len(j.doc.Steps))
+	o.steps = make([]*step, len(steps))
 	for i := range j.doc.Steps {
 		doc := &j.doc.Steps[i]
-		s := &step{job: j, occurrence: o, number: i, doc: doc, progress: &o.progress.Steps[i], tasks: make([]task, doc.Count)}
+		s := &steps[i]
+		*s = step{job: j, occurrence: o, number: i, doc: doc, progress: &o.progress.Steps[i], tasks: make([]task, doc.Count)}
 		for t := range s.tasks {
 			if s.progress.IsDone(t) {
 				s.tasks[t].done = true
@@ -150,7 +154,7 @@
 			s.tasksLeft++
 			s.idleTasks++
 		}
-		o.steps = append(o.steps, s)
+		o.steps[i] = s
 	}
 	return o
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -96,7 +96,8 @@
 
 // candidates returns the occurrences with tasks to start, in the order in which they are tried.
 func (c *Core) candidates(p *pool) []candidate {
-	var all []candidate
+	// There are about as many as in the pass before.
+	all := make([]candidate, 0, p.candidates)
 	for _, j := range p.jobs {
 		q := c.queueOf(j)
 		for _, o := range j.open {
@@ -105,19 +106,37 @@
 			}
 		}
 	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank), cmp.Compare(a.job.doc.ID, b.job.doc.ID))
-	})
+	p.candidates = len(all)
+	slices.SortFunc(all, candidate.compare)
 	return all
 }
 
+// compare orders candidates. The IDs of jobs decide between equal ones, and are not read otherwise.
+func (a candidate) compare(b candidate) int {
+	if d := cmp.Compare(a.tier, b.tier); d != 0 {
+		return d
+	}
+	if d := cmp.Compare(a.priority, b.priority); d != 0 {
+		return d
+	}
+	if d := cmp.Compare(a.rank, b.rank); d != 0 {
+		return d
+	}
+	return cmp.Compare(a.job.doc.ID, b.job.doc.ID)
+}
+
 // queueOf returns the queue of a job. One that was removed from the configuration still executes the jobs that were accepted, with the
 // attempts that it allowed then.
 func (c *Core) queueOf(j *job) *catalog.Queue {
-	if q, ok := c.catalog.Queue(j.doc.Queue); ok {
-		return q
+	if j.queueCatalog == c.catalog {
+		return j.queue
 	}
-	return &catalog.Queue{Name: j.doc.Queue, Pool: j.doc.Pool, Attempts: max(1, j.doc.Attempts), Stretch: 1, Priority: removedPriority}
+	q, ok := c.catalog.Queue(j.doc.Queue)
+	if !ok {
+		q = &catalog.Queue{Name: j.doc.Queue, Pool: j.doc.Pool, Attempts: max(1, j.doc.Attempts), Stretch: 1, Priority: removedPriority}
+	}
+	j.queue, j.queueCatalog = q, c.catalog
+	return q
 }
 
 // removedPriority is the priority of jobs whose queue was removed from the configuration.
@@ -233,13 +252,18 @@
 	charge := s.doc.ReservedResources()
 	crashed := len(s.crashSites) > 0
 	for _, ws := range usable {
-		if !charge.Fits(ws.freeCapacity()) || !ws.leavesReserved(s, 1) || !c.eligible(s, ws) || c.justFailedOn(s, index, ws) || crashed && c.mayCrashByItself(s, index, ws) {
+		if !charge.Fits(ws.freeCapacity()) {
 			continue
 		}
+		// The cost rules out more workers than the other conditions do.
 		cost := c.placementCost(s, index, ws, charge)
-		if best == nil || cost < bestCost {
-			best, bestCost = ws, cost
+		if best != nil && cost >= bestCost {
+			continue
+		}
+		if !ws.leavesReserved(s, 1) || !c.eligible(s, ws) || c.justFailedOn(s, index, ws) || crashed && c.mayCrashByItself(s, index, ws) {
+			continue
 		}
+		best, bestCost = ws, cost
 	}
 	return best
 }
--- a/scheduler/removed_queue_test.go
+++ b/scheduler/removed_queue_test.go
@@ -66,3 +66,45 @@
 		})
 	}
 }
+
+// TestChangedQueue guards against jobs that keep to the queue of an earlier configuration.
+func TestChangedQueue(t *testing.T) {
+	queue := func(attempts int) []catalog.Queue {
+		return []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: attempts, Stretch: 1.6, BaseTarget: 600 * time.Millisecond}}
+	}
+	tests := map[string]struct {
+		// changes are the queues of the configurations that come into force while the first run is on its worker.
+		changes [][]catalog.Queue
+		want    int
+	}{
+		"more attempts":  {[][]catalog.Queue{queue(4)}, 4},
+		"fewer attempts": {[][]catalog.Queue{queue(1)}, 1},
+		"removed":        {[][]catalog.Queue{nil}, 3},
+		"back again":     {[][]catalog.Queue{nil, queue(4)}, 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Attempts: 3, Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 1000}, Estimate: time.Second}}})
+			starts := 0
+			for commands := r.pass(); len(startsOf(commands)) > 0; commands = r.pass() {
+				starts++
+				r.accept(commands)
+				if starts == 1 {
+					for i, queues := range test.changes {
+						r.core.SetCatalog(catalog.New(uint64(i+2), 0, queues, []catalog.Pool{{Name: "p"}}, nil))
+						r.advance(replanInterval)
+						r.schedule()
+					}
+				}
+				r.finish("w1", worker.ExitFailed)
+				r.reply("w1")
+				r.advance(time.Second)
+				r.reply("w1")
+			}
+			qt.Assert(t, starts, qt.Equals, test.want)
+			state, _ := r.core.JobState("a")
+			qt.Assert(t, state, qt.Equals, work.Failed)
+		})
+	}
+}
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -80,7 +80,7 @@
 	if s.waitsSince == 0 {
 		s.waitsSince = c.now
 	}
-	if c.now-s.waitsSince < reserveAfter || c.now < s.reserveNotBefore {
+	if c.now-s.waitsSince < reserveAfter || c.now < s.serviceWait().reserveNotBefore {
 		return
 	}
 	p := c.pool(s.job.doc.Pool)
@@ -92,7 +92,7 @@
 	for n := int64(1); n <= int64(waiting) && c.withinTeamLimit(s, n); n++ {
 		ws := c.soonestRoom(s, workers.workers, len(p.reserved) >= limit)
 		if ws == nil {
-			s.reserveNotBefore = c.now + reserveRetry
+			s.serviceWait().reserveNotBefore = c.now + reserveRetry
 			return
 		}
 		if len(ws.reservations) == 0 {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -11,31 +11,37 @@
 
 // job is an accepted job and its state.
 type job struct {
-	doc      work.Job
-	progress *work.Progress
-	// storedState is the state in the store, the only one that clients are shown.
-	storedState work.State
-	// storedParts is the number of further rows of the progress that the store may have.
-	storedParts int
-	// notStoredBefore is the time before which the progress is not stored, and no run starts, since it is too large or the store has refused it.
-	notStoredBefore time.Duration
+	// The fields up to service are read for each job in each pass.
+
 	// open holds the occurrences that have begun and are not complete.
 	open map[int]*occurrence
+	// queue is the queue of the job in queueCatalog.
+	queue        *catalog.Queue
+	queueCatalog *catalog.Catalog
+	// notStoredBefore is the time before which the progress is not stored, and no run starts, since it is too large or the store has refused it.
+	notStoredBefore time.Duration
+	// acceptedAt is the time at which the job was accepted.
+	acceptedAt time.Duration
+	// criticalPath is the longest path of estimated work through the steps.
+	criticalPath time.Duration
 	// nextOccurrence is the first occurrence that has not begun.
 	nextOccurrence int
+	// service means that a step runs until the job is cancelled.
+	service bool
 	// started means that a start command of the job was sent or recorded, and begun that a worker is known to have carried one out.
 	started bool
 	begun   bool
-	// acceptedAt is the time at which the job was accepted.
-	acceptedAt time.Duration
+
+	doc      work.Job
+	progress *work.Progress
+	// storedState is the state in the store, the only one that clients are shown.
+	storedState work.State
+	// storedParts is the number of further rows of the progress that the store may have.
+	storedParts int
 	// endedAt is the time at which the job ended.
 	endedAt time.Duration
-	// criticalPath is the longest path of estimated work through the steps.
-	criticalPath time.Duration
 	// tasks is the number of tasks of an occurrence.
 	tasks int
-	// service means that a step runs until the job is cancelled.
-	service bool
 }
 
 // occurrence is one execution of the steps of a job. A scheduled job has several.
@@ -77,9 +83,10 @@
 	lateGangRun int
 	// crashSites holds the crashes under each task in this term, or under the gang at index 0.
 	crashSites map[int]*crashSites
-	// waitsSince is the time since which tasks of a service wait for room. No worker is kept free for them before reserveNotBefore.
-	waitsSince       time.Duration
-	reserveNotBefore time.Duration
+	// waitsSince is the time since which tasks of a service wait for room.
+	waitsSince time.Duration
+	// wait is what else is known of the tasks of a service that wait, and nil for other steps.
+	wait *serviceWait
 	// notBefore delays the next start of the gang.
 	notBefore time.Duration
 }
@@ -106,10 +113,29 @@
 	failedAt   time.Duration
 	// emptyWorkerSince is the time since which the task waits for a worker that runs nothing.
 	emptyWorkerSince time.Duration
-	// waitingSince is the time since which a task of a service was seen not to run, and 0 while it runs. waitLoggedAt is the time of the
-	// latest log line about it, or waitingSince.
-	waitingSince time.Duration
-	waitLoggedAt time.Duration
+}
+
+// serviceWait is what is known of the tasks of a service that do not run.
+type serviceWait struct {
+	// reserveNotBefore is the time before which no worker is kept free for them.
+	reserveNotBefore time.Duration
+	tasks            []taskWait
+}
+
+// serviceWait returns the wait of a step of a service.
+func (s *step) serviceWait() *serviceWait {
+	if s.wait == nil {
+		s.wait = &serviceWait{tasks: make([]taskWait, len(s.tasks))}
+	}
+	return s.wait
+}
+
+// taskWait is how long a task of a service has not run.
+type taskWait struct {
+	// since is the time since which the task was seen not to run, and 0 while it runs. loggedAt is the time of the latest log line about
+	// it, or since.
+	since    time.Duration
+	loggedAt time.Duration
 }
 
 type phase int
@@ -213,6 +239,8 @@
 	needsPlanning bool
 	// plannedAt is the time at which the pool was last planned.
 	plannedAt time.Duration
+	// candidates is the number of occurrences that had tasks to start in the last pass.
+	candidates int
 	// arrivals holds the recent jobs.
 	arrivals []arrival
 	// tests holds the runs of suspects whose workers may still crash under them.
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -78,21 +78,21 @@
 
 // checkWaitingTask counts a task if it does not run, and reports whether that is to be logged.
 func (c *Core) checkWaitingTask(s *step, index int) bool {
-	t := &s.tasks[index]
-	for _, r := range t.runs {
+	wait := &s.serviceWait().tasks[index]
+	for _, r := range s.tasks[index].runs {
 		if r.phase != planned {
-			t.waitingSince = 0
+			wait.since = 0
 			return false
 		}
 	}
-	if t.waitingSince == 0 {
-		t.waitingSince, t.waitLoggedAt = c.now, c.now
+	if wait.since == 0 {
+		wait.since, wait.loggedAt = c.now, c.now
 	}
 	c.waitingTasks[c.waitReason(s, index)]++
-	if c.now-t.waitLoggedAt < waitLogAfter {
+	if c.now-wait.loggedAt < waitLogAfter {
 		return false
 	}
-	t.waitLoggedAt = c.now
+	wait.loggedAt = c.now
 	return true
 }
 
@@ -102,9 +102,8 @@
 	for _, ws := range usable {
 		largest = max(largest, ws.freeCapacity().CPU)
 	}
-	t := &s.tasks[index]
 	name := (&run{step: s, index: index}).name()
-	c.logger.Warn("Task of a service does not run.", "job", s.job.doc.ID, "task", name, "pool", p.name, "for", c.now-t.waitingSince,
+	c.logger.Warn("Task of a service does not run.", "job", s.job.doc.ID, "task", name, "pool", p.name, "for", c.now-s.serviceWait().tasks[index].since,
 		"reason", string(c.waitReason(s, index)), "cpu", s.doc.ReservedResources().CPU, "largestRoom", largest, "usable", len(usable), "workers", len(p.workers),
 		"lastStored", c.now-c.lastStored)
 }
