--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -27,7 +27,9 @@
 	ExpiredCommands []string
 	begun           []begunMaintenance
 	// removesOldRows means that the rows of an earlier version, which are split into several rows now, are removed.
-	removesOldRows   bool
+	removesOldRows bool
+	// raisesVersion means that the version of the batch is needed as a fencing token.
+	raisesVersion    bool
 	jobs             []*job
 	states           []work.State
 	plannedRuns      []*run
@@ -38,7 +40,7 @@
 // Empty reports whether there is nothing to store.
 func (b *Batch) Empty() bool {
 	return len(b.Progress) == 0 && len(b.plannedRuns) == 0 && len(b.PrunedJobs) == 0 && len(b.Roster) == 0 && len(b.Waves) == 0 &&
-		len(b.begun) == 0 && len(b.InstanceCommandTimes) == 0 && len(b.ExpiredCommands) == 0 && !b.removesOldRows
+		len(b.begun) == 0 && len(b.InstanceCommandTimes) == 0 && len(b.ExpiredCommands) == 0 && !b.removesOldRows && !b.raisesVersion
 }
 
 // rowCounts describes the rows of the batch for logs.
@@ -73,7 +75,7 @@
 // takeBatch returns a batch of the rows that are admitted.
 func (c *Core) takeBatch(limit int) Batch {
 	admits := c.refusedRows.Admits
-	b := Batch{Progress: make(map[string]*work.Progress), exitAcks: make(map[*workerLife]uint64)}
+	b := Batch{Progress: make(map[string]*work.Progress), exitAcks: make(map[*workerLife]uint64), raisesVersion: c.needsVersion()}
 	fleetLimit := int(fleetRowsShare * float64(limit))
 	b.Waves, b.begun = c.fleet.takeChangedWaves(fleetLimit, admits)
 	fleetRows := rowsPerWave*len(b.Waves) + len(b.begun)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -271,6 +271,7 @@
 	}
 	for _, ws := range c.workers {
 		c.checkLease(ws)
+		c.pursueOrders(ws)
 	}
 	if c.now-c.prunedAt < pruneInterval {
 		return
--- a/scheduler/fences.go
+++ b/scheduler/fences.go
@@ -60,7 +60,7 @@
 
 // newCall returns a call to the present life of a worker.
 func (c *Core) newCall(ws *workerState) call {
-	if ws.needsFence(c.now) && c.storedVersion > ws.earlier.fence {
+	if ws.needsFence(c.now) && c.storedVersion > ws.earlier.fence || ws.fence <= ws.ruleOutFence && c.storedVersion > ws.ruleOutFence {
 		ws.fence = c.storedVersion
 	}
 	ws.calledAt = c.now
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -278,6 +278,11 @@
 	if s.doc.MaxDisruptions == 0 || r.worker.report.Draining {
 		return true
 	}
+	if r.worker.doubtedAt > 0 {
+		// A stop without an answer could not be ruled out soon.
+		c.pollWorker(r.worker)
+		return false
+	}
 	down, stale := 0, false
 	for i := range s.tasks {
 		if i == r.index {
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -55,6 +55,11 @@
 	// fence is the fencing token of calls to this life, and calledAt the time of the latest one.
 	fence    uint64
 	calledAt time.Duration
+	// ruleOutFence is the highest fencing token of an order whose outcome is unknown, and ruledOutFence that up to which the worker is
+	// known to refuse orders. ordersInDoubt means that the next reports decide about such orders.
+	ruleOutFence  uint64
+	ruledOutFence uint64
+	ordersInDoubt bool
 	// maxLease is the longest lease that the worker grants.
 	maxLease time.Duration
 	// expiredRuns holds the runs that were on the worker when its lease expired. It may have crashed.
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -135,6 +135,7 @@
 
 func (c *Core) commandStart(r *run) {
 	s, to := r.step, c.newCall(r.worker)
+	r.startFence = to.fence
 	start := worker.StartCommand{
 		Task: r.task(), Run: r.number, Spec: s.job.doc.Spec, LeaseExpiry: c.leaseEnd(r.worker), Fence: to.fence,
 	}
@@ -191,6 +192,7 @@
 func (c *Core) commandStop(r *run) {
 	r.stopSentAt = c.now
 	to := c.newCall(r.worker)
+	r.stopFence, r.stopRuledOutAt = to.fence, 0
 	c.commands = append(c.commands, Command{
 		Kind: CommandStop, Target: workerTarget(r.worker), Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: to.fence}, run: r, call: to,
 	})
@@ -218,6 +220,10 @@
 	if reply.Outcome == worker.Fenced && cmd.call.overtaken() {
 		// The worker has done nothing.
 		reply.Outcome = worker.NotSent
+		if r := cmd.run; cmd.Kind == CommandStart && r.attached() && r.phase == starting && r.unanswered == 0 {
+			c.repeatStart(r)
+			return
+		}
 	}
 	switch reply.Outcome {
 	case worker.Fenced:
@@ -238,6 +244,9 @@
 		if reply.Outcome != worker.Accepted {
 			cmd.run.speedLimit = unknownSpeed
 		}
+		if reply.Outcome == worker.Unknown {
+			c.ruleOut(ws, cmd.call.fence)
+		}
 	}
 }
 
@@ -257,6 +266,10 @@
 		c.commandStart(r)
 		return
 	}
+	if r.protected() {
+		c.giveUpStart(r, "there is no room for it any more")
+		return
+	}
 	// The stop makes the worker reject the start that may still arrive.
 	c.stopRun(r, "there is no room for it any more")
 }
@@ -299,12 +312,10 @@
 		r.worker.startUnanswered = true
 		c.recordUnansweredStart(r)
 		switch {
-		case r.phase != starting:
+		case r.phase != starting || r.startGivenUp:
 		case c.startFails(r):
-			// Its worker rejects a start that is carried out after the stop, so that the task may start elsewhere.
 			r.worker.noTasksBefore = c.now + startFailedPause
-			r.phase = running
-			c.stopRun(r, "its start gets no answer while the worker reports")
+			c.giveUpStart(r, "its start gets no answer while the worker reports")
 		case c.now-r.worker.lastContact > contactTimeout || r.worker.replaced:
 			// The worker may be down. If it restarts under its ID, the start must not reach its next incarnation.
 			r.repeatAfterReport = true
@@ -337,6 +348,10 @@
 	}
 	c.counts.Refused++
 	if r.unanswered > 0 {
+		if r.protected() {
+			c.giveUpStart(r, "start was refused after one without an answer")
+			return
+		}
 		// An earlier command with the same number may still be carried out. A stop makes the worker reject it.
 		r.phase = running
 		c.stopRun(r, "start was refused after one without an answer")
@@ -379,6 +394,9 @@
 		"outcome", reply.Outcome.String(), "error", err)
 	switch reply.Outcome {
 	case worker.Unknown, worker.NotSent, worker.Unhealthy:
+		if c.stopUnanswered(r, reply.Outcome) {
+			return
+		}
 		// The stop is repeated soon.
 		r.stopSentAt = c.now - c.options.Bounds.StopTimeout - stopRepeatDelay + commandPause
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -145,8 +145,16 @@
 	unanswered int
 	// repeatAfterReport means that the start is sent again once the worker has reported.
 	repeatAfterReport bool
-	// stopSentAt is the time of the latest stop command.
-	stopSentAt   time.Duration
+	// startGivenUp means that the start is not sent again, and that the run is removed once the start is ruled out.
+	startGivenUp bool
+	// stopSentAt is the time of the latest stop command. stopUnknown means that a stop of a protected run got no answer, and stopRuledOutAt
+	// is the time from which on it is certain not to be carried out any more.
+	stopSentAt     time.Duration
+	stopUnknown    bool
+	stopRuledOutAt time.Duration
+	// startFence and stopFence are the fencing tokens of the latest commands.
+	startFence   uint64
+	stopFence    uint64
 	checkpoint   string
 	speedPercent int
 	load         int64
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -254,6 +254,7 @@
 		ws.reportedAt, ws.reportClock = c.now, status.Clock
 		c.processRuns(ws, status, sent)
 	}
+	c.settleOrders(ws, to, status, sent)
 	if !ws.answered || ws.leaseExpired || silence > contactTimeout {
 		c.pool(ws.report.Pool).needsPlanning = true
 	}
@@ -362,7 +363,7 @@
 		if number, ok := reported[t]; ok && number == r.number {
 			continue
 		}
-		if r.repeatAfterReport && r.phase == starting {
+		if r.repeatAfterReport && r.phase == starting && !r.startGivenUp {
 			r.repeatAfterReport = false
 			c.repeatStart(r)
 		}
@@ -390,6 +391,7 @@
 	if r.phase == starting {
 		r.phase = running
 	}
+	r.startGivenUp = false
 	if r.confirmedAt == 0 {
 		c.confirm(r)
 	}
@@ -411,7 +413,7 @@
 	c.stopsRepeatedAt = c.now
 	for _, ws := range c.workers {
 		for _, r := range ws.runs {
-			if r.phase == stopping && c.now-r.stopSentAt > c.options.Bounds.StopTimeout+stopRepeatDelay {
+			if r.phase == stopping && !(r.stopUnknown && r.protected()) && c.now-r.stopSentAt > c.options.Bounds.StopTimeout+stopRepeatDelay {
 				c.commandStop(r)
 			}
 		}
