--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -96,6 +96,8 @@
 	commands        []Command
 	// plannedRuns holds the runs that are started once their record is stored.
 	plannedRuns []*run
+	// unansweredRuns holds the runs whose start got no answer and is repeated.
+	unansweredRuns []*run
 	// changedJobs holds the jobs whose progress is not stored.
 	changedJobs map[*job]bool
 	// jobsToPrune holds the ended jobs whose rows are to be removed, and prunedJobs those of which only the progress row is left.
@@ -260,6 +262,7 @@
 	c.forgetPreviousUsage()
 	c.startDuringOutage()
 	c.repeatStops()
+	c.repeatUnansweredStarts()
 	c.checkWaitingTasks()
 	c.checkUnstored()
 	for _, p := range c.pools {
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -64,6 +64,28 @@
 	c.ruleOut(r.worker, r.startFence)
 }
 
+// startRepeatPause is the time between two starts of a run without an answer. The worker carries out the first one that arrives.
+const startRepeatPause = 150 * time.Millisecond
+
+// repeatUnanswered sends a start without an answer again, unless that was done just before.
+func (c *Core) repeatUnanswered(r *run) {
+	if c.now-r.startSentAt >= startRepeatPause {
+		c.repeatStart(r)
+	}
+}
+
+// repeatUnansweredStarts sends starts again whose worker has answered other calls since, without waiting for the answers to those in flight.
+func (c *Core) repeatUnansweredStarts() {
+	c.unansweredRuns = slices.DeleteFunc(c.unansweredRuns, func(r *run) bool {
+		return r.phase != starting || r.startGivenUp || r.confirmedAt != 0 || !r.attached()
+	})
+	for _, r := range c.unansweredRuns {
+		if r.worker.lastContact > r.startedAt && c.now-r.worker.lastContact < contactTimeout && !r.worker.replaced && !r.repeatAfterReport {
+			c.repeatUnanswered(r)
+		}
+	}
+}
+
 // stopUnanswered records that a stop got no answer, or was not sent. It reports whether the stop is not to be repeated yet.
 func (c *Core) stopUnanswered(r *run, outcome worker.Outcome) bool {
 	if r.confirmedAt == 0 && r.unanswered > 0 {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -135,7 +135,7 @@
 
 func (c *Core) commandStart(r *run) {
 	s, to := r.step, c.newCall(r.worker)
-	r.startFence = to.fence
+	r.startFence, r.startSentAt = to.fence, c.now
 	start := worker.StartCommand{
 		Task: r.task(), Run: r.number, Spec: s.job.doc.Spec, LeaseExpiry: c.leaseEnd(r.worker), Fence: to.fence,
 	}
@@ -319,8 +319,11 @@
 		case c.now-r.worker.lastContact > contactTimeout || r.worker.replaced:
 			// The worker may be down. If it restarts under its ID, the start must not reach its next incarnation.
 			r.repeatAfterReport = true
-		default:
+		case r.unanswered == 1:
 			c.repeatStart(r)
+			c.unansweredRuns = append(c.unansweredRuns, r)
+		default:
+			c.repeatUnanswered(r)
 		}
 		return
 	case worker.Superseded:
@@ -365,7 +368,7 @@
 	// minUnansweredStarts and startAnswerTimeout are how often a start is sent, and for how long, until it is given up if its worker
 	// reports all the while.
 	minUnansweredStarts = 3
-	startAnswerTimeout  = 1200 * time.Millisecond
+	startAnswerTimeout  = 3 * time.Second
 	// startFailedPause is how long the worker of such a start gets no tasks.
 	startFailedPause = 2 * time.Second
 )
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -145,7 +145,8 @@
 	unanswered int
 	// repeatAfterReport means that the start is sent again once the worker has reported.
 	repeatAfterReport bool
-	// startGivenUp means that the start is not sent again, and that the run is removed once the start is ruled out.
+	// startSentAt is the time of the latest start command. startGivenUp means that the start is not sent again, and that the run is removed once the start is ruled out.
+	startSentAt  time.Duration
 	startGivenUp bool
 	// stopSentAt is the time of the latest stop command. stopUnknown means that a stop of a protected run got no answer, and stopRuledOutAt
 	// is the time from which on it is certain not to be carried out any more.
