--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -67,8 +67,13 @@
 // startRepeatPause is the time between two starts of a run without an answer. The worker carries out the first one that arrives.
 const startRepeatPause = 150 * time.Millisecond
 
-// repeatUnanswered sends a start without an answer again, unless that was done just before.
+// repeatUnanswered sends a start without an answer again, at once after the first one and with a pause later.
 func (c *Core) repeatUnanswered(r *run) {
+	if !slices.Contains(c.unansweredRuns, r) {
+		c.unansweredRuns = append(c.unansweredRuns, r)
+		c.repeatStart(r)
+		return
+	}
 	if c.now-r.startSentAt >= startRepeatPause {
 		c.repeatStart(r)
 	}
--- /dev/null
+++ b/scheduler/orders_test.go
@@ -0,0 +1,92 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// addService adds a service of which one task may be missing.
+func (r *rig) addService(count int) {
+	r.addJob(work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: count, Request: coresOnly(1), Service: true, MaxDisruptions: 1}}})
+}
+
+// leaveUnanswered passes for a time with workers that answer renewals and polls and no order, and returns the orders.
+func (r *rig) leaveUnanswered(d time.Duration, ids ...string) (orders []Command) {
+	for end := r.now + d; r.now < end; {
+		r.advance(50 * time.Millisecond)
+		for _, id := range ids {
+			r.reply(id)
+		}
+		for _, cmd := range r.pass() {
+			if cmd.Kind == CommandPoll {
+				continue
+			}
+			orders = append(orders, cmd)
+			r.core.HandleReply(cmd, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+		}
+	}
+	return orders
+}
+
+// TestStopOfLateStart guards against a stop that follows a start without an answer and ends the task that has come to work late.
+func TestStopOfLateStart(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addService(1)
+	orders := r.leaveUnanswered(startAnswerTimeout+200*time.Millisecond, "w1")
+	qt.Assert(t, len(startsOf(orders)) >= minUnansweredStarts, qt.IsTrue)
+	first := orders[0].Start
+	r.runs["w1"] = []worker.Run{{Task: first.Task, Number: first.Run, SpeedPercent: fullSpeed}}
+	orders = append(orders, r.leaveUnanswered(time.Minute, "w1")...)
+	qt.Assert(t, countStops(orders), qt.Equals, 0)
+	qt.Assert(t, r.core.workers["w1"].runs[first.Task].phase, qt.Equals, running)
+}
+
+// TestStartElsewhereWithoutStop guards against a task of a service that is away for long, or that runs twice, because a start got no answer.
+func TestStartElsewhereWithoutStop(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addService(1)
+	started := r.now
+	first := r.leaveUnanswered(100*time.Millisecond, "w1")[0]
+	r.register("w1", "w2")
+	r.reply("w2")
+	for r.now < started+6*time.Second {
+		for _, cmd := range r.leaveUnanswered(50*time.Millisecond, "w1", "w2") {
+			qt.Assert(t, cmd.Kind, qt.Equals, CommandStart)
+			if cmd.Target.ID == "w2" {
+				qt.Assert(t, cmd.Start.Run > first.Start.Run, qt.IsTrue)
+				qt.Assert(t, r.core.workers["w1"].fence > first.Start.Fence, qt.IsTrue)
+				return
+			}
+		}
+	}
+	t.Fatal("the task is not started elsewhere")
+}
+
+// TestStopWithoutAnswer guards against a stop without an answer that is carried out while other tasks of the service are away.
+func TestStopWithoutAnswer(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2", "w3")
+	r.addService(2)
+	r.accept(r.pass())
+	r.reply("w1")
+	r.reply("w2")
+	r.core.evacuate(r.core.workers["w1"], false)
+	stops := r.schedule()
+	qt.Assert(t, countStops(stops), qt.Equals, 1)
+	stop := stops[0]
+	r.core.HandleReply(stop, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+	// Nothing else changes, so a batch is stored for the fencing token only.
+	b := r.core.TakeBatch(100)
+	qt.Assert(t, b.Empty(), qt.Equals, r.core.storedVersion > stop.Run.Fence)
+	r.core.BatchFailed(b)
+	orders := r.leaveUnanswered(5*time.Second, "w1", "w2", "w3")
+	qt.Assert(t, orders, qt.HasLen, 0)
+	qt.Assert(t, r.core.workers["w1"].fence > stop.Run.Fence, qt.IsTrue)
+	qt.Assert(t, r.core.workers["w1"].runs[stop.Run.Task].phase, qt.Equals, running)
+	r.core.evacuate(r.core.workers["w1"], false)
+	qt.Assert(t, countStops(r.schedule()), qt.Equals, 1)
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -319,9 +319,6 @@
 		case c.now-r.worker.lastContact > contactTimeout || r.worker.replaced:
 			// The worker may be down. If it restarts under its ID, the start must not reach its next incarnation.
 			r.repeatAfterReport = true
-		case r.unanswered == 1:
-			c.repeatStart(r)
-			c.unansweredRuns = append(c.unansweredRuns, r)
 		default:
 			c.repeatUnanswered(r)
 		}
