--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -337,6 +337,9 @@
 			c.dropWorker(ws, "the instance is in maintenance or moving")
 		}
 	}
+	if ws, ok := c.workers[cmd.worker]; ok && outcome == instance.Unknown {
+		ws.mayLeaveUntil = c.now + maxCommandDelay
+	}
 	if cmd.Wave == 0 && outcome != instance.Fenced {
 		c.handleMoveReply(cmd, outcome)
 		return
--- a/scheduler/orders_test.go
+++ b/scheduler/orders_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -90,3 +91,17 @@
 	r.core.evacuate(r.core.workers["w1"], false)
 	qt.Assert(t, countStops(r.schedule()), qt.Equals, 1)
 }
+
+// TestServiceBesideUnansweredInstanceCommand guards against a task of a service that is placed on an instance whose move or maintenance got no
+// answer and is carried out later.
+func TestServiceBesideUnansweredInstanceCommand(t *testing.T) {
+	for _, outcome := range []instance.Outcome{instance.Unknown, instance.Busy} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			r := newRig(t, 1, "w1", "w2")
+			r.core.HandleInstanceReply(InstanceCommand{Instance: "m-w1", Wave: 1, worker: "w1"}, outcome, nil)
+			r.addService(1)
+			want := map[instance.Outcome]string{instance.Unknown: "w2", instance.Busy: "w1"}
+			qt.Assert(t, startsOf(r.pass()), qt.DeepEquals, []string{"s 0.0.0 1 " + want[outcome]})
+		})
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -286,6 +286,8 @@
 	costRemoteData = 10
 	// costFailedBefore is the cost of the worker on which the task failed last.
 	costFailedBefore = 5
+	// costMayLeave is the cost, for a step with a disruption budget, of a worker whose instance may still carry out a command without an answer.
+	costMayLeave = 8
 	// costInterference is the cost of a best-effort task next to a service, or the other way round.
 	costInterference = 3
 	// costSameService is the cost of each task of the same service on a worker, since the loss of the worker takes them all down.
@@ -321,6 +323,9 @@
 		cost += costInterference*float64(ws.services) + float64(ws.bestEffort)
 	case s.doc.Service:
 		cost += costInterference*float64(ws.bestEffort) + costSameService*float64(c.tasksOn(s, ws))
+		if s.doc.MaxDisruptions > 0 && c.now < ws.mayLeaveUntil {
+			cost += costMayLeave
+		}
 		if ws.services == 0 {
 			cost += costMixedUse
 		}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -194,6 +194,8 @@
 	drainingSince time.Duration
 	// cordoned means that the instance is about to be moved or maintained, so the worker gets no tasks.
 	cordoned bool
+	// mayLeaveUntil is the time until which an instance command without an answer may be carried out.
+	mayLeaveUntil time.Duration
 	// unlistedSince is the time since which the registry does not list the worker.
 	unlistedSince time.Duration
 	// tests counts the runs of suspects that the worker has not survived yet, and testsLikely means that one is likely to crash it.
