--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -60,7 +60,7 @@
 	}
 	r.startGivenUp = true
 	c.logger.Info("Start is given up.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "reason", reason,
-		"tries", r.unanswered, "fence", r.startFence, "storedVersion", c.storedVersion)
+		"tries", r.unanswered, "fence", r.startFence, "storedVersion", c.storedVersion, "service", r.step.doc.Service)
 	c.ruleOut(r.worker, r.startFence)
 }
 
@@ -165,7 +165,7 @@
 // markNotStarted removes a run that has not started and will not.
 func (c *Core) markNotStarted(r *run) {
 	c.logger.Info("Start is ruled out.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "fence", r.startFence,
-		"after", c.now-r.startedAt)
+		"after", c.now-r.startedAt, "service", r.step.doc.Service)
 	c.detachRun(r)
 	c.stopGang(r)
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -278,6 +278,10 @@
 func (c *Core) confirm(r *run) {
 	if r.confirmedAt == 0 {
 		r.confirmedClock = r.worker.latestClock
+		if r.unanswered > 0 && r.phase != stopping {
+			c.logger.Info("Start without an answer was carried out.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
+				"after", c.now-r.startedAt, "tries", r.unanswered, "service", r.step.doc.Service)
+		}
 	}
 	r.confirmedAt = c.now
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -413,7 +413,7 @@
 	c.stopsRepeatedAt = c.now
 	for _, ws := range c.workers {
 		for _, r := range ws.runs {
-			if r.phase == stopping && !(r.stopUnknown && r.protected()) && c.now-r.stopSentAt > c.options.Bounds.StopTimeout+stopRepeatDelay {
+			if r.phase == stopping && (!r.stopUnknown || !r.protected()) && c.now-r.stopSentAt > c.options.Bounds.StopTimeout+stopRepeatDelay {
 				c.commandStop(r)
 			}
 		}
