--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -67,6 +67,10 @@
 // startRepeatPause is the time between two starts of a run without an answer. The worker carries out the first one that arrives.
 const startRepeatPause = 150 * time.Millisecond
 
+// promptCrashTime is the time after a start was sent within which a worker crashes that a task crashes at once. A worker that has answered a
+// call after that is in order, so that it may get further tasks although the start got no answer.
+const promptCrashTime = 250 * time.Millisecond
+
 // repeatUnanswered sends a start without an answer again, at once after the first one and with a pause later.
 func (c *Core) repeatUnanswered(r *run) {
 	if !slices.Contains(c.unansweredRuns, r) {
@@ -87,6 +91,9 @@
 	for _, r := range c.unansweredRuns {
 		if r.worker.lastContact > r.startedAt && c.now-r.worker.lastContact < contactTimeout && !r.worker.replaced && !r.repeatAfterReport {
 			c.repeatUnanswered(r)
+			if r.worker.startUnanswered {
+				c.pollWorker(r.worker)
+			}
 		}
 	}
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -313,7 +313,9 @@
 	case worker.Unknown:
 		// The same run is commanded again. A worker that has it already confirms it.
 		r.unanswered++
-		r.worker.startUnanswered = true
+		if r.worker.lastContact < sent+promptCrashTime {
+			r.worker.startUnanswered = true
+		}
 		c.recordUnansweredStart(r)
 		switch {
 		case r.phase != starting || r.startGivenUp:
@@ -371,7 +373,7 @@
 	minUnansweredStarts = 3
 	startAnswerTimeout  = 3 * time.Second
 	// startFailedPause is how long the worker of such a start gets no tasks.
-	startFailedPause = 2 * time.Second
+	startFailedPause = 500 * time.Millisecond
 )
 
 // startFails reports whether the start of a run gets no answer although its worker reports, and does not list the run.
