--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -278,6 +278,11 @@
 	if s.doc.MaxDisruptions == 0 || r.worker.report.Draining {
 		return true
 	}
+	if r.worker.doubtedAt > 0 {
+		// A stop without an answer could not be ruled out soon.
+		c.pollWorker(r.worker)
+		return false
+	}
 	down, stale := 0, false
 	for i := range s.tasks {
 		if i == r.index {
@@ -332,6 +337,9 @@
 			c.dropWorker(ws, "the instance is in maintenance or moving")
 		}
 	}
+	if ws, ok := c.workers[cmd.worker]; ok && outcome == instance.Unknown {
+		ws.mayLeaveUntil = c.now + maxCommandDelay
+	}
 	if cmd.Wave == 0 && outcome != instance.Fenced {
 		c.handleMoveReply(cmd, outcome)
 		return
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -171,8 +171,17 @@
 	unanswered int
 	// repeatAfterReport means that the start is sent again once the worker has reported.
 	repeatAfterReport bool
-	// stopSentAt is the time of the latest stop command.
-	stopSentAt   time.Duration
+	// startSentAt is the time of the latest start command. startGivenUp means that the start is not sent again, and that the run is removed once the start is ruled out.
+	startSentAt  time.Duration
+	startGivenUp bool
+	// stopSentAt is the time of the latest stop command. stopUnknown means that a stop of a protected run got no answer, and stopRuledOutAt
+	// is the time from which on it is certain not to be carried out any more.
+	stopSentAt     time.Duration
+	stopUnknown    bool
+	stopRuledOutAt time.Duration
+	// startFence and stopFence are the fencing tokens of the latest commands.
+	startFence   uint64
+	stopFence    uint64
 	checkpoint   string
 	speedPercent int
 	load         int64
@@ -207,6 +216,8 @@
 	bestEffort int
 	// cordoned means that the instance is about to be moved or maintained, so the worker gets no tasks.
 	cordoned bool
+	// mayLeaveUntil is the time until which an instance command without an answer may be carried out.
+	mayLeaveUntil time.Duration
 	// unlistedSince is the time since which the registry does not list the worker.
 	unlistedSince time.Duration
 	// tests counts the runs of suspects that the worker has not survived yet, and testsLikely means that one is likely to crash it.
