--- a/internal/soak/promises/history.go
+++ b/internal/soak/promises/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,11 +30,14 @@
 	MayMiss int
 }
 
-// Job is a job as a client submits it. Occurrences is 0 for a job that runs once.
+// Job is a job as a client submits it.
 type Job struct {
 	ID, Queue, Spec string
-	Occurrences     int
-	Steps           []Step
+	// Occurrences is 0 for a job that runs once.
+	Occurrences int
+	Steps       []Step
+	// Deadly means that its tasks take their workers down, so that crashes are a cause to give it up.
+	Deadly bool
 }
 
 // Task names a task.
@@ -42,7 +46,9 @@
 	Occurrence, Step, Index int
 }
 
-func (t Task) String() string { return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index) }
+func (t Task) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
 
 // ParseTask returns the task with a name such as 5c0e7a21d94b36f8.0.1.17.
 func ParseTask(name string) (Task, error) {
@@ -61,15 +67,17 @@
 	return t, nil
 }
 
-// Run is a run of a task in a life of a worker. These five fields identify it.
+// Run identifies a run of a task in a life of a worker.
 type Run struct {
 	Task   Task
 	Number int
 	Worker string
 	// Life is the number of the start of the worker under its ID.
 	Life int
-	// Fence is the fencing token of the command.
-	Fence uint64
+}
+
+func (r Run) String() string {
+	return fmt.Sprintf("run %d of task %s on worker %s (life %d)", r.Number, r.Task, r.Worker, r.Life)
 }
 
 // How is the way in which a run ended.
@@ -160,11 +168,18 @@
 	LosesAnswer Kind = "loses answers"
 	LateCommand Kind = "commands carried out late"
 	Unhealthy   Kind = "unhealthy"
+	started     Kind = "started"
 )
 
 // Store is the target of disruptions of the store. Other targets are names of processes and IDs of workers.
 const Store = "store"
 
+// moment is a time since the start of a history. What has not happened is at never.
+type moment = time.Duration
+
+// never is far enough from the end of the range for bounds to be added.
+const never moment = math.MaxInt64 / 2
+
 type callKind int
 
 const (
@@ -179,46 +194,46 @@
 	kind                    callKind
 	process, key, queue, id string
 	job                     Job
-	begun, ended            time.Time
+	begun, ended            moment
 	answer                  Answer
 }
 
 // run is a run with what became of it.
 type run struct {
 	Run
-	begun, atWork, ended, acked, commanded time.Time
+	begun, atWork, commanded, ended, acked moment
 	how                                    How
 	late                                   bool
 }
 
 type life struct {
 	Worker
-	begun, draining, ended time.Time
-	lapses                 []time.Time
+	begun, draining, ended moment
+	lapses                 []moment
 }
 
 type configuration struct {
 	Configuration
-	sent, acked time.Time
+	sent, acked moment
 }
 
 type incarnation struct {
-	process       string
-	begun, ended  time.Time
-	stopRequested time.Time
+	process               string
+	begun, stopped, ended moment
 }
 
 type disruption struct {
 	kind         Kind
 	target       string
-	begun, ended time.Time
+	begun, ended moment
 }
 
 // History is what clients and workers have seen. It is safe for concurrent use. Each method records the time of its call.
 type History struct {
+	start time.Time
+
 	mu             sync.Mutex
-	start          time.Time
-	loadEnded      time.Time
+	loadEnded      moment
 	calls          []*call
 	runs           []*run
 	byRun          map[Run]*run
@@ -229,26 +244,27 @@
 }
 
 // NewHistory returns an empty history.
-func NewHistory() *History { return &History{start: time.Now(), byRun: make(map[Run]*run)} }
+func NewHistory() *History {
+	return &History{start: time.Now(), loadEnded: never, byRun: make(map[Run]*run)}
+}
 
-// LoadEnded records that clients submit no more jobs. They only ask for states from then on.
-func (h *History) LoadEnded() {
+// record calls a function with the lock and the time.
+func (h *History) record(f func(now moment)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.loadEnded = time.Now()
+	f(time.Since(h.start))
 }
 
+// LoadEnded records that clients submit no more jobs. They only ask for states from then on.
+func (h *History) LoadEnded() { h.record(func(now moment) { h.loadEnded = now }) }
+
 // begin records a call, and returns the function that records its answer.
 func (h *History) begin(c call) (answered func(Answer)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	c.begun = time.Now()
-	h.calls = append(h.calls, &c)
-	return func(a Answer) {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		c.ended, c.answer = time.Now(), a
-	}
+	h.record(func(now moment) {
+		c.begun, c.ended = now, never
+		h.calls = append(h.calls, &c)
+	})
+	return func(a Answer) { h.record(func(now moment) { c.ended, c.answer = now, a }) }
 }
 
 // Submit records that a client sends a job to a process. The function that it returns records the answer. All attempts at one job have
@@ -273,153 +289,121 @@
 }
 
 // Configure records that the operator writes a configuration. The function that it returns records that the store has acknowledged it.
+// Versions must rise.
 func (h *History) Configure(c Configuration) (acknowledged func()) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	v := &configuration{Configuration: c, sent: time.Now()}
-	h.configurations = append(h.configurations, v)
-	return func() {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		v.acked = time.Now()
-	}
+	v := &configuration{Configuration: c, acked: never}
+	h.record(func(now moment) {
+		v.sent = now
+		h.configurations = append(h.configurations, v)
+	})
+	return func() { h.record(func(now moment) { v.acked = now }) }
 }
 
 // Disrupt records that a disruption begins. The function that it returns records its end.
 func (h *History) Disrupt(kind Kind, target string) (ended func()) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	d := &disruption{kind: kind, target: target, begun: time.Now()}
-	h.disruptions = append(h.disruptions, d)
-	return func() {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		d.ended = time.Now()
-	}
+	d := &disruption{kind: kind, target: target, ended: never}
+	h.record(func(now moment) {
+		d.begun = now
+		h.disruptions = append(h.disruptions, d)
+	})
+	return func() { h.record(func(now moment) { d.ended = now }) }
 }
 
 // ProcessStarted records the start of a process.
 func (h *History) ProcessStarted(process string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.incarnations = append(h.incarnations, &incarnation{process: process, begun: time.Now()})
+	h.record(func(now moment) {
+		h.incarnations = append(h.incarnations, &incarnation{process: process, begun: now, stopped: never, ended: never})
+	})
 }
 
-// ProcessStopRequested records that a process is asked to stop as planned (SIGTERM).
+// ProcessStopRequested records that a process is asked to stop as planned (SIGTERM). It is a disruption until the process is started again.
 func (h *History) ProcessStopRequested(process string) {
-	h.withIncarnation(process, func(i *incarnation) { i.stopRequested = time.Now() })
+	h.withIncarnation(process, func(i *incarnation, now moment) { i.stopped = now })
 }
 
-// ProcessEnded records that a process has ended, however it did.
+// ProcessEnded records that a process has ended, however it did. It is a disruption until the process is started again.
 func (h *History) ProcessEnded(process string) {
-	h.withIncarnation(process, func(i *incarnation) { i.ended = time.Now() })
+	h.withIncarnation(process, func(i *incarnation, now moment) { i.ended = now })
 }
 
-func (h *History) withIncarnation(process string, f func(*incarnation)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, i := range slices.Backward(h.incarnations) {
-		if i.process == process {
-			f(i)
-			return
+func (h *History) withIncarnation(process string, f func(i *incarnation, now moment)) {
+	h.record(func(now moment) {
+		for _, i := range slices.Backward(h.incarnations) {
+			if i.process == process {
+				f(i, now)
+				return
+			}
 		}
-	}
+	})
 }
 
 // WorkerStarted records that a life of a worker begins.
 func (h *History) WorkerStarted(w Worker) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.lives = append(h.lives, &life{Worker: w, begun: time.Now()})
+	h.record(func(now moment) {
+		h.lives = append(h.lives, &life{Worker: w, begun: now, draining: never, ended: never})
+	})
 }
 
 // WorkerDraining records that the store has acknowledged that a worker drains.
 func (h *History) WorkerDraining(id string, number int) {
-	h.withLife(id, number, func(l *life) { l.draining = time.Now() })
+	h.withLife(id, number, func(l *life, now moment) { l.draining = now })
 }
 
 // WorkerEnded records that a life of a worker has ended: it crashed, left, or was switched off. The ends of its runs are recorded apart.
 func (h *History) WorkerEnded(id string, number int) {
-	h.withLife(id, number, func(l *life) { l.ended = time.Now() })
+	h.withLife(id, number, func(l *life, now moment) { l.ended = now })
 }
 
 // LeaseLapsed records that the lease of a worker has run out, whether anything ran there or not.
 func (h *History) LeaseLapsed(id string, number int) {
-	h.withLife(id, number, func(l *life) { l.lapses = append(l.lapses, time.Now()) })
+	h.withLife(id, number, func(l *life, now moment) { l.lapses = append(l.lapses, now) })
 }
 
-func (h *History) withLife(id string, number int, f func(*life)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, l := range slices.Backward(h.lives) {
-		if l.ID == id && l.Life == number {
-			f(l)
-			return
+func (h *History) withLife(id string, number int, f func(l *life, now moment)) {
+	h.record(func(now moment) {
+		for _, l := range slices.Backward(h.lives) {
+			if l.ID == id && l.Life == number {
+				f(l, now)
+				return
+			}
 		}
-	}
+	})
 }
 
-// RunBegan records that a worker begins a run. A command that the worker got earlier and carries out late is recorded by RunBeganLate.
+// RunBegan records that a worker begins a run, which is not at work before RunAtWork.
 func (h *History) RunBegan(r Run) { h.addRun(r, false) }
 
 // RunBeganLate records that a worker begins a run by a command that it got long before. Bounds in time do not hold for it.
 func (h *History) RunBeganLate(r Run) { h.addRun(r, true) }
 
 func (h *History) addRun(r Run, late bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	began := &run{Run: r, begun: time.Now(), late: late}
-	h.runs = append(h.runs, began)
-	h.byRun[r] = began
+	h.record(func(now moment) {
+		began := &run{Run: r, begun: now, atWork: never, commanded: never, ended: never, acked: never, late: late}
+		h.runs = append(h.runs, began)
+		h.byRun[r] = began
+	})
 }
 
 // RunAtWork records that a task is fully at work after its startup.
-func (h *History) RunAtWork(r Run) { h.withRun(r, func(r *run) { r.atWork = time.Now() }) }
+func (h *History) RunAtWork(r Run) { h.withRun(r, func(r *run, now moment) { r.atWork = now }) }
 
-// StopCommanded records that a worker accepts the command to stop a run. It is no promise of a bound for commands that are carried out late.
-func (h *History) StopCommanded(r Run) { h.withRun(r, func(r *run) { r.commanded = time.Now() }) }
+// StopCommanded records that a worker accepts the command to stop a run.
+func (h *History) StopCommanded(r Run) { h.withRun(r, func(r *run, now moment) { r.commanded = now }) }
 
 // RunEnded records how a run ended.
 func (h *History) RunEnded(r Run, how How) {
-	h.withRun(r, func(r *run) { r.ended, r.how = time.Now(), how })
-}
-
-// EndAcknowledged records that the system has acknowledged the end of a run.
-func (h *History) EndAcknowledged(r Run) { h.withRun(r, func(r *run) { r.acked = time.Now() }) }
-
-func (h *History) withRun(key Run, f func(*run)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if r, ok := h.byRun[key]; ok {
-		f(r)
-	}
+	h.withRun(r, func(r *run, now moment) { r.ended, r.how = now, how })
 }
 
-// snapshot is a copy of a history that does not change.
-type snapshot struct {
-	start, now, loadEnded time.Time
-	calls                 []call
-	runs                  []run
-	lives                 []life
-	configurations        []configuration
-	incarnations          []incarnation
-	disruptions           []disruption
+// EndAcknowledged records that the system has acknowledged the end of a run, whether a lease has lapsed in between or not.
+func (h *History) EndAcknowledged(r Run) {
+	h.withRun(r, func(r *run, now moment) { r.acked = min(r.acked, now) })
 }
 
-func (h *History) snapshot() *snapshot {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return &snapshot{
-		start: h.start, now: time.Now(), loadEnded: h.loadEnded,
-		calls: copyAll(h.calls), runs: copyAll(h.runs), lives: copyAll(h.lives), configurations: copyAll(h.configurations),
-		incarnations: copyAll(h.incarnations), disruptions: copyAll(h.disruptions),
-	}
-}
-
-func copyAll[T any](from []*T) []T {
-	list := make([]T, 0, len(from))
-	for _, p := range from {
-		list = append(list, *p)
-	}
-	return list
+func (h *History) withRun(key Run, f func(r *run, now moment)) {
+	h.record(func(now moment) {
+		if r, ok := h.byRun[key]; ok {
+			f(r, now)
+		}
+	})
 }
--- a/internal/soak/promises/promises.go
+++ b/internal/soak/promises/promises.go
@@ -8,6 +8,7 @@
 //	...
 //	answered(promises.Answer{Status: 200})
 //	h.RunBegan(promises.Run{Task: task, Number: 1, Worker: "w-1", Life: 1})
+//	h.RunEnded(promises.Run{Task: task, Number: 1, Worker: "w-1", Life: 1}, promises.Done)
 //	...
 //	for _, v := range promises.Check(h, promises.DefaultBounds()) {
 //		fmt.Println(v.Promise, v.Checked, v.Violations)
@@ -18,7 +19,6 @@
 package promises
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -134,12 +134,9 @@
 // Held reports whether the promise was checked and not broken.
 func (v Verdict) Held() bool { return v.Checked > 0 && len(v.Violations) == 0 }
 
-// note counts an occasion, and a violation unless it is fine.
-func (v *Verdict) note(fine bool, at time.Time, format string, args ...any) {
-	v.Checked++
-	if !fine {
-		v.Violations = append(v.Violations, Violation{At: at, Text: fmt.Sprintf(format, args...)})
-	}
+// add adds a violation.
+func (v *Verdict) add(s *snapshot, at moment, format string, args ...any) {
+	v.Violations = append(v.Violations, Violation{At: s.start.Add(at), Text: fmt.Sprintf(format, args...)})
 }
 
 // check judges one promise.
@@ -148,8 +145,25 @@
 	judge   func(s *snapshot, b Bounds, v *Verdict)
 }
 
-// checks holds the check of each promise.
-var checks []check
+// checks holds the check of each promise, in the order of the verdicts.
+var checks = []check{
+	{AcceptedKept, judgeKept},
+	{AcceptedOnce, judgeOnce},
+	{OneRun, judgeOneRun},
+	{NoneAfterDone, judgeNoneAfterDone},
+	{StepOrder, judgeStepOrder},
+	{Attempts, judgeAttempts},
+	{GangsWhole, judgeGangs},
+	{TeamLimits, judgeTeamLimits},
+	{DisruptionBudget, judgeDisruptionBudget},
+	{KeysWithdrawn, judgeKeys},
+	{RefusedNeverRun, judgeRefused},
+	{CancelledEnds, judgeCancelled},
+	{WholeAnswers, judgeWholeAnswers},
+	{DrainingSpared, judgeDraining},
+	{ConfigForward, judgeConfiguration},
+	{StatesTrue, judgeStates},
+}
 
 // Check judges each promise by what has been recorded.
 func Check(h *History, b Bounds) []Verdict {
@@ -158,7 +172,7 @@
 	for _, c := range checks {
 		v := Verdict{Promise: c.promise}
 		c.judge(s, b, &v)
-		slices.SortStableFunc(v.Violations, func(x, y Violation) int { return cmp.Compare(x.At.Sub(s.start), y.At.Sub(s.start)) })
+		slices.SortStableFunc(v.Violations, func(x, y Violation) int { return x.At.Compare(y.At) })
 		verdicts = append(verdicts, v)
 	}
 	return verdicts
