--- a/internal/soak/promises/calls.go
+++ b/internal/soak/promises/calls.go
@@ -102,31 +102,37 @@
 
 // judgeForward judges that one start of a process never applies an older configuration after a newer one.
 func (s *snapshot) judgeForward(p incarnation, b Bounds, v *Verdict) {
-	var calls []*call
-	for i := range s.calls {
-		if c := &s.calls[i]; c.process == p.process && c.begun >= p.begun && c.ended <= p.ended && c.outcome() != unknownOutcome {
-			calls = append(calls, c)
-		}
+	type effect struct {
+		*call
+		lowest, highest int
 	}
-	for _, later := range calls {
-		_, highest, ok := s.fits(later)
-		if !ok {
+	var effects []effect
+	for i := range s.calls {
+		c := &s.calls[i]
+		if c.process != p.process || c.begun < p.begun || c.ended > p.ended || c.outcome() == unknownOutcome {
 			continue
 		}
-		for _, earlier := range calls {
-			slack := b.RollbackSlack
-			if !s.inTouch(p.process, earlier.ended, later.begun, b) {
-				slack *= slowedFactor
-			}
-			if later.begun <= earlier.ended+slack {
-				continue
-			}
-			lowest, _, ok := s.fits(earlier)
-			if ok && lowest > highest {
-				v.add(s, later.begun, "process %s answers %d on queue %s as configuration %d has it, %s after an answer that only configuration %d allows", p.process, later.answer.Status, later.queue, highest, later.begun-earlier.ended, lowest)
-				break
+		if lowest, highest, ok := s.fits(c); ok {
+			effects = append(effects, effect{c, lowest, highest})
+		}
+	}
+	for _, later := range effects {
+		// seen is the earlier effect that rules out the most configurations.
+		var seen effect
+		for _, earlier := range effects {
+			since := later.begun - earlier.ended
+			settled := since > slowedFactor*b.RollbackSlack || since > b.RollbackSlack && s.inTouch(p.process, earlier.ended, later.begun, b)
+			if earlier.lowest > seen.lowest && settled {
+				seen = earlier
 			}
 		}
+		i := slices.IndexFunc(s.configurations, func(c configuration) bool { return c.Version == seen.lowest })
+		if i > 0 && s.wasOther(later.call, &s.configurations[i]) {
+			v.Checked++
+		}
+		if seen.lowest > later.highest {
+			v.add(s, later.begun, "process %s answers %d on queue %s as configuration %d has it, %s after an answer that only configuration %d allows", p.process, later.answer.Status, later.queue, later.highest, later.begun-seen.ended, seen.lowest)
+		}
 	}
 }
 
--- a/internal/soak/promises/history.go
+++ b/internal/soak/promises/history.go
@@ -74,6 +74,8 @@
 	Worker string
 	// Life is the number of the start of the worker under its ID.
 	Life int
+	// Fence is the fencing token of the command, if it is known. It does not identify the run.
+	Fence uint64
 }
 
 func (r Run) String() string {
@@ -169,6 +171,7 @@
 	LateCommand Kind = "commands carried out late"
 	Unhealthy   Kind = "unhealthy"
 	started     Kind = "started"
+	gone        Kind = "gone"
 )
 
 // Store is the target of disruptions of the store. Other targets are names of processes and IDs of workers.
@@ -377,6 +380,7 @@
 func (h *History) RunBeganLate(r Run) { h.addRun(r, true) }
 
 func (h *History) addRun(r Run, late bool) {
+	r.Fence = 0
 	h.record(func(now moment) {
 		began := &run{Run: r, begun: now, atWork: never, commanded: never, ended: never, acked: never, late: late}
 		h.runs = append(h.runs, began)
@@ -401,6 +405,7 @@
 }
 
 func (h *History) withRun(key Run, f func(r *run, now moment)) {
+	key.Fence = 0
 	h.record(func(now moment) {
 		if r, ok := h.byRun[key]; ok {
 			f(r, now)
--- a/internal/soak/promises/jobs.go
+++ b/internal/soak/promises/jobs.go
@@ -1,6 +1,7 @@
 package promises
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,7 +11,7 @@
 // statusTime is how long the state of a job that has ended is kept.
 const statusTime = 120 * time.Second
 
-// isLate reports whether the answer to a call that asks for an accepted job says that there is none, although its process must know it.
+// isLost reports whether the answer to a call that asks for an accepted job says that there is none, although its process must know it.
 func (s *snapshot) isLost(c *call, j *submitted, b Bounds) bool {
 	return c.answer.Status == 410 && c.begun > j.accepted+b.Visible && c.ended < j.cancelSent && c.begun < j.accepted+statusTime && s.inTouch(c.process, c.begun, c.ended, b)
 }
@@ -83,9 +84,8 @@
 	runs := s.byTask[task]
 	if !step.LongRunning {
 		// A job that has anything at work is not waiting.
-		runs = s.runsOfJob(j.ID)
+		runs = s.byJob[j.ID]
 	}
-	slices.SortFunc(runs, func(x, y *run) int { return int(x.begun - y.begun) })
 	for i := 0; i <= len(runs); i++ {
 		to := s.now
 		if i < len(runs) {
@@ -106,16 +106,6 @@
 	}
 }
 
-func (s *snapshot) runsOfJob(id string) []*run {
-	var runs []*run
-	for i := range s.runs {
-		if s.runs[i].Task.Job == id {
-			runs = append(runs, &s.runs[i])
-		}
-	}
-	return runs
-}
-
 // shown reports whether a state was ever shown for a job.
 func (j *submitted) shown(state State) bool {
 	return slices.ContainsFunc(j.calls, func(c *call) bool { return c.answer.State == state })
@@ -236,7 +226,7 @@
 // operations returns the calls about a job as operations on a register. Calls without an answer may take effect at any later time. A state
 // may be as old as Visible, and older at a process that is not in touch.
 func (s *snapshot) operations(j *submitted, b Bounds) []porcupine.Operation {
-	var operations []porcupine.Operation
+	operations := make([]porcupine.Operation, 0, len(j.calls))
 	for _, c := range j.calls {
 		status := c.answer.Status
 		o := porcupine.Operation{Input: c.kind, Call: int64(c.begun), Return: int64(c.ended)}
@@ -267,7 +257,7 @@
 		v.Checked++
 		switch porcupine.CheckOperationsTimeout(jobRegister, operations, checkTimeout) {
 		case porcupine.Illegal:
-			last := slices.MaxFunc(j.calls, func(x, y *call) int { return int(x.begun - y.begun) })
+			last := slices.MaxFunc(j.calls, func(x, y *call) int { return cmp.Compare(x.begun, y.begun) })
 			v.add(s, last.begun, "job %s: its answers do not fit one job: %s", id, j.describe())
 		case porcupine.Unknown:
 			v.add(s, s.now, "job %s: %d calls could not be checked within %s", id, len(operations), checkTimeout)
@@ -302,7 +292,7 @@
 			continue
 		}
 		v.Checked++
-		for _, r := range s.runsOfJob(j.ID) {
+		for _, r := range s.byJob[j.ID] {
 			if r.begun > cancelled+b.Cancel && !r.late && s.allInTouch(r.Worker, r.begun, b) {
 				v.add(s, r.begun, "%s begins %s after its job was cancelled", r.Run, r.begun-cancelled)
 			}
@@ -375,7 +365,7 @@
 	const deadlyCrashes = 3
 	lowest, _ := s.attempts(j.Queue)
 	crashes := 0
-	for _, r := range s.runsOfJob(j.ID) {
+	for _, r := range s.byJob[j.ID] {
 		if r.ended > at {
 			continue
 		}
--- a/internal/soak/promises/runs.go
+++ b/internal/soak/promises/runs.go
@@ -281,7 +281,7 @@
 			continue
 		}
 		from := min(r.ended, r.commanded) - b.Contact
-		held := !s.quiet(from, r.ended, func(d disruption) bool { return d.target == r.Worker && d.begun < r.ended })
+		held := !s.quiet(from, r.ended, func(d disruption) bool { return d.target == r.Worker && d.kind != gone })
 		if l := s.lifeOf(r); held || l != nil && l.draining < r.ended {
 			continue
 		}
--- a/internal/soak/promises/snapshot.go
+++ b/internal/soak/promises/snapshot.go
@@ -22,6 +22,7 @@
 
 	jobs    map[string]*submitted
 	byTask  map[Task][]*run
+	byJob   map[string][]*run
 	workers map[string]bool
 }
 
@@ -42,7 +43,7 @@
 		start: h.start, now: time.Since(h.start), loadEnded: h.loadEnded,
 		calls: copyAll(h.calls), runs: copyAll(h.runs), lives: copyAll(h.lives), configurations: copyAll(h.configurations),
 		incarnations: copyAll(h.incarnations), disruptions: copyAll(h.disruptions),
-		jobs: make(map[string]*submitted), byTask: make(map[Task][]*run), workers: make(map[string]bool),
+		jobs: make(map[string]*submitted), byTask: make(map[Task][]*run), byJob: make(map[string][]*run), workers: make(map[string]bool),
 	}
 	for i := range s.lives {
 		s.lives[i].lapses = slices.Clone(s.lives[i].lapses)
@@ -55,11 +56,12 @@
 	for i := range s.runs {
 		r := &s.runs[i]
 		s.byTask[r.Task] = append(s.byTask[r.Task], r)
+		s.byJob[r.Task.Job] = append(s.byJob[r.Task.Job], r)
 	}
 	for _, l := range s.lives {
 		s.workers[l.ID] = true
 		if l.ended < never {
-			s.disruptions = append(s.disruptions, disruption{kind: Killed, target: l.ID, begun: l.ended, ended: l.ended})
+			s.disruptions = append(s.disruptions, disruption{kind: gone, target: l.ID, begun: l.ended, ended: l.ended})
 		}
 	}
 	s.addProcesses()
