--- a/internal/soak/cases/case.go
+++ b/internal/soak/cases/case.go
@@ -7,17 +7,16 @@
 package cases
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
-	"net/http"
 	"os"
 	"os/signal"
 	"slices"
-	"sync"
 	"syscall"
 	"time"
+
+	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
 
 // Outcome is the outcome of a case.
@@ -48,57 +47,27 @@
 	Keep bool
 }
 
-// recorder writes what happens to a file, with the time since the start of the case.
-type recorder struct {
-	start time.Time
-
-	mu  sync.Mutex
-	out io.Writer
-}
-
-func (r *recorder) add(format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	fmt.Fprintf(r.out, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
-}
-
-func readJSON(r *http.Request, to any) (size int, err error) {
-	data, err := io.ReadAll(r.Body)
-	if err != nil {
-		return 0, err
-	}
-	return len(data), json.Unmarshal(data, to)
-}
-
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		panic(err)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// A write fails if the other side has given up.
-	_, _ = w.Write(data)
-}
-
 // maxDuration is how long a case may take.
 const maxDuration = 110 * time.Second
 
 // closeEarly ends all processes when the case is interrupted or takes too long.
-func (w *world) closeEarly() {
+func closeEarly(w *world.World) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	select {
 	case <-signals:
 	case <-time.After(maxDuration):
 	}
-	w.rec.add("case cannot run: it was interrupted or took too long")
-	w.close()
+	w.Record("case cannot run: it was interrupted or took too long")
+	w.Close()
 	os.Exit(int(NotRun))
 }
 
+// threeLeaders is the case in which a zone is cut off.
+const threeLeaders = "three-leaders"
+
 // cases lists the cases by name. Each reports whether the promise was broken.
-var cases = map[string]func(w *world, fault bool) (broken bool, err error){
+var cases = map[string]func(w *world.World, fault bool) (broken bool, err error){
 	"flapping-worker":        caseFlap,
 	"leader-killed":          caseParts,
 	"leader-paused":          casePaused,
@@ -112,7 +81,7 @@
 	"service-in-overload":    caseStarve,
 	"service-restarts":       caseLasting,
 	"task-cut-off":           caseCutTask,
-	"three-leaders":          caseThreeLeaders,
+	threeLeaders:             caseThreeLeaders,
 	"service-cut-off":        caseCutService,
 }
 
@@ -121,29 +90,28 @@
 
 // Run runs a case. It starts only processes of the program, and ends them all.
 func Run(o Options) Outcome {
-	rec := &recorder{start: time.Now(), out: o.Record}
 	f, ok := cases[o.Case]
 	if !ok {
-		rec.add("there is no case %s", o.Case)
+		fmt.Fprintf(o.Record, "there is no case %s\n", o.Case)
 		return NotRun
 	}
-	w, err := newWorld(rec, o)
+	w, err := world.New(world.Options{Program: o.Program, Record: o.Record, Keep: o.Keep, Zoned: o.Case == threeLeaders})
 	if err != nil {
-		rec.add("case cannot run: %v", err)
+		fmt.Fprintf(o.Record, "case cannot run: %v\n", err)
 		return NotRun
 	}
-	defer w.close()
-	go w.closeEarly()
-	rec.add("case %s, fault %t", o.Case, o.Fault)
+	defer w.Close()
+	go closeEarly(w)
+	w.Record("case %s, fault %t", o.Case, o.Fault)
 	broken, err := f(w, o.Fault)
 	switch {
 	case err != nil:
-		rec.add("case cannot run: %v", err)
+		w.Record("case cannot run: %v", err)
 		return NotRun
 	case broken:
-		rec.add("the promise was broken")
+		w.Record("the promise was broken")
 		return Broken
 	}
-	rec.add("the promise held")
+	w.Record("the promise held")
 	return Held
 }
--- a/internal/soak/cases/cut.go
+++ b/internal/soak/cases/cut.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
 
 const (
@@ -20,66 +22,64 @@
 )
 
 // caseCutService cuts off the worker of a task that lasts right after each of its first starts.
-func caseCutService(w *world, fault bool) (broken bool, err error) {
+func caseCutService(w *world.World, fault bool) (broken bool, err error) {
 	const body = `{"spec":"run 600000","steps":[{"count":3,"cpu":1000,"mem_mb":64,"est_ms":1000,"long_running":true,"max_per_server":1}]}`
-	answer, err := w.playCuts("d000000000000001", body, fault)
+	answer, err := playCuts(w, "d000000000000001", body, fault)
 	if err != nil {
 		return false, err
 	}
 	running := 0
-	for _, r := range w.observed() {
-		if r.ended.IsZero() {
+	for _, r := range w.Observed() {
+		if r.Ended.IsZero() {
 			running++
 		}
 	}
-	w.rec.add("%d of 3 tasks run", running)
+	w.Record("%d of 3 tasks run", running)
 	return strings.Contains(answer, "failed") || running < 3, nil
 }
 
 // caseCutTask is caseCutService with tasks that end, after their leases do.
-func caseCutTask(w *world, fault bool) (broken bool, err error) {
-	answer, err := w.playCuts("d000000000000002", jobBody("run 5000", 3, 5*time.Second), fault)
+func caseCutTask(w *world.World, fault bool) (broken bool, err error) {
+	answer, err := playCuts(w, "d000000000000002", jobBody("run 5000", 3, 5*time.Second), fault)
 	return !strings.Contains(answer, "finished"), err
 }
 
 // playCuts submits a job of three tasks, cuts off the worker of the last one after each of its first starts, and returns the state of the
 // job some time after the last cut. No run may end failed.
-func (w *world) playCuts(id, body string, fault bool) (answer string, err error) {
-	if err := w.addService(9); err != nil {
+func playCuts(w *world.World, id, body string, fault bool) (answer string, err error) {
+	if err := addService(w, 9); err != nil {
 		return "", err
 	}
-	w.configure([]string{service}, newQueue("q", 3))
-	if err := w.startNodes(); err != nil {
+	w.Configure([]string{service}, world.NewQueue("q", service, 3))
+	if err := w.StartNodes(); err != nil {
 		return "", err
 	}
 	time.Sleep(2 * time.Second)
 	var cuts atomic.Int64
 	if fault {
-		w.mu.Lock()
-		w.onStart = func(ws *workerServer, task string) {
+		w.OnStart(func(ws *world.Worker, task string) {
 			if task != id+".0.0.2" || cuts.Add(1) > startsCutOff {
 				return
 			}
 			time.Sleep(cutAfterStart)
-			ws.setCut(true)
+			ws.SetCut(true)
 			time.Sleep(cutTime)
-			ws.setCut(false)
-		}
-		w.mu.Unlock()
+			ws.SetCut(false)
+		})
 	}
-	if !w.submit(0, "/q/"+id, body) {
+	if !w.Submit(0, "/q/"+id, body) {
 		return "", fmt.Errorf("the job was not accepted")
 	}
 	for end := time.Now().Add(50 * time.Second); fault && cuts.Load() <= startsCutOff && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if answer = w.state("/q/" + id); strings.Contains(answer, "failed") || strings.Contains(answer, "finished") {
+		if answer = w.State("/q/" + id); strings.Contains(answer, "failed") || strings.Contains(answer, "finished") {
 			return answer, nil
 		}
 	}
 	time.Sleep(afterCuts)
-	for _, r := range w.observed() {
-		if r.how == "failed" {
+	for _, r := range w.Observed() {
+		if r.How == "failed" {
 			return "", fmt.Errorf("a run ended failed")
 		}
 	}
-	return w.state("/q/" + id), nil
+	return w.State("/q/" + id), nil
 }
--- a/internal/soak/cases/parts.go
+++ b/internal/soak/cases/parts.go
@@ -3,38 +3,39 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
+
+	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
 
 // caseParts kills the leader of a young deployment while the store is slow. The IDs of the jobs have different first digits.
-func caseParts(w *world, fault bool) (broken bool, err error) {
-	if err := w.addService(8); err != nil {
+func caseParts(w *world.World, fault bool) (broken bool, err error) {
+	if err := addService(w, 8); err != nil {
 		return false, err
 	}
-	w.configure([]string{service}, newQueue("q", 3))
-	if err := w.startNodes(); err != nil {
+	w.Configure([]string{service}, world.NewQueue("q", service, 3))
+	if err := w.StartNodes(); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
 	body := jobBody("run 300", 1, 300*time.Millisecond)
 	id := func(n int) string { return fmt.Sprintf("%x00000000000000a", n) }
 	for n := range 3 {
-		if !w.submit(n, "/q/"+id(n), body) {
+		if !w.Submit(n, "/q/"+id(n), body) {
 			return false, fmt.Errorf("job %s was not accepted", id(n))
 		}
 	}
 	time.Sleep(500 * time.Millisecond)
-	alive := w.nodes
+	alive := w.Nodes()
 	if fault {
-		w.rec.add("store: answers take 60 times as long")
-		w.store.setSlow(60)
-		dead := w.leader()
-		w.rec.add("process %s is killed", dead.name)
-		dead.kill()
+		w.Record("store: answers take 60 times as long")
+		w.Store().SetSlow(60)
+		dead := w.Leader()
+		w.Record("process %s is killed", dead.Name())
+		dead.Kill()
 		alive = nil
-		for _, n := range w.nodes {
+		for _, n := range w.Nodes() {
 			if n != dead {
 				alive = append(alive, n)
 			}
@@ -48,8 +49,8 @@
 		time.Sleep(200 * time.Millisecond)
 		jobs.Go(func() {
 			for attempt := range 4 {
-				status, _ := w.call(http.MethodPost, alive[(n+attempt)%len(alive)], "/q/"+id(n), body)
-				w.rec.add("client: POST /q/%s: %d", id(n), status)
+				status, _ := w.Call(http.MethodPost, alive[(n+attempt)%len(alive)], "/q/"+id(n), body)
+				w.Record("client: POST /q/%s: %d", id(n), status)
 				if status/100 == 2 {
 					mu.Lock()
 					accepted[id(n)] = true
@@ -60,13 +61,13 @@
 		})
 	}
 	time.Sleep(4500*time.Millisecond - time.Since(begin))
-	w.rec.add("store: answers take as long as usual")
-	w.store.setSlow(1)
+	w.Record("store: answers take as long as usual")
+	w.Store().SetSlow(1)
 	jobs.Wait()
 	time.Sleep(17 * time.Second)
 	started := make(map[string]bool)
-	for _, r := range w.observed() {
-		started[strings.Split(r.task, ".")[0]] = true
+	for _, r := range w.Observed() {
+		started[r.Task.Job] = true
 	}
 	lost := 0
 	for job := range accepted {
@@ -74,9 +75,9 @@
 			continue
 		}
 		lost++
-		status, answer := w.call(http.MethodGet, alive[0], "/q/"+job, "")
-		w.rec.add("LOST: job %s was accepted and has not started, 17 s after the disruption; GET answers %d %s", job, status, answer)
+		status, answer := w.Call(http.MethodGet, alive[0], "/q/"+job, "")
+		w.Record("LOST: job %s was accepted and has not started, 17 s after the disruption; GET answers %d %s", job, status, answer)
 	}
-	w.rec.add("%d jobs accepted during and after the disruption, %d never started", len(accepted), lost)
+	w.Record("%d jobs accepted during and after the disruption, %d never started", len(accepted), lost)
 	return lost > 0, nil
 }
--- a/internal/soak/cases/restart.go
+++ b/internal/soak/cases/restart.go
@@ -2,17 +2,18 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
-
-	"strings"
 	"time"
+
+	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
 
 // addService adds workers of the service, four to a rack.
-func (w *world) addService(n int) error {
+func addService(w *world.World, n int) error {
 	for i := range n {
-		if _, err := w.addWorker(fmt.Sprintf("w%d", i+1), service, fmt.Sprintf("z%d", i%3+1), fmt.Sprintf("r%d", i/4+1), fmt.Sprintf("m%d", i+1)); err != nil {
+		if _, err := w.AddWorker(fmt.Sprintf("w%d", i+1), service, fmt.Sprintf("z%d", i%3+1), fmt.Sprintf("r%d", i/4+1), fmt.Sprintf("m%d", i+1)); err != nil {
 			return err
 		}
 	}
@@ -27,18 +28,16 @@
 }
 
 // justEnded returns the worker with the most ends that are not taken note of yet.
-func (w *world) justEnded() *workerServer {
-	w.mu.Lock()
-	workers := w.workers
-	w.mu.Unlock()
-	var best *workerServer
+func justEnded(w *world.World) *world.Worker { return highest(w, (*world.Worker).Unacknowledged) }
+
+// busiest returns the worker on which most tasks run.
+func busiest(w *world.World) *world.Worker { return highest(w, (*world.Worker).Load) }
+
+// highest returns the worker with the highest count, and nil if all are 0.
+func highest(w *world.World, count func(*world.Worker) int) (best *world.Worker) {
 	most := 0
-	for _, ws := range workers {
-		ws.mu.Lock()
-		n := len(ws.ended)
-		down := ws.down
-		ws.mu.Unlock()
-		if !down && n > most {
+	for _, ws := range w.Workers() {
+		if n := count(ws); n > most {
 			best, most = ws, n
 		}
 	}
@@ -46,17 +45,17 @@
 }
 
 // repeated counts the starts of tasks after a run of them that has ended done and whose end was taken note of, and records each.
-func (w *world) repeated() int {
-	runs := w.observed()
+func repeated(w *world.World) int {
+	runs := w.Observed()
 	n := 0
 	for _, first := range runs {
-		if first.how != "done" || !first.acked {
+		if first.How != "done" || !first.Acked {
 			continue
 		}
 		for _, later := range runs {
-			if later.task == first.task && later.begun.After(first.ended) {
+			if later.Task == first.Task && later.Begun.After(first.Ended) {
 				n++
-				w.rec.add("TWICE: task %s ended done as run %d on %s, taken note of; run %d started %.3f s later on %s", first.task, first.number, first.worker, later.number, later.begun.Sub(first.ended).Seconds(), later.worker)
+				w.Record("TWICE: task %s ended done as run %d on %s, taken note of; run %d started %.3f s later on %s", first.Task, first.Number, first.Worker, later.Number, later.Begun.Sub(first.Ended).Seconds(), later.Worker)
 			}
 		}
 	}
@@ -64,12 +63,12 @@
 }
 
 // caseReack restarts workers under their IDs while answers of the store are lost.
-func caseReack(w *world, fault bool) (broken bool, err error) {
-	if err := w.addService(8); err != nil {
+func caseReack(w *world.World, fault bool) (broken bool, err error) {
+	if err := addService(w, 8); err != nil {
 		return false, err
 	}
-	w.configure([]string{service}, newQueue("q", 3))
-	if err := w.startNodes(); err != nil {
+	w.Configure([]string{service}, world.NewQueue("q", service, 3))
+	if err := w.StartNodes(); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
@@ -77,25 +76,25 @@
 	if fault {
 		for _, from := range []time.Duration{3 * time.Second, 11 * time.Second} {
 			steps = append(steps, step{from, func() {
-				w.rec.add("store: 35 of 100 writes are done and not answered")
-				w.store.setLost(0.35)
+				w.Record("store: 35 of 100 writes are done and not answered")
+				w.Store().SetLost(0.35)
 			}})
 			for i := range 5 {
 				steps = append(steps, step{from + 500*time.Millisecond + time.Duration(i)*800*time.Millisecond, func() {
-					if ws := w.justEnded(); ws != nil {
-						go ws.crash(200 * time.Millisecond)
+					if ws := justEnded(w); ws != nil {
+						go ws.Crash(200 * time.Millisecond)
 					}
 				}})
 			}
 			steps = append(steps, step{from + 4500*time.Millisecond, func() {
-				w.rec.add("store: all writes are answered")
-				w.store.setLost(0)
+				w.Record("store: all writes are answered")
+				w.Store().SetLost(0)
 			}})
 		}
 	}
-	w.load(20*time.Second, 120*time.Millisecond, jobBody("run 400", 8, 400*time.Millisecond), steps)
+	load(w, 20*time.Second, 120*time.Millisecond, jobBody("run 400", 8, 400*time.Millisecond), steps)
 	time.Sleep(6 * time.Second)
-	return w.repeated() > 0, nil
+	return repeated(w) > 0, nil
 }
 
 // step is a part of a disruption, and the time at which it comes.
@@ -105,7 +104,7 @@
 }
 
 // load hands in a job each gap for a time, and disrupts meanwhile. It returns when all jobs have been answered.
-func (w *world) load(duration, gap time.Duration, body string, steps []step) {
+func load(w *world.World, duration, gap time.Duration, body string, steps []step) {
 	var jobs sync.WaitGroup
 	var accepted atomic.Int64
 	ticker := time.NewTicker(gap)
@@ -119,7 +118,7 @@
 		n := sent
 		sent++
 		jobs.Go(func() {
-			if w.submit(n%3, "/q/"+jobID(n), body) {
+			if w.Submit(n%3, "/q/"+jobID(n), body) {
 				accepted.Add(1)
 			}
 		})
@@ -129,47 +128,47 @@
 		}
 	}
 	jobs.Wait()
-	w.rec.add("%d jobs sent, %d accepted", sent, accepted.Load())
+	w.Record("%d jobs sent, %d accepted", sent, accepted.Load())
 }
 
 // caseFlap lets the only worker with a label go down and up by turns while a job runs there.
-func caseFlap(w *world, fault bool) (broken bool, err error) {
-	if err := w.addService(9); err != nil {
+func caseFlap(w *world.World, fault bool) (broken bool, err error) {
+	if err := addService(w, 9); err != nil {
 		return false, err
 	}
-	special, err := w.addWorker("w10", service, "z1", "r9", "m10")
+	special, err := w.AddWorker("w10", service, "z1", "r9", "m10")
 	if err != nil {
 		return false, err
 	}
-	w.configure([]string{service}, newQueue("q", 3))
-	if err := w.startNodes(); err != nil {
+	w.Configure([]string{service}, world.NewQueue("q", service, 3))
+	if err := w.StartNodes(); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
 	const id = "a000000000000001"
-	if !w.submit(0, "/q/"+id, strings.Replace(jobBody("run 2500", 1, 2500*time.Millisecond), `"cpu"`, `"requires":"r9","cpu"`, 1)) {
+	if !w.Submit(0, "/q/"+id, strings.Replace(jobBody("run 2500", 1, 2500*time.Millisecond), `"cpu"`, `"requires":"r9","cpu"`, 1)) {
 		return false, fmt.Errorf("the job was not accepted")
 	}
 	time.Sleep(500 * time.Millisecond)
 	if fault {
-		w.rec.add("worker w10 goes down and up by turns")
+		w.Record("worker w10 goes down and up by turns")
 		life := 2
 		for begin := time.Now(); time.Since(begin) < 6500*time.Millisecond; {
-			special.crashAs(fmt.Sprintf("w10-%d", life), 500*time.Millisecond)
+			special.CrashAs(fmt.Sprintf("w10-%d", life), 500*time.Millisecond)
 			life++
 			time.Sleep(900 * time.Millisecond)
 		}
-		w.rec.add("worker w10 stays up")
+		w.Record("worker w10 stays up")
 	}
 	answer := ""
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-		answer = w.state("/q/" + id)
+		answer = w.State("/q/" + id)
 		if strings.Contains(answer, "finished") || strings.Contains(answer, "failed") {
 			break
 		}
 	}
-	for _, r := range w.observed() {
-		if r.how == "failed" {
+	for _, r := range w.Observed() {
+		if r.How == "failed" {
 			return false, fmt.Errorf("a run ended failed")
 		}
 	}
@@ -177,12 +176,12 @@
 }
 
 // caseAck lets workers lose power and start again under their IDs while short tasks run.
-func caseAck(w *world, fault bool) (broken bool, err error) {
-	if err := w.addService(8); err != nil {
+func caseAck(w *world.World, fault bool) (broken bool, err error) {
+	if err := addService(w, 8); err != nil {
 		return false, err
 	}
-	w.configure([]string{service}, newQueue("q", 3))
-	if err := w.startNodes(); err != nil {
+	w.Configure([]string{service}, world.NewQueue("q", service, 3))
+	if err := w.StartNodes(); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
@@ -190,82 +189,64 @@
 	if fault {
 		for i := range 3 {
 			steps = append(steps, step{3*time.Second + time.Duration(i)*4*time.Second, func() {
-				if ws := w.busiest(); ws != nil {
-					go ws.crashDark(1200 * time.Millisecond)
+				if ws := busiest(w); ws != nil {
+					go ws.LosePower(1200 * time.Millisecond)
 				}
 			}})
 		}
 	}
-	w.load(16*time.Second, 60*time.Millisecond, jobBody("run 60", 4, 60*time.Millisecond), steps)
+	load(w, 16*time.Second, 60*time.Millisecond, jobBody("run 60", 4, 60*time.Millisecond), steps)
 	time.Sleep(8 * time.Second)
-	return w.repeated() > 0, nil
+	return repeated(w) > 0, nil
 }
 
 // caseLasting restarts, three times, the worker on which a task that lasts runs.
-func caseLasting(w *world, fault bool) (broken bool, err error) {
-	if err := w.addService(8); err != nil {
+func caseLasting(w *world.World, fault bool) (broken bool, err error) {
+	if err := addService(w, 8); err != nil {
 		return false, err
 	}
-	w.configure([]string{service}, newQueue("q", 3))
-	if err := w.startNodes(); err != nil {
+	w.Configure([]string{service}, world.NewQueue("q", service, 3))
+	if err := w.StartNodes(); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
 	const id = "c000000000000001"
 	body := `{"spec":"run 600000","steps":[{"count":2,"cpu":1000,"mem_mb":64,"est_ms":1000,"long_running":true,"max_per_server":1}]}`
-	if !w.submit(0, "/q/"+id, body) {
+	if !w.Submit(0, "/q/"+id, body) {
 		return false, fmt.Errorf("the job was not accepted")
 	}
 	const task = id + ".0.0.0"
 	for crashes := 0; fault && crashes < 3; crashes++ {
-		ws, err := w.waitRunning(task, 10*time.Second)
+		ws, err := waitRunning(w, task, 10*time.Second)
 		if err != nil {
 			return false, err
 		}
 		time.Sleep(2500 * time.Millisecond)
-		ws.crash(500 * time.Millisecond)
+		ws.Crash(500 * time.Millisecond)
 	}
 	time.Sleep(15 * time.Second)
-	answer := w.state("/q/" + id)
+	answer := w.State("/q/" + id)
 	running := 0
-	for _, r := range w.observed() {
-		if r.how == "failed" {
+	for _, r := range w.Observed() {
+		if r.How == "failed" {
 			return false, fmt.Errorf("a run ended failed")
 		}
-		if r.ended.IsZero() {
+		if r.Ended.IsZero() {
 			running++
 		}
 	}
-	w.rec.add("%d of 2 tasks run, 15 s after the last disruption", running)
+	w.Record("%d of 2 tasks run, 15 s after the last disruption", running)
 	return strings.Contains(answer, "failed") || running < 2, nil
 }
 
 // waitRunning waits until a task runs, and returns its worker.
-func (w *world) waitRunning(task string, limit time.Duration) (*workerServer, error) {
+func waitRunning(w *world.World, task string, limit time.Duration) (*world.Worker, error) {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		for _, ws := range w.workers {
-			ws.mu.Lock()
-			_, ok := ws.running[task]
-			ws.mu.Unlock()
-			if ok {
+		for _, ws := range w.Workers() {
+			if ws.Runs(task) {
 				return ws, nil
 			}
 		}
 	}
 	return nil, fmt.Errorf("task %s does not run", task)
 }
-
-// busiest returns the worker on which most tasks run.
-func (w *world) busiest() *workerServer {
-	var best *workerServer
-	most := 0
-	for _, ws := range w.workers {
-		ws.mu.Lock()
-		n := len(ws.running)
-		ws.mu.Unlock()
-		if n > most {
-			best, most = ws, n
-		}
-	}
-	return best
-}
--- a/internal/soak/cases/starve.go
+++ b/internal/soak/cases/starve.go
@@ -4,15 +4,17 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
 
 // caseStarve lets small jobs come faster than the workers can run them, while a job with tasks that last waits.
-func caseStarve(w *world, fault bool) (broken bool, err error) {
-	if err := w.addService(4); err != nil {
+func caseStarve(w *world.World, fault bool) (broken bool, err error) {
+	if err := addService(w, 4); err != nil {
 		return false, err
 	}
-	w.configure([]string{service}, newQueue("q", 3), newQueue("lasting", 3))
-	if err := w.startNodes(); err != nil {
+	w.Configure([]string{service}, world.NewQueue("q", service, 3), world.NewQueue("lasting", service, 3))
+	if err := w.StartNodes(); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
@@ -34,7 +36,7 @@
 		}
 		if handed.IsZero() && since > 5*time.Second {
 			body := `{"spec":"run 600000","steps":[{"count":1,"cpu":8000,"mem_mb":64,"est_ms":1000,"long_running":true}]}`
-			if !w.submit(0, "/lasting/"+id, body) {
+			if !w.Submit(0, "/lasting/"+id, body) {
 				return false, fmt.Errorf("the lasting job was not accepted")
 			}
 			handed = time.Now()
@@ -42,14 +44,14 @@
 		n := sent
 		sent++
 		ms := 600 + random.IntN(800)
-		go w.submit(n%3, "/q/"+jobID(n), jobBody(fmt.Sprintf("run %d", ms), 4, time.Duration(ms)*time.Millisecond))
+		go w.Submit(n%3, "/q/"+jobID(n), jobBody(fmt.Sprintf("run %d", ms), 4, time.Duration(ms)*time.Millisecond))
 	}
 	started := time.Duration(-1)
-	for _, r := range w.observed() {
-		if r.task == id+".0.0.0" && (started < 0 || r.begun.Sub(handed) < started) {
-			started = r.begun.Sub(handed)
+	for _, r := range w.Observed() {
+		if r.Task.String() == id+".0.0.0" && (started < 0 || r.Begun.Sub(handed) < started) {
+			started = r.Begun.Sub(handed)
 		}
 	}
-	w.rec.add("the lasting task started after %v, %d small jobs sent", started, sent)
+	w.Record("the lasting task started after %v, %d small jobs sent", started, sent)
 	return started < 0 || started > 7*time.Second, nil
 }
--- /dev/null
+++ b/internal/soak/link/link.go
@@ -0,0 +1,200 @@
+// Package link forwards TCP connections and disturbs them on demand.
+//
+// # Usage
+//
+//	l, err := link.Listen("127.0.0.1:0", target)
+//	l.Disturb(link.Silent)
+//	time.Sleep(time.Second)
+//	l.Restore()
+package link
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what a link does with connections.
+type Mode int
+
+// Modes.
+const (
+	// Pass forwards everything.
+	Pass Mode = iota
+	// Delayed forwards each read after the delay.
+	Delayed
+	// Reset resets open connections once, and forwards new ones.
+	Reset
+	// CutTo loses the bytes that go to the target.
+	CutTo
+	// CutFrom loses the bytes that come from the target.
+	CutFrom
+	// Cut loses the bytes of both ways.
+	Cut
+	// Silent makes open connections carry nothing until they are closed, and forwards new ones.
+	Silent
+)
+
+const bufferSize = 32 << 10
+
+// Link forwards connections to a target.
+type Link struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  Mode
+	delay time.Duration
+	pipes map[*pipe]bool
+}
+
+// pipe is a forwarded connection.
+type pipe struct {
+	client, server net.Conn
+	// lossyTo and lossyFrom mean that bytes of a way were lost, so that nothing further may be delivered.
+	lossyTo, lossyFrom bool
+}
+
+// Listen starts a link.
+func Listen(address, target string) (*Link, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{listener: listener, target: target, pipes: make(map[*pipe]bool)}
+	go l.accept()
+	return l, nil
+}
+
+// Address returns the address at which the link accepts connections.
+func (l *Link) Address() string { return l.listener.Addr().String() }
+
+// Close ends the link and its connections.
+func (l *Link) Close() error {
+	err := l.listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pipes {
+		p.reset()
+	}
+	return err
+}
+
+// Disturb sets the mode of the link.
+func (l *Link) Disturb(m Mode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mode = m
+	for p := range l.pipes {
+		switch m {
+		case Reset:
+			p.reset()
+		case Silent:
+			p.lossyTo, p.lossyFrom = true, true
+		}
+	}
+}
+
+// Delay makes the link forward each read after a delay.
+func (l *Link) Delay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mode, l.delay = Delayed, d
+}
+
+// Restore ends a disturbance. Connections that have lost bytes are reset, unless they are to stay silent.
+func (l *Link) Restore() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pipes {
+		if l.mode != Silent && (p.lossyTo || p.lossyFrom) {
+			p.reset()
+		}
+	}
+	l.mode, l.delay = Pass, 0
+}
+
+func (l *Link) accept() {
+	for {
+		client, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.forward(client)
+	}
+}
+
+func (l *Link) forward(client net.Conn) {
+	server, err := net.Dial("tcp", l.target)
+	if err != nil {
+		reset(client)
+		return
+	}
+	p := &pipe{client: client, server: server}
+	l.mu.Lock()
+	l.pipes[p] = true
+	l.mu.Unlock()
+	done := make(chan struct{}, 2)
+	go func() { l.copy(p, client, server, true); done <- struct{}{} }()
+	go func() { l.copy(p, server, client, false); done <- struct{}{} }()
+	<-done
+	_ = client.Close()
+	_ = server.Close()
+	l.mu.Lock()
+	delete(l.pipes, p)
+	l.mu.Unlock()
+}
+
+// copy forwards one way of a connection until it ends.
+func (l *Link) copy(p *pipe, in, out net.Conn, to bool) {
+	buffer := make([]byte, bufferSize)
+	for {
+		n, err := in.Read(buffer)
+		lost, delay := l.pass(p, to)
+		if lost {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		if n > 0 {
+			if _, err := out.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// pass reports whether bytes of one way are lost, and otherwise by how much they are late.
+func (l *Link) pass(p *pipe, to bool) (lost bool, delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lossy := &p.lossyFrom
+	if to {
+		lossy = &p.lossyTo
+	}
+	if l.mode == Cut || l.mode == CutTo && to || l.mode == CutFrom && !to {
+		*lossy = true
+	}
+	return *lossy, l.delay
+}
+
+func (p *pipe) reset() {
+	reset(p.client)
+	reset(p.server)
+}
+
+// reset closes a connection with a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		// It fails only for connections that are closed.
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/soak/link/link_test.go
@@ -0,0 +1,108 @@
+package link_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/internal/soak/link"
+)
+
+// answerTimeout is how long a test waits for an echo that may be lost.
+const answerTimeout = 300 * time.Millisecond
+
+// echoServer sends back what it receives.
+func echoServer(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// echo sends a byte over a connection and returns how long its echo took.
+func echo(conn net.Conn) (time.Duration, error) {
+	begun := time.Now()
+	if _, err := conn.Write([]byte{1}); err != nil {
+		return 0, err
+	}
+	if err := conn.SetReadDeadline(begun.Add(answerTimeout)); err != nil {
+		return 0, err
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return time.Since(begun), err
+}
+
+func TestDisturb(t *testing.T) {
+	for name, test := range map[string]struct {
+		mode link.Mode
+		// open, fresh and after are the errors of a connection opened before, one opened during, and the first one after the disturbance.
+		open, fresh, after error
+	}{
+		"pass":     {link.Pass, nil, nil, nil},
+		"reset":    {link.Reset, syscall.ECONNRESET, nil, syscall.ECONNRESET},
+		"cut":      {link.Cut, os.ErrDeadlineExceeded, os.ErrDeadlineExceeded, syscall.ECONNRESET},
+		"cut to":   {link.CutTo, os.ErrDeadlineExceeded, os.ErrDeadlineExceeded, syscall.ECONNRESET},
+		"cut from": {link.CutFrom, os.ErrDeadlineExceeded, os.ErrDeadlineExceeded, syscall.ECONNRESET},
+		"silent":   {link.Silent, os.ErrDeadlineExceeded, nil, os.ErrDeadlineExceeded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l, err := link.Listen("127.0.0.1:0", echoServer(c))
+			c.Assert(err, qt.IsNil)
+			defer l.Close()
+			dial := func() net.Conn {
+				conn, err := net.Dial("tcp", l.Address())
+				c.Assert(err, qt.IsNil)
+				c.Cleanup(func() { _ = conn.Close() })
+				return conn
+			}
+			check := func(conn net.Conn, want error) {
+				_, err := echo(conn)
+				// The write after a reset fails in another way than the read.
+				c.Assert(errors.Is(err, want) || want == syscall.ECONNRESET && errors.Is(err, syscall.EPIPE), qt.IsTrue, qt.Commentf("error %v, want %v", err, want))
+			}
+			open := dial()
+			check(open, nil)
+			l.Disturb(test.mode)
+			check(open, test.open)
+			check(dial(), test.fresh)
+			l.Restore()
+			time.Sleep(10 * time.Millisecond)
+			check(open, test.after)
+			check(dial(), nil)
+		})
+	}
+}
+
+func TestDelay(t *testing.T) {
+	const delay = 50 * time.Millisecond
+	c := qt.New(t)
+	l, err := link.Listen("127.0.0.1:0", echoServer(c))
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Address())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	l.Delay(delay)
+	took, err := echo(conn)
+	c.Assert(err, qt.IsNil)
+	c.Assert(took >= 2*delay, qt.IsTrue, qt.Commentf("the echo took %s", took))
+}
--- a/internal/soak/cases/cloud.go
+++ b/internal/soak/world/cloud.go
@@ -1,38 +1,50 @@
-package cases
+package world
 
 import (
 	"fmt"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/chivetiller/chivetiller/internal/soak/promises"
 )
 
 type machine struct {
 	id, state string
-	worker    *workerServer
+	worker    *Worker
 }
 
-// cloud is a stand-in for the service that lists and maintains machines. It carries each call out at once.
-type cloud struct {
-	w        *world
+// Cloud is a stand-in for the service that lists and maintains machines. It carries each call out at once.
+type Cloud struct {
+	w        *World
 	mu       sync.Mutex
 	machines map[string]*machine
 }
 
-func (c *cloud) add(id string, ws *workerServer) {
+// Add adds the machine of a worker.
+func (c *Cloud) Add(id string, ws *Worker) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.machines[id] = &machine{id: id, state: "up", worker: ws}
 }
 
-func (c *cloud) handler() http.Handler {
+// replace makes a worker that of a machine, which is up.
+func (c *Cloud) replace(id string, ws *Worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m, ok := c.machines[id]; ok {
+		m.worker, m.state = ws, "up"
+	}
+}
+
+func (c *Cloud) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machines", c.list)
 	mux.HandleFunc("POST /machine-upkeep", c.upkeep)
 	return mux
 }
 
-func (c *cloud) list(w http.ResponseWriter, _ *http.Request) {
+func (c *Cloud) list(w http.ResponseWriter, _ *http.Request) {
 	c.mu.Lock()
 	list := make([]map[string]any, 0, len(c.machines))
 	for _, m := range c.machines {
@@ -47,7 +59,7 @@
 }
 
 // upkeep takes a machine down for its upkeep. A new worker joins its pool after it.
-func (c *cloud) upkeep(w http.ResponseWriter, r *http.Request) {
+func (c *Cloud) upkeep(w http.ResponseWriter, r *http.Request) {
 	var call struct {
 		Machine string `json:"machine"`
 		Wave    int    `json:"wave"`
@@ -58,7 +70,7 @@
 	}
 	c.mu.Lock()
 	m, ok := c.machines[call.Machine]
-	if !ok || m.state != "up" {
+	if !ok || m.state != "up" || m.worker.leaving() {
 		c.mu.Unlock()
 		writeJSON(w, http.StatusConflict, map[string]any{"reason": "busy"})
 		return
@@ -66,34 +78,25 @@
 	m.state = "upkeep"
 	old := m.worker
 	c.mu.Unlock()
-	c.w.rec.add("machine %s begins its upkeep, asked by %s", call.Machine, r.Header.Get("Chivetiller-Holder"))
-	old.switchOff()
+	c.w.Record("machine %s begins its upkeep, asked by %s", call.Machine, r.Header.Get("Chivetiller-Holder"))
+	ended := c.w.history.Disrupt(promises.Maintenance, old.id)
+	old.switchOff(promises.SwitchedOff)
 	go func() {
+		defer ended()
 		time.Sleep(upkeepTime)
-		ws, err := c.w.addWorker(fmt.Sprintf("%s-u", old.id), old.service, old.zone, old.rack, m.id)
+		ws, err := c.w.AddWorker(fmt.Sprintf("%s-u", old.id), old.service, old.zone, old.rack, m.id)
 		if err != nil {
-			c.w.rec.add("worker cannot start: %v", err)
+			c.w.Record("worker cannot start: %v", err)
 			return
 		}
-		c.mu.Lock()
-		m.worker, m.state = ws, "up"
-		c.mu.Unlock()
+		c.replace(m.id, ws)
 	}()
 	writeJSON(w, http.StatusOK, map[string]any{})
 }
 
-// switchOff ends a worker for good.
-func (ws *workerServer) switchOff() {
+// leaving reports whether the worker drains or is down, so that its machine cannot be maintained.
+func (ws *Worker) leaving() bool {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	ws.down, ws.off = true, true
-	for _, r := range ws.running {
-		ws.w.observeEnd(ws, r, "machine down")
-	}
-	ws.running = make(map[string]*taskRun)
-	_ = ws.listener.Close()
-	for conn := range ws.conns {
-		_ = conn.Close()
-	}
-	ws.w.store.remove(rowKey{Table: "servers", Key: ws.id})
+	return ws.draining || ws.down
 }
--- a/internal/soak/cases/store.go
+++ b/internal/soak/world/store.go
@@ -1,9 +1,8 @@
-package cases
+package world
 
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sort"
@@ -20,9 +19,12 @@
 	maxRowBytes = 64 << 10
 	pageRows    = 500
 	answerTime  = 4 * time.Millisecond
+	// minLateWrite and maxLateWrite bound the time after which a write is done late.
+	minLateWrite = 2 * time.Second
+	maxLateWrite = 6 * time.Second
 )
 
-type rowKey struct {
+type RowKey struct {
 	Table string `json:"table"`
 	Part  string `json:"part"`
 	Key   string `json:"key"`
@@ -35,61 +37,142 @@
 }
 
 type wireRow struct {
-	rowKey
+	RowKey
 	Value     []byte `json:"value"`
 	Version   uint64 `json:"ver"`
 	Tombstone bool   `json:"tombstone,omitempty"`
 }
 
-// store is a stand-in for the store of the platform. It keeps rows in memory and executes each call when it arrives. While it is slow,
+// Store is a stand-in for the store of the platform. It keeps rows in memory and executes each call when it arrives. While it is slow,
 // only its answers take longer.
-type store struct {
+type Store struct {
 	rec   *recorder
 	start time.Time
 
 	mu      sync.Mutex
-	rows    map[rowKey]storedRow
+	rows    map[RowKey]storedRow
 	version uint64
 	changed chan struct{}
 	slow    float64
 	// lost is the share of the writes that are done and not answered.
-	lost    float64
-	random  *rand.Rand
+	lost float64
+	// late is the share of the writes that are not answered and done later.
+	late float64
+	// up is closed when the store is no longer down. It is nil while it is not.
+	up chan struct{}
+	// oldest is the version before which the history is forgotten.
+	oldest uint64
+	// share returns a number from 0 to 1.
+	share   func() float64
 	refused int
 	// leaders holds the rows that named a leader, in order.
 	leaders []storedRow
 }
 
 // keyLeader is the key of the row of the leader.
-var keyLeader = rowKey{Table: "duty", Key: "holder"}
+var keyLeader = RowKey{Table: "duty", Key: "holder"}
 
-func newStore(rec *recorder) *store {
-	return &store{rec: rec, start: time.Now(), rows: make(map[rowKey]storedRow), changed: make(chan struct{}), slow: 1, random: rand.New(rand.NewPCG(1, 1))}
+func newStore(rec *recorder) *Store {
+	return &Store{rec: rec, start: time.Now(), rows: make(map[RowKey]storedRow), changed: make(chan struct{}), slow: 1}
 }
 
-// setSlow makes answers take a multiple of their usual time.
-func (s *store) setSlow(factor float64) {
+// SetSlow makes answers take a multiple of their usual time.
+func (s *Store) SetSlow(factor float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.slow = factor
 }
 
-// setLost makes a share of the writes get no answer, although they are done.
-func (s *store) setLost(share float64) {
+// SetLost makes a share of the writes get no answer, although they are done.
+func (s *Store) SetLost(share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lost = share
 }
 
-// loses reports whether the answer of a write is lost.
-func (s *store) loses() bool {
+// SetLate makes a share of the writes get no answer and be done seconds later, if their conditions still hold then.
+func (s *Store) SetLate(share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.random.Float64() < s.lost
+	s.late = share
 }
 
-// put writes a row of a worker or the operator.
-func (s *store) put(key rowKey, value any) {
+// SetDown makes the store answer nothing, or ends that.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case down && s.up == nil:
+		s.up = make(chan struct{})
+	case !down && s.up != nil:
+		close(s.up)
+		s.up = nil
+	}
+}
+
+// Forget makes the store forget its history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.version
+}
+
+// Refused returns the number of transactions that were refused for what they are.
+func (s *Store) Refused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
+func (s *Store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.up != nil
+}
+
+// waitUp waits while the store is down.
+func (s *Store) waitUp() {
+	s.mu.Lock()
+	up := s.up
+	s.mu.Unlock()
+	if up != nil {
+		<-up
+	}
+}
+
+// holdDown gives a call no answer if the store is down.
+func (s *Store) holdDown(r *http.Request) {
+	if s.isDown() {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// fate is what becomes of a write.
+type fate int
+
+const (
+	answered fate = iota
+	unanswered
+	doneLate
+)
+
+// fate draws what becomes of a write.
+func (s *Store) fate() fate {
+	s.mu.Lock()
+	lost, late := s.lost, s.late
+	s.mu.Unlock()
+	switch drawn := s.share(); {
+	case drawn < lost:
+		return unanswered
+	case drawn < lost+late:
+		return doneLate
+	}
+	return answered
+}
+
+// Put writes a row of a worker or the operator.
+func (s *Store) Put(key RowKey, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
@@ -100,8 +183,8 @@
 	s.write(key, storedRow{value: data, version: s.version})
 }
 
-// remove removes a row of a worker.
-func (s *store) remove(key rowKey) {
+// Remove removes a row of a worker.
+func (s *Store) Remove(key RowKey) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r, ok := s.rows[key]; ok && !r.deleted {
@@ -111,13 +194,13 @@
 }
 
 // get returns the value of a row.
-func (s *store) get(key rowKey) []byte {
+func (s *Store) get(key RowKey) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.rows[key].value
 }
 
-func (s *store) write(key rowKey, row storedRow) {
+func (s *Store) write(key RowKey, row storedRow) {
 	s.rows[key] = row
 	if key == keyLeader {
 		s.leaders = append(s.leaders, row)
@@ -126,27 +209,31 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) answerDelay() time.Duration {
+func (s *Store) answerDelay() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return time.Duration(s.slow * float64(answerTime))
 }
 
-func (s *store) handler() http.Handler {
+func (s *Store) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /rows-tx", s.transact)
 	mux.HandleFunc("GET /rows-get", s.scan)
 	mux.HandleFunc("GET /rows-parts", s.parts)
 	mux.HandleFunc("GET /rows-feed", s.feed)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.holdDown(r)
+		mux.ServeHTTP(w, r)
+	})
 }
 
-func (s *store) answer(w http.ResponseWriter, r *http.Request, status int, body map[string]any) {
+func (s *Store) answer(w http.ResponseWriter, r *http.Request, status int, body map[string]any) {
 	select {
 	case <-time.After(s.answerDelay()):
 	case <-r.Context().Done():
 		return
 	}
+	s.holdDown(r)
 	if v, ok := r.Context().Value(viewKey{}).(*view); ok {
 		v.hold(r)
 		if rows, ok := body["rows"].([]wireRow); ok {
@@ -159,14 +246,14 @@
 
 type wireTx struct {
 	Expected []struct {
-		rowKey
+		RowKey
 		Version uint64 `json:"ver"`
 	} `json:"expected"`
 	Upserts []struct {
-		rowKey
+		RowKey
 		Value []byte `json:"value"`
 	} `json:"upserts"`
-	Remove []rowKey `json:"remove"`
+	Remove []RowKey `json:"remove"`
 	Across bool     `json:"across"`
 }
 
@@ -198,16 +285,16 @@
 }
 
 // apply carries out a transaction. It returns the current rows if a condition does not hold.
-func (s *store) apply(tx *wireTx) (version uint64, current []wireRow, conflict bool) {
+func (s *Store) apply(tx *wireTx) (version uint64, current []wireRow, conflict bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range tx.Expected {
-		row, ok := s.rows[e.rowKey]
+		row, ok := s.rows[e.RowKey]
 		if row.deleted && e.Version != 0 || !row.deleted && row.version != e.Version {
 			conflict = true
 		}
 		if ok && !row.deleted {
-			current = append(current, wireRow{rowKey: e.rowKey, Value: row.value, Version: row.version})
+			current = append(current, wireRow{RowKey: e.RowKey, Value: row.value, Version: row.version})
 		}
 	}
 	if conflict {
@@ -215,7 +302,7 @@
 	}
 	s.version++
 	for _, u := range tx.Upserts {
-		s.write(u.rowKey, storedRow{value: u.Value, version: s.version})
+		s.write(u.RowKey, storedRow{value: u.Value, version: s.version})
 	}
 	for _, k := range tx.Remove {
 		if row, ok := s.rows[k]; ok && !row.deleted {
@@ -225,7 +312,7 @@
 	return s.version, nil, false
 }
 
-func (s *store) transact(w http.ResponseWriter, r *http.Request) {
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
 	var tx wireTx
 	size, err := readJSON(r, &tx)
 	if err != nil {
@@ -243,8 +330,14 @@
 		s.answer(w, r, status, map[string]any{"error": reason})
 		return
 	}
+	fate := s.fate()
+	if fate == doneLate {
+		time.AfterFunc(minLateWrite+time.Duration(s.share()*float64(maxLateWrite-minLateWrite)), func() { s.apply(&tx) })
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	version, current, conflict := s.apply(&tx)
-	if s.loses() {
+	if fate == unanswered {
 		// The connection delivers nothing further.
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
@@ -256,7 +349,7 @@
 	s.answer(w, r, http.StatusOK, map[string]any{"ver": version})
 }
 
-func (s *store) scan(w http.ResponseWriter, r *http.Request) {
+func (s *Store) scan(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	s.mu.Lock()
 	rows := []wireRow{}
@@ -267,7 +360,7 @@
 		if to := q.Get("target"); to != "" && k.Key >= to {
 			continue
 		}
-		rows = append(rows, wireRow{rowKey: k, Value: row.value, Version: row.version})
+		rows = append(rows, wireRow{RowKey: k, Value: row.value, Version: row.version})
 	}
 	version := s.version
 	s.mu.Unlock()
@@ -276,7 +369,7 @@
 	s.answer(w, r, http.StatusOK, map[string]any{"rows": rows[:min(len(rows), pageRows)], "has_more": more, "ver": version})
 }
 
-func (s *store) parts(w http.ResponseWriter, r *http.Request) {
+func (s *Store) parts(w http.ResponseWriter, r *http.Request) {
 	table, after := r.URL.Query().Get("table"), r.URL.Query().Get("after")
 	s.mu.Lock()
 	seen := make(map[string]bool)
@@ -296,7 +389,7 @@
 	s.answer(w, r, http.StatusOK, map[string]any{"parts": parts, "ver": version})
 }
 
-func (s *store) feed(w http.ResponseWriter, r *http.Request) {
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
 	if err != nil {
@@ -310,10 +403,15 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		if after < s.oldest {
+			s.mu.Unlock()
+			s.answer(w, r, http.StatusGone, map[string]any{"error": "the history is forgotten"})
+			return
+		}
 		rows := []wireRow{}
 		for k, row := range s.rows {
 			if k.Table == q.Get("table") && row.version > after {
-				rows = append(rows, wireRow{rowKey: k, Value: row.value, Version: row.version, Tombstone: row.deleted})
+				rows = append(rows, wireRow{RowKey: k, Value: row.value, Version: row.version, Tombstone: row.deleted})
 			}
 		}
 		version, changed := s.version, s.changed
