--- a/internal/soak/world/worker.go
+++ b/internal/soak/world/worker.go
@@ -580,9 +580,9 @@
 	if !ws.fits(step.Needs) {
 		return http.StatusConflict, "room"
 	}
-	run := &taskRun{key: promises.Run{Task: task, Number: c.Run, Worker: ws.id, Life: ws.life, Fence: c.Fence}, needs: step.Needs}
+	run := &taskRun{key: promises.Run{Task: task, Number: c.Run, Worker: ws.id, Life: ws.life}, needs: step.Needs}
 	ws.running[c.Task], ws.last[c.Task] = run, c.Run
-	ws.w.observeStart(ws, run.key, late)
+	ws.w.observeStart(ws, run.key, c.Fence, late)
 	duration, how := time.Duration(n)*time.Millisecond, promises.Done
 	if ws.failing {
 		duration = min(duration, failTime)
--- a/internal/soak/world/world.go
+++ b/internal/soak/world/world.go
@@ -186,7 +186,7 @@
 }
 
 // observeStart, observeEnd and observeAck record what the workers have seen.
-func (w *World) observeStart(ws *Worker, r promises.Run, late bool) {
+func (w *World) observeStart(ws *Worker, r promises.Run, fence uint64, late bool) {
 	if late {
 		w.history.RunBeganLate(r)
 	} else {
@@ -200,7 +200,7 @@
 	if onStart != nil {
 		go onStart(ws, r.Task.String())
 	}
-	w.Record("worker %s starts task %s run %d, fence %d, late %t", ws.id, r.Task, r.Number, r.Fence, late)
+	w.Record("worker %s starts task %s run %d, fence %d, late %t", ws.id, r.Task, r.Number, fence, late)
 }
 
 func (w *World) observeEnd(r promises.Run, how promises.How) {
