--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -1,15 +1,20 @@
-// Command run plays the cases of the soak, each in a process of its own, and prints a line for each play.
+// Command run plays the cases of the soak, or series of faults drawn from seeds, each in a process of its own, and prints a line for each
+// case or a report for each seed.
 //
 //	go run ./internal/soak/run --case all --plays 5
+//	go run ./internal/soak/run --seeds 3 --seed 7 --for 30s --processes 9 --keep target/records
 //
-// The exit code is 0 only if each promise held in each play.
+// The exit code is 0 only if each promise held in each play and, with --seeds, was checked at least once.
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +22,15 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chivetiller/chivetiller/internal/soak/cases"
+	"github.com/chivetiller/chivetiller/internal/soak/series"
+)
+
+const (
+	recordFile = "record.txt"
+	reportFile = "report.json"
+	textFile   = "report.txt"
+	// defaultJobs is the number of plays at the same time.
+	defaultJobs = 5
 )
 
 // settings are the flags of the command.
@@ -28,15 +42,26 @@
 	keep    string
 	noFault bool
 	single  bool
+
+	seeds, processes, workers int
+	seed                      uint64
+	duration                  time.Duration
+	regressions               bool
 }
 
 func main() {
 	var s settings
 	cmd := &cobra.Command{
-		Use: "run", Short: "Plays the cases of the soak", Args: cobra.NoArgs, SilenceUsage: true,
-		RunE: func(*cobra.Command, []string) error {
-			if s.single {
+		Use: "run", Short: "Plays the cases of the soak, or series of faults", Args: cobra.NoArgs, SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			seeded := s.seeds > 0 || s.regressions || cmd.Flags().Changed("seed")
+			switch {
+			case s.single && seeded:
+				return playSeedHere(s)
+			case s.single:
 				return playHere(s)
+			case seeded:
+				return playSeeds(s, cmd.Flags().Changed("seed"))
 			}
 			return playAll(s)
 		},
@@ -44,11 +69,17 @@
 	flags := cmd.Flags()
 	flags.StringSliceVar(&s.cases, "case", []string{"all"}, "names of cases, or all")
 	flags.IntVar(&s.plays, "plays", 1, "number of plays of each case")
-	flags.IntVar(&s.jobs, "jobs", 5, "number of plays at the same time")
+	flags.IntVar(&s.jobs, "jobs", defaultJobs, "number of plays at the same time")
 	flags.StringVar(&s.program, "program", "target/chivetiller", "path of the program")
 	flags.StringVar(&s.keep, "keep", "", "directory in which the records of all plays are kept; without it only those that did not hold are")
 	flags.BoolVar(&s.noFault, "no-fault", false, "play the cases without their faults")
-	flags.BoolVar(&s.single, "single", false, "play one case in this process")
+	flags.IntVar(&s.seeds, "seeds", 0, "number of series of faults to play instead of cases")
+	flags.Uint64Var(&s.seed, "seed", 0, "first seed; without it one is taken from the time")
+	flags.DurationVar(&s.duration, "for", 30*time.Second, "how long the load of a series lasts")
+	flags.IntVar(&s.processes, "processes", 3, "number of processes of the program in a series, 3 or more")
+	flags.IntVar(&s.workers, "workers", 9, "number of workers in a series")
+	flags.BoolVar(&s.regressions, "regressions", false, "play the seeds that ever failed")
+	flags.BoolVar(&s.single, "single", false, "play one case or seed in this process")
 	if err := flags.MarkHidden("single"); err != nil {
 		panic(err)
 	}
@@ -64,20 +95,131 @@
 	return nil
 }
 
+// playSeedHere plays the series of one seed and writes its record and report to the directory.
+func playSeedHere(s settings) error {
+	record, err := os.Create(filepath.Join(s.keep, recordFile))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = record.Close() }()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	report, err := series.Play(series.Options{
+		Program: s.program, Directory: s.keep, Record: record, Stop: stop,
+		Seed: s.seed, Duration: s.duration, Nodes: s.processes, Workers: s.workers,
+	})
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(report)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(s.keep, textFile), []byte(report.String()), 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(s.keep, reportFile), data, 0o600)
+}
+
+// prepare checks that the program has been built, and returns the directory of the records.
+func prepare(s settings) (dir string, err error) {
+	if _, err := os.Stat(s.program); err != nil {
+		return "", eris.Wrap(err, "program, which has to be built before")
+	}
+	if s.keep != "" {
+		return s.keep, os.MkdirAll(s.keep, 0o700)
+	}
+	return os.MkdirTemp("", "chivetiller-soak-records-")
+}
+
+// playSeeds plays the series of all chosen seeds, each in a process of its own, and prints their reports.
+func playSeeds(s settings, chosen bool) error {
+	dir, err := prepare(s)
+	if err != nil {
+		return err
+	}
+	var seeds []uint64
+	if s.regressions {
+		seeds = series.RegressionSeeds()
+	}
+	if !chosen {
+		s.seed = uint64(time.Now().Unix())
+	}
+	if chosen && s.seeds == 0 {
+		s.seeds = 1
+	}
+	for i := range s.seeds {
+		seeds = append(seeds, s.seed+uint64(i))
+	}
+	var group errgroup.Group
+	group.SetLimit(s.jobs)
+	reports := make([]*series.Report, len(seeds))
+	for i, seed := range seeds {
+		group.Go(func() (err error) {
+			reports[i], err = playSeed(s, seed, filepath.Join(dir, fmt.Sprintf("seed-%d", seed)))
+			return eris.Wrapf(err, "seed %d", seed)
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return eris.Wrapf(err, "records are in %s", dir)
+	}
+	failed := 0
+	for _, r := range reports {
+		if !r.Held() {
+			failed++
+		}
+	}
+	unchecked := series.Unchecked(reports)
+	fmt.Print(series.Summary(reports))
+	fmt.Printf("%d seeds, %d did not hold\n", len(reports), failed)
+	if failed > 0 || len(unchecked) > 0 {
+		return eris.Errorf("%d seeds did not hold, promises that were not checked: %v; records are in %s", failed, unchecked, dir)
+	}
+	if s.keep == "" {
+		return os.RemoveAll(dir)
+	}
+	return nil
+}
+
+// playSeed plays the series of a seed in a process of its own, and prints its report. The logs are kept if a promise was broken.
+func playSeed(s settings, seed uint64, dir string) (*series.Report, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(self, "--single", "--program", s.program, "--keep", dir, "--seed", fmt.Sprint(seed),
+		"--for", s.duration.String(), "--processes", fmt.Sprint(s.processes), "--workers", fmt.Sprint(s.workers))
+	output, err := cmd.CombinedOutput()
+	if err != nil {
+		return nil, eris.Wrapf(err, "%s", output)
+	}
+	data, err := os.ReadFile(filepath.Join(dir, reportFile))
+	if err != nil {
+		return nil, err
+	}
+	report := new(series.Report)
+	if err := json.Unmarshal(data, report); err != nil {
+		return nil, err
+	}
+	fmt.Print(report)
+	if report.Held() && s.keep == "" {
+		return report, os.RemoveAll(dir)
+	}
+	fmt.Printf("  record and logs: %s\n", dir)
+	return report, nil
+}
+
 // playAll plays the chosen cases, each in a process of its own.
 func playAll(s settings) error {
 	if len(s.cases) == 1 && s.cases[0] == "all" {
 		s.cases = cases.Names()
 	}
-	if _, err := os.Stat(s.program); err != nil {
-		return eris.Wrap(err, "program, which has to be built before")
-	}
-	dir := s.keep
-	if dir == "" {
-		var err error
-		if dir, err = os.MkdirTemp("", "chivetiller-soak-records-"); err != nil {
-			return err
-		}
+	dir, err := prepare(s)
+	if err != nil {
+		return err
 	}
 	var group errgroup.Group
 	group.SetLimit(s.jobs)
--- a/internal/soak/world/caller.go
+++ b/internal/soak/world/caller.go
@@ -67,6 +67,14 @@
 
 // send sends a request once.
 func (c *Caller) send(method string, n *Node, path, key, body string) reply {
+	r := c.exchange(method, n, path, key, body)
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	c.w.answers[r.status]++
+	return r
+}
+
+func (c *Caller) exchange(method string, n *Node, path, key, body string) reply {
 	address := n.front
 	if n.clients != nil {
 		address = n.clients.Address()
--- a/internal/soak/world/node.go
+++ b/internal/soak/world/node.go
@@ -379,9 +379,15 @@
 func (w *World) Leader() *Node {
 	row := w.store.get(keyLeader)
 	for _, n := range w.nodes {
-		if bytes.Contains(row, []byte(`"`+n.name+`"`)) {
+		if n.isNamedIn(row) {
 			return n
 		}
 	}
 	return nil
 }
+
+// isNamedIn reports whether a row names the process. The name is followed by no digit, which would be that of another process.
+func (n *Node) isNamedIn(row []byte) bool {
+	_, rest, found := bytes.Cut(row, []byte(n.name))
+	return found && (len(rest) == 0 || rest[0] < '0' || rest[0] > '9')
+}
--- a/internal/soak/world/world.go
+++ b/internal/soak/world/world.go
@@ -13,6 +13,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -75,6 +76,8 @@
 	runs    []*Run
 	jobs    map[string]Job
 	gangs   map[gangKey]*gang
+	// answers counts the answers to clients by their status.
+	answers map[int]int
 	// cutZone is the zone that is cut off from all others and from the store, if any.
 	cutZone string
 	// onStart is called in a goroutine of its own when a worker begins a run.
@@ -101,7 +104,7 @@
 	rec := &recorder{start: time.Now(), out: o.Record}
 	w := &World{
 		rec: rec, options: o, dir: dir, store: newStore(rec), history: promises.NewHistory(), random: rand.New(rand.NewPCG(o.Seed, 1)),
-		network: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250+1), jobs: make(map[string]Job), gangs: make(map[gangKey]*gang),
+		network: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250+1), jobs: make(map[string]Job), gangs: make(map[gangKey]*gang), answers: make(map[int]int),
 	}
 	w.store.share = w.draw
 	w.cloud = &Cloud{w: w, machines: make(map[string]*machine)}
@@ -240,6 +243,13 @@
 	return runs
 }
 
+// Answers returns how many answers of each status clients have got, with 0 for none.
+func (w *World) Answers() map[int]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.answers)
+}
+
 // Queue is a queue of a configuration.
 type Queue struct {
 	Name     string  `json:"name"`
--- a/internal/soak/world/zones.go
+++ b/internal/soak/world/zones.go
@@ -166,7 +166,7 @@
 			continue
 		}
 		for _, n := range w.nodes {
-			if bytes.Contains(row.value, []byte(n.name)) {
+			if n.isNamedIn(row.value) {
 				return n.zone
 			}
 		}
@@ -189,7 +189,7 @@
 	var names []string
 	for _, row := range w.store.leaders {
 		for _, n := range w.nodes {
-			if bytes.Contains(row.value, []byte(n.name)) {
+			if n.isNamedIn(row.value) {
 				names = append(names, n.name)
 			}
 		}
