--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chivetiller/chivetiller/internal/soak/cases"
+	"github.com/chivetiller/chivetiller/internal/soak/promises"
 	"github.com/chivetiller/chivetiller/internal/soak/series"
 )
 
@@ -72,7 +73,7 @@
 	flags.IntVar(&s.jobs, "jobs", defaultJobs, "number of plays at the same time")
 	flags.StringVar(&s.program, "program", "target/chivetiller", "path of the program")
 	flags.StringVar(&s.keep, "keep", "", "directory in which the records of all plays are kept; without it only those that did not hold are")
-	flags.BoolVar(&s.noFault, "no-fault", false, "play the cases without their faults")
+	flags.BoolVar(&s.noFault, "no-fault", false, "play without faults, which shows the path of jobs")
 	flags.IntVar(&s.seeds, "seeds", 0, "number of series of faults to play instead of cases")
 	flags.Uint64Var(&s.seed, "seed", 0, "first seed; without it one is taken from the time")
 	flags.DurationVar(&s.duration, "for", 30*time.Second, "how long the load of a series lasts")
@@ -106,7 +107,7 @@
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	report, err := series.Play(series.Options{
 		Program: s.program, Directory: s.keep, Record: record, Stop: stop,
-		Seed: s.seed, Duration: s.duration, Nodes: s.processes, Workers: s.workers,
+		Seed: s.seed, Duration: s.duration, Nodes: s.processes, Workers: s.workers, NoFaults: s.noFault,
 	})
 	if err != nil {
 		return err
@@ -169,7 +170,10 @@
 			failed++
 		}
 	}
-	unchecked := series.Unchecked(reports)
+	var unchecked []promises.Promise
+	if !s.noFault {
+		unchecked = series.Unchecked(reports)
+	}
 	fmt.Print(series.Summary(reports))
 	fmt.Printf("%d seeds, %d did not hold\n", len(reports), failed)
 	if failed > 0 || len(unchecked) > 0 {
@@ -191,7 +195,7 @@
 		return nil, err
 	}
 	cmd := exec.Command(self, "--single", "--program", s.program, "--keep", dir, "--seed", fmt.Sprint(seed),
-		"--for", s.duration.String(), "--processes", fmt.Sprint(s.processes), "--workers", fmt.Sprint(s.workers))
+		"--for", s.duration.String(), "--processes", fmt.Sprint(s.processes), "--workers", fmt.Sprint(s.workers), fmt.Sprintf("--no-fault=%t", s.noFault))
 	output, err := cmd.CombinedOutput()
 	if err != nil {
 		return nil, eris.Wrapf(err, "%s", output)
--- a/internal/soak/series/inject.go
+++ b/internal/soak/series/inject.go
@@ -91,6 +91,11 @@
 }
 
 func (p *player) disturbStore(f Fault) {
+	if f.Kind == Malformed {
+		// It is no disruption: nothing excuses a promise that it breaks.
+		p.w.SendMalformed(freeKey, mainQueue)
+		return
+	}
 	ended := p.w.History().Disrupt(storeDisruptions[f.Kind], promises.Store)
 	defer ended()
 	s := p.w.Store()
--- a/internal/soak/series/load.go
+++ b/internal/soak/series/load.go
@@ -26,6 +26,8 @@
 	waveInterval = 5 * time.Second
 	waveFinish   = time.Minute
 	waveSize     = 2
+	// wrongShare is the share of the jobs that are submitted with a key that no team has.
+	wrongShare = 0.04
 	// maxLasting bounds the jobs that last, so that they leave room.
 	maxLasting = 3
 	// loadStream separates the draws of the load from other draws of the seed.
@@ -161,7 +163,11 @@
 	defer cancels.Wait()
 	for n := 0; !l.over(); n++ {
 		j, cancelAfter := l.draw(random, fmt.Sprintf("%08x%08x", random.Uint32(), number<<16|n))
-		accepted, err := c.Submit(key, j)
+		used := key
+		if random.Float64() < wrongShare {
+			used = unknownKey
+		}
+		accepted, err := c.Submit(used, j)
 		if err != nil {
 			l.w.Record("job %s was not submitted: %v", j.ID, err)
 			return
--- a/internal/soak/series/play.go
+++ b/internal/soak/series/play.go
@@ -22,7 +22,6 @@
 	checkInterval = 5 * time.Second
 	// watchTime is how long jobs are watched after they were asked for in the end.
 	watchTime = 4 * time.Second
-	// workersPerRack and its machines share a rack.
 	workersPerRack = 3
 )
 
@@ -40,6 +39,8 @@
 	// Duration is how long the load lasts.
 	Duration       time.Duration
 	Nodes, Workers int
+	// NoFaults plays the load only.
+	NoFaults bool
 }
 
 // player plays a series of faults in a world.
--- a/internal/soak/series/series.go
+++ b/internal/soak/series/series.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -44,6 +45,7 @@
 	StoreForgets   Kind = "store forgets its history"
 	StoreLoses     Kind = "store loses answers"
 	StoreLate      Kind = "store applies writes late"
+	Malformed      Kind = "malformed entries and requests"
 	WorkerCrash    Kind = "worker crashes"
 	WorkerPower    Kind = "worker loses power"
 	WorkerFreeze   Kind = "worker frozen"
@@ -92,6 +94,7 @@
 	StoreForgets:   {whole, 0, 0},
 	StoreLoses:     {whole, time.Second, 4 * time.Second},
 	StoreLate:      {whole, time.Second, 4 * time.Second},
+	Malformed:      {whole, 0, 0},
 	WorkerCrash:    {ofWorkers, 200 * time.Millisecond, 3 * time.Second},
 	WorkerPower:    {ofWorkers, 500 * time.Millisecond, 6 * time.Second},
 	WorkerFreeze:   {ofWorkers, time.Second, 6 * time.Second},
@@ -117,6 +120,8 @@
 	Kind         Kind
 	// Target is the number of the process or worker, if the kind has one.
 	Target int
+	// Pattern is the name of the pattern that the fault belongs to, if any.
+	Pattern string
 }
 
 // String describes the fault.
@@ -131,6 +136,9 @@
 	if f.Duration > 0 {
 		text += fmt.Sprintf(" for %.3f s", f.Duration.Seconds())
 	}
+	if f.Pattern != "" {
+		text += fmt.Sprintf(" [%s]", f.Pattern)
+	}
 	return text
 }
 
@@ -141,37 +149,127 @@
 	Duration time.Duration
 }
 
+// patterns are faults that belong together, with their times since the first one. They are the faults that operators of similar systems have
+// met; faults of processes or workers have the same target.
+var patterns = map[string][]Fault{
+	"silent worker": {
+		{Kind: WorkerLinkTo, Duration: 6 * time.Second},
+	},
+	"hand-over": {
+		{Kind: PauseLeader, Duration: 4 * time.Second},
+		{At: 3400 * time.Millisecond, Kind: StopLeader},
+	},
+	"expired permission": {
+		{Kind: WorkerLinkSlow, Duration: 5 * time.Second},
+		{At: 500 * time.Millisecond, Kind: PauseLeader, Duration: 4500 * time.Millisecond},
+	},
+	"restart after leaving": {
+		{Kind: WorkerLeaves},
+		{At: 3500 * time.Millisecond, Kind: StopNode},
+		{At: 3600 * time.Millisecond, Kind: KillLeader, Duration: 300 * time.Millisecond},
+		{At: 4500 * time.Millisecond, Kind: KillLeader, Duration: 300 * time.Millisecond},
+	},
+	"malformed message": {
+		{Kind: Malformed},
+		{At: 300 * time.Millisecond, Kind: KillLeader, Duration: time.Second},
+	},
+	"lost answer": {
+		{Kind: StoreLoses, Duration: 4 * time.Second},
+		{At: 500 * time.Millisecond, Kind: WorkerLate, Duration: 4 * time.Second},
+		{At: 2 * time.Second, Kind: KillLeader, Duration: time.Second},
+	},
+}
+
 const (
 	// meanGap is the mean time between two faults. Many last longer, so that faults overlap.
 	meanGap = 900 * time.Millisecond
+	// calmShare is the share of the faults after which a series is calm until the bounds of promises count again.
+	calmShare = 0.12
+	minCalm   = 4 * time.Second
+	maxCalm   = 6 * time.Second
+	// patternShare is the share of the draws that are patterns.
+	patternShare = 0.15
+	// openingGap is the time between the planned stop and the departure with which each series begins, in calm times.
+	openingGap = 1500 * time.Millisecond
 	// seedStream separates the draws of a series from other draws of the seed.
 	seedStream = 0x5e41e5
 )
 
 // New draws a series of faults in order of their times. It depends only on the seed and the size.
 func New(seed uint64, size Size) []Fault {
-	random := rand.New(rand.NewPCG(seed, seedStream))
+	d := drawer{random: rand.New(rand.NewPCG(seed, seedStream)), size: size}
+	d.add(Fault{At: openingGap, Kind: StopNode})
+	d.add(Fault{At: 2 * openingGap, Kind: WorkerLeaves})
+	names := slices.Sorted(maps.Keys(patterns))
 	kinds := Kinds()
-	var faults []Fault
-	for at := time.Duration(random.Int64N(int64(meanGap))); ; at += time.Duration(random.ExpFloat64() * float64(meanGap)) {
-		kind := kinds[random.IntN(len(kinds))]
-		rule := rules[kind]
-		f := Fault{At: at.Round(time.Millisecond), Kind: kind, Duration: rule.shortest}
-		if spread := rule.longest - rule.shortest; spread > 0 {
-			f.Duration += time.Duration(random.Int64N(int64(spread))).Round(time.Millisecond)
+	for at := 3 * openingGap; at < size.Duration; at += d.gap() {
+		at = at.Round(time.Millisecond)
+		if d.random.Float64() < patternShare {
+			d.addPattern(at, names[d.random.IntN(len(names))])
+			continue
 		}
-		switch rule.scope {
-		case ofNodes:
-			f.Target = random.IntN(size.Nodes)
-		case ofWorkers:
-			f.Target = random.IntN(size.Workers)
-		}
-		if at >= size.Duration {
-			break
+		kind := kinds[d.random.IntN(len(kinds))]
+		rule := rules[kind]
+		d.add(Fault{At: at, Kind: kind, Duration: d.between(rule.shortest, rule.longest).Round(time.Millisecond)})
+	}
+	slices.SortStableFunc(d.faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return d.faults
+}
+
+// drawer draws the faults of a series.
+type drawer struct {
+	random *rand.Rand
+	size   Size
+	faults []Fault
+}
+
+func (d *drawer) between(from, to time.Duration) time.Duration {
+	return from + time.Duration(d.random.Float64()*float64(to-from))
+}
+
+// gap draws the time from one fault to the next one.
+func (d *drawer) gap() time.Duration {
+	if d.random.Float64() < calmShare {
+		return d.between(minCalm, maxCalm)
+	}
+	return time.Duration(d.random.ExpFloat64() * float64(meanGap))
+}
+
+// target draws the target of a kind of fault.
+func (d *drawer) target(kind Kind) int {
+	switch rules[kind].scope {
+	case ofNodes:
+		return d.random.IntN(d.size.Nodes)
+	case ofWorkers:
+		return d.random.IntN(d.size.Workers)
+	}
+	return 0
+}
+
+// add adds a fault with a target, unless it begins after the series.
+func (d *drawer) add(f Fault) {
+	f.Target = d.target(f.Kind)
+	d.addTargeted(f)
+}
+
+func (d *drawer) addTargeted(f Fault) {
+	if f.At >= d.size.Duration {
+		return
+	}
+	f.Duration = min(f.Duration, d.size.Duration-f.At)
+	d.faults = append(d.faults, f)
+}
+
+// addPattern adds the faults of a pattern.
+func (d *drawer) addPattern(at time.Duration, name string) {
+	targets := make(map[scope]int)
+	for _, f := range patterns[name] {
+		target, ok := targets[rules[f.Kind].scope]
+		if !ok {
+			target = d.target(f.Kind)
+			targets[rules[f.Kind].scope] = target
 		}
-		f.Duration = min(f.Duration, size.Duration-f.At)
-		faults = append(faults, f)
+		f.At, f.Target, f.Pattern = at+f.At, target, name
+		d.addTargeted(f)
 	}
-	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
-	return faults
 }
--- a/internal/soak/world/store.go
+++ b/internal/soak/world/store.go
@@ -177,6 +177,10 @@
 	if err != nil {
 		panic(err)
 	}
+	s.putRaw(key, data)
+}
+
+func (s *Store) putRaw(key RowKey, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
