--- a/internal/soak/link/link.go
+++ b/internal/soak/link/link.go
@@ -134,10 +134,13 @@
 	l.mu.Lock()
 	l.pipes[p] = true
 	l.mu.Unlock()
-	done := make(chan struct{}, 2)
-	go func() { l.copy(p, client, server, true); done <- struct{}{} }()
-	go func() { l.copy(p, server, client, false); done <- struct{}{} }()
-	<-done
+	ends := make(chan bool, 2)
+	go func() { ends <- l.copy(p, client, server, true) }()
+	go func() { ends <- l.copy(p, server, client, false) }()
+	if lost := <-ends; lost {
+		// The other side does not see the end either.
+		<-ends
+	}
 	_ = client.Close()
 	_ = server.Close()
 	l.mu.Lock()
@@ -145,15 +148,15 @@
 	l.mu.Unlock()
 }
 
-// copy forwards one way of a connection until it ends.
-func (l *Link) copy(p *pipe, in, out net.Conn, to bool) {
+// copy forwards one way of a connection until it ends. It reports whether the end is lost.
+func (l *Link) copy(p *pipe, in, out net.Conn, to bool) (lost bool) {
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := in.Read(buffer)
 		lost, delay := l.pass(p, to)
 		if lost {
 			if err != nil {
-				return
+				return true
 			}
 			continue
 		}
@@ -162,11 +165,11 @@
 		}
 		if n > 0 {
 			if _, err := out.Write(buffer[:n]); err != nil {
-				return
+				return false
 			}
 		}
 		if err != nil {
-			return
+			return false
 		}
 	}
 }
--- a/internal/soak/link/link_test.go
+++ b/internal/soak/link/link_test.go
@@ -106,3 +106,27 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(took >= 2*delay, qt.IsTrue, qt.Commentf("the echo took %s", took))
 }
+
+func TestEndIsLost(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	l, err := link.Listen("127.0.0.1:0", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Address())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	server, err := listener.Accept()
+	c.Assert(err, qt.IsNil)
+	// A byte that arrives shows that the link knows the connection.
+	_, err = conn.Write([]byte{1})
+	c.Assert(err, qt.IsNil)
+	_, err = server.Read(make([]byte, 1))
+	c.Assert(err, qt.IsNil)
+	l.Disturb(link.Silent)
+	c.Assert(server.Close(), qt.IsNil)
+	_, err = echo(conn)
+	c.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+}
--- a/internal/soak/series/play.go
+++ b/internal/soak/series/play.go
@@ -21,7 +21,7 @@
 	// checkInterval is the time between two checks while the load runs.
 	checkInterval = 5 * time.Second
 	// watchTime is how long jobs are watched after they were asked for in the end.
-	watchTime = 4 * time.Second
+	watchTime      = 4 * time.Second
 	workersPerRack = 3
 )
 
--- a/internal/soak/world/node.go
+++ b/internal/soak/world/node.go
@@ -26,7 +26,7 @@
 	readyTimeout = 15 * time.Second
 	// readyTimeoutEach is how much longer the start may take for each process.
 	readyTimeoutEach = 300 * time.Millisecond
-	zones        = 3
+	zones            = 3
 )
 
 // Node is a process of the project.
