--- a/internal/soak/link/link.go
+++ b/internal/soak/link/link.go
@@ -46,6 +46,8 @@
 	mode  Mode
 	delay time.Duration
 	pipes map[*pipe]bool
+	// lossy holds the addresses of clients whose connections have lost bytes.
+	lossy map[string]bool
 }
 
 // pipe is a forwarded connection.
@@ -61,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{listener: listener, target: target, pipes: make(map[*pipe]bool)}
+	l := &Link{listener: listener, target: target, pipes: make(map[*pipe]bool), lossy: make(map[string]bool)}
 	go l.accept()
 	return l, nil
 }
@@ -91,6 +93,7 @@
 			p.reset()
 		case Silent:
 			p.lossyTo, p.lossyFrom = true, true
+			l.lossy[p.client.RemoteAddr().String()] = true
 		}
 	}
 }
@@ -133,6 +136,7 @@
 	p := &pipe{client: client, server: server}
 	l.mu.Lock()
 	l.pipes[p] = true
+	delete(l.lossy, client.RemoteAddr().String())
 	l.mu.Unlock()
 	done := make(chan struct{}, 2)
 	go func() { l.copy(p, client, server, true); done <- struct{}{} }()
@@ -145,6 +149,13 @@
 	l.mu.Unlock()
 }
 
+// HasLost reports whether a connection of a client has lost bytes, given the address of the client.
+func (l *Link) HasLost(client string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lossy[client]
+}
+
 // copy forwards one way of a connection until it ends.
 func (l *Link) copy(p *pipe, in, out net.Conn, to bool) {
 	buffer := make([]byte, bufferSize)
@@ -181,6 +192,7 @@
 	}
 	if l.mode == Cut || l.mode == CutTo && to || l.mode == CutFrom && !to {
 		*lossy = true
+		l.lossy[p.client.RemoteAddr().String()] = true
 	}
 	return *lossy, l.delay
 }
--- a/internal/soak/world/caller.go
+++ b/internal/soak/world/caller.go
@@ -80,9 +80,13 @@
 		address = n.clients.Address()
 	}
 	var written atomic.Bool
+	var from atomic.Value
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) }})
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(i httptrace.GotConnInfo) { from.Store(i.Conn.LocalAddr().String()) },
+		WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) },
+	})
 	request, err := http.NewRequestWithContext(traced, method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
@@ -91,7 +95,11 @@
 	request.Header.Set(keyHeader, key)
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Chivetiller-Timeout-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
-	broken := func() reply { return reply{brokenOff: written.Load() && ctx.Err() == nil} }
+	broken := func() reply {
+		client, ok := from.Load().(string)
+		reached := n.clients == nil || ok && !n.clients.HasLost(client)
+		return reply{brokenOff: written.Load() && ctx.Err() == nil && reached}
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		return broken()
