--- a/internal/soak/link/link.go
+++ b/internal/soak/link/link.go
@@ -21,7 +21,7 @@
 const (
 	// Pass forwards everything.
 	Pass Mode = iota
-	// Delayed forwards each read after the delay.
+	// Delayed forwards each read after [Delay].
 	Delayed
 	// Reset resets open connections once, and forwards new ones.
 	Reset
@@ -35,6 +35,9 @@
 	Silent
 )
 
+// Delay is by how much delayed links forward later.
+const Delay = 150 * time.Millisecond
+
 const bufferSize = 32 << 10
 
 // Link forwards connections to a target.
@@ -44,7 +47,6 @@
 
 	mu    sync.Mutex
 	mode  Mode
-	delay time.Duration
 	pipes map[*pipe]bool
 }
 
@@ -95,13 +97,6 @@
 	}
 }
 
-// Delay makes the link forward each read after a delay.
-func (l *Link) Delay(d time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.mode, l.delay = Delayed, d
-}
-
 // Restore ends a disturbance. Connections that have lost bytes are reset, unless they are to stay silent.
 func (l *Link) Restore() {
 	l.mu.Lock()
@@ -111,7 +106,7 @@
 			p.reset()
 		}
 	}
-	l.mode, l.delay = Pass, 0
+	l.mode = Pass
 }
 
 func (l *Link) accept() {
@@ -153,15 +148,15 @@
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := in.Read(buffer)
-		lost, delay := l.pass(p, to)
+		lost, delayed := l.pass(p, to)
 		if lost {
 			if err != nil {
 				return true
 			}
 			continue
 		}
-		if delay > 0 {
-			time.Sleep(delay)
+		if delayed {
+			time.Sleep(Delay)
 		}
 		if n > 0 {
 			if _, err := out.Write(buffer[:n]); err != nil {
@@ -174,8 +169,8 @@
 	}
 }
 
-// pass reports whether bytes of one way are lost, and otherwise by how much they are late.
-func (l *Link) pass(p *pipe, to bool) (lost bool, delay time.Duration) {
+// pass reports whether bytes of one way are lost, and otherwise whether they are late.
+func (l *Link) pass(p *pipe, to bool) (lost, delayed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lossy := &p.lossyFrom
@@ -185,7 +180,7 @@
 	if l.mode == Cut || l.mode == CutTo && to || l.mode == CutFrom && !to {
 		*lossy = true
 	}
-	return *lossy, l.delay
+	return *lossy, l.mode == Delayed
 }
 
 func (p *pipe) reset() {
--- a/internal/soak/series/inject.go
+++ b/internal/soak/series/inject.go
@@ -12,8 +12,6 @@
 const (
 	// changedWrites is the changed writes_per_s of a process.
 	changedWrites = 500
-	// linkDelay is the delay of each part of what a delayed link forwards.
-	linkDelay = 150 * time.Millisecond
 	// slowFactor is by how much the answers of a slow store take longer.
 	slowFactor = 50
 	// lostShare is the share of the writes whose answers are lost, or which are done late.
@@ -22,43 +20,15 @@
 	maxLateWrite = 6 * time.Second
 )
 
-// nodeDisruptions, workerDisruptions and storeDisruptions give the kind of disruption of each kind of fault. Stops and kills of processes,
-// and departures of workers, are recorded where they happen.
-var (
-	nodeDisruptions = map[Kind]promises.Kind{
-		PauseNode: promises.Frozen, PauseLeader: promises.Frozen, ReloadNode: promises.Reload, StorePartly: promises.Cut,
-		StoreLinkSlow: promises.Delayed, StoreLinkReset: promises.Reset, StoreLinkTo: promises.Cut, StoreLinkFrom: promises.Cut,
-		StoreLinkQuiet: promises.Reset, ClientLinkSlow: promises.Delayed, ClientReset: promises.Reset, ClientQuiet: promises.Reset,
-	}
-	workerDisruptions = map[Kind]promises.Kind{
-		WorkerLinkSlow: promises.Delayed, WorkerReset: promises.Reset, WorkerLinkTo: promises.Cut, WorkerLinkFrom: promises.Cut,
-		WorkerQuiet: promises.Reset, WorkerCrash: promises.Killed, WorkerPower: promises.Killed, WorkerFreeze: promises.Frozen,
-		WorkerFails: promises.Unhealthy, WorkerLeaves: promises.Maintenance, WorkerLate: promises.LateCommand,
-	}
-	storeDisruptions = map[Kind]promises.Kind{
-		StoreSlow: promises.Slow, StoreDown: promises.Down, StoreForgets: promises.Forgets, StoreLoses: promises.LosesAnswer,
-		StoreLate: promises.LosesAnswer,
-	}
-	linkModes = map[Kind]link.Mode{
-		StoreLinkReset: link.Reset, StoreLinkTo: link.CutTo, StoreLinkFrom: link.CutFrom, StoreLinkQuiet: link.Silent,
-		WorkerReset: link.Reset, WorkerLinkTo: link.CutTo, WorkerLinkFrom: link.CutFrom, WorkerQuiet: link.Silent,
-		ClientReset: link.Reset, ClientQuiet: link.Silent,
-	}
-)
-
 // disturbLink disturbs a link for the duration of a fault.
 func disturbLink(l *link.Link, f Fault) {
-	if mode, ok := linkModes[f.Kind]; ok {
-		l.Disturb(mode)
-	} else {
-		l.Delay(linkDelay)
-	}
+	l.Disturb(rules[f.Kind].mode)
 	time.Sleep(f.Duration)
 	l.Restore()
 }
 
 func (p *player) disturbWorker(f Fault, ws *world.Worker) error {
-	ended := p.w.History().Disrupt(workerDisruptions[f.Kind], ws.ID())
+	ended := p.w.History().Disrupt(rules[f.Kind].disruption, ws.ID())
 	defer ended()
 	switch f.Kind {
 	case WorkerCrash:
@@ -96,7 +66,7 @@
 		p.w.SendMalformed(freeKey, mainQueue)
 		return
 	}
-	ended := p.w.History().Disrupt(storeDisruptions[f.Kind], promises.Store)
+	ended := p.w.History().Disrupt(rules[f.Kind].disruption, promises.Store)
 	defer ended()
 	s := p.w.Store()
 	switch f.Kind {
--- a/internal/soak/series/series.go
+++ b/internal/soak/series/series.go
@@ -12,6 +12,9 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/chivetiller/chivetiller/internal/soak/link"
+	"github.com/chivetiller/chivetiller/internal/soak/promises"
 )
 
 // Kind is a kind of fault.
@@ -63,44 +66,47 @@
 	ofWorkers
 )
 
-// rules give the targets of each kind, and the shortest and longest time that it lasts.
+// rules give the targets of each kind, the shortest and longest time that it lasts, how the history names it, and what it makes of links.
+// Stops and kills of processes are recorded where they happen.
 var rules = map[Kind]struct {
 	scope             scope
 	shortest, longest time.Duration
+	disruption        promises.Kind
+	mode              link.Mode
 }{
-	PauseNode:      {ofNodes, 300 * time.Millisecond, 6 * time.Second},
-	PauseLeader:    {whole, 300 * time.Millisecond, 6 * time.Second},
-	StopNode:       {ofNodes, 0, 0},
-	StopLeader:     {whole, 0, 0},
-	KillNode:       {ofNodes, 200 * time.Millisecond, 3 * time.Second},
-	KillLeader:     {whole, 200 * time.Millisecond, 3 * time.Second},
-	ReloadNode:     {ofNodes, 0, 0},
-	StoreLinkSlow:  {ofNodes, time.Second, 6 * time.Second},
-	StoreLinkReset: {ofNodes, 0, 0},
-	StoreLinkTo:    {ofNodes, time.Second, 7 * time.Second},
-	StoreLinkFrom:  {ofNodes, time.Second, 7 * time.Second},
-	StoreLinkQuiet: {ofNodes, 0, 0},
-	WorkerLinkSlow: {ofWorkers, time.Second, 6 * time.Second},
-	WorkerReset:    {ofWorkers, 0, 0},
-	WorkerLinkTo:   {ofWorkers, time.Second, 8 * time.Second},
-	WorkerLinkFrom: {ofWorkers, time.Second, 8 * time.Second},
-	WorkerQuiet:    {ofWorkers, 0, 0},
-	ClientLinkSlow: {ofNodes, time.Second, 5 * time.Second},
-	ClientReset:    {ofNodes, 0, 0},
-	ClientQuiet:    {ofNodes, 0, 0},
-	StoreSlow:      {whole, time.Second, 5 * time.Second},
-	StoreDown:      {whole, 500 * time.Millisecond, 5 * time.Second},
-	StorePartly:    {ofNodes, time.Second, 6 * time.Second},
-	StoreForgets:   {whole, 0, 0},
-	StoreLoses:     {whole, time.Second, 4 * time.Second},
-	StoreLate:      {whole, time.Second, 4 * time.Second},
-	Malformed:      {whole, 0, 0},
-	WorkerCrash:    {ofWorkers, 200 * time.Millisecond, 3 * time.Second},
-	WorkerPower:    {ofWorkers, 500 * time.Millisecond, 6 * time.Second},
-	WorkerFreeze:   {ofWorkers, time.Second, 6 * time.Second},
-	WorkerFails:    {ofWorkers, time.Second, 4 * time.Second},
-	WorkerLeaves:   {ofWorkers, 0, 0},
-	WorkerLate:     {ofWorkers, 2 * time.Second, 6 * time.Second},
+	PauseNode:      {ofNodes, 300 * time.Millisecond, 6 * time.Second, promises.Frozen, link.Pass},
+	PauseLeader:    {whole, 300 * time.Millisecond, 6 * time.Second, promises.Frozen, link.Pass},
+	StopNode:       {ofNodes, 0, 0, promises.Planned, link.Pass},
+	StopLeader:     {whole, 0, 0, promises.Planned, link.Pass},
+	KillNode:       {ofNodes, 200 * time.Millisecond, 3 * time.Second, promises.Killed, link.Pass},
+	KillLeader:     {whole, 200 * time.Millisecond, 3 * time.Second, promises.Killed, link.Pass},
+	ReloadNode:     {ofNodes, 0, 0, promises.Reload, link.Pass},
+	StoreLinkSlow:  {ofNodes, time.Second, 6 * time.Second, promises.Delayed, link.Delayed},
+	StoreLinkReset: {ofNodes, 0, 0, promises.Reset, link.Reset},
+	StoreLinkTo:    {ofNodes, time.Second, 7 * time.Second, promises.Cut, link.CutTo},
+	StoreLinkFrom:  {ofNodes, time.Second, 7 * time.Second, promises.Cut, link.CutFrom},
+	StoreLinkQuiet: {ofNodes, 0, 0, promises.Reset, link.Silent},
+	WorkerLinkSlow: {ofWorkers, time.Second, 6 * time.Second, promises.Delayed, link.Delayed},
+	WorkerReset:    {ofWorkers, 0, 0, promises.Reset, link.Reset},
+	WorkerLinkTo:   {ofWorkers, time.Second, 8 * time.Second, promises.Cut, link.CutTo},
+	WorkerLinkFrom: {ofWorkers, time.Second, 8 * time.Second, promises.Cut, link.CutFrom},
+	WorkerQuiet:    {ofWorkers, 0, 0, promises.Reset, link.Silent},
+	ClientLinkSlow: {ofNodes, time.Second, 5 * time.Second, promises.Delayed, link.Delayed},
+	ClientReset:    {ofNodes, 0, 0, promises.Reset, link.Reset},
+	ClientQuiet:    {ofNodes, 0, 0, promises.Reset, link.Silent},
+	StoreSlow:      {whole, time.Second, 5 * time.Second, promises.Slow, link.Pass},
+	StoreDown:      {whole, 500 * time.Millisecond, 5 * time.Second, promises.Down, link.Pass},
+	StorePartly:    {ofNodes, time.Second, 6 * time.Second, promises.Cut, link.Pass},
+	StoreForgets:   {whole, 0, 0, promises.Forgets, link.Pass},
+	StoreLoses:     {whole, time.Second, 4 * time.Second, promises.LosesAnswer, link.Pass},
+	StoreLate:      {whole, time.Second, 4 * time.Second, promises.LosesAnswer, link.Pass},
+	Malformed:      {whole, 0, 0, "", link.Pass},
+	WorkerCrash:    {ofWorkers, 200 * time.Millisecond, 3 * time.Second, promises.Killed, link.Pass},
+	WorkerPower:    {ofWorkers, 500 * time.Millisecond, 6 * time.Second, promises.Killed, link.Pass},
+	WorkerFreeze:   {ofWorkers, time.Second, 6 * time.Second, promises.Frozen, link.Pass},
+	WorkerFails:    {ofWorkers, time.Second, 4 * time.Second, promises.Unhealthy, link.Pass},
+	WorkerLeaves:   {ofWorkers, 0, 0, promises.Maintenance, link.Pass},
+	WorkerLate:     {ofWorkers, 2 * time.Second, 6 * time.Second, promises.LateCommand, link.Pass},
 }
 
 // Kinds returns all kinds in order.
--- a/internal/soak/world/cloud.go
+++ b/internal/soak/world/cloud.go
@@ -14,22 +14,22 @@
 	worker    *Worker
 }
 
-// Cloud is a stand-in for the service that lists and maintains machines. It carries each call out at once.
-type Cloud struct {
+// cloud is a stand-in for the service that lists and maintains machines. It carries each call out at once.
+type cloud struct {
 	w        *World
 	mu       sync.Mutex
 	machines map[string]*machine
 }
 
-// Add adds the machine of a worker.
-func (c *Cloud) Add(id string, ws *Worker) {
+// add adds the machine of a worker.
+func (c *cloud) add(ws *Worker) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.machines[id] = &machine{id: id, state: "up", worker: ws}
+	c.machines[ws.machine] = &machine{id: ws.machine, state: "up", worker: ws}
 }
 
 // replace makes a worker that of a machine, which is up.
-func (c *Cloud) replace(id string, ws *Worker) {
+func (c *cloud) replace(id string, ws *Worker) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if m, ok := c.machines[id]; ok {
@@ -37,14 +37,14 @@
 	}
 }
 
-func (c *Cloud) handler() http.Handler {
+func (c *cloud) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machines", c.list)
 	mux.HandleFunc("POST /machine-upkeep", c.upkeep)
 	return mux
 }
 
-func (c *Cloud) list(w http.ResponseWriter, _ *http.Request) {
+func (c *cloud) list(w http.ResponseWriter, _ *http.Request) {
 	c.mu.Lock()
 	list := make([]map[string]any, 0, len(c.machines))
 	for _, m := range c.machines {
@@ -59,7 +59,7 @@
 }
 
 // upkeep takes a machine down for its upkeep. A new worker joins its pool after it.
-func (c *Cloud) upkeep(w http.ResponseWriter, r *http.Request) {
+func (c *cloud) upkeep(w http.ResponseWriter, r *http.Request) {
 	var call struct {
 		Machine string `json:"machine"`
 		Wave    int    `json:"wave"`
--- a/internal/soak/world/worker.go
+++ b/internal/soak/world/worker.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -125,6 +126,18 @@
 	return ws, nil
 }
 
+// AddWorkers starts workers w1, w2 and so on in three zones, on machines m1, m2 and so on.
+func (w *World) AddWorkers(n, perRack int, service string) error {
+	for i := range n {
+		ws, err := w.AddWorker(fmt.Sprintf("w%d", i+1), service, fmt.Sprintf("z%d", i%zones+1), fmt.Sprintf("r%d", i/perRack+1), fmt.Sprintf("m%d", i+1))
+		if err != nil {
+			return err
+		}
+		w.cloud.add(ws)
+	}
+	return nil
+}
+
 // ID returns the ID of the worker.
 func (ws *Worker) ID() string { return ws.id }
 
