--- a/internal/soak/series/play.go
+++ b/internal/soak/series/play.go
@@ -58,7 +58,7 @@
 		return nil, fmt.Errorf("the load lasts %s; it has to last %s or more", o.Duration, minDuration)
 	}
 	w, err := world.New(world.Options{
-		Program: o.Program, Directory: o.Directory, Record: o.Record, Nodes: o.Nodes, Links: true, SlowClocks: true, Seed: o.Seed,
+		Program: o.Program, Directory: o.Directory, Record: o.Record, Nodes: o.Nodes, SlowClocks: true, Seed: o.Seed,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/soak/world/caller.go
+++ b/internal/soak/world/caller.go
@@ -75,15 +75,11 @@
 }
 
 func (c *Caller) exchange(method string, n *Node, path, key, body string) reply {
-	address := n.front
-	if n.clients != nil {
-		address = n.clients.Address()
-	}
 	var written atomic.Bool
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) }})
-	request, err := http.NewRequestWithContext(traced, method, "http://"+address+path, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(traced, method, "http://"+n.clients.Address()+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
@@ -108,12 +104,15 @@
 	return r
 }
 
-// try sends a request until it is answered, each time to the next process.
+// try sends a request until it is answered, each time to the next process. The attempts are recorded if begin is set.
 func (c *Caller) try(method, path, key, body string, begin func(process string) (answered func(promises.Answer))) reply {
 	var last reply
 	for attempt := range maxAttempts {
 		n := c.w.nodes[(c.home+attempt)%len(c.w.nodes)]
-		answered := begin(n.name)
+		answered := func(promises.Answer) {}
+		if begin != nil {
+			answered = begin(n.name)
+		}
 		last = c.send(method, n, path, key, body)
 		answered(last.answer())
 		c.w.Record("client: %s %s at %s: %d %s", method, path, n.name, last.status, last.body)
@@ -173,27 +172,10 @@
 
 // Submit submits a job, with up to four attempts at different processes. It reports whether the job was accepted.
 func (w *World) Submit(first int, path, body string) bool {
-	for attempt := range maxAttempts {
-		n := w.nodes[(first+attempt)%len(w.nodes)]
-		status, _ := w.Call(http.MethodPost, n, path, body)
-		w.Record("client: POST %s at %s: %d", path, n.name, status)
-		if status/100 == 2 {
-			return true
-		}
-		time.Sleep(retryPause)
-	}
-	return false
+	return w.NewCaller(first).try(http.MethodPost, path, apiKey, body, nil).status/100 == 2
 }
 
 // State asks for the state of a job.
 func (w *World) State(path string) string {
-	for attempt := range maxAttempts {
-		n := w.nodes[attempt%len(w.nodes)]
-		status, answer := w.Call(http.MethodGet, n, path, "")
-		if status != 0 && status/100 != 5 {
-			w.Record("client: GET %s at %s: %d %s", path, n.name, status, answer)
-			return answer
-		}
-	}
-	return ""
+	return w.NewCaller(0).try(http.MethodGet, path, apiKey, "", nil).body
 }
--- a/internal/soak/world/node.go
+++ b/internal/soak/world/node.go
@@ -35,7 +35,7 @@
 	name, zone, ip     string
 	front, ready, file string
 	firstPort          int
-	// clients and store are the links to the process and from it to the store, if the world has links.
+	// clients and store are the links to the process and from it to the store.
 	clients, store *link.Link
 	// refused means that the store refuses the calls of the process.
 	refused atomic.Bool
@@ -95,10 +95,6 @@
 
 // StartNodes starts the processes in three zones, and waits until they are ready.
 func (w *World) StartNodes() error {
-	storeAddress, err := w.serve(w.store.handler())
-	if err != nil {
-		return err
-	}
 	cloudAddress, err := w.serve(w.cloud.handler())
 	if err != nil {
 		return err
@@ -114,19 +110,17 @@
 		w.nodes = append(w.nodes, n)
 	}
 	for _, n := range w.nodes {
-		address := storeAddress
-		if w.options.Zoned || w.options.Links {
-			if address, err = w.serveView(n); err != nil {
-				return err
-			}
+		address, err := w.serveView(n)
+		if err != nil {
+			return err
 		}
-		if w.options.Links {
-			if err := n.listenLinks(address); err != nil {
-				return err
-			}
-			address = n.store.Address()
+		if n.clients, err = link.Listen(w.anyPort(linkHost), n.front); err != nil {
+			return err
+		}
+		if n.store, err = link.Listen(w.anyPort(linkHost), address); err != nil {
+			return err
 		}
-		settings := fmt.Sprintf(settingsFormat, n.name, n.ip, n.zone, n.firstPort+2, n.firstPort+3, n.front, n.ready, address, cloudAddress)
+		settings := fmt.Sprintf(settingsFormat, n.name, n.ip, n.zone, n.firstPort+2, n.firstPort+3, n.front, n.ready, n.store.Address(), cloudAddress)
 		if err := os.WriteFile(n.file, []byte(settings), 0o600); err != nil {
 			return err
 		}
@@ -137,14 +131,6 @@
 	return w.waitReady()
 }
 
-func (n *Node) listenLinks(storeAddress string) (err error) {
-	if n.clients, err = link.Listen(n.w.anyPort(linkHost), n.front); err != nil {
-		return err
-	}
-	n.store, err = link.Listen(n.w.anyPort(linkHost), storeAddress)
-	return err
-}
-
 const settingsFormat = `node = %q
 role = "entry"
 class = "front"
--- a/internal/soak/world/store.go
+++ b/internal/soak/world/store.go
@@ -239,7 +239,6 @@
 	}
 	s.holdDown(r)
 	if v, ok := r.Context().Value(viewKey{}).(*view); ok {
-		v.hold(r)
 		if rows, ok := body["rows"].([]wireRow); ok {
 			body["rows"] = v.rows(rows)
 		}
--- a/internal/soak/world/worker.go
+++ b/internal/soak/world/worker.go
@@ -70,7 +70,7 @@
 	lapsed           time.Time
 	machine, address string
 	link             *link.Link
-	listener         net.Listener
+	server           *http.Server
 	// clockRate is how fast the clock of the worker runs.
 	clockRate float64
 	// faults is held while a fault acts on the life of the worker.
@@ -97,13 +97,12 @@
 	lateUntil time.Time
 	// thawed is closed when the worker is no longer frozen. It is nil while it is not.
 	thawed   chan struct{}
-	conns    map[net.Conn]bool
 	lastBeat time.Time
 }
 
 // AddWorker starts a worker.
 func (w *World) AddWorker(id, service, zone, rack, machine string) (*Worker, error) {
-	ws := &Worker{w: w, id: id, service: service, zone: zone, rack: rack, machine: machine, clockRate: 1, conns: make(map[net.Conn]bool), changed: make(chan struct{})}
+	ws := &Worker{w: w, id: id, service: service, zone: zone, rack: rack, machine: machine, clockRate: 1, changed: make(chan struct{})}
 	if w.options.SlowClocks {
 		ws.clockRate = 1 - maxClockLag*w.draw()
 	}
@@ -111,17 +110,15 @@
 	if err != nil {
 		return nil, err
 	}
-	ws.address, ws.listener = listener.Addr().String(), listener
-	if w.options.Links {
-		if ws.link, err = link.Listen(w.anyPort(linkHost), ws.address); err != nil {
-			return nil, err
-		}
+	ws.address = listener.Addr().String()
+	if ws.link, err = link.Listen(w.anyPort(linkHost), ws.address); err != nil {
+		return nil, err
 	}
 	w.mu.Lock()
 	w.workers = append(w.workers, ws)
 	w.mu.Unlock()
 	ws.begin()
-	go ws.serve(listener)
+	ws.serve(listener)
 	go ws.tick()
 	return ws, nil
 }
@@ -202,12 +199,8 @@
 	}
 	ws.lastBeat = time.Now()
 	ws.beat++
-	address := ws.address
-	if ws.link != nil {
-		address = ws.link.Address()
-	}
 	entry := map[string]any{
-		"service": ws.service, "addr": address, "zone": ws.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+		"service": ws.service, "addr": ws.link.Address(), "zone": ws.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
 		"capacity": workerCapacity, "labels": []string{"a", ws.rack}, "clock_ms": ws.clock().Milliseconds(), "seq": ws.beat, "born": ws.born.UnixMilli(),
 	}
 	if ws.draining {
@@ -280,14 +273,6 @@
 	ws.w.history.WorkerEnded(ws.id, ws.life)
 }
 
-// closeAll closes the listener and all connections. It is called with the lock.
-func (ws *Worker) closeAll() {
-	_ = ws.listener.Close()
-	for c := range ws.conns {
-		_ = c.Close()
-	}
-}
-
 // Crash ends the worker without notice. It starts again under its ID after a time.
 func (ws *Worker) Crash(after time.Duration) {
 	ws.mu.Lock()
@@ -297,18 +282,15 @@
 	}
 	ws.w.Record("worker %s crashes", ws.id)
 	ws.endAll(promises.Crashed)
-	ws.closeAll()
+	_ = ws.server.Close()
 	ws.mu.Unlock()
 	time.Sleep(after)
 	listener, err := net.Listen("tcp", ws.address)
 	if err != nil {
 		panic(err)
 	}
-	ws.mu.Lock()
-	ws.listener = listener
-	ws.mu.Unlock()
 	ws.begin()
-	go ws.serve(listener)
+	ws.serve(listener)
 }
 
 // LosePower ends the worker without notice: it falls silent. It starts again under its ID after a time.
@@ -319,17 +301,16 @@
 		return
 	}
 	ws.cut = true
+	ws.link.Disturb(link.Cut)
 	ws.w.Record("worker %s loses power", ws.id)
 	ws.endAll(promises.Crashed)
 	ws.mu.Unlock()
 	time.Sleep(after)
 	ws.mu.Lock()
 	ws.cut = false
-	for c := range ws.conns {
-		_ = c.Close()
-	}
 	ws.mu.Unlock()
 	ws.begin()
+	ws.link.Restore()
 }
 
 // CrashAs is Crash, but the worker starts again under another ID.
@@ -410,7 +391,7 @@
 	}
 	ws.off = true
 	ws.endAll(how)
-	ws.closeAll()
+	_ = ws.server.Close()
 	ws.w.store.Remove(RowKey{Table: "servers", Key: ws.id})
 }
 
@@ -420,18 +401,12 @@
 	defer ws.mu.Unlock()
 	ws.cut = cut
 	ws.w.Record("worker %s is cut off: %t", ws.id, cut)
-	if !cut {
-		for c := range ws.conns {
-			_ = c.Close()
-		}
-		ws.heartbeat()
+	if cut {
+		ws.link.Disturb(link.Cut)
+		return
 	}
-}
-
-func (ws *Worker) isCut() bool {
-	ws.mu.Lock()
-	defer ws.mu.Unlock()
-	return ws.cut
+	ws.link.Restore()
+	ws.heartbeat()
 }
 
 func (ws *Worker) serve(listener net.Listener) {
@@ -441,42 +416,16 @@
 	mux.HandleFunc("POST /hold", ws.handleHold)
 	mux.HandleFunc("POST /pace", func(w http.ResponseWriter, _ *http.Request) { ws.reply(w, http.StatusOK, "") })
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if ws.isCut() {
-			<-r.Context().Done()
-			return
-		}
 		if r.Header.Get(instanceHeader) != ws.id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		mux.ServeHTTP(&cutWriter{w, r, ws}, r)
-	}), ConnState: func(c net.Conn, state http.ConnState) {
-		ws.mu.Lock()
-		defer ws.mu.Unlock()
-		if state == http.StateClosed {
-			delete(ws.conns, c)
-		} else {
-			ws.conns[c] = true
-		}
-	}}
-	// It returns when the listener is closed.
-	_ = server.Serve(listener)
-}
-
-// cutWriter holds back the answers of a worker that is cut off.
-type cutWriter struct {
-	http.ResponseWriter
-	r  *http.Request
-	ws *Worker
-}
-
-// WriteHeader implements [http.ResponseWriter].
-func (c *cutWriter) WriteHeader(status int) {
-	if c.ws.isCut() {
-		<-c.r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-	c.ResponseWriter.WriteHeader(status)
+		mux.ServeHTTP(w, r)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	ws.server = server
 }
 
 func (ws *Worker) reply(w http.ResponseWriter, status int, reason string) {
--- a/internal/soak/world/world.go
+++ b/internal/soak/world/world.go
@@ -46,8 +46,6 @@
 	Nodes int
 	// Zoned means that zones can be cut off.
 	Zoned bool
-	// Links means that connections to the store, to workers and of clients can be disturbed.
-	Links bool
 	// SlowClocks means that the clocks of workers are up to 2 % slow.
 	SlowClocks bool
 	// Seed is the seed of what the stand-ins draw.
@@ -65,7 +63,9 @@
 	network string
 	ips     int
 	nodes   []*Node
-	version int
+	// peerLinks are the links between processes, if zones can be cut off.
+	peerLinks []peerLink
+	version   int
 	// ownEnds counts the processes that have ended by themselves.
 	ownEnds atomic.Int64
 	closed  atomic.Bool
