--- a/internal/soak/cases/case.go
+++ b/internal/soak/cases/case.go
@@ -10,10 +10,7 @@
 	"fmt"
 	"io"
 	"maps"
-	"os"
-	"os/signal"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/soak/world"
@@ -50,19 +47,6 @@
 // maxDuration is how long a case may take.
 const maxDuration = 110 * time.Second
 
-// closeEarly ends all processes when the case is interrupted or takes too long.
-func closeEarly(w *world.World) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	select {
-	case <-signals:
-	case <-time.After(maxDuration):
-	}
-	w.Record("case cannot run: it was interrupted or took too long")
-	w.Close()
-	os.Exit(int(NotRun))
-}
-
 // threeLeaders is the case in which a zone is cut off.
 const threeLeaders = "three-leaders"
 
@@ -101,7 +85,7 @@
 		return NotRun
 	}
 	defer w.Close()
-	go closeEarly(w)
+	go w.CloseEarly(maxDuration)
 	w.Record("case %s, fault %t", o.Case, o.Fault)
 	broken, err := f(w, o.Fault)
 	switch {
--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -12,9 +12,7 @@
 	"fmt"
 	"os"
 	"os/exec"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -96,17 +94,10 @@
 	return nil
 }
 
-// playSeedHere plays the series of one seed and writes its record and report to the directory.
+// playSeedHere plays the series of one seed and writes its report to the directory.
 func playSeedHere(s settings) error {
-	record, err := os.Create(filepath.Join(s.keep, recordFile))
-	if err != nil {
-		return err
-	}
-	defer func() { _ = record.Close() }()
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	report, err := series.Play(series.Options{
-		Program: s.program, Directory: s.keep, Record: record, Stop: stop,
+		Program: s.program, Directory: s.keep, Record: os.Stdout,
 		Seed: s.seed, Duration: s.duration, Nodes: s.processes, Workers: s.workers, NoFaults: s.noFault,
 	})
 	if err != nil {
@@ -185,20 +176,34 @@
 	return nil
 }
 
-// playSeed plays the series of a seed in a process of its own, and prints its report. The logs are kept if a promise was broken.
-func playSeed(s settings, seed uint64, dir string) (*series.Report, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, err
+// child runs this program with other arguments, and returns its exit code. Its output goes to a file.
+func child(output string, args ...string) (code int, err error) {
+	file, err := os.Create(output)
+	if err != nil {
+		return 0, err
 	}
+	defer func() { _ = file.Close() }()
 	self, err := os.Executable()
 	if err != nil {
+		return 0, err
+	}
+	cmd := exec.Command(self, append([]string{"--single"}, args...)...)
+	cmd.Stdout, cmd.Stderr = file, file
+	if err := cmd.Run(); err != nil && cmd.ProcessState == nil {
+		return 0, err
+	}
+	return cmd.ProcessState.ExitCode(), nil
+}
+
+// playSeed plays the series of a seed in a process of its own, and prints its report. The logs are kept if a promise was broken.
+func playSeed(s settings, seed uint64, dir string) (*series.Report, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(self, "--single", "--program", s.program, "--keep", dir, "--seed", fmt.Sprint(seed),
+	code, err := child(filepath.Join(dir, recordFile), "--program", s.program, "--keep", dir, "--seed", fmt.Sprint(seed),
 		"--for", s.duration.String(), "--processes", fmt.Sprint(s.processes), "--workers", fmt.Sprint(s.workers), fmt.Sprintf("--no-fault=%t", s.noFault))
-	output, err := cmd.CombinedOutput()
-	if err != nil {
-		return nil, eris.Wrapf(err, "%s", output)
+	if err != nil || code != 0 {
+		return nil, eris.Errorf("the play ended with exit code %d: %v", code, err)
 	}
 	data, err := os.ReadFile(filepath.Join(dir, reportFile))
 	if err != nil {
@@ -255,26 +260,12 @@
 
 // play plays a case in a process of its own and writes its record to a file.
 func play(s settings, name, record string) (cases.Outcome, error) {
-	file, err := os.Create(record)
-	if err != nil {
-		return cases.NotRun, err
-	}
-	defer func() { _ = file.Close() }()
-	args := []string{"--single", "--case", name, "--program", s.program, "--keep", s.keep}
-	if s.noFault {
-		args = append(args, "--no-fault")
-	}
-	self, err := os.Executable()
-	if err != nil {
-		return cases.NotRun, err
-	}
 	start := time.Now()
-	cmd := exec.Command(self, args...)
-	cmd.Stdout, cmd.Stderr = file, file
-	if err := cmd.Run(); err != nil && cmd.ProcessState == nil {
+	code, err := child(record, "--case", name, "--program", s.program, "--keep", s.keep, fmt.Sprintf("--no-fault=%t", s.noFault))
+	if err != nil {
 		return cases.NotRun, err
 	}
-	outcome := cases.Outcome(cmd.ProcessState.ExitCode())
+	outcome := cases.Outcome(code)
 	fmt.Printf("%-24s %-8s %s  %s\n", name, outcome, time.Since(start).Round(time.Second), record)
 	return outcome, nil
 }
--- a/internal/soak/series/load.go
+++ b/internal/soak/series/load.go
@@ -162,7 +162,7 @@
 	var cancels sync.WaitGroup
 	defer cancels.Wait()
 	for n := 0; !l.over(); n++ {
-		j, cancelAfter := l.draw(random, fmt.Sprintf("%08x%08x", random.Uint32(), number<<16|n))
+		j, cancelAfter := l.draw(random, key, fmt.Sprintf("%08x%08x", random.Uint32(), number<<16|n))
 		used := key
 		if random.Float64() < wrongShare {
 			used = unknownKey
@@ -192,8 +192,8 @@
 	}
 }
 
-// draw draws a job, and after which time it is cancelled, if it is.
-func (l *load) draw(random *rand.Rand, id string) (j world.Job, cancelAfter time.Duration) {
+// draw draws a job, and after which time it is cancelled, if it is. Jobs that last would use up the limit of the limited team.
+func (l *load) draw(random *rand.Rand, key, id string) (j world.Job, cancelAfter time.Duration) {
 	estimate := time.Duration(100+random.IntN(500)) * time.Millisecond
 	j = world.Job{Job: promises.Job{ID: id, Queue: mainQueue, Spec: fmt.Sprintf("run %d", estimate.Milliseconds())}, Estimate: estimate}
 	step := promises.Step{Count: 1 + random.IntN(3), Needs: taskNeeds}
@@ -212,7 +212,7 @@
 	case kind < 85:
 		step.Count, j.Occurrences = 1, 2
 		j.First, j.Interval = time.Now().Add(time.Second), time.Second
-	case kind < 90 && l.takeLasting():
+	case kind < 90 && key == freeKey && l.takeLasting():
 		step.LongRunning, step.Count, step.MayMiss, step.MaxPerWorker = true, 3, 1, 1
 		j.Spec = "run 600000"
 	default:
--- a/internal/soak/series/play.go
+++ b/internal/soak/series/play.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"sync"
 	"time"
 
@@ -14,6 +13,8 @@
 const (
 	// settleTime is the time from the start of the processes to the load, until the leader has reached all workers.
 	settleTime = 3 * time.Second
+	// aroundTime bounds what comes before and after the load.
+	aroundTime = 4 * time.Minute
 	// recoveryTime is the time from the end of the last fault to the end of the load.
 	recoveryTime = 5 * time.Second
 	// minDuration leaves time for faults before the recovery.
@@ -33,9 +34,7 @@
 	Directory string
 	// Record receives what was sent, answered and run.
 	Record io.Writer
-	// Stop ends all processes when it receives a signal.
-	Stop <-chan os.Signal
-	Seed uint64
+	Seed   uint64
 	// Duration is how long the load lasts.
 	Duration       time.Duration
 	Nodes, Workers int
@@ -64,12 +63,7 @@
 		return nil, err
 	}
 	defer w.Close()
-	go func() {
-		<-o.Stop
-		w.Record("interrupted")
-		w.Close()
-		os.Exit(1)
-	}()
+	go w.CloseEarly(o.Duration + aroundTime)
 	p := &player{w: w, report: &Report{Seed: o.Seed, Nodes: o.Nodes, Workers: o.Workers, Duration: o.Duration}}
 	if err := w.AddWorkers(o.Workers, workersPerRack, service); err != nil {
 		return nil, err
@@ -83,10 +77,12 @@
 	stop := make(chan struct{})
 	var checks sync.WaitGroup
 	checks.Go(func() { p.check(stop) })
+	var series []Fault
+	if !o.NoFaults {
+		series = New(o.Seed, Size{Nodes: o.Nodes, Workers: o.Workers, Duration: o.Duration - recoveryTime})
+	}
 	var faults sync.WaitGroup
-	faults.Go(func() {
-		p.inject(New(o.Seed, Size{Nodes: o.Nodes, Workers: o.Workers, Duration: o.Duration - recoveryTime}))
-	})
+	faults.Go(func() { p.inject(series) })
 	l.run()
 	faults.Wait()
 	l.settle()
@@ -172,6 +168,7 @@
 }
 
 func (p *player) disturbNode(f Fault, n *world.Node) error {
+	p.w.Record("%s: %s", f.Kind, n.Name())
 	switch f.Kind {
 	case StopNode, StopLeader:
 		return n.Restart()
--- a/internal/soak/world/store.go
+++ b/internal/soak/world/store.go
@@ -148,27 +148,11 @@
 	}
 }
 
-// fate is what becomes of a write.
-type fate int
-
-const (
-	answered fate = iota
-	unanswered
-	doneLate
-)
-
-// fate draws what becomes of a write.
-func (s *Store) fate() fate {
+// shares returns the shares of the writes that are not answered and that are done late.
+func (s *Store) shares() (lost, late float64) {
 	s.mu.Lock()
-	lost, late := s.lost, s.late
-	s.mu.Unlock()
-	switch drawn := s.share(); {
-	case drawn < lost:
-		return unanswered
-	case drawn < lost+late:
-		return doneLate
-	}
-	return answered
+	defer s.mu.Unlock()
+	return s.lost, s.late
 }
 
 // Put writes a row of a worker or the operator.
@@ -333,14 +317,15 @@
 		s.answer(w, r, status, map[string]any{"error": reason})
 		return
 	}
-	fate := s.fate()
-	if fate == doneLate {
+	drawn := s.share()
+	lost, late := s.shares()
+	if drawn >= lost && drawn < lost+late {
 		time.AfterFunc(minLateWrite+time.Duration(s.share()*float64(maxLateWrite-minLateWrite)), func() { s.apply(&tx) })
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
 	version, current, conflict := s.apply(&tx)
-	if fate == unanswered {
+	if drawn < lost {
 		// The connection delivers nothing further.
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
--- a/internal/soak/world/world.go
+++ b/internal/soak/world/world.go
@@ -18,9 +18,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/soak/promises"
@@ -185,6 +187,22 @@
 	_ = os.RemoveAll(w.dir)
 }
 
+// exitNotRun is the exit code of a program that was interrupted.
+const exitNotRun = 2
+
+// CloseEarly ends all processes and the program when it is interrupted or takes too long.
+func (w *World) CloseEarly(limit time.Duration) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(limit):
+	}
+	w.Record("interrupted, or over the limit of %s", limit)
+	w.Close()
+	os.Exit(exitNotRun)
+}
+
 func (w *World) serve(h http.Handler) (address string, err error) {
 	listener, err := net.Listen("tcp", w.anyPort(serverHost))
 	if err != nil {
