--- a/internal/soak/cases/cases.go
+++ b/internal/soak/cases/cases.go
@@ -166,22 +166,7 @@
 	}
 	time.Sleep(12 * time.Second)
 	w.State(q.Prefix + id)
-	return overlap(w), nil
-}
-
-// overlap reports whether two runs of a task were at work at the same time, and records each such pair.
-func overlap(w *world.World) bool {
-	broken := false
-	runs := w.Observed()
-	for i, a := range runs {
-		for _, b := range runs[i+1:] {
-			if end := a.Ended; a.Task == b.Task && (end.IsZero() || end.After(b.Begun)) {
-				broken = true
-				w.Record("two runs of task %s at the same time: run %d on %s and run %d on %s, for %.3f s", a.Task, a.Number, a.Worker, b.Number, b.Worker, end.Sub(b.Begun).Seconds())
-			}
-		}
-	}
-	return broken
+	return violates(w, promises.OneRun), nil
 }
 
 // caseBudget removes a queue from the configuration while a job that cannot be done is at work.
--- a/internal/soak/cases/pauses.go
+++ b/internal/soak/cases/pauses.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/soak/promises"
 	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
 
@@ -90,6 +91,5 @@
 	state := w.State(lasting)
 	w.Record("%d of %d tasks that last run; their job: %s", running, tasks, state)
 	broken = broken || running < tasks || strings.Contains(state, "failed")
-	overlap := overlap(w)
-	return repeated(w) > 0 || overlap || broken, nil
+	return violates(w, promises.OneRun, promises.NoneAfterDone) || broken, nil
 }
--- a/internal/soak/cases/restart.go
+++ b/internal/soak/cases/restart.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/soak/promises"
 	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
 
@@ -34,22 +36,18 @@
 	return best
 }
 
-// repeated counts the starts of tasks after a run of them that has ended done and whose end was taken note of, and records each.
-func repeated(w *world.World) int {
-	runs := w.Observed()
-	n := 0
-	for _, first := range runs {
-		if first.How != "done" || !first.Acked {
+// violates records the violations of promises, and reports whether there are any.
+func violates(w *world.World, names ...promises.Promise) (found bool) {
+	for _, v := range promises.Check(w.History(), promises.DefaultBounds()) {
+		if !slices.Contains(names, v.Promise) {
 			continue
 		}
-		for _, later := range runs {
-			if later.Task == first.Task && later.Begun.After(first.Ended) {
-				n++
-				w.Record("TWICE: task %s ended done as run %d on %s, taken note of; run %d started %.3f s later on %s", first.Task, first.Number, first.Worker, later.Number, later.Begun.Sub(first.Ended).Seconds(), later.Worker)
-			}
+		for _, violation := range v.Violations {
+			found = true
+			w.Record("BROKEN: %s: %s", v.Promise, violation.Text)
 		}
 	}
-	return n
+	return found
 }
 
 // caseReack restarts workers under their IDs while answers of the store are lost.
@@ -79,7 +77,7 @@
 	}
 	load(w, 20*time.Second, 120*time.Millisecond, jobBody("run 400", 8, 400*time.Millisecond), steps)
 	time.Sleep(6 * time.Second)
-	return repeated(w) > 0, nil
+	return violates(w, promises.NoneAfterDone), nil
 }
 
 // step is a part of a disruption, and the time at which it comes.
@@ -173,7 +171,7 @@
 	}
 	load(w, 16*time.Second, 60*time.Millisecond, jobBody("run 60", 4, 60*time.Millisecond), steps)
 	time.Sleep(8 * time.Second)
-	return repeated(w) > 0, nil
+	return violates(w, promises.NoneAfterDone), nil
 }
 
 // caseLasting restarts, three times, the worker on which a task that lasts runs.
--- a/internal/soak/cases/zones.go
+++ b/internal/soak/cases/zones.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/soak/promises"
 	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
 
@@ -31,8 +32,7 @@
 	if fault && len(w.LeaderNames()) < 3 {
 		return false, errors.New("there were fewer than three leaders")
 	}
-	overlap := overlap(w)
-	return repeated(w) > 0 || overlap, nil
+	return violates(w, promises.OneRun, promises.NoneAfterDone), nil
 }
 
 // stopNextLeader restarts the process that takes over from the first leader, right after that.
--- a/internal/soak/series/play.go
+++ b/internal/soak/series/play.go
@@ -177,7 +177,7 @@
 		time.Sleep(f.Duration)
 		return n.Start()
 	}
-	ended := n.Disrupt(rules[f.Kind].disruption)
+	ended := p.w.History().Disrupt(rules[f.Kind].disruption, n.Name())
 	defer ended()
 	switch f.Kind {
 	case PauseNode, PauseLeader:
--- a/internal/soak/world/caller.go
+++ b/internal/soak/world/caller.go
@@ -130,13 +130,17 @@
 	if err != nil {
 		return false, err
 	}
+	return c.submit(key, j, body), nil
+}
+
+func (c *Caller) submit(key string, j Job, body string) bool {
 	c.w.mu.Lock()
 	c.w.jobs[j.ID] = j
 	c.w.mu.Unlock()
 	r := c.try(http.MethodPost, "/"+j.Queue+"/"+j.ID, key, body, func(process string) func(promises.Answer) {
 		return c.w.history.Submit(process, key, j.Job)
 	})
-	return r.status/100 == 2, nil
+	return r.status/100 == 2
 }
 
 // Cancel cancels a job.
@@ -170,9 +174,13 @@
 	return r.status, r.body
 }
 
-// Submit submits a job, with up to four attempts at different processes. It reports whether the job was accepted.
+// Submit submits a job with a body, with up to four attempts at different processes. It reports whether the job was accepted.
 func (w *World) Submit(first int, path, body string) bool {
-	return w.NewCaller(first).try(http.MethodPost, path, apiKey, body, nil).status/100 == 2
+	j, err := parseJob(path, body)
+	if err != nil {
+		panic(err)
+	}
+	return w.NewCaller(first).submit(apiKey, j, body)
 }
 
 // State asks for the state of a job.
--- a/internal/soak/world/job.go
+++ b/internal/soak/world/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/soak/promises"
@@ -47,6 +48,26 @@
 	return string(data), err
 }
 
+// parseJob returns the job that a body submits.
+func parseJob(path, body string) (Job, error) {
+	var wire struct {
+		Spec  string     `json:"spec"`
+		Steps []wireStep `json:"steps"`
+	}
+	if err := json.Unmarshal([]byte(body), &wire); err != nil {
+		return Job{}, err
+	}
+	queue, id, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	j := Job{Job: promises.Job{ID: id, Queue: queue, Spec: wire.Spec}}
+	for _, s := range wire.Steps {
+		j.Steps = append(j.Steps, promises.Step{
+			Count: s.Count, Needs: promises.Resources(s.resources), After: s.After, Gang: s.Gang, LongRunning: s.LongRunning,
+			Speculative: s.Speculative, Requires: s.Requires, MaxPerWorker: s.MaxPerWorker, MayMiss: s.MayMiss,
+		})
+	}
+	return j, nil
+}
+
 // step returns the step of a task, if a client has submitted its job.
 func (w *World) step(t promises.Task) (step promises.Step, ok bool) {
 	w.mu.Lock()
--- a/internal/soak/world/node.go
+++ b/internal/soak/world/node.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/soak/link"
-	"github.com/chivetiller/chivetiller/internal/soak/promises"
 )
 
 const (
@@ -203,7 +202,7 @@
 		return err
 	}
 	n.w.Record("process %s gets SIGHUP", n.name)
-	return n.signal(syscall.SIGHUP)
+	return n.current().signal(syscall.SIGHUP)
 }
 
 func (n *Node) start() error {
@@ -267,47 +266,41 @@
 
 // Restart stops the process gracefully and starts it again once it has ended.
 func (n *Node) Restart() error {
-	n.stop()
+	n.end(syscall.SIGTERM)
 	return n.Start()
 }
 
-// stop sends SIGTERM, and SIGKILL after the grace period.
-func (n *Node) stop() {
+// Kill ends the process with SIGKILL.
+func (n *Node) Kill() { n.end(syscall.SIGKILL) }
+
+// end sends a signal that ends the process, and SIGKILL after the grace period.
+func (n *Node) end(s syscall.Signal) {
 	n.lifecycle.Lock()
 	defer n.lifecycle.Unlock()
 	p := n.current()
+	if p == nil {
+		return
+	}
 	p.requested.Store(true)
-	n.w.Record("process %s gets SIGTERM", n.name)
-	n.w.history.ProcessStopRequested(n.name)
-	// It fails only if the process has ended.
-	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	n.w.Record("process %s gets %s", n.name, s)
+	if s == syscall.SIGTERM {
+		n.w.history.ProcessStopRequested(n.name)
+	}
+	// Signals fail only if the process has ended.
+	_ = p.cmd.Process.Signal(s)
 	select {
 	case <-p.ended:
 		return
 	case <-time.After(stopGrace):
 	}
-	n.w.Record("process %s gets SIGKILL %s after SIGTERM", n.name, stopGrace)
-	_ = p.cmd.Process.Kill()
-	<-p.ended
-}
-
-// Kill ends the process with SIGKILL.
-func (n *Node) Kill() {
-	n.lifecycle.Lock()
-	defer n.lifecycle.Unlock()
-	p := n.current()
-	if p == nil {
-		return
-	}
-	p.requested.Store(true)
-	// It fails only if the process has ended.
+	n.w.Record("process %s is killed %s later", n.name, stopGrace)
 	_ = p.cmd.Process.Kill()
 	<-p.ended
 }
 
 // signal sends a signal to the process, unless it has ended.
-func (n *Node) signal(s syscall.Signal) error {
-	if err := n.current().cmd.Process.Signal(s); !errors.Is(err, os.ErrProcessDone) {
+func (p *process) signal(s syscall.Signal) error {
+	if err := p.cmd.Process.Signal(s); !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
 	return nil
@@ -316,23 +309,16 @@
 // Pause makes the process stand still for a time.
 func (n *Node) Pause(d time.Duration) error {
 	p := n.current()
-	if err := n.signal(syscall.SIGSTOP); err != nil {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
 	select {
 	case <-time.After(d):
 	case <-p.ended:
-		return nil
-	}
-	if err := p.cmd.Process.Signal(syscall.SIGCONT); !errors.Is(err, os.ErrProcessDone) {
-		return err
 	}
-	return nil
+	return p.signal(syscall.SIGCONT)
 }
 
-// Disrupt records a disruption of the process.
-func (n *Node) Disrupt(kind promises.Kind) (ended func()) { return n.w.history.Disrupt(kind, n.name) }
-
 // Ready reports whether the process says that it is ready.
 func (n *Node) Ready() bool {
 	client := http.Client{Timeout: time.Second}
