--- a/internal/soak/world/worker.go
+++ b/internal/soak/world/worker.go
@@ -73,7 +73,7 @@
 	server           *http.Server
 	// clockRate is how fast the clock of the worker runs.
 	clockRate float64
-	// faults is held while a fault acts on the life of the worker.
+	// faults is held while a fault acts on the life of the worker. Another one does nothing meanwhile.
 	faults sync.Mutex
 
 	mu      sync.Mutex
@@ -177,7 +177,7 @@
 	defer ws.mu.Unlock()
 	ws.life++
 	if ws.nextID != "" {
-		ws.w.store.Remove(RowKey{Table: "servers", Key: ws.id})
+		ws.w.store.Remove(rowKey{Table: "servers", Key: ws.id})
 		ws.id, ws.nextID = ws.nextID, ""
 	}
 	ws.born, ws.beat, ws.fence, ws.until, ws.endSeq = time.Now(), 0, 0, 0, 0
@@ -206,7 +206,7 @@
 	if ws.draining {
 		entry["state"], entry["remaining_ms"] = "draining", max(0, time.Until(ws.exit).Milliseconds())
 	}
-	ws.w.store.Put(RowKey{Table: "servers", Key: ws.id}, entry)
+	ws.w.store.Put(rowKey{Table: "servers", Key: ws.id}, entry)
 }
 
 var workerCapacity = resources{CPU: 16000, Memory: 32768}
@@ -224,7 +224,7 @@
 			ws.heartbeat()
 		}
 		if silent > missedHeartbeats*heartbeatInterval {
-			ws.w.store.Remove(RowKey{Table: "servers", Key: ws.id})
+			ws.w.store.Remove(rowKey{Table: "servers", Key: ws.id})
 		}
 		if !ws.down && ws.until > 0 && ws.clock() > ws.until {
 			ws.lapsed = time.Now()
@@ -275,6 +275,10 @@
 
 // Crash ends the worker without notice. It starts again under its ID after a time.
 func (ws *Worker) Crash(after time.Duration) {
+	if !ws.faults.TryLock() {
+		return
+	}
+	defer ws.faults.Unlock()
 	ws.mu.Lock()
 	if ws.down {
 		ws.mu.Unlock()
@@ -295,6 +299,10 @@
 
 // LosePower ends the worker without notice: it falls silent. It starts again under its ID after a time.
 func (ws *Worker) LosePower(after time.Duration) {
+	if !ws.faults.TryLock() {
+		return
+	}
+	defer ws.faults.Unlock()
 	ws.mu.Lock()
 	if ws.down || ws.cut {
 		ws.mu.Unlock()
@@ -321,6 +329,10 @@
 
 // Freeze makes the worker answer nothing and report nothing for a time. Its leases run on.
 func (ws *Worker) Freeze(d time.Duration) {
+	if !ws.faults.TryLock() {
+		return
+	}
+	defer ws.faults.Unlock()
 	ws.mu.Lock()
 	thawed := make(chan struct{})
 	ws.thawed = thawed
@@ -358,6 +370,10 @@
 
 // Leave makes the worker drain and exit. Another worker takes its place on the machine. It returns when that has begun.
 func (ws *Worker) Leave(nextID string) error {
+	if !ws.faults.TryLock() {
+		return nil
+	}
+	defer ws.faults.Unlock()
 	ws.w.store.waitUp()
 	ws.mu.Lock()
 	if ws.down || ws.draining {
@@ -392,7 +408,7 @@
 	ws.off = true
 	ws.endAll(how)
 	_ = ws.server.Close()
-	ws.w.store.Remove(RowKey{Table: "servers", Key: ws.id})
+	ws.w.store.Remove(rowKey{Table: "servers", Key: ws.id})
 }
 
 // SetCut cuts the worker off from everything, or ends the cut. Bytes that were held up are lost.
--- a/internal/soak/world/world.go
+++ b/internal/soak/world/world.go
@@ -324,7 +324,7 @@
 	}
 	acknowledged := w.history.Configure(c)
 	w.store.waitUp()
-	w.store.Put(RowKey{Table: "op", Key: "config"}, map[string]any{
+	w.store.Put(rowKey{Table: "op", Key: "config"}, map[string]any{
 		"version": w.version, "routes": queues, "services": list, "limits": map[string]any{"max_body_bytes": 262144}, "tenants": wireTeams,
 	})
 	acknowledged()
@@ -334,7 +334,7 @@
 // RequestWave writes the request for a maintenance wave.
 func (w *World) RequestWave(number, maxUnavailable int, finish time.Duration, machines []string) {
 	w.store.waitUp()
-	w.store.Put(RowKey{Table: "op", Key: fmt.Sprintf("wave/%d", number)}, map[string]any{
+	w.store.Put(rowKey{Table: "op", Key: fmt.Sprintf("wave/%d", number)}, map[string]any{
 		"wave": number, "machines": machines, "finish_by_s": finish.Seconds(), "cap": maxUnavailable,
 	})
 	w.Record("operator: wave %d of %s", number, strings.Join(machines, " "))
@@ -355,7 +355,7 @@
 // SendMalformed writes registry entries and sends requests that are malformed.
 func (w *World) SendMalformed(key, queue string) {
 	for i, entry := range malformedEntries {
-		w.store.putRaw(RowKey{Table: "servers", Key: fmt.Sprintf("odd-%d", i+1)}, []byte(entry))
+		w.store.putRaw(rowKey{Table: "servers", Key: fmt.Sprintf("odd-%d", i+1)}, []byte(entry))
 	}
 	c := w.NewCaller(0)
 	for i, body := range malformedJobs {
