--- a/internal/soak/series/report.go
+++ b/internal/soak/series/report.go
@@ -11,6 +11,9 @@
 	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
 
+// maxShown is the number of violations of a promise that a report shows.
+const maxShown = 10
+
 // Report is what a play has shown.
 type Report struct {
 	Seed           uint64
@@ -79,7 +82,7 @@
 	fmt.Fprintf(&b, "\n  promises:\n")
 	for _, v := range r.Verdicts {
 		fmt.Fprintf(&b, "    %-18s checked %5d times, broken %d\n", v.Promise, v.Checked, len(v.Violations))
-		for _, violation := range v.Violations {
+		for _, violation := range v.Violations[:min(len(v.Violations), maxShown)] {
 			fmt.Fprintf(&b, "      %s: %s\n", violation.At.Format("15:04:05.000"), violation.Text)
 		}
 	}
