--- a/internal/soak/promises/jobs.go
+++ b/internal/soak/promises/jobs.go
@@ -285,9 +285,6 @@
 func judgeCancelled(s *snapshot, b Bounds, v *Verdict) {
 	for _, j := range s.jobs {
 		cancelled := j.canceled
-		if cancelled == never && j.accepted < never {
-			cancelled = s.waitedLong(j, b)
-		}
 		if cancelled == never {
 			continue
 		}
@@ -310,21 +307,6 @@
 	}
 }
 
-// waitedLong returns the time from which a cancellation without an answer counts: it was sent before and waited for Ack in calm time.
-func (s *snapshot) waitedLong(j *submitted, b Bounds) moment {
-	for _, c := range j.calls {
-		if c.kind != cancelCall || c.answer.Status != 0 {
-			continue
-		}
-		for _, part := range s.stretches(c.begun, min(c.ended, s.now), b.Contact) {
-			if part[1]-part[0] >= b.Ack {
-				return part[0] + b.Ack
-			}
-		}
-	}
-	return never
-}
-
 func judgeStates(s *snapshot, _ Bounds, v *Verdict) {
 	for _, j := range s.jobs {
 		for _, c := range j.calls {
--- a/internal/soak/promises/promises.go
+++ b/internal/soak/promises/promises.go
@@ -76,8 +76,6 @@
 type Bounds struct {
 	// Contact is how long there must have been no disruption until a bound in time holds.
 	Contact time.Duration
-	// Ack is how long a cancellation may go without an answer until it counts all the same.
-	Ack time.Duration
 	// Config is the time from the acknowledgement of a configuration until every process applies it.
 	Config time.Duration
 	// RollbackSlack is the time from the first effect of a configuration at a process until that process no longer applies an older one.
@@ -109,7 +107,7 @@
 // DefaultBounds returns the bounds of a usual deployment.
 func DefaultBounds() Bounds {
 	return Bounds{
-		Contact: 3 * time.Second, Ack: 4 * time.Second, Config: 2 * time.Second, RollbackSlack: 250 * time.Millisecond, Drain: 2 * time.Second,
+		Contact: 3 * time.Second, Config: 2 * time.Second, RollbackSlack: 250 * time.Millisecond, Drain: 2 * time.Second,
 		Cancel: 3 * time.Second, StopTimeout: 900 * time.Millisecond, Visible: 3 * time.Second, Finish: 14 * time.Second, Grace: 6 * time.Second,
 		LossSlack: 200 * time.Millisecond, Notice: 4500 * time.Millisecond, Idle: 3 * time.Second, Restart: 6 * time.Second, TeamOver: 0.1,
 	}
