--- a/internal/soak/link/link.go
+++ b/internal/soak/link/link.go
@@ -71,17 +71,6 @@
 // Address returns the address at which the link accepts connections.
 func (l *Link) Address() string { return l.listener.Addr().String() }
 
-// Close ends the link and its connections.
-func (l *Link) Close() error {
-	err := l.listener.Close()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for p := range l.pipes {
-		p.reset()
-	}
-	return err
-}
-
 // Disturb sets the mode of the link.
 func (l *Link) Disturb(m Mode) {
 	l.mu.Lock()
--- a/internal/soak/link/link_test.go
+++ b/internal/soak/link/link_test.go
@@ -67,7 +67,6 @@
 			c := qt.New(t)
 			l, err := link.Listen("127.0.0.1:0", echoServer(c))
 			c.Assert(err, qt.IsNil)
-			defer l.Close()
 			dial := func() net.Conn {
 				conn, err := net.Dial("tcp", l.Address())
 				c.Assert(err, qt.IsNil)
@@ -99,7 +98,6 @@
 	c := qt.New(t)
 	l, err := link.Listen("127.0.0.1:0", echoServer(c))
 	c.Assert(err, qt.IsNil)
-	defer l.Close()
 	conn, err := net.Dial("tcp", l.Address())
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
@@ -116,7 +114,6 @@
 	defer listener.Close()
 	l, err := link.Listen("127.0.0.1:0", listener.Addr().String())
 	c.Assert(err, qt.IsNil)
-	defer l.Close()
 	conn, err := net.Dial("tcp", l.Address())
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
--- a/internal/soak/world/cloud.go
+++ b/internal/soak/world/cloud.go
@@ -21,22 +21,13 @@
 	machines map[string]*machine
 }
 
-// add adds the machine of a worker.
+// add adds the machine of a worker, or replaces its worker.
 func (c *cloud) add(ws *Worker) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.machines[ws.machine] = &machine{id: ws.machine, state: "up", worker: ws}
 }
 
-// replace makes a worker that of a machine, which is up.
-func (c *cloud) replace(id string, ws *Worker) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if m, ok := c.machines[id]; ok {
-		m.worker, m.state = ws, "up"
-	}
-}
-
 func (c *cloud) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machines", c.list)
@@ -89,7 +80,7 @@
 			c.w.Record("worker cannot start: %v", err)
 			return
 		}
-		c.replace(m.id, ws)
+		c.add(ws)
 	}()
 	writeJSON(w, http.StatusOK, map[string]any{})
 }
--- a/internal/soak/world/node.go
+++ b/internal/soak/world/node.go
@@ -342,11 +342,7 @@
 			return nil
 		}
 	}
-	for _, n := range w.nodes {
-		log, err := os.ReadFile(n.file + ".log")
-		w.Record("process %s is ready: %t; its log ends: %s %v", n.name, n.Ready(), log[max(0, len(log)-400):], err)
-	}
-	return errors.New("the processes are not ready")
+	return fmt.Errorf("the processes are not ready; their logs are in %s", w.dir)
 }
 
 // Leader returns the process that last wrote the row of the leader. Only signals depend on it.
--- a/internal/soak/world/worker.go
+++ b/internal/soak/world/worker.go
@@ -394,7 +394,7 @@
 	if err != nil {
 		return err
 	}
-	ws.w.cloud.replace(ws.machine, next)
+	ws.w.cloud.add(next)
 	return nil
 }
 
