--- a/internal/soak/series/regressions.go
+++ b/internal/soak/series/regressions.go
@@ -9,7 +9,7 @@
 var regressions = map[uint64]string{
 	2:   "the end of a silent connection reached the client and counted as an answer that a planned stop broke off: fault of the link",
 	6:   "two plays had the same loopback addresses: fault of the world",
-	301: "all processes stood still for 0.4 s on a machine with a load of 70, and requests that a stopping process had not read count as broken off: open",
+	301: "the machine, with a load of 70, stood still for 0.4 s at the end of a planned stop, and requests that the process had not read count as broken off: open",
 	320: "a worker was maintained right before the leader changed twice; the task that lasts there was started again after 10.2 s, when leases of previous leaders had ended: open",
 	324: "the same as 301",
 }
