--- a/internal/soak/promises/snapshot.go
+++ b/internal/soak/promises/snapshot.go
@@ -24,6 +24,8 @@
 	byTask  map[Task][]*run
 	byJob   map[string][]*run
 	workers map[string]bool
+	// frozen holds the times in which each worker is frozen.
+	frozen map[string][]disruption
 }
 
 // submitted is a job with the calls about it.
@@ -43,7 +45,7 @@
 		start: h.start, now: time.Since(h.start), loadEnded: h.loadEnded,
 		calls: copyAll(h.calls), runs: copyAll(h.runs), lives: copyAll(h.lives), configurations: copyAll(h.configurations),
 		incarnations: copyAll(h.incarnations), disruptions: copyAll(h.disruptions),
-		jobs: make(map[string]*submitted), byTask: make(map[Task][]*run), byJob: make(map[string][]*run), workers: make(map[string]bool),
+		jobs: make(map[string]*submitted), byTask: make(map[Task][]*run), byJob: make(map[string][]*run), workers: make(map[string]bool), frozen: make(map[string][]disruption),
 	}
 	for i := range s.lives {
 		s.lives[i].lapses = slices.Clone(s.lives[i].lapses)
@@ -66,6 +68,11 @@
 	}
 	s.addProcesses()
 	slices.SortStableFunc(s.disruptions, func(x, y disruption) int { return cmp.Compare(x.begun, y.begun) })
+	for _, d := range s.disruptions {
+		if d.kind == Frozen {
+			s.frozen[d.target] = append(s.frozen[d.target], d)
+		}
+	}
 	return s
 }
 
@@ -214,8 +221,8 @@
 	const thaw = 300 * time.Millisecond
 	from := r.begun
 	var spans [][2]moment
-	for _, d := range s.disruptions {
-		if d.target != r.Worker || d.kind != Frozen || d.begun >= r.ended || d.ended <= from {
+	for _, d := range s.frozen[r.Worker] {
+		if d.begun >= r.ended || d.ended <= from {
 			continue
 		}
 		if d.begun > from {
