scheduler: the next leader does not wait for workers that are known to be gone

The log said "leases of a previous leader" all the while.

The progress of a task names its latest run also when that has ended, and a service every worker that it has run on, up to two for each task and 64 more. A new leader starts no task of the occurrence before all of these have answered or their leases have expired, 4.5 to 7.5 s after it took over. An earlier leader knew that the worker was gone, and told nobody; each further leader waited again.

The end of a run is recorded now, for services also if it was lost with its worker, and workers that are gone are removed from the records of services.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -121,6 +121,9 @@
 	// previousUsage holds, for each worker on which previous leaders started tasks and that has not answered in this
 	// term, what the teams may have running there.
 	previousUsage map[string]map[string]work.Resources
+	// workersGone means that workers have been removed, or leases of previous leaders have expired, since the records of services were
+	// searched for such workers.
+	workersGone bool
 	// previousRuns holds, for each worker that has not answered in this term, the latest runs that previous leaders started there.
 	previousRuns map[string][]recordedRun
 	// earlierCalls holds the calls to workers that were removed, by worker ID.
@@ -276,6 +279,7 @@
 		c.checkLease(ws)
 		c.pursueOrders(ws)
 	}
+	c.forgetWorkersOfServices()
 	if c.now-c.prunedAt < pruneInterval {
 		return
 	}
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -147,10 +147,8 @@
 				s.tasks[t].done = true
 				continue
 			}
-			if _, number, ok := o.progress.Run(i, t); ok {
-				s.tasks[t].lastRun = number
-				s.gangRun = max(s.gangRun, number)
-			}
+			s.tasks[t].lastRun = o.progress.LastRun(i, t)
+			s.gangRun = max(s.gangRun, s.tasks[t].lastRun)
 			s.tasksLeft++
 			s.idleTasks++
 		}
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -174,5 +174,6 @@
 	c.logger.Info("Start is ruled out.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "fence", r.startFence,
 		"after", c.now-r.startedAt, "service", r.step.doc.Service)
 	c.detachRun(r)
+	c.recordRunEnd(r.step, r.index, r.number)
 	c.stopGang(r)
 }
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -127,6 +127,7 @@
 	before := len(c.previousUsage)
 	maps.DeleteFunc(c.previousUsage, func(id string, _ map[string]work.Resources) bool { return c.previousLeaseExpired(id) })
 	if expired := before - len(c.previousUsage); expired > 0 {
+		c.workersGone = true
 		c.logger.Info("Leases granted by the previous leader have expired.", "workers", expired, "left", len(c.previousUsage))
 	}
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -34,14 +34,43 @@
 // searched.
 const spareRecordedWorkers = 64
 
-// forgetWorkers removes the workers on which no task of an occurrence can be running from its record. A service is started again as
-// often as its workers are lost, so that the record would grow without limit.
-func (c *Core) forgetWorkers(o *occurrence) {
-	o.progress.ForgetWorkers(func(id string) bool {
+// forgetWorkers removes the workers on which no task of an occurrence can be running from its record, and reports whether there were any. A
+// service is started again as often as its workers are lost, so that the record would grow without limit.
+func (c *Core) forgetWorkers(o *occurrence) bool {
+	forgotten := o.progress.ForgetWorkers(func(id string) bool {
 		_, unknown := c.previousUsage[id]
 		return c.workers[id] == nil && !unknown
 	})
 	o.recordedWorkers = slices.DeleteFunc(o.recordedWorkers, func(id string) bool { return !slices.Contains(o.progress.Workers, id) })
+	return forgotten
+}
+
+// recordRunEnd records that a run has ended, so that the next leader does not wait for its worker.
+func (c *Core) recordRunEnd(s *step, index, number int) {
+	if s.occurrence.progress.EndRun(s.number, index, number) {
+		c.changedJobs[s.job] = true
+	}
+}
+
+// forgetWorkersOfServices removes workers that are gone from the records of services, for which the next leader would wait. The record of
+// another job ends with it.
+func (c *Core) forgetWorkersOfServices() {
+	if !c.workersGone {
+		return
+	}
+	c.workersGone = false
+	for _, p := range c.pools {
+		for _, j := range p.jobs {
+			if !j.service {
+				continue
+			}
+			for _, o := range j.open {
+				if c.forgetWorkers(o) {
+					c.changedJobs[j] = true
+				}
+			}
+		}
+	}
 }
 
 // startRun starts a planned run.
@@ -416,6 +445,7 @@
 	s := r.step
 	j := s.job
 	j.begun = true
+	c.recordRunEnd(s, r.index, r.number)
 	c.logger.Info("Task has exited.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "how", reason.String(),
 		"ran", c.now-r.startedAt, "checkpoint", checkpoint != "")
 	if checkpoint != "" && (s.doc.Checkpoints || s.doc.Gang) {
@@ -494,6 +524,10 @@
 	if !c.detachRun(r) {
 		return
 	}
+	if r.step.doc.Service {
+		// The next leader judges a crash of the worker by the record of another task.
+		c.recordRunEnd(r.step, r.index, r.number)
+	}
 	c.counts.Lost++
 	c.logger.Warn("Task was lost.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "reason", reason, "ran", c.now-r.startedAt)
 	if r.checkpoint != "" && (r.step.doc.Checkpoints || r.step.doc.Gang) {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -95,6 +95,7 @@
 	}
 	c.keepCalls(ws)
 	delete(c.workers, ws.report.ID)
+	c.workersGone = true
 	delete(c.previousUsage, ws.report.ID)
 	delete(c.previousRuns, ws.report.ID)
 	p := c.pool(ws.report.Pool)
@@ -321,6 +322,7 @@
 	}
 	t := &s.tasks[e.Task.Index]
 	t.lastRun = max(t.lastRun, e.Number)
+	c.recordRunEnd(s, e.Task.Index, e.Number)
 	if ws.leaseExpired && len(t.runs) > 0 {
 		// The lease expired before the exit was acknowledged, and another run has started since.
 		return
--- a/work/progress.go
+++ b/work/progress.go
@@ -52,7 +52,7 @@
 // RunRecord is a run and the worker on which it was started.
 type RunRecord struct {
 	_ struct{} `cbor:",toarray"`
-	// Worker is an index into the Workers of the occurrence.
+	// Worker is an index into the Workers of the occurrence, or negative if the run is known to have ended.
 	Worker int
 	Number int
 }
@@ -140,17 +140,33 @@
 	s.Runs[index] = RunRecord{Worker: at, Number: number}
 }
 
-// ForgetWorkers removes the workers that are gone, unless they have the latest run of a task that is not done.
-func (o *OccurrenceProgress) ForgetWorkers(gone func(id string) bool) {
+// EndRun records that a run of a task has ended, if it is the latest one. It reports whether the run was recorded on a worker.
+func (o *OccurrenceProgress) EndRun(step, index, number int) bool {
+	runs := o.Steps[step].Runs
+	r, ok := runs[index]
+	if !ok || r.Worker < 0 || r.Number != number {
+		return false
+	}
+	runs[index] = RunRecord{Worker: endedRun, Number: number}
+	return true
+}
+
+// endedRun stands for the worker of a run that has ended.
+const endedRun = -1
+
+// ForgetWorkers removes the workers that are gone, unless they have the latest run of a task that is not done. It reports whether there
+// were any.
+func (o *OccurrenceProgress) ForgetWorkers(gone func(id string) bool) bool {
 	used := make([]bool, len(o.Workers))
 	for i := range o.Steps {
 		s := &o.Steps[i]
 		for index, r := range s.Runs {
-			if s.IsDone(index) || r.Worker < 0 || r.Worker >= len(used) {
+			switch {
+			case s.IsDone(index) || r.Worker >= len(used):
 				delete(s.Runs, index)
-				continue
+			case r.Worker >= 0:
+				used[r.Worker] = true
 			}
-			used[r.Worker] = true
 		}
 	}
 	kept := make([]string, 0, len(o.Workers))
@@ -163,14 +179,22 @@
 	}
 	for i := range o.Steps {
 		for index, r := range o.Steps[i].Runs {
+			if r.Worker < 0 {
+				continue
+			}
 			r.Worker = moved[r.Worker]
 			o.Steps[i].Runs[index] = r
 		}
 	}
+	forgotten := len(kept) < len(o.Workers)
 	o.Workers = kept
+	return forgotten
 }
 
-// Run returns the latest recorded run of a task and its worker.
+// LastRun returns the number of the latest recorded run of a task, which may have ended, and 0 if there is none.
+func (o *OccurrenceProgress) LastRun(step, index int) int { return o.Steps[step].Runs[index].Number }
+
+// Run returns the latest recorded run of a task and its worker, unless the run is known to have ended.
 func (o *OccurrenceProgress) Run(step, index int) (worker string, number int, ok bool) {
 	r, ok := o.Steps[step].Runs[index]
 	if !ok || r.Worker < 0 || r.Worker >= len(o.Workers) {
