--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -267,11 +267,11 @@
 		return
 	}
 	if r.protected() {
-		c.giveUpStart(r, "there is no room for it any more")
+		c.giveUpStart(r, "it may not start there any more")
 		return
 	}
 	// The stop makes the worker reject the start that may still arrive.
-	c.stopRun(r, "there is no room for it any more")
+	c.stopRun(r, "it may not start there any more")
 }
 
 // confirm records that the worker has confirmed a run.
