scheduler: an overtaken start that may not be repeated is taken back

It was given up as one without an answer, which it is not, so that nothing settled it: the run stayed on record until the lease of its worker expired.

--- a/scheduler/orders_test.go
+++ b/scheduler/orders_test.go
@@ -105,3 +105,27 @@
 		})
 	}
 }
+
+// TestOvertakenStartWithoutRoom guards against a task of a service that never runs again, because its start was overtaken by a call with a
+// higher fencing token and its worker has no room for it any more.
+func TestOvertakenStartWithoutRoom(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addService(1)
+	commands := r.pass()
+	qt.Assert(t, startsOf(commands), qt.DeepEquals, []string{"s 0.0.0 1 w1"})
+	start := commands[0]
+	ws := r.core.workers["w1"]
+	r.core.ruleOut(ws, start.Start.Fence)
+	r.store()
+	r.reply("w1")
+	qt.Assert(t, start.call.overtaken(), qt.IsTrue)
+	r.core.SetWorkers([]worker.Report{rigReport("w1", coresOnly(0)), rigReport("w2", coresOnly(4))})
+	r.core.HandleReply(start, worker.Reply{Outcome: worker.Fenced, Clock: r.now}, r.now, nil)
+	for end := r.now + 10*time.Second; r.now < end; {
+		r.advance(50 * time.Millisecond)
+		r.reply("w1")
+		r.reply("w2")
+		r.accept(r.pass())
+	}
+	qt.Assert(t, r.core.jobs["s"].open[0].steps[0].tasks[0].serving(), qt.IsNotNil)
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -220,8 +220,8 @@
 	if reply.Outcome == worker.Fenced && cmd.call.overtaken() {
 		// The worker has done nothing.
 		reply.Outcome = worker.NotSent
-		if r := cmd.run; cmd.Kind == CommandStart && r.attached() && r.phase == starting && r.unanswered == 0 {
-			c.repeatStart(r)
+		if r := cmd.run; cmd.Kind == CommandStart && r.attached() && r.phase == starting && r.unanswered == 0 && c.mayRepeatStart(r) {
+			c.commandStart(r)
 			return
 		}
 	}
