scheduler: a new leader does not count a known crash of a service again

The record names the last run of a task also when it has ended. If its worker restarts before it has answered the new leader, the pause of the service got longer for a crash that was counted before.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -42,7 +42,7 @@
 	ws.crashedAt = c.now
 	c.recordInHistory(ws, suspects)
 	for _, r := range suspects {
-		if !r.isOpen() {
+		if !r.isOpen() || r.previousLeader && r.crashCounted() {
 			continue
 		}
 		late := r.start().Proven()
--- a/scheduler/silence_test.go
+++ b/scheduler/silence_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
 )
 
 // TestCutWorkersDoNotFailJob guards against a job that is shown as failed although no run of it has failed, because workers are cut off
@@ -142,3 +143,28 @@
 		})
 	}
 }
+
+// TestCountedCrashOfPreviousLeader guards against a task of a service that waits longer, because a new leader counts a crash again that the
+// previous one has counted when the worker of that run restarts.
+func TestCountedCrashOfPreviousLeader(t *testing.T) {
+	for name, service := range map[string]bool{"service": true, "task": false} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, "w1")
+			r.core.SetRoster([]RosterEntry{{ID: "w9", Pool: "p", Address: "w9:1", Incarnation: rigIncarnation, Capacity: coresOnly(4)}})
+			doc := work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: coresOnly(1), Service: service}}}
+			progress := work.NewProgress()
+			o := progress.Occurrence(&doc, 0)
+			o.Steps[0].AddCrash(0, 1, true)
+			o.Steps[0].AddCrash(0, 2, true)
+			o.SetRun(0, 0, "w9", 2)
+			r.core.AddJob(doc, progress, 0)
+			renewal, ok := r.core.Renewal("w9")
+			qt.Assert(t, ok, qt.IsTrue)
+			r.core.HandleStatus(renewal.call, worker.Status{Reply: worker.Reply{Clock: time.Second, Incarnation: rigIncarnation + 1}}, r.now, nil)
+			s := r.core.jobs["a"].open[0].steps[0]
+			qt.Check(t, s.crashCount(0), qt.Equals, crashloop.Count{All: 2, Confirmed: 2})
+			qt.Check(t, s.untelling(0), qt.Equals, 0)
+			qt.Check(t, r.core.pausedAfterCrash(s, 0), qt.IsFalse)
+		})
+	}
+}
