--- a/scheduler/fences.go
+++ b/scheduler/fences.go
@@ -84,7 +84,8 @@
 // keepCalls records the calls to a worker that is removed, since it may return under its ID.
 func (c *Core) keepCalls(ws *workerState) {
 	for id, calls := range c.earlierCalls {
-		if c.now >= calls.until+2*ws.maxLease {
+		// A worker that has only been cut off keeps a token that is higher than that of the term.
+		if c.now >= calls.until+2*ws.maxLease && calls.fence <= c.options.Fence {
 			delete(c.earlierCalls, id)
 		}
 	}
--- a/scheduler/lives_test.go
+++ b/scheduler/lives_test.go
@@ -222,3 +222,21 @@
 	next, _ := newTestEngine(t, s, 2)
 	qt.Assert(t, e.core.storedVersion < next.options.Core.Fence, qt.IsTrue)
 }
+
+// TestFenceOfReturningWorker guards against a leader that takes itself for deposed, because a worker that was removed long ago returns in the
+// same life and has seen a token that ruled out orders.
+func TestFenceOfReturningWorker(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2", "w3")
+	ws := r.core.workers["w1"]
+	r.core.ruleOut(ws, ws.fence)
+	r.store()
+	r.reply("w1")
+	raised := ws.fence
+	qt.Assert(t, raised > r.core.options.Fence, qt.IsTrue)
+	r.core.dropWorker(ws, "test")
+	r.advance(maxCommandDelay + 2*rigBounds().MaxLease + time.Second)
+	// The calls to workers that were removed long ago are forgotten when another one is removed.
+	r.core.dropWorker(r.core.workers["w3"], "test")
+	r.register("w1", "w2")
+	qt.Assert(t, r.callTo("w1").fence >= raised, qt.IsTrue)
+}
