--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -79,6 +79,8 @@
 	Renew  worker.RenewCommand
 	run    *run
 	call   call
+	// repeated means that the command is sent after a pause.
+	repeated bool
 }
 
 // Core is the state of the scheduler. It is not safe for concurrent use. All times are monotonic times of this process.
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -508,3 +509,22 @@
 	e.Stop()
 	qt.Assert(t, leadership.lost, qt.IsTrue)
 }
+
+// TestRepeatedStartBesideReply guards against a command that is sent while the reply to an earlier one changes the run that it is about. The
+// race detector shows that.
+func TestRepeatedStartBesideReply(t *testing.T) {
+	e, _ := newTestEngine(t, memory.New(), 1)
+	workers := &countingCommander{}
+	e.options.Workers = workers
+	r := newRig(t, 1, "w1")
+	r.addSteps("a", 1)
+	first := r.pass()[0]
+	r.core.HandleReply(first, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+	repeated := r.schedule()
+	qt.Assert(t, startsOf(repeated), qt.HasLen, 1)
+	var sent sync.WaitGroup
+	sent.Go(func() { e.sendCommand(repeated[0]) })
+	r.core.HandleReply(first, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+	sent.Wait()
+	qt.Assert(t, workers.commands.Load(), qt.Equals, int32(1))
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -145,7 +145,7 @@
 	if s.tickets != nil {
 		start.Ticket = s.tickets.byWorker[r.worker.report.ID]
 	}
-	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, call: to})
+	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, call: to, repeated: r.unanswered > 0})
 }
 
 // unitIndex returns the index under which failures and checkpoints of a task are kept. All tasks of a gang share one.
@@ -195,6 +195,7 @@
 	r.stopFence, r.stopRuledOutAt = to.fence, 0
 	c.commands = append(c.commands, Command{
 		Kind: CommandStop, Target: workerTarget(r.worker), Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: to.fence}, run: r, call: to,
+		repeated: r.unanswered > 0,
 	})
 }
 
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -13,7 +13,7 @@
 
 // sendCommand sends a command to a worker and posts the reply.
 func (e *Engine) sendCommand(cmd Command) {
-	if cmd.run.unanswered > 0 {
+	if cmd.repeated {
 		time.Sleep(commandPause)
 	}
 	// Leadership is checked right before sending, since the process may have been suspended.
