--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -120,6 +120,13 @@
 	c.logger.Info("Stop is withdrawn.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "fence", r.stopFence,
 		"after", c.now-r.stopSentAt)
 	r.phase, r.stopUnknown, r.stopRuledOutAt = running, false, 0
+	if r.confirmedAt == 0 {
+		r.phase = starting
+		if r.unanswered > 0 {
+			// The start was not repeated beside the stop.
+			c.giveUpStart(r, "its stop is withdrawn")
+		}
+	}
 	if t := &r.step.tasks[r.index]; t.done || len(t.runs) > 1 && !r.step.doc.Speculative {
 		c.stopRun(r, "the task is done or runs on another worker")
 	}
--- a/scheduler/orders_test.go
+++ b/scheduler/orders_test.go
@@ -129,3 +129,49 @@
 	}
 	qt.Assert(t, r.core.jobs["s"].open[0].steps[0].tasks[0].serving(), qt.IsNotNil)
 }
+
+// TestWithdrawnStopOfUnansweredStart guards against a task of a service that never runs again, because its start got no answer and a stop of
+// the run was not sent, so that neither is repeated and nothing settles the start.
+func TestWithdrawnStopOfUnansweredStart(t *testing.T) {
+	for name, unanswered := range map[string]bool{"start without an answer before the stop": true, "start without an answer after the stop": false} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1", "w2")
+			r.addService(1)
+			var starts []Command
+			for _, cmd := range r.pass() {
+				if cmd.Kind == CommandStart {
+					starts = append(starts, cmd)
+				}
+			}
+			qt.Assert(t, starts, qt.HasLen, 1)
+			start := starts[0]
+			id := start.Target.ID
+			if unanswered {
+				r.core.HandleReply(start, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+				r.advance(50 * time.Millisecond)
+				r.reply(id)
+			}
+			r.core.stopRun(start.run, "test")
+			for _, cmd := range r.schedule() {
+				switch cmd.Kind {
+				case CommandStop:
+					r.core.HandleReply(cmd, worker.Reply{Outcome: worker.NotSent}, r.now, nil)
+				case CommandStart:
+					r.core.HandleReply(cmd, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+				}
+			}
+			if !unanswered {
+				r.core.HandleReply(start, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+			}
+			// The workers answer everything from now on, but the start is not carried out.
+			for end := r.now + 10*time.Second; r.now < end; {
+				r.advance(50 * time.Millisecond)
+				r.reply("w1")
+				r.reply("w2")
+				r.accept(r.pass())
+			}
+			serving := r.core.jobs["s"].open[0].steps[0].tasks[0].serving()
+			qt.Assert(t, serving, qt.IsNotNil)
+		})
+	}
+}
