scheduler: a start that is given up is stopped when the store fails to rule it out

The store counted as up while nothing but a fencing token was waited for, and a start that was given up was not looked at again. Runs without a disruption budget are to be stopped then, so that their tasks start elsewhere.

--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -86,9 +86,13 @@
 // repeatUnansweredStarts sends starts again whose worker has answered other calls since, without waiting for the answers to those in flight.
 func (c *Core) repeatUnansweredStarts() {
 	c.unansweredRuns = slices.DeleteFunc(c.unansweredRuns, func(r *run) bool {
-		return r.phase != starting || r.startGivenUp || r.confirmedAt != 0 || !r.attached()
+		return r.phase != starting || r.confirmedAt != 0 || !r.attached()
 	})
 	for _, r := range c.unansweredRuns {
+		if r.startGivenUp {
+			c.giveUpStart(r, "the store supplies no fencing token")
+			continue
+		}
 		if r.worker.lastContact > r.startedAt && c.now-r.worker.lastContact < contactTimeout && !r.worker.replaced && !r.repeatAfterReport {
 			c.repeatUnanswered(r)
 			if r.worker.startUnanswered {
--- a/scheduler/orders_test.go
+++ b/scheduler/orders_test.go
@@ -175,3 +175,32 @@
 		})
 	}
 }
+
+// TestStartGivenUpDuringOutage guards against a task without a disruption budget whose start got no answer, and that waits until the store is
+// back: nothing rules out the start meanwhile, and it is not stopped either.
+func TestStartGivenUpDuringOutage(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSteps("j", 1)
+	r.schedule()
+	// An earlier order is in doubt, so that the start has the token of the latest batch.
+	ws := r.core.workers["w1"]
+	r.core.ruleOut(ws, ws.fence)
+	r.store()
+	starts := r.schedule()
+	qt.Assert(t, startsOf(starts), qt.HasLen, 1)
+	qt.Assert(t, ws.fence, qt.Equals, r.core.storedVersion)
+	r.core.HandleReply(starts[0], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+	var orders []Command
+	for end := r.now + startAnswerTimeout + 5*time.Second; r.now < end; {
+		r.advance(50 * time.Millisecond)
+		r.reply("w1")
+		// No batch is stored.
+		for _, cmd := range r.schedule() {
+			if cmd.Kind != CommandPoll {
+				orders = append(orders, cmd)
+				r.core.HandleReply(cmd, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+			}
+		}
+	}
+	qt.Assert(t, countStops(orders) > 0, qt.IsTrue)
+}
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -99,7 +99,7 @@
 // checkUnstored records since when something waits to be stored.
 func (c *Core) checkUnstored() {
 	switch {
-	case len(c.changedJobs) == 0 && len(c.plannedRuns) == 0:
+	case len(c.changedJobs) == 0 && len(c.plannedRuns) == 0 && !c.needsVersion():
 		c.unstoredSince = 0
 	case c.unstoredSince == 0:
 		c.unstoredSince = c.now
