--- a/scheduler/orders_test.go
+++ b/scheduler/orders_test.go
@@ -204,3 +204,26 @@
 	}
 	qt.Assert(t, countStops(orders) > 0, qt.IsTrue)
 }
+
+// TestServiceSpreadBesideUnansweredInstanceCommand guards against tasks of a service that are spread to an instance whose command got no answer,
+// although another one has room for all of them.
+func TestServiceSpreadBesideUnansweredInstanceCommand(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	r.setCapacity(work.Resources{CPU: 16000, Memory: 64000}, "w1", "w2")
+	r.core.HandleInstanceReply(InstanceCommand{Instance: "m-w1", Wave: 1, worker: "w1"}, instance.Unknown, nil)
+	r.addService(12)
+	starts := make(map[string]int)
+	for range 20 {
+		r.advance(50 * time.Millisecond)
+		r.reply("w1")
+		r.reply("w2")
+		commands := r.pass()
+		for _, cmd := range commands {
+			if cmd.Kind == CommandStart {
+				starts[cmd.Target.ID]++
+			}
+		}
+		r.accept(commands)
+	}
+	qt.Assert(t, starts, qt.DeepEquals, map[string]int{"w2": 12})
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -311,7 +311,8 @@
 	// costFailedBefore is the cost of the worker on which the task failed last.
 	costFailedBefore = 5
 	// costMayLeave is the cost, for a step with a disruption budget, of a worker whose instance may still carry out a command without an answer.
-	costMayLeave = 8
+	// It outweighs the others but costCrashedBefore.
+	costMayLeave = 500
 	// costInterference is the cost of a best-effort task next to a service, or the other way round.
 	costInterference = 3
 	// costSameService is the cost of each task of the same service on a worker, since the loss of the worker takes them all down.
