--- a/scheduler/suspects.go
+++ b/scheduler/suspects.go
@@ -111,8 +111,15 @@
 }
 
 // likelyLeft returns how many tasks may start that are likely to crash their workers, for the share of the workers that may be down.
+// Those of the stored roster that neither are listed nor have answered are gone.
 func (p *pool) likelyLeft(share float64) int {
-	left := max(1, int(share*float64(len(p.workers))))
+	inUse := 0
+	for _, ws := range p.workers {
+		if ws.listed || ws.answered {
+			inUse++
+		}
+	}
+	left := max(1, int(share*float64(inUse)))
 	for _, r := range p.tests {
 		if r.likely() {
 			left--
--- a/scheduler/suspects_test.go
+++ b/scheduler/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -319,3 +320,18 @@
 	r.reply("w1")
 	qt.Assert(t, startsOf(r.pass()), qt.DeepEquals, []string{"a 0.0.0 2 w1"})
 }
+
+// TestLikelyLeftWithoutGoneWorkers guards against a new leader that lets more tasks start that are likely to crash their workers, because the
+// stored roster has many workers that are gone.
+func TestLikelyLeftWithoutGoneWorkers(t *testing.T) {
+	r := newRig(t, 2, "w1", "w2", "w3", "w4")
+	p := r.core.pool("p")
+	want := p.likelyLeft(likelyShare)
+	var roster []RosterEntry
+	for i := range 46 {
+		id := fmt.Sprint("gone", i)
+		roster = append(roster, RosterEntry{ID: id, Pool: "p", Address: id + ":1", Incarnation: rigIncarnation, Capacity: coresOnly(4)})
+	}
+	r.core.SetRoster(roster)
+	qt.Assert(t, p.likelyLeft(likelyShare), qt.Equals, want)
+}
