--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -86,9 +86,13 @@
 // repeatUnansweredStarts sends starts again whose worker has answered other calls since, without waiting for the answers to those in flight.
 func (c *Core) repeatUnansweredStarts() {
 	c.unansweredRuns = slices.DeleteFunc(c.unansweredRuns, func(r *run) bool {
-		return r.phase != starting || r.startGivenUp || r.confirmedAt != 0 || !r.attached()
+		return r.phase != starting || r.confirmedAt != 0 || !r.attached()
 	})
 	for _, r := range c.unansweredRuns {
+		if r.startGivenUp {
+			c.giveUpStart(r, "the store supplies no fencing token")
+			continue
+		}
 		if r.worker.lastContact > r.startedAt && c.now-r.worker.lastContact < contactTimeout && !r.worker.replaced && !r.repeatAfterReport {
 			c.repeatUnanswered(r)
 			if r.worker.startUnanswered {
@@ -120,6 +124,13 @@
 	c.logger.Info("Stop is withdrawn.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "fence", r.stopFence,
 		"after", c.now-r.stopSentAt)
 	r.phase, r.stopUnknown, r.stopRuledOutAt = running, false, 0
+	if r.confirmedAt == 0 {
+		r.phase = starting
+		if r.unanswered > 0 {
+			// The start was not repeated beside the stop.
+			c.giveUpStart(r, "its stop is withdrawn")
+		}
+	}
 	if t := &r.step.tasks[r.index]; t.done || len(t.runs) > 1 && !r.step.doc.Speculative {
 		c.stopRun(r, "the task is done or runs on another worker")
 	}
--- a/scheduler/orders_test.go
+++ b/scheduler/orders_test.go
@@ -105,3 +105,125 @@
 		})
 	}
 }
+
+// TestOvertakenStartWithoutRoom guards against a task of a service that never runs again, because its start was overtaken by a call with a
+// higher fencing token and its worker has no room for it any more.
+func TestOvertakenStartWithoutRoom(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addService(1)
+	commands := r.pass()
+	qt.Assert(t, startsOf(commands), qt.DeepEquals, []string{"s 0.0.0 1 w1"})
+	start := commands[0]
+	ws := r.core.workers["w1"]
+	r.core.ruleOut(ws, start.Start.Fence)
+	r.store()
+	r.reply("w1")
+	qt.Assert(t, start.call.overtaken(), qt.IsTrue)
+	r.core.SetWorkers([]worker.Report{rigReport("w1", coresOnly(0)), rigReport("w2", coresOnly(4))})
+	r.core.HandleReply(start, worker.Reply{Outcome: worker.Fenced, Clock: r.now}, r.now, nil)
+	for end := r.now + 10*time.Second; r.now < end; {
+		r.advance(50 * time.Millisecond)
+		r.reply("w1")
+		r.reply("w2")
+		r.accept(r.pass())
+	}
+	qt.Assert(t, r.core.jobs["s"].open[0].steps[0].tasks[0].serving(), qt.IsNotNil)
+}
+
+// TestWithdrawnStopOfUnansweredStart guards against a task of a service that never runs again, because its start got no answer and a stop of
+// the run was not sent, so that neither is repeated and nothing settles the start.
+func TestWithdrawnStopOfUnansweredStart(t *testing.T) {
+	for name, unanswered := range map[string]bool{"start without an answer before the stop": true, "start without an answer after the stop": false} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1", "w2")
+			r.addService(1)
+			var starts []Command
+			for _, cmd := range r.pass() {
+				if cmd.Kind == CommandStart {
+					starts = append(starts, cmd)
+				}
+			}
+			qt.Assert(t, starts, qt.HasLen, 1)
+			start := starts[0]
+			id := start.Target.ID
+			if unanswered {
+				r.core.HandleReply(start, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+				r.advance(50 * time.Millisecond)
+				r.reply(id)
+			}
+			r.core.stopRun(start.run, "test")
+			for _, cmd := range r.schedule() {
+				switch cmd.Kind {
+				case CommandStop:
+					r.core.HandleReply(cmd, worker.Reply{Outcome: worker.NotSent}, r.now, nil)
+				case CommandStart:
+					r.core.HandleReply(cmd, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+				}
+			}
+			if !unanswered {
+				r.core.HandleReply(start, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+			}
+			// The workers answer everything from now on, but the start is not carried out.
+			for end := r.now + 10*time.Second; r.now < end; {
+				r.advance(50 * time.Millisecond)
+				r.reply("w1")
+				r.reply("w2")
+				r.accept(r.pass())
+			}
+			serving := r.core.jobs["s"].open[0].steps[0].tasks[0].serving()
+			qt.Assert(t, serving, qt.IsNotNil)
+		})
+	}
+}
+
+// TestStartGivenUpDuringOutage guards against a task without a disruption budget whose start got no answer, and that waits until the store is
+// back: nothing rules out the start meanwhile, and it is not stopped either.
+func TestStartGivenUpDuringOutage(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSteps("j", 1)
+	r.schedule()
+	// An earlier order is in doubt, so that the start has the token of the latest batch.
+	ws := r.core.workers["w1"]
+	r.core.ruleOut(ws, ws.fence)
+	r.store()
+	starts := r.schedule()
+	qt.Assert(t, startsOf(starts), qt.HasLen, 1)
+	qt.Assert(t, ws.fence, qt.Equals, r.core.storedVersion)
+	r.core.HandleReply(starts[0], worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+	var orders []Command
+	for end := r.now + startAnswerTimeout + 5*time.Second; r.now < end; {
+		r.advance(50 * time.Millisecond)
+		r.reply("w1")
+		// No batch is stored.
+		for _, cmd := range r.schedule() {
+			if cmd.Kind != CommandPoll {
+				orders = append(orders, cmd)
+				r.core.HandleReply(cmd, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+			}
+		}
+	}
+	qt.Assert(t, countStops(orders) > 0, qt.IsTrue)
+}
+
+// TestServiceSpreadBesideUnansweredInstanceCommand guards against tasks of a service that are spread to an instance whose command got no answer,
+// although another one has room for all of them.
+func TestServiceSpreadBesideUnansweredInstanceCommand(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	r.setCapacity(work.Resources{CPU: 16000, Memory: 64000}, "w1", "w2")
+	r.core.HandleInstanceReply(InstanceCommand{Instance: "m-w1", Wave: 1, worker: "w1"}, instance.Unknown, nil)
+	r.addService(12)
+	starts := make(map[string]int)
+	for range 20 {
+		r.advance(50 * time.Millisecond)
+		r.reply("w1")
+		r.reply("w2")
+		commands := r.pass()
+		for _, cmd := range commands {
+			if cmd.Kind == CommandStart {
+				starts[cmd.Target.ID]++
+			}
+		}
+		r.accept(commands)
+	}
+	qt.Assert(t, starts, qt.DeepEquals, map[string]int{"w2": 12})
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -174,7 +174,7 @@
 	if s.tickets != nil {
 		start.Ticket = s.tickets.byWorker[r.worker.report.ID]
 	}
-	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, call: to})
+	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, call: to, repeated: r.unanswered > 0})
 }
 
 // unitIndex returns the index under which failures and checkpoints of a task are kept. All tasks of a gang share one.
@@ -224,6 +224,7 @@
 	r.stopFence, r.stopRuledOutAt = to.fence, 0
 	c.commands = append(c.commands, Command{
 		Kind: CommandStop, Target: workerTarget(r.worker), Run: worker.RunCommand{Task: r.task(), Run: r.number, Fence: to.fence}, run: r, call: to,
+		repeated: r.unanswered > 0,
 	})
 }
 
@@ -249,8 +250,8 @@
 	if reply.Outcome == worker.Fenced && cmd.call.overtaken() {
 		// The worker has done nothing.
 		reply.Outcome = worker.NotSent
-		if r := cmd.run; cmd.Kind == CommandStart && r.attached() && r.phase == starting && r.unanswered == 0 {
-			c.repeatStart(r)
+		if r := cmd.run; cmd.Kind == CommandStart && r.attached() && r.phase == starting && r.unanswered == 0 && c.mayRepeatStart(r) {
+			c.commandStart(r)
 			return
 		}
 	}
@@ -296,11 +297,11 @@
 		return
 	}
 	if r.protected() {
-		c.giveUpStart(r, "there is no room for it any more")
+		c.giveUpStart(r, "it may not start there any more")
 		return
 	}
 	// The stop makes the worker reject the start that may still arrive.
-	c.stopRun(r, "there is no room for it any more")
+	c.stopRun(r, "it may not start there any more")
 }
 
 // confirm records that the worker has confirmed a run.
