--- a/store/store_test.go
+++ b/store/store_test.go
@@ -1,6 +1,7 @@
 package store_test
 
 import (
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -14,7 +15,7 @@
 	tests := map[string]struct {
 		partitions []string
 		added      string
-		before     int
+		before     int64
 	}{
 		"new partition after the list":  {[]string{"a", "b"}, "c", 2},
 		"new partition after one scan":  {[]string{"a", "b"}, "c", 3},
@@ -35,9 +36,10 @@
 				put("t", partition, "old")
 			}
 			s.DropHistory()
-			reads := 0
+			// Partitions are scanned at the same time.
+			var reads atomic.Int64
 			s.BeforeReads(func() {
-				if reads++; reads == test.before {
+				if reads.Add(1) == test.before {
 					put("t", test.added, "new")
 				}
 			})
