scheduler: the log tells services that wait for workers which are avoided from others

A task of a service that waits for quarantined workers, or for instances that are drained for maintenance or a move, was logged with "no eligible worker" or "no worker in use", like one for which there is no worker at all.

--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -26,6 +26,8 @@
 	WaitForPolicy         WaitReason = "no policy decision"
 	WaitForTeamLimit      WaitReason = "limit of the team"
 	WaitForWorker         WaitReason = "no worker in use"
+	WaitForQuarantine     WaitReason = "workers with room are quarantined"
+	WaitForDrained        WaitReason = "workers with room are drained"
 	WaitForEligibleWorker WaitReason = "no eligible worker"
 	WaitForRoom           WaitReason = "no room on a worker"
 	WaitForPlacement      WaitReason = "not placed yet"
@@ -143,7 +145,16 @@
 	}
 	c.logger.Warn("Task of a service does not run.", "job", s.job.doc.ID, "task", name, "pool", p.name, "for", waited,
 		"reason", string(c.waitReason(s, index)), "cpu", s.doc.ReservedResources().CPU, "largestRoom", largest, "usable", len(usable), "workers", len(p.workers),
-		"lastStored", c.now-c.lastStored)
+		"states", c.workerStates(p), "lastStored", c.now-c.lastStored)
+}
+
+// workerStates counts the workers of a pool by state, for logs.
+func (c *Core) workerStates(p *pool) map[string]int {
+	states := make(map[string]int)
+	for _, ws := range p.workers {
+		states[c.workerStateName(ws)]++
+	}
+	return states
 }
 
 // waitReason returns why a task that is not done does not run.
@@ -165,14 +176,15 @@
 	if !c.withinTeamLimit(s, 1) {
 		return WaitForTeamLimit
 	}
-	usable := c.usableWorkers(c.pool(j.doc.Pool))
-	if len(usable) == 0 {
-		return WaitForWorker
-	}
-	if c.pausedAfterCrash(s, index) {
+	p := c.pool(j.doc.Pool)
+	usable := c.usableWorkers(p)
+	if len(usable) > 0 && c.pausedAfterCrash(s, index) {
 		return WaitAfterCrash
 	}
 	reason := WaitForEligibleWorker
+	if len(usable) == 0 {
+		reason = WaitForWorker
+	}
 	var fitting []*workerState
 	for _, ws := range usable {
 		switch {
@@ -184,11 +196,27 @@
 		}
 	}
 	if len(fitting) == 0 {
-		return reason
+		return c.avoidedWaitReason(p, s, reason)
 	}
 	return c.suspectWaitReason(s, index, fitting)
 }
 
+// avoidedWaitReason returns why a task does not run on workers that have room for it and are avoided, or a reason if there are none.
+func (c *Core) avoidedWaitReason(p *pool, s *step, reason WaitReason) WaitReason {
+	for _, ws := range p.workers {
+		if !c.mayStartOn(ws) || !c.eligible(s, ws) || !s.doc.ReservedResources().Fits(ws.freeCapacity()) {
+			continue
+		}
+		if ws.health.quarantined(c.now) {
+			return WaitForQuarantine
+		}
+		if ws.cordoned {
+			reason = WaitForDrained
+		}
+	}
+	return reason
+}
+
 // suspectWaitReason returns why a task does not run on workers that have room for it. Only a suspect of a crash waits for long.
 func (c *Core) suspectWaitReason(s *step, index int, fitting []*workerState) WaitReason {
 	fitting = slices.DeleteFunc(fitting, func(ws *workerState) bool { return c.mayCrashByItself(s, index, ws) })
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -27,6 +27,8 @@
 	}{
 		"batch not stored": {service(nil), func(*rig) {}, WaitForBatch},
 		"no worker":        {service(nil), func(r *rig) { r.register() }, WaitForWorker},
+		"quarantined":      {service(nil), func(r *rig) { r.core.workers["w1"].health.quarantinedUntil = r.now + time.Hour }, WaitForQuarantine},
+		"drained":          {service(nil), func(r *rig) { r.core.workers["w1"].cordoned = true }, WaitForDrained},
 		"no room":          {service(func(j *work.Job) { j.Steps[0].Request.CPU = 5000 }), func(*rig) {}, WaitForRoom},
 		"no such worker":   {service(func(j *work.Job) { j.Steps[0].RequiredLabel = "b" }), func(*rig) {}, WaitForEligibleWorker},
 		"team limit":       {service(func(j *work.Job) { j.Team = "limited" }), func(*rig) {}, WaitForTeamLimit},
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -489,13 +489,15 @@
 
 // acceptsTasks reports whether tasks may be started on a worker.
 func (c *Core) acceptsTasks(ws *workerState) bool {
+	return !ws.cordoned && !ws.health.quarantined(c.now) && c.mayStartOn(ws)
+}
+
+// mayStartOn reports whether a start on a worker would be carried out and may be, whether the worker is avoided or not.
+func (c *Core) mayStartOn(ws *workerState) bool {
 	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || ws.startUnanswered || ws.replaced || !ws.ruledOut(c.now) {
 		return false
 	}
-	if ws.cordoned || ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout {
-		return false
-	}
-	if ws.health.quarantined(c.now) || (ws.unknownRuns > 0 && !c.guardsCapacity(ws)) {
+	if ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout || (ws.unknownRuns > 0 && !c.guardsCapacity(ws)) {
 		return false
 	}
 	maxClock := ws.maxClockAt(c.now)
