scheduler: an overdue task of a service starts on a worker that is only avoided

What callers saw: a task that lasts did not run although sound workers had room.

Cause: workers that failed runs are quarantined for up to 8 s, and instances that are drained for a wave or a move take no tasks until they are empty. Both are reasons to prefer other workers, and were handled like reasons that forbid a start. A service that is about as wide as its pool needs these workers, and the pool has one instance more than its widest service. After a disruption that makes most workers fail, the last quarantines end up to 8 s after it, and the users count the task as lost after 7 s. A drained instance takes no task for as long as another service on it can go nowhere else, which has no limit at all.

The class: reasons to avoid a worker that have no common limit for a task that is due.

A task of a service that has not run for 2 s starts on an avoided worker now if no other has room: on a quarantined one 2 s after its latest failure, on a drained one unless a command for its instance is under way, and in room that is kept for other services. Tasks of a step that have not run for longest come first; the order of their numbers let one wait for a second quarantine.

WaitingTasks has the two new reasons with workers that take no overdue task either.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -154,6 +154,8 @@
 	fleet         *fleet
 	counts        Counts
 	policyQueries []PolicyQuery
+	// idle is a buffer for the idle tasks of a step.
+	idle []int
 	// waitingTasks counts the tasks of services that did not run at waitingCheckedAt.
 	waitingTasks     map[WaitReason]int
 	waitingCheckedAt time.Duration
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -15,6 +15,8 @@
 	lastFailedJob    string
 	failedJobs       int
 	quarantinedUntil time.Duration
+	// failedAt is the time of the latest failed exit.
+	failedAt time.Duration
 	// quarantines counts the quarantines in a row.
 	quarantines int
 }
@@ -41,6 +43,7 @@
 // recordFailure records a failed exit and reports whether it starts a quarantine.
 func (h *health) recordFailure(now time.Duration, job string) bool {
 	h.failureRate += failureWeight * (1 - h.failureRate)
+	h.failedAt = now
 	h.failureStreak++
 	if job != h.lastFailedJob {
 		h.lastFailedJob = job
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -70,11 +70,10 @@
 	p.needsPlanning, p.plannedAt = false, c.now
 	c.endTests(p)
 	c.dropReservations(p)
-	usable := c.usableWorkers(p)
-	if len(usable) == 0 {
+	if len(p.workers) == 0 {
 		return
 	}
-	workers := &placement{workers: usable}
+	workers := &placement{workers: c.usableWorkers(p)}
 	candidates := c.candidates(p)
 	othersWait := false
 	for _, cand := range candidates {
@@ -198,14 +197,15 @@
 			continue
 		}
 		crashed := len(s.crashSites) > 0
-		for i := range s.tasks {
+		c.idle = s.appendIdle(c.idle[:0])
+		for _, i := range c.idle {
 			t := &s.tasks[i]
-			if t.done || len(t.runs) > 0 || c.now < t.notBefore || crashed && c.pausedAfterCrash(s, i) {
+			if c.now < t.notBefore || crashed && c.pausedAfterCrash(s, i) {
 				continue
 			}
 			ws := c.chooseWorker(s, i, c.workersFor(workers, s, i))
 			if ws == nil && s.doc.Service {
-				c.reserveRoom(s, workers)
+				ws = c.placeOverdue(s, i, workers)
 			}
 			if ws == nil && (s.crashCount(i).Suspect() || crashed && s.untelling(i) > 0) {
 				wait = wait || !s.likelyCause(i)
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -105,6 +105,9 @@
 		if len(t.runs) == 0 && !t.done {
 			r.step.idleTasks++
 		}
+		if r.confirmedAt > 0 {
+			t.idleSince = max(r.confirmedAt, r.worker.lastContact)
+		}
 		if r.worker.runs[r.task()] == r {
 			delete(r.worker.runs, r.task())
 		}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -111,6 +111,8 @@
 	// lastWorker is the worker on which the latest run ended without being done. failedAt is the time of the latest failure.
 	lastWorker string
 	failedAt   time.Duration
+	// idleSince is the time at which the task was last known to run, and 0 if it has not run in this term.
+	idleSince time.Duration
 	// emptyWorkerSince is the time since which the task waits for a worker that runs nothing.
 	emptyWorkerSince time.Duration
 }
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -27,13 +27,19 @@
 	}{
 		"batch not stored": {service(nil), func(*rig) {}, WaitForBatch},
 		"no worker":        {service(nil), func(r *rig) { r.register() }, WaitForWorker},
-		"quarantined":      {service(nil), func(r *rig) { r.core.workers["w1"].health.quarantinedUntil = r.now + time.Hour }, WaitForQuarantine},
-		"drained":          {service(nil), func(r *rig) { r.core.workers["w1"].cordoned = true }, WaitForDrained},
-		"no room":          {service(func(j *work.Job) { j.Steps[0].Request.CPU = 5000 }), func(*rig) {}, WaitForRoom},
-		"no such worker":   {service(func(j *work.Job) { j.Steps[0].RequiredLabel = "b" }), func(*rig) {}, WaitForEligibleWorker},
-		"team limit":       {service(func(j *work.Job) { j.Team = "limited" }), func(*rig) {}, WaitForTeamLimit},
-		"pause":            {service(nil), func(r *rig) { r.core.jobs["s"].open[0].steps[0].tasks[0].notBefore = r.now + time.Hour }, WaitAfterRun},
-		"unstorable":       {service(nil), func(r *rig) { r.core.jobs["s"].notStoredBefore = r.now + time.Hour }, WaitForStorableJob},
+		"quarantined": {service(nil), func(r *rig) {
+			h := &r.core.workers["w1"].health
+			h.quarantinedUntil, h.failedAt = r.now+time.Hour, r.now+time.Hour
+		}, WaitForQuarantine},
+		"drained": {service(nil), func(r *rig) {
+			r.core.workers["w1"].cordoned = true
+			r.core.fleet.byWorker["w1"], r.core.fleet.commandInFlight["m1"] = "m1", true
+		}, WaitForDrained},
+		"no room":        {service(func(j *work.Job) { j.Steps[0].Request.CPU = 5000 }), func(*rig) {}, WaitForRoom},
+		"no such worker": {service(func(j *work.Job) { j.Steps[0].RequiredLabel = "b" }), func(*rig) {}, WaitForEligibleWorker},
+		"team limit":     {service(func(j *work.Job) { j.Team = "limited" }), func(*rig) {}, WaitForTeamLimit},
+		"pause":          {service(nil), func(r *rig) { r.core.jobs["s"].open[0].steps[0].tasks[0].notBefore = r.now + time.Hour }, WaitAfterRun},
+		"unstorable":     {service(nil), func(r *rig) { r.core.jobs["s"].notStoredBefore = r.now + time.Hour }, WaitForStorableJob},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
