scheduler: a service that works speaks for the health of its worker

Only tasks that end as done took back failures. A task of a service that has been at work for 2 s counts like one that is done now, once for each run.

QuarantineIsForgotten failed before.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -57,6 +57,17 @@
 	return true
 }
 
+// recordWork records that a service is at work on its worker. A worker that runs nothing else has no other success.
+func (c *Core) recordWork(r *run) {
+	if !r.worked && r.step.doc.Service && r.speedPercent >= fullSpeed && c.now-r.confirmedAt >= workProof {
+		r.worked = true
+		r.worker.health.recordSuccess()
+	}
+}
+
+// workProof is how long a service has run when its worker counts as in order. Failing workers fail most tasks sooner.
+const workProof = 2 * time.Second
+
 func (c *Core) recordSuccess(r *run) {
 	r.worker.health.recordSuccess()
 	if !r.step.doc.Service && r.confirmedAt > 0 {
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
 )
 
 // TestLastingQuarantine guards against a worker that fails every task and gets tasks again without a pause, once it was quarantined so often
@@ -28,3 +31,22 @@
 		now = h.quarantinedUntil
 	}
 }
+
+// TestQuarantineIsForgotten guards against a worker that is quarantined for long because of one failure, since it runs only services, whose
+// tasks never succeed, and has failed some of them long before.
+func TestQuarantineIsForgotten(t *testing.T) {
+	r := newIdleRig(t, 1)
+	for i := range failureJobs {
+		r.addService(fmt.Sprint("s", i), 1, 500)
+	}
+	r.play(time.Second)
+	for i := range failureJobs {
+		r.end("w0", work.Task{Job: fmt.Sprint("s", i)}, worker.ExitFailed)
+		r.play(idleStep)
+	}
+	qt.Assert(t, r.core.workers["w0"].health.quarantined(r.now), qt.IsTrue)
+	r.play(2 * maxQuarantine)
+	r.end("w0", work.Task{Job: "s0"}, worker.ExitFailed)
+	r.play(4 * idleStep)
+	qt.Assert(t, r.isRunning(work.Task{Job: "s0"}), qt.IsTrue)
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -182,9 +182,11 @@
 	stopUnknown    bool
 	stopRuledOutAt time.Duration
 	// startFence and stopFence are the fencing tokens of the latest commands.
-	startFence   uint64
-	stopFence    uint64
-	checkpoint   string
+	startFence uint64
+	stopFence  uint64
+	checkpoint string
+	// worked means that the run has spoken for the health of its worker.
+	worked       bool
 	speedPercent int
 	load         int64
 	// speedLimit is the speed, in percent, to which a best-effort task is throttled.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -401,6 +401,7 @@
 		r.checkpoint = row.Checkpoint
 	}
 	r.speedPercent, r.load = row.SpeedPercent, row.Load
+	c.recordWork(r)
 }
 
 // repeatStops sends stops again that had no effect for long, for instance because the run does not exist.
