scheduler: a pool gets other instances for workers that take no tasks while a service is overdue

A pool has one instance more than its widest service needs. Instances whose workers are quarantined or not in the registry counted among them, so that nothing was moved for a service that waited for such a worker. While a task of a service is overdue, and for 3 s after that, they do not count.

--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -70,6 +70,7 @@
 		used[c.catalog.Queues[i].Pool] = true
 	}
 	have := make(map[string]int)
+	avoided := make(map[string]int)
 	missing := make(map[string]float64)
 	var cores float64
 	for id, inst := range c.fleet.instances {
@@ -83,6 +84,9 @@
 		if c.serves(inst) {
 			have[pool]++
 			missing[pool] += unavailable
+			if c.withoutTasks(inst) {
+				avoided[pool]++
+			}
 		}
 	}
 	if len(c.fleet.instances) == 0 {
@@ -98,12 +102,25 @@
 		if !used[name] && len(p.jobs) == 0 {
 			continue
 		}
-		need := max(minInstances, p.minWidth()+1, int(math.Ceil((c.neededCores(p)*headroom+missing[name])/perInstance)))
+		width := p.minWidth() + 1
+		if p.overdueAt > 0 && c.now-p.overdueAt < overdueMemory {
+			width += avoided[name]
+		}
+		need := max(minInstances, width, int(math.Ceil((c.neededCores(p)*headroom+missing[name])/perInstance)))
 		demands = append(demands, demand{pool: name, need: need, have: have[name]})
 	}
 	return demands, perInstance
 }
 
+// overdueMemory is how long after a task of a service was overdue its pool gets other instances for those whose workers take no tasks.
+const overdueMemory = 3 * time.Second
+
+// withoutTasks reports whether the worker of an instance that serves takes no tasks at present.
+func (c *Core) withoutTasks(inst instance.Instance) bool {
+	ws, ok := c.workers[inst.Worker]
+	return ok && ws.answered && !c.acceptsTasks(ws)
+}
+
 // instanceCores returns the number of cores of an instance, and how many of them its worker does not offer at present.
 func (c *Core) instanceCores(inst instance.Instance) (cores, missing float64) {
 	cores = float64(inst.Capacity.CPU) / 1000
--- a/scheduler/idle_test.go
+++ b/scheduler/idle_test.go
@@ -216,3 +216,39 @@
 	plan(20 * time.Second)
 	qt.Assert(t, r.longest < maxIdle-idleReserve, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
 }
+
+// TestInstancesForOverdueService guards against a pool that gets no other instances although a service waits for workers that take no tasks.
+func TestInstancesForOverdueService(t *testing.T) {
+	tests := map[string]struct {
+		failing, want int
+	}{
+		"all in order":  {0, 0},
+		"two take none": {2, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleetRig(t, 5, 4)
+			r := &idleRig{rig: f.rig, workers: []string{"w1", "w2", "w3", "w4", "w5"}, idleSince: make(map[work.Task]time.Duration), downSince: make(map[string]time.Duration)}
+			r.refuses = func(string) bool { return false }
+			for _, id := range r.workers[:test.failing] {
+				h := &f.core.workers[id].health
+				h.quarantinedUntil, h.failedAt = r.now+time.Hour, r.now+time.Hour
+			}
+			r.addService("s", 4, 500)
+			moves := 0
+			for range 15 {
+				r.play(planInterval + idleStep)
+				f.listInstances()
+				for _, cmd := range f.instanceCommands() {
+					qt.Assert(t, cmd.Pool, qt.Equals, "p")
+					f.acceptInstances([]InstanceCommand{cmd})
+					inst := f.instances[cmd.Instance]
+					inst.Pool, inst.State = cmd.Pool, instance.Moving
+					f.instances[cmd.Instance] = inst
+					moves++
+				}
+			}
+			qt.Assert(t, moves, qt.Equals, test.want)
+		})
+	}
+}
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -39,6 +39,9 @@
 // placeOverdue returns a worker for a task of a service for which no other worker has room, among those that are avoided. If there is none, it
 // keeps room for the task and returns nil.
 func (c *Core) placeOverdue(s *step, index int, workers *placement) *workerState {
+	if avoidance.Overdue(c.idleFor(s, index)) {
+		c.pool(s.job.doc.Pool).overdueAt = c.now
+	}
 	if ws := c.chooseAvoidedWorker(s, index); ws != nil {
 		c.logger.Info("Task of a service starts on a worker that is avoided.", "job", s.job.doc.ID, "task", (&run{step: s, index: index}).name(), "worker", ws.report.ID,
 			"idle", c.idleFor(s, index), "state", c.workerStateName(ws), "reservations", len(ws.reservations))
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -262,6 +262,8 @@
 	tests []*run
 	// reserved holds the workers with reservations.
 	reserved []*workerState
+	// overdueAt is the time of the latest pass that found no worker in use with room for a task of a service that is overdue.
+	overdueAt time.Duration
 	// crashes holds the latest crashes of its workers.
 	crashes crashloop.History[crashedUnit]
 }
