quarantine of rows: a long pause needs a store that works for others

What callers saw: after the store had trouble, services and jobs did not run for up to a minute.

Cause: a row that is refused alone is set aside for 5 s, then 10 s and so on. While the store refuses or does not answer all batches, every row is refused alone in the end, and its job starts nothing for the whole pause, also once the store is in order. Five batches without an answer that were not carried out count as refused, so that writes which hang for a few seconds are enough.

The class: a failure of a service that all share, held against what happened to ask.

The pause grows only if the store has answered, and has stored another batch since it refused the row before. Otherwise it is 2 s. Withdrawn commands of instances keep their pause of 5 s.

--- a/internal/store/quarantine/quarantine.go
+++ b/internal/store/quarantine/quarantine.go
@@ -8,7 +8,7 @@
 //	// Build a batch of rows that list.Admits.
 //	if len(batch) == 0 && list.Skip() { ... try again }
 //	// After a refusal:
-//	if row, pause, ok := list.Refused(batch, now); ok { ... row is set aside }
+//	if row, pause, ok := list.Refused(batch, now, answered); ok { ... row is set aside }
 package quarantine
 
 import (
@@ -23,6 +23,9 @@
 	// firstPause is how long a row is set aside. The pause doubles with each further refusal up to maxPause.
 	firstPause = 5 * time.Second
 	maxPause   = time.Minute
+	// unprovenPause is the pause while the store may be at fault and not the row. Tasks that wait for the row start within a few seconds after
+	// the store is in order.
+	unprovenPause = 2 * time.Second
 )
 
 // List holds the rows of refused batches. The zero value is an empty list.
@@ -34,14 +37,17 @@
 	aside    map[store.Key]*asideRow
 	// trying means that the next batch is of the last group, and turn that it may be. The batches take turns, since a search takes long.
 	trying, turn bool
-	// inARow counts the refusals since a batch was stored.
+	// inARow counts the refusals since a batch was stored, and stored the batches that were.
 	inARow int
+	stored int
 }
 
 // asideRow is a row that was refused alone.
 type asideRow struct {
 	until time.Duration
 	pause time.Duration
+	// stored is the number of batches that had been stored at the latest refusal.
+	stored int
 }
 
 // Next chooses the rows of the next batch: by turns those of a refused one and all others.
@@ -84,6 +90,7 @@
 	}
 	if len(keys) > 0 {
 		l.inARow = 0
+		l.stored++
 	}
 	for _, key := range keys {
 		if l.aside[key] != nil {
@@ -95,7 +102,8 @@
 }
 
 // Refused records that a batch with these rows was refused. If it had a single row, that is set aside for the pause that Refused returns.
-func (l *List) Refused(keys []store.Key, now time.Duration) (key store.Key, pause time.Duration, ok bool) {
+// answered means that the store has answered. The pause is long only if the store has stored other batches since it refused the row before.
+func (l *List) Refused(keys []store.Key, now time.Duration, answered bool) (key store.Key, pause time.Duration, ok bool) {
 	if l.trying {
 		l.pop()
 	}
@@ -109,14 +117,18 @@
 	case 1:
 		row := l.aside[keys[0]]
 		if row == nil {
-			row = &asideRow{pause: firstPause / 2}
+			row = &asideRow{stored: l.stored}
 			if l.aside == nil {
 				l.aside = make(map[store.Key]*asideRow)
 			}
 			l.aside[keys[0]] = row
 		}
-		row.pause = min(2*row.pause, maxPause)
-		row.until = now + row.pause
+		if answered && l.stored > row.stored {
+			row.pause = min(max(2*row.pause, firstPause), maxPause)
+		} else {
+			row.pause = unprovenPause
+		}
+		row.until, row.stored = now+row.pause, l.stored
 		return keys[0], row.pause, true
 	}
 	half := len(keys) / 2
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -334,7 +335,7 @@
 // not keep the others from being stored.
 func (c *Core) BatchRefused(b Batch, cause error) {
 	c.BatchFailed(b)
-	key, pause, ok := c.refusedRows.Refused(b.rowKeys(), c.now)
+	key, pause, ok := c.refusedRows.Refused(b.rowKeys(), c.now, errors.Is(cause, store.ErrRefused))
 	if c.refusedRows.RefusesAll() {
 		c.logger.Error("Store refuses all batches, whatever rows they have.", "error", cause)
 		c.refusedRows.Reset()
@@ -352,7 +353,7 @@
 		j.notStoredBefore = c.now + pause
 	}
 	for _, cmd := range b.instanceCommands {
-		c.withdrawCommand(cmd, c.now+pause)
+		c.withdrawCommand(cmd, c.now+max(pause, unstorablePause))
 	}
 }
 
--- a/scheduler/idle_test.go
+++ b/scheduler/idle_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -252,3 +253,34 @@
 		})
 	}
 }
+
+// TestServiceAfterRefusedBatches guards against a service whose rows are set aside for longer than the store refuses them.
+func TestServiceAfterRefusedBatches(t *testing.T) {
+	for _, refusing := range []time.Duration{3 * time.Second, 6 * time.Second, 16 * time.Second, 40 * time.Second} {
+		t.Run(refusing.String(), func(t *testing.T) {
+			r := newIdleRig(t, 3)
+			r.addService("s", 1, 1000)
+			r.play(time.Second)
+			for id, runs := range r.runs {
+				for _, run := range runs {
+					r.end(id, run.Task, worker.ExitFailed)
+				}
+			}
+			const batchTime = 200 * time.Millisecond
+			for end := r.now + refusing; r.now < end; {
+				r.advance(batchTime)
+				r.registerListed()
+				for _, id := range r.workers {
+					r.renew(id)
+				}
+				r.schedule()
+				if b := r.core.TakeBatch(batchRows); !b.Empty() {
+					r.core.BatchRefused(b, store.ErrRefused)
+				}
+			}
+			r.calm = r.now
+			r.play(70 * time.Second)
+			qt.Assert(t, r.longest < maxIdle, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
+		})
+	}
+}
