scheduler: workers that join, return or are avoided get tickets of a policy

What callers saw: a task of a service in a queue with a policy did not run although a worker with room may run it.

Cause: a query names the workers that take tasks at that moment, and its answer was all that counted until its tickets expired, for as long as the policy service says. A worker that joined, returned or answered later had no ticket until then, an empty grant was kept for its whole validity, and quarantined or drained workers were never asked about, so that an overdue task found no avoided worker either.

The class: an answer about some workers, taken to be about all.

Answers are kept for each worker (internal/jobs/ticket). If no worker has room for a task, the workers with room about which nothing is known are asked about, beside the tickets at hand, in one query at a time. Services ask about avoided workers, too.

PolicyAsksAboutNewWorkers failed before in its three cases (idle for 9 s and more from the rule's start on).

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -207,6 +207,9 @@
 			if ws == nil && s.doc.Service {
 				ws = c.placeOverdue(s, i, workers)
 			}
+			if ws == nil && cand.queue.Policy != nil {
+				c.queryPolicy(s, true)
+			}
 			if ws == nil && (s.crashCount(i).Suspect() || crashed && s.untelling(i) > 0) {
 				wait = wait || !s.likelyCause(i)
 				continue
@@ -285,8 +288,8 @@
 	if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws) >= s.doc.MaxPerWorker {
 		return false
 	}
-	if s.tickets != nil {
-		_, ok := s.tickets.byWorker[ws.report.ID]
+	if c.queueOf(s.job).Policy != nil {
+		_, ok := s.tickets.Ticket(ws.report.ID, c.now)
 		return ok
 	}
 	return true
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -131,9 +131,7 @@
 	if s.doc.Checkpoints || s.doc.Gang {
 		start.Checkpoint = s.progress.Checkpoints[s.unitIndex(r.index)]
 	}
-	if s.tickets != nil {
-		start.Ticket = s.tickets.byWorker[r.worker.report.ID]
-	}
+	start.Ticket, _ = s.tickets.Ticket(r.worker.report.ID, c.now)
 	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, call: to, repeated: r.unanswered > 0})
 }
 
@@ -332,8 +330,8 @@
 	case worker.Expired:
 		r.worker.noTasksBefore = c.now + noRoomPause
 	case worker.NoTicket:
-		// The other starts with tickets of the same grant are rejected as well.
-		if t := r.step.tickets; t != nil && !t.pending {
+		// The other starts with tickets of the same grant are rejected as well, and are one failure together with this one.
+		if r.step.tickets.Valid(c.now) {
 			c.dropTickets(r.step)
 		}
 	case worker.Unhealthy:
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
+	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -71,13 +72,12 @@
 	tasksLeft int
 	// idleTasks counts the tasks that are neither done nor running.
 	idleTasks int
-	// tickets holds the workers that may run the step, if the queue has a policy.
-	tickets *tickets
+	// tickets holds the workers that may run the step, if the queue has a policy. policyPending means that a query is under way.
+	tickets       ticket.Book
+	policyPending bool
 	// policyFailures counts the failed queries and rejected tickets since the last start. There is no query before nextPolicyQuery.
 	policyFailures  int
 	nextPolicyQuery time.Duration
-	// policyOffset is the number of workers that queries have been about since the last one that granted tickets.
-	policyOffset int
 	// gangRun is the number of the latest run of the gang, and lateGangRun that of the latest one under which a worker crashed late.
 	gangRun     int
 	lateGangRun int
@@ -91,13 +91,6 @@
 	notBefore time.Duration
 }
 
-// tickets holds what the policy service granted for a step.
-type tickets struct {
-	byWorker   map[string]string
-	validUntil time.Duration
-	pending    bool
-}
-
 // task is a task of a step.
 type task struct {
 	runs []*run
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -170,7 +170,7 @@
 	case c.now < t.notBefore, s.doc.Gang && c.now < s.notBefore:
 		return WaitAfterRun
 	}
-	if q, ok := c.catalog.Queue(j.doc.Queue); ok && q.Policy != nil && (s.tickets == nil || c.now >= s.tickets.validUntil) {
+	if q, ok := c.catalog.Queue(j.doc.Queue); ok && q.Policy != nil && !s.tickets.Valid(c.now) {
 		return WaitForPolicy
 	}
 	if !c.withinTeamLimit(s, 1) {
