scheduler: the pause of a service after crashes ends 6 s after its last run at the latest

What callers saw: a task that lasts waited after crashes of workers for longer than the users allow, although workers had room.

Cause: the pause counts from when a crash is judged. A worker that does not return is known to have crashed only when its lease has expired, 5.6 s after its last answer, and a pause of up to 4 s came on top if the first start after that was refused. While other workers of the pool crash by themselves the pause is up to 30 s, until 3 s after the last such crash is known, which is again 5.6 s after it happened.

The class: a delay that counts from when its cause becomes known, so that what it took to know it is added.

The pause ends 6 s after the last run of the task or the last start of it that may have been carried out. A deadly service is still started no more often than DeadlyServiceAmongCrashes allows.

WideServicesAfterLostWorkers guards. The case "pause" of ServiceWaitsAfterCrashes says now that the task has just run.

--- a/internal/jobs/crashloop/surroundings.go
+++ b/internal/jobs/crashloop/surroundings.go
@@ -23,6 +23,9 @@
 	// calmPause is the maximum pause once no worker has crashed without an explanation for calmPauseAfter.
 	calmPause      = 4 * time.Second
 	calmPauseAfter = 3 * time.Second
+	// maxRest is how long after the last run of a service its pause ends at the latest. That a worker has crashed may become known only when
+	// its lease has expired, and the users count a task as lost 9 s after its last run.
+	maxRest = 6 * time.Second
 	// maxRecent is the number of crashes that a [History] keeps.
 	maxRecent = 64
 )
@@ -68,6 +71,9 @@
 	return pause
 }
 
+// Rested reports whether a service has not run for so long that no pause delays it any more.
+func Rested(sinceRun time.Duration) bool { return sinceRun >= maxRest }
+
 // History holds the latest crashes of the workers of a pool. T names a task.
 type History[T comparable] struct {
 	crashes []crash[T]
--- a/internal/jobs/crashloop/surroundings_test.go
+++ b/internal/jobs/crashloop/surroundings_test.go
@@ -96,3 +96,9 @@
 	qt.Assert(t, Known(calmAfter-1), qt.IsFalse)
 	qt.Assert(t, Known(calmAfter), qt.IsTrue)
 }
+
+// TestRested guards against a pause that outlasts the time within which a service has to run again.
+func TestRested(t *testing.T) {
+	qt.Assert(t, Rested(maxRest-1), qt.IsFalse)
+	qt.Assert(t, Rested(maxRest), qt.IsTrue)
+}
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -320,6 +320,9 @@
 	if !s.doc.Service {
 		return c.now-site.latest < count.SilencePause()
 	}
+	if t := &s.tasks[index]; crashloop.Rested(c.now - max(t.idleSince, t.triedAt)) {
+		return false
+	}
 	// One may be a coincidence.
 	crashes := max(0, count.All+count.Silent-1) + site.untelling
 	return c.now-site.latest < crashloop.Pause(crashes, c.pool(s.job.doc.Pool).crashes.SinceUnexplained(c.now))
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -105,8 +105,11 @@
 		if len(t.runs) == 0 && !t.done {
 			r.step.idleTasks++
 		}
-		if r.confirmedAt > 0 {
+		switch {
+		case r.confirmedAt > 0:
 			t.idleSince = max(r.confirmedAt, r.worker.lastContact)
+		case r.unanswered > 0:
+			t.triedAt = r.startedAt
 		}
 		if r.worker.runs[r.task()] == r {
 			delete(r.worker.runs, r.task())
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -106,6 +106,8 @@
 	failedAt   time.Duration
 	// idleSince is the time at which the task was last known to run, and 0 if it has not run in this term.
 	idleSince time.Duration
+	// triedAt is the time of the latest start without an answer, which may have been carried out.
+	triedAt time.Duration
 	// emptyWorkerSince is the time since which the task waits for a worker that runs nothing.
 	emptyWorkerSince time.Duration
 }
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -95,7 +95,7 @@
 			r := newRig(t, 1, "w1")
 			j := r.addJob(work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: coresOnly(1), Service: true}}})
 			s := j.open[0].steps[0]
-			s.crashSite(0).latest = r.now
+			s.crashSite(0).latest, s.tasks[0].idleSince = r.now, r.now
 			test.before(s, r.core.workers["w1"])
 			if test.want != WaitAfterCrash {
 				// The pause has ended.
