scheduler: no start is sent to a worker that has fallen silent while it was planned

What callers saw: a task of a service waited for seconds after an outage of the store.

Cause: a run is started once its record is stored. If the store takes long, the worker may be gone by then, and only its lease was looked at. The start got no answer for up to 3 s, and the loss of the worker counted as a crash under the task, with a pause on top.

Such a plan is dropped, like one on a worker whose lease has expired, and the task is planned anew. The next leader learns nothing wrong from the record: it waits for a worker on which nothing runs.

PlanOutlivesWorker failed before. StartsBetweenPasses lets the worker answer by the clock of the engine, by which it had been silent for a minute.

--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -492,6 +492,8 @@
 	e.core.Schedule(r.now)
 	e.dispatch(clock.Now())
 	qt.Assert(t, workers.commands.Load(), qt.Equals, int32(0))
+	// The clock of the engine is not that of the rig.
+	r.core.workers["w1"].lastContact = clock.Now()
 	// The message that the batch is stored arrives, and no pass follows.
 	e.handleMessages(<-e.inbox)
 	e.dispatch(clock.Now())
--- a/scheduler/idle_test.go
+++ b/scheduler/idle_test.go
@@ -284,3 +284,24 @@
 		})
 	}
 }
+
+// TestPlanOutlivesWorker guards against a start on a worker that has fallen silent while the store was slow: its loss is known only later, and
+// counts as a crash under the task.
+func TestPlanOutlivesWorker(t *testing.T) {
+	r := newIdleRig(t, 2)
+	r.addService("s", 1, 1000)
+	r.schedule()
+	planned := r.core.jobs["s"].open[0].steps[0].tasks[0].runs[0].worker.report.ID
+	b := r.core.TakeBatch(batchRows)
+	r.downSince[planned] = r.now
+	for end := r.now + contactTimeout + time.Second; r.now < end; {
+		r.advance(idleStep)
+		for _, id := range r.workers {
+			r.renew(id)
+		}
+		r.schedule()
+	}
+	r.core.BatchStored(b)
+	r.play(time.Second)
+	qt.Assert(t, r.isRunning(work.Task{Job: "s"}), qt.IsTrue)
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -40,6 +40,13 @@
 		c.stopGang(r)
 		return
 	}
+	if c.silent(r.worker) {
+		// The worker has fallen silent while the batch was stored.
+		c.logger.Info("Task is not started: its worker is silent.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "contactAge", c.contactAge(r.worker))
+		c.detachRun(r)
+		c.stopGang(r)
+		return
+	}
 	if !r.stillFits() {
 		c.logger.Info("Task is not started: there is no room for it any more.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID)
 		c.detachRun(r)
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -493,12 +493,17 @@
 	return !ws.cordoned && !ws.health.quarantined(c.now) && c.mayStartOn(ws)
 }
 
+// silent reports whether a worker that has answered before may be down.
+func (c *Core) silent(ws *workerState) bool {
+	return ws.answered && (ws.startUnanswered || ws.replaced || c.now-ws.lastContact > contactTimeout)
+}
+
 // mayStartOn reports whether a start on a worker would be carried out and may be, whether the worker is avoided or not.
 func (c *Core) mayStartOn(ws *workerState) bool {
-	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || ws.startUnanswered || ws.replaced || !ws.ruledOut(c.now) {
+	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || c.silent(ws) || !ws.ruledOut(c.now) {
 		return false
 	}
-	if ws.report.Draining || c.now < ws.noTasksBefore || c.now-ws.lastContact > contactTimeout || (ws.unknownRuns > 0 && !c.guardsCapacity(ws)) {
+	if ws.report.Draining || c.now < ws.noTasksBefore || (ws.unknownRuns > 0 && !c.guardsCapacity(ws)) {
 		return false
 	}
 	maxClock := ws.maxClockAt(c.now)
