--- /dev/null
+++ b/scheduler/idlefleet_test.go
@@ -0,0 +1,154 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// idleFleet is an idleRig whose workers run on instances.
+type idleFleet struct {
+	*idleRig
+	fleet *fleetRig
+	// answer returns the outcome of a command for an instance.
+	answer func(cmd InstanceCommand) instance.Outcome
+	// unlisted means that the platform does not answer with a list.
+	unlisted bool
+	replies  []instanceReply
+}
+
+// instanceReply is the outcome of a command that becomes known at a time.
+type instanceReply struct {
+	cmd     InstanceCommand
+	outcome instance.Outcome
+	at      time.Duration
+}
+
+func newIdleFleet(t *testing.T, workers int) *idleFleet {
+	f := newFleetRig(t, workers, 0)
+	r := &idleRig{rig: f.rig, idleSince: make(map[work.Task]time.Duration), downSince: make(map[string]time.Duration), refuses: func(string) bool { return false }}
+	for i := range workers {
+		r.workers = append(r.workers, fmt.Sprint("w", i+1))
+	}
+	return &idleFleet{idleRig: r, fleet: f, answer: func(InstanceCommand) instance.Outcome { return instance.Unknown }}
+}
+
+func (r *idleFleet) play(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.idleRig.play(idleStep)
+		if !r.unlisted {
+			r.fleet.listInstances()
+		}
+		for _, cmd := range r.core.TakeInstanceCommands() {
+			outcome, at := r.answer(cmd), r.now
+			if outcome == instance.Unknown {
+				at += instanceTimeout
+			}
+			r.replies = append(r.replies, instanceReply{cmd, outcome, at})
+		}
+		r.replies = slices.DeleteFunc(r.replies, func(reply instanceReply) bool {
+			if r.now < reply.at {
+				return false
+			}
+			r.core.HandleInstanceReply(reply.cmd, reply.outcome, nil)
+			return true
+		})
+	}
+}
+
+// endRuns makes the runs of a job exit on a worker.
+func (r *idleFleet) endRuns(job string, ids ...string) {
+	for _, id := range ids {
+		for _, run := range r.runs[id] {
+			if run.Task.Job == job {
+				r.end(id, run.Task, worker.ExitFailed)
+				break
+			}
+		}
+	}
+}
+
+// TestServiceBesideUnknownMaintenance guards against a task of a service that waits for a worker whose instance does not accept the command to
+// be maintained, also after commands without an answer and without a list of the instances.
+func TestServiceBesideUnknownMaintenance(t *testing.T) {
+	for _, outcome := range []instance.Outcome{instance.Busy, instance.NotInWave, instance.Invalid, instance.Refused} {
+		for _, unknownFor := range []time.Duration{0, 2 * time.Second, 5 * time.Second, 9 * time.Second} {
+			for _, unlisted := range []bool{false, true} {
+				if outcome == instance.Refused && unknownFor > 0 {
+					// A command without an answer may be carried out all the while.
+					continue
+				}
+				t.Run(fmt.Sprint(outcome, " after ", unknownFor, ", no list ", unlisted), func(t *testing.T) {
+					idle := serviceBesideMaintenance(t, outcome, unknownFor, unlisted)
+					qt.Assert(t, idle < maxIdle, qt.IsTrue, qt.Commentf("idle for %v", idle))
+				})
+			}
+		}
+	}
+}
+
+// serviceBesideMaintenance plays a wave whose commands get no answer for a while, and a given outcome after that. It returns the longest time
+// for which a task of a service does not run then.
+func serviceBesideMaintenance(t *testing.T, outcome instance.Outcome, unknownFor time.Duration, unlisted bool) time.Duration {
+	r := newIdleFleet(t, 4)
+	r.play(time.Second)
+	if unknownFor == 0 {
+		r.answer = func(InstanceCommand) instance.Outcome { return outcome }
+	}
+	r.core.AddWave(instance.Wave{Number: 1, Instances: []string{"m-w1", "m-w2"}, MaxDuration: 8 * time.Second, MaxUnavailable: 2}, nil)
+	r.play(time.Second)
+	r.addService("a", 4, 500)
+	r.unlisted = unlisted
+	r.play(unknownFor)
+	r.unlisted = false
+	r.answer = func(InstanceCommand) instance.Outcome { return outcome }
+	r.calm = r.now
+	r.play(20 * time.Second)
+	return r.longest
+}
+
+// TestServiceAfterLostInstanceList guards against a worker that stays cordoned because the list of instances has lost its instance, or is
+// not available, while a move or a wave is under way.
+func TestServiceAfterLostInstanceList(t *testing.T) {
+	tests := map[string]func(r *idleFleet){
+		"list is without the worker": func(r *idleFleet) {
+			for id, inst := range r.fleet.instances {
+				inst.Worker = ""
+				r.fleet.instances[id] = inst
+			}
+		},
+		"list is without the instance": func(r *idleFleet) { clear(r.fleet.instances) },
+		"no list":                      func(r *idleFleet) { r.unlisted = true },
+	}
+	for name, lose := range tests {
+		for _, kind := range []string{"move", "wave"} {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				r := newIdleFleet(t, 4)
+				r.addService("a", 4, 500)
+				r.addService("b", 4, 500)
+				r.play(time.Second)
+				if kind == "wave" {
+					r.core.AddWave(instance.Wave{Number: 1, Instances: []string{"m-w1", "m-w2"}, MaxDuration: 20 * time.Second, MaxUnavailable: 2}, nil)
+					r.play(time.Second)
+				} else {
+					r.core.startMove("m-w1", "off", demand{})
+					r.core.startMove("m-w2", "off", demand{})
+				}
+				qt.Assert(t, r.core.workers["w1"].cordoned, qt.IsTrue)
+				lose(r)
+				r.play(3 * time.Second)
+				r.endRuns("a", "w1", "w2")
+				r.calm = r.now
+				r.play(15 * time.Second)
+				qt.Assert(t, r.longest < maxIdle-idleReserve, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
+			})
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/idlestarts_test.go
@@ -0,0 +1,141 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivetiller/chivetiller/advice"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
+)
+
+// TestServiceBesideReservedWorker guards against a task of a small service that waits for room which is kept for a larger one.
+func TestServiceBesideReservedWorker(t *testing.T) {
+	r := newIdleRig(t, 2)
+	r.addJob(work.Job{ID: "long", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 2, Request: coresOnly(3), Estimate: time.Minute}}})
+	r.play(time.Second)
+	r.addService("large", 1, 4000)
+	r.play(2 * reserveAfter)
+	qt.Assert(t, r.core.pool("p").reserved, qt.HasLen, 1)
+	clear(r.idleSince)
+	r.addService("small", 2, 1000)
+	r.calm = r.now - idleAfterCalm
+	r.play(2 * time.Second)
+	qt.Assert(t, r.core.pool("p").reserved, qt.HasLen, 1)
+	r.play(10 * time.Second)
+	qt.Assert(t, r.longest < maxIdle-idleReserve, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
+	qt.Assert(t, r.idleSince[work.Task{Job: "small"}], qt.Equals, r.now)
+	qt.Assert(t, r.idleSince[work.Task{Job: "small", Index: 1}], qt.Equals, r.now)
+}
+
+// TestServiceBehindExitsOfUnknownJobs guards against a task that counts as running because its exit is behind those of jobs that are not known.
+func TestServiceBehindExitsOfUnknownJobs(t *testing.T) {
+	const unknown = 4
+	r := newIdleRig(t, 1)
+	r.addService("s", 1, 1000)
+	r.play(time.Second)
+	for i := range unknown {
+		r.exits["w0"] = append(r.exits["w0"], worker.Exit{Seq: uint64(i + 1), Task: work.Task{Job: fmt.Sprint("unknown", i)}, Number: 1, Reason: worker.ExitDone})
+	}
+	r.end("w0", work.Task{Job: "s"}, worker.ExitFailed)
+	r.calm = r.now
+	r.play(15 * time.Second)
+	qt.Assert(t, r.longest < maxIdle-idleReserve, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
+}
+
+// TestServiceBesideRunsOfUnknownJobs guards against a task of a service that waits for workers on which runs are listed that nobody knows.
+func TestServiceBesideRunsOfUnknownJobs(t *testing.T) {
+	r := newIdleRig(t, 2)
+	for i, id := range r.workers {
+		for n := range 3 {
+			r.runs[id] = append(r.runs[id], worker.Run{Task: work.Task{Job: fmt.Sprint("unknown", i, n)}, Number: 1, SpeedPercent: 100})
+		}
+	}
+	r.addService("s", 2, 500)
+	r.calm = r.now
+	r.play(15 * time.Second)
+	qt.Assert(t, r.longest < maxIdle-idleReserve, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
+}
+
+// TestServiceAfterLostStarts guards against a task that counts as running, or as about to start, on a worker that has not started it.
+func TestServiceAfterLostStarts(t *testing.T) {
+	replies := func(outcomes ...worker.Outcome) []worker.Outcome { return outcomes }
+	tests := map[string][]worker.Outcome{
+		"confirmed, never listed":       replies(worker.Accepted),
+		"no answer, then superseded":    replies(worker.Unknown, worker.Superseded),
+		"no answer, then no room":       replies(worker.Unknown, worker.NoRoom),
+		"no answer, then unhealthy":     replies(worker.Unknown, worker.Unknown, worker.Unhealthy),
+		"superseded again and again":    replies(worker.Superseded, worker.Superseded, worker.Superseded),
+		"malformed":                     replies(worker.Invalid),
+		"lease has expired, then again": replies(worker.Expired, worker.Expired),
+		"not sent again and again":      replies(worker.NotSent, worker.NotSent, worker.NotSent, worker.NotSent),
+		"never an answer from a worker": slices.Repeat(replies(worker.Unknown), 100),
+	}
+	for name, outcomes := range tests {
+		for _, budget := range []int{0, 1} {
+			t.Run(fmt.Sprint(name, ", budget ", budget), func(t *testing.T) {
+				r := newIdleRig(t, 2)
+				r.addJob(work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: coresOnly(1), Service: true, MaxDisruptions: budget}}})
+				first, start, left := "", r.now, outcomes
+				for end := r.now + 15*time.Second; r.now < end; {
+					r.advance(idleStep)
+					r.registerListed()
+					for _, id := range r.workers {
+						r.renew(id)
+					}
+					for _, cmd := range r.pass() {
+						if cmd.Kind != CommandStart || len(left) == 0 || first != "" && first != cmd.Target.ID {
+							r.carryOut(cmd)
+							continue
+						}
+						first = cmd.Target.ID
+						r.core.HandleReply(cmd, worker.Reply{Outcome: left[0], Clock: r.now}, r.now, nil)
+						left = left[1:]
+					}
+					if r.isRunning(work.Task{Job: "s"}) {
+						break
+					}
+				}
+				t.Logf("runs after %v", r.now-start)
+				qt.Assert(t, r.now-start < idleAfterCalm+maxIdle-idleReserve, qt.IsTrue, qt.Commentf("runs after %v", r.now-start))
+			})
+		}
+	}
+}
+
+// TestServiceAfterPolicyOutage guards against a service that waits for the policy service for too long after that is back.
+func TestServiceAfterPolicyOutage(t *testing.T) {
+	const answerTime = 500 * time.Millisecond
+	for _, outage := range []time.Duration{2 * time.Second, 3500 * time.Millisecond, 10 * time.Second, 30 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			r := newPolicyRig(t, 2)
+			r.addService("s", 2, 1000)
+			r.calm = r.now + outage
+			// A step has one query at a time.
+			var query *PolicyQuery
+			var sent time.Duration
+			for end := r.calm + 15*time.Second; r.now < end; {
+				r.idleRig.play(idleStep)
+				for _, q := range r.core.TakePolicyQueries() {
+					query, sent = &q, r.now
+				}
+				switch {
+				case query == nil:
+				case sent >= r.calm && r.now-sent >= answerTime:
+					g := advice.Grant{Tickets: map[string]string{"w0": "ticket", "w1": "ticket"}, Valid: ticketsValid}
+					r.core.HandlePolicyReply(*query, g, sent, nil)
+					query = nil
+				case r.now-sent >= adviceTimeout:
+					r.core.HandlePolicyReply(*query, advice.Grant{}, sent, errors.New("no answer"))
+					query = nil
+				}
+			}
+			qt.Assert(t, r.longest < maxIdle-idleReserve/2, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
+		})
+	}
+}
