scheduler: gangs that last start on avoided workers, and a command without an answer keeps only protected steps away

Two gaps of the limit for workers that are avoided. A gang was placed on workers in use only, so that it waited for quarantines and drained instances without that limit. And an instance command without an answer kept overdue tasks from its drained worker for 13 s, while the platform refused further commands; that matters for steps with a disruption budget, since the command may end the run while others are away. Others run until then.

GangServiceAfterFailingWorkers failed before (3 s and more beyond the rule's start).

--- a/scheduler/idle_test.go
+++ b/scheduler/idle_test.go
@@ -305,3 +305,25 @@
 	r.play(time.Second)
 	qt.Assert(t, r.isRunning(work.Task{Job: "s"}), qt.IsTrue)
 }
+
+// TestGangServiceAfterFailingWorkers guards against a service whose tasks run together and that waits for workers which only failed during a
+// disruption.
+func TestGangServiceAfterFailingWorkers(t *testing.T) {
+	for failing := 7 * time.Second; failing <= 20*time.Second; failing += time.Second {
+		t.Run(failing.String(), func(t *testing.T) {
+			r := newIdleRig(t, 4)
+			for i := range 4 {
+				r.addService(fmt.Sprint("s", i), 4, 500)
+			}
+			r.addJob(work.Job{ID: "gang", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 4, Request: coresOnly(1), Service: true, Gang: true, MaxPerWorker: 1}}})
+			r.refuses = func(string) bool { return r.now < time.Minute+failing }
+			r.play(failing)
+			r.calm = r.now
+			for i := range 4 {
+				r.idleSince[work.Task{Job: "gang", Index: i}] = r.now - idleAfterRun
+			}
+			r.play(15 * time.Second)
+			qt.Assert(t, r.longest < maxIdle, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
+		})
+	}
+}
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -27,9 +27,10 @@
 	return idle
 }
 
-// avoidanceOf returns what is known against starting a task on a worker.
-func (c *Core) avoidanceOf(ws *workerState) avoidance.Worker {
-	leaving := c.now < ws.mayLeaveUntil
+// avoidanceOf returns what is known against starting a task of a step on a worker.
+func (c *Core) avoidanceOf(s *step, ws *workerState) avoidance.Worker {
+	// A command without an answer would end the run of a task that may not be disrupted now. Others run until then.
+	leaving := s.doc.MaxDisruptions > 0 && c.now < ws.mayLeaveUntil
 	if id, ok := c.fleet.byWorker[ws.report.ID]; ok {
 		leaving = leaving || c.fleet.commandInFlight[id]
 	}
@@ -54,6 +55,22 @@
 // chooseAvoidedWorker returns a worker for a task of a service that has waited for long, among those that are avoided, and nil if there is
 // none. Room that is kept for other services counts as free.
 func (c *Core) chooseAvoidedWorker(s *step, index int) *workerState {
+	var best *workerState
+	var bestCost float64
+	charge := s.doc.ReservedResources()
+	for _, ws := range c.workersForOverdue(s, index) {
+		if !charge.Fits(ws.freeCapacity()) || !c.eligible(s, ws) || len(s.crashSites) > 0 && c.mayCrashByItself(s, index, ws) {
+			continue
+		}
+		if cost := c.placementCost(s, index, ws, charge); best == nil || cost < bestCost {
+			best, bestCost = ws, cost
+		}
+	}
+	return best
+}
+
+// workersForOverdue returns the workers on which a task of a service may start that has waited for long, those that are avoided among them.
+func (c *Core) workersForOverdue(s *step, index int) []*workerState {
 	idle := c.idleFor(s, index)
 	if !avoidance.Overdue(idle) {
 		return nil
@@ -63,19 +80,11 @@
 	if crashes.Likely() && p.likelyLeft(overdueLikelyShare) <= 0 {
 		return nil
 	}
-	var best *workerState
-	var bestCost float64
-	charge := s.doc.ReservedResources()
+	var workers []*workerState
 	for _, ws := range p.workers {
-		switch {
-		case !charge.Fits(ws.freeCapacity()), !c.mayStartOn(ws), !c.avoidanceOf(ws).TakesOverdue(c.now, idle), !c.eligible(s, ws):
-			continue
-		case crashes.Suspect() && ws.tests > 0, len(s.crashSites) > 0 && c.mayCrashByItself(s, index, ws):
-			continue
-		}
-		if cost := c.placementCost(s, index, ws, charge); best == nil || cost < bestCost {
-			best, bestCost = ws, cost
+		if c.mayStartOn(ws) && c.avoidanceOf(s, ws).TakesOverdue(c.now, idle) && !(crashes.Suspect() && ws.tests > 0) {
+			workers = append(workers, ws)
 		}
 	}
-	return best
+	return workers
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -369,6 +369,9 @@
 		return false
 	}
 	chosen := c.chooseGang(s, s.crashedLast(c.workersFor(workers, s, 0)))
+	if chosen == nil && s.doc.Service {
+		chosen = c.chooseGang(s, c.workersForOverdue(s, 0))
+	}
 	if chosen == nil {
 		return false
 	}
