--- a/scheduler/idlefleet_test.go
+++ b/scheduler/idlefleet_test.go
@@ -152,3 +152,14 @@
 		}
 	}
 }
+
+// TestServiceBesideRefusedMaintenance guards against a task of a service that waits for a worker which a command without an answer may still
+// end, while the platform refuses further commands.
+func TestServiceBesideRefusedMaintenance(t *testing.T) {
+	for _, unknownFor := range []time.Duration{2 * time.Second, 5 * time.Second, 9 * time.Second} {
+		t.Run(unknownFor.String(), func(t *testing.T) {
+			idle := serviceBesideMaintenance(t, instance.Refused, unknownFor, false)
+			qt.Assert(t, idle < maxIdle, qt.IsTrue, qt.Commentf("idle for %v", idle))
+		})
+	}
+}
