scheduler: a worker that restarts loses only its own tickets

A ticket is for one life of a worker. After a restart under the same ID the next start was rejected, which dropped the tickets of all workers and paused queries for up to 2 s. The tickets of that worker alone are forgotten when it restarts.

--- a/internal/jobs/ticket/ticket.go
+++ b/internal/jobs/ticket/ticket.go
@@ -60,3 +60,9 @@
 		return ok && now < until
 	})
 }
+
+// Forget forgets what is known of a worker, since a ticket is for one life of it.
+func (b *Book) Forget(worker string) {
+	delete(b.granted, worker)
+	delete(b.askedUntil, worker)
+}
--- a/internal/jobs/ticket/ticket_test.go
+++ b/internal/jobs/ticket/ticket_test.go
@@ -15,19 +15,21 @@
 	qt.Assert(t, b.Unasked([]string{"b", "a"}, 0), qt.DeepEquals, []string{"b", "a"})
 	b.Record([]string{"a", "b"}, map[string]string{"a": "1"}, 10*time.Second)
 	b.Record([]string{"c"}, map[string]string{"c": "2"}, 15*time.Second)
+	b.Record([]string{"e"}, map[string]string{"e": "3"}, 15*time.Second)
+	b.Forget("e")
 	tests := map[string]struct {
 		now     time.Duration
 		valid   bool
 		tickets map[string]string
 		unasked []string
 	}{
-		"all valid":       {10*time.Second - 1, true, map[string]string{"a": "1", "c": "2"}, []string{"d"}},
-		"first are old":   {10 * time.Second, true, map[string]string{"c": "2"}, []string{"a", "b", "d"}},
-		"all are too old": {15 * time.Second, false, map[string]string{}, []string{"a", "b", "c", "d"}},
+		"all valid":       {10*time.Second - 1, true, map[string]string{"a": "1", "c": "2"}, []string{"d", "e"}},
+		"first are old":   {10 * time.Second, true, map[string]string{"c": "2"}, []string{"a", "b", "d", "e"}},
+		"all are too old": {15 * time.Second, false, map[string]string{}, []string{"a", "b", "c", "d", "e"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			workers, tickets := []string{"a", "b", "c", "d"}, make(map[string]string)
+			workers, tickets := []string{"a", "b", "c", "d", "e"}, make(map[string]string)
 			for _, id := range workers {
 				if value, ok := b.Ticket(id, test.now); ok {
 					tickets[id] = value
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -158,6 +158,7 @@
 	c.commands = slices.DeleteFunc(c.commands, func(cmd Command) bool { return cmd.call.life == ended })
 	next := c.newLife(ws, worker.Life{ID: ended.identity.ID, Incarnation: incarnation}, ended.calls())
 	ws.workerLife = &next
+	c.forgetTickets(ws)
 	// Starts that got no answer may still reach the new life, which knows no runs. A stop makes the worker reject them.
 	for _, start := range ended.unansweredStarts {
 		if start.mayArrive(c.now) {
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -112,3 +112,14 @@
 	s.policyFailures++
 	s.nextPolicyQuery = c.now + backoff.Doubled(s.policyFailures, policyPause, maxPolicyPause)
 }
+
+// forgetTickets forgets the tickets for an earlier life of a worker.
+func (c *Core) forgetTickets(ws *workerState) {
+	for _, j := range c.pool(ws.report.Pool).jobs {
+		for _, o := range j.open {
+			for _, s := range o.steps {
+				s.tickets.Forget(ws.report.ID)
+			}
+		}
+	}
+}
