--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -44,6 +44,7 @@
 		// The worker has fallen silent while the batch was stored.
 		c.logger.Info("Task is not started: its worker is silent.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "contactAge", c.contactAge(r.worker))
 		c.detachRun(r)
+		c.recordRunEnd(r.step, r.index, r.number)
 		c.stopGang(r)
 		return
 	}
