scheduler: services prefer workers that have answered their latest call

A worker that has crashed gets tasks for up to 2 s, until its silence is long enough. A task of a service that starts there is known to be lost only seconds later, and a pause after the crash counts from that start. Another worker with room goes first now.

ServiceBesideDoubtedWorker failed before.

--- a/scheduler/idlestarts_test.go
+++ b/scheduler/idlestarts_test.go
@@ -139,3 +139,20 @@
 		})
 	}
 }
+
+// TestServiceBesideDoubtedWorker guards against a task of a service that starts on a worker which is likely to be down, although another one has
+// room.
+func TestServiceBesideDoubtedWorker(t *testing.T) {
+	for _, doubted := range []string{"w0", "w1"} {
+		t.Run(doubted, func(t *testing.T) {
+			r := newIdleRig(t, 2)
+			r.addService("other", 2, 1000)
+			r.play(time.Second)
+			r.downSince[doubted] = r.now
+			r.renew(doubted)
+			r.addService("s", 1, 1000)
+			r.play(2 * idleStep)
+			qt.Assert(t, r.isRunning(work.Task{Job: "s"}), qt.IsTrue)
+		})
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -316,6 +316,9 @@
 	// costMayLeave is the cost, for a step with a disruption budget, of a worker whose instance may still carry out a command without an answer.
 	// It outweighs the others but costCrashedBefore.
 	costMayLeave = 500
+	// costDoubted is the cost, for a service, of a worker that has left its latest call unanswered. A start there may take seconds to be known
+	// as lost.
+	costDoubted = 400
 	// costInterference is the cost of a best-effort task next to a service, or the other way round.
 	costInterference = 3
 	// costSameService is the cost of each task of the same service on a worker, since the loss of the worker takes them all down.
@@ -354,6 +357,9 @@
 		if s.doc.MaxDisruptions > 0 && c.now < ws.mayLeaveUntil {
 			cost += costMayLeave
 		}
+		if ws.doubtedAt > 0 {
+			cost += costDoubted
+		}
 		if ws.services == 0 {
 			cost += costMixedUse
 		}
