--- a/internal/jobs/ticket/ticket.go
+++ b/internal/jobs/ticket/ticket.go
@@ -6,7 +6,7 @@
 //	var book ticket.Book
 //	if ids := book.Unasked(candidates, now); len(ids) > 0 {
 //		// Query the policy service about ids.
-//		book.Record(ids, grants, validUntil)
+//		book.Record(ids, grants, validUntil, validUntil)
 //	}
 //	value, ok := book.Ticket(id, now)
 package ticket
@@ -30,15 +30,16 @@
 	until time.Duration
 }
 
-// Record records the answer to a query about workers. It holds until a time.
-func (b *Book) Record(asked []string, granted map[string]string, until time.Duration) {
+// Record records the answer to a query about workers. Tickets hold until a time, and the others count as denied until deniedUntil.
+func (b *Book) Record(asked []string, granted map[string]string, until, deniedUntil time.Duration) {
 	if b.askedUntil == nil {
 		b.askedUntil, b.granted = make(map[string]time.Duration), make(map[string]grant)
 	}
 	for _, id := range asked {
-		b.askedUntil[id] = until
+		b.askedUntil[id] = deniedUntil
 	}
 	for id, value := range granted {
+		b.askedUntil[id] = until
 		b.granted[id] = grant{value: value, until: until}
 		b.validUntil = max(b.validUntil, until)
 	}
@@ -63,6 +64,13 @@
 
 // Forget forgets what is known of a worker, since a ticket is for one life of it.
 func (b *Book) Forget(worker string) {
+	if _, ok := b.askedUntil[worker]; !ok {
+		return
+	}
 	delete(b.granted, worker)
 	delete(b.askedUntil, worker)
+	b.validUntil = 0
+	for _, g := range b.granted {
+		b.validUntil = max(b.validUntil, g.until)
+	}
 }
--- a/internal/jobs/ticket/ticket_test.go
+++ b/internal/jobs/ticket/ticket_test.go
@@ -13,9 +13,9 @@
 	var b Book
 	qt.Assert(t, b.Valid(0), qt.IsFalse)
 	qt.Assert(t, b.Unasked([]string{"b", "a"}, 0), qt.DeepEquals, []string{"b", "a"})
-	b.Record([]string{"a", "b"}, map[string]string{"a": "1"}, 10*time.Second)
-	b.Record([]string{"c"}, map[string]string{"c": "2"}, 15*time.Second)
-	b.Record([]string{"e"}, map[string]string{"e": "3"}, 15*time.Second)
+	b.Record([]string{"a", "b"}, map[string]string{"a": "1"}, 10*time.Second, 10*time.Second)
+	b.Record([]string{"c"}, map[string]string{"c": "2"}, 15*time.Second, 15*time.Second)
+	b.Record([]string{"e"}, map[string]string{"e": "3"}, 15*time.Second, 15*time.Second)
 	b.Forget("e")
 	tests := map[string]struct {
 		now     time.Duration
@@ -41,3 +41,15 @@
 		})
 	}
 }
+
+// TestForget guards against a book that counts as valid because of a ticket that is gone, and against workers without a ticket that are asked
+// about too late.
+func TestForget(t *testing.T) {
+	var b Book
+	b.Record([]string{"a", "b"}, map[string]string{"a": "1"}, 10*time.Second, 2*time.Second)
+	qt.Assert(t, b.Unasked([]string{"a", "b"}, 2*time.Second-1), qt.HasLen, 0)
+	qt.Assert(t, b.Unasked([]string{"a", "b"}, 2*time.Second), qt.DeepEquals, []string{"b"})
+	b.Forget("a")
+	qt.Assert(t, b.Valid(0), qt.IsFalse)
+	qt.Assert(t, b.Unasked([]string{"a"}, 0), qt.DeepEquals, []string{"a"})
+}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -262,7 +262,10 @@
 		s := r.step
 		switch {
 		case s.doc.Service:
-			if c.chooseWorker(s, r.index, c.usableWorkers(c.pool(s.job.doc.Pool))) != nil && c.mayDisrupt(r) {
+			switch {
+			case c.chooseWorker(s, r.index, c.usableWorkers(c.pool(s.job.doc.Pool))) == nil:
+				c.queryPolicy(s, true)
+			case c.mayDisrupt(r):
 				c.stopRun(r, "the worker is about to go down")
 			}
 		case stopCheckpointed && s.doc.Checkpoints && !ws.report.Draining:
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -207,7 +207,8 @@
 			if ws == nil && s.doc.Service {
 				ws = c.placeOverdue(s, i, workers)
 			}
-			if ws == nil && cand.queue.Policy != nil {
+			if ws == nil && s.doc.Service {
+				// Others are many, and one worker that joins would be asked about for each of them.
 				c.queryPolicy(s, true)
 			}
 			if ws == nil && (s.crashCount(i).Suspect() || crashed && s.untelling(i) > 0) {
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -6,7 +6,6 @@
 
 	"github.com/chivetiller/chivetiller/advice"
 	"github.com/chivetiller/chivetiller/common/backoff"
-	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
 )
 
 // PolicyQuery queries the policy service for the workers that may run a step.
@@ -27,9 +26,10 @@
 	return false
 }
 
-// queryPolicy queries the policy service about workers of which nothing is known. With onlyRoom these have room for a task of the step.
+// queryPolicy queries the policy service about workers of which nothing is known, if the queue has a policy. With onlyRoom these have room for
+// a task of the step.
 func (c *Core) queryPolicy(s *step, onlyRoom bool) {
-	if s.policyPending || c.now < s.nextPolicyQuery {
+	if c.queueOf(s.job).Policy == nil || s.policyPending || c.now < s.nextPolicyQuery {
 		return
 	}
 	ids := s.tickets.Unasked(c.policyWorkers(s, onlyRoom), c.now)
@@ -93,7 +93,12 @@
 		c.pausePolicyQueries(s)
 		return
 	}
-	s.tickets.Record(q.Workers, grant.Tickets, validUntil)
+	deniedUntil := validUntil
+	if grant.Malformed > 0 {
+		// Some of those without a ticket may have one in a row that cannot be read.
+		deniedUntil = min(validUntil, c.now+maxPolicyPause)
+	}
+	s.tickets.Record(q.Workers, grant.Tickets, validUntil, deniedUntil)
 	s.nextPolicyQuery = c.now + policyPause
 	c.pool(s.job.doc.Pool).needsPlanning = true
 	c.logger.Info("Policy service has granted tickets.", "job", q.Job, "step", q.Step, "asked", len(q.Workers), "granted", len(grant.Tickets), "malformed", grant.Malformed, "valid", grant.Valid)
@@ -101,10 +106,13 @@
 
 var errExpiredTickets = errors.New("the tickets expire too soon to be used")
 
-// dropTickets discards the tickets of a step after one was rejected. The next query follows after a pause.
-func (c *Core) dropTickets(s *step) {
-	s.tickets = ticket.Book{}
-	c.pausePolicyQueries(s)
+// rejectTicket discards a ticket that a worker has rejected. The next query follows after a pause. Other starts with tickets of the same grant
+// may be rejected as well, and are one failure together with this one.
+func (c *Core) rejectTicket(s *step, ws *workerState) {
+	s.tickets.Forget(ws.report.ID)
+	if c.now >= s.nextPolicyQuery {
+		c.pausePolicyQueries(s)
+	}
 }
 
 // pausePolicyQueries delays the next query for a step after a failure.
--- a/scheduler/policyidle_test.go
+++ b/scheduler/policyidle_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,8 @@
 
 	"github.com/chivetiller/chivetiller/advice"
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/work"
 )
 
 // policyRig is an idleRig whose queue has a policy. It allows all workers but denied.
@@ -83,3 +86,103 @@
 		})
 	}
 }
+
+// TestMalformedGrantIsAskedAgain guards against workers that count as denied for as long as tickets hold because their rows could not be read.
+func TestMalformedGrantIsAskedAgain(t *testing.T) {
+	r := newPolicyRig(t, 2)
+	r.addService("s", 2, 1000)
+	r.calm = r.now
+	first := true
+	for end := r.now + 15*time.Second; r.now < end; {
+		r.idleRig.play(idleStep)
+		for _, q := range r.core.TakePolicyQueries() {
+			g := advice.Grant{Tickets: make(map[string]string), Valid: ticketsValid}
+			if first {
+				g.Malformed = len(q.Workers)
+			} else {
+				for _, id := range q.Workers {
+					g.Tickets[id] = "ticket"
+				}
+			}
+			first = false
+			r.core.HandlePolicyReply(q, g, r.now, nil)
+		}
+	}
+	qt.Assert(t, r.longest < maxIdle, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
+}
+
+// TestTicketsOfWorkerThatIsBack guards against tickets of an earlier life of a worker that was removed and came back under its ID.
+func TestTicketsOfWorkerThatIsBack(t *testing.T) {
+	r := newPolicyRig(t, 3)
+	s := r.addService("s", 3, 1000)
+	r.play(time.Second)
+	r.downSince["w1"] = r.now
+	r.play(12 * time.Second)
+	_, known := r.core.workers["w1"]
+	qt.Assert(t, known, qt.IsFalse)
+	_, ok := s.tickets.Ticket("w1", r.now)
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// TestServiceLeavesInstanceAfterTicketsExpired guards against a wave that waits for a service whose tickets have expired since it started.
+func TestServiceLeavesInstanceAfterTicketsExpired(t *testing.T) {
+	r := newIdleFleet(t, 3)
+	r.core.SetCatalog(catalog.New(2, 0, []catalog.Queue{{
+		Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6, BaseTarget: 600 * time.Millisecond, Policy: &catalog.Policy{},
+	}}, []catalog.Pool{{Name: "p"}}, nil))
+	r.answer = func(InstanceCommand) instance.Outcome { return instance.Accepted }
+	play := func(d time.Duration) {
+		for end := r.now + d; r.now < end; {
+			r.play(idleStep)
+			for _, q := range r.core.TakePolicyQueries() {
+				g := advice.Grant{Tickets: make(map[string]string), Valid: ticketsValid}
+				for _, id := range q.Workers {
+					g.Tickets[id] = "ticket"
+				}
+				r.core.HandlePolicyReply(q, g, r.now, nil)
+			}
+		}
+	}
+	r.addService("s", 1, 500)
+	play(2 * time.Second)
+	at := ""
+	for id, runs := range r.runs {
+		if len(runs) > 0 {
+			at = id
+		}
+	}
+	play(ticketsValid)
+	r.core.AddWave(instance.Wave{Number: 1, Instances: []string{"m-" + at}, MaxDuration: 20 * time.Second, MaxUnavailable: 1}, nil)
+	play(10 * time.Second)
+	qt.Assert(t, r.core.fleet.waves[1].begun, qt.HasLen, 1)
+}
+
+// TestQueriesOfWaitingJobs guards against a query of each waiting job about each worker that joins.
+func TestQueriesOfWaitingJobs(t *testing.T) {
+	r := newPolicyRig(t, 4)
+	for i := range 200 {
+		r.addJob(work.Job{ID: fmt.Sprint("b", i), Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: coresOnly(4), Estimate: time.Minute}}})
+	}
+	n := 0
+	count := func(d time.Duration) {
+		for end := r.now + d; r.now < end; {
+			r.idleRig.play(idleStep)
+			for _, q := range r.core.TakePolicyQueries() {
+				n++
+				g := advice.Grant{Tickets: make(map[string]string), Valid: ticketsValid}
+				for _, id := range q.Workers {
+					g.Tickets[id] = "ticket"
+				}
+				r.core.HandlePolicyReply(q, g, r.now, nil)
+			}
+		}
+	}
+	count(time.Second)
+	qt.Assert(t, n <= 200, qt.IsTrue, qt.Commentf("%d queries at first", n))
+	for i := range 5 {
+		n = 0
+		r.workers = append(r.workers, fmt.Sprint("n", i))
+		count(time.Second)
+		qt.Assert(t, n, qt.Equals, 0)
+	}
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -341,10 +341,7 @@
 	case worker.Expired:
 		r.worker.noTasksBefore = c.now + noRoomPause
 	case worker.NoTicket:
-		// The other starts with tickets of the same grant are rejected as well, and are one failure together with this one.
-		if r.step.tickets.Valid(c.now) {
-			c.dropTickets(r.step)
-		}
+		c.rejectTicket(r.step, r.worker)
 	case worker.Unhealthy:
 		r.worker.noTasksBefore = c.now + unhealthyPause
 		c.recordFailure(r)
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -95,6 +95,7 @@
 	}
 	c.keepCalls(ws)
 	delete(c.workers, ws.report.ID)
+	c.forgetTickets(ws)
 	c.workersGone = true
 	delete(c.previousUsage, ws.report.ID)
 	delete(c.previousRuns, ws.report.ID)
