scheduler: no plan is started on a worker that is leaving, and each that is dropped is recorded as ended

A plan whose worker began to drain while the record was stored was still started, which the users forbid some time after the notice (DRAIN). And only a plan that was dropped because its worker was silent was recorded as ended: for one whose worker is gone or has no room any more, or whose job has ended, the next leader waited for a worker on which it never ran.

--- a/scheduler/idlestarts_test.go
+++ b/scheduler/idlestarts_test.go
@@ -156,3 +156,21 @@
 		})
 	}
 }
+
+// TestPlanOutlivesRegistration guards against a start on a worker that has become draining while its run was planned.
+func TestPlanOutlivesRegistration(t *testing.T) {
+	r := newIdleRig(t, 2)
+	r.addService("s", 1, 1000)
+	r.schedule()
+	ws := r.core.jobs["s"].open[0].steps[0].tasks[0].runs[0].worker
+	b := r.core.TakeBatch(batchRows)
+	ws.report.Draining = true
+	r.advance(4 * time.Second)
+	for _, id := range r.workers {
+		r.renew(id)
+	}
+	r.core.BatchStored(b)
+	for _, cmd := range r.core.TakeCommands() {
+		qt.Assert(t, cmd.Kind == CommandStart && cmd.Target.ID == ws.report.ID, qt.IsFalse)
+	}
+}
--- /dev/null
+++ b/scheduler/plans.go
@@ -0,0 +1,72 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// startRun starts a planned run.
+func (c *Core) startRun(r *run) {
+	if r.phase != planned || !r.attached() {
+		return
+	}
+	if reason := c.cannotStart(r); reason != "" {
+		c.logger.Info("Task is not started: "+reason, "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "contactAge", c.contactAge(r.worker))
+		c.dropPlan(r)
+		c.stopGang(r)
+		return
+	}
+	sincePlan := c.now - r.startedAt
+	r.phase, r.startedAt = starting, c.now
+	j := r.step.job
+	if !j.started {
+		c.observeStage(j, StageStarted)
+	}
+	j.started = true
+	c.counts.Started++
+	c.logger.Info("Task is started.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
+		"fence", r.worker.fence, "waited", c.now-r.step.occurrence.dueAt, "sincePlan", sincePlan, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
+	c.commandStart(r)
+}
+
+// cannotStart returns why a planned run does not start on its worker any more, and "" if it does. The batch may have taken long.
+func (c *Core) cannotStart(r *run) string {
+	switch ws := r.worker; {
+	case c.workers[ws.report.ID] != ws || ws.leaseExpired:
+		return "its worker is gone."
+	case c.silent(ws):
+		return "its worker is silent."
+	case ws.report.Draining:
+		return "its worker is leaving."
+	case !r.stillFits():
+		return "there is no room for it any more."
+	}
+	return ""
+}
+
+// dropPlan removes a run that is not started. The next leader need not wait for its worker.
+func (c *Core) dropPlan(r *run) {
+	c.detachRun(r)
+	c.recordRunEnd(r.step, r.index, r.number)
+}
+
+// outageAfter is the time without a stored batch after which the store counts as down.
+const outageAfter = 500 * time.Millisecond
+
+// startDuringOutage starts planned runs while the store is down, on workers that are recorded for their occurrence. This
+// is safe since the next leader starts nothing of an occurrence before all its recorded workers have answered or their
+// leases have expired. Tasks under which a worker has crashed wait, since the next leader has to know of the crash.
+func (c *Core) startDuringOutage() {
+	if len(c.plannedRuns) == 0 || c.now-c.lastStored < outageAfter {
+		return
+	}
+	remaining := c.plannedRuns[:0]
+	for _, r := range c.plannedRuns {
+		if c.now-r.startedAt > outageAfter && !r.step.crashCount(r.index).Suspect() && slices.Contains(r.step.occurrence.recordedWorkers, r.worker.report.ID) {
+			c.startRun(r)
+			continue
+		}
+		remaining = append(remaining, r)
+	}
+	c.plannedRuns = remaining
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"github.com/chivetiller/chivetiller/work"
@@ -30,64 +29,6 @@
 	c.plannedRuns = append(c.plannedRuns, r)
 }
 
-// startRun starts a planned run.
-func (c *Core) startRun(r *run) {
-	if r.phase != planned || !r.attached() {
-		return
-	}
-	if c.workers[r.worker.report.ID] != r.worker || r.worker.leaseExpired {
-		c.detachRun(r)
-		c.stopGang(r)
-		return
-	}
-	if c.silent(r.worker) {
-		// The worker has fallen silent while the batch was stored.
-		c.logger.Info("Task is not started: its worker is silent.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "contactAge", c.contactAge(r.worker))
-		c.detachRun(r)
-		c.recordRunEnd(r.step, r.index, r.number)
-		c.stopGang(r)
-		return
-	}
-	if !r.stillFits() {
-		c.logger.Info("Task is not started: there is no room for it any more.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID)
-		c.detachRun(r)
-		c.stopGang(r)
-		return
-	}
-	sincePlan := c.now - r.startedAt
-	r.phase, r.startedAt = starting, c.now
-	j := r.step.job
-	if !j.started {
-		c.observeStage(j, StageStarted)
-	}
-	j.started = true
-	c.counts.Started++
-	c.logger.Info("Task is started.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
-		"fence", r.worker.fence, "waited", c.now-r.step.occurrence.dueAt, "sincePlan", sincePlan, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
-	c.commandStart(r)
-}
-
-// outageAfter is the time without a stored batch after which the store counts as down.
-const outageAfter = 500 * time.Millisecond
-
-// startDuringOutage starts planned runs while the store is down, on workers that are recorded for their occurrence. This
-// is safe since the next leader starts nothing of an occurrence before all its recorded workers have answered or their
-// leases have expired. Tasks under which a worker has crashed wait, since the next leader has to know of the crash.
-func (c *Core) startDuringOutage() {
-	if len(c.plannedRuns) == 0 || c.now-c.lastStored < outageAfter {
-		return
-	}
-	remaining := c.plannedRuns[:0]
-	for _, r := range c.plannedRuns {
-		if c.now-r.startedAt > outageAfter && !r.step.crashCount(r.index).Suspect() && slices.Contains(r.step.occurrence.recordedWorkers, r.worker.report.ID) {
-			c.startRun(r)
-			continue
-		}
-		remaining = append(remaining, r)
-	}
-	c.plannedRuns = remaining
-}
-
 // attachRun charges a run to its worker and team.
 func (c *Core) attachRun(r *run) {
 	t := &r.step.tasks[r.index]
@@ -178,7 +119,7 @@
 		return
 	}
 	if r.phase == planned {
-		c.detachRun(r)
+		c.dropPlan(r)
 		return
 	}
 	r.phase = stopping
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -483,30 +483,3 @@
 
 // unreachedTimeout is how long a worker that has never answered is kept at least after the registry has dropped it.
 const unreachedTimeout = 5 * time.Second
-
-// registered reports whether the latest registry entry is of the present life of the worker.
-func (ws *workerState) registered() bool {
-	return ws.report.Incarnation == 0 || ws.report.Incarnation == ws.identity.Incarnation
-}
-
-// acceptsTasks reports whether tasks may be started on a worker.
-func (c *Core) acceptsTasks(ws *workerState) bool {
-	return !ws.cordoned && !ws.health.quarantined(c.now) && c.mayStartOn(ws)
-}
-
-// silent reports whether a worker that has answered before may be down.
-func (c *Core) silent(ws *workerState) bool {
-	return ws.answered && (ws.startUnanswered || ws.replaced || c.now-ws.lastContact > contactTimeout)
-}
-
-// mayStartOn reports whether a start on a worker would be carried out and may be, whether the worker is avoided or not.
-func (c *Core) mayStartOn(ws *workerState) bool {
-	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || c.silent(ws) || !ws.ruledOut(c.now) {
-		return false
-	}
-	if ws.report.Draining || c.now < ws.noTasksBefore || (ws.unknownRuns > 0 && !c.guardsCapacity(ws)) {
-		return false
-	}
-	maxClock := ws.maxClockAt(c.now)
-	return ws.requestedExpiry-maxClock > leaseReserve
-}
