--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -274,6 +274,22 @@
 	}
 }
 
+// evictServices stops the service tasks on a worker that have nowhere else to go, if all of them may be disrupted. They start again when its
+// instance is back.
+func (c *Core) evictServices(ws *workerState) {
+	services := slices.DeleteFunc(runsOn(ws), func(r *run) bool { return !r.step.doc.Service })
+	for _, r := range services {
+		if r.phase != running || !c.mayDisrupt(r) {
+			return
+		}
+	}
+	for _, r := range services {
+		if c.mayDisrupt(r) {
+			c.stopRun(r, "the instance is due for maintenance, and no other worker has room")
+		}
+	}
+}
+
 // mayDisrupt reports whether stopping a service task stays within the disruption budget of its step. Each other task that
 // is not at work counts as down, for whatever reason. Workers whose reports are older than maxPollAge are polled first.
 func (c *Core) mayDisrupt(r *run) bool {
--- a/scheduler/idle_test.go
+++ b/scheduler/idle_test.go
@@ -214,6 +214,8 @@
 		r.end(id, r.runs[id][i].Task, worker.ExitFailed)
 	}
 	r.calm = r.now - idleAfterCalm
+	// A wave that is short of time stops services.
+	f.core.fleet.waves[1].doc.MaxDuration = time.Hour
 	plan(20 * time.Second)
 	qt.Assert(t, r.longest < maxIdle-idleReserve, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
 }
@@ -271,6 +273,34 @@
 	qt.Assert(t, demands[0].need, qt.Equals, 4)
 }
 
+// TestPoolBesideImpossibleService guards against a pool that gets other instances for a service that no worker can run.
+func TestPoolBesideImpossibleService(t *testing.T) {
+	f := newFleetRig(t, 5, 4)
+	r := &idleRig{rig: f.rig, workers: []string{"w1", "w2", "w3", "w4", "w5"}, idleSince: make(map[work.Task]time.Duration), downSince: make(map[string]time.Duration)}
+	r.refuses = func(string) bool { return false }
+	for _, id := range r.workers[:2] {
+		h := &f.core.workers[id].health
+		h.quarantinedUntil, h.failedAt = r.now+time.Hour, r.now+time.Hour
+	}
+	r.addService("s", 3, 500)
+	r.play(time.Second)
+	r.addJob(work.Job{ID: "never", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 500}, Service: true, RequiredLabel: "none"}}})
+	moves := 0
+	for i := range 60 {
+		r.play(planInterval + idleStep)
+		f.listInstances()
+		for _, cmd := range f.instanceCommands() {
+			f.acceptInstances([]InstanceCommand{cmd})
+			inst := f.instances[cmd.Instance]
+			inst.Pool, inst.State = cmd.Pool, instance.Moving
+			f.instances[cmd.Instance] = inst
+			moves++
+			t.Logf("%d: %s to %s", i, cmd.Instance, cmd.Pool)
+		}
+	}
+	qt.Assert(t, moves, qt.Equals, 0)
+}
+
 // TestServiceAfterRefusedBatches guards against a service whose rows are set aside for longer than the store refuses them.
 func TestServiceAfterRefusedBatches(t *testing.T) {
 	for _, refusing := range []time.Duration{3 * time.Second, 6 * time.Second, 16 * time.Second, 40 * time.Second} {
--- a/scheduler/idlefleet_test.go
+++ b/scheduler/idlefleet_test.go
@@ -163,3 +163,85 @@
 		})
 	}
 }
+
+// TestOverdueStartWhileCommandIsCarriedOut guards against a start on a worker whose instance is in maintenance already according to the list,
+// while the command has no answer yet.
+func TestOverdueStartWhileCommandIsCarriedOut(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		r := newIdleFleet(t, 2)
+		var sent []InstanceCommand
+		r.answer = func(cmd InstanceCommand) instance.Outcome { sent = append(sent, cmd); return instance.Unknown }
+		r.core.AddWave(instance.Wave{Number: 1, Instances: []string{"m-w1"}, MaxDuration: 8 * time.Second, MaxUnavailable: 2}, nil)
+		for len(sent) == 0 {
+			r.play(idleStep)
+		}
+		if lost {
+			inst := r.fleet.instances["m-w1"]
+			inst.State, inst.Worker = instance.InMaintenance, ""
+			r.fleet.instances["m-w1"] = inst
+			r.fleet.listInstances()
+		}
+		r.addJob(work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 2, Request: coresOnly(1), Service: true, MaxPerWorker: 1, MaxDisruptions: 1}}})
+		// The command is in flight all the while.
+		for end := r.now + 4*time.Second; r.now < end; {
+			r.idleRig.play(idleStep)
+		}
+		qt.Check(t, r.core.fleet.commandInFlight["m-w1"], qt.IsTrue)
+		qt.Check(t, r.runs["w1"], qt.HasLen, 0, qt.Commentf("not listed with its worker: %v", lost))
+	}
+}
+
+// TestCommandForWorkerThatJoined guards against a start on a worker whose instance was drained before the worker was known, and that has a
+// command in flight.
+func TestCommandForWorkerThatJoined(t *testing.T) {
+	r := newIdleFleet(t, 2)
+	var sent []InstanceCommand
+	r.answer = func(cmd InstanceCommand) instance.Outcome { sent = append(sent, cmd); return instance.Unknown }
+	r.fleet.instances["m-w3"] = instance.Instance{ID: "m-w3", Pool: "p", Worker: "w3", Capacity: work.Resources{CPU: 4000, Memory: 4000}}
+	r.core.AddWave(instance.Wave{Number: 1, Instances: []string{"m-w3"}, MaxDuration: 8 * time.Second, MaxUnavailable: 2}, nil)
+	r.play(time.Second)
+	qt.Assert(t, sent, qt.HasLen, 0)
+	r.workers = append(r.workers, "w3")
+	for range 40 {
+		if len(sent) == 0 {
+			r.play(idleStep)
+		}
+	}
+	qt.Assert(t, sent, qt.HasLen, 1)
+	r.addJob(work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 3, Request: coresOnly(1), Service: true, MaxPerWorker: 1, MaxDisruptions: 1}}})
+	for end := r.now + time.Second; r.now < end; {
+		r.idleRig.play(idleStep)
+	}
+	qt.Check(t, r.core.fleet.commandInFlight["m-w3"], qt.IsTrue)
+	qt.Check(t, r.runs["w3"], qt.HasLen, 0)
+}
+
+// TestWaveBesideWideServices guards against a wave that never maintains an instance, because its services are as wide as the pool and have
+// nowhere else to go, and against services that wait for the instance until then.
+func TestWaveBesideWideServices(t *testing.T) {
+	for _, budget := range []int{0, 1} {
+		for _, failEvery := range []time.Duration{time.Hour, 3 * time.Second, 8 * time.Second} {
+			t.Run(fmt.Sprint(budget, failEvery), func(t *testing.T) {
+				const limit = 20 * time.Second
+				r := newIdleFleet(t, 4)
+				r.answer = func(InstanceCommand) instance.Outcome { return instance.Accepted }
+				for _, id := range []string{"a", "b"} {
+					r.addJob(work.Job{ID: id, Queue: "q", Pool: "p", Steps: []work.Step{{Count: 4, Request: work.Resources{CPU: 500}, Service: true, MaxPerWorker: 1, MaxDisruptions: budget}}})
+				}
+				r.play(time.Second)
+				r.core.AddWave(instance.Wave{Number: 1, Instances: []string{"m-w1"}, MaxDuration: limit, MaxUnavailable: 1}, nil)
+				start, next := r.now, r.now+failEvery
+				for r.now < start+limit && len(r.core.fleet.waves[1].begun) == 0 {
+					r.play(idleStep)
+					if r.now >= next {
+						next += failEvery
+						if runs := r.runs["w1"]; len(runs) > 0 {
+							r.end("w1", runs[0].Task, worker.ExitFailed)
+						}
+					}
+				}
+				qt.Assert(t, r.core.fleet.waves[1].begun, qt.HasLen, 1)
+			})
+		}
+	}
+}
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -218,7 +218,7 @@
 	c.fleet.pendingMoves[id] = &pendingMove{pool: pool, since: c.now}
 	ws, ok := c.workers[inst.Worker]
 	if ok {
-		ws.cordoned = true
+		ws.cordon(id)
 	}
 	c.logger.Info("Move of an instance was planned.", "instance", id, "from", inst.Pool, "to", pool, "worker", inst.Worker, "listAge", c.now-c.fleet.listedAt,
 		"pool", cause.pool, "need", cause.need, "have", cause.have)
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/internal/workers/avoidance"
 )
 
@@ -29,18 +30,19 @@
 
 // avoidanceOf returns what is known against starting a task of a step on a worker.
 func (c *Core) avoidanceOf(s *step, ws *workerState) avoidance.Worker {
-	// A command without an answer would end the run of a task that may not be disrupted now. Others run until then.
-	leaving := s.doc.MaxDisruptions > 0 && c.now < ws.mayLeaveUntil
-	if id, ok := c.fleet.byWorker[ws.report.ID]; ok {
-		leaving = leaving || c.fleet.commandInFlight[id]
+	w := avoidance.Worker{QuarantinedUntil: ws.health.quarantinedUntil, FailedAt: ws.health.failedAt}
+	if ws.cordoned {
+		inst, listed := c.fleet.instances[ws.instance]
+		// A command without an answer would end the run of a task that may not be disrupted now. Others run until then.
+		w.Leaving = c.fleet.commandInFlight[ws.instance] || listed && inst.State != instance.Up || s.doc.MaxDisruptions > 0 && c.now < ws.mayLeaveUntil
 	}
-	return avoidance.Worker{QuarantinedUntil: ws.health.quarantinedUntil, FailedAt: ws.health.failedAt, Leaving: ws.cordoned && leaving}
+	return w
 }
 
 // placeOverdue returns a worker for a task of a service for which no other worker has room, among those that are avoided. If there is none, it
 // keeps room for the task and returns nil.
 func (c *Core) placeOverdue(s *step, index int, workers *placement) *workerState {
-	if avoidance.Overdue(c.idleFor(s, index)) {
+	if avoidance.Overdue(c.idleFor(s, index)) && c.otherInstancesMayHelp(s) {
 		c.pool(s.job.doc.Pool).overdueAt = c.now
 	}
 	if ws := c.chooseAvoidedWorker(s, index); ws != nil {
@@ -88,3 +90,13 @@
 	}
 	return workers
 }
+
+// otherInstancesMayHelp reports whether a task of a step might run on a worker of its pool that takes no tasks at present.
+func (c *Core) otherInstancesMayHelp(s *step) bool {
+	for _, ws := range c.pool(s.job.doc.Pool).workers {
+		if !c.acceptsTasks(ws) && ws.report.HasLabel(s.doc.RequiredLabel) && s.doc.ReservedResources().Fits(ws.report.Capacity) {
+			return true
+		}
+	}
+	return false
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -204,7 +204,7 @@
 				continue
 			}
 			ws := c.chooseWorker(s, i, c.workersFor(workers, s, i))
-			if ws == nil && s.doc.Service {
+			if ws == nil && s.doc.Service && c.withinTeamLimit(s, 1) {
 				ws = c.placeOverdue(s, i, workers)
 			}
 			if ws == nil && s.doc.Service {
--- a/scheduler/policyidle_test.go
+++ b/scheduler/policyidle_test.go
@@ -186,3 +186,29 @@
 		qt.Assert(t, n, qt.Equals, 0)
 	}
 }
+
+// TestPlanOutlivesTicket guards against a start without a ticket, because that has expired while the plan was stored.
+func TestPlanOutlivesTicket(t *testing.T) {
+	r := newPolicyRig(t, 2)
+	r.addService("s", 1, 1000)
+	r.schedule()
+	for _, q := range r.core.TakePolicyQueries() {
+		g := advice.Grant{Tickets: map[string]string{"w0": "t", "w1": "t"}, Valid: time.Second}
+		r.core.HandlePolicyReply(q, g, r.now, nil)
+	}
+	r.schedule()
+	b := r.core.TakeBatch(batchRows)
+	for range 30 {
+		r.advance(idleStep)
+		for _, id := range r.workers {
+			r.renew(id)
+		}
+		r.schedule()
+	}
+	r.core.BatchStored(b)
+	for _, cmd := range r.core.TakeCommands() {
+		if cmd.Kind == CommandStart {
+			qt.Assert(t, cmd.Start.Ticket, qt.Equals, "t")
+		}
+	}
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -213,8 +213,9 @@
 	// services and bestEffort count the runs of such steps.
 	services   int
 	bestEffort int
-	// cordoned means that the instance is about to be moved or maintained, so the worker gets no tasks.
+	// cordoned means that the instance is about to be moved or maintained, so the worker gets no tasks. instance is its ID then.
 	cordoned bool
+	instance string
 	// mayLeaveUntil is the time until which an instance command without an answer may be carried out.
 	mayLeaveUntil time.Duration
 	// unlistedSince is the time since which the registry does not list the worker.
@@ -227,6 +228,9 @@
 	*workerLife
 }
 
+// cordon keeps tasks from a worker whose instance is about to be moved or maintained.
+func (ws *workerState) cordon(instance string) { ws.cordoned, ws.instance = true, instance }
+
 // countRun adds n to the number of service or best-effort runs.
 func (ws *workerState) countRun(s *work.Step, n int) {
 	switch {
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -32,8 +32,8 @@
 			h.quarantinedUntil, h.failedAt = r.now+time.Hour, r.now+time.Hour
 		}, WaitForQuarantine},
 		"drained": {service(nil), func(r *rig) {
-			r.core.workers["w1"].cordoned = true
-			r.core.fleet.byWorker["w1"], r.core.fleet.commandInFlight["m1"] = "m1", true
+			r.core.workers["w1"].cordon("m1")
+			r.core.fleet.commandInFlight["m1"] = true
 		}, WaitForDrained},
 		"no room":        {service(func(j *work.Job) { j.Steps[0].Request.CPU = 5000 }), func(*rig) {}, WaitForRoom},
 		"no such worker": {service(func(j *work.Job) { j.Steps[0].RequiredLabel = "b" }), func(*rig) {}, WaitForEligibleWorker},
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -164,7 +164,7 @@
 		w.drainingSince[id] = c.now
 		draining++
 		if ws, ok := c.workers[c.fleet.instances[id].Worker]; ok {
-			ws.cordoned = true
+			ws.cordon(id)
 			c.logger.Info("Instance is draining for maintenance.", "wave", w.doc.Number, "instance", id, "worker", ws.report.ID, "runs", len(ws.runs))
 		}
 	}
@@ -212,11 +212,18 @@
 	}
 	if !c.isEmpty(inst) {
 		if ws, ok := c.workers[inst.Worker]; ok {
-			ws.cordoned = true
+			ws.cordon(id)
 			c.evacuate(ws, c.now-since > drainTimeout)
+			if c.now >= w.since+w.doc.MaxDuration-waveReserve {
+				c.evictServices(ws)
+			}
 		}
 		return false
 	}
+	if ws, ok := c.workers[inst.Worker]; ok {
+		// The worker may have joined after the instance began to drain.
+		ws.cordon(id)
+	}
 	w.commandedAt[id] = c.now
 	f.planCommand(c.now, InstanceCommand{Instance: id, Wave: w.doc.Number, worker: inst.Worker})
 	c.logger.Info("Maintenance command was planned.", "wave", w.doc.Number, "instance", id, "worker", inst.Worker, "fence", c.options.Fence, "listAge", c.now-f.listedAt)
