--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -274,16 +274,16 @@
 	}
 }
 
-// evictServices stops the service tasks on a worker that have nowhere else to go, if all of them may be disrupted. They start again when its
-// instance is back.
+// evictServices stops the service tasks on a worker that have nowhere else to go, once nothing else runs there and if all of them may be
+// disrupted. They start again when its instance is back.
 func (c *Core) evictServices(ws *workerState) {
-	services := slices.DeleteFunc(runsOn(ws), func(r *run) bool { return !r.step.doc.Service })
-	for _, r := range services {
-		if r.phase != running || !c.mayDisrupt(r) {
+	runs := runsOn(ws)
+	for _, r := range runs {
+		if !r.step.doc.Service || r.phase != running || !c.mayDisrupt(r) {
 			return
 		}
 	}
-	for _, r := range services {
+	for _, r := range runs {
 		if c.mayDisrupt(r) {
 			c.stopRun(r, "the instance is due for maintenance, and no other worker has room")
 		}
