scheduler: the row of a service that the store refuses is tried each 4 s at least

The pause of a row that is refused while others are stored grows to a minute, and nothing of its job starts meanwhile. A task of a service is due within 7 s once the store takes the row again.

--- a/internal/store/quarantine/quarantine.go
+++ b/internal/store/quarantine/quarantine.go
@@ -137,6 +137,13 @@
 	return store.Key{}, 0, false
 }
 
+// RetryBy makes a row that is set aside be tried again by a time.
+func (l *List) RetryBy(key store.Key, at time.Duration) {
+	if row := l.aside[key]; row != nil {
+		row.until = min(row.until, at)
+	}
+}
+
 // maxInARow is the number of refusals in a row from which on no row is at fault. The search for a row takes fewer.
 const maxInARow = 40
 
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -148,6 +148,8 @@
 	maxProgressRows = 10
 	// maxProgressBytes limits the rows of all jobs of a batch. The rest is for the other rows, which are short.
 	maxProgressBytes = store.MaxBytes - 128<<10
+	// maxServicePause is the longest pause between two attempts to store the progress of a service, of which a task may be due.
+	maxServicePause = 4 * time.Second
 	// unstorablePause is the time between two attempts to store a progress that is too large.
 	unstorablePause = 5 * time.Second
 )
@@ -350,6 +352,10 @@
 	c.logger.Error("Row is refused by the store; it is set aside.", "table", key.Table, "row", key.Name, "pause", pause, "error", cause)
 	for _, j := range b.jobs {
 		// Nothing of the job starts meanwhile.
+		if j.service {
+			pause = min(pause, maxServicePause)
+			c.refusedRows.RetryBy(key, c.now+pause)
+		}
 		j.notStoredBefore = c.now + pause
 	}
 	for _, cmd := range b.instanceCommands {
--- a/scheduler/idlestore_test.go
+++ b/scheduler/idlestore_test.go
@@ -11,6 +11,8 @@
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
 )
 
 // TestServicesAfterSilentWrites guards against services that do not start for long after the store has not answered writes, while it answered
@@ -41,3 +43,29 @@
 		}
 	}
 }
+
+// TestServiceWithRefusedRow guards against a service that is set aside for long after the store has stopped to refuse its row alone.
+func TestServiceWithRefusedRow(t *testing.T) {
+	r := newIdleRig(t, 3)
+	r.addService("s", 1, 1000)
+	r.addService("other", 1, 1000)
+	r.play(time.Second)
+	r.end(r.core.jobs["s"].open[0].steps[0].tasks[0].runs[0].worker.report.ID, work.Task{Job: "s"}, worker.ExitFailed)
+	for end := r.now + 30*time.Second; r.now < end; {
+		r.advance(idleStep)
+		for _, id := range r.workers {
+			r.renew(id)
+		}
+		r.schedule()
+		r.core.changedJobs[r.core.jobs["other"]] = true
+		b := r.core.TakeBatch(batchRows)
+		if b.Progress["s"] != nil {
+			r.core.BatchRefused(b, store.ErrRefused)
+			continue
+		}
+		r.core.BatchStored(b)
+	}
+	r.calm = r.now
+	r.play(15 * time.Second)
+	qt.Assert(t, r.longest < maxIdle, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
+}
