scheduler: the model of leaders has services, and runs that end

A leader does not know what an earlier one has started without a record, so that it waits for all workers of an occurrence, and not for that of the task alone. The model had no task that a leader knows to be idle, and could not tell whether that is necessary.

--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -60,12 +60,21 @@
 	leaseEnd time.Duration
 	runs     map[work.Task]int
 	highest  map[work.Task]int
+	exits    []worker.Exit
 }
 
 func (w *modelWorker) clock(now time.Duration) time.Duration {
 	return time.Second + time.Duration(float64(now)*w.rate)
 }
 
+// endRuns stops all runs.
+func (w *modelWorker) endRuns() {
+	for t, number := range w.runs {
+		w.exits = append(w.exits, worker.Exit{Seq: uint64(len(w.exits) + 1), Task: t, Number: number, Reason: worker.ExitStopped})
+	}
+	clear(w.runs)
+}
+
 // leadersModel plays leaders that follow each other over one store, with cuts of zones, restarts, commands that arrive late, and
 // entries of workers that expire. Each task may run on one worker at a time.
 type leadersModel struct {
@@ -119,7 +128,7 @@
 	events := make([]modelEvent, rapid.IntRange(2, 9).Draw(rt, "events"))
 	for i := range events {
 		e := modelEvent{
-			kind: rapid.SampledFrom([]string{"cut", "lapse", "resign", "restart", "late", "slow store"}).Draw(rt, "kind"),
+			kind: rapid.SampledFrom([]string{"cut", "lapse", "resign", "restart", "late", "slow store", "end", "end"}).Draw(rt, "kind"),
 			zone: rapid.IntRange(0, modelZones-1).Draw(rt, "zone"), at: drawTime("at", 2*time.Second, 12*time.Second),
 		}
 		switch e.kind {
@@ -139,6 +148,7 @@
 		rt: rt, now: time.Minute, roster: make(map[string]RosterEntry), earlier: make(map[uint64]time.Duration), dead: time.Duration(rapid.IntRange(3, 8).Draw(rt, "dead")) * modelStep,
 		doc: work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: modelZones, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Hour}}},
 	}
+	m.doc.Steps[0].Service = rapid.Bool().Draw(rt, "service")
 	m.events = drawEvents(rt)
 	for i := range m.events {
 		m.events[i].at += m.now
@@ -204,7 +214,7 @@
 	}
 }
 
-// disrupt restarts nodes, and makes the leader resign.
+// disrupt ends the runs of workers, restarts nodes, and makes the leader resign.
 func (m *leadersModel) disrupt() {
 	for _, e := range m.events {
 		if e.at != m.now {
@@ -212,6 +222,8 @@
 		}
 		n := m.nodes[m.row.leader]
 		switch e.kind {
+		case "end":
+			m.workers[e.zone].endRuns()
 		case "restart":
 			n.core, n.incarnation, n.upAt, n.seenTerm = nil, n.incarnation+1, m.now+modelStep*time.Duration(1+e.zone), 0
 		case "resign":
@@ -386,6 +398,11 @@
 	for t, number := range w.runs {
 		status.Running = append(status.Running, worker.Run{Task: t, Number: number, SpeedPercent: 100})
 	}
+	for _, e := range w.exits {
+		if e.Seq > cmd.AcknowledgedSeq {
+			status.Exited = append(status.Exited, e)
+		}
+	}
 	return status
 }
 
@@ -420,7 +437,7 @@
 
 // TestLeadersModel guards against a task that runs on two workers because a leader takes a permission of an earlier one to have ended:
 // of a leader two terms back that is cut off, on a worker that it has not reached and that the registry does not list, or of a command
-// that arrives late.
+// that arrives late. It also guards against one that takes a task to be idle whose latest run an earlier leader has started without a record.
 func TestLeadersModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) { newLeadersModel(rt).play() })
 }
