scheduler: a leader that stops tells the next one until when workers that may be down hold leases

Cause: a new leader starts no task of an occurrence before all workers that it ever used have answered or their leases have certainly expired, 4.5 s after it took over if the leader before has resigned. A worker that is gone never answers. What the leader before knew of it is not stored, so that each planned stop begins the wait anew: with one every 4 s no task starts any more. Planned stops are calm times for the users.

A leader that stops for good writes, after its last command and before it resigns, until when the leases of workers that may be down last. Only the leader of the next term uses that; it hands on what it has not found out better. After a kill the full wait holds.

And a task of a service waits for its own recorded run only, not for all workers of its occurrence.

LeadersModel has services, runs that end, and the hand-over.

--- a/node/leadership.go
+++ b/node/leadership.go
@@ -34,10 +34,13 @@
 // Start starts to follow the terms of this process.
 func (l *leadership) Start() { l.loop.Start() }
 
-// Stop stops the scheduler.
+// Stop stops the scheduler for good.
 func (l *leadership) Stop() {
 	l.loop.Stop()
-	l.stopEngine()
+	if engine := l.stopEngine(); engine != nil {
+		// Only here, since the engine of a term may be started again otherwise.
+		engine.HandOver(context.Background())
+	}
 }
 
 // Engine returns the scheduler, and false if it is not running.
@@ -47,7 +50,8 @@
 	return l.engine, l.engine != nil
 }
 
-func (l *leadership) stopEngine() {
+// stopEngine stops the scheduler and returns it, or nil if it is not running.
+func (l *leadership) stopEngine() *scheduler.Engine {
 	l.mu.Lock()
 	engine := l.engine
 	l.engine = nil
@@ -55,6 +59,7 @@
 	if engine != nil {
 		engine.Stop()
 	}
+	return engine
 }
 
 // followTerm starts the scheduler at the start of a term and stops it when the term has ended.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -126,6 +126,9 @@
 	// workersGone means that workers have been removed, or leases of previous leaders have expired, since the records of services were
 	// searched for such workers.
 	workersGone bool
+	// leaseEnds holds, for workers that have not answered in this term, the time at which the previous leader knew their leases to have
+	// expired when it stopped.
+	leaseEnds map[string]time.Duration
 	// previousRuns holds, for each worker that has not answered in this term, the latest runs that previous leaders started there.
 	previousRuns map[string][]recordedRun
 	// earlierCalls holds the calls to workers that were removed, by worker ID.
--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -90,13 +90,16 @@
 		at          time.Duration
 	}
 	// earlier holds what the heartbeats of the leaders tell of the leaders before, by fencing token.
-	earlier  map[uint64]time.Duration
-	dead     time.Duration
-	doc      work.Job
-	progress []byte
-	roster   map[string]RosterEntry
-	late     []lateCommand
-	terms    int
+	earlier map[uint64]time.Duration
+	// leaseEnds is what a leader has handed over that stopped in handoverTerm.
+	leaseEnds    map[string]time.Duration
+	handoverTerm int
+	dead         time.Duration
+	doc          work.Job
+	progress     []byte
+	roster       map[string]RosterEntry
+	late         []lateCommand
+	terms        int
 }
 
 type lateCommand struct {
@@ -228,6 +231,8 @@
 			n.core, n.incarnation, n.upAt, n.seenTerm = nil, n.incarnation+1, m.now+modelStep*time.Duration(1+e.zone), 0
 		case "resign":
 			if n.core != nil && m.reachable(n.zone, -1) && m.row.version == n.fence {
+				n.core.SetTime(m.now)
+				m.leaseEnds, m.handoverTerm = n.core.LeaseEnds(), m.row.term
 				n.core = nil
 				m.row.resigned, m.row.earlierUntil = true, n.leaders.ActiveUntil(LeadershipTimeout)
 				m.row.version++
@@ -285,6 +290,9 @@
 	for _, e := range m.roster {
 		n.core.SetRoster([]RosterEntry{e})
 	}
+	if m.handoverTerm == m.row.term-1 {
+		n.core.SetLeaseEnds(m.leaseEnds)
+	}
 	var p *work.Progress
 	if m.progress != nil {
 		p = new(work.Progress)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -142,12 +142,12 @@
 const removedPriority = 100
 
 func (c *Core) candidate(j *job, o *occurrence, q *catalog.Queue) (candidate, bool) {
-	if c.blocked(o) || c.now < j.notStoredBefore {
+	if c.now < j.notStoredBefore {
 		return candidate{}, false
 	}
 	idle := false
 	for _, s := range o.steps {
-		if s.idleTasks > 0 && s.ready() {
+		if s.idleTasks > 0 && s.ready() && !c.blocked(s) {
 			idle = true
 			break
 		}
@@ -186,7 +186,7 @@
 func (c *Core) placeOccurrence(cand candidate, workers *placement) bool {
 	wait := false
 	for _, s := range cand.occurrence.steps {
-		if s.idleTasks == 0 || !s.ready() {
+		if s.idleTasks == 0 || !s.ready() || c.blocked(s) {
 			continue
 		}
 		if cand.queue.Policy != nil && !c.ticketsGranted(s) {
@@ -200,7 +200,7 @@
 		c.idle = s.appendIdle(c.idle[:0])
 		for _, i := range c.idle {
 			t := &s.tasks[i]
-			if c.now < t.notBefore || crashed && c.pausedAfterCrash(s, i) {
+			if c.now < t.notBefore || c.blockedTask(s, i) || crashed && c.pausedAfterCrash(s, i) {
 				continue
 			}
 			ws := c.chooseWorker(s, i, c.workersFor(workers, s, i))
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -115,13 +115,29 @@
 
 // previousLeaseExpired reports whether the lease of a worker that has not answered is certain to have expired.
 func (c *Core) previousLeaseExpired(id string) bool {
-	ws, ok := c.workers[id]
-	return c.now > c.leaders.LeasesUntil(c.limits, ok && !ws.registered())
+	return c.now > c.previousLeaseEnd(id)
+}
+
+// previousLeaseEnd returns the time at which the lease of a worker that has not answered is certain to have expired.
+func (c *Core) previousLeaseEnd(id string) time.Duration {
+	if ws, ok := c.workers[id]; ok && !ws.registered() {
+		return c.leaders.LeasesUntil(c.limits, true)
+	}
+	until := c.previousLeasesExpireAt()
+	if end, ok := c.leaseEnds[id]; ok {
+		until = min(until, end)
+	}
+	return until
 }
 
 // forgetPreviousUsage removes what previous leaders may have running on workers whose leases have expired.
 func (c *Core) forgetPreviousUsage() {
-	if len(c.previousUsage) == 0 || c.now <= c.previousLeasesExpireAt() {
+	if c.now > c.previousLeasesExpireAt() {
+		c.leaseEnds = nil
+	} else if len(c.leaseEnds) == 0 {
+		return
+	}
+	if len(c.previousUsage) == 0 {
 		return
 	}
 	before := len(c.previousUsage)
@@ -139,15 +155,32 @@
 	}
 }
 
-// blocked reports whether tasks of an occurrence may be running on a worker that has not answered yet.
-func (c *Core) blocked(o *occurrence) bool {
-	if len(c.previousUsage) == 0 {
+// recordsAll reports whether each start of a task of a step is stored before it is sent, so that the record of a task names the only run
+// that may be left of it. The members of a gang start together.
+func (s *step) recordsAll() bool { return s.doc.Service && !s.doc.Gang }
+
+// blocked reports whether tasks of a step may be running on a worker that has not answered yet, of which the record does not tell which.
+func (c *Core) blocked(s *step) bool {
+	if len(c.previousUsage) == 0 || s.recordsAll() {
 		return false
 	}
-	for _, id := range o.recordedWorkers {
+	for _, id := range s.occurrence.recordedWorkers {
 		if _, ok := c.previousUsage[id]; ok {
 			return true
 		}
 	}
 	return false
 }
+
+// blockedTask reports whether the recorded run of a task may be running on a worker that has not answered yet.
+func (c *Core) blockedTask(s *step, index int) bool {
+	if len(c.previousUsage) == 0 || !s.recordsAll() {
+		return false
+	}
+	id, _, ok := s.occurrence.progress.Run(s.number, index)
+	if !ok {
+		return false
+	}
+	_, unanswered := c.previousUsage[id]
+	return unanswered
+}
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -152,6 +152,8 @@
 	now     time.Duration
 	chain   uint64
 	clock   clockRow
+	// handover is what the leader of an earlier term has handed over.
+	handover handoverRow
 	// instances holds the time of the latest command for each instance, on the store's clock.
 	instances map[string]time.Duration
 	// hasOldRows means that the roster or the command times are in the rows of an earlier version.
@@ -376,6 +378,8 @@
 	case rowRoster:
 		l.hasOldRows = true
 		return cbor.Unmarshal(row.Value, &l.oldRoster)
+	case rowHandover:
+		return cbor.Unmarshal(row.Value, &l.handover)
 	case rowClock:
 		return cbor.Unmarshal(row.Value, &l.clock)
 	case rowInstances:
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -163,7 +163,7 @@
 	switch {
 	case len(t.runs) > 0:
 		return WaitForBatch
-	case c.blocked(s.occurrence):
+	case c.blocked(s) || c.blockedTask(s, index):
 		return WaitForPreviousLeader
 	case c.now < j.notStoredBefore:
 		return WaitForStorableJob
