--- a/scheduler/crashidle_test.go
+++ b/scheduler/crashidle_test.go
@@ -97,7 +97,7 @@
 			r.play(time.Second)
 			lost := 0
 			// Every other worker that starts a task of those that were lost crashes under it.
-			r.crashes = func(cmd Command) bool {
+			r.crashes = func(Command) bool {
 				if random.IntN(2) == 0 || lost >= workers-width-2 {
 					return false
 				}
--- a/scheduler/idlefleet_test.go
+++ b/scheduler/idlefleet_test.go
@@ -86,7 +86,7 @@
 					continue
 				}
 				t.Run(fmt.Sprint(outcome, " after ", unknownFor, ", no list ", unlisted), func(t *testing.T) {
-					idle := serviceBesideMaintenance(t, outcome, unknownFor, unlisted)
+					idle := serviceBesideMaintenance(t, outcome, unknownFor, unlisted, 0)
 					qt.Assert(t, idle < maxIdle, qt.IsTrue, qt.Commentf("idle for %v", idle))
 				})
 			}
@@ -96,7 +96,7 @@
 
 // serviceBesideMaintenance plays a wave whose commands get no answer for a while, and a given outcome after that. It returns the longest time
 // for which a task of a service does not run then.
-func serviceBesideMaintenance(t *testing.T, outcome instance.Outcome, unknownFor time.Duration, unlisted bool) time.Duration {
+func serviceBesideMaintenance(t *testing.T, outcome instance.Outcome, unknownFor time.Duration, unlisted bool, budget int) time.Duration {
 	r := newIdleFleet(t, 4)
 	r.play(time.Second)
 	if unknownFor == 0 {
@@ -104,7 +104,7 @@
 	}
 	r.core.AddWave(instance.Wave{Number: 1, Instances: []string{"m-w1", "m-w2"}, MaxDuration: 8 * time.Second, MaxUnavailable: 2}, nil)
 	r.play(time.Second)
-	r.addService("a", 4, 500)
+	r.addService("a", 4, 500).doc.MaxDisruptions = budget
 	r.unlisted = unlisted
 	r.play(unknownFor)
 	r.unlisted = false
@@ -156,11 +156,13 @@
 // TestServiceBesideRefusedMaintenance guards against a task of a service that waits for a worker which a command without an answer may still
 // end, while the platform refuses further commands.
 func TestServiceBesideRefusedMaintenance(t *testing.T) {
-	for _, unknownFor := range []time.Duration{2 * time.Second, 5 * time.Second, 9 * time.Second} {
-		t.Run(unknownFor.String(), func(t *testing.T) {
-			idle := serviceBesideMaintenance(t, instance.Refused, unknownFor, false)
-			qt.Assert(t, idle < maxIdle, qt.IsTrue, qt.Commentf("idle for %v", idle))
-		})
+	for _, budget := range []int{0, 1} {
+		for _, unknownFor := range []time.Duration{2 * time.Second, 5 * time.Second, 9 * time.Second} {
+			t.Run(fmt.Sprint(budget, " ", unknownFor), func(t *testing.T) {
+				idle := serviceBesideMaintenance(t, instance.Refused, unknownFor, false, budget)
+				qt.Assert(t, idle < maxIdle, qt.IsTrue, qt.Commentf("idle for %v", idle))
+			})
+		}
 	}
 }
 
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -9,6 +9,10 @@
 	"github.com/chivetiller/chivetiller/internal/workers/avoidance"
 )
 
+// maxProtectedWait is how long a task of a step with a disruption budget waits for a worker whose instance may still carry out a command
+// without an answer.
+const maxProtectedWait = 4 * time.Second
+
 // idleFor returns how long a task of a service has not run, as far as this leader knows.
 func (c *Core) idleFor(s *step, index int) time.Duration {
 	return c.now - max(s.tasks[index].idleSince, s.occurrence.dueAt)
@@ -29,12 +33,13 @@
 }
 
 // avoidanceOf returns what is known against starting a task of a step on a worker.
-func (c *Core) avoidanceOf(s *step, ws *workerState) avoidance.Worker {
+func (c *Core) avoidanceOf(s *step, ws *workerState, idle time.Duration) avoidance.Worker {
 	w := avoidance.Worker{QuarantinedUntil: ws.health.quarantinedUntil, FailedAt: ws.health.failedAt}
 	if ws.cordoned {
 		inst, listed := c.fleet.instances[ws.instance]
-		// A command without an answer would end the run of a task that may not be disrupted now. Others run until then.
-		w.Leaving = c.fleet.commandInFlight[ws.instance] || listed && inst.State != instance.Up || s.doc.MaxDisruptions > 0 && c.now < ws.mayLeaveUntil
+		// A command without an answer would end the run of a task that may not be disrupted now, but may never be carried out.
+		protected := s.doc.MaxDisruptions > 0 && idle < maxProtectedWait
+		w.Leaving = c.fleet.commandInFlight[ws.instance] || listed && inst.State != instance.Up || protected && c.now < ws.mayLeaveUntil
 	}
 	return w
 }
@@ -57,11 +62,19 @@
 // chooseAvoidedWorker returns a worker for a task of a service that has waited for long, among those that are avoided, and nil if there is
 // none. Room that is kept for other services counts as free.
 func (c *Core) chooseAvoidedWorker(s *step, index int) *workerState {
+	idle := c.idleFor(s, index)
+	p, crashes := c.pool(s.job.doc.Pool), s.crashCount(index)
+	if !avoidance.Overdue(idle) || crashes.Likely() && p.likelyLeft(overdueLikelyShare) <= 0 {
+		return nil
+	}
 	var best *workerState
 	var bestCost float64
 	charge := s.doc.ReservedResources()
-	for _, ws := range c.workersForOverdue(s, index) {
-		if !charge.Fits(ws.freeCapacity()) || !c.eligible(s, ws) || len(s.crashSites) > 0 && c.mayCrashByItself(s, index, ws) {
+	for _, ws := range p.workers {
+		switch {
+		case !ws.isAvoided(c.now) || !charge.Fits(ws.freeCapacity()) || !c.takesOverdue(s, ws, idle) || !c.eligible(s, ws):
+			continue
+		case crashes.Suspect() && ws.tests > 0, len(s.crashSites) > 0 && c.mayCrashByItself(s, index, ws):
 			continue
 		}
 		if cost := c.placementCost(s, index, ws, charge); best == nil || cost < bestCost {
@@ -71,24 +84,34 @@
 	return best
 }
 
-// workersForOverdue returns the workers on which a task of a service may start that has waited for long, those that are avoided among them.
-func (c *Core) workersForOverdue(s *step, index int) []*workerState {
-	idle := c.idleFor(s, index)
+// isAvoided reports whether a worker is avoided, or has room that is kept free.
+func (ws *workerState) isAvoided(now time.Duration) bool {
+	return ws.cordoned || ws.health.quarantined(now) || len(ws.reservations) > 0
+}
+
+// takesOverdue reports whether a task of a step that has been idle for a time may start on a worker that is avoided.
+func (c *Core) takesOverdue(s *step, ws *workerState, idle time.Duration) bool {
+	return c.mayStartOn(ws) && c.avoidanceOf(s, ws, idle).TakesOverdue(c.now, idle)
+}
+
+// placeOverdueGang returns a worker for each task of a gang that lasts and has waited for long, and nil if they do not fit. Workers that are
+// avoided come last.
+func (c *Core) placeOverdueGang(s *step, usable []*workerState) []*workerState {
+	idle := c.idleFor(s, 0)
 	if !avoidance.Overdue(idle) {
 		return nil
 	}
 	p := c.pool(s.job.doc.Pool)
-	crashes := s.crashCount(index)
-	if crashes.Likely() && p.likelyLeft(overdueLikelyShare) <= 0 {
-		return nil
+	if c.otherInstancesMayHelp(s) {
+		p.overdueAt = c.now
 	}
-	var workers []*workerState
+	workers := slices.Clone(usable)
 	for _, ws := range p.workers {
-		if c.mayStartOn(ws) && c.avoidanceOf(s, ws).TakesOverdue(c.now, idle) && !(crashes.Suspect() && ws.tests > 0) {
+		if ws.isAvoided(c.now) && !slices.Contains(usable, ws) && c.takesOverdue(s, ws, idle) && (ws.tests == 0 || !s.crashCount(0).Suspect()) {
 			workers = append(workers, ws)
 		}
 	}
-	return workers
+	return c.chooseGang(s, workers)
 }
 
 // otherInstancesMayHelp reports whether a task of a step might run on a worker of its pool that takes no tasks at present.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -375,9 +375,11 @@
 	if s.idleTasks < s.tasksLeft || c.now < s.notBefore || c.pausedAfterCrash(s, 0) || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
 		return false
 	}
-	chosen := c.chooseGang(s, s.crashedLast(c.workersFor(workers, s, 0)))
+	usable := s.crashedLast(c.workersFor(workers, s, 0))
+	chosen := c.chooseGang(s, usable)
 	if chosen == nil && s.doc.Service {
-		chosen = c.chooseGang(s, c.workersForOverdue(s, 0))
+		chosen = c.placeOverdueGang(s, usable)
+		c.queryPolicy(s, true)
 	}
 	if chosen == nil {
 		return false
