scheduler: a metric of the longest wait of tasks of services, by reason

service_tasks_waiting tells how many tasks of services do not run, not for how long: 1 for three seconds and 1 for a minute look the same, and a scrape each 15 s shows neither.

service_tasks_longest_wait_seconds{reason} is the longest time for which a task of a service has not run, from the last answer of a worker that named the run, or from the first check if it has not run in this term.

--- a/metrics/jobs.go
+++ b/metrics/jobs.go
@@ -47,8 +47,10 @@
 	Jobs    map[string]float64
 	Workers map[string]float64
 	Runs    map[string]float64
-	// WaitingTasks counts the tasks of services that do not run, by reason.
+	// WaitingTasks counts the tasks of services that do not run, by reason, and LongestWaits is the longest time for which one of them has
+	// not.
 	WaitingTasks map[string]float64
+	LongestWaits map[string]time.Duration
 	// RefusedBatches counts the batches that the store refused in the current term. SinceStored is the time since a batch was stored,
 	// and 0 if none waits.
 	RefusedBatches float64
@@ -160,6 +162,7 @@
 	descJobs    = prometheus.NewDesc(namespace+"_jobs", "Jobs that the leader knows, by state.", []string{"state"}, nil)
 	descWorkers = prometheus.NewDesc(namespace+"_workers", "Workers that the leader knows, by state.", []string{"state"}, nil)
 	descWaiting = prometheus.NewDesc(namespace+"_service_tasks_waiting", "Tasks of services that do not run, by reason.", []string{"reason"}, nil)
+	descLongest = prometheus.NewDesc(namespace+"_service_tasks_longest_wait_seconds", "Longest time for which a task of a service has not run, by its present reason.", []string{"reason"}, nil)
 	descRefused = prometheus.NewDesc(namespace+"_batches_refused_total", "Batches of the leader that the store refused, in the current term.", nil, nil)
 	descStored  = prometheus.NewDesc(namespace+"_batch_age_seconds", "Time since the leader has stored a batch, while another one waits.", nil, nil)
 	descRuns    = prometheus.NewDesc(namespace+"_runs_total", "Starts and exits of tasks in the current term.", []string{"event"}, nil)
@@ -167,7 +170,7 @@
 
 // Describe implements [prometheus.Collector].
 func (c *jobCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descLeader, descTerm, descVersion, descAge, descNodes, descDropped, descJobs, descWorkers, descRuns, descWaiting, descRefused, descStored} {
+	for _, d := range []*prometheus.Desc{descLeader, descTerm, descVersion, descAge, descNodes, descDropped, descJobs, descWorkers, descRuns, descWaiting, descLongest, descRefused, descStored} {
 		out <- d
 	}
 }
@@ -191,6 +194,9 @@
 	for reason, n := range s.WaitingTasks {
 		gauge(descWaiting, n, reason)
 	}
+	for reason, wait := range s.LongestWaits {
+		gauge(descLongest, wait.Seconds(), reason)
+	}
 	for state, n := range s.Jobs {
 		gauge(descJobs, n, state)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -261,6 +261,7 @@
 	s := metrics.JobStats{
 		ConfigVersion: float64(n.source.Current().Version), ConfigAge: n.source.Age(), Nodes: float64(len(n.members.Live())),
 		Jobs: make(map[string]float64), Workers: make(map[string]float64), Runs: make(map[string]float64), WaitingTasks: make(map[string]float64),
+		LongestWaits: make(map[string]time.Duration),
 	}
 	if n.deps.DroppedLines != nil {
 		s.DroppedLines = float64(n.deps.DroppedLines())
@@ -282,6 +283,9 @@
 	for reason, count := range counts.WaitingTasks {
 		s.WaitingTasks[string(reason)] = float64(count)
 	}
+	for reason, wait := range counts.LongestWaits {
+		s.LongestWaits[string(reason)] = wait
+	}
 	for state, count := range counts.Workers {
 		s.Workers[state] = float64(count)
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -156,8 +156,9 @@
 	policyQueries []PolicyQuery
 	// idle is a buffer for the idle tasks of a step.
 	idle []int
-	// waitingTasks counts the tasks of services that did not run at waitingCheckedAt.
+	// waitingTasks counts the tasks of services that did not run at waitingCheckedAt, and longestWaits is for how long they had not.
 	waitingTasks     map[WaitReason]int
+	longestWaits     map[WaitReason]time.Duration
 	waitingCheckedAt time.Duration
 }
 
@@ -169,8 +170,9 @@
 	// Jobs counts the jobs and Workers the workers by state.
 	Jobs    map[string]int
 	Workers map[string]int
-	// WaitingTasks counts the tasks of services that do not run.
+	// WaitingTasks counts the tasks of services that do not run, and LongestWaits is the longest time for which one of them has not.
 	WaitingTasks map[WaitReason]int
+	LongestWaits map[WaitReason]time.Duration
 	// RefusedBatches counts the batches that the store refused. SinceStored is the time since a batch was stored, while another one waits.
 	RefusedBatches uint64
 	SinceStored    time.Duration
@@ -187,7 +189,7 @@
 		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
-		waitingTasks: make(map[WaitReason]int), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
+		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
 		estimator: newEstimator(), fleet: newFleet(),
 	}
 }
@@ -217,7 +219,7 @@
 			counts.Jobs[state.String()]++
 		}
 	}
-	counts.WaitingTasks = maps.Clone(c.waitingTasks)
+	counts.WaitingTasks, counts.LongestWaits = maps.Clone(c.waitingTasks), maps.Clone(c.longestWaits)
 	if c.unstoredSince > 0 {
 		counts.SinceStored = c.now - max(c.lastStored, c.unstoredSince)
 	}
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -50,7 +50,9 @@
 	}
 	c.waitingCheckedAt = c.now
 	clear(c.waitingTasks)
-	services, suspects := waitLog{reasons: c.waitingTasks}, waitLog{reasons: make(map[WaitReason]int)}
+	clear(c.longestWaits)
+	services := waitLog{reasons: c.waitingTasks, longest: c.longestWaits}
+	suspects := waitLog{reasons: make(map[WaitReason]int), longest: make(map[WaitReason]time.Duration)}
 	for _, p := range c.pools {
 		for _, j := range p.jobs {
 			if j.progress.State.Ended() {
@@ -77,9 +79,10 @@
 	}
 }
 
-// waitLog counts the tasks of a check that do not run, by reason, and the log lines about them.
+// waitLog counts the tasks of a check that do not run, by reason, with the longest wait of each reason, and the log lines about them.
 type waitLog struct {
 	reasons        map[WaitReason]int
+	longest        map[WaitReason]time.Duration
 	lines, omitted int
 }
 
@@ -120,7 +123,13 @@
 	if wait.since == 0 {
 		wait.since, wait.loggedAt = c.now, c.now
 	}
-	log.reasons[c.waitReason(s, index)]++
+	reason := c.waitReason(s, index)
+	log.reasons[reason]++
+	idleSince := wait.since
+	if lastRan := s.tasks[index].idleSince; lastRan > 0 {
+		idleSince = min(idleSince, lastRan)
+	}
+	log.longest[reason] = max(log.longest[reason], c.now-idleSince)
 	if c.now-wait.loggedAt < waitLogAfter {
 		return false
 	}
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -56,6 +56,9 @@
 				r.schedule()
 			}
 			qt.Assert(t, r.core.Counts().WaitingTasks, qt.DeepEquals, map[WaitReason]int{test.reason: 1})
+			longest := r.core.Counts().LongestWaits
+			qt.Assert(t, longest, qt.HasLen, 1)
+			qt.Assert(t, longest[test.reason] >= 5*time.Second-2*waitCheckInterval && longest[test.reason] <= 5*time.Second, qt.IsTrue, qt.Commentf("%v", longest))
 			qt.Assert(t, log.String(), qt.Contains, "Task of a service does not run.")
 			qt.Assert(t, log.String(), qt.Contains, string(test.reason))
 		})
@@ -73,6 +76,45 @@
 		r.schedule()
 	}
 	qt.Assert(t, r.core.Counts().WaitingTasks, qt.HasLen, 0)
+	qt.Assert(t, r.core.Counts().LongestWaits, qt.HasLen, 0)
+}
+
+// TestLongestWait guards against a longest wait that is counted from a check of the waits, instead of from the last answer that named the run,
+// and against one that stays after the task runs again.
+func TestLongestWait(t *testing.T) {
+	tests := map[string]struct {
+		silence time.Duration
+		again   bool
+	}{
+		"silent for 3 s":          {3 * time.Second, false},
+		"silent for 5 s":          {5 * time.Second, false},
+		"silent, then runs again": {5 * time.Second, true},
+		"silent for one check":    {waitCheckInterval, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, "w1")
+			j := r.addJob(work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 3000}, Service: true}}})
+			r.accept(r.pass())
+			r.reply("w1")
+			last := r.now
+			s := j.open[0].steps[0]
+			lost := s.tasks[0].runs[0]
+			r.advance(test.silence)
+			r.core.markRunLost(lost, "test")
+			r.core.checkWaitingTasks()
+			qt.Assert(t, r.core.Counts().LongestWaits, qt.DeepEquals, map[WaitReason]time.Duration{r.core.waitReason(s, 0): r.now - last})
+			if !test.again {
+				return
+			}
+			for range 30 {
+				r.advance(100 * time.Millisecond)
+				r.reply("w1")
+				r.accept(r.pass())
+			}
+			qt.Assert(t, r.core.Counts().LongestWaits, qt.HasLen, 0)
+		})
+	}
 }
 
 // TestServiceWaitsAfterCrashes guards against a service that waits after crashes of its workers and is said to wait for room or a placement.
