timeline: a line whose beginning stands behind a part of another one

A collector that reads the output of processes in parts writes "... Task is started.: node=n1 job=a ta 0.2 n2 2026-...Z [INFO] ...". explain took that for the first line, with the text of both. The part is dropped now, and the event has what the collector put before the line. A field whose value has spaces (reason="no room on a worker") ended at the first one.

Parse and Field are exported, for other readers of logs.

--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -23,8 +23,9 @@
 // maxLineBytes is the maximum length of a log line. Longer lines are not from this program.
 const maxLineBytes = 1 << 20
 
-// logLine matches a line of the logger of a process. A log collector may have added a prefix.
-var logLine = regexp.MustCompile(`(\d{4}-\d\d-\d\dT[\d:.]+Z) \[(DEBUG|INFO|WARN|ERROR)\]\s+([\w.]+): (.*)$`)
+// logLine matches a line of the logger of a process. A log collector may have added a prefix. Output that it has read in parts may have the
+// beginning of another line in front, which is dropped.
+var logLine = regexp.MustCompile(`^(.*)(\d{4}-\d\d-\d\dT[\d:.]+Z) \[(DEBUG|INFO|WARN|ERROR)\]\s+([\w.]+): (.*)$`)
 
 // leadershipPrefixes are the beginnings of the log lines about leadership. Earlier builds wrote "Duty" instead of "Leadership", and
 // their logs can still be explained.
@@ -38,6 +39,8 @@
 	Text      string
 	// Node is the process that wrote the line.
 	Node string
+	// Prefix is what a log collector has put before the line.
+	Prefix string
 	// NamesJob means that the line names the job itself.
 	NamesJob bool
 }
@@ -59,33 +62,41 @@
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
-		if e, ok := parse(scanner.Text()); ok {
+		if e, ok := Parse(scanner.Text()); ok {
 			t.addEvent(e)
 		}
 	}
 	return eris.Wrap(scanner.Err(), "read the log")
 }
 
-func parse(text string) (Event, bool) {
+// Parse returns the event of a log line. It is false for a line of another program.
+func Parse(text string) (Event, bool) {
 	m := logLine.FindStringSubmatch(text)
 	if m == nil {
 		return Event{}, false
 	}
-	at, err := time.Parse(time.RFC3339Nano, m[1])
+	at, err := time.Parse(time.RFC3339Nano, m[2])
 	if err != nil {
 		return Event{}, false
 	}
-	return Event{Time: at, Level: m[2], Component: m[3], Text: m[4], Node: field(m[4], "node")}, true
+	return Event{Time: at, Level: m[3], Component: m[4], Text: m[5], Node: field(m[5], "node"), Prefix: m[1]}, true
 }
 
+// Field returns the value of a field, and "" if the line does not have it.
+func (e Event) Field(name string) string { return field(e.Text, name) }
+
 // field returns the value of a field of a line, and "" if the line does not have the field.
 func field(text, name string) string {
 	_, rest, ok := strings.Cut(text, " "+name+"=")
 	if !ok {
 		return ""
 	}
+	if quoted, ok := strings.CutPrefix(rest, `"`); ok {
+		value, _, _ := strings.Cut(quoted, `"`)
+		return value
+	}
 	value, _, _ := strings.Cut(rest, " ")
-	return strings.Trim(value, `"`)
+	return value
 }
 
 func (t *Timeline) addEvent(e Event) {
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -54,6 +54,24 @@
 `)
 }
 
+// TestField guards against values with spaces that end at the first one, and against fields whose name ends like another one's.
+func TestField(t *testing.T) {
+	e, ok := Parse(`2026-04-21T09:15:00.1Z [WARN]  chivetiller.scheduler: Task of a service does not run.: node=n job=a for=3.5s reason="no room on a worker" team=""`)
+	qt.Assert(t, ok, qt.IsTrue)
+	for name, want := range map[string]string{"reason": "no room on a worker", "job": "a", "for": "3.5s", "team": "", "son": "", "pool": ""} {
+		qt.Assert(t, e.Field(name), qt.Equals, want, qt.Commentf(name))
+	}
+}
+
+// TestPartOfALine guards against a line that is taken for the one whose beginning stands before it, where a log collector has read both in parts.
+func TestPartOfALine(t *testing.T) {
+	e, ok := Parse(`  0.1 n1 2026-04-21T09:15:00.1Z [INFO]  chivetiller.scheduler: Task is started.: node=n1 job=a ta  0.2 n2 2026-04-21T09:15:00.2Z [INFO]  chivetiller.intake: Job is accepted.: node=n2 job=b`)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, e.Text, qt.Equals, "Job is accepted.: node=n2 job=b")
+	qt.Assert(t, e.Node, qt.Equals, "n2")
+	qt.Assert(t, e.Prefix, qt.Matches, ".* ta  0.2 n2 ")
+}
+
 // TestNoJob guards against an empty timeline, instead of an error, for a job that no log line names.
 func TestNoJob(t *testing.T) {
 	tl := New("c")
