intake, scheduler: the log tells which jobs have tasks that last, and what a task needs

"Job is accepted." has serviceTasks and "Task is started." has cpu. Without them a log does not tell for which tasks a time without a run matters, nor whether a worker has room.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -143,7 +143,7 @@
 	took := clock.Now() - since
 	switch {
 	case err == nil:
-		i.logger.Info("Job is accepted.", "job", job.ID, "queue", job.Queue, "team", job.Team, "steps", len(job.Steps), "config", a.ConfigVersion, "took", took)
+		i.logger.Info("Job is accepted.", "job", job.ID, "queue", job.Queue, "team", job.Team, "steps", len(job.Steps), "serviceTasks", job.ServiceTasks(), "config", a.ConfigVersion, "took", took)
 		i.options.Leader.NotifySubmitted(ctx, job)
 		return OK
 	case errors.Is(err, store.ErrConflict):
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -55,7 +55,7 @@
 	j.started = true
 	c.counts.Started++
 	c.logger.Info("Task is started.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
-		"fence", r.worker.fence, "waited", c.now-r.step.occurrence.dueAt, "sincePlan", sincePlan, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
+		"cpu", r.step.doc.ReservedResources().CPU, "fence", r.worker.fence, "waited", c.now-r.step.occurrence.dueAt, "sincePlan", sincePlan, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
 	c.commandStart(r)
 }
 
--- a/work/work.go
+++ b/work/work.go
@@ -135,6 +135,17 @@
 // Occurrences returns the number of occurrences, which is 1 for a job without a schedule.
 func (j *Job) Occurrences() int { return max(1, j.ScheduledOccurrences) }
 
+// ServiceTasks returns the number of tasks that run until the job is cancelled.
+func (j *Job) ServiceTasks() int {
+	n := 0
+	for i := range j.Steps {
+		if j.Steps[i].Service {
+			n += j.Steps[i].Count
+		}
+	}
+	return n
+}
+
 // Due returns when an occurrence is due, in wall clock time since the Unix epoch, and 0 for a job without a schedule.
 func (j *Job) Due(occurrence int) time.Duration {
 	if j.ScheduledOccurrences == 0 {
