soak: how long tasks that last do not run, with what counts of it

judgeWaiting said only whether a task waited for 3 s in calm.

The check was up to a second laxer than the promise: with no disruption near, a time counted from a second after it was due. It counts from the moment that it is due now, and a run that begins at the end of a span no longer takes room in it.

--- a/internal/soak/promises/history.go
+++ b/internal/soak/promises/history.go
@@ -234,6 +234,7 @@
 // History is what clients and workers have seen. It is safe for concurrent use. Each method records the time of its call.
 type History struct {
 	start time.Time
+	clock func() time.Time
 
 	mu             sync.Mutex
 	loadEnded      moment
@@ -248,14 +249,22 @@
 
 // NewHistory returns an empty history.
 func NewHistory() *History {
-	return &History{start: time.Now(), loadEnded: never, byRun: make(map[Run]*run)}
+	return NewHistoryAt(time.Now(), time.Now)
 }
 
+// NewHistoryAt returns an empty history that began at a time, with another clock, for what was seen before.
+func NewHistoryAt(start time.Time, clock func() time.Time) *History {
+	return &History{start: start, clock: clock, loadEnded: never, byRun: make(map[Run]*run)}
+}
+
+// Start returns the time from which the times of the history count.
+func (h *History) Start() time.Time { return h.start }
+
 // record calls a function with the lock and the time.
 func (h *History) record(f func(now moment)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	f(time.Since(h.start))
+	f(h.clock().Sub(h.start))
 }
 
 // LoadEnded records that clients submit no more jobs. They only ask for states from then on.
--- a/internal/soak/promises/jobs.go
+++ b/internal/soak/promises/jobs.go
@@ -54,8 +54,9 @@
 	}
 }
 
-// judgeWaiting judges that no task whose turn has come waits in calm times while there is room for it twice over.
-func (s *snapshot) judgeWaiting(j *submitted, b Bounds, v *Verdict) {
+// eachTurn calls a function for each task whose turn has come, with the time of its turn. Tasks of queues that a configuration lacks, and of
+// jobs with occurrences, are left out.
+func (s *snapshot) eachTurn(j *submitted, visit func(step *Step, task Task, turn moment)) {
 	if slices.ContainsFunc(s.configurations, func(c configuration) bool { _, ok := c.Queues[j.Queue]; return !ok }) || j.Occurrences > 0 {
 		return
 	}
@@ -66,43 +67,34 @@
 			continue
 		}
 		for index := range step.Count {
-			s.judgeTask(j, step, Task{Job: j.ID, Step: number, Index: index}, max(turn, j.accepted), b, v)
+			visit(step, Task{Job: j.ID, Step: number, Index: index}, max(turn, j.accepted))
 		}
 	}
 }
 
+// judgeWaiting judges that no task whose turn has come waits in calm times while there is room for it twice over.
+func (s *snapshot) judgeWaiting(j *submitted, b Bounds, v *Verdict) {
+	s.eachTurn(j, func(step *Step, task Task, turn moment) { s.judgeTask(j, step, task, turn, b, v) })
+}
+
 // judgeTask judges the times in which a task does not run.
 func (s *snapshot) judgeTask(j *submitted, step *Step, task Task, turn moment, b Bounds, v *Verdict) {
 	lowest, _ := s.attempts(j.Queue)
 	if !step.LongRunning && (s.doneAt(task, step) < never || len(s.failedRuns(task, step)) >= lowest || j.shown(FailedJob)) {
 		return
 	}
-	const calmBefore = 4 * time.Second
-	from := turn
-	if !step.LongRunning {
-		from = max(from, s.loadEnded+b.Finish)
-	}
 	runs := s.byTask[task]
 	if !step.LongRunning {
 		// A job that has anything at work is not waiting.
-		runs = s.byJob[j.ID]
+		turn, runs = max(turn, s.loadEnded+b.Finish), s.byJob[j.ID]
 	}
-	for i := 0; i <= len(runs); i++ {
-		to := s.now
-		if i < len(runs) {
-			to = runs[i].begun
-		}
-		if at, ok := s.waits(j, step, from, to, calmBefore, b); ok {
+	for _, w := range s.waitsOf(step, runs, turn, s.now, b) {
+		begun, idle, judged := s.longestIdle(j, step, w, b)
+		if judged >= b.Idle {
 			v.Checked++
-			if at > 0 {
-				v.add(s, at, "task %s of an accepted job does not run for %s in calm time, while there is room for it twice over", task, b.Idle)
-			}
 		}
-		if i < len(runs) {
-			from = max(from, runs[i].ended)
-			if step.LongRunning {
-				from = max(from, runs[i].ended+b.Restart)
-			}
+		if idle > b.Idle {
+			v.add(s, begun+b.Idle, "task %s of an accepted job does not run for %s in calm time, while there is room for it twice over", task, b.Idle)
 		}
 	}
 }
@@ -112,22 +104,7 @@
 	return slices.ContainsFunc(j.calls, func(c *call) bool { return c.answer.State == state })
 }
 
-// waits returns the end of the first calm time of Idle within a span in which there is room for a task of a step twice over, or 0. It is
-// false if the span has no calm time at all.
-func (s *snapshot) waits(j *submitted, step *Step, from, to moment, calmBefore time.Duration, b Bounds) (at moment, judged bool) {
-	const pace = 500 * time.Millisecond
-	for _, part := range s.stretches(from, to, b.Contact) {
-		for begin := max(part[0]-b.Contact+calmBefore, from); begin+b.Idle <= part[1]; begin += pace {
-			judged = true
-			if s.hasRoom(j, step, begin, begin+b.Idle, b) {
-				return begin + b.Idle, true
-			}
-		}
-	}
-	return 0, judged
-}
-
-// hasRoom reports whether sound workers have room twice over for a task of a step, or for its gang, in all of a span.
+// hasRoom reports whether sound workers have room twice over for a task of a step, or for its gang, in all of a span up to its end.
 func (s *snapshot) hasRoom(j *submitted, step *Step, from, to moment, b Bounds) bool {
 	var pool string
 	for _, c := range s.configurations {
@@ -145,7 +122,7 @@
 	same := make(map[string]int64)
 	for i := range s.runs {
 		r := &s.runs[i]
-		if r.begun > to || r.ended < from {
+		if r.begun >= to || r.ended < from {
 			continue
 		}
 		owner, other := s.step(r.Task)
--- a/internal/soak/promises/runs.go
+++ b/internal/soak/promises/runs.go
@@ -121,8 +121,9 @@
 	}
 }
 
-// turnOf returns when the last task of the steps before a step was done, and that task.
+// turnOf returns when the last task of the steps before a step was done, and that task. Without such steps it was always the step's turn.
 func (s *snapshot) turnOf(j *submitted, step *Step, occurrence int) (at moment, last Task) {
+	at = -never
 	for _, number := range step.After {
 		before := &j.Steps[number]
 		for index := range before.Count {
--- a/internal/soak/promises/snapshot.go
+++ b/internal/soak/promises/snapshot.go
@@ -42,7 +42,7 @@
 func (h *History) snapshot() *snapshot {
 	h.mu.Lock()
 	s := &snapshot{
-		start: h.start, now: time.Since(h.start), loadEnded: h.loadEnded,
+		start: h.start, now: h.clock().Sub(h.start), loadEnded: h.loadEnded,
 		calls: copyAll(h.calls), runs: copyAll(h.runs), lives: copyAll(h.lives), configurations: copyAll(h.configurations),
 		incarnations: copyAll(h.incarnations), disruptions: copyAll(h.disruptions),
 		jobs: make(map[string]*submitted), byTask: make(map[Task][]*run), byJob: make(map[string][]*run), workers: make(map[string]bool), frozen: make(map[string][]disruption),
