soak: margins of tasks that last, in the report of a play and from logs

That a play broke no promise tells nothing of how near it was, so that each search for a service that does not run began anew. The report of a seed has the five smallest margins to the bound with the reasons that the leader logged, and separately the longest time for which the leader took a task for running while no worker ran it; the summary has the smallest margin by reason.

--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -1,8 +1,9 @@
 // Command run plays the cases of the soak, or series of faults drawn from seeds, each in a process of its own, and prints a line for each
-// case or a report for each seed.
+// case or a report for each seed. With --margins-of it prints the margins of a bench's play from its output.
 //
 //	go run ./internal/soak/run --case all --plays 5
 //	go run ./internal/soak/run --seeds 3 --seed 7 --for 30s --processes 9 --keep target/records
+//	go run ./internal/soak/run --margins-of play.log,report.json
 //
 // The exit code is 0 only if each promise held in each play and, with --seeds, was checked at least once.
 package main
@@ -20,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chivetiller/chivetiller/internal/soak/cases"
+	"github.com/chivetiller/chivetiller/internal/soak/margins"
 	"github.com/chivetiller/chivetiller/internal/soak/promises"
 	"github.com/chivetiller/chivetiller/internal/soak/series"
 )
@@ -46,6 +48,8 @@
 	seed                      uint64
 	duration                  time.Duration
 	regressions               bool
+	// play holds files with the output and the report of a bench's play.
+	play []string
 }
 
 func main() {
@@ -55,6 +59,8 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			seeded := s.seeds > 0 || s.regressions || cmd.Flags().Changed("seed")
 			switch {
+			case len(s.play) > 0:
+				return printMargins(s.play)
 			case s.single && seeded:
 				return playSeedHere(s)
 			case s.single:
@@ -78,6 +84,7 @@
 	flags.IntVar(&s.processes, "processes", 3, "number of processes of the program in a series, 3 or more")
 	flags.IntVar(&s.workers, "workers", 9, "number of workers in a series")
 	flags.BoolVar(&s.regressions, "regressions", false, "play the seeds that ever failed")
+	flags.StringSliceVar(&s.play, "margins-of", nil, "print the margins of a play of the bench from its output (--log all) and, for all disruptions, its report")
 	flags.BoolVar(&s.single, "single", false, "play one case or seed in this process")
 	if err := flags.MarkHidden("single"); err != nil {
 		panic(err)
@@ -87,6 +94,19 @@
 	}
 }
 
+// printMargins prints the margins of a bench's play.
+func printMargins(files []string) error {
+	var l margins.Log
+	for _, name := range files {
+		if err := l.ReadFile(name, time.Time{}); err != nil {
+			return err
+		}
+	}
+	play := margins.Of(l.History(), promises.DefaultBounds(), &l)
+	fmt.Printf("%s  by reason:\n%s", play, margins.ByReason(play.Margins))
+	return nil
+}
+
 // playHere plays one case and ends the process with its outcome as the exit code.
 func playHere(s settings) error {
 	outcome := cases.Run(cases.Options{Case: s.cases[0], Program: s.program, Record: os.Stdout, Fault: !s.noFault, Keep: s.keep != ""})
--- a/internal/soak/series/play.go
+++ b/internal/soak/series/play.go
@@ -88,8 +88,7 @@
 	l.settle()
 	close(stop)
 	checks.Wait()
-	p.report.finish(w, l)
-	return p.report, nil
+	return p.report, p.report.finish(w, l)
 }
 
 // rackOf returns the rack of a worker.
--- a/internal/soak/series/report.go
+++ b/internal/soak/series/report.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"maps"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/soak/margins"
 	"github.com/chivetiller/chivetiller/internal/soak/promises"
 	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
@@ -28,11 +30,13 @@
 	// OwnEnds is the number of processes that have ended by themselves.
 	OwnEnds  int
 	Verdicts []promises.Verdict
+	// Margins tells how near the tasks that last came to a broken promise.
+	Margins margins.Play
 	// Cause says why the seed once failed, if it did.
 	Cause string
 }
 
-func (r *Report) finish(w *world.World, l *load) {
+func (r *Report) finish(w *world.World, l *load) error {
 	r.Verdicts = promises.Check(w.History(), promises.DefaultBounds())
 	r.OwnEnds = w.OwnEnds()
 	r.Accepted = len(l.accepted)
@@ -46,6 +50,18 @@
 		r.Ends[how]++
 	}
 	r.Cause = regressions[r.Seed]
+	names, err := filepath.Glob(filepath.Join(l.options.Directory, "*.log"))
+	if err != nil {
+		return err
+	}
+	var logs margins.Log
+	for _, name := range names {
+		if err := logs.ReadFile(name, w.History().Start()); err != nil {
+			return err
+		}
+	}
+	r.Margins = margins.Of(w.History(), promises.DefaultBounds(), &logs)
+	return nil
 }
 
 // Held reports whether no promise was broken.
@@ -86,6 +102,7 @@
 			fmt.Fprintf(&b, "      %s: %s\n", violation.At.Format("15:04:05.000"), violation.Text)
 		}
 	}
+	fmt.Fprintf(&b, "  margins: %s", r.Margins)
 	if r.OwnEnds > 0 {
 		fmt.Fprintf(&b, "  %d processes ended by themselves\n", r.OwnEnds)
 	}
@@ -108,10 +125,15 @@
 	return slices.DeleteFunc(promises.Names(), func(p promises.Promise) bool { return checked[p] })
 }
 
-// Summary returns how often each promise was checked and broken in all plays.
+// Summary returns the margins by reason, and how often each promise was checked and broken, in all plays.
 func Summary(reports []*Report) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "all seeds:\n")
+	var all []margins.Margin
+	for _, r := range reports {
+		all = append(all, r.Margins.Margins...)
+	}
+	fmt.Fprintf(&b, "  margins of tasks that last, by reason:\n%s  promises:\n", margins.ByReason(all))
 	for i, name := range promises.Names() {
 		checked, broken := 0, 0
 		for _, r := range reports {
