--- /dev/null
+++ b/scheduler/idlemodel_search_test.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"flag"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+)
+
+var (
+	idleModelSeeds = flag.Uint64("idle.seeds", 6, "number of seeds of the model of services on instances")
+	idleModelOne   = flag.String("idle.play", "", "play of the model of services on instances, as JSON, that is played alone and logged")
+)
+
+// describe returns a play in the form that -idle.play takes.
+func (p idleModelPlay) describe() string {
+	data, err := json.Marshal(p)
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+// TestServiceMarginOnInstances guards against a task of a service that does not run although workers have room, beside disruptions of workers,
+// instances, leaders, store and orders: none comes nearer than a second to what the users count as lost.
+func TestServiceMarginOnInstances(t *testing.T) {
+	if *idleModelOne != "" {
+		var p idleModelPlay
+		qt.Assert(t, json.Unmarshal([]byte(*idleModelOne), &p), qt.IsNil)
+		playLogged(t, p)
+		return
+	}
+	for seed := range *idleModelSeeds {
+		p := newIdleModelPlay(seed)
+		start := time.Now()
+		r := newIdleModel(p).run()
+		t.Logf("seed %d: %v, %v", seed, r, time.Since(start))
+		qt.Check(t, r.margin >= idleReserve, qt.IsTrue, qt.Commentf("%v: %s", r, p.describe()))
+	}
+}
+
+// playLogged plays with the log of the leaders.
+func playLogged(t *testing.T, p idleModelPlay) {
+	m := newIdleModel(p)
+	m.trace = t.Logf
+	m.faults.log = hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: testWriter{t, m}, DisableTime: true})
+	m.terms = 0
+	m.elect(true, true)
+	t.Log(m.run())
+}
+
+// testWriter writes the log of a play with its virtual time.
+type testWriter struct {
+	t *testing.T
+	m *idleModel
+}
+
+func (w testWriter) Write(data []byte) (int, error) {
+	w.t.Logf("%v %s", w.m.now-idleModelStart, data)
+	return len(data), nil
+}
