--- a/scheduler/idlemodel_faults_test.go
+++ b/scheduler/idlemodel_faults_test.go
@@ -165,17 +165,14 @@
 	"policy": {modes: 4, longest: 8 * time.Second, begin: func(m *idleModel, e idleModelEvent, _ []*idleModelInstance) {
 		m.faults.policyUntil, m.faults.policyMode = m.now+e.For, e.Mode
 	}},
-	"wave": {modes: 3, longest: 12 * time.Second, planned: true, begin: func(m *idleModel, e idleModelEvent, on []*idleModelInstance) {
-		doc := instance.Wave{Number: len(m.store.requests) + 1, MaxDuration: max(2*time.Second, e.For), MaxUnavailable: []int{1, 3, len(m.instances)}[e.Mode]}
-		for _, inst := range on {
-			doc.Instances = append(doc.Instances, inst.id)
-		}
-		if len(on) == 0 {
+	// Maintenance of instances: one at a time, three, or all of them, or as many waves at the same moment.
+	"wave": {modes: 4, longest: 12 * time.Second, planned: true, begin: func(m *idleModel, e idleModelEvent, on []*idleModelInstance) {
+		if e.Mode < 3 {
+			m.addWave(e, on, []int{1, 3, len(m.instances)}[e.Mode])
 			return
 		}
-		m.store.requests[doc.Number] = doc
-		if m.leader != nil {
-			m.leader.core.AddWave(doc, nil)
+		for i := range int(maxIdleModelWaves*e.Share) * min(1, len(on)) {
+			m.addWave(e, on[i%len(on):][:1], 1)
 		}
 	}},
 	// Tasks of services fail by themselves.
@@ -202,6 +199,23 @@
 	}},
 }
 
+// maxIdleModelWaves is the largest number of waves that begin at the same moment.
+const maxIdleModelWaves = 60
+
+func (m *idleModel) addWave(e idleModelEvent, on []*idleModelInstance, maxDown int) {
+	if len(on) == 0 {
+		return
+	}
+	doc := instance.Wave{Number: len(m.store.requests) + 1, MaxDuration: max(2*time.Second, e.For), MaxUnavailable: maxDown}
+	for _, inst := range on {
+		doc.Instances = append(doc.Instances, inst.id)
+	}
+	m.store.requests[doc.Number] = doc
+	if m.leader != nil {
+		m.leader.core.AddWave(doc, nil)
+	}
+}
+
 // idleModelKindNames lists the kinds in order.
 var idleModelKindNames []string
 
--- a/scheduler/idlemodel_leader_test.go
+++ b/scheduler/idlemodel_leader_test.go
@@ -337,13 +337,27 @@
 	})
 }
 
+// fits reports whether the store takes a batch, with two conditions and the row of the chain.
+func fits(b Batch) bool { return len(b.rowKeys())+3 <= store.MaxEntries }
+
+// nextBatch returns the next batch, with fewer rows if the store would refuse it.
+func (l *idleModelLeader) nextBatch() Batch {
+	for limit := batchRows; ; limit /= 2 {
+		b := l.core.TakeBatch(limit)
+		if fits(b) || limit <= minBatchRows {
+			return b
+		}
+		l.core.BatchFailed(b)
+	}
+}
+
 // commit stores what has changed. Only one batch is in flight at a time.
 func (l *idleModelLeader) commit() {
 	m, c := l.model, l.core
 	if l.committing || m.now < l.commitAt {
 		return
 	}
-	b := c.TakeBatch(batchRows)
+	b := l.nextBatch()
 	if b.Empty() {
 		if len(b.exitAcks) > 0 {
 			c.BatchStored(b)
@@ -367,6 +381,9 @@
 			}
 		}
 	}
+	if !fits(b) {
+		takes, err = commitPause, store.ErrRefused
+	}
 	finish := func() {
 		l.committing, l.commitAt = false, m.now
 		c.SetTime(m.now)
