--- a/scheduler/idlemodel_climb_test.go
+++ b/scheduler/idlemodel_climb_test.go
@@ -4,14 +4,19 @@
 	"cmp"
 	"flag"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	qt "github.com/frankban/quicktest"
 )
 
 var (
 	idleModelPlays  = flag.Int("idle.plays", 0, "number of plays of the search for small margins of services")
+	idleModelKeep   = flag.String("idle.keep", "", "file to which the search writes the plays with a margin below a second")
 	idleModelSearch = flag.Uint64("idle.search", 1, "seed of the search for small margins of services")
 )
 
@@ -40,6 +45,8 @@
 	// left is the number of plays that are left, and fresh the seed of the next one that is not a variation.
 	left  int
 	fresh uint64
+	// kept lists the plays below idleReserve, one a line.
+	kept strings.Builder
 	// firstBelow and firstLost are the numbers of the first such plays.
 	played, firstBelow, firstLost int
 }
@@ -130,6 +137,7 @@
 	}
 	if r.margin < idleReserve {
 		c.below[r.reason]++
+		c.kept.WriteString(f.play.describe() + "\n")
 		if c.firstBelow == 0 {
 			c.firstBelow = c.played
 		}
@@ -172,6 +180,9 @@
 	}
 	c := newIdleModelClimber(*idleModelSearch, *idleModelPlays)
 	c.search()
+	if *idleModelKeep != "" {
+		qt.Check(t, os.WriteFile(*idleModelKeep, []byte(c.kept.String()), 0o600), qt.IsNil)
+	}
 	t.Logf("%d plays, first with less than %v: %d, first lost: %d", c.played, idleReserve, c.firstBelow, c.firstLost)
 	for _, reason := range sortedNames(c.best) {
 		f := c.best[reason][0]
--- a/scheduler/idlemodel_search_test.go
+++ b/scheduler/idlemodel_search_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"flag"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,7 +14,7 @@
 
 var (
 	idleModelSeeds = flag.Uint64("idle.seeds", 6, "number of seeds of the model of services on instances")
-	idleModelOne   = flag.String("idle.play", "", "play of the model of services on instances, as JSON, that is played alone and logged")
+	idleModelOne   = flag.String("idle.play", "", "play of the model of services on instances, as JSON, that is played alone and logged, or @ and a file of plays, one a line")
 )
 
 // describe returns a play in the form that -idle.play takes.
@@ -27,10 +29,12 @@
 // TestServiceMarginOnInstances guards against a task of a service that does not run although workers have room, beside disruptions of workers,
 // instances, leaders, store and orders: none comes nearer than a second to what the users count as lost.
 func TestServiceMarginOnInstances(t *testing.T) {
+	if file, ok := strings.CutPrefix(*idleModelOne, "@"); ok {
+		playFile(t, file)
+		return
+	}
 	if *idleModelOne != "" {
-		var p idleModelPlay
-		qt.Assert(t, json.Unmarshal([]byte(*idleModelOne), &p), qt.IsNil)
-		playLogged(t, p)
+		playLogged(t, decodeIdleModelPlay(t, *idleModelOne))
 		return
 	}
 	for seed := range *idleModelSeeds {
@@ -42,6 +46,22 @@
 	}
 }
 
+func decodeIdleModelPlay(t *testing.T, data string) (p idleModelPlay) {
+	qt.Assert(t, json.Unmarshal([]byte(data), &p), qt.IsNil)
+	return p
+}
+
+// playFile plays the plays of a file.
+func playFile(t *testing.T, file string) {
+	data, err := os.ReadFile(file)
+	qt.Assert(t, err, qt.IsNil)
+	for i, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+		r := newIdleModel(decodeIdleModelPlay(t, line)).run()
+		t.Logf("play %d: %v", i+1, r)
+		qt.Check(t, r.margin >= idleReserve, qt.IsTrue)
+	}
+}
+
 // playLogged plays with the log of the leaders.
 func playLogged(t *testing.T, p idleModelPlay) {
 	m := newIdleModel(p)
