--- a/scheduler/idlemodel_climb_test.go
+++ b/scheduler/idlemodel_climb_test.go
@@ -151,7 +151,7 @@
 	if r.believed > c.believed.result.believed {
 		c.believed = f
 	}
-	kept := append(c.best[r.reason], f)
+	kept := append(slices.Clone(c.best[r.reason]), f)
 	slices.SortStableFunc(kept, func(a, b idleModelFinding) int { return cmp.Compare(a.result.margin, b.result.margin) })
 	c.best[r.reason] = kept[:min(len(kept), idleModelKept)]
 }
