scheduler: services are evicted once for a maintenance, and a restarted worker gets its token

They are evicted before the first command only. - A worker that restarts under its ID gets no tasks before a higher fencing token, which is the version of a batch. If its row in the roster is set aside and nothing else changes, no batch was stored for 13 s. One is stored for it.

--- a/scheduler/idlefleet_test.go
+++ b/scheduler/idlefleet_test.go
@@ -247,3 +247,29 @@
 		}
 	}
 }
+
+// TestEvictedServiceBesideFailedMaintenance guards against a task of a service that is evicted for a maintenance which the platform does not
+// begin, and then waits for long, or is evicted again and again.
+func TestEvictedServiceBesideFailedMaintenance(t *testing.T) {
+	for _, outcome := range []instance.Outcome{instance.Busy, instance.Refused, instance.NotInWave, instance.Unknown} {
+		for _, unknownFor := range []time.Duration{0, 3 * time.Second} {
+			t.Run(fmt.Sprint(outcome, " after ", unknownFor), func(t *testing.T) {
+				r := newIdleFleet(t, 4)
+				r.play(time.Second)
+				r.addJob(work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 4, Request: work.Resources{CPU: 500}, Service: true, MaxPerWorker: 1, MaxDisruptions: 1}}})
+				r.play(4 * time.Second)
+				if unknownFor == 0 {
+					r.answer = func(InstanceCommand) instance.Outcome { return outcome }
+				}
+				r.core.AddWave(instance.Wave{Number: 1, Instances: []string{"m-w1", "m-w2"}, MaxDuration: 10 * time.Second, MaxUnavailable: 2}, nil)
+				r.play(2*time.Second + unknownFor)
+				r.answer = func(InstanceCommand) instance.Outcome { return outcome }
+				r.calm = r.now
+				r.play(25 * time.Second)
+				qt.Check(t, r.longest < maxIdle, qt.IsTrue, qt.Commentf("idle for %v", r.longest))
+				// As many commands as make an instance count as failed, for each of the two.
+				qt.Check(t, r.core.counts.Stopped <= 2*maxRefusals, qt.IsTrue, qt.Commentf("%d stops", r.core.counts.Stopped))
+			})
+		}
+	}
+}
--- a/scheduler/idlestarts_test.go
+++ b/scheduler/idlestarts_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/advice"
+	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -174,3 +175,30 @@
 		qt.Assert(t, cmd.Kind == CommandStart && cmd.Target.ID == ws.report.ID, qt.IsFalse)
 	}
 }
+
+// TestVersionForRestartedWorker guards against a worker that gets no tasks for maxCommandDelay after it has started again, because the store has
+// refused its row in the roster, so that no batch supplies the fencing token which rules out calls to its earlier life.
+func TestVersionForRestartedWorker(t *testing.T) {
+	r := newRig(t, 1, "w1", "w2")
+	r.store()
+	ws := r.core.workers["w1"]
+	r.core.ruleOut(ws, ws.fence)
+	r.reply("w1")
+	qt.Assert(t, ws.fence, qt.Equals, r.core.storedVersion)
+	for {
+		if b := r.core.TakeBatch(batchRows); b.Empty() {
+			break
+		}
+	}
+	r.core.refusedRows.Refused([]store.Key{rosterKey("w1")}, r.now, true)
+	r.moveOn("w1")
+	r.core.SetWorkers([]worker.Report{restartedReport("w1"), rigReport("w2", coresOnly(4))})
+	for range 2 {
+		renewal, _ := r.core.Renewal("w1")
+		r.core.HandleStatus(renewal.call, worker.Status{Reply: worker.Reply{Clock: r.now, Incarnation: rigNextIncarnation}}, r.now, nil)
+	}
+	ws = r.core.workers["w1"]
+	qt.Assert(t, ws.ruledOut(r.now), qt.IsFalse)
+	b := r.core.TakeBatch(batchRows)
+	qt.Assert(t, b.Empty(), qt.IsFalse)
+}
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -27,7 +27,7 @@
 // needsVersion reports whether a higher fencing token than the present stored version is needed, so that a batch is stored for it.
 func (c *Core) needsVersion() bool {
 	for _, ws := range c.workers {
-		if ws.ruleOutFence > ws.ruledOutFence && c.storedVersion <= ws.ruleOutFence {
+		if ws.ruleOutFence > ws.ruledOutFence && c.storedVersion <= ws.ruleOutFence || ws.needsFence(c.now) && c.storedVersion <= ws.earlier.fence {
 			return true
 		}
 	}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -214,7 +214,8 @@
 		if ws, ok := c.workers[inst.Worker]; ok {
 			ws.cordon(id)
 			c.evacuate(ws, c.now-since > drainTimeout)
-			if c.now >= w.since+w.doc.MaxDuration-waveReserve {
+			// After a command that did not begin the maintenance they would be evicted for nothing.
+			if _, commanded := w.commandedAt[id]; !commanded && c.now >= w.since+w.doc.MaxDuration-waveReserve {
 				c.evictServices(ws)
 			}
 		}
