scheduler: tests of tickets for avoided workers and of the record of a dropped plan

PolicyAsksAboutAvoidedWorkers fails in a trial in which policyWorkers names only workers that take tasks, DroppedPlanIsRecordedAsEnded in one without recordRunEnd in startRun.

--- a/scheduler/overdue_test.go
+++ b/scheduler/overdue_test.go
@@ -95,3 +95,37 @@
 		})
 	}
 }
+
+// TestPolicyAsksAboutAvoidedWorkers guards against an overdue task that finds no avoided worker, since none was asked about and has a ticket.
+func TestPolicyAsksAboutAvoidedWorkers(t *testing.T) {
+	tests := map[string]func(ws *workerState, now time.Duration){
+		"quarantined": func(ws *workerState, now time.Duration) {
+			ws.health.quarantinedUntil, ws.health.failedAt = now+time.Hour, now
+		},
+		"drained": func(ws *workerState, _ time.Duration) { ws.cordoned = true },
+	}
+	for name, avoid := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newPolicyRig(t, 2)
+			avoid(r.core.workers["w1"], r.now)
+			r.addService("s", 2, 1000)
+			r.play(avoidance.MaxWait + time.Second)
+			qt.Assert(t, r.runs["w0"], qt.HasLen, 1)
+			qt.Assert(t, r.runs["w1"], qt.HasLen, 1)
+		})
+	}
+}
+
+// TestDroppedPlanIsRecordedAsEnded guards against a next leader that waits for a worker on which a run was planned and never started.
+func TestDroppedPlanIsRecordedAsEnded(t *testing.T) {
+	r := newIdleRig(t, 1)
+	s := r.addService("s", 1, 1000)
+	r.schedule()
+	b := r.core.TakeBatch(batchRows)
+	qt.Assert(t, b.Empty(), qt.IsFalse)
+	r.advance(contactTimeout + time.Millisecond)
+	r.core.BatchStored(b)
+	qt.Assert(t, s.tasks[0].runs, qt.HasLen, 0)
+	qt.Assert(t, s.occurrence.progress.Steps[0].Runs[0].Worker < 0, qt.IsTrue)
+	qt.Assert(t, r.core.changedJobs[s.job], qt.IsTrue)
+}
