--- a/scheduler/crashidle_test.go
+++ b/scheduler/crashidle_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
 )
 
 // idleAfter lets time pass and returns the longest time for which a task does not run beyond idleAfterRun after its last run, and
@@ -127,3 +128,53 @@
 		})
 	}
 }
+
+// TestDeadlyServiceAndQuickRestarts guards against a deadly service that starts without a pause, because its worker restarts before the start
+// has an answer.
+func TestDeadlyServiceAndQuickRestarts(t *testing.T) {
+	// The pause is 4 s after the first few starts, and each is sent twice at most.
+	const most = 2 * (60/4 + 4)
+	for _, answered := range []bool{true, false} {
+		r := newRig(t, 1, "w0", "w1", "w2", "w3")
+		r.addJob(work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: coresOnly(1), Service: true}}})
+		born := map[string]int64{"w0": rigIncarnation, "w1": rigIncarnation, "w2": rigIncarnation, "w3": rigIncarnation}
+		restartAt := make(map[string]time.Duration)
+		starts := 0
+		for end := r.now + 60*time.Second; r.now < end; {
+			r.advance(50 * time.Millisecond)
+			reports := make([]worker.Report, 0, 4)
+			for id, b := range born {
+				rep := rigReport(id, work.Resources{CPU: 4000, Memory: 4000})
+				rep.Incarnation = b
+				reports = append(reports, rep)
+			}
+			r.core.SetWorkers(reports)
+			for id := range born {
+				if at, down := restartAt[id]; down {
+					if r.now < at {
+						continue
+					}
+					delete(restartAt, id)
+					born[id]++
+				}
+				if renewal, ok := r.core.Renewal(id); ok {
+					r.core.HandleStatus(renewal.call, worker.Status{Reply: worker.Reply{Clock: r.now, Incarnation: born[id]}}, r.now, nil)
+				}
+			}
+			for _, cmd := range r.pass() {
+				switch {
+				case cmd.Kind != CommandStart:
+					r.core.HandleReply(cmd, worker.Reply{Clock: r.now}, r.now, nil)
+				case answered:
+					starts++
+					r.core.HandleReply(cmd, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+					restartAt[cmd.Target.ID] = r.now + 400*time.Millisecond
+				default:
+					starts++
+					restartAt[cmd.Target.ID] = r.now + 400*time.Millisecond
+				}
+			}
+		}
+		qt.Assert(t, starts <= most, qt.IsTrue, qt.Commentf("error at once %v: %d starts in 60 s", answered, starts))
+	}
+}
--- a/scheduler/idlestarts_test.go
+++ b/scheduler/idlestarts_test.go
@@ -202,3 +202,32 @@
 	b := r.core.TakeBatch(batchRows)
 	qt.Assert(t, b.Empty(), qt.IsFalse)
 }
+
+// TestLargeServiceBesideSmallOnes guards against a large service that never starts, because small ones take the room that is kept for it.
+func TestLargeServiceBesideSmallOnes(t *testing.T) {
+	r := newIdleRig(t, 2)
+	r.addJob(work.Job{ID: "long", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 4, Request: coresOnly(2), Estimate: 4 * time.Second}}})
+	r.play(time.Second)
+	r.addService("large", 1, 4000)
+	r.play(time.Second)
+	for i := range 6 {
+		r.addService(fmt.Sprint("small", i), 1, 400)
+	}
+	start := r.now
+	next := r.now + 3*time.Second
+	for r.now-start < 40*time.Second && !r.isRunning(work.Task{Job: "large"}) {
+		r.play(idleStep)
+		if r.now > next {
+			next += 4 * time.Second
+			for _, id := range r.workers {
+				for _, run := range r.runs[id] {
+					if run.Task.Job == "long" {
+						r.end(id, run.Task, worker.ExitDone)
+						break
+					}
+				}
+			}
+		}
+	}
+	qt.Assert(t, r.now-start < 2*reservationLimit, qt.IsTrue, qt.Commentf("does not run for %v", r.now-start))
+}
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -60,11 +60,11 @@
 }
 
 // chooseAvoidedWorker returns a worker for a task of a service that has waited for long, among those that are avoided, and nil if there is
-// none. Room that is kept for other services counts as free.
+// none. Room that is kept for other services counts as free once the task has waited for as long as a reservation lasts.
 func (c *Core) chooseAvoidedWorker(s *step, index int) *workerState {
 	idle := c.idleFor(s, index)
 	p, crashes := c.pool(s.job.doc.Pool), s.crashCount(index)
-	if !avoidance.Overdue(idle) || crashes.Likely() && p.likelyLeft(overdueLikelyShare) <= 0 {
+	if !avoidance.Overdue(idle) || crashes.Likely() && p.likelyLeft(likelyShare) <= 0 {
 		return nil
 	}
 	var best *workerState
@@ -74,6 +74,8 @@
 		switch {
 		case !ws.isAvoided(c.now) || !charge.Fits(ws.freeCapacity()) || !c.takesOverdue(s, ws, idle) || !c.eligible(s, ws):
 			continue
+		case idle < reservationLimit && !ws.leavesReserved(s, 1):
+			continue
 		case crashes.Suspect() && ws.tests > 0, len(s.crashSites) > 0 && c.mayCrashByItself(s, index, ws):
 			continue
 		}
--- a/scheduler/overdue_test.go
+++ b/scheduler/overdue_test.go
@@ -81,11 +81,12 @@
 				r.play(idleStep)
 			}
 			r.addJob(work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 2, Request: coresOnly(1), Service: true, MaxPerWorker: 1, MaxDisruptions: test.budget}}})
-			play := r.play
+			// Later a task starts there although a command without an answer may end it.
+			play, closed := r.play, maxProtectedWait-idleStep
 			if test.inFlight {
-				play = r.idleRig.play
+				play, closed = r.idleRig.play, 6*time.Second
 			}
-			for end := r.now + 6*time.Second; r.now < end; {
+			for end := r.now + closed; r.now < end; {
 				play(idleStep)
 				if r.core.workers["w1"].cordoned {
 					qt.Assert(t, r.runs["w1"], qt.HasLen, 0)
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -432,6 +432,9 @@
 	if !c.detachRun(r) {
 		return
 	}
+	if r.confirmedAt == 0 && r.phase != planned {
+		r.step.tasks[r.index].triedAt = r.startedAt
+	}
 	if r.step.doc.Service {
 		// The next leader judges a crash of the worker by the record of another task.
 		c.recordRunEnd(r.step, r.index, r.number)
