scheduler: the record of a service names adopted runs, and hand-overs are doubted where lives change

Found by a review of the hand-over. A task of a service waits for its own recorded run since, so that the record has to name every run that may be left: - A run that is adopted is recorded. Its late start may have been carried out in the next life of its worker, after its end was recorded, and the next leader started the task on another worker (AdoptedRunIsRecorded failed before). - A start without an answer that is lost with the life of its worker stays recorded, since it may be carried out in the next one. - No end of leases is handed over for a worker whose calls to another life may still give it one. - A panic while handing over ends nothing else, and a leader that was deposed hands nothing over.

--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -30,6 +30,15 @@
 
 // HandOver stores what the next leader would have to find out again. It is called once the engine has stopped for good.
 func (e *Engine) HandOver(ctx context.Context) {
+	defer func() {
+		if p := recover(); p != nil {
+			e.handlePanic(p)
+		}
+	}()
+	if !e.options.Leadership.IsLeader(e.Fence()) {
+		// What a scheduler believes that has panicked is not handed over.
+		return
+	}
 	now := clock.Now()
 	e.core.SetTime(now)
 	ends := e.core.LeaseEnds()
@@ -87,6 +96,8 @@
 	}
 	for id, ws := range c.workers {
 		switch {
+		case ws.earlier.fence != 0 || !ws.registered():
+			// Calls to another life of the worker may still give it a lease.
 		case !ws.answered:
 			add(id, c.previousLeaseEnd(id))
 		case ws.leaseExpired:
@@ -100,7 +111,7 @@
 		for _, j := range p.jobs {
 			for _, o := range j.open {
 				for _, id := range o.progress.Workers {
-					if _, known := c.workers[id]; known {
+					if _, known := c.workers[id]; known || c.now < c.earlierCalls[id].until {
 						continue
 					}
 					end := c.now
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -448,6 +448,9 @@
 		s.gangRun = max(s.gangRun, row.Number)
 	}
 	s.job.started = true
+	if s.recordsAll() && !other && !t.done {
+		c.recordAdopted(r)
+	}
 	c.updateRun(r, row)
 	c.logger.Info("Running task was adopted.", "job", row.Task.Job, "task", r.name(), "run", row.Number, "worker", ws.report.ID, "percent", row.SpeedPercent)
 	if t.done || (other && !s.doc.Speculative) || s.job.progress.State.Ended() {
