scheduler: test of the tickets of a step after a restart of a worker

Without the call of forgetTickets in handleRestart no test of the scheduler that was tried failed. RestartKeepsOtherTickets fails then, and passes.

--- a/scheduler/overdue_test.go
+++ b/scheduler/overdue_test.go
@@ -129,3 +129,17 @@
 	qt.Assert(t, s.occurrence.progress.Steps[0].Runs[0].Worker < 0, qt.IsTrue)
 	qt.Assert(t, r.core.changedJobs[s.job], qt.IsTrue)
 }
+
+// TestRestartKeepsOtherTickets guards against a start with the ticket of an earlier life of its worker, whose rejection costs the step all of its
+// tickets.
+func TestRestartKeepsOtherTickets(t *testing.T) {
+	r := newPolicyRig(t, 2)
+	s := r.addService("s", 2, 1000)
+	r.play(time.Second)
+	r.core.handleRestart(r.core.workers["w0"], rigIncarnation+1)
+	_, ok := s.tickets.Ticket("w0", r.now)
+	qt.Assert(t, ok, qt.IsFalse)
+	_, ok = s.tickets.Ticket("w1", r.now)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, s.tickets.Unasked([]string{"w0", "w1"}, r.now), qt.DeepEquals, []string{"w0"})
+}
