soak: tests of margins for room, takeovers and waits that end with the record

A wait that the end of the record cut off before it counted had a margin if nothing was disturbed; it has none.

--- a/internal/soak/margins/history.go
+++ b/internal/soak/margins/history.go
@@ -13,6 +13,8 @@
 	lastingAfter = 10 * time.Second
 	// sameCause is the longest time from the line about a worker to the lines about its runs.
 	sameCause = 100 * time.Millisecond
+	// never is the beginning of a run that has ended.
+	never = time.Duration(1 << 62)
 )
 
 // loggedJob is a job as the log tells of it.
@@ -70,9 +72,7 @@
 	for _, j := range r.jobs {
 		r.submit(j)
 	}
-	if len(l.lines) > 0 {
-		r.now = l.lines[0].at
-	}
+	r.now = -time.Hour
 	r.Configure(promises.Configuration{Version: 1, Queues: r.pools})()
 	for _, d := range l.disruptions {
 		r.now = d.From
@@ -180,9 +180,6 @@
 	w.running[run.Task]--
 }
 
-// never is the beginning of a run that has ended.
-const never = time.Duration(1 << 62)
-
 // inferService takes the job of a long run for a service, if it has one step, and the log does not tell.
 func (r *replay) inferService(id string, ran time.Duration) {
 	if j := r.jobs[id]; !j.told && !j.over && ran >= lastingAfter {
--- a/internal/soak/margins/log.go
+++ b/internal/soak/margins/log.go
@@ -18,8 +18,12 @@
 	"github.com/chivetiller/chivetiller/timeline"
 )
 
-// maxLineBytes is the maximum length of a line.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes is the maximum length of a line.
+	maxLineBytes = 1 << 20
+	// loggedAfter is the time after which the leader has logged that a task does not run.
+	loggedAfter = 5 * time.Second
+)
 
 var (
 	// playTime matches what a bench writes before the line of a process: the time since the start of the traffic, and the process.
@@ -143,9 +147,6 @@
 	return reason
 }
 
-// loggedAfter is the time after which the leader has logged that a task does not run.
-const loggedAfter = 5 * time.Second
-
 // isDropped reports whether the line about the start of a task was dropped, so that the task seems idle: a process that starts many at once drops
 // lines. The leader would have logged that the task does not run, unless it took it for running at first.
 func (l *Log) isDropped(t promises.LastingTask, s promises.Span) bool {
--- a/internal/soak/margins/margins_test.go
+++ b/internal/soak/margins/margins_test.go
@@ -42,6 +42,10 @@
 	return logged(at, "Task is started.: node=front-1 job=a task=0.0.0 run=2 worker=w1 cpu=6000 fence=7")
 }
 
+func removed(worker string) string {
+	return logged(2, "Worker was removed.: node=front-1 worker=%s pool=p reason=gone", worker)
+}
+
 func waits(at float64, reason string) string {
 	return logged(at, "Task of a service does not run.: node=front-1 job=a task=0.0.0 pool=p for=3.1s reason=%q cpu=6000", reason)
 }
@@ -92,12 +96,15 @@
 		},
 		"another leader takes over": {
 			begun(told) + exits(2) + starts(3) + logged(5, "Leadership begins.: node=front-2 fence=9") +
-				logged(5.1, "Running task was adopted.: node=front-2 job=a task=0.0.0 run=2 worker=w1 percent=100") + end,
-			seconds(8), "not logged", 0,
+				logged(8, "Lease of the worker has expired.: node=front-2 worker=w1 pool=p contactAge=4s runs=1") +
+				logged(8, "Task was lost.: node=front-2 job=a task=0.0.0 run=2 worker=w1 ran=5s") + strings.ReplaceAll(starts(8.5), "run=2", "run=3") + end,
+			seconds(4.5), "not logged", seconds(1),
+		},
+		"one task a worker": {
+			strings.ReplaceAll(begun(told)+exits(2)+removed("w3")+removed("w4")+starts(14), "cpu=6000", "cpu=1000") + end, seconds(3), "not logged", 0,
 		},
-		"no room": {
-			begun(told) + exits(2) + logged(2, "Worker was removed.: node=front-1 worker=w3 pool=p reason=gone") +
-				logged(2, "Worker was removed.: node=front-1 worker=w4 pool=p reason=gone") + starts(14) + end,
+		"workers are taken": {
+			begun(told) + strings.ReplaceAll(starts(0)+strings.ReplaceAll(starts(0), "w1", "w3"), "job=a", "job=b") + exits(2) + removed("w4") + starts(14) + end,
 			seconds(3), "not logged", 0,
 		},
 	}
@@ -122,9 +129,9 @@
 
 // TestEarlierPlay guards against lines of an earlier play whose logs went to the same files.
 func TestEarlierPlay(t *testing.T) {
-	log := regexp.MustCompile(`(?m)^.*? 2026`).ReplaceAllString(begun(told)+exits(2)+waits(9, "batch not stored")+starts(20), "2026")
 	var l margins.Log
-	qt.Assert(t, l.Read(strings.NewReader(log), time.Date(2026, 6, 15, 11, 21, 5, 0, time.UTC)), qt.IsNil)
+	log := strings.NewReader(regexp.MustCompile(`(?m)^.*? 2026`).ReplaceAllString(begun(told)+exits(2)+waits(9, "batch not stored")+starts(20), "2026"))
+	qt.Assert(t, l.Read(log, time.Date(2026, 6, 15, 11, 21, 5, 0, time.UTC)), qt.IsNil)
 	play := margins.Of(l.History(), promises.DefaultBounds(), &l)
 	qt.Assert(t, play.Margins[0].Idle, qt.Equals, promises.Span{From: 4 * time.Second, To: 15 * time.Second})
 }
@@ -146,9 +153,8 @@
 func TestDescription(t *testing.T) {
 	play := margins.Play{Tasks: 8, Believed: time.Second, BelievedTask: "a7"}
 	for i := range 7 {
-		m := margins.Margin{Task: fmt.Sprint("a", i), Left: time.Duration(i-1) * time.Second, Idle: promises.Span{To: time.Minute}}
-		m.Reason = []string{"batch not stored", "no room on a worker"}[i%2]
-		play.Margins = append(play.Margins, m)
+		reason := []string{"batch not stored", "no room on a worker"}[i%2]
+		play.Margins = append(play.Margins, margins.Margin{Task: fmt.Sprint("a", i), Left: time.Duration(i-1) * time.Second, Idle: promises.Span{To: time.Minute}, Reason: reason})
 	}
 	qt.Assert(t, play.String(), qt.Equals, `8 tasks that last, 7 of them with a margin
     margin  -1.000 s  task a0 idle from 0.000 s to 60.000 s: batch not stored
--- a/internal/soak/promises/idle.go
+++ b/internal/soak/promises/idle.go
@@ -121,12 +121,12 @@
 func (s *snapshot) timeLeft(w wait) time.Duration {
 	from := w.due
 	for _, d := range s.disruptions {
-		if w.open || d.begun <= w.ended && d.ended >= w.ended {
-			return 0
-		}
 		if d.begun <= w.ended {
-			from = max(from, d.ended+calmBefore)
+			from, w.open = max(from, d.ended+calmBefore), w.open || d.ended >= w.ended
 		}
 	}
+	if w.open {
+		return 0
+	}
 	return max(0, from-w.ended)
 }
--- a/internal/soak/promises/idle_test.go
+++ b/internal/soak/promises/idle_test.go
@@ -22,6 +22,7 @@
 		broken  bool
 	}{
 		"idle for 10 s in calm":        {"failed; at 21s; begin a.0.0.2 2 w2", []time.Duration{10 * time.Second}, true},
+		"ends before it counts":        {"failed; at 9s", nil, false},
 		"idle in the end":              {"failed; at 15s", []time.Duration{4 * time.Second}, true},
 		"waits 5.6 s for a lease":      {"lapsed; at 10.6s; begin a.0.0.2 2 w2; at 30s", []time.Duration{-400 * ms}, false},
 		"runs again in time":           {"lapsed; at 13s; begin a.0.0.2 2 w2; at 30s", []time.Duration{2 * time.Second}, false},
--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -37,6 +37,7 @@
 // settings are the flags of the command.
 type settings struct {
 	cases   []string
+	play    []string
 	plays   int
 	jobs    int
 	program string
@@ -47,10 +48,7 @@
 	seeds, processes, workers int
 	seed                      uint64
 	duration                  time.Duration
-	regressions               bool
-	// play holds files with the output and the report of a bench's play.
-	play []string
-}
+	regressions               bool}
 
 func main() {
 	var s settings
--- a/internal/soak/series/report.go
+++ b/internal/soak/series/report.go
@@ -128,12 +128,11 @@
 // Summary returns the margins by reason, and how often each promise was checked and broken, in all plays.
 func Summary(reports []*Report) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "all seeds:\n")
 	var all []margins.Margin
 	for _, r := range reports {
 		all = append(all, r.Margins.Margins...)
 	}
-	fmt.Fprintf(&b, "  margins of tasks that last, by reason:\n%s  promises:\n", margins.ByReason(all))
+	fmt.Fprintf(&b, "all seeds:\n  margins of tasks that last, by reason:\n%s  promises:\n", margins.ByReason(all))
 	for i, name := range promises.Names() {
 		checked, broken := 0, 0
 		for _, r := range reports {
