--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -48,7 +48,8 @@
 	seeds, processes, workers int
 	seed                      uint64
 	duration                  time.Duration
-	regressions               bool}
+	regressions               bool
+}
 
 func main() {
 	var s settings
