--- a/scheduler/adoptedrecord_test.go
+++ b/scheduler/adoptedrecord_test.go
@@ -30,7 +30,6 @@
 		qt.Assert(t, startsOf(first.pass()), qt.HasLen, 0)
 	}
 	qt.Assert(t, j.open[0].steps[0].tasks[0].runs, qt.HasLen, 1)
-	t.Logf("record: %+v", j.open[0].progress)
 
 	next := newRig(t, 2, "w2")
 	next.now = first.now + 100*time.Millisecond
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -48,10 +48,9 @@
 }
 
 // recordAdopted records a run that is not on record as running, such as one whose late start was carried out after its end was recorded. The
-// next leader starts the task elsewhere otherwise.
+// next leader starts the task elsewhere otherwise. A newer run on record may go on, on a worker that has not answered.
 func (c *Core) recordAdopted(r *run) {
-	id, number, ok := r.step.occurrence.progress.Run(r.step.number, r.index)
-	if !ok || id != r.worker.report.ID || number != r.number {
+	if _, number, ok := r.step.occurrence.progress.Run(r.step.number, r.index); !ok || number < r.number {
 		r.step.occurrence.progress.SetRun(r.step.number, r.index, r.worker.report.ID, r.number)
 		c.changedJobs[r.step.job] = true
 	}
