scheduler: what is recorded and handed over, further findings of the review

- The record of a run that was only planned stayed after its worker was removed.
- The end of a run is recorded while another run of the task is still being stopped: the record names that one then.
- Of more than 1,024 workers those that are known to be down are handed over first.

PlannedRunOfRemovedWorker failed before. HandOverOfRestartedWorker and HandOverBesideLateReplies, of the review, notice two changes of the code that no test did.

--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -94,16 +94,21 @@
 			ends[id] = max(end, c.now)
 		}
 	}
-	for id, ws := range c.workers {
-		switch {
-		case ws.earlier.fence != 0 || !ws.registered():
-			// Calls to another life of the worker may still give it a lease.
-		case !ws.answered:
-			add(id, c.previousLeaseEnd(id))
-		case ws.leaseExpired:
-			add(id, c.now)
-		case ws.doubtedAt > 0 || c.now-ws.lastContact > doubtedAfter:
-			add(id, ws.certainExpiry())
+	// Those that are known to be down go first.
+	for _, known := range []bool{true, false} {
+		for id, ws := range c.workers {
+			_, handedOver := c.leaseEnds[id]
+			switch {
+			case known != (handedOver || ws.leaseExpired):
+			case ws.earlier.fence != 0 || !ws.registered():
+				// Calls to another life of the worker may still give it a lease.
+			case !ws.answered:
+				add(id, c.previousLeaseEnd(id))
+			case ws.leaseExpired:
+				add(id, c.now)
+			case ws.doubtedAt > 0 || c.now-ws.lastContact > doubtedAfter:
+				add(id, ws.certainExpiry())
+			}
 		}
 	}
 	// The records may still name workers that are gone.
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -21,8 +21,18 @@
 
 // recordRunEnd records that a run has ended, so that the next leader does not wait for its worker.
 func (c *Core) recordRunEnd(s *step, index, number int) {
-	if s.occurrence.progress.EndRun(s.number, index, number) {
-		c.changedJobs[s.job] = true
+	if !s.occurrence.progress.EndRun(s.number, index, number) {
+		return
+	}
+	c.changedJobs[s.job] = true
+	if !s.recordsAll() {
+		return
+	}
+	for _, r := range s.tasks[index].runs {
+		if r.phase != planned && r.number != number {
+			// Another run of the task is still being stopped.
+			c.recordAdopted(r)
+		}
 	}
 }
 
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -435,7 +435,7 @@
 	if r.confirmedAt == 0 && r.phase != planned {
 		r.step.tasks[r.index].triedAt = r.startedAt
 	}
-	if r.step.doc.Service && r.confirmedAt > 0 {
+	if r.step.doc.Service && (r.confirmedAt > 0 || r.phase == planned) {
 		// The next leader judges a crash of the worker by the record of another task. A start without an answer may be carried out in the
 		// next life of the worker.
 		c.recordRunEnd(r.step, r.index, r.number)
