scheduler: bound leases by the confirmation of leadership

Cause: a leader computes ends of leases until 3 s after it last confirmed its leadership, each 4 s ahead. So a new leader that does not know the end of the one before waited 7.46 s for workers that it does not reach, 8.3 s with the takeover; the users allow 7 s.

Change: no lease is requested that ends later than 5.4 s (maxUnconfirmedLease) after the call was sent that last confirmed the leadership. The next leader waits 5.92 s. What previous leaders may have requested before the first answer of a worker is kept apart and is in no command. The leader row tells from which term on leaders do so; the old limit counts for those before. Tasks survive an outage of the store of 5.4 s instead of 7 s.

--- a/internal/jobs/horizon/horizon.go
+++ b/internal/jobs/horizon/horizon.go
@@ -17,6 +17,8 @@
 	Confirmation time.Duration
 	// Lease is the longest time for which a leader extends the lease of a worker, counted from the time at which it computes the end.
 	Lease time.Duration
+	// UnconfirmedLease is the longest time after the last confirmation of its leadership at which a lease ends that a leader gives.
+	UnconfirmedLease time.Duration
 	// MaxLease is the longest lease that a worker grants, whatever end a command names.
 	MaxLease time.Duration
 	// CommandDelay is how long a command without an answer may still be carried out.
@@ -33,6 +35,17 @@
 	return d + time.Duration(2*l.ClockSlowdown*float64(d))
 }
 
+// leaseAfter returns the time at which a lease has certainly ended whose end was computed at a time.
+func (l Limits) leaseAfter(at time.Duration) time.Duration {
+	return at + l.onWorker(min(l.Lease, l.MaxLease)) + l.Margin
+}
+
+// leaseConfirmedAt returns the time at which a lease has certainly ended that was given by a leader which had last confirmed its
+// leadership at a time.
+func (l Limits) leaseConfirmedAt(at time.Duration) time.Duration {
+	return min(at+l.onWorker(l.UnconfirmedLease)+l.Margin, l.leaseAfter(at+l.Confirmation))
+}
+
 // Leaders is what a leader knows of the leaders before it. All times are monotonic times of its process.
 type Leaders struct {
 	// AcquiredAt is a time at which the leader row named this leader. None before it has confirmed its leadership since.
@@ -42,6 +55,12 @@
 	PreviousEndedAt time.Duration
 	// EarlierUntil is the time until which the leaders before the previous one may send commands. It is 0 if that is not known.
 	EarlierUntil time.Duration
+	// PreviousSeenAt is a time at which the leader row named the leader before this one. None before that has confirmed its leadership
+	// since. It is 0 if it is not known.
+	PreviousSeenAt time.Duration
+	// UnboundedUntil is the time until which leaders may send commands that do not observe [Limits.UnconfirmedLease], and 0 if there
+	// are none.
+	UnboundedUntil time.Duration
 }
 
 // EarlierUntil returns the time until which the leaders before the previous one may send commands. previousSeenAt is a time at which
@@ -71,5 +90,30 @@
 	if restarted {
 		return s.ActiveUntil(l.Confirmation) + l.CommandDelay + l.onWorker(l.MaxLease) + l.Margin
 	}
-	return s.ActiveUntil(l.Confirmation) + l.onWorker(min(l.Lease, l.MaxLease)) + l.Margin
+	until := max(s.previousLeasesUntil(l), s.earlierLeasesUntil(l))
+	if s.UnboundedUntil != 0 {
+		until = max(until, l.leaseAfter(min(s.UnboundedUntil, s.ActiveUntil(l.Confirmation))))
+	}
+	return until
+}
+
+// previousLeasesUntil returns the time at which the leases of the previous leader have ended.
+func (s Leaders) previousLeasesUntil(l Limits) time.Duration {
+	until := l.leaseConfirmedAt(s.AcquiredAt)
+	if s.PreviousEndedAt != 0 {
+		until = min(until, l.leaseAfter(s.PreviousEndedAt))
+	}
+	return until
+}
+
+// earlierLeasesUntil returns the time at which the leases of the leaders before the previous one have ended.
+func (s Leaders) earlierLeasesUntil(l Limits) time.Duration {
+	until := l.leaseConfirmedAt(s.AcquiredAt)
+	if s.EarlierUntil != 0 {
+		until = min(until, l.leaseAfter(s.EarlierUntil))
+	}
+	if s.PreviousSeenAt != 0 {
+		until = min(until, l.leaseConfirmedAt(s.PreviousSeenAt))
+	}
+	return until
 }
--- a/member/earlier_test.go
+++ b/member/earlier_test.go
@@ -169,3 +169,76 @@
 		})
 	}
 }
+
+// TestLeadersOfEarlierVersions guards against a lease of a leader of an earlier version that is taken as expired too early during an
+// upgrade, because the leaders before this one bound leases by the confirmation of their leadership and it does not.
+func TestLeadersOfEarlierVersions(t *testing.T) {
+	t.Parallel()
+	const seenBefore = 2 * time.Second
+	tests := map[string]struct {
+		// rows are the rows of the leaders before, by their BoundedFrom.
+		rows []int
+		// until is the time after the start of the term until which leaders of earlier versions may send commands.
+		until time.Duration
+	}{
+		"no leader before":           {nil, 0},
+		"earlier version":            {[]int{0}, scheduler.LeadershipTimeout},
+		"this version for long":      {[]int{1, 1}, scheduler.LeadershipTimeout - seenBefore},
+		"earlier version for long":   {[]int{0, 0}, scheduler.LeadershipTimeout},
+		"upgraded":                   {[]int{0, 2}, scheduler.LeadershipTimeout},
+		"downgraded":                 {[]int{1, 0}, scheduler.LeadershipTimeout},
+		"upgraded again, row missed": {[]int{1, 3}, scheduler.LeadershipTimeout},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := memory.New()
+			m := newCandidate(t, s, "m")
+			for i, from := range test.rows {
+				if i > 0 {
+					time.Sleep(seenBefore)
+				}
+				value, err := cbor.Marshal(leaderRow{Leader: "a", Incarnation: "1", Term: 2*i + 1, BoundedFrom: from})
+				qt.Assert(t, err, qt.IsNil)
+				_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: keyLeader, Value: value}, {Key: keyLeaderCopy, Value: value}}})
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, m.scanNodes(t.Context()), qt.IsNil)
+			}
+			term := acquireFrom(t, m)
+			until := term.UnboundedLeadersUntil
+			if until != 0 {
+				until -= term.AcquiredAt
+			}
+			qt.Assert(t, until <= test.until && until > test.until-200*time.Millisecond, qt.IsTrue, qt.Commentf("%s", until))
+			// The next leader learns of the same leaders, also from a resignation.
+			for range 2 {
+				qt.Assert(t, m.scanNodes(t.Context()), qt.IsNil)
+				want := term.Number
+				if n := len(test.rows); n > 0 && test.rows[n-1] != 0 {
+					want = test.rows[n-1]
+				}
+				qt.Assert(t, m.leaderRow.BoundedFrom, qt.Equals, want)
+				m.resign(t.Context())
+			}
+		})
+	}
+}
+
+// TestConfirmedAt guards against a confirmation that counts from the answer of the store and not from the call, and against one of a term
+// that has ended.
+func TestConfirmedAt(t *testing.T) {
+	t.Parallel()
+	s := memory.New()
+	m := newCandidate(t, s, "a")
+	term := acquireFrom(t, m)
+	at, leading := m.ConfirmedAt(term.Fence)
+	qt.Assert(t, leading && at <= term.AcquiredAt, qt.IsTrue)
+	sent := clock.Now()
+	time.Sleep(time.Millisecond)
+	m.Confirm(term.Fence, sent)
+	at, leading = m.ConfirmedAt(term.Fence)
+	qt.Assert(t, leading && at == sent, qt.IsTrue)
+	m.Depose(term.Fence, "test")
+	_, leading = m.ConfirmedAt(term.Fence)
+	qt.Assert(t, leading, qt.IsFalse)
+}
--- a/member/leadership.go
+++ b/member/leadership.go
@@ -24,6 +24,9 @@
 	// row has been stored, so that only a leader that resigns writes it; heartbeats have it before. It is 0 in rows of earlier
 	// versions.
 	EarlierUntil time.Duration `cbor:"5,keyasint,omitempty"`
+	// BoundedFrom is the first of the latest terms in a row whose leaders bound leases by the confirmation of their leadership. It is 0
+	// in rows of earlier versions.
+	BoundedFrom int `cbor:"6,keyasint,omitempty"`
 }
 
 // Term is one uninterrupted period of leadership of this process.
@@ -37,9 +40,16 @@
 	PreviousLeaderEnded bool
 	// EarlierLeadersUntil is the time until which the leaders before the previous one may send commands, in local monotonic time.
 	EarlierLeadersUntil time.Duration
+	// PreviousLeaderSeenAt is a local monotonic time at which the leader row named the previous leader.
+	PreviousLeaderSeenAt time.Duration
+	// UnboundedLeadersUntil is the local monotonic time until which leaders of earlier versions may send commands, which do not bound
+	// leases by the confirmation of their leadership.
+	UnboundedLeadersUntil time.Duration
 	// previous is the row of the previous leader, and previousVersion its version.
 	previous        leaderRow
 	previousVersion uint64
+	// boundedFrom is what the leader row says of the leaders that bound leases.
+	boundedFrom int
 }
 
 var (
@@ -69,6 +79,9 @@
 	if row.Term != m.leaderRow.Term || m.leaderVersion == 0 {
 		m.leaderTermSince = now
 	}
+	if row.BoundedFrom != m.leaderRow.BoundedFrom || m.leaderVersion == 0 {
+		m.boundedSince = now
+	}
 	m.leaderRow, m.leaderVersion, m.leaderRowSince = row, version, now
 }
 
@@ -99,6 +112,17 @@
 	}
 }
 
+// ConfirmedAt returns the local monotonic time at which the latest call was sent by which the store has confirmed the term with the
+// fencing token, and false if the term has ended.
+func (m *Member) ConfirmedAt(fence uint64) (at time.Duration, leading bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.term == nil || m.term.Fence != fence {
+		return 0, false
+	}
+	return m.validUntil - scheduler.LeadershipTimeout, true
+}
+
 // Depose ends the term with the fencing token because leadership is lost.
 func (m *Member) Depose(fence uint64, reason string) {
 	m.mu.Lock()
@@ -180,7 +204,10 @@
 	if m.recordLeaderRow(previous, version) {
 		return
 	}
-	next := leaderRow{Leader: m.options.Self.Name, Incarnation: m.options.Self.Incarnation, Term: previous.Term + 1}
+	next := leaderRow{Leader: m.options.Self.Name, Incarnation: m.options.Self.Incarnation, Term: previous.Term + 1, BoundedFrom: previous.BoundedFrom}
+	if next.BoundedFrom == 0 {
+		next.BoundedFrom = next.Term
+	}
 	value, err := cbor.Marshal(next)
 	if err != nil {
 		m.logger.Error("Leader row cannot be encoded.", "error", err)
@@ -202,7 +229,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Now()
-	term := &Term{Number: next.Term, Fence: fence, AcquiredAt: now, previous: previous, previousVersion: version}
+	term := &Term{Number: next.Term, Fence: fence, AcquiredAt: now, previous: previous, previousVersion: version, boundedFrom: next.BoundedFrom}
 	if version == 0 {
 		term.PreviousLeaderEnded, term.EarlierLeadersUntil = true, now
 	} else {
@@ -212,6 +239,11 @@
 		}
 		term.PreviousLeaderEnded = previous.Resigned || m.processReplaced(previous, version)
 		term.EarlierLeadersUntil = horizon.EarlierUntil(scheduler.LeadershipTimeout, m.leaderTermSince, m.fromStoreTime(stored, now))
+		term.PreviousLeaderSeenAt = m.leaderTermSince
+		term.UnboundedLeadersUntil = now + scheduler.LeadershipTimeout
+		if previous.BoundedFrom != 0 {
+			term.UnboundedLeadersUntil = m.boundedSince + scheduler.LeadershipTimeout
+		}
 	}
 	m.term, m.validUntil = term, sent+scheduler.LeadershipTimeout
 	m.logger.Info("Leadership is acquired.", "fence", fence, "tenure", next.Term, "before", previous.Leader, "released", previous.Resigned,
@@ -354,7 +386,7 @@
 	m.mu.Unlock()
 	value, err := cbor.Marshal(leaderRow{
 		Leader: m.options.Self.Name, Incarnation: m.options.Self.Incarnation, Term: term.Number, Resigned: true,
-		EarlierUntil: earlierUntil,
+		EarlierUntil: earlierUntil, BoundedFrom: term.boundedFrom,
 	})
 	if err != nil {
 		m.logger.Error("Leader row cannot be encoded.", "error", err)
--- a/member/member.go
+++ b/member/member.go
@@ -141,6 +141,8 @@
 	leaderRowSince time.Duration
 	// leaderTermSince is when a row of the term in leaderRow was first read.
 	leaderTermSince time.Duration
+	// boundedSince is when a row with the BoundedFrom in leaderRow was first read.
+	boundedSince time.Duration
 	// earlierUntil is the time on the store's clock until which the leaders before the one with the token earlierFence may send
 	// commands, as its heartbeats tell. It is 0 if none has been read.
 	earlierFence uint64
--- a/scheduler/bounds.go
+++ b/scheduler/bounds.go
@@ -51,9 +51,11 @@
 	// renewWait is how long a worker may delay its reply until a run exits. It bounds the age of load reports, which have
 	// to be acted on within 4 s.
 	renewWait = 800 * time.Millisecond
-	// LeadershipTimeout is how long a leader sends commands without having confirmed its leadership in the store. Leases last
-	// for another leaseDuration, so tasks survive a store outage of 7 s.
+	// LeadershipTimeout is how long a leader sends commands without having confirmed its leadership in the store.
 	LeadershipTimeout = 3 * time.Second
+	// maxUnconfirmedLease is the longest time after the last confirmation of the leadership at which a lease ends. Tasks survive a store
+	// outage of that length, and the next leader waits as long for workers that it does not reach.
+	maxUnconfirmedLease = 5400 * time.Millisecond
 	// maxClockSlowdown is the share by which the clock of a worker may be slow, as the platform documents it.
 	maxClockSlowdown = 0.02
 	// expiryMargin covers the rounding of clocks and the latency of the last command.
@@ -79,7 +81,7 @@
 // permissionLimits returns the limits to the commands and leases of a leader.
 func (b Bounds) permissionLimits() horizon.Limits {
 	return horizon.Limits{
-		Confirmation: LeadershipTimeout, Lease: leaseDuration, MaxLease: b.MaxLease, CommandDelay: maxCommandDelay, ClockSlowdown: maxClockSlowdown,
+		Confirmation: LeadershipTimeout, Lease: leaseDuration, UnconfirmedLease: maxUnconfirmedLease, MaxLease: b.MaxLease, CommandDelay: maxCommandDelay, ClockSlowdown: maxClockSlowdown,
 		Margin: expiryMargin,
 	}
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -39,6 +39,11 @@
 	// EarlierLeadersUntil is the monotonic time until which the leaders before the previous one may send commands. It is 0 if that
 	// is not known.
 	EarlierLeadersUntil time.Duration
+	// PreviousLeaderSeenAt is a monotonic time at which the leader row named the previous leader. It is 0 if that is not known.
+	PreviousLeaderSeenAt time.Duration
+	// UnboundedLeadersUntil is the monotonic time until which leaders of earlier versions may send commands, which do not bound leases by
+	// the confirmation of their leadership. It is 0 if there are none.
+	UnboundedLeadersUntil time.Duration
 	// InstanceCommandRate is the number of commands for instances a second that the platform accepts, and 0 if it is not known.
 	InstanceCommandRate float64
 	// Observer is notified of the stages of jobs. It may be nil.
@@ -89,6 +94,8 @@
 	logger  hclog.Logger
 	catalog *catalog.Catalog
 	now     time.Duration
+	// confirmedAt is the time at which the leadership was last confirmed.
+	confirmedAt time.Duration
 	// wallClockOffset is the wall clock time (since 1970) at monotonic time 0.
 	wallClockOffset time.Duration
 	jobs            map[string]*job
@@ -187,7 +194,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	return &Core{
-		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
+		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, confirmedAt: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
 		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
@@ -200,6 +207,10 @@
 // SetTime advances the monotonic time.
 func (c *Core) SetTime(now time.Duration) { c.now = max(c.now, now) }
 
+// SetConfirmed sets the monotonic time at which the latest call was sent by which the store has confirmed the leadership. It limits
+// leases. Before the first call it is the time at which leadership was acquired.
+func (c *Core) SetConfirmed(at time.Duration) { c.confirmedAt = at }
+
 // SetWallClock sets the wall clock time (since 1970) at a monotonic time.
 func (c *Core) SetWallClock(now, wallClock time.Duration) { c.wallClockOffset = wallClock - now }
 
--- a/scheduler/crashfleet_test.go
+++ b/scheduler/crashfleet_test.go
@@ -193,6 +193,7 @@
 		f.changeLeader()
 	}
 	f.core.SetTime(f.now)
+	f.core.SetConfirmed(f.now)
 	for _, w := range f.workers {
 		if w.downUntil > 0 && f.now >= w.downUntil {
 			w.downUntil = 0
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -95,6 +95,9 @@
 type Leadership interface {
 	// IsLeader reports whether leadership was confirmed recently.
 	IsLeader(fence uint64) bool
+	// ConfirmedAt returns the monotonic time at which the latest call was sent by which the store has confirmed the leadership, and false
+	// if the term has ended.
+	ConfirmedAt(fence uint64) (at time.Duration, leading bool)
 	// Confirm records that this process was still the leader at a monotonic time.
 	Confirm(fence uint64, at time.Duration)
 	// Depose ends leadership because another process has acquired it.
@@ -188,6 +191,7 @@
 	now := clock.Now()
 	c := e.core
 	c.SetTime(now)
+	e.updateConfirmation()
 	c.SetCatalog(e.options.Catalog())
 	storeNow, _ := e.options.Clock.At(now)
 	c.SetWallClock(now, l.clock.WallClock+storeNow-l.clock.Store)
@@ -417,6 +421,7 @@
 	if e.options.Leadership.PreviousLeaderEnded() {
 		c.PreviousLeaderEnded()
 	}
+	e.updateConfirmation()
 	c.SetCatalog(e.options.Catalog())
 	c.Schedule(now)
 	for _, cmd := range c.TakeInstanceCommands() {
@@ -442,6 +447,13 @@
 	e.commit(now)
 }
 
+// updateConfirmation tells the core when the leadership was last confirmed. It is called by the loop.
+func (e *Engine) updateConfirmation() {
+	if at, leading := e.options.Leadership.ConfirmedAt(e.Fence()); leading {
+		e.core.SetConfirmed(at)
+	}
+}
+
 // dispatch sends the commands that are due and stores what has changed. It follows every message and does not wait for a pass: the
 // passes of an overloaded leader are far apart, and each batch starts only a limited number of tasks.
 func (e *Engine) dispatch(now time.Duration) {
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -29,6 +29,10 @@
 func (d *testLeadership) Depose(uint64, string)         { d.lost = true }
 func (d *testLeadership) PreviousLeaderEnded() bool     { return false }
 
+func (d *testLeadership) ConfirmedAt(uint64) (at time.Duration, leading bool) {
+	return clock.Now(), !d.lost
+}
+
 type noRegistry struct{}
 
 func (noRegistry) Table() (table, partition string) { return "workers", "" }
--- a/scheduler/idlemodel_leader_test.go
+++ b/scheduler/idlemodel_leader_test.go
@@ -114,6 +114,7 @@
 		l.confirmedAt = m.now
 	}
 	c.SetTime(m.now)
+	c.SetConfirmed(l.confirmedAt)
 	if !l.isLeader() {
 		l.commit()
 		return
--- a/scheduler/lateordersmodel_test.go
+++ b/scheduler/lateordersmodel_test.go
@@ -380,6 +380,7 @@
 		}
 		m.core.SetWorkers(reports)
 	}
+	m.core.SetConfirmed(m.now)
 	m.renewAll()
 	m.core.Schedule(m.now)
 	m.dispatch()
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -26,6 +26,8 @@
 	unresponsive bool
 	// requestedExpiry is the latest lease expiry that was requested, on the worker's clock.
 	requestedExpiry time.Duration
+	// previousExpiry is the latest lease expiry that previous leaders may have requested before the worker answered, on its clock.
+	previousExpiry time.Duration
 	// clock is the worker's clock in a reply. The request was sent at clockSent and the reply received at clockReceived.
 	clock         time.Duration
 	clockReceived time.Duration
@@ -178,11 +180,19 @@
 	return l.clock + time.Duration(float64(now-l.clockReceived)*(1-maxClockSlowdown))
 }
 
+// earliestClockAt returns a time that the clock of the worker certainly showed at a local time, before or after the last reply.
+func (l *workerLife) earliestClockAt(at time.Duration) time.Duration {
+	if at >= l.clockReceived {
+		return l.minClockAt(at)
+	}
+	return l.clock - time.Duration(float64(l.clockReceived-at)/(1-maxClockSlowdown))
+}
+
 // certainExpiry returns the local time at which all runs on the worker are certain to have ended, if the lease is not renewed.
 func (l *workerLife) certainExpiry() time.Duration {
 	expiry := l.clockReceived
-	if l.requestedExpiry > l.clock {
-		expiry += time.Duration(float64(l.requestedExpiry-l.clock)/(1-maxClockSlowdown)) + expiryMargin
+	if latest := max(l.requestedExpiry, l.previousExpiry); latest > l.clock {
+		expiry += time.Duration(float64(latest-l.clock)/(1-maxClockSlowdown)) + expiryMargin
 	}
 	if l.earlier.fence == 0 {
 		return expiry
--- a/scheduler/livesmodel_test.go
+++ b/scheduler/livesmodel_test.go
@@ -336,6 +336,7 @@
 	for _, f := range events {
 		f()
 	}
+	m.core.SetConfirmed(m.now)
 	m.renewAll()
 	m.core.Schedule(m.now)
 	m.dispatch()
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -102,7 +102,9 @@
 
 // leaders returns what is known at the start of the term of the earlier leaders.
 func (o Options) leaders() horizon.Leaders {
-	l := horizon.Leaders{AcquiredAt: o.AcquiredAt, EarlierUntil: o.EarlierLeadersUntil}
+	l := horizon.Leaders{
+		AcquiredAt: o.AcquiredAt, EarlierUntil: o.EarlierLeadersUntil, PreviousSeenAt: o.PreviousLeaderSeenAt, UnboundedUntil: o.UnboundedLeadersUntil,
+	}
 	if o.PreviousLeaderEnded {
 		l.PreviousEndedAt = o.AcquiredAt
 	}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -83,6 +83,7 @@
 func (r *rig) advance(d time.Duration) {
 	r.now += d
 	r.core.SetTime(r.now)
+	r.core.SetConfirmed(r.now)
 }
 
 // schedule runs a pass and returns the commands.
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -164,6 +164,7 @@
 func (e *Engine) nextRenewal(id string) (r Renewal, known bool) {
 	var stored chan struct{}
 	next := func(c *Core) {
+		e.updateConfirmation()
 		r, known = c.Renewal(id)
 		stored = e.batchStored
 	}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -174,16 +174,22 @@
 		return r, true
 	}
 	if ws.clock > 0 {
-		// The earliest time is used: the next leader counts on a lease that ends leaseDuration after the last renewal, and the
-		// last reply may have waited for an exit. A renewal without an answer may have been carried out. The lease of an
-		// unresponsive worker is not extended any further, so that it expires.
-		minClock := ws.minClockAt(max(ws.clockReceived, min(c.now, ws.lastContact+maxLeaseExtension)))
-		ws.requestedExpiry = max(ws.requestedExpiry, minClock+min(leaseDuration, c.options.Bounds.MaxLease))
+		c.extendLease(ws)
 		r.Command.LeaseExpiry = ws.requestedExpiry
 	}
 	return r, true
 }
 
+// extendLease sets the expiry that the next commands to a worker request. The earliest times are used: the next leader counts on a lease
+// that ends leaseDuration after the last renewal and maxUnconfirmedLease after the last confirmation, and the last reply may have waited
+// for an exit. A renewal without an answer may have been carried out. The lease of an unresponsive worker is not extended any further, so
+// that it expires.
+func (c *Core) extendLease(ws *workerState) {
+	minClock := ws.minClockAt(max(ws.clockReceived, min(c.now, ws.lastContact+maxLeaseExtension)))
+	expiry := min(minClock+min(leaseDuration, c.options.Bounds.MaxLease), ws.earliestClockAt(c.confirmedAt)+maxUnconfirmedLease)
+	ws.requestedExpiry = max(ws.requestedExpiry, expiry)
+}
+
 // contactAge returns the time since the last reply of a worker, for logs. For a worker that has not answered in this term, that is the
 // time since the start of the term.
 func (c *Core) contactAge(ws *workerState) time.Duration {
@@ -247,7 +253,8 @@
 	}
 	if ws.requestedExpiry == 0 {
 		// The previous leader may have renewed the lease up to now.
-		ws.requestedExpiry = status.Clock + leaseDuration
+		ws.previousExpiry = status.Clock + leaseDuration
+		c.extendLease(ws)
 	}
 	c.processExits(ws, status.Exited)
 	// Replies on different connections may overtake each other. An older report must not bring back a run that has exited.
