scheduler: record which workers may be down, with the ends of their leases

Cause: what a leader knows of a lost worker was lost with it. Each next leader waited anew for the same lease; only a leader that stopped as planned told the one of the next term.

Change: the row of the hand-over is a record that is kept during the term. A worker without an answer for 1.2 s, on which recorded runs may be, is recorded with the end of its lease and gets no longer one until a batch without it is known to be stored. The row stays readable for earlier versions. A leader that stops writes the last state of the record; one whose scheduler never started has sent nothing, so that the stored one stays true.

HandOver expected that a later term does not use the row; it is used now if all leaders since have observed it, and the cases in which it is not are in the table.

--- a/member/leadership.go
+++ b/member/leadership.go
@@ -24,8 +24,8 @@
 	// row has been stored, so that only a leader that resigns writes it; heartbeats have it before. It is 0 in rows of earlier
 	// versions.
 	EarlierUntil time.Duration `cbor:"5,keyasint,omitempty"`
-	// BoundedFrom is the first of the latest terms in a row whose leaders bound leases by the confirmation of their leadership. It is 0
-	// in rows of earlier versions.
+	// BoundedFrom is the first of the latest terms in a row whose leaders bound leases by the confirmation of their leadership, and
+	// observe the record of leases. It is 0 in rows of earlier versions.
 	BoundedFrom int `cbor:"6,keyasint,omitempty"`
 }
 
@@ -45,11 +45,11 @@
 	// UnboundedLeadersUntil is the local monotonic time until which leaders of earlier versions may send commands, which do not bound
 	// leases by the confirmation of their leadership.
 	UnboundedLeadersUntil time.Duration
+	// LeasesBoundedFrom is the first of the terms up to this one whose leaders all do, and observe the record of leases.
+	LeasesBoundedFrom int
 	// previous is the row of the previous leader, and previousVersion its version.
 	previous        leaderRow
 	previousVersion uint64
-	// boundedFrom is what the leader row says of the leaders that bound leases.
-	boundedFrom int
 }
 
 var (
@@ -229,7 +229,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Now()
-	term := &Term{Number: next.Term, Fence: fence, AcquiredAt: now, previous: previous, previousVersion: version, boundedFrom: next.BoundedFrom}
+	term := &Term{Number: next.Term, Fence: fence, AcquiredAt: now, previous: previous, previousVersion: version, LeasesBoundedFrom: next.BoundedFrom}
 	if version == 0 {
 		term.PreviousLeaderEnded, term.EarlierLeadersUntil = true, now
 	} else {
@@ -386,7 +386,7 @@
 	m.mu.Unlock()
 	value, err := cbor.Marshal(leaderRow{
 		Leader: m.options.Self.Name, Incarnation: m.options.Self.Incarnation, Term: term.Number, Resigned: true,
-		EarlierUntil: earlierUntil, BoundedFrom: term.boundedFrom,
+		EarlierUntil: earlierUntil, BoundedFrom: term.LeasesBoundedFrom,
 	})
 	if err != nil {
 		m.logger.Error("Leader row cannot be encoded.", "error", err)
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
@@ -26,7 +27,9 @@
 	InstanceCommandTimes map[string]time.Duration
 	// ExpiredCommands lists the instances whose command times are no longer needed.
 	ExpiredCommands []string
-	begun           []begunMaintenance
+	// LeaseEnds is the record of leases, and nil if it has not changed.
+	LeaseEnds leaserecord.Entries
+	begun     []begunMaintenance
 	// removesOldRows means that the rows of an earlier version, which are split into several rows now, are removed.
 	removesOldRows bool
 	// raisesVersion means that the version of the batch is needed as a fencing token.
@@ -41,7 +44,8 @@
 // Empty reports whether there is nothing to store.
 func (b *Batch) Empty() bool {
 	return len(b.Progress) == 0 && len(b.plannedRuns) == 0 && len(b.PrunedJobs) == 0 && len(b.Roster) == 0 && len(b.Waves) == 0 &&
-		len(b.begun) == 0 && len(b.InstanceCommandTimes) == 0 && len(b.ExpiredCommands) == 0 && !b.removesOldRows && !b.raisesVersion
+		len(b.begun) == 0 && len(b.InstanceCommandTimes) == 0 && len(b.ExpiredCommands) == 0 && !b.removesOldRows && !b.raisesVersion &&
+		b.LeaseEnds == nil
 }
 
 // rowCounts describes the rows of the batch for logs.
@@ -125,6 +129,9 @@
 			b.exitAcks[ws.workerLife] = seq
 		}
 	}
+	if admits(leaseRecordKey) && (!b.Empty() || c.leaseRecord.Due(c.now)) {
+		b.LeaseEnds, _ = c.leaseRecord.Take(c.now)
+	}
 	if !b.Empty() || c.refusedRows.Searching() {
 		b.ExpiredCommands = c.fleet.takeExpiredCommands(c.now, limit, admits)
 	}
@@ -330,6 +337,9 @@
 	if b.removesOldRows {
 		keys = append(keys, oldRowsKey)
 	}
+	if b.LeaseEnds != nil {
+		keys = append(keys, leaseRecordKey)
+	}
 	return keys
 }
 
@@ -371,6 +381,9 @@
 	for life, number := range b.exitAcks {
 		life.recordStoredExits(number)
 	}
+	if b.LeaseEnds != nil {
+		c.leaseRecord.Stored(b.LeaseEnds)
+	}
 	for i, j := range b.jobs {
 		j.storedState, j.storedParts = b.states[i], b.parts[i]
 		if j.storedState.Ended() {
@@ -402,6 +415,9 @@
 		c.rosterChanges[id] = true
 	}
 	c.hasOldRows = c.hasOldRows || b.removesOldRows
+	if b.LeaseEnds != nil {
+		c.leaseRecord.Failed()
+	}
 	c.fleet.restoreWaves(b.Waves, b.begun)
 	c.fleet.plannedCommands = append(b.instanceCommands, c.fleet.plannedCommands...)
 	for _, id := range b.ExpiredCommands {
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -42,6 +42,7 @@
 		}
 		e.batchNumber++
 		tx, err := e.transaction(b)
+		e.addLeaseRecord(&tx, &b)
 		if err != nil || tx.Fits() || limit <= minBatchRows {
 			return b, tx, err
 		}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -21,6 +21,7 @@
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
+	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -44,6 +45,9 @@
 	// UnboundedLeadersUntil is the monotonic time until which leaders of earlier versions may send commands, which do not bound leases by
 	// the confirmation of their leadership. It is 0 if there are none.
 	UnboundedLeadersUntil time.Duration
+	// LeasesBoundedFrom is the first of the terms up to this one whose leaders all bound leases by the confirmation of their leadership and
+	// observe the record of leases. It is 0 if that is not known.
+	LeasesBoundedFrom int
 	// InstanceCommandRate is the number of commands for instances a second that the platform accepts, and 0 if it is not known.
 	InstanceCommandRate float64
 	// Observer is notified of the stages of jobs. It may be nil.
@@ -133,9 +137,9 @@
 	// workersGone means that workers have been removed, or leases of previous leaders have expired, since the records of services were
 	// searched for such workers.
 	workersGone bool
-	// leaseEnds holds, for workers that have not answered in this term, the time at which the previous leader knew their leases to have
-	// expired when it stopped.
-	leaseEnds map[string]time.Duration
+	// leaseRecord holds the workers that may be down, with the ends of their leases, and servingSince is the time of the first pass.
+	leaseRecord  *leaserecord.Record
+	servingSince time.Duration
 	// previousRuns holds, for each worker that has not answered in this term, the latest runs that previous leaders started there.
 	previousRuns map[string][]recordedRun
 	// earlierCalls holds the calls to workers that were removed, by worker ID.
@@ -200,7 +204,7 @@
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
 		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
-		estimator: newEstimator(), fleet: newFleet(),
+		estimator: newEstimator(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
 	}
 }
 
@@ -295,7 +299,14 @@
 			}
 		}
 	}
+	mayDoubt := c.mayDoubt()
+	if mayDoubt {
+		c.doubtUnknownWorkers()
+	}
 	for _, ws := range c.workers {
+		if mayDoubt {
+			c.doubtSilentWorker(ws)
+		}
 		c.checkLease(ws)
 		c.pursueOrders(ws)
 	}
@@ -305,6 +316,7 @@
 	}
 	c.prunedAt = c.now
 	c.pruneSilences()
+	c.pruneLeaseRecord()
 	for id, j := range c.jobs {
 		if j.progress.State.Ended() && j.storedState.Ended() && !c.changedJobs[j] && c.now-j.endedAt > c.options.Bounds.Retention+retentionMargin {
 			delete(c.jobs, id)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -196,7 +196,7 @@
 	storeNow, _ := e.options.Clock.At(now)
 	c.SetWallClock(now, l.clock.WallClock+storeNow-l.clock.Store)
 	c.SetRoster(l.roster)
-	e.takeHandover(l.handover, now)
+	e.takeHandover(l.handover, !l.handoverUnreadable, now)
 	c.MigrateRows(l.oldRoster, l.hasOldRows)
 	for id, at := range l.instances {
 		l.instances[id] = now - (storeNow - at)
--- a/scheduler/handoverends_test.go
+++ b/scheduler/handoverends_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/worker"
@@ -30,7 +31,7 @@
 			c.SetTime(now)
 			before := rigReport("w1", coresOnly(4))
 			c.SetRoster([]RosterEntry{{ID: before.ID, Pool: before.Pool, Address: before.Address, Incarnation: rigIncarnation, Capacity: before.Capacity}})
-			c.SetLeaseEnds(map[string]time.Duration{"w1": now + time.Second})
+			c.SetLeaseEnds(leaserecord.Entries{"w1": {End: now + time.Second}})
 			c.SetWorkers([]worker.Report{test.report})
 			c.SetTime(now + 2*time.Second)
 			qt.Assert(t, c.previousLeaseExpired("w1"), qt.Equals, test.used)
@@ -61,10 +62,10 @@
 				second.options.Core.Term = 2
 				second.options.Clock = new(store.Clock)
 				second.options.Clock.Update(time.Hour + clock.Now())
-				second.takeHandover(l.handover, clock.Now())
-				got, ok := second.core.leaseEnds["w1"]
+				second.takeHandover(l.handover, true, clock.Now())
+				got, ok := second.core.leaseRecord.Entry("w1")
 				qt.Assert(t, ok, qt.IsTrue)
-				qt.Assert(t, got >= end, qt.IsTrue, qt.Commentf("%v, %v", got, end))
+				qt.Assert(t, got.End >= end, qt.IsTrue, qt.Commentf("%v, %v", got, end))
 			})
 		})
 	}
--- a/scheduler/idlemodel_leader_test.go
+++ b/scheduler/idlemodel_leader_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/chivetiller/chivetiller/advice"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -25,6 +26,7 @@
 	waves    map[int]WaveProgress
 	requests map[int]instance.Wave
 	commands map[string]time.Duration
+	leases   leaserecord.Entries
 }
 
 func newIdleModelStore() idleModelStore {
@@ -63,6 +65,7 @@
 		model: m, core: c, confirmedAt: m.now, renewing: make(map[string]bool), renewAt: make(map[string]time.Duration), pendingSince: make(map[string]time.Duration),
 	}
 	c.SetCatalog(m.catalog)
+	c.SetLeaseEnds(m.store.leases)
 	for _, id := range slices.Sorted(maps.Keys(m.store.roster)) {
 		c.SetRoster([]RosterEntry{m.store.roster[id]})
 	}
@@ -426,6 +429,9 @@
 	s := &m.store
 	return func() {
 		maps.Copy(s.progress, values)
+		if b.LeaseEnds != nil {
+			s.leases = b.LeaseEnds
+		}
 		for id, e := range b.Roster {
 			delete(s.roster, id)
 			if e != nil {
--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
+	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -91,15 +92,14 @@
 	}
 	// earlier holds what the heartbeats of the leaders tell of the leaders before, by fencing token.
 	earlier map[uint64]time.Duration
-	// leaseEnds is what a leader has handed over that stopped in handoverTerm.
-	leaseEnds    map[string]time.Duration
-	handoverTerm int
-	dead         time.Duration
-	doc          work.Job
-	progress     []byte
-	roster       map[string]RosterEntry
-	late         []lateCommand
-	terms        int
+	// leases is the record of leases.
+	leases   leaserecord.Entries
+	dead     time.Duration
+	doc      work.Job
+	progress []byte
+	roster   map[string]RosterEntry
+	late     []lateCommand
+	terms    int
 }
 
 type lateCommand struct {
@@ -131,11 +131,11 @@
 	events := make([]modelEvent, rapid.IntRange(2, 9).Draw(rt, "events"))
 	for i := range events {
 		e := modelEvent{
-			kind: rapid.SampledFrom([]string{"cut", "lapse", "resign", "restart", "late", "slow store", "end", "end"}).Draw(rt, "kind"),
+			kind: rapid.SampledFrom([]string{"cut", "lapse", "resign", "restart", "late", "refused", "unanswered", "end", "end"}).Draw(rt, "kind"),
 			zone: rapid.IntRange(0, modelZones-1).Draw(rt, "zone"), at: drawTime("at", 2*time.Second, 12*time.Second),
 		}
 		switch e.kind {
-		case "cut", "lapse":
+		case "cut", "lapse", "refused", "unanswered":
 			e.until = e.at + drawTime("for", time.Second, 12*time.Second)
 		case "late":
 			e.until = e.at + drawTime("for", modelStep, 4*time.Second)
@@ -232,7 +232,7 @@
 		case "resign":
 			if n.core != nil && m.reachable(n.zone, -1) && m.row.version == n.fence {
 				n.core.SetTime(m.now)
-				m.leaseEnds, m.handoverTerm = n.core.LeaseEnds(), m.row.term
+				m.leases = n.core.LeaseEnds()
 				n.core = nil
 				m.row.resigned, m.row.earlierUntil = true, n.leaders.ActiveUntil(LeadershipTimeout)
 				m.row.version++
@@ -290,9 +290,7 @@
 	for _, e := range m.roster {
 		n.core.SetRoster([]RosterEntry{e})
 	}
-	if m.handoverTerm == m.row.term-1 {
-		n.core.SetLeaseEnds(m.leaseEnds)
-	}
+	n.core.SetLeaseEnds(m.leases)
 	var p *work.Progress
 	if m.progress != nil {
 		p = new(work.Progress)
@@ -334,14 +332,22 @@
 	c.Schedule(m.now)
 	m.carryOut(n)
 	if store {
-		m.store(c)
+		m.store(n)
 		c.Schedule(m.now)
 		m.carryOut(n)
 	}
 }
 
-func (m *leadersModel) store(c *Core) {
+func (m *leadersModel) store(n *modelNode) {
+	c := n.core
 	b := c.TakeBatch(1000)
+	if _, refused := m.active("refused", n.zone); refused {
+		c.BatchFailed(b)
+		return
+	}
+	if b.LeaseEnds != nil {
+		m.leases = b.LeaseEnds
+	}
 	for _, p := range b.Progress {
 		value, err := cbor.Marshal(p)
 		if err != nil {
@@ -355,6 +361,10 @@
 			m.roster[id] = *e
 		}
 	}
+	if _, unanswered := m.active("unanswered", n.zone); unanswered {
+		c.BatchFailed(b)
+		return
+	}
 	c.BatchStored(b)
 }
 
--- a/scheduler/leaseends_test.go
+++ b/scheduler/leaseends_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
 )
@@ -47,14 +49,22 @@
 	}
 }
 
-// TestHandOver guards against a next leader that is not told which workers may be down, and against a leader of a later term that believes it.
+// TestHandOver guards against a next leader that is not told which workers may be down, and against one that believes it although a leader
+// between has not observed the record.
 func TestHandOver(t *testing.T) {
 	tests := map[string]struct {
 		term int
+		// from is the first of the terms up to this one whose leaders all observe the record.
+		from int
 		told bool
 	}{
-		"next term":  {2, true},
-		"later term": {3, false},
+		"next term":                                {2, 1, true},
+		"later term":                               {4, 1, true},
+		"next term, earlier version before":        {2, 2, true},
+		"next term, versions not known":            {2, 0, true},
+		"later term, earlier version between":      {3, 3, false},
+		"later term, earlier version in both":      {3, 0, false},
+		"scheduler started again in the same term": {1, 1, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -70,11 +80,72 @@
 				l, err := load(t.Context(), s, first.logger, first.logRow)
 				qt.Assert(t, err, qt.IsNil)
 				second, _ := newTestEngine(t, s, 1)
-				second.options.Core.Term = test.term
-				second.takeHandover(l.handover, clock.Now())
-				got, ok := second.core.leaseEnds["w1"]
+				second.options.Core.Term, second.options.Core.LeasesBoundedFrom = test.term, test.from
+				second.takeHandover(l.handover, true, clock.Now())
+				got, ok := second.core.leaseRecord.Entry("w1")
 				qt.Assert(t, ok, qt.Equals, test.told)
-				qt.Assert(t, !ok || got >= end && got <= max(end, clock.Now())+storeClockError, qt.IsTrue, qt.Commentf("%v, %v", got, end))
+				qt.Assert(t, second.core.leaseRecord.Holds("w1"), qt.Equals, test.told)
+				qt.Assert(t, !ok || got.End >= end && got.End <= max(end, clock.Now())+storeClockError && got.Incarnation == rigIncarnation, qt.IsTrue, qt.Commentf("%v, %v", got, end))
+				// The error of the store's clock does not add up.
+				qt.Assert(t, !ok || second.newHandoverRow(second.core.leaseRecord.Entries()).LeasesUntil["w1"] == l.handover.LeasesUntil["w1"], qt.IsTrue)
+				// A leader of this version whose predecessor was of an earlier one makes the record its own.
+				_, changed := second.core.leaseRecord.Take(clock.Now())
+				qt.Assert(t, changed, qt.Equals, test.told && (test.from == 0 || test.from > 1))
+			})
+		})
+	}
+}
+
+// TestLeaseRecordRows guards against a row that the version before or after misreads, and against a lease that is extended although the
+// row may name its worker.
+func TestLeaseRecordRows(t *testing.T) {
+	type earlierRow struct {
+		Term        int                      `cbor:"1,keyasint"`
+		LeasesUntil map[string]time.Duration `cbor:"2,keyasint,omitempty"`
+	}
+	encoded := func(v any) []byte {
+		value, err := cbor.Marshal(v)
+		qt.Assert(t, err, qt.IsNil)
+		return value
+	}
+	until := map[string]time.Duration{"w1": time.Hour, "w2": time.Minute}
+	var earlier earlierRow
+	qt.Assert(t, cbor.Unmarshal(encoded(handoverRow{Term: 1, LeasesUntil: until, Incarnations: []int64{1, 2}}), &earlier), qt.IsNil)
+	qt.Assert(t, earlier, qt.DeepEquals, earlierRow{1, until})
+	tests := map[string]struct {
+		value []byte
+		// holds tells whether the leases of w1 and of another worker may not be extended.
+		holds, holdsOther bool
+	}{
+		"earlier version": {encoded(earlier), true, false},
+		"this version":    {encoded(handoverRow{Term: 1, LeasesUntil: until, Incarnations: []int64{1, 2}}), true, false},
+		"no record":       {nil, false, false},
+		"no entries":      {encoded(handoverRow{Term: 1}), false, false},
+		"broken":          {[]byte{0xff}, true, true},
+		"mismatch":        {encoded(handoverRow{Term: 1, LeasesUntil: until, Incarnations: []int64{1}}), true, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := memory.New()
+				if test.value != nil {
+					_, err := s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: leaseRecordKey, Value: test.value}}})
+					qt.Assert(t, err, qt.IsNil)
+				}
+				e, _ := newTestEngine(t, s, 2)
+				l, err := load(t.Context(), s, e.logger, e.logRow)
+				qt.Assert(t, err, qt.IsNil)
+				e.takeHandover(l.handover, !l.handoverUnreadable, clock.Now())
+				qt.Assert(t, e.core.leaseRecord.Holds("w1"), qt.Equals, test.holds)
+				qt.Assert(t, e.core.leaseRecord.Holds("w9"), qt.Equals, test.holdsOther)
+				// The first batch replaces a row that cannot be read.
+				qt.Assert(t, e.Start(t.Context()), qt.IsNil)
+				time.Sleep(time.Second)
+				e.Stop()
+				qt.Assert(t, e.core.leaseRecord.Holds("w9"), qt.IsFalse)
+				l, err = load(t.Context(), s, e.logger, e.logRow)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, l.handoverUnreadable, qt.IsFalse)
 			})
 		})
 	}
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -122,24 +122,20 @@
 
 // previousLeaseEnd returns the time at which the lease of a worker that has not answered is certain to have expired.
 func (c *Core) previousLeaseEnd(id string) time.Duration {
-	if ws, ok := c.workers[id]; ok && !ws.registered() {
+	entry, recorded := c.leaseRecord.Entry(id)
+	if ws, ok := c.workers[id]; ok && (!ws.registered() || recorded && !entry.IsOf(ws.identity.Incarnation)) {
 		return c.leaders.LeasesUntil(c.limits, true)
 	}
 	until := c.previousLeasesExpireAt()
-	if end, ok := c.leaseEnds[id]; ok {
-		until = min(until, end)
+	if recorded {
+		until = min(until, entry.End)
 	}
 	return until
 }
 
 // forgetPreviousUsage removes what previous leaders may have running on workers whose leases have expired.
 func (c *Core) forgetPreviousUsage() {
-	if c.now > c.previousLeasesExpireAt() {
-		c.leaseEnds = nil
-	} else if len(c.leaseEnds) == 0 {
-		return
-	}
-	if len(c.previousUsage) == 0 {
+	if len(c.previousUsage) == 0 || c.leaseRecord.Len() == 0 && c.now <= c.previousLeasesExpireAt() {
 		return
 	}
 	before := len(c.previousUsage)
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -21,6 +22,8 @@
 	runs  map[string][]worker.Run
 	// stored counts the batches that were stored.
 	stored uint64
+	// leases is the record of leases that is stored.
+	leases leaserecord.Entries
 }
 
 const rigIncarnation = 1
@@ -101,6 +104,9 @@
 
 func (r *rig) store() {
 	b := r.core.TakeBatch(100)
+	if b.LeaseEnds != nil {
+		r.leases = b.LeaseEnds
+	}
 	r.stored++
 	r.core.SetStoredVersion(r.core.options.Fence + r.stored)
 	r.core.BatchStored(b)
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -152,8 +152,9 @@
 	now     time.Duration
 	chain   uint64
 	clock   clockRow
-	// handover is what the leader of an earlier term has handed over.
-	handover handoverRow
+	// handover is the record of leases.
+	handover           handoverRow
+	handoverUnreadable bool
 	// instances holds the time of the latest command for each instance, on the store's clock.
 	instances map[string]time.Duration
 	// hasOldRows means that the roster or the command times are in the rows of an earlier version.
@@ -379,7 +380,9 @@
 		l.hasOldRows = true
 		return cbor.Unmarshal(row.Value, &l.oldRoster)
 	case rowHandover:
-		return cbor.Unmarshal(row.Value, &l.handover)
+		err := cbor.Unmarshal(row.Value, &l.handover)
+		l.handoverUnreadable = err != nil
+		return err
 	case rowClock:
 		return cbor.Unmarshal(row.Value, &l.clock)
 	case rowInstances:
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -140,7 +140,7 @@
 	Target       worker.Target
 	Command      worker.RenewCommand
 	// Pending means that a batch is awaited: some exits are not stored yet, which the worker lists again, so that it would answer at once,
-	// or the worker has restarted and gets a higher fencing token.
+	// the worker has restarted and gets a higher fencing token, or the record of leases still names it.
 	Pending bool
 	call    call
 }
@@ -161,7 +161,7 @@
 		return Renewal{}, false
 	}
 	to := c.newCall(ws)
-	r := Renewal{Target: workerTarget(ws), call: to, Pending: ws.exitsProcessed > ws.exitsStored || ws.needsFence(c.now), Unresponsive: c.now-ws.lastContact > contactTimeout}
+	r := Renewal{Target: workerTarget(ws), call: to, Pending: ws.exitsProcessed > ws.exitsStored || ws.needsFence(c.now) || c.leaseRecord.Returning(id), Unresponsive: c.now-ws.lastContact > contactTimeout}
 	r.Command = worker.RenewCommand{Fence: to.fence, AcknowledgedSeq: ws.exitsStored, MaxWait: renewWait}
 	if !ws.answered || r.Pending || !ws.ruledOut(c.now) {
 		r.Command.MaxWait = 0
@@ -185,6 +185,9 @@
 // for an exit. A renewal without an answer may have been carried out. The lease of an unresponsive worker is not extended any further, so
 // that it expires.
 func (c *Core) extendLease(ws *workerState) {
+	if c.leaseRecord.Holds(ws.report.ID) {
+		return
+	}
 	minClock := ws.minClockAt(max(ws.clockReceived, min(c.now, ws.lastContact+maxLeaseExtension)))
 	expiry := min(minClock+min(leaseDuration, c.options.Bounds.MaxLease), ws.earliestClockAt(c.confirmedAt)+maxUnconfirmedLease)
 	ws.requestedExpiry = max(ws.requestedExpiry, expiry)
@@ -251,7 +254,8 @@
 	if !ws.answered || silence > contactTimeout {
 		c.logger.Info("Worker has answered.", "worker", id, "pool", ws.report.Pool, "runs", len(status.Running), "ends", len(status.Exited), "lapsed", ws.leaseExpired)
 	}
-	if ws.requestedExpiry == 0 {
+	c.leaseRecord.TakeBack(id, c.now)
+	if !ws.answered && ws.requestedExpiry == 0 {
 		// The previous leader may have renewed the lease up to now.
 		ws.previousExpiry = status.Clock + leaseDuration
 		c.extendLease(ws)
