scheduler: one log line for the starts of a batch, for each step

Runs of one step that start together now have one line, "Tasks are started.", with index, run number and worker of each in "starts", at most 64 of them, and once what is the same for all: cpu, fence, waited, config. sincePlan and contactAge are the longest ones. A single start keeps its line. The fence is that of the command.

timeline.Event.Split returns the events of single starts, for both wordings, so that explain lists the workers of such a line.

The tests did not compile before; the timeline of the sample lacked the line about a worker of several starts.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -385,8 +385,8 @@
 		if !slices.Contains(o.recordedWorkers, r.worker.report.ID) && slices.Contains(o.progress.Workers, r.worker.report.ID) {
 			o.recordedWorkers = append(o.recordedWorkers, r.worker.report.ID)
 		}
-		c.startRun(r)
 	}
+	c.startRuns(b.plannedRuns)
 	c.fleet.commands = append(c.fleet.commands, b.instanceCommands...)
 	c.lastStored = c.now
 }
--- a/scheduler/plans.go
+++ b/scheduler/plans.go
@@ -5,28 +5,37 @@
 	"time"
 )
 
-// startRun starts a planned run.
-func (c *Core) startRun(r *run) {
+// startRuns starts planned runs, and logs them together.
+func (c *Core) startRuns(runs []*run) {
+	started := make([]*run, 0, len(runs))
+	for _, r := range runs {
+		if c.startRun(r) {
+			started = append(started, r)
+		}
+	}
+	c.logStarts(started)
+}
+
+// startRun starts a planned run, and reports whether it has.
+func (c *Core) startRun(r *run) bool {
 	if r.phase != planned || !r.attached() {
-		return
+		return false
 	}
 	if reason := c.cannotStart(r); reason != "" {
 		c.logger.Info("Task is not started: "+reason, "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "contactAge", c.contactAge(r.worker))
 		c.dropPlan(r)
 		c.stopGang(r)
-		return
+		return false
 	}
-	sincePlan := c.now - r.startedAt
-	r.phase, r.startedAt = starting, c.now
+	r.phase, r.sincePlan, r.startedAt = starting, c.now-r.startedAt, c.now
 	j := r.step.job
 	if !j.started {
 		c.observeStage(j, StageStarted)
 	}
 	j.started = true
 	c.counts.Started++
-	c.logger.Info("Task is started.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
-		"cpu", r.step.doc.ReservedResources().CPU, "fence", r.worker.fence, "waited", c.now-r.step.occurrence.dueAt, "sincePlan", sincePlan, "contactAge", c.contactAge(r.worker), "config", c.catalog.Version)
 	c.commandStart(r)
+	return true
 }
 
 // cannotStart returns why a planned run does not start on its worker any more, and "" if it does. The batch may have taken long.
@@ -61,13 +70,15 @@
 	if len(c.plannedRuns) == 0 || c.now-c.lastStored < outageAfter {
 		return
 	}
+	var due []*run
 	remaining := c.plannedRuns[:0]
 	for _, r := range c.plannedRuns {
 		if c.now-r.startedAt > outageAfter && !r.step.recordsAll() && !r.step.crashCount(r.index).Suspect() && slices.Contains(r.step.occurrence.recordedWorkers, r.worker.report.ID) {
-			c.startRun(r)
+			due = append(due, r)
 			continue
 		}
 		remaining = append(remaining, r)
 	}
 	c.plannedRuns = remaining
+	c.startRuns(due)
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -156,6 +156,8 @@
 	// at which the worker first confirmed the run.
 	startedAt   time.Duration
 	confirmedAt time.Duration
+	// sincePlan is the time from the plan to the start.
+	sincePlan time.Duration
 	// previousLeader means that a previous leader started the run, and that the worker has not reported it since.
 	previousLeader bool
 	// confirmedClock is the latest time that the worker's clock was known to have shown when the worker first confirmed the run.
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -103,8 +103,10 @@
 	if field(e.Text, "job") == t.jobID {
 		e.NamesJob = true
 		t.events = append(t.events, e)
-		if w := field(e.Text, "worker"); w != "" {
-			t.workers[w] = true
+		for _, one := range e.Split() {
+			if w := one.Field("worker"); w != "" {
+				t.workers[w] = true
+			}
 		}
 		return
 	}
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -10,6 +10,8 @@
 const sample = `  0.1 front-2 2026-04-21T09:15:00.100000000Z [INFO]  chivetiller.scheduler: Task is started.: node=n2 job=a task=0.0.0 run=1 worker=w1
 2026-04-21T09:15:00.000000000Z [INFO]  chivetiller.intake: Job is accepted.: node=n1 job=a queue=q
 2026-04-21T09:15:00.200000000Z [INFO]  chivetiller.scheduler: Task is started.: node=n2 job=b task=0.0.0 run=1 worker=w1
+2026-04-21T09:15:00.300000000Z [INFO]  chivetiller.scheduler: Tasks are started.: node=n2 job=a occurrence=0 step=1 starts="0:1@w2 1:1@w3" fence=7
+2026-04-21T09:15:01.000000000Z [INFO]  chivetiller.scheduler: Worker has answered.: node=n2 worker=w3
 2026-04-21T09:15:02.000000000Z [WARN]  chivetiller.scheduler: Worker does not answer.: node=n2 worker=w1 contactAge=2s
 2026-04-21T09:15:02.500000000Z [WARN]  chivetiller.scheduler: Worker does not answer.: node=n2 worker=w9 contactAge=2s
 2026-04-21T09:15:05.000000000Z [WARN]  chivetiller.scheduler: Task is lost.: node=n2 job=a task=0.0.0 run=1 worker=w1
@@ -25,6 +27,8 @@
 	qt.Assert(t, tl.Write(&out), qt.IsNil)
 	qt.Assert(t, out.String(), qt.Equals, `      0.000 s  INFO  n1                 Job is accepted.: node=n1 job=a queue=q
       0.100 s  INFO  n2                 Task is started.: node=n2 job=a task=0.0.0 run=1 worker=w1
+      0.300 s  INFO  n2                 Tasks are started.: node=n2 job=a occurrence=0 step=1 starts="0:1@w2 1:1@w3" fence=7
+      1.000 s  INFO  n2                 Worker has answered.: node=n2 worker=w3
 >     2.000 s  WARN  n2                 Worker does not answer.: node=n2 worker=w1 contactAge=2s
       5.000 s  WARN  n2                 Task is lost.: node=n2 job=a task=0.0.0 run=1 worker=w1
 `)
@@ -72,6 +76,16 @@
 	qt.Assert(t, e.Prefix, qt.Matches, ".* ta  0.2 n2 ")
 }
 
+// TestSeveralStarts guards against runs of a line about several starts that are not told apart.
+func TestSeveralStarts(t *testing.T) {
+	e, ok := Parse(`2026-04-21T09:15:00.1Z [INFO]  chivetiller.scheduler: Tasks are started.: node=n1 job=a occurrence=2 step=1 starts="0:1@w1 17:3001@w9" cpu=500 fence=7`)
+	qt.Assert(t, ok, qt.IsTrue)
+	events := e.Split()
+	qt.Assert(t, events, qt.HasLen, 2)
+	qt.Assert(t, events[1].Text, qt.Equals, "Task is started.: node=n1 job=a task=2.1.17 run=3001 worker=w9 cpu=500 fence=7")
+	qt.Assert(t, events[1].Split(), qt.DeepEquals, events[1:])
+}
+
 // TestNoJob guards against an empty timeline, instead of an error, for a job that no log line names.
 func TestNoJob(t *testing.T) {
 	tl := New("c")
