soak/margins: count from lines that tell where a task stood

The margin counted the time before the first run from the acceptance of the job, also if the lines of the first run are missing.

A task now counts as running until the first line that tells where it stood: a start, an exit or loss with its time, or "Task of a service does not run." with its time; after the last one the usual 6 s pass until its time counts, since the end of the last run is not known. A run that is adopted, and whose start is not logged, may have run since the end of the one before. The time counts from the acceptance only if the first start is logged: of the first leader, or of one that leads since before that. Tasks without any such line are counted as not seen.

Lines about several starts are read, too.

--- a/internal/soak/margins/history.go
+++ b/internal/soak/margins/history.go
@@ -13,6 +13,8 @@
 	lastingAfter = 10 * time.Second
 	// sameCause is the longest time from the line about a worker to the lines about its runs.
 	sameCause = 100 * time.Millisecond
+	// runsPerTerm separates the run numbers of successive leaders, which begin at 1, 1001 and so on.
+	runsPerTerm = 1000
 	// never is the beginning of a run that has ended.
 	never = time.Duration(1 << 62)
 )
@@ -49,15 +51,20 @@
 	jobs    map[string]*loggedJob
 	workers map[string]*loggedWorker
 	begun   map[promises.Run]time.Duration
-	pools   map[string]promises.Queue
+	// firstStarts holds the tasks whose first start is logged, seen those of which a line says whether they run, and ended when each was last
+	// known to end.
+	firstStarts, seen map[promises.Task]bool
+	ended             map[promises.Task]time.Duration
+	pools             map[string]promises.Queue
 }
 
 // History returns what the log tells of jobs, runs and workers. It is what the leader has logged of the answers of workers, so that a run counts
-// as ended when its worker was last heard of, and a worker as sound from its first line to its last one. Labels and limits of teams are not
-// logged and count as met.
+// as ended when its worker was last heard of, and a worker as sound from its first line to its last one. A task counts as running before the first
+// line that tells whether it runs, unless its first start is logged. Labels and limits of teams are not logged and count as met.
 func (l *Log) History() *promises.History {
 	r := &replay{
 		jobs: make(map[string]*loggedJob), workers: make(map[string]*loggedWorker), begun: make(map[promises.Run]time.Duration),
+		firstStarts: l.firstStarts(), seen: make(map[promises.Task]bool), ended: make(map[promises.Task]time.Duration),
 		pools: make(map[string]promises.Queue),
 	}
 	r.History = promises.NewHistoryAt(time.Time{}, func() time.Time { return time.Time{}.Add(r.now) })
@@ -80,10 +87,35 @@
 		r.now = d.To
 		ended()
 	}
-	r.now, l.replayed = l.end(), true
+	r.now, l.replayed, l.seen = l.end(), true, r.seen
 	return r.History
 }
 
+// firstStarts returns the tasks whose first start is logged. That is certain of the first leader, and of one that leads since before the job was
+// accepted.
+func (l *Log) firstStarts() map[promises.Task]bool {
+	tasks := make(map[promises.Task]bool)
+	accepted := make(map[string]time.Duration)
+	terms := make(map[int]time.Duration)
+	for _, l := range l.lines {
+		if l.is("Job is accepted.") {
+			accepted[l.Field("job")] = l.at
+		} else if l.is("Leadership begins.") {
+			terms[value(l, "tenure", strconv.Atoi)] = l.at
+		}
+		task, err := promises.ParseTask(l.task())
+		number := value(l, "run", strconv.Atoi) - 1
+		if err != nil || !l.is(started) || number%runsPerTerm != 0 {
+			continue
+		}
+		term := number/runsPerTerm + 1
+		begun, told := terms[term]
+		at, known := accepted[task.Job]
+		tasks[task] = tasks[task] || term == 1 || told && known && begun < at
+	}
+	return tasks
+}
+
 func (r *replay) add(l line) {
 	w := r.worker(l)
 	j := r.job(l)
@@ -147,17 +179,40 @@
 	switch {
 	case l.is(noRun):
 		j.service = true
-	case l.is(begins...) && !known:
+		r.see(j, task, l.at-value(l, "for", time.ParseDuration))
+	case l.is(started) && !known:
+		r.see(j, task, l.at)
 		r.begin(j, s, w, run)
+	case l.is(adopted) && !known:
+		// The start is not logged, so that the task may have run since the end of its last run.
+		r.seen[task] = true
+		r.now = max(j.accepted, r.ended[task])
+		r.begin(j, s, w, run)
+		r.begun[run] = l.at
 	case l.is(ends...):
 		if !known {
 			r.now = l.at - value(l, "ran", time.ParseDuration)
+			r.see(j, task, r.now)
 			r.begin(j, s, w, run)
 		}
 		r.end(l, w, run)
 	}
 }
 
+// see records that a line tells from when on a task is known to run or not to. Unless its first start is logged, it may have run before.
+func (r *replay) see(j *loggedJob, task promises.Task, from time.Duration) {
+	if !r.seen[task] && !r.firstStarts[task] && from > j.accepted {
+		unseen := promises.Run{Task: task}
+		now := r.now
+		r.now = j.accepted
+		r.RunBegan(unseen)
+		r.now = from
+		r.RunEnded(unseen, promises.Stopped)
+		r.now = now
+	}
+	r.seen[task] = true
+}
+
 func (r *replay) begin(j *loggedJob, s *loggedStep, w *loggedWorker, run promises.Run) {
 	r.begun[run] = r.now
 	r.RunBegan(run)
@@ -173,6 +228,7 @@
 	if l.is("Task was lost.") && l.at-w.told < sameCause {
 		r.now = max(r.begun[run], w.heard)
 	}
+	r.ended[run.Task] = r.now
 	r.RunEnded(run, promises.How(cmp.Or(l.Field("how"), string(promises.Crashed))))
 	r.inferService(run.Task.Job, r.now-r.begun[run])
 	r.begun[run] = never
@@ -190,6 +246,9 @@
 // submit records a job with its steps as far as they are known.
 func (r *replay) submit(j *loggedJob) {
 	job := promises.Job{ID: j.id, Queue: j.queue}
+	if len(j.steps) == 0 && j.serviceTasks > 0 {
+		j.steps = []loggedStep{{}}
+	}
 	lasts := j.service && (j.told || len(j.steps) == 1)
 	for _, s := range j.steps {
 		if len(j.steps) == 1 {
--- a/internal/soak/margins/log.go
+++ b/internal/soak/margins/log.go
@@ -38,6 +38,8 @@
 	disruptions []promises.Span
 	// replayed means that the runs come from these lines, and told that the leader logs all tasks of services that do not run for long.
 	replayed, told bool
+	// seen holds the tasks of which a line says whether they run.
+	seen map[promises.Task]bool
 }
 
 type line struct {
@@ -83,7 +85,9 @@
 		}
 		// The log of an earlier play with the same files is before the start.
 		if ok && (benched || at >= 0) {
-			l.lines = append(l.lines, line{at, event})
+			for _, one := range event.Split() {
+				l.lines = append(l.lines, line{at, one})
+			}
 		}
 	}
 	slices.SortStableFunc(l.lines, func(x, y line) int { return cmp.Compare(x.at, y.at) })
@@ -132,9 +136,11 @@
 
 // Messages of the leader about runs, and about a task of a service without one.
 var (
-	noRun  = "Task of a service does not run."
-	begins = []string{"Task is started.", "Running task was adopted."}
-	ends   = []string{"Task has exited.", "Task was lost.", "Start is ruled out."}
+	noRun   = "Task of a service does not run."
+	started = "Task is started."
+	adopted = "Running task was adopted."
+	begins  = []string{started, adopted}
+	ends    = []string{"Task has exited.", "Task was lost.", "Start is ruled out."}
 )
 
 // reason returns why a task does not run in a span, as the leader says last, and "" if it does not say.
--- a/internal/soak/margins/margins.go
+++ b/internal/soak/margins/margins.go
@@ -31,6 +31,8 @@
 type Play struct {
 	// Tasks is the number of tasks that last.
 	Tasks int
+	// NotSeen is the number of those of which no log line says whether they run, in a history of log lines.
+	NotSeen int
 	// Margins holds the smallest margin of each of them that has one, the smallest one first.
 	Margins []Margin
 	// Believed is the longest time for which the leader took a task for running while no worker ran it.
@@ -55,6 +57,10 @@
 	tasks := promises.LastingTasks(h, b)
 	p := Play{Tasks: len(tasks)}
 	for _, t := range tasks {
+		if l.replayed && !l.seen[t.Task] {
+			p.NotSeen++
+			continue
+		}
 		name := t.Task.String()
 		for _, belief := range beliefs[name] {
 			if d := longestOutside(belief, t.Runs); d > p.Believed {
@@ -87,7 +93,11 @@
 // String lists the smallest margins.
 func (p Play) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%d tasks that last, %d of them with a margin\n", p.Tasks, len(p.Margins))
+	fmt.Fprintf(&b, "%d tasks that last, %d of them with a margin", p.Tasks, len(p.Margins))
+	if p.NotSeen > 0 {
+		fmt.Fprintf(&b, ", %d not seen in the log", p.NotSeen)
+	}
+	b.WriteByte('\n')
 	for _, m := range p.Margins[:min(len(p.Margins), maxShown)] {
 		fmt.Fprintf(&b, "    margin %7.3f s  task %s idle from %.3f s to %.3f s: %s\n", m.Left.Seconds(), m.Task, m.Idle.From.Seconds(), m.Idle.To.Seconds(), m.Reason)
 	}
--- a/internal/soak/margins/margins_test.go
+++ b/internal/soak/margins/margins_test.go
@@ -34,6 +34,21 @@
 	return b.String()
 }
 
+// unseen is begun without the first start of a task.
+func unseen() string {
+	return regexp.MustCompile(`(?m)^.*Task is started.*task=0\.0\.0 .*\n`).ReplaceAllString(begun(told), "")
+}
+
+// startsAs is starts with another run number.
+func startsAs(at float64, run int) string {
+	return strings.Replace(starts(at), "run=2", fmt.Sprint("run=", run), 1)
+}
+
+// startTogether starts both tasks in one line.
+func startTogether(at float64) string {
+	return logged(at, `Tasks are started.: node=front-1 job=a occurrence=0 step=0 starts="0:1@w1 1:1@w2" cpu=6000 fence=7`)
+}
+
 func exits(at float64) string {
 	return logged(at, "Task has exited.: node=front-1 job=a task=0.0.0 run=1 worker=w1 how=failed ran=5s checkpoint=false")
 }
@@ -107,6 +122,17 @@
 			begun(told) + strings.ReplaceAll(starts(0)+strings.ReplaceAll(starts(0), "w1", "w3"), "job=a", "job=b") + exits(2) + removed("w4") + starts(14) + end,
 			seconds(3), "not logged", 0,
 		},
+		"first run unseen":                {unseen() + waits(10, "leases of a previous leader") + startsAs(12.5, 2001) + end, seconds(3.4), "leases of a previous leader", 0},
+		"first run unseen, idle for long": {unseen() + waits(5, "no room on a worker") + startsAs(18, 2) + end, seconds(-7.1), "no room on a worker", 0},
+		"first run unseen, never again":   {unseen() + waits(5, "no room on a worker") + end, seconds(-29.1), "no room on a worker", 0},
+		"first run unseen, second seen":   {unseen() + startsAs(18, 2) + end, 0, "", 0},
+		"first run unseen until its exit": {unseen() + exits(12) + starts(23) + end, seconds(-2), "not logged", 0},
+		"adopted, first run unseen":       {unseen() + waits(3, "leases of a previous leader") + strings.Replace(startsAs(20, 1), "Task is started", "Running task was adopted", 1) + exits(22) + starts(32) + end, seconds(-1), "not logged", 0},
+		"first start is late":             {unseen() + waits(3, "no room on a worker") + startTogether(9) + end, seconds(-12), "no room on a worker", 0},
+		"first start by a later leader":   {unseen() + waits(3, "no room on a worker") + startsAs(9, 1001) + end, seconds(-0.1), "no room on a worker", 0},
+		"first start by the later leader that saw the job accepted": {
+			logged(-7, "Leadership begins.: node=front-1 fence=9 tenure=2") + unseen() + waits(3, "no room on a worker") + startsAs(9, 1001) + end, seconds(-12), "no room on a worker", 0,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -127,6 +153,13 @@
 	}
 }
 
+// TestNotSeen guards against tasks that count as sound or as idle although no line says whether they run.
+func TestNotSeen(t *testing.T) {
+	var l margins.Log
+	qt.Assert(t, l.Read(strings.NewReader(unseen()+logged(-6, "Job is accepted.: node=front-2 job=b queue=q serviceTasks=4")+starts(30)), time.Time{}), qt.IsNil)
+	qt.Assert(t, margins.Of(l.History(), promises.DefaultBounds(), &l).String(), qt.Equals, "6 tasks that last, 0 of them with a margin, 4 not seen in the log\n")
+}
+
 // TestEarlierPlay guards against lines of an earlier play whose logs went to the same files.
 func TestEarlierPlay(t *testing.T) {
 	var l margins.Log
