soak/margins: end runs whose loss no line tells

A new leader does not log the loss of a run on a worker that never answered it, so that the run went on for ever in the history, and no later wait of its task had a margin.

A run of a service now ends, unless it is adopted later, when its task was first said not to run, or when another run of the task starts.

Two of the new cases failed before: no margin at all.

--- a/internal/soak/margins/history.go
+++ b/internal/soak/margins/history.go
@@ -15,7 +15,7 @@
 	sameCause = 100 * time.Millisecond
 	// runsPerTerm separates the run numbers of successive leaders, which begin at 1, 1001 and so on.
 	runsPerTerm = 1000
-	// never is the beginning of a run that has ended.
+	// never is the beginning of a run that has ended, and later than all times.
 	never = time.Duration(1 << 62)
 )
 
@@ -55,7 +55,15 @@
 	// known to end.
 	firstStarts, seen map[promises.Task]bool
 	ended             map[promises.Task]time.Duration
-	pools             map[string]promises.Queue
+	// open holds the latest run of each task, until it ends.
+	open  map[promises.Task]*openRun
+	pools map[string]promises.Queue
+}
+
+// openRun is a run whose end is not logged so far. The task has been said not to run since idleSince, or never.
+type openRun struct {
+	run       promises.Run
+	idleSince time.Duration
 }
 
 // History returns what the log tells of jobs, runs and workers. It is what the leader has logged of the answers of workers, so that a run counts
@@ -65,7 +73,7 @@
 	r := &replay{
 		jobs: make(map[string]*loggedJob), workers: make(map[string]*loggedWorker), begun: make(map[promises.Run]time.Duration),
 		firstStarts: l.firstStarts(), seen: make(map[promises.Task]bool), ended: make(map[promises.Task]time.Duration),
-		pools: make(map[string]promises.Queue),
+		open: make(map[promises.Task]*openRun), pools: make(map[string]promises.Queue),
 	}
 	r.History = promises.NewHistoryAt(time.Time{}, func() time.Time { return time.Time{}.Add(r.now) })
 	for _, line := range l.lines {
@@ -73,6 +81,11 @@
 		r.add(line)
 		l.told = l.told || line.Field("serviceTasks") != ""
 	}
+	for task, o := range r.open {
+		if o.idleSince < never {
+			r.endOpen(task, never)
+		}
+	}
 	for run, begun := range r.begun {
 		r.inferService(run.Task.Job, l.end()-begun)
 	}
@@ -175,11 +188,17 @@
 	s := &j.steps[task.Step]
 	s.width, s.cpu = max(s.width, task.Index+1), cmp.Or(value(l, "cpu", strconv.Atoi), s.cpu)
 	run := promises.Run{Task: task, Number: value(l, "run", strconv.Atoi), Worker: w.ID}
-	_, known := r.begun[run]
+	begun, known := r.begun[run]
 	switch {
 	case l.is(noRun):
 		j.service = true
-		r.see(j, task, l.at-value(l, "for", time.ParseDuration))
+		since := l.at - value(l, "for", time.ParseDuration)
+		r.see(j, task, since)
+		if o := r.open[task]; o != nil {
+			o.idleSince = min(o.idleSince, max(since, r.begun[o.run]))
+		}
+	case l.is(adopted) && known && r.open[task] != nil && r.open[task].run == run:
+		r.open[task].idleSince = never
 	case l.is(started) && !known:
 		r.see(j, task, l.at)
 		r.begin(j, s, w, run)
@@ -189,7 +208,7 @@
 		r.now = max(j.accepted, r.ended[task])
 		r.begin(j, s, w, run)
 		r.begun[run] = l.at
-	case l.is(ends...):
+	case l.is(ends...) && begun != never:
 		if !known {
 			r.now = l.at - value(l, "ran", time.ParseDuration)
 			r.see(j, task, r.now)
@@ -214,7 +233,11 @@
 }
 
 func (r *replay) begin(j *loggedJob, s *loggedStep, w *loggedWorker, run promises.Run) {
+	if j.service {
+		r.endOpen(run.Task, r.now)
+	}
 	r.begun[run] = r.now
+	r.open[run.Task] = &openRun{run, never}
 	r.RunBegan(run)
 	r.pools[j.queue] = promises.Queue{Pool: w.Pool}
 	run.Task.Index = 0
@@ -222,16 +245,35 @@
 	s.together = max(s.together, w.running[run.Task])
 }
 
+// endOpen ends the run of a task whose end is not logged, as a new leader does not log the loss of a run that it never knew of. It ended when the
+// task was first said not to run, or at the given time.
+func (r *replay) endOpen(task promises.Task, at time.Duration) {
+	if o := r.open[task]; o != nil {
+		now := r.now
+		r.now = min(o.idleSince, at)
+		r.finish(o.run, promises.Crashed)
+		r.now = now
+	}
+}
+
 // end ends a run. One that was lost ended when its worker was last heard of.
 func (r *replay) end(l line, w *loggedWorker, run promises.Run) {
 	r.now = l.at
 	if l.is("Task was lost.") && l.at-w.told < sameCause {
 		r.now = max(r.begun[run], w.heard)
 	}
+	r.finish(run, promises.How(cmp.Or(l.Field("how"), string(promises.Crashed))))
+}
+
+func (r *replay) finish(run promises.Run, how promises.How) {
 	r.ended[run.Task] = r.now
-	r.RunEnded(run, promises.How(cmp.Or(l.Field("how"), string(promises.Crashed))))
+	r.RunEnded(run, how)
 	r.inferService(run.Task.Job, r.now-r.begun[run])
 	r.begun[run] = never
+	if o := r.open[run.Task]; o != nil && o.run == run {
+		delete(r.open, run.Task)
+	}
+	w := r.workers[run.Worker]
 	run.Task.Index = 0
 	w.running[run.Task]--
 }
--- a/internal/soak/margins/margins_test.go
+++ b/internal/soak/margins/margins_test.go
@@ -129,7 +129,13 @@
 		"first run unseen until its exit": {unseen() + exits(12) + starts(23) + end, seconds(-2), "not logged", 0},
 		"adopted, first run unseen":       {unseen() + waits(3, "leases of a previous leader") + strings.Replace(startsAs(20, 1), "Task is started", "Running task was adopted", 1) + exits(22) + starts(32) + end, seconds(-1), "not logged", 0},
 		"first start is late":             {unseen() + waits(3, "no room on a worker") + startTogether(9) + end, seconds(-12), "no room on a worker", 0},
-		"first start by a later leader":   {unseen() + waits(3, "no room on a worker") + startsAs(9, 1001) + end, seconds(-0.1), "no room on a worker", 0},
+		"loss is not logged":              {begun(told) + waits(9.1, "leases of a previous leader") + startsAs(20, 1001) + end, seconds(-5), "leases of a previous leader", seconds(14)},
+		"loss is not logged, never again": {begun(told) + waits(9.1, "no worker in use") + waits(12.1, "no worker in use") + end, seconds(-25), "no worker in use", seconds(34)},
+		"silent, then adopted": {
+			begun(told) + waits(9.1, "leases of a previous leader") + strings.Replace(startsAs(10, 1), "Task is started", "Running task was adopted", 1) + exits(12) + starts(18.5) + end,
+			seconds(2.5), "not logged", 0,
+		},
+		"first start by a later leader": {unseen() + waits(3, "no room on a worker") + startsAs(9, 1001) + end, seconds(-0.1), "no room on a worker", 0},
 		"first start by the later leader that saw the job accepted": {
 			logged(-7, "Leadership begins.: node=front-1 fence=9 tenure=2") + unseen() + waits(3, "no room on a worker") + startsAs(9, 1001) + end, seconds(-12), "no room on a worker", 0,
 		},
