soak/margins: keep the present run of a task when an earlier one exits late

A line about the exit of an earlier run, whose start is not logged, ended the present run of the task in the history. Only a run with a higher number does now. The case failed before.

--- a/internal/soak/margins/history.go
+++ b/internal/soak/margins/history.go
@@ -195,7 +195,7 @@
 		since := l.at - value(l, "for", time.ParseDuration)
 		r.see(j, task, since)
 		if o := r.open[task]; o != nil {
-			o.idleSince = min(o.idleSince, max(since, r.begun[o.run]))
+			o.idleSince = min(o.idleSince, since)
 		}
 	case l.is(adopted) && known && r.open[task] != nil && r.open[task].run == run:
 		r.open[task].idleSince = never
@@ -233,11 +233,14 @@
 }
 
 func (r *replay) begin(j *loggedJob, s *loggedStep, w *loggedWorker, run promises.Run) {
-	if j.service {
-		r.endOpen(run.Task, r.now)
+	// The exit of an earlier run may be logged after the start of the next one.
+	if o := r.open[run.Task]; o == nil || o.run.Number < run.Number {
+		if j.service {
+			r.endOpen(run.Task, r.now)
+		}
+		r.open[run.Task] = &openRun{run, never}
 	}
 	r.begun[run] = r.now
-	r.open[run.Task] = &openRun{run, never}
 	r.RunBegan(run)
 	r.pools[j.queue] = promises.Queue{Pool: w.Pool}
 	run.Task.Index = 0
@@ -250,7 +253,7 @@
 func (r *replay) endOpen(task promises.Task, at time.Duration) {
 	if o := r.open[task]; o != nil {
 		now := r.now
-		r.now = min(o.idleSince, at)
+		r.now = max(r.begun[o.run], min(o.idleSince, at))
 		r.finish(o.run, promises.Crashed)
 		r.now = now
 	}
--- a/internal/soak/margins/margins_test.go
+++ b/internal/soak/margins/margins_test.go
@@ -135,6 +135,9 @@
 			begun(told) + waits(9.1, "leases of a previous leader") + strings.Replace(startsAs(10, 1), "Task is started", "Running task was adopted", 1) + exits(12) + starts(18.5) + end,
 			seconds(2.5), "not logged", 0,
 		},
+		"earlier run exits late": {
+			unseen() + startsAs(3, 2) + exits(4) + strings.Replace(exits(10), "run=1", "run=2", 1) + startsAs(20, 3) + end, seconds(-1), "not logged", 0,
+		},
 		"first start by a later leader": {unseen() + waits(3, "no room on a worker") + startsAs(9, 1001) + end, seconds(-0.1), "no room on a worker", 0},
 		"first start by the later leader that saw the job accepted": {
 			logged(-7, "Leadership begins.: node=front-1 fence=9 tenure=2") + unseen() + waits(3, "no room on a worker") + startsAs(9, 1001) + end, seconds(-12), "no room on a worker", 0,
