soak/margins: planned departures of workers are no disruption, gaps of the log are told

The soak records the ends of workers as before.

Logs of builds that cut off lines and do not log idle tasks would then have negative margins for tasks whose next start is missing. If a log has runs with a line of their end only, a time that no start ends is left out, as for builds that log idle tasks. The number of such runs is printed.

--- a/internal/soak/margins/history.go
+++ b/internal/soak/margins/history.go
@@ -58,6 +58,8 @@
 	// open holds the latest run of each task, until it ends.
 	open  map[promises.Task]*openRun
 	pools map[string]promises.Queue
+	// startsMissing counts the runs whose end is logged and whose start is not.
+	startsMissing int
 }
 
 // openRun is a run whose end is not logged so far. The task has been said not to run since idleSince, or never.
@@ -100,7 +102,7 @@
 		r.now = d.To
 		ended()
 	}
-	r.now, l.replayed, l.seen = l.end(), true, r.seen
+	r.now, l.replayed, l.seen, l.startsMissing = l.end(), true, r.seen, r.startsMissing
 	return r.History
 }
 
@@ -152,7 +154,7 @@
 	case l.is("Worker is draining and will leave.", "Move of an instance was planned."):
 		r.WorkerDraining(w.ID, w.Life)
 	case l.is("Worker was removed.", "Worker is no longer in the registry.", "Maintenance command was planned.") && w.listed:
-		r.WorkerEnded(w.ID, w.Life)
+		r.WorkerLeft(w.ID, w.Life)
 		w.listed = false
 	}
 	if age := value(l, "contactAge", time.ParseDuration); age > 0 {
@@ -210,6 +212,7 @@
 		r.begun[run] = l.at
 	case l.is(ends...) && begun != never:
 		if !known {
+			r.startsMissing++
 			r.now = l.at - value(l, "ran", time.ParseDuration)
 			r.see(j, task, r.now)
 			r.begin(j, s, w, run)
--- a/internal/soak/margins/log.go
+++ b/internal/soak/margins/log.go
@@ -38,8 +38,9 @@
 	disruptions []promises.Span
 	// replayed means that the runs come from these lines, and told that the leader logs all tasks of services that do not run for long.
 	replayed, told bool
-	// seen holds the tasks of which a line says whether they run.
-	seen map[promises.Task]bool
+	// seen holds the tasks of which a line says whether they run, and startsMissing is the number of runs with a line of their end only.
+	seen          map[promises.Task]bool
+	startsMissing int
 }
 
 type line struct {
@@ -153,11 +154,11 @@
 	return reason
 }
 
-// isDropped reports whether the line about the start of a task was dropped, so that the task seems idle: a process that starts many at once drops
-// lines. The leader would have logged that the task does not run, unless it took it for running at first.
+// isDropped reports whether the line about the start of a task is missing, so that the task seems idle. The leader would have logged that the task
+// does not run, unless it took it for running at first. A leader of a build that does not log this counts as if it did if other starts are missing.
 func (l *Log) isDropped(t promises.LastingTask, s promises.Span) bool {
 	lost := slices.ContainsFunc(t.Runs, func(r promises.Span) bool { return r.From == s.To }) && slices.ContainsFunc(t.Runs, func(r promises.Span) bool { return r.To == s.From })
-	return l.replayed && !lost && (l.told || len(t.Runs) == 0) && s.To-s.From > loggedAfter && l.reason(t.Task.String(), s) == ""
+	return l.replayed && !lost && (l.told || l.startsMissing > 0 || len(t.Runs) == 0) && s.To-s.From > loggedAfter && l.reason(t.Task.String(), s) == ""
 }
 
 // endsRun reports whether the leader takes a run for ended with a line. After a start without an answer it may still begin.
--- a/internal/soak/margins/margins.go
+++ b/internal/soak/margins/margins.go
@@ -33,6 +33,8 @@
 	Tasks int
 	// NotSeen is the number of those of which no log line says whether they run, in a history of log lines.
 	NotSeen int
+	// StartsMissing is the number of runs in such a history whose end is logged and whose start is not.
+	StartsMissing int
 	// Margins holds the smallest margin of each of them that has one, the smallest one first.
 	Margins []Margin
 	// Believed is the longest time for which the leader took a task for running while no worker ran it.
@@ -55,7 +57,7 @@
 func Of(h *promises.History, b promises.Bounds, l *Log) Play {
 	beliefs := l.beliefs()
 	tasks := promises.LastingTasks(h, b)
-	p := Play{Tasks: len(tasks)}
+	p := Play{Tasks: len(tasks), StartsMissing: l.startsMissing}
 	for _, t := range tasks {
 		if l.replayed && !l.seen[t.Task] {
 			p.NotSeen++
@@ -97,6 +99,9 @@
 	if p.NotSeen > 0 {
 		fmt.Fprintf(&b, ", %d not seen in the log", p.NotSeen)
 	}
+	if p.StartsMissing > 0 {
+		fmt.Fprintf(&b, "; %d runs without a line of their start", p.StartsMissing)
+	}
 	b.WriteByte('\n')
 	for _, m := range p.Margins[:min(len(p.Margins), maxShown)] {
 		fmt.Fprintf(&b, "    margin %7.3f s  task %s idle from %.3f s to %.3f s: %s\n", m.Left.Seconds(), m.Task, m.Idle.From.Seconds(), m.Idle.To.Seconds(), m.Reason)
--- a/internal/soak/margins/margins_test.go
+++ b/internal/soak/margins/margins_test.go
@@ -135,6 +135,13 @@
 			begun(told) + waits(9.1, "leases of a previous leader") + strings.Replace(startsAs(10, 1), "Task is started", "Running task was adopted", 1) + exits(12) + starts(18.5) + end,
 			seconds(2.5), "not logged", 0,
 		},
+		"another worker leaves": {
+			begun(told) + exits(2) + logged(12, "Worker was removed.: node=front-1 worker=w4 pool=p reason=gone") + starts(18) + end, seconds(-7), "not logged", 0,
+		},
+		"earlier build, starts are missing": {
+			begun("") + logged(5, "Task has exited.: node=front-1 job=a task=0.0.0 run=1 worker=w1 how=failed ran=10.5s") +
+				logged(20, "Task has exited.: node=front-1 job=b task=0.0.0 run=1 worker=w3 how=done ran=1s") + end, 0, "", 0,
+		},
 		"earlier run exits late": {
 			unseen() + startsAs(3, 2) + exits(4) + strings.Replace(exits(10), "run=1", "run=2", 1) + startsAs(20, 3) + end, seconds(-1), "not logged", 0,
 		},
--- a/internal/soak/promises/history.go
+++ b/internal/soak/promises/history.go
@@ -213,6 +213,8 @@
 	Worker
 	begun, draining, ended moment
 	lapses                 []moment
+	// left means that the end is no disruption.
+	left bool
 }
 
 type configuration struct {
@@ -366,6 +368,11 @@
 	h.withLife(id, number, func(l *life, now moment) { l.ended = now })
 }
 
+// WorkerLeft records that a life of a worker has ended as planned, or for a reason that is recorded apart. It is no disruption.
+func (h *History) WorkerLeft(id string, number int) {
+	h.withLife(id, number, func(l *life, now moment) { l.ended, l.left = now, true })
+}
+
 // LeaseLapsed records that the lease of a worker has run out, whether anything ran there or not.
 func (h *History) LeaseLapsed(id string, number int) {
 	h.withLife(id, number, func(l *life, now moment) { l.lapses = append(l.lapses, now) })
--- a/internal/soak/promises/snapshot.go
+++ b/internal/soak/promises/snapshot.go
@@ -62,7 +62,7 @@
 	}
 	for _, l := range s.lives {
 		s.workers[l.ID] = true
-		if l.ended < never {
+		if l.ended < never && !l.left {
 			s.disruptions = append(s.disruptions, disruption{kind: gone, target: l.ID, begun: l.ended, ended: l.ended})
 		}
 	}
