duty: join repeated test set-up

Tests repeated how they list instances, create a wave, read its state, acquire a lease, submit several jobs and check their states.

Two loops over jobs now use Check instead of Assert, so that a failure shows all jobs.

--- a/duty/bench_test.go
+++ b/duty/bench_test.go
@@ -23,15 +23,9 @@
 				pools = append(pools, mustPool(pool.Spec{Name: fmt.Sprintf("p%03d", i), MaxUnavailable: "20%"}))
 				fleet.addPool(table, pools[i].Name(), 13+i%2)
 			}
-			rows, err := pool.NewStore(table).List(b.Context())
-			if err != nil {
-				b.Fatal(err)
-			}
-			if _, err := wave.NewStore(table).Create(b.Context(), wave.Spec{Name: "w"}, time.Now(), pools, rows); err != nil {
-				b.Fatal(err)
-			}
-			holder, lease := duty.NewFleet(duty.FleetOptions{Table: table, Instances: fleet, Pools: func() []pool.Pool { return pools }}), &fakeLease{}
-			lease.acquire(table)
+			rows := listInstances(b, table)
+			createWave(b, table, wave.Spec{Name: "w"}, pools, rows)
+			holder, lease := duty.NewFleet(duty.FleetOptions{Table: table, Instances: fleet, Pools: func() []pool.Pool { return pools }}), newFakeLease(table)
 			for b.Loop() {
 				if err := holder.Pass(b.Context(), lease); err != nil {
 					b.Fatal(err)
@@ -67,8 +61,7 @@
 			}
 			holder, lease := duty.NewJobs(duty.JobsOptions{
 				Table: p.Table(), Instances: fleet, Tasks: p.Tasks(), DataCentres: func() []string { return []string{"dc0"} },
-			}), &fakeLease{}
-			lease.acquire(p.Table())
+			}), newFakeLease(p.Table())
 			pass := func() {
 				if err := holder.Pass(b.Context(), lease); err != nil {
 					b.Fatal(err)
--- a/duty/fake_test.go
+++ b/duty/fake_test.go
@@ -6,11 +6,15 @@
 	"maps"
 	"slices"
 	"sync"
+	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/chivetiller/chivetiller/pool"
 	"github.com/chivetiller/chivetiller/provider"
 	"github.com/chivetiller/chivetiller/provider/standin"
+	"github.com/chivetiller/chivetiller/wave"
 )
 
 // fakeLease is a lease that its process believes to hold while held is true. Whether it really does is decided by
@@ -27,6 +31,13 @@
 	return l.check, l.held
 }
 
+// newFakeLease returns a lease that its process has just acquired.
+func newFakeLease(table provider.Table) *fakeLease {
+	l := &fakeLease{}
+	l.acquire(table)
+	return l
+}
+
 // acquire writes the row of the fencing token, which makes the transactions of previous holders fail.
 func (l *fakeLease) acquire(table provider.Table) {
 	ctx := context.Background()
@@ -239,3 +250,24 @@
 	}
 	return p
 }
+
+func listInstances(t testing.TB, table provider.Table) []pool.Stored {
+	t.Helper()
+	rows, err := pool.NewStore(table).List(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	return rows
+}
+
+func createWave(t testing.TB, table provider.Table, spec wave.Spec, pools []pool.Pool, rows []pool.Stored) wave.Wave {
+	t.Helper()
+	w, err := wave.NewStore(table).Create(t.Context(), spec, time.Now(), pools, rows)
+	qt.Assert(t, err, qt.IsNil)
+	return w
+}
+
+func waveState(t testing.TB, table provider.Table, name string) wave.State {
+	t.Helper()
+	stored, err := wave.NewStore(table).Get(t.Context(), name)
+	qt.Assert(t, err, qt.IsNil)
+	return stored.State()
+}
--- a/duty/fleet_test.go
+++ b/duty/fleet_test.go
@@ -39,20 +39,15 @@
 					pools = append(pools, mustPool(pool.Spec{Name: name, MaxUnavailable: tt.budget}))
 					fleet.addPool(table, name, n)
 				}
-				rows, err := pool.NewStore(table).List(t.Context())
-				qt.Assert(t, err, qt.IsNil)
-				waves := wave.NewStore(table)
-				w, err := waves.Create(t.Context(), wave.Spec{Name: "kernel"}, time.Now(), pools, rows)
-				qt.Assert(t, err, qt.IsNil)
+				rows := listInstances(t, table)
+				w := createWave(t, table, wave.Spec{Name: "kernel"}, pools, rows)
 
 				options := duty.FleetOptions{Table: table, Instances: fleet, Pools: func() []pool.Pool { return pools }}
-				holder, lease := duty.NewFleet(options), &fakeLease{}
-				lease.acquire(table)
+				holder, lease := duty.NewFleet(options), newFakeLease(table)
 				for i := 0; ; i++ {
 					if tt.takeovers && i%7 == 6 {
 						old := lease
-						lease = &fakeLease{}
-						lease.acquire(table)
+						lease = newFakeLease(table)
 						// The previous holder still believes that it holds the lease, and runs one more pass.
 						qt.Assert(t, holder.Pass(t.Context(), old), qt.IsNil)
 						holder = duty.NewFleet(options)
@@ -62,9 +57,7 @@
 						n, size := countDown(table, p.Name())
 						qt.Assert(t, n <= p.MaxUnavailable(size), qt.IsTrue, qt.Commentf("%d of %d down", n, size))
 					}
-					stored, err := waves.Get(t.Context(), w.Name())
-					qt.Assert(t, err, qt.IsNil)
-					if stored.State() == wave.StateDone {
+					if waveState(t, table, w.Name()) == wave.StateDone {
 						break
 					}
 					qt.Assert(t, i < 10_000, qt.IsTrue, qt.Commentf("the wave does not end"))
@@ -78,11 +71,8 @@
 				// After its retention the wave is removed. A new wave of the same name covers every instance again.
 				time.Sleep(8 * 24 * time.Hour)
 				qt.Assert(t, holder.Pass(t.Context(), lease), qt.IsNil)
-				w, err = waves.Create(t.Context(), w.Spec(), time.Now(), pools, rows)
-				qt.Assert(t, err, qt.IsNil)
-				rows, err = pool.NewStore(table).List(t.Context())
-				qt.Assert(t, err, qt.IsNil)
-				for _, row := range rows {
+				w = createWave(t, table, w.Spec(), pools, rows)
+				for _, row := range listInstances(t, table) {
 					qt.Assert(t, w.Pending(row.Instance), qt.IsTrue)
 				}
 			})
@@ -113,8 +103,7 @@
 		holder, lease := duty.NewFleet(duty.FleetOptions{
 			Table: table, Instances: fleet, Pools: func() []pool.Pool { return pools },
 			Loads: func() []move.Load { return []move.Load{{Pool: "desk", Demand: 60}} },
-		}), &fakeLease{}
-		lease.acquire(table)
+		}), newFakeLease(table)
 		for range 120 {
 			qt.Assert(t, holder.Pass(t.Context(), lease), qt.IsNil)
 			time.Sleep(time.Second)
@@ -150,19 +139,13 @@
 				table, fleet := standin.NewTable(), &deadFleet{fakeFleet: newFakeFleet(time.Second), err: tt.err}
 				pools := []pool.Pool{mustPool(pool.Spec{Name: "desk", MaxUnavailable: "1"})}
 				fleet.addPool(table, "desk", 1)
-				rows, err := pool.NewStore(table).List(t.Context())
-				qt.Assert(t, err, qt.IsNil)
-				w, err := wave.NewStore(table).Create(t.Context(), wave.Spec{Name: "kernel"}, time.Now(), pools, rows)
-				qt.Assert(t, err, qt.IsNil)
-				holder, lease := duty.NewFleet(duty.FleetOptions{Table: table, Instances: fleet, Pools: func() []pool.Pool { return pools }}), &fakeLease{}
-				lease.acquire(table)
+				w := createWave(t, table, wave.Spec{Name: "kernel"}, pools, listInstances(t, table))
+				holder, lease := duty.NewFleet(duty.FleetOptions{Table: table, Instances: fleet, Pools: func() []pool.Pool { return pools }}), newFakeLease(table)
 				for range 3600 {
 					qt.Assert(t, holder.Pass(t.Context(), lease), qt.IsNil)
 					time.Sleep(time.Second)
 				}
-				rows, err = pool.NewStore(table).List(t.Context())
-				qt.Assert(t, err, qt.IsNil)
-				qt.Assert(t, w.Progress(time.Now(), rows).Pools[0].Failed, qt.Equals, 1)
+				qt.Assert(t, w.Progress(time.Now(), listInstances(t, table)).Pools[0].Failed, qt.Equals, 1)
 				qt.Assert(t, fleet.calls >= 5 && fleet.calls <= tt.maxCalls, qt.IsTrue, qt.Commentf("%d reboots", fleet.calls))
 			})
 		})
--- a/duty/jobs_test.go
+++ b/duty/jobs_test.go
@@ -33,7 +33,7 @@
 
 // newJobsHarness has n workers of 64 cores in dc0.
 func newJobsHarness(t *testing.T, n int) *jobsHarness {
-	r := &jobsHarness{t: t, platform: standin.New(standin.Options{StatusLag: time.Second}), fleet: newFakeFleet(time.Second), lease: &fakeLease{}}
+	r := &jobsHarness{t: t, platform: standin.New(standin.Options{StatusLag: time.Second}), fleet: newFakeFleet(time.Second)}
 	r.fleet.addPool(r.platform.Table(), "support", 3*n)
 	r.store = job.NewStore(r.platform.Table(), nil)
 	r.options = duty.JobsOptions{
@@ -44,8 +44,7 @@
 }
 
 func (r *jobsHarness) takeOver() {
-	r.holder, r.lease = duty.NewJobs(r.options), &fakeLease{}
-	r.lease.acquire(r.platform.Table())
+	r.holder, r.lease = duty.NewJobs(r.options), newFakeLease(r.platform.Table())
 }
 
 func (r *jobsHarness) submit(spec job.Spec) string {
@@ -61,6 +60,22 @@
 	return j.ID
 }
 
+// submitMany submits n jobs and returns their IDs.
+func (r *jobsHarness) submitMany(n int, spec job.Spec) []string {
+	ids := make([]string, n)
+	for i := range ids {
+		ids[i] = r.submit(spec)
+	}
+	return ids
+}
+
+func (r *jobsHarness) checkStates(ids []string, want job.State) {
+	r.t.Helper()
+	for _, id := range ids {
+		qt.Check(r.t, r.job(id).State, qt.Equals, want, qt.Commentf("job %s", id))
+	}
+}
+
 // runPasses runs a pass every 500 ms for the given time.
 func (r *jobsHarness) runPasses(length time.Duration) {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
@@ -97,7 +112,7 @@
 			qt.Assert(t, r.job(id).State, qt.Equals, job.StateFailed)
 			qt.Assert(t, r.job(id).Reason, qt.Matches, `given up after 3 runs on .*`)
 		},
-		"bad jobs do not blame the last worker": func(t *testing.T, r *jobsHarness) {
+		"bad jobs do not blame the last worker": func(_ *testing.T, r *jobsHarness) {
 			// The model test found this as "jobs do not end" with seed 3329698745668855665.
 			r.fleet.instances["support-000"].restart(time.Hour)
 			var ids []string
@@ -107,9 +122,7 @@
 				ids = append(ids, r.submit(job.Spec{Kind: kind, Cores: 4}))
 			}
 			r.runPasses(15 * time.Minute)
-			for _, id := range ids {
-				qt.Check(t, r.job(id).State, qt.Equals, job.StateFailed)
-			}
+			r.checkStates(ids, job.StateFailed)
 		},
 		"failed on every worker": func(t *testing.T, r *jobsHarness) {
 			r.platform.Tasks().SetBehaviour("bad", standin.Behaviour{RunTime: time.Second, Fails: true})
@@ -132,15 +145,11 @@
 				ids = append(ids, r.submit(job.Spec{Kind: kind, Cores: 16}))
 			}
 			r.runPasses(20 * time.Second)
-			for _, id := range ids {
-				qt.Check(t, r.job(id).State, qt.Equals, job.StateDone)
-			}
+			r.checkStates(ids, job.StateDone)
 			qt.Check(t, r.holder.Quarantined("dc0"), qt.DeepEquals, []string{"support-000"})
 		},
 		"urgent work makes room": func(t *testing.T, r *jobsHarness) {
-			for range 8 {
-				r.submit(job.Spec{Kind: "batch", Cores: 32, Memory: 100 * gib})
-			}
+			r.submitMany(8, job.Spec{Kind: "batch", Cores: 32, Memory: 100 * gib})
 			r.runPasses(10 * time.Second)
 			states := func() (slow, stopped int) {
 				jobs, err := r.store.List(t.Context(), "dc0")
@@ -167,10 +176,7 @@
 			}
 		},
 		"cancellations keep no placement waiting": func(t *testing.T, r *jobsHarness) {
-			var cancelled []string
-			for range 256 {
-				cancelled = append(cancelled, r.submit(job.Spec{Kind: "batch", Cores: 1}))
-			}
+			cancelled := r.submitMany(256, job.Spec{Kind: "batch", Cores: 1})
 			r.runPasses(5 * time.Second)
 			for _, id := range cancelled {
 				_, err := r.store.Cancel(t.Context(), id, time.Now())
@@ -180,9 +186,7 @@
 			r.runPasses(time.Second)
 			qt.Assert(t, r.job(other).State, qt.Equals, job.StateRunning)
 			r.runPasses(5 * time.Second)
-			for _, id := range cancelled {
-				qt.Assert(t, r.job(id).State, qt.Equals, job.StateCancelled)
-			}
+			r.checkStates(cancelled, job.StateCancelled)
 			qt.Assert(t, r.job(other).State, qt.Equals, job.StateRunning)
 		},
 		"workers in maintenance are vacated": func(t *testing.T, r *jobsHarness) {
@@ -200,22 +204,15 @@
 			qt.Assert(t, j.Worker, qt.Not(qt.Equals), row.ID)
 			qt.Assert(t, j.Checkpoint, qt.Not(qt.Equals), "")
 		},
-		"sizes are learned": func(t *testing.T, r *jobsHarness) {
+		"sizes are learned": func(_ *testing.T, r *jobsHarness) {
 			r.platform.Tasks().SetBehaviour("small", standin.Behaviour{RunTime: 2 * time.Second, Cores: 1, Memory: gib})
-			for range 5 {
-				r.submit(job.Spec{Kind: "small", Cores: 64, Memory: 256 * gib})
-			}
+			r.submitMany(5, job.Spec{Kind: "small", Cores: 64, Memory: 256 * gib})
 			r.runPasses(15 * time.Second)
 			r.platform.Tasks().SetBehaviour("small", standin.Behaviour{Cores: 1, Memory: gib})
 			r.takeOverAfter(40 * time.Second)
-			var ids []string
-			for range 100 {
-				ids = append(ids, r.submit(job.Spec{Kind: "small", Cores: 64, Memory: 256 * gib}))
-			}
+			ids := r.submitMany(100, job.Spec{Kind: "small", Cores: 64, Memory: 256 * gib})
 			r.runPasses(3 * time.Second)
-			for _, id := range ids {
-				qt.Assert(t, r.job(id).State, qt.Equals, job.StateRunning)
-			}
+			r.checkStates(ids, job.StateRunning)
 		},
 		"ended jobs are archived": func(t *testing.T, r *jobsHarness) {
 			r.options.Objects = r.platform.Objects()
@@ -238,10 +235,7 @@
 			r.options.Limits = job.TeamLimits{Table: r.platform.Table(), Limit: func(string) int { return 3 }, Holder: holder}
 			r.takeOver()
 			r.platform.Tasks().SetBehaviour("batch", standin.Behaviour{RunTime: 5 * time.Second})
-			var ids []string
-			for range 9 {
-				ids = append(ids, r.submit(job.Spec{Kind: "batch", Cores: 1}))
-			}
+			ids := r.submitMany(9, job.Spec{Kind: "batch", Cores: 1})
 			for range 120 {
 				r.runPasses(500 * time.Millisecond)
 				running := 0
@@ -252,9 +246,7 @@
 				}
 				qt.Assert(t, running <= 3, qt.IsTrue)
 			}
-			for _, id := range ids {
-				qt.Check(t, r.job(id).State, qt.Equals, job.StateDone)
-			}
+			r.checkStates(ids, job.StateDone)
 			qt.Assert(t, holder.Stop(t.Context()), qt.IsNil)
 		},
 		"worker that disappears": func(t *testing.T, r *jobsHarness) {
--- a/duty/jobsmodel_test.go
+++ b/duty/jobsmodel_test.go
@@ -185,8 +185,7 @@
 }
 
 func (m *jobsModel) takeOver() {
-	m.holder, m.lease = duty.NewJobs(m.options), &fakeLease{}
-	m.lease.acquire(m.table.Table)
+	m.holder, m.lease = duty.NewJobs(m.options), newFakeLease(m.table.Table)
 }
 
 func (m *jobsModel) pass() {
--- a/duty/model_test.go
+++ b/duty/model_test.go
@@ -149,15 +149,7 @@
 	if !m.faults {
 		return false, nil
 	}
-	switch rapid.IntRange(0, 19).Draw(m.rt, "fault") {
-	case 0:
-		return false, provider.ErrUnavailable
-	case 1:
-		return false, provider.ErrUnknownOutcome
-	case 2:
-		return true, provider.ErrUnknownOutcome
-	}
-	return false, nil
+	return faultForDraw(rapid.IntRange(0, 19).Draw(m.rt, "fault"))
 }
 
 func (m *fleetModel) takeOver() {
@@ -167,8 +159,7 @@
 		m.lease.held = false
 		m.lease.mu.Unlock()
 	}
-	m.holder, m.lease = duty.NewFleet(m.options), &fakeLease{}
-	m.lease.acquire(m.table.Table)
+	m.holder, m.lease = duty.NewFleet(m.options), newFakeLease(m.table.Table)
 }
 
 func (m *fleetModel) pass() {
--- a/duty/operations_test.go
+++ b/duty/operations_test.go
@@ -100,11 +100,7 @@
 		}
 		stopFirst, stopSecond := begin("a/1"), begin("b/1")
 		time.Sleep(30 * time.Second)
-		rows, err := pool.NewStore(table).List(t.Context())
-		qt.Assert(t, err, qt.IsNil)
-		waves := wave.NewStore(table)
-		_, err = waves.Create(t.Context(), wave.Spec{Name: "w"}, time.Now(), pools, rows)
-		qt.Assert(t, err, qt.IsNil)
+		createWave(t, table, wave.Spec{Name: "w"}, pools, listInstances(t, table))
 		time.Sleep(100 * time.Second)
 		stopFirst()
 		for range 1000 {
@@ -114,9 +110,7 @@
 			}
 			time.Sleep(time.Second)
 		}
-		stored, err := waves.Get(t.Context(), "w")
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, stored.State(), qt.Equals, wave.StateDone)
+		qt.Assert(t, waveState(t, table, "w"), qt.Equals, wave.StateDone)
 		qt.Assert(t, fleet.interrupted, qt.HasLen, 0)
 		for id, m := range fleet.instances {
 			qt.Assert(t, m.reboots, qt.Equals, 1, qt.Commentf("%s", id))
--- a/duty/unreadable_test.go
+++ b/duty/unreadable_test.go
@@ -38,19 +38,14 @@
 		table, fleet := standin.NewTable(), newFakeFleet(time.Second)
 		p := mustPool(pool.Spec{Name: "desk", MaxUnavailable: "2"})
 		fleet.addPool(table, p.Name(), 10)
-		rows, err := pool.NewStore(table).List(t.Context())
-		qt.Assert(t, err, qt.IsNil)
-		waves := wave.NewStore(table)
-		_, err = waves.Create(t.Context(), wave.Spec{Name: "kernel"}, time.Now(), []pool.Pool{p}, rows)
-		qt.Assert(t, err, qt.IsNil)
+		createWave(t, table, wave.Spec{Name: "kernel"}, []pool.Pool{p}, listInstances(t, table))
 		restore := overwrite(t, table, pool.InstanceKey("desk-003"))
 		qt.Assert(t, table.Commit(t.Context(), provider.Txn{Writes: []provider.Write{{Key: "wave/other", Value: []byte("{")}}}), qt.IsNil)
 
 		holder := duty.NewFleet(duty.FleetOptions{
 			Table: table, Instances: fleet, Pools: func() []pool.Pool { return []pool.Pool{p} }, Logger: hclog.New(&hclog.LoggerOptions{Output: &log}),
 		})
-		lease := &fakeLease{}
-		lease.acquire(table)
+		lease := newFakeLease(table)
 		runPasses := func() {
 			for range 2000 {
 				qt.Assert(t, holder.Pass(t.Context(), lease), qt.IsNil)
@@ -74,9 +69,7 @@
 			}
 			qt.Assert(t, m.reboots, qt.Equals, want, qt.Commentf("%s", id))
 		}
-		stored, err := waves.Get(t.Context(), "kernel")
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, stored.State(), qt.Equals, wave.StateRunning)
+		qt.Assert(t, waveState(t, table, "kernel"), qt.Equals, wave.StateRunning)
 		for _, line := range []string{"kind=instance id=desk-003", "kind=wave id=other"} {
 			qt.Assert(t, log.String(), qt.Contains, line)
 		}
@@ -84,9 +77,7 @@
 		restore()
 		runPasses()
 		qt.Assert(t, fleet.instances["desk-003"].reboots, qt.Equals, 1)
-		stored, err = waves.Get(t.Context(), "kernel")
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, stored.State(), qt.Equals, wave.StateDone)
+		qt.Assert(t, waveState(t, table, "kernel"), qt.Equals, wave.StateDone)
 	})
 }
 
@@ -113,19 +104,14 @@
 				running := r.job(long)
 				qt.Assert(t, running.State, qt.Equals, job.StateRunning)
 				restore := overwrite(t, r.platform.Table(), tt.key(running))
-				var ids []string
-				for range 4 {
-					ids = append(ids, r.submit(job.Spec{Kind: "short", Cores: 32}))
-				}
+				ids := r.submitMany(4, job.Spec{Kind: "short", Cores: 32})
 				for range 60 {
 					r.runPasses(time.Second)
 					for _, id := range ids {
 						qt.Assert(t, r.job(id).Worker, qt.Not(qt.Equals), running.Worker)
 					}
 				}
-				for _, id := range ids {
-					qt.Check(t, r.job(id).State, qt.Equals, job.StateDone)
-				}
+				r.checkStates(ids, job.StateDone)
 				restore()
 				r.runPasses(3 * time.Minute)
 				qt.Assert(t, r.job(long).State, qt.Equals, job.StateDone)
