--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -16,23 +16,23 @@
 	"github.com/chivetiller/chivetiller/store/memory"
 )
 
-// numberDecoder decodes configurations that consist of a version number only.
-type numberDecoder struct{}
+// VersionDecoder decodes configurations that consist of a version number only.
+type VersionDecoder struct{}
 
-func (numberDecoder) Table() string             { return "op" }
-func (numberDecoder) ConfigRow() store.Key      { return store.Key{Table: "op", Name: "config"} }
-func (numberDecoder) IsWave(row store.Row) bool { return strings.HasPrefix(row.Name, "wave/") }
+func (VersionDecoder) Table() string             { return "op" }
+func (VersionDecoder) ConfigRow() store.Key      { return store.Key{Table: "op", Name: "config"} }
+func (VersionDecoder) IsWave(row store.Row) bool { return strings.HasPrefix(row.Name, "wave/") }
 
-func (numberDecoder) DecodeConfig(value []byte) (*Catalog, error) {
+func (VersionDecoder) DecodeConfig(value []byte) (*Catalog, error) {
 	n, err := strconv.ParseUint(string(value), 10, 64)
 	return New(n, 0, nil, nil, nil), err
 }
 
-func (numberDecoder) DecodeWave(row store.Row) (instance.Wave, error) {
+func (VersionDecoder) DecodeWave(row store.Row) (instance.Wave, error) {
 	return instance.Wave{Number: len(row.Value)}, nil
 }
 
-func (numberDecoder) WaveStatus(row store.Key, _ bool) store.Put { return store.Put{Key: row} }
+func (VersionDecoder) WaveStatus(row store.Key, _ bool) store.Put { return store.Put{Key: row} }
 
 // TestFollow guards against a configuration or a wave that is missed because rows change between two reads, history is dropped or reads
 // fail, and against an earlier configuration, with withdrawn keys, that counts as confirmed.
@@ -66,7 +66,7 @@
 			}
 			return memory.None
 		})
-		source := NewSource(SourceOptions{Store: s, Clock: &store.Clock{}, Decoder: numberDecoder{}})
+		source := NewSource(SourceOptions{Store: s, Clock: &store.Clock{}, Decoder: VersionDecoder{}})
 		for range 40 {
 			before, confirmed := version, source.confirmedAt
 			if err := source.readRows(t.Context()); err != nil && !errors.Is(err, store.ErrNotDone) {
--- a/catalog/source_test.go
+++ b/catalog/source_test.go
@@ -2,39 +2,17 @@
 
 import (
 	"context"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/catalog"
-	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 )
 
-// versionDecoder decodes configurations that consist of a version number only.
-type versionDecoder struct{}
-
-func (versionDecoder) Table() string             { return "op" }
-func (versionDecoder) ConfigRow() store.Key      { return store.Key{Table: "op", Name: "config"} }
-func (versionDecoder) IsWave(row store.Row) bool { return strings.HasPrefix(row.Name, "wave/") }
-
-func (versionDecoder) DecodeConfig(value []byte) (*catalog.Catalog, error) {
-	n, err := strconv.ParseUint(string(value), 10, 64)
-	return catalog.New(n, 0, nil, nil, nil), eris.Wrap(err, "number")
-}
-
-func (versionDecoder) DecodeWave(row store.Row) (instance.Wave, error) {
-	return instance.Wave{Number: len(row.Value)}, nil
-}
-
-func (versionDecoder) WaveStatus(row store.Key, _ bool) store.Put { return store.Put{Key: row} }
-
 // fakePeers returns a configuration of another process.
 type fakePeers struct {
 	snapshot atomic.Pointer[catalog.Snapshot]
@@ -48,7 +26,7 @@
 }
 
 func writeConfig(t *testing.T, s *memory.Store, value string) uint64 {
-	result, err := s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: versionDecoder{}.ConfigRow(), Value: []byte(value)}}})
+	result, err := s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: catalog.VersionDecoder{}.ConfigRow(), Value: []byte(value)}}})
 	qt.Assert(t, err, qt.IsNil)
 	return result.Version
 }
@@ -63,7 +41,7 @@
 }
 
 func startSource(t *testing.T, s *memory.Store, p catalog.Peers) *catalog.Source {
-	source := catalog.NewSource(catalog.SourceOptions{Store: s, Clock: &store.Clock{}, Decoder: versionDecoder{}, Peers: p})
+	source := catalog.NewSource(catalog.SourceOptions{Store: s, Clock: &store.Clock{}, Decoder: catalog.VersionDecoder{}, Peers: p})
 	source.Start()
 	t.Cleanup(source.Stop)
 	return source
