--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -125,6 +125,13 @@
 // TestChanges guards against work that is sent to an instance that is leaving or has left its pool, and against an
 // instance that stays unused after it came back, for each order in which the sources can report the change.
 func TestChanges(t *testing.T) {
+	// update returns a change of the platform, followed by a wait.
+	update := func(wait time.Duration, do func(f *fakePlatform)) func(*fakePlatform, *directory.Directory) {
+		return func(f *fakePlatform, _ *directory.Directory) {
+			f.update(func() { do(f) })
+			time.Sleep(wait)
+		}
+	}
 	tests := map[string]struct {
 		change func(f *fakePlatform, d *directory.Directory)
 		want   []string
@@ -156,53 +163,37 @@
 			want: []string{"a", "b"},
 		},
 		"list says leaving before the row does": {
-			change: func(f *fakePlatform, _ *directory.Directory) {
-				f.update(func() {
-					f.reports["b"] = provider.Instance{ID: "b", Address: "127.0.0.1:2", Incarnation: 1, State: provider.InstanceLeaving, Reported: time.Now()}
-				})
-				time.Sleep(time.Second)
-			},
+			change: update(time.Second, func(f *fakePlatform) {
+				f.reports["b"] = provider.Instance{ID: "b", Address: "127.0.0.1:2", Incarnation: 1, State: provider.InstanceLeaving, Reported: time.Now()}
+			}),
 			want: []string{"a"},
 		},
 		"list still says leaving after the return": {
-			change: func(f *fakePlatform, _ *directory.Directory) {
-				f.update(func() {
-					f.reports["b"] = provider.Instance{ID: "b", Address: "127.0.0.1:2", Incarnation: 1, State: provider.InstanceLeaving, Reported: time.Now()}
-					f.rows[1].Generation, f.rows[1].ReportBaseline = 3, time.Now()
-				})
-				time.Sleep(time.Second)
-			},
+			change: update(time.Second, func(f *fakePlatform) {
+				f.reports["b"] = provider.Instance{ID: "b", Address: "127.0.0.1:2", Incarnation: 1, State: provider.InstanceLeaving, Reported: time.Now()}
+				f.rows[1].Generation, f.rows[1].ReportBaseline = 3, time.Now()
+			}),
 			want: []string{"a", "b"},
 		},
 		"instance gone": {
-			change: func(f *fakePlatform, _ *directory.Directory) {
-				f.update(func() { f.reports["a"] = provider.Instance{ID: "a", State: provider.InstanceGone, Incarnation: 1} })
-				time.Sleep(time.Second)
-			},
+			change: update(time.Second, func(f *fakePlatform) {
+				f.reports["a"] = provider.Instance{ID: "a", State: provider.InstanceGone, Incarnation: 1}
+			}),
 			want: []string{"b"},
 		},
 		"instance moved to another pool": {
-			change: func(f *fakePlatform, _ *directory.Directory) {
-				f.update(func() { f.rows[0].Pool, f.rows[0].Generation = "spare", 2 })
-				time.Sleep(time.Second)
-			},
-			want: []string{"b"},
+			change: update(time.Second, func(f *fakePlatform) { f.rows[0].Pool, f.rows[0].Generation = "spare", 2 }),
+			want:   []string{"b"},
 		},
 		"platform down": {
-			change: func(f *fakePlatform, _ *directory.Directory) {
-				f.update(func() { f.unavailable = true })
-				time.Sleep(time.Minute)
-			},
-			want: []string{"a", "b"},
+			change: update(time.Minute, func(f *fakePlatform) { f.unavailable = true }),
+			want:   []string{"a", "b"},
 		},
 		"row that cannot be read": {
-			change: func(f *fakePlatform, _ *directory.Directory) {
-				f.update(func() {
-					f.unreadable = map[string]bool{"a": true}
-					f.rows[1].State, f.rows[1].Generation = pool.StateDraining, 2
-				})
-				time.Sleep(time.Minute)
-			},
+			change: update(time.Minute, func(f *fakePlatform) {
+				f.unreadable = map[string]bool{"a": true}
+				f.rows[1].State, f.rows[1].Generation = pool.StateDraining, 2
+			}),
 			want: []string{"a"},
 		},
 		"dispatcher has lost the pool": {
