commands: list the faults of the platform in the table of TestFailures

Five cases set and cleared the faults of the platform with their own functions. The test sets the faults of the table before startFault and clears them before endFault, at the same points as before.

No assertion is touched; they were compared by reading, not counted.

--- a/commands/failure_integration_test.go
+++ b/commands/failure_integration_test.go
@@ -106,7 +106,11 @@
 	if testing.Short() {
 		t.Skip("starts processes and runs for ten seconds")
 	}
+	down := platformstandin.Faults{Down: true}
+	lossy := platformstandin.Faults{LoseResponse: 0.2, Late: 0.1, Duplicate: 0.2, LateBy: 300 * time.Millisecond}
 	tests := map[string]struct {
+		// platform holds the faults of the platform. startFault and endFault start and end others.
+		platform   platformstandin.Faults
 		startFault func(fleet *testFleet)
 		endFault   func(fleet *testFleet)
 		// openServed requires that open work is answered during the fault, at all entry instances together.
@@ -126,17 +130,8 @@
 			startFault: func(fleet *testFleet) { _ = fleet.entries[0].Process.Signal(syscall.SIGSTOP) },
 			endFault:   func(fleet *testFleet) { _ = fleet.entries[0].Process.Signal(syscall.SIGCONT) },
 		},
-		"platform down": {
-			startFault: func(fleet *testFleet) { fleet.platform.SetFaults(platformstandin.Faults{Down: true}) },
-			endFault:   func(fleet *testFleet) { fleet.platform.SetFaults(platformstandin.Faults{}) },
-			openServed: true,
-		},
-		"key revoked while the platform is down": {
-			startFault:   func(fleet *testFleet) { fleet.platform.SetFaults(platformstandin.Faults{Down: true}) },
-			endFault:     func(fleet *testFleet) { fleet.platform.SetFaults(platformstandin.Faults{}) },
-			openServed:   true,
-			revokeDuring: true,
-		},
+		"platform down":                          {platform: down, openServed: true},
+		"key revoked while the platform is down": {platform: down, openServed: true, revokeDuring: true},
 		"key revoked while the endpoints are paused": {
 			startFault:   func(fleet *testFleet) { fleet.pauseEndpoints() },
 			endFault:     func(fleet *testFleet) { fleet.resumeEndpoints() },
@@ -147,31 +142,16 @@
 			startFault: func(fleet *testFleet) { fleet.kill(fleet.waveHolder()) },
 			runWave:    true,
 		},
-		"maintenance wave while the platform loses and repeats": {
-			startFault: func(fleet *testFleet) {
-				fleet.platform.SetFaults(platformstandin.Faults{LoseResponse: 0.2, Late: 0.1, Duplicate: 0.2, LateBy: 300 * time.Millisecond})
-			},
-			endFault: func(fleet *testFleet) { fleet.platform.SetFaults(platformstandin.Faults{}) },
-			runWave:  true,
-		},
-		"platform loses and repeats": {
-			startFault: func(fleet *testFleet) {
-				fleet.platform.SetFaults(platformstandin.Faults{LoseResponse: 0.2, Late: 0.1, Duplicate: 0.2, LateBy: 300 * time.Millisecond})
-			},
-			endFault:   func(fleet *testFleet) { fleet.platform.SetFaults(platformstandin.Faults{}) },
-			openServed: true,
-		},
+		"maintenance wave while the platform loses and repeats": {platform: lossy, runWave: true},
+		"platform loses and repeats":                            {platform: lossy, openServed: true},
 		"data centre partitioned from the platform": {
 			startFault: func(fleet *testFleet) { fleet.platform.Partition(platformstandin.Identity{DataCentre: "north"}) },
 			endFault:   func(fleet *testFleet) { fleet.platform.Heal(platformstandin.Identity{DataCentre: "north"}) },
 			openServed: true,
 		},
 		"killed while the platform is down": {
-			startFault: func(fleet *testFleet) {
-				fleet.platform.SetFaults(platformstandin.Faults{Down: true})
-				fleet.kill(1)
-			},
-			endFault: func(fleet *testFleet) { fleet.platform.SetFaults(platformstandin.Faults{}) },
+			platform:   down,
+			startFault: func(fleet *testFleet) { fleet.kill(1) },
 		},
 	}
 	for name, tt := range tests {
@@ -192,6 +172,7 @@
 			}
 			faultAt := cmp.Or(tt.faultDelay, faultDelay)
 			fleet.waitForLoad(t, faultAt)
+			fleet.platform.SetFaults(tt.platform)
 			if tt.startFault != nil {
 				tt.startFault(fleet)
 			}
@@ -202,6 +183,7 @@
 			time.Sleep(faultDuration)
 			fleet.waitForLoad(t, faultAt+faultDuration)
 			faultEnd := time.Now()
+			fleet.platform.SetFaults(platformstandin.Faults{})
 			if tt.endFault != nil {
 				tt.endFault(fleet)
 			}
