scheduler: keep the fields of a pass over the workers together

The leases of previous leaders and the check for silent workers had added fields that each pass reads of each worker.

--- a/scheduler/doubts.go
+++ b/scheduler/doubts.go
@@ -31,8 +31,11 @@
 
 // doubtSilentWorker records a worker that may be down, and on which recorded runs may be.
 func (c *Core) doubtSilentWorker(ws *workerState) {
-	id := ws.report.ID
-	silence := c.now - max(ws.lastContact, c.servingSince)
+	if c.now-ws.clockReceived <= maxLeaseExtension {
+		// The last reply is not older. Most workers are decided by this field, which each pass reads anyway.
+		return
+	}
+	id, silence := ws.report.ID, c.now-max(ws.lastContact, c.servingSince)
 	if silence <= maxLeaseExtension || !c.leaseRecord.Admits(id, silence, c.now) {
 		return
 	}
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -24,10 +24,10 @@
 	replaced bool
 	// unresponsive means that it was logged that the worker does not answer.
 	unresponsive bool
+	// previousLonger means that previousExpiry is later than requestedExpiry.
+	previousLonger bool
 	// requestedExpiry is the latest lease expiry that was requested, on the worker's clock.
 	requestedExpiry time.Duration
-	// previousExpiry is the latest lease expiry that previous leaders may have requested before the worker answered, on its clock.
-	previousExpiry time.Duration
 	// clock is the worker's clock in a reply. The request was sent at clockSent and the reply received at clockReceived.
 	clock         time.Duration
 	clockReceived time.Duration
@@ -35,6 +35,8 @@
 	// earlier holds the calls to earlier lives. The worker refuses them from ruledOutAt on, which is 0 before.
 	earlier    earlierCalls
 	ruledOutAt time.Duration
+	// previousExpiry is the latest lease expiry that previous leaders may have requested before the worker answered, on its clock.
+	previousExpiry time.Duration
 	// lastContact is the time of the last reply.
 	lastContact time.Duration
 	// noTasksBefore is the time before which the worker gets no tasks.
@@ -191,7 +193,11 @@
 // certainExpiry returns the local time at which all runs on the worker are certain to have ended, if the lease is not renewed.
 func (l *workerLife) certainExpiry() time.Duration {
 	expiry := l.clockReceived
-	if latest := max(l.requestedExpiry, l.previousExpiry); latest > l.clock {
+	latest := l.requestedExpiry
+	if l.previousLonger {
+		latest = l.previousExpiry
+	}
+	if latest > l.clock {
 		expiry += time.Duration(float64(latest-l.clock)/(1-maxClockSlowdown)) + expiryMargin
 	}
 	if l.earlier.fence == 0 {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -191,6 +191,7 @@
 	minClock := ws.minClockAt(max(ws.clockReceived, min(c.now, ws.lastContact+maxLeaseExtension)))
 	expiry := min(minClock+min(leaseDuration, c.options.Bounds.MaxLease), ws.earliestClockAt(c.confirmedAt)+maxUnconfirmedLease)
 	ws.requestedExpiry = max(ws.requestedExpiry, expiry)
+	ws.previousLonger = ws.previousLonger && ws.requestedExpiry < ws.previousExpiry
 }
 
 // contactAge returns the time since the last reply of a worker, for logs. For a worker that has not answered in this term, that is the
@@ -257,7 +258,7 @@
 	c.leaseRecord.TakeBack(id, c.now)
 	if !ws.answered && ws.requestedExpiry == 0 {
 		// The previous leader may have renewed the lease up to now.
-		ws.previousExpiry = status.Clock + leaseDuration
+		ws.previousExpiry, ws.previousLonger = status.Clock+leaseDuration, true
 		c.extendLease(ws)
 	}
 	c.processExits(ws, status.Exited)
