scheduler: bound leases from calls to an earlier life by the expiry that they ask for

A worker that starts again under its ID and is then lost for good kept its runs on record for up to 23 s: until calls to its earlier life had certainly been carried out, and for the longest lease after that.

No call gives a lease beyond its until_ms, on whichever clock that is read. The latest one in calls to earlier lives is kept with their token, and the lease has ended once the clock of the worker has certainly reached it. Calls of earlier leaders are not known; the bound is used only if an earlier life was alive too late for them. The call with the higher token is a poll that is sent as soon as the token is stored, where it waited for the next renewal, up to 1.3 s.

--- a/scheduler/fences.go
+++ b/scheduler/fences.go
@@ -15,15 +15,21 @@
 	// leasesUntil.
 	incarnation int64
 	leasesUntil time.Duration
+	// leaseExpiry is the latest lease expiry in the calls, each on the clock of the life that it was meant for. It bounds the leases of the
+	// next life if onlyOwn is set: no call of an earlier leader can reach that life.
+	leaseExpiry time.Duration
+	onlyOwn     bool
 }
 
-// calls returns the calls to this life and those before it.
-func (l *workerLife) calls() earlierCalls {
+// callsTo returns the calls to a life and those before it.
+func (c *Core) callsTo(l *workerLife) earlierCalls {
 	if l.calledAt == 0 {
 		return l.earlier
 	}
 	return earlierCalls{
 		fence: l.fence, until: max(l.calledAt+maxCommandDelay, l.earlier.until), incarnation: l.identity.Incarnation, leasesUntil: l.earlierExpiry(),
+		leaseExpiry: max(l.requestedExpiry, l.earlier.leaseExpiry),
+		onlyOwn:     l.earlier.onlyOwn || l.aliveAt > c.leaders.ActiveUntil(c.limits.Confirmation)+maxCommandDelay,
 	}
 }
 
@@ -38,7 +44,8 @@
 }
 
 // earlierExpiry returns the local time at which leases that calls to earlier lives may have given to this one have expired. Their expiry is on
-// the clock of an earlier life, so the worker shortens them to the longest lease that it grants.
+// the clock of an earlier life, so the worker shortens them to the longest lease that it grants. They end sooner if its clock reaches the
+// latest expiry that was requested before.
 func (l *workerLife) earlierExpiry() time.Duration {
 	if l.earlier.fence == 0 {
 		return 0
@@ -51,7 +58,11 @@
 	if l.ruledOutAt > 0 {
 		until = min(until, l.ruledOutAt)
 	}
-	return until + time.Duration(float64(l.maxLease)/(1-maxClockSlowdown)) + expiryMargin
+	until += time.Duration(float64(l.maxLease)/(1-maxClockSlowdown)) + expiryMargin
+	if l.earlier.onlyOwn && l.clock > 0 {
+		until = min(until, l.certainlyAt(l.earlier.leaseExpiry))
+	}
+	return until
 }
 
 // SetStoredVersion records the version of a batch that this term has stored. It is below the fencing token of the next leader, which is the
@@ -89,5 +100,5 @@
 			delete(c.earlierCalls, id)
 		}
 	}
-	c.earlierCalls[ws.report.ID] = ws.calls()
+	c.earlierCalls[ws.report.ID] = c.callsTo(ws.workerLife)
 }
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -45,6 +45,8 @@
 	latestClock time.Duration
 	// firstReply is the time at which the worker first answered.
 	firstReply time.Duration
+	// aliveAt is the latest time at which a report was requested that this life has sent, and 0 if its reports do not name it.
+	aliveAt time.Duration
 	// reportedAt is the time of the last report, and reportClock the worker's clock in it.
 	reportedAt  time.Duration
 	reportClock time.Duration
@@ -156,7 +158,7 @@
 	c.recordCrash(ws, runs)
 	ws.endedLives = append(ws.endedLives[max(0, len(ws.endedLives)-maxEndedLives+1):], ended.identity.Incarnation)
 	c.commands = slices.DeleteFunc(c.commands, func(cmd Command) bool { return cmd.call.life == ended })
-	next := c.newLife(ws, worker.Life{ID: ended.identity.ID, Incarnation: incarnation}, ended.calls())
+	next := c.newLife(ws, worker.Life{ID: ended.identity.ID, Incarnation: incarnation}, c.callsTo(ended))
 	ws.workerLife = &next
 	c.forgetTickets(ws)
 	// Starts that got no answer may still reach the new life, which knows no runs. A stop makes the worker reject them.
@@ -178,12 +180,17 @@
 	return l.clock + time.Duration(float64(now-l.clockReceived)*(1-maxClockSlowdown))
 }
 
+// certainlyAt returns the local time at which the clock of the worker has certainly reached a time.
+func (l *workerLife) certainlyAt(clock time.Duration) time.Duration {
+	if clock <= l.clock {
+		return l.clockReceived
+	}
+	return l.clockReceived + time.Duration(float64(clock-l.clock)/(1-maxClockSlowdown)) + expiryMargin
+}
+
 // certainExpiry returns the local time at which all runs on the worker are certain to have ended, if the lease is not renewed.
 func (l *workerLife) certainExpiry() time.Duration {
-	expiry := l.clockReceived
-	if l.requestedExpiry > l.clock {
-		expiry += time.Duration(float64(l.requestedExpiry-l.clock)/(1-maxClockSlowdown)) + expiryMargin
-	}
+	expiry := l.certainlyAt(l.requestedExpiry)
 	if l.earlier.fence == 0 {
 		return expiry
 	}
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -17,9 +17,11 @@
 	c.pursueOrders(ws)
 }
 
-// pursueOrders polls a worker until it has answered a call that rules out the orders whose outcome is unknown.
+// pursueOrders polls a worker until it has answered a call that rules out the orders whose outcome is unknown, and the calls to its earlier
+// lives.
 func (c *Core) pursueOrders(ws *workerState) {
-	if ws.ruleOutFence > ws.ruledOutFence && c.storedVersion > ws.ruleOutFence && ws.answered && !ws.leaseExpired && c.now-ws.lastContact < contactTimeout {
+	inDoubt := ws.ruleOutFence > ws.ruledOutFence && c.storedVersion > ws.ruleOutFence || !ws.ruledOut(c.now) && c.storedVersion > ws.earlier.fence
+	if inDoubt && ws.answered && !ws.leaseExpired && c.now-ws.lastContact < contactTimeout {
 		c.pollWorker(ws)
 	}
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -242,6 +242,9 @@
 		ws.doubtedAt = 0
 	}
 	c.recordClock(ws, status.Reply, sent)
+	if status.Incarnation != 0 {
+		ws.aliveAt = max(ws.aliveAt, sent)
+	}
 	if !ws.answered || silence > contactTimeout {
 		c.logger.Info("Worker has answered.", "worker", id, "pool", ws.report.Pool, "runs", len(status.Running), "ends", len(status.Exited), "lapsed", ws.leaseExpired)
 	}
