scheduler: services do not start on workers that are late with an answer

A worker that had not answered for up to 1.3 s counted like any other, and one that had left a call without an answer was only tried last. Where each worker holds one task of a service, the tasks of workers that had crashed went to others that were down as well, one after the other; such a start takes 4.4 s to be known as lost.

A worker that has not answered for 1 s now gets no start of a service until it answers, which is a matter of a second: after 2 s it is silent. An unanswered call beside recent answers still only makes other workers preferable.

ServiceBesideDoubtedWorker is a table now. It sends the unanswered call as before and also asserts which worker is chosen; its cases of a late answer failed before.

--- a/scheduler/idlestarts_test.go
+++ b/scheduler/idlestarts_test.go
@@ -141,17 +141,41 @@
 	}
 }
 
-// TestServiceBesideDoubtedWorker guards against a task of a service that starts on a worker which is likely to be down, although another one has
-// room.
+// TestServiceBesideDoubtedWorker guards against a task of a service that starts on a worker which is likely to be down, or whose loss takes long
+// to be known, although another one has room. If no other has room, the task waits only as long as the doubt.
 func TestServiceBesideDoubtedWorker(t *testing.T) {
-	for _, doubted := range []string{"w0", "w1"} {
-		t.Run(doubted, func(t *testing.T) {
-			r := newIdleRig(t, 2)
-			r.addService("other", 2, 1000)
-			r.play(time.Second)
-			r.downSince[doubted] = r.now
-			r.renew(doubted)
+	const lateAnswer = doubtedAfter + time.Millisecond
+	tests := map[string]struct {
+		doubt func(r *rig, ws *workerState)
+		// alone means that the task starts there at once if there is no other worker.
+		alone bool
+	}{
+		"call without an answer": {func(r *rig, ws *workerState) {
+			r.core.HandleStatus(r.callTo(ws.report.ID), worker.Status{Reply: worker.Reply{Outcome: worker.Unknown}}, r.now, nil)
+		}, true},
+		"late answer": {func(r *rig, ws *workerState) { ws.lastContact = r.now - lateAnswer }, false},
+	}
+	for name, test := range tests {
+		for i, doubted := range []string{"w0", "w1"} {
+			t.Run(fmt.Sprint(name, ", ", doubted), func(t *testing.T) {
+				r := newIdleRig(t, 2)
+				r.addService("other", 2, 1000)
+				r.play(time.Second)
+				test.doubt(r.rig, r.core.workers[doubted])
+				r.addService("s", 1, 1000)
+				starts := startsOf(r.pass())
+				qt.Assert(t, starts, qt.DeepEquals, []string{fmt.Sprint("s 0.0.0 1 w", 1-i)})
+			})
+		}
+		t.Run(name+", alone", func(t *testing.T) {
+			r := newIdleRig(t, 1)
+			test.doubt(r.rig, r.core.workers["w0"])
 			r.addService("s", 1, 1000)
+			commands := r.pass()
+			qt.Assert(t, len(startsOf(commands)) == 1, qt.Equals, test.alone)
+			for _, cmd := range commands {
+				r.carryOut(cmd)
+			}
 			r.play(2 * idleStep)
 			qt.Assert(t, r.isRunning(work.Task{Job: "s"}), qt.IsTrue)
 		})
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -283,6 +283,9 @@
 
 // eligible reports whether the step may run on the worker, apart from free capacity.
 func (c *Core) eligible(s *step, ws *workerState) bool {
+	if s.doc.Service && c.late(ws) {
+		return false
+	}
 	if !ws.report.HasLabel(s.doc.RequiredLabel) || ws.testsLikely || len(ws.unstoredExits)+len(ws.runs) >= maxOpenExits {
 		return false
 	}
--- a/scheduler/usable.go
+++ b/scheduler/usable.go
@@ -26,3 +26,6 @@
 	maxClock := ws.maxClockAt(c.now)
 	return ws.requestedExpiry-maxClock > leaseReserve
 }
+
+// late reports whether a worker should have answered a renewal by now. It is likely to be down, which takes seconds to be known after a start.
+func (c *Core) late(ws *workerState) bool { return c.now-ws.lastContact > doubtedAfter }
