scheduler: services prefer workers whose lease cannot be from a call to an earlier life

If such a worker is lost, its runs count as running for longer than others: until the latest lease expiry that was requested of its earlier lives, or the longest lease after it has ruled out the calls to them.

ServiceBesideDoubtedWorker/lease of an earlier life failed before.

--- a/scheduler/idlestarts_test.go
+++ b/scheduler/idlestarts_test.go
@@ -154,6 +154,10 @@
 			r.core.HandleStatus(r.callTo(ws.report.ID), worker.Status{Reply: worker.Reply{Outcome: worker.Unknown}}, r.now, nil)
 		}, true},
 		"late answer": {func(r *rig, ws *workerState) { ws.lastContact = r.now - lateAnswer }, false},
+		"lease of an earlier life": {func(r *rig, ws *workerState) {
+			ws.earlier = earlierCalls{fence: 1, until: r.now + maxCommandDelay}
+			ws.ruledOutAt = r.now
+		}, true},
 	}
 	for name, test := range tests {
 		for i, doubted := range []string{"w0", "w1"} {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -323,6 +323,9 @@
 	// costDoubted is the cost, for a service, of a worker that has left its latest call unanswered. A start there may take seconds to be known
 	// as lost.
 	costDoubted = 400
+	// costLongLease is the cost, for a service, of a worker that may hold a lease from a call to its earlier life. If it is lost, its runs count
+	// as running for longer.
+	costLongLease = 300
 	// costInterference is the cost of a best-effort task next to a service, or the other way round.
 	costInterference = 3
 	// costSameService is the cost of each task of the same service on a worker, since the loss of the worker takes them all down.
@@ -364,6 +367,9 @@
 		if ws.doubtedAt > 0 {
 			cost += costDoubted
 		}
+		if ws.earlier.fence != 0 && ws.earlierExpiry() > c.now+leaseDuration+maxLeaseExtension {
+			cost += costLongLease
+		}
 		if ws.services == 0 {
 			cost += costMixedUse
 		}
