avoidance: a task that has been idle for 6 s does not wait for quarantined workers

Each failure on a worker began the 2 s anew after which an overdue task may start there. Where the tasks of other services failed by themselves again and again, a task that had waited for the lease of its lost worker waited for up to 2 s more, and found no worker with room that had not just failed.

--- a/internal/workers/avoidance/avoidance.go
+++ b/internal/workers/avoidance/avoidance.go
@@ -18,6 +18,9 @@
 	MaxWait = 2 * time.Second
 	// ProbeInterval is the time after the latest failure on a worker after which it is tried again with an overdue task.
 	ProbeInterval = 2 * time.Second
+	// UrgentAfter is how long a task of a service may be idle until failures on a worker do not keep it from there any more. The users count
+	// the time from then on, and a run that fails counts for them.
+	UrgentAfter = 6 * time.Second
 )
 
 // Worker is what is known against starting a task on a worker. All times are monotonic times of one process.
@@ -38,5 +41,5 @@
 	if w.Leaving || !Overdue(idle) {
 		return false
 	}
-	return now >= min(w.QuarantinedUntil, w.FailedAt+ProbeInterval)
+	return idle >= UrgentAfter || now >= min(w.QuarantinedUntil, w.FailedAt+ProbeInterval)
 }
