scheduler: an order without an answer stays in doubt until a call with a higher token is answered

After a start on a worker had been ruled out, a second one that was sent with the same token was given up. The report of a renewal that had been sent before, with that token, ended the doubt, since the worker was known to refuse the token already; but it told nothing about the second start. No later report was asked, so that the task counted as starting for as long as its worker lived.

StartGivenUpAfterAnother failed before.

--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -146,7 +146,8 @@
 	if to.fence > ws.ruleOutFence {
 		ws.ruledOutFence = ws.ruleOutFence
 	}
-	ws.ordersInDoubt = ws.ruledOutFence < ws.ruleOutFence
+	// A call with a lower token may be answered after one that has ruled out the same tokens for other orders.
+	ws.ordersInDoubt = to.fence <= ws.ruleOutFence
 	for _, r := range runsOn(ws) {
 		switch {
 		case r.phase == planned:
--- a/scheduler/orders_test.go
+++ b/scheduler/orders_test.go
@@ -68,6 +68,30 @@
 	t.Fatal("the task is not started elsewhere")
 }
 
+// TestStartGivenUpAfterAnother guards against a start that is never ruled out, since a report of an earlier call arrives after another start on
+// the same worker was ruled out.
+func TestStartGivenUpAfterAnother(t *testing.T) {
+	r := newRig(t, 1, "w1")
+	r.addSteps("a", 2)
+	starts := r.pass()
+	qt.Assert(t, startsOf(starts), qt.HasLen, 2)
+	for _, cmd := range starts {
+		r.core.HandleReply(cmd, worker.Reply{Outcome: worker.Unknown}, r.now, nil)
+	}
+	ws := r.core.workers["w1"]
+	runs := runsOn(ws)
+	earlier := r.renew("w1")
+	r.core.giveUpStart(runs[0], "test")
+	r.store()
+	r.reply("w1")
+	qt.Assert(t, ws.runs, qt.HasLen, 1)
+	r.core.giveUpStart(runs[1], "test")
+	earlier(r.now, rigIncarnation)
+	qt.Assert(t, ws.runs, qt.HasLen, 1)
+	r.reply("w1")
+	qt.Assert(t, ws.runs, qt.HasLen, 0)
+}
+
 // TestStopWithoutAnswer guards against a stop without an answer that is carried out while other tasks of the service are away.
 func TestStopWithoutAnswer(t *testing.T) {
 	r := newRig(t, 1, "w1", "w2", "w3")
