--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -137,9 +137,11 @@
 	// workersGone means that workers have been removed, or leases of previous leaders have expired, since the records of services were
 	// searched for such workers.
 	workersGone bool
-	// leaseRecord holds the workers that may be down, with the ends of their leases, and servingSince is the time of the first pass.
+	// leaseRecord holds the workers that may be down, with the ends of their leases, and servingSince is the time since which
+	// calls are sent without an interruption. servedAt is the time of the latest pass.
 	leaseRecord  *leaserecord.Record
 	servingSince time.Duration
+	servedAt     time.Duration
 	// previousRuns holds, for each worker that has not answered in this term, the latest runs that previous leaders started there.
 	previousRuns map[string][]recordedRun
 	// earlierCalls holds the calls to workers that were removed, by worker ID.
--- a/scheduler/doubts.go
+++ b/scheduler/doubts.go
@@ -13,6 +13,9 @@
 	// maxDoubtAge is the age of the last confirmation of the leadership up to which workers are recorded. A worker that is recorded while
 	// the store does not answer could not be taken back.
 	maxDoubtAge = time.Second
+	// maxPassGap is the time between two passes from which on the silence of workers counts anew. A process that was suspended finds that
+	// none has answered.
+	maxPassGap = 500 * time.Millisecond
 )
 
 // leaseRecordKey is the key of the record of leases.
@@ -21,12 +24,21 @@
 // SetLeaseEnds sets the record of leases that earlier leaders have stored.
 func (c *Core) SetLeaseEnds(entries leaserecord.Entries) { c.leaseRecord.Adopt(entries) }
 
+// Interrupted records that no calls are sent at present, so that the silence of workers tells nothing.
+func (c *Core) Interrupted() { c.servingSince = 0 }
+
 // mayDoubt reports whether workers may be recorded now.
 func (c *Core) mayDoubt() bool {
-	if c.servingSince == 0 {
+	if c.servingSince == 0 || c.now-c.servedAt > maxPassGap {
 		c.servingSince = c.now
 	}
-	return c.now-c.confirmedAt <= maxDoubtAge && c.refusedRows.Admits(leaseRecordKey)
+	c.servedAt = c.now
+	return c.now-c.confirmedAt <= maxDoubtAge && c.storesBatches() && c.refusedRows.Admits(leaseRecordKey)
+}
+
+// storesBatches reports whether the store has stored a batch lately, or has not had to.
+func (c *Core) storesBatches() bool {
+	return c.unstoredSince == 0 || c.now-max(c.lastStored, c.unstoredSince) < outageAfter
 }
 
 // doubtSilentWorker records a worker that may be down, and on which recorded runs may be.
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -415,6 +415,7 @@
 	c := e.core
 	if !e.options.Leadership.IsLeader(e.options.Core.Fence) {
 		// The state stays valid until another process acquires leadership. A stored batch confirms that none has.
+		c.Interrupted()
 		e.commit(now)
 		return
 	}
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -38,7 +38,7 @@
 
 // mayRuleOut reports whether a higher fencing token can be had soon. The store supplies it.
 func (c *Core) mayRuleOut(ws *workerState) bool {
-	return c.storedVersion > ws.fence || c.unstoredSince == 0 || c.now-max(c.lastStored, c.unstoredSince) < outageAfter
+	return c.storedVersion > ws.fence || c.storesBatches()
 }
 
 // protected reports whether ending a run needs a place in the disruption budget of its step. A stop of it without an answer is not repeated
@@ -146,7 +146,8 @@
 	if to.fence > ws.ruleOutFence {
 		ws.ruledOutFence = ws.ruleOutFence
 	}
-	ws.ordersInDoubt = ws.ruledOutFence < ws.ruleOutFence
+	// A call with a lower token may be answered after one that has ruled out the same tokens for other orders.
+	ws.ordersInDoubt = to.fence <= ws.ruleOutFence
 	for _, r := range runsOn(ws) {
 		switch {
 		case r.phase == planned:
