Leaders model: killed, frozen and cut processes, planned stops during the start, late batches, clock errors, restarted workers

The model knew leaders that are cut off, replaced or resign. It now also suspends a leader between its calls and their replies, ends it for longer, cuts it from the store and all workers, stops it before it has read its rows, loses what it hands over, carries batches out late, adds the error of the store's clock to all times that a process leaves behind, and starts workers again under their ID.

--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -15,7 +15,9 @@
 )
 
 const (
-	modelStep   = 200 * time.Millisecond
+	modelStep = 200 * time.Millisecond
+	// modelAnswer is the time after which the outcome of a batch without an answer is looked up.
+	modelAnswer = 1200 * time.Millisecond
 	modelLength = 26 * time.Second
 	modelZones  = 4
 )
@@ -28,6 +30,8 @@
 	until time.Duration
 	zone  int
 	delay time.Duration
+	// lost is 1 if what is handed over at a resignation is lost, and 2 if the resignation is lost as well.
+	lost int
 }
 
 // modelRow is the leader row.
@@ -35,7 +39,16 @@
 	leader, incarnation, term int
 	version                   uint64
 	resigned                  bool
-	earlierUntil              time.Duration
+	// earlierUntil is on the store's clock, as all times that a process leaves behind.
+	earlierUntil time.Duration
+}
+
+// modelBatch is a batch in flight.
+type modelBatch struct {
+	Batch
+	answerAt time.Duration
+	// version is that of the transaction, and 0 until it is carried out.
+	version uint64
 }
 
 // modelNode is a process that may lead. Each zone has one, and one worker.
@@ -44,27 +57,50 @@
 	upAt              time.Duration
 	seenTerm          int
 	seenAt            time.Duration
+	// clockError is how much the estimate of the store's clock is behind it.
+	clockError time.Duration
+	// frozenAt and frozenUntil are the begin and the end of a suspension. Replies of the last calls before it are processed afterwards.
+	frozenAt, frozenUntil time.Duration
+	replies               []func()
+	// cutUntil is the end of a cut of the process from the store and all workers.
+	cutUntil time.Duration
 	// The fields below are those of the term.
 	core       *Core
 	fence      uint64
 	leaders    horizon.Leaders
 	previous   modelRow
 	validUntil time.Duration
+	// startedAt is the time at which the leader has read all rows.
+	startedAt time.Duration
+	batch     *modelBatch
+	chain     int
+}
+
+// toStore returns a time as the process records it on the store's clock, and fromStore what it reads of a recorded one.
+func (n *modelNode) toStore(at time.Duration) time.Duration {
+	return at - n.clockError + storeClockError
 }
 
+func (n *modelNode) fromStore(at time.Duration) time.Duration { return at + n.clockError }
+
 type modelWorker struct {
-	id       string
-	zone     int
-	rate     float64
-	fence    uint64
-	leaseEnd time.Duration
-	runs     map[work.Task]int
-	highest  map[work.Task]int
-	exits    []worker.Exit
+	id   string
+	zone int
+	// gone means that the worker has ended and stays away.
+	gone bool
+	born time.Duration
+	// incarnation counts the lives of the worker.
+	incarnation int64
+	rate        float64
+	fence       uint64
+	leaseEnd    time.Duration
+	runs        map[work.Task]int
+	highest     map[work.Task]int
+	exits       []worker.Exit
 }
 
 func (w *modelWorker) clock(now time.Duration) time.Duration {
-	return time.Second + time.Duration(float64(now)*w.rate)
+	return time.Second + time.Duration(float64(now-w.born)*w.rate)
 }
 
 // endRuns stops all runs.
@@ -84,6 +120,12 @@
 	nodes   []*modelNode
 	workers []*modelWorker
 	row     modelRow
+	// version is that of the latest transaction, and chain the number of batches.
+	version uint64
+	chain   int
+	// losses holds how the next leaders are lost, with times from when they acquire leadership.
+	losses []modelEvent
+	lostAt time.Duration
 	// heartbeats holds the incarnation and time of the latest heartbeat of each node.
 	heartbeats []struct {
 		incarnation int
@@ -99,7 +141,6 @@
 	progress     []byte
 	roster       map[string]RosterEntry
 	late         []lateCommand
-	terms        int
 }
 
 type lateCommand struct {
@@ -117,6 +158,11 @@
 	return modelEvent{}, false
 }
 
+// reaches reports whether a call of a process to a zone arrives. The store is in zone -1.
+func (m *leadersModel) reaches(n *modelNode, zone int) bool {
+	return m.now >= n.cutUntil && m.reachable(n.zone, zone)
+}
+
 // reachable reports whether a message between two zones arrives. The store is in zone -1.
 func (m *leadersModel) reachable(a, b int) bool {
 	_, cutA := m.active("cut", a)
@@ -124,22 +170,29 @@
 	return a == b || (!cutA && !cutB)
 }
 
+func drawTime(rt *rapid.T, name string, from, to time.Duration) time.Duration {
+	return time.Duration(rapid.IntRange(int(from/modelStep), int(to/modelStep)).Draw(rt, name)) * modelStep
+}
+
 func drawEvents(rt *rapid.T) []modelEvent {
-	drawTime := func(name string, from, to time.Duration) time.Duration {
-		return time.Duration(rapid.IntRange(int(from/modelStep), int(to/modelStep)).Draw(rt, name)) * modelStep
-	}
 	events := make([]modelEvent, rapid.IntRange(2, 9).Draw(rt, "events"))
 	for i := range events {
 		e := modelEvent{
-			kind: rapid.SampledFrom([]string{"cut", "lapse", "resign", "restart", "late", "slow store", "end", "end"}).Draw(rt, "kind"),
-			zone: rapid.IntRange(0, modelZones-1).Draw(rt, "zone"), at: drawTime("at", 2*time.Second, 12*time.Second),
+			kind: rapid.SampledFrom([]string{
+				"cut", "lapse", "resign", "restart", "late", "slow store", "end", "end", "kill", "freeze", "isolate", "slow start", "worker restart",
+			}).Draw(rt, "kind"),
+			zone: rapid.IntRange(0, modelZones-1).Draw(rt, "zone"), at: drawTime(rt, "at", 2*time.Second, 12*time.Second),
 		}
 		switch e.kind {
 		case "cut", "lapse":
-			e.until = e.at + drawTime("for", time.Second, 12*time.Second)
-		case "late":
-			e.until = e.at + drawTime("for", modelStep, 4*time.Second)
-			e.delay = drawTime("delay", modelStep, 12*time.Second)
+			e.until = e.at + drawTime(rt, "for", time.Second, 12*time.Second)
+		case "late", "slow store":
+			e.until = e.at + drawTime(rt, "for", modelStep, 4*time.Second)
+			e.delay = drawTime(rt, "delay", modelStep, 12*time.Second)
+		case "kill", "freeze", "isolate", "slow start":
+			e.until = e.at + drawTime(rt, "for", modelStep, 6*time.Second)
+		case "resign":
+			e.lost = rapid.IntRange(0, 2).Draw(rt, "lost")
 		}
 		events[i] = e
 	}
@@ -158,9 +211,9 @@
 		m.events[i].until += m.now
 	}
 	for zone := range modelZones {
-		m.nodes = append(m.nodes, &modelNode{zone: zone, incarnation: 1})
+		m.nodes = append(m.nodes, &modelNode{zone: zone, incarnation: 1, clockError: drawTime(rt, "clock error", 0, storeClockError)})
 		m.workers = append(m.workers, &modelWorker{
-			id: fmt.Sprint("w", zone), zone: zone, rate: 1 - maxClockSlowdown*float64(zone%2), runs: make(map[work.Task]int), highest: make(map[work.Task]int),
+			id: fmt.Sprint("w", zone), zone: zone, incarnation: rigIncarnation, rate: 1 - maxClockSlowdown*float64(zone%2), runs: make(map[work.Task]int), highest: make(map[work.Task]int),
 		})
 	}
 	m.heartbeats = make([]struct {
@@ -180,12 +233,13 @@
 		}
 		m.disrupt()
 		for _, n := range m.nodes {
-			if m.now >= n.upAt {
+			// A process that goes on after a suspension acts before it reads the store.
+			if m.now >= n.upAt && m.now > n.frozenUntil {
 				m.follow(n)
 			}
 		}
 		for _, n := range m.nodes {
-			if n.core != nil && m.now < n.validUntil {
+			if n.core != nil && m.now < n.validUntil && m.now >= n.startedAt && (m.now >= n.frozenUntil || m.now == n.frozenAt) {
 				m.lead(n)
 			}
 		}
@@ -227,23 +281,56 @@
 		switch e.kind {
 		case "end":
 			m.workers[e.zone].endRuns()
+		case "worker restart":
+			m.restartWorker(m.workers[e.zone])
 		case "restart":
-			n.core, n.incarnation, n.upAt, n.seenTerm = nil, n.incarnation+1, m.now+modelStep*time.Duration(1+e.zone), 0
+			m.end(n, m.now+modelStep*time.Duration(1+e.zone))
+		case "kill":
+			m.end(n, e.until)
+		case "freeze":
+			n.frozenAt, n.frozenUntil = m.now, e.until
+		case "isolate":
+			n.cutUntil = e.until
 		case "resign":
-			if n.core != nil && m.reachable(n.zone, -1) && m.row.version == n.fence {
-				n.core.SetTime(m.now)
-				m.leaseEnds, m.handoverTerm = n.core.LeaseEnds(), m.row.term
-				n.core = nil
-				m.row.resigned, m.row.earlierUntil = true, n.leaders.ActiveUntil(LeadershipTimeout)
-				m.row.version++
-			}
+			m.resign(n, e)
 		}
 	}
 }
 
+// end ends a process without notice. The next one starts at a time.
+func (m *leadersModel) end(n *modelNode, upAt time.Duration) {
+	n.core, n.incarnation, n.upAt, n.seenTerm, n.frozenUntil = nil, n.incarnation+1, upAt, 0, 0
+}
+
+// resign stops a leader as planned. One that has not started yet has nothing to hand over.
+func (m *leadersModel) resign(n *modelNode, e modelEvent) {
+	if n.core == nil || m.now < n.frozenUntil || !m.reaches(n, -1) || m.row.version != n.fence {
+		return
+	}
+	if n.core.SetTime(m.now); m.now >= n.startedAt && e.lost == 0 {
+		m.leaseEnds, m.handoverTerm = n.core.LeaseEnds(), m.row.term
+		for id, end := range m.leaseEnds {
+			m.leaseEnds[id] = n.toStore(end)
+		}
+	}
+	n.core = nil
+	if e.lost < 2 {
+		m.version++
+		m.row.resigned, m.row.earlierUntil, m.row.version = true, n.toStore(n.leaders.ActiveUntil(LeadershipTimeout)), m.version
+	}
+}
+
+// restartWorker starts a worker again under its ID. The registry has to learn of the new life.
+func (m *leadersModel) restartWorker(w *modelWorker) {
+	if _, lapsed := m.active("lapse", w.zone); lapsed || !m.reachable(w.zone, -1) {
+		return
+	}
+	*w = modelWorker{id: w.id, zone: w.zone, rate: w.rate, born: m.now, incarnation: w.incarnation + 1, runs: make(map[work.Task]int), highest: make(map[work.Task]int)}
+}
+
 // follow sends the heartbeat of a node and reads the leader row. The node confirms its term, ends it, or acquires leadership.
 func (m *leadersModel) follow(n *modelNode) {
-	if !m.reachable(n.zone, -1) {
+	if !m.reaches(n, -1) {
 		return
 	}
 	m.heartbeats[n.zone].incarnation, m.heartbeats[n.zone].at = n.incarnation, m.now
@@ -251,7 +338,7 @@
 		n.seenTerm, n.seenAt = m.row.term, m.now
 	}
 	if n.core != nil {
-		m.earlier[n.fence] = n.leaders.ActiveUntil(LeadershipTimeout)
+		m.earlier[n.fence] = n.toStore(n.leaders.ActiveUntil(LeadershipTimeout))
 		if m.row.version == n.fence {
 			n.validUntil = m.now + LeadershipTimeout
 			return
@@ -275,13 +362,20 @@
 	if stored == 0 {
 		stored = m.earlier[m.row.version]
 	}
+	if stored != 0 {
+		stored = n.fromStore(stored)
+	}
 	n.leaders = horizon.Leaders{AcquiredAt: m.now, EarlierUntil: horizon.EarlierUntil(LeadershipTimeout, n.seenAt, stored)}
 	if m.row.resigned || replaced {
 		n.leaders.PreviousEndedAt = m.now
 	}
-	m.row = modelRow{leader: n.zone, incarnation: n.incarnation, term: m.row.term + 1, version: m.row.version + 1}
-	m.terms++
-	n.fence, n.validUntil = m.row.version, m.now+LeadershipTimeout
+	m.version++
+	m.row = modelRow{leader: n.zone, incarnation: n.incarnation, term: m.row.term + 1, version: m.version}
+	n.fence, n.validUntil, n.startedAt = m.row.version, m.now+LeadershipTimeout, m.now
+	n.batch, n.chain, n.replies = nil, m.chain, nil
+	if e, slow := m.active("slow start", n.zone); slow {
+		n.startedAt = e.until
+	}
 	n.core = NewCore(Options{
 		Bounds: rigBounds(), Fence: n.fence, Term: m.row.term, AcquiredAt: m.now, PreviousLeaderEnded: n.leaders.PreviousEndedAt != 0,
 		EarlierLeadersUntil: n.leaders.EarlierUntil,
@@ -291,7 +385,11 @@
 		n.core.SetRoster([]RosterEntry{e})
 	}
 	if m.handoverTerm == m.row.term-1 {
-		n.core.SetLeaseEnds(m.leaseEnds)
+		ends := make(map[string]time.Duration)
+		for id, end := range m.leaseEnds {
+			ends[id] = n.fromStore(end)
+		}
+		n.core.SetLeaseEnds(ends)
 	}
 	var p *work.Progress
 	if m.progress != nil {
@@ -307,7 +405,11 @@
 func (m *leadersModel) lead(n *modelNode) {
 	c := n.core
 	c.SetTime(m.now)
-	store := m.reachable(n.zone, -1)
+	for _, process := range n.replies {
+		process()
+	}
+	n.replies = nil
+	store := m.reaches(n, -1)
 	if store && n.leaders.PreviousEndedAt == 0 && m.heartbeats[n.previous.leader].incarnation != n.previous.incarnation {
 		n.leaders.PreviousEndedAt = m.now
 		c.PreviousLeaderEnded()
@@ -315,8 +417,10 @@
 	if store {
 		var reports []worker.Report
 		for _, w := range m.workers {
-			if _, lapsed := m.active("lapse", w.zone); !lapsed && m.reachable(w.zone, -1) {
-				reports = append(reports, rigReport(w.id, work.Resources{CPU: 4000, Memory: 4000}))
+			if _, lapsed := m.active("lapse", w.zone); !lapsed && !w.gone && m.reachable(w.zone, -1) {
+				report := rigReport(w.id, work.Resources{CPU: 4000, Memory: 4000})
+				report.Incarnation = w.incarnation
+				reports = append(reports, report)
 			}
 		}
 		c.SetWorkers(reports)
@@ -327,39 +431,86 @@
 			if !m.send(n, w, func() { status = m.renew(w, r.Command) }) {
 				status.Outcome = worker.Unknown
 			}
-			c.HandleStatus(r.call, status, m.now, nil)
+			sent := m.now
+			n.replies = append(n.replies, func() { c.HandleStatus(r.call, status, sent, nil) })
 		}
 	}
+	if m.now < n.frozenUntil {
+		return
+	}
+	for _, process := range n.replies {
+		process()
+	}
+	n.replies = nil
 	c.Schedule(m.now)
 	m.carryOut(n)
 	if store {
-		m.store(c)
+		m.store(n)
 		c.Schedule(m.now)
 		m.carryOut(n)
 	}
 }
 
-func (m *leadersModel) store(c *Core) {
-	b := c.TakeBatch(1000)
+// store sends the next batch, unless one is in flight. A batch that is carried out late may be so after the leader has looked up its outcome.
+func (m *leadersModel) store(n *modelNode) {
+	if n.batch == nil {
+		b := &modelBatch{Batch: n.core.TakeBatch(1000)}
+		if b.Empty() {
+			n.core.BatchStored(b.Batch)
+			return
+		}
+		write, fence, chain := m.write(b), n.fence, n.chain
+		carryOut := func() {
+			if m.row.version == fence && m.chain == chain {
+				m.version++
+				m.chain++
+				b.version = m.version
+				write()
+			}
+		}
+		n.batch = b
+		if e, slow := m.active("slow store", n.zone); slow {
+			b.answerAt = m.now + min(e.delay, modelAnswer)
+			m.late = append(m.late, lateCommand{m.now + e.delay, carryOut})
+		} else {
+			carryOut()
+		}
+	}
+	if b := n.batch; m.now >= b.answerAt {
+		n.batch, n.chain = nil, m.chain
+		if b.version == 0 {
+			n.core.BatchFailed(b.Batch)
+			return
+		}
+		n.core.SetStoredVersion(b.version)
+		n.core.BatchStored(b.Batch)
+	}
+}
+
+// write encodes a batch, and returns a function that writes it.
+func (m *leadersModel) write(b *modelBatch) func() {
+	progress := m.progress
 	for _, p := range b.Progress {
 		value, err := cbor.Marshal(p)
 		if err != nil {
 			m.rt.Fatal(err)
 		}
-		m.progress = value
-	}
-	for id, e := range b.Roster {
-		delete(m.roster, id)
-		if e != nil {
-			m.roster[id] = *e
+		progress = value
+	}
+	return func() {
+		m.progress = progress
+		for id, e := range b.Roster {
+			delete(m.roster, id)
+			if e != nil {
+				m.roster[id] = *e
+			}
 		}
 	}
-	c.BatchStored(b)
 }
 
 // send delivers a command to a worker, and reports whether the leader gets the reply.
 func (m *leadersModel) send(n *modelNode, w *modelWorker, deliver func()) bool {
-	if !m.reachable(n.zone, w.zone) {
+	if w.gone || !m.reaches(n, w.zone) {
 		return false
 	}
 	if late, ok := m.active("late", w.zone); ok {
@@ -388,7 +539,7 @@
 
 // extend extends the lease of a worker and reports whether the command is of the latest leader that the worker knows.
 func (m *leadersModel) extend(w *modelWorker, fence uint64, until time.Duration) (worker.Reply, bool) {
-	reply := worker.Reply{Clock: w.clock(m.now), Incarnation: rigIncarnation}
+	reply := worker.Reply{Clock: w.clock(m.now), Incarnation: w.incarnation}
 	if fence < w.fence {
 		reply.Outcome = worker.Fenced
 		return reply, false
@@ -440,7 +591,7 @@
 	case CommandPoll:
 		return m.renew(w, cmd.Renew).Reply
 	}
-	return worker.Reply{Clock: w.clock(m.now), Incarnation: rigIncarnation}
+	return worker.Reply{Clock: w.clock(m.now), Incarnation: w.incarnation}
 }
 
 // TestLeadersModel guards against a task that runs on two workers because a leader takes a permission of an earlier one to have ended:
