Leaders model: tasks of a service run again within 7 s of the last loss of a leader

After the loss of one or two of four workers, two to six leaders are killed, cut off, suspended or stopped as planned, some before they have started.

--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -20,6 +20,8 @@
 	modelAnswer = 1200 * time.Millisecond
 	modelLength = 26 * time.Second
 	modelZones  = 4
+	// modelAtWork is the time after the loss of a leader or worker within which the tasks of a service run again.
+	modelAtWork = idleAfterCalm + maxIdle
 )
 
 // modelEvent is a disruption of the leaders model.
@@ -86,9 +88,9 @@
 type modelWorker struct {
 	id   string
 	zone int
-	// gone means that the worker has ended and stays away.
-	gone bool
 	born time.Duration
+	// goneAt is the time at which the worker has ended for good.
+	goneAt time.Duration
 	// incarnation counts the lives of the worker.
 	incarnation int64
 	rate        float64
@@ -125,7 +127,9 @@
 	chain   int
 	// losses holds how the next leaders are lost, with times from when they acquire leadership.
 	losses []modelEvent
+	// lostAt is the time of the latest loss of a leader or worker, if the play watches whether all tasks run again.
 	lostAt time.Duration
+	endAt  time.Duration
 	// heartbeats holds the incarnation and time of the latest heartbeat of each node.
 	heartbeats []struct {
 		incarnation int
@@ -199,13 +203,13 @@
 	return events
 }
 
-func newLeadersModel(rt *rapid.T) *leadersModel {
+func newLeadersModel(rt *rapid.T, events []modelEvent) *leadersModel {
 	m := &leadersModel{
 		rt: rt, now: time.Minute, roster: make(map[string]RosterEntry), earlier: make(map[uint64]time.Duration), dead: time.Duration(rapid.IntRange(3, 8).Draw(rt, "dead")) * modelStep,
 		doc: work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: modelZones, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Hour}}},
 	}
 	m.doc.Steps[0].Service = rapid.Bool().Draw(rt, "service")
-	m.events = drawEvents(rt)
+	m.events, m.endAt = events, m.now+modelLength
 	for i := range m.events {
 		m.events[i].at += m.now
 		m.events[i].until += m.now
@@ -224,7 +228,7 @@
 }
 
 func (m *leadersModel) play() {
-	for end := m.now + modelLength; m.now < end; m.now += modelStep {
+	for ; m.now < m.endAt; m.now += modelStep {
 		m.deliverLate()
 		for _, w := range m.workers {
 			if w.clock(m.now) >= w.leaseEnd {
@@ -257,6 +261,11 @@
 			on[t] = w.id
 		}
 	}
+	for i := range m.doc.Steps[0].Count {
+		if _, ok := on[work.Task{Job: m.doc.ID, Index: i}]; !ok && m.lostAt > 0 && len(m.losses) == 0 && m.now > m.lostAt+modelAtWork {
+			m.rt.Fatalf("%s: task %d does not run, %s after the last loss, in term %d", m.now-time.Minute, i, m.now-m.lostAt, m.row.term)
+		}
+	}
 }
 
 func (m *leadersModel) deliverLate() {
@@ -281,6 +290,9 @@
 		switch e.kind {
 		case "end":
 			m.workers[e.zone].endRuns()
+		case "worker loss":
+			m.workers[e.zone].goneAt = m.now
+			clear(m.workers[e.zone].runs)
 		case "worker restart":
 			m.restartWorker(m.workers[e.zone])
 		case "restart":
@@ -376,6 +388,9 @@
 	if e, slow := m.active("slow start", n.zone); slow {
 		n.startedAt = e.until
 	}
+	if len(m.losses) > 0 {
+		m.planLoss(n)
+	}
 	n.core = NewCore(Options{
 		Bounds: rigBounds(), Fence: n.fence, Term: m.row.term, AcquiredAt: m.now, PreviousLeaderEnded: n.leaders.PreviousEndedAt != 0,
 		EarlierLeadersUntil: n.leaders.EarlierUntil,
@@ -401,6 +416,20 @@
 	n.core.AddJob(m.doc, p, 0)
 }
 
+// planLoss plans how a new leader is lost.
+func (m *leadersModel) planLoss(n *modelNode) {
+	e := m.losses[0]
+	m.losses = m.losses[1:]
+	e.at += m.now
+	e.until += e.at
+	if e.kind == "resign at start" {
+		e.kind, n.startedAt = "resign", e.at
+	}
+	m.events = append(m.events, e)
+	m.lostAt = max(m.lostAt, e.at)
+	m.endAt = m.lostAt + 2*modelAtWork
+}
+
 // lead runs one pass of a leader, which may be cut off from the store.
 func (m *leadersModel) lead(n *modelNode) {
 	c := n.core
@@ -417,7 +446,7 @@
 	if store {
 		var reports []worker.Report
 		for _, w := range m.workers {
-			if _, lapsed := m.active("lapse", w.zone); !lapsed && !w.gone && m.reachable(w.zone, -1) {
+			if _, lapsed := m.active("lapse", w.zone); !lapsed && (w.goneAt == 0 || m.now < w.goneAt+crashFleetEntry) && m.reachable(w.zone, -1) {
 				report := rigReport(w.id, work.Resources{CPU: 4000, Memory: 4000})
 				report.Incarnation = w.incarnation
 				reports = append(reports, report)
@@ -510,7 +539,7 @@
 
 // send delivers a command to a worker, and reports whether the leader gets the reply.
 func (m *leadersModel) send(n *modelNode, w *modelWorker, deliver func()) bool {
-	if w.gone || !m.reaches(n, w.zone) {
+	if w.goneAt > 0 || !m.reaches(n, w.zone) {
 		return false
 	}
 	if late, ok := m.active("late", w.zone); ok {
@@ -598,5 +627,31 @@
 // of a leader two terms back that is cut off, on a worker that it has not reached and that the registry does not list, or of a command
 // that arrives late. It also guards against one that takes a task to be idle whose latest run an earlier leader has started without a record.
 func TestLeadersModel(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { newLeadersModel(rt).play() })
+	rapid.Check(t, func(rt *rapid.T) { newLeadersModel(rt, drawEvents(rt)).play() })
+}
+
+// TestServiceAfterLostLeaders guards against tasks of a service that wait for the leases of workers that are gone for longer than the users
+// allow, anew with each leader that is lost.
+func TestServiceAfterLostLeaders(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		events := make([]modelEvent, rapid.IntRange(1, modelZones/2).Draw(rt, "lost workers"))
+		for i := range events {
+			events[i] = modelEvent{kind: "worker loss", zone: i, at: drawTime(rt, "at", 2*time.Second, 6*time.Second)}
+		}
+		m := newLeadersModel(rt, events)
+		m.doc.Steps[0].Service, m.dead = true, takeoverTime+modelStep
+		for _, e := range m.events {
+			m.lostAt = max(m.lostAt, e.at)
+		}
+		m.losses = make([]modelEvent, rapid.IntRange(2, 6).Draw(rt, "leaders"))
+		for i := range m.losses {
+			m.losses[i] = modelEvent{
+				kind: rapid.SampledFrom([]string{"kill", "isolate", "freeze", "resign", "resign at start"}).Draw(rt, "loss"),
+				at:   drawTime(rt, "after", 2*modelStep, 6*time.Second), until: drawTime(rt, "for", 7*modelStep, LeadershipTimeout),
+			}
+		}
+		m.losses[0].at = max(m.losses[0].at, 2*time.Second)
+		m.endAt = m.lostAt + time.Hour
+		m.play()
+	})
 }
