--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -378,7 +378,7 @@
 	if stored != 0 {
 		stored = n.fromStore(stored)
 	}
-	n.leaders = horizon.Leaders{AcquiredAt: m.now, EarlierUntil: horizon.EarlierUntil(LeadershipTimeout, n.seenAt, stored)}
+	n.leaders = horizon.Leaders{AcquiredAt: m.now, PreviousSeenAt: n.seenAt, EarlierUntil: horizon.EarlierUntil(LeadershipTimeout, n.seenAt, stored)}
 	if m.row.resigned || replaced {
 		n.leaders.PreviousEndedAt = m.now
 	}
@@ -394,7 +394,7 @@
 	}
 	n.core = NewCore(Options{
 		Bounds: rigBounds(), Fence: n.fence, Term: m.row.term, AcquiredAt: m.now, PreviousLeaderEnded: n.leaders.PreviousEndedAt != 0,
-		EarlierLeadersUntil: n.leaders.EarlierUntil,
+		EarlierLeadersUntil: n.leaders.EarlierUntil, PreviousLeaderSeenAt: n.leaders.PreviousSeenAt,
 	})
 	n.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6}}, []catalog.Pool{{Name: "p"}}, nil))
 	for _, e := range m.roster {
@@ -439,6 +439,7 @@
 		process()
 	}
 	n.replies = nil
+	c.SetConfirmed(n.validUntil - LeadershipTimeout)
 	store := m.reaches(n, -1)
 	if store && n.leaders.PreviousEndedAt == 0 && m.heartbeats[n.previous.leader].incarnation != n.previous.incarnation {
 		n.leaders.PreviousEndedAt = m.now
