--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
+	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -85,6 +87,18 @@
 
 func (n *modelNode) fromStore(at time.Duration) time.Duration { return at + n.clockError }
 
+// recordLeases sets the ends of leases on the store's clock where they are not known yet.
+func (n *modelNode) recordLeases(entries leaserecord.Entries) leaserecord.Entries {
+	for id, e := range entries {
+		if e.StoredEnd == 0 {
+			e.StoredEnd = n.toStore(e.End)
+			entries[id] = e
+			n.core.leaseRecord.SetStoredEnd(id, e.StoredEnd)
+		}
+	}
+	return entries
+}
+
 type modelWorker struct {
 	id   string
 	zone int
@@ -137,14 +151,13 @@
 	}
 	// earlier holds what the heartbeats of the leaders tell of the leaders before, by fencing token.
 	earlier map[uint64]time.Duration
-	// leaseEnds is what a leader has handed over that stopped in handoverTerm.
-	leaseEnds    map[string]time.Duration
-	handoverTerm int
-	dead         time.Duration
-	doc          work.Job
-	progress     []byte
-	roster       map[string]RosterEntry
-	late         []lateCommand
+	// leases is the record of leases, in which only the ends on the store's clock count.
+	leases   leaserecord.Entries
+	dead     time.Duration
+	doc      work.Job
+	progress []byte
+	roster   map[string]RosterEntry
+	late     []lateCommand
 }
 
 type lateCommand struct {
@@ -178,7 +191,7 @@
 	return time.Duration(rapid.IntRange(int(from/modelStep), int(to/modelStep)).Draw(rt, name)) * modelStep
 }
 
-var modelKinds = []string{"cut", "lapse", "resign", "restart", "late", "slow store", "end", "end", "kill", "freeze", "isolate", "slow start"}
+var modelKinds = []string{"cut", "lapse", "resign", "restart", "late", "slow store", "end", "end", "kill", "freeze", "isolate", "slow start", "flap", "flap", "slow store", "refused", "unanswered"}
 
 // drawEvents draws disruptions of modelKinds and of further kinds.
 func drawEvents(rt *rapid.T, kinds ...string) []modelEvent {
@@ -191,7 +204,17 @@
 		switch e.kind {
 		case "cut", "lapse":
 			e.until = e.at + drawTime(rt, "for", time.Second, 12*time.Second)
+		case "flap":
+			// The worker answers for a moment between two silences.
+			e.kind, e.until = "silent", e.at+drawTime(rt, "for", 7*modelStep, 3*time.Second)
+			again := e.until + drawTime(rt, "back for", modelStep, 3*time.Second)
+			events = append(events, modelEvent{kind: e.kind, zone: e.zone, at: again, until: again + 10*time.Second})
+		case "refused", "unanswered":
+			e.zone, e.until = -1, e.at+drawTime(rt, "for", time.Second, 12*time.Second)
 		case "late", "slow store":
+			if e.kind == "slow store" {
+				e.zone = -1
+			}
 			e.until = e.at + drawTime(rt, "for", modelStep, 4*time.Second)
 			e.delay = drawTime(rt, "delay", modelStep, 12*time.Second)
 		case "kill", "freeze", "isolate", "slow start":
@@ -321,10 +344,7 @@
 		return
 	}
 	if n.core.SetTime(m.now); m.now >= n.startedAt && e.lost == 0 {
-		m.leaseEnds, m.handoverTerm = n.core.LeaseEnds(), m.row.term
-		for id, end := range m.leaseEnds {
-			m.leaseEnds[id] = n.toStore(end)
-		}
+		m.leases = n.recordLeases(n.core.LeaseEnds())
 	}
 	n.core = nil
 	if e.lost < 2 {
@@ -400,13 +420,12 @@
 	for _, e := range m.roster {
 		n.core.SetRoster([]RosterEntry{e})
 	}
-	if m.handoverTerm == m.row.term-1 {
-		ends := make(map[string]time.Duration)
-		for id, end := range m.leaseEnds {
-			ends[id] = n.fromStore(end)
-		}
-		n.core.SetLeaseEnds(ends)
+	leases := make(leaserecord.Entries)
+	for id, e := range m.leases {
+		e.End = n.fromStore(e.StoredEnd)
+		leases[id] = e
 	}
+	n.core.SetLeaseEnds(leases)
 	var p *work.Progress
 	if m.progress != nil {
 		p = new(work.Progress)
@@ -490,6 +509,11 @@
 			n.core.BatchStored(b.Batch)
 			return
 		}
+		if _, refused := m.active("refused", -1); refused {
+			n.core.BatchFailed(b.Batch)
+			return
+		}
+		b.LeaseEnds = n.recordLeases(b.LeaseEnds)
 		write, fence, chain := m.write(b), n.fence, n.chain
 		carryOut := func() {
 			if m.row.version == fence && m.chain == chain {
@@ -500,7 +524,7 @@
 			}
 		}
 		n.batch = b
-		if e, slow := m.active("slow store", n.zone); slow {
+		if e, slow := m.active("slow store", -1); slow {
 			b.answerAt = m.now + min(e.delay, modelAnswer)
 			m.late = append(m.late, lateCommand{m.now + e.delay, carryOut})
 		} else {
@@ -509,7 +533,7 @@
 	}
 	if b := n.batch; m.now >= b.answerAt {
 		n.batch, n.chain = nil, m.chain
-		if b.version == 0 {
+		if _, unanswered := m.active("unanswered", -1); unanswered || b.version == 0 {
 			n.core.BatchFailed(b.Batch)
 			return
 		}
@@ -530,6 +554,9 @@
 	}
 	return func() {
 		m.progress = progress
+		if b.LeaseEnds != nil {
+			m.leases = maps.Clone(b.LeaseEnds)
+		}
 		for id, e := range b.Roster {
 			delete(m.roster, id)
 			if e != nil {
@@ -541,7 +568,7 @@
 
 // send delivers a command to a worker, and reports whether the leader gets the reply.
 func (m *leadersModel) send(n *modelNode, w *modelWorker, deliver func()) bool {
-	if w.goneAt > 0 || !m.reaches(n, w.zone) {
+	if _, silent := m.active("silent", w.zone); silent || w.goneAt > 0 || !m.reaches(n, w.zone) {
 		return false
 	}
 	if late, ok := m.active("late", w.zone); ok {
