--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -191,14 +191,17 @@
 	return time.Duration(rapid.IntRange(int(from/modelStep), int(to/modelStep)).Draw(rt, name)) * modelStep
 }
 
-var modelKinds = []string{"cut", "lapse", "resign", "restart", "late", "slow store", "end", "end", "kill", "freeze", "isolate", "slow start", "flap", "flap", "slow store", "refused", "unanswered"}
+var modelKinds = []string{
+	"cut", "lapse", "resign", "restart", "late", "slow store", "refused", "unanswered", "end", "kill", "freeze", "isolate", "slow start", "flap",
+}
 
-// drawEvents draws disruptions of modelKinds and of further kinds.
+// drawEvents draws disruptions of some of modelKinds and of further kinds. Fewer kinds in a play meet each other more often.
 func drawEvents(rt *rapid.T, kinds ...string) []modelEvent {
 	events := make([]modelEvent, rapid.IntRange(2, 9).Draw(rt, "events"))
+	kinds = append(kinds, rapid.SliceOfNDistinct(rapid.SampledFrom(modelKinds), 2, 6, rapid.ID[string]).Draw(rt, "kinds")...)
 	for i := range events {
 		e := modelEvent{
-			kind: rapid.SampledFrom(append(kinds, modelKinds...)).Draw(rt, "kind"),
+			kind: rapid.SampledFrom(kinds).Draw(rt, "kind"),
 			zone: rapid.IntRange(0, modelZones-1).Draw(rt, "zone"), at: drawTime(rt, "at", 2*time.Second, 12*time.Second),
 		}
 		switch e.kind {
