--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -16,9 +17,13 @@
 )
 
 const (
-	modelStep   = 200 * time.Millisecond
+	modelStep = 200 * time.Millisecond
+	// modelAnswer is the time after which the outcome of a batch without an answer is looked up.
+	modelAnswer = 1200 * time.Millisecond
 	modelLength = 26 * time.Second
 	modelZones  = 4
+	// modelAtWork is the time after the loss of a leader or worker within which the tasks of a service run again.
+	modelAtWork = idleAfterCalm + maxIdle
 )
 
 // modelEvent is a disruption of the leaders model.
@@ -29,6 +34,8 @@
 	until time.Duration
 	zone  int
 	delay time.Duration
+	// lost is 1 if what is handed over at a resignation is lost, and 2 if the resignation is lost as well.
+	lost int
 }
 
 // modelRow is the leader row.
@@ -36,7 +43,16 @@
 	leader, incarnation, term int
 	version                   uint64
 	resigned                  bool
-	earlierUntil              time.Duration
+	// earlierUntil is on the store's clock, as all times that a process leaves behind.
+	earlierUntil time.Duration
+}
+
+// modelBatch is a batch in flight.
+type modelBatch struct {
+	Batch
+	answerAt time.Duration
+	// version is that of the transaction, and 0 until it is carried out.
+	version uint64
 }
 
 // modelNode is a process that may lead. Each zone has one, and one worker.
@@ -45,27 +61,62 @@
 	upAt              time.Duration
 	seenTerm          int
 	seenAt            time.Duration
+	// clockError is how much the estimate of the store's clock is behind it.
+	clockError time.Duration
+	// frozenAt and frozenUntil are the begin and the end of a suspension. Replies of the last calls before it are processed afterwards.
+	frozenAt, frozenUntil time.Duration
+	replies               []func()
+	// cutUntil is the end of a cut of the process from the store and all workers.
+	cutUntil time.Duration
 	// The fields below are those of the term.
 	core       *Core
 	fence      uint64
 	leaders    horizon.Leaders
 	previous   modelRow
 	validUntil time.Duration
+	// startedAt is the time at which the leader has read all rows.
+	startedAt time.Duration
+	batch     *modelBatch
+	chain     int
+}
+
+// toStore returns a time as the process records it on the store's clock, and fromStore what it reads of a recorded one.
+func (n *modelNode) toStore(at time.Duration) time.Duration {
+	return at - n.clockError + storeClockError
+}
+
+func (n *modelNode) fromStore(at time.Duration) time.Duration { return at + n.clockError }
+
+// recordLeases sets the ends of leases on the store's clock where they are not known yet.
+func (n *modelNode) recordLeases(entries leaserecord.Entries) leaserecord.Entries {
+	for id, e := range entries {
+		if e.StoredEnd == 0 {
+			e.StoredEnd = n.toStore(e.End)
+			entries[id] = e
+			n.core.leaseRecord.SetStoredEnd(id, e.StoredEnd)
+		}
+	}
+	return entries
 }
 
 type modelWorker struct {
-	id       string
-	zone     int
-	rate     float64
-	fence    uint64
-	leaseEnd time.Duration
-	runs     map[work.Task]int
-	highest  map[work.Task]int
-	exits    []worker.Exit
+	id   string
+	zone int
+	born time.Duration
+	// goneAt is the time at which the worker has ended for good.
+	goneAt time.Duration
+	// incarnation counts the lives of the worker.
+	incarnation int64
+	rate        float64
+	fence       uint64
+	leaseEnd    time.Duration
+	runs        map[work.Task]int
+	highest     map[work.Task]int
+	exits       []worker.Exit
 }
 
 func (w *modelWorker) clock(now time.Duration) time.Duration {
-	return time.Second + time.Duration(float64(now)*w.rate)
+	return time.Second + time.Duration(float64(now-w.born)*w.rate)
 }
 
 // endRuns stops all runs.
@@ -85,6 +136,14 @@
 	nodes   []*modelNode
 	workers []*modelWorker
 	row     modelRow
+	// version is that of the latest transaction, and chain the number of batches.
+	version uint64
+	chain   int
+	// losses holds how the next leaders are lost, with times from when they acquire leadership.
+	losses []modelEvent
+	// lostAt is the time of the latest loss of a leader or worker, if the play watches whether all tasks run again.
+	lostAt time.Duration
+	endAt  time.Duration
 	// heartbeats holds the incarnation and time of the latest heartbeat of each node.
 	heartbeats []struct {
 		incarnation int
@@ -92,14 +151,13 @@
 	}
 	// earlier holds what the heartbeats of the leaders tell of the leaders before, by fencing token.
 	earlier map[uint64]time.Duration
-	// leases is the record of leases.
+	// leases is the record of leases, in which only the ends on the store's clock count.
 	leases   leaserecord.Entries
 	dead     time.Duration
 	doc      work.Job
 	progress []byte
 	roster   map[string]RosterEntry
 	late     []lateCommand
-	terms    int
 }
 
 type lateCommand struct {
@@ -117,6 +175,11 @@
 	return modelEvent{}, false
 }
 
+// reaches reports whether a call of a process to a zone arrives. The store is in zone -1.
+func (m *leadersModel) reaches(n *modelNode, zone int) bool {
+	return m.now >= n.cutUntil && m.reachable(n.zone, zone)
+}
+
 // reachable reports whether a message between two zones arrives. The store is in zone -1.
 func (m *leadersModel) reachable(a, b int) bool {
 	_, cutA := m.active("cut", a)
@@ -124,43 +187,64 @@
 	return a == b || (!cutA && !cutB)
 }
 
-func drawEvents(rt *rapid.T) []modelEvent {
-	drawTime := func(name string, from, to time.Duration) time.Duration {
-		return time.Duration(rapid.IntRange(int(from/modelStep), int(to/modelStep)).Draw(rt, name)) * modelStep
-	}
+func drawTime(rt *rapid.T, name string, from, to time.Duration) time.Duration {
+	return time.Duration(rapid.IntRange(int(from/modelStep), int(to/modelStep)).Draw(rt, name)) * modelStep
+}
+
+var modelKinds = []string{
+	"cut", "lapse", "resign", "restart", "late", "slow store", "refused", "unanswered", "end", "kill", "freeze", "isolate", "slow start", "flap",
+}
+
+// drawEvents draws disruptions of some of modelKinds and of further kinds. Fewer kinds in a play meet each other more often.
+func drawEvents(rt *rapid.T, kinds ...string) []modelEvent {
 	events := make([]modelEvent, rapid.IntRange(2, 9).Draw(rt, "events"))
+	kinds = append(kinds, rapid.SliceOfNDistinct(rapid.SampledFrom(modelKinds), 2, 6, rapid.ID[string]).Draw(rt, "kinds")...)
 	for i := range events {
 		e := modelEvent{
-			kind: rapid.SampledFrom([]string{"cut", "lapse", "resign", "restart", "late", "refused", "unanswered", "end", "end"}).Draw(rt, "kind"),
-			zone: rapid.IntRange(0, modelZones-1).Draw(rt, "zone"), at: drawTime("at", 2*time.Second, 12*time.Second),
+			kind: rapid.SampledFrom(kinds).Draw(rt, "kind"),
+			zone: rapid.IntRange(0, modelZones-1).Draw(rt, "zone"), at: drawTime(rt, "at", 2*time.Second, 12*time.Second),
 		}
 		switch e.kind {
-		case "cut", "lapse", "refused", "unanswered":
-			e.until = e.at + drawTime("for", time.Second, 12*time.Second)
-		case "late":
-			e.until = e.at + drawTime("for", modelStep, 4*time.Second)
-			e.delay = drawTime("delay", modelStep, 12*time.Second)
+		case "cut", "lapse":
+			e.until = e.at + drawTime(rt, "for", time.Second, 12*time.Second)
+		case "flap":
+			// The worker answers for a moment between two silences.
+			e.kind, e.until = "silent", e.at+drawTime(rt, "for", 7*modelStep, 3*time.Second)
+			again := e.until + drawTime(rt, "back for", modelStep, 3*time.Second)
+			events = append(events, modelEvent{kind: e.kind, zone: e.zone, at: again, until: again + 10*time.Second})
+		case "refused", "unanswered":
+			e.zone, e.until = -1, e.at+drawTime(rt, "for", time.Second, 12*time.Second)
+		case "late", "slow store":
+			if e.kind == "slow store" {
+				e.zone = -1
+			}
+			e.until = e.at + drawTime(rt, "for", modelStep, 4*time.Second)
+			e.delay = drawTime(rt, "delay", modelStep, 12*time.Second)
+		case "kill", "freeze", "isolate", "slow start":
+			e.until = e.at + drawTime(rt, "for", modelStep, 6*time.Second)
+		case "resign":
+			e.lost = rapid.IntRange(0, 2).Draw(rt, "lost")
 		}
 		events[i] = e
 	}
 	return events
 }
 
-func newLeadersModel(rt *rapid.T) *leadersModel {
+func newLeadersModel(rt *rapid.T, events []modelEvent) *leadersModel {
 	m := &leadersModel{
 		rt: rt, now: time.Minute, roster: make(map[string]RosterEntry), earlier: make(map[uint64]time.Duration), dead: time.Duration(rapid.IntRange(3, 8).Draw(rt, "dead")) * modelStep,
 		doc: work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: modelZones, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Hour}}},
 	}
 	m.doc.Steps[0].Service = rapid.Bool().Draw(rt, "service")
-	m.events = drawEvents(rt)
+	m.events, m.endAt = events, m.now+modelLength
 	for i := range m.events {
 		m.events[i].at += m.now
 		m.events[i].until += m.now
 	}
 	for zone := range modelZones {
-		m.nodes = append(m.nodes, &modelNode{zone: zone, incarnation: 1})
+		m.nodes = append(m.nodes, &modelNode{zone: zone, incarnation: 1, clockError: drawTime(rt, "clock error", 0, storeClockError)})
 		m.workers = append(m.workers, &modelWorker{
-			id: fmt.Sprint("w", zone), zone: zone, rate: 1 - maxClockSlowdown*float64(zone%2), runs: make(map[work.Task]int), highest: make(map[work.Task]int),
+			id: fmt.Sprint("w", zone), zone: zone, incarnation: rigIncarnation, rate: 1 - maxClockSlowdown*float64(zone%2), runs: make(map[work.Task]int), highest: make(map[work.Task]int),
 		})
 	}
 	m.heartbeats = make([]struct {
@@ -171,7 +255,7 @@
 }
 
 func (m *leadersModel) play() {
-	for end := m.now + modelLength; m.now < end; m.now += modelStep {
+	for ; m.now < m.endAt; m.now += modelStep {
 		m.deliverLate()
 		for _, w := range m.workers {
 			if w.clock(m.now) >= w.leaseEnd {
@@ -180,12 +264,13 @@
 		}
 		m.disrupt()
 		for _, n := range m.nodes {
-			if m.now >= n.upAt {
+			// A process that goes on after a suspension acts before it reads the store.
+			if m.now >= n.upAt && m.now > n.frozenUntil {
 				m.follow(n)
 			}
 		}
 		for _, n := range m.nodes {
-			if n.core != nil && m.now < n.validUntil {
+			if n.core != nil && m.now < n.validUntil && m.now >= n.startedAt && (m.now >= n.frozenUntil || m.now == n.frozenAt) {
 				m.lead(n)
 			}
 		}
@@ -203,6 +288,11 @@
 			on[t] = w.id
 		}
 	}
+	for i := range m.doc.Steps[0].Count {
+		if _, ok := on[work.Task{Job: m.doc.ID, Index: i}]; !ok && m.lostAt > 0 && len(m.losses) == 0 && m.now > m.lostAt+modelAtWork {
+			m.rt.Fatalf("%s: task %d does not run, %s after the last loss, in term %d", m.now-time.Minute, i, m.now-m.lostAt, m.row.term)
+		}
+	}
 }
 
 func (m *leadersModel) deliverLate() {
@@ -227,23 +317,56 @@
 		switch e.kind {
 		case "end":
 			m.workers[e.zone].endRuns()
+		case "worker loss":
+			m.workers[e.zone].goneAt = m.now
+			clear(m.workers[e.zone].runs)
+		case "worker restart":
+			m.restartWorker(m.workers[e.zone])
 		case "restart":
-			n.core, n.incarnation, n.upAt, n.seenTerm = nil, n.incarnation+1, m.now+modelStep*time.Duration(1+e.zone), 0
+			m.end(n, m.now+modelStep*time.Duration(1+e.zone))
+		case "kill":
+			m.end(n, e.until)
+		case "freeze":
+			n.frozenAt, n.frozenUntil = m.now, e.until
+		case "isolate":
+			n.cutUntil = e.until
 		case "resign":
-			if n.core != nil && m.reachable(n.zone, -1) && m.row.version == n.fence {
-				n.core.SetTime(m.now)
-				m.leases = n.core.LeaseEnds()
-				n.core = nil
-				m.row.resigned, m.row.earlierUntil = true, n.leaders.ActiveUntil(LeadershipTimeout)
-				m.row.version++
-			}
+			m.resign(n, e)
 		}
 	}
 }
 
+// end ends a process without notice. The next one starts at a time.
+func (m *leadersModel) end(n *modelNode, upAt time.Duration) {
+	n.core, n.incarnation, n.upAt, n.seenTerm, n.frozenUntil = nil, n.incarnation+1, upAt, 0, 0
+}
+
+// resign stops a leader as planned. One that has not started yet has nothing to hand over.
+func (m *leadersModel) resign(n *modelNode, e modelEvent) {
+	if n.core == nil || m.now < n.frozenUntil || !m.reaches(n, -1) || m.row.version != n.fence {
+		return
+	}
+	if n.core.SetTime(m.now); m.now >= n.startedAt && e.lost == 0 {
+		m.leases = n.recordLeases(n.core.LeaseEnds())
+	}
+	n.core = nil
+	if e.lost < 2 {
+		m.version++
+		m.row.resigned, m.row.earlierUntil, m.row.version = true, n.toStore(n.leaders.ActiveUntil(LeadershipTimeout)), m.version
+	}
+}
+
+// restartWorker starts a worker again under its ID. The registry has to learn of the new life.
+func (m *leadersModel) restartWorker(w *modelWorker) {
+	if _, lapsed := m.active("lapse", w.zone); lapsed || !m.reachable(w.zone, -1) {
+		return
+	}
+	*w = modelWorker{id: w.id, zone: w.zone, rate: w.rate, born: m.now, incarnation: w.incarnation + 1, runs: make(map[work.Task]int), highest: make(map[work.Task]int)}
+}
+
 // follow sends the heartbeat of a node and reads the leader row. The node confirms its term, ends it, or acquires leadership.
 func (m *leadersModel) follow(n *modelNode) {
-	if !m.reachable(n.zone, -1) {
+	if !m.reaches(n, -1) {
 		return
 	}
 	m.heartbeats[n.zone].incarnation, m.heartbeats[n.zone].at = n.incarnation, m.now
@@ -251,7 +374,7 @@
 		n.seenTerm, n.seenAt = m.row.term, m.now
 	}
 	if n.core != nil {
-		m.earlier[n.fence] = n.leaders.ActiveUntil(LeadershipTimeout)
+		m.earlier[n.fence] = n.toStore(n.leaders.ActiveUntil(LeadershipTimeout))
 		if m.row.version == n.fence {
 			n.validUntil = m.now + LeadershipTimeout
 			return
@@ -275,13 +398,23 @@
 	if stored == 0 {
 		stored = m.earlier[m.row.version]
 	}
+	if stored != 0 {
+		stored = n.fromStore(stored)
+	}
 	n.leaders = horizon.Leaders{AcquiredAt: m.now, PreviousSeenAt: n.seenAt, EarlierUntil: horizon.EarlierUntil(LeadershipTimeout, n.seenAt, stored)}
 	if m.row.resigned || replaced {
 		n.leaders.PreviousEndedAt = m.now
 	}
-	m.row = modelRow{leader: n.zone, incarnation: n.incarnation, term: m.row.term + 1, version: m.row.version + 1}
-	m.terms++
-	n.fence, n.validUntil = m.row.version, m.now+LeadershipTimeout
+	m.version++
+	m.row = modelRow{leader: n.zone, incarnation: n.incarnation, term: m.row.term + 1, version: m.version}
+	n.fence, n.validUntil, n.startedAt = m.row.version, m.now+LeadershipTimeout, m.now
+	n.batch, n.chain, n.replies = nil, m.chain, nil
+	if e, slow := m.active("slow start", n.zone); slow {
+		n.startedAt = e.until
+	}
+	if len(m.losses) > 0 {
+		m.planLoss(n)
+	}
 	n.core = NewCore(Options{
 		Bounds: rigBounds(), Fence: n.fence, Term: m.row.term, AcquiredAt: m.now, PreviousLeaderEnded: n.leaders.PreviousEndedAt != 0,
 		EarlierLeadersUntil: n.leaders.EarlierUntil, PreviousLeaderSeenAt: n.leaders.PreviousSeenAt,
@@ -290,7 +423,12 @@
 	for _, e := range m.roster {
 		n.core.SetRoster([]RosterEntry{e})
 	}
-	n.core.SetLeaseEnds(m.leases)
+	leases := make(leaserecord.Entries)
+	for id, e := range m.leases {
+		e.End = n.fromStore(e.StoredEnd)
+		leases[id] = e
+	}
+	n.core.SetLeaseEnds(leases)
 	var p *work.Progress
 	if m.progress != nil {
 		p = new(work.Progress)
@@ -301,12 +439,30 @@
 	n.core.AddJob(m.doc, p, 0)
 }
 
+// planLoss plans how a new leader is lost.
+func (m *leadersModel) planLoss(n *modelNode) {
+	e := m.losses[0]
+	m.losses = m.losses[1:]
+	e.at += m.now
+	e.until += e.at
+	if e.kind == "resign at start" {
+		e.kind, n.startedAt = "resign", e.at
+	}
+	m.events = append(m.events, e)
+	m.lostAt = max(m.lostAt, e.at)
+	m.endAt = m.lostAt + 2*modelAtWork
+}
+
 // lead runs one pass of a leader, which may be cut off from the store.
 func (m *leadersModel) lead(n *modelNode) {
 	c := n.core
 	c.SetTime(m.now)
+	for _, process := range n.replies {
+		process()
+	}
+	n.replies = nil
 	c.SetConfirmed(n.validUntil - LeadershipTimeout)
-	store := m.reachable(n.zone, -1)
+	store := m.reaches(n, -1)
 	if store && n.leaders.PreviousEndedAt == 0 && m.heartbeats[n.previous.leader].incarnation != n.previous.incarnation {
 		n.leaders.PreviousEndedAt = m.now
 		c.PreviousLeaderEnded()
@@ -314,8 +470,10 @@
 	if store {
 		var reports []worker.Report
 		for _, w := range m.workers {
-			if _, lapsed := m.active("lapse", w.zone); !lapsed && m.reachable(w.zone, -1) {
-				reports = append(reports, rigReport(w.id, work.Resources{CPU: 4000, Memory: 4000}))
+			if _, lapsed := m.active("lapse", w.zone); !lapsed && (w.goneAt == 0 || m.now < w.goneAt+crashFleetEntry) && m.reachable(w.zone, -1) {
+				report := rigReport(w.id, work.Resources{CPU: 4000, Memory: 4000})
+				report.Incarnation = w.incarnation
+				reports = append(reports, report)
 			}
 		}
 		c.SetWorkers(reports)
@@ -326,9 +484,17 @@
 			if !m.send(n, w, func() { status = m.renew(w, r.Command) }) {
 				status.Outcome = worker.Unknown
 			}
-			c.HandleStatus(r.call, status, m.now, nil)
+			sent := m.now
+			n.replies = append(n.replies, func() { c.HandleStatus(r.call, status, sent, nil) })
 		}
 	}
+	if m.now < n.frozenUntil {
+		return
+	}
+	for _, process := range n.replies {
+		process()
+	}
+	n.replies = nil
 	c.Schedule(m.now)
 	m.carryOut(n)
 	if store {
@@ -338,39 +504,74 @@
 	}
 }
 
+// store sends the next batch, unless one is in flight. A batch that is carried out late may be so after the leader has looked up its outcome.
 func (m *leadersModel) store(n *modelNode) {
-	c := n.core
-	b := c.TakeBatch(1000)
-	if _, refused := m.active("refused", n.zone); refused {
-		c.BatchFailed(b)
-		return
+	if n.batch == nil {
+		b := &modelBatch{Batch: n.core.TakeBatch(1000)}
+		if b.Empty() {
+			n.core.BatchStored(b.Batch)
+			return
+		}
+		if _, refused := m.active("refused", -1); refused {
+			n.core.BatchFailed(b.Batch)
+			return
+		}
+		b.LeaseEnds = n.recordLeases(b.LeaseEnds)
+		write, fence, chain := m.write(b), n.fence, n.chain
+		carryOut := func() {
+			if m.row.version == fence && m.chain == chain {
+				m.version++
+				m.chain++
+				b.version = m.version
+				write()
+			}
+		}
+		n.batch = b
+		if e, slow := m.active("slow store", -1); slow {
+			b.answerAt = m.now + min(e.delay, modelAnswer)
+			m.late = append(m.late, lateCommand{m.now + e.delay, carryOut})
+		} else {
+			carryOut()
+		}
 	}
-	if b.LeaseEnds != nil {
-		m.leases = b.LeaseEnds
+	if b := n.batch; m.now >= b.answerAt {
+		n.batch, n.chain = nil, m.chain
+		if _, unanswered := m.active("unanswered", -1); unanswered || b.version == 0 {
+			n.core.BatchFailed(b.Batch)
+			return
+		}
+		n.core.SetStoredVersion(b.version)
+		n.core.BatchStored(b.Batch)
 	}
+}
+
+// write encodes a batch, and returns a function that writes it.
+func (m *leadersModel) write(b *modelBatch) func() {
+	progress := m.progress
 	for _, p := range b.Progress {
 		value, err := cbor.Marshal(p)
 		if err != nil {
 			m.rt.Fatal(err)
 		}
-		m.progress = value
+		progress = value
 	}
-	for id, e := range b.Roster {
-		delete(m.roster, id)
-		if e != nil {
-			m.roster[id] = *e
+	return func() {
+		m.progress = progress
+		if b.LeaseEnds != nil {
+			m.leases = maps.Clone(b.LeaseEnds)
+		}
+		for id, e := range b.Roster {
+			delete(m.roster, id)
+			if e != nil {
+				m.roster[id] = *e
+			}
 		}
 	}
-	if _, unanswered := m.active("unanswered", n.zone); unanswered {
-		c.BatchFailed(b)
-		return
-	}
-	c.BatchStored(b)
 }
 
 // send delivers a command to a worker, and reports whether the leader gets the reply.
 func (m *leadersModel) send(n *modelNode, w *modelWorker, deliver func()) bool {
-	if !m.reachable(n.zone, w.zone) {
+	if _, silent := m.active("silent", w.zone); silent || w.goneAt > 0 || !m.reaches(n, w.zone) {
 		return false
 	}
 	if late, ok := m.active("late", w.zone); ok {
@@ -399,7 +600,7 @@
 
 // extend extends the lease of a worker and reports whether the command is of the latest leader that the worker knows.
 func (m *leadersModel) extend(w *modelWorker, fence uint64, until time.Duration) (worker.Reply, bool) {
-	reply := worker.Reply{Clock: w.clock(m.now), Incarnation: rigIncarnation}
+	reply := worker.Reply{Clock: w.clock(m.now), Incarnation: w.incarnation}
 	if fence < w.fence {
 		reply.Outcome = worker.Fenced
 		return reply, false
@@ -451,12 +652,44 @@
 	case CommandPoll:
 		return m.renew(w, cmd.Renew).Reply
 	}
-	return worker.Reply{Clock: w.clock(m.now), Incarnation: rigIncarnation}
+	return worker.Reply{Clock: w.clock(m.now), Incarnation: w.incarnation}
 }
 
 // TestLeadersModel guards against a task that runs on two workers because a leader takes a permission of an earlier one to have ended:
 // of a leader two terms back that is cut off, on a worker that it has not reached and that the registry does not list, or of a command
 // that arrives late. It also guards against one that takes a task to be idle whose latest run an earlier leader has started without a record.
 func TestLeadersModel(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { newLeadersModel(rt).play() })
+	rapid.Check(t, func(rt *rapid.T) { newLeadersModel(rt, drawEvents(rt)).play() })
+}
+
+// TestLeadersModelOfRestartedWorkers guards against a task that runs on two workers because a lease is taken to have ended that a call to the
+// life before has given to a worker that has started again under its ID.
+func TestLeadersModelOfRestartedWorkers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { newLeadersModel(rt, drawEvents(rt, "worker restart")).play() })
+}
+
+// TestServiceAfterLostLeaders guards against tasks of a service that wait for the leases of workers that are gone for longer than the users
+// allow, anew with each leader that is lost.
+func TestServiceAfterLostLeaders(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		events := make([]modelEvent, rapid.IntRange(1, modelZones/2).Draw(rt, "lost workers"))
+		for i := range events {
+			events[i] = modelEvent{kind: "worker loss", zone: i, at: drawTime(rt, "at", 2*time.Second, 6*time.Second)}
+		}
+		m := newLeadersModel(rt, events)
+		m.doc.Steps[0].Service, m.dead = true, takeoverTime+modelStep
+		for _, e := range m.events {
+			m.lostAt = max(m.lostAt, e.at)
+		}
+		m.losses = make([]modelEvent, rapid.IntRange(2, 6).Draw(rt, "leaders"))
+		for i := range m.losses {
+			m.losses[i] = modelEvent{
+				kind: rapid.SampledFrom([]string{"kill", "isolate", "freeze", "resign", "resign at start"}).Draw(rt, "loss"),
+				at:   drawTime(rt, "after", 2*modelStep, 6*time.Second), until: drawTime(rt, "for", 7*modelStep, LeadershipTimeout),
+			}
+		}
+		m.losses[0].at = max(m.losses[0].at, 2*time.Second)
+		m.endAt = m.lostAt + time.Hour
+		m.play()
+	})
 }
