scheduler: a restarted worker may hold a longer lease than its leader gave

A renewal for the life before gives a worker that has started again under its ID a lease by a clock that is far ahead, cut to the longest one that it grants. The next leader, which knew the new life from the roster, took the lease to end 4 s after the first answer, and started the task elsewhere while it ran.

The roster says now of a life that a leader has seen to begin that it may hold such a lease, until that has certainly ended. A leader that reaches the worker counts the longest lease from its first answer; one that does not counts by the rule for restarted workers.

--- a/scheduler/doubts.go
+++ b/scheduler/doubts.go
@@ -67,7 +67,7 @@
 // another life of the worker may still give it one.
 func (c *Core) leaseEndOf(ws *workerState) (end time.Duration, known bool) {
 	switch {
-	case ws.earlier.fence != 0 || !ws.registered():
+	case ws.earlier.fence != 0 || ws.restarted || !ws.registered():
 		return 0, false
 	case !ws.answered:
 		return c.previousLeaseEnd(ws.report.ID), true
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -24,6 +24,8 @@
 	replaced bool
 	// unresponsive means that it was logged that the worker does not answer.
 	unresponsive bool
+	// restarted means that calls to earlier lives may have given this one a lease, in this term or before.
+	restarted bool
 	// previousLonger means that previousExpiry is later than requestedExpiry.
 	previousLonger bool
 	// requestedExpiry is the latest lease expiry that was requested, on the worker's clock.
@@ -163,6 +165,7 @@
 	ws.endedLives = append(ws.endedLives[max(0, len(ws.endedLives)-maxEndedLives+1):], ended.identity.Incarnation)
 	c.commands = slices.DeleteFunc(c.commands, func(cmd Command) bool { return cmd.call.life == ended })
 	next := c.newLife(ws, worker.Life{ID: ended.identity.ID, Incarnation: incarnation}, c.callsTo(ended))
+	next.restarted = true
 	ws.workerLife = &next
 	c.forgetTickets(ws)
 	// Starts that got no answer may still reach the new life, which knows no runs. A stop makes the worker reject them.
@@ -200,6 +203,11 @@
 	return l.clockReceived + time.Duration(float64(clock-l.clock)/(1-maxClockSlowdown)) + expiryMargin
 }
 
+// earlierLeaseEnded reports whether all leases that calls to earlier lives may have given to this one have ended.
+func (l *workerLife) earlierLeaseEnded(now time.Duration) bool {
+	return l.answered && l.ruledOut(now) && now > max(l.earlierExpiry(), l.certainlyAt(l.previousExpiry))
+}
+
 // certainExpiry returns the local time at which all runs on the worker are certain to have ended, if the lease is not renewed.
 func (l *workerLife) certainExpiry() time.Duration {
 	latest := l.requestedExpiry
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -19,13 +19,15 @@
 	Incarnation int64          `cbor:"4,keyasint,omitempty"`
 	Capacity    work.Resources `cbor:"5,keyasint"`
 	DataCentre  string         `cbor:"6,keyasint,omitempty"`
+	// Restarted means that calls to earlier lives of the worker may have given this one a lease, which is as long as a worker grants.
+	Restarted bool `cbor:"7,keyasint,omitempty"`
 }
 
 // SetRoster adds the workers in the roster of the previous leader.
 func (c *Core) SetRoster(roster []RosterEntry) {
 	for _, e := range roster {
 		ws := c.addWorker(worker.Report{ID: e.ID, Pool: e.Pool, Address: e.Address, Incarnation: e.Incarnation, Capacity: e.Capacity, DataCentre: e.DataCentre})
-		ws.unlistedSince = c.now
+		ws.unlistedSince, ws.restarted = c.now, e.Restarted
 		delete(c.rosterChanges, e.ID)
 	}
 }
@@ -70,7 +72,7 @@
 	}
 	return &RosterEntry{
 		ID: ws.report.ID, Pool: ws.report.Pool, Address: ws.report.Address, Incarnation: ws.identity.Incarnation, Capacity: ws.report.Capacity,
-		DataCentre: ws.report.DataCentre,
+		DataCentre: ws.report.DataCentre, Restarted: ws.restarted,
 	}
 }
 
@@ -123,7 +125,7 @@
 // previousLeaseEnd returns the time at which the lease of a worker that has not answered is certain to have expired.
 func (c *Core) previousLeaseEnd(id string) time.Duration {
 	entry, recorded := c.leaseRecord.Entry(id)
-	if ws, ok := c.workers[id]; ok && (!ws.registered() || recorded && !entry.IsOf(ws.identity.Incarnation)) {
+	if ws, ok := c.workers[id]; ok && (!ws.registered() || ws.restarted || recorded && !entry.IsOf(ws.identity.Incarnation)) {
 		return c.leaders.LeasesUntil(c.limits, true)
 	}
 	until := c.previousLeasesExpireAt()
--- a/scheduler/regained_test.go
+++ b/scheduler/regained_test.go
@@ -159,3 +159,30 @@
 	}
 	qt.Assert(t, r.core.workers["w1"].requestedExpiry > r.now, qt.IsTrue)
 }
+
+// TestRestartedWorkerAcrossLostLeaders guards against a task that waits anew after each leader for a worker that has started again under its ID
+// and is gone.
+func TestRestartedWorkerAcrossLostLeaders(t *testing.T) {
+	var starts []string
+	r := newRig(t, 2, "w1")
+	end := r.now + LeadershipTimeout + maxCommandDelay + rigBounds().MaxLease + 2*time.Second
+	for term := 2; r.now < end+5*time.Second; term++ {
+		next := newRig(t, term, "w1")
+		next.now = r.now
+		next.core = NewCore(Options{Bounds: rigBounds(), Fence: uint64(10 * term), Term: term, AcquiredAt: r.now, EarlierLeadersUntil: r.now, LeasesBoundedFrom: 1})
+		next.core.SetCatalog(r.core.catalog)
+		next.core.SetLeaseEnds(r.leases)
+		next.leases, r = r.leases, next
+		r.core.SetRoster([]RosterEntry{{ID: "w9", Pool: "p", Address: "w9:1", Incarnation: rigIncarnation, Capacity: coresOnly(4)}})
+		r.recordedJob("a", "w9")
+		w9 := rigReport("w9", coresOnly(4))
+		w9.Incarnation++
+		for range 80 {
+			r.advance(100 * time.Millisecond)
+			r.core.SetWorkers([]worker.Report{rigReport("w1", coresOnly(4)), w9})
+			r.reply("w1")
+			starts = append(starts, startsOf(r.pass())...)
+		}
+	}
+	qt.Assert(t, len(starts) > 0, qt.IsTrue, qt.Commentf("no start until %v after the time at which the lease had ended", r.now-end))
+}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -89,6 +89,14 @@
 	r.core.SetConfirmed(r.now)
 }
 
+// passUntil runs passes until a time, as often as a leader does at least.
+func (r *rig) passUntil(end time.Duration) {
+	for r.now < end {
+		r.advance(min(maxPassGap, end-r.now))
+		r.schedule()
+	}
+}
+
 // schedule runs a pass and returns the commands.
 func (r *rig) schedule() []Command {
 	r.core.Schedule(r.now)
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -262,6 +262,9 @@
 	if !ws.answered && ws.requestedExpiry == 0 {
 		// The previous leader may have renewed the lease up to now.
 		ws.previousExpiry, ws.previousLonger = status.Clock+leaseDuration, true
+		if ws.restarted && ws.earlier.fence == 0 {
+			ws.previousExpiry = status.Clock + ws.maxLease
+		}
 		c.extendLease(ws)
 	}
 	c.processExits(ws, status.Exited)
@@ -481,6 +484,10 @@
 		}
 		return
 	}
+	if ws.restarted && ws.earlierLeaseEnded(c.now) {
+		ws.restarted = false
+		c.rosterChanges[ws.report.ID] = true
+	}
 	if ws.leaseExpired {
 		if !ws.listed {
 			c.dropSilentWorker(ws, "not in the registry and unresponsive")
