soak: tell requests that a process has read from those it has not

wholeAnswers takes a request for read 0.2 s after it was sent. A process that stands still for longer may not have read it, so that calls counted as broken off that no process had seen.

A socket that is closed with unread bytes sends a reset, one whose bytes were all read ends the stream. Links ended the stream of the client in both cases; now they pass a reset on. Clients and links also notice bytes that cross the close, which a read after the end of the stream does not report. A call whose connection was reset does not count. Any other end counts after 0.2 s, as before, and not sooner: a client may see the end of an idle connection before it writes, which does not show a read.

TestUnread checks both ends directly and through a link. A process that reads a request and then resets the connection itself (SetLinger) would not be found; the program does that only on connections to the store.

--- a/internal/soak/link/link.go
+++ b/internal/soak/link/link.go
@@ -1,4 +1,5 @@
-// Package link forwards TCP connections and disturbs them on demand.
+// Package link forwards TCP connections and disturbs them on demand. If a target closes a connection without having read all that the
+// client has sent, the connection of the client is reset, as it would be without a link; otherwise it ends.
 //
 // # Usage
 //
@@ -9,6 +10,7 @@
 package link
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -109,7 +111,7 @@
 }
 
 func (l *Link) forward(client net.Conn) {
-	server, err := net.Dial("tcp", l.target)
+	server, err := Dial(context.Background(), "tcp", l.target)
 	if err != nil {
 		reset(client)
 		return
@@ -118,12 +120,21 @@
 	l.mu.Lock()
 	l.pipes[p] = true
 	l.mu.Unlock()
-	ends := make(chan bool, 2)
+	ends := make(chan end, 2)
 	go func() { ends <- l.copy(p, client, server, true) }()
 	go func() { ends <- l.copy(p, server, client, false) }()
-	if lost := <-ends; lost {
-		// The other side does not see the end either.
-		<-ends
+	first := <-ends
+	if !first.lost && !first.to {
+		// Bytes that are being forwarded may arrive after the target has closed.
+		interrupt(client)
+	}
+	unread := first.unread
+	if first.lost || !first.to {
+		// If the end is lost, the other side does not see it either.
+		unread = (<-ends).unread || unread
+	}
+	if unread || server.(*Conn).failed() {
+		reset(client)
 	}
 	_ = client.Close()
 	_ = server.Close()
@@ -132,15 +143,23 @@
 	l.mu.Unlock()
 }
 
-// copy forwards one way of a connection until it ends. It reports whether the end is lost.
-func (l *Link) copy(p *pipe, in, out net.Conn, to bool) (lost bool) {
+// end is how one way of a connection ended.
+type end struct {
+	// to means the way to the target, and lost that the end is not passed on.
+	to, lost bool
+	// unread means that the target has not read everything.
+	unread bool
+}
+
+// copy forwards one way of a connection until it ends.
+func (l *Link) copy(p *pipe, in, out net.Conn, to bool) end {
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := in.Read(buffer)
 		lost, delayed := l.pass(p, to)
 		if lost {
 			if err != nil {
-				return true
+				return end{to: to, lost: true}
 			}
 			continue
 		}
@@ -149,11 +168,11 @@
 		}
 		if n > 0 {
 			if _, err := out.Write(buffer[:n]); err != nil {
-				return false
+				return end{to: to, unread: to && isReset(err)}
 			}
 		}
 		if err != nil {
-			return false
+			return end{to: to, unread: !to && isReset(err)}
 		}
 	}
 }
--- a/internal/soak/link/link_test.go
+++ b/internal/soak/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -129,3 +130,45 @@
 	_, err = echo(conn)
 	c.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded)
 }
+
+// TestUnread guards against requests that count as read though the target closed the connection before.
+func TestUnread(t *testing.T) {
+	const read, notRead, crosses = "read", "not read", "crosses the close"
+	for name, want := range map[string]error{read: io.EOF, notRead: syscall.ECONNRESET, crosses: syscall.ECONNRESET} {
+		for _, direct := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, " direct ", direct), func(t *testing.T) {
+				c := qt.New(t)
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				c.Assert(err, qt.IsNil)
+				defer listener.Close()
+				address := listener.Addr().String()
+				if !direct {
+					l, err := link.Listen("127.0.0.1:0", address)
+					c.Assert(err, qt.IsNil)
+					address = l.Address()
+				}
+				client, err := link.Dial(t.Context(), "tcp", address)
+				c.Assert(err, qt.IsNil)
+				defer client.Close()
+				server, err := listener.Accept()
+				c.Assert(err, qt.IsNil)
+				if name == crosses {
+					c.Assert(server.Close(), qt.IsNil)
+				}
+				_, err = client.Write([]byte("request"))
+				c.Assert(err, qt.IsNil)
+				if name == read {
+					_, err = server.Read(make([]byte, 16))
+					c.Assert(err, qt.IsNil)
+				}
+				// The request arrives.
+				time.Sleep(20 * time.Millisecond)
+				if name != crosses {
+					c.Assert(server.Close(), qt.IsNil)
+				}
+				_, err = client.Read(make([]byte, 1))
+				c.Assert(err, qt.ErrorIs, want)
+			})
+		}
+	}
+}
--- a/internal/soak/promises/calls.go
+++ b/internal/soak/promises/calls.go
@@ -179,7 +179,7 @@
 			continue
 		}
 		v.Checked++
-		if c.answer.BrokenOff && c.ended-c.begun > b.LossSlack {
+		if c.answer.BrokenOff && !c.answer.Unread && c.ended-c.begun > b.LossSlack {
 			v.add(s, c.ended, "process %s broke off its answer to a call on queue %s after %s, while it was stopped or reloaded as planned", c.process, c.queue, c.ended-c.begun)
 		}
 	}
--- a/internal/soak/promises/history.go
+++ b/internal/soak/promises/history.go
@@ -118,6 +118,8 @@
 	State State
 	// BrokenOff means that the process had the whole request and the connection ended without a whole answer, not by the client.
 	BrokenOff bool
+	// Unread means that the connection was reset: the process closed it, or ended, before it had read the whole request.
+	Unread bool
 }
 
 // Worker is a life of a worker.
--- a/internal/soak/promises/promises_test.go
+++ b/internal/soak/promises/promises_test.go
@@ -149,7 +149,7 @@
 			s.open[w[0]] = s.Submit(w[1], key, promises.Job{ID: w[2], Queue: "q", Steps: shapes["single"]})
 		}
 	case "close":
-		s.open[w[0]](promises.Answer{Status: number, BrokenOff: w[1] == "broken"})
+		s.open[w[0]](promises.Answer{Status: number, BrokenOff: w[1] == "broken" || w[1] == "unread", Unread: w[1] == "unread"})
 	case "begin", "run":
 		s.runs[name] = s.begin(w[0], number, w[2])
 		if verb == "run" {
@@ -237,6 +237,8 @@
 	"cancelled job begins after an outage of the store":                 {promises.CancelledEnds, 0, "", "submit a 200; cancel a 200; at 3s; disrupt down store; at 3.5s; run a.0.0.0 1 w1 stopped"},
 	"cancelled job works on until a disruption":                         {promises.CancelledEnds, 1, "", "submit a 200; begin a.0.0.0 1 w1; cancel a 200; at 5s; disrupt cut w1; end a.0.0.0 1 stopped"},
 	"answer broken off by a planned stop":                               {promises.WholeAnswers, 1, "", "open x p1; stop p1; at 300ms; close x broken; exit p1"},
+	"answer broken off by a kill within a planned stop":                 {promises.WholeAnswers, 1, "", "stop p1; open x p1; at 5900ms; close x broken; exit p1"},
+	"request that a process never read before its planned end":          {promises.WholeAnswers, 0, "", "open x p1; stop p1; at 2s; close x unread; exit p1"},
 	"answers broken off at once and by a kill":                          {promises.WholeAnswers, 0, "", "open x p1; open y p2; stop p1; open z p1; at 100ms; close z broken; at 300ms; close x 200; exit p2; close y broken; disrupt down store; open w p1; at 600ms; close w broken"},
 	"start on a draining worker":                                        {promises.DrainingSpared, 1, "", "submit a 200; drain w1; at 2.5s; begin a.0.0.0 1 w1"},
 	"starts on a draining worker within the bound and late":             {promises.DrainingSpared, 0, "", "submit a 200 steps; drain w1; begin a.0.0.0 1 w1; at 2.5s; late a.0.0.1 1 w1"},
--- a/internal/soak/world/caller.go
+++ b/internal/soak/world/caller.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/soak/link"
 	"github.com/chivetiller/chivetiller/internal/soak/promises"
 )
 
@@ -34,7 +37,7 @@
 
 // NewCaller returns a client of a process.
 func (w *World) NewCaller(home int) *Caller {
-	return &Caller{w: w, home: home, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}}
+	return &Caller{w: w, home: home, client: &http.Client{Transport: &http.Transport{DialContext: link.Dial, MaxIdleConnsPerHost: 2, DisableCompression: true}}}
 }
 
 // reply is the answer to one attempt.
@@ -42,6 +45,7 @@
 	status     int
 	body       string
 	brokenOff  bool
+	unread     bool
 	retryAfter time.Duration
 }
 
@@ -54,8 +58,19 @@
 	return r.status == 0 || r.status == http.StatusBadGateway || r.status == http.StatusGatewayTimeout
 }
 
+// shown returns the body, or what became of the connection, for the record.
+func (r reply) shown() string {
+	switch {
+	case r.unread:
+		return "connection reset"
+	case r.brokenOff:
+		return "answer broken off"
+	}
+	return r.body
+}
+
 func (r reply) answer() promises.Answer {
-	a := promises.Answer{Status: r.status, BrokenOff: r.brokenOff}
+	a := promises.Answer{Status: r.status, BrokenOff: r.brokenOff, Unread: r.unread}
 	var shown struct {
 		State promises.State `json:"state"`
 	}
@@ -87,15 +102,17 @@
 	request.Header.Set(keyHeader, key)
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Chivetiller-Timeout-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
-	broken := func() reply { return reply{brokenOff: written.Load() && ctx.Err() == nil} }
+	broken := func(err error) reply {
+		return reply{brokenOff: written.Load() && ctx.Err() == nil, unread: errors.Is(err, syscall.ECONNRESET)}
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return broken()
+		return broken(err)
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		return broken()
+		return broken(err)
 	}
 	r := reply{status: response.StatusCode, body: string(data)}
 	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
@@ -115,7 +132,7 @@
 		}
 		last = c.send(method, n, path, key, body)
 		answered(last.answer())
-		c.w.Record("client: %s %s at %s: %d %s", method, path, n.name, last.status, last.body)
+		c.w.Record("client: %s %s at %s: %d %s", method, path, n.name, last.status, last.shown())
 		if !last.refused() && !last.unknown() {
 			return last
 		}
