--- a/internal/http/drain/drain.go
+++ b/internal/http/drain/drain.go
@@ -25,7 +25,7 @@
 )
 
 // interval is how often connections that have become idle are ended.
-const interval = 10 * time.Millisecond
+const interval = 20 * time.Millisecond
 
 // Drainer ends the connections of a server.
 type Drainer struct {
@@ -85,14 +85,17 @@
 	d.mu.Unlock()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	for d.interrupt() > 0 {
+	for {
+		// The wait before the first round lets the server read what has arrived, for example while the process was paused.
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		if d.interrupt() == 0 {
+			return nil
+		}
 	}
-	return nil
 }
 
 // interrupt ends the reads of connections without a request, and returns how many connections are open.
