--- a/node/listener.go
+++ b/node/listener.go
@@ -10,7 +10,6 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rotisserie/eris"
 
-	"github.com/chivetiller/chivetiller/internal/http/drain"
 	"github.com/chivetiller/chivetiller/kernel"
 )
 
@@ -21,10 +20,9 @@
 	idleTimeout = time.Minute
 )
 
-// httpService returns a service that serves a handler on an address. Its stop waits up to timeout for requests to end.
-func (n *Node) httpService(name, address string, handler http.Handler, timeout time.Duration, needs []string) kernel.Service {
+// httpService returns a service that serves a handler on an address. Its stop waits up to drain for requests to end.
+func (n *Node) httpService(name, address string, handler http.Handler, drain time.Duration, needs []string) kernel.Service {
 	var server *kratoshttp.Server
-	drainer := drain.New()
 	return kernel.Service{
 		Name: name, Needs: needs,
 		Start: func(context.Context) error {
@@ -34,10 +32,10 @@
 			}
 			server = kratoshttp.NewServer(kratoshttp.Listener(listener), kratoshttp.Address(address), kratoshttp.Timeout(0))
 			// The handler replaces the router of the library, which is not needed and costs time for each request.
-			server.Handler, server.ConnState = drainer.Handler(handler), drainer.ConnState
+			server.Handler = handler
 			server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
 			go func() {
-				if err := server.Serve(drainer.Listener(listener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 					n.logger.Error("Listener has failed.", "listener", name, "error", err)
 				}
 			}()
@@ -45,11 +43,8 @@
 			return nil
 		},
 		Stop: func(ctx context.Context) error {
-			limited, cancel := context.WithTimeout(ctx, timeout)
+			limited, cancel := context.WithTimeout(ctx, drain)
 			defer cancel()
-			if err := drainer.Drain(limited); err != nil {
-				n.logger.Debug("Connections are left.", "listener", name, "error", err)
-			}
 			if err := server.Shutdown(limited); err != nil {
 				n.logger.Warn("Requests were aborted because they did not end in time.", "listener", name, "error", err)
 				return server.Close()
