--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -31,6 +31,7 @@
 // cases lists the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(w *world.World, trouble bool) (broken bool, err error){
 	"gang":      playGang,
+	"restarted": playRestarted,
 	"withdrawn": playWithdrawn,
 }
 
