scheduler: finish a wave only without instances that are proven to be gone

Cause: planWave dropped an instance for good when the latest list lacked it. That list may be 0.3 s old, 3 s while the service is busy, and older than the instance. Evidence: the line 'does not exist' comes before the first list that was requested after the wave; a busy list service widens the window, a new leader, which reads its own list, closes it.

An instance now counts as gone when all complete lists of 1.5 s lack it. Until then the wave is not finished, and an instance in maintenance that a list lacks still counts as down. The answer 'no such instance' no longer drops an instance that the lists have. A list with an entry without ID proves no absence.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -98,8 +98,11 @@
 	c.fleet.malformed = malformed
 	clear(c.fleet.instances)
 	clear(c.fleet.byWorker)
+	complete := true
 	for _, inst := range instances {
 		if inst.ID == "" {
+			// The entry may be that of any instance that is missing.
+			complete = false
 			continue
 		}
 		if mv, ok := c.fleet.acceptedMoves[inst.ID]; ok {
@@ -117,6 +120,11 @@
 			c.fleet.byWorker[inst.Worker] = inst.ID
 		}
 	}
+	for _, w := range c.fleet.waves {
+		if !w.finished && complete {
+			c.recordAbsences(w, at)
+		}
+	}
 }
 
 // NeedsInstances reports whether the scheduler needs the list of instances: there is an unfinished wave or a spare pool.
@@ -372,14 +380,15 @@
 		}
 	case instance.Fenced:
 		c.deposed = true
-	case instance.NotInWave, instance.Invalid:
+	case instance.NotInWave:
 		if w != nil {
 			w.dropped[cmd.Instance] = true
 		}
 		if ws, ok := c.workers[cmd.worker]; ok {
 			ws.cordoned = false
 		}
-	case instance.Busy, instance.Unknown:
+	case instance.Busy, instance.Unknown, instance.Invalid:
+		// Invalid may mean that the platform does not know the instance yet, or not any more. Only the lists tell.
 		f.pausedUntil[cmd.Instance] = c.now + c.recordRefusal(w, cmd.Instance)
 	default:
 		f.pausedUntil[cmd.Instance] = c.now + instanceRetryPause
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -22,9 +22,11 @@
 	acceptedAt map[string]time.Duration
 	// commandedAt holds the time of the latest maintenance command for an instance, and refusals the number of commands in a row that
 	// the instance has not accepted.
-	commandedAt   map[string]time.Duration
-	refusals      map[string]int
+	commandedAt map[string]time.Duration
+	refusals    map[string]int
+	// dropped holds the instances that do not belong to the wave according to the platform.
 	dropped       map[string]bool
+	unlisted      map[string]absence
 	drainingSince map[string]time.Duration
 	finished      bool
 	// changed means that finished or since is not stored, and unstored lists the instances whose begun maintenance is not.
@@ -49,7 +51,7 @@
 	if _, ok := c.fleet.waves[doc.Number]; ok {
 		return
 	}
-	w := &wave{doc: doc, since: c.now, begun: make(map[string]string), acceptedAt: make(map[string]time.Duration), commandedAt: make(map[string]time.Duration), refusals: make(map[string]int), dropped: make(map[string]bool), drainingSince: make(map[string]time.Duration), changed: progress == nil}
+	w := &wave{doc: doc, since: c.now, begun: make(map[string]string), acceptedAt: make(map[string]time.Duration), commandedAt: make(map[string]time.Duration), refusals: make(map[string]int), dropped: make(map[string]bool), unlisted: make(map[string]absence), drainingSince: make(map[string]time.Duration), changed: progress == nil}
 	if progress != nil {
 		for id, worker := range progress.Begun {
 			w.begun[id] = worker
@@ -72,6 +74,7 @@
 			down++
 		}
 	}
+	unlisted, gone := 0, 0
 	waiting := make([]string, 0, len(w.doc.Instances))
 	for _, id := range w.doc.Instances {
 		if _, started := w.begun[id]; started || w.dropped[id] {
@@ -79,8 +82,11 @@
 		}
 		inst, ok := f.instances[id]
 		if !ok {
-			c.logger.Warn("Instance of a wave does not exist.", "wave", w.doc.Number, "instance", id)
-			w.dropped[id] = true
+			if w.unlisted[id].proven() {
+				gone++
+			} else {
+				unlisted++
+			}
 			continue
 		}
 		waiting = append(waiting, id)
@@ -92,9 +98,9 @@
 		}
 	}
 	if len(waiting) == 0 {
-		if !w.finished {
+		if !w.finished && unlisted == 0 {
 			w.finished, w.changed = true, true
-			c.logger.Info("Wave is finished.", "wave", w.doc.Number, "took", c.now-w.since, "instances", len(w.begun), "dropped", len(w.dropped))
+			c.logger.Info("Wave is finished.", "wave", w.doc.Number, "took", c.now-w.since, "instances", len(w.begun), "dropped", len(w.dropped), "gone", gone)
 		}
 		return
 	}
@@ -116,7 +122,7 @@
 	f := c.fleet
 	inst, ok := f.instances[id]
 	if !ok {
-		return false
+		return !w.unlisted[id].proven()
 	}
 	if inst.State != instance.Up && inst.State != instance.Moving {
 		return true
@@ -128,6 +134,42 @@
 	return previous && f.listedAt <= at+listLag
 }
 
+// absence is the time during which an instance of a wave was in no list: from the first such list to the latest.
+type absence struct {
+	first, latest time.Duration
+	// logged means that the instance was reported as gone.
+	logged bool
+}
+
+// proven reports whether the instance does not exist any more. A single list may lack an instance that has just joined, or that has
+// changed its place between two pages of the list.
+func (a absence) proven() bool { return a.latest-a.first >= listLag }
+
+// recordAbsences notes which instances of the wave are lacking in a list that was requested at a time. It is not given lists that were
+// requested before the wave was read: they may be older than its instances.
+func (c *Core) recordAbsences(w *wave, at time.Duration) {
+	for _, id := range w.doc.Instances {
+		a, missing := w.unlisted[id]
+		if _, listed := c.fleet.instances[id]; listed {
+			if missing {
+				delete(w.unlisted, id)
+				c.logger.Info("Instance of a wave is listed again.", "wave", w.doc.Number, "instance", id, "missingFor", at-a.first)
+			}
+			continue
+		}
+		if !missing {
+			a.first = at
+			c.logger.Info("Instance of a wave is not listed.", "wave", w.doc.Number, "instance", id, "sinceWave", at-w.since)
+		}
+		a.latest = at
+		if a.proven() && !a.logged {
+			a.logged = true
+			c.logger.Warn("Instance of a wave does not exist.", "wave", w.doc.Number, "instance", id, "missingFor", a.latest-a.first)
+		}
+		w.unlisted[id] = a
+	}
+}
+
 // waveParallelism returns how many instances of a wave to drain or maintain at a time: as few as are needed to finish in
 // time, so that it takes no more capacity than it has to.
 func (c *Core) waveParallelism(w *wave, waiting int) int {
