intake: store the cancellation of a job that does not exist

Cause: without a row of the job, Cancel stored nothing, so that nothing stopped the job once its row came. Evidence: the DELETE takes milliseconds, no row of a cancellation exists, and the insert's condition still holds when the store performs it.

The cancellation is stored first and answered 410 then; if it cannot be stored, the answer is 503 or 504. Leaders keep such cancellations already.

TestCancelBeforeLateSubmission failed before in each case.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -230,32 +230,37 @@
 	return state, OK
 }
 
-// Cancel stores the cancellation of a job.
+// Cancel stores the cancellation of a job. It also stores that of a job that does not exist, and returns NoJob then: the submission may
+// still be on its way to the store, and the job must not run when it arrives there.
 func (i *Intake) Cancel(ctx context.Context, a Admission, id string) Outcome {
 	limited, cancel := context.WithTimeout(ctx, leaderTimeout)
 	_, known, err := i.options.Leader.State(limited, id)
 	cancel()
+	outcome := OK
 	if err != nil || !known {
 		reading, cancelRead := context.WithTimeout(ctx, storeTimeout)
 		_, found, readErr := scheduler.ReadJobState(reading, i.options.Store, id)
 		cancelRead()
 		if readErr == nil && !found {
-			i.logger.Info("Job to be cancelled does not exist.", "job", id)
-			return NoJob
+			outcome = NoJob
 		}
 	}
 	key := scheduler.CancelKey(id)
 	err = i.commit(ctx, store.Tx{Expected: []store.Expect{{Key: key}}, Puts: []store.Put{{Key: key, Value: cancelMark}}})
 	if err != nil && !errors.Is(err, store.ErrConflict) {
-		i.logger.Warn("Cancellation may not have been stored.", "job", id, "queue", a.Queue.Name, "error", err)
+		i.logger.Warn("Cancellation may not have been stored.", "job", id, "queue", a.Queue.Name, "known", outcome == OK, "error", err)
 		if errors.Is(err, store.ErrNotDone) {
 			return Refused
 		}
 		return Unknown
 	}
-	i.logger.Info("Job is cancelled.", "job", id, "queue", a.Queue.Name)
+	if outcome == NoJob {
+		i.logger.Info("Job to be cancelled does not exist; its cancellation is stored.", "job", id, "queue", a.Queue.Name)
+	} else {
+		i.logger.Info("Job is cancelled.", "job", id, "queue", a.Queue.Name)
+	}
 	i.options.Leader.NotifyCancelled(ctx, id)
-	return OK
+	return outcome
 }
 
 // Waiting returns how many jobs of a queue have not started.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -116,19 +116,30 @@
 	}
 }
 
-// TestSubmit guards against refusing a job that may run, and against accepting a job that is not stored.
-func TestSubmit(t *testing.T) {
-	always := func(f memory.Fault) func(*store.Tx) memory.Fault { return func(*store.Tx) memory.Fault { return f } }
-	once := func(f memory.Fault) func(*store.Tx) memory.Fault {
-		first := true
-		return func(*store.Tx) memory.Fault {
-			if first {
-				first = false
-				return f
-			}
+// always returns a fault that each write has.
+func always(f memory.Fault) func(*store.Tx) memory.Fault {
+	return func(tx *store.Tx) memory.Fault {
+		if tx == nil {
 			return memory.None
 		}
+		return f
 	}
+}
+
+// once returns a fault that the first write has.
+func once(f memory.Fault) func(*store.Tx) memory.Fault {
+	first := true
+	return func(tx *store.Tx) memory.Fault {
+		if tx == nil || !first {
+			return memory.None
+		}
+		first = false
+		return f
+	}
+}
+
+// TestSubmit guards against refusing a job that may run, and against accepting a job that is not stored.
+func TestSubmit(t *testing.T) {
 	tests := map[string]struct {
 		own, relay func(*store.Tx) memory.Fault
 		want       Outcome
@@ -235,16 +246,62 @@
 func TestCancel(t *testing.T) {
 	r := newFixture(t, 0)
 	a, _ := r.intake.Admit("h", "/q/a", "key")
-	qt.Assert(t, r.intake.Cancel(t.Context(), a, "a"), qt.Equals, NoJob)
+	qt.Assert(t, r.intake.Cancel(t.Context(), a, "b"), qt.Equals, NoJob)
 	qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
 	qt.Assert(t, r.intake.Cancel(t.Context(), a, "a"), qt.Equals, OK)
 	qt.Assert(t, r.intake.Cancel(t.Context(), a, "a"), qt.Equals, OK)
-	qt.Assert(t, r.leader.cancelled, qt.DeepEquals, []string{"a", "a"})
+	qt.Assert(t, r.leader.cancelled, qt.DeepEquals, []string{"b", "a", "a"})
 	state, _, err := scheduler.ReadJobState(t.Context(), r.store, "a")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, state, qt.Equals, work.Cancelled)
 }
 
+// TestCancelBeforeLateSubmission guards against a job that runs after its cancelling was acknowledged, because the store performs the
+// submission, which got no answer, only after the cancelling.
+func TestCancelBeforeLateSubmission(t *testing.T) {
+	tests := map[string]struct {
+		// own and relay are the faults of writes during the cancelling.
+		own, relay func(*store.Tx) memory.Fault
+		leaderErr  error
+		want       Outcome
+	}{
+		"stored":                {want: NoJob},
+		"leader is away":        {leaderErr: errors.New("away"), want: NoJob},
+		"refused by both":       {own: always(memory.Refuse), relay: always(memory.Refuse), want: Refused},
+		"never an answer":       {own: always(memory.LoseCall), relay: always(memory.Refuse), want: Unknown},
+		"answer lost":           {own: once(memory.LoseReply), relay: always(memory.Refuse), want: NoJob},
+		"call lost, then given": {own: once(memory.LoseCall), relay: always(memory.Refuse), want: NoJob},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newFixture(t, 0)
+				a, _ := r.intake.Admit("h", "/q/a", "key")
+				var late store.Tx
+				r.store.InjectFaults(func(tx *store.Tx) memory.Fault { late = *tx; return memory.LoseCall })
+				r.relay.InjectFaults(always(memory.Refuse))
+				leaves, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+				defer cancel()
+				qt.Assert(t, r.intake.Submit(leaves, a, sampleJob("a")), qt.Equals, Unknown)
+				r.store.InjectFaults(test.own)
+				r.relay.InjectFaults(test.relay)
+				r.leader.err = test.leaderErr
+				ctx, cancelDelete := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancelDelete()
+				qt.Assert(t, r.intake.Cancel(ctx, a, "a"), qt.Equals, test.want)
+				r.store.InjectFaults(nil)
+				_, err := r.store.Commit(t.Context(), late)
+				qt.Assert(t, err, qt.IsNil)
+				state, found, err := scheduler.ReadJobState(t.Context(), r.store, "a")
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, found, qt.IsTrue)
+				qt.Assert(t, state == work.Cancelled, qt.Equals, test.want == NoJob)
+				qt.Assert(t, len(r.leader.cancelled) == 1, qt.Equals, test.want == NoJob)
+			})
+		})
+	}
+}
+
 // TestLogContainsNoSecrets guards against keys and specifications in the log.
 func TestLogContainsNoSecrets(t *testing.T) {
 	var out bytes.Buffer
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -304,6 +304,22 @@
 	return jobs
 }
 
+// TakeCancelsToPrune returns the jobs whose cancellations are to be removed since they have never been stored, at most maxPrunedJobs, and
+// removes them from the queue.
+func (c *Core) TakeCancelsToPrune() []string {
+	n := min(len(c.cancelsToPrune), maxPrunedJobs)
+	ids := c.cancelsToPrune[:n:n]
+	c.cancelsToPrune = c.cancelsToPrune[n:]
+	return ids
+}
+
+// CancelsPruned records that the cancellations of jobs that have never been stored are removed.
+func (c *Core) CancelsPruned(ids []string) {
+	for _, id := range ids {
+		delete(c.earlyCancels, id)
+	}
+}
+
 // JobsPruned records that the rows of jobs are removed, except for their progress.
 func (c *Core) JobsPruned(ids []string) { c.prunedJobs = append(c.prunedJobs, ids...) }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -118,8 +118,10 @@
 	prunedJobs  []string
 	// jobsToShorten holds the ended jobs whose rows are to be shortened.
 	jobsToShorten []work.Job
-	// earlyCancels holds the cancellations of jobs that are not known yet, with the time at which each came in.
-	earlyCancels map[string]time.Duration
+	// earlyCancels holds the cancellations of jobs that are not known yet, with the time at which each came in or was last to be removed,
+	// and cancelsToPrune those whose rows are to be removed.
+	earlyCancels   map[string]time.Duration
+	cancelsToPrune []string
 	// unknownJobs holds the jobs that are not known but that a worker has reported a run or an exit of, with the time of the
 	// first such report.
 	unknownJobs map[string]time.Duration
@@ -327,7 +329,9 @@
 	}
 	for id, since := range c.earlyCancels {
 		if c.now-since > c.options.Bounds.Retention {
-			delete(c.earlyCancels, id)
+			// It is kept until its row is removed, since its job may be stored at the same time.
+			c.earlyCancels[id] = c.now
+			c.cancelsToPrune = append(c.cancelsToPrune, id)
 		}
 	}
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -434,6 +434,9 @@
 	if ids := c.TakeJobsToPrune(); len(ids) > 0 {
 		e.spawn(func() { e.pruneJobs(ids) })
 	}
+	if ids := c.TakeCancelsToPrune(); len(ids) > 0 {
+		e.spawn(func() { e.pruneCancels(ids) })
+	}
 	if c.Deposed() {
 		e.options.Leadership.Depose(e.options.Core.Fence, "a worker or the instance service has seen a higher fencing token")
 		return
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -65,6 +65,30 @@
 	}
 }
 
+// pruneCancels removes the cancellations of jobs that have never been stored. Where one of them has been stored meanwhile, those of its
+// partition stay until they are due again.
+func (e *Engine) pruneCancels(ids []string) {
+	byPartition := make(map[string][]string)
+	for _, id := range ids {
+		byPartition[jobPartition(id)] = append(byPartition[jobPartition(id)], id)
+	}
+	for partition, ids := range byPartition {
+		var tx store.Tx
+		for _, id := range ids {
+			tx.Expected = append(tx.Expected, store.Expect{Key: JobKey(id)})
+			tx.Removes = append(tx.Removes, CancelKey(id))
+		}
+		ctx, cancel := context.WithTimeout(e.ctx, commitTimeout)
+		_, err := e.options.Store.Commit(ctx, tx)
+		cancel()
+		if err != nil {
+			e.logger.Warn("Cancellations without a job could not be removed.", "part", partition, "rows", len(tx.Removes), "error", err)
+			continue
+		}
+		e.post(func(c *Core) { c.CancelsPruned(ids) })
+	}
+}
+
 // removeRows removes rows that do not depend on each other.
 func (e *Engine) removeRows(keys []store.Key) error {
 	for _, tx := range store.Split(nil, keys, e.logRefusedRow) {
