scheduler: store when leases from calls to a worker's earlier life end

Cause: only the leader knew that the new life refuses calls to the earlier one, and when leases from such calls end. The roster said no more than that the worker had restarted, and the record of leases left it out, so that the next leader, and each after it, waited 23.7 s. Evidence: the wait ends with 'Leases granted by the previous leader have expired.', and the task starts 0.04 s later, on a worker that had restarted as well.

The roster entry has that end now, on the store's clock, and the record names restarted workers with the end that is known. A worker that was removed and is back under its ID in another life is said to have restarted, which it was not: the next leader could start its tasks too early.

--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -69,12 +69,13 @@
 	}
 	tx.Puts = append(tx.Puts, b.progressRows.Puts...)
 	tx.Removes = append(tx.Removes, b.progressRows.Removes...)
+	storeOffset, _ := e.options.Clock.At(0)
 	for id, entry := range b.Roster {
 		if entry == nil {
 			e.addRemove(&tx, rosterKey(id))
 			continue
 		}
-		e.addPut(&tx, rosterKey(id), entry)
+		e.addPut(&tx, rosterKey(id), entry.toStore(storeOffset))
 	}
 	for id, at := range b.InstanceCommandTimes {
 		recorded, _ := e.options.Clock.At(at)
--- a/scheduler/doubts.go
+++ b/scheduler/doubts.go
@@ -59,18 +59,18 @@
 		return
 	}
 	if end, known := c.leaseEndOf(ws); known {
-		c.leaseRecord.Doubt(id, leaserecord.Entry{Incarnation: ws.identity.Incarnation, End: max(end, c.now)})
+		c.leaseRecord.Doubt(id, leaserecord.Entry{Incarnation: ws.presentIncarnation(), End: max(end, c.now)})
 	}
 }
 
-// leaseEndOf returns the time at which the lease of a worker has certainly ended if it is not extended any more, and false if calls to
-// another life of the worker may still give it one.
+// leaseEndOf returns the time at which the lease of the present life of a worker has certainly ended if it is not extended any more, and
+// false if calls of this leader to another life may still give it one.
 func (c *Core) leaseEndOf(ws *workerState) (end time.Duration, known bool) {
 	switch {
-	case ws.earlier.fence != 0 || ws.restarted || !ws.registered():
-		return 0, false
 	case !ws.answered:
 		return c.previousLeaseEnd(ws.report.ID), true
+	case !ws.registered():
+		return 0, false
 	case ws.leaseExpired:
 		return c.now, true
 	}
@@ -133,7 +133,7 @@
 				continue
 			}
 			if end, ok := c.leaseEndOf(ws); ok {
-				add(id, ws.identity.Incarnation, end)
+				add(id, ws.presentIncarnation(), end)
 			}
 		}
 	}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -195,6 +195,9 @@
 	c.SetCatalog(e.options.Catalog())
 	storeNow, _ := e.options.Clock.At(now)
 	c.SetWallClock(now, l.clock.WallClock+storeNow-l.clock.Store)
+	for i, entry := range l.roster {
+		l.roster[i] = entry.fromStore(now - storeNow)
+	}
 	c.SetRoster(l.roster)
 	e.takeHandover(l.handover, !l.handoverUnreadable, now)
 	c.MigrateRows(l.oldRoster, l.hasOldRows)
--- a/scheduler/fences.go
+++ b/scheduler/fences.go
@@ -85,6 +85,7 @@
 		return
 	}
 	l.ruledOutAt = c.now
+	c.rosterChanges[l.identity.ID] = true
 	c.pool(l.worker.report.Pool).needsPlanning = true
 	c.logger.Info("Calls to earlier lives of the worker are ruled out.", "worker", l.identity.ID, "born", l.identity.Incarnation, "fence", to.fence, "earlierFence", l.earlier.fence)
 }
--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -291,7 +291,7 @@
 	})
 	n.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6}}, []catalog.Pool{{Name: "p"}}, nil))
 	for _, e := range m.roster {
-		n.core.SetRoster([]RosterEntry{e})
+		n.core.SetRoster([]RosterEntry{e.fromStore(n.clockError)})
 	}
 	leases := make(leaserecord.Entries)
 	for id, e := range m.leases {
@@ -387,6 +387,11 @@
 			return
 		}
 		b.LeaseEnds = n.recordLeases(b.LeaseEnds)
+		for id, e := range b.Roster {
+			if e != nil {
+				b.Roster[id] = e.toStore(-n.clockError)
+			}
+		}
 		write, fence, chain := m.write(b), n.fence, n.chain
 		carryOut := func() {
 			if m.row.version == fence && m.chain == chain {
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -37,6 +37,10 @@
 	// earlier holds the calls to earlier lives. The worker refuses them from ruledOutAt on, which is 0 before.
 	earlier    earlierCalls
 	ruledOutAt time.Duration
+	// earlierEnd is the time at which the leases have certainly ended that calls of earlier leaders to earlier lives may have given to this
+	// one, and 0 if it is not known. earlierStoredEnd is the same on the store's clock.
+	earlierEnd       time.Duration
+	earlierStoredEnd time.Duration
 	// previousExpiry is the latest lease expiry that previous leaders may have requested before the worker answered, on its clock.
 	previousExpiry time.Duration
 	// lastContact is the time of the last reply.
@@ -208,6 +212,20 @@
 	return l.answered && l.ruledOut(now) && now > max(l.earlierExpiry(), l.certainlyAt(l.previousExpiry))
 }
 
+// earlierLeasesEnd returns the local time at which the leases have certainly ended that calls to earlier lives may have given to this one,
+// and false if that is not known. A life that has not answered this leader does not refuse the calls of those before.
+func (l *workerLife) earlierLeasesEnd() (end time.Duration, known bool) {
+	switch {
+	case l.answered && l.earlier.fence == 0:
+		return l.certainlyAt(l.previousExpiry), true
+	case l.answered:
+		return l.earlierExpiry(), true
+	case l.earlier.fence != 0:
+		return l.earlierExpiry(), false
+	}
+	return l.earlierEnd, !l.restarted || l.earlierEnd != 0
+}
+
 // certainExpiry returns the local time at which all runs on the worker are certain to have ended, if the lease is not renewed.
 func (l *workerLife) certainExpiry() time.Duration {
 	latest := l.requestedExpiry
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -21,6 +21,28 @@
 	DataCentre  string         `cbor:"6,keyasint,omitempty"`
 	// Restarted means that calls to earlier lives of the worker may have given this one a lease, which is as long as a worker grants.
 	Restarted bool `cbor:"7,keyasint,omitempty"`
+	// EarlierLeasesUntil is the time on the store's clock at which such leases have certainly ended, and 0 if that is not known. It stays as
+	// it is from leader to leader, so that the error of the clock does not add up.
+	EarlierLeasesUntil time.Duration `cbor:"8,keyasint,omitempty"`
+	// earlierEnd is EarlierLeasesUntil as a local monotonic time.
+	earlierEnd time.Duration
+}
+
+// toStore returns the entry as it is stored. offset is what is added to a local time to get that of the store.
+func (e RosterEntry) toStore(offset time.Duration) *RosterEntry {
+	if e.earlierEnd != 0 && e.EarlierLeasesUntil == 0 {
+		e.EarlierLeasesUntil = e.earlierEnd + offset + storeClockError
+	}
+	e.earlierEnd = 0
+	return &e
+}
+
+// fromStore returns a stored entry as the core takes it. offset is what is added to a time on the store's clock.
+func (e RosterEntry) fromStore(offset time.Duration) RosterEntry {
+	if e.EarlierLeasesUntil != 0 {
+		e.earlierEnd = e.EarlierLeasesUntil + offset
+	}
+	return e
 }
 
 // SetRoster adds the workers in the roster of the previous leader.
@@ -28,6 +50,7 @@
 	for _, e := range roster {
 		ws := c.addWorker(worker.Report{ID: e.ID, Pool: e.Pool, Address: e.Address, Incarnation: e.Incarnation, Capacity: e.Capacity, DataCentre: e.DataCentre})
 		ws.unlistedSince, ws.restarted = c.now, e.Restarted
+		ws.earlierEnd, ws.earlierStoredEnd = e.earlierEnd, e.EarlierLeasesUntil
 		delete(c.rosterChanges, e.ID)
 	}
 }
@@ -70,10 +93,19 @@
 	if !ok || ws.leaseExpired {
 		return nil
 	}
-	return &RosterEntry{
+	entry := &RosterEntry{
 		ID: ws.report.ID, Pool: ws.report.Pool, Address: ws.report.Address, Incarnation: ws.identity.Incarnation, Capacity: ws.report.Capacity,
 		DataCentre: ws.report.DataCentre, Restarted: ws.restarted,
 	}
+	if !ws.restarted {
+		return entry
+	}
+	if end, known := ws.earlierLeasesEnd(); known && end != ws.earlierEnd {
+		entry.earlierEnd = end
+	} else if known {
+		entry.earlierEnd, entry.EarlierLeasesUntil = end, ws.earlierStoredEnd
+	}
+	return entry
 }
 
 // recordedRun is the latest run of a task that a previous leader started.
@@ -124,11 +156,20 @@
 
 // previousLeaseEnd returns the time at which the lease of a worker that has not answered is certain to have expired.
 func (c *Core) previousLeaseEnd(id string) time.Duration {
+	until := c.previousLeasesExpireAt()
 	entry, recorded := c.leaseRecord.Entry(id)
-	if ws, ok := c.workers[id]; ok && (!ws.registered() || ws.restarted || recorded && !entry.IsOf(ws.identity.Incarnation)) {
-		return c.leaders.LeasesUntil(c.limits, true)
+	if ws, ok := c.workers[id]; ok {
+		ofLife := !recorded || entry.IsOf(ws.presentIncarnation())
+		earlier, known := ws.earlierLeasesEnd()
+		switch {
+		case !ws.registered() || !ofLife || !known:
+			until = max(c.leaders.LeasesUntil(c.limits, true), earlier)
+		default:
+			until = max(until, earlier)
+		}
+		// An entry that names no life does not tell of calls to earlier ones.
+		recorded = recorded && ofLife && (entry.Incarnation != 0 || ws.registered() && !ws.restarted)
 	}
-	until := c.previousLeasesExpireAt()
 	if recorded {
 		until = min(until, entry.End)
 	}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -22,8 +22,9 @@
 	runs  map[string][]worker.Run
 	// stored counts the batches that were stored.
 	stored uint64
-	// leases is the record of leases that is stored.
+	// leases is the record of leases that is stored, and roster the entries of the workers.
 	leases leaserecord.Entries
+	roster map[string]RosterEntry
 }
 
 const rigIncarnation = 1
@@ -36,7 +37,7 @@
 }
 
 func newRig(t *testing.T, term int, workers ...string) *rig {
-	r := &rig{t: t, now: time.Minute, exits: make(map[string][]worker.Exit), runs: make(map[string][]worker.Run)}
+	r := &rig{t: t, now: time.Minute, exits: make(map[string][]worker.Exit), runs: make(map[string][]worker.Run), roster: make(map[string]RosterEntry)}
 	r.core = NewCore(Options{Bounds: rigBounds(), Fence: uint64(10 * term), Term: term, AcquiredAt: r.now, EarlierLeadersUntil: r.now})
 	r.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{
 		Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6, BaseTarget: 600 * time.Millisecond,
@@ -115,6 +116,12 @@
 	if b.LeaseEnds != nil {
 		r.leases = b.LeaseEnds
 	}
+	for id, entry := range b.Roster {
+		delete(r.roster, id)
+		if entry != nil {
+			r.roster[id] = *entry
+		}
+	}
 	r.stored++
 	r.core.SetStoredVersion(r.core.options.Fence + r.stored)
 	r.core.BatchStored(b)
--- a/scheduler/usable.go
+++ b/scheduler/usable.go
@@ -5,6 +5,14 @@
 	return ws.report.Incarnation == 0 || ws.report.Incarnation == ws.identity.Incarnation
 }
 
+// presentIncarnation returns the incarnation of the worker's present life: that of the latest registry entry, if it has one.
+func (ws *workerState) presentIncarnation() int64 {
+	if ws.registered() {
+		return ws.identity.Incarnation
+	}
+	return ws.report.Incarnation
+}
+
 // acceptsTasks reports whether tasks may be started on a worker.
 func (c *Core) acceptsTasks(ws *workerState) bool {
 	return !ws.cordoned && !ws.health.quarantined(c.now) && c.mayStartOn(ws)
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -78,7 +78,9 @@
 	}
 	ws := &added.worker
 	*ws = workerState{workerLife: &added.life, report: r, maxCPU: r.Capacity.CPU, runs: make(map[work.Task]*run)}
-	added.life = c.newLife(ws, worker.Life{ID: r.ID, Incarnation: r.Incarnation}, c.earlierCalls[r.ID])
+	earlier := c.earlierCalls[r.ID]
+	added.life = c.newLife(ws, worker.Life{ID: r.ID, Incarnation: r.Incarnation}, earlier)
+	added.life.restarted = earlier.fence != 0 && earlier.incarnation != r.Incarnation
 	c.workers[r.ID] = ws
 	p := c.pool(r.Pool)
 	p.workers = sortWorkers(append(p.workers, ws))
@@ -263,7 +265,11 @@
 		// The previous leader may have renewed the lease up to now.
 		ws.previousExpiry, ws.previousLonger = status.Clock+leaseDuration, true
 		if ws.restarted && ws.earlier.fence == 0 {
-			ws.previousExpiry = status.Clock + ws.maxLease
+			longest := ws.maxLease
+			if ws.earlierEnd != 0 {
+				longest = min(longest, ws.earlierEnd-sent)
+			}
+			ws.previousExpiry = max(ws.previousExpiry, status.Clock+longest)
 		}
 		c.extendLease(ws)
 	}
