scheduler: judge the members of a gang one by one for crashes of their workers

Cause: crashes under a gang were kept under one index for all members, with the bounds of a task, so that a wide gang met five by chance; and gangs were exempt from the check for workers that crash whatever runs there. Evidence: 'Worker has crashed under a task.' counts lateCrashes from 1 to 5 with another task each time.

Each member has its own count now.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -58,16 +58,17 @@
 // crashCounted reports whether the crash of the worker of a run is counted already. The progress of a task names its last run also when
 // that has ended, so that a new leader finds it again.
 func (r *run) crashCounted() bool {
-	return slices.Contains(r.step.progress.Crashes[r.step.unitIndex(r.index)], r.number)
+	return slices.Contains(r.step.progress.Crashes[r.index], r.number)
 }
 
 // judgeCrash counts a crash under a run. with is the number of runs that may have caused it. A task that keeps crashing workers is given
-// up, but a service runs until its job is cancelled: it is started again after a pause.
+// up, but a service runs until its job is cancelled: it is started again after a pause. The members of a gang are judged one by one, since a
+// wide gang meets many crashes by chance.
 func (c *Core) judgeCrash(r *run, around crashloop.Surroundings, late bool, with int) {
 	s, j := r.step, r.step.job
 	c.counts.Crashed++
 	told := c.countCrash(r, around, late)
-	crashes := s.crashCount(r.index)
+	crashes := s.taskCrashes(r.index)
 	c.changedJobs[j] = true
 	c.logger.Warn("Worker has crashed under a task.", "job", j.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID,
 		"pool", r.worker.report.Pool, "ranBeforeContact", r.worker.lastContact-r.startedAt, "with", with, "crashes", crashes.All, "confirmed", crashes.Confirmed, "late", late, "lateCrashes", crashes.Late,
@@ -90,10 +91,10 @@
 	site := s.crashSite(r.index)
 	site.add(r.worker.report.Address, late)
 	switch {
-	case late && (s.doc.Gang || around.Telling()):
-		s.addLateCrash(r)
+	case late && around.Telling():
+		s.progress.AddLateCrash(r.index)
 	case !late && (!s.doc.Service || c.blames(r, around)):
-		s.progress.AddCrash(s.unitIndex(r.index), r.number, r.confirmedAt > 0)
+		s.progress.AddCrash(r.index, r.number, r.confirmedAt > 0)
 		site.latest = c.now
 	default:
 		site.untelling++
@@ -163,12 +164,12 @@
 	if !s.doc.Service {
 		return
 	}
-	for unit, runs := range s.progress.Crashes {
-		if slices.Contains(units, crashedUnit{step: s, unit: unit}) {
+	for index, runs := range s.progress.Crashes {
+		if slices.Contains(units, crashedUnit{step: s, unit: s.unitIndex(index)}) {
 			continue
 		}
-		s.crashSite(unit).untelling += len(runs)
-		s.progress.ForgetCrashes(unit)
+		s.crashSite(index).untelling += len(runs)
+		s.progress.ForgetCrashes(index)
 		c.changedJobs[s.job] = true
 	}
 }
@@ -205,14 +206,26 @@
 	return false
 }
 
-// crashCount returns under how many runs of a task a worker has crashed, or may have.
+// crashCount returns under how many runs of a task a worker has crashed, or may have. For a gang, which is placed as one, it is the largest
+// number of its members.
 func (s *step) crashCount(index int) crashloop.Count {
 	if len(s.progress.Crashes) == 0 && len(s.progress.LateCrashes) == 0 && len(s.crashSites) == 0 {
 		return crashloop.Count{}
 	}
-	unit := s.unitIndex(index)
-	count := crashloop.Count{All: len(s.progress.Crashes[unit]), Confirmed: s.progress.ConfirmedCrashes[unit], Late: s.progress.LateCrashes[unit]}
-	if site := s.crashSites[unit]; site != nil {
+	count := s.taskCrashes(index)
+	if s.doc.Gang {
+		for i := range s.tasks {
+			member := s.taskCrashes(i)
+			count.All, count.Confirmed, count.Late = max(count.All, member.All), max(count.Confirmed, member.Confirmed), max(count.Late, member.Late)
+		}
+	}
+	return count
+}
+
+// taskCrashes is crashCount for one task, which may be a member of a gang. Which members were on workers that fell silent is not told apart.
+func (s *step) taskCrashes(index int) crashloop.Count {
+	count := crashloop.Count{All: len(s.progress.Crashes[index]), Confirmed: s.progress.ConfirmedCrashes[index], Late: s.progress.LateCrashes[index]}
+	if site := s.crashSites[s.unitIndex(index)]; site != nil {
 		count.Silent = len(site.silentRuns)
 	}
 	return count
@@ -220,6 +233,12 @@
 
 // suspects returns the number of tasks of a step that may have made a worker crash. A gang counts as one.
 func (s *step) suspects() int {
+	if s.doc.Gang {
+		if s.crashCount(0).Suspect() {
+			return 1
+		}
+		return 0
+	}
 	n := len(s.progress.Crashes)
 	for unit, site := range s.crashSites {
 		if len(site.silentRuns) > 0 && len(s.progress.Crashes[unit]) == 0 {
@@ -231,30 +250,27 @@
 
 // forgetCrashes forgets the crashes under a task that has run long enough. A service meets many by chance.
 func (c *Core) forgetCrashes(r *run) {
-	unit, start := r.step.unitIndex(r.index), r.start()
-	if r.step.doc.Gang {
+	s, start := r.step, r.start()
+	if s.doc.Gang {
 		// Until then it may only have waited for a member that has crashed its worker.
 		start.Survived -= c.options.Bounds.GangTimeout
 	}
 	if !start.Exonerated() {
 		return
 	}
-	delete(r.step.crashSites, unit)
-	if r.step.progress.ForgetCrashes(unit) {
-		c.changedJobs[r.step.job] = true
+	delete(s.crashSites, s.unitIndex(r.index))
+	if s.progress.ForgetCrashes(r.index) {
+		c.changedJobs[s.job] = true
 	}
-}
-
-// addLateCrash records a crash of a worker that had survived the start of a run. A run of a gang counts once, however many of its members
-// were on the worker, and however many of its workers crash together.
-func (s *step) addLateCrash(r *run) {
-	if s.doc.Gang {
-		if r.number == s.lateGangRun {
-			return
+	if !s.doc.Gang || len(s.progress.Crashes) == 0 && len(s.progress.LateCrashes) == 0 {
+		return
+	}
+	// The others were at work as long.
+	for i := range s.tasks {
+		if s.progress.ForgetCrashes(i) {
+			c.changedJobs[s.job] = true
 		}
-		s.lateGangRun = r.number
 	}
-	s.progress.AddLateCrash(s.unitIndex(r.index))
 }
 
 // likelyCause reports whether a task has probably made workers crash.
--- a/scheduler/crashfleet_test.go
+++ b/scheduler/crashfleet_test.go
@@ -168,6 +168,23 @@
 	return state
 }
 
+// crashGang lets the worker of a member of a gang crash, which breaks the others.
+func (f *crashFleet) crashGang(id string, member int, down time.Duration) {
+	for _, w := range f.workers {
+		if _, crashes := w.runs[work.Task{Job: id, Index: member}]; crashes {
+			w.downUntil = f.now + down
+			continue
+		}
+		for task, number := range w.runs {
+			if task.Job == id {
+				delete(w.runs, task)
+				w.exited++
+				w.exits = append(w.exits, worker.Exit{Seq: w.exited, Task: task, Number: number, Reason: worker.ExitGangBroken})
+			}
+		}
+	}
+}
+
 // running returns the number of tasks of a job that run on workers that are up.
 func (f *crashFleet) running(id string) int {
 	n := 0
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -458,6 +458,9 @@
 	charge := s.doc.ReservedResources()
 	assigned := make(map[*workerState]int64)
 	chosen := make([]*workerState, len(s.tasks))
+	if len(s.crashSites) > 0 {
+		usable = slices.DeleteFunc(slices.Clone(usable), func(ws *workerState) bool { return c.mayCrashByItself(s, 0, ws) })
+	}
 	for i := range s.tasks {
 		for _, ws := range usable {
 			n := assigned[ws]
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -78,9 +78,8 @@
 	// policyFailures counts the failed queries and rejected tickets since the last start. There is no query before nextPolicyQuery.
 	policyFailures  int
 	nextPolicyQuery time.Duration
-	// gangRun is the number of the latest run of the gang, and lateGangRun that of the latest one under which a worker crashed late.
-	gangRun     int
-	lateGangRun int
+	// gangRun is the number of the latest run of the gang.
+	gangRun int
 	// crashSites holds the crashes under each task in this term, or under the gang at index 0.
 	crashSites map[int]*crashSites
 	// waitsSince is the time since which tasks of a service wait for room.
