scheduler: keep the runs of an ended job on record until they are over

Cause: the progress row of an ended job kept its state only, so that the next leader counted none of its runs. The row keeps those that may still be at work, and is stored without them once their ends are listed or their leases have ended; the steps stay in the job's row until then.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -208,16 +208,26 @@
 }
 
 // progressRows returns the rows of the progress of a job, and how many there are besides the first one. Of a job that has ended only
-// the state is kept.
+// the state is kept, and the runs that may still be at work.
 func (c *Core) progressRows(j *job) (tx store.Tx, parts int, err error) {
 	progress := j.progress
 	if progress.State.Ended() {
-		progress = &work.Progress{State: progress.State, Reason: progress.Reason}
+		progress = c.endedProgress(j)
 	}
 	value, err := encode(progress)
 	if err != nil {
 		return tx, 0, err
 	}
+	if progress.State.Ended() {
+		if len(value) > store.MaxRowBytes {
+			c.logger.Warn("Runs of an ended job are not stored, since they do not fit into its row.", "job", j.doc.ID, "occurrences", len(progress.Occurrences))
+			progress = &work.Progress{State: progress.State, Reason: progress.Reason}
+			if value, err = encode(progress); err != nil {
+				return tx, 0, err
+			}
+		}
+		c.noteEndedRuns(j, len(progress.Occurrences) > 0)
+	}
 	values := [][]byte{value}
 	if len(value) > store.MaxRowBytes {
 		if values, err = c.splitProgress(j, progress); err != nil {
@@ -402,9 +412,16 @@
 	}
 	for i, j := range b.jobs {
 		j.storedState, j.storedParts = b.states[i], b.parts[i]
-		if j.storedState.Ended() {
-			c.observeStage(j, StageEnded)
+		if !j.storedState.Ended() {
+			continue
+		}
+		if !c.endedWithRuns[j] {
+			// The steps tell what the runs use.
 			c.jobsToShorten = append(c.jobsToShorten, j.doc.Shortened(j.storedState))
+		}
+		if !j.endStored {
+			j.endStored = true
+			c.observeStage(j, StageEnded)
 			c.logger.Info("Final state of the job was stored.", "job", j.doc.ID, "state", j.storedState.String(), "after", c.now-j.acceptedAt, "reason", j.progress.Reason)
 		}
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -118,6 +118,8 @@
 	prunedJobs  []string
 	// jobsToShorten holds the ended jobs whose rows are to be shortened.
 	jobsToShorten []work.Job
+	// endedWithRuns holds the ended jobs whose rows name runs that may still be at work.
+	endedWithRuns map[*job]bool
 	// earlyCancels holds the cancellations of jobs that are not known yet, with the time at which each came in or was last to be removed,
 	// and cancelsToPrune those whose rows are to be removed.
 	earlyCancels   map[string]time.Duration
@@ -204,7 +206,7 @@
 	return &Core{
 		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, confirmedAt: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
-		changedJobs: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
+		changedJobs: make(map[*job]bool), endedWithRuns: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
 		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
@@ -315,6 +317,7 @@
 		c.pursueOrders(ws)
 	}
 	c.forgetWorkersOfServices()
+	c.forgetEndedRuns()
 	if c.now-c.prunedAt < pruneInterval {
 		return
 	}
@@ -324,6 +327,7 @@
 	for id, j := range c.jobs {
 		if j.progress.State.Ended() && j.storedState.Ended() && !c.changedJobs[j] && c.now-j.endedAt > c.options.Bounds.Retention+retentionMargin {
 			delete(c.jobs, id)
+			delete(c.endedWithRuns, j)
 			c.jobsToPrune = append(c.jobsToPrune, id)
 		}
 	}
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -35,6 +35,7 @@
 	delete(c.unknownJobs, doc.ID)
 	if progress.State.Ended() {
 		j.endedAt = c.now
+		c.recallEndedRuns(j)
 		return
 	}
 	p := c.pool(doc.Pool)
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -1,7 +1,10 @@
 package scheduler
 
 import (
+	"iter"
 	"slices"
+
+	"github.com/chivetiller/chivetiller/work"
 )
 
 // spareRecordedWorkers is how many workers an occurrence may have recorded, besides two for each task, before those that are gone are
@@ -65,3 +68,93 @@
 		c.changedJobs[r.step.job] = true
 	}
 }
+
+// endedProgress returns what is stored of the progress of a job that has ended: its state, and the runs that may still be at work. The next
+// leader counts them against the limit of the team, since they go on until their workers have carried out the stops.
+func (c *Core) endedProgress(j *job) *work.Progress {
+	p := &work.Progress{State: j.progress.State, Reason: j.progress.Reason}
+	for r := range c.runsLeft(j) {
+		if p.Occurrences == nil {
+			p.Occurrences = make(map[int]*work.OccurrenceProgress)
+		}
+		p.Occurrence(&j.doc, r.step.occurrence.number).SetRun(r.step.number, r.index, r.worker, r.number)
+	}
+	return p
+}
+
+// runLeft is a run that may still be at work.
+type runLeft struct {
+	step   *step
+	index  int
+	worker string
+	number int
+}
+
+// runsLeft returns the latest run of each task of a job that may still be at work.
+func (c *Core) runsLeft(j *job) iter.Seq[runLeft] {
+	return func(yield func(runLeft) bool) {
+		for _, o := range j.open {
+			for _, s := range o.steps {
+				for i := range s.tasks {
+					if id, number, ok := c.mayRun(s, i); ok && !yield(runLeft{s, i, id, number}) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
+// mayRun returns the latest run of a task that may be at work, and its worker: one of this term, or one on record whose worker has not
+// answered.
+func (c *Core) mayRun(s *step, index int) (worker string, number int, ok bool) {
+	t := &s.tasks[index]
+	for _, r := range t.runs {
+		if r.phase != planned && r.number > number {
+			worker, number = r.worker.report.ID, r.number
+		}
+	}
+	if number > 0 {
+		return worker, number, true
+	}
+	if worker, number, ok = s.occurrence.progress.Run(s.number, index); !ok || t.done {
+		return "", 0, false
+	}
+	_, unanswered := c.previousUsage[worker]
+	return worker, number, unanswered
+}
+
+// noteEndedRuns records whether the rows of a job that has ended name runs.
+func (c *Core) noteEndedRuns(j *job, runs bool) {
+	if runs {
+		c.endedWithRuns[j] = true
+	} else {
+		delete(c.endedWithRuns, j)
+	}
+}
+
+// forgetEndedRuns has the rows of ended jobs stored again once none of their runs may be at work.
+func (c *Core) forgetEndedRuns() {
+	for j := range c.endedWithRuns {
+		left := false
+		for range c.runsLeft(j) {
+			left = true
+			break
+		}
+		if !left {
+			c.changedJobs[j] = true
+		}
+	}
+}
+
+// recallEndedRuns records the runs of an ended job that were at work under the previous leader. They are stopped once their workers report
+// them.
+func (c *Core) recallEndedRuns(j *job) {
+	for k := range j.progress.Occurrences {
+		j.open[k] = newOccurrence(j, k, c.now)
+	}
+	if len(j.open) > 0 {
+		c.endedWithRuns[j] = true
+		c.recordPreviousUsage(j)
+	}
+}
--- a/work/progress.go
+++ b/work/progress.go
@@ -41,7 +41,7 @@
 	Checkpoints map[int]string `cbor:"3,keyasint,omitempty"`
 	// Runs holds the latest run of each task that was started. A run is stored before its start command is sent.
 	Runs map[int]RunRecord `cbor:"4,keyasint,omitempty"`
-	// Crashes lists the numbers of the runs of each task, or of the gang under index 0, under which a worker crashed.
+	// Crashes lists the numbers of the runs of each task under which a worker crashed. Earlier builds list those of a gang under index 0.
 	Crashes map[int][]int `cbor:"5,keyasint,omitempty"`
 	// ConfirmedCrashes counts those of Crashes whose start the worker had confirmed.
 	ConfirmedCrashes map[int]int `cbor:"6,keyasint,omitempty"`
