scheduler: model of leaders with cancelled jobs of a limited team

The stored progress of the model is that of the rows now, which drop what an ended job no longer needs.

--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -26,6 +26,9 @@
 	modelAtWork = idleAfterCalm + maxIdle
 )
 
+// modelLimit is the limit of the team of the jobs.
+var modelLimit = work.Resources{CPU: 1000 * modelZones}
+
 // modelRow is the leader row.
 type modelRow struct {
 	leader, incarnation, term int
@@ -112,17 +115,22 @@
 	// earlier holds what the heartbeats of the leaders tell of the leaders before, by fencing token.
 	earlier map[uint64]time.Duration
 	// leases is the record of leases, in which only the ends on the store's clock count.
-	leases   leaserecord.Entries
-	dead     time.Duration
-	doc      work.Job
-	progress []byte
+	leases leaserecord.Entries
+	dead   time.Duration
+	doc    work.Job
+	// next is a job of the same team that is submitted when doc is cancelled, and limited means that the team's limit is checked.
+	next      work.Job
+	cancelled bool
+	limited   bool
+	// progress holds the stored progress by job.
+	progress map[string][]byte
 	roster   map[string]RosterEntry
 	late     []lateCommand
 }
 
 func newLeadersModel(rt *rapid.T, events []modelEvent) *leadersModel {
 	m := &leadersModel{
-		rt: rt, now: time.Minute, roster: make(map[string]RosterEntry), earlier: make(map[uint64]time.Duration), dead: time.Duration(rapid.IntRange(3, 8).Draw(rt, "dead")) * modelStep,
+		rt: rt, now: time.Minute, roster: make(map[string]RosterEntry), progress: make(map[string][]byte), earlier: make(map[uint64]time.Duration), dead: time.Duration(rapid.IntRange(3, 8).Draw(rt, "dead")) * modelStep,
 		doc: work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: modelZones, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Hour}}},
 	}
 	m.doc.Steps[0].Service = rapid.Bool().Draw(rt, "service")
@@ -169,15 +177,19 @@
 }
 
 func (m *leadersModel) check() {
-	on := make(map[work.Task]string)
+	on, running := make(map[work.Task]string), int64(0)
 	for _, w := range m.workers {
 		for t := range w.runs {
 			if other, ok := on[t]; ok {
 				m.rt.Fatalf("%s: task %d runs on %s and %s, in term %d", m.now-time.Minute, t.Index, other, w.id, m.row.term)
 			}
 			on[t] = w.id
+			running++
 		}
 	}
+	if used := m.doc.Steps[0].Request.Times(running); m.limited && used.CPU > modelLimit.CPU {
+		m.rt.Fatalf("%s: the team uses %+v in term %d: %v", m.now-time.Minute, used, m.row.term, on)
+	}
 	for i := range m.doc.Steps[0].Count {
 		if _, ok := on[work.Task{Job: m.doc.ID, Index: i}]; !ok && m.lostAt > 0 && len(m.losses) == 0 && m.now > m.lostAt+modelAtWork {
 			m.rt.Fatalf("%s: task %d does not run, %s after the last loss, in term %d", m.now-time.Minute, i, m.now-m.lostAt, m.row.term)
@@ -200,6 +212,8 @@
 			clear(m.workers[e.zone].runs)
 		case "worker restart":
 			m.restartWorker(m.workers[e.zone])
+		case "cancel":
+			m.cancelled = true
 		case "restart":
 			m.end(n, m.now+modelStep*time.Duration(1+e.zone))
 		case "kill":
@@ -289,7 +303,8 @@
 		Bounds: rigBounds(), Fence: n.fence, Term: m.row.term, AcquiredAt: m.now, PreviousLeaderEnded: n.leaders.PreviousEndedAt != 0,
 		EarlierLeadersUntil: n.leaders.EarlierUntil, PreviousLeaderSeenAt: n.leaders.PreviousSeenAt,
 	})
-	n.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6}}, []catalog.Pool{{Name: "p"}}, nil))
+	n.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6}}, []catalog.Pool{{Name: "p"}},
+		[]catalog.Team{{Name: "limited", Limit: modelLimit}}))
 	for _, e := range m.roster {
 		n.core.SetRoster([]RosterEntry{e.fromStore(n.clockError)})
 	}
@@ -299,14 +314,31 @@
 		leases[id] = e
 	}
 	n.core.SetLeaseEnds(leases)
-	var p *work.Progress
-	if m.progress != nil {
-		p = new(work.Progress)
-		if err := cbor.Unmarshal(m.progress, p); err != nil {
-			m.rt.Fatal(err)
+	m.readJobs(n.core)
+}
+
+// readJobs gives a leader the jobs and the cancellation that are stored.
+func (m *leadersModel) readJobs(c *Core) {
+	docs := []work.Job{m.doc}
+	if m.cancelled {
+		docs = append(docs, m.next)
+	}
+	for _, doc := range docs {
+		if _, known := c.jobs[doc.ID]; known {
+			continue
+		}
+		var p *work.Progress
+		if value, ok := m.progress[doc.ID]; ok {
+			p = new(work.Progress)
+			if err := cbor.Unmarshal(value, p); err != nil {
+				m.rt.Fatal(err)
+			}
 		}
+		c.AddJob(doc, p, 0)
+	}
+	if m.cancelled {
+		c.Cancel(m.doc.ID)
 	}
-	n.core.AddJob(m.doc, p, 0)
 }
 
 // planLoss plans how a new leader is lost.
@@ -347,6 +379,7 @@
 			}
 		}
 		c.SetWorkers(reports)
+		m.readJobs(c)
 	}
 	for _, w := range m.workers {
 		if r, ok := c.Renewal(w.id); ok {
@@ -422,16 +455,11 @@
 
 // write encodes a batch, and returns a function that writes it.
 func (m *leadersModel) write(b *modelBatch) func() {
-	progress := m.progress
-	for _, p := range b.Progress {
-		value, err := cbor.Marshal(p)
-		if err != nil {
-			m.rt.Fatal(err)
-		}
-		progress = value
-	}
+	rows := b.progressRows.Puts
 	return func() {
-		m.progress = progress
+		for _, row := range rows {
+			m.progress[row.Name] = row.Value
+		}
 		if b.LeaseEnds != nil {
 			m.leases = maps.Clone(b.LeaseEnds)
 		}
@@ -457,6 +485,18 @@
 	rapid.Check(t, func(rt *rapid.T) { newLeadersModel(rt, drawEvents(rt, "worker restart")).play() })
 }
 
+// TestLeadersModelOfCancelledJobs guards against a team that has more running than its limit, because a leader does not count runs of a job that
+// was cancelled under an earlier one and that go on until their workers have stopped them.
+func TestLeadersModelOfCancelledJobs(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newLeadersModel(rt, drawEvents(rt, "cancel"))
+		m.limited, m.doc.Team = true, "limited"
+		m.next = m.doc
+		m.next.ID = "b"
+		m.play()
+	})
+}
+
 // TestServiceAfterLostLeaders guards against tasks of a service that wait for the leases of workers that are gone for longer than the users
 // allow, anew with each leader that is lost.
 func TestServiceAfterLostLeaders(t *testing.T) {
