scheduler: let a pool grow for a gang that is wider than it

A gang that needs more workers at once than its pool has never started, with instances in the spare pool: the demand counts cores for each second, and distinct workers for services only.

A pool needs as many instances as hold its widest waiting gang, its own and spare ones. One that fits nowhere, or that its team may not start, asks for none.

--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -1,11 +1,14 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/work"
 )
 
 // demand is the number of instances that a pool needs and has.
@@ -63,6 +66,85 @@
 	return widest
 }
 
+// gangShape is what the width of a gang depends on.
+type gangShape struct {
+	request             work.Resources
+	count, maxPerWorker int
+}
+
+// tasksOn returns how many of its tasks an instance of a capacity can hold.
+func (g gangShape) tasksOn(capacity work.Resources) int {
+	n := int64(g.count)
+	if g.maxPerWorker > 0 {
+		n = min(n, int64(g.maxPerWorker))
+	}
+	for _, r := range [...]struct{ has, needs int64 }{
+		{capacity.CPU, g.request.CPU}, {capacity.Memory, g.request.Memory}, {capacity.GPU, g.request.GPU},
+	} {
+		if r.needs > 0 {
+			n = min(n, r.has/r.needs)
+		}
+	}
+	return int(max(0, n))
+}
+
+// width returns how many instances hold a gang, the first of those given, and 0 if all of them do not.
+func (g gangShape) width(capacities []work.Resources) int {
+	left := g.count
+	for i, capacity := range capacities {
+		if left -= g.tasksOn(capacity); left <= 0 {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// waitingGangs returns the shapes of the gangs of a pool that wait to start, and whose teams may start them. Those that require a label are
+// left out, since moves do not look at the labels of instances.
+func (c *Core) waitingGangs(p *pool) map[gangShape]bool {
+	var shapes map[gangShape]bool
+	for _, j := range p.jobs {
+		for _, o := range j.open {
+			for _, s := range o.steps {
+				if !s.doc.Gang || s.doc.RequiredLabel != "" || s.tasksLeft == 0 || s.idleTasks < s.tasksLeft || !s.ready() || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
+					continue
+				}
+				if shapes == nil {
+					shapes = make(map[gangShape]bool)
+				}
+				shapes[gangShape{request: s.doc.ReservedResources(), count: s.tasksLeft, maxPerWorker: s.doc.MaxPerWorker}] = true
+			}
+		}
+	}
+	return shapes
+}
+
+// gangWidth returns the number of instances that a pool needs for the widest gang that waits to start. All its tasks start together, so that it
+// needs them at once, however little work it is. A gang that does not fit even with the spare instances needs none.
+func (c *Core) gangWidth(p *pool, spare string) int {
+	shapes := c.waitingGangs(p)
+	if len(shapes) == 0 {
+		return 0
+	}
+	var inPool, inSpare []work.Resources
+	for _, inst := range c.fleet.instances {
+		switch {
+		case inst.Pool == p.name && c.serves(inst):
+			inPool = append(inPool, inst.Capacity)
+		case spare != "" && inst.Pool == spare && inst.State == instance.Up:
+			inSpare = append(inSpare, inst.Capacity)
+		}
+	}
+	byCPU := func(a, b work.Resources) int { return cmp.Compare(b.CPU, a.CPU) }
+	slices.SortFunc(inPool, byCPU)
+	slices.SortFunc(inSpare, byCPU)
+	widest, all := 0, slices.Concat(inPool, inSpare)
+	for shape := range shapes {
+		widest = max(widest, shape.width(all))
+	}
+	return widest
+}
+
 // demands returns the demand of each pool that a queue uses or that has jobs left, and the mean number of cores of an instance.
 func (c *Core) demands(spare string) ([]demand, float64) {
 	used := make(map[string]bool)
@@ -106,7 +188,7 @@
 		if p.overdueAt > 0 && c.now-p.overdueAt < overdueMemory {
 			width += avoided[name]
 		}
-		need := max(minInstances, width, int(math.Ceil((c.neededCores(p)*headroom+missing[name])/perInstance)))
+		need := max(minInstances, width, c.gangWidth(p, spare), int(math.Ceil((c.neededCores(p)*headroom+missing[name])/perInstance)))
 		demands = append(demands, demand{pool: name, need: need, have: have[name]})
 	}
 	return demands, perInstance
