scheduler: count on the longest lease at the first answer of a worker that is back

TestFirstAnswerOfReturnedWorker failed before. A worker that is back in the same life hands over no end, as before: this leader may have asked for a lease there.

--- a/scheduler/doubts.go
+++ b/scheduler/doubts.go
@@ -67,6 +67,9 @@
 // false if calls of this leader to another life may still give it one.
 func (c *Core) leaseEndOf(ws *workerState) (end time.Duration, known bool) {
 	switch {
+	case !ws.answered && ws.earlier.fence != 0 && !ws.restarted:
+		// The worker was removed and is back in the same life, for which this leader may have requested a lease.
+		return 0, false
 	case !ws.answered:
 		return c.previousLeaseEnd(ws.report.ID), true
 	case !ws.registered():
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -221,7 +221,8 @@
 	case l.answered:
 		return l.earlierExpiry(), true
 	case l.earlier.fence != 0:
-		return l.earlierExpiry(), false
+		// Calls of earlier leaders reach the life only if it is not the one that this leader has called.
+		return l.earlierExpiry(), !l.restarted
 	}
 	return l.earlierEnd, !l.restarted || l.earlierEnd != 0
 }
--- a/scheduler/restartedlost_test.go
+++ b/scheduler/restartedlost_test.go
@@ -133,3 +133,27 @@
 		})
 	}
 }
+
+// TestFirstAnswerOfReturnedWorker guards against a lease that is taken to have ended although a call of an earlier leader has given it to a
+// worker that was removed, and that first answers in its next life when this leader's own calls to the earlier life cannot arrive any more.
+func TestFirstAnswerOfReturnedWorker(t *testing.T) {
+	tests := map[string]struct {
+		// answers is the time of the first answer, since the start of the term, and lease how long the lease may last from then.
+		answers, lease time.Duration
+	}{
+		"calls of earlier leaders may have arrived": {answers: maxCommandDelay + time.Second, lease: rigBounds().MaxLease},
+		"they arrived long ago":                     {answers: time.Minute, lease: leaseDuration},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, "w1", "w2")
+			r.core.dropWorker(r.core.workers["w1"], "test")
+			r.core.SetWorkers([]worker.Report{restartedReport("w1"), rigReport("w2", coresOnly(4))})
+			r.advance(test.answers)
+			r.restart("w1")
+			left := r.core.workers["w1"].certainExpiry() - r.now
+			qt.Assert(t, left >= test.lease, qt.IsTrue, qt.Commentf("%v", left))
+			qt.Assert(t, left <= test.lease+time.Second, qt.IsTrue, qt.Commentf("%v", left))
+		})
+	}
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -264,7 +264,8 @@
 	if !ws.answered && ws.requestedExpiry == 0 {
 		// The previous leader may have renewed the lease up to now.
 		ws.previousExpiry, ws.previousLonger = status.Clock+leaseDuration, true
-		if ws.restarted && ws.earlier.fence == 0 {
+		if ws.restarted && (ws.earlier.fence == 0 || c.now <= c.leaders.ActiveUntil(c.limits.Confirmation)+maxCommandDelay) {
+			// A call of an earlier leader to an earlier life may have arrived up to now.
 			longest := ws.maxLease
 			if ws.earlierEnd != 0 {
 				longest = min(longest, ws.earlierEnd-sent)
