--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -140,7 +140,16 @@
 	slices.SortFunc(inSpare, byCPU)
 	widest, all := 0, slices.Concat(inPool, inSpare)
 	for shape := range shapes {
-		widest = max(widest, shape.width(all))
+		width := shape.width(all)
+		if width == 0 && !p.tooWide[shape] {
+			if p.tooWide == nil {
+				p.tooWide = make(map[gangShape]bool)
+			}
+			p.tooWide[shape] = true
+			c.logger.Warn("Gang does not fit into its pool and the spare instances.", "pool", p.name, "tasks", shape.count, "cpu", shape.request.CPU,
+				"memory", shape.request.Memory, "gpu", shape.request.GPU, "maxPerWorker", shape.maxPerWorker, "inPool", len(inPool), "spare", len(inSpare))
+		}
+		widest = max(widest, width)
 	}
 	return widest
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -268,6 +268,8 @@
 	overdueAt time.Duration
 	// crashes holds the latest crashes of its workers.
 	crashes crashloop.History[crashedUnit]
+	// tooWide holds the gangs of which it was logged that they fit nowhere.
+	tooWide map[gangShape]bool
 }
 
 // remainingWork returns the critical path and the work (in core-seconds) that are left, as estimated.
