--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -154,7 +154,7 @@
 		j.open[k] = newOccurrence(j, k, c.now)
 	}
 	if len(j.open) > 0 {
-		c.endedWithRuns[j] = true
+		c.endedWithRuns[j], j.endStored = true, true
 		c.recordPreviousUsage(j)
 	}
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -37,7 +37,7 @@
 	progress *work.Progress
 	// storedState is the state in the store, the only one that clients are shown.
 	storedState work.State
-	// endStored means that the final state was stored in this term.
+	// endStored means that the final state is stored. The row may be stored again without its runs.
 	endStored bool
 	// storedParts is the number of further rows of the progress that the store may have.
 	storedParts int
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -134,7 +134,7 @@
 	return previous && f.listedAt <= at+listLag
 }
 
-// absence is the time during which an instance of a wave was in no list: from the first such list to the latest.
+// absence is the time for which the lists have lacked an instance of a wave, from the first such list to the latest.
 type absence struct {
 	first, latest time.Duration
 	// logged means that the instance was reported as gone.
