scheduler: never replace the final state of a job

Evidence: 'Job was cancelled.', 'Unrecorded run has exited.' with how=done and 'Occurrence was completed.' within a millisecond. In a term this was so before; added jobs that ended before a takeover.

The first final state stays. TestFinalStateStays failed before in three of three cases.

--- a/scheduler/endedruns_test.go
+++ b/scheduler/endedruns_test.go
@@ -111,3 +111,45 @@
 		})
 	}
 }
+
+// TestFinalStateStays guards against a job that is shown as cancelled and then as finished, because its last run is done before the worker has
+// carried out the stop.
+func TestFinalStateStays(t *testing.T) {
+	// recorded means that this leader started the run, and endedBefore that the job had ended before its term.
+	for name, test := range map[string]struct{ recorded, endedBefore bool }{
+		"run of this leader":             {recorded: true},
+		"run of an earlier leader":       {},
+		"job that ended before the term": {endedBefore: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, "w1")
+			if test.recorded {
+				r.addSteps("a", 1)
+				r.accept(r.pass())
+			} else {
+				doc := work.Job{ID: "a", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: work.Resources{CPU: 1000}}}}
+				progress := work.NewProgress()
+				progress.Occurrence(&doc, 0).SetRun(0, 0, "w1", 1)
+				if test.endedBefore {
+					progress.State = work.Cancelled
+				}
+				r.core.AddJob(doc, progress, 0)
+			}
+			r.core.Cancel("a")
+			run := 1
+			if test.recorded {
+				run = r.runs["w1"][0].Number
+			}
+			r.runs["w1"] = nil
+			r.exits["w1"] = []worker.Exit{{Seq: 1, Task: work.Task{Job: "a"}, Number: run, Reason: worker.ExitDone}}
+			for range 3 {
+				r.advance(100 * time.Millisecond)
+				r.reply("w1")
+				r.pass()
+				state, known := r.core.JobState("a")
+				qt.Assert(t, known, qt.IsTrue)
+				qt.Assert(t, state, qt.Equals, work.Cancelled)
+			}
+		})
+	}
+}
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -68,8 +68,12 @@
 	c.endJob(j, work.Cancelled, "cancelled")
 }
 
-// endJob gives a job its final state and stops its runs.
+// endJob gives a job its final state and stops its runs. The first final state stays: clients have been shown it, and a run that has been
+// told to stop may still be done.
 func (c *Core) endJob(j *job, state work.State, reason string) {
+	if j.progress.State.Ended() {
+		return
+	}
 	j.progress.State = state
 	j.progress.Reason = reason
 	j.endedAt = c.now
