--- a/commands/serve.go
+++ b/commands/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/chivetiller/chivetiller/common/logging"
 	"github.com/chivetiller/chivetiller/intake"
+	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/metrics"
 	"github.com/chivetiller/chivetiller/node"
 	"github.com/chivetiller/chivetiller/platform"
@@ -32,7 +33,7 @@
 )
 
 func newServeCommand() *cobra.Command {
-	var file, level string
+	var file, ownFile, level string
 	var metricsPort int
 	cmd := &cobra.Command{
 		Use:   "serve",
@@ -50,16 +51,17 @@
 			if file == "" {
 				return newUsageError(eris.Errorf("neither --settings nor %s names a settings file", platform.SettingsVariable))
 			}
-			return runServe(cmd, file, level, metricsPort)
+			return runServe(cmd, file, ownFile, level, metricsPort)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file of the platform (default: the file that "+platform.SettingsVariable+" names)")
+	cmd.Flags().StringVar(&ownFile, "config", "", "settings file of the project's own, in YAML (default: all settings have their defaults)")
 	cmd.Flags().StringVar(&level, "log-level", "info", "minimum level of log lines: debug, info, warn or error")
 	cmd.Flags().IntVar(&metricsPort, "metrics-port", defaultMetricsPort, "port of the metrics, on the IP address in the settings")
 	return cmd
 }
 
-func runServe(cmd *cobra.Command, file, level string, metricsPort int) error {
+func runServe(cmd *cobra.Command, file, ownFile, level string, metricsPort int) error {
 	s, err := platform.LoadSettings(file)
 	if err != nil {
 		return newUsageError(err)
@@ -68,6 +70,9 @@
 		return newUsageError(eris.Errorf("metrics port %d is not between 1 and %d", metricsPort, maxPort))
 	}
 	s.MetricsPort = metricsPort
+	if s.Serving, err = serving.Load(ownFile); err != nil {
+		return newUsageError(err)
+	}
 	out := logging.NewBuffered(cmd.OutOrStdout(), maxBufferedLogLines)
 	logger, err := logging.New(out, level, "text")
 	if err != nil {
@@ -106,6 +111,7 @@
 				logger.Error("Settings cannot be reloaded; the old ones stay in force.", "file", file, "error", err)
 				continue
 			}
+			next.MetricsPort, next.Serving = current.MetricsPort, current.Serving
 			logger.Info("Settings are read again.", "file", file, "changed", next != current)
 		}
 	}()
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/settings"
 )
 
@@ -18,19 +19,28 @@
 }
 
 func newSettingsCheckCommand() *cobra.Command {
-	return &cobra.Command{
+	var serve bool
+	cmd := &cobra.Command{
 		Use:     "check FILE",
 		Short:   "Check a settings file without starting anything",
-		Example: "  chivetiller settings check entry.yaml",
+		Example: "  chivetiller settings check entry.yaml\n  chivetiller settings check --serve serve.yaml",
 		Args:    exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if _, err := settings.Load(args[0]); err != nil {
+			var err error
+			if serve {
+				_, err = serving.Load(args[0])
+			} else {
+				_, err = settings.Load(args[0])
+			}
+			if err != nil {
 				return newUsageError(err)
 			}
-			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s is valid\n", args[0])
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s is valid\n", args[0])
 			return err
 		},
 	}
+	cmd.Flags().BoolVar(&serve, "serve", false, "the file is the one that \"serve --config\" names")
+	return cmd
 }
 
 // exactArgs is cobra.ExactArgs with usage errors (exit code 2).
--- /dev/null
+++ b/internal/settings/serving/serving.go
@@ -0,0 +1,98 @@
+// Package serving holds the settings of "chivetiller serve" that are the project's own, beside the settings file that the platform writes.
+// All of them are optional.
+//
+// # Usage
+//
+//	s, err := serving.Load("serve.yaml")
+//	if err != nil {
+//		// One line: "serve.yaml: [3:5] unknown field "copys"".
+//	}
+//	if s.Scheduling().Copies { ... }
+//
+// # File
+//
+//	scheduling:
+//	  learnedRunTimes: true
+//	  workerPace: true
+//	  teamShares: true
+//	  admission: true
+//	  copies: true
+//	  preemption: true
+//	  forecast: true
+//
+// A switch that is on takes effect only where the operator's configuration calls for the part, for instance with the weight of a team.
+package serving
+
+import (
+	"os"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/rotisserie/eris"
+)
+
+// Scheduling switches the parts of the scheduler.
+type Scheduling struct {
+	// LearnedRunTimes expects of a run what earlier runs like it have taken. If it is off, one ratio is learned for each queue.
+	LearnedRunTimes bool `yaml:"learnedRunTimes"`
+	// WorkerPace prefers workers on which tasks do not take longer than elsewhere.
+	WorkerPace bool `yaml:"workerPace"`
+	// TeamShares orders the jobs of a full pool by the weights of their teams.
+	TeamShares bool `yaml:"teamShares"`
+	// Admission refuses jobs that cannot be done before they have lost their value.
+	Admission bool `yaml:"admission"`
+	// Copies starts a second run of a speculative task that is late.
+	Copies bool `yaml:"copies"`
+	// Preemption stops runs with checkpoints for more urgent jobs.
+	Preemption bool `yaml:"preemption"`
+	// Forecast asks for instances ahead of a surge that recurs.
+	Forecast bool `yaml:"forecast"`
+}
+
+// file is the content of a settings file.
+type file struct {
+	Scheduling Scheduling `yaml:"scheduling"`
+}
+
+// Settings are checked settings.
+type Settings struct{ file file }
+
+// Default returns the settings without a file.
+func Default() Settings {
+	return Settings{file: file{Scheduling: Scheduling{
+		LearnedRunTimes: true, WorkerPace: true, TeamShares: true, Admission: true, Copies: true, Preemption: true, Forecast: true,
+	}}}
+}
+
+// Scheduling returns the switches of the scheduler.
+func (s Settings) Scheduling() Scheduling { return s.file.Scheduling }
+
+// Load reads and checks a settings file. An empty name stands for the defaults.
+func Load(name string) (Settings, error) {
+	if name == "" {
+		return Default(), nil
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "settings of serve")
+	}
+	s, err := Parse(data)
+	return s, eris.Wrapf(err, "settings of serve %s", name)
+}
+
+// Parse checks the content of a settings file. Settings that are missing have their defaults.
+func Parse(data []byte) (Settings, error) {
+	tree, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return Settings{}, err
+	}
+	s := Default()
+	// The decoder sets all fields to zero for an empty document, which would remove the defaults.
+	if len(tree.Docs) == 0 || tree.Docs[0].Body == nil {
+		return s, nil
+	}
+	if err := yaml.UnmarshalWithOptions(data, &s.file, yaml.Strict()); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
--- a/node/leadership.go
+++ b/node/leadership.go
@@ -77,8 +77,8 @@
 		Core: scheduler.Options{
 			Bounds: l.n.settings.Bounds, Fence: term.Fence, Term: term.Number, AcquiredAt: term.AcquiredAt, PreviousLeaderEnded: term.PreviousLeaderEnded,
 			EarlierLeadersUntil: term.EarlierLeadersUntil, PreviousLeaderSeenAt: term.PreviousLeaderSeenAt, UnboundedLeadersUntil: term.UnboundedLeadersUntil,
-			LeasesBoundedFrom: term.LeasesBoundedFrom,
-			Observer:          l.n.metrics, InstanceCommandRate: l.n.settings.InstanceCommandRate,
+			LeasesBoundedFrom: term.LeasesBoundedFrom, Features: l.n.settings.Serving.Scheduling(),
+			Observer: l.n.metrics, InstanceCommandRate: l.n.settings.InstanceCommandRate,
 		},
 		Name: l.n.settings.Name, Store: l.n.deps.Store, Clock: l.n.clock, Registry: l.n.deps.Registry, Waves: l.n.source, Workers: l.n.sender,
 		Instances: l.n.deps.Instances, Advisor: l.n.deps.Advisor, Catalog: l.n.source.Current, Leadership: l.n.members, Logger: l.n.deps.Logger,
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/intake"
+	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/workers/delegate"
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/member"
@@ -55,6 +56,8 @@
 	// InstanceCommandRate is the number of commands for instances a second that the platform accepts, and 0 if it is not known.
 	InstanceCommandRate float64
 	Bounds              scheduler.Bounds
+	// Serving holds the settings that are the project's own.
+	Serving serving.Settings
 }
 
 // Dependencies connect a process to the platform.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -20,6 +20,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
+	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/work"
@@ -50,6 +51,8 @@
 	LeasesBoundedFrom int
 	// InstanceCommandRate is the number of commands for instances a second that the platform accepts, and 0 if it is not known.
 	InstanceCommandRate float64
+	// Features switches parts of the scheduler.
+	Features serving.Scheduling
 	// Observer is notified of the stages of jobs. It may be nil.
 	Observer Observer
 	Logger   hclog.Logger
