scheduler: store what a leader has learned for its successors

A row that is missing or unreadable has no effect. No part learns yet.

TestLoad counts the tables that a takeover reads; a table of its own would have added a scan.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/chivetiller/chivetiller/internal/store/snapshot"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
@@ -29,6 +30,8 @@
 	ExpiredCommands []string
 	// LeaseEnds is the record of leases, and nil if it has not changed.
 	LeaseEnds leaserecord.Entries
+	// Snapshots holds what was learned. They are stored beside other changes only.
+	Snapshots []snapshot.Row
 	begun     []begunMaintenance
 	// removesOldRows means that the rows of an earlier version, which are split into several rows now, are removed.
 	removesOldRows bool
@@ -132,6 +135,10 @@
 	if admits(leaseRecordKey) && (!b.Empty() || c.leaseRecord.Due(c.now)) {
 		b.LeaseEnds, _ = c.leaseRecord.Take(c.now)
 	}
+	if !b.Empty() {
+		b.Snapshots = c.snapshots.Take(c.now, limit, func(name string, err error) { c.logger.Error("Snapshot cannot be stored.", "name", name, "error", err) })
+		limit -= len(b.Snapshots)
+	}
 	if !b.Empty() || c.refusedRows.Searching() {
 		b.ExpiredCommands = c.fleet.takeExpiredCommands(c.now, limit, admits)
 	}
@@ -366,6 +373,9 @@
 	if b.LeaseEnds != nil {
 		keys = append(keys, leaseRecordKey)
 	}
+	for _, row := range b.Snapshots {
+		keys = append(keys, snapshotKey(row.Name))
+	}
 	return keys
 }
 
@@ -451,6 +461,7 @@
 	if b.LeaseEnds != nil {
 		c.leaseRecord.Failed()
 	}
+	c.snapshots.Failed(b.Snapshots)
 	c.fleet.restoreWaves(b.Waves, b.begun)
 	c.fleet.plannedCommands = append(b.instanceCommands, c.fleet.plannedCommands...)
 	for _, id := range b.ExpiredCommands {
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -87,6 +87,10 @@
 	for _, m := range b.begun {
 		e.addPut(&tx, m.key(), m.worker)
 	}
+	for _, row := range b.Snapshots {
+		row.At += storeOffset
+		e.addPut(&tx, snapshotKey(row.Name), row)
+	}
 	if b.removesOldRows {
 		tx.Removes = append(tx.Removes, leadershipKey(rowRoster), leadershipKey(rowInstances))
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -22,6 +22,7 @@
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
+	"github.com/chivetiller/chivetiller/internal/store/snapshot"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -174,6 +175,8 @@
 	unstoredSince time.Duration
 	deposed       bool
 	estimator     *estimator
+	// snapshots holds what is learned and kept for the next leaders.
+	snapshots     *snapshot.Set
 	fleet         *fleet
 	counts        Counts
 	policyQueries []PolicyQuery
@@ -213,7 +216,7 @@
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
 		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
-		estimator: newEstimator(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
+		estimator: newEstimator(), snapshots: snapshot.NewSet(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
 	}
 }
 
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -201,6 +201,7 @@
 	c.SetRoster(l.roster)
 	e.takeHandover(l.handover, !l.handoverUnreadable, now)
 	c.MigrateRows(l.oldRoster, l.hasOldRows)
+	c.snapshots.Restore(l.snapshots, now-storeNow, func(name string, err error) { e.logger.Warn("Snapshot cannot be used.", "name", name, "error", err) })
 	for id, at := range l.instances {
 		l.instances[id] = now - (storeNow - at)
 	}
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chivetiller/chivetiller/internal/store/snapshot"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
@@ -36,11 +37,13 @@
 	// waveInstanceSeparator separates the name of a wave from an instance whose maintenance has begun. The row of the instance
 	// holds the worker that ran on it before.
 	waveInstanceSeparator = "/"
-	// tableFleet holds a row for each worker in the roster, and for each recent command for an instance its time on the store's
-	// clock. They are not in one row, because the size of a row is limited and each change would rewrite all of it.
+	// tableFleet holds a row for each worker in the roster, for each recent command for an instance its time on the store's
+	// clock, and for each part of the scheduler that learns what it has learned. They are not in one row, because the size of a row is limited and each change would rewrite all of it.
 	tableFleet    = "fleet"
 	rosterPrefix  = "worker/"
 	commandPrefix = "command/"
+	// learnedPrefix marks the rows of what was learned.
+	learnedPrefix = "learned/"
 	// rowRoster and rowInstances are where earlier versions kept the rows of tableFleet.
 	rowRoster    = "roster"
 	rowInstances = "instances"
@@ -72,6 +75,8 @@
 
 func fleetKey(name string) store.Key { return store.Key{Table: tableFleet, Name: name} }
 
+func snapshotKey(name string) store.Key { return fleetKey(learnedPrefix + name) }
+
 func leadershipKey(name string) store.Key { return store.Key{Table: tableLeadership, Name: name} }
 
 // EncodeJob returns the row of an accepted job.
@@ -157,6 +162,7 @@
 	handoverUnreadable bool
 	// instances holds the time of the latest command for each instance, on the store's clock.
 	instances map[string]time.Duration
+	snapshots []snapshot.Row
 	// hasOldRows means that the roster or the command times are in the rows of an earlier version.
 	hasOldRows bool
 	// rows and bytes are the number of the rows that were read and the size of their values.
@@ -364,6 +370,14 @@
 		l.instances[id] = max(l.instances[id], at)
 		return nil
 	}
+	if name, ok := strings.CutPrefix(row.Name, learnedPrefix); ok {
+		learned := snapshot.Row{Name: name}
+		err := cbor.Unmarshal(row.Value, &learned)
+		if err == nil {
+			l.snapshots = append(l.snapshots, learned)
+		}
+		return err
+	}
 	var entry RosterEntry
 	if err := cbor.Unmarshal(row.Value, &entry); err != nil {
 		return err
