forecast: ask for instances ahead of a surge that recurs

Queues surge by turns for 4.5 s each. A pool followed its arrivals, and its instances came 2 s into each surge. internal/pools/forecast learns the onsets of surges, confirms a period, and foresees the next surge by the time of a move; its rate counts beside that of the arrivals. A surge that does not come costs each pool one forecast. What is learned is stored every 5 s. Setting: scheduling.forecast.

The measure of arrivals moves from scheduler/demand.go to internal/pools/arrivals, with its test. The metric chivetiller_scheduler_decisions_total counts decisions of the parts that settings switch.

--- a/metrics/jobs.go
+++ b/metrics/jobs.go
@@ -55,6 +55,8 @@
 	// and 0 if none waits.
 	RefusedBatches float64
 	SinceStored    time.Duration
+	// Decisions counts the decisions of the parts of the scheduler that are switched by settings, by part and outcome.
+	Decisions map[[2]string]float64
 }
 
 // NewJobs returns the metrics of a process. It calls source at each scrape.
@@ -165,12 +167,13 @@
 	descLongest = prometheus.NewDesc(namespace+"_service_tasks_longest_wait_seconds", "Longest time for which a task of a service has not run, by its present reason.", []string{"reason"}, nil)
 	descRefused = prometheus.NewDesc(namespace+"_batches_refused_total", "Batches of the leader that the store refused, in the current term.", nil, nil)
 	descStored  = prometheus.NewDesc(namespace+"_batch_age_seconds", "Time since the leader has stored a batch, while another one waits.", nil, nil)
+	descDecided = prometheus.NewDesc(namespace+"_scheduler_decisions_total", "Decisions of the parts of the scheduler that are switched by settings, in the current term.", []string{"part", "outcome"}, nil)
 	descRuns    = prometheus.NewDesc(namespace+"_runs_total", "Starts and exits of tasks in the current term.", []string{"event"}, nil)
 )
 
 // Describe implements [prometheus.Collector].
 func (c *jobCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descLeader, descTerm, descVersion, descAge, descNodes, descDropped, descJobs, descWorkers, descRuns, descWaiting, descLongest, descRefused, descStored} {
+	for _, d := range []*prometheus.Desc{descLeader, descTerm, descVersion, descAge, descNodes, descDropped, descJobs, descWorkers, descRuns, descWaiting, descLongest, descRefused, descStored, descDecided} {
 		out <- d
 	}
 }
@@ -203,6 +206,9 @@
 	for state, n := range s.Workers {
 		gauge(descWorkers, n, state)
 	}
+	for decision, n := range s.Decisions {
+		out <- prometheus.MustNewConstMetric(descDecided, prometheus.CounterValue, n, decision[0], decision[1])
+	}
 	for event, n := range s.Runs {
 		out <- prometheus.MustNewConstMetric(descRuns, prometheus.CounterValue, n, event)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -264,7 +264,7 @@
 	s := metrics.JobStats{
 		ConfigVersion: float64(n.source.Current().Version), ConfigAge: n.source.Age(), Nodes: float64(len(n.members.Live())),
 		Jobs: make(map[string]float64), Workers: make(map[string]float64), Runs: make(map[string]float64), WaitingTasks: make(map[string]float64),
-		LongestWaits: make(map[string]time.Duration),
+		LongestWaits: make(map[string]time.Duration), Decisions: make(map[[2]string]float64),
 	}
 	if n.deps.DroppedLines != nil {
 		s.DroppedLines = float64(n.deps.DroppedLines())
@@ -289,6 +289,9 @@
 	for reason, wait := range counts.LongestWaits {
 		s.LongestWaits[string(reason)] = wait
 	}
+	for decision, count := range counts.Decisions {
+		s.Decisions[[2]string{decision.Part, decision.Outcome}] = float64(count)
+	}
 	for state, count := range counts.Workers {
 		s.Workers[state] = float64(count)
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -20,6 +20,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
+	"github.com/chivetiller/chivetiller/internal/pools/forecast"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
@@ -177,6 +178,7 @@
 	estimator     *estimator
 	// snapshots holds what is learned and kept for the next leaders.
 	snapshots     *snapshot.Set
+	forecast      *forecast.Forecast
 	fleet         *fleet
 	counts        Counts
 	policyQueries []PolicyQuery
@@ -199,27 +201,47 @@
 	// WaitingTasks counts the tasks of services that do not run, and LongestWaits is the longest time for which one of them has not.
 	WaitingTasks map[WaitReason]int
 	LongestWaits map[WaitReason]time.Duration
+	// Decisions counts the decisions of the parts that are switched by settings.
+	Decisions map[Decision]uint64
 	// RefusedBatches counts the batches that the store refused. SinceStored is the time since a batch was stored, while another one waits.
 	RefusedBatches uint64
 	SinceStored    time.Duration
 }
 
+// Decision names an outcome of a part of the scheduler, for metrics.
+type Decision struct{ Part, Outcome string }
+
+// countDecision counts a decision.
+func (c *Core) countDecision(part, outcome string) {
+	if c.counts.Decisions == nil {
+		c.counts.Decisions = make(map[Decision]uint64)
+	}
+	c.counts.Decisions[Decision{Part: part, Outcome: outcome}]++
+}
+
 // NewCore returns a core without jobs and workers.
 func NewCore(o Options) *Core {
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
-	return &Core{
+	c := &Core{
 		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, confirmedAt: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
 		changedJobs: make(map[*job]bool), endedWithRuns: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
 		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
-		estimator: newEstimator(), snapshots: snapshot.NewSet(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
+		estimator: newEstimator(), snapshots: snapshot.NewSet(), forecast: forecast.New(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
+	}
+	if o.Features.Forecast {
+		c.snapshots.Add("forecast", c.forecast, forecastInterval)
 	}
+	return c
 }
 
+// forecastInterval is the time between two snapshots of the forecast. A surge takes some seconds.
+const forecastInterval = 5 * time.Second
+
 // SetTime advances the monotonic time.
 func (c *Core) SetTime(now time.Duration) { c.now = max(c.now, now) }
 
@@ -243,6 +265,7 @@
 // Counts returns the totals of the term and the present number of jobs and workers by state.
 func (c *Core) Counts() Counts {
 	counts := c.counts
+	counts.Decisions = maps.Clone(c.counts.Decisions)
 	counts.Jobs, counts.Workers = make(map[string]int), make(map[string]int)
 	for id := range c.jobs {
 		if state, ok := c.JobState(id); ok {
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"testing"
 	"time"
 
@@ -428,35 +427,6 @@
 	qt.Assert(t, r.core.jobs["a"].open[0].dueAt, qt.Equals, time.Minute+time.Second)
 }
 
-// TestRate guards against a pool that grows because of a few large jobs that arrive together by chance, and against one
-// that follows a rise in demand too late.
-func TestRate(t *testing.T) {
-	const now = time.Minute
-	tests := map[string]struct {
-		earlier, latest int
-		want            float64
-	}{
-		"one job":        {0, 1, 0},
-		"a few jobs":     {2, 4, 2 / rateWindow.Seconds()},
-		"steady arrival": {25, 25, 20 / rateWindow.Seconds()},
-		"a rise":         {9, 25, 40 / rateWindow.Seconds()},
-		"a fall":         {25, 9, 6 / rateWindow.Seconds()},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			p := &pool{}
-			for range test.earlier {
-				p.recordArrival(now-3*rateWindow/2, 1)
-			}
-			for range test.latest {
-				p.recordArrival(now-rateWindow/2, 1)
-			}
-			got := p.expectedRate(now)
-			qt.Assert(t, math.Abs(got-test.want) < 1e-9, qt.IsTrue, qt.Commentf("got %v, want %v", got, test.want))
-		})
-	}
-}
-
 // TestReplyOfNewerVersion guards against a reply or exit of a newer version that panics the scheduler of each leader in turn.
 func TestReplyOfNewerVersion(t *testing.T) {
 	r := newRig(t, 1, "w1")
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -19,7 +19,7 @@
 }
 
 // neededCores returns the number of cores that a pool needs. Services need what they request. Jobs need enough to finish
-// within their latency targets, or enough to keep up with arrivals if that is more.
+// within their latency targets, or enough to keep up with the arrivals or with a surge that is foreseen if that is more.
 func (c *Core) neededCores(p *pool) float64 {
 	var total, jobs float64
 	for _, j := range p.jobs {
@@ -37,7 +37,23 @@
 			jobs += left / max(c.timeLeft(o, j, q, criticalPath), minTimeLeft).Seconds()
 		}
 	}
-	return total + max(jobs, p.expectedRate(c.now))
+	return total + max(jobs, p.arrivals.ExpectedRate(c.now), c.forecastRate(p))
+}
+
+// forecastRate returns the work, in core-seconds a second, that a surge of a pool is foreseen to bring soon.
+func (c *Core) forecastRate(p *pool) float64 {
+	if !c.options.Features.Forecast {
+		return 0
+	}
+	rate := c.forecast.Rate(p.name, c.now)
+	if foreseen := rate > 0; foreseen != p.surgeForeseen {
+		p.surgeForeseen = foreseen
+		if foreseen {
+			c.countDecision("forecast", "foreseen")
+		}
+		c.logger.Info("Forecast of a surge has changed.", "pool", p.name, "cores", rate, "period", c.forecast.Period(), "arriving", p.arrivals.ExpectedRate(c.now))
+	}
+	return rate
 }
 
 // timeLeft returns the time in which the work of an occurrence should be done. That is until the end of its latency
@@ -223,74 +239,6 @@
 	return max(cores, full), full - float64(ws.report.Capacity.CPU)/1000
 }
 
-// arrival is a job that was accepted, with its work in core-seconds.
-type arrival struct {
-	at          time.Duration
-	coreSeconds float64
-}
-
-const (
-	// rateWindow is the time over which the arrival rate is measured. expectedRate compares it with the window before,
-	// and isRising compares the latest two windows with the earlier ones. Demand rises fivefold over some seconds, and a move
-	// takes 1.5 s.
-	rateWindow = 600 * time.Millisecond
-	// riseSignificance is the number of standard deviations (of random arrivals) by which arrivals have to grow from one
-	// window to the next to count as a rise that will continue.
-	riseSignificance = 1.5
-	// riseLead is the time for which a rise is extrapolated: the duration of a move and the time until the worker has answered.
-	riseLead = 2 * time.Second
-	// maxRise limits the extrapolated rise, as a share of the rate.
-	maxRise = 1.0
-)
-
-// recordArrival records the work of an accepted job.
-func (p *pool) recordArrival(now time.Duration, work float64) {
-	p.arrivals = append(p.arrivals, arrival{at: now, coreSeconds: work})
-}
-
-// isRising reports whether more jobs have arrived recently than before, by more than the standard deviation of random
-// arrivals, as at the onset of a surge. One or two jobs are not enough to tell.
-func (p *pool) isRising(now time.Duration) bool {
-	var earlier, latest float64
-	for _, a := range p.arrivals {
-		if a.at < now-2*rateWindow {
-			earlier++
-		} else {
-			latest++
-		}
-	}
-	return latest > 2 && latest-earlier > math.Sqrt(latest+earlier)
-}
-
-// expectedRate returns the work, in core-seconds a second, that is expected to arrive once an instance that is moved now
-// is in use. Few jobs say little about a rate, so it is lowered by the standard deviation of their number.
-func (p *pool) expectedRate(now time.Duration) float64 {
-	first := 0
-	for first < len(p.arrivals) && p.arrivals[first].at < now-4*rateWindow {
-		first++
-	}
-	p.arrivals = p.arrivals[first:]
-	var earlier, latest, work float64
-	for _, a := range p.arrivals {
-		switch {
-		case a.at < now-2*rateWindow:
-		case a.at < now-rateWindow:
-			earlier++
-		default:
-			latest++
-			work += a.coreSeconds
-		}
-	}
-	if latest == 0 {
-		return 0
-	}
-	rate := (latest - math.Sqrt(latest)) / latest * work / rateWindow.Seconds()
-	if rise := latest - earlier; rise > riseSignificance*math.Sqrt(latest+earlier) {
-		rate *= 1 + min(rise/latest*riseLead.Seconds()/rateWindow.Seconds(), maxRise)
-	}
-	return rate
-}
-
 // listedWorker is the worker of an instance and the time of the first list that showed it.
 type listedWorker struct {
 	worker, pool string
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
@@ -44,8 +45,9 @@
 	c.openDueOccurrences(j)
 	c.recordPreviousUsage(j)
 	c.batchJobSeen = c.batchJobSeen || !j.service
-	if !j.service && c.now-j.acceptedAt < rateWindow {
-		p.recordArrival(j.acceptedAt, j.doc.CoreSeconds())
+	if !j.service && c.now-j.acceptedAt < arrivals.Span {
+		p.arrivals.Record(j.acceptedAt, j.doc.CoreSeconds())
+		c.forecast.Arrive(p.name, j.acceptedAt, j.doc.CoreSeconds())
 	}
 	c.logger.Debug("Job was added.", "job", doc.ID, "queue", doc.Queue, "team", doc.Team, "pool", doc.Pool, "begun", j.started)
 	if _, ok := c.earlyCancels[doc.ID]; ok {
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -51,6 +51,7 @@
 	}
 	f.plannedAt = c.now
 	spare := c.sparePool()
+	c.forecast.Advance(c.now)
 	demands, perInstance := c.demands(spare)
 	if perInstance == 0 {
 		return
@@ -196,7 +197,7 @@
 			f.excessSince[d.pool] = c.now
 			continue
 		}
-		if c.now-since < releaseDelay || c.pool(d.pool).isRising(c.now) {
+		if c.now-since < releaseDelay || c.pool(d.pool).arrivals.IsRising(c.now) {
 			continue
 		}
 		for _, candidate := range inUse {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -6,6 +6,7 @@
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
+	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -258,8 +259,9 @@
 	plannedAt time.Duration
 	// candidates is the number of occurrences that had tasks to start in the last pass.
 	candidates int
-	// arrivals holds the recent jobs.
-	arrivals []arrival
+	arrivals arrivals.Window
+	// surgeForeseen means that the pool has instances for a surge that is foreseen.
+	surgeForeseen bool
 	// tests holds the runs of suspects whose workers may still crash under them.
 	tests []*run
 	// reserved holds the workers with reservations.
