lease: take over a lease when it expires, not in the next round

A process now synchronizes within 0.25 s after the lease of a peer has expired. go test ./lease -race -run TestTakeover -count 600: all pass; go test ./lease ./duty pass.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -144,7 +144,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	m := &Manager{o: o, logger: o.Logger.Named("lease"), limit: len(o.Duties), duties: make(map[string]*duty)}
-	m.renewal = loop.New(loop.Jittered(o.Interval, nil, m.syncAndLog))
+	m.renewal = loop.New(m.renewPeriodically)
 	for _, name := range o.Duties {
 		m.duties[name] = &duty{name: name, sentAt: make(map[uint64]time.Time)}
 	}
--- a/lease/sync.go
+++ b/lease/sync.go
@@ -22,6 +22,44 @@
 	return nil
 }
 
+// renewPeriodically synchronizes at intervals that vary by up to a quarter, and soon after the lease of a peer has expired. A takeover that
+// waited for the next interval would come up to 3 s later, beyond the 4 s that it may take after the lease and the margin.
+func (m *Manager) renewPeriodically(ctx context.Context) {
+	for {
+		timer := time.NewTimer(m.nextPause())
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+		m.syncAndLog(ctx)
+	}
+}
+
+// takeoverJitter is the share of the interval over which processes spread takeovers of a lease that has expired.
+const takeoverJitter = 0.1
+
+// nextPause returns the time until the next synchronization.
+func (m *Manager) nextPause() time.Duration {
+	pause := m.o.Interval*3/4 + rand.N(m.o.Interval/2)
+	spread := time.Millisecond + time.Duration(takeoverJitter*rand.Float64()*float64(m.o.Interval))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, d := range m.duties {
+		if d.lease.Holder == "" || d.assignedTo(m.o.Holder) {
+			continue
+		}
+		if left := d.unchangedSince.Add(m.o.LeaseDuration + m.o.Margin).Sub(now); left >= 0 {
+			pause = min(pause, left+spread)
+		}
+	}
+	return pause
+}
+
 func (m *Manager) syncAndLog(ctx context.Context) {
 	if err := m.Sync(ctx); err != nil && ctx.Err() == nil {
 		m.logger.Debug("Cannot renew leases.", "error", err)
