--- a/commands/root.go
+++ b/commands/root.go
@@ -12,6 +12,8 @@
 	"io"
 
 	"github.com/spf13/cobra"
+
+	"github.com/chivetiller/chivetiller/common/hangup"
 )
 
 // Exit codes of every command.
@@ -60,6 +62,11 @@
 		Long:          "Chivetiller routes work from callers to pools of endpoints, meets a target for each class of work, and keeps instances serving through maintenance.",
 		SilenceErrors: true,
 		SilenceUsage:  true,
+		PersistentPreRun: func(cmd *cobra.Command, _ []string) {
+			if cmd.Name() != serveCommand {
+				hangup.Restore()
+			}
+		},
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return newUsageError(err) })
 	root.AddCommand(
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -4,14 +4,13 @@
 	"errors"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
+	"github.com/chivetiller/chivetiller/common/hangup"
 	"github.com/chivetiller/chivetiller/common/logging"
 	"github.com/chivetiller/chivetiller/intake"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
@@ -32,11 +31,14 @@
 	maxPort            = 65535
 )
 
+// serveCommand is the name of the command whose process handles SIGHUP.
+const serveCommand = "serve"
+
 func newServeCommand() *cobra.Command {
 	var file, ownFile, level string
 	var metricsPort int
 	cmd := &cobra.Command{
-		Use:   "serve",
+		Use:   serveCommand,
 		Short: "Run a process on the users' platform",
 		Long: `Run a process on the users' platform. It accepts jobs from clients, keeps them in the store of the platform,
 and decides where their tasks run while it is the leader. All processes are equal and keep nothing on disk.
@@ -102,10 +104,14 @@
 // reloadOnSignal checks the settings file on SIGHUP, and logs whether it is valid and differs from the settings in use.
 // New settings take effect only at a restart, so that an incomplete or invalid file never harms a running process.
 func reloadOnSignal(file string, current node.Settings, logger hclog.Logger) (stop func()) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+	done := make(chan struct{})
 	go func() {
-		for range hangups {
+		for {
+			select {
+			case <-hangup.Signals():
+			case <-done:
+				return
+			}
 			next, err := platform.LoadSettings(file)
 			if err != nil {
 				logger.Error("Settings cannot be reloaded; the old ones stay in force.", "file", file, "error", err)
@@ -115,8 +121,5 @@
 			logger.Info("Settings are read again.", "file", file, "changed", next != current)
 		}
 	}()
-	return func() {
-		signal.Stop(hangups)
-		close(hangups)
-	}
+	return func() { close(done) }
 }
