node: not ready while neither the store nor another data centre is reachable

A process of a data centre that is cut off refuses submissions, truthfully, and stayed ready until its configuration was 4 s old, so that the load balancer kept sending it clients. The processes were ruled out as slow: the refusals came within 7 ms.

--- a/node/node.go
+++ b/node/node.go
@@ -231,8 +231,8 @@
 }
 
 // serveReady answers the readiness checks of the load balancer.
-func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if err := n.Ready(); err != nil {
+func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	if err := n.Ready(r.Context()); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
@@ -244,7 +244,7 @@
 const maxConfigAge = 4 * time.Second
 
 // Ready returns an error if the process cannot handle requests of clients.
-func (n *Node) Ready() error {
+func (n *Node) Ready(ctx context.Context) error {
 	select {
 	case <-n.stopping:
 		return eris.New("the process is stopping")
@@ -256,9 +256,15 @@
 	if age := n.source.Age(); age > maxConfigAge {
 		return eris.Errorf("the configuration was confirmed %s ago", age)
 	}
+	if n.peers.Partitioned(ctx) {
+		// It can accept no job. The load balancer takes clients to another data centre once no process of this one is ready.
+		return errPartitioned
+	}
 	return nil
 }
 
+var errPartitioned = eris.New("neither the store nor another data centre is reachable")
+
 // stats reads the state of the process for its metrics.
 func (n *Node) stats(ctx context.Context) metrics.JobStats {
 	s := metrics.JobStats{
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -221,7 +221,7 @@
 func TestServe(t *testing.T) {
 	c := newCluster(t, 3)
 	for _, n := range c.nodes {
-		eventually(t, 5*time.Second, func() bool { return n.Ready() == nil })
+		eventually(t, 5*time.Second, func() bool { return n.Ready(t.Context()) == nil })
 	}
 	eventually(t, 5*time.Second, func() bool { _, ok := c.nodes[0].members.Leader(); return ok })
 	for i, n := range c.nodes {
@@ -261,7 +261,7 @@
 func TestStoreRejectsNode(t *testing.T) {
 	c := newCluster(t, 3)
 	for _, n := range c.nodes {
-		eventually(t, 5*time.Second, func() bool { return n.Ready() == nil })
+		eventually(t, 5*time.Second, func() bool { return n.Ready(t.Context()) == nil })
 		defer func() { _ = n.Stop(context.Background()) }()
 	}
 	for _, n := range c.nodes {
@@ -329,7 +329,8 @@
 }
 
 // TestPartitioned guards against a node that counts as partitioned while only the store is unreachable, and against one that does not
-// although it reaches no other data centre either.
+// although it reaches no other data centre either. Clients of such a node are refused until the load balancer takes them elsewhere, so that it
+// must not be ready before its configuration is too old.
 func TestPartitioned(t *testing.T) {
 	c := newCluster(t, 2)
 	for _, n := range c.nodes {
@@ -344,8 +345,10 @@
 	qt.Assert(t, far.Stop(context.Background()), qt.IsNil)
 	time.Sleep(probeInterval)
 	qt.Assert(t, near.peers.Partitioned(t.Context()), qt.IsTrue)
+	qt.Assert(t, near.Ready(t.Context()), qt.ErrorIs, errPartitioned)
 	c.stores[0].Reconnect()
 	eventually(t, 5*time.Second, func() bool { return !near.peers.Partitioned(t.Context()) })
+	eventually(t, 5*time.Second, func() bool { return near.Ready(t.Context()) == nil })
 }
 
 // testLogger writes the log of the processes to the log of the test.
