--- a/internal/settings/serving/serving.go
+++ b/internal/settings/serving/serving.go
@@ -18,7 +18,6 @@
 //	  admission: true
 //	  copies: true
 //	  preemption: true
-//	  forecast: true
 //
 // A switch that is on takes effect only where the operator's configuration calls for the part, for instance with the weight of a team.
 package serving
@@ -45,8 +44,6 @@
 	Copies bool `yaml:"copies"`
 	// Preemption stops runs with checkpoints for more urgent jobs.
 	Preemption bool `yaml:"preemption"`
-	// Forecast asks for instances ahead of a surge that recurs.
-	Forecast bool `yaml:"forecast"`
 }
 
 // file is the content of a settings file.
@@ -60,7 +57,7 @@
 // Default returns the settings without a file.
 func Default() Settings {
 	return Settings{file: file{Scheduling: Scheduling{
-		LearnedRunTimes: true, WorkerPace: true, TeamShares: true, Admission: true, Copies: true, Preemption: true, Forecast: true,
+		LearnedRunTimes: true, WorkerPace: true, TeamShares: true, Admission: true, Copies: true, Preemption: true,
 	}}}
 }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -20,7 +20,6 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
-	"github.com/chivetiller/chivetiller/internal/pools/forecast"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
@@ -178,7 +177,6 @@
 	estimator     *estimator
 	// snapshots holds what is learned and kept for the next leaders.
 	snapshots     *snapshot.Set
-	forecast      *forecast.Forecast
 	fleet         *fleet
 	counts        Counts
 	policyQueries []PolicyQuery
@@ -224,24 +222,17 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
-	c := &Core{
+	return &Core{
 		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, confirmedAt: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
 		changedJobs: make(map[*job]bool), endedWithRuns: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
 		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
-		estimator: newEstimator(), snapshots: snapshot.NewSet(), forecast: forecast.New(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
+		estimator: newEstimator(), snapshots: snapshot.NewSet(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
 	}
-	if o.Features.Forecast {
-		c.snapshots.Add("forecast", c.forecast, forecastInterval)
-	}
-	return c
 }
 
-// forecastInterval is the time between two snapshots of the forecast. A surge takes some seconds.
-const forecastInterval = 5 * time.Second
-
 // SetTime advances the monotonic time.
 func (c *Core) SetTime(now time.Duration) { c.now = max(c.now, now) }
 
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -19,7 +19,7 @@
 }
 
 // neededCores returns the number of cores that a pool needs. Services need what they request. Jobs need enough to finish
-// within their latency targets, or enough to keep up with the arrivals or with a surge that is foreseen if that is more.
+// within their latency targets, or enough to keep up with arrivals if that is more.
 func (c *Core) neededCores(p *pool) float64 {
 	var total, jobs float64
 	for _, j := range p.jobs {
@@ -37,23 +37,7 @@
 			jobs += left / max(c.timeLeft(o, j, q, criticalPath), minTimeLeft).Seconds()
 		}
 	}
-	return total + max(jobs, p.arrivals.ExpectedRate(c.now), c.forecastRate(p))
-}
-
-// forecastRate returns the work, in core-seconds a second, that a surge of a pool is foreseen to bring soon.
-func (c *Core) forecastRate(p *pool) float64 {
-	if !c.options.Features.Forecast {
-		return 0
-	}
-	rate := c.forecast.Rate(p.name, c.now)
-	if foreseen := rate > 0; foreseen != p.surgeForeseen {
-		p.surgeForeseen = foreseen
-		if foreseen {
-			c.countDecision("forecast", "foreseen")
-		}
-		c.logger.Info("Forecast of a surge has changed.", "pool", p.name, "cores", rate, "period", c.forecast.Period(), "arriving", p.arrivals.ExpectedRate(c.now))
-	}
-	return rate
+	return total + max(jobs, p.arrivals.ExpectedRate(c.now))
 }
 
 // timeLeft returns the time in which the work of an occurrence should be done. That is until the end of its latency
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -47,7 +47,6 @@
 	c.batchJobSeen = c.batchJobSeen || !j.service
 	if !j.service && c.now-j.acceptedAt < arrivals.Span {
 		p.arrivals.Record(j.acceptedAt, j.doc.CoreSeconds())
-		c.forecast.Arrive(p.name, j.acceptedAt, j.doc.CoreSeconds())
 	}
 	c.logger.Debug("Job was added.", "job", doc.ID, "queue", doc.Queue, "team", doc.Team, "pool", doc.Pool, "begun", j.started)
 	if _, ok := c.earlyCancels[doc.ID]; ok {
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -51,7 +51,6 @@
 	}
 	f.plannedAt = c.now
 	spare := c.sparePool()
-	c.forecast.Advance(c.now)
 	demands, perInstance := c.demands(spare)
 	if perInstance == 0 {
 		return
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -259,9 +259,7 @@
 	plannedAt time.Duration
 	// candidates is the number of occurrences that had tasks to start in the last pass.
 	candidates int
-	arrivals arrivals.Window
-	// surgeForeseen means that the pool has instances for a surge that is foreseen.
-	surgeForeseen bool
+	arrivals   arrivals.Window
 	// tests holds the runs of suspects whose workers may still crash under them.
 	tests []*run
 	// reserved holds the workers with reservations.
