--- a/intake/intake.go
+++ b/intake/intake.go
@@ -20,6 +20,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/store/latency"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
@@ -70,7 +71,9 @@
 	Leader        Leader
 	Relay         Relay
 	Bounds        scheduler.Bounds
-	Logger        hclog.Logger
+	// Latency tells how long the store takes. It may be nil.
+	Latency *latency.Tracker
+	Logger  hclog.Logger
 }
 
 // Intake handles the requests of clients. It is safe for concurrent use.
@@ -85,6 +88,9 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	if o.Latency == nil {
+		o.Latency = latency.New()
+	}
 	return &Intake{options: o, logger: o.Logger.Named("intake")}
 }
 
@@ -163,21 +169,23 @@
 var errPartitioned = fmt.Errorf("%w: neither the store nor another data centre is reachable", store.ErrNotDone)
 
 // commit executes a transaction that may safely be repeated. It alternates between the store and the relay to another node until an
-// attempt succeeds, both have rejected it, or ctx is done. The error is ErrNotDone only if no attempt can have taken effect.
+// attempt succeeds, both have rejected it, or ctx is done. While the store is slow, the relay would only add to its load. The error is ErrNotDone only if no attempt can have taken effect.
 func (i *Intake) commit(ctx context.Context, tx store.Tx) error {
 	var unknown, direct error
 	if i.options.Relay.Partitioned(ctx) {
 		return errPartitioned
 	}
 	for attempt := 0; ; attempt++ {
+		now := time.Now()
+		relayed := attempt%2 == 1 && !i.options.Latency.Slow(now)
 		commit := i.options.Store.Commit
-		if attempt%2 == 1 {
+		if relayed {
 			commit = i.options.Relay.Commit
 		}
-		limited, cancel := context.WithTimeout(ctx, storeTimeout)
+		limited, cancel := context.WithTimeout(ctx, i.options.Latency.Timeout(now, storeTimeout))
 		result, err := commit(limited, tx)
 		cancel()
-		if attempt%2 == 0 {
+		if !relayed {
 			i.options.Clock.Update(result.Now)
 		}
 		if err == nil || errors.Is(err, store.ErrConflict) {
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/intake"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
+	"github.com/chivetiller/chivetiller/internal/store/latency"
 	"github.com/chivetiller/chivetiller/internal/workers/delegate"
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/member"
@@ -101,7 +102,8 @@
 	}
 	n := &Node{settings: s, deps: d, logger: d.Logger, kernel: kernel.New(d.Logger), clock: &store.Clock{}, stopping: make(chan struct{})}
 	n.metrics = metrics.NewJobs(n.stats)
-	n.deps.Store = n.metrics.InstrumentStore(d.Store)
+	calls := latency.New()
+	n.deps.Store = latency.Watch(n.metrics.InstrumentStore(d.Store), calls)
 	d.Store = n.deps.Store
 	n.members = member.New(member.Options{Store: d.Store, Clock: n.clock, Logger: d.Logger, Self: member.Node{
 		Name: s.Name, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), DataCentre: s.DataCentre, Incarnation: ident.New(), Cores: s.Cores,
@@ -113,7 +115,7 @@
 	n.source = catalog.NewSource(catalog.SourceOptions{Store: d.Store, Clock: n.clock, Decoder: d.Decoder, Peers: n.peers, Logger: d.Logger})
 	n.leadership = newLeadership(n)
 	n.intake = intake.New(intake.Options{
-		Store: d.Store, Clock: n.clock, Configuration: n.source, Leader: n.peers, Relay: n.peers, Bounds: s.Bounds, Logger: d.Logger,
+		Store: d.Store, Clock: n.clock, Configuration: n.source, Leader: n.peers, Relay: n.peers, Bounds: s.Bounds, Latency: calls, Logger: d.Logger,
 	})
 	return n, n.register()
 }
