evacuation: read which data centres the operator evacuates

Cause: the operator writes op/evacuate/ZONE to evacuate a data centre, and the rows were not read.

Source.Refresh reads all rows of the operator without waiting for changes, for a term that begins. Reads overlap then, so evacuation.Rows ignores what is older than what it knows.

--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -1,12 +1,15 @@
 package catalog
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -23,6 +26,14 @@
 func (VersionDecoder) ConfigRow() store.Key      { return store.Key{Table: "op", Name: "config"} }
 func (VersionDecoder) IsWave(row store.Row) bool { return strings.HasPrefix(row.Name, "wave/") }
 
+func (VersionDecoder) IsEvacuation(row store.Row) bool {
+	return strings.HasPrefix(row.Name, "evacuate/")
+}
+
+func (VersionDecoder) DecodeEvacuation(row store.Row) (string, error) {
+	return strings.TrimPrefix(row.Name, "evacuate/"), nil
+}
+
 func (VersionDecoder) DecodeConfig(value []byte) (*Catalog, error) {
 	n, err := strconv.ParseUint(string(value), 10, 64)
 	return New(n, 0, nil, nil, nil), err
@@ -34,27 +45,41 @@
 
 func (VersionDecoder) WaveStatus(row store.Key, _ bool) store.Put { return store.Put{Key: row} }
 
-// TestFollow guards against a configuration or a wave that is missed because rows change between two reads, history is dropped or reads
-// fail, and against an earlier configuration, with withdrawn keys, that counts as confirmed.
+// TestFollow guards against a configuration, a wave, or the begin or the end of an evacuation that is missed because rows change between
+// two reads, history is dropped or reads fail, and against an earlier configuration, with withdrawn keys, that counts as confirmed.
 func TestFollow(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
 		failing := rapid.SampledFrom([]float64{0, 0.2, 0.6}).Draw(rt, "failing reads")
 		s := memory.New()
 		version, waves := uint64(0), 0
-		put := func(name, value string) {
-			_, err := s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: store.Key{Table: "op", Name: name}, Value: []byte(value)}}})
+		evacuated := make(map[string]bool)
+		commit := func(tx store.Tx) {
+			_, err := s.Commit(t.Context(), tx)
 			qt.Assert(t, err, qt.IsNil)
 		}
+		put := func(name, value string) {
+			commit(store.Tx{Puts: []store.Put{{Key: store.Key{Table: "op", Name: name}, Value: []byte(value)}}})
+		}
 		changes := true
 		s.BeforeReads(func() {
-			switch n := random.IntN(8); {
-			case !changes || n > 3:
+			switch n := random.IntN(10); {
+			case !changes || n > 5:
 			case n == 0:
 				s.DropHistory()
 			case n == 1:
 				waves++
 				put(fmt.Sprint("wave/", waves), "w")
+			case n == 2:
+				name := []string{"a", "b", "c"}[random.IntN(3)]
+				evacuated[name] = true
+				put("evacuate/"+name, "x")
+			case n == 3:
+				for name := range evacuated {
+					delete(evacuated, name)
+					commit(store.Tx{Removes: []store.Key{{Table: "op", Name: "evacuate/" + name}}})
+					break
+				}
 			default:
 				version += uint64(1 + random.IntN(3))
 				put("config", strconv.FormatUint(version, 10))
@@ -69,7 +94,15 @@
 		source := NewSource(SourceOptions{Store: s, Clock: &store.Clock{}, Decoder: VersionDecoder{}})
 		for range 40 {
 			before, confirmed := version, source.confirmedAt
-			if err := source.readRows(t.Context()); err != nil && !errors.Is(err, store.ErrNotDone) {
+			read := source.readRows
+			if random.IntN(5) == 0 {
+				read = func(ctx context.Context) error {
+					ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
+					defer cancel()
+					return source.Refresh(ctx)
+				}
+			}
+			if err := read(t.Context()); err != nil && !errors.Is(err, store.ErrNotDone) && !errors.Is(err, context.DeadlineExceeded) {
 				rt.Fatal(err)
 			}
 			if source.confirmedAt > confirmed && source.Current().Version < before {
@@ -85,5 +118,8 @@
 		if current := source.Current().Version; current != version || len(source.Waves()) != waves {
 			rt.Fatalf("version %d and %d waves are in force, written were %d and %d", current, len(source.Waves()), version, waves)
 		}
+		if got := source.Evacuations(); got.Len() != len(evacuated) || slices.ContainsFunc(got.Names(), func(name string) bool { return !evacuated[name] }) {
+			rt.Fatalf("evacuated are %v, the rows are %v", got.Names(), evacuated)
+		}
 	})
 }
--- a/catalog/source.go
+++ b/catalog/source.go
@@ -11,6 +11,7 @@
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/common/loop"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
 	"github.com/chivetiller/chivetiller/store"
 )
 
@@ -34,6 +35,9 @@
 	DecodeConfig(value []byte) (*Catalog, error)
 	DecodeWave(row store.Row) (instance.Wave, error)
 	WaveStatus(row store.Key, finished bool) store.Put
+	// IsEvacuation and DecodeEvacuation are called for removed rows, too, which have no value.
+	IsEvacuation(row store.Row) bool
+	DecodeEvacuation(row store.Row) (dataCentre string, err error)
 }
 
 // Snapshot is a configuration as the operator wrote it, the version of its row, and the time since the store last confirmed it.
@@ -74,6 +78,7 @@
 	// confirmedByStoreAt is the same for confirmations by the store alone, without peers.
 	confirmedByStoreAt time.Duration
 	waves              map[string]instance.Wave
+	evacuations        evacuation.Rows
 	// readVersion is the version up to which changes have been read. 0 means that all rows have to be read.
 	readVersion uint64
 }
@@ -134,6 +139,32 @@
 	return waves
 }
 
+// Evacuations returns the evacuated data centres, as far as this process has read.
+func (s *Source) Evacuations() evacuation.Set {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations.Set()
+}
+
+// Refresh reads all rows of the operator without waiting for changes, again and again until that succeeds or ctx is done. A leader that
+// begins calls it, since its process may not have read changes for a while.
+func (s *Source) Refresh(ctx context.Context) error {
+	for {
+		rows, err := s.options.Store.Scan(ctx, s.options.Decoder.Table(), "", "", "")
+		if err == nil {
+			s.options.Clock.Update(rows.Now)
+			s.applyRows(rows, true)
+			return nil
+		}
+		s.logger.Warn("Rows of the operator cannot be read.", "error", err)
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
 // WaveStatus returns the row that reports the status of a wave to the operator.
 func (s *Source) WaveStatus(name string, finished bool) store.Put {
 	return s.options.Decoder.WaveStatus(store.Key{Name: name}, finished)
@@ -178,9 +209,7 @@
 		return err
 	}
 	s.options.Clock.Update(rows.Now)
-	for _, row := range rows.Rows {
-		s.applyRow(row)
-	}
+	s.applyRows(rows, after == 0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readVersion = rows.Version
@@ -195,6 +224,48 @@
 // recordConfirmation records that the configuration was the newest one at a time, in local monotonic time.
 func (s *Source) recordConfirmation(at time.Duration) { s.confirmedAt = max(s.confirmedAt, at) }
 
+// applyRows applies changed rows, or all rows if they are complete. Evacuations whose rows are missing from those have ended.
+func (s *Source) applyRows(rows store.Rows, complete bool) {
+	var evacuated []string
+	for _, row := range rows.Rows {
+		if !s.options.Decoder.IsEvacuation(row) {
+			s.applyRow(row)
+			continue
+		}
+		dataCentre, err := s.options.Decoder.DecodeEvacuation(row)
+		switch {
+		case err != nil:
+			s.logger.Error("Evacuation cannot be decoded.", "row", row.Name, "error", err)
+		case complete && !row.Deleted:
+			evacuated = append(evacuated, dataCentre)
+		case complete:
+		default:
+			s.changeEvacuations(func(e *evacuation.Rows) { e.Apply(dataCentre, !row.Deleted, row.Version, clock.Now()) })
+		}
+	}
+	s.changeEvacuations(func(e *evacuation.Rows) {
+		if complete {
+			e.Replace(evacuated, rows.Version, clock.Now())
+		}
+		e.Advance(rows.Version)
+	})
+}
+
+// changeEvacuations changes the evacuations and logs the data centres whose evacuation begins or ends.
+func (s *Source) changeEvacuations(change func(*evacuation.Rows)) {
+	s.mu.Lock()
+	before := s.evacuations.Set()
+	change(&s.evacuations)
+	after := s.evacuations.Set()
+	s.mu.Unlock()
+	for _, name := range after.Without(before) {
+		s.logger.Info("Data centre is evacuated.", "dataCentre", name, "evacuated", after.Len())
+	}
+	for _, name := range before.Without(after) {
+		s.logger.Info("Data centre is no longer evacuated.", "dataCentre", name, "for", clock.Now()-before.Since(name), "evacuated", after.Len())
+	}
+}
+
 // applyRow decodes a changed row and applies it.
 func (s *Source) applyRow(row store.Row) {
 	switch {
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -105,6 +105,12 @@
 func (fakeDecoder) ConfigRow() store.Key      { return store.Key{Table: "op", Name: "config"} }
 func (fakeDecoder) IsWave(row store.Row) bool { return strings.HasPrefix(row.Name, "wave") }
 
+func (fakeDecoder) IsEvacuation(row store.Row) bool { return strings.HasPrefix(row.Name, "evacuate/") }
+
+func (fakeDecoder) DecodeEvacuation(row store.Row) (string, error) {
+	return strings.TrimPrefix(row.Name, "evacuate/"), nil
+}
+
 func (fakeDecoder) DecodeConfig([]byte) (*catalog.Catalog, error) {
 	return catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 2, BaseTarget: time.Second, Public: true}},
 		[]catalog.Pool{{Name: "p"}}, nil), nil
