evacuation: start nothing in evacuated data centres and move services out

Cause: the scheduler did not know of evacuations.

The engine reads the evacuations at the start of a term, before anything is started, and passes the set to the core in each pass. Nothing starts on workers of an evacuated data centre: new runs, planned runs whose batch is stored later, starts that are not sent yet, and starts without an answer that would be repeated (they are ruled out by a later call instead). Services, and batch tasks with checkpoints, are stopped once a worker elsewhere has room that is kept for them and the disruption budget allows; gangs as a whole. Instances of the data centre count as not available, none moves into a pool, and empty ones are switched off once their pool has what it needs elsewhere.

Tests: evacuation_test.go guards each kind of start, moving out (14 kinds of steps), room for waiting services, instances, pending moves, the takeover and a change of the leader. go test ./scheduler ./catalog ./platform ./node ./internal/{datacentres,workers,pools,store}/... passes.

--- a/node/leadership.go
+++ b/node/leadership.go
@@ -80,7 +80,7 @@
 			LeasesBoundedFrom: term.LeasesBoundedFrom, Features: l.n.settings.Serving.Scheduling(),
 			Observer: l.n.metrics, InstanceCommandRate: l.n.settings.InstanceCommandRate,
 		},
-		Name: l.n.settings.Name, Store: l.n.deps.Store, Clock: l.n.clock, Registry: l.n.deps.Registry, Waves: l.n.source, Workers: l.n.sender,
+		Name: l.n.settings.Name, Store: l.n.deps.Store, Clock: l.n.clock, Registry: l.n.deps.Registry, Waves: l.n.source, Evacuations: l.n.source, Workers: l.n.sender,
 		Instances: l.n.deps.Instances, Advisor: l.n.deps.Advisor, Catalog: l.n.source.Current, Leadership: l.n.members, Logger: l.n.deps.Logger,
 	})
 	limited, cancel := l.untilTermEnds(ctx, term.Fence)
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/chivetiller/chivetiller/intake"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/workers/delegate"
+	"github.com/chivetiller/chivetiller/internal/workers/registry"
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/member"
 	"github.com/chivetiller/chivetiller/metrics"
@@ -66,7 +67,7 @@
 	Commander worker.Commander
 	Instances instance.Fleet
 	Advisor   advice.Advisor
-	Registry  scheduler.Registry
+	Registry  registry.Decoder
 	Decoder   catalog.Decoder
 	// JobsHandler returns the HTTP handler for clients.
 	JobsHandler func(*intake.Intake, *metrics.Jobs) http.Handler
--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -29,7 +29,7 @@
 // mayRepeatStart reports whether an unanswered start may be sent again: it fits, or the worker rejects it if it does not. What was true when
 // it was first sent may not be true any more.
 func (c *Core) mayRepeatStart(r *run) bool {
-	if r.worker.report.Draining || !c.withinTeamLimit(r.step, 0) {
+	if r.worker.report.Draining || c.evacuated(r.worker) || !c.withinTeamLimit(r.step, 0) {
 		return false
 	}
 	return r.worker.hasRoom() || r.worker.registered() && c.guardsCapacity(r.worker)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
 	"github.com/chivetiller/chivetiller/internal/pools/forecast"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
@@ -177,11 +178,14 @@
 	deposed       bool
 	estimator     *estimator
 	// snapshots holds what is learned and kept for the next leaders.
-	snapshots     *snapshot.Set
-	forecast      *forecast.Forecast
-	fleet         *fleet
-	counts        Counts
-	policyQueries []PolicyQuery
+	snapshots *snapshot.Set
+	forecast  *forecast.Forecast
+	fleet     *fleet
+	// evacuations holds the evacuated data centres. evacuationLoggedAt is the time of the latest log line about the runs there.
+	evacuations        evacuation.Set
+	evacuationLoggedAt time.Duration
+	counts             Counts
+	policyQueries      []PolicyQuery
 	// idle is a buffer for the idle tasks of a step.
 	idle []int
 	// waitingTasks counts the tasks of services that did not run at waitingCheckedAt, and longestWaits is for how long they had not.
@@ -201,6 +205,8 @@
 	// WaitingTasks counts the tasks of services that do not run, and LongestWaits is the longest time for which one of them has not.
 	WaitingTasks map[WaitReason]int
 	LongestWaits map[WaitReason]time.Duration
+	// EvacuationRuns counts the runs that are left in each evacuated data centre.
+	EvacuationRuns map[string]int
 	// Decisions counts the decisions of the parts that are switched by settings.
 	Decisions map[Decision]uint64
 	// RefusedBatches counts the batches that the store refused. SinceStored is the time since a batch was stored, while another one waits.
@@ -272,6 +278,7 @@
 			counts.Jobs[state.String()]++
 		}
 	}
+	counts.EvacuationRuns = c.evacuationRuns()
 	counts.WaitingTasks, counts.LongestWaits = maps.Clone(c.waitingTasks), maps.Clone(c.longestWaits)
 	if c.unstoredSince > 0 {
 		counts.SinceStored = c.now - max(c.lastStored, c.unstoredSince)
@@ -291,6 +298,8 @@
 		return "lapsed"
 	case ws.report.Draining:
 		return "leaving"
+	case c.evacuated(ws):
+		return "evacuated"
 	case ws.cordoned:
 		return "drained"
 	case ws.health.quarantined(c.now):
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -15,6 +15,8 @@
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
+	"github.com/chivetiller/chivetiller/internal/workers/registry"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -62,8 +64,6 @@
 	// them. An entry has about 250 bytes, so lists take up to 4 Mbit/s.
 	instancesInterval   = 300 * time.Millisecond
 	perInstanceInterval = 500 * time.Microsecond
-	// registryRefresh is the time between two complete scans of the registry.
-	registryRefresh = 10 * time.Second
 	// shortenInterval is the time between two rounds in which rows of ended jobs are shortened. Each takes a transaction for each
 	// partition of jobs.
 	shortenInterval = time.Second
@@ -77,12 +77,6 @@
 	inboxSize = 4096
 )
 
-// Registry decodes worker entries.
-type Registry interface {
-	Table() (table, partition string)
-	Decode(row store.Row) (worker.Report, error)
-}
-
 // Waves gives access to the requests for maintenance.
 type Waves interface {
 	// Waves returns the requests by row name.
@@ -91,6 +85,13 @@
 	WaveStatus(name string, finished bool) store.Put
 }
 
+// Evacuations gives access to the evacuated data centres.
+type Evacuations interface {
+	Evacuations() evacuation.Set
+	// Refresh reads them now, again and again until that succeeds or ctx is done.
+	Refresh(ctx context.Context) error
+}
+
 // Leadership tells whether this process is still the leader. All methods take the fencing token of a term.
 type Leadership interface {
 	// IsLeader reports whether leadership was confirmed recently.
@@ -113,12 +114,14 @@
 	Name  string
 	Store store.Store
 	// Clock estimates the time of the store.
-	Clock     *store.Clock
-	Registry  Registry
-	Waves     Waves
-	Workers   worker.Commander
-	Instances instance.Fleet
-	Advisor   advice.Advisor
+	Clock    *store.Clock
+	Registry registry.Decoder
+	Waves    Waves
+	// Evacuations may be nil.
+	Evacuations Evacuations
+	Workers     worker.Commander
+	Instances   instance.Fleet
+	Advisor     advice.Advisor
 	// Catalog returns the configuration in force.
 	Catalog    func() *catalog.Catalog
 	Leadership Leadership
@@ -187,12 +190,18 @@
 	if err := e.storeClockRow(ctx, l); err != nil {
 		return err
 	}
+	if e.options.Evacuations != nil {
+		// The process may have read them long ago, or may have its configuration from a peer.
+		if err := e.options.Evacuations.Refresh(ctx); err != nil {
+			return eris.Wrap(err, "read the evacuations")
+		}
+	}
 	e.chainVersion = l.chain
 	now := clock.Now()
 	c := e.core
 	c.SetTime(now)
 	e.updateConfirmation()
-	c.SetCatalog(e.options.Catalog())
+	e.updateOperatorRows()
 	storeNow, _ := e.options.Clock.At(now)
 	c.SetWallClock(now, l.clock.WallClock+storeNow-l.clock.Store)
 	for i, entry := range l.roster {
@@ -427,7 +436,7 @@
 		c.PreviousLeaderEnded()
 	}
 	e.updateConfirmation()
-	c.SetCatalog(e.options.Catalog())
+	e.updateOperatorRows()
 	c.Schedule(now)
 	for _, cmd := range c.TakeInstanceCommands() {
 		e.spawn(func() { e.sendInstanceCommand(cmd) })
@@ -462,6 +471,14 @@
 	}
 }
 
+// updateOperatorRows tells the core what the operator has written. It is called by the loop.
+func (e *Engine) updateOperatorRows() {
+	e.core.SetCatalog(e.options.Catalog())
+	if e.options.Evacuations != nil {
+		e.core.SetEvacuations(e.options.Evacuations.Evacuations())
+	}
+}
+
 // dispatch sends the commands that are due and stores what has changed. It follows every message and does not wait for a pass: the
 // passes of an overloaded leader are far apart, and each batch starts only a limited number of tasks.
 func (e *Engine) dispatch(now time.Duration) {
--- a/scheduler/follow_test.go
+++ b/scheduler/follow_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/workers/registry"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -110,7 +111,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		failing := rapid.SampledFrom([]float64{0, 0.2, 0.6}).Draw(rt, "failing reads")
-		outage := rapid.SampledFrom([]time.Duration{0, maxRegistryGap / 2, 2 * maxRegistryGap}).Draw(rt, "outage")
+		outage := rapid.SampledFrom([]time.Duration{0, registry.MaxGap / 2, 2 * registry.MaxGap}).Draw(rt, "outage")
 		var wrong []string
 		synctest.Test(t, func(t *testing.T) { wrong = follow(t, seed, failing, outage) })
 		if len(wrong) > 0 {
@@ -139,14 +140,16 @@
 	}
 	jobs := &jobsView{e: e, version: l.version}
 	since := time.Now()
-	registry := &registryView{e: e, now: func() time.Duration { return time.Second + time.Since(since) }, entries: make(map[string]registryEntry)}
+	view := registry.NewView(registry.Options{
+		Store: e.options.Store, Clock: e.options.Clock, Registry: e.options.Registry, Now: func() time.Duration { return time.Second + time.Since(since) }, Logger: e.logger,
+	})
 	refresh := func(d time.Duration) {
 		ctx, cancel := context.WithTimeout(t.Context(), d)
 		defer cancel()
 		for ; ctx.Err() == nil; time.Sleep(registryInterval) {
 			c.SetTime(clock.Now())
 			jobs.refresh(ctx)
-			registry.refresh(ctx)
+			e.refreshRegistry(ctx, view)
 			for len(e.inbox) > 0 {
 				(<-e.inbox)(c)
 			}
@@ -158,7 +161,7 @@
 	f.setRates(failing, 0.5)
 	refresh(time.Second)
 	f.setRates(0, 0)
-	refresh(registrySettleTime + 3*registryInterval)
+	refresh(registry.SettleTime + 3*registryInterval)
 	for id, cancelled := range f.jobs {
 		if state, known := c.JobState(id); !known || cancelled != (state == work.Cancelled) {
 			wrong = append(wrong, fmt.Sprintf("job %s: known %t, state %s, cancelled %t", id, known, state, cancelled))
--- a/scheduler/plans.go
+++ b/scheduler/plans.go
@@ -47,6 +47,8 @@
 		return "its worker is silent."
 	case ws.report.Draining:
 		return "its worker is leaving."
+	case c.evacuated(ws):
+		return "its data centre is evacuated."
 	case !r.stillFits():
 		return "there is no room for it any more."
 	}
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -57,7 +57,7 @@
 		}
 		ws.reservations = slices.DeleteFunc(ws.reservations, func(r reservation) bool {
 			s := r.step
-			if s.job.progress.State.Ended() || kept[s] >= s.idleTasks || !s.doc.ReservedResources().Fits(ws.report.Capacity) {
+			if s.job.progress.State.Ended() || kept[s] >= s.idleTasks+c.movingOut(s) || !s.doc.ReservedResources().Fits(ws.report.Capacity) {
 				return true
 			}
 			if c.now-r.since >= reservationLimit && r.used.Fits(ws.used) {
@@ -95,15 +95,20 @@
 			s.waits().reserveNotBefore = c.now + reserveRetry
 			return
 		}
-		if len(ws.reservations) == 0 {
-			p.reserved = append(p.reserved, ws)
-		}
-		ws.reservations = append(ws.reservations, reservation{step: s, since: c.now, used: ws.used})
+		p.reserve(s, ws, c.now)
 		c.logger.Info("Worker is kept free for a service.", "job", s.job.doc.ID, "step", s.number, "worker", ws.report.ID, "waited", c.now-s.waitsSince,
 			"runs", len(ws.runs), "reservations", len(ws.reservations))
 	}
 }
 
+// reserve keeps room on a worker for a task of a step.
+func (p *pool) reserve(s *step, ws *workerState, now time.Duration) {
+	if len(ws.reservations) == 0 {
+		p.reserved = append(p.reserved, ws)
+	}
+	ws.reservations = append(ws.reservations, reservation{step: s, since: now, used: ws.used})
+}
+
 func (ws *workerState) reservedFor(s *step) int {
 	n := 0
 	for _, r := range ws.reservations {
@@ -140,14 +145,20 @@
 	return best
 }
 
-// timeToRoom returns how long a worker is expected to take until it has room for one more task of a step beside its reservations. It
-// reports false if only the end of a service would make room.
-func (c *Core) timeToRoom(s *step, ws *workerState) (time.Duration, bool) {
-	need := s.doc.ReservedResources()
+// unreserved returns the capacity that is neither in use nor reserved.
+func (ws *workerState) unreserved() work.Resources {
 	free := ws.freeCapacity()
 	for _, r := range ws.reservations {
 		free = free.Minus(r.step.doc.ReservedResources())
 	}
+	return free
+}
+
+// timeToRoom returns how long a worker is expected to take until it has room for one more task of a step beside its reservations. It
+// reports false if only the end of a service would make room.
+func (c *Core) timeToRoom(s *step, ws *workerState) (time.Duration, bool) {
+	need := s.doc.ReservedResources()
+	free := ws.unreserved()
 	if need.Fits(free) {
 		return 0, true
 	}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -206,7 +206,7 @@
 		c.commandStart(r)
 		return
 	}
-	if r.protected() {
+	if r.protected() || c.evacuated(r.worker) {
 		c.giveUpStart(r, "it may not start there any more")
 		return
 	}
--- a/scheduler/usable.go
+++ b/scheduler/usable.go
@@ -25,7 +25,7 @@
 
 // mayStartOn reports whether a start on a worker would be carried out and may be, whether the worker is avoided or not.
 func (c *Core) mayStartOn(ws *workerState) bool {
-	if !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || c.silent(ws) || !ws.ruledOut(c.now) {
+	if c.evacuated(ws) || !ws.listed || !ws.registered() || !ws.answered || ws.leaseExpired || c.silent(ws) || !ws.ruledOut(c.now) {
 		return false
 	}
 	if ws.report.Draining || c.now < ws.noTasksBefore || (ws.unknownRuns > 0 && !c.guardsCapacity(ws)) {
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -11,9 +11,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/store/retrying"
+	"github.com/chivetiller/chivetiller/internal/workers/registry"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
-	"github.com/chivetiller/chivetiller/worker"
 )
 
 func encode(v any) ([]byte, error) {
@@ -37,103 +38,20 @@
 	}
 }
 
-// maxRegistryGap is the time without a read of the registry after which missing entries are not trusted, and
-// registrySettleTime how long that lasts. Workers whose entries have expired register again within about two seconds
-// after the store is back.
-const (
-	maxRegistryGap     = 1500 * time.Millisecond
-	registrySettleTime = 2500 * time.Millisecond
-)
-
-// registryEntry is a decoded row of the registry.
-type registryEntry struct {
-	report worker.Report
-	err    error
-}
-
-// registryView follows the worker registry.
-type registryView struct {
-	e *Engine
-	// now returns the present monotonic time.
-	now     func() time.Duration
-	entries map[string]registryEntry
-	// version is the version from which on changes are read.
-	version uint64
-	// completeAt is the time of the last complete scan and readAt that of the last read. Before settledAt, missing entries
-	// are not trusted.
-	completeAt time.Duration
-	readAt     time.Duration
-	settledAt  time.Duration
-}
-
 // watchRegistry follows the worker registry until the term ends.
 func (e *Engine) watchRegistry() {
-	v := &registryView{e: e, now: clock.Now, entries: make(map[string]registryEntry)}
-	e.repeat(registryInterval, v.refresh)
+	v := registry.NewView(registry.Options{Store: e.options.Store, Clock: e.options.Clock, Registry: e.options.Registry, Now: clock.Now, Logger: e.logger})
+	e.repeat(registryInterval, func(ctx context.Context) { e.refreshRegistry(ctx, v) })
 }
 
-func (v *registryView) refresh(ctx context.Context) {
-	rows, all, err := v.read(ctx)
+func (e *Engine) refreshRegistry(ctx context.Context, v *registry.View) {
+	// With enough rows, a complete scan would never end within the timeout of a read.
+	reports, err := v.Refresh(ctx, e.ctx)
 	if err != nil {
-		v.e.logger.Warn("Registry could not be read.", "error", err)
+		e.logger.Warn("Registry could not be read.", "error", err)
 		return
 	}
-	now := v.now()
-	v.e.options.Clock.Update(rows.Now)
-	if v.readAt > 0 && now-v.readAt > maxRegistryGap {
-		v.settledAt = now + registrySettleTime
-	}
-	v.readAt, v.version = now, rows.Version
-	listed := make(map[string]bool, len(rows.Rows))
-	for _, row := range rows.Rows {
-		listed[row.Name] = true
-		v.applyRow(row, now)
-	}
-	if all {
-		v.completeAt = now
-		for id := range v.entries {
-			if !listed[id] && now >= v.settledAt {
-				delete(v.entries, id)
-			}
-		}
-	}
-	reports := make([]worker.Report, 0, len(v.entries))
-	for _, entry := range v.entries {
-		if entry.err == nil {
-			reports = append(reports, entry.report)
-		}
-	}
-	v.e.post(func(c *Core) { c.SetWorkers(reports) })
-}
-
-// read returns the rows that have changed. It returns all rows from time to time, and after an outage until missing entries are trusted:
-// only then does a complete scan drop those that are gone.
-func (v *registryView) read(ctx context.Context) (rows store.Rows, all bool, err error) {
-	table, partition := v.e.options.Registry.Table()
-	now := v.now()
-	if v.version > 0 && now-v.completeAt < registryRefresh && now-v.readAt < maxRegistryGap && v.completeAt >= v.settledAt {
-		rows, err = v.e.options.Store.Changes(ctx, table, v.version, 0)
-		if !errors.Is(err, store.ErrHistoryGone) {
-			return rows, false, err
-		}
-	}
-	rows, err = v.e.options.Store.Scan(v.e.ctx, table, partition, "", "")
-	return rows, true, err
-}
-
-func (v *registryView) applyRow(row store.Row, now time.Duration) {
-	if row.Deleted {
-		if now >= v.settledAt {
-			delete(v.entries, row.Name)
-		}
-		return
-	}
-	before := v.entries[row.Name]
-	report, err := v.e.options.Registry.Decode(row)
-	if err != nil && before.err == nil {
-		v.e.logger.Warn("Registry entry of a worker is invalid.", "worker", row.Name, "error", err)
-	}
-	v.entries[row.Name] = registryEntry{report: report, err: err}
+	e.post(func(c *Core) { c.SetWorkers(reports) })
 }
 
 // jobsView follows the table of jobs.
@@ -170,7 +88,7 @@
 // readAllJobs returns the rows of all jobs and their progress. Among them may be jobs that ended long ago and that the core has forgotten.
 // The progress is read first: it is removed after the rows of its job, and a job without progress would run again.
 func (e *Engine) readAllJobs(ctx context.Context) (store.Rows, map[string]*work.Progress, error) {
-	s := retryingReads{e.options.Store, e.logger}
+	s := retrying.Reads{Store: e.options.Store, Logger: e.logger}
 	stored, err := s.Scan(ctx, tableProgress, "", "", "")
 	if err != nil {
 		return store.Rows{}, nil, err
