evacuation: model of starts, stops and leaders

The model of late orders plays evacuations of one, two or all data centres and changes of the leader, too. It fails on a start command for a worker of an evacuated data centre, a stop beyond the disruption budget, a task that runs twice, and a service that is not at work at the end. TestLateOrdersModel draws the same events as before.

--- a/scheduler/lateordersmodel_test.go
+++ b/scheduler/lateordersmodel_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
+	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -58,23 +62,29 @@
 // ordersModel plays a leader, workers that crash and are drained, and orders of which any is late, lost, doubled or out of order.
 type ordersModel struct {
 	*rig
-	rt      *rapid.T
-	rand    *rand.Rand
-	doc     work.Job
-	events  []ordersEvent
-	workers []*ordersWorker
-	later   map[time.Duration][]func()
-	lives   int
-	version uint64
+	// evacuated holds the evacuated data centres, docs the jobs, and progress what is stored of them.
+	evacuated evacuation.Set
+	docs      []work.Job
+	progress  map[string][]byte
+	// checkpoints means that the tasks of batch jobs have checkpoints.
+	checkpoints bool
+	rt          *rapid.T
+	rand        *rand.Rand
+	doc         work.Job
+	events      []ordersEvent
+	workers     []*ordersWorker
+	later       map[time.Duration][]func()
+	lives       int
+	version     uint64
 	// atWork and stopped hold, for each task of the service, when it was last seen at work, and whether an order has ended it since.
 	atWork  [ordersTasks]time.Duration
 	stopped [ordersTasks]bool
 	broken  string
 }
 
-func newOrdersModel(t *testing.T, rt *rapid.T) *ordersModel {
+func newOrdersModel(t *testing.T, rt *rapid.T, kinds ...string) *ordersModel {
 	m := &ordersModel{
-		rig: newRig(t, 1), rt: rt, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1)), later: make(map[time.Duration][]func()),
+		rig: newRig(t, 1), rt: rt, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1)), later: make(map[time.Duration][]func()), progress: make(map[string][]byte),
 		doc: work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: ordersTasks, Request: work.Resources{CPU: 1000, Memory: 100}, Service: true, MaxDisruptions: ordersMayMiss}}},
 	}
 	m.version = m.core.options.Fence
@@ -83,7 +93,7 @@
 	}
 	for range rapid.IntRange(2, 6).Draw(rt, "events") {
 		e := ordersEvent{
-			kind: rapid.SampledFrom([]string{"orders", "crash", "drain"}).Draw(rt, "kind"), at: m.now + drawSteps(rt, "at", 2*time.Second, 14*time.Second),
+			kind: rapid.SampledFrom(kinds).Draw(rt, "kind"), at: m.now + drawSteps(rt, "at", 2*time.Second, 14*time.Second),
 			worker: rapid.IntRange(0, ordersWorkers-1).Draw(rt, "worker"), count: rapid.IntRange(1, 3).Draw(rt, "count"),
 			share: float64(rapid.IntRange(3, 10).Draw(rt, "share")) / 10,
 		}
@@ -154,9 +164,9 @@
 
 // sendRenewal is [ordersModel.send] for renewals and polls, of which no two in a row are lost.
 func (m *ordersModel) sendRenewal(w *ordersWorker, to call, cmd worker.RenewCommand, done func(failed bool)) {
-	sent := m.now
+	sent, core := m.now, m.core
 	deliver := func(s worker.Status) {
-		m.core.HandleStatus(to, s, sent, nil)
+		core.HandleStatus(to, s, sent, nil)
 		done(s.Outcome == worker.Unknown)
 	}
 	if w.downUntil == 0 && !w.renewalLost && m.rand.Float64() < m.share()/2 {
@@ -274,7 +284,10 @@
 func (m *ordersModel) dispatch() {
 	for _, cmd := range m.core.TakeCommands() {
 		w := m.find(cmd.Target.ID)
-		sent := m.now
+		sent, core := m.now, m.core
+		if cmd.Kind == CommandStart && m.evacuated.Contains(w.dataCentre()) {
+			m.broken = fmt.Sprintf("task %v starts on %s in the evacuated data centre %s", cmd.Start.Task, w.id, w.dataCentre())
+		}
 		if cmd.Kind == CommandPoll {
 			m.sendRenewal(w, cmd.call, cmd.Renew, func(bool) {})
 			continue
@@ -285,7 +298,7 @@
 			}
 			return m.start(w, cmd.Start)
 		}
-		deliver := func(s worker.Status) { m.core.HandleReply(cmd, s.Reply, sent, nil) }
+		deliver := func(s worker.Status) { core.HandleReply(cmd, s.Reply, sent, nil) }
 		if cmd.run.unanswered > 0 {
 			m.after(commandPause, func() { m.send(w, carryOut, deliver) })
 			continue
@@ -307,7 +320,11 @@
 			continue
 		}
 		w.renewing = true
+		core := m.core
 		m.sendRenewal(w, r.call, r.Command, func(failed bool) {
+			if m.core != core {
+				return
+			}
 			w.renewing, w.renewAt = false, m.now+2*ordersStep
 			if failed {
 				w.renewAt = m.now + renewPause
@@ -319,6 +336,9 @@
 // disrupt crashes and replaces workers, and drains others.
 func (m *ordersModel) disrupt() {
 	for _, e := range m.events {
+		if e.kind == "leader" && e.at == m.now {
+			m.changeLeader()
+		}
 		for i := range e.count {
 			m.disruptWorker(e, (e.worker+i)%ordersWorkers)
 		}
@@ -342,6 +362,50 @@
 	}
 }
 
+// dataCentre returns the data centre of a worker, by its place among the first ones.
+func (w *ordersWorker) dataCentre() string {
+	var number int
+	if _, err := fmt.Sscanf(w.id, "w%d", &number); err != nil {
+		panic(err)
+	}
+	return string("abc"[number%3])
+}
+
+// setEvacuations tells the leader which data centres are evacuated: those of the first workers of the events that last.
+func (m *ordersModel) setEvacuations() {
+	var names []string
+	for _, e := range m.events {
+		if e.kind == "evacuate" && e.at <= m.now && m.now < e.until {
+			for i := range e.count {
+				names = append(names, string("abc"[(e.worker+i)%3]))
+			}
+		}
+	}
+	m.evacuated = evacuation.NewSet(m.now, names...)
+	m.core.SetEvacuations(m.evacuated)
+}
+
+// changeLeader lets another process begin a term with what is stored. What the previous one has sent may still arrive.
+func (m *ordersModel) changeLeader() {
+	m.version++
+	term, before := m.core.options.Term+1, m.core
+	m.core = NewCore(Options{Bounds: rigBounds(), Fence: m.version, Term: term, AcquiredAt: m.now, PreviousLeaderEnded: true, EarlierLeadersUntil: m.now})
+	m.core.SetCatalog(before.catalog)
+	m.setEvacuations()
+	m.core.SetRoster(slices.Collect(maps.Values(m.roster)))
+	for _, doc := range m.docs {
+		var p *work.Progress
+		if value, ok := m.progress[doc.ID]; ok {
+			p = new(work.Progress)
+			qt.Assert(m.t, cbor.Unmarshal(value, p), qt.IsNil)
+		}
+		m.core.AddJob(doc, p, 0)
+	}
+	for _, w := range m.workers {
+		w.renewing, w.renewAt = false, 0
+	}
+}
+
 func (m *ordersModel) observe() {
 	for _, w := range m.workers {
 		for t, r := range w.running {
@@ -375,16 +439,31 @@
 		var reports []worker.Report
 		for _, w := range m.workers {
 			if w.downUntil == 0 {
-				reports = append(reports, rigReport(w.id, work.Resources{CPU: 4000, Memory: 4000}))
+				report := rigReport(w.id, work.Resources{CPU: 4000, Memory: 4000})
+				report.DataCentre = w.dataCentre()
+				reports = append(reports, report)
 			}
 		}
 		m.core.SetWorkers(reports)
 	}
 	m.core.SetConfirmed(m.now)
+	m.setEvacuations()
 	m.renewAll()
 	m.core.Schedule(m.now)
+	m.core.TakeInstanceCommands()
 	m.dispatch()
 	b := m.core.TakeBatch(100)
+	for id, p := range b.Progress {
+		value, err := cbor.Marshal(p)
+		qt.Assert(m.t, err, qt.IsNil)
+		m.progress[id] = value
+	}
+	for id, entry := range b.Roster {
+		delete(m.roster, id)
+		if entry != nil {
+			m.roster[id] = *entry
+		}
+	}
 	if !b.Empty() {
 		m.version++
 		m.core.SetStoredVersion(m.version)
@@ -393,11 +472,18 @@
 	m.dispatch()
 }
 
+func (m *ordersModel) addDoc(doc work.Job) {
+	m.docs = append(m.docs, doc)
+	m.addJob(doc)
+}
+
 func (m *ordersModel) play() {
-	m.addJob(m.doc)
+	m.addDoc(m.doc)
 	for end := m.now + ordersLength; m.now < end && m.broken == ""; {
 		if n := m.now.Truncate(3 * time.Second); n == m.now {
-			m.addSteps(fmt.Sprint("b", n), 2)
+			m.addDoc(work.Job{ID: fmt.Sprint("b", n), Queue: "q", Pool: "p", Steps: []work.Step{
+				{Count: 2, Request: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second, Checkpoints: m.checkpoints},
+			}})
 		}
 		m.step()
 	}
@@ -421,5 +507,16 @@
 // TestLateOrdersModel guards against an order without an answer that acts later, when what was true as it was sent is not true any more:
 // a stop that ends a task of a service while too many others are away, or a start of a task that runs elsewhere by then.
 func TestLateOrdersModel(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { newOrdersModel(t, rt).play() })
+	rapid.Check(t, func(rt *rapid.T) { newOrdersModel(t, rt, "orders", "crash", "drain").play() })
+}
+
+// TestEvacuationModel guards against a start in an evacuated data centre, against stops of a service that is moved out beyond its disruption
+// budget, and against a service that does not come back, while data centres are evacuated and taken back, two or all of them at once, the
+// leader changes, workers crash, and orders are late or lost.
+func TestEvacuationModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newOrdersModel(t, rt, "evacuate", "evacuate", "leader", "orders", "crash")
+		m.checkpoints = rapid.Bool().Draw(rt, "checkpoints")
+		m.play()
+	})
 }
