--- a/commands/operatorflags.go
+++ b/commands/operatorflags.go
@@ -30,6 +30,9 @@
 	defaultOperator  = "http://127.0.0.1:8081"
 )
 
+// outputTable is the default output format of commands that list.
+const outputTable = "table"
+
 // operatorFlags are the flags of commands that are clients of the operator API.
 type operatorFlags struct {
 	operator string
@@ -42,7 +45,7 @@
 	flags := cmd.PersistentFlags()
 	flags.StringVar(&f.operator, "operator", "", "URL of the operator API of any entry instance (default $"+operatorVariable+" or "+defaultOperator+")")
 	flags.StringVar(&f.keyFile, "key-file", "", "file with the operator key (default $"+keyFileVariable+")")
-	flags.StringVar(&f.output, "output", "table", "output format: table or json")
+	flags.StringVar(&f.output, "output", outputTable, "output format: table or json")
 }
 
 // applyEnvironment sets flags that are not given from the environment, or to their default.
@@ -51,11 +54,19 @@
 	f.keyFile = cmp.Or(f.keyFile, os.Getenv(keyFileVariable))
 }
 
+// checkOutput returns an error if there is no such output format.
+func (f *operatorFlags) checkOutput() error {
+	if f.output != outputTable && f.output != outputJSON {
+		return newUsageError(eris.Errorf("output %q is neither table nor json", f.output))
+	}
+	return nil
+}
+
 // call sends a request to the operator API with in as JSON, and decodes the response into out. Both may be nil.
 func (f *operatorFlags) call(cmd *cobra.Command, method, path string, in, out any) error {
 	f.applyEnvironment()
-	if f.output != "table" && f.output != "json" {
-		return newUsageError(eris.Errorf("output %q is neither table nor json", f.output))
+	if err := f.checkOutput(); err != nil {
+		return err
 	}
 	base, err := url.Parse(f.operator)
 	if err != nil || base.Host == "" {
@@ -115,7 +126,7 @@
 
 // printOutput prints value as JSON or the rows as a table, as the output flag says.
 func (f *operatorFlags) printOutput(cmd *cobra.Command, value any, header []string, rows [][]string) error {
-	if f.output == "json" {
+	if f.output == outputJSON {
 		encoder := json.NewEncoder(cmd.OutOrStdout())
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(value)
--- a/commands/root.go
+++ b/commands/root.go
@@ -70,6 +70,7 @@
 		newDemoCommand(),
 		newEndpointCommand(),
 		newEntryCommand(),
+		newEvacuationCommand(),
 		newExplainCommand(),
 		newInstanceCommand(),
 		newJobCommand(),
--- a/metrics/jobs.go
+++ b/metrics/jobs.go
@@ -55,6 +55,10 @@
 	// and 0 if none waits.
 	RefusedBatches float64
 	SinceStored    time.Duration
+	// EvacuatedFor is the time since the process has known that a data centre is evacuated, and EvacuationRuns counts the runs that are left
+	// there.
+	EvacuatedFor   map[string]time.Duration
+	EvacuationRuns map[string]float64
 	// Decisions counts the decisions of the parts of the scheduler that are switched by settings, by part and outcome.
 	Decisions map[[2]string]float64
 }
@@ -146,6 +150,13 @@
 	return rows, err
 }
 
+// Names of the metrics about evacuations, which "chivetiller evacuation list" reads.
+const (
+	EvacuatedForName   = namespace + "_evacuation_since_seconds"
+	EvacuationRunsName = namespace + "_evacuation_runs"
+	DataCentreLabel    = "data_centre"
+)
+
 // scrapeTimeout is the time limit for reading the scheduler's state at a scrape.
 const scrapeTimeout = 200 * time.Millisecond
 
@@ -155,25 +166,27 @@
 }
 
 var (
-	descLeader  = prometheus.NewDesc(namespace+"_duty_held", "1 while the process is the leader.", nil, nil)
-	descTerm    = prometheus.NewDesc(namespace+"_duty_tenure", "Number of the current leader term, counted over all processes.", nil, nil)
-	descVersion = prometheus.NewDesc(namespace+"_config_version", "Version of the configuration in force.", nil, nil)
-	descAge     = prometheus.NewDesc(namespace+"_config_age_seconds", "Time since the configuration was last confirmed to be the newest.", nil, nil)
-	descNodes   = prometheus.NewDesc(namespace+"_nodes_live", "Live processes that send heartbeats: all of a small fleet, the candidates for leadership of a large one.", nil, nil)
-	descDropped = prometheus.NewDesc(namespace+"_log_lines_dropped_total", "Log lines that were dropped because the reader of the log was too slow.", nil, nil)
-	descJobs    = prometheus.NewDesc(namespace+"_jobs", "Jobs that the leader knows, by state.", []string{"state"}, nil)
-	descWorkers = prometheus.NewDesc(namespace+"_workers", "Workers that the leader knows, by state.", []string{"state"}, nil)
-	descWaiting = prometheus.NewDesc(namespace+"_service_tasks_waiting", "Tasks of services that do not run, by reason.", []string{"reason"}, nil)
-	descLongest = prometheus.NewDesc(namespace+"_service_tasks_longest_wait_seconds", "Longest time for which a task of a service has not run, by its present reason.", []string{"reason"}, nil)
-	descRefused = prometheus.NewDesc(namespace+"_batches_refused_total", "Batches of the leader that the store refused, in the current term.", nil, nil)
-	descStored  = prometheus.NewDesc(namespace+"_batch_age_seconds", "Time since the leader has stored a batch, while another one waits.", nil, nil)
-	descDecided = prometheus.NewDesc(namespace+"_scheduler_decisions_total", "Decisions of the parts of the scheduler that are switched by settings, in the current term.", []string{"part", "outcome"}, nil)
-	descRuns    = prometheus.NewDesc(namespace+"_runs_total", "Starts and exits of tasks in the current term.", []string{"event"}, nil)
+	descLeader    = prometheus.NewDesc(namespace+"_duty_held", "1 while the process is the leader.", nil, nil)
+	descTerm      = prometheus.NewDesc(namespace+"_duty_tenure", "Number of the current leader term, counted over all processes.", nil, nil)
+	descVersion   = prometheus.NewDesc(namespace+"_config_version", "Version of the configuration in force.", nil, nil)
+	descAge       = prometheus.NewDesc(namespace+"_config_age_seconds", "Time since the configuration was last confirmed to be the newest.", nil, nil)
+	descNodes     = prometheus.NewDesc(namespace+"_nodes_live", "Live processes that send heartbeats: all of a small fleet, the candidates for leadership of a large one.", nil, nil)
+	descDropped   = prometheus.NewDesc(namespace+"_log_lines_dropped_total", "Log lines that were dropped because the reader of the log was too slow.", nil, nil)
+	descJobs      = prometheus.NewDesc(namespace+"_jobs", "Jobs that the leader knows, by state.", []string{"state"}, nil)
+	descWorkers   = prometheus.NewDesc(namespace+"_workers", "Workers that the leader knows, by state.", []string{"state"}, nil)
+	descWaiting   = prometheus.NewDesc(namespace+"_service_tasks_waiting", "Tasks of services that do not run, by reason.", []string{"reason"}, nil)
+	descLongest   = prometheus.NewDesc(namespace+"_service_tasks_longest_wait_seconds", "Longest time for which a task of a service has not run, by its present reason.", []string{"reason"}, nil)
+	descRefused   = prometheus.NewDesc(namespace+"_batches_refused_total", "Batches of the leader that the store refused, in the current term.", nil, nil)
+	descStored    = prometheus.NewDesc(namespace+"_batch_age_seconds", "Time since the leader has stored a batch, while another one waits.", nil, nil)
+	descDecided   = prometheus.NewDesc(namespace+"_scheduler_decisions_total", "Decisions of the parts of the scheduler that are switched by settings, in the current term.", []string{"part", "outcome"}, nil)
+	descEvacuated = prometheus.NewDesc(EvacuatedForName, "Time since this process has known that the data centre is evacuated.", []string{DataCentreLabel}, nil)
+	descEvacRuns  = prometheus.NewDesc(EvacuationRunsName, "Runs that are left in an evacuated data centre, as the leader knows.", []string{DataCentreLabel}, nil)
+	descRuns      = prometheus.NewDesc(namespace+"_runs_total", "Starts and exits of tasks in the current term.", []string{"event"}, nil)
 )
 
 // Describe implements [prometheus.Collector].
 func (c *jobCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descLeader, descTerm, descVersion, descAge, descNodes, descDropped, descJobs, descWorkers, descRuns, descWaiting, descLongest, descRefused, descStored, descDecided} {
+	for _, d := range []*prometheus.Desc{descLeader, descTerm, descVersion, descAge, descNodes, descDropped, descJobs, descWorkers, descRuns, descWaiting, descLongest, descRefused, descStored, descDecided, descEvacuated, descEvacRuns} {
 		out <- d
 	}
 }
@@ -200,6 +213,12 @@
 	for reason, wait := range s.LongestWaits {
 		gauge(descLongest, wait.Seconds(), reason)
 	}
+	for dataCentre, since := range s.EvacuatedFor {
+		gauge(descEvacuated, since.Seconds(), dataCentre)
+	}
+	for dataCentre, n := range s.EvacuationRuns {
+		gauge(descEvacRuns, n, dataCentre)
+	}
 	for state, n := range s.Jobs {
 		gauge(descJobs, n, state)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 
 	"github.com/chivetiller/chivetiller/advice"
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/intake"
@@ -266,6 +267,11 @@
 		ConfigVersion: float64(n.source.Current().Version), ConfigAge: n.source.Age(), Nodes: float64(len(n.members.Live())),
 		Jobs: make(map[string]float64), Workers: make(map[string]float64), Runs: make(map[string]float64), WaitingTasks: make(map[string]float64),
 		LongestWaits: make(map[string]time.Duration), Decisions: make(map[[2]string]float64),
+		EvacuatedFor: make(map[string]time.Duration), EvacuationRuns: make(map[string]float64),
+	}
+	evacuations := n.source.Evacuations()
+	for _, name := range evacuations.Names() {
+		s.EvacuatedFor[name] = clock.Now() - evacuations.Since(name)
 	}
 	if n.deps.DroppedLines != nil {
 		s.DroppedLines = float64(n.deps.DroppedLines())
@@ -290,6 +296,9 @@
 	for reason, wait := range counts.LongestWaits {
 		s.LongestWaits[string(reason)] = wait
 	}
+	for dataCentre, count := range counts.EvacuationRuns {
+		s.EvacuationRuns[dataCentre] = float64(count)
+	}
 	for decision, count := range counts.Decisions {
 		s.Decisions[[2]string{decision.Part, decision.Outcome}] = float64(count)
 	}
