--- a/scheduler/evacuation_test.go
+++ b/scheduler/evacuation_test.go
@@ -22,6 +22,14 @@
 type evacuationRig struct {
 	*rig
 	ids []string
+	// stopTime is how long a worker takes to stop a task, and stops holds those under way.
+	stopTime time.Duration
+	stops    []delayedStop
+}
+
+type delayedStop struct {
+	at  time.Duration
+	cmd Command
 }
 
 var oneCore = work.Resources{CPU: 1000, Memory: 100}
@@ -59,6 +67,12 @@
 func (r *evacuationRig) play(d time.Duration) (commands []Command) {
 	for end := r.now + d; r.now < end; {
 		r.advance(50 * time.Millisecond)
+		r.stops = slices.DeleteFunc(r.stops, func(s delayedStop) bool {
+			if r.now >= s.at {
+				r.stop(s.cmd)
+			}
+			return r.now >= s.at
+		})
 		r.replyAll()
 		got := r.schedule()
 		r.core.TakeInstanceCommands()
@@ -67,7 +81,7 @@
 		r.accept(got)
 		for _, cmd := range got {
 			if cmd.Kind == CommandStop {
-				r.stop(cmd)
+				r.stops = append(r.stops, delayedStop{at: r.now + r.stopTime, cmd: cmd})
 			}
 		}
 		commands = append(commands, got...)
@@ -273,6 +287,7 @@
 	for name, step := range map[string]work.Step{"service": {Count: 4, Service: true}, "checkpoints": {Count: 4, Checkpoints: true}} {
 		t.Run(name, func(t *testing.T) {
 			r := newEvacuationRig(t, 1, "a1")
+			r.stopTime = 600 * time.Millisecond
 			step.Request = oneCore
 			r.addJob(work.Job{ID: "j", Queue: "q", Pool: "p", Steps: []work.Step{step}})
 			r.play(time.Second)
