--- a/commands/root.go
+++ b/commands/root.go
@@ -77,6 +77,7 @@
 		newDemoCommand(),
 		newEndpointCommand(),
 		newEntryCommand(),
+		newEvacuationCommand(),
 		newExplainCommand(),
 		newInstanceCommand(),
 		newJobCommand(),
--- a/node/node.go
+++ b/node/node.go
@@ -20,12 +20,14 @@
 
 	"github.com/chivetiller/chivetiller/advice"
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/intake"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/latency"
 	"github.com/chivetiller/chivetiller/internal/workers/delegate"
+	"github.com/chivetiller/chivetiller/internal/workers/registry"
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/member"
 	"github.com/chivetiller/chivetiller/metrics"
@@ -67,7 +69,7 @@
 	Commander worker.Commander
 	Instances instance.Fleet
 	Advisor   advice.Advisor
-	Registry  scheduler.Registry
+	Registry  registry.Decoder
 	Decoder   catalog.Decoder
 	// JobsHandler returns the HTTP handler for clients.
 	JobsHandler func(*intake.Intake, *metrics.Jobs) http.Handler
@@ -273,6 +275,11 @@
 		ConfigVersion: float64(n.source.Current().Version), ConfigAge: n.source.Age(), Nodes: float64(len(n.members.Live())),
 		Jobs: make(map[string]float64), Workers: make(map[string]float64), Runs: make(map[string]float64), WaitingTasks: make(map[string]float64),
 		LongestWaits: make(map[string]time.Duration), Decisions: make(map[[2]string]float64),
+		EvacuatedFor: make(map[string]time.Duration), EvacuationRuns: make(map[string]float64),
+	}
+	evacuations := n.source.Evacuations()
+	for _, name := range evacuations.Names() {
+		s.EvacuatedFor[name] = clock.Now() - evacuations.Since(name)
 	}
 	if n.deps.DroppedLines != nil {
 		s.DroppedLines = float64(n.deps.DroppedLines())
@@ -297,6 +304,9 @@
 	for reason, wait := range counts.LongestWaits {
 		s.LongestWaits[string(reason)] = wait
 	}
+	for dataCentre, count := range counts.EvacuationRuns {
+		s.EvacuationRuns[dataCentre] = float64(count)
+	}
 	for decision, count := range counts.Decisions {
 		s.Decisions[[2]string{decision.Part, decision.Outcome}] = float64(count)
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -7,6 +7,7 @@
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
+	"github.com/chivetiller/chivetiller/internal/pools/gangs"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -269,7 +270,7 @@
 	// crashes holds the latest crashes of its workers.
 	crashes crashloop.History[crashedUnit]
 	// tooWide holds the gangs of which it was logged that they fit nowhere.
-	tooWide map[gangShape]bool
+	tooWide map[gangs.Shape]bool
 }
 
 // remainingWork returns the critical path and the work (in core-seconds) that are left, as estimated.
