shares: order the jobs of a full pool by the weights of their teams

Cause: the weight of a team was decoded and not used. A team that sends eight times what it is owed took a sixth of the jobs in time from each of nineteen others.

Change: internal/teams/share tells which jobs are within the rate of their team (token bucket, 2 s, at least one job; decided once, by the time of acceptance, so that a new leader comes to about the same result) and what teams use of a pool against their share, with a bounded credit. internal/jobs/order holds the tiers, which were in scheduler/place.go, and the order: jobs within the rate, then those beyond it, and jobs without value last. Levels of teams are read again after each candidate. Services and likely causes of crashes keep their places, and where no team has a weight the order is the same as before.

Tests: TestCrowd plays 30 s of 20 teams in a full pool. Without shares 45 to 53 jobs of each of the nineteen are in time beside the crowd, with shares 57 to 59, as without the crowd. TestUnweighted compares all starts. Models of both packages. scheduler, catalog and the new packages pass. BenchmarkPass/3700 is within the noise of the machine (44 to 69 ms, 47 to 52 before).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -7,6 +7,7 @@
 package catalog
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -53,7 +54,8 @@
 type Team struct {
 	Name string
 	Keys []string
-	// Weight is the relative share of the team when all workers are full.
+	// Weight is the relative share of the team when all workers are full, and the number of jobs a second that it is owed. 0 means that
+	// none is set.
 	Weight float64
 	// Limit is the upper limit for the resources of the running tasks of the team on all workers. 0 means no limit.
 	Limit work.Resources
@@ -69,6 +71,8 @@
 	queues  map[string]*Queue
 	byHost  map[string][]*Queue
 	teamOf  map[string]string
+	// weighted means that a team has a weight.
+	weighted bool
 }
 
 // New returns a catalogue and builds its indexes.
@@ -87,6 +91,7 @@
 	}
 	for _, t := range teams {
 		c.Teams[t.Name] = t
+		c.weighted = c.weighted || t.Weight > 0
 		for _, k := range t.Keys {
 			c.teamOf[k] = t.Name
 		}
@@ -114,6 +119,17 @@
 	return q, ok
 }
 
+// Weighted reports whether a team has a weight.
+func (c *Catalog) Weighted() bool { return c.weighted }
+
+// Weight returns the weight of a team. Teams without one, and jobs without a team, have the weight 1.
+func (c *Catalog) Weight(team string) float64 {
+	if w := c.Teams[team].Weight; w > 0 && !math.IsInf(w, 1) {
+		return w
+	}
+	return 1
+}
+
 // TeamOf returns the team that owns a key.
 func (c *Catalog) TeamOf(key string) (string, bool) {
 	name, ok := c.teamOf[key]
--- a/scheduler/arrivals.go
+++ b/scheduler/arrivals.go
@@ -3,21 +3,13 @@
 import (
 	"time"
 
-	"github.com/chivetiller/chivetiller/common/backoff"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/pools/losses"
 )
 
-const (
-	// survivalTime is how long the worker of an instance that has moved has to answer until the instance counts as usable. A crash is
-	// noticed within contactTimeout.
-	survivalTime = 5 * time.Second
-	// freeLostRounds is the number of rounds in a row that may be lost without consequences. A failure beside the moves costs one or two.
-	freeLostRounds = 2
-	// firstArrivalPause is the pause after the first lost round that has consequences. It doubles with each further one up to
-	// maxArrivalPause.
-	firstArrivalPause = 2 * time.Second
-	maxArrivalPause   = 2 * time.Minute
-)
+// survivalTime is how long the worker of an instance that has moved has to answer until the instance counts as usable. A crash is
+// noticed within contactTimeout.
+const survivalTime = 5 * time.Second
 
 // movedInstance is an instance that has moved to a pool and has not survived its arrival yet.
 type movedInstance struct {
@@ -29,14 +21,6 @@
 	lost bool
 }
 
-// arrivalLosses counts the rounds of moves into a pool, one after the other, in which instances were lost on arrival and none survived.
-type arrivalLosses struct {
-	rounds int
-	// countedAt is the time at which the latest round was counted. Instances whose move was planned before belong to it.
-	countedAt   time.Duration
-	pausedUntil time.Duration
-}
-
 // judgeArrivals finds out which of the instances that have moved have survived their arrival and which were lost.
 func (c *Core) judgeArrivals() {
 	f := c.fleet
@@ -59,25 +43,17 @@
 		}
 		if !moved.lost && (!listed || !c.serves(inst)) {
 			moved.lost = true
-			if losses, ok := f.arrivalLosses[moved.pool]; !ok || moved.plannedAt >= losses.countedAt {
+			if before, ok := f.arrivalLosses[moved.pool]; !ok || before.Begins(moved.plannedAt) {
 				lost[moved.pool]++
 			}
 		}
 	}
 	for pool, instances := range lost {
-		losses, ok := f.arrivalLosses[pool]
-		if !ok {
-			losses = &arrivalLosses{}
-			f.arrivalLosses[pool] = losses
+		if f.arrivalLosses[pool] == nil {
+			f.arrivalLosses[pool] = &losses.Rounds{}
 		}
-		losses.rounds++
-		losses.countedAt = c.now
-		var pause time.Duration
-		if losses.rounds > freeLostRounds {
-			pause = backoff.Doubled(losses.rounds-freeLostRounds, firstArrivalPause, maxArrivalPause)
-		}
-		losses.pausedUntil = c.now + pause
-		c.logger.Warn("Instances were lost on arrival in a pool.", "pool", pool, "instances", instances, "roundsInARow", losses.rounds, "pause", pause)
+		pause := f.arrivalLosses[pool].Add(c.now)
+		c.logger.Warn("Instances were lost on arrival in a pool.", "pool", pool, "instances", instances, "roundsInARow", f.arrivalLosses[pool].Count(), "pause", pause)
 	}
 }
 
@@ -86,13 +62,10 @@
 func (c *Core) maxArrivals(d demand) int {
 	f := c.fleet
 	missing := d.need - d.have
-	losses, ok := f.arrivalLosses[d.pool]
-	if !ok || losses.rounds <= freeLostRounds {
+	rounds, ok := f.arrivalLosses[d.pool]
+	if !ok {
 		return missing
 	}
-	if c.now < losses.pausedUntil {
-		return 0
-	}
 	arriving := 0
 	for _, moved := range f.arrivals {
 		if moved.pool == d.pool && !moved.lost {
@@ -104,5 +77,5 @@
 			arriving++
 		}
 	}
-	return min(missing, max(1, d.need>>(losses.rounds-freeLostRounds))-arriving)
+	return rounds.Limit(c.now, d.need, missing, arriving)
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -24,6 +24,7 @@
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
+	"github.com/chivetiller/chivetiller/internal/teams/share"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -179,6 +180,7 @@
 	// snapshots holds what is learned and kept for the next leaders.
 	snapshots     *snapshot.Set
 	forecast      *forecast.Forecast
+	shares        teamShares
 	fleet         *fleet
 	counts        Counts
 	policyQueries []PolicyQuery
@@ -231,7 +233,7 @@
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
 		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
-		estimator: newEstimator(), snapshots: snapshot.NewSet(), forecast: forecast.New(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
+		estimator: newEstimator(), snapshots: snapshot.NewSet(), forecast: forecast.New(), shares: teamShares{rates: share.NewRates()}, fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
 	}
 	if o.Features.Forecast {
 		c.snapshots.Add("forecast", c.forecast, forecastInterval)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -1,9 +1,12 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -211,8 +214,9 @@
 			w.Since = now - (storeNow - w.Since)
 		}
 	}
-	for id, j := range l.jobs {
-		c.AddJob(j, l.progress[id], storeNow)
+	// The rates of teams count jobs in the order of their acceptance.
+	for _, j := range slices.SortedFunc(maps.Values(l.jobs), func(a, b work.Job) int { return cmp.Compare(a.AcceptedAt, b.AcceptedAt) }) {
+		c.AddJob(j, l.progress[j.ID], storeNow)
 	}
 	c.JobsPruned(l.staleParts)
 	for _, id := range l.cancelled {
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/pools/losses"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -55,7 +56,7 @@
 	// arrivals holds the instances that have moved and whose workers have not survived for a while, and arrivalLosses the pools in which
 	// such instances were lost.
 	arrivals      map[string]*movedInstance
-	arrivalLosses map[string]*arrivalLosses
+	arrivalLosses map[string]*losses.Rounds
 	// excessSince holds the time since which a pool has had too many instances.
 	excessSince map[string]time.Duration
 	plannedAt   time.Duration
@@ -78,7 +79,7 @@
 		instances: make(map[string]instance.Instance), waves: make(map[int]*wave), commandInFlight: make(map[string]bool), pausedUntil: make(map[string]time.Duration),
 		commandedAt: make(map[string]time.Duration), previousCommands: make(map[string]time.Duration),
 		byWorker: make(map[string]string), firstListed: make(map[string]listedWorker), pendingMoves: make(map[string]*pendingMove), acceptedMoves: make(map[string]acceptedMove), excessSince: make(map[string]time.Duration),
-		arrivals: make(map[string]*movedInstance), arrivalLosses: make(map[string]*arrivalLosses),
+		arrivals: make(map[string]*movedInstance), arrivalLosses: make(map[string]*losses.Rounds),
 	}
 }
 
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -39,6 +39,7 @@
 		c.recallEndedRuns(j)
 		return
 	}
+	j.beyondRate = c.beyondRate(j)
 	p := c.pool(doc.Pool)
 	p.jobs = append(p.jobs, j)
 	p.needsPlanning = true
@@ -49,7 +50,7 @@
 		p.arrivals.Record(j.acceptedAt, j.doc.CoreSeconds())
 		c.forecast.Arrive(p.name, j.acceptedAt, j.doc.CoreSeconds())
 	}
-	c.logger.Debug("Job was added.", "job", doc.ID, "queue", doc.Queue, "team", doc.Team, "pool", doc.Pool, "begun", j.started)
+	c.logger.Debug("Job was added.", "job", doc.ID, "queue", doc.Queue, "team", doc.Team, "pool", doc.Pool, "begun", j.started, "beyondRate", j.beyondRate)
 	if _, ok := c.earlyCancels[doc.ID]; ok {
 		delete(c.earlyCancels, doc.ID)
 		c.Cancel(doc.ID)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -6,35 +6,16 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/order"
 	"github.com/chivetiller/chivetiller/work"
 )
 
-// Tiers order the jobs of a pool. Within a tier the job with the least remaining work comes first. That order gives
-// the most value for each core-second, since each job has a fixed value in addition to the value of its work.
-const (
-	// tierLikelyCause is for tasks that have probably made workers crash, and are the only ones to wait for workers that run nothing.
-	tierLikelyCause = iota
-	tierService
-	tierInTime
-	tierLate
-	tierExpired
-)
-
-// lateFactor is the multiple of its latency target up to which a late job still has some value.
-const lateFactor = 3
-
-// minWorkLeft is the minimum remaining work, in core-seconds, that is assumed of a job. It keeps the order defined.
-const minWorkLeft = 0.001
-
 // candidate is an occurrence that has tasks to start.
 type candidate struct {
 	job        *job
 	occurrence *occurrence
 	queue      *catalog.Queue
-	priority   int
-	tier       int
-	// rank orders the candidates of a tier, lowest first.
-	rank float64
+	order.Key
 }
 
 // Schedule advances the time to now and places tasks. [Core.TakeCommands] returns the commands that follow from it.
@@ -76,8 +57,8 @@
 	workers := &placement{workers: c.usableWorkers(p)}
 	candidates := c.candidates(p)
 	othersWait := false
-	for _, cand := range candidates {
-		othersWait = c.placeOccurrence(cand, workers) || othersWait
+	for cand := range order.Sequence(candidates, (*candidate).key, (*candidate).team, c.teamLevels(p, candidates, workers.workers)) {
+		othersWait = c.placeOccurrence(*cand, workers) || othersWait
 	}
 	c.placeOnSpareWorkers(p, candidates, workers, othersWait)
 }
@@ -112,18 +93,15 @@
 
 // compare orders candidates. The IDs of jobs decide between equal ones, and are not read otherwise.
 func (a candidate) compare(b candidate) int {
-	if d := cmp.Compare(a.tier, b.tier); d != 0 {
-		return d
-	}
-	if d := cmp.Compare(a.priority, b.priority); d != 0 {
-		return d
-	}
-	if d := cmp.Compare(a.rank, b.rank); d != 0 {
+	if d := a.Compare(&b.Key); d != 0 {
 		return d
 	}
 	return cmp.Compare(a.job.doc.ID, b.job.doc.ID)
 }
 
+func (a *candidate) key() *order.Key { return &a.Key }
+func (a *candidate) team() string    { return a.job.doc.Team }
+
 // queueOf returns the queue of a job. One that was removed from the configuration still executes the jobs that were accepted, with the
 // attempts that it allowed then.
 func (c *Core) queueOf(j *job) *catalog.Queue {
@@ -155,30 +133,15 @@
 	if !idle {
 		return candidate{}, false
 	}
-	cand := candidate{job: j, occurrence: o, queue: q, priority: q.Priority}
-	if o.likelyCause() {
-		cand.tier = tierLikelyCause
-		cand.rank = float64(j.acceptedAt)
-		return cand, true
-	}
-	if j.service {
-		cand.tier = tierService
-		cand.rank = float64(j.acceptedAt)
-		return cand, true
-	}
-	criticalPath, left := o.remainingWork(c.estimator.estimate)
-	target := o.targetEnd(q, j)
-	start := o.latencyStart(j)
+	tier, rank := order.Service, float64(j.acceptedAt)
 	switch {
-	case c.now+criticalPath <= target:
-		cand.tier = tierInTime
-	case c.now+criticalPath <= start+lateFactor*(target-start):
-		cand.tier = tierLate
-	default:
-		cand.tier = tierExpired
-	}
-	cand.rank = max(left, minWorkLeft)
-	return cand, true
+	case o.likelyCause():
+		tier = order.LikelyCause
+	case !j.service:
+		criticalPath, left := o.remainingWork(c.estimator.estimate)
+		tier, rank = order.TierOf(c.now, criticalPath, o.latencyStart(j), o.targetEnd(q, j)), order.RankOf(left)
+	}
+	return candidate{job: j, occurrence: o, queue: q, Key: order.New(tier, j.beyondRate, q.Priority, rank)}, true
 }
 
 // placeOccurrence starts as many tasks of an occurrence as possible. It reports whether others wait for workers that are not likely to
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -41,6 +41,7 @@
 	r.worker.countRun(r.step.doc, 1)
 	team := r.step.job.doc.Team
 	c.teamUsage[team] = c.teamUsage[team].Plus(r.step.doc.Request)
+	c.pool(r.step.job.doc.Pool).shares.Add(team, r.step.doc.ReservedResources(), r.step.doc.Service)
 }
 
 // detachRun removes a run from its worker and team. It reports whether the run was attached.
@@ -68,6 +69,7 @@
 		c.pool(r.worker.report.Pool).needsPlanning = true
 		team := r.step.job.doc.Team
 		c.teamUsage[team] = c.teamUsage[team].Minus(r.step.doc.Request)
+		c.pool(r.step.job.doc.Pool).shares.Remove(team, r.step.doc.ReservedResources(), r.step.doc.Service)
 		t.lastWorker = r.worker.report.ID
 		return true
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -5,8 +5,10 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
+	"github.com/chivetiller/chivetiller/internal/jobs/gang"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
+	"github.com/chivetiller/chivetiller/internal/teams/share"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -30,6 +32,8 @@
 	nextOccurrence int
 	// service means that a step runs until the job is cancelled.
 	service bool
+	// beyondRate means that the team had sent more jobs than it is owed when the job was accepted.
+	beyondRate bool
 	// started means that a start command of the job was sent or recorded, and begun that a worker is known to have carried one out.
 	started bool
 	begun   bool
@@ -259,7 +263,9 @@
 	plannedAt time.Duration
 	// candidates is the number of occurrences that had tasks to start in the last pass.
 	candidates int
-	arrivals arrivals.Window
+	arrivals   arrivals.Window
+	// shares is what the teams use of the pool.
+	shares share.Pool
 	// surgeForeseen means that the pool has instances for a surge that is foreseen.
 	surgeForeseen bool
 	// tests holds the runs of suspects whose workers may still crash under them.
@@ -271,7 +277,7 @@
 	// crashes holds the latest crashes of its workers.
 	crashes crashloop.History[crashedUnit]
 	// tooWide holds the gangs of which it was logged that they fit nowhere.
-	tooWide map[gangShape]bool
+	tooWide map[gang.Shape]bool
 }
 
 // remainingWork returns the critical path and the work (in core-seconds) that are left, as estimated.
--- a/scheduler/suspects.go
+++ b/scheduler/suspects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
+	"github.com/chivetiller/chivetiller/internal/jobs/order"
 )
 
 // addTest records a planned run of a task under which a worker has crashed before.
@@ -140,7 +141,7 @@
 	}
 	workers.spare, workers.idleOnly, workers.likelyLeft = true, othersWait, p.likelyLeft(share)
 	for _, cand := range candidates {
-		if cand.tier == tierLikelyCause && workers.likelyLeft > 0 {
+		if cand.Tier() == order.LikelyCause && workers.likelyLeft > 0 {
 			c.placeOccurrence(cand, workers)
 		}
 	}
