admission: refuse jobs that can never run or have no value when they can

Cause: every job was accepted, however full its pool. A client learned seconds later, from the state of its job, that it had been too late, and a task larger than any instance waited for ever.

Change: the leader makes a report of each queue in at most every 100 ms (processors that the pool can get, capacities of the instances, waiting work by place in the order, teams whose next job is beyond their rate). Replies to /submitted, /state and /waiting carry it in new optional fields. internal/jobs/admission decides by it: never fits, or half of the estimated time in the queue is longer than the time until the job has lost its value. Services, scheduled and best-effort jobs are refused only if they never fit. intake.Submit decides before anything is stored. It refuses only if a read of the store within 35 ms finds no row of the job, no other attempt of the process may store it, and the store is well. Refusals are 503 with a Retry-After that is spread over [t, 2t] by the ID of the job. There are no reports, and nothing is refused, without a team with a weight, the setting, or a recent list of instances.

Tests: a job that cannot be served is refused within 50 ms and not stored; one that is stored, or may be, is answered OK; a model checks that a refused job could not have been served with half of the work before it; the replies are read by an earlier build and the other way round; two nodes refuse the same. intake.Submit returns the time for Retry-After, so that its callers in tests change, and not what they check.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -5,7 +5,7 @@
 //
 //	admission, outcome := in.Admit(host, path, key)
 //	if outcome == intake.OK {
-//		outcome = in.Submit(ctx, admission, job)
+//		outcome, retryAfter = in.Submit(ctx, admission, job)
 //	}
 package intake
 
@@ -45,7 +45,8 @@
 	// from the store later.
 	NotifySubmitted(ctx context.Context, job work.Job)
 	NotifyCancelled(ctx context.Context, id string)
-	State(ctx context.Context, id string) (state work.State, known bool, err error)
+	// State returns the state of a job. queue is the queue of the request, whose load the leader tells with its answer.
+	State(ctx context.Context, queue, id string) (state work.State, known bool, err error)
 	Waiting(ctx context.Context, queue string) (int, error)
 }
 
@@ -69,8 +70,10 @@
 	Configuration Configuration
 	Leader        Leader
 	Relay         Relay
-	Bounds        scheduler.Bounds
-	Logger        hclog.Logger
+	// Reports tell the load. They may be nil.
+	Reports Reports
+	Bounds  scheduler.Bounds
+	Logger  hclog.Logger
 }
 
 // Intake handles the requests of clients. It is safe for concurrent use.
@@ -78,6 +81,9 @@
 	options Options
 	logger  hclog.Logger
 	closing atomic.Bool
+	// attempts are the submissions under way.
+	attempts attempts
+	refusals refusals
 }
 
 // New returns an intake.
@@ -120,9 +126,24 @@
 	return a, OK
 }
 
-// Submit stores a job.
-func (i *Intake) Submit(ctx context.Context, a Admission, job work.Job) Outcome {
+// Submit stores a job, or refuses it if it cannot be served. The duration is the time after which a refused job may be sent again, and 0
+// if there is none.
+func (i *Intake) Submit(ctx context.Context, a Admission, job work.Job) (outcome Outcome, retryAfter time.Duration) {
 	job.Queue, job.Pool, job.Team, job.Attempts = a.Queue.Name, a.Queue.Pool, a.Team, a.Queue.Attempts
+	i.attempts.begin(job.ID)
+	// An attempt that panics may have stored the job.
+	outcome = Unknown
+	defer func() { i.attempts.end(job.ID, outcome == Unknown, clock.Now()) }()
+	if refused, after := i.refuse(ctx, &job, a); refused != OK {
+		outcome = refused
+		return outcome, after
+	}
+	outcome = i.store(ctx, a, job)
+	return outcome, 0
+}
+
+// store stores a job.
+func (i *Intake) store(ctx context.Context, a Admission, job work.Job) Outcome {
 	now, known := i.options.Clock.Now()
 	if !known {
 		i.logger.Warn("Job is refused because the store has not replied since the start.", "job", job.ID)
@@ -209,16 +230,16 @@
 
 // State returns the state of a job. It queries the leader first, and reads the state from the store if the leader does not reply or
 // does not know the job.
-func (i *Intake) State(ctx context.Context, _ Admission, id string) (work.State, Outcome) {
+func (i *Intake) State(ctx context.Context, a Admission, id string) (work.State, Outcome) {
 	limited, cancel := context.WithTimeout(ctx, leaderTimeout)
-	state, known, err := i.options.Leader.State(limited, id)
+	state, known, err := i.options.Leader.State(limited, a.queueName(), id)
 	cancel()
 	if err == nil && known {
 		return state, OK
 	}
 	reading, cancelRead := context.WithTimeout(ctx, storeTimeout)
 	defer cancelRead()
-	state, found, readErr := scheduler.ReadJobState(reading, i.options.Store, id)
+	state, found, readErr := readState(reading, i.options.Store, id)
 	if readErr != nil {
 		i.logger.Warn("State of a job cannot be read.", "job", id, "holder", err, "store", readErr)
 		return 0, NoAnswer
@@ -234,12 +255,12 @@
 // still be on its way to the store, and the job must not run when it arrives there.
 func (i *Intake) Cancel(ctx context.Context, a Admission, id string) Outcome {
 	limited, cancel := context.WithTimeout(ctx, leaderTimeout)
-	_, known, err := i.options.Leader.State(limited, id)
+	_, known, err := i.options.Leader.State(limited, a.queueName(), id)
 	cancel()
 	outcome := OK
 	if err != nil || !known {
 		reading, cancelRead := context.WithTimeout(ctx, storeTimeout)
-		_, found, readErr := scheduler.ReadJobState(reading, i.options.Store, id)
+		_, found, readErr := readState(reading, i.options.Store, id)
 		cancelRead()
 		if readErr == nil && !found {
 			outcome = NoJob
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -33,7 +33,7 @@
 	f.cancelled = append(f.cancelled, id)
 }
 
-func (f *fakeLeader) State(_ context.Context, id string) (work.State, bool, error) {
+func (f *fakeLeader) State(_ context.Context, _, id string) (work.State, bool, error) {
 	s, ok := f.states[id]
 	return s, ok, f.err
 }
@@ -83,6 +83,12 @@
 	return r
 }
 
+// submit submits a job and returns the outcome alone.
+func (r *fixture) submit(ctx context.Context, a Admission, job work.Job) Outcome {
+	outcome, _ := r.intake.Submit(ctx, a, job)
+	return outcome
+}
+
 func sampleJob(id string) work.Job { return work.Job{ID: id, Steps: []work.Step{{Count: 1}}} }
 
 // TestAdmit guards against requests that are admitted without a key, to a queue although another one has a longer matching prefix, or
@@ -161,14 +167,14 @@
 				a, _ := r.intake.Admit("h", "/q/a", "key")
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 				defer cancel()
-				qt.Assert(t, r.intake.Submit(ctx, a, sampleJob("a")), qt.Equals, test.want)
+				qt.Assert(t, r.submit(ctx, a, sampleJob("a")), qt.Equals, test.want)
 				r.store.InjectFaults(nil)
 				r.relay.InjectFaults(nil)
 				in := r.store
 				if test.relayed {
 					in = r.relay.Store
 				}
-				_, found, err := scheduler.ReadJobState(t.Context(), in, "a")
+				_, found, err := readState(t.Context(), in, "a")
 				qt.Assert(t, err, qt.IsNil)
 				switch test.want {
 				case OK:
@@ -185,8 +191,8 @@
 func TestSubmitTwice(t *testing.T) {
 	r := newFixture(t, 0)
 	a, _ := r.intake.Admit("h", "/q/a", "key")
-	qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
-	qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
+	qt.Assert(t, r.submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
+	qt.Assert(t, r.submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
 	qt.Assert(t, r.leader.submitted, qt.DeepEquals, []string{"a"})
 }
 
@@ -194,7 +200,7 @@
 func TestSubmittedAttempts(t *testing.T) {
 	r := newFixture(t, 0)
 	a, _ := r.intake.Admit("h", "/q/a", "key")
-	qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
+	qt.Assert(t, r.submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
 	key := scheduler.JobKey("a")
 	rows, err := r.store.Scan(t.Context(), key.Table, key.Partition, key.Name, "")
 	qt.Assert(t, err, qt.IsNil)
@@ -227,7 +233,7 @@
 			r := newFixture(t, 0)
 			a, _ := r.intake.Admit("h", "/q/a", "key")
 			if test.stored {
-				qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
+				qt.Assert(t, r.submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
 			}
 			r.leader.states, r.leader.err = test.leader, test.leaderErr
 			if test.storeDown {
@@ -247,11 +253,11 @@
 	r := newFixture(t, 0)
 	a, _ := r.intake.Admit("h", "/q/a", "key")
 	qt.Assert(t, r.intake.Cancel(t.Context(), a, "b"), qt.Equals, NoJob)
-	qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
+	qt.Assert(t, r.submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
 	qt.Assert(t, r.intake.Cancel(t.Context(), a, "a"), qt.Equals, OK)
 	qt.Assert(t, r.intake.Cancel(t.Context(), a, "a"), qt.Equals, OK)
 	qt.Assert(t, r.leader.cancelled, qt.DeepEquals, []string{"b", "a", "a"})
-	state, _, err := scheduler.ReadJobState(t.Context(), r.store, "a")
+	state, _, err := readState(t.Context(), r.store, "a")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, state, qt.Equals, work.Cancelled)
 }
@@ -282,7 +288,7 @@
 				r.relay.InjectFaults(always(memory.Refuse))
 				leaves, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 				defer cancel()
-				qt.Assert(t, r.intake.Submit(leaves, a, sampleJob("a")), qt.Equals, Unknown)
+				qt.Assert(t, r.submit(leaves, a, sampleJob("a")), qt.Equals, Unknown)
 				r.store.InjectFaults(test.own)
 				r.relay.InjectFaults(test.relay)
 				r.leader.err = test.leaderErr
@@ -292,7 +298,7 @@
 				r.store.InjectFaults(nil)
 				_, err := r.store.Commit(t.Context(), late)
 				qt.Assert(t, err, qt.IsNil)
-				state, found, err := scheduler.ReadJobState(t.Context(), r.store, "a")
+				state, found, err := readState(t.Context(), r.store, "a")
 				qt.Assert(t, err, qt.IsNil)
 				qt.Assert(t, found, qt.IsTrue)
 				qt.Assert(t, state == work.Cancelled, qt.Equals, test.want == NoJob)
@@ -319,7 +325,7 @@
 		}
 		job := sampleJob("a")
 		job.Spec = "hidden-spec"
-		r.intake.Submit(t.Context(), a, job)
+		r.submit(t.Context(), a, job)
 		r.intake.Cancel(t.Context(), a, "a")
 	}
 	qt.Assert(t, out.String(), qt.Contains, "Job is accepted.")
@@ -336,6 +342,6 @@
 	before := r.store.Calls()
 	a, outcome := r.intake.Admit("h", "/q/a", "key")
 	qt.Assert(t, outcome, qt.Equals, OK)
-	qt.Assert(t, r.intake.Submit(t.Context(), a, sampleJob("a")), qt.Equals, Refused)
+	qt.Assert(t, r.submit(t.Context(), a, sampleJob("a")), qt.Equals, Refused)
 	qt.Assert(t, r.store.Calls(), qt.Equals, before)
 }
--- a/intake/outcome.go
+++ b/intake/outcome.go
@@ -22,11 +22,15 @@
 	NoJob
 	// NoAnswer means that a state or count could be read neither from the leader nor from the store.
 	NoAnswer
+	// Overloaded means that the job was refused, because it could not be done before it has lost its value. It never runs.
+	Overloaded
+	// NeverFits means that the job was refused, because no instance that its pool can get is large enough. It never runs.
+	NeverFits
 )
 
 // String returns the name of the outcome as it appears in logs.
 func (o Outcome) String() string {
-	return [...]string{"ok", "noConfig", "noQueue", "badKey", "refused", "unknown", "gone", "noAnswer"}[o]
+	return [...]string{"ok", "noConfig", "noQueue", "badKey", "refused", "unknown", "gone", "noAnswer", "overloaded", "neverFits"}[o]
 }
 
 // Admission is the result of checking the queue and the key of a request.
@@ -39,3 +43,10 @@
 	// ConfigVersion is the version of the configuration that was used.
 	ConfigVersion uint64
 }
+
+func (a Admission) queueName() string {
+	if a.Queue == nil {
+		return ""
+	}
+	return a.Queue.Name
+}
--- a/internal/jobs/order/order.go
+++ b/internal/jobs/order/order.go
@@ -32,6 +32,9 @@
 // LateFactor is the multiple of its latency target up to which a late job still has some value.
 const LateFactor = 3
 
+// expiredTime is the time in which jobs are to be done that are too late to have any value but still count as served.
+const expiredTime = 20 * time.Second
+
 // minWork is the minimum remaining work, in core-seconds, that is assumed of a job. It keeps the order defined.
 const minWork = 0.001
 
@@ -46,6 +49,18 @@
 	return Expired
 }
 
+// TimeLeft returns the time in which the work of a batch job should be done. That is until the end of its latency target, or if that is
+// missed, until it has no value any more. Work that is later still gets left-over capacity.
+func TimeLeft(now, criticalPath, start, target time.Duration) time.Duration {
+	if target-now >= criticalPath/2 {
+		return target - now
+	}
+	if end := start + LateFactor*(target-start); end-now >= criticalPath {
+		return end - now
+	}
+	return expiredTime
+}
+
 // RankOf returns the rank of a batch job with an amount of remaining work, in core-seconds.
 func RankOf(work float64) float64 { return max(work, minWork) }
 
@@ -76,6 +91,12 @@
 // Tier returns the tier of the job.
 func (k *Key) Tier() Tier { return k.tier }
 
+// Beyond reports whether the job is beyond the rate of its team.
+func (k *Key) Beyond() bool { return k.beyond }
+
+// Rank returns the place of the job within its tier. For batch jobs it is the remaining work, in core-seconds.
+func (k *Key) Rank() float64 { return k.rank }
+
 // class orders jobs before their tier does. Jobs without value come last, whatever the rate of their team: a job beyond the rate that can
 // still be done in time gives its caller more.
 func class(tier Tier, beyond bool) int64 {
--- a/internal/jobs/order/order_test.go
+++ b/internal/jobs/order/order_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// TestTimeLeft guards against a pool that grows for jobs that have missed their target, or gets nothing for them.
+func TestTimeLeft(t *testing.T) {
+	const start, target, path = time.Second, 3 * time.Second, 2 * time.Second
+	for name, test := range map[string]struct{ now, want time.Duration }{
+		"in time":     {time.Second, 2 * time.Second},
+		"half a path": {2 * time.Second, time.Second},
+		"late":        {2*time.Second + 1, 5*time.Second - 1},
+		"just of use": {5 * time.Second, 2 * time.Second},
+		"expired":     {5*time.Second + 1, expiredTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, TimeLeft(test.now, path, start, target), qt.Equals, test.want)
+		})
+	}
+}
+
 // TestCompare guards against shares that move likely causes and services, against jobs beyond the rate that go before those within it, and
 // against jobs without value that go before any that has one.
 func TestCompare(t *testing.T) {
--- a/internal/teams/share/share.go
+++ b/internal/teams/share/share.go
@@ -23,6 +23,7 @@
 package share
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chivetiller/chivetiller/work"
@@ -73,6 +74,18 @@
 	return within
 }
 
+// Exhausted returns the teams whose next job is beyond their rate, if it is accepted at a time. weight returns the weight of a team.
+func (r *Rates) Exhausted(at time.Duration, weight func(team string) float64) []string {
+	var teams []string
+	for team, b := range r.buckets {
+		if b.tokens+weight(team)*max(0, at-b.at).Seconds() < 1 {
+			teams = append(teams, team)
+		}
+	}
+	slices.Sort(teams)
+	return teams
+}
+
 // Pool is what the teams use of a pool. The zero value is a pool without runs.
 type Pool struct {
 	teams map[string]*usage
@@ -113,6 +126,9 @@
 	u.running = u.running.Minus(r)
 }
 
+// Services returns what services use.
+func (p *Pool) Services() work.Resources { return p.services }
+
 func (p *Pool) team(name string) *usage {
 	u, ok := p.teams[name]
 	if !ok {
--- a/node/node.go
+++ b/node/node.go
@@ -113,7 +113,7 @@
 	n.source = catalog.NewSource(catalog.SourceOptions{Store: d.Store, Clock: n.clock, Decoder: d.Decoder, Peers: n.peers, Logger: d.Logger})
 	n.leadership = newLeadership(n)
 	n.intake = intake.New(intake.Options{
-		Store: d.Store, Clock: n.clock, Configuration: n.source, Leader: n.peers, Relay: n.peers, Bounds: s.Bounds, Logger: d.Logger,
+		Store: d.Store, Clock: n.clock, Configuration: n.source, Leader: n.peers, Relay: n.peers, Reports: n.peers, Bounds: s.Bounds, Logger: d.Logger,
 	})
 	return n, n.register()
 }
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -167,6 +167,11 @@
 
 // newClusterOn starts nodes on what wrap makes of their stores.
 func newClusterOn(t *testing.T, size int, wrap func(s store.Store) store.Store) *cluster {
+	return newClusterWith(t, size, wrap, func(*Settings, *Dependencies) {})
+}
+
+// newClusterWith starts nodes with settings and dependencies that change adapts.
+func newClusterWith(t *testing.T, size int, wrap func(s store.Store) store.Store, change func(*Settings, *Dependencies)) *cluster {
 	c := &cluster{store: memory.New(), workers: &fakeWorkers{running: make(map[work.Task]worker.Run), starts: make(map[work.Task]int)}}
 	_, err := c.store.Commit(t.Context(), store.Tx{Puts: []store.Put{
 		{Key: fakeDecoder{}.ConfigRow(), Value: []byte("x")}, {Key: store.Key{Table: "workers", Name: "w1"}, Value: []byte("x")},
@@ -180,11 +185,13 @@
 		}
 		own := memory.NewView(c.store)
 		c.stores = append(c.stores, own)
-		n, err := New(s, Dependencies{
+		d := Dependencies{
 			Store: wrap(own), Commander: c.workers, Instances: noInstances{}, Advisor: noAdvice{}, Registry: fakeRegistry{}, Decoder: fakeDecoder{},
 			JobsHandler: func(*intake.Intake, *metrics.Jobs) http.Handler { return http.NotFoundHandler() },
 			Logger:      testLogger(t),
-		})
+		}
+		change(&s, &d)
+		n, err := New(s, d)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, n.Start(t.Context()), qt.IsNil)
 		c.nodes = append(c.nodes, n)
@@ -208,7 +215,8 @@
 	job := work.Job{ID: id, Steps: []work.Step{
 		{Count: 3, Request: work.Resources{CPU: 1000}, Estimate: fakeRunTime}, {Count: 2, Request: work.Resources{CPU: 1000}, Estimate: fakeRunTime, DependsOn: []int{0}},
 	}}
-	qt.Assert(t, n.intake.Submit(t.Context(), a, job), qt.Equals, intake.OK)
+	submitted, _ := n.intake.Submit(t.Context(), a, job)
+	qt.Assert(t, submitted, qt.Equals, intake.OK)
 }
 
 func finished(t *testing.T, n *Node, id string) bool {
--- a/node/peers.go
+++ b/node/peers.go
@@ -58,6 +58,8 @@
 	// lastProbe is when this node last tried to reach other data centres, and partitioned means that it reached none.
 	lastProbe   time.Duration
 	partitioned bool
+	// reports holds what the leader last said about the load of each queue.
+	reports map[string]receivedReport
 }
 
 const (
@@ -76,7 +78,7 @@
 
 func newPeers(n *Node) *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}
-	return &peers{n: n, http: &http.Client{Transport: &http.Transport{
+	return &peers{n: n, reports: make(map[string]receivedReport), http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerConnections, DisableCompression: true, IdleConnTimeout: time.Minute,
 	}}}
 }
@@ -85,6 +87,8 @@
 type (
 	jobID struct {
 		ID string `cbor:"1,keyasint"`
+		// Queue is the queue whose load the reply tells. Nodes of earlier builds do not send it.
+		Queue string `cbor:"2,keyasint,omitempty"`
 	}
 	queueName struct {
 		Name string `cbor:"1,keyasint"`
@@ -95,9 +99,12 @@
 	jobState struct {
 		State work.State `cbor:"1,keyasint"`
 		Known bool       `cbor:"2,keyasint"`
+		queueLoad
 	}
-	waitingCount struct {
+	submittedReply struct{ queueLoad }
+	waitingCount   struct {
 		Count int `cbor:"1,keyasint"`
+		queueLoad
 	}
 	commitResult struct {
 		Result store.Result `cbor:"1,keyasint"`
@@ -192,7 +199,10 @@
 
 // NotifySubmitted implements [intake.Leader].
 func (p *peers) NotifySubmitted(ctx context.Context, job work.Job) {
-	err := p.callLeader(ctx, func(e *scheduler.Engine) error { e.JobSubmitted(job); return nil }, pathSubmitted, job, &empty{})
+	var reply submittedReply
+	sent := clock.Now()
+	err := p.callLeader(ctx, func(e *scheduler.Engine) error { e.JobSubmitted(job); return nil }, pathSubmitted, job, &reply)
+	p.keepReport(job.Queue, reply.queueLoad, sent)
 	if err != nil {
 		p.n.logger.Warn("Leader was not notified of a job; it reads the job from the store.", "job", job.ID, "error", err)
 	}
@@ -200,29 +210,33 @@
 
 // NotifyCancelled implements [intake.Leader].
 func (p *peers) NotifyCancelled(ctx context.Context, id string) {
-	err := p.callLeader(ctx, func(e *scheduler.Engine) error { e.JobCancelled(id); return nil }, pathCancelled, jobID{id}, &empty{})
+	err := p.callLeader(ctx, func(e *scheduler.Engine) error { e.JobCancelled(id); return nil }, pathCancelled, jobID{ID: id}, &empty{})
 	if err != nil {
 		p.n.logger.Warn("Leader was not notified of a cancellation; it reads it from the store.", "job", id, "error", err)
 	}
 }
 
 // State implements [intake.Leader].
-func (p *peers) State(ctx context.Context, id string) (work.State, bool, error) {
+func (p *peers) State(ctx context.Context, queue, id string) (work.State, bool, error) {
 	var reply jobState
+	sent := clock.Now()
 	err := p.callLeader(ctx, func(e *scheduler.Engine) (err error) {
 		reply.State, reply.Known, err = e.JobState(ctx, id)
 		return err
-	}, pathState, jobID{id}, &reply)
+	}, pathState, jobID{ID: id, Queue: queue}, &reply)
+	p.keepReport(queue, reply.queueLoad, sent)
 	return reply.State, reply.Known, err
 }
 
 // Waiting implements [intake.Leader].
 func (p *peers) Waiting(ctx context.Context, queue string) (int, error) {
 	var reply waitingCount
+	sent := clock.Now()
 	err := p.callLeader(ctx, func(e *scheduler.Engine) (err error) {
 		reply.Count, err = e.WaitingJobs(ctx, queue)
 		return err
 	}, pathWaiting, queueName{queue}, &reply)
+	p.keepReport(queue, reply.queueLoad, sent)
 	return reply.Count, err
 }
 
@@ -348,11 +362,16 @@
 // handler returns the handler for requests of other nodes.
 func (p *peers) handler() http.Handler {
 	mux := http.NewServeMux()
-	handle(mux, pathSubmitted, func(_ context.Context, job work.Job) (empty, error) {
+	handle(mux, pathSubmitted, func(_ context.Context, job work.Job) (reply submittedReply, err error) {
 		if err := job.Validate(); err != nil {
-			return empty{}, eris.Wrapf(err, "job %q of another node", job.ID)
+			return reply, eris.Wrapf(err, "job %q of another node", job.ID)
 		}
-		return empty{}, p.runAsLeader(func(e *scheduler.Engine) error { e.JobSubmitted(job); return nil })
+		err = p.runAsLeader(func(e *scheduler.Engine) error {
+			e.JobSubmitted(job)
+			reply.queueLoad = loadOf(e, job.Queue)
+			return nil
+		})
+		return reply, err
 	})
 	handle(mux, pathCancelled, func(_ context.Context, id jobID) (empty, error) {
 		return empty{}, p.runAsLeader(func(e *scheduler.Engine) error { e.JobCancelled(id.ID); return nil })
@@ -360,6 +379,7 @@
 	handle(mux, pathState, func(ctx context.Context, id jobID) (reply jobState, err error) {
 		err = p.runAsLeader(func(e *scheduler.Engine) (err error) {
 			reply.State, reply.Known, err = e.JobState(ctx, id.ID)
+			reply.queueLoad = loadOf(e, id.Queue)
 			return err
 		})
 		return reply, err
@@ -367,6 +387,7 @@
 	handle(mux, pathWaiting, func(ctx context.Context, queue queueName) (reply waitingCount, err error) {
 		err = p.runAsLeader(func(e *scheduler.Engine) (err error) {
 			reply.Count, err = e.WaitingJobs(ctx, queue.Name)
+			reply.queueLoad = loadOf(e, queue.Name)
 			return err
 		})
 		return reply, err
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/internal/jobs/gang"
 	"github.com/chivetiller/chivetiller/internal/jobs/order"
@@ -36,7 +35,7 @@
 				continue
 			}
 			criticalPath, left := o.remainingWork(c.estimator.estimate)
-			jobs += left / max(c.timeLeft(o, j, q, criticalPath), minTimeLeft).Seconds()
+			jobs += left / max(order.TimeLeft(c.now, criticalPath, o.latencyStart(j), o.targetEnd(q, j)), minTimeLeft).Seconds()
 		}
 	}
 	return total + max(jobs, p.arrivals.ExpectedRate(c.now), c.forecastRate(p))
@@ -58,19 +57,6 @@
 	return rate
 }
 
-// timeLeft returns the time in which the work of an occurrence should be done. That is until the end of its latency
-// target, or if that is missed, until it has no value any more. Work that is later still gets left-over capacity.
-func (c *Core) timeLeft(o *occurrence, j *job, q *catalog.Queue, criticalPath time.Duration) time.Duration {
-	target := o.targetEnd(q, j)
-	if target-c.now >= criticalPath/2 {
-		return target - c.now
-	}
-	if end := o.latencyStart(j) + order.LateFactor*(target-o.latencyStart(j)); end-c.now >= criticalPath {
-		return end - c.now
-	}
-	return expiredJobTime
-}
-
 // minWidth returns the number of workers that the widest service of the pool needs. One more allows moving its tasks one by one.
 func (p *pool) minWidth() int {
 	widest := 0
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -154,6 +154,9 @@
 	notCommitted int
 	chainVersion uint64
 	batchStored  chan struct{}
+
+	// reports are the latest reports for admission. Other goroutines read them.
+	reports atomic.Pointer[loadReports]
 }
 
 // NewEngine returns an engine that is not started.
@@ -455,6 +458,9 @@
 			e.spawn(func() { e.renewLease(id) })
 		}
 	}
+	if last := e.reports.Load(); last == nil || now-last.at >= reportInterval {
+		e.reports.Store(c.loadReports())
+	}
 	e.dispatch(now)
 	e.commit(now)
 }
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -13,8 +13,6 @@
 	planInterval = 150 * time.Millisecond
 	// minTimeLeft is the lower limit of the time in which the work of a job is to be done, for the demand of a pool.
 	minTimeLeft = 400 * time.Millisecond
-	// expiredJobTime is the time in which jobs are to be done that are too late to have any value but still count as served.
-	expiredJobTime = 20 * time.Second
 	// headroom is the factor by which a pool gets more than its demand, since tasks do not fill instances completely.
 	headroom = 1.15
 	// minInstances is the minimum size of a pool, so that some instances are left after the loss of a rack.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -87,6 +88,7 @@
 		}
 	}
 	p.candidates = len(all)
+	c.recordLoad(p, all)
 	slices.SortFunc(all, candidate.compare)
 	return all
 }
@@ -399,7 +401,7 @@
 				return chosen
 			}
 		}
-		for _, name := range sortedKeys(racks) {
+		for _, name := range slices.Sorted(maps.Keys(racks)) {
 			if chosen := c.spreadGang(s, racks[name]); chosen != nil {
 				return chosen
 			}
@@ -408,15 +410,6 @@
 	return c.spreadGang(s, usable)
 }
 
-func sortedKeys(m map[string][]*workerState) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 func (c *Core) spreadGang(s *step, usable []*workerState) []*workerState {
 	charge := s.doc.ReservedResources()
 	assigned := make(map[*workerState]int64)
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -63,6 +63,9 @@
 // jobPartition returns the table partition of a job: one of sixteen, by the first digit of its ID.
 func jobPartition(id string) string { return id[:min(1, len(id))] }
 
+// ProgressKey returns the key of the progress of a job.
+func ProgressKey(id string) store.Key { return progressKey(id) }
+
 func progressKey(name string) store.Key { return store.Key{Table: tableProgress, Name: name} }
 
 // partName returns the name of a row of the progress of a job. The first one has the number 0.
@@ -106,40 +109,6 @@
 	WallClock time.Duration `cbor:"2,keyasint"`
 }
 
-// ReadJobState reads the state of a job from its rows. It is used while the leader does not answer.
-func ReadJobState(ctx context.Context, s store.Store, id string) (state work.State, found bool, err error) {
-	rows, err := s.Scan(ctx, TableJobs, jobPartition(id), id, id+"\xff")
-	if err != nil {
-		return 0, false, err
-	}
-	cancelled := false
-	for _, row := range rows.Rows {
-		found = found || row.Name == id
-		cancelled = cancelled || row.Name == id+cancelSuffix
-	}
-	if !found {
-		return 0, false, nil
-	}
-	progress, err := s.Scan(ctx, tableProgress, "", id, id+"\x00")
-	if err != nil {
-		return 0, true, err
-	}
-	if len(progress.Rows) == 1 {
-		var p work.Progress
-		if err := cbor.Unmarshal(progress.Rows[0].Value, &p); err != nil {
-			return 0, true, eris.Wrapf(err, "decode the progress of job %q", id)
-		}
-		if p.State.Ended() {
-			return p.State, true, nil
-		}
-		state = work.Running
-	}
-	if cancelled {
-		state = work.Cancelled
-	}
-	return state, true, nil
-}
-
 // loadedRows is the stored state of the scheduler.
 type loadedRows struct {
 	jobs      map[string]work.Job
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/chivetiller/chivetiller/work"
@@ -98,17 +99,9 @@
 }
 
 func (r *run) name() string {
-	return string(appendInt(appendInt(appendInt(nil, r.step.occurrence.number, 0), r.step.number, '.'), r.index, '.'))
-}
-
-func appendInt(b []byte, n int, separator byte) []byte {
-	if separator != 0 {
-		b = append(b, separator)
-	}
-	if n >= 10 {
-		b = appendInt(b, n/10, 0)
-	}
-	return append(b, byte('0'+n%10))
+	b := strconv.AppendInt(nil, int64(r.step.occurrence.number), 10)
+	b = strconv.AppendInt(append(b, '.'), int64(r.step.number), 10)
+	return string(strconv.AppendInt(append(b, '.'), int64(r.index), 10))
 }
 
 func workerTarget(ws *workerState) worker.Target {
--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -193,16 +193,21 @@
 	qt.Assert(t, beyond, qt.DeepEquals, []bool{false, false, true, false, true, false, true})
 }
 
-// BenchmarkWeightedPass is BenchmarkPass with teams that have weights.
-func BenchmarkWeightedPass(b *testing.B) {
-	const workers = 3700
-	c, now := benchCore(workers, 0)
-	c.options.Features.TeamShares = true
+// weightedCatalog returns a second version of a configuration, with teams that have weights.
+func weightedCatalog(queues []catalog.Queue) *catalog.Catalog {
 	var teams []catalog.Team
 	for i := range crowdTeams {
 		teams = append(teams, catalog.Team{Name: fmt.Sprint("t", i), Weight: 1})
 	}
-	c.SetCatalog(catalog.New(2, 0, c.catalog.Queues, nil, teams))
+	return catalog.New(2, 0, queues, nil, teams)
+}
+
+// BenchmarkWeightedPass is BenchmarkPass with teams that have weights.
+func BenchmarkWeightedPass(b *testing.B) {
+	const workers = 3700
+	c, now := benchCore(workers, 0)
+	c.options.Features = serving.Scheduling{TeamShares: true, Admission: true}
+	c.SetCatalog(weightedCatalog(c.catalog.Queues))
 	for i := range workers * 8 {
 		doc := benchJob(i, len(c.pools))
 		doc.Team = fmt.Sprint("t", i/len(c.pools)%crowdTeams)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/admission"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/internal/jobs/gang"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
@@ -266,6 +267,8 @@
 	arrivals   arrivals.Window
 	// shares is what the teams use of the pool.
 	shares share.Pool
+	// load is the work of the batch jobs that waited in the last pass.
+	load admission.Load
 	// surgeForeseen means that the pool has instances for a surge that is foreseen.
 	surgeForeseen bool
 	// tests holds the runs of suspects whose workers may still crash under them.
--- a/work/work.go
+++ b/work/work.go
@@ -9,6 +9,7 @@
 package work
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -49,6 +50,11 @@
 	return Resources{CPU: r.CPU * n, Memory: r.Memory * n, GPU: r.GPU * n}
 }
 
+// Max returns the larger amount of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{CPU: max(r.CPU, o.CPU), Memory: max(r.Memory, o.Memory), GPU: max(r.GPU, o.GPU)}
+}
+
 // Fits reports whether r fits into the free resources.
 func (r Resources) Fits(free Resources) bool {
 	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.GPU <= free.GPU
@@ -146,6 +152,11 @@
 	return n
 }
 
+// BestEffort reports whether a step uses only capacity that others leave over.
+func (j *Job) BestEffort() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.BestEffort })
+}
+
 // Due returns when an occurrence is due, in wall clock time since the Unix epoch, and 0 for a job without a schedule.
 func (j *Job) Due(occurrence int) time.Duration {
 	if j.ScheduledOccurrences == 0 {
