--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
+	"github.com/chivetiller/chivetiller/store"
+	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -224,3 +226,34 @@
 		c.Schedule(now)
 	}
 }
+
+// TestBeyondRateAfterTakeover guards against a new leader that takes the jobs of the rows in another order than they were accepted in, so
+// that other jobs are within the rates than before.
+func TestBeyondRateAfterTakeover(t *testing.T) {
+	s := memory.New()
+	e, _ := newTestEngine(t, s, 1)
+	e.core.options.Features.TeamShares = true
+	e.options.Catalog = func() *catalog.Catalog { return weightedCatalog(nil) }
+	storeNow, _ := e.options.Clock.Now()
+	const jobs = 12
+	for i := range jobs {
+		// The IDs are in another order than the times.
+		j := work.Job{ID: fmt.Sprint("a", i*5%jobs), Pool: "p", Queue: "q", Team: "t1", AcceptedAt: storeNow - time.Duration(jobs-i)*10*time.Millisecond, Steps: []work.Step{{Count: 1}}}
+		value, err := EncodeJob(j)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: JobKey(j.ID), Value: value}}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, e.Start(t.Context()), qt.IsNil)
+	defer e.Stop()
+	var within []string
+	qt.Assert(t, e.query(t.Context(), func(c *Core) {
+		for id, j := range c.jobs {
+			if !j.beyondRate {
+				within = append(within, id)
+			}
+		}
+	}), qt.IsNil)
+	slices.Sort(within)
+	qt.Assert(t, within, qt.DeepEquals, []string{"a0", "a5"})
+}
