--- a/intake/slowstore_test.go
+++ b/intake/slowstore_test.go
@@ -83,7 +83,7 @@
 			wg.Go(func() {
 				ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
 				defer cancel()
-				outcome := in.Submit(ctx, Admission{Queue: &in.options.Configuration.Current().Queues[0]}, sampleJob(id))
+				outcome, _ := in.Submit(ctx, Admission{Queue: &in.options.Configuration.Current().Queues[0]}, sampleJob(id))
 				mu.Lock()
 				defer mu.Unlock()
 				outcomes[outcome]++
--- a/internal/pools/gangs/gangs.go
+++ b/internal/jobs/gang/gang.go
@@ -1,10 +1,12 @@
-// Package gangs tells how many instances a gang needs, whose tasks start together.
+// Package gang tells how many instances a gang needs. All its tasks start together, so that it needs them at once.
 //
 // # Usage
 //
-//	shape := gangs.Shape{Request: work.Resources{CPU: 2000}, Count: 8, MaxPerWorker: 2}
-//	instances := shape.Width(capacities)
-package gangs
+//	shape := gang.Shape{Request: request, Count: tasks, MaxPerWorker: 2}
+//	if shape.Width(capacities) == 0 {
+//		// It does not fit on all of them together.
+//	}
+package gang
 
 import "github.com/chivetiller/chivetiller/work"
 
@@ -14,8 +16,8 @@
 	Count, MaxPerWorker int
 }
 
-// tasksOn returns how many of its tasks an instance of a capacity can hold.
-func (g Shape) tasksOn(capacity work.Resources) int {
+// TasksOn returns how many of its tasks an instance of a capacity can hold.
+func (g Shape) TasksOn(capacity work.Resources) int {
 	n := int64(g.Count)
 	if g.MaxPerWorker > 0 {
 		n = min(n, int64(g.MaxPerWorker))
@@ -34,7 +36,7 @@
 func (g Shape) Width(capacities []work.Resources) int {
 	left := g.Count
 	for i, capacity := range capacities {
-		if left -= g.tasksOn(capacity); left <= 0 {
+		if left -= g.TasksOn(capacity); left <= 0 {
 			return i + 1
 		}
 	}
--- a/internal/pools/losses/losses.go
+++ b/internal/pools/losses/losses.go
@@ -1,10 +1,14 @@
-// Package losses limits how many instances a pool gets while those that arrive there are lost.
+// Package losses limits the instances that a pool gets after some were lost on arrival, since whatever takes them down would take down
+// the whole spare pool.
 //
 // # Usage
 //
-//	var r losses.Rounds
-//	rounds, pause := r.Record(now)
-//	if limit, limited := r.Limit(now, need); limited { ... }
+//	var pool losses.Rounds
+//	if pool.Begins(plannedAt) {
+//		pause := pool.Add(now)
+//	}
+//	n := pool.Limit(now, need, missing, arriving)
+//	// Once an instance has survived its arrival, its pool starts again with the zero value.
 package losses
 
 import (
@@ -21,8 +25,8 @@
 	maxPause   = 2 * time.Minute
 )
 
-// Rounds counts the rounds of moves into a pool, one after the other, in which instances were lost on arrival and none survived. No rounds
-// may be nil.
+// Rounds counts the rounds of moves into a pool, one after the other, in which instances were lost on arrival and none survived. The zero
+// value has none.
 type Rounds struct {
 	rounds int
 	// countedAt is the time at which the latest round was counted. Instances whose move was planned before belong to it.
@@ -30,27 +34,34 @@
 	pausedUntil time.Duration
 }
 
-// Counts reports whether the loss of an instance whose move was planned at a time belongs to a further round.
-func (r *Rounds) Counts(plannedAt time.Duration) bool { return r == nil || plannedAt >= r.countedAt }
+// Count returns the number of rounds.
+func (r *Rounds) Count() int { return r.rounds }
 
-// Record records a lost round, and returns the number of rounds and the pause that follows.
-func (r *Rounds) Record(now time.Duration) (rounds int, pause time.Duration) {
+// Begins reports whether the loss of an instance whose move was planned at a time begins another round.
+func (r *Rounds) Begins(plannedAt time.Duration) bool {
+	return r.rounds == 0 || plannedAt >= r.countedAt
+}
+
+// Add counts a round and returns the pause after it.
+func (r *Rounds) Add(now time.Duration) time.Duration {
 	r.rounds++
 	r.countedAt = now
+	var pause time.Duration
 	if r.rounds > freeRounds {
 		pause = backoff.Doubled(r.rounds-freeRounds, firstPause, maxPause)
 	}
 	r.pausedUntil = now + pause
-	return r.rounds, pause
+	return pause
 }
 
-// Limit returns how many instances may be on their way to a pool that needs some, and false if there is no limit.
-func (r *Rounds) Limit(now time.Duration, need int) (limit int, limited bool) {
+// Limit returns how many instances a pool may get now that needs a number of them. missing is how many of them it does not have, and
+// arriving how many are on their way.
+func (r *Rounds) Limit(now time.Duration, need, missing, arriving int) int {
 	switch {
-	case r == nil || r.rounds <= freeRounds:
-		return 0, false
+	case r.rounds <= freeRounds:
+		return missing
 	case now < r.pausedUntil:
-		return 0, true
+		return 0
 	}
-	return max(1, need>>(r.rounds-freeRounds)), true
+	return min(missing, max(1, need>>(r.rounds-freeRounds))-arriving)
 }
--- a/scheduler/arrivals.go
+++ b/scheduler/arrivals.go
@@ -43,17 +43,17 @@
 		}
 		if !moved.lost && (!listed || !c.serves(inst)) {
 			moved.lost = true
-			if f.arrivalLosses[moved.pool].Counts(moved.plannedAt) {
+			if before, ok := f.arrivalLosses[moved.pool]; !ok || before.Begins(moved.plannedAt) {
 				lost[moved.pool]++
 			}
 		}
 	}
 	for pool, instances := range lost {
 		if f.arrivalLosses[pool] == nil {
-			f.arrivalLosses[pool] = new(losses.Rounds)
+			f.arrivalLosses[pool] = &losses.Rounds{}
 		}
-		rounds, pause := f.arrivalLosses[pool].Record(c.now)
-		c.logger.Warn("Instances were lost on arrival in a pool.", "pool", pool, "instances", instances, "roundsInARow", rounds, "pause", pause)
+		pause := f.arrivalLosses[pool].Add(c.now)
+		c.logger.Warn("Instances were lost on arrival in a pool.", "pool", pool, "instances", instances, "roundsInARow", f.arrivalLosses[pool].Count(), "pause", pause)
 	}
 }
 
@@ -62,8 +62,8 @@
 func (c *Core) maxArrivals(d demand) int {
 	f := c.fleet
 	missing := d.need - d.have
-	limit, limited := f.arrivalLosses[d.pool].Limit(c.now, d.need)
-	if !limited {
+	rounds, ok := f.arrivalLosses[d.pool]
+	if !ok {
 		return missing
 	}
 	arriving := 0
@@ -77,5 +77,5 @@
 			arriving++
 		}
 	}
-	return min(missing, limit-arriving)
+	return rounds.Limit(c.now, d.need, missing, arriving)
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -24,6 +24,7 @@
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
+	"github.com/chivetiller/chivetiller/internal/teams/share"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -178,6 +179,7 @@
 	estimator     *estimator
 	// snapshots holds what is learned and kept for the next leaders.
 	snapshots *snapshot.Set
+	shares    teamShares
 	fleet     *fleet
 	// evacuations holds the evacuated data centres. evacuationLoggedAt is the time of the latest log line about the runs there.
 	evacuations        evacuation.Set
@@ -235,7 +237,7 @@
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
 		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
-		estimator: newEstimator(), snapshots: snapshot.NewSet(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
+		estimator: newEstimator(), snapshots: snapshot.NewSet(), shares: teamShares{rates: share.NewRates()}, fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
 	}
 }
 
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/instance"
-	"github.com/chivetiller/chivetiller/internal/pools/gangs"
+	"github.com/chivetiller/chivetiller/internal/jobs/gang"
+	"github.com/chivetiller/chivetiller/internal/jobs/order"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -35,25 +35,12 @@
 				continue
 			}
 			criticalPath, left := o.remainingWork(c.estimator.estimate)
-			jobs += left / max(c.timeLeft(o, j, q, criticalPath), minTimeLeft).Seconds()
+			jobs += left / max(order.TimeLeft(c.now, criticalPath, o.latencyStart(j), o.targetEnd(q, j)), minTimeLeft).Seconds()
 		}
 	}
 	return total + max(jobs, p.arrivals.ExpectedRate(c.now))
 }
 
-// timeLeft returns the time in which the work of an occurrence should be done. That is until the end of its latency
-// target, or if that is missed, until it has no value any more. Work that is later still gets left-over capacity.
-func (c *Core) timeLeft(o *occurrence, j *job, q *catalog.Queue, criticalPath time.Duration) time.Duration {
-	target := o.targetEnd(q, j)
-	if target-c.now >= criticalPath/2 {
-		return target - c.now
-	}
-	if end := o.latencyStart(j) + lateFactor*(target-o.latencyStart(j)); end-c.now >= criticalPath {
-		return end - c.now
-	}
-	return expiredJobTime
-}
-
 // minWidth returns the number of workers that the widest service of the pool needs. One more allows moving its tasks one by one.
 func (p *pool) minWidth() int {
 	widest := 0
@@ -69,8 +56,8 @@
 
 // waitingGangs returns the shapes of the gangs of a pool that wait to start, and whose teams may start them. Those that require a label are
 // left out, since moves do not look at the labels of instances.
-func (c *Core) waitingGangs(p *pool) map[gangs.Shape]bool {
-	var shapes map[gangs.Shape]bool
+func (c *Core) waitingGangs(p *pool) map[gang.Shape]bool {
+	var shapes map[gang.Shape]bool
 	for _, j := range p.jobs {
 		for _, o := range j.open {
 			for _, s := range o.steps {
@@ -78,9 +65,9 @@
 					continue
 				}
 				if shapes == nil {
-					shapes = make(map[gangs.Shape]bool)
+					shapes = make(map[gang.Shape]bool)
 				}
-				shapes[gangs.Shape{Request: s.doc.ReservedResources(), Count: s.tasksLeft, MaxPerWorker: s.doc.MaxPerWorker}] = true
+				shapes[gang.Shape{Request: s.doc.ReservedResources(), Count: s.tasksLeft, MaxPerWorker: s.doc.MaxPerWorker}] = true
 			}
 		}
 	}
@@ -111,7 +98,7 @@
 		width := shape.Width(all)
 		if width == 0 && !p.tooWide[shape] {
 			if p.tooWide == nil {
-				p.tooWide = make(map[gangs.Shape]bool)
+				p.tooWide = make(map[gang.Shape]bool)
 			}
 			p.tooWide[shape] = true
 			c.logger.Warn("Gang does not fit into its pool and the spare instances.", "pool", p.name, "tasks", shape.Count, "cpu", shape.Request.CPU,
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -1,9 +1,12 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -155,6 +158,9 @@
 	notCommitted int
 	chainVersion uint64
 	batchStored  chan struct{}
+
+	// reports are the latest reports for admission. Other goroutines read them.
+	reports atomic.Pointer[loadReports]
 }
 
 // NewEngine returns an engine that is not started.
@@ -224,8 +230,9 @@
 			w.Since = now - (storeNow - w.Since)
 		}
 	}
-	for id, j := range l.jobs {
-		c.AddJob(j, l.progress[id], storeNow)
+	// The rates of teams count jobs in the order of their acceptance.
+	for _, j := range slices.SortedFunc(maps.Values(l.jobs), func(a, b work.Job) int { return cmp.Compare(a.AcceptedAt, b.AcceptedAt) }) {
+		c.AddJob(j, l.progress[j.ID], storeNow)
 	}
 	c.JobsPruned(l.staleParts)
 	for _, id := range l.cancelled {
@@ -464,6 +471,9 @@
 			e.spawn(func() { e.renewLease(id) })
 		}
 	}
+	if last := e.reports.Load(); last == nil || now-last.at >= reportInterval {
+		e.reports.Store(c.loadReports())
+	}
 	e.dispatch(now)
 	e.commit(now)
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -4,10 +4,12 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/admission"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
+	"github.com/chivetiller/chivetiller/internal/jobs/gang"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
-	"github.com/chivetiller/chivetiller/internal/pools/gangs"
+	"github.com/chivetiller/chivetiller/internal/teams/share"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -31,6 +33,8 @@
 	nextOccurrence int
 	// service means that a step runs until the job is cancelled.
 	service bool
+	// beyondRate means that the team had sent more jobs than it is owed when the job was accepted.
+	beyondRate bool
 	// started means that a start command of the job was sent or recorded, and begun that a worker is known to have carried one out.
 	started bool
 	begun   bool
@@ -261,6 +265,10 @@
 	// candidates is the number of occurrences that had tasks to start in the last pass.
 	candidates int
 	arrivals   arrivals.Window
+	// shares is what the teams use of the pool.
+	shares share.Pool
+	// load is the work of the batch jobs that waited in the last pass.
+	load admission.Load
 	// tests holds the runs of suspects whose workers may still crash under them.
 	tests []*run
 	// reserved holds the workers with reservations.
@@ -270,7 +278,7 @@
 	// crashes holds the latest crashes of its workers.
 	crashes crashloop.History[crashedUnit]
 	// tooWide holds the gangs of which it was logged that they fit nowhere.
-	tooWide map[gangs.Shape]bool
+	tooWide map[gang.Shape]bool
 }
 
 // remainingWork returns the critical path and the work (in core-seconds) that are left, as estimated.
