scheduler: expect what earlier runs have taken

The estimate of a task was corrected by one ratio for each queue, which a new leader did not know. With the switch learnedRunTimes the order of jobs, the processors that a pool needs and the reservations use the learned distribution of the class and of the step, and with workerPace a slow worker is worth less. A run teaches only if this leader has started it without a checkpoint, the start was answered, its task was not done before, and it was not throttled. Pace and distance are divided out (package finishedruns).

With the switches off nothing changes.

go test ./scheduler ./internal/jobs/... ./internal/workers/... passes.

--- a/internal/jobs/runtimes/expectation.go
+++ b/internal/jobs/runtimes/expectation.go
@@ -11,6 +11,8 @@
 	unit   float64
 	runs   int
 	within *kernel
+	// fixed means that the unit is what is expected.
+	fixed bool
 }
 
 const (
@@ -63,6 +65,9 @@
 	if e.unit == 0 {
 		return 0
 	}
+	if e.fixed && q == 0.5 {
+		return duration(e.unit)
+	}
 	return duration(value(e.ratios.quantile(q)-ratioOne) * e.unit)
 }
 
@@ -72,6 +77,9 @@
 // Left returns how long a run that has taken a time already is expected to go on, as the median of the runs that take longer. A run that
 // has taken longer than nearly all is expected to go on for a quarter of its time.
 func (e Expectation) Left(ran time.Duration) time.Duration {
+	if e.fixed {
+		return max(duration(e.unit)-ran, time.Duration(lateShare*float64(ran)))
+	}
 	if e.unit == 0 || e.position(ran) > lastKnown {
 		return time.Duration(lateShare * float64(ran))
 	}
--- a/internal/jobs/runtimes/histogram.go
+++ b/internal/jobs/runtimes/histogram.go
@@ -19,6 +19,9 @@
 	halfLife = 15 * time.Minute
 )
 
+// minCount is the least count that is kept.
+const minCount = 1e-6
+
 // masses holds the probability, or the weight, of each bucket.
 type masses [buckets]float32
 
@@ -45,8 +48,12 @@
 		keep *= float32(math.Exp2(-float64(now-h.at) / float64(halfLife)))
 		h.at = now
 	}
-	for i := range h.counts {
-		h.counts[i] *= keep
+	for i, n := range h.counts {
+		if n *= keep; n < minCount {
+			// Arithmetic with denormal numbers is slow.
+			n = 0
+		}
+		h.counts[i] = n
 	}
 	h.weight = h.weight*float64(keep) + 1
 	low := math.Floor(at)
--- a/internal/jobs/runtimes/runtimes.go
+++ b/internal/jobs/runtimes/runtimes.go
@@ -138,6 +138,11 @@
 	}()
 )
 
+// Fixed returns an expectation that rests on no run.
+func Fixed(d time.Duration) Expectation {
+	return Expectation{ratios: assumedError, unit: float64(max(d, 0)), fixed: true}
+}
+
 // Expect returns what is expected of a run of a class.
 func (m *Model) Expect(c Class) Expectation {
 	e := Expectation{unit: float64(max(c.Estimate, 0)), within: m.kernel}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
 	"github.com/chivetiller/chivetiller/internal/pools/forecast"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
@@ -175,7 +176,8 @@
 	// unstoredSince is the time since which something waits to be stored, and 0 if nothing does.
 	unstoredSince time.Duration
 	deposed       bool
-	estimator     *estimator
+	// learned is what is learned of run times.
+	learned *finishedruns.Learner
 	// snapshots holds what is learned and kept for the next leaders.
 	snapshots     *snapshot.Set
 	forecast      *forecast.Forecast
@@ -231,8 +233,9 @@
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
 		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
-		estimator: newEstimator(), snapshots: snapshot.NewSet(), forecast: forecast.New(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
+		learned: finishedruns.New(o.Features.LearnedRunTimes, o.Features.WorkerPace), snapshots: snapshot.NewSet(), forecast: forecast.New(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
 	}
+	c.learned.Keep(c.snapshots)
 	if o.Features.Forecast {
 		c.snapshots.Add("forecast", c.forecast, forecastInterval)
 	}
@@ -293,7 +296,7 @@
 		return "leaving"
 	case ws.cordoned:
 		return "drained"
-	case ws.health.quarantined(c.now):
+	case ws.health.Quarantined(c.now):
 		return "quarantined"
 	case !ws.listed || !ws.registered():
 		return "notListed"
@@ -351,6 +354,10 @@
 		return
 	}
 	c.prunedAt = c.now
+	for _, ws := range c.workers {
+		// What is known of a worker without runs fades.
+		c.ratePace(ws)
+	}
 	c.pruneSilences()
 	c.pruneLeaseRecord()
 	for id, j := range c.jobs {
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -33,7 +33,7 @@
 				}
 				continue
 			}
-			criticalPath, left := o.remainingWork(c.estimator.estimate)
+			criticalPath, left := c.remainingWork(o)
 			jobs += left / max(c.timeLeft(o, j, q, criticalPath), minTimeLeft).Seconds()
 		}
 	}
--- a/scheduler/idle_test.go
+++ b/scheduler/idle_test.go
@@ -234,8 +234,7 @@
 			r := &idleRig{rig: f.rig, workers: []string{"w1", "w2", "w3", "w4", "w5"}, idleSince: make(map[work.Task]time.Duration), downSince: make(map[string]time.Duration)}
 			r.refuses = func(string) bool { return false }
 			for _, id := range r.workers[:test.failing] {
-				h := &f.core.workers[id].health
-				h.quarantinedUntil, h.failedAt = r.now+time.Hour, r.now+time.Hour
+				f.core.workers[id].health.Quarantine(r.now+time.Hour, 0)
 			}
 			r.addService("s", 4, 500)
 			moves := 0
@@ -279,8 +278,7 @@
 	r := &idleRig{rig: f.rig, workers: []string{"w1", "w2", "w3", "w4", "w5"}, idleSince: make(map[work.Task]time.Duration), downSince: make(map[string]time.Duration)}
 	r.refuses = func(string) bool { return false }
 	for _, id := range r.workers[:2] {
-		h := &f.core.workers[id].health
-		h.quarantinedUntil, h.failedAt = r.now+time.Hour, r.now+time.Hour
+		f.core.workers[id].health.Quarantine(r.now+time.Hour, 0)
 	}
 	r.addService("s", 3, 500)
 	r.play(time.Second)
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -213,7 +213,7 @@
 	}
 	t.done = true
 	s.tasksLeft--
-	s.occurrence.cached = false
+	s.occurrence.remaining.Invalidate()
 	c.pool(s.job.doc.Pool).needsPlanning = true
 	if len(t.runs) == 0 {
 		s.idleTasks--
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -72,6 +72,8 @@
 	ruleOutFence  uint64
 	ruledOutFence uint64
 	ordersInDoubt bool
+	// slowness is by how much tasks take longer than on a usual worker, relative to that.
+	slowness float64
 	// maxLease is the longest lease that the worker grants.
 	maxLease time.Duration
 	// expiredRuns holds the runs that were on the worker when its lease expired. It may have crashed.
@@ -171,6 +173,7 @@
 	next := c.newLife(ws, worker.Life{ID: ended.identity.ID, Incarnation: incarnation}, c.callsTo(ended))
 	next.restarted = true
 	ws.workerLife = &next
+	c.learned.Pace().Forget(ws.report.ID)
 	c.forgetTickets(ws)
 	// Starts that got no answer may still reach the new life, which knows no runs. A stop makes the worker reject them.
 	for _, start := range ended.unansweredStarts {
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -34,7 +34,7 @@
 
 // avoidanceOf returns what is known against starting a task of a step on a worker.
 func (c *Core) avoidanceOf(s *step, ws *workerState, idle time.Duration) avoidance.Worker {
-	w := avoidance.Worker{QuarantinedUntil: ws.health.quarantinedUntil, FailedAt: ws.health.failedAt}
+	w := avoidance.Worker{QuarantinedUntil: ws.health.QuarantinedUntil(), FailedAt: ws.health.FailedAt()}
 	if ws.cordoned {
 		inst, listed := c.fleet.instances[ws.instance]
 		// A command without an answer would end the run of a task that may not be disrupted now, but may never be carried out.
@@ -88,7 +88,7 @@
 
 // isAvoided reports whether a worker is avoided, or has room that is kept free.
 func (ws *workerState) isAvoided(now time.Duration) bool {
-	return ws.cordoned || ws.health.quarantined(now) || len(ws.reservations) > 0
+	return ws.cordoned || ws.health.Quarantined(now) || len(ws.reservations) > 0
 }
 
 // takesOverdue reports whether a task of a step that has been idle for a time may start on a worker that is avoided.
--- a/scheduler/overdue_test.go
+++ b/scheduler/overdue_test.go
@@ -17,8 +17,7 @@
 func TestFailedServiceWaitsForSoundWorker(t *testing.T) {
 	r := newIdleRig(t, 2)
 	task := work.Task{Job: "s"}
-	h := &r.core.workers["w1"].health
-	h.quarantinedUntil, h.failedAt = r.now+time.Hour, r.now
+	r.core.workers["w1"].health.Quarantine(r.now, time.Hour)
 	r.addService("s", 1, 4000)
 	r.play(10 * time.Second)
 	qt.Assert(t, r.runs["w0"], qt.HasLen, 1)
@@ -101,7 +100,7 @@
 func TestPolicyAsksAboutAvoidedWorkers(t *testing.T) {
 	tests := map[string]func(ws *workerState, now time.Duration){
 		"quarantined": func(ws *workerState, now time.Duration) {
-			ws.health.quarantinedUntil, ws.health.failedAt = now+time.Hour, now
+			ws.health.Quarantine(now, time.Hour)
 		},
 		"drained": func(ws *workerState, _ time.Duration) { ws.cordoned = true },
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -166,7 +166,7 @@
 		cand.rank = float64(j.acceptedAt)
 		return cand, true
 	}
-	criticalPath, left := o.remainingWork(c.estimator.estimate)
+	criticalPath, left := c.remainingWork(o)
 	target := o.targetEnd(q, j)
 	start := o.latencyStart(j)
 	switch {
@@ -315,6 +315,9 @@
 const (
 	// costRemoteData is the cost of a worker away from the data, where the task takes several times as long.
 	costRemoteData = 10
+	// costSlow is the cost of a worker on which tasks take twice as long. Three times as long is worth less than a worker on which the task
+	// has just failed.
+	costSlow = 3
 	// costFailedBefore is the cost of the worker on which the task failed last.
 	costFailedBefore = 5
 	// costMayLeave is the cost, for a step with a disruption budget, of a worker whose instance may still carry out a command without an answer.
@@ -343,7 +346,7 @@
 // processors left over wins, so that large tasks find room later.
 func (c *Core) placementCost(s *step, index int, ws *workerState, charge work.Resources) float64 {
 	room := ws.freeCapacity().Minus(charge)
-	cost := float64(room.CPU) / float64(max(1, ws.report.Capacity.CPU))
+	cost := float64(room.CPU)/float64(max(1, ws.report.Capacity.CPU)) + costSlow*ws.slowness
 	if s.doc.DataRack != "" && ws.report.Rack() != s.doc.DataRack {
 		cost += costRemoteData
 	}
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -158,7 +158,7 @@
 	endings := make([]ending, 0, len(ws.runs))
 	for _, r := range ws.runs {
 		if !r.step.doc.Service || r.phase == stopping {
-			endings = append(endings, ending{left: c.runTimeLeft(r), charged: r.step.doc.ReservedResources()})
+			endings = append(endings, ending{left: c.expectedLeft(r), charged: r.step.doc.ReservedResources()})
 		}
 	}
 	slices.SortFunc(endings, func(a, b ending) int { return cmp.Compare(a.left, b.left) })
@@ -169,12 +169,3 @@
 	}
 	return 0, false
 }
-
-// runTimeLeft returns how long a run is expected to take. One that takes longer than estimated is expected to go on for a while.
-func (c *Core) runTimeLeft(r *run) time.Duration {
-	if r.phase == stopping {
-		return minRunLeft
-	}
-	ran := c.now - r.startedAt
-	return max(c.estimator.estimate(r.step)-ran, ran/4, minRunLeft)
-}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -83,6 +83,7 @@
 	if s.doc.Checkpoints || s.doc.Gang {
 		start.Checkpoint = s.progress.Checkpoints[s.unitIndex(r.index)]
 	}
+	r.whole = start.Checkpoint == ""
 	start.Ticket, _ = s.tickets.Ticket(r.worker.report.ID, c.now)
 	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, call: to, repeated: r.unanswered > 0})
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -5,8 +5,11 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
+	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
+	"github.com/chivetiller/chivetiller/internal/jobs/remainingwork"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
+	"github.com/chivetiller/chivetiller/internal/workers/health"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -57,10 +60,8 @@
 	recordedWorkers []string
 	// dueAt is the time at which the occurrence was due.
 	dueAt time.Duration
-	// criticalPath and coreSecondsLeft cache the estimate of the remaining work. They are valid while cached is set.
-	criticalPath    time.Duration
-	coreSecondsLeft float64
-	cached          bool
+	// remaining is what is expected of the remaining work.
+	remaining remainingwork.Work
 }
 
 // step is a step of an occurrence.
@@ -91,6 +92,8 @@
 	wait *stepWaits
 	// notBefore delays the next start of the gang.
 	notBefore time.Duration
+	// finished is what the tasks that are done tell of the others.
+	finished finishedruns.Step
 }
 
 // task is a task of a step.
@@ -184,6 +187,8 @@
 	startFence uint64
 	stopFence  uint64
 	checkpoint string
+	// whole means that the run began without a checkpoint in this term.
+	whole bool
 	// worked means that the run has spoken for the health of its worker.
 	worked       bool
 	speedPercent int
@@ -227,7 +232,7 @@
 	// tests counts the runs of suspects that the worker has not survived yet, and testsLikely means that one is likely to crash it.
 	tests       int
 	testsLikely bool
-	health      health
+	health      health.Health
 	// workerLife is the present life.
 	*workerLife
 }
@@ -259,7 +264,7 @@
 	plannedAt time.Duration
 	// candidates is the number of occurrences that had tasks to start in the last pass.
 	candidates int
-	arrivals arrivals.Window
+	arrivals   arrivals.Window
 	// surgeForeseen means that the pool has instances for a surge that is foreseen.
 	surgeForeseen bool
 	// tests holds the runs of suspects whose workers may still crash under them.
@@ -274,29 +279,6 @@
 	tooWide map[gangShape]bool
 }
 
-// remainingWork returns the critical path and the work (in core-seconds) that are left, as estimated.
-func (o *occurrence) remainingWork(estimate func(*step) time.Duration) (criticalPath time.Duration, coreSeconds float64) {
-	if o.cached {
-		return o.criticalPath, o.coreSecondsLeft
-	}
-	var buffer [work.MaxSteps]time.Duration
-	for i, s := range o.steps {
-		var start time.Duration
-		for _, after := range s.doc.DependsOn {
-			start = max(start, buffer[after])
-		}
-		if s.tasksLeft > 0 {
-			e := estimate(s)
-			start += e
-			coreSeconds += float64(s.tasksLeft) * float64(s.doc.Request.CPU) / 1000 * e.Seconds()
-		}
-		buffer[i] = start
-		criticalPath = max(criticalPath, start)
-	}
-	o.criticalPath, o.coreSecondsLeft, o.cached = criticalPath, coreSeconds, true
-	return criticalPath, coreSeconds
-}
-
 // targetEnd returns the time until which the occurrence has to be done to be within its latency target.
 func (o *occurrence) targetEnd(q *catalog.Queue, j *job) time.Duration {
 	return o.latencyStart(j) + time.Duration(q.Stretch*float64(j.criticalPath)) + q.BaseTarget
--- a/scheduler/usable.go
+++ b/scheduler/usable.go
@@ -15,7 +15,7 @@
 
 // acceptsTasks reports whether tasks may be started on a worker.
 func (c *Core) acceptsTasks(ws *workerState) bool {
-	return !ws.cordoned && !ws.health.quarantined(c.now) && c.mayStartOn(ws)
+	return !ws.cordoned && !ws.health.Quarantined(c.now) && c.mayStartOn(ws)
 }
 
 // silent reports whether a worker that has answered before may be down.
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -216,7 +216,7 @@
 		if !c.mayStartOn(ws) || !c.eligible(s, ws) || !s.doc.ReservedResources().Fits(ws.freeCapacity()) {
 			continue
 		}
-		if ws.health.quarantined(c.now) {
+		if ws.health.Quarantined(c.now) {
 			return WaitForQuarantine
 		}
 		if ws.cordoned {
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -28,8 +28,7 @@
 		"batch not stored": {service(nil), func(*rig) {}, WaitForBatch},
 		"no worker":        {service(nil), func(r *rig) { r.register() }, WaitForWorker},
 		"quarantined": {service(nil), func(r *rig) {
-			h := &r.core.workers["w1"].health
-			h.quarantinedUntil, h.failedAt = r.now+time.Hour, r.now+time.Hour
+			r.core.workers["w1"].health.Quarantine(r.now+time.Hour, 0)
 		}, WaitForQuarantine},
 		"drained": {service(nil), func(r *rig) {
 			r.core.workers["w1"].cordon("m1")
