--- a/internal/jobs/runtimes/expectation.go
+++ b/internal/jobs/runtimes/expectation.go
@@ -6,8 +6,8 @@
 
 // Expectation is what is expected of a run on a worker of usual pace, near its data. The zero value expects nothing.
 type Expectation struct {
-	// ratios is the distribution of the ratio to the unit, and unit the declared estimate or, without one, defaultUnit.
-	ratios masses
+	// ratios is the ratio to the unit, and unit the declared estimate or, without one, defaultUnit.
+	ratios *distribution
 	unit   float64
 	runs   int
 	within *kernel
@@ -15,6 +15,20 @@
 	fixed bool
 }
 
+// distribution holds the shares of ratios, with their median and mean. It does not change.
+type distribution struct {
+	masses
+	median, mean float64
+}
+
+func newDistribution(m masses) *distribution {
+	d := &distribution{masses: m, median: value(m.quantile(0.5) - ratioOne)}
+	for i, p := range m {
+		d.mean += float64(p) * centres[i]
+	}
+	return d
+}
+
 const (
 	// beyond is the share of the runs that take longer than a run from which on nothing is known of its rest.
 	beyond = 0.02
@@ -29,22 +43,20 @@
 )
 
 // Median returns the time that half of the runs exceed.
-func (e Expectation) Median() time.Duration { return e.Quantile(0.5) }
+func (e Expectation) Median() time.Duration {
+	if e.unit == 0 || e.fixed {
+		return duration(e.unit)
+	}
+	return duration(e.ratios.median * e.unit)
+}
 
 // Mean returns the mean time.
 func (e Expectation) Mean() time.Duration {
-	if e.unit == 0 {
-		return 0
-	}
-	if e.runs == 0 {
+	if e.unit == 0 || e.runs == 0 {
 		// The assumed error of an estimate is wide. Its mean would exceed the estimate, on which nothing depends before a run has ended.
 		return e.Median()
 	}
-	var mean float64
-	for i, p := range e.ratios {
-		mean += float64(p) * centres[i]
-	}
-	return duration(mean * e.unit)
+	return duration(e.ratios.mean * e.unit)
 }
 
 // maxDuration is the longest time that is expected. Sums of some of them are in range.
@@ -65,9 +77,6 @@
 	if e.unit == 0 {
 		return 0
 	}
-	if e.fixed && q == 0.5 {
-		return duration(e.unit)
-	}
 	return duration(value(e.ratios.quantile(q)-ratioOne) * e.unit)
 }
 
@@ -105,7 +114,7 @@
 	finished, running = finished[max(0, len(finished)-maxTold):], running[:min(len(running), maxTold)]
 	// The prior has some weight everywhere, since the tasks of the step may take a time that was never seen.
 	var typical masses
-	for i, p := range e.ratios {
+	for i, p := range e.ratios.masses {
 		typical[i] = p + minMass
 	}
 	for _, took := range finished {
@@ -125,7 +134,7 @@
 		}
 	}
 	if len(finished) == 0 {
-		given.ratios = typical
+		given.ratios = newDistribution(typical)
 		return given
 	}
 	var ratios masses
@@ -138,7 +147,7 @@
 		}
 	}
 	ratios.normalise()
-	given.ratios, given.runs = ratios, e.runs+len(finished)
+	given.ratios, given.runs = newDistribution(ratios), e.runs+len(finished)
 	return given
 }
 
--- a/internal/jobs/runtimes/runtimes.go
+++ b/internal/jobs/runtimes/runtimes.go
@@ -55,6 +55,9 @@
 	// which it is taken anew.
 	kernelRuns     = 40
 	kernelInterval = 16
+	// cacheShare is the share of the runs of a queue, as a divisor, that may pass before the cache is emptied, and maxCached limits it.
+	cacheShare = 16
+	maxCached  = 512
 	// maxEncoded leaves room in a row for its encoding.
 	maxEncoded = store.MaxRowBytes - 1024
 )
@@ -109,6 +112,19 @@
 type queue struct {
 	times, ratios histogram
 	groups        map[group]*histogram
+	// cache holds what is expected of classes, and passed counts the runs since it was emptied.
+	cache  map[cacheKey]*distribution
+	passed int
+}
+
+// cacheKey names the classes of which the same is expected relative to their units.
+type cacheKey struct {
+	group    group
+	position int
+}
+
+func newQueue() *queue {
+	return &queue{groups: make(map[group]*histogram), cache: make(map[cacheKey]*distribution)}
 }
 
 // Model learns the run times of all classes. It is not safe for concurrent use.
@@ -119,13 +135,19 @@
 	within       histogram
 	kernel       *kernel
 	withinPassed int
+	// unknown is what is expected of a queue of which nothing is known.
+	unknown       *distribution
+	unknownPassed int
 }
 
 // New returns a model that knows nothing.
-func New() *Model { return &Model{queues: make(map[string]*queue), kernel: newKernel(assumedKernel)} }
+func New() *Model {
+	return &Model{queues: make(map[string]*queue), kernel: newKernel(assumedKernel), unknown: assumed}
+}
 
 var (
 	assumedError = bell(ratioOne, estimateSpread)
+	assumed      = newDistribution(assumedError)
 	flat         = bell(ratioOne, 1000)
 	// assumedKernel is the variation of the tasks of a step until it is known: a quarter, and a few that take several times as long.
 	assumedKernel = func() masses {
@@ -140,45 +162,41 @@
 
 // Fixed returns an expectation that rests on no run.
 func Fixed(d time.Duration) Expectation {
-	return Expectation{ratios: assumedError, unit: float64(max(d, 0)), fixed: true}
+	return Expectation{ratios: assumed, unit: float64(max(d, 0)), fixed: true}
 }
 
 // Expect returns what is expected of a run of a class.
 func (m *Model) Expect(c Class) Expectation {
-	e := Expectation{unit: float64(max(c.Estimate, 0)), within: m.kernel}
-	ratios := m.ratios.over(&assumedError, widerRuns)
 	q := m.queues[c.Queue]
 	if q == nil {
-		if m.ratios.weight == 0 {
-			ratios = assumedError
+		return Expectation{ratios: m.unknown, unit: float64(max(c.Estimate, 0)), within: m.kernel}
+	}
+	key := cacheKey{group: c.group(), position: int(math.Round(timePosition(time.Duration(c.unit()))))}
+	d := q.cache[key]
+	if d == nil {
+		if len(q.cache) >= maxCached {
+			clear(q.cache)
 		}
-		e.ratios = ratios
-		return e
+		d = newDistribution(q.expect(c, key.position, m.unknown.masses))
+		q.cache[key] = d
 	}
-	e.unit, e.runs = c.unit(), int(math.Round(q.times.weight))
-	e.ratios = q.ratios.over(&ratios, queueRuns)
-	e.multiply(q)
-	byEstimate := c.estimateGroup()
-	e.ratios = q.groups[byEstimate].over(&e.ratios, widerRuns)
-	e.ratios = q.groups[c.group()].over(&e.ratios, widerRuns)
-	return e
+	return Expectation{ratios: d, unit: c.unit(), runs: int(math.Round(q.times.weight)), within: m.kernel}
 }
 
-// multiply combines the ratios to the estimate with the run times of a queue.
-func (e *Expectation) multiply(q *queue) {
-	times := q.times.over(&flat, queueRuns)
-	unit := timePosition(time.Duration(e.unit))
-	if unit < 0 || unit > buckets-1 {
-		return
-	}
-	shift := int(math.Round(unit)) - ratioOne
-	combined := e.ratios
-	for i := range combined {
-		combined[i] *= times[clamp(i+shift)]
-	}
-	if combined.normalise() {
-		e.ratios = combined
+// expect returns the ratios that are expected of a class whose unit has a position among the absolute times.
+func (q *queue) expect(c Class, position int, wider masses) masses {
+	ratios := q.ratios.over(&wider, queueRuns)
+	if position >= 0 && position < buckets {
+		times, combined := q.times.over(&flat, queueRuns), ratios
+		for i := range combined {
+			combined[i] *= times[clamp(i+position-ratioOne)]
+		}
+		if combined.normalise() {
+			ratios = combined
+		}
 	}
+	ratios = q.groups[c.estimateGroup()].over(&ratios, widerRuns)
+	return q.groups[c.group()].over(&ratios, widerRuns)
 }
 
 // Observe records that a whole run of a class took a time. The pace of its worker and the distance to its data are to be divided out.
@@ -188,16 +206,24 @@
 	}
 	ratio := position(float64(took)/c.unit()) + ratioOne
 	m.ratios.add(ratio, now)
+	if m.unknownPassed++; m.unknownPassed >= kernelInterval {
+		m.unknownPassed = 0
+		m.unknown = newDistribution(m.ratios.over(&assumedError, widerRuns))
+	}
 	q := m.queues[c.Queue]
 	if q == nil {
 		if len(m.queues) >= maxQueues {
 			delete(m.queues, oldest(m.queues, func(q *queue) time.Duration { return q.times.at }))
 		}
-		q = &queue{groups: make(map[group]*histogram)}
+		q = newQueue()
 		m.queues[c.Queue] = q
 	}
 	q.times.add(timePosition(took), now)
 	q.ratios.add(ratio, now)
+	if q.passed++; float64(q.passed) >= q.times.weight/cacheShare {
+		q.passed = 0
+		clear(q.cache)
+	}
 	for _, g := range [...]group{c.estimateGroup(), c.group()} {
 		h := q.groups[g]
 		if h == nil {
@@ -323,8 +349,10 @@
 	m := New()
 	m.ratios, m.within = unpack(r.Ratios), unpack(r.Within)
 	m.kernel = newKernel(m.within.over(&assumedKernel, kernelRuns))
+	m.unknown = newDistribution(m.ratios.over(&assumedError, widerRuns))
 	for _, stored := range r.Queues {
-		q := &queue{times: unpack(stored.Times), ratios: unpack(stored.Ratios), groups: make(map[group]*histogram)}
+		q := newQueue()
+		q.times, q.ratios = unpack(stored.Times), unpack(stored.Ratios)
 		for _, g := range stored.Groups {
 			h := unpack(g.Runs)
 			q.groups[g.Group] = &h
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -67,6 +68,36 @@
 	}
 }
 
+// BenchmarkPassLearned measures the same passes while time goes on, with and without learned run times.
+func BenchmarkPassLearned(b *testing.B) {
+	for _, workers := range []int{370, 3700} {
+		for name, on := range map[string]bool{"on": true, "off": false} {
+			b.Run(fmt.Sprint(workers, "/", name), func(b *testing.B) {
+				c, now := benchCore(workers, workers*8)
+				c.options.Features.LearnedRunTimes, c.options.Features.WorkerPace = on, on
+				c.learned = finishedruns.New(on, on)
+				for i := range 1000 {
+					s := c.jobs[fmt.Sprintf("%016x", i)].open[0].steps[0]
+					c.learned.Observe(&s.finished, finishedruns.Run{Class: s.class(), Took: 900 * time.Millisecond, Whole: true}, now)
+				}
+				c.Schedule(now)
+				c.BatchStored(c.TakeBatch(1 << 20))
+				for b.Loop() {
+					now += 50 * time.Millisecond
+					for _, p := range c.pools {
+						p.needsPlanning = true
+					}
+					for _, ws := range c.workers {
+						ws.lastContact = now
+					}
+					c.SetConfirmed(now)
+					c.Schedule(now)
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkPlace measures placing the tasks of a new job in pools with free workers.
 func BenchmarkPlace(b *testing.B) {
 	for _, workers := range []int{41, 370, 3700} {
