--- a/internal/jobs/finishedruns/finishedruns.go
+++ b/internal/jobs/finishedruns/finishedruns.go
@@ -34,8 +34,9 @@
 	// fault, which passes; the distance is a matter of the network and the tasks.
 	paceHalfLife     = 20 * time.Second
 	distanceHalfLife = 10 * time.Minute
-	// expectationAge is how long an expectation holds while tasks of the step run.
+	// expectationAge is how long an expectation holds while tasks of the step run, and idleAge while none does.
 	expectationAge = 200 * time.Millisecond
+	idleAge        = 10 * time.Second
 	// workAge is how long the remaining work of a job holds, of which there may be tens of thousands, and workSpread how much longer it holds
 	// for some, so that those that a new leader reads together are not computed together again.
 	workAge    = 2 * time.Second
@@ -50,9 +51,10 @@
 type Step struct {
 	// finished holds what the latest tasks have taken at usual pace, near their data.
 	finished []time.Duration
-	// expected holds until a time.
+	// expected holds until a time, as long as some run or none does.
 	expected *runtimes.Expectation
 	until    time.Duration
+	anyRuns  bool
 }
 
 // Run is a run that was done.
@@ -124,13 +126,14 @@
 	if !anyRuns && len(step.finished) == 0 {
 		return l.model.Expect(class)
 	}
-	if step.expected == nil || now >= step.until {
+	if step.expected == nil || now >= step.until || anyRuns != step.anyRuns {
 		var times []time.Duration
+		step.until, step.anyRuns = now+idleAge, anyRuns
 		if anyRuns {
-			times = running()
+			times, step.until = running(), now+expectationAge
 		}
 		e := l.model.Expect(class).Given(step.finished, times)
-		step.expected, step.until = &e, now+expectationAge
+		step.expected = &e
 	}
 	return *step.expected
 }
--- a/internal/jobs/runtimes/expectation.go
+++ b/internal/jobs/runtimes/expectation.go
@@ -1,6 +1,7 @@
 package runtimes
 
 import (
+	"math"
 	"time"
 )
 
@@ -104,6 +105,9 @@
 	return position(max(float64(d), 1)/e.unit) + ratioOne
 }
 
+// bucket returns the bucket of a time on the scale of the ratios.
+func (e *Expectation) bucket(d time.Duration) int { return int(math.Round(e.position(d))) }
+
 // Given returns what is expected of a task of a step of which some tasks have finished and others have run for a time, which is a lower
 // bound. The tasks of a step vary much less than the jobs of a class.
 func (e Expectation) Given(finished, running []time.Duration) Expectation {
@@ -118,16 +122,16 @@
 		typical[i] = p + minMass
 	}
 	for _, took := range finished {
-		at := e.position(took)
-		for i := range typical {
-			typical[i] *= e.within.density(at - float64(i))
+		at := e.bucket(took)
+		for i, p := range typical {
+			typical[i] = p * (e.within.masses[clamp(at-i+ratioOne)] + minMass/buckets)
 		}
 		typical.normalise()
 	}
 	for _, ran := range running {
-		at := e.position(ran)
-		for i := range typical {
-			typical[i] *= e.within.longer(at - float64(i))
+		at := e.bucket(ran)
+		for i, p := range typical {
+			typical[i] = p * (e.within.tail[clamp(at-i+ratioOne)] + minMass/buckets)
 		}
 		if !typical.normalise() {
 			return given
@@ -170,11 +174,3 @@
 	}
 	return k
 }
-
-func (k *kernel) density(offset float64) float32 {
-	return k.masses[clamp(int(offset+ratioOne+0.5))] + minMass/buckets
-}
-
-func (k *kernel) longer(offset float64) float32 {
-	return k.tail[clamp(int(offset+ratioOne+0.5))] + minMass/buckets
-}
--- a/internal/jobs/runtimes/report_test.go
+++ b/internal/jobs/runtimes/report_test.go
@@ -30,6 +30,8 @@
 			l.spreadOfQueue()
 			for n := 0; n < runs; {
 				for _, s := range l.job() {
+					// The tasks of a step start together, so that the shortest ones are done first.
+					slices.Sort(s.took)
 					for i, took := range s.took {
 						if n++; n > runs {
 							break
@@ -42,9 +44,10 @@
 			}
 			for range jobs {
 				for _, s := range l.job() {
+					slices.Sort(s.took)
 					e := m.Expect(s.class)
 					for i, expected := range []time.Duration{
-						s.class.Estimate, ratios.Expect(s.class.Queue, s.class.Estimate), e.Median(), e.Given(s.took[:1], nil).Median(), e.Given(s.took[:3], nil).Median(),
+						s.class.Estimate, ratios.Expect(s.class.Queue, s.class.Estimate), e.Median(), afterTasks(e, s.took, 1), afterTasks(e, s.took, 3),
 					} {
 						errors[i] = append(errors[i], off(expected, s.mean))
 					}
@@ -62,6 +65,16 @@
 	t.Log("median and 9th decile of max(ratio, 1/ratio)\n" + table.String())
 }
 
+// afterTasks returns what is expected of a task once n tasks of its step are done, and the others have run for as long as the last of them.
+func afterTasks(e runtimes.Expectation, sorted []time.Duration, n int) time.Duration {
+	running := make([]time.Duration, len(sorted)-n)
+	for i := range running {
+		running[i] = sorted[n-1]
+	}
+	given := e.Given(sorted[:n], running)
+	return given.Median()
+}
+
 // spreadOfQueue draws the mean of a queue, and how much the tasks of a step vary.
 func (l *load) spreadOfQueue() {
 	l.mean = 0.5 + 1.6*l.random.Float64()
--- a/job/learn.go
+++ b/job/learn.go
@@ -20,7 +20,7 @@
 	// Cores and Memory (in bytes) are decaying maxima over the finished runs.
 	Cores  float64 `json:"cores"`
 	Memory float64 `json:"memory"`
-	// RunTime is a moving average over the finished runs, in nanoseconds.
+	// RunTime is a moving average over the finished runs, in nanoseconds. It is for readers of the row; package runtimes learns run times.
 	RunTime time.Duration `json:"runTime"`
 }
 
@@ -79,6 +79,3 @@
 	}
 	return size
 }
-
-// RunTime returns the learned run time of a kind, or 0 if it is unknown.
-func (l *Learner) RunTime(kind string) time.Duration { return l.kinds[kind].RunTime }
--- a/scheduler/expectations_test.go
+++ b/scheduler/expectations_test.go
@@ -199,7 +199,7 @@
 			m := newLivesModel(t, seed)
 			m.learn()
 			var jobs []string
-			for i := range 12000 {
+			for i := range 16000 {
 				if i%60 == 0 && i < 8000 {
 					jobs = append(jobs, fmt.Sprintf("j%04d", i))
 					m.addSteps(jobs[len(jobs)-1], 1+m.rand.IntN(6))
