--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -20,6 +20,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
+	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
@@ -176,7 +177,8 @@
 	// unstoredSince is the time since which something waits to be stored, and 0 if nothing does.
 	unstoredSince time.Duration
 	deposed       bool
-	estimator     *estimator
+	// learned is what is learned of run times.
+	learned *finishedruns.Learner
 	// snapshots holds what is learned and kept for the next leaders.
 	snapshots *snapshot.Set
 	shares    teamShares
@@ -230,15 +232,17 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
-	return &Core{
+	c := &Core{
 		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, confirmedAt: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
 		changedJobs: make(map[*job]bool), endedWithRuns: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
 		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
 		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
-		estimator: newEstimator(), snapshots: snapshot.NewSet(), shares: teamShares{rates: share.NewRates()}, fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
+		learned: finishedruns.New(o.Features.LearnedRunTimes, o.Features.WorkerPace), snapshots: snapshot.NewSet(), shares: teamShares{rates: share.NewRates()}, fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
 	}
+	c.learned.Keep(c.snapshots)
+	return c
 }
 
 // SetTime advances the monotonic time.
@@ -295,7 +299,7 @@
 		return "evacuated"
 	case ws.cordoned:
 		return "drained"
-	case ws.health.quarantined(c.now):
+	case ws.health.Quarantined(c.now):
 		return "quarantined"
 	case !ws.listed || !ws.registered():
 		return "notListed"
@@ -353,6 +357,10 @@
 		return
 	}
 	c.prunedAt = c.now
+	for _, ws := range c.workers {
+		// What is known of a worker without runs fades.
+		c.ratePace(ws)
+	}
 	c.pruneSilences()
 	c.pruneLeaseRecord()
 	for id, j := range c.jobs {
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -34,7 +34,7 @@
 				}
 				continue
 			}
-			criticalPath, left := o.remainingWork(c.estimator.estimate)
+			criticalPath, left := c.remainingWork(o)
 			jobs += left / max(order.TimeLeft(c.now, criticalPath, o.latencyStart(j), o.targetEnd(q, j)), minTimeLeft).Seconds()
 		}
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -72,6 +72,8 @@
 			usable = append(usable, ws)
 		}
 	}
+	// The slowest member of a gang decides how long it takes, and its members get the first workers that have room.
+	slices.SortStableFunc(usable, func(a, b *workerState) int { return cmp.Compare(a.slowness, b.slowness) })
 	return usable
 }
 
@@ -140,7 +142,7 @@
 	case o.likelyCause():
 		tier = order.LikelyCause
 	case !j.service:
-		criticalPath, left := o.remainingWork(c.estimator.estimate)
+		criticalPath, left := c.remainingWork(o)
 		tier, rank = order.TierOf(c.now, criticalPath, o.latencyStart(j), o.targetEnd(q, j)), order.RankOf(left)
 	}
 	return candidate{job: j, occurrence: o, queue: q, Key: order.New(tier, j.beyondRate, q.Priority, rank)}, true
@@ -280,6 +282,9 @@
 const (
 	// costRemoteData is the cost of a worker away from the data, where the task takes several times as long.
 	costRemoteData = 10
+	// costSlow is the cost of a worker on which tasks take twice as long. Three times as long is worth less than a worker on which the task
+	// has just failed.
+	costSlow = 3
 	// costFailedBefore is the cost of the worker on which the task failed last.
 	costFailedBefore = 5
 	// costMayLeave is the cost, for a step with a disruption budget, of a worker whose instance may still carry out a command without an answer.
@@ -308,7 +313,7 @@
 // processors left over wins, so that large tasks find room later.
 func (c *Core) placementCost(s *step, index int, ws *workerState, charge work.Resources) float64 {
 	room := ws.freeCapacity().Minus(charge)
-	cost := float64(room.CPU) / float64(max(1, ws.report.Capacity.CPU))
+	cost := float64(room.CPU)/float64(max(1, ws.report.Capacity.CPU)) + costSlow*ws.slowness
 	if s.doc.DataRack != "" && ws.report.Rack() != s.doc.DataRack {
 		cost += costRemoteData
 	}
