--- a/internal/soak/world/node.go
+++ b/internal/soak/world/node.go
@@ -59,6 +59,21 @@
 // Zone returns the zone of the process.
 func (n *Node) Zone() string { return n.zone }
 
+// Front returns the address for clients, without a link.
+func (n *Node) Front() string { return n.front }
+
+// ReadyAddress returns the address for readiness checks.
+func (n *Node) ReadyAddress() string { return n.ready }
+
+// PeerAddress returns the address for other processes.
+func (n *Node) PeerAddress() string { return fmt.Sprintf("%s:%d", n.ip, n.firstPort+2) }
+
+// CommandAddress returns the address for commands of leaders.
+func (n *Node) CommandAddress() string { return fmt.Sprintf("%s:%d", n.ip, n.firstPort+3) }
+
+// PID returns the ID of the operating system for the present incarnation of the process.
+func (n *Node) PID() int { return n.current().cmd.Process.Pid }
+
 // Clients returns the link between clients and the process.
 func (n *Node) Clients() *link.Link { return n.clients }
 
@@ -119,7 +134,7 @@
 		if n.store, err = link.Listen(w.anyPort(linkHost), address); err != nil {
 			return err
 		}
-		settings := fmt.Sprintf(settingsFormat, n.name, n.ip, n.zone, n.firstPort+2, n.firstPort+3, n.front, n.ready, n.store.Address(), cloudAddress)
+		settings := fmt.Sprintf(settingsFormat, n.name, n.ip, n.zone, n.firstPort+2, n.firstPort+3, n.front, n.ready, w.options.MemoryMB, w.options.Descriptors, n.store.Address(), cloudAddress)
 		if err := os.WriteFile(n.file, []byte(settings), 0o600); err != nil {
 			return err
 		}
@@ -153,8 +168,8 @@
 [limits]
 cpu_share = 0.4
 cores = 1
-memory_mb = 284
-max_fds = 4100
+memory_mb = %d
+max_fds = %d
 [bounds]
 contact_ms = 3000
 ack_ms = 4000
--- a/internal/soak/world/world.go
+++ b/internal/soak/world/world.go
@@ -52,8 +52,16 @@
 	SlowClocks bool
 	// Seed is the seed of what the stand-ins draw.
 	Seed uint64
+	// MemoryMB and Descriptors are the limits of each process in its settings, and the usual ones if they are 0.
+	MemoryMB    int
+	Descriptors int
 }
 
+const (
+	defaultMemoryMB    = 284
+	defaultDescriptors = 4100
+)
+
 // World is everything that a case or a series starts.
 type World struct {
 	rec     *recorder
@@ -105,6 +113,12 @@
 			return nil, err
 		}
 	}
+	if o.MemoryMB == 0 {
+		o.MemoryMB = defaultMemoryMB
+	}
+	if o.Descriptors == 0 {
+		o.Descriptors = defaultDescriptors
+	}
 	rec := &recorder{start: time.Now(), out: o.Record}
 	w := &World{
 		rec: rec, options: o, dir: dir, store: newStore(rec), history: promises.NewHistory(), random: rand.New(rand.NewPCG(o.Seed, 1)),
@@ -344,7 +358,9 @@
 	acknowledged := w.history.Configure(c)
 	w.store.waitUp()
 	w.store.Put(rowKey{Table: "op", Key: "config"}, map[string]any{
-		"version": w.version, "routes": queues, "services": list, "limits": map[string]any{"max_body_bytes": 262144}, "tenants": wireTeams,
+		"version": w.version, "routes": queues, "services": list, "limits": map[string]any{
+			"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+		}, "tenants": wireTeams,
 	})
 	acknowledged()
 	w.Record("operator: configuration %d with the queues %s and the teams %v", w.version, strings.Join(names, " "), teams)
