clients: bound what connections of the listeners of serve hold

Nothing bounded connections, heads and bodies, so that a crowd took all memory and descriptors of a process. Each listener of serve now has a budget of its own (internal/clients/budget) that a listener and connection below net/http apply (internal/clients/listener). A request over it is refused with 431, 408, 413 or 503, or its connection closed, half-read ones that hold most for longest first. The four limits of the configuration are decoded, max_fds of the settings is read, and clients: in the settings of serve sets the rest.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -59,10 +59,20 @@
 	Limit work.Resources
 }
 
+// Limits are what a client may use in full, beside the size of a body. 0 means that the configuration sets no limit.
+type Limits struct {
+	// MaxHeader is the size of a head in bytes.
+	MaxHeader int64
+	// HeaderTimeout is the time in which a head arrives, and IdleTimeout the time between two requests of a connection.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
 // Catalog is one version of the configuration. It is immutable.
 type Catalog struct {
 	Version uint64
 	MaxBody int64
+	Limits  Limits
 	Queues  []Queue
 	Pools   map[string]Pool
 	Teams   map[string]Team
--- a/internal/settings/serving/serving.go
+++ b/internal/settings/serving/serving.go
@@ -19,12 +19,19 @@
 //	  copies: true
 //	  preemption: true
 //	  forecast: true
+//	clients:
+//	  memoryShare: 0.2
+//	  connections: 0
+//	  headTime: 4s
+//	  bodyTime: 30s
+//	  stallTime: 5s
 //
 // A switch that is on takes effect only where the operator's configuration calls for the part, for instance with the weight of a team.
 package serving
 
 import (
 	"os"
+	"time"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/parser"
@@ -49,9 +56,42 @@
 	Forecast bool `yaml:"forecast"`
 }
 
+// Clients limits what the clients of the process hold. The configuration of the operator extends the limits of a single request.
+type Clients struct {
+	// MemoryShare is the part of the memory of the process that the clients at the front may hold. The other listeners have seven eighths of it in sum.
+	MemoryShare float64 `yaml:"memoryShare"`
+	// Connections limits the connections of clients. If it is 0, they may use half of the descriptors that are not for files.
+	Connections int `yaml:"connections"`
+	// HeadTime and BodyTime limit the time in which the head and the body of a request arrive, and StallTime the time in which nothing of a
+	// body does.
+	HeadTime  time.Duration `yaml:"headTime"`
+	BodyTime  time.Duration `yaml:"bodyTime"`
+	StallTime time.Duration `yaml:"stallTime"`
+}
+
+// maxMemoryShare leaves half of the memory to the scheduler: all listeners together have 1.875 times as much, and a quarter more while
+// connections end.
+const maxMemoryShare = 0.2
+
+func (c Clients) check() error {
+	if c.MemoryShare <= 0 || c.MemoryShare > maxMemoryShare {
+		return eris.Errorf("clients.memoryShare %g is not above 0 and up to %g", c.MemoryShare, maxMemoryShare)
+	}
+	if c.Connections < 0 {
+		return eris.Errorf("clients.connections %d is negative", c.Connections)
+	}
+	for name, d := range map[string]time.Duration{"headTime": c.HeadTime, "bodyTime": c.BodyTime, "stallTime": c.StallTime} {
+		if d <= 0 {
+			return eris.Errorf("clients.%s %s is not positive", name, d)
+		}
+	}
+	return nil
+}
+
 // file is the content of a settings file.
 type file struct {
 	Scheduling Scheduling `yaml:"scheduling"`
+	Clients    Clients    `yaml:"clients"`
 }
 
 // Settings are checked settings.
@@ -61,12 +101,15 @@
 func Default() Settings {
 	return Settings{file: file{Scheduling: Scheduling{
 		LearnedRunTimes: true, WorkerPace: true, TeamShares: true, Admission: true, Copies: true, Preemption: true, Forecast: true,
-	}}}
+	}, Clients: Clients{MemoryShare: maxMemoryShare, HeadTime: 4 * time.Second, BodyTime: 30 * time.Second, StallTime: 5 * time.Second}}}
 }
 
 // Scheduling returns the switches of the scheduler.
 func (s Settings) Scheduling() Scheduling { return s.file.Scheduling }
 
+// Clients returns the limits of what clients hold.
+func (s Settings) Clients() Clients { return s.file.Clients }
+
 // Load reads and checks a settings file. An empty name stands for the defaults.
 func Load(name string) (Settings, error) {
 	if name == "" {
@@ -94,5 +137,8 @@
 	if err := yaml.UnmarshalWithOptions(data, &s.file, yaml.Strict()); err != nil {
 		return Settings{}, err
 	}
+	if err := s.file.Clients.check(); err != nil {
+		return Settings{}, err
+	}
 	return s, nil
 }
--- a/internal/workers/delegate/server.go
+++ b/internal/workers/delegate/server.go
@@ -104,6 +104,9 @@
 	}
 }
 
+// messageReader is a connection that limits the size of each request.
+type messageReader interface{ MessageRead() }
+
 // serveConn carries out the requests of a connection. A malformed request ends the connection only.
 func (s *Server) serveConn(conn net.Conn) {
 	defer func() {
@@ -127,6 +130,9 @@
 			s.logger.Info("Connection of a leader has ended.", "peer", conn.RemoteAddr(), "error", err)
 			break
 		}
+		if own, ok := conn.(messageReader); ok {
+			own.MessageRead()
+		}
 		slots <- struct{}{}
 		commands.Go(func() {
 			responses <- s.carry(r)
--- a/node/node.go
+++ b/node/node.go
@@ -51,6 +51,8 @@
 	AdviceAddress    string
 	// Memory is the memory limit in bytes, above which the process is killed, and 0 if there is no limit.
 	Memory int64
+	// Descriptors is how many files and connections the process may have open, and 0 if that is not known.
+	Descriptors int
 	// Cores is the processor share of the process.
 	Cores float64
 	// InstanceCommandRate is the number of commands for instances a second that the platform accepts, and 0 if it is not known.
@@ -91,6 +93,7 @@
 	sender   *delegate.Sender
 	delegate *delegate.Server
 	metrics  *metrics.Jobs
+	clients  clientListeners
 	stopping chan struct{}
 }
 
@@ -123,14 +126,14 @@
 	peerAddress := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.PeerPort))
 	metricsAddress := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort))
 	services := []kernel.Service{
-		n.httpService("peers", peerAddress, n.peers.handler(), peerDrainTimeout, nil),
-		n.httpService("metrics", metricsAddress, n.metrics.Handler(), 0, nil),
+		n.httpService(peersListener, peerAddress, n.peers.handler(), peerDrainTimeout, nil),
+		n.httpService(metricsListener, metricsAddress, n.metrics.Handler(), 0, nil),
 		n.commandService(),
 		{Name: "catalog", Value: n.source, Start: startFunc(n.source.Start), Stop: stopFunc(n.source.Stop)},
 		{Name: "members", Value: n.members, Start: startFunc(n.members.Start), Stop: stopFunc(n.members.Stop)},
 		{Name: "duty", Needs: []string{"members", "catalog", "commands"}, Value: n.leadership, Start: startFunc(n.leadership.Start), Stop: stopFunc(n.leadership.Stop)},
-		n.httpService("front", n.settings.ClientAddress, n.deps.JobsHandler(n.intake, n.metrics), n.clientDrainTimeout(), []string{"duty", "peers"}),
-		n.httpService("ready", n.settings.ReadyAddress, http.HandlerFunc(n.serveReady), 0, []string{"front"}),
+		n.httpService(frontListener, n.settings.ClientAddress, n.deps.JobsHandler(n.intake, n.metrics), n.clientDrainTimeout(), []string{"duty", "peers"}),
+		n.httpService(readyListener, n.settings.ReadyAddress, http.HandlerFunc(n.serveReady), 0, []string{"front"}),
 	}
 	for _, s := range services {
 		if err := n.kernel.Register(s); err != nil {
@@ -151,7 +154,7 @@
 	return kernel.Service{
 		Name: "commands",
 		Start: func(context.Context) (err error) {
-			if listener, err = net.Listen("tcp", n.settings.commandAddress()); err != nil {
+			if listener, err = n.listen(commandsListener, n.settings.commandAddress()); err != nil {
 				return eris.Wrap(err, "listen for commands")
 			}
 			go func() {
@@ -269,6 +272,7 @@
 	if n.deps.DroppedLines != nil {
 		s.DroppedLines = float64(n.deps.DroppedLines())
 	}
+	s.Clients = n.clients.stats()
 	engine, ok := n.leadership.Engine()
 	if !ok {
 		return s
--- a/node/peers.go
+++ b/node/peers.go
@@ -16,6 +16,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
+	clients "github.com/chivetiller/chivetiller/internal/clients/listener"
 	"github.com/chivetiller/chivetiller/member"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
@@ -420,6 +421,9 @@
 		if err == nil {
 			err = cbor.Unmarshal(data, &body)
 		}
+		if clients.WriteRefusal(w, err) {
+			return
+		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
