--- a/metrics/jobs.go
+++ b/metrics/jobs.go
@@ -59,6 +59,8 @@
 	// there.
 	EvacuatedFor   map[string]time.Duration
 	EvacuationRuns map[string]float64
+	// Clients is what the clients of each listener hold.
+	Clients map[string]ClientStats
 	// Decisions counts the decisions of the parts of the scheduler that are switched by settings, by part and outcome.
 	Decisions map[[2]string]float64
 }
@@ -186,7 +188,7 @@
 
 // Describe implements [prometheus.Collector].
 func (c *jobCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descLeader, descTerm, descVersion, descAge, descNodes, descDropped, descJobs, descWorkers, descRuns, descWaiting, descLongest, descRefused, descStored, descDecided, descEvacuated, descEvacRuns} {
+	for _, d := range []*prometheus.Desc{descLeader, descTerm, descVersion, descAge, descNodes, descDropped, descJobs, descWorkers, descRuns, descWaiting, descLongest, descRefused, descStored, descDecided, descEvacuated, descEvacRuns, descClients, descHeld, descDenied} {
 		out <- d
 	}
 }
@@ -207,6 +209,7 @@
 	out <- prometheus.MustNewConstMetric(descDropped, prometheus.CounterValue, s.DroppedLines)
 	gauge(descStored, s.SinceStored.Seconds())
 	out <- prometheus.MustNewConstMetric(descRefused, prometheus.CounterValue, s.RefusedBatches)
+	collectClients(out, s.Clients)
 	for reason, n := range s.WaitingTasks {
 		gauge(descWaiting, n, reason)
 	}
--- a/node/refusal_integration_test.go
+++ b/node/refusal_integration_test.go
@@ -34,8 +34,10 @@
 // TestRefuseOnAnyNode guards against a refusal that only the leader can decide on, and against one of a job that is stored already: the
 // replies of the leader carry its reports.
 func TestRefuseOnAnyNode(t *testing.T) {
+	serve, err := serving.Parse([]byte("scheduling:\n  admission: true\n"))
+	qt.Assert(t, err, qt.IsNil)
 	c := newClusterWith(t, 2, func(s store.Store) store.Store { return s }, func(s *Settings, d *Dependencies) {
-		s.Serving, d.Decoder, d.Instances = serving.Default(), weightedDecoder{}, oneInstance{}
+		s.Serving, d.Decoder, d.Instances = serve, weightedDecoder{}, oneInstance{}
 	})
 	for _, n := range c.nodes {
 		defer func() { _ = n.Stop(context.Background()) }()
