--- a/internal/jobs/finishedruns/finishedruns.go
+++ b/internal/jobs/finishedruns/finishedruns.go
@@ -138,6 +138,14 @@
 	return *step.expected
 }
 
+// Preview returns how long the first task of a step is expected to take on a worker of usual pace, near its data. It keeps nothing.
+func (l *Learner) Preview(class runtimes.Class) runtimes.Expectation {
+	if !l.runTimes {
+		return runtimes.Fixed(l.ratios.Expect(class.Queue, class.Estimate))
+	}
+	return l.model.Preview(class)
+}
+
 // WorkUntil returns until when the remaining work of a job holds that was due at a time, if no task is done before.
 func (l *Learner) WorkUntil(now, dueAt time.Duration) time.Duration {
 	if !l.runTimes {
--- a/internal/jobs/order/order.go
+++ b/internal/jobs/order/order.go
@@ -214,3 +214,23 @@
 	g.teams = g.teams[:len(g.teams)-1]
 	return false
 }
+
+// Amount is a number of jobs and the remaining work of the batch jobs among them, in core-seconds.
+type Amount struct {
+	Jobs        int
+	CoreSeconds float64
+}
+
+// Ahead returns what Sequence serves before the first candidate of which own reports true.
+func Ahead[C any](sorted []C, key func(*C) *Key, team func(*C) string, level func(team string, beyond bool) int, own func(*C) bool) (ahead Amount) {
+	for c := range Sequence(sorted, key, team, level) {
+		if own(c) {
+			break
+		}
+		ahead.Jobs++
+		if k := key(c); k.Tier() > Service {
+			ahead.CoreSeconds += k.Rank()
+		}
+	}
+	return ahead
+}
--- a/internal/jobs/order/order_test.go
+++ b/internal/jobs/order/order_test.go
@@ -160,3 +160,26 @@
 		}
 	})
 }
+
+// TestAhead guards against jobs that are counted although they come after the own one, and against work of services, which never ends.
+func TestAhead(t *testing.T) {
+	job := func(name string, rank float64) candidate {
+		return candidate{name: name, team: name[:1], Key: New(InTime, true, 0, rank)}
+	}
+	sorted := []candidate{{name: "service", team: "s", Key: New(Service, false, 0, 7)}, job("a1", 1), job("a2", 2), job("b1", 4)}
+	for name, test := range map[string]struct {
+		own   string
+		level func(string, bool) int
+		want  Amount
+	}{
+		"first":            {"service", nil, Amount{}},
+		"last":             {"b1", nil, Amount{Jobs: 3, CoreSeconds: 3}},
+		"by level":         {"b1", func(team string, _ bool) int { return strings.Index("ba", team) }, Amount{Jobs: 1}},
+		"not among sorted": {"none", nil, Amount{Jobs: 4, CoreSeconds: 7}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := Ahead(sorted, (*candidate).key, (*candidate).ofTeam, test.level, func(c *candidate) bool { return c.name == test.own })
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/jobs/remainingwork/remainingwork.go
+++ b/internal/jobs/remainingwork/remainingwork.go
@@ -10,7 +10,10 @@
 //	w.Invalidate() // a task is done
 package remainingwork
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Step is what is left of a step.
 type Step struct {
@@ -36,6 +39,12 @@
 // Invalidate makes the work be computed again.
 func (w *Work) Invalidate() { w.until = 0 }
 
+// Held returns the work as it is, valid from now on.
+func (w Work) Held() Work {
+	w.until = math.MaxInt64
+	return w
+}
+
 // Left returns the critical path and the work in core-seconds.
 func (w *Work) Left() (criticalPath time.Duration, coreSeconds float64) {
 	return w.criticalPath, w.coreSeconds
--- a/internal/jobs/remainingwork/remainingwork_test.go
+++ b/internal/jobs/remainingwork/remainingwork_test.go
@@ -40,3 +40,15 @@
 		})
 	}
 }
+
+// TestHeld guards against work that is computed again, which others would see, although it was to be left as it is.
+func TestHeld(t *testing.T) {
+	var w remainingwork.Work
+	w.Set([]remainingwork.Step{{TasksLeft: 2, CPU: 1000, Typical: time.Second, Mean: time.Second}}, time.Second)
+	held := w.Held()
+	qt.Assert(t, held.Valid(time.Hour), qt.IsTrue)
+	qt.Assert(t, w.Valid(time.Hour), qt.IsFalse)
+	path, coreSeconds := held.Left()
+	qt.Assert(t, path, qt.Equals, time.Second)
+	qt.Assert(t, coreSeconds, qt.Equals, 2.0)
+}
--- a/internal/jobs/runtimes/runtimes.go
+++ b/internal/jobs/runtimes/runtimes.go
@@ -170,7 +170,12 @@
 }
 
 // Expect returns what is expected of a run of a class.
-func (m *Model) Expect(c Class) Expectation {
+func (m *Model) Expect(c Class) Expectation { return m.expect(c, true) }
+
+// Preview returns what Expect does and keeps nothing for later calls, which would see it until the cache is emptied.
+func (m *Model) Preview(c Class) Expectation { return m.expect(c, false) }
+
+func (m *Model) expect(c Class, keep bool) Expectation {
 	q := m.queues[c.Queue]
 	if q == nil {
 		return Expectation{ratios: m.unknown, unit: float64(max(c.Estimate, 0)), within: m.kernel}
@@ -178,11 +183,12 @@
 	key := cacheKey{group: c.group(), position: int(math.Round(timePosition(time.Duration(c.unit()))))}
 	d := q.cache[key]
 	if d == nil {
-		if len(q.cache) >= maxCached {
-			clear(q.cache)
+		if d = newDistribution(q.expect(c, key.position, m.unknown.masses)); keep {
+			if len(q.cache) >= maxCached {
+				clear(q.cache)
+			}
+			q.cache[key] = d
 		}
-		d = newDistribution(q.expect(c, key.position, m.unknown.masses))
-		q.cache[key] = d
 	}
 	return Expectation{ratios: d, unit: c.unit(), runs: int(math.Round(q.times.weight)), within: m.kernel}
 }
--- a/internal/jobs/runtimes/runtimes_test.go
+++ b/internal/jobs/runtimes/runtimes_test.go
@@ -347,3 +347,22 @@
 		t.Fatalf(format, args...)
 	}
 }
+
+// TestPreview guards against a preview that differs from the expectation, or that later expectations see.
+func TestPreview(t *testing.T) {
+	class := runtimes.Class{Queue: "q", Steps: 1, CPU: 1000, Estimate: time.Second}
+	asked, other := runtimes.New(), runtimes.New()
+	now := time.Minute
+	for i := range 300 {
+		took := time.Duration(500+i) * time.Millisecond
+		for _, m := range []*runtimes.Model{asked, other} {
+			m.Observe(class, took, now)
+		}
+		preview := asked.Preview(class)
+		if i%7 == 0 {
+			qt.Assert(t, asked.Expect(class).Median(), qt.Equals, other.Expect(class).Median())
+			qt.Assert(t, asked.Preview(class).Quantile(0.9), qt.Equals, other.Expect(class).Quantile(0.9))
+		}
+		qt.Assert(t, preview.Median() > 0, qt.IsTrue)
+	}
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -22,11 +22,13 @@
 	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
 	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
+	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
 	"github.com/chivetiller/chivetiller/internal/teams/share"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
+	"github.com/chivetiller/chivetiller/internal/workers/misdirection"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -137,7 +139,7 @@
 	// rosterChanges holds the IDs of the workers whose stored roster entry is out of date.
 	rosterChanges map[string]bool
 	// misdirected holds the workers at whose addresses another instance has answered.
-	misdirected map[string]*misdirection
+	misdirected *misdirection.Directory
 	// unknownPools holds, by worker ID, the pool of an entry that the configuration does not name.
 	unknownPools map[string]string
 	// hasOldRows means that the store has rows of an earlier version that other rows have replaced.
@@ -191,8 +193,8 @@
 	// idle is a buffer for the idle tasks of a step.
 	idle []int
 	// waitingTasks counts the tasks of services that did not run at waitingCheckedAt, and longestWaits is for how long they had not.
-	waitingTasks     map[WaitReason]int
-	longestWaits     map[WaitReason]time.Duration
+	waitingTasks     map[whereabouts.WaitReason]int
+	longestWaits     map[whereabouts.WaitReason]time.Duration
 	waitingCheckedAt time.Duration
 }
 
@@ -205,8 +207,8 @@
 	Jobs    map[string]int
 	Workers map[string]int
 	// WaitingTasks counts the tasks of services that do not run, and LongestWaits is the longest time for which one of them has not.
-	WaitingTasks map[WaitReason]int
-	LongestWaits map[WaitReason]time.Duration
+	WaitingTasks map[whereabouts.WaitReason]int
+	LongestWaits map[whereabouts.WaitReason]time.Duration
 	// EvacuationRuns counts the runs that are left in each evacuated data centre.
 	EvacuationRuns map[string]int
 	// Decisions counts the decisions of the parts that are switched by settings.
@@ -236,9 +238,9 @@
 		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, confirmedAt: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
 		changedJobs: make(map[*job]bool), endedWithRuns: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
-		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
+		rosterChanges: make(map[string]bool), misdirected: misdirection.New(), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
-		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
+		waitingTasks: make(map[whereabouts.WaitReason]int), longestWaits: make(map[whereabouts.WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: permissionLimits(o.Bounds),
 		learned: finishedruns.New(o.Features.LearnedRunTimes, o.Features.WorkerPace), snapshots: snapshot.NewSet(), shares: teamShares{rates: share.NewRates()}, fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
 	}
 	c.learned.Keep(c.snapshots)
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -45,11 +45,7 @@
 func (p *pool) minWidth() int {
 	widest := 0
 	for _, j := range p.jobs {
-		for i := range j.doc.Steps {
-			if s := &j.doc.Steps[i]; s.Service && s.MaxPerWorker > 0 {
-				widest = max(widest, (s.Count+s.MaxPerWorker-1)/s.MaxPerWorker)
-			}
-		}
+		widest = max(widest, j.doc.MinWorkers())
 	}
 	return widest
 }
--- a/scheduler/evacuation.go
+++ b/scheduler/evacuation.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
+	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
 )
 
 // SetEvacuations sets the evacuated data centres. What was planned there and is not sent yet is taken back.
@@ -131,7 +132,7 @@
 			}
 		}
 	}
-	if len(decisions) > 0 && c.now >= c.evacuationLoggedAt+waitLogAfter {
+	if len(decisions) > 0 && c.now >= c.evacuationLoggedAt+whereabouts.LogAfter {
 		c.evacuationLoggedAt = c.now
 		c.logger.Info("Runs are left in evacuated data centres.", "runs", c.evacuationRuns(), "decisions", decisions)
 	}
--- a/scheduler/expectations.go
+++ b/scheduler/expectations.go
@@ -48,13 +48,13 @@
 	return s.DataRack != "" && rack != s.DataRack
 }
 
-// expectedLeft returns how long a run is expected to go on. One that takes longer than expected goes on for a while.
-func (c *Core) expectedLeft(r *run) time.Duration {
+// expectedLeft returns how long a run is expected to go on, by what is expected of its step. One that takes longer goes on for a while.
+func (c *Core) expectedLeft(r *run, expect func(*step) runtimes.Expectation) time.Duration {
 	if r.phase == stopping {
 		return minRunLeft
 	}
 	delay := c.delayOf(r)
-	left := c.expect(r.step).Left(time.Duration(float64(c.now-r.startedAt) / delay))
+	left := expect(r.step).Left(time.Duration(float64(c.now-r.startedAt) / delay))
 	return max(time.Duration(float64(left)*delay), minRunLeft)
 }
 
--- a/scheduler/expectations_test.go
+++ b/scheduler/expectations_test.go
@@ -89,13 +89,13 @@
 	r.accept(r.pass())
 	qt.Assert(t, r.runs["w"], qt.HasLen, 4)
 	run := j.open[0].steps[0].tasks[0].runs[0]
-	first := r.core.expectedLeft(run)
+	first := r.core.expectedLeft(run, r.core.expect)
 	qt.Assert(t, first > 800*time.Millisecond && first < 1200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", first))
 	for range 100 {
 		r.advance(100 * time.Millisecond)
 		r.reply("w")
 	}
-	left := r.core.expectedLeft(run)
+	left := r.core.expectedLeft(run, r.core.expect)
 	qt.Assert(t, left > time.Second, qt.IsTrue, qt.Commentf("%v left", left))
 	path, _ := r.core.remainingWork(j.open[0])
 	qt.Assert(t, path > 8*time.Second, qt.IsTrue, qt.Commentf("critical path of %v", path))
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -19,19 +19,10 @@
 		progress = work.NewProgress()
 	}
 	progress.Init()
-	storedParts := progress.Parts
-	progress.Parts = 0
 	if doc.EndState.Ended() {
 		progress.State = doc.EndState
 	}
-	j := &job{
-		doc: doc, progress: progress, storedParts: storedParts, storedState: progress.State, open: make(map[int]*occurrence),
-		criticalPath: doc.CriticalPath(), acceptedAt: c.now - max(0, storeNow-doc.AcceptedAt), started: len(progress.Occurrences)+len(progress.Complete) > 0, begun: progress.Begun(),
-	}
-	for i := range doc.Steps {
-		j.service = j.service || doc.Steps[i].Service
-		j.tasks += doc.Steps[i].Count
-	}
+	j := newJob(doc, progress, c.now-max(0, storeNow-doc.AcceptedAt))
 	c.jobs[doc.ID] = j
 	delete(c.unknownJobs, doc.ID)
 	if progress.State.Ended() {
@@ -56,6 +47,16 @@
 	}
 }
 
+// newJob returns a job that was accepted at a time, with its progress as it is stored.
+func newJob(doc work.Job, progress *work.Progress, acceptedAt time.Duration) *job {
+	storedParts := progress.Parts
+	progress.Parts = 0
+	return &job{
+		doc: doc, progress: progress, service: doc.ServiceTasks() > 0, tasks: doc.Tasks(), storedParts: storedParts, storedState: progress.State, open: make(map[int]*occurrence),
+		criticalPath: doc.CriticalPath(), acceptedAt: acceptedAt, started: len(progress.Occurrences)+len(progress.Complete) > 0, begun: progress.Begun(),
+	}
+}
+
 // Cancel cancels a job. A cancellation that arrives before its job is kept.
 func (c *Core) Cancel(id string) {
 	j, ok := c.jobs[id]
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -1,10 +1,11 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/runtimes"
+	"github.com/chivetiller/chivetiller/internal/workers/room"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -138,7 +139,7 @@
 		if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws)+ws.reservedFor(s) >= s.doc.MaxPerWorker {
 			continue
 		}
-		if wait, ok := c.timeToRoom(s, ws); ok && (best == nil || wait < bestWait) {
+		if wait, ok := c.timeToRoom(s, ws, c.expect); ok && (best == nil || wait < bestWait) {
 			best, bestWait = ws, wait
 		}
 	}
@@ -155,28 +156,17 @@
 }
 
 // timeToRoom returns how long a worker is expected to take until it has room for one more task of a step beside its reservations. It
-// reports false if only the end of a service would make room.
-func (c *Core) timeToRoom(s *step, ws *workerState) (time.Duration, bool) {
-	need := s.doc.ReservedResources()
-	free := ws.unreserved()
+// reports false if only the end of a service would make room. expect returns what is expected of a step.
+func (c *Core) timeToRoom(s *step, ws *workerState, expect func(*step) runtimes.Expectation) (time.Duration, bool) {
+	need, free := s.doc.ReservedResources(), ws.unreserved()
 	if need.Fits(free) {
 		return 0, true
 	}
-	type ending struct {
-		left    time.Duration
-		charged work.Resources
-	}
-	endings := make([]ending, 0, len(ws.runs))
+	endings := make([]room.Ending, 0, len(ws.runs))
 	for _, r := range ws.runs {
 		if !r.step.doc.Service || r.phase == stopping {
-			endings = append(endings, ending{left: c.expectedLeft(r), charged: r.step.doc.ReservedResources()})
-		}
-	}
-	slices.SortFunc(endings, func(a, b ending) int { return cmp.Compare(a.left, b.left) })
-	for _, e := range endings {
-		if free = free.Plus(e.charged); need.Fits(free) {
-			return e.left, true
+			endings = append(endings, room.Ending{Left: c.expectedLeft(r, expect), Frees: r.step.doc.ReservedResources()})
 		}
 	}
-	return 0, false
+	return room.Soonest(free, need, endings)
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -10,6 +10,7 @@
 	"github.com/chivetiller/chivetiller/internal/jobs/gang"
 	"github.com/chivetiller/chivetiller/internal/jobs/remainingwork"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
+	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
 	"github.com/chivetiller/chivetiller/internal/teams/share"
 	"github.com/chivetiller/chivetiller/internal/workers/health"
@@ -126,25 +127,17 @@
 type stepWaits struct {
 	// reserveNotBefore is the time before which no worker is kept free for them.
 	reserveNotBefore time.Duration
-	tasks            []taskWait
+	tasks            []whereabouts.Wait
 }
 
 // waits returns the waits of the tasks of a step.
 func (s *step) waits() *stepWaits {
 	if s.wait == nil {
-		s.wait = &stepWaits{tasks: make([]taskWait, len(s.tasks))}
+		s.wait = &stepWaits{tasks: make([]whereabouts.Wait, len(s.tasks))}
 	}
 	return s.wait
 }
 
-// taskWait is how long a task has not run.
-type taskWait struct {
-	// since is the time since which the task was seen not to run, and 0 while it runs. loggedAt is the time of the latest log line about
-	// it, or since.
-	since    time.Duration
-	loggedAt time.Duration
-}
-
 type phase int
 
 const (
--- a/scheduler/suspects_test.go
+++ b/scheduler/suspects_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -248,25 +249,25 @@
 	tests := map[string]struct {
 		crashes int
 		before  func(r *rig, s *step)
-		reason  WaitReason
+		reason  whereabouts.WaitReason
 	}{
-		"no worker":          {1, func(r *rig, _ *step) { r.register() }, WaitForWorker},
-		"no room":            {1, func(r *rig, _ *step) { r.addSteps("b", 4) }, WaitForRoom},
-		"other tests":        {1, func(r *rig, _ *step) { r.addSuspects("b", 1, 1) }, WaitForTestsToEnd},
-		"worker runs others": {2, func(r *rig, _ *step) { r.addSteps("b", 1) }, WaitForIdleWorker},
+		"no worker":          {1, func(r *rig, _ *step) { r.register() }, whereabouts.WaitForWorker},
+		"no room":            {1, func(r *rig, _ *step) { r.addSteps("b", 4) }, whereabouts.WaitForRoom},
+		"other tests":        {1, func(r *rig, _ *step) { r.addSuspects("b", 1, 1) }, whereabouts.WaitForTestsToEnd},
+		"worker runs others": {2, func(r *rig, _ *step) { r.addSteps("b", 1) }, whereabouts.WaitForIdleWorker},
 		"as many as may run": {2, func(r *rig, _ *step) {
 			r.addSuspects("b", 1, 2)
 			r.register("w1", "w2")
 			r.reply("w2")
-		}, WaitForLikelyCauses},
+		}, whereabouts.WaitForLikelyCauses},
 		"pause": {2, func(r *rig, s *step) {
 			site := s.crashSite(0)
 			site.silentRuns, site.latest = []int{3}, r.now
-		}, WaitAfterCrash},
+		}, whereabouts.WaitAfterCrash},
 		"worker has just started": {1, func(_ *rig, s *step) {
 			site := s.crashSite(0)
 			site.addresses, site.untelling = []string{"w1:1"}, 20
-		}, WaitForSteadyWorkers},
+		}, whereabouts.WaitForSteadyWorkers},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -3,44 +3,12 @@
 import (
 	"slices"
 	"time"
-)
 
-const (
-	// waitLogAfter is how long a task of a service has not run when that is logged, and again after as long.
-	waitLogAfter = 3 * time.Second
-	// waitCheckInterval is the time between two checks for tasks of services that do not run.
-	waitCheckInterval = time.Second
-	// maxWaitLines is the maximum number of log lines of one check.
-	maxWaitLines = 5
+	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
 )
 
-// WaitReason tells why a task of a service, or a suspect of a crash, does not run.
-type WaitReason string
-
-// Reasons, in the order in which they are checked.
-const (
-	WaitForBatch          WaitReason = "batch not stored"
-	WaitForPreviousLeader WaitReason = "leases of a previous leader"
-	WaitForStorableJob    WaitReason = "progress of the job cannot be stored"
-	WaitAfterRun          WaitReason = "pause after the last run"
-	WaitForPolicy         WaitReason = "no policy decision"
-	WaitForTeamLimit      WaitReason = "limit of the team"
-	WaitForWorker         WaitReason = "no worker in use"
-	WaitForQuarantine     WaitReason = "workers with room are quarantined"
-	WaitForDrained        WaitReason = "workers with room are drained"
-	WaitForEligibleWorker WaitReason = "no eligible worker"
-	WaitForRoom           WaitReason = "no room on a worker"
-	WaitForPlacement      WaitReason = "not placed yet"
-)
-
-// Reasons after crashes of workers under the task.
-const (
-	WaitAfterCrash       WaitReason = "pause after a crash"
-	WaitForLikelyCauses  WaitReason = "as many likely causes run as may"
-	WaitForIdleWorker    WaitReason = "no worker that runs nothing"
-	WaitForTestsToEnd    WaitReason = "workers test other suspects"
-	WaitForSteadyWorkers WaitReason = "workers at the addresses of crashes have just started"
-)
+// waitCheckInterval is the time between two checks for tasks of services that do not run.
+const waitCheckInterval = time.Second
 
 // checkWaitingTasks counts the tasks of services that do not run, by reason, and logs those and the suspects of a crash that have not for
 // long.
@@ -51,8 +19,8 @@
 	c.waitingCheckedAt = c.now
 	clear(c.waitingTasks)
 	clear(c.longestWaits)
-	services := waitLog{reasons: c.waitingTasks, longest: c.longestWaits}
-	suspects := waitLog{reasons: make(map[WaitReason]int), longest: make(map[WaitReason]time.Duration)}
+	services := whereabouts.NewWaits(c.waitingTasks, c.longestWaits)
+	suspects := whereabouts.NewWaits(make(map[whereabouts.WaitReason]int), make(map[whereabouts.WaitReason]time.Duration))
 	for _, p := range c.pools {
 		for _, j := range p.jobs {
 			if j.progress.State.Ended() {
@@ -63,41 +31,31 @@
 					switch {
 					case !s.ready():
 					case s.doc.Service:
-						c.checkWaitingStep(p, s, &services)
+						c.checkWaitingStep(p, s, services)
 					case s.idleTasks > 0 && s.suspects() > 0:
-						c.checkWaitingStep(p, s, &suspects)
+						c.checkWaitingStep(p, s, suspects)
 					}
 				}
 			}
 		}
 	}
-	if services.omitted > 0 {
-		c.logger.Warn("More tasks of services do not run.", "tasks", services.omitted, "reasons", services.reasons)
+	if n := services.Omitted(); n > 0 {
+		c.logger.Warn("More tasks of services do not run.", "tasks", n, "reasons", services.Reasons())
 	}
-	if suspects.omitted > 0 {
-		c.logger.Info("More suspects of crashes do not run.", "tasks", suspects.omitted, "reasons", suspects.reasons)
+	if n := suspects.Omitted(); n > 0 {
+		c.logger.Info("More suspects of crashes do not run.", "tasks", n, "reasons", suspects.Reasons())
 	}
 }
 
-// waitLog counts the tasks of a check that do not run, by reason, with the longest wait of each reason, and the log lines about them.
-type waitLog struct {
-	reasons        map[WaitReason]int
-	longest        map[WaitReason]time.Duration
-	lines, omitted int
-}
-
 // checkWaitingStep checks the tasks of a service, or the suspects of another step.
-func (c *Core) checkWaitingStep(p *pool, s *step, log *waitLog) {
+func (c *Core) checkWaitingStep(p *pool, s *step, log *whereabouts.Waits) {
 	for i := range s.tasks {
 		if !s.doc.Service && (s.tasks[i].done || !s.crashCount(i).Suspect()) || !c.checkWaitingTask(s, i, log) {
 			continue
 		}
-		if log.lines == maxWaitLines {
-			log.omitted++
-			continue
+		if log.AdmitLine() {
+			c.logWaitingTask(p, s, i)
 		}
-		log.lines++
-		c.logWaitingTask(p, s, i)
 	}
 }
 
@@ -112,29 +70,21 @@
 }
 
 // checkWaitingTask counts a task if it does not run, and reports whether that is to be logged.
-func (c *Core) checkWaitingTask(s *step, index int, log *waitLog) bool {
+func (c *Core) checkWaitingTask(s *step, index int, log *whereabouts.Waits) bool {
 	wait := &s.waits().tasks[index]
 	for _, r := range s.tasks[index].runs {
 		if r.phase != planned {
-			wait.since = 0
+			wait.End()
 			return false
 		}
 	}
-	if wait.since == 0 {
-		wait.since, wait.loggedAt = c.now, c.now
-	}
-	reason := c.waitReason(s, index)
-	log.reasons[reason]++
-	idleSince := wait.since
+	wait.Begin(c.now)
+	idleSince := wait.Since()
 	if lastRan := s.tasks[index].idleSince; lastRan > 0 {
 		idleSince = min(idleSince, lastRan)
 	}
-	log.longest[reason] = max(log.longest[reason], c.now-idleSince)
-	if c.now-wait.loggedAt < waitLogAfter {
-		return false
-	}
-	wait.loggedAt = c.now
-	return true
+	log.Record(c.waitReason(s, index), c.now-idleSince)
+	return wait.LogDue(c.now)
 }
 
 func (c *Core) logWaitingTask(p *pool, s *step, index int) {
@@ -144,7 +94,7 @@
 		largest = max(largest, ws.freeCapacity().CPU)
 	}
 	name := (&run{step: s, index: index}).name()
-	waited := c.now - s.waits().tasks[index].since
+	waited := c.now - s.waits().tasks[index].Since()
 	if !s.doc.Service {
 		crashes := s.crashCount(index)
 		c.logger.Info("Suspect of a crash does not run.", "job", s.job.doc.ID, "task", name, "pool", p.name, "for", waited,
@@ -167,32 +117,32 @@
 }
 
 // waitReason returns why a task that is not done does not run.
-func (c *Core) waitReason(s *step, index int) WaitReason {
+func (c *Core) waitReason(s *step, index int) whereabouts.WaitReason {
 	j, t := s.job, &s.tasks[index]
 	switch {
 	case len(t.runs) > 0:
-		return WaitForBatch
+		return whereabouts.WaitForBatch
 	case c.blocked(s) || c.blockedTask(s, index):
-		return WaitForPreviousLeader
+		return whereabouts.WaitForPreviousLeader
 	case c.now < j.notStoredBefore:
-		return WaitForStorableJob
+		return whereabouts.WaitForStorableJob
 	case c.now < t.notBefore, s.doc.Gang && c.now < s.notBefore:
-		return WaitAfterRun
+		return whereabouts.WaitAfterRun
 	}
 	if q, ok := c.catalog.Queue(j.doc.Queue); ok && q.Policy != nil && !s.tickets.Valid(c.now) {
-		return WaitForPolicy
+		return whereabouts.WaitForPolicy
 	}
 	if !c.withinTeamLimit(s, 1) {
-		return WaitForTeamLimit
+		return whereabouts.WaitForTeamLimit
 	}
 	p := c.pool(j.doc.Pool)
 	usable := c.usableWorkers(p)
 	if len(usable) > 0 && c.pausedAfterCrash(s, index) {
-		return WaitAfterCrash
+		return whereabouts.WaitAfterCrash
 	}
-	reason := WaitForEligibleWorker
+	reason := whereabouts.WaitForEligibleWorker
 	if len(usable) == 0 {
-		reason = WaitForWorker
+		reason = whereabouts.WaitForWorker
 	}
 	var fitting []*workerState
 	for _, ws := range usable {
@@ -201,7 +151,7 @@
 		case s.doc.ReservedResources().Fits(ws.freeCapacity()):
 			fitting = append(fitting, ws)
 		default:
-			reason = WaitForRoom
+			reason = whereabouts.WaitForRoom
 		}
 	}
 	if len(fitting) == 0 {
@@ -211,40 +161,40 @@
 }
 
 // avoidedWaitReason returns why a task does not run on workers that have room for it and are avoided, or a reason if there are none.
-func (c *Core) avoidedWaitReason(p *pool, s *step, reason WaitReason) WaitReason {
+func (c *Core) avoidedWaitReason(p *pool, s *step, reason whereabouts.WaitReason) whereabouts.WaitReason {
 	for _, ws := range p.workers {
 		if !c.mayStartOn(ws) || !c.eligible(s, ws) || !s.doc.ReservedResources().Fits(ws.freeCapacity()) {
 			continue
 		}
 		if ws.health.Quarantined(c.now) {
-			return WaitForQuarantine
+			return whereabouts.WaitForQuarantine
 		}
 		if ws.cordoned {
-			reason = WaitForDrained
+			reason = whereabouts.WaitForDrained
 		}
 	}
 	return reason
 }
 
 // suspectWaitReason returns why a task does not run on workers that have room for it. Only a suspect of a crash waits for long.
-func (c *Core) suspectWaitReason(s *step, index int, fitting []*workerState) WaitReason {
+func (c *Core) suspectWaitReason(s *step, index int, fitting []*workerState) whereabouts.WaitReason {
 	fitting = slices.DeleteFunc(fitting, func(ws *workerState) bool { return c.mayCrashByItself(s, index, ws) })
 	if len(fitting) == 0 {
-		return WaitForSteadyWorkers
+		return whereabouts.WaitForSteadyWorkers
 	}
 	likely := s.likelyCause(index)
 	if likely && c.pool(s.job.doc.Pool).likelyLeft(likelyShare) <= 0 {
-		return WaitForLikelyCauses
+		return whereabouts.WaitForLikelyCauses
 	}
 	if !s.crashCount(index).Suspect() {
-		return WaitForPlacement
+		return whereabouts.WaitForPlacement
 	}
 	fitting = slices.DeleteFunc(fitting, func(ws *workerState) bool { return ws.tests > 0 })
 	if len(fitting) == 0 {
-		return WaitForTestsToEnd
+		return whereabouts.WaitForTestsToEnd
 	}
 	if likely && !slices.ContainsFunc(fitting, func(ws *workerState) bool { return len(ws.runs) == 0 }) {
-		return WaitForIdleWorker
+		return whereabouts.WaitForIdleWorker
 	}
-	return WaitForPlacement
+	return whereabouts.WaitForPlacement
 }
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -23,22 +24,22 @@
 	tests := map[string]struct {
 		doc    work.Job
 		before func(r *rig)
-		reason WaitReason
+		reason whereabouts.WaitReason
 	}{
-		"batch not stored": {service(nil), func(*rig) {}, WaitForBatch},
-		"no worker":        {service(nil), func(r *rig) { r.register() }, WaitForWorker},
+		"batch not stored": {service(nil), func(*rig) {}, whereabouts.WaitForBatch},
+		"no worker":        {service(nil), func(r *rig) { r.register() }, whereabouts.WaitForWorker},
 		"quarantined": {service(nil), func(r *rig) {
 			r.core.workers["w1"].health.Quarantine(r.now+time.Hour, 0)
-		}, WaitForQuarantine},
+		}, whereabouts.WaitForQuarantine},
 		"drained": {service(nil), func(r *rig) {
 			r.core.workers["w1"].cordon("m1")
 			r.core.fleet.commandInFlight["m1"] = true
-		}, WaitForDrained},
-		"no room":        {service(func(j *work.Job) { j.Steps[0].Request.CPU = 5000 }), func(*rig) {}, WaitForRoom},
-		"no such worker": {service(func(j *work.Job) { j.Steps[0].RequiredLabel = "b" }), func(*rig) {}, WaitForEligibleWorker},
-		"team limit":     {service(func(j *work.Job) { j.Team = "limited" }), func(*rig) {}, WaitForTeamLimit},
-		"pause":          {service(nil), func(r *rig) { r.core.jobs["s"].open[0].steps[0].tasks[0].notBefore = r.now + time.Hour }, WaitAfterRun},
-		"unstorable":     {service(nil), func(r *rig) { r.core.jobs["s"].notStoredBefore = r.now + time.Hour }, WaitForStorableJob},
+		}, whereabouts.WaitForDrained},
+		"no room":        {service(func(j *work.Job) { j.Steps[0].Request.CPU = 5000 }), func(*rig) {}, whereabouts.WaitForRoom},
+		"no such worker": {service(func(j *work.Job) { j.Steps[0].RequiredLabel = "b" }), func(*rig) {}, whereabouts.WaitForEligibleWorker},
+		"team limit":     {service(func(j *work.Job) { j.Team = "limited" }), func(*rig) {}, whereabouts.WaitForTeamLimit},
+		"pause":          {service(nil), func(r *rig) { r.core.jobs["s"].open[0].steps[0].tasks[0].notBefore = r.now + time.Hour }, whereabouts.WaitAfterRun},
+		"unstorable":     {service(nil), func(r *rig) { r.core.jobs["s"].notStoredBefore = r.now + time.Hour }, whereabouts.WaitForStorableJob},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -54,7 +55,7 @@
 				}
 				r.schedule()
 			}
-			qt.Assert(t, r.core.Counts().WaitingTasks, qt.DeepEquals, map[WaitReason]int{test.reason: 1})
+			qt.Assert(t, r.core.Counts().WaitingTasks, qt.DeepEquals, map[whereabouts.WaitReason]int{test.reason: 1})
 			longest := r.core.Counts().LongestWaits
 			qt.Assert(t, longest, qt.HasLen, 1)
 			qt.Assert(t, longest[test.reason] >= 5*time.Second-2*waitCheckInterval && longest[test.reason] <= 5*time.Second, qt.IsTrue, qt.Commentf("%v", longest))
@@ -102,7 +103,7 @@
 			r.advance(test.silence)
 			r.core.markRunLost(lost, "test")
 			r.core.checkWaitingTasks()
-			qt.Assert(t, r.core.Counts().LongestWaits, qt.DeepEquals, map[WaitReason]time.Duration{r.core.waitReason(s, 0): r.now - last})
+			qt.Assert(t, r.core.Counts().LongestWaits, qt.DeepEquals, map[whereabouts.WaitReason]time.Duration{r.core.waitReason(s, 0): r.now - last})
 			if !test.again {
 				return
 			}
@@ -120,16 +121,16 @@
 func TestServiceWaitsAfterCrashes(t *testing.T) {
 	tests := map[string]struct {
 		before func(s *step, w *workerState)
-		want   WaitReason
+		want   whereabouts.WaitReason
 	}{
-		"no crash":     {func(*step, *workerState) {}, WaitForPlacement},
-		"pause":        {func(s *step, _ *workerState) { s.crashSite(0).untelling = 1 }, WaitAfterCrash},
-		"likely cause": {func(s *step, w *workerState) { s.addCrashes(2); w.runs[work.Task{Job: "b"}] = unknownRun }, WaitForIdleWorker},
-		"worker tests": {func(s *step, w *workerState) { s.addCrashes(1); w.tests = 1 }, WaitForTestsToEnd},
+		"no crash":     {func(*step, *workerState) {}, whereabouts.WaitForPlacement},
+		"pause":        {func(s *step, _ *workerState) { s.crashSite(0).untelling = 1 }, whereabouts.WaitAfterCrash},
+		"likely cause": {func(s *step, w *workerState) { s.addCrashes(2); w.runs[work.Task{Job: "b"}] = unknownRun }, whereabouts.WaitForIdleWorker},
+		"worker tests": {func(s *step, w *workerState) { s.addCrashes(1); w.tests = 1 }, whereabouts.WaitForTestsToEnd},
 		"worker returns": {func(s *step, w *workerState) {
 			s.crashSite(0).add(w.report.Address, false)
 			s.crashSite(0).untelling = 9
-		}, WaitForSteadyWorkers},
+		}, whereabouts.WaitForSteadyWorkers},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -138,7 +139,7 @@
 			s := j.open[0].steps[0]
 			s.crashSite(0).latest, s.tasks[0].idleSince = r.now, r.now
 			test.before(s, r.core.workers["w1"])
-			if test.want != WaitAfterCrash {
+			if test.want != whereabouts.WaitAfterCrash {
 				// The pause has ended.
 				s.crashSite(0).latest = r.now - time.Hour
 			}
--- a/work/work.go
+++ b/work/work.go
@@ -141,6 +141,24 @@
 // Occurrences returns the number of occurrences, which is 1 for a job without a schedule.
 func (j *Job) Occurrences() int { return max(1, j.ScheduledOccurrences) }
 
+// Tasks returns the number of tasks of an occurrence.
+func (j *Job) Tasks() (n int) {
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
+// MinWorkers returns the number of workers that the widest service needs because of its limit per worker.
+func (j *Job) MinWorkers() (n int) {
+	for i := range j.Steps {
+		if s := &j.Steps[i]; s.Service && s.MaxPerWorker > 0 {
+			n = max(n, (s.Count+s.MaxPerWorker-1)/s.MaxPerWorker)
+		}
+	}
+	return n
+}
+
 // ServiceTasks returns the number of tasks that run until the job is cancelled.
 func (j *Job) ServiceTasks() int {
 	n := 0
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -29,3 +29,11 @@
 		})
 	}
 }
+
+// TestWidth guards against a pool that gets too few workers for a service with a limit per worker, and against tasks that are not counted.
+func TestWidth(t *testing.T) {
+	j := work.Job{Steps: []work.Step{{Count: 5, Service: true, MaxPerWorker: 2}, {Count: 9, MaxPerWorker: 1}, {Count: 4, Service: true}}}
+	qt.Assert(t, j.Tasks(), qt.Equals, 18)
+	qt.Assert(t, j.MinWorkers(), qt.Equals, 3)
+	qt.Assert(t, (&work.Job{}).MinWorkers(), qt.Equals, 0)
+}
