job where: ask any process where a job would go now

Cause: only the leader can tell, and an operator need not know which process that is.

Change: POST /where on the metrics listener takes a question as JSON of at most 16 KiB. The leader answers it in its loop, at most one in 50 ms; other processes pass it on as CBOR. If the leader does not answer, the reply is 503 with the name in the latest leader row. The command chivetiller job where prints the answer as a table or JSON.

Tests: TestWhere in node asks both nodes of a cluster, sends malformed questions, and asks a node that has lost the leader and the store.

--- a/commands/job.go
+++ b/commands/job.go
@@ -16,7 +16,7 @@
 	var flags operatorFlags
 	cmd := &cobra.Command{Use: "job", Short: "Submit, show and cancel jobs"}
 	flags.addTo(cmd)
-	cmd.AddCommand(newJobSubmitCommand(&flags), newJobListCommand(&flags))
+	cmd.AddCommand(newJobSubmitCommand(&flags), newJobListCommand(&flags), newJobWhereCommand(&flags))
 	for _, each := range []struct{ use, short, method string }{
 		{"show", "Show a job", http.MethodGet},
 		{"cancel", "Cancel a job", http.MethodDelete},
--- a/member/member.go
+++ b/member/member.go
@@ -465,6 +465,16 @@
 	return n, exists && n.Name != ""
 }
 
+// LastLeader returns the name of the node in the latest leader row that is known, live or not, and "" if none is known.
+func (m *Member) LastLeader() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.term != nil {
+		return m.options.Self.Name
+	}
+	return m.leaderRow.Leader
+}
+
 // liveLeader returns the node in the leader row, and whether it is live. If the leader row is newer than the last heartbeat of
 // its node, the node has just acquired leadership and counts as live. The node is empty if it has not been read yet.
 func (m *Member) liveLeader(now time.Duration) (Node, bool) {
--- a/node/node.go
+++ b/node/node.go
@@ -131,7 +131,7 @@
 	metricsAddress := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort))
 	services := []kernel.Service{
 		n.httpService(peersListener, peerAddress, n.peers.handler(), peerDrainTimeout, nil),
-		n.httpService(metricsListener, metricsAddress, n.metrics.Handler(), 0, nil),
+		n.httpService(metricsListener, metricsAddress, n.metricsHandler(), 0, nil),
 		n.commandService(),
 		{Name: "catalog", Value: n.source, Start: startFunc(n.source.Start), Stop: stopFunc(n.source.Stop)},
 		{Name: "members", Value: n.members, Start: startFunc(n.members.Start), Stop: stopFunc(n.members.Stop)},
--- a/node/peers.go
+++ b/node/peers.go
@@ -32,6 +32,7 @@
 	pathLatest    = "/latest"
 	pathCommit    = "/commit"
 	pathLeader    = "/holder"
+	pathWhere     = "/where"
 )
 
 const (
@@ -59,6 +60,8 @@
 	// lastProbe is when this node last tried to reach other data centres, and partitioned means that it reached none.
 	lastProbe   time.Duration
 	partitioned bool
+	// answeredAt is when this node last answered a question where a job would go, as the leader.
+	answeredAt time.Duration
 	// reports holds what the leader last said about the load of each queue.
 	reports map[string]receivedReport
 }
@@ -393,6 +396,7 @@
 		})
 		return reply, err
 	})
+	handle(mux, pathWhere, p.handleWhere)
 	handle(mux, pathLatest, func(_ context.Context, known rowVersion) (catalog.Snapshot, error) {
 		s := p.n.source.Latest()
 		if s.Version == known.Version {
