work: record both runs of a task with a copy

The record of a task names one worker and one run. After a copy is started, the next leader would not count the first run against the limit of the team, nor know of a crash of its worker.

The progress of a step has a further field for the first run of a task that has a copy. It is counted at a takeover, kept for jobs that have ended, split and joined like the others. Rows without copies are as before.

go test ./work ./scheduler passes.

--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -125,7 +125,10 @@
 		}
 		for _, s := range o.steps {
 			for i := range s.tasks {
-				if id, number, ok := o.progress.Run(s.number, i); ok && !s.tasks[i].done {
+				if s.tasks[i].done && !s.doc.Speculative {
+					continue
+				}
+				for id, number := range o.progress.OpenRuns(s.number, i) {
 					c.previousUsage[id][j.doc.Team] = c.previousUsage[id][j.doc.Team].Plus(s.doc.Request)
 					c.previousRuns[id] = append(c.previousRuns[id], recordedRun{step: s, index: i, number: number})
 				}
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"iter"
 	"slices"
 
@@ -77,7 +78,12 @@
 		if p.Occurrences == nil {
 			p.Occurrences = make(map[int]*work.OccurrenceProgress)
 		}
-		p.Occurrence(&j.doc, r.step.occurrence.number).SetRun(r.step.number, r.index, r.worker, r.number)
+		o := p.Occurrence(&j.doc, r.step.occurrence.number)
+		first, number, ok := o.Run(r.step.number, r.index)
+		o.SetRun(r.step.number, r.index, r.worker, r.number)
+		if ok {
+			o.SetFirstRun(r.step.number, r.index, first, number)
+		}
 	}
 	return p
 }
@@ -90,14 +96,16 @@
 	number int
 }
 
-// runsLeft returns the latest run of each task of a job that may still be at work.
+// runsLeft returns the runs of each task of a job that may still be at work, the latest one last.
 func (c *Core) runsLeft(j *job) iter.Seq[runLeft] {
 	return func(yield func(runLeft) bool) {
 		for _, o := range j.open {
 			for _, s := range o.steps {
 				for i := range s.tasks {
-					if id, number, ok := c.mayRun(s, i); ok && !yield(runLeft{s, i, id, number}) {
-						return
+					for _, r := range c.mayRun(s, i) {
+						if !yield(r) {
+							return
+						}
 					}
 				}
 			}
@@ -105,23 +113,27 @@
 	}
 }
 
-// mayRun returns the latest run of a task that may be at work, and its worker: one of this term, or one on record whose worker has not
-// answered.
-func (c *Core) mayRun(s *step, index int) (worker string, number int, ok bool) {
+// mayRun returns the runs of a task that may be at work, the latest one last: those of this term, and of a step with copies, or if there are
+// none, those on record whose workers have not answered.
+func (c *Core) mayRun(s *step, index int) []runLeft {
 	t := &s.tasks[index]
+	var left []runLeft
 	for _, r := range t.runs {
-		if r.phase != planned && r.number > number {
-			worker, number = r.worker.report.ID, r.number
+		if r.phase != planned {
+			left = append(left, runLeft{s, index, r.worker.report.ID, r.number})
 		}
 	}
-	if number > 0 {
-		return worker, number, true
+	if !s.doc.Speculative && (t.done || len(left) > 0) {
+		return left
 	}
-	if worker, number, ok = s.occurrence.progress.Run(s.number, index); !ok || t.done {
-		return "", 0, false
+	for id, number := range s.occurrence.progress.OpenRuns(s.number, index) {
+		_, unanswered := c.previousUsage[id]
+		if r := (runLeft{s, index, id, number}); unanswered && !slices.Contains(left, r) {
+			left = append(left, r)
+		}
 	}
-	_, unanswered := c.previousUsage[worker]
-	return worker, number, unanswered
+	slices.SortFunc(left, func(a, b runLeft) int { return cmp.Compare(a.number, b.number) })
+	return left
 }
 
 // noteEndedRuns records whether the rows of a job that has ended name runs.
--- a/work/progress.go
+++ b/work/progress.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"iter"
 	"slices"
 	"strconv"
 )
@@ -47,6 +48,8 @@
 	ConfirmedCrashes map[int]int `cbor:"6,keyasint,omitempty"`
 	// LateCrashes counts the runs under which a worker crashed that had survived their start. They are not in Crashes.
 	LateCrashes map[int]int `cbor:"7,keyasint,omitempty"`
+	// FirstRuns holds the other run of each task that has a copy on record in Runs. Earlier builds ignore it.
+	FirstRuns map[int]RunRecord `cbor:"8,keyasint,omitempty"`
 }
 
 // RunRecord is a run and the worker on which it was started.
@@ -128,20 +131,40 @@
 
 // SetRun records the latest run of a task and its worker.
 func (o *OccurrenceProgress) SetRun(step, index int, worker string, number int) {
+	s := &o.Steps[step]
+	if s.Runs == nil {
+		s.Runs = make(map[int]RunRecord)
+	}
+	s.Runs[index] = RunRecord{Worker: o.workerIndex(worker), Number: number}
+	delete(s.FirstRuns, index)
+}
+
+// SetFirstRun records the run of a task of which the latest one is a copy.
+func (o *OccurrenceProgress) SetFirstRun(step, index int, worker string, number int) {
+	s := &o.Steps[step]
+	if s.FirstRuns == nil {
+		s.FirstRuns = make(map[int]RunRecord)
+	}
+	s.FirstRuns[index] = RunRecord{Worker: o.workerIndex(worker), Number: number}
+}
+
+// workerIndex returns the index of a worker in the list, to which it is added if needed.
+func (o *OccurrenceProgress) workerIndex(worker string) int {
 	at := slices.Index(o.Workers, worker)
 	if at < 0 {
 		at = len(o.Workers)
 		o.Workers = append(o.Workers, worker)
 	}
-	s := &o.Steps[step]
-	if s.Runs == nil {
-		s.Runs = make(map[int]RunRecord)
-	}
-	s.Runs[index] = RunRecord{Worker: at, Number: number}
+	return at
 }
 
-// EndRun records that a run of a task has ended, if it is the latest one. It reports whether the run was recorded on a worker.
+// EndRun records that a run of a task has ended, if it is the latest one or that of which the latest one is a copy. It reports whether the
+// run was recorded on a worker.
 func (o *OccurrenceProgress) EndRun(step, index, number int) bool {
+	if first, ok := o.Steps[step].FirstRuns[index]; ok && first.Number == number {
+		delete(o.Steps[step].FirstRuns, index)
+		return true
+	}
 	runs := o.Steps[step].Runs
 	r, ok := runs[index]
 	if !ok || r.Worker < 0 || r.Number != number {
@@ -168,6 +191,13 @@
 				used[r.Worker] = true
 			}
 		}
+		for index, r := range s.FirstRuns {
+			if s.IsDone(index) || r.Worker < 0 || r.Worker >= len(used) {
+				delete(s.FirstRuns, index)
+				continue
+			}
+			used[r.Worker] = true
+		}
 	}
 	kept := make([]string, 0, len(o.Workers))
 	moved := make([]int, len(o.Workers))
@@ -178,12 +208,13 @@
 		}
 	}
 	for i := range o.Steps {
-		for index, r := range o.Steps[i].Runs {
-			if r.Worker < 0 {
-				continue
+		for _, runs := range []map[int]RunRecord{o.Steps[i].Runs, o.Steps[i].FirstRuns} {
+			for index, r := range runs {
+				if r.Worker >= 0 {
+					r.Worker = moved[r.Worker]
+					runs[index] = r
+				}
 			}
-			r.Worker = moved[r.Worker]
-			o.Steps[i].Runs[index] = r
 		}
 	}
 	forgotten := len(kept) < len(o.Workers)
@@ -203,6 +234,18 @@
 	return o.Workers[r.Worker], r.Number, true
 }
 
+// OpenRuns returns the recorded runs of a task that are not known to have ended, with their workers: the latest one last.
+func (o *OccurrenceProgress) OpenRuns(step, index int) iter.Seq2[string, int] {
+	return func(yield func(string, int) bool) {
+		s := &o.Steps[step]
+		for _, runs := range []map[int]RunRecord{s.FirstRuns, s.Runs} {
+			if r, ok := runs[index]; ok && r.Worker >= 0 && r.Worker < len(o.Workers) && !yield(o.Workers[r.Worker], r.Number) {
+				return
+			}
+		}
+	}
+}
+
 // Progress is the stored progress of a job.
 type Progress struct {
 	State State `cbor:"1,keyasint"`
--- a/work/split.go
+++ b/work/split.go
@@ -74,6 +74,7 @@
 			to.Workers = append(to.Workers, id)
 		}
 		addEntries(s, k, o, func(s *StepProgress) *map[int]RunRecord { return &s.Runs }, recordBytes)
+		addEntries(s, k, o, func(s *StepProgress) *map[int]RunRecord { return &s.FirstRuns }, recordBytes)
 	}
 	for _, k := range open {
 		o := p.Occurrences[k]
@@ -233,6 +234,7 @@
 	join(&p.Failures, from.Failures)
 	join(&p.Checkpoints, from.Checkpoints)
 	join(&p.Runs, from.Runs)
+	join(&p.FirstRuns, from.FirstRuns)
 	join(&p.Crashes, from.Crashes)
 	join(&p.ConfirmedCrashes, from.ConfirmedCrashes)
 	join(&p.LateCrashes, from.LateCrashes)
