copies: start copies of late runs

A job waits for its slowest task on a slow or failing worker.

With the setting scheduling.copies, a pool in which no task waits starts a second run of a late task of a speculative step on another worker, in another rack if it can. The first run that is done counts, and the others are stopped. A worker whose run was overtaken gets other tasks last for a while. A run is adopted although a run of its task with a higher number has exited, since a copy may end before the first run.

--- a/internal/jobs/copies/copies.go
+++ b/internal/jobs/copies/copies.go
@@ -7,6 +7,7 @@
 //
 // # Usage
 //
+//	step := copies.NewStep(doc)
 //	budget := copies.NewBudget(poolCPU, copiesCPU)
 //	if step.Wants(index, copies.Run{Ran: ran, Troubled: quarantined, Attempts: 4}, expectation) && budget.Take(cpu) {
 //		step.Started(index)
@@ -18,6 +19,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/chivetiller/chivetiller/work"
 )
 
 const (
@@ -61,10 +64,20 @@
 	Attempts int
 }
 
-// Step holds what is known of the tasks of a step for copies of them. The zero value is ready to use.
+// Step holds what is known of the tasks of a step for copies of them.
 type Step struct {
 	took   []time.Duration
 	copied map[int]bool
+	ended  map[int][]int
+}
+
+// NewStep returns the state of a step whose tasks may have copies, and nil for another one. Two runs would save their checkpoints over each
+// other, and best-effort tasks are slow because they are throttled.
+func NewStep(s *work.Step) *Step {
+	if !s.Speculative || s.Gang || s.Service || s.Checkpoints || s.BestEffort {
+		return nil
+	}
+	return new(Step)
 }
 
 // Done records how long a task of the step took that is done.
@@ -137,3 +150,16 @@
 	b.used += cpu
 	return true
 }
+
+// Ended records that a run of a task has exited.
+func (s *Step) Ended(index, number int) {
+	if s.ended == nil {
+		s.ended = make(map[int][]int)
+	}
+	if !s.HasEnded(index, number) {
+		s.ended[index] = append(s.ended[index], number)
+	}
+}
+
+// HasEnded reports whether a run of a task has exited. With copies, a run may go on after one with a higher number has exited.
+func (s *Step) HasEnded(index, number int) bool { return slices.Contains(s.ended[index], number) }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -70,6 +70,7 @@
 
 func (c *Core) recordSuccess(r *run) {
 	r.worker.health.recordSuccess()
+	c.recordOvertaken(r)
 	if !r.step.doc.Service && r.confirmedAt > 0 {
 		c.estimator.observe(r.step.job.doc.Queue, r.step.doc.Estimate, c.now-r.startedAt)
 	}
@@ -89,9 +90,14 @@
 func (s *step) failures(index int) int { return len(s.progress.Failures[s.unitIndex(index)]) }
 
 // estimator learns the ratio between the actual and the estimated run times of a queue.
-type estimator struct{ ratio map[string]float64 }
+type estimator struct {
+	ratio map[string]float64
+	runs  map[string]int
+}
 
-func newEstimator() *estimator { return &estimator{ratio: make(map[string]float64)} }
+func newEstimator() *estimator {
+	return &estimator{ratio: make(map[string]float64), runs: make(map[string]int)}
+}
 
 const (
 	// ratioWeight is the weight of one run. The ratio follows a change within about twenty runs.
@@ -111,6 +117,7 @@
 		old = 1
 	}
 	e.ratio[queue] = old + ratioWeight*(ratio-old)
+	e.runs[queue]++
 }
 
 // estimate returns the expected run time of a task of a step.
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/copies"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
@@ -148,7 +149,7 @@
 	for i := range j.doc.Steps {
 		doc := &j.doc.Steps[i]
 		s := &steps[i]
-		*s = step{job: j, occurrence: o, number: i, doc: doc, progress: &o.progress.Steps[i], tasks: make([]task, doc.Count)}
+		*s = step{job: j, occurrence: o, number: i, doc: doc, progress: &o.progress.Steps[i], tasks: make([]task, doc.Count), copies: copies.NewStep(doc)}
 		for t := range s.tasks {
 			if s.progress.IsDone(t) {
 				s.tasks[t].done = true
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/copies"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -80,6 +81,9 @@
 		othersWait = c.placeOccurrence(cand, workers) || othersWait
 	}
 	c.placeOnSpareWorkers(p, candidates, workers, othersWait)
+	if c.options.Features.Copies && !othersWait && (len(candidates) == 0 || candidates[0].tier != tierLikelyCause) {
+		c.placeCopies(p, workers.workers)
+	}
 }
 
 // usableWorkers returns the workers of a pool on which tasks may be started.
@@ -166,19 +170,24 @@
 		cand.rank = float64(j.acceptedAt)
 		return cand, true
 	}
+	cand.tier, cand.rank = c.rank(j, o, q)
+	return cand, true
+}
+
+// rank returns the tier of a job without services, and its rank within the tier.
+func (c *Core) rank(j *job, o *occurrence, q *catalog.Queue) (tier int, rank float64) {
 	criticalPath, left := o.remainingWork(c.estimator.estimate)
 	target := o.targetEnd(q, j)
 	start := o.latencyStart(j)
 	switch {
 	case c.now+criticalPath <= target:
-		cand.tier = tierInTime
+		tier = tierInTime
 	case c.now+criticalPath <= start+lateFactor*(target-start):
-		cand.tier = tierLate
+		tier = tierLate
 	default:
-		cand.tier = tierExpired
+		tier = tierExpired
 	}
-	cand.rank = max(left, minWorkLeft)
-	return cand, true
+	return tier, max(left, minWorkLeft)
 }
 
 // placeOccurrence starts as many tasks of an occurrence as possible. It reports whether others wait for workers that are not likely to
@@ -326,6 +335,8 @@
 	// costLongLease is the cost, for a service, of a worker that may hold a lease from a call to its earlier life. If it is lost, its runs count
 	// as running for longer.
 	costLongLease = 300
+	// costOvertaken is the cost of a worker on which a run was overtaken by its copy lately. The worker is likely to be slow.
+	costOvertaken = 4
 	// costInterference is the cost of a best-effort task next to a service, or the other way round.
 	costInterference = 3
 	// costSameService is the cost of each task of the same service on a worker, since the loss of the worker takes them all down.
@@ -350,6 +361,9 @@
 	if s.tasks[index].lastWorker == ws.report.ID && s.failures(index) > 0 {
 		cost += costFailedBefore
 	}
+	if ws.overtakenAt > 0 && c.now-ws.overtakenAt < copies.SlowFor {
+		cost += costOvertaken
+	}
 	if s.crashCount(index).Suspect() {
 		cost += costSuspect * float64(len(ws.runs))
 		if s.crashedOn(index, ws) {
--- a/scheduler/plans.go
+++ b/scheduler/plans.go
@@ -65,7 +65,7 @@
 // startDuringOutage starts planned runs while the store is down, on workers that are recorded for their occurrence. This
 // is safe since the next leader starts nothing of an occurrence before all its recorded workers have answered or their
 // leases have expired. Tasks of services wait, since the next leader starts those of them whose recorded run has ended, and so
-// do tasks under which a worker has crashed, since it has to know of the crash.
+// do tasks under which a worker has crashed, since it has to know of the crash, and copies, of which it counts only those on record.
 func (c *Core) startDuringOutage() {
 	if len(c.plannedRuns) == 0 || c.now-c.lastStored < outageAfter {
 		return
@@ -73,7 +73,7 @@
 	var due []*run
 	remaining := c.plannedRuns[:0]
 	for _, r := range c.plannedRuns {
-		if c.now-r.startedAt > outageAfter && !r.step.recordsAll() && !r.step.crashCount(r.index).Suspect() && slices.Contains(r.step.occurrence.recordedWorkers, r.worker.report.ID) {
+		if c.now-r.startedAt > outageAfter && !r.copied && !r.step.recordsAll() && !r.step.crashCount(r.index).Suspect() && slices.Contains(r.step.occurrence.recordedWorkers, r.worker.report.ID) {
 			due = append(due, r)
 			continue
 		}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -54,6 +54,9 @@
 		if len(t.runs) == 0 && !t.done {
 			r.step.idleTasks++
 		}
+		if r.copied && r.confirmedAt == 0 {
+			r.step.copies.Lost(r.index)
+		}
 		switch {
 		case r.confirmedAt > 0:
 			t.idleSince = max(r.confirmedAt, r.worker.lastContact)
@@ -440,6 +443,9 @@
 		// next life of the worker.
 		c.recordRunEnd(r.step, r.index, r.number)
 	}
+	if r.step.copies != nil {
+		r.step.copies.Lost(r.index)
+	}
 	c.counts.Lost++
 	c.logger.Warn("Task was lost.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "reason", reason, "ran", c.now-r.startedAt)
 	if r.checkpoint != "" && (r.step.doc.Checkpoints || r.step.doc.Gang) {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/copies"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
@@ -85,6 +86,8 @@
 	gangRun int
 	// crashSites holds the crashes under each task in this term, or under the gang at index 0.
 	crashSites map[int]*crashSites
+	// copies is what is known for copies of late runs, and nil if the step has none.
+	copies *copies.Step
 	// waitsSince is the time since which tasks of a service wait for room.
 	waitsSince time.Duration
 	// wait is what else is known of tasks that wait, and nil if none has been checked.
@@ -162,6 +165,8 @@
 	sincePlan time.Duration
 	// previousLeader means that a previous leader started the run, and that the worker has not reported it since.
 	previousLeader bool
+	// copied means that another run of the task was at work when this one was planned.
+	copied bool
 	// confirmedClock is the latest time that the worker's clock was known to have shown when the worker first confirmed the run.
 	confirmedClock time.Duration
 	// lastStart is what was known of the start when the worker was found to have crashed or to be silent, and nil before.
@@ -206,6 +211,8 @@
 	listed bool
 	// contradicted means that the latest registry entry has another address for the present incarnation.
 	contradicted bool
+	// overtakenAt is the time at which a run there was last overtaken by its copy.
+	overtakenAt time.Duration
 	// maxCPU is the largest processor capacity in the registry entries of this incarnation.
 	maxCPU int64
 	// crashedAt is the time at which a crash of the worker became known, if it has started again under its ID.
@@ -257,6 +264,8 @@
 	needsPlanning bool
 	// plannedAt is the time at which the pool was last planned.
 	plannedAt time.Duration
+	// copiesCheckedAt is the time of the latest search for late runs.
+	copiesCheckedAt time.Duration
 	// candidates is the number of occurrences that had tasks to start in the last pass.
 	candidates int
 	arrivals arrivals.Window
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -321,6 +321,9 @@
 		if s, ok := c.findStep(e.Task); ok {
 			t := &s.tasks[e.Task.Index]
 			t.exitedRun = max(t.exitedRun, e.Number)
+			if s.copies != nil {
+				s.copies.Ended(e.Task.Index, e.Number)
+			}
 		}
 		if r, ok := ws.runs[e.Task]; ok && r.number == e.Number {
 			c.handleExit(r, e.Reason, e.Checkpoint)
@@ -457,7 +460,7 @@
 		return
 	}
 	t := &s.tasks[row.Task.Index]
-	if row.Number <= t.exitedRun {
+	if s.copies == nil && row.Number <= t.exitedRun || s.copies != nil && s.copies.HasEnded(row.Task.Index, row.Number) {
 		return
 	}
 	if _, recorded := ws.runs[row.Task]; recorded {
