copies: model of leaders that follow each other while copies run

A leader that takes over knows of the two runs of a task only from the rows and from the reports of workers.

The model of leaders plays speculative steps with slow workers and failing runs, and checks rules 1 to 3. It fails without the record of the first run, and without the adoption of a run after the exit of a later one.

--- a/scheduler/leadersmodel_workers_test.go
+++ b/scheduler/leadersmodel_workers_test.go
@@ -154,6 +154,9 @@
 
 func (m *leadersModel) carryOut(n *modelNode) {
 	for _, cmd := range n.core.TakeCommands() {
+		if m.copies != nil && cmd.Kind == CommandStart {
+			m.copies.checkStart(n, cmd.Start)
+		}
 		var w *modelWorker
 		for _, w = range m.workers {
 			if w.id == cmd.Target.ID {
