scheduler: move the room of gangs, repeated reads and task names out

The package grows with copies of late runs. The width of a gang, its spread over workers and the order of racks are in internal/jobs/gangs, reads that go on while the store is silent in internal/store/retrying, the name of a task in work. Behaviour is as before.

go test ./scheduler ./work ./internal/... passes.

--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -8,18 +8,6 @@
 	"github.com/chivetiller/chivetiller/internal/jobs/copies"
 )
 
-// queueExpectation is what the ratio of a queue tells of the run time of a step.
-type queueExpectation struct {
-	estimate time.Duration
-	runs     int
-}
-
-var _ copies.Expectation = queueExpectation{}
-
-func (e queueExpectation) Median() time.Duration          { return e.estimate }
-func (e queueExpectation) Quantile(float64) time.Duration { return e.estimate * 3 / 2 }
-func (e queueExpectation) Runs() int                      { return e.runs }
-
 // lateRun is a run of which a copy may be started.
 type lateRun struct {
 	*run
@@ -99,8 +87,8 @@
 	return s.copies.Wants(r.index, known, c.expectationOf(s))
 }
 
-func (c *Core) expectationOf(s *step) queueExpectation {
-	return queueExpectation{estimate: c.estimator.estimate(s), runs: c.estimator.runs[s.job.doc.Queue]}
+func (c *Core) expectationOf(s *step) copies.Expectation {
+	return copies.Estimate{Time: c.estimator.estimate(s), Learned: c.estimator.runs[s.job.doc.Queue]}
 }
 
 // chooseForCopy returns a worker for a copy of a run, in another rack if there is one, and nil if there is none.
--- a/scheduler/copiesmodel_test.go
+++ b/scheduler/copiesmodel_test.go
@@ -55,7 +55,7 @@
 	m.next = m.doc
 	m.next.ID = "b"
 	p := &copiesPlay{
-		nextAt: m.now + drawTime(rt, "next", time.Second, 12*time.Second),
+		nextAt:       m.now + drawTime(rt, "next", time.Second, 12*time.Second),
 		leadersModel: m, begun: make(map[copiesRun]time.Duration), doneAt: make(map[work.Task]time.Duration), failures: make(map[work.Task]int),
 		fails: rapid.MapOfN(rapid.IntRange(0, 30), rapid.Just(true), 0, 6).Draw(rt, "fails"),
 	}
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -8,6 +8,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/jobs/gangs"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -82,43 +83,10 @@
 	return widest
 }
 
-// gangShape is what the width of a gang depends on.
-type gangShape struct {
-	request             work.Resources
-	count, maxPerWorker int
-}
-
-// tasksOn returns how many of its tasks an instance of a capacity can hold.
-func (g gangShape) tasksOn(capacity work.Resources) int {
-	n := int64(g.count)
-	if g.maxPerWorker > 0 {
-		n = min(n, int64(g.maxPerWorker))
-	}
-	for _, r := range [...]struct{ has, needs int64 }{
-		{capacity.CPU, g.request.CPU}, {capacity.Memory, g.request.Memory}, {capacity.GPU, g.request.GPU},
-	} {
-		if r.needs > 0 {
-			n = min(n, r.has/r.needs)
-		}
-	}
-	return int(max(0, n))
-}
-
-// width returns how many instances hold a gang, the first of those given, and 0 if all of them do not.
-func (g gangShape) width(capacities []work.Resources) int {
-	left := g.count
-	for i, capacity := range capacities {
-		if left -= g.tasksOn(capacity); left <= 0 {
-			return i + 1
-		}
-	}
-	return 0
-}
-
 // waitingGangs returns the shapes of the gangs of a pool that wait to start, and whose teams may start them. Those that require a label are
 // left out, since moves do not look at the labels of instances.
-func (c *Core) waitingGangs(p *pool) map[gangShape]bool {
-	var shapes map[gangShape]bool
+func (c *Core) waitingGangs(p *pool) map[gangs.Shape]bool {
+	var shapes map[gangs.Shape]bool
 	for _, j := range p.jobs {
 		for _, o := range j.open {
 			for _, s := range o.steps {
@@ -126,9 +94,9 @@
 					continue
 				}
 				if shapes == nil {
-					shapes = make(map[gangShape]bool)
+					shapes = make(map[gangs.Shape]bool)
 				}
-				shapes[gangShape{request: s.doc.ReservedResources(), count: s.tasksLeft, maxPerWorker: s.doc.MaxPerWorker}] = true
+				shapes[gangs.Shape{Request: s.doc.ReservedResources(), Count: s.tasksLeft, MaxPerWorker: s.doc.MaxPerWorker}] = true
 			}
 		}
 	}
@@ -156,14 +124,14 @@
 	slices.SortFunc(inSpare, byCPU)
 	widest, all := 0, slices.Concat(inPool, inSpare)
 	for shape := range shapes {
-		width := shape.width(all)
+		width := shape.Width(all)
 		if width == 0 && !p.tooWide[shape] {
 			if p.tooWide == nil {
-				p.tooWide = make(map[gangShape]bool)
+				p.tooWide = make(map[gangs.Shape]bool)
 			}
 			p.tooWide[shape] = true
-			c.logger.Warn("Gang does not fit into its pool and the spare instances.", "pool", p.name, "tasks", shape.count, "cpu", shape.request.CPU,
-				"memory", shape.request.Memory, "gpu", shape.request.GPU, "maxPerWorker", shape.maxPerWorker, "inPool", len(inPool), "spare", len(inSpare))
+			c.logger.Warn("Gang does not fit into its pool and the spare instances.", "pool", p.name, "tasks", shape.Count, "cpu", shape.Request.CPU,
+				"memory", shape.Request.Memory, "gpu", shape.Request.GPU, "maxPerWorker", shape.MaxPerWorker, "inPool", len(inPool), "spare", len(inSpare))
 		}
 		widest = max(widest, width)
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -7,6 +7,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/copies"
+	"github.com/chivetiller/chivetiller/internal/jobs/gangs"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -398,7 +399,10 @@
 	if s.idleTasks < s.tasksLeft || c.now < s.notBefore || c.pausedAfterCrash(s, 0) || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
 		return false
 	}
-	usable := s.crashedLast(c.workersFor(workers, s, 0))
+	usable := c.workersFor(workers, s, 0)
+	if len(s.crashSites) > 0 {
+		usable = gangs.Last(usable, func(ws *workerState) bool { return s.crashedOn(0, ws) })
+	}
 	chosen := c.chooseGang(s, usable)
 	if chosen == nil && s.doc.Service {
 		chosen = c.placeOverdueGang(s, usable)
@@ -420,38 +424,12 @@
 	return true
 }
 
-// crashedLast returns workers with those last that crashed under the gang before.
-func (s *step) crashedLast(workers []*workerState) []*workerState {
-	if len(s.crashSites) == 0 {
-		return workers
-	}
-	var last []*workerState
-	ordered := make([]*workerState, 0, len(workers))
-	for _, ws := range workers {
-		if s.crashedOn(0, ws) {
-			last = append(last, ws)
-		} else {
-			ordered = append(ordered, ws)
-		}
-	}
-	return append(ordered, last...)
-}
-
 // chooseGang returns a worker for each task of a gang, and nil if they do not fit. Gangs that are slower across racks are
 // placed in one rack if it has room.
 func (c *Core) chooseGang(s *step, usable []*workerState) []*workerState {
 	if s.doc.SameRack || s.doc.DataRack != "" {
-		racks := make(map[string][]*workerState)
-		for _, ws := range usable {
-			racks[ws.report.Rack()] = append(racks[ws.report.Rack()], ws)
-		}
-		if workers, ok := racks[s.doc.DataRack]; ok {
-			if chosen := c.spreadGang(s, workers); chosen != nil {
-				return chosen
-			}
-		}
-		for _, name := range sortedKeys(racks) {
-			if chosen := c.spreadGang(s, racks[name]); chosen != nil {
+		for _, rack := range gangs.ByRack(usable, func(ws *workerState) string { return ws.report.Rack() }, s.doc.DataRack) {
+			if chosen := c.spreadGang(s, rack); chosen != nil {
 				return chosen
 			}
 		}
@@ -459,38 +437,15 @@
 	return c.spreadGang(s, usable)
 }
 
-func sortedKeys(m map[string][]*workerState) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 func (c *Core) spreadGang(s *step, usable []*workerState) []*workerState {
 	charge := s.doc.ReservedResources()
-	assigned := make(map[*workerState]int64)
-	chosen := make([]*workerState, len(s.tasks))
-	if len(s.crashSites) > 0 {
-		usable = slices.DeleteFunc(slices.Clone(usable), func(ws *workerState) bool { return c.mayCrashByItself(s, 0, ws) })
-	}
-	for i := range s.tasks {
-		for _, ws := range usable {
-			n := assigned[ws]
-			if !charge.Times(n+1).Fits(ws.freeCapacity()) || !ws.leavesReserved(s, n+1) || !c.eligible(s, ws) {
-				continue
-			}
-			if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws)+int(n) >= s.doc.MaxPerWorker {
-				continue
-			}
-			chosen[i] = ws
-			assigned[ws]++
-			break
+	return gangs.Spread(len(s.tasks), usable, func(ws *workerState, n int64) bool {
+		if !charge.Times(n+1).Fits(ws.freeCapacity()) || !ws.leavesReserved(s, n+1) || !c.eligible(s, ws) {
+			return false
 		}
-		if chosen[i] == nil {
-			return nil
+		if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws)+int(n) >= s.doc.MaxPerWorker {
+			return false
 		}
-	}
-	return chosen
+		return len(s.crashSites) == 0 || !c.mayCrashByItself(s, 0, ws)
+	})
 }
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chivetiller/chivetiller/internal/store/retrying"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
@@ -176,70 +177,12 @@
 	}
 }
 
-// retryPause is the pause before a read is repeated that the store did not carry out.
-const retryPause = 100 * time.Millisecond
-
-// retryingReads repeats reads that the store does not carry out, until the context ends. A scan goes on after the last row that was
-// read. The time of a read is not limited otherwise: with enough rows, a read that begins again with the first one would never end.
-type retryingReads struct {
-	store.Store
-	logger hclog.Logger
-}
-
-// Scan implements [store.Store].
-func (r retryingReads) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
-	var all store.Rows
-	for {
-		rows, err := r.Store.Scan(ctx, table, partition, from, to)
-		if all.Version == 0 {
-			all.Version = rows.Version
-		}
-		all.Now = max(all.Now, rows.Now)
-		all.Rows = append(all.Rows, rows.Rows...)
-		if err == nil || !r.mayRetry(ctx, table, err) {
-			return all, err
-		}
-		if n := len(rows.Rows); n > 0 {
-			from = rows.Rows[n-1].Name + "\x00"
-		}
-	}
-}
-
-// Partitions implements [store.Store].
-func (r retryingReads) Partitions(ctx context.Context, table string) (store.Partitions, error) {
-	for {
-		partitions, err := r.Store.Partitions(ctx, table)
-		if err == nil || !r.mayRetry(ctx, table, err) {
-			return partitions, err
-		}
-	}
-}
-
-// mayRetry reports whether a failed read is to be repeated, after a pause if the store has refused it.
-func (r retryingReads) mayRetry(ctx context.Context, table string, err error) bool {
-	silent := errors.Is(err, store.ErrSilent)
-	if errors.Is(err, store.ErrRefused) || !silent && !errors.Is(err, store.ErrNotDone) {
-		return false
-	}
-	if !silent {
-		select {
-		case <-time.After(retryPause):
-		case <-ctx.Done():
-		}
-	}
-	if ctx.Err() != nil {
-		return false
-	}
-	r.logger.Warn("Table was not read; the read goes on.", "table", table, "error", err)
-	return true
-}
-
 // load reads all rows of the scheduler, the tables at the same time. It calls bad for each row that cannot be decoded. The rows
 // of different tables may be of different moments: no other leader stores progress any more, since the batches of a leader expect
 // its version of the leader row.
 func load(ctx context.Context, s store.Store, logger hclog.Logger, bad func(row store.Row, err error)) (*loadedRows, error) {
 	l := newLoadedRows()
-	s = retryingReads{s, logger}
+	s = retrying.New(s, logger)
 	var jobs store.Rows
 	decoders := map[string]func(store.Row) error{tableProgress: l.decodeProgress, tableLeadership: l.decodeLeadershipRow, tableFleet: l.decodeFleetRow}
 	tables := make(map[string]*store.Rows, len(decoders))
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -98,19 +98,7 @@
 	return index
 }
 
-func (r *run) name() string {
-	return string(appendInt(appendInt(appendInt(nil, r.step.occurrence.number, 0), r.step.number, '.'), r.index, '.'))
-}
-
-func appendInt(b []byte, n int, separator byte) []byte {
-	if separator != 0 {
-		b = append(b, separator)
-	}
-	if n >= 10 {
-		b = appendInt(b, n/10, 0)
-	}
-	return append(b, byte('0'+n%10))
-}
+func (r *run) name() string { return r.task().Name() }
 
 func workerTarget(ws *workerState) worker.Target {
 	return worker.Target{Life: ws.identity, Address: ws.report.Address, DataCentre: ws.report.DataCentre}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -6,6 +6,7 @@
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/copies"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
+	"github.com/chivetiller/chivetiller/internal/jobs/gangs"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
 	"github.com/chivetiller/chivetiller/work"
@@ -268,7 +269,7 @@
 	copiesCheckedAt time.Duration
 	// candidates is the number of occurrences that had tasks to start in the last pass.
 	candidates int
-	arrivals arrivals.Window
+	arrivals   arrivals.Window
 	// surgeForeseen means that the pool has instances for a surge that is foreseen.
 	surgeForeseen bool
 	// tests holds the runs of suspects whose workers may still crash under them.
@@ -280,7 +281,7 @@
 	// crashes holds the latest crashes of its workers.
 	crashes crashloop.History[crashedUnit]
 	// tooWide holds the gangs of which it was logged that they fit nowhere.
-	tooWide map[gangShape]bool
+	tooWide map[gangs.Shape]bool
 }
 
 // remainingWork returns the critical path and the work (in core-seconds) that are left, as estimated.
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/store/retrying"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -170,7 +171,7 @@
 // readAllJobs returns the rows of all jobs and their progress. Among them may be jobs that ended long ago and that the core has forgotten.
 // The progress is read first: it is removed after the rows of its job, and a job without progress would run again.
 func (e *Engine) readAllJobs(ctx context.Context) (store.Rows, map[string]*work.Progress, error) {
-	s := retryingReads{e.options.Store, e.logger}
+	s := retrying.New(e.options.Store, e.logger)
 	stored, err := s.Scan(ctx, tableProgress, "", "", "")
 	if err != nil {
 		return store.Rows{}, nil, err
--- a/work/work.go
+++ b/work/work.go
@@ -9,6 +9,7 @@
 package work
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -132,6 +133,15 @@
 	Index      int    `cbor:"4,keyasint,omitempty"`
 }
 
+// Name names the task within its job, in the form OCCURRENCE.STEP.INDEX.
+func (t Task) Name() string {
+	name := strconv.AppendInt(nil, int64(t.Occurrence), 10)
+	for _, n := range []int{t.Step, t.Index} {
+		name = strconv.AppendInt(append(name, '.'), int64(n), 10)
+	}
+	return string(name)
+}
+
 // Occurrences returns the number of occurrences, which is 1 for a job without a schedule.
 func (j *Job) Occurrences() int { return max(1, j.ScheduledOccurrences) }
 
