preemption: decide which runs make room for an urgent job

An urgent job in a full pool waits for the end of a run of other work.

The package chooses the runs with checkpoints whose stop loses least work, within bounds for the task, the job and the pool.

--- /dev/null
+++ b/internal/jobs/preemption/preemption.go
@@ -0,0 +1,175 @@
+// Package preemption decides which runs are stopped to make room for a task of a more urgent job that finds its pool full. Only runs that
+// save their progress are stopped, and those first that lose least work.
+//
+// # Usage
+//
+//	// List the runs of each worker for which preemption.MayStop and history.Allows hold.
+//	if i, stops, ok := preemption.Choose(need, urgency, workers, jobStops.JobLeft(now)); ok && poolStops.PoolLeft(now, poolWorkers) > 0 {
+//		// Stop the runs, record that with Window.Add and History.Record, and keep their room for preemption.KeepFor.
+//	}
+package preemption
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/chivetiller/chivetiller/work"
+)
+
+const (
+	// maxStops is how often a task is preempted in its life, and minRest how long it is not after it was. A task that is stopped again and
+	// again would do nothing but start.
+	maxStops = 2
+	minRest  = 3 * time.Second
+	// maxJobStops is the maximum number of runs that are stopped for a job within a window.
+	maxJobStops = 4
+	// workerShare is the share of the workers of a pool on which runs are stopped within a window. One is always allowed.
+	workerShare = 0.05
+	window      = time.Second
+	// KeepFor is how long the room of stopped runs is kept for the job for which they were stopped. A stop takes up to 0.9 s.
+	KeepFor = 2 * time.Second
+)
+
+// Urgency orders work. Queues with a lower priority number come first.
+type Urgency struct {
+	Priority int
+	// Expired means that the job cannot be done within three times its target any more, so that it has no value.
+	Expired bool
+}
+
+// MoreThan reports whether work may take the room of other work.
+func (u Urgency) MoreThan(other Urgency) bool {
+	if u.Priority != other.Priority {
+		return u.Priority < other.Priority
+	}
+	return !u.Expired && other.Expired
+}
+
+// Run is a run of a worker. R names it.
+type Run[R any] struct {
+	Run     R
+	Urgency Urgency
+	Size    work.Resources
+	// SinceSaved is the time since the run last saved its progress, or started.
+	SinceSaved time.Duration
+}
+
+// lost returns what the end of a run loses at most.
+func (r Run[R]) lost() float64 { return float64(max(1, r.Size.CPU)) * r.SinceSaved.Seconds() }
+
+// Worker is a worker on which a task could start if it had room.
+type Worker[R any] struct {
+	// Free is what is neither in use nor kept for others.
+	Free work.Resources
+	// Runs holds the runs that may be stopped.
+	Runs []Run[R]
+}
+
+// MayStop reports whether a run may be stopped for any work: it saves its progress, belongs to no service and no gang, and is not expected
+// to end before a stop would have ended it.
+func MayStop(s *work.Step, left, stopTimeout time.Duration) bool {
+	return s.Checkpoints && !s.Service && !s.Gang && left > stopTimeout
+}
+
+// Choose returns the worker on which a task gets room by the stops that lose least work, and the runs to be stopped there, at most limit. It
+// reports false if there are none.
+func Choose[R any](need work.Resources, urgent Urgency, workers []Worker[R], limit int) (chosen int, stops []R, ok bool) {
+	var least float64
+	for i, w := range workers {
+		runs, lost := w.stopsFor(need, urgent)
+		if len(runs) == 0 || len(runs) > limit || ok && lost >= least {
+			continue
+		}
+		chosen, least, ok = i, lost, true
+		stops = stops[:0]
+		for _, r := range runs {
+			stops = append(stops, r.Run)
+		}
+	}
+	return chosen, stops, ok
+}
+
+// stopsFor returns the runs whose room, together with what is free, is enough, and what their end loses. It returns none if no stop is needed,
+// or if there is not enough room.
+func (w Worker[R]) stopsFor(need work.Resources, urgent Urgency) (stops []Run[R], lost float64) {
+	free := w.Free
+	if need.Fits(free) {
+		return nil, 0
+	}
+	for _, r := range slices.SortedStableFunc(slices.Values(w.Runs), func(a, b Run[R]) int { return cmp.Compare(a.lost(), b.lost()) }) {
+		if !urgent.MoreThan(r.Urgency) {
+			continue
+		}
+		stops, free = append(stops, r), free.Plus(r.Size)
+		if need.Fits(free) {
+			break
+		}
+	}
+	if !need.Fits(free) {
+		return nil, 0
+	}
+	// A later run may have made the room of an earlier one superfluous.
+	stops = slices.DeleteFunc(stops, func(r Run[R]) bool {
+		if !need.Fits(free.Minus(r.Size)) {
+			return false
+		}
+		free = free.Minus(r.Size)
+		return true
+	})
+	for _, r := range stops {
+		lost += r.lost()
+	}
+	return stops, lost
+}
+
+// History holds the preemptions of the tasks of a step. The zero value is an empty one.
+type History struct {
+	tasks map[int]record
+}
+
+type record struct {
+	stops  int
+	latest time.Duration
+}
+
+// Allows reports whether a task may be preempted.
+func (h *History) Allows(index int, now time.Duration) bool {
+	r, ok := h.tasks[index]
+	return !ok || r.stops < maxStops && now-r.latest >= minRest
+}
+
+// Record records that a task was preempted.
+func (h *History) Record(index int, now time.Duration) {
+	if h.tasks == nil {
+		h.tasks = make(map[int]record)
+	}
+	h.tasks[index] = record{stops: h.tasks[index].stops + 1, latest: now}
+}
+
+// Window counts events within the last second. The zero value is an empty one.
+type Window struct{ times []time.Duration }
+
+// Add records n events.
+func (w *Window) Add(now time.Duration, n int) {
+	w.forget(now)
+	for range n {
+		w.times = append(w.times, now)
+	}
+}
+
+// JobLeft returns how many more runs may be stopped for a job, of whose stops the window tells.
+func (w *Window) JobLeft(now time.Duration) int {
+	w.forget(now)
+	return maxJobStops - len(w.times)
+}
+
+// PoolLeft returns on how many more workers of a pool runs may be stopped, of whose workers with stops the window tells.
+func (w *Window) PoolLeft(now time.Duration, workers int) int {
+	w.forget(now)
+	return max(1, int(workerShare*float64(workers))) - len(w.times)
+}
+
+func (w *Window) forget(now time.Duration) {
+	w.times = slices.DeleteFunc(w.times, func(at time.Duration) bool { return now-at >= window })
+}
