preemption: make room in a full pool for urgent jobs

An urgent job in a full pool waits for the end of a run of other work, which takes seconds.

With the setting scheduling.preemption, the leader stops runs with checkpoints of less urgent work, and keeps their room for the urgent job for at most 2 s. Room that is kept ends by its time or when a task of the job starts there.

Tests of what is never stopped and of the bounds pass, and so does a model with lost leaders (1,000 plays).

--- a/internal/jobs/preemption/preemption.go
+++ b/internal/jobs/preemption/preemption.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	// List the runs of each worker for which preemption.MayStop and history.Allows hold.
-//	if i, stops, ok := preemption.Choose(need, urgency, workers, jobStops.JobLeft(now)); ok && poolStops.PoolLeft(now, poolWorkers) > 0 {
+//	if i, stops, ok := preemption.Choose(need, urgency, workers, jobStops.JobLeft(now), eligible); ok && poolStops.PoolLeft(now, poolWorkers) > 0 {
 //		// Stop the runs, record that with Window.Add and History.Record, and keep their room for preemption.KeepFor.
 //	}
 package preemption
@@ -58,8 +58,9 @@
 // lost returns what the end of a run loses at most.
 func (r Run[R]) lost() float64 { return float64(max(1, r.Size.CPU)) * r.SinceSaved.Seconds() }
 
-// Worker is a worker on which a task could start if it had room.
-type Worker[R any] struct {
+// Worker is a worker on which a task could start if it had room. W names it.
+type Worker[W, R any] struct {
+	Worker W
 	// Free is what is neither in use nor kept for others.
 	Free work.Resources
 	// Runs holds the runs that may be stopped.
@@ -72,13 +73,13 @@
 	return s.Checkpoints && !s.Service && !s.Gang && left > stopTimeout
 }
 
-// Choose returns the worker on which a task gets room by the stops that lose least work, and the runs to be stopped there, at most limit. It
-// reports false if there are none.
-func Choose[R any](need work.Resources, urgent Urgency, workers []Worker[R], limit int) (chosen int, stops []R, ok bool) {
+// Choose returns the index of the worker on which a task gets room by the stops that lose least work, and the runs to be stopped there, at most
+// limit. It reports false if there are none. eligible reports whether the task may start on a worker, apart from room.
+func Choose[W, R any](need work.Resources, urgent Urgency, workers []Worker[W, R], limit int, eligible func(W) bool) (chosen int, stops []R, ok bool) {
 	var least float64
 	for i, w := range workers {
 		runs, lost := w.stopsFor(need, urgent)
-		if len(runs) == 0 || len(runs) > limit || ok && lost >= least {
+		if len(runs) == 0 || len(runs) > limit || ok && lost >= least || !eligible(w.Worker) {
 			continue
 		}
 		chosen, least, ok = i, lost, true
@@ -92,7 +93,7 @@
 
 // stopsFor returns the runs whose room, together with what is free, is enough, and what their end loses. It returns none if no stop is needed,
 // or if there is not enough room.
-func (w Worker[R]) stopsFor(need work.Resources, urgent Urgency) (stops []Run[R], lost float64) {
+func (w Worker[W, R]) stopsFor(need work.Resources, urgent Urgency) (stops []Run[R], lost float64) {
 	free := w.Free
 	if need.Fits(free) {
 		return nil, 0
--- a/internal/jobs/preemption/preemption_test.go
+++ b/internal/jobs/preemption/preemption_test.go
@@ -21,31 +21,32 @@
 	second := time.Second
 	for name, test := range map[string]struct {
 		urgent  Urgency
-		workers []Worker[string]
+		workers []Worker[string, string]
 		limit   int
 		want    []string
 		on      int
 	}{
 		"least work lost": {
-			Urgency{}, []Worker[string]{{cpu(0), []Run[string]{run("a", 4, 1, 2*second)}}, {cpu(0), []Run[string]{run("b", 4, 1, second)}}}, 4, []string{"b"}, 1,
+			Urgency{}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 4, 1, 2*second)}}, {Free: cpu(0), Runs: []Run[string]{run("b", 4, 1, second)}}}, 4, []string{"b"}, 1,
 		},
-		"with what is free": {Urgency{}, []Worker[string]{{cpu(3), []Run[string]{run("a", 4, 1, second), run("b", 1, 1, second)}}}, 4, []string{"b"}, 0},
-		"two runs":          {Urgency{}, []Worker[string]{{cpu(0), []Run[string]{run("a", 2, 1, second), run("b", 2, 1, second)}}}, 4, []string{"a", "b"}, 0},
-		"superfluous":       {Urgency{}, []Worker[string]{{cpu(0), []Run[string]{run("a", 1, 1, second), run("b", 4, 1, second)}}}, 4, []string{"b"}, 0},
-		"beyond the limit":  {Urgency{}, []Worker[string]{{cpu(0), []Run[string]{run("a", 2, 1, second), run("b", 2, 1, second)}}}, 1, nil, 0},
-		"not enough room":   {Urgency{}, []Worker[string]{{cpu(0), []Run[string]{run("a", 3, 1, second)}}}, 4, nil, 0},
-		"room is free":      {Urgency{}, []Worker[string]{{cpu(4), []Run[string]{run("a", 4, 1, second)}}}, 4, nil, 0},
-		"as urgent":         {Urgency{Priority: 1}, []Worker[string]{{cpu(0), []Run[string]{run("a", 4, 1, second)}}}, 4, nil, 0},
-		"more urgent":       {Urgency{Priority: 1}, []Worker[string]{{cpu(0), []Run[string]{run("a", 4, 0, second)}}}, 4, nil, 0},
+		"with what is free": {Urgency{}, []Worker[string, string]{{Free: cpu(3), Runs: []Run[string]{run("a", 4, 1, second), run("b", 1, 1, second)}}}, 4, []string{"b"}, 0},
+		"two runs":          {Urgency{}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 2, 1, second), run("b", 2, 1, second)}}}, 4, []string{"a", "b"}, 0},
+		"superfluous":       {Urgency{}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 1, 1, second), run("b", 4, 1, second)}}}, 4, []string{"b"}, 0},
+		"beyond the limit":  {Urgency{}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 2, 1, second), run("b", 2, 1, second)}}}, 1, nil, 0},
+		"not enough room":   {Urgency{}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 3, 1, second)}}}, 4, nil, 0},
+		"room is free":      {Urgency{}, []Worker[string, string]{{Free: cpu(4), Runs: []Run[string]{run("a", 4, 1, second)}}}, 4, nil, 0},
+		"as urgent":         {Urgency{Priority: 1}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 4, 1, second)}}}, 4, nil, 0},
+		"more urgent":       {Urgency{Priority: 1}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 4, 0, second)}}}, 4, nil, 0},
 		"without value": {
-			Urgency{Priority: 1}, []Worker[string]{{cpu(0), []Run[string]{{Run: "a", Urgency: Urgency{Priority: 1, Expired: true}, Size: cpu(4)}}}}, 4, []string{"a"}, 0,
+			Urgency{Priority: 1}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{{Run: "a", Urgency: Urgency{Priority: 1, Expired: true}, Size: cpu(4)}}}}, 4, []string{"a"}, 0,
 		},
+		"may not start there": {Urgency{}, []Worker[string, string]{{Worker: "unfit", Free: cpu(0), Runs: []Run[string]{run("a", 4, 1, second)}}}, 4, nil, 0},
 		"more urgent without value": {
-			Urgency{Priority: 1}, []Worker[string]{{cpu(0), []Run[string]{{Run: "a", Urgency: Urgency{Priority: 0, Expired: true}, Size: cpu(4)}}}}, 4, nil, 0,
+			Urgency{Priority: 1}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{{Run: "a", Urgency: Urgency{Priority: 0, Expired: true}, Size: cpu(4)}}}}, 4, nil, 0,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			on, stops, ok := Choose(cpu(4), test.urgent, test.workers, test.limit)
+			on, stops, ok := Choose(cpu(4), test.urgent, test.workers, test.limit, func(w string) bool { return w != "unfit" })
 			qt.Assert(t, ok, qt.Equals, len(test.want) > 0)
 			qt.Assert(t, stops, qt.DeepEquals, test.want)
 			qt.Assert(t, on, qt.Equals, test.on)
@@ -88,7 +89,7 @@
 		workers := rapid.IntRange(1, 60).Draw(t, "workers")
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			now += time.Duration(rapid.IntRange(0, 1200).Draw(t, "passes")) * time.Millisecond
-			list := make([]Worker[int], rapid.IntRange(1, 4).Draw(t, "listed"))
+			list := make([]Worker[int, int], rapid.IntRange(1, 4).Draw(t, "listed"))
 			for i := range list {
 				list[i].Free = cpu(rapid.Int64Range(0, 5).Draw(t, "free"))
 				for n := range rapid.IntRange(0, 3).Draw(t, "runs") {
@@ -104,7 +105,7 @@
 				continue
 			}
 			need := cpu(rapid.Int64Range(1, 8).Draw(t, "need"))
-			i, chosen, ok := Choose(need, Urgency{Priority: 1}, list, job.JobLeft(now))
+			i, chosen, ok := Choose(need, Urgency{Priority: 1}, list, job.JobLeft(now), func(int) bool { return true })
 			if !ok {
 				continue
 			}
--- a/scheduler/copies_test.go
+++ b/scheduler/copies_test.go
@@ -23,6 +23,9 @@
 	pace  map[string]float64
 	takes func(work.Task) time.Duration
 	ends  map[worker.Run]time.Duration
+	// stopTakes is how long a stop takes, and stops the time at which runs are stopped.
+	stopTakes time.Duration
+	stops     map[worker.Run]time.Duration
 	// starts holds the workers on which each task was started.
 	starts map[work.Task][]string
 }
@@ -30,6 +33,7 @@
 func newCopiesRig(t *testing.T, on bool, ids ...string) *copiesRig {
 	r := &copiesRig{
 		rig: newRig(t, 1, ids...), ids: ids, pace: make(map[string]float64), ends: make(map[worker.Run]time.Duration), starts: make(map[work.Task][]string),
+		stops: make(map[worker.Run]time.Duration),
 		takes: func(work.Task) time.Duration { return time.Second },
 	}
 	r.core.options.Features = serving.Scheduling{Copies: on}
@@ -54,7 +58,9 @@
 	r.advance(copiesStep)
 	for _, id := range r.ids {
 		for _, run := range slices.Clone(r.runs[id]) {
-			if end, ok := r.ends[run]; ok && r.now >= end {
+			if at, ok := r.stops[run]; ok && r.now >= at {
+				r.exit(id, run, worker.ExitStopped)
+			} else if end, ok := r.ends[run]; ok && r.now >= end {
 				r.exit(id, run, worker.ExitDone)
 			}
 		}
@@ -66,7 +72,11 @@
 func (r *copiesRig) exit(id string, run worker.Run, reason worker.ExitReason) {
 	i := slices.Index(r.runs[id], run)
 	r.runs[id] = slices.Delete(r.runs[id], i, i+1)
-	r.exits[id] = append(r.exits[id], worker.Exit{Seq: uint64(len(r.exits[id]) + 1), Task: run.Task, Number: run.Number, Reason: reason})
+	e := worker.Exit{Seq: uint64(len(r.exits[id]) + 1), Task: run.Task, Number: run.Number, Reason: reason}
+	if s, ok := r.core.findStep(run.Task); ok && s.doc.Checkpoints && reason == worker.ExitStopped {
+		e.Checkpoint = "saved"
+	}
+	r.exits[id] = append(r.exits[id], e)
 }
 
 func (r *copiesRig) carryOut(commands []Command) {
@@ -80,7 +90,7 @@
 		case CommandStop:
 			for _, run := range slices.Clone(r.runs[cmd.Target.ID]) {
 				if run.Task == cmd.Run.Task && run.Number == cmd.Run.Run {
-					r.exit(cmd.Target.ID, run, worker.ExitStopped)
+					r.stops[run] = r.now + r.stopTakes
 				}
 			}
 		}
--- a/scheduler/copiesmodel_test.go
+++ b/scheduler/copiesmodel_test.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -28,6 +26,9 @@
 	failures map[work.Task]int
 	// nextAt is the time at which another job of the team comes.
 	nextAt time.Duration
+	// urgent means that the other job takes the room of the first one, whose tasks have no copies. preempted counts the runs that were stopped.
+	urgent    bool
+	preempted uint64
 	// most is the largest number of runs of a task at the same time.
 	most int
 }
@@ -93,7 +94,7 @@
 
 // sortedTasks returns the tasks of runs in an order that is the same in each play.
 func sortedTasks(runs map[work.Task]int) []work.Task {
-	return slices.SortedFunc(maps.Keys(runs), func(a, b work.Task) int { return cmp.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+	return slices.SortedFunc(maps.Keys(runs), work.Task.Compare)
 }
 
 // check reads what is stored and counts the runs of each task.
@@ -141,7 +142,8 @@
 		return
 	}
 	task := start.Task
-	if at := p.doneAt[task]; at > 0 && p.now > at+time.Second {
+	p.preempted += n.core.counts.Decisions[Decision{"preemption", "stopped"}]
+	if at := p.doneAt[task]; at > 0 && (p.now > at+time.Second || p.urgent && p.now > at) {
 		p.rt.Fatalf("%s: task %d.%d is started %s after it was done", p.now-time.Minute, task.Step, task.Index, p.now-at)
 	}
 	if p.failures[task] >= copiesAttempts {
@@ -169,3 +171,27 @@
 	})
 	t.Logf("a task had two runs in %d plays", copied)
 }
+
+// TestPreemptionModel guards against a task that runs twice, or again after it is done, has failed too often, or before the steps that it
+// depends on are done, because it was stopped for an urgent job, also by a leader that is lost in the middle.
+func TestPreemptionModel(t *testing.T) {
+	preempted := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		p := newCopiesPlay(rt, drawEvents(rt))
+		p.urgent, p.limited, p.doc.Team = true, false, ""
+		for i := range p.doc.Steps {
+			s := &p.doc.Steps[i]
+			s.Count, s.Request.CPU, s.Estimate, s.Speculative, s.Checkpoints = modelZones, 4000, 6*time.Second, false, true
+		}
+		p.doc.Steps = p.doc.Steps[:2]
+		p.next = work.Job{ID: "b", Queue: "u", Pool: "p", Steps: []work.Step{{Count: 2, Request: work.Resources{CPU: 3000, Memory: 100}, Estimate: 3 * time.Second}}}
+		for i := range p.takes {
+			p.takes[i] = 4 * time.Second
+		}
+		p.play()
+		if p.preempted > 0 {
+			preempted++
+		}
+	})
+	t.Logf("runs were preempted in %d plays", preempted)
+}
--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -186,7 +186,7 @@
 	on, running := make(map[work.Task]string), int64(0)
 	for _, w := range m.workers {
 		for t := range w.runs {
-			if other, ok := on[t]; ok && m.copies == nil {
+			if other, ok := on[t]; ok && (m.copies == nil || m.copies.urgent) {
 				m.rt.Fatalf("%s: task %d runs on %s and %s, in term %d", m.now-time.Minute, t.Index, other, w.id, m.row.term)
 			}
 			on[t] = w.id
@@ -311,9 +311,11 @@
 	n.core = NewCore(Options{
 		Bounds: rigBounds(), Fence: n.fence, Term: m.row.term, AcquiredAt: m.now, PreviousLeaderEnded: n.leaders.PreviousEndedAt != 0,
 		EarlierLeadersUntil: n.leaders.EarlierUntil, PreviousLeaderSeenAt: n.leaders.PreviousSeenAt,
-		Features: serving.Scheduling{Copies: m.copies != nil},
+		Features: serving.Scheduling{Copies: m.copies != nil, Preemption: m.copies != nil && m.copies.urgent},
 	})
-	n.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6}}, []catalog.Pool{{Name: "p"}},
+	n.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6}, {
+		Name: "u", Host: "h", Prefix: "/u/", Pool: "p", Attempts: 2, Stretch: 1.6, Priority: -1,
+	}}, []catalog.Pool{{Name: "p"}},
 		[]catalog.Team{{Name: "limited", Limit: modelLimit}}))
 	for _, e := range m.roster {
 		n.core.SetRoster([]RosterEntry{e.fromStore(n.clockError)})
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -82,6 +82,9 @@
 		othersWait = c.placeOccurrence(cand, workers) || othersWait
 	}
 	c.placeOnSpareWorkers(p, candidates, workers, othersWait)
+	if c.options.Features.Preemption && othersWait {
+		c.makeRoom(p, candidates, workers.workers)
+	}
 	if c.options.Features.Copies && !othersWait && (len(candidates) == 0 || candidates[0].tier != tierLikelyCause) {
 		c.placeCopies(p, workers.workers)
 	}
--- /dev/null
+++ b/scheduler/preemption.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chivetiller/chivetiller/internal/jobs/preemption"
+	"github.com/chivetiller/chivetiller/work"
+)
+
+// roomTries is the number of tasks of a pass that may find no run to be stopped. The search reads all runs of the pool.
+const roomTries = 4
+
+type preemptible = preemption.Worker[*workerState, *run]
+
+// makeRoom stops runs in a full pool for urgent jobs that are within their targets.
+func (c *Core) makeRoom(p *pool, candidates []candidate, usable []*workerState) {
+	if c.now-p.roomCheckedAt < replanInterval || p.preemptions.PoolLeft(c.now, len(p.workers)) <= 0 {
+		return
+	}
+	p.roomCheckedAt = c.now
+	rooms := c.preemptible(usable)
+	tries := 0
+	for _, cand := range candidates {
+		if cand.tier != tierInTime {
+			continue
+		}
+		for _, s := range cand.occurrence.steps {
+			if s.idleTasks == 0 || s.doc.Gang || s.suspects() > 0 || !s.ready() || c.blocked(s) || slices.ContainsFunc(s.tasks, func(t task) bool { return c.now < t.notBefore }) {
+				continue
+			}
+			waiting := s.idleTasks
+			for _, ws := range p.reserved {
+				waiting -= ws.reservedFor(s)
+			}
+			for n := s.idleTasks - waiting + 1; n <= s.idleTasks && c.withinTeamLimit(s, int64(n)); n++ {
+				if tries == roomTries || len(rooms) == 0 || p.preemptions.PoolLeft(c.now, len(p.workers)) <= 0 {
+					return
+				}
+				if chosen := c.preemptFor(p, cand, s, rooms); chosen >= 0 {
+					rooms = slices.Delete(rooms, chosen, chosen+1)
+					continue
+				}
+				tries++
+				break
+			}
+		}
+	}
+}
+
+// preemptFor stops runs on a worker so that it has room for one more task of a step, and keeps the room for the step. It returns the index of
+// the worker, and -1 if there is none.
+func (c *Core) preemptFor(p *pool, cand candidate, s *step, rooms []preemptible) int {
+	left := cand.job.preemptions.JobLeft(c.now)
+	chosen, stops, ok := preemption.Choose(s.doc.ReservedResources(), preemption.Urgency{Priority: cand.priority}, rooms, left,
+		func(ws *workerState) bool { return c.eligible(s, ws) })
+	if !ok {
+		c.countDecision("preemption", "noRoom")
+		return -1
+	}
+	ws := rooms[chosen].Worker
+	p.reserve(ws, reservation{step: s, since: c.now, used: ws.used, until: c.now + preemption.KeepFor})
+	p.preemptions.Add(c.now, 1)
+	cand.job.preemptions.Add(c.now, len(stops))
+	for _, r := range stops {
+		r.step.preempted.Record(r.index, c.now)
+		c.countDecision("preemption", "stopped")
+		c.logger.Info("Run makes room for a more urgent job.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
+			"urgentJob", cand.job.doc.ID, "step", s.number, "priority", cand.priority, "sinceSaved", c.now-max(r.savedAt, r.startedAt), "left", c.expectedLeftOf(r), "stops", len(stops))
+		c.stopRun(r, "its room is needed for a more urgent job")
+	}
+	return chosen
+}
+
+// preemptible returns the workers with runs that may be stopped for more urgent work. A worker on which room is kept already is not among them,
+// so that the room goes to the task for which it was made.
+func (c *Core) preemptible(usable []*workerState) []preemptible {
+	var rooms []preemptible
+	for _, ws := range usable {
+		if len(ws.reservations) > 0 || ws.doubtedAt > 0 {
+			continue
+		}
+		room := preemptible{Worker: ws, Free: ws.freeCapacity()}
+		for _, r := range ws.runs {
+			s := r.step
+			if r.phase != running || s.tasks[r.index].done || s.crashCount(r.index).Suspect() || !s.preempted.Allows(r.index, c.now) ||
+				!preemption.MayStop(s.doc, c.expectedLeftOf(r), c.options.Bounds.StopTimeout) {
+				continue
+			}
+			q := c.queueOf(s.job)
+			tier, _ := c.rank(s.job, s.occurrence, q)
+			room.Runs = append(room.Runs, preemption.Run[*run]{
+				Run: r, Urgency: preemption.Urgency{Priority: q.Priority, Expired: tier == tierExpired}, Size: s.doc.ReservedResources(), SinceSaved: c.now - max(r.savedAt, r.startedAt),
+			})
+		}
+		if len(room.Runs) > 0 {
+			// The order of a map differs from pass to pass.
+			slices.SortFunc(room.Runs, func(a, b preemption.Run[*run]) int { return work.Task.Compare(a.Run.task(), b.Run.task()) })
+			rooms = append(rooms, room)
+		}
+	}
+	return rooms
+}
+
+// expectedLeftOf returns how long a run is expected to take. One that takes longer than expected may go on for a while.
+func (c *Core) expectedLeftOf(r *run) time.Duration {
+	ran := c.now - r.startedAt
+	if left := c.estimator.estimate(r.step) - ran; left > 0 {
+		return left
+	}
+	return ran / 4
+}
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -22,12 +22,15 @@
 	minRunLeft = 50 * time.Millisecond
 )
 
-// reservation keeps room on a worker for a task of a service that waits. Any task of the step may use it.
+// reservation keeps room on a worker for a task of a service that waits, or of a job for which runs were stopped. Any task of the step may
+// use it.
 type reservation struct {
 	step *step
 	// since is the time of the reservation or of the latest check, and used is what was in use on the worker then.
 	since time.Duration
 	used  work.Resources
+	// until is the time at which the room of runs that were stopped for another job is not kept any more, and 0 for a service.
+	until time.Duration
 }
 
 // leavesReserved reports whether n more tasks of a step on a worker leave the room that is kept for other steps.
@@ -60,7 +63,7 @@
 			if s.job.progress.State.Ended() || kept[s] >= s.idleTasks || !s.doc.ReservedResources().Fits(ws.report.Capacity) {
 				return true
 			}
-			if c.now-r.since >= reservationLimit && r.used.Fits(ws.used) {
+			if r.until > 0 && c.now >= r.until || c.now-r.since >= reservationLimit && r.used.Fits(ws.used) {
 				return true
 			}
 			kept[s]++
@@ -95,15 +98,29 @@
 			s.waits().reserveNotBefore = c.now + reserveRetry
 			return
 		}
-		if len(ws.reservations) == 0 {
-			p.reserved = append(p.reserved, ws)
-		}
-		ws.reservations = append(ws.reservations, reservation{step: s, since: c.now, used: ws.used})
+		p.reserve(ws, reservation{step: s, since: c.now, used: ws.used})
 		c.logger.Info("Worker is kept free for a service.", "job", s.job.doc.ID, "step", s.number, "worker", ws.report.ID, "waited", c.now-s.waitsSince,
 			"runs", len(ws.runs), "reservations", len(ws.reservations))
 	}
 }
 
+// reserve keeps room on a worker.
+func (p *pool) reserve(ws *workerState, r reservation) {
+	if len(ws.reservations) == 0 {
+		p.reserved = append(p.reserved, ws)
+	}
+	ws.reservations = append(ws.reservations, r)
+}
+
+// unreserved returns the capacity of a worker that is neither in use nor kept free.
+func (ws *workerState) unreserved() work.Resources {
+	free := ws.freeCapacity()
+	for _, r := range ws.reservations {
+		free = free.Minus(r.step.doc.ReservedResources())
+	}
+	return free
+}
+
 func (ws *workerState) reservedFor(s *step) int {
 	n := 0
 	for _, r := range ws.reservations {
@@ -144,10 +161,7 @@
 // reports false if only the end of a service would make room.
 func (c *Core) timeToRoom(s *step, ws *workerState) (time.Duration, bool) {
 	need := s.doc.ReservedResources()
-	free := ws.freeCapacity()
-	for _, r := range ws.reservations {
-		free = free.Minus(r.step.doc.ReservedResources())
-	}
+	free := ws.unreserved()
 	if need.Fits(free) {
 		return 0, true
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -7,6 +7,7 @@
 	"github.com/chivetiller/chivetiller/internal/jobs/copies"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/internal/jobs/gangs"
+	"github.com/chivetiller/chivetiller/internal/jobs/preemption"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
 	"github.com/chivetiller/chivetiller/work"
@@ -46,6 +47,8 @@
 	storedParts int
 	// endedAt is the time at which the job ended.
 	endedAt time.Duration
+	// preemptions tells of the runs that were stopped for the job.
+	preemptions preemption.Window
 	// tasks is the number of tasks of an occurrence.
 	tasks int
 }
@@ -89,6 +92,8 @@
 	crashSites map[int]*crashSites
 	// copies is what is known for copies of late runs, and nil if the step has none.
 	copies *copies.Step
+	// preempted tells which tasks have made room for other jobs.
+	preempted preemption.History
 	// waitsSince is the time since which tasks of a service wait for room.
 	waitsSince time.Duration
 	// wait is what else is known of tasks that wait, and nil if none has been checked.
@@ -190,6 +195,8 @@
 	startFence uint64
 	stopFence  uint64
 	checkpoint string
+	// savedAt is the time at which the worker first reported the checkpoint.
+	savedAt time.Duration
 	// worked means that the run has spoken for the health of its worker.
 	worked       bool
 	speedPercent int
@@ -220,7 +227,7 @@
 	crashedAt time.Duration
 	runs      map[work.Task]*run
 	used      work.Resources
-	// reservations holds the room that is kept for services.
+	// reservations holds the room that is kept for services and urgent jobs.
 	reservations []reservation
 	// services and bestEffort count the runs of such steps.
 	services   int
@@ -274,6 +281,9 @@
 	surgeForeseen bool
 	// tests holds the runs of suspects whose workers may still crash under them.
 	tests []*run
+	// preemptions tells of the workers on which runs were stopped for urgent jobs, and roomCheckedAt when that was last considered.
+	preemptions   preemption.Window
+	roomCheckedAt time.Duration
 	// reserved holds the workers with reservations.
 	reserved []*workerState
 	// overdueAt is the time of the latest pass that found no worker in use with room for a task of a service that is overdue.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -426,8 +426,8 @@
 		c.confirm(r)
 	}
 	c.forgetCrashes(r)
-	if row.Checkpoint != "" {
-		r.checkpoint = row.Checkpoint
+	if row.Checkpoint != "" && row.Checkpoint != r.checkpoint {
+		r.checkpoint, r.savedAt = row.Checkpoint, c.now
 	}
 	r.speedPercent, r.load = row.SpeedPercent, row.Load
 	c.recordWork(r)
--- a/work/work.go
+++ b/work/work.go
@@ -9,6 +9,7 @@
 package work
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -142,6 +143,11 @@
 	return string(name)
 }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (t Task) Compare(o Task) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // Occurrences returns the number of occurrences, which is 1 for a job without a schedule.
 func (j *Job) Occurrences() int { return max(1, j.ScheduledOccurrences) }
 
