scheduler: move what it decides of moved instances, donors and odd entries out

Instances that are lost on arrival are judged in internal/pools/joining, the choice of instances that move in internal/pools/donors, entries that lead elsewhere in internal/workers/misdirection, late starts in internal/workers/latestarts, the row of the record of leases in internal/workers/leaserecord, and the time until there is room in internal/jobs/preemption. Rows, log lines and behaviour are as before. Tests that named moved types or constants name the new ones.

--- a/internal/jobs/preemption/preemption.go
+++ b/internal/jobs/preemption/preemption.go
@@ -73,6 +73,27 @@
 	return s.Checkpoints && !s.Service && !s.Gang && left > stopTimeout
 }
 
+// Ending is a run that is expected to end and the room that it leaves.
+type Ending struct {
+	Left time.Duration
+	Size work.Resources
+}
+
+// RoomAfter returns how long it takes until a task has room without a stop, from what is free and what ends. It reports false if the endings
+// do not leave enough room.
+func RoomAfter(need, free work.Resources, endings []Ending) (time.Duration, bool) {
+	if need.Fits(free) {
+		return 0, true
+	}
+	slices.SortFunc(endings, func(a, b Ending) int { return cmp.Compare(a.Left, b.Left) })
+	for _, e := range endings {
+		if free = free.Plus(e.Size); need.Fits(free) {
+			return e.Left, true
+		}
+	}
+	return 0, false
+}
+
 // Choose returns the index of the worker on which a task gets room by the stops that lose least work, and the runs to be stopped there, at most
 // limit. It reports false if there are none. eligible reports whether the task may start on a worker, apart from room.
 func Choose[W, R any](need work.Resources, urgent Urgency, workers []Worker[W, R], limit int, eligible func(W) bool) (chosen int, stops []R, ok bool) {
--- a/internal/jobs/preemption/preemption_test.go
+++ b/internal/jobs/preemption/preemption_test.go
@@ -54,6 +54,24 @@
 	}
 }
 
+// TestRoomAfter guards against room that is expected too soon or too late.
+func TestRoomAfter(t *testing.T) {
+	endings := []Ending{{3 * time.Second, cpu(2)}, {time.Second, cpu(1)}}
+	for name, test := range map[string]struct {
+		need int64
+		want time.Duration
+		ok   bool
+	}{
+		"free": {1, 0, true}, "after the first": {2, time.Second, true}, "after both": {4, 3 * time.Second, true}, "never": {5, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			after, ok := RoomAfter(cpu(test.need), cpu(1), endings)
+			qt.Assert(t, after, qt.Equals, test.want)
+			qt.Assert(t, ok, qt.Equals, test.ok)
+		})
+	}
+}
+
 // TestMayStop guards against stops of services, gangs, runs that lose all their work, and runs that end as soon without a stop.
 func TestMayStop(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/scheduler/arrivals_test.go
+++ b/scheduler/arrivals_test.go
@@ -83,7 +83,7 @@
 				}
 			}
 			qt.Assert(t, len(moved) >= test.minMoves && len(moved) <= test.maxMoves, qt.IsTrue, qt.Commentf("%d moves", len(moved)))
-			qt.Assert(t, len(f.core.fleet.arrivalLosses) > 0, qt.Equals, test.lost)
+			qt.Assert(t, f.core.fleet.joining.LossyPools() > 0, qt.Equals, test.lost)
 		})
 	}
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -25,6 +25,7 @@
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
+	"github.com/chivetiller/chivetiller/internal/workers/misdirection"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -135,7 +136,7 @@
 	// rosterChanges holds the IDs of the workers whose stored roster entry is out of date.
 	rosterChanges map[string]bool
 	// misdirected holds the workers at whose addresses another instance has answered.
-	misdirected map[string]*misdirection
+	misdirected misdirection.List
 	// unknownPools holds, by worker ID, the pool of an entry that the configuration does not name.
 	unknownPools map[string]string
 	// hasOldRows means that the store has rows of an earlier version that other rows have replaced.
@@ -228,7 +229,7 @@
 		options: o, logger: o.Logger.Named("scheduler"), now: o.AcquiredAt, confirmedAt: o.AcquiredAt, catalog: catalog.New(0, 0, nil, nil, nil),
 		jobs: make(map[string]*job), pools: make(map[string]*pool), workers: make(map[string]*workerState), teamUsage: make(map[string]work.Resources),
 		changedJobs: make(map[*job]bool), endedWithRuns: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
-		rosterChanges: make(map[string]bool), misdirected: make(map[string]*misdirection), unknownPools: make(map[string]string),
+		rosterChanges: make(map[string]bool), misdirected: make(misdirection.List), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
 		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
 		estimator: newEstimator(), snapshots: snapshot.NewSet(), forecast: forecast.New(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
--- a/scheduler/entries.go
+++ b/scheduler/entries.go
@@ -2,48 +2,19 @@
 
 import (
 	"maps"
-	"time"
 
-	"github.com/chivetiller/chivetiller/common/backoff"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
-const (
-	// misdirectedPause is the time after which a worker is used again at whose address another instance has answered, if its entry in
-	// the registry has not changed. It doubles with each further time up to maxMisdirectedPause.
-	misdirectedPause    = 400 * time.Millisecond
-	maxMisdirectedPause = 30 * time.Second
-)
-
-// misdirection is an entry of the registry whose address leads to another instance.
-type misdirection struct {
-	address     string
-	incarnation int64
-	count       int
-	until       time.Duration
-}
-
 // dropMisdirected removes a worker at whose address another instance answers.
 func (c *Core) dropMisdirected(ws *workerState) {
-	m := c.misdirected[ws.report.ID]
-	if m == nil || m.address != ws.report.Address || m.incarnation != ws.report.Incarnation {
-		m = &misdirection{address: ws.report.Address, incarnation: ws.report.Incarnation}
-		c.misdirected[ws.report.ID] = m
-	}
-	m.count++
-	m.until = c.now + backoff.Doubled(m.count, misdirectedPause, maxMisdirectedPause)
+	c.misdirected.Add(ws.report, c.now)
 	c.dropCrashedWorker(ws, "another instance answers at the address")
 }
 
-// misdirects reports whether the entry of a worker still leads to another instance.
-func (c *Core) misdirects(r worker.Report) bool {
-	m := c.misdirected[r.ID]
-	return m != nil && c.now < m.until && m.address == r.Address && m.incarnation == r.Incarnation
-}
-
 // usable reports whether a worker that is not known may be added by its entry.
 func (c *Core) usable(r worker.Report) bool {
-	if c.misdirects(r) {
+	if c.misdirected.Leads(r, c.now) {
 		return false
 	}
 	// Without a configuration, no pool is known.
@@ -59,7 +30,7 @@
 
 // forgetEntries forgets what is known of the entries that the registry does not list any more.
 func (c *Core) forgetEntries(listed map[string]bool) {
-	maps.DeleteFunc(c.misdirected, func(id string, _ *misdirection) bool { return !listed[id] })
+	c.misdirected.Forget(listed)
 	maps.DeleteFunc(c.unknownPools, func(id, _ string) bool { return !listed[id] })
 }
 
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/pools/joining"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -52,10 +53,8 @@
 	// pendingMoves holds the moves that are not accepted yet. acceptedMoves holds the others until a newer list is read.
 	pendingMoves  map[string]*pendingMove
 	acceptedMoves map[string]acceptedMove
-	// arrivals holds the instances that have moved and whose workers have not survived for a while, and arrivalLosses the pools in which
-	// such instances were lost.
-	arrivals      map[string]*movedInstance
-	arrivalLosses map[string]*arrivalLosses
+	// joining holds the instances that have moved and whose workers have not survived for a while.
+	joining *joining.Record
 	// excessSince holds the time since which a pool has had too many instances.
 	excessSince map[string]time.Duration
 	plannedAt   time.Duration
@@ -78,7 +77,7 @@
 		instances: make(map[string]instance.Instance), waves: make(map[int]*wave), commandInFlight: make(map[string]bool), pausedUntil: make(map[string]time.Duration),
 		commandedAt: make(map[string]time.Duration), previousCommands: make(map[string]time.Duration),
 		byWorker: make(map[string]string), firstListed: make(map[string]listedWorker), pendingMoves: make(map[string]*pendingMove), acceptedMoves: make(map[string]acceptedMove), excessSince: make(map[string]time.Duration),
-		arrivals: make(map[string]*movedInstance), arrivalLosses: make(map[string]*arrivalLosses),
+		joining: joining.New(),
 	}
 }
 
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/store"
@@ -23,47 +19,17 @@
 	storeClockError = time.Second
 )
 
-// handoverRow is the record of leases.
-type handoverRow struct {
-	// Term is the term of the leader that has written the row.
-	Term int `cbor:"1,keyasint"`
-	// LeasesUntil holds the time on the store's clock at which the leases of a worker have certainly expired, by worker ID.
-	LeasesUntil map[string]time.Duration `cbor:"2,keyasint,omitempty"`
-	// Incarnations holds the incarnations of the workers, in the order of their IDs. Rows of earlier versions have none.
-	Incarnations []int64 `cbor:"3,keyasint,omitempty"`
-}
-
 // newHandoverRow returns the row of a record. It sets the ends on the store's clock where they are not known yet.
-func (e *Engine) newHandoverRow(entries leaserecord.Entries) handoverRow {
-	row := handoverRow{Term: e.Term(), LeasesUntil: make(map[string]time.Duration, len(entries)), Incarnations: make([]int64, 0, len(entries))}
-	for _, id := range slices.Sorted(maps.Keys(entries)) {
-		entry := entries[id]
+func (e *Engine) newHandoverRow(entries leaserecord.Entries) leaserecord.Row {
+	for id, entry := range entries {
 		if entry.StoredEnd == 0 {
 			at, _ := e.options.Clock.At(entry.End)
 			entry.StoredEnd = at + storeClockError
 			entries[id] = entry
 			e.core.leaseRecord.SetStoredEnd(id, entry.StoredEnd)
 		}
-		row.LeasesUntil[id] = entry.StoredEnd
-		row.Incarnations = append(row.Incarnations, entry.Incarnation)
-	}
-	return row
-}
-
-// entries returns the record that a row holds. offset is what is added to a time on the store's clock.
-func (row handoverRow) entries(offset time.Duration) (leaserecord.Entries, error) {
-	if n := len(row.Incarnations); n != 0 && n != len(row.LeasesUntil) {
-		return nil, eris.Errorf("record of leases has %d incarnations for %d workers", n, len(row.LeasesUntil))
-	}
-	entries := make(leaserecord.Entries, len(row.LeasesUntil))
-	for i, id := range slices.Sorted(maps.Keys(row.LeasesUntil)) {
-		entry := leaserecord.Entry{End: row.LeasesUntil[id] + offset, StoredEnd: row.LeasesUntil[id]}
-		if len(row.Incarnations) > 0 {
-			entry.Incarnation = row.Incarnations[i]
-		}
-		entries[id] = entry
 	}
-	return entries, nil
+	return leaserecord.NewRow(e.Term(), entries)
 }
 
 // addLeaseRecord adds the record of a batch to its transaction. A record that cannot be encoded is left out of both.
@@ -121,7 +87,7 @@
 }
 
 // takeHandover gives the core the record of leases that earlier leaders have stored.
-func (e *Engine) takeHandover(row handoverRow, readable bool, now time.Duration) {
+func (e *Engine) takeHandover(row leaserecord.Row, readable bool, now time.Duration) {
 	record := e.core.leaseRecord
 	// All leaders from the term before this one, or from the first one that observes records, have kept to the row since.
 	observed := e.options.Core.LeasesBoundedFrom != 0 && row.Term >= e.options.Core.LeasesBoundedFrom
@@ -129,7 +95,7 @@
 		return
 	}
 	storeNow, known := e.options.Clock.At(now)
-	entries, err := row.entries(now - storeNow)
+	entries, err := row.Entries(now - storeNow)
 	if !readable || !known || err != nil {
 		e.logger.Error("Record of leases cannot be used; no lease is extended before it is replaced.", "fence", e.Fence(), "error", err)
 		record.AdoptUnreadable()
--- a/scheduler/late_starts.go
+++ b/scheduler/late_starts.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"github.com/chivetiller/chivetiller/work"
@@ -16,23 +15,9 @@
 	})
 }
 
-// unansweredStart is a start command that got no answer and may be carried out later.
-type unansweredStart struct {
-	task  work.Task
-	run   int
-	since time.Duration
-}
-
-// mayArrive reports whether the command may still be carried out.
-func (s unansweredStart) mayArrive(now time.Duration) bool { return now-s.since < maxCommandDelay }
-
-// recordUnansweredStart records the latest start of a run that got no answer, and forgets those that cannot arrive any more.
+// recordUnansweredStart records the latest start of a run that got no answer.
 func (c *Core) recordUnansweredStart(r *run) {
-	ws := r.worker
-	ws.unansweredStarts = slices.DeleteFunc(ws.unansweredStarts, func(s unansweredStart) bool {
-		return s.task == r.task() && s.run == r.number || !s.mayArrive(c.now)
-	})
-	ws.unansweredStarts = append(ws.unansweredStarts, unansweredStart{task: r.task(), run: r.number, since: c.now})
+	r.worker.unansweredStarts.Add(r.task(), r.number, c.now, maxCommandDelay)
 }
 
 const (
--- a/scheduler/leaseends_test.go
+++ b/scheduler/leaseends_test.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -110,7 +111,7 @@
 	}
 	until := map[string]time.Duration{"w1": time.Hour, "w2": time.Minute}
 	var earlier earlierRow
-	qt.Assert(t, cbor.Unmarshal(encoded(handoverRow{Term: 1, LeasesUntil: until, Incarnations: []int64{1, 2}}), &earlier), qt.IsNil)
+	qt.Assert(t, cbor.Unmarshal(encoded(leaserecord.Row{Term: 1, LeasesUntil: until, Incarnations: []int64{1, 2}}), &earlier), qt.IsNil)
 	qt.Assert(t, earlier, qt.DeepEquals, earlierRow{1, until})
 	tests := map[string]struct {
 		value []byte
@@ -118,11 +119,11 @@
 		holds, holdsOther bool
 	}{
 		"earlier version": {encoded(earlier), true, false},
-		"this version":    {encoded(handoverRow{Term: 1, LeasesUntil: until, Incarnations: []int64{1, 2}}), true, false},
+		"this version":    {encoded(leaserecord.Row{Term: 1, LeasesUntil: until, Incarnations: []int64{1, 2}}), true, false},
 		"no record":       {nil, false, false},
-		"no entries":      {encoded(handoverRow{Term: 1}), false, false},
+		"no entries":      {encoded(leaserecord.Row{Term: 1}), false, false},
 		"broken":          {[]byte{0xff}, true, true},
-		"mismatch":        {encoded(handoverRow{Term: 1, LeasesUntil: until, Incarnations: []int64{1}}), true, true},
+		"mismatch":        {encoded(leaserecord.Row{Term: 1, LeasesUntil: until, Incarnations: []int64{1}}), true, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/chivetiller/chivetiller/internal/workers/latestarts"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
@@ -82,7 +83,7 @@
 	// unstoredExits holds the exits after exitsStored that were processed.
 	unstoredExits []unstoredExit
 	// unansweredStarts holds the starts that got no answer.
-	unansweredStarts []unansweredStart
+	unansweredStarts latestarts.List
 	// throttledAt is the time of the latest throttle command.
 	throttledAt time.Duration
 }
@@ -173,10 +174,8 @@
 	ws.workerLife = &next
 	c.forgetTickets(ws)
 	// Starts that got no answer may still reach the new life, which knows no runs. A stop makes the worker reject them.
-	for _, start := range ended.unansweredStarts {
-		if start.mayArrive(c.now) {
-			c.stopUnknownRun(ws, start.task, start.run)
-		}
+	for _, start := range ended.unansweredStarts.Arriving(c.now, maxCommandDelay) {
+		c.stopUnknownRun(ws, start.Task, start.Run)
 	}
 	c.rosterChanges[ws.report.ID] = true
 }
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/pools/donors"
 )
 
 const (
@@ -71,17 +72,17 @@
 		}
 	}
 	maxMoves := c.maxMoves()
-	available := donors{inUse: c.instancesInUse(excess, demands), spare: c.spareInstances(spare)}
+	available := donors.New(c.instancesInUse(excess, demands), c.spareInstances(spare))
 	for _, d := range demands {
 		for n := c.maxArrivals(d); n > 0 && len(f.pendingMoves) < maxMoves; n-- {
-			id := available.choose(excess)
+			id := available.Choose(excess)
 			if id == "" {
 				return
 			}
 			c.startMove(id, d.pool, d)
 		}
 	}
-	c.releaseExcess(spare, excess, demands, available.inUse)
+	c.releaseExcess(spare, excess, demands, available.InUse())
 }
 
 // sparePool returns the pool whose instances are switched off.
@@ -94,39 +95,6 @@
 	return ""
 }
 
-// donor is an instance that can move to another pool, and the tasks that run on it.
-type donor struct {
-	instance, pool string
-	runs           int
-}
-
-// donors lists the instances that can move, each once in a plan.
-type donors struct {
-	// inUse holds those of pools with an excess, the emptiest first, and spare those that are switched off.
-	inUse []donor
-	spare []string
-}
-
-// choose returns the instance whose move costs least, and "" if there is none: an empty one of a pool with an excess, one that is
-// switched off, or one that will be empty soon. It takes the instance off the list and its pool's excess.
-func (d *donors) choose(excess map[string]int) string {
-	for len(d.inUse) > 0 && excess[d.inUse[0].pool] <= 0 {
-		d.inUse = d.inUse[1:]
-	}
-	if len(d.spare) > 0 && (len(d.inUse) == 0 || d.inUse[0].runs > 0) {
-		id := d.spare[0]
-		d.spare = d.spare[1:]
-		return id
-	}
-	if len(d.inUse) == 0 {
-		return ""
-	}
-	first := d.inUse[0]
-	d.inUse = d.inUse[1:]
-	excess[first.pool]--
-	return first.instance
-}
-
 // spareInstances returns the instances of the spare pool that can move, by ID.
 func (c *Core) spareInstances(spare string) []string {
 	var ids []string
@@ -158,10 +126,10 @@
 	return false
 }
 
-// instancesInUse returns the instances that can move in pools with an excess, those with the fewest tasks first. None of them runs a
+// instancesInUse returns the instances that can move in pools with an excess, in no order. None of them runs a
 // service or a best-effort task, or is kept free for a service.
-func (c *Core) instancesInUse(excess map[string]int, demands []demand) []donor {
-	var list []donor
+func (c *Core) instancesInUse(excess map[string]int, demands []demand) []donors.Donor {
+	var list []donors.Donor
 	for _, d := range demands {
 		if excess[d.pool] <= 0 {
 			continue
@@ -174,15 +142,14 @@
 			if !ok || !c.movable(id, c.fleet.instances[id]) || !c.reachable(c.fleet.instances[id]) {
 				continue
 			}
-			list = append(list, donor{instance: id, pool: d.pool, runs: len(ws.runs)})
+			list = append(list, donors.Donor{Instance: id, Pool: d.pool, Runs: len(ws.runs)})
 		}
 	}
-	slices.SortStableFunc(list, func(a, b donor) int { return cmp.Compare(a.runs, b.runs) })
 	return list
 }
 
 // releaseExcess switches off empty instances of pools that have had an excess for a while.
-func (c *Core) releaseExcess(spare string, excess map[string]int, demands []demand, inUse []donor) {
+func (c *Core) releaseExcess(spare string, excess map[string]int, demands []demand, inUse []donors.Donor) {
 	f := c.fleet
 	// Nothing is known about the demand before the first batch job of the term.
 	if spare == "" || !c.batchJobSeen {
@@ -201,14 +168,14 @@
 			continue
 		}
 		for _, candidate := range inUse {
-			if excess[d.pool] <= 0 || len(f.pendingMoves) >= c.maxMoves() || candidate.runs > 0 {
+			if excess[d.pool] <= 0 || len(f.pendingMoves) >= c.maxMoves() || candidate.Runs > 0 {
 				break
 			}
-			if candidate.pool != d.pool {
+			if candidate.Pool != d.pool {
 				continue
 			}
 			excess[d.pool]--
-			c.startMove(candidate.instance, spare, d)
+			c.startMove(candidate.Instance, spare, d)
 		}
 	}
 }
@@ -274,7 +241,7 @@
 		f.instances[cmd.Instance] = inst
 		f.acceptedMoves[cmd.Instance] = acceptedMove{pool: cmd.Pool, at: c.now}
 		if mv, ok := f.pendingMoves[cmd.Instance]; ok && cmd.Pool != c.sparePool() {
-			f.arrivals[cmd.Instance] = &movedInstance{pool: cmd.Pool, plannedAt: mv.since}
+			f.joining.Add(cmd.Instance, cmd.Pool, mv.since)
 		}
 		delete(f.pendingMoves, cmd.Instance)
 	case instance.Unknown:
--- a/scheduler/oddentries_test.go
+++ b/scheduler/oddentries_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/workers/misdirection"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -44,7 +45,7 @@
 		// used is the time after which the worker is used once it answers itself.
 		used time.Duration
 	}{
-		"same entry":      {func(*worker.Report) {}, maxMisdirectedPause + time.Second},
+		"same entry":      {func(*worker.Report) {}, misdirection.MaxPause + time.Second},
 		"new address":     {func(report *worker.Report) { report.Address = "w2:2" }, 200 * time.Millisecond},
 		"new incarnation": {func(report *worker.Report) { report.Incarnation++ }, 200 * time.Millisecond},
 	}
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -1,10 +1,10 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/preemption"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -112,15 +112,6 @@
 	ws.reservations = append(ws.reservations, r)
 }
 
-// unreserved returns the capacity of a worker that is neither in use nor kept free.
-func (ws *workerState) unreserved() work.Resources {
-	free := ws.freeCapacity()
-	for _, r := range ws.reservations {
-		free = free.Minus(r.step.doc.ReservedResources())
-	}
-	return free
-}
-
 func (ws *workerState) reservedFor(s *step) int {
 	n := 0
 	for _, r := range ws.reservations {
@@ -160,28 +151,17 @@
 // timeToRoom returns how long a worker is expected to take until it has room for one more task of a step beside its reservations. It
 // reports false if only the end of a service would make room.
 func (c *Core) timeToRoom(s *step, ws *workerState) (time.Duration, bool) {
-	need := s.doc.ReservedResources()
-	free := ws.unreserved()
-	if need.Fits(free) {
-		return 0, true
-	}
-	type ending struct {
-		left    time.Duration
-		charged work.Resources
-	}
-	endings := make([]ending, 0, len(ws.runs))
+	endings := make([]preemption.Ending, 0, len(ws.runs))
 	for _, r := range ws.runs {
 		if !r.step.doc.Service || r.phase == stopping {
-			endings = append(endings, ending{left: c.runTimeLeft(r), charged: r.step.doc.ReservedResources()})
+			endings = append(endings, preemption.Ending{Left: c.runTimeLeft(r), Size: r.step.doc.ReservedResources()})
 		}
 	}
-	slices.SortFunc(endings, func(a, b ending) int { return cmp.Compare(a.left, b.left) })
-	for _, e := range endings {
-		if free = free.Plus(e.charged); need.Fits(free) {
-			return e.left, true
-		}
+	free := ws.freeCapacity()
+	for _, r := range ws.reservations {
+		free = free.Minus(r.step.doc.ReservedResources())
 	}
-	return 0, false
+	return preemption.RoomAfter(s.doc.ReservedResources(), free, endings)
 }
 
 // runTimeLeft returns how long a run is expected to take. One that takes longer than estimated is expected to go on for a while.
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -108,8 +108,8 @@
 		// Each run takes more than a second, and has one entry until its start cannot arrive any more.
 		runs := make(map[int]bool)
 		for _, s := range ws.unansweredStarts {
-			qt.Assert(t, runs[s.run], qt.IsFalse)
-			runs[s.run] = true
+			qt.Assert(t, runs[s.Run], qt.IsFalse)
+			runs[s.Run] = true
 		}
 		qt.Assert(t, len(runs) <= int(maxCommandDelay/startAnswerTimeout)+1, qt.IsTrue, qt.Commentf("%d", len(runs)))
 		r.advance(time.Second)
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -16,6 +16,7 @@
 
 	"github.com/chivetiller/chivetiller/internal/store/retrying"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
+	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
@@ -159,7 +160,7 @@
 	chain   uint64
 	clock   clockRow
 	// handover is the record of leases.
-	handover           handoverRow
+	handover           leaserecord.Row
 	handoverUnreadable bool
 	// instances holds the time of the latest command for each instance, on the store's clock.
 	instances map[string]time.Duration
