--- a/internal/workers/latestarts/latestarts.go
+++ b/internal/workers/latestarts/latestarts.go
@@ -26,9 +26,8 @@
 
 // Add records a start of a run, and forgets those that cannot arrive any more: maxDelay is how long a command may take.
 func (l *List) Add(task work.Task, run int, now, maxDelay time.Duration) {
-	arriving := l.Arriving(now, maxDelay)
-	arriving = slices.DeleteFunc(arriving, func(s Start) bool { return s.Task == task && s.Run == run })
-	*l = append(arriving, Start{Task: task, Run: run, since: now})
+	*l = slices.DeleteFunc(l.Arriving(now, maxDelay), func(s Start) bool { return s.Task == task && s.Run == run })
+	*l = append(*l, Start{Task: task, Run: run, since: now})
 }
 
 // Arriving returns the starts that may still be carried out.
--- a/scheduler/preemption_test.go
+++ b/scheduler/preemption_test.go
@@ -113,7 +113,7 @@
 		"late":             {since: 5 * time.Second},
 		"too large":        {urgent: func(doc *work.Job) { doc.Steps[0].Request.CPU = 4001 }},
 		"limit of a team":  {urgent: func(doc *work.Job) { doc.Team = "limited" }},
-		"ends soon":        {before: func(r *copiesRig, full *job) { r.play(7400 * time.Millisecond) }},
+		"ends soon":        {before: func(r *copiesRig, _ *job) { r.play(7400 * time.Millisecond) }},
 		"stopped twice":    {before: func(_ *copiesRig, full *job) { preemptedAt(full, 2, time.Second) }},
 		"stopped lately":   {before: func(r *copiesRig, full *job) { preemptedAt(full, 1, r.now-time.Second) }},
 		"stopped long ago": {before: func(r *copiesRig, full *job) { preemptedAt(full, 1, r.now-5*time.Second) }, want: 1},
