copies: keep the mark of an overtaken worker off the path of other steps

The mark lay between fields that placing reads for each worker.

The mark is in the life of the worker now, and read for steps with copies only.

The model of preemption has a service and a gang beside; it fails if gangs may be stopped.

--- a/scheduler/copiesmodel_test.go
+++ b/scheduler/copiesmodel_test.go
@@ -29,6 +29,8 @@
 	// urgent means that the other job takes the room of the first one, whose tasks have no copies. preempted counts the runs that were stopped.
 	urgent    bool
 	preempted uint64
+	// others holds a service and a gang, which are never preempted.
+	others []work.Job
 	// most is the largest number of runs of a task at the same time.
 	most int
 }
@@ -77,7 +79,7 @@
 			if !ok {
 				since = p.now
 			}
-			if p.now < since+p.takes[i] {
+			if p.now < since+p.takes[i] || task.Job == "service" {
 				begun[r] = since
 				continue
 			}
@@ -109,6 +111,11 @@
 			}
 		}
 	}
+	for _, n := range p.nodes {
+		if n.core != nil {
+			p.checkOthers(n.core)
+		}
+	}
 	for _, doc := range []work.Job{p.doc, p.next} {
 		if value, ok := p.progress[doc.ID]; ok {
 			p.read(doc, value)
@@ -116,6 +123,18 @@
 	}
 }
 
+// checkOthers checks that no leader has preempted a task of a service or a gang.
+func (p *copiesPlay) checkOthers(c *Core) {
+	for _, doc := range p.others {
+		s, ok := c.findStep(work.Task{Job: doc.ID})
+		for i := range doc.Steps[0].Count {
+			if ok && !s.preempted.Allows(i, c.now) {
+				p.rt.Fatalf("%s: task %d of the %s is preempted", p.now-time.Minute, i, doc.ID)
+			}
+		}
+	}
+}
+
 // read notes what is stored of a job.
 func (p *copiesPlay) read(doc work.Job, value []byte) {
 	var progress work.Progress
@@ -172,7 +191,7 @@
 	t.Logf("a task had two runs in %d plays", copied)
 }
 
-// TestPreemptionModel guards against a task that runs twice, or again after it is done, has failed too often, or before the steps that it
+// TestPreemptionModel guards against a service or gang that is preempted, and against a task that runs twice, or again after it is done, has failed too often, or before the steps that it
 // depends on are done, because it was stopped for an urgent job, also by a leader that is lost in the middle.
 func TestPreemptionModel(t *testing.T) {
 	preempted := 0
@@ -181,10 +200,18 @@
 		p.urgent, p.limited, p.doc.Team = true, false, ""
 		for i := range p.doc.Steps {
 			s := &p.doc.Steps[i]
-			s.Count, s.Request.CPU, s.Estimate, s.Speculative, s.Checkpoints = modelZones, 4000, 6*time.Second, false, true
+			s.Count, s.Request.CPU, s.Estimate, s.Speculative, s.Checkpoints = modelZones, 3000, 6*time.Second, false, true
 		}
 		p.doc.Steps = p.doc.Steps[:2]
 		p.next = work.Job{ID: "b", Queue: "u", Pool: "p", Steps: []work.Step{{Count: 2, Request: work.Resources{CPU: 3000, Memory: 100}, Estimate: 3 * time.Second}}}
+		for _, step := range []work.Step{{Service: true, MaxDisruptions: 1}, {Gang: true}} {
+			step.Count, step.Request, step.Estimate, step.Checkpoints = 2, work.Resources{CPU: 500, Memory: 100}, 6*time.Second, true
+			id := "service"
+			if step.Gang {
+				id = "gang"
+			}
+			p.others = append(p.others, work.Job{ID: id, Queue: "q", Pool: "p", Steps: []work.Step{step}})
+		}
 		for i := range p.takes {
 			p.takes[i] = 4 * time.Second
 		}
--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -338,6 +338,9 @@
 	if m.cancelled || m.copies != nil && m.now >= m.copies.nextAt {
 		docs = append(docs, m.next)
 	}
+	if m.copies != nil {
+		docs = append(docs, m.copies.others...)
+	}
 	for _, doc := range docs {
 		if _, known := c.jobs[doc.ID]; known {
 			continue
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -86,6 +86,8 @@
 	unansweredStarts latestarts.List
 	// throttledAt is the time of the latest throttle command.
 	throttledAt time.Duration
+	// overtakenAt is the time at which a run there was last overtaken by its copy.
+	overtakenAt time.Duration
 }
 
 // call is a call to a worker. Its answer is compared with it.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -339,7 +339,7 @@
 	// costLongLease is the cost, for a service, of a worker that may hold a lease from a call to its earlier life. If it is lost, its runs count
 	// as running for longer.
 	costLongLease = 300
-	// costOvertaken is the cost of a worker on which a run was overtaken by its copy lately. The worker is likely to be slow.
+	// costOvertaken is the cost, for a step with copies, of a worker on which a run was overtaken by its copy lately. It is likely to be slow.
 	costOvertaken = 4
 	// costInterference is the cost of a best-effort task next to a service, or the other way round.
 	costInterference = 3
@@ -365,7 +365,7 @@
 	if s.tasks[index].lastWorker == ws.report.ID && s.failures(index) > 0 {
 		cost += costFailedBefore
 	}
-	if ws.overtakenAt > 0 && c.now-ws.overtakenAt < copies.SlowFor {
+	if s.copies != nil && ws.overtakenAt > 0 && c.now-ws.overtakenAt < copies.SlowFor {
 		cost += costOvertaken
 	}
 	if s.crashCount(index).Suspect() {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -219,8 +219,6 @@
 	listed bool
 	// contradicted means that the latest registry entry has another address for the present incarnation.
 	contradicted bool
-	// overtakenAt is the time at which a run there was last overtaken by its copy.
-	overtakenAt time.Duration
 	// maxCPU is the largest processor capacity in the registry entries of this incarnation.
 	maxCPU int64
 	// crashedAt is the time at which a crash of the worker became known, if it has started again under its ID.
