preemption: search less where no stop makes room

A pass over a full pool of 370 workers with four runs each took 3.8 ms if no stop makes room for any waiting task, 0.3 ms without preemption. Runs are sorted once, and a worker that is too small is passed over: 0.9 ms. Such a pass comes every 50 ms at most.

--- a/internal/jobs/preemption/preemption.go
+++ b/internal/jobs/preemption/preemption.go
@@ -3,7 +3,8 @@
 //
 // # Usage
 //
-//	// List the runs of each worker for which preemption.MayStop and history.Allows hold.
+//	// For each worker, with the runs for which preemption.MayStop and history.Allows hold:
+//	workers = append(workers, preemption.NewWorker(w, free, runs, tie))
 //	if i, stops, ok := preemption.Choose(need, urgency, workers, jobStops.JobLeft(now), eligible); ok && poolStops.PoolLeft(now, poolWorkers) > 0 {
 //		// Stop the runs, record that with Window.Add and History.Record, and keep their room for preemption.KeepFor.
 //	}
@@ -61,10 +62,21 @@
 // Worker is a worker on which a task could start if it had room. W names it.
 type Worker[W, R any] struct {
 	Worker W
-	// Free is what is neither in use nor kept for others.
-	Free work.Resources
-	// Runs holds the runs that may be stopped.
-	Runs []Run[R]
+	free   work.Resources
+	runs   []Run[R]
+	// room is what is free once all runs are stopped.
+	room work.Resources
+}
+
+// NewWorker returns a worker. free is what is neither in use nor kept for others, and runs those that may be stopped, which it sorts. tie orders
+// runs that lose as much.
+func NewWorker[W, R any](w W, free work.Resources, runs []Run[R], tie func(a, b R) int) Worker[W, R] {
+	slices.SortFunc(runs, func(a, b Run[R]) int { return cmp.Or(cmp.Compare(a.lost(), b.lost()), tie(a.Run, b.Run)) })
+	room := free
+	for _, r := range runs {
+		room = room.Plus(r.Size)
+	}
+	return Worker[W, R]{Worker: w, free: free, runs: runs, room: room}
 }
 
 // MayStop reports whether a run may be stopped for any work: it saves its progress, belongs to no service and no gang, and is not expected
@@ -115,11 +127,11 @@
 // stopsFor returns the runs whose room, together with what is free, is enough, and what their end loses. It returns none if no stop is needed,
 // or if there is not enough room.
 func (w Worker[W, R]) stopsFor(need work.Resources, urgent Urgency) (stops []Run[R], lost float64) {
-	free := w.Free
-	if need.Fits(free) {
+	free := w.free
+	if !need.Fits(w.room) || need.Fits(free) {
 		return nil, 0
 	}
-	for _, r := range slices.SortedStableFunc(slices.Values(w.Runs), func(a, b Run[R]) int { return cmp.Compare(a.lost(), b.lost()) }) {
+	for _, r := range w.runs {
 		if !urgent.MoreThan(r.Urgency) {
 			continue
 		}
--- a/internal/jobs/preemption/preemption_test.go
+++ b/internal/jobs/preemption/preemption_test.go
@@ -1,6 +1,8 @@
 package preemption
 
 import (
+	"cmp"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,37 +18,48 @@
 	return Run[string]{Run: name, Urgency: Urgency{Priority: priority}, Size: cpu(size), SinceSaved: sinceSaved}
 }
 
+// listed is a worker with runs that may be stopped.
+type listed struct {
+	name string
+	free work.Resources
+	runs []Run[string]
+}
+
 // TestChoose guards against stops that lose more work than needed, that make no room, or that hit work which is as urgent.
 func TestChoose(t *testing.T) {
 	second := time.Second
 	for name, test := range map[string]struct {
 		urgent  Urgency
-		workers []Worker[string, string]
+		workers []listed
 		limit   int
 		want    []string
 		on      int
 	}{
 		"least work lost": {
-			Urgency{}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 4, 1, 2*second)}}, {Free: cpu(0), Runs: []Run[string]{run("b", 4, 1, second)}}}, 4, []string{"b"}, 1,
+			Urgency{}, []listed{{"", cpu(0), []Run[string]{run("a", 4, 1, 2*second)}}, {"", cpu(0), []Run[string]{run("b", 4, 1, second)}}}, 4, []string{"b"}, 1,
 		},
-		"with what is free": {Urgency{}, []Worker[string, string]{{Free: cpu(3), Runs: []Run[string]{run("a", 4, 1, second), run("b", 1, 1, second)}}}, 4, []string{"b"}, 0},
-		"two runs":          {Urgency{}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 2, 1, second), run("b", 2, 1, second)}}}, 4, []string{"a", "b"}, 0},
-		"superfluous":       {Urgency{}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 1, 1, second), run("b", 4, 1, second)}}}, 4, []string{"b"}, 0},
-		"beyond the limit":  {Urgency{}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 2, 1, second), run("b", 2, 1, second)}}}, 1, nil, 0},
-		"not enough room":   {Urgency{}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 3, 1, second)}}}, 4, nil, 0},
-		"room is free":      {Urgency{}, []Worker[string, string]{{Free: cpu(4), Runs: []Run[string]{run("a", 4, 1, second)}}}, 4, nil, 0},
-		"as urgent":         {Urgency{Priority: 1}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 4, 1, second)}}}, 4, nil, 0},
-		"more urgent":       {Urgency{Priority: 1}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{run("a", 4, 0, second)}}}, 4, nil, 0},
+		"with what is free": {Urgency{}, []listed{{"", cpu(3), []Run[string]{run("a", 4, 1, second), run("b", 1, 1, second)}}}, 4, []string{"b"}, 0},
+		"two runs":          {Urgency{}, []listed{{"", cpu(0), []Run[string]{run("a", 2, 1, second), run("b", 2, 1, second)}}}, 4, []string{"a", "b"}, 0},
+		"superfluous":       {Urgency{}, []listed{{"", cpu(0), []Run[string]{run("a", 1, 1, second), run("b", 4, 1, second)}}}, 4, []string{"b"}, 0},
+		"beyond the limit":  {Urgency{}, []listed{{"", cpu(0), []Run[string]{run("a", 2, 1, second), run("b", 2, 1, second)}}}, 1, nil, 0},
+		"not enough room":   {Urgency{}, []listed{{"", cpu(0), []Run[string]{run("a", 3, 1, second)}}}, 4, nil, 0},
+		"room is free":      {Urgency{}, []listed{{"", cpu(4), []Run[string]{run("a", 4, 1, second)}}}, 4, nil, 0},
+		"as urgent":         {Urgency{Priority: 1}, []listed{{"", cpu(0), []Run[string]{run("a", 4, 1, second)}}}, 4, nil, 0},
+		"more urgent":       {Urgency{Priority: 1}, []listed{{"", cpu(0), []Run[string]{run("a", 4, 0, second)}}}, 4, nil, 0},
 		"without value": {
-			Urgency{Priority: 1}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{{Run: "a", Urgency: Urgency{Priority: 1, Expired: true}, Size: cpu(4)}}}}, 4, []string{"a"}, 0,
+			Urgency{Priority: 1}, []listed{{"", cpu(0), []Run[string]{{Run: "a", Urgency: Urgency{Priority: 1, Expired: true}, Size: cpu(4)}}}}, 4, []string{"a"}, 0,
 		},
-		"may not start there": {Urgency{}, []Worker[string, string]{{Worker: "unfit", Free: cpu(0), Runs: []Run[string]{run("a", 4, 1, second)}}}, 4, nil, 0},
+		"may not start there": {Urgency{}, []listed{{"unfit", cpu(0), []Run[string]{run("a", 4, 1, second)}}}, 4, nil, 0},
 		"more urgent without value": {
-			Urgency{Priority: 1}, []Worker[string, string]{{Free: cpu(0), Runs: []Run[string]{{Run: "a", Urgency: Urgency{Priority: 0, Expired: true}, Size: cpu(4)}}}}, 4, nil, 0,
+			Urgency{Priority: 1}, []listed{{"", cpu(0), []Run[string]{{Run: "a", Urgency: Urgency{Priority: 0, Expired: true}, Size: cpu(4)}}}}, 4, nil, 0,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			on, stops, ok := Choose(cpu(4), test.urgent, test.workers, test.limit, func(w string) bool { return w != "unfit" })
+			var workers []Worker[string, string]
+			for _, w := range test.workers {
+				workers = append(workers, NewWorker(w.name, w.free, w.runs, strings.Compare))
+			}
+			on, stops, ok := Choose(cpu(4), test.urgent, workers, test.limit, func(w string) bool { return w != "unfit" })
 			qt.Assert(t, ok, qt.Equals, len(test.want) > 0)
 			qt.Assert(t, stops, qt.DeepEquals, test.want)
 			qt.Assert(t, on, qt.Equals, test.on)
@@ -109,15 +122,17 @@
 			now += time.Duration(rapid.IntRange(0, 1200).Draw(t, "passes")) * time.Millisecond
 			list := make([]Worker[int, int], rapid.IntRange(1, 4).Draw(t, "listed"))
 			for i := range list {
-				list[i].Free = cpu(rapid.Int64Range(0, 5).Draw(t, "free"))
+				free := cpu(rapid.Int64Range(0, 5).Draw(t, "free"))
+				var runs []Run[int]
 				for n := range rapid.IntRange(0, 3).Draw(t, "runs") {
 					if id := 3*i + n; history.Allows(id, now) {
-						list[i].Runs = append(list[i].Runs, Run[int]{
+						runs = append(runs, Run[int]{
 							Run: id, Urgency: Urgency{Priority: rapid.IntRange(0, 2).Draw(t, "priority")}, Size: cpu(rapid.Int64Range(1, 4).Draw(t, "size")),
 							SinceSaved: time.Duration(rapid.IntRange(0, 2000).Draw(t, "saved")) * time.Millisecond,
 						})
 					}
 				}
+				list[i] = NewWorker(i, free, runs, cmp.Compare[int])
 			}
 			if pool.PoolLeft(now, workers) <= 0 {
 				continue
@@ -127,8 +142,8 @@
 			if !ok {
 				continue
 			}
-			free := list[i].Free
-			for _, r := range list[i].Runs {
+			free := list[i].free
+			for _, r := range list[i].runs {
 				for _, id := range chosen {
 					if id == r.Run {
 						free = free.Plus(r.Size)
--- a/scheduler/preemption.go
+++ b/scheduler/preemption.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/jobs/preemption"
-	"github.com/chivetiller/chivetiller/work"
 )
 
 // roomTries is the number of tasks of a pass that may find no run to be stopped. The search reads all runs of the pool.
@@ -80,7 +79,7 @@
 		if len(ws.reservations) > 0 || ws.doubtedAt > 0 {
 			continue
 		}
-		room := preemptible{Worker: ws, Free: ws.freeCapacity()}
+		runs := make([]preemption.Run[*run], 0, len(ws.runs))
 		for _, r := range ws.runs {
 			s := r.step
 			if r.phase != running || s.tasks[r.index].done || s.crashCount(r.index).Suspect() || !s.preempted.Allows(r.index, c.now) ||
@@ -89,14 +88,12 @@
 			}
 			q := c.queueOf(s.job)
 			tier, _ := c.rank(s.job, s.occurrence, q)
-			room.Runs = append(room.Runs, preemption.Run[*run]{
+			runs = append(runs, preemption.Run[*run]{
 				Run: r, Urgency: preemption.Urgency{Priority: q.Priority, Expired: tier == tierExpired}, Size: s.doc.ReservedResources(), SinceSaved: c.now - max(r.savedAt, r.startedAt),
 			})
 		}
-		if len(room.Runs) > 0 {
-			// The order of a map differs from pass to pass.
-			slices.SortFunc(room.Runs, func(a, b preemption.Run[*run]) int { return work.Task.Compare(a.Run.task(), b.Run.task()) })
-			rooms = append(rooms, room)
+		if len(runs) > 0 {
+			rooms = append(rooms, preemption.NewWorker(ws, ws.freeCapacity(), runs, func(a, b *run) int { return a.task().Compare(b.task()) }))
 		}
 	}
 	return rooms
