copies: start nothing of a limited team during an outage of the store

A leader that was cut off from the store and had been replaced started two tasks without a record, as it may during an outage. The records of the tasks before them count for such starts, but name fewer runs once a copy is done.

Tasks of an occurrence with copies wait for the store if their team has a limit. Others start as before.

--- a/scheduler/plans.go
+++ b/scheduler/plans.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/chivetiller/chivetiller/work"
 )
 
 // startRuns starts planned runs, and logs them together.
@@ -62,6 +64,12 @@
 // outageAfter is the time without a stored batch after which the store counts as down.
 const outageAfter = 500 * time.Millisecond
 
+// limitsCopies reports whether an occurrence may have copies and its team a limit. A start without a record would go beyond the limit under the
+// next leader: the record of a task that is done covers it otherwise, but names fewer runs after a copy.
+func (c *Core) limitsCopies(s *step) bool {
+	return c.catalog.Teams[s.job.doc.Team].Limit != (work.Resources{}) && slices.ContainsFunc(s.occurrence.steps, func(s *step) bool { return s.copies != nil })
+}
+
 // startDuringOutage starts planned runs while the store is down, on workers that are recorded for their occurrence. This
 // is safe since the next leader starts nothing of an occurrence before all its recorded workers have answered or their
 // leases have expired. Tasks of services wait, since the next leader starts those of them whose recorded run has ended, and so
@@ -73,7 +81,7 @@
 	var due []*run
 	remaining := c.plannedRuns[:0]
 	for _, r := range c.plannedRuns {
-		if c.now-r.startedAt > outageAfter && !r.copied && !r.step.recordsAll() && !r.step.crashCount(r.index).Suspect() && slices.Contains(r.step.occurrence.recordedWorkers, r.worker.report.ID) {
+		if c.now-r.startedAt > outageAfter && !r.copied && !c.limitsCopies(r.step) && !r.step.recordsAll() && !r.step.crashCount(r.index).Suspect() && slices.Contains(r.step.occurrence.recordedWorkers, r.worker.report.ID) {
 			due = append(due, r)
 			continue
 		}
