--- a/internal/jobs/gangs/gangs.go
+++ b/internal/jobs/gang/room.go
@@ -1,57 +1,10 @@
-// Package gangs finds room for the tasks of a gang, which start together or not at all.
-//
-// # Usage
-//
-//	for _, rack := range gangs.ByRack(workers, rackOf, preferred) {
-//		if chosen := gangs.Spread(len(tasks), rack, fits); chosen != nil {
-//			return chosen
-//		}
-//	}
-//	instances := gangs.Shape{Request: request, Count: count}.Width(capacities)
-package gangs
+package gang
 
 import (
 	"maps"
 	"slices"
-
-	"github.com/chivetiller/chivetiller/work"
 )
 
-// Shape is what the width of a gang depends on.
-type Shape struct {
-	Request work.Resources
-	Count   int
-	// MaxPerWorker is the maximum number of its tasks on a worker, and 0 if there is none.
-	MaxPerWorker int
-}
-
-// tasksOn returns how many of its tasks an instance of a capacity can hold.
-func (g Shape) tasksOn(capacity work.Resources) int {
-	n := int64(g.Count)
-	if g.MaxPerWorker > 0 {
-		n = min(n, int64(g.MaxPerWorker))
-	}
-	for _, r := range [...]struct{ has, needs int64 }{
-		{capacity.CPU, g.Request.CPU}, {capacity.Memory, g.Request.Memory}, {capacity.GPU, g.Request.GPU},
-	} {
-		if r.needs > 0 {
-			n = min(n, r.has/r.needs)
-		}
-	}
-	return int(max(0, n))
-}
-
-// Width returns how many instances hold a gang, the first of those given, and 0 if all of them do not.
-func (g Shape) Width(capacities []work.Resources) int {
-	left := g.Count
-	for i, capacity := range capacities {
-		if left -= g.tasksOn(capacity); left <= 0 {
-			return i + 1
-		}
-	}
-	return 0
-}
-
 // Spread returns a worker for each of count tasks, the first that fit, and nil if there is not enough room. fits reports whether one more task
 // fits on a worker beside n others of the gang.
 func Spread[W comparable](count int, workers []W, fits func(w W, n int64) bool) []W {
--- a/internal/jobs/gangs/gangs_test.go
+++ b/internal/jobs/gang/room_test.go
@@ -1,33 +1,12 @@
-package gangs
+package gang
 
 import (
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
-
-	"github.com/chivetiller/chivetiller/work"
 )
 
-// TestWidth guards against a gang that gets fewer instances than its tasks need at once, and against one that counts instances it cannot use.
-func TestWidth(t *testing.T) {
-	four := work.Resources{CPU: 4000, Memory: 4000}
-	all := []work.Resources{four, four, four}
-	for name, test := range map[string]struct {
-		shape Shape
-		want  int
-	}{
-		"processors":     {Shape{Request: work.Resources{CPU: 2000}, Count: 3}, 2},
-		"memory":         {Shape{Request: work.Resources{CPU: 1, Memory: 4000}, Count: 3}, 3},
-		"one a worker":   {Shape{Request: work.Resources{CPU: 1}, Count: 2, MaxPerWorker: 1}, 2},
-		"too many":       {Shape{Request: work.Resources{CPU: 4000}, Count: 4}, 0},
-		"too large":      {Shape{Request: work.Resources{GPU: 1}, Count: 1}, 0},
-		"nothing needed": {Shape{Count: 9}, 1},
-	} {
-		t.Run(name, func(t *testing.T) { qt.Assert(t, test.shape.Width(all), qt.Equals, test.want) })
-	}
-}
-
 // TestSpread guards against a gang that is placed in part or beyond the room of a worker.
 func TestSpread(t *testing.T) {
 	room := map[string]int64{"a": 1, "b": 0, "c": 2}
--- a/internal/jobs/preemption/preemption.go
+++ b/internal/jobs/preemption/preemption.go
@@ -80,9 +80,10 @@
 }
 
 // MayStop reports whether a run may be stopped for any work: it saves its progress, belongs to no service and no gang, and is not expected
-// to end before a stop would have ended it.
-func MayStop(s *work.Step, left, stopTimeout time.Duration) bool {
-	return s.Checkpoints && !s.Service && !s.Gang && left > stopTimeout
+// to end before a stop would have ended it. left is how long it is expected to go on, and usual how long until it has taken as long as such
+// runs usually do. A run that is close to its usual end is spared although it may turn out to be late.
+func MayStop(s *work.Step, left, usual, stopTimeout time.Duration) bool {
+	return s.Checkpoints && !s.Service && !s.Gang && left > stopTimeout && (usual <= 0 || usual > stopTimeout)
 }
 
 // Ending is a run that is expected to end and the room that it leaves.
--- a/internal/jobs/preemption/preemption_test.go
+++ b/internal/jobs/preemption/preemption_test.go
@@ -88,18 +88,21 @@
 // TestMayStop guards against stops of services, gangs, runs that lose all their work, and runs that end as soon without a stop.
 func TestMayStop(t *testing.T) {
 	for name, test := range map[string]struct {
-		step work.Step
-		left time.Duration
-		want bool
+		step        work.Step
+		left, usual time.Duration
+		want        bool
 	}{
-		"with checkpoints":    {work.Step{Checkpoints: true}, 2 * time.Second, true},
-		"without checkpoints": {work.Step{}, 2 * time.Second, false},
-		"service":             {work.Step{Checkpoints: true, Service: true}, 2 * time.Second, false},
-		"gang":                {work.Step{Checkpoints: true, Gang: true}, 2 * time.Second, false},
-		"ends soon":           {work.Step{Checkpoints: true}, time.Second, false},
+		"with checkpoints":    {work.Step{Checkpoints: true}, 2 * time.Second, 2 * time.Second, true},
+		"without checkpoints": {work.Step{}, 2 * time.Second, 2 * time.Second, false},
+		"service":             {work.Step{Checkpoints: true, Service: true}, 2 * time.Second, 2 * time.Second, false},
+		"gang":                {work.Step{Checkpoints: true, Gang: true}, 2 * time.Second, 2 * time.Second, false},
+		"ends soon":           {work.Step{Checkpoints: true}, time.Second, time.Second, false},
+		"usually ends soon":   {work.Step{Checkpoints: true}, 2 * time.Second, time.Second, false},
+		"late":                {work.Step{Checkpoints: true}, 2 * time.Second, -time.Second, true},
+		"late, ends soon":     {work.Step{Checkpoints: true}, time.Second, -time.Second, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			qt.Assert(t, MayStop(&test.step, test.left, time.Second), qt.Equals, test.want)
+			qt.Assert(t, MayStop(&test.step, test.left, test.usual, time.Second), qt.Equals, test.want)
 		})
 	}
 }
--- a/internal/pools/donors/donors.go
+++ b/internal/pools/donors/donors.go
@@ -1,54 +1,40 @@
-// Package donors chooses the instances that move to a pool.
+// Package donors chooses the instances that move into pools that need more.
 //
 // # Usage
 //
-//	list := donors.New(inUse, spare)
-//	for id := list.Choose(excess); id != ""; id = list.Choose(excess) { ... }
+//	list := donors.List{InUse: inUse, Spare: spare}
+//	id := list.Choose(excess)
 package donors
 
-import (
-	"cmp"
-	"slices"
-)
-
-// Donor is an instance that can move to another pool, and the number of tasks that run on it.
-type Donor struct {
-	Instance, Pool string
-	Runs           int
+// Instance is an instance that can move to another pool, and the number of tasks that run on it.
+type Instance struct {
+	ID, Pool string
+	Runs     int
 }
 
-// List lists the instances that can move, each once in a plan.
+// List holds the instances that can move, each once in a plan.
 type List struct {
-	// inUse holds those of pools with an excess, the emptiest first, and spare those that are switched off.
-	inUse []Donor
-	spare []string
-}
-
-// New returns a list of instances that are in use, and of others that are switched off. It sorts the former.
-func New(inUse []Donor, spare []string) *List {
-	slices.SortStableFunc(inUse, func(a, b Donor) int { return cmp.Compare(a.Runs, b.Runs) })
-	return &List{inUse: inUse, spare: spare}
+	// InUse holds those of pools with an excess, the emptiest first, and Spare those that are switched off.
+	InUse []Instance
+	Spare []string
 }
 
-// InUse returns the instances in use that were not chosen, the emptiest first.
-func (l *List) InUse() []Donor { return l.inUse }
-
 // Choose returns the instance whose move costs least, and "" if there is none: an empty one of a pool with an excess, one that is
 // switched off, or one that will be empty soon. It takes the instance off the list and its pool's excess.
-func (l *List) Choose(excess map[string]int) string {
-	for len(l.inUse) > 0 && excess[l.inUse[0].Pool] <= 0 {
-		l.inUse = l.inUse[1:]
+func (d *List) Choose(excess map[string]int) string {
+	for len(d.InUse) > 0 && excess[d.InUse[0].Pool] <= 0 {
+		d.InUse = d.InUse[1:]
 	}
-	if len(l.spare) > 0 && (len(l.inUse) == 0 || l.inUse[0].Runs > 0) {
-		id := l.spare[0]
-		l.spare = l.spare[1:]
+	if len(d.Spare) > 0 && (len(d.InUse) == 0 || d.InUse[0].Runs > 0) {
+		id := d.Spare[0]
+		d.Spare = d.Spare[1:]
 		return id
 	}
-	if len(l.inUse) == 0 {
+	if len(d.InUse) == 0 {
 		return ""
 	}
-	first := l.inUse[0]
-	l.inUse = l.inUse[1:]
+	first := d.InUse[0]
+	d.InUse = d.InUse[1:]
 	excess[first.Pool]--
-	return first.Instance
+	return first.ID
 }
--- a/internal/pools/joining/joining.go
+++ b/internal/pools/joining/joining.go
@@ -12,19 +12,12 @@
 import (
 	"time"
 
-	"github.com/chivetiller/chivetiller/common/backoff"
+	"github.com/chivetiller/chivetiller/internal/pools/losses"
 )
 
-const (
-	// survivalTime is how long the worker of an instance that has moved has to answer until the instance counts as usable. A crash is
-	// noticed within the contact timeout of the scheduler.
-	survivalTime = 5 * time.Second
-	// freeLostRounds is the number of rounds in a row that may be lost without consequences. A failure beside the moves costs one or two.
-	freeLostRounds = 2
-	// firstPause is the pause after the first lost round that has consequences. It doubles with each further one up to maxPause.
-	firstPause = 2 * time.Second
-	maxPause   = 2 * time.Minute
-)
+// survivalTime is how long the worker of an instance that has moved has to answer until the instance counts as usable. A crash is
+// noticed within the contact timeout of the scheduler.
+const survivalTime = 5 * time.Second
 
 // State is what is known of an instance.
 type State struct {
@@ -43,7 +36,7 @@
 // Record holds the instances that have moved and whose workers have not survived for a while.
 type Record struct {
 	moved map[string]*moved
-	pools map[string]*losses
+	pools map[string]*losses.Rounds
 }
 
 // moved is an instance that has moved to a pool and has not survived its arrival yet.
@@ -56,16 +49,10 @@
 	lost bool
 }
 
-// losses counts the rounds of moves into a pool, one after the other, in which instances were lost on arrival and none survived.
-type losses struct {
-	rounds int
-	// countedAt is the time at which the latest round was counted. Instances whose move was planned before belong to it.
-	countedAt   time.Duration
-	pausedUntil time.Duration
-}
-
 // New returns an empty record.
-func New() *Record { return &Record{moved: make(map[string]*moved), pools: make(map[string]*losses)} }
+func New() *Record {
+	return &Record{moved: make(map[string]*moved), pools: make(map[string]*losses.Rounds)}
+}
 
 // Add records an instance whose move to a pool was planned at a time.
 func (r *Record) Add(id, pool string, plannedAt time.Duration) {
@@ -95,24 +82,17 @@
 		}
 		if !m.lost && !s.Serving {
 			m.lost = true
-			if l, ok := r.pools[m.pool]; !ok || m.plannedAt >= l.countedAt {
+			if l, ok := r.pools[m.pool]; !ok || l.Begins(m.plannedAt) {
 				lost[m.pool] = Loss{Instances: lost[m.pool].Instances + 1}
 			}
 		}
 	}
 	for pool, loss := range lost {
-		l, ok := r.pools[pool]
-		if !ok {
-			l = &losses{}
-			r.pools[pool] = l
-		}
-		l.rounds++
-		l.countedAt = now
-		if l.rounds > freeLostRounds {
-			loss.Pause = backoff.Doubled(l.rounds-freeLostRounds, firstPause, maxPause)
+		if r.pools[pool] == nil {
+			r.pools[pool] = &losses.Rounds{}
 		}
-		l.pausedUntil = now + loss.Pause
-		loss.Rounds = l.rounds
+		loss.Pause = r.pools[pool].Add(now)
+		loss.Rounds = r.pools[pool].Count()
 		lost[pool] = loss
 	}
 	return lost
@@ -121,18 +101,15 @@
 // Limit returns how many instances a pool may get that needs a number of them, of which some are missing and others have pending moves. That
 // is less than are missing after instances were lost on arrival one round after the other.
 func (r *Record) Limit(pool string, need, missing, pending int, now time.Duration) int {
-	l, ok := r.pools[pool]
-	if !ok || l.rounds <= freeLostRounds {
+	rounds, ok := r.pools[pool]
+	if !ok {
 		return missing
 	}
-	if now < l.pausedUntil {
-		return 0
-	}
 	arriving := pending
 	for _, m := range r.moved {
 		if m.pool == pool && !m.lost {
 			arriving++
 		}
 	}
-	return min(missing, max(1, need>>(l.rounds-freeLostRounds))-arriving)
+	return rounds.Limit(now, need, missing, arriving)
 }
--- a/internal/pools/joining/joining_test.go
+++ b/internal/pools/joining/joining_test.go
@@ -7,6 +7,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// firstPause is the first pause of package losses.
+const firstPause = 2 * time.Second
+
 // TestLosses guards against a spare pool that is emptied into a pool in which all instances are lost, and against a pool that gets too few
 // instances after one has survived.
 func TestLosses(t *testing.T) {
--- a/internal/store/retrying/retrying.go
+++ b/internal/store/retrying/retrying.go
@@ -1,9 +1,8 @@
-// Package retrying reads a store that does not answer or is busy for some time.
+// Package retrying reads from a store that does not carry out some of the reads.
 //
 // # Usage
 //
-//	s := retrying.New(s, logger)
-//	rows, err := s.Scan(ctx, table, "", "", "") // fails only if the context has ended, or if the store has refused the read
+//	rows, err := retrying.Reads{Store: rows, Logger: logger}.Scan(ctx, "job", "", "", "")
 package retrying
 
 import (
@@ -16,23 +15,18 @@
 	"github.com/chivetiller/chivetiller/store"
 )
 
-// retryPause is the pause before a read is repeated that the store did not carry out.
-const retryPause = 100 * time.Millisecond
+// pause is the pause before a read is repeated that the store did not carry out.
+const pause = 100 * time.Millisecond
 
-// Store repeats reads that the store does not carry out, until the context ends. A scan goes on after the last row that was
+// Reads repeats reads that the store does not carry out, until the context ends. A scan goes on after the last row that was
 // read. The time of a read is not limited otherwise: with enough rows, a read that begins again with the first one would never end.
-type Store struct {
+type Reads struct {
 	store.Store
-	logger hclog.Logger
+	Logger hclog.Logger
 }
 
-var _ store.Store = Store{}
-
-// New returns a store whose reads are repeated.
-func New(s store.Store, logger hclog.Logger) Store { return Store{Store: s, logger: logger} }
-
 // Scan implements [store.Store].
-func (r Store) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
+func (r Reads) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
 	var all store.Rows
 	for {
 		rows, err := r.Store.Scan(ctx, table, partition, from, to)
@@ -51,7 +45,7 @@
 }
 
 // Partitions implements [store.Store].
-func (r Store) Partitions(ctx context.Context, table string) (store.Partitions, error) {
+func (r Reads) Partitions(ctx context.Context, table string) (store.Partitions, error) {
 	for {
 		partitions, err := r.Store.Partitions(ctx, table)
 		if err == nil || !r.mayRetry(ctx, table, err) {
@@ -61,20 +55,20 @@
 }
 
 // mayRetry reports whether a failed read is to be repeated, after a pause if the store has refused it.
-func (r Store) mayRetry(ctx context.Context, table string, err error) bool {
+func (r Reads) mayRetry(ctx context.Context, table string, err error) bool {
 	silent := errors.Is(err, store.ErrSilent)
 	if errors.Is(err, store.ErrRefused) || !silent && !errors.Is(err, store.ErrNotDone) {
 		return false
 	}
 	if !silent {
 		select {
-		case <-time.After(retryPause):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
 	if ctx.Err() != nil {
 		return false
 	}
-	r.logger.Warn("Table was not read; the read goes on.", "table", table, "error", err)
+	r.Logger.Warn("Table was not read; the read goes on.", "table", table, "error", err)
 	return true
 }
--- a/internal/workers/leaserecord/row.go
+++ b/internal/workers/leaserecord/row.go
@@ -18,12 +18,19 @@
 	Incarnations []int64 `cbor:"3,keyasint,omitempty"`
 }
 
-// NewRow returns the row of a record. The ends on the store's clock have to be known.
-func NewRow(term int, entries Entries) Row {
+// Row returns the row of entries of the record. storedEnd returns the time on the store's clock of an end that is not known there yet. It is
+// set in the entries and in the record.
+func (r *Record) Row(term int, entries Entries, storedEnd func(end time.Duration) time.Duration) Row {
 	row := Row{Term: term, LeasesUntil: make(map[string]time.Duration, len(entries)), Incarnations: make([]int64, 0, len(entries))}
 	for _, id := range slices.Sorted(maps.Keys(entries)) {
-		row.LeasesUntil[id] = entries[id].StoredEnd
-		row.Incarnations = append(row.Incarnations, entries[id].Incarnation)
+		entry := entries[id]
+		if entry.StoredEnd == 0 {
+			entry.StoredEnd = storedEnd(entry.End)
+			entries[id] = entry
+			r.SetStoredEnd(id, entry.StoredEnd)
+		}
+		row.LeasesUntil[id] = entry.StoredEnd
+		row.Incarnations = append(row.Incarnations, entry.Incarnation)
 	}
 	return row
 }
--- a/node/node.go
+++ b/node/node.go
@@ -20,11 +20,14 @@
 
 	"github.com/chivetiller/chivetiller/advice"
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/common/ident"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/intake"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
+	"github.com/chivetiller/chivetiller/internal/store/latency"
 	"github.com/chivetiller/chivetiller/internal/workers/delegate"
+	"github.com/chivetiller/chivetiller/internal/workers/registry"
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/member"
 	"github.com/chivetiller/chivetiller/metrics"
@@ -51,6 +54,8 @@
 	AdviceAddress    string
 	// Memory is the memory limit in bytes, above which the process is killed, and 0 if there is no limit.
 	Memory int64
+	// Descriptors is how many files and connections the process may have open, and 0 if that is not known.
+	Descriptors int
 	// Cores is the processor share of the process.
 	Cores float64
 	// InstanceCommandRate is the number of commands for instances a second that the platform accepts, and 0 if it is not known.
@@ -66,7 +71,7 @@
 	Commander worker.Commander
 	Instances instance.Fleet
 	Advisor   advice.Advisor
-	Registry  scheduler.Registry
+	Registry  registry.Decoder
 	Decoder   catalog.Decoder
 	// JobsHandler returns the HTTP handler for clients.
 	JobsHandler func(*intake.Intake, *metrics.Jobs) http.Handler
@@ -91,6 +96,7 @@
 	sender   *delegate.Sender
 	delegate *delegate.Server
 	metrics  *metrics.Jobs
+	clients  clientListeners
 	stopping chan struct{}
 }
 
@@ -101,7 +107,8 @@
 	}
 	n := &Node{settings: s, deps: d, logger: d.Logger, kernel: kernel.New(d.Logger), clock: &store.Clock{}, stopping: make(chan struct{})}
 	n.metrics = metrics.NewJobs(n.stats)
-	n.deps.Store = n.metrics.InstrumentStore(d.Store)
+	calls := latency.New()
+	n.deps.Store = latency.Watch(n.metrics.InstrumentStore(d.Store), calls)
 	d.Store = n.deps.Store
 	n.members = member.New(member.Options{Store: d.Store, Clock: n.clock, Logger: d.Logger, Self: member.Node{
 		Name: s.Name, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), DataCentre: s.DataCentre, Incarnation: ident.New(), Cores: s.Cores,
@@ -113,7 +120,7 @@
 	n.source = catalog.NewSource(catalog.SourceOptions{Store: d.Store, Clock: n.clock, Decoder: d.Decoder, Peers: n.peers, Logger: d.Logger})
 	n.leadership = newLeadership(n)
 	n.intake = intake.New(intake.Options{
-		Store: d.Store, Clock: n.clock, Configuration: n.source, Leader: n.peers, Relay: n.peers, Bounds: s.Bounds, Logger: d.Logger,
+		Store: d.Store, Clock: n.clock, Configuration: n.source, Leader: n.peers, Relay: n.peers, Reports: n.peers, Bounds: s.Bounds, Latency: calls, Logger: d.Logger,
 	})
 	return n, n.register()
 }
@@ -123,14 +130,14 @@
 	peerAddress := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.PeerPort))
 	metricsAddress := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort))
 	services := []kernel.Service{
-		n.httpService("peers", peerAddress, n.peers.handler(), peerDrainTimeout, nil),
-		n.httpService("metrics", metricsAddress, n.metrics.Handler(), 0, nil),
+		n.httpService(peersListener, peerAddress, n.peers.handler(), peerDrainTimeout, nil),
+		n.httpService(metricsListener, metricsAddress, n.metrics.Handler(), 0, nil),
 		n.commandService(),
 		{Name: "catalog", Value: n.source, Start: startFunc(n.source.Start), Stop: stopFunc(n.source.Stop)},
 		{Name: "members", Value: n.members, Start: startFunc(n.members.Start), Stop: stopFunc(n.members.Stop)},
 		{Name: "duty", Needs: []string{"members", "catalog", "commands"}, Value: n.leadership, Start: startFunc(n.leadership.Start), Stop: stopFunc(n.leadership.Stop)},
-		n.httpService("front", n.settings.ClientAddress, n.deps.JobsHandler(n.intake, n.metrics), n.clientDrainTimeout(), []string{"duty", "peers"}),
-		n.httpService("ready", n.settings.ReadyAddress, http.HandlerFunc(n.serveReady), 0, []string{"front"}),
+		n.httpService(frontListener, n.settings.ClientAddress, n.deps.JobsHandler(n.intake, n.metrics), n.clientDrainTimeout(), []string{"duty", "peers"}),
+		n.httpService(readyListener, n.settings.ReadyAddress, http.HandlerFunc(n.serveReady), 0, []string{"front"}),
 	}
 	for _, s := range services {
 		if err := n.kernel.Register(s); err != nil {
@@ -151,7 +158,7 @@
 	return kernel.Service{
 		Name: "commands",
 		Start: func(context.Context) (err error) {
-			if listener, err = net.Listen("tcp", n.settings.commandAddress()); err != nil {
+			if listener, err = n.listen(commandsListener, n.settings.commandAddress()); err != nil {
 				return eris.Wrap(err, "listen for commands")
 			}
 			go func() {
@@ -231,8 +238,8 @@
 }
 
 // serveReady answers the readiness checks of the load balancer.
-func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if err := n.Ready(); err != nil {
+func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	if err := n.Ready(r.Context()); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
@@ -244,7 +251,7 @@
 const maxConfigAge = 4 * time.Second
 
 // Ready returns an error if the process cannot handle requests of clients.
-func (n *Node) Ready() error {
+func (n *Node) Ready(ctx context.Context) error {
 	select {
 	case <-n.stopping:
 		return eris.New("the process is stopping")
@@ -256,19 +263,31 @@
 	if age := n.source.Age(); age > maxConfigAge {
 		return eris.Errorf("the configuration was confirmed %s ago", age)
 	}
+	if n.peers.Partitioned(ctx) {
+		// It can accept no job. The load balancer takes clients to another data centre once no process of this one is ready.
+		return errPartitioned
+	}
 	return nil
 }
 
+var errPartitioned = eris.New("neither the store nor another data centre is reachable")
+
 // stats reads the state of the process for its metrics.
 func (n *Node) stats(ctx context.Context) metrics.JobStats {
 	s := metrics.JobStats{
 		ConfigVersion: float64(n.source.Current().Version), ConfigAge: n.source.Age(), Nodes: float64(len(n.members.Live())),
 		Jobs: make(map[string]float64), Workers: make(map[string]float64), Runs: make(map[string]float64), WaitingTasks: make(map[string]float64),
 		LongestWaits: make(map[string]time.Duration), Decisions: make(map[[2]string]float64),
+		EvacuatedFor: make(map[string]time.Duration), EvacuationRuns: make(map[string]float64),
+	}
+	evacuations := n.source.Evacuations()
+	for _, name := range evacuations.Names() {
+		s.EvacuatedFor[name] = clock.Now() - evacuations.Since(name)
 	}
 	if n.deps.DroppedLines != nil {
 		s.DroppedLines = float64(n.deps.DroppedLines())
 	}
+	s.Clients = n.clients.stats()
 	engine, ok := n.leadership.Engine()
 	if !ok {
 		return s
@@ -289,6 +308,9 @@
 	for reason, wait := range counts.LongestWaits {
 		s.LongestWaits[string(reason)] = wait
 	}
+	for dataCentre, count := range counts.EvacuationRuns {
+		s.EvacuationRuns[dataCentre] = float64(count)
+	}
 	for decision, count := range counts.Decisions {
 		s.Decisions[[2]string{decision.Part, decision.Outcome}] = float64(count)
 	}
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -105,6 +105,12 @@
 func (fakeDecoder) ConfigRow() store.Key      { return store.Key{Table: "op", Name: "config"} }
 func (fakeDecoder) IsWave(row store.Row) bool { return strings.HasPrefix(row.Name, "wave") }
 
+func (fakeDecoder) IsEvacuation(row store.Row) bool { return strings.HasPrefix(row.Name, "evacuate/") }
+
+func (fakeDecoder) DecodeEvacuation(row store.Row) (string, error) {
+	return strings.TrimPrefix(row.Name, "evacuate/"), nil
+}
+
 func (fakeDecoder) DecodeConfig([]byte) (*catalog.Catalog, error) {
 	return catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 2, BaseTarget: time.Second, Public: true}},
 		[]catalog.Pool{{Name: "p"}}, nil), nil
@@ -167,6 +173,11 @@
 
 // newClusterOn starts nodes on what wrap makes of their stores.
 func newClusterOn(t *testing.T, size int, wrap func(s store.Store) store.Store) *cluster {
+	return newClusterWith(t, size, wrap, func(*Settings, *Dependencies) {})
+}
+
+// newClusterWith starts nodes with settings and dependencies that change adapts.
+func newClusterWith(t *testing.T, size int, wrap func(s store.Store) store.Store, change func(*Settings, *Dependencies)) *cluster {
 	c := &cluster{store: memory.New(), workers: &fakeWorkers{running: make(map[work.Task]worker.Run), starts: make(map[work.Task]int)}}
 	_, err := c.store.Commit(t.Context(), store.Tx{Puts: []store.Put{
 		{Key: fakeDecoder{}.ConfigRow(), Value: []byte("x")}, {Key: store.Key{Table: "workers", Name: "w1"}, Value: []byte("x")},
@@ -180,11 +191,13 @@
 		}
 		own := memory.NewView(c.store)
 		c.stores = append(c.stores, own)
-		n, err := New(s, Dependencies{
+		d := Dependencies{
 			Store: wrap(own), Commander: c.workers, Instances: noInstances{}, Advisor: noAdvice{}, Registry: fakeRegistry{}, Decoder: fakeDecoder{},
 			JobsHandler: func(*intake.Intake, *metrics.Jobs) http.Handler { return http.NotFoundHandler() },
 			Logger:      testLogger(t),
-		})
+		}
+		change(&s, &d)
+		n, err := New(s, d)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, n.Start(t.Context()), qt.IsNil)
 		c.nodes = append(c.nodes, n)
@@ -208,7 +221,8 @@
 	job := work.Job{ID: id, Steps: []work.Step{
 		{Count: 3, Request: work.Resources{CPU: 1000}, Estimate: fakeRunTime}, {Count: 2, Request: work.Resources{CPU: 1000}, Estimate: fakeRunTime, DependsOn: []int{0}},
 	}}
-	qt.Assert(t, n.intake.Submit(t.Context(), a, job), qt.Equals, intake.OK)
+	submitted, _ := n.intake.Submit(t.Context(), a, job)
+	qt.Assert(t, submitted, qt.Equals, intake.OK)
 }
 
 func finished(t *testing.T, n *Node, id string) bool {
@@ -221,7 +235,7 @@
 func TestServe(t *testing.T) {
 	c := newCluster(t, 3)
 	for _, n := range c.nodes {
-		eventually(t, 5*time.Second, func() bool { return n.Ready() == nil })
+		eventually(t, 5*time.Second, func() bool { return n.Ready(t.Context()) == nil })
 	}
 	eventually(t, 5*time.Second, func() bool { _, ok := c.nodes[0].members.Leader(); return ok })
 	for i, n := range c.nodes {
@@ -261,7 +275,7 @@
 func TestStoreRejectsNode(t *testing.T) {
 	c := newCluster(t, 3)
 	for _, n := range c.nodes {
-		eventually(t, 5*time.Second, func() bool { return n.Ready() == nil })
+		eventually(t, 5*time.Second, func() bool { return n.Ready(t.Context()) == nil })
 		defer func() { _ = n.Stop(context.Background()) }()
 	}
 	for _, n := range c.nodes {
@@ -329,7 +343,8 @@
 }
 
 // TestPartitioned guards against a node that counts as partitioned while only the store is unreachable, and against one that does not
-// although it reaches no other data centre either.
+// although it reaches no other data centre either. Clients of such a node are refused until the load balancer takes them elsewhere, so that it
+// must not be ready before its configuration is too old.
 func TestPartitioned(t *testing.T) {
 	c := newCluster(t, 2)
 	for _, n := range c.nodes {
@@ -344,8 +359,10 @@
 	qt.Assert(t, far.Stop(context.Background()), qt.IsNil)
 	time.Sleep(probeInterval)
 	qt.Assert(t, near.peers.Partitioned(t.Context()), qt.IsTrue)
+	qt.Assert(t, near.Ready(t.Context()), qt.ErrorIs, errPartitioned)
 	c.stores[0].Reconnect()
 	eventually(t, 5*time.Second, func() bool { return !near.peers.Partitioned(t.Context()) })
+	eventually(t, 5*time.Second, func() bool { return near.Ready(t.Context()) == nil })
 }
 
 // testLogger writes the log of the processes to the log of the test.
--- a/scheduler/arrivals.go
+++ b/scheduler/arrivals.go
@@ -14,7 +14,7 @@
 			return joining.State{}
 		}
 		return joining.State{
-			Left:      inst.Pool != pool || inst.State == instance.InMaintenance || f.draining(id),
+			Left:      inst.Pool != pool || inst.State == instance.InMaintenance || f.draining(id) || c.evacuations.Contains(inst.DataCentre),
 			Reachable: inst.State == instance.Up && c.reachable(inst), Serving: c.serves(inst),
 		}
 	})
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/jobs/copies"
+	"github.com/chivetiller/chivetiller/internal/jobs/order"
 )
 
 // lateRun is a run of which a copy may be started.
 type lateRun struct {
 	*run
-	tier int
+	tier order.Tier
 	ran  time.Duration
 }
 
@@ -52,7 +53,7 @@
 				if s.copies == nil || s.tasksLeft == 0 || s.idleTasks == len(s.tasks) {
 					continue
 				}
-				tier := -1
+				tier, known := order.Expired, false
 				for i := range s.tasks {
 					t := &s.tasks[i]
 					if n := len(t.runs); n > 1 || t.done && n > 0 {
@@ -61,10 +62,10 @@
 					if t.done || len(t.runs) != 1 || !c.isLate(t.runs[0]) {
 						continue
 					}
-					if tier < 0 {
-						tier, _ = c.rank(j, o, c.queueOf(j))
+					if !known {
+						tier, known = c.tierOf(j, o, c.queueOf(j)), true
 					}
-					if tier != tierExpired && c.now >= j.notStoredBefore && !c.blocked(s) {
+					if tier != order.Expired && c.now >= j.notStoredBefore && !c.blocked(s) {
 						late = append(late, lateRun{t.runs[0], tier, c.now - t.runs[0].confirmedAt})
 					}
 				}
@@ -81,14 +82,10 @@
 		return false
 	}
 	known := copies.Run{
-		Ran: c.now - r.confirmedAt, Troubled: ws.doubtedAt > 0 || ws.health.quarantined(c.now) || c.silent(ws),
+		Ran: c.now - r.confirmedAt, Troubled: ws.doubtedAt > 0 || ws.health.Quarantined(c.now) || c.silent(ws),
 		Failures: s.failures(r.index), Attempts: c.queueOf(s.job).Attempts,
 	}
-	return s.copies.Wants(r.index, known, c.expectationOf(s))
-}
-
-func (c *Core) expectationOf(s *step) copies.Expectation {
-	return copies.Estimate{Time: c.estimator.estimate(s), Learned: c.estimator.runs[s.job.doc.Queue]}
+	return s.copies.Wants(r.index, known, c.expect(s))
 }
 
 // chooseForCopy returns a worker for a copy of a run, in another rack if there is one, and nil if there is none.
@@ -117,7 +114,7 @@
 	s.occurrence.progress.SetFirstRun(s.number, r.index, r.worker.report.ID, r.number)
 	s.copies.Started(r.index)
 	c.countDecision("copies", "started")
-	e := c.expectationOf(s)
+	e := c.expect(s)
 	c.logger.Info("Copy of a late run is planned.", "job", s.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "copyOn", ws.report.ID,
 		"ran", r.ran, "expected", e.Median(), "runs", e.Runs(), "tier", r.tier)
 }
--- a/scheduler/copies_test.go
+++ b/scheduler/copies_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -36,7 +37,8 @@
 		stops: make(map[worker.Run]time.Duration),
 		takes: func(work.Task) time.Duration { return time.Second },
 	}
-	r.core.options.Features = serving.Scheduling{Copies: on}
+	r.core.options.Features = serving.Scheduling{Copies: on, LearnedRunTimes: on}
+	r.core.learned = finishedruns.New(on, false)
 	return r
 }
 
--- a/scheduler/copiesmodel_test.go
+++ b/scheduler/copiesmodel_test.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/runtimes"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -69,6 +70,16 @@
 	return p
 }
 
+// teach lets a leader know that the tasks of the first job take as long as estimated.
+func (p *copiesPlay) teach(c *Core) {
+	for i, s := range p.doc.Steps {
+		class := runtimes.Class{Queue: p.doc.Queue, Step: i, Steps: len(p.doc.Steps), Image: s.Image, CPU: s.Request.CPU, Estimate: s.Estimate}
+		for range 100 {
+			c.learned.Model().Observe(class, s.Estimate, p.now)
+		}
+	}
+}
+
 // endRuns ends the runs that have taken long enough.
 func (p *copiesPlay) endRuns() {
 	begun := make(map[copiesRun]time.Duration)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -19,11 +19,13 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
+	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
-	"github.com/chivetiller/chivetiller/internal/pools/forecast"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
+	"github.com/chivetiller/chivetiller/internal/teams/share"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/internal/workers/misdirection"
 	"github.com/chivetiller/chivetiller/work"
@@ -176,13 +178,17 @@
 	// unstoredSince is the time since which something waits to be stored, and 0 if nothing does.
 	unstoredSince time.Duration
 	deposed       bool
-	estimator     *estimator
+	// learned is what is learned of run times.
+	learned *finishedruns.Learner
 	// snapshots holds what is learned and kept for the next leaders.
-	snapshots     *snapshot.Set
-	forecast      *forecast.Forecast
-	fleet         *fleet
-	counts        Counts
-	policyQueries []PolicyQuery
+	snapshots *snapshot.Set
+	shares    teamShares
+	fleet     *fleet
+	// evacuations holds the evacuated data centres. evacuationLoggedAt is the time of the latest log line about the runs there.
+	evacuations        evacuation.Set
+	evacuationLoggedAt time.Duration
+	counts             Counts
+	policyQueries      []PolicyQuery
 	// idle is a buffer for the idle tasks of a step.
 	idle []int
 	// waitingTasks counts the tasks of services that did not run at waitingCheckedAt, and longestWaits is for how long they had not.
@@ -202,6 +208,8 @@
 	// WaitingTasks counts the tasks of services that do not run, and LongestWaits is the longest time for which one of them has not.
 	WaitingTasks map[WaitReason]int
 	LongestWaits map[WaitReason]time.Duration
+	// EvacuationRuns counts the runs that are left in each evacuated data centre.
+	EvacuationRuns map[string]int
 	// Decisions counts the decisions of the parts that are switched by settings.
 	Decisions map[Decision]uint64
 	// RefusedBatches counts the batches that the store refused. SinceStored is the time since a batch was stored, while another one waits.
@@ -232,17 +240,12 @@
 		rosterChanges: make(map[string]bool), misdirected: make(misdirection.List), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
 		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
-		estimator: newEstimator(), snapshots: snapshot.NewSet(), forecast: forecast.New(), fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
-	}
-	if o.Features.Forecast {
-		c.snapshots.Add("forecast", c.forecast, forecastInterval)
+		learned: finishedruns.New(o.Features.LearnedRunTimes, o.Features.WorkerPace), snapshots: snapshot.NewSet(), shares: teamShares{rates: share.NewRates()}, fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
 	}
+	c.learned.Keep(c.snapshots)
 	return c
 }
 
-// forecastInterval is the time between two snapshots of the forecast. A surge takes some seconds.
-const forecastInterval = 5 * time.Second
-
 // SetTime advances the monotonic time.
 func (c *Core) SetTime(now time.Duration) { c.now = max(c.now, now) }
 
@@ -273,6 +276,7 @@
 			counts.Jobs[state.String()]++
 		}
 	}
+	counts.EvacuationRuns = c.evacuationRuns()
 	counts.WaitingTasks, counts.LongestWaits = maps.Clone(c.waitingTasks), maps.Clone(c.longestWaits)
 	if c.unstoredSince > 0 {
 		counts.SinceStored = c.now - max(c.lastStored, c.unstoredSince)
@@ -292,9 +296,11 @@
 		return "lapsed"
 	case ws.report.Draining:
 		return "leaving"
+	case c.evacuated(ws):
+		return "evacuated"
 	case ws.cordoned:
 		return "drained"
-	case ws.health.quarantined(c.now):
+	case ws.health.Quarantined(c.now):
 		return "quarantined"
 	case !ws.listed || !ws.registered():
 		return "notListed"
@@ -352,6 +358,10 @@
 		return
 	}
 	c.prunedAt = c.now
+	for _, ws := range c.workers {
+		// What is known of a worker without runs fades.
+		c.ratePace(ws)
+	}
 	c.pruneSilences()
 	c.pruneLeaseRecord()
 	for id, j := range c.jobs {
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/instance"
-	"github.com/chivetiller/chivetiller/internal/jobs/gangs"
+	"github.com/chivetiller/chivetiller/internal/jobs/gang"
+	"github.com/chivetiller/chivetiller/internal/jobs/order"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -20,7 +20,7 @@
 }
 
 // neededCores returns the number of cores that a pool needs. Services need what they request. Jobs need enough to finish
-// within their latency targets, or enough to keep up with the arrivals or with a surge that is foreseen if that is more.
+// within their latency targets, or enough to keep up with arrivals if that is more.
 func (c *Core) neededCores(p *pool) float64 {
 	var total, jobs float64
 	for _, j := range p.jobs {
@@ -34,40 +34,11 @@
 				}
 				continue
 			}
-			criticalPath, left := o.remainingWork(c.estimator.estimate)
-			jobs += left / max(c.timeLeft(o, j, q, criticalPath), minTimeLeft).Seconds()
+			criticalPath, left := c.remainingWork(o)
+			jobs += left / max(order.TimeLeft(c.now, criticalPath, o.latencyStart(j), o.targetEnd(q, j)), minTimeLeft).Seconds()
 		}
 	}
-	return total + max(jobs, p.arrivals.ExpectedRate(c.now), c.forecastRate(p))
-}
-
-// forecastRate returns the work, in core-seconds a second, that a surge of a pool is foreseen to bring soon.
-func (c *Core) forecastRate(p *pool) float64 {
-	if !c.options.Features.Forecast {
-		return 0
-	}
-	rate := c.forecast.Rate(p.name, c.now)
-	if foreseen := rate > 0; foreseen != p.surgeForeseen {
-		p.surgeForeseen = foreseen
-		if foreseen {
-			c.countDecision("forecast", "foreseen")
-		}
-		c.logger.Info("Forecast of a surge has changed.", "pool", p.name, "cores", rate, "period", c.forecast.Period(), "arriving", p.arrivals.ExpectedRate(c.now))
-	}
-	return rate
-}
-
-// timeLeft returns the time in which the work of an occurrence should be done. That is until the end of its latency
-// target, or if that is missed, until it has no value any more. Work that is later still gets left-over capacity.
-func (c *Core) timeLeft(o *occurrence, j *job, q *catalog.Queue, criticalPath time.Duration) time.Duration {
-	target := o.targetEnd(q, j)
-	if target-c.now >= criticalPath/2 {
-		return target - c.now
-	}
-	if end := o.latencyStart(j) + lateFactor*(target-o.latencyStart(j)); end-c.now >= criticalPath {
-		return end - c.now
-	}
-	return expiredJobTime
+	return total + max(jobs, p.arrivals.ExpectedRate(c.now))
 }
 
 // minWidth returns the number of workers that the widest service of the pool needs. One more allows moving its tasks one by one.
@@ -85,8 +56,8 @@
 
 // waitingGangs returns the shapes of the gangs of a pool that wait to start, and whose teams may start them. Those that require a label are
 // left out, since moves do not look at the labels of instances.
-func (c *Core) waitingGangs(p *pool) map[gangs.Shape]bool {
-	var shapes map[gangs.Shape]bool
+func (c *Core) waitingGangs(p *pool) map[gang.Shape]bool {
+	var shapes map[gang.Shape]bool
 	for _, j := range p.jobs {
 		for _, o := range j.open {
 			for _, s := range o.steps {
@@ -94,9 +65,9 @@
 					continue
 				}
 				if shapes == nil {
-					shapes = make(map[gangs.Shape]bool)
+					shapes = make(map[gang.Shape]bool)
 				}
-				shapes[gangs.Shape{Request: s.doc.ReservedResources(), Count: s.tasksLeft, MaxPerWorker: s.doc.MaxPerWorker}] = true
+				shapes[gang.Shape{Request: s.doc.ReservedResources(), Count: s.tasksLeft, MaxPerWorker: s.doc.MaxPerWorker}] = true
 			}
 		}
 	}
@@ -115,7 +86,7 @@
 		switch {
 		case inst.Pool == p.name && c.serves(inst):
 			inPool = append(inPool, inst.Capacity)
-		case spare != "" && inst.Pool == spare && inst.State == instance.Up:
+		case spare != "" && inst.Pool == spare && inst.State == instance.Up && !c.evacuations.Contains(inst.DataCentre):
 			inSpare = append(inSpare, inst.Capacity)
 		}
 	}
@@ -127,7 +98,7 @@
 		width := shape.Width(all)
 		if width == 0 && !p.tooWide[shape] {
 			if p.tooWide == nil {
-				p.tooWide = make(map[gangs.Shape]bool)
+				p.tooWide = make(map[gang.Shape]bool)
 			}
 			p.tooWide[shape] = true
 			c.logger.Warn("Gang does not fit into its pool and the spare instances.", "pool", p.name, "tasks", shape.Count, "cpu", shape.Request.CPU,
@@ -219,6 +190,11 @@
 
 // serves reports whether an instance adds to the capacity of its pool, or soon will.
 func (c *Core) serves(inst instance.Instance) bool {
+	return !c.evacuations.Contains(inst.DataCentre) && c.inOrder(inst)
+}
+
+// inOrder reports whether an instance serves unless its data centre is evacuated.
+func (c *Core) inOrder(inst instance.Instance) bool {
 	switch {
 	case inst.State == instance.Moving:
 		return true
@@ -242,7 +218,7 @@
 		if inst.State != instance.Up || inst.Worker == "" {
 			continue
 		}
-		if c.serves(inst) || c.fleet.draining(inst.ID) {
+		if c.inOrder(inst) || c.fleet.draining(inst.ID) {
 			unreachable[inst.DataCentre] = false
 		} else if _, known := unreachable[inst.DataCentre]; !known {
 			unreachable[inst.DataCentre] = true
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -223,6 +223,7 @@
 			c.evacuate(ws, true)
 		}
 	}
+	c.moveOut()
 	if c.deposed || c.now-f.listedAt > maxListAge || len(f.instances) == 0 {
 		return nil
 	}
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -21,15 +21,10 @@
 
 // newHandoverRow returns the row of a record. It sets the ends on the store's clock where they are not known yet.
 func (e *Engine) newHandoverRow(entries leaserecord.Entries) leaserecord.Row {
-	for id, entry := range entries {
-		if entry.StoredEnd == 0 {
-			at, _ := e.options.Clock.At(entry.End)
-			entry.StoredEnd = at + storeClockError
-			entries[id] = entry
-			e.core.leaseRecord.SetStoredEnd(id, entry.StoredEnd)
-		}
-	}
-	return leaserecord.NewRow(e.Term(), entries)
+	return e.core.leaseRecord.Row(e.Term(), entries, func(end time.Duration) time.Duration {
+		at, _ := e.options.Clock.At(end)
+		return at + storeClockError
+	})
 }
 
 // addLeaseRecord adds the record of a batch to its transaction. A record that cannot be encoded is left out of both.
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -40,6 +40,7 @@
 		c.recallEndedRuns(j)
 		return
 	}
+	j.beyondRate = c.beyondRate(j)
 	p := c.pool(doc.Pool)
 	p.jobs = append(p.jobs, j)
 	p.needsPlanning = true
@@ -48,9 +49,8 @@
 	c.batchJobSeen = c.batchJobSeen || !j.service
 	if !j.service && c.now-j.acceptedAt < arrivals.Span {
 		p.arrivals.Record(j.acceptedAt, j.doc.CoreSeconds())
-		c.forecast.Arrive(p.name, j.acceptedAt, j.doc.CoreSeconds())
 	}
-	c.logger.Debug("Job was added.", "job", doc.ID, "queue", doc.Queue, "team", doc.Team, "pool", doc.Pool, "begun", j.started)
+	c.logger.Debug("Job was added.", "job", doc.ID, "queue", doc.Queue, "team", doc.Team, "pool", doc.Pool, "begun", j.started, "beyondRate", j.beyondRate)
 	if _, ok := c.earlyCancels[doc.ID]; ok {
 		delete(c.earlyCancels, doc.ID)
 		c.Cancel(doc.ID)
@@ -214,7 +214,7 @@
 	}
 	t.done = true
 	s.tasksLeft--
-	s.occurrence.cached = false
+	s.occurrence.remaining.Invalidate()
 	c.pool(s.job.doc.Pool).needsPlanning = true
 	if len(t.runs) == 0 {
 		s.idleTasks--
--- a/scheduler/leadersmodel_test.go
+++ b/scheduler/leadersmodel_test.go
@@ -311,7 +311,7 @@
 	n.core = NewCore(Options{
 		Bounds: rigBounds(), Fence: n.fence, Term: m.row.term, AcquiredAt: m.now, PreviousLeaderEnded: n.leaders.PreviousEndedAt != 0,
 		EarlierLeadersUntil: n.leaders.EarlierUntil, PreviousLeaderSeenAt: n.leaders.PreviousSeenAt,
-		Features: serving.Scheduling{Copies: m.copies != nil, Preemption: m.copies != nil && m.copies.urgent},
+		Features: m.features(),
 	})
 	n.core.SetCatalog(catalog.New(1, 0, []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 1.6}, {
 		Name: "u", Host: "h", Prefix: "/u/", Pool: "p", Attempts: 2, Stretch: 1.6, Priority: -1,
@@ -321,7 +321,7 @@
 		n.core.SetRoster([]RosterEntry{e.fromStore(n.clockError)})
 	}
 	if m.copies != nil {
-		n.core.estimator.runs["q"] = 100
+		m.copies.teach(n.core)
 	}
 	leases := make(leaserecord.Entries)
 	for id, e := range m.leases {
@@ -332,6 +332,13 @@
 	m.readJobs(n.core)
 }
 
+func (m *leadersModel) features() serving.Scheduling {
+	if m.copies == nil {
+		return serving.Scheduling{}
+	}
+	return serving.Scheduling{Copies: true, Preemption: m.copies.urgent, LearnedRunTimes: !m.copies.urgent}
+}
+
 // readJobs gives a leader the jobs and the cancellation that are stored.
 func (m *leadersModel) readJobs(c *Core) {
 	docs := []work.Job{m.doc}
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -14,8 +14,6 @@
 	planInterval = 150 * time.Millisecond
 	// minTimeLeft is the lower limit of the time in which the work of a job is to be done, for the demand of a pool.
 	minTimeLeft = 400 * time.Millisecond
-	// expiredJobTime is the time in which jobs are to be done that are too late to have any value but still count as served.
-	expiredJobTime = 20 * time.Second
 	// headroom is the factor by which a pool gets more than its demand, since tasks do not fill instances completely.
 	headroom = 1.15
 	// minInstances is the minimum size of a pool, so that some instances are left after the loss of a rack.
@@ -52,7 +50,6 @@
 	}
 	f.plannedAt = c.now
 	spare := c.sparePool()
-	c.forecast.Advance(c.now)
 	demands, perInstance := c.demands(spare)
 	if perInstance == 0 {
 		return
@@ -72,7 +69,7 @@
 		}
 	}
 	maxMoves := c.maxMoves()
-	available := donors.New(c.instancesInUse(excess, demands), c.spareInstances(spare))
+	available := donors.List{InUse: c.instancesInUse(excess, demands), Spare: c.spareInstances(spare)}
 	for _, d := range demands {
 		for n := c.maxArrivals(d); n > 0 && len(f.pendingMoves) < maxMoves; n-- {
 			id := available.Choose(excess)
@@ -82,7 +79,8 @@
 			c.startMove(id, d.pool, d)
 		}
 	}
-	c.releaseExcess(spare, excess, demands, available.InUse())
+	c.releaseExcess(spare, excess, demands, available.InUse)
+	c.releaseEvacuated(spare, demands)
 }
 
 // sparePool returns the pool whose instances are switched off.
@@ -99,7 +97,7 @@
 func (c *Core) spareInstances(spare string) []string {
 	var ids []string
 	for id, inst := range c.fleet.instances {
-		if inst.Pool == spare && c.movable(id, inst) {
+		if inst.Pool == spare && !c.evacuations.Contains(inst.DataCentre) && c.movable(id, inst) {
 			ids = append(ids, id)
 		}
 	}
@@ -128,28 +126,29 @@
 
 // instancesInUse returns the instances that can move in pools with an excess, in no order. None of them runs a
 // service or a best-effort task, or is kept free for a service.
-func (c *Core) instancesInUse(excess map[string]int, demands []demand) []donors.Donor {
-	var list []donors.Donor
+func (c *Core) instancesInUse(excess map[string]int, demands []demand) []donors.Instance {
+	var list []donors.Instance
 	for _, d := range demands {
 		if excess[d.pool] <= 0 {
 			continue
 		}
 		for _, ws := range c.pool(d.pool).workers {
-			if ws.services+ws.bestEffort+len(ws.reservations) > 0 || ws.cordoned || ws.report.Draining {
+			if ws.services+ws.bestEffort+len(ws.reservations) > 0 || ws.cordoned || ws.report.Draining || c.evacuated(ws) {
 				continue
 			}
 			id, ok := c.fleet.byWorker[ws.report.ID]
 			if !ok || !c.movable(id, c.fleet.instances[id]) || !c.reachable(c.fleet.instances[id]) {
 				continue
 			}
-			list = append(list, donors.Donor{Instance: id, Pool: d.pool, Runs: len(ws.runs)})
+			list = append(list, donors.Instance{ID: id, Pool: d.pool, Runs: len(ws.runs)})
 		}
 	}
+	slices.SortStableFunc(list, func(a, b donors.Instance) int { return cmp.Compare(a.Runs, b.Runs) })
 	return list
 }
 
 // releaseExcess switches off empty instances of pools that have had an excess for a while.
-func (c *Core) releaseExcess(spare string, excess map[string]int, demands []demand, inUse []donors.Donor) {
+func (c *Core) releaseExcess(spare string, excess map[string]int, demands []demand, inUse []donors.Instance) {
 	f := c.fleet
 	// Nothing is known about the demand before the first batch job of the term.
 	if spare == "" || !c.batchJobSeen {
@@ -175,7 +174,7 @@
 				continue
 			}
 			excess[d.pool]--
-			c.startMove(candidate.Instance, spare, d)
+			c.startMove(candidate.ID, spare, d)
 		}
 	}
 }
@@ -214,7 +213,8 @@
 		if f.commandInFlight[id] {
 			continue
 		}
-		if !ok || inst.State != instance.Up || c.now-mv.since > moveDrain {
+		useless := c.evacuations.Contains(inst.DataCentre) && mv.pool != c.sparePool()
+		if !ok || inst.State != instance.Up || useless || c.now-mv.since > moveDrain {
 			c.dropMove(id)
 			continue
 		}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -7,36 +7,17 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/copies"
-	"github.com/chivetiller/chivetiller/internal/jobs/gangs"
+	"github.com/chivetiller/chivetiller/internal/jobs/gang"
+	"github.com/chivetiller/chivetiller/internal/jobs/order"
 	"github.com/chivetiller/chivetiller/work"
 )
 
-// Tiers order the jobs of a pool. Within a tier the job with the least remaining work comes first. That order gives
-// the most value for each core-second, since each job has a fixed value in addition to the value of its work.
-const (
-	// tierLikelyCause is for tasks that have probably made workers crash, and are the only ones to wait for workers that run nothing.
-	tierLikelyCause = iota
-	tierService
-	tierInTime
-	tierLate
-	tierExpired
-)
-
-// lateFactor is the multiple of its latency target up to which a late job still has some value.
-const lateFactor = 3
-
-// minWorkLeft is the minimum remaining work, in core-seconds, that is assumed of a job. It keeps the order defined.
-const minWorkLeft = 0.001
-
 // candidate is an occurrence that has tasks to start.
 type candidate struct {
 	job        *job
 	occurrence *occurrence
 	queue      *catalog.Queue
-	priority   int
-	tier       int
-	// rank orders the candidates of a tier, lowest first.
-	rank float64
+	order.Key
 }
 
 // Schedule advances the time to now and places tasks. [Core.TakeCommands] returns the commands that follow from it.
@@ -78,14 +59,14 @@
 	workers := &placement{workers: c.usableWorkers(p)}
 	candidates := c.candidates(p)
 	othersWait := false
-	for _, cand := range candidates {
-		othersWait = c.placeOccurrence(cand, workers) || othersWait
+	for cand := range order.Sequence(candidates, (*candidate).key, (*candidate).team, c.teamLevels(p, candidates, workers.workers)) {
+		othersWait = c.placeOccurrence(*cand, workers) || othersWait
 	}
 	c.placeOnSpareWorkers(p, candidates, workers, othersWait)
 	if c.options.Features.Preemption && othersWait {
 		c.makeRoom(p, candidates, workers.workers)
 	}
-	if c.options.Features.Copies && !othersWait && (len(candidates) == 0 || candidates[0].tier != tierLikelyCause) {
+	if c.options.Features.Copies && !othersWait && (len(candidates) == 0 || candidates[0].Tier() != order.LikelyCause) {
 		c.placeCopies(p, workers.workers)
 	}
 }
@@ -98,6 +79,8 @@
 			usable = append(usable, ws)
 		}
 	}
+	// The slowest member of a gang decides how long it takes, and its members get the first workers that have room.
+	slices.SortStableFunc(usable, func(a, b *workerState) int { return cmp.Compare(a.slowness, b.slowness) })
 	return usable
 }
 
@@ -114,24 +97,22 @@
 		}
 	}
 	p.candidates = len(all)
+	c.recordLoad(p, all)
 	slices.SortFunc(all, candidate.compare)
 	return all
 }
 
 // compare orders candidates. The IDs of jobs decide between equal ones, and are not read otherwise.
 func (a candidate) compare(b candidate) int {
-	if d := cmp.Compare(a.tier, b.tier); d != 0 {
-		return d
-	}
-	if d := cmp.Compare(a.priority, b.priority); d != 0 {
-		return d
-	}
-	if d := cmp.Compare(a.rank, b.rank); d != 0 {
+	if d := a.Compare(&b.Key); d != 0 {
 		return d
 	}
 	return cmp.Compare(a.job.doc.ID, b.job.doc.ID)
 }
 
+func (a *candidate) key() *order.Key { return &a.Key }
+func (a *candidate) team() string    { return a.job.doc.Team }
+
 // queueOf returns the queue of a job. One that was removed from the configuration still executes the jobs that were accepted, with the
 // attempts that it allowed then.
 func (c *Core) queueOf(j *job) *catalog.Queue {
@@ -163,35 +144,21 @@
 	if !idle {
 		return candidate{}, false
 	}
-	cand := candidate{job: j, occurrence: o, queue: q, priority: q.Priority}
-	if o.likelyCause() {
-		cand.tier = tierLikelyCause
-		cand.rank = float64(j.acceptedAt)
-		return cand, true
-	}
-	if j.service {
-		cand.tier = tierService
-		cand.rank = float64(j.acceptedAt)
-		return cand, true
+	tier, rank := order.Service, float64(j.acceptedAt)
+	switch {
+	case o.likelyCause():
+		tier = order.LikelyCause
+	case !j.service:
+		_, left := c.remainingWork(o)
+		tier, rank = c.tierOf(j, o, q), order.RankOf(left)
 	}
-	cand.tier, cand.rank = c.rank(j, o, q)
-	return cand, true
+	return candidate{job: j, occurrence: o, queue: q, Key: order.New(tier, j.beyondRate, q.Priority, rank)}, true
 }
 
-// rank returns the tier of a job without services, and its rank within the tier.
-func (c *Core) rank(j *job, o *occurrence, q *catalog.Queue) (tier int, rank float64) {
-	criticalPath, left := o.remainingWork(c.estimator.estimate)
-	target := o.targetEnd(q, j)
-	start := o.latencyStart(j)
-	switch {
-	case c.now+criticalPath <= target:
-		tier = tierInTime
-	case c.now+criticalPath <= start+lateFactor*(target-start):
-		tier = tierLate
-	default:
-		tier = tierExpired
-	}
-	return tier, max(left, minWorkLeft)
+// tierOf returns the tier of a batch job by the time that is left to it.
+func (c *Core) tierOf(j *job, o *occurrence, q *catalog.Queue) order.Tier {
+	criticalPath, _ := c.remainingWork(o)
+	return order.TierOf(c.now, criticalPath, o.latencyStart(j), o.targetEnd(q, j))
 }
 
 // placeOccurrence starts as many tasks of an occurrence as possible. It reports whether others wait for workers that are not likely to
@@ -328,6 +295,9 @@
 const (
 	// costRemoteData is the cost of a worker away from the data, where the task takes several times as long.
 	costRemoteData = 10
+	// costSlow is the cost of a worker on which tasks take twice as long. Three times as long is worth less than a worker on which the task
+	// has just failed.
+	costSlow = 3
 	// costFailedBefore is the cost of the worker on which the task failed last.
 	costFailedBefore = 5
 	// costMayLeave is the cost, for a step with a disruption budget, of a worker whose instance may still carry out a command without an answer.
@@ -358,7 +328,7 @@
 // processors left over wins, so that large tasks find room later.
 func (c *Core) placementCost(s *step, index int, ws *workerState, charge work.Resources) float64 {
 	room := ws.freeCapacity().Minus(charge)
-	cost := float64(room.CPU) / float64(max(1, ws.report.Capacity.CPU))
+	cost := float64(room.CPU)/float64(max(1, ws.report.Capacity.CPU)) + costSlow*ws.slowness
 	if s.doc.DataRack != "" && ws.report.Rack() != s.doc.DataRack {
 		cost += costRemoteData
 	}
@@ -404,7 +374,7 @@
 	}
 	usable := c.workersFor(workers, s, 0)
 	if len(s.crashSites) > 0 {
-		usable = gangs.Last(usable, func(ws *workerState) bool { return s.crashedOn(0, ws) })
+		usable = gang.Last(usable, func(ws *workerState) bool { return s.crashedOn(0, ws) })
 	}
 	chosen := c.chooseGang(s, usable)
 	if chosen == nil && s.doc.Service {
@@ -431,7 +401,7 @@
 // placed in one rack if it has room.
 func (c *Core) chooseGang(s *step, usable []*workerState) []*workerState {
 	if s.doc.SameRack || s.doc.DataRack != "" {
-		for _, rack := range gangs.ByRack(usable, func(ws *workerState) string { return ws.report.Rack() }, s.doc.DataRack) {
+		for _, rack := range gang.ByRack(usable, func(ws *workerState) string { return ws.report.Rack() }, s.doc.DataRack) {
 			if chosen := c.spreadGang(s, rack); chosen != nil {
 				return chosen
 			}
@@ -442,7 +412,7 @@
 
 func (c *Core) spreadGang(s *step, usable []*workerState) []*workerState {
 	charge := s.doc.ReservedResources()
-	return gangs.Spread(len(s.tasks), usable, func(ws *workerState, n int64) bool {
+	return gang.Spread(len(s.tasks), usable, func(ws *workerState, n int64) bool {
 		if !charge.Times(n+1).Fits(ws.freeCapacity()) || !ws.leavesReserved(s, n+1) || !c.eligible(s, ws) {
 			return false
 		}
--- a/scheduler/preemption.go
+++ b/scheduler/preemption.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/order"
 	"github.com/chivetiller/chivetiller/internal/jobs/preemption"
 )
 
@@ -21,7 +22,7 @@
 	rooms := c.preemptible(usable)
 	tries := 0
 	for _, cand := range candidates {
-		if cand.tier != tierInTime {
+		if cand.Tier() != order.InTime {
 			continue
 		}
 		for _, s := range cand.occurrence.steps {
@@ -51,21 +52,22 @@
 // the worker, and -1 if there is none.
 func (c *Core) preemptFor(p *pool, cand candidate, s *step, rooms []preemptible) int {
 	left := cand.job.preemptions.JobLeft(c.now)
-	chosen, stops, ok := preemption.Choose(s.doc.ReservedResources(), preemption.Urgency{Priority: cand.priority}, rooms, left,
+	chosen, stops, ok := preemption.Choose(s.doc.ReservedResources(), preemption.Urgency{Priority: cand.queue.Priority}, rooms, left,
 		func(ws *workerState) bool { return c.eligible(s, ws) })
 	if !ok {
 		c.countDecision("preemption", "noRoom")
 		return -1
 	}
 	ws := rooms[chosen].Worker
-	p.reserve(ws, reservation{step: s, since: c.now, used: ws.used, until: c.now + preemption.KeepFor})
+	p.reserve(s, ws, c.now)
+	ws.reservations[len(ws.reservations)-1].until = c.now + preemption.KeepFor
 	p.preemptions.Add(c.now, 1)
 	cand.job.preemptions.Add(c.now, len(stops))
 	for _, r := range stops {
 		r.step.preempted.Record(r.index, c.now)
 		c.countDecision("preemption", "stopped")
 		c.logger.Info("Run makes room for a more urgent job.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
-			"urgentJob", cand.job.doc.ID, "step", s.number, "priority", cand.priority, "sinceSaved", c.now-max(r.savedAt, r.startedAt), "left", c.expectedLeftOf(r), "stops", len(stops))
+			"urgentJob", cand.job.doc.ID, "step", s.number, "priority", cand.queue.Priority, "sinceSaved", c.now-max(r.savedAt, r.startedAt), "left", c.expectedLeft(r), "stops", len(stops))
 		c.stopRun(r, "its room is needed for a more urgent job")
 	}
 	return chosen
@@ -83,13 +85,12 @@
 		for _, r := range ws.runs {
 			s := r.step
 			if r.phase != running || s.tasks[r.index].done || s.crashCount(r.index).Suspect() || !s.preempted.Allows(r.index, c.now) ||
-				!preemption.MayStop(s.doc, c.expectedLeftOf(r), c.options.Bounds.StopTimeout) {
+				!preemption.MayStop(s.doc, c.expectedLeft(r), c.usualLeft(r), c.options.Bounds.StopTimeout) {
 				continue
 			}
 			q := c.queueOf(s.job)
-			tier, _ := c.rank(s.job, s.occurrence, q)
 			runs = append(runs, preemption.Run[*run]{
-				Run: r, Urgency: preemption.Urgency{Priority: q.Priority, Expired: tier == tierExpired}, Size: s.doc.ReservedResources(), SinceSaved: c.now - max(r.savedAt, r.startedAt),
+				Run: r, Urgency: preemption.Urgency{Priority: q.Priority, Expired: c.tierOf(s.job, s.occurrence, q) == order.Expired}, Size: s.doc.ReservedResources(), SinceSaved: c.now - max(r.savedAt, r.startedAt),
 			})
 		}
 		if len(runs) > 0 {
@@ -99,11 +100,7 @@
 	return rooms
 }
 
-// expectedLeftOf returns how long a run is expected to take. One that takes longer than expected may go on for a while.
-func (c *Core) expectedLeftOf(r *run) time.Duration {
-	ran := c.now - r.startedAt
-	if left := c.estimator.estimate(r.step) - ran; left > 0 {
-		return left
-	}
-	return ran / 4
+// usualLeft returns how long a run goes on until it has taken as long as usual on its worker, and a negative time after that.
+func (c *Core) usualLeft(r *run) time.Duration {
+	return time.Duration(float64(c.expect(r.step).Median())*c.delayOf(r)) - (c.now - r.startedAt)
 }
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -60,7 +60,7 @@
 		}
 		ws.reservations = slices.DeleteFunc(ws.reservations, func(r reservation) bool {
 			s := r.step
-			if s.job.progress.State.Ended() || kept[s] >= s.idleTasks || !s.doc.ReservedResources().Fits(ws.report.Capacity) {
+			if s.job.progress.State.Ended() || kept[s] >= s.idleTasks+c.movingOut(s) || !s.doc.ReservedResources().Fits(ws.report.Capacity) {
 				return true
 			}
 			if r.until > 0 && c.now >= r.until || c.now-r.since >= reservationLimit && r.used.Fits(ws.used) {
@@ -98,18 +98,18 @@
 			s.waits().reserveNotBefore = c.now + reserveRetry
 			return
 		}
-		p.reserve(ws, reservation{step: s, since: c.now, used: ws.used})
+		p.reserve(s, ws, c.now)
 		c.logger.Info("Worker is kept free for a service.", "job", s.job.doc.ID, "step", s.number, "worker", ws.report.ID, "waited", c.now-s.waitsSince,
 			"runs", len(ws.runs), "reservations", len(ws.reservations))
 	}
 }
 
-// reserve keeps room on a worker.
-func (p *pool) reserve(ws *workerState, r reservation) {
+// reserve keeps room on a worker for a task of a step.
+func (p *pool) reserve(s *step, ws *workerState, now time.Duration) {
 	if len(ws.reservations) == 0 {
 		p.reserved = append(p.reserved, ws)
 	}
-	ws.reservations = append(ws.reservations, r)
+	ws.reservations = append(ws.reservations, reservation{step: s, since: now, used: ws.used})
 }
 
 func (ws *workerState) reservedFor(s *step) int {
@@ -148,27 +148,23 @@
 	return best
 }
 
+// unreserved returns the capacity that is neither in use nor reserved.
+func (ws *workerState) unreserved() work.Resources {
+	free := ws.freeCapacity()
+	for _, r := range ws.reservations {
+		free = free.Minus(r.step.doc.ReservedResources())
+	}
+	return free
+}
+
 // timeToRoom returns how long a worker is expected to take until it has room for one more task of a step beside its reservations. It
 // reports false if only the end of a service would make room.
 func (c *Core) timeToRoom(s *step, ws *workerState) (time.Duration, bool) {
 	endings := make([]preemption.Ending, 0, len(ws.runs))
 	for _, r := range ws.runs {
 		if !r.step.doc.Service || r.phase == stopping {
-			endings = append(endings, preemption.Ending{Left: c.runTimeLeft(r), Size: r.step.doc.ReservedResources()})
+			endings = append(endings, preemption.Ending{Left: c.expectedLeft(r), Size: r.step.doc.ReservedResources()})
 		}
 	}
-	free := ws.freeCapacity()
-	for _, r := range ws.reservations {
-		free = free.Minus(r.step.doc.ReservedResources())
-	}
-	return preemption.RoomAfter(s.doc.ReservedResources(), free, endings)
-}
-
-// runTimeLeft returns how long a run is expected to take. One that takes longer than estimated is expected to go on for a while.
-func (c *Core) runTimeLeft(r *run) time.Duration {
-	if r.phase == stopping {
-		return minRunLeft
-	}
-	ran := c.now - r.startedAt
-	return max(c.estimator.estimate(r.step)-ran, ran/4, minRunLeft)
+	return preemption.RoomAfter(s.doc.ReservedResources(), ws.unreserved(), endings)
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -41,6 +41,7 @@
 	r.worker.countRun(r.step.doc, 1)
 	team := r.step.job.doc.Team
 	c.teamUsage[team] = c.teamUsage[team].Plus(r.step.doc.Request)
+	c.pool(r.step.job.doc.Pool).shares.Add(team, r.step.doc.ReservedResources(), r.step.doc.Service)
 }
 
 // detachRun removes a run from its worker and team. It reports whether the run was attached.
@@ -71,6 +72,7 @@
 		c.pool(r.worker.report.Pool).needsPlanning = true
 		team := r.step.job.doc.Team
 		c.teamUsage[team] = c.teamUsage[team].Minus(r.step.doc.Request)
+		c.pool(r.step.job.doc.Pool).shares.Remove(team, r.step.doc.ReservedResources(), r.step.doc.Service)
 		t.lastWorker = r.worker.report.ID
 		return true
 	}
@@ -86,6 +88,7 @@
 	if s.doc.Checkpoints || s.doc.Gang {
 		start.Checkpoint = s.progress.Checkpoints[s.unitIndex(r.index)]
 	}
+	r.whole = start.Checkpoint == ""
 	start.Ticket, _ = s.tickets.Ticket(r.worker.report.ID, c.now)
 	c.commands = append(c.commands, Command{Kind: CommandStart, Target: workerTarget(r.worker), Start: start, run: r, call: to, repeated: r.unanswered > 0})
 }
@@ -197,7 +200,7 @@
 		c.commandStart(r)
 		return
 	}
-	if r.protected() {
+	if r.protected() || c.evacuated(r.worker) {
 		c.giveUpStart(r, "it may not start there any more")
 		return
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -4,12 +4,17 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/admission"
 	"github.com/chivetiller/chivetiller/internal/jobs/copies"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
-	"github.com/chivetiller/chivetiller/internal/jobs/gangs"
+	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
+	"github.com/chivetiller/chivetiller/internal/jobs/gang"
 	"github.com/chivetiller/chivetiller/internal/jobs/preemption"
+	"github.com/chivetiller/chivetiller/internal/jobs/remainingwork"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
+	"github.com/chivetiller/chivetiller/internal/teams/share"
+	"github.com/chivetiller/chivetiller/internal/workers/health"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -33,6 +38,8 @@
 	nextOccurrence int
 	// service means that a step runs until the job is cancelled.
 	service bool
+	// beyondRate means that the team had sent more jobs than it is owed when the job was accepted.
+	beyondRate bool
 	// started means that a start command of the job was sent or recorded, and begun that a worker is known to have carried one out.
 	started bool
 	begun   bool
@@ -62,10 +69,8 @@
 	recordedWorkers []string
 	// dueAt is the time at which the occurrence was due.
 	dueAt time.Duration
-	// criticalPath and coreSecondsLeft cache the estimate of the remaining work. They are valid while cached is set.
-	criticalPath    time.Duration
-	coreSecondsLeft float64
-	cached          bool
+	// remaining is what is expected of the remaining work.
+	remaining remainingwork.Work
 }
 
 // step is a step of an occurrence.
@@ -100,6 +105,8 @@
 	wait *stepWaits
 	// notBefore delays the next start of the gang.
 	notBefore time.Duration
+	// finished is what the tasks that are done tell of the others.
+	finished finishedruns.Step
 }
 
 // task is a task of a step.
@@ -197,6 +204,8 @@
 	checkpoint string
 	// savedAt is the time at which the worker first reported the checkpoint.
 	savedAt time.Duration
+	// whole means that the run began without a checkpoint in this term.
+	whole bool
 	// worked means that the run has spoken for the health of its worker.
 	worked       bool
 	speedPercent int
@@ -240,7 +249,7 @@
 	// tests counts the runs of suspects that the worker has not survived yet, and testsLikely means that one is likely to crash it.
 	tests       int
 	testsLikely bool
-	health      health
+	health      health.Health
 	// workerLife is the present life.
 	*workerLife
 }
@@ -275,8 +284,10 @@
 	// candidates is the number of occurrences that had tasks to start in the last pass.
 	candidates int
 	arrivals   arrivals.Window
-	// surgeForeseen means that the pool has instances for a surge that is foreseen.
-	surgeForeseen bool
+	// shares is what the teams use of the pool.
+	shares share.Pool
+	// load is the work of the batch jobs that waited in the last pass.
+	load admission.Load
 	// tests holds the runs of suspects whose workers may still crash under them.
 	tests []*run
 	// preemptions tells of the workers on which runs were stopped for urgent jobs, and roomCheckedAt when that was last considered.
@@ -289,30 +300,7 @@
 	// crashes holds the latest crashes of its workers.
 	crashes crashloop.History[crashedUnit]
 	// tooWide holds the gangs of which it was logged that they fit nowhere.
-	tooWide map[gangs.Shape]bool
-}
-
-// remainingWork returns the critical path and the work (in core-seconds) that are left, as estimated.
-func (o *occurrence) remainingWork(estimate func(*step) time.Duration) (criticalPath time.Duration, coreSeconds float64) {
-	if o.cached {
-		return o.criticalPath, o.coreSecondsLeft
-	}
-	var buffer [work.MaxSteps]time.Duration
-	for i, s := range o.steps {
-		var start time.Duration
-		for _, after := range s.doc.DependsOn {
-			start = max(start, buffer[after])
-		}
-		if s.tasksLeft > 0 {
-			e := estimate(s)
-			start += e
-			coreSeconds += float64(s.tasksLeft) * float64(s.doc.Request.CPU) / 1000 * e.Seconds()
-		}
-		buffer[i] = start
-		criticalPath = max(criticalPath, start)
-	}
-	o.criticalPath, o.coreSecondsLeft, o.cached = criticalPath, coreSeconds, true
-	return criticalPath, coreSeconds
+	tooWide map[gang.Shape]bool
 }
 
 // targetEnd returns the time until which the occurrence has to be done to be within its latency target.
