--- a/internal/jobs/copies/copies.go
+++ b/internal/jobs/copies/copies.go
@@ -53,24 +53,6 @@
 	Runs() int
 }
 
-// Estimate is an expectation from a single estimate, which was corrected by the runs of the same queue.
-type Estimate struct {
-	Time time.Duration
-	// Learned is the number of runs by which it was corrected.
-	Learned int
-}
-
-var _ Expectation = Estimate{}
-
-// Median implements [Expectation].
-func (e Estimate) Median() time.Duration { return e.Time }
-
-// Quantile implements [Expectation]. The spread of the run times is not known.
-func (e Estimate) Quantile(float64) time.Duration { return e.Time * 3 / 2 }
-
-// Runs implements [Expectation].
-func (e Estimate) Runs() int { return e.Learned }
-
 // Run is what is known of a run that is at work.
 type Run struct {
 	// Ran is the time since the worker confirmed the run.
--- a/internal/jobs/finishedruns/finishedruns.go
+++ b/internal/jobs/finishedruns/finishedruns.go
@@ -5,7 +5,8 @@
 //	l := finishedruns.New(true, true)
 //	var step finishedruns.Step
 //	l.Observe(&step, finishedruns.Run{Class: class, Job: id, Worker: worker, Took: took, Whole: true}, now, countDecision)
-//	e := l.Expect(class, &step, running, now)
+//	e := l.Expect(class, &step, anyRuns, running, now)
+//	late := took > l.ExpectByFinished(class, &step, now).Quantile(0.9)
 //	l.Pace().Factor(worker)
 //
 // # States
@@ -55,6 +56,9 @@
 	expected *runtimes.Expectation
 	until    time.Duration
 	anyRuns  bool
+	// byFinished is what is expected without the runs in progress, and holds until a time.
+	byFinished      *runtimes.Expectation
+	byFinishedUntil time.Duration
 }
 
 // Run is a run that was done.
@@ -138,6 +142,22 @@
 	return *step.expected
 }
 
+// ExpectByFinished is Expect without the runs in progress, to judge one of them: a run that takes long raises what is expected of its step,
+// and would put off the time from which on it is late.
+func (l *Learner) ExpectByFinished(class runtimes.Class, step *Step, now time.Duration) runtimes.Expectation {
+	if !l.runTimes {
+		return runtimes.Fixed(l.ratios.Expect(class.Queue, class.Estimate))
+	}
+	if len(step.finished) == 0 {
+		return l.model.Expect(class)
+	}
+	if step.byFinished == nil || now >= step.byFinishedUntil {
+		e := l.model.Expect(class).Given(step.finished, nil)
+		step.byFinished, step.byFinishedUntil = &e, now+idleAge
+	}
+	return *step.byFinished
+}
+
 // WorkUntil returns until when the remaining work of a job holds that was due at a time, if no task is done before.
 func (l *Learner) WorkUntil(now, dueAt time.Duration) time.Duration {
 	if !l.runTimes {
@@ -173,7 +193,7 @@
 	}
 	l.model.ObserveWithin(step.finished, usual, now)
 	step.finished = append(step.finished[max(0, len(step.finished)-maxFinished+1):], usual)
-	step.until = 0
+	step.until, step.byFinishedUntil = 0, 0
 }
 
 // usualTime returns how long a run would have taken on a worker of usual pace, near its data, and 0 if that is not known.
--- a/internal/jobs/finishedruns/finishedruns_test.go
+++ b/internal/jobs/finishedruns/finishedruns_test.go
@@ -193,3 +193,38 @@
 		})
 	}
 }
+
+// TestLateRun guards against a run that is never late, because the time for which it has run raises what is expected of its step.
+func TestLateRun(t *testing.T) {
+	for name, runTimes := range map[string]bool{"run times": true, "ratio": false} {
+		t.Run(name, func(t *testing.T) {
+			l := finishedruns.New(runTimes, false)
+			class := runtimes.Class{Queue: "q", Steps: 1, CPU: 1000, Estimate: time.Second}
+			observe := func(step *finishedruns.Step, took time.Duration) {
+				l.Observe(step, finishedruns.Run{Class: class, Took: took, Whole: true}, time.Minute, func(string, string) {})
+			}
+			for range 30 {
+				// The tasks of a step take equally long.
+				var step finishedruns.Step
+				for range 8 {
+					observe(&step, time.Second)
+				}
+			}
+			var step finishedruns.Step
+			running := func() []time.Duration { return []time.Duration{4 * time.Second, 4 * time.Second} }
+			byFinished := func() time.Duration { return l.ExpectByFinished(class, &step, time.Minute).Median() }
+			qt.Assert(t, byFinished() < 1300*time.Millisecond, qt.IsTrue, qt.Commentf("%v", byFinished()))
+			if median := l.Expect(class, &step, true, running, time.Minute).Median(); runTimes {
+				qt.Assert(t, median > 2*time.Second, qt.IsTrue, qt.Commentf("%v", median))
+			} else {
+				qt.Assert(t, median, qt.Equals, byFinished())
+				return
+			}
+			qt.Assert(t, byFinished() < 1300*time.Millisecond, qt.IsTrue, qt.Commentf("%v", byFinished()))
+			for range 4 {
+				observe(&step, 2*time.Second)
+			}
+			qt.Assert(t, byFinished() > 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", byFinished()))
+		})
+	}
+}
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -128,7 +128,7 @@
 	}
 	c.plannedRuns = waiting
 	for _, ws := range c.workers {
-		if seq := c.storedExits(ws); seq > ws.exitsStored {
+		if seq := ws.exits.StoredWith(func(j *job) bool { return c.changedJobs[j] }); seq > ws.exits.Stored() {
 			b.exitAcks[ws.workerLife] = seq
 		}
 	}
@@ -274,35 +274,6 @@
 	return values, nil
 }
 
-// unstoredExit is an exit that was processed and whose effect on its job may not be stored yet.
-type unstoredExit struct {
-	seq uint64
-	job *job
-}
-
-// storedExits returns the number of the last exit of a worker up to which the effects of all are in this batch or stored already.
-func (c *Core) storedExits(ws *workerState) uint64 {
-	n := 0
-	for n < len(ws.unstoredExits) && !c.changedJobs[ws.unstoredExits[n].job] {
-		n++
-	}
-	if n == 0 {
-		return ws.exitsStored
-	}
-	// The entries stay until the batch is stored.
-	return ws.unstoredExits[n-1].seq
-}
-
-// recordStoredExits records that the effects of the exits up to a number are stored.
-func (l *workerLife) recordStoredExits(seq uint64) {
-	l.exitsStored = max(l.exitsStored, seq)
-	n := 0
-	for n < len(l.unstoredExits) && l.unstoredExits[n].seq <= l.exitsStored {
-		n++
-	}
-	l.unstoredExits = l.unstoredExits[n:]
-}
-
 // maxPrunedJobs is the maximum number of jobs that are pruned at a time, in a transaction for each partition.
 const maxPrunedJobs = store.MaxEntries / 2
 
@@ -415,7 +386,7 @@
 		c.logger.Info("Row that was set aside is stored.", "table", key.Table, "row", key.Name)
 	}
 	for life, number := range b.exitAcks {
-		life.recordStoredExits(number)
+		life.exits.SetStored(number)
 	}
 	if b.LeaseEnds != nil {
 		c.leaseRecord.Stored(b.LeaseEnds)
--- a/scheduler/batch_test.go
+++ b/scheduler/batch_test.go
@@ -54,9 +54,9 @@
 		qt.Assert(t, b.Progress[run.step.job.doc.ID], qt.IsNotNil)
 	}
 	for ws, seq := range b.exitAcks {
-		for _, e := range ws.unstoredExits {
-			if e.seq <= seq {
-				qt.Assert(t, b.Progress[e.job.doc.ID], qt.IsNotNil)
+		for _, e := range ws.exits.Exits() {
+			if e.Seq <= seq {
+				qt.Assert(t, b.Progress[e.Job.doc.ID], qt.IsNotNil)
 			}
 		}
 	}
@@ -74,8 +74,8 @@
 	}
 	qt.Assert(t, r.core.plannedRuns, qt.HasLen, 0)
 	for _, ws := range r.core.workers {
-		qt.Assert(t, ws.exitsStored, qt.Equals, ws.exitsProcessed)
-		qt.Assert(t, ws.unstoredExits, qt.HasLen, 0)
+		qt.Assert(t, ws.exits.Stored(), qt.Equals, ws.exitsProcessed)
+		qt.Assert(t, ws.exits.Len(), qt.Equals, 0)
 	}
 }
 
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -85,7 +85,7 @@
 		Ran: c.now - r.confirmedAt, Troubled: ws.doubtedAt > 0 || ws.health.Quarantined(c.now) || c.silent(ws),
 		Failures: s.failures(r.index), Attempts: c.queueOf(s.job).Attempts,
 	}
-	return s.copies.Wants(r.index, known, c.expect(s))
+	return s.copies.Wants(r.index, known, c.learned.ExpectByFinished(s.class(), &s.finished, c.now))
 }
 
 // chooseForCopy returns a worker for a copy of a run, in another rack if there is one, and nil if there is none.
@@ -114,7 +114,7 @@
 	s.occurrence.progress.SetFirstRun(s.number, r.index, r.worker.report.ID, r.number)
 	s.copies.Started(r.index)
 	c.countDecision("copies", "started")
-	e := c.expect(s)
+	e := c.learned.ExpectByFinished(s.class(), &s.finished, c.now)
 	c.logger.Info("Copy of a late run is planned.", "job", s.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "copyOn", ws.report.ID,
 		"ran", r.ran, "expected", e.Median(), "runs", e.Runs(), "tier", r.tier)
 }
--- a/scheduler/copies_test.go
+++ b/scheduler/copies_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
 	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/work"
@@ -205,3 +206,28 @@
 		})
 	}
 }
+
+// newEvacuationCopiesRig returns a rig whose workers are in the data centre of the first letter of their ID.
+func newEvacuationCopiesRig(r *copiesRig, ids ...string) *copiesRig {
+	e := evacuationRig{rig: r.rig}
+	e.list(ids...)
+	e.replyAll()
+	r.ids = ids
+	return r
+}
+
+// TestNoCopyInEvacuatedDataCentre guards against a copy that starts in an evacuated data centre, and against none after it is taken back.
+func TestNoCopyInEvacuatedDataCentre(t *testing.T) {
+	r := newEvacuationCopiesRig(newCopiesRig(t, true), "a1", "b1")
+	for i := range 3 {
+		r.finishJob(speculative("before"+string(rune('0'+i)), 1, 2))
+	}
+	r.core.SetEvacuations(evacuation.NewSet(r.now, "b"))
+	r.takes = func(work.Task) time.Duration { return 3 * time.Second }
+	r.addJob(speculative("late", 1, 1))
+	r.play(2200 * time.Millisecond)
+	qt.Assert(t, r.starts[work.Task{Job: "late"}], qt.DeepEquals, []string{"a1"})
+	r.core.SetEvacuations(evacuation.NewSet(r.now))
+	r.play(300 * time.Millisecond)
+	qt.Assert(t, r.starts[work.Task{Job: "late"}], qt.DeepEquals, []string{"a1", "b1"})
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -22,6 +22,7 @@
 	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
 	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/quarantine"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
@@ -192,8 +193,8 @@
 	// idle is a buffer for the idle tasks of a step.
 	idle []int
 	// waitingTasks counts the tasks of services that did not run at waitingCheckedAt, and longestWaits is for how long they had not.
-	waitingTasks     map[WaitReason]int
-	longestWaits     map[WaitReason]time.Duration
+	waitingTasks     map[waiting.Reason]int
+	longestWaits     map[waiting.Reason]time.Duration
 	waitingCheckedAt time.Duration
 }
 
@@ -206,8 +207,8 @@
 	Jobs    map[string]int
 	Workers map[string]int
 	// WaitingTasks counts the tasks of services that do not run, and LongestWaits is the longest time for which one of them has not.
-	WaitingTasks map[WaitReason]int
-	LongestWaits map[WaitReason]time.Duration
+	WaitingTasks map[waiting.Reason]int
+	LongestWaits map[waiting.Reason]time.Duration
 	// EvacuationRuns counts the runs that are left in each evacuated data centre.
 	EvacuationRuns map[string]int
 	// Decisions counts the decisions of the parts that are switched by settings.
@@ -239,7 +240,7 @@
 		changedJobs: make(map[*job]bool), endedWithRuns: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
 		rosterChanges: make(map[string]bool), misdirected: make(misdirection.List), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
-		waitingTasks: make(map[WaitReason]int), longestWaits: make(map[WaitReason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
+		waitingTasks: make(map[waiting.Reason]int), longestWaits: make(map[waiting.Reason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
 		learned: finishedruns.New(o.Features.LearnedRunTimes, o.Features.WorkerPace), snapshots: snapshot.NewSet(), shares: teamShares{rates: share.NewRates()}, fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
 	}
 	c.learned.Keep(c.snapshots)
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -89,16 +89,16 @@
 		return false
 	}
 	site := s.crashSite(r.index)
-	site.add(r.worker.report.Address, late)
+	site.Add(r.worker.report.Address, late)
 	switch {
 	case late && around.Telling():
 		s.progress.AddLateCrash(r.index)
 	case !late && (!s.doc.Service || c.blames(r, around)):
 		s.progress.AddCrash(r.index, r.number, r.confirmedAt > 0)
-		site.latest = c.now
+		site.Latest = c.now
 	default:
-		site.untelling++
-		site.latest = c.now
+		site.Untelling++
+		site.Latest = c.now
 		return false
 	}
 	return true
@@ -168,7 +168,7 @@
 		if slices.Contains(units, crashedUnit{step: s, unit: s.unitIndex(index)}) {
 			continue
 		}
-		s.crashSite(index).untelling += len(runs)
+		s.crashSite(index).Untelling += len(runs)
 		s.progress.ForgetCrashes(index)
 		c.changedJobs[s.job] = true
 	}
@@ -179,9 +179,7 @@
 	around := crashloop.Surroundings{
 		SinceOther: c.pool(r.worker.report.Pool).crashes.SinceOther(c.now, r.crashedUnit()), Lived: r.startedAt - livedSince,
 	}
-	if site := r.step.crashSites[r.step.unitIndex(r.index)]; site != nil {
-		around.Repeated = slices.Contains(site.addresses, r.worker.report.Address) || late && slices.Contains(site.lateAddresses, r.worker.report.Address)
-	}
+	around.Repeated = r.step.crashSites[r.step.unitIndex(r.index)].Repeated(r.worker.report.Address, late)
 	return around
 }
 
@@ -226,7 +224,7 @@
 func (s *step) taskCrashes(index int) crashloop.Count {
 	count := crashloop.Count{All: len(s.progress.Crashes[index]), Confirmed: s.progress.ConfirmedCrashes[index], Late: s.progress.LateCrashes[index]}
 	if site := s.crashSites[s.unitIndex(index)]; site != nil {
-		count.Silent = len(site.silentRuns)
+		count.Silent = len(site.SilentRuns)
 	}
 	return count
 }
@@ -241,7 +239,7 @@
 	}
 	n := len(s.progress.Crashes)
 	for unit, site := range s.crashSites {
-		if len(site.silentRuns) > 0 && len(s.progress.Crashes[unit]) == 0 {
+		if len(site.SilentRuns) > 0 && len(s.progress.Crashes[unit]) == 0 {
 			n++
 		}
 	}
@@ -276,51 +274,28 @@
 // likelyCause reports whether a task has probably made workers crash.
 func (s *step) likelyCause(index int) bool { return s.crashCount(index).Likely() }
 
-// crashSites holds where workers crashed under a task in this term.
-type crashSites struct {
-	// addresses are those of workers that were not known to have survived the start, and lateAddresses those of the others.
-	addresses, lateAddresses []string
-	// untelling counts the crashes that tell nothing of the task.
-	untelling int
-	// silentRuns holds the numbers of the runs whose workers fell silent, and of which nothing is known since.
-	silentRuns []int
-	// latest is the time of the last crash, or of the last worker that was found to be silent.
-	latest time.Duration
-}
-
-func (s *step) crashSite(index int) *crashSites {
+func (s *step) crashSite(index int) *crashloop.Sites {
 	if s.crashSites == nil {
-		s.crashSites = make(map[int]*crashSites)
+		s.crashSites = make(map[int]*crashloop.Sites)
 	}
 	unit := s.unitIndex(index)
 	if s.crashSites[unit] == nil {
-		s.crashSites[unit] = new(crashSites)
+		s.crashSites[unit] = new(crashloop.Sites)
 	}
 	return s.crashSites[unit]
 }
 
-func (cs *crashSites) add(address string, late bool) {
-	list := &cs.addresses
-	if late {
-		list = &cs.lateAddresses
-	}
-	if !slices.Contains(*list, address) {
-		*list = append(*list, address)
-	}
-}
-
 // untelling returns the number of crashes under a task that tell nothing of it.
 func (s *step) untelling(index int) int {
 	if site := s.crashSites[s.unitIndex(index)]; site != nil {
-		return site.untelling
+		return site.Untelling
 	}
 	return 0
 }
 
 // crashedOn reports whether a worker has crashed under a task at the address of this one, which may be the cause.
 func (s *step) crashedOn(index int, ws *workerState) bool {
-	site := s.crashSites[s.unitIndex(index)]
-	return site != nil && slices.Contains(site.addresses, ws.report.Address)
+	return s.crashSites[s.unitIndex(index)].Crashed(ws.report.Address)
 }
 
 // pausedAfterCrash reports whether a service waits after crashes, for which it does not fail, or another task for news of silent workers.
@@ -334,24 +309,20 @@
 	}
 	count := s.crashCount(index)
 	if !s.doc.Service {
-		return c.now-site.latest < count.SilencePause()
+		return c.now-site.Latest < count.SilencePause()
 	}
 	if t := &s.tasks[index]; crashloop.Rested(c.now - max(t.idleSince, t.triedAt)) {
 		return false
 	}
 	// One may be a coincidence.
-	crashes := max(0, count.All+count.Silent-1) + site.untelling
-	return c.now-site.latest < crashloop.Pause(crashes, c.pool(s.job.doc.Pool).crashes.SinceUnexplained(c.now))
+	crashes := max(0, count.All+count.Silent-1) + site.Untelling
+	return c.now-site.Latest < crashloop.Pause(crashes, c.pool(s.job.doc.Pool).crashes.SinceUnexplained(c.now))
 }
 
 // mayCrashByItself reports whether a task waits until the worker has lived for a while, since workers at its address crashed again and
 // again.
 func (c *Core) mayCrashByItself(s *step, index int, ws *workerState) bool {
-	site := s.crashSites[s.unitIndex(index)]
-	if site == nil || !slices.Contains(site.addresses, ws.report.Address) && !slices.Contains(site.lateAddresses, ws.report.Address) {
-		return false
-	}
-	return c.now-ws.livedSince() < crashloop.RequiredLife(site.untelling)
+	return s.crashSites[s.unitIndex(index)].MayCrashByItself(ws.report.Address, c.now-ws.livedSince())
 }
 
 // likelyCause reports whether an idle task of an occurrence has probably made workers crash.
--- a/scheduler/expectations_test.go
+++ b/scheduler/expectations_test.go
@@ -11,6 +11,7 @@
 	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -108,7 +109,7 @@
 		"whole":   func(*rig, *job) {},
 		"resumed": func(_ *rig, j *job) { j.open[0].steps[0].progress.SetCheckpoint(0, "half") },
 		"adopted": func(r *rig, _ *job) {
-			r.runs["w"] = []worker.Run{{Task: work.Task{Job: "j"}, Number: 1, SpeedPercent: fullSpeed}}
+			r.runs["w"] = []worker.Run{{Task: work.Task{Job: "j"}, Number: 1, SpeedPercent: throttling.FullSpeed}}
 		},
 		"repeated": func(*rig, *job) {},
 	}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/internal/pools/joining"
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -335,7 +336,7 @@
 // serving returns the run of a service task that is at work according to the last report, and nil if there is none.
 func (t *task) serving() *run {
 	for _, r := range t.runs {
-		if r.phase == running && r.speedPercent >= fullSpeed {
+		if r.phase == running && r.speedPercent >= throttling.FullSpeed {
 			return r
 		}
 	}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -298,7 +299,7 @@
 	}})
 	r.accept(r.pass())
 	report := func(tail int64) (percents []int) {
-		r.advance(speedUpInterval + time.Millisecond)
+		r.advance(throttling.Interval + time.Millisecond)
 		for i := range r.runs["w1"] {
 			if r.runs["w1"][i].Task.Step == 0 {
 				r.runs["w1"][i].Load = tail
@@ -316,7 +317,7 @@
 	qt.Assert(t, report(50), qt.HasLen, 0)
 	qt.Assert(t, report(150), qt.DeepEquals, []int{0})
 	qt.Assert(t, report(80), qt.HasLen, 0)
-	qt.Assert(t, report(20), qt.DeepEquals, []int{speedUpStep})
+	qt.Assert(t, report(20), qt.DeepEquals, []int{throttling.Step})
 }
 
 // TestMoveOnShrunkCapacity guards against a pool that does not grow although the capacity of its workers has shrunk below its demand.
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -1,10 +1,14 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
+)
 
 // recordWork records that a service is at work on its worker. A worker that runs nothing else has no other success.
 func (c *Core) recordWork(r *run) {
-	if !r.worked && r.step.doc.Service && r.speedPercent >= fullSpeed && c.now-r.confirmedAt >= workProof {
+	if !r.worked && r.step.doc.Service && r.speedPercent >= throttling.FullSpeed && c.now-r.confirmedAt >= workProof {
 		r.worked = true
 		r.worker.health.RecordSuccess()
 	}
--- a/scheduler/idlemodel_workers_test.go
+++ b/scheduler/idlemodel_workers_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -224,7 +225,7 @@
 	for _, r := range w.runs {
 		percent := 0
 		if now-r.since >= 300*time.Millisecond {
-			percent = fullSpeed
+			percent = throttling.FullSpeed
 		}
 		s.Running = append(s.Running, worker.Run{Task: r.task, Number: r.number, SpeedPercent: percent})
 	}
--- a/scheduler/lateordersmodel_test.go
+++ b/scheduler/lateordersmodel_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -263,7 +264,7 @@
 	for _, r := range w.running {
 		percent := 0
 		if m.now-r.since >= ordersStartup {
-			percent = fullSpeed
+			percent = throttling.FullSpeed
 		}
 		status.Running = append(status.Running, worker.Run{Task: r.task, Number: r.number, SpeedPercent: percent})
 	}
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivetiller/chivetiller/internal/workers/latestarts"
+	"github.com/chivetiller/chivetiller/internal/workers/unstoredexits"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
@@ -79,11 +80,9 @@
 	maxLease time.Duration
 	// expiredRuns holds the runs that were on the worker when its lease expired. It may have crashed.
 	expiredRuns []*run
-	// exitsProcessed is the number of the last exit that was processed, and exitsStored that of the last whose effect is stored.
+	// exitsProcessed is the number of the last exit that was processed, and exits tells up to which the effects are stored.
 	exitsProcessed uint64
-	exitsStored    uint64
-	// unstoredExits holds the exits after exitsStored that were processed.
-	unstoredExits []unstoredExit
+	exits          unstoredexits.Queue[*job]
 	// unansweredStarts holds the starts that got no answer.
 	unansweredStarts latestarts.List
 	// throttledAt is the time of the latest throttle command.
--- a/scheduler/livesmodel_test.go
+++ b/scheduler/livesmodel_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -228,7 +229,7 @@
 		w.exits = w.exits[1:]
 	}
 	for _, r := range w.running {
-		status.Running = append(status.Running, worker.Run{Task: r.task, Number: r.number, SpeedPercent: fullSpeed})
+		status.Running = append(status.Running, worker.Run{Task: r.task, Number: r.number, SpeedPercent: throttling.FullSpeed})
 	}
 	status.Exited = append(status.Exited, w.exits...)
 	return status
--- a/scheduler/orders_test.go
+++ b/scheduler/orders_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -41,7 +42,7 @@
 	orders := r.leaveUnanswered(startAnswerTimeout+200*time.Millisecond, "w1")
 	qt.Assert(t, len(startsOf(orders)) >= minUnansweredStarts, qt.IsTrue)
 	first := orders[0].Start
-	r.runs["w1"] = []worker.Run{{Task: first.Task, Number: first.Run, SpeedPercent: fullSpeed}}
+	r.runs["w1"] = []worker.Run{{Task: first.Task, Number: first.Run, SpeedPercent: throttling.FullSpeed}}
 	orders = append(orders, r.leaveUnanswered(time.Minute, "w1")...)
 	qt.Assert(t, countStops(orders), qt.Equals, 0)
 	qt.Assert(t, r.core.workers["w1"].runs[first.Task].phase, qt.Equals, running)
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/internal/workers/avoidance"
 )
 
@@ -64,7 +65,7 @@
 func (c *Core) chooseAvoidedWorker(s *step, index int) *workerState {
 	idle := c.idleFor(s, index)
 	p, crashes := c.pool(s.job.doc.Pool), s.crashCount(index)
-	if !avoidance.Overdue(idle) || crashes.Likely() && p.likelyLeft(likelyShare) <= 0 {
+	if !avoidance.Overdue(idle) || crashes.Likely() && p.likelyLeft(crashloop.LikelyShare) <= 0 {
 		return nil
 	}
 	var best *workerState
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -9,6 +9,7 @@
 	"github.com/chivetiller/chivetiller/internal/jobs/copies"
 	"github.com/chivetiller/chivetiller/internal/jobs/gang"
 	"github.com/chivetiller/chivetiller/internal/jobs/order"
+	"github.com/chivetiller/chivetiller/internal/workers/placementcost"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -266,7 +267,7 @@
 	if s.doc.Service && c.late(ws) {
 		return false
 	}
-	if !ws.report.HasLabel(s.doc.RequiredLabel) || ws.testsLikely || len(ws.unstoredExits)+len(ws.runs) >= maxOpenExits {
+	if !ws.report.HasLabel(s.doc.RequiredLabel) || ws.testsLikely || ws.exits.Len()+len(ws.runs) >= maxOpenExits {
 		return false
 	}
 	if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws) >= s.doc.MaxPerWorker {
@@ -292,79 +293,26 @@
 	return n
 }
 
-const (
-	// costRemoteData is the cost of a worker away from the data, where the task takes several times as long.
-	costRemoteData = 10
-	// costSlow is the cost of a worker on which tasks take twice as long. Three times as long is worth less than a worker on which the task
-	// has just failed.
-	costSlow = 3
-	// costFailedBefore is the cost of the worker on which the task failed last.
-	costFailedBefore = 5
-	// costMayLeave is the cost, for a step with a disruption budget, of a worker whose instance may still carry out a command without an answer.
-	// It outweighs the others but costCrashedBefore.
-	costMayLeave = 500
-	// costDoubted is the cost, for a service, of a worker that has left its latest call unanswered. A start there may take seconds to be known
-	// as lost.
-	costDoubted = 400
-	// costLongLease is the cost, for a service, of a worker that may hold a lease from a call to its earlier life. If it is lost, its runs count
-	// as running for longer.
-	costLongLease = 300
-	// costOvertaken is the cost, for a step with copies, of a worker on which a run was overtaken by its copy lately. It is likely to be slow.
-	costOvertaken = 4
-	// costInterference is the cost of a best-effort task next to a service, or the other way round.
-	costInterference = 3
-	// costSameService is the cost of each task of the same service on a worker, since the loss of the worker takes them all down.
-	costSameService = 1
-	// costSuspect is the cost of each task that is lost if a task under which a worker has crashed before crashes this one, too.
-	costSuspect = 1
-	// costCrashedBefore is the cost of a worker that crashed under the task before. It outweighs the others, since the next crash of
-	// that worker would not tell whether the task is the cause.
-	costCrashedBefore = 1000
-	// costMixedUse separates batch tasks and services a little, so that instances without services can be moved.
-	costMixedUse = 0.2
-)
-
-// placementCost rates a worker for a task. Between workers that are equal otherwise the one with the smallest share of
-// processors left over wins, so that large tasks find room later.
+// placementCost rates a worker for a task.
 func (c *Core) placementCost(s *step, index int, ws *workerState, charge work.Resources) float64 {
-	room := ws.freeCapacity().Minus(charge)
-	cost := float64(room.CPU)/float64(max(1, ws.report.Capacity.CPU)) + costSlow*ws.slowness
-	if s.doc.DataRack != "" && ws.report.Rack() != s.doc.DataRack {
-		cost += costRemoteData
-	}
-	if s.tasks[index].lastWorker == ws.report.ID && s.failures(index) > 0 {
-		cost += costFailedBefore
-	}
-	if s.copies != nil && ws.overtakenAt > 0 && c.now-ws.overtakenAt < copies.SlowFor {
-		cost += costOvertaken
+	w := placementcost.Worker{
+		Left: float64(ws.freeCapacity().CPU-charge.CPU) / float64(max(1, ws.report.Capacity.CPU)), Slowness: ws.slowness, Services: ws.services, BestEffort: ws.bestEffort,
+		Far: s.doc.DataRack != "" && ws.report.Rack() != s.doc.DataRack, FailedBefore: s.tasks[index].lastWorker == ws.report.ID && s.failures(index) > 0,
+		Overtaken: s.copies != nil && ws.overtakenAt > 0 && c.now-ws.overtakenAt < copies.SlowFor,
 	}
 	if s.crashCount(index).Suspect() {
-		cost += costSuspect * float64(len(ws.runs))
-		if s.crashedOn(index, ws) {
-			cost += costCrashedBefore
-		}
+		w.AtRisk, w.CrashedBefore = len(ws.runs), s.crashedOn(index, ws)
 	}
 	switch {
 	case s.doc.BestEffort:
-		cost += costInterference*float64(ws.services) + float64(ws.bestEffort)
+		return w.ForBestEffortTask()
 	case s.doc.Service:
-		cost += costInterference*float64(ws.bestEffort) + costSameService*float64(c.tasksOn(s, ws))
-		if s.doc.MaxDisruptions > 0 && c.now < ws.mayLeaveUntil {
-			cost += costMayLeave
-		}
-		if ws.doubtedAt > 0 {
-			cost += costDoubted
-		}
-		if ws.earlier.fence != 0 && ws.earlierExpiry() > c.now+leaseDuration+maxLeaseExtension {
-			cost += costLongLease
-		}
-		if ws.services == 0 {
-			cost += costMixedUse
-		}
-	case ws.services > 0:
-		cost += costMixedUse
+		return w.ForService(placementcost.Service{
+			SameService: c.tasksOn(s, ws), MayLeave: s.doc.MaxDisruptions > 0 && c.now < ws.mayLeaveUntil, Doubted: ws.doubtedAt > 0,
+			LongLease: ws.earlier.fence != 0 && ws.earlierExpiry() > c.now+leaseDuration+maxLeaseExtension,
+		})
 	}
-	return cost
+	return w.ForBatchTask()
 }
 
 // placeGang starts all tasks of a gang, or none.
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -28,8 +28,8 @@
 			s := r.addSteps("a", 1).open[0].steps[0]
 			if test.crashes > 0 {
 				site := s.crashSite(0)
-				site.add(r.core.workers["w1"].report.Address, false)
-				site.untelling = test.crashes
+				site.Add(r.core.workers["w1"].report.Address, false)
+				site.Untelling = test.crashes
 			}
 			r.advance(test.lived)
 			chosen := r.core.chooseWorker(s, 0, r.core.pool("p").workers)
--- a/scheduler/preemption_test.go
+++ b/scheduler/preemption_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/work"
 )
@@ -179,3 +180,27 @@
 	qt.Assert(t, r.startsOfJob("urgent") >= 4, qt.IsTrue)
 	qt.Assert(t, r.startsOfJob("full")+r.startsOfJob("waits"), qt.Equals, len(ids))
 }
+
+// TestPreemptionInEvacuatedDataCentre guards against a stop that makes room where nothing may start.
+func TestPreemptionInEvacuatedDataCentre(t *testing.T) {
+	for name, test := range map[string]struct {
+		evacuated []string
+		want      []string
+	}{
+		"one": {[]string{"a"}, []string{"b1"}},
+		"all": {[]string{"a", "b"}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newEvacuationCopiesRig(newPreemptionRig(t, true), "a1", "b1")
+			r.takes = func(work.Task) time.Duration { return 10 * time.Second }
+			r.addJob(filling("full", 2))
+			r.play(2 * time.Second)
+			qt.Assert(t, r.startsOfJob("full"), qt.Equals, 2)
+			r.core.SetEvacuations(evacuation.NewSet(r.now, test.evacuated...))
+			r.addJob(urgentJob("urgent", 1))
+			r.play(2 * time.Second)
+			qt.Assert(t, r.starts[work.Task{Job: "urgent"}], qt.DeepEquals, test.want)
+			qt.Assert(t, len(r.stops), qt.Equals, len(test.want))
+		})
+	}
+}
--- a/scheduler/refusals_test.go
+++ b/scheduler/refusals_test.go
@@ -161,7 +161,7 @@
 	j.notStoredBefore = r.now + time.Hour
 	ws := r.core.workers["w1"]
 	for seq := range uint64(maxOpenExits - 1) {
-		ws.unstoredExits = append(ws.unstoredExits, unstoredExit{seq: seq + 1, job: j})
+		ws.exits.Add(seq+1, j)
 	}
 	ws.exitsProcessed = maxOpenExits - 1
 	for i := range 6 {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -10,7 +11,7 @@
 // planRun reserves room for a run on a worker. The run is started once its record is stored.
 func (c *Core) planRun(s *step, index, number int, ws *workerState) {
 	t := &s.tasks[index]
-	r := &run{step: s, index: index, number: number, worker: ws, phase: planned, startedAt: c.now, speedLimit: fullSpeed}
+	r := &run{step: s, index: index, number: number, worker: ws, phase: planned, startedAt: c.now, speedLimit: throttling.FullSpeed}
 	c.attachRun(r)
 	ws.useReservation(s)
 	if s.idleTasks == 0 {
@@ -176,7 +177,7 @@
 	case CommandThrottle:
 		// A throttle command that was lost is sent again with the next load report.
 		if reply.Outcome != worker.Accepted {
-			cmd.run.speedLimit = unknownSpeed
+			cmd.run.speedLimit = throttling.UnknownSpeed
 		}
 		if reply.Outcome == worker.Unknown {
 			c.ruleOut(ws, cmd.call.fence)
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -51,15 +51,15 @@
 			continue
 		}
 		site := r.step.crashSite(r.index)
-		if !slices.Contains(site.silentRuns, r.number) {
-			site.silentRuns = append(site.silentRuns, r.number)
+		if !slices.Contains(site.SilentRuns, r.number) {
+			site.SilentRuns = append(site.SilentRuns, r.number)
 		}
-		site.latest = c.now
+		site.Latest = c.now
 		c.silences[ws.report.Address] = append(c.silences[ws.report.Address], silence{
 			life: ws.identity, run: r, around: c.surroundings(r, lived, false), with: len(suspects), since: c.now,
 		})
 		c.logger.Warn("Worker has fallen silent under a task.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
-			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "silent", len(site.silentRuns))
+			"pool", ws.report.Pool, "ranBeforeContact", ws.lastContact-r.startedAt, "with", len(suspects), "silent", len(site.SilentRuns))
 	}
 }
 
@@ -88,7 +88,7 @@
 	if site == nil || !s.run.isOpen() {
 		return
 	}
-	site.silentRuns = slices.DeleteFunc(site.silentRuns, func(number int) bool { return number == s.run.number })
+	site.SilentRuns = slices.DeleteFunc(site.SilentRuns, func(number int) bool { return number == s.run.number })
 	c.pool(ws.report.Pool).needsPlanning = true
 	if s.life == ws.identity {
 		c.logger.Info("Worker was only silent under a task.", "job", s.run.step.job.doc.ID, "task", s.run.name(), "run", s.run.number, "worker", ws.report.ID,
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -94,7 +94,7 @@
 	// gangRun is the number of the latest run of the gang.
 	gangRun int
 	// crashSites holds the crashes under each task in this term, or under the gang at index 0.
-	crashSites map[int]*crashSites
+	crashSites map[int]*crashloop.Sites
 	// copies is what is known for copies of late runs, and nil if the step has none.
 	copies *copies.Step
 	// preempted tells which tasks have made room for other jobs.
--- a/scheduler/suspects.go
+++ b/scheduler/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/internal/jobs/order"
@@ -36,19 +35,6 @@
 	clear(tests[len(p.tests):])
 }
 
-const (
-	// likelyShare is the share of the workers of a pool that may be down because of tasks that are likely to crash them. spareLikelyShare
-	// applies to workers that no other task can use, and overdueLikelyShare to these if a task has waited for overdueLikelyWait. The rest
-	// is for tasks that come while these are down.
-	likelyShare        = 0.25
-	spareLikelyShare   = 0.5
-	overdueLikelyShare = 0.75
-	// overdueLikelyWait is longer than a worker is down after a crash. Tasks that wait for longer do so behind others.
-	overdueLikelyWait = 5 * time.Second
-	// emptyWorkerWait is how long a task that is likely to crash its worker waits for one that runs nothing.
-	emptyWorkerWait = 2 * time.Second
-)
-
 // placement holds the workers on which a pass may start tasks of a pool.
 type placement struct {
 	workers []*workerState
@@ -84,11 +70,11 @@
 		t.emptyWorkerSince = c.now
 	}
 	waitedFor := c.now - t.emptyWorkerSince
-	p.overdue = p.overdue || waitedFor >= overdueLikelyWait
+	p.overdue = p.overdue || waitedFor >= crashloop.OverdueLikelyWait
 	if p.likelyLeft <= 0 {
 		return nil
 	}
-	waited := waitedFor >= emptyWorkerWait
+	waited := waitedFor >= crashloop.EmptyWorkerWait
 	var alone []*workerState
 	for _, ws := range p.forSuspects {
 		switch {
@@ -108,7 +94,7 @@
 			p.forSuspects = append(p.forSuspects, ws)
 		}
 	}
-	p.likelyLeft = in.likelyLeft(likelyShare)
+	p.likelyLeft = in.likelyLeft(crashloop.LikelyShare)
 }
 
 // likelyLeft returns how many tasks may start that are likely to crash their workers, for the share of the workers that may be down.
@@ -135,9 +121,9 @@
 	if !workers.filtered {
 		return
 	}
-	share := spareLikelyShare
+	share := crashloop.SpareLikelyShare
 	if workers.overdue {
-		share = overdueLikelyShare
+		share = crashloop.OverdueLikelyShare
 	}
 	workers.spare, workers.idleOnly, workers.likelyLeft = true, othersWait, p.likelyLeft(share)
 	for _, cand := range candidates {
--- a/scheduler/suspects_test.go
+++ b/scheduler/suspects_test.go
@@ -10,6 +10,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -127,10 +129,10 @@
 		waiting int
 		want    int
 	}{
-		"backlog has just begun":        {waits: overdueLikelyWait - time.Millisecond, want: 4},
-		"overdue":                       {waits: overdueLikelyWait, want: 6},
-		"overdue, others need workers":  {waits: overdueLikelyWait, waiting: 3, want: 5},
-		"overdue, others need them all": {waits: overdueLikelyWait, waiting: 20, want: 2},
+		"backlog has just begun":        {waits: crashloop.OverdueLikelyWait - time.Millisecond, want: 4},
+		"overdue":                       {waits: crashloop.OverdueLikelyWait, want: 6},
+		"overdue, others need workers":  {waits: crashloop.OverdueLikelyWait, waiting: 3, want: 5},
+		"overdue, others need them all": {waits: crashloop.OverdueLikelyWait, waiting: 20, want: 2},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -184,7 +186,7 @@
 			}
 			r.addSuspects("a", 6, 2, test.beside...)
 			var starts []string
-			for waited := time.Duration(0); waited <= emptyWorkerWait; waited += 500 * time.Millisecond {
+			for waited := time.Duration(0); waited <= crashloop.EmptyWorkerWait; waited += 500 * time.Millisecond {
 				qt.Assert(t, starts, qt.HasLen, 0)
 				for _, id := range ids {
 					r.reply(id)
@@ -216,10 +218,10 @@
 	pass()
 	r.addSuspects("a", 6, 2)
 	for range 4 {
-		r.advance(emptyWorkerWait / 4)
+		r.advance(crashloop.EmptyWorkerWait / 4)
 		qt.Assert(t, pass(), qt.HasLen, 0)
 	}
-	r.advance(emptyWorkerWait / 4)
+	r.advance(crashloop.EmptyWorkerWait / 4)
 	onePerWorker("new", 6)
 	likely := 0
 	for _, start := range pass() {
@@ -248,25 +250,25 @@
 	tests := map[string]struct {
 		crashes int
 		before  func(r *rig, s *step)
-		reason  WaitReason
+		reason  waiting.Reason
 	}{
-		"no worker":          {1, func(r *rig, _ *step) { r.register() }, WaitForWorker},
-		"no room":            {1, func(r *rig, _ *step) { r.addSteps("b", 4) }, WaitForRoom},
-		"other tests":        {1, func(r *rig, _ *step) { r.addSuspects("b", 1, 1) }, WaitForTestsToEnd},
-		"worker runs others": {2, func(r *rig, _ *step) { r.addSteps("b", 1) }, WaitForIdleWorker},
+		"no worker":          {1, func(r *rig, _ *step) { r.register() }, waiting.ForWorker},
+		"no room":            {1, func(r *rig, _ *step) { r.addSteps("b", 4) }, waiting.ForRoom},
+		"other tests":        {1, func(r *rig, _ *step) { r.addSuspects("b", 1, 1) }, waiting.ForTestsToEnd},
+		"worker runs others": {2, func(r *rig, _ *step) { r.addSteps("b", 1) }, waiting.ForIdleWorker},
 		"as many as may run": {2, func(r *rig, _ *step) {
 			r.addSuspects("b", 1, 2)
 			r.register("w1", "w2")
 			r.reply("w2")
-		}, WaitForLikelyCauses},
+		}, waiting.ForLikelyCauses},
 		"pause": {2, func(r *rig, s *step) {
 			site := s.crashSite(0)
-			site.silentRuns, site.latest = []int{3}, r.now
-		}, WaitAfterCrash},
+			site.SilentRuns, site.Latest = []int{3}, r.now
+		}, waiting.AfterCrash},
 		"worker has just started": {1, func(_ *rig, s *step) {
 			site := s.crashSite(0)
-			site.addresses, site.untelling = []string{"w1:1"}, 20
-		}, WaitForSteadyWorkers},
+			site.Addresses, site.Untelling = []string{"w1:1"}, 20
+		}, waiting.ForSteadyWorkers},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -326,12 +328,12 @@
 func TestLikelyLeftWithoutGoneWorkers(t *testing.T) {
 	r := newRig(t, 2, "w1", "w2", "w3", "w4")
 	p := r.core.pool("p")
-	want := p.likelyLeft(likelyShare)
+	want := p.likelyLeft(crashloop.LikelyShare)
 	var roster []RosterEntry
 	for i := range 46 {
 		id := fmt.Sprint("gone", i)
 		roster = append(roster, RosterEntry{ID: id, Pool: "p", Address: id + ":1", Incarnation: rigIncarnation, Capacity: coresOnly(4)})
 	}
 	r.core.SetRoster(roster)
-	qt.Assert(t, p.likelyLeft(likelyShare), qt.Equals, want)
+	qt.Assert(t, p.likelyLeft(crashloop.LikelyShare), qt.Equals, want)
 }
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 )
 
 const (
@@ -10,36 +13,6 @@
 	waitLogAfter = 3 * time.Second
 	// waitCheckInterval is the time between two checks for tasks of services that do not run.
 	waitCheckInterval = time.Second
-	// maxWaitLines is the maximum number of log lines of one check.
-	maxWaitLines = 5
-)
-
-// WaitReason tells why a task of a service, or a suspect of a crash, does not run.
-type WaitReason string
-
-// Reasons, in the order in which they are checked.
-const (
-	WaitForBatch          WaitReason = "batch not stored"
-	WaitForPreviousLeader WaitReason = "leases of a previous leader"
-	WaitForStorableJob    WaitReason = "progress of the job cannot be stored"
-	WaitAfterRun          WaitReason = "pause after the last run"
-	WaitForPolicy         WaitReason = "no policy decision"
-	WaitForTeamLimit      WaitReason = "limit of the team"
-	WaitForWorker         WaitReason = "no worker in use"
-	WaitForQuarantine     WaitReason = "workers with room are quarantined"
-	WaitForDrained        WaitReason = "workers with room are drained"
-	WaitForEligibleWorker WaitReason = "no eligible worker"
-	WaitForRoom           WaitReason = "no room on a worker"
-	WaitForPlacement      WaitReason = "not placed yet"
-)
-
-// Reasons after crashes of workers under the task.
-const (
-	WaitAfterCrash       WaitReason = "pause after a crash"
-	WaitForLikelyCauses  WaitReason = "as many likely causes run as may"
-	WaitForIdleWorker    WaitReason = "no worker that runs nothing"
-	WaitForTestsToEnd    WaitReason = "workers test other suspects"
-	WaitForSteadyWorkers WaitReason = "workers at the addresses of crashes have just started"
 )
 
 // checkWaitingTasks counts the tasks of services that do not run, by reason, and logs those and the suspects of a crash that have not for
@@ -51,8 +24,8 @@
 	c.waitingCheckedAt = c.now
 	clear(c.waitingTasks)
 	clear(c.longestWaits)
-	services := waitLog{reasons: c.waitingTasks, longest: c.longestWaits}
-	suspects := waitLog{reasons: make(map[WaitReason]int), longest: make(map[WaitReason]time.Duration)}
+	services := waiting.NewLog(c.waitingTasks, c.longestWaits)
+	suspects := waiting.NewLog(make(map[waiting.Reason]int), make(map[waiting.Reason]time.Duration))
 	for _, p := range c.pools {
 		for _, j := range p.jobs {
 			if j.progress.State.Ended() {
@@ -63,40 +36,28 @@
 					switch {
 					case !s.ready():
 					case s.doc.Service:
-						c.checkWaitingStep(p, s, &services)
+						c.checkWaitingStep(p, s, services)
 					case s.idleTasks > 0 && s.suspects() > 0:
-						c.checkWaitingStep(p, s, &suspects)
+						c.checkWaitingStep(p, s, suspects)
 					}
 				}
 			}
 		}
 	}
-	if services.omitted > 0 {
-		c.logger.Warn("More tasks of services do not run.", "tasks", services.omitted, "reasons", services.reasons)
+	if services.Omitted() > 0 {
+		c.logger.Warn("More tasks of services do not run.", "tasks", services.Omitted(), "reasons", services.Reasons())
 	}
-	if suspects.omitted > 0 {
-		c.logger.Info("More suspects of crashes do not run.", "tasks", suspects.omitted, "reasons", suspects.reasons)
+	if suspects.Omitted() > 0 {
+		c.logger.Info("More suspects of crashes do not run.", "tasks", suspects.Omitted(), "reasons", suspects.Reasons())
 	}
 }
 
-// waitLog counts the tasks of a check that do not run, by reason, with the longest wait of each reason, and the log lines about them.
-type waitLog struct {
-	reasons        map[WaitReason]int
-	longest        map[WaitReason]time.Duration
-	lines, omitted int
-}
-
 // checkWaitingStep checks the tasks of a service, or the suspects of another step.
-func (c *Core) checkWaitingStep(p *pool, s *step, log *waitLog) {
+func (c *Core) checkWaitingStep(p *pool, s *step, log *waiting.Log) {
 	for i := range s.tasks {
-		if !s.doc.Service && (s.tasks[i].done || !s.crashCount(i).Suspect()) || !c.checkWaitingTask(s, i, log) {
-			continue
-		}
-		if log.lines == maxWaitLines {
-			log.omitted++
+		if !s.doc.Service && (s.tasks[i].done || !s.crashCount(i).Suspect()) || !c.checkWaitingTask(s, i, log) || !log.Admits() {
 			continue
 		}
-		log.lines++
 		c.logWaitingTask(p, s, i)
 	}
 }
@@ -112,7 +73,7 @@
 }
 
 // checkWaitingTask counts a task if it does not run, and reports whether that is to be logged.
-func (c *Core) checkWaitingTask(s *step, index int, log *waitLog) bool {
+func (c *Core) checkWaitingTask(s *step, index int, log *waiting.Log) bool {
 	wait := &s.waits().tasks[index]
 	for _, r := range s.tasks[index].runs {
 		if r.phase != planned {
@@ -123,13 +84,11 @@
 	if wait.since == 0 {
 		wait.since, wait.loggedAt = c.now, c.now
 	}
-	reason := c.waitReason(s, index)
-	log.reasons[reason]++
 	idleSince := wait.since
 	if lastRan := s.tasks[index].idleSince; lastRan > 0 {
 		idleSince = min(idleSince, lastRan)
 	}
-	log.longest[reason] = max(log.longest[reason], c.now-idleSince)
+	log.Count(c.waitReason(s, index), c.now-idleSince)
 	if c.now-wait.loggedAt < waitLogAfter {
 		return false
 	}
@@ -167,32 +126,32 @@
 }
 
 // waitReason returns why a task that is not done does not run.
-func (c *Core) waitReason(s *step, index int) WaitReason {
+func (c *Core) waitReason(s *step, index int) waiting.Reason {
 	j, t := s.job, &s.tasks[index]
 	switch {
 	case len(t.runs) > 0:
-		return WaitForBatch
+		return waiting.ForBatch
 	case c.blocked(s) || c.blockedTask(s, index):
-		return WaitForPreviousLeader
+		return waiting.ForPreviousLeader
 	case c.now < j.notStoredBefore:
-		return WaitForStorableJob
+		return waiting.ForStorableJob
 	case c.now < t.notBefore, s.doc.Gang && c.now < s.notBefore:
-		return WaitAfterRun
+		return waiting.AfterRun
 	}
 	if q, ok := c.catalog.Queue(j.doc.Queue); ok && q.Policy != nil && !s.tickets.Valid(c.now) {
-		return WaitForPolicy
+		return waiting.ForPolicy
 	}
 	if !c.withinTeamLimit(s, 1) {
-		return WaitForTeamLimit
+		return waiting.ForTeamLimit
 	}
 	p := c.pool(j.doc.Pool)
 	usable := c.usableWorkers(p)
 	if len(usable) > 0 && c.pausedAfterCrash(s, index) {
-		return WaitAfterCrash
+		return waiting.AfterCrash
 	}
-	reason := WaitForEligibleWorker
+	reason := waiting.ForEligibleWorker
 	if len(usable) == 0 {
-		reason = WaitForWorker
+		reason = waiting.ForWorker
 	}
 	var fitting []*workerState
 	for _, ws := range usable {
@@ -201,7 +160,7 @@
 		case s.doc.ReservedResources().Fits(ws.freeCapacity()):
 			fitting = append(fitting, ws)
 		default:
-			reason = WaitForRoom
+			reason = waiting.ForRoom
 		}
 	}
 	if len(fitting) == 0 {
@@ -211,40 +170,40 @@
 }
 
 // avoidedWaitReason returns why a task does not run on workers that have room for it and are avoided, or a reason if there are none.
-func (c *Core) avoidedWaitReason(p *pool, s *step, reason WaitReason) WaitReason {
+func (c *Core) avoidedWaitReason(p *pool, s *step, reason waiting.Reason) waiting.Reason {
 	for _, ws := range p.workers {
 		if !c.mayStartOn(ws) || !c.eligible(s, ws) || !s.doc.ReservedResources().Fits(ws.freeCapacity()) {
 			continue
 		}
 		if ws.health.Quarantined(c.now) {
-			return WaitForQuarantine
+			return waiting.ForQuarantine
 		}
 		if ws.cordoned {
-			reason = WaitForDrained
+			reason = waiting.ForDrained
 		}
 	}
 	return reason
 }
 
 // suspectWaitReason returns why a task does not run on workers that have room for it. Only a suspect of a crash waits for long.
-func (c *Core) suspectWaitReason(s *step, index int, fitting []*workerState) WaitReason {
+func (c *Core) suspectWaitReason(s *step, index int, fitting []*workerState) waiting.Reason {
 	fitting = slices.DeleteFunc(fitting, func(ws *workerState) bool { return c.mayCrashByItself(s, index, ws) })
 	if len(fitting) == 0 {
-		return WaitForSteadyWorkers
+		return waiting.ForSteadyWorkers
 	}
 	likely := s.likelyCause(index)
-	if likely && c.pool(s.job.doc.Pool).likelyLeft(likelyShare) <= 0 {
-		return WaitForLikelyCauses
+	if likely && c.pool(s.job.doc.Pool).likelyLeft(crashloop.LikelyShare) <= 0 {
+		return waiting.ForLikelyCauses
 	}
 	if !s.crashCount(index).Suspect() {
-		return WaitForPlacement
+		return waiting.ForPlacement
 	}
 	fitting = slices.DeleteFunc(fitting, func(ws *workerState) bool { return ws.tests > 0 })
 	if len(fitting) == 0 {
-		return WaitForTestsToEnd
+		return waiting.ForTestsToEnd
 	}
 	if likely && !slices.ContainsFunc(fitting, func(ws *workerState) bool { return len(ws.runs) == 0 }) {
-		return WaitForIdleWorker
+		return waiting.ForIdleWorker
 	}
-	return WaitForPlacement
+	return waiting.ForPlacement
 }
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -23,22 +24,22 @@
 	tests := map[string]struct {
 		doc    work.Job
 		before func(r *rig)
-		reason WaitReason
+		reason waiting.Reason
 	}{
-		"batch not stored": {service(nil), func(*rig) {}, WaitForBatch},
-		"no worker":        {service(nil), func(r *rig) { r.register() }, WaitForWorker},
+		"batch not stored": {service(nil), func(*rig) {}, waiting.ForBatch},
+		"no worker":        {service(nil), func(r *rig) { r.register() }, waiting.ForWorker},
 		"quarantined": {service(nil), func(r *rig) {
 			r.core.workers["w1"].health.Quarantine(r.now+time.Hour, 0)
-		}, WaitForQuarantine},
+		}, waiting.ForQuarantine},
 		"drained": {service(nil), func(r *rig) {
 			r.core.workers["w1"].cordon("m1")
 			r.core.fleet.commandInFlight["m1"] = true
-		}, WaitForDrained},
-		"no room":        {service(func(j *work.Job) { j.Steps[0].Request.CPU = 5000 }), func(*rig) {}, WaitForRoom},
-		"no such worker": {service(func(j *work.Job) { j.Steps[0].RequiredLabel = "b" }), func(*rig) {}, WaitForEligibleWorker},
-		"team limit":     {service(func(j *work.Job) { j.Team = "limited" }), func(*rig) {}, WaitForTeamLimit},
-		"pause":          {service(nil), func(r *rig) { r.core.jobs["s"].open[0].steps[0].tasks[0].notBefore = r.now + time.Hour }, WaitAfterRun},
-		"unstorable":     {service(nil), func(r *rig) { r.core.jobs["s"].notStoredBefore = r.now + time.Hour }, WaitForStorableJob},
+		}, waiting.ForDrained},
+		"no room":        {service(func(j *work.Job) { j.Steps[0].Request.CPU = 5000 }), func(*rig) {}, waiting.ForRoom},
+		"no such worker": {service(func(j *work.Job) { j.Steps[0].RequiredLabel = "b" }), func(*rig) {}, waiting.ForEligibleWorker},
+		"team limit":     {service(func(j *work.Job) { j.Team = "limited" }), func(*rig) {}, waiting.ForTeamLimit},
+		"pause":          {service(nil), func(r *rig) { r.core.jobs["s"].open[0].steps[0].tasks[0].notBefore = r.now + time.Hour }, waiting.AfterRun},
+		"unstorable":     {service(nil), func(r *rig) { r.core.jobs["s"].notStoredBefore = r.now + time.Hour }, waiting.ForStorableJob},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -54,7 +55,7 @@
 				}
 				r.schedule()
 			}
-			qt.Assert(t, r.core.Counts().WaitingTasks, qt.DeepEquals, map[WaitReason]int{test.reason: 1})
+			qt.Assert(t, r.core.Counts().WaitingTasks, qt.DeepEquals, map[waiting.Reason]int{test.reason: 1})
 			longest := r.core.Counts().LongestWaits
 			qt.Assert(t, longest, qt.HasLen, 1)
 			qt.Assert(t, longest[test.reason] >= 5*time.Second-2*waitCheckInterval && longest[test.reason] <= 5*time.Second, qt.IsTrue, qt.Commentf("%v", longest))
@@ -102,7 +103,7 @@
 			r.advance(test.silence)
 			r.core.markRunLost(lost, "test")
 			r.core.checkWaitingTasks()
-			qt.Assert(t, r.core.Counts().LongestWaits, qt.DeepEquals, map[WaitReason]time.Duration{r.core.waitReason(s, 0): r.now - last})
+			qt.Assert(t, r.core.Counts().LongestWaits, qt.DeepEquals, map[waiting.Reason]time.Duration{r.core.waitReason(s, 0): r.now - last})
 			if !test.again {
 				return
 			}
@@ -120,27 +121,27 @@
 func TestServiceWaitsAfterCrashes(t *testing.T) {
 	tests := map[string]struct {
 		before func(s *step, w *workerState)
-		want   WaitReason
+		want   waiting.Reason
 	}{
-		"no crash":     {func(*step, *workerState) {}, WaitForPlacement},
-		"pause":        {func(s *step, _ *workerState) { s.crashSite(0).untelling = 1 }, WaitAfterCrash},
-		"likely cause": {func(s *step, w *workerState) { s.addCrashes(2); w.runs[work.Task{Job: "b"}] = unknownRun }, WaitForIdleWorker},
-		"worker tests": {func(s *step, w *workerState) { s.addCrashes(1); w.tests = 1 }, WaitForTestsToEnd},
+		"no crash":     {func(*step, *workerState) {}, waiting.ForPlacement},
+		"pause":        {func(s *step, _ *workerState) { s.crashSite(0).Untelling = 1 }, waiting.AfterCrash},
+		"likely cause": {func(s *step, w *workerState) { s.addCrashes(2); w.runs[work.Task{Job: "b"}] = unknownRun }, waiting.ForIdleWorker},
+		"worker tests": {func(s *step, w *workerState) { s.addCrashes(1); w.tests = 1 }, waiting.ForTestsToEnd},
 		"worker returns": {func(s *step, w *workerState) {
-			s.crashSite(0).add(w.report.Address, false)
-			s.crashSite(0).untelling = 9
-		}, WaitForSteadyWorkers},
+			s.crashSite(0).Add(w.report.Address, false)
+			s.crashSite(0).Untelling = 9
+		}, waiting.ForSteadyWorkers},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 1, "w1")
 			j := r.addJob(work.Job{ID: "s", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Request: coresOnly(1), Service: true}}})
 			s := j.open[0].steps[0]
-			s.crashSite(0).latest, s.tasks[0].idleSince = r.now, r.now
+			s.crashSite(0).Latest, s.tasks[0].idleSince = r.now, r.now
 			test.before(s, r.core.workers["w1"])
-			if test.want != WaitAfterCrash {
+			if test.want != waiting.AfterCrash {
 				// The pause has ended.
-				s.crashSite(0).latest = r.now - time.Hour
+				s.crashSite(0).Latest = r.now - time.Hour
 			}
 			qt.Assert(t, r.core.waitReason(s, 0), qt.Equals, test.want)
 		})
--- a/scheduler/wavelists_test.go
+++ b/scheduler/wavelists_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/pools/absence"
 )
 
 // TestWaveBesideIncompleteLists guards against a wave that is said to be finished without an instance that a list lacks although it exists,
@@ -30,7 +31,7 @@
 		"list older than the wave":          {listAge: 100 * time.Millisecond, listed: present, stays: stays},
 		"oldest list that commands rest on": {listAge: maxListAge - 100*time.Millisecond, listed: present, stays: stays},
 		"one list lacks it":                 {listed: absentUntil(300 * time.Millisecond), stays: stays},
-		"several lists lack it":             {listed: absentUntil(listLag), stays: stays},
+		"several lists lack it":             {listed: absentUntil(absence.MinTime), stays: stays},
 		"lists with an entry without ID":    {listed: absentUntil(4 * time.Second), unnamed: func(at time.Duration) bool { return at < 4*time.Second }, stays: stays},
 		"platform does not know it yet":     {listed: present, outcome: instance.Invalid, stays: stays},
 		"instance does not exist":           {listed: func(time.Duration) bool { return false }},
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -8,6 +8,7 @@
 
 	"github.com/chivetiller/chivetiller/common/backoff"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/pools/absence"
 	"github.com/chivetiller/chivetiller/store"
 )
 
@@ -26,7 +27,7 @@
 	refusals    map[string]int
 	// dropped holds the instances that do not belong to the wave according to the platform.
 	dropped       map[string]bool
-	unlisted      map[string]absence
+	unlisted      map[string]absence.Absence
 	drainingSince map[string]time.Duration
 	finished      bool
 	// changed means that finished or since is not stored, and unstored lists the instances whose begun maintenance is not.
@@ -51,7 +52,7 @@
 	if _, ok := c.fleet.waves[doc.Number]; ok {
 		return
 	}
-	w := &wave{doc: doc, since: c.now, begun: make(map[string]string), acceptedAt: make(map[string]time.Duration), commandedAt: make(map[string]time.Duration), refusals: make(map[string]int), dropped: make(map[string]bool), unlisted: make(map[string]absence), drainingSince: make(map[string]time.Duration), changed: progress == nil}
+	w := &wave{doc: doc, since: c.now, begun: make(map[string]string), acceptedAt: make(map[string]time.Duration), commandedAt: make(map[string]time.Duration), refusals: make(map[string]int), dropped: make(map[string]bool), unlisted: make(map[string]absence.Absence), drainingSince: make(map[string]time.Duration), changed: progress == nil}
 	if progress != nil {
 		for id, worker := range progress.Begun {
 			w.begun[id] = worker
@@ -82,7 +83,7 @@
 		}
 		inst, ok := f.instances[id]
 		if !ok {
-			if w.unlisted[id].proven() {
+			if w.unlisted[id].Proven() {
 				gone++
 			} else {
 				unlisted++
@@ -122,7 +123,7 @@
 	f := c.fleet
 	inst, ok := f.instances[id]
 	if !ok {
-		return !w.unlisted[id].proven()
+		return !w.unlisted[id].Proven()
 	}
 	if inst.State != instance.Up && inst.State != instance.Moving {
 		return true
@@ -134,17 +135,6 @@
 	return previous && f.listedAt <= at+listLag
 }
 
-// absence is the time for which the lists have lacked an instance of a wave, from the first such list to the latest.
-type absence struct {
-	first, latest time.Duration
-	// logged means that the instance was reported as gone.
-	logged bool
-}
-
-// proven reports whether the instance does not exist any more. A single list may lack an instance that has just joined, or that has
-// changed its place between two pages of the list.
-func (a absence) proven() bool { return a.latest-a.first >= listLag }
-
 // recordAbsences notes which instances of the wave are lacking in a list that was requested at a time. It is not given lists that were
 // requested before the wave was read: they may be older than its instances.
 func (c *Core) recordAbsences(w *wave, at time.Duration) {
@@ -153,18 +143,16 @@
 		if _, listed := c.fleet.instances[id]; listed {
 			if missing {
 				delete(w.unlisted, id)
-				c.logger.Info("Instance of a wave is listed again.", "wave", w.doc.Number, "instance", id, "missingFor", at-a.first)
+				c.logger.Info("Instance of a wave is listed again.", "wave", w.doc.Number, "instance", id, "missingFor", at-a.Since())
 			}
 			continue
 		}
-		if !missing {
-			a.first = at
+		began, gone := a.Record(at)
+		if began {
 			c.logger.Info("Instance of a wave is not listed.", "wave", w.doc.Number, "instance", id, "sinceWave", at-w.since)
 		}
-		a.latest = at
-		if a.proven() && !a.logged {
-			a.logged = true
-			c.logger.Warn("Instance of a wave does not exist.", "wave", w.doc.Number, "instance", id, "missingFor", a.latest-a.first)
+		if gone {
+			c.logger.Warn("Instance of a wave does not exist.", "wave", w.doc.Number, "instance", id, "missingFor", at-a.Since())
 		}
 		w.unlisted[id] = a
 	}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -163,8 +164,8 @@
 		return Renewal{}, false
 	}
 	to := c.newCall(ws)
-	r := Renewal{Target: workerTarget(ws), call: to, Pending: ws.exitsProcessed > ws.exitsStored || ws.needsFence(c.now) || c.leaseRecord.Returning(id), Unresponsive: c.now-ws.lastContact > contactTimeout}
-	r.Command = worker.RenewCommand{Fence: to.fence, AcknowledgedSeq: ws.exitsStored, MaxWait: renewWait}
+	r := Renewal{Target: workerTarget(ws), call: to, Pending: ws.exitsProcessed > ws.exits.Stored() || ws.needsFence(c.now) || c.leaseRecord.Returning(id), Unresponsive: c.now-ws.lastContact > contactTimeout}
+	r.Command = worker.RenewCommand{Fence: to.fence, AcknowledgedSeq: ws.exits.Stored(), MaxWait: renewWait}
 	if !ws.answered || r.Pending || !ws.ruledOut(c.now) {
 		r.Command.MaxWait = 0
 	}
@@ -317,7 +318,7 @@
 			return
 		}
 		ws.exitsProcessed = e.Seq
-		ws.unstoredExits = append(ws.unstoredExits, unstoredExit{seq: e.Seq, job: c.jobs[e.Task.Job]})
+		ws.exits.Add(e.Seq, c.jobs[e.Task.Job])
 		if s, ok := c.findStep(e.Task); ok {
 			t := &s.tasks[e.Task.Index]
 			t.exitedRun = max(t.exitedRun, e.Number)
@@ -467,7 +468,7 @@
 		// The recorded run never started or has exited. The list of exits tells which.
 		return
 	}
-	r := &run{step: s, index: row.Task.Index, number: row.Number, worker: ws, phase: running, startedAt: c.now, speedLimit: unknownSpeed}
+	r := &run{step: s, index: row.Task.Index, number: row.Number, worker: ws, phase: running, startedAt: c.now, speedLimit: throttling.UnknownSpeed}
 	c.confirm(r)
 	other := len(t.runs) > 0
 	c.attachRun(r)
