--- a/scheduler/arrivals.go
+++ b/scheduler/arrivals.go
@@ -1,81 +1,35 @@
 package scheduler
 
 import (
-	"time"
-
 	"github.com/chivetiller/chivetiller/instance"
-	"github.com/chivetiller/chivetiller/internal/pools/losses"
+	"github.com/chivetiller/chivetiller/internal/pools/joining"
 )
 
-// survivalTime is how long the worker of an instance that has moved has to answer until the instance counts as usable. A crash is
-// noticed within contactTimeout.
-const survivalTime = 5 * time.Second
-
-// movedInstance is an instance that has moved to a pool and has not survived its arrival yet.
-type movedInstance struct {
-	pool      string
-	plannedAt time.Duration
-	// reachableSince is the time since which its worker has been reachable, and 0 if it is not.
-	reachableSince time.Duration
-	// lost means that it does not count as capacity any more. It may still answer, late.
-	lost bool
-}
-
 // judgeArrivals finds out which of the instances that have moved have survived their arrival and which were lost.
 func (c *Core) judgeArrivals() {
 	f := c.fleet
-	lost := make(map[string]int)
-	for id, moved := range f.arrivals {
+	lost := f.joining.Judge(c.now, func(id, pool string) joining.State {
 		inst, listed := f.instances[id]
-		if listed && (inst.Pool != moved.pool || inst.State == instance.InMaintenance || f.draining(id) || c.evacuations.Contains(inst.DataCentre)) {
-			delete(f.arrivals, id)
-			continue
-		}
-		switch {
-		case !listed || inst.State != instance.Up || !c.reachable(inst):
-			moved.reachableSince = 0
-		case moved.reachableSince == 0:
-			moved.reachableSince = c.now
-		case c.now-moved.reachableSince >= survivalTime:
-			delete(f.arrivals, id)
-			delete(f.arrivalLosses, moved.pool)
-			continue
+		if !listed {
+			return joining.State{}
 		}
-		if !moved.lost && (!listed || !c.serves(inst)) {
-			moved.lost = true
-			if before, ok := f.arrivalLosses[moved.pool]; !ok || before.Begins(moved.plannedAt) {
-				lost[moved.pool]++
-			}
+		return joining.State{
+			Left:      inst.Pool != pool || inst.State == instance.InMaintenance || f.draining(id) || c.evacuations.Contains(inst.DataCentre),
+			Reachable: inst.State == instance.Up && c.reachable(inst), Serving: c.serves(inst),
 		}
-	}
-	for pool, instances := range lost {
-		if f.arrivalLosses[pool] == nil {
-			f.arrivalLosses[pool] = &losses.Rounds{}
-		}
-		pause := f.arrivalLosses[pool].Add(c.now)
-		c.logger.Warn("Instances were lost on arrival in a pool.", "pool", pool, "instances", instances, "roundsInARow", f.arrivalLosses[pool].Count(), "pause", pause)
+	})
+	for pool, loss := range lost {
+		c.logger.Warn("Instances were lost on arrival in a pool.", "pool", pool, "instances", loss.Instances, "roundsInARow", loss.Rounds, "pause", loss.Pause)
 	}
 }
 
-// maxArrivals returns how many instances a pool may get now. That is less than it needs after instances were lost on arrival one round
-// after the other, since whatever takes them down would take down the whole spare pool.
+// maxArrivals returns how many instances a pool may get now.
 func (c *Core) maxArrivals(d demand) int {
-	f := c.fleet
-	missing := d.need - d.have
-	rounds, ok := f.arrivalLosses[d.pool]
-	if !ok {
-		return missing
-	}
-	arriving := 0
-	for _, moved := range f.arrivals {
-		if moved.pool == d.pool && !moved.lost {
-			arriving++
-		}
-	}
-	for _, mv := range f.pendingMoves {
+	pending := 0
+	for _, mv := range c.fleet.pendingMoves {
 		if mv.pool == d.pool {
-			arriving++
+			pending++
 		}
 	}
-	return rounds.Limit(c.now, d.need, missing, arriving)
+	return c.fleet.joining.Limit(d.pool, d.need, d.need-d.have, pending, c.now)
 }
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -6,6 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/chivetiller/chivetiller/internal/workers/latestarts"
+	"github.com/chivetiller/chivetiller/internal/workers/unstoredexits"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
@@ -78,15 +80,15 @@
 	maxLease time.Duration
 	// expiredRuns holds the runs that were on the worker when its lease expired. It may have crashed.
 	expiredRuns []*run
-	// exitsProcessed is the number of the last exit that was processed, and exitsStored that of the last whose effect is stored.
+	// exitsProcessed is the number of the last exit that was processed, and exits tells up to which the effects are stored.
 	exitsProcessed uint64
-	exitsStored    uint64
-	// unstoredExits holds the exits after exitsStored that were processed.
-	unstoredExits []unstoredExit
+	exits          unstoredexits.Queue[*job]
 	// unansweredStarts holds the starts that got no answer.
-	unansweredStarts []unansweredStart
+	unansweredStarts latestarts.List
 	// throttledAt is the time of the latest throttle command.
 	throttledAt time.Duration
+	// overtakenAt is the time at which a run there was last overtaken by its copy.
+	overtakenAt time.Duration
 }
 
 // call is a call to a worker. Its answer is compared with it.
@@ -176,10 +178,8 @@
 	c.learned.Pace().Forget(ws.report.ID)
 	c.forgetTickets(ws)
 	// Starts that got no answer may still reach the new life, which knows no runs. A stop makes the worker reject them.
-	for _, start := range ended.unansweredStarts {
-		if start.mayArrive(c.now) {
-			c.stopUnknownRun(ws, start.task, start.run)
-		}
+	for _, start := range ended.unansweredStarts.Arriving(c.now, maxCommandDelay) {
+		c.stopUnknownRun(ws, start.Task, start.Run)
 	}
 	c.rosterChanges[ws.report.ID] = true
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/internal/jobs/copies"
+	"github.com/chivetiller/chivetiller/internal/jobs/gang"
 	"github.com/chivetiller/chivetiller/internal/jobs/order"
+	"github.com/chivetiller/chivetiller/internal/workers/placementcost"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -62,6 +64,12 @@
 		othersWait = c.placeOccurrence(*cand, workers) || othersWait
 	}
 	c.placeOnSpareWorkers(p, candidates, workers, othersWait)
+	if c.options.Features.Preemption && othersWait {
+		c.makeRoom(p, candidates, workers.workers)
+	}
+	if c.options.Features.Copies && !othersWait && (len(candidates) == 0 || candidates[0].Tier() != order.LikelyCause) {
+		c.placeCopies(p, workers.workers)
+	}
 }
 
 // usableWorkers returns the workers of a pool on which tasks may be started.
@@ -142,12 +150,18 @@
 	case o.likelyCause():
 		tier = order.LikelyCause
 	case !j.service:
-		criticalPath, left := c.remainingWork(o)
-		tier, rank = order.TierOf(c.now, criticalPath, o.latencyStart(j), o.targetEnd(q, j)), order.RankOf(left)
+		_, left := c.remainingWork(o)
+		tier, rank = c.tierOf(j, o, q), order.RankOf(left)
 	}
 	return candidate{job: j, occurrence: o, queue: q, Key: order.New(tier, j.beyondRate, q.Priority, rank)}, true
 }
 
+// tierOf returns the tier of a batch job by the time that is left to it.
+func (c *Core) tierOf(j *job, o *occurrence, q *catalog.Queue) order.Tier {
+	criticalPath, _ := c.remainingWork(o)
+	return order.TierOf(c.now, criticalPath, o.latencyStart(j), o.targetEnd(q, j))
+}
+
 // placeOccurrence starts as many tasks of an occurrence as possible. It reports whether others wait for workers that are not likely to
 // crash them.
 func (c *Core) placeOccurrence(cand candidate, workers *placement) bool {
@@ -253,7 +267,7 @@
 	if s.doc.Service && c.late(ws) {
 		return false
 	}
-	if !ws.report.HasLabel(s.doc.RequiredLabel) || ws.testsLikely || len(ws.unstoredExits)+len(ws.runs) >= maxOpenExits {
+	if !ws.report.HasLabel(s.doc.RequiredLabel) || ws.testsLikely || ws.exits.Len()+len(ws.runs) >= maxOpenExits {
 		return false
 	}
 	if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws) >= s.doc.MaxPerWorker {
@@ -279,74 +293,26 @@
 	return n
 }
 
-const (
-	// costRemoteData is the cost of a worker away from the data, where the task takes several times as long.
-	costRemoteData = 10
-	// costSlow is the cost of a worker on which tasks take twice as long. Three times as long is worth less than a worker on which the task
-	// has just failed.
-	costSlow = 3
-	// costFailedBefore is the cost of the worker on which the task failed last.
-	costFailedBefore = 5
-	// costMayLeave is the cost, for a step with a disruption budget, of a worker whose instance may still carry out a command without an answer.
-	// It outweighs the others but costCrashedBefore.
-	costMayLeave = 500
-	// costDoubted is the cost, for a service, of a worker that has left its latest call unanswered. A start there may take seconds to be known
-	// as lost.
-	costDoubted = 400
-	// costLongLease is the cost, for a service, of a worker that may hold a lease from a call to its earlier life. If it is lost, its runs count
-	// as running for longer.
-	costLongLease = 300
-	// costInterference is the cost of a best-effort task next to a service, or the other way round.
-	costInterference = 3
-	// costSameService is the cost of each task of the same service on a worker, since the loss of the worker takes them all down.
-	costSameService = 1
-	// costSuspect is the cost of each task that is lost if a task under which a worker has crashed before crashes this one, too.
-	costSuspect = 1
-	// costCrashedBefore is the cost of a worker that crashed under the task before. It outweighs the others, since the next crash of
-	// that worker would not tell whether the task is the cause.
-	costCrashedBefore = 1000
-	// costMixedUse separates batch tasks and services a little, so that instances without services can be moved.
-	costMixedUse = 0.2
-)
-
-// placementCost rates a worker for a task. Between workers that are equal otherwise the one with the smallest share of
-// processors left over wins, so that large tasks find room later.
+// placementCost rates a worker for a task.
 func (c *Core) placementCost(s *step, index int, ws *workerState, charge work.Resources) float64 {
-	room := ws.freeCapacity().Minus(charge)
-	cost := float64(room.CPU)/float64(max(1, ws.report.Capacity.CPU)) + costSlow*ws.slowness
-	if s.doc.DataRack != "" && ws.report.Rack() != s.doc.DataRack {
-		cost += costRemoteData
-	}
-	if s.tasks[index].lastWorker == ws.report.ID && s.failures(index) > 0 {
-		cost += costFailedBefore
+	w := placementcost.Worker{
+		Left: float64(ws.freeCapacity().CPU-charge.CPU) / float64(max(1, ws.report.Capacity.CPU)), Slowness: ws.slowness, Services: ws.services, BestEffort: ws.bestEffort,
+		Far: s.doc.DataRack != "" && ws.report.Rack() != s.doc.DataRack, FailedBefore: s.tasks[index].lastWorker == ws.report.ID && s.failures(index) > 0,
+		Overtaken: s.copies != nil && ws.overtakenAt > 0 && c.now-ws.overtakenAt < copies.SlowFor,
 	}
 	if s.crashCount(index).Suspect() {
-		cost += costSuspect * float64(len(ws.runs))
-		if s.crashedOn(index, ws) {
-			cost += costCrashedBefore
-		}
+		w.AtRisk, w.CrashedBefore = len(ws.runs), s.crashedOn(index, ws)
 	}
 	switch {
 	case s.doc.BestEffort:
-		cost += costInterference*float64(ws.services) + float64(ws.bestEffort)
+		return w.ForBestEffortTask()
 	case s.doc.Service:
-		cost += costInterference*float64(ws.bestEffort) + costSameService*float64(c.tasksOn(s, ws))
-		if s.doc.MaxDisruptions > 0 && c.now < ws.mayLeaveUntil {
-			cost += costMayLeave
-		}
-		if ws.doubtedAt > 0 {
-			cost += costDoubted
-		}
-		if ws.earlier.fence != 0 && ws.earlierExpiry() > c.now+leaseDuration+maxLeaseExtension {
-			cost += costLongLease
-		}
-		if ws.services == 0 {
-			cost += costMixedUse
-		}
-	case ws.services > 0:
-		cost += costMixedUse
+		return w.ForService(placementcost.Service{
+			SameService: c.tasksOn(s, ws), MayLeave: s.doc.MaxDisruptions > 0 && c.now < ws.mayLeaveUntil, Doubted: ws.doubtedAt > 0,
+			LongLease: ws.earlier.fence != 0 && ws.earlierExpiry() > c.now+leaseDuration+maxLeaseExtension,
+		})
 	}
-	return cost
+	return w.ForBatchTask()
 }
 
 // placeGang starts all tasks of a gang, or none.
@@ -354,7 +320,10 @@
 	if s.idleTasks < s.tasksLeft || c.now < s.notBefore || c.pausedAfterCrash(s, 0) || !c.withinTeamLimit(s, int64(s.tasksLeft)) {
 		return false
 	}
-	usable := s.crashedLast(c.workersFor(workers, s, 0))
+	usable := c.workersFor(workers, s, 0)
+	if len(s.crashSites) > 0 {
+		usable = gang.Last(usable, func(ws *workerState) bool { return s.crashedOn(0, ws) })
+	}
 	chosen := c.chooseGang(s, usable)
 	if chosen == nil && s.doc.Service {
 		chosen = c.placeOverdueGang(s, usable)
@@ -376,38 +345,12 @@
 	return true
 }
 
-// crashedLast returns workers with those last that crashed under the gang before.
-func (s *step) crashedLast(workers []*workerState) []*workerState {
-	if len(s.crashSites) == 0 {
-		return workers
-	}
-	var last []*workerState
-	ordered := make([]*workerState, 0, len(workers))
-	for _, ws := range workers {
-		if s.crashedOn(0, ws) {
-			last = append(last, ws)
-		} else {
-			ordered = append(ordered, ws)
-		}
-	}
-	return append(ordered, last...)
-}
-
 // chooseGang returns a worker for each task of a gang, and nil if they do not fit. Gangs that are slower across racks are
 // placed in one rack if it has room.
 func (c *Core) chooseGang(s *step, usable []*workerState) []*workerState {
 	if s.doc.SameRack || s.doc.DataRack != "" {
-		racks := make(map[string][]*workerState)
-		for _, ws := range usable {
-			racks[ws.report.Rack()] = append(racks[ws.report.Rack()], ws)
-		}
-		if workers, ok := racks[s.doc.DataRack]; ok {
-			if chosen := c.spreadGang(s, workers); chosen != nil {
-				return chosen
-			}
-		}
-		for _, name := range slices.Sorted(maps.Keys(racks)) {
-			if chosen := c.spreadGang(s, racks[name]); chosen != nil {
+		for _, rack := range gang.ByRack(usable, func(ws *workerState) string { return ws.report.Rack() }, s.doc.DataRack) {
+			if chosen := c.spreadGang(s, rack); chosen != nil {
 				return chosen
 			}
 		}
@@ -417,27 +360,13 @@
 
 func (c *Core) spreadGang(s *step, usable []*workerState) []*workerState {
 	charge := s.doc.ReservedResources()
-	assigned := make(map[*workerState]int64)
-	chosen := make([]*workerState, len(s.tasks))
-	if len(s.crashSites) > 0 {
-		usable = slices.DeleteFunc(slices.Clone(usable), func(ws *workerState) bool { return c.mayCrashByItself(s, 0, ws) })
-	}
-	for i := range s.tasks {
-		for _, ws := range usable {
-			n := assigned[ws]
-			if !charge.Times(n+1).Fits(ws.freeCapacity()) || !ws.leavesReserved(s, n+1) || !c.eligible(s, ws) {
-				continue
-			}
-			if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws)+int(n) >= s.doc.MaxPerWorker {
-				continue
-			}
-			chosen[i] = ws
-			assigned[ws]++
-			break
+	return gang.Spread(len(s.tasks), usable, func(ws *workerState, n int64) bool {
+		if !charge.Times(n+1).Fits(ws.freeCapacity()) || !ws.leavesReserved(s, n+1) || !c.eligible(s, ws) {
+			return false
 		}
-		if chosen[i] == nil {
-			return nil
+		if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws)+int(n) >= s.doc.MaxPerWorker {
+			return false
 		}
-	}
-	return chosen
+		return len(s.crashSites) == 0 || !c.mayCrashByItself(s, 0, ws)
+	})
 }
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -1,10 +1,10 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/preemption"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -22,12 +22,15 @@
 	minRunLeft = 50 * time.Millisecond
 )
 
-// reservation keeps room on a worker for a task of a service that waits. Any task of the step may use it.
+// reservation keeps room on a worker for a task of a service that waits, or of a job for which runs were stopped. Any task of the step may
+// use it.
 type reservation struct {
 	step *step
 	// since is the time of the reservation or of the latest check, and used is what was in use on the worker then.
 	since time.Duration
 	used  work.Resources
+	// until is the time at which the room of runs that were stopped for another job is not kept any more, and 0 for a service.
+	until time.Duration
 }
 
 // leavesReserved reports whether n more tasks of a step on a worker leave the room that is kept for other steps.
@@ -60,7 +63,7 @@
 			if s.job.progress.State.Ended() || kept[s] >= s.idleTasks+c.movingOut(s) || !s.doc.ReservedResources().Fits(ws.report.Capacity) {
 				return true
 			}
-			if c.now-r.since >= reservationLimit && r.used.Fits(ws.used) {
+			if r.until > 0 && c.now >= r.until || c.now-r.since >= reservationLimit && r.used.Fits(ws.used) {
 				return true
 			}
 			kept[s]++
@@ -157,26 +160,11 @@
 // timeToRoom returns how long a worker is expected to take until it has room for one more task of a step beside its reservations. It
 // reports false if only the end of a service would make room.
 func (c *Core) timeToRoom(s *step, ws *workerState) (time.Duration, bool) {
-	need := s.doc.ReservedResources()
-	free := ws.unreserved()
-	if need.Fits(free) {
-		return 0, true
-	}
-	type ending struct {
-		left    time.Duration
-		charged work.Resources
-	}
-	endings := make([]ending, 0, len(ws.runs))
+	endings := make([]preemption.Ending, 0, len(ws.runs))
 	for _, r := range ws.runs {
 		if !r.step.doc.Service || r.phase == stopping {
-			endings = append(endings, ending{left: c.expectedLeft(r), charged: r.step.doc.ReservedResources()})
-		}
-	}
-	slices.SortFunc(endings, func(a, b ending) int { return cmp.Compare(a.left, b.left) })
-	for _, e := range endings {
-		if free = free.Plus(e.charged); need.Fits(free) {
-			return e.left, true
+			endings = append(endings, preemption.Ending{Left: c.expectedLeft(r), Size: r.step.doc.ReservedResources()})
 		}
 	}
-	return 0, false
+	return preemption.RoomAfter(s.doc.ReservedResources(), ws.unreserved(), endings)
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -1,9 +1,9 @@
 package scheduler
 
 import (
-	"strconv"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -11,7 +11,7 @@
 // planRun reserves room for a run on a worker. The run is started once its record is stored.
 func (c *Core) planRun(s *step, index, number int, ws *workerState) {
 	t := &s.tasks[index]
-	r := &run{step: s, index: index, number: number, worker: ws, phase: planned, startedAt: c.now, speedLimit: fullSpeed}
+	r := &run{step: s, index: index, number: number, worker: ws, phase: planned, startedAt: c.now, speedLimit: throttling.FullSpeed}
 	c.attachRun(r)
 	ws.useReservation(s)
 	if s.idleTasks == 0 {
@@ -56,6 +56,9 @@
 		if len(t.runs) == 0 && !t.done {
 			r.step.idleTasks++
 		}
+		if r.copied && r.confirmedAt == 0 {
+			r.step.copies.Lost(r.index)
+		}
 		switch {
 		case r.confirmedAt > 0:
 			t.idleSince = max(r.confirmedAt, r.worker.lastContact)
@@ -99,11 +102,7 @@
 	return index
 }
 
-func (r *run) name() string {
-	b := strconv.AppendInt(nil, int64(r.step.occurrence.number), 10)
-	b = strconv.AppendInt(append(b, '.'), int64(r.step.number), 10)
-	return string(strconv.AppendInt(append(b, '.'), int64(r.index), 10))
-}
+func (r *run) name() string { return r.task().Name() }
 
 func workerTarget(ws *workerState) worker.Target {
 	return worker.Target{Life: ws.identity, Address: ws.report.Address, DataCentre: ws.report.DataCentre}
@@ -178,7 +177,7 @@
 	case CommandThrottle:
 		// A throttle command that was lost is sent again with the next load report.
 		if reply.Outcome != worker.Accepted {
-			cmd.run.speedLimit = unknownSpeed
+			cmd.run.speedLimit = throttling.UnknownSpeed
 		}
 		if reply.Outcome == worker.Unknown {
 			c.ruleOut(ws, cmd.call.fence)
@@ -436,6 +435,9 @@
 		// next life of the worker.
 		c.recordRunEnd(r.step, r.index, r.number)
 	}
+	if r.step.copies != nil {
+		r.step.copies.Lost(r.index)
+	}
 	c.counts.Lost++
 	c.logger.Warn("Task was lost.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", r.worker.report.ID, "reason", reason, "ran", c.now-r.startedAt)
 	if r.checkpoint != "" && (r.step.doc.Checkpoints || r.step.doc.Gang) {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -5,9 +5,11 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/admission"
+	"github.com/chivetiller/chivetiller/internal/jobs/copies"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
 	"github.com/chivetiller/chivetiller/internal/jobs/gang"
+	"github.com/chivetiller/chivetiller/internal/jobs/preemption"
 	"github.com/chivetiller/chivetiller/internal/jobs/remainingwork"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
@@ -52,6 +54,8 @@
 	storedParts int
 	// endedAt is the time at which the job ended.
 	endedAt time.Duration
+	// preemptions tells of the runs that were stopped for the job.
+	preemptions preemption.Window
 	// tasks is the number of tasks of an occurrence.
 	tasks int
 }
@@ -92,7 +96,11 @@
 	// gangRun is the number of the latest run of the gang.
 	gangRun int
 	// crashSites holds the crashes under each task in this term, or under the gang at index 0.
-	crashSites map[int]*crashSites
+	crashSites map[int]*crashloop.Sites
+	// copies is what is known for copies of late runs, and nil if the step has none.
+	copies *copies.Step
+	// preempted tells which tasks have made room for other jobs.
+	preempted preemption.History
 	// waitsSince is the time since which tasks of a service wait for room.
 	waitsSince time.Duration
 	// wait is what else is known of tasks that wait, and nil if none has been checked.
@@ -172,6 +180,8 @@
 	sincePlan time.Duration
 	// previousLeader means that a previous leader started the run, and that the worker has not reported it since.
 	previousLeader bool
+	// copied means that another run of the task was at work when this one was planned.
+	copied bool
 	// confirmedClock is the latest time that the worker's clock was known to have shown when the worker first confirmed the run.
 	confirmedClock time.Duration
 	// lastStart is what was known of the start when the worker was found to have crashed or to be silent, and nil before.
@@ -194,6 +204,8 @@
 	startFence uint64
 	stopFence  uint64
 	checkpoint string
+	// savedAt is the time at which the worker first reported the checkpoint.
+	savedAt time.Duration
 	// whole means that the run began without a checkpoint in this term.
 	whole bool
 	// worked means that the run has spoken for the health of its worker.
@@ -224,7 +236,7 @@
 	crashedAt time.Duration
 	runs      map[work.Task]*run
 	used      work.Resources
-	// reservations holds the room that is kept for services.
+	// reservations holds the room that is kept for services and urgent jobs.
 	reservations []reservation
 	// services and bestEffort count the runs of such steps.
 	services   int
@@ -269,6 +281,8 @@
 	needsPlanning bool
 	// plannedAt is the time at which the pool was last planned.
 	plannedAt time.Duration
+	// copiesCheckedAt is the time of the latest search for late runs.
+	copiesCheckedAt time.Duration
 	// candidates is the number of occurrences that had tasks to start in the last pass.
 	candidates int
 	arrivals   arrivals.Window
@@ -278,6 +292,9 @@
 	load admission.Load
 	// tests holds the runs of suspects whose workers may still crash under them.
 	tests []*run
+	// preemptions tells of the workers on which runs were stopped for urgent jobs, and roomCheckedAt when that was last considered.
+	preemptions   preemption.Window
+	roomCheckedAt time.Duration
 	// reserved holds the workers with reservations.
 	reserved []*workerState
 	// overdueAt is the time of the latest pass that found no worker in use with room for a task of a service that is overdue.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -163,8 +164,8 @@
 		return Renewal{}, false
 	}
 	to := c.newCall(ws)
-	r := Renewal{Target: workerTarget(ws), call: to, Pending: ws.exitsProcessed > ws.exitsStored || ws.needsFence(c.now) || c.leaseRecord.Returning(id), Unresponsive: c.now-ws.lastContact > contactTimeout}
-	r.Command = worker.RenewCommand{Fence: to.fence, AcknowledgedSeq: ws.exitsStored, MaxWait: renewWait}
+	r := Renewal{Target: workerTarget(ws), call: to, Pending: ws.exitsProcessed > ws.exits.Stored() || ws.needsFence(c.now) || c.leaseRecord.Returning(id), Unresponsive: c.now-ws.lastContact > contactTimeout}
+	r.Command = worker.RenewCommand{Fence: to.fence, AcknowledgedSeq: ws.exits.Stored(), MaxWait: renewWait}
 	if !ws.answered || r.Pending || !ws.ruledOut(c.now) {
 		r.Command.MaxWait = 0
 	}
@@ -317,10 +318,13 @@
 			return
 		}
 		ws.exitsProcessed = e.Seq
-		ws.unstoredExits = append(ws.unstoredExits, unstoredExit{seq: e.Seq, job: c.jobs[e.Task.Job]})
+		ws.exits.Add(e.Seq, c.jobs[e.Task.Job])
 		if s, ok := c.findStep(e.Task); ok {
 			t := &s.tasks[e.Task.Index]
 			t.exitedRun = max(t.exitedRun, e.Number)
+			if s.copies != nil {
+				s.copies.Ended(e.Task.Index, e.Number)
+			}
 		}
 		if r, ok := ws.runs[e.Task]; ok && r.number == e.Number {
 			c.handleExit(r, e.Reason, e.Checkpoint)
@@ -423,8 +427,8 @@
 		c.confirm(r)
 	}
 	c.forgetCrashes(r)
-	if row.Checkpoint != "" {
-		r.checkpoint = row.Checkpoint
+	if row.Checkpoint != "" && row.Checkpoint != r.checkpoint {
+		r.checkpoint, r.savedAt = row.Checkpoint, c.now
 	}
 	r.speedPercent, r.load = row.SpeedPercent, row.Load
 	c.recordWork(r)
@@ -457,14 +461,14 @@
 		return
 	}
 	t := &s.tasks[row.Task.Index]
-	if row.Number <= t.exitedRun {
+	if s.copies == nil && row.Number <= t.exitedRun || s.copies != nil && s.copies.HasEnded(row.Task.Index, row.Number) {
 		return
 	}
 	if _, recorded := ws.runs[row.Task]; recorded {
 		// The recorded run never started or has exited. The list of exits tells which.
 		return
 	}
-	r := &run{step: s, index: row.Task.Index, number: row.Number, worker: ws, phase: running, startedAt: c.now, speedLimit: unknownSpeed}
+	r := &run{step: s, index: row.Task.Index, number: row.Number, worker: ws, phase: running, startedAt: c.now, speedLimit: throttling.UnknownSpeed}
 	c.confirm(r)
 	other := len(t.runs) > 0
 	c.attachRun(r)
--- a/work/work.go
+++ b/work/work.go
@@ -9,7 +9,9 @@
 package work
 
 import (
+	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -138,6 +140,20 @@
 	Index      int    `cbor:"4,keyasint,omitempty"`
 }
 
+// Name names the task within its job, in the form OCCURRENCE.STEP.INDEX.
+func (t Task) Name() string {
+	name := strconv.AppendInt(nil, int64(t.Occurrence), 10)
+	for _, n := range []int{t.Step, t.Index} {
+		name = strconv.AppendInt(append(name, '.'), int64(n), 10)
+	}
+	return string(name)
+}
+
+// Compare orders tasks by job, occurrence, step and index.
+func (t Task) Compare(o Task) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // Occurrences returns the number of occurrences, which is 1 for a job without a schedule.
 func (j *Job) Occurrences() int { return max(1, j.ScheduledOccurrences) }
 
