intake: make refusals by admission final

An attempt of the same client through another process could reach the store after the refusing process had read it, so that a job that was answered 503 ran. A refusal is now a row in the table of refusals, in the partition of the job, written by a transaction that expects the job to be absent. Each submission expects the version of that row, so that one that began before the refusal fails and is answered with the refusal. An attempt that arrives later takes the row back in the transaction that stores the job. The leader removes old rows.

The in-memory store refused to write a removed row of which version 0 was expected, unlike the store. TestRefuse delays the write of the refusal in place of the read, which is gone.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -20,6 +20,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/jobs/refusal"
 	"github.com/chivetiller/chivetiller/internal/store/latency"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
@@ -87,6 +88,8 @@
 	// attempts are the submissions under way.
 	attempts attempts
 	refusals refusals
+	// storeNow returns a lower bound of the time on the store's clock, and false before the first reply.
+	storeNow func() (time.Duration, bool)
 }
 
 // New returns an intake.
@@ -97,7 +100,7 @@
 	if o.Latency == nil {
 		o.Latency = latency.New()
 	}
-	return &Intake{options: o, logger: o.Logger.Named("intake")}
+	return &Intake{options: o, logger: o.Logger.Named("intake"), storeNow: o.Clock.Now}
 }
 
 // Close makes clients open their next connection to another process.
@@ -111,6 +114,7 @@
 
 // Admit checks the queue and the key of a request.
 func (i *Intake) Admit(host, path, key string) (Admission, Outcome) {
+	arrived, _ := i.storeNow()
 	c := i.options.Configuration.Current()
 	age := i.options.Configuration.Age()
 	if c.Version == 0 || age > i.options.Bounds.ConfigDelay+i.options.Bounds.ConfigOutageDelay-configMargin {
@@ -122,7 +126,7 @@
 		i.logger.Info("Request matches no queue.", "host", host, "path", path, "config", c.Version, "age", age)
 		return Admission{}, NoQueue
 	}
-	a := Admission{Queue: q, JobPath: path[len(q.Prefix):], ConfigVersion: c.Version}
+	a := Admission{Queue: q, JobPath: path[len(q.Prefix):], ConfigVersion: c.Version, ArrivedAt: arrived}
 	team, known := c.TeamOf(key)
 	if !known && !q.Public {
 		i.logger.Info("Request has no valid key.", "queue", q.Name, "job", a.JobPath, "config", c.Version, "age", age)
@@ -144,45 +148,58 @@
 		outcome = refused
 		return outcome, after
 	}
-	outcome = i.store(ctx, a, job)
-	return outcome, 0
+	return i.store(ctx, a, job)
 }
 
-// store stores a job.
-func (i *Intake) store(ctx context.Context, a Admission, job work.Job) Outcome {
-	now, known := i.options.Clock.Now()
+// maxSubmissions is the maximum number of transactions of one attempt after conflicts. Each one after the first has a refusal before it.
+const maxSubmissions = 4
+
+// store stores a job, unless it was refused after the attempt began.
+func (i *Intake) store(ctx context.Context, a Admission, job work.Job) (outcome Outcome, retryAfter time.Duration) {
+	now, known := i.storeNow()
 	if !known {
 		i.logger.Warn("Job is refused because the store has not replied since the start.", "job", job.ID)
-		return Refused
+		return Refused, 0
 	}
 	job.AcceptedAt = now
 	since := clock.Now()
 	value, err := scheduler.EncodeJob(job)
 	if err != nil {
 		i.logger.Error("Job cannot be encoded.", "job", job.ID, "error", err)
-		return Refused
-	}
-	tx := store.Tx{
-		Expected: []store.Expect{{Key: scheduler.JobKey(job.ID)}},
-		Puts:     []store.Put{{Key: scheduler.JobKey(job.ID), Value: value}},
+		return Refused, 0
 	}
-	err = i.commit(ctx, tx)
-	took := clock.Now() - since
-	switch {
-	case err == nil:
-		i.logger.Info("Job is accepted.", "job", job.ID, "queue", job.Queue, "team", job.Team, "steps", len(job.Steps), "serviceTasks", job.ServiceTasks(), "config", a.ConfigVersion, "took", took)
-		i.options.Leader.NotifySubmitted(ctx, job)
-		return OK
-	case errors.Is(err, store.ErrConflict):
-		// An earlier attempt of the client has already stored the job.
-		i.logger.Info("Job is already stored.", "job", job.ID, "queue", job.Queue)
-		return OK
-	case errors.Is(err, store.ErrNotDone):
-		i.logger.Warn("Job is refused because it cannot be stored.", "job", job.ID, "queue", job.Queue, "took", took, "error", err)
-		return Refused
+	key := scheduler.JobKey(job.ID)
+	var found refusal.Found
+	for range maxSubmissions {
+		result, err := i.commit(ctx, refusal.Submit(key, value, found.Version))
+		took := clock.Now() - since
+		switch {
+		case err == nil:
+			i.logger.Info("Job is accepted.", "job", job.ID, "queue", job.Queue, "team", job.Team, "steps", len(job.Steps), "serviceTasks", job.ServiceTasks(), "config", a.ConfigVersion, "took", took)
+			i.options.Leader.NotifySubmitted(ctx, job)
+			return OK, 0
+		case errors.Is(err, store.ErrNotDone):
+			i.logger.Warn("Job is refused because it cannot be stored.", "job", job.ID, "queue", job.Queue, "took", took, "error", err)
+			return Refused, 0
+		case !errors.Is(err, store.ErrConflict):
+			i.logger.Warn("Job may have been stored.", "job", job.ID, "queue", job.Queue, "took", took, "error", err)
+			return Unknown, 0
+		}
+		if found, err = i.find(ctx, key, result); err != nil {
+			i.logger.Warn("Rows of a job cannot be read after a conflict.", "job", job.ID, "queue", job.Queue, "took", took, "error", err)
+			return Unknown, 0
+		}
+		if found.Stored {
+			// An earlier attempt of the client has already stored the job.
+			i.logger.Info("Job is already stored.", "job", job.ID, "queue", job.Queue)
+			return OK, 0
+		}
+		if found.Row.Refuses(a.ArrivedAt) {
+			return i.refuseLate(ctx, &job, a, found, result.Now)
+		}
 	}
-	i.logger.Warn("Job may have been stored.", "job", job.ID, "queue", job.Queue, "took", took, "error", err)
-	return Unknown
+	i.logger.Warn("Job may have been stored: it is refused again and again.", "job", job.ID, "queue", job.Queue)
+	return Unknown, 0
 }
 
 // errPartitioned means that nothing was sent because this node can reach neither the store nor another data centre. The client gets
@@ -191,10 +208,10 @@
 
 // commit executes a transaction that may safely be repeated. It alternates between the store and the relay to another node until an
 // attempt succeeds, both have rejected it, or ctx is done. While the store is slow, the relay would only add to its load. The error is ErrNotDone only if no attempt can have taken effect.
-func (i *Intake) commit(ctx context.Context, tx store.Tx) error {
+func (i *Intake) commit(ctx context.Context, tx store.Tx) (store.Result, error) {
 	var unknown, direct error
 	if i.options.Relay.Partitioned(ctx) {
-		return errPartitioned
+		return store.Result{}, errPartitioned
 	}
 	for attempt := 0; ; attempt++ {
 		now := time.Now()
@@ -210,7 +227,7 @@
 			i.options.Clock.Update(result.Now)
 		}
 		if err == nil || errors.Is(err, store.ErrConflict) {
-			return err
+			return result, err
 		}
 		if errors.Is(err, store.ErrUnknown) {
 			unknown = err
@@ -219,13 +236,13 @@
 			direct = err
 		}
 		if unknown == nil && attempt > 0 {
-			return errors.Join(direct, fmt.Errorf("through another node: %w", err))
+			return result, errors.Join(direct, fmt.Errorf("through another node: %w", err))
 		}
 		if ctx.Err() != nil || i.options.Relay.Partitioned(ctx) {
 			if unknown != nil {
-				return unknown
+				return result, unknown
 			}
-			return err
+			return result, err
 		}
 		if attempt > 0 {
 			select {
@@ -275,7 +292,7 @@
 		}
 	}
 	key := scheduler.CancelKey(id)
-	err = i.commit(ctx, store.Tx{Expected: []store.Expect{{Key: key}}, Puts: []store.Put{{Key: key, Value: cancelMark}}})
+	_, err = i.commit(ctx, store.Tx{Expected: []store.Expect{{Key: key}}, Puts: []store.Put{{Key: key, Value: cancelMark}}})
 	if err != nil && !errors.Is(err, store.ErrConflict) {
 		i.logger.Warn("Cancellation may not have been stored.", "job", id, "queue", a.Queue.Name, "known", outcome == OK, "error", err)
 		if errors.Is(err, store.ErrNotDone) {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/common/logging"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
@@ -73,10 +74,11 @@
 
 func newFixture(t *testing.T, age time.Duration) *fixture {
 	r := &fixture{store: memory.New(), relay: &fakeRelay{Store: memory.New()}, leader: &fakeLeader{states: make(map[string]work.State)}}
-	clock := &store.Clock{}
-	clock.Update(time.Hour)
+	storeClock := &store.Clock{}
+	// The store of the test has the local clock.
+	storeClock.Update(clock.Now())
 	r.intake = New(Options{
-		Store: r.store, Clock: clock, Leader: r.leader, Relay: r.relay,
+		Store: r.store, Clock: storeClock, Leader: r.leader, Relay: r.relay,
 		Configuration: fakeConfiguration{sampleCatalog(), age}, Bounds: scheduler.Bounds{ConfigDelay: 2 * time.Second, ConfigOutageDelay: 5 * time.Second},
 	})
 	t.Cleanup(func() { r.store.InjectFaults(nil) })
--- a/intake/outcome.go
+++ b/intake/outcome.go
@@ -1,6 +1,10 @@
 package intake
 
-import "github.com/chivetiller/chivetiller/catalog"
+import (
+	"time"
+
+	"github.com/chivetiller/chivetiller/catalog"
+)
 
 // Outcome is the result of a request of a client.
 type Outcome int
@@ -42,6 +46,8 @@
 	JobPath string
 	// ConfigVersion is the version of the configuration that was used.
 	ConfigVersion uint64
+	// ArrivedAt is a lower bound of the time on the store's clock at which the request arrived, and 0 if it is not known.
+	ArrivedAt time.Duration
 }
 
 func (a Admission) queueName() string {
--- a/intake/refusal_test.go
+++ b/intake/refusal_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/internal/jobs/admission"
+	"github.com/chivetiller/chivetiller/internal/jobs/refusal"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -32,19 +33,22 @@
 	small    = admission.Report{Cores: 1, Shapes: []admission.Instances{{Capacity: work.Resources{CPU: 1000}, Count: 9}}}
 )
 
-// slowStore takes a time for each scan.
+// slowStore takes a time for each refusal, and loses those that nobody waits for any more.
 type slowStore struct {
 	*memory.Store
-	scan time.Duration
+	refusal time.Duration
 }
 
-func (s *slowStore) Scan(ctx context.Context, table, partition, from, to string) (store.Rows, error) {
+func (s *slowStore) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
+	if tx.Puts[0].Table != refusal.Table {
+		return s.Store.Commit(ctx, tx)
+	}
 	select {
-	case <-time.After(s.scan):
+	case <-time.After(s.refusal):
+		return s.Store.Commit(ctx, tx)
 	case <-ctx.Done():
-		return store.Rows{}, ctx.Err()
+		return store.Result{}, fmt.Errorf("%w: %w", store.ErrUnknown, ctx.Err())
 	}
-	return s.Store.Scan(ctx, table, partition, from, to)
 }
 
 // withTarget returns the admission to a queue with a latency target.
@@ -67,25 +71,25 @@
 }
 
 // TestRefuse guards against a job that is refused late or stored all the same, and against a refusal without a fresh report or while the
-// store cannot tell whether the job is stored.
+// store does not make it final in time.
 func TestRefuse(t *testing.T) {
 	tests := map[string]struct {
 		reports fakeReports
-		scan    time.Duration
+		write   time.Duration
 		want    Outcome
 	}{
-		"no load":               {fakeReports{report: admission.Report{Cores: 1}}, 0, OK},
-		"overload":              {fakeReports{report: overload}, 20 * time.Millisecond, Overloaded},
-		"never fits":            {fakeReports{report: small}, 20 * time.Millisecond, NeverFits},
-		"no report":             {fakeReports{report: overload, absent: true}, 0, OK},
-		"old report":            {fakeReports{report: overload, age: admission.MaxAge + 1}, 0, OK},
-		"store is slow to look": {fakeReports{report: overload}, time.Second, OK},
+		"no load":                {fakeReports{report: admission.Report{Cores: 1}}, 0, OK},
+		"overload":               {fakeReports{report: overload}, 20 * time.Millisecond, Overloaded},
+		"never fits":             {fakeReports{report: small}, 20 * time.Millisecond, NeverFits},
+		"no report":              {fakeReports{report: overload, absent: true}, 0, OK},
+		"old report":             {fakeReports{report: overload, age: admission.MaxAge + 1}, 0, OK},
+		"store is slow to write": {fakeReports{report: overload}, time.Second, OK},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := newFixture(t, 0)
-				r.intake.options.Reports, r.intake.options.Store = &test.reports, &slowStore{Store: r.store, scan: test.scan}
+				r.intake.options.Reports, r.intake.options.Store = &test.reports, &slowStore{Store: r.store, refusal: test.write}
 				a := withTarget(r)
 				since := time.Now()
 				outcome, retryAfter := r.intake.Submit(t.Context(), a, largeJob("a"))
--- a/node/leadership.go
+++ b/node/leadership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/common/loop"
+	"github.com/chivetiller/chivetiller/internal/jobs/refusal"
 	"github.com/chivetiller/chivetiller/scheduler"
 )
 
@@ -14,12 +15,17 @@
 	checkInterval = 20 * time.Millisecond
 	// startRetryPause is the time before the start of the scheduler is tried again.
 	startRetryPause = 250 * time.Millisecond
+	// refusalsInterval is the time between two searches for old refusals. Each reads all of them.
+	refusalsInterval = 30 * time.Second
 )
 
 // leadership runs the scheduler while this process is the leader.
 type leadership struct {
 	n    *Node
 	loop *loop.Loop
+	// pruning removes old refusals, and refusals holds those that it knows of in this term.
+	pruning  *loop.Loop
+	refusals *refusal.Pruner
 
 	mu     sync.Mutex
 	engine *scheduler.Engine
@@ -28,14 +34,19 @@
 func newLeadership(n *Node) *leadership {
 	l := &leadership{n: n}
 	l.loop = loop.New(loop.Every(checkInterval, l.followTerm))
+	l.pruning = loop.New(loop.Every(refusalsInterval, l.pruneRefusals))
 	return l
 }
 
 // Start starts to follow the terms of this process.
-func (l *leadership) Start() { l.loop.Start() }
+func (l *leadership) Start() {
+	l.loop.Start()
+	l.pruning.Start()
+}
 
 // Stop stops the scheduler for good.
 func (l *leadership) Stop() {
+	l.pruning.Stop()
 	l.loop.Stop()
 	if engine := l.stopEngine(); engine != nil {
 		// Only here, since the engine of a term may be started again otherwise.
@@ -50,6 +61,18 @@
 	return l.engine, l.engine != nil
 }
 
+// pruneRefusals removes old refusals while this process is the leader.
+func (l *leadership) pruneRefusals(ctx context.Context) {
+	if engine, ok := l.Engine(); !ok || !engine.IsLeader() {
+		l.refusals = nil
+		return
+	}
+	if l.refusals == nil {
+		l.refusals = refusal.NewPruner(l.n.settings.Bounds.Retention)
+	}
+	l.n.intake.PruneRefusals(ctx, l.refusals)
+}
+
 // stopEngine stops the scheduler and returns it, or nil if it is not running.
 func (l *leadership) stopEngine() *scheduler.Engine {
 	l.mu.Lock()
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -115,8 +115,9 @@
 	}
 	result := store.Result{Version: s.version, Now: clock.Now()}
 	for _, e := range tx.Expected {
-		if s.rows[e.Key].Version != e.Version || s.rows[e.Key].Deleted {
-			result.Current = append(result.Current, s.rows[e.Key])
+		// A removed row does not exist, which is what version 0 expects.
+		if row := s.rows[e.Key]; row.Deleted && e.Version != 0 || !row.Deleted && row.Version != e.Version {
+			result.Current = append(result.Current, row)
 		}
 	}
 	if len(result.Current) > 0 {
