--- a/internal/settings/serving/serving.go
+++ b/internal/settings/serving/serving.go
@@ -15,7 +15,7 @@
 //	  learnedRunTimes: true
 //	  workerPace: true
 //	  teamShares: true
-//	  admission: false
+//	  admission: true
 //	  copies: true
 //	  preemption: true
 //
@@ -38,8 +38,7 @@
 	WorkerPace bool `yaml:"workerPace"`
 	// TeamShares orders the jobs of a full pool by the weights of their teams.
 	TeamShares bool `yaml:"teamShares"`
-	// Admission refuses jobs that cannot be done before they have lost their value. It is off by default: an earlier attempt that another process
-	// has sent may still be stored after the refusal.
+	// Admission refuses jobs that can never run, or that cannot be done before they have lost their value.
 	Admission bool `yaml:"admission"`
 	// Copies starts a second run of a speculative task that is late.
 	Copies bool `yaml:"copies"`
@@ -58,7 +57,7 @@
 // Default returns the settings without a file.
 func Default() Settings {
 	return Settings{file: file{Scheduling: Scheduling{
-		LearnedRunTimes: true, WorkerPace: true, TeamShares: true, Copies: true, Preemption: true,
+		LearnedRunTimes: true, WorkerPace: true, TeamShares: true, Admission: true, Copies: true, Preemption: true,
 	}}}
 }
 
