refusal: test late refusals and the relay, describe final refusals

A refusal that the store carries out late must not take the place of a later one: TestLateRefusal fails if the write does not expect the version of the row. TestRefuseThroughRelay checks that a relaying node tells which row has caused a conflict.

--- a/intake/refusalmodel_test.go
+++ b/intake/refusalmodel_test.go
@@ -21,6 +21,8 @@
 	modelJob = "a"
 	// maxDepth is the maximum number of attempts of the model that are under way at the same time.
 	maxDepth = 3
+	// slightOverload is work for which a job may be sent again after a second or two.
+	slightOverload = 12
 	// maxLateness is how late the store of the model carries out a transaction.
 	maxLateness = 30 * time.Second
 )
@@ -197,6 +199,10 @@
 		m := &refusalModel{
 			Store: memory.New(), rt: rt, processes: make([]*Intake, 3), reports: fakeReports{report: overload}, now: time.Hour, pruner: refusal.NewPruner(0),
 		}
+		if rapid.IntRange(0, 3).Draw(rt, "load") > 0 {
+			// The shortest refusals are the most likely ones to be written too late.
+			m.reports.report.Urgent = slightOverload
+		}
 		for n := range m.processes {
 			m.start(n)
 		}
--- a/intake/refusalrace_test.go
+++ b/intake/refusalrace_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/internal/jobs/admission"
 	"github.com/chivetiller/chivetiller/internal/jobs/refusal"
 	"github.com/chivetiller/chivetiller/scheduler"
@@ -185,3 +186,21 @@
 		})
 	}
 }
+
+// TestPruneRefusals guards against refusals that stay in the store for good, and against the removal of recent ones.
+func TestPruneRefusals(t *testing.T) {
+	first, second := newPair(t)
+	scan := func() []store.Row {
+		rows, err := store.ScanAll(t.Context(), first.store, refusal.Table)
+		qt.Assert(t, err, qt.IsNil)
+		return rows.Rows
+	}
+	p := refusal.NewPruner(2 * time.Minute)
+	qt.Assert(t, second.submit(t.Context(), withTarget(second), largeJob("a")), qt.Equals, Overloaded)
+	qt.Assert(t, p.Due(scan(), clock.Now()-3*time.Minute), qt.HasLen, 0)
+	qt.Assert(t, second.submit(t.Context(), withTarget(second), largeJob("b")), qt.Equals, Overloaded)
+	first.intake.PruneRefusals(t.Context(), p)
+	left := scan()
+	qt.Assert(t, left, qt.HasLen, 1)
+	qt.Assert(t, left[0].Name, qt.Equals, "b")
+}
--- a/internal/jobs/refusal/refusal.go
+++ b/internal/jobs/refusal/refusal.go
@@ -68,8 +68,8 @@
 	return Row{Reason: reason, Until: now + span, RetryAt: now + retryAfter}
 }
 
-// After returns the refusal so that it takes the place of an earlier one. It refuses what the earlier one refuses: other clients
-// of the row may have answered by it.
+// After returns the refusal so that it takes the place of an earlier one. It refuses what the earlier one refuses, because other processes
+// may have answered by that one.
 func (r Row) After(earlier Row) Row {
 	r.Until = max(r.Until, earlier.Until)
 	return r
--- a/internal/jobs/refusal/refusal_test.go
+++ b/internal/jobs/refusal/refusal_test.go
@@ -85,3 +85,26 @@
 	qt.Assert(t, left, qt.HasLen, 1)
 	qt.Assert(t, left[0].Name, qt.Equals, rewritten.Name)
 }
+
+// TestLateRefusal guards against a refusal that the store carries out late, and that takes the place of a later one which refuses more attempts.
+func TestLateRefusal(t *testing.T) {
+	s, key := memory.New(), jobKey("a")
+	write := func(version uint64, row refusal.Row) store.Tx {
+		tx, err := refusal.Write(key, version, row)
+		qt.Assert(t, err, qt.IsNil)
+		return tx
+	}
+	late := write(0, refusal.New(admission.Overloaded, time.Second, time.Second))
+	result, err := s.Commit(t.Context(), write(0, refusal.New(admission.Overloaded, 2*time.Second, time.Second)))
+	qt.Assert(t, err, qt.IsNil)
+	lateAgain := write(result.Version, refusal.New(admission.Overloaded, time.Second, time.Second))
+	_, err = s.Commit(t.Context(), write(result.Version, refusal.New(admission.Overloaded, 3*time.Second, time.Second)))
+	qt.Assert(t, err, qt.IsNil)
+	for _, tx := range []store.Tx{late, lateAgain} {
+		result, err = s.Commit(t.Context(), tx)
+		qt.Assert(t, err, qt.ErrorIs, store.ErrConflict)
+		found := refusal.Find(key, result.Current)
+		qt.Assert(t, found.Stored, qt.IsFalse)
+		qt.Assert(t, found.Row.Refuses(3*time.Second), qt.IsTrue)
+	}
+}
--- a/node/refusal_integration_test.go
+++ b/node/refusal_integration_test.go
@@ -11,7 +11,10 @@
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/intake"
+	"github.com/chivetiller/chivetiller/internal/jobs/admission"
+	"github.com/chivetiller/chivetiller/internal/jobs/refusal"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
+	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
@@ -64,3 +67,37 @@
 		qt.Assert(t, outcome, qt.Equals, intake.OK)
 	}
 }
+
+// TestRefuseThroughRelay guards against a job that is taken for one that is stored because the node that relays a submission does not tell which
+// row has caused the conflict.
+func TestRefuseThroughRelay(t *testing.T) {
+	c := newClusterWith(t, 2, func(s store.Store) store.Store { return s }, func(*Settings, *Dependencies) {})
+	for _, n := range c.nodes {
+		defer func() { _ = n.Stop(context.Background()) }()
+	}
+	cut := c.nodes[1]
+	eventually(t, 5*time.Second, func() bool {
+		return c.nodes[0].Ready(t.Context()) == nil && cut.Ready(t.Context()) == nil && len(cut.peers.nearestPeers()) > 0
+	})
+	const id = "0000000000000001"
+	now, known := cut.clock.Now()
+	qt.Assert(t, known, qt.IsTrue)
+	tx, err := refusal.Write(scheduler.JobKey(id), 0, refusal.New(admission.NeverFits, now, time.Minute))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = c.store.Commit(t.Context(), tx)
+	qt.Assert(t, err, qt.IsNil)
+	a, outcome := cut.intake.Admit("h", "/q/"+id, "")
+	qt.Assert(t, outcome, qt.Equals, intake.OK)
+	c.stores[1].Disconnect(store.ErrNotDone)
+	job := work.Job{ID: id, Steps: []work.Step{{Count: 1, Estimate: fakeRunTime}}}
+	outcome, retryAfter := cut.intake.Submit(t.Context(), a, job)
+	qt.Assert(t, outcome, qt.Equals, intake.NeverFits)
+	qt.Assert(t, retryAfter > time.Second, qt.IsTrue)
+
+	// An attempt that arrives after the refusal is accepted through the same relay.
+	a.ArrivedAt += time.Minute
+	outcome, _ = cut.intake.Submit(t.Context(), a, job)
+	qt.Assert(t, outcome, qt.Equals, intake.OK)
+	outcome, _ = cut.intake.Submit(t.Context(), a, job)
+	qt.Assert(t, outcome, qt.Equals, intake.OK)
+}
