--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -63,7 +63,8 @@
 						continue
 					}
 					if !known {
-						tier, known = c.tierOf(j, o, c.queueOf(j)), true
+						tier, _ = c.tierOf(j, o, c.queueOf(j))
+						known = true
 					}
 					if tier != order.Expired && c.now >= j.notStoredBefore && !c.blocked(s) {
 						late = append(late, lateRun{t.runs[0], tier, c.now - t.runs[0].confirmedAt})
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -150,16 +150,15 @@
 	case o.likelyCause():
 		tier = order.LikelyCause
 	case !j.service:
-		_, left := c.remainingWork(o)
-		tier, rank = c.tierOf(j, o, q), order.RankOf(left)
+		tier, rank = c.tierOf(j, o, q)
 	}
 	return candidate{job: j, occurrence: o, queue: q, Key: order.New(tier, j.beyondRate, q.Priority, rank)}, true
 }
 
-// tierOf returns the tier of a batch job by the time that is left to it.
-func (c *Core) tierOf(j *job, o *occurrence, q *catalog.Queue) order.Tier {
-	criticalPath, _ := c.remainingWork(o)
-	return order.TierOf(c.now, criticalPath, o.latencyStart(j), o.targetEnd(q, j))
+// tierOf returns the tier of a batch job by the time that is left to it, and its rank within the tier.
+func (c *Core) tierOf(j *job, o *occurrence, q *catalog.Queue) (tier order.Tier, rank float64) {
+	criticalPath, left := c.remainingWork(o)
+	return order.TierOf(c.now, criticalPath, o.latencyStart(j), o.targetEnd(q, j)), order.RankOf(left)
 }
 
 // placeOccurrence starts as many tasks of an occurrence as possible. It reports whether others wait for workers that are not likely to
--- a/scheduler/preemption.go
+++ b/scheduler/preemption.go
@@ -89,8 +89,9 @@
 				continue
 			}
 			q := c.queueOf(s.job)
+			tier, _ := c.tierOf(s.job, s.occurrence, q)
 			runs = append(runs, preemption.Run[*run]{
-				Run: r, Urgency: preemption.Urgency{Priority: q.Priority, Expired: c.tierOf(s.job, s.occurrence, q) == order.Expired}, Size: s.doc.ReservedResources(), SinceSaved: c.now - max(r.savedAt, r.startedAt),
+				Run: r, Urgency: preemption.Urgency{Priority: q.Priority, Expired: tier == order.Expired}, Size: s.doc.ReservedResources(), SinceSaved: c.now - max(r.savedAt, r.startedAt),
 			})
 		}
 		if len(runs) > 0 {
