--- a/commands/jobwhere_test.go
+++ b/commands/jobwhere_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
 )
 
@@ -33,7 +34,7 @@
 		Start: &whereabouts.Spread{}, End: &whereabouts.Spread{Earliest: 0.5, Expected: 1, Latest: 2.25}, Runs: 12, Workers: 4, Others: map[whereabouts.Reason]int{whereabouts.Full: 2, "drained": 1},
 	})
 	waits := answer(http.StatusOK, whereabouts.Answer{
-		Leader: "n1", Pool: "p", Admission: "overloaded", RetryAfterSeconds: 3, Waiting: 1, Wait: whereabouts.WaitForPolicy, Workers: 1,
+		Leader: "n1", Pool: "p", Admission: "overloaded", RetryAfterSeconds: 3, Waiting: 1, Wait: waiting.ForPolicy, Workers: 1,
 		Others: map[whereabouts.Reason]int{whereabouts.NotEligible: 1},
 	})
 	lost := answer(http.StatusServiceUnavailable, whereabouts.Failure{Error: "no node is the leader", LastLeader: "n7"})
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -12,7 +12,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/catalog"
+	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/common/logging"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
@@ -73,10 +75,11 @@
 
 func newFixture(t *testing.T, age time.Duration) *fixture {
 	r := &fixture{store: memory.New(), relay: &fakeRelay{Store: memory.New()}, leader: &fakeLeader{states: make(map[string]work.State)}}
-	clock := &store.Clock{}
-	clock.Update(time.Hour)
+	storeClock := &store.Clock{}
+	// The store of the test has the local clock.
+	storeClock.Update(clock.Now())
 	r.intake = New(Options{
-		Store: r.store, Clock: clock, Leader: r.leader, Relay: r.relay,
+		Store: r.store, Clock: storeClock, Leader: r.leader, Relay: r.relay,
 		Configuration: fakeConfiguration{sampleCatalog(), age}, Bounds: scheduler.Bounds{ConfigDelay: 2 * time.Second, ConfigOutageDelay: 5 * time.Second},
 	})
 	t.Cleanup(func() { r.store.InjectFaults(nil) })
@@ -201,11 +204,11 @@
 	r := newFixture(t, 0)
 	a, _ := r.intake.Admit("h", "/q/a", "key")
 	qt.Assert(t, r.submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
-	key := scheduler.JobKey("a")
+	key := rowkeys.Job("a")
 	rows, err := r.store.Scan(t.Context(), key.Table, key.Partition, key.Name, "")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, rows.Rows, qt.HasLen, 1)
-	job, err := scheduler.DecodeJob(rows.Rows[0])
+	job, err := rowkeys.DecodeJob(rows.Rows[0])
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, job.Attempts, qt.Equals, 3)
 }
--- a/internal/jobs/gang/gang.go
+++ b/internal/jobs/gang/gang.go
@@ -1,4 +1,5 @@
-// Package gang tells how many instances a gang needs. All its tasks start together, so that it needs them at once.
+// Package gang tells how many instances a gang needs, and finds room for its tasks. All of them start together or not at all, so that it
+// needs the instances at once.
 //
 // # Usage
 //
@@ -6,6 +7,11 @@
 //	if shape.Width(capacities) == 0 {
 //		// It does not fit on all of them together.
 //	}
+//	for _, rack := range gang.ByRack(workers, rackOf, preferred) {
+//		if chosen := gang.Spread(len(tasks), rack, fits); chosen != nil {
+//			return chosen
+//		}
+//	}
 package gang
 
 import "github.com/chivetiller/chivetiller/work"
--- a/internal/jobs/whereabouts/whereabouts.go
+++ b/internal/jobs/whereabouts/whereabouts.go
@@ -26,6 +26,7 @@
 
 	"github.com/chivetiller/chivetiller/internal/jobs/admission"
 	"github.com/chivetiller/chivetiller/internal/jobs/runtimes"
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 	"github.com/chivetiller/chivetiller/internal/teams/share"
 	"github.com/chivetiller/chivetiller/work"
 )
@@ -204,9 +205,9 @@
 	// Share is nil if the weights of teams do not order the jobs.
 	Share *Share `json:"share,omitempty"`
 	// Worker and Rack are of the worker for the first task. Wait tells why there is none.
-	Worker string     `json:"worker,omitempty"`
-	Rack   string     `json:"rack,omitempty"`
-	Wait   WaitReason `json:"wait,omitempty"`
+	Worker string         `json:"worker,omitempty"`
+	Rack   string         `json:"rack,omitempty"`
+	Wait   waiting.Reason `json:"wait,omitempty"`
 	// Start and End are of the first task. They are nil if they are not known, and End is nil for a service.
 	Start *Spread `json:"start,omitempty"`
 	End   *Spread `json:"end,omitempty"`
@@ -245,10 +246,10 @@
 
 // WaitsForOthers reports whether the first task waits for something else than room on one worker. A gang waits for room on all of its own.
 func (a *Answer) WaitsForOthers(gang bool) bool {
-	if gang && a.Wait == WaitForPlacement {
-		a.Wait = WaitForGang
+	if gang && a.Wait == waiting.ForPlacement {
+		a.Wait = waiting.ForGang
 	}
-	return a.Wait != WaitForRoom
+	return a.Wait != waiting.ForRoom
 }
 
 // SetTimes sets when the first task starts and ends. delay is how many times as long as expected it takes on its worker, room the time until
--- a/internal/jobs/whereabouts/whereabouts_test.go
+++ b/internal/jobs/whereabouts/whereabouts_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chivetiller/chivetiller/internal/jobs/admission"
 	"github.com/chivetiller/chivetiller/internal/jobs/runtimes"
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -55,7 +56,7 @@
 	qt.Assert(t, a.End.Earliest <= a.End.Expected && a.End.Expected <= a.End.Latest, qt.IsTrue)
 	qt.Assert(t, a.End.Expected >= 2, qt.IsTrue)
 
-	a.Wait = WaitForRoom
+	a.Wait = waiting.ForRoom
 	a.SetTimes(e, 1, time.Second, 8, false)
 	qt.Assert(t, *a.Start, qt.Equals, Spread{Earliest: 1, Expected: 2, Latest: 3})
 
@@ -66,30 +67,13 @@
 
 // TestWaitsForOthers guards against a start that is foretold although the task waits for something else than room.
 func TestWaitsForOthers(t *testing.T) {
-	for wait, others := range map[WaitReason]bool{WaitForRoom: false, WaitForTeamLimit: true, WaitForPolicy: true} {
+	for wait, others := range map[waiting.Reason]bool{waiting.ForRoom: false, waiting.ForTeamLimit: true, waiting.ForPolicy: true} {
 		a := Answer{Wait: wait}
 		qt.Assert(t, a.WaitsForOthers(false), qt.Equals, others)
 	}
-	a := Answer{Wait: WaitForPlacement}
+	a := Answer{Wait: waiting.ForPlacement}
 	qt.Assert(t, a.WaitsForOthers(true), qt.IsTrue)
-	qt.Assert(t, a.Wait, qt.Equals, WaitForGang)
-}
-
-// TestWaits guards against a check that logs a line for each of many tasks, and against omitted tasks that are not counted.
-func TestWaits(t *testing.T) {
-	reasons, longest := make(map[WaitReason]int), make(map[WaitReason]time.Duration)
-	w := NewWaits(reasons, longest)
-	lines := 0
-	for i := range 2 * maxWaitLines {
-		w.Record(WaitForRoom, time.Duration(i)*time.Second)
-		if w.AdmitLine() {
-			lines++
-		}
-	}
-	qt.Assert(t, lines, qt.Equals, maxWaitLines)
-	qt.Assert(t, w.Omitted(), qt.Equals, maxWaitLines)
-	qt.Assert(t, w.Reasons()[WaitForRoom], qt.Equals, 2*maxWaitLines)
-	qt.Assert(t, longest[WaitForRoom], qt.Equals, (2*maxWaitLines-1)*time.Second)
+	qt.Assert(t, a.Wait, qt.Equals, waiting.ForGang)
 }
 
 // TestDocuments guards against a field that is lost on its way to the leader or back.
@@ -99,7 +83,7 @@
 	}
 	a := Answer{
 		Leader: "n", Pool: "p", Admission: "admitted", RetryAfterSeconds: 1, Ahead: 2, Waiting: 3, Share: &Share{Used: 0.5, Owed: 0.25, BeyondRate: true}, Worker: "w", Rack: "r",
-		Wait: WaitForRoom, Start: &Spread{1, 2, 3}, End: &Spread{4, 5, 6}, Runs: 7, Workers: 8, Others: map[Reason]int{Full: 8},
+		Wait: waiting.ForRoom, Start: &Spread{1, 2, 3}, End: &Spread{4, 5, 6}, Runs: 7, Workers: 8, Others: map[Reason]int{Full: 8},
 	}
 	for name, codec := range map[string]struct {
 		encode func(any) ([]byte, error)
@@ -129,27 +113,6 @@
 	}})
 }
 
-// TestWait guards against a wait that is logged with each check, and against one that goes on from before the task ran.
-func TestWait(t *testing.T) {
-	var w Wait
-	lines := 0
-	const begin, checks = time.Minute, 10
-	for i := range checks {
-		now := begin + time.Duration(i)*time.Second
-		w.Begin(now)
-		if w.LogDue(now) {
-			lines++
-		}
-	}
-	qt.Assert(t, w.Since(), qt.Equals, begin)
-	qt.Assert(t, lines, qt.Equals, int((checks-1)*time.Second/LogAfter))
-	w.End()
-	qt.Assert(t, w.Since(), qt.Equals, time.Duration(0))
-	w.Begin(2 * begin)
-	qt.Assert(t, w.Since(), qt.Equals, 2*begin)
-	qt.Assert(t, w.LogDue(2*begin), qt.IsFalse)
-}
-
 // TestValidate guards against a question that takes the loop of the leader for long, or whose estimate is not a duration.
 func TestValidate(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/internal/workers/misdirection/misdirection.go
+++ b/internal/workers/misdirection/misdirection.go
@@ -1,15 +1,13 @@
-// Package misdirection tells which entries of the registry lead to another instance than the one that they name.
+// Package misdirection remembers the entries of the registry whose addresses lead to other instances than the workers that they name.
 //
 // # Usage
 //
-//	d := misdirection.New()
-//	d.Record(report, now)         // another instance has answered at the address
-//	d.Misdirects(report, now)     // while it does, the worker is not used
-//	d.Retain(listed)              // with each list of the registry
-//
-// # States
-//
-// An entry misdirects for a pause after each answer of another instance. A changed entry does not.
+//	list := make(misdirection.List)
+//	list.Add(report, now) // another instance has answered at the address
+//	if list.Leads(report, now) {
+//		// The worker is not added by this entry yet.
+//	}
+//	list.Forget(listed)
 package misdirection
 
 import (
@@ -22,12 +20,15 @@
 
 const (
 	// firstPause is the time after which a worker is used again at whose address another instance has answered, if its entry in
-	// the registry has not changed. It doubles with each further time.
+	// the registry has not changed. It doubles with each further time up to MaxPause.
 	firstPause = 400 * time.Millisecond
-	// MaxPause limits that time.
+	// MaxPause is the longest pause.
 	MaxPause = 30 * time.Second
 )
 
+// List holds the entries by worker ID.
+type List map[string]*entry
+
 // entry is an entry of the registry whose address leads to another instance.
 type entry struct {
 	address     string
@@ -36,33 +37,24 @@
 	until       time.Duration
 }
 
-// Directory holds the entries that lead to another instance, by worker ID.
-type Directory struct{ entries map[string]*entry }
-
-// New returns a directory without such entries.
-func New() *Directory { return &Directory{entries: make(map[string]*entry)} }
-
-// Record records that another instance has answered at the address of an entry.
-func (d *Directory) Record(r worker.Report, now time.Duration) {
-	m := d.entries[r.ID]
-	if m == nil || m.address != r.Address || m.incarnation != r.Incarnation {
-		m = &entry{address: r.Address, incarnation: r.Incarnation}
-		d.entries[r.ID] = m
+// Add records that another instance has answered at the address of an entry.
+func (l List) Add(r worker.Report, now time.Duration) {
+	e := l[r.ID]
+	if e == nil || e.address != r.Address || e.incarnation != r.Incarnation {
+		e = &entry{address: r.Address, incarnation: r.Incarnation}
+		l[r.ID] = e
 	}
-	m.count++
-	m.until = now + backoff.Doubled(m.count, firstPause, MaxPause)
+	e.count++
+	e.until = now + backoff.Doubled(e.count, firstPause, MaxPause)
 }
 
-// Misdirects reports whether an entry still leads to another instance.
-func (d *Directory) Misdirects(r worker.Report, now time.Duration) bool {
-	m := d.entries[r.ID]
-	return m != nil && now < m.until && m.address == r.Address && m.incarnation == r.Incarnation
+// Leads reports whether an entry still counts as leading to another instance.
+func (l List) Leads(r worker.Report, now time.Duration) bool {
+	e := l[r.ID]
+	return e != nil && now < e.until && e.address == r.Address && e.incarnation == r.Incarnation
 }
 
-// Retain forgets the entries that the registry does not list any more.
-func (d *Directory) Retain(listed map[string]bool) {
-	maps.DeleteFunc(d.entries, func(id string, _ *entry) bool { return !listed[id] })
+// Forget forgets the entries that the registry does not list any more.
+func (l List) Forget(listed map[string]bool) {
+	maps.DeleteFunc(l, func(id string, _ *entry) bool { return !listed[id] })
 }
-
-// Len returns the number of entries that are remembered.
-func (d *Directory) Len() int { return len(d.entries) }
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/store"
@@ -104,11 +105,11 @@
 		written[k.Name] = true
 	}
 	c.prunedJobs = slices.DeleteFunc(c.prunedJobs, func(id string) bool {
-		if written[progressKey(id).Name] {
+		if written[rowkeys.Progress(id).Name] {
 			// The job is known again and has new rows of these names.
 			return true
 		}
-		if limit <= 0 || !admits(progressKey(id)) {
+		if limit <= 0 || !admits(rowkeys.Progress(id)) {
 			return false
 		}
 		b.PrunedJobs = append(b.PrunedJobs, id)
@@ -128,7 +129,7 @@
 	}
 	c.plannedRuns = waiting
 	for _, ws := range c.workers {
-		if seq := c.storedExits(ws); seq > ws.exitsStored {
+		if seq := ws.exits.StoredWith(func(j *job) bool { return c.changedJobs[j] }); seq > ws.exits.Stored() {
 			b.exitAcks[ws.workerLife] = seq
 		}
 	}
@@ -172,7 +173,7 @@
 func (c *Core) addJobs(b *Batch, limit int) {
 	rows, size, full := 0, 0, limit <= 0
 	add := func(j *job) {
-		if full || !c.changedJobs[j] || c.now < j.notStoredBefore || !c.refusedRows.Admits(progressKey(j.doc.ID)) {
+		if full || !c.changedJobs[j] || c.now < j.notStoredBefore || !c.refusedRows.Admits(rowkeys.Progress(j.doc.ID)) {
 			return
 		}
 		tx, parts, err := c.progressRows(j)
@@ -242,14 +243,14 @@
 		}
 	}
 	for part, value := range values {
-		put := store.Put{Key: progressKey(partName(j.doc.ID, part)), Value: value}
+		put := store.Put{Key: rowkeys.Progress(rowkeys.PartName(j.doc.ID, part)), Value: value}
 		if err := put.Validate(); err != nil {
 			return tx, 0, err
 		}
 		tx.Puts = append(tx.Puts, put)
 	}
 	for part := len(values); part <= j.storedParts; part++ {
-		tx.Removes = append(tx.Removes, progressKey(partName(j.doc.ID, part)))
+		tx.Removes = append(tx.Removes, rowkeys.Progress(rowkeys.PartName(j.doc.ID, part)))
 	}
 	return tx, len(values) - 1, nil
 }
@@ -274,35 +275,6 @@
 	return values, nil
 }
 
-// unstoredExit is an exit that was processed and whose effect on its job may not be stored yet.
-type unstoredExit struct {
-	seq uint64
-	job *job
-}
-
-// storedExits returns the number of the last exit of a worker up to which the effects of all are in this batch or stored already.
-func (c *Core) storedExits(ws *workerState) uint64 {
-	n := 0
-	for n < len(ws.unstoredExits) && !c.changedJobs[ws.unstoredExits[n].job] {
-		n++
-	}
-	if n == 0 {
-		return ws.exitsStored
-	}
-	// The entries stay until the batch is stored.
-	return ws.unstoredExits[n-1].seq
-}
-
-// recordStoredExits records that the effects of the exits up to a number are stored.
-func (l *workerLife) recordStoredExits(seq uint64) {
-	l.exitsStored = max(l.exitsStored, seq)
-	n := 0
-	for n < len(l.unstoredExits) && l.unstoredExits[n].seq <= l.exitsStored {
-		n++
-	}
-	l.unstoredExits = l.unstoredExits[n:]
-}
-
 // maxPrunedJobs is the maximum number of jobs that are pruned at a time, in a transaction for each partition.
 const maxPrunedJobs = store.MaxEntries / 2
 
@@ -341,22 +313,22 @@
 func (c *Core) JobsPruned(ids []string) { c.prunedJobs = append(c.prunedJobs, ids...) }
 
 // oldRowsKey stands for the rows of an earlier version that are removed.
-var oldRowsKey = leadershipKey(rowRoster)
+var oldRowsKey = rowkeys.Leadership(rowkeys.RowRoster)
 
 // rowKeys returns the keys of the rows of the batch, one for each change that can be stored alone.
 func (b *Batch) rowKeys() []store.Key {
 	var keys []store.Key
 	for _, j := range b.jobs {
-		keys = append(keys, progressKey(j.doc.ID))
+		keys = append(keys, rowkeys.Progress(j.doc.ID))
 	}
 	for _, id := range b.PrunedJobs {
-		keys = append(keys, progressKey(id))
+		keys = append(keys, rowkeys.Progress(id))
 	}
 	for id := range b.Roster {
 		keys = append(keys, rosterKey(id))
 	}
 	for n := range b.Waves {
-		keys = append(keys, progressKey(waveName(n)))
+		keys = append(keys, rowkeys.Progress(rowkeys.WaveName(n)))
 	}
 	for _, m := range b.begun {
 		keys = append(keys, m.key())
@@ -374,7 +346,7 @@
 		keys = append(keys, leaseRecordKey)
 	}
 	for _, row := range b.Snapshots {
-		keys = append(keys, snapshotKey(row.Name))
+		keys = append(keys, rowkeys.Snapshot(row.Name))
 	}
 	return keys
 }
@@ -415,7 +387,7 @@
 		c.logger.Info("Row that was set aside is stored.", "table", key.Table, "row", key.Name)
 	}
 	for life, number := range b.exitAcks {
-		life.recordStoredExits(number)
+		life.exits.SetStored(number)
 	}
 	if b.LeaseEnds != nil {
 		c.leaseRecord.Stored(b.LeaseEnds)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -20,6 +20,7 @@
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/internal/workers/registry"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
@@ -255,7 +256,7 @@
 
 // storeClockRow makes sure that the store has the row that relates its clock to wall clock time.
 func (e *Engine) storeClockRow(ctx context.Context, l *loadedRows) error {
-	if l.clock != (clockRow{}) {
+	if l.clock != (rowkeys.Clock{}) {
 		return nil
 	}
 	// Reading the rows has taken some time, so both clocks are read here.
@@ -263,7 +264,7 @@
 	if !known {
 		return eris.New("the time of the store is not known yet")
 	}
-	l.clock = clockRow{Store: at, WallClock: time.Duration(time.Now().UnixNano())}
+	l.clock = rowkeys.Clock{Store: at, WallClock: time.Duration(time.Now().UnixNano())}
 	value, err := encode(l.clock)
 	if err != nil {
 		return err
@@ -271,7 +272,7 @@
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	_, err = e.options.Store.Commit(ctx, store.Tx{
-		Expected: []store.Expect{{Key: leadershipKey(rowClock)}}, Puts: []store.Put{{Key: leadershipKey(rowClock), Value: value}},
+		Expected: []store.Expect{{Key: rowkeys.Leadership(rowkeys.RowClock)}}, Puts: []store.Put{{Key: rowkeys.Leadership(rowkeys.RowClock), Value: value}},
 	})
 	return eris.Wrap(err, "store the wall clock time of the store's clock")
 }
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -15,6 +15,7 @@
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -56,7 +57,7 @@
 
 // newTestEngine returns an engine on a store whose leader row has the engine's fencing token as its version.
 func newTestEngine(t *testing.T, s *memory.Store, term int) (*Engine, *testLeadership) {
-	result, err := s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: leadershipKey("holder"), Value: []byte{1}}}})
+	result, err := s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: rowkeys.Leadership("holder"), Value: []byte{1}}}})
 	qt.Assert(t, err, qt.IsNil)
 	leadership := &testLeadership{}
 	c := &store.Clock{}
@@ -166,7 +167,7 @@
 	case <-ctx.Done():
 		return store.Rows{}, ctx.Err()
 	}
-	if table == tableProgress && s.silent.Add(-1) >= 0 {
+	if table == rowkeys.TableProgress && s.silent.Add(-1) >= 0 {
 		return store.Rows{}, store.ErrSilent
 	}
 	return s.Store.Scan(ctx, table, partition, from, to)
@@ -235,11 +236,11 @@
 				s := &interruptedStore{Store: memory.New(), err: err}
 				for i := range jobs {
 					j := work.Job{ID: fmt.Sprintf("a%02d", i), Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}}
-					value, err := EncodeJob(j)
+					value, err := rowkeys.EncodeJob(j)
 					qt.Assert(t, err, qt.IsNil)
 					progress, err := encode(work.NewProgress())
 					qt.Assert(t, err, qt.IsNil)
-					for _, put := range []store.Put{{Key: JobKey(j.ID), Value: value}, {Key: progressKey(j.ID), Value: progress}} {
+					for _, put := range []store.Put{{Key: rowkeys.Job(j.ID), Value: value}, {Key: rowkeys.Progress(j.ID), Value: progress}} {
 						_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{put}})
 						qt.Assert(t, err, qt.IsNil)
 					}
@@ -273,9 +274,9 @@
 		e.options.Store, e.options.Registry, e.options.Workers = s, listedWorkers{}, silentCommander{}
 		qt.Assert(t, e.Start(t.Context()), qt.IsNil)
 		defer e.Stop()
-		value, err := EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+		value, err := rowkeys.EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
 		qt.Assert(t, err, qt.IsNil)
-		for _, put := range []store.Put{{Key: JobKey("a1"), Value: value}, {Key: store.Key{Table: "workers", Name: "w1"}, Value: []byte{1}}} {
+		for _, put := range []store.Put{{Key: rowkeys.Job("a1"), Value: value}, {Key: store.Key{Table: "workers", Name: "w1"}, Value: []byte{1}}} {
 			_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{put}})
 			qt.Assert(t, err, qt.IsNil)
 		}
@@ -297,9 +298,9 @@
 		e.options.Store = s
 		qt.Assert(t, e.Start(t.Context()), qt.IsNil)
 		defer e.Stop()
-		value, err := EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+		value, err := rowkeys.EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
 		qt.Assert(t, err, qt.IsNil)
-		_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: JobKey("a1"), Value: value}}})
+		_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: rowkeys.Job("a1"), Value: value}}})
 		qt.Assert(t, err, qt.IsNil)
 		time.Sleep(3 * s.changes)
 		var known bool
@@ -336,7 +337,7 @@
 		tx, err := e.transaction(Batch{})
 		qt.Assert(t, err, qt.IsNil)
 		for i := 0; ; i++ {
-			put := store.Put{Key: progressKey(fmt.Sprint(i)), Value: make([]byte, store.MaxRowBytes)}
+			put := store.Put{Key: rowkeys.Progress(fmt.Sprint(i)), Value: make([]byte, store.MaxRowBytes)}
 			if larger := (store.Tx{Expected: tx.Expected, Puts: append(tx.Puts, put)}); larger.Size() > store.MaxBytes {
 				break
 			}
@@ -345,7 +346,7 @@
 		e.commitBatch(Batch{}, tx, 1, 0)
 		(<-e.inbox)(e.core)
 		qt.Assert(t, e.chainVersion > 0, qt.IsTrue)
-		rows, err := s.Scan(t.Context(), tableProgress, "", "", "")
+		rows, err := s.Scan(t.Context(), rowkeys.TableProgress, "", "", "")
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, len(rows.Rows) > 10, qt.IsTrue)
 	})
--- a/scheduler/entries.go
+++ b/scheduler/entries.go
@@ -8,13 +8,13 @@
 
 // dropMisdirected removes a worker at whose address another instance answers.
 func (c *Core) dropMisdirected(ws *workerState) {
-	c.misdirected.Record(ws.report, c.now)
+	c.misdirected.Add(ws.report, c.now)
 	c.dropCrashedWorker(ws, "another instance answers at the address")
 }
 
 // usable reports whether a worker that is not known may be added by its entry.
 func (c *Core) usable(r worker.Report) bool {
-	if c.misdirected.Misdirects(r, c.now) {
+	if c.misdirected.Leads(r, c.now) {
 		return false
 	}
 	// Without a configuration, no pool is known.
@@ -30,7 +30,7 @@
 
 // forgetEntries forgets what is known of the entries that the registry does not list any more.
 func (c *Core) forgetEntries(listed map[string]bool) {
-	c.misdirected.Retain(listed)
+	c.misdirected.Forget(listed)
 	maps.DeleteFunc(c.unknownPools, func(id, _ string) bool { return !listed[id] })
 }
 
--- a/scheduler/evacuation.go
+++ b/scheduler/evacuation.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/chivetiller/chivetiller/internal/datacentres/evacuation"
-	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 )
 
 // SetEvacuations sets the evacuated data centres. What was planned there and is not sent yet is taken back.
@@ -132,7 +132,7 @@
 			}
 		}
 	}
-	if len(decisions) > 0 && c.now >= c.evacuationLoggedAt+whereabouts.LogAfter {
+	if len(decisions) > 0 && c.now >= c.evacuationLoggedAt+waiting.LogAfter {
 		c.evacuationLoggedAt = c.now
 		c.logger.Info("Runs are left in evacuated data centres.", "runs", c.evacuationRuns(), "decisions", decisions)
 	}
--- a/scheduler/evacuation_test.go
+++ b/scheduler/evacuation_test.go
@@ -356,7 +356,7 @@
 	for _, cmd := range play(time.Second) {
 		qt.Assert(t, cmd.Pool, qt.Equals, "off")
 	}
-	qt.Assert(t, f.core.fleet.arrivalLosses, qt.HasLen, 0)
+	qt.Assert(t, f.core.fleet.joining.LossyPools(), qt.Equals, 0)
 }
 
 // TestMoveIntoEvacuatedDataCentre guards against a planned move of an instance of an evacuated data centre into a pool that is sent.
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/instance"
-	"github.com/chivetiller/chivetiller/internal/pools/losses"
+	"github.com/chivetiller/chivetiller/internal/pools/joining"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
+	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/worker"
 )
@@ -53,10 +55,8 @@
 	// pendingMoves holds the moves that are not accepted yet. acceptedMoves holds the others until a newer list is read.
 	pendingMoves  map[string]*pendingMove
 	acceptedMoves map[string]acceptedMove
-	// arrivals holds the instances that have moved and whose workers have not survived for a while, and arrivalLosses the pools in which
-	// such instances were lost.
-	arrivals      map[string]*movedInstance
-	arrivalLosses map[string]*losses.Rounds
+	// joining holds the instances that have moved and whose workers have not survived for a while.
+	joining *joining.Record
 	// excessSince holds the time since which a pool has had too many instances.
 	excessSince map[string]time.Duration
 	plannedAt   time.Duration
@@ -79,7 +79,7 @@
 		instances: make(map[string]instance.Instance), waves: make(map[int]*wave), commandInFlight: make(map[string]bool), pausedUntil: make(map[string]time.Duration),
 		commandedAt: make(map[string]time.Duration), previousCommands: make(map[string]time.Duration),
 		byWorker: make(map[string]string), firstListed: make(map[string]listedWorker), pendingMoves: make(map[string]*pendingMove), acceptedMoves: make(map[string]acceptedMove), excessSince: make(map[string]time.Duration),
-		arrivals: make(map[string]*movedInstance), arrivalLosses: make(map[string]*losses.Rounds),
+		joining: joining.New(),
 	}
 }
 
@@ -195,7 +195,7 @@
 }
 
 // commandKey returns the key of the row that records the time of the latest command for an instance.
-func commandKey(id string) store.Key { return fleetKey(commandPrefix + id) }
+func commandKey(id string) store.Key { return rowkeys.Fleet(rowkeys.CommandPrefix + id) }
 
 // takeExpiredCommands removes the times of commands that are older than commandRetention, at most limit, of those whose rows are
 // admitted, and returns their instances.
@@ -337,7 +337,7 @@
 // serving returns the run of a service task that is at work according to the last report, and nil if there is none.
 func (t *task) serving() *run {
 	for _, r := range t.runs {
-		if r.phase == running && r.speedPercent >= fullSpeed {
+		if r.phase == running && r.speedPercent >= throttling.FullSpeed {
 			return r
 		}
 	}
--- a/scheduler/follow_test.go
+++ b/scheduler/follow_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/internal/workers/registry"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
@@ -83,12 +84,12 @@
 		f.commit(store.Tx{Puts: []store.Put{{Key: entry, Value: []byte{1}}}})
 	case n < 6 && known:
 		f.jobs[id] = true
-		f.commit(store.Tx{Puts: []store.Put{{Key: CancelKey(id), Value: []byte{1}}}})
+		f.commit(store.Tx{Puts: []store.Put{{Key: rowkeys.Cancel(id), Value: []byte{1}}}})
 	case !known:
 		f.jobs[id] = false
-		value, err := EncodeJob(work.Job{ID: id, Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+		value, err := rowkeys.EncodeJob(work.Job{ID: id, Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
 		qt.Assert(f.t, err, qt.IsNil)
-		f.commit(store.Tx{Puts: []store.Put{{Key: JobKey(id), Value: value}}})
+		f.commit(store.Tx{Puts: []store.Put{{Key: rowkeys.Job(id), Value: value}}})
 	}
 }
 
@@ -186,12 +187,12 @@
 		_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: key, Value: value}}})
 		qt.Assert(t, err, qt.IsNil)
 	}
-	row, err := EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
-	put(JobKey("a1"), row, err)
+	row, err := rowkeys.EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+	put(rowkeys.Job("a1"), row, err)
 	progress := work.NewProgress()
 	progress.State = work.Finished
 	row, err = encode(progress)
-	put(progressKey("a1"), row, err)
+	put(rowkeys.Progress("a1"), row, err)
 	s.DropHistory()
 	(&jobsView{e: e, version: 1}).refresh(t.Context())
 	qt.Assert(t, e.inbox, qt.HasLen, 1)
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -5,13 +5,12 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/store"
 )
 
 const (
-	// rowHandover is the row of the record of leases. Earlier versions write it only when a leader stops.
-	rowHandover = "handover"
 	// doubtedAfter is the time without an answer after which a worker may be down when a leader stops. Renewals are answered more often.
 	doubtedAfter = time.Second
 	// storeClockError is how much the estimate of the store's clock may be behind it: the timeout of a call, since a reply may have
@@ -71,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	_, err = e.options.Store.Commit(ctx, store.Tx{
-		Expected: []store.Expect{{Key: leadershipKey("holder"), Version: e.Fence()}},
+		Expected: []store.Expect{{Key: rowkeys.Leadership("holder"), Version: e.Fence()}},
 		Puts:     []store.Put{{Key: leaseRecordKey, Value: value}},
 	})
 	if err != nil {
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/copies"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
@@ -136,6 +137,7 @@
 			continue
 		}
 		j.open[k] = newOccurrence(j, k, due)
+		j.open[k].learnsPath = c.options.Features.LearnedRunTimes
 		c.pool(j.doc.Pool).needsPlanning = true
 	}
 }
@@ -149,7 +151,7 @@
 	for i := range j.doc.Steps {
 		doc := &j.doc.Steps[i]
 		s := &steps[i]
-		*s = step{job: j, occurrence: o, number: i, doc: doc, progress: &o.progress.Steps[i], tasks: make([]task, doc.Count)}
+		*s = step{job: j, occurrence: o, number: i, doc: doc, progress: &o.progress.Steps[i], tasks: make([]task, doc.Count), copies: copies.NewStep(doc)}
 		for t := range s.tasks {
 			if s.progress.IsDone(t) {
 				s.tasks[t].done = true
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -124,7 +124,7 @@
 	return false
 }
 
-// instancesInUse returns the instances that can move in pools with an excess, those with the fewest tasks first. None of them runs a
+// instancesInUse returns the instances that can move in pools with an excess, in no order. None of them runs a
 // service or a best-effort task, or is kept free for a service.
 func (c *Core) instancesInUse(excess map[string]int, demands []demand) []donors.Instance {
 	var list []donors.Instance
@@ -241,7 +241,7 @@
 		f.instances[cmd.Instance] = inst
 		f.acceptedMoves[cmd.Instance] = acceptedMove{pool: cmd.Pool, at: c.now}
 		if mv, ok := f.pendingMoves[cmd.Instance]; ok && cmd.Pool != c.sparePool() {
-			f.arrivals[cmd.Instance] = &movedInstance{pool: cmd.Pool, plannedAt: mv.since}
+			f.joining.Add(cmd.Instance, cmd.Pool, mv.since)
 		}
 		delete(f.pendingMoves, cmd.Instance)
 	case instance.Unknown:
--- a/scheduler/oddentries_test.go
+++ b/scheduler/oddentries_test.go
@@ -77,7 +77,7 @@
 			}
 			qt.Assert(t, r.core.workers["w2"] != nil && r.core.workers["w2"].answered, qt.IsTrue)
 			r.core.SetWorkers([]worker.Report{good})
-			qt.Assert(t, r.core.misdirected.Len(), qt.Equals, 0)
+			qt.Assert(t, r.core.misdirected, qt.HasLen, 0)
 		})
 	}
 }
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -68,7 +69,7 @@
 }
 
 // rosterKey returns the key of the row of a worker in the roster.
-func rosterKey(id string) store.Key { return fleetKey(rosterPrefix + id) }
+func rosterKey(id string) store.Key { return rowkeys.Fleet(rowkeys.RosterPrefix + id) }
 
 // takeRosterChanges returns the roster entries that are out of date in the store and whose rows are admitted, at most limit. An entry
 // that is to be removed is nil.
@@ -125,7 +126,10 @@
 		}
 		for _, s := range o.steps {
 			for i := range s.tasks {
-				if id, number, ok := o.progress.Run(s.number, i); ok && !s.tasks[i].done {
+				if s.tasks[i].done && !s.doc.Speculative {
+					continue
+				}
+				for id, number := range o.progress.OpenRuns(s.number, i) {
 					c.previousUsage[id][j.doc.Team] = c.previousUsage[id][j.doc.Team].Plus(s.doc.Request)
 					c.previousRuns[id] = append(c.previousRuns[id], recordedRun{step: s, index: i, number: number})
 				}
--- a/scheduler/refusals_test.go
+++ b/scheduler/refusals_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -80,7 +81,7 @@
 // TestRefusalAsUnknown guards against a batch that is repeated unchanged since the store refuses it with a status that is not listed, such as 413.
 func TestRefusalAsUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		bad := map[store.Key]bool{progressKey("j7"): true}
+		bad := map[store.Key]bool{rowkeys.Progress("j7"): true}
 		s := &judgingStore{Store: memory.New()}
 		s.judge = func(tx store.Tx) error {
 			if writes(tx, bad) {
@@ -102,7 +103,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				bad := make(map[store.Key]bool)
 				for i := range n {
-					bad[progressKey(fmt.Sprint("j", i))] = true
+					bad[rowkeys.Progress(fmt.Sprint("j", i))] = true
 				}
 				s := &judgingStore{Store: memory.New()}
 				s.judge = func(tx store.Tx) error {
@@ -161,7 +162,7 @@
 	j.notStoredBefore = r.now + time.Hour
 	ws := r.core.workers["w1"]
 	for seq := range uint64(maxOpenExits - 1) {
-		ws.unstoredExits = append(ws.unstoredExits, unstoredExit{seq: seq + 1, job: j})
+		ws.exits.Add(seq+1, j)
 	}
 	ws.exitsProcessed = maxOpenExits - 1
 	for i := range 6 {
@@ -291,7 +292,7 @@
 		e.core.JobsPruned([]string{"j0"})
 		now := clock.Now() + time.Minute
 		play(e, &now, time.Second, func() bool { return e.core.jobs["j0"].started })
-		rows, err := s.Scan(t.Context(), tableProgress, "", "", "")
+		rows, err := s.Scan(t.Context(), rowkeys.TableProgress, "", "", "")
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, e.core.jobs["j0"].started, qt.IsTrue)
 		qt.Assert(t, rows.Rows, qt.HasLen, 1)
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/jobs/preemption"
 	"github.com/chivetiller/chivetiller/internal/jobs/runtimes"
-	"github.com/chivetiller/chivetiller/internal/workers/room"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -23,12 +23,15 @@
 	minRunLeft = 50 * time.Millisecond
 )
 
-// reservation keeps room on a worker for a task of a service that waits. Any task of the step may use it.
+// reservation keeps room on a worker for a task of a service that waits, or of a job for which runs were stopped. Any task of the step may
+// use it.
 type reservation struct {
 	step *step
 	// since is the time of the reservation or of the latest check, and used is what was in use on the worker then.
 	since time.Duration
 	used  work.Resources
+	// until is the time at which the room of runs that were stopped for another job is not kept any more, and 0 for a service.
+	until time.Duration
 }
 
 // leavesReserved reports whether n more tasks of a step on a worker leave the room that is kept for other steps.
@@ -61,7 +64,7 @@
 			if s.job.progress.State.Ended() || kept[s] >= s.idleTasks+c.movingOut(s) || !s.doc.ReservedResources().Fits(ws.report.Capacity) {
 				return true
 			}
-			if c.now-r.since >= reservationLimit && r.used.Fits(ws.used) {
+			if r.until > 0 && c.now >= r.until || c.now-r.since >= reservationLimit && r.used.Fits(ws.used) {
 				return true
 			}
 			kept[s]++
@@ -158,15 +161,11 @@
 // timeToRoom returns how long a worker is expected to take until it has room for one more task of a step beside its reservations. It
 // reports false if only the end of a service would make room. expect returns what is expected of a step.
 func (c *Core) timeToRoom(s *step, ws *workerState, expect func(*step) runtimes.Expectation) (time.Duration, bool) {
-	need, free := s.doc.ReservedResources(), ws.unreserved()
-	if need.Fits(free) {
-		return 0, true
-	}
-	endings := make([]room.Ending, 0, len(ws.runs))
+	endings := make([]preemption.Ending, 0, len(ws.runs))
 	for _, r := range ws.runs {
 		if !r.step.doc.Service || r.phase == stopping {
-			endings = append(endings, room.Ending{Left: c.expectedLeft(r, expect), Frees: r.step.doc.ReservedResources()})
+			endings = append(endings, preemption.Ending{Left: c.expectedLeft(r, expect), Size: r.step.doc.ReservedResources()})
 		}
 	}
-	return room.Soonest(free, need, endings)
+	return preemption.RoomAfter(s.doc.ReservedResources(), ws.unreserved(), endings)
 }
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -6,6 +6,7 @@
 
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -47,8 +48,8 @@
 func (e *Engine) pruneJobs(ids []string) {
 	byPartition := make(map[string][]store.Key)
 	for _, id := range ids {
-		key := JobKey(id)
-		byPartition[key.Partition] = append(byPartition[key.Partition], key, CancelKey(id))
+		key := rowkeys.Job(id)
+		byPartition[key.Partition] = append(byPartition[key.Partition], key, rowkeys.Cancel(id))
 	}
 	for partition, keys := range byPartition {
 		if err := e.removeRows(keys); err != nil {
@@ -57,7 +58,7 @@
 		}
 		var done []string
 		for _, id := range ids {
-			if jobPartition(id) == partition {
+			if rowkeys.JobPartition(id) == partition {
 				done = append(done, id)
 			}
 		}
@@ -70,13 +71,13 @@
 func (e *Engine) pruneCancels(ids []string) {
 	byPartition := make(map[string][]string)
 	for _, id := range ids {
-		byPartition[jobPartition(id)] = append(byPartition[jobPartition(id)], id)
+		byPartition[rowkeys.JobPartition(id)] = append(byPartition[rowkeys.JobPartition(id)], id)
 	}
 	for partition, ids := range byPartition {
 		var tx store.Tx
 		for _, id := range ids {
-			tx.Expected = append(tx.Expected, store.Expect{Key: JobKey(id)})
-			tx.Removes = append(tx.Removes, CancelKey(id))
+			tx.Expected = append(tx.Expected, store.Expect{Key: rowkeys.Job(id)})
+			tx.Removes = append(tx.Removes, rowkeys.Cancel(id))
 		}
 		ctx, cancel := context.WithTimeout(e.ctx, commitTimeout)
 		_, err := e.options.Store.Commit(ctx, tx)
@@ -116,12 +117,12 @@
 	}
 	byPartition := make(map[string][]store.Put)
 	for _, j := range jobs {
-		value, err := EncodeJob(j)
+		value, err := rowkeys.EncodeJob(j)
 		if err != nil {
 			e.logger.Error("Row of an ended job cannot be encoded.", "job", j.ID, "error", err)
 			continue
 		}
-		key := JobKey(j.ID)
+		key := rowkeys.Job(j.ID)
 		byPartition[key.Partition] = append(byPartition[key.Partition], store.Put{Key: key, Value: value})
 	}
 	for partition, puts := range byPartition {
--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -239,9 +240,9 @@
 	for i := range jobs {
 		// The IDs are in another order than the times.
 		j := work.Job{ID: fmt.Sprint("a", i*5%jobs), Pool: "p", Queue: "q", Team: "t1", AcceptedAt: storeNow - time.Duration(jobs-i)*10*time.Millisecond, Steps: []work.Step{{Count: 1}}}
-		value, err := EncodeJob(j)
+		value, err := rowkeys.EncodeJob(j)
 		qt.Assert(t, err, qt.IsNil)
-		_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: JobKey(j.ID), Value: value}}})
+		_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: rowkeys.Job(j.ID), Value: value}}})
 		qt.Assert(t, err, qt.IsNil)
 	}
 	qt.Assert(t, e.Start(t.Context()), qt.IsNil)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -5,12 +5,14 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/admission"
+	"github.com/chivetiller/chivetiller/internal/jobs/copies"
 	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
 	"github.com/chivetiller/chivetiller/internal/jobs/finishedruns"
 	"github.com/chivetiller/chivetiller/internal/jobs/gang"
+	"github.com/chivetiller/chivetiller/internal/jobs/preemption"
 	"github.com/chivetiller/chivetiller/internal/jobs/remainingwork"
 	"github.com/chivetiller/chivetiller/internal/jobs/ticket"
-	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 	"github.com/chivetiller/chivetiller/internal/pools/arrivals"
 	"github.com/chivetiller/chivetiller/internal/teams/share"
 	"github.com/chivetiller/chivetiller/internal/workers/health"
@@ -53,6 +55,8 @@
 	storedParts int
 	// endedAt is the time at which the job ended.
 	endedAt time.Duration
+	// preemptions tells of the runs that were stopped for the job.
+	preemptions preemption.Window
 	// tasks is the number of tasks of an occurrence.
 	tasks int
 }
@@ -64,6 +68,8 @@
 	progress *work.OccurrenceProgress
 	// recordedWorkers lists the workers that the store names for the occurrence.
 	recordedWorkers []string
+	// learnsPath means that the latency target follows the run times that are expected, as the remaining work does.
+	learnsPath bool
 	// dueAt is the time at which the occurrence was due.
 	dueAt time.Duration
 	// remaining is what is expected of the remaining work.
@@ -91,7 +97,11 @@
 	// gangRun is the number of the latest run of the gang.
 	gangRun int
 	// crashSites holds the crashes under each task in this term, or under the gang at index 0.
-	crashSites map[int]*crashSites
+	crashSites map[int]*crashloop.Sites
+	// copies is what is known for copies of late runs, and nil if the step has none.
+	copies *copies.Step
+	// preempted tells which tasks have made room for other jobs.
+	preempted preemption.History
 	// waitsSince is the time since which tasks of a service wait for room.
 	waitsSince time.Duration
 	// wait is what else is known of tasks that wait, and nil if none has been checked.
@@ -127,13 +137,13 @@
 type stepWaits struct {
 	// reserveNotBefore is the time before which no worker is kept free for them.
 	reserveNotBefore time.Duration
-	tasks            []whereabouts.Wait
+	tasks            []waiting.Wait
 }
 
 // waits returns the waits of the tasks of a step.
 func (s *step) waits() *stepWaits {
 	if s.wait == nil {
-		s.wait = &stepWaits{tasks: make([]whereabouts.Wait, len(s.tasks))}
+		s.wait = &stepWaits{tasks: make([]waiting.Wait, len(s.tasks))}
 	}
 	return s.wait
 }
@@ -163,6 +173,8 @@
 	sincePlan time.Duration
 	// previousLeader means that a previous leader started the run, and that the worker has not reported it since.
 	previousLeader bool
+	// copied means that another run of the task was at work when this one was planned.
+	copied bool
 	// confirmedClock is the latest time that the worker's clock was known to have shown when the worker first confirmed the run.
 	confirmedClock time.Duration
 	// lastStart is what was known of the start when the worker was found to have crashed or to be silent, and nil before.
@@ -185,6 +197,8 @@
 	startFence uint64
 	stopFence  uint64
 	checkpoint string
+	// savedAt is the time at which the worker first reported the checkpoint.
+	savedAt time.Duration
 	// whole means that the run began without a checkpoint in this term.
 	whole bool
 	// worked means that the run has spoken for the health of its worker.
@@ -215,7 +229,7 @@
 	crashedAt time.Duration
 	runs      map[work.Task]*run
 	used      work.Resources
-	// reservations holds the room that is kept for services.
+	// reservations holds the room that is kept for services and urgent jobs.
 	reservations []reservation
 	// services and bestEffort count the runs of such steps.
 	services   int
@@ -260,6 +274,8 @@
 	needsPlanning bool
 	// plannedAt is the time at which the pool was last planned.
 	plannedAt time.Duration
+	// copiesCheckedAt is the time of the latest search for late runs.
+	copiesCheckedAt time.Duration
 	// candidates is the number of occurrences that had tasks to start in the last pass.
 	candidates int
 	arrivals   arrivals.Window
@@ -269,6 +285,9 @@
 	load admission.Load
 	// tests holds the runs of suspects whose workers may still crash under them.
 	tests []*run
+	// preemptions tells of the workers on which runs were stopped for urgent jobs, and roomCheckedAt when that was last considered.
+	preemptions   preemption.Window
+	roomCheckedAt time.Duration
 	// reserved holds the workers with reservations.
 	reserved []*workerState
 	// overdueAt is the time of the latest pass that found no worker in use with room for a task of a service that is overdue.
@@ -281,7 +300,11 @@
 
 // targetEnd returns the time until which the occurrence has to be done to be within its latency target.
 func (o *occurrence) targetEnd(q *catalog.Queue, j *job) time.Duration {
-	return o.latencyStart(j) + time.Duration(q.Stretch*float64(j.criticalPath)) + q.BaseTarget
+	path := j.criticalPath
+	if whole := o.remaining.WholePath(); o.learnsPath && whole > 0 {
+		path = whole
+	}
+	return o.latencyStart(j) + time.Duration(q.Stretch*float64(path)) + q.BaseTarget
 }
 
 // latencyStart returns the time from which the latency of an occurrence counts.
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -4,7 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
+	"github.com/chivetiller/chivetiller/internal/jobs/crashloop"
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 )
 
 // waitCheckInterval is the time between two checks for tasks of services that do not run.
@@ -19,8 +20,8 @@
 	c.waitingCheckedAt = c.now
 	clear(c.waitingTasks)
 	clear(c.longestWaits)
-	services := whereabouts.NewWaits(c.waitingTasks, c.longestWaits)
-	suspects := whereabouts.NewWaits(make(map[whereabouts.WaitReason]int), make(map[whereabouts.WaitReason]time.Duration))
+	services := waiting.NewLog(c.waitingTasks, c.longestWaits)
+	suspects := waiting.NewLog(make(map[waiting.Reason]int), make(map[waiting.Reason]time.Duration))
 	for _, p := range c.pools {
 		for _, j := range p.jobs {
 			if j.progress.State.Ended() {
@@ -39,23 +40,21 @@
 			}
 		}
 	}
-	if n := services.Omitted(); n > 0 {
-		c.logger.Warn("More tasks of services do not run.", "tasks", n, "reasons", services.Reasons())
+	if services.Omitted() > 0 {
+		c.logger.Warn("More tasks of services do not run.", "tasks", services.Omitted(), "reasons", services.Reasons())
 	}
-	if n := suspects.Omitted(); n > 0 {
-		c.logger.Info("More suspects of crashes do not run.", "tasks", n, "reasons", suspects.Reasons())
+	if suspects.Omitted() > 0 {
+		c.logger.Info("More suspects of crashes do not run.", "tasks", suspects.Omitted(), "reasons", suspects.Reasons())
 	}
 }
 
 // checkWaitingStep checks the tasks of a service, or the suspects of another step.
-func (c *Core) checkWaitingStep(p *pool, s *step, log *whereabouts.Waits) {
+func (c *Core) checkWaitingStep(p *pool, s *step, log *waiting.Log) {
 	for i := range s.tasks {
-		if !s.doc.Service && (s.tasks[i].done || !s.crashCount(i).Suspect()) || !c.checkWaitingTask(s, i, log) {
+		if !s.doc.Service && (s.tasks[i].done || !s.crashCount(i).Suspect()) || !c.checkWaitingTask(s, i, log) || !log.Admits() {
 			continue
 		}
-		if log.AdmitLine() {
-			c.logWaitingTask(p, s, i)
-		}
+		c.logWaitingTask(p, s, i)
 	}
 }
 
@@ -70,7 +69,7 @@
 }
 
 // checkWaitingTask counts a task if it does not run, and reports whether that is to be logged.
-func (c *Core) checkWaitingTask(s *step, index int, log *whereabouts.Waits) bool {
+func (c *Core) checkWaitingTask(s *step, index int, log *waiting.Log) bool {
 	wait := &s.waits().tasks[index]
 	for _, r := range s.tasks[index].runs {
 		if r.phase != planned {
@@ -83,7 +82,7 @@
 	if lastRan := s.tasks[index].idleSince; lastRan > 0 {
 		idleSince = min(idleSince, lastRan)
 	}
-	log.Record(c.waitReason(s, index), c.now-idleSince)
+	log.Count(c.waitReason(s, index), c.now-idleSince)
 	return wait.LogDue(c.now)
 }
 
@@ -117,32 +116,32 @@
 }
 
 // waitReason returns why a task that is not done does not run.
-func (c *Core) waitReason(s *step, index int) whereabouts.WaitReason {
+func (c *Core) waitReason(s *step, index int) waiting.Reason {
 	j, t := s.job, &s.tasks[index]
 	switch {
 	case len(t.runs) > 0:
-		return whereabouts.WaitForBatch
+		return waiting.ForBatch
 	case c.blocked(s) || c.blockedTask(s, index):
-		return whereabouts.WaitForPreviousLeader
+		return waiting.ForPreviousLeader
 	case c.now < j.notStoredBefore:
-		return whereabouts.WaitForStorableJob
+		return waiting.ForStorableJob
 	case c.now < t.notBefore, s.doc.Gang && c.now < s.notBefore:
-		return whereabouts.WaitAfterRun
+		return waiting.AfterRun
 	}
 	if q, ok := c.catalog.Queue(j.doc.Queue); ok && q.Policy != nil && !s.tickets.Valid(c.now) {
-		return whereabouts.WaitForPolicy
+		return waiting.ForPolicy
 	}
 	if !c.withinTeamLimit(s, 1) {
-		return whereabouts.WaitForTeamLimit
+		return waiting.ForTeamLimit
 	}
 	p := c.pool(j.doc.Pool)
 	usable := c.usableWorkers(p)
 	if len(usable) > 0 && c.pausedAfterCrash(s, index) {
-		return whereabouts.WaitAfterCrash
+		return waiting.AfterCrash
 	}
-	reason := whereabouts.WaitForEligibleWorker
+	reason := waiting.ForEligibleWorker
 	if len(usable) == 0 {
-		reason = whereabouts.WaitForWorker
+		reason = waiting.ForWorker
 	}
 	var fitting []*workerState
 	for _, ws := range usable {
@@ -151,7 +150,7 @@
 		case s.doc.ReservedResources().Fits(ws.freeCapacity()):
 			fitting = append(fitting, ws)
 		default:
-			reason = whereabouts.WaitForRoom
+			reason = waiting.ForRoom
 		}
 	}
 	if len(fitting) == 0 {
@@ -161,40 +160,40 @@
 }
 
 // avoidedWaitReason returns why a task does not run on workers that have room for it and are avoided, or a reason if there are none.
-func (c *Core) avoidedWaitReason(p *pool, s *step, reason whereabouts.WaitReason) whereabouts.WaitReason {
+func (c *Core) avoidedWaitReason(p *pool, s *step, reason waiting.Reason) waiting.Reason {
 	for _, ws := range p.workers {
 		if !c.mayStartOn(ws) || !c.eligible(s, ws) || !s.doc.ReservedResources().Fits(ws.freeCapacity()) {
 			continue
 		}
 		if ws.health.Quarantined(c.now) {
-			return whereabouts.WaitForQuarantine
+			return waiting.ForQuarantine
 		}
 		if ws.cordoned {
-			reason = whereabouts.WaitForDrained
+			reason = waiting.ForDrained
 		}
 	}
 	return reason
 }
 
 // suspectWaitReason returns why a task does not run on workers that have room for it. Only a suspect of a crash waits for long.
-func (c *Core) suspectWaitReason(s *step, index int, fitting []*workerState) whereabouts.WaitReason {
+func (c *Core) suspectWaitReason(s *step, index int, fitting []*workerState) waiting.Reason {
 	fitting = slices.DeleteFunc(fitting, func(ws *workerState) bool { return c.mayCrashByItself(s, index, ws) })
 	if len(fitting) == 0 {
-		return whereabouts.WaitForSteadyWorkers
+		return waiting.ForSteadyWorkers
 	}
 	likely := s.likelyCause(index)
-	if likely && c.pool(s.job.doc.Pool).likelyLeft(likelyShare) <= 0 {
-		return whereabouts.WaitForLikelyCauses
+	if likely && c.pool(s.job.doc.Pool).likelyLeft(crashloop.LikelyShare) <= 0 {
+		return waiting.ForLikelyCauses
 	}
 	if !s.crashCount(index).Suspect() {
-		return whereabouts.WaitForPlacement
+		return waiting.ForPlacement
 	}
 	fitting = slices.DeleteFunc(fitting, func(ws *workerState) bool { return ws.tests > 0 })
 	if len(fitting) == 0 {
-		return whereabouts.WaitForTestsToEnd
+		return waiting.ForTestsToEnd
 	}
 	if likely && !slices.ContainsFunc(fitting, func(ws *workerState) bool { return len(ws.runs) == 0 }) {
-		return whereabouts.WaitForIdleWorker
+		return waiting.ForIdleWorker
 	}
-	return whereabouts.WaitForPlacement
+	return waiting.ForPlacement
 }
--- a/scheduler/where.go
+++ b/scheduler/where.go
@@ -10,6 +10,7 @@
 	"github.com/chivetiller/chivetiller/internal/jobs/order"
 	"github.com/chivetiller/chivetiller/internal/jobs/remainingwork"
 	"github.com/chivetiller/chivetiller/internal/jobs/runtimes"
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
 	"github.com/chivetiller/chivetiller/work"
 )
@@ -39,7 +40,7 @@
 	a = whereabouts.NewAnswer(q.Pool, admission.Decide(report, age, q, &doc))
 	j := newJob(doc, work.NewProgress(), c.now)
 	o := newOccurrence(j, 0, c.now)
-	j.open[0] = o
+	j.open[0], o.learnsPath = o, c.options.Features.LearnedRunTimes
 	var levels func(string, bool) int
 	if c.sharesTeams() {
 		levels = p.shares.Level
@@ -47,17 +48,17 @@
 		a.SetShare(j.beyondRate, &p.shares, doc.Team)
 	}
 	s, usable, e := o.steps[0], c.usableWorkers(p), c.learned.Preview(o.steps[0].class())
-	o.remaining.Set([]remainingwork.Step{{TasksLeft: s.tasksLeft, CPU: s.doc.Request.CPU, Typical: e.Median(), Mean: e.Mean()}}, c.now+1)
-	waiting := c.heldCandidates(append(slices.Clone(p.jobs), j))
-	ahead := order.Ahead(waiting, (*candidate).key, (*candidate).team, levels, func(cand *candidate) bool { return cand.job == j })
-	a.Ahead, a.Waiting = ahead.Jobs, len(waiting)-1
+	o.remaining.Set([]remainingwork.Step{{TasksLeft: s.tasksLeft, CPU: s.doc.Request.CPU, Typical: e.Median()}}, c.now+1)
+	candidates := c.heldCandidates(append(slices.Clone(p.jobs), j))
+	ahead := order.Ahead(candidates, (*candidate).key, (*candidate).team, levels, func(cand *candidate) bool { return cand.job == j })
+	a.Ahead, a.Waiting = ahead.Jobs, len(candidates)-1
 	chosen := c.chooseFirst(s, usable)
 	for _, ws := range p.workers {
 		a.AddWorker(c.suitability(s, ws, chosen), ws == chosen)
 	}
 	var room time.Duration
 	if chosen == nil {
-		if a.Wait = whereabouts.WaitForWorker; len(p.workers) > 0 {
+		if a.Wait = waiting.ForWorker; len(p.workers) > 0 {
 			a.Wait = c.waitReason(s, 0)
 		}
 		if chosen, room = c.nextRoom(s, usable); chosen == nil || a.WaitsForOthers(s.doc.Gang) {
--- a/scheduler/where_test.go
+++ b/scheduler/where_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/internal/jobs/admission"
+	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 	"github.com/chivetiller/chivetiller/internal/jobs/whereabouts"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/work"
@@ -69,16 +70,17 @@
 		s = append(s, fmt.Sprintf("%s %+v %d %+v %d %d %t %v", id, ws.used, len(ws.runs), ws.reservations, ws.services, ws.bestEffort, ws.cordoned, ws.slowness))
 	}
 	for id, j := range c.jobs {
-		s = append(s, fmt.Sprintf("job %s %+v %t", id, *j.progress, j.beyondRate))
+		s = append(s, fmt.Sprintf("job %s %+v %t %+v", id, *j.progress, j.beyondRate, j.preemptions))
 		for _, o := range j.open {
 			s = append(s, fmt.Sprintf("occurrence %s %+v", id, o.remaining))
 			for _, step := range o.steps {
-				s = append(s, fmt.Sprintf("step %s %+v %+v %+v %v", id, step.tasks, step.finished, step.wait, step.waitsSince))
+				s = append(s, fmt.Sprintf("step %s %+v %+v %+v %v %+v %+v", id, step.tasks, step.finished, step.wait, step.waitsSince, step.copies, step.preempted))
 			}
 		}
 	}
 	for name, p := range c.pools {
-		s = append(s, fmt.Sprintf("pool %s %d %d %t %v %d %+v %+v %d %v", name, len(p.jobs), len(p.workers), p.needsPlanning, p.plannedAt, p.candidates, p.load, p.arrivals, len(p.reserved), p.overdueAt))
+		s = append(s, fmt.Sprintf("pool %s %d %d %t %v %d %+v %+v %d %v %v %+v %v", name, len(p.jobs), len(p.workers), p.needsPlanning, p.plannedAt, p.candidates, p.load, p.arrivals, len(p.reserved), p.overdueAt,
+			p.copiesCheckedAt, p.preemptions, p.roomCheckedAt))
 		for _, team := range []string{"a", "b", "limited", "none"} {
 			used, owed := p.shares.Used(team)
 			s = append(s, fmt.Sprintf("share %s %s %v %v %d %d", name, team, used, owed, p.shares.Level(team, true), p.shares.Level(team, false)))
@@ -167,21 +169,21 @@
 	question := whereabouts.Question{Queue: "q", Team: "a", CPU: 1000, Memory: 10, Count: 1, EstimateSeconds: 1}
 	for name, test := range map[string]struct {
 		prepare func(r *rig, q *whereabouts.Question)
-		wait    whereabouts.WaitReason
+		wait    waiting.Reason
 		others  map[whereabouts.Reason]int
 	}{
 		"starts":    {func(*rig, *whereabouts.Question) {}, "", map[whereabouts.Reason]int{whereabouts.LessSuited: 11}},
 		"label":     {func(_ *rig, q *whereabouts.Question) { q.Label = "ssd" }, "", map[whereabouts.Reason]int{whereabouts.LessSuited: 3, whereabouts.OtherLabel: 8}},
 		"rack":      {func(_ *rig, q *whereabouts.Question) { q.Rack = "r1-1" }, "", map[whereabouts.Reason]int{whereabouts.LessSuited: 5, whereabouts.FarFromData: 6}},
-		"too large": {func(_ *rig, q *whereabouts.Question) { q.CPU = 9000 }, whereabouts.WaitForRoom, map[whereabouts.Reason]int{whereabouts.Full: 12}},
+		"too large": {func(_ *rig, q *whereabouts.Question) { q.CPU = 9000 }, waiting.ForRoom, map[whereabouts.Reason]int{whereabouts.Full: 12}},
 		"policy": {
-			func(_ *rig, q *whereabouts.Question) { q.Queue = "advised" }, whereabouts.WaitForPolicy, map[whereabouts.Reason]int{whereabouts.NotEligible: 12},
+			func(_ *rig, q *whereabouts.Question) { q.Queue = "advised" }, waiting.ForPolicy, map[whereabouts.Reason]int{whereabouts.NotEligible: 12},
 		},
 		"gang": {
-			func(_ *rig, q *whereabouts.Question) { q.Gang, q.Count, q.CPU = true, 13, 3500 }, whereabouts.WaitForGang, map[whereabouts.Reason]int{whereabouts.LessSuited: 12},
+			func(_ *rig, q *whereabouts.Question) { q.Gang, q.Count, q.CPU = true, 13, 3500 }, waiting.ForGang, map[whereabouts.Reason]int{whereabouts.LessSuited: 12},
 		},
 		"team limit": {
-			func(_ *rig, q *whereabouts.Question) { q.Team, q.CPU = "limited", 7000 }, whereabouts.WaitForTeamLimit, map[whereabouts.Reason]int{whereabouts.Full: 12},
+			func(_ *rig, q *whereabouts.Question) { q.Team, q.CPU = "limited", 7000 }, waiting.ForTeamLimit, map[whereabouts.Reason]int{whereabouts.Full: 12},
 		},
 		"states": {func(r *rig, _ *whereabouts.Question) {
 			r.core.workers["w0"].cordoned = true
@@ -189,7 +191,7 @@
 			r.core.workers["w2"].report.Draining = true
 			r.core.workers["w3"].startUnanswered = true
 		}, "", map[whereabouts.Reason]int{"drained": 1, "quarantined": 1, "leaving": 1, whereabouts.Silent: 1, whereabouts.LessSuited: 7}},
-		"no workers": {func(_ *rig, q *whereabouts.Question) { q.Queue = "unused" }, whereabouts.WaitForWorker, map[whereabouts.Reason]int{}},
+		"no workers": {func(_ *rig, q *whereabouts.Question) { q.Queue = "unused" }, waiting.ForWorker, map[whereabouts.Reason]int{}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, _ := newWhereRig(t)
@@ -219,7 +221,7 @@
 	q := whereabouts.Question{Queue: "q", Team: "a", CPU: 3500, Memory: 10, Count: 8, EstimateSeconds: 3}
 	a, err := r.core.where(q.Job(), admission.Report{}, 0)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, a.Wait, qt.Equals, whereabouts.WaitForRoom)
+	qt.Assert(t, a.Wait, qt.Equals, waiting.ForRoom)
 	qt.Assert(t, a.Ahead > 0 && a.Ahead <= a.Waiting, qt.IsTrue, qt.Commentf("%+v", a))
 	qt.Assert(t, a.Start.Earliest > 0 && a.Start.Latest > a.Start.Earliest, qt.IsTrue, qt.Commentf("%+v", *a.Start))
 	qt.Assert(t, a.End.Expected > a.Start.Expected, qt.IsTrue)
