--- a/common/hangup/hangup.go
+++ b/common/hangup/hangup.go
@@ -16,7 +16,7 @@
 	"syscall"
 )
 
-// signals is initialized before the packages of most dependencies, which Go initializes in the order of their import paths.
+// signals is initialised before the packages of most dependencies, which Go initialises in the order of their import paths.
 var signals = notify()
 
 func notify() chan os.Signal {
--- a/lease/sync.go
+++ b/lease/sync.go
@@ -22,7 +22,7 @@
 	return nil
 }
 
-// renewPeriodically synchronizes at intervals that vary by up to a quarter, and soon after the lease of a peer has expired. A takeover that
+// renewPeriodically synchronises at intervals that vary by up to a quarter, and soon after the lease of a peer has expired. A takeover that
 // waited for the next interval would come up to 3 s later, beyond the 4 s that it may take after the lease and the margin.
 func (m *Manager) renewPeriodically(ctx context.Context) {
 	for {
@@ -42,7 +42,7 @@
 // takeoverJitter is the share of the interval over which processes spread takeovers of a lease that has expired.
 const takeoverJitter = 0.1
 
-// nextPause returns the time until the next synchronization.
+// nextPause returns the time until the next synchronisation.
 func (m *Manager) nextPause() time.Duration {
 	pause := m.o.Interval*3/4 + rand.N(m.o.Interval/2)
 	spread := time.Millisecond + time.Duration(takeoverJitter*rand.Float64()*float64(m.o.Interval))
