--- a/intake/intake.go
+++ b/intake/intake.go
@@ -22,6 +22,7 @@
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/internal/jobs/refusal"
 	"github.com/chivetiller/chivetiller/internal/store/latency"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
@@ -163,12 +164,12 @@
 	}
 	job.AcceptedAt = now
 	since := clock.Now()
-	value, err := scheduler.EncodeJob(job)
+	value, err := rowkeys.EncodeJob(job)
 	if err != nil {
 		i.logger.Error("Job cannot be encoded.", "job", job.ID, "error", err)
 		return Refused, 0
 	}
-	key := scheduler.JobKey(job.ID)
+	key := rowkeys.Job(job.ID)
 	var found refusal.Found
 	for range maxSubmissions {
 		result, err := i.commit(ctx, refusal.Submit(key, value, found.Version))
@@ -291,7 +292,7 @@
 			outcome = NoJob
 		}
 	}
-	key := scheduler.CancelKey(id)
+	key := rowkeys.Cancel(id)
 	_, err = i.commit(ctx, store.Tx{Expected: []store.Expect{{Key: key}}, Puts: []store.Put{{Key: key, Value: cancelMark}}})
 	if err != nil && !errors.Is(err, store.ErrConflict) {
 		i.logger.Warn("Cancellation may not have been stored.", "job", id, "queue", a.Queue.Name, "known", outcome == OK, "error", err)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -14,6 +14,7 @@
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/common/logging"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
@@ -203,11 +204,11 @@
 	r := newFixture(t, 0)
 	a, _ := r.intake.Admit("h", "/q/a", "key")
 	qt.Assert(t, r.submit(t.Context(), a, sampleJob("a")), qt.Equals, OK)
-	key := scheduler.JobKey("a")
+	key := rowkeys.Job("a")
 	rows, err := r.store.Scan(t.Context(), key.Table, key.Partition, key.Name, "")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, rows.Rows, qt.HasLen, 1)
-	job, err := scheduler.DecodeJob(rows.Rows[0])
+	job, err := rowkeys.DecodeJob(rows.Rows[0])
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, job.Attempts, qt.Equals, 3)
 }
--- a/intake/refusal.go
+++ b/intake/refusal.go
@@ -9,7 +9,7 @@
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/internal/jobs/admission"
 	"github.com/chivetiller/chivetiller/internal/jobs/refusal"
-	"github.com/chivetiller/chivetiller/scheduler"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
@@ -64,7 +64,7 @@
 	limited, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	row := refusal.New(decision.Outcome(), now, decision.RetryAfter())
-	row, _, certain := i.writeRefusal(limited, scheduler.JobKey(job.ID), row, refusal.Found{}, a.ArrivedAt)
+	row, _, certain := i.writeRefusal(limited, rowkeys.Job(job.ID), row, refusal.Found{}, a.ArrivedAt)
 	if !certain {
 		return OK, 0
 	}
@@ -84,7 +84,7 @@
 		again := refusal.New(row.Reason, now, row.RetryAfter(now))
 		limited, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		row, found, certain = i.writeRefusal(limited, scheduler.JobKey(job.ID), again, found, a.ArrivedAt)
+		row, found, certain = i.writeRefusal(limited, rowkeys.Job(job.ID), again, found, a.ArrivedAt)
 	}
 	switch {
 	case certain:
--- a/intake/refusalmodel_test.go
+++ b/intake/refusalmodel_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/internal/jobs/refusal"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/scheduler"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
@@ -99,7 +100,7 @@
 func (m *refusalModel) apply(l lateTx) (store.Result, error) {
 	result, err := m.Store.Commit(context.Background(), l.tx)
 	result.Now = m.now
-	if err == nil && l.tx.Puts[0].Key == scheduler.JobKey(modelJob) {
+	if err == nil && l.tx.Puts[0].Key == rowkeys.Job(modelJob) {
 		if m.timesPut++; m.timesPut > 1 {
 			m.rt.Fatalf("job is stored a second time")
 		}
--- a/intake/refusalrace_test.go
+++ b/intake/refusalrace_test.go
@@ -12,7 +12,7 @@
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/internal/jobs/admission"
 	"github.com/chivetiller/chivetiller/internal/jobs/refusal"
-	"github.com/chivetiller/chivetiller/scheduler"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 )
@@ -24,7 +24,7 @@
 }
 
 func (s *gatedStore) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
-	if f := s.before; f != nil && tx.Puts[0].Table == scheduler.TableJobs {
+	if f := s.before; f != nil && tx.Puts[0].Table == rowkeys.TableJobs {
 		s.before = nil
 		f()
 	}
@@ -78,7 +78,7 @@
 		first, second := newPair(t)
 		var late []store.Tx
 		loseSubmissions := func(tx *store.Tx) memory.Fault {
-			if tx == nil || tx.Puts[0].Table != scheduler.TableJobs {
+			if tx == nil || tx.Puts[0].Table != rowkeys.TableJobs {
 				return memory.None
 			}
 			late = append(late, *tx)
@@ -154,7 +154,7 @@
 			r := newFixture(t, 0)
 			a := withTarget(r)
 			now = a.ArrivedAt
-			value, key := test.refusal, scheduler.JobKey("a")
+			value, key := test.refusal, rowkeys.Job("a")
 			if test.until != 0 {
 				value = row(test.until)
 			}
@@ -163,7 +163,7 @@
 				tx.Puts = append(tx.Puts, store.Put{Key: refusal.Key(key), Value: value})
 			}
 			if test.job {
-				job, err := scheduler.EncodeJob(largeJob("a"))
+				job, err := rowkeys.EncodeJob(largeJob("a"))
 				qt.Assert(t, err, qt.IsNil)
 				tx.Puts = append(tx.Puts, store.Put{Key: key, Value: job})
 			}
--- a/intake/state.go
+++ b/intake/state.go
@@ -6,14 +6,14 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/chivetiller/chivetiller/scheduler"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
 
 // readRows reports whether the store has the rows of a job and of its cancellation.
 func readRows(ctx context.Context, s store.Store, id string) (found, cancelled bool, err error) {
-	job, cancel := scheduler.JobKey(id), scheduler.CancelKey(id)
+	job, cancel := rowkeys.Job(id), rowkeys.Cancel(id)
 	rows, err := s.Scan(ctx, job.Table, job.Partition, id, id+"\xff")
 	for _, row := range rows.Rows {
 		found = found || row.Name == job.Name
@@ -28,7 +28,7 @@
 	if err != nil || !found {
 		return 0, false, err
 	}
-	progress, err := s.Scan(ctx, scheduler.ProgressKey(id).Table, "", id, id+"\x00")
+	progress, err := s.Scan(ctx, rowkeys.Progress(id).Table, "", id, id+"\x00")
 	if err != nil {
 		return 0, true, err
 	}
--- a/internal/jobs/finishedruns/finishedruns.go
+++ b/internal/jobs/finishedruns/finishedruns.go
@@ -142,6 +142,14 @@
 	return *step.expected
 }
 
+// Preview returns how long the first task of a step is expected to take on a worker of usual pace, near its data. It keeps nothing.
+func (l *Learner) Preview(class runtimes.Class) runtimes.Expectation {
+	if !l.runTimes {
+		return runtimes.Fixed(l.ratios.Expect(class.Queue, class.Estimate))
+	}
+	return l.model.Preview(class)
+}
+
 // ExpectByFinished is Expect without the runs in progress, to judge one of them: a run that takes long raises what is expected of its step,
 // and would put off the time from which on it is late.
 func (l *Learner) ExpectByFinished(class runtimes.Class, step *Step, now time.Duration) runtimes.Expectation {
--- a/internal/jobs/waiting/waiting.go
+++ b/internal/jobs/waiting/waiting.go
@@ -8,6 +8,14 @@
 //		// Log the task.
 //	}
 //	if log.Omitted() > 0 { ... }
+//
+// The wait of each task is kept between the checks:
+//
+//	var wait waiting.Wait
+//	wait.Begin(now)
+//	log.Count(reason, now-wait.Since())
+//	if wait.LogDue(now) && log.Admits() { ... }
+//	wait.End() // the task runs
 package waiting
 
 import "time"
@@ -32,6 +40,8 @@
 	ForEligibleWorker Reason = "no eligible worker"
 	ForRoom           Reason = "no room on a worker"
 	ForPlacement      Reason = "not placed yet"
+	// ForGang is for a gang of which some tasks have room.
+	ForGang Reason = "no room for all tasks of the gang"
 )
 
 // Reasons after crashes of workers under the task.
@@ -76,3 +86,36 @@
 
 // Reasons returns the number of tasks by reason.
 func (l *Log) Reasons() map[Reason]int { return l.reasons }
+
+// LogAfter is how long a task has not run when that is logged, and again after as long.
+const LogAfter = 3 * time.Second
+
+// Wait is how long a task has not run. The zero value is a task that runs.
+type Wait struct {
+	// since is the time since which the task was seen not to run, and 0 while it runs. loggedAt is the time of the latest log line about
+	// it, or since.
+	since    time.Duration
+	loggedAt time.Duration
+}
+
+// Begin records that the task does not run.
+func (w *Wait) Begin(now time.Duration) {
+	if w.since == 0 {
+		w.since, w.loggedAt = now, now
+	}
+}
+
+// End records that the task runs.
+func (w *Wait) End() { w.since = 0 }
+
+// Since returns the time since which the task was seen not to run, and 0 while it runs.
+func (w *Wait) Since() time.Duration { return w.since }
+
+// LogDue reports whether the wait is to be logged now, and counts it as logged.
+func (w *Wait) LogDue(now time.Duration) bool {
+	if now-w.loggedAt < LogAfter {
+		return false
+	}
+	w.loggedAt = now
+	return true
+}
--- a/internal/jobs/waiting/waiting_test.go
+++ b/internal/jobs/waiting/waiting_test.go
@@ -24,3 +24,24 @@
 	qt.Assert(t, log.Reasons(), qt.DeepEquals, map[Reason]int{ForRoom: maxLines + 2, AfterRun: 1})
 	qt.Assert(t, longest, qt.DeepEquals, map[Reason]time.Duration{ForRoom: 10 * time.Second, AfterRun: time.Second})
 }
+
+// TestWait guards against a wait that is logged with each check, and against one that goes on from before the task ran.
+func TestWait(t *testing.T) {
+	var w Wait
+	lines := 0
+	const begin, checks = time.Minute, 10
+	for i := range checks {
+		now := begin + time.Duration(i)*time.Second
+		w.Begin(now)
+		if w.LogDue(now) {
+			lines++
+		}
+	}
+	qt.Assert(t, w.Since(), qt.Equals, begin)
+	qt.Assert(t, lines, qt.Equals, int((checks-1)*time.Second/LogAfter))
+	w.End()
+	qt.Assert(t, w.Since(), qt.Equals, time.Duration(0))
+	w.Begin(2 * begin)
+	qt.Assert(t, w.Since(), qt.Equals, 2*begin)
+	qt.Assert(t, w.LogDue(2*begin), qt.IsFalse)
+}
--- a/node/refusal_integration_test.go
+++ b/node/refusal_integration_test.go
@@ -14,7 +14,7 @@
 	"github.com/chivetiller/chivetiller/internal/jobs/admission"
 	"github.com/chivetiller/chivetiller/internal/jobs/refusal"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
-	"github.com/chivetiller/chivetiller/scheduler"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
@@ -84,7 +84,7 @@
 	const id = "0000000000000001"
 	now, known := cut.clock.Now()
 	qt.Assert(t, known, qt.IsTrue)
-	tx, err := refusal.Write(scheduler.JobKey(id), 0, refusal.New(admission.NeverFits, now, time.Minute))
+	tx, err := refusal.Write(rowkeys.Job(id), 0, refusal.New(admission.NeverFits, now, time.Minute))
 	qt.Assert(t, err, qt.IsNil)
 	_, err = c.store.Commit(t.Context(), tx)
 	qt.Assert(t, err, qt.IsNil)
--- a/scheduler/batch_test.go
+++ b/scheduler/batch_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -118,7 +119,7 @@
 		stored  bool
 		workers int
 	}{
-		"chain row":  {func(v any) bool { _, ok := v.(chainRow); return ok }, false, 2},
+		"chain row":  {func(v any) bool { _, ok := v.(rowkeys.Chain); return ok }, false, 2},
 		"one worker": {func(v any) bool { entry, ok := v.(*RosterEntry); return ok && entry.ID == "w1" }, true, 1},
 	}
 	for name, test := range tests {
@@ -149,7 +150,7 @@
 			e.encode = encode
 			commit(now + commitPause + time.Second)
 			qt.Assert(t, stored(), qt.IsTrue)
-			rows, err := s.Scan(t.Context(), tableFleet, "", "", "")
+			rows, err := s.Scan(t.Context(), rowkeys.TableFleet, "", "", "")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, rows.Rows, qt.HasLen, test.workers)
 		})
--- a/scheduler/batchlimits_test.go
+++ b/scheduler/batchlimits_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -99,13 +100,13 @@
 func TestRefusedRow(t *testing.T) {
 	const jobs, workers, waves = 150, 50, 50
 	tests := map[string]store.Key{
-		"job":      progressKey("j7"),
+		"job":      rowkeys.Progress("j7"),
 		"worker":   rosterKey("w7"),
-		"wave":     progressKey(waveName(7)),
+		"wave":     rowkeys.Progress(rowkeys.WaveName(7)),
 		"command":  commandKey("i7"),
 		"old rows": oldRowsKey,
 		"begun":    begunMaintenance{wave: 9, instance: "i9"}.key(),
-		"pruned":   progressKey("gone7"),
+		"pruned":   rowkeys.Progress("gone7"),
 		"expired":  commandKey("old7"),
 	}
 	for name, row := range tests {
@@ -134,7 +135,7 @@
 				}
 				rows := func() int {
 					n := 0
-					for _, table := range []string{tableProgress, tableFleet} {
+					for _, table := range []string{rowkeys.TableProgress, rowkeys.TableFleet} {
 						all, err := s.Scan(t.Context(), table, "", "", "")
 						qt.Assert(t, err, qt.IsNil)
 						n += len(all.Rows)
@@ -179,7 +180,7 @@
 						started++
 					}
 				}
-				if row == progressKey("j7") {
+				if row == rowkeys.Progress("j7") {
 					qt.Assert(t, started, qt.Equals, jobs-1)
 				} else {
 					qt.Assert(t, started, qt.Equals, jobs)
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 )
 
@@ -57,15 +58,15 @@
 }
 
 func (e *Engine) transaction(b Batch) (store.Tx, error) {
-	chain, err := e.encode(chainRow{Fence: e.options.Core.Fence, Batch: e.batchNumber})
+	chain, err := e.encode(rowkeys.Chain{Fence: e.options.Core.Fence, Batch: e.batchNumber})
 	if err != nil {
 		return store.Tx{}, err
 	}
 	tx := store.Tx{
 		// The leader row keeps its version for the whole term. The version of the chain row makes batches fail that are
 		// carried out late.
-		Expected: []store.Expect{{Key: leadershipKey("holder"), Version: e.options.Core.Fence}, {Key: leadershipKey(rowChain), Version: e.chainVersion}},
-		Puts:     []store.Put{{Key: leadershipKey(rowChain), Value: chain}},
+		Expected: []store.Expect{{Key: rowkeys.Leadership("holder"), Version: e.options.Core.Fence}, {Key: rowkeys.Leadership(rowkeys.RowChain), Version: e.chainVersion}},
+		Puts:     []store.Put{{Key: rowkeys.Leadership(rowkeys.RowChain), Value: chain}},
 	}
 	tx.Puts = append(tx.Puts, b.progressRows.Puts...)
 	tx.Removes = append(tx.Removes, b.progressRows.Removes...)
@@ -89,17 +90,17 @@
 	}
 	for _, row := range b.Snapshots {
 		row.At += storeOffset
-		e.addPut(&tx, snapshotKey(row.Name), row)
+		e.addPut(&tx, rowkeys.Snapshot(row.Name), row)
 	}
 	if b.removesOldRows {
-		tx.Removes = append(tx.Removes, leadershipKey(rowRoster), leadershipKey(rowInstances))
+		tx.Removes = append(tx.Removes, rowkeys.Leadership(rowkeys.RowRoster), rowkeys.Leadership(rowkeys.RowInstances))
 	}
 	for _, id := range b.PrunedJobs {
-		tx.Removes = append(tx.Removes, progressKey(id))
+		tx.Removes = append(tx.Removes, rowkeys.Progress(id))
 	}
 	for n, w := range b.Waves {
 		w.Since, _ = e.options.Clock.At(w.Since)
-		e.addPut(&tx, progressKey(waveName(n)), w)
+		e.addPut(&tx, rowkeys.Progress(rowkeys.WaveName(n)), w)
 		if name, ok := e.waveRow(n); ok {
 			tx.Puts = append(tx.Puts, e.options.Waves.WaveStatus(name, w.Finished))
 		}
@@ -199,17 +200,17 @@
 func (e *Engine) resolveOutcome(number, chain uint64, cause error) (uint64, error) {
 	ctx, cancel := context.WithTimeout(e.ctx, readTimeout)
 	defer cancel()
-	rows, err := e.options.Store.Scan(ctx, tableLeadership, "", "", "")
+	rows, err := e.options.Store.Scan(ctx, rowkeys.TableLeadership, "", "", "")
 	if err != nil {
 		e.logger.Warn("Outcome of a batch is unknown.", "batch", number, "cause", cause, "error", err)
 		// The next batch expects the same version, so it finds out what became of this one.
 		return chain, err
 	}
-	var current chainRow
+	var current rowkeys.Chain
 	var version, leaderVersion uint64
 	for _, row := range rows.Rows {
 		switch row.Name {
-		case rowChain:
+		case rowkeys.RowChain:
 			version = row.Version
 			if err := decode(row.Value, &current); err != nil {
 				return chain, err
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -240,7 +240,7 @@
 		changedJobs: make(map[*job]bool), endedWithRuns: make(map[*job]bool), earlyCancels: make(map[string]time.Duration), unknownJobs: make(map[string]time.Duration),
 		rosterChanges: make(map[string]bool), misdirected: make(misdirection.List), unknownPools: make(map[string]string),
 		previousUsage: make(map[string]map[string]work.Resources), previousRuns: make(map[string][]recordedRun), earlierCalls: make(map[string]earlierCalls), silences: make(map[string][]silence),
-		waitingTasks: make(map[waiting.Reason]int), longestWaits: make(map[waiting.Reason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: o.Bounds.permissionLimits(),
+		waitingTasks: make(map[waiting.Reason]int), longestWaits: make(map[waiting.Reason]time.Duration), lastStored: o.AcquiredAt, leaders: o.leaders(), limits: permissionLimits(o.Bounds),
 		learned: finishedruns.New(o.Features.LearnedRunTimes, o.Features.WorkerPace), snapshots: snapshot.NewSet(), shares: teamShares{rates: share.NewRates()}, fleet: newFleet(), leaseRecord: leaserecord.New(maxRecordBytes),
 	}
 	c.learned.Keep(c.snapshots)
--- a/scheduler/doubts.go
+++ b/scheduler/doubts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/store"
 )
@@ -19,7 +20,7 @@
 )
 
 // leaseRecordKey is the key of the record of leases.
-var leaseRecordKey = leadershipKey(rowHandover)
+var leaseRecordKey = rowkeys.Leadership(rowkeys.RowHandover)
 
 // SetLeaseEnds sets the record of leases that earlier leaders have stored.
 func (c *Core) SetLeaseEnds(entries leaserecord.Entries) { c.leaseRecord.Adopt(entries) }
--- a/scheduler/earlycancels_test.go
+++ b/scheduler/earlycancels_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -36,15 +37,15 @@
 				_, err := s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: key, Value: value}}})
 				qt.Assert(t, err, qt.IsNil)
 			}
-			job, err := EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+			job, err := rowkeys.EncodeJob(work.Job{ID: "a1", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
 			qt.Assert(t, err, qt.IsNil)
-			put(CancelKey("a1"), []byte{1})
+			put(rowkeys.Cancel("a1"), []byte{1})
 			e.core.Cancel("a1")
 			retention := e.core.options.Bounds.Retention
 			begin := clock.Now()
 			for at := time.Duration(0); at < 2*retention+10*time.Second; at += time.Second {
 				if at == test.stored {
-					put(JobKey("a1"), job)
+					put(rowkeys.Job("a1"), job)
 				}
 				if at == test.read && test.newLeader {
 					e, _ = newTestEngine(t, s, 2)
@@ -71,7 +72,7 @@
 					qt.Assert(t, j.progress.State, qt.Equals, work.Cancelled)
 				}
 			}
-			key := CancelKey("a1")
+			key := rowkeys.Cancel("a1")
 			rows, err := s.Scan(t.Context(), key.Table, key.Partition, key.Name, "")
 			qt.Assert(t, err, qt.IsNil)
 			_, known := e.core.jobs["a1"]
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/internal/pools/joining"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/internal/workers/throttling"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/worker"
@@ -194,7 +195,7 @@
 }
 
 // commandKey returns the key of the row that records the time of the latest command for an instance.
-func commandKey(id string) store.Key { return fleetKey(commandPrefix + id) }
+func commandKey(id string) store.Key { return rowkeys.Fleet(rowkeys.CommandPrefix + id) }
 
 // takeExpiredCommands removes the times of commands that are older than commandRetention, at most limit, of those whose rows are
 // admitted, and returns their instances.
--- a/scheduler/preemption.go
+++ b/scheduler/preemption.go
@@ -67,7 +67,7 @@
 		r.step.preempted.Record(r.index, c.now)
 		c.countDecision("preemption", "stopped")
 		c.logger.Info("Run makes room for a more urgent job.", "job", r.step.job.doc.ID, "task", r.name(), "run", r.number, "worker", ws.report.ID,
-			"urgentJob", cand.job.doc.ID, "step", s.number, "priority", cand.queue.Priority, "sinceSaved", c.now-max(r.savedAt, r.startedAt), "left", c.expectedLeft(r), "stops", len(stops))
+			"urgentJob", cand.job.doc.ID, "step", s.number, "priority", cand.queue.Priority, "sinceSaved", c.now-max(r.savedAt, r.startedAt), "left", c.expectedLeft(r, c.expect), "stops", len(stops))
 		c.stopRun(r, "its room is needed for a more urgent job")
 	}
 	return chosen
@@ -85,7 +85,7 @@
 		for _, r := range ws.runs {
 			s := r.step
 			if r.phase != running || s.tasks[r.index].done || s.crashCount(r.index).Suspect() || !s.preempted.Allows(r.index, c.now) ||
-				!preemption.MayStop(s.doc, c.expectedLeft(r), c.usualLeft(r), c.options.Bounds.StopTimeout) {
+				!preemption.MayStop(s.doc, c.expectedLeft(r, c.expect), c.usualLeft(r), c.options.Bounds.StopTimeout) {
 				continue
 			}
 			q := c.queueOf(s.job)
--- a/scheduler/previous_leader.go
+++ b/scheduler/previous_leader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/jobs/horizon"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 	"github.com/chivetiller/chivetiller/worker"
@@ -68,7 +69,7 @@
 }
 
 // rosterKey returns the key of the row of a worker in the roster.
-func rosterKey(id string) store.Key { return fleetKey(rosterPrefix + id) }
+func rosterKey(id string) store.Key { return rowkeys.Fleet(rowkeys.RosterPrefix + id) }
 
 // takeRosterChanges returns the roster entries that are out of date in the store and whose rows are admitted, at most limit. An entry
 // that is to be removed is nil.
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivetiller/chivetiller/internal/jobs/preemption"
+	"github.com/chivetiller/chivetiller/internal/jobs/runtimes"
 	"github.com/chivetiller/chivetiller/work"
 )
 
@@ -141,7 +142,7 @@
 		if s.doc.MaxPerWorker > 0 && c.tasksOn(s, ws)+ws.reservedFor(s) >= s.doc.MaxPerWorker {
 			continue
 		}
-		if wait, ok := c.timeToRoom(s, ws); ok && (best == nil || wait < bestWait) {
+		if wait, ok := c.timeToRoom(s, ws, c.expect); ok && (best == nil || wait < bestWait) {
 			best, bestWait = ws, wait
 		}
 	}
@@ -158,12 +159,12 @@
 }
 
 // timeToRoom returns how long a worker is expected to take until it has room for one more task of a step beside its reservations. It
-// reports false if only the end of a service would make room.
-func (c *Core) timeToRoom(s *step, ws *workerState) (time.Duration, bool) {
+// reports false if only the end of a service would make room. expect returns what is expected of a step.
+func (c *Core) timeToRoom(s *step, ws *workerState, expect func(*step) runtimes.Expectation) (time.Duration, bool) {
 	endings := make([]preemption.Ending, 0, len(ws.runs))
 	for _, r := range ws.runs {
 		if !r.step.doc.Service || r.phase == stopping {
-			endings = append(endings, preemption.Ending{Left: c.expectedLeft(r), Size: r.step.doc.ReservedResources()})
+			endings = append(endings, preemption.Ending{Left: c.expectedLeft(r, expect), Size: r.step.doc.ReservedResources()})
 		}
 	}
 	return preemption.RoomAfter(s.doc.ReservedResources(), ws.unreserved(), endings)
--- a/scheduler/rows.go
+++ b/scheduler/rows.go
@@ -11,106 +11,16 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chivetiller/chivetiller/internal/store/retrying"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/internal/store/snapshot"
 	"github.com/chivetiller/chivetiller/internal/workers/leaserecord"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
 )
 
-// Tables and rows of the scheduler.
-const (
-	// TableJobs holds accepted jobs and cancellations. Every process writes to it.
-	TableJobs = "job"
-	// tableProgress holds the progress of jobs and waves. Only the leader writes to it.
-	tableProgress   = "progress"
-	tableLeadership = "duty"
-	// rowChain is rewritten by each batch, which expects its version. So a batch that is carried out late fails.
-	rowChain = "chain"
-	rowClock = "clock"
-	// cancelSuffix marks the row of a cancellation. It sorts after the row of the job.
-	cancelSuffix = ".cancel"
-	// partSeparator separates the ID of a job from the number of a further row of its progress.
-	partSeparator = "/"
-	wavePrefix    = "wave."
-	// waveInstanceSeparator separates the name of a wave from an instance whose maintenance has begun. The row of the instance
-	// holds the worker that ran on it before.
-	waveInstanceSeparator = "/"
-	// tableFleet holds a row for each worker in the roster, for each recent command for an instance its time on the store's
-	// clock, and for each part of the scheduler that learns what it has learned. They are not in one row, because the size of a row is limited and each change would rewrite all of it.
-	tableFleet    = "fleet"
-	rosterPrefix  = "worker/"
-	commandPrefix = "command/"
-	// learnedPrefix marks the rows of what was learned.
-	learnedPrefix = "learned/"
-	// rowRoster and rowInstances are where earlier versions kept the rows of tableFleet.
-	rowRoster    = "roster"
-	rowInstances = "instances"
-)
-
-// JobKey returns the key of a job. Jobs are spread over table partitions, since the store runs the transactions of a
-// partition one after the other.
-func JobKey(id string) store.Key {
-	return store.Key{Table: TableJobs, Partition: jobPartition(id), Name: id}
-}
-
-// CancelKey returns the key of the cancellation of a job.
-func CancelKey(id string) store.Key {
-	return store.Key{Table: TableJobs, Partition: jobPartition(id), Name: id + cancelSuffix}
-}
-
-// jobPartition returns the table partition of a job: one of sixteen, by the first digit of its ID.
-func jobPartition(id string) string { return id[:min(1, len(id))] }
-
-// ProgressKey returns the key of the progress of a job.
-func ProgressKey(id string) store.Key { return progressKey(id) }
-
-func progressKey(name string) store.Key { return store.Key{Table: tableProgress, Name: name} }
-
-// partName returns the name of a row of the progress of a job. The first one has the number 0.
-func partName(id string, part int) string {
-	if part == 0 {
-		return id
-	}
-	return id + partSeparator + strconv.Itoa(part)
-}
-
-func fleetKey(name string) store.Key { return store.Key{Table: tableFleet, Name: name} }
-
-func snapshotKey(name string) store.Key { return fleetKey(learnedPrefix + name) }
-
-func leadershipKey(name string) store.Key { return store.Key{Table: tableLeadership, Name: name} }
-
-// EncodeJob returns the row of an accepted job.
-func EncodeJob(j work.Job) ([]byte, error) {
-	data, err := cbor.Marshal(j)
-	return data, eris.Wrapf(err, "encode job %s", j.ID)
-}
-
-// DecodeJob decodes the row of a job.
-func DecodeJob(row store.Row) (work.Job, error) {
-	var j work.Job
-	if err := cbor.Unmarshal(row.Value, &j); err != nil {
-		return work.Job{}, eris.Wrapf(err, "decode the row of job %q", row.Name)
-	}
-	return j, eris.Wrapf(j.Validate(), "row of job %q", row.Name)
-}
-
-// chainRow is the content of the chain row.
-type chainRow struct {
-	Fence uint64 `cbor:"1,keyasint"`
-	Batch uint64 `cbor:"2,keyasint"`
-}
-
-// clockRow relates the store's clock to wall clock time, so that all leaders agree on when an occurrence is due.
-type clockRow struct {
-	Store     time.Duration `cbor:"1,keyasint"`
-	WallClock time.Duration `cbor:"2,keyasint"`
-}
-
 // loadedRows is the stored state of the scheduler.
 type loadedRows struct {
 	jobs      map[string]work.Job
@@ -127,7 +37,7 @@
 	version uint64
 	now     time.Duration
 	chain   uint64
-	clock   clockRow
+	clock   rowkeys.Clock
 	// handover is the record of leases.
 	handover           leaserecord.Row
 	handoverUnreadable bool
@@ -154,11 +64,11 @@
 	l := newLoadedRows()
 	s = retrying.Reads{Store: s, Logger: logger}
 	var jobs store.Rows
-	decoders := map[string]func(store.Row) error{tableProgress: l.decodeProgress, tableLeadership: l.decodeLeadershipRow, tableFleet: l.decodeFleetRow}
+	decoders := map[string]func(store.Row) error{rowkeys.TableProgress: l.decodeProgress, rowkeys.TableLeadership: l.decodeLeadershipRow, rowkeys.TableFleet: l.decodeFleetRow}
 	tables := make(map[string]*store.Rows, len(decoders))
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
-		jobs, err = store.ScanAll(groupCtx, s, TableJobs)
+		jobs, err = store.ScanAll(groupCtx, s, rowkeys.TableJobs)
 		return err
 	})
 	for table := range decoders {
@@ -195,10 +105,10 @@
 func (l *loadedRows) joinParts(bad func(row store.Row, err error)) {
 	for id, p := range l.progress {
 		for part := 1; part <= p.Parts; part++ {
-			name := partName(id, part)
+			name := rowkeys.PartName(id, part)
 			further, ok := l.parts[name]
 			if !ok {
-				bad(store.Row{Key: progressKey(name)}, errPartMissing)
+				bad(store.Row{Key: rowkeys.Progress(name)}, errPartMissing)
 				break
 			}
 			p.Join(further)
@@ -219,11 +129,11 @@
 }
 
 func (l *loadedRows) decodeJobRow(row store.Row) error {
-	if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
+	if id, ok := strings.CutSuffix(row.Name, rowkeys.CancelSuffix); ok {
 		l.cancelled = append(l.cancelled, id)
 		return nil
 	}
-	j, err := DecodeJob(row)
+	j, err := rowkeys.DecodeJob(row)
 	if err != nil {
 		return err
 	}
@@ -232,14 +142,14 @@
 }
 
 func (l *loadedRows) decodeProgress(row store.Row) error {
-	if name, ok := strings.CutPrefix(row.Name, wavePrefix); ok {
+	if name, ok := strings.CutPrefix(row.Name, rowkeys.WavePrefix); ok {
 		return l.decodeWaveRow(name, row.Value)
 	}
 	var p work.Progress
 	if err := cbor.Unmarshal(row.Value, &p); err != nil {
 		return err
 	}
-	if strings.Contains(row.Name, partSeparator) {
+	if strings.Contains(row.Name, rowkeys.PartSeparator) {
 		l.parts[row.Name] = &p
 		return nil
 	}
@@ -249,7 +159,7 @@
 
 // decodeWaveRow decodes the row of a wave, or of an instance whose maintenance has begun.
 func (l *loadedRows) decodeWaveRow(name string, value []byte) error {
-	number, instance, isInstance := strings.Cut(name, waveInstanceSeparator)
+	number, instance, isInstance := strings.Cut(name, rowkeys.WaveInstanceSeparator)
 	n, err := strconv.Atoi(number)
 	if err != nil {
 		return err
@@ -275,7 +185,7 @@
 }
 
 func (l *loadedRows) decodeFleetRow(row store.Row) error {
-	if id, ok := strings.CutPrefix(row.Name, commandPrefix); ok {
+	if id, ok := strings.CutPrefix(row.Name, rowkeys.CommandPrefix); ok {
 		var at time.Duration
 		if err := cbor.Unmarshal(row.Value, &at); err != nil {
 			return err
@@ -283,7 +193,7 @@
 		l.instances[id] = max(l.instances[id], at)
 		return nil
 	}
-	if name, ok := strings.CutPrefix(row.Name, learnedPrefix); ok {
+	if name, ok := strings.CutPrefix(row.Name, rowkeys.LearnedPrefix); ok {
 		learned := snapshot.Row{Name: name}
 		err := cbor.Unmarshal(row.Value, &learned)
 		if err == nil {
@@ -301,18 +211,18 @@
 
 func (l *loadedRows) decodeLeadershipRow(row store.Row) error {
 	switch row.Name {
-	case rowChain:
+	case rowkeys.RowChain:
 		l.chain = row.Version
-	case rowRoster:
+	case rowkeys.RowRoster:
 		l.hasOldRows = true
 		return cbor.Unmarshal(row.Value, &l.oldRoster)
-	case rowHandover:
+	case rowkeys.RowHandover:
 		err := cbor.Unmarshal(row.Value, &l.handover)
 		l.handoverUnreadable = err != nil
 		return err
-	case rowClock:
+	case rowkeys.RowClock:
 		return cbor.Unmarshal(row.Value, &l.clock)
-	case rowInstances:
+	case rowkeys.RowInstances:
 		l.hasOldRows = true
 		var times map[string]time.Duration
 		if err := cbor.Unmarshal(row.Value, &times); err != nil {
--- a/scheduler/rows_test.go
+++ b/scheduler/rows_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/instance"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -53,7 +54,7 @@
 		}
 		c.BatchStored(b)
 	}
-	delete(written, leadershipKey(rowChain))
+	delete(written, rowkeys.Leadership(rowkeys.RowChain))
 	for key, n := range written {
 		qt.Assert(t, n, qt.Equals, 1, qt.Commentf("row %s", key.Name))
 	}
@@ -94,7 +95,7 @@
 			stored := false
 			for _, p := range tx.Puts {
 				qt.Assert(t, p.Validate(), qt.IsNil)
-				stored = stored || p.Key == progressKey("b1")
+				stored = stored || p.Key == rowkeys.Progress("b1")
 			}
 			for _, k := range tx.Removes {
 				qt.Assert(t, k.Validate(), qt.IsNil)
@@ -115,11 +116,11 @@
 		return store.Put{Key: key, Value: data}
 	}
 	_, err := s.Commit(t.Context(), store.Tx{Puts: []store.Put{
-		put(leadershipKey(rowRoster), []RosterEntry{{ID: "w1", Pool: "p"}, {ID: "w2", Pool: "p"}}),
-		put(leadershipKey(rowInstances), map[string]time.Duration{"m1": time.Second}),
-		put(progressKey(waveName(7)), WaveProgress{Number: 7, Begun: map[string]string{"m1": "w0"}}),
-		put(progressKey(waveName(7)+"/m2"), "w9"),
-		put(fleetKey(rosterPrefix+"w2"), RosterEntry{ID: "w2", Pool: "p"}),
+		put(rowkeys.Leadership(rowkeys.RowRoster), []RosterEntry{{ID: "w1", Pool: "p"}, {ID: "w2", Pool: "p"}}),
+		put(rowkeys.Leadership(rowkeys.RowInstances), map[string]time.Duration{"m1": time.Second}),
+		put(rowkeys.Progress(rowkeys.WaveName(7)), WaveProgress{Number: 7, Begun: map[string]string{"m1": "w0"}}),
+		put(rowkeys.Progress(rowkeys.WaveName(7)+"/m2"), "w9"),
+		put(rowkeys.Fleet(rowkeys.RosterPrefix+"w2"), RosterEntry{ID: "w2", Pool: "p"}),
 	}})
 	qt.Assert(t, err, qt.IsNil)
 	l, err := load(t.Context(), s, hclog.NewNullLogger(), func(row store.Row, err error) { t.Errorf("row %s: %s", row.Name, err) })
@@ -132,7 +133,7 @@
 	b := e.core.TakeBatch(batchRows)
 	tx, err := e.transaction(b)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, tx.Removes, qt.DeepEquals, []store.Key{leadershipKey(rowRoster), leadershipKey(rowInstances)})
+	qt.Assert(t, tx.Removes, qt.DeepEquals, []store.Key{rowkeys.Leadership(rowkeys.RowRoster), rowkeys.Leadership(rowkeys.RowInstances)})
 	qt.Assert(t, b.Roster, qt.HasLen, 1)
 	qt.Assert(t, b.Roster["w1"], qt.IsNotNil)
 }
@@ -156,8 +157,8 @@
 	l := newLoadedRows()
 	_ = l.decodeJobRow(store.Row{Key: store.Key{Name: "a"}, Value: job})
 	_ = l.decodeProgress(store.Row{Key: store.Key{Name: "a"}, Value: progress})
-	_ = l.decodeProgress(store.Row{Key: store.Key{Name: wavePrefix + "1"}, Value: progress})
-	_ = l.decodeFleetRow(store.Row{Key: store.Key{Name: rosterPrefix + "w"}, Value: progress})
+	_ = l.decodeProgress(store.Row{Key: store.Key{Name: rowkeys.WavePrefix + "1"}, Value: progress})
+	_ = l.decodeFleetRow(store.Row{Key: store.Key{Name: rowkeys.RosterPrefix + "w"}, Value: progress})
 	for id, j := range l.jobs {
 		r.core.AddJob(j, l.progress[id], 0)
 		r.accept(r.pass())
@@ -170,11 +171,11 @@
 		t.Run(name, func(t *testing.T) {
 			data, err := cbor.Marshal(job)
 			qt.Assert(t, err, qt.IsNil)
-			_, err = DecodeJob(store.Row{Value: data})
+			_, err = rowkeys.DecodeJob(store.Row{Value: data})
 			qt.Assert(t, err, qt.IsNotNil)
 		})
 	}
-	job, err := EncodeJob(work.Job{ID: "a", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
+	job, err := rowkeys.EncodeJob(work.Job{ID: "a", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 1}}})
 	qt.Assert(t, err, qt.IsNil)
 	progress, err := cbor.Marshal(work.Progress{Occurrences: map[int]*work.OccurrenceProgress{0: nil}})
 	qt.Assert(t, err, qt.IsNil)
@@ -183,7 +184,7 @@
 
 // FuzzRows guards against rows that panic a new leader.
 func FuzzRows(f *testing.F) {
-	job, err := EncodeJob(work.Job{ID: "a", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 2, Gang: true}, {Count: 1, DependsOn: []int{0}}}})
+	job, err := rowkeys.EncodeJob(work.Job{ID: "a", Pool: "p", Queue: "q", Steps: []work.Step{{Count: 2, Gang: true}, {Count: 1, DependsOn: []int{0}}}})
 	qt.Assert(f, err, qt.IsNil)
 	progress, err := cbor.Marshal(work.Progress{State: work.Running, Occurrences: map[int]*work.OccurrenceProgress{0: {
 		Workers: []string{"w1"}, Steps: []work.StepProgress{{Done: []byte{1}, Failures: map[int][]int{0: {1}}, Runs: map[int]work.RunRecord{1: {Number: 3}}}, {}},
@@ -200,9 +201,9 @@
 	e, _ := newTestEngine(t, s, 1)
 	c := e.core
 	doc := work.Job{ID: "a1", Pool: "p", Queue: "q", Spec: strings.Repeat("x", work.MaxSpec), Steps: []work.Step{{Count: 1}}}
-	value, err := EncodeJob(doc)
+	value, err := rowkeys.EncodeJob(doc)
 	qt.Assert(t, err, qt.IsNil)
-	_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: JobKey("a1"), Value: value}}})
+	_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: rowkeys.Job("a1"), Value: value}}})
 	qt.Assert(t, err, qt.IsNil)
 	c.AddJob(doc, nil, 0)
 	qt.Assert(t, c.TakeJobsToShorten(), qt.HasLen, 0)
@@ -213,7 +214,7 @@
 	go e.runLoop()
 	defer e.cancel()
 	e.shortenJobs(t.Context())
-	rows, err := s.Scan(t.Context(), TableJobs, jobPartition("a1"), "", "")
+	rows, err := s.Scan(t.Context(), rowkeys.TableJobs, rowkeys.JobPartition("a1"), "", "")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, rows.Rows, qt.HasLen, 1)
 	qt.Assert(t, len(rows.Rows[0].Value) < 100, qt.IsTrue)
--- a/scheduler/split_test.go
+++ b/scheduler/split_test.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/store/memory"
 	"github.com/chivetiller/chivetiller/work"
@@ -182,7 +183,7 @@
 }
 
 func progressRowsOf(t *testing.T, s *memory.Store) []store.Row {
-	rows, err := s.Scan(t.Context(), tableProgress, "", "", "")
+	rows, err := s.Scan(t.Context(), rowkeys.TableProgress, "", "", "")
 	qt.Assert(t, err, qt.IsNil)
 	return rows.Rows
 }
@@ -248,9 +249,9 @@
 	s := memory.New()
 	e, _ := newTestEngine(t, s, 1)
 	doc := largeJob{steps: 1, tasks: work.MaxTasks}.doc()
-	value, err := EncodeJob(doc)
+	value, err := rowkeys.EncodeJob(doc)
 	qt.Assert(t, err, qt.IsNil)
-	_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: JobKey(doc.ID), Value: value}}})
+	_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: rowkeys.Job(doc.ID), Value: value}}})
 	qt.Assert(t, err, qt.IsNil)
 	e.core.AddJob(doc, nil, 0)
 	j := e.core.jobs[doc.ID]
@@ -262,7 +263,7 @@
 	earlier.SetRun(0, 7, "w1", 200_000)
 	value, err = cbor.Marshal(earlierProgress{Occurrences: map[int]*work.OccurrenceProgress{0: earlier}})
 	qt.Assert(t, err, qt.IsNil)
-	_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: progressKey(doc.ID), Value: value}}})
+	_, err = s.Commit(t.Context(), store.Tx{Puts: []store.Put{{Key: rowkeys.Progress(doc.ID), Value: value}}})
 	qt.Assert(t, err, qt.IsNil)
 
 	next, _ := newTestEngine(t, s, 2)
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -8,12 +8,8 @@
 	"github.com/chivetiller/chivetiller/internal/jobs/waiting"
 )
 
-const (
-	// waitLogAfter is how long a task of a service has not run when that is logged, and again after as long.
-	waitLogAfter = 3 * time.Second
-	// waitCheckInterval is the time between two checks for tasks of services that do not run.
-	waitCheckInterval = time.Second
-)
+// waitCheckInterval is the time between two checks for tasks of services that do not run.
+const waitCheckInterval = time.Second
 
 // checkWaitingTasks counts the tasks of services that do not run, by reason, and logs those and the suspects of a crash that have not for
 // long.
@@ -77,23 +73,17 @@
 	wait := &s.waits().tasks[index]
 	for _, r := range s.tasks[index].runs {
 		if r.phase != planned {
-			wait.since = 0
+			wait.End()
 			return false
 		}
 	}
-	if wait.since == 0 {
-		wait.since, wait.loggedAt = c.now, c.now
-	}
-	idleSince := wait.since
+	wait.Begin(c.now)
+	idleSince := wait.Since()
 	if lastRan := s.tasks[index].idleSince; lastRan > 0 {
 		idleSince = min(idleSince, lastRan)
 	}
 	log.Count(c.waitReason(s, index), c.now-idleSince)
-	if c.now-wait.loggedAt < waitLogAfter {
-		return false
-	}
-	wait.loggedAt = c.now
-	return true
+	return wait.LogDue(c.now)
 }
 
 func (c *Core) logWaitingTask(p *pool, s *step, index int) {
@@ -103,7 +93,7 @@
 		largest = max(largest, ws.freeCapacity().CPU)
 	}
 	name := (&run{step: s, index: index}).name()
-	waited := c.now - s.waits().tasks[index].since
+	waited := c.now - s.waits().tasks[index].Since()
 	if !s.doc.Service {
 		crashes := s.crashCount(index)
 		c.logger.Info("Suspect of a crash does not run.", "job", s.job.doc.ID, "task", name, "pool", p.name, "for", waited,
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"strings"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/internal/store/retrying"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/internal/workers/registry"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/work"
@@ -26,8 +26,6 @@
 	return eris.Wrap(cbor.Unmarshal(data, to), "decode a row")
 }
 
-func waveName(number int) string { return wavePrefix + strconv.Itoa(number) }
-
 // repeat calls f, with a pause of interval after each call, until the term ends.
 func (e *Engine) repeat(interval time.Duration, f func(ctx context.Context)) {
 	for e.ctx.Err() == nil {
@@ -70,7 +68,7 @@
 
 func (v *jobsView) refresh(ctx context.Context) {
 	e := v.e
-	rows, err := e.options.Store.Changes(ctx, TableJobs, v.version, 0)
+	rows, err := e.options.Store.Changes(ctx, rowkeys.TableJobs, v.version, 0)
 	var progress map[string]*work.Progress
 	if errors.Is(err, store.ErrHistoryGone) {
 		e.logger.Warn("Changes of jobs are no longer available, reading all rows.", "after", v.version)
@@ -89,7 +87,7 @@
 // The progress is read first: it is removed after the rows of its job, and a job without progress would run again.
 func (e *Engine) readAllJobs(ctx context.Context) (store.Rows, map[string]*work.Progress, error) {
 	s := retrying.Reads{Store: e.options.Store, Logger: e.logger}
-	stored, err := s.Scan(ctx, tableProgress, "", "", "")
+	stored, err := s.Scan(ctx, rowkeys.TableProgress, "", "", "")
 	if err != nil {
 		return store.Rows{}, nil, err
 	}
@@ -100,7 +98,7 @@
 		}
 	}
 	l.joinParts(e.logRow)
-	rows, err := store.ScanAll(ctx, s, TableJobs)
+	rows, err := store.ScanAll(ctx, s, rowkeys.TableJobs)
 	return rows, l.progress, err
 }
 
@@ -112,11 +110,11 @@
 		if row.Deleted {
 			continue
 		}
-		if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
+		if id, ok := strings.CutSuffix(row.Name, rowkeys.CancelSuffix); ok {
 			cancelled = append(cancelled, id)
 			continue
 		}
-		j, err := DecodeJob(row)
+		j, err := rowkeys.DecodeJob(row)
 		if err != nil {
 			e.logger.Error("Row of a job cannot be read.", "row", row.Name, "error", err)
 			continue
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -9,6 +9,7 @@
 	"github.com/chivetiller/chivetiller/common/backoff"
 	"github.com/chivetiller/chivetiller/instance"
 	"github.com/chivetiller/chivetiller/internal/pools/absence"
+	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
 	"github.com/chivetiller/chivetiller/store"
 )
 
@@ -293,7 +294,7 @@
 
 // key returns the key of the row that records it.
 func (b begunMaintenance) key() store.Key {
-	return progressKey(waveName(b.wave) + waveInstanceSeparator + b.instance)
+	return rowkeys.Progress(rowkeys.WaveName(b.wave) + rowkeys.WaveInstanceSeparator + b.instance)
 }
 
 // rowsPerWave is the number of rows of a wave: its progress, and the status that the operator reads.
@@ -313,7 +314,7 @@
 			limit--
 			return true
 		})
-		if w.changed && len(w.unstored) == 0 && limit >= rowsPerWave && admits(progressKey(waveName(n))) {
+		if w.changed && len(w.unstored) == 0 && limit >= rowsPerWave && admits(rowkeys.Progress(rowkeys.WaveName(n))) {
 			waves[n] = WaveProgress{Number: n, Finished: w.finished, Since: w.since}
 			w.changed = false
 			limit -= rowsPerWave
