--- a/commands/root.go
+++ b/commands/root.go
@@ -13,7 +13,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chivetiller/chivetiller/common/hangup"
+	"github.com/chivetiller/chivetiller/internal/process/hangup"
 )
 
 // Exit codes of every command.
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -10,9 +10,9 @@
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
-	"github.com/chivetiller/chivetiller/common/hangup"
 	"github.com/chivetiller/chivetiller/common/logging"
 	"github.com/chivetiller/chivetiller/intake"
+	"github.com/chivetiller/chivetiller/internal/process/hangup"
 	"github.com/chivetiller/chivetiller/internal/settings/serving"
 	"github.com/chivetiller/chivetiller/metrics"
 	"github.com/chivetiller/chivetiller/node"
--- a/common/hangup/hangup_test.go
+++ b/internal/process/hangup/hangup_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/chivetiller/chivetiller/common/hangup"
+	"github.com/chivetiller/chivetiller/internal/process/hangup"
 )
 
 // TestEarly guards against a process that is ended by a SIGHUP that comes before anything waits for one, and against one that is lost.
