--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/chivetiller/chivetiller/common/problem"
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/dispatch"
+	clients "github.com/chivetiller/chivetiller/internal/clients/listener"
 )
 
 func newRequestID() string { return ident.New() }
@@ -173,7 +174,10 @@
 		return nil, problem.NotRun(problem.Internal, "read deadline cannot be set")
 	}
 	body, err := readUpTo(e.r.Body, length, limit)
+	var refusal *clients.Refusal
 	switch {
+	case errors.As(err, &refusal):
+		return nil, refusalProblem(refusal)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, problem.NotRun(problem.SlowCaller, "body did not arrive in time")
 	case errors.Is(err, errBodyTooLarge):
--- a/caller/server.go
+++ b/caller/server.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -26,6 +25,8 @@
 	"github.com/chivetiller/chivetiller/common/problem"
 	"github.com/chivetiller/chivetiller/config"
 	"github.com/chivetiller/chivetiller/dispatch"
+	"github.com/chivetiller/chivetiller/internal/clients/budget"
+	clients "github.com/chivetiller/chivetiller/internal/clients/listener"
 	"github.com/chivetiller/chivetiller/team"
 )
 
@@ -33,11 +34,15 @@
 const (
 	DefaultMaxHeader    = 16 << 10
 	DefaultMaxBody      = 1 << 20
+	DefaultMaxBodies    = 64 << 20
 	DefaultReadTimeout  = 5 * time.Second
 	DefaultWriteTimeout = 10 * time.Second
 	DefaultIdleTimeout  = 2 * time.Minute
 )
 
+// clientSlack is how much later than the HTTP server the listener ends a request that arrives too slowly.
+const clientSlack = time.Second
+
 // Paths for load balancers.
 const (
 	readyPath  = "/ready"
@@ -72,6 +77,8 @@
 	// MaxHeader and MaxBody are in bytes.
 	MaxHeader int
 	MaxBody   int
+	// MaxBodies is what callers may hold in bodies at once, in bytes.
+	MaxBodies int64
 	// ReadTimeout is the time limit for receiving the head of a request, and again for receiving its body.
 	ReadTimeout time.Duration
 	// WriteTimeout is the time limit for sending a response.
@@ -95,7 +102,9 @@
 	logger     hclog.Logger
 	rejections *rejectionLog
 	http       *kratoshttp.Server
-	listener   net.Listener
+	listener   problemListener
+	// clients is set once the server listens. Metrics may be read before.
+	clients atomic.Pointer[clients.Listener]
 	// served is closed when serving has ended, with its result in serveErr.
 	served   chan struct{}
 	serveErr error
@@ -107,6 +116,7 @@
 func New(o Options) *Server {
 	setDefault(&o.MaxHeader, DefaultMaxHeader)
 	setDefault(&o.MaxBody, DefaultMaxBody)
+	setDefault(&o.MaxBodies, DefaultMaxBodies)
 	setDefault(&o.ReadTimeout, DefaultReadTimeout)
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
@@ -129,18 +139,25 @@
 
 // Start listens and serves.
 func (s *Server) Start(context.Context) error {
-	listener, err := net.Listen("tcp", s.options.Address)
+	limits := clients.CallerLimits(2*int64(s.options.MaxHeader), int64(s.options.MaxBody), s.options.MaxBodies, s.options.ReadTimeout+clientSlack)
+	bounded, err := clients.Listen(s.options.Address, clients.Options{
+		Name: "callers", Limits: func() budget.Limits { return limits }, Logger: s.logger,
+		// The connection on top sends a problem document.
+		Refuse: func(*clients.Refusal) []byte { return nil },
+	})
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers at %s", s.options.Address)
 	}
+	listener := problemListener{bounded, s}
 	s.listener = listener
+	s.clients.Store(bounded)
 	kratoslog.SetLogger(kratosLogger{s.logger})
 	s.http = kratoshttp.NewServer(
 		kratoshttp.Address(listener.Addr().String()),
-		kratoshttp.Listener(problemListener{listener, s}),
+		kratoshttp.Listener(listener),
 		kratoshttp.Timeout(0),
 		// Only the paths /ready and /health reach the router, because it answers others such as //work/a by a redirect.
-		kratoshttp.Filter(s.filter),
+		kratoshttp.Filter(func(next http.Handler) http.Handler { return bounded.Handler(s.filter(next)) }),
 	)
 	s.http.HandleFunc(readyPath, s.serveReady)
 	s.http.HandleFunc(healthPath, s.serveHealth)
@@ -148,7 +165,7 @@
 	s.http.IdleTimeout = s.options.IdleTimeout
 	// The handler checks MaxHeader itself and rejects with a problem document. This limit only protects memory.
 	s.http.MaxHeaderBytes = 2 * s.options.MaxHeader
-	s.http.ConnContext = connContext
+	s.http.ConnContext, s.http.ConnState = listener.connContext, clients.ConnState
 	s.http.ErrorLog = s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	go func() {
 		defer close(s.served)
@@ -157,8 +174,16 @@
 	return nil
 }
 
+// Clients returns what callers hold.
+func (s *Server) Clients() clients.Stats {
+	if l := s.clients.Load(); l != nil {
+		return l.Stats()
+	}
+	return clients.Stats{}
+}
+
 // Address returns the address on which the server listens.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.listener.Listener.Addr().String() }
 
 // InFlight returns the number of requests for work that have not ended.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
--- a/common/problem/problem.go
+++ b/common/problem/problem.go
@@ -65,6 +65,7 @@
 	NotReady        = Kind{"notReady", http.StatusServiceUnavailable, "Entry instance is not ready"}
 	LimitsUnchecked = Kind{"limitsUnchecked", http.StatusServiceUnavailable, "Upper limit cannot be checked"}
 	QueueFull       = Kind{"queueFull", http.StatusServiceUnavailable, "Queue is full"}
+	Overloaded      = Kind{"overloaded", http.StatusServiceUnavailable, "Clients hold too much of the entry instance"}
 	Internal        = Kind{"internal", http.StatusInternalServerError, "Internal error"}
 )
 
--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -79,7 +79,7 @@
 	case problem.EndpointFailed.Name, problem.EndpointTimeout.Name, problem.Internal.Name:
 		return burn.Failed, true
 	case problem.OverShare.Name, problem.Late.Name, problem.NoEndpoint.Name, problem.QueueFull.Name, problem.Stopping.Name,
-		problem.KeysUnchecked.Name, problem.ClaimsUnchecked.Name, problem.LimitsUnchecked.Name:
+		problem.KeysUnchecked.Name, problem.ClaimsUnchecked.Name, problem.LimitsUnchecked.Name, problem.Overloaded.Name:
 		return burn.Refused, true
 	}
 	return 0, false
@@ -176,6 +176,9 @@
 			}
 			return stats
 		},
+		Clients: func() map[string]metrics.ClientStats {
+			return map[string]metrics.ClientStats{"callers": e.caller.Clients().Metrics(), "operators": e.operator.Clients().Metrics()}
+		},
 		Teams: func() []metrics.TeamStats {
 			teams := e.source.Snapshot().Teams()
 			stats := make([]metrics.TeamStats, 0, len(teams))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -189,6 +189,7 @@
 		Address:     s.Listen().Callers,
 		MaxHeader:   s.Limits().HeaderBytes,
 		MaxBody:     int(s.Limits().BodyBytes),
+		MaxBodies:   s.Limits().QueueBytes,
 		ReadTimeout: s.Limits().ReadTimeout,
 		StopDelay:   s.Stop().BalancerWait,
 		Ready:       e.Ready,
--- a/entry/services.go
+++ b/entry/services.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -13,6 +12,8 @@
 	"github.com/chivetiller/chivetiller/burn"
 	"github.com/chivetiller/chivetiller/common/loop"
 	"github.com/chivetiller/chivetiller/config"
+	"github.com/chivetiller/chivetiller/internal/clients/budget"
+	clients "github.com/chivetiller/chivetiller/internal/clients/listener"
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/metrics"
 	"github.com/chivetiller/chivetiller/peer"
@@ -157,11 +158,14 @@
 	return kernel.Service{Name: serviceMetrics, Value: m, Start: m.start, Stop: m.stop, Needs: []string{serviceDispatch}}
 }
 
-func (m *metricsServer) start(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", m.address)
+func (m *metricsServer) start(context.Context) error {
+	limits := clients.ScraperLimits()
+	listener, err := clients.Listen(m.address, clients.Options{Name: "metrics", Limits: func() budget.Limits { return limits }, Logger: m.logger})
 	if err != nil {
 		return eris.Wrap(err, "listen for metrics")
 	}
+	m.server.MaxHeaderBytes, m.server.Handler = clients.MaxHeaderBytes, listener.Handler(m.server.Handler)
+	m.server.ConnContext, m.server.ConnState = listener.ConnContext, clients.ConnState
 	go func() {
 		if err := m.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			m.logger.Error("Metrics server has failed.", "error", err)
--- a/internal/clients/listener/listener.go
+++ b/internal/clients/listener/listener.go
@@ -28,6 +28,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/chivetiller/chivetiller/internal/clients/budget"
+	"github.com/chivetiller/chivetiller/metrics"
 )
 
 const (
@@ -69,6 +70,15 @@
 	Refusals map[budget.Reason]uint64
 }
 
+// Metrics returns the state as it is exported.
+func (s Stats) Metrics() metrics.ClientStats {
+	m := metrics.ClientStats{Connections: float64(s.Connections), HeldBytes: float64(s.Held), Refusals: make(map[string]float64, len(s.Refusals))}
+	for reason, n := range s.Refusals {
+		m.Refusals[string(reason)] = float64(n)
+	}
+	return m
+}
+
 // Listener applies a budget to the connections that it accepts. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
--- a/metrics/jobs.go
+++ b/metrics/jobs.go
@@ -61,15 +61,6 @@
 	Decisions map[[2]string]float64
 }
 
-// ClientStats is what the clients of a listener hold.
-type ClientStats struct {
-	Connections float64
-	// HeldBytes is the memory of their heads and bodies.
-	HeldBytes float64
-	// Refusals counts refused requests and closed connections by reason.
-	Refusals map[string]float64
-}
-
 // NewJobs returns the metrics of a process. It calls source at each scrape.
 func NewJobs(source func(ctx context.Context) JobStats) *Jobs {
 	j := &Jobs{registry: prometheus.NewRegistry()}
@@ -179,9 +170,6 @@
 	descRefused = prometheus.NewDesc(namespace+"_batches_refused_total", "Batches of the leader that the store refused, in the current term.", nil, nil)
 	descStored  = prometheus.NewDesc(namespace+"_batch_age_seconds", "Time since the leader has stored a batch, while another one waits.", nil, nil)
 	descDecided = prometheus.NewDesc(namespace+"_scheduler_decisions_total", "Decisions of the parts of the scheduler that are switched by settings, in the current term.", []string{"part", "outcome"}, nil)
-	descClients = prometheus.NewDesc(namespace+"_client_connections", "Connections of clients by listener.", []string{"listener"}, nil)
-	descHeld    = prometheus.NewDesc(namespace+"_client_held_bytes", "Memory that connections, heads and bodies of clients are counted as, by listener.", []string{"listener"}, nil)
-	descDenied  = prometheus.NewDesc(namespace+"_client_refusals_total", "Requests that were refused and connections that were closed because of what clients held or sent, by listener and reason.", []string{"listener", "reason"}, nil)
 	descRuns    = prometheus.NewDesc(namespace+"_runs_total", "Starts and exits of tasks in the current term.", []string{"event"}, nil)
 )
 
@@ -208,13 +196,7 @@
 	out <- prometheus.MustNewConstMetric(descDropped, prometheus.CounterValue, s.DroppedLines)
 	gauge(descStored, s.SinceStored.Seconds())
 	out <- prometheus.MustNewConstMetric(descRefused, prometheus.CounterValue, s.RefusedBatches)
-	for listener, c := range s.Clients {
-		gauge(descClients, c.Connections, listener)
-		gauge(descHeld, c.HeldBytes, listener)
-		for reason, n := range c.Refusals {
-			out <- prometheus.MustNewConstMetric(descDenied, prometheus.CounterValue, n, listener, reason)
-		}
-	}
+	collectClients(out, s.Clients)
 	for reason, n := range s.WaitingTasks {
 		gauge(descWaiting, n, reason)
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -62,6 +62,8 @@
 	Duties func() int
 	// Instances counts the instances of all pools by state.
 	Instances func() map[string]int
+	// Clients is what the clients of each listener hold.
+	Clients func() map[string]ClientStats
 }
 
 // Set holds the metrics of an entry instance.
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -35,6 +35,9 @@
 		Peers:     func() map[string]int { return map[string]int{"alive": 5, "suspect": 1} },
 		Duties:    func() int { return 4 },
 		Instances: func() map[string]int { return map[string]int{"serving": 48, "draining": 2} },
+		Clients: func() map[string]metrics.ClientStats {
+			return map[string]metrics.ClientStats{"callers": {Connections: 2, HeldBytes: 40960, Refusals: map[string]float64{"memory": 1}}}
+		},
 	}
 }
 
--- a/metrics/state.go
+++ b/metrics/state.go
@@ -35,7 +35,7 @@
 func (c *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, desc := range []*prometheus.Desc{
 		queuedDesc, runningDesc, freeSlotsDesc, endpointsDesc, allotmentHeldDesc, allotmentRunningDesc,
-		versionDesc, ageDesc, peersDesc, dutiesDesc, instancesDesc,
+		versionDesc, ageDesc, peersDesc, dutiesDesc, instancesDesc, descClients, descHeld, descDenied,
 	} {
 		ch <- desc
 	}
@@ -77,6 +77,9 @@
 	if c.sources.Duties != nil {
 		gauge(dutiesDesc, float64(c.sources.Duties()))
 	}
+	if c.sources.Clients != nil {
+		collectClients(ch, c.sources.Clients())
+	}
 	if c.sources.Instances != nil {
 		for state, n := range c.sources.Instances() {
 			gauge(instancesDesc, float64(n), state)
--- a/node/clients.go
+++ b/node/clients.go
@@ -126,12 +126,7 @@
 	defer c.mu.Unlock()
 	stats := make(map[string]metrics.ClientStats, len(c.byName))
 	for name, l := range c.byName {
-		s := l.Stats()
-		own := metrics.ClientStats{Connections: float64(s.Connections), HeldBytes: float64(s.Held), Refusals: make(map[string]float64)}
-		for reason, count := range s.Refusals {
-			own.Refusals[string(reason)] = float64(count)
-		}
-		stats[name] = own
+		stats[name] = l.Stats().Metrics()
 	}
 	return stats
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -17,6 +18,8 @@
 
 	"github.com/chivetiller/chivetiller/common/problem"
 	"github.com/chivetiller/chivetiller/config"
+	"github.com/chivetiller/chivetiller/internal/clients/budget"
+	clients "github.com/chivetiller/chivetiller/internal/clients/listener"
 	"github.com/chivetiller/chivetiller/peer"
 	"github.com/chivetiller/chivetiller/provider"
 )
@@ -63,6 +66,8 @@
 	logger   hclog.Logger
 	mux      *http.ServeMux
 	listener net.Listener
+	// clients is set once the server listens. Metrics may be read before.
+	clients  atomic.Pointer[clients.Listener]
 	http     *kratoshttp.Server
 	serveErr chan error
 }
@@ -125,17 +130,45 @@
 		}
 		s.listener = listener
 	}
+	limits := clients.OperatorLimits(maxBodyBytes, readTimeout+time.Second)
+	bounded := clients.Wrap(s.listener, clients.Options{
+		Name: "operators", Limits: func() budget.Limits { return limits }, Logger: s.logger,
+		// An answer that is not encrypted would be an error in the protocol of TLS.
+		Refuse: s.refusalAnswer(),
+	})
+	s.listener = bounded
+	s.clients.Store(bounded)
 	options := []kratoshttp.ServerOption{kratoshttp.Listener(s.listener), kratoshttp.Address(s.listener.Addr().String()), kratoshttp.Timeout(0), kratoshttp.StrictSlash(false)}
 	if s.options.TLS != nil {
 		options = append(options, kratoshttp.TLSConfig(s.options.TLS))
 	}
 	s.http = kratoshttp.NewServer(options...)
 	s.http.ReadTimeout = readTimeout
-	s.http.HandlePrefix("/", s.requireOperatorKey(s.mux))
+	s.http.MaxHeaderBytes = clients.MaxHeaderBytes
+	s.http.ConnContext, s.http.ConnState = bounded.ConnContext, clients.ConnState
+	// The budget counts one request at a time on a connection, so that HTTP/2 is not offered.
+	s.http.TLSNextProto = make(map[string]func(*http.Server, *tls.Conn, http.Handler))
+	s.http.HandlePrefix("/", bounded.Handler(s.requireOperatorKey(s.mux)))
 	go func() { s.serveErr <- s.serve() }()
 	return nil
 }
 
+// refusalAnswer returns what answers refused requests, and nil for the usual answer.
+func (s *Server) refusalAnswer() func(*clients.Refusal) []byte {
+	if s.options.TLS == nil {
+		return nil
+	}
+	return func(*clients.Refusal) []byte { return nil }
+}
+
+// Clients returns what operators hold.
+func (s *Server) Clients() clients.Stats {
+	if l := s.clients.Load(); l != nil {
+		return l.Stats()
+	}
+	return clients.Stats{}
+}
+
 // serve calls the HTTP server directly. Start and Stop of the kratos server use a global logger, which other
 // servers of the process set when they start; that would be a data race.
 func (s *Server) serve() error {
@@ -203,6 +236,7 @@
 		conflictErr *config.Conflict
 		prob        *problem.Problem
 		tooLarge    *http.MaxBytesError
+		refusal     *clients.Refusal
 		d           problemDocument
 	)
 	detail := err.Error()
@@ -213,6 +247,8 @@
 		d = problemDocument{Document: problem.NotRun(invalidConfiguration, detail).Document(""), Problems: invalid.Problems}
 	case errors.As(err, &conflictErr):
 		d = problemDocument{Document: problem.NotRun(conflict, detail).Document(""), Changes: conflictErr.Changes}
+	case errors.As(err, &refusal):
+		d.Document = problem.NotRun(problem.Overloaded, detail).Document("")
 	case errors.As(err, &tooLarge):
 		d.Document = problem.NotRun(problem.BodyTooLarge, detail).Document("")
 	case errors.Is(err, config.ErrUnknownKey):
