--- /dev/null
+++ b/internal/clients/crowdtest/content_test.go
@@ -0,0 +1,52 @@
+package crowdtest
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/chivetiller/chivetiller/internal/soak/world"
+)
+
+// TestContentCrowds guards against a process that runs out of memory or descriptors because requests of legal size become larger in memory
+// than they were when they were received, or leave something behind while they are answered.
+func TestContentCrowds(t *testing.T) {
+	front := (*world.Node).Front
+	tests := map[string]struct {
+		address func(*world.Node) string
+		send    func(*client)
+	}{
+		"many steps, whole":        {front, shape{size: legalBody, content: manySteps, again: true}.sender()},
+		"many steps, in pieces":    {front, shape{size: legalBody, content: manySteps, slow: true}.sender()},
+		"many dependencies, whole": {front, shape{size: legalBody, content: manyDependencies, again: true}.sender()},
+		"long number, whole":       {front, shape{size: legalBody, content: longNumber, again: true}.sender()},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { playCrowd(t, manyDescriptors, test.address, test.send) })
+	}
+}
+
+// longSpec returns a body that ends within a long specification.
+func longSpec(size int) []byte {
+	return append([]byte(`{"spec":"`), bytes.Repeat([]byte("x"), size-len(`{"spec":"`))...)
+}
+
+// filled returns a document of a size that repeats a part.
+func filled(before, part, after string, size int) []byte {
+	n := (size - len(before) - len(after)) / len(part)
+	document := before + strings.TrimSuffix(strings.Repeat(part, n), ",") + after
+	return append([]byte(document), bytes.Repeat([]byte(" "), size-len(document))...)
+}
+
+// manySteps returns a job whose steps take a hundred times their bytes once they are decoded.
+func manySteps(size int) []byte { return filled(`{"spec":"run 10","steps":[`, `{},`, `]}`, size) }
+
+// manyDependencies returns a job whose lists of numbers take four times their bytes once they are decoded.
+func manyDependencies(size int) []byte {
+	return filled(`{"spec":"run 10","steps":[{"count":1,"after":[`, `0,`, `]}]}`, size)
+}
+
+// longNumber returns a job with a number that an error message may repeat.
+func longNumber(size int) []byte {
+	return filled(`{"spec":"run 10","times":`, `1`, `,"steps":[{"count":1}]}`, size)
+}
--- a/internal/clients/crowdtest/crowd_test.go
+++ b/internal/clients/crowdtest/crowd_test.go
@@ -26,11 +26,16 @@
 	smallBody = 32768
 	largeHead = 900_000
 	// peerBody is less than the processes permit each other.
-	peerBody  = 1 << 20
-	piece     = 8192
-	pieceTime = 20 * time.Millisecond
+	peerBody = 1 << 20
+	// operatorBody is a part of what entry instances permit operators.
+	operatorBody = 4 << 20
+	piece        = 8192
+	pieceTime    = 20 * time.Millisecond
 )
 
+// submission is the head of a request that submits a job, without its end.
+const submission = "POST /q/%016x HTTP/1.1\r\nHost: jobs.example\r\nX-Api-Key: key-of-tenant-a\r\n"
+
 // client is a connection of a crowd.
 type client struct {
 	net.Conn
@@ -44,7 +49,7 @@
 }
 
 func (c *client) sendHead(lines string) bool {
-	return c.send(fmt.Appendf(nil, "POST /q/%016x HTTP/1.1\r\nHost: jobs.example\r\nX-Api-Key: key-of-tenant-a\r\n%s", c.number, lines))
+	return c.send(fmt.Appendf(nil, submission+"%s", c.number, lines))
 }
 
 // sendEmptyLines sends empty lines, over a new connection whenever the process has closed the last one.
@@ -75,25 +80,32 @@
 	}
 }
 
-// sendPieces sends data, with a pause after each piece if it is sent slowly.
-func (c *client) sendPieces(data []byte, slow bool) {
+// sendPieces sends data, with a pause after each piece if it is sent slowly. It reports whether all of it was sent.
+func (c *client) sendPieces(data []byte, slow bool) bool {
 	for len(data) > 0 && time.Now().Before(c.until) {
 		n := min(piece, len(data))
 		if !c.send(data[:n]) {
-			return
+			return false
 		}
 		data = data[n:]
 		if slow {
 			time.Sleep(pieceTime)
 		}
 	}
+	return len(data) == 0
 }
 
 // shape is how a body is sent.
 type shape struct {
+	// request is the beginning of the head. It is that of a submission if it is empty.
+	request     string
 	slow, short bool
+	// again means that the request is sent again on the same connection until the attack ends.
+	again bool
 	// chunk is the size of chunks, and 0 for a body that is not chunked.
 	chunk, size int
+	// content returns a body of a size. It is [longSpec] if it is nil.
+	content func(size int) []byte
 }
 
 func (s shape) head() string {
@@ -104,7 +116,11 @@
 }
 
 func (s shape) body() []byte {
-	data := append([]byte(`{"spec":"`), bytes.Repeat([]byte("x"), s.size-len(`{"spec":"`))...)
+	content := s.content
+	if content == nil {
+		content = longSpec
+	}
+	data := content(s.size)
 	if s.chunk > 0 {
 		var chunked bytes.Buffer
 		for len(data) > 0 {
@@ -123,9 +139,13 @@
 
 func (s shape) sender() func(*client) {
 	head, body := s.head(), s.body()
+	sendHead := (*client).sendHead
+	if s.request != "" {
+		sendHead = func(c *client, lines string) bool { return c.send([]byte(s.request + lines)) }
+	}
 	return func(c *client) {
-		if c.sendHead(head) {
-			c.sendPieces(body, s.slow)
+		for sendHead(c, head) && c.sendPieces(body, s.slow) && s.again && time.Now().Before(c.until) {
+			continue
 		}
 	}
 }
@@ -162,36 +182,48 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			size, s := crowd, startTarget(t, memoryMB, descriptors)
-			if *large {
-				size, s = largeCrowd, startTarget(t, largeMemoryMB, largeDescriptors)
-				beside := s.startOrdinary()
-				defer beside.check(t)
-			}
-			var connected, clients sync.WaitGroup
-			connected.Add(size)
-			for i := range size {
-				clients.Go(func() {
-					conn, err := net.DialTimeout("tcp", test.address(s.node), attack)
-					connected.Done()
-					if err != nil {
-						return
-					}
-					connected.Wait()
-					time.Sleep(settle)
-					c := &client{Conn: conn, number: i + 1, until: time.Now().Add(attack)}
-					_ = conn.SetDeadline(c.until)
-					defer func() { _ = c.Close() }()
-					go func() { _, _ = io.Copy(io.Discard, conn) }()
-					test.send(c)
-					// The connection stays open, unless the process closes it.
-					time.Sleep(time.Until(c.until))
-				})
+			playCrowd(t, descriptors, test.address, test.send)
+		})
+	}
+}
+
+// playCrowd plays a crowd against a process with a limit of descriptors, and checks the process.
+func playCrowd(t *testing.T, descriptors int, address func(*world.Node) string, send func(*client)) {
+	t.Helper()
+	size, s := crowd, startTarget(t, memoryMB, descriptors)
+	if *large {
+		size, s = largeCrowd, startTarget(t, largeMemoryMB, largeDescriptors)
+		beside := s.startOrdinary()
+		defer beside.check(t)
+	}
+	attackAddress(address(s.node), size, send)
+	s.check(t)
+}
+
+// attackAddress plays a crowd of a size against an address, and returns when it has ended.
+func attackAddress(address string, size int, send func(*client)) {
+	var connected, clients sync.WaitGroup
+	connected.Add(size)
+	for i := range size {
+		clients.Go(func() {
+			conn, err := net.DialTimeout("tcp", address, attack)
+			connected.Done()
+			if err != nil {
+				return
 			}
-			clients.Wait()
-			s.check(t)
+			connected.Wait()
+			time.Sleep(settle)
+			c := &client{Conn: conn, number: i + 1, until: time.Now().Add(attack)}
+			until := c.until
+			_ = conn.SetDeadline(until)
+			defer func() { _ = c.Close() }()
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+			send(c)
+			// The connection stays open, unless the process closes it.
+			time.Sleep(time.Until(until))
 		})
 	}
+	clients.Wait()
 }
 
 func sendLines(c *client) {
--- a/internal/clients/crowdtest/process_test.go
+++ b/internal/clients/crowdtest/process_test.go
@@ -24,6 +24,8 @@
 const (
 	memoryMB    = 96
 	descriptors = 600
+	// manyDescriptors leaves the memory as the limit that the crowd exceeds.
+	manyDescriptors = 1400
 )
 
 // Crowd and limits of a large play, which takes as many connections as a machine of a deployment has descriptors.
@@ -72,6 +74,12 @@
 	qt.Assert(t, w.StartNodes(), qt.IsNil)
 	n := w.Nodes()[0]
 	s := &target{w: w, node: n, pid: n.PID(), memoryMB: int64(memoryMB), descriptors: int64(descriptors)}
+	watchFiles(t, s.pid, &s.peakFiles)
+	return s
+}
+
+// watchFiles follows the largest number of open descriptors of a process until the test ends.
+func watchFiles(t *testing.T, pid int, peak *atomic.Int64) {
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -80,20 +88,19 @@
 			case <-stop:
 				return
 			case <-time.After(10 * time.Millisecond):
-				if files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", s.pid)); err == nil {
-					s.peakFiles.Store(max(s.peakFiles.Load(), int64(len(files))))
+				if files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil {
+					peak.Store(max(peak.Load(), int64(len(files))))
 				}
 			}
 		}
 	}()
 	t.Cleanup(func() { close(stop); <-stopped })
-	return s
 }
 
-// peakMemory returns the peak of the resident memory in MB.
-func (s *target) peakMemory(t *testing.T) int64 {
+// peakMemory returns the peak of the resident memory of a process in MB.
+func peakMemory(t *testing.T, pid int) int64 {
 	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.pid))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("the process has ended"))
 	for line := range strings.Lines(string(status)) {
 		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
@@ -109,7 +116,7 @@
 // check fails the test unless the process lives within its limits and answers an ordinary request.
 func (s *target) check(t *testing.T) {
 	t.Helper()
-	memory := s.peakMemory(t)
+	memory := peakMemory(t, s.pid)
 	files := s.peakFiles.Load()
 	t.Logf("%s: peak of memory %d MB of %d, of descriptors %d of %d", t.Name(), memory, s.memoryMB, files, s.descriptors)
 	if s.w.OwnEnds() > 0 {
--- a/internal/soak/world/node.go
+++ b/internal/soak/world/node.go
@@ -71,6 +71,12 @@
 // CommandAddress returns the address for commands of leaders.
 func (n *Node) CommandAddress() string { return fmt.Sprintf("%s:%d", n.ip, n.firstPort+3) }
 
+// metricsPort is the default port of the metrics. Each process has an address of its own.
+const metricsPort = 9464
+
+// MetricsAddress returns the address for metrics.
+func (n *Node) MetricsAddress() string { return fmt.Sprintf("%s:%d", n.ip, metricsPort) }
+
 // PID returns the ID of the operating system for the present incarnation of the process.
 func (n *Node) PID() int { return n.current().cmd.Process.Pid }
 
