clients: count what the fields of a head become in memory

Seen by callers: 700 connections that sent heads of legal size (16,384 bytes) with 3,200 short fields made a process with a limit of 96 MB reach 115 to 148 MB, whether a body followed or the requests were answered at once.

Cause: a byte of a head counted as two, but a field of four bytes takes about 140 in the map of the HTTP server. What was read together with the request before it did not count at all.

Change: a line of a head counts as 256 bytes besides its text. What the last read of up to 4 KB, the buffer of the HTTP server, may hold of the next request counts while the connection waits for it.

--- a/internal/clients/budget/budget.go
+++ b/internal/clients/budget/budget.go
@@ -5,12 +5,12 @@
 //
 //	b := budget.New(limits)
 //	c, closed, reason := b.Open(now)          // each accepted connection
-//	closed, reason = b.Receive(c, n, now)     // each read
+//	closed, reason = b.Receive(c, n, lines, now) // each read
 //	b.HeadRead(c, hasBody, now)               // a handler begins
 //	closed, reason = b.Hold(c, n, now)        // each part of a body that is to be buffered
 //	b.BodyRead(c, now)                        // the request is complete
 //	b.Answered(c)                             // the handler has returned
-//	b.Wait(c, now)                            // the connection waits for the next request
+//	closed, reason = b.Wait(c, now)           // the connection waits for the next request
 //	b.Close(c)
 //	for _, e := range b.Expired(now) { ... }  // several times a second
 //
@@ -72,6 +72,11 @@
 	// copied when its buffer grows, and decoded.
 	headCost = 2
 	bodyCost = 3
+	// lineCost is what a line of a head holds in bytes besides its text: an entry of a map and a list of values. A field of four bytes takes
+	// 140.
+	lineCost = 256
+	// readAhead is the size of the buffer of the HTTP server. A larger read goes past it, and holds nothing of the next request.
+	readAhead = 4 << 10
 	// HeadSlack is added to the limit of a head: a read may contain the beginning of the body.
 	HeadSlack = 4 << 10
 	// smallHold is what a request may hold of the memory that is kept free for small requests, and smallShare is the inverse of that part.
@@ -114,6 +119,8 @@
 	// index is the position in the list of the budget.
 	index int
 	held  int64
+	// ahead is what the last read would hold if all of it belonged to the next head.
+	ahead int64
 	// head, wire and payload count the bytes of the head, of the body on the connection, and of the body itself.
 	head, wire, payload int64
 	// since is when the state began, progress when the request last made progress, and arrived what has arrived since then.
@@ -129,6 +136,9 @@
 // Held returns what the connection holds in bytes.
 func (c *Conn) Held() int64 { return c.held }
 
+// CountsLines reports whether n bytes that arrive may belong to a head, so that their lines count.
+func (c *Conn) CountsLines(n int) bool { return c.state != InBody || n <= readAhead }
+
 func (c *Conn) halfRead() bool { return c.state == InHead || c.state == InBody }
 
 // Budget is what the clients of a listener may hold. It is not safe for concurrent use.
@@ -201,8 +211,8 @@
 	return c, closed, None
 }
 
-// Receive records n bytes that arrived on a connection.
-func (b *Budget) Receive(c *Conn, n int64, now time.Duration) (closed []*Conn, reason Reason) {
+// Receive records n bytes that arrived on a connection. If they belong to a head, they end a number of its lines.
+func (b *Budget) Receive(c *Conn, n, lines int64, now time.Duration) (closed []*Conn, reason Reason) {
 	switch c.state {
 	case Ending, Closed:
 		return nil, Evicted
@@ -221,6 +231,11 @@
 		b.setState(c, InHead, now)
 		c.head = 0
 	}
+	cost := n*headCost + lines*lineCost
+	c.ahead = 0
+	if n <= readAhead {
+		c.ahead = cost
+	}
 	c.arrived += n
 	if c.arrived >= progressBytes {
 		c.arrived, c.progress = 0, now
@@ -236,7 +251,7 @@
 		b.end(c)
 		return closed, HeadSize
 	}
-	return b.reserve(closed, c, n*headCost, now)
+	return b.reserve(closed, c, cost, now)
 }
 
 func (b *Budget) checkChunks(c *Conn) Reason {
@@ -316,12 +331,15 @@
 	}
 }
 
-// Wait records that the connection waits for the next request.
-func (b *Budget) Wait(c *Conn, now time.Duration) {
-	if c.state < Ending {
-		b.setState(c, Waiting, now)
-		b.Answered(c)
+// Wait records that the connection waits for the next request. The last read may hold a part of it, which the HTTP server reads without
+// another read of the connection.
+func (b *Budget) Wait(c *Conn, now time.Duration) (closed []*Conn, reason Reason) {
+	if c.state >= Ending {
+		return nil, None
 	}
+	b.setState(c, Waiting, now)
+	b.Answered(c)
+	return b.reserve(nil, c, c.ahead, now)
 }
 
 // Close removes a connection. It may be called again.
--- a/internal/clients/budget/budget_test.go
+++ b/internal/clients/budget/budget_test.go
@@ -67,7 +67,7 @@
 				n := int64(rapid.IntRange(1, 40000).Draw(t, "bytes"))
 				switch step {
 				case 1, 2:
-					closed, reason := b.Receive(c, n, now)
+					closed, reason := b.Receive(c, n, int64(rapid.IntRange(0, 300).Draw(t, "lines")), now)
 					leave(closed)
 					refuse(c, reason)
 				case 3:
@@ -85,7 +85,9 @@
 				case 7:
 					if c.State() == budget.Answering {
 						b.Answered(c)
-						b.Wait(c, now)
+						closed, reason := b.Wait(c, now)
+						leave(closed)
+						refuse(c, reason)
 					}
 				case 8:
 					for _, e := range b.Expired(now) {
@@ -166,7 +168,7 @@
 				if p.state == budget.Waiting {
 					continue
 				}
-				_, reason = b.Receive(c, 600, p.progress)
+				_, reason = b.Receive(c, 600, 0, p.progress)
 				qt.Assert(t, reason, qt.Equals, budget.None)
 				if p.state != budget.InHead {
 					b.HeadRead(c, true, p.progress)
@@ -201,14 +203,14 @@
 		t.Run(name, func(t *testing.T) {
 			b := budget.New(limits)
 			c, _, _ := b.Open(0)
-			_, reason := b.Receive(c, 1, 0)
+			_, reason := b.Receive(c, 1, 0, 0)
 			qt.Assert(t, reason, qt.Equals, budget.None)
 			if test.body {
 				b.HeadRead(c, true, 0)
 			}
 			got := budget.None
 			for now := time.Duration(0); now <= test.until && got == budget.None; now += test.interval {
-				_, reason := b.Receive(c, test.bytes, now)
+				_, reason := b.Receive(c, test.bytes, 0, now)
 				qt.Assert(t, reason, qt.Equals, budget.None)
 				for _, e := range b.Expired(now) {
 					got = e.Reason
@@ -219,6 +221,47 @@
 	}
 }
 
+// TestLines guards against heads of many short fields, which take more memory than their bytes, also if they are read together with the
+// request before them, and against a single head of the largest size that is refused in calm.
+func TestLines(t *testing.T) {
+	const fields = 4096
+	t.Run("single", func(t *testing.T) {
+		own := limits
+		own.Memory = 2 << 20
+		b := budget.New(own)
+		c, _, _ := b.Open(0)
+		_, reason := b.Receive(c, limits.Head, fields, 0)
+		qt.Assert(t, reason, qt.Equals, budget.None)
+		qt.Assert(t, c.Held() > fields*200, qt.IsTrue)
+	})
+	t.Run("many", func(t *testing.T) {
+		b := budget.New(limits)
+		reason := budget.None
+		for range limits.Connections {
+			c, _, opened := b.Open(0)
+			qt.Assert(t, opened, qt.Equals, budget.None)
+			if _, reason = b.Receive(c, 4000, 1000, 0); reason != budget.None {
+				break
+			}
+		}
+		qt.Assert(t, reason, qt.Equals, budget.Memory)
+	})
+	t.Run("read ahead", func(t *testing.T) {
+		b := budget.New(limits)
+		c, _, _ := b.Open(0)
+		empty := c.Held()
+		_, reason := b.Receive(c, 4000, 100, 0)
+		qt.Assert(t, reason, qt.Equals, budget.None)
+		whole := c.Held()
+		b.HeadRead(c, false, 0)
+		b.Answered(c)
+		qt.Assert(t, c.Held(), qt.Equals, empty)
+		_, reason = b.Wait(c, 0)
+		qt.Assert(t, reason, qt.Equals, budget.None)
+		qt.Assert(t, c.Held(), qt.Equals, whole)
+	})
+}
+
 // TestSmallRequestsHaveRoom guards against small requests that are refused because large bodies that all make progress hold the memory.
 func TestSmallRequestsHaveRoom(t *testing.T) {
 	b := budget.New(limits)
@@ -238,7 +281,7 @@
 	qt.Assert(t, refused > 0, qt.IsTrue)
 	c, _, reason := b.Open(0)
 	qt.Assert(t, reason, qt.Equals, budget.None)
-	_, reason = b.Receive(c, 1000, 0)
+	_, reason = b.Receive(c, 1000, 0, 0)
 	qt.Assert(t, reason, qt.Equals, budget.None)
 	b.HeadRead(c, true, 0)
 	_, reason = b.Hold(c, 4000, 0)
@@ -251,14 +294,14 @@
 	c, _, _ := b.Open(0)
 	b.HeadRead(c, true, 0)
 	for range limits.Body / 1024 {
-		_, reason := b.Receive(c, 6*1024, 0)
+		_, reason := b.Receive(c, 6*1024, 0, 0)
 		qt.Assert(t, reason, qt.Equals, budget.None)
 		_, reason = b.Hold(c, 1024, 0)
 		qt.Assert(t, reason, qt.Equals, budget.None)
 	}
 	reason := budget.None
 	for range 1000 {
-		if _, reason = b.Receive(c, 4096, 0); reason != budget.None {
+		if _, reason = b.Receive(c, 4096, 0, 0); reason != budget.None {
 			break
 		}
 	}
--- a/internal/clients/crowdtest/content_test.go
+++ b/internal/clients/crowdtest/content_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
 
+const (
+	// readAhead is what the HTTP server reads together with a request at most.
+	readAhead = 4000
+)
+
 // TestContentCrowds guards against a process that runs out of memory or descriptors because requests of legal size become larger in memory
 // than they were when they were received, or leave something behind while they are answered.
 func TestContentCrowds(t *testing.T) {
@@ -20,6 +26,12 @@
 		"many steps, in pieces":    {front, shape{size: legalBody, content: manySteps, slow: true}.sender()},
 		"many dependencies, whole": {front, shape{size: legalBody, content: manyDependencies, again: true}.sender()},
 		"long number, whole":       {front, shape{size: legalBody, content: longNumber, again: true}.sender()},
+		"many fields, body short":  {front, func(c *client) { c.sendHead(manyFields() + "Content-Length: 10\r\n\r\n{") }},
+		"many fields, again":       {front, func(c *client) { c.repeat([]byte("GET /none HTTP/1.1\r\nHost: none\r\n" + manyFields() + "\r\n")) }},
+		"equal fields, body short": {front, func(c *client) { c.sendHead(equalFields() + "Content-Length: 10\r\n\r\n{") }},
+		"many fields, behind a request": {front, func(c *client) {
+			c.send([]byte("GET /none HTTP/1.1\r\nHost: none\r\n\r\nGET /none HTTP/1.1\r\nHost: none\r\n" + manyFields()[:readAhead]))
+		}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) { playCrowd(t, manyDescriptors, test.address, test.send) })
@@ -50,3 +62,18 @@
 func longNumber(size int) []byte {
 	return filled(`{"spec":"run 10","times":`, `1`, `,"steps":[{"count":1}]}`, size)
 }
+
+// headRoom is left for the other lines of a head.
+const headRoom = 300
+
+// manyFields returns the lines of a head with as many fields of different names as fit.
+func manyFields() string {
+	var out strings.Builder
+	for i := 0; out.Len() < legalHead-headRoom; i++ {
+		out.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
+	}
+	return out.String()
+}
+
+// equalFields returns the lines of a head that repeat one field.
+func equalFields() string { return strings.Repeat("0:\r\n", (legalHead-headRoom)/len("0:\r\n")) }
--- a/internal/clients/crowdtest/limits_test.go
+++ b/internal/clients/crowdtest/limits_test.go
@@ -38,13 +38,15 @@
 	}
 	tests := map[string]struct {
 		rest string
-		// head is the size to which the head is filled, if it is not 0.
-		head  int
-		parts int
-		time  time.Duration
+		// head is the size to which the head is filled, if it is not 0, and fields what comes before that.
+		head   int
+		fields string
+		parts  int
+		time   time.Duration
 	}{
 		"head of the largest size":          {rest: whole(jobBody), head: legalHead, parts: 1},
 		"slow head of the largest size":     {rest: whole(jobBody), head: legalHead, parts: 30, time: headTime - headTimeSlack},
+		"head of the most fields":           {rest: whole(jobBody), head: legalHead, fields: manyFields(), parts: 1},
 		"body of the largest size":          {rest: whole(padded(legalBody)), parts: 1},
 		"steady body of the largest size":   {rest: whole(padded(legalBody)), parts: 100, time: 2500 * time.Millisecond},
 		"large chunks of the largest body":  {rest: chunked(padded(legalBody), 65536), parts: 1},
@@ -56,6 +58,7 @@
 		number++
 		t.Run(name, func(t *testing.T) {
 			head := fmt.Sprintf("POST /q/%016x HTTP/1.1\r\nHost: jobs.example\r\nX-Api-Key: key-of-tenant-a\r\n", number)
+			head += test.fields
 			if test.head > 0 {
 				length := strings.Index(test.rest, "\r\n\r\n") + 4
 				head += "X-Fill: " + strings.Repeat("x", test.head-len(head)-length-len("X-Fill: \r\n")) + "\r\n"
--- a/internal/clients/listener/conn.go
+++ b/internal/clients/listener/conn.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -41,7 +42,11 @@
 		c.lastRead.Store(int64(at))
 		l.mu.Lock()
 		before := c.entry.State()
-		closed, reason := l.budget.Receive(c.entry, int64(n), at)
+		lines := 0
+		if c.entry.CountsLines(n) {
+			lines = bytes.Count(p[:n], []byte{'\n'})
+		}
+		closed, reason := l.budget.Receive(c.entry, int64(n), int64(lines), at)
 		inHead := c.entry.State() == budget.InHead
 		if reason == budget.Evicted {
 			// It was counted when it was closed.
@@ -155,9 +160,15 @@
 }
 
 func (c *Conn) wait() {
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	c.listener.budget.Wait(c.entry, now())
+	l := c.listener
+	l.mu.Lock()
+	closed, reason := l.budget.Wait(c.entry, now())
+	l.count(closed, reason)
+	l.mu.Unlock()
+	end(closed, budget.Evicted)
+	if reason != budget.None {
+		c.end(reason)
+	}
 }
 
 // MessageRead tells the budget that a message of a protocol other than HTTP is complete. The next one begins with the next byte.
