node: limit the lists in requests of other processes

Seen: requests of 131 KB at the port for peers, a job with 131,072 empty steps or a transaction with as many empty rows, made a process with a limit of 96 MB reach 108 to 167 MB.

Cause: the CBOR decoder permits lists of 131,072 elements by default. An empty element takes a byte in the message and up to 200 once it is decoded, and the limits of jobs and transactions were checked afterwards.

Change: a list or map of a request has up to 128 elements. The largest transaction has 100 rows and the largest job 64 steps.

--- a/internal/clients/crowdtest/content_test.go
+++ b/internal/clients/crowdtest/content_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strconv"
 	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/chivetiller/chivetiller/internal/soak/world"
 )
 
 const (
+	// manyElements is the largest number of elements that the CBOR decoder takes in a list by default.
+	manyElements = 131072
 	// readAhead is what the HTTP server reads together with a request at most.
 	readAhead = 4000
 )
@@ -17,7 +22,7 @@
 // TestContentCrowds guards against a process that runs out of memory or descriptors because requests of legal size become larger in memory
 // than they were when they were received, or leave something behind while they are answered.
 func TestContentCrowds(t *testing.T) {
-	front := (*world.Node).Front
+	front, peers := (*world.Node).Front, (*world.Node).PeerAddress
 	tests := map[string]struct {
 		address func(*world.Node) string
 		send    func(*client)
@@ -32,6 +37,9 @@
 		"many fields, behind a request": {front, func(c *client) {
 			c.send([]byte("GET /none HTTP/1.1\r\nHost: none\r\n\r\nGET /none HTTP/1.1\r\nHost: none\r\n" + manyFields()[:readAhead]))
 		}},
+		"peers, many steps": {peers, peerRequest("/submitted", map[int]any{6: make([]struct{}, manyElements)})},
+		"peers, many rows":  {peers, peerRequest("/commit", map[string]any{"Puts": make([]struct{}, manyElements), "Expected": make([]struct{}, manyElements)})},
+		"peers, heads":      {peers, sendLines},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) { playCrowd(t, manyDescriptors, test.address, test.send) })
@@ -77,3 +85,13 @@
 
 // equalFields returns the lines of a head that repeat one field.
 func equalFields() string { return strings.Repeat("0:\r\n", (legalHead-headRoom)/len("0:\r\n")) }
+
+// peerRequest returns a sender that repeats a request of another process.
+func peerRequest(path string, message any) func(*client) {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	request := append(fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: peer\r\nContent-Length: %d\r\n\r\n", path, len(data)), data...)
+	return func(c *client) { c.repeat(request) }
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -44,6 +44,8 @@
 	peerConnections = 4
 	// maxPeerBody is the maximum size of a body in bytes. The largest bodies are transactions.
 	maxPeerBody = 2 << 20
+	// maxListElements limits each list and map of a request. A transaction has up to 100 rows, and a job up to 64 steps.
+	maxListElements = 128
 	// maxQueriedPeers is how many nodes are queried for the leader or the configuration, or to which a transaction is sent.
 	maxQueriedPeers = 3
 )
@@ -438,13 +440,26 @@
 	return f(engine)
 }
 
+// requestMode decodes the requests of other nodes. The default of the library permits lists of 131,072 elements, which take up to 200 times
+// their bytes once they are decoded.
+var requestMode = newRequestMode()
+
+func newRequestMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxListElements, MaxMapPairs: maxListElements}.DecMode()
+	if err != nil {
+		// The options are constants.
+		panic(err)
+	}
+	return mode
+}
+
 // handle registers a function for a path whose request and reply bodies are CBOR.
 func handle[Q, A any](mux *http.ServeMux, path string, f func(context.Context, Q) (A, error)) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var body Q
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPeerBody))
 		if err == nil {
-			err = cbor.Unmarshal(data, &body)
+			err = requestMode.Unmarshal(data, &body)
 		}
 		if clients.WriteRefusal(w, err) {
 			return
