delegate: bound the commands in progress of all connections

Seen: 700 connections that sent complete commands of 200 KB for a worker that does not answer made a process with limits of 96 MB and 1,400 descriptors reach 2,057 MB and 4,863 descriptors.

Cause: a command counted against the budget of the listener until it was read. Afterwards each connection could have 2,048 commands in progress, each with its message and a connection to a worker. The buffers of a connection, about 160 KB, counted as 20 KB.

Change: the commands in progress of all connections share a bound of a quarter of the descriptors and of the memory of the listener. While it is used up, no connection is read, and the message that waits still counts against the connection. A connection for commands counts as 160 KB.

--- a/internal/clients/budget/budget.go
+++ b/internal/clients/budget/budget.go
@@ -25,6 +25,7 @@
 package budget
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -101,6 +102,8 @@
 type Limits struct {
 	// Memory is in bytes.
 	Memory int64
+	// Connection is what a connection holds in bytes at least, and ConnectionCost if it is 0.
+	Connection int64
 	// Connections and HalfRead limit the connections, and those with a half-read request.
 	Connections int
 	HalfRead    int
@@ -113,6 +116,8 @@
 	StallTime time.Duration
 }
 
+func (l *Limits) connection() int64 { return cmp.Or(l.Connection, ConnectionCost) }
+
 // Conn is a connection of a client.
 type Conn struct {
 	state State
@@ -201,13 +206,13 @@
 		}
 		closed = append(closed, b.evict(v))
 	}
-	closed, reason = b.makeRoom(closed, nil, ConnectionCost, b.limits.Memory, now)
+	closed, reason = b.makeRoom(closed, nil, b.limits.connection(), b.limits.Memory, now)
 	if reason != None {
 		return nil, closed, reason
 	}
 	c = &Conn{index: len(b.conns), since: now, progress: now}
 	b.conns = append(b.conns, c)
-	b.hold(c, ConnectionCost)
+	b.hold(c, b.limits.connection())
 	return c, closed, None
 }
 
@@ -290,7 +295,7 @@
 // reserve reserves n bytes. The last part of the memory is for requests that hold little, so that large ones do not keep others out.
 func (b *Budget) reserve(closed []*Conn, c *Conn, n int64, now time.Duration) ([]*Conn, Reason) {
 	limit := b.limits.Memory
-	if c.held+n > ConnectionCost+smallHold {
+	if c.held+n > b.limits.connection()+smallHold {
 		limit -= limit / smallShare
 	}
 	closed, reason := b.makeRoom(closed, c, n, limit, now)
@@ -327,7 +332,7 @@
 // Answered records that the handler has returned, which releases what the request held. The rest of a body may still arrive.
 func (b *Budget) Answered(c *Conn) {
 	if c.state < Ending {
-		b.hold(c, ConnectionCost-c.held)
+		b.hold(c, b.limits.connection()-c.held)
 	}
 }
 
--- a/internal/clients/crowdtest/content_test.go
+++ b/internal/clients/crowdtest/content_test.go
@@ -3,13 +3,18 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/chivetiller/chivetiller/internal/soak/world"
+	"github.com/chivetiller/chivetiller/work"
+	"github.com/chivetiller/chivetiller/worker"
 )
 
 const (
@@ -17,12 +22,15 @@
 	manyElements = 131072
 	// readAhead is what the HTTP server reads together with a request at most.
 	readAhead = 4000
+	// longCommand is less than the processes permit for a command.
+	longCommand = 200_000
 )
 
 // TestContentCrowds guards against a process that runs out of memory or descriptors because requests of legal size become larger in memory
 // than they were when they were received, or leave something behind while they are answered.
 func TestContentCrowds(t *testing.T) {
-	front, peers := (*world.Node).Front, (*world.Node).PeerAddress
+	front, peers, commands := (*world.Node).Front, (*world.Node).PeerAddress, (*world.Node).CommandAddress
+	command := silentCommand(t)
 	tests := map[string]struct {
 		address func(*world.Node) string
 		send    func(*client)
@@ -37,9 +45,10 @@
 		"many fields, behind a request": {front, func(c *client) {
 			c.send([]byte("GET /none HTTP/1.1\r\nHost: none\r\n\r\nGET /none HTTP/1.1\r\nHost: none\r\n" + manyFields()[:readAhead]))
 		}},
-		"peers, many steps": {peers, peerRequest("/submitted", map[int]any{6: make([]struct{}, manyElements)})},
-		"peers, many rows":  {peers, peerRequest("/commit", map[string]any{"Puts": make([]struct{}, manyElements), "Expected": make([]struct{}, manyElements)})},
-		"peers, heads":      {peers, sendLines},
+		"peers, many steps":            {peers, peerRequest("/submitted", map[int]any{6: make([]struct{}, manyElements)})},
+		"peers, many rows":             {peers, peerRequest("/commit", map[string]any{"Puts": make([]struct{}, manyElements), "Expected": make([]struct{}, manyElements)})},
+		"peers, heads":                 {peers, sendLines},
+		"commands, to a silent worker": {commands, func(c *client) { c.repeat(command) }},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) { playCrowd(t, manyDescriptors, test.address, test.send) })
@@ -95,3 +104,17 @@
 	request := append(fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: peer\r\nContent-Length: %d\r\n\r\n", path, len(data)), data...)
 	return func(c *client) { c.repeat(request) }
 }
+
+// silentCommand returns a command for a worker that takes connections and never answers.
+func silentCommand(t *testing.T) []byte {
+	t.Helper()
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = silent.Close() })
+	data, err := cbor.Marshal(map[int]any{
+		1: 1, 3: worker.Target{Life: worker.Life{ID: "w"}, Address: silent.Addr().String()}, 4: 5 * time.Second,
+		6: worker.StartCommand{Task: work.Task{Job: "00000000000000aa"}, Run: 1, Spec: strings.Repeat("x", longCommand)},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return data
+}
--- a/internal/clients/listener/conn.go
+++ b/internal/clients/listener/conn.go
@@ -43,7 +43,7 @@
 		l.mu.Lock()
 		before := c.entry.State()
 		lines := 0
-		if c.entry.CountsLines(n) {
+		if !l.options.Binary && c.entry.CountsLines(n) {
 			lines = bytes.Count(p[:n], []byte{'\n'})
 		}
 		closed, reason := l.budget.Receive(c.entry, int64(n), int64(lines), at)
--- a/internal/clients/listener/listener.go
+++ b/internal/clients/listener/listener.go
@@ -57,6 +57,8 @@
 	// Refuse returns the bytes of the answer to a request that is refused before a handler has begun, if it writes an answer other than the
 	// usual one without a body.
 	Refuse func(r *Refusal) []byte
+	// Binary means that the protocol is not HTTP, so that a message has no lines that become fields.
+	Binary bool
 	Logger hclog.Logger
 }
 
--- a/internal/workers/delegate/delegate_test.go
+++ b/internal/workers/delegate/delegate_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -298,6 +299,62 @@
 	}
 }
 
+// TestCommandLimits guards against commands in progress without a bound, of which each holds its message and a connection to a worker, and
+// against commands that are lost because they have to wait.
+func TestCommandLimits(t *testing.T) {
+	const connections, requests, message = 4, 20, 3000
+	tests := map[string]struct {
+		commands, bytes int64
+		most            int32
+	}{
+		"number": {3, 0, 3},
+		"bytes":  {0, 2*message*commandCost + message, 2},
+		"larger": {0, message, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var running, peak, carried atomic.Int32
+			c := newCommander()
+			c.start = func() (worker.Reply, error) {
+				n := running.Add(1)
+				defer running.Add(-1)
+				for p := peak.Load(); n > p && !peak.CompareAndSwap(p, n); p = peak.Load() {
+					continue
+				}
+				time.Sleep(2 * time.Millisecond)
+				carried.Add(1)
+				return worker.Reply{}, nil
+			}
+			s := NewServer(ServerOptions{Commander: c, Clock: &store.Clock{}, MaxCommands: test.commands, MaxBytes: test.bytes})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			go func() { _ = s.Serve(listener) }()
+			defer s.Close()
+			defer listener.Close()
+			var clients sync.WaitGroup
+			for range connections {
+				clients.Go(func() {
+					conn, err := net.Dial("tcp", listener.Addr().String())
+					qt.Check(t, err, qt.IsNil)
+					defer conn.Close()
+					encoder, decoder := cbor.NewEncoder(conn), cbor.NewDecoder(conn)
+					for i := range requests {
+						qt.Check(t, encoder.Encode(request{Seq: uint64(i), Timeout: time.Second, Start: &worker.StartCommand{Spec: strings.Repeat("x", message)}}), qt.IsNil)
+					}
+					for range requests {
+						var r response
+						qt.Check(t, decoder.Decode(&r), qt.IsNil)
+						qt.Check(t, r.Error, qt.Equals, "")
+					}
+				})
+			}
+			clients.Wait()
+			qt.Assert(t, carried.Load(), qt.Equals, int32(connections*requests))
+			qt.Assert(t, peak.Load() <= test.most, qt.IsTrue, qt.Commentf("%d at once", peak.Load()))
+		})
+	}
+}
+
 // TestMalformedRequests guards against a process that ends because of one malformed message, or of a command that panics.
 func TestMalformedRequests(t *testing.T) {
 	r := newRig(t)
--- a/internal/workers/delegate/server.go
+++ b/internal/workers/delegate/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -11,15 +12,24 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/chivetiller/chivetiller/common/clock"
 	"github.com/chivetiller/chivetiller/store"
 	"github.com/chivetiller/chivetiller/worker"
 )
 
-// maxConcurrent limits the commands of one connection that are in progress. A leader has one renewal and a few commands in progress
-// for each worker.
-const maxConcurrent = 2048
+const (
+	// maxConcurrent limits the commands in progress if the options do not. A leader has one renewal and a few commands in progress for each
+	// worker.
+	maxConcurrent = 2048
+	// maxMessageBytes limits the messages of the commands in progress if the options do not.
+	maxMessageBytes = 16 << 20
+	// commandCost is what a command holds for each byte of its message: it is decoded, encoded for the worker, and buffered.
+	commandCost = 3
+	// maxResponses limits the responses of a connection that wait to be written.
+	maxResponses = 64
+)
 
 // maxTimeout limits the timeout that a request may ask for. The longest command is a renewal that waits for an exit.
 const maxTimeout = 5 * time.Second
@@ -30,12 +40,19 @@
 	Commander worker.Commander
 	Clock     *store.Clock
 	Logger    hclog.Logger
+	// MaxCommands limits the commands of all connections that are in progress. Each takes a connection to a worker. 0 stands for 2,048.
+	MaxCommands int64
+	// MaxBytes limits the memory of the commands in progress. 0 stands for 16 MB.
+	MaxBytes int64
 }
 
 // Server carries the commands of leaders to workers. It is safe for concurrent use.
 type Server struct {
 	options ServerOptions
 	logger  hclog.Logger
+	// commands and bytes are what the commands in progress may take. While one is used up, no connection is read.
+	commands *semaphore.Weighted
+	bytes    *semaphore.Weighted
 	// ctx ends with Close.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -51,8 +68,13 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	o.MaxCommands = cmp.Or(o.MaxCommands, maxConcurrent)
+	o.MaxBytes = cmp.Or(o.MaxBytes, maxMessageBytes)
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{options: o, logger: o.Logger.Named("delegate"), ctx: ctx, cancel: cancel, conns: make(map[net.Conn]bool)}
+	return &Server{
+		options: o, logger: o.Logger.Named("delegate"), ctx: ctx, cancel: cancel, conns: make(map[net.Conn]bool),
+		commands: semaphore.NewWeighted(o.MaxCommands), bytes: semaphore.NewWeighted(o.MaxBytes),
+	}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -116,12 +138,11 @@
 		s.mu.Unlock()
 	}()
 	s.logger.Info("Commands are carried for a leader.", "peer", conn.RemoteAddr())
-	responses := make(chan response, maxConcurrent)
+	responses := make(chan response, maxResponses)
 	var writer, commands sync.WaitGroup
 	writer.Go(func() { writeAll(conn, responses, s.logger) })
-	slots := make(chan struct{}, maxConcurrent)
 	decoder := cbor.NewDecoder(bufio.NewReaderSize(conn, bufferSize))
-	for {
+	for read := 0; ; read = decoder.NumBytesRead() {
 		var r request
 		if err := decoder.Decode(&r); err != nil {
 			if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
@@ -130,13 +151,17 @@
 			s.logger.Info("Connection of a leader has ended.", "peer", conn.RemoteAddr(), "error", err)
 			break
 		}
+		release, err := s.reserve(int64(decoder.NumBytesRead() - read))
+		if err != nil {
+			break
+		}
+		// Until here the message counts against what the connection may hold.
 		if own, ok := conn.(messageReader); ok {
 			own.MessageRead()
 		}
-		slots <- struct{}{}
 		commands.Go(func() {
+			defer release()
 			responses <- s.carry(r)
-			<-slots
 		})
 	}
 	commands.Wait()
@@ -144,6 +169,22 @@
 	writer.Wait()
 }
 
+// reserve waits until a command whose message has a size may be carried out. It fails when the server is closed.
+func (s *Server) reserve(size int64) (release func(), err error) {
+	if err := s.commands.Acquire(s.ctx, 1); err != nil {
+		return nil, err
+	}
+	held := min(size*commandCost, s.options.MaxBytes)
+	if err := s.bytes.Acquire(s.ctx, held); err != nil {
+		s.commands.Release(1)
+		return nil, err
+	}
+	return func() {
+		s.bytes.Release(held)
+		s.commands.Release(1)
+	}, nil
+}
+
 // writeAll encodes values to a connection until the channel is closed. Values that are queued within flushInterval after a write are
 // written together.
 func writeAll[T any](conn net.Conn, values <-chan T, logger hclog.Logger) {
--- a/node/clients.go
+++ b/node/clients.go
@@ -30,6 +30,11 @@
 	defaultMaxBody   = 256 << 10
 	// maxCommand is the size of a command of a leader in bytes. The largest holds the tasks of a worker.
 	maxCommand = 256 << 10
+	// commandConnection is what a connection for commands holds in bytes: a buffer of 64 KB in each direction, and the responses that wait.
+	commandConnection = 160 << 10
+	// commandShare is the inverse of the part of the descriptors that are not for files that commands in progress may use for connections
+	// to workers.
+	commandShare = 4
 	// headTimeSlack is added to the time of the configuration for a head, so that a client that uses all of it is served.
 	headTimeSlack = time.Second
 	// frontReceiveBuffer and peerReceiveBuffer limit what the kernel holds of a connection in bytes. The kernel doubles them. Other
@@ -46,6 +51,8 @@
 	minConnections      int
 	head, body          int64
 	receiveBuffer       int
+	// connection is what a connection holds at least, if it is not [budget.ConnectionCost].
+	connection int64
 }
 
 var rooms = map[string]room{
@@ -54,26 +61,32 @@
 	// The load balancer checks each process once a second. Two or three leaders follow each other within seconds at most.
 	readyListener:    {memory: 8, descriptors: 32, minConnections: 16, head: defaultMaxHeader, body: defaultMaxHeader, receiveBuffer: frontReceiveBuffer},
 	metricsListener:  {memory: 8, descriptors: 32, minConnections: 16, head: defaultMaxHeader, body: defaultMaxHeader, receiveBuffer: frontReceiveBuffer},
-	commandsListener: {memory: 8, descriptors: 32, minConnections: 16, head: maxCommand, receiveBuffer: peerReceiveBuffer},
+	commandsListener: {memory: 8, descriptors: 32, minConnections: 16, head: maxCommand, receiveBuffer: peerReceiveBuffer, connection: commandConnection},
 }
 
-// limits returns the limits of a listener under the configuration in force.
-func (n *Node) limits(name string) budget.Limits {
-	r, own := rooms[name], n.settings.Serving.Clients()
-	if own == (serving.Clients{}) {
-		own = serving.Default().Clients()
-	}
-	memory, descriptors := n.settings.Memory, int64(n.settings.Descriptors)
+// machine returns the memory of the process and its descriptors that are not for files.
+func (n *Node) machine() (memory, descriptors int64) {
+	memory, descriptors = n.settings.Memory, int64(n.settings.Descriptors)
 	if memory <= 0 {
 		memory = defaultMemory
 	}
 	if descriptors <= 0 {
 		descriptors = defaultDescriptors
 	}
+	return memory, descriptors - fileDescriptors
+}
+
+// limits returns the limits of a listener under the configuration in force.
+func (n *Node) limits(name string) budget.Limits {
+	r, own := rooms[name], n.settings.Serving.Clients()
+	if own == (serving.Clients{}) {
+		own = serving.Default().Clients()
+	}
+	memory, descriptors := n.machine()
 	l := budget.Limits{
 		Memory:      int64(own.MemoryShare*float64(memory)) / r.memory,
-		Connections: max(r.minConnections, int((descriptors-fileDescriptors)/r.descriptors)),
-		Head:        r.head, Body: r.body, HeadTime: own.HeadTime, BodyTime: own.BodyTime, StallTime: own.StallTime,
+		Connections: max(r.minConnections, int(descriptors/r.descriptors)), Connection: r.connection,
+		Head: r.head, Body: r.body, HeadTime: own.HeadTime, BodyTime: own.BodyTime, StallTime: own.StallTime,
 	}
 	if name == frontListener {
 		if own.Connections > 0 {
@@ -104,8 +117,7 @@
 		Name: name, Limits: func() budget.Limits { return n.limits(name) }, ReceiveBuffer: rooms[name].receiveBuffer, Logger: n.logger,
 	}
 	if name == commandsListener {
-		// Its protocol is not HTTP.
-		options.Refuse = func(*clients.Refusal) []byte { return nil }
+		options.Binary, options.Refuse = true, func(*clients.Refusal) []byte { return nil }
 	}
 	l, err := clients.Listen(address, options)
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -114,7 +114,11 @@
 		Name: s.Name, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), DataCentre: s.DataCentre, Incarnation: ident.New(), Cores: s.Cores,
 		CommandAddress: s.commandAddress(),
 	}})
-	n.delegate = delegate.NewServer(delegate.ServerOptions{Commander: d.Commander, Clock: n.clock, Logger: d.Logger})
+	_, descriptors := n.machine()
+	n.delegate = delegate.NewServer(delegate.ServerOptions{
+		Commander: d.Commander, Clock: n.clock, Logger: d.Logger,
+		MaxCommands: max(descriptors/commandShare, 1), MaxBytes: n.limits(commandsListener).Memory,
+	})
 	n.sender = delegate.NewSender(delegate.SenderOptions{Direct: d.Commander, Nodes: n.delegates, Cores: s.Cores, Clock: n.clock, Logger: d.Logger})
 	n.peers = newPeers(n)
 	n.source = catalog.NewSource(catalog.SourceOptions{Store: d.Store, Clock: n.clock, Decoder: d.Decoder, Peers: n.peers, Logger: d.Logger})
