logging: bound the buffered log by its bytes

Cause: 8,192 lines could wait for a slow reader of the log, and a line about an unknown queue or key holds the path and the host of the request. With paths of 15 KB that is 123 MB.

Change: the buffer holds up to 4 MB, further lines are dropped and counted as before, and such a line holds 200 bytes of a text of a client.

Evidence: TestBufferedBytes writes 1,000 lines of 16 KB while the reader is blocked: all of them were held before, 64 are now.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -23,6 +23,8 @@
 	// maxBufferedLogLines is the number of log lines that are buffered for a slow reader. Further lines are dropped and
 	// counted.
 	maxBufferedLogLines = 8192
+	// maxBufferedLogBytes holds as many lines of the usual sizes. A line may hold text of a client that takes as much as a head.
+	maxBufferedLogBytes = 4 << 20
 	// memoryLimitShare is the fraction of the memory in the settings that becomes the soft memory limit of the Go
 	// runtime, near which it collects garbage more often.
 	memoryLimitShare = 0.7
@@ -75,7 +77,7 @@
 	if s.Serving, err = serving.Load(ownFile); err != nil {
 		return newUsageError(err)
 	}
-	out := logging.NewBuffered(cmd.OutOrStdout(), maxBufferedLogLines)
+	out := logging.NewBuffered(cmd.OutOrStdout(), maxBufferedLogLines, maxBufferedLogBytes)
 	logger, err := logging.New(out, level, "text")
 	if err != nil {
 		return newUsageError(err)
--- a/common/logging/buffered.go
+++ b/common/logging/buffered.go
@@ -13,36 +13,48 @@
 // Buffered is a writer that passes lines on in the background, so that a slow or missing reader of the log never
 // blocks the program. Lines that do not fit into the buffer are dropped and counted. It is safe for concurrent use.
 type Buffered struct {
-	lines   chan []byte
+	lines    chan []byte
+	maxBytes int64
+	// held counts the bytes of the lines that are not written yet.
+	held    atomic.Int64
 	dropped atomic.Uint64
 	done    sync.WaitGroup
 	mu      sync.RWMutex
 	closed  bool
 }
 
-// NewBuffered returns a writer that buffers up to size lines for w. The caller has to close it.
-func NewBuffered(w io.Writer, size int) *Buffered {
-	b := &Buffered{lines: make(chan []byte, size)}
+// NewBuffered returns a writer that buffers up to a number of lines and of bytes for w. The caller has to close it.
+func NewBuffered(w io.Writer, lines int, bytes int64) *Buffered {
+	b := &Buffered{lines: make(chan []byte, lines), maxBytes: bytes}
 	b.done.Go(func() { b.run(w) })
 	return b
 }
 
 // Write implements [io.Writer]. It never blocks and never fails. Lines written after Close are discarded.
 func (b *Buffered) Write(p []byte) (int, error) {
-	line := append([]byte(nil), p...)
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	if b.closed {
 		return len(p), nil
 	}
+	size := int64(len(p))
+	if b.held.Add(size) > b.maxBytes {
+		b.drop(size)
+		return len(p), nil
+	}
 	select {
-	case b.lines <- line:
+	case b.lines <- bytes.Clone(p):
 	default:
-		b.dropped.Add(1)
+		b.drop(size)
 	}
 	return len(p), nil
 }
 
+func (b *Buffered) drop(size int64) {
+	b.held.Add(-size)
+	b.dropped.Add(1)
+}
+
 // Dropped returns the number of lines dropped so far.
 func (b *Buffered) Dropped() uint64 { return b.dropped.Load() }
 
@@ -71,11 +83,13 @@
 		for range min(len(b.lines), maxBatchLines) {
 			buffer = append(buffer, <-b.lines...)
 		}
+		size := int64(len(buffer))
 		if dropped := b.dropped.Load(); dropped > reported {
 			buffer = fmt.Appendf(buffer, "logging: %d lines were dropped\n", dropped-reported)
 			reported = dropped
 		}
 		b.writeAll(w, buffer)
+		b.held.Add(-size)
 		written = time.Now()
 	}
 }
--- a/common/logging/logging_test.go
+++ b/common/logging/logging_test.go
@@ -66,7 +66,7 @@
 // does not mention.
 func TestBuffered(t *testing.T) {
 	output := &blockedWriter{unblock: make(chan struct{})}
-	b := logging.NewBuffered(output, 2)
+	b := logging.NewBuffered(output, 2, 1<<20)
 	for i := range 100 {
 		_, err := fmt.Fprintf(b, "line %d\n", i)
 		qt.Assert(t, err, qt.IsNil)
@@ -78,6 +78,30 @@
 	qt.Assert(t, output.String(), qt.Contains, "lines were dropped")
 }
 
+// TestBufferedBytes guards against lines with long texts of clients that fill the memory while the log is not read, and against a buffer that
+// drops lines although it has been written.
+func TestBufferedBytes(t *testing.T) {
+	const lines, size, most = 1000, 16 << 10, 1 << 20
+	output := &blockedWriter{unblock: make(chan struct{})}
+	b := logging.NewBuffered(output, lines, most)
+	line := []byte(strings.Repeat("x", size-1) + "\n")
+	for range lines {
+		_, err := b.Write(line)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, b.Dropped(), qt.Equals, uint64(lines-most/size))
+	close(output.unblock)
+	for range 500 {
+		before := b.Dropped()
+		if _, err := b.Write(line); err == nil && b.Dropped() == before {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Assert(t, b.Close(), qt.IsNil)
+	qt.Assert(t, strings.Count(output.String(), string(line)), qt.Equals, most/size+1)
+}
+
 // writes records what each write has.
 type writes []string
 
@@ -90,7 +114,7 @@
 func TestLongWrites(t *testing.T) {
 	var output writes
 	var want strings.Builder
-	b := logging.NewBuffered(&output, 100)
+	b := logging.NewBuffered(&output, 100, 1<<20)
 	for _, size := range append(slices.Repeat([]int{1000}, 20), 6000, 1000, 4096, 1, 4095) {
 		fmt.Fprintln(io.MultiWriter(b, &want), strings.Repeat("x", size-1))
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -113,6 +113,12 @@
 // MaxBody returns the maximum size of a submission in bytes, and 0 if the configuration sets none.
 func (i *Intake) MaxBody() int64 { return i.options.Configuration.Current().MaxBody }
 
+// maxLoggedText is how many bytes of a text of a client go into a log line. A job has an ID of 16 bytes.
+const maxLoggedText = 200
+
+// shorten returns the beginning of a text of a client.
+func shorten(text string) string { return text[:min(len(text), maxLoggedText)] }
+
 // Admit checks the queue and the key of a request.
 func (i *Intake) Admit(host, path, key string) (Admission, Outcome) {
 	arrived, _ := i.storeNow()
@@ -124,13 +130,13 @@
 	}
 	q, ok := c.Match(host, path)
 	if !ok {
-		i.logger.Info("Request matches no queue.", "host", host, "path", path, "config", c.Version, "age", age)
+		i.logger.Info("Request matches no queue.", "host", shorten(host), "path", shorten(path), "config", c.Version, "age", age)
 		return Admission{}, NoQueue
 	}
 	a := Admission{Queue: q, JobPath: path[len(q.Prefix):], ConfigVersion: c.Version, ArrivedAt: arrived}
 	team, known := c.TeamOf(key)
 	if !known && !q.Public {
-		i.logger.Info("Request has no valid key.", "queue", q.Name, "job", a.JobPath, "config", c.Version, "age", age)
+		i.logger.Info("Request has no valid key.", "queue", q.Name, "job", shorten(a.JobPath), "config", c.Version, "age", age)
 		return Admission{}, BadKey
 	}
 	a.Team = team
--- a/internal/clients/crowdtest/content_test.go
+++ b/internal/clients/crowdtest/content_test.go
@@ -20,6 +20,8 @@
 const (
 	// manyElements is the largest number of elements that the CBOR decoder takes in a list by default.
 	manyElements = 131072
+	// longPath leaves room for the rest of a head of the largest size.
+	longPath = 15000
 	// readAhead is what the HTTP server reads together with a request at most.
 	readAhead = 4000
 	// longCommand is less than the processes permit for a command.
@@ -29,7 +31,7 @@
 // TestContentCrowds guards against a process that runs out of memory or descriptors because requests of legal size become larger in memory
 // than they were when they were received, or leave something behind while they are answered.
 func TestContentCrowds(t *testing.T) {
-	front, peers, commands := (*world.Node).Front, (*world.Node).PeerAddress, (*world.Node).CommandAddress
+	front, peers, commands, metrics := (*world.Node).Front, (*world.Node).PeerAddress, (*world.Node).CommandAddress, (*world.Node).MetricsAddress
 	command := silentCommand(t)
 	tests := map[string]struct {
 		address func(*world.Node) string
@@ -48,7 +50,12 @@
 		"peers, many steps":            {peers, peerRequest("/submitted", map[int]any{6: make([]struct{}, manyElements)})},
 		"peers, many rows":             {peers, peerRequest("/commit", map[string]any{"Puts": make([]struct{}, manyElements), "Expected": make([]struct{}, manyElements)})},
 		"peers, heads":                 {peers, sendLines},
+		"metrics, heads":               {metrics, sendLines},
+		"metrics, compressed":          {metrics, func(c *client) { c.repeat([]byte("GET /metrics HTTP/1.1\r\nHost: m\r\nAccept-Encoding: gzip\r\n\r\n")) }},
 		"commands, to a silent worker": {commands, func(c *client) { c.repeat(command) }},
+		"unknown paths, again": {front, func(c *client) {
+			c.repeat([]byte("GET /" + strings.Repeat("x", longPath) + " HTTP/1.1\r\nHost: none\r\n\r\n"))
+		}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) { playCrowd(t, manyDescriptors, test.address, test.send) })
