entry: bound what clients hold by the memory of the machine

Seen by callers: 700 connections that sent bodies of 262,144 bytes to an entry instance with default settings made it reach 116 (sent whole), 235 (sent again and again), 147 (in pieces) and 117 MB (stopped short), with 600 descriptors. An entry instance of today has 284 MB; with its descriptors the callers could hold more, and operators 512 MB of bodies.

Cause: the budgets followed limits.queueBytes and the descriptors only.

Change: callers hold at most a fifth, operators a quarter and scrapers 3 % of limits.memoryBytes, by default of the memory of the machine. On a machine with much memory nothing changes.

TestEntrySingleBodyAtLimit: a single body of the largest size is answered.

--- a/caller/server.go
+++ b/caller/server.go
@@ -79,6 +79,8 @@
 	MaxBody   int
 	// MaxBodies is what callers may hold in bodies at once, in bytes.
 	MaxBodies int64
+	// Memory is the memory of the machine in bytes, which bounds what callers hold, and 0 if it is not known.
+	Memory int64
 	// ReadTimeout is the time limit for receiving the head of a request, and again for receiving its body.
 	ReadTimeout time.Duration
 	// WriteTimeout is the time limit for sending a response.
@@ -139,7 +141,7 @@
 
 // Start listens and serves.
 func (s *Server) Start(context.Context) error {
-	limits := clients.CallerLimits(2*int64(s.options.MaxHeader), int64(s.options.MaxBody), s.options.MaxBodies, s.options.ReadTimeout+clientSlack)
+	limits := clients.CallerLimits(2*int64(s.options.MaxHeader), int64(s.options.MaxBody), s.options.MaxBodies, s.options.ReadTimeout+clientSlack, s.options.Memory)
 	bounded, err := clients.Listen(s.options.Address, clients.Options{
 		Name: "callers", Limits: func() budget.Limits { return limits }, Logger: s.logger,
 		// The connection on top sends a problem document.
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -50,6 +51,9 @@
 }
 
 func runEntry(s settings.Settings, logger hclog.Logger) error {
+	if memory := s.Limits().MemoryBytes; memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory)))
+	}
 	address, err := url.Parse(s.Platform().URL)
 	if err != nil {
 		return newUsageError(err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -28,6 +29,7 @@
 	"github.com/chivetiller/chivetiller/dispatch/connection"
 	"github.com/chivetiller/chivetiller/duty"
 	"github.com/chivetiller/chivetiller/endpoint"
+	clients "github.com/chivetiller/chivetiller/internal/clients/listener"
 	"github.com/chivetiller/chivetiller/job"
 	"github.com/chivetiller/chivetiller/kernel"
 	"github.com/chivetiller/chivetiller/lease"
@@ -94,6 +96,8 @@
 	// holderID identifies this process as the holder of leases and allotments, and as the owner of claims.
 	holderID string
 	services Services
+	// memory is the memory of the machine in bytes, and 0 if it is not known.
+	memory int64
 	// dutyNames are the names of all duties that this entry instance may run.
 	dutyNames []string
 	// burnHistory is the object store with the burn history.
@@ -128,6 +132,7 @@
 		// The holder is a process: its successor has the same instance name but must not have its leases and allotments.
 		holderID:  o.Settings.Name() + "#" + ident.New(),
 		services:  o.Platform,
+		memory:    cmp.Or(o.Settings.Limits().MemoryBytes, clients.MachineMemory()),
 		dutyNames: duty.Names([]string{o.Settings.DataCentre()}),
 	}
 	if err := e.buildServices(o); err != nil {
@@ -190,6 +195,7 @@
 		MaxHeader:   s.Limits().HeaderBytes,
 		MaxBody:     int(s.Limits().BodyBytes),
 		MaxBodies:   s.Limits().QueueBytes,
+		Memory:      e.memory,
 		ReadTimeout: s.Limits().ReadTimeout,
 		StopDelay:   s.Stop().BalancerWait,
 		Ready:       e.Ready,
@@ -242,6 +248,7 @@
 		Store:        e.store,
 		Source:       e.source,
 		BootstrapKey: o.Settings.Operators().BootstrapKey,
+		Memory:       e.memory,
 		Logger:       o.Logger,
 	}
 	if e.node != nil {
@@ -326,7 +333,7 @@
 		}
 	}
 	if address := e.settings.Listen().Metrics; address != "" {
-		services = append(services, newMetricsServer(address, e.metrics, e.logger).service())
+		services = append(services, newMetricsServer(address, e.memory, e.metrics, e.logger).service())
 	}
 	for _, s := range services {
 		if err := e.kernel.Register(s); err != nil {
--- a/entry/services.go
+++ b/entry/services.go
@@ -144,14 +144,16 @@
 // metricsServer serves the metrics over HTTP.
 type metricsServer struct {
 	address string
-	server  *http.Server
-	logger  hclog.Logger
+	// memory is the memory of the machine in bytes.
+	memory int64
+	server *http.Server
+	logger hclog.Logger
 }
 
-func newMetricsServer(address string, set *metrics.Set, logger hclog.Logger) *metricsServer {
+func newMetricsServer(address string, memory int64, set *metrics.Set, logger hclog.Logger) *metricsServer {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", set.Handler())
-	return &metricsServer{address: address, server: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}, logger: logger}
+	return &metricsServer{address: address, memory: memory, server: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}, logger: logger}
 }
 
 func (m *metricsServer) service() kernel.Service {
@@ -159,7 +161,7 @@
 }
 
 func (m *metricsServer) start(context.Context) error {
-	limits := clients.ScraperLimits()
+	limits := clients.ScraperLimits(m.memory)
 	listener, err := clients.Listen(m.address, clients.Options{Name: "metrics", Limits: func() budget.Limits { return limits }, Logger: m.logger})
 	if err != nil {
 		return eris.Wrap(err, "listen for metrics")
--- a/internal/clients/listener/process.go
+++ b/internal/clients/listener/process.go
@@ -34,6 +34,27 @@
 	scraperTime = 10 * time.Second
 )
 
+// memoryShares are the parts of the memory of the machine that the clients of a role may hold: less than half in sum. Of the share of
+// operators three quarters are for large requests. At 284 MB they hold a request of the largest size, which counts as 48 MB.
+var memoryShares = map[Role]float64{Callers: 0.2, Operators: 0.25, Scrapers: 0.03}
+
+// MachineMemory returns the memory of the machine in bytes, and 0 if it is not known.
+func MachineMemory() int64 {
+	var info syscall.Sysinfo_t
+	if err := syscall.Sysinfo(&info); err != nil {
+		return 0
+	}
+	return int64(info.Totalram) * int64(info.Unit)
+}
+
+// bounded returns limits whose memory is not above the share of a role of the memory of the machine in bytes, which is 0 if it is not known.
+func bounded(l budget.Limits, r Role, machine int64) budget.Limits {
+	if machine > 0 {
+		l.Memory = min(l.Memory, int64(memoryShares[r]*float64(machine)))
+	}
+	return l
+}
+
 // divisors are the inverse parts of the descriptors of the process by role.
 var divisors = map[Role]int{Callers: 2, Operators: 16, Scrapers: 32}
 
@@ -47,29 +68,30 @@
 	return max(minConnections, descriptors/divisors[r])
 }
 
-// OperatorLimits returns the limits of a listener for operators whose requests have bodies of up to a size and arrive within a time.
-func OperatorLimits(body int64, arrival time.Duration) budget.Limits {
+// OperatorLimits returns the limits of a listener for operators whose requests have bodies of up to a size and arrive within a time, on a
+// machine with a memory in bytes.
+func OperatorLimits(body int64, arrival time.Duration, machine int64) budget.Limits {
 	n := connections(Operators)
-	return budget.Limits{
+	return bounded(budget.Limits{
 		Memory: int64(n)*budget.ConnectionCost + bodiesAtOnce*4*body, Connections: n, HalfRead: n, Head: MaxHeaderBytes, Body: body,
 		HeadTime: arrival, BodyTime: arrival, StallTime: arrival,
-	}
+	}, Operators, machine)
 }
 
-// CallerLimits returns the limits of a listener for callers that may hold bodies of a size in sum.
-func CallerLimits(head, body, bodies int64, arrival time.Duration) budget.Limits {
+// CallerLimits returns the limits of a listener for callers that may hold bodies of a size in sum, on a machine with a memory in bytes.
+func CallerLimits(head, body, bodies int64, arrival time.Duration, machine int64) budget.Limits {
 	n := connections(Callers)
-	return budget.Limits{
+	return bounded(budget.Limits{
 		Memory: int64(n)*budget.ConnectionCost + 4*max(bodies, body), Connections: n, HalfRead: n - n/4, Head: head, Body: body,
 		HeadTime: arrival, BodyTime: arrival, StallTime: arrival,
-	}
+	}, Callers, machine)
 }
 
-// ScraperLimits returns the limits of a listener for metrics.
-func ScraperLimits() budget.Limits {
+// ScraperLimits returns the limits of a listener for metrics, on a machine with a memory in bytes.
+func ScraperLimits(machine int64) budget.Limits {
 	n := connections(Scrapers)
-	return budget.Limits{
+	return bounded(budget.Limits{
 		Memory: int64(n)*budget.ConnectionCost + scraperRoom, Connections: n, HalfRead: n, Head: scraperBody, Body: scraperBody,
 		HeadTime: scraperTime, BodyTime: scraperTime, StallTime: scraperTime,
-	}
+	}, Scrapers, machine)
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -55,6 +55,8 @@
 	Fleet Fleet
 	// BootstrapKey is accepted as long as the configuration holds no operator key. It may be empty.
 	BootstrapKey string
+	// Memory is the memory of the machine in bytes, which bounds what operators hold, and 0 if it is not known.
+	Memory int64
 	// Wait bounds how long a change waits until it is in force everywhere.
 	Wait   time.Duration
 	Logger hclog.Logger
@@ -130,7 +132,7 @@
 		}
 		s.listener = listener
 	}
-	limits := clients.OperatorLimits(maxBodyBytes, readTimeout+time.Second)
+	limits := clients.OperatorLimits(maxBodyBytes, readTimeout+time.Second, s.options.Memory)
 	bounded := clients.Wrap(s.listener, clients.Options{
 		Name: "operators", Limits: func() budget.Limits { return limits }, Logger: s.logger,
 		// An answer that is not encrypted would be an error in the protocol of TLS.
--- a/settings/check.go
+++ b/settings/check.go
@@ -151,8 +151,15 @@
 		}
 	}
 	c.requirePositive("limits.readTimeout", l.ReadTimeout)
+	if l.MemoryBytes != 0 && l.MemoryBytes/minMemoryFactor < l.BodyBytes {
+		c.addf("limits.memoryBytes", "%d is less than %d times limits.bodyBytes, so that callers would not have room for a body", l.MemoryBytes, minMemoryFactor)
+	}
 }
 
+// minMemoryFactor is the part of the memory that has room for a body: callers have a fifth of it, three quarters of that are for large
+// requests, and a byte of a body counts as three.
+const minMemoryFactor = 21
+
 func (c *checker) requireValue(path, value string) {
 	if value == "" {
 		c.addf(path, "is missing")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,12 +89,14 @@
 
 // LimitsSpec holds the limits on the size and duration of requests, and on the requests that wait in queues.
 type LimitsSpec struct {
-	HeaderBytes   int           `yaml:"headerBytes"`
-	BodyBytes     int64         `yaml:"bodyBytes"`
-	ResponseBytes int64         `yaml:"responseBytes"`
-	QueueRequests int           `yaml:"queueRequests"`
-	QueueBytes    int64         `yaml:"queueBytes"`
-	ReadTimeout   time.Duration `yaml:"readTimeout"`
+	HeaderBytes   int   `yaml:"headerBytes"`
+	BodyBytes     int64 `yaml:"bodyBytes"`
+	ResponseBytes int64 `yaml:"responseBytes"`
+	QueueRequests int   `yaml:"queueRequests"`
+	QueueBytes    int64 `yaml:"queueBytes"`
+	// MemoryBytes is the memory of the process, and 0 for the memory of the machine. It bounds what callers and operators hold.
+	MemoryBytes int64         `yaml:"memoryBytes"`
+	ReadTimeout time.Duration `yaml:"readTimeout"`
 }
 
 // KeysSpec holds the settings of how long keys are trusted after the last confirmation of the configuration.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -49,6 +49,8 @@
 		"no certificates":  {text: valid + "peers:\n- {name: b, address: '127.0.0.1:1'}\n", want: `(?s)entry\.yaml: certificates\.authority: is missing.*`},
 		"negative":         {text: valid + "allotments:\n  term: -1s\n", want: `entry\.yaml:12: allotments\.term: -1s is not greater than 0`},
 		"short allotments": {text: valid + "  whenCutOff: bounded\n  term: 5m\n", want: `entry\.yaml: allotments\.term: 30s is shorter than keys\.term 5m0s, so that keyed work would end before`},
+		"little memory":    {text: valid + "limits:\n  memoryBytes: 20000000\n", want: `entry\.yaml:12: limits\.memoryBytes: 20000000 is less than 21 times limits\.bodyBytes, so that callers would not have room for a body`},
+		"no memory":        {text: valid + "limits:\n  memoryBytes: -1\n", want: `entry\.yaml:12: limits\.memoryBytes: -1 is less than .*`},
 		"two faults":       {text: valid + "log:\n  level: loud\n  format: xml\n", want: "entry.yaml:12: log.level: \"loud\" is not one of .*\nentry.yaml:13: log.format: \"xml\" is not one of .*"},
 		"empty":            {text: "", want: `(?s)entry\.yaml: name: is missing.*platform\.url: is missing`},
 		"shared address":   {text: "name: a\ndataCentre: b\nlisten: {callers: '127.0.0.1:1', operators: '127.0.0.1:1', peers: '127.0.0.1:1'}\nplatform: {url: 'http://127.0.0.1:9'}\n", want: `entry\.yaml:3: listen\.operators: 127\.0\.0\.1:1 is also the address of listen\.callers`},
