--- a/internal/clients/crowdtest/content_test.go
+++ b/internal/clients/crowdtest/content_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -47,6 +48,7 @@
 		"many fields, behind a request": {front, func(c *client) {
 			c.send([]byte("GET /none HTTP/1.1\r\nHost: none\r\n\r\nGET /none HTTP/1.1\r\nHost: none\r\n" + manyFields()[:readAhead]))
 		}},
+		"all kinds, opened again":      {front, sendAllKinds},
 		"peers, many steps":            {peers, peerRequest("/submitted", map[int]any{6: make([]struct{}, manyElements)})},
 		"peers, many rows":             {peers, peerRequest("/commit", map[string]any{"Puts": make([]struct{}, manyElements), "Expected": make([]struct{}, manyElements)})},
 		"peers, heads":                 {peers, sendLines},
@@ -102,6 +104,44 @@
 // equalFields returns the lines of a head that repeat one field.
 func equalFields() string { return strings.Repeat("0:\r\n", (legalHead-headRoom)/len("0:\r\n")) }
 
+// sendAllKinds sends heads and bodies of all kinds by turns, each over a new connection.
+func sendAllKinds(c *client) {
+	kinds := []func(*client){
+		func(c *client) { c.sendHead("X-Fill: " + strings.Repeat("x", largeHead)) },
+		sendLines,
+		func(c *client) { c.repeat(bytes.Repeat([]byte("\r\n"), 500)) },
+		shape{size: legalBody, short: true}.sender(),
+		shape{size: legalBody, chunk: 65536, short: true}.sender(),
+		shape{size: smallBody, chunk: 1, short: true}.sender(),
+		shape{size: legalBody, content: manySteps}.sender(),
+		func(c *client) { c.sendHead(manyFields() + "Content-Length: 10\r\n\r\n{") },
+	}
+	until := c.until
+	for i := c.number; time.Now().Before(until); i++ {
+		c.until = time.Now().Add(reopenTime)
+		kinds[i%len(kinds)](c)
+		if !c.reopen(until) {
+			return
+		}
+	}
+}
+
+// reopenTime is how long a connection of a kind is used before it is closed and opened again.
+const reopenTime = 150 * time.Millisecond
+
+// reopen replaces the connection of the client by a new one.
+func (c *client) reopen(until time.Time) bool {
+	conn, err := net.DialTimeout("tcp", c.RemoteAddr().String(), time.Until(until))
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	c.Conn = conn
+	_ = conn.SetDeadline(until)
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	return true
+}
+
 // peerRequest returns a sender that repeats a request of another process.
 func peerRequest(path string, message any) func(*client) {
 	data, err := cbor.Marshal(message)
