--- a/internal/clients/crowdtest/content_test.go
+++ b/internal/clients/crowdtest/content_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -48,13 +49,15 @@
 		"many fields, behind a request": {front, func(c *client) {
 			c.send([]byte("GET /none HTTP/1.1\r\nHost: none\r\n\r\nGET /none HTTP/1.1\r\nHost: none\r\n" + manyFields()[:readAhead]))
 		}},
-		"all kinds, opened again":      {front, sendAllKinds},
-		"peers, many steps":            {peers, peerRequest("/submitted", map[int]any{6: make([]struct{}, manyElements)})},
-		"peers, many rows":             {peers, peerRequest("/commit", map[string]any{"Puts": make([]struct{}, manyElements), "Expected": make([]struct{}, manyElements)})},
-		"peers, heads":                 {peers, sendLines},
-		"metrics, heads":               {metrics, sendLines},
-		"metrics, compressed":          {metrics, func(c *client) { c.repeat([]byte("GET /metrics HTTP/1.1\r\nHost: m\r\nAccept-Encoding: gzip\r\n\r\n")) }},
-		"commands, to a silent worker": {commands, func(c *client) { c.repeat(command) }},
+		"all kinds, opened again":       {front, sendAllKinds},
+		"peers, many steps":             {peers, peerRequest("/submitted", map[int]any{6: make([]struct{}, manyElements)})},
+		"peers, many rows":              {peers, peerRequest("/commit", map[string]any{"Puts": make([]struct{}, manyElements), "Expected": make([]struct{}, manyElements)})},
+		"peers, heads":                  {peers, sendLines},
+		"metrics, heads":                {metrics, sendLines},
+		"metrics, compressed":           {metrics, func(c *client) { c.repeat([]byte("GET /metrics HTTP/1.1\r\nHost: m\r\nAccept-Encoding: gzip\r\n\r\n")) }},
+		"commands, to a silent worker":  {commands, func(c *client) { c.repeat(command) }},
+		"states of unknown jobs, again": {front, func(c *client) { c.repeat([]byte(c.request(http.MethodGet))) }},
+		"cancellations, again":          {front, func(c *client) { c.repeat([]byte(c.request(http.MethodDelete))) }},
 		"unknown paths, again": {front, func(c *client) {
 			c.repeat([]byte("GET /" + strings.Repeat("x", longPath) + " HTTP/1.1\r\nHost: none\r\n\r\n"))
 		}},
@@ -64,6 +67,26 @@
 	}
 }
 
+// TestCrowdsWithSilentStore guards against a process that runs out of descriptors or memory because requests of clients wait for the store,
+// each with connections of its own to the store and to other processes.
+func TestCrowdsWithSilentStore(t *testing.T) {
+	job := "Content-Length: " + strconv.Itoa(len(jobBody)) + "\r\n\r\n" + jobBody
+	tests := map[string]func(*client){
+		"submissions":   func(c *client) { c.repeat(fmt.Appendf(nil, submission+"%s", c.number, job)) },
+		"states":        func(c *client) { c.repeat([]byte(c.request(http.MethodGet))) },
+		"cancellations": func(c *client) { c.repeat([]byte(c.request(http.MethodDelete))) },
+	}
+	for name, send := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := startTarget(t, memoryMB, manyDescriptors)
+			s.w.Store().SetDown(true)
+			attackAddress(s.node.Front(), crowd, send)
+			s.w.Store().SetDown(false)
+			s.check(t)
+		})
+	}
+}
+
 // longSpec returns a body that ends within a long specification.
 func longSpec(size int) []byte {
 	return append([]byte(`{"spec":"`), bytes.Repeat([]byte("x"), size-len(`{"spec":"`))...)
@@ -142,6 +165,11 @@
 	return true
 }
 
+// request returns a request without a body for a job that does not exist.
+func (c *client) request(method string) string {
+	return fmt.Sprintf("%s /q/%016x HTTP/1.1\r\nHost: jobs.example\r\nX-Api-Key: key-of-tenant-a\r\n\r\n", method, c.number)
+}
+
 // peerRequest returns a sender that repeats a request of another process.
 func peerRequest(path string, message any) func(*client) {
 	data, err := cbor.Marshal(message)
