node, crowdtest: processes of tests have an IP address of their own

A run of the package node failed once in 24 with GOMAXPROCS=4 beside load (TestWhere, listen tcp 127.0.0.1:34707: address already in use): the test took a port for clients, closed it, and got the same one for peers, since it looked for each port by itself. Another test or the local end of a connection could take it as well. Each process now has a loopback address that no other one uses, and fixed ports.

--- a/internal/clients/crowdtest/entry_test.go
+++ b/internal/clients/crowdtest/entry_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -56,7 +56,11 @@
 	_, err = pool.NewStore(platform.Table()).Adopt(t.Context(), time.Now(), listed, "desk")
 	qt.Assert(t, err, qt.IsNil)
 
-	s := &entryTarget{callers: freeAddress(t), operators: freeAddress(t), metrics: freeAddress(t), peers: freeUDPAddress(t)}
+	ip := entryIP()
+	s := &entryTarget{
+		callers: fmt.Sprintf("%s:%d", ip, callersPort), operators: fmt.Sprintf("%s:%d", ip, operatorsPort),
+		metrics: fmt.Sprintf("%s:%d", ip, metricsPort), peers: fmt.Sprintf("%s:%d", ip, peersPort),
+	}
 	dir := t.TempDir()
 	settings := filepath.Join(dir, "entry.yaml")
 	text := fmt.Sprintf(`name: north-1
@@ -114,20 +118,17 @@
 	qt.Assert(t, string(answer), qt.Equals, body)
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, l.Close(), qt.IsNil)
-	return l.Addr().String()
-}
+// Ports of the entry instance, which has an IP address of its own.
+const (
+	callersPort = 8110 + iota
+	operatorsPort
+	peersPort
+	metricsPort
+)
 
-func freeUDPAddress(t *testing.T) string {
-	t.Helper()
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, conn.Close(), qt.IsNil)
-	return conn.LocalAddr().String()
+// entryIP returns a loopback address that no other process uses, so that its ports are free.
+func entryIP() string {
+	return fmt.Sprintf("127.%d.%d.%d", 200+rand.IntN(50), rand.IntN(250), 1+rand.IntN(250))
 }
 
 // check fails the test unless the process lives within its limits and answers an ordinary request.
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -4,11 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,25 +147,22 @@
 	stores  []*memory.View
 }
 
-func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
+// Ports of the nodes. Each has an IP address of its own.
+const (
+	clientPort = 8340 + iota
+	readyPort
+	metricsPort
+	peerPort
+)
 
-// freePeerPort returns a port that is free together with the next one, which a node uses for commands.
-func freePeerPort(t *testing.T) int {
-	for range 20 {
-		port := freePort(t)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
-		if err == nil {
-			qt.Assert(t, l.Close(), qt.IsNil)
-			return port
-		}
-	}
-	t.Fatal("no two adjacent ports are free")
-	return 0
+// lastNode counts the nodes of this process.
+var lastNode atomic.Uint32
+
+// nodeIP returns a loopback address that no other node of the tests has. A port that is free on an address that others use may be taken by
+// another test, or by the local end of a connection, before the node listens on it.
+func nodeIP() string {
+	n, pid := lastNode.Add(1), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+n/250%60, n%250, 1+pid%250)
 }
 
 func newCluster(t *testing.T, size int) *cluster {
@@ -184,9 +182,10 @@
 	}})
 	qt.Assert(t, err, qt.IsNil)
 	for i := range size {
-		address := func() string { return fmt.Sprintf("127.0.0.1:%d", freePort(t)) }
+		ip := nodeIP()
 		s := Settings{
-			Name: fmt.Sprintf("n%d", i), IP: "127.0.0.1", DataCentre: fmt.Sprint("z", i%2), ClientAddress: address(), ReadyAddress: address(), PeerPort: freePeerPort(t), MetricsPort: freePort(t),
+			Name: fmt.Sprintf("n%d", i), IP: ip, DataCentre: fmt.Sprint("z", i%2),
+			ClientAddress: fmt.Sprintf("%s:%d", ip, clientPort), ReadyAddress: fmt.Sprintf("%s:%d", ip, readyPort), PeerPort: peerPort, MetricsPort: metricsPort,
 			Bounds: scheduler.Bounds{MaxLease: 10 * time.Second, ConfigDelay: 2 * time.Second, ConfigOutageDelay: 5 * time.Second, Retention: time.Minute, ShutdownGrace: 4 * time.Second},
 		}
 		own := memory.NewView(c.store)
@@ -246,7 +245,7 @@
 			eventually(t, 5*time.Second, func() bool { return finished(t, n, fmt.Sprintf("job%d", i)) })
 		}
 	}
-	response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", c.nodes[0].settings.MetricsPort))
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", c.nodes[0].settings.IP, metricsPort))
 	qt.Assert(t, err, qt.IsNil)
 	body, err := io.ReadAll(response.Body)
 	response.Body.Close()
--- a/node/where_integration_test.go
+++ b/node/where_integration_test.go
@@ -20,7 +20,7 @@
 // ask posts a document to the metrics listener of a node, and decodes the answer into to.
 func ask(t *testing.T, n *Node, document string, to any) int {
 	t.Helper()
-	response, err := http.Post(fmt.Sprintf("http://127.0.0.1:%d%s", n.settings.MetricsPort, whereabouts.Path), "application/json", bytes.NewReader([]byte(document)))
+	response, err := http.Post(fmt.Sprintf("http://%s:%d%s", n.settings.IP, metricsPort, whereabouts.Path), "application/json", bytes.NewReader([]byte(document)))
 	qt.Assert(t, err, qt.IsNil)
 	defer response.Body.Close()
 	qt.Assert(t, json.NewDecoder(response.Body).Decode(to), qt.IsNil)
