--- a/common/logging/logging.go
+++ b/common/logging/logging.go
@@ -36,6 +36,9 @@
 	}), nil
 }
 
+// Shorten returns the first bytes of a text that comes from a client or another process, at most a number of them.
+func Shorten(text string, most int) string { return text[:min(len(text), most)] }
+
 // maxLimiterKeys bounds the memory of a Limiter whose keys come from clients or peers. All keys are cleared when the
 // limit is reached.
 const maxLimiterKeys = 1024
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -20,6 +20,7 @@
 
 	"github.com/chivetiller/chivetiller/catalog"
 	"github.com/chivetiller/chivetiller/common/clock"
+	"github.com/chivetiller/chivetiller/common/logging"
 	"github.com/chivetiller/chivetiller/internal/jobs/refusal"
 	"github.com/chivetiller/chivetiller/internal/store/latency"
 	"github.com/chivetiller/chivetiller/internal/store/rowkeys"
@@ -116,9 +117,6 @@
 // maxLoggedText is how many bytes of a text of a client go into a log line. A job has an ID of 16 bytes.
 const maxLoggedText = 200
 
-// shorten returns the beginning of a text of a client.
-func shorten(text string) string { return text[:min(len(text), maxLoggedText)] }
-
 // Admit checks the queue and the key of a request.
 func (i *Intake) Admit(host, path, key string) (Admission, Outcome) {
 	arrived, _ := i.storeNow()
@@ -130,13 +128,13 @@
 	}
 	q, ok := c.Match(host, path)
 	if !ok {
-		i.logger.Info("Request matches no queue.", "host", shorten(host), "path", shorten(path), "config", c.Version, "age", age)
+		i.logger.Info("Request matches no queue.", "host", logging.Shorten(host, maxLoggedText), "path", logging.Shorten(path, maxLoggedText), "config", c.Version, "age", age)
 		return Admission{}, NoQueue
 	}
 	a := Admission{Queue: q, JobPath: path[len(q.Prefix):], ConfigVersion: c.Version, ArrivedAt: arrived}
 	team, known := c.TeamOf(key)
 	if !known && !q.Public {
-		i.logger.Info("Request has no valid key.", "queue", q.Name, "job", shorten(a.JobPath), "config", c.Version, "age", age)
+		i.logger.Info("Request has no valid key.", "queue", q.Name, "job", logging.Shorten(a.JobPath, maxLoggedText), "config", c.Version, "age", age)
 		return Admission{}, BadKey
 	}
 	a.Team = team
--- a/internal/clients/budget/budget.go
+++ b/internal/clients/budget/budget.go
@@ -4,15 +4,15 @@
 // # Usage
 //
 //	b := budget.New(limits)
-//	c, closed, reason := b.Open(now)          // each accepted connection
+//	c, closed, reason := b.Open(now)             // each accepted connection
 //	closed, reason = b.Receive(c, n, lines, now) // each read
-//	b.HeadRead(c, hasBody, now)               // a handler begins
-//	closed, reason = b.Hold(c, n, now)        // each part of a body that is to be buffered
-//	b.BodyRead(c, now)                        // the request is complete
-//	b.Answered(c)                             // the handler has returned
-//	closed, reason = b.Wait(c, now)           // the connection waits for the next request
+//	b.HeadRead(c, hasBody, now)                  // a handler begins
+//	closed, reason = b.Hold(c, n, now)           // each part of a body that is to be buffered
+//	b.BodyRead(c, now)                           // the request is complete
+//	b.Answered(c)                                // the handler has returned
+//	closed, reason = b.Wait(c, now)              // the connection waits for the next request
 //	b.Close(c)
-//	for _, e := range b.Expired(now) { ... }  // several times a second
+//	for _, e := range b.Expired(now) { ... }     // several times a second
 //
 // A reason that is not None means that the request is refused and its connection ends. The returned connections are to be closed to make
 // room for the call.
