--- a/peer/connect.go
+++ b/peer/connect.go
@@ -194,6 +194,7 @@
 		if err != nil {
 			return
 		}
+		n.handshakes.Complete(conn.Context())
 		n.tasks.Go(func() {
 			if err := n.acceptPeer(ctx, conn); err != nil {
 				n.logger.Debug("Connection from a peer was refused.", "address", conn.RemoteAddr().String(), "error", err)
--- a/peer/node.go
+++ b/peer/node.go
@@ -14,6 +14,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
+
+	"github.com/chivetiller/chivetiller/internal/clients/handshakes"
 )
 
 // Application error codes with which connections are closed.
@@ -41,6 +43,7 @@
 	certificates  *certificateLoader
 	conn          *countingConn
 	transport     *quic.Transport
+	handshakes    *handshakes.Limit
 	listener      *quic.Listener
 	cancel        context.CancelFunc
 	tasks         sync.WaitGroup
@@ -110,7 +113,8 @@
 		}
 	}
 	n.conn = &countingConn{conn: conn}
-	n.transport = &quic.Transport{Conn: n.conn}
+	n.handshakes = handshakes.New(maxHandshakes, n.isDialTarget)
+	n.transport = &quic.Transport{Conn: n.conn, ConnContext: n.handshakes.Begin, VerifySourceAddress: n.handshakes.MustVerify}
 	listener, err := n.transport.Listen(n.certificates.serverConfig(), n.quicConfig())
 	if err != nil {
 		_ = conn.Close()
@@ -150,6 +154,16 @@
 	}
 }
 
+// maxHandshakes limits the handshakes with clients that are not known as peers. Each is held for up to requestTimeout.
+const maxHandshakes = 64
+
+// isDialTarget reports whether an address is that of a peer. Peers dial from the address at which they listen.
+func (n *Node) isDialTarget(address net.Addr) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dialTargets[address.String()] != nil
+}
+
 // Stop announces that this node leaves, as [Node.Leave] does, and closes all connections.
 func (n *Node) Stop(ctx context.Context) error {
 	if n.cancel == nil {
