--- a/review/standin-3/case_crashes.go
+++ b/review/standin-3/case_crashes.go
@@ -11,10 +11,10 @@
 const (
 	crashWorkers = 12
 	// crashEvery is the time between two crashes of a rack, and crashFor how long its workers are down.
-	crashEvery = 3 * time.Second
-	crashFor   = 1200 * time.Millisecond
-	crashJobs  = 6
-	crashTasks = 72
+	crashEvery = 2 * time.Second
+	crashFor   = 800 * time.Millisecond
+	crashJobs  = 4
+	crashTasks = 150
 	// crashTaskMs is how long a task takes, and crashTime how long the jobs may take.
 	crashTaskMs = 4500
 	crashTime   = 75 * time.Second
@@ -29,7 +29,7 @@
 	jobs := make([]*Job, 0, crashJobs)
 	var clients sync.WaitGroup
 	for n := range crashJobs {
-		j := newJob(q, fmt.Sprintf("run %d", crashTaskMs), Step{Resources: Resources{CPU: 2000, Memory: 1024}, Count: crashTasks, Estimate: crashTaskMs})
+		j := newJob(q, fmt.Sprintf("run %d", crashTaskMs), Step{Resources: Resources{CPU: 1000, Memory: 1024}, Count: crashTasks, Estimate: crashTaskMs})
 		jobs = append(jobs, j)
 		clients.Go(func() { w.Submit(n, j) })
 	}
