--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,4 +4,4 @@
 [ -x target/chivetiller ] && [ -x target/review-3 ] || { echo "build the deploy file and review/build-3.sh first" >&2; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-3 --case entry --record review/12/record.txt --trouble=$trouble
+exec target/review-3 --case advice --record review/12/record.txt --trouble=$trouble
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,7 +21,7 @@
 
 // cases holds the cases by name. Each returns what of its rule was broken.
 var cases = map[string]func(w *World, trouble bool) ([]string, error){
-	"advice": adviceCase, "early": earlyCase, "removed": removedCase, "crashes": crashesCase, "entry": entryCase,
+	"advice": adviceCase, "flicker": flickerCase, "memory": memoryCase, "early": earlyCase, "removed": removedCase, "crashes": crashesCase, "entry": entryCase,
 }
 
 func main() {
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -381,3 +381,16 @@
 	ws.serve(listener)
 	return nil
 }
+
+// Lose ends the worker for good and without notice, with all that runs there. Its entry is removed after three intervals of silence.
+func (ws *Worker) Lose() {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	ws.down = true
+	ws.w.Record("worker %s is lost for good with %d tasks", ws.id, len(ws.running))
+	for _, r := range ws.running {
+		ws.w.runEnded(r.record, "crashed")
+	}
+	ws.running, ws.ended = make(map[string]*taskRun), nil
+	_ = ws.server.Close()
+}
